--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# Nothing but Go and make is needed.
+
+BIN := bin
+GO  ?= go
+SEED ?= 1
+SCENARIO ?= crowded
+
+.PHONY: all build test unit race lint generate generate-check demo prove prove-short experiment bench fuzz-short clean
+
+all: build
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+# test runs every test of the project: unit and property tests under the race
+# detector, then the tests with real processes.
+test: unit race
+
+unit:
+	$(GO) test ./...
+
+# race runs the packages with goroutines of their own under the race detector.
+race:
+	$(GO) test -race $$($(GO) list ./... | grep -v '/tests/')
+
+lint:
+	@test -z "$$(gofmt -l .)" || { echo "gofmt would change:"; gofmt -l .; exit 1; }
+	$(GO) vet ./...
+	cd tools && $(GO) build -o ../$(BIN)/tools/ tool
+	$(BIN)/tools/staticcheck ./...
+	$(BIN)/tools/revive -config revive.toml -set_exit_status ./...
+
+clean:
+	rm -rf $(BIN) out
--- /dev/null
+++ b/api/control/control.go
@@ -0,0 +1,211 @@
+// Package control defines the net/rpc messages between gateway and agent and
+// between agents. Every message is a hint: losing or repeating one may cost
+// efficiency, never correctness.
+//
+// Services (net/rpc over TCP, gob):
+//
+//	Control.Snapshot    gateway -> agent of the same host; long poll
+//	Control.News        gateway -> agent of the same host
+//	Control.Status      operator CLI, gateway -> any agent
+//	Scheduler.Admit     gateway -> owner agent of the pool; waits in the fair queue
+//	Scheduler.Finish    gateway -> owner agent of the pool
+//	Directory.Register  gateway -> owner agent of the request id
+//	Directory.Lookup    gateway -> owner agent of the request id
+//	Peer.Exchange       agent -> agent; heartbeat, anti-entropy and news
+package control
+
+import (
+	"time"
+
+	"corianderhitch/api/engine"
+	"corianderhitch/internal/platform"
+)
+
+// MemberState is the state of a host as seen by its peers.
+type MemberState string
+
+// The states of a member.
+const (
+	MemberAlive    MemberState = "alive"
+	MemberSuspect  MemberState = "suspect"
+	MemberDraining MemberState = "draining"
+	MemberDead     MemberState = "dead"
+	MemberLeft     MemberState = "left"
+)
+
+// Member is one host of the system. A higher Incarnation, then a higher
+// Heartbeat, replaces an older record of the same host.
+type Member struct {
+	Host        string // unique name of the host, from its settings
+	Domain      string // failure domain
+	Region      string
+	AgentAddr   string // ip:port of the agent's net/rpc
+	GatewayAddr string // ip:port of the gateway's HTTP; empty while none is attached
+	Incarnation int64  // start time of the agent, Unix nanoseconds
+	Heartbeat   int64  // counts up while the agent lives
+	State       MemberState
+	// DocumentRevision and GatewayRevision are the document revisions in force
+	// in the host's agent and gateway.
+	DocumentRevision int64
+	GatewayRevision  int64
+}
+
+// TargetState is what the system knows of one target.
+type TargetState struct {
+	platform.Target
+	Load     engine.LoadReport // zero for plain services
+	Observed time.Time         // when the owner last heard from the target
+	Healthy  bool
+	Owner    string // host that observes the target
+}
+
+// SnapshotArgs asks for the state after a version.
+type SnapshotArgs struct {
+	GatewayAddr      string
+	After            int64         // version already held; 0 for none
+	Wait             time.Duration // how long the call may wait for news
+	DocumentRevision int64         // revision in force in the gateway
+	Draining         bool
+}
+
+// SnapshotReply is the whole state that a gateway needs. Document is empty
+// while its revision equals the one in SnapshotArgs.
+type SnapshotReply struct {
+	Version          int64
+	Document         []byte // canonical JSON of internal/document.Document
+	DocumentRevision int64
+	Targets          []TargetState
+	Members          []Member
+}
+
+// NewsKind names an event that a gateway saw on the data path.
+type NewsKind string
+
+// The kinds of news.
+const (
+	NewsLeaving NewsKind = "leaving" // the target refused because it is leaving
+	NewsDown    NewsKind = "down"    // connection refused or cut
+	NewsCrash   NewsKind = "crash"   // the target died while it ran Fingerprint
+)
+
+// News is an event about a target, spread to all hosts.
+type News struct {
+	ID          string // unique, for suppression of duplicates
+	Kind        NewsKind
+	Target      string
+	Fingerprint uint64   // request body and account, for NewsCrash
+	Beside      []uint64 // fingerprints that ran beside it, for NewsCrash
+	Seen        time.Time
+}
+
+// NewsArgs carries news.
+type NewsArgs struct{ News []News }
+
+// Empty is an empty reply.
+type Empty struct{}
+
+// AdmitArgs asks the owner of a pool for a place on a target.
+type AdmitArgs struct {
+	Ticket       string // unique per attempt; Finish names it
+	Host         string // gateway's host
+	Account      string
+	Model        string
+	Version      string
+	Adapter      string
+	Class        string // document class: "interactive", "bulk", "late"
+	Priority     int    // 0 to 9
+	Weight       float64
+	PromptTokens int
+	Produced     int // output tokens that exist already (continuation)
+	MaxTokens    int
+	PrefixHashes []uint64 // chained block hashes of the prompt, longest last
+	Deadline     time.Time
+	Fingerprint  uint64
+	Avoid        []string // targets that the caller has tried
+}
+
+// AdmitReply names the target or the refusal.
+type AdmitReply struct {
+	Target  platform.Target
+	Granted bool
+	// The rest is set when not granted.
+	Kind       string        // problem.Kind
+	Detail     string        // one sentence
+	RetryAfter time.Duration // from the measured drain rate
+	// Reason explains the choice, for "hitchctl explain".
+	Reason string
+}
+
+// FinishArgs returns the places of ended generations.
+type FinishArgs struct{ Finished []Finished }
+
+// Finished tells how a granted ticket ended.
+type Finished struct {
+	Ticket   string
+	Target   string
+	Account  string
+	Model    string
+	Class    string
+	Produced int  // output tokens in all
+	Complete bool // false if the generation was cut or canceled, so that its length is censored
+}
+
+// DirectoryEntry tells where the generation of a request id runs.
+type DirectoryEntry struct {
+	Account    string
+	RequestID  string
+	BodyHash   uint64
+	Generation string
+	Target     platform.Target
+	Model      string
+	Version    string
+	Adapter    string
+	Expires    time.Time
+}
+
+// DirectoryKey names an entry.
+type DirectoryKey struct {
+	Account   string
+	RequestID string
+}
+
+// RegisterReply returns the entry that is there after the call: the caller's
+// own, or the one that another gateway registered before.
+type RegisterReply struct {
+	Entry DirectoryEntry
+	Won   bool
+}
+
+// LookupReply returns the entry if found.
+type LookupReply struct {
+	Entry DirectoryEntry
+	Found bool
+}
+
+// ExchangeArgs is a heartbeat with anti-entropy between two agents.
+type ExchangeArgs struct {
+	From             Member
+	Members          []Member // changed since the last exchange with this peer
+	DocumentRevision int64
+	Targets          []TargetState // owned targets, changed since the last exchange
+	News             []News
+}
+
+// ExchangeReply answers with what the caller lacks.
+type ExchangeReply struct {
+	From             Member
+	Members          []Member
+	Document         []byte // set when the callee holds a higher revision
+	DocumentRevision int64
+	Targets          []TargetState
+	News             []News
+}
+
+// StatusReply is the state of the fleet as one agent sees it.
+type StatusReply struct {
+	Members          []Member
+	Targets          []TargetState
+	DocumentRevision int64
+	Environment      string
+	StoreReachable   bool
+}
--- /dev/null
+++ b/api/engine/engine.go
@@ -0,0 +1,156 @@
+// Package engine defines the HTTP messages of a model engine, as the stand-in
+// engine serves them and the engine client sends them.
+//
+// Paths:
+//
+//	POST   /v1/generations                 start, or attach to, a generation; SSE answer
+//	GET    /v1/generations/{id}?offset=n   attach to a generation at a token offset; SSE answer
+//	DELETE /v1/generations/{id}            cancel a generation; 204, also when unknown
+//	GET    /v1/load                        LoadReport
+//	GET    /v1/cache-events?after=seq      CacheEvents
+//	POST   /v1/orders                      Order -> OrderResult; 409 problem when the fence is refused
+//	GET    /v1/orders                      OrderState
+//
+// The SSE answer has events "token" (Token), then exactly one "done" (Done) or
+// "error" (problem.Document). Offsets of a generation start at 0 and have no
+// gaps. A refusal before running is a problem document with ran=no.
+package engine
+
+import "time"
+
+// GenerateRequest starts a generation. Sending the same ID again to the same
+// engine attaches to the running generation at Offset instead of running it twice.
+type GenerateRequest struct {
+	ID        string `json:"id"`         // generation id, chosen by the gateway
+	RequestID string `json:"request_id"` // caller's request id, for crash attribution
+	Model     string `json:"model"`
+	Version   string `json:"version"`
+	Adapter   string `json:"adapter,omitempty"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"` // upper bound of output tokens
+	Priority  int    `json:"priority"`   // 0 (lowest) to 9 (highest)
+	// Offset is the first token that the answer shall contain.
+	Offset int `json:"offset"`
+	// Prefix holds the tokens [0,len) that another engine has already produced
+	// for this generation. The engine continues after them.
+	Prefix []string `json:"prefix,omitempty"`
+}
+
+// Token is one output token of a generation.
+type Token struct {
+	Generation string `json:"generation"`
+	Offset     int    `json:"offset"`
+	Text       string `json:"text"`
+}
+
+// FinishReason tells why a generation ended.
+type FinishReason string
+
+// The reasons for a normal end.
+const (
+	FinishStop     FinishReason = "stop"
+	FinishLength   FinishReason = "length"
+	FinishCanceled FinishReason = "canceled"
+)
+
+// Done ends a generation. Tokens is the total number of output tokens.
+type Done struct {
+	Generation string       `json:"generation"`
+	Tokens     int          `json:"tokens"`
+	Reason     FinishReason `json:"reason"`
+}
+
+// LoadReport is the state of an engine at ReportedAt, which may lie some time in
+// the past.
+type LoadReport struct {
+	Target      string    `json:"target"`
+	ReportedAt  time.Time `json:"reported_at"`
+	Running     int       `json:"running"`      // sequences in the batch
+	Waiting     int       `json:"waiting"`      // sequences queued or preempted
+	UsedBlocks  int       `json:"used_blocks"`  // KV memory blocks held by sequences
+	TotalBlocks int       `json:"total_blocks"` // KV memory blocks in all
+	BlockTokens int       `json:"block_tokens"` // tokens per block
+	StepMS      float64   `json:"step_ms"`      // duration of the last decode step
+	Preemptions int64     `json:"preemptions"`  // total since start
+	Leaving     bool      `json:"leaving"`      // refuses new generations
+	Loaded      []Loaded  `json:"loaded"`
+	Role        Role      `json:"role"`
+}
+
+// Loaded names one model version, with its adapters, that an engine can serve.
+type Loaded struct {
+	Model    string   `json:"model"`
+	Version  string   `json:"version"`
+	Adapters []string `json:"adapters,omitempty"`
+}
+
+// Role says which phases an engine serves.
+type Role string
+
+// The roles of an engine.
+const (
+	RoleGeneral Role = "general"
+	RoleStandby Role = "standby"
+)
+
+// CacheEventKind tells what happened to a cached prefix block.
+type CacheEventKind string
+
+// The kinds of cache events.
+const (
+	CacheStored  CacheEventKind = "stored"
+	CacheEvicted CacheEventKind = "evicted"
+)
+
+// CacheEvent reports one cached prefix block. Hash is the chained hash of the
+// prompt up to and including the block (see internal/prefix).
+type CacheEvent struct {
+	Seq  int64          `json:"seq"`
+	Kind CacheEventKind `json:"kind"`
+	Hash uint64         `json:"hash"`
+}
+
+// CacheEvents is the answer to a poll. A gap between After and the first Seq
+// means that events were lost.
+type CacheEvents struct {
+	Events []CacheEvent `json:"events"`
+	Next   int64        `json:"next"` // value for the next poll's "after"
+}
+
+// OrderKind names what an order changes.
+type OrderKind string
+
+// The kinds of orders.
+const (
+	OrderLoad   OrderKind = "load"
+	OrderUnload OrderKind = "unload"
+	OrderRole   OrderKind = "role"
+)
+
+// Order tells an engine to change what it serves. Fence is the fencing number
+// of the holder that sends it; engines in "strict" mode refuse a number below
+// the highest they have seen, engines in "lax" mode ignore it.
+type Order struct {
+	ID       string    `json:"id"` // idempotency key of the order
+	Fence    int64     `json:"fence"`
+	Revision int64     `json:"revision"` // document revision that asks for it
+	Kind     OrderKind `json:"kind"`
+	Model    string    `json:"model,omitempty"`
+	Version  string    `json:"version,omitempty"`
+	Adapter  string    `json:"adapter,omitempty"`
+	Role     Role      `json:"role,omitempty"`
+}
+
+// OrderResult tells the outcome of an order.
+type OrderResult struct {
+	ID      string `json:"id"`
+	Applied bool   `json:"applied"`
+}
+
+// OrderState is what an engine has applied, for reading back.
+type OrderState struct {
+	HighestFence int64    `json:"highest_fence"`
+	Loaded       []Loaded `json:"loaded"`
+	Role         Role     `json:"role"`
+	Applied      []Order  `json:"applied"` // the last orders, oldest first
+}
--- /dev/null
+++ b/api/problem/kind.go
@@ -0,0 +1,45 @@
+// Package problem defines the typed errors that callers and operators receive
+// as RFC 9457 problem details.
+package problem
+
+// Kind is the stable name of an error class. Callers may branch on it; it never
+// changes once published.
+type Kind string
+
+// The kinds that a gateway returns. docs/OPERATING.md explains each.
+const (
+	KindBadRequest       Kind = "bad-request"
+	KindTooLarge         Kind = "too-large"
+	KindUnauthenticated  Kind = "unauthenticated"
+	KindForbidden        Kind = "forbidden"
+	KindNotFound         Kind = "not-found"
+	KindUnknownModel     Kind = "unknown-model"
+	KindKeyReused        Kind = "idempotency-key-reused"
+	KindInProgress       Kind = "in-progress"
+	KindBadResumeToken   Kind = "bad-resume-token"
+	KindGenerationLost   Kind = "generation-lost"
+	KindLimited          Kind = "account-limited"
+	KindOverloaded       Kind = "overloaded"
+	KindDraining         Kind = "draining"
+	KindNoTarget         Kind = "no-target"
+	KindStoreUnavailable Kind = "store-unavailable"
+	KindOutcomeUnknown   Kind = "outcome-unknown"
+	KindTargetFailed     Kind = "target-failed"
+	KindCrashSuspect     Kind = "crash-suspect"
+	KindDeadline         Kind = "deadline-exceeded"
+	KindConflict         Kind = "revision-conflict"
+	KindInvalidDocument  Kind = "invalid-document"
+	KindInternal         Kind = "internal"
+)
+
+// Ran states whether the target executed the request.
+type Ran string
+
+// RanNo is said only when no byte of the request left for a target or the
+// target refused it before running. RanUnknown is said whenever execution can
+// be neither proved nor excluded.
+const (
+	RanNo      Ran = "no"
+	RanUnknown Ran = "unknown"
+	RanYes     Ran = "yes"
+)
--- /dev/null
+++ b/internal/logging/logging.go
@@ -0,0 +1,57 @@
+// Package logging builds the slog loggers of the programs. Every message of a
+// part starts with the part's fixed prefix, for example "ledger: ".
+package logging
+
+import (
+	"context"
+	"io"
+	"log/slog"
+)
+
+// Settings are the logging settings shared by all programs.
+type Settings struct {
+	LogFormat string `flag:"log-format" default:"text" usage:"log format, text or json" validate:"oneof=text json"`
+	LogLevel  string `flag:"log-level" default:"info" usage:"lowest level that is logged: debug, info, warn or error" validate:"oneof=debug info warn error"`
+}
+
+// New returns the root logger of a program.
+func New(w io.Writer, s Settings) *slog.Logger {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(s.LogLevel)); err != nil {
+		level = slog.LevelInfo
+	}
+	options := &slog.HandlerOptions{Level: level}
+	if s.LogFormat == "json" {
+		return slog.New(slog.NewJSONHandler(w, options))
+	}
+	return slog.New(slog.NewTextHandler(w, options))
+}
+
+// Part returns a logger whose messages start with "part: ".
+func Part(l *slog.Logger, part string) *slog.Logger {
+	return slog.New(&prefixHandler{Handler: l.Handler(), prefix: part + ": "})
+}
+
+// Discard returns a logger that drops everything, for tests.
+func Discard() *slog.Logger { return slog.New(slog.DiscardHandler) }
+
+type prefixHandler struct {
+	slog.Handler
+	prefix string
+}
+
+// Handle implements slog.Handler.
+func (h *prefixHandler) Handle(ctx context.Context, r slog.Record) error {
+	r.Message = h.prefix + r.Message
+	return h.Handler.Handle(ctx, r)
+}
+
+// WithAttrs implements slog.Handler.
+func (h *prefixHandler) WithAttrs(attrs []slog.Attr) slog.Handler {
+	return &prefixHandler{Handler: h.Handler.WithAttrs(attrs), prefix: h.prefix}
+}
+
+// WithGroup implements slog.Handler.
+func (h *prefixHandler) WithGroup(name string) slog.Handler {
+	return &prefixHandler{Handler: h.Handler.WithGroup(name), prefix: h.prefix}
+}
