Extend control messages by digests, observations and explain

Cause: spread by digest needs bucket sums; the owner of a pool needs load and cache events at a higher rate than the epidemic carries. All additive.

--- a/api/control/control.go
+++ b/api/control/control.go
@@ -11,7 +11,11 @@
 //	Scheduler.Finish    gateway -> owner agent of the pool
 //	Directory.Register  gateway -> owner agent of the request id
 //	Directory.Lookup    gateway -> owner agent of the request id
+//	Control.Explain     operator CLI -> any agent
 //	Peer.Exchange       agent -> agent; heartbeat, anti-entropy and news
+//	Peer.Observed       observing agent -> owner agent of the pool; load and cache events
+//	Peer.Self           agent -> agent; the peer's own member record
+//	Peer.Decisions      agent -> agent; recent decisions, for Control.Explain
 package control
 
 import (
@@ -57,6 +61,11 @@
 	Observed time.Time         // when the owner last heard from the target
 	Healthy  bool
 	Owner    string // host that observes the target
+	// Version grows when anything but the load changes. A higher one replaces
+	// an older row; equal ones are ordered by Observed.
+	Version int64
+	// Left is set when the target has vanished from the platform's list.
+	Left bool
 }
 
 // SnapshotArgs asks for the state after a version.
@@ -86,6 +95,7 @@
 	NewsLeaving NewsKind = "leaving" // the target refused because it is leaving
 	NewsDown    NewsKind = "down"    // connection refused or cut
 	NewsCrash   NewsKind = "crash"   // the target died while it ran Fingerprint
+	NewsCleared NewsKind = "cleared" // Fingerprint completed and is no suspect any more
 )
 
 // News is an event about a target, spread to all hosts.
@@ -93,6 +103,7 @@
 	ID          string // unique, for suppression of duplicates
 	Kind        NewsKind
 	Target      string
+	Ticket      string   // unique per attempt, for NewsCrash
 	Fingerprint uint64   // request body and account, for NewsCrash
 	Beside      []uint64 // fingerprints that ran beside it, for NewsCrash
 	Seen        time.Time
@@ -108,6 +119,8 @@
 type AdmitArgs struct {
 	Ticket       string // unique per attempt; Finish names it
 	Host         string // gateway's host
+	Region       string // gateway's region; empty means that of Host's member record
+	RequestID    string // caller's request id, for Control.Explain
 	Account      string
 	Model        string
 	Version      string
@@ -182,6 +195,14 @@
 	Found bool
 }
 
+// Digest is the sum of a table that all agents hold. Equal digests mean equal
+// tables. Buckets splits the table by key hash; it is set when the sums were
+// found to differ, so that only the rows of differing buckets are sent.
+type Digest struct {
+	Sum     uint64
+	Buckets []uint64
+}
+
 // ExchangeArgs is a heartbeat with anti-entropy between two agents.
 type ExchangeArgs struct {
 	From             Member
@@ -189,6 +210,9 @@
 	DocumentRevision int64
 	Targets          []TargetState // owned targets, changed since the last exchange
 	News             []News
+	DocumentHash     uint64 // hash of the document of DocumentRevision
+	MemberDigest     Digest
+	TargetDigest     Digest
 }
 
 // ExchangeReply answers with what the caller lacks.
@@ -199,6 +223,37 @@
 	DocumentRevision int64
 	Targets          []TargetState
 	News             []News
+	DocumentHash     uint64 // hash of the document of DocumentRevision
+	MemberDigest     Digest
+	TargetDigest     Digest
+}
+
+// CacheDelta carries cache events of one target. Lost marks a gap, after which
+// nothing is known of the target's cache.
+type CacheDelta struct {
+	Target string
+	Stored []uint64
+	Evict  []uint64
+	Lost   bool
+}
+
+// ObservedArgs carries fresh load reports and cache events to the owner of the
+// pools that the targets belong to.
+type ObservedArgs struct {
+	Targets []TargetState
+	Cache   []CacheDelta
+}
+
+// ExplainArgs asks for the recent decisions about a request.
+type ExplainArgs struct {
+	Account   string
+	RequestID string
+}
+
+// ExplainReply lists the decisions, oldest first.
+type ExplainReply struct {
+	Found bool
+	Lines []string
 }
 
 // StatusReply is the state of the fleet as one agent sees it.
