--- a/api/control/control.go
+++ b/api/control/control.go
@@ -11,7 +11,6 @@
 //	Scheduler.Finish    gateway -> owner agent of the pool
 //	Directory.Register  gateway -> owner agent of the request id
 //	Directory.Lookup    gateway -> owner agent of the request id
-//	Control.Explain     operator CLI -> any agent
 //	Peer.Exchange       agent -> agent; heartbeat, anti-entropy and news
 //	Peer.Observed       observing agent -> owner agent of the pool; load and cache events
 //	Peer.Self           agent -> agent; the peer's own member record
@@ -120,7 +119,6 @@
 	Ticket       string // unique per attempt; Finish names it
 	Host         string // gateway's host
 	Region       string // gateway's region; empty means that of Host's member record
-	RequestID    string // caller's request id, for Control.Explain
 	Account      string
 	Model        string
 	Version      string
@@ -244,18 +242,6 @@
 	Cache   []CacheDelta
 }
 
-// ExplainArgs asks for the recent decisions about a request.
-type ExplainArgs struct {
-	Account   string
-	RequestID string
-}
-
-// ExplainReply lists the decisions, oldest first.
-type ExplainReply struct {
-	Found bool
-	Lines []string
-}
-
 // StatusReply is the state of the fleet as one agent sees it.
 type StatusReply struct {
 	Members          []Member
