Let an operator ask an agent why a request went where it did

Adds Control.Explain to the messages: the operators' command line sends the account and the request id, an agent answers with one decision a line. Additive only; no other message changes.

--- a/api/control/control.go
+++ b/api/control/control.go
@@ -7,6 +7,7 @@
 //	Control.Snapshot    gateway -> agent of the same host; long poll
 //	Control.News        gateway -> agent of the same host
 //	Control.Status      operator CLI, gateway -> any agent
+//	Control.Explain     operator CLI -> any agent
 //	Scheduler.Admit     gateway -> owner agent of the pool; waits in the fair queue
 //	Scheduler.Finish    gateway -> owner agent of the pool
 //	Directory.Register  gateway -> owner agent of the request id
@@ -209,3 +210,15 @@
 	Environment      string
 	StoreReachable   bool
 }
+
+// ExplainArgs asks why a request went where it did.
+type ExplainArgs struct {
+	Account   string // client account that sent the request
+	RequestID string // the caller's Idempotency-Key, or the generated one
+}
+
+// ExplainReply answers with what the agents still remember of the request.
+type ExplainReply struct {
+	Found bool
+	Lines []string // one decision a line, oldest first
+}
