--- a/api/control/control.go
+++ b/api/control/control.go
@@ -120,6 +120,7 @@
 	Ticket       string // unique per attempt; Finish names it
 	Host         string // gateway's host
 	Region       string // gateway's region; empty means that of Host's member record
+	RequestID    string // caller's request id, for Control.Explain
 	Account      string
 	Model        string
 	Version      string
