--- /dev/null
+++ b/internal/platform/memstore/hostlist.go
@@ -0,0 +1,93 @@
+package memstore
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"corianderhitch/internal/platform"
+)
+
+// hostList keeps the versions of the list that a lagging reader may still see,
+// oldest first.
+type hostList struct{ versions []hostVersion }
+
+type hostVersion struct {
+	since   time.Time
+	targets []platform.Target
+}
+
+// Targets implements platform.HostList. Changes are seen after Fault.HostListLag.
+func (s *Store) Targets(ctx context.Context) ([]platform.Target, error) {
+	var targets []platform.Target
+	err := s.read(ctx, noKey, func() error {
+		targets = s.hosts.visible(s.options.Now().Add(-s.fault.HostListLag))
+		return nil
+	})
+	return targets, err
+}
+
+// SetTargets replaces the host list.
+func (s *Store) SetTargets(targets []platform.Target) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.setTargetsLocked(slices.Clone(targets))
+}
+
+// PutTarget adds or replaces one entry of the host list, by name.
+func (s *Store) PutTarget(t platform.Target) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	targets := s.hosts.latest()
+	i := slices.IndexFunc(targets, func(x platform.Target) bool { return x.Name == t.Name })
+	if i < 0 {
+		targets = append(targets, t)
+	} else {
+		targets[i] = t
+	}
+	s.setTargetsLocked(targets)
+}
+
+// RemoveTarget removes one entry of the host list.
+func (s *Store) RemoveTarget(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.setTargetsLocked(slices.DeleteFunc(s.hosts.latest(), func(t platform.Target) bool { return t.Name == name }))
+}
+
+// CurrentTargets returns the host list without its lag.
+func (s *Store) CurrentTargets() []platform.Target {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.hosts.latest()
+}
+
+func (s *Store) setTargetsLocked(targets []platform.Target) {
+	now := s.options.Now()
+	s.hosts.forget(now.Add(-s.fault.HostListLag))
+	s.hosts.versions = append(s.hosts.versions, hostVersion{since: now, targets: targets})
+}
+
+// visible returns a copy of the list in force at an instant.
+func (h *hostList) visible(at time.Time) []platform.Target {
+	for _, v := range slices.Backward(h.versions) {
+		if !v.since.After(at) {
+			return slices.Clone(v.targets)
+		}
+	}
+	return nil
+}
+
+func (h *hostList) latest() []platform.Target {
+	if len(h.versions) == 0 {
+		return nil
+	}
+	return slices.Clone(h.versions[len(h.versions)-1].targets)
+}
+
+// forget drops the versions that nobody sees any more.
+func (h *hostList) forget(before time.Time) {
+	for len(h.versions) > 1 && !h.versions[1].since.After(before) {
+		h.versions = h.versions[1:]
+	}
+}
