--- /dev/null
+++ b/internal/agent/observer/row.go
@@ -0,0 +1,64 @@
+// Package observer keeps the table of targets and polls those that this host
+// observes. Each target has one observing host by rendezvous hashing. If two
+// hosts believe to observe a target, it is polled twice and the later of their
+// rows holds.
+package observer
+
+import (
+	"time"
+
+	"corianderhitch/api/control"
+	"corianderhitch/internal/agent/spread"
+	"corianderhitch/internal/platform"
+)
+
+// Newer tells whether row a replaces row b of the same target.
+func Newer(a, b control.TargetState) bool {
+	if a.Version != b.Version {
+		return a.Version > b.Version
+	}
+	if a.Owner != b.Owner {
+		return a.Owner > b.Owner
+	}
+	return a.Observed.After(b.Observed)
+}
+
+// same tells whether two rows differ in nothing but the load and its time.
+func same(a, b control.TargetState) bool {
+	return a.Target == b.Target && a.Healthy == b.Healthy && a.Owner == b.Owner && a.Left == b.Left &&
+		a.Load.Role == b.Load.Role && a.Load.TotalBlocks == b.Load.TotalBlocks && sameLoaded(a, b)
+}
+
+func sameLoaded(a, b control.TargetState) bool {
+	if len(a.Load.Loaded) != len(b.Load.Loaded) {
+		return false
+	}
+	for i, l := range a.Load.Loaded {
+		other := b.Load.Loaded[i]
+		if l.Model != other.Model || l.Version != other.Version || len(l.Adapters) != len(other.Adapters) {
+			return false
+		}
+		for j := range l.Adapters {
+			if l.Adapters[j] != other.Adapters[j] {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func rowHash(r control.TargetState) uint64 {
+	return spread.Hash(r.Name, r.Owner, r.Version)
+}
+
+func valid(r control.TargetState) bool {
+	known := r.Kind == platform.TargetEngine || r.Kind == platform.TargetService
+	return r.Name != "" && known && r.Version > 0
+}
+
+// overlay is what peers or gateways have said about a target since its row was
+// written. It ends when the row confirms it, or after a while.
+type overlay struct {
+	leavingUntil time.Time
+	downUntil    time.Time
+}
--- /dev/null
+++ b/internal/agent/spread/rumors.go
@@ -0,0 +1,82 @@
+package spread
+
+import (
+	"math/bits"
+	"sort"
+)
+
+// extraSends is added to the binary logarithm of the number of members. With
+// three more, the share of members that a rumor misses is well under one in a
+// hundred; digests find those.
+const extraSends = 3
+
+// Rumors counts how often each changed row may still be sent, and remembers
+// which peers know it already. A new change of the same row starts anew.
+type Rumors struct {
+	rows map[string]*rumor // by key of the row
+}
+
+type rumor struct {
+	left  int
+	known map[string]struct{} // hosts that sent it or were sent it
+}
+
+// NewRumors returns an empty Rumors.
+func NewRumors() *Rumors { return &Rumors{rows: make(map[string]*rumor)} }
+
+// Sends returns how often a member of a fleet passes on one change.
+func Sends(members int) int { return extraSends + bits.Len(uint(max(members, 1))) }
+
+// Start marks a row as changed; it will be taken at most sends times. From is
+// the peer that the change came from, or empty.
+func (r *Rumors) Start(key string, sends int, from string) {
+	fresh := &rumor{left: sends, known: make(map[string]struct{}, 1)}
+	if from != "" {
+		fresh.known[from] = struct{}{}
+	}
+	r.rows[key] = fresh
+}
+
+// Known records that the peer holds the current row.
+func (r *Rumors) Known(key, peer string) {
+	if row := r.rows[key]; row != nil {
+		row.known[peer] = struct{}{}
+	}
+}
+
+// Len returns the number of rows that may still be sent.
+func (r *Rumors) Len() int { return len(r.rows) }
+
+// Drop ends the rumor of a row.
+func (r *Rumors) Drop(key string) { delete(r.rows, key) }
+
+// Take returns up to limit keys to send to the peer now, the freshest first.
+func (r *Rumors) Take(peer string, limit int) []string {
+	keys := make([]string, 0, len(r.rows))
+	for key, row := range r.rows {
+		if _, known := row.known[peer]; !known {
+			keys = append(keys, key)
+		}
+	}
+	sort.Slice(keys, func(i, j int) bool {
+		li, lj := r.rows[keys[i]].left, r.rows[keys[j]].left
+		if li != lj {
+			return li > lj
+		}
+		return keys[i] < keys[j]
+	})
+	keys = keys[:min(limit, len(keys))]
+	for _, key := range keys {
+		r.sent(key, peer)
+	}
+	return keys
+}
+
+func (r *Rumors) sent(key, peer string) {
+	row := r.rows[key]
+	row.known[peer] = struct{}{}
+	row.left--
+	if row.left <= 0 {
+		delete(r.rows, key)
+	}
+}
--- /dev/null
+++ b/internal/agent/state/exchange.go
@@ -0,0 +1,148 @@
+package state
+
+import (
+	"time"
+
+	"corianderhitch/api/control"
+)
+
+// Request builds the message to a peer. It is a heartbeat and carries the
+// changes that the peer is not known to hold.
+func (s *State) Request(peer string) control.ExchangeArgs {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	args := control.ExchangeArgs{
+		Members: s.members.TakeRumors(peer),
+		Targets: s.targets.TakeRumors(peer),
+		News:    s.news.TakeRumors(peer),
+	}
+	s.seal(&args)
+	return args
+}
+
+// Answer takes a peer's message and builds the reply.
+func (s *State) Answer(now time.Time, args control.ExchangeArgs) control.ExchangeReply {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.take(now, args)
+	reply := control.ExchangeReply{
+		From:    s.members.Self(),
+		Members: s.members.TakeRumors(args.From.Host),
+		Targets: s.targets.TakeRumors(args.From.Host),
+		News:    s.news.TakeRumors(args.From.Host),
+	}
+	s.repairInto(args, &reply)
+	held := s.document.Held()
+	reply.DocumentRevision = held.Revision
+	reply.DocumentHash = held.Hash
+	if held.Revision > args.DocumentRevision {
+		reply.Document = held.Content
+	}
+	return reply
+}
+
+// Replied takes a peer's reply. When the tables differ it returns the message
+// that repairs them.
+func (s *State) Replied(now time.Time, reply control.ExchangeReply) (control.ExchangeArgs, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(reply.Document) > 0 {
+		s.offer(reply.DocumentRevision, reply.Document)
+	}
+	s.checkDocument(reply.From, reply.DocumentRevision, reply.DocumentHash)
+	s.takeRows(now, reply.From, reply.Members, reply.Targets, reply.News)
+	return s.repair(reply)
+}
+
+// Failed records that no reply came from a peer.
+func (s *State) Failed(now time.Time, host string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := s.members.Version()
+	s.members.Failed(now, host)
+	if s.members.Version() != before {
+		s.touch()
+		s.hurry()
+	}
+}
+
+func (s *State) seal(args *control.ExchangeArgs) {
+	held := s.document.Held()
+	args.From = s.members.Self()
+	args.DocumentRevision = held.Revision
+	args.DocumentHash = held.Hash
+	args.MemberDigest = s.members.Sums().Short()
+	args.TargetDigest = s.targets.Sums().Short()
+}
+
+func (s *State) take(now time.Time, args control.ExchangeArgs) {
+	s.checkDocument(args.From, args.DocumentRevision, args.DocumentHash)
+	s.takeRows(now, args.From, args.Members, args.Targets, args.News)
+	if args.DocumentRevision > s.document.Held().Revision {
+		s.ahead = args.From.AgentAddr
+		s.hurry()
+	}
+}
+
+func (s *State) takeRows(now time.Time, from control.Member, members []control.Member, targets []control.TargetState, events []control.News) {
+	before := s.members.Version()
+	s.members.Heard(now, from)
+	s.members.Merge(now, from.Host, members)
+	changed := s.members.Version() != before
+	if s.targets.Merge(now, from.Host, targets) > 0 {
+		changed = true
+	}
+	if changed {
+		s.touch()
+	}
+	s.takeNews(now, from.Host, events)
+}
+
+// repairInto adds to a reply what differs: the sums of the buckets if the
+// tables differ, and the rows of differing buckets if the peer sent its sums.
+func (s *State) repairInto(args control.ExchangeArgs, reply *control.ExchangeReply) {
+	members, targets := s.members.Sums(), s.targets.Sums()
+	reply.MemberDigest, reply.TargetDigest = members.Short(), targets.Short()
+	if len(args.MemberDigest.Buckets) > 0 {
+		if marked, differ := members.Differing(args.MemberDigest); differ {
+			reply.Members = append(reply.Members, s.members.InBuckets(marked)...)
+		}
+	} else if args.MemberDigest.Sum != reply.MemberDigest.Sum {
+		reply.MemberDigest = members.Full()
+	}
+	if len(args.TargetDigest.Buckets) > 0 {
+		if marked, differ := targets.Differing(args.TargetDigest); differ {
+			reply.Targets = append(reply.Targets, s.targets.InBuckets(marked)...)
+		}
+	} else if args.TargetDigest.Sum != reply.TargetDigest.Sum {
+		reply.TargetDigest = targets.Full()
+	}
+}
+
+// repair builds the second message of an exchange between differing tables. It
+// carries the own rows and sums, so that the reply carries the peer's rows.
+func (s *State) repair(reply control.ExchangeReply) (control.ExchangeArgs, bool) {
+	memberSums, targetSums := s.members.Sums(), s.targets.Sums()
+	membersMarked, membersDiffer := memberSums.Differing(reply.MemberDigest)
+	targetsMarked, targetsDiffer := targetSums.Differing(reply.TargetDigest)
+	if !membersDiffer && !targetsDiffer {
+		return control.ExchangeArgs{}, false
+	}
+	var args control.ExchangeArgs
+	if membersDiffer {
+		args.Members = s.members.InBuckets(membersMarked)
+	}
+	if targetsDiffer {
+		args.Targets = s.targets.InBuckets(targetsMarked)
+	}
+	s.seal(&args)
+	args.MemberDigest = memberSums.Full()
+	args.TargetDigest = targetSums.Full()
+	return args, true
+}
+
+func (s *State) checkDocument(from control.Member, revision int64, hash uint64) {
+	if err := s.document.Check(revision, hash); err != nil {
+		s.log.Error("Peer holds another content of this revision.", "peer", from.Host, "revision", revision, "error", err)
+	}
+}
--- /dev/null
+++ b/internal/agent/state/state.go
@@ -0,0 +1,265 @@
+// Package state joins the tables that agents share (members, targets, news and
+// the document) behind one lock, builds and answers the messages between
+// agents, and tells waiting gateways of changes.
+//
+// Every method takes the time, so that tests drive many agents without clocks.
+package state
+
+import (
+	"log/slog"
+	"sync"
+	"time"
+
+	"corianderhitch/api/control"
+	"corianderhitch/internal/agent/docsync"
+	"corianderhitch/internal/agent/membership"
+	"corianderhitch/internal/agent/news"
+	"corianderhitch/internal/agent/observer"
+	"corianderhitch/internal/logging"
+)
+
+// State is what one agent knows. It is safe for concurrent use.
+type State struct {
+	log *slog.Logger
+
+	mu       sync.Mutex
+	members  *membership.Table    // guarded by mu
+	partners *membership.Partners // guarded by mu
+	targets  *observer.Table      // guarded by mu
+	news     *news.Board          // guarded by mu
+	document *docsync.Holder      // guarded by mu
+	ahead    string               // address of a peer with a higher document revision, guarded by mu
+	storeUp  bool                 // whether the last call to the store succeeded, guarded by mu
+	version  int64                // guarded by mu
+	changed  chan struct{}        // closed at the next change, guarded by mu
+
+	urgent    chan struct{}       // of capacity 1; filled when a message should leave at once
+	freshNews chan []control.News // events for the duties that act on them
+}
+
+// newsBacklog bounds the events that wait for the duties. Beyond it events are
+// dropped, which costs a later decision its hint.
+const newsBacklog = 256
+
+// New returns the state of an agent that knows only itself.
+func New(log *slog.Logger, config membership.Config, self control.Member, environment string, seed uint64) *State {
+	return &State{
+		log:       logging.Part(log, "state"),
+		members:   membership.NewTable(config, self),
+		partners:  membership.NewPartners(seed),
+		targets:   observer.NewTable(),
+		news:      news.NewBoard(),
+		document:  docsync.NewHolder(environment),
+		version:   1,
+		changed:   make(chan struct{}),
+		urgent:    make(chan struct{}, 1),
+		freshNews: make(chan []control.News, newsBacklog),
+	}
+}
+
+// Urgent yields a value when a message to peers should leave at once.
+func (s *State) Urgent() <-chan struct{} { return s.urgent }
+
+// FreshNews yields events that this agent had not seen before.
+func (s *State) FreshNews() <-chan []control.News { return s.freshNews }
+
+// Version returns the version of the state and a channel that is closed at the
+// next change.
+func (s *State) Version() (int64, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version, s.changed
+}
+
+// Self returns the agent's own member record.
+func (s *State) Self() control.Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.members.Self()
+}
+
+// SetSelf changes the agent's own member record.
+func (s *State) SetSelf(change func(*control.Member)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := s.members.Version()
+	s.members.SetSelf(change)
+	if s.members.Version() != before {
+		s.touch()
+		s.hurry()
+	}
+}
+
+// Members returns all known members.
+func (s *State) Members() []control.Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.members.Members()
+}
+
+// Live returns the members that take duties.
+func (s *State) Live() []control.Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.members.Live()
+}
+
+// Member returns the record of a host.
+func (s *State) Member(host string) (control.Member, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.members.Get(host)
+}
+
+// Targets returns the targets in the platform's list.
+func (s *State) Targets(now time.Time) []control.TargetState {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.targets.Listed(now)
+}
+
+// Target returns the row of a target as its observer wrote it.
+func (s *State) Target(name string) (control.TargetState, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.targets.Get(name)
+}
+
+// PutTarget writes the row of a target.
+func (s *State) PutTarget(now time.Time, row control.TargetState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.targets.Put(now, row) {
+		s.hurry()
+	}
+	s.touch()
+}
+
+// RefreshTarget lets the current load of a target travel to peers.
+func (s *State) RefreshTarget(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.targets.Refresh(name)
+}
+
+// AddNews takes events that a gateway of this host saw.
+func (s *State) AddNews(now time.Time, events []control.News) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.takeNews(now, "", events)
+}
+
+// Document returns the document in force.
+func (s *State) Document() docsync.Held {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.document.Held()
+}
+
+// OfferDocument puts a document in force if its revision is higher.
+func (s *State) OfferDocument(revision int64, content []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.offer(revision, content)
+}
+
+// SetStoreReachable records how the last call to the store ended.
+func (s *State) SetStoreReachable(reachable bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.storeUp = reachable
+}
+
+// StoreReachable tells whether the last call to the store succeeded.
+func (s *State) StoreReachable() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.storeUp
+}
+
+// Tick lets time pass in all tables.
+func (s *State) Tick(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := s.members.Version() + s.targets.Version()
+	s.members.Tick(now)
+	s.targets.SetMembers(len(s.members.Live()))
+	s.targets.Tick(now)
+	if s.members.Version()+s.targets.Version() != before {
+		s.touch()
+	}
+}
+
+// Due returns the peers to exchange with in this period.
+func (s *State) Due(now time.Time, count int) []control.Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.partners.Due(now, s.members, count)
+}
+
+// Partners returns the peers that urgent messages go to.
+func (s *State) Partners(now time.Time) []control.Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.partners.All(now, s.members)
+}
+
+// Ahead returns the address of a peer that holds a higher document revision, or
+// "", and forgets it.
+func (s *State) Ahead() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	address := s.ahead
+	s.ahead = ""
+	return address
+}
+
+func (s *State) offer(revision int64, content []byte) {
+	inForce, err := s.document.Offer(revision, content)
+	if err != nil {
+		s.log.Error("Document refused.", "revision", revision, "error", err)
+		return
+	}
+	if !inForce {
+		return
+	}
+	s.members.SetSelf(func(m *control.Member) { m.DocumentRevision = revision })
+	s.log.Info("Document in force.", "revision", revision)
+	s.touch()
+	s.hurry()
+}
+
+func (s *State) takeNews(now time.Time, from string, events []control.News) {
+	fresh := s.news.Add(now, from, events, len(s.members.Live()))
+	if len(fresh) == 0 {
+		return
+	}
+	for _, e := range fresh {
+		switch e.Kind {
+		case control.NewsLeaving:
+			s.targets.Leaving(now, e.Target)
+		case control.NewsDown, control.NewsCrash:
+			s.targets.Down(now, e.Target)
+		}
+	}
+	select {
+	case s.freshNews <- fresh:
+	default:
+		s.log.Warn("News dropped, the duties are behind.", "events", len(fresh))
+	}
+	s.touch()
+	s.hurry()
+}
+
+func (s *State) touch() {
+	s.version++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *State) hurry() {
+	select {
+	case s.urgent <- struct{}{}:
+	default:
+	}
+}
