--- a/api/control/control.go
+++ b/api/control/control.go
@@ -9,7 +9,8 @@
 //	Control.Status      operator CLI, gateway -> any agent
 //	Control.Explain     operator CLI -> any agent
 //	Scheduler.Admit     gateway -> owner agent of the pool; waits in the fair queue
-//	Scheduler.Finish    gateway -> owner agent of the pool
+//	Scheduler.Finish    gateway -> owner agent of the pool; also withdraws a waiting ticket
+//	Scheduler.Reattach  gateway -> new owner agent of a pool; what is in flight
 //	Directory.Register  gateway -> owner agent of the request id
 //	Directory.Lookup    gateway -> owner agent of the request id
 //	Peer.Exchange       agent -> agent; heartbeat, anti-entropy and news
@@ -64,6 +65,8 @@
 	// Version grows when anything but the load changes. A higher one replaces
 	// an older row; equal ones are ordered by Observed.
 	Version int64
+	// ListedLeaving is set while the platform's list itself says leaving.
+	ListedLeaving bool
 	// Left is set when the target has vanished from the platform's list.
 	Left bool
 }
@@ -121,6 +124,7 @@
 	Host         string // gateway's host
 	Region       string // gateway's region; empty means that of Host's member record
 	RequestID    string // caller's request id, for Control.Explain
+	Incarnation  int64  // start time of the gateway, Unix nanoseconds; 0 if not told
 	Account      string
 	Model        string
 	Version      string
@@ -163,6 +167,18 @@
 	Complete bool // false if the generation was cut or canceled, so that its length is censored
 }
 
+// ReattachArgs tells a new owner of a pool which generations of a gateway are in
+// flight. Each entry repeats its AdmitArgs with the tokens produced so far.
+type ReattachArgs struct {
+	Running []Running
+}
+
+// Running is a granted place that is in use.
+type Running struct {
+	Admit  AdmitArgs
+	Target string
+}
+
 // DirectoryEntry tells where the generation of a request id runs.
 type DirectoryEntry struct {
 	Account    string
--- /dev/null
+++ b/internal/agent/observer/judge.go
@@ -0,0 +1,90 @@
+package observer
+
+import (
+	"time"
+
+	"corianderhitch/api/control"
+	"corianderhitch/api/engine"
+)
+
+// Outcome tells how one poll of a target ended.
+type Outcome int
+
+// The outcomes of a poll.
+const (
+	OutcomeAnswered Outcome = iota
+	OutcomeRefused          // nobody listens, or the connection broke
+	OutcomeTimeout          // no answer before the deadline
+	OutcomeFailed           // an answer that is an error
+)
+
+// Sample is what one poll of a target brought.
+type Sample struct {
+	Outcome Outcome
+	Load    engine.LoadReport // zero for plain services
+	Cache   control.CacheDelta
+}
+
+const (
+	// timeoutsUntilUnhealthy is the number of polls without an answer after which
+	// a target counts as stalled. One may be lost to a busy processor.
+	timeoutsUntilUnhealthy = 2
+	// leavingDoubt is how long a target must deny that it is leaving before it is
+	// believed without a restart. It is twice the lag of the platform's list.
+	leavingDoubt = 60 * time.Second
+)
+
+// Judge turns the polls of one target into its row. It is a state machine
+// without I/O or clock.
+type Judge struct {
+	timeouts    int
+	wasDown     bool      // a poll was refused since leaving was first seen
+	deniedSince time.Time // since when polls say that the target is not leaving
+	sawLeaving  bool
+}
+
+// Next returns the row after a poll.
+func (j *Judge) Next(now time.Time, owner string, row control.TargetState, sample Sample) control.TargetState {
+	row.Owner = owner
+	row.Healthy = j.healthy(row.Healthy, sample.Outcome)
+	if sample.Outcome == OutcomeAnswered {
+		row.Observed = now
+		row.Load = sample.Load
+	}
+	row.Leaving = j.leaving(now, row, sample)
+	return row
+}
+
+func (j *Judge) healthy(before bool, outcome Outcome) bool {
+	if outcome != OutcomeTimeout {
+		j.timeouts = 0
+		return outcome == OutcomeAnswered
+	}
+	j.timeouts++
+	return before && j.timeouts < timeoutsUntilUnhealthy
+}
+
+// leaving is sticky: it ends when the target has started anew, or when it has
+// denied for long that it is leaving and the platform's list agrees.
+func (j *Judge) leaving(now time.Time, row control.TargetState, sample Sample) bool {
+	if row.ListedLeaving || sample.Load.Leaving {
+		j.sawLeaving, j.wasDown, j.deniedSince = true, false, time.Time{}
+		return true
+	}
+	if !row.Leaving {
+		j.sawLeaving = false
+		return false
+	}
+	if !j.sawLeaving {
+		j.sawLeaving, j.wasDown, j.deniedSince = true, false, time.Time{}
+	}
+	if sample.Outcome != OutcomeAnswered {
+		j.wasDown = j.wasDown || sample.Outcome == OutcomeRefused
+		j.deniedSince = time.Time{}
+		return true
+	}
+	if j.deniedSince.IsZero() {
+		j.deniedSince = now
+	}
+	return !j.wasDown && now.Sub(j.deniedSince) < leavingDoubt
+}
--- /dev/null
+++ b/internal/agent/observer/probe.go
@@ -0,0 +1,138 @@
+package observer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"corianderhitch/api/control"
+	"corianderhitch/api/engine"
+	"corianderhitch/internal/platform"
+)
+
+const (
+	// maxAnswerBytes bounds the answer of a target to a poll.
+	maxAnswerBytes = 4 << 20
+	// idleConnections is the number of kept connections a target; polls of one
+	// target follow each other.
+	idleConnections = 1
+	// connectTimeout bounds the connection to a target.
+	connectTimeout = 500 * time.Millisecond
+)
+
+// Prober polls targets over HTTP.
+type Prober struct{ client *http.Client }
+
+// NewProber returns a Prober with connections of its own.
+func NewProber() *Prober {
+	dialer := &net.Dialer{Timeout: connectTimeout}
+	return &Prober{client: &http.Client{Transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: idleConnections,
+		IdleConnTimeout:     time.Minute,
+	}}}
+}
+
+// Close drops the idle connections.
+func (p *Prober) Close() { p.client.CloseIdleConnections() }
+
+// Poll asks a target for its load and for the cache events after seq, and
+// returns the seq for the next poll.
+func (p *Prober) Poll(ctx context.Context, target platform.Target, seq int64) (Sample, int64) {
+	if target.Kind == platform.TargetService {
+		return Sample{Outcome: outcome(p.get(ctx, target.Address, "/livez", nil))}, 0
+	}
+	var load engine.LoadReport
+	if err := p.get(ctx, target.Address, "/v1/load", &load); err != nil {
+		return failedSample(target.Name, outcome(err), seq)
+	}
+	sample := Sample{Load: load}
+	var events engine.CacheEvents
+	path := "/v1/cache-events?after=" + strconv.FormatInt(seq, 10)
+	if err := p.get(ctx, target.Address, path, &events); err != nil {
+		return sample, seq
+	}
+	sample.Cache = cacheDelta(target.Name, seq, events)
+	return sample, events.Next
+}
+
+// failedSample forgets the cache of an engine that broke the connection, since
+// it may come back with an empty one and the same numbers.
+func failedSample(target string, o Outcome, seq int64) (Sample, int64) {
+	if o != OutcomeRefused {
+		return Sample{Outcome: o}, seq
+	}
+	return Sample{Outcome: o, Cache: control.CacheDelta{Target: target, Lost: true}}, 0
+}
+
+// cacheDelta folds cache events into one delta. A gap, or a counter that went
+// back because the engine started anew, loses what was known before.
+func cacheDelta(target string, after int64, events engine.CacheEvents) control.CacheDelta {
+	delta := control.CacheDelta{Target: target}
+	expected := after + 1
+	for _, e := range events.Events {
+		if e.Seq != expected {
+			delta.Lost = true
+		}
+		expected = e.Seq + 1
+		switch e.Kind {
+		case engine.CacheStored:
+			delta.Stored = append(delta.Stored, e.Hash)
+		case engine.CacheEvicted:
+			delta.Evict = append(delta.Evict, e.Hash)
+		}
+	}
+	if events.Next < after || (len(events.Events) == 0 && events.Next > after) {
+		delta.Lost = true
+	}
+	return delta
+}
+
+// errStatus is an answer of a target that is no success.
+var errStatus = eris.New("target answers a poll with an error; see the target's log")
+
+func (p *Prober) get(ctx context.Context, address, path string, into any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return err
+	}
+	response, err := p.client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return err
+	}
+	if response.StatusCode >= http.StatusInternalServerError || (into != nil && response.StatusCode != http.StatusOK) {
+		return eris.Wrapf(errStatus, "%s %d", path, response.StatusCode)
+	}
+	if into == nil {
+		return nil
+	}
+	if err := json.Unmarshal(body, into); err != nil {
+		return eris.Wrapf(errStatus, "%s: %v", path, err)
+	}
+	return nil
+}
+
+func outcome(err error) Outcome {
+	var timeout net.Error
+	switch {
+	case err == nil:
+		return OutcomeAnswered
+	case errors.Is(err, errStatus):
+		return OutcomeFailed
+	case errors.Is(err, context.DeadlineExceeded), errors.As(err, &timeout) && timeout.Timeout():
+		return OutcomeTimeout
+	}
+	return OutcomeRefused
+}
--- a/internal/agent/observer/row.go
+++ b/internal/agent/observer/row.go
@@ -25,7 +25,7 @@
 
 // same tells whether two rows differ in nothing but the load and its time.
 func same(a, b control.TargetState) bool {
-	return a.Target == b.Target && a.Healthy == b.Healthy && a.Owner == b.Owner && a.Left == b.Left &&
+	return a.Target == b.Target && a.Healthy == b.Healthy && a.Owner == b.Owner && a.Left == b.Left && a.ListedLeaving == b.ListedLeaving &&
 		a.Load.Role == b.Load.Role && a.Load.TotalBlocks == b.Load.TotalBlocks && sameLoaded(a, b)
 }
 
--- a/internal/agent/state/state.go
+++ b/internal/agent/state/state.go
@@ -125,10 +125,16 @@
 	return s.targets.Get(name)
 }
 
-// PutTarget writes the row of a target.
-func (s *State) PutTarget(now time.Time, row control.TargetState) {
+// UpdateTarget changes the row of a target. The change gets the current row, or
+// an empty one, and tells whether to write what it returns.
+func (s *State) UpdateTarget(now time.Time, name string, change func(control.TargetState) (control.TargetState, bool)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	old, _ := s.targets.Get(name)
+	row, write := change(old)
+	if !write {
+		return
+	}
 	if s.targets.Put(now, row) {
 		s.hurry()
 	}
@@ -237,7 +243,7 @@
 	for _, e := range fresh {
 		switch e.Kind {
 		case control.NewsLeaving:
-			s.targets.Leaving(now, e.Target)
+			s.targetLeaving(now, e.Target)
 		case control.NewsDown, control.NewsCrash:
 			s.targets.Down(now, e.Target)
 		}
@@ -251,6 +257,17 @@
 	s.hurry()
 }
 
+// targetLeaving marks a target by news. The host that observes it also writes
+// its row, which holds until the target has started anew.
+func (s *State) targetLeaving(now time.Time, name string) {
+	s.targets.Leaving(now, name)
+	row, exists := s.targets.Get(name)
+	if exists && row.Owner == s.members.Self().Host && !row.Leaving {
+		row.Leaving = true
+		s.targets.Put(now, row)
+	}
+}
+
 func (s *State) touch() {
 	s.version++
 	close(s.changed)
