--- /dev/null
+++ b/internal/scheduling/decide.go
@@ -0,0 +1,138 @@
+package scheduling
+
+import (
+	"time"
+
+	"corianderhitch/api/problem"
+	"corianderhitch/internal/scheduling/fairqueue"
+	"corianderhitch/internal/scheduling/suspicion"
+)
+
+const (
+	// decideEvery is how soon a queue is looked at again without other input:
+	// prompts get computed and sequences may be found shorter meanwhile.
+	decideEvery = 10 * time.Millisecond
+	// maxSkips bounds the requests that a Decide sets aside because of their
+	// own constraints, so that its cost stays bounded.
+	maxSkips = 64
+)
+
+// Decide implements Policy.
+func (p *Pool) Decide(now time.Time) Decisions {
+	d := Decisions{Refusals: p.refused}
+	p.refused = nil
+	p.expire(now, &d)
+	if p.queue.Len() == 0 {
+		return d
+	}
+	for _, t := range p.order {
+		t.advance(now, p.steps)
+		t.note(now)
+	}
+	defer p.queue.Return()
+	for skips := 0; skips < maxSkips; {
+		item, ok := p.queue.Next(now)
+		if !ok {
+			break
+		}
+		outcome := p.decideOne(now, item, &d)
+		if outcome == blocked {
+			break
+		}
+		if outcome == skipped {
+			skips++
+		}
+	}
+	return d
+}
+
+type outcome int
+
+const (
+	settled outcome = iota // granted or refused
+	skipped                // held back by its own constraints; others may go
+	blocked                // no room for any request
+)
+
+func (p *Pool) decideOne(now time.Time, item fairqueue.Item, d *Decisions) outcome {
+	w := p.waiting[item.ID]
+	verdict := p.suspects.Verdict(w.request.Fingerprint, now)
+	if verdict == suspicion.Refuse {
+		p.withdraw(item.ID)
+		d.Refusals = append(d.Refusals, refuseSuspect(item.ID))
+		return settled
+	}
+	if !p.accounts.MayRun(item.Account) {
+		p.queue.SetAccountAside(item.Account)
+		return skipped
+	}
+	if !p.anyUsable(&w.request) {
+		p.queue.SetAside(item.ID)
+		return skipped
+	}
+	if verdict == suspicion.Isolate {
+		p.quarantine(w.request.Fingerprint)
+	}
+	c := p.consider(w)
+	t := p.pick(now, &c, verdict)
+	if t == nil && verdict != suspicion.Clear {
+		p.queue.SetAside(item.ID)
+		return skipped
+	}
+	if t == nil {
+		return blocked
+	}
+	p.queue.Serve(item.ID, now)
+	delete(p.waiting, item.ID)
+	d.Grants = append(d.Grants, p.place(now, t, &c, w.curve))
+	return settled
+}
+
+// quarantine sets a target aside for a request that must run alone.
+func (p *Pool) quarantine(fingerprint uint64) {
+	var best *targetState
+	for _, t := range p.order {
+		if t.quarantine == fingerprint {
+			return
+		}
+		if t.quarantine != 0 || !t.Healthy || t.Leaving || t.Standby {
+			continue
+		}
+		if best == nil || len(t.residents) < len(best.residents) {
+			best = t
+		}
+	}
+	if best != nil && !p.anyQuarantine() {
+		best.quarantine = fingerprint
+	}
+}
+
+// anyQuarantine tells whether a target is set aside already: suspects run one
+// after the other, so that they cost one target at a time.
+func (p *Pool) anyQuarantine() bool {
+	for _, t := range p.order {
+		if t.quarantine != 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// NextDecision implements Policy.
+func (p *Pool) NextDecision(now time.Time) time.Time {
+	if len(p.refused) > 0 {
+		return now
+	}
+	if p.queue.Len() == 0 {
+		return time.Time{}
+	}
+	return now.Add(decideEvery)
+}
+
+func refuseSuspect(ticket string) Refusal {
+	return Refusal{
+		Ticket: ticket,
+		Kind:   string(problem.KindCrashSuspect),
+		Detail: "the request crashed the targets that ran it",
+	}
+}
--- /dev/null
+++ b/internal/scheduling/filter.go
@@ -0,0 +1,45 @@
+package scheduling
+
+import "corianderhitch/internal/scheduling/suspicion"
+
+// usable is the Filter: it tells whether a target may take the request at all,
+// now or later, whatever its load.
+func (p *Pool) usable(t *targetState, r *Request) bool {
+	return t.Healthy && !t.Leaving && !t.Standby && !contains(r.Avoid, t.Name)
+}
+
+// anyUsable tells whether some target may take the request now or later. If
+// the request avoids all targets that are left, the list is forgotten, since
+// running it again on one of them beats refusing it.
+func (p *Pool) anyUsable(r *Request) bool {
+	alive := false
+	for _, t := range p.order {
+		if p.usable(t, r) {
+			return true
+		}
+		alive = alive || (t.Healthy && !t.Leaving && !t.Standby)
+	}
+	if alive {
+		r.Avoid = nil
+	}
+	return alive
+}
+
+// keepsApart tells whether the suspicion of the request lets it join the target.
+func (p *Pool) keepsApart(t *targetState, r *Request, verdict suspicion.Verdict) bool {
+	if t.quarantine != 0 && t.quarantine != r.Fingerprint {
+		return false
+	}
+	if verdict == suspicion.Isolate {
+		return t.quarantine == r.Fingerprint && len(t.residents) == 0
+	}
+	if verdict != suspicion.Spread {
+		return true
+	}
+	for _, other := range t.residents {
+		if p.suspects.Together(other.request.Fingerprint, r.Fingerprint) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/scheduling/limits/limits.go
@@ -0,0 +1,128 @@
+// Package limits keeps the rate, concurrency and queue limits of client accounts
+// in the owner of a pool, so that all gateways share them without a write.
+package limits
+
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"corianderhitch/internal/document"
+)
+
+// Reason tells which limit a request met.
+type Reason string
+
+// The limits of an account. None means that the request may go on.
+const (
+	None       Reason = ""
+	Rate       Reason = "requestsPerSecond"
+	TokenRate  Reason = "tokensPerMinute"
+	Queue      Reason = "queued"
+	Concurrent Reason = "concurrent"
+)
+
+const (
+	// burst is the time for which an account may save up its rate.
+	burst = time.Second
+	// tokenBurst is the same for tokens, which come in larger lots.
+	tokenBurst = time.Minute
+)
+
+// Accounts holds the limits of all accounts. It is not safe for concurrent use.
+type Accounts struct {
+	limits map[string]document.Limits
+	state  map[string]*state
+}
+
+type state struct {
+	requests *rate.Limiter
+	tokens   *rate.Limiter
+	running  int
+}
+
+// New returns Accounts with the given limits by account name.
+func New(limits map[string]document.Limits) *Accounts {
+	return &Accounts{limits: limits, state: make(map[string]*state)}
+}
+
+// Submit checks a new request against the rate and queue limits and counts it.
+// Wait tells when a refused one may come again.
+func (a *Accounts) Submit(now time.Time, account string, waiting int) (Reason, time.Duration) {
+	l, ok := a.limits[account]
+	if !ok {
+		return None, 0
+	}
+	if l.Queued > 0 && waiting >= l.Queued {
+		return Queue, 0
+	}
+	s := a.of(account, l)
+	if s.tokens != nil && s.tokens.TokensAt(now) <= 0 {
+		return TokenRate, secondsFor(1-s.tokens.TokensAt(now), float64(s.tokens.Limit()))
+	}
+	if s.requests != nil && !s.requests.AllowN(now, 1) {
+		return Rate, secondsFor(1-s.requests.TokensAt(now), float64(s.requests.Limit()))
+	}
+	return None, 0
+}
+
+// MayRun tells whether the account may run one more request.
+func (a *Accounts) MayRun(account string) bool {
+	l, ok := a.limits[account]
+	return !ok || l.Concurrent == 0 || a.of(account, l).running < l.Concurrent
+}
+
+// Started counts a granted request.
+func (a *Accounts) Started(account string) {
+	if l, ok := a.limits[account]; ok {
+		a.of(account, l).running++
+	}
+}
+
+// Ended returns the place of a granted request and charges its tokens.
+func (a *Accounts) Ended(now time.Time, account string, tokens int) {
+	l, ok := a.limits[account]
+	if !ok {
+		return
+	}
+	s := a.of(account, l)
+	s.running = max(0, s.running-1)
+	if s.tokens != nil {
+		s.tokens.ReserveN(now, min(tokens, s.tokens.Burst()))
+	}
+}
+
+func (a *Accounts) of(account string, l document.Limits) *state {
+	if s, ok := a.state[account]; ok {
+		return s
+	}
+	s := newState(l)
+	a.state[account] = s
+	return s
+}
+
+func newState(l document.Limits) *state {
+	s := &state{}
+	if l.RequestsPerSecond > 0 {
+		s.requests = rate.NewLimiter(rate.Limit(l.RequestsPerSecond), max(1, int(l.RequestsPerSecond*burst.Seconds())))
+	}
+	if l.TokensPerMinute > 0 {
+		perSecond := l.TokensPerMinute / time.Minute.Seconds()
+		s.tokens = rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond*tokenBurst.Seconds())))
+	}
+	return s
+}
+
+func secondsFor(amount, perSecond float64) time.Duration {
+	return time.Duration(max(0, amount) / perSecond * float64(time.Second))
+}
+
+// Configure puts other limits in force. Running counts stay.
+func (a *Accounts) Configure(limits map[string]document.Limits) {
+	a.limits = limits
+	for name, s := range a.state {
+		fresh := newState(limits[name])
+		fresh.running = s.running
+		a.state[name] = fresh
+	}
+}
--- /dev/null
+++ b/internal/scheduling/memory/forecast.go
@@ -0,0 +1,112 @@
+// Package memory forecasts the KV memory of a target as its sequences grow and
+// finish, and gives the probability that it overflows.
+package memory
+
+import (
+	"math"
+
+	"corianderhitch/internal/scheduling/length"
+)
+
+// horizons are the instants of a forecast, in tokens that each running sequence
+// will have produced by then. They lie denser where outputs usually end.
+var horizons = [...]float64{
+	0, 16, 32, 64, 96, 128, 192, 256, 384, 512, 768, 1024, 1536, 2048, 3072, 4096, 6144, 8192,
+}
+
+// Horizons is the number of instants of a forecast.
+const Horizons = len(horizons)
+
+// Sequence is a generation that holds, or would hold, memory of a target.
+type Sequence struct {
+	Curve     *length.Curve // distribution of its whole output
+	Prompt    float64       // tokens
+	Produced  float64       // output tokens until now
+	MaxTokens float64       // output tokens at most
+}
+
+// Forecast holds the first three moments of the tokens in memory at each
+// horizon. The zero value is an empty target.
+type Forecast struct {
+	mean     [Horizons]float64
+	variance [Horizons]float64
+	third    [Horizons]float64 // third central moment
+}
+
+// Add counts a sequence. Sequences are taken as independent of each other.
+func (f *Forecast) Add(s Sequence) {
+	now := s.Curve.Survival(s.Produced)
+	for k, ahead := range horizons {
+		if s.Produced+ahead > s.MaxTokens {
+			return
+		}
+		alive := s.Curve.Conditional(s.Produced, now, ahead)
+		if alive <= 0 {
+			return
+		}
+		use := s.Prompt + s.Produced + ahead
+		spread := alive * (1 - alive)
+		f.mean[k] += use * alive
+		f.variance[k] += use * use * spread
+		f.third[k] += use * use * use * spread * (1 - 2*alive)
+	}
+}
+
+// AddConstant counts tokens that stay in memory at all horizons.
+func (f *Forecast) AddConstant(tokens float64) {
+	for k := range f.mean {
+		f.mean[k] += tokens
+	}
+}
+
+// PeakMean returns the highest expected use over all horizons, in tokens.
+func (f *Forecast) PeakMean() float64 {
+	peak := 0.0
+	for _, m := range f.mean {
+		peak = math.Max(peak, m)
+	}
+	return peak
+}
+
+// OverflowProbability returns the probability that the use exceeds the capacity
+// (tokens) at the worst horizon. The sum of many bounded independent terms is
+// close to normal; the first Edgeworth term accounts for its skew.
+func (f *Forecast) OverflowProbability(capacity float64) float64 {
+	worst := 0.0
+	for k := range f.mean {
+		worst = math.Max(worst, exceed(capacity, f.mean[k], f.variance[k], f.third[k]))
+	}
+	return worst
+}
+
+// Fits tells whether the overflow probability is at most bound. It stops at the
+// first horizon that exceeds it.
+func (f *Forecast) Fits(capacity, bound float64) bool {
+	for k := range f.mean {
+		if exceed(capacity, f.mean[k], f.variance[k], f.third[k]) > bound {
+			return false
+		}
+	}
+	return true
+}
+
+// certain is the distance in standard deviations beyond which exceed answers 0.
+const certain = 8
+
+func exceed(capacity, mean, variance, third float64) float64 {
+	if variance <= 0 {
+		if mean > capacity {
+			return 1
+		}
+		return 0
+	}
+	sd := math.Sqrt(variance)
+	z := (capacity - mean) / sd
+	if z > certain {
+		return 0
+	}
+	skew := third / (variance * sd)
+	density := math.Exp(-z*z/2) / math.Sqrt(2*math.Pi)
+	p := math.Erfc(z/math.Sqrt2)/2 + density*skew/6*(z*z-1)
+	return math.Min(1, math.Max(0, p))
+}
--- /dev/null
+++ b/internal/scheduling/pool.go
@@ -0,0 +1,128 @@
+package scheduling
+
+import (
+	"time"
+
+	"corianderhitch/internal/scheduling/affinity"
+	"corianderhitch/internal/scheduling/fairqueue"
+	"corianderhitch/internal/scheduling/length"
+	"corianderhitch/internal/scheduling/limits"
+	"corianderhitch/internal/scheduling/steptime"
+	"corianderhitch/internal/scheduling/suspicion"
+)
+
+// Pool is the product's Policy. As the owner of a pool it sees all its requests,
+// so that it knows what runs where without waiting for a load report, and
+// admits a request only when a target can carry it to its end. Two owners of
+// one pool may overcommit a target for a while; reports then show each the
+// memory that the other granted.
+type Pool struct {
+	config   Config
+	bounds   bounds
+	targets  map[string]*targetState
+	order    []*targetState // by name
+	slots    []bool         // slots of the cache index in use
+	cache    *affinity.Index
+	depth    [affinity.MaxSlots]int
+	lengths  *length.Estimator
+	steps    *steptime.Curve
+	queue    *fairqueue.Queue
+	accounts *limits.Accounts
+	suspects *suspicion.Tracker
+	drain    drainRate
+	expiry   expiryHeap
+	waiting  map[string]*waiting
+	running  map[string]*resident
+	refused  []Refusal // decided at Submit, returned by the next Decide
+	deaths   int64
+	scratch  []scored
+}
+
+// waiting is a queued request.
+type waiting struct {
+	request  Request
+	curve    *length.Curve
+	expected float64 // output tokens
+}
+
+var _ Policy = (*Pool)(nil)
+
+// NewPool returns a Pool without targets.
+func NewPool(config Config) *Pool {
+	config = config.withDefaults()
+	return &Pool{
+		config:   config,
+		bounds:   boundsOf(config.Objectives),
+		targets:  make(map[string]*targetState),
+		cache:    affinity.NewIndex(0),
+		lengths:  length.NewEstimator(0),
+		steps:    steptime.NewCurve(),
+		queue:    fairqueue.New(config.AgeAfter),
+		accounts: limits.New(config.Limits),
+		suspects: suspicion.NewTracker(),
+		waiting:  make(map[string]*waiting),
+		running:  make(map[string]*resident),
+	}
+}
+
+// Configure puts another document's objectives and limits in force. What was
+// learned stays.
+func (p *Pool) Configure(config Config) {
+	p.config = config.withDefaults()
+	p.bounds = boundsOf(p.config.Objectives)
+	p.accounts.Configure(config.Limits)
+}
+
+// ObserveCache implements Policy.
+func (p *Pool) ObserveCache(_ time.Time, update CacheUpdate) {
+	t, ok := p.targets[update.Target]
+	if !ok {
+		return
+	}
+	if update.Lost {
+		p.cache.Forget(t.slot)
+	}
+	p.cache.Store(t.slot, update.Stored)
+	p.cache.Evict(t.slot, update.Evict)
+}
+
+// Cancel implements Policy.
+func (p *Pool) Cancel(_ time.Time, ticket string) { p.withdraw(ticket) }
+
+// Finish implements Policy.
+func (p *Pool) Finish(now time.Time, finished Finished) {
+	r, ok := p.running[finished.Ticket]
+	if !ok {
+		return
+	}
+	r.target.advance(now, p.steps)
+	p.release(r)
+	p.lengths.Observe(keyOf(&r.request), finished.Produced, finished.Complete)
+	p.drain.add(now, float64(finished.Produced-r.request.Produced))
+	p.queue.Charge(r.request.Account, r.request.Weight, float64(finished.Produced-r.request.Produced)-r.expected)
+	p.accounts.Ended(now, r.request.Account, finished.Produced)
+	if finished.Complete {
+		p.suspects.Finished(r.request.Fingerprint)
+	}
+}
+
+// release takes a resident off its target.
+func (p *Pool) release(r *resident) {
+	delete(p.running, r.request.Ticket)
+	r.target.remove(r)
+	if r.target.quarantine == r.request.Fingerprint {
+		r.target.quarantine = 0
+	}
+}
+
+func (p *Pool) withdraw(ticket string) {
+	if _, ok := p.waiting[ticket]; !ok {
+		return
+	}
+	p.queue.Remove(ticket)
+	delete(p.waiting, ticket)
+}
+
+func keyOf(r *Request) length.Key {
+	return length.Key{Model: r.Model, Account: r.Account, Class: r.Class}
+}
--- /dev/null
+++ b/internal/scheduling/pooltargets.go
@@ -0,0 +1,103 @@
+package scheduling
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"corianderhitch/internal/scheduling/suspicion"
+)
+
+// SetTargets implements Policy.
+func (p *Pool) SetTargets(now time.Time, targets []Target) {
+	seen := make(map[string]bool, len(targets))
+	for _, target := range targets {
+		seen[target.Name] = true
+		p.setTarget(now, target)
+	}
+	for name, t := range p.targets {
+		if !seen[name] && len(t.residents) == 0 {
+			p.dropTarget(t)
+		} else if !seen[name] {
+			t.Leaving = true // until its last resident has ended
+		}
+	}
+	p.sortTargets()
+}
+
+func (p *Pool) setTarget(now time.Time, target Target) {
+	t, ok := p.targets[target.Name]
+	if !ok {
+		t = &targetState{slot: p.takeSlot(), stale: true}
+		p.targets[target.Name] = t
+	}
+	t.advance(now, p.steps)
+	fresh := target.ReportedAt.After(t.ReportedAt)
+	t.Target = target
+	t.note(now)
+	if fresh {
+		t.reported()
+		p.steps.Observe(target.Running, target.StepMS)
+	}
+}
+
+func (p *Pool) dropTarget(t *targetState) {
+	p.cache.Forget(t.slot)
+	p.slots[t.slot] = false
+	delete(p.targets, t.Name)
+}
+
+func (p *Pool) takeSlot() int {
+	for i, used := range p.slots {
+		if !used {
+			p.slots[i] = true
+			return i
+		}
+	}
+	p.slots = append(p.slots, true)
+	return len(p.slots) - 1
+}
+
+func (p *Pool) sortTargets() {
+	p.order = p.order[:0]
+	for _, t := range p.targets {
+		p.order = append(p.order, t)
+	}
+	slices.SortFunc(p.order, func(a, b *targetState) int { return strings.Compare(a.Name, b.Name) })
+}
+
+// Crashed implements Policy. The requests that ran on the target come under
+// suspicion, and their places end; their gateways submit them again.
+func (p *Pool) Crashed(now time.Time, target string) {
+	t, ok := p.targets[target]
+	if !ok {
+		return
+	}
+	p.deaths++
+	crash := suspicion.Crash{ID: fmt.Sprintf("%s/%d", target, p.deaths), At: now}
+	for _, r := range slices.Clone(t.residents) {
+		if r.request.Fingerprint != 0 {
+			crash.Beside = append(crash.Beside, r.request.Fingerprint)
+		}
+		p.release(r)
+		p.lengths.Observe(keyOf(&r.request), int(r.produced()), false)
+		p.accounts.Ended(now, r.request.Account, 0)
+	}
+	p.suspects.Record(crash)
+	p.cache.Forget(t.slot)
+	t.Healthy = false
+	t.quarantine = 0
+	t.prefillUntil = now
+	t.foreign = 0
+	t.history = nil
+	t.stale = true
+}
+
+// SuspectElsewhere takes the news of a crash that another owner has seen.
+func (p *Pool) SuspectElsewhere(crash suspicion.Crash) { p.suspects.Record(crash) }
+
+// Verdict returns how a request with the fingerprint may be run.
+func (p *Pool) Verdict(now time.Time, fingerprint uint64) suspicion.Verdict {
+	return p.suspects.Verdict(fingerprint, now)
+}
--- /dev/null
+++ b/internal/scheduling/steptime/curve.go
@@ -0,0 +1,88 @@
+// Package steptime learns how long a decode step takes at a given number of
+// sequences in the batch.
+package steptime
+
+import "math"
+
+const (
+	// Forgetting per report: a report counts half after about 70 others.
+	forgetting = 0.99
+	// outlierFactor bounds how far above the fit a report counts; longer steps
+	// hold prefill or a pause rather than decode alone.
+	outlierFactor = 1.5
+	// The prior: 12 ms for a step and 0.25 ms for each sequence, with the
+	// weight of priorWeight reports at two batch sizes.
+	priorBase   = 12.0
+	priorSlope  = 0.25
+	priorWeight = 2.0
+	priorLow    = 1.0
+	priorHigh   = 48.0
+)
+
+// Curve fits stepMS = base + slope*sequences by least squares with forgetting.
+// It is not safe for concurrent use.
+type Curve struct {
+	weight, sumN, sumNN, sumMS, sumNMS float64
+	base, slope                        float64
+}
+
+// NewCurve returns a Curve that knows the prior alone.
+func NewCurve() *Curve {
+	c := &Curve{base: priorBase, slope: priorSlope}
+	for _, n := range []float64{priorLow, priorHigh} {
+		c.add(n, priorBase+priorSlope*n, priorWeight)
+	}
+	return c
+}
+
+// Observe learns from a report of a step with a number of sequences.
+func (c *Curve) Observe(sequences int, stepMS float64) {
+	if sequences < 1 || stepMS <= 0 {
+		return
+	}
+	n := float64(sequences)
+	bounded := math.Min(stepMS, outlierFactor*c.At(n))
+	c.forget()
+	c.add(n, bounded, 1)
+	c.fit()
+}
+
+// At returns the expected step in milliseconds.
+func (c *Curve) At(sequences float64) float64 { return c.base + c.slope*sequences }
+
+// Slope returns the milliseconds that one more sequence adds to a step.
+func (c *Curve) Slope() float64 { return c.slope }
+
+// Largest returns the largest batch whose step stays within boundMS, at least 1.
+func (c *Curve) Largest(boundMS float64) int {
+	if c.slope <= 0 {
+		return math.MaxInt32
+	}
+	return int(math.Min(math.MaxInt32, math.Max(1, (boundMS-c.base)/c.slope)))
+}
+
+func (c *Curve) forget() {
+	c.weight *= forgetting
+	c.sumN *= forgetting
+	c.sumNN *= forgetting
+	c.sumMS *= forgetting
+	c.sumNMS *= forgetting
+}
+
+func (c *Curve) add(n, ms, weight float64) {
+	c.weight += weight
+	c.sumN += weight * n
+	c.sumNN += weight * n * n
+	c.sumMS += weight * ms
+	c.sumNMS += weight * n * ms
+}
+
+// fit solves the normal equations. With all reports at one batch size the slope
+// stays and only the base moves.
+func (c *Curve) fit() {
+	spread := c.sumNN - c.sumN*c.sumN/c.weight
+	if spread > c.weight {
+		c.slope = math.Max(0, (c.sumNMS-c.sumN*c.sumMS/c.weight)/spread)
+	}
+	c.base = math.Max(0, (c.sumMS-c.slope*c.sumN)/c.weight)
+}
--- /dev/null
+++ b/internal/scheduling/submit.go
@@ -0,0 +1,100 @@
+package scheduling
+
+import (
+	"container/heap"
+	"time"
+
+	"corianderhitch/api/problem"
+	"corianderhitch/internal/scheduling/fairqueue"
+	"corianderhitch/internal/scheduling/limits"
+	"corianderhitch/internal/scheduling/suspicion"
+)
+
+// minRetryAfter is the least time that a refused caller is told to wait.
+const minRetryAfter = 200 * time.Millisecond
+
+// Submit implements Policy. A request that cannot be served in time is refused
+// at once.
+func (p *Pool) Submit(now time.Time, request Request) {
+	if refusal, refused := p.refuseEarly(now, &request); refused {
+		p.refused = append(p.refused, refusal)
+		return
+	}
+	curve := p.lengths.Curve(keyOf(&request))
+	w := &waiting{request: request, curve: curve, expected: curve.Mean(request.Produced, request.MaxTokens)}
+	p.waiting[request.Ticket] = w
+	p.queue.Push(fairqueue.Item{
+		ID: request.Ticket, Account: request.Account, Weight: request.Weight, Priority: request.Priority,
+		Tokens: w.expected, Submitted: request.Submitted, MayBeLate: request.MayBeLate,
+	})
+	if !request.Deadline.IsZero() {
+		heap.Push(&p.expiry, expiring{at: request.Deadline, ticket: request.Ticket})
+	}
+}
+
+func (p *Pool) refuseEarly(now time.Time, r *Request) (Refusal, bool) {
+	if p.suspects.Verdict(r.Fingerprint, now) == suspicion.Refuse {
+		return refuseSuspect(r.Ticket), true
+	}
+	if reason, after := p.accounts.Submit(now, r.Account, p.queue.Waiting(r.Account)); reason != limits.None {
+		return Refusal{
+			Ticket: r.Ticket, Kind: string(problem.KindLimited),
+			Detail:     "the account has reached its limit of " + string(reason),
+			RetryAfter: p.retryAfter(now, r, after),
+		}, true
+	}
+	if p.queue.Len() >= p.config.QueueBound {
+		return p.overloaded(now, r, "the queue of the pool is full"), true
+	}
+	wait := p.expectedWait(now, r)
+	if !r.Deadline.IsZero() && now.Add(wait).After(r.Deadline) {
+		return p.overloaded(now, r, "the expected wait exceeds the deadline"), true
+	}
+	return Refusal{}, false
+}
+
+func (p *Pool) overloaded(now time.Time, r *Request, detail string) Refusal {
+	return Refusal{
+		Ticket: r.Ticket, Kind: string(problem.KindOverloaded), Detail: detail,
+		RetryAfter: p.retryAfter(now, r, 0),
+	}
+}
+
+// expectedWait is the work ahead of the request over the measured drain rate.
+// It is zero while nothing waits or no rate is known.
+func (p *Pool) expectedWait(now time.Time, r *Request) time.Duration {
+	rate := p.drain.perSecond(now)
+	if p.queue.Len() == 0 || rate <= 0 {
+		return 0
+	}
+	expected := p.lengths.Curve(keyOf(r)).Mean(r.Produced, r.MaxTokens)
+	ahead := p.queue.TokensAhead(r.Account, r.Weight, expected, r.Priority)
+	return time.Duration(ahead / rate * float64(time.Second))
+}
+
+// retryAfter is when a refused request would find room: after the excess of its
+// wait over its deadline has drained.
+func (p *Pool) retryAfter(now time.Time, r *Request, atLeast time.Duration) time.Duration {
+	after := p.expectedWait(now, r)
+	if !r.Deadline.IsZero() {
+		after -= max(0, r.Deadline.Sub(now))
+	}
+	return max(after, atLeast, minRetryAfter)
+}
+
+// expire refuses the waiting requests whose deadline has passed.
+func (p *Pool) expire(now time.Time, d *Decisions) {
+	for len(p.expiry) > 0 && !p.expiry[0].at.After(now) {
+		ticket := heap.Pop(&p.expiry).(expiring).ticket
+		w, ok := p.waiting[ticket]
+		if !ok {
+			continue
+		}
+		p.withdraw(ticket)
+		d.Refusals = append(d.Refusals, Refusal{
+			Ticket: ticket, Kind: string(problem.KindDeadline),
+			Detail:     "no target had room before the deadline",
+			RetryAfter: p.retryAfter(now, &w.request, 0),
+		})
+	}
+}
--- /dev/null
+++ b/internal/scheduling/targetstate.go
@@ -0,0 +1,135 @@
+package scheduling
+
+import (
+	"time"
+
+	"corianderhitch/internal/scheduling/memory"
+	"corianderhitch/internal/scheduling/steptime"
+)
+
+const (
+	// forecastFor is how long a forecast holds while nothing else changes.
+	forecastFor = 200 * time.Millisecond
+	// foreignSmoothing is the share of a new report in the estimate of the
+	// memory that this pool did not grant.
+	foreignSmoothing = 0.3
+	// historySlots bounds the own estimates kept to compare lagged reports with.
+	historySlots = 64
+	historyEvery = 50 * time.Millisecond
+	// unknownResidents is the batch allowed on a target without a load report.
+	unknownResidents = 8
+)
+
+// targetState is a target with what this pool has placed on it.
+type targetState struct {
+	Target
+	slot         int
+	residents    []*resident // in order of grant
+	progress     float64     // tokens that a sequence running all the time would have produced
+	progressAt   time.Time
+	prefillUntil time.Time // when the prompts granted until now are computed
+	forecast     memory.Forecast
+	forecastAt   time.Time
+	stale        bool
+	foreign      float64 // tokens in memory that this pool did not grant
+	history      []usage
+	quarantine   uint64 // fingerprint that waits for or runs on the empty target
+}
+
+// usage is an own estimate of the tokens in memory at an instant.
+type usage struct {
+	at     time.Time
+	tokens float64
+}
+
+func (t *targetState) capacity() float64 { return float64(t.TotalBlocks * t.BlockTokens) }
+
+// advance moves the progress to now at the learned step time.
+func (t *targetState) advance(now time.Time, steps *steptime.Curve) {
+	if t.progressAt.IsZero() {
+		t.progressAt = now
+	}
+	elapsed := now.Sub(t.progressAt)
+	if elapsed <= 0 {
+		return
+	}
+	before := t.progress
+	stepMS := max(1, steps.At(float64(len(t.residents))))
+	t.progress += float64(elapsed) / float64(time.Millisecond) / stepMS
+	for _, r := range t.residents {
+		if !r.started && !now.Before(r.startsAt) {
+			late := float64(now.Sub(r.startsAt)) / float64(time.Millisecond) / stepMS
+			r.started = true
+			r.startedAt = max(before, t.progress-late)
+		}
+	}
+	t.progressAt = now
+}
+
+// use estimates the tokens that own residents hold now.
+func (t *targetState) use() float64 {
+	sum := 0.0
+	for _, r := range t.residents {
+		sum += float64(r.request.PromptTokens) + r.produced() + float64(t.BlockTokens)/2
+	}
+	return sum
+}
+
+// note keeps an own estimate for the comparison with later reports.
+func (t *targetState) note(now time.Time) {
+	if n := len(t.history); n > 0 && now.Sub(t.history[n-1].at) < historyEvery {
+		return
+	}
+	if len(t.history) == historySlots {
+		t.history = append(t.history[:0], t.history[1:]...)
+	}
+	t.history = append(t.history, usage{at: now, tokens: t.use()})
+}
+
+// reported compares a new report with the own estimate at the report's time.
+// What the engine holds beyond it was granted by others.
+func (t *targetState) reported() {
+	if t.BlockTokens == 0 {
+		return
+	}
+	own, known := t.useAt(t.ReportedAt)
+	if !known {
+		return
+	}
+	excess := float64(t.UsedBlocks*t.BlockTokens) - own
+	t.foreign += foreignSmoothing * (excess - t.foreign)
+	t.stale = true
+}
+
+func (t *targetState) useAt(at time.Time) (float64, bool) {
+	for i := len(t.history) - 1; i >= 0; i-- {
+		if !t.history[i].at.After(at) {
+			return t.history[i].tokens, true
+		}
+	}
+	return 0, false
+}
+
+// refresh computes the forecast again if it is stale or old.
+func (t *targetState) refresh(now time.Time) {
+	if !t.stale && now.Sub(t.forecastAt) < forecastFor {
+		return
+	}
+	t.forecast = memory.Forecast{}
+	for _, r := range t.residents {
+		t.forecast.Add(r.sequence())
+	}
+	t.forecast.AddConstant(max(0, t.foreign) + float64(len(t.residents)*t.BlockTokens)/2)
+	t.forecastAt = now
+	t.stale = false
+}
+
+func (t *targetState) remove(r *resident) {
+	for i, x := range t.residents {
+		if x == r {
+			t.residents = append(t.residents[:i], t.residents[i+1:]...)
+			t.stale = true
+			return
+		}
+	}
+}
