--- a/api/control/control.go
+++ b/api/control/control.go
@@ -165,6 +165,7 @@
 	Class    string
 	Produced int  // output tokens in all
 	Complete bool // false if the generation was cut or canceled, so that its length is censored
+	Crashed  bool // the target died while it ran the generation
 }
 
 // ReattachArgs tells a new owner of a pool which generations of a gateway are in
--- /dev/null
+++ b/internal/agent/scheduler/adopt.go
@@ -0,0 +1,65 @@
+package scheduler
+
+import (
+	"time"
+
+	"corianderhitch/api/control"
+	"corianderhitch/internal/document"
+	"corianderhitch/internal/scheduling"
+)
+
+// Adopter is a Policy that can take over places that another owner granted.
+type Adopter interface {
+	Adopt(now time.Time, request scheduling.Request, target string)
+}
+
+// Configurer is a Policy that acts on the document.
+type Configurer interface {
+	Configure(config scheduling.Config)
+}
+
+func request(now time.Time, args control.AdmitArgs) scheduling.Request {
+	return scheduling.Request{
+		Ticket:       args.Ticket,
+		Account:      args.Account,
+		Model:        args.Model,
+		Version:      args.Version,
+		Adapter:      args.Adapter,
+		Class:        args.Class,
+		Priority:     args.Priority,
+		Weight:       args.Weight,
+		PromptTokens: args.PromptTokens,
+		Produced:     args.Produced,
+		MaxTokens:    args.MaxTokens,
+		PrefixHashes: args.PrefixHashes,
+		Submitted:    now,
+		Deadline:     args.Deadline,
+		Fingerprint:  args.Fingerprint,
+	}
+}
+
+// configOf returns what the policy needs of the document.
+func configOf(d *document.Document) scheduling.Config {
+	if d == nil {
+		return scheduling.Config{}
+	}
+	limits := make(map[string]document.Limits, len(d.Accounts))
+	for _, a := range d.Accounts {
+		limits[a.Name] = a.Limits
+	}
+	return scheduling.Config{Objectives: d.Objectives, Limits: limits}
+}
+
+// lateClasses returns the classes whose answers may arrive late.
+func lateClasses(d *document.Document) map[string]bool {
+	late := make(map[string]bool)
+	if d == nil {
+		return late
+	}
+	for _, c := range d.Classes {
+		if c.MayArriveLate {
+			late[c.Name] = true
+		}
+	}
+	return late
+}
--- /dev/null
+++ b/internal/agent/scheduler/serving.go
@@ -0,0 +1,97 @@
+package scheduler
+
+import (
+	"corianderhitch/api/control"
+	"corianderhitch/api/engine"
+	"corianderhitch/internal/platform"
+	"corianderhitch/internal/scheduling"
+)
+
+// members returns the engines that serve the model of the pool: those of the
+// pool's region, or all if its region has none.
+func engines(key Key, rows []control.TargetState) []control.TargetState {
+	var local, all []control.TargetState
+	for _, r := range rows {
+		if r.Kind != platform.TargetEngine || !servesModel(r.Load, key.Model) {
+			continue
+		}
+		all = append(all, r)
+		if r.Region == key.Region {
+			local = append(local, r)
+		}
+	}
+	for _, r := range local {
+		if r.Healthy && !r.Leaving {
+			return local
+		}
+	}
+	return all
+}
+
+func servesModel(load engine.LoadReport, model string) bool {
+	for _, l := range load.Loaded {
+		if l.Model == model {
+			return true
+		}
+	}
+	return false
+}
+
+// serves tells whether a target has the version and the adapter loaded.
+func serves(load engine.LoadReport, model, version, adapter string) bool {
+	for _, l := range load.Loaded {
+		if l.Model != model || l.Version != version {
+			continue
+		}
+		if adapter == "" || contains(l.Adapters, adapter) {
+			return true
+		}
+	}
+	return false
+}
+
+// split returns the names of the targets that can run the request now and of
+// those that never can because they lack its version or adapter.
+func split(rows []control.TargetState, args control.AdmitArgs) (usable, lacking []string) {
+	for _, r := range rows {
+		switch {
+		case !serves(r.Load, args.Model, args.Version, args.Adapter):
+			lacking = append(lacking, r.Name)
+		case r.Healthy && !r.Leaving && r.Load.Role != engine.RoleStandby:
+			usable = append(usable, r.Name)
+		}
+	}
+	return usable, lacking
+}
+
+// toPolicy converts rows to what the policy knows of a target.
+func toPolicy(rows []control.TargetState) []scheduling.Target {
+	targets := make([]scheduling.Target, len(rows))
+	for i, r := range rows {
+		targets[i] = scheduling.Target{
+			Name:        r.Name,
+			Domain:      r.Domain,
+			TotalBlocks: r.Load.TotalBlocks,
+			BlockTokens: r.Load.BlockTokens,
+			ReportedAt:  r.Load.ReportedAt,
+			UsedBlocks:  r.Load.UsedBlocks,
+			Running:     r.Load.Running,
+			Waiting:     r.Load.Waiting,
+			StepMS:      r.Load.StepMS,
+			Preemptions: r.Load.Preemptions,
+			Leaving:     r.Leaving,
+			Healthy:     r.Healthy,
+			Standby:     r.Load.Role == engine.RoleStandby,
+		}
+	}
+	return targets
+}
+
+func contains(list []string, item string) bool {
+	for _, x := range list {
+		if x == item {
+			return true
+		}
+	}
+	return false
+}
