Engine model, stand-in store over HTTP and its client

Cause: experiments, gateway and agent need an engine and a store to run against. Change: enginemodel (batching, blocks, preemption, prefix cache, lagging reports, orders, reclaim, crash) as a state machine without clock; kvwire, kvhttp and standin/store carry memstore over HTTP.

--- /dev/null
+++ b/internal/enginemodel/queue.go
@@ -0,0 +1,33 @@
+package enginemodel
+
+import "sort"
+
+// waitingQueue orders sequences by priority, then arrival. The first is the last
+// of the slice, so that taking it moves nothing.
+type waitingQueue struct{ items []*sequence }
+
+func (q *waitingQueue) push(s *sequence) {
+	i := q.index(s)
+	q.items = append(q.items, nil)
+	copy(q.items[i+1:], q.items[i:])
+	q.items[i] = s
+}
+
+func (q *waitingQueue) first() *sequence {
+	if len(q.items) == 0 {
+		return nil
+	}
+	return q.items[len(q.items)-1]
+}
+
+func (q *waitingQueue) remove(s *sequence) {
+	i := q.index(s)
+	if i < len(q.items) && q.items[i] == s {
+		q.items = append(q.items[:i], q.items[i+1:]...)
+	}
+}
+
+// index returns where s is or belongs.
+func (q *waitingQueue) index(s *sequence) int {
+	return sort.Search(len(q.items), func(i int) bool { return !q.items[i].before(s) })
+}
--- a/internal/platform/memstore/hostlist.go
+++ b/internal/platform/memstore/hostlist.go
@@ -55,6 +55,21 @@
 	s.setTargetsLocked(slices.DeleteFunc(s.hosts.latest(), func(t platform.Target) bool { return t.Name == name }))
 }
 
+// MarkLeaving marks one entry of the host list as leaving. It returns false if
+// there is no such entry.
+func (s *Store) MarkLeaving(name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	targets := s.hosts.latest()
+	i := slices.IndexFunc(targets, func(x platform.Target) bool { return x.Name == name })
+	if i < 0 {
+		return false
+	}
+	targets[i].Leaving = true
+	s.setTargetsLocked(targets)
+	return true
+}
+
 // CurrentTargets returns the host list without its lag.
 func (s *Store) CurrentTargets() []platform.Target {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/standin/store/server.go
@@ -0,0 +1,178 @@
+// Package store serves memstore over HTTP as a stand-in for the platform's
+// key-value service and host list. Package kvwire describes the paths; admin.go
+// those for tests. For tests and demonstration only.
+package store
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/rotisserie/eris"
+
+	"corianderhitch/internal/platform"
+	"corianderhitch/internal/platform/kvwire"
+	"corianderhitch/internal/platform/memstore"
+)
+
+// errBadRequest marks a call that the store cannot read.
+var errBadRequest = eris.New("store: malformed call; see package kvwire for the paths and parameters")
+
+// Server is the HTTP face of a memstore.Store.
+type Server struct{ store *memstore.Store }
+
+// New returns a server of the store.
+func New(store *memstore.Store) *Server { return &Server{store: store} }
+
+// Handler returns the routes.
+func (s *Server) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/v1/kv", s.get).Methods(http.MethodGet)
+	r.HandleFunc("/v1/kv", s.put).Methods(http.MethodPut)
+	r.HandleFunc("/v1/kv", s.remove).Methods(http.MethodDelete)
+	r.HandleFunc("/v1/list", s.list).Methods(http.MethodGet)
+	r.HandleFunc("/v1/watch", s.watch).Methods(http.MethodGet)
+	r.HandleFunc("/v1/leases", s.grant).Methods(http.MethodPost)
+	r.HandleFunc("/v1/leases/{id}", s.keepAlive).Methods(http.MethodPost)
+	r.HandleFunc("/v1/leases/{id}", s.revoke).Methods(http.MethodDelete)
+	r.HandleFunc("/v1/targets", s.targets).Methods(http.MethodGet)
+	s.addAdmin(r)
+	return r
+}
+
+func (s *Server) get(w http.ResponseWriter, r *http.Request) {
+	entry, err := s.store.Get(r.Context(), r.URL.Query().Get("key"))
+	answer(w, entry, err)
+}
+
+func (s *Server) list(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	limit, err := number(q.Get("limit"))
+	if err != nil {
+		answer(w, nil, err)
+		return
+	}
+	entries, revision, err := s.store.List(r.Context(), q.Get("prefix"), q.Get("after"), int(limit))
+	answer(w, kvwire.Listing{Entries: entries, Revision: revision}, err)
+}
+
+func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, err := number(q.Get("after"))
+	if err != nil {
+		answer(w, nil, err)
+		return
+	}
+	events, revision, err := s.store.Watch(r.Context(), q.Get("prefix"), platform.Revision(after))
+	answer(w, kvwire.Changes{Events: events, Revision: revision}, err)
+}
+
+func (s *Server) put(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	condition, err := number(q.Get("if"))
+	if err != nil {
+		answer(w, nil, err)
+		return
+	}
+	lease, err := number(q.Get("lease"))
+	if err != nil {
+		answer(w, nil, err)
+		return
+	}
+	value, err := io.ReadAll(io.LimitReader(r.Body, platform.MaxValueBytes+1))
+	if err != nil {
+		answer(w, nil, errBadRequest)
+		return
+	}
+	revision, err := s.store.Put(r.Context(), q.Get("key"), value, platform.Revision(condition), platform.LeaseID(lease))
+	answer(w, kvwire.Written{Revision: revision}, err)
+}
+
+func (s *Server) remove(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	condition, err := number(q.Get("if"))
+	if err == nil {
+		err = s.store.Delete(r.Context(), q.Get("key"), platform.Revision(condition))
+	}
+	answer(w, kvwire.Written{}, err)
+}
+
+func (s *Server) grant(w http.ResponseWriter, r *http.Request) {
+	ttl, err := time.ParseDuration(r.URL.Query().Get("ttl"))
+	if err != nil {
+		answer(w, nil, errBadRequest)
+		return
+	}
+	id, err := s.store.Grant(r.Context(), ttl)
+	answer(w, kvwire.Lease{ID: id}, err)
+}
+
+func (s *Server) keepAlive(w http.ResponseWriter, r *http.Request) {
+	id, err := number(mux.Vars(r)["id"])
+	if err == nil {
+		err = s.store.KeepAlive(r.Context(), platform.LeaseID(id))
+	}
+	answer(w, kvwire.Lease{ID: platform.LeaseID(id)}, err)
+}
+
+func (s *Server) revoke(w http.ResponseWriter, r *http.Request) {
+	id, err := number(mux.Vars(r)["id"])
+	if err == nil {
+		err = s.store.Revoke(r.Context(), platform.LeaseID(id))
+	}
+	answer(w, kvwire.Lease{ID: platform.LeaseID(id)}, err)
+}
+
+func (s *Server) targets(w http.ResponseWriter, r *http.Request) {
+	targets, err := s.store.Targets(r.Context())
+	answer(w, targets, err)
+}
+
+// number reads a whole number. A missing one is zero.
+func number(text string) (int64, error) {
+	if text == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return 0, errBadRequest
+	}
+	return n, nil
+}
+
+// answer sends value or err. A lost answer closes the connection.
+func answer(w http.ResponseWriter, value any, err error) {
+	if errors.Is(err, platform.ErrOutcomeUnknown) {
+		panic(http.ErrAbortHandler)
+	}
+	if err != nil {
+		status, failure := failureOf(err)
+		send(w, status, failure)
+		return
+	}
+	send(w, http.StatusOK, value)
+}
+
+func failureOf(err error) (int, kvwire.Failure) {
+	for _, m := range kvwire.Mappings() {
+		if errors.Is(err, m.Err) {
+			return m.Status, kvwire.Failure{Code: m.Code, Message: err.Error()}
+		}
+	}
+	return http.StatusBadRequest, kvwire.Failure{Code: kvwire.CodeBadRequest, Message: err.Error()}
+}
+
+func send(w http.ResponseWriter, status int, value any) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
+}
