Stand-in engine, service and store as processes

Cause: the thin path needs an engine, a plain service and a store to talk to. Change: standin store|engine|service with journals that survive kill -9, faults under /admin, registration in the store's host list, drain on SIGTERM.

--- a/internal/enginemodel/engine_test.go
+++ b/internal/enginemodel/engine_test.go
@@ -228,3 +228,25 @@
 	run(e)
 	require.EqualValues(t, 8, e.Stats().Finished)
 }
+
+func TestLoadReportsLag(t *testing.T) {
+	config := testConfig()
+	config.ReportEvery, config.ReportLag = 100*time.Millisecond, 500*time.Millisecond
+	e := New(config)
+	require.Zero(t, e.Load(epoch).Running)
+	require.NoError(t, e.Start(epoch, request("g", "#len=900")))
+	for {
+		next, _ := e.NextStep()
+		if next.Sub(epoch) > 2*time.Second {
+			break
+		}
+		e.Step(next)
+		report := e.Load(next)
+		age := next.Sub(report.ReportedAt)
+		require.Equal(t, next.Sub(epoch) >= 600*time.Millisecond, report.Running == 1)
+		if report.Running == 1 {
+			require.True(t, age >= 500*time.Millisecond && age <= 650*time.Millisecond, "age %v", age)
+		}
+	}
+	require.Equal(t, 500*time.Millisecond, epoch.Add(time.Hour).Sub(e.Load(epoch.Add(time.Hour)).ReportedAt), "after a pause")
+}
--- a/internal/enginemodel/report.go
+++ b/internal/enginemodel/report.go
@@ -14,19 +14,34 @@
 }
 
 // sample records the state that has held since the last call, if a sample was
-// due by now.
+// due by now: the latest one, and after a longer pause also the one that is seen
+// from outside now.
 func (r *reporter) sample(now time.Time, e *Engine) {
 	every := e.config.ReportEvery
 	if every == 0 || now.Before(r.next) {
 		return
 	}
-	at := now
-	if !r.next.IsZero() {
-		at = now.Add(-(now.Sub(r.next) % every))
+	if r.next.IsZero() {
+		r.next = now
 	}
-	r.next = at.Add(every)
-	r.forget(at.Add(-e.config.ReportLag))
+	seen := now.Add(-e.config.ReportLag)
+	r.forget(seen)
+	if r.next.Before(seen) {
+		r.record(lastDue(r.next, seen, every), e)
+	}
+	if !now.Before(r.next) {
+		r.record(lastDue(r.next, now, every), e)
+	}
+}
+
+func (r *reporter) record(at time.Time, e *Engine) {
 	r.samples = append(r.samples, e.report(at))
+	r.next = at.Add(e.config.ReportEvery)
+}
+
+// lastDue returns the last of the times next, next+every and so on by now.
+func lastDue(next, now time.Time, every time.Duration) time.Time {
+	return now.Add(-(now.Sub(next) % every))
 }
 
 // forget drops the samples that nobody sees any more.
--- /dev/null
+++ b/internal/standin/engine/server.go
@@ -0,0 +1,245 @@
+// Package engine serves enginemodel over HTTP in real time, as api/engine
+// describes, with a journal and faults under /admin. For tests and demonstration
+// only.
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	apiengine "corianderhitch/api/engine"
+	"corianderhitch/api/problem"
+	"corianderhitch/internal/enginemodel"
+	"corianderhitch/internal/standin/journal"
+)
+
+const (
+	// maxBodyBytes bounds a request with its prompt and prefix.
+	maxBodyBytes = 16 << 20
+	// defaultRetention keeps ended generations for readers that come back.
+	defaultRetention = time.Minute
+)
+
+// End tells why an engine has ended by itself.
+type End string
+
+// The ends of an engine.
+const (
+	EndCrashed   End = "crashed"
+	EndReclaimed End = "reclaimed"
+)
+
+// Options configure a Server.
+type Options struct {
+	Model     enginemodel.Config
+	Retention time.Duration // of ended generations; zero means one minute
+	Journal   *journal.Journal[Entry]
+	OnEnd     func(End) // called once when the engine crashes or is reclaimed; nil does nothing
+	Log       *slog.Logger
+}
+
+// Server is the HTTP face of an engine. Run must be called for it to advance.
+type Server struct {
+	options Options
+	log     *slog.Logger
+	kick    chan struct{}
+
+	mu          sync.Mutex
+	model       *enginemodel.Engine    // guarded by mu
+	generations map[string]*generation // guarded by mu
+	swept       time.Time              // guarded by mu
+}
+
+// New returns a server. Call Run to let it advance.
+func New(options Options) *Server {
+	if options.Retention == 0 {
+		options.Retention = defaultRetention
+	}
+	if options.OnEnd == nil {
+		options.OnEnd = func(End) {}
+	}
+	if options.Journal == nil {
+		options.Journal = &journal.Journal[Entry]{}
+	}
+	return &Server{
+		options:     options,
+		log:         options.Log,
+		kick:        make(chan struct{}, 1),
+		model:       enginemodel.New(options.Model),
+		generations: make(map[string]*generation),
+	}
+}
+
+// Run advances the engine until ctx ends, it crashes or it is reclaimed.
+func (s *Server) Run(ctx context.Context) { s.run(ctx) }
+
+// Handler returns the routes.
+func (s *Server) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/v1/generations", s.start).Methods(http.MethodPost)
+	r.HandleFunc("/v1/generations/{id}", s.attach).Methods(http.MethodGet)
+	r.HandleFunc("/v1/generations/{id}", s.cancel).Methods(http.MethodDelete)
+	r.HandleFunc("/v1/load", s.load).Methods(http.MethodGet)
+	r.HandleFunc("/v1/cache-events", s.cacheEvents).Methods(http.MethodGet)
+	r.HandleFunc("/v1/orders", s.order).Methods(http.MethodPost)
+	r.HandleFunc("/v1/orders", s.orderState).Methods(http.MethodGet)
+	r.HandleFunc("/livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	s.addAdmin(r)
+	return r
+}
+
+func (s *Server) start(w http.ResponseWriter, r *http.Request) {
+	var request apiengine.GenerateRequest
+	if !decode(w, r, &request) {
+		return
+	}
+	g, err := s.startOrAttach(request)
+	if err != nil {
+		problem.Write(w, err)
+		return
+	}
+	s.stream(w, r, g, max(0, request.Offset))
+}
+
+// startOrAttach starts a generation unless it is known already.
+func (s *Server) startOrAttach(r apiengine.GenerateRequest) (*generation, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if g := s.generations[r.ID]; g != nil {
+		return g, nil
+	}
+	now := time.Now()
+	if err := s.model.Start(now, r); err != nil {
+		return nil, err
+	}
+	g := newGeneration(r)
+	s.generations[r.ID] = g
+	s.record(now, Entry{
+		Kind: EntryStart, Generation: r.ID, RequestID: r.RequestID,
+		Model: r.Model, Version: r.Version, Adapter: r.Adapter, Prefix: len(r.Prefix), Tokens: len(r.Prefix),
+	})
+	s.wakeRunner()
+	return g, nil
+}
+
+func (s *Server) attach(w http.ResponseWriter, r *http.Request) {
+	offset, err := number(r.URL.Query().Get("offset"))
+	if err != nil {
+		problem.Write(w, err)
+		return
+	}
+	s.mu.Lock()
+	g := s.generations[mux.Vars(r)["id"]]
+	s.mu.Unlock()
+	if g == nil {
+		problem.Write(w, problem.New(problem.KindNotFound, http.StatusNotFound, problem.RanUnknown,
+			"start the generation anew if it may be repeated", "this engine does not know the generation"))
+		return
+	}
+	s.stream(w, r, g, int(offset))
+}
+
+func (s *Server) cancel(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	id := mux.Vars(r)["id"]
+	if tokens, ok := s.model.Cancel(now, id); ok {
+		g := s.generations[id]
+		s.record(now, Entry{Kind: EntryEnd, Generation: id, RequestID: g.requestID, Tokens: tokens, Reason: string(apiengine.FinishCanceled)})
+		g.end(now, apiengine.FinishCanceled)
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) load(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	report := s.model.Load(time.Now())
+	s.mu.Unlock()
+	send(w, report)
+}
+
+func (s *Server) cacheEvents(w http.ResponseWriter, r *http.Request) {
+	after, err := number(r.URL.Query().Get("after"))
+	if err != nil {
+		problem.Write(w, err)
+		return
+	}
+	s.mu.Lock()
+	events := s.model.CacheEvents(time.Now(), after)
+	s.mu.Unlock()
+	send(w, events)
+}
+
+func (s *Server) order(w http.ResponseWriter, r *http.Request) {
+	var order apiengine.Order
+	if !decode(w, r, &order) {
+		return
+	}
+	s.mu.Lock()
+	now := time.Now()
+	result, err := s.model.Order(now, order)
+	s.record(now, Entry{Kind: EntryOrder, Fence: order.Fence, Order: &order, Refused: err != nil})
+	s.mu.Unlock()
+	if err != nil {
+		problem.Write(w, err)
+		return
+	}
+	send(w, result)
+}
+
+func (s *Server) orderState(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	state := s.model.OrderState(time.Now())
+	s.mu.Unlock()
+	send(w, state)
+}
+
+// busy reports whether a generation is waiting or running.
+func (s *Server) busy() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	load := s.model.CurrentLoad(time.Now())
+	return load.Running+load.Waiting > 0
+}
+
+// number reads a whole number of at least 0. A missing one is zero.
+func number(text string) (int64, error) {
+	if text == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || n < 0 {
+		return 0, badRequest("the parameter %q is no whole number", text)
+	}
+	return n, nil
+}
+
+func badRequest(detail string, args ...any) error {
+	return problem.New(problem.KindBadRequest, http.StatusBadRequest, problem.RanNo, "correct the request", detail, args...)
+}
+
+// decode reads a JSON body strictly. It answers a malformed one itself.
+func decode(w http.ResponseWriter, r *http.Request, value any) bool {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(value); err != nil {
+		problem.Write(w, badRequest("the body cannot be read: %v", err))
+		return false
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, 1))
+	return true
+}
+
+func send(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/internal/standin/process/registration.go
@@ -0,0 +1,77 @@
+package process
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"corianderhitch/internal/platform"
+)
+
+// registrationTimeout bounds one call of the stand-in store.
+const registrationTimeout = 3 * time.Second
+
+// Registration keeps a target's entry in the host list of the stand-in store.
+type Registration struct {
+	store  string // base URL; empty means that nothing is registered
+	target platform.Target
+	log    *slog.Logger
+}
+
+// Register adds the target to the host list of the store at a base URL. An empty
+// URL does nothing.
+func Register(store string, target platform.Target, log *slog.Logger) (*Registration, error) {
+	r := &Registration{store: strings.TrimSuffix(store, "/"), target: target, log: log}
+	if store == "" {
+		return r, nil
+	}
+	body, err := json.Marshal(target)
+	if err != nil {
+		return nil, eris.Wrap(err, "cannot encode the target")
+	}
+	if err := r.call(http.MethodPut, "", body); err != nil {
+		return nil, eris.Wrap(err, "cannot register; start the store first or correct --register")
+	}
+	return r, nil
+}
+
+// Leaving marks the target as leaving.
+func (r *Registration) Leaving() { r.try(http.MethodPost, "/leaving") }
+
+// Remove takes the target off the list.
+func (r *Registration) Remove() { r.try(http.MethodDelete, "") }
+
+func (r *Registration) try(method, suffix string) {
+	if r.store == "" {
+		return
+	}
+	if err := r.call(method, suffix, nil); err != nil {
+		r.log.Warn("cannot update the host list", "error", err)
+	}
+}
+
+func (r *Registration) call(method, suffix string, body []byte) error {
+	ctx, cancel := context.WithTimeout(context.Background(), registrationTimeout)
+	defer cancel()
+	address := r.store + "/admin/targets/" + url.PathEscape(r.target.Name) + suffix
+	request, err := http.NewRequestWithContext(ctx, method, address, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return eris.Errorf("the store answered %s", response.Status)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/process/serve.go
@@ -0,0 +1,66 @@
+package process
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// headerTimeout bounds the wait for the headers of a request.
+const headerTimeout = 10 * time.Second
+
+// Server is an HTTP server on its own listener.
+type Server struct {
+	listener net.Listener
+	http     *http.Server
+	log      *slog.Logger
+}
+
+// Listen opens the listener and logs its address.
+func Listen(address string, handler http.Handler, log *slog.Logger) (*Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, eris.Wrap(err, "cannot listen; set --listen to a free ip:port of this host")
+	}
+	log.Info("listening", "address", listener.Addr().String())
+	return &Server{
+		listener: listener,
+		http:     &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)},
+		log:      log,
+	}, nil
+}
+
+// Address returns ip:port of the listener.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Run serves until ctx ends, runs drain, waits up to grace for open calls and
+// closes what is still open.
+func (s *Server) Run(ctx context.Context, drain func(), grace time.Duration) error {
+	served := make(chan error, 1)
+	go func() { served <- s.http.Serve(s.listener) }()
+	select {
+	case err := <-served:
+		return eris.Wrap(err, "the HTTP server ended")
+	case <-ctx.Done():
+	}
+	s.log.Info("stopping")
+	drain()
+	s.close(grace)
+	if err := <-served; !errors.Is(err, http.ErrServerClosed) {
+		return eris.Wrap(err, "the HTTP server ended")
+	}
+	return nil
+}
+
+func (s *Server) close(grace time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	defer cancel()
+	if s.http.Shutdown(ctx) != nil {
+		_ = s.http.Close()
+	}
+}
--- /dev/null
+++ b/internal/standin/service/admin.go
@@ -0,0 +1,77 @@
+package service
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/gorilla/mux"
+
+	"corianderhitch/api/problem"
+)
+
+// Leaving is the body of PUT /admin/leaving.
+type Leaving struct {
+	Leaving bool `json:"leaving"`
+}
+
+// addAdmin adds the paths for tests:
+//
+//	GET /admin/journal?after=n  []Entry
+//	GET /admin/fault            Fault
+//	PUT /admin/fault            Fault replaces the fault
+//	PUT /admin/leaving          Leaving: refuse new calls, or accept them again
+func (s *Server) addAdmin(r *mux.Router) {
+	r.HandleFunc("/admin/journal", s.getJournal).Methods(http.MethodGet)
+	r.HandleFunc("/admin/fault", s.getFault).Methods(http.MethodGet)
+	r.HandleFunc("/admin/fault", s.putFault).Methods(http.MethodPut)
+	r.HandleFunc("/admin/leaving", s.putLeaving).Methods(http.MethodPut)
+}
+
+func (s *Server) getJournal(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.Atoi(r.URL.Query().Get("after"))
+	if err != nil {
+		after = 0
+	}
+	send(w, s.options.Journal.After(after))
+}
+
+func (s *Server) getFault(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	fault := s.fault
+	s.mu.Unlock()
+	send(w, fault)
+}
+
+func (s *Server) putFault(w http.ResponseWriter, r *http.Request) {
+	var fault Fault
+	if err := decode(r, &fault); err != nil {
+		problem.Write(w, badRequest(err.Error()))
+		return
+	}
+	s.mu.Lock()
+	s.fault = fault
+	s.mu.Unlock()
+	send(w, fault)
+}
+
+func (s *Server) putLeaving(w http.ResponseWriter, r *http.Request) {
+	var body Leaving
+	if err := decode(r, &body); err != nil {
+		problem.Write(w, badRequest(err.Error()))
+		return
+	}
+	s.setLeaving(body.Leaving)
+	send(w, body)
+}
+
+func (s *Server) setLeaving(leaving bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = leaving
+}
+
+func send(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/internal/standin/service/run.go
@@ -0,0 +1,66 @@
+package service
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"time"
+
+	"corianderhitch/internal/logging"
+	"corianderhitch/internal/platform"
+	"corianderhitch/internal/standin/journal"
+	"corianderhitch/internal/standin/process"
+)
+
+const (
+	// dieCode is the exit code after Fault.DieNext.
+	dieCode = 70
+	// shutdownGrace is the longest wait for calls in progress.
+	shutdownGrace = 30 * time.Second
+)
+
+// Settings are the settings of the stand-in service.
+type Settings struct {
+	process.Common
+	Name     string        `flag:"name" default:"booking-1" usage:"target name" validate:"required"`
+	Service  string        `flag:"service" default:"booking" usage:"name of the plain service in the document" validate:"required"`
+	Domain   string        `flag:"domain" default:"local-a" usage:"failure domain" validate:"required"`
+	Region   string        `flag:"region" default:"local" usage:"region of the failure domain" validate:"required"`
+	Register string        `flag:"register" usage:"URL of the stand-in store whose host list shall name this target; empty for none" validate:"omitempty,url"`
+	Delay    time.Duration `flag:"delay" default:"0s" usage:"time that a call takes before it runs" validate:"min=0"`
+	Linger   time.Duration `flag:"linger" default:"0s" usage:"how long after SIGTERM new calls are still answered with a refusal" validate:"min=0"`
+	Journal  string        `flag:"journal" usage:"file to which the journal is appended as JSON lines; empty for none"`
+}
+
+// Run serves a new service until ctx ends and its calls have ended.
+func Run(ctx context.Context, s Settings, log *slog.Logger) error {
+	log = logging.Part(log, "service").With("service", s.Name)
+	entries, err := journal.Open[Entry](s.Journal)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = entries.Close() }()
+	server := New(Options{Name: s.Name, Journal: entries, Exit: func() { os.Exit(dieCode) }, Log: log})
+	server.fault.RequestDelay = s.Delay
+	web, err := process.Listen(s.Listen, server.Handler(), log)
+	if err != nil {
+		return err
+	}
+	registration, err := process.Register(s.Register, target(s, web.Address()), log)
+	if err != nil {
+		return err
+	}
+	defer registration.Remove()
+	return web.Run(ctx, func() {
+		registration.Leaving()
+		server.setLeaving(true)
+		time.Sleep(s.Linger)
+	}, shutdownGrace)
+}
+
+func target(s Settings, address string) platform.Target {
+	return platform.Target{
+		Name: s.Name, Address: address, Domain: s.Domain, Region: s.Region,
+		Kind: platform.TargetService, Service: s.Service,
+	}
+}
