Keep accepted documents in the store by compare-and-swap

A change counts once the current record was swapped; history entries are keyed by revision and attempt and chained backwards, so an entry of a lost race is never reached. A lost answer is settled by repeating the same swap and reading back the attempt id. Bodies are compressed chunks named by their digest; small documents also stand in the current record.

--- /dev/null
+++ b/internal/docstore/apply.go
@@ -0,0 +1,129 @@
+package docstore
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+
+	"corianderhitch/internal/document"
+	"corianderhitch/internal/platform"
+)
+
+// ApplyRequest asks to put a document in force.
+type ApplyRequest struct {
+	Environment string
+	Base        int64 // document revision that the operator read; 0 if there was none
+	Document    document.Document
+	Operator    string
+	Comment     string
+	Origin      string // empty means "apply"
+}
+
+// Apply puts a document in force as revision Base+1 if Base is still in force.
+// It returns a *document.ValidationError, a *ConflictError, an *UnknownError or
+// an error of the store that says that nothing was changed. A document equal to
+// the one in force is not written again; its revision is returned.
+func (s *Store) Apply(ctx context.Context, req ApplyRequest) (document.Accepted, error) {
+	return s.apply(ctx, req, false)
+}
+
+func (s *Store) apply(ctx context.Context, req ApplyRequest, always bool) (document.Accepted, error) {
+	d := document.Normalize(req.Document)
+	if err := checkRequest(req.Environment, d); err != nil {
+		return document.Accepted{}, err
+	}
+	old, at, err := s.current(ctx, req.Environment)
+	if err != nil {
+		return document.Accepted{}, wrapUntouched(err)
+	}
+	if old.Revision != req.Base {
+		return document.Accepted{}, conflict(req.Environment, req.Base, old)
+	}
+	body, err := document.Encode(d)
+	if err != nil {
+		return document.Accepted{}, err
+	}
+	ref, chunks, err := pack(body)
+	if err != nil {
+		return document.Accepted{}, err
+	}
+	if !always && old.Body.Digest == ref.Digest {
+		return s.accepted(ctx, old)
+	}
+	next := s.successor(old, req, ref)
+	if err := s.writeBody(ctx, ref, chunks); err != nil {
+		return document.Accepted{}, err
+	}
+	if err := s.writeHistory(ctx, req.Environment, next); err != nil {
+		return document.Accepted{}, err
+	}
+	if err := s.swap(ctx, req.Environment, next, d, at); err != nil {
+		return document.Accepted{}, err
+	}
+	next.Document = &d
+	return s.accepted(ctx, next)
+}
+
+func checkRequest(environment string, d document.Document) error {
+	if err := document.Validate(d); err != nil {
+		return err
+	}
+	if d.Environment == environment {
+		return nil
+	}
+	return &document.ValidationError{Problems: []document.Problem{{
+		Path:    "environment",
+		Message: fmt.Sprintf("is %q, but the change is for %q", d.Environment, environment),
+		Remedy:  "correct the document or --environment; use \"hitchctl promote\" to carry a document to another environment",
+	}}}
+}
+
+// successor returns the record that replaces old.
+func (s *Store) successor(old record, req ApplyRequest, ref bodyRef) record {
+	origin := req.Origin
+	if origin == "" {
+		origin = "apply"
+	}
+	return record{
+		Revision:   old.Revision + 1,
+		Operator:   req.Operator,
+		Comment:    req.Comment,
+		AcceptedAt: s.now().UTC(),
+		Origin:     origin,
+		Attempt:    rand.Text(),
+		Previous:   old.link(),
+		Body:       ref,
+	}
+}
+
+func conflict(environment string, base int64, current record) error {
+	return &ConflictError{
+		Environment: environment,
+		Base:        base,
+		Current:     current.Revision,
+		Operator:    current.Operator,
+		AcceptedAt:  current.AcceptedAt,
+		Comment:     current.Comment,
+	}
+}
+
+func (s *Store) writeHistory(ctx context.Context, environment string, r record) error {
+	value, err := encodeHistory(r)
+	if err != nil {
+		return err
+	}
+	if err := s.create(ctx, document.HistoryAttemptKey(environment, r.Revision, r.Attempt), value); err != nil {
+		return wrapUntouched(err)
+	}
+	return nil
+}
+
+// swap replaces the current record if its store revision is still at.
+func (s *Store) swap(ctx context.Context, environment string, next record, d document.Document, at platform.Revision) error {
+	value, err := encodeCurrent(next, d)
+	if err != nil {
+		return err
+	}
+	w := swapper{store: s, environment: environment, next: next, value: value, at: at}
+	return w.run(ctx)
+}
--- /dev/null
+++ b/internal/docstore/body.go
@@ -0,0 +1,96 @@
+package docstore
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"io"
+
+	"github.com/rotisserie/eris"
+
+	"corianderhitch/internal/document"
+	"corianderhitch/internal/platform"
+)
+
+// Bounds of a stored body.
+const (
+	chunkBytes   = 768 << 10 // below the store's largest value, with room for what encodings add
+	maxBodyBytes = 64 << 20  // twice the largest source; stops a damaged chunk from filling the memory
+)
+
+// bodyRef names the parts of a document body: its canonical JSON, compressed
+// with gzip and cut into chunks that are stored under their own digests.
+type bodyRef struct {
+	Digest string   `json:"digest"` // SHA-256 of the canonical JSON, hex
+	Bytes  int      `json:"bytes"`  // length of the canonical JSON
+	Chunks []string `json:"chunks"` // SHA-256 of each chunk, hex
+}
+
+// pack compresses a body and cuts it.
+func pack(body []byte) (bodyRef, [][]byte, error) {
+	var packed bytes.Buffer
+	w, err := gzip.NewWriterLevel(&packed, gzip.BestCompression)
+	if err != nil {
+		return bodyRef{}, nil, eris.Wrap(err, "cannot compress the document")
+	}
+	if _, err := w.Write(body); err != nil {
+		return bodyRef{}, nil, eris.Wrap(err, "cannot compress the document")
+	}
+	if err := w.Close(); err != nil {
+		return bodyRef{}, nil, eris.Wrap(err, "cannot compress the document")
+	}
+	ref := bodyRef{Digest: digest(body), Bytes: len(body)}
+	var chunks [][]byte
+	for rest := packed.Bytes(); len(rest) > 0; {
+		n := min(chunkBytes, len(rest))
+		chunks = append(chunks, rest[:n])
+		ref.Chunks = append(ref.Chunks, digest(rest[:n]))
+		rest = rest[n:]
+	}
+	return ref, chunks, nil
+}
+
+// writeBody stores the chunks that the store lacks.
+func (s *Store) writeBody(ctx context.Context, ref bodyRef, chunks [][]byte) error {
+	for i, chunk := range chunks {
+		if err := s.create(ctx, document.ChunkKey(ref.Chunks[i]), chunk); err != nil {
+			return eris.Wrap(err, "cannot write the document's body; nothing was changed")
+		}
+	}
+	return nil
+}
+
+// readBody reads and checks a body.
+func (s *Store) readBody(ctx context.Context, ref bodyRef) ([]byte, error) {
+	var packed bytes.Buffer
+	for _, name := range ref.Chunks {
+		entry, err := s.store.Get(ctx, document.ChunkKey(name))
+		if errors.Is(err, platform.ErrNotFound) {
+			return nil, eris.Errorf("part %s of the document is missing in the store; roll back to another revision", name)
+		}
+		if err != nil {
+			return nil, eris.Wrap(err, "cannot read the document's body")
+		}
+		packed.Write(entry.Value)
+	}
+	r, err := gzip.NewReader(&packed)
+	if err != nil {
+		return nil, eris.Wrap(err, "the document's body is damaged; roll back to another revision")
+	}
+	body, err := io.ReadAll(io.LimitReader(r, maxBodyBytes))
+	if err != nil {
+		return nil, eris.Wrap(err, "the document's body is damaged; roll back to another revision")
+	}
+	if digest(body) != ref.Digest {
+		return nil, eris.New("the document's body does not match its digest; roll back to another revision")
+	}
+	return body, nil
+}
+
+func digest(b []byte) string {
+	sum := sha256.Sum256(b)
+	return hex.EncodeToString(sum[:])
+}
