--- /dev/null
+++ b/internal/docstore/docstore_test.go
@@ -0,0 +1,222 @@
+package docstore
+
+import (
+	"context"
+	"os"
+	"testing"
+	"testing/synctest"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"corianderhitch/internal/document"
+	"corianderhitch/internal/platform"
+	"corianderhitch/internal/platform/memstore"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func example(t testing.TB, environment string) document.Document {
+	t.Helper()
+	source, err := os.ReadFile("../../examples/charter-trial.yaml")
+	require.NoError(t, err)
+	d, err := document.Parse(source)
+	require.NoError(t, err)
+	d.Environment = environment
+	return d
+}
+
+// variant returns a valid document that differs from others by its number.
+func variant(d document.Document, number int) document.Document {
+	d.Objectives.FirstTokenMS = 1000 + number
+	return d
+}
+
+func request(d document.Document, base int64) ApplyRequest {
+	return ApplyRequest{Environment: d.Environment, Base: base, Document: d, Operator: "ana", Comment: "test"}
+}
+
+func TestApplyCountsRevisionsAndKeepsHistory(t *testing.T) {
+	s := New(memstore.New(memstore.Options{}))
+	d := example(t, "trial")
+	_, _, err := s.Current(t.Context(), "trial")
+	require.ErrorIs(t, err, platform.ErrNotFound)
+	for i := range 3 {
+		accepted, err := s.Apply(t.Context(), request(variant(d, i), int64(i)))
+		require.NoError(t, err)
+		require.EqualValues(t, i+1, accepted.Revision)
+		current, at, err := s.Current(t.Context(), "trial")
+		require.NoError(t, err)
+		require.Equal(t, accepted, current)
+		require.Positive(t, at)
+	}
+	items, err := s.History(t.Context(), "trial", 2)
+	require.NoError(t, err)
+	require.Len(t, items, 2)
+	require.EqualValues(t, 3, items[0].Revision)
+	require.Equal(t, "apply", items[1].Origin)
+	old, err := s.At(t.Context(), "trial", 1)
+	require.NoError(t, err)
+	require.Equal(t, 1000, old.Document.Objectives.FirstTokenMS)
+	var missing *MissingError
+	_, err = s.At(t.Context(), "trial", 4)
+	require.ErrorAs(t, err, &missing)
+}
+
+func TestApplyOfTheSameDocumentChangesNothing(t *testing.T) {
+	s := New(memstore.New(memstore.Options{}))
+	d := example(t, "trial")
+	_, err := s.Apply(t.Context(), request(d, 0))
+	require.NoError(t, err)
+	again, err := s.Apply(t.Context(), request(d, 1))
+	require.NoError(t, err)
+	require.EqualValues(t, 1, again.Revision)
+}
+
+func TestLoserIsToldBothRevisions(t *testing.T) {
+	s := New(memstore.New(memstore.Options{}))
+	d := example(t, "trial")
+	_, err := s.Apply(t.Context(), request(variant(d, 1), 0))
+	require.NoError(t, err)
+	_, err = s.Apply(t.Context(), request(variant(d, 2), 1))
+	require.NoError(t, err)
+	_, err = s.Apply(t.Context(), request(variant(d, 3), 1))
+	var conflict *ConflictError
+	require.ErrorAs(t, err, &conflict)
+	require.EqualValues(t, 1, conflict.Base)
+	require.EqualValues(t, 2, conflict.Current)
+	require.ErrorContains(t, err, "based on revision 1 of trial, but revision 2 is in force (by ana")
+	require.ErrorContains(t, err, "repeat with --base 2")
+}
+
+func TestInvalidAndMisplacedDocumentsAreRefused(t *testing.T) {
+	s := New(memstore.New(memstore.Options{}))
+	var invalid *document.ValidationError
+	d := example(t, "trial")
+	req := request(d, 0)
+	req.Environment = "production"
+	_, err := s.Apply(t.Context(), req)
+	require.ErrorAs(t, err, &invalid)
+	d.Accounts[0].Serves[0].Model = "nowhere"
+	_, err = s.Apply(t.Context(), request(d, 0))
+	require.ErrorAs(t, err, &invalid)
+}
+
+func TestPromoteCarriesThatRevisionAndRollbackIsNew(t *testing.T) {
+	s := New(memstore.New(memstore.Options{}))
+	d := example(t, "trial")
+	for i := range 3 {
+		_, err := s.Apply(t.Context(), request(variant(d, i), int64(i)))
+		require.NoError(t, err)
+	}
+	promoted, err := s.Promote(t.Context(), PromoteRequest{From: "trial", Revision: 2, To: "production", Base: 0, Operator: "ben"})
+	require.NoError(t, err)
+	require.EqualValues(t, 1, promoted.Revision)
+	require.Equal(t, "promote trial@2", promoted.Origin)
+	require.Equal(t, 1001, promoted.Document.Objectives.FirstTokenMS)
+	require.Equal(t, "production", promoted.Document.Environment)
+
+	var conflict *ConflictError
+	_, err = s.Promote(t.Context(), PromoteRequest{From: "trial", Revision: 3, To: "production", Base: 0})
+	require.ErrorAs(t, err, &conflict)
+
+	back, err := s.Rollback(t.Context(), RollbackRequest{Environment: "trial", ToRevision: 1, Base: 3})
+	require.NoError(t, err)
+	require.EqualValues(t, 4, back.Revision)
+	require.Equal(t, "rollback 1", back.Origin)
+	require.Equal(t, 1000, back.Document.Objectives.FirstTokenMS)
+	same, err := s.Rollback(t.Context(), RollbackRequest{Environment: "trial", ToRevision: 4, Base: AnyBase})
+	require.NoError(t, err)
+	require.EqualValues(t, 5, same.Revision)
+}
+
+// loser is a store in which another operator's change is accepted between the
+// loser's history entry and its swap.
+type loser struct {
+	platform.Store
+	before func()
+}
+
+func (l *loser) Put(ctx context.Context, key string, value []byte, at platform.Revision, lease platform.LeaseID) (platform.Revision, error) {
+	if key == document.CurrentKey("trial") && l.before != nil {
+		before := l.before
+		l.before = nil
+		before()
+	}
+	return l.Store.Put(ctx, key, value, at, lease)
+}
+
+func TestEntryOfALostRaceIsNeverInTheHistory(t *testing.T) {
+	inner := memstore.New(memstore.Options{})
+	winner := New(inner)
+	d := example(t, "trial")
+	_, err := winner.Apply(t.Context(), request(variant(d, 0), 0))
+	require.NoError(t, err)
+	slow := New(&loser{Store: inner, before: func() {
+		_, err := winner.Apply(t.Context(), request(variant(d, 1), 1))
+		require.NoError(t, err)
+	}})
+	_, err = slow.Apply(t.Context(), request(variant(d, 2), 1))
+	var conflict *ConflictError
+	require.ErrorAs(t, err, &conflict)
+	require.EqualValues(t, 2, conflict.Current)
+	_, err = winner.Apply(t.Context(), request(variant(d, 3), 2))
+	require.NoError(t, err)
+
+	entries, _, err := inner.List(t.Context(), document.HistoryPrefix("trial"), "", 0)
+	require.NoError(t, err)
+	require.Len(t, entries, 4, "the loser's entry stands under revision 2 too")
+	items, err := winner.History(t.Context(), "trial", 0)
+	require.NoError(t, err)
+	require.Len(t, items, 3)
+	second, err := winner.At(t.Context(), "trial", 2)
+	require.NoError(t, err)
+	require.Equal(t, 1001, second.Document.Objectives.FirstTokenMS)
+}
+
+func TestLostAnswerOfAnyWriteIsSettled(t *testing.T) {
+	for lost := range 3 { // body, history entry, current record
+		synctest.Test(t, func(t *testing.T) {
+			inner := memstore.New(memstore.Options{})
+			s := New(&scripted{Store: inner, fault: func(put int) fault {
+				if put == lost {
+					return lostAfter
+				}
+				return none
+			}})
+			accepted, err := s.Apply(t.Context(), request(example(t, "trial"), 0))
+			require.NoError(t, err)
+			require.EqualValues(t, 1, accepted.Revision)
+			items, err := s.History(t.Context(), "trial", 0)
+			require.NoError(t, err)
+			require.Len(t, items, 1)
+		})
+	}
+}
+
+func TestOutageIsToldTruthfully(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		inner := memstore.New(memstore.Options{})
+		down := New(&scripted{Store: inner, fault: func(int) fault { return unavailable }})
+		_, err := down.Apply(t.Context(), request(example(t, "trial"), 0))
+		require.ErrorIs(t, err, platform.ErrUnavailable)
+		require.ErrorContains(t, err, "nothing was changed")
+
+		// The answer to the swap is lost and the store stays down after it.
+		stuck := New(&scripted{Store: inner, fault: func(put int) fault {
+			switch {
+			case put < 2:
+				return none
+			case put == 2:
+				return lostAfter
+			}
+			return unavailable
+		}})
+		_, err = stuck.Apply(t.Context(), request(example(t, "trial"), 0))
+		var unknown *UnknownError
+		require.ErrorAs(t, err, &unknown)
+		current, _, err := New(inner).Current(t.Context(), "trial")
+		require.NoError(t, err)
+		require.Equal(t, unknown.Revision, current.Revision)
+	})
+}
