--- a/api/control/control.go
+++ b/api/control/control.go
@@ -73,6 +73,7 @@
 
 // SnapshotArgs asks for the state after a version.
 type SnapshotArgs struct {
+	Host             string // gateway's host; empty means that of the agent
 	GatewayAddr      string
 	After            int64         // version already held; 0 for none
 	Wait             time.Duration // how long the call may wait for news
@@ -222,6 +223,7 @@
 
 // ExchangeArgs is a heartbeat with anti-entropy between two agents.
 type ExchangeArgs struct {
+	Environment      string // agents of different environments refuse each other
 	From             Member
 	Members          []Member // changed since the last exchange with this peer
 	DocumentRevision int64
@@ -261,6 +263,9 @@
 	Cache   []CacheDelta
 }
 
+// DecisionsReply lists the decisions of one agent about a request, oldest first.
+type DecisionsReply struct{ Lines []string }
+
 // StatusReply is the state of the fleet as one agent sees it.
 type StatusReply struct {
 	Members          []Member
--- a/internal/agent/docsync/holder.go
+++ b/internal/agent/docsync/holder.go
@@ -4,8 +4,6 @@
 package docsync
 
 import (
-	"encoding/json"
-
 	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 
@@ -51,9 +49,9 @@
 		}
 		return false, nil
 	}
-	var parsed document.Document
-	if err := json.Unmarshal(content, &parsed); err != nil {
-		return false, eris.Wrapf(err, "document: revision %d is no JSON; apply a corrected document", revision)
+	parsed, err := document.Decode(content)
+	if err != nil {
+		return false, eris.Wrapf(err, "document: revision %d cannot be read; apply a corrected document", revision)
 	}
 	if parsed.Environment != "" && parsed.Environment != h.environment {
 		return false, eris.Errorf("document: revision %d is for environment %q, not %q; check --environment of all hosts",
--- a/internal/agent/docsync/source.go
+++ b/internal/agent/docsync/source.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 
 	"github.com/rotisserie/eris"
 
+	"corianderhitch/internal/docstore"
 	"corianderhitch/internal/document"
 	"corianderhitch/internal/platform"
 )
@@ -22,34 +22,31 @@
 
 // StoreSource is a Source on the platform's store.
 type StoreSource struct {
-	store platform.Store
-	key   string
+	store       platform.Store
+	documents   *docstore.Store
+	environment string
 }
 
 // NewStoreSource returns the Source of an environment.
 func NewStoreSource(store platform.Store, environment string) *StoreSource {
-	return &StoreSource{store: store, key: document.CurrentKey(environment)}
+	return &StoreSource{store: store, documents: docstore.New(store), environment: environment}
 }
 
 // Read implements Source.
 func (s *StoreSource) Read(ctx context.Context) (int64, []byte, platform.Revision, error) {
-	entry, err := s.store.Get(ctx, s.key)
+	accepted, from, err := s.documents.Current(ctx, s.environment)
 	if eris.Is(err, platform.ErrNotFound) {
 		return 0, nil, 0, nil
 	}
 	if err != nil {
 		return 0, nil, 0, err
 	}
-	var accepted document.Accepted
-	if err := json.Unmarshal(entry.Value, &accepted); err != nil {
-		return 0, nil, entry.Revision, eris.Wrap(err, "document: store record is no JSON; apply a corrected document")
-	}
-	content, err := json.Marshal(accepted.Document)
-	return accepted.Revision, content, entry.Revision, err
+	content, err := document.Encode(accepted.Document)
+	return accepted.Revision, content, from, err
 }
 
 // Wait implements Source.
 func (s *StoreSource) Wait(ctx context.Context, from platform.Revision) (bool, platform.Revision, error) {
-	events, next, err := s.store.Watch(ctx, s.key, from)
+	events, next, err := s.store.Watch(ctx, document.CurrentKey(s.environment), from)
 	return len(events) > 0, next, err
 }
--- a/internal/agent/observer/probe.go
+++ b/internal/agent/observer/probe.go
@@ -47,7 +47,7 @@
 // returns the seq for the next poll.
 func (p *Prober) Poll(ctx context.Context, target platform.Target, seq int64) (Sample, int64) {
 	if target.Kind == platform.TargetService {
-		return Sample{Outcome: outcome(p.get(ctx, target.Address, "/livez", nil))}, 0
+		return Sample{Outcome: outcome(p.get(ctx, target.Address, "/readyz", nil))}, 0
 	}
 	var load engine.LoadReport
 	if err := p.get(ctx, target.Address, "/v1/load", &load); err != nil {
--- a/internal/agent/scheduler/pool.go
+++ b/internal/agent/scheduler/pool.go
@@ -27,6 +27,7 @@
 	policy scheduling.Policy
 	inbox  chan message
 	quit   chan struct{}
+	gone   chan struct{} // closed when nothing is answered any more
 	done   sync.WaitGroup
 	events events
 
@@ -59,6 +60,7 @@
 		policy:       policy,
 		inbox:        make(chan message, inboxSize),
 		quit:         make(chan struct{}),
+		gone:         make(chan struct{}),
 		events:       ev,
 		waiting:      make(map[string]*waiter),
 		granted:      make(map[string]grant),
@@ -86,6 +88,7 @@
 }
 
 func (p *pool) run() {
+	defer close(p.gone)
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for {
--- a/internal/agent/scheduler/scheduler.go
+++ b/internal/agent/scheduler/scheduler.go
@@ -158,7 +158,7 @@
 		if check(r.Admit) != nil || s.checkOwner(key) != nil {
 			continue
 		}
-		if p, ok := s.pool(key); ok {
+		if p, err := s.serving(key); err == nil && p != nil {
 			p.send(func(p *pool, now time.Time) { p.reattach(now, r) })
 		}
 	}
@@ -213,9 +213,14 @@
 }
 
 func (s *Scheduler) enqueue(key Key, args control.AdmitArgs, verdict suspicion.Verdict) (control.AdmitReply, error) {
-	p, ok := s.pool(key)
-	if !ok {
-		return control.AdmitReply{}, ErrStopping
+	p, err := s.serving(key)
+	if err != nil {
+		return control.AdmitReply{}, err
+	}
+	if p == nil {
+		reply := noTarget(&waiter{args: args})
+		s.decided(time.Now(), args, reply)
+		return reply, nil
 	}
 	answers := make(chan control.AdmitReply, 1)
 	late := s.mayBeLate(args.Class)
@@ -245,6 +250,8 @@
 			return control.AdmitReply{}, s.notOwner(p.key)
 		}
 		return reply, nil
+	case <-p.gone:
+		return s.lastAnswer(p, answers)
 	case <-timer.C:
 		p.send(func(p *pool, now time.Time) { p.finish(now, control.Finished{Ticket: args.Ticket}) })
 		return control.AdmitReply{
@@ -253,6 +260,18 @@
 	}
 }
 
+// lastAnswer takes an answer that was given just before the pool stopped.
+func (s *Scheduler) lastAnswer(p *pool, answers <-chan control.AdmitReply) (control.AdmitReply, error) {
+	select {
+	case reply, answered := <-answers:
+		if answered {
+			return reply, nil
+		}
+	default:
+	}
+	return control.AdmitReply{}, s.notOwner(p.key)
+}
+
 func (s *Scheduler) checkOwner(key Key) error {
 	rank, _ := Rank(key, s.fleet.Self().Host, s.fleet.Members())
 	if rank < ranksServed {
@@ -285,6 +304,25 @@
 	return s.late[class]
 }
 
+// serving returns the pool, or nil if there is none and no engine serves the
+// model, so that made-up names start nothing.
+func (s *Scheduler) serving(key Key) (*pool, error) {
+	s.mu.Lock()
+	p := s.pools[key]
+	s.mu.Unlock()
+	if p != nil {
+		return p, nil
+	}
+	if len(engines(key, s.fleet.Targets(time.Now()))) == 0 {
+		return nil, nil
+	}
+	p, ok := s.pool(key)
+	if !ok {
+		return nil, ErrStopping
+	}
+	return p, nil
+}
+
 // pool returns the pool, which it starts if needed.
 func (s *Scheduler) pool(key Key) (*pool, bool) {
 	s.mu.Lock()
@@ -357,9 +395,9 @@
 	return nil
 }
 
-// slim returns a row with nothing but the load, for the way to a pool's owner,
+// Slim returns a row with nothing but the load, for the way to a pool's owner,
 // which holds the rest in its table.
-func slim(row control.TargetState) control.TargetState {
+func Slim(row control.TargetState) control.TargetState {
 	load := row.Load
 	load.Loaded, load.Target = nil, ""
 	return control.TargetState{
--- /dev/null
+++ b/internal/agent/services/control.go
@@ -0,0 +1,147 @@
+// Package services serves the net/rpc methods of an agent: Control, Scheduler,
+// Directory and Peer (see api/control).
+package services
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"corianderhitch/api/control"
+	"corianderhitch/internal/agent/scheduler"
+	"corianderhitch/internal/agent/state"
+)
+
+const (
+	// maxSnapshotWait bounds a long poll.
+	maxSnapshotWait = 30 * time.Second
+	// coalesce is how long a change waits for others before a snapshot leaves.
+	coalesce = 20 * time.Millisecond
+	// askTimeout bounds the question to one member for an operator.
+	askTimeout = time.Second
+	// askers is the number of members that are asked at once.
+	askers = 32
+)
+
+// Caller runs a net/rpc method on a peer.
+type Caller interface {
+	Call(ctx context.Context, address, method string, args, reply any) error
+}
+
+// Control serves gateways and operators.
+type Control struct {
+	state       *state.State
+	scheduler   *scheduler.Scheduler
+	caller      Caller
+	presence    *Presence
+	environment string
+	stopping    <-chan struct{}
+}
+
+// NewControl returns the service. Waiting calls end when stopping is closed.
+func NewControl(s *state.State, sched *scheduler.Scheduler, caller Caller, presence *Presence, environment string, stopping <-chan struct{}) *Control {
+	return &Control{state: s, scheduler: sched, caller: caller, presence: presence, environment: environment, stopping: stopping}
+}
+
+// Snapshot returns the state once it is newer than the version in args, or when
+// the wait ends.
+func (c *Control) Snapshot(args control.SnapshotArgs, reply *control.SnapshotReply) error {
+	c.presence.Seen(time.Now(), args)
+	defer func() { c.presence.Seen(time.Now(), args) }()
+	c.await(args)
+	version, _ := c.state.Version()
+	now := time.Now()
+	reply.Version = version
+	reply.Members = c.state.Members()
+	reply.Targets = c.state.Targets(now)
+	held := c.state.Document()
+	reply.DocumentRevision = held.Revision
+	if held.Revision != args.DocumentRevision {
+		reply.Document = held.Content
+	}
+	return nil
+}
+
+// await blocks while the gateway holds the current state. A version above the
+// current one comes from an earlier run of the agent.
+func (c *Control) await(args control.SnapshotArgs) {
+	version, changed := c.state.Version()
+	if args.After != version {
+		return
+	}
+	timer := time.NewTimer(min(max(args.Wait, 0), maxSnapshotWait))
+	defer timer.Stop()
+	select {
+	case <-c.stopping:
+	case <-timer.C:
+	case <-changed:
+		rest := time.NewTimer(coalesce)
+		defer rest.Stop()
+		<-rest.C
+	}
+}
+
+// News takes events that a gateway saw on the data path.
+func (c *Control) News(args control.NewsArgs, _ *control.Empty) error {
+	c.state.AddNews(time.Now(), args.News)
+	return nil
+}
+
+// Status returns the fleet as this agent sees it, with the document revisions
+// that the live members themselves report.
+func (c *Control) Status(_ control.Empty, reply *control.StatusReply) error {
+	reply.Members = c.state.Members()
+	c.ask(reply.Members, func(ctx context.Context, i int) {
+		own := new(control.Member)
+		if c.caller.Call(ctx, reply.Members[i].AgentAddr, "Peer.Self", control.Empty{}, own) == nil && own.Host == reply.Members[i].Host {
+			reply.Members[i].DocumentRevision = own.DocumentRevision
+			reply.Members[i].GatewayRevision = own.GatewayRevision
+			reply.Members[i].GatewayAddr = own.GatewayAddr
+		}
+	})
+	reply.Targets = c.state.Targets(time.Now())
+	reply.DocumentRevision = c.state.Document().Revision
+	reply.Environment = c.environment
+	reply.StoreReachable = c.state.StoreReachable()
+	return nil
+}
+
+// Explain returns the recent decisions of all agents about a request.
+func (c *Control) Explain(args control.ExplainArgs, reply *control.ExplainReply) error {
+	members := c.state.Members()
+	lines := make([][]string, len(members))
+	c.ask(members, func(ctx context.Context, i int) {
+		answer := new(control.DecisionsReply)
+		if c.caller.Call(ctx, members[i].AgentAddr, "Peer.Decisions", args, answer) == nil {
+			lines[i] = answer.Lines
+		}
+	})
+	reply.Lines = c.scheduler.Explain(args)
+	for i, l := range lines {
+		for _, line := range l {
+			reply.Lines = append(reply.Lines, members[i].Host+": "+line)
+		}
+	}
+	reply.Found = len(reply.Lines) > 0
+	return nil
+}
+
+// ask runs a question for all live members but this one and waits for all.
+func (c *Control) ask(members []control.Member, question func(ctx context.Context, i int)) {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	self := c.state.Self().Host
+	slots := make(chan struct{}, askers)
+	var all sync.WaitGroup
+	for i, m := range members {
+		if m.Host == self || m.State == control.MemberDead || m.State == control.MemberLeft {
+			continue
+		}
+		slots <- struct{}{}
+		all.Go(func() {
+			defer func() { <-slots }()
+			question(ctx, i)
+		})
+	}
+	all.Wait()
+}
--- a/internal/agent/state/exchange.go
+++ b/internal/agent/state/exchange.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"corianderhitch/api/control"
 )
 
@@ -20,8 +22,14 @@
 	return args
 }
 
+// ErrOtherEnvironment refuses agents that serve another environment.
+var ErrOtherEnvironment = eris.New("exchange: agents of two environments meet; check --environment and --peers of both hosts")
+
 // Answer takes a peer's message and builds the reply.
-func (s *State) Answer(now time.Time, args control.ExchangeArgs) control.ExchangeReply {
+func (s *State) Answer(now time.Time, args control.ExchangeArgs) (control.ExchangeReply, error) {
+	if args.Environment != s.environment {
+		return control.ExchangeReply{}, ErrOtherEnvironment
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.take(now, args)
@@ -38,7 +46,7 @@
 	if held.Revision > args.DocumentRevision {
 		reply.Document = held.Content
 	}
-	return reply
+	return reply, nil
 }
 
 // Replied takes a peer's reply. When the tables differ it returns the message
@@ -68,6 +76,7 @@
 
 func (s *State) seal(args *control.ExchangeArgs) {
 	held := s.document.Held()
+	args.Environment = s.environment
 	args.From = s.members.Self()
 	args.DocumentRevision = held.Revision
 	args.DocumentHash = held.Hash
--- a/internal/agent/state/state.go
+++ b/internal/agent/state/state.go
@@ -20,7 +20,8 @@
 
 // State is what one agent knows. It is safe for concurrent use.
 type State struct {
-	log *slog.Logger
+	log         *slog.Logger
+	environment string
 
 	mu       sync.Mutex
 	members  *membership.Table    // guarded by mu
@@ -111,6 +112,23 @@
 	return s.members.Get(host)
 }
 
+// Introduce takes members that the store's registration lists. The record of a
+// member that is already known holds, since the list may be old.
+func (s *State) Introduce(now time.Time, members []control.Member) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var fresh []control.Member
+	for _, m := range members {
+		if known, ok := s.members.Get(m.Host); !ok || m.Incarnation > known.Incarnation {
+			fresh = append(fresh, m)
+		}
+	}
+	if len(s.members.Merge(now, "", fresh)) > 0 {
+		s.touch()
+		s.hurry()
+	}
+}
+
 // Targets returns the targets in the platform's list.
 func (s *State) Targets(now time.Time) []control.TargetState {
 	s.mu.Lock()
