--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -6,6 +6,7 @@
 	"context"
 	"log/slog"
 	"net"
+	"net/http"
 	"net/rpc"
 	"sync"
 	"time"
@@ -18,6 +19,7 @@
 	"corianderhitch/internal/agent/exchange"
 	"corianderhitch/internal/agent/membership"
 	"corianderhitch/internal/agent/observer"
+	"corianderhitch/internal/agent/placement"
 	"corianderhitch/internal/agent/registration"
 	"corianderhitch/internal/agent/reports"
 	"corianderhitch/internal/agent/scheduler"
@@ -52,6 +54,7 @@
 	directory    *directory.Directory
 	registration *registration.Registration
 	suspects     *suspicion.Register
+	placement    *placement.Holder
 
 	stopping chan struct{}
 	stopRun  context.CancelFunc
@@ -111,6 +114,7 @@
 	a.state.SetSelf(func(m *control.Member) { m.State = control.MemberLeft })
 	a.exchange.Announce(ctx)
 	a.scheduler.Stop()
+	a.placement.Stop(ctx)
 	a.watcher.Stop()
 	a.lister.Stop()
 	a.observer.Stop()
@@ -131,6 +135,8 @@
 	a.lister = observer.StartLister(a.log, p, a.state, s.ListPeriod)
 	a.reports = reports.Start(a.log, a.state, a.pool, a.scheduler)
 	a.observer = observer.Start(a.log, a.state, a.reports, observer.Config{PollInterval: s.Poll, PollTimeout: s.PollTimeout})
+	orders := placement.HTTPOrders{Client: &http.Client{}}
+	a.placement = placement.Start(a.log, p, a.state, orders, s.Environment)
 	a.done.Go(func() { presence.Run(ctx) })
 	a.done.Go(func() { a.actOnNews(ctx) })
 }
--- /dev/null
+++ b/internal/agent/placement/orders.go
@@ -0,0 +1,85 @@
+package placement
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/rotisserie/eris"
+
+	"corianderhitch/api/engine"
+	"corianderhitch/api/problem"
+)
+
+// maxAnswerBytes bounds an engine's answer.
+const maxAnswerBytes = 4 << 20
+
+// ErrFenced means that the engine has seen a higher fencing number.
+var ErrFenced = eris.New("placement: the engine refuses the fencing number; another holder has taken over, give up the lease")
+
+// ErrFull means that the engine has no room for another model version.
+var ErrFull = eris.New("placement: the engine has no room; unload a version first")
+
+// Orders sends orders to engines and reads back what they applied.
+type Orders interface {
+	Send(ctx context.Context, address string, order engine.Order) (engine.OrderResult, error)
+	State(ctx context.Context, address string) (engine.OrderState, error)
+}
+
+// HTTPOrders is Orders over HTTP.
+type HTTPOrders struct{ Client *http.Client }
+
+// Send implements Orders.
+func (h HTTPOrders) Send(ctx context.Context, address string, order engine.Order) (engine.OrderResult, error) {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return engine.OrderResult{}, err
+	}
+	var result engine.OrderResult
+	err = h.do(ctx, http.MethodPost, address, bytes.NewReader(body), &result)
+	return result, err
+}
+
+// State implements Orders.
+func (h HTTPOrders) State(ctx context.Context, address string) (engine.OrderState, error) {
+	var state engine.OrderState
+	err := h.do(ctx, http.MethodGet, address, http.NoBody, &state)
+	return state, err
+}
+
+func (h HTTPOrders) do(ctx context.Context, method, address string, body io.Reader, answer any) error {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+"/v1/orders", body)
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := h.Client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	raw, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return err
+	}
+	if response.StatusCode != http.StatusOK {
+		return refusal(response.StatusCode, raw)
+	}
+	return json.Unmarshal(raw, answer)
+}
+
+// refusal turns a problem document into an error. An engine that gives no kind
+// with its conflict means the fencing number.
+func refusal(status int, raw []byte) error {
+	var d problem.Document
+	_ = json.Unmarshal(raw, &d)
+	switch {
+	case d.Kind == problem.KindOverloaded:
+		return eris.Wrap(ErrFull, d.Detail)
+	case status == http.StatusConflict:
+		return eris.Wrap(ErrFenced, d.Detail)
+	}
+	return eris.Errorf("placement: engine answers %d: %s %s; see the engine's log", status, d.Kind, d.Detail)
+}
