--- a/internal/agent/exchange/loop.go
+++ b/internal/agent/exchange/loop.go
@@ -124,6 +124,9 @@
 	if len(l.state.Live()) <= 1 {
 		due = append(due, seeds(l.config.Peers, l.state.Self().AgentAddr)...)
 	}
+	for _, address := range l.state.Strangers() {
+		due = append(due, control.Member{AgentAddr: address})
+	}
 	for _, peer := range due {
 		l.submit(peer)
 	}
--- a/internal/agent/membership/config.go
+++ b/internal/agent/membership/config.go
@@ -39,3 +39,11 @@
 
 // maxRowsPerExchange bounds the rows of one message, about 100 bytes each.
 const maxRowsPerExchange = 128
+
+const (
+	// askAgainAfter is the time between two direct questions to a forgotten host
+	// that peers believe to live.
+	askAgainAfter = 10 * time.Second
+	// maxDoubts bounds the direct questions of one round.
+	maxDoubts = 5
+)
--- a/internal/agent/membership/table.go
+++ b/internal/agent/membership/table.go
@@ -20,6 +20,7 @@
 	incarnation int64
 	heartbeat   int64
 	dropped     time.Time
+	asked       time.Time // when the host was last asked directly whether it lives
 }
 
 // Table is the view that one member has of the fleet.
@@ -28,6 +29,8 @@
 	self       control.Member
 	rows       map[string]*row // by host, without self
 	tombstones map[string]tombstone
+	claims     map[string]control.Member // deaths to tell the host itself, which refutes them
+	doubts     []string                  // addresses of forgotten hosts that peers believe to live
 	rumors     *spread.Rumors
 	lastTick   time.Time
 	version    int64
@@ -43,6 +46,7 @@
 		self:       self,
 		rows:       make(map[string]*row),
 		tombstones: make(map[string]tombstone),
+		claims:     make(map[string]control.Member),
 		rumors:     spread.NewRumors(),
 		version:    1,
 	}
@@ -93,7 +97,20 @@
 		r.DocumentRevision = max(r.DocumentRevision, m.DocumentRevision)
 		r.GatewayRevision = max(r.GatewayRevision, m.GatewayRevision)
 	}
-	t.mergeOne(now, m.Host, m)
+	if !t.mergeOne(now, m.Host, m) {
+		t.claimDeath(m)
+	}
+}
+
+// claimDeath tells a living host that it was forgotten as dead, so that it
+// raises its heartbeat and is taken back by all.
+func (t *Table) claimDeath(m control.Member) {
+	old, forgotten := t.tombstones[m.Host]
+	if t.rows[m.Host] != nil || !forgotten || old.incarnation != m.Incarnation {
+		return
+	}
+	m.Heartbeat, m.State = max(m.Heartbeat, old.heartbeat), control.MemberDead
+	t.claims[m.Host] = m
 }
 
 // Failed records that an exchange with the host failed.
@@ -156,6 +173,12 @@
 	return control.Member{}, false
 }
 
+// HasClaim tells whether the host should hear that it was forgotten as dead.
+func (t *Table) HasClaim(host string) bool {
+	_, ok := t.claims[host]
+	return ok
+}
+
 // HasRumors tells whether changes wait to be sent.
 func (t *Table) HasRumors() bool { return t.rumors.Len() > 0 }
 
@@ -163,6 +186,10 @@
 // not among them, as every message carries it.
 func (t *Table) TakeRumors(peer string) []control.Member {
 	var members []control.Member
+	if claim, ok := t.claims[peer]; ok {
+		delete(t.claims, peer)
+		members = append(members, claim)
+	}
 	for _, host := range t.rumors.Take(peer, maxRowsPerExchange) {
 		if m, ok := t.Get(host); ok && host != t.self.Host {
 			members = append(members, m)
@@ -226,6 +253,7 @@
 	}
 	if old, ok := t.tombstones[m.Host]; ok {
 		if m.Incarnation < old.incarnation || (m.Incarnation == old.incarnation && m.Heartbeat <= old.heartbeat) {
+			t.doubt(now, m, old)
 			return false
 		}
 		delete(t.tombstones, m.Host)
@@ -235,6 +263,24 @@
 	return true
 }
 
+// doubt remembers to ask a forgotten host that a peer believes to live, now and
+// then. If it lives it raises its heartbeat and is taken back by all.
+func (t *Table) doubt(now time.Time, m control.Member, old tombstone) {
+	if now.Sub(old.asked) < askAgainAfter || len(t.doubts) >= maxDoubts {
+		return
+	}
+	old.asked = now
+	t.tombstones[m.Host] = old
+	t.doubts = append(t.doubts, m.AgentAddr)
+}
+
+// TakeDoubts returns the addresses of hosts to ask directly, and forgets them.
+func (t *Table) TakeDoubts() []string {
+	addresses := t.doubts
+	t.doubts = nil
+	return addresses
+}
+
 // refute answers a claim about this member that is not true: it raises the
 // heartbeat above that of the claim.
 func (t *Table) refute(claim control.Member) {
--- a/internal/agent/placement/view.go
+++ b/internal/agent/placement/view.go
@@ -85,7 +85,9 @@
 	if r.Healthy {
 		delete(w.absent, r.Name)
 	} else {
+		// An engine that died may have lost the orders in progress.
 		e.Absent = since(w.absent, r.Name, now) + 1
+		delete(w.pending, r.Name)
 	}
 	e.Pending = w.inProgress(now, e)
 	return e
--- a/internal/agent/registration/registration.go
+++ b/internal/agent/registration/registration.go
@@ -28,6 +28,15 @@
 	// listInterval is how often a host reads the entries again. At 410 hosts it
 	// makes 1.4 reads/s.
 	listInterval = 300 * time.Second
+	// strangerInterval is how often it does so while some listed host is not known
+	// to live, as in a cut fleet, or after a crash until the entry's lease ends. At
+	// 410 hosts it makes 14 reads/s.
+	strangerInterval = 30 * time.Second
+	// startInterval is how often it does so after its start, when hosts that start
+	// together might find each other in separate groups.
+	startInterval = 5 * time.Second
+	// startReads is the number of such reads.
+	startReads = 6
 	// retryInterval is the pause after a failed call, and between reads while no
 	// other agent is known.
 	retryInterval = 2 * time.Second
@@ -41,7 +50,7 @@
 type Fleet interface {
 	Self() control.Member
 	Live() []control.Member
-	Introduce(now time.Time, members []control.Member)
+	Introduce(members []control.Member) (strangers int)
 	SetStoreReachable(reachable bool)
 }
 
@@ -56,6 +65,7 @@
 
 	lease    platform.LeaseID
 	nextList time.Time
+	reads    int
 }
 
 // Start registers this host and reads the entries of the others.
@@ -145,22 +155,34 @@
 func (r *Registration) list(ctx context.Context) time.Duration {
 	bounded, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	after := ""
+	after, strangers := "", 0
 	for {
 		entries, _, err := r.store.List(bounded, r.prefix, after, pageSize)
 		if err != nil {
 			return jitter(retryInterval)
 		}
-		r.fleet.Introduce(time.Now(), members(entries))
+		strangers += r.fleet.Introduce(members(entries))
 		if len(entries) < pageSize {
 			break
 		}
 		after = entries[len(entries)-1].Key
 	}
-	if len(r.fleet.Live()) <= 1 {
-		return jitter(retryInterval)
+	r.reads++
+	return jitter(NextList(r.reads, strangers, len(r.fleet.Live()) <= 1))
+}
+
+// NextList returns the time to the next read, after a number of reads of which
+// the last found strangers.
+func NextList(reads, strangers int, alone bool) time.Duration {
+	switch {
+	case alone:
+		return retryInterval
+	case reads <= startReads:
+		return startInterval
+	case strangers > 0:
+		return strangerInterval
 	}
-	return jitter(listInterval)
+	return listInterval
 }
 
 func members(entries []platform.Entry) []control.Member {
--- a/internal/agent/state/exchange.go
+++ b/internal/agent/state/exchange.go
@@ -134,12 +134,12 @@
 	memberSums, targetSums := s.members.Sums(), s.targets.Sums()
 	membersMarked, membersDiffer := memberSums.Differing(reply.MemberDigest)
 	targetsMarked, targetsDiffer := targetSums.Differing(reply.TargetDigest)
-	if !membersDiffer && !targetsDiffer {
+	if !membersDiffer && !targetsDiffer && !s.members.HasClaim(reply.From.Host) {
 		return control.ExchangeArgs{}, false
 	}
-	var args control.ExchangeArgs
+	args := control.ExchangeArgs{Members: s.members.TakeRumors(reply.From.Host)}
 	if membersDiffer {
-		args.Members = s.members.InBuckets(membersMarked)
+		args.Members = append(args.Members, s.members.InBuckets(membersMarked)...)
 	}
 	if targetsDiffer {
 		args.Targets = s.targets.InBuckets(targetsMarked)
--- a/internal/agent/state/state.go
+++ b/internal/agent/state/state.go
@@ -7,6 +7,7 @@
 
 import (
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -23,16 +24,17 @@
 	log         *slog.Logger
 	environment string
 
-	mu       sync.Mutex
-	members  *membership.Table    // guarded by mu
-	partners *membership.Partners // guarded by mu
-	targets  *observer.Table      // guarded by mu
-	news     *news.Board          // guarded by mu
-	document *docsync.Holder      // guarded by mu
-	ahead    string               // address of a peer with a higher document revision, guarded by mu
-	storeUp  bool                 // whether the last call to the store succeeded, guarded by mu
-	version  int64                // guarded by mu
-	changed  chan struct{}        // closed at the next change, guarded by mu
+	mu        sync.Mutex
+	members   *membership.Table    // guarded by mu
+	partners  *membership.Partners // guarded by mu
+	targets   *observer.Table      // guarded by mu
+	news      *news.Board          // guarded by mu
+	document  *docsync.Holder      // guarded by mu
+	ahead     string               // address of a peer with a higher document revision, guarded by mu
+	strangers []string             // addresses to ask directly, guarded by mu
+	storeUp   bool                 // whether the last call to the store succeeded, guarded by mu
+	version   int64                // guarded by mu
+	changed   chan struct{}        // closed at the next change, guarded by mu
 
 	urgent    chan struct{}       // of capacity 1; filled when a message should leave at once
 	freshNews chan []control.News // events for the duties that act on them
@@ -42,19 +44,24 @@
 // dropped, which costs a later decision its hint.
 const newsBacklog = 256
 
+// maxStrangers is the number of hosts asked after a read of the registration.
+// One that answers brings its whole table.
+const maxStrangers = 5
+
 // New returns the state of an agent that knows only itself.
 func New(log *slog.Logger, config membership.Config, self control.Member, environment string, seed uint64) *State {
 	return &State{
-		log:       logging.Part(log, "state"),
-		members:   membership.NewTable(config, self),
-		partners:  membership.NewPartners(seed),
-		targets:   observer.NewTable(),
-		news:      news.NewBoard(),
-		document:  docsync.NewHolder(environment),
-		version:   1,
-		changed:   make(chan struct{}),
-		urgent:    make(chan struct{}, 1),
-		freshNews: make(chan []control.News, newsBacklog),
+		log:         logging.Part(log, "state"),
+		environment: environment,
+		members:     membership.NewTable(config, self),
+		partners:    membership.NewPartners(seed),
+		targets:     observer.NewTable(),
+		news:        news.NewBoard(),
+		document:    docsync.NewHolder(environment),
+		version:     1,
+		changed:     make(chan struct{}),
+		urgent:      make(chan struct{}, 1),
+		freshNews:   make(chan []control.News, newsBacklog),
 	}
 }
 
@@ -112,21 +119,31 @@
 	return s.members.Get(host)
 }
 
-// Introduce takes members that the store's registration lists. The record of a
-// member that is already known holds, since the list may be old.
-func (s *State) Introduce(now time.Time, members []control.Member) {
+// Introduce takes members that the store's registration lists, and returns how
+// many of them are not known to live. Some of those are asked directly, since
+// the list may be old.
+func (s *State) Introduce(members []control.Member) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var fresh []control.Member
+	var strangers []string
 	for _, m := range members {
-		if known, ok := s.members.Get(m.Host); !ok || m.Incarnation > known.Incarnation {
-			fresh = append(fresh, m)
+		known, ok := s.members.Get(m.Host)
+		if m.AgentAddr != "" && (!ok || !membership.Live(known.State)) {
+			strangers = append(strangers, m.AgentAddr)
 		}
 	}
-	if len(s.members.Merge(now, "", fresh)) > 0 {
-		s.touch()
-		s.hurry()
-	}
+	rand.Shuffle(len(strangers), func(i, j int) { strangers[i], strangers[j] = strangers[j], strangers[i] })
+	s.strangers = strangers[:min(len(strangers), maxStrangers)]
+	return len(strangers)
+}
+
+// Strangers returns the addresses to ask directly, and forgets them.
+func (s *State) Strangers() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	addresses := append(s.strangers, s.members.TakeDoubts()...)
+	s.strangers = nil
+	return addresses
 }
 
 // Targets returns the targets in the platform's list.
