--- a/internal/agent/membership/partners.go
+++ b/internal/agent/membership/partners.go
@@ -33,6 +33,8 @@
 	chosen  []string // hosts of the random partners
 	rotated time.Time
 	next    int
+	ring    []control.Member // successors as of ringAt
+	ringAt  int64            // version of the table
 }
 
 // NewPartners returns a chooser whose choices follow from the seed.
@@ -44,7 +46,10 @@
 // members come and go and when the random ones rotate.
 func (p *Partners) All(now time.Time, t *Table) []control.Member {
 	live := others(t)
-	ring := successors(t.Self().Host, live)
+	if p.ringAt != t.Version() {
+		p.ring, p.ringAt = successors(t.Self().Host, live), t.Version()
+	}
+	ring := p.ring[:len(p.ring):len(p.ring)]
 	if p.stale(now, live) {
 		p.choose(now, t.Self(), live, ring)
 	}
--- a/internal/agent/membership/table.go
+++ b/internal/agent/membership/table.go
@@ -34,6 +34,9 @@
 	rumors     *spread.Rumors
 	lastTick   time.Time
 	version    int64
+	live       []control.Member // of liveAt, never changed in place
+	sums       *spread.Sums     // of liveAt
+	liveAt     int64            // version that live and sums belong to
 }
 
 // NewTable returns a table that knows only self, whose incarnation must be
@@ -128,6 +131,7 @@
 	gap := now.Sub(t.lastTick)
 	paused := !t.lastTick.IsZero() && gap > pausePeriods*t.config.Period
 	t.lastTick = now
+	t.rumors.Age()
 	for host, r := range t.rows {
 		switch {
 		case r.State == control.MemberSuspect && paused:
@@ -151,15 +155,27 @@
 	return members
 }
 
-// Live returns the members that take duties, sorted by host.
+// Live returns the members that take duties, sorted by host. The slice is shared
+// and must not be changed; its document revisions may be old.
 func (t *Table) Live() []control.Member {
+	t.derive()
+	return t.live
+}
+
+// derive computes what follows from the rows, once a version.
+func (t *Table) derive() {
+	if t.liveAt == t.version {
+		return
+	}
 	var live []control.Member
+	sums := &spread.Sums{}
 	for _, m := range t.Members() {
 		if Live(m.State) {
 			live = append(live, m)
+			sums.Add(m.Host, spread.Hash(m.Host, string(m.State), m.Incarnation, m.Heartbeat))
 		}
 	}
-	return live
+	t.live, t.sums, t.liveAt = live, sums, t.version
 }
 
 // Get returns the record of a host.
@@ -200,11 +216,8 @@
 
 // Sums returns the digest of the live members.
 func (t *Table) Sums() *spread.Sums {
-	sums := &spread.Sums{}
-	for _, m := range t.Live() {
-		sums.Add(m.Host, spread.Hash(m.Host, string(m.State), m.Incarnation, m.Heartbeat))
-	}
-	return sums
+	t.derive()
+	return t.sums
 }
 
 // InBuckets returns the records in the marked buckets, dead and left ones too.
--- a/internal/agent/news/board.go
+++ b/internal/agent/news/board.go
@@ -60,6 +60,12 @@
 	return fresh
 }
 
+// Tick lets a period pass.
+func (b *Board) Tick(now time.Time) {
+	b.rumors.Age()
+	b.expire(now)
+}
+
 // HasRumors tells whether events wait to be sent.
 func (b *Board) HasRumors() bool { return b.rumors.Len() > 0 }
 
--- a/internal/agent/observer/table.go
+++ b/internal/agent/observer/table.go
@@ -34,6 +34,7 @@
 	rumors   *spread.Rumors
 	members  int
 	version  int64
+	sums     *spread.Sums // nil after a change of more than load
 }
 
 // NewTable returns an empty table.
@@ -137,6 +138,7 @@
 
 // Tick drops rows and overlays that have outlived their use.
 func (t *Table) Tick(now time.Time) {
+	t.rumors.Age()
 	for name, at := range t.leftAt {
 		if now.Sub(at) >= keepLeft {
 			delete(t.leftAt, name)
@@ -168,13 +170,16 @@
 
 // Sums returns the digest of the rows in the platform's list.
 func (t *Table) Sums() *spread.Sums {
-	sums := &spread.Sums{}
+	if t.sums != nil {
+		return t.sums
+	}
+	t.sums = &spread.Sums{}
 	for name, r := range t.rows {
 		if !r.Left {
-			sums.Add(name, rowHash(*r))
+			t.sums.Add(name, rowHash(*r))
 		}
 	}
-	return sums
+	return t.sums
 }
 
 // InBuckets returns the rows in the marked buckets, those of targets that left too.
@@ -209,6 +214,9 @@
 }
 
 func (t *Table) store(now time.Time, r control.TargetState) {
+	if old, exists := t.rows[r.Name]; !exists || old.Left != r.Left || rowHash(*old) != rowHash(r) {
+		t.sums = nil
+	}
 	t.rows[r.Name] = &r
 	t.version++
 	if r.Left {
--- a/internal/agent/spread/rumors.go
+++ b/internal/agent/spread/rumors.go
@@ -16,8 +16,13 @@
 	rows map[string]*rumor // by key of the row
 }
 
+// maxAge is the number of periods after which a rumor ends though it was not
+// sent often enough, because all partners know it. Digests find who missed it.
+const maxAge = 15
+
 type rumor struct {
 	left  int
+	age   int                 // periods since the change
 	known map[string]struct{} // hosts that sent it or were sent it
 }
 
@@ -47,6 +52,16 @@
 // Len returns the number of rows that may still be sent.
 func (r *Rumors) Len() int { return len(r.rows) }
 
+// Age lets a period pass.
+func (r *Rumors) Age() {
+	for key, row := range r.rows {
+		row.age++
+		if row.age > maxAge {
+			delete(r.rows, key)
+		}
+	}
+}
+
 // Drop ends the rumor of a row.
 func (r *Rumors) Drop(key string) { delete(r.rows, key) }
 
--- /dev/null
+++ b/internal/agent/state/rest_bench_test.go
@@ -0,0 +1,102 @@
+package state
+
+import (
+	"encoding/gob"
+	"fmt"
+	"net/rpc"
+	"testing"
+	"time"
+
+	"corianderhitch/api/control"
+	"corianderhitch/api/engine"
+	"corianderhitch/internal/platform"
+)
+
+// perPacket is the size of the headers of one segment and its acknowledgment
+// (Ethernet, IPv4, TCP with timestamps).
+const perPacket = 2 * 66
+
+type byteCounter int
+
+func (c *byteCounter) Write(p []byte) (int, error) {
+	*c += byteCounter(len(p))
+	return len(p), nil
+}
+
+// BenchmarkAgentAtRest measures what the exchange costs one agent in a second
+// in which nothing happens but load refreshes: processor time and bytes on the
+// wire, sent and received. One iteration is one virtual second of the fleet.
+func BenchmarkAgentAtRest(b *testing.B) {
+	for _, size := range []struct{ hosts, targets int }{{8, 15}, {50, 330}, {100, 660}, {200, 1320}, {410, 2700}} {
+		b.Run(fmt.Sprintf("hosts=%d", size.hosts), func(b *testing.B) {
+			f := newFleet(size.hosts, 3)
+			if _, ok := f.until(2*time.Minute, f.agreed); !ok {
+				b.Fatal("no agreement")
+			}
+			for i := range size.targets {
+				f.putTarget(i)
+			}
+			f.run(30 * time.Second)
+			var wire byteCounter
+			encoder := gob.NewEncoder(&wire)
+			f.onCall = func(args control.ExchangeArgs, reply control.ExchangeReply) {
+				for _, part := range []any{rpc.Request{ServiceMethod: "Peer.Exchange", Seq: 1000}, args, rpc.Response{ServiceMethod: "Peer.Exchange", Seq: 1000}, reply} {
+					_ = encoder.Encode(part)
+				}
+			}
+			encodeOnce(f)
+			wire, f.calls = 0, 0
+			b.ResetTimer()
+			for range b.N {
+				f.refreshTargets(size.targets)
+				f.run(time.Second)
+			}
+			b.StopTimer()
+			agentSeconds := float64(b.N * size.hosts)
+			b.ReportMetric(2*(float64(wire)+float64(2*f.calls*perPacket))/agentSeconds, "wire_B/agent-s")
+			b.ReportMetric(float64(f.calls)/agentSeconds, "calls/agent-s")
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/agentSeconds/1e7, "core_%")
+		})
+	}
+}
+
+// encodeOnce sends the type descriptions, which a connection carries once.
+func encodeOnce(f *fleet) {
+	row, _ := f.agents[0].Target("target-0000")
+	members := f.agents[0].Members()
+	news := []control.News{{ID: "x", Kind: control.NewsCrash, Beside: []uint64{1}}}
+	digest := control.Digest{Sum: 1, Buckets: []uint64{1}}
+	f.onCall(control.ExchangeArgs{Members: members, Targets: []control.TargetState{row}, News: news, MemberDigest: digest},
+		control.ExchangeReply{Members: members, Targets: []control.TargetState{row}, News: news, MemberDigest: digest})
+}
+
+func (f *fleet) putTarget(i int) {
+	owner := i % len(f.agents)
+	name := fmt.Sprintf("target-%04d", i)
+	host := f.agents[owner].Self().Host
+	f.agents[owner].UpdateTarget(f.now, name, func(old control.TargetState) (control.TargetState, bool) {
+		return control.TargetState{
+			Target: platform.Target{
+				Name: name, Kind: platform.TargetEngine, Address: fmt.Sprintf("10.1.%d.%d:8000", i/250, i%250),
+				Domain: fmt.Sprintf("domain-%d", owner%16), Region: fmt.Sprintf("region-%d", owner%4),
+			},
+			Owner: host, Healthy: true, Observed: f.now, Version: old.Version,
+			Load: engine.LoadReport{
+				Target: name, ReportedAt: f.now, Running: 20 + f.random.IntN(12), UsedBlocks: f.random.IntN(1000), TotalBlocks: 1024,
+				BlockTokens: 64, StepMS: 25 + f.random.Float64(), Role: engine.RoleGeneral, Loaded: []engine.Loaded{{Model: "writer", Version: "1"}},
+			},
+		}, true
+	})
+}
+
+// refreshTargets lets the loads travel at the pace of the observer.
+func (f *fleet) refreshTargets(targets int) {
+	pace := max(1, targets*3*250/2500) // seconds between two refreshes of a row, as in internal/agent/observer
+	second := f.steps / 10
+	for i := range targets {
+		f.putTarget(i)
+		if (second+i)%pace == 0 {
+			f.agents[i%len(f.agents)].RefreshTarget(fmt.Sprintf("target-%04d", i))
+		}
+	}
+}
--- a/internal/agent/state/state.go
+++ b/internal/agent/state/state.go
@@ -226,6 +226,7 @@
 	s.members.Tick(now)
 	s.targets.SetMembers(len(s.members.Live()))
 	s.targets.Tick(now)
+	s.news.Tick(now)
 	if s.members.Version()+s.targets.Version() != before {
 		s.touch()
 	}
