--- /dev/null
+++ b/internal/agent/observer/observer_test.go
@@ -0,0 +1,134 @@
+package observer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"corianderhitch/api/control"
+	"corianderhitch/api/engine"
+	"corianderhitch/internal/platform"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func row(name string) control.TargetState {
+	return control.TargetState{Target: platform.Target{Name: name, Address: "a", Kind: platform.TargetEngine}, Version: 1, Healthy: true}
+}
+
+func TestJudgeHealth(t *testing.T) {
+	var j Judge
+	r := j.Next(start, "h", row("e"), Sample{Outcome: OutcomeTimeout})
+	require.True(t, r.Healthy, "one late answer is no failure")
+	r = j.Next(start, "h", r, Sample{Outcome: OutcomeTimeout})
+	require.False(t, r.Healthy, "stalled target")
+	r = j.Next(start, "h", r, Sample{})
+	require.True(t, r.Healthy)
+	r = j.Next(start, "h", r, Sample{Outcome: OutcomeRefused})
+	require.False(t, r.Healthy, "dead target")
+}
+
+func TestLeavingSticksUntilANewStart(t *testing.T) {
+	leaving := Sample{Load: engine.LoadReport{Leaving: true}}
+	stays := Sample{}
+	var j Judge
+	r := j.Next(start, "h", row("e"), leaving)
+	require.True(t, r.Leaving)
+	for s := range 59 {
+		r = j.Next(start.Add(time.Duration(s)*time.Second), "h", r, stays)
+		require.True(t, r.Leaving, "a lagging report took it back after %d s", s)
+	}
+	r = j.Next(start.Add(leavingDoubt), "h", r, stays)
+	require.False(t, r.Leaving, "long denial")
+
+	r = j.Next(start, "h", r, leaving)
+	r = j.Next(start, "h", r, Sample{Outcome: OutcomeRefused})
+	require.True(t, r.Leaving)
+	r = j.Next(start, "h", r, stays)
+	require.False(t, r.Leaving, "new start")
+
+	r.ListedLeaving = true
+	r = j.Next(start.Add(time.Hour), "h", r, stays)
+	require.True(t, r.Leaving, "the list still says so")
+}
+
+func TestListing(t *testing.T) {
+	entry := func(name string, leaving bool) platform.Target {
+		return platform.Target{Name: name, Address: "a", Kind: platform.TargetEngine, Leaving: leaving}
+	}
+	var l Listing
+	writes := l.Apply([]platform.Target{entry("e1", false), entry("e2", true)}, nil, false)
+	require.Len(t, writes, 2)
+	require.True(t, writes[1].Leaving && writes[1].ListedLeaving)
+
+	rows := writes
+	rows[0].Leaving = true // known from elsewhere
+	require.Empty(t, l.Apply([]platform.Target{entry("e1", false), entry("e2", true)}, rows, true), "the lagging list took leaving back")
+
+	writes = l.Apply([]platform.Target{entry("e1", false)}, rows, false)
+	require.Len(t, writes, 1)
+	require.True(t, writes[0].Left)
+
+	moved := entry("e1", false)
+	moved.Address = "b"
+	writes = l.Apply([]platform.Target{moved}, rows[:1], false)
+	require.Len(t, writes, 1)
+	require.False(t, writes[0].Leaving, "new start at another address")
+
+	var second Listing // a reader that takes over with an older copy
+	require.Empty(t, second.Apply([]platform.Target{moved}, []control.TargetState{writes[0], row("e9")}, true))
+	writes = second.Apply([]platform.Target{moved}, []control.TargetState{writes[0], row("e9")}, true)
+	require.Len(t, writes, 1)
+	require.True(t, writes[0].Left)
+}
+
+func TestCacheDeltaMarksGaps(t *testing.T) {
+	events := func(seqs ...int64) engine.CacheEvents {
+		var c engine.CacheEvents
+		for _, s := range seqs {
+			c.Events = append(c.Events, engine.CacheEvent{Seq: s, Kind: engine.CacheStored, Hash: uint64(s)})
+			c.Next = s
+		}
+		return c
+	}
+	require.False(t, cacheDelta("e", 3, events(4, 5)).Lost)
+	require.True(t, cacheDelta("e", 3, events(5)).Lost, "gap at the start")
+	require.True(t, cacheDelta("e", 3, events(4, 6)).Lost, "gap inside")
+	require.True(t, cacheDelta("e", 3, engine.CacheEvents{Next: 1}).Lost, "counter went back")
+	require.False(t, cacheDelta("e", 3, engine.CacheEvents{Next: 3}).Lost)
+}
+
+func TestTableOverlaysAndOrder(t *testing.T) {
+	table := NewTable()
+	table.Put(start, row("e"))
+	table.Down(start, "e")
+	require.False(t, table.Listed(start)[0].Healthy)
+	require.True(t, table.Listed(start.Add(downHold))[0].Healthy)
+	table.Leaving(start, "e")
+	old := row("e")
+	old.Observed = start.Add(time.Second)
+	table.Merge(start, "peer", []control.TargetState{old})
+	require.True(t, table.Listed(start)[0].Leaving, "an older row took the news back")
+
+	gone := row("e")
+	gone.Left, gone.Version = true, 9
+	require.Equal(t, 1, table.Merge(start, "peer", []control.TargetState{gone}))
+	require.Zero(t, table.Merge(start, "peer", []control.TargetState{old}), "an old row brought the target back")
+	require.Empty(t, table.Listed(start))
+	table.Tick(start.Add(keepLeft))
+	require.Zero(t, table.Merge(start, "peer", []control.TargetState{gone}), "unknown rows of targets that left are not taken")
+}
+
+func TestEveryTargetHasOneObserver(t *testing.T) {
+	var live []control.Member
+	for _, h := range []string{"h1", "h2", "h3"} {
+		live = append(live, control.Member{Host: h, Region: "r"})
+	}
+	rows := []control.TargetState{row("a"), row("b"), row("c"), row("d")}
+	total := 0
+	for _, m := range live {
+		total += len(Owned(m, live, rows))
+	}
+	require.Equal(t, len(rows), total)
+}
--- /dev/null
+++ b/internal/agent/scheduler/scheduler_test.go
@@ -0,0 +1,259 @@
+package scheduler
+
+import (
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"corianderhitch/api/control"
+	"corianderhitch/api/engine"
+	"corianderhitch/api/problem"
+	"corianderhitch/internal/agent/docsync"
+	"corianderhitch/internal/agent/suspicion"
+	"corianderhitch/internal/logging"
+	"corianderhitch/internal/platform"
+	"corianderhitch/internal/scheduling"
+)
+
+// fakeFleet is a Fleet whose parts a test sets.
+type fakeFleet struct {
+	mu      sync.Mutex
+	self    control.Member
+	members []control.Member
+	targets []control.TargetState
+	news    []control.News
+}
+
+func (f *fakeFleet) Self() control.Member { return f.self }
+func (f *fakeFleet) Members() []control.Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]control.Member(nil), f.members...)
+}
+func (f *fakeFleet) Member(host string) (control.Member, bool) {
+	for _, m := range f.Members() {
+		if m.Host == host {
+			return m, true
+		}
+	}
+	return control.Member{}, false
+}
+func (f *fakeFleet) Targets(time.Time) []control.TargetState {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]control.TargetState(nil), f.targets...)
+}
+func (f *fakeFleet) Document() docsync.Held { return docsync.Held{} }
+func (f *fakeFleet) AddNews(_ time.Time, events []control.News) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.news = append(f.news, events...)
+}
+func (f *fakeFleet) setMembers(members ...control.Member) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.members = members
+}
+
+func alive(host string) control.Member {
+	return control.Member{Host: host, Region: "r", State: control.MemberAlive}
+}
+
+func target(name, version string) control.TargetState {
+	return control.TargetState{
+		Target:  platform.Target{Name: name, Kind: platform.TargetEngine, Region: "r", Address: name},
+		Healthy: true,
+		Load: engine.LoadReport{
+			ReportedAt: time.Now(), TotalBlocks: 1024, BlockTokens: 64, StepMS: 20,
+			Loaded: []engine.Loaded{{Model: "writer", Version: version}},
+		},
+	}
+}
+
+func args(ticket string) control.AdmitArgs {
+	return control.AdmitArgs{
+		Ticket: ticket, Host: "gw", Region: "r", Account: "a", Model: "writer", Version: "1", RequestID: "id-" + ticket,
+		PromptTokens: 10, MaxTokens: 50, Weight: 1, Deadline: time.Now().Add(5 * time.Second), Fingerprint: 7,
+	}
+}
+
+// oneAtATime is a Policy that runs one request a target.
+type oneAtATime struct {
+	*scheduling.LeastInFlight
+	queue []scheduling.Request
+	busy  map[string]string
+}
+
+func (p *oneAtATime) Submit(_ time.Time, r scheduling.Request) { p.queue = append(p.queue, r) }
+func (p *oneAtATime) Finish(_ time.Time, f scheduling.Finished) {
+	for name, ticket := range p.busy {
+		if ticket == f.Ticket {
+			delete(p.busy, name)
+		}
+	}
+}
+func (p *oneAtATime) Decide(time.Time) scheduling.Decisions {
+	if len(p.queue) == 0 || len(p.busy) > 0 {
+		return scheduling.Decisions{}
+	}
+	ticket := p.queue[0].Ticket
+	p.queue = p.queue[1:]
+	p.busy["e1"] = ticket
+	return scheduling.Decisions{Grants: []scheduling.Grant{{Ticket: ticket, Target: "e1"}}}
+}
+
+func singles(scheduling.Config) scheduling.Policy {
+	return &oneAtATime{LeastInFlight: scheduling.NewLeastInFlight(), busy: make(map[string]string)}
+}
+
+func newScheduler(policy PolicyMaker, targets ...control.TargetState) (*Scheduler, *fakeFleet, *suspicion.Register) {
+	fleet := &fakeFleet{self: alive("h1"), members: []control.Member{alive("h1"), alive("gw")}, targets: targets}
+	suspects := &suspicion.Register{}
+	return Start(logging.Discard(), fleet, policy, suspects), fleet, suspects
+}
+
+func TestAdmitGrantsAndExplains(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		product := func(c scheduling.Config) scheduling.Policy { return scheduling.NewPool(c) }
+		s, _, _ := newScheduler(product, target("e1", "1"), target("e2", "2"))
+		defer s.Stop()
+		reply, err := s.Admit(args("t1"))
+		require.NoError(t, err)
+		require.True(t, reply.Granted, reply.Detail)
+		require.Equal(t, "e1", reply.Target.Name, "only e1 has the version")
+		require.Len(t, s.Explain(control.ExplainArgs{Account: "a", RequestID: "id-t1"}), 1)
+		require.Empty(t, s.Explain(control.ExplainArgs{Account: "b", RequestID: "id-t1"}))
+	})
+}
+
+func TestAdmitRefusesAtOnceWhatNobodyServes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _, _ := newScheduler(singles, target("e1", "2"))
+		defer s.Stop()
+		start := time.Now()
+		reply, err := s.Admit(args("t1"))
+		require.NoError(t, err)
+		require.Equal(t, string(problem.KindNoTarget), reply.Kind)
+		require.Positive(t, reply.RetryAfter)
+		require.Zero(t, time.Since(start), "the refusal was held back")
+		bad := args("t2")
+		bad.Account = ""
+		_, err = s.Admit(bad)
+		require.ErrorIs(t, err, ErrBadAdmit)
+	})
+}
+
+func TestFinishReturnsThePlaceAndWithdrawsWaiting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _, _ := newScheduler(singles, target("e1", "1"))
+		defer s.Stop()
+		_, err := s.Admit(args("t1"))
+		require.NoError(t, err)
+		answers := make(chan control.AdmitReply, 2)
+		admit := func(ticket string) {
+			reply, err := s.Admit(args(ticket))
+			require.NoError(t, err)
+			answers <- reply
+		}
+		go admit("t2")
+		synctest.Wait()
+		s.Finish(control.FinishArgs{Finished: []control.Finished{{Ticket: "t2", Model: "writer"}}})
+		require.False(t, (<-answers).Granted, "withdrawn request was granted")
+		go admit("t3")
+		synctest.Wait()
+		s.Finish(control.FinishArgs{Finished: []control.Finished{{Ticket: "t1", Model: "writer", Complete: true}}})
+		require.True(t, (<-answers).Granted)
+	})
+}
+
+func TestPlaceOfADeadGatewayIsReturned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, fleet, _ := newScheduler(singles, target("e1", "1"))
+		defer s.Stop()
+		_, err := s.Admit(args("t1"))
+		require.NoError(t, err)
+		dead := alive("gw")
+		dead.State = control.MemberDead
+		fleet.setMembers(alive("h1"), dead)
+		other := args("t2")
+		other.Host = "h1"
+		start := time.Now()
+		reply, err := s.Admit(other)
+		require.NoError(t, err)
+		require.True(t, reply.Granted)
+		require.LessOrEqual(t, time.Since(start), 2*upkeepInterval)
+	})
+}
+
+func TestRestartedGatewayLosesItsOldPlaces(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _, _ := newScheduler(singles, target("e1", "1"))
+		defer s.Stop()
+		before, after := args("t1"), args("t2")
+		before.Incarnation, after.Incarnation = 1, 2
+		_, err := s.Admit(before)
+		require.NoError(t, err)
+		reply, err := s.Admit(after)
+		require.NoError(t, err)
+		require.True(t, reply.Granted)
+	})
+}
+
+func TestWaitingRequestsMoveWithTheOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, fleet, _ := newScheduler(singles, target("e1", "1"))
+		defer s.Stop()
+		_, err := s.Admit(args("t1"))
+		require.NoError(t, err)
+		failed := make(chan error, 1)
+		go func() {
+			_, err := s.Admit(args("t2"))
+			failed <- err
+		}()
+		synctest.Wait()
+		left := alive("h1")
+		left.State = control.MemberLeft
+		fleet.setMembers(left, alive("a"), alive("b"), alive("c"), alive("gw"))
+		err = <-failed
+		require.ErrorIs(t, err, ErrNotOwner)
+		require.Contains(t, err.Error(), "owner ")
+	})
+}
+
+func TestUnansweredRequestIsRefusedAtItsDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _, _ := newScheduler(singles, target("e1", "1"))
+		defer s.Stop()
+		_, err := s.Admit(args("t1"))
+		require.NoError(t, err)
+		start := time.Now()
+		reply, err := s.Admit(args("t2"))
+		require.NoError(t, err)
+		require.Equal(t, string(problem.KindDeadline), reply.Kind)
+		require.Equal(t, 5*time.Second+deadlineGrace, time.Since(start))
+	})
+}
+
+func TestCrashSuspectIsRefusedAndClearedWhenItCompletes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, fleet, suspects := newScheduler(singles, target("e1", "1"))
+		defer s.Stop()
+		suspects.Add(time.Now(), control.News{Kind: control.NewsCrash, Target: "x", Fingerprint: 7})
+		reply, err := s.Admit(args("t1"))
+		require.NoError(t, err)
+		require.True(t, reply.Granted)
+		s.Finish(control.FinishArgs{Finished: []control.Finished{{Ticket: "t1", Model: "writer", Complete: true}}})
+		synctest.Wait()
+		require.Len(t, fleet.news, 1)
+		require.Equal(t, control.NewsCleared, fleet.news[0].Kind)
+
+		suspects.Add(time.Now(), control.News{Kind: control.NewsCrash, Target: "y", Fingerprint: 7})
+		reply, err = s.Admit(args("t2"))
+		require.NoError(t, err)
+		require.Equal(t, string(problem.KindCrashSuspect), reply.Kind)
+		require.Positive(t, reply.RetryAfter)
+	})
+}
