--- a/internal/agent/spread/digest.go
+++ b/internal/agent/spread/digest.go
@@ -40,15 +40,15 @@
 
 // Differing marks the buckets in which the peer's full digest differs. It
 // returns false if the digest has no buckets or none differs.
-func (s *Sums) Differing(peer control.Digest) (marked [BucketCount]bool, any bool) {
+func (s *Sums) Differing(peer control.Digest) (marked [BucketCount]bool, differ bool) {
 	if len(peer.Buckets) != BucketCount {
 		return marked, false
 	}
 	for i, sum := range s.buckets {
 		marked[i] = sum != peer.Buckets[i]
-		any = any || marked[i]
+		differ = differ || marked[i]
 	}
-	return marked, any
+	return marked, differ
 }
 
 // Bucket returns the bucket of a row.
--- a/internal/agent/state/state_test.go
+++ b/internal/agent/state/state_test.go
@@ -158,40 +158,9 @@
 		f.loss = rapid.Float64Range(0, 0.5).Draw(rt, "loss")
 		f.repeat = rapid.Float64Range(0, 0.5).Draw(rt, "repeat")
 		latest := int64(0)
-		seen := make([]int64, n)
-		check := func() {
-			for i, s := range f.agents {
-				held := s.Document()
-				if held.Revision < seen[i] {
-					rt.Fatalf("host %d stepped back from %d to %d", i, seen[i], held.Revision)
-				}
-				if held.Revision > 0 && string(held.Content) != string(content(held.Revision)) {
-					rt.Fatalf("host %d holds a foreign content of revision %d", i, held.Revision)
-				}
-				seen[i] = held.Revision
-			}
-		}
+		check := revisionCheck(rt, f)
 		for range rapid.IntRange(5, 40).Draw(rt, "actions") {
-			host := rapid.IntRange(0, n-1).Draw(rt, "host")
-			switch rapid.IntRange(0, 5).Draw(rt, "action") {
-			case 0:
-				latest++
-				f.agents[host].OfferDocument(latest, content(latest))
-			case 1: // a watcher that was paused between its read and its use of it
-				if latest > 0 {
-					old := rapid.Int64Range(1, latest).Draw(rt, "old")
-					f.agents[host].OfferDocument(old, content(old))
-				}
-			case 2:
-				f.paused[host] = !f.paused[host]
-			case 3:
-				side := rapid.IntRange(0, n).Draw(rt, "side")
-				f.cut = func(a, b int) bool { return (a < side) != (b < side) }
-			case 4:
-				f.cut = func(int, int) bool { return false }
-			case 5:
-				f.run(time.Duration(rapid.IntRange(1, 80).Draw(rt, "steps")) * simStep)
-			}
+			latest = act(rt, f, latest)
 			f.step()
 			check()
 		}
@@ -206,3 +175,47 @@
 		}
 	})
 }
+
+// revisionCheck returns a check that no host stepped back and that each holds
+// the content of its revision.
+func revisionCheck(rt *rapid.T, f *fleet) func() {
+	seen := make([]int64, len(f.agents))
+	return func() {
+		for i, s := range f.agents {
+			held := s.Document()
+			if held.Revision < seen[i] {
+				rt.Fatalf("host %d stepped back from %d to %d", i, seen[i], held.Revision)
+			}
+			if held.Revision > 0 && string(held.Content) != string(content(held.Revision)) {
+				rt.Fatalf("host %d holds a foreign content of revision %d", i, held.Revision)
+			}
+			seen[i] = held.Revision
+		}
+	}
+}
+
+// act does one drawn action and returns the latest accepted revision.
+func act(rt *rapid.T, f *fleet, latest int64) int64 {
+	n := len(f.agents)
+	host := rapid.IntRange(0, n-1).Draw(rt, "host")
+	switch rapid.IntRange(0, 5).Draw(rt, "action") {
+	case 0:
+		latest++
+		f.agents[host].OfferDocument(latest, content(latest))
+	case 1: // a watcher that was paused between its read and its use of it
+		if latest > 0 {
+			old := rapid.Int64Range(1, latest).Draw(rt, "old")
+			f.agents[host].OfferDocument(old, content(old))
+		}
+	case 2:
+		f.paused[host] = !f.paused[host]
+	case 3:
+		side := rapid.IntRange(0, n).Draw(rt, "side")
+		f.cut = func(a, b int) bool { return (a < side) != (b < side) }
+	case 4:
+		f.cut = func(int, int) bool { return false }
+	case 5:
+		f.run(time.Duration(rapid.IntRange(1, 80).Draw(rt, "steps")) * simStep)
+	}
+	return latest
+}
