--- a/internal/agent/spread/rumors.go
+++ b/internal/agent/spread/rumors.go
@@ -1,8 +1,9 @@
 package spread
 
 import (
+	"cmp"
 	"math/bits"
-	"sort"
+	"slices"
 )
 
 // extraSends is added to the binary logarithm of the number of members. With
@@ -67,22 +68,23 @@
 
 // Take returns up to limit keys to send to the peer now, the freshest first.
 func (r *Rumors) Take(peer string, limit int) []string {
-	keys := make([]string, 0, len(r.rows))
+	type candidate struct {
+		key  string
+		left int
+	}
+	var candidates []candidate
 	for key, row := range r.rows {
 		if _, known := row.known[peer]; !known {
-			keys = append(keys, key)
+			candidates = append(candidates, candidate{key: key, left: row.left})
 		}
 	}
-	sort.Slice(keys, func(i, j int) bool {
-		li, lj := r.rows[keys[i]].left, r.rows[keys[j]].left
-		if li != lj {
-			return li > lj
-		}
-		return keys[i] < keys[j]
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(b.left, a.left), cmp.Compare(a.key, b.key))
 	})
-	keys = keys[:min(limit, len(keys))]
-	for _, key := range keys {
-		r.sent(key, peer)
+	keys := make([]string, 0, min(limit, len(candidates)))
+	for _, c := range candidates[:min(limit, len(candidates))] {
+		keys = append(keys, c.key)
+		r.sent(c.key, peer)
 	}
 	return keys
 }
