--- /dev/null
+++ b/internal/cli/apply.go
@@ -0,0 +1,40 @@
+package cli
+
+import (
+	"context"
+
+	"github.com/spf13/cobra"
+
+	"corianderhitch/internal/docstore"
+	"corianderhitch/internal/document"
+)
+
+func (a *app) applyCommand() *cobra.Command {
+	var f changeFlags
+	cmd := &cobra.Command{
+		Use:   "apply FILE",
+		Short: "Put a document in force",
+		Args:  cobra.ExactArgs(1),
+		RunE: a.command(func(ctx context.Context, args []string) error {
+			d, err := a.readDocument(args[0])
+			if err != nil {
+				return err
+			}
+			return a.carryOut(ctx, &f, plan{
+				environment: d.Environment,
+				document:    d,
+				accept: func(ctx context.Context, base int64) (document.Accepted, error) {
+					return a.docs.Apply(ctx, docstore.ApplyRequest{
+						Environment: d.Environment,
+						Base:        base,
+						Document:    d,
+						Operator:    a.settings.operator(),
+						Comment:     f.comment,
+					})
+				},
+			})
+		}),
+	}
+	f.register(cmd.Flags())
+	return cmd
+}
--- /dev/null
+++ b/internal/cli/details.go
@@ -0,0 +1,31 @@
+package cli
+
+import (
+	"errors"
+
+	"corianderhitch/internal/docstore"
+	"corianderhitch/internal/document"
+	"corianderhitch/internal/settings"
+)
+
+// details returns the machine-readable part of an error, or nil.
+func details(err error) any {
+	var bad *settings.Error
+	var invalid *document.ValidationError
+	var conflict *docstore.ConflictError
+	var unknown *docstore.UnknownError
+	var missing *docstore.MissingError
+	switch {
+	case errors.As(err, &bad):
+		return bad.Problems
+	case errors.As(err, &invalid):
+		return invalid.Problems
+	case errors.As(err, &conflict):
+		return conflict
+	case errors.As(err, &unknown):
+		return unknown
+	case errors.As(err, &missing):
+		return missing
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/cli/explain.go
@@ -0,0 +1,52 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/spf13/cobra"
+
+	"corianderhitch/api/control"
+)
+
+// explanation is the result of explain in JSON output.
+type explanation struct {
+	Account   string   `json:"account"`
+	RequestID string   `json:"request_id"`
+	Found     bool     `json:"found"`
+	Lines     []string `json:"lines"` // one decision a line, oldest first
+}
+
+func (a *app) explainCommand() *cobra.Command {
+	var account string
+	cmd := &cobra.Command{
+		Use:   "explain REQUEST-ID --account NAME",
+		Short: "Tell why a request went where it did",
+		Args:  cobra.ExactArgs(1),
+		RunE: a.command(func(ctx context.Context, args []string) error {
+			if account == "" {
+				return &usageError{"explain needs --account, because request ids are only unique within an account"}
+			}
+			reply, _, err := askAgents[control.ExplainReply](ctx, a, "Control.Explain",
+				control.ExplainArgs{Account: account, RequestID: args[0]})
+			if err != nil {
+				return err
+			}
+			e := explanation{Account: account, RequestID: args[0], Found: reply.Found, Lines: reply.Lines}
+			return a.out.result(e, func(w io.Writer) { writeExplanation(w, e) })
+		}),
+	}
+	cmd.Flags().StringVar(&account, "account", "", "client account that sent the request")
+	return cmd
+}
+
+func writeExplanation(w io.Writer, e explanation) {
+	if !e.Found {
+		fmt.Fprintf(w, "no agent remembers request %s of %s; it may have ended some time ago, or never arrived\n", e.RequestID, e.Account)
+		return
+	}
+	for _, line := range e.Lines {
+		fmt.Fprintln(w, line)
+	}
+}
--- /dev/null
+++ b/internal/cli/history.go
@@ -0,0 +1,82 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/spf13/cobra"
+	"go.yaml.in/yaml/v4"
+
+	"corianderhitch/internal/docstore"
+)
+
+// historyResult is the result of history in JSON output.
+type historyResult struct {
+	Environment string          `json:"environment"`
+	Revisions   []docstore.Item `json:"revisions"` // newest first
+}
+
+func (a *app) historyCommand() *cobra.Command {
+	var limit int
+	cmd := &cobra.Command{
+		Use:   "history",
+		Short: "List the accepted revisions of an environment, newest first",
+		Args:  cobra.NoArgs,
+		RunE: a.command(func(ctx context.Context, _ []string) error {
+			environment, err := a.environment()
+			if err != nil {
+				return err
+			}
+			items, err := a.docs.History(ctx, environment, limit)
+			if err != nil {
+				return err
+			}
+			return a.out.result(historyResult{Environment: environment, Revisions: items}, func(w io.Writer) {
+				writeHistory(w, items)
+			})
+		}),
+	}
+	cmd.Flags().IntVar(&limit, "limit", 20, "number of revisions; 0 means all")
+	return cmd
+}
+
+func writeHistory(w io.Writer, items []docstore.Item) {
+	var lines []string
+	for _, i := range items {
+		lines = append(lines, cells(i.Revision, i.AcceptedAt.UTC().Format(time.RFC3339), i.Operator, i.Origin, i.Attempt, i.Comment))
+	}
+	table(w, "REVISION\tACCEPTED\tOPERATOR\tORIGIN\tATTEMPT\tCOMMENT", lines)
+}
+
+func (a *app) showCommand() *cobra.Command {
+	var revision int64
+	cmd := &cobra.Command{
+		Use:   "show",
+		Short: "Print an accepted document",
+		Args:  cobra.NoArgs,
+		RunE: a.command(func(ctx context.Context, _ []string) error {
+			environment, err := a.environment()
+			if err != nil {
+				return err
+			}
+			accepted, err := a.revision(ctx, environment, revision)
+			if err != nil {
+				return err
+			}
+			if accepted.Revision == 0 {
+				return &usageError{fmt.Sprintf("environment %q has no document; apply one", environment)}
+			}
+			source, err := yaml.Dump(accepted.Document, yaml.WithV4Defaults())
+			if err != nil {
+				return err
+			}
+			return a.out.result(accepted, func(w io.Writer) {
+				fmt.Fprintf(w, "# revision %d of %s, by %s (%s)\n%s", accepted.Revision, environment, accepted.Operator, accepted.Origin, source)
+			})
+		}),
+	}
+	cmd.Flags().Int64Var(&revision, "revision", 0, "accepted revision; 0 means the one in force")
+	return cmd
+}
--- /dev/null
+++ b/internal/cli/status.go
@@ -0,0 +1,190 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sort"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"corianderhitch/api/control"
+	"corianderhitch/internal/platform"
+)
+
+// statusResult is the result of status in JSON output.
+type statusResult struct {
+	Environment   string         `json:"environment"`
+	StoreReached  bool           `json:"store_reached"` // by this command
+	StoreError    string         `json:"store_error,omitempty"`
+	StoreRevision int64          `json:"store_revision"` // revision in force by the store; 0 if none or not reached
+	Agent         string         `json:"agent,omitempty"`
+	AgentError    string         `json:"agent_error,omitempty"`
+	AgentsStore   bool           `json:"agent_reaches_store"`
+	Hosts         []hostStatus   `json:"hosts"`
+	Targets       []targetStatus `json:"targets"`
+	InForce       bool           `json:"in_force"` // every live host has the store's revision
+}
+
+// hostStatus is one host of the system.
+type hostStatus struct {
+	Host            string `json:"host"`
+	Domain          string `json:"domain"`
+	State           string `json:"state"`
+	AgentAddr       string `json:"agent_addr"`
+	GatewayAddr     string `json:"gateway_addr,omitempty"`
+	AgentRevision   int64  `json:"agent_revision"`
+	GatewayRevision int64  `json:"gateway_revision"`
+}
+
+// targetStatus is one target.
+type targetStatus struct {
+	Target      string    `json:"target"`
+	Kind        string    `json:"kind"`
+	Domain      string    `json:"domain"`
+	Healthy     bool      `json:"healthy"`
+	Leaving     bool      `json:"leaving"`
+	Owner       string    `json:"owner"`
+	Running     int       `json:"running"`
+	Waiting     int       `json:"waiting"`
+	UsedBlocks  int       `json:"used_blocks"`
+	TotalBlocks int       `json:"total_blocks"`
+	Preemptions int64     `json:"preemptions"`
+	Observed    time.Time `json:"observed"`
+}
+
+func (a *app) statusCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "status",
+		Short: "Show the revision in force on each host, hosts, targets and the store",
+		Args:  cobra.NoArgs,
+		RunE: a.command(func(ctx context.Context, _ []string) error {
+			s, agentErr, storeErr := a.status(ctx)
+			if err := a.out.result(s, func(w io.Writer) { writeStatus(w, s) }); err != nil {
+				return err
+			}
+			if agentErr != nil {
+				return agentErr
+			}
+			return storeErr
+		}),
+	}
+}
+
+// status asks the store and an agent; each may fail alone.
+func (a *app) status(ctx context.Context) (s statusResult, agentErr, storeErr error) {
+	fleet, address, agentErr := askAgents[control.StatusReply](ctx, a, "Control.Status", control.Empty{})
+	s = statusResult{
+		Environment: a.settings.Environment,
+		Agent:       address,
+		AgentsStore: fleet.StoreReachable,
+		Hosts:       hostStatuses(fleet.Members),
+		Targets:     targetStatuses(fleet.Targets),
+	}
+	if s.Environment == "" {
+		s.Environment = fleet.Environment
+	}
+	if agentErr != nil {
+		s.AgentError = agentErr.Error()
+	}
+	storeErr = a.storeStatus(ctx, &s)
+	s.InForce = s.StoreReached && agentErr == nil && len(lagging(fleet.Members, s.StoreRevision)) == 0
+	return s, agentErr, storeErr
+}
+
+func (a *app) storeStatus(ctx context.Context, s *statusResult) error {
+	if s.Environment == "" {
+		return &usageError{"no environment is known; set --environment or HITCH_ENVIRONMENT"}
+	}
+	accepted, _, err := a.docs.Current(ctx, s.Environment)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		s.StoreError = err.Error()
+		return err
+	}
+	s.StoreReached = true
+	s.StoreRevision = accepted.Revision
+	return nil
+}
+
+func hostStatuses(members []control.Member) []hostStatus {
+	list := make([]hostStatus, 0, len(members))
+	for _, m := range members {
+		list = append(list, hostStatus{
+			Host:            m.Host,
+			Domain:          m.Domain,
+			State:           string(m.State),
+			AgentAddr:       m.AgentAddr,
+			GatewayAddr:     m.GatewayAddr,
+			AgentRevision:   m.DocumentRevision,
+			GatewayRevision: m.GatewayRevision,
+		})
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Host < list[j].Host })
+	return list
+}
+
+func targetStatuses(targets []control.TargetState) []targetStatus {
+	list := make([]targetStatus, 0, len(targets))
+	for _, t := range targets {
+		list = append(list, targetStatus{
+			Target:      t.Name,
+			Kind:        string(t.Kind),
+			Domain:      t.Domain,
+			Healthy:     t.Healthy,
+			Leaving:     t.Leaving || t.Load.Leaving,
+			Owner:       t.Owner,
+			Running:     t.Load.Running,
+			Waiting:     t.Load.Waiting,
+			UsedBlocks:  t.Load.UsedBlocks,
+			TotalBlocks: t.Load.TotalBlocks,
+			Preemptions: t.Load.Preemptions,
+			Observed:    t.Observed,
+		})
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Target < list[j].Target })
+	return list
+}
+
+func writeStatus(w io.Writer, s statusResult) {
+	fmt.Fprintf(w, "environment %s\n", orDash(s.Environment))
+	if s.StoreReached {
+		fmt.Fprintf(w, "store reachable, revision %d in force\n", s.StoreRevision)
+	} else {
+		fmt.Fprintln(w, "store not reached; hosts keep their last revision")
+	}
+	if s.AgentError != "" {
+		fmt.Fprintln(w, "no agent answers; hosts and targets are not known")
+		return
+	}
+	fmt.Fprintf(w, "agent %s, which reaches the store: %t\n", s.Agent, s.AgentsStore)
+	fmt.Fprintf(w, "in force on every live host: %t\n\n", s.InForce)
+	var hosts []string
+	for _, h := range s.Hosts {
+		hosts = append(hosts, cells(h.Host, h.Domain, h.State, h.AgentRevision, gatewayRevision(h), h.AgentAddr, h.GatewayAddr))
+	}
+	table(w, "HOST\tDOMAIN\tSTATE\tAGENT REV\tGATEWAY REV\tAGENT\tGATEWAY", hosts)
+	fmt.Fprintln(w)
+	var targets []string
+	for _, t := range s.Targets {
+		targets = append(targets, cells(t.Target, t.Kind, t.Domain, t.Healthy, t.Leaving, t.Owner, t.Running, t.Waiting,
+			fmt.Sprintf("%d/%d", t.UsedBlocks, t.TotalBlocks), t.Preemptions))
+	}
+	table(w, "TARGET\tKIND\tDOMAIN\tHEALTHY\tLEAVING\tOWNER\tRUNNING\tWAITING\tBLOCKS\tPREEMPTIONS", targets)
+}
+
+// gatewayRevision is empty for a host without a gateway.
+func gatewayRevision(h hostStatus) string {
+	if h.GatewayAddr == "" {
+		return ""
+	}
+	return fmt.Sprint(h.GatewayRevision)
+}
+
+func orDash(text string) string {
+	if text == "" {
+		return "-"
+	}
+	return text
+}
