--- /dev/null
+++ b/internal/cli/cli_test.go
@@ -0,0 +1,235 @@
+package cli
+
+import (
+	"bytes"
+	"encoding/json"
+	"net"
+	"net/http/httptest"
+	"net/rpc"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"corianderhitch/api/control"
+	"corianderhitch/internal/document"
+	"corianderhitch/internal/platform/memstore"
+	"corianderhitch/internal/rpcconn"
+	"corianderhitch/internal/standin/store"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const trial = "../../examples/charter-trial.yaml"
+
+// Control is a fake agent. Its hosts follow the store's revision one poll late.
+type Control struct {
+	mu      sync.Mutex
+	members []control.Member
+	polls   int
+	catchUp func(poll int, members []control.Member)
+}
+
+// Status implements Control.Status.
+func (c *Control) Status(_ control.Empty, reply *control.StatusReply) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.polls++
+	if c.catchUp != nil {
+		c.catchUp(c.polls, c.members)
+	}
+	reply.Members = append([]control.Member{}, c.members...)
+	reply.Environment = "trial"
+	reply.StoreReachable = true
+	return nil
+}
+
+// Explain implements Control.Explain.
+func (c *Control) Explain(args control.ExplainArgs, reply *control.ExplainReply) error {
+	reply.Found = args.Account == "skippers" && args.RequestID == "r-1"
+	if reply.Found {
+		reply.Lines = []string{"admitted by host-a", "engine-3: prefix cached"}
+	}
+	return nil
+}
+
+// bench is a store and an agent on loopback.
+type bench struct {
+	t        *testing.T
+	memory   *memstore.Store
+	storeURL string
+	agent    string
+	control  *Control
+}
+
+func newBench(t *testing.T) *bench {
+	memory := memstore.New(memstore.Options{})
+	server := httptest.NewServer(store.New(memory).Handler())
+	t.Cleanup(server.Close)
+	c := &Control{members: []control.Member{
+		{Host: "host-a", State: control.MemberAlive, AgentAddr: "127.0.0.1:1", GatewayAddr: "127.0.0.1:2"},
+		{Host: "host-b", State: control.MemberAlive, AgentAddr: "127.0.0.1:3"},
+		{Host: "host-c", State: control.MemberDead, AgentAddr: "127.0.0.1:4"},
+	}}
+	services := rpc.NewServer()
+	require.NoError(t, services.RegisterName("Control", c))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	agent := rpcconn.Serve(listener, services)
+	t.Cleanup(agent.Stop)
+	return &bench{t: t, memory: memory, storeURL: server.URL, agent: agent.Address(), control: c}
+}
+
+// run executes hitchctl against the bench.
+func (b *bench) run(args ...string) (code int, stdout, stderr string) {
+	b.t.Helper()
+	var out, errs bytes.Buffer
+	args = append(args, "--store", b.storeURL, "--agent", b.agent, "--operator", "ana")
+	code = Run(b.t.Context(), args, &out, &errs)
+	return code, out.String(), errs.String()
+}
+
+// ok runs a command that must succeed and returns its output.
+func (b *bench) ok(args ...string) string {
+	b.t.Helper()
+	code, out, errs := b.run(args...)
+	require.Equal(b.t, ExitOK, code, errs)
+	return out
+}
+
+func changed(t *testing.T, old, replacement string) string {
+	t.Helper()
+	source, err := os.ReadFile(trial)
+	require.NoError(t, err)
+	require.Contains(t, string(source), old)
+	file := filepath.Join(t.TempDir(), "document.yaml")
+	require.NoError(t, os.WriteFile(file, []byte(strings.Replace(string(source), old, replacement, 1)), 0o600))
+	return file
+}
+
+func TestLifeOfADocument(t *testing.T) {
+	b := newBench(t)
+	require.Contains(t, b.ok("validate", trial), "is valid: environment trial")
+	require.Contains(t, b.ok("apply", trial, "--dry-run"), "dry run, nothing was changed; apply with --base 0")
+	require.Contains(t, b.ok("apply", trial, "--comment", "first"), "accepted as revision 1 of trial (apply)")
+	require.Contains(t, b.ok("apply", trial), "already this document")
+	file := changed(t, "weight: 6", "weight: 8")
+	require.Contains(t, b.ok("diff", file), "~ accounts/booking-office/weight: 6 -> 8")
+	require.Contains(t, b.ok("apply", file, "--base", "1"), "accepted as revision 2")
+	require.Contains(t, b.ok("promote", "--revision", "1"), "accepted as revision 1 of production (promote trial@1)")
+	require.Contains(t, b.ok("rollback", "--environment", "trial", "--to-revision", "1"), "accepted as revision 3 of trial (rollback 1)")
+	history := b.ok("history", "--environment", "trial")
+	require.Contains(t, history, "rollback 1")
+	require.Contains(t, history, "first")
+	_, err := document.Parse([]byte(b.ok("show", "--environment", "production")))
+	require.NoError(t, err, "what show prints is a valid source")
+}
+
+func TestExitCodes(t *testing.T) {
+	b := newBench(t)
+	b.ok("apply", trial)
+	invalid := changed(t, "model: briefing", "model: nowhere")
+	cases := []struct {
+		name string
+		args []string
+		code int
+		text string
+	}{
+		{"unknown command", []string{"frobnicate"}, ExitUsage, "unknown command"},
+		{"unknown flag", []string{"status", "--colour"}, ExitUsage, "unknown flag"},
+		{"bad setting", []string{"status", "--output", "xml"}, ExitUsage, "--output"},
+		{"missing file", []string{"validate", "nowhere.yaml"}, ExitUsage, "cannot read the document"},
+		{"no environment", []string{"history"}, ExitUsage, "--environment"},
+		{"wrong environment", []string{"validate", trial, "--environment", "production"}, ExitUsage, "correct one of them"},
+		{"promote without revision", []string{"promote"}, ExitUsage, "--revision"},
+		{"explain without account", []string{"explain", "r-1"}, ExitUsage, "--account"},
+		{"invalid document", []string{"validate", invalid}, ExitInvalid, `is "nowhere", which is no model`},
+		{"overtaken base", []string{"apply", trial, "--base", "0"}, ExitConflict, "based on revision 0 of trial, but revision 1"},
+		{"no such revision", []string{"promote", "--revision", "9"}, ExitError, "has no accepted revision 9"},
+		{"agent down", []string{"explain", "r", "--account", "a", "--agent", "127.0.0.1:1"}, ExitUnreachable, "no agent answers"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var out, errs bytes.Buffer
+			args := append([]string{"--store", b.storeURL, "--agent", b.agent}, c.args...)
+			require.Equal(t, c.code, Run(t.Context(), args, &out, &errs), errs.String())
+			require.Contains(t, errs.String(), c.text)
+		})
+	}
+	b.memory.SetFault(memstore.Fault{Outage: true})
+	code, _, errs := b.run("apply", trial)
+	require.Equal(t, ExitUnreachable, code)
+	require.Contains(t, errs, "store: not reachable")
+}
+
+func TestStatusShowsRevisionsAndSurvivesHalfAnOutage(t *testing.T) {
+	b := newBench(t)
+	b.ok("apply", trial)
+	b.control.members[0].DocumentRevision, b.control.members[0].GatewayRevision = 1, 0
+	b.control.members[1].DocumentRevision = 1
+	out := b.ok("status")
+	require.Contains(t, out, "store reachable, revision 1 in force")
+	require.Contains(t, out, "in force on every live host: false")
+	b.control.members[0].GatewayRevision = 1
+	var s statusResult
+	require.NoError(t, json.Unmarshal([]byte(b.ok("status", "--output", "json")), &s))
+	require.True(t, s.InForce)
+	require.Len(t, s.Hosts, 3)
+
+	b.memory.SetFault(memstore.Fault{Outage: true})
+	code, out, _ := b.run("status")
+	require.Equal(t, ExitUnreachable, code)
+	require.Contains(t, out, "store not reached")
+	require.Contains(t, out, "host-a", "the agent's view is shown all the same")
+}
+
+func TestApplyWaitsUntilEveryLiveHostHasIt(t *testing.T) {
+	b := newBench(t)
+	b.control.catchUp = func(poll int, members []control.Member) {
+		members[0].DocumentRevision = 1
+		if poll > 1 {
+			members[0].GatewayRevision = 1
+			members[1].DocumentRevision = 1
+		}
+	}
+	var c change
+	require.NoError(t, json.Unmarshal([]byte(b.ok("apply", trial, "--wait", "--output", "json")), &c))
+	require.NotNil(t, c.WaitSeconds)
+	require.Equal(t, 2, c.Hosts)
+	require.Equal(t, 2, b.control.polls)
+
+	code, _, errs := b.run("rollback", "--environment", "trial", "--to-revision", "1", "--wait", "--wait-for", "10ms")
+	require.Equal(t, ExitUnreachable, code)
+	require.Contains(t, errs, "the revision is accepted, but not yet in force")
+	require.Contains(t, errs, "host-a (gateway)")
+}
+
+func TestJSONErrorsCarryKindAndDetails(t *testing.T) {
+	b := newBench(t)
+	b.ok("apply", trial)
+	code, _, errs := b.run("apply", trial, "--base", "0", "--output", "json")
+	require.Equal(t, ExitConflict, code)
+	var report struct {
+		Kind    string
+		Details struct{ Base, Current int64 }
+	}
+	require.NoError(t, json.Unmarshal([]byte(errs), &report))
+	require.Equal(t, "revision-conflict", report.Kind)
+	require.EqualValues(t, 1, report.Details.Current)
+}
+
+func TestExplainAndKeys(t *testing.T) {
+	b := newBench(t)
+	require.Contains(t, b.ok("explain", "r-1", "--account", "skippers"), "engine-3: prefix cached")
+	require.Contains(t, b.ok("explain", "r-2", "--account", "skippers"), "no agent remembers")
+	var k newKey
+	require.NoError(t, json.Unmarshal([]byte(b.ok("key", "new", "--output", "json")), &k))
+	require.Equal(t, document.HashKey(k.Key), k.Hash)
+	require.Len(t, k.Key, 47)
+	require.Contains(t, b.ok("completion", "bash"), "hitchctl")
+	require.Contains(t, b.ok("status", "--print-config"), "operator=ana")
+}
