--- a/internal/document/convert.go
+++ b/internal/document/convert.go
@@ -8,22 +8,25 @@
 )
 
 // Bounds of a document's tree. Aliases of YAML can make a short source expand
-// without end, so the expanded tree is counted.
+// without end, so the values that they repeat are counted.
 const (
-	maxNodes = 8_000_000 // about five times the document of 100,000 accounts
-	maxDepth = 32        // documents of the schema are eight levels deep
+	maxRepeated = 100_000
+	maxDepth    = 32 // documents of the schema are eight levels deep
 )
 
 // converter turns a YAML tree into the generic value that JSON would give.
 type converter struct {
 	problems *problems
-	nodes    int
-	gaveUp   bool // the tree is too large or too deep to go on
+	aliases  int // aliases around the value being converted
+	repeated int // values converted inside aliases
+	gaveUp   bool
 }
 
 func (c *converter) convert(at path, n *yaml.Node) any {
-	c.nodes++
-	if c.nodes > maxNodes || len(at) > maxDepth {
+	if c.aliases > 0 {
+		c.repeated++
+	}
+	if c.repeated > maxRepeated || len(at) > maxDepth {
 		c.giveUp(at)
 	}
 	if c.gaveUp {
@@ -51,20 +54,14 @@
 	return nil
 }
 
-// alias follows an alias. A list entry that names itself is stopped by the
-// bound on aliases within aliases.
+// alias repeats the value that an alias names.
 func (c *converter) alias(at path, n *yaml.Node) any {
-	for hops := 0; n != nil && n.Kind == yaml.AliasNode; hops++ {
-		if hops > maxDepth {
-			c.giveUp(at)
-			return nil
-		}
-		n = n.Alias
-	}
-	if n == nil {
+	if n.Alias == nil {
 		return nil
 	}
-	return c.convert(at, n)
+	c.aliases++
+	defer func() { c.aliases-- }()
+	return c.convert(at, n.Alias)
 }
 
 func (c *converter) mapping(at path, n *yaml.Node) any {
@@ -112,7 +109,7 @@
 func (c *converter) giveUp(at path) {
 	if !c.gaveUp {
 		c.gaveUp = true
-		c.problems.add(at, "use fewer levels and aliases", "nests too deep or expands to more than %d values", maxNodes)
+		c.problems.add(at, "use fewer levels and aliases", "nests more than %d levels deep or repeats more than %d values", maxDepth, maxRepeated)
 	}
 }
 
@@ -151,10 +148,9 @@
 			}
 		}
 	case yaml.SequenceNode:
-		for i, item := range n.Content {
-			if item != nil && step == strconv.Itoa(i) {
-				return item, item
-			}
+		i, err := strconv.Atoi(step)
+		if err == nil && i >= 0 && i < len(n.Content) {
+			return n.Content[i], n.Content[i]
 		}
 	}
 	return nil, nil
--- a/internal/document/index.go
+++ b/internal/document/index.go
@@ -22,9 +22,8 @@
 
 // accountEntry is an account with its grants resolved.
 type accountEntry struct {
-	account  *Account
-	grants   []grantEntry
-	services map[string]bool
+	account *Account
+	grants  []grantEntry
 }
 
 // grantEntry is a grant with its model and class.
@@ -70,12 +69,6 @@
 			e.grants = append(e.grants, grantEntry{grant: g, model: model, class: class})
 		}
 	}
-	if len(a.Services) > 0 {
-		e.services = make(map[string]bool, len(a.Services))
-		for _, name := range a.Services {
-			e.services[name] = true
-		}
-	}
 	x.accounts[a.Name] = e
 	for _, text := range a.KeyHashes {
 		if sum, ok := decodeHash(text); ok {
@@ -185,5 +178,5 @@
 // MayCall tells whether an account may call a plain service.
 func (x *Index) MayCall(account, service string) bool {
 	e, ok := x.accounts[account]
-	return ok && e.services[service]
+	return ok && contains(e.account.Services, service)
 }
--- a/internal/document/parse.go
+++ b/internal/document/parse.go
@@ -1,12 +1,12 @@
 package document
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"regexp"
-	"strconv"
 	"strings"
+	"unicode/utf8"
 
 	"go.yaml.in/yaml/v4"
 )
@@ -23,14 +23,20 @@
 		ps.add(nil, "split the environment or shorten the document", "has %d bytes, more than %d", len(source), MaxSourceBytes)
 		return Document{}, ps.result(firstLine)
 	}
+	if !utf8.Valid(source) {
+		ps.add(nil, "save the file as UTF-8", "is no text in UTF-8")
+		ps.list[0].Line = invalidLine(source)
+		return Document{}, ps.result(firstLine)
+	}
 	var root yaml.Node
 	if err := yaml.Load(source, &root, yaml.WithV4Defaults()); err != nil {
-		addSyntax(&ps, err)
+		addSyntax(&ps, err, source)
 		return Document{}, ps.result(firstLine)
 	}
 	c := converter{problems: &ps}
 	value := c.convert(nil, &root)
-	lines := func(at path) int { return lineOf(&root, at) }
+	last := lineCount(source)
+	lines := func(at path) int { return min(lineOf(&root, at), last) }
 	if c.gaveUp {
 		return Document{}, ps.result(lines)
 	}
@@ -87,15 +93,34 @@
 	return d, nil
 }
 
-// yamlLine finds the line that a syntax error of the YAML library names.
-var yamlLine = regexp.MustCompile(`line (\d+)`)
+func addSyntax(ps *problems, err error, source []byte) {
+	const remedy = "mend the YAML or JSON syntax; check the indentation first"
+	line, message := 1, strings.ReplaceAll(err.Error(), "\n", " ")
+	var at *yaml.LoadError
+	if errors.As(err, &at) {
+		line, message = min(max(at.Mark.Line, 1), lineCount(source)), at.Message
+	}
+	ps.add(nil, remedy, "the document cannot be read: %s", message)
+	ps.list[len(ps.list)-1].Line = line
+}
 
-func addSyntax(ps *problems, err error) {
+// invalidLine returns the line of the first byte that is no UTF-8.
+func invalidLine(source []byte) int {
 	line := 1
-	if m := yamlLine.FindStringSubmatch(err.Error()); m != nil {
-		line, _ = strconv.Atoi(m[1])
+	for len(source) > 0 {
+		r, size := utf8.DecodeRune(source)
+		if r == utf8.RuneError && size == 1 {
+			break
+		}
+		if r == '\n' {
+			line++
+		}
+		source = source[size:]
 	}
-	message := strings.TrimPrefix(strings.ReplaceAll(err.Error(), "\n", " "), "yaml: ")
-	ps.add(nil, "mend the YAML or JSON syntax; check the indentation first", "the document cannot be read: %s", message)
-	ps.list[len(ps.list)-1].Line = max(line, 1)
+	return line
+}
+
+// lineCount counts lines as editors do. YAML knows more line breaks than they.
+func lineCount(source []byte) int {
+	return 1 + bytes.Count(bytes.TrimRight(source, "\n"), []byte("\n"))
 }
--- a/internal/document/rules.go
+++ b/internal/document/rules.go
@@ -141,7 +141,7 @@
 					"is %q, which no placement of model %q serves", g.Version, g.Model)
 				continue
 			}
-			if g.Adapter != "" && !contains(p.Adapters, g.Adapter) {
+			if c.models[g.Model].adapters[g.Adapter] && !contains(p.Adapters, g.Adapter) {
 				c.add(at.field("adapter"), "add the adapter to the placement, or change the grant",
 					"is %q, which the placement of model %q version %q does not load", g.Adapter, g.Model, g.Version)
 			}
