--- /dev/null
+++ b/internal/docstore/large_test.go
@@ -0,0 +1,102 @@
+package docstore
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"corianderhitch/internal/document"
+	"corianderhitch/internal/platform"
+	"corianderhitch/internal/platform/memstore"
+)
+
+// fleetAccounts is the number of client accounts that the sizes foresee.
+const fleetAccounts = 27_000
+
+// fleetDocument returns a document whose key hashes do not compress.
+func fleetDocument(t testing.TB, accounts int) document.Document {
+	d := example(t, "trial")
+	pattern := d.Accounts[0]
+	d.Accounts = nil
+	random := rand.New(rand.NewPCG(1, 2))
+	for i := range accounts {
+		a := pattern
+		a.Name = fmt.Sprintf("account-%05d", i)
+		a.KeyHashes = []string{document.HashKey(fmt.Sprint(i))}
+		a.Weight = float64(1 + random.IntN(9))
+		a.Limits.Concurrent = 1 + random.IntN(60)
+		d.Accounts = append(d.Accounts, a)
+	}
+	return d
+}
+
+func TestDocumentOfTheWholeFleet(t *testing.T) {
+	memory := memstore.New(memstore.Options{})
+	s := New(memory)
+	d := fleetDocument(t, fleetAccounts)
+	accepted, err := s.Apply(t.Context(), request(d, 0))
+	require.NoError(t, err)
+	current, _, err := s.Current(t.Context(), "trial")
+	require.NoError(t, err)
+	require.Equal(t, accepted, current)
+
+	chunks := values(t, memory, document.ChunkKey(""))
+	require.Greater(t, len(chunks), 1, "the body needs several chunks")
+	body, err := document.Encode(d)
+	require.NoError(t, err)
+	stored := 0
+	for _, c := range chunks {
+		require.LessOrEqual(t, len(c.Value), platform.MaxValueBytes)
+		stored += len(c.Value)
+	}
+	record, err := memory.Get(t.Context(), document.CurrentKey("trial"))
+	require.NoError(t, err)
+	require.Less(t, len(record.Value), 4<<10, "the current record only names the chunks")
+	t.Logf("%d accounts: canonical JSON %d bytes, %d chunks of %d bytes in all, current record %d bytes",
+		fleetAccounts, len(body), len(chunks), stored, len(record.Value))
+
+	_, err = s.Rollback(t.Context(), RollbackRequest{Environment: "trial", ToRevision: 1, Base: 1})
+	require.NoError(t, err)
+	require.Len(t, values(t, memory, document.ChunkKey("")), len(chunks), "equal content is stored once")
+}
+
+func TestDamagedBodyIsNoticed(t *testing.T) {
+	memory := memstore.New(memstore.Options{})
+	s := New(memory)
+	_, err := s.Apply(t.Context(), request(fleetDocument(t, 3000), 0))
+	require.NoError(t, err)
+	chunk := values(t, memory, document.ChunkKey(""))[0]
+	chunk.Value[len(chunk.Value)/2] ^= 1
+	_, err = memory.Put(t.Context(), chunk.Key, chunk.Value, platform.AnyRevision, 0)
+	require.NoError(t, err)
+	_, _, err = s.Current(t.Context(), "trial")
+	require.ErrorContains(t, err, "roll back")
+	require.NoError(t, memory.Delete(t.Context(), chunk.Key, platform.AnyRevision))
+	_, _, err = s.Current(t.Context(), "trial")
+	require.ErrorContains(t, err, "is missing in the store")
+}
+
+func values(t *testing.T, memory *memstore.Store, prefix string) []platform.Entry {
+	t.Helper()
+	entries, _, err := memory.List(t.Context(), prefix, "", 0)
+	require.NoError(t, err)
+	return entries
+}
+
+// BenchmarkApply gives the store calls and bytes of one change.
+func BenchmarkApply(b *testing.B) {
+	for _, accounts := range []int{10, fleetAccounts} {
+		b.Run(fmt.Sprintf("%d accounts", accounts), func(b *testing.B) {
+			s := New(memstore.New(memstore.Options{}))
+			d := fleetDocument(b, accounts)
+			revision := int64(0)
+			for b.Loop() {
+				accepted, err := s.Apply(b.Context(), request(variant(d, int(revision)), revision))
+				require.NoError(b, err)
+				revision = accepted.Revision
+			}
+		})
+	}
+}
