--- a/internal/cli/app.go
+++ b/internal/cli/app.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"io"
+	"log/slog"
 
 	"github.com/spf13/cobra"
 
@@ -13,6 +14,7 @@
 	"corianderhitch/internal/platform/kvhttp"
 	"corianderhitch/internal/rpcconn"
 	"corianderhitch/internal/settings"
+	"corianderhitch/internal/tlskeys"
 )
 
 // app is one run of hitchctl.
@@ -89,12 +91,29 @@
 		cmd.RunE = func(*cobra.Command, []string) error { return nil }
 		return nil
 	}
+	dial, err := a.dialer()
+	if err != nil {
+		return err
+	}
 	a.store = a.openStore(a.settings.Store)
 	a.docs = docstore.New(a.store)
-	a.agents = rpcconn.NewPool(rpcconn.TCP)
+	a.agents = rpcconn.NewPool(dial)
 	return nil
 }
 
+// dialer connects to agents, by TLS if it is set up. One command is too short to
+// need reloading.
+func (a *app) dialer() (rpcconn.Dialer, error) {
+	if !a.settings.Settings.Enabled() {
+		return rpcconn.TCP, nil
+	}
+	material, err := tlskeys.Open(a.settings.Settings, slog.New(slog.DiscardHandler))
+	if err != nil {
+		return nil, &usageError{err.Error()}
+	}
+	return material.Dial, nil
+}
+
 func (a *app) close() {
 	if a.agents != nil {
 		a.agents.Close()
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -147,6 +147,8 @@
 		{"wrong environment", []string{"validate", trial, "--environment", "production"}, ExitUsage, "correct one of them"},
 		{"promote without revision", []string{"promote"}, ExitUsage, "--revision"},
 		{"explain without account", []string{"explain", "r-1"}, ExitUsage, "--account"},
+		{"half of TLS", []string{"status", "--tls-cert", "x"}, ExitUsage, "--tls-key"},
+		{"resume key without id", []string{"key", "resume"}, ExitUsage, "--id"},
 		{"invalid document", []string{"validate", invalid}, ExitInvalid, `is "nowhere", which is no model`},
 		{"overtaken base", []string{"apply", trial, "--base", "0"}, ExitConflict, "based on revision 0 of trial, but revision 1"},
 		{"no such revision", []string{"promote", "--revision", "9"}, ExitError, "has no accepted revision 9"},
@@ -230,6 +232,7 @@
 	require.NoError(t, json.Unmarshal([]byte(b.ok("key", "new", "--output", "json")), &k))
 	require.Equal(t, document.HashKey(k.Key), k.Hash)
 	require.Len(t, k.Key, 47)
+	require.Regexp(t, "^4 [0-9a-f]{64}\n$", b.ok("key", "resume", "--id", "4"))
 	require.Contains(t, b.ok("completion", "bash"), "hitchctl")
 	require.Contains(t, b.ok("status", "--print-config"), "operator=ana")
 }
--- a/internal/cli/key.go
+++ b/internal/cli/key.go
@@ -11,6 +11,7 @@
 	"github.com/spf13/cobra"
 
 	"corianderhitch/internal/document"
+	"corianderhitch/internal/tlskeys"
 )
 
 // Form of client keys: the prefix makes leaked keys easy to search for.
@@ -25,9 +26,20 @@
 	Hash string `json:"hash"` // for keyHashes in the document
 }
 
+// resumeKey is the result of key resume in JSON output.
+type resumeKey struct {
+	ID   uint32 `json:"id"`
+	Line string `json:"line"` // for the file of --resume-keys
+}
+
 func (a *app) keyCommand() *cobra.Command {
-	cmd := &cobra.Command{Use: "key", Short: "Client keys"}
-	cmd.AddCommand(&cobra.Command{
+	cmd := &cobra.Command{Use: "key", Short: "Client keys and the keys of resume tokens"}
+	cmd.AddCommand(a.newKeyCommand(), a.resumeKeyCommand())
+	return cmd
+}
+
+func (a *app) newKeyCommand() *cobra.Command {
+	return &cobra.Command{
 		Use:   "new",
 		Short: "Make a client key and its hash for the document",
 		Args:  cobra.NoArgs,
@@ -40,7 +52,27 @@
 				fmt.Fprintf(w, "key  %s  (give it to the caller; it is stored nowhere)\nhash %s  (add it to the account's keyHashes)\n", k.Key, k.Hash)
 			})
 		}),
-	})
+	}
+}
+
+func (a *app) resumeKeyCommand() *cobra.Command {
+	var id uint32
+	cmd := &cobra.Command{
+		Use:   "resume --id N",
+		Short: "Make a key of resume tokens, as a line of the file of --resume-keys",
+		Args:  cobra.NoArgs,
+		RunE: a.command(func(context.Context, []string) error {
+			if id == 0 {
+				return &usageError{"key resume needs --id, a number above 0 that no key of the file has"}
+			}
+			k, err := tlskeys.NewKey(id)
+			if err != nil {
+				return err
+			}
+			return a.out.result(resumeKey{ID: id, Line: k.Line()}, func(w io.Writer) { fmt.Fprintln(w, k.Line()) })
+		}),
+	}
+	cmd.Flags().Uint32Var(&id, "id", 0, "id of the key, above 0")
 	return cmd
 }
 
--- a/internal/cli/settings.go
+++ b/internal/cli/settings.go
@@ -3,6 +3,8 @@
 import (
 	"os"
 	"time"
+
+	"corianderhitch/internal/tlskeys"
 )
 
 // Settings are the settings of every command of hitchctl.
@@ -13,7 +15,8 @@
 	Output      string        `flag:"output" default:"text" usage:"form of the output, text or json" validate:"oneof=text json"`
 	Operator    string        `flag:"operator" usage:"name of the operator in the history; empty means the user of the shell"`
 	Timeout     time.Duration `flag:"timeout" default:"30s" usage:"bound of a command without --wait" validate:"min=100ms"`
-	PrintConfig bool          `flag:"print-config" usage:"print the settings and stop"`
+	tlskeys.Settings
+	PrintConfig bool `flag:"print-config" usage:"print the settings and stop"`
 }
 
 // operator returns who changes a document.
