--- a/internal/docstore/apply.go
+++ b/internal/docstore/apply.go
@@ -43,7 +43,7 @@
 	if err != nil {
 		return document.Accepted{}, err
 	}
-	ref, chunks, err := pack(body)
+	ref, chunks, err := pack(body, s.chunkBytes)
 	if err != nil {
 		return document.Accepted{}, err
 	}
--- a/internal/docstore/body.go
+++ b/internal/docstore/body.go
@@ -17,8 +17,8 @@
 
 // Bounds of a stored body.
 const (
-	chunkBytes   = 768 << 10 // below the store's largest value, with room for what encodings add
-	maxBodyBytes = 64 << 20  // twice the largest source; stops a damaged chunk from filling the memory
+	maxChunkBytes = 768 << 10 // below the store's largest value, with room for what encodings add
+	maxBodyBytes  = 64 << 20  // twice the largest source; stops a damaged chunk from filling the memory
 )
 
 // bodyRef names the parts of a document body: its canonical JSON, compressed
@@ -29,10 +29,10 @@
 	Chunks []string `json:"chunks"` // SHA-256 of each chunk, hex
 }
 
-// pack compresses a body and cuts it.
-func pack(body []byte) (bodyRef, [][]byte, error) {
+// pack compresses a body and cuts it into chunks of at most chunkBytes.
+func pack(body []byte, chunkBytes int) (bodyRef, [][]byte, error) {
 	var packed bytes.Buffer
-	w, err := gzip.NewWriterLevel(&packed, gzip.BestCompression)
+	w, err := gzip.NewWriterLevel(&packed, gzip.DefaultCompression)
 	if err != nil {
 		return bodyRef{}, nil, eris.Wrap(err, "cannot compress the document")
 	}
--- a/internal/docstore/store.go
+++ b/internal/docstore/store.go
@@ -20,13 +20,14 @@
 // Store reads and changes the documents of all environments. It is safe for
 // concurrent use.
 type Store struct {
-	store platform.Store
-	now   func() time.Time
+	store      platform.Store
+	now        func() time.Time
+	chunkBytes int
 }
 
 // New returns a Store on the platform's store.
 func New(store platform.Store) *Store {
-	return &Store{store: store, now: time.Now}
+	return &Store{store: store, now: time.Now, chunkBytes: maxChunkBytes}
 }
 
 // Current returns the accepted document in force in an environment and the
