Load tool: seeded plans, comparison of two deployments, gateway overhead, plots

Change: internal/load with run, compare and overhead commands; the readers check offsets and generations. Measured: unit tests pass; no deployment has been driven yet.

--- /dev/null
+++ b/internal/load/caller.go
@@ -0,0 +1,100 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"corianderhitch/api/completion"
+	"corianderhitch/api/problem"
+)
+
+// Caller sends the requests of a plan.
+type Caller interface {
+	// Call runs one request to its end. It never returns early while the
+	// request may still produce tokens.
+	Call(ctx context.Context, a Arrival) Outcome
+}
+
+// GatewayCaller sends requests to gateways in turn.
+type GatewayCaller struct {
+	Gateways []string // base URLs
+	Keys     []string // account keys, by Arrival.Account
+	Model    string
+	Service  string
+	Client   *http.Client
+}
+
+// Call implements Caller.
+func (c *GatewayCaller) Call(ctx context.Context, a Arrival) Outcome {
+	request, err := c.request(ctx, a)
+	if err != nil {
+		return Outcome{Arrival: a, Failed: err.Error()}
+	}
+	request.Header.Set("Authorization", "Bearer "+c.Keys[a.Account%len(c.Keys)])
+	request.Header.Set("Idempotency-Key", a.ID)
+	begin := time.Now()
+	response, err := c.Client.Do(request)
+	if err != nil {
+		return Outcome{Arrival: a, Failed: "connection"}
+	}
+	defer response.Body.Close()
+	if response.StatusCode >= http.StatusBadRequest {
+		return refusal(a, response)
+	}
+	if a.Kind == KindCompletion {
+		return readStream(a, begin, response.Body, decodeChunk)
+	}
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return Outcome{Arrival: a, Failed: "connection"}
+	}
+	return Outcome{Arrival: a, First: time.Since(begin)}
+}
+
+func (c *GatewayCaller) request(ctx context.Context, a Arrival) (*http.Request, error) {
+	base := c.Gateways[hash(a.ID)%uint64(len(c.Gateways))]
+	switch a.Kind {
+	case KindLookup:
+		return http.NewRequestWithContext(ctx, http.MethodGet, base+"/services/"+c.Service+"/availability", nil)
+	case KindHold:
+		body := strings.NewReader(`{"berth":"` + a.ID + `"}`)
+		request, err := http.NewRequestWithContext(ctx, http.MethodPost, base+"/services/"+c.Service+"/seat-holds", body)
+		if err == nil {
+			request.Header.Set("Content-Type", "application/json")
+		}
+		return request, err
+	default:
+		body, err := json.Marshal(completion.Request{Model: c.Model, Prompt: a.Prompt, Stream: true})
+		if err != nil {
+			return nil, err
+		}
+		request, err := http.NewRequestWithContext(ctx, http.MethodPost, base+"/v1/completions", bytes.NewReader(body))
+		if err == nil {
+			request.Header.Set("Content-Type", "application/json")
+		}
+		return request, err
+	}
+}
+
+func refusal(a Arrival, response *http.Response) Outcome {
+	var document problem.Document
+	if err := json.NewDecoder(response.Body).Decode(&document); err != nil {
+		return Outcome{Arrival: a, Failed: response.Status}
+	}
+	if document.Ran == problem.RanNo {
+		return Outcome{Arrival: a, Refused: string(document.Kind)}
+	}
+	return Outcome{Arrival: a, Failed: string(document.Kind)}
+}
+
+func decodeChunk(data []byte) (generation string, offset int, err error) {
+	var chunk completion.Chunk
+	if err := json.Unmarshal(data, &chunk); err != nil {
+		return "", 0, err
+	}
+	return chunk.Generation, chunk.Offset, nil
+}
--- /dev/null
+++ b/internal/load/enginecaller.go
@@ -0,0 +1,58 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"corianderhitch/api/engine"
+)
+
+// EngineCaller sends completions straight to engines, without the system, as
+// the reference for the cost of a gateway.
+type EngineCaller struct {
+	Engines []string // base URLs
+	Model   string
+	Version string
+	Client  *http.Client
+}
+
+// Call implements Caller. Requests that are no completion are ignored.
+func (c *EngineCaller) Call(ctx context.Context, a Arrival) Outcome {
+	if a.Kind != KindCompletion {
+		return Outcome{Arrival: a}
+	}
+	body, err := json.Marshal(engine.GenerateRequest{
+		ID: "direct-" + a.ID, RequestID: a.ID, Model: c.Model, Version: c.Version,
+		Prompt: a.Prompt, MaxTokens: max(1, a.Tokens), Priority: 5,
+	})
+	if err != nil {
+		return Outcome{Arrival: a, Failed: err.Error()}
+	}
+	url := c.Engines[hash(a.ID)%uint64(len(c.Engines))] + "/v1/generations"
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return Outcome{Arrival: a, Failed: err.Error()}
+	}
+	request.Header.Set("Content-Type", "application/json")
+	begin := time.Now()
+	response, err := c.Client.Do(request)
+	if err != nil {
+		return Outcome{Arrival: a, Failed: "connection"}
+	}
+	defer response.Body.Close()
+	if response.StatusCode >= http.StatusBadRequest {
+		return refusal(a, response)
+	}
+	return readStream(a, begin, response.Body, decodeToken)
+}
+
+func decodeToken(data []byte) (generation string, offset int, err error) {
+	var token engine.Token
+	if err := json.Unmarshal(data, &token); err != nil {
+		return "", 0, err
+	}
+	return token.Generation, token.Offset, nil
+}
--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,80 @@
+package load
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var testMix = Mix{
+	Seed: 7, RatePerSec: 200, Duration: 10 * time.Second, Accounts: 4, LookupShare: 0.2, HoldShare: 0.1,
+	MedianTokens: 50, SigmaTokens: 1, MaxTokens: 500, PromptTokens: 100,
+}
+
+func TestPlanIsAFunctionOfTheMix(t *testing.T) {
+	plan := Plan(testMix)
+	require.Equal(t, plan, Plan(testMix))
+	require.InDelta(t, 2000, len(plan), 200)
+	counts := map[Kind]int{}
+	ids := map[string]bool{}
+	for i, a := range plan {
+		counts[a.Kind]++
+		require.False(t, ids[a.ID])
+		ids[a.ID] = true
+		require.Less(t, a.At, testMix.Duration)
+		if i > 0 {
+			require.GreaterOrEqual(t, a.At, plan[i-1].At)
+		}
+		require.LessOrEqual(t, a.Tokens, testMix.MaxTokens)
+	}
+	require.InDelta(t, 0.2, float64(counts[KindLookup])/float64(len(plan)), 0.04)
+	require.InDelta(t, 0.1, float64(counts[KindHold])/float64(len(plan)), 0.03)
+}
+
+func TestReadStreamFindsBrokenPromises(t *testing.T) {
+	event := func(generation, offset string) string {
+		return `data: {"generation":"` + generation + `","offset":` + offset + "}\n\n"
+	}
+	end := "data: [DONE]\n\n"
+	for name, c := range map[string]struct {
+		body              string
+		tokens            int
+		violation, failed string
+	}{
+		"whole":     {body: event("g", "0") + event("g", "1") + end, tokens: 2},
+		"gap":       {body: event("g", "0") + event("g", "2") + end, tokens: 2, violation: "offset 2 where 1 was due"},
+		"duplicate": {body: event("g", "0") + event("g", "0") + end, tokens: 2, violation: "offset 0 where 1 was due"},
+		"spliced":   {body: event("g", "0") + event("h", "1") + end, tokens: 2, violation: "spliced"},
+		"cut":       {body: event("g", "0"), tokens: 1, failed: "stream cut"},
+		"error":     {body: event("g", "0") + "event: error\ndata: {\"kind\":\"generation-lost\"}\n\n", tokens: 1, failed: "generation-lost"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := readStream(Arrival{}, time.Now(), strings.NewReader(c.body), decodeChunk)
+			require.Equal(t, c.tokens, o.Tokens)
+			require.Equal(t, c.failed, o.Failed)
+			require.Contains(t, o.Violation, c.violation)
+			require.Equal(t, c.violation == "", o.Violation == "")
+		})
+	}
+}
+
+func TestResultCountsEveryOutcome(t *testing.T) {
+	r := NewRecorder()
+	for range 3 {
+		r.Offer()
+	}
+	gap := stallBound + 50*time.Millisecond
+	r.Record(Outcome{Arrival: Arrival{Kind: KindCompletion}, Tokens: 3, First: 10 * time.Millisecond, Gaps: []time.Duration{gap, time.Millisecond}})
+	r.Record(Outcome{Refused: "overloaded"})
+	r.Record(Outcome{Failed: "connection"})
+	result := r.Result("x", 1, time.Second)
+	require.Equal(t, 3, result.Offered)
+	require.Equal(t, 1, result.Completed)
+	require.Equal(t, map[string]int{"overloaded": 1}, result.Refused)
+	require.Equal(t, map[string]int{"connection": 1}, result.Failed)
+	require.InDelta(t, 0.05, result.StallSeconds, 1e-9)
+	require.InDelta(t, 10, At(result.FirstToken, 50), 0.1)
+	require.NoError(t, plotResults(t.TempDir(), []Result{result}))
+}
--- /dev/null
+++ b/internal/load/overheadcommand.go
@@ -0,0 +1,70 @@
+package load
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"corianderhitch/internal/settings"
+)
+
+// OverheadSettings are the settings of "hitchload overhead".
+type OverheadSettings struct {
+	MixSettings
+	CallerSettings
+	Gateways []string `flag:"gateways" usage:"base URLs of the gateways" validate:"min=1,dive,url"`
+	Engines  []string `flag:"engines" usage:"base URLs of the engines behind them" validate:"min=1,dive,url"`
+	Version  string   `flag:"version-name" default:"v1" usage:"model version that the account is served with" validate:"required"`
+	Rounds   int      `flag:"rounds" default:"3" usage:"number of alternating rounds" validate:"min=1"`
+}
+
+// OverheadCommand returns "hitchload overhead".
+func OverheadCommand() *cobra.Command {
+	var s OverheadSettings
+	cmd := &cobra.Command{
+		Use:   "overhead",
+		Short: "Measure what a gateway adds, in rounds that alternate with calls straight to the engines",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := settings.Load(cmd.Flags(), &s); err != nil {
+				return err
+			}
+			s.LookupShare, s.HoldShare = 0, 0
+			results := overhead(cmd, s)
+			printComparison(cmd.OutOrStdout(), results[1], results[0])
+			printAdded(cmd, results[0], results[1])
+			return finish(cmd.OutOrStdout(), s.Out, results)
+		},
+	}
+	settings.Register(cmd.Flags(), &s)
+	return cmd
+}
+
+func overhead(cmd *cobra.Command, s OverheadSettings) []Result {
+	direct := &EngineCaller{Engines: s.Engines, Model: s.Model, Version: s.Version, Client: newClient()}
+	through := &GatewayCaller{Gateways: s.Gateways, Keys: s.Keys, Model: s.Model, Service: s.Service, Client: newClient()}
+	callers := []Caller{direct, through}
+	recorders := []*Recorder{NewRecorder(), NewRecorder()}
+	took := make([]time.Duration, len(callers))
+	for round := range s.Rounds {
+		mix := s.MixSettings
+		mix.Seed += round
+		plan := Plan(mix.Mix(len(s.Keys)))
+		for i, caller := range callers {
+			took[i] += Run(cmd.Context(), plan, caller, recorders[i])
+		}
+	}
+	return []Result{
+		recorders[0].Result("direct", uint64(s.Seed), took[0]),
+		recorders[1].Result("through gateway", uint64(s.Seed), took[1]),
+	}
+}
+
+func printAdded(cmd *cobra.Command, direct, through Result) {
+	w := cmd.OutOrStdout()
+	fmt.Fprintf(w, "added at p99: first token %.3f ms, inter token %.3f ms; throughput %.2f%% of direct\n",
+		At(through.FirstToken, 99)-At(direct.FirstToken, 99),
+		At(through.InterToken, 99)-At(direct.InterToken, 99),
+		100*through.TokensPerSecond/direct.TokensPerSecond)
+}
--- /dev/null
+++ b/internal/load/preemptions.go
@@ -0,0 +1,31 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"corianderhitch/api/engine"
+)
+
+// preemptions sums the preemptions that engines report. Engines that do not
+// answer count as zero.
+func preemptions(ctx context.Context, engines []string) int64 {
+	sum := int64(0)
+	for _, base := range engines {
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, base+"/v1/load", nil)
+		if err != nil {
+			continue
+		}
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			continue
+		}
+		var report engine.LoadReport
+		if json.NewDecoder(response.Body).Decode(&report) == nil {
+			sum += report.Preemptions
+		}
+		_ = response.Body.Close()
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/load/recorder.go
@@ -0,0 +1,109 @@
+package load
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	// lowestValue and highestValue bound the histograms, in microseconds.
+	lowestValue  = 1
+	highestValue = int64(10 * time.Minute / time.Microsecond)
+	// significantDigits keeps percentiles exact to a thousandth.
+	significantDigits = 3
+	// stallBound is the gap between tokens from which a caller sees a stall.
+	stallBound = 250 * time.Millisecond
+)
+
+// Recorder collects what callers see. It is safe for concurrent use.
+type Recorder struct {
+	mu         sync.Mutex
+	offered    int
+	completed  int
+	refused    map[string]int // by problem kind
+	failed     map[string]int // by cause
+	tokens     int64
+	violations []string
+	stall      time.Duration
+	firstToken *hdrhistogram.Histogram
+	interToken *hdrhistogram.Histogram
+	lookup     *hdrhistogram.Histogram
+	hold       *hdrhistogram.Histogram
+}
+
+// NewRecorder returns an empty Recorder.
+func NewRecorder() *Recorder {
+	return &Recorder{
+		refused:    make(map[string]int),
+		failed:     make(map[string]int),
+		firstToken: newHistogram(),
+		interToken: newHistogram(),
+		lookup:     newHistogram(),
+		hold:       newHistogram(),
+	}
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(lowestValue, highestValue, significantDigits)
+}
+
+// Outcome is how one request ended, as its caller saw it.
+type Outcome struct {
+	Arrival   Arrival
+	Tokens    int
+	First     time.Duration   // from send to first token or whole answer
+	Gaps      []time.Duration // between tokens
+	Refused   string          // problem kind of a refusal before running
+	Failed    string          // cause of any other end
+	Violation string          // a violated invariant: gap, duplicate, splice
+}
+
+// Offer counts a request that is sent.
+func (r *Recorder) Offer() {
+	r.mu.Lock()
+	r.offered++
+	r.mu.Unlock()
+}
+
+// Record takes the outcome of a request.
+func (r *Recorder) Record(o Outcome) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tokens += int64(o.Tokens)
+	if o.Violation != "" {
+		r.violations = append(r.violations, o.Arrival.ID+": "+o.Violation)
+	}
+	r.recordGaps(o)
+	switch {
+	case o.Refused != "":
+		r.refused[o.Refused]++
+		return
+	case o.Failed != "":
+		r.failed[o.Failed]++
+		return
+	}
+	r.completed++
+	_ = r.histogram(o.Arrival.Kind).RecordValue(o.First.Microseconds())
+}
+
+func (r *Recorder) recordGaps(o Outcome) {
+	for _, gap := range o.Gaps {
+		_ = r.interToken.RecordValue(max(lowestValue, gap.Microseconds()))
+		if gap > stallBound {
+			r.stall += gap - stallBound
+		}
+	}
+}
+
+func (r *Recorder) histogram(kind Kind) *hdrhistogram.Histogram {
+	switch kind {
+	case KindLookup:
+		return r.lookup
+	case KindHold:
+		return r.hold
+	default:
+		return r.firstToken
+	}
+}
--- /dev/null
+++ b/internal/load/result.go
@@ -0,0 +1,80 @@
+package load
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Percentile is one point of a distribution.
+type Percentile struct {
+	Percent float64 `json:"percent"`
+	MS      float64 `json:"ms"`
+}
+
+// Result is what a run measured.
+type Result struct {
+	Label           string         `json:"label"`
+	Seed            uint64         `json:"seed"`
+	Seconds         float64        `json:"seconds"`
+	Offered         int            `json:"offered"`
+	Completed       int            `json:"completed"`
+	Refused         map[string]int `json:"refused"`
+	Failed          map[string]int `json:"failed"`
+	Violations      []string       `json:"violations"`
+	Tokens          int64          `json:"tokens"`
+	TokensPerSecond float64        `json:"tokens_per_second"`
+	StallSeconds    float64        `json:"stall_seconds"`
+	Preemptions     int64          `json:"preemptions"`
+	FirstToken      []Percentile   `json:"first_token"`
+	InterToken      []Percentile   `json:"inter_token"`
+	Lookup          []Percentile   `json:"lookup"`
+	Hold            []Percentile   `json:"hold"`
+}
+
+// percents are the points that a result keeps of each distribution.
+var percents = []float64{50, 75, 90, 95, 99, 99.9, 100}
+
+// Result returns the figures after a run of the given length.
+func (r *Recorder) Result(label string, seed uint64, took time.Duration) Result {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return Result{
+		Label:           label,
+		Seed:            seed,
+		Seconds:         took.Seconds(),
+		Offered:         r.offered,
+		Completed:       r.completed,
+		Refused:         r.refused,
+		Failed:          r.failed,
+		Violations:      append([]string{}, r.violations...),
+		Tokens:          r.tokens,
+		TokensPerSecond: float64(r.tokens) / took.Seconds(),
+		StallSeconds:    r.stall.Seconds(),
+		FirstToken:      percentiles(r.firstToken),
+		InterToken:      percentiles(r.interToken),
+		Lookup:          percentiles(r.lookup),
+		Hold:            percentiles(r.hold),
+	}
+}
+
+func percentiles(h *hdrhistogram.Histogram) []Percentile {
+	if h.TotalCount() == 0 {
+		return []Percentile{}
+	}
+	points := make([]Percentile, 0, len(percents))
+	for _, p := range percents {
+		points = append(points, Percentile{Percent: p, MS: float64(h.ValueAtPercentile(p)) / 1000})
+	}
+	return points
+}
+
+// At returns the value at a percentile, or 0 if it was not kept.
+func At(points []Percentile, percent float64) float64 {
+	for _, p := range points {
+		if p.Percent == percent {
+			return p.MS
+		}
+	}
+	return 0
+}
