--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -33,7 +33,7 @@
 	require.InDelta(t, 0.1, float64(counts[KindHold])/float64(len(plan)), 0.03)
 }
 
-func TestReadStreamFindsBrokenPromises(t *testing.T) {
+func TestReadStreamFindsViolatedInvariants(t *testing.T) {
 	event := func(generation, offset string) string {
 		return `data: {"generation":"` + generation + `","offset":` + offset + "}\n\n"
 	}
--- /dev/null
+++ b/scripts/deployment.sh
@@ -0,0 +1,96 @@
+# Functions that start and stop a deployment of separate processes on loopback.
+# Sourced by demo.sh and the measurement scripts. Only processes started here
+# are ended, by their process ids.
+#
+# The caller sets BIN (folder of the programs), RUN (folder for logs) and
+# BASE_PORT (first of 200 consecutive ports).
+
+PIDS=()
+PEERS=""
+GATEWAYS=""
+ENGINES=""
+AGENTS=""
+ENVIRONMENT=${ENVIRONMENT:-production}
+TOKEN_KEYS=${TOKEN_KEYS:-k1:MDEyMzQ1Njc4OWFiY2RlZjAxMjM0NTY3ODlhYmNkZWY=}
+DOMAINS=(sk-west-a sk-west-b sk-west-c)
+
+# start NAME PROGRAM ARG... starts a program with its log in RUN and sets PID.
+start() {
+  local name=$1 program=$2
+  shift 2
+  "$BIN/$program" "$@" >>"$RUN/$name.log" 2>&1 &
+  PID=$!
+  PIDS+=("$PID")
+  echo "$PID" >"$RUN/$name.pid"
+}
+
+# wait_ok URL SECONDS waits until the URL answers 200.
+wait_ok() {
+  local deadline=$((SECONDS + $2))
+  until curl -fsS -o /dev/null --max-time 1 "$1" 2>/dev/null; do
+    if [ "$SECONDS" -ge "$deadline" ]; then
+      echo "not ready: $1" >&2
+      return 1
+    fi
+    sleep 0.05
+  done
+}
+
+start_store() {
+  STORE="http://127.0.0.1:$BASE_PORT"
+  start store standin store --listen "127.0.0.1:$BASE_PORT"
+  wait_ok "$STORE/livez" 10
+}
+
+# start_engines COUNT ARG...
+start_engines() {
+  local count=$1 i port
+  shift
+  for ((i = 1; i <= count; i++)); do
+    port=$((BASE_PORT + 10 + i))
+    start "engine-$i" standin engine --listen "127.0.0.1:$port" --name "engine-$i" \
+      --domain "${DOMAINS[i % 3]}" --region sk-west --model briefing@v1+sk,briefing@v2+sk --register "$STORE" "$@"
+    ENGINES="${ENGINES:+$ENGINES,}http://127.0.0.1:$port"
+  done
+  for ((i = 1; i <= count; i++)); do wait_ok "http://127.0.0.1:$((BASE_PORT + 10 + i))/livez" 10; done
+}
+
+# start_services COUNT ARG...
+start_services() {
+  local count=$1 i port
+  shift
+  for ((i = 1; i <= count; i++)); do
+    port=$((BASE_PORT + 50 + i))
+    start "booking-$i" standin service --listen "127.0.0.1:$port" --name "booking-$i" --service booking \
+      --domain "${DOMAINS[i % 3]}" --region sk-west --register "$STORE" "$@"
+  done
+  for ((i = 1; i <= count; i++)); do wait_ok "http://127.0.0.1:$((BASE_PORT + 50 + i))/livez" 10; done
+}
+
+# start_hosts COUNT ARG... starts a gateway and an agent a host; ARG goes to the agents.
+start_hosts() {
+  local count=$1 i
+  shift
+  for ((i = 1; i <= count; i++)); do PEERS="${PEERS:+$PEERS,}127.0.0.1:$((BASE_PORT + 100 + i))"; done
+  AGENTS=$PEERS
+  for ((i = 1; i <= count; i++)); do
+    start "agent-$i" agent --host "host-$i" --domain "${DOMAINS[i % 3]}" --region sk-west \
+      --listen "127.0.0.1:$((BASE_PORT + 100 + i))" --http "127.0.0.1:$((BASE_PORT + 120 + i))" \
+      --store "$STORE" --environment "$ENVIRONMENT" --peers "$PEERS" "$@"
+    start "gateway-$i" gateway --host "host-$i" --domain "${DOMAINS[i % 3]}" --region sk-west \
+      --listen "127.0.0.1:$((BASE_PORT + 140 + i))" --agents "127.0.0.1:$((BASE_PORT + 100 + i)),$PEERS" \
+      --store "$STORE" --environment "$ENVIRONMENT" --token-keys "$TOKEN_KEYS"
+    GATEWAYS="${GATEWAYS:+$GATEWAYS,}http://127.0.0.1:$((BASE_PORT + 140 + i))"
+  done
+  for ((i = 1; i <= count; i++)); do
+    wait_ok "http://127.0.0.1:$((BASE_PORT + 120 + i))/readyz" 20
+    wait_ok "http://127.0.0.1:$((BASE_PORT + 140 + i))/readyz" 20
+  done
+}
+
+# stop_all ends every process started here and waits for it.
+stop_all() {
+  local pid
+  for pid in "${PIDS[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
+  wait 2>/dev/null || true
+}
