--- a/internal/enginemodel/engine.go
+++ b/internal/enginemodel/engine.go
@@ -10,6 +10,7 @@
 package enginemodel
 
 import (
+	"slices"
 	"time"
 
 	"corianderhitch/api/engine"
@@ -91,8 +92,8 @@
 	return nil
 }
 
-// Cancel ends a generation and returns its number of output tokens. ok is false
-// if the generation is neither waiting nor running.
+// Cancel ends a generation and returns its number of output tokens. No event of
+// it follows. ok is false if the generation is neither waiting nor running.
 func (e *Engine) Cancel(now time.Time, id string) (tokens int, ok bool) {
 	e.advance(now)
 	s := e.sequences[id]
@@ -105,6 +106,7 @@
 		e.waiting.remove(s)
 	}
 	e.end(s)
+	e.events = slices.DeleteFunc(e.events, func(event Event) bool { return event.ID == id })
 	e.stats.Canceled++
 	return s.produced, true
 }
