--- a/api/control/control.go
+++ b/api/control/control.go
@@ -9,10 +9,14 @@
 //	Control.Status      operator CLI, gateway -> any agent
 //	Control.Explain     operator CLI -> any agent
 //	Scheduler.Admit     gateway -> owner agent of the pool; waits in the fair queue
-//	Scheduler.Finish    gateway -> owner agent of the pool
+//	Scheduler.Finish    gateway -> owner agent of the pool; also withdraws a waiting ticket
+//	Scheduler.Reattach  gateway -> new owner agent of a pool; what is in flight
 //	Directory.Register  gateway -> owner agent of the request id
 //	Directory.Lookup    gateway -> owner agent of the request id
 //	Peer.Exchange       agent -> agent; heartbeat, anti-entropy and news
+//	Peer.Observed       observing agent -> owner agent of the pool; load and cache events
+//	Peer.Self           agent -> agent; the peer's own member record
+//	Peer.Decisions      agent -> agent; recent decisions, for Control.Explain
 package control
 
 import (
@@ -58,10 +62,18 @@
 	Observed time.Time         // when the owner last heard from the target
 	Healthy  bool
 	Owner    string // host that observes the target
+	// Version grows when anything but the load changes. A higher one replaces
+	// an older row; equal ones are ordered by Observed.
+	Version int64
+	// ListedLeaving is set while the platform's list itself says leaving.
+	ListedLeaving bool
+	// Left is set when the target has vanished from the platform's list.
+	Left bool
 }
 
 // SnapshotArgs asks for the state after a version.
 type SnapshotArgs struct {
+	Host             string // gateway's host; empty means that of the agent
 	GatewayAddr      string
 	After            int64         // version already held; 0 for none
 	Wait             time.Duration // how long the call may wait for news
@@ -87,6 +99,7 @@
 	NewsLeaving NewsKind = "leaving" // the target refused because it is leaving
 	NewsDown    NewsKind = "down"    // connection refused or cut
 	NewsCrash   NewsKind = "crash"   // the target died while it ran Fingerprint
+	NewsCleared NewsKind = "cleared" // Fingerprint completed and is no suspect any more
 )
 
 // News is an event about a target, spread to all hosts.
@@ -94,6 +107,7 @@
 	ID          string // unique, for suppression of duplicates
 	Kind        NewsKind
 	Target      string
+	Ticket      string   // unique per attempt, for NewsCrash
 	Fingerprint uint64   // request body and account, for NewsCrash
 	Beside      []uint64 // fingerprints that ran beside it, for NewsCrash
 	Seen        time.Time
@@ -109,6 +123,9 @@
 type AdmitArgs struct {
 	Ticket       string // unique per attempt; Finish names it
 	Host         string // gateway's host
+	Region       string // gateway's region; empty means that of Host's member record
+	RequestID    string // caller's request id, for Control.Explain
+	Incarnation  int64  // start time of the gateway, Unix nanoseconds; 0 if not told
 	Account      string
 	Model        string
 	Version      string
@@ -149,6 +166,19 @@
 	Class    string
 	Produced int  // output tokens in all
 	Complete bool // false if the generation was cut or canceled, so that its length is censored
+	Crashed  bool // the target died while it ran the generation
+}
+
+// ReattachArgs tells a new owner of a pool which generations of a gateway are in
+// flight. Each entry repeats its AdmitArgs with the tokens produced so far.
+type ReattachArgs struct {
+	Running []Running
+}
+
+// Running is a granted place that is in use.
+type Running struct {
+	Admit  AdmitArgs
+	Target string
 }
 
 // DirectoryEntry tells where the generation of a request id runs.
@@ -183,13 +213,25 @@
 	Found bool
 }
 
+// Digest is the sum of a table that all agents hold. Equal digests mean equal
+// tables. Buckets splits the table by key hash; it is set when the sums were
+// found to differ, so that only the rows of differing buckets are sent.
+type Digest struct {
+	Sum     uint64
+	Buckets []uint64
+}
+
 // ExchangeArgs is a heartbeat with anti-entropy between two agents.
 type ExchangeArgs struct {
+	Environment      string // agents of different environments refuse each other
 	From             Member
 	Members          []Member // changed since the last exchange with this peer
 	DocumentRevision int64
 	Targets          []TargetState // owned targets, changed since the last exchange
 	News             []News
+	DocumentHash     uint64 // hash of the document of DocumentRevision
+	MemberDigest     Digest
+	TargetDigest     Digest
 }
 
 // ExchangeReply answers with what the caller lacks.
@@ -200,8 +242,30 @@
 	DocumentRevision int64
 	Targets          []TargetState
 	News             []News
+	DocumentHash     uint64 // hash of the document of DocumentRevision
+	MemberDigest     Digest
+	TargetDigest     Digest
 }
 
+// CacheDelta carries cache events of one target. Lost marks a gap, after which
+// nothing is known of the target's cache.
+type CacheDelta struct {
+	Target string
+	Stored []uint64
+	Evict  []uint64
+	Lost   bool
+}
+
+// ObservedArgs carries fresh load reports and cache events to the owner of the
+// pools that the targets belong to.
+type ObservedArgs struct {
+	Targets []TargetState
+	Cache   []CacheDelta
+}
+
+// DecisionsReply lists the decisions of one agent about a request, oldest first.
+type DecisionsReply struct{ Lines []string }
+
 // StatusReply is the state of the fleet as one agent sees it.
 type StatusReply struct {
 	Members          []Member
