--- /dev/null
+++ b/internal/experiment/check.go
@@ -0,0 +1,144 @@
+package experiment
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/rotisserie/eris"
+)
+
+// Verdict tells whether one target of the issue is met on one seed.
+type Verdict struct {
+	Seed   uint64
+	Target string
+	Met    bool
+	Figure string
+}
+
+// The bounds of the issue.
+const (
+	crowdedShare      = 0.1  // of the preemptions and stall of the best baseline
+	crowdedTailShare  = 0.5  // of its inter-token p99
+	crowdedThroughput = 0.98 // of the highest tokens per second
+	surgeLookupFactor = 1.2
+	leastJain         = 0.95
+)
+
+// Check holds the product's policy against the targets of the scenario, each
+// seed by itself. Scenarios without targets of their own get the one that holds
+// everywhere: nothing lost and nothing duplicated.
+func Check(s *Scenario, all []Result) []Verdict {
+	var verdicts []Verdict
+	for i := range all {
+		if all[i].Policy != Ours {
+			continue
+		}
+		ours := &all[i]
+		verdicts = append(verdicts, always(ours)...)
+		switch s.Name {
+		case "steady":
+			verdicts = append(verdicts, checkSteady(ours)...)
+		case "crowded":
+			verdicts = append(verdicts, checkCrowded(ours, sameSeed(all, ours.Seed))...)
+		case "surge":
+			verdicts = append(verdicts, checkSurge(ours)...)
+		case "churn":
+			verdicts = append(verdicts, checkChurn(s, ours)...)
+		}
+	}
+	return verdicts
+}
+
+func sameSeed(all []Result, seed uint64) []Result {
+	var same []Result
+	for _, r := range all {
+		if r.Seed == seed {
+			same = append(same, r)
+		}
+	}
+	return same
+}
+
+func always(r *Result) []Verdict {
+	return []Verdict{
+		atMost(r, "lost", float64(r.Lost), 0),
+		atMost(r, "duplicated or spliced tokens", float64(r.DuplicatedTokens), 0),
+	}
+}
+
+func checkSteady(r *Result) []Verdict {
+	return []Verdict{
+		atMost(r, "first token p95 in ms", r.FirstTokenP95MS, firstTokenBoundMS),
+		atMost(r, "inter-token p95 in ms", r.InterTokenP95MS, interTokenBoundMS),
+		atMost(r, "preemptions", float64(r.Preemptions), 0),
+	}
+}
+
+func checkCrowded(ours *Result, same []Result) []Verdict {
+	highest := 0.0
+	for _, r := range same {
+		highest = max(highest, r.TokensPerSecond)
+	}
+	verdicts := []Verdict{atLeast(ours, "tokens/s against the highest of all", ours.TokensPerSecond, crowdedThroughput*highest)}
+	best, found := bestBaseline(ours, same)
+	if !found {
+		return append(verdicts, Verdict{Seed: ours.Seed, Target: "a baseline that completes as much", Figure: "none"})
+	}
+	of := " against " + best.Policy
+	return append(verdicts,
+		atMost(ours, "preemptions"+of, float64(ours.Preemptions), crowdedShare*float64(best.Preemptions)),
+		atMost(ours, "stall seconds"+of, ours.StallSeconds, crowdedShare*best.StallSeconds),
+		atMost(ours, "inter-token p99 in ms"+of, ours.InterTokenP99MS, crowdedTailShare*best.InterTokenP99MS),
+	)
+}
+
+// bestBaseline returns the baseline with the least stall among those that
+// complete at least as many requests as ours.
+func bestBaseline(ours *Result, same []Result) (Result, bool) {
+	var best Result
+	found := false
+	for _, spec := range Policies() {
+		for _, r := range same {
+			if r.Policy != spec.Name || !spec.Baseline || r.Completed < ours.Completed {
+				continue
+			}
+			if !found || r.StallSeconds < best.StallSeconds {
+				best, found = r, true
+			}
+		}
+	}
+	return best, found
+}
+
+func checkSurge(r *Result) []Verdict {
+	return []Verdict{
+		atMost(r, "small accounts' lookup p99 in ms against that without the surge", r.LookupP99MS, surgeLookupFactor*r.calmLookupMS),
+		atLeast(r, "Jain index over weighted shares", r.FairnessJain, leastJain),
+	}
+}
+
+func checkChurn(s *Scenario, r *Result) []Verdict {
+	bound := float64(r.interrupted) * s.DetectionMS / 1000
+	return []Verdict{atMost(r, "stall seconds against the detection bound of each interrupted generation", r.StallSeconds, bound)}
+}
+
+func atMost(r *Result, target string, figure, bound float64) Verdict {
+	return Verdict{Seed: r.Seed, Target: target, Met: figure <= bound, Figure: fmt.Sprintf("%.4g, bound at most %.4g", figure, bound)}
+}
+
+func atLeast(r *Result, target string, figure, bound float64) Verdict {
+	return Verdict{Seed: r.Seed, Target: target, Met: figure >= bound, Figure: fmt.Sprintf("%.4g, bound at least %.4g", figure, bound)}
+}
+
+func printVerdicts(w io.Writer, verdicts []Verdict) error {
+	for _, v := range verdicts {
+		word := "not met"
+		if v.Met {
+			word = "met"
+		}
+		if _, err := fmt.Fprintf(w, "# %s: seed %d: %s: %s\n", word, v.Seed, v.Target, v.Figure); err != nil {
+			return eris.Wrap(err, "print a verdict; check the output")
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/experiment/compare.go
@@ -0,0 +1,103 @@
+package experiment
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+
+	"github.com/rotisserie/eris"
+)
+
+// Compare runs the named policies, or all, on one or more seeds and prints one
+// JSON line a policy and seed, the summary of several seeds, and the targets.
+func Compare(w io.Writer, s *Scenario, seed uint64, seeds int, names []string) error {
+	specs, err := choosePolicies(names)
+	if err != nil {
+		return err
+	}
+	rates := Capacity(s)
+	_, err = fmt.Fprintf(w, "# capacity %.1f requests/s, %.0f tokens/s, %.1f sequences an engine; offered %.2f of it\n",
+		rates.RequestsPerSecond, rates.TokensPerSecond, rates.Batch, s.Load)
+	if err != nil {
+		return eris.Wrap(err, "print the capacity; check the output")
+	}
+	var all []Result
+	for i := range max(1, seeds) {
+		results := runAll(s, specs, seed+uint64(i))
+		all = append(all, results...)
+		if err := printJSON(w, results); err != nil {
+			return err
+		}
+	}
+	if seeds > 1 {
+		if err := printSummary(w, summarize(all, specs)); err != nil {
+			return err
+		}
+	}
+	return printVerdicts(w, Check(s, all))
+}
+
+func choosePolicies(names []string) ([]PolicySpec, error) {
+	all := Policies()
+	if len(names) == 0 {
+		return all, nil
+	}
+	var chosen []PolicySpec
+	for _, name := range names {
+		i := slices.IndexFunc(all, func(p PolicySpec) bool { return p.Name == name })
+		if i < 0 {
+			return nil, eris.Errorf("unknown policy %q; see the policy names of a run without --policies", name)
+		}
+		chosen = append(chosen, all[i])
+	}
+	return chosen, nil
+}
+
+// parallelRuns bounds the runs at a time. Each is deterministic by itself.
+const parallelRuns = 4
+
+func runAll(s *Scenario, specs []PolicySpec, seed uint64) []Result {
+	arrivals := Arrivals(s, seed)
+	calm := calmOf(s)
+	var calmArrivals []Arrival
+	if calm != nil {
+		calmArrivals = Arrivals(calm, seed)
+	}
+	results := make([]Result, len(specs))
+	slots := make(chan struct{}, parallelRuns)
+	var group sync.WaitGroup
+	for i, spec := range specs {
+		group.Go(func() {
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			results[i] = Run(s, spec, seed, arrivals)
+			if calm != nil {
+				results[i].calmLookupMS = Run(calm, spec, seed, calmArrivals).LookupP99MS
+			}
+		})
+	}
+	group.Wait()
+	return results
+}
+
+// calmOf returns the scenario without its surge, or nil if it has none.
+func calmOf(s *Scenario) *Scenario {
+	if s.Surge == nil {
+		return nil
+	}
+	calm := *s
+	calm.Surge = nil
+	return &calm
+}
+
+func printJSON(w io.Writer, results []Result) error {
+	encoder := json.NewEncoder(w)
+	for _, r := range results {
+		if err := encoder.Encode(r); err != nil {
+			return eris.Wrap(err, "print a result; check the output")
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/load/command.go
@@ -0,0 +1,15 @@
+// Package load holds the subcommands of hitchload.
+package load
+
+import "github.com/spf13/cobra"
+
+// Command returns the root command of hitchload.
+func Command() *cobra.Command {
+	root := &cobra.Command{
+		Use:          "hitchload",
+		Short:        "Measure corianderhitch",
+		SilenceUsage: true,
+	}
+	root.AddCommand(ExperimentCommand())
+	return root
+}
--- /dev/null
+++ b/internal/scheduling/baseline/reportedload.go
@@ -0,0 +1,33 @@
+package baseline
+
+import "corianderhitch/internal/scheduling"
+
+// reportedLoad sends each request to the target whose last report shows the
+// fewest sequences, and of these the one with the most free memory.
+type reportedLoad struct{}
+
+// NewReportedLoad returns the policy reported_load.
+func NewReportedLoad() scheduling.Policy { return newGreedy(reportedLoad{}, "least reported load") }
+
+func (reportedLoad) choose(_ *scheduling.Request, usable []scheduling.Target) (string, bool) {
+	if len(usable) == 0 {
+		return "", false
+	}
+	best := usable[0]
+	for _, t := range usable[1:] {
+		if lighter(&t, &best) {
+			best = t
+		}
+	}
+	return best.Name, true
+}
+
+func lighter(a, b *scheduling.Target) bool {
+	if la, lb := a.Running+a.Waiting, b.Running+b.Waiting; la != lb {
+		return la < lb
+	}
+	return a.UsedBlocks < b.UsedBlocks
+}
+
+func (reportedLoad) granted(*scheduling.Request, string) {}
+func (reportedLoad) ended(*scheduling.Request, string)   {}
