--- a/internal/experiment/engineslot.go
+++ b/internal/experiment/engineslot.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"corianderhitch/api/engine"
 	"corianderhitch/internal/enginemodel"
 )
 
@@ -35,9 +36,16 @@
 		CacheLag:            milliseconds(r.scenario.Reports.CacheLagMS),
 		CacheLoss:           r.scenario.Reports.CacheLossPercent / 100,
 		MaxWaiting:          maxEngineWaiting,
+		Loaded:              []engine.Loaded{{Model: model, Version: version}},
 	})
 }
 
+// The model version that all requests of the experiment use.
+const (
+	model   = "model"
+	version = "1"
+)
+
 // maxEngineWaiting is large enough that engines themselves refuse nothing.
 const maxEngineWaiting = 1 << 20
 
@@ -48,9 +56,9 @@
 		return
 	}
 	slot.scheduled = at
-	engine := slot.engine
+	running := slot.engine
 	r.time.at(at, func() {
-		if slot.engine != engine || !slot.scheduled.Equal(at) {
+		if slot.engine != running || !slot.scheduled.Equal(at) {
 			return
 		}
 		slot.scheduled = time.Time{}
--- a/internal/experiment/runner.go
+++ b/internal/experiment/runner.go
@@ -114,7 +114,7 @@
 func (r *runner) request(c *call) scheduling.Request {
 	a := c.arrival
 	request := scheduling.Request{
-		Ticket: c.ticket, Account: a.Account.Name, Model: "model", Version: "1", Class: a.Class.Name,
+		Ticket: c.ticket, Account: a.Account.Name, Model: model, Version: version, Class: a.Class.Name,
 		Priority: a.Class.Priority, Weight: a.Account.Weight, MayBeLate: a.Class.MayBeLate,
 		PromptTokens: a.Prompt, Produced: c.delivered, MaxTokens: a.Class.MaxTokens,
 		PrefixHashes: a.Hashes, Submitted: r.time.now, Fingerprint: a.Fingerprint, Avoid: c.avoid,
@@ -169,7 +169,7 @@
 	}
 	a := c.arrival
 	err := slot.engine.Submit(r.time.now, enginemodel.Submission{
-		ID: c.ticket, Priority: a.Class.Priority, PromptTokens: a.Prompt, PrefixHashes: a.Hashes,
+		ID: c.ticket, Model: model, Version: version, Priority: a.Class.Priority, PromptTokens: a.Prompt, PrefixHashes: a.Hashes,
 		MaxTokens: a.Class.MaxTokens, Length: a.Output, Produced: c.delivered, Crash: a.Crashing,
 	})
 	if err != nil {
