--- /dev/null
+++ b/internal/engineclient/errors.go
@@ -0,0 +1,52 @@
+package engineclient
+
+import (
+	"errors"
+
+	"github.com/rotisserie/eris"
+
+	"corianderhitch/api/problem"
+	"corianderhitch/internal/outbound"
+)
+
+// Sentinel errors of a Client. Test with errors.Is.
+var (
+	// ErrNotSent means that no byte of the request left.
+	ErrNotSent = eris.New("engine: not reachable and nothing was sent; try another target")
+	// ErrRefused means that the engine refused before running. The error is a *RefusedError.
+	ErrRefused = eris.New("engine: refused before running; try another target or come back later")
+	// ErrBroken means that the stream or the request broke after bytes left.
+	ErrBroken = eris.New("engine: connection broke after bytes left; attach again at the offset")
+	// ErrUnknownGeneration means that the engine does not know the generation.
+	ErrUnknownGeneration = eris.New("engine: generation is unknown there; it ended long ago or the engine restarted")
+	// ErrFailed means that the engine ended the generation with an error. The
+	// error is a *FailedError.
+	ErrFailed = eris.New("engine: generation failed")
+	// ErrProtocol means that the answer is not what api/engine states.
+	ErrProtocol = eris.New("engine: answer breaks the protocol; check the engine's version")
+)
+
+// RefusedError carries the problem of an engine that did not run the request.
+type RefusedError struct{ Problem *problem.Error }
+
+// Error implements error.
+func (e *RefusedError) Error() string { return "engine: refused before running: " + e.Problem.Error() }
+
+// Is matches ErrRefused.
+func (e *RefusedError) Is(target error) bool { return target == ErrRefused }
+
+// FailedError carries the problem that ended a generation.
+type FailedError struct{ Problem *problem.Error }
+
+// Error implements error.
+func (e *FailedError) Error() string { return "engine: generation failed: " + e.Problem.Error() }
+
+// Is matches ErrFailed.
+func (e *FailedError) Is(target error) bool { return target == ErrFailed }
+
+func fromOutbound(err error) error {
+	if errors.Is(err, outbound.ErrNotSent) {
+		return eris.Wrap(ErrNotSent, err.Error())
+	}
+	return eris.Wrap(ErrBroken, err.Error())
+}
