--- a/internal/engineclient/client.go
+++ b/internal/engineclient/client.go
@@ -54,7 +54,7 @@
 	}
 	resp, err := c.transport.Do(req)
 	if err != nil {
-		return fromOutbound(err)
+		return &SendError{Cause: err}
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotFound {
@@ -78,7 +78,7 @@
 	resp, err := c.transport.Do(req)
 	if err != nil {
 		cancel()
-		return nil, fromOutbound(err)
+		return nil, &SendError{Cause: err}
 	}
 	if resp.StatusCode != http.StatusOK {
 		defer cancel()
--- a/internal/engineclient/errors.go
+++ b/internal/engineclient/errors.go
@@ -44,9 +44,20 @@
 // Is matches ErrFailed.
 func (e *FailedError) Is(target error) bool { return target == ErrFailed }
 
-func fromOutbound(err error) error {
-	if errors.Is(err, outbound.ErrNotSent) {
-		return eris.Wrap(ErrNotSent, err.Error())
+// SendError is a request to an engine without an answer. It matches ErrNotSent
+// or ErrBroken and unwraps to the cause.
+type SendError struct{ Cause error }
+
+// Error implements error.
+func (e *SendError) Error() string { return "engine: " + e.Cause.Error() }
+
+// Is matches ErrNotSent or ErrBroken.
+func (e *SendError) Is(target error) bool {
+	if errors.Is(e.Cause, outbound.ErrNotSent) {
+		return target == ErrNotSent
 	}
-	return eris.Wrap(ErrBroken, err.Error())
+	return target == ErrBroken
 }
+
+// Unwrap returns the cause.
+func (e *SendError) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/internal/outbound/error.go
@@ -0,0 +1,32 @@
+package outbound
+
+import (
+	"errors"
+	"syscall"
+)
+
+// SendError is a request without an answer. It matches ErrNotSent or ErrBroken
+// and unwraps to its cause.
+type SendError struct {
+	BytesLeft bool
+	Cause     error
+}
+
+// Error implements error.
+func (e *SendError) Error() string { return e.sentinel().Error() + ": " + e.Cause.Error() }
+
+// Is matches ErrNotSent or ErrBroken.
+func (e *SendError) Is(target error) bool { return target == e.sentinel() }
+
+// Unwrap returns the cause.
+func (e *SendError) Unwrap() error { return e.Cause }
+
+func (e *SendError) sentinel() error {
+	if e.BytesLeft {
+		return ErrBroken
+	}
+	return ErrNotSent
+}
+
+// IsConnectionRefused tells whether no process listens at the target.
+func IsConnectionRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
--- a/internal/outbound/transport.go
+++ b/internal/outbound/transport.go
@@ -9,7 +9,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -134,11 +133,5 @@
 	if err == nil {
 		return resp, nil
 	}
-	if used.bytesLeft() {
-		return nil, eris.Wrap(ErrBroken, err.Error())
-	}
-	return nil, eris.Wrap(ErrNotSent, err.Error())
+	return nil, &SendError{BytesLeft: used.bytesLeft(), Cause: err}
 }
-
-// IsNotSent tells whether err proves that nothing left.
-func IsNotSent(err error) bool { return errors.Is(err, ErrNotSent) }
