--- /dev/null
+++ b/internal/gateway/fleet/reports.go
@@ -0,0 +1,129 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"corianderhitch/api/control"
+	"corianderhitch/internal/platform"
+)
+
+const (
+	// finishBatch is the time for which ended tickets are collected.
+	finishBatch = 20 * time.Millisecond
+	// reportTimeout bounds the wait for an agent to take a report.
+	reportTimeout = 1 * time.Second
+	// maxBatch bounds the reports of one call.
+	maxBatch = 512
+)
+
+func (f *Fleet) finish(agent string, finished control.Finished) {
+	select {
+	case f.finished <- report{agent: agent, finished: finished}:
+	default: // owners forget tickets by themselves
+	}
+}
+
+// sendFinished sends ended tickets in batches, one call an owner.
+func (f *Fleet) sendFinished(ctx context.Context) {
+	for {
+		var first report
+		select {
+		case <-ctx.Done():
+			f.flushFinished(f.collect(nil))
+			return
+		case first = <-f.finished:
+		}
+		pause(ctx, finishBatch)
+		f.flushFinished(f.collect([]report{first}))
+	}
+}
+
+func (f *Fleet) collect(batch []report) []report {
+	for len(batch) < maxBatch {
+		select {
+		case r := <-f.finished:
+			batch = append(batch, r)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+// flushFinished uses a context of its own, so that a stopping gateway still
+// returns its places.
+func (f *Fleet) flushFinished(batch []report) {
+	byAgent := make(map[string][]control.Finished)
+	for _, r := range batch {
+		byAgent[r.agent] = append(byAgent[r.agent], r.finished)
+	}
+	for agent, finished := range byAgent {
+		if f.isCut(agent) {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+		err := f.pool.Call(ctx, agent, "Scheduler.Finish", control.FinishArgs{Finished: finished}, new(control.Empty))
+		cancel()
+		if err != nil {
+			f.options.Log.Debug("owner did not take ended tickets", "owner", agent, "error", err)
+		}
+	}
+}
+
+// Report passes on an event that the data path saw. Targets that are leaving or
+// down get nothing new from this gateway for a while.
+func (f *Fleet) Report(news control.News) {
+	if news.Kind == control.NewsLeaving || news.Kind == control.NewsDown || news.Kind == control.NewsCrash {
+		f.avoid.add(news.Target, time.Now())
+	}
+	select {
+	case f.news <- news:
+	default:
+	}
+}
+
+// Usable returns the targets that this gateway has no reason to avoid, or all if
+// none is left.
+func (f *Fleet) Usable(targets []platform.Target) []platform.Target {
+	if kept := Without(targets, f.avoid.names(time.Now())); len(kept) > 0 {
+		return kept
+	}
+	return targets
+}
+
+func (f *Fleet) sendNews(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case first := <-f.news:
+			f.flushNews(ctx, f.collectNews(first))
+		}
+	}
+}
+
+func (f *Fleet) collectNews(first control.News) []control.News {
+	batch := []control.News{first}
+	for len(batch) < maxBatch {
+		select {
+		case n := <-f.news:
+			batch = append(batch, n)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+func (f *Fleet) flushNews(ctx context.Context, batch []control.News) {
+	for _, agent := range f.agentOrder() {
+		callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
+		err := f.pool.Call(callCtx, agent, "Control.News", control.NewsArgs{News: batch}, new(control.Empty))
+		cancel()
+		if err == nil || ctx.Err() != nil {
+			return
+		}
+		f.cut(agent)
+	}
+}
--- /dev/null
+++ b/internal/gateway/runner/attachment.go
@@ -0,0 +1,197 @@
+package runner
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"corianderhitch/api/engine"
+	"corianderhitch/api/problem"
+	"corianderhitch/internal/engineclient"
+	"corianderhitch/internal/gateway/stream"
+)
+
+// attachment opens one attachment and reads it until the machine asks for
+// another step.
+func (s *session) attachment() stream.Step {
+	epoch := s.machine.Attaching()
+	ctx, span := s.r.tracer.Start(s.ctx, "attach", trace.WithAttributes(
+		attribute.String("target", s.target().Name), attribute.Int("offset", s.machine.Next())))
+	defer span.End()
+	events, err := s.open(ctx)
+	if err != nil {
+		failure := classify(err, s.attached)
+		s.note(err, failure)
+		return s.machine.Failed(epoch, failure)
+	}
+	defer events.Close()
+	s.attached = true
+	s.machine.Attached(epoch)
+	if s.sink != nil {
+		s.sink.Placed(s.target(), s.machine.Generation())
+	}
+	step := s.read(epoch, events)
+	if step.Kind == stream.StepFinish {
+		events.Drain()
+	}
+	return step
+}
+
+// open sends the request of the current mode and waits for its acceptance.
+func (s *session) open(ctx context.Context) (*engineclient.Stream, error) {
+	openCtx, cancel := context.WithCancel(ctx)
+	timer := time.AfterFunc(openTimeout, cancel)
+	defer timer.Stop()
+	address, generation := s.target().Address, s.machine.Generation()
+	if s.mode == modeAttach {
+		s.r.metrics.Resume("reattach")
+		return s.r.engines.Attach(openCtx, address, generation, s.machine.Next())
+	}
+	request := engine.GenerateRequest{
+		ID:        generation,
+		RequestID: s.job.Admit.RequestID,
+		Model:     s.job.Admit.Model,
+		Version:   s.job.Admit.Version,
+		Adapter:   s.job.Admit.Adapter,
+		Prompt:    s.job.Prompt,
+		MaxTokens: s.job.Admit.MaxTokens,
+		Priority:  s.job.Admit.Priority,
+	}
+	if s.mode == modeContinue {
+		// The answer starts at offset 0, so that the machine compares what the
+		// engine holds with what the caller has.
+		request.Prefix = s.machine.Tokens()
+	}
+	return s.r.engines.Start(openCtx, address, request)
+}
+
+// watchdog closes a stream that sends nothing for too long.
+type watchdog struct {
+	timer *time.Timer
+	fired atomic.Bool
+}
+
+func newWatchdog(events *engineclient.Stream, bound time.Duration) *watchdog {
+	w := &watchdog{}
+	w.timer = time.AfterFunc(bound, func() {
+		w.fired.Store(true)
+		events.Close()
+	})
+	return w
+}
+
+// read feeds the machine from one attachment.
+func (s *session) read(epoch int, events *engineclient.Stream) stream.Step {
+	dog := newWatchdog(events, s.bound())
+	defer dog.timer.Stop()
+	for {
+		if !events.Buffered() {
+			s.flush(dog)
+			dog.timer.Reset(s.bound())
+		}
+		event, err := events.Next()
+		if err != nil {
+			dog.timer.Stop()
+			return s.broken(epoch, err, dog.fired.Load())
+		}
+		if event.Done != nil {
+			s.reason = event.Done.Reason
+			return s.machine.Done(epoch, *event.Done)
+		}
+		step := s.machine.Token(epoch, event.Token)
+		if step.Kind == stream.StepAccept {
+			s.deliver(event.Token)
+			continue
+		}
+		if step.Kind != stream.StepIgnore {
+			s.lastErr = engineclient.ErrProtocol
+			return step
+		}
+	}
+}
+
+// bound returns how long the next token may take. It does not reach past the
+// deadline of the first one.
+func (s *session) bound() time.Duration {
+	bound := s.stall
+	if deadline := s.job.Admit.Deadline; s.waitsForFirst() && !deadline.IsZero() {
+		bound = min(bound, max(time.Until(deadline), 0)+time.Millisecond)
+	}
+	return bound
+}
+
+func (s *session) waitsForFirst() bool {
+	return s.machine.Next() == 0 && s.sent == 0 && !s.job.WholeAnswer
+}
+
+// broken handles the end of an attachment without the end of the generation.
+func (s *session) broken(epoch int, err error, stalled bool) stream.Step {
+	failure := classify(err, true)
+	if stalled {
+		failure = s.stalled()
+	}
+	s.note(err, failure)
+	return s.machine.Failed(epoch, failure)
+}
+
+// stalled lengthens the bound, since the engine has accepted the attachment.
+func (s *session) stalled() stream.Failure {
+	if time.Since(s.lastSeen) > stallLimit {
+		return stream.FailureEngine
+	}
+	s.stall = min(2*s.stall, maxStallBound)
+	return stream.FailureStalled
+}
+
+func (s *session) deliver(token engine.Token) {
+	now := time.Now()
+	if token.Offset == 0 {
+		s.r.metrics.FirstToken(now.Sub(s.job.Started))
+	} else {
+		s.r.metrics.InterToken(now.Sub(s.lastSeen))
+	}
+	s.lastSeen = now
+	s.stall = s.job.StallBound
+	if s.sink == nil || token.Offset < s.sent {
+		return
+	}
+	if err := s.sink.Token(token.Offset, token.Text); err != nil {
+		s.detach()
+		return
+	}
+	s.sent = token.Offset + 1
+}
+
+// flush sends collected tokens. A slow caller holds up only its own stream.
+func (s *session) flush(dog *watchdog) {
+	if s.sink == nil {
+		return
+	}
+	dog.timer.Stop()
+	if err := s.sink.Flush(); err != nil {
+		s.detach()
+	}
+}
+
+// detach goes on without the caller, so that it can come back. It ends with the
+// runner.
+func (s *session) detach() {
+	s.sink = nil
+	s.gone = true
+	context.AfterFunc(s.r.life, s.cancel)
+}
+
+// late tells whether the deadline of the first token has passed.
+func (s *session) late() *problem.Error {
+	deadline := s.job.Admit.Deadline
+	if !s.waitsForFirst() || deadline.IsZero() || time.Now().Before(deadline) {
+		return nil
+	}
+	return problem.New(problem.KindDeadline, http.StatusGatewayTimeout, problem.RanUnknown,
+		"come back with the same Idempotency-Key, or allow a later first token",
+		"the engine sent no token before the deadline").WithRetry(failedRetry)
+}
--- /dev/null
+++ b/internal/gateway/runner/failure.go
@@ -0,0 +1,65 @@
+package runner
+
+import (
+	"errors"
+	"net/http"
+
+	"corianderhitch/api/problem"
+	"corianderhitch/internal/engineclient"
+	"corianderhitch/internal/gateway/stream"
+	"corianderhitch/internal/gateway/verdict"
+	"corianderhitch/internal/outbound"
+)
+
+// classify maps an error of the engine client to a failure of the stream.
+// Attached tells whether this engine has accepted an attachment before.
+func classify(err error, attached bool) stream.Failure {
+	switch {
+	case isDead(err) && attached:
+		return stream.FailureDied
+	case errors.Is(err, engineclient.ErrUnknownGeneration):
+		if attached {
+			return stream.FailureDied
+		}
+		return stream.FailureRefused
+	case errors.Is(err, engineclient.ErrNotSent):
+		return stream.FailureNotSent
+	case errors.Is(err, engineclient.ErrRefused):
+		return stream.FailureRefused
+	case errors.Is(err, engineclient.ErrFailed):
+		return stream.FailureEngine
+	case errors.Is(err, engineclient.ErrProtocol):
+		return stream.FailureProtocol
+	default:
+		return stream.FailureBroken
+	}
+}
+
+// isDead tells whether nothing listens at the engine's address.
+func isDead(err error) bool {
+	return errors.Is(err, engineclient.ErrNotSent) && outbound.IsConnectionRefused(err)
+}
+
+// failed builds the final answer of a stream that failed.
+func failed(reason stream.Reason, delivered bool, ran bool, last error) *problem.Error {
+	evidence := verdict.Evidence{Dispatched: ran, Answered: delivered}
+	e := reasonError(reason, verdict.Ran(evidence))
+	return e.WithCause(last)
+}
+
+func reasonError(reason stream.Reason, ran problem.Ran) *problem.Error {
+	switch reason {
+	case stream.ReasonCrash:
+		return problem.New(problem.KindCrashSuspect, http.StatusUnprocessableEntity, ran,
+			"don't send this request again; report it to the operator",
+			"several engines died while they ran this request")
+	case stream.ReasonLost, stream.ReasonMismatch:
+		return problem.New(problem.KindGenerationLost, http.StatusBadGateway, ran,
+			"drop the tokens received and send the request with a new Idempotency-Key",
+			"the engine of this generation is gone and no other can continue it")
+	default:
+		return problem.New(problem.KindTargetFailed, http.StatusBadGateway, ran,
+			"come back after the named time with the same Idempotency-Key",
+			"no engine could run the request within the retry budget").WithRetry(failedRetry)
+	}
+}
--- /dev/null
+++ b/internal/gateway/runner/runner.go
@@ -0,0 +1,131 @@
+// Package runner runs generations: it asks for a place, attaches to the engine,
+// feeds the stream machine and does what it decides.
+package runner
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/trace"
+
+	"corianderhitch/api/control"
+	"corianderhitch/api/problem"
+	"corianderhitch/internal/engineclient"
+	"corianderhitch/internal/gateway/fleet"
+	"corianderhitch/internal/gateway/metrics"
+	"corianderhitch/internal/gateway/stream"
+	"corianderhitch/internal/platform"
+)
+
+// Fleet is what the runner needs of the agents.
+type Fleet interface {
+	Admit(ctx context.Context, args control.AdmitArgs) (*fleet.Place, error)
+	Attached(target platform.Target, fingerprint uint64) *fleet.Place
+	End(place *fleet.Place, produced int, complete bool)
+	Register(ctx context.Context, entry control.DirectoryEntry) (control.DirectoryEntry, bool)
+	Report(news control.News)
+	InFlight() *fleet.InFlight
+}
+
+// Runner runs generations. It is safe for concurrent use.
+type Runner struct {
+	engines *engineclient.Client
+	fleet   Fleet
+	metrics *metrics.Metrics
+	log     *slog.Logger
+	tracer  trace.Tracer
+	limits  stream.Limits
+
+	// life ends at Stop: background cancellations and generations whose callers
+	// have gone end with it.
+	life  context.Context
+	stop  context.CancelFunc
+	tasks sync.WaitGroup
+}
+
+// New returns a Runner. Call Stop at the end.
+func New(engines *engineclient.Client, f Fleet, m *metrics.Metrics, log *slog.Logger) *Runner {
+	life, stop := context.WithCancel(context.Background())
+	return &Runner{
+		engines: engines,
+		fleet:   f,
+		metrics: m,
+		log:     log,
+		tracer:  otel.Tracer("corianderhitch/gateway"),
+		limits:  stream.DefaultLimits(),
+		life:    life,
+		stop:    stop,
+	}
+}
+
+// Stop ends what runs for nobody and waits for it. Streams with callers are not
+// touched.
+func (r *Runner) Stop() {
+	r.stop()
+	r.tasks.Wait()
+}
+
+// Run runs a job until its end. While it waits for a place, the end of ctx gives
+// it up. Later a lost caller only ends the delivery: the generation goes on, so
+// that the caller can come back for it.
+func (r *Runner) Run(ctx context.Context, job Job, sink Sink) Result {
+	ctx, span := r.tracer.Start(ctx, "completion")
+	defer span.End()
+	s := newSession(r, ctx, job, sink)
+	defer s.close()
+	return s.run()
+}
+
+const (
+	// cancelFor is how long the runner tries to cancel a generation on an engine
+	// that it has left.
+	cancelFor = 30 * time.Second
+	// cancelTimeout bounds one attempt.
+	cancelTimeout = 2 * time.Second
+	// cancelPause separates attempts.
+	cancelPause = 500 * time.Millisecond
+)
+
+// cancelLater cancels a generation on an engine that may be frozen or cut off.
+func (r *Runner) cancelLater(target platform.Target, generation string) {
+	if r.life.Err() != nil {
+		return
+	}
+	r.tasks.Go(func() {
+		ctx, cancel := context.WithTimeout(r.life, cancelFor)
+		defer cancel()
+		for ctx.Err() == nil {
+			if r.Cancel(ctx, target, generation) == nil {
+				return
+			}
+			wait(ctx, cancelPause)
+		}
+	})
+}
+
+// Cancel ends a generation on an engine. An engine that does not exist any more
+// counts as success.
+func (r *Runner) Cancel(ctx context.Context, target platform.Target, generation string) error {
+	callCtx, cancel := context.WithTimeout(ctx, cancelTimeout)
+	defer cancel()
+	err := r.engines.Cancel(callCtx, target.Address, generation)
+	if isDead(err) {
+		return nil
+	}
+	return err
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// pass is what Run returns for a problem before anything was attached.
+func pass(err error) Result { return Result{Err: problem.From(err)} }
--- /dev/null
+++ b/internal/gateway/stream/machine.go
@@ -0,0 +1,233 @@
+// Package stream decides how a caller gets each token of one generation exactly
+// once and in order, while connections break and engines go away.
+//
+// A Machine is a pure state machine: it does no I/O and reads no clock. The I/O
+// side attaches to engines, feeds what it sees and does what Step says. Inputs
+// carry the epoch of their attachment; those of an old one are ignored, so that
+// a frozen engine that wakes up adds nothing.
+package stream
+
+import "corianderhitch/api/engine"
+
+// Limits bounds the effort for one request.
+type Limits struct {
+	// Reattach is the number of failed attachments in a row after which an
+	// engine counts as gone.
+	Reattach int
+	// Moves is the number of times that the request goes to another engine.
+	Moves int
+	// Crashes is the number of engines that may die while they run the request.
+	Crashes int
+	// Refusals is the number of engines that may refuse or not be reachable
+	// before one runs the request.
+	Refusals int
+}
+
+// DefaultLimits are the limits of the gateway. Two crashes bound the damage of a
+// request that kills its engines.
+func DefaultLimits() Limits { return Limits{Reattach: 2, Moves: 4, Crashes: 2, Refusals: 6} }
+
+// Options describe a stream.
+type Options struct {
+	Limits     Limits
+	Generation string
+	// MayContinue states that another engine may continue from the prefix.
+	MayContinue bool
+	// WholeAnswer states that the caller gets nothing before the end, so that a
+	// restart is invisible at any time.
+	WholeAnswer bool
+	// Fixed states that the request cannot go to another engine, since its
+	// prompt is not known here.
+	Fixed bool
+	// Delivered is the number of tokens that the caller holds already.
+	Delivered int
+}
+
+// Machine holds the state of one stream. It is not safe for concurrent use.
+type Machine struct {
+	options    Options
+	generation string
+	epoch      int
+	tokens     []string // tokens [0, len) of the generation
+	ran        bool     // an engine may have run some of it
+	over       bool
+
+	failures int // failed attachments in a row
+	moves    int
+	crashes  int
+	refusals int
+}
+
+// New returns a Machine before its first attachment.
+func New(options Options) *Machine {
+	return &Machine{options: options, generation: options.Generation}
+}
+
+// Generation returns the id of the generation.
+func (m *Machine) Generation() string { return m.generation }
+
+// Tokens returns the tokens known so far. They must not be changed.
+func (m *Machine) Tokens() []string { return m.tokens }
+
+// Next returns the offset that the next attachment asks for.
+func (m *Machine) Next() int { return len(m.tokens) }
+
+// Ran tells whether an engine may have run the request.
+func (m *Machine) Ran() bool { return m.ran }
+
+// Attaching starts a new attachment and returns its epoch. The attachment asks
+// for the tokens from offset on, which is at most Next.
+func (m *Machine) Attaching() int {
+	m.epoch++
+	return m.epoch
+}
+
+// Attached tells that the engine has accepted the attachment.
+func (m *Machine) Attached(epoch int) {
+	if epoch == m.epoch {
+		m.ran = true
+		m.failures = 0
+	}
+}
+
+// Restarted names the new generation after StepRestart.
+func (m *Machine) Restarted(generation string) {
+	m.generation = generation
+	m.tokens = nil
+}
+
+// Token takes a token.
+func (m *Machine) Token(epoch int, token engine.Token) Step {
+	if epoch != m.epoch || m.over {
+		return Step{Kind: StepIgnore}
+	}
+	m.ran = true
+	switch {
+	case token.Generation != m.generation, token.Offset < 0, token.Offset > len(m.tokens):
+		return m.Failed(epoch, FailureProtocol) // a crossed stream or a gap
+	case token.Offset < len(m.tokens):
+		if m.tokens[token.Offset] != token.Text {
+			return m.mismatch()
+		}
+		return Step{Kind: StepIgnore}
+	}
+	m.tokens = append(m.tokens, token.Text)
+	m.failures = 0
+	return Step{Kind: StepAccept}
+}
+
+// Done takes the end of the generation.
+func (m *Machine) Done(epoch int, done engine.Done) Step {
+	if epoch != m.epoch || m.over {
+		return Step{Kind: StepIgnore}
+	}
+	m.ran = true
+	switch {
+	case done.Generation != m.generation, done.Tokens > len(m.tokens):
+		return m.Failed(epoch, FailureProtocol)
+	case done.Tokens < len(m.tokens):
+		return m.mismatch()
+	}
+	m.over = true
+	return Step{Kind: StepFinish}
+}
+
+// Failed takes the end of an attachment. Any later input of the same epoch is
+// ignored.
+func (m *Machine) Failed(epoch int, failure Failure) Step {
+	if epoch != m.epoch || m.over {
+		return Step{Kind: StepIgnore}
+	}
+	m.epoch++
+	switch failure {
+	case FailureRefused, FailureNotSent:
+		return m.refused(failure)
+	case FailureDied:
+		return m.died()
+	case FailureEngine:
+		m.ran = true
+		return m.move(true)
+	default:
+		return m.broken()
+	}
+}
+
+// refused handles an engine that surely did not run this attachment.
+func (m *Machine) refused(failure Failure) Step {
+	m.refusals++
+	if m.refusals > m.options.Limits.Refusals {
+		return m.fail(ReasonRetries)
+	}
+	if m.ran && failure == FailureNotSent {
+		return m.broken()
+	}
+	return m.move(m.ran)
+}
+
+func (m *Machine) died() Step {
+	if m.ran {
+		m.crashes++
+	}
+	if m.crashes >= m.options.Limits.Crashes {
+		return m.fail(ReasonCrash)
+	}
+	return m.move(false)
+}
+
+// broken attaches again until the engine counts as gone. Bytes may have left, so
+// the engine may run the request.
+func (m *Machine) broken() Step {
+	m.ran = true
+	m.failures++
+	if m.failures <= m.options.Limits.Reattach {
+		return Step{Kind: StepAttach}
+	}
+	return m.move(true)
+}
+
+// move leaves the engine. Another one continues the generation or runs it again.
+func (m *Machine) move(leave bool) Step {
+	m.failures = 0
+	if m.ran {
+		m.moves++
+	}
+	if m.moves > m.options.Limits.Moves {
+		return m.fail(ReasonRetries)
+	}
+	switch {
+	case m.options.Fixed:
+		return m.fail(ReasonLost)
+	case len(m.tokens) > 0 && len(m.tokens) >= m.options.Delivered && m.options.MayContinue:
+		return Step{Kind: StepContinue, Leave: leave}
+	case m.invisible():
+		return Step{Kind: StepRestart, Leave: leave}
+	default:
+		return m.fail(ReasonLost)
+	}
+}
+
+// mismatch handles an engine that contradicts the tokens that are known.
+func (m *Machine) mismatch() Step {
+	m.epoch++
+	if !m.invisible() {
+		return m.fail(ReasonMismatch)
+	}
+	m.moves++
+	if m.moves > m.options.Limits.Moves {
+		return m.fail(ReasonRetries)
+	}
+	return Step{Kind: StepRestart, Leave: true}
+}
+
+// invisible tells whether the caller has seen nothing of the generation yet.
+func (m *Machine) invisible() bool {
+	if m.options.Delivered > 0 || m.options.Fixed {
+		return false
+	}
+	return m.options.WholeAnswer || len(m.tokens) == 0
+}
+
+func (m *Machine) fail(reason Reason) Step {
+	m.over = true
+	return Step{Kind: StepFail, Reason: reason, Leave: m.ran}
+}
