--- /dev/null
+++ b/internal/gateway/api/account.go
@@ -0,0 +1,91 @@
+package api
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"corianderhitch/api/problem"
+	"corianderhitch/internal/document"
+	"corianderhitch/internal/gateway/fleet"
+)
+
+// request is one authenticated request of a caller.
+type request struct {
+	*http.Request
+	view    *fleet.View
+	account *document.Account
+	started time.Time
+}
+
+// handler answers a request. A returned error is sent as a problem document.
+type handler func(w http.ResponseWriter, r *request) error
+
+// tracer names the spans of the gateway.
+var tracer = otel.Tracer("corianderhitch/gateway")
+
+// accountOnly authenticates, limits, counts and traces the requests of h.
+func (s *Server) accountOnly(kind string, h handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, hr *http.Request) {
+		ctx := otel.GetTextMapPropagator().Extract(hr.Context(), propagation.HeaderCarrier(hr.Header))
+		ctx, span := tracer.Start(ctx, "gateway "+kind, trace.WithSpanKind(trace.SpanKindServer))
+		defer span.End()
+		defer s.metrics.Begin()()
+		err := s.serve(w, hr.WithContext(ctx), kind, h)
+		outcome := "ok"
+		if err != nil {
+			e := problem.From(err)
+			outcome = string(e.Kind)
+			if e.Cause != nil {
+				s.log.Debug("request failed", "kind", e.Kind, "ran", e.Ran, "error", e.Cause)
+			}
+			if e.Kind == problem.KindInternal {
+				s.log.Error("request failed by an unexpected error", "error", err)
+			}
+			problem.Write(w, e)
+		}
+		span.SetAttributes(attribute.String("outcome", outcome))
+		s.metrics.Request(kind, outcome)
+	})
+}
+
+func (s *Server) serve(w http.ResponseWriter, hr *http.Request, kind string, h handler) error {
+	if !s.enter() {
+		w.Header().Set("Connection", "close")
+		return draining()
+	}
+	defer s.running.Done()
+	r, err := s.authenticate(hr)
+	if err != nil {
+		return err
+	}
+	if kind == "completion" || kind == "service" {
+		leave, err := s.limits.Enter(r.account.Name, r.account.Limits, r.started)
+		if err != nil {
+			return err
+		}
+		defer leave()
+	}
+	return h(w, r)
+}
+
+func (s *Server) authenticate(hr *http.Request) (*request, error) {
+	view := s.view.View()
+	if view.Index == nil {
+		return nil, notReady()
+	}
+	scheme, key, _ := strings.Cut(hr.Header.Get("Authorization"), " ")
+	if !strings.EqualFold(scheme, "Bearer") {
+		return nil, unauthenticated()
+	}
+	account, ok := view.Index.AccountByKey(strings.TrimSpace(key))
+	if !ok {
+		return nil, unauthenticated()
+	}
+	return &request{Request: hr, view: view, account: account, started: time.Now()}, nil
+}
--- a/internal/gateway/runner/session.go
+++ b/internal/gateway/runner/session.go
@@ -77,6 +77,7 @@
 		options.Generation = job.Resume.Generation
 		options.Delivered = job.Resume.Delivered
 		options.Fixed = job.Resume.Fixed
+		options.Ran = true
 		s.sent = job.Resume.Delivered
 	}
 	s.machine = stream.New(options)
@@ -194,7 +195,7 @@
 		s.job.Admit.Version, s.job.Admit.Adapter = winner.Version, winner.Adapter
 	}
 	s.endPlace(false)
-	s.machine.Restarted(winner.Generation)
+	s.machine.Join(winner.Generation)
 	s.place = s.r.fleet.Attached(winner.Target, s.job.Admit.Fingerprint)
 	s.r.metrics.Resume("directory")
 	return nil
--- /dev/null
+++ b/internal/gateway/services/once.go
@@ -0,0 +1,111 @@
+package services
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"corianderhitch/api/problem"
+	"corianderhitch/internal/gateway/api"
+	"corianderhitch/internal/ledger"
+)
+
+// once runs a call that may not be repeated. The caller's leaving does not cut
+// it: its outcome is kept for the resend.
+func (c *Caller) once(ctx context.Context, call api.ServiceCall, timeout time.Duration) (api.ServiceAnswer, error) {
+	decision, err := c.ledger.Claim(ctx, ledger.Call{
+		Account:  call.Account,
+		Key:      call.Service + "/" + call.Key,
+		BodyHash: ledger.BodyHash(call.Method, call.Path+"?"+call.Query, call.Body),
+	})
+	if err != nil {
+		c.metrics.Call(string(problem.From(err).Kind))
+		return api.ServiceAnswer{}, err
+	}
+	if decision.Replay != nil {
+		c.metrics.Call("replayed")
+		return replay(*decision.Replay)
+	}
+	c.metrics.Call("claimed")
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
+	defer cancel()
+	return c.dispatch(ctx, call, decision.Claim)
+}
+
+// dispatch sends a claimed call. It goes to another target only after one that
+// surely did not run it.
+func (c *Caller) dispatch(ctx context.Context, call api.ServiceCall, claim *ledger.Claim) (api.ServiceAnswer, error) {
+	var tried []string
+	var last *attempt
+	for len(tried) < maxTargets && claim.Fresh() && ctx.Err() == nil {
+		target, err := c.pick(call, tried)
+		if err != nil {
+			if last != nil {
+				break
+			}
+			claim.Release()
+			return api.ServiceAnswer{}, err
+		}
+		tried = append(tried, target.Name)
+		last = c.send(ctx, call, target, c.transport.DoOnce)
+		if !last.surelyNotRun() {
+			return c.settle(ctx, claim, last)
+		}
+		c.metrics.Retry("not-run")
+	}
+	claim.Release()
+	if last == nil {
+		return api.ServiceAnswer{}, paused()
+	}
+	if last.err == nil {
+		return last.answer, nil // the target's own refusal
+	}
+	return api.ServiceAnswer{}, last.failure()
+}
+
+// settle ends the claim of a call that was dispatched.
+func (c *Caller) settle(ctx context.Context, claim *ledger.Claim, a *attempt) (api.ServiceAnswer, error) {
+	if a.err != nil {
+		claim.Abandon()
+		c.metrics.Call("outcome-unknown")
+		return api.ServiceAnswer{}, unknown(a)
+	}
+	claim.Complete(context.WithoutCancel(ctx), ledger.Outcome{
+		Status:      a.answer.Status,
+		ContentType: a.answer.Header.Get("Content-Type"),
+		Body:        a.answer.Body,
+		BodyBytes:   len(a.answer.Body),
+	})
+	return a.answer, nil
+}
+
+func unknown(a *attempt) *problem.Error {
+	e := a.failure()
+	if e.Ran != problem.RanUnknown {
+		return e
+	}
+	return problem.New(problem.KindOutcomeUnknown, http.StatusBadGateway, e.Ran,
+		"check at the service whether the call took effect before sending it with a new Idempotency-Key",
+		"the target gave no whole answer after the call was sent").WithCause(a.err)
+}
+
+func paused() *problem.Error {
+	return problem.New(problem.KindOverloaded, http.StatusServiceUnavailable, problem.RanNo,
+		"come back after the named time with the same Idempotency-Key",
+		"the gateway was paused before the call was sent").WithRetry(noTargetRetry)
+}
+
+// replay answers with the outcome of an earlier sending.
+func replay(outcome ledger.Outcome) (api.ServiceAnswer, error) {
+	if !outcome.Kept() {
+		return api.ServiceAnswer{}, problem.New(problem.KindTooLarge, http.StatusGone, problem.RanYes,
+			"ask the service for the result",
+			"an earlier sending ran with status %d and its answer of %d bytes was too large to keep",
+			outcome.Status, outcome.BodyBytes)
+	}
+	answer := api.ServiceAnswer{Status: outcome.Status, Header: make(http.Header), Body: outcome.Body, Replayed: true}
+	if outcome.ContentType != "" {
+		answer.Header.Set("Content-Type", outcome.ContentType)
+	}
+	return answer, nil
+}
--- a/internal/gateway/stream/machine.go
+++ b/internal/gateway/stream/machine.go
@@ -36,6 +36,8 @@
 	// WholeAnswer states that the caller gets nothing before the end, so that a
 	// restart is invisible at any time.
 	WholeAnswer bool
+	// Ran states that an engine may have run some of the generation already.
+	Ran bool
 	// Fixed states that the request cannot go to another engine, since its
 	// prompt is not known here.
 	Fixed bool
@@ -60,7 +62,7 @@
 
 // New returns a Machine before its first attachment.
 func New(options Options) *Machine {
-	return &Machine{options: options, generation: options.Generation}
+	return &Machine{options: options, generation: options.Generation, ran: options.Ran}
 }
 
 // Generation returns the id of the generation.
@@ -96,6 +98,13 @@
 	m.tokens = nil
 }
 
+// Join takes the place of the own generation by one that runs already. It is
+// called before the first attachment.
+func (m *Machine) Join(generation string) {
+	m.generation = generation
+	m.ran = true
+}
+
 // Token takes a token.
 func (m *Machine) Token(epoch int, token engine.Token) Step {
 	if epoch != m.epoch || m.over {
