--- /dev/null
+++ b/internal/delivery/owner.go
@@ -0,0 +1,25 @@
+package delivery
+
+import (
+	"strconv"
+
+	"corianderhitch/internal/rendezvous"
+)
+
+// ownsShard tells whether a host searches a shard. A host that knows of no
+// others searches all.
+func ownsShard(host string, shard int, hosts []string) bool {
+	if !contains(hosts, host) {
+		hosts = append([]string{host}, hosts...)
+	}
+	return rendezvous.Owner("late-shard/"+strconv.Itoa(shard), hosts) == host
+}
+
+func contains(list []string, item string) bool {
+	for _, x := range list {
+		if x == item {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/delivery/problems.go
@@ -0,0 +1,45 @@
+package delivery
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"corianderhitch/api/problem"
+	"corianderhitch/internal/platform"
+)
+
+// storeRetry is when a caller should come back while the store is down.
+const storeRetry = 2 * time.Second
+
+func overBudget(after time.Duration) *problem.Error {
+	return problem.New(problem.KindOverloaded, http.StatusServiceUnavailable, problem.RanNo,
+		"come back after the named time with the same Idempotency-Key",
+		"the budget for late drafts is used up").WithRetry(after)
+}
+
+// notRecorded refuses a draft whose record did not come about for sure, or may
+// stand although no answer came.
+func notRecorded(err error) *problem.Error {
+	ran := problem.RanUnknown
+	if errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrRateLimited) || errors.Is(err, platform.ErrTooLarge) {
+		ran = problem.RanNo
+	}
+	return storeDown(err, ran)
+}
+
+func storeDown(err error, ran problem.Ran) *problem.Error {
+	return problem.New(problem.KindStoreUnavailable, http.StatusServiceUnavailable, ran,
+		"come back after the named time with the same Idempotency-Key",
+		"the store that keeps late drafts gives no answer now").WithRetry(storeRetry).WithCause(err)
+}
+
+func canceled() *problem.Error {
+	return problem.New(problem.KindNotFound, http.StatusGone, problem.RanUnknown,
+		"send a new request", "the draft was canceled")
+}
+
+func expired() *problem.Error {
+	return problem.New(problem.KindDeadline, http.StatusGatewayTimeout, problem.RanUnknown,
+		"send the draft again with a new Idempotency-Key", "the draft could not be finished within the retention")
+}
--- a/internal/gateway/api/account.go
+++ b/internal/gateway/api/account.go
@@ -36,6 +36,9 @@
 		ctx, span := tracer.Start(ctx, "gateway "+kind, trace.WithSpanKind(trace.SpanKindServer))
 		defer span.End()
 		defer s.metrics.Begin()()
+		control := http.NewResponseController(w)
+		_ = control.SetWriteDeadline(time.Time{})
+		defer func() { _ = control.SetWriteDeadline(time.Now().Add(s.settings.SlowCaller)) }()
 		err := s.serve(w, hr.WithContext(ctx), kind, h)
 		outcome := "ok"
 		if err != nil {
--- a/internal/gateway/api/decode.go
+++ b/internal/gateway/api/decode.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -23,8 +24,15 @@
 // maxDeadlineMS bounds a caller's deadline: one hour.
 const maxDeadlineMS = 3_600_000
 
-// readBody reads a bounded body.
+// bodyTimeout bounds the time that a caller may take to send its body.
+const bodyTimeout = 30 * time.Second
+
+// readBody reads a bounded body. The read deadline is taken back afterwards, as
+// it would end the request's context during a long answer.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
--- a/internal/gateway/fleet/admit.go
+++ b/internal/gateway/fleet/admit.go
@@ -9,7 +9,6 @@
 	"corianderhitch/api/control"
 	"corianderhitch/api/problem"
 	"corianderhitch/internal/platform"
-	"corianderhitch/internal/rendezvous"
 	"corianderhitch/internal/rpcconn"
 )
 
@@ -40,10 +39,10 @@
 	args.Host, args.Region = f.options.Host, f.options.Region
 	args.Avoid = append(args.Avoid, f.avoid.names(time.Now())...)
 	view := f.View()
-	owners := rendezvous.Ranked(args.Model+"/"+args.Region, view.aliveHosts())
+	owners := view.rankedHosts(args.Model + "/" + args.Region)
 	for _, host := range owners[:min(len(owners), ownersAsked)] {
 		address := view.agentAddress(host)
-		if f.isCut(address) {
+		if address == "" || f.isCut(address) {
 			continue
 		}
 		reply, err := f.ask(ctx, host, address, args)
--- a/internal/gateway/fleet/directory.go
+++ b/internal/gateway/fleet/directory.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"corianderhitch/api/control"
-	"corianderhitch/internal/rendezvous"
 )
 
 const (
@@ -42,10 +41,10 @@
 
 func (f *Fleet) directoryAgents(account, requestID string) []string {
 	view := f.View()
-	ranked := rendezvous.Ranked(account+"/"+requestID, view.aliveHosts())
+	ranked := view.rankedHosts(account + "/" + requestID)
 	var agents []string
 	for _, host := range ranked {
-		if address := view.agentAddress(host); !f.isCut(address) && len(agents) < directoryOwners {
+		if address := view.agentAddress(host); address != "" && !f.isCut(address) && len(agents) < directoryOwners {
 			agents = append(agents, address)
 		}
 	}
--- a/internal/gateway/fleet/view.go
+++ b/internal/gateway/fleet/view.go
@@ -7,6 +7,7 @@
 	"corianderhitch/api/control"
 	"corianderhitch/internal/document"
 	"corianderhitch/internal/platform"
+	"corianderhitch/internal/rendezvous"
 )
 
 // View is what the gateway knows of document, targets and hosts at an instant.
@@ -33,6 +34,18 @@
 // AliveHosts returns the names of the hosts that take work, in order.
 func (v *View) AliveHosts() []string { return v.aliveHosts() }
 
+// rankedHosts returns the hosts among which agents rank the owners of pools:
+// suspected ones are still counted, but not asked.
+func (v *View) rankedHosts(key string) []string {
+	var hosts []string
+	for _, m := range v.Members {
+		if m.State == control.MemberAlive || m.State == control.MemberSuspect {
+			hosts = append(hosts, m.Host)
+		}
+	}
+	return rendezvous.Ranked(key, hosts)
+}
+
 func (v *View) agentAddress(host string) string {
 	for _, m := range v.Members {
 		if m.Host == host && m.State == control.MemberAlive {
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,202 @@
+// Package gateway is the gateway program: it serves callers and sends their
+// requests to engines and plain services.
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel/metric"
+
+	"corianderhitch/internal/delivery"
+	"corianderhitch/internal/engineclient"
+	"corianderhitch/internal/gateway/api"
+	"corianderhitch/internal/gateway/fleet"
+	"corianderhitch/internal/gateway/ids"
+	"corianderhitch/internal/gateway/metrics"
+	"corianderhitch/internal/gateway/runner"
+	"corianderhitch/internal/gateway/services"
+	"corianderhitch/internal/ledger"
+	"corianderhitch/internal/logging"
+	"corianderhitch/internal/outbound"
+	"corianderhitch/internal/platform"
+	"corianderhitch/internal/resumetoken"
+	"corianderhitch/internal/rpcconn"
+)
+
+// Gateway is a running gateway.
+type Gateway struct {
+	settings Settings
+	log      *slog.Logger
+	listener net.Listener
+	server   *http.Server
+	api      *api.Server
+	fleet    *fleet.Fleet
+	pool     *rpcconn.Pool
+	out      *outbound.Transport
+	runner   *runner.Runner
+	ledger   *ledger.Ledger
+	late     *delivery.Service
+
+	life  context.Context
+	end   context.CancelFunc
+	tasks sync.WaitGroup
+	unfit sync.Once
+	stops chan struct{} // closed when the gateway begins to stop
+}
+
+// Start begins to serve. Call Stop.
+func Start(log *slog.Logger, s Settings, store platform.Store, meter metric.Meter) (*Gateway, error) {
+	keys, err := resumetoken.ParseKeys(s.TokenKeys)
+	if err != nil {
+		return nil, eris.Wrap(err, "--token-keys")
+	}
+	instruments, err := metrics.New(meter)
+	if err != nil {
+		return nil, eris.Wrap(err, "gateway: cannot create the metrics")
+	}
+	listener, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		return nil, eris.Wrapf(err, "cannot listen on %s; choose another --listen", s.Listen)
+	}
+	if s.Advertise == "" {
+		s.Advertise = listener.Addr().String()
+	}
+	g := &Gateway{settings: s, log: log, listener: listener, stops: make(chan struct{})}
+	g.life, g.end = context.WithCancel(context.Background())
+	g.build(store, instruments, keys)
+	g.serve()
+	return g, nil
+}
+
+func (g *Gateway) build(store platform.Store, m *metrics.Metrics, keys *resumetoken.Keyring) {
+	s := g.settings
+	g.pool = rpcconn.NewPool(rpcconn.TCP)
+	g.out = outbound.New()
+	g.fleet = fleet.New(fleet.Options{
+		Host: s.Host, Region: s.Region, GatewayAddr: s.Advertise, Agents: s.Agents, Log: logging.Part(g.log, "fleet"),
+	}, g.pool)
+	g.runner = runner.New(engineclient.New(g.out), g.fleet, m, logging.Part(g.log, "runner"))
+	drafts := &draftRunner{fleet: g.fleet, runner: g.runner}
+	claims := ledger.DefaultSettings()
+	claims.ClaimTimeout = s.ClaimTimeout
+	g.ledger = ledger.New(store, s.Host, drafts.callRetention, ids.New, claims, logging.Part(g.log, "ledger"))
+	g.late = delivery.New(store, g.lateSettings(drafts), drafts.run, logging.Part(g.log, "delivery"))
+	g.api = api.New(api.Parts{
+		Settings: api.Settings{MaxBodyBytes: int64(s.MaxBody), SlowCaller: s.SlowCaller, TokenLife: s.TokenLife},
+		View:     g.fleet,
+		Runner:   g.runner,
+		Late:     g.late,
+		Services: services.New(s.Region, g.fleet, g.ledger, g.out, m, logging.Part(g.log, "services")),
+		Keys:     keys,
+		Metrics:  m,
+		Log:      logging.Part(g.log, "api"),
+	})
+}
+
+const (
+	// lateStoreTimeout bounds one step of late delivery with the store.
+	lateStoreTimeout = 5 * time.Second
+	// lateRetry separates the attempts of a draft where no time is named.
+	lateRetry = 1 * time.Second
+)
+
+func (g *Gateway) lateSettings(d *draftRunner) delivery.Settings {
+	return delivery.Settings{
+		Host:           g.settings.Host,
+		WritesPerSec:   g.settings.LateWrites,
+		Concurrent:     g.settings.LateRunning,
+		StoreTimeout:   lateStoreTimeout,
+		ScanInterval:   g.settings.LateScan,
+		RetryPause:     lateRetry,
+		MaxAge:         d.lateRetention,
+		AnswersKeptFor: d.lateRetention,
+		PendingLimit:   d.pendingLimit,
+		AliveHosts:     d.liveGateways,
+	}
+}
+
+// idleTimeout closes connections of callers without requests.
+const idleTimeout = 2 * time.Minute
+
+func (g *Gateway) serve() {
+	router := mux.NewRouter().SkipClean(true)
+	g.api.Register(router)
+	g.server = &http.Server{
+		Handler:           router,
+		ReadHeaderTimeout: g.settings.HeaderTime,
+		MaxHeaderBytes:    g.settings.MaxHeader,
+		IdleTimeout:       idleTimeout,
+		ErrorLog:          slog.NewLogLogger(logging.Part(g.log, "http").Handler(), slog.LevelDebug),
+	}
+	g.tasks.Go(func() { g.fleet.Run(g.life) })
+	g.tasks.Go(func() { _ = g.server.Serve(g.listener) })
+	g.late.Start()
+	g.log.Info("Gateway serves.", "address", g.Address())
+}
+
+// Address returns the address for callers.
+func (g *Gateway) Address() string { return g.listener.Addr().String() }
+
+// Ready tells whether the balancer may send new requests here.
+func (g *Gateway) Ready() bool {
+	select {
+	case <-g.stops:
+		return false
+	default:
+		return g.fleet.View().Index != nil
+	}
+}
+
+// Stop drains the gateway: it is not ready first, then refuses new requests, and
+// waits for those in progress until ctx ends.
+func (g *Gateway) Stop(ctx context.Context) {
+	g.unfit.Do(func() { close(g.stops) })
+	g.fleet.Drain()
+	g.log.Info("Gateway drains.")
+	wait(ctx, g.settings.DrainNotice)
+	g.api.Drain()
+	g.runner.Drain()
+	g.awaitRequests(ctx)
+	g.late.Stop(ctx)
+	g.ledger.Stop(ctx)
+	g.runner.Stop()
+	g.end()
+	_ = g.server.Close()
+	g.tasks.Wait()
+	g.pool.Close()
+	g.out.Close()
+	g.log.Info("Gateway stopped.")
+}
+
+// awaitRequests waits for requests in progress. Their answers leave before the
+// connections are closed.
+func (g *Gateway) awaitRequests(ctx context.Context) {
+	done := make(chan struct{})
+	g.tasks.Go(func() {
+		g.api.Wait()
+		close(done)
+	})
+	select {
+	case <-done:
+		_ = g.server.Shutdown(ctx)
+	case <-ctx.Done():
+		g.log.Warn("Requests in progress are cut at the drain timeout.")
+		_ = g.server.Close()
+	}
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/gateway/runner/attachment.go
+++ b/internal/gateway/runner/attachment.go
@@ -177,12 +177,12 @@
 	}
 }
 
-// detach goes on without the caller, so that it can come back. It ends with the
-// runner.
+// detach goes on without the caller, so that it can come back, until the
+// runner drains.
 func (s *session) detach() {
 	s.sink = nil
 	s.gone = true
-	context.AfterFunc(s.r.life, s.cancel)
+	context.AfterFunc(s.r.attended, s.cancel)
 }
 
 // late tells whether the deadline of the first token has passed.
--- a/internal/gateway/runner/runner.go
+++ b/internal/gateway/runner/runner.go
@@ -39,31 +39,36 @@
 	tracer  trace.Tracer
 	limits  stream.Limits
 
-	// life ends at Stop: background cancellations and generations whose callers
-	// have gone end with it.
-	life  context.Context
-	stop  context.CancelFunc
-	tasks sync.WaitGroup
+	attended context.Context // ends at Drain: generations whose callers have gone are left
+	drain    context.CancelFunc
+	life     context.Context // ends at Stop: background cancellations end
+	stop     context.CancelFunc
+	tasks    sync.WaitGroup
 }
 
 // New returns a Runner. Call Stop at the end.
 func New(engines *engineclient.Client, f Fleet, m *metrics.Metrics, log *slog.Logger) *Runner {
+	attended, drain := context.WithCancel(context.Background())
 	life, stop := context.WithCancel(context.Background())
 	return &Runner{
-		engines: engines,
-		fleet:   f,
-		metrics: m,
-		log:     log,
-		tracer:  otel.Tracer("corianderhitch/gateway"),
-		limits:  stream.DefaultLimits(),
-		life:    life,
-		stop:    stop,
+		engines:  engines,
+		fleet:    f,
+		metrics:  m,
+		log:      log,
+		tracer:   otel.Tracer("corianderhitch/gateway"),
+		limits:   stream.DefaultLimits(),
+		attended: attended, drain: drain,
+		life: life, stop: stop,
 	}
 }
 
-// Stop ends what runs for nobody and waits for it. Streams with callers are not
-// touched.
+// Drain leaves the generations whose callers have gone to their engines. Others
+// are not touched.
+func (r *Runner) Drain() { r.drain() }
+
+// Stop ends background work and waits for it. Call it after the last Run.
 func (r *Runner) Stop() {
+	r.drain()
 	r.stop()
 	r.tasks.Wait()
 }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"corianderhitch/internal/platform"
+	"corianderhitch/internal/storelease"
 )
 
 // Settings bound the ledger's effort.
@@ -49,7 +50,7 @@
 	host     string
 	settings Settings
 	newID    func() string
-	leases   *leases
+	leases   *storelease.Leases
 	log      *slog.Logger
 	seen     *seen
 
@@ -67,7 +68,7 @@
 	life, stop := context.WithCancel(context.Background())
 	return &Ledger{
 		store: store, host: host, settings: settings, newID: newID, log: log,
-		leases:   newLeases(store, retention),
+		leases:   storelease.New(store, retention),
 		seen:     newSeen(),
 		settling: make(chan struct{}, settings.MaxSettling),
 		life:     life, stop: stop,
@@ -93,7 +94,7 @@
 	ctx, cancel := context.WithTimeout(ctx, l.settings.ClaimTimeout)
 	defer cancel()
 	started := time.Now()
-	lease, err := l.leases.current(ctx)
+	lease, err := l.leases.Current(ctx)
 	if err != nil {
 		return Decision{}, l.refused(call, err)
 	}
--- /dev/null
+++ b/internal/web/web.go
@@ -0,0 +1,56 @@
+// Package web serves the health and metrics endpoints of a program.
+package web
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// headerTimeout bounds the wait for a request's header.
+	headerTimeout = 5 * time.Second
+	// maxHeaderBytes bounds a request's header.
+	maxHeaderBytes = 16 << 10
+)
+
+// Server serves /livez, /readyz and /metrics.
+type Server struct {
+	server *http.Server
+	done   chan struct{}
+}
+
+// Start begins to serve on an address.
+func Start(address string, ready func() bool, metrics http.Handler) (*Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "cannot listen on %s; choose another --http", address)
+	}
+	router := mux.NewRouter()
+	router.HandleFunc("/livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }).Methods(http.MethodGet)
+	router.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !ready() {
+			http.Error(w, "no document yet, or stopping", http.StatusServiceUnavailable)
+		}
+	}).Methods(http.MethodGet)
+	router.Handle("/metrics", metrics).Methods(http.MethodGet)
+	w := &Server{
+		server: &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes},
+		done:   make(chan struct{}),
+	}
+	go func() {
+		defer close(w.done)
+		_ = w.server.Serve(listener)
+	}()
+	return w, nil
+}
+
+// Stop ends the server.
+func (w *Server) Stop(ctx context.Context) {
+	_ = w.server.Shutdown(ctx)
+	<-w.done
+}
