Whole path by separate processes; a new gateway is ready only once it knows a healthy target

Cause: make demo failed 5 of 6 runs with no-target: gateways reported ready before any agent had polled a target. Ruled out: the document (in force in every log) and the engines (listening before the hosts started). Change: Fleet.Settled (healthy target, or 5 s grace), the demo waits for healthy targets, the load tool passes a request that a stopping gateway did not take to the next one, as the platform's balancer does.

--- a/Makefile
+++ b/Makefile
@@ -32,3 +32,6 @@
 
 clean:
 	rm -rf $(BIN) out
+
+demo: build
+	scripts/demo.sh
--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -35,6 +35,7 @@
 // Fleet is the gateway's link to the agents. It is safe for concurrent use.
 type Fleet struct {
 	options  Options
+	started  time.Time
 	pool     *rpcconn.Pool
 	view     atomic.Pointer[View]
 	changed  chan struct{} // replaced at each new view
@@ -59,6 +60,7 @@
 func New(options Options, pool *rpcconn.Pool) *Fleet {
 	f := &Fleet{
 		options:  options,
+		started:  time.Now(),
 		pool:     pool,
 		changed:  make(chan struct{}),
 		inFlight: NewInFlight(),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -150,7 +150,7 @@
 	case <-g.stops:
 		return false
 	default:
-		return g.fleet.View().Index != nil
+		return g.fleet.Settled(time.Now())
 	}
 }
 
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"strings"
+	"syscall"
 	"time"
 
 	"corianderhitch/api/completion"
@@ -29,9 +31,21 @@
 	Client   *http.Client
 }
 
-// Call implements Caller.
+// Call implements Caller. Like the platform's balancer, it passes a request that
+// a stopping gateway did not take to the next one.
 func (c *GatewayCaller) Call(ctx context.Context, a Arrival) Outcome {
-	request, err := c.request(ctx, a)
+	var outcome Outcome
+	for attempt := range c.Gateways {
+		outcome = c.call(ctx, a, attempt)
+		if outcome.Refused != string(problem.KindDraining) {
+			break
+		}
+	}
+	return outcome
+}
+
+func (c *GatewayCaller) call(ctx context.Context, a Arrival, attempt int) Outcome {
+	request, err := c.request(ctx, a, attempt)
 	if err != nil {
 		return Outcome{Arrival: a, Failed: err.Error()}
 	}
@@ -39,6 +53,9 @@
 	request.Header.Set("Idempotency-Key", a.ID)
 	begin := time.Now()
 	response, err := c.Client.Do(request)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return Outcome{Arrival: a, Refused: string(problem.KindDraining)}
+	}
 	if err != nil {
 		return Outcome{Arrival: a, Failed: "connection"}
 	}
@@ -55,8 +72,8 @@
 	return Outcome{Arrival: a, First: time.Since(begin)}
 }
 
-func (c *GatewayCaller) request(ctx context.Context, a Arrival) (*http.Request, error) {
-	base := c.Gateways[hash(a.ID)%uint64(len(c.Gateways))]
+func (c *GatewayCaller) request(ctx context.Context, a Arrival, attempt int) (*http.Request, error) {
+	base := c.Gateways[(hash(a.ID)+uint64(attempt))%uint64(len(c.Gateways))]
 	switch a.Kind {
 	case KindLookup:
 		return http.NewRequestWithContext(ctx, http.MethodGet, base+"/services/"+c.Service+"/availability", nil)
@@ -91,10 +108,11 @@
 	return Outcome{Arrival: a, Failed: string(document.Kind)}
 }
 
-func decodeChunk(data []byte) (generation string, offset int, err error) {
+func decodeChunk(data []byte) (tokenEvent, error) {
 	var chunk completion.Chunk
 	if err := json.Unmarshal(data, &chunk); err != nil {
-		return "", 0, err
+		return tokenEvent{}, err
 	}
-	return chunk.Generation, chunk.Offset, nil
+	end := len(chunk.Choices) > 0 && chunk.Choices[0].FinishReason != ""
+	return tokenEvent{generation: chunk.Generation, offset: chunk.Offset, end: end}, nil
 }
--- a/internal/load/command.go
+++ b/internal/load/command.go
@@ -1,4 +1,3 @@
-// Package load holds the subcommands of hitchload.
 package load
 
 import "github.com/spf13/cobra"
@@ -10,6 +9,6 @@
 		Short:        "Measure corianderhitch",
 		SilenceUsage: true,
 	}
-	root.AddCommand(ExperimentCommand())
+	root.AddCommand(ExperimentCommand(), RunCommand(), CompareCommand(), OverheadCommand())
 	return root
 }
--- a/internal/load/enginecaller.go
+++ b/internal/load/enginecaller.go
@@ -49,10 +49,10 @@
 	return readStream(a, begin, response.Body, decodeToken)
 }
 
-func decodeToken(data []byte) (generation string, offset int, err error) {
+func decodeToken(data []byte) (tokenEvent, error) {
 	var token engine.Token
 	if err := json.Unmarshal(data, &token); err != nil {
-		return "", 0, err
+		return tokenEvent{}, err
 	}
-	return token.Generation, token.Offset, nil
+	return tokenEvent{generation: token.Generation, offset: token.Offset}, nil
 }
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -44,6 +44,7 @@
 		violation, failed string
 	}{
 		"whole":     {body: event("g", "0") + event("g", "1") + end, tokens: 2},
+		"finish":    {body: event("g", "0") + "data: {\"generation\":\"g\",\"offset\":1,\"choices\":[{\"finish_reason\":\"stop\"}]}\n\n" + end, tokens: 1},
 		"gap":       {body: event("g", "0") + event("g", "2") + end, tokens: 2, violation: "offset 2 where 1 was due"},
 		"duplicate": {body: event("g", "0") + event("g", "0") + end, tokens: 2, violation: "offset 0 where 1 was due"},
 		"spliced":   {body: event("g", "0") + event("h", "1") + end, tokens: 2, violation: "spliced"},
--- a/internal/load/sse.go
+++ b/internal/load/sse.go
@@ -16,8 +16,15 @@
 // maxEventBytes bounds one line of an SSE stream.
 const maxEventBytes = 4 << 20
 
-// decoder extracts the generation and the offset of a token event.
-type decoder func(data []byte) (generation string, offset int, err error)
+// tokenEvent is what a reader needs of one event.
+type tokenEvent struct {
+	generation string
+	offset     int
+	end        bool // the event only tells why the generation ended
+}
+
+// decoder extracts the token of an event.
+type decoder func(data []byte) (tokenEvent, error)
 
 // readStream reads an SSE answer to its end and checks that the offsets have no
 // gap and no duplicate and come from one generation.
@@ -72,23 +79,26 @@
 
 func (s *streamReader) token(data []byte) {
 	now := time.Now()
-	generation, offset, err := s.decode(data)
+	token, err := s.decode(data)
 	if err != nil {
 		s.outcome.Violation = "unreadable token event"
 		return
 	}
+	if token.end {
+		return
+	}
 	if s.outcome.Tokens == 0 {
-		s.generation = generation
+		s.generation = token.generation
 		s.outcome.First = now.Sub(s.begin)
 	} else {
 		s.outcome.Gaps = append(s.outcome.Gaps, now.Sub(s.last))
 	}
 	s.last = now
-	if generation != s.generation {
-		s.outcome.Violation = fmt.Sprintf("spliced: generation %s after %s", generation, s.generation)
+	if token.generation != s.generation {
+		s.outcome.Violation = fmt.Sprintf("spliced: generation %s after %s", token.generation, s.generation)
 	}
-	if offset != s.outcome.Tokens {
-		s.outcome.Violation = fmt.Sprintf("offset %d where %d was due", offset, s.outcome.Tokens)
+	if token.offset != s.outcome.Tokens {
+		s.outcome.Violation = fmt.Sprintf("offset %d where %d was due", token.offset, s.outcome.Tokens)
 	}
 	s.outcome.Tokens++
 }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -38,18 +38,19 @@
 
 step "start three hosts, each a gateway and an agent"
 start_hosts 3
+wait_healthy 4 10
 GATEWAY=${GATEWAYS%%,*}
 
 step "stream an answer"
-curl -fsSN --max-time 20 "$GATEWAY/v1/completions" -H "Authorization: Bearer $KEY" -H "Idempotency-Key: demo-1" \
-  -d '{"model":"briefing","prompt":"Trip briefing for Saturday. #len=12","stream":true}' >"$RUN/stream.txt"
+curl --fail-with-body -sSN --max-time 20 "$GATEWAY/v1/completions" -H "Authorization: Bearer $KEY" -H "Idempotency-Key: demo-1" \
+  -d '{"model":"briefing","prompt":"Trip briefing for Saturday. #len=12","stream":true}' >"$RUN/stream.txt" || fail "$(cat "$RUN/stream.txt")"
 tail -n 4 "$RUN/stream.txt"
-[ "$(grep -c '"offset"' "$RUN/stream.txt")" -eq 12 ] || fail "12 tokens expected"
+[ "$(grep '"offset"' "$RUN/stream.txt" | grep -vc finish_reason)" -eq 12 ] || fail "12 tokens expected"
 grep -q 'data: \[DONE\]' "$RUN/stream.txt" || fail "the stream did not end"
 
 step "hold a seat twice with one key: the second answer is the first, replayed"
 hold() {
-  curl -fsS --max-time 10 "$1/services/booking/seat-holds" -H "Authorization: Bearer $KEY" \
+  curl --fail-with-body -sS --max-time 10 "$1/services/booking/seat-holds" -H "Authorization: Bearer $KEY" \
     -H "Idempotency-Key: hold-1" -H "Content-Type: application/json" -d '{"berth":"B7"}'
 }
 first=$(hold "$GATEWAY")
--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -11,7 +11,7 @@
 ENGINES=""
 AGENTS=""
 ENVIRONMENT=${ENVIRONMENT:-production}
-TOKEN_KEYS=${TOKEN_KEYS:-k1:MDEyMzQ1Njc4OWFiY2RlZjAxMjM0NTY3ODlhYmNkZWY=}
+TOKEN_KEYS=${TOKEN_KEYS:-k1:000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f}
 DOMAINS=(sk-west-a sk-west-b sk-west-c)
 
 # start NAME PROGRAM ARG... starts a program with its log in RUN and sets PID.
@@ -39,7 +39,7 @@
 start_store() {
   STORE="http://127.0.0.1:$BASE_PORT"
   start store standin store --listen "127.0.0.1:$BASE_PORT"
-  wait_ok "$STORE/livez" 10
+  wait_ok "$STORE/admin/counts" 10
 }
 
 # start_engines COUNT ARG...
@@ -77,14 +77,29 @@
     start "agent-$i" agent --host "host-$i" --domain "${DOMAINS[i % 3]}" --region sk-west \
       --listen "127.0.0.1:$((BASE_PORT + 100 + i))" --http "127.0.0.1:$((BASE_PORT + 120 + i))" \
       --store "$STORE" --environment "$ENVIRONMENT" --peers "$PEERS" "$@"
-    start "gateway-$i" gateway --host "host-$i" --domain "${DOMAINS[i % 3]}" --region sk-west \
-      --listen "127.0.0.1:$((BASE_PORT + 140 + i))" --agents "127.0.0.1:$((BASE_PORT + 100 + i)),$PEERS" \
-      --store "$STORE" --environment "$ENVIRONMENT" --token-keys "$TOKEN_KEYS"
+    start "gateway-$i" gateway --host "host-$i" --region sk-west --store "$STORE" --token-keys "$TOKEN_KEYS" \
+      --listen "127.0.0.1:$((BASE_PORT + 140 + i))" --http "127.0.0.1:$((BASE_PORT + 160 + i))" \
+      --agents "127.0.0.1:$((BASE_PORT + 100 + i)),$PEERS"
     GATEWAYS="${GATEWAYS:+$GATEWAYS,}http://127.0.0.1:$((BASE_PORT + 140 + i))"
   done
   for ((i = 1; i <= count; i++)); do
     wait_ok "http://127.0.0.1:$((BASE_PORT + 120 + i))/readyz" 20
-    wait_ok "http://127.0.0.1:$((BASE_PORT + 140 + i))/readyz" 20
+    wait_ok "http://127.0.0.1:$((BASE_PORT + 160 + i))/readyz" 20
+  done
+}
+
+# wait_healthy COUNT SECONDS waits until every agent reports COUNT healthy targets.
+wait_healthy() {
+  local deadline=$((SECONDS + $2)) agent
+  for agent in ${AGENTS//,/ }; do
+    until [ "$("$BIN/hitchctl" status --store "$STORE" --environment "$ENVIRONMENT" --agent "$agent" --output json 2>/dev/null |
+      grep -ci '"healthy": *true')" -ge "$1" ]; do
+      if [ "$SECONDS" -ge "$deadline" ]; then
+        echo "agent $agent does not report $1 healthy targets" >&2
+        return 1
+      fi
+      sleep 0.1
+    done
   done
 }
 
