Split large files of the stand-ins; PATCH a store fault

Cause: files held several types; setting an outage reset the lag of the host list. Change: one type a file; PATCH /admin/fault changes only the members that the body names. Measured: tests of internal/standin and internal/platform pass; lint clean.

--- /dev/null
+++ b/internal/standin/engine/http.go
@@ -0,0 +1,44 @@
+package engine
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"corianderhitch/api/problem"
+)
+
+// maxBodyBytes bounds a request with its prompt and prefix.
+const maxBodyBytes = 16 << 20
+
+// number reads a whole number of at least 0. A missing one is zero.
+func number(text string) (int64, error) {
+	if text == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || n < 0 {
+		return 0, badRequest("the parameter %q is no whole number", text)
+	}
+	return n, nil
+}
+
+func badRequest(detail string, args ...any) error {
+	return problem.New(problem.KindBadRequest, http.StatusBadRequest, problem.RanNo, "correct the request", detail, args...)
+}
+
+// decode reads a JSON body strictly. It answers a malformed one itself.
+func decode(w http.ResponseWriter, r *http.Request, value any) bool {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(value); err != nil {
+		problem.Write(w, badRequest("the body cannot be read: %v", err))
+		return false
+	}
+	return true
+}
+
+func send(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -5,12 +5,9 @@
 
 import (
 	"context"
-	"encoding/json"
-	"io"
 	"log/slog"
 	"net/http"
 	"net/url"
-	"strconv"
 	"sync"
 	"time"
 
@@ -23,8 +20,6 @@
 )
 
 const (
-	// maxBodyBytes bounds a request with its prompt and prefix.
-	maxBodyBytes = 16 << 20
 	// defaultRetention keeps ended generations for readers that come back.
 	defaultRetention = time.Minute
 	// traceHeader carries the W3C trace context.
@@ -226,36 +221,3 @@
 	load := s.model.CurrentLoad(time.Now())
 	return load.Running+load.Waiting > 0
 }
-
-// number reads a whole number of at least 0. A missing one is zero.
-func number(text string) (int64, error) {
-	if text == "" {
-		return 0, nil
-	}
-	n, err := strconv.ParseInt(text, 10, 64)
-	if err != nil || n < 0 {
-		return 0, badRequest("the parameter %q is no whole number", text)
-	}
-	return n, nil
-}
-
-func badRequest(detail string, args ...any) error {
-	return problem.New(problem.KindBadRequest, http.StatusBadRequest, problem.RanNo, "correct the request", detail, args...)
-}
-
-// decode reads a JSON body strictly. It answers a malformed one itself.
-func decode(w http.ResponseWriter, r *http.Request, value any) bool {
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(value); err != nil {
-		problem.Write(w, badRequest("the body cannot be read: %v", err))
-		return false
-	}
-	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, 1))
-	return true
-}
-
-func send(w http.ResponseWriter, value any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(value)
-}
--- /dev/null
+++ b/internal/standin/service/calls.go
@@ -0,0 +1,41 @@
+package service
+
+import "net/http"
+
+func (s *Server) holdSeat(r *http.Request) (any, error) {
+	var body SeatHold
+	if err := decode(r, &body); err != nil || body.Berth == "" {
+		return nil, badRequest("the body names no berth")
+	}
+	return s.execute(r, body.Berth, s.holds), nil
+}
+
+func (s *Server) dispatch(r *http.Request) (any, error) {
+	var body Dispatch
+	if err := decode(r, &body); err != nil || body.Box == "" {
+		return nil, badRequest("the body names no box")
+	}
+	return s.execute(r, body.Box, s.dispatches), nil
+}
+
+func (s *Server) availability(r *http.Request) (any, error) {
+	s.record(r, r.URL.Query().Get("berth"))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Availability{Service: s.options.Name, Holds: copyOf(s.holds)}, nil
+}
+
+func (s *Server) history(r *http.Request) (any, error) {
+	s.record(r, r.URL.Query().Get("box"))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return History{Service: s.options.Name, Dispatches: copyOf(s.dispatches)}, nil
+}
+
+// execute runs a call that must not be repeated.
+func (s *Server) execute(r *http.Request, subject string, counts map[string]int) Executed {
+	s.mu.Lock()
+	counts[subject]++
+	s.mu.Unlock()
+	return Executed{Service: s.options.Name, Execution: s.record(r, subject), Subject: subject}
+}
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -31,54 +31,8 @@
 	maxBodyBytes = 1 << 20
 	// leavingRetry is when a caller may ask again; it will be sent elsewhere.
 	leavingRetry = time.Second
-	// idempotencyKey names the header that carries the caller's key.
-	idempotencyKey = "Idempotency-Key"
-	// traceHeader carries the W3C trace context.
-	traceHeader = "Traceparent"
 )
 
-// SeatHold is the body of POST /seat-holds.
-type SeatHold struct {
-	Berth string `json:"berth"`
-}
-
-// Dispatch is the body of POST /dispatches.
-type Dispatch struct {
-	Box string `json:"box"`
-}
-
-// Executed answers a call that must not be repeated. Execution is its number in
-// the journal.
-type Executed struct {
-	Service   string `json:"service"`
-	Execution int    `json:"execution"`
-	Subject   string `json:"subject"` // berth or box
-}
-
-// Availability answers GET /availability with the holds of each berth so far.
-type Availability struct {
-	Service string         `json:"service"`
-	Holds   map[string]int `json:"holds"`
-}
-
-// History answers GET /history with the dispatches of each box so far.
-type History struct {
-	Service    string         `json:"service"`
-	Dispatches map[string]int `json:"dispatches"`
-}
-
-// Entry is one execution in the journal. Number gives the order.
-type Entry struct {
-	Number  int       `json:"number"`
-	Time    time.Time `json:"time"`
-	Service string    `json:"service"`
-	Method  string    `json:"method"`
-	Path    string    `json:"path"`
-	Key     string    `json:"key,omitempty"`     // Idempotency-Key
-	Subject string    `json:"subject,omitempty"` // berth or box
-	Trace   string    `json:"trace,omitempty"`   // traceparent header
-}
-
 // Options configure a Server.
 type Options struct {
 	Name    string // of the target
@@ -135,61 +89,6 @@
 	return r
 }
 
-func (s *Server) holdSeat(r *http.Request) (any, error) {
-	var body SeatHold
-	if err := decode(r, &body); err != nil || body.Berth == "" {
-		return nil, badRequest("the body names no berth")
-	}
-	return s.execute(r, body.Berth, s.holds), nil
-}
-
-func (s *Server) dispatch(r *http.Request) (any, error) {
-	var body Dispatch
-	if err := decode(r, &body); err != nil || body.Box == "" {
-		return nil, badRequest("the body names no box")
-	}
-	return s.execute(r, body.Box, s.dispatches), nil
-}
-
-func (s *Server) availability(r *http.Request) (any, error) {
-	s.record(r, r.URL.Query().Get("berth"))
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return Availability{Service: s.options.Name, Holds: copyOf(s.holds)}, nil
-}
-
-func (s *Server) history(r *http.Request) (any, error) {
-	s.record(r, r.URL.Query().Get("box"))
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return History{Service: s.options.Name, Dispatches: copyOf(s.dispatches)}, nil
-}
-
-// execute runs a call that must not be repeated.
-func (s *Server) execute(r *http.Request, subject string, counts map[string]int) Executed {
-	s.mu.Lock()
-	counts[subject]++
-	s.mu.Unlock()
-	return Executed{Service: s.options.Name, Execution: s.record(r, subject), Subject: subject}
-}
-
-// record writes the journal and returns the number of the execution.
-func (s *Server) record(r *http.Request, subject string) int {
-	var number int
-	err := s.options.Journal.Append(func(n int) Entry {
-		number = n
-		return Entry{
-			Number: n, Time: time.Now(), Service: s.options.Name, Method: r.Method, Path: r.URL.Path,
-			Key: r.Header.Get(idempotencyKey), Subject: subject,
-			Trace: r.Header.Get(traceHeader),
-		}
-	})
-	if err != nil {
-		s.log.Error("cannot write the journal", "error", err)
-	}
-	return number
-}
-
 func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	leaving := s.leaving
--- a/internal/standin/store/admin.go
+++ b/internal/standin/store/admin.go
@@ -18,6 +18,7 @@
 //
 //	GET    /admin/fault                   memstore.Fault
 //	PUT    /admin/fault                   memstore.Fault replaces the fault
+//	PATCH  /admin/fault                   memstore.Fault changes the members that the body names
 //	GET    /admin/counts                  memstore.Counts
 //	GET    /admin/targets                 []platform.Target without lag
 //	PUT    /admin/targets                 []platform.Target replaces the list
@@ -27,6 +28,7 @@
 func (s *Server) addAdmin(r *mux.Router) {
 	r.HandleFunc("/admin/fault", s.getFault).Methods(http.MethodGet)
 	r.HandleFunc("/admin/fault", s.putFault).Methods(http.MethodPut)
+	r.HandleFunc("/admin/fault", s.patchFault).Methods(http.MethodPatch)
 	r.HandleFunc("/admin/counts", s.counts).Methods(http.MethodGet)
 	r.HandleFunc("/admin/targets", s.currentTargets).Methods(http.MethodGet)
 	r.HandleFunc("/admin/targets", s.putTargets).Methods(http.MethodPut)
@@ -48,6 +50,15 @@
 	answer(w, fault, nil)
 }
 
+func (s *Server) patchFault(w http.ResponseWriter, r *http.Request) {
+	fault := s.store.Fault()
+	if !decode(w, r, &fault) {
+		return
+	}
+	s.store.SetFault(fault)
+	answer(w, fault, nil)
+}
+
 func (s *Server) counts(w http.ResponseWriter, _ *http.Request) {
 	answer(w, s.store.Counts(), nil)
 }
