--- a/internal/enginemodel/engine_test.go
+++ b/internal/enginemodel/engine_test.go
@@ -250,3 +250,20 @@
 	}
 	require.Equal(t, 500*time.Millisecond, epoch.Add(time.Hour).Sub(e.Load(epoch.Add(time.Hour)).ReportedAt), "after a pause")
 }
+
+func TestStepDoesNotAllocate(t *testing.T) {
+	config := testConfig()
+	config.TotalBlocks, config.ReportEvery, config.ReportLag = 1<<30, 100*time.Millisecond, time.Second
+	e := New(config)
+	for i := range 32 {
+		require.NoError(t, e.Submit(epoch, Submission{ID: fmt.Sprint(i), Model: "m", Version: "1", PromptTokens: 9, Length: 1 << 40}))
+	}
+	step := func() {
+		next, _ := e.NextStep()
+		e.Step(next)
+	}
+	for range 200 {
+		step()
+	}
+	require.Zero(t, testing.AllocsPerRun(1000, step))
+}
--- a/internal/standin/engine/server_test.go
+++ b/internal/standin/engine/server_test.go
@@ -13,9 +13,11 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
@@ -210,6 +212,53 @@
 	require.Equal(t, whole, strings.Join(r.Prefix, "")+rest)
 }
 
+// readInParts reads a generation over many connections, each cut after a few
+// tokens.
+func (f *fixture) readInParts(t *testing.T, r apiengine.GenerateRequest) (string, apiengine.Done) {
+	var text strings.Builder
+	response := f.do(t, http.MethodPost, "/v1/generations", r)
+	for offset := 0; ; {
+		stream := newReader(t, response)
+		for range 1 + offset%9 {
+			name, data := stream.next()
+			if name == "done" {
+				var done apiengine.Done
+				require.NoError(t, json.Unmarshal([]byte(data), &done))
+				require.NoError(t, stream.body.Close())
+				return text.String(), done
+			}
+			var token apiengine.Token
+			require.NoError(t, json.Unmarshal([]byte(data), &token))
+			text.WriteString(token.Text)
+			offset++
+		}
+		require.NoError(t, stream.body.Close())
+		response = f.do(t, http.MethodGet, fmt.Sprintf("/v1/generations/%s?offset=%d", r.ID, offset), nil)
+	}
+}
+
+func TestReconnectingReadersLoseNothingUnderPreemption(t *testing.T) {
+	f := start(t, func(o *Options) { o.Model.TotalBlocks = 6 })
+	const generations = 8
+	var readers sync.WaitGroup
+	for i := range generations {
+		readers.Go(func() {
+			r := generate(fmt.Sprint("g", i), "#len=150")
+			text, done := f.readInParts(t, r)
+			n, err := enginemodel.CheckText(text, enginemodel.Identity{Generation: r.ID, Model: "m", Version: "1"}.Tag())
+			assert.NoError(t, err)
+			assert.Equal(t, 150, n)
+			assert.Equal(t, 150, done.Tokens)
+		})
+	}
+	readers.Wait()
+	var state State
+	f.json(t, http.MethodGet, "/admin/state", nil, &state)
+	require.Positive(t, state.Stats.Preemptions)
+	require.EqualValues(t, generations*150, state.Stats.Tokens)
+	require.Len(t, f.server.entries(0), 2*generations, "one start and one end each")
+}
+
 func TestCancelEndsTheStream(t *testing.T) {
 	f := start(t, nil)
 	stream := newReader(t, f.do(t, http.MethodPost, "/v1/generations", generate("g", "#len=1000000")))
