Prove invariants with real processes behind a fault proxy

Cause: every property needs a proof that can be run again. A restarted gateway without a document counted as a step back (test fault, mended).

--- a/Makefile
+++ b/Makefile
@@ -35,3 +35,7 @@
 
 demo: build
 	scripts/demo.sh
+
+# prove brings every fault about with real processes; SEED draws moments.
+prove:
+	$(GO) test ./tests/prove -count=1 -timeout 10m -v -seed $(SEED) | grep -E '^(PASS|FAIL)  |passed, |^seed |^ok|^FAIL|_test.go:|Messages:|Error:'
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -71,6 +71,9 @@
 	g := &Gateway{settings: s, log: log, listener: listener, stops: make(chan struct{})}
 	g.life, g.end = context.WithCancel(context.Background())
 	g.build(store, instruments, keys)
+	if err := metrics.ObserveRevision(meter, g.revision); err != nil {
+		return nil, eris.Wrap(err, "gateway: cannot create the metrics")
+	}
 	g.serve()
 	return g, nil
 }
@@ -144,6 +147,14 @@
 // Address returns the address for callers.
 func (g *Gateway) Address() string { return g.listener.Addr().String() }
 
+// revision returns the document revision in force, 0 if there is none.
+func (g *Gateway) revision() int64 {
+	if index := g.fleet.View().Index; index != nil {
+		return index.Revision()
+	}
+	return 0
+}
+
 // Ready tells whether the balancer may send new requests here.
 func (g *Gateway) Ready() bool {
 	select {
--- /dev/null
+++ b/tests/prove/admin_test.go
@@ -0,0 +1,212 @@
+package prove
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"corianderhitch/api/control"
+	"corianderhitch/internal/enginemodel"
+	"corianderhitch/internal/platform"
+	"corianderhitch/internal/platform/memstore"
+	"corianderhitch/internal/rpcconn"
+)
+
+// hitchctl runs the operators' command line and returns its output and exit code.
+func hitchctl(t testing.TB, args ...string) (string, int) {
+	t.Helper()
+	cmd := exec.Command(filepath.Join(binDir, "hitchctl"), args...)
+	out, err := cmd.CombinedOutput()
+	if err != nil && cmd.ProcessState == nil {
+		require.NoError(t, err)
+	}
+	return string(out), cmd.ProcessState.ExitCode()
+}
+
+// send calls an admin path of a stand-in and requires success.
+func send(t testing.TB, method, url string, body any) {
+	t.Helper()
+	data, err := json.Marshal(body)
+	require.NoError(t, err)
+	request, err := http.NewRequest(method, url, bytes.NewReader(data))
+	require.NoError(t, err)
+	request.Header.Set("Content-Type", "application/json")
+	response, err := client.Do(request)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	text, _ := io.ReadAll(response.Body)
+	require.Lessf(t, response.StatusCode, 300, "%s %s: %s", method, url, text)
+}
+
+// publishTargets writes the platform's host list. Names in leaving are marked so.
+func (c *cluster) publishTargets(leaving map[string]bool) {
+	c.t.Helper()
+	var list []platform.Target
+	for i, e := range c.engines {
+		list = append(list, platform.Target{Name: e.name, Address: e.link.address(), Domain: domains[i%len(domains)],
+			Region: "sk-west", Kind: platform.TargetEngine, Leaving: leaving[e.name]})
+	}
+	for i, s := range c.services {
+		list = append(list, platform.Target{Name: s.name, Address: s.link.address(), Domain: domains[i%len(domains)],
+			Region: "sk-west", Kind: platform.TargetService, Service: "booking", Leaving: leaving[s.name]})
+	}
+	send(c.t, http.MethodPut, "http://"+c.storeAt+"/admin/targets", list)
+}
+
+// storeFault sets a fault of the store stand-in. The zero value ends it.
+func (c *cluster) storeFault(fault memstore.Fault) {
+	c.t.Helper()
+	send(c.t, http.MethodPut, "http://"+c.storeAt+"/admin/fault", fault)
+}
+
+// reclaim tells an engine that it stops after the notice.
+func (c *cluster) reclaim(e *target, notice time.Duration) {
+	c.t.Helper()
+	send(c.t, http.MethodPost, "http://"+e.direct+"/admin/reclaim", map[string]int64{"notice_ns": int64(notice)})
+}
+
+// busiestEngine returns the engine that runs the most sequences now.
+func (c *cluster) busiestEngine() *target {
+	c.t.Helper()
+	best, most := c.engines[0], -1
+	for _, e := range c.engines {
+		if n := len(c.openGenerations(e)); n > most {
+			best, most = e, n
+		}
+	}
+	return best
+}
+
+// journalLine is one line of an engine's or a service's journal.
+type journalLine struct {
+	Kind       string    `json:"kind"` // of an engine's line
+	Generation string    `json:"generation"`
+	RequestID  string    `json:"request_id"`
+	Key        string    `json:"key"` // Idempotency-Key, of a service's line
+	Path       string    `json:"path"`
+	Time       time.Time `json:"time"`
+}
+
+// readJournal returns the lines that a target has written, also after its death.
+func readJournal(t testing.TB, target *target) []journalLine {
+	t.Helper()
+	file, err := os.Open(target.journal)
+	if os.IsNotExist(err) {
+		return nil
+	}
+	require.NoError(t, err)
+	defer file.Close()
+	var lines []journalLine
+	scanner := bufio.NewScanner(file)
+	scanner.Buffer(nil, 1<<20)
+	for scanner.Scan() {
+		var line journalLine
+		require.NoError(t, json.Unmarshal(scanner.Bytes(), &line))
+		lines = append(lines, line)
+	}
+	return lines
+}
+
+// executions counts how often each idempotency key ran on any service.
+func (c *cluster) executions() map[string]int {
+	c.t.Helper()
+	counts := make(map[string]int)
+	for _, s := range c.services {
+		for _, line := range readJournal(c.t, s) {
+			counts[line.Key]++
+		}
+	}
+	return counts
+}
+
+// openGenerations returns the generations that an engine has started and not ended.
+func (c *cluster) openGenerations(e *target) []string {
+	open := map[string]bool{}
+	for _, line := range readJournal(c.t, e) {
+		switch line.Kind {
+		case "start":
+			open[line.Generation] = true
+		case "end":
+			delete(open, line.Generation)
+		}
+	}
+	ids := make([]string, 0, len(open))
+	for id := range open {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// startsAfter counts generations that an engine started after an instant.
+func startsAfter(t testing.TB, e *target, at time.Time) int {
+	n := 0
+	for _, line := range readJournal(t, e) {
+		if line.Kind == "start" && line.Time.After(at) {
+			n++
+		}
+	}
+	return n
+}
+
+// tokenText is the text that the stand-in engine gives a token.
+func tokenText(generation, version, adapter string, offset int) string {
+	id := enginemodel.Identity{Generation: generation, Model: "briefing", Version: version, Adapter: adapter}
+	return enginemodel.TokenText(id, offset)
+}
+
+// status asks a host's agent for its view of the fleet.
+func (c *cluster) status(h *host) (control.StatusReply, bool) {
+	c.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	pool := rpcconn.NewPool(rpcconn.TCP)
+	defer pool.Close()
+	var reply control.StatusReply
+	err := pool.Call(ctx, h.localAgent, "Control.Status", control.Empty{}, &reply)
+	return reply, err == nil
+}
+
+// targetsHealthy tells whether every host knows every target as healthy.
+func (c *cluster) targetsHealthy() bool {
+	for _, h := range c.hosts {
+		reply, ok := c.status(h)
+		if !ok {
+			return false
+		}
+		healthy := 0
+		for _, t := range reply.Targets {
+			if t.Healthy {
+				healthy++
+			}
+		}
+		if healthy < len(c.engines)+len(c.services) {
+			return false
+		}
+	}
+	return true
+}
+
+// revisionsInForce returns the lower of the revisions that each host's gateway
+// and agent report, as the first host's agent knows them.
+func (c *cluster) revisionsInForce() map[string]int64 {
+	c.t.Helper()
+	revisions := make(map[string]int64)
+	reply, ok := c.status(c.hosts[0])
+	if !ok {
+		return revisions
+	}
+	for _, m := range reply.Members {
+		revisions[m.Host] = min(m.DocumentRevision, m.GatewayRevision)
+	}
+	return revisions
+}
--- /dev/null
+++ b/tests/prove/cluster_test.go
@@ -0,0 +1,186 @@
+package prove
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// readyLimit bounds the start of a process on a busy machine.
+const readyLimit = 20 * time.Second
+
+// clusterSize says how many of each process a test needs.
+type clusterSize struct {
+	hosts    int
+	engines  int
+	services int
+	// engineArgs are appended to the flags of every engine.
+	engineArgs []string
+	// document replaces the default document.
+	document string
+	// agentArgs are appended to the flags of every agent.
+	agentArgs []string
+}
+
+// host is one entry host: a gateway and an agent, each behind proxies.
+type host struct {
+	name       string
+	gateway    *process
+	agent      *process
+	url        string      // of the gateway's HTTP for callers
+	ops        string      // of the gateway's HTTP for operators
+	agentRPC   string      // address of the agent's net/rpc behind its proxy
+	agentHTTP  string      // address of the agent's HTTP
+	storeLink  *faultProxy // gateway and agent towards the store
+	agentLink  *faultProxy // everybody towards the agent
+	localAgent string      // address of the agent's net/rpc without the proxy
+}
+
+// target is one stand-in engine or service behind a proxy.
+type target struct {
+	name    string
+	process *process
+	link    *faultProxy // gateways and agents towards the target
+	direct  string      // address without the proxy, for journals and faults
+	journal string      // file of the journal
+}
+
+// cluster is a whole deployment of separate processes on loopback.
+type cluster struct {
+	t        testing.TB
+	dir      string
+	store    *process
+	storeAt  string // address without a proxy
+	hosts    []*host
+	engines  []*target
+	services []*target
+	size     clusterSize
+	peers    []string
+}
+
+// startCluster starts everything and waits until every host is ready.
+func startCluster(t testing.TB, size clusterSize) *cluster {
+	t.Helper()
+	c := &cluster{t: t, dir: t.TempDir(), size: size, storeAt: freeAddress(t)}
+	c.store = launch(t, c.dir, "store", "standin", "store", "--listen", c.storeAt)
+	await(t, readyLimit, "store answers", func() bool { return getOK("http://" + c.storeAt + "/admin/counts") })
+	for i := range size.engines {
+		c.addEngine(fmt.Sprintf("engine-%d", i+1))
+	}
+	for i := range size.services {
+		c.addService(fmt.Sprintf("booking-%d", i+1))
+	}
+	c.publishTargets(nil)
+	c.applyDocument(orDefault(size.document, defaultDocument))
+	for i := range size.hosts {
+		c.hosts = append(c.hosts, c.newHost(fmt.Sprintf("host-%d", i+1), domains[i%len(domains)]))
+	}
+	for _, h := range c.hosts {
+		c.startHost(h)
+	}
+	for _, h := range c.hosts {
+		c.awaitReady(h)
+	}
+	await(t, readyLimit, "healthy targets on every host", c.targetsHealthy)
+	return c
+}
+
+// domains are the failure domains of the hosts and targets under test.
+var domains = []string{"sk-west-a", "sk-west-b", "sk-west-c"}
+
+func (c *cluster) newHost(name, domain string) *host {
+	h := &host{name: name, localAgent: freeAddress(c.t), agentHTTP: freeAddress(c.t)}
+	h.storeLink = newFaultProxy(c.t, c.storeAt)
+	h.agentLink = newFaultProxy(c.t, h.localAgent)
+	h.agentRPC = h.agentLink.address()
+	listen := freeAddress(c.t)
+	h.url = "http://" + listen
+	ops := freeAddress(c.t)
+	h.ops = "http://" + ops
+	c.peers = append(c.peers, h.agentRPC)
+	h.agent = &process{name: name + "-agent", path: filepath.Join(binDir, "agent"), log: filepath.Join(c.dir, name+"-agent.log")}
+	h.agent.args = append([]string{
+		"--host", name, "--domain", domain, "--region", "sk-west",
+		"--listen", h.localAgent, "--advertise", h.agentRPC, "--http", h.agentHTTP,
+		"--store", "http://" + h.storeLink.address(), "--environment", "production",
+		"--log-level", "debug",
+	}, c.size.agentArgs...)
+	h.gateway = &process{name: name + "-gateway", path: filepath.Join(binDir, "gateway"), log: filepath.Join(c.dir, name+"-gateway.log")}
+	h.gateway.args = []string{
+		"--host", name, "--region", "sk-west", "--listen", listen, "--http", ops,
+		"--store", "http://" + h.storeLink.address(),
+		"--token-keys", tokenKeys, "--log-level", "debug",
+	}
+	return h
+}
+
+// startHost starts both processes of a host. Peers are known by then.
+func (c *cluster) startHost(h *host) {
+	h.agent.args = append(h.agent.args, "--peers", strings.Join(c.peers, ","))
+	agents := []string{h.localAgent}
+	for _, peer := range c.peers {
+		if peer != h.agentRPC {
+			agents = append(agents, peer)
+		}
+	}
+	h.gateway.args = append(h.gateway.args, "--agents", strings.Join(agents, ","))
+	for _, p := range []*process{h.agent, h.gateway} {
+		p.start(c.t)
+		c.t.Cleanup(func() { p.end(c.t) })
+	}
+}
+
+func (c *cluster) awaitReady(h *host) {
+	c.t.Helper()
+	await(c.t, readyLimit, h.name+" ready", func() bool { return getOK(h.ops+"/readyz") && getOK("http://"+h.agentHTTP+"/readyz") })
+}
+
+func (c *cluster) addEngine(name string) *target {
+	e := c.newTarget(name)
+	args := append([]string{"engine", "--listen", e.direct, "--name", name, "--domain", domains[len(c.engines)%len(domains)],
+		"--model", "briefing@v1+sk,briefing@v2+sk", "--journal", e.journal}, c.size.engineArgs...)
+	e.process = launch(c.t, c.dir, name, "standin", args...)
+	c.engines = append(c.engines, e)
+	c.awaitTarget(e)
+	return e
+}
+
+func (c *cluster) addService(name string) *target {
+	s := c.newTarget(name)
+	s.process = launch(c.t, c.dir, name, "standin", "service", "--listen", s.direct, "--name", name,
+		"--domain", domains[len(c.services)%len(domains)], "--service", "booking", "--journal", s.journal)
+	c.services = append(c.services, s)
+	c.awaitTarget(s)
+	return s
+}
+
+func (c *cluster) newTarget(name string) *target {
+	direct := freeAddress(c.t)
+	return &target{name: name, direct: direct, link: newFaultProxy(c.t, direct), journal: filepath.Join(c.dir, name+".journal")}
+}
+
+func (c *cluster) awaitTarget(t *target) {
+	c.t.Helper()
+	await(c.t, readyLimit, t.name+" answers", func() bool { return getOK("http://" + t.direct + "/livez") })
+}
+
+// applyDocument applies a document with the operators' command line.
+func (c *cluster) applyDocument(text string) {
+	c.t.Helper()
+	file := filepath.Join(c.dir, fmt.Sprintf("document-%d.yaml", time.Now().UnixNano()))
+	require.NoError(c.t, os.WriteFile(file, []byte(text), 0o600))
+	out, code := hitchctl(c.t, "apply", file, "--store", "http://"+c.storeAt, "--environment", "production", "--operator", "prove")
+	require.Zerof(c.t, code, "hitchctl apply: %s", out)
+}
+
+func orDefault(text, fallback string) string {
+	if text == "" {
+		return fallback
+	}
+	return text
+}
--- /dev/null
+++ b/tests/prove/main_test.go
@@ -0,0 +1,72 @@
+// Package prove runs the deployment as separate processes behind a fault
+// proxy, brings faults about, and checks what callers, targets and the store
+// stand-in recorded.
+package prove
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sort"
+	"sync"
+	"testing"
+)
+
+// binDir holds the programs under test, built by TestMain.
+var binDir string
+
+// seed draws the moments and the choice of faults.
+var seed = flag.Int64("seed", 1, "seed of fault moments and fault pairs")
+
+// report collects one line a property and fault.
+var report struct {
+	sync.Mutex
+	lines          []string
+	passed, failed int
+}
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	dir, err := os.MkdirTemp("", "prove")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	binDir = dir
+	build := exec.Command("go", "build", "-o", dir+string(filepath.Separator), "corianderhitch/cmd/...")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+		os.Exit(1)
+	}
+	code := m.Run()
+	printReport()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+func printReport() {
+	sort.Strings(report.lines)
+	for _, line := range report.lines {
+		fmt.Println(line)
+	}
+	fmt.Printf("seed %d\n%d passed, %d failed\n", *seed, report.passed, report.failed)
+}
+
+// record adds the line of one property under one fault. figures says what was
+// measured.
+func record(t *testing.T, property, fault string, figures *string) {
+	t.Cleanup(func() {
+		report.Lock()
+		defer report.Unlock()
+		verdict := "PASS"
+		if t.Failed() {
+			verdict = "FAIL"
+			report.failed++
+		} else {
+			report.passed++
+		}
+		report.lines = append(report.lines, fmt.Sprintf("%s  %-28s %-44s %s", verdict, property, fault, *figures))
+	})
+}
--- /dev/null
+++ b/tests/prove/metrics_test.go
@@ -0,0 +1,27 @@
+package prove
+
+import (
+	"bufio"
+	"strconv"
+	"strings"
+)
+
+// metric reads one sample without labels, or the first with labels, from a
+// process's /metrics.
+func metric(url, name string) (int64, bool) {
+	response, err := client.Get(url + "/metrics")
+	if err != nil {
+		return 0, false
+	}
+	defer response.Body.Close()
+	scanner := bufio.NewScanner(response.Body)
+	for scanner.Scan() {
+		line := scanner.Text()
+		if !strings.HasPrefix(line, name+"{") && !strings.HasPrefix(line, name+" ") {
+			continue
+		}
+		value, err := strconv.ParseFloat(line[strings.LastIndexByte(line, ' ')+1:], 64)
+		return int64(value), err == nil
+	}
+	return 0, false
+}
--- /dev/null
+++ b/tests/prove/traffic_test.go
@@ -0,0 +1,173 @@
+package prove
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"corianderhitch/api/completion"
+	"corianderhitch/api/problem"
+)
+
+// retryPause is how long a caller waits before it reconnects.
+const retryPause = 100 * time.Millisecond
+
+// traffic is a set of callers that stream completions at the same time.
+type traffic struct {
+	c       *cluster
+	streams []*received
+	started atomic.Int64  // chunks received by all callers
+	reached chan struct{} // closed when trigger chunks have arrived
+	trigger int64
+	once    sync.Once
+	open    sync.WaitGroup
+	errs    []error // last error of each stream
+}
+
+// trafficSpec describes the callers.
+type trafficSpec struct {
+	streams  int
+	tokens   int   // length of every answer
+	trigger  int64 // chunks in all after which reached is closed
+	resume   bool  // a caller whose connection is cut reconnects at another gateway
+	account  string
+	prompt   string
+	adapter  string
+	idPrefix string
+}
+
+// startTraffic starts the callers, spread over the hosts.
+func startTraffic(c *cluster, spec trafficSpec) *traffic {
+	tr := &traffic{c: c, reached: make(chan struct{}), trigger: spec.trigger, errs: make([]error, spec.streams)}
+	for i := range spec.streams {
+		tr.streams = append(tr.streams, &received{})
+		tr.open.Add(1)
+		go func() {
+			defer tr.open.Done()
+			tr.errs[i] = tr.follow(spec, i)
+		}()
+	}
+	return tr
+}
+
+// follow reads one stream to its end, reconnecting as a caller would.
+func (tr *traffic) follow(spec trafficSpec, i int) error {
+	got := tr.streams[i]
+	call := streamCall{
+		key:       orDefault(spec.account, keyDesk),
+		requestID: fmt.Sprintf("%s-%d", orDefault(spec.idPrefix, "stream"), i),
+		body: completion.Request{
+			Model:   "briefing",
+			Adapter: spec.adapter,
+			Prompt:  fmt.Sprintf("%s case %d #len=%d", orDefault(spec.prompt, "Trip briefing"), i, spec.tokens),
+		},
+		onChunk: func(int) { tr.count() },
+	}
+	deadline := time.Now().Add(callLimit)
+	for attempt := 0; ; attempt++ {
+		h := tr.c.hosts[(i+attempt)%len(tr.c.hosts)]
+		err := stream(context.Background(), h.url, call, got)
+		if err == nil || !spec.resume || time.Now().After(deadline) || terminal(err) {
+			return err
+		}
+		call.resume = len(got.chunks) > 0
+		got.failure = nil
+		<-time.After(retryPause)
+	}
+}
+
+// terminal tells whether an answer is final, so that a caller stops asking.
+func terminal(err error) bool {
+	var p *problem.Error
+	if !errors.As(err, &p) {
+		return false
+	}
+	return p.Ran != problem.RanNo
+}
+
+func (tr *traffic) count() {
+	if tr.started.Add(1) >= tr.trigger {
+		tr.once.Do(func() { close(tr.reached) })
+	}
+}
+
+// awaitReached waits for the chunk that triggers the fault.
+func (tr *traffic) awaitReached() {
+	tr.c.t.Helper()
+	select {
+	case <-tr.reached:
+	case <-time.After(callLimit):
+		require.FailNow(tr.c.t, "the streams did not reach the trigger")
+	}
+}
+
+// finish waits for all callers.
+func (tr *traffic) finish() { tr.open.Wait() }
+
+// checkWhole requires that every caller has its whole answer: all tokens once,
+// in order, from one generation, with the texts of that generation.
+func (tr *traffic) checkWhole(t testing.TB, spec trafficSpec, version string) int {
+	t.Helper()
+	tokens := 0
+	for i, got := range tr.streams {
+		require.NoErrorf(t, tr.errs[i], "stream %d after %d tokens", i, len(got.chunks))
+		require.Truef(t, got.done, "stream %d has not ended", i)
+		checkChunks(t, i, got, version, spec.adapter)
+		require.Lenf(t, got.chunks, spec.tokens, "stream %d", i)
+		tokens += len(got.chunks)
+	}
+	return tokens
+}
+
+// checkWholeOrTyped is checkWhole for faults after which a stream may end with
+// a typed terminal error instead: what has arrived must still be unspliced.
+func (tr *traffic) checkWholeOrTyped(t testing.TB, spec trafficSpec, version string) (tokens, failed int) {
+	t.Helper()
+	for i, got := range tr.streams {
+		checkChunks(t, i, got, version, spec.adapter)
+		tokens += len(got.chunks)
+		if got.done {
+			require.Lenf(t, got.chunks, spec.tokens, "stream %d", i)
+			continue
+		}
+		failed++
+		require.NotNilf(t, got.failure, "stream %d ended without a typed error: %v", i, tr.errs[i])
+	}
+	return tokens, failed
+}
+
+// checkChunks requires that the chunks are a prefix of one generation.
+func checkChunks(t testing.TB, i int, got *received, version, adapter string) {
+	t.Helper()
+	for n, chunk := range got.chunks {
+		require.Equalf(t, n, chunk.Offset, "stream %d: offset", i)
+		require.Equalf(t, got.chunks[0].Generation, chunk.Generation, "stream %d: spliced at %d", i, n)
+		want := tokenText(chunk.Generation, version, adapter, n)
+		require.Equalf(t, want, chunk.Choices[0].Text, "stream %d: token %d", i, n)
+	}
+}
+
+// maxGap returns the longest pause between two tokens that any caller saw.
+func (tr *traffic) maxGap() time.Duration {
+	gap := time.Duration(0)
+	for _, got := range tr.streams {
+		gap = max(gap, got.maxGap)
+	}
+	return gap
+}
+
+// draw returns the random numbers of one test, a function of the seed.
+func draw(t testing.TB) *rand.Rand {
+	h := uint64(0)
+	for _, b := range []byte(t.Name()) {
+		h = h*31 + uint64(b)
+	}
+	return rand.New(rand.NewPCG(uint64(*seed), h))
+}
