--- a/internal/enginemodel/engine_test.go
+++ b/internal/enginemodel/engine_test.go
@@ -228,3 +228,42 @@
 	run(e)
 	require.EqualValues(t, 8, e.Stats().Finished)
 }
+
+func TestLoadReportsLag(t *testing.T) {
+	config := testConfig()
+	config.ReportEvery, config.ReportLag = 100*time.Millisecond, 500*time.Millisecond
+	e := New(config)
+	require.Zero(t, e.Load(epoch).Running)
+	require.NoError(t, e.Start(epoch, request("g", "#len=900")))
+	for {
+		next, _ := e.NextStep()
+		if next.Sub(epoch) > 2*time.Second {
+			break
+		}
+		e.Step(next)
+		report := e.Load(next)
+		age := next.Sub(report.ReportedAt)
+		require.Equal(t, next.Sub(epoch) >= 600*time.Millisecond, report.Running == 1)
+		if report.Running == 1 {
+			require.True(t, age >= 500*time.Millisecond && age <= 650*time.Millisecond, "age %v", age)
+		}
+	}
+	require.Equal(t, 500*time.Millisecond, epoch.Add(time.Hour).Sub(e.Load(epoch.Add(time.Hour)).ReportedAt), "after a pause")
+}
+
+func TestStepDoesNotAllocate(t *testing.T) {
+	config := testConfig()
+	config.TotalBlocks, config.ReportEvery, config.ReportLag = 1<<30, 100*time.Millisecond, time.Second
+	e := New(config)
+	for i := range 32 {
+		require.NoError(t, e.Submit(epoch, Submission{ID: fmt.Sprint(i), Model: "m", Version: "1", PromptTokens: 9, Length: 1 << 40}))
+	}
+	step := func() {
+		next, _ := e.NextStep()
+		e.Step(next)
+	}
+	for range 200 {
+		step()
+	}
+	require.Zero(t, testing.AllocsPerRun(1000, step))
+}
--- /dev/null
+++ b/internal/standin/service/service.go
@@ -0,0 +1,125 @@
+// Package service is a stand-in for the plain services beside the model engines:
+// a booking application and a dispatch application in one. It never recognises
+// a repetition: its journal shows what ran how often. For tests and
+// demonstration only.
+//
+// Paths:
+//
+//	POST /seat-holds    SeatHold -> Executed; must not be repeated
+//	POST /dispatches    Dispatch -> Executed; must not be repeated
+//	GET  /availability  Availability; idempotent
+//	GET  /history       History; idempotent
+//	GET  /livez         200 while the process lives
+//	GET  /readyz        200, or 503 while leaving
+package service
+
+import (
+	"encoding/json"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"corianderhitch/api/problem"
+	"corianderhitch/internal/standin/journal"
+)
+
+const (
+	// maxBodyBytes bounds the body of a call.
+	maxBodyBytes = 1 << 20
+	// leavingRetry is when a caller may ask again; it will be sent elsewhere.
+	leavingRetry = time.Second
+)
+
+// Options configure a Server.
+type Options struct {
+	Name    string // of the target
+	Journal *journal.Journal[Entry]
+	Delay   time.Duration // Fault.RequestDelay at the start
+	// Exit ends the process for Fault.DieNext. Nil cuts the connection only.
+	Exit      func()
+	OnLeaving func(bool) // called when a test makes the service leave or stay; nil does nothing
+	Log       *slog.Logger
+}
+
+// Server is the service.
+type Server struct {
+	options Options
+	log     *slog.Logger
+
+	mu         sync.Mutex
+	fault      Fault          // guarded by mu
+	leaving    bool           // guarded by mu
+	holds      map[string]int // by berth; guarded by mu
+	dispatches map[string]int // by box; guarded by mu
+}
+
+// New returns a service.
+func New(options Options) *Server {
+	if options.Journal == nil {
+		options.Journal = &journal.Journal[Entry]{}
+	}
+	if options.Exit == nil {
+		options.Exit = func() {}
+	}
+	if options.OnLeaving == nil {
+		options.OnLeaving = func(bool) {}
+	}
+	return &Server{
+		options:    options,
+		fault:      Fault{RequestDelay: options.Delay},
+		log:        options.Log,
+		holds:      make(map[string]int),
+		dispatches: make(map[string]int),
+	}
+}
+
+// Handler returns the routes.
+func (s *Server) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/seat-holds", s.serve(s.holdSeat)).Methods(http.MethodPost)
+	r.HandleFunc("/dispatches", s.serve(s.dispatch)).Methods(http.MethodPost)
+	r.HandleFunc("/availability", s.serve(s.availability)).Methods(http.MethodGet)
+	r.HandleFunc("/history", s.serve(s.history)).Methods(http.MethodGet)
+	r.HandleFunc("/livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	r.HandleFunc("/readyz", s.ready)
+	s.addAdmin(r)
+	return r
+}
+
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	leaving := s.leaving
+	s.mu.Unlock()
+	if leaving {
+		problem.Write(w, s.refusal())
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// refusal is the answer of a service that is leaving.
+func (s *Server) refusal() error {
+	return problem.New(problem.KindDraining, http.StatusServiceUnavailable, problem.RanNo,
+		"send the request to another target", "service %s is leaving", s.options.Name).WithRetry(leavingRetry)
+}
+
+func badRequest(detail string) error {
+	return problem.New(problem.KindBadRequest, http.StatusBadRequest, problem.RanNo, "correct the body", "%s", detail)
+}
+
+func decode(r *http.Request, value any) error {
+	decoder := json.NewDecoder(http.MaxBytesReader(nil, r.Body, maxBodyBytes))
+	decoder.DisallowUnknownFields()
+	return decoder.Decode(value)
+}
+
+func copyOf(counts map[string]int) map[string]int {
+	c := make(map[string]int, len(counts))
+	for k, v := range counts {
+		c[k] = v
+	}
+	return c
+}
