--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,134 @@
+package ledger
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"corianderhitch/api/problem"
+	"corianderhitch/internal/logging"
+	"corianderhitch/internal/platform/memstore"
+)
+
+func testLedger(store *memstore.Store, host string) *Ledger {
+	retention := func() time.Duration { return 72 * time.Hour }
+	n := 0
+	newID := func() string { n++; return host + string(rune('0'+n)) }
+	return New(store, host, retention, newID, DefaultSettings(), logging.Discard())
+}
+
+func claim(t *testing.T, l *Ledger, call Call) *Claim {
+	t.Helper()
+	decision, err := l.Claim(t.Context(), call)
+	require.NoError(t, err)
+	require.NotNil(t, decision.Claim)
+	return decision.Claim
+}
+
+func refusedAs(t *testing.T, l *Ledger, call Call, kind problem.Kind, ran problem.Ran) {
+	t.Helper()
+	_, err := l.Claim(t.Context(), call)
+	require.Error(t, err)
+	e := problem.From(err)
+	require.Equal(t, kind, e.Kind)
+	require.Equal(t, ran, e.Ran)
+}
+
+var testCall = Call{Account: "a", Key: "k", BodyHash: BodyHash("POST", "/holds", []byte("x"))}
+
+func TestOutcomeIsReplayedAtAnyGatewayUntilTheRetentionEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memstore.New(memstore.Options{})
+		one, two := testLedger(store, "one"), testLedger(store, "two")
+		c := claim(t, one, testCall)
+		refusedAs(t, two, testCall, problem.KindInProgress, problem.RanUnknown)
+		c.Complete(t.Context(), Outcome{Status: 201, Body: []byte("done"), BodyBytes: 4})
+		decision, err := two.Claim(t.Context(), testCall)
+		require.NoError(t, err)
+		require.Equal(t, &Outcome{Status: 201, Body: []byte("done"), BodyBytes: 4}, decision.Replay)
+		other := testCall
+		other.BodyHash = "other"
+		refusedAs(t, two, other, problem.KindKeyReused, problem.RanNo)
+		time.Sleep(74 * time.Hour)
+		store.Expire()
+		claim(t, two, testCall).Release()
+	})
+}
+
+func TestClaimWithoutOutcomeStaysUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memstore.New(memstore.Options{})
+		one, two := testLedger(store, "one"), testLedger(store, "two")
+		claim(t, one, testCall).Abandon()
+		time.Sleep(time.Minute)
+		refusedAs(t, two, testCall, problem.KindOutcomeUnknown, problem.RanUnknown)
+		refusedAs(t, one, testCall, problem.KindOutcomeUnknown, problem.RanUnknown)
+	})
+}
+
+func TestReleasedClaimMayBeClaimedAgain(t *testing.T) {
+	store := memstore.New(memstore.Options{})
+	one, two := testLedger(store, "one"), testLedger(store, "two")
+	claim(t, one, testCall).Release()
+	claim(t, two, testCall).Abandon()
+	refusedAs(t, one, testCall, problem.KindInProgress, problem.RanUnknown)
+}
+
+func TestStoreDownIsRefusedAtOnceAndNotDeniedIfSeen(t *testing.T) {
+	store := memstore.New(memstore.Options{})
+	l := testLedger(store, "one")
+	claim(t, l, testCall).Complete(t.Context(), Outcome{Status: 200})
+	store.SetFault(memstore.Fault{Outage: true})
+	fresh := testCall
+	fresh.Key = "fresh"
+	start := time.Now()
+	refusedAs(t, l, fresh, problem.KindStoreUnavailable, problem.RanNo)
+	require.Less(t, time.Since(start), 500*time.Millisecond)
+	refusedAs(t, l, testCall, problem.KindStoreUnavailable, problem.RanUnknown)
+}
+
+func TestFrozenGatewayGivesItsClaimBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memstore.New(memstore.Options{})
+		one, two := testLedger(store, "one"), testLedger(store, "two")
+		c := claim(t, one, testCall)
+		require.True(t, c.Fresh())
+		time.Sleep(6 * time.Second) // as SIGSTOP does
+		require.False(t, c.Fresh())
+		c.Release()
+		claim(t, two, testCall).Abandon()
+	})
+}
+
+func TestLostAnswerIsSettledByReadingBack(t *testing.T) {
+	store := memstore.New(memstore.Options{})
+	l := testLedger(store, "one")
+	warm := testCall
+	warm.Key = "warm"
+	claim(t, l, warm).Abandon() // the lease is there
+	before := store.Counts()
+	store.SetFault(memstore.Fault{LoseNext: 1})
+	c := claim(t, l, testCall)
+	after := store.Counts()
+	require.EqualValues(t, 1, after.Writes-before.Writes)
+	require.EqualValues(t, 1, after.Reads-before.Reads)
+	store.SetFault(memstore.Fault{LoseNext: 1})
+	c.Complete(context.Background(), Outcome{Status: 200})
+	decision, err := l.Claim(t.Context(), testCall)
+	require.NoError(t, err)
+	require.NotNil(t, decision.Replay)
+	l.Stop(t.Context())
+}
+
+func TestLargeAnswerIsNotKept(t *testing.T) {
+	store := memstore.New(memstore.Options{})
+	l := testLedger(store, "one")
+	body := make([]byte, MaxKeptBody+1)
+	claim(t, l, testCall).Complete(t.Context(), Outcome{Status: 200, Body: body, BodyBytes: len(body)})
+	decision, err := l.Claim(t.Context(), testCall)
+	require.NoError(t, err)
+	require.False(t, decision.Replay.Kept())
+}
