Stream machine: confirm the prefix on an engine that continues

A property test with adversarial cuts, duplicates, gaps, stalls, crossed streams and waking engines found a splice: another gateway had continued the generation on the same engine from a shorter prefix, the first attachment broke before its first token, and the next one asked for the offset behind the known tokens.

--- a/internal/gateway/runner/attachment.go
+++ b/internal/gateway/runner/attachment.go
@@ -20,7 +20,7 @@
 func (s *session) attachment() stream.Step {
 	epoch := s.machine.Attaching()
 	ctx, span := s.r.tracer.Start(s.ctx, "attach", trace.WithAttributes(
-		attribute.String("target", s.target().Name), attribute.Int("offset", s.machine.Next())))
+		attribute.String("target", s.target().Name), attribute.Int("offset", s.machine.Offset())))
 	defer span.End()
 	events, err := s.open(ctx)
 	if err != nil {
@@ -44,12 +44,16 @@
 // open sends the request of the current mode and waits for its acceptance.
 func (s *session) open(ctx context.Context) (*engineclient.Stream, error) {
 	openCtx, cancel := context.WithCancel(ctx)
-	timer := time.AfterFunc(openTimeout, cancel)
+	timeout := openTimeout
+	if s.attached {
+		timeout = reopenTimeout
+	}
+	timer := time.AfterFunc(timeout, cancel)
 	defer timer.Stop()
 	address, generation := s.target().Address, s.machine.Generation()
 	if s.mode == modeAttach {
 		s.r.metrics.Resume("reattach")
-		return s.r.engines.Attach(openCtx, address, generation, s.machine.Next())
+		return s.r.engines.Attach(openCtx, address, generation, s.machine.Offset())
 	}
 	request := engine.GenerateRequest{
 		ID:        generation,
@@ -62,8 +66,6 @@
 		Priority:  s.job.Admit.Priority,
 	}
 	if s.mode == modeContinue {
-		// The answer starts at offset 0, so that the machine compares what the
-		// engine holds with what the caller has.
 		request.Prefix = s.machine.Tokens()
 	}
 	return s.r.engines.Start(openCtx, address, request)
@@ -125,7 +127,7 @@
 }
 
 func (s *session) waitsForFirst() bool {
-	return s.machine.Next() == 0 && s.sent == 0 && !s.job.WholeAnswer
+	return len(s.machine.Tokens()) == 0 && s.sent == 0 && !s.job.WholeAnswer
 }
 
 // broken handles the end of an attachment without the end of the generation.
--- a/internal/gateway/runner/runner.go
+++ b/internal/gateway/runner/runner.go
@@ -79,7 +79,7 @@
 func (r *Runner) Run(ctx context.Context, job Job, sink Sink) Result {
 	ctx, span := r.tracer.Start(ctx, "completion")
 	defer span.End()
-	s := newSession(r, ctx, job, sink)
+	s := newSession(ctx, r, job, sink)
 	defer s.close()
 	return s.run()
 }
--- a/internal/gateway/runner/session.go
+++ b/internal/gateway/runner/session.go
@@ -20,6 +20,9 @@
 const (
 	// openTimeout bounds the wait for an engine to accept an attachment.
 	openTimeout = 2 * time.Second
+	// reopenTimeout is the same for an engine that has answered before. It is
+	// short, as a frozen engine stalls the stream until it is left.
+	reopenTimeout = 500 * time.Millisecond
 	// attachPause separates attachments after failures.
 	attachPause = 50 * time.Millisecond
 	// maxStallBound limits the growth of the bound while an engine answers but
@@ -64,7 +67,7 @@
 	crashed  bool
 }
 
-func newSession(r *Runner, caller context.Context, job Job, sink Sink) *session {
+func newSession(caller context.Context, r *Runner, job Job, sink Sink) *session {
 	ctx, cancel := context.WithCancel(context.WithoutCancel(caller))
 	s := &session{r: r, caller: caller, ctx: ctx, cancel: cancel, job: job, sink: sink, stall: job.StallBound}
 	options := stream.Options{
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -7,11 +7,11 @@
 	"corianderhitch/internal/telemetry"
 )
 
-// The settings shared by all programs, under names that can be embedded together.
-type (
-	LogSettings   = logging.Settings
-	TraceSettings = telemetry.Settings
-)
+// LogSettings are the shared settings of logging.
+type LogSettings = logging.Settings
+
+// TraceSettings are the shared settings of telemetry.
+type TraceSettings = telemetry.Settings
 
 // Settings are the settings of the gateway program.
 type Settings struct {
--- a/internal/gateway/stream/machine.go
+++ b/internal/gateway/stream/machine.go
@@ -51,6 +51,8 @@
 	generation string
 	epoch      int
 	tokens     []string // tokens [0, len) of the generation
+	confirmed  int      // tokens [0, confirmed) are known to be the same on this engine
+	cursor     int      // offset that this attachment sends next
 	ran        bool     // an engine may have run some of it
 	over       bool
 
@@ -71,16 +73,22 @@
 // Tokens returns the tokens known so far. They must not be changed.
 func (m *Machine) Tokens() []string { return m.tokens }
 
-// Next returns the offset that the next attachment asks for.
-func (m *Machine) Next() int { return len(m.tokens) }
+// overlap is the number of tokens that an attachment reads again, so that a run
+// with other tokens under the same generation is noticed.
+const overlap = 16
+
+// Offset returns the offset that the next attachment asks for. An engine that
+// continues from a prefix is read from the start, since another gateway may have
+// continued the generation there from a shorter one.
+func (m *Machine) Offset() int { return max(0, m.confirmed-overlap) }
 
 // Ran tells whether an engine may have run the request.
 func (m *Machine) Ran() bool { return m.ran }
 
-// Attaching starts a new attachment and returns its epoch. The attachment asks
-// for the tokens from offset on, which is at most Next.
+// Attaching starts a new attachment from Offset and returns its epoch.
 func (m *Machine) Attaching() int {
 	m.epoch++
+	m.cursor = m.Offset()
 	return m.epoch
 }
 
@@ -96,6 +104,7 @@
 func (m *Machine) Restarted(generation string) {
 	m.generation = generation
 	m.tokens = nil
+	m.confirmed = 0
 }
 
 // Join takes the place of the own generation by one that runs already. It is
@@ -111,18 +120,27 @@
 		return Step{Kind: StepIgnore}
 	}
 	m.ran = true
-	switch {
-	case token.Generation != m.generation, token.Offset < 0, token.Offset > len(m.tokens):
+	if token.Generation != m.generation || token.Offset < 0 || token.Offset > m.cursor {
 		return m.Failed(epoch, FailureProtocol) // a crossed stream or a gap
-	case token.Offset < len(m.tokens):
-		if m.tokens[token.Offset] != token.Text {
-			return m.mismatch()
-		}
-		return Step{Kind: StepIgnore}
 	}
-	m.tokens = append(m.tokens, token.Text)
 	m.failures = 0
-	return Step{Kind: StepAccept}
+	if token.Offset == len(m.tokens) {
+		m.tokens = append(m.tokens, token.Text)
+		m.advance()
+		return Step{Kind: StepAccept}
+	}
+	if m.tokens[token.Offset] != token.Text {
+		return m.mismatch()
+	}
+	if token.Offset == m.cursor {
+		m.advance()
+	}
+	return Step{Kind: StepIgnore}
+}
+
+func (m *Machine) advance() {
+	m.cursor++
+	m.confirmed = max(m.confirmed, m.cursor)
 }
 
 // Done takes the end of the generation.
@@ -132,7 +150,7 @@
 	}
 	m.ran = true
 	switch {
-	case done.Generation != m.generation, done.Tokens > len(m.tokens):
+	case done.Generation != m.generation, done.Tokens > m.cursor:
 		return m.Failed(epoch, FailureProtocol)
 	case done.Tokens < len(m.tokens):
 		return m.mismatch()
@@ -207,6 +225,7 @@
 	case m.options.Fixed:
 		return m.fail(ReasonLost)
 	case len(m.tokens) > 0 && len(m.tokens) >= m.options.Delivered && m.options.MayContinue:
+		m.confirmed = 0
 		return Step{Kind: StepContinue, Leave: leave}
 	case m.invisible():
 		return Step{Kind: StepRestart, Leave: leave}
--- /dev/null
+++ b/internal/gateway/verdict/verdict_test.go
@@ -0,0 +1,46 @@
+package verdict
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"corianderhitch/api/problem"
+)
+
+func TestRanOverEveryPointOfFailure(t *testing.T) {
+	cases := []struct {
+		point    string
+		evidence Evidence
+		want     problem.Ran
+	}{
+		{"refused by the gateway", Evidence{}, problem.RanNo},
+		{"no place granted", Evidence{}, problem.RanNo},
+		{"connection refused", Evidence{}, problem.RanNo},
+		{"cut before the first byte", Evidence{}, problem.RanNo},
+		{"cut within the request", Evidence{Dispatched: true}, problem.RanUnknown},
+		{"cut after the request", Evidence{Dispatched: true}, problem.RanUnknown},
+		{"deadline after the request", Evidence{Dispatched: true}, problem.RanUnknown},
+		{"target refused", Evidence{Dispatched: true, RefusedBeforeRunning: true}, problem.RanNo},
+		{"one refused, an earlier one broke", Evidence{Dispatched: true, RefusedBeforeRunning: true, EarlierUnknown: true}, problem.RanUnknown},
+		{"not sent, an earlier sending may have run", Evidence{EarlierUnknown: true}, problem.RanUnknown},
+		{"answer cut", Evidence{Dispatched: true}, problem.RanUnknown},
+		{"answered", Evidence{Dispatched: true, Answered: true}, problem.RanYes},
+		{"tokens delivered, then lost", Evidence{Dispatched: true, Answered: true, EarlierUnknown: true}, problem.RanYes},
+		{"answered and refused at once", Evidence{Dispatched: true, Answered: true, RefusedBeforeRunning: true}, problem.RanYes},
+	}
+	for _, c := range cases {
+		require.Equal(t, c.want, Ran(c.evidence), c.point)
+	}
+}
+
+func TestNoNeedsProof(t *testing.T) {
+	for bits := range 16 {
+		e := Evidence{
+			Dispatched: bits&1 != 0, RefusedBeforeRunning: bits&2 != 0,
+			Answered: bits&4 != 0, EarlierUnknown: bits&8 != 0,
+		}
+		proved := !e.Answered && !e.EarlierUnknown && (!e.Dispatched || e.RefusedBeforeRunning)
+		require.Equal(t, proved, Ran(e) == problem.RanNo, "%+v", e)
+	}
+}
