--- /dev/null
+++ b/internal/gateway/api/fakes_test.go
@@ -0,0 +1,163 @@
+package api
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/stretchr/testify/require"
+	"go.opentelemetry.io/otel/metric/noop"
+
+	"corianderhitch/api/completion"
+	"corianderhitch/api/control"
+	"corianderhitch/api/problem"
+	"corianderhitch/internal/document"
+	"corianderhitch/internal/engineclient"
+	"corianderhitch/internal/gateway/fleet"
+	"corianderhitch/internal/gateway/metrics"
+	"corianderhitch/internal/gateway/runner"
+	"corianderhitch/internal/logging"
+	"corianderhitch/internal/outbound"
+	"corianderhitch/internal/platform"
+	"corianderhitch/internal/resumetoken"
+)
+
+const (
+	bookingKey = "key-of-booking"
+	otherKey   = "key-of-other"
+)
+
+// fakeFleet grants places on one engine and remembers registrations.
+type fakeFleet struct {
+	*fleet.Fleet
+	index   *document.Index
+	engines []platform.Target
+	refuse  *problem.Error
+
+	mu      sync.Mutex
+	entries map[control.DirectoryKey]control.DirectoryEntry // guarded by mu
+}
+
+func (f *fakeFleet) View() *fleet.View { return &fleet.View{Index: f.index} }
+
+func (f *fakeFleet) Admit(_ context.Context, args control.AdmitArgs) (*fleet.Place, error) {
+	if f.refuse != nil {
+		return nil, f.refuse
+	}
+	for _, t := range f.engines {
+		if !strings.Contains(strings.Join(args.Avoid, ","), t.Name) {
+			return f.Attached(t, args.Fingerprint), nil
+		}
+	}
+	return nil, problem.New(problem.KindNoTarget, http.StatusServiceUnavailable, problem.RanNo, "wait", "none").WithRetry(time.Second)
+}
+
+func (f *fakeFleet) Register(_ context.Context, e control.DirectoryEntry) (control.DirectoryEntry, bool) {
+	key := control.DirectoryKey{Account: e.Account, RequestID: e.RequestID}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if old, ok := f.entries[key]; ok && old.Generation != e.Generation {
+		return old, false
+	}
+	f.entries[key] = e
+	f.entries[key] = e
+	return e, true
+}
+
+func (f *fakeFleet) Lookup(_ context.Context, account, id string) (control.DirectoryEntry, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e, ok := f.entries[control.DirectoryKey{Account: account, RequestID: id}]
+	return e, ok
+}
+
+type noLate struct{}
+
+func (noLate) Accept(context.Context, string, string, completion.Request, uint64) (completion.LateStatus, error) {
+	return completion.LateStatus{}, ErrNoLate
+}
+
+func (noLate) Fetch(context.Context, string, string) (LateAnswer, error) {
+	return LateAnswer{}, ErrNoLate
+}
+
+func (noLate) Cancel(context.Context, string, string) error { return ErrNoLate }
+
+type noServices struct{}
+
+func (noServices) Call(context.Context, ServiceCall) (ServiceAnswer, error) {
+	return ServiceAnswer{Status: http.StatusOK}, nil
+}
+
+func testIndex() *document.Index {
+	account := func(name, key string) document.Account {
+		return document.Account{
+			Name: name, KeyHashes: []string{document.HashKey(key)}, Services: []string{"booking"},
+			Serves: []document.Grant{{Model: "writer", Version: "1"}},
+		}
+	}
+	return document.NewIndex(document.Accepted{Revision: 1, Document: document.Document{
+		Models:   []document.Model{{Name: "writer", Versions: []string{"1"}, MaxTokens: 4096, ContinueFromPrefix: true}},
+		Accounts: []document.Account{account("booking", bookingKey), account("other", otherKey)},
+		Services: []document.Service{{Name: "booking", Routes: []document.Route{
+			{Path: "/holds", Methods: []string{"POST"}}, {Path: "/free", Methods: []string{"GET"}, Idempotent: true},
+		}}},
+	}})
+}
+
+// bench is a gateway's API over fake agents and the given engines.
+type bench struct {
+	fleet  *fakeFleet
+	runner *runner.Runner
+	server *httptest.Server
+}
+
+func newBench(t testing.TB, engines ...string) *bench {
+	f := &fakeFleet{
+		Fleet:   fleet.New(fleet.Options{Log: logging.Discard()}, nil),
+		index:   testIndex(),
+		entries: make(map[control.DirectoryKey]control.DirectoryEntry),
+	}
+	for i, address := range engines {
+		f.engines = append(f.engines, platform.Target{Name: "engine-" + string(rune('1'+i)), Address: address})
+	}
+	m, err := metrics.New(noop.NewMeterProvider().Meter(""))
+	require.NoError(t, err)
+	keys, err := resumetoken.ParseKeys([]string{"a:00112233445566778899aabbccddeeff"})
+	require.NoError(t, err)
+	out := outbound.New()
+	r := runner.New(engineclient.New(out), f, m, logging.Discard())
+	s := New(Parts{
+		Settings: Settings{MaxBodyBytes: 64 << 10, SlowCaller: 5 * time.Second, TokenLife: time.Hour},
+		View:     f, Runner: r, Late: noLate{}, Services: noServices{}, Keys: keys, Metrics: m, Log: logging.Discard(),
+	})
+	router := mux.NewRouter().SkipClean(true)
+	s.Register(router)
+	b := &bench{fleet: f, runner: r, server: httptest.NewServer(router)}
+	t.Cleanup(func() {
+		b.server.Close()
+		r.Stop()
+		out.Close()
+	})
+	return b
+}
+
+func (b *bench) request(t testing.TB, method, path, key, body string, header ...string) *http.Response {
+	req, err := http.NewRequestWithContext(t.Context(), method, b.server.URL+path, strings.NewReader(body))
+	require.NoError(t, err)
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	for i := 0; i < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := b.server.Client().Do(req)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = resp.Body.Close() })
+	return resp
+}
