--- a/internal/experiment/engineslot.go
+++ b/internal/experiment/engineslot.go
@@ -17,7 +17,6 @@
 	stalledTo  time.Time
 	cacheAfter int64
 	scheduled  time.Time // of the pending step event
-	counted    int64     // preemptions of engines before
 }
 
 func (r *runner) newEngine(index int) *enginemodel.Engine {
@@ -96,7 +95,10 @@
 		}
 	case enginemodel.EventPreempted:
 		r.metrics.preemptions++
-	case enginemodel.EventCrashed, enginemodel.EventStopped:
+	case enginemodel.EventCrashed:
+		r.down(slot, r.link)
+		r.time.after(crashRestart, func() { r.restart(slot) })
+	case enginemodel.EventStopped:
 		r.down(slot, r.link)
 	}
 }
--- a/internal/experiment/faults.go
+++ b/internal/experiment/faults.go
@@ -85,7 +85,6 @@
 	if !slot.up {
 		return
 	}
-	reclaimed := slot.leaving || slot.engine.CurrentLoad(r.time.now).Leaving
 	slot.up = false
 	var lost []*call
 	for _, c := range r.byTicket {
@@ -101,9 +100,6 @@
 		r.decide()
 	})
 	r.time.after(noticed+r.toOwner, func() { r.runElsewhere(lost) })
-	if !reclaimed && noticed == r.link {
-		r.time.after(crashRestart, func() { r.restart(slot) })
-	}
 }
 
 // runElsewhere continues the calls that an engine took down with it.
