Plan steps to the inter-token bound and count shared blocks once

Cause: under crowding the owner held 39 sequences on an engine where memory carries 44. Three causes: the step curve took prefill for decode time, so that the largest batch came out at 40 in place of 46; steps were planned at 0.87 of the bound with even weights; blocks that sequences share counted several times (about a fifth of the memory).

The check compares with baselines of as many tokens/s, since all policies complete all requests in the end.

--- a/internal/experiment/check.go
+++ b/internal/experiment/check.go
@@ -20,6 +20,7 @@
 	crowdedShare      = 0.1  // of the preemptions and stall of the best baseline
 	crowdedTailShare  = 0.5  // of its inter-token p99
 	crowdedThroughput = 0.98 // of the highest tokens per second
+	sameWork          = 0.98 // of our tokens per second
 	surgeLookupFactor = 1.2
 	leastJain         = 0.95
 )
@@ -93,13 +94,15 @@
 }
 
 // bestBaseline returns the baseline with the least stall among those that
-// complete at least as many requests as ours.
+// complete as much in the same time: at least sameWork of our tokens per second.
+// The count of completed requests does not tell, since every policy that
+// refuses nothing completes all of them in the end, however late.
 func bestBaseline(ours *Result, same []Result) (Result, bool) {
 	var best Result
 	found := false
 	for _, spec := range Policies() {
 		for _, r := range same {
-			if r.Policy != spec.Name || !spec.Baseline || r.Completed < ours.Completed {
+			if r.Policy != spec.Name || !spec.Baseline || r.TokensPerSecond < sameWork*ours.TokensPerSecond {
 				continue
 			}
 			if !found || r.StallSeconds < best.StallSeconds {
--- a/internal/experiment/runner.go
+++ b/internal/experiment/runner.go
@@ -42,8 +42,6 @@
 	decideAt time.Time // of the Decide that the policy asked for
 }
 
-var debug func(*runner)
-
 // Run runs one policy over a scenario.
 func Run(s *Scenario, spec PolicySpec, seed uint64, arrivals []Arrival) Result {
 	r := newRunner(s, spec, seed)
@@ -61,9 +59,6 @@
 	end := start.Add(seconds(s.Seconds + s.DrainSeconds))
 	for r.open() && r.time.next(end) {
 	}
-	if debug != nil {
-		debug(r)
-	}
 	return r.result(spec.Name)
 }
 
--- a/internal/scheduling/bounds.go
+++ b/internal/scheduling/bounds.go
@@ -12,13 +12,13 @@
 
 const (
 	// With the whole weight on the tail, steps are planned at this share of the
-	// inter-token bound, and with none at stepShareMax: shorter steps mean
-	// smaller batches and longer waits.
-	stepShareMin = 0.7
-	stepShareMax = 0.95
+	// inter-token bound. Up to evenTail they may take all of it: shorter steps
+	// mean smaller batches and longer waits.
+	stepShareMin = 0.8
+	evenTail     = 1.0 / 3
 	// With the whole weight on stalls and preemptions, the accepted overflow
 	// probability is this share of OverflowPercent, and with none the whole.
-	overflowShareMin = 0.1
+	overflowShareMin = 0.5
 )
 
 // boundsOf turns the weights of the document into an operating point.
@@ -30,8 +30,14 @@
 	memory := 1 - tail
 	return bounds{
 		overflow:    o.OverflowPercent / 100 * (1 - (1-overflowShareMin)*memory),
-		stepMS:      float64(o.InterTokenMS) * (stepShareMax - (stepShareMax-stepShareMin)*tail),
+		stepMS:      float64(o.InterTokenMS) * stepShare(tail),
 		tailShare:   tail,
 		memoryShare: memory,
 	}
 }
+
+// stepShare returns the share of the inter-token bound that steps may take.
+func stepShare(tail float64) float64 {
+	beyond := max(0, tail-evenTail) / (1 - evenTail)
+	return 1 - (1-stepShareMin)*beyond
+}
--- a/internal/scheduling/steptime/curve.go
+++ b/internal/scheduling/steptime/curve.go
@@ -7,8 +7,11 @@
 const (
 	// Forgetting per report: a report counts half after about 70 others.
 	forgetting = 0.99
-	// outlierFactor bounds how far above the fit a report counts; longer steps
-	// hold prefill or a pause rather than decode alone.
+	// aboveWeight is the weight of a report above the fit against one below it.
+	// Steps are lengthened by prefill and pauses but never shortened, so that
+	// the decode time lies near the low end of the reports.
+	aboveWeight = 0.05
+	// outlierFactor bounds how far above the fit a report counts.
 	outlierFactor = 1.5
 	// The prior: 12 ms for a step and 0.25 ms for each sequence, with the
 	// weight of priorWeight reports at two batch sizes.
@@ -41,9 +44,13 @@
 		return
 	}
 	n := float64(sequences)
-	bounded := math.Min(stepMS, outlierFactor*c.At(n))
+	expected := c.At(n)
+	weight := 1.0
+	if stepMS > expected {
+		weight = aboveWeight
+	}
 	c.forget()
-	c.add(n, bounded, 1)
+	c.add(n, math.Min(stepMS, outlierFactor*expected), weight)
 	c.fit()
 }
 
--- a/internal/scheduling/targetstate.go
+++ b/internal/scheduling/targetstate.go
@@ -13,6 +13,8 @@
 	// foreignSmoothing is the share of a new report in the estimate of the
 	// memory that this pool did not grant.
 	foreignSmoothing = 0.3
+	// stepSmoothing is the share of a new report in the mean step.
+	stepSmoothing = 0.1
 	// historySlots bounds the own estimates kept to compare lagged reports with.
 	historySlots = 64
 	historyEvery = 50 * time.Millisecond
@@ -31,7 +33,8 @@
 	forecast     memory.Forecast
 	forecastAt   time.Time
 	stale        bool
-	foreign      float64 // tokens in memory that this pool did not grant
+	meanStepMS   float64 // of the reports, with prefill; 0 before the first
+	foreign      float64 // tokens in memory that this pool did not grant, or less than 0 where sequences share blocks
 	history      []usage
 	quarantine   uint64 // fingerprint that waits for or runs on the empty target
 }
@@ -54,7 +57,10 @@
 		return
 	}
 	before := t.progress
-	stepMS := max(1, steps.At(float64(len(t.residents))))
+	stepMS := t.meanStepMS
+	if stepMS <= 0 {
+		stepMS = max(1, steps.At(float64(len(t.residents))))
+	}
 	t.progress += float64(elapsed) / float64(time.Millisecond) / stepMS
 	for _, r := range t.residents {
 		if !r.started && !now.Before(r.startsAt) {
@@ -89,6 +95,12 @@
 // reported compares a new report with the own estimate at the report's time.
 // What the engine holds beyond it was granted by others.
 func (t *targetState) reported() {
+	if t.StepMS > 0 {
+		if t.meanStepMS == 0 {
+			t.meanStepMS = t.StepMS
+		}
+		t.meanStepMS += stepSmoothing * (t.StepMS - t.meanStepMS)
+	}
 	if t.BlockTokens == 0 {
 		return
 	}
@@ -119,7 +131,7 @@
 	for _, r := range t.residents {
 		t.forecast.Add(r.sequence())
 	}
-	t.forecast.AddConstant(max(0, t.foreign) + float64(len(t.residents)*t.BlockTokens)/2)
+	t.forecast.AddConstant(t.foreign + float64(len(t.residents)*t.BlockTokens)/2)
 	t.forecastAt = now
 	t.stale = false
 }
