--- a/internal/scheduling/config.go
+++ b/internal/scheduling/config.go
@@ -18,7 +18,10 @@
 	defaultQueueBound = 4096
 	// defaultPrefillMSPerToken is the time an engine takes to compute one
 	// prompt token that no cache holds.
-	defaultPrefillMSPerToken = 0.05
+	defaultPrefillMSPerToken = 0.04
+	// defaultPrefillChunk is the number of prompt tokens that an engine
+	// computes within one step.
+	defaultPrefillChunk = 512
 )
 
 // Config is the part of the environment document that a Pool acts on. The zero
@@ -35,6 +38,9 @@
 	// PrefillMSPerToken is the time to compute one uncached prompt token; 0
 	// means the default.
 	PrefillMSPerToken float64
+	// PrefillChunk is the number of prompt tokens that an engine computes
+	// within one step; 0 means the default.
+	PrefillChunk int
 }
 
 func (c Config) withDefaults() Config {
@@ -53,5 +59,8 @@
 	if c.PrefillMSPerToken <= 0 {
 		c.PrefillMSPerToken = defaultPrefillMSPerToken
 	}
+	if c.PrefillChunk <= 0 {
+		c.PrefillChunk = defaultPrefillChunk
+	}
 	return c
 }
--- a/internal/scheduling/place.go
+++ b/internal/scheduling/place.go
@@ -78,6 +78,7 @@
 		begins = t.prefillUntil
 	}
 	t.prefillUntil = begins.Add(prefill)
+	t.join(now, c.uncached(t), p.steps.At(float64(len(t.residents)+1)))
 	r := &resident{request: *c.request, target: t, curve: curve, expected: c.expected, startsAt: t.prefillUntil}
 	t.refresh(now)
 	t.forecast.Add(c.sequence)
--- a/internal/scheduling/targetstate.go
+++ b/internal/scheduling/targetstate.go
@@ -30,6 +30,8 @@
 	progress     float64     // tokens that a sequence running all the time would have produced
 	progressAt   time.Time
 	prefillUntil time.Time // when the prompts granted until now are computed
+	lotAt        time.Time // when the first prompt of the last lot was granted
+	lotTokens    float64   // prompt tokens granted within the same step
 	forecast     memory.Forecast
 	forecastAt   time.Time
 	stale        bool
