Use the gateway's resume-token keys in the key ring

Two key rings had grown side by side; the one that watches a file now hands out resumetoken.Keyring. Broken lines are named by number only, because a line without an id may be a bare secret.

--- a/internal/cli/key.go
+++ b/internal/cli/key.go
@@ -28,8 +28,7 @@
 
 // resumeKey is the result of key resume in JSON output.
 type resumeKey struct {
-	ID   uint32 `json:"id"`
-	Line string `json:"line"` // for the file of --resume-keys
+	Line string `json:"line"` // for --token-keys-file
 }
 
 func (a *app) keyCommand() *cobra.Command {
@@ -56,23 +55,20 @@
 }
 
 func (a *app) resumeKeyCommand() *cobra.Command {
-	var id uint32
+	var id string
 	cmd := &cobra.Command{
-		Use:   "resume --id N",
-		Short: "Make a key of resume tokens, as a line of the file of --resume-keys",
+		Use:   "resume --id NAME",
+		Short: "Make a key of resume tokens, as a line of the file of --token-keys-file",
 		Args:  cobra.NoArgs,
 		RunE: a.command(func(context.Context, []string) error {
-			if id == 0 {
-				return &usageError{"key resume needs --id, a number above 0 that no key of the file has"}
-			}
-			k, err := tlskeys.NewKey(id)
+			line, err := tlskeys.NewKeyLine(id)
 			if err != nil {
-				return err
+				return &usageError{"key resume needs --id with 1 to 16 characters, which no key of the file has"}
 			}
-			return a.out.result(resumeKey{ID: id, Line: k.Line()}, func(w io.Writer) { fmt.Fprintln(w, k.Line()) })
+			return a.out.result(resumeKey{Line: line}, func(w io.Writer) { fmt.Fprintln(w, line) })
 		}),
 	}
-	cmd.Flags().Uint32Var(&id, "id", 0, "id of the key, above 0")
+	cmd.Flags().StringVar(&id, "id", "", "id of the key, 1 to 16 characters")
 	return cmd
 }
 
--- a/internal/document/parse_test.go
+++ b/internal/document/parse_test.go
@@ -1,6 +1,7 @@
 package document
 
 import (
+	"bytes"
 	"os"
 	"path/filepath"
 	"testing"
@@ -29,6 +30,7 @@
 	for _, file := range exampleFiles(t) {
 		source, err := os.ReadFile(file)
 		require.NoError(t, err)
+		source = bytes.ReplaceAll(source, []byte("{key-hash}"), []byte(HashKey("demo"))) // as scripts/demo.sh does
 		d, err := Parse(source)
 		require.NoError(t, err, file)
 		body, err := Encode(d)
--- a/internal/tlskeys/material.go
+++ b/internal/tlskeys/material.go
@@ -51,20 +51,10 @@
 	return m, nil
 }
 
-// Watch looks at the files again and again until ctx ends. The caller owns the
-// goroutine that runs it. Call Reload on SIGHUP from elsewhere to look at once.
+// Watch looks at the files again and again until ctx ends, and at once when
+// reload receives. The caller owns the goroutine that runs it.
 func (m *Material) Watch(ctx context.Context, reload <-chan struct{}) {
-	ticker := time.NewTicker(m.settings.TLSReload)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-reload:
-		case <-ticker.C:
-		}
-		m.look()
-	}
+	watch(ctx, m.settings.TLSReload, reload, m.look)
 }
 
 // look takes up changed files. Each change is judged once, so that a broken
