Hand out accepted documents byte for byte

Decoding and encoding again drops fields of a later release, so that two hosts of different releases would hold different bytes of one revision and report a fault. docstore.Body returns the stored bytes, checked against their digest.

--- a/internal/docstore/apply.go
+++ b/internal/docstore/apply.go
@@ -57,10 +57,10 @@
 	if err := s.writeHistory(ctx, req.Environment, next); err != nil {
 		return document.Accepted{}, err
 	}
-	if err := s.swap(ctx, req.Environment, next, d, at); err != nil {
+	if err := s.swap(ctx, req.Environment, next, body, at); err != nil {
 		return document.Accepted{}, err
 	}
-	next.Document = &d
+	next.Document = body
 	return s.accepted(ctx, next)
 }
 
@@ -119,8 +119,8 @@
 }
 
 // swap replaces the current record if its store revision is still at.
-func (s *Store) swap(ctx context.Context, environment string, next record, d document.Document, at platform.Revision) error {
-	value, err := encodeCurrent(next, d)
+func (s *Store) swap(ctx context.Context, environment string, next record, body []byte, at platform.Revision) error {
+	value, err := encodeCurrent(next, body)
 	if err != nil {
 		return err
 	}
--- a/internal/docstore/body.go
+++ b/internal/docstore/body.go
@@ -29,6 +29,9 @@
 	Chunks []string `json:"chunks"` // SHA-256 of each chunk, hex
 }
 
+// errDigest tells that a stored document was changed by other means.
+var errDigest = eris.New("the stored document does not match its digest; roll back to another revision")
+
 // pack compresses a body and cuts it into chunks of at most chunkBytes.
 func pack(body []byte, chunkBytes int) (bodyRef, [][]byte, error) {
 	var packed bytes.Buffer
@@ -85,7 +88,7 @@
 		return nil, eris.Wrap(err, "the document's body is damaged; roll back to another revision")
 	}
 	if digest(body) != ref.Digest {
-		return nil, eris.New("the document's body does not match its digest; roll back to another revision")
+		return nil, errDigest
 	}
 	return body, nil
 }
--- a/internal/docstore/record.go
+++ b/internal/docstore/record.go
@@ -5,23 +5,21 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-
-	"corianderhitch/internal/document"
 )
 
 // record is the store value of a revision. Its JSON has the fields of
 // document.Accepted and more. The current record holds the document itself if
 // it is small; the history entry never does.
 type record struct {
-	Revision   int64              `json:"revision"`
-	Operator   string             `json:"operator"`
-	Comment    string             `json:"comment,omitempty"`
-	AcceptedAt time.Time          `json:"accepted_at"`
-	Origin     string             `json:"origin,omitempty"`
-	Attempt    string             `json:"attempt"`            // unique id of the call that wrote it
-	Previous   link               `json:"previous,omitempty"` // record that this one replaced; zero for the first
-	Body       bodyRef            `json:"body"`
-	Document   *document.Document `json:"document,omitempty"`
+	Revision   int64           `json:"revision"`
+	Operator   string          `json:"operator"`
+	Comment    string          `json:"comment,omitempty"`
+	AcceptedAt time.Time       `json:"accepted_at"`
+	Origin     string          `json:"origin,omitempty"`
+	Attempt    string          `json:"attempt"`            // unique id of the call that wrote it
+	Previous   link            `json:"previous,omitempty"` // record that this one replaced; zero for the first
+	Body       bodyRef         `json:"body"`
+	Document   json.RawMessage `json:"document,omitempty"` // canonical JSON
 }
 
 // link names the history entry of a revision.
@@ -36,9 +34,9 @@
 const maxInlineBytes = 512 << 10
 
 // encodeCurrent returns the value of the current record.
-func encodeCurrent(r record, d document.Document) ([]byte, error) {
+func encodeCurrent(r record, body []byte) ([]byte, error) {
 	if r.Body.Bytes <= maxInlineBytes {
-		r.Document = &d
+		r.Document = body
 	}
 	return encodeRecord(r)
 }
--- a/internal/docstore/store.go
+++ b/internal/docstore/store.go
@@ -34,17 +34,22 @@
 // store's revision of its record. It returns an error that is
 // platform.ErrNotFound while no document was accepted.
 func (s *Store) Current(ctx context.Context, environment string) (document.Accepted, platform.Revision, error) {
-	entry, err := s.store.Get(ctx, document.CurrentKey(environment))
-	if errors.Is(err, platform.ErrNotFound) {
-		return document.Accepted{}, 0, eris.Wrapf(err, "environment %q has no document; apply one", environment)
-	}
+	entry, err := s.entry(ctx, environment)
 	if err != nil {
-		return document.Accepted{}, 0, eris.Wrapf(err, "cannot read the document of %q", environment)
+		return document.Accepted{}, 0, err
 	}
 	accepted, err := s.Resolve(ctx, entry)
 	return accepted, entry.Revision, err
 }
 
+func (s *Store) entry(ctx context.Context, environment string) (platform.Entry, error) {
+	entry, err := s.store.Get(ctx, document.CurrentKey(environment))
+	if errors.Is(err, platform.ErrNotFound) {
+		return platform.Entry{}, eris.Wrapf(err, "environment %q has no document; apply one", environment)
+	}
+	return entry, eris.Wrapf(err, "cannot read the document of %q", environment)
+}
+
 // Resolve returns the accepted document of a current record, for example one
 // that a watch on document.CurrentKey reported. It reads the parts of a large
 // body from the store.
@@ -56,12 +61,39 @@
 	return s.accepted(ctx, r)
 }
 
+// Body is an accepted document as it was stored.
+type Body struct {
+	Revision int64
+	Content  []byte            // canonical JSON, byte for byte as its operator's release wrote it
+	From     platform.Revision // store revision of the record, to watch from
+}
+
+// Body returns the document in force without decoding it. Hosts of different
+// releases get the same bytes, also for fields that only one of them knows.
+// Errors are those of Current.
+func (s *Store) Body(ctx context.Context, environment string) (Body, error) {
+	entry, err := s.entry(ctx, environment)
+	if err != nil {
+		return Body{}, err
+	}
+	r, err := decodeRecord(entry.Value)
+	if err != nil {
+		return Body{}, err
+	}
+	content, err := s.body(ctx, r)
+	return Body{Revision: r.Revision, Content: content, From: entry.Revision}, err
+}
+
 // accepted completes a record with its document.
 func (s *Store) accepted(ctx context.Context, r record) (document.Accepted, error) {
-	d, err := s.document(ctx, r)
+	body, err := s.body(ctx, r)
 	if err != nil {
 		return document.Accepted{}, eris.Wrapf(err, "cannot read revision %d", r.Revision)
 	}
+	d, err := document.Decode(body)
+	if err != nil {
+		return document.Accepted{}, err
+	}
 	return document.Accepted{
 		Revision:   r.Revision,
 		Document:   d,
@@ -72,15 +104,15 @@
 	}, nil
 }
 
-func (s *Store) document(ctx context.Context, r record) (document.Document, error) {
-	if r.Document != nil {
-		return *r.Document, nil
+// body returns the canonical JSON of a record's document.
+func (s *Store) body(ctx context.Context, r record) ([]byte, error) {
+	if len(r.Document) == 0 {
+		return s.readBody(ctx, r.Body)
 	}
-	body, err := s.readBody(ctx, r.Body)
-	if err != nil {
-		return document.Document{}, err
+	if digest(r.Document) != r.Body.Digest {
+		return nil, errDigest
 	}
-	return document.Decode(body)
+	return r.Document, nil
 }
 
 // current returns the record in force and its store revision; a zero record and
