--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,13 @@
 	$(BIN)/tools/staticcheck ./...
 	$(BIN)/tools/revive -config revive.toml -set_exit_status ./...
 
+# generate writes what is made from the code: the page of all settings.
+generate:
+	$(GO) run ./internal/settings/gendoc
+
+generate-check:
+	$(GO) run ./internal/settings/gendoc -check
+
 clean:
 	rm -rf $(BIN) out
 
--- a/internal/settings/print.go
+++ b/internal/settings/print.go
@@ -34,11 +34,19 @@
 func Markdown(w io.Writer, program string, target any) {
 	fmt.Fprintf(w, "## %s\n\n| flag | environment | default | rules | meaning |\n|---|---|---|---|---|\n", program)
 	for _, f := range Fields(target) {
-		fmt.Fprintf(w, "| `--%s` | `%s` | %s | %s | %s |\n", f.Flag, f.Env, code(f.Default), code(f.Validate), f.Usage)
+		fmt.Fprintf(w, "| `--%s` | `%s` | %s | %s | %s |\n", f.Flag, f.Env, code(f.Default), code(f.Validate), meaning(f))
 	}
 	fmt.Fprintln(w)
 }
 
+func meaning(f Field) string {
+	text := strings.ReplaceAll(f.Usage, "|", `\|`)
+	if f.Secret {
+		text += " (secret: masked in output)"
+	}
+	return text
+}
+
 func code(text string) string {
 	if text == "" {
 		return ""
