--- a/internal/cli/wait.go
+++ b/internal/cli/wait.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/rotisserie/eris"
 
 	"corianderhitch/api/control"
@@ -13,7 +14,8 @@
 // Bounds of --wait.
 const (
 	defaultWaitFor = 60 * time.Second
-	pollInterval   = 100 * time.Millisecond // fine enough for figures of a tenth of a second
+	firstPoll      = 50 * time.Millisecond // most changes are in force within a few of these
+	longestPoll    = time.Second           // the agent asks every host for each poll
 )
 
 // errWaitTimeout tells that a revision was accepted, but not seen in force on
@@ -26,30 +28,35 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Duration(f.waitFor))
 	defer cancel()
 	started := time.Now()
-	ticker := time.NewTicker(pollInterval)
-	defer ticker.Stop()
-	var last error
+	wait := backoff.NewExponentialBackOff()
+	wait.InitialInterval, wait.MaxInterval, wait.RandomizationFactor = firstPoll, longestPoll, 0
 	for {
-		status, _, err := askAgents[control.StatusReply](ctx, a, "Control.Status", control.Empty{})
-		if err != nil {
-			last = err
-		} else {
-			behind := lagging(status.Members, c.Revision)
-			if len(behind) == 0 {
-				seconds := time.Since(started).Seconds()
-				c.WaitSeconds, c.Hosts = &seconds, len(live(status.Members))
-				return nil
-			}
-			last = eris.Errorf("behind: %s", strings.Join(behind, ", "))
+		hosts, err := a.inForce(ctx, c.Revision)
+		if err == nil {
+			seconds := time.Since(started).Seconds()
+			c.WaitSeconds, c.Hosts = &seconds, hosts
+			return nil
 		}
 		select {
 		case <-ctx.Done():
-			return eris.Wrapf(errWaitTimeout, "%v", last)
-		case <-ticker.C:
+			return eris.Wrapf(errWaitTimeout, "%v", err)
+		case <-time.After(wait.NextBackOff()):
 		}
 	}
 }
 
+// inForce returns the number of live hosts if all report at least the revision.
+func (a *app) inForce(ctx context.Context, revision int64) (int, error) {
+	status, _, err := askAgents[control.StatusReply](ctx, a, "Control.Status", control.Empty{})
+	if err != nil {
+		return 0, err
+	}
+	if behind := lagging(status.Members, revision); len(behind) > 0 {
+		return 0, eris.Errorf("behind: %s", strings.Join(behind, ", "))
+	}
+	return len(live(status.Members)), nil
+}
+
 // live returns the members that may serve callers.
 func live(members []control.Member) []control.Member {
 	var list []control.Member
