--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -11,6 +11,7 @@
 
 func (a *app) applyCommand() *cobra.Command {
 	var f changeFlags
+	var above int64
 	cmd := &cobra.Command{
 		Use:   "apply FILE",
 		Short: "Put a document in force",
@@ -30,11 +31,13 @@
 						Document:    d,
 						Operator:    a.settings.operator(),
 						Comment:     f.comment,
+						Above:       above,
 					})
 				},
 			})
 		}),
 	}
 	f.register(cmd.Flags())
+	cmd.Flags().Int64Var(&above, "above", 0, "make the revision higher than this one, after the store lost revisions that hosts hold")
 	return cmd
 }
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -204,7 +204,12 @@
 	require.Equal(t, 2, c.Hosts)
 	require.Equal(t, 2, b.control.polls)
 
-	code, _, errs := b.run("rollback", "--environment", "trial", "--to-revision", "1", "--wait", "--wait-for", "10ms")
+	code, _, errs := b.run("promote", "--revision", "1", "--wait", "--wait-for", "10ms")
+	require.Equal(t, ExitUnreachable, code)
+	require.Contains(t, errs, `the agent asked is of environment "trial", not "production"`)
+	require.Contains(t, b.ok("status", "--environment", "production"), `warning: the agent asked is of environment "trial"`)
+
+	code, _, errs = b.run("rollback", "--environment", "trial", "--to-revision", "1", "--wait", "--wait-for", "10ms")
 	require.Equal(t, ExitUnreachable, code)
 	require.Contains(t, errs, "the revision is accepted, but not yet in force")
 	require.Contains(t, errs, "host-a (gateway)")
@@ -236,3 +241,18 @@
 	require.Contains(t, b.ok("completion", "bash"), "hitchctl")
 	require.Contains(t, b.ok("status", "--print-config"), "operator=ana")
 }
+
+func TestRevisionsThatTheStoreLostAreNoticed(t *testing.T) {
+	b := newBench(t)
+	for i := range b.control.members {
+		b.control.members[i].DocumentRevision, b.control.members[i].GatewayRevision = 57, 57
+	}
+	code, _, errs := b.run("apply", trial, "--wait", "--wait-for", "10ms")
+	require.Equal(t, ExitUnreachable, code)
+	require.Contains(t, errs, "apply it with --above 57")
+	out := b.ok("status")
+	require.Contains(t, out, "in force on every live host: false")
+	require.Contains(t, out, "warning: hosts hold revision 57, but the store has lost it and is at 1")
+	require.Contains(t, b.ok("apply", trial, "--above", "57"), "accepted as revision 58")
+	require.Contains(t, b.ok("status"), "in force on every live host: false", "hosts have not taken it up yet")
+}
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -26,6 +26,7 @@
 	Hosts         []hostStatus   `json:"hosts"`
 	Targets       []targetStatus `json:"targets"`
 	InForce       bool           `json:"in_force"` // every live host has the store's revision
+	Warning       string         `json:"warning,omitempty"`
 }
 
 // hostStatus is one host of the system.
@@ -90,8 +91,19 @@
 		s.AgentError = agentErr.Error()
 	}
 	storeErr = a.storeStatus(ctx, &s)
-	s.InForce = s.StoreReached && agentErr == nil && len(lagging(fleet.Members, s.StoreRevision)) == 0
-	return s, agentErr, storeErr
+	if !s.StoreReached || agentErr != nil {
+		return s, agentErr, storeErr
+	}
+	err := sameEnvironment(fleet, s.Environment)
+	if err == nil {
+		err = aheadOfStore(fleet.Members, s.StoreRevision)
+	}
+	if err != nil {
+		s.Warning = err.Error()
+		return s, nil, nil
+	}
+	s.InForce = len(lagging(fleet.Members, s.StoreRevision)) == 0
+	return s, nil, nil
 }
 
 func (a *app) storeStatus(ctx context.Context, s *statusResult) error {
@@ -159,7 +171,11 @@
 		return
 	}
 	fmt.Fprintf(w, "agent %s, which reaches the store: %t\n", s.Agent, s.AgentsStore)
-	fmt.Fprintf(w, "in force on every live host: %t\n\n", s.InForce)
+	fmt.Fprintf(w, "in force on every live host: %t\n", s.InForce)
+	if s.Warning != "" {
+		fmt.Fprintf(w, "warning: %s\n", s.Warning)
+	}
+	fmt.Fprintln(w)
 	var hosts []string
 	for _, h := range s.Hosts {
 		hosts = append(hosts, cells(h.Host, h.Domain, h.State, h.AgentRevision, gatewayRevision(h), h.AgentAddr, h.GatewayAddr))
--- a/internal/cli/wait.go
+++ b/internal/cli/wait.go
@@ -31,7 +31,7 @@
 	wait := backoff.NewExponentialBackOff()
 	wait.InitialInterval, wait.MaxInterval, wait.RandomizationFactor = firstPoll, longestPoll, 0
 	for {
-		hosts, err := a.inForce(ctx, c.Revision)
+		hosts, err := a.inForce(ctx, c.Environment, c.Revision)
 		if err == nil {
 			seconds := time.Since(started).Seconds()
 			c.WaitSeconds, c.Hosts = &seconds, hosts
@@ -46,17 +46,59 @@
 }
 
 // inForce returns the number of live hosts if all report at least the revision.
-func (a *app) inForce(ctx context.Context, revision int64) (int, error) {
+func (a *app) inForce(ctx context.Context, environment string, revision int64) (int, error) {
 	status, _, err := askAgents[control.StatusReply](ctx, a, "Control.Status", control.Empty{})
 	if err != nil {
 		return 0, err
 	}
+	if err := sameEnvironment(status, environment); err != nil {
+		return 0, err
+	}
 	if behind := lagging(status.Members, revision); len(behind) > 0 {
 		return 0, eris.Errorf("behind: %s", strings.Join(behind, ", "))
 	}
+	if highest(status.Members) > revision {
+		current, err := a.currentOrNone(ctx, environment)
+		if err != nil {
+			return 0, err
+		}
+		if err := aheadOfStore(status.Members, current.Revision); err != nil {
+			return 0, err
+		}
+	}
 	return len(live(status.Members)), nil
 }
 
+// sameEnvironment refuses the state of a fleet of another environment, whose
+// revisions mean nothing here.
+func sameEnvironment(status control.StatusReply, environment string) error {
+	if status.Environment == environment {
+		return nil
+	}
+	return eris.Errorf("the agent asked is of environment %q, not %q; name agents of %q with --agent",
+		status.Environment, environment, environment)
+}
+
+// highest returns the highest revision that a live host reports.
+func highest(members []control.Member) int64 {
+	var top int64
+	for _, m := range live(members) {
+		top = max(top, m.DocumentRevision, m.GatewayRevision)
+	}
+	return top
+}
+
+// aheadOfStore refuses hosts that hold a revision above the store's. They ignore
+// whatever is applied below it.
+func aheadOfStore(members []control.Member, stored int64) error {
+	top := highest(members)
+	if top <= stored {
+		return nil
+	}
+	return eris.Errorf("hosts hold revision %d, but the store has lost it and is at %d; hosts ignore lower revisions: "+
+		"check the document with \"hitchctl diff\", then apply it with --above %d", top, stored, top)
+}
+
 // live returns the members that may serve callers.
 func live(members []control.Member) []control.Member {
 	var list []control.Member
--- a/internal/docstore/apply.go
+++ b/internal/docstore/apply.go
@@ -17,9 +17,13 @@
 	Operator    string
 	Comment     string
 	Origin      string // empty means "apply"
+	// Above makes the new revision higher than this one too. It is needed only
+	// after the store has lost revisions that hosts still hold.
+	Above int64
 }
 
-// Apply puts a document in force as revision Base+1 if Base is still in force.
+// Apply puts a document in force as revision Base+1, or Above+1 if that is
+// higher, if Base is still in force.
 // It returns a *document.ValidationError, a *ConflictError, an *UnknownError or
 // an error of the store that says that nothing was changed. A document equal to
 // the one in force is not written again; its revision is returned.
@@ -47,7 +51,7 @@
 	if err != nil {
 		return document.Accepted{}, err
 	}
-	if !always && old.Body.Digest == ref.Digest {
+	if !always && old.Body.Digest == ref.Digest && old.Revision > req.Above {
 		return s.accepted(ctx, old)
 	}
 	next := s.successor(old, req, ref)
@@ -85,7 +89,7 @@
 		origin = "apply"
 	}
 	return record{
-		Revision:   old.Revision + 1,
+		Revision:   max(old.Revision, req.Above) + 1,
 		Operator:   req.Operator,
 		Comment:    req.Comment,
 		AcceptedAt: s.now().UTC(),
--- a/internal/docstore/docstore_test.go
+++ b/internal/docstore/docstore_test.go
@@ -261,3 +261,29 @@
 	_, err = s.Body(t.Context(), "trial")
 	require.ErrorContains(t, err, "does not match its digest")
 }
+
+func TestRevisionsGoOnAboveWhatHostsHold(t *testing.T) {
+	s := New(memstore.New(memstore.Options{}))
+	d := example(t, "trial")
+	_, err := s.Apply(t.Context(), request(variant(d, 0), 0))
+	require.NoError(t, err)
+	req := request(variant(d, 0), 1)
+	req.Above = 57
+	accepted, err := s.Apply(t.Context(), req)
+	require.NoError(t, err)
+	require.EqualValues(t, 58, accepted.Revision, "also for an equal document")
+	again, err := s.Apply(t.Context(), ApplyRequest{Environment: "trial", Base: 58, Document: variant(d, 0), Above: 57})
+	require.NoError(t, err)
+	require.EqualValues(t, 58, again.Revision)
+	items, err := s.History(t.Context(), "trial", 0)
+	require.NoError(t, err)
+	require.Len(t, items, 2)
+	var missing *MissingError
+	_, err = s.At(t.Context(), "trial", 30)
+	require.ErrorAs(t, err, &missing)
+	first, err := s.At(t.Context(), "trial", 1)
+	require.NoError(t, err)
+	require.EqualValues(t, 1, first.Revision)
+	_, err = s.Rollback(t.Context(), RollbackRequest{Environment: "trial", ToRevision: 1, Base: 58})
+	require.NoError(t, err)
+}
--- a/internal/docstore/history.go
+++ b/internal/docstore/history.go
@@ -59,12 +59,17 @@
 	if err != nil {
 		return document.Accepted{}, err
 	}
-	return s.accepted(ctx, chain[len(chain)-1])
+	found := chain[len(chain)-1]
+	if found.Revision != revision {
+		return document.Accepted{}, &MissingError{Environment: environment, Revision: revision, Current: current.Revision}
+	}
+	return s.accepted(ctx, found)
 }
 
-// chain returns the accepted records from current down to a revision, newest
-// first. Each record names the one that it replaced, so that an entry of an
-// attempt that lost is never reached.
+// chain returns the accepted records from current down to a revision, or to the
+// next higher one if that was skipped (see ApplyRequest.Above), newest first.
+// Each record names the one that it replaced, so that an entry of an attempt that
+// lost is never reached.
 func (s *Store) chain(ctx context.Context, environment string, current record, oldest int64) ([]record, error) {
 	chain := []record{current}
 	if current.Revision <= oldest {
@@ -74,7 +79,7 @@
 	if err != nil {
 		return nil, err
 	}
-	for at := current; at.Revision > oldest; {
+	for at := current; at.Revision > oldest && at.Previous.Revision >= oldest; {
 		previous, ok := entries[at.Previous]
 		if !ok {
 			return nil, eris.Errorf("the history of %s lacks revision %d; it was removed from the store by other means",
