--- a/internal/cli/change.go
+++ b/internal/cli/change.go
@@ -7,6 +7,7 @@
 
 	"github.com/spf13/pflag"
 
+	"corianderhitch/api/control"
 	"corianderhitch/internal/docstore"
 	"corianderhitch/internal/document"
 )
@@ -66,6 +67,11 @@
 	if f.dryRun {
 		return a.showChange(c)
 	}
+	if f.wait {
+		if err := a.checkFleet(ctx, p.environment); err != nil {
+			return err
+		}
+	}
 	after, err := p.accept(ctx, before.Revision)
 	if err != nil {
 		return err
@@ -80,6 +86,19 @@
 	return a.showChange(c)
 }
 
+// checkFleet refuses --wait on a fleet of another environment before anything is
+// changed. Agents that do not answer now may answer during the wait.
+func (a *app) checkFleet(ctx context.Context, environment string) error {
+	status, _, err := askAgents[control.StatusReply](ctx, a, "Control.Status", control.Empty{})
+	if err != nil {
+		return nil
+	}
+	if err := sameEnvironment(status, environment); err != nil {
+		return &usageError{"nothing was changed: " + err.Error()}
+	}
+	return nil
+}
+
 // baseDocument returns the document in force. A --base that was overtaken is a
 // conflict already.
 func (a *app) baseDocument(ctx context.Context, environment string, base int64) (document.Accepted, error) {
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -193,7 +193,7 @@
 	b := newBench(t)
 	b.control.catchUp = func(poll int, members []control.Member) {
 		members[0].DocumentRevision = 1
-		if poll > 1 {
+		if poll > 2 {
 			members[0].GatewayRevision = 1
 			members[1].DocumentRevision = 1
 		}
@@ -202,16 +202,17 @@
 	require.NoError(t, json.Unmarshal([]byte(b.ok("apply", trial, "--wait", "--output", "json")), &c))
 	require.NotNil(t, c.WaitSeconds)
 	require.Equal(t, 2, c.Hosts)
-	require.Equal(t, 2, b.control.polls)
+	require.Equal(t, 3, b.control.polls, "one look before the change, two after it")
 
 	code, _, errs := b.run("promote", "--revision", "1", "--wait", "--wait-for", "10ms")
-	require.Equal(t, ExitUnreachable, code)
-	require.Contains(t, errs, `the agent asked is of environment "trial", not "production"`)
+	require.Equal(t, ExitUsage, code)
+	require.Contains(t, errs, `nothing was changed: the agent asked is of environment "trial", not "production"`)
+	b.ok("promote", "--revision", "1")
 	require.Contains(t, b.ok("status", "--environment", "production"), `warning: the agent asked is of environment "trial"`)
 
 	code, _, errs = b.run("rollback", "--environment", "trial", "--to-revision", "1", "--wait", "--wait-for", "10ms")
 	require.Equal(t, ExitUnreachable, code)
-	require.Contains(t, errs, "the revision is accepted, but not yet in force")
+	require.Contains(t, errs, "the revision is accepted, but was not seen in force")
 	require.Contains(t, errs, "host-a (gateway)")
 }
 
@@ -247,8 +248,8 @@
 	for i := range b.control.members {
 		b.control.members[i].DocumentRevision, b.control.members[i].GatewayRevision = 57, 57
 	}
-	code, _, errs := b.run("apply", trial, "--wait", "--wait-for", "10ms")
-	require.Equal(t, ExitUnreachable, code)
+	code, _, errs := b.run("apply", trial, "--wait")
+	require.Equal(t, ExitUnreachable, code, "no wait for what cannot come")
 	require.Contains(t, errs, "apply it with --above 57")
 	out := b.ok("status")
 	require.Contains(t, out, "in force on every live host: false")
--- a/internal/cli/wait.go
+++ b/internal/cli/wait.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"strings"
 	"time"
 
@@ -20,7 +22,10 @@
 
 // errWaitTimeout tells that a revision was accepted, but not seen in force on
 // every live host in time.
-var errWaitTimeout = eris.New("the revision is accepted, but not yet in force on every live host; it will be; watch \"hitchctl status\"")
+var errWaitTimeout = eris.New("the revision is accepted, but was not seen in force on every live host; watch \"hitchctl status\"")
+
+// hopeless is a reason that waiting longer does not mend.
+type hopeless struct{ error }
 
 // waitInForce waits until every live host reports at least the revision.
 func (a *app) waitInForce(ctx context.Context, f *changeFlags, c *change) error {
@@ -37,6 +42,10 @@
 			c.WaitSeconds, c.Hosts = &seconds, hosts
 			return nil
 		}
+		var final hopeless
+		if errors.As(err, &final) {
+			return eris.Wrapf(errWaitTimeout, "%v", err)
+		}
 		select {
 		case <-ctx.Done():
 			return eris.Wrapf(errWaitTimeout, "%v", err)
@@ -75,8 +84,8 @@
 	if status.Environment == environment {
 		return nil
 	}
-	return eris.Errorf("the agent asked is of environment %q, not %q; name agents of %q with --agent",
-		status.Environment, environment, environment)
+	return hopeless{fmt.Errorf("the agent asked is of environment %q, not %q; name agents of %q with --agent",
+		status.Environment, environment, environment)}
 }
 
 // highest returns the highest revision that a live host reports.
@@ -95,8 +104,8 @@
 	if top <= stored {
 		return nil
 	}
-	return eris.Errorf("hosts hold revision %d, but the store has lost it and is at %d; hosts ignore lower revisions: "+
-		"check the document with \"hitchctl diff\", then apply it with --above %d", top, stored, top)
+	return hopeless{fmt.Errorf("hosts hold revision %d, but the store has lost it and is at %d; hosts ignore lower revisions: "+
+		"check the document with \"hitchctl diff\", then apply it with --above %d", top, stored, top)}
 }
 
 // live returns the members that may serve callers.
