--- /dev/null
+++ b/internal/gateway/api/engine_test.go
@@ -0,0 +1,96 @@
+package api
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+
+	"corianderhitch/api/engine"
+	"corianderhitch/api/problem"
+)
+
+// scriptedEngine keeps generations and sends their tokens as its hooks allow.
+// Each token names its generation and the engine that made it.
+type scriptedEngine struct {
+	name   string
+	length int
+	// before runs before a token is sent; false cuts the connection.
+	before func(generation string, offset int) bool
+	server *httptest.Server
+
+	mu       sync.Mutex
+	runs     map[string][]string // guarded by mu; tokens by generation
+	starts   int                 // guarded by mu
+	canceled []string            // guarded by mu
+}
+
+func newEngine(t testing.TB, name string, length int) *scriptedEngine {
+	e := &scriptedEngine{name: name, length: length, runs: make(map[string][]string), before: func(string, int) bool { return true }}
+	e.server = httptest.NewServer(e)
+	t.Cleanup(e.server.Close)
+	return e
+}
+
+func (e *scriptedEngine) address() string { return strings.TrimPrefix(e.server.URL, "http://") }
+
+func (e *scriptedEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := strings.TrimPrefix(r.URL.Path, "/v1/generations/")
+	switch r.Method {
+	case http.MethodDelete:
+		e.mu.Lock()
+		e.canceled = append(e.canceled, id)
+		e.mu.Unlock()
+		w.WriteHeader(http.StatusNoContent)
+	case http.MethodGet:
+		offset, _ := strconv.Atoi(r.URL.Query().Get("offset"))
+		e.mu.Lock()
+		tokens, known := e.runs[id]
+		e.mu.Unlock()
+		if !known {
+			problem.Write(w, problem.New(problem.KindNotFound, http.StatusNotFound, problem.RanUnknown, "start", "unknown"))
+			return
+		}
+		e.send(w, id, tokens, offset)
+	default:
+		var request engine.GenerateRequest
+		_ = json.NewDecoder(r.Body).Decode(&request)
+		e.send(w, request.ID, e.start(request), request.Offset)
+	}
+}
+
+func (e *scriptedEngine) start(request engine.GenerateRequest) []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if tokens, known := e.runs[request.ID]; known {
+		return tokens
+	}
+	e.starts++
+	tokens := append([]string(nil), request.Prefix...)
+	for i := len(tokens); i < e.length; i++ {
+		tokens = append(tokens, fmt.Sprintf("%s:%s:%d ", request.ID[:4], e.name, i))
+	}
+	e.runs[request.ID] = tokens
+	return tokens
+}
+
+func (e *scriptedEngine) send(w http.ResponseWriter, id string, tokens []string, offset int) {
+	control := http.NewResponseController(w)
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	_ = control.Flush()
+	for i := offset; i < len(tokens); i++ {
+		if !e.before(id, i) {
+			panic(http.ErrAbortHandler)
+		}
+		data, _ := json.Marshal(engine.Token{Generation: id, Offset: i, Text: tokens[i]})
+		fmt.Fprintf(w, "event: token\ndata: %s\n\n", data)
+		_ = control.Flush()
+	}
+	data, _ := json.Marshal(engine.Done{Generation: id, Tokens: len(tokens), Reason: engine.FinishStop})
+	fmt.Fprintf(w, "event: done\ndata: %s\n\n", data)
+}
--- a/internal/gateway/runner/attachment.go
+++ b/internal/gateway/runner/attachment.go
@@ -158,6 +158,7 @@
 	}
 	s.lastSeen = now
 	s.stall = s.job.StallBound
+	s.pause = 0
 	if s.sink == nil || token.Offset < s.sent {
 		return
 	}
--- a/internal/gateway/runner/session.go
+++ b/internal/gateway/runner/session.go
@@ -23,8 +23,10 @@
 	// reopenTimeout is the same for an engine that has answered before. It is
 	// short, as a frozen engine stalls the stream until it is left.
 	reopenTimeout = 500 * time.Millisecond
-	// attachPause separates attachments after failures.
-	attachPause = 50 * time.Millisecond
+	// attachPause separates attachments after failures. It doubles up to
+	// maxAttachPause while no token comes.
+	attachPause    = 25 * time.Millisecond
+	maxAttachPause = 500 * time.Millisecond
 	// maxStallBound limits the growth of the bound while an engine answers but
 	// sends no token, as it does for a preempted generation.
 	maxStallBound = 8 * time.Second
@@ -60,6 +62,7 @@
 	moves    int
 	stall    time.Duration
 	lastSeen time.Time // last token, or the start of the wait
+	pause    time.Duration
 	lastErr  error
 	reason   engine.FinishReason
 	sent     int // tokens handed to the sink
@@ -118,7 +121,7 @@
 				return s.failedWith(late)
 			}
 			s.reattachMode()
-			wait(s.ctx, attachPause)
+			wait(s.ctx, s.nextPause())
 		case stream.StepContinue, stream.StepRestart:
 			if final := s.finalRefusal(); final != nil {
 				return s.failedWith(final)
@@ -133,6 +136,12 @@
 	}
 }
 
+// nextPause returns the pause before the next attachment.
+func (s *session) nextPause() time.Duration {
+	s.pause = min(max(2*s.pause, attachPause), maxAttachPause)
+	return s.pause
+}
+
 // reattachMode keeps asking to start a generation that this engine has not
 // accepted yet; the engine attaches if it runs it already.
 func (s *session) reattachMode() {
--- a/internal/gateway/stream/machine.go
+++ b/internal/gateway/stream/machine.go
@@ -11,9 +11,11 @@
 
 // Limits bounds the effort for one request.
 type Limits struct {
-	// Reattach is the number of failed attachments in a row after which an
+	// Reattach is the number of attachments without a new token after which an
 	// engine counts as gone.
 	Reattach int
+	// Patience is the same where no other engine can take over.
+	Patience int
 	// Moves is the number of times that the request goes to another engine.
 	Moves int
 	// Crashes is the number of engines that may die while they run the request.
@@ -25,7 +27,7 @@
 
 // DefaultLimits are the limits of the gateway. Two crashes bound the damage of a
 // request that kills its engines.
-func DefaultLimits() Limits { return Limits{Reattach: 2, Moves: 4, Crashes: 2, Refusals: 6} }
+func DefaultLimits() Limits { return Limits{Reattach: 2, Patience: 20, Moves: 4, Crashes: 2, Refusals: 6} }
 
 // Options describe a stream.
 type Options struct {
@@ -96,7 +98,6 @@
 func (m *Machine) Attached(epoch int) {
 	if epoch == m.epoch {
 		m.ran = true
-		m.failures = 0
 	}
 }
 
@@ -123,8 +124,8 @@
 	if token.Generation != m.generation || token.Offset < 0 || token.Offset > m.cursor {
 		return m.Failed(epoch, FailureProtocol) // a crossed stream or a gap
 	}
-	m.failures = 0
 	if token.Offset == len(m.tokens) {
+		m.failures = 0
 		m.tokens = append(m.tokens, token.Text)
 		m.advance()
 		return Step{Kind: StepAccept}
@@ -174,6 +175,9 @@
 	case FailureEngine:
 		m.ran = true
 		return m.move(true)
+	case FailureStalled: // the engine lives; the I/O side bounds the wait
+		m.ran = true
+		return Step{Kind: StepAttach}
 	default:
 		return m.broken()
 	}
@@ -206,7 +210,11 @@
 func (m *Machine) broken() Step {
 	m.ran = true
 	m.failures++
-	if m.failures <= m.options.Limits.Reattach {
+	limit := m.options.Limits.Reattach
+	if !m.movable() {
+		limit = m.options.Limits.Patience
+	}
+	if m.failures <= limit {
 		return Step{Kind: StepAttach}
 	}
 	return m.move(true)
@@ -222,9 +230,7 @@
 		return m.fail(ReasonRetries)
 	}
 	switch {
-	case m.options.Fixed:
-		return m.fail(ReasonLost)
-	case len(m.tokens) > 0 && len(m.tokens) >= m.options.Delivered && m.options.MayContinue:
+	case m.continuable():
 		m.confirmed = 0
 		return Step{Kind: StepContinue, Leave: leave}
 	case m.invisible():
@@ -234,6 +240,15 @@
 	}
 }
 
+// continuable tells whether another engine may continue from the known tokens.
+func (m *Machine) continuable() bool {
+	known := len(m.tokens) > 0 && len(m.tokens) >= m.options.Delivered
+	return known && m.options.MayContinue && !m.options.Fixed
+}
+
+// movable tells whether another engine may take over.
+func (m *Machine) movable() bool { return m.continuable() || m.invisible() }
+
 // mismatch handles an engine that contradicts the tokens that are known.
 func (m *Machine) mismatch() Step {
 	m.epoch++
--- a/internal/gateway/stream/machine_test.go
+++ b/internal/gateway/stream/machine_test.go
@@ -219,6 +219,7 @@
 	require.Equal(t, StepAccept, m.Token(epoch, engine.Token{Generation: "g", Text: "a"}).Kind)
 	require.Equal(t, Step{Kind: StepAttach}, m.Failed(epoch, FailureStalled))
 	require.Equal(t, Step{Kind: StepAttach}, m.Failed(m.Attaching(), FailureBroken))
+	require.Equal(t, Step{Kind: StepAttach}, m.Failed(m.Attaching(), FailureBroken))
 	require.Equal(t, Step{Kind: StepContinue, Leave: true}, m.Failed(m.Attaching(), FailureBroken))
 	require.Equal(t, []string{"a"}, m.Tokens())
 }
--- /dev/null
+++ b/internal/outbound/outbound_test.go
@@ -0,0 +1,148 @@
+package outbound
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// peer accepts connections and hands each to serve, with its number from 1 on.
+func peer(t *testing.T, serve func(n int32, conn net.Conn)) (address string, accepted *atomic.Int32) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	accepted = new(atomic.Int32)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			serve(accepted.Add(1), conn)
+			_ = conn.Close()
+		}
+	}()
+	t.Cleanup(func() {
+		_ = listener.Close()
+		<-done
+	})
+	return listener.Addr().String(), accepted
+}
+
+func readRequest(conn net.Conn) *http.Request {
+	req, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return nil
+	}
+	_, _ = io.Copy(io.Discard, req.Body)
+	return req
+}
+
+func post(t *testing.T, ctx context.Context, address, body string) *http.Request {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/", strings.NewReader(body))
+	require.NoError(t, err)
+	req.Header.Set("Idempotency-Key", "k")
+	return req
+}
+
+func TestNothingListens(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	require.NoError(t, listener.Close())
+	transport := New()
+	defer transport.Close()
+	_, err = transport.DoOnce(post(t, t.Context(), address, "x"))
+	require.ErrorIs(t, err, ErrNotSent)
+	require.True(t, IsConnectionRefused(err))
+}
+
+func TestConnectionCutAfterTheRequestIsBroken(t *testing.T) {
+	address, accepted := peer(t, func(_ int32, conn net.Conn) { readRequest(conn) })
+	transport := New()
+	defer transport.Close()
+	for _, body := range []string{"x", ""} {
+		before := accepted.Load()
+		_, err := transport.DoOnce(post(t, t.Context(), address, body))
+		require.ErrorIs(t, err, ErrBroken)
+		require.Equal(t, before+1, accepted.Load(), "the request was sent again")
+	}
+}
+
+// The standard transport resends a request with an Idempotency-Key when a reused
+// connection breaks. DoOnce must not.
+func TestOnceIsNeverResentOnReusedConnections(t *testing.T) {
+	var requests atomic.Int32
+	address, _ := peer(t, func(n int32, conn net.Conn) {
+		if readRequest(conn) == nil {
+			return
+		}
+		requests.Add(1)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		if n == 1 && readRequest(conn) != nil {
+			requests.Add(1) // taken, then cut without an answer
+		}
+	})
+	transport := New()
+	defer transport.Close()
+	for range 2 {
+		resp, err := transport.DoOnce(post(t, t.Context(), address, ""))
+		require.NoError(t, err)
+		_ = resp.Body.Close()
+	}
+	require.EqualValues(t, 2, requests.Load())
+}
+
+func TestNothingLeavesAfterNotSent(t *testing.T) {
+	got := make(chan int, 1)
+	address, _ := peer(t, func(_ int32, conn net.Conn) {
+		_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+		n, _ := io.Copy(io.Discard, conn)
+		got <- int(n)
+	})
+	transport := New()
+	defer transport.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	req := post(t, ctx, address, "x")
+	guard := make(chan struct{})
+	transport.fresh.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := dial(ctx, network, addr)
+		cancel() // the caller gives up before the first byte
+		close(guard)
+		return conn, err
+	}
+	_, err := transport.DoOnce(req)
+	<-guard
+	transport.Close()
+	if errors.Is(err, ErrNotSent) {
+		require.Zero(t, <-got, "bytes left although the request was called not sent")
+	} else {
+		require.ErrorIs(t, err, ErrBroken)
+	}
+}
+
+func TestSealStopsWrites(t *testing.T) {
+	address, _ := peer(t, func(_ int32, conn net.Conn) { _, _ = io.Copy(io.Discard, conn) })
+	conn, err := dial(t.Context(), "tcp", address)
+	require.NoError(t, err)
+	g := conn.(*guardedConn)
+	_, err = g.Write([]byte("abc"))
+	require.NoError(t, err)
+	require.EqualValues(t, 3, g.seal())
+	_, err = g.Write([]byte("d"))
+	require.ErrorIs(t, err, errSealed)
+	require.EqualValues(t, 3, g.count())
+}
