Continue interrupted answers first and narrow crash suspects by spreading

Cause: in churn, answers cut by a dead engine waited for admission behind all others, and for a target of their own when they had been beside two crashes. A quarantine outlived its request, so that suspects waited for ever; it could also stand on a target that the request avoids. Reclaimed targets counted as crashed.

--- a/internal/experiment/metrics.go
+++ b/internal/experiment/metrics.go
@@ -26,7 +26,7 @@
 	inWindow    float64 // tokens
 	asked       map[string]float64
 	got         map[string]float64
-	interrupted int // generations that lost their engine
+	interrupted int // generations that lost their engine, or were on a stalled link
 }
 
 func newMetrics(windowEnd time.Time) *metrics {
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -52,6 +52,6 @@
 	// of all those tokens, given what the account asked for in the window.
 	FairnessJain float64 `json:"fairness_jain"`
 
-	interrupted  int     // generations that lost their engine
+	interrupted  int     // generations that lost their engine, or were on a stalled link
 	calmLookupMS float64 // LookupP99MS of the scenario without its surge
 }
--- a/internal/scheduling/admit.go
+++ b/internal/scheduling/admit.go
@@ -16,6 +16,10 @@
 	// prefillAhead is the prompt work that may wait on a target. More would
 	// only queue in the engine, where it can no longer be moved.
 	prefillAhead = 20 * time.Millisecond
+	// The room for requests that resume in the midst of an answer.
+	resumedBatch        = 1.15
+	resumedOverflow     = 0.1
+	resumedPrefillAhead = 200 * time.Millisecond
 )
 
 // admits is the Admitter: it tells whether the target can take the request now
@@ -27,20 +31,43 @@
 	if t.TotalBlocks == 0 {
 		return len(t.residents) < unknownResidents
 	}
-	share := 1.0
-	if c.request.Priority < urgentPriority {
-		share -= reserveShare
-	}
-	if float64(len(t.residents)+1) > share*float64(p.steps.Largest(p.bounds.stepMS)) {
+	room := p.roomFor(c.request)
+	if float64(len(t.residents)+1) > room.batch*float64(p.steps.Largest(p.bounds.stepMS)) {
 		return false
 	}
-	if c.prefillMS(t, p.config.PrefillMSPerToken) > 0 && t.prefillUntil.Sub(now) > prefillAhead {
+	ahead := t.prefillUntil.Sub(now)
+	if ahead > room.prefillAhead && c.prefillMS(t, p.config.PrefillMSPerToken) > 0 {
 		return false
 	}
 	t.refresh(now)
 	with := t.forecast
 	with.Add(c.sequence)
-	return with.Fits(share*t.capacity(), p.bounds.overflow)
+	return with.Fits(room.memory*t.capacity(), room.overflow)
+}
+
+// room is how far a request may fill a target.
+type room struct {
+	batch        float64 // share of the largest batch
+	memory       float64 // share of the memory
+	overflow     float64 // accepted probability of overflow
+	prefillAhead time.Duration
+}
+
+// roomFor returns the room for a request. Urgent requests may use the reserve,
+// and one whose caller waits in the midst of an answer more than that: it
+// stalls for certain while it waits, but others only perhaps when it runs.
+func (p *Pool) roomFor(r *Request) room {
+	full := room{batch: 1, memory: 1, overflow: p.bounds.overflow, prefillAhead: prefillAhead}
+	switch {
+	case r.Produced > 0:
+		full.batch = resumedBatch
+		full.overflow = max(resumedOverflow, p.bounds.overflow)
+		full.prefillAhead = resumedPrefillAhead
+	case r.Priority < urgentPriority:
+		full.batch -= reserveShare
+		full.memory -= reserveShare
+	}
+	return full
 }
 
 // candidate is a request under decision.
--- a/internal/scheduling/decide.go
+++ b/internal/scheduling/decide.go
@@ -71,6 +71,7 @@
 		return skipped
 	}
 	if verdict == suspicion.Isolate {
+		w.request.Avoid = nil // the place to be alone in decides, not where it ran before
 		p.quarantine(w.request.Fingerprint)
 	}
 	c := p.consider(w)
@@ -88,36 +89,6 @@
 	return settled
 }
 
-// quarantine sets a target aside for a request that must run alone.
-func (p *Pool) quarantine(fingerprint uint64) {
-	var best *targetState
-	for _, t := range p.order {
-		if t.quarantine == fingerprint {
-			return
-		}
-		if t.quarantine != 0 || !t.Healthy || t.Leaving || t.Standby {
-			continue
-		}
-		if best == nil || len(t.residents) < len(best.residents) {
-			best = t
-		}
-	}
-	if best != nil && !p.anyQuarantine() {
-		best.quarantine = fingerprint
-	}
-}
-
-// anyQuarantine tells whether a target is set aside already: suspects run one
-// after the other, so that they cost one target at a time.
-func (p *Pool) anyQuarantine() bool {
-	for _, t := range p.order {
-		if t.quarantine != 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // NextDecision implements Policy.
 func (p *Pool) NextDecision(now time.Time) time.Time {
 	if len(p.refused) > 0 {
--- a/internal/scheduling/filter.go
+++ b/internal/scheduling/filter.go
@@ -27,19 +27,21 @@
 
 // keepsApart tells whether the suspicion of the request lets it join the target.
 func (p *Pool) keepsApart(t *targetState, r *Request, verdict suspicion.Verdict) bool {
-	if t.quarantine != 0 && t.quarantine != r.Fingerprint {
-		return false
-	}
 	if verdict == suspicion.Isolate {
 		return t.quarantine == r.Fingerprint && len(t.residents) == 0
 	}
-	if verdict != suspicion.Spread {
-		return true
-	}
+	return t.quarantine == 0
+}
+
+// suspectsBeside counts the residents that were beside the same crash as the
+// request. Spreading them over the targets narrows the suspects down at the
+// next crash.
+func (p *Pool) suspectsBeside(t *targetState, r *Request) float64 {
+	n := 0.0
 	for _, other := range t.residents {
 		if p.suspects.Together(other.request.Fingerprint, r.Fingerprint) {
-			return false
+			n++
 		}
 	}
-	return true
+	return n
 }
--- a/internal/scheduling/place.go
+++ b/internal/scheduling/place.go
@@ -10,7 +10,12 @@
 	"corianderhitch/internal/scheduling/suspicion"
 )
 
-const prefixBlockTokens = prefix.BlockTokens
+const (
+	prefixBlockTokens = prefix.BlockTokens
+	// suspectCost is the harm, in milliseconds, of running beside another
+	// request that was beside the same crash. It outweighs any load.
+	suspectCost = 1e7
+)
 
 // pick is the Picker: the usable target with the least harm that admits the
 // request, or nil.
@@ -20,7 +25,11 @@
 		if !p.usable(t, c.request) || !p.keepsApart(t, c.request, verdict) {
 			continue
 		}
-		p.scratch = append(p.scratch, scored{target: t, harm: p.score(now, t, c)})
+		harm := p.score(now, t, c)
+		if verdict == suspicion.Spread {
+			harm += suspectCost * p.suspectsBeside(t, c.request)
+		}
+		p.scratch = append(p.scratch, scored{target: t, harm: harm})
 	}
 	for len(p.scratch) > 0 {
 		i := least(p.scratch)
--- a/internal/scheduling/pool.go
+++ b/internal/scheduling/pool.go
@@ -33,7 +33,8 @@
 	expiry   expiryHeap
 	waiting  map[string]*waiting
 	running  map[string]*resident
-	refused  []Refusal // decided at Submit, returned by the next Decide
+	present  map[uint64]int // requests waiting or running, by fingerprint
+	refused  []Refusal      // decided at Submit, returned by the next Decide
 	deaths   int64
 	scratch  []scored
 }
@@ -62,6 +63,7 @@
 		suspects: suspicion.NewTracker(),
 		waiting:  make(map[string]*waiting),
 		running:  make(map[string]*resident),
+		present:  make(map[uint64]int),
 	}
 }
 
@@ -110,17 +112,32 @@
 func (p *Pool) release(r *resident) {
 	delete(p.running, r.request.Ticket)
 	r.target.remove(r)
-	if r.target.quarantine == r.request.Fingerprint {
-		r.target.quarantine = 0
+	p.gone(r.request.Fingerprint)
+}
+
+// gone counts a request that neither waits nor runs any more, and ends the
+// quarantine that was kept for it.
+func (p *Pool) gone(fingerprint uint64) {
+	p.present[fingerprint]--
+	if p.present[fingerprint] > 0 {
+		return
+	}
+	delete(p.present, fingerprint)
+	for _, t := range p.order {
+		if t.quarantine == fingerprint {
+			t.quarantine = 0
+		}
 	}
 }
 
 func (p *Pool) withdraw(ticket string) {
-	if _, ok := p.waiting[ticket]; !ok {
+	w, ok := p.waiting[ticket]
+	if !ok {
 		return
 	}
 	p.queue.Remove(ticket)
 	delete(p.waiting, ticket)
+	p.gone(w.request.Fingerprint)
 }
 
 func keyOf(r *Request) length.Key {
--- a/internal/scheduling/pooltargets.go
+++ b/internal/scheduling/pooltargets.go
@@ -68,7 +68,8 @@
 }
 
 // Crashed implements Policy. The requests that ran on the target come under
-// suspicion, and their places end; their gateways submit them again.
+// suspicion, unless it had announced that it leaves, and their places end;
+// their gateways submit them again.
 func (p *Pool) Crashed(now time.Time, target string) {
 	t, ok := p.targets[target]
 	if !ok {
@@ -84,10 +85,11 @@
 		p.lengths.Observe(keyOf(&r.request), int(r.produced()), false)
 		p.accounts.Ended(now, r.request.Account, 0)
 	}
-	p.suspects.Record(crash)
+	if !t.Leaving { // a target that announced its end was not killed by a request
+		p.suspects.Record(crash)
+	}
 	p.cache.Forget(t.slot)
 	t.Healthy = false
-	t.quarantine = 0
 	t.prefillUntil = now
 	t.foreign = 0
 	t.history = nil
--- a/internal/scheduling/submit.go
+++ b/internal/scheduling/submit.go
@@ -23,8 +23,9 @@
 	curve := p.lengths.Curve(keyOf(&request))
 	w := &waiting{request: request, curve: curve, expected: curve.Mean(request.Produced, request.MaxTokens)}
 	p.waiting[request.Ticket] = w
+	p.present[request.Fingerprint]++
 	p.queue.Push(fairqueue.Item{
-		ID: request.Ticket, Account: request.Account, Weight: request.Weight, Priority: request.Priority,
+		ID: request.Ticket, Account: request.Account, Weight: request.Weight, Priority: queuePriority(&request),
 		Tokens: w.expected, Submitted: request.Submitted, MayBeLate: request.MayBeLate,
 	})
 	if !request.Deadline.IsZero() {
@@ -32,6 +33,15 @@
 	}
 }
 
+// queuePriority puts a request that resumes in the midst of an answer first,
+// since its caller sees each moment of the wait as a pause.
+func queuePriority(r *Request) int {
+	if r.Produced > 0 {
+		return fairqueue.Levels - 1
+	}
+	return r.Priority
+}
+
 func (p *Pool) refuseEarly(now time.Time, r *Request) (Refusal, bool) {
 	if p.suspects.Verdict(r.Fingerprint, now) == suspicion.Refuse {
 		return refuseSuspect(r.Ticket), true
