--- a/internal/scheduling/decide.go
+++ b/internal/scheduling/decide.go
@@ -22,13 +22,14 @@
 	d := Decisions{Refusals: p.refused}
 	p.refused = nil
 	p.expire(now, &d)
-	if p.queue.Len() == 0 {
+	if !p.anyWaiting() {
 		return d
 	}
 	for _, t := range p.order {
 		t.advance(now, p.steps)
 		t.note(now)
 	}
+	p.decideIsolated(now, &d)
 	defer p.queue.Return()
 	for skips := 0; skips < maxSkips; {
 		item, ok := p.queue.Next(now)
@@ -49,7 +50,7 @@
 type outcome int
 
 const (
-	settled outcome = iota // granted or refused
+	settled outcome = iota // granted, refused, or moved to the isolated
 	skipped                // held back by its own constraints; others may go
 	blocked                // no room for any request
 )
@@ -71,15 +72,11 @@
 		return skipped
 	}
 	if verdict == suspicion.Isolate {
-		w.request.Avoid = nil // the place to be alone in decides, not where it ran before
-		p.quarantine(w.request.Fingerprint)
+		p.isolate(w)
+		return settled
 	}
 	c := p.consider(w)
 	t := p.pick(now, &c, verdict)
-	if t == nil && verdict != suspicion.Clear {
-		p.queue.SetAside(item.ID)
-		return skipped
-	}
 	if t == nil {
 		return blocked
 	}
@@ -89,12 +86,15 @@
 	return settled
 }
 
+// anyWaiting tells whether any request waits for a grant.
+func (p *Pool) anyWaiting() bool { return p.queue.Len()+len(p.isolated) > 0 }
+
 // NextDecision implements Policy.
 func (p *Pool) NextDecision(now time.Time) time.Time {
 	if len(p.refused) > 0 {
 		return now
 	}
-	if p.queue.Len() == 0 {
+	if !p.anyWaiting() {
 		return time.Time{}
 	}
 	return now.Add(decideEvery)
--- a/internal/scheduling/pool.go
+++ b/internal/scheduling/pool.go
@@ -32,6 +32,7 @@
 	drain    drainRate
 	expiry   expiryHeap
 	waiting  map[string]*waiting
+	isolated []string // tickets that wait to run alone, in order of arrival
 	running  map[string]*resident
 	present  map[uint64]int // requests waiting or running, by fingerprint
 	refused  []Refusal      // decided at Submit, returned by the next Decide
--- a/internal/scheduling/quarantine.go
+++ b/internal/scheduling/quarantine.go
@@ -26,7 +26,7 @@
 			best = t
 		}
 	}
-	if best == nil || aside >= max(1, len(p.order)/quarantineDivisor) {
+	if best == nil || aside >= p.mostQuarantined() {
 		return
 	}
 	if own != nil && own.Healthy && best.longest() >= quarantineGain*own.longest() {
@@ -38,6 +38,9 @@
 	best.quarantine = fingerprint
 }
 
+// mostQuarantined is the number of targets that may be set aside at a time.
+func (p *Pool) mostQuarantined() int { return max(1, len(p.order)/quarantineDivisor) }
+
 // longest returns the most output tokens that any resident is expected to need
 // yet.
 func (t *targetState) longest() float64 {
--- a/internal/scheduling/submit.go
+++ b/internal/scheduling/submit.go
@@ -24,15 +24,20 @@
 	w := &waiting{request: request, curve: curve, expected: curve.Mean(request.Produced, request.MaxTokens)}
 	p.waiting[request.Ticket] = w
 	p.present[request.Fingerprint]++
-	p.queue.Push(fairqueue.Item{
-		ID: request.Ticket, Account: request.Account, Weight: request.Weight, Priority: queuePriority(&request),
-		Tokens: w.expected, Submitted: request.Submitted, MayBeLate: request.MayBeLate,
-	})
+	p.queue.Push(itemOf(w))
 	if !request.Deadline.IsZero() {
 		heap.Push(&p.expiry, expiring{at: request.Deadline, ticket: request.Ticket})
 	}
 }
 
+func itemOf(w *waiting) fairqueue.Item {
+	r := &w.request
+	return fairqueue.Item{
+		ID: r.Ticket, Account: r.Account, Weight: r.Weight, Priority: queuePriority(r),
+		Tokens: w.expected, Submitted: r.Submitted, MayBeLate: r.MayBeLate,
+	}
+}
+
 // queuePriority puts a request that resumes in the midst of an answer first,
 // since its caller sees each moment of the wait as a pause.
 func queuePriority(r *Request) int {
