--- a/internal/experiment/faults.go
+++ b/internal/experiment/faults.go
@@ -121,8 +121,11 @@
 	}
 }
 
-// restart puts a new, empty engine in the place.
+// restart puts a new, empty engine in the place of one that is down.
 func (r *runner) restart(slot *engineSlot) {
+	if slot.up {
+		return
+	}
 	for i, s := range r.slots {
 		if s == slot {
 			slot.engine = r.newEngine(i)
