--- a/internal/scheduling/decide.go
+++ b/internal/scheduling/decide.go
@@ -22,13 +22,14 @@
 	d := Decisions{Refusals: p.refused}
 	p.refused = nil
 	p.expire(now, &d)
-	if p.queue.Len() == 0 {
+	if !p.anyWaiting() {
 		return d
 	}
 	for _, t := range p.order {
 		t.advance(now, p.steps)
 		t.note(now)
 	}
+	p.decideIsolated(now, &d)
 	defer p.queue.Return()
 	for skips := 0; skips < maxSkips; {
 		item, ok := p.queue.Next(now)
@@ -49,7 +50,7 @@
 type outcome int
 
 const (
-	settled outcome = iota // granted or refused
+	settled outcome = iota // granted, refused, or moved to the isolated
 	skipped                // held back by its own constraints; others may go
 	blocked                // no room for any request
 )
@@ -71,11 +72,12 @@
 		return skipped
 	}
 	if verdict == suspicion.Isolate {
-		p.quarantine(w.request.Fingerprint)
+		p.isolate(w)
+		return settled
 	}
 	c := p.consider(w)
 	t := p.pick(now, &c, verdict)
-	if t == nil && (verdict != suspicion.Clear || p.copies.home(w.request.Fingerprint) != nil) {
+	if t == nil && p.copies.home(w.request.Fingerprint) != nil {
 		p.queue.SetAside(item.ID)
 		return skipped
 	}
@@ -88,42 +90,15 @@
 	return settled
 }
 
-// quarantine sets a target aside for a request that must run alone.
-func (p *Pool) quarantine(fingerprint uint64) {
-	var best *targetState
-	for _, t := range p.order {
-		if t.quarantine == fingerprint {
-			return
-		}
-		if t.quarantine != 0 || !t.Healthy || t.Leaving || t.Standby {
-			continue
-		}
-		if best == nil || len(t.residents) < len(best.residents) {
-			best = t
-		}
-	}
-	if best != nil && !p.anyQuarantine() {
-		best.quarantine = fingerprint
-	}
-}
-
-// anyQuarantine tells whether a target is set aside already: suspects run one
-// after the other, so that they cost one target at a time.
-func (p *Pool) anyQuarantine() bool {
-	for _, t := range p.order {
-		if t.quarantine != 0 {
-			return true
-		}
-	}
-	return false
-}
+// anyWaiting tells whether any request waits for a grant.
+func (p *Pool) anyWaiting() bool { return p.queue.Len()+len(p.isolated) > 0 }
 
 // NextDecision implements Policy.
 func (p *Pool) NextDecision(now time.Time) time.Time {
 	if len(p.refused) > 0 {
 		return now
 	}
-	if p.queue.Len() == 0 {
+	if !p.anyWaiting() {
 		return time.Time{}
 	}
 	return now.Add(decideEvery)
