One judgement of crashing requests; a gateway brings its news with the next request

Ruled out: the fault proxy (engines' journals show three different engines running the request). Change: scheduling/suspicion judges by the intersection of crashes, agent/suspicion only feeds it; the pool refuses waiting requests as soon as the verdict is known; AdmitArgs.News is taken before the decision.

--- a/api/control/control.go
+++ b/api/control/control.go
@@ -140,6 +140,9 @@
 	Deadline     time.Time
 	Fingerprint  uint64
 	Avoid        []string // targets that the caller has tried
+	// News is what the gateway saw of the targets that it tried for this request.
+	// The owner takes it before it decides, since news on its own may come later.
+	News []News
 }
 
 // AdmitReply names the target or the refusal.
--- a/internal/agent/scheduler/pool.go
+++ b/internal/agent/scheduler/pool.go
@@ -48,6 +48,8 @@
 type events interface {
 	decided(now time.Time, args control.AdmitArgs, reply control.AdmitReply)
 	completed(fingerprint uint64)
+	// suspect returns the refusal of a request that is known to crash targets.
+	suspect(now time.Time, fingerprint uint64) (control.AdmitReply, bool)
 }
 
 // message is a unit of work of a pool.
@@ -128,6 +130,7 @@
 }
 
 func (p *pool) decide(now time.Time) {
+	p.refuseSuspects(now)
 	decisions := p.policy.Decide(now)
 	for _, r := range decisions.Refusals {
 		p.answer(now, r.Ticket, control.AdmitReply{Kind: r.Kind, Detail: r.Detail, RetryAfter: r.RetryAfter})
@@ -137,6 +140,17 @@
 	}
 }
 
+// refuseSuspects gives those that wait their final answer as soon as a crash
+// elsewhere has shown that their request is its cause.
+func (p *pool) refuseSuspects(now time.Time) {
+	for ticket, w := range p.waiting {
+		if reply, refused := p.events.suspect(now, w.args.Fingerprint); refused {
+			p.policy.Cancel(now, ticket)
+			p.answer(now, ticket, reply)
+		}
+	}
+}
+
 func (p *pool) grant(now time.Time, g scheduling.Grant) {
 	w, waits := p.waiting[g.Ticket]
 	row, known := p.row(g.Target)
--- a/internal/agent/scheduler/scheduler.go
+++ b/internal/agent/scheduler/scheduler.go
@@ -12,10 +12,11 @@
 	"corianderhitch/api/control"
 	"corianderhitch/api/problem"
 	"corianderhitch/internal/agent/docsync"
-	"corianderhitch/internal/agent/suspicion"
+	crashes "corianderhitch/internal/agent/suspicion"
 	"corianderhitch/internal/logging"
 	"corianderhitch/internal/platform"
 	"corianderhitch/internal/scheduling"
+	"corianderhitch/internal/scheduling/suspicion"
 )
 
 const (
@@ -28,6 +29,9 @@
 	deadlineGrace = 200 * time.Millisecond
 	// maxNameBytes bounds each name in a request.
 	maxNameBytes = 512
+	// maxAdmitNews bounds the news that comes with a request: a gateway tries few
+	// targets for it.
+	maxAdmitNews = 64
 	// maxPrefixHashes bounds the prefix hashes of a request, one per 64 tokens.
 	maxPrefixHashes = 1 << 14
 )
@@ -57,7 +61,7 @@
 	log       *slog.Logger
 	fleet     Fleet
 	newPolicy PolicyMaker
-	suspects  *suspicion.Register
+	suspects  *crashes.Register
 	history   *history
 	stopRun   context.CancelFunc
 	done      sync.WaitGroup
@@ -79,7 +83,7 @@
 }
 
 // Start begins to serve.
-func Start(log *slog.Logger, fleet Fleet, newPolicy PolicyMaker, suspects *suspicion.Register) *Scheduler {
+func Start(log *slog.Logger, fleet Fleet, newPolicy PolicyMaker, suspects *crashes.Register) *Scheduler {
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Scheduler{
 		log:       logging.Part(log, "scheduler"),
@@ -124,19 +128,30 @@
 	if err := s.checkOwner(key); err != nil {
 		return control.AdmitReply{}, err
 	}
+	s.learn(now, args.News)
 	verdict, expires := s.suspects.Verdict(now, args.Fingerprint)
 	if verdict == suspicion.Refuse {
-		reply := control.AdmitReply{
-			Kind:       string(problem.KindCrashSuspect),
-			Detail:     "targets crashed each time they ran this request",
-			RetryAfter: expires,
-		}
+		reply := crashSuspect(expires)
 		s.decided(now, args, reply)
 		return reply, nil
 	}
 	return s.enqueue(key, args, verdict)
 }
 
+// learn takes what a gateway has seen of targets that it tried.
+func (s *Scheduler) learn(now time.Time, news []control.News) {
+	if len(news) == 0 {
+		return
+	}
+	for _, n := range news {
+		s.suspects.Add(now, n)
+		if n.Kind == control.NewsCrash {
+			s.Crashed(n.Target)
+		}
+	}
+	s.fleet.AddNews(now, news)
+}
+
 // Finish returns places, or withdraws requests that wait.
 func (s *Scheduler) Finish(args control.FinishArgs) {
 	for _, p := range s.all() {
@@ -226,7 +241,7 @@
 	late := s.mayBeLate(args.Class)
 	sent := p.send(func(p *pool, now time.Time) {
 		var avoid []string
-		if verdict == suspicion.Isolate {
+		if verdict != suspicion.Clear {
 			avoid = p.withSuspects(now, s.suspects)
 		}
 		p.submit(now, args, late, avoid, answers)
@@ -373,7 +388,7 @@
 	s.fleet.AddNews(now, []control.News{{ID: id, Kind: control.NewsCleared, Fingerprint: fingerprint, Seen: now}})
 }
 
-func (p *pool) withSuspects(now time.Time, suspects *suspicion.Register) []string {
+func (p *pool) withSuspects(now time.Time, suspects *crashes.Register) []string {
 	var targets []string
 	for _, g := range p.granted {
 		if verdict, _ := suspects.Verdict(now, g.args.Fingerprint); verdict != suspicion.Clear {
@@ -383,13 +398,28 @@
 	return targets
 }
 
+func crashSuspect(expires time.Duration) control.AdmitReply {
+	return control.AdmitReply{
+		Kind:       string(problem.KindCrashSuspect),
+		Detail:     "targets crashed each time they ran this request",
+		RetryAfter: expires,
+	}
+}
+
+// suspect implements events.
+func (s *Scheduler) suspect(now time.Time, fingerprint uint64) (control.AdmitReply, bool) {
+	verdict, expires := s.suspects.Verdict(now, fingerprint)
+	return crashSuspect(expires), verdict == suspicion.Refuse
+}
+
 func check(args control.AdmitArgs) error {
 	for _, s := range []string{args.Ticket, args.Host, args.Account, args.Model} {
 		if s == "" || len(s) > maxNameBytes {
 			return ErrBadAdmit
 		}
 	}
-	if len(args.PrefixHashes) > maxPrefixHashes || len(args.Version) > maxNameBytes || len(args.Adapter) > maxNameBytes {
+	if len(args.PrefixHashes) > maxPrefixHashes || len(args.News) > maxAdmitNews ||
+		len(args.Version) > maxNameBytes || len(args.Adapter) > maxNameBytes {
 		return ErrBadAdmit
 	}
 	return nil
--- a/internal/gateway/runner/session.go
+++ b/internal/gateway/runner/session.go
@@ -59,6 +59,7 @@
 	mode     mode
 	attached bool // the engine has accepted an attachment
 	avoid    []string
+	news     []control.News // of the targets that were tried
 	moves    int
 	stall    time.Duration
 	lastSeen time.Time // last token, or the start of the wait
@@ -228,6 +229,7 @@
 	args := s.job.Admit
 	args.Ticket = ids.New()
 	args.Avoid = s.avoid
+	args.News = s.news
 	args.Produced = len(s.machine.Tokens())
 	if args.Deadline.IsZero() || s.sent > 0 {
 		args.Deadline = time.Now().Add(moveDeadline)
@@ -356,6 +358,7 @@
 	default:
 		return
 	}
+	s.news = append(s.news, news)
 	s.r.fleet.Report(news)
 }
 
--- a/internal/scheduling/suspicion/tracker.go
+++ b/internal/scheduling/suspicion/tracker.go
@@ -1,106 +1,154 @@
-// Package suspicion finds the requests that crash the targets which run them.
 package suspicion
 
-import (
-	"slices"
-	"time"
+import "time"
 
-	"github.com/hashicorp/golang-lru/v2/simplelru"
-)
-
-// Verdict tells how a request may be run.
-type Verdict string
-
-// The verdicts, by rising suspicion.
-const (
-	Clear   Verdict = "clear"   // run anywhere
-	Spread  Verdict = "spread"  // was beside one crash; keep apart from others of that crash
-	Isolate Verdict = "isolate" // was beside two crashes; run on a target of its own
-	Refuse  Verdict = "refuse"  // crashed a target alone; never run again
-)
-
-const (
-	// Memory is how long a crash is held against a request.
-	Memory = 30 * time.Minute
-	// isolateAfter is the number of crashes of different targets' runs after
-	// which a request runs alone.
-	isolateAfter = 2
-	// maxFingerprints bounds the requests under suspicion, about 100 B each.
-	maxFingerprints = 16384
-)
-
-// Crash is the death of a target with the fingerprints that it ran.
-type Crash struct {
-	ID     string // unique, so that the same news counts once
-	At     time.Time
-	Beside []uint64
-}
-
-// Tracker holds the requests under suspicion. It is not safe for concurrent use.
+// Tracker keeps the recent crashes with the requests that ran in each, and
+// judges requests by them. It is not safe for concurrent use.
 type Tracker struct {
-	records *simplelru.LRU[uint64, *record]
+	crashes []*record // oldest first
 }
 
+// record is one crash. The requests that have run to their end since are taken
+// out of it.
 type record struct {
-	crashes []string
-	alone   bool
-	last    time.Time
+	id   string
+	at   time.Time
+	ran  map[uint64]struct{}
+	most int // requests that the crash may hold
 }
 
 // NewTracker returns an empty Tracker.
-func NewTracker() *Tracker {
-	records, _ := simplelru.NewLRU[uint64, *record](maxFingerprints, nil) // fails only for a size below 1
-	return &Tracker{records: records}
-}
+func NewTracker() *Tracker { return &Tracker{} }
 
-// Record counts a crash against all requests that the target ran. If only one
-// of them was not exonerated before, it was the cause.
+// Record counts a crash against all requests that the target ran. More news of
+// the same crash adds the requests that it names.
 func (t *Tracker) Record(crash Crash) {
-	distinct := slices.Compact(slices.Sorted(slices.Values(crash.Beside)))
-	for _, fingerprint := range distinct {
-		r := t.fresh(fingerprint, crash.At)
-		if slices.Contains(r.crashes, crash.ID) {
-			continue
+	t.expire(crash.At)
+	r := t.find(crash.ID)
+	if r == nil {
+		r = &record{id: crash.ID, at: crash.At, ran: make(map[uint64]struct{}), most: maxFingerprints}
+		t.crashes = append(t.crashes, r)
+	}
+	for _, fingerprint := range crash.Beside {
+		if len(r.ran) < r.most {
+			r.ran[fingerprint] = struct{}{}
 		}
-		r.crashes = append(r.crashes, crash.ID)
-		r.alone = r.alone || (len(distinct) == 1 && len(r.crashes) >= isolateAfter)
-		r.last = crash.At
+	}
+	if len(t.crashes) > maxCrashes {
+		t.crashes = t.crashes[1:]
 	}
 }
 
 // Finished exonerates a request that ran to its end.
-func (t *Tracker) Finished(fingerprint uint64) { t.records.Remove(fingerprint) }
+func (t *Tracker) Finished(fingerprint uint64) {
+	for _, r := range t.crashes {
+		delete(r.ran, fingerprint)
+	}
+}
 
 // Verdict returns how the request may be run at the instant.
 func (t *Tracker) Verdict(fingerprint uint64, now time.Time) Verdict {
-	r, ok := t.records.Peek(fingerprint)
-	switch {
-	case !ok || now.Sub(r.last) > Memory:
+	t.expire(now)
+	if len(t.crashes) == 0 {
 		return Clear
-	case r.alone:
+	}
+	if t.culprit(fingerprint) {
 		return Refuse
-	case len(r.crashes) >= isolateAfter:
-		return Isolate
-	default:
+	}
+	open := 0
+	for _, r := range t.crashes {
+		if r.holds(fingerprint) && !t.explained(r) {
+			open++
+		}
+	}
+	switch open {
+	case 0:
+		return Clear
+	case 1:
 		return Spread
+	default:
+		return Isolate
 	}
 }
 
-// Together tells whether two requests were beside the same crash.
+// Remaining returns how long the request stays under suspicion.
+func (t *Tracker) Remaining(fingerprint uint64, now time.Time) time.Duration {
+	remaining := time.Duration(0)
+	for _, r := range t.crashes {
+		if r.holds(fingerprint) {
+			remaining = max(remaining, r.at.Add(Memory).Sub(now))
+		}
+	}
+	return remaining
+}
+
+// Together tells whether two requests were beside the same unexplained crash.
 func (t *Tracker) Together(a, b uint64) bool {
-	ra, okA := t.records.Peek(a)
-	rb, okB := t.records.Peek(b)
-	if !okA || !okB || a == b {
+	if a == b {
 		return false
 	}
-	return slices.ContainsFunc(ra.crashes, func(id string) bool { return slices.Contains(rb.crashes, id) })
+	for _, r := range t.crashes {
+		if r.holds(a) && r.holds(b) && !t.explained(r) {
+			return true
+		}
+	}
+	return false
+}
+
+// culprit tells whether the request alone was in two crashes or more, or was in
+// so many that chance is no explanation.
+func (t *Tracker) culprit(fingerprint uint64) bool {
+	count := 0
+	var common map[uint64]struct{}
+	for _, r := range t.crashes {
+		if !r.holds(fingerprint) {
+			continue
+		}
+		count++
+		common = intersect(common, r.ran)
+	}
+	return count >= refuseAfter || (count >= isolateAfter && len(common) == 1)
+}
+
+// explained tells whether a crash has its culprit, so that the others are free.
+func (t *Tracker) explained(r *record) bool {
+	for fingerprint := range r.ran {
+		if t.culprit(fingerprint) {
+			return true
+		}
+	}
+	return false
 }
 
-func (t *Tracker) fresh(fingerprint uint64, now time.Time) *record {
-	r, ok := t.records.Get(fingerprint)
-	if !ok || now.Sub(r.last) > Memory {
-		r = &record{}
-		t.records.Add(fingerprint, r)
+func (t *Tracker) find(id string) *record {
+	for _, r := range t.crashes {
+		if r.id == id {
+			return r
+		}
+	}
+	return nil
+}
+
+func (t *Tracker) expire(now time.Time) {
+	for len(t.crashes) > 0 && now.Sub(t.crashes[0].at) > Memory {
+		t.crashes = t.crashes[1:]
+	}
+}
+
+func (r *record) holds(fingerprint uint64) bool {
+	_, held := r.ran[fingerprint]
+	return held
+}
+
+func intersect(a, b map[uint64]struct{}) map[uint64]struct{} {
+	if a == nil {
+		return b
+	}
+	both := make(map[uint64]struct{})
+	for x := range a {
+		if _, ok := b[x]; ok {
+			both[x] = struct{}{}
+		}
 	}
-	return r
+	return both
 }
--- /dev/null
+++ b/internal/scheduling/suspicion/tracker_test.go
@@ -0,0 +1,85 @@
+package suspicion
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1000, 0)
+
+func TestVerdicts(t *testing.T) {
+	crash := func(id string, ran ...uint64) Crash { return Crash{ID: id, At: start, Beside: ran} }
+	for name, c := range map[string]struct {
+		crashes  []Crash
+		finished []uint64
+		want     map[uint64]Verdict
+	}{
+		"none":                      {want: map[uint64]Verdict{1: Clear}},
+		"one crash":                 {crashes: []Crash{crash("a", 1, 2)}, want: map[uint64]Verdict{1: Spread, 2: Spread, 3: Clear}},
+		"same news twice":           {crashes: []Crash{crash("a", 1), crash("a", 1, 2)}, want: map[uint64]Verdict{1: Spread, 2: Spread}},
+		"common cause":              {crashes: []Crash{crash("a", 1, 2), crash("b", 1, 3)}, want: map[uint64]Verdict{1: Refuse, 2: Clear, 3: Clear}},
+		"alone twice":               {crashes: []Crash{crash("a", 1), crash("b", 1)}, want: map[uint64]Verdict{1: Refuse}},
+		"two in common":             {crashes: []Crash{crash("a", 1, 2), crash("b", 1, 2)}, want: map[uint64]Verdict{1: Isolate, 2: Isolate}},
+		"two in common, one clears": {crashes: []Crash{crash("a", 1, 2), crash("b", 1, 2)}, finished: []uint64{2}, want: map[uint64]Verdict{1: Refuse, 2: Clear}},
+		"three in common":           {crashes: []Crash{crash("a", 1, 2), crash("b", 1, 2), crash("c", 1, 2)}, want: map[uint64]Verdict{1: Refuse, 2: Refuse}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tracker := NewTracker()
+			for _, crash := range c.crashes {
+				tracker.Record(crash)
+			}
+			for _, fingerprint := range c.finished {
+				tracker.Finished(fingerprint)
+			}
+			for fingerprint, want := range c.want {
+				require.Equalf(t, want, tracker.Verdict(fingerprint, start), "request %d", fingerprint)
+			}
+			for fingerprint := range c.want {
+				require.Equalf(t, Clear, tracker.Verdict(fingerprint, start.Add(Memory+1)), "request %d later", fingerprint)
+			}
+		})
+	}
+}
+
+// One crashing request among innocent ones, placed as the verdicts ask, costs
+// two targets at most, and no innocent request is refused.
+func TestACrashingRequestCostsTwoTargetsAtMost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tracker := NewTracker()
+		const culprit = 1
+		lost := 0
+		for round := range 30 {
+			if tracker.Verdict(culprit, start) == Refuse {
+				break
+			}
+			ran := []uint64{culprit}
+			for _, other := range rapid.SliceOfDistinct(rapid.Uint64Range(2, 9), rapid.ID[uint64]).Draw(t, "neighbours") {
+				if mayJoin(tracker, ran, other) {
+					ran = append(ran, other)
+				}
+			}
+			lost++
+			tracker.Record(Crash{ID: fmt.Sprint(round), At: start, Beside: ran})
+		}
+		require.LessOrEqual(t, lost, 2)
+		for innocent := uint64(2); innocent < 10; innocent++ {
+			require.NotEqual(t, Refuse, tracker.Verdict(innocent, start))
+		}
+	})
+}
+
+func mayJoin(tracker *Tracker, ran []uint64, other uint64) bool {
+	if tracker.Verdict(other, start) == Isolate {
+		return false
+	}
+	for _, resident := range ran {
+		if tracker.Together(resident, other) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/scheduling/suspicion/verdict.go
@@ -0,0 +1,44 @@
+// Package suspicion finds the requests that crash the targets which run them,
+// and clears those that only ran beside them.
+//
+// One crash puts all that ran on the target under suspicion; they are kept apart
+// from each other, so that a second crash has one explanation. A request that
+// alone was in two crashes is refused from then on, and what ran beside it is
+// clear. One request so costs at most two targets. A request that runs to its
+// end is clear, and suspicion expires.
+package suspicion
+
+import "time"
+
+// Verdict tells how a request may be run.
+type Verdict string
+
+// The verdicts, by rising suspicion.
+const (
+	Clear   Verdict = "clear"   // run anywhere
+	Spread  Verdict = "spread"  // was in one unexplained crash; keep apart from others of that crash
+	Isolate Verdict = "isolate" // was in several unexplained crashes; run on a target of its own
+	Refuse  Verdict = "refuse"  // is the cause; never run again
+)
+
+const (
+	// Memory is how long a crash is held against a request. A caller that
+	// resends for longer may cost two more targets.
+	Memory = 30 * time.Minute
+	// isolateAfter is the number of crashes that point at one request.
+	isolateAfter = 2
+	// refuseAfter is the number of crashes after which a request is refused even
+	// if others were in all of them.
+	refuseAfter = 3
+	// maxCrashes bounds the memory: the oldest crash is dropped.
+	maxCrashes = 64
+	// maxFingerprints bounds the requests of one crash, 8 B each.
+	maxFingerprints = 512
+)
+
+// Crash is the death of a target with the fingerprints that it ran.
+type Crash struct {
+	ID     string // unique, so that the same news counts once
+	At     time.Time
+	Beside []uint64
+}
