Prove that the diff forgets no field; settle lost answers over HTTP

Each scalar of the examples is changed in turn and must show in the diff. History is read page by page under test.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http/httptest"
 	"net/rpc"
@@ -257,3 +258,16 @@
 	require.Contains(t, b.ok("apply", trial, "--above", "57"), "accepted as revision 58")
 	require.Contains(t, b.ok("status"), "in force on every live host: false", "hosts have not taken it up yet")
 }
+
+func TestLostAnswersOfTheStoreAreSettled(t *testing.T) {
+	b := newBench(t)
+	for _, prefix := range []string{document.ChunkKey(""), document.HistoryPrefix("trial"), document.CurrentKey("trial")} {
+		b.memory.SetFault(memstore.Fault{LoseNext: 1, Prefix: prefix})
+		before := b.memory.Counts().LostAnswers
+		out := b.ok("apply", changed(t, "weight: 6", fmt.Sprintf("weight: %d", 10+before)))
+		require.Contains(t, out, "accepted as revision")
+		require.Equal(t, before+1, b.memory.Counts().LostAnswers, prefix)
+	}
+	b.memory.SetFault(memstore.Fault{})
+	require.Equal(t, 4, strings.Count(b.ok("history", "--environment", "trial"), "\n"), "a head and three revisions")
+}
--- a/internal/docstore/docstore_test.go
+++ b/internal/docstore/docstore_test.go
@@ -287,3 +287,28 @@
 	_, err = s.Rollback(t.Context(), RollbackRequest{Environment: "trial", ToRevision: 1, Base: 58})
 	require.NoError(t, err)
 }
+
+// paged is a store that lists a few entries at a time.
+type paged struct{ platform.Store }
+
+func (p paged) List(ctx context.Context, prefix, after string, _ int) ([]platform.Entry, platform.Revision, error) {
+	return p.Store.List(ctx, prefix, after, 2)
+}
+
+func TestHistoryIsReadPageByPage(t *testing.T) {
+	s := New(paged{memstore.New(memstore.Options{})})
+	d := example(t, "trial")
+	for i := range 9 {
+		_, err := s.Apply(t.Context(), request(variant(d, i), int64(i)))
+		require.NoError(t, err)
+	}
+	items, err := s.History(t.Context(), "trial", 0)
+	require.NoError(t, err)
+	require.Len(t, items, 9)
+	for i, item := range items {
+		require.EqualValues(t, 9-i, item.Revision)
+	}
+	third, err := s.At(t.Context(), "trial", 3)
+	require.NoError(t, err)
+	require.Equal(t, 1002, third.Document.Objectives.FirstTokenMS)
+}
--- a/internal/document/diff_test.go
+++ b/internal/document/diff_test.go
@@ -1,6 +1,8 @@
 package document
 
 import (
+	"fmt"
+	"reflect"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -49,3 +51,58 @@
 		require.NotEqual(t, ChangeAdded, c.Kind, c)
 	}
 }
+
+// leaves calls do with each scalar below a value.
+func leaves(v reflect.Value, path string, do func(path string, leaf reflect.Value)) {
+	switch v.Kind() {
+	case reflect.Struct:
+		for i := range v.NumField() {
+			leaves(v.Field(i), path+"."+v.Type().Field(i).Name, do)
+		}
+	case reflect.Slice:
+		for i := range v.Len() {
+			leaves(v.Index(i), fmt.Sprintf("%s[%d]", path, i), do)
+		}
+	default:
+		do(path, v)
+	}
+}
+
+func change(leaf reflect.Value) {
+	switch leaf.Kind() {
+	case reflect.String:
+		leaf.SetString(leaf.String() + "x")
+	case reflect.Int:
+		leaf.SetInt(leaf.Int() + 1)
+	case reflect.Float64:
+		leaf.SetFloat(leaf.Float() + 1)
+	case reflect.Bool:
+		leaf.SetBool(!leaf.Bool())
+	}
+}
+
+func TestDiffForgetsNoField(t *testing.T) {
+	for _, name := range []string{"charter-production.yaml", "callbox-production.yaml"} {
+		before := Normalize(example(t, name))
+		body, err := Encode(before)
+		require.NoError(t, err)
+		total := 0
+		leaves(reflect.ValueOf(&before).Elem(), "", func(string, reflect.Value) { total++ })
+		for number := range total {
+			after, err := Decode(body)
+			require.NoError(t, err)
+			at, changed := 0, ""
+			leaves(reflect.ValueOf(&after).Elem(), "", func(path string, leaf reflect.Value) {
+				if at == number {
+					change(leaf)
+					changed = path
+				}
+				at++
+			})
+			if changed == ".APIVersion" {
+				continue // there is only one
+			}
+			require.NotEmpty(t, Diff(before, after), changed)
+		}
+	}
+}
--- a/internal/document/index_test.go
+++ b/internal/document/index_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -176,3 +177,35 @@
 		}
 	}
 }
+
+// BenchmarkMemory gives the memory that a process holds for one document: its
+// canonical JSON, the decoded document and the index.
+func BenchmarkMemory(b *testing.B) {
+	body, err := Encode(fleetDocument(fleetAccounts))
+	require.NoError(b, err)
+	var d Document
+	var x *Index
+	for b.Loop() {
+		before := heapBytes()
+		d, err = Decode(body)
+		require.NoError(b, err)
+		decoded := heapBytes()
+		x = NewIndex(Accepted{Revision: 1, Document: d})
+		indexed := heapBytes()
+		b.ReportMetric(float64(len(body)), "json-B")
+		b.ReportMetric(float64(decoded)-float64(before), "decoded-B")
+		b.ReportMetric(float64(indexed)-float64(decoded), "index-B")
+		runtime.KeepAlive(d)
+		runtime.KeepAlive(x)
+		d, x = Document{}, nil
+	}
+	runtime.KeepAlive(body)
+}
+
+// heapBytes returns the bytes of live objects.
+func heapBytes() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
