Late delivery: tests with replaced hosts, outages, lost and late writes

Found by them: packing a large answer counted against the bound of a store step, so that a slow host would never have finished it; and a draft whose record was written although its answer was lost waited until its host restarted. The answer is packed once, outside the bound, and doubtful records are looked for.

--- /dev/null
+++ b/internal/delivery/delivery_test.go
@@ -0,0 +1,287 @@
+package delivery
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"corianderhitch/api/completion"
+	"corianderhitch/api/problem"
+	"corianderhitch/internal/gateway/api"
+	"corianderhitch/internal/logging"
+	"corianderhitch/internal/platform/memstore"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// hosts is the member list that all services of a test share.
+type hosts struct {
+	mu    sync.Mutex
+	alive []string // guarded by mu
+}
+
+func (h *hosts) set(alive ...string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.alive = alive
+}
+
+func (h *hosts) list() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]string(nil), h.alive...)
+}
+
+var draft = completion.Request{Model: "writer", Prompt: "brief", Delivery: completion.DeliveryLate}
+
+func newService(store *memstore.Store, host string, h *hosts, run Run) *Service {
+	return New(store, Settings{
+		Host: host, WritesPerSec: 300, Concurrent: 4, StoreTimeout: time.Second,
+		ScanInterval: time.Second, RetryPause: 100 * time.Millisecond,
+		MaxAge:         func() time.Duration { return 72 * time.Hour },
+		PendingLimit:   func(string) int { return 0 },
+		AliveHosts:     h.list,
+		AnswersKeptFor: func() time.Duration { return 72 * time.Hour },
+	}, run, logging.Discard())
+}
+
+// writer answers with a text that names the host.
+func writer(host string, runs *atomic.Int32) Run {
+	return func(context.Context, string, string, completion.Request, uint64) Outcome {
+		runs.Add(1)
+		return Outcome{Response: &completion.Response{Choices: []completion.Choice{{Text: host}}}}
+	}
+}
+
+// hang runs until its process is killed.
+func hang(ctx context.Context, _, _ string, _ completion.Request, _ uint64) Outcome {
+	<-ctx.Done()
+	return Outcome{Err: problem.New(problem.KindDraining, http.StatusServiceUnavailable, problem.RanUnknown, "wait", "killed")}
+}
+
+func accept(t *testing.T, s *Service, id string) {
+	t.Helper()
+	status, err := s.Accept(context.Background(), "a", id, draft, 1)
+	require.NoError(t, err)
+	require.Equal(t, completion.LatePending, status.State)
+}
+
+func fetch(t *testing.T, s *Service, id string) api.LateAnswer {
+	t.Helper()
+	answer, err := s.Fetch(context.Background(), "a", id)
+	require.NoError(t, err)
+	return answer
+}
+
+// kill stops a service as a crash does: what runs is cut.
+func kill(s *Service) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	s.Stop(ctx)
+}
+
+func TestDraftIsReadyForItsAccountOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, h := memstore.New(memstore.Options{}), &hosts{alive: []string{"one"}}
+		var runs atomic.Int32
+		s := newService(store, "one", h, writer("one", &runs))
+		accept(t, s, "d")
+		synctest.Wait()
+		answer := fetch(t, s, "d")
+		require.Equal(t, completion.LateReady, answer.State)
+		require.Contains(t, string(answer.Body), `"one"`)
+		_, err := s.Fetch(t.Context(), "b", "d")
+		require.ErrorIs(t, err, api.ErrNoLate)
+		status, err := s.Accept(t.Context(), "a", "d", draft, 1)
+		require.NoError(t, err)
+		require.Equal(t, completion.LateReady, status.State)
+		_, err = s.Accept(t.Context(), "a", "d", draft, 2)
+		require.Equal(t, problem.KindKeyReused, problem.From(err).Kind)
+		require.EqualValues(t, 1, runs.Load())
+		s.Stop(t.Context())
+	})
+}
+
+func TestPendingDraftSurvivesTheReplacementOfAllHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, h := memstore.New(memstore.Options{}), &hosts{alive: []string{"one", "two"}}
+		one, two := newService(store, "one", h, hang), newService(store, "two", h, hang)
+		for i := range 20 {
+			accept(t, []*Service{one, two}[i%2], fmt.Sprint("d", i))
+		}
+		kill(one)
+		kill(two)
+		h.set("three", "four")
+		var runs atomic.Int32
+		three, four := newService(store, "three", h, writer("three", &runs)), newService(store, "four", h, writer("four", &runs))
+		three.Start()
+		four.Start()
+		time.Sleep(time.Minute)
+		for i := range 20 {
+			require.Equal(t, completion.LateReady, fetch(t, three, fmt.Sprint("d", i)).State, "draft %d", i)
+		}
+		require.EqualValues(t, 20, runs.Load())
+		three.Stop(t.Context())
+		four.Stop(t.Context())
+	})
+}
+
+func TestRestartedHostRunsItsOwnDrafts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, h := memstore.New(memstore.Options{}), &hosts{alive: []string{"one", "two"}}
+		first := newService(store, "one", h, hang)
+		for i := range 8 {
+			accept(t, first, fmt.Sprint("d", i))
+		}
+		kill(first)
+		var runs atomic.Int32
+		again := newService(store, "one", h, writer("one", &runs))
+		again.Start()
+		time.Sleep(time.Minute)
+		require.EqualValues(t, 8, runs.Load())
+		again.Stop(t.Context())
+	})
+}
+
+func TestOfTwoRunnersTheFirstWholeAnswerStands(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, h := memstore.New(memstore.Options{}), &hosts{alive: []string{"one"}}
+		release := make(chan struct{})
+		slow := func(context.Context, string, string, completion.Request, uint64) Outcome {
+			<-release
+			return Outcome{Response: &completion.Response{Choices: []completion.Choice{{Text: "slow"}}}}
+		}
+		var runs atomic.Int32
+		one, two := newService(store, "one", h, slow), newService(store, "two", h, writer("fast", &runs))
+		accept(t, one, "d")
+		h.set("two") // "one" is frozen
+		two.Scan(t.Context())
+		synctest.Wait()
+		before := fetch(t, two, "d")
+		close(release)
+		synctest.Wait()
+		require.Equal(t, before, fetch(t, two, "d"))
+		require.Contains(t, string(before.Body), "fast")
+		one.Stop(t.Context())
+		two.Stop(t.Context())
+	})
+}
+
+func TestStoreOutageDelaysButLosesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, h := memstore.New(memstore.Options{}), &hosts{alive: []string{"one"}}
+		release := make(chan struct{})
+		s := newService(store, "one", h, func(context.Context, string, string, completion.Request, uint64) Outcome {
+			<-release
+			return Outcome{Response: &completion.Response{ID: "d"}}
+		})
+		accept(t, s, "d")
+		store.SetFault(memstore.Fault{Outage: true})
+		close(release)
+		_, err := s.Accept(t.Context(), "a", "other", draft, 1)
+		require.Equal(t, problem.KindStoreUnavailable, problem.From(err).Kind)
+		time.Sleep(10 * time.Minute)
+		store.SetFault(memstore.Fault{LoseNext: 3})
+		time.Sleep(time.Minute)
+		require.Equal(t, completion.LateReady, fetch(t, s, "d").State)
+		require.Empty(t, listPending(t, s))
+		s.Stop(t.Context())
+	})
+}
+
+func TestDraftThatMayBeRecordedIsRunLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, h := memstore.New(memstore.Options{}), &hosts{alive: []string{"one", "two"}}
+		var runs atomic.Int32
+		s := newService(store, "one", h, writer("one", &runs))
+		s.Start()
+		time.Sleep(3 * time.Second) // the search for drafts of an earlier process is over
+		store.SetFault(memstore.Fault{RequestDelay: 10 * time.Second, Prefix: keyRoot + "pending"})
+		_, err := s.Accept(t.Context(), "a", "d", draft, 1)
+		require.Equal(t, problem.RanUnknown, problem.From(err).Ran)
+		time.Sleep(8 * time.Second) // the write lands
+		store.SetFault(memstore.Fault{})
+		time.Sleep(time.Minute)
+		require.EqualValues(t, 1, runs.Load())
+		require.Equal(t, completion.LateReady, fetch(t, s, "d").State)
+		s.Stop(t.Context())
+	})
+}
+
+func listPending(t *testing.T, s *Service) []pending {
+	t.Helper()
+	var all []pending
+	for shard := range shards {
+		found, _, err := s.repository.scan(context.Background(), shard, "", scanPage)
+		require.NoError(t, err)
+		all = append(all, found...)
+	}
+	return all
+}
+
+func TestLargeAnswerIsChunkedAndWhole(t *testing.T) {
+	store, h := memstore.New(memstore.Options{}), &hosts{alive: []string{"one"}}
+	random := rand.New(rand.NewPCG(1, 2))
+	text := make([]byte, 4<<20)
+	for i := range text {
+		text[i] = byte('!' + random.IntN(90))
+	}
+	done := make(chan struct{})
+	s := newService(store, "one", h, func(context.Context, string, string, completion.Request, uint64) Outcome {
+		defer close(done)
+		return Outcome{Response: &completion.Response{Choices: []completion.Choice{{Text: string(text)}}}}
+	})
+	accept(t, s, "d")
+	<-done
+	s.Stop(t.Context())
+	answer := fetch(t, s, "d")
+	require.Greater(t, len(answer.Body), len(text))
+	require.Contains(t, string(answer.Body), `"choices"`)
+}
+
+func TestCanceledDraftIsNotRunAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, h := memstore.New(memstore.Options{}), &hosts{alive: []string{"one"}}
+		var runs atomic.Int32
+		s := newService(store, "one", h, func(context.Context, string, string, completion.Request, uint64) Outcome {
+			runs.Add(1)
+			return Outcome{Err: overBudget(time.Second)}
+		})
+		accept(t, s, "d")
+		synctest.Wait()
+		require.NoError(t, s.Cancel(t.Context(), "a", "d"))
+		require.ErrorIs(t, s.Cancel(t.Context(), "b", "d"), api.ErrNoLate)
+		time.Sleep(time.Minute)
+		require.EqualValues(t, 1, runs.Load())
+		require.Equal(t, completion.LateFailed, fetch(t, s, "d").State)
+		s.Stop(t.Context())
+	})
+}
+
+func TestBudgetRefusesAsNotRunWithATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, h := memstore.New(memstore.Options{}), &hosts{alive: []string{"one", "two"}}
+		var runs atomic.Int32
+		s := newService(store, "one", h, writer("one", &runs))
+		var refused *problem.Error
+		for i := 0; refused == nil && i < 1000; i++ {
+			if _, err := s.Accept(t.Context(), "a", fmt.Sprint("d", i), draft, 1); err != nil {
+				refused = problem.From(err)
+			}
+		}
+		require.Equal(t, problem.RanNo, refused.Ran)
+		require.NotZero(t, refused.Retry)
+		synctest.Wait()
+		require.EqualValues(t, 50, runs.Load(), "300 writes/s over two hosts at three writes a draft, burst of a second")
+		s.Stop(t.Context())
+	})
+}
--- a/internal/delivery/problems.go
+++ b/internal/delivery/problems.go
@@ -21,8 +21,12 @@
 // notRecorded refuses a draft whose record did not come about for sure, or may
 // stand although no answer came.
 func notRecorded(err error) *problem.Error {
+	if errors.Is(err, platform.ErrTooLarge) {
+		return problem.New(problem.KindTooLarge, http.StatusRequestEntityTooLarge, problem.RanNo,
+			"send a shorter prompt, or without late delivery", "the draft is too large to be kept")
+	}
 	ran := problem.RanUnknown
-	if errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrRateLimited) || errors.Is(err, platform.ErrTooLarge) {
+	if errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrRateLimited) {
 		ran = problem.RanNo
 	}
 	return storeDown(err, ran)
--- a/internal/delivery/records.go
+++ b/internal/delivery/records.go
@@ -67,7 +67,10 @@
 
 func pack(body []byte) []byte {
 	var packed bytes.Buffer
-	w := gzip.NewWriter(&packed)
+	w, err := gzip.NewWriterLevel(&packed, gzip.BestSpeed)
+	if err != nil {
+		panic(err) // the level is a valid constant
+	}
 	_, _ = w.Write(body) // a buffer takes everything
 	_ = w.Close()
 	return packed.Bytes()
--- a/internal/delivery/repository.go
+++ b/internal/delivery/repository.go
@@ -58,15 +58,16 @@
 	return decode[answer](entry.Value)
 }
 
-// finish writes a whole answer: chunks first, then the record that names them.
-// If another runner was faster, its answer stands. The pending record goes last.
-func (r *repository) finish(ctx context.Context, d draftID, a answer, body []byte) error {
+// finish writes a whole answer with its packed body, if any: chunks first, then
+// the record that names them. If another runner was faster, its answer stands.
+// The pending record goes last.
+func (r *repository) finish(ctx context.Context, d draftID, a answer, packed []byte) error {
 	lease, err := r.leases.Current(ctx)
 	if err != nil {
 		return err
 	}
-	if body != nil {
-		if err := r.attach(ctx, d, &a, pack(body), lease); err != nil {
+	if packed != nil {
+		if err := r.attach(ctx, d, &a, packed, lease); err != nil {
 			return r.expired(ctx, lease, err)
 		}
 	}
--- a/internal/delivery/service.go
+++ b/internal/delivery/service.go
@@ -58,8 +58,9 @@
 	recovered bool
 
 	mu       sync.Mutex
-	running  map[draftID]bool // guarded by mu
-	stopping bool             // guarded by mu
+	running  map[draftID]bool      // guarded by mu
+	stopping bool                  // guarded by mu
+	doubtful map[draftID]time.Time // guarded by mu; records that may stand or come to stand
 	tasks    sync.WaitGroup
 	queueing context.Context // ends at Stop: drafts that have not begun are left
 	leave    context.CancelFunc
@@ -79,6 +80,7 @@
 		slots:      make(chan struct{}, settings.Concurrent),
 		log:        log,
 		running:    make(map[draftID]bool),
+		doubtful:   make(map[draftID]time.Time),
 	}
 	s.queueing, s.leave = context.WithCancel(context.Background())
 	s.life, s.kill = context.WithCancel(context.Background())
@@ -108,6 +110,9 @@
 	if errors.Is(err, errExists) {
 		return s.existing(ctx, d, hash)
 	}
+	if errors.Is(err, platform.ErrOutcomeUnknown) {
+		s.doubt(d)
+	}
 	return completion.LateStatus{}, notRecorded(err)
 }
 
--- a/internal/delivery/worker.go
+++ b/internal/delivery/worker.go
@@ -41,7 +41,7 @@
 		return
 	}
 	for s.queueing.Err() == nil {
-		a, body, retry := s.attempt(p)
+		a, packed, retry := s.attempt(p)
 		if retry > 0 {
 			wait(s.queueing, retry)
 			if s.answered(p.draft()) {
@@ -49,7 +49,7 @@
 			}
 			continue
 		}
-		s.keep(p.draft(), a, body)
+		s.keep(p.draft(), a, packed)
 		return
 	}
 }
@@ -66,7 +66,8 @@
 	return true
 }
 
-// attempt runs the draft once. It returns the final answer, or when to try again.
+// attempt runs the draft once. It returns the final answer with its packed body,
+// or when to try again.
 func (s *Service) attempt(p pending) (answer, []byte, time.Duration) {
 	a := answer{State: completion.LateReady, BodyHash: p.BodyHash, Attempt: ids.New()}
 	outcome := s.run(s.life, p.Account, p.ID, p.Request, p.BodyHash)
@@ -76,7 +77,7 @@
 		if err != nil {
 			panic(err) // a response holds plain data only
 		}
-		return a, body, 0
+		return a, pack(body), 0
 	}
 	failure := outcome.Err
 	if !final(failure.Kind) {
@@ -103,10 +104,11 @@
 }
 
 // keep writes the answer until the store has it. An outage only delays it.
-func (s *Service) keep(d draftID, a answer, body []byte) {
+func (s *Service) keep(d draftID, a answer, packed []byte) {
+	timeout := s.settings.StoreTimeout * time.Duration(1+len(packed)/maxChunk)
 	for {
-		ctx, cancel := context.WithTimeout(s.life, s.settings.StoreTimeout)
-		err := s.repository.finish(ctx, d, a, body)
+		ctx, cancel := context.WithTimeout(s.life, timeout)
+		err := s.repository.finish(ctx, d, a, packed)
 		cancel()
 		if err == nil {
 			return
@@ -147,6 +149,7 @@
 // host searches. The first searches cover all shards, for the drafts of an
 // earlier process of this host.
 func (s *Service) Scan(ctx context.Context) {
+	s.resolveDoubts(ctx)
 	hosts := s.settings.AliveHosts()
 	complete := true
 	for shard := range shards {
