--- a/Makefile
+++ b/Makefile
@@ -30,5 +30,19 @@
 	$(BIN)/tools/staticcheck ./...
 	$(BIN)/tools/revive -config revive.toml -set_exit_status ./...
 
+# generate writes what is made from the code: the page of all settings.
+generate:
+	$(GO) run ./internal/settings/gendoc
+
+generate-check:
+	$(GO) run ./internal/settings/gendoc -check
+
 clean:
 	rm -rf $(BIN) out
+
+demo: build
+	scripts/demo.sh
+
+# prove brings every fault about with real processes; SEED draws moments.
+prove:
+	$(GO) test ./tests/prove -count=1 -timeout 10m -v -seed $(SEED) | grep -E '^(PASS|FAIL)  |passed, |^seed |^ok|^FAIL|_test.go:|Messages:|Error:'
--- a/internal/cli/key.go
+++ b/internal/cli/key.go
@@ -11,6 +11,7 @@
 	"github.com/spf13/cobra"
 
 	"corianderhitch/internal/document"
+	"corianderhitch/internal/tlskeys"
 )
 
 // Form of client keys: the prefix makes leaked keys easy to search for.
@@ -25,9 +26,19 @@
 	Hash string `json:"hash"` // for keyHashes in the document
 }
 
+// resumeKey is the result of key resume in JSON output.
+type resumeKey struct {
+	Line string `json:"line"` // for --token-keys-file
+}
+
 func (a *app) keyCommand() *cobra.Command {
-	cmd := &cobra.Command{Use: "key", Short: "Client keys"}
-	cmd.AddCommand(&cobra.Command{
+	cmd := &cobra.Command{Use: "key", Short: "Client keys and the keys of resume tokens"}
+	cmd.AddCommand(a.newKeyCommand(), a.resumeKeyCommand())
+	return cmd
+}
+
+func (a *app) newKeyCommand() *cobra.Command {
+	return &cobra.Command{
 		Use:   "new",
 		Short: "Make a client key and its hash for the document",
 		Args:  cobra.NoArgs,
@@ -40,7 +51,24 @@
 				fmt.Fprintf(w, "key  %s  (give it to the caller; it is stored nowhere)\nhash %s  (add it to the account's keyHashes)\n", k.Key, k.Hash)
 			})
 		}),
-	})
+	}
+}
+
+func (a *app) resumeKeyCommand() *cobra.Command {
+	var id string
+	cmd := &cobra.Command{
+		Use:   "resume --id NAME",
+		Short: "Make a key of resume tokens, as a line of the file of --token-keys-file",
+		Args:  cobra.NoArgs,
+		RunE: a.command(func(context.Context, []string) error {
+			line, err := tlskeys.NewKeyLine(id)
+			if err != nil {
+				return &usageError{"key resume needs --id with 1 to 16 characters, which no key of the file has"}
+			}
+			return a.out.result(resumeKey{Line: line}, func(w io.Writer) { fmt.Fprintln(w, line) })
+		}),
+	}
+	cmd.Flags().StringVar(&id, "id", "", "id of the key, 1 to 16 characters")
 	return cmd
 }
 
--- a/internal/docstore/body.go
+++ b/internal/docstore/body.go
@@ -17,8 +17,8 @@
 
 // Bounds of a stored body.
 const (
-	chunkBytes   = 768 << 10 // below the store's largest value, with room for what encodings add
-	maxBodyBytes = 64 << 20  // twice the largest source; stops a damaged chunk from filling the memory
+	maxChunkBytes = 768 << 10 // below the store's largest value, with room for what encodings add
+	maxBodyBytes  = 64 << 20  // twice the largest source; stops a damaged chunk from filling the memory
 )
 
 // bodyRef names the parts of a document body: its canonical JSON, compressed
@@ -29,10 +29,13 @@
 	Chunks []string `json:"chunks"` // SHA-256 of each chunk, hex
 }
 
-// pack compresses a body and cuts it.
-func pack(body []byte) (bodyRef, [][]byte, error) {
+// errDigest tells that a stored document was changed by other means.
+var errDigest = eris.New("the stored document does not match its digest; roll back to another revision")
+
+// pack compresses a body and cuts it into chunks of at most chunkBytes.
+func pack(body []byte, chunkBytes int) (bodyRef, [][]byte, error) {
 	var packed bytes.Buffer
-	w, err := gzip.NewWriterLevel(&packed, gzip.BestCompression)
+	w, err := gzip.NewWriterLevel(&packed, gzip.DefaultCompression)
 	if err != nil {
 		return bodyRef{}, nil, eris.Wrap(err, "cannot compress the document")
 	}
@@ -85,7 +88,7 @@
 		return nil, eris.Wrap(err, "the document's body is damaged; roll back to another revision")
 	}
 	if digest(body) != ref.Digest {
-		return nil, eris.New("the document's body does not match its digest; roll back to another revision")
+		return nil, errDigest
 	}
 	return body, nil
 }
