--- a/internal/gateway/api/create.go
+++ b/internal/gateway/api/create.go
@@ -136,7 +136,7 @@
 // resumeAt continues a stream whose caller knows the prompt, so that another
 // engine can take over if the one of the token is gone.
 func (s *Server) resumeAt(r *request, job *runner.Job, text string) error {
-	token, err := s.keys.Open(text, r.account.Name, r.started)
+	token, err := s.keys.Current().Open(text, r.account.Name, r.started)
 	if err != nil || token.RequestID != job.Admit.RequestID {
 		return badResumeToken()
 	}
@@ -177,7 +177,7 @@
 		Model: job.Admit.Model, Version: job.Admit.Version, Adapter: job.Admit.Adapter,
 		Expires: r.started.Add(s.settings.TokenLife),
 	}
-	return sse.New(w, s.keys, template, s.settings.SlowCaller, s.metrics.Tokens)
+	return sse.New(w, s.keys.Current(), template, s.settings.SlowCaller, s.metrics.Tokens)
 }
 
 // answer replies with the whole completion.
--- a/internal/gateway/api/fakes_test.go
+++ b/internal/gateway/api/fakes_test.go
@@ -24,7 +24,7 @@
 	"corianderhitch/internal/logging"
 	"corianderhitch/internal/outbound"
 	"corianderhitch/internal/platform"
-	"corianderhitch/internal/resumetoken"
+	"corianderhitch/internal/tlskeys"
 )
 
 const (
@@ -128,7 +128,7 @@
 	}
 	m, err := metrics.New(noop.NewMeterProvider().Meter(""))
 	require.NoError(t, err)
-	keys, err := resumetoken.ParseKeys([]string{"a:00112233445566778899aabbccddeeff"})
+	keys, err := tlskeys.OpenKeyRing(tlskeys.KeyRingSettings{}, []string{"a:00112233445566778899aabbccddeeff"}, logging.Discard())
 	require.NoError(t, err)
 	out := outbound.New()
 	r := runner.New(engineclient.New(out), f, m, logging.Discard())
--- a/internal/gateway/api/server.go
+++ b/internal/gateway/api/server.go
@@ -20,6 +20,9 @@
 	"corianderhitch/internal/resumetoken"
 )
 
+// Keys returns the keys of resume tokens in force.
+type Keys interface{ Current() *resumetoken.Keyring }
+
 // Settings bound what callers may send and take.
 type Settings struct {
 	MaxBodyBytes int64
@@ -48,7 +51,7 @@
 	runner   Runner
 	late     Late
 	services http.Handler
-	keys     *resumetoken.Keyring
+	keys     Keys
 	limits   *limits.Limiter
 	metrics  *metrics.Metrics
 	log      *slog.Logger
@@ -65,7 +68,7 @@
 	Runner   Runner
 	Late     Late
 	Services ServiceCaller
-	Keys     *resumetoken.Keyring
+	Keys     Keys
 	Metrics  *metrics.Metrics
 	Log      *slog.Logger
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,7 +26,6 @@
 	"corianderhitch/internal/logging"
 	"corianderhitch/internal/outbound"
 	"corianderhitch/internal/platform"
-	"corianderhitch/internal/resumetoken"
 	"corianderhitch/internal/rpcconn"
 )
 
@@ -35,6 +34,7 @@
 	settings Settings
 	log      *slog.Logger
 	listener net.Listener
+	secrets  *secrets
 	server   *http.Server
 	api      *api.Server
 	fleet    *fleet.Fleet
@@ -53,9 +53,9 @@
 
 // Start begins to serve. Call Stop.
 func Start(log *slog.Logger, s Settings, store platform.Store, meter metric.Meter) (*Gateway, error) {
-	keys, err := resumetoken.ParseKeys(s.TokenKeys)
+	secrets, err := openSecrets(s, log)
 	if err != nil {
-		return nil, eris.Wrap(err, "--token-keys")
+		return nil, err
 	}
 	instruments, err := metrics.New(meter)
 	if err != nil {
@@ -68,9 +68,9 @@
 	if s.Advertise == "" {
 		s.Advertise = listener.Addr().String()
 	}
-	g := &Gateway{settings: s, log: log, listener: listener, stops: make(chan struct{})}
+	g := &Gateway{settings: s, log: log, listener: listener, secrets: secrets, stops: make(chan struct{})}
 	g.life, g.end = context.WithCancel(context.Background())
-	g.build(store, instruments, keys)
+	g.build(store, instruments)
 	if err := metrics.ObserveRevision(meter, g.revision); err != nil {
 		return nil, eris.Wrap(err, "gateway: cannot create the metrics")
 	}
@@ -78,9 +78,9 @@
 	return g, nil
 }
 
-func (g *Gateway) build(store platform.Store, m *metrics.Metrics, keys *resumetoken.Keyring) {
+func (g *Gateway) build(store platform.Store, m *metrics.Metrics) {
 	s := g.settings
-	g.pool = rpcconn.NewPool(rpcconn.TCP)
+	g.pool = rpcconn.NewPool(g.secrets.dialer())
 	g.out = outbound.New()
 	g.fleet = fleet.New(fleet.Options{
 		Host: s.Host, Region: s.Region, GatewayAddr: s.Advertise, Agents: s.Agents, Log: logging.Part(g.log, "fleet"),
@@ -97,7 +97,7 @@
 		Runner:   g.runner,
 		Late:     g.late,
 		Services: services.New(s.Region, g.fleet, g.ledger, g.out, m, logging.Part(g.log, "services")),
-		Keys:     keys,
+		Keys:     g.secrets.keys,
 		Metrics:  m,
 		Log:      logging.Part(g.log, "api"),
 	})
@@ -139,7 +139,8 @@
 		ErrorLog:          slog.NewLogLogger(logging.Part(g.log, "http").Handler(), slog.LevelDebug),
 	}
 	g.tasks.Go(func() { g.fleet.Run(g.life) })
-	g.tasks.Go(func() { _ = g.server.Serve(g.listener) })
+	g.tasks.Go(func() { g.secrets.watch(g.life) })
+	g.tasks.Go(func() { _ = g.secrets.serve(g.server, g.listener) })
 	g.late.Start()
 	g.log.Info("Gateway serves.", "address", g.Address())
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -5,6 +5,7 @@
 
 	"corianderhitch/internal/logging"
 	"corianderhitch/internal/telemetry"
+	"corianderhitch/internal/tlskeys"
 )
 
 // LogSettings are the shared settings of logging.
@@ -13,6 +14,13 @@
 // TraceSettings are the shared settings of telemetry.
 type TraceSettings = telemetry.Settings
 
+// TLSSettings are the shared settings of TLS. Where it is on, callers use HTTPS
+// and agents are called with the host's certificate.
+type TLSSettings = tlskeys.Settings
+
+// KeyRingSettings are the settings of the keys of resume tokens.
+type KeyRingSettings = tlskeys.KeyRingSettings
+
 // Settings are the settings of the gateway program.
 type Settings struct {
 	Host      string   `flag:"host" usage:"unique name of this host" validate:"required"`
@@ -22,7 +30,7 @@
 	HTTP      string   `flag:"http" default:"127.0.0.1:8081" usage:"ip:port of /livez, /readyz and /metrics" validate:"hostname_port"`
 	Agents    []string `flag:"agents" default:"127.0.0.1:7100" usage:"ip:port of agents separated by commas, this host's own first" validate:"min=1,dive,hostname_port"`
 	Store     string   `flag:"store" usage:"base URL of the platform's store" validate:"required,url"`
-	TokenKeys []string `flag:"token-keys" usage:"keys of resume tokens as id:hex separated by commas, the same on all gateways; the first one signs" validate:"min=1" secret:"true"`
+	TokenKeys []string `flag:"token-keys" usage:"keys of resume tokens as id:hex separated by commas, the same on all gateways; the first one signs" secret:"true"`
 
 	MaxBody    int           `flag:"max-body-bytes" default:"1048576" usage:"largest body of a request, in bytes" validate:"min=1024,max=67108864"`
 	MaxHeader  int           `flag:"max-header-bytes" default:"16384" usage:"largest header of a request, in bytes" validate:"min=1024,max=1048576"`
@@ -40,4 +48,6 @@
 	PrintConfig bool          `flag:"print-config" usage:"print the settings and exit"`
 	LogSettings
 	TraceSettings
+	TLSSettings
+	KeyRingSettings
 }
--- a/internal/gateway/stream/machine.go
+++ b/internal/gateway/stream/machine.go
@@ -27,7 +27,9 @@
 
 // DefaultLimits are the limits of the gateway. Two crashes bound the damage of a
 // request that kills its engines.
-func DefaultLimits() Limits { return Limits{Reattach: 2, Patience: 20, Moves: 4, Crashes: 2, Refusals: 6} }
+func DefaultLimits() Limits {
+	return Limits{Reattach: 2, Patience: 20, Moves: 4, Crashes: 2, Refusals: 6}
+}
 
 // Options describe a stream.
 type Options struct {
