--- a/internal/scheduling/bounds.go
+++ b/internal/scheduling/bounds.go
@@ -11,10 +11,11 @@
 }
 
 const (
-	// With the whole weight on the tail, steps are planned at this share of the
-	// inter-token bound. Up to evenTail they may take all of it: shorter steps
-	// mean smaller batches and longer waits.
+	// With the whole weight on the tail, steps are planned at stepShareMin of
+	// the inter-token bound, and with evenTail or less at stepShareMax: shorter
+	// steps mean smaller batches and longer waits.
 	stepShareMin = 0.8
+	stepShareMax = 0.97
 	evenTail     = 1.0 / 3
 	// With the whole weight on stalls and preemptions, the accepted overflow
 	// probability is this share of OverflowPercent, and with none the whole.
@@ -39,5 +40,5 @@
 // stepShare returns the share of the inter-token bound that steps may take.
 func stepShare(tail float64) float64 {
 	beyond := max(0, tail-evenTail) / (1 - evenTail)
-	return 1 - (1-stepShareMin)*beyond
+	return stepShareMax - (stepShareMax-stepShareMin)*beyond
 }
