--- a/internal/gateway/fleet/admit.go
+++ b/internal/gateway/fleet/admit.go
@@ -132,6 +132,9 @@
 // Ticket returns the place's ticket; it is empty for an attached generation.
 func (p *Place) Ticket() string { return p.ticket.Ticket }
 
+// OwnChoice tells whether the gateway chose the target without an owner.
+func (p *Place) OwnChoice() bool { return p.agent == "" }
+
 // End gives a place back. Complete is false if the generation was cut.
 func (f *Fleet) End(p *Place, produced int, complete bool) {
 	p.end()
--- a/internal/gateway/runner/session.go
+++ b/internal/gateway/runner/session.go
@@ -67,7 +67,7 @@
 	reason   engine.FinishReason
 	sent     int // tokens handed to the sink
 	gone     bool
-	crashed  bool
+	deaths   int // engines that died while they ran the job
 }
 
 func newSession(caller context.Context, r *Runner, job Job, sink Sink) *session {
@@ -239,9 +239,16 @@
 		return err
 	}
 	s.place = place
+	if place.OwnChoice() && s.deaths >= maxDeathsAlone {
+		return reasonError(stream.ReasonCrash, problem.RanUnknown)
+	}
 	return nil
 }
 
+// maxDeathsAlone is the number of engines that may die under a request while no
+// owner of the pool can judge it.
+const maxDeathsAlone = 2
+
 // moveDeadline bounds the wait for a place where the request itself sets none.
 const moveDeadline = 30 * time.Second
 
@@ -312,7 +319,7 @@
 
 func (s *session) finished() Result {
 	s.endPlace(s.reason != engine.FinishCanceled)
-	if s.crashed {
+	if s.deaths > 0 {
 		s.r.fleet.Report(control.News{
 			ID: ids.New(), Kind: control.NewsCleared, Fingerprint: s.job.Admit.Fingerprint, Seen: time.Now(),
 		})
@@ -344,11 +351,13 @@
 	var refused *engineclient.RefusedError
 	switch {
 	case failure == stream.FailureDied:
-		s.crashed = true
+		s.deaths++
 		news.Kind = control.NewsCrash
 		news.Ticket = s.place.Ticket()
 		news.Fingerprint = s.job.Admit.Fingerprint
 		news.Beside = s.r.fleet.InFlight().Beside(target, s.job.Admit.Fingerprint)
+		s.r.fleet.ReportCrash(s.ctx, s.job.Admit.Model, news)
+		return
 	case errors.As(err, &refused) && refused.Problem.Kind == problem.KindDraining:
 		news.Kind = control.NewsLeaving
 	case failure == stream.FailureNotSent:
--- a/internal/gateway/stream/machine.go
+++ b/internal/gateway/stream/machine.go
@@ -19,6 +19,8 @@
 	// Moves is the number of times that the request goes to another engine.
 	Moves int
 	// Crashes is the number of engines that may die while they run the request.
+	// It is the last resort: owners of pools refuse a request earlier when they
+	// can tell it from those that ran beside it.
 	Crashes int
 	// Refusals is the number of engines that may refuse or not be reachable
 	// before one runs the request.
--- a/internal/gateway/stream/machine_test.go
+++ b/internal/gateway/stream/machine_test.go
@@ -193,7 +193,7 @@
 	return false
 }
 
-func TestCrashingRequestCostsAtMostTwoEngines(t *testing.T) {
+func TestCrashesAreBoundedAsLastResort(t *testing.T) {
 	m := New(Options{Limits: DefaultLimits(), Generation: "g", WholeAnswer: true, MayContinue: true})
 	lost := 0
 	for {
@@ -209,7 +209,7 @@
 		}
 		m.Restarted(fmt.Sprint("g", lost))
 	}
-	require.Equal(t, 2, lost)
+	require.Equal(t, DefaultLimits().Crashes, lost)
 }
 
 func TestStalledEngineIsLeftAfterFailedAttachments(t *testing.T) {
