--- a/internal/gateway/services/once.go
+++ b/internal/gateway/services/once.go
@@ -49,7 +49,7 @@
 		tried = append(tried, target.Name)
 		last = c.send(ctx, call, target, c.transport.DoOnce)
 		if !last.surelyNotRun() {
-			return c.settle(ctx, claim, last)
+			return c.settle(claim, last)
 		}
 		c.metrics.Retry("not-run")
 	}
@@ -64,13 +64,13 @@
 }
 
 // settle ends the claim of a call that was dispatched.
-func (c *Caller) settle(ctx context.Context, claim *ledger.Claim, a *attempt) (api.ServiceAnswer, error) {
+func (c *Caller) settle(claim *ledger.Claim, a *attempt) (api.ServiceAnswer, error) {
 	if a.err != nil {
 		claim.Abandon()
 		c.metrics.Call("outcome-unknown")
 		return api.ServiceAnswer{}, unknown(a)
 	}
-	claim.Complete(context.WithoutCancel(ctx), ledger.Outcome{
+	claim.Complete(ledger.Outcome{
 		Status:      a.answer.Status,
 		ContentType: a.answer.Header.Get("Content-Type"),
 		Body:        a.answer.Body,
--- a/internal/ledger/claim.go
+++ b/internal/ledger/claim.go
@@ -32,15 +32,29 @@
 	return now.Sub(c.attempt.started) > window || now.Round(0).Sub(c.attempt.started.Round(0)) > window
 }
 
-// Complete keeps the outcome of a call that ran. It is retried in the background
-// if the store does not take it at once.
-func (c *Claim) Complete(ctx context.Context, outcome Outcome) {
+// outcomeWait bounds what a slow store adds to the caller's wait for an answer
+// that is there. Within it, a resend right after the answer finds the outcome.
+const outcomeWait = 50 * time.Millisecond
+
+// Complete keeps the outcome of a call that ran. It returns when the store has
+// it or after outcomeWait; the write goes on in the background until it succeeds.
+func (c *Claim) Complete(outcome Outcome) {
 	if len(outcome.Body) > MaxKeptBody {
 		outcome.Body = nil
 	}
-	task := func(ctx context.Context) error { return c.write(ctx, stateDone, &outcome) }
-	if c.attempt.ledger.try(ctx, task) != nil {
-		c.attempt.ledger.settle("outcome of a call", task)
+	done := make(chan struct{})
+	c.attempt.ledger.settle("outcome of a call", func(ctx context.Context) error {
+		err := c.write(ctx, stateDone, &outcome)
+		if err == nil {
+			close(done)
+		}
+		return err
+	})
+	timer := time.NewTimer(outcomeWait)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
 	}
 }
 
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -1,7 +1,6 @@
 package ledger
 
 import (
-	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -45,7 +44,7 @@
 		one, two := testLedger(store, "one"), testLedger(store, "two")
 		c := claim(t, one, testCall)
 		refusedAs(t, two, testCall, problem.KindInProgress, problem.RanUnknown)
-		c.Complete(t.Context(), Outcome{Status: 201, Body: []byte("done"), BodyBytes: 4})
+		c.Complete(Outcome{Status: 201, Body: []byte("done"), BodyBytes: 4})
 		decision, err := two.Claim(t.Context(), testCall)
 		require.NoError(t, err)
 		require.Equal(t, &Outcome{Status: 201, Body: []byte("done"), BodyBytes: 4}, decision.Replay)
@@ -80,7 +79,7 @@
 func TestStoreDownIsRefusedAtOnceAndNotDeniedIfSeen(t *testing.T) {
 	store := memstore.New(memstore.Options{})
 	l := testLedger(store, "one")
-	claim(t, l, testCall).Complete(t.Context(), Outcome{Status: 200})
+	claim(t, l, testCall).Complete(Outcome{Status: 200})
 	store.SetFault(memstore.Fault{Outage: true})
 	fresh := testCall
 	fresh.Key = "fresh"
@@ -116,7 +115,7 @@
 	require.EqualValues(t, 1, after.Writes-before.Writes)
 	require.EqualValues(t, 1, after.Reads-before.Reads)
 	store.SetFault(memstore.Fault{LoseNext: 1})
-	c.Complete(context.Background(), Outcome{Status: 200})
+	c.Complete(Outcome{Status: 200})
 	decision, err := l.Claim(t.Context(), testCall)
 	require.NoError(t, err)
 	require.NotNil(t, decision.Replay)
@@ -127,7 +126,7 @@
 	store := memstore.New(memstore.Options{})
 	l := testLedger(store, "one")
 	body := make([]byte, MaxKeptBody+1)
-	claim(t, l, testCall).Complete(t.Context(), Outcome{Status: 200, Body: body, BodyBytes: len(body)})
+	claim(t, l, testCall).Complete(Outcome{Status: 200, Body: body, BodyBytes: len(body)})
 	decision, err := l.Claim(t.Context(), testCall)
 	require.NoError(t, err)
 	require.False(t, decision.Replay.Kept())
--- a/internal/ledger/simulation_test.go
+++ b/internal/ledger/simulation_test.go
@@ -214,7 +214,7 @@
 		decision.Claim.Abandon()
 		return "unknown"
 	}
-	decision.Claim.Complete(context.Background(), Outcome{Status: 200})
+	decision.Claim.Complete(Outcome{Status: 200})
 	return "ran"
 }
 
