--- a/internal/outbound/outbound_test.go
+++ b/internal/outbound/outbound_test.go
@@ -51,7 +51,7 @@
 	return req
 }
 
-func post(t *testing.T, ctx context.Context, address, body string) *http.Request {
+func post(ctx context.Context, t *testing.T, address, body string) *http.Request {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/", strings.NewReader(body))
 	require.NoError(t, err)
 	req.Header.Set("Idempotency-Key", "k")
@@ -65,7 +65,7 @@
 	require.NoError(t, listener.Close())
 	transport := New()
 	defer transport.Close()
-	_, err = transport.DoOnce(post(t, t.Context(), address, "x"))
+	_, err = transport.DoOnce(post(t.Context(), t, address, "x"))
 	require.ErrorIs(t, err, ErrNotSent)
 	require.True(t, IsConnectionRefused(err))
 }
@@ -76,7 +76,7 @@
 	defer transport.Close()
 	for _, body := range []string{"x", ""} {
 		before := accepted.Load()
-		_, err := transport.DoOnce(post(t, t.Context(), address, body))
+		_, err := transport.DoOnce(post(t.Context(), t, address, body))
 		require.ErrorIs(t, err, ErrBroken)
 		require.Equal(t, before+1, accepted.Load(), "the request was sent again")
 	}
@@ -99,7 +99,7 @@
 	transport := New()
 	defer transport.Close()
 	for range 2 {
-		resp, err := transport.DoOnce(post(t, t.Context(), address, ""))
+		resp, err := transport.DoOnce(post(t.Context(), t, address, ""))
 		require.NoError(t, err)
 		_ = resp.Body.Close()
 	}
@@ -116,7 +116,7 @@
 	transport := New()
 	defer transport.Close()
 	ctx, cancel := context.WithCancel(t.Context())
-	req := post(t, ctx, address, "x")
+	req := post(ctx, t, address, "x")
 	guard := make(chan struct{})
 	transport.fresh.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
 		conn, err := dial(ctx, network, addr)
