Leave a silent engine after one unanswered attachment

Cause: a frozen or cut-off engine stalled its streams for 2.74 s: 1.02 s until the stall was seen, then three attachments of 0.5 s each before the move. Ruled out: the time of the continuation itself (prefill of the prefix, about 0.1 s). Change: an engine that ran the generation and does not answer an attachment in 0.5 s is left at once where another can continue; the crash news travels only with the next admission (ReportCrash removed, one call less).

--- a/internal/gateway/api/fakes_test.go
+++ b/internal/gateway/api/fakes_test.go
@@ -57,8 +57,6 @@
 	return nil, problem.New(problem.KindNoTarget, http.StatusServiceUnavailable, problem.RanNo, "wait", "none").WithRetry(time.Second)
 }
 
-func (f *fakeFleet) ReportCrash(context.Context, string, control.News) {}
-
 func (f *fakeFleet) Register(_ context.Context, e control.DirectoryEntry) (control.DirectoryEntry, bool) {
 	key := control.DirectoryKey{Account: e.Account, RequestID: e.RequestID}
 	f.mu.Lock()
--- a/internal/gateway/fleet/reports.go
+++ b/internal/gateway/fleet/reports.go
@@ -13,8 +13,6 @@
 	finishBatch = 20 * time.Millisecond
 	// reportTimeout bounds the wait for an agent to take a report.
 	reportTimeout = 1 * time.Second
-	// crashTimeout bounds the wait for the owner of a pool to take news of a crash.
-	crashTimeout = 300 * time.Millisecond
 	// maxBatch bounds the reports of one call.
 	maxBatch = 512
 )
@@ -85,25 +83,6 @@
 	}
 }
 
-// ReportCrash passes on the death of an engine to the owner of its pool before it
-// returns, so that the next question for a place is judged with it.
-func (f *Fleet) ReportCrash(ctx context.Context, model string, news control.News) {
-	f.Report(news)
-	ctx, cancel := context.WithTimeout(ctx, crashTimeout)
-	defer cancel()
-	view := f.View()
-	for _, host := range view.rankedHosts(model + "/" + f.options.Region) {
-		address := view.agentAddress(host)
-		if address == "" || f.isCut(address) {
-			continue
-		}
-		args := control.NewsArgs{News: []control.News{news}}
-		if f.pool.Call(ctx, address, "Control.News", args, new(control.Empty)) == nil || ctx.Err() != nil {
-			return
-		}
-	}
-}
-
 // Usable returns the targets that this gateway has no reason to avoid, or all if
 // none is left.
 func (f *Fleet) Usable(targets []platform.Target) []platform.Target {
--- a/internal/gateway/runner/attachment.go
+++ b/internal/gateway/runner/attachment.go
@@ -22,9 +22,13 @@
 	ctx, span := s.r.tracer.Start(s.ctx, "attach", trace.WithAttributes(
 		attribute.String("target", s.target().Name), attribute.Int("offset", s.machine.Offset())))
 	defer span.End()
+	begin := time.Now()
 	events, err := s.open(ctx)
 	if err != nil {
 		failure := classify(err, s.attached)
+		if failure == stream.FailureBroken && s.attached && reopenExpired(begin) {
+			failure = stream.FailureSilent
+		}
 		s.note(err, failure)
 		return s.machine.Failed(epoch, failure)
 	}
@@ -41,6 +45,9 @@
 	return step
 }
 
+// reopenExpired tells whether an attachment that began then has used up its time.
+func reopenExpired(begin time.Time) bool { return time.Since(begin) >= reopenTimeout }
+
 // open sends the request of the current mode and waits for its acceptance.
 func (s *session) open(ctx context.Context) (*engineclient.Stream, error) {
 	openCtx, cancel := context.WithCancel(ctx)
--- a/internal/gateway/runner/runner.go
+++ b/internal/gateway/runner/runner.go
@@ -27,7 +27,6 @@
 	End(place *fleet.Place, produced int, complete bool)
 	Register(ctx context.Context, entry control.DirectoryEntry) (control.DirectoryEntry, bool)
 	Report(news control.News)
-	ReportCrash(ctx context.Context, model string, news control.News)
 	InFlight() *fleet.InFlight
 }
 
--- a/internal/gateway/runner/session.go
+++ b/internal/gateway/runner/session.go
@@ -358,8 +358,6 @@
 		news.Ticket = s.place.Ticket()
 		news.Fingerprint = s.job.Admit.Fingerprint
 		news.Beside = s.r.fleet.InFlight().Beside(target, s.job.Admit.Fingerprint)
-		s.r.fleet.ReportCrash(s.ctx, s.job.Admit.Model, news)
-		return
 	case errors.As(err, &refused) && refused.Problem.Kind == problem.KindDraining:
 		news.Kind = control.NewsLeaving
 	case failure == stream.FailureNotSent:
--- a/internal/gateway/stream/failure.go
+++ b/internal/gateway/stream/failure.go
@@ -13,8 +13,11 @@
 	FailureDied
 	// FailureRefused: the engine refused to run the request.
 	FailureRefused
-	// FailureBroken: the connection broke, or the engine gave no answer in time.
+	// FailureBroken: the connection broke.
 	FailureBroken
+	// FailureSilent: the engine that ran the generation gave no answer to an
+	// attachment in time.
+	FailureSilent
 	// FailureStalled: the engine answered, then sent no token within the bound.
 	FailureStalled
 	// FailureEngine: the engine ended the generation with an error.
@@ -25,7 +28,7 @@
 
 // String returns the failure's name for logs and metrics.
 func (f Failure) String() string {
-	names := [...]string{"not-sent", "died", "refused", "broken", "stalled", "engine-error", "protocol"}
+	names := [...]string{"not-sent", "died", "refused", "broken", "silent", "stalled", "engine-error", "protocol"}
 	if f < 0 || int(f) >= len(names) {
 		return "unknown"
 	}
--- a/internal/gateway/stream/machine.go
+++ b/internal/gateway/stream/machine.go
@@ -179,6 +179,8 @@
 	case FailureEngine:
 		m.ran = true
 		return m.move(true)
+	case FailureSilent:
+		return m.silent()
 	case FailureStalled: // the engine lives; the I/O side bounds the wait
 		m.ran = true
 		return Step{Kind: StepAttach}
@@ -224,6 +226,16 @@
 	return m.move(true)
 }
 
+// silent leaves a frozen or cut-off engine at once where another can take over:
+// asking it again only lengthens the caller's stall.
+func (m *Machine) silent() Step {
+	if !m.movable() {
+		return m.broken()
+	}
+	m.ran = true
+	return m.move(true)
+}
+
 // move leaves the engine. Another one continues the generation or runs it again.
 func (m *Machine) move(leave bool) Step {
 	m.failures = 0
--- a/internal/gateway/stream/machine_test.go
+++ b/internal/gateway/stream/machine_test.go
@@ -223,3 +223,17 @@
 	require.Equal(t, Step{Kind: StepContinue, Leave: true}, m.Failed(m.Attaching(), FailureBroken))
 	require.Equal(t, []string{"a"}, m.Tokens())
 }
+
+func TestSilentEngineIsLeftAtOnceIfAnotherCanTakeOver(t *testing.T) {
+	m := New(Options{Limits: DefaultLimits(), Generation: "g", MayContinue: true})
+	epoch := m.Attaching()
+	m.Attached(epoch)
+	require.Equal(t, StepAccept, m.Token(epoch, engine.Token{Generation: "g", Text: "a"}).Kind)
+	require.Equal(t, StepContinue, m.Failed(epoch, FailureSilent).Kind)
+
+	m = New(Options{Limits: DefaultLimits(), Generation: "g"})
+	epoch = m.Attaching()
+	m.Attached(epoch)
+	require.Equal(t, StepAccept, m.Token(epoch, engine.Token{Generation: "g", Text: "a"}).Kind)
+	require.Equal(t, StepAttach, m.Failed(epoch, FailureSilent).Kind, "no other engine can continue")
+}
