--- a/internal/scheduling/lot.go
+++ b/internal/scheduling/lot.go
@@ -29,10 +29,11 @@
 // compute prompt tokens next to a decode step of stepMS.
 func (p *Pool) longSteps(tokens, stepMS float64) float64 {
 	slack := math.Max(0, float64(p.config.Objectives.InterTokenMS)-stepMS) / p.config.PrefillMSPerToken
-	if tokens <= slack {
-		return 0
+	whole := math.Floor(tokens / float64(p.config.PrefillChunk))
+	if tokens-whole*float64(p.config.PrefillChunk) > slack {
+		return whole + 1
 	}
-	return math.Ceil(tokens / float64(p.config.PrefillChunk))
+	return whole
 }
 
 // disturbs returns the expected number of long steps that the tokens add on the
