--- a/internal/scheduling/admit.go
+++ b/internal/scheduling/admit.go
@@ -57,7 +57,7 @@
 // and one whose caller waits in the midst of an answer more than that: it
 // stalls for certain while it waits, but others only perhaps when it runs.
 func (p *Pool) roomFor(r *Request) room {
-	full := room{batch: 1, memory: 1, overflow: p.bounds.overflow, prefillAhead: prefillAhead}
+	full := room{batch: 1, memory: p.bounds.memory, overflow: p.bounds.overflow, prefillAhead: prefillAhead}
 	switch {
 	case r.Produced > 0:
 		full.batch = resumedBatch
