--- a/internal/scheduling/pool.go
+++ b/internal/scheduling/pool.go
@@ -78,15 +78,14 @@
 	p.accounts.Configure(config.Limits)
 }
 
-// ObserveCache implements Policy.
+// ObserveCache implements Policy. After a gap what was known stays: a prefix
+// that is wrongly taken as cached costs its prefill once, while forgetting all
+// would scatter requests that share prefixes.
 func (p *Pool) ObserveCache(_ time.Time, update CacheUpdate) {
 	t, ok := p.targets[update.Target]
 	if !ok {
 		return
 	}
-	if update.Lost {
-		p.cache.Forget(t.slot)
-	}
 	p.cache.Store(t.slot, update.Stored)
 	p.cache.Evict(t.slot, update.Evict)
 }
