--- a/tests/prove/admin_test.go
+++ b/tests/prove/admin_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"corianderhitch/api/control"
+	"corianderhitch/api/engine"
 	"corianderhitch/internal/enginemodel"
 	"corianderhitch/internal/platform"
 	"corianderhitch/internal/platform/memstore"
@@ -48,6 +49,26 @@
 	require.Lessf(t, response.StatusCode, 300, "%s %s: %s", method, url, text)
 }
 
+// trySend calls an admin path of a stand-in that may be dead by another fault.
+func trySend(method, url string, body any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := client.Do(request)
+	if err != nil {
+		return err
+	}
+	return response.Body.Close()
+}
+
 // publishTargets writes the platform's host list. Names in leaving are marked so.
 func (c *cluster) publishTargets(leaving map[string]bool) {
 	c.t.Helper()
@@ -95,6 +116,10 @@
 	Key        string    `json:"key"` // Idempotency-Key, of a service's line
 	Path       string    `json:"path"`
 	Time       time.Time `json:"time"`
+	Number     int       `json:"number"` // order of arrival at the target
+
+	Order   *engine.Order `json:"order"`   // of an order
+	Refused bool          `json:"refused"` // of an order
 }
 
 // readJournal returns the lines that a target has written, also after its death.
@@ -196,6 +221,27 @@
 	return true
 }
 
+// membersKnown tells whether every host knows every other one as alive, with the
+// document that its gateway serves.
+func (c *cluster) membersKnown() bool {
+	for _, h := range c.hosts {
+		reply, ok := c.status(h)
+		if !ok {
+			return false
+		}
+		alive := 0
+		for _, m := range reply.Members {
+			if m.State == control.MemberAlive && m.GatewayRevision > 0 {
+				alive++
+			}
+		}
+		if alive < len(c.hosts) {
+			return false
+		}
+	}
+	return true
+}
+
 // revisionsInForce returns the lower of the revisions that each host's gateway
 // and agent report, as the first host's agent knows them.
 func (c *cluster) revisionsInForce() map[string]int64 {
--- a/tests/prove/caller_test.go
+++ b/tests/prove/caller_test.go
@@ -185,6 +185,11 @@
 	if requestID != "" {
 		request.Header.Set("Idempotency-Key", requestID)
 	}
+	return exchange(request)
+}
+
+// exchange sends a request and reads the whole answer.
+func exchange(request *http.Request) (plainAnswer, error) {
 	begin := time.Now()
 	response, err := client.Do(request)
 	if err != nil {
--- /dev/null
+++ b/tests/prove/callhistory_test.go
@@ -0,0 +1,149 @@
+package prove
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/stretchr/testify/require"
+
+	"corianderhitch/api/problem"
+)
+
+// callResult is what a caller was told of a call, or what the targets' journals
+// say at the end.
+type callResult struct {
+	kind callResultKind
+	body string // of an answer
+	ran  int    // of the journals
+}
+
+type callResultKind int
+
+const (
+	callAnswered callResultKind = iota
+	callNotRun                  // this sending was not run
+	callMayHave                 // outcome unknown, or the connection was cut
+	callExecuted                // journals at the end
+)
+
+// Prefixes of the states of a call in callModel. Not run is the empty state.
+const (
+	ranUnseen = "ran"     // ran, nobody has seen the answer
+	ranSeen   = "answer:" // ran, followed by the answer that callers have seen
+)
+
+// callModel is a call that runs at most once and whose answer never changes.
+var callModel = porcupine.NondeterministicModel{
+	Partition: partitionByKey,
+	Init:      func() []any { return []any{""} },
+	Step: func(state, _, output any) []any {
+		return callStepModel(state.(string), output.(callResult))
+	},
+}
+
+func callStepModel(state string, result callResult) []any {
+	switch result.kind {
+	case callNotRun:
+		return []any{state}
+	case callMayHave:
+		if state == "" {
+			return []any{"", ranUnseen}
+		}
+		return []any{state}
+	case callAnswered:
+		if seen, ok := strings.CutPrefix(state, ranSeen); ok && seen != result.body {
+			return nil
+		}
+		return []any{ranSeen + result.body}
+	case callExecuted:
+		want := 1
+		if state == "" {
+			want = 0
+		}
+		if result.ran == want {
+			return []any{state}
+		}
+	}
+	return nil
+}
+
+func partitionByKey(history []porcupine.Operation) [][]porcupine.Operation {
+	byKey := make(map[string][]porcupine.Operation)
+	for _, op := range history {
+		key := op.Input.(string)
+		byKey[key] = append(byKey[key], op)
+	}
+	var parts [][]porcupine.Operation
+	for _, part := range byKey {
+		parts = append(parts, part)
+	}
+	return parts
+}
+
+// linearizeLimit bounds the check of one history.
+const linearizeLimit = 30 * time.Second
+
+// checkCallHistory requires that what callers were told and what the targets ran
+// is one order of calls that run at most once.
+func checkCallHistory(t *testing.T, outcomes []callOutcome, executions map[string]int) {
+	t.Helper()
+	require.Equal(t, porcupine.Ok, callVerdict(outcomes, executions), "no order of at-most-once calls explains the answers")
+}
+
+// callVerdict checks a history. A call whose end the caller did not see may take
+// effect until the end of the history.
+func callVerdict(outcomes []callOutcome, executions map[string]int) porcupine.CheckResult {
+	end := time.Duration(0)
+	for _, o := range outcomes {
+		end = max(end, o.end)
+	}
+	var history []porcupine.Operation
+	keys := make(map[string]bool)
+	for _, o := range outcomes {
+		result := callResult{kind: callAnswered, body: o.answer.body}
+		returned := o.end
+		switch {
+		case o.err != nil || o.answer.failure != nil && o.answer.failure.Ran != problem.RanNo:
+			result, returned = callResult{kind: callMayHave}, end
+		case o.answer.failure != nil:
+			result = callResult{kind: callNotRun}
+		}
+		keys[o.key] = true
+		history = append(history, porcupine.Operation{ClientId: o.sender, Input: o.key, Call: int64(o.begin), Output: result, Return: int64(returned)})
+	}
+	for key := range keys {
+		history = append(history, porcupine.Operation{ClientId: len(history), Input: key, Call: int64(end) + 1,
+			Output: callResult{kind: callExecuted, ran: executions[key]}, Return: int64(end) + 2})
+	}
+	return porcupine.CheckOperationsTimeout(callModel.ToModel(), history, linearizeLimit)
+}
+
+func TestCallModelFindsViolations(t *testing.T) {
+	executed := func(key string, n int) map[string]int { return map[string]int{key: n} }
+	answered := callOutcome{key: "k", answer: plainAnswer{status: 200, body: "a"}, end: 1}
+	other := callOutcome{key: "k", answer: plainAnswer{status: 200, body: "b"}, begin: 2, end: 3}
+	notRun := callOutcome{key: "k", answer: plainAnswer{failure: &problem.Error{Ran: problem.RanNo}}, end: 1}
+	for name, one := range map[string]struct {
+		outcomes []callOutcome
+		executed map[string]int
+		ok       bool
+	}{
+		"ran once":                     {[]callOutcome{answered}, executed("k", 1), true},
+		"ran twice":                    {[]callOutcome{answered}, executed("k", 2), false},
+		"answered and not run":         {[]callOutcome{answered}, nil, false},
+		"two answers":                  {[]callOutcome{answered, other}, executed("k", 1), false},
+		"told not run and ran":         {[]callOutcome{notRun}, executed("k", 1), false},
+		"told not run, then answered":  {[]callOutcome{notRun, other}, executed("k", 1), true},
+		"told not run and did not run": {[]callOutcome{notRun}, nil, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			verdict := porcupine.Ok
+			if !one.ok {
+				verdict = porcupine.Illegal
+			}
+			require.Equal(t, verdict, callVerdict(one.outcomes, one.executed))
+		})
+	}
+}
--- a/tests/prove/calls_test.go
+++ b/tests/prove/calls_test.go
@@ -19,6 +19,9 @@
 	key    string
 	answer plainAnswer
 	err    error
+
+	sender     int
+	begin, end time.Duration // since the start of the traffic
 }
 
 // callFault is one way to disturb calls that may run at most once.
@@ -95,6 +98,16 @@
 			c.hosts[0].gateway.kill()
 			return func() { c.storeFault(memstore.Fault{}) }
 		}},
+		{name: "agent frozen past suspicion, then thawed", bring: func(c *cluster) func() {
+			c.hosts[0].agent.freeze()
+			<-time.After(pastSuspicion)
+			c.hosts[0].agent.thaw()
+			return nothing
+		}},
+		{name: "store writes take effect late", bring: func(c *cluster) func() {
+			c.storeFault(memstore.Fault{RequestDelay: 1500 * time.Millisecond}) // longer than a claim is awaited
+			return func() { c.storeFault(memstore.Fault{}) }
+		}},
 		{name: "all agents killed", bring: func(c *cluster) func() {
 			for _, h := range c.hosts {
 				h.agent.kill()
@@ -135,6 +148,7 @@
 	began := make(chan struct{})
 	var once sync.Once
 	r := draw(t)
+	start := time.Now()
 	trigger := 1 + r.IntN(keys/2)
 	for s := range senders {
 		open.Add(1)
@@ -146,9 +160,10 @@
 				}
 				key := fmt.Sprintf("hold-%d", k)
 				h := c.hosts[(k+s)%len(c.hosts)]
+				sent := time.Since(start)
 				answer, err := plain(t, h.url, keyDesk, http.MethodPost, "/services/booking/seat-holds", key, `{"berth":"`+key+`"}`)
 				mu.Lock()
-				outcomes = append(outcomes, callOutcome{key: key, answer: answer, err: err})
+				outcomes = append(outcomes, callOutcome{key: key, answer: answer, err: err, sender: s, begin: sent, end: time.Since(start)})
 				mu.Unlock()
 			}
 		}()
@@ -170,6 +185,7 @@
 	for key, n := range ran {
 		require.LessOrEqualf(t, n, 1, "key %s ran %d times", key, n)
 	}
+	checkCallHistory(t, outcomes, ran)
 	answers := make(map[string]string)
 	succeeded, notRun, unknown, cut := 0, 0, 0, 0
 	maybe := make(map[string]bool) // keys of which some answer allows that they ran
--- a/tests/prove/cluster_test.go
+++ b/tests/prove/cluster_test.go
@@ -25,6 +25,10 @@
 	document string
 	// agentArgs are appended to the flags of every agent.
 	agentArgs []string
+	// gatewayArgs are appended to the flags of every gateway.
+	gatewayArgs []string
+	// serviceArgs are appended to the flags of every service.
+	serviceArgs []string
 }
 
 // host is one entry host: a gateway and an agent, each behind proxies.
@@ -87,6 +91,7 @@
 		c.awaitReady(h)
 	}
 	await(t, readyLimit, "healthy targets on every host", c.targetsHealthy)
+	await(t, readyLimit, "every host knows every gateway", c.membersKnown)
 	return c
 }
 
@@ -111,11 +116,11 @@
 		"--log-level", "debug",
 	}, c.size.agentArgs...)
 	h.gateway = &process{name: name + "-gateway", path: filepath.Join(binDir, "gateway"), log: filepath.Join(c.dir, name+"-gateway.log")}
-	h.gateway.args = []string{
+	h.gateway.args = append([]string{
 		"--host", name, "--region", "sk-west", "--listen", listen, "--http", ops,
 		"--store", "http://" + h.storeLink.address(),
 		"--token-keys", tokenKeys, "--log-level", "debug",
-	}
+	}, c.size.gatewayArgs...)
 	return h
 }
 
@@ -152,8 +157,9 @@
 
 func (c *cluster) addService(name string) *target {
 	s := c.newTarget(name)
-	s.process = launch(c.t, c.dir, name, "standin", "service", "--listen", s.direct, "--name", name,
-		"--domain", domains[len(c.services)%len(domains)], "--service", "booking", "--journal", s.journal)
+	args := append([]string{"service", "--listen", s.direct, "--name", name,
+		"--domain", domains[len(c.services)%len(domains)], "--service", "booking", "--journal", s.journal}, c.size.serviceArgs...)
+	s.process = launch(c.t, c.dir, name, "standin", args...)
 	c.services = append(c.services, s)
 	c.awaitTarget(s)
 	return s
@@ -178,6 +184,16 @@
 	require.Zerof(c.t, code, "hitchctl apply: %s", out)
 }
 
+// tryDocument applies a document and accepts a refusal.
+func (c *cluster) tryDocument(text string) {
+	file := filepath.Join(c.dir, fmt.Sprintf("try-%d.yaml", time.Now().UnixNano()))
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		c.t.Error(err)
+		return
+	}
+	_, _ = hitchctl(c.t, "apply", file, "--store", "http://"+c.storeAt, "--environment", "production", "--operator", "prove")
+}
+
 func orDefault(text, fallback string) string {
 	if text == "" {
 		return fallback
--- a/tests/prove/leaving_test.go
+++ b/tests/prove/leaving_test.go
@@ -33,6 +33,34 @@
 			c.storeFault(memstore.Fault{Outage: true})
 			ownWord(c, e)
 		}},
+		{name: "host list late by 30 s, refusal of new work", leave: func(c *cluster, e *target) {
+			c.storeFault(memstore.Fault{HostListLag: 30 * time.Second})
+			ownWord(c, e)
+			c.publishTargets(map[string]bool{e.name: true})
+		}},
+		{name: "reclaimed, host list late by 30 s", leave: func(c *cluster, e *target) {
+			c.storeFault(memstore.Fault{HostListLag: 30 * time.Second})
+			c.reclaim(e, 4*leavingWindow)
+		}},
+		{name: "region cut: one host without store and peers", leave: func(c *cluster, e *target) {
+			c.isolate(c.hosts[2])
+			ownWord(c, e)
+		}},
+		{name: "host list only, store link of one host cut", leave: func(c *cluster, e *target) {
+			c.hosts[2].storeLink.set(refuse)
+			c.hosts[2].storeLink.cut()
+			c.publishTargets(map[string]bool{e.name: true})
+		}},
+		{name: "engine's own word, all agents frozen for 3 s", leave: func(c *cluster, e *target) {
+			for _, h := range c.hosts {
+				h.agent.freeze()
+			}
+			ownWord(c, e)
+			<-time.After(3 * time.Second) // part of the window: gateways must learn from the refusals
+			for _, h := range c.hosts {
+				h.agent.thaw()
+			}
+		}},
 		{name: "engine's own word, one agent killed", leave: func(c *cluster, e *target) {
 			c.hosts[0].agent.kill()
 			ownWord(c, e)
@@ -40,6 +68,15 @@
 	}
 }
 
+// isolate cuts a host from the store and its agent from all others. Its targets
+// stay reachable, as they are in its own region.
+func (c *cluster) isolate(h *host) {
+	for _, link := range []*faultProxy{h.storeLink, h.agentLink} {
+		link.set(refuse)
+		link.cut()
+	}
+}
+
 func TestLeavingTargetGetsNoNewWork(t *testing.T) {
 	for _, fault := range leavingFaults() {
 		t.Run(fault.name, func(t *testing.T) {
--- a/tests/prove/main_test.go
+++ b/tests/prove/main_test.go
@@ -12,6 +12,7 @@
 	"sort"
 	"sync"
 	"testing"
+	"time"
 )
 
 // binDir holds the programs under test, built by TestMain.
@@ -51,6 +52,10 @@
 	for _, line := range report.lines {
 		fmt.Println(line)
 	}
+	if pairTotals.faults > 0 {
+		fmt.Printf("pairs: %d faults, %d requests in flight, %d tokens checked, %d calls checked, slowest recovery %s\n",
+			pairTotals.faults, pairTotals.inFlight, pairTotals.tokens, pairTotals.calls, pairTotals.slowest.Round(10*time.Millisecond))
+	}
 	fmt.Printf("seed %d\n%d passed, %d failed\n", *seed, report.passed, report.failed)
 }
 
--- a/tests/prove/process_test.go
+++ b/tests/prove/process_test.go
@@ -87,6 +87,20 @@
 	p.start(t)
 }
 
+// restartAfter waits for an end and starts the program again, unless somebody
+// else has done so.
+func (p *process) restartAfter(t testing.TB, ended <-chan struct{}) {
+	t.Helper()
+	select {
+	case <-ended:
+	case <-time.After(drainLimit):
+		require.FailNowf(t, "not ended", "%s within %s", p.name, drainLimit)
+	}
+	if p.ended() == ended {
+		p.start(t)
+	}
+}
+
 func (p *process) wait() {
 	p.mu.Lock()
 	done := p.done
--- a/tests/prove/proxy_test.go
+++ b/tests/prove/proxy_test.go
@@ -23,34 +23,56 @@
 
 // faultProxy forwards TCP connections to one target and disturbs them on order.
 type faultProxy struct {
-	listener net.Listener
-	target   string
-	done     sync.WaitGroup
-
-	mu      sync.Mutex
-	changed *sync.Cond // signals a change of mode or closed
-	mode    proxyMode
-	delay   time.Duration         // added before each forwarded read
-	cutUp   int                   // closes a connection after this many bytes towards the target; 0 is off
-	cutDown int                   // closes a connection after this many bytes from the target; 0 is off
-	conns   map[net.Conn]struct{} // both sides of every open connection
-	closed  bool
-	cuts    int // connections that cutUp or cutDown have closed
+	at     string // address listened on
+	target string
+	done   sync.WaitGroup
+
+	mu       sync.Mutex
+	listener net.Listener // nil while connections are refused
+	changed  *sync.Cond   // signals a change of mode or closed
+	mode     proxyMode
+	delay    time.Duration         // added before each forwarded read
+	cutUp    int                   // closes a connection after this many bytes towards the target; 0 is off
+	cutDown  int                   // closes a connection after this many bytes from the target; 0 is off
+	conns    map[net.Conn]struct{} // both sides of every open connection
+	closed   bool
+	cuts     int // connections that cutUp or cutDown have closed
 }
 
 func newFaultProxy(t testing.TB, target string) *faultProxy {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	p := &faultProxy{listener: listener, target: target, conns: make(map[net.Conn]struct{})}
+	p := &faultProxy{at: freeAddress(t), target: target, conns: make(map[net.Conn]struct{})}
 	p.changed = sync.NewCond(&p.mu)
-	p.done.Add(1)
-	go p.accept()
+	p.listen(t)
 	t.Cleanup(p.close)
 	return p
 }
 
-func (p *faultProxy) address() string { return p.listener.Addr().String() }
+func (p *faultProxy) address() string { return p.at }
+
+// listen accepts connections, as after the start.
+func (p *faultProxy) listen(t testing.TB) {
+	t.Helper()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil {
+		return
+	}
+	listener, err := net.Listen("tcp", p.at)
+	require.NoError(t, err)
+	p.listener = listener
+	p.done.Go(func() { p.accept(listener) })
+}
+
+// unlisten refuses new connections, as a host does on which nothing listens.
+func (p *faultProxy) unlisten() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil {
+		_ = p.listener.Close()
+		p.listener = nil
+	}
+}
 
 // set changes the mode for all connections, open and new.
 func (p *faultProxy) set(mode proxyMode) {
@@ -94,7 +116,7 @@
 }
 
 func (p *faultProxy) close() {
-	_ = p.listener.Close()
+	p.unlisten()
 	p.mu.Lock()
 	p.closed = true
 	p.mu.Unlock()
@@ -102,10 +124,9 @@
 	p.done.Wait()
 }
 
-func (p *faultProxy) accept() {
-	defer p.done.Done()
+func (p *faultProxy) accept(listener net.Listener) {
 	for {
-		conn, err := p.listener.Accept()
+		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
--- a/tests/prove/stop_test.go
+++ b/tests/prove/stop_test.go
@@ -19,6 +19,9 @@
 	name  string
 	short bool
 	bring func(t *testing.T, c *cluster)
+	hosts int // 0 means the usual number
+	// longer makes the usual streams and the long one longer.
+	longer int
 }
 
 func stopFaults() []stopFault {
@@ -26,6 +29,21 @@
 		{name: "one gateway", short: true, bring: func(t *testing.T, c *cluster) { planned(t, c.hosts[0].gateway) }},
 		{name: "one agent", bring: func(t *testing.T, c *cluster) { planned(t, c.hosts[0].agent) }},
 		{name: "rolling restart of all hosts", bring: rollingRestart},
+		{name: "rolling restart of 8 hosts", hosts: 8, longer: 2, bring: rollingRestart},
+		{name: "all agents at once", bring: func(t *testing.T, c *cluster) {
+			for _, h := range c.hosts {
+				h.agent.signal(syscall.SIGTERM)
+			}
+			for _, h := range c.hosts {
+				planned(t, h.agent)
+			}
+		}},
+		{name: "host, while its agent is frozen", bring: func(t *testing.T, c *cluster) {
+			c.hosts[0].agent.freeze()
+			planned(t, c.hosts[0].gateway)
+			c.hosts[0].agent.thaw()
+			planned(t, c.hosts[0].agent)
+		}},
 		{name: "one gateway, store down", bring: func(t *testing.T, c *cluster) {
 			c.storeFault(memstore.Fault{Outage: true})
 			planned(t, c.hosts[0].gateway)
@@ -78,11 +96,12 @@
 	defer slot()()
 	figures := ""
 	record(t, "planned stop cuts nothing", fault.name, &figures)
-	c := startCluster(t, clusterSize{hosts: 3, engines: 3})
+	c := startCluster(t, clusterSize{hosts: max(3, fault.hosts), engines: 3})
 	// Callers do not reconnect: a cut connection is a failure. One stream is
 	// longer than the others.
-	usual := trafficSpec{streams: 12, tokens: 250, trigger: 200, idPrefix: "usual"}
-	long := trafficSpec{streams: 1, tokens: 600, trigger: 1, idPrefix: "long"}
+	longer := max(1, fault.longer)
+	usual := trafficSpec{streams: 12, tokens: 250 * longer, trigger: 200, idPrefix: "usual"}
+	long := trafficSpec{streams: 1, tokens: 600 * longer, trigger: 1, idPrefix: "long"}
 	tr, longTr := startTraffic(c, usual), startTraffic(c, long)
 	tr.awaitReached()
 	begin := time.Now()
--- a/tests/prove/streams_test.go
+++ b/tests/prove/streams_test.go
@@ -5,6 +5,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"corianderhitch/internal/rendezvous"
 )
 
 // streamFault is one way to disturb streams that are under way.
@@ -57,6 +59,19 @@
 				h.agent.kill()
 			}
 		}},
+		{name: "pool owner frozen past suspicion, then thawed", bring: func(c *cluster) {
+			owner := c.poolOwner()
+			owner.agent.freeze()
+			<-time.After(pastSuspicion)
+			owner.agent.thaw()
+		}, tokens: 450},
+		{name: "request directory's hosts frozen in turn", tokens: 450, bring: func(c *cluster) {
+			for _, h := range c.hosts {
+				h.agent.freeze()
+				<-time.After(2 * time.Second) // longer than an exchange with an agent may last
+				h.agent.thaw()
+			}
+		}},
 		// The only two copies of the delivered tokens are gone at once, so that no
 		// engine can continue: a typed end is the right answer, a splice is not.
 		{name: "gateway killed and engine killed", mayEnd: true, bring: func(c *cluster) {
@@ -74,6 +89,18 @@
 	}
 }
 
+// pastSuspicion is longer than it takes until peers count a host as dead.
+const pastSuspicion = 7 * time.Second
+
+// poolOwner returns the host whose agent owns the pool of the model.
+func (c *cluster) poolOwner() *host {
+	var names []string
+	for _, h := range c.hosts {
+		names = append(names, h.name)
+	}
+	return c.hostNamed(rendezvous.Owner("briefing/sk-west", names))
+}
+
 func TestTokensExactlyOnce(t *testing.T) {
 	for _, fault := range streamFaults() {
 		t.Run(fault.name, func(t *testing.T) {
@@ -93,6 +120,9 @@
 	c := startCluster(t, clusterSize{hosts: 3, engines: 4, engineArgs: fault.args})
 	r := draw(t)
 	spec := trafficSpec{streams: 16, tokens: 150 + r.IntN(150), resume: true, adapter: ""}
+	if fault.tokens > 0 {
+		spec.tokens = fault.tokens
+	}
 	spec.trigger = int64(spec.streams * (20 + r.IntN(spec.tokens/2)))
 	tr := startTraffic(c, spec)
 	tr.awaitReached()
--- a/tests/prove/traffic_test.go
+++ b/tests/prove/traffic_test.go
@@ -28,6 +28,7 @@
 	trigger int64
 	once    sync.Once
 	open    sync.WaitGroup
+	ended   atomic.Int64
 	errs    []error // last error of each stream
 }
 
@@ -51,6 +52,7 @@
 		tr.open.Add(1)
 		go func() {
 			defer tr.open.Done()
+			defer tr.ended.Add(1)
 			tr.errs[i] = tr.follow(spec, i)
 		}()
 	}
@@ -98,6 +100,9 @@
 	}
 }
 
+// running counts the streams that have not ended.
+func (tr *traffic) running() int { return len(tr.streams) - int(tr.ended.Load()) }
+
 // awaitReached waits for the chunk that triggers the fault.
 func (tr *traffic) awaitReached() {
 	tr.c.t.Helper()
