--- a/internal/docstore/docstore_test.go
+++ b/internal/docstore/docstore_test.go
@@ -220,3 +220,95 @@
 		require.Equal(t, unknown.Revision, current.Revision)
 	})
 }
+
+func TestBodyIsWhatTheOperatorsReleaseWrote(t *testing.T) {
+	memory := memstore.New(memstore.Options{})
+	s := New(memory)
+	_, err := s.Body(t.Context(), "trial")
+	require.ErrorIs(t, err, platform.ErrNotFound)
+	accepted, err := s.Apply(t.Context(), request(example(t, "trial"), 0))
+	require.NoError(t, err)
+	want, err := document.Encode(accepted.Document)
+	require.NoError(t, err)
+	body, err := s.Body(t.Context(), "trial")
+	require.NoError(t, err)
+	require.EqualValues(t, 1, body.Revision)
+	require.Equal(t, string(want), string(body.Content))
+
+	// A later release writes a field that this one does not know.
+	entry, err := memory.Get(t.Context(), document.CurrentKey("trial"))
+	require.NoError(t, err)
+	r, err := decodeRecord(entry.Value)
+	require.NoError(t, err)
+	later := append([]byte(`{"colour":"red",`), r.Document[1:]...)
+	r.Document, r.Body.Digest = later, digest(later)
+	value, err := encodeRecord(r)
+	require.NoError(t, err)
+	_, err = memory.Put(t.Context(), entry.Key, value, entry.Revision, 0)
+	require.NoError(t, err)
+	body, err = s.Body(t.Context(), "trial")
+	require.NoError(t, err)
+	require.Equal(t, string(later), string(body.Content))
+	current, _, err := s.Current(t.Context(), "trial")
+	require.NoError(t, err)
+	require.Equal(t, accepted, current)
+
+	r.Body.Digest = digest(want)
+	value, err = encodeRecord(r)
+	require.NoError(t, err)
+	_, err = memory.Put(t.Context(), entry.Key, value, platform.AnyRevision, 0)
+	require.NoError(t, err)
+	_, err = s.Body(t.Context(), "trial")
+	require.ErrorContains(t, err, "does not match its digest")
+}
+
+func TestRevisionsGoOnAboveWhatHostsHold(t *testing.T) {
+	s := New(memstore.New(memstore.Options{}))
+	d := example(t, "trial")
+	_, err := s.Apply(t.Context(), request(variant(d, 0), 0))
+	require.NoError(t, err)
+	req := request(variant(d, 0), 1)
+	req.Above = 57
+	accepted, err := s.Apply(t.Context(), req)
+	require.NoError(t, err)
+	require.EqualValues(t, 58, accepted.Revision, "also for an equal document")
+	again, err := s.Apply(t.Context(), ApplyRequest{Environment: "trial", Base: 58, Document: variant(d, 0), Above: 57})
+	require.NoError(t, err)
+	require.EqualValues(t, 58, again.Revision)
+	items, err := s.History(t.Context(), "trial", 0)
+	require.NoError(t, err)
+	require.Len(t, items, 2)
+	var missing *MissingError
+	_, err = s.At(t.Context(), "trial", 30)
+	require.ErrorAs(t, err, &missing)
+	first, err := s.At(t.Context(), "trial", 1)
+	require.NoError(t, err)
+	require.EqualValues(t, 1, first.Revision)
+	_, err = s.Rollback(t.Context(), RollbackRequest{Environment: "trial", ToRevision: 1, Base: 58})
+	require.NoError(t, err)
+}
+
+// paged is a store that lists a few entries at a time.
+type paged struct{ platform.Store }
+
+func (p paged) List(ctx context.Context, prefix, after string, _ int) ([]platform.Entry, platform.Revision, error) {
+	return p.Store.List(ctx, prefix, after, 2)
+}
+
+func TestHistoryIsReadPageByPage(t *testing.T) {
+	s := New(paged{memstore.New(memstore.Options{})})
+	d := example(t, "trial")
+	for i := range 9 {
+		_, err := s.Apply(t.Context(), request(variant(d, i), int64(i)))
+		require.NoError(t, err)
+	}
+	items, err := s.History(t.Context(), "trial", 0)
+	require.NoError(t, err)
+	require.Len(t, items, 9)
+	for i, item := range items {
+		require.EqualValues(t, 9-i, item.Revision)
+	}
+	third, err := s.At(t.Context(), "trial", 3)
+	require.NoError(t, err)
+	require.Equal(t, 1002, third.Document.Objectives.FirstTokenMS)
+}
--- a/internal/scheduling/pool.go
+++ b/internal/scheduling/pool.go
@@ -1,6 +1,8 @@
 package scheduling
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"corianderhitch/internal/scheduling/affinity"
@@ -29,11 +31,14 @@
 	queue    *fairqueue.Queue
 	accounts *limits.Accounts
 	suspects *suspicion.Tracker
+	copies   *copies
 	drain    drainRate
 	expiry   expiryHeap
 	waiting  map[string]*waiting
+	isolated []string // tickets that wait to run alone, in order of arrival
 	running  map[string]*resident
-	refused  []Refusal // decided at Submit, returned by the next Decide
+	present  map[uint64]int // requests waiting or running, by fingerprint
+	refused  []Refusal      // decided at Submit, returned by the next Decide
 	deaths   int64
 	scratch  []scored
 }
@@ -60,8 +65,10 @@
 		queue:    fairqueue.New(config.AgeAfter),
 		accounts: limits.New(config.Limits),
 		suspects: suspicion.NewTracker(),
+		copies:   newCopies(),
 		waiting:  make(map[string]*waiting),
 		running:  make(map[string]*resident),
+		present:  make(map[uint64]int),
 	}
 }
 
@@ -103,6 +110,7 @@
 	p.accounts.Ended(now, r.request.Account, finished.Produced)
 	if finished.Complete {
 		p.suspects.Finished(r.request.Fingerprint)
+		p.copies.prove(r.request.Fingerprint)
 	}
 }
 
@@ -110,19 +118,49 @@
 func (p *Pool) release(r *resident) {
 	delete(p.running, r.request.Ticket)
 	r.target.remove(r)
-	if r.target.quarantine == r.request.Fingerprint {
-		r.target.quarantine = 0
+	p.copies.released(r.request.Fingerprint)
+	p.gone(r.request.Fingerprint)
+}
+
+// gone counts a request that neither waits nor runs any more, and ends the
+// quarantine that was kept for it.
+func (p *Pool) gone(fingerprint uint64) {
+	p.present[fingerprint]--
+	if p.present[fingerprint] > 0 {
+		return
+	}
+	delete(p.present, fingerprint)
+	for _, t := range p.order {
+		if t.quarantine == fingerprint {
+			t.quarantine = 0
+		}
 	}
 }
 
 func (p *Pool) withdraw(ticket string) {
-	if _, ok := p.waiting[ticket]; !ok {
+	w, ok := p.waiting[ticket]
+	if !ok {
 		return
 	}
 	p.queue.Remove(ticket)
 	delete(p.waiting, ticket)
+	p.gone(w.request.Fingerprint)
 }
 
 func keyOf(r *Request) length.Key {
 	return length.Key{Model: r.Model, Account: r.Account, Class: r.Class}
 }
+
+// TakeWaiting withdraws all waiting requests and returns them in order of their
+// tickets, for a pool whose targets are gone.
+func (p *Pool) TakeWaiting() []Request {
+	list := make([]Request, 0, len(p.waiting))
+	for _, w := range p.waiting {
+		list = append(list, w.request)
+	}
+	slices.SortFunc(list, func(a, b Request) int { return strings.Compare(a.Ticket, b.Ticket) })
+	for i := range list {
+		p.withdraw(list[i].Ticket)
+	}
+	return list
+}
--- a/tests/prove/cluster_test.go
+++ b/tests/prove/cluster_test.go
@@ -150,6 +150,7 @@
 	args := append([]string{"engine", "--listen", e.direct, "--name", name, "--domain", domains[len(c.engines)%len(domains)],
 		"--model", "briefing@v1+sk,briefing@v2+sk", "--journal", e.journal}, c.size.engineArgs...)
 	e.process = launch(c.t, c.dir, name, "standin", args...)
+	e.link.follow(e.process)
 	c.engines = append(c.engines, e)
 	c.awaitTarget(e)
 	return e
@@ -160,6 +161,7 @@
 	args := append([]string{"service", "--listen", s.direct, "--name", name,
 		"--domain", domains[len(c.services)%len(domains)], "--service", "booking", "--journal", s.journal}, c.size.serviceArgs...)
 	s.process = launch(c.t, c.dir, name, "standin", args...)
+	s.link.follow(s.process)
 	c.services = append(c.services, s)
 	c.awaitTarget(s)
 	return s
--- a/tests/prove/faults_test.go
+++ b/tests/prove/faults_test.go
@@ -62,10 +62,21 @@
 	}
 }
 
+// reviveTarget is revive for a target, whose link listens again as well.
+func reviveTarget(t *testing.T, c *cluster, target *target) func() {
+	ended := target.process.ended()
+	return func() {
+		if target.process.restartAfter(t, ended) {
+			c.awaitTarget(target)
+			target.link.revive(t, target.process)
+		}
+	}
+}
+
 func engineFaults() []clusterFault {
 	return []clusterFault{
 		{name: "engine killed", loses: onEngine, bring: func(t *testing.T, c *cluster, d drawn) func() {
-			back := revive(t, d.engine.process, func() { c.awaitTarget(d.engine) })
+			back := reviveTarget(t, c, d.engine)
 			d.engine.process.kill()
 			return back
 		}},
@@ -75,7 +86,7 @@
 			return d.engine.process.thaw
 		}},
 		{name: "engine reclaimed", loses: onEngine, bring: func(t *testing.T, c *cluster, d drawn) func() {
-			back := revive(t, d.engine.process, func() { c.awaitTarget(d.engine) })
+			back := reviveTarget(t, c, d.engine)
 			url := "http://" + d.engine.direct + "/admin/reclaim"
 			_ = trySend(http.MethodPost, url, map[string]int64{"notice_ns": int64(pairNotice)})
 			return back
@@ -170,12 +181,12 @@
 func serviceFaults() []clusterFault {
 	return []clusterFault{
 		{name: "service killed", bring: func(t *testing.T, c *cluster, d drawn) func() {
-			back := revive(t, d.service.process, func() { c.awaitTarget(d.service) })
+			back := reviveTarget(t, c, d.service)
 			d.service.process.kill()
 			return back
 		}},
 		{name: "service runs and dies", bring: func(t *testing.T, c *cluster, d drawn) func() {
-			back := revive(t, d.service.process, func() { c.awaitTarget(d.service) })
+			back := reviveTarget(t, c, d.service)
 			_ = trySend(http.MethodPut, "http://"+d.service.direct+"/admin/fault", serviceFault{DieNext: 1})
 			return back
 		}},
--- a/tests/prove/process_test.go
+++ b/tests/prove/process_test.go
@@ -88,17 +88,19 @@
 }
 
 // restartAfter waits for an end and starts the program again, unless somebody
-// else has done so.
-func (p *process) restartAfter(t testing.TB, ended <-chan struct{}) {
+// else has done so. It tells whether it did.
+func (p *process) restartAfter(t testing.TB, ended <-chan struct{}) bool {
 	t.Helper()
 	select {
 	case <-ended:
 	case <-time.After(drainLimit):
 		require.FailNowf(t, "not ended", "%s within %s", p.name, drainLimit)
 	}
-	if p.ended() == ended {
-		p.start(t)
+	if p.ended() != ended {
+		return false
 	}
+	p.start(t)
+	return true
 }
 
 func (p *process) wait() {
--- a/tests/prove/proxy_test.go
+++ b/tests/prove/proxy_test.go
@@ -115,6 +115,29 @@
 	return p.cuts
 }
 
+// follow makes the proxy refuse connections once the process is dead, as the
+// target's own port does.
+func (p *faultProxy) follow(process *process) {
+	ended := process.ended()
+	p.done.Go(func() {
+		<-ended
+		p.unlisten()
+		p.cut()
+	})
+}
+
+// revive listens again after a restart of the target.
+func (p *faultProxy) revive(t testing.TB, process *process) {
+	t.Helper()
+	await(t, readyLimit, "refusals after the death of the target", func() bool {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.listener == nil
+	})
+	p.listen(t)
+	p.follow(process)
+}
+
 func (p *faultProxy) close() {
 	p.unlisten()
 	p.mu.Lock()
--- a/tests/prove/truth_test.go
+++ b/tests/prove/truth_test.go
@@ -164,14 +164,15 @@
 func (c *cluster) healServices(t *testing.T) {
 	t.Helper()
 	for _, s := range c.services {
-		s.link.listen(t)
 		s.link.set(pass)
 		s.link.cutAfter(0, 0)
 		select {
 		case <-s.process.ended():
 			s.process.restart(t)
 			c.awaitTarget(s)
+			s.link.revive(t, s.process)
 		default:
+			s.link.listen(t)
 			send(t, http.MethodPut, "http://"+s.direct+"/admin/fault", serviceFault{})
 		}
 	}
