Keep a copy of directory entries at a second host

Cause: an entry lay with the first owner that its gateway could reach. It was lost with that host, and gateways that had cut different agents (each does so for 5 s at its start) asked other owners than the one that had it. Callers that came back by the request id alone were told that the id is unknown.

--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -45,6 +45,7 @@
 	avoid    avoidList
 	finished chan report
 	news     chan control.News
+	copies   chan entryCopy
 
 	mu   sync.Mutex
 	cuts map[string]time.Time // guarded by mu; agents that gave no answer, until when to ask them last
@@ -66,6 +67,7 @@
 		inFlight: NewInFlight(),
 		finished: make(chan report, finishQueue),
 		news:     make(chan control.News, newsQueue),
+		copies:   make(chan entryCopy, copyQueue),
 		cuts:     make(map[string]time.Time),
 	}
 	f.avoid.until = make(map[string]time.Time)
@@ -79,6 +81,7 @@
 	duties.Go(func() { f.watch(ctx) })
 	duties.Go(func() { f.sendFinished(ctx) })
 	duties.Go(func() { f.sendNews(ctx) })
+	duties.Go(func() { f.sendCopies(ctx) })
 	duties.Wait()
 }
 
