--- a/tests/prove/proxy_test.go
+++ b/tests/prove/proxy_test.go
@@ -23,35 +23,56 @@
 
 // faultProxy forwards TCP connections to one target and disturbs them on order.
 type faultProxy struct {
-	listener net.Listener
-	target   string
-	done     sync.WaitGroup
-
-	mu      sync.Mutex
-	changed *sync.Cond // signals a change of mode or closed
-	mode    proxyMode
-	delay   time.Duration         // added before each forwarded read
-	cutUp   int                   // closes a connection after this many bytes towards the target; 0 is off
-	cutDown int                   // closes a connection after this many bytes from the target; 0 is off
-	conns   map[net.Conn]struct{} // both sides of every open connection
-	closed  bool
-	down    bool // the listener is closed, as after the death of the target
-	cuts    int  // connections that cutUp or cutDown have closed
+	at     string // address listened on
+	target string
+	done   sync.WaitGroup
+
+	mu       sync.Mutex
+	listener net.Listener // nil while connections are refused
+	changed  *sync.Cond   // signals a change of mode or closed
+	mode     proxyMode
+	delay    time.Duration         // added before each forwarded read
+	cutUp    int                   // closes a connection after this many bytes towards the target; 0 is off
+	cutDown  int                   // closes a connection after this many bytes from the target; 0 is off
+	conns    map[net.Conn]struct{} // both sides of every open connection
+	closed   bool
+	cuts     int // connections that cutUp or cutDown have closed
 }
 
 func newFaultProxy(t testing.TB, target string) *faultProxy {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	p := &faultProxy{listener: listener, target: target, conns: make(map[net.Conn]struct{})}
+	p := &faultProxy{at: freeAddress(t), target: target, conns: make(map[net.Conn]struct{})}
 	p.changed = sync.NewCond(&p.mu)
-	p.done.Add(1)
-	go p.accept(listener)
+	p.listen(t)
 	t.Cleanup(p.close)
 	return p
 }
 
-func (p *faultProxy) address() string { return p.listener.Addr().String() }
+func (p *faultProxy) address() string { return p.at }
+
+// listen accepts connections, as after the start.
+func (p *faultProxy) listen(t testing.TB) {
+	t.Helper()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil {
+		return
+	}
+	listener, err := net.Listen("tcp", p.at)
+	require.NoError(t, err)
+	p.listener = listener
+	p.done.Go(func() { p.accept(listener) })
+}
+
+// unlisten refuses new connections, as a host does on which nothing listens.
+func (p *faultProxy) unlisten() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil {
+		_ = p.listener.Close()
+		p.listener = nil
+	}
+}
 
 // set changes the mode for all connections, open and new.
 func (p *faultProxy) set(mode proxyMode) {
@@ -94,53 +115,39 @@
 	return p.cuts
 }
 
-// follow makes the proxy refuse connections while the process is dead, as the
+// follow makes the proxy refuse connections once the process is dead, as the
 // target's own port does.
 func (p *faultProxy) follow(process *process) {
-	p.done.Add(1)
-	go func() {
-		defer p.done.Done()
-		<-process.ended()
-		p.mu.Lock()
-		p.down = true
-		_ = p.listener.Close()
-		p.mu.Unlock()
+	ended := process.ended()
+	p.done.Go(func() {
+		<-ended
+		p.unlisten()
 		p.cut()
-	}()
+	})
 }
 
 // revive listens again after a restart of the target.
 func (p *faultProxy) revive(t testing.TB, process *process) {
 	t.Helper()
-	await(t, readyLimit, "proxy listens again", func() bool {
+	await(t, readyLimit, "refusals after the death of the target", func() bool {
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		if !p.down {
-			return false // follow has not seen the death yet
-		}
-		listener, err := net.Listen("tcp", p.listener.Addr().String())
-		if err != nil {
-			return false
-		}
-		p.listener, p.down = listener, false
-		p.done.Add(1)
-		go p.accept(listener)
-		return true
+		return p.listener == nil
 	})
+	p.listen(t)
 	p.follow(process)
 }
 
 func (p *faultProxy) close() {
+	p.unlisten()
 	p.mu.Lock()
 	p.closed = true
-	_ = p.listener.Close()
 	p.mu.Unlock()
 	p.cut()
 	p.done.Wait()
 }
 
 func (p *faultProxy) accept(listener net.Listener) {
-	defer p.done.Done()
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
