Count the bytes of net/rpc connections of an agent

Cause: the control budget is stated in bytes per second and no metric showed them. Conclusion: hitch_agent_rpc_bytes by direction, counted at the connections, dialed and accepted.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -44,6 +44,7 @@
 
 	state        *state.State
 	pool         *rpcconn.Pool
+	traffic      *rpcconn.Traffic
 	server       *rpcconn.Server
 	exchange     *exchange.Loop
 	watcher      *docsync.Watcher
@@ -68,10 +69,12 @@
 		return nil, eris.Wrapf(err, "cannot listen on %s; choose another --listen", s.Listen)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
+	traffic := &rpcconn.Traffic{}
 	a := &Agent{
 		log:       log,
 		settings:  s,
-		pool:      rpcconn.NewPool(rpcconn.TCP),
+		pool:      rpcconn.NewPool(traffic.Dialer(rpcconn.TCP)),
+		traffic:   traffic,
 		directory: directory.New(),
 		suspects:  &suspicion.Register{},
 		stopping:  make(chan struct{}),
@@ -85,7 +88,7 @@
 		cancel()
 		return nil, err
 	}
-	a.server = rpcconn.Serve(listener, services)
+	a.server = rpcconn.Serve(traffic.Listener(listener), services)
 	a.startDuties(ctx, p, presence)
 	log.Info("Agent serves.", "host", s.Host, "address", a.state.Self().AgentAddr, "domain", s.Domain, "region", s.Region)
 	return a, nil
--- a/internal/agent/metrics.go
+++ b/internal/agent/metrics.go
@@ -31,9 +31,23 @@
 	if err := a.measureMembers(meter); err != nil {
 		return err
 	}
+	if err := a.measureTraffic(meter); err != nil {
+		return err
+	}
 	return a.measureDecisions(meter)
 }
 
+func (a *Agent) measureTraffic(meter metric.Meter) error {
+	observe := func(_ context.Context, o metric.Int64Observer) error {
+		o.Observe(a.traffic.In(), metric.WithAttributes(attribute.String("direction", "in")))
+		o.Observe(a.traffic.Out(), metric.WithAttributes(attribute.String("direction", "out")))
+		return nil
+	}
+	_, err := meter.Int64ObservableCounter("hitch_agent_rpc_bytes", metric.WithUnit("By"),
+		metric.WithDescription("bytes of net/rpc connections with agents and gateways"), metric.WithInt64Callback(observe))
+	return err
+}
+
 func (a *Agent) measureMembers(meter metric.Meter) error {
 	observe := func(_ context.Context, o metric.Int64Observer) error {
 		counts := make(map[control.MemberState]int64)
--- a/internal/rpcconn/rpcconn_test.go
+++ b/internal/rpcconn/rpcconn_test.go
@@ -69,3 +69,21 @@
 	require.NoError(t, pool.Call(t.Context(), again.Address(), "Echo.Say", "c", &reply))
 	require.Equal(t, "c", reply)
 }
+
+func TestTrafficCountsBothEnds(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	services := rpc.NewServer()
+	require.NoError(t, services.RegisterName("Echo", &echo{}))
+	var callee, caller Traffic
+	server := Serve(callee.Listener(listener), services)
+	pool := NewPool(caller.Dialer(TCP))
+
+	var reply string
+	require.NoError(t, pool.Call(t.Context(), server.Address(), "Echo.Say", "hi", &reply))
+	pool.Close()
+	server.Stop()
+	require.Positive(t, caller.Out())
+	require.Equal(t, caller.Out(), callee.In())
+	require.Equal(t, caller.In(), callee.Out())
+}
