--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -28,7 +28,6 @@
 	"corianderhitch/internal/agent/suspicion"
 	"corianderhitch/internal/platform"
 	"corianderhitch/internal/rpcconn"
-	"corianderhitch/internal/scheduling"
 )
 
 // Platform is what an agent needs of the platform.
@@ -81,7 +80,7 @@
 		stopRun:   cancel,
 	}
 	a.state = state.New(log, a.membershipConfig(), a.self(listener), s.Environment, uint64(time.Now().UnixNano()))
-	a.scheduler = scheduler.Start(log, a.state, newPolicy, a.suspects)
+	a.scheduler = scheduler.Start(log, a.state, policyMaker(s.Policy), a.suspects)
 	presence := services.NewPresence(a.state)
 	services, err := a.services(presence)
 	if err != nil {
@@ -204,5 +203,3 @@
 	config.SuspectAfter = a.settings.SuspectTime
 	return config
 }
-
-func newPolicy(config scheduling.Config) scheduling.Policy { return scheduling.NewPool(config) }
--- a/internal/agent/settings.go
+++ b/internal/agent/settings.go
@@ -32,6 +32,7 @@
 	ListPeriod  time.Duration `flag:"list-interval" default:"2s" usage:"time between two reads of the platform's host list" validate:"min=10ms"`
 	DrainTime   time.Duration `flag:"drain-time" default:"5s" usage:"longest stop after SIGTERM" validate:"min=100ms"`
 	MemoryLimit int           `flag:"memory-limit-mb" default:"32" usage:"soft memory limit in MiB unless GOMEMLIMIT is set; 0 for none" validate:"min=0"`
+	Policy      string        `flag:"policy" default:"pool_owner" usage:"how pools admit requests; all but pool_owner are baselines for comparisons" validate:"omitempty,oneof=pool_owner least_in_flight reported_load round_robin worst_case_reservation"`
 	PrintConfig bool          `flag:"print-config" usage:"print the settings and exit"`
 	LogSettings
 	TraceSettings
