--- /dev/null
+++ b/internal/capacity/storecalls.go
@@ -0,0 +1,53 @@
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// StoreLoad is what a deployment asks of the store.
+type StoreLoad struct {
+	ReadsPerSecond  float64 `json:"reads_per_second"` // each return of a watch counts as one
+	WritesPerSecond float64 `json:"writes_per_second"`
+	WaitingWatches  int     `json:"waiting_watches"`
+}
+
+// storeCounts is the part of the stand-in store's counts that is used here.
+type storeCounts struct {
+	Reads          int64 `json:"reads"`
+	Writes         int64 `json:"writes"`
+	WaitingWatches int   `json:"waiting_watches"`
+}
+
+// readStore reads the counts of the stand-in store; an empty URL gives zeros.
+func readStore(ctx context.Context, url string) (storeCounts, error) {
+	var counts storeCounts
+	if url == "" {
+		return counts, nil
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url+"/admin/counts", nil)
+	if err != nil {
+		return counts, eris.Wrap(err, "--store is no URL")
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return counts, eris.Wrap(err, "cannot read the counts of the store; correct --store")
+	}
+	defer func() { _ = response.Body.Close() }()
+	if err := json.NewDecoder(response.Body).Decode(&counts); err != nil {
+		return counts, eris.Wrap(err, "the store gave no counts; --store must be a stand-in")
+	}
+	return counts, nil
+}
+
+func storeLoad(before, after storeCounts, took time.Duration) StoreLoad {
+	return StoreLoad{
+		ReadsPerSecond:  float64(after.Reads-before.Reads) / took.Seconds(),
+		WritesPerSecond: float64(after.Writes-before.Writes) / took.Seconds(),
+		WaitingWatches:  after.WaitingWatches,
+	}
+}
--- /dev/null
+++ b/internal/capacity/usagecommand.go
@@ -0,0 +1,117 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"corianderhitch/internal/settings"
+)
+
+// UsageSettings are the settings of "hitchload usage".
+type UsageSettings struct {
+	Processes []string      `flag:"process" usage:"process ids, or files that hold one, each with =URL of its metrics if it counts net/rpc bytes" validate:"min=1"`
+	For       time.Duration `flag:"for" default:"30s" usage:"time to measure" validate:"min=1s"`
+	Role      string        `flag:"role" default:"agent" usage:"role of the processes" validate:"required"`
+	Series    string        `flag:"series" default:"trial" usage:"name of the series that the point belongs to" validate:"required"`
+	Hosts     int           `flag:"hosts" usage:"hosts of the deployment" validate:"min=0"`
+	Targets   int           `flag:"targets" usage:"targets of the deployment" validate:"min=0"`
+	Requests  float64       `flag:"requests" usage:"requests a second that are offered" validate:"min=0"`
+	Tokens    float64       `flag:"tokens" usage:"tokens a second that are delivered" validate:"min=0"`
+	Store     string        `flag:"store" usage:"base URL of the stand-in store whose calls are counted; empty for none" validate:"omitempty,url"`
+	By        string        `flag:"by" usage:"command that is noted in the point"`
+	Out       string        `flag:"out" usage:"file of JSON lines to which the point is added; empty for none"`
+}
+
+// UsageCommand returns "hitchload usage".
+func UsageCommand() *cobra.Command {
+	var s UsageSettings
+	cmd := &cobra.Command{
+		Use:   "usage",
+		Short: "Measure processor time, memory and bytes of running processes",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := settings.Load(cmd.Flags(), &s); err != nil {
+				return err
+			}
+			point, err := measure(cmd.Context(), s)
+			if err != nil {
+				return err
+			}
+			printPoint(cmd.OutOrStdout(), point)
+			if s.Out == "" {
+				return nil
+			}
+			return AppendPoints(s.Out, []Point{point})
+		},
+	}
+	settings.Register(cmd.Flags(), &s)
+	return cmd
+}
+
+func measure(ctx context.Context, s UsageSettings) (Point, error) {
+	processes := make([]process, len(s.Processes))
+	for i, text := range s.Processes {
+		p, err := parseProcess(text)
+		if err != nil {
+			return Point{}, err
+		}
+		processes[i] = p
+	}
+	before, err := readStore(ctx, s.Store)
+	if err != nil {
+		return Point{}, err
+	}
+	used, took, err := observe(ctx, processes, s.For)
+	if err != nil {
+		return Point{}, err
+	}
+	after, err := readStore(ctx, s.Store)
+	if err != nil {
+		return Point{}, err
+	}
+	point := pointOf(s, used, took)
+	point.Store = storeLoad(before, after, took)
+	return point, nil
+}
+
+func pointOf(s UsageSettings, used []usage, took time.Duration) Point {
+	of := func(figure func(usage) float64) Spread {
+		values := make([]float64, len(used))
+		for i, u := range used {
+			values[i] = figure(u)
+		}
+		return spreadOf(values)
+	}
+	return Point{
+		Series: s.Series, Role: s.Role, Command: s.By,
+		Date: time.Now().UTC().Format(time.RFC3339), LoadAverage: loadAverage(), Seconds: took.Seconds(),
+		Hosts: s.Hosts, Targets: s.Targets, RequestsPerSecond: s.Requests, TokensPerSecond: s.Tokens,
+		Processes:      len(used),
+		CorePercent:    of(func(u usage) float64 { return u.corePercent }),
+		ResidentMB:     of(func(u usage) float64 { return u.residentMB }),
+		KBPerSecond:    of(func(u usage) float64 { return u.kbPerSecond }),
+		RPCKBPerSecond: of(func(u usage) float64 { return u.rpcKB }),
+	}
+}
+
+func printPoint(w io.Writer, p Point) {
+	fmt.Fprintf(w, "%s: %d %s processes, %d hosts, %d targets, %.1f s, load average %.1f\n",
+		p.Series, p.Processes, p.Role, p.Hosts, p.Targets, p.Seconds, p.LoadAverage)
+	for _, row := range []struct {
+		name, unit string
+		spread     Spread
+	}{
+		{"processor", "% of a core", p.CorePercent},
+		{"resident", "MiB", p.ResidentMB},
+		{"bytes in and out", "kB/s", p.KBPerSecond},
+		{"of them net/rpc", "kB/s", p.RPCKBPerSecond},
+	} {
+		fmt.Fprintf(w, "  %-18s mean %8.3f max %8.3f %s\n", row.name, row.spread.Mean, row.spread.Max, row.unit)
+	}
+	fmt.Fprintf(w, "  %-18s reads %.2f /s, writes %.2f /s, waiting watches %d\n", "store, all hosts",
+		p.Store.ReadsPerSecond, p.Store.WritesPerSecond, p.Store.WaitingWatches)
+}
--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -3,7 +3,8 @@
 # are ended, by their process ids.
 #
 # The caller sets BIN (folder of the programs), RUN (folder for logs) and
-# BASE_PORT (first of 200 consecutive ports).
+# BASE_PORT (first of 700 consecutive ports). begin_deployment starts
+# a further deployment with a RUN and ports of its own.
 
 PIDS=()
 PEERS=""
@@ -14,6 +15,18 @@
 TOKEN_KEYS=${TOKEN_KEYS:-k1:000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f}
 DOMAINS=(sk-west-a sk-west-b sk-west-c)
 
+# begin_deployment RUN BASE_PORT forgets the addresses of the last deployment;
+# its processes go on.
+begin_deployment() {
+  RUN=$1
+  BASE_PORT=$2
+  PEERS=""
+  GATEWAYS=""
+  ENGINES=""
+  AGENTS=""
+  mkdir -p "$RUN"
+}
+
 # start NAME PROGRAM ARG... starts a program with its log in RUN and sets PID.
 start() {
   local name=$1 program=$2
@@ -38,6 +51,11 @@
 
 start_store() {
   STORE="http://127.0.0.1:$BASE_PORT"
+  # Another deployment's store there would take this one's targets and document.
+  if (: <"/dev/tcp/127.0.0.1/$BASE_PORT") 2>/dev/null; then
+    echo "port $BASE_PORT is in use; choose another BASE_PORT" >&2
+    return 1
+  fi
   start store standin store --listen "127.0.0.1:$BASE_PORT"
   wait_ok "$STORE/admin/counts" 10
 }
@@ -67,25 +85,46 @@
   for ((i = 1; i <= count; i++)); do wait_ok "http://127.0.0.1:$((BASE_PORT + 50 + i))/livez" 10; done
 }
 
-# start_hosts COUNT ARG... starts a gateway and an agent a host; ARG goes to the agents.
-start_hosts() {
+# host_port KIND NUMBER prints the port of one process of a host.
+host_port() {
+  case $1 in
+    agent) echo $((BASE_PORT + 100 + $2)) ;;
+    agent-http) echo $((BASE_PORT + 200 + $2)) ;;
+    gateway) echo $((BASE_PORT + 300 + $2)) ;;
+    gateway-http) echo $((BASE_PORT + 400 + $2)) ;;
+  esac
+}
+
+# start_agents COUNT ARG... starts the agents of COUNT hosts, at most 99.
+start_agents() {
   local count=$1 i
   shift
-  for ((i = 1; i <= count; i++)); do PEERS="${PEERS:+$PEERS,}127.0.0.1:$((BASE_PORT + 100 + i))"; done
-  AGENTS=$PEERS
+  for ((i = 1; i <= count; i++)); do AGENTS="${AGENTS:+$AGENTS,}127.0.0.1:$(host_port agent "$i")"; done
+  PEERS=$AGENTS
   for ((i = 1; i <= count; i++)); do
     start "agent-$i" agent --host "host-$i" --domain "${DOMAINS[i % 3]}" --region sk-west \
-      --listen "127.0.0.1:$((BASE_PORT + 100 + i))" --http "127.0.0.1:$((BASE_PORT + 120 + i))" \
+      --listen "127.0.0.1:$(host_port agent "$i")" --http "127.0.0.1:$(host_port agent-http "$i")" \
       --store "$STORE" --environment "$ENVIRONMENT" --peers "$PEERS" "$@"
-    start "gateway-$i" gateway --host "host-$i" --region sk-west --store "$STORE" --token-keys "$TOKEN_KEYS" \
-      --listen "127.0.0.1:$((BASE_PORT + 140 + i))" --http "127.0.0.1:$((BASE_PORT + 160 + i))" \
-      --agents "127.0.0.1:$((BASE_PORT + 100 + i)),$PEERS"
-    GATEWAYS="${GATEWAYS:+$GATEWAYS,}http://127.0.0.1:$((BASE_PORT + 140 + i))"
   done
+  for ((i = 1; i <= count; i++)); do wait_ok "http://127.0.0.1:$(host_port agent-http "$i")/readyz" 20; done
+}
+
+# start_gateways COUNT starts the gateways of COUNT hosts whose agents run.
+start_gateways() {
+  local count=$1 i
   for ((i = 1; i <= count; i++)); do
-    wait_ok "http://127.0.0.1:$((BASE_PORT + 120 + i))/readyz" 20
-    wait_ok "http://127.0.0.1:$((BASE_PORT + 160 + i))/readyz" 20
+    start "gateway-$i" gateway --host "host-$i" --region sk-west --store "$STORE" --token-keys "$TOKEN_KEYS" \
+      --listen "127.0.0.1:$(host_port gateway "$i")" --http "127.0.0.1:$(host_port gateway-http "$i")" \
+      --agents "127.0.0.1:$(host_port agent "$i"),$PEERS"
+    GATEWAYS="${GATEWAYS:+$GATEWAYS,}http://127.0.0.1:$(host_port gateway "$i")"
   done
+  for ((i = 1; i <= count; i++)); do wait_ok "http://127.0.0.1:$(host_port gateway-http "$i")/readyz" 20; done
+}
+
+# start_hosts COUNT ARG... starts a gateway and an agent a host; ARG goes to the agents.
+start_hosts() {
+  start_agents "$@"
+  start_gateways "$1"
 }
 
 # wait_healthy COUNT SECONDS waits until every agent reports COUNT healthy targets.
