--- /dev/null
+++ b/internal/capacity/fit_test.go
@@ -0,0 +1,43 @@
+package capacity
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestFitLineFindsCoefficientsWithinTheirMargin(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 2))
+	var x [][]float64
+	var y []float64
+	for i := range 40 {
+		a, b := float64(i), float64(i%7)
+		x = append(x, []float64{a, b})
+		y = append(y, 3+2*a-0.5*b+0.1*r.NormFloat64())
+	}
+	fit, err := FitLine(x, y)
+	require.NoError(t, err)
+	for i, want := range []float64{3, 2, -0.5} {
+		require.InDelta(t, want, fit.Coefficients[i], 3*fit.Errors[i])
+		require.Greater(t, fit.Margin(i), fit.Errors[i])
+	}
+	require.Greater(t, fit.RSquared, 0.999)
+	require.InDelta(t, 0.1, fit.Residual, 0.04)
+	require.InDelta(t, 3+2*10-0.5*4, fit.At(10, 4), 0.1)
+}
+
+func TestFitLineRefusesWhatHasNoSpread(t *testing.T) {
+	_, err := FitLine([][]float64{{1}, {2}}, []float64{1, 2})
+	require.ErrorIs(t, err, ErrTooFewPoints)
+	_, err = FitLine([][]float64{{1}, {1}, {1}}, []float64{1, 2, 3})
+	require.Error(t, err)
+}
+
+func TestProcessorTimeSkipsANameWithSpaces(t *testing.T) {
+	spent, err := processorTime([]byte("12 (a b) c) S 1 2 3 4 5 6 7 8 9 10 150 50 0 0"))
+	require.NoError(t, err)
+	require.Equal(t, 2.0, spent.Seconds())
+	_, err = processorTime([]byte("12 (x) S 1"))
+	require.Error(t, err)
+}
--- a/internal/capacity/point.go
+++ b/internal/capacity/point.go
@@ -25,6 +25,8 @@
 	Targets           int     `json:"targets"`
 	RequestsPerSecond float64 `json:"requests_per_second"` // offered to all gateways
 	TokensPerSecond   float64 `json:"tokens_per_second"`   // of all gateways
+	Accounts          int     `json:"accounts"`            // client accounts in the document
+	ChangesPerSecond  float64 `json:"changes_per_second"`  // of the document
 
 	Processes      int       `json:"processes"`
 	CorePercent    Spread    `json:"core_percent"`      // of one core, a process
--- a/internal/capacity/usagecommand.go
+++ b/internal/capacity/usagecommand.go
@@ -21,6 +21,8 @@
 	Targets   int           `flag:"targets" usage:"targets of the deployment" validate:"min=0"`
 	Requests  float64       `flag:"requests" usage:"requests a second that are offered" validate:"min=0"`
 	Tokens    float64       `flag:"tokens" usage:"tokens a second that are delivered" validate:"min=0"`
+	Accounts  int           `flag:"accounts" usage:"client accounts in the document" validate:"min=0"`
+	Changes   float64       `flag:"changes" usage:"changes of the document a second" validate:"min=0"`
 	Store     string        `flag:"store" usage:"base URL of the stand-in store whose calls are counted; empty for none" validate:"omitempty,url"`
 	By        string        `flag:"by" usage:"command that is noted in the point"`
 	Out       string        `flag:"out" usage:"file of JSON lines to which the point is added; empty for none"`
@@ -90,6 +92,7 @@
 		Series: s.Series, Role: s.Role, Command: s.By,
 		Date: time.Now().UTC().Format(time.RFC3339), LoadAverage: loadAverage(), Seconds: took.Seconds(),
 		Hosts: s.Hosts, Targets: s.Targets, RequestsPerSecond: s.Requests, TokensPerSecond: s.Tokens,
+		Accounts: s.Accounts, ChangesPerSecond: s.Changes,
 		Processes:      len(used),
 		CorePercent:    of(func(u usage) float64 { return u.corePercent }),
 		ResidentMB:     of(func(u usage) float64 { return u.residentMB }),
--- a/internal/load/command.go
+++ b/internal/load/command.go
@@ -9,6 +9,6 @@
 		Short:        "Measure corianderhitch",
 		SilenceUsage: true,
 	}
-	root.AddCommand(ExperimentCommand(), RunCommand(), CompareCommand(), OverheadCommand())
+	root.AddCommand(ExperimentCommand(), RunCommand(), CompareCommand(), OverheadCommand(), ReportCommand())
 	return root
 }
--- a/internal/load/recorder.go
+++ b/internal/load/recorder.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"corianderhitch/internal/experiment"
 )
 
 const (
@@ -13,8 +15,8 @@
 	highestValue = int64(10 * time.Minute / time.Microsecond)
 	// significantDigits keeps percentiles exact to a thousandth.
 	significantDigits = 3
-	// stallBound is the gap between tokens from which a caller sees a stall.
-	stallBound = 250 * time.Millisecond
+	// stallBound is the gap, as in the experiment, between tokens from which a caller sees a stall.
+	stallBound = time.Duration(experiment.StallBoundMS * float64(time.Millisecond))
 )
 
 // Recorder collects what callers see. It is safe for concurrent use.
--- /dev/null
+++ b/internal/load/reportcommand.go
@@ -0,0 +1,103 @@
+package load
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+
+	"corianderhitch/internal/experiment"
+	"corianderhitch/internal/report"
+	"corianderhitch/internal/settings"
+)
+
+// ReportSettings are the settings of "hitchload report".
+type ReportSettings struct {
+	Experiments []string `flag:"experiment" usage:"files with the lines that \"hitchload experiment\" printed, one scenario each"`
+	Results     []string `flag:"result" usage:"result.json files of \"hitchload run\" or \"hitchload compare\""`
+	Out         string   `flag:"out" default:"docs/figures" usage:"directory for the figures" validate:"required"`
+}
+
+// ReportCommand returns "hitchload report".
+func ReportCommand() *cobra.Command {
+	var s ReportSettings
+	cmd := &cobra.Command{
+		Use:   "report",
+		Short: "Draw figures of experiments and of runs",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := settings.Load(cmd.Flags(), &s); err != nil {
+				return err
+			}
+			return drawAll(s)
+		},
+	}
+	settings.Register(cmd.Flags(), &s)
+	return cmd
+}
+
+func drawAll(s ReportSettings) error {
+	if err := os.MkdirAll(s.Out, 0o755); err != nil {
+		return eris.Wrap(err, "cannot make the directory of --out")
+	}
+	for _, path := range s.Experiments {
+		results, err := readExperiment(path)
+		if err != nil {
+			return err
+		}
+		if err := drawExperiment(s.Out, results); err != nil {
+			return err
+		}
+	}
+	var all []Result
+	for _, path := range s.Results {
+		content, err := os.ReadFile(path)
+		if err != nil {
+			return eris.Wrap(err, "cannot read a result; --result must name a result.json")
+		}
+		var results []Result
+		if err := json.Unmarshal(content, &results); err != nil {
+			return eris.Wrapf(err, "%s is no result.json", path)
+		}
+		all = append(all, results...)
+	}
+	return plotResults(s.Out, all)
+}
+
+// drawExperiment draws the medians over the seeds of one scenario.
+func drawExperiment(dir string, results []experiment.Result) error {
+	policies := policiesOf(results)
+	scenario := results[0].Scenario
+	series := func(label string, figure func(*experiment.Result) float64) report.Series {
+		return report.Series{Label: label, Values: medianOf(results, policies, figure)}
+	}
+	for _, f := range []struct {
+		file   string
+		axes   report.Axes
+		series []report.Series
+	}{
+		{"inter_token", report.Axes{Title: "Time between tokens", Y: "ms"}, []report.Series{
+			series("p50", func(r *experiment.Result) float64 { return r.InterTokenP50MS }),
+			series("p95", func(r *experiment.Result) float64 { return r.InterTokenP95MS }),
+			series("p99", func(r *experiment.Result) float64 { return r.InterTokenP99MS }),
+		}},
+		{"preemptions", report.Axes{Title: "Preemptions per 1000 answers", Y: "preemptions"}, []report.Series{
+			series("", func(r *experiment.Result) float64 { return r.PreemptionsPer1000 }),
+		}},
+		{"stall", report.Axes{Title: "Stall time of all callers", Y: "s"}, []report.Series{
+			series("", func(r *experiment.Result) float64 { return r.StallSeconds }),
+		}},
+		{"fairness", report.Axes{Title: "Jain index of the weighted shares", Y: "index"}, []report.Series{
+			series("", func(r *experiment.Result) float64 { return r.FairnessJain }),
+		}},
+	} {
+		f.axes.Title += ", scenario " + scenario
+		file := filepath.Join(dir, scenario+"_"+f.file+".svg")
+		if err := report.Bars(file, f.axes, policies, f.series); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/load/settings.go
+++ b/internal/load/settings.go
@@ -66,5 +66,6 @@
 		"hitchload run":      &RunSettings{},
 		"hitchload compare":  &CompareSettings{},
 		"hitchload overhead": &OverheadSettings{},
+		"hitchload report":   &ReportSettings{},
 	}
 }
--- /dev/null
+++ b/internal/report/bars.go
@@ -0,0 +1,44 @@
+package report
+
+import (
+	"github.com/rotisserie/eris"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// Series is one value a category.
+type Series struct {
+	Label  string
+	Values []float64 // in the order of the categories
+}
+
+// barsWidth is the width that the bars of one category share.
+const barsWidth = 1.4 * vg.Centimeter
+
+// Bars draws groups of bars, a group a category, into a file. Without categories
+// it draws nothing. The Y axis is linear.
+func Bars(file string, axes Axes, categories []string, series []Series) error {
+	if len(categories) == 0 || len(series) == 0 {
+		return nil
+	}
+	axes.LogY = false
+	p := axes.plot()
+	one := barsWidth / vg.Length(len(series))
+	for i, s := range series {
+		bars, err := plotter.NewBarChart(plotter.Values(s.Values), one)
+		if err != nil {
+			return eris.Wrapf(err, "cannot draw %s", file)
+		}
+		bars.Color = plotutil.Color(i)
+		bars.LineStyle.Width = 0
+		bars.Offset = one * vg.Length(2*i-len(series)+1) / 2
+		p.Add(bars)
+		if len(series) > 1 {
+			p.Legend.Add(s.Label, bars)
+		}
+	}
+	p.Legend.Left = false
+	p.NominalX(categories...)
+	return save(p, file)
+}
