hitchctl prune removes old revisions while changes go on

A change writes its history entry first and puts every chunk anew; prune lists chunks before records and deletes only what has not moved since.

--- a/internal/cli/app.go
+++ b/internal/cli/app.go
@@ -68,6 +68,7 @@
 		a.rollbackCommand(),
 		a.historyCommand(),
 		a.showCommand(),
+		a.pruneCommand(),
 		a.statusCommand(),
 		a.explainCommand(),
 		a.keyCommand(),
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -126,6 +126,8 @@
 	history := b.ok("history", "--environment", "trial")
 	require.Contains(t, history, "rollback 1")
 	require.Contains(t, history, "first")
+	require.Contains(t, b.ok("prune", "--environment", "trial"), "removed 0 history entries of trial")
+	require.Contains(t, b.ok("prune", "--environment", "trial", "--dry-run", "--output", "json"), `"dry_run": true`)
 	_, err := document.Parse([]byte(b.ok("show", "--environment", "production")))
 	require.NoError(t, err, "what show prints is a valid source")
 }
@@ -148,6 +150,7 @@
 		{"wrong environment", []string{"validate", trial, "--environment", "production"}, ExitUsage, "correct one of them"},
 		{"promote without revision", []string{"promote"}, ExitUsage, "--revision"},
 		{"explain without account", []string{"explain", "r-1"}, ExitUsage, "--account"},
+		{"too few kept", []string{"prune", "--environment", "trial", "--keep", "1"}, ExitUsage, "keep at least 10"},
 		{"half of TLS", []string{"status", "--tls-cert", "x"}, ExitUsage, "--tls-key"},
 		{"resume key without id", []string{"key", "resume"}, ExitUsage, "--id"},
 		{"invalid document", []string{"validate", invalid}, ExitInvalid, `is "nowhere", which is no model`},
--- /dev/null
+++ b/internal/cli/prune.go
@@ -0,0 +1,52 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/spf13/cobra"
+
+	"corianderhitch/internal/docstore"
+)
+
+// pruneResult is the result of prune in JSON output.
+type pruneResult struct {
+	Environment string `json:"environment"`
+	DryRun      bool   `json:"dry_run,omitempty"`
+	docstore.Pruned
+}
+
+func (a *app) pruneCommand() *cobra.Command {
+	var keep int64
+	var dryRun bool
+	cmd := &cobra.Command{
+		Use:   "prune",
+		Short: "Remove old revisions from the store",
+		Args:  cobra.NoArgs,
+		RunE: a.command(func(ctx context.Context, _ []string) error {
+			environment, err := a.environment()
+			if err != nil {
+				return err
+			}
+			if keep < docstore.MinKept {
+				return &usageError{fmt.Sprintf("--keep is %d; keep at least %d revisions", keep, docstore.MinKept)}
+			}
+			pruned, err := a.docs.Prune(ctx, docstore.PruneRequest{Environment: environment, Keep: keep, DryRun: dryRun})
+			if err != nil {
+				return err
+			}
+			return a.out.result(pruneResult{Environment: environment, DryRun: dryRun, Pruned: pruned}, func(w io.Writer) {
+				verb := "removed"
+				if dryRun {
+					verb = "would remove"
+				}
+				fmt.Fprintf(w, "%s %d history entries of %s and %d parts of documents, %d bytes\n",
+					verb, pruned.Entries, environment, pruned.Chunks, pruned.Bytes)
+			})
+		}),
+	}
+	cmd.Flags().Int64Var(&keep, "keep", 100, "number of revisions below the one in force that stay")
+	cmd.Flags().BoolVar(&dryRun, "dry-run", false, "count, remove nothing")
+	return cmd
+}
--- a/internal/docstore/apply.go
+++ b/internal/docstore/apply.go
@@ -55,10 +55,11 @@
 		return s.accepted(ctx, old)
 	}
 	next := s.successor(old, req, ref)
-	if err := s.writeBody(ctx, ref, chunks); err != nil {
+	// In this order: Prune must see who needs a chunk that it finds.
+	if err := s.writeHistory(ctx, req.Environment, next); err != nil {
 		return document.Accepted{}, err
 	}
-	if err := s.writeHistory(ctx, req.Environment, next); err != nil {
+	if err := s.writeBody(ctx, ref, chunks); err != nil {
 		return document.Accepted{}, err
 	}
 	if err := s.swap(ctx, req.Environment, next, body, at); err != nil {
@@ -116,7 +117,7 @@
 	if err != nil {
 		return err
 	}
-	if err := s.create(ctx, document.HistoryAttemptKey(environment, r.Revision, r.Attempt), value); err != nil {
+	if err := s.write(ctx, document.HistoryAttemptKey(environment, r.Revision, r.Attempt), value); err != nil {
 		return wrapUntouched(err)
 	}
 	return nil
@@ -124,7 +125,7 @@
 
 // swap replaces the current record if its store revision is still at.
 func (s *Store) swap(ctx context.Context, environment string, next record, body []byte, at platform.Revision) error {
-	value, err := encodeCurrent(next, body)
+	value, err := encodeCurrent(next, body, s.inlineBytes)
 	if err != nil {
 		return err
 	}
--- a/internal/docstore/body.go
+++ b/internal/docstore/body.go
@@ -56,10 +56,10 @@
 	return ref, chunks, nil
 }
 
-// writeBody stores the chunks that the store lacks.
+// writeBody stores the chunks.
 func (s *Store) writeBody(ctx context.Context, ref bodyRef, chunks [][]byte) error {
 	for i, chunk := range chunks {
-		if err := s.create(ctx, document.ChunkKey(ref.Chunks[i]), chunk); err != nil {
+		if err := s.write(ctx, document.ChunkKey(ref.Chunks[i]), chunk); err != nil {
 			return eris.Wrap(err, "cannot write the document's body; nothing was changed")
 		}
 	}
--- a/internal/docstore/errors.go
+++ b/internal/docstore/errors.go
@@ -45,7 +45,7 @@
 // Unwrap returns the store's last error.
 func (e *UnknownError) Unwrap() error { return e.Cause }
 
-// MissingError tells that a revision was never accepted.
+// MissingError tells that a revision was never accepted, or was removed.
 type MissingError struct {
 	Environment string `json:"environment"`
 	Revision    int64  `json:"revision"`
@@ -54,6 +54,6 @@
 
 // Error implements error.
 func (e *MissingError) Error() string {
-	return fmt.Sprintf("%s has no accepted revision %d (revision %d is in force); choose one that \"hitchctl history\" lists",
+	return fmt.Sprintf("%s has no accepted revision %d, or it was removed by prune (revision %d is in force); choose one that \"hitchctl history\" lists",
 		e.Environment, e.Revision, e.Current)
 }
--- a/internal/docstore/history.go
+++ b/internal/docstore/history.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	"corianderhitch/internal/document"
+	"corianderhitch/internal/platform"
 )
 
 // Item is one accepted revision of the history.
@@ -67,48 +68,59 @@
 }
 
 // chain returns the accepted records from current down to a revision, or to the
-// next higher one if that was skipped (see ApplyRequest.Above), newest first.
+// next higher one if that was skipped (see ApplyRequest.Above) or removed (see
+// Prune), newest first.
 // Each record names the one that it replaced, so that an entry of an attempt that
 // lost is never reached.
 func (s *Store) chain(ctx context.Context, environment string, current record, oldest int64) ([]record, error) {
-	chain := []record{current}
 	if current.Revision <= oldest {
-		return chain, nil
+		return []record{current}, nil
 	}
 	entries, err := s.attempts(ctx, environment, oldest)
 	if err != nil {
 		return nil, err
 	}
+	chain, _ := follow(entries, current, oldest)
+	return chain, nil
+}
+
+// follow walks the links from current down to a revision among entries. Whole is
+// false if entries were removed before it got there.
+func follow(entries map[link]record, current record, oldest int64) (chain []record, whole bool) {
+	chain = []record{current}
 	for at := current; at.Revision > oldest && at.Previous.Revision >= oldest; {
 		previous, ok := entries[at.Previous]
 		if !ok {
-			return nil, eris.Errorf("the history of %s lacks revision %d; it was removed from the store by other means",
-				environment, at.Previous.Revision)
+			return chain, false
 		}
 		chain = append(chain, previous)
 		at = previous
 	}
-	return chain, nil
+	return chain, true
 }
 
 // attempts returns all history entries from a revision on, accepted or not.
 func (s *Store) attempts(ctx context.Context, environment string, oldest int64) (map[link]record, error) {
 	found := make(map[link]record)
-	after := document.HistoryKey(environment, oldest)
+	err := s.each(ctx, document.HistoryPrefix(environment), document.HistoryKey(environment, oldest), 0, func(entry platform.Entry) error {
+		r, err := decodeRecord(entry.Value)
+		found[r.link()] = r
+		return err
+	})
+	return found, eris.Wrap(err, "cannot read the history")
+}
+
+// each calls do for all entries with a prefix after a key, some a page.
+func (s *Store) each(ctx context.Context, prefix, after string, page int, do func(platform.Entry) error) error {
 	for {
-		entries, _, err := s.store.List(ctx, document.HistoryPrefix(environment), after, 0)
-		if err != nil {
-			return nil, eris.Wrap(err, "cannot read the history")
-		}
-		if len(entries) == 0 {
-			return found, nil
+		entries, _, err := s.store.List(ctx, prefix, after, page)
+		if err != nil || len(entries) == 0 {
+			return err
 		}
 		for _, entry := range entries {
-			r, err := decodeRecord(entry.Value)
-			if err != nil {
-				return nil, err
+			if err := do(entry); err != nil {
+				return err
 			}
-			found[r.link()] = r
 		}
 		after = entries[len(entries)-1].Key
 	}
--- a/internal/docstore/linearizable_test.go
+++ b/internal/docstore/linearizable_test.go
@@ -24,6 +24,7 @@
 	operators      = 4
 	callsOfOne     = 4
 	longestThought = 400 * time.Millisecond // pause of an operator between calls
+	slowness       = 9 * time.Millisecond   // of each call of the store
 )
 
 // input is one call of an operator.
@@ -126,10 +127,10 @@
 }
 
 // race runs operators against one store with faults and returns what each saw.
-func race(t *testing.T, seed uint64, faulty int) []porcupine.Operation {
-	var history []porcupine.Operation
+func race(t *testing.T, seed uint64, faulty int) (history []porcupine.Operation, final error) {
 	synctest.Test(t, func(t *testing.T) {
 		inner := memstore.New(memstore.Options{})
+		inner.SetFault(memstore.Fault{RequestDelay: slowness}) // lets steps of different calls interleave
 		d := example(t, "trial")
 		var mu sync.Mutex
 		random := rand.New(rand.NewPCG(seed, 1))
@@ -144,9 +145,14 @@
 		var done sync.WaitGroup
 		for id := range operators {
 			done.Go(func() {
-				o := &operator{id: id, docs: New(store), random: rand.New(rand.NewPCG(seed, uint64(id)+2)), base: d}
+				docs := New(store)
+				docs.inlineBytes, docs.minKept = 0, 0 // so that reads need chunks, which may be removed
+				o := &operator{id: id, docs: docs, random: rand.New(rand.NewPCG(seed, uint64(id)+2)), base: d}
 				for range callsOfOne {
 					time.Sleep(time.Duration(o.random.Int64N(int64(longestThought))))
+					if o.random.IntN(3) == 0 {
+						_, _ = o.docs.Prune(t.Context(), PruneRequest{Environment: "trial"})
+					}
 					operation := o.call(t)
 					mu.Lock()
 					history = append(history, operation)
@@ -156,9 +162,11 @@
 		}
 		done.Wait()
 		store.late.Wait()
-		history = append(history, (&operator{id: operators, docs: New(inner), base: d}).finalRead(t))
+		last := &operator{id: operators, docs: New(inner), base: d}
+		history = append(history, last.read(t))
+		final = last.err
 	})
-	return history
+	return history, final
 }
 
 // operator makes random calls.
@@ -168,6 +176,7 @@
 	random *rand.Rand
 	base   document.Document
 	seen   int64 // revision that the operator last read
+	err    error // of the last read
 	serial int
 }
 
@@ -193,6 +202,7 @@
 func (o *operator) read(t *testing.T) porcupine.Operation {
 	began := time.Now().UnixNano()
 	current, _, err := o.docs.Current(t.Context(), "trial")
+	o.err = err
 	out := result{kind: untouched}
 	switch {
 	case errors.Is(err, platform.ErrNotFound):
@@ -204,8 +214,6 @@
 	return porcupine.Operation{ClientId: o.id, Input: input{op: opRead}, Output: out, Call: began, Return: time.Now().UnixNano()}
 }
 
-func (o *operator) finalRead(t *testing.T) porcupine.Operation { return o.read(t) }
-
 func (o *operator) change(in input, do func() (document.Accepted, error)) porcupine.Operation {
 	began := time.Now().UnixNano()
 	after, err := do()
@@ -236,7 +244,10 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		seed := rapid.Uint64().Draw(rt, "seed")
 		faulty := rapid.IntRange(0, 60).Draw(rt, "faulty writes in 100")
-		history := race(t, seed, faulty)
+		history, err := race(t, seed, faulty)
+		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+			rt.Fatalf("seed %d: the document in force cannot be read: %v", seed, err)
+		}
 		if !porcupine.CheckOperations(model.ToModel(), history) {
 			rt.Fatalf("seed %d: not linearizable: %+v", seed, history)
 		}
--- a/internal/docstore/record.go
+++ b/internal/docstore/record.go
@@ -34,8 +34,8 @@
 const maxInlineBytes = 512 << 10
 
 // encodeCurrent returns the value of the current record.
-func encodeCurrent(r record, body []byte) ([]byte, error) {
-	if r.Body.Bytes <= maxInlineBytes {
+func encodeCurrent(r record, body []byte, inlineBytes int) ([]byte, error) {
+	if r.Body.Bytes <= inlineBytes {
 		r.Document = body
 	}
 	return encodeRecord(r)
--- a/internal/docstore/store.go
+++ b/internal/docstore/store.go
@@ -20,14 +20,17 @@
 // Store reads and changes the documents of all environments. It is safe for
 // concurrent use.
 type Store struct {
-	store      platform.Store
-	now        func() time.Time
-	chunkBytes int
+	store platform.Store
+	now   func() time.Time
+	// The rest are bounds, which tests make smaller.
+	chunkBytes  int
+	inlineBytes int
+	minKept     int64
 }
 
 // New returns a Store on the platform's store.
 func New(store platform.Store) *Store {
-	return &Store{store: store, now: time.Now, chunkBytes: maxChunkBytes}
+	return &Store{store: store, now: time.Now, chunkBytes: maxChunkBytes, inlineBytes: maxInlineBytes, minKept: MinKept}
 }
 
 // Current returns the accepted document in force in an environment and the
--- a/internal/docstore/swap.go
+++ b/internal/docstore/swap.go
@@ -83,10 +83,14 @@
 	if current.Revision < w.next.Revision {
 		return false, current, nil
 	}
-	chain, err := w.store.chain(ctx, w.environment, current, w.next.Revision)
+	entries, err := w.store.attempts(ctx, w.environment, w.next.Revision)
 	if err != nil {
 		return false, record{}, err
 	}
+	chain, whole := follow(entries, current, w.next.Revision)
+	if !whole {
+		return false, record{}, eris.New("the history was removed meanwhile, so this change is not found in it")
+	}
 	return chain[len(chain)-1].Attempt == w.next.Attempt, current, nil
 }
 
@@ -94,17 +98,14 @@
 	return &UnknownError{Environment: w.environment, Revision: w.next.Revision, Attempt: w.next.Attempt, Cause: cause}
 }
 
-// create writes a key that only this call or an equal one writes. A key that is
-// there already is as good as written.
-func (s *Store) create(ctx context.Context, key string, value []byte) error {
+// write puts a key that only this call, or one with the same content, writes. It
+// is put even if it is there, so that its store revision moves (see Prune).
+func (s *Store) write(ctx context.Context, key string, value []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
 	wait := newBackOff()
 	for {
-		_, err := s.store.Put(ctx, key, value, platform.Absent, 0)
-		if err == nil || errors.Is(err, platform.ErrConflict) {
-			return nil
-		}
+		_, err := s.store.Put(ctx, key, value, platform.AnyRevision, 0)
 		if !errors.Is(err, platform.ErrOutcomeUnknown) || !pause(ctx, wait) {
 			return err
 		}
@@ -115,6 +116,7 @@
 	b := backoff.NewExponentialBackOff()
 	b.InitialInterval = firstRetryWait
 	b.MaxInterval = longestWait
+	b.RandomizationFactor = 0 // few operators retry at once
 	return b
 }
 
--- a/internal/document/keys.go
+++ b/internal/document/keys.go
@@ -8,6 +8,9 @@
 // chunkRoot precedes the keys of all parts of document bodies.
 const chunkRoot = "/corianderhitch/document-chunks/"
 
+// AllPrefix is the prefix of the records of all environments.
+func AllPrefix() string { return keyRoot }
+
 // CurrentKey is the store key of the Accepted record in force in an environment.
 func CurrentKey(environment string) string { return keyRoot + environment + "/current" }
 
