--- a/internal/gateway/runner/session.go
+++ b/internal/gateway/runner/session.go
@@ -23,8 +23,10 @@
 	// reopenTimeout is the same for an engine that has answered before. It is
 	// short, as a frozen engine stalls the stream until it is left.
 	reopenTimeout = 500 * time.Millisecond
-	// attachPause separates attachments after failures.
-	attachPause = 50 * time.Millisecond
+	// attachPause separates attachments after failures. It doubles up to
+	// maxAttachPause while no token comes.
+	attachPause    = 25 * time.Millisecond
+	maxAttachPause = 500 * time.Millisecond
 	// maxStallBound limits the growth of the bound while an engine answers but
 	// sends no token, as it does for a preempted generation.
 	maxStallBound = 8 * time.Second
@@ -57,9 +59,11 @@
 	mode     mode
 	attached bool // the engine has accepted an attachment
 	avoid    []string
+	news     []control.News // of the targets that were tried
 	moves    int
 	stall    time.Duration
 	lastSeen time.Time // last token, or the start of the wait
+	pause    time.Duration
 	lastErr  error
 	reason   engine.FinishReason
 	sent     int // tokens handed to the sink
@@ -118,7 +122,7 @@
 				return s.failedWith(late)
 			}
 			s.reattachMode()
-			wait(s.ctx, attachPause)
+			wait(s.ctx, s.nextPause())
 		case stream.StepContinue, stream.StepRestart:
 			if final := s.finalRefusal(); final != nil {
 				return s.failedWith(final)
@@ -133,6 +137,12 @@
 	}
 }
 
+// nextPause returns the pause before the next attachment.
+func (s *session) nextPause() time.Duration {
+	s.pause = min(max(2*s.pause, attachPause), maxAttachPause)
+	return s.pause
+}
+
 // reattachMode keeps asking to start a generation that this engine has not
 // accepted yet; the engine attaches if it runs it already.
 func (s *session) reattachMode() {
@@ -219,6 +229,7 @@
 	args := s.job.Admit
 	args.Ticket = ids.New()
 	args.Avoid = s.avoid
+	args.News = s.news
 	args.Produced = len(s.machine.Tokens())
 	if args.Deadline.IsZero() || s.sent > 0 {
 		args.Deadline = time.Now().Add(moveDeadline)
@@ -347,6 +358,7 @@
 	default:
 		return
 	}
+	s.news = append(s.news, news)
 	s.r.fleet.Report(news)
 }
 
