--- a/internal/gateway/api/fakes_test.go
+++ b/internal/gateway/api/fakes_test.go
@@ -116,6 +116,7 @@
 type bench struct {
 	fleet  *fakeFleet
 	runner *runner.Runner
+	api    *Server
 	server *httptest.Server
 }
 
@@ -140,8 +141,10 @@
 	})
 	router := mux.NewRouter().SkipClean(true)
 	s.Register(router)
-	b := &bench{fleet: f, runner: r, server: httptest.NewServer(router)}
+	b := &bench{fleet: f, runner: r, api: s, server: httptest.NewServer(router)}
 	t.Cleanup(func() {
+		r.Drain()
+		b.server.CloseClientConnections()
 		b.server.Close()
 		r.Stop()
 		out.Close()
--- /dev/null
+++ b/internal/gateway/fleet/fleet_test.go
@@ -0,0 +1,212 @@
+package fleet
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"corianderhitch/api/control"
+	"corianderhitch/api/engine"
+	"corianderhitch/api/problem"
+	"corianderhitch/internal/logging"
+	"corianderhitch/internal/platform"
+	"corianderhitch/internal/rpcconn"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func start(t *testing.T, agents ...*fakeAgent) *Fleet {
+	var addresses []string
+	for _, a := range agents {
+		addresses = append(addresses, a.server.Address())
+	}
+	pool := rpcconn.NewPool(rpcconn.TCP)
+	f := New(Options{Host: "me", Region: "r", Agents: addresses, Log: logging.Discard()}, pool)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+		pool.Close()
+		for _, a := range agents {
+			a.server.Stop()
+		}
+	})
+	return f
+}
+
+// await waits for a view that fits.
+func await(t *testing.T, f *Fleet, fits func(*View) bool) {
+	t.Helper()
+	deadline := time.After(10 * time.Second)
+	for {
+		changed := f.Changed()
+		if fits(f.View()) {
+			return
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			t.Fatal("the expected view never came")
+		}
+	}
+}
+
+func revision(n int64) func(*View) bool {
+	return func(v *View) bool { return v.Index != nil && v.Index.Revision() == n }
+}
+
+func member(host string, a *fakeAgent) control.Member {
+	return control.Member{Host: host, AgentAddr: a.server.Address(), State: control.MemberAlive}
+}
+
+func engineState(name string) control.TargetState {
+	return control.TargetState{
+		Healthy: true,
+		Target:  platform.Target{Name: name, Region: "r", Kind: platform.TargetEngine},
+		Load:    engine.LoadReport{Loaded: []engine.Loaded{{Model: "m", Version: "1"}}},
+	}
+}
+
+func admitArgs(ticket string) control.AdmitArgs {
+	return control.AdmitArgs{Ticket: ticket, Model: "m", Version: "1", Deadline: time.Now().Add(10 * time.Second)}
+}
+
+func TestDocumentNeverStepsBackAndSurvivesTheAgents(t *testing.T) {
+	one, two := newAgent(t), newAgent(t)
+	one.revision, two.revision = 5, 4
+	f := start(t, one, two)
+	await(t, f, revision(5))
+	one.server.Stop()
+	await(t, f, func(v *View) bool { return len(v.Members) == 0 && v.Index != nil })
+	two.set(func() { two.members = []control.Member{member("two", two)} })
+	await(t, f, func(v *View) bool { return len(v.Members) == 1 })
+	require.EqualValues(t, 5, f.View().Index.Revision())
+	two.set(func() { two.revision = 6 })
+	await(t, f, revision(6))
+	two.server.Stop()
+	require.EqualValues(t, 6, f.View().Index.Revision())
+	require.Len(t, f.View().Members, 1)
+}
+
+func TestOwnerGrantsAndLearnsTheEnd(t *testing.T) {
+	a := newAgent(t)
+	a.members = []control.Member{member("h", a)}
+	a.grant = func(control.AdmitArgs) control.AdmitReply {
+		return control.AdmitReply{Granted: true, Target: platform.Target{Name: "e1"}}
+	}
+	f := start(t, a)
+	await(t, f, func(v *View) bool { return len(v.Members) == 1 })
+	p, err := f.Admit(t.Context(), admitArgs("t1"))
+	require.NoError(t, err)
+	require.Equal(t, 1, f.InFlight().Count("e1"))
+	f.End(p, 42, true)
+	require.Equal(t, control.Finished{Ticket: "t1", Target: "e1", Model: "m", Produced: 42, Complete: true}, <-a.finished)
+	require.Zero(t, f.InFlight().Count("e1"))
+	a.grant = func(control.AdmitArgs) control.AdmitReply {
+		return control.AdmitReply{Kind: string(problem.KindOverloaded), RetryAfter: 3 * time.Second}
+	}
+	_, err = f.Admit(t.Context(), admitArgs("t2"))
+	e := problem.From(err)
+	require.Equal(t, problem.RanNo, e.Ran)
+	require.Equal(t, 3*time.Second, e.Retry)
+}
+
+func TestOwnerThatGoesWhileItHoldsARequestIsReplaced(t *testing.T) {
+	one, two := newAgent(t), newAgent(t)
+	held, release := make(chan struct{}, 2), make(chan struct{})
+	defer close(release)
+	var first *fakeAgent
+	hold := func(a *fakeAgent) func(control.AdmitArgs) control.AdmitReply {
+		return func(control.AdmitArgs) control.AdmitReply {
+			if first == nil {
+				first = a
+				held <- struct{}{}
+				<-release // frozen
+			}
+			return control.AdmitReply{Granted: true, Target: platform.Target{Name: "e"}}
+		}
+	}
+	one.grant, two.grant = hold(one), hold(two)
+	members := []control.Member{member("one", one), member("two", two)}
+	one.members, two.members = members, members
+	f := start(t, one, two)
+	await(t, f, func(v *View) bool { return len(v.Members) == 2 })
+	go func() {
+		<-held
+		for _, a := range []*fakeAgent{one, two} {
+			a.set(func() {
+				a.members = append([]control.Member(nil), members...)
+				for i := range a.members {
+					if a.members[i].AgentAddr == first.server.Address() {
+						a.members[i].State = control.MemberSuspect
+					}
+				}
+			})
+		}
+	}()
+	p, err := f.Admit(t.Context(), admitArgs("t"))
+	require.NoError(t, err)
+	require.NotEqual(t, first.server.Address(), p.agent)
+}
+
+func TestGatewayChoosesAloneWithoutAgents(t *testing.T) {
+	a := newAgent(t)
+	a.targets = []control.TargetState{engineState("e1"), engineState("e2"), engineState("e3")}
+	a.targets[1].Leaving = true
+	a.targets[2].Healthy = false
+	f := start(t, a)
+	await(t, f, func(v *View) bool { return len(v.Targets) == 3 })
+	a.server.Stop()
+	p, err := f.Admit(t.Context(), admitArgs("t"))
+	require.NoError(t, err)
+	require.Equal(t, "e1", p.Target.Name)
+	require.True(t, p.OwnChoice())
+	f.Report(control.News{Kind: control.NewsLeaving, Target: "e1"})
+	_, err = f.Admit(t.Context(), admitArgs("t"))
+	require.Equal(t, problem.KindNoTarget, problem.From(err).Kind)
+	require.Equal(t, problem.RanNo, problem.From(err).Ran)
+}
+
+func TestCrashReachesTheOwnerBeforeTheNextQuestion(t *testing.T) {
+	own, owner := newAgent(t), newAgent(t)
+	own.members = []control.Member{member("owner", owner)}
+	f := start(t, own)
+	defer owner.server.Stop()
+	await(t, f, func(v *View) bool { return len(v.Members) == 1 })
+	f.ReportCrash(t.Context(), "m", control.News{ID: "n", Kind: control.NewsCrash, Target: "e"})
+	select {
+	case n := <-owner.news:
+		require.Equal(t, "n", n.ID)
+	default:
+		t.Fatal("the owner has not got the news")
+	}
+	require.Equal(t, "n", (<-own.news).ID)
+}
+
+func TestDirectoryAnswersWithTheFirst(t *testing.T) {
+	a := newAgent(t)
+	a.members = []control.Member{member("h", a)}
+	f := start(t, a)
+	await(t, f, func(v *View) bool { return len(v.Members) == 1 })
+	first := control.DirectoryEntry{Account: "a", RequestID: "r", Generation: "g1"}
+	_, won := f.Register(t.Context(), first)
+	require.True(t, won)
+	second := first
+	second.Generation = "g2"
+	got, won := f.Register(t.Context(), second)
+	require.False(t, won)
+	require.Equal(t, "g1", got.Generation)
+	got, found := f.Lookup(t.Context(), "a", "r")
+	require.True(t, found)
+	require.Equal(t, "g1", got.Generation)
+	_, found = f.Lookup(t.Context(), "b", "r")
+	require.False(t, found)
+}
