--- a/internal/gateway/fleet/watch.go
+++ b/internal/gateway/fleet/watch.go
@@ -73,6 +73,7 @@
 	defer cancel()
 	view := f.View()
 	args := control.SnapshotArgs{
+		Host:        f.options.Host,
 		GatewayAddr: f.options.GatewayAddr,
 		After:       versions[agent],
 		Wait:        pollWait,
