--- a/internal/scheduling/pool.go
+++ b/internal/scheduling/pool.go
@@ -1,6 +1,8 @@
 package scheduling
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"corianderhitch/internal/scheduling/affinity"
@@ -78,15 +80,14 @@
 	p.accounts.Configure(config.Limits)
 }
 
-// ObserveCache implements Policy.
+// ObserveCache implements Policy. After a gap what was known stays: a prefix
+// that is wrongly taken as cached costs its prefill once, while forgetting all
+// would scatter requests that share prefixes.
 func (p *Pool) ObserveCache(_ time.Time, update CacheUpdate) {
 	t, ok := p.targets[update.Target]
 	if !ok {
 		return
 	}
-	if update.Lost {
-		p.cache.Forget(t.slot)
-	}
 	p.cache.Store(t.slot, update.Stored)
 	p.cache.Evict(t.slot, update.Evict)
 }
@@ -148,3 +149,17 @@
 func keyOf(r *Request) length.Key {
 	return length.Key{Model: r.Model, Account: r.Account, Class: r.Class}
 }
+
+// TakeWaiting withdraws all waiting requests and returns them in order of their
+// tickets, for a pool whose targets are gone.
+func (p *Pool) TakeWaiting() []Request {
+	list := make([]Request, 0, len(p.waiting))
+	for _, w := range p.waiting {
+		list = append(list, w.request)
+	}
+	slices.SortFunc(list, func(a, b Request) int { return strings.Compare(a.Ticket, b.Ticket) })
+	for i := range list {
+		p.withdraw(list[i].Ticket)
+	}
+	return list
+}
--- a/internal/scheduling/suspicion/tracker_test.go
+++ b/internal/scheduling/suspicion/tracker_test.go
@@ -20,6 +20,7 @@
 	}{
 		"none":                      {want: map[uint64]Verdict{1: Clear}},
 		"one crash":                 {crashes: []Crash{crash("a", 1, 2)}, want: map[uint64]Verdict{1: Spread, 2: Spread, 3: Clear}},
+		"alone once is no proof":    {crashes: []Crash{crash("a", 1)}, want: map[uint64]Verdict{1: Spread}},
 		"same news twice":           {crashes: []Crash{crash("a", 1), crash("a", 1, 2)}, want: map[uint64]Verdict{1: Spread, 2: Spread}},
 		"common cause":              {crashes: []Crash{crash("a", 1, 2), crash("b", 1, 3)}, want: map[uint64]Verdict{1: Refuse, 2: Clear, 3: Clear}},
 		"alone twice":               {crashes: []Crash{crash("a", 1), crash("b", 1)}, want: map[uint64]Verdict{1: Refuse}},
@@ -45,6 +46,15 @@
 	}
 }
 
+func TestTogether(t *testing.T) {
+	tracker := NewTracker()
+	tracker.Record(Crash{ID: "1", At: start, Beside: []uint64{1, 2}})
+	tracker.Record(Crash{ID: "2", At: start, Beside: []uint64{3}})
+	require.True(t, tracker.Together(1, 2))
+	require.False(t, tracker.Together(1, 3))
+	require.False(t, tracker.Together(1, 1))
+}
+
 // One crashing request among innocent ones, placed as the verdicts ask, costs
 // two targets at most, and no innocent request is refused.
 func TestACrashingRequestCostsTwoTargetsAtMost(t *testing.T) {
