--- a/internal/gateway/fleet/fleet_test.go
+++ b/internal/gateway/fleet/fleet_test.go
@@ -192,6 +192,20 @@
 	require.Equal(t, args.News, <-taken)
 }
 
+func TestNewsReachesAnAgentAndTheTargetIsAvoided(t *testing.T) {
+	a := newAgent(t)
+	a.targets = []control.TargetState{engineState("e1"), engineState("e2")}
+	f := start(t, a)
+	await(t, f, func(v *View) bool { return len(v.Targets) == 2 })
+	f.Report(control.News{ID: "n", Kind: control.NewsCrash, Target: "e1"})
+	require.Equal(t, "n", (<-a.news).ID)
+	for range 10 {
+		p, err := f.Admit(t.Context(), admitArgs("t"))
+		require.NoError(t, err)
+		require.Equal(t, "e2", p.Target.Name)
+	}
+}
+
 func TestDirectoryAnswersWithTheFirst(t *testing.T) {
 	a := newAgent(t)
 	a.members = []control.Member{member("h", a)}
