--- a/Makefile
+++ b/Makefile
@@ -58,4 +58,4 @@
 
 # prove brings every fault about with real processes; SEED draws moments.
 prove:
-	$(GO) test ./tests/prove -count=1 -timeout 10m -v -seed $(SEED) | grep -E '^(PASS|FAIL)  |passed, |^seed |^ok|^FAIL|_test.go:|Messages:|Error:'
+	$(GO) test ./tests/prove -count=1 -timeout 10m -v -seed $(SEED) | grep -E '^(PASS|FAIL)  |passed, |^seed |^pairs|^ok|^FAIL|_test.go:|Messages:|Error:'
--- a/tests/prove/cluster_test.go
+++ b/tests/prove/cluster_test.go
@@ -65,6 +65,8 @@
 	services []*target
 	size     clusterSize
 	peers    []string
+	// published is when the first host list was written.
+	published time.Time
 }
 
 // startCluster starts everything and waits until every host is ready.
@@ -80,6 +82,7 @@
 		c.addService(fmt.Sprintf("booking-%d", i+1))
 	}
 	c.publishTargets(nil)
+	c.published = time.Now()
 	c.applyDocument(orDefault(size.document, defaultDocument))
 	for i := range size.hosts {
 		c.hosts = append(c.hosts, c.newHost(fmt.Sprintf("host-%d", i+1), domains[i%len(domains)]))
--- a/tests/prove/documents_test.go
+++ b/tests/prove/documents_test.go
@@ -65,6 +65,31 @@
 			c.setStoreLinks(pass)
 			return 2
 		}},
+		{name: "gateway falls back to an agent with an old document", bring: func(t *testing.T, c *cluster) int64 {
+			last := c.hosts[2]
+			c.isolate(last)
+			apply(c, 2)
+			await(t, inForceLimit, "revision 3 on the others", func() bool {
+				r := c.revisionsInForce()
+				return r["host-1"] == 3 && r["host-2"] == 3
+			})
+			last.agent.freeze() // its gateway turns to the others
+			await(t, inForceLimit, "revision 3 in the last gateway", func() bool {
+				revision, _ := gatewayRevision(last)
+				return revision == 3
+			})
+			last.agent.thaw() // and back to its own, which has revision 1
+			for _, h := range c.hosts {
+				h.agentLink.set(refuse)
+				h.agentLink.cut()
+			}
+			<-time.After(2 * time.Second) // some polls of its own agent
+			for _, h := range c.hosts {
+				h.agentLink.set(pass)
+				h.storeLink.set(pass)
+			}
+			return 3
+		}},
 		{name: "host started during a store outage", bring: func(t *testing.T, c *cluster) int64 {
 			apply(c, 1)
 			await(t, inForceLimit, "revision 2 on the first host", func() bool { return c.revisionsInForce()["host-1"] == 2 })
--- a/tests/prove/leaving_test.go
+++ b/tests/prove/leaving_test.go
@@ -34,12 +34,12 @@
 			ownWord(c, e)
 		}},
 		{name: "host list late by 30 s, refusal of new work", leave: func(c *cluster, e *target) {
-			c.storeFault(memstore.Fault{HostListLag: 30 * time.Second})
+			c.delayList()
 			ownWord(c, e)
 			c.publishTargets(map[string]bool{e.name: true})
 		}},
 		{name: "reclaimed, host list late by 30 s", leave: func(c *cluster, e *target) {
-			c.storeFault(memstore.Fault{HostListLag: 30 * time.Second})
+			c.delayList()
 			c.reclaim(e, 4*leavingWindow)
 		}},
 		{name: "region cut: one host without store and peers", leave: func(c *cluster, e *target) {
@@ -68,6 +68,17 @@
 	}
 }
 
+// listLag is how late the platform's host list is at worst.
+const listLag = 30 * time.Second
+
+// delayList makes the host list late. The list must be older than its lag, since
+// a late list shows what was in force before it.
+func (c *cluster) delayList() {
+	c.t.Helper()
+	await(c.t, 2*listLag, "a list older than its lag", func() bool { return time.Since(c.published) > listLag })
+	c.storeFault(memstore.Fault{HostListLag: listLag})
+}
+
 // isolate cuts a host from the store and its agent from all others. Its targets
 // stay reachable, as they are in its own region.
 func (c *cluster) isolate(h *host) {
