--- a/internal/experiment/compare.go
+++ b/internal/experiment/compare.go
@@ -44,6 +44,7 @@
 	if len(names) == 0 {
 		return all, nil
 	}
+	all = append(all, NamedPolicies()...)
 	var chosen []PolicySpec
 	for _, name := range names {
 		i := slices.IndexFunc(all, func(p PolicySpec) bool { return p.Name == name })
--- a/internal/experiment/policies.go
+++ b/internal/experiment/policies.go
@@ -3,6 +3,7 @@
 import (
 	"corianderhitch/internal/scheduling"
 	"corianderhitch/internal/scheduling/baseline"
+	"corianderhitch/internal/scheduling/cells"
 )
 
 // PolicySpec names a policy and tells how to make it.
@@ -41,6 +42,16 @@
 	}
 }
 
+// NamedPolicies returns the policies that run only when they are named: those
+// that differ from others in large pools alone.
+func NamedPolicies() []PolicySpec {
+	return []PolicySpec{
+		{Name: "pool_cells", Remote: true, New: func(s *Scenario, _ uint64) scheduling.Policy {
+			return cells.New(s.poolConfig())
+		}},
+	}
+}
+
 // poolConfig is what the scenario's environment document tells a Pool.
 func (s *Scenario) poolConfig() scheduling.Config {
 	return scheduling.Config{Objectives: s.Objectives}
--- a/internal/scheduling/cells/cells_test.go
+++ b/internal/scheduling/cells/cells_test.go
@@ -92,3 +92,31 @@
 	assert.Empty(t, c.pools[1].TakeWaiting())
 	assert.NotEmpty(t, c.pools[0].TakeWaiting())
 }
+
+func BenchmarkSplit(b *testing.B) {
+	for _, n := range []int{12, 675, 2700} {
+		b.Run(fmt.Sprintf("targets=%d", n), func(b *testing.B) {
+			list := names(n)
+			b.ReportAllocs()
+			for b.Loop() {
+				Split(list)
+			}
+		})
+	}
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{1, 57, 225} { // cells of 12, 675 and 2,700 targets
+		b.Run(fmt.Sprintf("cells=%d", n), func(b *testing.B) {
+			loads := make([]Load, n)
+			for i := range loads {
+				loads[i] = Load{Targets: 12, Requests: i}
+			}
+			r := &scheduling.Request{Ticket: "t", PrefixHashes: []uint64{7}}
+			b.ReportAllocs()
+			for b.Loop() {
+				Choose(r, loads)
+			}
+		})
+	}
+}
--- a/internal/scheduling/cells/split.go
+++ b/internal/scheduling/cells/split.go
@@ -8,7 +8,8 @@
 	"slices"
 	"strconv"
 
-	"corianderhitch/internal/rendezvous"
+	"github.com/cespare/xxhash/v2"
+
 	"corianderhitch/internal/scheduling"
 )
 
@@ -16,27 +17,42 @@
 // grow to scheduling.MaxCellTargets before targets move to the next in rank.
 const usualSize = 12
 
-// Split divides targets into cells of at most scheduling.MaxCellTargets. It is a
-// function of the names alone, so that all hosts agree; a target that comes or
-// goes moves few others unless the number of cells changes.
+// Split divides targets into cells of at most scheduling.MaxCellTargets, by
+// highest random weight among the cells with room. It is a function of the names
+// alone, so that all hosts agree; a target that comes or goes moves few others
+// unless the number of cells changes.
 func Split(targets []string) [][]string {
 	count := max(1, (len(targets)+usualSize-1)/usualSize)
-	names := make([]string, count)
-	for i := range names {
-		names[i] = Name(i)
+	keys := make([]uint64, count)
+	for i := range keys {
+		keys[i] = xxhash.Sum64String(Name(i))
 	}
 	cells := make([][]string, count)
 	for _, target := range slices.Sorted(slices.Values(targets)) {
-		for _, name := range rendezvous.Ranked(target, names) {
-			i := slices.Index(names, name)
-			if len(cells[i]) < scheduling.MaxCellTargets {
-				cells[i] = append(cells[i], target)
-				break
-			}
-		}
+		i := place(xxhash.Sum64String(target), keys, cells)
+		cells[i] = append(cells[i], target)
 	}
 	return cells
 }
 
+// place returns the cell with room that has the highest weight for the target.
+func place(target uint64, keys []uint64, cells [][]string) int {
+	best, bestWeight := -1, uint64(0)
+	for i, key := range keys {
+		w := mix(target ^ key)
+		if len(cells[i]) < scheduling.MaxCellTargets && (best < 0 || w > bestWeight) {
+			best, bestWeight = i, w
+		}
+	}
+	return best
+}
+
+// mix is the finalizer of splitmix64, which spreads each bit over all.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
 // Name returns the name of a cell, the last part of its owner's key.
 func Name(index int) string { return "cell-" + strconv.Itoa(index) }
