Idempotent submissions, other owners' load, and isolated requests that cannot block each other

Cause: a random walk over the pool (TestPoolKeepsItsPromises) found requests that wait for ever: the target set aside for one suspect was kept after its exoneration, and the first in line waited for it. It also found a refusal that was returned after its request was canceled. Change: verdicts of isolated requests are looked at again in each decision; those with a target set aside may always try. A ticket that was granted before gets the same grant again.

--- a/internal/scheduling/admit.go
+++ b/internal/scheduling/admit.go
@@ -25,14 +25,14 @@
 // admits is the Admitter: it tells whether the target can take the request now
 // without likely overflow of its memory, too long steps, or prompts queueing up.
 func (p *Pool) admits(now time.Time, t *targetState, c candidate) bool {
-	if len(t.residents) == 0 {
+	if t.sequences() == 0 {
 		return true // else a request larger than the bounds would never run
 	}
 	if t.TotalBlocks == 0 {
 		return len(t.residents) < unknownResidents
 	}
 	room := p.roomFor(c.request)
-	if float64(len(t.residents)+1) > room.batch*float64(p.steps.Largest(p.bounds.stepMS)) {
+	if t.sequences()+1 > room.batch*float64(p.steps.Largest(p.bounds.stepMS)) {
 		return false
 	}
 	ahead := t.prefillUntil.Sub(now)
--- a/internal/scheduling/decide.go
+++ b/internal/scheduling/decide.go
@@ -19,8 +19,8 @@
 
 // Decide implements Policy.
 func (p *Pool) Decide(now time.Time) Decisions {
-	d := Decisions{Refusals: p.refused}
-	p.refused = nil
+	d := Decisions{Refusals: p.refused, Grants: p.repeated}
+	p.refused, p.repeated = nil, nil
 	p.expire(now, &d)
 	if !p.anyWaiting() {
 		return d
@@ -91,7 +91,7 @@
 
 // NextDecision implements Policy.
 func (p *Pool) NextDecision(now time.Time) time.Time {
-	if len(p.refused) > 0 {
+	if len(p.refused)+len(p.repeated) > 0 {
 		return now
 	}
 	if !p.anyWaiting() {
--- a/internal/scheduling/isolated.go
+++ b/internal/scheduling/isolated.go
@@ -14,17 +14,18 @@
 	p.isolated = append(p.isolated, w.request.Ticket)
 }
 
-// decideIsolated grants targets to requests that must run alone, the first
-// ones first, as far as targets may be set aside.
+// decideIsolated grants targets to requests that must run alone: to those that
+// have one set aside, and to the first ones as far as more may be set aside.
 func (p *Pool) decideIsolated(now time.Time, d *Decisions) {
 	kept := p.isolated[:0]
 	held := 0
 	for _, ticket := range p.isolated {
 		w, ok := p.waiting[ticket]
-		if !ok {
-			continue // canceled or refused
+		if !ok || p.reconsider(now, w, d) {
+			continue
 		}
-		if held >= p.mostQuarantined() || !p.decideAlone(now, w, d) {
+		mayTry := held < p.mostQuarantined() || p.hasQuarantine(w.request.Fingerprint)
+		if !mayTry || !p.grantAlone(now, w, d) {
 			kept = append(kept, ticket)
 			held++
 		}
@@ -32,26 +33,31 @@
 	p.isolated = kept
 }
 
-// decideAlone settles a request that must run alone, if it can be now.
-func (p *Pool) decideAlone(now time.Time, w *waiting, d *Decisions) bool {
-	ticket := w.request.Ticket
-	verdict := p.suspects.Verdict(w.request.Fingerprint, now)
-	if verdict == suspicion.Refuse {
-		p.withdraw(ticket)
-		d.Refusals = append(d.Refusals, refuseSuspect(ticket))
-		return true
-	}
-	if verdict != suspicion.Isolate {
+// reconsider settles a request whose verdict has changed while it waited to run
+// alone: it is refused, or goes back to the fair queue.
+func (p *Pool) reconsider(now time.Time, w *waiting, d *Decisions) bool {
+	switch p.suspects.Verdict(w.request.Fingerprint, now) {
+	case suspicion.Isolate:
+		return false
+	case suspicion.Refuse:
+		p.withdraw(w.request.Ticket)
+		d.Refusals = append(d.Refusals, refuseSuspect(w.request.Ticket))
+	default:
+		p.endQuarantine(w.request.Fingerprint)
 		p.queue.Push(itemOf(w))
-		return true
 	}
+	return true
+}
+
+// grantAlone grants the request a target of its own, if one is empty.
+func (p *Pool) grantAlone(now time.Time, w *waiting, d *Decisions) bool {
 	p.quarantine(w.request.Fingerprint)
 	c := p.consider(w)
-	t := p.pick(now, &c, verdict)
+	t := p.pick(now, &c, suspicion.Isolate)
 	if t == nil {
 		return false
 	}
-	delete(p.waiting, ticket)
+	delete(p.waiting, w.request.Ticket)
 	d.Grants = append(d.Grants, p.place(now, t, &c, w.curve))
 	return true
 }
--- a/internal/scheduling/pool.go
+++ b/internal/scheduling/pool.go
@@ -37,6 +37,7 @@
 	isolated []string // tickets that wait to run alone, in order of arrival
 	running  map[string]*resident
 	present  map[uint64]int // requests waiting or running, by fingerprint
+	repeated []Grant        // of tickets that were submitted again
 	refused  []Refusal      // decided at Submit, returned by the next Decide
 	deaths   int64
 	scratch  []scored
@@ -90,8 +91,11 @@
 	p.cache.Evict(t.slot, update.Evict)
 }
 
-// Cancel implements Policy.
-func (p *Pool) Cancel(_ time.Time, ticket string) { p.withdraw(ticket) }
+// Cancel implements Policy. A refusal that was not yet returned is dropped too.
+func (p *Pool) Cancel(_ time.Time, ticket string) {
+	p.withdraw(ticket)
+	p.refused = slices.DeleteFunc(p.refused, func(r Refusal) bool { return r.Ticket == ticket })
+}
 
 // Finish implements Policy.
 func (p *Pool) Finish(now time.Time, finished Finished) {
@@ -125,11 +129,7 @@
 		return
 	}
 	delete(p.present, fingerprint)
-	for _, t := range p.order {
-		if t.quarantine == fingerprint {
-			t.quarantine = 0
-		}
-	}
+	p.endQuarantine(fingerprint)
 }
 
 func (p *Pool) withdraw(ticket string) {
--- a/internal/scheduling/pool_test.go
+++ b/internal/scheduling/pool_test.go
@@ -246,3 +246,43 @@
 	assert.Less(t, a.stepMS, b.stepMS, "the charter utility wants short steps")
 	assert.Greater(t, a.overflow, b.overflow, "the call-box association wants no preemptions")
 }
+
+func TestSubmitIsIdempotent(t *testing.T) {
+	p := newTestPool(Config{}, healthyTargets("x", "y")...)
+	p.Submit(testStart, testRequest("a"))
+	p.Submit(testStart, testRequest("a"))
+	first := p.Decide(testStart).Grants
+	require.Len(t, first, 1)
+	p.Submit(testStart, testRequest("a"))
+	assert.Equal(t, testStart, p.NextDecision(testStart))
+	again := p.Decide(testStart).Grants
+	require.Len(t, again, 1)
+	assert.Equal(t, first[0].Target, again[0].Target)
+	p.Finish(testStart, Finished{Ticket: "a", Produced: 3, Complete: true})
+	assert.Empty(t, p.running)
+}
+
+// TestNewOwnerSeesWhatOthersGranted takes over a pool whose engines are full.
+func TestNewOwnerSeesWhatOthersGranted(t *testing.T) {
+	full, free := healthyTargets("full")[0], healthyTargets("free")[0]
+	full.Running, full.UsedBlocks, full.StepMS = 30, 97, 30
+	p := newTestPool(Config{}, full, free)
+	for i := range 3 {
+		p.Submit(testStart, testRequest(fmt.Sprint(i)))
+	}
+	for _, g := range p.Decide(testStart).Grants {
+		assert.Equal(t, "free", g.Target)
+	}
+}
+
+func TestForgottenPlacesEnd(t *testing.T) {
+	p := newTestPool(Config{}, healthyTargets("x")...)
+	p.Submit(testStart, testRequest("a"))
+	require.Len(t, p.Decide(testStart).Grants, 1)
+	now := testStart
+	for range 600 {
+		now = now.Add(time.Second)
+		p.SetTargets(now, healthyTargets("x"))
+	}
+	assert.Empty(t, p.running)
+}
--- a/internal/scheduling/pooltargets.go
+++ b/internal/scheduling/pooltargets.go
@@ -9,6 +9,13 @@
 	"corianderhitch/internal/scheduling/suspicion"
 )
 
+const (
+	// A granted request is taken as forgotten after this many times its longest
+	// output, plus a grace in tokens for its preemptions.
+	forgottenAfter = 2.0
+	forgottenGrace = 2000.0
+)
+
 // SetTargets implements Policy.
 func (p *Pool) SetTargets(now time.Time, targets []Target) {
 	seen := make(map[string]bool, len(targets))
@@ -35,11 +42,23 @@
 	t.advance(now, p.steps)
 	fresh := target.ReportedAt.After(t.ReportedAt)
 	t.Target = target
-	t.note(now)
 	if fresh {
 		t.reported()
 		p.steps.Observe(target.Running, target.StepMS)
 	}
+	t.note(now)
+	p.dropForgotten(now, t)
+}
+
+// dropForgotten ends the places of requests whose gateway never told their end,
+// such as one that died: those that would have produced twice their longest
+// output by now.
+func (p *Pool) dropForgotten(now time.Time, t *targetState) {
+	for _, r := range slices.Clone(t.residents) {
+		if r.started && t.progress-r.startedAt > forgottenAfter*float64(r.request.MaxTokens)+forgottenGrace {
+			p.Finish(now, Finished{Ticket: r.request.Ticket, Produced: r.request.Produced})
+		}
+	}
 }
 
 func (p *Pool) dropTarget(t *targetState) {
@@ -91,7 +110,7 @@
 	p.cache.Forget(t.slot)
 	t.Healthy = false
 	t.prefillUntil = now
-	t.foreign = 0
+	t.foreign, t.foreignRuns = 0, 0
 	t.history = nil
 	t.stale = true
 }
--- a/internal/scheduling/quarantine.go
+++ b/internal/scheduling/quarantine.go
@@ -1,5 +1,7 @@
 package scheduling
 
+import "slices"
+
 const (
 	// quarantineDivisor bounds the targets set aside for suspects at a time to
 	// this part of all.
@@ -50,3 +52,17 @@
 	}
 	return most
 }
+
+// hasQuarantine tells whether a target is set aside for the fingerprint.
+func (p *Pool) hasQuarantine(fingerprint uint64) bool {
+	return slices.ContainsFunc(p.order, func(t *targetState) bool { return t.quarantine == fingerprint })
+}
+
+// endQuarantine returns the target that was set aside for the fingerprint.
+func (p *Pool) endQuarantine(fingerprint uint64) {
+	for _, t := range p.order {
+		if t.quarantine == fingerprint {
+			t.quarantine = 0
+		}
+	}
+}
--- a/internal/scheduling/score.go
+++ b/internal/scheduling/score.go
@@ -20,7 +20,7 @@
 // score is the Scorer: the expected harm of placing the request on the target
 // in milliseconds, over the request itself and the sequences beside it.
 func (p *Pool) score(now time.Time, t *targetState, c *candidate) float64 {
-	beside := float64(len(t.residents))
+	beside := t.sequences()
 	wait := math.Max(0, float64(t.prefillUntil.Sub(now))/float64(time.Millisecond))
 	prefill := c.prefillMS(t, p.config.PrefillMSPerToken)
 	first := firstTokenCost * (wait + prefill)
--- a/internal/scheduling/submit.go
+++ b/internal/scheduling/submit.go
@@ -14,8 +14,20 @@
 const minRetryAfter = 200 * time.Millisecond
 
 // Submit implements Policy. A request that cannot be served in time is refused
-// at once.
+// at once. Submit is idempotent: a ticket that waits is not queued twice, and
+// one that was granted is granted the same target again, since the answer may
+// have been lost.
 func (p *Pool) Submit(now time.Time, request Request) {
+	if _, ok := p.waiting[request.Ticket]; ok {
+		return
+	}
+	if r, ok := p.running[request.Ticket]; ok {
+		p.repeated = append(p.repeated, Grant{Ticket: request.Ticket, Target: r.target.Name, Reason: "granted before"})
+		return
+	}
+	if request.Submitted.IsZero() {
+		request.Submitted = now
+	}
 	if refusal, refused := p.refuseEarly(now, &request); refused {
 		p.refused = append(p.refused, refusal)
 		return
--- a/internal/scheduling/targetstate.go
+++ b/internal/scheduling/targetstate.go
@@ -13,8 +13,13 @@
 	// foreignSmoothing is the share of a new report in the estimate of the
 	// memory that this pool did not grant.
 	foreignSmoothing = 0.3
+	// leastStepMS bounds the token rate that a faulty report can claim.
+	leastStepMS = 1.0
 	// stepSmoothing is the share of a new report in the mean step.
 	stepSmoothing = 0.1
+	// foreignTolerance is the number of sequences by which reports and own
+	// counts differ without others' grants.
+	foreignTolerance = 2
 	// historySlots bounds the own estimates kept to compare lagged reports with.
 	historySlots = 64
 	historyEvery = 50 * time.Millisecond
@@ -37,14 +42,16 @@
 	stale        bool
 	meanStepMS   float64 // of the reports, with prefill; 0 before the first
 	foreign      float64 // tokens in memory that this pool did not grant, or less than 0 where sequences share blocks
+	foreignRuns  float64 // sequences that this pool did not grant
 	history      []usage
 	quarantine   uint64 // fingerprint that waits for or runs on the empty target
 }
 
-// usage is an own estimate of the tokens in memory at an instant.
+// usage is what this pool had on a target at an instant, by its own estimate.
 type usage struct {
-	at     time.Time
-	tokens float64
+	at        time.Time
+	tokens    float64 // in memory
+	sequences int
 }
 
 func (t *targetState) capacity() float64 { return float64(t.TotalBlocks * t.BlockTokens) }
@@ -61,8 +68,9 @@
 	before := t.progress
 	stepMS := t.meanStepMS
 	if stepMS <= 0 {
-		stepMS = max(1, steps.At(float64(len(t.residents))))
+		stepMS = steps.At(float64(len(t.residents)))
 	}
+	stepMS = max(leastStepMS, stepMS)
 	t.progress += float64(elapsed) / float64(time.Millisecond) / stepMS
 	for _, r := range t.residents {
 		if !r.started && !now.Before(r.startsAt) {
@@ -91,37 +99,51 @@
 	if len(t.history) == historySlots {
 		t.history = append(t.history[:0], t.history[1:]...)
 	}
-	t.history = append(t.history, usage{at: now, tokens: t.use()})
+	t.history = append(t.history, usage{at: now, tokens: t.use(), sequences: len(t.residents)})
 }
 
 // reported compares a new report with the own estimate at the report's time.
-// What the engine holds beyond it was granted by others.
+// What the engine holds beyond it was granted by others: by another owner of the
+// same pool, by the owner before, or by a gateway that chose alone.
 func (t *targetState) reported() {
-	if t.StepMS > 0 {
-		if t.meanStepMS == 0 {
-			t.meanStepMS = t.StepMS
-		}
-		t.meanStepMS += stepSmoothing * (t.StepMS - t.meanStepMS)
-	}
+	t.observeStep()
 	if t.BlockTokens == 0 {
 		return
 	}
-	own, known := t.useAt(t.ReportedAt)
-	if !known {
+	own, smoothing := t.useAt(t.ReportedAt)
+	tokens := float64(t.UsedBlocks*t.BlockTokens) - own.tokens
+	runs := float64(t.Running + t.Waiting - own.sequences)
+	t.foreign += smoothing * (tokens - t.foreign)
+	t.foreignRuns += smoothing * (runs - t.foreignRuns)
+	t.stale = true
+}
+
+func (t *targetState) observeStep() {
+	if t.StepMS <= 0 {
 		return
 	}
-	excess := float64(t.UsedBlocks*t.BlockTokens) - own
-	t.foreign += foreignSmoothing * (excess - t.foreign)
-	t.stale = true
+	if t.meanStepMS == 0 {
+		t.meanStepMS = t.StepMS
+	}
+	t.meanStepMS += stepSmoothing * (t.StepMS - t.meanStepMS)
 }
 
-func (t *targetState) useAt(at time.Time) (float64, bool) {
+// useAt returns the own use at an instant, and how much a report of it counts.
+// Before the first own estimate nothing was granted by this pool, so that the
+// report counts in full.
+func (t *targetState) useAt(at time.Time) (usage, float64) {
 	for i := len(t.history) - 1; i >= 0; i-- {
 		if !t.history[i].at.After(at) {
-			return t.history[i].tokens, true
+			return t.history[i], foreignSmoothing
 		}
 	}
-	return 0, false
+	return usage{}, 1
+}
+
+// sequences returns the size of the batch, with what others granted. Reports
+// and own counts differ a little while messages are under way.
+func (t *targetState) sequences() float64 {
+	return float64(len(t.residents)) + max(0, t.foreignRuns-foreignTolerance)
 }
 
 // refresh computes the forecast again if it is stale or old.
