--- a/internal/scheduling/pooltargets.go
+++ b/internal/scheduling/pooltargets.go
@@ -95,7 +95,7 @@
 		return
 	}
 	p.deaths++
-	crash := suspicion.Crash{ID: fmt.Sprintf("%s/%d", target, p.deaths), At: now}
+	crash := suspicion.Crash{ID: fmt.Sprintf("%s/%d", target, p.deaths), Target: target, At: now}
 	for _, r := range slices.Clone(t.residents) {
 		if r.request.Fingerprint != 0 {
 			crash.Beside = append(crash.Beside, r.request.Fingerprint)
@@ -115,8 +115,12 @@
 	t.stale = true
 }
 
-// SuspectElsewhere takes the news of a crash that another owner has seen.
-func (p *Pool) SuspectElsewhere(crash suspicion.Crash) { p.suspects.Record(crash) }
+// SuspectElsewhere takes the news of a crash that another host has seen. It may
+// be one that Crashed was told of too.
+func (p *Pool) SuspectElsewhere(crash suspicion.Crash) {
+	crash.Heard = true
+	p.suspects.Record(crash)
+}
 
 // Verdict returns how a request with the fingerprint may be run.
 func (p *Pool) Verdict(now time.Time, fingerprint uint64) suspicion.Verdict {
--- a/internal/scheduling/suspicion/tracker.go
+++ b/internal/scheduling/suspicion/tracker.go
@@ -25,24 +25,40 @@
 	// isolateAfter is the number of crashes of different targets' runs after
 	// which a request runs alone.
 	isolateAfter = 2
+	// sameWithin is the time within which reports of a target's death are taken
+	// as one.
+	sameWithin = 5 * time.Second
 	// maxFingerprints bounds the requests under suspicion, about 100 B each.
 	maxFingerprints = 16384
 )
 
-// Crash is the death of a target with the fingerprints that it ran.
+// Crash is the death of a target with the fingerprints that it ran. Two reports
+// of one crash count once: by its ID, or by target and time if one was heard
+// from another host.
 type Crash struct {
-	ID     string // unique, so that the same news counts once
+	ID     string // unique
+	Target string
+	Heard  bool // from another host
 	At     time.Time
 	Beside []uint64
 }
 
+// same tells whether two reports are of one crash. Hosts learn of it at somewhat
+// different times, and a target is not back within sameWithin.
+func (c *Crash) same(other *Crash) bool {
+	if c.ID == other.ID {
+		return true
+	}
+	return (c.Heard || other.Heard) && c.Target != "" && c.Target == other.Target && c.At.Sub(other.At).Abs() < sameWithin
+}
+
 // Tracker holds the requests under suspicion. It is not safe for concurrent use.
 type Tracker struct {
 	records *simplelru.LRU[uint64, *record]
 }
 
 type record struct {
-	crashes []string
+	crashes []Crash // without the fingerprints
 	alone   bool
 	last    time.Time
 }
@@ -59,10 +75,10 @@
 	distinct := slices.Compact(slices.Sorted(slices.Values(crash.Beside)))
 	for _, fingerprint := range distinct {
 		r := t.fresh(fingerprint, crash.At)
-		if slices.Contains(r.crashes, crash.ID) {
+		if slices.ContainsFunc(r.crashes, func(c Crash) bool { return c.same(&crash) }) {
 			continue
 		}
-		r.crashes = append(r.crashes, crash.ID)
+		r.crashes = append(r.crashes, Crash{ID: crash.ID, Target: crash.Target, Heard: crash.Heard, At: crash.At})
 		r.alone = r.alone || (len(distinct) == 1 && len(r.crashes) >= isolateAfter)
 		r.last = crash.At
 	}
@@ -93,7 +109,9 @@
 	if !okA || !okB || a == b {
 		return false
 	}
-	return slices.ContainsFunc(ra.crashes, func(id string) bool { return slices.Contains(rb.crashes, id) })
+	return slices.ContainsFunc(ra.crashes, func(x Crash) bool {
+		return slices.ContainsFunc(rb.crashes, func(y Crash) bool { return x.same(&y) })
+	})
 }
 
 func (t *Tracker) fresh(fingerprint uint64, now time.Time) *record {
--- a/internal/scheduling/suspicion/tracker_test.go
+++ b/internal/scheduling/suspicion/tracker_test.go
@@ -25,6 +25,14 @@
 			{ID: "1", At: start, Beside: []uint64{culprit, neighbour}},
 			{ID: "1", At: start, Beside: []uint64{culprit, neighbour}},
 		}, nil, culprit, 0, Spread},
+		{"one crash heard of twice", []Crash{
+			{ID: "seen", Target: "x", At: start, Beside: []uint64{culprit, neighbour}},
+			{ID: "news", Target: "x", Heard: true, At: start.Add(time.Second), Beside: []uint64{culprit, neighbour}},
+		}, nil, culprit, time.Second, Spread},
+		{"two crashes of one target", []Crash{
+			{ID: "1", Target: "x", At: start, Beside: []uint64{culprit, neighbour}},
+			{ID: "2", Target: "x", At: start.Add(time.Second), Beside: []uint64{culprit, neighbour}},
+		}, nil, culprit, time.Minute, Isolate},
 		{"a second crash", []Crash{
 			{ID: "1", At: start, Beside: []uint64{culprit, neighbour}},
 			{ID: "2", At: start, Beside: []uint64{culprit, stranger}},
