--- a/internal/scheduling/fairqueue/queue.go
+++ b/internal/scheduling/fairqueue/queue.go
@@ -15,6 +15,8 @@
 	agedShare = 0.125
 	// maxAgedCredit bounds the tokens that aged requests can save up.
 	maxAgedCredit = 8192
+	// leastCompact is the number of accounts below which none is forgotten.
+	leastCompact = 1024
 	// DefaultAge is the wait after which a request may overtake higher priorities.
 	DefaultAge = 20 * time.Second
 )
@@ -27,7 +29,6 @@
 	Priority  int     // 0 to Levels-1
 	Tokens    float64 // expected work
 	Submitted time.Time
-	MayBeLate bool
 }
 
 // Queue holds waiting requests. It is not safe for concurrent use.
@@ -36,8 +37,10 @@
 	accounts      map[string]*account
 	items         map[string]*node
 	virtual       float64 // virtual time: tokens served per unit of weight
+	latest        float64 // virtual time at which all served work ends
 	agedCredit    float64 // tokens
 	age           time.Duration
+	compactAt     int // accounts
 	asideItems    []*node
 	asideAccounts []*account
 	asideFlows    []asideFlow
@@ -71,7 +74,10 @@
 	if age <= 0 {
 		age = DefaultAge
 	}
-	return &Queue{accounts: make(map[string]*account), items: make(map[string]*node), age: age}
+	return &Queue{
+		accounts: make(map[string]*account), items: make(map[string]*node),
+		age: age, compactAt: leastCompact,
+	}
 }
 
 // Len returns the number of waiting requests.
@@ -171,12 +177,17 @@
 	start := q.startOf(a)
 	q.virtual = max(q.virtual, start)
 	a.finish = start + n.Tokens/n.Weight
+	q.latest = max(q.latest, a.finish)
 	if q.overtakes(n, now) {
 		q.agedCredit -= n.Tokens
 	} else {
 		q.agedCredit = min(maxAgedCredit, q.agedCredit+agedShare*n.Tokens)
 	}
 	q.drop(n)
+	if len(q.items) == 0 {
+		q.virtual = q.latest // nobody waits, so that nobody is owed anything
+	}
+	q.compact()
 }
 
 // Charge corrects an account by the difference between the tokens that its
@@ -190,15 +201,21 @@
 		weight = 1
 	}
 	a.finish = max(0, a.finish+tokens/weight)
+	q.latest = max(q.latest, a.finish)
 }
 
-// Compact forgets accounts that have nothing waiting and no debt.
-func (q *Queue) Compact() {
+// compact forgets accounts that have nothing waiting and no debt, once there are
+// twice as many as were left the last time.
+func (q *Queue) compact() {
+	if len(q.accounts) < q.compactAt {
+		return
+	}
 	for name, a := range q.accounts {
 		if a.waiting == 0 && a.finish <= q.virtual {
 			delete(q.accounts, name)
 		}
 	}
+	q.compactAt = max(leastCompact, 2*len(q.accounts))
 }
 
 func (q *Queue) account(name string) *account {
--- a/internal/scheduling/fairqueue/queue_test.go
+++ b/internal/scheduling/fairqueue/queue_test.go
@@ -136,6 +136,15 @@
 	})
 }
 
+func TestIdleAccountsAreForgotten(t *testing.T) {
+	q := New(0)
+	for i := range 10 * leastCompact {
+		q.Push(Item{ID: fmt.Sprint(i), Account: fmt.Sprint(i), Tokens: 10, Submitted: start})
+		serve(q, start, 1)
+	}
+	assert.LessOrEqual(t, len(q.accounts), 2*leastCompact)
+}
+
 func BenchmarkPushNextServe(b *testing.B) {
 	for _, accounts := range []int{10, 1000, 27000} {
 		b.Run(fmt.Sprintf("accounts=%d", accounts), func(b *testing.B) {
--- a/internal/scheduling/submit.go
+++ b/internal/scheduling/submit.go
@@ -46,7 +46,7 @@
 	r := &w.request
 	return fairqueue.Item{
 		ID: r.Ticket, Account: r.Account, Weight: r.Weight, Priority: queuePriority(r),
-		Tokens: w.expected, Submitted: r.Submitted, MayBeLate: r.MayBeLate,
+		Tokens: w.expected, Submitted: r.Submitted,
 	}
 }
 
