--- a/internal/scheduling/pooltargets.go
+++ b/internal/scheduling/pooltargets.go
@@ -9,6 +9,13 @@
 	"corianderhitch/internal/scheduling/suspicion"
 )
 
+const (
+	// A granted request is taken as forgotten after this many times its longest
+	// output, plus a grace in tokens for its preemptions.
+	forgottenAfter = 2.0
+	forgottenGrace = 2000.0
+)
+
 // SetTargets implements Policy.
 func (p *Pool) SetTargets(now time.Time, targets []Target) {
 	seen := make(map[string]bool, len(targets))
@@ -35,11 +42,23 @@
 	t.advance(now, p.steps)
 	fresh := target.ReportedAt.After(t.ReportedAt)
 	t.Target = target
-	t.note(now)
 	if fresh {
 		t.reported()
 		p.steps.Observe(target.Running, target.StepMS)
 	}
+	t.note(now)
+	p.dropForgotten(now, t)
+}
+
+// dropForgotten ends the places of requests whose gateway never told their end,
+// such as one that died: those that would have produced twice their longest
+// output by now.
+func (p *Pool) dropForgotten(now time.Time, t *targetState) {
+	for _, r := range slices.Clone(t.residents) {
+		if r.started && t.progress-r.startedAt > forgottenAfter*float64(r.request.MaxTokens)+forgottenGrace {
+			p.Finish(now, Finished{Ticket: r.request.Ticket, Produced: r.request.Produced})
+		}
+	}
 }
 
 func (p *Pool) dropTarget(t *targetState) {
@@ -76,7 +95,7 @@
 		return
 	}
 	p.deaths++
-	crash := suspicion.Crash{ID: fmt.Sprintf("%s/%d", target, p.deaths), At: now}
+	crash := suspicion.Crash{ID: fmt.Sprintf("%s/%d", target, p.deaths), Target: target, At: now}
 	for _, r := range slices.Clone(t.residents) {
 		if r.request.Fingerprint != 0 {
 			crash.Beside = append(crash.Beside, r.request.Fingerprint)
@@ -91,13 +110,17 @@
 	p.cache.Forget(t.slot)
 	t.Healthy = false
 	t.prefillUntil = now
-	t.foreign = 0
+	t.foreign, t.foreignRuns = 0, 0
 	t.history = nil
 	t.stale = true
 }
 
-// SuspectElsewhere takes the news of a crash that another owner has seen.
-func (p *Pool) SuspectElsewhere(crash suspicion.Crash) { p.suspects.Record(crash) }
+// SuspectElsewhere takes the news of a crash that another host has seen. It may
+// be one that Crashed was told of too.
+func (p *Pool) SuspectElsewhere(crash suspicion.Crash) {
+	crash.Heard = true
+	p.suspects.Record(crash)
+}
 
 // Verdict returns how a request with the fingerprint may be run.
 func (p *Pool) Verdict(now time.Time, fingerprint uint64) suspicion.Verdict {
--- a/internal/scheduling/suspicion/tracker.go
+++ b/internal/scheduling/suspicion/tracker.go
@@ -11,10 +11,8 @@
 // record is one crash. The requests that have run to their end since are taken
 // out of it.
 type record struct {
-	id   string
-	at   time.Time
-	ran  map[uint64]struct{}
-	most int // requests that the crash may hold
+	crash Crash // without the fingerprints
+	ran   map[uint64]struct{}
 }
 
 // NewTracker returns an empty Tracker.
@@ -24,13 +22,14 @@
 // the same crash adds the requests that it names.
 func (t *Tracker) Record(crash Crash) {
 	t.expire(crash.At)
-	r := t.find(crash.ID)
+	r := t.find(&crash)
 	if r == nil {
-		r = &record{id: crash.ID, at: crash.At, ran: make(map[uint64]struct{}), most: maxFingerprints}
+		r = &record{crash: crash, ran: make(map[uint64]struct{})}
+		r.crash.Beside = nil
 		t.crashes = append(t.crashes, r)
 	}
 	for _, fingerprint := range crash.Beside {
-		if len(r.ran) < r.most {
+		if len(r.ran) < maxFingerprints {
 			r.ran[fingerprint] = struct{}{}
 		}
 	}
@@ -76,7 +75,7 @@
 	remaining := time.Duration(0)
 	for _, r := range t.crashes {
 		if r.holds(fingerprint) {
-			remaining = max(remaining, r.at.Add(Memory).Sub(now))
+			remaining = max(remaining, r.crash.At.Add(Memory).Sub(now))
 		}
 	}
 	return remaining
@@ -120,9 +119,9 @@
 	return false
 }
 
-func (t *Tracker) find(id string) *record {
+func (t *Tracker) find(crash *Crash) *record {
 	for _, r := range t.crashes {
-		if r.id == id {
+		if r.crash.same(crash) {
 			return r
 		}
 	}
@@ -130,7 +129,7 @@
 }
 
 func (t *Tracker) expire(now time.Time) {
-	for len(t.crashes) > 0 && now.Sub(t.crashes[0].at) > Memory {
+	for len(t.crashes) > 0 && now.Sub(t.crashes[0].crash.At) > Memory {
 		t.crashes = t.crashes[1:]
 	}
 }
