Work roles out at the foreseen size from fitted measurements

Cause: docs/CAPACITY.md must follow from slopes, not from guesses. Conclusion: internal/capacity fits the kept points by least squares with 95% intervals and writes the page's tables; the unused load.SettingsOf is gone, gendoc lists the settings of the new commands.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,8 @@
 SEED ?= 1
 SCENARIO ?= crowded
 
-.PHONY: all build test unit race lint generate generate-check demo prove prove-short experiment bench fuzz-short clean
+.PHONY: all build test unit race lint generate generate-check demo prove prove-short experiment bench fuzz-short clean \
+	load overhead compare rest documents ledger measure figures capacity
 
 all: build
 
@@ -59,3 +60,38 @@
 # prove brings every fault about with real processes; SEED draws moments.
 prove:
 	$(GO) test ./tests/prove -count=1 -timeout 10m -v -seed $(SEED) | grep -E '^(PASS|FAIL)  |passed, |^seed |^ok|^FAIL|_test.go:|Messages:|Error:'
+
+# The measurements of docs/MEASUREMENTS.md. Each adds to out/; what is kept is
+# copied to docs/measurements by hand, with the commit that explains it.
+overhead ledger load: build
+	scripts/$@.sh
+
+BASELINE ?= least_in_flight
+compare: build
+	SEED=$(SEED) scripts/compare.sh $(BASELINE)
+
+# rest measures agents without callers in fleets of several sizes: with 15
+# targets, with more targets, at the foreseen ratio of targets to hosts, and
+# with gateways.
+rest: build
+	SERIES=rest-hosts scripts/rest.sh 4:15 8:15 16:15 32:15 64:15
+	SERIES=rest-targets scripts/rest.sh 8:15 8:30 8:60 8:120 8:240
+	SERIES=rest-ratio scripts/rest.sh 8:53 16:106 32:211 64:422
+	SERIES=rest-gateways WITH_GATEWAYS=1 scripts/rest.sh 8:15
+
+documents: build
+	scripts/documents.sh 10 1000 5000 27000
+
+# measure runs all of them, in about twenty minutes.
+measure: load overhead compare rest ledger documents
+
+# figures draws docs/figures from the experiment and the kept results.
+figures: build
+	mkdir -p out/experiment
+	for s in steady crowded surge; do $(BIN)/hitchload experiment --scenario $$s --seed $(SEED) >out/experiment/$$s.jsonl || true; done
+	$(BIN)/hitchload report --out docs/figures --experiment out/experiment/steady.jsonl,out/experiment/crowded.jsonl,out/experiment/surge.jsonl \
+	  --result docs/measurements/compare.json
+
+# capacity writes the tables of docs/CAPACITY.md from the kept measurements.
+capacity: build
+	$(BIN)/hitchload capacity
--- a/cmd/hitchload/main.go
+++ b/cmd/hitchload/main.go
@@ -11,7 +11,7 @@
 
 func main() {
 	root := load.Command()
-	root.AddCommand(capacity.UsageCommand())
+	root.AddCommand(capacity.UsageCommand(), capacity.PageCommand())
 	if err := root.Execute(); err != nil {
 		os.Exit(1)
 	}
--- a/internal/capacity/fit_test.go
+++ b/internal/capacity/fit_test.go
@@ -41,3 +41,24 @@
 	_, err = processorTime([]byte("12 (x) S 1"))
 	require.Error(t, err)
 }
+
+func TestBlocksOfAPageAreReplaced(t *testing.T) {
+	page := "a\n<!-- generated: x -->\nold\n<!-- end -->\nb\n"
+	text, err := replaceBlocks(page, map[string]string{"x": "new\n"})
+	require.NoError(t, err)
+	require.Equal(t, "a\n<!-- generated: x -->\n\nnew\n\n<!-- end -->\nb\n", text)
+	again, err := replaceBlocks(text, map[string]string{"x": "new\n"})
+	require.NoError(t, err)
+	require.Equal(t, text, again)
+	_, err = replaceBlocks(page, map[string]string{"y": ""})
+	require.Error(t, err)
+}
+
+func TestStoreBudgetLeavesWritesForCalls(t *testing.T) {
+	reads := 0.0
+	for _, d := range StoreDuties(Foreseen) {
+		reads += d.Reads
+	}
+	require.Less(t, reads, storeReads)
+	require.Greater(t, StoreLeft(Foreseen), storeWrites/2)
+}
--- /dev/null
+++ b/internal/capacity/pagecommand.go
@@ -0,0 +1,55 @@
+package capacity
+
+import (
+	"os"
+
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+
+	"corianderhitch/internal/settings"
+)
+
+// PageSettings are the settings of "hitchload capacity".
+type PageSettings struct {
+	Measurements string `flag:"measurements" default:"docs/measurements" usage:"directory of the measured points" validate:"required"`
+	Page         string `flag:"page" default:"docs/CAPACITY.md" usage:"page whose generated blocks are written anew" validate:"required"`
+}
+
+// PageCommand returns "hitchload capacity".
+func PageCommand() *cobra.Command {
+	var s PageSettings
+	cmd := &cobra.Command{
+		Use:   "capacity",
+		Short: "Fit the measured points and write the tables of the capacity page",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := settings.Load(cmd.Flags(), &s); err != nil {
+				return err
+			}
+			return writePage(s)
+		},
+	}
+	settings.Register(cmd.Flags(), &s)
+	return cmd
+}
+
+func writePage(s PageSettings) error {
+	slopes, err := ReadSlopes(s.Measurements)
+	if err != nil {
+		return err
+	}
+	page, err := os.ReadFile(s.Page)
+	if err != nil {
+		return eris.Wrap(err, "cannot read the page; correct --page")
+	}
+	text, err := replaceBlocks(string(page), map[string]string{
+		"slopes":   slopesTable(slopes),
+		"roles":    rolesTable(Foreseen, slopes),
+		"store":    storeTable(Foreseen, slopes),
+		"failures": failuresTable(Foreseen),
+	})
+	if err != nil {
+		return err
+	}
+	return eris.Wrap(os.WriteFile(s.Page, []byte(text), 0o644), "cannot write the page")
+}
--- a/internal/load/settings.go
+++ b/internal/load/settings.go
@@ -59,13 +59,3 @@
 func newClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: connectionsPerHost}}
 }
-
-// SettingsOf lists the settings of all commands, for docs/CONFIGURATION.md.
-func SettingsOf() map[string]any {
-	return map[string]any{
-		"hitchload run":      &RunSettings{},
-		"hitchload compare":  &CompareSettings{},
-		"hitchload overhead": &OverheadSettings{},
-		"hitchload report":   &ReportSettings{},
-	}
-}
--- a/internal/settings/gendoc/page.go
+++ b/internal/settings/gendoc/page.go
@@ -5,6 +5,7 @@
 	"io"
 
 	"corianderhitch/internal/agent"
+	"corianderhitch/internal/capacity"
 	"corianderhitch/internal/cli"
 	"corianderhitch/internal/gateway"
 	"corianderhitch/internal/load"
@@ -29,6 +30,9 @@
 		{"hitchload run", new(load.RunSettings)},
 		{"hitchload compare", new(load.CompareSettings)},
 		{"hitchload overhead", new(load.OverheadSettings)},
+		{"hitchload report", new(load.ReportSettings)},
+		{"hitchload usage", new(capacity.UsageSettings)},
+		{"hitchload capacity", new(capacity.PageSettings)},
 		{"standin store", new(store.Settings)},
 		{"standin engine", new(engine.Settings)},
 		{"standin service", new(service.Settings)},
--- a/scripts/overhead.sh
+++ b/scripts/overhead.sh
@@ -35,9 +35,11 @@
     --duration "${EACH}s" "${ONE_LENGTH[@]}" --out "$OUT/overhead"
 fi
 
+seed=100 # request ids follow from the seed; those of the rounds are answered again at once
 for rate in $RATES; do
+  seed=$((seed + 1))
   note "cost: $((rate * TOKENS)) tokens/s"
-  $BIN/hitchload run --gateways "$GATEWAYS" --keys "$KEYS" --rate "$rate" --duration "${EACH}s" --lookup-share 0 --hold-share 0 \
+  $BIN/hitchload run --gateways "$GATEWAYS" --keys "$KEYS" --rate "$rate" --seed "$seed" --duration "${EACH}s" --lookup-share 0 --hold-share 0 \
     "${ONE_LENGTH[@]}" --label "$((rate * TOKENS)) tokens/s" >"$TOP/run.txt" &
   run=$!
   sleep 5
--- a/scripts/rest.sh
+++ b/scripts/rest.sh
@@ -1,17 +1,21 @@
 #!/usr/bin/env bash
-# Measures agents at rest: fleets of several sizes without callers, then one
-# fleet with several numbers of targets. Adds points to OUT/rest.jsonl.
+# Measures agents at rest, without callers, in fleets of several sizes. Adds
+# points to OUT/rest.jsonl.
 #
-# Usage: scripts/rest.sh [hosts...]; environment: TARGETS (list of numbers for
-# eight hosts), SECONDS_EACH.
+# Usage: scripts/rest.sh [hosts:targets...]; environment: SERIES (name of the
+# points), WITH_GATEWAYS=1 (each host has a gateway too), SECONDS_EACH, SETTLE.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 . scripts/measuring.sh
-SIZES=("${@:-8}")
-EACH=${SECONDS_EACH:-30}s
+SIZES=("${@:-8:15}")
+SERIES=${SERIES:-rest}
+EACH=${SECONDS_EACH:-20}s
 SETTLE=${SETTLE:-15}
+ENGINE_COUNT=12
+SERVICE_COUNT=3
+REAL=$((ENGINE_COUNT + SERVICE_COUNT))
 
-# alias_targets COUNT lists COUNT targets at the running engines' addresses.
+# alias_targets COUNT lists COUNT more targets at the running engines' addresses.
 alias_targets() {
   local i engines
   IFS=, read -ra engines <<<"$ENGINES"
@@ -21,24 +25,23 @@
   done
 }
 
-# rest SERIES HOSTS EXTRA_TARGETS
+# rest HOSTS TARGETS
 rest() {
-  local engines=12 services=3
-  begin_deployment "$TOP/$1-$2-$3" "$BASE_PORT"
+  begin_deployment "$TOP/$1-$2" "$BASE_PORT"
   start_store
-  start_engines $engines
-  start_services $services
+  start_engines $ENGINE_COUNT --log-level warn
+  start_services $SERVICE_COUNT --log-level warn
   apply_document >/dev/null
-  alias_targets "$3"
-  start_agents "$2" --log-level warn
-  wait_healthy $((engines + services + $3)) 30
+  alias_targets $(($2 - REAL))
+  start_agents "$1" --log-level warn
+  if [ -n "${WITH_GATEWAYS:-}" ]; then start_gateways "$1"; fi
+  wait_healthy "$2" 40
   sleep "$SETTLE"
-  note "rest: $2 hosts, $((engines + services + $3)) targets"
-  $BIN/hitchload usage --series "$1" --role agent --process "$(processes agent)" --for "$EACH" --hosts "$2" \
-    --targets $((engines + services + $3)) --store "$STORE" --by "make rest" --out "$OUT/rest.jsonl"
+  note "$SERIES: $1 hosts, $2 targets"
+  $BIN/hitchload usage --series "$SERIES" --role agent --process "$(processes agent)" --for "$EACH" --hosts "$1" \
+    --targets "$2" --accounts "$ACCOUNTS" --store "$STORE" --by "SERIES=$SERIES scripts/rest.sh $1:$2" --out "$OUT/rest.jsonl"
   stop_all
   PIDS=()
 }
 
-for hosts in "${SIZES[@]}"; do rest rest-hosts "$hosts" 0; done
-for targets in ${TARGETS:-}; do rest rest-targets 8 $((targets - 15)); done
+for size in "${SIZES[@]}"; do rest "${size%:*}" "${size#*:}"; done
