--- a/Makefile
+++ b/Makefile
@@ -61,8 +61,6 @@
 prove:
 	$(GO) test ./tests/prove -count=1 -timeout 10m -v -seed $(SEED) | grep -E '^(PASS|FAIL)  |passed, |^seed |^pairs|^ok|^FAIL|_test.go:|Messages:|Error:'
 
-	$(GO) test ./tests/prove -count=1 -timeout 10m -v -seed $(SEED) | grep -E '^(PASS|FAIL)  |passed, |^seed |^ok|^FAIL|_test.go:|Messages:|Error:'
-
 # The measurements of docs/MEASUREMENTS.md. Each adds to out/; what is kept is
 # copied to docs/measurements by hand, with the commit that explains it.
 overhead ledger load: build
--- a/tests/prove/calls_test.go
+++ b/tests/prove/calls_test.go
@@ -28,7 +28,6 @@
 type callFault struct {
 	name  string
 	short bool
-	args  []string // flags of the services
 	// bring disturbs the cluster while callers send; it returns the function
 	// that ends the fault.
 	bring func(c *cluster) func()
--- a/tests/prove/proxy_test.go
+++ b/tests/prove/proxy_test.go
@@ -36,7 +36,6 @@
 	cutDown  int                   // closes a connection after this many bytes from the target; 0 is off
 	conns    map[net.Conn]struct{} // both sides of every open connection
 	closed   bool
-	cuts     int // connections that cutUp or cutDown have closed
 }
 
 func newFaultProxy(t testing.TB, target string) *faultProxy {
@@ -108,13 +107,6 @@
 	p.changed.Broadcast()
 }
 
-// cutCount returns how many connections a byte limit has closed.
-func (p *faultProxy) cutCount() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.cuts
-}
-
 // follow makes the proxy refuse connections once the process is dead, as the
 // target's own port does.
 func (p *faultProxy) follow(process *process) {
@@ -226,7 +218,6 @@
 		limit = p.cutUp
 	}
 	if limit > 0 && sent+n >= limit {
-		p.cuts++
 		return max(0, limit-sent), false
 	}
 	return n, true
