--- a/internal/agent/settings.go
+++ b/internal/agent/settings.go
@@ -7,11 +7,12 @@
 	"corianderhitch/internal/telemetry"
 )
 
-// The settings shared by all programs, under names that can be embedded together.
-type (
-	LogSettings   = logging.Settings
-	TraceSettings = telemetry.Settings
-)
+// LogSettings are the logging settings under a name that can be embedded beside
+// TraceSettings.
+type LogSettings = logging.Settings
+
+// TraceSettings are the telemetry settings under a name of their own.
+type TraceSettings = telemetry.Settings
 
 // Settings are the settings of the agent program.
 type Settings struct {
--- a/tests/prove/admin_test.go
+++ b/tests/prove/admin_test.go
@@ -97,6 +97,12 @@
 	send(c.t, http.MethodPost, "http://"+e.direct+"/admin/reclaim", map[string]int64{"notice_ns": int64(notice)})
 }
 
+// setMemory changes the memory of an engine, in blocks.
+func (c *cluster) setMemory(e *target, blocks int) {
+	c.t.Helper()
+	send(c.t, http.MethodPut, "http://"+e.direct+"/admin/memory", map[string]int{"blocks": blocks})
+}
+
 // busiestEngine returns the engine that runs the most sequences now.
 func (c *cluster) busiestEngine() *target {
 	c.t.Helper()
--- a/tests/prove/calls_test.go
+++ b/tests/prove/calls_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -33,8 +34,13 @@
 	bring func(c *cluster) func()
 }
 
+// callFaults are the faults against calls that may run at most once.
 func callFaults() []callFault {
-	nothing := func() {}
+	return slices.Concat(hostCallFaults(), storeCallFaults(), targetCallFaults())
+}
+
+// hostCallFaults are the faults of the hosts.
+func hostCallFaults() []callFault {
 	return []callFault{
 		{name: "none", short: true, bring: func(*cluster) func() { return nothing }},
 		{name: "gateway killed", short: true, bring: func(c *cluster) func() {
@@ -47,6 +53,29 @@
 			c.hosts[0].gateway.thaw()
 			return nothing
 		}},
+		{name: "gateway killed and store answers lost", bring: func(c *cluster) func() {
+			c.storeFault(memstore.Fault{LoseAnswers: 0.5})
+			c.hosts[0].gateway.kill()
+			return func() { c.storeFault(memstore.Fault{}) }
+		}},
+		{name: "agent frozen past suspicion, then thawed", bring: func(c *cluster) func() {
+			c.hosts[0].agent.freeze()
+			<-time.After(pastSuspicion)
+			c.hosts[0].agent.thaw()
+			return nothing
+		}},
+		{name: "all agents killed", bring: func(c *cluster) func() {
+			for _, h := range c.hosts {
+				h.agent.kill()
+			}
+			return nothing
+		}},
+	}
+}
+
+// storeCallFaults are the faults of the store and the links to it.
+func storeCallFaults() []callFault {
+	return []callFault{
 		{name: "store down", short: true, bring: func(c *cluster) func() {
 			c.storeFault(memstore.Fault{Outage: true})
 			return func() { c.storeFault(memstore.Fault{}) }
@@ -70,6 +99,16 @@
 			c.storeFault(memstore.Fault{AnswerDelay: 400 * time.Millisecond})
 			return func() { c.storeFault(memstore.Fault{}) }
 		}},
+		{name: "store writes take effect late", bring: func(c *cluster) func() {
+			c.storeFault(memstore.Fault{RequestDelay: 1500 * time.Millisecond}) // longer than a claim is awaited
+			return func() { c.storeFault(memstore.Fault{}) }
+		}},
+	}
+}
+
+// targetCallFaults are the faults of the targets and the links to them.
+func targetCallFaults() []callFault {
+	return []callFault{
 		{name: "target killed", bring: func(c *cluster) func() {
 			c.services[0].process.kill()
 			return nothing
@@ -92,27 +131,6 @@
 			c.eachService(func(s *target) { s.link.set(stallDown) })
 			return func() { c.eachService(func(s *target) { s.link.set(pass) }) }
 		}},
-		{name: "gateway killed and store answers lost", bring: func(c *cluster) func() {
-			c.storeFault(memstore.Fault{LoseAnswers: 0.5})
-			c.hosts[0].gateway.kill()
-			return func() { c.storeFault(memstore.Fault{}) }
-		}},
-		{name: "agent frozen past suspicion, then thawed", bring: func(c *cluster) func() {
-			c.hosts[0].agent.freeze()
-			<-time.After(pastSuspicion)
-			c.hosts[0].agent.thaw()
-			return nothing
-		}},
-		{name: "store writes take effect late", bring: func(c *cluster) func() {
-			c.storeFault(memstore.Fault{RequestDelay: 1500 * time.Millisecond}) // longer than a claim is awaited
-			return func() { c.storeFault(memstore.Fault{}) }
-		}},
-		{name: "all agents killed", bring: func(c *cluster) func() {
-			for _, h := range c.hosts {
-				h.agent.kill()
-			}
-			return nothing
-		}},
 	}
 }
 
--- a/tests/prove/streams_test.go
+++ b/tests/prove/streams_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -22,22 +23,36 @@
 }
 
 // streamFaults are the faults against "tokens exactly once, in order, from one
-// generation". victim is the engine of the fault.
+// generation".
 func streamFaults() []streamFault {
-	victim := func(c *cluster) *target { return c.busiestEngine() }
+	return slices.Concat(engineStreamFaults(), linkStreamFaults(), hostStreamFaults())
+}
+
+// engineStreamFaults are the faults of engines.
+func engineStreamFaults() []streamFault {
 	return []streamFault{
 		{name: "none", short: true, bring: func(*cluster) {}},
-		{name: "engine killed", short: true, bring: func(c *cluster) { victim(c).process.kill() }},
-		{name: "engine frozen for good", bring: func(c *cluster) { victim(c).process.freeze() }},
+		{name: "engine killed", short: true, bring: func(c *cluster) { c.busiestEngine().process.kill() }},
+		{name: "engine frozen for good", bring: func(c *cluster) { c.busiestEngine().process.freeze() }},
 		{name: "engine frozen, then thawed", bring: func(c *cluster) {
-			v := victim(c)
+			v := c.busiestEngine()
 			v.process.freeze()
 			<-time.After(3 * time.Second) // longer than any stall bound, so that streams move
 			v.process.thaw()
 		}},
-		{name: "engine reclaimed at short notice", bring: func(c *cluster) { c.reclaim(victim(c), 500*time.Millisecond) }},
-		{name: "memory full mid-decode", args: []string{"--blocks", "60"}, bring: func(*cluster) {}},
-		{name: "link cut", short: true, bring: func(c *cluster) { victim(c).link.cut() }},
+		{name: "engine reclaimed at short notice", bring: func(c *cluster) { c.reclaim(c.busiestEngine(), 500*time.Millisecond) }},
+		{name: "memory full mid-decode", tokens: 400, bring: func(c *cluster) {
+			for _, e := range c.engines {
+				c.setMemory(e, 8) // of which four sequences fill more than half already
+			}
+		}},
+	}
+}
+
+// linkStreamFaults are the faults of links between gateways and engines.
+func linkStreamFaults() []streamFault {
+	return []streamFault{
+		{name: "link cut", short: true, bring: func(c *cluster) { c.busiestEngine().link.cut() }},
 		{name: "all links cut three times", bring: func(c *cluster) {
 			for range 3 {
 				for _, e := range c.engines {
@@ -46,9 +61,15 @@
 				<-time.After(300 * time.Millisecond) // lets streams come back before the next cut
 			}
 		}},
-		{name: "link stalled for good", bring: func(c *cluster) { victim(c).link.set(stall) }},
-		{name: "link one-way: no bytes from engine", bring: func(c *cluster) { victim(c).link.set(stallDown) }},
-		{name: "link one-way: no bytes to engine", bring: func(c *cluster) { victim(c).link.set(stallUp) }},
+		{name: "link stalled for good", bring: func(c *cluster) { c.busiestEngine().link.set(stall) }},
+		{name: "link one-way: no bytes from engine", bring: func(c *cluster) { c.busiestEngine().link.set(stallDown) }},
+		{name: "link one-way: no bytes to engine", bring: func(c *cluster) { c.busiestEngine().link.set(stallUp) }},
+	}
+}
+
+// hostStreamFaults are the faults of hosts, the document and the store.
+func hostStreamFaults() []streamFault {
+	return []streamFault{
 		{name: "gateway killed, callers reconnect", short: true, bring: func(c *cluster) { c.hosts[0].gateway.kill() }},
 		{name: "host killed, callers reconnect", bring: func(c *cluster) {
 			c.hosts[1].gateway.kill()
@@ -75,7 +96,7 @@
 		// The only two copies of the delivered tokens are gone at once, so that no
 		// engine can continue: a typed end is the right answer, a splice is not.
 		{name: "gateway killed and engine killed", mayEnd: true, bring: func(c *cluster) {
-			v := victim(c)
+			v := c.busiestEngine()
 			c.hosts[0].gateway.kill()
 			v.process.kill()
 		}},
