--- a/internal/gateway/api/fakes_test.go
+++ b/internal/gateway/api/fakes_test.go
@@ -69,6 +69,10 @@
 	return e, true
 }
 
+func (f *fakeFleet) Find(ctx context.Context, account, id string) (control.DirectoryEntry, bool) {
+	return f.Lookup(ctx, account, id)
+}
+
 func (f *fakeFleet) Lookup(_ context.Context, account, id string) (control.DirectoryEntry, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/gateway/api/fetch.go
+++ b/internal/gateway/api/fetch.go
@@ -34,7 +34,7 @@
 	case !errors.Is(err, ErrNoLate):
 		return err
 	}
-	entry, found := s.view.Lookup(r.Context(), r.account.Name, id)
+	entry, found := s.view.Find(r.Context(), r.account.Name, id)
 	if !found {
 		return unknownRequest(id)
 	}
@@ -46,7 +46,7 @@
 // resume continues a stream by its token, or by the request id from the start.
 func (s *Server) resume(w http.ResponseWriter, r *request, id, text string) error {
 	if text == "" {
-		entry, found := s.view.Lookup(r.Context(), r.account.Name, id)
+		entry, found := s.view.Find(r.Context(), r.account.Name, id)
 		if !found {
 			return unknownRequest(id)
 		}
@@ -103,7 +103,7 @@
 	if lateErr != nil && !errors.Is(lateErr, ErrNoLate) {
 		return lateErr
 	}
-	entry, found := s.view.Lookup(r.Context(), r.account.Name, id)
+	entry, found := s.view.Find(r.Context(), r.account.Name, id)
 	if !found && lateErr != nil {
 		return unknownRequest(id)
 	}
--- a/internal/gateway/fleet/fleet_test.go
+++ b/internal/gateway/fleet/fleet_test.go
@@ -225,3 +225,23 @@
 	_, found = f.Lookup(t.Context(), "b", "r")
 	require.False(t, found)
 }
+
+func TestDirectoryEntrySurvivesItsOwner(t *testing.T) {
+	a, b := newAgent(t), newAgent(t)
+	members := []control.Member{member("one", a), member("two", b)}
+	a.members, b.members = members, members
+	f := start(t, a, b)
+	await(t, f, func(v *View) bool { return len(v.Members) == 2 })
+	_, won := f.Register(t.Context(), control.DirectoryEntry{Account: "a", RequestID: "r", Generation: "g1"})
+	require.True(t, won)
+	holds := func(a *fakeAgent) bool {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return len(a.entries) == 1
+	}
+	require.Eventually(t, func() bool { return holds(a) && holds(b) }, 10*time.Second, time.Millisecond)
+	a.server.Stop()
+	got, found := f.Find(t.Context(), "a", "r")
+	require.True(t, found)
+	require.Equal(t, "g1", got.Generation)
+}
