--- a/tests/prove/process_test.go
+++ b/tests/prove/process_test.go
@@ -143,9 +143,9 @@
 // different blocks of them; each holds its block by listening on the block's
 // first port.
 const (
-	firstPort  = 10000
-	blockPorts = 500 // more than the clusters that run at the same time use
-	portBlocks = 40
+	firstPort  = 1500
+	blockPorts = 1000 // more than the clusters that run at the same time use
+	portBlocks = 8
 )
 
 // ports is the block of this test program.
@@ -171,21 +171,26 @@
 
 // freeAddress returns a loopback address that nothing listens on.
 func freeAddress(t testing.TB) string {
+	t.Helper()
+	listener := freeListener(t)
+	_ = listener.Close()
+	return listener.Addr().String()
+}
+
+// freeListener listens on a loopback address that nothing listened on.
+func freeListener(t testing.TB) net.Listener {
 	t.Helper()
 	ports.Lock()
 	defer ports.Unlock()
 	for range blockPorts {
 		ports.next = ports.next%(blockPorts-1) + 1
 		address := fmt.Sprintf("127.0.0.1:%d", ports.base+ports.next)
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
+		if listener, err := net.Listen("tcp", address); err == nil {
+			return listener
 		}
-		_ = listener.Close()
-		return address
 	}
 	t.Fatal("no free port on loopback")
-	return ""
+	return nil
 }
 
 // pollInterval is how often await looks at its condition.
--- a/tests/prove/proxy_test.go
+++ b/tests/prove/proxy_test.go
@@ -42,8 +42,8 @@
 	t.Helper()
 	p := &faultProxy{target: target, conns: make(map[net.Conn]struct{})}
 	p.changed = sync.NewCond(&p.mu)
-	p.at = freeAddress(t)
-	p.listen(t)
+	p.begin(freeListener(t))
+	p.at = p.listener.Addr().String()
 	t.Cleanup(p.close)
 	return p
 }
@@ -60,6 +60,10 @@
 	}
 	listener, err := net.Listen("tcp", p.at)
 	require.NoError(t, err)
+	p.begin(listener)
+}
+
+func (p *faultProxy) begin(listener net.Listener) {
 	p.listener = listener
 	p.done.Go(func() { p.accept(listener) })
 }
