Don't deny a call whose earlier sending may have run

A trial of 720 calls with gateways killed and frozen and the store down, slow and losing answers: no call ran twice, but two resends heard ran=no from another gateway while the store was down, although an earlier sending had run. Calls are now marked in the agents' directory between claim and dispatch, and a refusal without a claim asks the record or the mark first.

--- a/internal/gateway/api/account.go
+++ b/internal/gateway/api/account.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/gorilla/mux"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/propagation"
@@ -13,6 +14,7 @@
 	"corianderhitch/api/problem"
 	"corianderhitch/internal/document"
 	"corianderhitch/internal/gateway/fleet"
+	"corianderhitch/internal/gateway/verdict"
 )
 
 // request is one authenticated request of a caller.
@@ -58,25 +60,46 @@
 }
 
 func (s *Server) serve(w http.ResponseWriter, hr *http.Request, kind string, h handler) error {
-	if !s.enter() {
-		w.Header().Set("Connection", "close")
-		return draining()
-	}
-	defer s.running.Done()
 	r, err := s.authenticate(hr)
 	if err != nil {
 		return err
 	}
+	if !s.enter() {
+		w.Header().Set("Connection", "close")
+		return s.refused(r, draining())
+	}
+	defer s.running.Done()
 	if kind == "completion" || kind == "service" {
 		leave, err := s.limits.Enter(r.account.Name, r.account.Limits, r.started)
 		if err != nil {
-			return err
+			return s.refused(r, problem.From(err))
 		}
 		defer leave()
 	}
 	return h(w, r)
 }
 
+// refused takes back a "not run" if an earlier sending with the same key may have
+// run.
+func (s *Server) refused(r *request, e *problem.Error) *problem.Error {
+	key, err := idempotencyKey(r.Request)
+	if err != nil || key == "" {
+		return e
+	}
+	earlier := false
+	if service := mux.Vars(r.Request)["service"]; service != "" {
+		earlier = s.calls.Earlier(r.Context(), r.account.Name, service, key)
+	} else {
+		_, earlier = s.view.Lookup(r.Context(), r.account.Name, key)
+	}
+	if !earlier {
+		return e
+	}
+	known := *e
+	known.Ran = verdict.Ran(verdict.Evidence{EarlierUnknown: true})
+	return &known
+}
+
 func (s *Server) authenticate(hr *http.Request) (*request, error) {
 	view := s.view.View()
 	if view.Index == nil {
--- a/internal/gateway/api/callers_test.go
+++ b/internal/gateway/api/callers_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"corianderhitch/api/control"
 	"corianderhitch/api/problem"
 	"corianderhitch/internal/document"
 	"corianderhitch/internal/gateway/limits"
@@ -76,6 +77,12 @@
 	d := problemOf(t, b.request(t, http.MethodPost, "/v1/completions", bookingKey, streamBody))
 	require.Equal(t, problem.KindDraining, d.Kind)
 	require.Equal(t, problem.RanNo, d.Ran)
+	for _, path := range []string{"/v1/completions", "/services/booking/holds"} {
+		b.fleet.Register(t.Context(), control.DirectoryEntry{Account: "booking", RequestID: "ran", Generation: "g"})
+		d = problemOf(t, b.request(t, http.MethodPost, path, bookingKey, streamBody, "Idempotency-Key", "ran"))
+		require.Equal(t, problem.KindDraining, d.Kind)
+		require.Equal(t, problem.RanUnknown, d.Ran, "an earlier sending may have run")
+	}
 	close(release)
 	b.api.Wait()
 	(<-got).requireWhole(t, 0, 30)
--- a/internal/gateway/api/fakes_test.go
+++ b/internal/gateway/api/fakes_test.go
@@ -94,6 +94,8 @@
 	return ServiceAnswer{Status: http.StatusOK}, nil
 }
 
+func (noServices) Earlier(_ context.Context, _, _, key string) bool { return key == "ran" }
+
 func testIndex() *document.Index {
 	account := func(name, key string) document.Account {
 		return document.Account{
--- a/internal/gateway/api/server.go
+++ b/internal/gateway/api/server.go
@@ -50,6 +50,7 @@
 	view     View
 	runner   Runner
 	late     Late
+	calls    ServiceCaller
 	services http.Handler
 	keys     Keys
 	limits   *limits.Limiter
@@ -76,7 +77,7 @@
 // New returns a Server.
 func New(p Parts) *Server {
 	s := &Server{
-		settings: p.Settings, view: p.View, runner: p.Runner, late: p.Late,
+		settings: p.Settings, view: p.View, runner: p.Runner, late: p.Late, calls: p.Services,
 		keys: p.Keys, limits: limits.New(), metrics: p.Metrics, log: p.Log,
 	}
 	s.services = s.serviceHandler(p.Services)
--- a/internal/gateway/api/service.go
+++ b/internal/gateway/api/service.go
@@ -35,6 +35,8 @@
 // ServiceCaller sends calls to plain services. Errors are *problem.Error.
 type ServiceCaller interface {
 	Call(ctx context.Context, call ServiceCall) (ServiceAnswer, error)
+	// Earlier tells whether an earlier sending with the key may have run.
+	Earlier(ctx context.Context, account, service, key string) bool
 }
 
 // replayedHeader marks the answer of an earlier sending.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -89,7 +89,7 @@
 	drafts := &draftRunner{fleet: g.fleet, runner: g.runner}
 	claims := ledger.DefaultSettings()
 	claims.ClaimTimeout = s.ClaimTimeout
-	g.ledger = ledger.New(store, s.Host, drafts.callRetention, ids.New, claims, logging.Part(g.log, "ledger"))
+	g.ledger = ledger.New(store, s.Host, drafts.callRetention, ids.New, g.fleet, claims, logging.Part(g.log, "ledger"))
 	g.late = delivery.New(store, g.lateSettings(drafts), drafts.run, logging.Part(g.log, "delivery"))
 	g.api = api.New(api.Parts{
 		Settings: api.Settings{MaxBodyBytes: int64(s.MaxBody), SlowCaller: s.SlowCaller, TokenLife: s.TokenLife},
--- a/internal/gateway/services/caller.go
+++ b/internal/gateway/services/caller.go
@@ -49,6 +49,7 @@
 // Ledger claims calls that may not be repeated.
 type Ledger interface {
 	Claim(ctx context.Context, call ledger.Call) (ledger.Decision, error)
+	Earlier(ctx context.Context, call ledger.Call) bool
 }
 
 // Caller implements api.ServiceCaller. It is safe for concurrent use.
--- a/internal/gateway/services/once.go
+++ b/internal/gateway/services/once.go
@@ -15,7 +15,7 @@
 func (c *Caller) once(ctx context.Context, call api.ServiceCall, timeout time.Duration) (api.ServiceAnswer, error) {
 	decision, err := c.ledger.Claim(ctx, ledger.Call{
 		Account:  call.Account,
-		Key:      call.Service + "/" + call.Key,
+		Key:      ledgerKey(call.Service, call.Key),
 		BodyHash: ledger.BodyHash(call.Method, call.Path+"?"+call.Query, call.Body),
 	})
 	if err != nil {
@@ -109,3 +109,11 @@
 	}
 	return answer, nil
 }
+
+// ledgerKey keeps the keys of services apart.
+func ledgerKey(service, key string) string { return service + "/" + key }
+
+// Earlier implements api.ServiceCaller.
+func (c *Caller) Earlier(ctx context.Context, account, service, key string) bool {
+	return c.ledger.Earlier(ctx, ledger.Call{Account: account, Key: ledgerKey(service, key)})
+}
--- a/internal/gateway/services/services_test.go
+++ b/internal/gateway/services/services_test.go
@@ -62,7 +62,7 @@
 	}
 	store := memstore.New(memstore.Options{})
 	retention := func() time.Duration { return time.Hour }
-	l := ledger.New(store, "h", retention, ids.New, ledger.DefaultSettings(), logging.Discard())
+	l := ledger.New(store, "h", retention, ids.New, nil, ledger.DefaultSettings(), logging.Discard())
 	m, err := metrics.New(noop.NewMeterProvider().Meter(""))
 	require.NoError(t, err)
 	transport := outbound.New()
--- a/internal/ledger/attempt.go
+++ b/internal/ledger/attempt.go
@@ -97,7 +97,7 @@
 		claim.Release()
 		return Decision{}, a.ledger.refused(a.call, errFrozen)
 	}
-	a.ledger.seen.add(a.call)
+	a.ledger.mark(a.call)
 	return Decision{Claim: claim}, nil
 }
 
--- a/internal/ledger/decision.go
+++ b/internal/ledger/decision.go
@@ -54,9 +54,9 @@
 }
 
 // refused is the answer while the store cannot confirm a claim. This sending was
-// not dispatched; if this gateway knows of an earlier one, it does not say "no".
+// not dispatched; "no" is said only if no gateway knows of an earlier one.
 func (l *Ledger) refused(call Call, cause error) *problem.Error {
-	ran := verdict.Ran(verdict.Evidence{EarlierUnknown: l.seen.has(call)})
+	ran := verdict.Ran(verdict.Evidence{EarlierUnknown: l.marked(call)})
 	return problem.New(problem.KindStoreUnavailable, http.StatusServiceUnavailable, ran,
 		"come back after the named time with the same Idempotency-Key",
 		"the store cannot confirm now that the call runs at most once").WithRetry(storeRetry).WithCause(cause)
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -53,6 +53,7 @@
 	leases   *storelease.Leases
 	log      *slog.Logger
 	seen     *seen
+	hint     Hint // nil for none
 
 	settling chan struct{} // one element a running task
 	mu       sync.Mutex
@@ -63,11 +64,11 @@
 }
 
 // New returns a Ledger of a host. Retention returns how long records are kept;
-// newID makes attempt ids. Call Stop at the end.
-func New(store platform.Store, host string, retention func() time.Duration, newID func() string, settings Settings, log *slog.Logger) *Ledger {
+// newID makes attempt ids; hint may be nil. Call Stop at the end.
+func New(store platform.Store, host string, retention func() time.Duration, newID func() string, hint Hint, settings Settings, log *slog.Logger) *Ledger {
 	life, stop := context.WithCancel(context.Background())
 	return &Ledger{
-		store: store, host: host, settings: settings, newID: newID, log: log,
+		store: store, host: host, settings: settings, newID: newID, hint: hint, log: log,
 		leases:   storelease.New(store, retention),
 		seen:     newSeen(),
 		settling: make(chan struct{}, settings.MaxSettling),
@@ -153,6 +154,8 @@
 	}
 }
 
+func isNotFound(err error) bool { return errors.Is(err, platform.ErrNotFound) }
+
 // noEffect tells whether a store call surely had no effect.
 func noEffect(err error) bool {
 	return errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrRateLimited)
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,7 +17,7 @@
 	retention := func() time.Duration { return 72 * time.Hour }
 	n := 0
 	newID := func() string { n++; return host + string(rune('0'+n)) }
-	return New(store, host, retention, newID, DefaultSettings(), logging.Discard())
+	return New(store, host, retention, newID, nil, DefaultSettings(), logging.Discard())
 }
 
 func claim(t *testing.T, l *Ledger, call Call) *Claim {
@@ -131,3 +132,25 @@
 	require.NoError(t, err)
 	require.False(t, decision.Replay.Kept())
 }
+
+// sharedHint is a hint that all gateways reach.
+type sharedHint map[string]bool
+
+func (h sharedHint) Mark(_ context.Context, account, key string) { h[account+"/"+key] = true }
+
+func (h sharedHint) Marked(_ context.Context, account, key string) bool { return h[account+"/"+key] }
+
+func TestAnotherGatewayDoesNotDenyACallThatRanWhileTheStoreIsDown(t *testing.T) {
+	store, hint := memstore.New(memstore.Options{}), sharedHint{}
+	one, two := testLedger(store, "one"), testLedger(store, "two")
+	one.hint, two.hint = hint, hint
+	require.False(t, two.Earlier(t.Context(), testCall))
+	claim(t, one, testCall).Complete(Outcome{Status: 200})
+	require.True(t, two.Earlier(t.Context(), testCall))
+	store.SetFault(memstore.Fault{Outage: true})
+	require.True(t, two.Earlier(t.Context(), testCall))
+	refusedAs(t, two, testCall, problem.KindStoreUnavailable, problem.RanUnknown)
+	fresh := testCall
+	fresh.Key = "fresh"
+	refusedAs(t, two, fresh, problem.KindStoreUnavailable, problem.RanNo)
+}
--- a/internal/ledger/simulation_test.go
+++ b/internal/ledger/simulation_test.go
@@ -247,7 +247,7 @@
 		for range 2 {
 			p := &process{sim: s}
 			store := &gatedStore{Store: s.state, process: p}
-			p.ledger = New(store, "h", func() time.Duration { return 72 * time.Hour }, newID, settings, logging.Discard())
+			p.ledger = New(store, "h", func() time.Duration { return 72 * time.Hour }, newID, nil, settings, logging.Discard())
 			processes = append(processes, p)
 		}
 		var sends sync.WaitGroup
@@ -266,7 +266,7 @@
 		}
 		s.landAll()
 		calm := &process{sim: s}
-		calm.ledger = New(s.state, "h", func() time.Duration { return 72 * time.Hour }, newID, settings, logging.Discard())
+		calm.ledger = New(s.state, "h", func() time.Duration { return 72 * time.Hour }, newID, nil, settings, logging.Discard())
 		sends.Go(func() { s.last = calm.dispatch(maxSends) })
 		s.drive()
 		sends.Wait()
