--- a/internal/gateway/fleet/fleet_test.go
+++ b/internal/gateway/fleet/fleet_test.go
@@ -175,6 +175,23 @@
 	require.Equal(t, problem.RanNo, problem.From(err).Ran)
 }
 
+func TestCrashReachesTheOwnerWithTheNextQuestion(t *testing.T) {
+	a := newAgent(t)
+	a.members = []control.Member{member("h", a)}
+	taken := make(chan []control.News, 1)
+	a.grant = func(args control.AdmitArgs) control.AdmitReply {
+		taken <- args.News
+		return control.AdmitReply{Granted: true, Target: platform.Target{Name: "e1"}}
+	}
+	f := start(t, a)
+	await(t, f, func(v *View) bool { return len(v.Members) == 1 })
+	args := admitArgs("t")
+	args.News = []control.News{{ID: "n", Kind: control.NewsCrash, Target: "e"}}
+	_, err := f.Admit(t.Context(), args)
+	require.NoError(t, err)
+	require.Equal(t, args.News, <-taken)
+}
+
 func TestNewsReachesAnAgentAndTheTargetIsAvoided(t *testing.T) {
 	a := newAgent(t)
 	a.targets = []control.TargetState{engineState("e1"), engineState("e2")}
