--- a/internal/gateway/fleet/calls.go
+++ b/internal/gateway/fleet/calls.go
@@ -23,19 +23,10 @@
 	})
 }
 
-// Marked implements ledger.Hint. All hosts that may hold the mark are asked.
+// Marked implements ledger.Hint. All hosts that may hold the mark are asked. One
+// that gives no answer may hold it, so that the call must not be denied.
 func (f *Fleet) Marked(ctx context.Context, account, key string) bool {
-	asked := false
-	lookup := control.DirectoryKey{Account: account, RequestID: callPrefix + key}
-	for _, agent := range f.directoryAgents(account, lookup.RequestID) {
-		reply := new(control.LookupReply)
-		if f.callDirectory(ctx, agent, "Directory.Lookup", lookup, reply) != nil {
-			continue
-		}
-		asked = true
-		if reply.Found {
-			return true
-		}
-	}
-	return !asked
+	owners := f.directoryOwners(account, callPrefix+key)
+	_, found, silent := f.lookup(ctx, directoryTimeout, account, callPrefix+key, owners)
+	return found || len(owners) == 0 || len(silent) > 0
 }
