--- a/internal/scheduling/admit.go
+++ b/internal/scheduling/admit.go
@@ -12,7 +12,7 @@
 	urgentPriority = 5
 	// reserveShare is the share of batch and memory that requests below
 	// urgentPriority leave free.
-	reserveShare = 0.02
+	reserveShare = 0.01
 	// prefillAhead is the prompt work that may wait on a target. More would
 	// only queue in the engine, where it can no longer be moved.
 	prefillAhead = 20 * time.Millisecond
--- a/internal/scheduling/bounds.go
+++ b/internal/scheduling/bounds.go
@@ -20,7 +20,7 @@
 	// the inter-token bound, and with evenTail or less at stepShareMax: shorter
 	// steps mean smaller batches and longer waits.
 	stepShareMin = 0.8
-	stepShareMax = 0.97
+	stepShareMax = 0.975
 	evenTail     = 1.0 / 3
 	evenMemory   = 1 - evenTail
 	// The accepted overflow probability is evenOverflow of OverflowPercent with
