--- a/scripts/rest.sh
+++ b/scripts/rest.sh
@@ -3,7 +3,8 @@
 # points to OUT/rest.jsonl.
 #
 # Usage: scripts/rest.sh [hosts:targets...]; environment: SERIES (name of the
-# points), WITH_GATEWAYS=1 (each host has a gateway too), SECONDS_EACH, SETTLE.
+# points), WITH_GATEWAYS=1 (each host has a gateway too), AGENT_ARGS, SECONDS_EACH,
+# SETTLE.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 . scripts/measuring.sh
@@ -17,12 +18,18 @@
 
 # alias_targets COUNT lists COUNT more targets at the running engines' addresses.
 alias_targets() {
-  local i engines
-  IFS=, read -ra engines <<<"$ENGINES"
-  for ((i = 1; i <= $1; i++)); do
-    curl -fsS -o /dev/null -X PUT "$STORE/admin/targets/alias-$i" -d "{\"name\":\"alias-$i\",
-      \"address\":\"${engines[i % ${#engines[@]}]#http://}\",\"domain\":\"${DOMAINS[i % 3]}\",\"region\":\"sk-west\",\"kind\":\"engine\"}"
-  done
+  if [ "$1" -eq 0 ]; then return; fi
+  curl -fsS "$STORE/admin/targets" | awk -v n="$1" -v engines="$ENGINES" -v domains="${DOMAINS[*]}" '
+    BEGIN { e = split(engines, engine, ","); d = split(domains, domain, " ") }
+    { sub(/\][ \n]*$/, ""); print }
+    END {
+      for (i = 1; i <= n; i++) {
+        sub("http://", "", engine[i % e + 1])
+        printf ",{\"name\":\"alias-%d\",\"address\":\"%s\",\"domain\":\"%s\",\"region\":\"sk-west\",\"kind\":\"engine\"}\n", i, engine[i % e + 1], domain[i % d + 1]
+      }
+      print "]"
+    }' >"$RUN/targets.json"
+  curl -fsS -o /dev/null -X PUT "$STORE/admin/targets" --data-binary "@$RUN/targets.json"
 }
 
 # rest HOSTS TARGETS
@@ -33,9 +40,10 @@
   start_services $SERVICE_COUNT --log-level warn
   apply_document >/dev/null
   alias_targets $(($2 - REAL))
-  start_agents "$1" --log-level warn
+  # shellcheck disable=SC2086 # AGENT_ARGS holds several words
+  start_agents "$1" --log-level warn ${AGENT_ARGS:-}
   if [ -n "${WITH_GATEWAYS:-}" ]; then start_gateways "$1"; fi
-  wait_healthy "$2" 40
+  wait_healthy "$2" 60
   sleep "$SETTLE"
   note "$SERIES: $1 hosts, $2 targets"
   $BIN/hitchload usage --series "$SERIES" --role agent --process "$(processes agent)" --for "$EACH" --hosts "$1" \
