--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -28,7 +28,6 @@
 	"corianderhitch/internal/agent/suspicion"
 	"corianderhitch/internal/platform"
 	"corianderhitch/internal/rpcconn"
-	"corianderhitch/internal/scheduling"
 )
 
 // Platform is what an agent needs of the platform.
@@ -44,6 +43,7 @@
 
 	state        *state.State
 	pool         *rpcconn.Pool
+	traffic      *rpcconn.Traffic
 	server       *rpcconn.Server
 	exchange     *exchange.Loop
 	watcher      *docsync.Watcher
@@ -68,24 +68,26 @@
 		return nil, eris.Wrapf(err, "cannot listen on %s; choose another --listen", s.Listen)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
+	traffic := &rpcconn.Traffic{}
 	a := &Agent{
 		log:       log,
 		settings:  s,
-		pool:      rpcconn.NewPool(rpcconn.TCP),
+		pool:      rpcconn.NewPool(traffic.Dialer(rpcconn.TCP)),
+		traffic:   traffic,
 		directory: directory.New(),
 		suspects:  &suspicion.Register{},
 		stopping:  make(chan struct{}),
 		stopRun:   cancel,
 	}
 	a.state = state.New(log, a.membershipConfig(), a.self(listener), s.Environment, uint64(time.Now().UnixNano()))
-	a.scheduler = scheduler.Start(log, a.state, newPolicy, a.suspects)
+	a.scheduler = scheduler.Start(log, a.state, policyMaker(s.Policy), a.suspects)
 	presence := services.NewPresence(a.state)
 	services, err := a.services(presence)
 	if err != nil {
 		cancel()
 		return nil, err
 	}
-	a.server = rpcconn.Serve(listener, services)
+	a.server = rpcconn.Serve(traffic.Listener(listener), services)
 	a.startDuties(ctx, p, presence)
 	log.Info("Agent serves.", "host", s.Host, "address", a.state.Self().AgentAddr, "domain", s.Domain, "region", s.Region)
 	return a, nil
@@ -201,5 +203,3 @@
 	config.SuspectAfter = a.settings.SuspectTime
 	return config
 }
-
-func newPolicy(config scheduling.Config) scheduling.Policy { return scheduling.NewPool(config) }
--- /dev/null
+++ b/internal/load/plot.go
@@ -0,0 +1,33 @@
+package load
+
+import (
+	"path/filepath"
+
+	"corianderhitch/internal/report"
+)
+
+// plotResults draws the distributions of the results, one line a result.
+func plotResults(dir string, results []Result) error {
+	for _, f := range []struct {
+		file, title string
+		points      func(Result) []Percentile
+	}{
+		{"inter_token.svg", "Time between tokens", func(r Result) []Percentile { return r.InterToken }},
+		{"first_token.svg", "Time to the first token", func(r Result) []Percentile { return r.FirstToken }},
+	} {
+		var lines []report.Line
+		for _, r := range results {
+			line := report.Line{Label: r.Label}
+			for _, p := range f.points(r) {
+				line.X = append(line.X, p.Percent)
+				line.Y = append(line.Y, p.MS)
+			}
+			lines = append(lines, line)
+		}
+		axes := report.Axes{Title: f.title, X: "percentile", Y: "ms", LogY: true}
+		if err := report.Lines(filepath.Join(dir, f.file), axes, lines); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/scheduling/place.go
+++ b/internal/scheduling/place.go
@@ -10,17 +10,30 @@
 	"corianderhitch/internal/scheduling/suspicion"
 )
 
-const prefixBlockTokens = prefix.BlockTokens
+const (
+	prefixBlockTokens = prefix.BlockTokens
+	// suspectCost is the harm, in milliseconds, of running beside another
+	// request that was beside the same crash. It outweighs any load.
+	suspectCost = 1e7
+)
 
 // pick is the Picker: the usable target with the least harm that admits the
 // request, or nil.
 func (p *Pool) pick(now time.Time, c *candidate, verdict suspicion.Verdict) *targetState {
 	p.scratch = p.scratch[:0]
+	home := p.copies.home(c.request.Fingerprint)
 	for _, t := range p.order {
+		if home != nil && t != home {
+			continue
+		}
 		if !p.usable(t, c.request) || !p.keepsApart(t, c.request, verdict) {
 			continue
 		}
-		p.scratch = append(p.scratch, scored{target: t, harm: p.score(now, t, c)})
+		harm := p.score(now, t, c)
+		if verdict == suspicion.Spread {
+			harm += suspectCost * p.suspectsBeside(t, c.request)
+		}
+		p.scratch = append(p.scratch, scored{target: t, harm: harm})
 	}
 	for len(p.scratch) > 0 {
 		i := least(p.scratch)
@@ -78,11 +91,13 @@
 		begins = t.prefillUntil
 	}
 	t.prefillUntil = begins.Add(prefill)
+	t.join(now, c.uncached(t), p.steps.At(float64(len(t.residents)+1)))
 	r := &resident{request: *c.request, target: t, curve: curve, expected: c.expected, startsAt: t.prefillUntil}
 	t.refresh(now)
 	t.forecast.Add(c.sequence)
 	t.forecast.AddConstant(float64(t.BlockTokens) / 2)
 	t.residents = append(t.residents, r)
+	p.copies.placed(r.request.Fingerprint, t)
 	p.running[r.request.Ticket] = r
 	p.cache.Store(t.slot, c.request.PrefixHashes)
 	p.accounts.Started(r.request.Account)
--- a/internal/scheduling/pool.go
+++ b/internal/scheduling/pool.go
@@ -1,6 +1,8 @@
 package scheduling
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"corianderhitch/internal/scheduling/affinity"
@@ -29,11 +31,15 @@
 	queue    *fairqueue.Queue
 	accounts *limits.Accounts
 	suspects *suspicion.Tracker
+	copies   *copies
 	drain    drainRate
 	expiry   expiryHeap
 	waiting  map[string]*waiting
+	isolated []string // tickets that wait to run alone, in order of arrival
 	running  map[string]*resident
-	refused  []Refusal // decided at Submit, returned by the next Decide
+	present  map[uint64]int // requests waiting or running, by fingerprint
+	repeated []Grant        // of tickets that were submitted again
+	refused  []Refusal      // decided at Submit, returned by the next Decide
 	deaths   int64
 	scratch  []scored
 }
@@ -60,8 +66,10 @@
 		queue:    fairqueue.New(config.AgeAfter),
 		accounts: limits.New(config.Limits),
 		suspects: suspicion.NewTracker(),
+		copies:   newCopies(),
 		waiting:  make(map[string]*waiting),
 		running:  make(map[string]*resident),
+		present:  make(map[uint64]int),
 	}
 }
 
@@ -73,21 +81,23 @@
 	p.accounts.Configure(config.Limits)
 }
 
-// ObserveCache implements Policy.
+// ObserveCache implements Policy. After a gap what was known stays: a prefix
+// that is wrongly taken as cached costs its prefill once, while forgetting all
+// would scatter requests that share prefixes.
 func (p *Pool) ObserveCache(_ time.Time, update CacheUpdate) {
 	t, ok := p.targets[update.Target]
 	if !ok {
 		return
 	}
-	if update.Lost {
-		p.cache.Forget(t.slot)
-	}
 	p.cache.Store(t.slot, update.Stored)
 	p.cache.Evict(t.slot, update.Evict)
 }
 
-// Cancel implements Policy.
-func (p *Pool) Cancel(_ time.Time, ticket string) { p.withdraw(ticket) }
+// Cancel implements Policy. A refusal that was not yet returned is dropped too.
+func (p *Pool) Cancel(_ time.Time, ticket string) {
+	p.withdraw(ticket)
+	p.refused = slices.DeleteFunc(p.refused, func(r Refusal) bool { return r.Ticket == ticket })
+}
 
 // Finish implements Policy.
 func (p *Pool) Finish(now time.Time, finished Finished) {
@@ -103,6 +113,7 @@
 	p.accounts.Ended(now, r.request.Account, finished.Produced)
 	if finished.Complete {
 		p.suspects.Finished(r.request.Fingerprint)
+		p.copies.prove(r.request.Fingerprint)
 	}
 }
 
@@ -110,19 +121,45 @@
 func (p *Pool) release(r *resident) {
 	delete(p.running, r.request.Ticket)
 	r.target.remove(r)
-	if r.target.quarantine == r.request.Fingerprint {
-		r.target.quarantine = 0
+	p.copies.released(r.request.Fingerprint)
+	p.gone(r.request.Fingerprint)
+}
+
+// gone counts a request that neither waits nor runs any more, and ends the
+// quarantine that was kept for it.
+func (p *Pool) gone(fingerprint uint64) {
+	p.present[fingerprint]--
+	if p.present[fingerprint] > 0 {
+		return
 	}
+	delete(p.present, fingerprint)
+	p.endQuarantine(fingerprint)
 }
 
 func (p *Pool) withdraw(ticket string) {
-	if _, ok := p.waiting[ticket]; !ok {
+	w, ok := p.waiting[ticket]
+	if !ok {
 		return
 	}
 	p.queue.Remove(ticket)
 	delete(p.waiting, ticket)
+	p.gone(w.request.Fingerprint)
 }
 
 func keyOf(r *Request) length.Key {
 	return length.Key{Model: r.Model, Account: r.Account, Class: r.Class}
 }
+
+// TakeWaiting withdraws all waiting requests and returns them in order of their
+// tickets, for a pool whose targets are gone.
+func (p *Pool) TakeWaiting() []Request {
+	list := make([]Request, 0, len(p.waiting))
+	for _, w := range p.waiting {
+		list = append(list, w.request)
+	}
+	slices.SortFunc(list, func(a, b Request) int { return strings.Compare(a.Ticket, b.Ticket) })
+	for i := range list {
+		p.withdraw(list[i].Ticket)
+	}
+	return list
+}
--- /dev/null
+++ b/internal/tlskeys/keyring_test.go
@@ -0,0 +1,76 @@
+package tlskeys
+
+import (
+	"bytes"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"corianderhitch/internal/resumetoken"
+)
+
+func keyLine(t *testing.T, id string) string {
+	line, err := NewKeyLine(id)
+	require.NoError(t, err)
+	return line
+}
+
+func seal(r *KeyRing) string {
+	token := resumetoken.Token{Account: "a", Expires: time.Now().Add(time.Hour)}
+	return string(r.Current().Sealer(token).Append(nil, 3))
+}
+
+func opens(r *KeyRing, text string) bool {
+	_, err := r.Current().Open(text, "a", time.Now())
+	return err == nil
+}
+
+func TestKeysAreReplacedWithoutARestart(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "keys")
+	first, second := keyLine(t, "k1"), keyLine(t, "k2")
+	write := func(text string) { require.NoError(t, os.WriteFile(file, []byte(text), 0o600)) }
+	write("# resume tokens\n" + first + "\n")
+	var log bytes.Buffer
+	settings := KeyRingSettings{TokenKeysFile: file, TokenKeysReload: time.Hour}
+	ring, err := OpenKeyRing(settings, nil, slog.New(slog.NewTextHandler(&log, nil)))
+	require.NoError(t, err)
+	older := seal(ring)
+
+	write(second + "\n" + first + "\n")
+	ring.look()
+	newer := seal(ring)
+	require.True(t, opens(ring, older), "older tokens still open")
+	require.True(t, opens(ring, newer))
+
+	for _, broken := range []string{"", second, second[:20] + "\n", "x " + second + "\n", second[3:] + "\n", second + "\n" + second + "\n"} {
+		write(broken)
+		ring.look()
+		require.True(t, opens(ring, older), broken)
+	}
+	require.NoError(t, os.Remove(file))
+	ring.look()
+	ring.look()
+	require.Equal(t, 1, bytes.Count(log.Bytes(), []byte("cannot be read")))
+
+	write(second + "\n")
+	ring.look()
+	require.False(t, opens(ring, older), "a removed key opens nothing")
+	require.True(t, opens(ring, newer))
+	require.NotContains(t, log.String(), second[3:], "no secret in the log")
+}
+
+func TestKeyRingWithoutAFile(t *testing.T) {
+	ring, err := OpenKeyRing(KeyRingSettings{}, []string{keyLine(t, "k1")}, slog.New(slog.DiscardHandler))
+	require.NoError(t, err)
+	require.True(t, opens(ring, seal(ring)))
+	_, err = OpenKeyRing(KeyRingSettings{}, nil, slog.New(slog.DiscardHandler))
+	require.ErrorContains(t, err, "--token-keys-file or --token-keys")
+	_, err = OpenKeyRing(KeyRingSettings{TokenKeysFile: "nowhere"}, nil, slog.New(slog.DiscardHandler))
+	require.ErrorContains(t, err, "--token-keys-file")
+	_, err = NewKeyLine("an id that is far too long")
+	require.ErrorIs(t, err, resumetoken.ErrKeys)
+}
