--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -42,7 +42,9 @@
 	settings Settings
 
 	state        *state.State
-	pool         *rpcconn.Pool
+	dial         rpcconn.Dialer
+	pool         *rpcconn.Pool // connections to partners, which the exchange closes
+	owners       *rpcconn.Pool // connections to owners of pools
 	traffic      *rpcconn.Traffic
 	server       *rpcconn.Server
 	exchange     *exchange.Loop
@@ -72,13 +74,14 @@
 	a := &Agent{
 		log:       log,
 		settings:  s,
-		pool:      rpcconn.NewPool(traffic.Dialer(rpcconn.TCP)),
+		dial:      traffic.Dialer(rpcconn.TCP),
 		traffic:   traffic,
 		directory: directory.New(),
 		suspects:  &suspicion.Register{},
 		stopping:  make(chan struct{}),
 		stopRun:   cancel,
 	}
+	a.pool, a.owners = rpcconn.NewPool(a.dial), rpcconn.NewPool(a.dial)
 	a.state = state.New(log, a.membershipConfig(), a.self(listener), s.Environment, uint64(time.Now().UnixNano()))
 	a.scheduler = scheduler.Start(log, a.state, policyMaker(s.Policy), a.suspects)
 	presence := services.NewPresence(a.state)
@@ -127,6 +130,7 @@
 	a.done.Wait()
 	a.server.Stop()
 	a.pool.Close()
+	a.owners.Close()
 }
 
 func (a *Agent) startDuties(ctx context.Context, p Platform, presence *services.Presence) {
@@ -135,7 +139,7 @@
 	a.registration = registration.Start(a.log, p, a.state, s.Environment)
 	a.watcher = docsync.StartWatcher(a.log, docsync.NewStoreSource(p, s.Environment), a.state)
 	a.lister = observer.StartLister(a.log, p, a.state, s.ListPeriod)
-	a.reports = reports.Start(a.log, a.state, a.pool, a.scheduler)
+	a.reports = reports.Start(a.log, a.state, a.owners, a.scheduler)
 	a.observer = observer.Start(a.log, a.state, a.reports, observer.Config{PollInterval: s.Poll, PollTimeout: s.PollTimeout})
 	orders := placement.HTTPOrders{Client: &http.Client{}}
 	a.placement = placement.Start(a.log, p, a.state, orders, s.Environment)
@@ -171,7 +175,7 @@
 func (a *Agent) services(presence *services.Presence) (*rpc.Server, error) {
 	server := rpc.NewServer()
 	for name, service := range map[string]any{
-		"Control":   services.NewControl(a.state, a.scheduler, a.pool, presence, a.settings.Environment, a.stopping),
+		"Control":   services.NewControl(a.state, a.scheduler, a.dial, presence, a.settings.Environment, a.stopping),
 		"Peer":      services.NewPeer(a.state, a.scheduler),
 		"Scheduler": services.NewScheduling(a.scheduler),
 		"Directory": services.NewDirectory(a.directory),
--- a/internal/agent/services/control.go
+++ b/internal/agent/services/control.go
@@ -10,6 +10,7 @@
 	"corianderhitch/api/control"
 	"corianderhitch/internal/agent/scheduler"
 	"corianderhitch/internal/agent/state"
+	"corianderhitch/internal/rpcconn"
 )
 
 const (
@@ -23,24 +24,19 @@
 	askers = 32
 )
 
-// Caller runs a net/rpc method on a peer.
-type Caller interface {
-	Call(ctx context.Context, address, method string, args, reply any) error
-}
-
 // Control serves gateways and operators.
 type Control struct {
 	state       *state.State
 	scheduler   *scheduler.Scheduler
-	caller      Caller
+	dial        rpcconn.Dialer
 	presence    *Presence
 	environment string
 	stopping    <-chan struct{}
 }
 
 // NewControl returns the service. Waiting calls end when stopping is closed.
-func NewControl(s *state.State, sched *scheduler.Scheduler, caller Caller, presence *Presence, environment string, stopping <-chan struct{}) *Control {
-	return &Control{state: s, scheduler: sched, caller: caller, presence: presence, environment: environment, stopping: stopping}
+func NewControl(s *state.State, sched *scheduler.Scheduler, dial rpcconn.Dialer, presence *Presence, environment string, stopping <-chan struct{}) *Control {
+	return &Control{state: s, scheduler: sched, dial: dial, presence: presence, environment: environment, stopping: stopping}
 }
 
 // Snapshot returns the state once it is newer than the version in args, or when
@@ -91,9 +87,9 @@
 // that the live members themselves report.
 func (c *Control) Status(_ control.Empty, reply *control.StatusReply) error {
 	reply.Members = c.state.Members()
-	c.ask(reply.Members, func(ctx context.Context, i int) {
+	c.ask(reply.Members, func(ctx context.Context, pool *rpcconn.Pool, i int) {
 		own := new(control.Member)
-		if c.caller.Call(ctx, reply.Members[i].AgentAddr, "Peer.Self", control.Empty{}, own) == nil && own.Host == reply.Members[i].Host {
+		if pool.Call(ctx, reply.Members[i].AgentAddr, "Peer.Self", control.Empty{}, own) == nil && own.Host == reply.Members[i].Host {
 			reply.Members[i].DocumentRevision = own.DocumentRevision
 			reply.Members[i].GatewayRevision = own.GatewayRevision
 			reply.Members[i].GatewayAddr = own.GatewayAddr
@@ -110,9 +106,9 @@
 func (c *Control) Explain(args control.ExplainArgs, reply *control.ExplainReply) error {
 	members := c.state.Members()
 	lines := make([][]string, len(members))
-	c.ask(members, func(ctx context.Context, i int) {
+	c.ask(members, func(ctx context.Context, pool *rpcconn.Pool, i int) {
 		answer := new(control.DecisionsReply)
-		if c.caller.Call(ctx, members[i].AgentAddr, "Peer.Decisions", args, answer) == nil {
+		if pool.Call(ctx, members[i].AgentAddr, "Peer.Decisions", args, answer) == nil {
 			lines[i] = answer.Lines
 		}
 	})
@@ -126,8 +122,11 @@
 	return nil
 }
 
-// ask runs a question for all live members but this one and waits for all.
-func (c *Control) ask(members []control.Member, question func(ctx context.Context, i int)) {
+// ask runs a question for all live members but this one and waits for all. Its
+// connections end with it, since most members are no partners of this host.
+func (c *Control) ask(members []control.Member, question func(ctx context.Context, pool *rpcconn.Pool, i int)) {
+	pool := rpcconn.NewPool(c.dial)
+	defer pool.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 	defer cancel()
 	self := c.state.Self().Host
@@ -140,7 +139,7 @@
 		slots <- struct{}{}
 		all.Go(func() {
 			defer func() { <-slots }()
-			question(ctx, i)
+			question(ctx, pool, i)
 		})
 	}
 	all.Wait()
--- a/internal/agent/state/rest_bench_test.go
+++ b/internal/agent/state/rest_bench_test.go
@@ -34,7 +34,7 @@
 				b.Fatal("no agreement")
 			}
 			for i := range size.targets {
-				f.putTarget(i)
+				f.putEverywhere(i)
 			}
 			f.run(30 * time.Second)
 			var wire byteCounter
@@ -89,6 +89,18 @@
 	})
 }
 
+// putEverywhere gives all agents the row of a target.
+func (f *fleet) putEverywhere(i int) {
+	f.putTarget(i)
+	owner := f.agents[i%len(f.agents)]
+	row, _ := owner.Target(fmt.Sprintf("target-%04d", i))
+	for _, s := range f.agents {
+		if s != owner {
+			s.UpdateTarget(f.now, row.Name, func(control.TargetState) (control.TargetState, bool) { return row, true })
+		}
+	}
+}
+
 // refreshTargets lets the loads travel at the pace of the observer.
 func (f *fleet) refreshTargets(targets int) {
 	pace := max(1, targets*3*250/2500) // seconds between two refreshes of a row, as in internal/agent/observer
