--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -42,10 +42,9 @@
 	settings Settings
 
 	state        *state.State
-	dial         rpcconn.Dialer
+	links        *links
 	pool         *rpcconn.Pool // connections to partners, which the exchange closes
 	owners       *rpcconn.Pool // connections to owners of pools
-	traffic      *rpcconn.Traffic
 	server       *rpcconn.Server
 	exchange     *exchange.Loop
 	watcher      *docsync.Watcher
@@ -65,23 +64,25 @@
 
 // Start begins all duties of an agent.
 func Start(log *slog.Logger, s Settings, p Platform) (*Agent, error) {
+	links, err := openLinks(log, s.TLSSettings)
+	if err != nil {
+		return nil, err
+	}
 	listener, err := net.Listen("tcp", s.Listen)
 	if err != nil {
 		return nil, eris.Wrapf(err, "cannot listen on %s; choose another --listen", s.Listen)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	traffic := &rpcconn.Traffic{}
 	a := &Agent{
 		log:       log,
 		settings:  s,
-		dial:      traffic.Dialer(rpcconn.TCP),
-		traffic:   traffic,
+		links:     links,
 		directory: directory.New(),
 		suspects:  &suspicion.Register{},
 		stopping:  make(chan struct{}),
 		stopRun:   cancel,
 	}
-	a.pool, a.owners = rpcconn.NewPool(a.dial), rpcconn.NewPool(a.dial)
+	a.pool, a.owners = rpcconn.NewPool(links.dial), rpcconn.NewPool(links.dial)
 	a.state = state.New(log, a.membershipConfig(), a.self(listener), s.Environment, uint64(time.Now().UnixNano()))
 	a.scheduler = scheduler.Start(log, a.state, policyMaker(s.Policy), a.suspects)
 	presence := services.NewPresence(a.state)
@@ -90,7 +91,7 @@
 		cancel()
 		return nil, err
 	}
-	a.server = rpcconn.Serve(traffic.Listener(listener), services)
+	a.server = rpcconn.Serve(links.listen(listener), services)
 	a.startDuties(ctx, p, presence)
 	log.Info("Agent serves.", "host", s.Host, "address", a.state.Self().AgentAddr, "domain", s.Domain, "region", s.Region)
 	return a, nil
@@ -144,6 +145,7 @@
 	orders := placement.HTTPOrders{Client: &http.Client{}}
 	a.placement = placement.Start(a.log, p, a.state, orders, s.Environment)
 	a.done.Go(func() { presence.Run(ctx) })
+	a.done.Go(func() { a.links.watch(ctx) })
 	a.done.Go(func() { a.actOnNews(ctx) })
 }
 
@@ -175,7 +177,7 @@
 func (a *Agent) services(presence *services.Presence) (*rpc.Server, error) {
 	server := rpc.NewServer()
 	for name, service := range map[string]any{
-		"Control":   services.NewControl(a.state, a.scheduler, a.dial, presence, a.settings.Environment, a.stopping),
+		"Control":   services.NewControl(a.state, a.scheduler, a.links.dial, presence, a.settings.Environment, a.stopping),
 		"Peer":      services.NewPeer(a.state, a.scheduler),
 		"Scheduler": services.NewScheduling(a.scheduler),
 		"Directory": services.NewDirectory(a.directory),
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -72,14 +72,18 @@
 }
 
 func (d *deployment) agent(i int) *Agent {
-	a, err := Start(logging.Discard(), Settings{
+	a, err := Start(logging.Discard(), settingsOf(i), d.store)
+	require.NoError(d.t, err)
+	return a
+}
+
+func settingsOf(i int) Settings {
+	return Settings{
 		Host: fmt.Sprintf("host-%d", i), Domain: fmt.Sprintf("d%d", i%3), Region: "r", Environment: "trial",
 		Listen: "127.0.0.1:0", Heartbeat: 100 * time.Millisecond, SuspectTime: 500 * time.Millisecond,
 		PeerTimeout: 500 * time.Millisecond, Poll: 50 * time.Millisecond, PollTimeout: 500 * time.Millisecond,
 		ListPeriod: 100 * time.Millisecond, DrainTime: time.Second,
-	}, d.store)
-	require.NoError(d.t, err)
-	return a
+	}
 }
 
 // await waits until the condition holds in every running agent. It is checked
@@ -174,12 +178,9 @@
 	d.await("document", inForce(1))
 	d.await("targets", usable(2))
 	d.store.SetFault(memstore.Fault{Outage: true})
-	late, err := Start(logging.Discard(), Settings{
-		Host: "late", Domain: "d9", Region: "r", Environment: "trial", Listen: "127.0.0.1:0",
-		Peers: []string{d.agents[0].Address()}, Heartbeat: 100 * time.Millisecond, SuspectTime: 500 * time.Millisecond,
-		PeerTimeout: 500 * time.Millisecond, Poll: 50 * time.Millisecond, PollTimeout: 500 * time.Millisecond,
-		ListPeriod: 100 * time.Millisecond,
-	}, d.store)
+	settings := settingsOf(9)
+	settings.Peers = []string{d.agents[0].Address()}
+	late, err := Start(logging.Discard(), settings, d.store)
 	require.NoError(t, err)
 	d.agents = append(d.agents, late)
 	d.await("document from peers", inForce(1))
--- a/internal/agent/settings.go
+++ b/internal/agent/settings.go
@@ -5,6 +5,7 @@
 
 	"corianderhitch/internal/logging"
 	"corianderhitch/internal/telemetry"
+	"corianderhitch/internal/tlskeys"
 )
 
 // LogSettings are the logging settings under a name that can be embedded beside
@@ -14,6 +15,9 @@
 // TraceSettings are the telemetry settings under a name of their own.
 type TraceSettings = telemetry.Settings
 
+// TLSSettings are the settings of TLS between hosts.
+type TLSSettings = tlskeys.Settings
+
 // Settings are the settings of the agent program.
 type Settings struct {
 	Host        string        `flag:"host" usage:"unique name of this host" validate:"required"`
@@ -37,4 +41,5 @@
 	PrintConfig bool          `flag:"print-config" usage:"print the settings and exit"`
 	LogSettings
 	TraceSettings
+	TLSSettings
 }
