Tell gateways of loads at a pace that grows with the table

Cause: each poll of a target ended the long polls of gateways, which get the table whole: about 700 KB at 2,700 targets (reckoned from 250 B a row). Changes of health, leaving, list and owner still end them at once.

--- a/internal/agent/observer/table.go
+++ b/internal/agent/observer/table.go
@@ -34,6 +34,7 @@
 	rumors   *spread.Rumors
 	members  int
 	version  int64
+	slow     int64
 	sums     *spread.Sums // nil after a change of more than load
 }
 
@@ -53,6 +54,9 @@
 // Version grows with every change of a row.
 func (t *Table) Version() int64 { return t.version }
 
+// SlowVersion grows with every change of more than load.
+func (t *Table) SlowVersion() int64 { return t.slow }
+
 // Len returns the number of targets in the platform's list.
 func (t *Table) Len() int { return len(t.rows) - len(t.leftAt) }
 
@@ -126,6 +130,7 @@
 	o.leavingUntil = now.Add(leavingHold)
 	t.overlays[name] = o
 	t.version++
+	t.slow++
 }
 
 // Down applies news that the target broke a connection.
@@ -134,6 +139,7 @@
 	o.downUntil = now.Add(downHold)
 	t.overlays[name] = o
 	t.version++
+	t.slow++
 }
 
 // Tick drops rows and overlays that have outlived their use.
@@ -150,6 +156,7 @@
 		if !now.Before(o.leavingUntil) && !now.Before(o.downUntil) {
 			delete(t.overlays, name)
 			t.version++
+			t.slow++
 		}
 	}
 }
@@ -216,6 +223,7 @@
 func (t *Table) store(now time.Time, r control.TargetState) {
 	if old, exists := t.rows[r.Name]; !exists || old.Left != r.Left || rowHash(*old) != rowHash(r) {
 		t.sums = nil
+		t.slow++
 	}
 	t.rows[r.Name] = &r
 	t.version++
--- a/internal/agent/state/exchange.go
+++ b/internal/agent/state/exchange.go
@@ -97,13 +97,13 @@
 	before := s.members.Version()
 	s.members.Heard(now, from)
 	s.members.Merge(now, from.Host, members)
-	changed := s.members.Version() != before
-	if s.targets.Merge(now, from.Host, targets) > 0 {
-		changed = true
-	}
-	if changed {
+	if s.members.Version() != before {
 		s.touch()
 	}
+	slow := s.targets.SlowVersion()
+	if s.targets.Merge(now, from.Host, targets) > 0 {
+		s.touchTargets(now, slow)
+	}
 	s.takeNews(now, from.Host, events)
 }
 
--- a/internal/agent/state/state.go
+++ b/internal/agent/state/state.go
@@ -33,6 +33,8 @@
 	ahead     string               // address of a peer with a higher document revision, guarded by mu
 	strangers []string             // addresses to ask directly, guarded by mu
 	storeUp   bool                 // whether the last call to the store succeeded, guarded by mu
+	loadTold  time.Time            // when waiting gateways were last told of loads, guarded by mu
+	loadDue   bool                 // whether loads changed since, guarded by mu
 	version   int64                // guarded by mu
 	changed   chan struct{}        // closed at the next change, guarded by mu
 
@@ -44,6 +46,14 @@
 // dropped, which costs a later decision its hint.
 const newsBacklog = 256
 
+const (
+	// minLoadPace is the shortest time between two tellings of loads to gateways,
+	// which need them only while no owner of a pool answers them.
+	minLoadPace = 250 * time.Millisecond
+	// loadPacePerTarget makes it 5.4 s at 2,700 targets, whose table has 700 KB.
+	loadPacePerTarget = 2 * time.Millisecond
+)
+
 // maxStrangers is the number of hosts asked after a read of the registration.
 // One that answers brings its whole table.
 const maxStrangers = 5
@@ -170,10 +180,11 @@
 	if !write {
 		return
 	}
+	before := s.targets.SlowVersion()
 	if s.targets.Put(now, row) {
 		s.hurry()
 	}
-	s.touch()
+	s.touchTargets(now, before)
 }
 
 // RefreshTarget lets the current load of a target travel to peers.
@@ -222,14 +233,17 @@
 func (s *State) Tick(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	before := s.members.Version() + s.targets.Version()
+	before := s.members.Version() + s.targets.SlowVersion()
 	s.members.Tick(now)
 	s.targets.SetMembers(len(s.members.Live()))
 	s.targets.Tick(now)
 	s.news.Tick(now)
-	if s.members.Version()+s.targets.Version() != before {
+	if s.members.Version()+s.targets.SlowVersion() != before {
 		s.touch()
 	}
+	if s.loadDue {
+		s.touchTargets(now, s.targets.SlowVersion())
+	}
 }
 
 // Due returns the peers to exchange with in this period.
@@ -304,6 +318,18 @@
 	}
 }
 
+// touchTargets tells waiting gateways of a change of targets: of a mere load at
+// a pace that grows with the table, since they get it whole.
+func (s *State) touchTargets(now time.Time, slowBefore int64) {
+	pace := max(minLoadPace, time.Duration(s.targets.Len())*loadPacePerTarget)
+	if s.targets.SlowVersion() == slowBefore && now.Sub(s.loadTold) < pace {
+		s.loadDue = true
+		return
+	}
+	s.loadTold, s.loadDue = now, false
+	s.touch()
+}
+
 func (s *State) touch() {
 	s.version++
 	close(s.changed)
--- a/internal/agent/state/state_test.go
+++ b/internal/agent/state/state_test.go
@@ -219,3 +219,27 @@
 	}
 	return latest
 }
+
+func TestLoadsAreToldAtAPaceAndHealthAtOnce(t *testing.T) {
+	f := newFleet(1, 1)
+	s := f.agents[0]
+	put := func(running int, healthy bool) bool {
+		before, _ := s.Version()
+		s.UpdateTarget(f.now, "e", func(row control.TargetState) (control.TargetState, bool) {
+			row.Target = platform.Target{Name: "e", Kind: platform.TargetEngine}
+			row.Healthy, row.Load.Running = healthy, running
+			return row, true
+		})
+		after, _ := s.Version()
+		return after != before
+	}
+	require.True(t, put(1, true), "a new target is told at once")
+	require.False(t, put(2, true), "a load is told later")
+	require.True(t, put(2, false), "a failure is told at once")
+	require.False(t, put(3, false))
+	f.now = f.now.Add(minLoadPace)
+	before, _ := s.Version()
+	s.Tick(f.now)
+	after, _ := s.Version()
+	require.NotEqual(t, before, after, "the load that waited is told")
+}
