Agents speak mutual TLS, read the document as stored, and add their span to a request's trace

Cause: TLS and key rotation held only for gateways and hitchctl; an agent re-encoded the document, which would drop fields of a later release during a rolling upgrade; the hop from gateway to pool owner had no span. Change: agent/transport with tlskeys, docstore.Body in docsync, AdmitArgs.TraceParent and the span schedule. Measured: unit tests of telemetry, gateway and agent pass; TLS of the agent has no test with real processes yet.

--- a/api/control/control.go
+++ b/api/control/control.go
@@ -140,6 +140,8 @@
 	Deadline     time.Time
 	Fingerprint  uint64
 	Avoid        []string // targets that the caller has tried
+	// TraceParent is the W3C trace context of the request; empty for none.
+	TraceParent string
 	// News is what the gateway saw of the targets that it tried for this request.
 	// The owner takes it before it decides, since news on its own may come later.
 	News []News
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -26,6 +26,7 @@
 	"corianderhitch/internal/agent/services"
 	"corianderhitch/internal/agent/state"
 	"corianderhitch/internal/agent/suspicion"
+	"corianderhitch/internal/logging"
 	"corianderhitch/internal/platform"
 	"corianderhitch/internal/rpcconn"
 )
@@ -43,7 +44,7 @@
 
 	state        *state.State
 	pool         *rpcconn.Pool
-	traffic      *rpcconn.Traffic
+	transport    *transport
 	server       *rpcconn.Server
 	exchange     *exchange.Loop
 	watcher      *docsync.Watcher
@@ -68,12 +69,17 @@
 		return nil, eris.Wrapf(err, "cannot listen on %s; choose another --listen", s.Listen)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	traffic := &rpcconn.Traffic{}
+	transport, err := openTransport(s, logging.Part(log, "tls"))
+	if err != nil {
+		cancel()
+		_ = listener.Close()
+		return nil, err
+	}
 	a := &Agent{
 		log:       log,
 		settings:  s,
-		pool:      rpcconn.NewPool(traffic.Dialer(rpcconn.TCP)),
-		traffic:   traffic,
+		pool:      rpcconn.NewPool(transport.dialer()),
+		transport: transport,
 		directory: directory.New(),
 		suspects:  &suspicion.Register{},
 		stopping:  make(chan struct{}),
@@ -87,7 +93,7 @@
 		cancel()
 		return nil, err
 	}
-	a.server = rpcconn.Serve(traffic.Listener(listener), services)
+	a.server = rpcconn.Serve(transport.listener(listener), services)
 	a.startDuties(ctx, p, presence)
 	log.Info("Agent serves.", "host", s.Host, "address", a.state.Self().AgentAddr, "domain", s.Domain, "region", s.Region)
 	return a, nil
@@ -141,6 +147,7 @@
 	a.placement = placement.Start(a.log, p, a.state, orders, s.Environment)
 	a.done.Go(func() { presence.Run(ctx) })
 	a.done.Go(func() { a.actOnNews(ctx) })
+	a.done.Go(func() { a.transport.watch(ctx) })
 }
 
 // actOnNews takes events to the duties that act on them.
--- a/internal/agent/docsync/source.go
+++ b/internal/agent/docsync/source.go
@@ -34,15 +34,11 @@
 
 // Read implements Source.
 func (s *StoreSource) Read(ctx context.Context) (int64, []byte, platform.Revision, error) {
-	accepted, from, err := s.documents.Current(ctx, s.environment)
+	body, err := s.documents.Body(ctx, s.environment)
 	if eris.Is(err, platform.ErrNotFound) {
 		return 0, nil, 0, nil
 	}
-	if err != nil {
-		return 0, nil, 0, err
-	}
-	content, err := document.Encode(accepted.Document)
-	return accepted.Revision, content, from, err
+	return body.Revision, body.Content, body.From, err
 }
 
 // Wait implements Source.
--- a/internal/agent/metrics.go
+++ b/internal/agent/metrics.go
@@ -39,8 +39,8 @@
 
 func (a *Agent) measureTraffic(meter metric.Meter) error {
 	observe := func(_ context.Context, o metric.Int64Observer) error {
-		o.Observe(a.traffic.In(), metric.WithAttributes(attribute.String("direction", "in")))
-		o.Observe(a.traffic.Out(), metric.WithAttributes(attribute.String("direction", "out")))
+		o.Observe(a.transport.traffic.In(), metric.WithAttributes(attribute.String("direction", "in")))
+		o.Observe(a.transport.traffic.Out(), metric.WithAttributes(attribute.String("direction", "out")))
 		return nil
 	}
 	_, err := meter.Int64ObservableCounter("hitch_agent_rpc_bytes", metric.WithUnit("By"),
--- a/internal/agent/services/peer.go
+++ b/internal/agent/services/peer.go
@@ -45,31 +45,6 @@
 	return nil
 }
 
-// Scheduling serves gateways that ask for places.
-type Scheduling struct{ scheduler *scheduler.Scheduler }
-
-// NewScheduling returns the service.
-func NewScheduling(sched *scheduler.Scheduler) *Scheduling { return &Scheduling{scheduler: sched} }
-
-// Admit waits until the request is granted or refused.
-func (s *Scheduling) Admit(args control.AdmitArgs, reply *control.AdmitReply) error {
-	answer, err := s.scheduler.Admit(args)
-	*reply = answer
-	return err
-}
-
-// Finish returns places and withdraws requests that wait.
-func (s *Scheduling) Finish(args control.FinishArgs, _ *control.Empty) error {
-	s.scheduler.Finish(args)
-	return nil
-}
-
-// Reattach takes over generations that an earlier owner admitted.
-func (s *Scheduling) Reattach(args control.ReattachArgs, _ *control.Empty) error {
-	s.scheduler.Reattach(args)
-	return nil
-}
-
 // Directory serves gateways that look for running generations.
 type Directory struct{ directory *directory.Directory }
 
--- /dev/null
+++ b/internal/agent/services/scheduling.go
@@ -0,0 +1,49 @@
+package services
+
+import (
+	"context"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"corianderhitch/api/control"
+	"corianderhitch/internal/agent/scheduler"
+	"corianderhitch/internal/telemetry"
+)
+
+// Scheduling serves gateways that ask for places.
+type Scheduling struct {
+	scheduler *scheduler.Scheduler
+	tracer    trace.Tracer
+}
+
+// NewScheduling returns the service.
+func NewScheduling(sched *scheduler.Scheduler) *Scheduling {
+	return &Scheduling{scheduler: sched, tracer: otel.Tracer("corianderhitch/agent")}
+}
+
+// Admit waits until the request is granted or refused. The wait is a span of the
+// request's trace.
+func (s *Scheduling) Admit(args control.AdmitArgs, reply *control.AdmitReply) error {
+	ctx := telemetry.WithTraceParent(context.Background(), args.TraceParent)
+	_, span := s.tracer.Start(ctx, "schedule", trace.WithSpanKind(trace.SpanKindServer), trace.WithAttributes(
+		attribute.String("model", args.Model), attribute.String("class", args.Class)))
+	defer span.End()
+	answer, err := s.scheduler.Admit(args)
+	span.SetAttributes(attribute.Bool("granted", answer.Granted), attribute.String("target", answer.Target.Name))
+	*reply = answer
+	return err
+}
+
+// Finish returns places and withdraws requests that wait.
+func (s *Scheduling) Finish(args control.FinishArgs, _ *control.Empty) error {
+	s.scheduler.Finish(args)
+	return nil
+}
+
+// Reattach takes over generations that an earlier owner admitted.
+func (s *Scheduling) Reattach(args control.ReattachArgs, _ *control.Empty) error {
+	s.scheduler.Reattach(args)
+	return nil
+}
--- a/internal/agent/settings.go
+++ b/internal/agent/settings.go
@@ -5,12 +5,16 @@
 
 	"corianderhitch/internal/logging"
 	"corianderhitch/internal/telemetry"
+	"corianderhitch/internal/tlskeys"
 )
 
 // LogSettings are the logging settings under a name that can be embedded beside
 // TraceSettings.
 type LogSettings = logging.Settings
 
+// TLSSettings are the TLS settings under a name of their own.
+type TLSSettings = tlskeys.Settings
+
 // TraceSettings are the telemetry settings under a name of their own.
 type TraceSettings = telemetry.Settings
 
@@ -35,6 +39,7 @@
 	MemoryLimit int           `flag:"memory-limit-mb" default:"32" usage:"soft memory limit in MiB unless GOMEMLIMIT is set; 0 for none" validate:"min=0"`
 	Policy      string        `flag:"policy" default:"pool_owner" usage:"how pools admit requests; all but pool_owner are baselines for comparisons" validate:"omitempty,oneof=pool_owner least_in_flight reported_load round_robin worst_case_reservation"`
 	PrintConfig bool          `flag:"print-config" usage:"print the settings and exit"`
+	TLSSettings
 	LogSettings
 	TraceSettings
 }
--- a/internal/gateway/fleet/admit.go
+++ b/internal/gateway/fleet/admit.go
@@ -10,6 +10,7 @@
 	"corianderhitch/api/problem"
 	"corianderhitch/internal/platform"
 	"corianderhitch/internal/rpcconn"
+	"corianderhitch/internal/telemetry"
 )
 
 const (
@@ -37,6 +38,7 @@
 // *problem.Error with ran=no when it is refused. The place is given back by End.
 func (f *Fleet) Admit(ctx context.Context, args control.AdmitArgs) (*Place, error) {
 	args.Host, args.Region = f.options.Host, f.options.Region
+	args.TraceParent = telemetry.TraceParent(ctx)
 	args.Avoid = append(args.Avoid, f.avoid.names(time.Now())...)
 	view := f.View()
 	owners := view.rankedHosts(args.Model + "/" + args.Region)
