--- a/internal/gateway/api/engine_test.go
+++ b/internal/gateway/api/engine_test.go
@@ -21,7 +21,9 @@
 	length int
 	// before runs before a token is sent; false cuts the connection.
 	before func(generation string, offset int) bool
-	server *httptest.Server
+	// received sees every request.
+	received func(r *http.Request)
+	server   *httptest.Server
 
 	mu       sync.Mutex
 	runs     map[string][]string // guarded by mu; tokens by generation
@@ -30,7 +32,7 @@
 }
 
 func newEngine(t testing.TB, name string, length int) *scriptedEngine {
-	e := &scriptedEngine{name: name, length: length, runs: make(map[string][]string), before: func(string, int) bool { return true }}
+	e := &scriptedEngine{name: name, length: length, runs: make(map[string][]string), before: func(string, int) bool { return true }, received: func(*http.Request) {}}
 	e.server = httptest.NewServer(e)
 	t.Cleanup(e.server.Close)
 	return e
@@ -39,6 +41,7 @@
 func (e *scriptedEngine) address() string { return strings.TrimPrefix(e.server.URL, "http://") }
 
 func (e *scriptedEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.received(r)
 	id := strings.TrimPrefix(r.URL.Path, "/v1/generations/")
 	switch r.Method {
 	case http.MethodDelete:
