--- a/internal/gateway/api/completion_test.go
+++ b/internal/gateway/api/completion_test.go
@@ -211,6 +211,15 @@
 	require.Equal(t, problem.RanYes, got.failure.Ran)
 }
 
+func TestRunningGenerationIsFetchedWhileTheStoreIsDown(t *testing.T) {
+	e := newEngine(t, "one", 5)
+	b := newBench(t, e.address())
+	readStream(t, b.request(t, http.MethodPost, "/v1/completions", bookingKey, streamBody, "Idempotency-Key", "store-down-1"), 0)
+	require.Equal(t, http.StatusOK, b.request(t, http.MethodGet, "/v1/completions/store-down-1", bookingKey, "").StatusCode)
+	resp := b.request(t, http.MethodGet, "/v1/completions/store-down-2", bookingKey, "")
+	require.Equal(t, problem.KindStoreUnavailable, problemOf(t, resp).Kind)
+}
+
 func TestCancelReachesTheEngine(t *testing.T) {
 	e := newEngine(t, "one", 5)
 	b := newBench(t, e.address())
--- a/internal/gateway/api/fakes_test.go
+++ b/internal/gateway/api/fakes_test.go
@@ -82,7 +82,10 @@
 	return completion.LateStatus{}, ErrNoLate
 }
 
-func (noLate) Fetch(context.Context, string, string) (LateAnswer, error) {
+func (noLate) Fetch(_ context.Context, _, id string) (LateAnswer, error) {
+	if strings.HasPrefix(id, "store-down") {
+		return LateAnswer{}, problem.New(problem.KindStoreUnavailable, http.StatusServiceUnavailable, problem.RanUnknown, "wait", "down")
+	}
 	return LateAnswer{}, ErrNoLate
 }
 
--- a/internal/gateway/api/fetch.go
+++ b/internal/gateway/api/fetch.go
@@ -27,20 +27,21 @@
 	if token != "" || strings.Contains(r.Header.Get("Accept"), "text/event-stream") {
 		return s.resume(w, r, id, token)
 	}
-	answer, err := s.late.Fetch(r.Context(), r.account.Name, id)
-	switch {
-	case err == nil:
+	answer, lateErr := s.late.Fetch(r.Context(), r.account.Name, id)
+	if lateErr == nil {
 		return writeLate(w, answer)
-	case !errors.Is(err, ErrNoLate):
-		return err
 	}
+	// Also without the store, a running generation can be read.
 	entry, found := s.view.Lookup(r.Context(), r.account.Name, id)
-	if !found {
+	if found {
+		job := s.fixedJob(r, entryToken(entry, id))
+		job.Resume.Delivered = 0
+		return s.answer(w, r, job)
+	}
+	if errors.Is(lateErr, ErrNoLate) {
 		return unknownRequest(id)
 	}
-	job := s.fixedJob(r, entryToken(entry, id))
-	job.Resume.Delivered = 0
-	return s.answer(w, r, job)
+	return lateErr
 }
 
 // resume continues a stream by its token, or by the request id from the start.
