--- a/internal/gateway/api/fetch.go
+++ b/internal/gateway/api/fetch.go
@@ -32,7 +32,7 @@
 		return writeLate(w, answer)
 	}
 	// Also without the store, a running generation can be read.
-	entry, found := s.view.Lookup(r.Context(), r.account.Name, id)
+	entry, found := s.view.Find(r.Context(), r.account.Name, id)
 	if found {
 		job := s.fixedJob(r, entryToken(entry, id))
 		job.Resume.Delivered = 0
@@ -47,7 +47,7 @@
 // resume continues a stream by its token, or by the request id from the start.
 func (s *Server) resume(w http.ResponseWriter, r *request, id, text string) error {
 	if text == "" {
-		entry, found := s.view.Lookup(r.Context(), r.account.Name, id)
+		entry, found := s.view.Find(r.Context(), r.account.Name, id)
 		if !found {
 			return unknownRequest(id)
 		}
@@ -104,7 +104,7 @@
 	if lateErr != nil && !errors.Is(lateErr, ErrNoLate) {
 		return lateErr
 	}
-	entry, found := s.view.Lookup(r.Context(), r.account.Name, id)
+	entry, found := s.view.Find(r.Context(), r.account.Name, id)
 	if !found && lateErr != nil {
 		return unknownRequest(id)
 	}
--- a/internal/gateway/fleet/calls.go
+++ b/internal/gateway/fleet/calls.go
@@ -23,19 +23,11 @@
 	})
 }
 
-// Marked implements ledger.Hint. All hosts that may hold the mark are asked.
+// Marked implements ledger.Hint. Both hosts that keep a mark are among those
+// asked; one answer is enough to deny it.
 func (f *Fleet) Marked(ctx context.Context, account, key string) bool {
-	asked := false
-	lookup := control.DirectoryKey{Account: account, RequestID: callPrefix + key}
-	for _, agent := range f.directoryAgents(account, lookup.RequestID) {
-		reply := new(control.LookupReply)
-		if f.callDirectory(ctx, agent, "Directory.Lookup", lookup, reply) != nil {
-			continue
-		}
-		asked = true
-		if reply.Found {
-			return true
-		}
-	}
-	return !asked
+	requestID := callPrefix + key
+	owners := f.awake(f.directoryOwners(account, requestID))
+	_, found, silent := f.lookup(ctx, directoryTimeout, account, requestID, owners)
+	return found || len(silent) == len(owners)
 }
