--- a/internal/scheduling/baseline/credits.go
+++ b/internal/scheduling/baseline/credits.go
@@ -64,6 +64,7 @@
 			t := &scaled[j]
 			t.TotalBlocks = int(float64(t.TotalBlocks) * p.share[i])
 			t.UsedBlocks = int(float64(t.UsedBlocks) * p.share[i])
+			t.Running, t.Waiting = 0, 0 // others' sequences are within their own credits
 		}
 		pool.SetTargets(now, scaled)
 	}
