Compare policies with slow engines too

Cause: on a machine whose load average was 34 to 110 the second comparison shows the machine, not the policies: 1,381 s of stall against 1,410 s. SLOW=1 triples the step time, so that a late process matters a third as much.

--- a/scripts/compare.sh
+++ b/scripts/compare.sh
@@ -1,24 +1,34 @@
 #!/usr/bin/env bash
 # Runs two deployments of 8 hosts and 12 engines side by side, which differ in
 # the agents' policy only, and sends both the same arrivals at the same time.
-# Engines have little memory, so that it fills. Writes OUT/compare/.
+# Engines have little memory, so that it fills. SLOW=1 makes them step three
+# times as slowly with a third of the tokens and half of the memory, so that the
+# load of the machine itself disturbs less. Writes OUT/compare-SEED/.
 #
-# Usage: scripts/compare.sh [baseline]; environment: RATE, SECONDS_EACH, SEED.
+# Usage: scripts/compare.sh [baseline]; environment: SLOW, RATE, SECONDS_EACH, SEED.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 . scripts/measuring.sh
 BASELINE=${1:-least_in_flight}
-RATE=${RATE:-28}
 EACH=${SECONDS_EACH:-60}
 SEED=${SEED:-1}
 HOSTS=8
+if [ -n "${SLOW:-}" ]; then
+  RATE=${RATE:-20}
+  ENGINE=(--blocks 128 --step-base 60ms --step-sequence 1ms)
+  LENGTHS=(--median-tokens 60 --max-tokens 1500)
+else
+  RATE=${RATE:-38}
+  ENGINE=(--blocks 256)
+  LENGTHS=(--median-tokens 150 --max-tokens 4000)
+fi
 ENGINE_COUNT=12
 
 # deploy NAME BASE_PORT POLICY
 deploy() {
   begin_deployment "$TOP/$1" "$2"
   start_store
-  start_engines $ENGINE_COUNT --blocks "${BLOCKS:-256}" --max-batch 64 --report-every 250ms --report-lag 500ms --cache-lag 500ms \
+  start_engines $ENGINE_COUNT "${ENGINE[@]}" --max-batch 64 --report-every 250ms --report-lag 500ms --cache-lag 500ms \
     --cache-loss 0.02 --log-level warn
   apply_document >/dev/null
   start_hosts $HOSTS --policy "$3" --log-level warn
@@ -33,5 +43,5 @@
 note "compare: pool_owner and $BASELINE, $RATE requests/s each, seed $SEED"
 $BIN/hitchload compare --gateways-a "$ours_gateways" --gateways-b "$GATEWAYS" --engines-a "$ours_engines" --engines-b "$ENGINES" \
   --label-a pool_owner --label-b "$BASELINE" --keys "$KEYS" --rate "$RATE" --duration "${EACH}s" --seed "$SEED" \
-  --lookup-share 0 --hold-share 0 --median-tokens 150 --sigma-tokens 1.2 --max-tokens 4000 --prompt-tokens 400 --out "$OUT/compare"
+  --lookup-share 0 --hold-share 0 "${LENGTHS[@]}" --sigma-tokens 1.2 --prompt-tokens 400 --out "$OUT/compare-$SEED"
 note "end"
