--- a/internal/scheduling/suspicion/tracker.go
+++ b/internal/scheduling/suspicion/tracker.go
@@ -70,15 +70,15 @@
 	}
 }
 
-// Remaining returns how long the request stays under suspicion.
+// Remaining returns how long it takes until the first crash of the request is
+// forgotten, and with it the reason to refuse.
 func (t *Tracker) Remaining(fingerprint uint64, now time.Time) time.Duration {
-	remaining := time.Duration(0)
 	for _, r := range t.crashes {
 		if r.holds(fingerprint) {
-			remaining = max(remaining, r.crash.At.Add(Memory).Sub(now))
+			return r.crash.At.Add(Memory).Sub(now)
 		}
 	}
-	return remaining
+	return 0
 }
 
 // Together tells whether two requests were beside the same unexplained crash.
@@ -129,7 +129,7 @@
 }
 
 func (t *Tracker) expire(now time.Time) {
-	for len(t.crashes) > 0 && now.Sub(t.crashes[0].crash.At) > Memory {
+	for len(t.crashes) > 0 && now.Sub(t.crashes[0].crash.At) >= Memory {
 		t.crashes = t.crashes[1:]
 	}
 }
