Figures of experiments and comparisons, made by make figures

Cause: the names of eight policies overlapped and percentiles above 99 lay on each other. Conclusion: turned names, and one place for each kept percentile.

--- a/internal/load/plot.go
+++ b/internal/load/plot.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"fmt"
 	"path/filepath"
 
 	"corianderhitch/internal/report"
@@ -18,16 +19,25 @@
 		var lines []report.Line
 		for _, r := range results {
 			line := report.Line{Label: r.Label}
-			for _, p := range f.points(r) {
-				line.X = append(line.X, p.Percent)
+			for i, p := range f.points(r) {
+				line.X = append(line.X, float64(i))
 				line.Y = append(line.Y, p.MS)
 			}
 			lines = append(lines, line)
 		}
-		axes := report.Axes{Title: f.title, X: "percentile", Y: "ms", LogY: true}
+		axes := report.Axes{Title: f.title, X: "percentile", Y: "ms", LogY: true, Names: percentNames()}
 		if err := report.Lines(filepath.Join(dir, f.file), axes, lines); err != nil {
 			return err
 		}
 	}
 	return nil
 }
+
+// percentNames labels the kept points of a distribution.
+func percentNames() []string {
+	names := make([]string, len(percents))
+	for i, p := range percents {
+		names[i] = fmt.Sprintf("p%g", p)
+	}
+	return names
+}
--- a/internal/report/bars.go
+++ b/internal/report/bars.go
@@ -1,9 +1,12 @@
 package report
 
 import (
+	"math"
+
 	"github.com/rotisserie/eris"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/text"
 	"gonum.org/v1/plot/vg"
 )
 
@@ -16,6 +19,9 @@
 // barsWidth is the width that the bars of one category share.
 const barsWidth = 1.4 * vg.Centimeter
 
+// labelAngle turns the names of categories, in radians, so that they do not overlap.
+const labelAngle = math.Pi / 8
+
 // Bars draws groups of bars, a group a category, into a file. Without categories
 // it draws nothing. The Y axis is linear.
 func Bars(file string, axes Axes, categories []string, series []Series) error {
@@ -23,6 +29,7 @@
 		return nil
 	}
 	axes.LogY = false
+	axes.Names = categories
 	p := axes.plot()
 	one := barsWidth / vg.Length(len(series))
 	for i, s := range series {
@@ -39,6 +46,8 @@
 		}
 	}
 	p.Legend.Left = false
-	p.NominalX(categories...)
+	p.X.Tick.Label.Rotation = labelAngle
+	p.X.Tick.Label.XAlign = text.XRight
+	p.X.Tick.Label.YAlign = text.YCenter
 	return save(p, file)
 }
--- a/internal/report/lines.go
+++ b/internal/report/lines.go
@@ -25,6 +25,8 @@
 	Title string
 	X, Y  string // labels with units
 	LogY  bool   // values below 0.01 are drawn at 0.01
+	// Names replaces the numbers of the X axis: the points lie at 0, 1, 2, ...
+	Names []string
 }
 
 // Line is one line of a figure.
@@ -71,10 +73,12 @@
 	p.Legend.Top = true
 	p.Legend.Left = true
 	p.BackgroundColor = color.White
+	if len(a.Names) > 0 {
+		p.NominalX(a.Names...)
+	}
 	if a.LogY {
 		p.Y.Scale = plot.LogScale{}
 		p.Y.Tick.Marker = plot.LogTicks{Prec: -1}
-		p.Y.Min = leastOnLog
 	}
 	return p
 }
