--- a/internal/gateway/fleet/fleet_test.go
+++ b/internal/gateway/fleet/fleet_test.go
@@ -245,3 +245,18 @@
 	require.True(t, found)
 	require.Equal(t, "g1", got.Generation)
 }
+
+func TestMarkOfACallIsKnownToOtherGateways(t *testing.T) {
+	a := newAgent(t)
+	a.members = []control.Member{member("h", a)}
+	one, two := start(t, a), start(t)
+	await(t, one, func(v *View) bool { return len(v.Members) == 1 })
+	require.True(t, two.Marked(t.Context(), "a", "k"), "nobody can be asked")
+	two.publish(one.View())
+	require.False(t, two.Marked(t.Context(), "a", "k"))
+	one.Mark(t.Context(), "a", "k")
+	require.True(t, two.Marked(t.Context(), "a", "k"))
+	require.False(t, two.Marked(t.Context(), "b", "k"))
+	a.server.Stop()
+	require.True(t, two.Marked(t.Context(), "a", "other"))
+}
--- a/internal/ledger/hint.go
+++ b/internal/ledger/hint.go
@@ -15,8 +15,8 @@
 	Marked(ctx context.Context, account, key string) bool
 }
 
-// hintTimeout bounds the wait for a hint.
-const hintTimeout = 300 * time.Millisecond
+// hintTimeout bounds the wait for a hint: two hosts, of which one gives no answer.
+const hintTimeout = 650 * time.Millisecond
 
 // mark remembers that the call is about to be dispatched.
 func (l *Ledger) mark(call Call) {
