--- a/internal/scheduling/limits/limits_test.go
+++ b/internal/scheduling/limits/limits_test.go
@@ -1,6 +1,7 @@
 package limits
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -52,3 +53,23 @@
 	reason, _ = a.Submit(start.Add(wait+time.Second), "x", 0)
 	assert.Equal(t, None, reason)
 }
+
+func BenchmarkSubmit(b *testing.B) {
+	for _, accounts := range []int{10, 1000, 27000} {
+		b.Run(fmt.Sprintf("accounts=%d", accounts), func(b *testing.B) {
+			names := make([]string, accounts)
+			all := make(map[string]document.Limits, accounts)
+			for i := range names {
+				names[i] = fmt.Sprint("account-", i)
+				all[names[i]] = document.Limits{RequestsPerSecond: 1000, Concurrent: 5, TokensPerMinute: 1e6}
+			}
+			a := New(all)
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				i++
+				a.Submit(start.Add(time.Duration(i)*time.Microsecond), names[i%accounts], 0)
+			}
+		})
+	}
+}
--- a/internal/scheduling/suspicion/tracker_test.go
+++ b/internal/scheduling/suspicion/tracker_test.go
@@ -71,3 +71,16 @@
 	assert.False(t, tracker.Together(1, 3))
 	assert.False(t, tracker.Together(1, 1))
 }
+
+func BenchmarkVerdict(b *testing.B) {
+	tracker := NewTracker()
+	for i := range uint64(maxFingerprints) {
+		tracker.Record(Crash{ID: "1", At: start, Beside: []uint64{i}})
+	}
+	b.ReportAllocs()
+	i := uint64(0)
+	for b.Loop() {
+		i++
+		tracker.Verdict(i%(2*maxFingerprints), start)
+	}
+}
--- a/internal/scheduling/victim/victim_test.go
+++ b/internal/scheduling/victim/victim_test.go
@@ -22,3 +22,14 @@
 		t.Run(test.name, func(t *testing.T) { assert.Equal(t, test.want, Choose(test.list)) })
 	}
 }
+
+func BenchmarkChoose(b *testing.B) {
+	list := make([]Candidate, 48)
+	for i := range list {
+		list[i] = Candidate{Ticket: "t", Priority: i % 3, LostTokens: i * 10, HeldTokens: 700 - i}
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		Choose(list)
+	}
+}
