--- a/internal/gateway/fleet/calls.go
+++ b/internal/gateway/fleet/calls.go
@@ -23,10 +23,11 @@
 	})
 }
 
-// Marked implements ledger.Hint. All hosts that may hold the mark are asked. One
-// that gives no answer may hold it, so that the call must not be denied.
+// Marked implements ledger.Hint. Both hosts that keep a mark are among those
+// asked; one answer is enough to deny it.
 func (f *Fleet) Marked(ctx context.Context, account, key string) bool {
-	owners := f.directoryOwners(account, callPrefix+key)
-	_, found, silent := f.lookup(ctx, directoryTimeout, account, callPrefix+key, owners)
-	return found || len(owners) == 0 || len(silent) > 0
+	requestID := callPrefix + key
+	owners := f.awake(f.directoryOwners(account, requestID))
+	_, found, silent := f.lookup(ctx, directoryTimeout, account, requestID, owners)
+	return found || len(silent) == len(owners)
 }
