--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -9,6 +9,7 @@
 	"corianderhitch/internal/logging"
 	"corianderhitch/internal/platform/kvhttp"
 	"corianderhitch/internal/telemetry"
+	"corianderhitch/internal/web"
 )
 
 // Run runs the agent program until ctx ends, then leaves the fleet.
@@ -28,7 +29,7 @@
 	if err := a.Measure(metrics.Meter); err != nil {
 		return err
 	}
-	web, err := StartWeb(s.HTTP, a.Ready, metrics.Handler())
+	endpoints, err := web.Start(s.HTTP, a.Ready, metrics.Handler())
 	if err != nil {
 		a.Stop(ctx)
 		return err
@@ -37,7 +38,7 @@
 	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.DrainTime)
 	defer cancel()
 	a.Stop(bounded)
-	web.Stop(bounded)
+	endpoints.Stop(bounded)
 	log.Info("Agent stopped.")
 	return metrics.Stop(bounded)
 }
