--- a/internal/engineclient/client_test.go
+++ b/internal/engineclient/client_test.go
@@ -91,7 +91,7 @@
 		{"refused", refuse(problem.KindDraining, 503, problem.RanNo), 0, ErrRefused},
 		{"unknown generation", refuse(problem.KindNotFound, 404, problem.RanUnknown), 0, ErrUnknownGeneration},
 		{"failed at once", refuse(problem.KindInternal, 500, problem.RanUnknown), 0, ErrFailed},
-		{"no problem document", func(w http.ResponseWriter, _ *http.Request) { http.Error(w, "x", 502) }, 0, ErrProtocol},
+		{"no problem document", func(w http.ResponseWriter, _ *http.Request) { http.Error(w, "x", http.StatusBadGateway) }, 0, ErrProtocol},
 		{"cut without an answer", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, 0, ErrBroken},
 	}
 	for _, c := range cases {
