--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -21,7 +21,7 @@
 }
 
 func TestSameSeedSameFigures(t *testing.T) {
-	s := shipped(t, "churn", 20)
+	s := shipped(t, "churn", 30)
 	var first, second, other bytes.Buffer
 	require.NoError(t, Compare(&first, s, 1, 1, nil))
 	require.NoError(t, Compare(&second, s, 1, 1, nil))
@@ -31,9 +31,12 @@
 }
 
 func TestEveryPolicyAnswersEveryRequest(t *testing.T) {
-	for _, name := range []string{"steady", "crowded", "surge", "churn", "charter", "callbox"} {
+	windows := map[string]float64{ // seconds; long enough for the faults of churn
+		"steady": 10, "crowded": 10, "surge": 10, "churn": 60, "charter": 10, "callbox": 10,
+	}
+	for name, window := range windows {
 		t.Run(name, func(t *testing.T) {
-			s := shipped(t, name, 10)
+			s := shipped(t, name, window)
 			for _, r := range runAll(s, Policies(), 3) {
 				assert.Equal(t, r.Offered, r.Completed+r.Refused, r.Policy)
 				assert.Zero(t, r.Lost, r.Policy)
