--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -26,7 +26,6 @@
 	"corianderhitch/internal/agent/services"
 	"corianderhitch/internal/agent/state"
 	"corianderhitch/internal/agent/suspicion"
-	"corianderhitch/internal/logging"
 	"corianderhitch/internal/platform"
 	"corianderhitch/internal/rpcconn"
 )
@@ -43,8 +42,9 @@
 	settings Settings
 
 	state        *state.State
-	pool         *rpcconn.Pool
-	transport    *transport
+	links        *links
+	pool         *rpcconn.Pool // connections to partners, which the exchange closes
+	owners       *rpcconn.Pool // connections to owners of pools
 	server       *rpcconn.Server
 	exchange     *exchange.Loop
 	watcher      *docsync.Watcher
@@ -64,27 +64,25 @@
 
 // Start begins all duties of an agent.
 func Start(log *slog.Logger, s Settings, p Platform) (*Agent, error) {
+	links, err := openLinks(log, s.TLSSettings)
+	if err != nil {
+		return nil, err
+	}
 	listener, err := net.Listen("tcp", s.Listen)
 	if err != nil {
 		return nil, eris.Wrapf(err, "cannot listen on %s; choose another --listen", s.Listen)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	transport, err := openTransport(s, logging.Part(log, "tls"))
-	if err != nil {
-		cancel()
-		_ = listener.Close()
-		return nil, err
-	}
 	a := &Agent{
 		log:       log,
 		settings:  s,
-		pool:      rpcconn.NewPool(transport.dialer()),
-		transport: transport,
+		links:     links,
 		directory: directory.New(),
 		suspects:  &suspicion.Register{},
 		stopping:  make(chan struct{}),
 		stopRun:   cancel,
 	}
+	a.pool, a.owners = rpcconn.NewPool(links.dial), rpcconn.NewPool(links.dial)
 	a.state = state.New(log, a.membershipConfig(), a.self(listener), s.Environment, uint64(time.Now().UnixNano()))
 	a.scheduler = scheduler.Start(log, a.state, policyMaker(s.Policy), a.suspects)
 	presence := services.NewPresence(a.state)
@@ -93,7 +91,7 @@
 		cancel()
 		return nil, err
 	}
-	a.server = rpcconn.Serve(transport.listener(listener), services)
+	a.server = rpcconn.Serve(links.listen(listener), services)
 	a.startDuties(ctx, p, presence)
 	log.Info("Agent serves.", "host", s.Host, "address", a.state.Self().AgentAddr, "domain", s.Domain, "region", s.Region)
 	return a, nil
@@ -133,6 +131,7 @@
 	a.done.Wait()
 	a.server.Stop()
 	a.pool.Close()
+	a.owners.Close()
 }
 
 func (a *Agent) startDuties(ctx context.Context, p Platform, presence *services.Presence) {
@@ -141,13 +140,13 @@
 	a.registration = registration.Start(a.log, p, a.state, s.Environment)
 	a.watcher = docsync.StartWatcher(a.log, docsync.NewStoreSource(p, s.Environment), a.state)
 	a.lister = observer.StartLister(a.log, p, a.state, s.ListPeriod)
-	a.reports = reports.Start(a.log, a.state, a.pool, a.scheduler)
+	a.reports = reports.Start(a.log, a.state, a.owners, a.scheduler)
 	a.observer = observer.Start(a.log, a.state, a.reports, observer.Config{PollInterval: s.Poll, PollTimeout: s.PollTimeout})
 	orders := placement.HTTPOrders{Client: &http.Client{}}
 	a.placement = placement.Start(a.log, p, a.state, orders, s.Environment)
 	a.done.Go(func() { presence.Run(ctx) })
+	a.done.Go(func() { a.links.watch(ctx) })
 	a.done.Go(func() { a.actOnNews(ctx) })
-	a.done.Go(func() { a.transport.watch(ctx) })
 }
 
 // actOnNews takes events to the duties that act on them.
@@ -178,7 +177,7 @@
 func (a *Agent) services(presence *services.Presence) (*rpc.Server, error) {
 	server := rpc.NewServer()
 	for name, service := range map[string]any{
-		"Control":   services.NewControl(a.state, a.scheduler, a.pool, presence, a.settings.Environment, a.stopping),
+		"Control":   services.NewControl(a.state, a.scheduler, a.links.dial, presence, a.settings.Environment, a.stopping),
 		"Peer":      services.NewPeer(a.state, a.scheduler),
 		"Scheduler": services.NewScheduling(a.scheduler),
 		"Directory": services.NewDirectory(a.directory),
--- a/internal/agent/settings.go
+++ b/internal/agent/settings.go
@@ -12,12 +12,12 @@
 // TraceSettings.
 type LogSettings = logging.Settings
 
-// TLSSettings are the TLS settings under a name of their own.
-type TLSSettings = tlskeys.Settings
-
 // TraceSettings are the telemetry settings under a name of their own.
 type TraceSettings = telemetry.Settings
 
+// TLSSettings are the settings of TLS between hosts.
+type TLSSettings = tlskeys.Settings
+
 // Settings are the settings of the agent program.
 type Settings struct {
 	Host        string        `flag:"host" usage:"unique name of this host" validate:"required"`
@@ -39,7 +39,7 @@
 	MemoryLimit int           `flag:"memory-limit-mb" default:"32" usage:"soft memory limit in MiB unless GOMEMLIMIT is set; 0 for none" validate:"min=0"`
 	Policy      string        `flag:"policy" default:"pool_owner" usage:"how pools admit requests; all but pool_owner are baselines for comparisons" validate:"omitempty,oneof=pool_owner least_in_flight reported_load round_robin worst_case_reservation"`
 	PrintConfig bool          `flag:"print-config" usage:"print the settings and exit"`
-	TLSSettings
 	LogSettings
 	TraceSettings
+	TLSSettings
 }
