--- a/internal/scheduling/suspicion/tracker_test.go
+++ b/internal/scheduling/suspicion/tracker_test.go
@@ -101,3 +101,16 @@
 	}
 	return true
 }
+
+func BenchmarkVerdict(b *testing.B) {
+	tracker := NewTracker()
+	for i := range uint64(maxFingerprints) {
+		tracker.Record(Crash{ID: "1", At: start, Beside: []uint64{i}})
+	}
+	b.ReportAllocs()
+	i := uint64(0)
+	for b.Loop() {
+		i++
+		tracker.Verdict(i%(2*maxFingerprints), start)
+	}
+}
