Keep the cost of reports and assignments independent of the fleet's targets

Cause: each load report copied and sorted the whole target table, and every observer ranked all targets twice a second; reckoned at 2,700 targets and 100 reports a second this is several tenths of a core at a pool's owner. Now a report touches the pool's own engines, and observers reassign only when hosts or targets change.

--- a/internal/agent/observer/observer.go
+++ b/internal/agent/observer/observer.go
@@ -35,6 +35,9 @@
 	Self() control.Member
 	Live() []control.Member
 	Targets(now time.Time) []control.TargetState
+	TargetCount() int
+	// Layout changes whenever hosts or more than the load of targets change.
+	Layout() int64
 	UpdateTarget(now time.Time, name string, change func(control.TargetState) (control.TargetState, bool))
 	RefreshTarget(name string)
 }
@@ -58,6 +61,7 @@
 	done     sync.WaitGroup
 
 	// The rest belongs to the goroutine of run.
+	layout    int64 // that the pollers belong to
 	pollers   map[string]*poller
 	judges    map[string]*Judge
 	refreshed map[string]time.Time
@@ -123,6 +127,11 @@
 // assign starts pollers for the targets that this host observes now and stops
 // the others.
 func (o *Observer) assign(ctx context.Context) {
+	layout := o.fleet.Layout()
+	if layout == o.layout {
+		return
+	}
+	o.layout = layout
 	owned := Owned(o.fleet.Self(), o.fleet.Live(), o.fleet.Targets(time.Now()))
 	for name, p := range o.pollers {
 		if row, still := owned[name]; !still || row.Address != p.target.Address {
@@ -167,8 +176,7 @@
 // refresh lets the load of a target travel to peers at a pace that keeps the
 // traffic of a host constant, however many targets there are.
 func (o *Observer) refresh(now time.Time, name string) {
-	rows := len(o.fleet.Targets(now))
-	pace := time.Duration(rows) * refreshSends * rowBytes * time.Second / refreshBytesPerSecond
+	pace := time.Duration(o.fleet.TargetCount()) * refreshSends * rowBytes * time.Second / refreshBytesPerSecond
 	if now.Sub(o.refreshed[name]) >= max(pace, minRefresh) {
 		o.refreshed[name] = now
 		o.fleet.RefreshTarget(name)
--- a/internal/agent/scheduler/scheduler.go
+++ b/internal/agent/scheduler/scheduler.go
@@ -68,6 +68,7 @@
 
 	mu       sync.Mutex
 	pools    map[Key]*pool                  // guarded by mu
+	served   map[Key][]control.TargetState  // engines of each pool as of the last upkeep, never changed in place, guarded by mu
 	loads    map[string]control.TargetState // reports fresher than the table's, guarded by mu
 	late     map[string]bool                // classes, guarded by mu
 	revision int64                          // of the document that late comes from, guarded by mu
@@ -93,6 +94,7 @@
 		history:   newHistory(),
 		stopRun:   cancel,
 		pools:     make(map[Key]*pool),
+		served:    make(map[Key][]control.TargetState),
 		loads:     make(map[string]control.TargetState),
 		late:      make(map[string]bool),
 	}
@@ -181,19 +183,13 @@
 
 // Observed takes fresh load reports and cache events of targets.
 func (s *Scheduler) Observed(args control.ObservedArgs) {
-	now := time.Now()
 	s.mu.Lock()
 	for _, row := range args.Targets {
 		s.loads[row.Name] = row
 	}
 	s.mu.Unlock()
-	pools := s.all()
-	if len(pools) == 0 {
-		return
-	}
-	rows := s.freshRows(now)
-	for _, p := range pools {
-		s.sendTargets(p, rows)
+	for _, p := range s.all() {
+		s.sendLoads(p, args.Targets)
 		for _, c := range args.Cache {
 			update := scheduling.CacheUpdate{Target: c.Target, Stored: c.Stored, Evict: c.Evict, Lost: c.Lost}
 			p.send(func(p *pool, now time.Time) { p.policy.ObserveCache(now, update) })
@@ -350,6 +346,7 @@
 	}
 	p := startPool(key, s.log, s.newPolicy(configOf(s.fleet.Document().Document)), s)
 	rows := engines(key, s.overlay(s.fleet.Targets(time.Now())))
+	s.served[key] = rows
 	p.send(func(p *pool, now time.Time) { p.setTargets(now, rows) })
 	s.pools[key] = p
 	s.log.Info("Pool served from now on.", "pool", key.String())
--- a/internal/agent/scheduler/upkeep.go
+++ b/internal/agent/scheduler/upkeep.go
@@ -43,6 +43,7 @@
 func (s *Scheduler) dropPool(p *pool, owner string) {
 	s.mu.Lock()
 	delete(s.pools, p.key)
+	delete(s.served, p.key)
 	s.mu.Unlock()
 	s.log.Info("Pool handed over.", "pool", p.key.String(), "owner", owner)
 	p.stop()
@@ -50,9 +51,37 @@
 
 func (s *Scheduler) sendTargets(p *pool, rows []control.TargetState) {
 	serving := engines(p.key, rows)
+	s.mu.Lock()
+	s.served[p.key] = serving
+	s.mu.Unlock()
 	p.send(func(p *pool, now time.Time) { p.setTargets(now, serving) })
 }
 
+// sendLoads gives a pool the fresh loads of its own engines, so that the cost of
+// a report does not grow with the number of targets in the fleet.
+func (s *Scheduler) sendLoads(p *pool, fresh []control.TargetState) {
+	s.mu.Lock()
+	rows := s.served[p.key]
+	if !anyOf(rows, fresh) {
+		s.mu.Unlock()
+		return
+	}
+	rows = s.overlay(append([]control.TargetState(nil), rows...))
+	s.mu.Unlock()
+	p.send(func(p *pool, now time.Time) { p.setTargets(now, rows) })
+}
+
+func anyOf(rows, fresh []control.TargetState) bool {
+	for _, f := range fresh {
+		for _, r := range rows {
+			if r.Name == f.Name {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // freshRows returns the table's rows with the loads that their observers sent.
 func (s *Scheduler) freshRows(now time.Time) []control.TargetState {
 	rows := s.fleet.Targets(now)
--- a/internal/agent/state/state.go
+++ b/internal/agent/state/state.go
@@ -163,6 +163,21 @@
 	return s.targets.Listed(now)
 }
 
+// TargetCount returns the number of targets in the platform's list.
+func (s *State) TargetCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.targets.Len()
+}
+
+// Layout returns a number that grows whenever hosts or more than the load of
+// targets change.
+func (s *State) Layout() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.members.Version() + s.targets.SlowVersion()
+}
+
 // Target returns the row of a target as its observer wrote it.
 func (s *State) Target(name string) (control.TargetState, bool) {
 	s.mu.Lock()
