--- a/internal/delivery/owner.go
+++ b/internal/delivery/owner.go
@@ -1,6 +1,7 @@
 package delivery
 
 import (
+	"slices"
 	"strconv"
 
 	"corianderhitch/internal/rendezvous"
@@ -9,17 +10,8 @@
 // ownsShard tells whether a host searches a shard. A host that knows of no
 // others searches all.
 func ownsShard(host string, shard int, hosts []string) bool {
-	if !contains(hosts, host) {
+	if !slices.Contains(hosts, host) {
 		hosts = append([]string{host}, hosts...)
 	}
 	return rendezvous.Owner("late-shard/"+strconv.Itoa(shard), hosts) == host
 }
-
-func contains(list []string, item string) bool {
-	for _, x := range list {
-		if x == item {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/delivery/worker.go
+++ b/internal/delivery/worker.go
@@ -4,12 +4,14 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"time"
 
 	"corianderhitch/api/completion"
 	"corianderhitch/api/problem"
 	"corianderhitch/internal/gateway/ids"
 	"corianderhitch/internal/platform"
+	"corianderhitch/internal/wait"
 )
 
 // begin runs a recorded draft, unless this host runs it already. The budget must
@@ -43,7 +45,7 @@
 	for s.queueing.Err() == nil {
 		a, packed, retry := s.attempt(p)
 		if retry > 0 {
-			wait(s.queueing, retry)
+			wait.For(s.queueing, retry)
 			if s.answered(p.draft()) {
 				return
 			}
@@ -118,7 +120,7 @@
 			return
 		}
 		s.log.Warn("Store did not take a finished draft.", "account", d.Account, "id", d.ID, "error", err)
-		wait(s.life, s.settings.RetryPause)
+		wait.For(s.life, s.settings.RetryPause)
 	}
 }
 
@@ -126,7 +128,7 @@
 func (s *Service) Start() {
 	s.tasks.Go(func() {
 		for s.queueing.Err() == nil {
-			wait(s.queueing, s.settings.ScanInterval)
+			wait.For(s.queueing, s.settings.ScanInterval)
 			s.Scan(s.queueing)
 		}
 	})
@@ -177,7 +179,7 @@
 			return false
 		}
 		for _, p := range found {
-			orphan := owned && !contains(hosts, p.Host)
+			orphan := owned && !slices.Contains(hosts, p.Host)
 			if p.Host == s.settings.Host || orphan {
 				complete = s.adopt(ctx, p) && complete
 			}
@@ -215,12 +217,3 @@
 	s.begin(p)
 	return true
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/gateway/fleet/avoid.go
+++ b/internal/gateway/fleet/avoid.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -45,18 +46,9 @@
 func Without(targets []platform.Target, names []string) []platform.Target {
 	kept := make([]platform.Target, 0, len(targets))
 	for _, t := range targets {
-		if !contains(names, t.Name) {
+		if !slices.Contains(names, t.Name) {
 			kept = append(kept, t)
 		}
 	}
 	return kept
 }
-
-func contains(names []string, name string) bool {
-	for _, n := range names {
-		if n == name {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/gateway/fleet/reports.go
+++ b/internal/gateway/fleet/reports.go
@@ -6,6 +6,7 @@
 
 	"corianderhitch/api/control"
 	"corianderhitch/internal/platform"
+	"corianderhitch/internal/wait"
 )
 
 const (
@@ -34,7 +35,7 @@
 			return
 		case first = <-f.finished:
 		}
-		pause(ctx, finishBatch)
+		wait.For(ctx, finishBatch)
 		f.flushFinished(f.collect([]report{first}))
 	}
 }
--- a/internal/gateway/fleet/watch.go
+++ b/internal/gateway/fleet/watch.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"corianderhitch/api/control"
 	"corianderhitch/internal/document"
+	"corianderhitch/internal/wait"
 )
 
 const (
@@ -26,7 +28,7 @@
 	versions := make(map[string]int64)
 	for ctx.Err() == nil {
 		if !f.pollOnce(ctx, versions) {
-			pause(ctx, watchPause)
+			wait.For(ctx, watchPause)
 		}
 	}
 }
@@ -53,7 +55,7 @@
 func (f *Fleet) agentOrder() []string {
 	all := append([]string(nil), f.options.Agents...)
 	for _, m := range f.View().Members {
-		if m.State == control.MemberAlive && !contains(all, m.AgentAddr) {
+		if m.State == control.MemberAlive && !slices.Contains(all, m.AgentAddr) {
 			all = append(all, m.AgentAddr)
 		}
 	}
@@ -131,12 +133,3 @@
 	defer f.mu.Unlock()
 	return time.Now().Before(f.cuts[agent])
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"corianderhitch/internal/outbound"
 	"corianderhitch/internal/platform"
 	"corianderhitch/internal/rpcconn"
+	"corianderhitch/internal/wait"
 )
 
 // Gateway is a running gateway.
@@ -172,7 +173,7 @@
 	g.unfit.Do(func() { close(g.stops) })
 	g.fleet.Drain()
 	g.log.Info("Gateway drains.")
-	wait(ctx, g.settings.DrainNotice)
+	wait.For(ctx, g.settings.DrainNotice)
 	g.api.Drain()
 	g.runner.Drain()
 	g.awaitRequests(ctx)
@@ -203,12 +204,3 @@
 		_ = g.server.Close()
 	}
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/gateway/runner/runner.go
+++ b/internal/gateway/runner/runner.go
@@ -18,6 +18,7 @@
 	"corianderhitch/internal/gateway/metrics"
 	"corianderhitch/internal/gateway/stream"
 	"corianderhitch/internal/platform"
+	"corianderhitch/internal/wait"
 )
 
 // Fleet is what the runner needs of the agents.
@@ -106,7 +107,7 @@
 			if r.Cancel(ctx, target, generation) == nil {
 				return
 			}
-			wait(ctx, cancelPause)
+			wait.For(ctx, cancelPause)
 		}
 	})
 }
@@ -123,14 +124,5 @@
 	return err
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // pass is what Run returns for a problem before anything was attached.
 func pass(err error) Result { return Result{Err: problem.From(err)} }
--- a/internal/gateway/runner/session.go
+++ b/internal/gateway/runner/session.go
@@ -10,6 +10,7 @@
 	"corianderhitch/internal/gateway/ids"
 	"corianderhitch/internal/gateway/stream"
 	"corianderhitch/internal/platform"
+	"corianderhitch/internal/wait"
 )
 
 const (
@@ -117,7 +118,7 @@
 				return s.failedWith(late)
 			}
 			s.reattachMode()
-			wait(s.ctx, s.nextPause())
+			wait.For(s.ctx, s.nextPause())
 		case stream.StepContinue, stream.StepRestart:
 			if final := s.finalRefusal(); final != nil {
 				return s.failedWith(final)
--- a/internal/ledger/attempt.go
+++ b/internal/ledger/attempt.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"corianderhitch/internal/platform"
+	"corianderhitch/internal/wait"
 )
 
 // attempt is one sending of a call. Its writes name its id, so that it can read
@@ -45,7 +46,7 @@
 		if ctx.Err() != nil {
 			return Decision{}, a.giveUp(ctx.Err())
 		}
-		pause(ctx, readBackPause)
+		wait.For(ctx, readBackPause)
 	}
 }
 
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -15,6 +15,7 @@
 
 	"corianderhitch/internal/platform"
 	"corianderhitch/internal/storelease"
+	"corianderhitch/internal/wait"
 )
 
 // Settings bound the ledger's effort.
@@ -131,7 +132,7 @@
 		if err == nil {
 			return
 		}
-		pause(ctx, l.settings.SettlePause)
+		wait.For(ctx, l.settings.SettlePause)
 		if ctx.Err() != nil {
 			l.log.Warn("not settled; resends are told that the outcome is unknown", "what", what, "error", err)
 			return
@@ -145,15 +146,6 @@
 	return task(ctx)
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func isNotFound(err error) bool { return errors.Is(err, platform.ErrNotFound) }
 
 // noEffect tells whether a store call surely had no effect.
--- /dev/null
+++ b/internal/wait/wait.go
@@ -0,0 +1,17 @@
+// Package wait pauses a goroutine for a time or until its context ends.
+package wait
+
+import (
+	"context"
+	"time"
+)
+
+// For returns after d or at the end of ctx.
+func For(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
