--- a/internal/gateway/fleet/fleet_test.go
+++ b/internal/gateway/fleet/fleet_test.go
@@ -260,3 +260,16 @@
 	a.server.Stop()
 	require.True(t, two.Marked(t.Context(), "a", "other"))
 }
+
+func TestOnlyKnownRequestsCountBesideACrash(t *testing.T) {
+	f := NewInFlight()
+	end := f.Add("e", 1)
+	f.Add("e", 2)
+	f.Add("e", 0)
+	f.Add("other", 3)
+	require.Equal(t, []uint64{2}, f.Beside("e", 1))
+	end()
+	end()
+	require.Equal(t, 2, f.Count("e"))
+	require.Empty(t, f.Beside("e", 2))
+}
--- a/internal/gateway/fleet/inflight.go
+++ b/internal/gateway/fleet/inflight.go
@@ -21,7 +21,7 @@
 }
 
 // Add counts one more request and returns the function that ends it. The
-// fingerprint names the request's content.
+// fingerprint names the request's content, zero if it is not known.
 func (f *InFlight) Add(target string, fingerprint uint64) (end func()) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -53,7 +53,7 @@
 	defer f.mu.Unlock()
 	var beside []uint64
 	for other := range f.runs[target] {
-		if other != fingerprint {
+		if other != fingerprint && other != 0 {
 			beside = append(beside, other)
 		}
 	}
--- a/internal/gateway/runner/news.go
+++ b/internal/gateway/runner/news.go
@@ -18,6 +18,8 @@
 	news := control.News{ID: ids.New(), Target: target, Seen: time.Now()}
 	var refused *engineclient.RefusedError
 	switch {
+	case failure == stream.FailureDied && s.job.Admit.Fingerprint == 0:
+		news.Kind = control.NewsDown // an attachment whose request is not known
 	case failure == stream.FailureDied:
 		s.deaths++
 		news.Kind = control.NewsCrash
