--- a/tests/prove/documents_test.go
+++ b/tests/prove/documents_test.go
@@ -24,51 +24,36 @@
 	bring func(t *testing.T, c *cluster) (revision int64)
 }
 
+// documentFaults are the faults against the spread of documents.
 func documentFaults() []documentFault {
-	apply := func(c *cluster, n int) {
-		for i := range n {
-			c.applyDocument(documentWith([]string{"v2", "v1"}[i%2]))
-		}
+	return append(hostDocumentFaults(), storeDocumentFaults()...)
+}
+
+// applyChanges applies n changes, one after the other.
+func (c *cluster) applyChanges(n int) {
+	for i := range n {
+		c.applyDocument(documentWith([]string{"v2", "v1"}[i%2]))
 	}
+}
+
+// hostDocumentFaults are the faults of hosts and operators.
+func hostDocumentFaults() []documentFault {
 	return []documentFault{
 		{name: "none", short: true, bring: func(_ *testing.T, c *cluster) int64 {
-			apply(c, 1)
+			c.applyChanges(1)
 			return 2
 		}},
 		{name: "six operators at once", short: true, bring: raceOperators},
 		{name: "agent frozen across three changes", bring: func(_ *testing.T, c *cluster) int64 {
 			c.hosts[2].agent.freeze()
-			apply(c, 3)
+			c.applyChanges(3)
 			c.hosts[2].agent.thaw()
 			return 4
 		}},
-		{name: "store down and back", bring: func(_ *testing.T, c *cluster) int64 {
-			c.setStoreLinks(refuse)
-			for _, h := range c.hosts {
-				h.storeLink.cut()
-			}
-			apply(c, 1) // the operator reaches the store, the hosts don't
-			c.setStoreLinks(pass)
-			return 2
-		}},
-		{name: "only one host reaches the store", bring: func(_ *testing.T, c *cluster) int64 {
-			for _, h := range c.hosts[1:] {
-				h.storeLink.set(refuse)
-				h.storeLink.cut()
-			}
-			apply(c, 1)
-			return 2
-		}},
-		{name: "watch lost silently", bring: func(_ *testing.T, c *cluster) int64 {
-			c.setStoreLinks(stallDown)
-			apply(c, 1)
-			c.setStoreLinks(pass)
-			return 2
-		}},
 		{name: "gateway falls back to an agent with an old document", bring: func(t *testing.T, c *cluster) int64 {
 			last := c.hosts[2]
 			last.agent.freeze() // its gateway turns to the others
-			apply(c, 2)
+			c.applyChanges(2)
 			await(t, inForceLimit, "revision 3 in the last gateway", func() bool {
 				revision, _ := gatewayRevision(last)
 				return revision == 3
@@ -87,8 +72,37 @@
 			}
 			return 3
 		}},
+	}
+}
+
+// storeDocumentFaults are the faults of the store and the links to it.
+func storeDocumentFaults() []documentFault {
+	return []documentFault{
+		{name: "store down and back", bring: func(_ *testing.T, c *cluster) int64 {
+			c.setStoreLinks(refuse)
+			for _, h := range c.hosts {
+				h.storeLink.cut()
+			}
+			c.applyChanges(1) // the operator reaches the store, the hosts don't
+			c.setStoreLinks(pass)
+			return 2
+		}},
+		{name: "only one host reaches the store", bring: func(_ *testing.T, c *cluster) int64 {
+			for _, h := range c.hosts[1:] {
+				h.storeLink.set(refuse)
+				h.storeLink.cut()
+			}
+			c.applyChanges(1)
+			return 2
+		}},
+		{name: "watch lost silently", bring: func(_ *testing.T, c *cluster) int64 {
+			c.setStoreLinks(stallDown)
+			c.applyChanges(1)
+			c.setStoreLinks(pass)
+			return 2
+		}},
 		{name: "host started during a store outage", bring: func(t *testing.T, c *cluster) int64 {
-			apply(c, 1)
+			c.applyChanges(1)
 			await(t, inForceLimit, "revision 2 on the first host", func() bool { return c.revisionsInForce()["host-1"] == 2 })
 			c.hosts[2].gateway.kill()
 			c.hosts[2].agent.kill()
