Return the places of a restarted gateway; ask a host again that only did not own the pool

Cause: gateways never sent their incarnation, so an owner kept the places of a killed gateway as long as its host's agent lived; the answer 'not owner' cut the agent off for 5 s, after which the gateway chose alone. Ruled out: the owner's side (it compares incarnations and has tests). Change: AdmitArgs.Incarnation is the gateway's start; only calls without an answer cut an agent. Measured: two new tests, fleet tests pass under the race detector.

--- a/internal/gateway/fleet/admit.go
+++ b/internal/gateway/fleet/admit.go
@@ -38,6 +38,7 @@
 // *problem.Error with ran=no when it is refused. The place is given back by End.
 func (f *Fleet) Admit(ctx context.Context, args control.AdmitArgs) (*Place, error) {
 	args.Host, args.Region = f.options.Host, f.options.Region
+	args.Incarnation = f.started.UnixNano()
 	args.TraceParent = telemetry.TraceParent(ctx)
 	args.Avoid = append(args.Avoid, f.avoid.names(time.Now())...)
 	view := f.View()
@@ -52,8 +53,7 @@
 			return nil, callerGone(ctx)
 		}
 		if err != nil {
-			f.cut(address)
-			f.options.Log.Debug("owner of the pool gave no answer", "owner", host, "error", err)
+			f.passedOver(address, host, err)
 			continue
 		}
 		return f.granted(args, address, reply)
@@ -61,6 +61,16 @@
 	return f.choose(args)
 }
 
+// passedOver notes why the next host in rank is asked. One that answered that it
+// does not own the pool is asked again next time: its view was older or newer.
+func (f *Fleet) passedOver(address, host string, err error) {
+	f.options.Log.Debug("owner of the pool gave no place", "owner", host, "error", err)
+	var answered *rpcconn.RemoteError
+	if !errors.As(err, &answered) {
+		f.cut(address)
+	}
+}
+
 // ask waits for the owner's answer while the member list has it alive.
 func (f *Fleet) ask(ctx context.Context, host, address string, args control.AdmitArgs) (*control.AdmitReply, error) {
 	callCtx, cancel := context.WithDeadlineCause(ctx, args.Deadline.Add(pollGrace), rpcconn.ErrBroken)
--- a/internal/gateway/fleet/agent_test.go
+++ b/internal/gateway/fleet/agent_test.go
@@ -19,6 +19,7 @@
 type fakeAgent struct {
 	server *rpcconn.Server
 	grant  func(control.AdmitArgs) control.AdmitReply
+	refuse error // answer of Admit instead of a grant
 
 	mu       sync.Mutex
 	version  int64
@@ -83,6 +84,9 @@
 type schedulerService struct{ a *fakeAgent }
 
 func (s *schedulerService) Admit(args control.AdmitArgs, reply *control.AdmitReply) error {
+	if s.a.refuse != nil {
+		return s.a.refuse
+	}
 	*reply = s.a.grant(args)
 	return nil
 }
--- a/internal/gateway/fleet/fleet_test.go
+++ b/internal/gateway/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
@@ -192,6 +193,34 @@
 	require.Equal(t, args.News, <-taken)
 }
 
+func TestHostThatDoesNotOwnThePoolIsAskedAgain(t *testing.T) {
+	a := newAgent(t)
+	a.members = []control.Member{member("h", a)}
+	a.targets = []control.TargetState{engineState("e1")}
+	a.refuse = errors.New("not owner: ask another host")
+	f := start(t, a)
+	await(t, f, func(v *View) bool { return len(v.Members) == 1 && len(v.Targets) == 1 })
+	p, err := f.Admit(t.Context(), admitArgs("t"))
+	require.NoError(t, err)
+	require.True(t, p.OwnChoice())
+	require.False(t, f.isCut(a.server.Address()))
+}
+
+func TestPlacesCarryTheStartOfTheGateway(t *testing.T) {
+	a := newAgent(t)
+	a.members = []control.Member{member("h", a)}
+	seen := make(chan int64, 1)
+	a.grant = func(args control.AdmitArgs) control.AdmitReply {
+		seen <- args.Incarnation
+		return control.AdmitReply{Granted: true, Target: platform.Target{Name: "e1"}}
+	}
+	f := start(t, a)
+	await(t, f, func(v *View) bool { return len(v.Members) == 1 })
+	_, err := f.Admit(t.Context(), admitArgs("t"))
+	require.NoError(t, err)
+	require.Equal(t, f.started.UnixNano(), <-seen, "an owner returns the places of an earlier run by it")
+}
+
 func TestNewsReachesAnAgentAndTheTargetIsAvoided(t *testing.T) {
 	a := newAgent(t)
 	a.targets = []control.TargetState{engineState("e1"), engineState("e2")}
