Don't end innocent streams that ran on two engines which died

Cause: (1) a gateway ended a stream at the second death under it; (2) a gateway's news names only its own requests on the dead engine, so the judgement could see a part in which an innocent request was the only one in common; (3) the end of a reclaimed engine counted as a crash; (4) nothing exonerated a request that ran on after a death. Ruled out: the pool's own tracker (it holds all residents). Change: the gateway's bound of deaths is four, as a last resort; the owner adds all residents of the pool, also those that ended within 2 s, before it judges; deaths of targets known to be leaving are no crashes; a request that makes two tokens past a death is cleared of it (NewsPassed), but five crashes near it refuse it all the same.

--- a/api/control/control.go
+++ b/api/control/control.go
@@ -100,6 +100,7 @@
 	NewsDown    NewsKind = "down"    // connection refused or cut
 	NewsCrash   NewsKind = "crash"   // the target died while it ran Fingerprint
 	NewsCleared NewsKind = "cleared" // Fingerprint completed and is no suspect any more
+	NewsPassed  NewsKind = "passed"  // Fingerprint ran on past the point at which its target died
 )
 
 // News is an event about a target, spread to all hosts.
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -164,12 +164,9 @@
 }
 
 func (a *Agent) act(e control.News) {
-	a.suspects.Add(time.Now(), e)
+	e = a.scheduler.Heard(time.Now(), e)
 	switch e.Kind {
-	case control.NewsCrash:
-		a.scheduler.Crashed(e.Target)
-		a.observer.Poke(e.Target)
-	case control.NewsDown, control.NewsLeaving:
+	case control.NewsCrash, control.NewsDown, control.NewsLeaving:
 		a.observer.Poke(e.Target)
 	}
 }
--- /dev/null
+++ b/internal/agent/scheduler/crashes.go
@@ -0,0 +1,133 @@
+package scheduler
+
+import (
+	"time"
+
+	"corianderhitch/api/control"
+)
+
+// learn takes what a gateway has seen of targets that it tried.
+func (s *Scheduler) learn(now time.Time, news []control.News) {
+	if len(news) == 0 {
+		return
+	}
+	whole := make([]control.News, 0, len(news))
+	for _, n := range news {
+		whole = append(whole, s.Heard(now, n))
+	}
+	s.fleet.AddNews(now, whole)
+}
+
+// Heard takes news of a target, from a gateway or a peer, and returns it with
+// what this host knows besides. A gateway knows only its own requests on a target
+// that died; the owner of the pool knows all of them. Judging by a part would
+// blame a request that only ran beside the cause.
+func (s *Scheduler) Heard(now time.Time, n control.News) control.News {
+	if n.Kind == control.NewsCrash && s.leaving(now, n.Target) {
+		n.Kind = control.NewsDown // its end was announced and has no cause among the requests
+	}
+	if n.Kind == control.NewsCrash {
+		n.Beside = append(n.Beside, s.residents(n.Target)...)
+	}
+	s.suspects.Add(now, n)
+	switch n.Kind {
+	case control.NewsCrash:
+		s.crashed(n.Target)
+	case control.NewsPassed:
+		s.passed(n.Fingerprint)
+	}
+	return n
+}
+
+// passer is a Policy that judges crashing requests itself.
+type passer interface {
+	// Passed takes the news that a request has run on after a crash.
+	Passed(fingerprint uint64)
+}
+
+// passed tells the pools that a request has run on after a crash.
+func (s *Scheduler) passed(fingerprint uint64) {
+	for _, p := range s.all() {
+		p.send(func(p *pool, _ time.Time) {
+			if policy, ok := p.policy.(passer); ok {
+				policy.Passed(fingerprint)
+			}
+		})
+	}
+}
+
+// leaving tells whether a target was known to go away.
+func (s *Scheduler) leaving(now time.Time, target string) bool {
+	for _, row := range s.fleet.Targets(now) {
+		if row.Name == target {
+			return row.Leaving || row.Load.Leaving
+		}
+	}
+	return false
+}
+
+// residents returns the fingerprints of the requests that the pools of this host
+// have on a target.
+func (s *Scheduler) residents(target string) []uint64 {
+	var found []uint64
+	for _, p := range s.all() {
+		answer := make(chan []uint64, 1)
+		if !p.send(func(p *pool, _ time.Time) { answer <- p.residents(target) }) {
+			continue
+		}
+		select {
+		case fingerprints := <-answer:
+			found = append(found, fingerprints...)
+		case <-p.gone:
+		}
+	}
+	return found
+}
+
+// crashed tells the pools that a target died.
+func (s *Scheduler) crashed(target string) {
+	for _, p := range s.all() {
+		p.send(func(p *pool, now time.Time) { p.crashed(now, target) })
+	}
+}
+
+// residents returns the fingerprints of the granted requests on a target.
+func (p *pool) residents(target string) []uint64 {
+	var fingerprints []uint64
+	for _, g := range p.granted {
+		if g.target.Name == target && g.args.Fingerprint != 0 {
+			fingerprints = append(fingerprints, g.args.Fingerprint)
+		}
+	}
+	for _, e := range p.cuts {
+		if e.target == target {
+			fingerprints = append(fingerprints, e.fingerprint)
+		}
+	}
+	return fingerprints
+}
+
+// cutMemory is how long a request that ended incomplete still counts as one that
+// ran on its target: the news of the target's death may come after its end.
+const cutMemory = 2 * time.Second
+
+// cut is a request that ended incomplete.
+type cut struct {
+	target      string
+	fingerprint uint64
+	at          time.Time
+}
+
+// noteCut remembers a request that ended incomplete, and forgets old ones.
+func (p *pool) noteCut(now time.Time, g grant) {
+	kept := p.cuts[:0]
+	for _, c := range p.cuts {
+		if now.Sub(c.at) < cutMemory {
+			kept = append(kept, c)
+		}
+	}
+	p.cuts = kept
+	if g.args.Fingerprint != 0 {
+		p.cuts = append(p.cuts, cut{target: g.target.Name, fingerprint: g.args.Fingerprint, at: now})
+	}
+}
--- a/internal/agent/scheduler/pool.go
+++ b/internal/agent/scheduler/pool.go
@@ -35,6 +35,7 @@
 	waiting      map[string]*waiter // by ticket
 	granted      map[string]grant   // by ticket
 	deaths       map[string]time.Time
+	cuts         []cut            // requests that ended incomplete lately
 	incarnations map[string]int64 // highest seen, by gateway host
 }
 
@@ -231,7 +232,9 @@
 	p.policy.Finish(now, scheduling.Finished{Ticket: f.Ticket, Produced: f.Produced, Complete: f.Complete})
 	if f.Complete {
 		p.events.completed(g.args.Fingerprint)
+		return
 	}
+	p.noteCut(now, g)
 }
 
 // crashed tells the policy once that a target died.
--- a/internal/agent/scheduler/scheduler.go
+++ b/internal/agent/scheduler/scheduler.go
@@ -140,20 +140,6 @@
 	return s.enqueue(key, args, verdict)
 }
 
-// learn takes what a gateway has seen of targets that it tried.
-func (s *Scheduler) learn(now time.Time, news []control.News) {
-	if len(news) == 0 {
-		return
-	}
-	for _, n := range news {
-		s.suspects.Add(now, n)
-		if n.Kind == control.NewsCrash {
-			s.Crashed(n.Target)
-		}
-	}
-	s.fleet.AddNews(now, news)
-}
-
 // Finish returns places, or withdraws requests that wait.
 func (s *Scheduler) Finish(args control.FinishArgs) {
 	for _, p := range s.all() {
@@ -197,13 +183,6 @@
 	}
 }
 
-// Crashed tells the pools that a target died.
-func (s *Scheduler) Crashed(target string) {
-	for _, p := range s.all() {
-		p.send(func(p *pool, now time.Time) { p.crashed(now, target) })
-	}
-}
-
 // Explain returns the recent decisions of this host about a request.
 func (s *Scheduler) Explain(args control.ExplainArgs) []string { return s.history.find(args) }
 
--- a/internal/agent/suspicion/suspicion.go
+++ b/internal/agent/suspicion/suspicion.go
@@ -35,6 +35,8 @@
 		})
 	case control.NewsCleared:
 		r.tracker.Finished(n.Fingerprint)
+	case control.NewsPassed:
+		r.tracker.Passed(n.Fingerprint)
 	}
 }
 
--- a/internal/gateway/runner/attachment.go
+++ b/internal/gateway/runner/attachment.go
@@ -166,6 +166,7 @@
 	s.lastSeen = now
 	s.stall = s.job.StallBound
 	s.pause = 0
+	s.notePassed(token.Offset)
 	if s.sink == nil || token.Offset < s.sent {
 		return
 	}
--- a/internal/gateway/runner/news.go
+++ b/internal/gateway/runner/news.go
@@ -22,6 +22,7 @@
 		news.Kind = control.NewsDown // an attachment whose request is not known
 	case failure == stream.FailureDied:
 		s.deaths++
+		s.diedAt = len(s.machine.Tokens())
 		news.Kind = control.NewsCrash
 		news.Ticket = s.place.Ticket()
 		news.Fingerprint = s.job.Admit.Fingerprint
@@ -36,3 +37,20 @@
 	s.news = append(s.news, news)
 	s.r.fleet.Report(news)
 }
+
+// passTokens is the number of tokens after a death from which a request counts as
+// innocent of it: one that crashes its engine does so again at the same token when
+// it is continued. One token more allows for the step that was under way.
+const passTokens = 2
+
+// notePassed tells the agents once that the request has run on past the point at
+// which an engine died under it.
+func (s *session) notePassed(offset int) {
+	if s.passed == s.deaths || offset < s.diedAt+passTokens {
+		return
+	}
+	s.passed = s.deaths
+	s.r.fleet.Report(control.News{
+		ID: ids.New(), Kind: control.NewsPassed, Fingerprint: s.job.Admit.Fingerprint, Seen: time.Now(),
+	})
+}
--- a/internal/gateway/runner/session.go
+++ b/internal/gateway/runner/session.go
@@ -65,6 +65,8 @@
 	sent     int // tokens handed to the sink
 	gone     bool
 	deaths   int // engines that died while they ran the job
+	diedAt   int // tokens at the last death
+	passed   int // deaths that it has run on after
 }
 
 func newSession(caller context.Context, r *Runner, job Job, sink Sink) *session {
--- a/internal/gateway/stream/machine.go
+++ b/internal/gateway/stream/machine.go
@@ -27,10 +27,11 @@
 	Refusals int
 }
 
-// DefaultLimits are the limits of the gateway. Two crashes bound the damage of a
-// request that kills its engines.
+// DefaultLimits are the limits of the gateway. The bound of crashes leaves room
+// for two unrelated deaths under an innocent request; the owner of the pool
+// refuses a guilty one after two.
 func DefaultLimits() Limits {
-	return Limits{Reattach: 2, Patience: 20, Moves: 4, Crashes: 2, Refusals: 6}
+	return Limits{Reattach: 2, Patience: 20, Moves: 4, Crashes: 4, Refusals: 6}
 }
 
 // Options describe a stream.
--- a/internal/scheduling/pooltargets.go
+++ b/internal/scheduling/pooltargets.go
@@ -126,3 +126,7 @@
 func (p *Pool) Verdict(now time.Time, fingerprint uint64) suspicion.Verdict {
 	return p.suspects.Verdict(fingerprint, now)
 }
+
+// Passed takes the news that a request has run on past the point at which its
+// target died.
+func (p *Pool) Passed(fingerprint uint64) { p.suspects.Passed(fingerprint) }
--- a/internal/scheduling/suspicion/tracker.go
+++ b/internal/scheduling/suspicion/tracker.go
@@ -11,8 +11,9 @@
 // record is one crash. The requests that have run to their end since are taken
 // out of it.
 type record struct {
-	crash Crash // without the fingerprints
-	ran   map[uint64]struct{}
+	crash  Crash // without the fingerprints
+	ran    map[uint64]struct{}
+	passed map[uint64]struct{} // ran on elsewhere past the point of the crash
 }
 
 // NewTracker returns an empty Tracker.
@@ -24,12 +25,12 @@
 	t.expire(crash.At)
 	r := t.find(&crash)
 	if r == nil {
-		r = &record{crash: crash, ran: make(map[uint64]struct{})}
+		r = &record{crash: crash, ran: make(map[uint64]struct{}), passed: make(map[uint64]struct{})}
 		r.crash.Beside = nil
 		t.crashes = append(t.crashes, r)
 	}
 	for _, fingerprint := range crash.Beside {
-		if len(r.ran) < maxFingerprints {
+		if _, free := r.passed[fingerprint]; !free && len(r.ran) < maxFingerprints {
 			r.ran[fingerprint] = struct{}{}
 		}
 	}
@@ -45,6 +46,18 @@
 	}
 }
 
+// Passed exonerates a request that has run on past the point at which targets
+// died under it: a request that crashes its targets does so again when it is
+// continued. It still counts as one that is near many crashes.
+func (t *Tracker) Passed(fingerprint uint64) {
+	for _, r := range t.crashes {
+		if r.holds(fingerprint) {
+			delete(r.ran, fingerprint)
+			r.passed[fingerprint] = struct{}{}
+		}
+	}
+}
+
 // Verdict returns how the request may be run at the instant.
 func (t *Tracker) Verdict(fingerprint uint64, now time.Time) Verdict {
 	t.expire(now)
@@ -97,16 +110,19 @@
 // culprit tells whether the request alone was in two crashes or more, or was in
 // so many that chance is no explanation.
 func (t *Tracker) culprit(fingerprint uint64) bool {
-	count := 0
+	count, near := 0, 0
 	var common map[uint64]struct{}
 	for _, r := range t.crashes {
+		if _, passed := r.passed[fingerprint]; passed {
+			near++
+		}
 		if !r.holds(fingerprint) {
 			continue
 		}
 		count++
 		common = intersect(common, r.ran)
 	}
-	return count >= refuseAfter || (count >= isolateAfter && len(common) == 1)
+	return count >= refuseAfter || count+near >= refuseNear || (count >= isolateAfter && len(common) == 1)
 }
 
 // explained tells whether a crash has its culprit, so that the others are free.
--- a/internal/scheduling/suspicion/tracker_test.go
+++ b/internal/scheduling/suspicion/tracker_test.go
@@ -63,6 +63,21 @@
 	require.False(t, tracker.Together(1, 1))
 }
 
+func TestARequestThatRanOnIsNotBlamed(t *testing.T) {
+	tracker := NewTracker()
+	tracker.Record(Crash{ID: "a", At: start, Beside: []uint64{1, 2}})
+	tracker.Passed(1)
+	tracker.Record(Crash{ID: "a", At: start, Beside: []uint64{1}}) // late news of the same crash
+	require.Equal(t, Clear, tracker.Verdict(1, start))
+	tracker.Record(Crash{ID: "b", At: start, Beside: []uint64{1, 3}})
+	require.Equal(t, Spread, tracker.Verdict(1, start), "two unrelated deaths under one request are no proof")
+	for i := range refuseNear - 2 {
+		tracker.Passed(1)
+		tracker.Record(Crash{ID: fmt.Sprint("c", i), At: start, Beside: []uint64{1}})
+	}
+	require.Equal(t, Refuse, tracker.Verdict(1, start), "a request may not crash its targets late for ever")
+}
+
 // One crashing request among innocent ones, placed as the verdicts ask, costs
 // two targets at most, and no innocent request is refused.
 func TestACrashingRequestCostsTwoTargetsAtMost(t *testing.T) {
--- a/internal/scheduling/suspicion/verdict.go
+++ b/internal/scheduling/suspicion/verdict.go
@@ -33,6 +33,9 @@
 	// sameWithin is the time within which reports of a target's death are taken
 	// as one.
 	sameWithin = 5 * time.Second
+	// refuseNear is the number of crashes after which a request is refused even
+	// if it ran on after some of them: it may crash its targets later each time.
+	refuseNear = 5
 	// maxCrashes bounds the memory: the oldest crash is dropped.
 	maxCrashes = 64
 	// maxFingerprints bounds the requests of one crash, 8 B each.
