--- a/Makefile
+++ b/Makefile
@@ -101,7 +101,7 @@
 	mkdir -p out/experiment
 	for s in steady crowded surge; do $(BIN)/hitchload experiment --scenario $$s --seed $(SEED) >out/experiment/$$s.jsonl || true; done
 	$(BIN)/hitchload report --out docs/figures --experiment out/experiment/steady.jsonl,out/experiment/crowded.jsonl,out/experiment/surge.jsonl \
-	  --result docs/measurements/compare-1.json
+	  --result docs/measurements/compare-2-quiet.json
 
 # capacity writes the tables of docs/CAPACITY.md from the kept measurements.
 capacity: build
