Fill engines that are slower than the objective allows

Ruled out: memory (engines nearly empty) and the fair queue (no limits set). Change: the planned step is at least a quarter more than the step of one sequence.

--- a/internal/scheduling/admit.go
+++ b/internal/scheduling/admit.go
@@ -32,7 +32,7 @@
 		return len(t.residents) < unknownResidents
 	}
 	room := p.roomFor(c.request)
-	if t.sequences()+1 > room.batch*float64(p.steps.Largest(p.bounds.stepMS)) {
+	if t.sequences()+1 > room.batch*float64(p.steps.Largest(p.stepBound())) {
 		return false
 	}
 	ahead := t.prefillUntil.Sub(now)
@@ -45,6 +45,17 @@
 	return with.Fits(room.memory*t.capacity(), room.overflow)
 }
 
+// unreachableShare is how far steps may grow beyond the step of one sequence
+// where the engine cannot keep the bound. Without it a slow engine would run its
+// sequences one by one and most callers would be refused.
+const unreachableShare = 1.25
+
+// stepBound returns the longest planned decode step in milliseconds: the
+// objective's, or what the engines need for a batch worth running.
+func (p *Pool) stepBound() float64 {
+	return max(p.bounds.stepMS, unreachableShare*p.steps.At(1))
+}
+
 // room is how far a request may fill a target.
 type room struct {
 	batch        float64 // share of the largest batch
--- a/internal/scheduling/pool_test.go
+++ b/internal/scheduling/pool_test.go
@@ -286,3 +286,36 @@
 	}
 	assert.Empty(t, p.running)
 }
+
+// TestSlowEnginesAreStillFilled gives the pool engines whose shortest step is
+// longer than the objective allows.
+func TestSlowEnginesAreStillFilled(t *testing.T) {
+	p := newTestPool(Config{}, healthyTargets("slow")...)
+	now := testStart
+	for n := range 1200 {
+		now = now.Add(500 * time.Millisecond)
+		target := healthyTargets("slow")[0]
+		target.ReportedAt = now
+		target.Running = 1 + n%40
+		target.StepMS = 60 + 0.5*float64(target.Running)
+		p.SetTargets(now, []Target{target})
+	}
+	p.SetTargets(now.Add(time.Second), idleTarget(now.Add(time.Second)))
+	for i := range 24 {
+		r := testRequest(fmt.Sprint("r", i))
+		r.PromptTokens = 1
+		r.MaxTokens = 50
+		r.Fingerprint = uint64(1000 + i)
+		p.Submit(now, r)
+		p.Decide(now)
+		now = now.Add(200 * time.Millisecond)
+	}
+	// A step of one sequence takes 60.5 ms, and 31 sequences a quarter more.
+	require.InDelta(t, 31, p.targets["slow"].sequences(), 5)
+}
+
+func idleTarget(now time.Time) []Target {
+	target := healthyTargets("slow")[0]
+	target.ReportedAt = now
+	return []Target{target}
+}
