Tell the pool what others know of a crash; remove the unused way to re-register places

Cause: Scheduler.Reattach had no caller and no policy that took it; a pool's tracker knew only crashes of its own grants.

--- a/api/control/control.go
+++ b/api/control/control.go
@@ -10,7 +10,6 @@
 //	Control.Explain     operator CLI -> any agent
 //	Scheduler.Admit     gateway -> owner agent of the pool; waits in the fair queue
 //	Scheduler.Finish    gateway -> owner agent of the pool; also withdraws a waiting ticket
-//	Scheduler.Reattach  gateway -> new owner agent of a pool; what is in flight
 //	Directory.Register  gateway -> owner agent of the request id
 //	Directory.Lookup    gateway -> owner agent of the request id
 //	Peer.Exchange       agent -> agent; heartbeat, anti-entropy and news
@@ -175,18 +174,6 @@
 	Crashed  bool // the target died while it ran the generation
 }
 
-// ReattachArgs tells a new owner of a pool which generations of a gateway are in
-// flight. Each entry repeats its AdmitArgs with the tokens produced so far.
-type ReattachArgs struct {
-	Running []Running
-}
-
-// Running is a granted place that is in use.
-type Running struct {
-	Admit  AdmitArgs
-	Target string
-}
-
 // DirectoryEntry tells where the generation of a request id runs.
 type DirectoryEntry struct {
 	Account    string
--- a/internal/agent/scheduler/crashes.go
+++ b/internal/agent/scheduler/crashes.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"corianderhitch/api/control"
+	"corianderhitch/internal/scheduling/suspicion"
 )
 
 // learn takes what a gateway has seen of targets that it tried.
@@ -32,7 +33,7 @@
 	s.suspects.Add(now, n)
 	switch n.Kind {
 	case control.NewsCrash:
-		s.crashed(n.Target)
+		s.crashed(n)
 	case control.NewsPassed:
 		s.passed(n.Fingerprint)
 	}
@@ -84,13 +85,27 @@
 	return found
 }
 
-// crashed tells the pools that a target died.
-func (s *Scheduler) crashed(target string) {
+// crashed tells the pools that a target died, and what ran on it as far as is
+// known here.
+func (s *Scheduler) crashed(n control.News) {
 	for _, p := range s.all() {
-		p.send(func(p *pool, now time.Time) { p.crashed(now, target) })
+		p.send(func(p *pool, now time.Time) {
+			p.crashed(now, n.Target)
+			if policy, ok := p.policy.(hearer); ok {
+				policy.SuspectElsewhere(suspicion.Crash{
+					ID: n.ID, Target: n.Target, At: now, Beside: append([]uint64{n.Fingerprint}, n.Beside...),
+				})
+			}
+		})
 	}
 }
 
+// hearer is a Policy that takes what others know of a crash.
+type hearer interface {
+	// SuspectElsewhere takes a crash that may be one that Crashed told of.
+	SuspectElsewhere(crash suspicion.Crash)
+}
+
 // residents returns the fingerprints of the granted requests on a target.
 func (p *pool) residents(target string) []uint64 {
 	var fingerprints []uint64
--- a/internal/agent/scheduler/pool.go
+++ b/internal/agent/scheduler/pool.go
@@ -246,20 +246,6 @@
 	p.policy.Crashed(now, target)
 }
 
-// reattach takes over a place that an earlier owner granted.
-func (p *pool) reattach(now time.Time, r control.Running) {
-	row, known := p.row(r.Target)
-	if _, held := p.granted[r.Admit.Ticket]; held || !known {
-		return
-	}
-	adopter, ok := p.policy.(Adopter)
-	if !ok {
-		return
-	}
-	p.granted[r.Admit.Ticket] = grant{args: r.Admit, target: row, reason: "reattached", at: now}
-	adopter.Adopt(now, request(now, r.Admit), r.Target)
-}
-
 // expire returns the places of gateways that died. Hosts may be nil.
 func (p *pool) expire(now time.Time, hosts map[string]control.Member) {
 	for ticket, g := range p.granted {
--- a/internal/agent/scheduler/adopt.go
+++ b/internal/agent/scheduler/request.go
@@ -8,11 +8,6 @@
 	"corianderhitch/internal/scheduling"
 )
 
-// Adopter is a Policy that can take over places that another owner granted.
-type Adopter interface {
-	Adopt(now time.Time, request scheduling.Request, target string)
-}
-
 // Configurer is a Policy that acts on the document.
 type Configurer interface {
 	Configure(config scheduling.Config)
--- a/internal/agent/scheduler/scheduler.go
+++ b/internal/agent/scheduler/scheduler.go
@@ -154,19 +154,6 @@
 	}
 }
 
-// Reattach takes over generations that an earlier owner admitted.
-func (s *Scheduler) Reattach(args control.ReattachArgs) {
-	for _, r := range args.Running {
-		key := Key{Model: r.Admit.Model, Region: s.region(r.Admit)}
-		if check(r.Admit) != nil || s.checkOwner(key) != nil {
-			continue
-		}
-		if p, err := s.serving(key); err == nil && p != nil {
-			p.send(func(p *pool, now time.Time) { p.reattach(now, r) })
-		}
-	}
-}
-
 // Observed takes fresh load reports and cache events of targets.
 func (s *Scheduler) Observed(args control.ObservedArgs) {
 	s.mu.Lock()
--- a/internal/agent/services/scheduling.go
+++ b/internal/agent/services/scheduling.go
@@ -41,9 +41,3 @@
 	s.scheduler.Finish(args)
 	return nil
 }
-
-// Reattach takes over generations that an earlier owner admitted.
-func (s *Scheduling) Reattach(args control.ReattachArgs, _ *control.Empty) error {
-	s.scheduler.Reattach(args)
-	return nil
-}
