--- a/tests/prove/callhistory_test.go
+++ b/tests/prove/callhistory_test.go
@@ -121,6 +121,7 @@
 }
 
 func TestCallModelFindsViolations(t *testing.T) {
+	t.Parallel()
 	executed := func(key string, n int) map[string]int { return map[string]int{key: n} }
 	answered := callOutcome{key: "k", answer: plainAnswer{status: 200, body: "a"}, end: 1}
 	other := callOutcome{key: "k", answer: plainAnswer{status: 200, body: "b"}, begin: 2, end: 3}
--- a/tests/prove/calls_test.go
+++ b/tests/prove/calls_test.go
@@ -135,6 +135,7 @@
 }
 
 func TestAtMostOnce(t *testing.T) {
+	t.Parallel()
 	for _, fault := range callFaults() {
 		t.Run(fault.name, func(t *testing.T) {
 			t.Parallel()
--- a/tests/prove/crash_test.go
+++ b/tests/prove/crash_test.go
@@ -24,6 +24,7 @@
 )
 
 func TestCrashingRequest(t *testing.T) {
+	t.Parallel()
 	t.Run("resent 20 times under load", func(t *testing.T) {
 		t.Parallel()
 		if testing.Short() {
--- a/tests/prove/dochistory_test.go
+++ b/tests/prove/dochistory_test.go
@@ -104,6 +104,7 @@
 )
 
 func TestDocumentHistory(t *testing.T) {
+	t.Parallel()
 	t.Run("operators race on a rolling store outage", func(t *testing.T) {
 		t.Parallel()
 		if testing.Short() {
--- a/tests/prove/documents_test.go
+++ b/tests/prove/documents_test.go
@@ -132,6 +132,7 @@
 }
 
 func TestDocumentInForceEverywhere(t *testing.T) {
+	t.Parallel()
 	for _, fault := range documentFaults() {
 		t.Run(fault.name, func(t *testing.T) {
 			t.Parallel()
--- a/tests/prove/identity_test.go
+++ b/tests/prove/identity_test.go
@@ -35,6 +35,7 @@
 }
 
 func TestAnswersReachTheirOwnCallers(t *testing.T) {
+	t.Parallel()
 	for _, one := range identityCases() {
 		t.Run(one.name, func(t *testing.T) {
 			t.Parallel()
--- a/tests/prove/late_test.go
+++ b/tests/prove/late_test.go
@@ -65,6 +65,7 @@
 }
 
 func TestLateAnswersReachTheirCallers(t *testing.T) {
+	t.Parallel()
 	for _, fault := range lateFaults() {
 		t.Run(fault.name, func(t *testing.T) {
 			t.Parallel()
--- a/tests/prove/leaving_test.go
+++ b/tests/prove/leaving_test.go
@@ -89,6 +89,7 @@
 }
 
 func TestLeavingTargetGetsNoNewWork(t *testing.T) {
+	t.Parallel()
 	for _, fault := range leavingFaults() {
 		t.Run(fault.name, func(t *testing.T) {
 			t.Parallel()
--- a/tests/prove/orders_test.go
+++ b/tests/prove/orders_test.go
@@ -109,6 +109,7 @@
 }
 
 func TestOrdersUnderLeaseAndFencing(t *testing.T) {
+	t.Parallel()
 	for _, fault := range orderFaults() {
 		t.Run(fault.name, func(t *testing.T) {
 			t.Parallel()
--- a/tests/prove/pairs_test.go
+++ b/tests/prove/pairs_test.go
@@ -28,6 +28,7 @@
 // properties together, while streams, holds, drafts and changes of the document
 // run on one cluster.
 func TestPairs(t *testing.T) {
+	t.Parallel()
 	r := draw(t)
 	all := clusterFaults()
 	for i := range pairs {
--- a/tests/prove/security_test.go
+++ b/tests/prove/security_test.go
@@ -44,6 +44,7 @@
 // TestHostileCallers lets a hostile account and strangers attack while streams
 // of another account run, all of which must end whole.
 func TestHostileCallers(t *testing.T) {
+	t.Parallel()
 	t.Run("on one cluster", func(t *testing.T) {
 		t.Parallel()
 		defer slot()()
--- a/tests/prove/steps_test.go
+++ b/tests/prove/steps_test.go
@@ -31,6 +31,7 @@
 // TestAtMostOnceAtEachStep stops a gateway at each step of a call: for good, or
 // for longer than its claim may be dispatched.
 func TestAtMostOnceAtEachStep(t *testing.T) {
+	t.Parallel()
 	for _, step := range callSteps() {
 		for _, kill := range []bool{true, false} {
 			name := "gateway frozen " + step.name
--- a/tests/prove/stop_test.go
+++ b/tests/prove/stop_test.go
@@ -81,6 +81,7 @@
 }
 
 func TestPlannedStopCutsNothing(t *testing.T) {
+	t.Parallel()
 	for _, fault := range stopFaults() {
 		t.Run(fault.name, func(t *testing.T) {
 			t.Parallel()
--- a/tests/prove/streams_test.go
+++ b/tests/prove/streams_test.go
@@ -123,6 +123,7 @@
 }
 
 func TestTokensExactlyOnce(t *testing.T) {
+	t.Parallel()
 	for _, fault := range streamFaults() {
 		t.Run(fault.name, func(t *testing.T) {
 			t.Parallel()
--- a/tests/prove/truth_test.go
+++ b/tests/prove/truth_test.go
@@ -70,6 +70,7 @@
 }
 
 func TestNotRunIsTrue(t *testing.T) {
+	t.Parallel()
 	t.Run("cut positions and target faults", func(t *testing.T) {
 		t.Parallel()
 		defer slot()()
