--- a/tests/prove/documents_test.go
+++ b/tests/prove/documents_test.go
@@ -65,28 +65,7 @@
 			c.setStoreLinks(pass)
 			return 2
 		}},
-		{name: "gateway falls back to an agent with an old document", bring: func(t *testing.T, c *cluster) int64 {
-			last := c.hosts[2]
-			last.agent.freeze() // its gateway turns to the others
-			apply(c, 2)
-			await(t, inForceLimit, "revision 3 in the last gateway", func() bool {
-				revision, _ := gatewayRevision(last)
-				return revision == 3
-			})
-			last.storeLink.set(refuse)
-			last.storeLink.cut()
-			for _, h := range c.hosts {
-				h.agentLink.set(refuse)
-				h.agentLink.cut()
-			}
-			last.agent.thaw()             // the gateway turns back to it, which has revision 1
-			<-time.After(2 * time.Second) // some polls
-			for _, h := range c.hosts {
-				h.agentLink.set(pass)
-				h.storeLink.set(pass)
-			}
-			return 3
-		}},
+		{name: "gateway falls back to an agent with an old document", bring: fallBack},
 		{name: "host started during a store outage", bring: func(t *testing.T, c *cluster) int64 {
 			apply(c, 1)
 			await(t, inForceLimit, "revision 2 on the first host", func() bool { return c.revisionsInForce()["host-1"] == 2 })
@@ -100,6 +79,32 @@
 	}
 }
 
+// fallBack makes a gateway turn to other agents and back to its own, which has
+// slept through two changes and reaches nobody.
+func fallBack(t *testing.T, c *cluster) int64 {
+	last := c.hosts[2]
+	last.agent.freeze() // its gateway turns to the others
+	c.applyDocument(documentWith("v2"))
+	c.applyDocument(documentWith("v1"))
+	await(t, inForceLimit, "revision 3 in the last gateway", func() bool {
+		revision, _ := gatewayRevision(last)
+		return revision == 3
+	})
+	last.storeLink.set(refuse)
+	last.storeLink.cut()
+	for _, h := range c.hosts {
+		h.agentLink.set(refuse)
+		h.agentLink.cut()
+	}
+	last.agent.thaw()             // the gateway turns back to it, which has revision 1
+	<-time.After(2 * time.Second) // some polls
+	for _, h := range c.hosts {
+		h.agentLink.set(pass)
+		h.storeLink.set(pass)
+	}
+	return 3
+}
+
 // raceOperators lets six operators apply at once until one of them wins.
 func raceOperators(t *testing.T, c *cluster) int64 {
 	const operators = 6
