--- a/tests/prove/documents_test.go
+++ b/tests/prove/documents_test.go
@@ -24,66 +24,30 @@
 	bring func(t *testing.T, c *cluster) (revision int64)
 }
 
-// documentFaults are the faults against the spread of documents.
 func documentFaults() []documentFault {
-	return append(hostDocumentFaults(), storeDocumentFaults()...)
-}
-
-// applyChanges applies n changes, one after the other.
-func (c *cluster) applyChanges(n int) {
-	for i := range n {
-		c.applyDocument(documentWith([]string{"v2", "v1"}[i%2]))
+	apply := func(c *cluster, n int) {
+		for i := range n {
+			c.applyDocument(documentWith([]string{"v2", "v1"}[i%2]))
+		}
 	}
-}
-
-// hostDocumentFaults are the faults of hosts and operators.
-func hostDocumentFaults() []documentFault {
 	return []documentFault{
 		{name: "none", short: true, bring: func(_ *testing.T, c *cluster) int64 {
-			c.applyChanges(1)
+			apply(c, 1)
 			return 2
 		}},
 		{name: "six operators at once", short: true, bring: raceOperators},
 		{name: "agent frozen across three changes", bring: func(_ *testing.T, c *cluster) int64 {
 			c.hosts[2].agent.freeze()
-			c.applyChanges(3)
+			apply(c, 3)
 			c.hosts[2].agent.thaw()
 			return 4
 		}},
-		{name: "gateway falls back to an agent with an old document", bring: func(t *testing.T, c *cluster) int64 {
-			last := c.hosts[2]
-			last.agent.freeze() // its gateway turns to the others
-			c.applyChanges(2)
-			await(t, inForceLimit, "revision 3 in the last gateway", func() bool {
-				revision, _ := gatewayRevision(last)
-				return revision == 3
-			})
-			last.storeLink.set(refuse)
-			last.storeLink.cut()
-			for _, h := range c.hosts {
-				h.agentLink.set(refuse)
-				h.agentLink.cut()
-			}
-			last.agent.thaw()             // the gateway turns back to it, which has revision 1
-			<-time.After(2 * time.Second) // some polls
-			for _, h := range c.hosts {
-				h.agentLink.set(pass)
-				h.storeLink.set(pass)
-			}
-			return 3
-		}},
-	}
-}
-
-// storeDocumentFaults are the faults of the store and the links to it.
-func storeDocumentFaults() []documentFault {
-	return []documentFault{
 		{name: "store down and back", bring: func(_ *testing.T, c *cluster) int64 {
 			c.setStoreLinks(refuse)
 			for _, h := range c.hosts {
 				h.storeLink.cut()
 			}
-			c.applyChanges(1) // the operator reaches the store, the hosts don't
+			apply(c, 1) // the operator reaches the store, the hosts don't
 			c.setStoreLinks(pass)
 			return 2
 		}},
@@ -92,17 +56,18 @@
 				h.storeLink.set(refuse)
 				h.storeLink.cut()
 			}
-			c.applyChanges(1)
+			apply(c, 1)
 			return 2
 		}},
 		{name: "watch lost silently", bring: func(_ *testing.T, c *cluster) int64 {
 			c.setStoreLinks(stallDown)
-			c.applyChanges(1)
+			apply(c, 1)
 			c.setStoreLinks(pass)
 			return 2
 		}},
+		{name: "gateway falls back to an agent with an old document", bring: fallBack},
 		{name: "host started during a store outage", bring: func(t *testing.T, c *cluster) int64 {
-			c.applyChanges(1)
+			apply(c, 1)
 			await(t, inForceLimit, "revision 2 on the first host", func() bool { return c.revisionsInForce()["host-1"] == 2 })
 			c.hosts[2].gateway.kill()
 			c.hosts[2].agent.kill()
@@ -114,6 +79,32 @@
 	}
 }
 
+// fallBack makes a gateway turn to other agents and back to its own, which has
+// slept through two changes and reaches nobody.
+func fallBack(t *testing.T, c *cluster) int64 {
+	last := c.hosts[2]
+	last.agent.freeze() // its gateway turns to the others
+	c.applyDocument(documentWith("v2"))
+	c.applyDocument(documentWith("v1"))
+	await(t, inForceLimit, "revision 3 in the last gateway", func() bool {
+		revision, _ := gatewayRevision(last)
+		return revision == 3
+	})
+	last.storeLink.set(refuse)
+	last.storeLink.cut()
+	for _, h := range c.hosts {
+		h.agentLink.set(refuse)
+		h.agentLink.cut()
+	}
+	last.agent.thaw()             // the gateway turns back to it, which has revision 1
+	<-time.After(2 * time.Second) // some polls
+	for _, h := range c.hosts {
+		h.agentLink.set(pass)
+		h.storeLink.set(pass)
+	}
+	return 3
+}
+
 // raceOperators lets six operators apply at once until one of them wins.
 func raceOperators(t *testing.T, c *cluster) int64 {
 	const operators = 6
@@ -146,6 +137,7 @@
 }
 
 func TestDocumentInForceEverywhere(t *testing.T) {
+	t.Parallel()
 	for _, fault := range documentFaults() {
 		t.Run(fault.name, func(t *testing.T) {
 			t.Parallel()
