Count the death of an engine on a request's first bytes as a crash

Cause: an engine that died before it answered a POST was seen as a broken connection and then as not reachable, so its gateway sent no crash news. Ruled out: the copies rule and the judgement (both had the request, neither the death). Change: a place remembers that bytes left for it; a refused connection after that is a death.

--- a/internal/gateway/api/completion_test.go
+++ b/internal/gateway/api/completion_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"corianderhitch/api/completion"
+	"corianderhitch/api/control"
 	"corianderhitch/api/problem"
 )
 
@@ -191,6 +192,21 @@
 	require.NotContains(t, got.text, ":two:9 ")
 }
 
+func TestDeathBeforeTheAnswerIsACrash(t *testing.T) {
+	one, two := newEngine(t, "one", 30), newEngine(t, "two", 30)
+	one.received = func(*http.Request) {
+		one.server.Listener.Close() // nothing listens any more
+		panic(http.ErrAbortHandler) // the connection breaks without an answer
+	}
+	b := newBench(t, one.address(), two.address())
+	got := readStream(t, b.request(t, http.MethodPost, "/v1/completions", bookingKey, streamBody), 0)
+	got.requireWhole(t, 0, 30)
+	b.fleet.mu.Lock()
+	defer b.fleet.mu.Unlock()
+	require.NotEmpty(t, b.fleet.news)
+	require.Equal(t, control.NewsCrash, b.fleet.news[len(b.fleet.news)-1].Kind, "the owner must judge the request by this death")
+}
+
 func TestForeignContinuationIsNotSpliced(t *testing.T) {
 	one, two := newEngine(t, "one", 30), newEngine(t, "two", 30)
 	one.before = func(id string, offset int) bool {
--- a/internal/gateway/api/fakes_test.go
+++ b/internal/gateway/api/fakes_test.go
@@ -41,6 +41,7 @@
 
 	mu      sync.Mutex
 	entries map[control.DirectoryKey]control.DirectoryEntry // guarded by mu
+	news    []control.News                                  // of the last admission, guarded by mu
 }
 
 func (f *fakeFleet) View() *fleet.View { return &fleet.View{Index: f.index} }
@@ -49,6 +50,9 @@
 	if f.refuse != nil {
 		return nil, f.refuse
 	}
+	f.mu.Lock()
+	f.news = args.News
+	f.mu.Unlock()
 	for _, t := range f.engines {
 		if !strings.Contains(strings.Join(args.Avoid, ","), t.Name) {
 			return f.Attached(t, args.Fingerprint), nil
--- a/internal/gateway/runner/attachment.go
+++ b/internal/gateway/runner/attachment.go
@@ -25,7 +25,8 @@
 	begin := time.Now()
 	events, err := s.open(ctx)
 	if err != nil {
-		failure := classify(err, s.attached)
+		failure := classify(err, s.attached || s.dispatched)
+		s.dispatched = s.dispatched || failure == stream.FailureBroken
 		if failure == stream.FailureBroken && s.attached && reopenExpired(begin) {
 			failure = stream.FailureSilent
 		}
--- a/internal/gateway/runner/placing.go
+++ b/internal/gateway/runner/placing.go
@@ -113,6 +113,7 @@
 	s.avoid = append(s.avoid, s.place.Target.Name)
 	s.endPlace(false)
 	s.attached = false
+	s.dispatched = false
 	s.stall = s.job.StallBound
 	s.moves++
 	if kind == stream.StepRestart {
--- a/internal/gateway/runner/session.go
+++ b/internal/gateway/runner/session.go
@@ -54,19 +54,22 @@
 	place    *fleet.Place
 	mode     mode
 	attached bool // the engine has accepted an attachment
-	avoid    []string
-	news     []control.News // of the targets that were tried
-	moves    int
-	stall    time.Duration
-	lastSeen time.Time // last token, or the start of the wait
-	pause    time.Duration
-	lastErr  error
-	reason   engine.FinishReason
-	sent     int // tokens handed to the sink
-	gone     bool
-	deaths   int // engines that died while they ran the job
-	diedAt   int // tokens at the last death
-	passed   int // deaths that it has run on after
+	// dispatched tells that bytes of the request left for the engine, which may
+	// have died on them before it answered.
+	dispatched bool
+	avoid      []string
+	news       []control.News // of the targets that were tried
+	moves      int
+	stall      time.Duration
+	lastSeen   time.Time // last token, or the start of the wait
+	pause      time.Duration
+	lastErr    error
+	reason     engine.FinishReason
+	sent       int // tokens handed to the sink
+	gone       bool
+	deaths     int // engines that died while they ran the job
+	diedAt     int // tokens at the last death
+	passed     int // deaths that it has run on after
 }
 
 func newSession(caller context.Context, r *Runner, job Job, sink Sink) *session {
