--- a/internal/agent/scheduler/crashes.go
+++ b/internal/agent/scheduler/crashes.go
@@ -22,7 +22,7 @@
 // Heard takes news of a target, from a gateway or a peer, and returns it with
 // what this host knows besides. A gateway knows only its own requests on a target
 // that died; the owner of the pool knows all of them. Judging by a part would
-// blame a request that only ran beside the cause.
+// refuse a request that only ran beside the cause.
 func (s *Scheduler) Heard(now time.Time, n control.News) control.News {
 	if n.Kind == control.NewsCrash && s.leaving(now, n.Target) {
 		n.Kind = control.NewsDown // its end was announced and has no cause among the requests
--- a/internal/gateway/runner/news.go
+++ b/internal/gateway/runner/news.go
@@ -38,9 +38,9 @@
 	s.r.fleet.Report(news)
 }
 
-// passTokens is the number of tokens after a death from which a request counts as
-// innocent of it: one that crashes its engine does so again at the same token when
-// it is continued. One token more allows for the step that was under way.
+// passTokens is the number of tokens after a death from which a request is cleared
+// of it: one that crashes its engine does so again at the same token when it is
+// continued. One token more allows for the step that was under way.
 const passTokens = 2
 
 // notePassed tells the agents once that the request has run on past the point at
--- a/internal/gateway/stream/machine.go
+++ b/internal/gateway/stream/machine.go
@@ -28,8 +28,8 @@
 }
 
 // DefaultLimits are the limits of the gateway. The bound of crashes leaves room
-// for two unrelated deaths under an innocent request; the owner of the pool
-// refuses a guilty one after two.
+// for unrelated deaths of engines under one request; the owner of the pool refuses
+// a request that causes them after two.
 func DefaultLimits() Limits {
 	return Limits{Reattach: 2, Patience: 20, Moves: 4, Crashes: 4, Refusals: 6}
 }
