One refusal takes a target away for seconds, not for a minute

Cause: a target that refused one request as leaving was left out for 60 s although its own reports denied it; with one refusal each a whole service was gone (seen by the proofs' harness). Ruled out: the host list (it did not name the targets). Change: a target that neither the list nor its own report named must deny for 10 s instead of 60; announced ones as before. Measured: new judge test; leaving proofs pass (go test ./tests/prove -run TestLeaving).

--- a/internal/agent/observer/judge.go
+++ b/internal/agent/observer/judge.go
@@ -32,6 +32,10 @@
 	// leavingDoubt is how long a target must deny that it is leaving before it is
 	// believed without a restart. It is twice the lag of the platform's list.
 	leavingDoubt = 60 * time.Second
+	// refusalDoubt is the same for a target that only a refusal of a request shows
+	// to leave: neither the list nor a report of its own said so. It covers the lag
+	// of reports; longer would let one refusal take a whole service away.
+	refusalDoubt = 10 * time.Second
 )
 
 // Judge turns the polls of one target into its row. It is a state machine
@@ -41,11 +45,13 @@
 	wasDown     bool      // a poll was refused since leaving was first seen
 	deniedSince time.Time // since when polls say that the target is not leaving
 	sawLeaving  bool
+	announced   bool // the list or the target's own report said that it leaves
 }
 
 // Next returns the row after a poll.
 func (j *Judge) Next(now time.Time, owner string, row control.TargetState, sample Sample) control.TargetState {
 	row.Owner = owner
+	j.announced = row.Leaving && (j.announced || row.ListedLeaving || row.Load.Leaving)
 	row.Healthy = j.healthy(row.Healthy, sample.Outcome)
 	if sample.Outcome == OutcomeAnswered {
 		row.Observed = now
@@ -68,6 +74,7 @@
 // denied for long that it is leaving and the platform's list agrees.
 func (j *Judge) leaving(now time.Time, row control.TargetState, sample Sample) bool {
 	if row.ListedLeaving || sample.Load.Leaving {
+		j.announced = true
 		j.sawLeaving, j.wasDown, j.deniedSince = true, false, time.Time{}
 		return true
 	}
@@ -86,5 +93,13 @@
 	if j.deniedSince.IsZero() {
 		j.deniedSince = now
 	}
-	return !j.wasDown && now.Sub(j.deniedSince) < leavingDoubt
+	return !j.wasDown && now.Sub(j.deniedSince) < j.doubt()
+}
+
+// doubt is how long the target must deny that it is leaving.
+func (j *Judge) doubt() time.Duration {
+	if j.announced {
+		return leavingDoubt
+	}
+	return refusalDoubt
 }
--- a/internal/agent/observer/observer_test.go
+++ b/internal/agent/observer/observer_test.go
@@ -53,6 +53,25 @@
 	require.True(t, r.Leaving, "the list still says so")
 }
 
+func TestOneRefusalDoesNotTakeATargetAwayForLong(t *testing.T) {
+	var j Judge
+	r := row("e")
+	r.Leaving = true // by news of a refusal
+	for s := range 10 {
+		r = j.Next(start.Add(time.Duration(s)*time.Second), "h", r, Sample{})
+		require.True(t, r.Leaving, "denied for %d s only", s)
+	}
+	r = j.Next(start.Add(refusalDoubt), "h", r, Sample{})
+	require.False(t, r.Leaving)
+
+	var next Judge // of a host that takes over a target whose own report said so
+	r.Leaving, r.Load.Leaving = true, true
+	for s := range 59 {
+		r = next.Next(start.Add(time.Duration(s)*time.Second), "h", r, Sample{})
+		require.True(t, r.Leaving, "announced, denied for %d s only", s)
+	}
+}
+
 func TestListing(t *testing.T) {
 	entry := func(name string, leaving bool) platform.Target {
 		return platform.Target{Name: name, Address: "a", Kind: platform.TargetEngine, Leaving: leaving}
