Cut an agent off in the duty that it failed in, not in all

Cause: the decisions of a failing crash proof (logged by hitchctl explain's call) came from three owners of one pool: a gateway that found an agent not up yet at its start, or slow in the directory (300 ms), passed over it as owner of the pool for 5 s and asked the next in rank. Copies of a crashing request were then spread by owners that knew nothing of each other. Ruled out: rendezvous ranks (one owner for all gateways in a settled deployment, 12 of 12 requests). A request that had made tokens when targets died under it gets a target of its own before it is refused (two deaths may be those of a rack).

--- a/api/control/control.go
+++ b/api/control/control.go
@@ -109,6 +109,7 @@
 	Target      string
 	Ticket      string   // unique per attempt, for NewsCrash
 	Fingerprint uint64   // request body and account, for NewsCrash
+	Produced    int      // tokens that the request had made, for NewsCrash
 	Beside      []uint64 // fingerprints that ran beside it, for NewsCrash
 	Seen        time.Time
 }
--- a/internal/agent/scheduler/crashes.go
+++ b/internal/agent/scheduler/crashes.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"corianderhitch/api/control"
+	crashes "corianderhitch/internal/agent/suspicion"
 	"corianderhitch/internal/scheduling/suspicion"
 )
 
@@ -94,6 +95,7 @@
 			if policy, ok := p.policy.(hearer); ok {
 				policy.SuspectElsewhere(suspicion.Crash{
 					ID: n.ID, Target: n.Target, At: now, Beside: append([]uint64{n.Fingerprint}, n.Beside...),
+					Progressed: crashes.Progressed(n),
 				})
 			}
 		})
--- a/internal/agent/suspicion/suspicion.go
+++ b/internal/agent/suspicion/suspicion.go
@@ -29,9 +29,10 @@
 	switch n.Kind {
 	case control.NewsCrash:
 		r.tracker.Record(suspicion.Crash{
-			ID:     r.crashID(now, n.Target),
-			At:     r.died[n.Target],
-			Beside: append([]uint64{n.Fingerprint}, n.Beside...),
+			ID:         r.crashID(now, n.Target),
+			At:         r.died[n.Target],
+			Beside:     append([]uint64{n.Fingerprint}, n.Beside...),
+			Progressed: Progressed(n),
 		})
 	case control.NewsCleared:
 		r.tracker.Finished(n.Fingerprint)
@@ -47,6 +48,14 @@
 	return r.tracker.Verdict(fingerprint, now), r.tracker.Remaining(fingerprint, now)
 }
 
+// Progressed returns the request of the news if it had made tokens.
+func Progressed(n control.News) []uint64 {
+	if n.Produced == 0 {
+		return nil
+	}
+	return []uint64{n.Fingerprint}
+}
+
 // crashID names the crash that a report of a target's death means.
 func (r *Register) crashID(now time.Time, target string) string {
 	if r.died == nil {
--- a/internal/gateway/fleet/admit.go
+++ b/internal/gateway/fleet/admit.go
@@ -45,7 +45,7 @@
 	owners := view.rankedHosts(args.Model + "/" + args.Region)
 	for _, host := range owners[:min(len(owners), ownersAsked)] {
 		address := view.agentAddress(host)
-		if address == "" || f.isCut(address) {
+		if address == "" || f.isCut(forAdmission, address) {
 			continue
 		}
 		reply, err := f.ask(ctx, host, address, args)
@@ -67,7 +67,7 @@
 	f.options.Log.Debug("owner of the pool gave no place", "owner", host, "error", err)
 	var answered *rpcconn.RemoteError
 	if !errors.As(err, &answered) {
-		f.cut(address)
+		f.cut(forAdmission, address)
 	}
 }
 
--- a/internal/gateway/fleet/directory.go
+++ b/internal/gateway/fleet/directory.go
@@ -39,7 +39,7 @@
 	owners := f.directoryOwners(entry.Account, entry.RequestID)
 	for i, agent := range owners {
 		reply := new(control.RegisterReply)
-		if f.isCut(agent) || f.callDirectory(ctx, directoryTimeout, agent, "Directory.Register", entry, reply) != nil {
+		if f.isCut(forDirectory, agent) || f.callDirectory(ctx, directoryTimeout, agent, "Directory.Register", entry, reply) != nil {
 			continue
 		}
 		if reply.Won {
@@ -120,7 +120,7 @@
 func (f *Fleet) awake(agents []string) []string {
 	var kept []string
 	for _, agent := range agents {
-		if !f.isCut(agent) {
+		if !f.isCut(forDirectory, agent) {
 			kept = append(kept, agent)
 		}
 	}
@@ -145,7 +145,7 @@
 	defer cancel()
 	err := f.pool.Call(callCtx, agent, method, args, reply)
 	if err != nil && ctx.Err() == nil {
-		f.cut(agent)
+		f.cut(forDirectory, agent)
 	}
 	return err
 }
--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -48,7 +48,7 @@
 	copies   chan entryCopy
 
 	mu   sync.Mutex
-	cuts map[string]time.Time // guarded by mu; agents that gave no answer, until when to ask them last
+	cuts map[cutKey]time.Time // guarded by mu; agents that gave no answer, until when to ask them last
 }
 
 // report is an ended ticket with the agent that granted it.
@@ -68,7 +68,7 @@
 		finished: make(chan report, finishQueue),
 		news:     make(chan control.News, newsQueue),
 		copies:   make(chan entryCopy, copyQueue),
-		cuts:     make(map[string]time.Time),
+		cuts:     make(map[cutKey]time.Time),
 	}
 	f.avoid.until = make(map[string]time.Time)
 	f.view.Store(&View{Targets: make(map[string]control.TargetState)})
--- a/internal/gateway/fleet/fleet_test.go
+++ b/internal/gateway/fleet/fleet_test.go
@@ -203,7 +203,22 @@
 	p, err := f.Admit(t.Context(), admitArgs("t"))
 	require.NoError(t, err)
 	require.True(t, p.OwnChoice())
-	require.False(t, f.isCut(a.server.Address()))
+	require.False(t, f.isCut(forAdmission, a.server.Address()))
+}
+
+func TestSlowDirectoryLeavesTheOwnerItsPool(t *testing.T) {
+	a := newAgent(t)
+	a.members = []control.Member{member("h", a)}
+	a.grant = func(control.AdmitArgs) control.AdmitReply {
+		return control.AdmitReply{Granted: true, Target: platform.Target{Name: "e1"}}
+	}
+	f := start(t, a)
+	await(t, f, func(v *View) bool { return len(v.Members) == 1 })
+	f.cut(forDirectory, a.server.Address())
+	f.cut(forSnapshot, a.server.Address())
+	p, err := f.Admit(t.Context(), admitArgs("t"))
+	require.NoError(t, err)
+	require.False(t, p.OwnChoice())
 }
 
 func TestPlacesCarryTheStartOfTheGateway(t *testing.T) {
--- a/internal/gateway/fleet/reports.go
+++ b/internal/gateway/fleet/reports.go
@@ -60,7 +60,7 @@
 		byAgent[r.agent] = append(byAgent[r.agent], r.finished)
 	}
 	for agent, finished := range byAgent {
-		if f.isCut(agent) {
+		if f.isCut(forAdmission, agent) {
 			continue
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
@@ -125,6 +125,6 @@
 		if err == nil || ctx.Err() != nil {
 			return
 		}
-		f.cut(agent)
+		f.cut(forSnapshot, agent)
 	}
 }
--- a/internal/gateway/fleet/watch.go
+++ b/internal/gateway/fleet/watch.go
@@ -19,8 +19,6 @@
 	pollGrace = 1 * time.Second
 	// watchPause separates rounds in which no agent answered.
 	watchPause = 100 * time.Millisecond
-	// cutFor is how long an agent that gave no answer is asked last.
-	cutFor = 5 * time.Second
 )
 
 // watch follows the agents: the own host's first, then the others.
@@ -43,7 +41,7 @@
 		if ctx.Err() != nil {
 			return false
 		}
-		f.cut(agent)
+		f.cut(forSnapshot, agent)
 		delete(versions, agent)
 		f.options.Log.Debug("agent gave no snapshot", "agent", agent, "error", err)
 	}
@@ -61,7 +59,7 @@
 	}
 	var first, last []string
 	for _, agent := range all {
-		if f.isCut(agent) {
+		if f.isCut(forSnapshot, agent) {
 			last = append(last, agent)
 		} else {
 			first = append(first, agent)
@@ -121,15 +119,3 @@
 	}
 	return document.NewIndex(document.Accepted{Revision: reply.DocumentRevision, Document: d})
 }
-
-func (f *Fleet) cut(agent string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.cuts[agent] = time.Now().Add(cutFor)
-}
-
-func (f *Fleet) isCut(agent string) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return time.Now().Before(f.cuts[agent])
-}
--- a/internal/gateway/runner/news.go
+++ b/internal/gateway/runner/news.go
@@ -26,6 +26,7 @@
 		news.Kind = control.NewsCrash
 		news.Ticket = s.place.Ticket()
 		news.Fingerprint = s.job.Admit.Fingerprint
+		news.Produced = len(s.machine.Tokens())
 		news.Beside = s.r.fleet.InFlight().Beside(target, s.job.Admit.Fingerprint)
 	case errors.As(err, &refused) && refused.Problem.Kind == problem.KindDraining:
 		news.Kind = control.NewsLeaving
--- a/internal/scheduling/suspicion/tracker.go
+++ b/internal/scheduling/suspicion/tracker.go
@@ -14,6 +14,7 @@
 	crash  Crash // without the fingerprints
 	ran    map[uint64]struct{}
 	passed map[uint64]struct{} // ran on elsewhere past the point of the crash
+	made   map[uint64]struct{} // had made tokens
 }
 
 // NewTracker returns an empty Tracker.
@@ -25,8 +26,8 @@
 	t.expire(crash.At)
 	r := t.find(&crash)
 	if r == nil {
-		r = &record{crash: crash, ran: make(map[uint64]struct{}), passed: make(map[uint64]struct{})}
-		r.crash.Beside = nil
+		r = &record{crash: crash, ran: make(map[uint64]struct{}), passed: make(map[uint64]struct{}), made: make(map[uint64]struct{})}
+		r.crash.Beside, r.crash.Progressed = nil, nil
 		t.crashes = append(t.crashes, r)
 	}
 	for _, fingerprint := range crash.Beside {
@@ -34,6 +35,11 @@
 			r.ran[fingerprint] = struct{}{}
 		}
 	}
+	for _, fingerprint := range crash.Progressed {
+		if r.holds(fingerprint) {
+			r.made[fingerprint] = struct{}{}
+		}
+	}
 	if len(t.crashes) > maxCrashes {
 		t.crashes = t.crashes[1:]
 	}
@@ -111,6 +117,7 @@
 // so many that chance is no explanation.
 func (t *Tracker) culprit(fingerprint uint64) bool {
 	count, near := 0, 0
+	made := false
 	var common map[uint64]struct{}
 	for _, r := range t.crashes {
 		if _, passed := r.passed[fingerprint]; passed {
@@ -120,9 +127,12 @@
 			continue
 		}
 		count++
+		if _, progressed := r.made[fingerprint]; progressed {
+			made = true
+		}
 		common = intersect(common, r.ran)
 	}
-	return count >= refuseAfter || count+near >= refuseNear || (count >= isolateAfter && len(common) == 1)
+	return count >= refuseAfter || count+near >= refuseNear || (count >= isolateAfter && len(common) == 1 && !made)
 }
 
 // explained tells whether a crash has its culprit, so that the others are free.
--- a/internal/scheduling/suspicion/tracker_test.go
+++ b/internal/scheduling/suspicion/tracker_test.go
@@ -54,6 +54,15 @@
 	}
 }
 
+func TestARequestThatHadMadeTokensGetsATargetOfItsOwnFirst(t *testing.T) {
+	tracker := NewTracker()
+	tracker.Record(Crash{ID: "a", At: start, Beside: []uint64{1, 2}, Progressed: []uint64{1}})
+	tracker.Record(Crash{ID: "b", At: start, Beside: []uint64{1, 3}})
+	require.Equal(t, Isolate, tracker.Verdict(1, start), "two engines of one rack died")
+	tracker.Record(Crash{ID: "c", At: start, Beside: []uint64{1}})
+	require.Equal(t, Refuse, tracker.Verdict(1, start), "died alone")
+}
+
 func TestTogether(t *testing.T) {
 	tracker := NewTracker()
 	tracker.Record(Crash{ID: "1", At: start, Beside: []uint64{1, 2}})
--- a/internal/scheduling/suspicion/verdict.go
+++ b/internal/scheduling/suspicion/verdict.go
@@ -4,7 +4,9 @@
 // One crash puts all that ran on the target under suspicion; they are kept apart
 // from each other, so that a second crash has one explanation. A request that
 // alone was in two crashes is refused from then on, and what ran beside it is
-// clear. One request so costs at most two targets. A request that runs to its
+// clear. One request so costs at most two targets. A request that had made tokens
+// before a target died has run on its own account already: two deaths under it may
+// be those of a rack, so that it gets a target of its own before it is refused. A request that runs to its
 // end is clear, and suspicion expires.
 package suspicion
 
@@ -51,6 +53,8 @@
 	Heard  bool // from another host
 	At     time.Time
 	Beside []uint64
+	// Progressed lists those that had made tokens when the target died.
+	Progressed []uint64
 }
 
 // same tells whether two reports are of one crash. Hosts learn of it at somewhat
--- a/tests/prove/crash_test.go
+++ b/tests/prove/crash_test.go
@@ -10,6 +10,8 @@
 	"github.com/stretchr/testify/require"
 
 	"corianderhitch/api/completion"
+	"corianderhitch/api/control"
+	"corianderhitch/internal/rpcconn"
 )
 
 const (
@@ -41,6 +43,9 @@
 		tr.finish()
 		tokens := tr.checkWhole(t, spec, "v1")
 		lost := c.lostEngines()
+		if lost > crashLosses {
+			c.logDecisions()
+		}
 		require.LessOrEqualf(t, lost, crashLosses, "%d targets lost", lost)
 		require.Lessf(t, answered, crashAnswerLimit, "a caller waited %s for its final answer", answered)
 		figures = fmt.Sprintf("%d sends, longest answer %s, %d targets lost, %d innocent streams, %d tokens whole",
@@ -88,3 +93,16 @@
 	}
 	return lost
 }
+
+// logDecisions logs where the crashing request was sent, and why.
+func (c *cluster) logDecisions() {
+	pool := rpcconn.NewPool(rpcconn.TCP)
+	defer pool.Close()
+	for i := range crashResends {
+		var reply control.ExplainReply
+		args := control.ExplainArgs{Account: "skipper", RequestID: fmt.Sprintf("crash-%d", i)}
+		if err := pool.Call(context.Background(), c.hosts[0].localAgent, "Control.Explain", args, &reply); err == nil {
+			c.t.Logf("%s: %v", args.RequestID, reply.Lines)
+		}
+	}
+}
