--- a/internal/agent/suspicion/suspicion_test.go
+++ b/internal/agent/suspicion/suspicion_test.go
@@ -97,3 +97,17 @@
 		}
 	})
 }
+
+func TestLateDraftGetsATargetOfItsOwnBeforeItIsRefused(t *testing.T) {
+	r := &Register{}
+	for i, target := range []string{"e1", "e2"} {
+		n := crash(target, 1)
+		n.Late = true
+		r.Add(start.Add(time.Duration(i)*time.Millisecond), n)
+	}
+	require.Equal(t, suspicion.Isolate, verdict(r, start, 1))
+	third := crash("e3", 1)
+	third.Late = true
+	r.Add(start.Add(time.Second), third)
+	require.Equal(t, suspicion.Refuse, verdict(r, start.Add(time.Second), 1))
+}
