Return places again to an owner that gave no answer

Cause: ended tickets were dropped while their owner was cut off; the owner counts such a place as used for up to 20 minutes and grants less than it could.

--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -51,12 +51,6 @@
 	cuts map[cutKey]time.Time // guarded by mu; agents that gave no answer, until when to ask them last
 }
 
-// report is an ended ticket with the agent that granted it.
-type report struct {
-	agent    string
-	finished control.Finished
-}
-
 // New returns a Fleet that calls agents through the pool. Call Run.
 func New(options Options, pool *rpcconn.Pool) *Fleet {
 	f := &Fleet{
--- a/internal/gateway/fleet/fleet_test.go
+++ b/internal/gateway/fleet/fleet_test.go
@@ -206,6 +206,24 @@
 	require.False(t, f.isCut(forAdmission, a.server.Address()))
 }
 
+func TestPlacesAreReturnedAfterTheOwnerWasCutOff(t *testing.T) {
+	a := newAgent(t)
+	f := start(t, a)
+	f.cut(forAdmission, a.server.Address())
+	ended := []report{{agent: a.server.Address(), finished: control.Finished{Ticket: "t"}}}
+	held := f.flushFinished(ended)
+	require.Len(t, held, 1, "the owner is cut off")
+	f.mu.Lock()
+	clear(f.cuts)
+	f.mu.Unlock()
+	require.Empty(t, f.flushFinished(held))
+	require.Equal(t, "t", (<-a.finished).Ticket)
+
+	held[0].tries = finishTries - 1
+	held[0].agent = "127.0.0.1:1" // nobody listens
+	require.Empty(t, f.flushFinished(held), "given up")
+}
+
 func TestSlowDirectoryLeavesTheOwnerItsPool(t *testing.T) {
 	a := newAgent(t)
 	a.members = []control.Member{member("h", a)}
--- a/internal/gateway/fleet/reports.go
+++ b/internal/gateway/fleet/reports.go
@@ -6,72 +6,15 @@
 
 	"corianderhitch/api/control"
 	"corianderhitch/internal/platform"
-	"corianderhitch/internal/wait"
 )
 
 const (
-	// finishBatch is the time for which ended tickets are collected.
-	finishBatch = 20 * time.Millisecond
 	// reportTimeout bounds the wait for an agent to take a report.
 	reportTimeout = 1 * time.Second
 	// maxBatch bounds the reports of one call.
 	maxBatch = 512
 )
 
-func (f *Fleet) finish(agent string, finished control.Finished) {
-	select {
-	case f.finished <- report{agent: agent, finished: finished}:
-	default: // owners forget tickets by themselves
-	}
-}
-
-// sendFinished sends ended tickets in batches, one call an owner.
-func (f *Fleet) sendFinished(ctx context.Context) {
-	for {
-		var first report
-		select {
-		case <-ctx.Done():
-			f.flushFinished(f.collect(nil))
-			return
-		case first = <-f.finished:
-		}
-		wait.For(ctx, finishBatch)
-		f.flushFinished(f.collect([]report{first}))
-	}
-}
-
-func (f *Fleet) collect(batch []report) []report {
-	for len(batch) < maxBatch {
-		select {
-		case r := <-f.finished:
-			batch = append(batch, r)
-		default:
-			return batch
-		}
-	}
-	return batch
-}
-
-// flushFinished uses a context of its own, so that a stopping gateway still
-// returns its places.
-func (f *Fleet) flushFinished(batch []report) {
-	byAgent := make(map[string][]control.Finished)
-	for _, r := range batch {
-		byAgent[r.agent] = append(byAgent[r.agent], r.finished)
-	}
-	for agent, finished := range byAgent {
-		if f.isCut(forAdmission, agent) {
-			continue
-		}
-		ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
-		err := f.pool.Call(ctx, agent, "Scheduler.Finish", control.FinishArgs{Finished: finished}, new(control.Empty))
-		cancel()
-		if err != nil {
-			f.options.Log.Debug("owner did not take ended tickets", "owner", agent, "error", err)
-		}
-	}
-}
-
 // Report passes on an event that the data path saw. Targets that are leaving or
 // down get nothing new from this gateway for a while.
 func (f *Fleet) Report(news control.News) {
