Remove Finished.Crashed, which nothing set

Cause: the death of a target travels as news with the next admission; the field was left over from an earlier way. Ruled out: another sender (no code and no test sets it).

--- a/api/control/control.go
+++ b/api/control/control.go
@@ -173,7 +173,6 @@
 	Class    string
 	Produced int  // output tokens in all
 	Complete bool // false if the generation was cut or canceled, so that its length is censored
-	Crashed  bool // the target died while it ran the generation
 }
 
 // DirectoryEntry tells where the generation of a request id runs.
--- a/internal/agent/scheduler/pool.go
+++ b/internal/agent/scheduler/pool.go
@@ -225,9 +225,6 @@
 	if !known {
 		return
 	}
-	if f.Crashed {
-		p.crashed(now, g.target.Name)
-	}
 	delete(p.granted, f.Ticket)
 	p.policy.Finish(now, scheduling.Finished{Ticket: f.Ticket, Produced: f.Produced, Complete: f.Complete})
 	if f.Complete {
