--- /dev/null
+++ b/internal/edge/decisionlog/sampler.go
@@ -0,0 +1,77 @@
+package decisionlog
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+)
+
+const (
+	// routinePerSecond bounds the info lines of one message; failures are bounded
+	// apart so that routine lines cannot crowd them out.
+	routinePerSecond = 60
+	failurePerSecond = 120
+)
+
+// Sampler is a slog.Handler that bounds the lines a second of each message and
+// says how many it left out.
+type Sampler struct {
+	slog.Handler
+	counts *counts
+}
+
+type counts struct {
+	mu     sync.Mutex
+	second int64            // guarded by mu
+	lines  map[string]int   // guarded by mu; by message, in this second
+	left   map[string]int64 // guarded by mu; left out since the last line of the message
+}
+
+// NewSampler wraps a handler.
+func NewSampler(h slog.Handler) *Sampler {
+	return &Sampler{Handler: h, counts: &counts{lines: make(map[string]int), left: make(map[string]int64)}}
+}
+
+// Handle implements slog.Handler.
+func (s *Sampler) Handle(ctx context.Context, r slog.Record) error {
+	left, ok := s.counts.take(r.Time, r.Message, r.Level)
+	if !ok {
+		return nil
+	}
+	if left > 0 {
+		r.AddAttrs(slog.Int64("lines_left_out", left))
+	}
+	return s.Handler.Handle(ctx, r)
+}
+
+// WithAttrs implements slog.Handler.
+func (s *Sampler) WithAttrs(attrs []slog.Attr) slog.Handler {
+	return &Sampler{Handler: s.Handler.WithAttrs(attrs), counts: s.counts}
+}
+
+// WithGroup implements slog.Handler.
+func (s *Sampler) WithGroup(name string) slog.Handler {
+	return &Sampler{Handler: s.Handler.WithGroup(name), counts: s.counts}
+}
+
+func (c *counts) take(at time.Time, message string, level slog.Level) (left int64, ok bool) {
+	limit := routinePerSecond
+	if level > slog.LevelInfo {
+		limit = failurePerSecond
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if second := at.Unix(); second != c.second {
+		c.second = second
+		clear(c.lines)
+	}
+	c.lines[message]++
+	if c.lines[message] > limit {
+		c.left[message]++
+		return 0, false
+	}
+	left = c.left[message]
+	delete(c.left, message)
+	return left, true
+}
--- /dev/null
+++ b/internal/edge/decisionlog/writer.go
@@ -0,0 +1,84 @@
+// Package decisionlog writes log lines without ever making a request wait: lines
+// pass through a bounded queue, and what does not fit is counted.
+package decisionlog
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+)
+
+const (
+	// queueLines bounds the lines that wait for a slow standard output.
+	queueLines = 512
+	// maxBatchBytes bounds one write, which carries all lines at hand.
+	maxBatchBytes = 32 << 10
+)
+
+// Writer queues lines for another writer. It never blocks and is safe for
+// concurrent use.
+type Writer struct {
+	out     io.Writer
+	lines   chan []byte
+	dropped atomic.Int64
+	done    chan struct{}
+	once    sync.Once
+}
+
+// NewWriter starts the goroutine that writes to out. Call Close at the end.
+func NewWriter(out io.Writer) *Writer {
+	w := &Writer{out: out, lines: make(chan []byte, queueLines), done: make(chan struct{})}
+	go w.run()
+	return w
+}
+
+// Write implements io.Writer. It keeps a copy of the line, or counts it as
+// dropped.
+func (w *Writer) Write(line []byte) (int, error) {
+	kept := append([]byte(nil), line...)
+	select {
+	case w.lines <- kept:
+	default:
+		w.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Dropped returns how many lines were dropped and not reported yet.
+func (w *Writer) Dropped() int64 { return w.dropped.Load() }
+
+// Close writes what is queued. Write must not be called any more.
+func (w *Writer) Close() {
+	w.once.Do(func() { close(w.lines) })
+	<-w.done
+}
+
+func (w *Writer) run() {
+	defer close(w.done)
+	batch := make([]byte, 0, maxBatchBytes)
+	for line := range w.lines {
+		batch = append(batch[:0], line...)
+		batch = w.fill(batch)
+		if n := w.dropped.Swap(0); n > 0 {
+			batch = fmt.Appendf(batch, `{"level":"WARN","msg":"log: lines dropped because standard output is slow","lines":%d}`+"\n", n)
+		}
+		_, _ = w.out.Write(batch) // there is nowhere to report that the log itself fails
+	}
+}
+
+// fill adds the lines that are waiting already.
+func (w *Writer) fill(batch []byte) []byte {
+	for len(batch) < maxBatchBytes {
+		select {
+		case line, ok := <-w.lines:
+			if !ok {
+				return batch
+			}
+			batch = append(batch, line...)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
--- /dev/null
+++ b/internal/edge/feed/feed.go
@@ -0,0 +1,146 @@
+// Package feed follows the entries under a prefix of the store: a list, then
+// watches, and a list again whenever the store has lost the history.
+package feed
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"corianderhitch/internal/edge/bootclock"
+	"corianderhitch/internal/platform"
+)
+
+const (
+	// watchPause is the least time between two watches, so that changes close
+	// together cost one call.
+	watchPause = 60 * time.Millisecond
+	// retryPause follows a failed call.
+	retryPause = 250 * time.Millisecond
+)
+
+// Sink takes what a Feed learns. Its methods are called by one goroutine.
+type Sink interface {
+	// Replace takes the whole list. With settled false, missing entries mean
+	// nothing: the store was away and their writers may still be about to
+	// return.
+	Replace(entries []platform.Entry, revision platform.Revision, settled bool)
+	// Apply takes changes.
+	Apply(events []platform.Event, revision platform.Revision)
+}
+
+// Feed follows one prefix.
+type Feed struct {
+	Log    *slog.Logger
+	Store  platform.Store
+	Prefix string
+	Sink   Sink
+	// Outage is how long the store must have been away before missing entries
+	// are doubted; 0 if they never are.
+	Outage time.Duration
+	// Settle is how long they are doubted after its return.
+	Settle time.Duration
+}
+
+// Run follows the prefix until ctx ends.
+func (f *Feed) Run(ctx context.Context) {
+	reached := bootclock.Now()
+	down := false
+	for ctx.Err() == nil {
+		revision, err := f.list(ctx, reached)
+		for err == nil {
+			reached = bootclock.Now()
+			if down {
+				down = false
+				f.Log.Info("feed: store is reachable again", "prefix", f.Prefix, "revision", revision)
+			}
+			sleep(ctx, watchPause)
+			revision, err = f.watch(ctx, revision)
+		}
+		if ctx.Err() != nil || errors.Is(err, platform.ErrCompacted) {
+			f.Log.Info("feed: list again", "prefix", f.Prefix, "reason", err.Error())
+			continue
+		}
+		if !down {
+			down = true
+			f.Log.Warn("feed: store cannot be reached", "prefix", f.Prefix, "error", err.Error())
+		}
+		sleep(ctx, retryPause)
+	}
+}
+
+// list reads all entries. After an outage it reads them twice: entries lapse
+// while the store is away, and their writers need a while to return.
+func (f *Feed) list(ctx context.Context, reached bootclock.Instant) (platform.Revision, error) {
+	entries, revision, err := f.Store.List(ctx, f.Prefix, "", 0)
+	if err != nil {
+		return 0, err
+	}
+	away := bootclock.Since(reached)
+	if f.Outage == 0 || away < f.Outage {
+		f.Sink.Replace(entries, revision, true)
+		return revision, nil
+	}
+	f.Log.Info("feed: store was away, missing entries are doubted", "prefix", f.Prefix, "away_ms", away.Milliseconds())
+	f.Sink.Replace(entries, revision, false)
+	return f.settle(ctx, revision)
+}
+
+// settle takes new and changed entries until the doubt ends, and then the whole
+// list.
+func (f *Feed) settle(ctx context.Context, revision platform.Revision) (platform.Revision, error) {
+	until := bootclock.Now().Add(f.Settle)
+	for {
+		left := until.Sub(bootclock.Now())
+		if left <= 0 {
+			break
+		}
+		waiting, cancel := context.WithTimeout(ctx, left)
+		events, next, err := f.Store.Watch(waiting, f.Prefix, revision)
+		cancel()
+		if err == nil {
+			f.Sink.Apply(written(events), next)
+			revision = next
+		}
+		sleep(ctx, min(left, watchPause))
+		if ctx.Err() != nil {
+			return 0, ctx.Err()
+		}
+	}
+	entries, revision, err := f.Store.List(ctx, f.Prefix, "", 0)
+	if err == nil {
+		f.Sink.Replace(entries, revision, true)
+	}
+	return revision, err
+}
+
+func (f *Feed) watch(ctx context.Context, after platform.Revision) (platform.Revision, error) {
+	events, next, err := f.Store.Watch(ctx, f.Prefix, after)
+	if err != nil {
+		return after, err
+	}
+	if len(events) > 0 {
+		f.Sink.Apply(events, next)
+	}
+	return next, nil
+}
+
+func written(events []platform.Event) []platform.Event {
+	kept := events[:0]
+	for _, e := range events {
+		if !e.Deleted {
+			kept = append(kept, e)
+		}
+	}
+	return kept
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/edge/host.go
@@ -0,0 +1,49 @@
+package edge
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"corianderhitch/internal/edge/targetconn"
+	"corianderhitch/internal/edge/targets"
+)
+
+// Sender sends calls to targets in the platform's words.
+type Sender struct {
+	Wire Wire
+	Pool *targetconn.Pool
+}
+
+// Send passes a call on to a target and waits for the head of its answer.
+func (s *Sender) Send(ctx context.Context, c *Call, t *targets.Target, d Dispatch, timeLeft time.Duration) (*targetconn.Response, error) {
+	d.TargetID = t.ID
+	return s.Pool.Do(ctx, t.Key(), t.Address, &targetconn.Request{
+		ID: c.ID, Method: c.Method, URI: c.URI, Host: c.Host, Header: s.Wire.Encode(c, d, timeLeft), Body: c.Body,
+	})
+}
+
+// hopHeaders concern one connection only and are not copied to an answer.
+var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "Trailer", "Upgrade", "Te"}
+
+// CopyHeader puts the headers of a target's answer into the caller's answer,
+// without additions of net/http.
+func CopyHeader(dst, src http.Header) {
+	for name, values := range src {
+		dst[name] = values
+	}
+	for _, name := range hopHeaders {
+		dst.Del(name)
+	}
+	for _, name := range [...]string{"Date", "Content-Type"} {
+		if _, ok := src[name]; !ok {
+			dst[name] = nil // keeps net/http from adding one
+		}
+	}
+}
+
+// LogCall returns the fields that every line about a call bears.
+func LogCall(log *slog.Logger, c *Call, route string) *slog.Logger {
+	return log.With("request", c.ID, "route", route)
+}
--- /dev/null
+++ b/internal/edge/ingress/handler.go
@@ -0,0 +1,190 @@
+// Package ingress receives callers' requests: it finds the route and the client
+// account, reads the body and hands the call to the server of its kind.
+package ingress
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"corianderhitch/internal/edge"
+	"corianderhitch/internal/edge/bootclock"
+	"corianderhitch/internal/edge/freshness"
+	"corianderhitch/internal/edge/policy"
+)
+
+const (
+	// defaultPatience stands for callers that do not say how long they wait.
+	defaultPatience = 30 * time.Second
+	// firstConfigurationComeBack is when a caller may return while this host has
+	// no configuration yet; the first read takes a fraction of a second.
+	firstConfigurationComeBack = 500 * time.Millisecond
+	// unconfirmedComeBack is the same while the store cannot be reached.
+	unconfirmedComeBack = time.Second
+	// doubtAge is the age of the configuration from which a route or key that it
+	// lacks is looked up in the store before the request is denied.
+	doubtAge = 700 * time.Millisecond
+	// doubtPatience bounds that lookup.
+	doubtPatience = 400 * time.Millisecond
+	// defaultMaxBody applies where the configuration sets no limit.
+	defaultMaxBody = 4 << 20
+)
+
+// Server serves admitted calls of one kind and returns the word that says how
+// each ended.
+type Server interface {
+	Serve(ctx context.Context, w http.ResponseWriter, a *edge.Admitted) string
+}
+
+// Observer takes the end of each request, for metrics.
+type Observer interface {
+	Request(route *policy.Route, outcome string, took time.Duration)
+}
+
+// Handler is the callers' HTTP handler.
+type Handler struct {
+	Log       *slog.Logger
+	Wire      edge.Wire
+	Policy    *policy.Holder
+	Confirmer *freshness.Confirmer
+	KeyAge    time.Duration // oldest confirmation with which an API key admits; 0 for any
+	Plain     Server
+	Streaming Server
+	Observer  Observer
+	Count     func(service string) // counts a request for the retry budget
+	Closing   func() bool          // the process stops and connections should end
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := bootclock.Now()
+	if h.Closing() {
+		w.Header().Set("Connection", "close")
+	}
+	call := h.Wire.Decode(r)
+	a, refusal := h.admit(r.Context(), &call, arrived)
+	if refusal == nil {
+		refusal = h.readBody(w, r, a)
+	}
+	if refusal != nil {
+		h.refuse(w, &call, refusal, arrived)
+		return
+	}
+	h.Count(a.Service.Name)
+	server := h.Plain
+	if a.Route.Kind == policy.Streaming {
+		server = h.Streaming
+	}
+	outcome := "aborted"
+	defer func() { h.finish(a, outcome) }() // also when the answer is aborted by a panic
+	outcome = server.Serve(r.Context(), w, a)
+}
+
+func (h *Handler) finish(a *edge.Admitted, outcome string) {
+	took := a.Age()
+	h.Observer.Request(a.Route, outcome, took)
+	a.Log.Info("ingress: request ended", "outcome", outcome, "kind", a.Route.Kind.String(), "account", a.Account,
+		"took_ms", took.Milliseconds(), "policy", h.Policy.Current().Version)
+}
+
+// admit finds the route, the service and the account of a call.
+func (h *Handler) admit(ctx context.Context, c *edge.Call, arrived bootclock.Instant) (*edge.Admitted, *edge.Refusal) {
+	if h.Policy.Current() == nil {
+		return nil, edge.Unavailable(edge.ReasonNoConfiguration, firstConfigurationComeBack)
+	}
+	a, refusal := h.match(c)
+	if refusal != nil && h.Confirmer.Ensure(ctx, doubtAge, doubtPatience) {
+		a, refusal = h.match(c)
+	}
+	if refusal != nil {
+		return nil, refusal
+	}
+	a.Arrived = arrived
+	patience := c.Patience
+	if patience == 0 {
+		patience = defaultPatience
+	}
+	if a.Route.Timeout > 0 {
+		patience = min(patience, a.Route.Timeout)
+	}
+	a.Deadline = arrived.Add(patience)
+	a.Log = edge.LogCall(h.Log, c, a.Route.Name)
+	a.Allowed = func(ctx context.Context) bool { return h.allowed(ctx, a) }
+	if !a.Allowed(ctx) {
+		return nil, edge.Unavailable(edge.ReasonUnconfirmed, unconfirmedComeBack)
+	}
+	return a, nil
+}
+
+// match looks the call up in the configuration in force.
+func (h *Handler) match(c *edge.Call) (*edge.Admitted, *edge.Refusal) {
+	p := h.Policy.Current()
+	route := p.Route(c.Host, c.Path)
+	if route == nil {
+		return nil, &edge.Refusal{Status: http.StatusNotFound, Reason: edge.ReasonNoRoute}
+	}
+	a := &edge.Admitted{Call: c, Route: route, Urgency: route.Priority}
+	if !route.Public && p.HasAccounts() {
+		account := p.Account(c.Credential)
+		if account == nil {
+			return nil, &edge.Refusal{Status: http.StatusUnauthorized, Reason: edge.ReasonUnknownKey}
+		}
+		a.Account, a.Keyed = account.Name, true
+		if account.Priority != nil {
+			a.Urgency = *account.Priority
+		}
+	}
+	if a.Service = p.Service(route.Pick(rand.Float64())); a.Service == nil {
+		return nil, edge.Unavailable(edge.ReasonNoTarget, unconfirmedComeBack)
+	}
+	return a, nil
+}
+
+// allowed tells whether the call's key still admits it: it must be in the
+// configuration in force, which was the newest a short while ago.
+func (h *Handler) allowed(ctx context.Context, a *edge.Admitted) bool {
+	if !a.Keyed || h.KeyAge == 0 {
+		return true
+	}
+	if !h.Confirmer.Ensure(ctx, h.KeyAge, min(doubtPatience, max(0, a.Left()/4))) {
+		return false
+	}
+	account := h.Policy.Current().Account(a.Call.Credential)
+	return account != nil && account.Name == a.Account
+}
+
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, a *edge.Admitted) *edge.Refusal {
+	limit := h.Policy.Current().Limits.MaxBodyBytes
+	if limit <= 0 {
+		limit = defaultMaxBody
+	}
+	if r.ContentLength == 0 {
+		return nil
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return &edge.Refusal{Status: http.StatusRequestEntityTooLarge, Reason: edge.ReasonTooLarge}
+	case err != nil:
+		return &edge.Refusal{Status: http.StatusBadRequest, Reason: edge.ReasonBadRequest}
+	}
+	a.Call.Body = body
+	return nil
+}
+
+func (h *Handler) refuse(w http.ResponseWriter, c *edge.Call, refusal *edge.Refusal, arrived bootclock.Instant) {
+	version := int64(0)
+	if p := h.Policy.Current(); p != nil {
+		version = p.Version
+	}
+	took := bootclock.Since(arrived)
+	h.Observer.Request(nil, refusal.Reason, took)
+	h.Log.Warn("ingress: request refused", "request", c.ID, "host", c.Host, "path", c.Path, "status", refusal.Status,
+		"reason", refusal.Reason, "policy", version, "policy_age_ms", h.Confirmer.Age().Milliseconds(), "took_ms", took.Milliseconds())
+	refusal.Write(w, h.Wire)
+}
--- /dev/null
+++ b/internal/edge/placing/candidate.go
@@ -0,0 +1,19 @@
+// Package placing chooses targets. Its functions are pure: they take what is
+// known of the candidates and return a choice.
+package placing
+
+import (
+	"corianderhitch/internal/edge/loadbook"
+	"corianderhitch/internal/edge/targets"
+)
+
+// Candidate is a target with what this host knows of it.
+type Candidate struct {
+	Target  *targets.Target
+	Load    loadbook.Load
+	Cost    float64 // 1 for a sound target, growing with its failure rate
+	Latency float64 // average time to an answer in seconds, 0 if unknown
+}
+
+// maxCost is the cost from which a target counts as failing.
+const maxCost = 4
--- /dev/null
+++ b/internal/edge/plain/server.go
@@ -0,0 +1,258 @@
+// Package plain serves calls with one answer. A call that is not idempotent is
+// sent once; an idempotent one is sent again after a failure, or beside a slow
+// send, within the fleet's retry budget.
+package plain
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"corianderhitch/internal/edge"
+	"corianderhitch/internal/edge/ejection"
+	"corianderhitch/internal/edge/loadbook"
+	"corianderhitch/internal/edge/placing"
+	"corianderhitch/internal/edge/policy"
+	"corianderhitch/internal/edge/retrybudget"
+	"corianderhitch/internal/edge/targetconn"
+	"corianderhitch/internal/edge/targets"
+)
+
+const (
+	// hedgeObjectives is after how many latency objectives without an answer an
+	// idempotent call is sent to a second target as well.
+	hedgeObjectives = 1.5
+	// leastHedgeDelay keeps short objectives from doubling the load.
+	leastHedgeDelay = 120 * time.Millisecond
+	// maxUnsent bounds the targets that are tried without a byte leaving.
+	maxUnsent = 4
+	// comeBack is when a call that no target could take may return: places free
+	// up within the time of a few calls.
+	comeBack = 150 * time.Millisecond
+	// noTargetComeBack is the same while the service has no target at all; a
+	// replacement registers within seconds.
+	noTargetComeBack = 700 * time.Millisecond
+	// serverErrorSeverity is what a target's own failure counts as against a
+	// broken connection: some requests fail on sound targets as well.
+	serverErrorSeverity = 0.5
+)
+
+// Server serves plain calls.
+type Server struct {
+	Sender  *edge.Sender
+	Targets *targets.Registry
+	Book    *loadbook.Book
+	Health  *ejection.Tracker
+	Budget  func(service string) *retrybudget.Budget
+	Domain  string // failure domain of this host
+}
+
+// Serve answers the call and returns the word that says how it ended.
+func (s *Server) Serve(ctx context.Context, w http.ResponseWriter, a *edge.Admitted) string {
+	ctx, cancel := context.WithTimeout(ctx, a.Left())
+	defer cancel()
+	r := &run{server: s, call: a, ctx: ctx, outcomes: make(chan outcome, maxUnsent+a.Route.MaxAttempts), tried: make(map[string]bool)}
+	best := r.serve()
+	if best.result == answered || best.result == failed {
+		edge.CopyHeader(w.Header(), best.header)
+		w.Header().Set("Content-Length", strconv.Itoa(len(best.body)))
+		w.WriteHeader(best.status)
+		_, _ = w.Write(best.body) // a caller that has left needs no answer
+		return best.result.String()
+	}
+	refusal := r.refuse(best)
+	a.Log.Warn("plain: refused", "status", refusal.Status, "reason", refusal.Reason, "sends", r.sends,
+		"age_ms", a.Age().Milliseconds(), "retry_after_ms", refusal.RetryAfter.Milliseconds())
+	refusal.Write(w, s.Sender.Wire)
+	return refusal.Reason
+}
+
+// run is the way of one call.
+type run struct {
+	server   *Server
+	call     *edge.Admitted
+	ctx      context.Context
+	outcomes chan outcome
+	tried    map[string]bool
+	sends    int // that may have reached a target
+	unsent   int
+	open     int  // sends without an outcome
+	ran      bool // a target may have run the call
+}
+
+// serve sends the call until it has an answer or nothing more may be tried, and
+// returns the best outcome.
+func (r *run) serve() outcome {
+	best := outcome{result: unsent}
+	if !r.send() {
+		return best
+	}
+	hedge := time.NewTimer(max(leastHedgeDelay, time.Duration(hedgeObjectives*float64(r.call.Route.Objective))))
+	defer hedge.Stop()
+	for r.open > 0 {
+		select {
+		case o := <-r.outcomes:
+			r.open--
+			if o.result == answered {
+				return o
+			}
+			best = r.better(best, o)
+			r.again(o)
+		case <-hedge.C:
+			r.hedge()
+		case <-r.ctx.Done():
+			r.ran = r.ran || r.sends > 0
+			return best
+		}
+	}
+	return best
+}
+
+// better keeps the outcome that tells the caller most.
+func (r *run) better(best, o outcome) outcome {
+	if o.result == failed || o.result == broken {
+		r.ran = true
+	}
+	if best.result == failed {
+		return best
+	}
+	return o
+}
+
+// again sends the call once more if its kind and the budgets allow.
+func (r *run) again(o outcome) {
+	switch o.result {
+	case unsent:
+		r.sends--
+		if r.unsent++; r.unsent < maxUnsent {
+			r.send()
+		}
+	case failed, broken:
+		if r.call.Route.Kind == policy.Idempotent {
+			r.repeat("after_" + o.result.String())
+		}
+	case rejected:
+		r.repeat("after_rejected")
+	}
+}
+
+func (r *run) hedge() {
+	if r.call.Route.Kind == policy.Idempotent && r.open > 0 {
+		r.repeat("hedge")
+	}
+}
+
+// repeat sends the call to one more target, which draws on the budget.
+func (r *run) repeat(reason string) {
+	if r.sends >= r.call.Route.MaxAttempts {
+		return
+	}
+	if !r.server.Budget(r.call.Service.Name).Take() {
+		r.call.Log.Warn("plain: not sent again", "reason", reason, "bound", "retry_budget")
+		return
+	}
+	r.call.Log.Info("plain: sent again", "reason", reason, "sends", r.sends+1)
+	r.send()
+}
+
+// send starts one send and returns false if there is no target for it.
+func (r *run) send() bool {
+	t := r.choose()
+	if t == nil {
+		return false
+	}
+	r.tried[t.Key()] = true
+	r.sends++
+	r.open++
+	go func() { r.outcomes <- r.server.send(r.ctx, r.call, t) }()
+	return true
+}
+
+func (r *run) choose() *targets.Target {
+	s := r.server
+	serving := s.Targets.View().Serving(r.call.Service.Name)
+	candidates := make([]placing.Candidate, len(serving))
+	for i, t := range serving {
+		key := t.Key()
+		candidates[i] = placing.Candidate{Target: t, Load: s.Book.Load(key), Cost: s.Health.Cost(key), Latency: s.Health.Latency(key).Seconds()}
+	}
+	i := placing.Plain(candidates, s.Domain, r.tried)
+	if i < 0 {
+		return nil
+	}
+	return serving[i]
+}
+
+// refuse turns the lack of an answer into one. Only what surely did not run is
+// answered so.
+func (r *run) refuse(best outcome) *edge.Refusal {
+	timedOut := errors.Is(r.ctx.Err(), context.DeadlineExceeded)
+	switch {
+	case timedOut:
+		return &edge.Refusal{Status: http.StatusGatewayTimeout, Reason: edge.ReasonTimeout}
+	case r.ran || r.open > 0:
+		return &edge.Refusal{Status: http.StatusBadGateway, Reason: edge.ReasonMayHaveRun}
+	case best.result == forbidden:
+		return edge.Unavailable(edge.ReasonUnconfirmed, noTargetComeBack)
+	case best.result == rejected:
+		return edge.Unavailable(edge.ReasonTargetFull, comeBack)
+	default:
+		return edge.Unavailable(edge.ReasonNoTarget, noTargetComeBack)
+	}
+}
+
+// send passes the call to one target.
+func (s *Server) send(ctx context.Context, a *edge.Admitted, t *targets.Target) outcome {
+	if !a.Allowed(ctx) {
+		return outcome{result: forbidden, target: t}
+	}
+	key := t.Key()
+	s.Book.Add(key, 1, 0)
+	defer s.Book.Add(key, -1, 0)
+	started := time.Now()
+	response, err := s.Sender.Send(ctx, a.Call, t, edge.Dispatch{Account: a.Account, Urgency: a.Urgency}, a.Left())
+	var o outcome
+	switch {
+	case errors.Is(err, targetconn.ErrNotSent):
+		o = outcome{result: unsent, err: err}
+	case err != nil:
+		o = outcome{result: broken, err: err}
+	default:
+		o = s.read(response)
+	}
+	o.target, o.took = t, time.Since(started)
+	s.judge(ctx, &o)
+	logOutcome(a, &o)
+	return o
+}
+
+// judge tells the health tracker what the send says about the target.
+func (s *Server) judge(ctx context.Context, o *outcome) {
+	key := o.target.Key()
+	switch o.result {
+	case answered:
+		s.Health.Success(key, o.took)
+	case failed:
+		s.Health.Failure(key, serverErrorSeverity)
+	case unsent:
+		s.Health.Failure(key, 1)
+	case broken:
+		if !errors.Is(ctx.Err(), context.Canceled) { // the caller left, or another send won
+			s.Health.Failure(key, 1)
+		}
+	}
+}
+
+func logOutcome(a *edge.Admitted, o *outcome) {
+	if o.result == answered {
+		return // the request's own line tells it
+	}
+	text := ""
+	if o.err != nil {
+		text = o.err.Error()
+	}
+	a.Log.Warn("plain: send without a good answer", "target", o.target.ID, "address", o.target.Address,
+		"result", o.result.String(), "status", o.status, "took_ms", o.took.Milliseconds(), "error", text)
+}
--- /dev/null
+++ b/internal/edge/policy/configuration.go
@@ -0,0 +1,100 @@
+// Package policy holds the routing configuration that is in force: routes,
+// services and the API keys of client accounts. Its values are immutable.
+package policy
+
+import (
+	"sort"
+	"strings"
+)
+
+// Account is a client account.
+type Account struct {
+	Name     string
+	Priority *int // takes precedence over the route's priority
+	Keys     []string
+}
+
+// Limits bound what callers may send.
+type Limits struct {
+	MaxHeaderBytes int
+	MaxBodyBytes   int64
+}
+
+// Configuration is one version of the routing configuration.
+type Configuration struct {
+	Version  int64
+	Limits   Limits
+	services map[string]*Service
+	byHost   map[string]map[string]*Route // by host, then prefix
+	byKey    map[string]*Account
+}
+
+// New indexes a configuration. It takes over its arguments.
+func New(version int64, limits Limits, routes []Route, services []Service, accounts []Account) *Configuration {
+	c := &Configuration{
+		Version:  version,
+		Limits:   limits,
+		services: make(map[string]*Service, len(services)),
+		byHost:   make(map[string]map[string]*Route),
+		byKey:    make(map[string]*Account),
+	}
+	for i := range services {
+		c.services[services[i].Name] = &services[i]
+	}
+	for i := range routes {
+		r := &routes[i]
+		host := strings.ToLower(r.Host)
+		if c.byHost[host] == nil {
+			c.byHost[host] = make(map[string]*Route)
+		}
+		c.byHost[host][r.Prefix] = r
+	}
+	for i := range accounts {
+		for _, key := range accounts[i].Keys {
+			c.byKey[key] = &accounts[i]
+		}
+	}
+	return c
+}
+
+// Route returns the route with the longest prefix of the path, or nil. The host
+// may carry a port.
+func (c *Configuration) Route(host, path string) *Route {
+	host = strings.ToLower(host)
+	routes := c.byHost[host]
+	if routes == nil {
+		if i := strings.LastIndexByte(host, ':'); i >= 0 {
+			routes = c.byHost[host[:i]]
+		}
+	}
+	for end := len(path); end > 0; {
+		slash := strings.LastIndexByte(path[:end], '/')
+		if slash < 0 {
+			return nil
+		}
+		if r := routes[path[:slash+1]]; r != nil {
+			return r
+		}
+		end = slash
+	}
+	return nil
+}
+
+// Service returns the service of a name, or nil.
+func (c *Configuration) Service(name string) *Service { return c.services[name] }
+
+// Account returns the holder of an API key, or nil.
+func (c *Configuration) Account(key string) *Account { return c.byKey[key] }
+
+// HasAccounts tells whether requests need an API key at all.
+func (c *Configuration) HasAccounts() bool { return len(c.byKey) > 0 }
+
+// Services returns the names of all services in order.
+func (c *Configuration) Services() []string {
+	names := make([]string, 0, len(c.services))
+	for name := range c.services {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
--- /dev/null
+++ b/internal/edge/process/adapter.go
@@ -0,0 +1,27 @@
+package process
+
+import (
+	"net/http"
+
+	"corianderhitch/internal/edge"
+	"corianderhitch/internal/edge/node"
+	"corianderhitch/internal/edge/peers"
+	"corianderhitch/internal/edge/policy"
+	"corianderhitch/internal/edge/targetconn"
+	"corianderhitch/internal/edge/targets"
+)
+
+// Adapter is what a platform provides.
+type Adapter struct {
+	ReadNode            func(path string) (node.Node, error)
+	Store               func(address string) peers.Store
+	Wire                edge.Wire
+	Engines             func(*targetconn.Pool) edge.Engines
+	ConfigurationKey    string // in the store
+	TargetPrefix        string // of the targets' entries in the store
+	DecodeConfiguration func([]byte) (*policy.Configuration, error)
+	DecodeTarget        func(key string, value []byte) (targets.Target, error)
+	ReadyPath           string // where the platform asks for readiness
+}
+
+func (a *Adapter) requestID(h http.Header) string { return a.Wire.RequestID(h) }
--- /dev/null
+++ b/internal/edge/process/settings.go
@@ -0,0 +1,24 @@
+// Package process composes the edge process: one on each host, which receives
+// callers' requests and serves them on targets.
+package process
+
+import (
+	"corianderhitch/internal/logging"
+	"corianderhitch/internal/telemetry"
+)
+
+// Settings are the settings of the edge process. What concerns the host itself
+// stands in the node file, which the platform writes.
+type Settings struct {
+	NodeFile    string `flag:"node-file" usage:"path of the settings file that the platform writes for this host; empty takes the path that the platform gives in the environment"`
+	PrintConfig bool   `flag:"print-config" usage:"print the settings and exit"`
+	MemoryShare int    `flag:"memory-share" default:"70" usage:"percent of the host's memory that the Go runtime may fill before it collects garbage more often" validate:"min=10,max=95"`
+	LogLevel    string `flag:"log-level" default:"info" usage:"lowest level that is logged: debug, info, warn or error" validate:"oneof=debug info warn error"`
+	telemetry.Settings
+}
+
+// logSettings returns the settings of the root logger: JSON, which the reader of
+// request stories takes.
+func (s *Settings) logSettings() logging.Settings {
+	return logging.Settings{LogFormat: "json", LogLevel: s.LogLevel}
+}
--- /dev/null
+++ b/internal/edge/process/sinks.go
@@ -0,0 +1,105 @@
+package process
+
+import (
+	"log/slog"
+
+	"corianderhitch/internal/edge/policy"
+	"corianderhitch/internal/edge/targets"
+	"corianderhitch/internal/platform"
+)
+
+// policySink puts configurations in force.
+type policySink struct {
+	log    *slog.Logger
+	holder *policy.Holder
+	key    string
+}
+
+// Replace implements feed.Sink.
+func (s *policySink) Replace(entries []platform.Entry, _ platform.Revision, _ bool) {
+	for i := range entries {
+		s.offer(&entries[i], "list")
+	}
+}
+
+// Apply implements feed.Sink. Of several changes only the last counts.
+func (s *policySink) Apply(events []platform.Event, _ platform.Revision) {
+	for i := len(events) - 1; i >= 0; i-- {
+		if !events[i].Deleted && events[i].Entry.Key == s.key {
+			s.offer(&events[i].Entry, "watch")
+			return
+		}
+	}
+}
+
+func (s *policySink) offer(e *platform.Entry, source string) {
+	if e.Key != s.key {
+		return
+	}
+	accepted, err := s.holder.Offer(e.Value, int64(e.Revision))
+	switch {
+	case err != nil:
+		s.log.Error("policy: configuration cannot be read and the last one stays in force", "revision", e.Revision, "source", source, "error", err.Error())
+	case accepted:
+		s.log.Info("policy: configuration in force", "version", s.holder.Current().Version, "revision", e.Revision, "source", source, "bytes", len(e.Value))
+	}
+}
+
+// targetSink keeps the list of targets.
+type targetSink struct {
+	log      *slog.Logger
+	registry *targets.Registry
+	decode   func(key string, value []byte) (targets.Target, error)
+	listed   func()
+	known    map[string]targets.Target // what missing entries fall back on while they are doubted
+}
+
+// Replace implements feed.Sink.
+func (s *targetSink) Replace(entries []platform.Entry, revision platform.Revision, settled bool) {
+	now := make(map[string]targets.Target, len(entries))
+	for i := range entries {
+		if t, ok := s.read(&entries[i]); ok {
+			now[entries[i].Key] = t
+		}
+	}
+	if !settled {
+		for key, t := range s.known {
+			if _, ok := now[key]; !ok {
+				now[key] = t
+			}
+		}
+	}
+	s.known = now
+	s.registry.Replace(now, int64(revision))
+	s.log.Info("targets: list taken", "targets", len(now), "revision", revision, "settled", settled)
+	s.listed()
+}
+
+// Apply implements feed.Sink.
+func (s *targetSink) Apply(events []platform.Event, revision platform.Revision) {
+	for i := range events {
+		e := &events[i].Entry
+		if events[i].Deleted {
+			delete(s.known, e.Key)
+			s.registry.Remove(e.Key, int64(revision))
+			s.log.Info("targets: entry removed", "key", e.Key, "revision", e.Revision)
+			continue
+		}
+		if t, ok := s.read(e); ok {
+			s.known[e.Key] = t
+			s.registry.Put(e.Key, t, int64(revision))
+			s.log.Info("targets: entry changed", "target", t.ID, "service", t.Service, "address", t.Address, "leaving", t.Leaving, "revision", e.Revision)
+		}
+	}
+}
+
+func (s *targetSink) read(e *platform.Entry) (targets.Target, bool) {
+	t, err := s.decode(e.Key, e.Value)
+	if err != nil {
+		s.log.Warn("targets: entry ignored", "key", e.Key, "revision", e.Revision, "error", err.Error())
+		s.registry.Hide(e.Key)
+		delete(s.known, e.Key)
+		return t, false
+	}
+	return t, true
+}
--- /dev/null
+++ b/internal/edge/streaming/forward.go
@@ -0,0 +1,189 @@
+package streaming
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"corianderhitch/internal/edge"
+	"corianderhitch/internal/edge/targets"
+)
+
+// forward passes the events on as they come, over all engines that the run is
+// at, and returns the word that says how the stream ended.
+func (r *Run) forward(ctx context.Context, s *segment) string {
+	head := s.response
+	if head.Status != http.StatusOK {
+		return r.passOn(s)
+	}
+	for {
+		err := r.copyEvents(s, head.Header)
+		source := s.target
+		s.close()
+		if err == errCallerGone {
+			r.leave()
+			return edge.ReasonCallerGone
+		}
+		next, reason := r.after(ctx, source, err)
+		if next == nil {
+			return r.end(ctx, source, reason, err)
+		}
+		s = next
+	}
+}
+
+var errCallerGone = errors.New("the caller takes no more bytes")
+
+// copyEvents passes the events of one segment on until it ends.
+func (r *Run) copyEvents(s *segment, head http.Header) error {
+	for {
+		b, err := s.next(r.lastID)
+		if err != nil {
+			return err
+		}
+		if !r.started {
+			edge.CopyHeader(r.w.Header(), head)
+			r.w.Header().Del("Content-Length")
+			r.w.WriteHeader(http.StatusOK)
+			r.started = true
+			r.call.Log.Info("stream: first event", "target", s.target.ID, "age_ms", r.call.Age().Milliseconds())
+		}
+		if _, err := r.w.Write(b.bytes); err != nil {
+			return errCallerGone
+		}
+		if err := r.flush(); err != nil {
+			return errCallerGone
+		}
+		if b.hasID {
+			r.lastID = b.lastID
+		}
+		r.progress(b.events)
+	}
+}
+
+const (
+	ended      = "completed"
+	brokenOff  = edge.ReasonBrokenOff
+	lostInMove = "lost_in_move"
+)
+
+// after decides what follows the end of a segment: the next segment, or the word
+// that says how the stream ends.
+func (r *Run) after(ctx context.Context, source *targets.Target, err error) (*segment, string) {
+	if f := r.pendingFinal(); f != nil && ctx.Err() == nil {
+		return r.afterFinal(ctx, source, f, err)
+	}
+	r.leave()
+	if err == io.EOF {
+		return nil, ended
+	}
+	return nil, brokenOff
+}
+
+// afterFinal waits for the outcome of a final copy and continues at the copy.
+func (r *Run) afterFinal(ctx context.Context, source *targets.Target, f *Final, err error) (*segment, string) {
+	timer := time.NewTimer(finalPatience)
+	defer timer.Stop()
+	select {
+	case <-f.done:
+	case <-timer.C:
+		r.leave()
+		return nil, lostInMove
+	case <-ctx.Done():
+		r.leave()
+		return nil, brokenOff
+	}
+	r.leave()
+	if !stopped(f.Moved) {
+		if err == io.EOF && f.Moved.Result == edge.MoveNoRun {
+			return nil, ended // the run was over before the copy
+		}
+		return nil, lostInMove
+	}
+	from := &edge.Copy{Address: source.Address, Handle: f.Moved.Handle}
+	if f.Moved.Result == edge.MoveCopied {
+		if next := r.resume(ctx, f.Dest, f.Reserved, from); next != nil {
+			return next, ""
+		}
+	}
+	// The source keeps the memory of a run that it stopped.
+	reserved := r.server.expected(r.call, r.events)
+	r.server.Book.Add(source.Key(), 1, reserved)
+	if next := r.resume(ctx, source, reserved, from); next != nil {
+		return next, ""
+	}
+	return nil, lostInMove
+}
+
+// resume continues the run from a copy of its memory, or returns nil.
+func (r *Run) resume(ctx context.Context, t *targets.Target, reserved int, from *edge.Copy) *segment {
+	started := time.Now()
+	s, err := r.server.open(ctx, r, t, reserved, edge.Dispatch{
+		Account: r.call.Account, Urgency: r.call.Urgency, ContinueFrom: from, LastEvent: strconv.FormatInt(r.lastID, 10),
+	})
+	if err == nil && s.response.Status != http.StatusOK {
+		err = errors.New("status " + strconv.Itoa(s.response.Status))
+		s.close()
+		r.leave()
+	}
+	if err != nil {
+		r.call.Log.Warn("stream: run cannot be continued", "target", t.ID, "copy", from.Handle, "after_event", r.lastID, "error", err.Error())
+		return nil
+	}
+	r.call.Log.Info("stream: run is continued", "target", t.ID, "copy", from.Handle, "after_event", r.lastID,
+		"took_ms", time.Since(started).Milliseconds())
+	return s
+}
+
+// end finishes the caller's answer. A stream that is not whole ends without the
+// mark of its end.
+func (r *Run) end(ctx context.Context, source *targets.Target, reason string, err error) string {
+	engine := r.call.Service.Engine
+	r.server.Lengths.Observe(r.call, r.events*engine.TokensPerEvent, reason == ended)
+	if reason == ended && r.started {
+		return ended
+	}
+	a := r.call
+	text := ""
+	if err != nil {
+		text = err.Error()
+	}
+	switch {
+	case ctx.Err() != nil && a.Left() > 0:
+		reason = edge.ReasonCallerGone
+	case ctx.Err() != nil:
+		reason = edge.ReasonTimeout
+	default:
+		r.server.Health.Failure(source.Key(), 1)
+	}
+	a.Log.Warn("stream: broken off", "reason", reason, "target", source.ID, "after_event", r.lastID,
+		"age_ms", a.Age().Milliseconds(), "error", text)
+	if !r.started {
+		status := http.StatusBadGateway
+		if reason == edge.ReasonTimeout {
+			status = http.StatusGatewayTimeout
+		}
+		(&edge.Refusal{Status: status, Reason: reason}).Write(r.w, r.server.Sender.Wire)
+		return reason
+	}
+	panic(http.ErrAbortHandler) // closes the connection, so that the answer does not look whole
+}
+
+// passOn hands on an answer that is no stream.
+func (r *Run) passOn(s *segment) string {
+	body, err := io.ReadAll(io.LimitReader(s.response, maxEventBytes))
+	s.close()
+	r.leave()
+	if err != nil {
+		(&edge.Refusal{Status: http.StatusBadGateway, Reason: edge.ReasonMayHaveRun}).Write(r.w, r.server.Sender.Wire)
+		return edge.ReasonMayHaveRun
+	}
+	edge.CopyHeader(r.w.Header(), s.response.Header)
+	r.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	r.w.WriteHeader(s.response.Status)
+	_, _ = r.w.Write(body) // a caller that has left needs no answer
+	return "failed"
+}
--- /dev/null
+++ b/internal/edge/streaming/lengths.go
@@ -0,0 +1,49 @@
+package streaming
+
+import (
+	"sync"
+
+	"corianderhitch/internal/edge"
+	"corianderhitch/internal/scheduling/length"
+)
+
+// Lengths learns how long the outputs of routes are. It is safe for concurrent
+// use.
+type Lengths struct {
+	mu        sync.Mutex
+	estimator *length.Estimator // guarded by mu
+}
+
+// NewLengths returns a Lengths without samples.
+func NewLengths() *Lengths { return &Lengths{estimator: length.NewEstimator(0)} }
+
+// firstOutput is the expected output of a route without samples, in tokens.
+const firstOutput = 512
+
+// Expected returns the output tokens that a generation is expected to make in
+// all, given those that it has made.
+func (l *Lengths) Expected(a *edge.Admitted, produced int) int {
+	limit := outputLimit(a)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	curve := l.estimator.Curve(key(a))
+	return produced + min(int(curve.Mean(produced, limit)), max(0, limit-produced))
+}
+
+// Observe learns from the output of a run.
+func (l *Lengths) Observe(a *edge.Admitted, tokens int, complete bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.estimator.Observe(key(a), tokens, complete)
+}
+
+func outputLimit(a *edge.Admitted) int {
+	if g := a.Call.Generation; g != nil && g.MaxOutputTokens > 0 {
+		return g.MaxOutputTokens
+	}
+	return firstOutput
+}
+
+func key(a *edge.Admitted) length.Key {
+	return length.Key{Model: a.Service.Name, Account: a.Account, Class: a.Route.Name}
+}
--- /dev/null
+++ b/internal/edge/streaming/run.go
@@ -0,0 +1,168 @@
+package streaming
+
+import (
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"corianderhitch/internal/edge"
+	"corianderhitch/internal/edge/policy"
+	"corianderhitch/internal/edge/targets"
+)
+
+// Final is a final copy of a run's memory that is under way or done.
+type Final struct {
+	Source *targets.Target
+	Dest   *targets.Target
+	// Reserved are the tokens counted in the load book for Dest. The run takes
+	// them over if it was copied.
+	Reserved int
+	Moved    edge.Moved // set before done is closed
+	done     chan struct{}
+}
+
+// Run is one generation in flight. Its stream is read by the goroutine of the
+// caller's request; a migration works beside it.
+type Run struct {
+	server  *Server
+	call    *edge.Admitted
+	w       http.ResponseWriter
+	flush   func() error
+	lastID  int64 // of the last event that the caller has; reader only
+	started bool  // the head has been sent to the caller; reader only
+	ended   chan struct{}
+
+	mu       sync.Mutex
+	target   *targets.Target // guarded by mu; where it runs
+	segment  *segment        // guarded by mu
+	events   int             // guarded by mu; that the caller has
+	reserved int             // guarded by mu; tokens counted in the load book for target
+	final    *Final          // guarded by mu; nil if none is under way
+}
+
+// ID returns the request id, which names the run at the target.
+func (r *Run) ID() string { return r.call.Call.ID }
+
+// Log returns the logger of the request.
+func (r *Run) Log() *slog.Logger { return r.call.Log }
+
+// Ended is closed when the stream has ended for the caller.
+func (r *Run) Ended() <-chan struct{} { return r.ended }
+
+// Target returns where the run is.
+func (r *Run) Target() *targets.Target {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.target
+}
+
+// Held returns the tokens that the run holds in memory, about.
+func (r *Run) Held() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.prompt() + r.events*r.call.Service.Engine.TokensPerEvent
+}
+
+// Expected returns the tokens that the run is expected to hold at its end.
+func (r *Run) Expected() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.reserved
+}
+
+// Remaining returns the output tokens that are expected to come.
+func (r *Run) Remaining() int { return max(0, r.Expected()-r.Held()) }
+
+// BeginFinal announces that the run is about to be stopped at its target, so
+// that the end of its stream is not taken for its completion. It returns nil if
+// the run is elsewhere by now or another final copy is under way.
+func (r *Run) BeginFinal(source, dest *targets.Target, reserved int) *Final {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.final != nil || r.target == nil || r.target.Key() != source.Key() {
+		return nil
+	}
+	r.final = &Final{Source: source, Dest: dest, Reserved: reserved, done: make(chan struct{})}
+	return r.final
+}
+
+// EndFinal reports the outcome of the final copy. If the run goes on at its
+// target nothing changes; otherwise the reader continues it at the copy.
+func (r *Run) EndFinal(f *Final, moved edge.Moved) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f.Moved = moved
+	if !stopped(moved) {
+		r.final = nil
+	}
+	close(f.done)
+}
+
+// stopped tells whether the run does not run at the source any more.
+func stopped(m edge.Moved) bool {
+	return m.Result == edge.MoveCopied || (m.Result == edge.MoveNoRoom && m.Handle != "")
+}
+
+func (r *Run) prompt() int {
+	if g := r.call.Call.Generation; g != nil {
+		return g.PromptTokens
+	}
+	return 0
+}
+
+// enter records the target that the run is at now. The load was counted before.
+func (r *Run) enter(s *segment, reserved int) {
+	r.mu.Lock()
+	r.target, r.segment, r.reserved, r.final = s.target, s, reserved, nil
+	r.mu.Unlock()
+	r.server.Runs.put(r, s.target.Key())
+}
+
+// leave takes the run off its target.
+func (r *Run) leave() {
+	r.mu.Lock()
+	t, reserved := r.target, r.reserved
+	r.target, r.segment, r.reserved = nil, nil, 0
+	r.mu.Unlock()
+	if t != nil {
+		r.server.Runs.remove(r, t.Key())
+		r.server.Book.Add(t.Key(), -1, -reserved)
+	}
+}
+
+// progress counts events that the caller has got and corrects the reservation.
+func (r *Run) progress(events int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	before := r.events / reestimateEvents
+	r.events += events
+	if r.events/reestimateEvents == before || r.target == nil {
+		return
+	}
+	expected := r.server.expected(r.call, r.events)
+	r.server.Book.Add(r.target.Key(), 0, expected-r.reserved)
+	r.reserved = expected
+}
+
+// pendingFinal returns the final copy that the end of the stream belongs to.
+func (r *Run) pendingFinal() *Final {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.final
+}
+
+// Service returns the service that the run is of.
+func (r *Run) Service() *policy.Service { return r.call.Service }
+
+// CutSource ends the stream at the source of a final copy if the source has not
+// closed it by itself after a while.
+func (r *Run) CutSource(f *Final, after time.Duration) {
+	time.AfterFunc(after, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.final == f && r.segment != nil {
+			r.segment.cancel()
+		}
+	})
+}
--- /dev/null
+++ b/internal/edge/streaming/runs.go
@@ -0,0 +1,59 @@
+package streaming
+
+import "sync"
+
+// Runs holds the runs in flight of this host by target. It is safe for
+// concurrent use.
+type Runs struct {
+	onEnter func(*Run, string)
+
+	mu   sync.Mutex
+	byID map[string]map[*Run]struct{} // guarded by mu; by incarnation of the target
+}
+
+// NewRuns returns an empty table. onEnter is called without locks when a run has
+// come to a target.
+func NewRuns(onEnter func(r *Run, target string)) *Runs {
+	return &Runs{onEnter: onEnter, byID: make(map[string]map[*Run]struct{})}
+}
+
+// At returns the runs at a target.
+func (t *Runs) At(target string) []*Run {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]*Run, 0, len(t.byID[target]))
+	for r := range t.byID[target] {
+		out = append(out, r)
+	}
+	return out
+}
+
+// Len returns how many runs are in flight.
+func (t *Runs) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, runs := range t.byID {
+		n += len(runs)
+	}
+	return n
+}
+
+func (t *Runs) put(r *Run, target string) {
+	t.mu.Lock()
+	if t.byID[target] == nil {
+		t.byID[target] = make(map[*Run]struct{})
+	}
+	t.byID[target][r] = struct{}{}
+	t.mu.Unlock()
+	t.onEnter(r, target)
+}
+
+func (t *Runs) remove(r *Run, target string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.byID[target], r)
+	if len(t.byID[target]) == 0 {
+		delete(t.byID, target)
+	}
+}
--- /dev/null
+++ b/internal/edge/streaming/segment.go
@@ -0,0 +1,140 @@
+package streaming
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"strconv"
+
+	"github.com/rotisserie/eris"
+
+	"corianderhitch/internal/edge/targetconn"
+	"corianderhitch/internal/edge/targets"
+)
+
+const (
+	firstBufferBytes = 2 << 10
+	// maxEventBytes bounds one event; larger ones break the stream off.
+	maxEventBytes = 1 << 20
+)
+
+var (
+	errGap      = eris.New("stream: events are missing; the run cannot go on")
+	errTooLarge = eris.New("stream: an event exceeds 1 MiB")
+)
+
+// segment is the part of a stream that one target sends. It hands on whole
+// events only, so that a run can go on elsewhere between two of them.
+type segment struct {
+	target   *targets.Target
+	response *targetconn.Response
+	cancel   context.CancelFunc // ends the run at the target
+	buffer   []byte
+	begin    int // of the bytes not handed on yet
+	end      int
+}
+
+// batch is one or more whole events.
+type batch struct {
+	bytes  []byte // valid until the next call
+	events int
+	lastID int64
+	hasID  bool
+}
+
+// next returns the next whole events. Those up to the id after are dropped, and
+// a gap behind it is an error. io.EOF is returned only at the stream's own end.
+func (s *segment) next(after int64) (batch, error) {
+	for {
+		if b, ok := s.whole(); ok {
+			kept, err := trim(b, after)
+			if err != nil || kept.events > 0 {
+				return kept, err
+			}
+			continue
+		}
+		if err := s.fill(); err != nil {
+			return batch{}, err
+		}
+	}
+}
+
+// whole cuts the whole events off the buffer.
+func (s *segment) whole() ([]byte, bool) {
+	data := s.buffer[s.begin:s.end]
+	cut := bytes.LastIndex(data, []byte("\n\n"))
+	if cut < 0 {
+		return nil, false
+	}
+	s.begin += cut + 2
+	return data[:cut+2], true
+}
+
+func (s *segment) fill() error {
+	if s.begin > 0 {
+		copy(s.buffer, s.buffer[s.begin:s.end])
+		s.end -= s.begin
+		s.begin = 0
+	}
+	if s.end == len(s.buffer) {
+		if len(s.buffer) >= maxEventBytes {
+			return errTooLarge
+		}
+		s.buffer = append(s.buffer, make([]byte, max(firstBufferBytes, len(s.buffer)))...)
+	}
+	n, err := s.response.Read(s.buffer[s.end:])
+	s.end += n
+	if n > 0 {
+		return nil // a lasting error comes again
+	}
+	if err == io.EOF && s.end > 0 {
+		return io.ErrUnexpectedEOF // within an event
+	}
+	return err
+}
+
+func (s *segment) close() {
+	s.response.Close()
+	s.cancel()
+}
+
+// trim drops the events that the caller has and finds the last id.
+func trim(data []byte, after int64) (batch, error) {
+	b := batch{bytes: data, lastID: after}
+	for rest := data; len(rest) > 0; {
+		size := bytes.Index(rest, []byte("\n\n")) + 2
+		id, ok := eventID(rest[:size])
+		rest = rest[size:]
+		if !ok {
+			b.events++
+			continue
+		}
+		if id <= after {
+			b.bytes = rest
+			continue
+		}
+		if id != b.lastID+1 {
+			return batch{}, eris.Wrapf(errGap, "event %d follows %d", id, b.lastID)
+		}
+		b.lastID, b.hasID = id, true
+		b.events++
+	}
+	return b, nil
+}
+
+// eventID returns the id line of an event.
+func eventID(event []byte) (int64, bool) {
+	for len(event) > 0 {
+		line := event
+		if i := bytes.IndexByte(event, '\n'); i >= 0 {
+			line, event = event[:i], event[i+1:]
+		} else {
+			event = nil
+		}
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+			return id, err == nil
+		}
+	}
+	return 0, false
+}
--- /dev/null
+++ b/internal/edge/streaming/server.go
@@ -0,0 +1,241 @@
+// Package streaming serves generations whose answer is a series of events. A run
+// happens once; while it runs its memory may move to another engine, where the
+// stream goes on at the next event.
+package streaming
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"corianderhitch/internal/edge"
+	"corianderhitch/internal/edge/admission"
+	"corianderhitch/internal/edge/ejection"
+	"corianderhitch/internal/edge/loadbook"
+	"corianderhitch/internal/edge/placing"
+	"corianderhitch/internal/edge/policy"
+	"corianderhitch/internal/edge/retrybudget"
+	"corianderhitch/internal/edge/targetconn"
+	"corianderhitch/internal/edge/targets"
+)
+
+const (
+	// reestimateEvents is how often the expected length is computed again.
+	reestimateEvents = 16
+	// maxPlacements bounds the engines that are tried without a byte leaving.
+	maxPlacements = 4
+	// maxWaitObjectives bounds the wait for room, in latency objectives: callers
+	// give up on a stream that does not begin after four.
+	maxWaitObjectives = 3
+	// writeSlack is how long after the deadline a caller may still take bytes.
+	writeSlack = time.Second
+	// comeBack is when a refused run may return: a run ends on some engine every
+	// few hundred milliseconds.
+	comeBack = 400 * time.Millisecond
+	// finalPatience bounds the wait for the outcome of a final copy.
+	finalPatience = 2500 * time.Millisecond
+)
+
+// Server serves streaming routes.
+type Server struct {
+	Sender  *edge.Sender
+	Engines edge.Engines
+	Targets *targets.Registry
+	Book    *loadbook.Book
+	Health  *ejection.Tracker
+	Lengths *Lengths
+	Queue   *admission.Queue
+	Runs    *Runs
+	Budget  func(service string) *retrybudget.Budget
+	Domain  string // failure domain of this host
+}
+
+// Serve answers the call and returns the word that says how it ended.
+func (s *Server) Serve(ctx context.Context, w http.ResponseWriter, a *edge.Admitted) string {
+	if a.Service.Engine == nil {
+		a.Service = &policy.Service{Name: a.Service.Name, MaxConnections: a.Service.MaxConnections, Engine: &policy.Engine{TokensPerEvent: 1, Slots: 1 << 20, MemoryTokens: 1 << 40}}
+	}
+	ctx, cancel := context.WithTimeout(ctx, a.Left())
+	defer cancel()
+	control := http.NewResponseController(w)
+	if err := control.SetWriteDeadline(time.Now().Add(a.Left() + writeSlack)); err != nil {
+		a.Log.Warn("stream: no write deadline", "error", err.Error())
+	}
+	r := &Run{server: s, call: a, w: w, flush: control.Flush, ended: make(chan struct{})}
+	defer close(r.ended)
+	segment, refusal := s.begin(ctx, r)
+	if refusal != nil {
+		return s.refuse(ctx, r, refusal)
+	}
+	return r.forward(ctx, segment)
+}
+
+// begin finds an engine and starts the run.
+func (s *Server) begin(ctx context.Context, r *Run) (*segment, *edge.Refusal) {
+	a := r.call
+	tried := make(map[string]bool)
+	sends := 0
+	for range maxPlacements {
+		t, reserved := s.place(ctx, a, tried)
+		if t == nil {
+			return nil, s.noRoom(ctx, a)
+		}
+		tried[t.Key()] = true
+		segment, err := s.open(ctx, r, t, reserved, edge.Dispatch{Account: a.Account, Urgency: a.Urgency})
+		if err == nil {
+			return segment, nil
+		}
+		refusal, again := s.failed(ctx, a, t, err)
+		if errors.Is(err, errRejected) {
+			if sends++; sends < a.Route.MaxAttempts && s.Budget(a.Service.Name).Take() {
+				continue
+			}
+		}
+		if !again {
+			return nil, refusal
+		}
+	}
+	return nil, edge.Unavailable(edge.ReasonNoTarget, comeBack)
+}
+
+var (
+	errRejected  = errors.New("the engine did not run it")
+	errForbidden = errors.New("the API key is not confirmed any more")
+	errUnsigned  = errors.New("the answer lacks the target's signature or is encoded")
+)
+
+// failed turns a failed start into a refusal. The run may be tried elsewhere if
+// nothing left this host.
+func (s *Server) failed(ctx context.Context, a *edge.Admitted, t *targets.Target, err error) (refusal *edge.Refusal, again bool) {
+	a.Log.Warn("stream: start failed", "target", t.ID, "address", t.Address, "age_ms", a.Age().Milliseconds(), "error", err.Error())
+	switch {
+	case ctx.Err() != nil:
+		return &edge.Refusal{Status: http.StatusGatewayTimeout, Reason: edge.ReasonTimeout}, false
+	case errors.Is(err, errForbidden):
+		return edge.Unavailable(edge.ReasonUnconfirmed, comeBack), false
+	case errors.Is(err, errRejected):
+		return edge.Unavailable(edge.ReasonTargetFull, comeBack), false
+	case errors.Is(err, targetconn.ErrNotSent):
+		s.Health.Failure(t.Key(), 1)
+		return nil, true
+	default:
+		s.Health.Failure(t.Key(), 1)
+		return &edge.Refusal{Status: http.StatusBadGateway, Reason: edge.ReasonMayHaveRun}, false
+	}
+}
+
+// place waits for an engine with room and reserves it in the load book.
+func (s *Server) place(ctx context.Context, a *edge.Admitted, tried map[string]bool) (*targets.Target, int) {
+	wait := min(a.Left()/2, maxWaitObjectives*a.Route.Objective)
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	need := placing.Need{Tokens: s.expected(a, 0), Domain: s.Domain, Prefix: sharedPrefix(a.Call.Generation)}
+	t := s.Queue.Place(ctx, a.Urgency, func() *targets.Target {
+		t := s.choose(a.Service, need, tried)
+		if t != nil {
+			s.Book.Add(t.Key(), 1, need.Tokens)
+		}
+		return t
+	})
+	return t, need.Tokens
+}
+
+// Choose returns an engine with room for a moved run, or nil.
+func (s *Server) Choose(service *policy.Service, need placing.Need, tried map[string]bool) *targets.Target {
+	return s.choose(service, need, tried)
+}
+
+func (s *Server) choose(service *policy.Service, need placing.Need, tried map[string]bool) *targets.Target {
+	serving := s.Targets.View().Serving(service.Name)
+	candidates := make([]placing.Candidate, len(serving))
+	for i, t := range serving {
+		key := t.Key()
+		candidates[i] = placing.Candidate{Target: t, Load: s.Book.Load(key), Cost: s.Health.Cost(key)}
+	}
+	i := placing.Engine(candidates, service.Engine, need, tried)
+	if i < 0 {
+		return nil
+	}
+	return serving[i]
+}
+
+func (s *Server) noRoom(ctx context.Context, a *edge.Admitted) *edge.Refusal {
+	if ctx.Err() != nil && a.Left() <= 0 {
+		return &edge.Refusal{Status: http.StatusGatewayTimeout, Reason: edge.ReasonTimeout}
+	}
+	if len(s.Targets.View().Serving(a.Service.Name)) == 0 {
+		return edge.Unavailable(edge.ReasonNoTarget, comeBack)
+	}
+	return edge.Unavailable(edge.ReasonNoRoom, comeBack)
+}
+
+// open sends the run to a target whose load is counted already, and takes the
+// count back if it does not start.
+func (s *Server) open(ctx context.Context, r *Run, t *targets.Target, reserved int, d edge.Dispatch) (*segment, error) {
+	response, cancel, err := s.send(ctx, r.call, t, d)
+	if err != nil {
+		s.Book.Add(t.Key(), -1, -reserved)
+		return nil, err
+	}
+	segment := &segment{target: t, response: response, cancel: cancel}
+	r.enter(segment, reserved)
+	return segment, nil
+}
+
+func (s *Server) send(ctx context.Context, a *edge.Admitted, t *targets.Target, d edge.Dispatch) (*targetconn.Response, context.CancelFunc, error) {
+	if !a.Allowed(ctx) {
+		return nil, nil, errForbidden
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	response, err := s.Sender.Send(ctx, a.Call, t, d, a.Left())
+	if err != nil {
+		cancel()
+		return nil, nil, err
+	}
+	wire := s.Sender.Wire
+	switch {
+	case wire.NotRun(response.Status, response.Header):
+		_, _ = io.Copy(io.Discard, response) // keeps the connection if it ends well
+		err = errRejected
+	case !wire.Signed(response.Header) || response.Header.Get("Content-Encoding") != "":
+		err = errUnsigned
+	}
+	if err != nil {
+		response.Close()
+		cancel()
+		return nil, nil, err
+	}
+	return response, cancel, nil
+}
+
+// expected returns the memory that a run will hold at its end, in tokens.
+func (s *Server) expected(a *edge.Admitted, events int) int {
+	prompt := 0
+	if g := a.Call.Generation; g != nil {
+		prompt = g.PromptTokens
+	}
+	return prompt + s.Lengths.Expected(a, events*a.Service.Engine.TokensPerEvent)
+}
+
+func (s *Server) refuse(ctx context.Context, r *Run, refusal *edge.Refusal) string {
+	a := r.call
+	if errors.Is(ctx.Err(), context.Canceled) {
+		refusal = &edge.Refusal{Status: http.StatusBadGateway, Reason: edge.ReasonCallerGone}
+	}
+	a.Log.Warn("stream: refused", "status", refusal.Status, "reason", refusal.Reason, "age_ms", a.Age().Milliseconds(),
+		"waiting", s.Queue.Len(), "retry_after_ms", refusal.RetryAfter.Milliseconds())
+	refusal.Write(r.w, s.Sender.Wire)
+	return refusal.Reason
+}
+
+// sharedPrefix names the part of the prompt that other requests share most, so
+// that they meet at one engine. The last part is the request's own.
+func sharedPrefix(g *edge.Generation) string {
+	if g == nil || len(g.Prefix) < 2 {
+		return ""
+	}
+	return g.Prefix[0].ID + ":" + strconv.Itoa(g.Prefix[0].Tokens)
+}
--- /dev/null
+++ b/internal/edge/targetconn/pool.go
@@ -0,0 +1,213 @@
+// Package targetconn sends requests to targets over HTTP/1.1. It never sends a
+// request twice, tells whether anything left, ties connections to one
+// incarnation of a target and pairs answers with requests by id. net/http's
+// Transport repeats GET requests by itself, so that it cannot be used here.
+package targetconn
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
+
+	"corianderhitch/internal/edge/bootclock"
+)
+
+const (
+	// defaultKeep is how long an idle connection is used if the target does not
+	// say how long it keeps it.
+	defaultKeep = 4 * time.Second
+	// keepMargin is left of what the target says, so that a request does not
+	// cross its close.
+	keepMargin = 700 * time.Millisecond
+	// maxIdlePerTarget bounds idle connections; beyond it they are closed.
+	maxIdlePerTarget = 24
+	// dialTimeout bounds the wait for a connection.
+	dialTimeout = 400 * time.Millisecond
+	// userTimeout ends a connection whose peer acknowledges nothing.
+	userTimeout = 2 * time.Second
+	// maxForeign is how many answers to other requests are skipped.
+	maxForeign = 2
+)
+
+// Pool holds the idle connections to all targets. It is safe for concurrent use.
+type Pool struct {
+	requestID func(http.Header) string
+
+	mu   sync.Mutex
+	idle map[string][]*Conn // guarded by mu; by incarnation, last used last
+}
+
+// New returns an empty pool. requestID returns the request that an answer names.
+func New(requestID func(http.Header) string) *Pool {
+	return &Pool{requestID: requestID, idle: make(map[string][]*Conn)}
+}
+
+// Do sends a request to the target at an address and waits for the head of its
+// answer. The end of ctx closes the connection, which cancels the run. The error
+// matches ErrNotSent, ErrBroken or ErrForeign.
+func (p *Pool) Do(ctx context.Context, owner, address string, req *Request) (*Response, error) {
+	conn, err := p.get(ctx, owner, address)
+	if err != nil {
+		return nil, err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	written, err := send(conn, req)
+	if err != nil {
+		stop()
+		p.discard(conn)
+		return nil, eris.Wrap(ErrBroken, err.Error())
+	}
+	head, err := p.head(conn, req)
+	if err != nil {
+		stop()
+		p.discard(conn)
+		return nil, err
+	}
+	closing := head.Close
+	conn.keep = keepOf(head.Header)
+	conn.fresh = false
+	return &Response{
+		Status: head.StatusCode, Header: head.Header, Length: head.ContentLength, Closing: closing,
+		body: head.Body, conn: conn, pool: p, stop: stop, written: written,
+		reusable: !closing,
+	}, nil
+}
+
+// Drop closes the idle connections to an incarnation.
+func (p *Pool) Drop(owner string) {
+	p.mu.Lock()
+	conns := p.idle[owner]
+	delete(p.idle, owner)
+	p.mu.Unlock()
+	for _, c := range conns {
+		_ = c.Close()
+	}
+}
+
+// send writes the request. Large ones are written beside the wait for the
+// answer, which may come before the target has read them.
+func send(conn *Conn, req *Request) (chan struct{}, error) {
+	bytes := req.encode()
+	if len(bytes) <= writeInline {
+		_, err := conn.Write(bytes)
+		return nil, err
+	}
+	written := make(chan struct{})
+	go func() {
+		if _, err := conn.Write(bytes); err == nil {
+			close(written)
+		}
+	}()
+	return written, nil
+}
+
+// head reads answers until one that is not of another request.
+func (p *Pool) head(conn *Conn, req *Request) (*http.Response, error) {
+	for skipped := 0; ; {
+		head, err := http.ReadResponse(conn.reader, &http.Request{Method: req.Method})
+		if err != nil {
+			return nil, broken(err)
+		}
+		if head.StatusCode < http.StatusOK {
+			continue // an interim response
+		}
+		if id := p.requestID(head.Header); req.ID == "" || id == "" || id == req.ID {
+			return head, nil
+		}
+		if skipped++; skipped > maxForeign || !skipBody(conn.reader, head) {
+			return nil, eris.Wrap(ErrForeign, "answers to other requests")
+		}
+	}
+}
+
+// skipBody reads the rest of an answer that belongs to another request.
+func skipBody(_ *bufio.Reader, head *http.Response) bool {
+	if head.ContentLength < 0 && len(head.TransferEncoding) == 0 {
+		return false // ends with the connection
+	}
+	return head.Body.Close() == nil
+}
+
+func broken(err error) error {
+	var network net.Error
+	if errors.As(err, &network) || errors.Is(err, net.ErrClosed) {
+		return eris.Wrap(ErrBroken, err.Error())
+	}
+	if errors.Is(err, unix.ECONNRESET) || err.Error() == "unexpected EOF" || err.Error() == "EOF" {
+		return eris.Wrap(ErrBroken, err.Error())
+	}
+	return eris.Wrap(ErrForeign, err.Error())
+}
+
+func (p *Pool) get(ctx context.Context, owner, address string) (*Conn, error) {
+	for {
+		conn := p.takeIdle(owner)
+		if conn == nil {
+			return dial(ctx, owner, address)
+		}
+		if conn.sound() {
+			return conn, nil
+		}
+		_ = conn.Close()
+	}
+}
+
+func (p *Pool) takeIdle(owner string) *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	conns := p.idle[owner]
+	if len(conns) == 0 {
+		return nil
+	}
+	last := conns[len(conns)-1]
+	conns[len(conns)-1] = nil
+	p.idle[owner] = conns[:len(conns)-1]
+	return last
+}
+
+func (p *Pool) put(c *Conn) {
+	c.usedAt = bootclock.Now()
+	if c.reader.Buffered() > 0 {
+		_ = c.Close()
+		return
+	}
+	p.mu.Lock()
+	full := len(p.idle[c.owner]) >= maxIdlePerTarget
+	if !full {
+		p.idle[c.owner] = append(p.idle[c.owner], c)
+	}
+	p.mu.Unlock()
+	if full {
+		_ = c.Close()
+	}
+}
+
+func (p *Pool) discard(c *Conn) { _ = c.Close() }
+
+func dial(ctx context.Context, owner, address string) (*Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	c, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, eris.Wrapf(ErrNotSent, "%s: %v", address, err)
+	}
+	setUserTimeout(c)
+	return newConn(c, owner), nil
+}
+
+// setUserTimeout makes a silent peer an error of the connection.
+func setUserTimeout(c net.Conn) {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return // the connection is closed; the next write reports it
+	}
+	_ = raw.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	})
+}
--- /dev/null
+++ b/internal/edge/targetconn/response.go
@@ -0,0 +1,76 @@
+package targetconn
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Response is the head of an answer with the reader of its body. Close must be
+// called once.
+type Response struct {
+	Status   int
+	Header   http.Header
+	Length   int64 // -1 if unknown
+	Closing  bool  // the target closes the connection after this answer
+	body     io.ReadCloser
+	conn     *Conn
+	pool     *Pool
+	stop     func() bool   // detaches the context
+	written  chan struct{} // closed when the request has left; nil if it was written inline
+	ended    bool          // the body was read to its end
+	reusable bool
+}
+
+// Read reads the body. It returns io.EOF only after the whole body.
+func (r *Response) Read(p []byte) (int, error) {
+	n, err := r.body.Read(p)
+	if err == io.EOF {
+		r.ended = true
+	}
+	return n, err
+}
+
+// Buffered returns how many bytes can be read without a wait for the network.
+func (r *Response) Buffered() int { return r.conn.reader.Buffered() }
+
+// Close returns the connection to the pool after a whole answer and closes it
+// otherwise.
+func (r *Response) Close() {
+	detached := r.stop()
+	if detached && r.ended && r.reusable && r.requestLeft() {
+		r.pool.put(r.conn)
+		return
+	}
+	r.pool.discard(r.conn)
+}
+
+// requestLeft tells whether the whole request has been written: bytes that are
+// due yet would be read as part of the next request.
+func (r *Response) requestLeft() bool {
+	if r.written == nil {
+		return true
+	}
+	select {
+	case <-r.written:
+		return true
+	default:
+		return false
+	}
+}
+
+// keepOf returns how long the target keeps an idle connection.
+func keepOf(h http.Header) time.Duration {
+	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if seconds, err := strconv.Atoi(value); err == nil && seconds > 0 {
+			return time.Duration(seconds)*time.Second - keepMargin
+		}
+	}
+	return defaultKeep
+}
--- /dev/null
+++ b/internal/edge/targets/registry.go
@@ -0,0 +1,227 @@
+// Package targets keeps the targets of all services as this host knows them:
+// the platform's list, corrected by earlier news that a target leaves.
+package targets
+
+import (
+	"maps"
+	"sort"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"corianderhitch/internal/edge/bootclock"
+)
+
+// noticeMemory is how long the news that a target leaves is kept after its
+// entry has gone; targets go on serving for seconds after that.
+const noticeMemory = 60 * time.Second
+
+// removed is the source of a notice that rests on a missing entry alone. The
+// entry of a live target may lapse during an outage of the list and come back.
+const removed = "target_removed"
+
+// Notice is the news that a target leaves.
+type Notice struct {
+	Key    string // of the incarnation
+	Source string // who said so, for the log
+	At     bootclock.Instant
+}
+
+// View is an immutable state of the registry.
+type View struct {
+	Revision  int64 // of the platform's list
+	byService map[string][]*Target
+	byKey     map[string]*Target
+}
+
+// Registry is safe for concurrent use.
+type Registry struct {
+	view     atomic.Pointer[View]
+	onNotice func(Target, Notice)
+
+	mu      sync.Mutex
+	entries map[string]Target // guarded by mu; by entry key of the platform's list
+	leaving map[string]Notice // guarded by mu; by incarnation
+	late    map[string]Target // guarded by mu; gone from the list, perhaps still serving
+}
+
+// New returns an empty registry. onNotice is called once for each incarnation
+// that starts to leave, without locks held.
+func New(onNotice func(Target, Notice)) *Registry {
+	r := &Registry{
+		onNotice: onNotice,
+		entries:  make(map[string]Target),
+		leaving:  make(map[string]Notice),
+		late:     make(map[string]Target),
+	}
+	r.view.Store(&View{byService: map[string][]*Target{}, byKey: map[string]*Target{}})
+	return r
+}
+
+// View returns the current state.
+func (r *Registry) View() *View { return r.view.Load() }
+
+// Replace takes a whole list of the platform.
+func (r *Registry) Replace(entries map[string]Target, revision int64) {
+	r.mu.Lock()
+	var news []Target
+	for name, old := range r.entries {
+		if now, ok := entries[name]; !ok || now.Key() != old.Key() {
+			news = append(news, old)
+		}
+	}
+	gone := r.notice(news, removed)
+	r.entries = maps.Clone(entries)
+	for _, t := range entries {
+		r.returned(t)
+	}
+	notices := append(gone, r.notice(leavingOf(entries), "target_list")...)
+	r.publish(revision)
+	r.mu.Unlock()
+	r.tell(notices)
+}
+
+// Put takes a changed entry.
+func (r *Registry) Put(name string, t Target, revision int64) {
+	r.mu.Lock()
+	var news []Target
+	if old, ok := r.entries[name]; ok && old.Key() != t.Key() {
+		news = append(news, old)
+	}
+	if t.Leaving {
+		news = append(news, t)
+	}
+	r.entries[name] = t
+	r.returned(t)
+	notices := r.notice(news, "target_list")
+	r.publish(revision)
+	r.mu.Unlock()
+	r.tell(notices)
+}
+
+// Remove takes the end of an entry.
+func (r *Registry) Remove(name string, revision int64) {
+	r.mu.Lock()
+	var notices []announced
+	if old, ok := r.entries[name]; ok {
+		delete(r.entries, name)
+		notices = r.notice([]Target{old}, removed)
+	}
+	r.publish(revision)
+	r.mu.Unlock()
+	r.tell(notices)
+}
+
+// Hide takes an entry that cannot be read: it names no target for new requests,
+// and says nothing of what runs on the one that it named before.
+func (r *Registry) Hide(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.entries, name)
+	r.publish(r.view.Load().Revision)
+}
+
+// Leaving takes news from elsewhere that an incarnation leaves.
+func (r *Registry) Leaving(key, source string) {
+	r.mu.Lock()
+	t := r.view.Load().byKey[key]
+	var notices []announced
+	if t != nil {
+		notices = r.notice([]Target{*t}, source)
+		r.publish(r.view.Load().Revision)
+	}
+	r.mu.Unlock()
+	r.tell(notices)
+}
+
+// Notices returns the incarnations that are surely leaving, for other hosts.
+func (r *Registry) Notices() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	keys := make([]string, 0, len(r.leaving))
+	for key, n := range r.leaving {
+		if n.Source != removed && bootclock.Since(n.At) < noticeMemory {
+			keys = append(keys, key)
+		}
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+// returned takes back a notice that rested on a missing entry only. Callers hold
+// r.mu.
+func (r *Registry) returned(t Target) {
+	key := t.Key()
+	if n, ok := r.leaving[key]; ok && !t.Leaving && n.Source == removed {
+		delete(r.leaving, key)
+		delete(r.late, key)
+	}
+}
+
+type announced struct {
+	target Target
+	notice Notice
+}
+
+// notice records targets as leaving and returns those that are news. Callers
+// hold r.mu.
+func (r *Registry) notice(ts []Target, source string) []announced {
+	now := bootclock.Now()
+	var news []announced
+	for _, t := range ts {
+		if _, known := r.leaving[t.Key()]; known {
+			continue
+		}
+		n := Notice{Key: t.Key(), Source: source, At: now}
+		r.leaving[t.Key()] = n
+		t.Leaving = true
+		r.late[t.Key()] = t
+		news = append(news, announced{t, n})
+	}
+	return news
+}
+
+func (r *Registry) tell(news []announced) {
+	for _, n := range news {
+		r.onNotice(n.target, n.notice)
+	}
+}
+
+// publish builds a new view. Callers hold r.mu.
+func (r *Registry) publish(revision int64) {
+	for key, n := range r.leaving {
+		if bootclock.Since(n.At) > noticeMemory {
+			delete(r.leaving, key)
+			delete(r.late, key)
+		}
+	}
+	v := &View{Revision: revision, byService: make(map[string][]*Target), byKey: make(map[string]*Target, len(r.entries))}
+	for key := range r.late {
+		t := r.late[key]
+		v.byKey[key] = &t
+	}
+	for _, t := range r.entries {
+		key := t.Key()
+		_, leaves := r.leaving[key]
+		t.Leaving = t.Leaving || leaves
+		v.byKey[key] = &t
+		v.byService[t.Service] = append(v.byService[t.Service], &t)
+	}
+	for _, ts := range v.byService {
+		sort.Slice(ts, func(i, j int) bool { return ts[i].Key() < ts[j].Key() })
+	}
+	r.view.Store(v)
+}
+
+func leavingOf(entries map[string]Target) []Target {
+	var out []Target
+	for _, t := range entries {
+		if t.Leaving {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
+func incarnation(id string, born int64) string { return id + "@" + strconv.FormatInt(born, 10) }
--- a/internal/web/web.go
+++ b/internal/web/web.go
@@ -24,19 +24,22 @@
 	done   chan struct{}
 }
 
-// Start begins to serve on an address.
-func Start(address string, ready func() bool, metrics http.Handler) (*Server, error) {
+// Start begins to serve on an address. Readiness is served at the further paths
+// as well, for platforms that ask elsewhere.
+func Start(address string, ready func() bool, metrics http.Handler, readyPaths ...string) (*Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, eris.Wrapf(err, "cannot listen on %s; choose another --http", address)
 	}
 	router := mux.NewRouter()
 	router.HandleFunc("/livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }).Methods(http.MethodGet)
-	router.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if !ready() {
-			http.Error(w, "no document yet, or stopping", http.StatusServiceUnavailable)
-		}
-	}).Methods(http.MethodGet)
+	for _, path := range append([]string{"/readyz"}, readyPaths...) {
+		router.HandleFunc(path, func(w http.ResponseWriter, _ *http.Request) {
+			if !ready() {
+				http.Error(w, "no document yet, or stopping", http.StatusServiceUnavailable)
+			}
+		}).Methods(http.MethodGet)
+	}
 	router.Handle("/metrics", metrics).Methods(http.MethodGet)
 	w := &Server{
 		server: &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes},
