Move runs in turns, count unread prompts, ask engines for reports

Several prompts on one engine are read one after the other, which memory alone did not show. A continued run was refused when its key had been removed meanwhile. Ruled out: engines' own memory overflow (0 preemptions in the reports).

--- a/internal/edge/loadbook/book.go
+++ b/internal/edge/loadbook/book.go
@@ -18,9 +18,19 @@
 type Load struct {
 	Runs   int
 	Tokens int // memory that the runs are expected to hold at their end
+	Held   int // memory that they hold now, about
+	Unread int // prompt tokens of runs without a first event
 }
 
-func (l Load) plus(o Load) Load { return Load{Runs: l.Runs + o.Runs, Tokens: l.Tokens + o.Tokens} }
+// Plus returns the sum of two loads.
+func (l Load) Plus(o Load) Load {
+	return Load{Runs: l.Runs + o.Runs, Tokens: l.Tokens + o.Tokens, Held: l.Held + o.Held, Unread: l.Unread + o.Unread}
+}
+
+// Minus returns the load without another.
+func (l Load) Minus(o Load) Load {
+	return l.Plus(Load{Runs: -o.Runs, Tokens: -o.Tokens, Held: -o.Held, Unread: -o.Unread})
+}
 
 type peer struct {
 	loads map[string]Load
@@ -40,19 +50,28 @@
 	return &Book{own: make(map[string]Load), peers: make(map[string]peer), changed: make(chan struct{})}
 }
 
-// Add changes the own load of a target.
-func (b *Book) Add(target string, runs, tokens int) {
+// Add adds to the own load of a target.
+func (b *Book) Add(target string, l Load) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.set(target, b.own[target].Plus(l))
+}
+
+// Remove takes from the own load of a target.
+func (b *Book) Remove(target string, l Load) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	l := b.own[target].plus(Load{Runs: runs, Tokens: tokens})
+	b.set(target, b.own[target].Minus(l))
+	b.wake()
+}
+
+// set replaces the own load of a target. Callers hold b.mu.
+func (b *Book) set(target string, l Load) {
 	if l == (Load{}) {
 		delete(b.own, target)
-	} else {
-		b.own[target] = l
-	}
-	if runs < 0 || tokens < 0 {
-		b.wake()
+		return
 	}
+	b.own[target] = l
 }
 
 // SetPeer takes the loads of another host.
@@ -74,11 +93,25 @@
 			delete(b.peers, host)
 			continue
 		}
-		sum = sum.plus(p.loads[target])
+		sum = sum.Plus(p.loads[target])
 	}
 	return sum
 }
 
+// ByHost returns the loads of a target by the other hosts that have any there.
+func (b *Book) ByHost(target string) map[string]Load {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make(map[string]Load)
+	now := bootclock.Now()
+	for host, p := range b.peers {
+		if l := p.loads[target]; l.Runs > 0 && now.Sub(p.at) <= peerMemory {
+			out[host] = l
+		}
+	}
+	return out
+}
+
 // Own returns a copy of this host's loads.
 func (b *Book) Own() map[string]Load {
 	b.mu.Lock()
--- a/internal/edge/migration/mover.go
+++ b/internal/edge/migration/mover.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"sync"
 	"time"
 
 	"corianderhitch/internal/edge"
@@ -17,7 +16,7 @@
 
 const (
 	// maxDestinations bounds the engines that are tried for one run.
-	maxDestinations = 3
+	maxDestinations = 4
 	// moveTimeout bounds a copy: the transfer of a whole engine between domains.
 	moveTimeout = 2500 * time.Millisecond
 	// cutAfter is how long a stopped run's stream may stay open at the source
@@ -25,111 +24,111 @@
 	cutAfter = 120 * time.Millisecond
 )
 
+// Outcomes of a move beside those of edge.MoveResult.
+const (
+	runEnded     = "run_ended"
+	runElsewhere = "run_elsewhere"
+	tooLate      = "too_late"
+)
+
 // Mover moves the runs of this host.
 type Mover struct {
 	Log     *slog.Logger
+	Host    string
 	Engines edge.Engines
 	Book    *loadbook.Book
 	// Choose returns an engine with room, or nil.
 	Choose func(service *policy.Service, need placing.Need, tried map[string]bool) *targets.Target
-	// Notice is how long a leaving engine serves on; 0 for the usual.
-	Notice time.Duration
 	// Observe counts the outcome of each move, for metrics.
 	Observe func(outcome string, took time.Duration)
-
-	mu         sync.Mutex
-	departures map[string]*departure // guarded by mu; by incarnation of the source
 }
 
-// departure is an engine that leaves, as all its runs share it.
-type departure struct {
-	noticed bootclock.Instant
-	finalAt bootclock.Instant
-}
-
-// Evacuate moves runs off an engine that leaves. It returns at once.
-func (m *Mover) Evacuate(ctx context.Context, source *targets.Target, runs []*streaming.Run) {
+// Evacuate moves runs off an engine that leaves since the notice, one after the
+// other. It returns when that is done.
+func (m *Mover) Evacuate(ctx context.Context, source *targets.Target, noticed bootclock.Instant, runs []*streaming.Run) {
 	sequences := make([]Sequence, len(runs))
 	for i, r := range runs {
 		sequences[i] = Sequence{Held: r.Held(), Remaining: r.Remaining()}
 	}
-	for _, i := range Order(sequences) {
-		go m.move(ctx, source, runs[i])
+	order := Order(sequences)
+	if len(order) == 0 || !runs[order[0]].Service().Engine.CanMove {
+		return
+	}
+	others := m.Book.ByHost(source.Key())
+	turn := Turn(runs[order[0]].Service().Engine, source.Key(), m.Host, others)
+	m.Log.Info("migration: engine leaves", "source", source.ID, "runs", len(order), "other_hosts", len(others), "turn_ms", turn.Milliseconds())
+	sleep(ctx, noticed.Add(turn).Sub(bootclock.Now()))
+	for _, i := range order {
+		m.move(ctx, source, noticed, runs[i])
 	}
 }
 
 // move takes one run to another engine.
-func (m *Mover) move(ctx context.Context, source *targets.Target, r *streaming.Run) {
-	service := r.Service()
-	if !service.Engine.CanMove {
-		return
-	}
+func (m *Mover) move(ctx context.Context, source *targets.Target, noticed bootclock.Instant, r *streaming.Run) {
 	started := bootclock.Now()
-	d := m.departure(source, service.Engine)
+	outcome, tried := m.tryAll(ctx, source, noticed, r)
+	took := bootclock.Since(started)
+	m.Observe(outcome, took)
+	r.Log().Info("migration: run moved or not", "outcome", outcome, "source", source.ID, "tried", tried, "held_tokens", r.Held(),
+		"since_notice_ms", bootclock.Since(noticed).Milliseconds(), "took_ms", took.Milliseconds())
+}
+
+// tryAll tries destinations until one takes the run.
+func (m *Mover) tryAll(ctx context.Context, source *targets.Target, noticed bootclock.Instant, r *streaming.Run) (outcome string, tries int) {
+	service := r.Service()
 	tried := map[string]bool{source.Key(): true}
 	for range maxDestinations {
-		need := placing.Need{Tokens: max(r.Expected(), r.Held()), Domain: source.Zone, Move: true}
-		dest := m.Choose(service, need, tried)
+		select {
+		case <-r.Ended():
+			return runEnded, len(tried) - 1
+		default:
+		}
+		held := r.Held()
+		if !Fits(service.Engine, held, bootclock.Since(noticed)) {
+			return tooLate, len(tried) - 1
+		}
+		load := loadbook.Load{Runs: 1, Tokens: max(r.Expected(), held), Held: held}
+		dest := m.Choose(service, placing.Need{Tokens: load.Tokens, Domain: source.Zone, Move: true, Affinity: source.Key()}, tried)
 		if dest == nil {
 			break
 		}
 		tried[dest.Key()] = true
-		m.Book.Add(dest.Key(), 1, need.Tokens)
-		outcome := m.to(ctx, source, dest, need.Tokens, r, d)
-		if outcome != "copied" {
-			m.Book.Add(dest.Key(), -1, -need.Tokens)
+		m.Book.Add(dest.Key(), load)
+		outcome := m.to(ctx, source, dest, load, r)
+		if outcome != edge.MoveCopied.String() {
+			m.Book.Remove(dest.Key(), load)
 		}
-		took := bootclock.Since(started)
-		m.Observe(outcome, took)
-		r.Log().Info("migration: run moved or not", "outcome", outcome, "source", source.ID, "dest", dest.ID,
-			"held_tokens", r.Held(), "since_notice_ms", bootclock.Since(d.noticed).Milliseconds(), "took_ms", took.Milliseconds())
 		if outcome != edge.MoveNoRoom.String() {
-			return
+			return outcome, len(tried) - 1
 		}
 	}
-	r.Log().Warn("migration: run stays on a leaving engine", "source", source.ID, "tried", len(tried)-1)
+	return edge.MoveNoRoom.String(), len(tried) - 1
 }
 
 // to copies a run to one destination and returns how that ended.
-func (m *Mover) to(ctx context.Context, source, dest *targets.Target, reserved int, r *streaming.Run, d *departure) string {
+func (m *Mover) to(ctx context.Context, source, dest *targets.Target, load loadbook.Load, r *streaming.Run) string {
 	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
 	defer cancel()
 	first := m.Engines.Move(ctx, source.Address, r.ID(), dest.Address, false)
 	if first.Result != edge.MoveCopied {
 		return first.Result.String()
 	}
-	if !m.waitForFinal(ctx, r, d) {
-		m.release(source, r, first.Handle)
-		return "run_ended"
-	}
-	f := r.BeginFinal(source, dest, reserved)
+	f := r.BeginFinal(source, dest, load)
 	if f == nil {
 		m.release(source, r, first.Handle)
-		return "run_elsewhere"
+		return runElsewhere
 	}
 	last := m.Engines.Move(ctx, source.Address, r.ID(), dest.Address, true)
 	r.EndFinal(f, last)
-	if last.Result == edge.MoveCopied {
+	switch last.Result {
+	case edge.MoveCopied:
 		r.CutSource(f, cutAfter)
-	} else if last.Result == edge.MoveNoRun {
+	case edge.MoveNoRun:
 		m.release(source, r, first.Handle)
 	}
 	return last.Result.String()
 }
 
-func (m *Mover) waitForFinal(ctx context.Context, r *streaming.Run, d *departure) bool {
-	timer := time.NewTimer(max(0, d.finalAt.Sub(bootclock.Now())))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-r.Ended():
-		return false
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // release frees a copy that is not used; it holds memory at the destination.
 func (m *Mover) release(source *targets.Target, r *streaming.Run, handle string) {
 	ctx, cancel := context.WithTimeout(context.Background(), moveTimeout)
@@ -139,27 +138,11 @@
 	}
 }
 
-// departure returns the engine's departure, which begins with its first run.
-func (m *Mover) departure(source *targets.Target, engine *policy.Engine) *departure {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.departures == nil {
-		m.departures = make(map[string]*departure)
-	}
-	key := source.Key()
-	if d := m.departures[key]; d != nil {
-		return d
-	}
-	for old, d := range m.departures {
-		if bootclock.Since(d.noticed) > time.Minute {
-			delete(m.departures, old)
-		}
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(max(0, d))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
 	}
-	d := &departure{noticed: bootclock.Now()}
-	m.departures[key] = d
-	held := m.Book.Load(key).Tokens
-	wait := FinalAt(engine, held, m.Notice)
-	d.finalAt = d.noticed.Add(wait)
-	m.Log.Info("migration: engine leaves", "source", source.ID, "held_tokens", held, "final_in_ms", wait.Milliseconds())
-	return d
 }
--- a/internal/edge/migration/plan.go
+++ b/internal/edge/migration/plan.go
@@ -1,22 +1,31 @@
 // Package migration moves runs off engines that leave. The memory of a run is
 // copied while it runs; then it is stopped, what is new is copied as well, and
 // the stream goes on at the destination.
+//
+// An engine's link carries one copy at a time, so that a final copy behind
+// another run's first one stalls its stream, and a copy that the engine does not
+// live to finish occupies memory at the destination for seconds. Runs therefore
+// move one after the other: the hosts that have runs at an engine take turns
+// which each works out alone, from the loads that they tell each other.
 package migration
 
 import (
 	"sort"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"corianderhitch/internal/edge/loadbook"
 	"corianderhitch/internal/edge/policy"
 )
 
 const (
 	// assumedNotice is how long an engine serves after the notice if it does not
 	// say: reclaimed engines get about two seconds, the shortest seen 1.5 s.
-	assumedNotice = 1500 * time.Millisecond
-	// finalMargin is left between the final copy and the engine's end: the copy of
-	// a few dozen tokens, its answer and the new request.
-	finalMargin = 350 * time.Millisecond
+	assumedNotice = 1800 * time.Millisecond
+	// switchTime is what a run takes of the link's turn beside its first copy: the
+	// final copy of a few dozen tokens and two calls.
+	switchTime = 30 * time.Millisecond
 	// leastRemaining is the output that must be expected for a move to be worth
 	// its transfer, in tokens: less is made before the engine ends.
 	leastRemaining = 48
@@ -41,13 +50,27 @@
 	return order
 }
 
-// FinalAt returns how long after the notice runs may be stopped for their final
-// copy. Copies share the engine's link in turn, so that a final copy behind
-// another run's first one would stall its stream; it waits until all tokens held
-// at the engine are likely to have been copied, but not into its end.
-func FinalAt(engine *policy.Engine, held int, leavesIn time.Duration) time.Duration {
-	if leavesIn <= 0 {
-		leavesIn = assumedNotice
+// Turn returns how long after the notice a host may begin to copy: the others
+// with runs at the source that come before it in the order of the source need
+// the link until then.
+func Turn(engine *policy.Engine, source, host string, others map[string]loadbook.Load) time.Duration {
+	own := xxhash.Sum64String(source + "\x00" + host)
+	wait := time.Duration(0)
+	for other, l := range others {
+		if xxhash.Sum64String(source+"\x00"+other) < own {
+			wait += CopyTime(engine, l.Held, l.Runs)
+		}
 	}
-	return max(0, min(engine.TransferTime(held), leavesIn-finalMargin))
+	return wait
+}
+
+// CopyTime returns how long the link is busy with runs that hold tokens.
+func CopyTime(engine *policy.Engine, held, runs int) time.Duration {
+	return engine.TransferTime(held) + time.Duration(runs)*switchTime
+}
+
+// Fits tells whether a copy that begins a while after the notice is likely to be
+// done before the engine's end.
+func Fits(engine *policy.Engine, held int, sinceNotice time.Duration) bool {
+	return sinceNotice+CopyTime(engine, held, 1) <= assumedNotice
 }
--- /dev/null
+++ b/internal/edge/observe/observer.go
@@ -0,0 +1,77 @@
+// Package observe asks engines for their own reports. A target list can lag or
+// fall silent while an engine is already about to leave; its report says so half
+// a second late. Each engine is asked by one host, which tells the others.
+package observe
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"corianderhitch/internal/edge"
+	"corianderhitch/internal/edge/targets"
+	"corianderhitch/internal/rendezvous"
+)
+
+const (
+	// Period is how often an engine is asked. A notice of two seconds leaves
+	// time to move its runs if it is heard within one.
+	Period = 500 * time.Millisecond
+	// askTimeout bounds one report.
+	askTimeout = 300 * time.Millisecond
+)
+
+// Observer asks the engines that this host owns.
+type Observer struct {
+	Log      *slog.Logger
+	Host     string
+	Engines  edge.Engines
+	Targets  *targets.Registry
+	Services func() []string                // services whose targets are engines
+	Hosts    func() []string                // all hosts, this one included
+	Worth    func(target string) (runs int) // in flight at a target; idle ones are not asked
+}
+
+// Run asks until ctx ends.
+func (o *Observer) Run(ctx context.Context) {
+	ticker := time.NewTicker(Period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			o.round(ctx)
+		}
+	}
+}
+
+// round asks each owned engine once. If two hosts own an engine, it is asked
+// twice.
+func (o *Observer) round(ctx context.Context) {
+	view, hosts := o.Targets.View(), o.Hosts()
+	var wait sync.WaitGroup
+	for _, service := range o.Services() {
+		for _, t := range view.Serving(service) {
+			if o.Worth(t.Key()) > 0 && rendezvous.Owner(t.Key(), hosts) == o.Host {
+				wait.Go(func() { o.ask(ctx, t) })
+			}
+		}
+	}
+	wait.Wait()
+}
+
+func (o *Observer) ask(ctx context.Context, t *targets.Target) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	report, err := o.Engines.Report(ctx, t.Address)
+	if err != nil {
+		o.Log.Warn("observe: engine does not report", "target", t.ID, "address", t.Address, "error", err.Error())
+		return
+	}
+	if report.Leaving {
+		o.Log.Info("observe: engine reports that it leaves", "target", t.ID, "leaves_in_ms", report.LeavesIn.Milliseconds(), "running", report.Running)
+		o.Targets.Leaving(t.Key(), "engine_report")
+	}
+}
--- a/internal/edge/placing/engine.go
+++ b/internal/edge/placing/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -13,14 +14,24 @@
 	// to fill. Preemption reads a whole prompt again, so that some is left for
 	// runs that grow longer than expected.
 	fullShare = 0.92
-	// affinityBand is how much fuller than the emptiest engine one may be to be
-	// chosen for the prefix that it has probably cached.
-	affinityBand = 0.22
+	// bandPerSharedToken is how much worse than the best engine one may be, as a
+	// share, for each prompt token that it has probably cached: reading 350 tokens
+	// again costs about as much as a fifth more load.
+	bandPerSharedToken = 0.0006
+	maxBand            = 0.22
+	// moveBand is the same for moves, whose sources are spread over destinations.
+	moveBand = 0.12
+	// readRate is how many prompt tokens an engine reads in a second beside its
+	// running batch: chunks of 112 tokens in steps of about 16 ms.
+	readRate = 7000.0
+	// waitShare is what a wait for the first event as long as the objective counts,
+	// as a share.
+	waitShare = 0.6
 	// otherDomain is what another failure domain counts, as a share of memory.
 	otherDomain = 0.03
 	// moveOtherDomain is the same for moves, which take twice as long between
 	// domains while the notice of a leaving engine is short.
-	moveOtherDomain = 0.3
+	moveOtherDomain = 0.5
 	// coldShare is what an engine that has just started counts more, as a share.
 	coldShare = 0.2
 	// failingShare is what each unit of cost above 1 counts, as a share.
@@ -29,16 +40,26 @@
 
 // Need is what a run needs of an engine.
 type Need struct {
-	Tokens int    // expected memory at the end of the run
-	Prefix string // shared part of the prompt, "" if it does not matter
-	Domain string // of the sender, or of the source of a move
-	Move   bool
+	Tokens    int           // expected memory at the end of the run
+	Unread    int           // prompt tokens to read before the first event
+	Objective time.Duration // latency objective of the first event; 0 for none
+	Affinity  string        // what runs that should meet have in common, "" if nothing
+	Shared    int           // prompt tokens that the engine of that affinity has cached
+	Domain    string        // of the sender, or of the source of a move
+	Move      bool
+}
+
+func (n *Need) band() float64 {
+	if n.Move {
+		return moveBand
+	}
+	return math.Min(maxBand, bandPerSharedToken*float64(n.Shared))
 }
 
 // Engine returns the index of the best engine for a run, or -1 if none has room.
-// It takes the engine that is emptiest by expected memory; among those close to
-// it, the one that the run's prefix hashes to, which all hosts choose alike
-// without talking.
+// An engine is judged by its expected memory and by the prompts that it must read
+// before the run's. Among those close to the best it takes the one that the run's
+// affinity hashes to, which all hosts choose alike without talking.
 func Engine(candidates []Candidate, engine *policy.Engine, need Need, tried map[string]bool) int {
 	shares := make([]float64, len(candidates))
 	best := math.Inf(1)
@@ -54,13 +75,13 @@
 	}
 	chosen, chosenWeight := -1, uint64(0)
 	for i, c := range candidates {
-		if need.Prefix == "" && shares[i] == best {
+		if need.Affinity == "" && shares[i] == best {
 			return i
 		}
-		if need.Prefix == "" || shares[i] > best+affinityBand {
+		if need.Affinity == "" || shares[i] > best+need.band() {
 			continue
 		}
-		if w := xxhash.Sum64String(need.Prefix + "\x00" + c.Target.Key()); chosen < 0 || w > chosenWeight {
+		if w := xxhash.Sum64String(need.Affinity + "\x00" + c.Target.Key()); chosen < 0 || w > chosenWeight {
 			chosen, chosenWeight = i, w
 		}
 	}
@@ -78,6 +99,10 @@
 	if c.Cost > maxCost {
 		return math.Inf(1)
 	}
+	if need.Objective > 0 {
+		wait := float64(c.Load.Unread+need.Unread) / readRate
+		share += waitShare * wait / need.Objective.Seconds()
+	}
 	share += failingShare * (c.Cost - 1)
 	if c.Target.Cold > 0 {
 		share += coldShare
--- a/internal/edge/plain/server.go
+++ b/internal/edge/plain/server.go
@@ -209,8 +209,9 @@
 		return outcome{result: forbidden, target: t}
 	}
 	key := t.Key()
-	s.Book.Add(key, 1, 0)
-	defer s.Book.Add(key, -1, 0)
+	load := loadbook.Load{Runs: 1}
+	s.Book.Add(key, load)
+	defer s.Book.Remove(key, load)
 	started := time.Now()
 	response, err := s.Sender.Send(ctx, a.Call, t, edge.Dispatch{Account: a.Account, Urgency: a.Urgency}, a.Left())
 	var o outcome
--- a/internal/edge/policy/configuration.go
+++ b/internal/edge/policy/configuration.go
@@ -89,11 +89,13 @@
 // HasAccounts tells whether requests need an API key at all.
 func (c *Configuration) HasAccounts() bool { return len(c.byKey) > 0 }
 
-// Services returns the names of all services in order.
-func (c *Configuration) Services() []string {
-	names := make([]string, 0, len(c.services))
-	for name := range c.services {
-		names = append(names, name)
+// EngineServices returns the names of the services of model engines in order.
+func (c *Configuration) EngineServices() []string {
+	var names []string
+	for name, s := range c.services {
+		if s.Engine != nil {
+			names = append(names, name)
+		}
 	}
 	sort.Strings(names)
 	return names
--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -4,12 +4,14 @@
 	"context"
 	"io"
 	"log/slog"
+	"maps"
 	"math"
 	"net"
 	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -29,6 +31,7 @@
 	"corianderhitch/internal/edge/metrics"
 	"corianderhitch/internal/edge/migration"
 	"corianderhitch/internal/edge/node"
+	"corianderhitch/internal/edge/observe"
 	"corianderhitch/internal/edge/peers"
 	"corianderhitch/internal/edge/plain"
 	"corianderhitch/internal/edge/policy"
@@ -146,7 +149,7 @@
 		Budget: p.budget, Domain: n.Domain,
 	}
 	p.mover = &migration.Mover{
-		Log: log, Engines: p.streaming.Engines, Book: p.book, Choose: p.streaming.Choose,
+		Log: log, Host: n.Name, Engines: p.streaming.Engines, Book: p.book, Choose: p.streaming.Choose,
 		Observe: func(outcome string, took time.Duration) { p.metrics.Move(outcome, took) },
 	}
 	return p
@@ -206,9 +209,24 @@
 	wait.Go(func() { p.confirmer.Run(ctx) })
 	wait.Go(func() { p.members.Run(ctx) })
 	wait.Go(func() { p.exchange.Run(ctx) })
+	wait.Go(func() { p.observer().Run(ctx) })
 	wait.Go(func() { p.reload(ctx, s.NodeFile) })
 }
 
+func (p *Process) observer() *observe.Observer {
+	return &observe.Observer{
+		Log: p.log, Host: p.node.Name, Engines: p.streaming.Engines, Targets: p.targets,
+		Services: func() []string {
+			if c := p.policy.Current(); c != nil {
+				return c.EngineServices()
+			}
+			return nil
+		},
+		Hosts: func() []string { return append(slices.Collect(maps.Keys(p.members.Hosts())), p.node.Name) },
+		Worth: func(target string) int { return p.book.Load(target).Runs },
+	}
+}
+
 func (p *Process) handler() http.Handler {
 	return &ingress.Handler{
 		Log: p.log, Wire: p.adapter.Wire, Policy: p.policy, Confirmer: p.confirmer, KeyAge: p.keyAge(),
@@ -266,13 +284,14 @@
 	p.log.Info("targets: target leaves", "target", t.ID, "service", t.Service, "source", n.Source, "runs", len(runs))
 	p.exchange.Kick()
 	p.pool.Drop(n.Key)
-	p.mover.Evacuate(context.Background(), &t, runs)
+	go p.mover.Evacuate(context.Background(), &t, n.At, runs)
 }
 
 // runEntered moves a run on that has come to an engine which leaves by now.
 func (p *Process) runEntered(r *streaming.Run, key string) {
-	if t := p.targets.View().Get(key); t != nil && t.Leaving {
-		p.mover.Evacuate(context.Background(), t, []*streaming.Run{r})
+	n, leaves := p.targets.LeavesSince(key)
+	if t := p.targets.View().Get(key); leaves && t != nil {
+		go p.mover.Evacuate(context.Background(), t, n.At, []*streaming.Run{r})
 	}
 }
 
--- a/internal/edge/streaming/forward.go
+++ b/internal/edge/streaming/forward.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"corianderhitch/internal/edge"
+	"corianderhitch/internal/edge/loadbook"
 	"corianderhitch/internal/edge/targets"
 )
 
@@ -110,18 +111,18 @@
 		}
 	}
 	// The source keeps the memory of a run that it stopped.
-	reserved := r.server.expected(r.call, r.events)
-	r.server.Book.Add(source.Key(), 1, reserved)
-	if next := r.resume(ctx, source, reserved, from); next != nil {
+	counted := r.server.load(r.call, r.events)
+	r.server.Book.Add(source.Key(), counted)
+	if next := r.resume(ctx, source, counted, from); next != nil {
 		return next, ""
 	}
 	return nil, lostInMove
 }
 
 // resume continues the run from a copy of its memory, or returns nil.
-func (r *Run) resume(ctx context.Context, t *targets.Target, reserved int, from *edge.Copy) *segment {
+func (r *Run) resume(ctx context.Context, t *targets.Target, counted loadbook.Load, from *edge.Copy) *segment {
 	started := time.Now()
-	s, err := r.server.open(ctx, r, t, reserved, edge.Dispatch{
+	s, err := r.server.open(ctx, r, t, counted, edge.Dispatch{
 		Account: r.call.Account, Urgency: r.call.Urgency, ContinueFrom: from, LastEvent: strconv.FormatInt(r.lastID, 10),
 	})
 	if err == nil && s.response.Status != http.StatusOK {
--- a/internal/edge/streaming/run.go
+++ b/internal/edge/streaming/run.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"corianderhitch/internal/edge"
+	"corianderhitch/internal/edge/loadbook"
 	"corianderhitch/internal/edge/policy"
 	"corianderhitch/internal/edge/targets"
 )
@@ -15,9 +16,9 @@
 type Final struct {
 	Source *targets.Target
 	Dest   *targets.Target
-	// Reserved are the tokens counted in the load book for Dest. The run takes
-	// them over if it was copied.
-	Reserved int
+	// Reserved is counted in the load book for Dest. The run takes it over if it
+	// was copied.
+	Reserved loadbook.Load
 	Moved    edge.Moved // set before done is closed
 	done     chan struct{}
 }
@@ -33,12 +34,12 @@
 	started bool  // the head has been sent to the caller; reader only
 	ended   chan struct{}
 
-	mu       sync.Mutex
-	target   *targets.Target // guarded by mu; where it runs
-	segment  *segment        // guarded by mu
-	events   int             // guarded by mu; that the caller has
-	reserved int             // guarded by mu; tokens counted in the load book for target
-	final    *Final          // guarded by mu; nil if none is under way
+	mu      sync.Mutex
+	target  *targets.Target // guarded by mu; where it runs
+	segment *segment        // guarded by mu
+	events  int             // guarded by mu; that the caller has
+	counted loadbook.Load   // guarded by mu; in the load book for target
+	final   *Final          // guarded by mu; nil if none is under way
 }
 
 // ID returns the request id, which names the run at the target.
@@ -68,7 +69,7 @@
 func (r *Run) Expected() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.reserved
+	return r.counted.Tokens
 }
 
 // Remaining returns the output tokens that are expected to come.
@@ -77,7 +78,7 @@
 // BeginFinal announces that the run is about to be stopped at its target, so
 // that the end of its stream is not taken for its completion. It returns nil if
 // the run is elsewhere by now or another final copy is under way.
-func (r *Run) BeginFinal(source, dest *targets.Target, reserved int) *Final {
+func (r *Run) BeginFinal(source, dest *targets.Target, reserved loadbook.Load) *Final {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.final != nil || r.target == nil || r.target.Key() != source.Key() {
@@ -111,10 +112,10 @@
 	return 0
 }
 
-// enter records the target that the run is at now. The load was counted before.
-func (r *Run) enter(s *segment, reserved int) {
+// enter records the target that the run is at now. Its load was counted before.
+func (r *Run) enter(s *segment, counted loadbook.Load) {
 	r.mu.Lock()
-	r.target, r.segment, r.reserved, r.final = s.target, s, reserved, nil
+	r.target, r.segment, r.counted, r.final = s.target, s, counted, nil
 	r.mu.Unlock()
 	r.server.Runs.put(r, s.target.Key())
 }
@@ -122,27 +123,28 @@
 // leave takes the run off its target.
 func (r *Run) leave() {
 	r.mu.Lock()
-	t, reserved := r.target, r.reserved
-	r.target, r.segment, r.reserved = nil, nil, 0
+	t, counted := r.target, r.counted
+	r.target, r.segment, r.counted = nil, nil, loadbook.Load{}
 	r.mu.Unlock()
 	if t != nil {
 		r.server.Runs.remove(r, t.Key())
-		r.server.Book.Add(t.Key(), -1, -reserved)
+		r.server.Book.Remove(t.Key(), counted)
 	}
 }
 
-// progress counts events that the caller has got and corrects the reservation.
+// progress counts events that the caller has got and corrects the run's load.
 func (r *Run) progress(events int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	before := r.events / reestimateEvents
+	first := r.events == 0
 	r.events += events
-	if r.events/reestimateEvents == before || r.target == nil {
+	if r.target == nil || (!first && r.events/reestimateEvents == before) {
 		return
 	}
-	expected := r.server.expected(r.call, r.events)
-	r.server.Book.Add(r.target.Key(), 0, expected-r.reserved)
-	r.reserved = expected
+	now := r.server.load(r.call, r.events)
+	r.server.Book.Add(r.target.Key(), now.Minus(r.counted))
+	r.counted = now
 }
 
 // pendingFinal returns the final copy that the end of the stream belongs to.
--- a/internal/edge/streaming/server.go
+++ b/internal/edge/streaming/server.go
@@ -79,12 +79,12 @@
 	tried := make(map[string]bool)
 	sends := 0
 	for range maxPlacements {
-		t, reserved := s.place(ctx, a, tried)
+		t, counted := s.place(ctx, a, tried)
 		if t == nil {
 			return nil, s.noRoom(ctx, a)
 		}
 		tried[t.Key()] = true
-		segment, err := s.open(ctx, r, t, reserved, edge.Dispatch{Account: a.Account, Urgency: a.Urgency})
+		segment, err := s.open(ctx, r, t, counted, edge.Dispatch{Account: a.Account, Urgency: a.Urgency})
 		if err == nil {
 			return segment, nil
 		}
@@ -128,19 +128,26 @@
 }
 
 // place waits for an engine with room and reserves it in the load book.
-func (s *Server) place(ctx context.Context, a *edge.Admitted, tried map[string]bool) (*targets.Target, int) {
+func (s *Server) place(ctx context.Context, a *edge.Admitted, tried map[string]bool) (*targets.Target, loadbook.Load) {
 	wait := min(a.Left()/2, maxWaitObjectives*a.Route.Objective)
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	need := placing.Need{Tokens: s.expected(a, 0), Domain: s.Domain, Prefix: sharedPrefix(a.Call.Generation)}
+	own := s.load(a, 0)
+	need := newNeed(a, own, s.Domain)
+	var load loadbook.Load
 	t := s.Queue.Place(ctx, a.Urgency, func() *targets.Target {
 		t := s.choose(a.Service, need, tried)
 		if t != nil {
-			s.Book.Add(t.Key(), 1, need.Tokens)
+			load = s.Book.Load(t.Key())
+			s.Book.Add(t.Key(), own)
 		}
 		return t
 	})
-	return t, need.Tokens
+	if t != nil {
+		a.Log.Info("stream: engine chosen", "target", t.ID, "runs", load.Runs, "expected_tokens", load.Tokens, "unread_tokens", load.Unread, "needs_tokens", need.Tokens,
+			"list_revision", s.Targets.View().Revision, "age_ms", a.Age().Milliseconds())
+	}
+	return t, own
 }
 
 // Choose returns an engine with room for a moved run, or nil.
@@ -174,19 +181,21 @@
 
 // open sends the run to a target whose load is counted already, and takes the
 // count back if it does not start.
-func (s *Server) open(ctx context.Context, r *Run, t *targets.Target, reserved int, d edge.Dispatch) (*segment, error) {
+func (s *Server) open(ctx context.Context, r *Run, t *targets.Target, counted loadbook.Load, d edge.Dispatch) (*segment, error) {
 	response, cancel, err := s.send(ctx, r.call, t, d)
 	if err != nil {
-		s.Book.Add(t.Key(), -1, -reserved)
+		s.Book.Remove(t.Key(), counted)
 		return nil, err
 	}
 	segment := &segment{target: t, response: response, cancel: cancel}
-	r.enter(segment, reserved)
+	r.enter(segment, counted)
 	return segment, nil
 }
 
 func (s *Server) send(ctx context.Context, a *edge.Admitted, t *targets.Target, d edge.Dispatch) (*targetconn.Response, context.CancelFunc, error) {
-	if !a.Allowed(ctx) {
+	// A run that goes on elsewhere is no new request: its key was checked when it
+	// began.
+	if d.ContinueFrom == nil && !a.Allowed(ctx) {
 		return nil, nil, errForbidden
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -211,13 +220,20 @@
 	return response, cancel, nil
 }
 
-// expected returns the memory that a run will hold at its end, in tokens.
-func (s *Server) expected(a *edge.Admitted, events int) int {
+// load returns what a run with so many events counts at its engine.
+func (s *Server) load(a *edge.Admitted, events int) loadbook.Load {
+	l := loadbook.Load{Runs: 1}
 	prompt := 0
 	if g := a.Call.Generation; g != nil {
 		prompt = g.PromptTokens
 	}
-	return prompt + s.Lengths.Expected(a, events*a.Service.Engine.TokensPerEvent)
+	made := events * a.Service.Engine.TokensPerEvent
+	l.Tokens = prompt + s.Lengths.Expected(a, made)
+	l.Held = prompt + made
+	if events == 0 {
+		l.Unread = prompt
+	}
+	return l
 }
 
 func (s *Server) refuse(ctx context.Context, r *Run, refusal *edge.Refusal) string {
@@ -231,11 +247,16 @@
 	return refusal.Reason
 }
 
-// sharedPrefix names the part of the prompt that other requests share most, so
-// that they meet at one engine. The last part is the request's own.
-func sharedPrefix(g *edge.Generation) string {
-	if g == nil || len(g.Prefix) < 2 {
-		return ""
+// newNeed returns what a new run needs of an engine.
+func newNeed(a *edge.Admitted, own loadbook.Load, domain string) placing.Need {
+	need := placing.Need{Tokens: own.Tokens, Unread: own.Unread, Objective: a.Route.Objective, Domain: domain}
+	// The last part of a prompt is the request's own; what comes before it is
+	// cached where other requests have been.
+	if g := a.Call.Generation; g != nil && len(g.Prefix) > 1 {
+		need.Affinity = g.Prefix[0].ID + ":" + strconv.Itoa(g.Prefix[0].Tokens)
+		for _, part := range g.Prefix[:len(g.Prefix)-1] {
+			need.Shared += part.Tokens
+		}
 	}
-	return g.Prefix[0].ID + ":" + strconv.Itoa(g.Prefix[0].Tokens)
+	return need
 }
--- a/internal/edge/targets/registry.go
+++ b/internal/edge/targets/registry.go
@@ -113,6 +113,14 @@
 	r.tell(notices)
 }
 
+// LeavesSince returns the notice of an incarnation that leaves.
+func (r *Registry) LeavesSince(key string) (Notice, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n, ok := r.leaving[key]
+	return n, ok
+}
+
 // Hide takes an entry that cannot be read: it names no target for new requests,
 // and says nothing of what runs on the one that it named before.
 func (r *Registry) Hide(name string) {
