Continue a run from its copy when the engine dies before the final copy

Cause: engines end 1.16 to 2.1 s after the notice; runs whose first copy was done were lost when the engine died before or in the final copy (outcome unknown). Change: a finished copy belongs to the run; the end of the engine's stream continues it there, what the copy lacks is read again; unused copies are freed.

--- a/internal/edge/migration/mover.go
+++ b/internal/edge/migration/mover.go
@@ -100,43 +100,39 @@
 		}
 		tried[dest.Key()] = true
 		m.Book.Add(dest.Key(), load)
-		outcome := m.to(ctx, source, dest, noticed, load, r)
-		if outcome != edge.MoveCopied.String() {
-			m.Book.Remove(dest.Key(), load)
-		}
-		if outcome != edge.MoveNoRoom.String() {
+		if outcome := m.to(ctx, source, dest, noticed, load, r); outcome != edge.MoveNoRoom.String() {
 			return outcome, len(tried) - 1
 		}
 	}
 	return edge.MoveNoRoom.String(), len(tried) - 1
 }
 
-// to copies a run to one destination and returns how that ended.
+// to copies a run to one destination, for which load is counted already, and
+// returns how that ended.
 func (m *Mover) to(ctx context.Context, source, dest *targets.Target, noticed bootclock.Instant, load loadbook.Load, r *streaming.Run) string {
 	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
 	defer cancel()
 	first := m.Engines.Move(ctx, source.Address, r.ID(), dest.Address, false)
 	if first.Result != edge.MoveCopied {
+		m.Book.Remove(dest.Key(), load)
 		return first.Result.String()
 	}
-	m.awaitLink(ctx, source, dest, noticed, r)
-	f := r.BeginFinal(source, dest, load)
-	if f == nil {
+	c := r.Secure(source, dest, first.Handle, load)
+	if c == nil {
+		m.Book.Remove(dest.Key(), load)
 		m.release(source, r, first.Handle)
 		return runElsewhere
 	}
+	m.awaitLink(ctx, source, dest, noticed, r)
+	if !r.Stop(c) {
+		return "secured"
+	}
 	begun := bootclock.Now()
 	last := m.Engines.Move(ctx, source.Address, r.ID(), dest.Address, true)
-	r.EndFinal(f, last)
+	r.Stopped(c, last, cutAfter)
 	r.Log().Info("migration: final copy", "result", last.Result.String(), "source", source.ID, "dest", dest.ID,
 		"took_ms", bootclock.Since(begun).Milliseconds(), "events", last.Events)
-	switch last.Result {
-	case edge.MoveCopied:
-		r.CutSource(f, cutAfter)
-	case edge.MoveNoRun:
-		m.release(source, r, first.Handle)
-	}
-	return last.Result.String()
+	return "final_" + last.Result.String()
 }
 
 // awaitLink copies what is new until that goes fast, which shows that no other
--- /dev/null
+++ b/internal/edge/streaming/copy.go
@@ -0,0 +1,92 @@
+package streaming
+
+import (
+	"context"
+	"time"
+
+	"corianderhitch/internal/edge"
+	"corianderhitch/internal/edge/loadbook"
+	"corianderhitch/internal/edge/targets"
+)
+
+const (
+	// stopPatience bounds the wait for the outcome of a final copy.
+	stopPatience = 2500 * time.Millisecond
+	// releaseTimeout bounds the call that frees a copy.
+	releaseTimeout = time.Second
+)
+
+// Copy is a copy of a run's memory at another engine. Once it exists the run
+// survives the end of its engine: what the copy lacks is read again.
+type Copy struct {
+	Source   *targets.Target
+	Dest     *targets.Target
+	Handle   string
+	Reserved loadbook.Load // counted in the load book for Dest
+
+	stopping bool       // guarded by the run's mu; a final copy was asked for
+	moved    edge.Moved // outcome of the final copy, set before done is closed
+	done     chan struct{}
+}
+
+// Secure records a copy made while the run went on, which takes over the load
+// reserved for it. It returns nil if the run is elsewhere or over by now.
+func (r *Run) Secure(source, dest *targets.Target, handle string, reserved loadbook.Load) *Copy {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.copied != nil || r.target == nil || r.target.Key() != source.Key() {
+		return nil
+	}
+	r.copied = &Copy{Source: source, Dest: dest, Handle: handle, Reserved: reserved, done: make(chan struct{})}
+	return r.copied
+}
+
+// Stop announces that the run is about to be stopped for its final copy, so that
+// the end of its stream is not taken for its completion. It returns false if the
+// run has gone on from the copy, or ended, already.
+func (r *Run) Stop(c *Copy) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.copied != c {
+		return false
+	}
+	c.stopping = true
+	return true
+}
+
+// Stopped reports the outcome of the final copy. The reader continues the run;
+// a source that has not closed the stream by itself after a while is cut off.
+func (r *Run) Stopped(c *Copy, moved edge.Moved, cutAfter time.Duration) {
+	c.moved = moved
+	close(c.done)
+	if halted(moved) {
+		time.AfterFunc(cutAfter, func() { r.cutSegment(c) })
+	}
+}
+
+// halted tells whether the run does not run at the source any more.
+func halted(m edge.Moved) bool {
+	return m.Result == edge.MoveCopied || (m.Result == edge.MoveNoRoom && m.Handle != "")
+}
+
+// takeCopy takes the copy away from the run, for its one use.
+func (r *Run) takeCopy() (c *Copy, stopping bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c = r.copied
+	r.copied = nil
+	return c, c != nil && c.stopping
+}
+
+// dropCopy frees a copy that nothing will continue from: it holds memory at the
+// destination.
+func (r *Run) dropCopy(c *Copy) {
+	r.server.Book.Remove(c.Dest.Key(), c.Reserved)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+		defer cancel()
+		if err := r.server.Engines.Release(ctx, c.Source.Address, c.Handle); err != nil {
+			r.Log().Info("stream: unused copy is left to expire", "source", c.Source.ID, "copy", c.Handle, "error", err.Error())
+		}
+	}()
+}
--- a/internal/edge/streaming/forward.go
+++ b/internal/edge/streaming/forward.go
@@ -27,6 +27,9 @@
 		s.close()
 		if err == errCallerGone {
 			r.leave()
+			if c, _ := r.takeCopy(); c != nil {
+				r.dropCopy(c)
+			}
 			return edge.ReasonCallerGone
 		}
 		next, reason := r.after(ctx, source, err)
@@ -80,51 +83,69 @@
 // after decides what follows the end of a segment: the next segment, or the word
 // that says how the stream ends.
 func (r *Run) after(ctx context.Context, source *targets.Target, err error) (*segment, string) {
-	if f := r.pendingFinal(); f != nil && ctx.Err() == nil {
-		return r.afterFinal(ctx, source, f, err)
-	}
 	r.leave()
-	if err == io.EOF {
+	c, stopping := r.takeCopy()
+	switch {
+	case c == nil && err == io.EOF:
+		return nil, ended
+	case c == nil:
+		return nil, brokenOff
+	case ctx.Err() != nil:
+		r.dropCopy(c)
+		return nil, brokenOff
+	case stopping:
+		return r.afterStop(ctx, source, c, err)
+	case err == io.EOF:
+		r.dropCopy(c)
 		return nil, ended
 	}
-	return nil, brokenOff
+	// The engine died under the run, but not before its memory was copied.
+	return r.resumeAt(ctx, c, c.Handle)
 }
 
-// afterFinal waits for the outcome of a final copy and continues at the copy.
-func (r *Run) afterFinal(ctx context.Context, source *targets.Target, f *Final, err error) (*segment, string) {
-	timer := time.NewTimer(finalPatience)
+// afterStop waits for the outcome of the final copy and continues at the copy.
+func (r *Run) afterStop(ctx context.Context, source *targets.Target, c *Copy, err error) (*segment, string) {
+	timer := time.NewTimer(stopPatience)
 	defer timer.Stop()
+	moved := edge.Moved{Result: edge.MoveUnknown}
 	select {
-	case <-f.done:
+	case <-c.done:
+		moved = c.moved
 	case <-timer.C:
-		r.leave()
-		return nil, lostInMove
 	case <-ctx.Done():
-		r.leave()
+		r.dropCopy(c)
 		return nil, brokenOff
 	}
-	r.leave()
-	if !stopped(f.Moved) {
-		if err == io.EOF && f.Moved.Result == edge.MoveNoRun {
-			return nil, ended // the run was over before the copy
-		}
-		return nil, lostInMove
+	if err == io.EOF && moved.Result == edge.MoveNoRun {
+		r.dropCopy(c)
+		return nil, ended // the run was over before the final copy
 	}
-	from := &edge.Copy{Address: source.Address, Handle: f.Moved.Handle}
-	if f.Moved.Result == edge.MoveCopied {
-		if next := r.resume(ctx, f.Dest, f.Reserved, from); next != nil {
-			return next, ""
-		}
+	handle := c.Handle
+	if halted(moved) {
+		handle = moved.Handle
+	}
+	next, reason := r.resumeAt(ctx, c, handle)
+	if next != nil || !halted(moved) {
+		return next, reason
 	}
 	// The source keeps the memory of a run that it stopped.
 	counted := r.server.load(r.call, r.events)
 	r.server.Book.Add(source.Key(), counted)
-	if next := r.resume(ctx, source, counted, from); next != nil {
+	if next := r.resume(ctx, source, counted, &edge.Copy{Address: source.Address, Handle: handle}); next != nil {
 		return next, ""
 	}
 	return nil, lostInMove
 }
 
+// resumeAt continues the run where its copy is.
+func (r *Run) resumeAt(ctx context.Context, c *Copy, handle string) (*segment, string) {
+	next := r.resume(ctx, c.Dest, c.Reserved, &edge.Copy{Address: c.Source.Address, Handle: handle})
+	if next == nil {
+		return nil, lostInMove
+	}
+	return next, ""
+}
+
 // resume continues the run from a copy of its memory, or returns nil.
 func (r *Run) resume(ctx context.Context, t *targets.Target, counted loadbook.Load, from *edge.Copy) *segment {
 	started := time.Now()
--- a/internal/edge/streaming/run.go
+++ b/internal/edge/streaming/run.go
@@ -4,7 +4,6 @@
 	"log/slog"
 	"net/http"
 	"sync"
-	"time"
 
 	"corianderhitch/internal/edge"
 	"corianderhitch/internal/edge/bootclock"
@@ -13,17 +12,6 @@
 	"corianderhitch/internal/edge/targets"
 )
 
-// Final is a final copy of a run's memory that is under way or done.
-type Final struct {
-	Source *targets.Target
-	Dest   *targets.Target
-	// Reserved is counted in the load book for Dest. The run takes it over if it
-	// was copied.
-	Reserved loadbook.Load
-	Moved    edge.Moved // set before done is closed
-	done     chan struct{}
-}
-
 // Run is one generation in flight. Its stream is read by the goroutine of the
 // caller's request; a migration works beside it.
 type Run struct {
@@ -42,7 +30,7 @@
 	segment *segment        // guarded by mu
 	events  int             // guarded by mu; that the caller has
 	counted loadbook.Load   // guarded by mu; in the load book for target
-	final   *Final          // guarded by mu; nil if none is under way
+	copied  *Copy           // guarded by mu; of the memory, made at the present target
 }
 
 // ID returns the request id, which names the run at the target.
@@ -78,36 +66,6 @@
 // Remaining returns the output tokens that are expected to come.
 func (r *Run) Remaining() int { return max(0, r.Expected()-r.Held()) }
 
-// BeginFinal announces that the run is about to be stopped at its target, so
-// that the end of its stream is not taken for its completion. It returns nil if
-// the run is elsewhere by now or another final copy is under way.
-func (r *Run) BeginFinal(source, dest *targets.Target, reserved loadbook.Load) *Final {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.final != nil || r.target == nil || r.target.Key() != source.Key() {
-		return nil
-	}
-	r.final = &Final{Source: source, Dest: dest, Reserved: reserved, done: make(chan struct{})}
-	return r.final
-}
-
-// EndFinal reports the outcome of the final copy. If the run goes on at its
-// target nothing changes; otherwise the reader continues it at the copy.
-func (r *Run) EndFinal(f *Final, moved edge.Moved) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	f.Moved = moved
-	if !stopped(moved) {
-		r.final = nil
-	}
-	close(f.done)
-}
-
-// stopped tells whether the run does not run at the source any more.
-func stopped(m edge.Moved) bool {
-	return m.Result == edge.MoveCopied || (m.Result == edge.MoveNoRoom && m.Handle != "")
-}
-
 func (r *Run) prompt() int {
 	if g := r.call.Call.Generation; g != nil {
 		return g.PromptTokens
@@ -118,12 +76,12 @@
 // enter records the target that the run is at now. Its load was counted before.
 func (r *Run) enter(s *segment, counted loadbook.Load) {
 	r.mu.Lock()
-	r.target, r.segment, r.counted, r.final = s.target, s, counted, nil
+	r.target, r.segment, r.counted = s.target, s, counted
 	r.mu.Unlock()
 	r.server.Runs.put(r, s.target.Key())
 }
 
-// leave takes the run off its target.
+// leave takes the run off its target. A copy of its memory stays known.
 func (r *Run) leave() {
 	r.mu.Lock()
 	t, counted := r.target, r.counted
@@ -150,24 +108,14 @@
 	r.counted = now
 }
 
-// pendingFinal returns the final copy that the end of the stream belongs to.
-func (r *Run) pendingFinal() *Final {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.final
-}
-
 // Service returns the service that the run is of.
 func (r *Run) Service() *policy.Service { return r.call.Service }
 
-// CutSource ends the stream at the source of a final copy if the source has not
-// closed it by itself after a while.
-func (r *Run) CutSource(f *Final, after time.Duration) {
-	time.AfterFunc(after, func() {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		if r.final == f && r.segment != nil {
-			r.segment.cancel()
-		}
-	})
+// cutSegment ends the stream from the present target.
+func (r *Run) cutSegment(c *Copy) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.copied == c && r.segment != nil {
+		r.segment.cancel()
+	}
 }
--- a/internal/edge/streaming/server.go
+++ b/internal/edge/streaming/server.go
@@ -35,8 +35,6 @@
 	// comeBack is when a refused run may return: a run ends on some engine every
 	// few hundred milliseconds.
 	comeBack = 400 * time.Millisecond
-	// finalPatience bounds the wait for the outcome of a final copy.
-	finalPatience = 2500 * time.Millisecond
 )
 
 // Server serves streaming routes.
