--- a/internal/edge/process/adapter.go
+++ b/internal/edge/process/adapter.go
@@ -1,6 +1,7 @@
 package process
 
 import (
+	"io"
 	"net/http"
 
 	"corianderhitch/internal/edge"
@@ -21,7 +22,8 @@
 	TargetPrefix        string // of the targets' entries in the store
 	DecodeConfiguration func([]byte) (*policy.Configuration, error)
 	DecodeTarget        func(key string, value []byte) (targets.Target, error)
-	ReadyPath           string // where the platform asks for readiness
+	ReadyPath           string    // where the platform asks for readiness
+	Logs                io.Writer // nil for standard output
 }
 
 func (a *Adapter) requestID(h http.Header) string { return a.Wire.RequestID(h) }
--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -101,7 +101,11 @@
 // Run returns the main function of the process for a platform.
 func Run(adapter Adapter) func(ctx context.Context, _ io.Writer, s Settings) error {
 	return func(ctx context.Context, _ io.Writer, s Settings) error {
-		lines := decisionlog.NewWriter(os.Stdout)
+		out := adapter.Logs
+		if out == nil {
+			out = os.Stdout
+		}
+		lines := decisionlog.NewWriter(out)
 		defer lines.Close()
 		root := logging.New(lines, s.logSettings())
 		log := slog.New(decisionlog.NewSampler(root.Handler()))
--- /dev/null
+++ b/tests/edge/desk_test.go
@@ -0,0 +1,155 @@
+package edge_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// deskServer is a stand-in of a plain service's target.
+type deskServer struct {
+	*httptest.Server
+	id string
+
+	mu       sync.Mutex
+	arrivals []*http.Request                              // guarded by mu
+	behave   func(w http.ResponseWriter, r *http.Request) // guarded by mu; nil for a good answer
+}
+
+func (f *fleet) desk(id string) *deskServer {
+	d := &deskServer{id: id}
+	d.Server = httptest.NewServer(http.HandlerFunc(d.serve))
+	f.t.Cleanup(d.Close)
+	f.register(id, desk, d.Listener.Addr().String(), "ready")
+	return d
+}
+
+func (d *deskServer) serve(w http.ResponseWriter, r *http.Request) {
+	d.mu.Lock()
+	d.arrivals = append(d.arrivals, r.Clone(r.Context()))
+	behave := d.behave
+	d.mu.Unlock()
+	if expected := r.Header.Get("Expect-Instance"); expected != d.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if behave != nil {
+		behave(w, r)
+		return
+	}
+	good(w, r)
+}
+
+func (d *deskServer) set(behave func(http.ResponseWriter, *http.Request)) {
+	d.mu.Lock()
+	d.behave = behave
+	d.mu.Unlock()
+}
+
+func (d *deskServer) seen() []*http.Request {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return append([]*http.Request(nil), d.arrivals...)
+}
+
+func good(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	w.Header().Set("Response-Signature", "signed")
+	_, _ = fmt.Fprintf(w, "done %s", r.Header.Get("Request-Id"))
+}
+
+// failing answers with the target's own failure, which counts as run.
+func failing(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	w.Header().Set("Response-Signature", "signed")
+	w.WriteHeader(http.StatusInternalServerError)
+}
+
+// shedding says that the request was not run.
+func shedding(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Not-Executed", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// closing reads the request and closes the connection without an answer.
+func closing(w http.ResponseWriter, _ *http.Request) { raw(w, "") }
+
+// raw writes bytes as they are and closes the connection.
+func raw(w http.ResponseWriter, text string) {
+	conn, buffer, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	_, _ = buffer.WriteString(text)
+	_ = buffer.Flush()
+	_ = conn.Close()
+}
+
+// reset breaks the connection off after some bytes.
+func reset(w http.ResponseWriter, text string) {
+	conn, buffer, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	_, _ = buffer.WriteString(text)
+	_ = buffer.Flush()
+	_ = conn.(*net.TCPConn).SetLinger(0)
+	_ = conn.Close()
+}
+
+func total(servers ...*deskServer) int {
+	n := 0
+	for _, s := range servers {
+		n += len(s.seen())
+	}
+	return n
+}
+
+// deskFleet starts a host before desks d-1, d-2, ...
+func deskFleet(t *testing.T, n int) (*fleet, *host, []*deskServer) {
+	f := newFleet(t)
+	f.configure()
+	var desks []*deskServer
+	for i := range n {
+		desks = append(desks, f.desk(fmt.Sprintf("d-%d", i+1)))
+	}
+	return f, f.start(), desks
+}
+
+// rawDesk serves connections by hand: answer returns the bytes for the n-th
+// request of a connection.
+func (f *fleet) rawDesk(id string, answer func(n int, r *http.Request) string) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(f.t, err)
+	f.t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				reader := bufio.NewReader(conn)
+				for n := 0; ; n++ {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					if _, err := io.WriteString(conn, answer(n, r)); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	f.register(id, desk, listener.Addr().String(), "ready")
+}
--- /dev/null
+++ b/tests/edge/stream_test.go
@@ -0,0 +1,175 @@
+package edge_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	longDraft  = 200 // events, about a second
+	shortDraft = 5
+)
+
+func engineFleet(t *testing.T, n int) (*fleet, *host, []*engineServer) {
+	f := newFleet(t)
+	f.configure()
+	set := &engineSet{byAddr: map[string]*engineServer{}}
+	var all []*engineServer
+	for i := range n {
+		all = append(all, f.engine(set, fmt.Sprintf("e-%d", i+1)))
+	}
+	return f, f.start(), all
+}
+
+// busyOne returns the engine that has a run, and the others.
+func busyOne(t *testing.T, all []*engineServer) (*engineServer, []*engineServer) {
+	t.Helper()
+	for deadline := time.Now().Add(waitFor); time.Now().Before(deadline); time.Sleep(checkEvery) {
+		for i, e := range all {
+			select {
+			case <-e.busy:
+				return e, append(append([]*engineServer(nil), all[:i]...), all[i+1:]...)
+			default:
+			}
+		}
+	}
+	t.Fatal("no run began")
+	return nil, nil
+}
+
+func async(r *http.Request) <-chan answer {
+	out := make(chan answer, 1)
+	go func() { out <- send(r) }()
+	return out
+}
+
+func TestStreamPassesUnchanged(t *testing.T) {
+	_, h, all := engineFleet(t, 1)
+	a := send(draft(t.Context(), h, "r-1", shortDraft))
+	require.NoError(t, a.err)
+	require.Equal(t, wholeStream("r-1", shortDraft), a.body)
+	require.Equal(t, "text/event-stream", a.header.Get("Content-Type"))
+	require.Equal(t, "signed", a.header.Get("Response-Signature"))
+	require.Equal(t, []string{"r-1"}, all[0].list(&all[0].starts))
+}
+
+func TestRunMovesOffALeavingEngine(t *testing.T) {
+	f, h, all := engineFleet(t, 3)
+	pending := async(draft(t.Context(), h, "r-1", longDraft))
+	source, others := busyOne(t, all)
+	f.register(source.id, engines, source.address(), "draining")
+	a := <-pending
+	require.NoError(t, a.err)
+	require.Equal(t, wholeStream("r-1", longDraft), a.body)
+	resumed := 0
+	for _, e := range others {
+		resumed += len(e.list(&e.resumed))
+		require.Empty(t, e.list(&e.starts))
+		require.Zero(t, e.held())
+	}
+	require.Equal(t, 1, resumed)
+}
+
+// All runs of a leaving engine go on, whatever host they came through.
+func TestLeavingEngineIsEmptiedByAllHosts(t *testing.T) {
+	f, first, all := engineFleet(t, 1)
+	second := f.start()
+	var pending []<-chan answer
+	for i := range 6 {
+		h := []*host{first, second}[i%2]
+		pending = append(pending, async(draft(t.Context(), h, fmt.Sprintf("r-%d", i), longDraft)))
+	}
+	require.Eventually(t, func() bool { return len(all[0].list(&all[0].starts)) == 6 }, waitFor, checkEvery)
+	f.engine(all[0].all, "e-2")
+	f.engine(all[0].all, "e-3")
+	for _, h := range f.hosts {
+		require.Eventually(t, func() bool { return bytesContain(h, `"target":"e-3"`) }, waitFor, checkEvery)
+	}
+	f.register("e-1", engines, all[0].address(), "draining")
+	for i, p := range pending {
+		a := <-p
+		require.NoError(t, a.err)
+		require.Equal(t, wholeStream(fmt.Sprintf("r-%d", i), longDraft), a.body)
+	}
+}
+
+// The engine dies between the first copy and the final one.
+func TestRunGoesOnAtItsCopyWhenTheEngineDies(t *testing.T) {
+	f, h, all := engineFleet(t, 2)
+	pending := async(draft(t.Context(), h, "r-1", longDraft))
+	source, _ := busyOne(t, all)
+	var once sync.Once
+	source.mu.Lock()
+	source.onMove = func(final bool) {
+		if !final {
+			once.Do(func() { time.AfterFunc(time.Millisecond, source.crash) })
+		}
+	}
+	source.mu.Unlock()
+	f.register(source.id, engines, source.address(), "draining")
+	a := <-pending
+	require.NoError(t, a.err)
+	require.Equal(t, wholeStream("r-1", longDraft), a.body)
+}
+
+// A stream that nothing can continue must not look whole.
+func TestBrokenStreamDoesNotLookWhole(t *testing.T) {
+	_, h, all := engineFleet(t, 2)
+	pending := async(draft(t.Context(), h, "r-1", longDraft))
+	source, others := busyOne(t, all)
+	time.Sleep(20 * eventEvery)
+	source.crash()
+	a := <-pending
+	require.Error(t, a.err)
+	require.Equal(t, wholeStream("r-1", longDraft)[:len(a.body)], a.body)
+	require.Empty(t, others[0].list(&others[0].starts))
+}
+
+func TestRunIsCanceledWhenItsCallerLeaves(t *testing.T) {
+	_, h, all := engineFleet(t, 1)
+	ctx, cancel := context.WithCancel(t.Context())
+	response, err := client().Do(draft(ctx, h, "r-1", 4000))
+	require.NoError(t, err)
+	_, err = bufio.NewReader(response.Body).ReadString('\n')
+	require.NoError(t, err)
+	cancel()
+	_ = response.Body.Close()
+	require.Eventually(t, func() bool { return len(all[0].list(&all[0].canceled)) == 1 }, 500*time.Millisecond, checkEvery)
+}
+
+func TestUnreachableEngineIsPassedOver(t *testing.T) {
+	f, h, _ := engineFleet(t, 1)
+	f.register("e-9", engines, closedAddress(), "ready")
+	require.Eventually(t, func() bool { return bytesContain(h, `"target":"e-9"`) }, waitFor, checkEvery)
+	for i := range 4 {
+		a := send(draft(t.Context(), h, fmt.Sprintf("r-%d", i), shortDraft))
+		require.Equal(t, http.StatusOK, a.status)
+	}
+}
+
+// A planned stop lets streams end and says that the connection will.
+func TestStopCutsNothing(t *testing.T) {
+	f := newFleet(t)
+	f.grace = 4 * time.Second
+	f.configure()
+	set := &engineSet{byAddr: map[string]*engineServer{}}
+	e := f.engine(set, "e-1")
+	h := f.start()
+	pending := async(draft(t.Context(), h, "r-1", longDraft))
+	<-e.busy
+	h.stop()
+	require.Eventually(t, func() bool { return !h.isReady() }, waitFor, checkEvery)
+	late := async(draft(t.Context(), h, "r-2", shortDraft)) // callers come until the platform has noticed
+	a, b := <-pending, <-late
+	require.NoError(t, a.err)
+	require.Equal(t, wholeStream("r-1", longDraft), a.body)
+	require.NoError(t, b.err)
+	require.Equal(t, wholeStream("r-2", shortDraft), b.body)
+}
