Follow the store by two hubs for the whole fleet

News between hosts went from each to each. Change: the two largest hosts follow the store; the others sync with both, which carries loads, leaving targets, list changes and a vouched confirmation in one call, and follow the store themselves when no live hub answers for 0.9 s. Conclusion: kept for its growth with the fleet.

--- a/internal/edge/feed/feed.go
+++ b/internal/edge/feed/feed.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"corianderhitch/internal/edge/bootclock"
@@ -13,9 +14,6 @@
 )
 
 const (
-	// watchPause is the least time between two watches, so that changes close
-	// together cost one call.
-	watchPause = 60 * time.Millisecond
 	// retryPause follows a failed call.
 	retryPause = 250 * time.Millisecond
 )
@@ -41,25 +39,39 @@
 	Outage time.Duration
 	// Settle is how long they are doubted after its return.
 	Settle time.Duration
+	// Pause is the least time between two watches, so that changes close together
+	// cost one call.
+	Pause time.Duration
+
+	live atomic.Bool
 }
 
+// Live tells whether the prefix is being followed at this moment.
+func (f *Feed) Live() bool { return f.live.Load() }
+
 // Run follows the prefix until ctx ends.
 func (f *Feed) Run(ctx context.Context) {
 	reached := bootclock.Now()
 	down := false
+	defer f.live.Store(false)
 	for ctx.Err() == nil {
 		revision, err := f.list(ctx, reached)
 		for err == nil {
 			reached = bootclock.Now()
+			f.live.Store(true)
 			if down {
 				down = false
 				f.Log.Info("feed: store is reachable again", "prefix", f.Prefix, "revision", revision)
 			}
-			sleep(ctx, watchPause)
+			sleep(ctx, f.Pause)
 			revision, err = f.watch(ctx, revision)
 		}
-		if ctx.Err() != nil || errors.Is(err, platform.ErrCompacted) {
-			f.Log.Info("feed: list again", "prefix", f.Prefix, "reason", err.Error())
+		f.live.Store(errors.Is(err, platform.ErrCompacted))
+		if ctx.Err() != nil {
+			return
+		}
+		if errors.Is(err, platform.ErrCompacted) {
+			f.Log.Info("feed: list again because the store dropped the history", "prefix", f.Prefix)
 			continue
 		}
 		if !down {
@@ -103,7 +115,7 @@
 			f.Sink.Apply(written(events), next)
 			revision = next
 		}
-		sleep(ctx, min(left, watchPause))
+		sleep(ctx, min(left, f.Pause))
 		if ctx.Err() != nil {
 			return 0, ctx.Err()
 		}
--- a/internal/edge/freshness/confirmer.go
+++ b/internal/edge/freshness/confirmer.go
@@ -30,7 +30,7 @@
 type Confirmer struct {
 	log    *slog.Logger
 	source Source
-	period time.Duration
+	period func() time.Duration
 	asOf   atomic.Int64 // bootclock.Instant; 0 before the first confirmation
 
 	mu      sync.Mutex
@@ -38,8 +38,9 @@
 	lost    bool          // guarded by mu
 }
 
-// New returns a Confirmer that confirms once a period while Run runs.
-func New(log *slog.Logger, period time.Duration, source Source) *Confirmer {
+// New returns a Confirmer that confirms when the last one is a period old, while
+// Run runs.
+func New(log *slog.Logger, period func() time.Duration, source Source) *Confirmer {
 	return &Confirmer{log: log, source: source, period: period}
 }
 
@@ -52,10 +53,10 @@
 // Run confirms until ctx ends.
 func (c *Confirmer) Run(ctx context.Context) {
 	for {
-		pause := c.period - c.Age()
+		pause := c.period() - c.Age()
 		if pause <= 0 {
 			<-c.attempt(ctx)
-			if c.Age() >= c.period {
+			if c.Age() >= c.period() {
 				pause = retryPause
 			}
 		}
@@ -101,9 +102,19 @@
 	return done
 }
 
+// Note takes a confirmation that came by another way.
+func (c *Confirmer) Note(asOf bootclock.Instant) {
+	for {
+		old := c.asOf.Load()
+		if int64(asOf) <= old || c.asOf.CompareAndSwap(old, int64(asOf)) {
+			return
+		}
+	}
+}
+
 func (c *Confirmer) finish(asOf bootclock.Instant, err error) {
-	if err == nil && int64(asOf) > c.asOf.Load() {
-		c.asOf.Store(int64(asOf))
+	if err == nil {
+		c.Note(asOf)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/edge/ingress/handler.go
+++ b/internal/edge/ingress/handler.go
@@ -25,9 +25,10 @@
 	firstConfigurationComeBack = 500 * time.Millisecond
 	// unconfirmedComeBack is the same while the store cannot be reached.
 	unconfirmedComeBack = time.Second
-	// doubtAge is the age of the configuration from which a route or key that it
-	// lacks is looked up in the store before the request is denied.
-	doubtAge = 700 * time.Millisecond
+	// doubtAge is the age of the last confirmation from which a route or key that
+	// the configuration lacks is looked up in the store before the request is
+	// denied. Younger ones come from a source that passes changes on at once.
+	doubtAge = 3500 * time.Millisecond
 	// doubtPatience bounds that lookup.
 	doubtPatience = 400 * time.Millisecond
 	// defaultMaxBody applies where the configuration sets no limit.
--- a/internal/edge/loadbook/book.go
+++ b/internal/edge/loadbook/book.go
@@ -37,17 +37,27 @@
 	at    bootclock.Instant
 }
 
+func (p *peer) fresh(now bootclock.Instant) bool { return now.Sub(p.at) <= peerMemory }
+
+// totalAge is how long the sum over all hosts is used before it is made again.
+const totalAge = 20 * time.Millisecond
+
 // Book is safe for concurrent use.
 type Book struct {
+	host string
+
 	mu      sync.Mutex
-	own     map[string]Load // guarded by mu; by incarnation of the target
-	peers   map[string]peer // guarded by mu; by host
-	changed chan struct{}   // guarded by mu; closed at the next fall of a load
+	own     map[string]Load            // guarded by mu; by incarnation of the target
+	peers   map[string]peer            // guarded by mu; what hosts told this one, by host
+	fleet   peer                       // guarded by mu; what a hub told of all other hosts
+	parts   map[string]map[string]Load // guarded by mu; the same by target and host, for targets that leave
+	total   peer                       // guarded by mu; sum of own and peers
+	changed chan struct{}              // guarded by mu; closed at the next fall of a load
 }
 
-// New returns an empty book.
-func New() *Book {
-	return &Book{own: make(map[string]Load), peers: make(map[string]peer), changed: make(chan struct{})}
+// New returns the empty book of a host.
+func New(host string) *Book {
+	return &Book{host: host, own: make(map[string]Load), peers: make(map[string]peer), changed: make(chan struct{})}
 }
 
 // Add adds to the own load of a target.
@@ -82,30 +92,115 @@
 	b.wake()
 }
 
-// Load returns the load of a target by all hosts.
+// SetParts takes the loads of targets that leave by host.
+func (b *Book) SetParts(parts map[string]map[string]Load) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.parts = parts
+}
+
+// SetFleet takes the loads of all other hosts together, and by host for targets
+// that leave.
+func (b *Book) SetFleet(loads map[string]Load, parts map[string]map[string]Load) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.fleet = peer{loads: loads, at: bootclock.Now()}
+	b.parts = parts
+	b.wake()
+}
+
+// Load returns the load of a target by all hosts. What a hub told goes before
+// what single hosts did: it is the whole.
 func (b *Book) Load(target string) Load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	sum := b.own[target]
 	now := bootclock.Now()
+	if b.fleet.fresh(now) {
+		return b.own[target].Plus(b.fleet.loads[target])
+	}
+	return b.own[target].Plus(b.told(target, "", now))
+}
+
+// told sums what hosts told of a target, without one host. Callers hold b.mu.
+func (b *Book) told(target, without string, now bootclock.Instant) Load {
+	sum := Load{}
 	for host, p := range b.peers {
-		if now.Sub(p.at) > peerMemory {
+		if host != without && p.fresh(now) {
+			sum = sum.Plus(p.loads[target])
+		}
+	}
+	return sum
+}
+
+// Others returns the loads of all hosts but one, as this host knows them.
+func (b *Book) Others(host string) map[string]Load {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := bootclock.Now()
+	if now.Sub(b.total.at) > totalAge {
+		b.total = peer{loads: b.sum(now), at: now}
+	}
+	out := make(map[string]Load, len(b.total.loads))
+	without := b.peers[host].loads
+	for target, l := range b.total.loads {
+		if l = l.Minus(without[target]); l.Runs > 0 {
+			out[target] = l
+		}
+	}
+	return out
+}
+
+// sum adds up own and told loads, and forgets hosts that are silent. Callers hold
+// b.mu.
+func (b *Book) sum(now bootclock.Instant) map[string]Load {
+	total := make(map[string]Load, len(b.own))
+	for target, l := range b.own {
+		total[target] = l
+	}
+	for host, p := range b.peers {
+		if !p.fresh(now) {
 			delete(b.peers, host)
 			continue
 		}
-		sum = sum.Plus(p.loads[target])
+		for target, l := range p.loads {
+			total[target] = total[target].Plus(l)
+		}
 	}
-	return sum
+	return total
 }
 
-// ByHost returns the loads of a target by the other hosts that have any there.
+// Parts returns the loads of targets by host, as this host knows them.
+func (b *Book) Parts(targets []string) map[string]map[string]Load {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make(map[string]map[string]Load)
+	for _, target := range targets {
+		if parts := b.byHost(target); len(parts) > 0 {
+			out[target] = parts
+		}
+	}
+	return out
+}
+
+// ByHost returns the loads of a target by the hosts that have any there.
 func (b *Book) ByHost(target string) map[string]Load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	out := make(map[string]Load)
+	if parts := b.parts[target]; len(parts) > 0 {
+		return parts
+	}
+	return b.byHost(target)
+}
+
+// byHost is ByHost from what hosts told. Callers hold b.mu.
+func (b *Book) byHost(target string) map[string]Load {
 	now := bootclock.Now()
+	out := make(map[string]Load)
+	if l := b.own[target]; l.Runs > 0 {
+		out[b.host] = l
+	}
 	for host, p := range b.peers {
-		if l := p.loads[target]; l.Runs > 0 && now.Sub(p.at) <= peerMemory {
+		if l := p.loads[target]; l.Runs > 0 && p.fresh(now) {
 			out[host] = l
 		}
 	}
--- a/internal/edge/peers/exchange.go
+++ b/internal/edge/peers/exchange.go
@@ -1,6 +1,8 @@
 // Package peers joins the edge processes of a fleet: who they are, what each has
 // in flight, which targets leave, and whether the configuration is the newest.
-// All of it but the last are hints: when they are wrong, choices are worse.
+// Each host tells a few hubs and learns the rest from them, so that the messages
+// grow with the number of hosts and not with its square. All of it but the
+// configuration's age are hints: when they are wrong, choices are worse.
 package peers
 
 import (
@@ -17,36 +19,60 @@
 	"corianderhitch/internal/edge/freshness"
 	"corianderhitch/internal/edge/loadbook"
 	"corianderhitch/internal/edge/policy"
+	"corianderhitch/internal/edge/relay"
 	"corianderhitch/internal/edge/targets"
 	"corianderhitch/internal/rpcconn"
 )
 
 const (
-	// exchangePeriod is the age that loads of other hosts reach. A run takes
-	// seconds, so that a fifth of one spreads them well enough.
-	exchangePeriod = 200 * time.Millisecond
+	// leastSyncPeriod is the age that loads of other hosts reach in a small fleet:
+	// within it, hosts choose the same empty engine.
+	leastSyncPeriod = 80 * time.Millisecond
+	// syncPerHost makes the period grow with the fleet, so that a hub answers at
+	// most 250 calls a second.
+	syncPerHost = 4 * time.Millisecond
 	// callTimeout bounds a call between hosts.
 	callTimeout = 400 * time.Millisecond
+	// hubSilence is how long the hubs may be silent before this host follows the
+	// store itself: two lost calls.
+	hubSilence = 900 * time.Millisecond
+	// noticeGather collects notices that come close together into one call.
+	noticeGather = 5 * time.Millisecond
+	// vouchPeers is how many hosts are asked to vouch at once.
+	vouchPeers = 4
 	// serviceName is the name of the net/rpc service.
 	serviceName = "Peer"
 )
 
-// Exchange tells the other hosts news and asks them to vouch.
+// Exchange joins this host with the others.
 type Exchange struct {
 	Log       *slog.Logger
 	Host      string
 	Members   *Members
 	Book      *loadbook.Book
 	Targets   *targets.Registry
+	List      *relay.Log
 	Policy    *policy.Holder
 	Confirmer *freshness.Confirmer
+	// Live tells whether this host follows the store itself at this moment.
+	Live func() bool
 
 	pool   *rpcconn.Pool
 	server *rpcconn.Server
-	kick   chan struct{}
+	kick   chan struct{} // holds one pending announcement
+	hurry  chan struct{} // holds one pending Sync
 
 	mu    sync.Mutex
-	quiet map[string]bool // guarded by mu; hosts that did not answer last
+	quiet map[string]bool   // guarded by mu; hosts that did not answer last
+	heard bootclock.Instant // guarded by mu; last answer of a hub that is live
+}
+
+// Init prepares the exchange, before any of its methods is called.
+func (e *Exchange) Init() {
+	e.pool = rpcconn.NewPool(rpcconn.TCP)
+	e.kick = make(chan struct{}, 1)
+	e.hurry = make(chan struct{}, 1)
+	e.quiet = make(map[string]bool)
 }
 
 // Start listens for the other hosts.
@@ -59,10 +85,7 @@
 	if err := services.RegisterName(serviceName, &service{e}); err != nil {
 		return eris.Wrap(err, "peers: service cannot be registered")
 	}
-	e.pool = rpcconn.NewPool(rpcconn.TCP)
 	e.server = rpcconn.Serve(listener, services)
-	e.kick = make(chan struct{}, 1)
-	e.quiet = make(map[string]bool)
 	return nil
 }
 
@@ -72,7 +95,7 @@
 	e.server.Stop()
 }
 
-// Kick makes news go out at once.
+// Kick makes notices go out at once.
 func (e *Exchange) Kick() {
 	select {
 	case e.kick <- struct{}{}:
@@ -80,46 +103,105 @@
 	}
 }
 
-// Run exchanges news until ctx ends. Of two hosts the one with the lesser name
-// calls; news that cannot wait goes to all.
+// Hurry makes the next Sync come at once: a hub has news.
+func (e *Exchange) Hurry() {
+	select {
+	case e.hurry <- struct{}{}:
+	default:
+	}
+}
+
+// Run syncs with the hubs until ctx ends.
 func (e *Exchange) Run(ctx context.Context) {
-	ticker := time.NewTicker(exchangePeriod)
-	defer ticker.Stop()
+	go e.announce(ctx)
+	timer := time.NewTimer(leastSyncPeriod)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-e.hurry:
+		case <-timer.C:
+		}
+		timer.Reset(max(leastSyncPeriod, syncPerHost*time.Duration(e.Members.Count())))
+		for _, hub := range e.Members.Hubs() {
+			if hub.Name != e.Host {
+				go e.sync(ctx, hub)
+			}
+		}
+	}
+}
+
+// announce sends notices to the hosts that do not hear of them otherwise: a hub
+// to all hosts, another host to the hubs.
+func (e *Exchange) announce(ctx context.Context) {
 	for {
-		urgent := false
 		select {
 		case <-ctx.Done():
 			return
 		case <-e.kick:
-			urgent = true
-		case <-ticker.C:
 		}
-		news := e.news()
-		for host, address := range e.Members.Hosts() {
-			if urgent || e.Host < host {
-				go e.tell(ctx, host, address, news)
+		sleep(ctx, noticeGather)
+		args := NoticeArgs{Host: e.Host, Leaving: e.Targets.Notices()}
+		receivers := e.Members.Hubs()
+		if e.IsHub() {
+			receivers = e.Members.All()
+			args.Parts = e.Book.Parts(args.Leaving)
+		}
+		for _, host := range receivers {
+			if host.Name != e.Host {
+				go func() { _ = e.call(ctx, host.Name, host.Address, "Notice", args, new(NoticeReply)) }()
 			}
 		}
 	}
 }
 
-func (e *Exchange) news() News {
-	return News{Host: e.Host, Loads: e.Book.Own(), Leaving: e.Targets.Notices()}
+// IsHub tells whether this host follows the store for others.
+func (e *Exchange) IsHub() bool {
+	for _, hub := range e.Members.Hubs() {
+		if hub.Name == e.Host {
+			return true
+		}
+	}
+	return false
 }
 
-func (e *Exchange) tell(ctx context.Context, host, address string, news News) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	reply := new(News)
-	err := e.pool.Call(ctx, address, serviceName+".Exchange", news, reply)
-	e.answered(host, address, err)
-	if err == nil {
-		e.take(reply)
+// Served tells whether a hub that is live answered lately.
+func (e *Exchange) Served() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.heard != 0 && bootclock.Since(e.heard) < hubSilence
+}
+
+func (e *Exchange) sync(ctx context.Context, hub relay.Host) {
+	args := SyncArgs{Host: e.Host, Loads: e.Book.Own(), Leaving: e.Targets.Notices(), ListRevision: e.List.Revision()}
+	if p := e.Policy.Current(); p != nil {
+		args.PolicyRevision = p.Revision
+	}
+	asked := bootclock.Now()
+	reply := new(SyncReply)
+	if err := e.call(ctx, hub.Name, hub.Address, "Sync", args, reply); err != nil {
+		return // call logs it
+	}
+	e.Book.SetFleet(reply.Fleet, reply.Parts)
+	e.takeLeaving(hub.Name, reply.Leaving)
+	if asOf, ok := e.takeVouch(hub.Address, asked, &reply.Vouch); ok {
+		e.Confirmer.Note(asOf)
+	}
+	if !reply.Live {
+		return
 	}
+	e.List.Take(reply.List)
+	e.mu.Lock()
+	e.heard = max(e.heard, asked)
+	e.mu.Unlock()
 }
 
-// answered logs when a host falls silent and when it is back.
-func (e *Exchange) answered(host, address string, err error) {
+// call calls a host and logs when it falls silent and when it is back.
+func (e *Exchange) call(ctx context.Context, host, address, method string, args, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := e.pool.Call(ctx, address, serviceName+"."+method, args, reply)
 	if err != nil {
 		e.pool.Forget(address)
 	}
@@ -128,32 +210,32 @@
 	e.quiet[host] = err != nil
 	e.mu.Unlock()
 	switch {
-	case err != nil && !before:
+	case err != nil && !before && ctx.Err() != context.Canceled:
 		e.Log.Warn("peers: host does not answer", "host", host, "address", address, "error", err.Error())
 	case err == nil && before:
 		e.Log.Info("peers: host answers again", "host", host)
 	}
+	return err
 }
 
-func (e *Exchange) take(n *News) {
-	e.Book.SetPeer(n.Host, n.Loads)
-	for _, key := range n.Leaving {
-		e.Targets.Leaving(key, "peer "+n.Host)
+func (e *Exchange) takeLeaving(host string, keys []string) {
+	for _, key := range keys {
+		e.Targets.Leaving(key, "peer "+host)
 	}
 }
 
-// Vouch asks the other hosts until one has a configuration that was surely the
+// Vouch asks other hosts until one has a configuration that was surely the
 // newest less than maxAge ago, puts it in force if it is newer, and returns that
-// instant. The peer's age is of a moment after the question was sent: what
-// happens to the answer on its way makes the instant earlier, never later.
+// instant.
 func (e *Exchange) Vouch(ctx context.Context, maxAge time.Duration) (bootclock.Instant, error) {
 	answers := make(chan bootclock.Instant, 1)
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	hosts := e.Members.Hosts()
-	for _, address := range hosts {
+	asked := 0
+	for _, host := range e.Members.Sample(vouchPeers) {
+		asked++
 		go func() {
-			if asOf, ok := e.ask(ctx, address, maxAge); ok {
+			if asOf, ok := e.ask(ctx, host, maxAge); ok {
 				select {
 				case answers <- asOf:
 				default:
@@ -165,31 +247,40 @@
 	case asOf := <-answers:
 		return asOf, nil
 	case <-ctx.Done():
-		return 0, eris.Errorf("none of %d peers has a newer confirmation", len(hosts))
+		return 0, eris.Errorf("none of %d peers has a confirmation younger than %v", asked, maxAge)
 	}
 }
 
-func (e *Exchange) ask(ctx context.Context, address string, maxAge time.Duration) (bootclock.Instant, bool) {
+func (e *Exchange) ask(ctx context.Context, host relay.Host, maxAge time.Duration) (bootclock.Instant, bool) {
 	args := VouchArgs{}
 	if p := e.Policy.Current(); p != nil {
 		args.Revision = p.Revision
 	}
 	asked := bootclock.Now()
-	reply := new(VouchReply)
-	if err := e.pool.Call(ctx, address, serviceName+".Vouch", args, reply); err != nil {
-		return 0, false // the loop of exchanges logs hosts that do not answer
-	}
-	if reply.Age > maxAge {
+	reply := new(Vouch)
+	if err := e.call(ctx, host.Name, host.Address, "Vouch", args, reply); err != nil || reply.Age > maxAge {
 		return 0, false
 	}
-	if reply.Raw != nil {
-		if _, err := e.Policy.Offer(reply.Raw, reply.Revision); err != nil {
-			e.Log.Error("peers: configuration of a peer cannot be read", "address", address, "revision", reply.Revision, "error", err.Error())
+	return e.takeVouch(host.Address, asked, reply)
+}
+
+// takeVouch puts a peer's configuration in force if it is newer and returns the
+// instant as of which it was surely the newest. The peer's age is of a moment
+// after the question was sent: what happens to the answer on its way makes the
+// instant earlier, never later.
+func (e *Exchange) takeVouch(address string, asked bootclock.Instant, v *Vouch) (bootclock.Instant, bool) {
+	if v.Raw != nil {
+		accepted, err := e.Policy.Offer(v.Raw, v.Revision)
+		if err != nil {
+			e.Log.Error("peers: configuration of a peer cannot be read", "address", address, "revision", v.Revision, "error", err.Error())
 			return 0, false
 		}
+		if accepted {
+			e.Log.Info("policy: configuration in force", "version", e.Policy.Current().Version, "revision", v.Revision, "source", "peer "+address)
+		}
 	}
-	if p := e.Policy.Current(); p == nil || p.Revision < reply.Revision {
+	if p := e.Policy.Current(); p == nil || p.Revision < v.Revision {
 		return 0, false
 	}
-	return asked.Add(-reply.Age), true
+	return asked.Add(-v.Age), true
 }
--- a/internal/edge/peers/members.go
+++ b/internal/edge/peers/members.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"log/slog"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"time"
 
+	"corianderhitch/internal/edge/relay"
 	"corianderhitch/internal/platform"
 )
 
@@ -38,25 +41,58 @@
 type Members struct {
 	log   *slog.Logger
 	store Store
-	name  string
-	addr  string
+	self  relay.Host
 
 	mu    sync.Mutex
-	hosts map[string]string // guarded by mu; addresses of the other hosts by name
+	hosts map[string]relay.Host // guarded by mu; all by name, this one included
+	hubs  []relay.Host          // guarded by mu; chosen among hosts
 }
 
-// NewMembers returns the members as seen by a host with an address of its own.
-func NewMembers(log *slog.Logger, store Store, name, address string) *Members {
-	return &Members{log: log, store: store, name: name, addr: address, hosts: make(map[string]string)}
+// NewMembers returns the members as seen by a host.
+func NewMembers(log *slog.Logger, store Store, self relay.Host) *Members {
+	m := &Members{log: log, store: store, self: self}
+	m.set(nil)
+	return m
 }
 
-// Hosts returns the addresses of the other hosts by name.
-func (m *Members) Hosts() map[string]string {
+// All returns all hosts, this one included.
+func (m *Members) All() []relay.Host {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	out := make(map[string]string, len(m.hosts))
-	for name, address := range m.hosts {
-		out[name] = address
+	out := make([]relay.Host, 0, len(m.hosts))
+	for _, h := range m.hosts {
+		out = append(out, h)
+	}
+	return out
+}
+
+// Names returns the names of all hosts.
+func (m *Members) Names() []string {
+	var names []string
+	for _, h := range m.All() {
+		names = append(names, h.Name)
+	}
+	return names
+}
+
+// Hubs returns the hosts that follow the store for all.
+func (m *Members) Hubs() []relay.Host {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.hubs
+}
+
+// Sample returns at most n other hosts, the hubs first.
+func (m *Members) Sample(n int) []relay.Host {
+	all := m.All()
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	out := make([]relay.Host, 0, n)
+	seen := map[string]bool{m.self.Name: true}
+	for _, h := range append(append([]relay.Host(nil), m.Hubs()...), all...) {
+		if len(out) < n && !seen[h.Name] {
+			seen[h.Name] = true
+			out = append(out, h)
+		}
 	}
 	return out
 }
@@ -65,7 +101,7 @@
 func (m *Members) Count() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return len(m.hosts) + 1
+	return len(m.hosts)
 }
 
 // Run registers this host and reads the list until ctx ends, then takes the
@@ -100,13 +136,17 @@
 func (m *Members) join(ctx context.Context) platform.LeaseID {
 	lease, err := m.store.Grant(ctx, memberTTL)
 	if err == nil {
-		_, err = m.store.Put(ctx, memberPrefix+m.name, []byte(m.addr), platform.AnyRevision, lease)
+		var value []byte
+		value, err = json.Marshal(m.self)
+		if err == nil {
+			_, err = m.store.Put(ctx, memberPrefix+m.self.Name, value, platform.AnyRevision, lease)
+		}
 	}
 	if err != nil {
 		m.log.Warn("peers: this host is not registered", "error", err.Error())
 		return 0
 	}
-	m.log.Info("peers: this host is registered", "address", m.addr, "lease", lease)
+	m.log.Info("peers: this host is registered", "address", m.self.Address, "lease", lease)
 	return lease
 }
 
@@ -127,25 +167,44 @@
 }
 
 func (m *Members) take(entries []platform.Entry, revision platform.Revision) {
-	hosts := make(map[string]string, len(entries))
+	hosts := make(map[string]relay.Host, len(entries))
 	for _, e := range entries {
-		if name := strings.TrimPrefix(e.Key, memberPrefix); name != m.name {
-			hosts[name] = string(e.Value)
+		var h relay.Host
+		if err := json.Unmarshal(e.Value, &h); err != nil || h.Name != strings.TrimPrefix(e.Key, memberPrefix) {
+			m.log.Warn("peers: entry of a host cannot be read", "key", e.Key, "revision", e.Revision)
+			continue
 		}
+		hosts[h.Name] = h
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for name := range hosts {
-		if _, known := m.hosts[name]; !known {
-			m.log.Info("peers: host is new", "host", name, "address", hosts[name], "revision", revision)
+	before := m.set(hosts)
+	for name, h := range hosts {
+		if _, known := before[name]; !known {
+			m.log.Info("peers: host is new", "host", name, "address", h.Address, "revision", revision)
 		}
 	}
-	for name := range m.hosts {
-		if _, stays := hosts[name]; !stays {
+	for name := range before {
+		if _, stays := hosts[name]; !stays && name != m.self.Name {
 			m.log.Info("peers: host is gone", "host", name, "revision", revision)
 		}
 	}
-	m.hosts = hosts
+}
+
+// set replaces the hosts and returns the ones before.
+func (m *Members) set(hosts map[string]relay.Host) map[string]relay.Host {
+	if hosts == nil {
+		hosts = make(map[string]relay.Host)
+	}
+	hosts[m.self.Name] = m.self
+	all := make([]relay.Host, 0, len(hosts))
+	for _, h := range hosts {
+		all = append(all, h)
+	}
+	hubs := relay.Choose(all)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	before := m.hosts
+	m.hosts, m.hubs = hosts, hubs
+	return before
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/edge/peers/messages.go
+++ b/internal/edge/peers/messages.go
@@ -4,23 +4,49 @@
 	"time"
 
 	"corianderhitch/internal/edge/loadbook"
+	"corianderhitch/internal/edge/relay"
+	"corianderhitch/internal/platform"
 )
 
-// News is what hosts tell each other.
-type News struct {
-	Host    string
-	Loads   map[string]loadbook.Load // in flight from this host, by incarnation of the target
-	Leaving []string                 // incarnations that are surely leaving
+// SyncArgs is what a host tells a hub, and what it has already.
+type SyncArgs struct {
+	Host           string
+	Loads          map[string]loadbook.Load // in flight from this host, by incarnation of the target
+	Leaving        []string                 // incarnations that are surely leaving
+	PolicyRevision int64
+	ListRevision   platform.Revision
 }
 
-// VouchArgs asks how fresh the peer's configuration is.
-type VouchArgs struct{ Revision int64 }
+// SyncReply is what a hub answers.
+type SyncReply struct {
+	// Live tells whether the hub follows the store at this moment. Otherwise the
+	// rest is old and another source must be asked.
+	Live    bool
+	Fleet   map[string]loadbook.Load            // in flight from all other hosts
+	Parts   map[string]map[string]loadbook.Load // the same by host, for targets that leave
+	Leaving []string
+	List    relay.Changes
+	Vouch   Vouch
+}
 
-// VouchReply tells it.
-type VouchReply struct {
+// Vouch tells how fresh a host's configuration is.
+type Vouch struct {
 	Revision int64
-	// Age is the time since the peer's configuration was surely the newest, as
-	// of a moment after the question arrived.
+	// Age is the time since the configuration was surely the newest, as of a
+	// moment after the question arrived.
 	Age time.Duration
 	Raw []byte // the configuration, if it is newer than the asking host's
 }
+
+// VouchArgs asks a host to vouch for the configuration.
+type VouchArgs struct{ Revision int64 }
+
+// NoticeArgs is news that cannot wait for the next Sync.
+type NoticeArgs struct {
+	Host    string
+	Leaving []string
+	Parts   map[string]map[string]loadbook.Load // in flight at them by host, if a hub tells
+}
+
+// NoticeReply is empty.
+type NoticeReply struct{}
--- a/internal/edge/peers/service.go
+++ b/internal/edge/peers/service.go
@@ -1,27 +1,53 @@
 package peers
 
-import "corianderhitch/internal/edge/bootclock"
+import (
+	"corianderhitch/internal/edge/bootclock"
+)
 
 // service answers the other hosts. Its methods have the form of net/rpc.
 type service struct{ e *Exchange }
 
-// Exchange takes a host's news and returns this host's.
-func (s *service) Exchange(args News, reply *News) error {
-	s.e.take(&args)
-	*reply = s.e.news()
+// Sync takes a host's news and returns the fleet's.
+func (s *service) Sync(args SyncArgs, reply *SyncReply) error {
+	e := s.e
+	e.Book.SetPeer(args.Host, args.Loads)
+	e.takeLeaving(args.Host, args.Leaving)
+	*reply = SyncReply{
+		Live:    e.Live(),
+		Fleet:   e.Book.Others(args.Host),
+		Leaving: e.Targets.Notices(),
+		List:    e.List.Since(args.ListRevision),
+		Vouch:   e.vouch(args.PolicyRevision),
+	}
+	reply.Parts = e.Book.Parts(reply.Leaving)
+	return nil
+}
+
+// Notice takes urgent news.
+func (s *service) Notice(args NoticeArgs, _ *NoticeReply) error {
+	if args.Parts != nil {
+		s.e.Book.SetParts(args.Parts)
+	}
+	s.e.takeLeaving(args.Host, args.Leaving)
+	s.e.Hurry()
 	return nil
 }
 
 // Vouch tells how fresh this host's configuration is.
-func (s *service) Vouch(args VouchArgs, reply *VouchReply) error {
+func (s *service) Vouch(args VouchArgs, reply *Vouch) error {
+	*reply = s.e.vouch(args.Revision)
+	return nil
+}
+
+func (e *Exchange) vouch(known int64) Vouch {
 	// The age is read before the configuration: a newer one may come in force
 	// between the two, never an older one.
-	reply.Age = bootclock.Since(s.e.Confirmer.AsOf())
-	if p := s.e.Policy.Current(); p != nil {
-		reply.Revision = p.Revision
-		if p.Revision > args.Revision {
-			reply.Raw = p.Raw
+	v := Vouch{Age: bootclock.Since(e.Confirmer.AsOf())}
+	if p := e.Policy.Current(); p != nil {
+		v.Revision = p.Revision
+		if p.Revision > known {
+			v.Raw = p.Raw
 		}
 	}
-	return nil
+	return v
 }
--- /dev/null
+++ b/internal/edge/process/follow.go
@@ -0,0 +1,85 @@
+package process
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"corianderhitch/internal/edge/feed"
+	"corianderhitch/internal/edge/targets"
+)
+
+const (
+	// followCheck is how often a host looks whether it must follow the store
+	// itself.
+	followCheck = 100 * time.Millisecond
+	// targetPause gathers changes of targets that come close together into one
+	// call. A notice of two seconds bears it.
+	targetPause = 50 * time.Millisecond
+	// policyPause does the same for the configuration, which must be in force
+	// within seconds.
+	policyPause = 300 * time.Millisecond
+)
+
+// feeds are the two prefixes of the store that a host follows, for itself or for
+// the fleet.
+type feeds struct {
+	policy  *feed.Feed
+	targets *feed.Feed
+}
+
+func (p *Process) newFeeds() *feeds {
+	return &feeds{
+		policy: &feed.Feed{Log: p.log, Store: p.store, Prefix: p.adapter.ConfigurationKey, Pause: policyPause,
+			Sink: &policySink{log: p.log, holder: p.policy, key: p.adapter.ConfigurationKey}},
+		targets: &feed.Feed{Log: p.log, Store: p.store, Prefix: p.adapter.TargetPrefix, Pause: targetPause,
+			Sink: p.list, Outage: lapseBeats * p.node.Heartbeat, Settle: settleTime},
+	}
+}
+
+func (p *Process) newTargetSink() *targetSink {
+	return &targetSink{log: p.log, registry: p.targets, decode: p.adapter.DecodeTarget,
+		listed: func() { p.listed.Store(true) }, known: make(map[string]targets.Target)}
+}
+
+// live tells whether this host follows the store at this moment.
+func (f *feeds) live() bool { return f.policy.Live() && f.targets.Live() }
+
+// follow follows the store while this host is a hub, or while no hub serves it.
+func (p *Process) follow(ctx context.Context) {
+	var stop func()
+	ticker := time.NewTicker(followCheck)
+	defer ticker.Stop()
+	for {
+		must := p.exchange.IsHub() || !p.exchange.Served()
+		switch {
+		case must && stop == nil:
+			p.log.Info("edge: follows the store", "hub", p.exchange.IsHub())
+			stop = p.runFeeds(ctx)
+		case !must && stop != nil:
+			p.log.Info("edge: follows a hub")
+			stop()
+			stop = nil
+		}
+		select {
+		case <-ctx.Done():
+			if stop != nil {
+				stop()
+			}
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// runFeeds starts both feeds and returns what stops them.
+func (p *Process) runFeeds(ctx context.Context) func() {
+	ctx, cancel := context.WithCancel(ctx)
+	var wait sync.WaitGroup
+	wait.Go(func() { p.feeds.policy.Run(ctx) })
+	wait.Go(func() { p.feeds.targets.Run(ctx) })
+	return func() {
+		cancel()
+		wait.Wait()
+	}
+}
--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -4,14 +4,12 @@
 	"context"
 	"io"
 	"log/slog"
-	"maps"
 	"math"
 	"net"
 	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -24,7 +22,6 @@
 	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/edge/decisionlog"
 	"corianderhitch/internal/edge/ejection"
-	"corianderhitch/internal/edge/feed"
 	"corianderhitch/internal/edge/freshness"
 	"corianderhitch/internal/edge/ingress"
 	"corianderhitch/internal/edge/loadbook"
@@ -35,6 +32,7 @@
 	"corianderhitch/internal/edge/peers"
 	"corianderhitch/internal/edge/plain"
 	"corianderhitch/internal/edge/policy"
+	"corianderhitch/internal/edge/relay"
 	"corianderhitch/internal/edge/retrybudget"
 	"corianderhitch/internal/edge/streaming"
 	"corianderhitch/internal/edge/targetconn"
@@ -48,9 +46,12 @@
 	// keyMargin is left of the time within which a removed API key must stop to
 	// admit: for the way of the last request to its target.
 	keyMargin = 700 * time.Millisecond
-	// confirmShare is the part of that time after which the configuration is
-	// confirmed again, so that one lost confirmation goes unnoticed.
-	confirmShare = 0.4
+	// hubConfirmShare is the part of that time after which a hub confirms the
+	// configuration again, so that one lost confirmation goes unnoticed.
+	hubConfirmShare = 0.3
+	// confirmShare is the same for other hosts, whose confirmations come from the
+	// hubs: they ask the store only when those are silent.
+	confirmShare = 0.5
 	// looseConfirm is the period of confirmations where keys need none.
 	looseConfirm = 10 * time.Second
 	// vouchAfter is how long the store may take before peers are asked.
@@ -91,6 +92,8 @@
 	plain     *plain.Server
 	mover     *migration.Mover
 	metrics   *metrics.Metrics
+	list      *relay.Log
+	feeds     *feeds
 	listed    atomic.Bool
 	stopping  atomic.Bool
 
@@ -133,17 +136,17 @@
 func newProcess(log *slog.Logger, n node.Node, adapter Adapter) *Process {
 	p := &Process{
 		log: log, node: n, adapter: adapter, store: adapter.Store(n.StoreAddress),
-		policy: policy.NewHolder(adapter.DecodeConfiguration), book: loadbook.New(), budgets: make(map[string]*retrybudget.Budget),
+		policy: policy.NewHolder(adapter.DecodeConfiguration), book: loadbook.New(n.Name), budgets: make(map[string]*retrybudget.Budget),
 	}
 	p.pool = targetconn.New(adapter.requestID)
 	p.targets = targets.New(p.targetLeaves)
-	period := looseConfirm
-	if p.keyAge() > 0 {
-		period = time.Duration(confirmShare * float64(n.RevokeWithin))
-	}
-	p.confirmer = freshness.New(log, period, p.confirm)
-	p.members = peers.NewMembers(log, p.store, n.Name, n.PeerAddress())
-	p.exchange = &peers.Exchange{Log: log, Host: n.Name, Members: p.members, Book: p.book, Targets: p.targets, Policy: p.policy, Confirmer: p.confirmer}
+	p.list = relay.NewLog(p.newTargetSink())
+	p.feeds = p.newFeeds()
+	p.confirmer = freshness.New(log, p.confirmPeriod, p.confirm)
+	p.members = peers.NewMembers(log, p.store, relay.Host{Name: n.Name, Address: n.PeerAddress(), CPUs: n.CPUs})
+	p.exchange = &peers.Exchange{Log: log, Host: n.Name, Members: p.members, Book: p.book, Targets: p.targets,
+		List: p.list, Policy: p.policy, Confirmer: p.confirmer, Live: p.feeds.live}
+	p.exchange.Init()
 	sender := &edge.Sender{Wire: adapter.Wire, Pool: p.pool}
 	health := ejection.New()
 	p.plain = &plain.Server{Sender: sender, Targets: p.targets, Book: p.book, Health: health, Budget: p.budget, Domain: n.Domain}
@@ -167,6 +170,18 @@
 	return max(p.node.RevokeWithin-keyMargin, p.node.RevokeWithin/2)
 }
 
+// confirmPeriod returns the age at which this host confirms the configuration.
+func (p *Process) confirmPeriod() time.Duration {
+	switch {
+	case p.keyAge() == 0:
+		return looseConfirm
+	case p.exchange.IsHub():
+		return time.Duration(hubConfirmShare * float64(p.node.RevokeWithin))
+	default:
+		return time.Duration(confirmShare * float64(p.node.RevokeWithin))
+	}
+}
+
 func (p *Process) run(ctx context.Context, signals *telemetry.Telemetry, s Settings) error {
 	front, err := net.Listen("tcp", p.node.Front)
 	if err != nil {
@@ -203,13 +218,7 @@
 
 // background starts the duties that run beside the callers' requests.
 func (p *Process) background(ctx context.Context, wait *sync.WaitGroup, s Settings) {
-	configuration := &feed.Feed{Log: p.log, Store: p.store, Prefix: p.adapter.ConfigurationKey,
-		Sink: &policySink{log: p.log, holder: p.policy, key: p.adapter.ConfigurationKey}}
-	list := &feed.Feed{Log: p.log, Store: p.store, Prefix: p.adapter.TargetPrefix,
-		Sink:   &targetSink{log: p.log, registry: p.targets, decode: p.adapter.DecodeTarget, listed: func() { p.listed.Store(true) }, known: make(map[string]targets.Target)},
-		Outage: lapseBeats * p.node.Heartbeat, Settle: settleTime}
-	wait.Go(func() { configuration.Run(ctx) })
-	wait.Go(func() { list.Run(ctx) })
+	wait.Go(func() { p.follow(ctx) })
 	wait.Go(func() { p.confirmer.Run(ctx) })
 	wait.Go(func() { p.members.Run(ctx) })
 	wait.Go(func() { p.exchange.Run(ctx) })
@@ -226,7 +235,7 @@
 			}
 			return nil
 		},
-		Hosts: func() []string { return append(slices.Collect(maps.Keys(p.members.Hosts())), p.node.Name) },
+		Hosts: p.members.Names,
 		Worth: func(target string) int { return p.book.Load(target).Runs },
 	}
 }
--- /dev/null
+++ b/internal/edge/relay/log.go
@@ -0,0 +1,132 @@
+// Package relay lets a few hosts follow the store for the whole fleet. Each call
+// to the store is paid for, and a watch by every host would cost more with each
+// host; the others take the same changes from those few.
+package relay
+
+import (
+	"sync"
+
+	"corianderhitch/internal/edge/feed"
+	"corianderhitch/internal/platform"
+)
+
+// maxEvents bounds the changes that are kept for hosts that lag; one that lags
+// further takes the whole list.
+const maxEvents = 512
+
+// Changes bring a list of entries from one revision to another.
+type Changes struct {
+	Revision platform.Revision
+	Whole    bool // Entries replace everything
+	Entries  []platform.Entry
+	Events   []platform.Event
+}
+
+// Log keeps a list of entries with its latest changes and hands them on to a
+// sink. It never steps back to an older revision. It is safe for concurrent use.
+type Log struct {
+	sink feed.Sink
+
+	mu       sync.Mutex
+	entries  map[string]platform.Entry // guarded by mu
+	events   []platform.Event          // guarded by mu; by rising revision
+	since    platform.Revision         // guarded by mu; events holds all changes after it
+	revision platform.Revision         // guarded by mu
+}
+
+// NewLog returns an empty log before a sink.
+func NewLog(sink feed.Sink) *Log {
+	return &Log{sink: sink, entries: make(map[string]platform.Entry)}
+}
+
+var _ feed.Sink = (*Log)(nil)
+
+// Replace implements feed.Sink.
+func (l *Log) Replace(entries []platform.Entry, revision platform.Revision, settled bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if revision < l.revision {
+		return
+	}
+	if settled {
+		clear(l.entries)
+	}
+	for _, e := range entries {
+		l.entries[e.Key] = e
+	}
+	l.events, l.since, l.revision = nil, revision, revision
+	l.sink.Replace(entries, revision, settled)
+}
+
+// Apply implements feed.Sink.
+func (l *Log) Apply(events []platform.Event, revision platform.Revision) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.apply(events, revision)
+}
+
+// apply takes the events that are news. Callers hold l.mu.
+func (l *Log) apply(events []platform.Event, revision platform.Revision) {
+	var news []platform.Event
+	for _, e := range events {
+		if e.Entry.Revision <= l.revision {
+			continue
+		}
+		if e.Deleted {
+			delete(l.entries, e.Entry.Key)
+		} else {
+			l.entries[e.Entry.Key] = e.Entry
+		}
+		news = append(news, e)
+	}
+	l.events = append(l.events, news...)
+	if over := len(l.events) - maxEvents; over > 0 {
+		l.since = l.events[over-1].Entry.Revision
+		l.events = append([]platform.Event(nil), l.events[over:]...)
+	}
+	l.revision = max(l.revision, revision)
+	if len(news) > 0 {
+		l.sink.Apply(news, l.revision)
+	}
+}
+
+// Revision returns the revision of the list, 0 before the first.
+func (l *Log) Revision() platform.Revision {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.revision
+}
+
+// Since returns the changes after a revision.
+func (l *Log) Since(revision platform.Revision) Changes {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := Changes{Revision: l.revision}
+	if l.revision == 0 || revision >= l.revision {
+		return c
+	}
+	if revision == 0 || revision < l.since {
+		c.Whole = true
+		for _, e := range l.entries {
+			c.Entries = append(c.Entries, e)
+		}
+		return c
+	}
+	for _, e := range l.events {
+		if e.Entry.Revision > revision {
+			c.Events = append(c.Events, e)
+		}
+	}
+	return c
+}
+
+// Take applies the changes that another host's log gave.
+func (l *Log) Take(c Changes) {
+	if c.Whole {
+		if c.Revision > l.Revision() {
+			l.Replace(c.Entries, c.Revision, true)
+		}
+		return
+	}
+	l.Apply(c.Events, c.Revision)
+}
