Let a copied run go on until its engine ends rather than stop it behind other copies

Cause: final copies forced 1.3 s after the notice waited behind other runs' first copies (pauses of 500 ms and more); hosts that heard of an entry that vanished did not know the other hosts' parts, so that all took the first turn. Ruled out: a run continued after its engine's end pauses longer: 20 such pauses, p50 82 ms, before this change.

--- a/internal/edge/migration/mover.go
+++ b/internal/edge/migration/mover.go
@@ -25,9 +25,6 @@
 	// idleLink is how long the copy of a few tokens takes at most when nothing is
 	// ahead of it: calls between domains and some events of other requests.
 	idleLink = 60 * time.Millisecond
-	// lastCall is when a run is stopped for its final copy even if that must wait:
-	// a late stream is better than a lost one.
-	lastCall = 1300 * time.Millisecond
 )
 
 // Outcomes of a move beside those of edge.MoveResult.
@@ -35,6 +32,7 @@
 	runEnded     = "run_ended"
 	runElsewhere = "run_elsewhere"
 	tooLate      = "too_late"
+	secured      = "secured" // the copy stands; the source ends before the final one
 )
 
 // Mover moves the runs of this host.
@@ -100,7 +98,7 @@
 		}
 		tried[dest.Key()] = true
 		m.Book.Add(dest.Key(), load)
-		if outcome := m.to(ctx, source, dest, noticed, load, r); outcome != edge.MoveNoRoom.String() {
+		if outcome := m.to(ctx, source, dest, load, r); outcome != edge.MoveNoRoom.String() {
 			return outcome, len(tried) - 1
 		}
 	}
@@ -109,7 +107,7 @@
 
 // to copies a run to one destination, for which load is counted already, and
 // returns how that ended.
-func (m *Mover) to(ctx context.Context, source, dest *targets.Target, noticed bootclock.Instant, load loadbook.Load, r *streaming.Run) string {
+func (m *Mover) to(ctx context.Context, source, dest *targets.Target, load loadbook.Load, r *streaming.Run) string {
 	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
 	defer cancel()
 	first := m.Engines.Move(ctx, source.Address, r.ID(), dest.Address, false)
@@ -123,9 +121,8 @@
 		m.release(source, r, first.Handle)
 		return runElsewhere
 	}
-	m.awaitLink(ctx, source, dest, noticed, r)
-	if !r.Stop(c) {
-		return "secured"
+	if !m.awaitLink(ctx, source, dest, r) || !r.Stop(c) {
+		return secured
 	}
 	begun := bootclock.Now()
 	last := m.Engines.Move(ctx, source.Address, r.ID(), dest.Address, true)
@@ -137,13 +134,17 @@
 
 // awaitLink copies what is new until that goes fast, which shows that no other
 // run's copy is ahead on the links: a final copy behind one would stall the
-// stream. Near the engine's end it does not wait any longer.
-func (m *Mover) awaitLink(ctx context.Context, source, dest *targets.Target, noticed bootclock.Instant, r *streaming.Run) {
-	for bootclock.Since(noticed) < lastCall {
+// stream. It returns false if the run cannot be copied any more. If the engine
+// ends first, the run goes on from what was copied, which pauses it less.
+func (m *Mover) awaitLink(ctx context.Context, source, dest *targets.Target, r *streaming.Run) bool {
+	for {
 		begun := bootclock.Now()
 		delta := m.Engines.Move(ctx, source.Address, r.ID(), dest.Address, false)
-		if delta.Result != edge.MoveCopied || bootclock.Since(begun) < idleLink {
-			return
+		if delta.Result != edge.MoveCopied {
+			return false
+		}
+		if bootclock.Since(begun) < idleLink {
+			return true
 		}
 	}
 }
--- a/internal/edge/peers/exchange.go
+++ b/internal/edge/peers/exchange.go
@@ -146,7 +146,7 @@
 		receivers := e.Members.Hubs()
 		if e.IsHub() {
 			receivers = e.Members.All()
-			args.Parts = e.Book.Parts(args.Leaving)
+			args.Parts = e.Book.Parts(e.Targets.AllLeaving())
 		}
 		for _, host := range receivers {
 			if host.Name != e.Host {
--- a/internal/edge/peers/service.go
+++ b/internal/edge/peers/service.go
@@ -19,7 +19,7 @@
 		List:    e.List.Since(args.ListRevision),
 		Vouch:   e.vouch(args.PolicyRevision),
 	}
-	reply.Parts = e.Book.Parts(reply.Leaving)
+	reply.Parts = e.Book.Parts(e.Targets.AllLeaving())
 	return nil
 }
 
--- a/internal/edge/targets/registry.go
+++ b/internal/edge/targets/registry.go
@@ -4,6 +4,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sort"
 	"strconv"
 	"sync"
@@ -113,6 +114,14 @@
 	r.tell(notices)
 }
 
+// AllLeaving returns the incarnations that leave or have left the list, some of
+// which may still come back.
+func (r *Registry) AllLeaving() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Collect(maps.Keys(r.leaving))
+}
+
 // LeavesSince returns the notice of an incarnation that leaves.
 func (r *Registry) LeavesSince(key string) (Notice, bool) {
 	r.mu.Lock()
