--- a/internal/edge/migration/mover.go
+++ b/internal/edge/migration/mover.go
@@ -61,16 +61,18 @@
 	others := m.Book.ByHost(source.Key())
 	turn := Turn(runs[order[0]].Service().Engine, source.Key(), m.Host, others)
 	m.Log.Info("migration: engine leaves", "source", source.ID, "runs", len(order), "other_hosts", len(others), "turn_ms", turn.Milliseconds())
+	at := m.Book.Load(source.Key())
+	far := Far(runs[order[0]].Service().Engine, at.Held, at.Runs)
 	sleep(ctx, noticed.Add(turn).Sub(bootclock.Now()))
 	for _, i := range order {
-		m.move(ctx, source, noticed, runs[i])
+		m.move(ctx, source, noticed, far, runs[i])
 	}
 }
 
 // move takes one run to another engine.
-func (m *Mover) move(ctx context.Context, source *targets.Target, noticed bootclock.Instant, r *streaming.Run) {
+func (m *Mover) move(ctx context.Context, source *targets.Target, noticed bootclock.Instant, far float64, r *streaming.Run) {
 	started := bootclock.Now()
-	outcome, tried := m.tryAll(ctx, source, noticed, r)
+	outcome, tried := m.tryAll(ctx, source, noticed, far, r)
 	took := bootclock.Since(started)
 	m.Observe(outcome, took)
 	r.Log().Info("migration: run moved or not", "outcome", outcome, "source", source.ID, "tried", tried, "held_tokens", r.Held(),
@@ -78,7 +80,7 @@
 }
 
 // tryAll tries destinations until one takes the run.
-func (m *Mover) tryAll(ctx context.Context, source *targets.Target, noticed bootclock.Instant, r *streaming.Run) (outcome string, tries int) {
+func (m *Mover) tryAll(ctx context.Context, source *targets.Target, noticed bootclock.Instant, far float64, r *streaming.Run) (outcome string, tries int) {
 	service := r.Service()
 	tried := map[string]bool{source.Key(): true}
 	for range maxDestinations {
@@ -92,7 +94,7 @@
 			return tooLate, len(tried) - 1
 		}
 		load := loadbook.Load{Runs: 1, Tokens: max(r.Expected(), held), Held: held}
-		dest := m.Choose(service, placing.Need{Tokens: load.Tokens, Domain: source.Zone, Move: true, Affinity: source.Key()}, tried)
+		dest := m.Choose(service, placing.Need{Tokens: load.Tokens, Domain: source.Zone, Move: true, Far: far, Affinity: source.Key()}, tried)
 		if dest == nil {
 			break
 		}
--- a/internal/edge/migration/plan.go
+++ b/internal/edge/migration/plan.go
@@ -26,6 +26,10 @@
 	// switchTime is what a run takes of the link's turn beside its first copy: the
 	// final copy of a few dozen tokens and two calls.
 	switchTime = 30 * time.Millisecond
+	// leastFar and mostFar bound Far: an engine in another domain is preferred when
+	// it is emptier by more than a tenth, or never.
+	leastFar = 0.1
+	mostFar  = 0.8
 	// leastRemaining is the output that must be expected for a move to be worth
 	// its transfer, in tokens: less is made before the engine ends.
 	leastRemaining = 48
@@ -69,6 +73,14 @@
 	return engine.TransferTime(held) + time.Duration(runs)*switchTime
 }
 
+// Far returns what another failure domain counts against a destination, as a
+// share of its memory: copies take twice as long between domains, which matters
+// the more, the more of the notice the copies of all runs at the source need.
+func Far(engine *policy.Engine, held, runs int) float64 {
+	need := CopyTime(engine, held, runs).Seconds() / assumedNotice.Seconds()
+	return min(mostFar, max(leastFar, need-leastFar))
+}
+
 // Fits tells whether a copy that begins a while after the notice is likely to be
 // done before the engine's end.
 func Fits(engine *policy.Engine, held int, sinceNotice time.Duration) bool {
--- a/internal/edge/placing/engine.go
+++ b/internal/edge/placing/engine.go
@@ -29,9 +29,6 @@
 	waitShare = 0.6
 	// otherDomain is what another failure domain counts, as a share of memory.
 	otherDomain = 0.03
-	// moveOtherDomain is the same for moves, which take twice as long between
-	// domains while the notice of a leaving engine is short.
-	moveOtherDomain = 0.2
 	// coldShare is what an engine that has just started counts more, as a share.
 	coldShare = 0.2
 	// failingShare is what each unit of cost above 1 counts, as a share.
@@ -47,6 +44,8 @@
 	Shared    int           // prompt tokens that the engine of that affinity has cached
 	Domain    string        // of the sender, or of the source of a move
 	Move      bool
+	// Far is what another failure domain counts for a move, as a share of memory.
+	Far float64
 }
 
 func (n *Need) band() float64 {
@@ -109,7 +108,7 @@
 	}
 	if c.Target.Zone != need.Domain {
 		if need.Move {
-			return share + moveOtherDomain
+			return share + need.Far
 		}
 		return share + otherDomain
 	}
