--- a/internal/edge/peers/exchange.go
+++ b/internal/edge/peers/exchange.go
@@ -29,8 +29,11 @@
 	// within it, hosts choose the same empty engine.
 	leastSyncPeriod = 80 * time.Millisecond
 	// syncPerHost makes the period grow with the fleet, so that a hub answers at
-	// most 250 calls a second.
-	syncPerHost = 4 * time.Millisecond
+	// most 500 calls a second.
+	syncPerHost = 2 * time.Millisecond
+	// standbyTurns is how many syncs with the first hub go with one to the second,
+	// which only stands by.
+	standbyTurns = 5
 	// callTimeout bounds a call between hosts.
 	callTimeout = 400 * time.Millisecond
 	// hubSilence is how long the hubs may be silent before this host follows the
@@ -116,22 +119,37 @@
 	go e.announce(ctx)
 	timer := time.NewTimer(leastSyncPeriod)
 	defer timer.Stop()
-	for {
+	for turn := 0; ; turn++ {
+		hurried := false
 		select {
 		case <-ctx.Done():
 			return
 		case <-e.hurry:
+			hurried = true
 		case <-timer.C:
 		}
-		timer.Reset(max(leastSyncPeriod, syncPerHost*time.Duration(e.Members.Count())))
-		for _, hub := range e.Members.Hubs() {
-			if hub.Name != e.Host {
+		timer.Reset(e.Period())
+		for rank, hub := range e.Members.Hubs() {
+			due := rank == 0 || hurried || turn%standbyTurns == 0 || !e.answers(e.Members.Hubs()[0].Name)
+			if hub.Name != e.Host && due {
 				go e.sync(ctx, hub)
 			}
 		}
 	}
 }
 
+// Period returns the time between two syncs with the first hub.
+func (e *Exchange) Period() time.Duration {
+	return max(leastSyncPeriod, syncPerHost*time.Duration(e.Members.Count()))
+}
+
+// answers tells whether a host answered the last call.
+func (e *Exchange) answers(host string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.quiet[host]
+}
+
 // announce sends notices to the hosts that do not hear of them otherwise: a hub
 // to all hosts, another host to the hubs.
 func (e *Exchange) announce(ctx context.Context) {
--- a/internal/edge/placing/engine.go
+++ b/internal/edge/placing/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"sort"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -19,11 +20,17 @@
 	// again costs about as much as a fifth more load.
 	bandPerSharedToken = 0.0006
 	maxBand            = 0.22
+	// leastBand is below what cached tokens are not worth another engine.
+	leastBand = 0.06
 	// moveBand is the same for moves, whose sources are spread over destinations.
 	moveBand = 0.12
 	// readRate is how many prompt tokens an engine reads in a second beside its
 	// running batch: chunks of 112 tokens in steps of about 16 ms.
 	readRate = 7000.0
+	// fullWait is the part of the objective that the wait for the first event may
+	// be expected to take on an engine that is not idle. Beyond it a run had better
+	// wait for another engine than behind prompts that it cannot overtake.
+	fullWait = 0.75
 	// waitShare is what a wait for the first event as long as the objective counts,
 	// as a share.
 	waitShare = 0.6
@@ -46,6 +53,16 @@
 	Move      bool
 	// Far is what another failure domain counts for a move, as a share of memory.
 	Far float64
+	// Spread is among how many of the best engines one is drawn: about as many
+	// runs are placed by other hosts before this one hears of them, and all would
+	// go to the one engine that looks best. 0 and 1 mean the best.
+	Spread int
+	Draw   float64 // in [0, 1), decides among them
+}
+
+// ReadTime returns how long an engine reads prompt tokens beside its batch.
+func ReadTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / readRate * float64(time.Second))
 }
 
 func (n *Need) band() float64 {
@@ -72,12 +89,21 @@
 	if math.IsInf(best, 1) {
 		return -1
 	}
+	if i := byAffinity(candidates, shares, best, need); i >= 0 {
+		return i
+	}
+	return oneOfBest(shares, need)
+}
+
+// byAffinity returns the engine close to the best that the run's affinity hashes
+// to, or -1 if the run has none.
+func byAffinity(candidates []Candidate, shares []float64, best float64, need Need) int {
 	chosen, chosenWeight := -1, uint64(0)
+	if need.Affinity == "" || need.band() < leastBand {
+		return chosen
+	}
 	for i, c := range candidates {
-		if need.Affinity == "" && shares[i] == best {
-			return i
-		}
-		if need.Affinity == "" || shares[i] > best+need.band() {
+		if shares[i] > best+need.band() {
 			continue
 		}
 		if w := xxhash.Sum64String(need.Affinity + "\x00" + c.Target.Key()); chosen < 0 || w > chosenWeight {
@@ -87,6 +113,19 @@
 	return chosen
 }
 
+// oneOfBest draws one of the best engines that have room.
+func oneOfBest(shares []float64, need Need) int {
+	order := make([]int, 0, len(shares))
+	for i, share := range shares {
+		if !math.IsInf(share, 1) {
+			order = append(order, i)
+		}
+	}
+	sort.SliceStable(order, func(a, b int) bool { return shares[order[a]] < shares[order[b]] })
+	among := min(max(1, need.Spread), len(order))
+	return order[min(among-1, int(need.Draw*float64(among)))]
+}
+
 // engineShare is the part of the engine's memory that is expected to be in use
 // with the run, plus penalties; +Inf if the run does not fit. Lower is better.
 func engineShare(c Candidate, engine *policy.Engine, need Need) float64 {
@@ -99,8 +138,11 @@
 		return math.Inf(1)
 	}
 	if need.Objective > 0 {
-		wait := float64(c.Load.Unread+need.Unread) / readRate
-		share += waitShare * wait / need.Objective.Seconds()
+		wait := ReadTime(c.Load.Unread+need.Unread).Seconds() / need.Objective.Seconds()
+		if wait > fullWait && c.Load.Unread > 0 {
+			return math.Inf(1)
+		}
+		share += waitShare * wait
 	}
 	share += failingShare * (c.Cost - 1)
 	if c.Target.Cold > 0 {
--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -30,6 +30,7 @@
 	"corianderhitch/internal/edge/node"
 	"corianderhitch/internal/edge/observe"
 	"corianderhitch/internal/edge/peers"
+	"corianderhitch/internal/edge/placing"
 	"corianderhitch/internal/edge/plain"
 	"corianderhitch/internal/edge/policy"
 	"corianderhitch/internal/edge/relay"
@@ -94,6 +95,7 @@
 	metrics   *metrics.Metrics
 	list      *relay.Log
 	feeds     *feeds
+	runRate   placing.Rate
 	listed    atomic.Bool
 	stopping  atomic.Bool
 
@@ -153,7 +155,7 @@
 	p.streaming = &streaming.Server{
 		Sender: sender, Engines: adapter.Engines(p.pool), Targets: p.targets, Book: p.book, Health: health,
 		Lengths: streaming.NewLengths(), Queue: admission.New(p.book.Changed), Runs: streaming.NewRuns(p.runEntered),
-		Budget: p.budget, Domain: n.Domain,
+		Budget: p.budget, Domain: n.Domain, Spread: p.spread,
 	}
 	p.mover = &migration.Mover{
 		Log: log, Host: n.Name, Engines: p.streaming.Engines, Book: p.book, Choose: p.streaming.Choose,
@@ -226,6 +228,13 @@
 	wait.Go(func() { p.reload(ctx, s.NodeFile) })
 }
 
+// spread returns how many runs the other hosts place before this one hears of
+// them: their loads come by way of a hub, each way at most a period old.
+func (p *Process) spread() int {
+	p.runRate.Add()
+	return placing.Spread(p.runRate.PerSecond(), p.members.Count(), p.exchange.Period())
+}
+
 func (p *Process) observer() *observe.Observer {
 	return &observe.Observer{
 		Log: p.log, Host: p.node.Name, Engines: p.streaming.Engines, Targets: p.targets,
--- a/internal/edge/streaming/server.go
+++ b/internal/edge/streaming/server.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -27,14 +28,21 @@
 	reestimateEvents = 16
 	// maxPlacements bounds the engines that are tried without a byte leaving.
 	maxPlacements = 4
-	// maxWaitObjectives bounds the wait for room, in latency objectives: callers
-	// give up on a stream that does not begin after four.
-	maxWaitObjectives = 3
+	// readMargin is how many times its prompt's reading time a run leaves of its
+	// objective when it stops to wait for room.
+	readMargin = 1.5
+	// leastWait is the part of the objective that a run waits for room at least.
+	leastWait = 0.3
 	// writeSlack is how long after the deadline a caller may still take bytes.
 	writeSlack = time.Second
-	// comeBack is when a refused run may return: a run ends on some engine every
-	// few hundred milliseconds.
+	// comeBack is when a run that could not start may return.
 	comeBack = 400 * time.Millisecond
+	// fullComeBack is when a run may return that found no room: bursts last
+	// seconds, and one that comes back sooner finds the same queue.
+	fullComeBack = 2 * time.Second
+	// comeBackShare is the part of its time left after which a run returns at the
+	// latest, so that it still gets its answer.
+	comeBackShare = 0.25
 )
 
 // Server serves streaming routes.
@@ -49,6 +57,8 @@
 	Runs    *Runs
 	Budget  func(service string) *retrybudget.Budget
 	Domain  string // failure domain of this host
+	// Spread returns how many runs other hosts place before this one hears of them.
+	Spread func() int
 }
 
 // Serve answers the call and returns the word that says how it ended.
@@ -127,11 +137,11 @@
 
 // place waits for an engine with room and reserves it in the load book.
 func (s *Server) place(ctx context.Context, a *edge.Admitted, tried map[string]bool) (*targets.Target, loadbook.Load) {
-	wait := min(a.Left()/2, maxWaitObjectives*a.Route.Objective)
-	ctx, cancel := context.WithTimeout(ctx, wait)
-	defer cancel()
 	own := s.load(a, 0)
+	ctx, cancel := context.WithTimeout(ctx, maxWait(a, own))
+	defer cancel()
 	need := newNeed(a, own, s.Domain)
+	need.Spread, need.Draw = s.Spread(), rand.Float64()
 	var load loadbook.Load
 	t := s.Queue.Place(ctx, a.Urgency, func() *targets.Target {
 		t := s.choose(a.Service, need, tried)
@@ -174,7 +184,21 @@
 	if len(s.Targets.View().Serving(a.Service.Name)) == 0 {
 		return edge.Unavailable(edge.ReasonNoTarget, comeBack)
 	}
-	return edge.Unavailable(edge.ReasonNoRoom, comeBack)
+	// Those refused together must not come back together.
+	later := fullComeBack + time.Duration(rand.Float64()*float64(fullComeBack))
+	return edge.Unavailable(edge.ReasonNoRoom, min(later, time.Duration(comeBackShare*float64(a.Left()))))
+}
+
+// maxWait returns how long a run waits for room. One that would start too late
+// for its objective is refused at once instead: on crowded engines it would make
+// those behind it late as well.
+func maxWait(a *edge.Admitted, own loadbook.Load) time.Duration {
+	objective := a.Route.Objective
+	if objective <= 0 {
+		return a.Left() / 4
+	}
+	read := time.Duration(readMargin * float64(placing.ReadTime(own.Unread)))
+	return min(a.Left()/2, max(objective-read, time.Duration(leastWait*float64(objective))))
 }
 
 // open sends the run to a target whose load is counted already, and takes the
