Let a hub choose engines for all hosts

Cause: with 62 hosts, what one knew of the others' runs was 200 to 400 ms old; the engines that looked best got the runs of all hosts at once (unread prompts as seen 1,200 tokens, in truth 7,100 of up to 34,900), so that first events took up to 3.2 s at p90. Change: a host asks the first hub that answers for an engine; the hub counts the run at once, until the host's own loads show it. If no hub answers within 60 ms the host draws among the best by itself. Store calls while a fleet starts are fewer: hosts that know no hub yet watch at longer pauses.

--- a/internal/edge/feed/feed.go
+++ b/internal/edge/feed/feed.go
@@ -39,9 +39,9 @@
 	Outage time.Duration
 	// Settle is how long they are doubted after its return.
 	Settle time.Duration
-	// Pause is the least time between two watches, so that changes close together
-	// cost one call.
-	Pause time.Duration
+	// Pause returns the least time between two watches, so that changes close
+	// together cost one call.
+	Pause func() time.Duration
 
 	live atomic.Bool
 }
@@ -63,7 +63,7 @@
 				down = false
 				f.Log.Info("feed: store is reachable again", "prefix", f.Prefix, "revision", revision)
 			}
-			sleep(ctx, f.Pause)
+			sleep(ctx, f.Pause())
 			revision, err = f.watch(ctx, revision)
 		}
 		f.live.Store(errors.Is(err, platform.ErrCompacted))
@@ -115,7 +115,7 @@
 			f.Sink.Apply(written(events), next)
 			revision = next
 		}
-		sleep(ctx, min(left, f.Pause))
+		sleep(ctx, min(left, f.Pause()))
 		if ctx.Err() != nil {
 			return 0, ctx.Err()
 		}
--- a/internal/edge/loadbook/book.go
+++ b/internal/edge/loadbook/book.go
@@ -52,6 +52,7 @@
 	fleet   peer                       // guarded by mu; what a hub told of all other hosts
 	parts   map[string]map[string]Load // guarded by mu; the same by target and host, for targets that leave
 	total   peer                       // guarded by mu; sum of own and peers
+	grants  []grant                    // guarded by mu; given to other hosts, not in their loads yet
 	changed chan struct{}              // guarded by mu; closed at the next fall of a load
 }
 
@@ -84,11 +85,46 @@
 	b.own[target] = l
 }
 
+// grant is load that this host has given another one leave to add.
+type grant struct {
+	host, target string
+	load         Load
+	at           bootclock.Instant
+}
+
+// grantReturn is how long after a grant the host's own loads may lack it: the
+// way of the answer, and the run's entry into that host's book.
+const grantReturn = 30 * time.Millisecond
+
+// Grant counts load that another host adds to a target, until the host's own
+// loads show it.
+func (b *Book) Grant(host, target string, l Load) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.grants = append(b.grants, grant{host: host, target: target, load: l, at: bootclock.Now()})
+}
+
+// settle drops grants that the loads of a host show by now, and those that no
+// host has shown for long. Callers hold b.mu.
+func (b *Book) settle(host string, now bootclock.Instant) {
+	kept := b.grants[:0]
+	for _, g := range b.grants {
+		age := now.Sub(g.at)
+		if age > peerMemory || (g.host == host && age > grantReturn) {
+			continue
+		}
+		kept = append(kept, g)
+	}
+	b.grants = kept
+}
+
 // SetPeer takes the loads of another host.
 func (b *Book) SetPeer(host string, loads map[string]Load) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.peers[host] = peer{loads: loads, at: bootclock.Now()}
+	now := bootclock.Now()
+	b.settle(host, now)
+	b.peers[host] = peer{loads: loads, at: now}
 	b.wake()
 }
 
@@ -129,6 +165,11 @@
 			sum = sum.Plus(p.loads[target])
 		}
 	}
+	for _, g := range b.grants {
+		if g.target == target && g.host != without {
+			sum = sum.Plus(g.load)
+		}
+	}
 	return sum
 }
 
@@ -166,6 +207,9 @@
 			total[target] = total[target].Plus(l)
 		}
 	}
+	for _, g := range b.grants {
+		total[g.target] = total[g.target].Plus(g.load)
+	}
 	return total
 }
 
--- a/internal/edge/migration/mover.go
+++ b/internal/edge/migration/mover.go
@@ -41,8 +41,8 @@
 	Host    string
 	Engines edge.Engines
 	Book    *loadbook.Book
-	// Choose returns an engine with room, or nil.
-	Choose func(service *policy.Service, need placing.Need, tried map[string]bool) *targets.Target
+	// Choose finds an engine with room and counts the run's load there.
+	Choose func(ctx context.Context, service *policy.Service, need placing.Need, own loadbook.Load, tried map[string]bool) streaming.Choice
 	// Observe counts the outcome of each move, for metrics.
 	Observe func(outcome string, took time.Duration)
 }
@@ -94,12 +94,12 @@
 			return tooLate, len(tried) - 1
 		}
 		load := loadbook.Load{Runs: 1, Tokens: max(r.Expected(), held), Held: held}
-		dest := m.Choose(service, placing.Need{Tokens: load.Tokens, Domain: source.Zone, Move: true, Far: far, Affinity: source.Key()}, tried)
+		need := placing.Need{Tokens: load.Tokens, Domain: source.Zone, Move: true, Far: far, Affinity: source.Key()}
+		dest := m.Choose(ctx, service, need, load, tried).Target
 		if dest == nil {
 			break
 		}
 		tried[dest.Key()] = true
-		m.Book.Add(dest.Key(), load)
 		if outcome := m.to(ctx, source, dest, load, r); outcome != edge.MoveNoRoom.String() {
 			return outcome, len(tried) - 1
 		}
--- a/internal/edge/peers/exchange.go
+++ b/internal/edge/peers/exchange.go
@@ -18,6 +18,7 @@
 	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/edge/freshness"
 	"corianderhitch/internal/edge/loadbook"
+	"corianderhitch/internal/edge/placing"
 	"corianderhitch/internal/edge/policy"
 	"corianderhitch/internal/edge/relay"
 	"corianderhitch/internal/edge/targets"
@@ -36,6 +37,9 @@
 	standbyTurns = 5
 	// callTimeout bounds a call between hosts.
 	callTimeout = 400 * time.Millisecond
+	// placeTimeout bounds the question for an engine; a host that gets no answer
+	// chooses alone.
+	placeTimeout = 60 * time.Millisecond
 	// hubSilence is how long the hubs may be silent before this host follows the
 	// store itself: two lost calls.
 	hubSilence = 900 * time.Millisecond
@@ -59,6 +63,9 @@
 	Confirmer *freshness.Confirmer
 	// Live tells whether this host follows the store itself at this moment.
 	Live func() bool
+	// Decide chooses an engine with room and returns its incarnation and load, or
+	// "". It runs on a hub for the runs of other hosts.
+	Decide func(service string, need placing.Need, tried map[string]bool) (string, loadbook.Load)
 
 	pool   *rpcconn.Pool
 	server *rpcconn.Server
@@ -201,7 +208,9 @@
 	if err := e.call(ctx, hub.Name, hub.Address, "Sync", args, reply); err != nil {
 		return // call logs it
 	}
-	e.Book.SetFleet(reply.Fleet, reply.Parts)
+	if !e.IsHub() { // hubs hear of each host directly
+		e.Book.SetFleet(reply.Fleet, reply.Parts)
+	}
 	e.takeLeaving(hub.Name, reply.Leaving)
 	if asOf, ok := e.takeVouch(hub.Address, asked, &reply.Vouch); ok {
 		e.Confirmer.Note(asOf)
@@ -215,6 +224,31 @@
 	e.mu.Unlock()
 }
 
+// Place asks the first hub that answers for an engine. It returns false if this
+// host must choose alone: it is that hub itself, or no hub can.
+func (e *Exchange) Place(ctx context.Context, args PlaceArgs) (PlaceReply, bool) {
+	args.Host = e.Host
+	for _, hub := range e.Members.Hubs() {
+		if hub.Name == e.Host {
+			return PlaceReply{}, false
+		}
+		if !e.answers(hub.Name) {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(ctx, placeTimeout)
+		defer cancel()
+		reply := new(PlaceReply)
+		if err := e.pool.Call(ctx, hub.Address, serviceName+".Place", args, reply); err != nil {
+			e.Log.Warn("peers: hub does not place a run", "hub", hub.Name, "error", err.Error())
+			return PlaceReply{}, false
+		}
+		if reply.Able {
+			return *reply, true
+		}
+	}
+	return PlaceReply{}, false
+}
+
 // call calls a host and logs when it falls silent and when it is back.
 func (e *Exchange) call(ctx context.Context, host, address, method string, args, reply any) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/internal/edge/peers/members.go
+++ b/internal/edge/peers/members.go
@@ -25,6 +25,9 @@
 	// listPeriod is how often the list of hosts is read. It may be seconds old:
 	// peers also learn of each other from the calls that they get.
 	listPeriod = 5 * time.Second
+	// firstList is when the list is read first: hosts of a fleet that starts
+	// register within a fraction of a second.
+	firstList = 700 * time.Millisecond
 	// listSoon is the same while this host knows no other.
 	listSoon = 1500 * time.Millisecond
 )
@@ -51,7 +54,7 @@
 // NewMembers returns the members as seen by a host.
 func NewMembers(log *slog.Logger, store Store, self relay.Host) *Members {
 	m := &Members{log: log, store: store, self: self}
-	m.set(nil)
+	m.hosts = map[string]relay.Host{self.Name: self}
 	return m
 }
 
@@ -75,7 +78,8 @@
 	return names
 }
 
-// Hubs returns the hosts that follow the store for all.
+// Hubs returns the hosts that follow the store for all; none before the list of
+// hosts is known.
 func (m *Members) Hubs() []relay.Host {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -151,6 +155,7 @@
 }
 
 func (m *Members) follow(ctx context.Context) {
+	sleep(ctx, firstList)
 	for ctx.Err() == nil {
 		entries, revision, err := m.store.ListStale(ctx, memberPrefix)
 		if err != nil {
@@ -191,9 +196,6 @@
 
 // set replaces the hosts and returns the ones before.
 func (m *Members) set(hosts map[string]relay.Host) map[string]relay.Host {
-	if hosts == nil {
-		hosts = make(map[string]relay.Host)
-	}
 	hosts[m.self.Name] = m.self
 	all := make([]relay.Host, 0, len(hosts))
 	for _, h := range hosts {
--- a/internal/edge/peers/messages.go
+++ b/internal/edge/peers/messages.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"corianderhitch/internal/edge/loadbook"
+	"corianderhitch/internal/edge/placing"
 	"corianderhitch/internal/edge/relay"
 	"corianderhitch/internal/platform"
 )
@@ -29,6 +30,23 @@
 	Vouch   Vouch
 }
 
+// PlaceArgs asks a hub for an engine.
+type PlaceArgs struct {
+	Host    string
+	Service string
+	Need    placing.Need
+	Load    loadbook.Load // that the run adds
+	Tried   []string      // incarnations that are out of the question
+}
+
+// PlaceReply names it.
+type PlaceReply struct {
+	// Able tells whether the hub can decide; otherwise the host chooses alone.
+	Able   bool
+	Target string        // incarnation; empty if none has room
+	Before loadbook.Load // of the target, for the log
+}
+
 // Vouch tells how fresh a host's configuration is.
 type Vouch struct {
 	Revision int64
--- a/internal/edge/peers/service.go
+++ b/internal/edge/peers/service.go
@@ -23,6 +23,23 @@
 	return nil
 }
 
+// Place chooses an engine for a host's run.
+func (s *service) Place(args PlaceArgs, reply *PlaceReply) error {
+	e := s.e
+	if !e.Live() {
+		return nil
+	}
+	tried := make(map[string]bool, len(args.Tried))
+	for _, key := range args.Tried {
+		tried[key] = true
+	}
+	reply.Able = true
+	if reply.Target, reply.Before = e.Decide(args.Service, args.Need, tried); reply.Target != "" {
+		e.Book.Grant(args.Host, reply.Target, args.Load)
+	}
+	return nil
+}
+
 // Notice takes urgent news.
 func (s *service) Notice(args NoticeArgs, _ *NoticeReply) error {
 	if args.Parts != nil {
--- a/internal/edge/placing/candidate.go
+++ b/internal/edge/placing/candidate.go
@@ -15,5 +15,5 @@
 	Latency float64 // average time to an answer in seconds, 0 if unknown
 }
 
-// maxCost is the cost from which a target counts as failing.
-const maxCost = 4
+// MaxCost is the cost from which a target counts as failing.
+const MaxCost = 4
--- a/internal/edge/placing/engine.go
+++ b/internal/edge/placing/engine.go
@@ -134,7 +134,7 @@
 	if c.Load.Runs >= engine.Slots || (share > fullShare && c.Load.Runs > 0) {
 		return math.Inf(1)
 	}
-	if c.Cost > maxCost {
+	if c.Cost > MaxCost {
 		return math.Inf(1)
 	}
 	if need.Objective > 0 {
--- a/internal/edge/process/follow.go
+++ b/internal/edge/process/follow.go
@@ -19,6 +19,9 @@
 	// policyPause does the same for the configuration, which must be in force
 	// within seconds.
 	policyPause = 300 * time.Millisecond
+	// alonePause is used instead by hosts that follow the store while they know no
+	// live hub: at a start of the fleet that is all of them.
+	alonePause = 300 * time.Millisecond
 )
 
 // feeds are the two prefixes of the store that a host follows, for itself or for
@@ -30,13 +33,23 @@
 
 func (p *Process) newFeeds() *feeds {
 	return &feeds{
-		policy: &feed.Feed{Log: p.log, Store: p.store, Prefix: p.adapter.ConfigurationKey, Pause: policyPause,
+		policy: &feed.Feed{Log: p.log, Store: p.store, Prefix: p.adapter.ConfigurationKey, Pause: p.pause(policyPause),
 			Sink: &policySink{log: p.log, holder: p.policy, key: p.adapter.ConfigurationKey}},
-		targets: &feed.Feed{Log: p.log, Store: p.store, Prefix: p.adapter.TargetPrefix, Pause: targetPause,
+		targets: &feed.Feed{Log: p.log, Store: p.store, Prefix: p.adapter.TargetPrefix, Pause: p.pause(targetPause),
 			Sink: p.list, Outage: lapseBeats * p.node.Heartbeat, Settle: settleTime},
 	}
 }
 
+// pause returns the pause between watches of a hub, or of a host on its own.
+func (p *Process) pause(ofHub time.Duration) func() time.Duration {
+	return func() time.Duration {
+		if p.exchange.IsHub() {
+			return ofHub
+		}
+		return alonePause
+	}
+}
+
 func (p *Process) newTargetSink() *targetSink {
 	return &targetSink{log: p.log, registry: p.targets, decode: p.adapter.DecodeTarget,
 		listed: func() { p.listed.Store(true) }, known: make(map[string]targets.Target)}
--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -155,8 +155,9 @@
 	p.streaming = &streaming.Server{
 		Sender: sender, Engines: adapter.Engines(p.pool), Targets: p.targets, Book: p.book, Health: health,
 		Lengths: streaming.NewLengths(), Queue: admission.New(p.book.Changed), Runs: streaming.NewRuns(p.runEntered),
-		Budget: p.budget, Domain: n.Domain, Spread: p.spread,
+		Budget: p.budget, Domain: n.Domain, Spread: p.spread, Ask: p.exchange.Place,
 	}
+	p.exchange.Decide = p.decide
 	p.mover = &migration.Mover{
 		Log: log, Host: n.Name, Engines: p.streaming.Engines, Book: p.book, Choose: p.streaming.Choose,
 		Observe: func(outcome string, took time.Duration) { p.metrics.Move(outcome, took) },
@@ -235,6 +236,15 @@
 	return placing.Spread(p.runRate.PerSecond(), p.members.Count(), p.exchange.Period())
 }
 
+// decide chooses an engine for another host.
+func (p *Process) decide(service string, need placing.Need, tried map[string]bool) (string, loadbook.Load) {
+	c := p.policy.Current()
+	if c == nil || c.Service(service) == nil || c.Service(service).Engine == nil {
+		return "", loadbook.Load{}
+	}
+	return p.streaming.Decide(c.Service(service), need, tried)
+}
+
 func (p *Process) observer() *observe.Observer {
 	return &observe.Observer{
 		Log: p.log, Host: p.node.Name, Engines: p.streaming.Engines, Targets: p.targets,
--- a/internal/edge/streaming/server.go
+++ b/internal/edge/streaming/server.go
@@ -7,8 +7,10 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -16,6 +18,7 @@
 	"corianderhitch/internal/edge/admission"
 	"corianderhitch/internal/edge/ejection"
 	"corianderhitch/internal/edge/loadbook"
+	"corianderhitch/internal/edge/peers"
 	"corianderhitch/internal/edge/placing"
 	"corianderhitch/internal/edge/policy"
 	"corianderhitch/internal/edge/retrybudget"
@@ -57,6 +60,8 @@
 	Runs    *Runs
 	Budget  func(service string) *retrybudget.Budget
 	Domain  string // failure domain of this host
+	// Ask asks a hub for an engine; false means that none can decide.
+	Ask func(ctx context.Context, args peers.PlaceArgs) (peers.PlaceReply, bool)
 	// Spread returns how many runs other hosts place before this one hears of them.
 	Spread func() int
 }
@@ -141,29 +146,64 @@
 	ctx, cancel := context.WithTimeout(ctx, maxWait(a, own))
 	defer cancel()
 	need := newNeed(a, own, s.Domain)
-	need.Spread, need.Draw = s.Spread(), rand.Float64()
-	var load loadbook.Load
+	var c Choice
 	t := s.Queue.Place(ctx, a.Urgency, func() *targets.Target {
-		t := s.choose(a.Service, need, tried)
-		if t != nil {
-			load = s.Book.Load(t.Key())
-			s.Book.Add(t.Key(), own)
-		}
-		return t
+		c = s.Choose(ctx, a.Service, need, own, tried)
+		return c.Target
 	})
 	if t != nil {
-		a.Log.Info("stream: engine chosen", "target", t.ID, "runs", load.Runs, "expected_tokens", load.Tokens, "unread_tokens", load.Unread, "needs_tokens", need.Tokens,
+		a.Log.Info("stream: engine chosen", "target", t.ID, "by", c.By, "runs", c.Before.Runs, "expected_tokens", c.Before.Tokens,
+			"unread_tokens", c.Before.Unread, "needs_tokens", need.Tokens,
 			"list_revision", s.Targets.View().Revision, "age_ms", a.Age().Milliseconds())
 	}
 	return t, own
 }
 
-// Choose returns an engine with room for a moved run, or nil.
-func (s *Server) Choose(service *policy.Service, need placing.Need, tried map[string]bool) *targets.Target {
-	return s.choose(service, need, tried)
+// Choice is an engine for a run, which its load is counted at already.
+type Choice struct {
+	Target *targets.Target // nil if none has room
+	Before loadbook.Load   // of the target, as the one who chose knew it
+	By     string          // who chose, for the log
+}
+
+// Choose finds an engine with room and counts the run's load there. A hub, which
+// sees all runs, decides if it answers; otherwise this host does.
+func (s *Server) Choose(ctx context.Context, service *policy.Service, need placing.Need, own loadbook.Load, tried map[string]bool) Choice {
+	c := Choice{By: "hub"}
+	out := append(slices.Collect(maps.Keys(tried)), s.failing(service)...)
+	reply, able := s.Ask(ctx, peers.PlaceArgs{Service: service.Name, Need: need, Load: own, Tried: out})
+	if able {
+		c.Target, c.Before = s.Targets.View().Get(reply.Target), reply.Before
+		if c.Target == nil && reply.Target != "" {
+			able = false // this host does not know the target yet
+		}
+	}
+	if !able {
+		need.Spread, need.Draw = s.Spread(), rand.Float64()
+		var key string
+		key, c.Before = s.Decide(service, need, tried)
+		c.Target, c.By = s.Targets.View().Get(key), "host"
+	}
+	if c.Target != nil {
+		s.Book.Add(c.Target.Key(), own)
+	}
+	return c
+}
+
+// failing returns the engines that fail for this host, which the hub cannot know.
+func (s *Server) failing(service *policy.Service) []string {
+	var keys []string
+	for _, t := range s.Targets.View().Serving(service.Name) {
+		if key := t.Key(); s.Health.Cost(key) > placing.MaxCost {
+			keys = append(keys, key)
+		}
+	}
+	return keys
 }
 
-func (s *Server) choose(service *policy.Service, need placing.Need, tried map[string]bool) *targets.Target {
+// Decide returns the engine with room that is best by what this host knows, and
+// its load, or "".
+func (s *Server) Decide(service *policy.Service, need placing.Need, tried map[string]bool) (string, loadbook.Load) {
 	serving := s.Targets.View().Serving(service.Name)
 	candidates := make([]placing.Candidate, len(serving))
 	for i, t := range serving {
@@ -172,9 +212,9 @@
 	}
 	i := placing.Engine(candidates, service.Engine, need, tried)
 	if i < 0 {
-		return nil
+		return "", loadbook.Load{}
 	}
-	return serving[i]
+	return serving[i].Key(), candidates[i].Load
 }
 
 func (s *Server) noRoom(ctx context.Context, a *edge.Admitted) *edge.Refusal {
