Tests of the decisions without a network; a host that has just booted is not confirmed

Found by a new test: before the first confirmation its age was the time since the host's boot, so that a host up for less than the bound counted as confirmed. The age is endless now.

--- /dev/null
+++ b/internal/edge/admission/queue_test.go
@@ -0,0 +1,67 @@
+package admission
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"corianderhitch/internal/edge/targets"
+)
+
+var target = &targets.Target{ID: "t"}
+
+func TestMoreUrgentRunsGoFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		room := 0
+		q := New(func() <-chan struct{} { return nil })
+		try := func() *targets.Target {
+			if room == 0 {
+				return nil
+			}
+			room--
+			return target
+		}
+		order := make(chan string, 3)
+		place := func(name string, urgency int) {
+			require.NotNil(t, q.Place(context.Background(), urgency, try))
+			order <- name
+		}
+		go place("draft 1", 1)
+		synctest.Wait()
+		go place("draft 2", 1)
+		synctest.Wait()
+		go place("summary", 0)
+		synctest.Wait()
+		require.Equal(t, 3, q.Len())
+		for _, want := range []string{"summary", "draft 1", "draft 2"} {
+			room = 1
+			require.Equal(t, want, <-order)
+		}
+	})
+}
+
+func TestWaitEndsWithItsContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := New(func() <-chan struct{} { return nil })
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		began := time.Now()
+		require.Nil(t, q.Place(ctx, 1, func() *targets.Target { return nil }))
+		require.Equal(t, time.Second, time.Since(began))
+		require.Zero(t, q.Len())
+	})
+}
+
+func TestMoreUrgentRunDoesNotWaitBehindLessUrgentOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := New(func() <-chan struct{} { return nil })
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go q.Place(ctx, 5, func() *targets.Target { return nil })
+		synctest.Wait()
+		require.Equal(t, target, q.Place(ctx, 1, func() *targets.Target { return target }))
+	})
+}
--- /dev/null
+++ b/internal/edge/decisionlog/decisionlog_test.go
@@ -0,0 +1,77 @@
+package decisionlog
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"log/slog"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// stalled blocks every write until it is released.
+type stalled struct {
+	release chan struct{}
+	out     bytes.Buffer
+}
+
+func (s *stalled) Write(p []byte) (int, error) {
+	<-s.release
+	return s.out.Write(p)
+}
+
+func TestStalledOutputNeitherBlocksNorGrows(t *testing.T) {
+	out := &stalled{release: make(chan struct{})}
+	w := NewWriter(out)
+	const lines = 50 * queueLines
+	for i := range lines {
+		_, err := fmt.Fprintf(w, "line %d\n", i)
+		require.NoError(t, err)
+	}
+	dropped := w.Dropped()
+	close(out.release)
+	w.Close()
+	written := strings.Count(out.out.String(), "line ")
+	for _, report := range regexp.MustCompile(`"lines":(\d+)`).FindAllStringSubmatch(out.out.String(), -1) {
+		n, err := strconv.Atoi(report[1])
+		require.NoError(t, err)
+		dropped += int64(n)
+	}
+	require.GreaterOrEqual(t, dropped, int64(lines-written), "each line is written or reported as dropped")
+	const shortest = len("line 0\n")
+	require.LessOrEqual(t, written, 2*(queueLines+maxBatchBytes/shortest))
+	require.Contains(t, out.out.String(), "lines dropped because standard output is slow")
+}
+
+func TestSamplerBoundsAMessageAndSaysSo(t *testing.T) {
+	var out bytes.Buffer
+	s := NewSampler(slog.NewJSONHandler(&out, nil))
+	at := time.Unix(1000, 0)
+	emit := func(level slog.Level, message string) {
+		require.NoError(t, s.Handle(t.Context(), slog.NewRecord(at, level, message, 0)))
+	}
+	for range 3 * routinePerSecond {
+		emit(slog.LevelInfo, "routine")
+		emit(slog.LevelWarn, "failure")
+	}
+	require.Equal(t, routinePerSecond, strings.Count(out.String(), `"routine"`))
+	require.Equal(t, failurePerSecond, strings.Count(out.String(), `"failure"`))
+	at = at.Add(time.Second)
+	out.Reset()
+	emit(slog.LevelInfo, "routine")
+	require.Contains(t, out.String(), fmt.Sprintf(`"lines_left_out":%d`, 2*routinePerSecond))
+}
+
+func TestClosedWriterHasWrittenAll(t *testing.T) {
+	var out bytes.Buffer
+	w := NewWriter(&out)
+	_, err := io.WriteString(w, "last\n")
+	require.NoError(t, err)
+	w.Close()
+	require.Equal(t, "last\n", out.String())
+}
--- a/internal/edge/freshness/confirmer.go
+++ b/internal/edge/freshness/confirmer.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -47,14 +48,20 @@
 // AsOf returns the instant as of which the configuration was surely the newest.
 func (c *Confirmer) AsOf() bootclock.Instant { return bootclock.Instant(c.asOf.Load()) }
 
-// Age returns the time since AsOf.
-func (c *Confirmer) Age() time.Duration { return bootclock.Since(c.AsOf()) }
+// Age returns the time since AsOf, which is endless before the first
+// confirmation: a host that has just booted is not confirmed by its clock.
+func (c *Confirmer) Age() time.Duration {
+	if c.asOf.Load() == 0 {
+		return math.MaxInt64
+	}
+	return bootclock.Since(c.AsOf())
+}
 
 // Run confirms until ctx ends.
 func (c *Confirmer) Run(ctx context.Context) {
 	for {
 		pause := c.period() - c.Age()
-		if pause <= 0 {
+		if pause <= 0 { // also before the first
 			<-c.attempt(ctx)
 			if c.Age() >= c.period() {
 				pause = retryPause
--- a/internal/edge/peers/exchange.go
+++ b/internal/edge/peers/exchange.go
@@ -43,6 +43,9 @@
 	// hubSilence is how long the hubs may be silent before this host follows the
 	// store itself: two lost calls.
 	hubSilence = 900 * time.Millisecond
+	// maxVouchAge is the oldest vouched confirmation that is of use; a peer without
+	// any says an endless age.
+	maxVouchAge = time.Hour
 	// noticeGather collects notices that come close together into one call.
 	noticeGather = 5 * time.Millisecond
 	// vouchPeers is how many hosts are asked to vouch at once.
@@ -334,5 +337,8 @@
 	if p := e.Policy.Current(); p == nil || p.Revision < v.Revision {
 		return 0, false
 	}
+	if v.Age > maxVouchAge {
+		return 0, false
+	}
 	return asked.Add(-v.Age), true
 }
--- a/internal/edge/peers/service.go
+++ b/internal/edge/peers/service.go
@@ -1,9 +1,5 @@
 package peers
 
-import (
-	"corianderhitch/internal/edge/bootclock"
-)
-
 // service answers the other hosts. Its methods have the form of net/rpc.
 type service struct{ e *Exchange }
 
@@ -59,7 +55,7 @@
 func (e *Exchange) vouch(known int64) Vouch {
 	// The age is read before the configuration: a newer one may come in force
 	// between the two, never an older one.
-	v := Vouch{Age: bootclock.Since(e.Confirmer.AsOf())}
+	v := Vouch{Age: e.Confirmer.Age()}
 	if p := e.Policy.Current(); p != nil {
 		v.Revision = p.Revision
 		if p.Revision > known {
--- /dev/null
+++ b/internal/edge/placing/engine_test.go
@@ -0,0 +1,140 @@
+package placing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"corianderhitch/internal/edge/loadbook"
+	"corianderhitch/internal/edge/policy"
+	"corianderhitch/internal/edge/targets"
+)
+
+var engine = &policy.Engine{Slots: 24, MemoryTokens: 20000}
+
+func candidate(id, zone string, l loadbook.Load) Candidate {
+	return Candidate{Target: &targets.Target{ID: id, Zone: zone}, Load: l, Cost: 1}
+}
+
+func TestEngine(t *testing.T) {
+	need := Need{Tokens: 3000, Unread: 2500, Objective: 1800 * time.Millisecond, Domain: "a"}
+	for name, c := range map[string]struct {
+		candidates []Candidate
+		need       Need
+		tried      map[string]bool
+		want       int
+	}{
+		"emptiest": {candidates: []Candidate{
+			candidate("1", "a", loadbook.Load{Runs: 3, Tokens: 9000}), candidate("2", "a", loadbook.Load{Runs: 2, Tokens: 6000}),
+		}, need: need, want: 1},
+		"no memory left": {candidates: []Candidate{candidate("1", "a", loadbook.Load{Runs: 5, Tokens: 18000})}, need: need, want: -1},
+		"no place left":  {candidates: []Candidate{candidate("1", "a", loadbook.Load{Runs: 24, Tokens: 100})}, need: need, want: -1},
+		"larger than an empty engine": {candidates: []Candidate{candidate("1", "a", loadbook.Load{})},
+			need: Need{Tokens: 19500, Domain: "a"}, want: 0},
+		"unread prompts ahead": {candidates: []Candidate{
+			candidate("1", "a", loadbook.Load{Runs: 1, Tokens: 3000, Unread: 5000}), candidate("2", "a", loadbook.Load{Runs: 2, Tokens: 5000}),
+		}, need: need, want: 1},
+		"too many unread prompts everywhere": {candidates: []Candidate{
+			candidate("1", "a", loadbook.Load{Runs: 3, Tokens: 9000, Unread: 9000}),
+		}, need: need, want: -1},
+		"tried": {candidates: []Candidate{
+			candidate("1", "a", loadbook.Load{}), candidate("2", "a", loadbook.Load{Runs: 2, Tokens: 6000}),
+		}, need: need, tried: map[string]bool{"1@0": true}, want: 1},
+		"own domain when about equal": {candidates: []Candidate{
+			candidate("1", "b", loadbook.Load{Runs: 1, Tokens: 3000}), candidate("2", "a", loadbook.Load{Runs: 1, Tokens: 3200}),
+		}, need: need, want: 1},
+		"a move stays in the domain while time is short": {candidates: []Candidate{
+			candidate("1", "b", loadbook.Load{}), candidate("2", "a", loadbook.Load{Runs: 3, Tokens: 9000}),
+		}, need: Need{Tokens: 3000, Domain: "a", Move: true, Far: 0.6}, want: 1},
+		"a move leaves the domain when there is time": {candidates: []Candidate{
+			candidate("1", "b", loadbook.Load{}), candidate("2", "a", loadbook.Load{Runs: 3, Tokens: 9000}),
+		}, need: Need{Tokens: 3000, Domain: "a", Move: true, Far: 0.1}, want: 0},
+		"none": {need: need, want: -1},
+	} {
+		t.Run(name, func(t *testing.T) { require.Equal(t, c.want, Engine(c.candidates, engine, c.need, c.tried)) })
+	}
+}
+
+func TestFailingEngineIsLeftOut(t *testing.T) {
+	bad := candidate("1", "a", loadbook.Load{})
+	bad.Cost = MaxCost + 1
+	require.Equal(t, -1, Engine([]Candidate{bad}, engine, Need{Tokens: 3000, Domain: "a"}, nil))
+}
+
+// Requests that share a prefix meet at one engine, whatever host they come
+// through, unless it is much fuller than others.
+func TestSharedPrefixMeetsAtOneEngine(t *testing.T) {
+	var candidates []Candidate
+	for i := range 8 {
+		candidates = append(candidates, candidate(fmt.Sprint(i), "a", loadbook.Load{Runs: 1, Tokens: 2000 + 100*i}))
+	}
+	need := Need{Tokens: 2500, Domain: "a", Affinity: "p", Shared: 350}
+	first := Engine(candidates, engine, need, nil)
+	require.Equal(t, first, Engine(candidates, engine, need, nil))
+	candidates[first].Load.Tokens = 14000
+	require.NotEqual(t, first, Engine(candidates, engine, need, nil))
+}
+
+// crowd plays the load of the crowded deployment: 62 hosts place 60 runs a second
+// on 38 engines that read prompts of 2,800 tokens. It returns the part of the runs
+// whose first event comes after the objective or that find no engine at all.
+// Unseen is how many runs are placed before any of them is known of.
+func crowd(unseen, spread int) (late float64) {
+	const (
+		engines, prompt, runs = 38, 2800, 4000
+		perSecond             = 60.0
+		objective             = 1800 * time.Millisecond
+	)
+	random := rand.New(rand.NewPCG(1, 2))
+	unread, seen := make([]float64, engines), make([]float64, engines)
+	missed := 0
+	for n := range runs {
+		if n%unseen == 0 {
+			copy(seen, unread)
+		}
+		candidates := make([]Candidate, engines)
+		for i := range candidates {
+			candidates[i] = candidate(fmt.Sprint(i), "a", loadbook.Load{Runs: 1, Unread: int(seen[i]), Tokens: 5000})
+		}
+		need := Need{Tokens: 3400, Unread: prompt, Objective: objective, Domain: "a", Spread: spread, Draw: random.Float64()}
+		i := Engine(candidates, engine, need, nil)
+		if i < 0 || ReadTime(int(unread[i])+prompt) > objective {
+			missed++
+		}
+		if i >= 0 {
+			unread[i] += prompt
+		}
+		for i := range unread {
+			unread[i] = max(0, unread[i]-readRate/perSecond)
+		}
+	}
+	return float64(missed) / runs
+}
+
+// The target is that 95 in 100 runs begin in time.
+func TestCrowdedEnginesBeginRunsInTime(t *testing.T) {
+	const (
+		bound  = 0.05
+		unseen = 8 // 62 hosts, loads 124 ms old
+	)
+	require.LessOrEqual(t, crowd(1, 1), bound, "a hub that sees each run at once")
+	require.LessOrEqual(t, crowd(unseen, Spread(1, 62, 124*time.Millisecond)), bound, "hosts that draw among the best")
+	require.Greater(t, crowd(4*unseen, 1), bound, "hosts that all take the best, with a hub that is slow")
+}
+
+func TestPlain(t *testing.T) {
+	sound := Candidate{Target: &targets.Target{ID: "1", Zone: "a", Slots: 6}, Cost: 1, Latency: 0.015}
+	busy := sound
+	busy.Target, busy.Load = &targets.Target{ID: "2", Zone: "a", Slots: 6}, loadbook.Load{Runs: 6}
+	grey := sound
+	grey.Target, grey.Cost = &targets.Target{ID: "3", Zone: "a", Slots: 6}, 8
+	slow := sound
+	slow.Target, slow.Latency = &targets.Target{ID: "4", Zone: "a", Slots: 6}, 0.12
+	all := []Candidate{slow, grey, busy, sound}
+	require.Equal(t, 3, Plain(all, "a", nil))
+	require.Equal(t, 2, Plain(all, "a", map[string]bool{"1@0": true}))
+	require.Equal(t, -1, Plain(nil, "a", nil))
+}
--- /dev/null
+++ b/internal/edge/relay/relay_test.go
@@ -0,0 +1,90 @@
+package relay
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"corianderhitch/internal/platform"
+)
+
+// state is a sink that keeps the list.
+type state map[string]string
+
+func (s state) Replace(entries []platform.Entry, _ platform.Revision, settled bool) {
+	if settled {
+		clear(s)
+	}
+	for _, e := range entries {
+		s[e.Key] = string(e.Value)
+	}
+}
+
+func (s state) Apply(events []platform.Event, _ platform.Revision) {
+	for _, e := range events {
+		if e.Deleted {
+			delete(s, e.Entry.Key)
+		} else {
+			s[e.Entry.Key] = string(e.Entry.Value)
+		}
+	}
+}
+
+func put(key, value string, revision platform.Revision) platform.Event {
+	return platform.Event{Entry: platform.Entry{Key: key, Value: []byte(value), Revision: revision}}
+}
+
+func remove(key string, revision platform.Revision) platform.Event {
+	return platform.Event{Entry: platform.Entry{Key: key, Revision: revision}, Deleted: true}
+}
+
+func TestFollowerReachesTheStateOfItsHub(t *testing.T) {
+	hubState, followerState := state{}, state{}
+	hub, follower := NewLog(hubState), NewLog(followerState)
+	hub.Replace([]platform.Entry{{Key: "a", Value: []byte("1"), Revision: 3}, {Key: "b", Value: []byte("1"), Revision: 5}}, 5, true)
+	follower.Take(hub.Since(follower.Revision()))
+	require.Equal(t, hubState, followerState)
+	hub.Apply([]platform.Event{put("a", "2", 6), remove("b", 7)}, 7)
+	changes := hub.Since(follower.Revision())
+	require.False(t, changes.Whole)
+	require.Len(t, changes.Events, 2)
+	follower.Take(changes)
+	require.Equal(t, state{"a": "2"}, followerState)
+	require.Equal(t, hub.Revision(), follower.Revision())
+}
+
+func TestFollowerThatLagsTakesTheWholeList(t *testing.T) {
+	hubState, followerState := state{}, state{}
+	hub, follower := NewLog(hubState), NewLog(followerState)
+	hub.Replace(nil, 1, true)
+	follower.Take(hub.Since(0))
+	for i := range maxEvents + 10 {
+		hub.Apply([]platform.Event{put(fmt.Sprint(i%7), fmt.Sprint(i), platform.Revision(2+i))}, platform.Revision(2+i))
+	}
+	changes := hub.Since(follower.Revision())
+	require.True(t, changes.Whole)
+	follower.Take(changes)
+	require.Equal(t, hubState, followerState)
+}
+
+func TestLogNeverStepsBack(t *testing.T) {
+	s := state{}
+	l := NewLog(s)
+	l.Apply([]platform.Event{put("a", "new", 9)}, 9)
+	l.Replace([]platform.Entry{{Key: "a", Value: []byte("old"), Revision: 4}}, 5, true)
+	l.Apply([]platform.Event{put("a", "older", 3)}, 5)
+	require.Equal(t, state{"a": "new"}, s)
+	require.Equal(t, platform.Revision(9), l.Revision())
+}
+
+func TestChooseTakesTheLargestHosts(t *testing.T) {
+	hosts := []Host{{Name: "a", CPUs: 0.2}, {Name: "b", CPUs: 0.8}, {Name: "c", CPUs: 0.8}, {Name: "d", CPUs: 0.4}}
+	chosen := Choose(hosts)
+	require.Len(t, chosen, Hubs)
+	for _, h := range chosen {
+		require.InDelta(t, 0.8, h.CPUs, 0)
+	}
+	require.Equal(t, chosen, Choose([]Host{hosts[3], hosts[2], hosts[1], hosts[0]}))
+	require.Len(t, Choose(hosts[:1]), 1)
+}
