--- a/api/problem/kind.go
+++ b/api/problem/kind.go
@@ -6,7 +6,7 @@
 // changes once published.
 type Kind string
 
-// The kinds that a gateway returns. docs/OPERATING.md explains each.
+// The kinds that a gateway returns. docs/OPERATIONS.md explains each.
 const (
 	KindBadRequest       Kind = "bad-request"
 	KindTooLarge         Kind = "too-large"
--- a/internal/cli/exit.go
+++ b/internal/cli/exit.go
@@ -10,7 +10,7 @@
 	"corianderhitch/internal/settings"
 )
 
-// Exit codes of hitchctl. docs/OPERATING.md explains them.
+// Exit codes of hitchctl. docs/OPERATIONS.md explains them.
 const (
 	ExitOK          = 0
 	ExitError       = 1 // any other failure
--- a/internal/cli/operating_test.go
+++ b/internal/cli/operations_test.go
@@ -17,7 +17,7 @@
 
 func operatingPage(t *testing.T) string {
 	t.Helper()
-	page, err := os.ReadFile("../../docs/OPERATING.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	require.NoError(t, err)
 	return string(page)
 }
--- /dev/null
+++ b/internal/cli/story.go
@@ -0,0 +1,45 @@
+package cli
+
+import (
+	"context"
+	"io"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"corianderhitch/internal/story"
+)
+
+func (a *app) storyCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "story REQUEST-ID [LOG-FILE...]",
+		Short: "Tell a request's way from the logs of all hosts (standard input without files)",
+		Args:  cobra.MinimumNArgs(1),
+		RunE: a.command(func(_ context.Context, args []string) error {
+			reader := story.NewReader(args[0])
+			if err := readLogs(reader, args[1:]); err != nil {
+				return err
+			}
+			s := reader.Story()
+			return a.out.result(s, func(w io.Writer) { s.Write(w) })
+		}),
+	}
+}
+
+func readLogs(reader *story.Reader, files []string) error {
+	if len(files) == 0 {
+		return reader.Read("stdin", os.Stdin)
+	}
+	for _, name := range files {
+		file, err := os.Open(name)
+		if err != nil {
+			return err
+		}
+		err = reader.Read(name, file)
+		_ = file.Close()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/edge/streaming/server.go
+++ b/internal/edge/streaming/server.go
@@ -304,7 +304,8 @@
 		refusal = &edge.Refusal{Status: http.StatusBadGateway, Reason: edge.ReasonCallerGone}
 	}
 	a.Log.Warn("stream: refused", "status", refusal.Status, "reason", refusal.Reason, "age_ms", a.Age().Milliseconds(),
-		"waiting", s.Queue.Len(), "retry_after_ms", refusal.RetryAfter.Milliseconds())
+		"waiting", s.Queue.Len(), "engines", len(s.Targets.View().Serving(a.Service.Name)), "list_revision", s.Targets.View().Revision,
+		"retry_after_ms", refusal.RetryAfter.Milliseconds())
 	refusal.Write(r.w, s.Sender.Wire)
 	return refusal.Reason
 }
--- a/internal/settings/gendoc/page.go
+++ b/internal/settings/gendoc/page.go
@@ -7,6 +7,7 @@
 	"corianderhitch/internal/agent"
 	"corianderhitch/internal/capacity"
 	"corianderhitch/internal/cli"
+	"corianderhitch/internal/edge/process"
 	"corianderhitch/internal/gateway"
 	"corianderhitch/internal/load"
 	"corianderhitch/internal/settings"
@@ -26,6 +27,7 @@
 	return []program{
 		{"gateway", new(gateway.Settings)},
 		{"agent", new(agent.Settings)},
+		{"edge", new(process.Settings)},
 		{"hitchctl", new(cli.Settings)},
 		{"hitchload run", new(load.RunSettings)},
 		{"hitchload compare", new(load.CompareSettings)},
@@ -47,7 +49,7 @@
 one is named with its remedy. A variable that starts with HITCH_ and is no setting of the program is refused. ` + "`--print-config`" + `
 shows the result, with secrets masked. Durations are written like 500ms or 5s, lists with commas between the items.
 
-What the system serves is not set here but in the environment document: see [OPERATING.md](OPERATING.md) and
+What the system serves is not set here but in the environment document: see [OPERATIONS.md](OPERATIONS.md) and
 [design/005-environment-document.md](design/005-environment-document.md). ` + "`hitchctl COMMAND --help`" + ` shows the flags of one
 command.
 
--- /dev/null
+++ b/internal/story/story_test.go
@@ -0,0 +1,57 @@
+package story
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const logs = `  18.01 edge-b {"time":"2026-09-11T11:26:52.9Z","level":"INFO","msg":"ingress: request ended","request":"r1","outcome":"may_have_run"}
+  17.98 edge-b {"time":"2026-09-11T11:26:52.8Z","level":"WARN","msg":"plain: send without a good answer","request":"r1","target":"i-3"}
+  17.98 edge-b {"time":"2026-09-11T11:26:52.8Z","level":"INFO","msg":"ingress: request ended","request":"r2","outcome":"answered"}
+  17.99 edge-b {"time":"2026-09-11T11:26:52.85Z","level":"INFO","msg":"x","lines_left_out":4}
+  {"time":"2026-09-11T11:26:52.85Z","level":"WARN","msg":"log: lines dropped because standard output is slow","lines":3}
+torn {"time":"2026-09-1
+`
+
+func TestStory(t *testing.T) {
+	r := NewReader("r1")
+	require.NoError(t, r.Read("a.log", strings.NewReader(logs)))
+	s := r.Story()
+	require.Len(t, s.Lines, 2)
+	require.Equal(t, "plain: send without a good answer", s.Lines[0].Message)
+	require.Equal(t, "17.98 edge-b", s.Lines[0].Source)
+	require.Equal(t, int64(7), s.LeftOut)
+	require.Equal(t, 1, s.Unreadable)
+	require.False(t, s.NoEnd)
+	var out bytes.Buffer
+	s.Write(&out)
+	require.Contains(t, out.String(), "target=i-3")
+	require.Contains(t, out.String(), "gap: the hosts left out 7 lines")
+}
+
+func TestUnknownRequest(t *testing.T) {
+	r := NewReader("none")
+	require.NoError(t, r.Read("a.log", strings.NewReader(logs)))
+	s := r.Story()
+	var out bytes.Buffer
+	s.Write(&out)
+	require.Contains(t, out.String(), "no line names request none")
+}
+
+// Torn and interleaved lines never stop the reader or invent a line.
+func FuzzRead(f *testing.F) {
+	f.Add(logs)
+	f.Add("{\"request\":\"r1\"}{\"request\":\"r1\"}\n\x00{")
+	f.Fuzz(func(t *testing.T, text string) {
+		r := NewReader("r1")
+		if err := r.Read("a.log", strings.NewReader(text)); err != nil {
+			return // a line beyond the bound
+		}
+		s := r.Story()
+		require.LessOrEqual(t, len(s.Lines), strings.Count(text, "r1"))
+		s.Write(&bytes.Buffer{})
+	})
+}
