--- a/cmd/edge/main.go
+++ b/cmd/edge/main.go
@@ -4,10 +4,7 @@
 package main
 
 import (
-	"corianderhitch/internal/edge"
-	"corianderhitch/internal/edge/peers"
 	"corianderhitch/internal/edge/process"
-	"corianderhitch/internal/edge/targetconn"
 	"corianderhitch/internal/program"
 	"corianderhitch/platform"
 )
@@ -17,16 +14,6 @@
 		Name:        "edge",
 		Short:       "Serve callers on one host of the platform",
 		PrintConfig: func(s *process.Settings) bool { return s.PrintConfig },
-		Run: process.Run(process.Adapter{
-			ReadNode:            platform.ReadNode,
-			Store:               func(address string) peers.Store { return platform.NewStore(address) },
-			Wire:                platform.Wire{},
-			Engines:             func(pool *targetconn.Pool) edge.Engines { return platform.NewEngines(pool) },
-			ConfigurationKey:    platform.ConfigurationKey,
-			TargetPrefix:        platform.TargetPrefix,
-			DecodeConfiguration: platform.DecodeConfiguration,
-			DecodeTarget:        platform.DecodeTarget,
-			ReadyPath:           platform.ReadyPath,
-		}),
+		Run:         process.Run(platform.Adapter()),
 	}.Main()
 }
--- a/internal/edge/feed/feed.go
+++ b/internal/edge/feed/feed.go
@@ -11,6 +11,7 @@
 
 	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/platform"
+	"corianderhitch/internal/wait"
 )
 
 const (
@@ -63,7 +64,7 @@
 				down = false
 				f.Log.Info("feed: store is reachable again", "prefix", f.Prefix, "revision", revision)
 			}
-			sleep(ctx, f.Pause())
+			wait.For(ctx, f.Pause())
 			revision, err = f.watch(ctx, revision)
 		}
 		f.live.Store(errors.Is(err, platform.ErrCompacted))
@@ -78,7 +79,7 @@
 			down = true
 			f.Log.Warn("feed: store cannot be reached", "prefix", f.Prefix, "error", err.Error())
 		}
-		sleep(ctx, retryPause)
+		wait.For(ctx, retryPause)
 	}
 }
 
@@ -115,7 +116,7 @@
 			f.Sink.Apply(written(events), next)
 			revision = next
 		}
-		sleep(ctx, min(left, f.Pause()))
+		wait.For(ctx, min(left, f.Pause()))
 		if ctx.Err() != nil {
 			return 0, ctx.Err()
 		}
@@ -147,12 +148,3 @@
 	}
 	return kept
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/edge/migration/mover.go
+++ b/internal/edge/migration/mover.go
@@ -12,6 +12,7 @@
 	"corianderhitch/internal/edge/policy"
 	"corianderhitch/internal/edge/streaming"
 	"corianderhitch/internal/edge/targets"
+	"corianderhitch/internal/wait"
 )
 
 const (
@@ -63,7 +64,7 @@
 	m.Log.Info("migration: engine leaves", "source", source.ID, "runs", len(order), "other_hosts", len(others), "turn_ms", turn.Milliseconds())
 	at := m.Book.Load(source.Key())
 	far := Far(runs[order[0]].Service().Engine, at.Held, at.Runs)
-	sleep(ctx, noticed.Add(turn).Sub(bootclock.Now()))
+	wait.For(ctx, noticed.Add(turn).Sub(bootclock.Now()))
 	for _, i := range order {
 		m.move(ctx, source, noticed, far, runs[i])
 	}
@@ -159,12 +160,3 @@
 		r.Log().Warn("migration: unused copy is left to expire", "source", source.ID, "copy", handle, "error", err.Error())
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(max(0, d))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/edge/peers/exchange.go
+++ b/internal/edge/peers/exchange.go
@@ -23,6 +23,7 @@
 	"corianderhitch/internal/edge/relay"
 	"corianderhitch/internal/edge/targets"
 	"corianderhitch/internal/rpcconn"
+	"corianderhitch/internal/wait"
 )
 
 const (
@@ -169,7 +170,7 @@
 			return
 		case <-e.kick:
 		}
-		sleep(ctx, noticeGather)
+		wait.For(ctx, noticeGather)
 		args := NoticeArgs{Host: e.Host, Leaving: e.Targets.Notices()}
 		receivers := e.Members.Hubs()
 		if e.IsHub() {
--- a/internal/edge/peers/members.go
+++ b/internal/edge/peers/members.go
@@ -12,6 +12,7 @@
 
 	"corianderhitch/internal/edge/relay"
 	"corianderhitch/internal/platform"
+	"corianderhitch/internal/wait"
 )
 
 const (
@@ -126,7 +127,7 @@
 			m.log.Warn("peers: lease of this host has expired", "lease", lease)
 			lease = m.join(ctx)
 		}
-		sleep(ctx, renewPeriod)
+		wait.For(ctx, renewPeriod)
 	}
 	if lease != 0 {
 		end, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -155,7 +156,7 @@
 }
 
 func (m *Members) follow(ctx context.Context) {
-	sleep(ctx, firstList)
+	wait.For(ctx, firstList)
 	for ctx.Err() == nil {
 		entries, revision, err := m.store.ListStale(ctx, memberPrefix)
 		if err != nil {
@@ -167,7 +168,7 @@
 		if m.Count() == 1 {
 			period = listSoon
 		}
-		sleep(ctx, period)
+		wait.For(ctx, period)
 	}
 }
 
@@ -208,12 +209,3 @@
 	m.hosts, m.hubs = hosts, hubs
 	return before
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- /dev/null
+++ b/internal/edge/process/runs.go
@@ -0,0 +1,69 @@
+package process
+
+import (
+	"context"
+
+	"corianderhitch/internal/edge/loadbook"
+	"corianderhitch/internal/edge/observe"
+	"corianderhitch/internal/edge/placing"
+	"corianderhitch/internal/edge/retrybudget"
+	"corianderhitch/internal/edge/streaming"
+	"corianderhitch/internal/edge/targets"
+)
+
+// spread returns how many runs the other hosts place before this one hears of
+// them: their loads come by way of a hub, each way at most a period old.
+func (p *Process) spread() int {
+	p.runRate.Add()
+	return placing.Spread(p.runRate.PerSecond(), p.members.Count(), p.exchange.Period())
+}
+
+// decide chooses an engine for another host.
+func (p *Process) decide(service string, need placing.Need, tried map[string]bool) (string, loadbook.Load) {
+	c := p.policy.Current()
+	if c == nil || c.Service(service) == nil || c.Service(service).Engine == nil {
+		return "", loadbook.Load{}
+	}
+	return p.streaming.Decide(c.Service(service), need, tried)
+}
+
+func (p *Process) observer() *observe.Observer {
+	return &observe.Observer{
+		Log: p.log, Host: p.node.Name, Engines: p.streaming.Engines, Targets: p.targets,
+		Services: func() []string {
+			if c := p.policy.Current(); c != nil {
+				return c.EngineServices()
+			}
+			return nil
+		},
+		Hosts: p.members.Names,
+		Worth: func(target string) int { return p.book.Load(target).Runs },
+	}
+}
+
+func (p *Process) targetLeaves(t targets.Target, n targets.Notice) {
+	runs := p.streaming.Runs.At(n.Key)
+	p.log.Info("targets: target leaves", "target", t.ID, "service", t.Service, "source", n.Source, "runs", len(runs))
+	p.exchange.Kick()
+	p.pool.Drop(n.Key)
+	go p.mover.Evacuate(context.Background(), &t, n.At, runs)
+}
+
+// runEntered moves a run on that has come to an engine which leaves by now.
+func (p *Process) runEntered(r *streaming.Run, key string) {
+	n, leaves := p.targets.LeavesSince(key)
+	if t := p.targets.View().Get(key); leaves && t != nil {
+		go p.mover.Evacuate(context.Background(), t, n.At, []*streaming.Run{r})
+	}
+}
+
+func (p *Process) budget(service string) *retrybudget.Budget {
+	p.budgetsMu.Lock()
+	defer p.budgetsMu.Unlock()
+	b := p.budgets[service]
+	if b == nil {
+		b = retrybudget.New(p.node.Retry.Ratio, p.node.Retry.Slack, p.node.Retry.Window, p.members.Count)
+		p.budgets[service] = b
+	}
+	return b
+}
--- /dev/null
+++ b/internal/edge/process/stop.go
@@ -0,0 +1,54 @@
+package process
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+)
+
+const (
+	// rotationDelay is how long the platform goes on sending connections to a
+	// host that says it is not ready: two probes a second apart, and a margin.
+	rotationDelay = 2500 * time.Millisecond
+	// exitMargin is left of the grace period for the end of the process itself.
+	exitMargin = 400 * time.Millisecond
+)
+
+// drain stops the process without cutting a request off: callers are sent
+// elsewhere first, then what is in flight ends.
+func (p *Process) drain(server *http.Server) {
+	started := time.Now()
+	p.stopping.Store(true)
+	p.log.Info("edge: stopping", "runs", p.streaming.Runs.Len(), "grace_ms", p.node.Grace.Milliseconds())
+	time.Sleep(min(rotationDelay, p.node.Grace/2))
+	ctx, cancel := context.WithTimeout(context.Background(), max(0, p.node.Grace-exitMargin-time.Since(started)))
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		p.log.Warn("edge: requests are cut off at the end of the grace period", "runs", p.streaming.Runs.Len(), "error", err.Error())
+		_ = server.Close()
+	}
+}
+
+// reload takes notice of changed settings. Addresses and bounds stay as they
+// were at the start; the platform restarts the process to change them.
+func (p *Process) reload(ctx context.Context, path string) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		}
+		n, err := p.adapter.ReadNode(path)
+		if err != nil {
+			p.log.Error("edge: node file cannot be read again and the old settings stay", "error", err.Error())
+			continue
+		}
+		p.log.Info("edge: reload", "changed", n != p.node)
+	}
+}
--- a/tests/edge/fleet_test.go
+++ b/tests/edge/fleet_test.go
@@ -20,11 +20,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"corianderhitch/internal/edge"
 	"corianderhitch/internal/edge/node"
 	"corianderhitch/internal/edge/peers"
 	"corianderhitch/internal/edge/process"
-	"corianderhitch/internal/edge/targetconn"
 	ports "corianderhitch/internal/platform"
 	"corianderhitch/internal/platform/memstore"
 	"corianderhitch/platform"
@@ -175,23 +173,15 @@
 	port, err := strconv.Atoi(portText)
 	require.NoError(f.t, err)
 	h := &host{front: front, ready: ready, done: make(chan error, 1), logs: &safeBuffer{}, cut: &cutStore{Store: f.store}}
-	adapter := process.Adapter{
-		ReadNode: func(string) (node.Node, error) {
-			return node.Node{
-				Name: fmt.Sprintf("host-%d", n), IP: "127.0.0.1", Domain: "a", Front: front, Ready: ready, StoreAddress: "test",
-				FirstPort: port, LastPort: port, Grace: f.grace, RevokeStrict: true, RevokeWithin: 2 * time.Second,
-				Retry: node.RetryBudget{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, Heartbeat: 1200 * time.Millisecond,
-			}, nil
-		},
-		Store:               func(string) peers.Store { return h.cut },
-		Wire:                platform.Wire{},
-		Engines:             func(pool *targetconn.Pool) edge.Engines { return platform.NewEngines(pool) },
-		ConfigurationKey:    platform.ConfigurationKey,
-		TargetPrefix:        platform.TargetPrefix,
-		DecodeConfiguration: platform.DecodeConfiguration,
-		DecodeTarget:        platform.DecodeTarget,
-		ReadyPath:           platform.ReadyPath,
-		Logs:                h.logs,
+	adapter := platform.Adapter()
+	adapter.Logs = h.logs
+	adapter.Store = func(string) peers.Store { return h.cut }
+	adapter.ReadNode = func(string) (node.Node, error) {
+		return node.Node{
+			Name: fmt.Sprintf("host-%d", n), IP: "127.0.0.1", Domain: "a", Front: front, Ready: ready, StoreAddress: "test",
+			FirstPort: port, LastPort: port, Grace: f.grace, RevokeStrict: true, RevokeWithin: 2 * time.Second,
+			Retry: node.RetryBudget{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, Heartbeat: 1200 * time.Millisecond,
+		}, nil
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	h.stop = cancel
