Lighten the hub; share failures; suspect engines that are silent

Change: notices are told for 3 s and rebuild views only if they are news; sums are kept up to date; the fleet's loads go with each fourth sync; hubs are chosen by link as well. Targets that failed several hosts lately are avoided by all; an engine that does not begin its answer within 1.3 objectives is suspected. Ruled out: the hub's memory and the network between domains.

--- a/internal/edge/admission/queue.go
+++ b/internal/edge/admission/queue.go
@@ -13,7 +13,7 @@
 
 // recheck is how often a waiting run looks for room without being told of any:
 // other hosts' loads and the age of old news change without an event.
-const recheck = 60 * time.Millisecond
+const recheck = 100 * time.Millisecond
 
 // Queue orders waiting runs by urgency, then arrival. It is safe for concurrent
 // use.
--- a/internal/edge/ejection/tracker_test.go
+++ b/internal/edge/ejection/tracker_test.go
@@ -33,3 +33,22 @@
 	}
 	require.Less(t, tr.Cost("t"), 2.5)
 }
+
+// Many hosts that each saw one failure are enough for all of them.
+func TestReportsOfOtherHostsCount(t *testing.T) {
+	hub, host := New(), New()
+	for _, name := range []string{"h1", "h2", "h3", "h4"} {
+		one := New()
+		one.Failure("t", 1)
+		require.Equal(t, []string{"t"}, one.Failing())
+		hub.Report(name, one.Failing())
+	}
+	require.Greater(t, hub.Cost("t"), 4.0)
+	require.Equal(t, 3, hub.Reports("h1")["t"])
+	host.SetFleet(hub.Reports("h9"))
+	require.Greater(t, host.Cost("t"), 4.0)
+	for _, name := range []string{"h1", "h2", "h3", "h4"} {
+		hub.Report(name, nil)
+	}
+	require.InDelta(t, 1, hub.Cost("t"), 1e-9)
+}
--- a/internal/edge/loadbook/book.go
+++ b/internal/edge/loadbook/book.go
@@ -39,9 +39,6 @@
 
 func (p *peer) fresh(now bootclock.Instant) bool { return now.Sub(p.at) <= peerMemory }
 
-// totalAge is how long the sum over all hosts is used before it is made again.
-const totalAge = 20 * time.Millisecond
-
 // Book is safe for concurrent use.
 type Book struct {
 	host string
@@ -51,14 +48,14 @@
 	peers   map[string]peer            // guarded by mu; what hosts told this one, by host
 	fleet   peer                       // guarded by mu; what a hub told of all other hosts
 	parts   map[string]map[string]Load // guarded by mu; the same by target and host, for targets that leave
-	total   peer                       // guarded by mu; sum of own and peers
+	sum     map[string]Load            // guarded by mu; of peers, kept up to date: a hub asks for it at each run
 	grants  []grant                    // guarded by mu; given to other hosts, not in their loads yet
 	changed chan struct{}              // guarded by mu; closed at the next fall of a load
 }
 
 // New returns the empty book of a host.
 func New(host string) *Book {
-	return &Book{host: host, own: make(map[string]Load), peers: make(map[string]peer), changed: make(chan struct{})}
+	return &Book{host: host, own: make(map[string]Load), peers: make(map[string]peer), sum: make(map[string]Load), changed: make(chan struct{})}
 }
 
 // Add adds to the own load of a target.
@@ -124,10 +121,36 @@
 	defer b.mu.Unlock()
 	now := bootclock.Now()
 	b.settle(host, now)
+	b.forget(now)
+	b.count(b.peers[host].loads, loads)
 	b.peers[host] = peer{loads: loads, at: now}
 	b.wake()
 }
 
+// count replaces a host's loads in the sum. Callers hold b.mu.
+func (b *Book) count(before, after map[string]Load) {
+	for target, l := range before {
+		if l = b.sum[target].Minus(l); l == (Load{}) {
+			delete(b.sum, target)
+		} else {
+			b.sum[target] = l
+		}
+	}
+	for target, l := range after {
+		b.sum[target] = b.sum[target].Plus(l)
+	}
+}
+
+// forget drops hosts that are silent. Callers hold b.mu.
+func (b *Book) forget(now bootclock.Instant) {
+	for host, p := range b.peers {
+		if !p.fresh(now) {
+			b.count(p.loads, nil)
+			delete(b.peers, host)
+		}
+	}
+}
+
 // SetParts takes the loads of targets that leave by host.
 func (b *Book) SetParts(parts map[string]map[string]Load) {
 	b.mu.Lock()
@@ -135,13 +158,11 @@
 	b.parts = parts
 }
 
-// SetFleet takes the loads of all other hosts together, and by host for targets
-// that leave.
-func (b *Book) SetFleet(loads map[string]Load, parts map[string]map[string]Load) {
+// SetFleet takes the loads of all other hosts together.
+func (b *Book) SetFleet(loads map[string]Load) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.fleet = peer{loads: loads, at: bootclock.Now()}
-	b.parts = parts
 	b.wake()
 }
 
@@ -154,19 +175,16 @@
 	if b.fleet.fresh(now) {
 		return b.own[target].Plus(b.fleet.loads[target])
 	}
-	return b.own[target].Plus(b.told(target, "", now))
+	b.forget(now)
+	return b.own[target].Plus(b.told(target))
 }
 
-// told sums what hosts told of a target, without one host. Callers hold b.mu.
-func (b *Book) told(target, without string, now bootclock.Instant) Load {
-	sum := Load{}
-	for host, p := range b.peers {
-		if host != without && p.fresh(now) {
-			sum = sum.Plus(p.loads[target])
-		}
-	}
+// told sums what hosts told of a target, and what they were granted since.
+// Callers hold b.mu.
+func (b *Book) told(target string) Load {
+	sum := b.sum[target]
 	for _, g := range b.grants {
-		if g.target == target && g.host != without {
+		if g.target == target {
 			sum = sum.Plus(g.load)
 		}
 	}
@@ -177,40 +195,23 @@
 func (b *Book) Others(host string) map[string]Load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := bootclock.Now()
-	if now.Sub(b.total.at) > totalAge {
-		b.total = peer{loads: b.sum(now), at: now}
-	}
-	out := make(map[string]Load, len(b.total.loads))
+	b.forget(bootclock.Now())
+	out := make(map[string]Load, len(b.sum)+len(b.own))
 	without := b.peers[host].loads
-	for target, l := range b.total.loads {
+	for target, l := range b.sum {
 		if l = l.Minus(without[target]); l.Runs > 0 {
 			out[target] = l
 		}
 	}
-	return out
-}
-
-// sum adds up own and told loads, and forgets hosts that are silent. Callers hold
-// b.mu.
-func (b *Book) sum(now bootclock.Instant) map[string]Load {
-	total := make(map[string]Load, len(b.own))
 	for target, l := range b.own {
-		total[target] = l
-	}
-	for host, p := range b.peers {
-		if !p.fresh(now) {
-			delete(b.peers, host)
-			continue
-		}
-		for target, l := range p.loads {
-			total[target] = total[target].Plus(l)
-		}
+		out[target] = out[target].Plus(l)
 	}
 	for _, g := range b.grants {
-		total[g.target] = total[g.target].Plus(g.load)
+		if g.host != host {
+			out[g.target] = out[g.target].Plus(g.load)
+		}
 	}
-	return total
+	return out
 }
 
 // Parts returns the loads of targets by host, as this host knows them.
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -31,6 +31,7 @@
 	StoreAddress string
 	CPUs         float64 // share of a core
 	MemoryBytes  int64   // the process is killed beyond it
+	LinkMbps     float64 // of the host's link
 	MaxFDs       int
 	Grace        time.Duration // from SIGTERM to SIGKILL
 	DrainWithin  time.Duration // a leaving target gets nothing later than this
--- a/internal/edge/peers/exchange.go
+++ b/internal/edge/peers/exchange.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"corianderhitch/internal/edge/bootclock"
+	"corianderhitch/internal/edge/ejection"
 	"corianderhitch/internal/edge/freshness"
 	"corianderhitch/internal/edge/loadbook"
 	"corianderhitch/internal/edge/placing"
@@ -31,8 +32,12 @@
 	// within it, hosts choose the same empty engine.
 	leastSyncPeriod = 80 * time.Millisecond
 	// syncPerHost makes the period grow with the fleet, so that a hub answers at
-	// most 500 calls a second.
-	syncPerHost = 2 * time.Millisecond
+	// most 200 calls a second: it knows of runs that begin from placing them, and
+	// learns from syncs only that they ended.
+	syncPerHost = 5 * time.Millisecond
+	// fleetTurns is how many syncs go without the loads of all hosts to one with
+	// them.
+	fleetTurns = 4
 	// standbyTurns is how many syncs with the first hub go with one to the second,
 	// which only stands by.
 	standbyTurns = 5
@@ -65,6 +70,7 @@
 	List      *relay.Log
 	Policy    *policy.Holder
 	Confirmer *freshness.Confirmer
+	Health    *ejection.Tracker
 	// Live tells whether this host follows the store itself at this moment.
 	Live func() bool
 	// Decide chooses an engine with room and returns its incarnation and load, or
@@ -143,7 +149,7 @@
 		for rank, hub := range e.Members.Hubs() {
 			due := rank == 0 || hurried || turn%standbyTurns == 0 || !e.answers(e.Members.Hubs()[0].Name)
 			if hub.Name != e.Host && due {
-				go e.sync(ctx, hub)
+				go e.sync(ctx, hub, turn%fleetTurns == 0 || len(e.Members.Hubs()) < relay.Hubs)
 			}
 		}
 	}
@@ -154,6 +160,10 @@
 	return max(leastSyncPeriod, syncPerHost*time.Duration(e.Members.Count()))
 }
 
+// FleetAge returns the age that the loads of all hosts reach on a host that
+// places runs alone.
+func (e *Exchange) FleetAge() time.Duration { return fleetTurns * e.Period() }
+
 // answers tells whether a host answered the last call.
 func (e *Exchange) answers(host string) bool {
 	e.mu.Lock()
@@ -175,7 +185,7 @@
 		receivers := e.Members.Hubs()
 		if e.IsHub() {
 			receivers = e.Members.All()
-			args.Parts = e.Book.Parts(e.Targets.AllLeaving())
+			args.Parts = e.Book.Parts(e.Targets.NewlyLeaving())
 		}
 		for _, host := range receivers {
 			if host.Name != e.Host {
@@ -202,8 +212,8 @@
 	return e.heard != 0 && bootclock.Since(e.heard) < hubSilence
 }
 
-func (e *Exchange) sync(ctx context.Context, hub relay.Host) {
-	args := SyncArgs{Host: e.Host, Loads: e.Book.Own(), Leaving: e.Targets.Notices(), ListRevision: e.List.Revision()}
+func (e *Exchange) sync(ctx context.Context, hub relay.Host, wantFleet bool) {
+	args := SyncArgs{Host: e.Host, WantFleet: wantFleet, Loads: e.Book.Own(), Leaving: e.Targets.Notices(), Failing: e.Health.Failing(), ListRevision: e.List.Revision()}
 	if p := e.Policy.Current(); p != nil {
 		args.PolicyRevision = p.Revision
 	}
@@ -213,7 +223,11 @@
 		return // call logs it
 	}
 	if !e.IsHub() { // hubs hear of each host directly
-		e.Book.SetFleet(reply.Fleet, reply.Parts)
+		if wantFleet {
+			e.Book.SetFleet(reply.Fleet)
+		}
+		e.Book.SetParts(reply.Parts)
+		e.Health.SetFleet(reply.Failing)
 	}
 	e.takeLeaving(hub.Name, reply.Leaving)
 	if asOf, ok := e.takeVouch(hub.Address, asked, &reply.Vouch); ok {
--- a/internal/edge/peers/messages.go
+++ b/internal/edge/peers/messages.go
@@ -14,8 +14,12 @@
 	Host           string
 	Loads          map[string]loadbook.Load // in flight from this host, by incarnation of the target
 	Leaving        []string                 // incarnations that are surely leaving
+	Failing        []string                 // incarnations that failed this host lately
 	PolicyRevision int64
 	ListRevision   platform.Revision
+	// WantFleet asks for the loads of all hosts, which only a host that must
+	// place runs alone needs.
+	WantFleet bool
 }
 
 // SyncReply is what a hub answers.
@@ -23,9 +27,10 @@
 	// Live tells whether the hub follows the store at this moment. Otherwise the
 	// rest is old and another source must be asked.
 	Live    bool
-	Fleet   map[string]loadbook.Load            // in flight from all other hosts
+	Fleet   map[string]loadbook.Load            // in flight from all other hosts, if asked for
 	Parts   map[string]map[string]loadbook.Load // the same by host, for targets that leave
 	Leaving []string
+	Failing map[string]int // how many other hosts each target failed lately
 	List    relay.Changes
 	Vouch   Vouch
 }
--- a/internal/edge/peers/service.go
+++ b/internal/edge/peers/service.go
@@ -7,15 +7,22 @@
 func (s *service) Sync(args SyncArgs, reply *SyncReply) error {
 	e := s.e
 	e.Book.SetPeer(args.Host, args.Loads)
+	e.Health.Report(args.Host, args.Failing)
 	e.takeLeaving(args.Host, args.Leaving)
 	*reply = SyncReply{
 		Live:    e.Live(),
-		Fleet:   e.Book.Others(args.Host),
 		Leaving: e.Targets.Notices(),
+		Failing: e.Health.Reports(args.Host),
 		List:    e.List.Since(args.ListRevision),
 		Vouch:   e.vouch(args.PolicyRevision),
 	}
-	reply.Parts = e.Book.Parts(e.Targets.AllLeaving())
+	if args.WantFleet {
+		reply.Fleet = e.Book.Others(args.Host)
+	}
+	for _, key := range e.Health.Failing() {
+		reply.Failing[key]++
+	}
+	reply.Parts = e.Book.Parts(e.Targets.NewlyLeaving())
 	return nil
 }
 
--- a/internal/edge/placing/engine.go
+++ b/internal/edge/placing/engine.go
@@ -76,12 +76,22 @@
 // An engine is judged by its expected memory and by the prompts that it must read
 // before the run's. Among those close to the best it takes the one that the run's
 // affinity hashes to, which all hosts choose alike without talking.
+//
+// Engines that fail are left out unless all others lack room: a fault on this
+// side of the links must not empty the pool.
 func Engine(candidates []Candidate, engine *policy.Engine, need Need, tried map[string]bool) int {
+	if i := choose(candidates, engine, need, tried, MaxCost); i >= 0 {
+		return i
+	}
+	return choose(candidates, engine, need, tried, math.Inf(1))
+}
+
+func choose(candidates []Candidate, engine *policy.Engine, need Need, tried map[string]bool, maxCost float64) int {
 	shares := make([]float64, len(candidates))
 	best := math.Inf(1)
 	for i, c := range candidates {
 		shares[i] = engineShare(c, engine, need)
-		if tried[c.Target.Key()] {
+		if tried[c.Target.Key()] || c.Cost > maxCost {
 			shares[i] = math.Inf(1)
 		}
 		best = math.Min(best, shares[i])
@@ -134,9 +144,6 @@
 	if c.Load.Runs >= engine.Slots || (share > fullShare && c.Load.Runs > 0) {
 		return math.Inf(1)
 	}
-	if c.Cost > MaxCost {
-		return math.Inf(1)
-	}
 	if need.Objective > 0 {
 		wait := ReadTime(c.Load.Unread+need.Unread).Seconds() / need.Objective.Seconds()
 		if wait > fullWait && c.Load.Unread > 0 {
--- a/internal/edge/plain/server.go
+++ b/internal/edge/plain/server.go
@@ -37,6 +37,9 @@
 	// serverErrorSeverity is what a target's own failure counts as against a
 	// broken connection: some requests fail on sound targets as well.
 	serverErrorSeverity = 0.5
+	// lostHedgeSeverity is the same for a target that had not answered after the
+	// hedge delay: it may have been busy with a long call.
+	lostHedgeSeverity = 0.5
 )
 
 // Server serves plain calls.
@@ -240,8 +243,11 @@
 	case unsent:
 		s.Health.Failure(key, 1)
 	case broken:
-		if !errors.Is(ctx.Err(), context.Canceled) { // the caller left, or another send won
+		switch {
+		case !errors.Is(ctx.Err(), context.Canceled):
 			s.Health.Failure(key, 1)
+		case o.took >= leastHedgeDelay: // the caller left or another target was faster
+			s.Health.Failure(key, lostHedgeSeverity)
 		}
 	}
 }
--- a/internal/edge/process/follow.go
+++ b/internal/edge/process/follow.go
@@ -21,7 +21,7 @@
 	policyPause = 300 * time.Millisecond
 	// alonePause is used instead by hosts that follow the store while they know no
 	// live hub: at a start of the fleet that is all of them.
-	alonePause = 300 * time.Millisecond
+	alonePause = 800 * time.Millisecond
 )
 
 // feeds are the two prefixes of the store that a host follows, for itself or for
--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -123,12 +123,12 @@
 	p.list = relay.NewLog(p.newTargetSink())
 	p.feeds = p.newFeeds()
 	p.confirmer = freshness.New(log, p.confirmPeriod, p.confirm)
-	p.members = peers.NewMembers(log, p.store, relay.Host{Name: n.Name, Address: n.PeerAddress(), CPUs: n.CPUs})
+	p.members = peers.NewMembers(log, p.store, relay.Host{Name: n.Name, Address: n.PeerAddress(), CPUs: n.CPUs, Mbps: n.LinkMbps})
+	health := ejection.New()
 	p.exchange = &peers.Exchange{Log: log, Host: n.Name, Members: p.members, Book: p.book, Targets: p.targets,
-		List: p.list, Policy: p.policy, Confirmer: p.confirmer, Live: p.feeds.live}
+		List: p.list, Policy: p.policy, Confirmer: p.confirmer, Health: health, Live: p.feeds.live}
 	p.exchange.Init()
 	sender := &edge.Sender{Wire: adapter.Wire, Pool: p.pool}
-	health := ejection.New()
 	p.plain = &plain.Server{Sender: sender, Targets: p.targets, Book: p.book, Health: health, Budget: p.budget, Domain: n.Domain}
 	p.streaming = &streaming.Server{
 		Sender: sender, Engines: adapter.Engines(p.pool), Targets: p.targets, Book: p.book, Health: health,
--- a/internal/edge/process/runs.go
+++ b/internal/edge/process/runs.go
@@ -12,10 +12,10 @@
 )
 
 // spread returns how many runs the other hosts place before this one hears of
-// them: their loads come by way of a hub, each way at most a period old.
+// them, if no hub places it.
 func (p *Process) spread() int {
 	p.runRate.Add()
-	return placing.Spread(p.runRate.PerSecond(), p.members.Count(), p.exchange.Period())
+	return placing.Spread(p.runRate.PerSecond(), p.members.Count(), p.exchange.FleetAge())
 }
 
 // decide chooses an engine for another host.
--- a/internal/edge/relay/hubs.go
+++ b/internal/edge/relay/hubs.go
@@ -14,17 +14,27 @@
 type Host struct {
 	Name    string
 	Address string
-	CPUs    float64 // share of a core; the largest hosts are chosen
+	CPUs    float64 // share of a core
+	Mbps    float64 // of its link
 }
 
+const (
+	// hubCPUs and hubMbps are what a hub of some hundred hosts needs; a host's
+	// size is the lesser of what it has of both, in these units.
+	hubCPUs = 0.4
+	hubMbps = 100.0
+)
+
+func (h *Host) size() float64 { return min(h.CPUs/hubCPUs, h.Mbps/hubMbps) }
+
 // Choose returns the hosts that follow the store: the largest, and among equal
 // ones those that a hash of the name puts first. Hosts with different lists may
 // choose differently for a while, which costs calls and nothing else.
 func Choose(hosts []Host) []Host {
 	ranked := append([]Host(nil), hosts...)
 	sort.Slice(ranked, func(i, j int) bool {
-		if ranked[i].CPUs != ranked[j].CPUs {
-			return ranked[i].CPUs > ranked[j].CPUs
+		if si, sj := ranked[i].size(), ranked[j].size(); si != sj {
+			return si > sj
 		}
 		wi, wj := xxhash.Sum64String(ranked[i].Name), xxhash.Sum64String(ranked[j].Name)
 		if wi != wj {
--- a/internal/edge/streaming/forward.go
+++ b/internal/edge/streaming/forward.go
@@ -200,9 +200,14 @@
 	panic(http.ErrAbortHandler) // closes the connection, so that the answer does not look whole
 }
 
+// answerSeverity is what an answer that is no stream counts against an engine: it
+// may be the request's own fault.
+const answerSeverity = 0.5
+
 // passOn hands on an answer that is no stream.
 func (r *Run) passOn(s *segment) string {
 	body, err := io.ReadAll(io.LimitReader(s.response, maxEventBytes))
+	r.server.Health.Failure(s.target.Key(), answerSeverity)
 	s.close()
 	r.leave()
 	if err != nil {
--- a/internal/edge/streaming/server.go
+++ b/internal/edge/streaming/server.go
@@ -36,6 +36,10 @@
 	readMargin = 1.5
 	// leastWait is the part of the objective that a run waits for room at least.
 	leastWait = 0.3
+	// silentObjectives is after how many latency objectives without an answer an
+	// engine is suspected to hang; runs are sent only where one objective suffices.
+	silentObjectives = 1.3
+	leastSilence     = time.Second
 	// writeSlack is how long after the deadline a caller may still take bytes.
 	writeSlack = time.Second
 	// comeBack is when a run that could not start may return.
@@ -261,7 +265,12 @@
 		return nil, nil, errForbidden
 	}
 	ctx, cancel := context.WithCancel(ctx)
+	silent := time.AfterFunc(silentAfter(a), func() {
+		a.Log.Warn("stream: engine is silent", "target", t.ID, "age_ms", a.Age().Milliseconds())
+		s.Health.Failure(t.Key(), 1)
+	})
 	response, err := s.Sender.Send(ctx, a.Call, t, d, a.Left())
+	silent.Stop()
 	if err != nil {
 		cancel()
 		return nil, nil, err
@@ -282,6 +291,12 @@
 	return response, cancel, nil
 }
 
+// silentAfter returns how long an engine may take to begin its answer before it
+// is suspected to hang.
+func silentAfter(a *edge.Admitted) time.Duration {
+	return max(leastSilence, time.Duration(silentObjectives*float64(a.Route.Objective)))
+}
+
 // load returns what a run with so many events counts at its engine.
 func (s *Server) load(a *edge.Admitted, events int) loadbook.Load {
 	l := loadbook.Load{Runs: 1}
--- a/internal/edge/targets/registry.go
+++ b/internal/edge/targets/registry.go
@@ -4,7 +4,6 @@
 
 import (
 	"maps"
-	"slices"
 	"sort"
 	"strconv"
 	"sync"
@@ -18,6 +17,9 @@
 // entry has gone; targets go on serving for seconds after that.
 const noticeMemory = 60 * time.Second
 
+// noticeNews is how long a notice is told to other hosts: several syncs.
+const noticeNews = 3 * time.Second
+
 // removed is the source of a notice that rests on a missing entry alone. The
 // entry of a live target may lapse during an outage of the list and come back.
 const removed = "target_removed"
@@ -114,12 +116,18 @@
 	r.tell(notices)
 }
 
-// AllLeaving returns the incarnations that leave or have left the list, some of
-// which may still come back.
-func (r *Registry) AllLeaving() []string {
+// NewlyLeaving returns the incarnations that leave or left the list lately, some
+// of which may still come back.
+func (r *Registry) NewlyLeaving() []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return slices.Collect(maps.Keys(r.leaving))
+	var keys []string
+	for key, n := range r.leaving {
+		if bootclock.Since(n.At) < noticeNews {
+			keys = append(keys, key)
+		}
+	}
+	return keys
 }
 
 // LeavesSince returns the notice of an incarnation that leaves.
@@ -142,23 +150,25 @@
 // Leaving takes news from elsewhere that an incarnation leaves.
 func (r *Registry) Leaving(key, source string) {
 	r.mu.Lock()
-	t := r.view.Load().byKey[key]
 	var notices []announced
-	if t != nil {
-		notices = r.notice([]Target{*t}, source)
-		r.publish(r.view.Load().Revision)
+	if _, known := r.leaving[key]; !known {
+		if t := r.view.Load().byKey[key]; t != nil {
+			notices = r.notice([]Target{*t}, source)
+			r.publish(r.view.Load().Revision)
+		}
 	}
 	r.mu.Unlock()
 	r.tell(notices)
 }
 
-// Notices returns the incarnations that are surely leaving, for other hosts.
+// Notices returns the incarnations that are surely leaving since lately, for other
+// hosts.
 func (r *Registry) Notices() []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	keys := make([]string, 0, len(r.leaving))
 	for key, n := range r.leaving {
-		if n.Source != removed && bootclock.Since(n.At) < noticeMemory {
+		if n.Source != removed && bootclock.Since(n.At) < noticeNews {
 			keys = append(keys, key)
 		}
 	}
--- a/tests/edge/engine_test.go
+++ b/tests/edge/engine_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -31,6 +32,7 @@
 	canceled []string              // guarded by mu; request ids whose caller left
 	copies   map[string]*engineRun // guarded by mu; by handle
 	onMove   func(final bool)      // guarded by mu; called before a move answers
+	hangs    bool                  // guarded by mu; takes requests and never answers
 	once     sync.Once
 }
 
@@ -73,6 +75,15 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	e.mu.Lock()
+	hangs := e.hangs
+	e.mu.Unlock()
+	if hangs {
+		e.note(&e.starts, r.Header.Get("Request-Id"))
+		_, _ = io.Copy(io.Discard, r.Body) // the server notices a closed connection after that only
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	run, from := e.begin(r)
 	if run == nil {
 		w.Header().Set("Not-Executed", "1")
--- a/tests/edge/stream_test.go
+++ b/tests/edge/stream_test.go
@@ -173,3 +173,25 @@
 	require.NoError(t, b.err)
 	require.Equal(t, wholeStream("r-2", shortDraft), b.body)
 }
+
+// An engine that takes runs and never answers is passed over soon, although its
+// own word and the list call it sound; callers that leave it are not sent again.
+func TestSilentEngineIsPassedOver(t *testing.T) {
+	_, h, all := engineFleet(t, 2)
+	all[0].mu.Lock()
+	all[0].hangs = true
+	all[0].mu.Unlock()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	for i := range 4 {
+		go func() { _ = send(draft(ctx, h, fmt.Sprintf("r-%d", i), shortDraft)) }()
+	}
+	require.Eventually(t, func() bool { return bytesContain(h, "stream: engine is silent") }, waitFor, checkEvery)
+	before := len(all[0].list(&all[0].starts))
+	for i := range 8 {
+		a := send(draft(t.Context(), h, fmt.Sprintf("s-%d", i), shortDraft))
+		require.NoError(t, a.err)
+		require.Equal(t, http.StatusOK, a.status)
+	}
+	require.Len(t, all[0].list(&all[0].starts), before)
+}
