Call the store less while it is away or drops its history

Change: a feed counts as followed for 0.8 s after a failure; hosts that lose their hubs begin one after the other; others than hubs ask peers before the store for a confirmation and repeat failed calls after 1.2 s instead of 0.25 s. Ruled out: leases and the list of hosts (a tenth of the price, 0.2 a second a host).

--- a/internal/edge/feed/feed.go
+++ b/internal/edge/feed/feed.go
@@ -15,8 +15,9 @@
 )
 
 const (
-	// retryPause follows a failed call.
-	retryPause = 250 * time.Millisecond
+	// liveGrace is how long after a failure the prefix still counts as followed: a
+	// watch that is cut is followed by a list within a fraction of it.
+	liveGrace = 800 * time.Millisecond
 )
 
 // Sink takes what a Feed learns. Its methods are called by one goroutine.
@@ -43,23 +44,51 @@
 	// Pause returns the least time between two watches, so that changes close
 	// together cost one call.
 	Pause func() time.Duration
+	// RetryPause returns the pause after a failed call, which is paid for as well.
+	RetryPause func() time.Duration
 
-	live atomic.Bool
+	state  atomic.Int32 // feedState
+	lostAt atomic.Int64 // bootclock.Instant of the first failure in state lost
 }
 
+type feedState int32
+
+const (
+	stopped feedState = iota
+	live
+	lost
+)
+
 // Live tells whether the prefix is being followed at this moment.
-func (f *Feed) Live() bool { return f.live.Load() }
+func (f *Feed) Live() bool {
+	switch feedState(f.state.Load()) {
+	case live:
+		return true
+	case lost:
+		return bootclock.Since(bootclock.Instant(f.lostAt.Load())) < liveGrace
+	default:
+		return false
+	}
+}
+
+// failed leaves the state live for lost, and only that one.
+func (f *Feed) failed() {
+	if feedState(f.state.Load()) == live {
+		f.lostAt.Store(int64(bootclock.Now()))
+		f.state.Store(int32(lost))
+	}
+}
 
 // Run follows the prefix until ctx ends.
 func (f *Feed) Run(ctx context.Context) {
 	reached := bootclock.Now()
 	down := false
-	defer f.live.Store(false)
+	defer f.state.Store(int32(stopped))
 	for ctx.Err() == nil {
 		revision, err := f.list(ctx, reached)
 		for err == nil {
 			reached = bootclock.Now()
-			f.live.Store(true)
+			f.state.Store(int32(live))
 			if down {
 				down = false
 				f.Log.Info("feed: store is reachable again", "prefix", f.Prefix, "revision", revision)
@@ -67,7 +96,7 @@
 			wait.For(ctx, f.Pause())
 			revision, err = f.watch(ctx, revision)
 		}
-		f.live.Store(errors.Is(err, platform.ErrCompacted))
+		f.failed()
 		if ctx.Err() != nil {
 			return
 		}
@@ -79,7 +108,7 @@
 			down = true
 			f.Log.Warn("feed: store cannot be reached", "prefix", f.Prefix, "error", err.Error())
 		}
-		wait.For(ctx, retryPause)
+		wait.For(ctx, f.RetryPause())
 	}
 }
 
--- a/internal/edge/freshness/confirmer.go
+++ b/internal/edge/freshness/confirmer.go
@@ -24,7 +24,7 @@
 	// and a slow one within a few hundred.
 	attemptTimeout = 1200 * time.Millisecond
 	// retryPause follows a failed confirmation.
-	retryPause = 300 * time.Millisecond
+	retryPause = 600 * time.Millisecond
 )
 
 // Confirmer keeps a confirmation young. It is safe for concurrent use.
--- a/internal/edge/process/confirm.go
+++ b/internal/edge/process/confirm.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"corianderhitch/internal/edge/bootclock"
+	"corianderhitch/internal/edge/freshness"
 )
 
 const (
@@ -19,8 +20,8 @@
 	confirmShare = 0.5
 	// looseConfirm is the period of confirmations where keys need none.
 	looseConfirm = 10 * time.Second
-	// vouchAfter is how long the store may take before peers are asked.
-	vouchAfter = 300 * time.Millisecond
+	// secondPlaceAfter is how long the first place may take.
+	secondPlaceAfter = 300 * time.Millisecond
 )
 
 // keyAge returns the oldest confirmation with which an API key admits, 0 for any.
@@ -43,45 +44,53 @@
 	}
 }
 
-// confirm reads the configuration from the store, and asks the peers when the
-// store does not answer soon.
+// confirm asks for the configuration in force at two places: a hub first reads
+// the store, other hosts first ask peers, since only calls to the store are paid
+// for. The second place is asked when the first fails or does not answer soon.
 func (p *Process) confirm(ctx context.Context) (bootclock.Instant, error) {
 	type answer struct {
 		asOf bootclock.Instant
 		err  error
 	}
-	answers := make(chan answer, 2)
-	ask := func(source func(context.Context) (bootclock.Instant, error)) {
-		asOf, err := source(ctx)
+	places := []freshness.Source{p.readConfiguration, p.askPeers}
+	if !p.exchange.IsHub() {
+		places[0], places[1] = places[1], places[0]
+	}
+	answers := make(chan answer, len(places))
+	ask := func(place freshness.Source) {
+		asOf, err := place(ctx)
 		answers <- answer{asOf, err}
 	}
-	go ask(p.readConfiguration)
-	timer := time.NewTimer(vouchAfter)
+	go ask(places[0])
+	timer := time.NewTimer(secondPlaceAfter)
 	defer timer.Stop()
 	open, asked := 1, false
 	var last error
 	for open > 0 || !asked {
-		vouch := false
+		more := false
 		select {
 		case a := <-answers:
 			if open--; a.err == nil {
 				return a.asOf, nil
 			}
-			last, vouch = a.err, !asked
+			last, more = a.err, !asked
 		case <-timer.C:
-			vouch = !asked
+			more = !asked
 		}
-		if vouch {
+		if more {
 			asked = true
 			open++
-			go ask(func(ctx context.Context) (bootclock.Instant, error) {
-				return p.exchange.Vouch(ctx, p.node.RevokeWithin/2)
-			})
+			go ask(places[1])
 		}
 	}
 	return 0, last
 }
 
+// askPeers asks other hosts to vouch.
+func (p *Process) askPeers(ctx context.Context) (bootclock.Instant, error) {
+	return p.exchange.Vouch(ctx, p.node.RevokeWithin/2)
+}
+
 func (p *Process) readConfiguration(ctx context.Context) (bootclock.Instant, error) {
 	asOf := bootclock.Now()
 	entry, err := p.store.Get(ctx, p.adapter.ConfigurationKey)
--- a/internal/edge/process/follow.go
+++ b/internal/edge/process/follow.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
+	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/edge/feed"
 	"corianderhitch/internal/edge/targets"
 )
@@ -22,6 +24,13 @@
 	// alonePause is used instead by hosts that follow the store while they know no
 	// live hub: at a start of the fleet that is all of them.
 	alonePause = 800 * time.Millisecond
+	// hubRetry and aloneRetry follow a failed call: during an outage all hosts
+	// call, and each refused call is priced.
+	hubRetry   = 250 * time.Millisecond
+	aloneRetry = 1200 * time.Millisecond
+	// followSpread is over what time hosts that lost their hubs at once begin to
+	// follow the store: a hub that restarts is back before most of them have.
+	followSpread = 400 * time.Millisecond
 )
 
 // feeds are the two prefixes of the store that a host follows, for itself or for
@@ -33,9 +42,9 @@
 
 func (p *Process) newFeeds() *feeds {
 	return &feeds{
-		policy: &feed.Feed{Log: p.log, Store: p.store, Prefix: p.adapter.ConfigurationKey, Pause: p.pause(policyPause),
+		policy: &feed.Feed{Log: p.log, Store: p.store, Prefix: p.adapter.ConfigurationKey, Pause: p.pause(policyPause), RetryPause: p.retryPause,
 			Sink: &policySink{log: p.log, holder: p.policy, key: p.adapter.ConfigurationKey}},
-		targets: &feed.Feed{Log: p.log, Store: p.store, Prefix: p.adapter.TargetPrefix, Pause: p.pause(targetPause),
+		targets: &feed.Feed{Log: p.log, Store: p.store, Prefix: p.adapter.TargetPrefix, Pause: p.pause(targetPause), RetryPause: p.retryPause,
 			Sink: p.list, Outage: lapseBeats * p.node.Heartbeat, Settle: settleTime},
 	}
 }
@@ -50,6 +59,14 @@
 	}
 }
 
+// retryPause returns the pause after a failed call to the store.
+func (p *Process) retryPause() time.Duration {
+	if p.exchange.IsHub() {
+		return hubRetry
+	}
+	return aloneRetry
+}
+
 func (p *Process) newTargetSink() *targetSink {
 	return &targetSink{log: p.log, registry: p.targets, decode: p.adapter.DecodeTarget,
 		listed: func() { p.listed.Store(true) }, known: make(map[string]targets.Target)}
@@ -61,10 +78,19 @@
 // follow follows the store while this host is a hub, or while no hub serves it.
 func (p *Process) follow(ctx context.Context) {
 	var stop func()
+	hesitation := time.Duration(0) // a host that has just started needs its lists at once
+	var alone bootclock.Instant // since when no hub serves this host; 0 while one does
 	ticker := time.NewTicker(followCheck)
 	defer ticker.Stop()
 	for {
-		must := p.exchange.IsHub() || !p.exchange.Served()
+		served := p.exchange.Served()
+		switch {
+		case served:
+			alone, hesitation = 0, time.Duration(rand.Float64()*float64(followSpread))
+		case alone == 0:
+			alone = bootclock.Now()
+		}
+		must := p.exchange.IsHub() || (!served && bootclock.Since(alone) >= hesitation)
 		switch {
 		case must && stop == nil:
 			p.log.Info("edge: follows the store", "hub", p.exchange.IsHub())
