--- a/internal/edge/process/follow.go
+++ b/internal/edge/process/follow.go
@@ -79,7 +79,7 @@
 func (p *Process) follow(ctx context.Context) {
 	var stop func()
 	hesitation := time.Duration(0) // a host that has just started needs its lists at once
-	var alone bootclock.Instant // since when no hub serves this host; 0 while one does
+	var alone bootclock.Instant    // since when no hub serves this host; 0 while one does
 	ticker := time.NewTicker(followCheck)
 	defer ticker.Stop()
 	for {
