--- a/internal/edge/placing/engine.go
+++ b/internal/edge/placing/engine.go
@@ -11,10 +11,13 @@
 )
 
 const (
-	// fullShare is the part of an engine's memory that new runs may be expected
-	// to fill. Preemption reads a whole prompt again, so that some is left for
-	// runs that grow longer than expected.
+	// fullShare is the part of an engine's memory that runs may be expected to
+	// fill at their ends, which do not coincide. Preemption reads a whole prompt
+	// again, so that some is left for runs that grow longer than expected.
 	fullShare = 0.92
+	// moveShare is the same for moved runs: one without a destination is lost with
+	// all its work, while a new one may come back.
+	moveShare = 1.15
 	// bandPerSharedToken is how much worse than the best engine one may be, as a
 	// share, for each prompt token that it has probably cached: reading 350 tokens
 	// again costs about as much as a fifth more load.
@@ -141,7 +144,11 @@
 func engineShare(c Candidate, engine *policy.Engine, need Need) float64 {
 	capacity := float64(max(1, engine.MemoryTokens))
 	share := float64(c.Load.Tokens+need.Tokens) / capacity
-	if c.Load.Runs >= engine.Slots || (share > fullShare && c.Load.Runs > 0) {
+	full := fullShare
+	if need.Move {
+		full = moveShare
+	}
+	if c.Load.Runs >= engine.Slots || (share > full && c.Load.Runs > 0) {
 		return math.Inf(1)
 	}
 	if need.Objective > 0 {
--- a/internal/edge/placing/engine_test.go
+++ b/internal/edge/placing/engine_test.go
@@ -32,6 +32,8 @@
 		}, need: need, want: 1},
 		"no memory left": {candidates: []Candidate{candidate("1", "a", loadbook.Load{Runs: 5, Tokens: 18000})}, need: need, want: -1},
 		"no place left":  {candidates: []Candidate{candidate("1", "a", loadbook.Load{Runs: 24, Tokens: 100})}, need: need, want: -1},
+		"a moved run goes before new ones": {candidates: []Candidate{candidate("1", "a", loadbook.Load{Runs: 5, Tokens: 18000})},
+			need: Need{Tokens: 3000, Domain: "a", Move: true}, want: 0},
 		"larger than an empty engine": {candidates: []Candidate{candidate("1", "a", loadbook.Load{})},
 			need: Need{Tokens: 19500, Domain: "a"}, want: 0},
 		"unread prompts ahead": {candidates: []Candidate{
--- a/internal/edge/streaming/server.go
+++ b/internal/edge/streaming/server.go
@@ -46,7 +46,7 @@
 	comeBack = 400 * time.Millisecond
 	// fullComeBack is when a run may return that found no room: bursts last
 	// seconds, and one that comes back sooner finds the same queue.
-	fullComeBack = 2 * time.Second
+	fullComeBack = 4 * time.Second
 	// comeBackShare is the part of its time left after which a run returns at the
 	// latest, so that it still gets its answer.
 	comeBackShare = 0.25
