Split the streaming server by concern; test of kept connections after a stream's deadline

A write deadline that a stream sets was suspected to outlive it on a kept connection; the test shows that net/http takes it back, so nothing is changed.

--- a/internal/edge/placing/plain.go
+++ b/internal/edge/placing/plain.go
@@ -8,7 +8,7 @@
 	sameDomainBonus = 0.9
 	// usualLatency stands for a target without answers yet, in seconds.
 	usualLatency = 0.015
-	// farTurn is the least latency that counts, so that a difference of a link
+	// leastLatency is the least latency that counts, so that a difference of a link
 	// does not outweigh a queue.
 	leastLatency = 0.01
 	// coldCost makes a target that has just started as costly as one with twice
--- a/internal/edge/refusal.go
+++ b/internal/edge/refusal.go
@@ -27,12 +27,10 @@
 	ReasonNoTarget        = "no_target"
 	ReasonNoRoom          = "no_room"
 	ReasonTargetFull      = "target_full"
-	ReasonOverload        = "host_overloaded"
 	ReasonMayHaveRun      = "may_have_run"
 	ReasonBrokenOff       = "broken_off"
 	ReasonTimeout         = "timeout"
 	ReasonCallerGone      = "caller_gone"
-	ReasonCrashSuspect    = "crash_suspect"
 )
 
 // Unavailable refuses a request that has not run.
--- a/internal/edge/streaming/server.go
+++ b/internal/edge/streaming/server.go
@@ -7,11 +7,7 @@
 	"context"
 	"errors"
 	"io"
-	"maps"
-	"math/rand/v2"
 	"net/http"
-	"slices"
-	"strconv"
 	"time"
 
 	"corianderhitch/internal/edge"
@@ -19,7 +15,6 @@
 	"corianderhitch/internal/edge/ejection"
 	"corianderhitch/internal/edge/loadbook"
 	"corianderhitch/internal/edge/peers"
-	"corianderhitch/internal/edge/placing"
 	"corianderhitch/internal/edge/policy"
 	"corianderhitch/internal/edge/retrybudget"
 	"corianderhitch/internal/edge/targetconn"
@@ -31,25 +26,12 @@
 	reestimateEvents = 16
 	// maxPlacements bounds the engines that are tried without a byte leaving.
 	maxPlacements = 4
-	// readMargin is how many times its prompt's reading time a run leaves of its
-	// objective when it stops to wait for room.
-	readMargin = 1.5
-	// leastWait is the part of the objective that a run waits for room at least.
-	leastWait = 0.3
 	// silentObjectives is after how many latency objectives without an answer an
 	// engine is suspected to hang; runs are sent only where one objective suffices.
 	silentObjectives = 1.3
 	leastSilence     = time.Second
 	// writeSlack is how long after the deadline a caller may still take bytes.
 	writeSlack = time.Second
-	// comeBack is when a run that could not start may return.
-	comeBack = 400 * time.Millisecond
-	// fullComeBack is when a run may return that found no room: bursts last
-	// seconds, and one that comes back sooner finds the same queue.
-	fullComeBack = 4 * time.Second
-	// comeBackShare is the part of its time left after which a run returns at the
-	// latest, so that it still gets its answer.
-	comeBackShare = 0.25
 )
 
 // Server serves streaming routes.
@@ -163,88 +145,6 @@
 	return t, own
 }
 
-// Choice is an engine for a run, which its load is counted at already.
-type Choice struct {
-	Target *targets.Target // nil if none has room
-	Before loadbook.Load   // of the target, as the one who chose knew it
-	By     string          // who chose, for the log
-}
-
-// Choose finds an engine with room and counts the run's load there. A hub, which
-// sees all runs, decides if it answers; otherwise this host does.
-func (s *Server) Choose(ctx context.Context, service *policy.Service, need placing.Need, own loadbook.Load, tried map[string]bool) Choice {
-	c := Choice{By: "hub"}
-	out := append(slices.Collect(maps.Keys(tried)), s.failing(service)...)
-	reply, able := s.Ask(ctx, peers.PlaceArgs{Service: service.Name, Need: need, Load: own, Tried: out})
-	if able {
-		c.Target, c.Before = s.Targets.View().Get(reply.Target), reply.Before
-		if c.Target == nil && reply.Target != "" {
-			able = false // this host does not know the target yet
-		}
-	}
-	if !able {
-		need.Spread, need.Draw = s.Spread(), rand.Float64()
-		var key string
-		key, c.Before = s.Decide(service, need, tried)
-		c.Target, c.By = s.Targets.View().Get(key), "host"
-	}
-	if c.Target != nil {
-		s.Book.Add(c.Target.Key(), own)
-	}
-	return c
-}
-
-// failing returns the engines that fail for this host, which the hub cannot know.
-func (s *Server) failing(service *policy.Service) []string {
-	var keys []string
-	for _, t := range s.Targets.View().Serving(service.Name) {
-		if key := t.Key(); s.Health.Cost(key) > placing.MaxCost {
-			keys = append(keys, key)
-		}
-	}
-	return keys
-}
-
-// Decide returns the engine with room that is best by what this host knows, and
-// its load, or "".
-func (s *Server) Decide(service *policy.Service, need placing.Need, tried map[string]bool) (string, loadbook.Load) {
-	serving := s.Targets.View().Serving(service.Name)
-	candidates := make([]placing.Candidate, len(serving))
-	for i, t := range serving {
-		key := t.Key()
-		candidates[i] = placing.Candidate{Target: t, Load: s.Book.Load(key), Cost: s.Health.Cost(key)}
-	}
-	i := placing.Engine(candidates, service.Engine, need, tried)
-	if i < 0 {
-		return "", loadbook.Load{}
-	}
-	return serving[i].Key(), candidates[i].Load
-}
-
-func (s *Server) noRoom(ctx context.Context, a *edge.Admitted) *edge.Refusal {
-	if ctx.Err() != nil && a.Left() <= 0 {
-		return &edge.Refusal{Status: http.StatusGatewayTimeout, Reason: edge.ReasonTimeout}
-	}
-	if len(s.Targets.View().Serving(a.Service.Name)) == 0 {
-		return edge.Unavailable(edge.ReasonNoTarget, comeBack)
-	}
-	// Those refused together must not come back together.
-	later := fullComeBack + time.Duration(rand.Float64()*float64(fullComeBack))
-	return edge.Unavailable(edge.ReasonNoRoom, min(later, time.Duration(comeBackShare*float64(a.Left()))))
-}
-
-// maxWait returns how long a run waits for room. One that would start too late
-// for its objective is refused at once instead: on crowded engines it would make
-// those behind it late as well.
-func maxWait(a *edge.Admitted, own loadbook.Load) time.Duration {
-	objective := a.Route.Objective
-	if objective <= 0 {
-		return a.Left() / 4
-	}
-	read := time.Duration(readMargin * float64(placing.ReadTime(own.Unread)))
-	return min(a.Left()/2, max(objective-read, time.Duration(leastWait*float64(objective))))
-}
-
 // open sends the run to a target whose load is counted already, and takes the
 // count back if it does not start.
 func (s *Server) open(ctx context.Context, r *Run, t *targets.Target, counted loadbook.Load, d edge.Dispatch) (*segment, error) {
@@ -312,29 +212,3 @@
 	}
 	return l
 }
-
-func (s *Server) refuse(ctx context.Context, r *Run, refusal *edge.Refusal) string {
-	a := r.call
-	if errors.Is(ctx.Err(), context.Canceled) {
-		refusal = &edge.Refusal{Status: http.StatusBadGateway, Reason: edge.ReasonCallerGone}
-	}
-	a.Log.Warn("stream: refused", "status", refusal.Status, "reason", refusal.Reason, "age_ms", a.Age().Milliseconds(),
-		"waiting", s.Queue.Len(), "engines", len(s.Targets.View().Serving(a.Service.Name)), "list_revision", s.Targets.View().Revision,
-		"retry_after_ms", refusal.RetryAfter.Milliseconds())
-	refusal.Write(r.w, s.Sender.Wire)
-	return refusal.Reason
-}
-
-// newNeed returns what a new run needs of an engine.
-func newNeed(a *edge.Admitted, own loadbook.Load, domain string) placing.Need {
-	need := placing.Need{Tokens: own.Tokens, Unread: own.Unread, Objective: a.Route.Objective, Domain: domain}
-	// The last part of a prompt is the request's own; what comes before it is
-	// cached where other requests have been.
-	if g := a.Call.Generation; g != nil && len(g.Prefix) > 1 {
-		need.Affinity = g.Prefix[0].ID + ":" + strconv.Itoa(g.Prefix[0].Tokens)
-		for _, part := range g.Prefix[:len(g.Prefix)-1] {
-			need.Shared += part.Tokens
-		}
-	}
-	return need
-}
--- a/tests/edge/stream_test.go
+++ b/tests/edge/stream_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"sync"
 	"testing"
@@ -195,3 +196,30 @@
 	}
 	require.Len(t, all[0].list(&all[0].starts), before)
 }
+
+// The deadline of a stream does not outlive it on a kept connection.
+func TestKeptConnectionServesAfterAStreamsDeadline(t *testing.T) {
+	f, h, _ := engineFleet(t, 1)
+	f.desk("d-1")
+	require.Eventually(t, func() bool { return bytesContain(h, `"target":"d-1"`) }, waitFor, checkEvery)
+	kept := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}}
+	defer kept.CloseIdleConnections()
+	over := func(r *http.Request) (string, error) {
+		response, err := kept.Do(r)
+		if err != nil {
+			return "", err
+		}
+		defer func() { _ = response.Body.Close() }()
+		body, err := io.ReadAll(response.Body)
+		return string(body), err
+	}
+	r := draft(t.Context(), h, "r-1", shortDraft)
+	r.Header.Set("Deadline-Ms", "300")
+	body, err := over(r)
+	require.NoError(t, err)
+	require.Equal(t, wholeStream("r-1", shortDraft), body)
+	time.Sleep(1500 * time.Millisecond) // beyond the stream's deadline and what is added for slow callers
+	body, err = over(h.request(t.Context(), http.MethodPost, "hold", "r-2", []byte("x")))
+	require.NoError(t, err)
+	require.Equal(t, "done r-2", body)
+}
