--- a/internal/edge/streaming/server.go
+++ b/internal/edge/streaming/server.go
@@ -129,6 +129,9 @@
 // place waits for an engine with room and reserves it in the load book.
 func (s *Server) place(ctx context.Context, a *edge.Admitted, tried map[string]bool) (*targets.Target, loadbook.Load) {
 	own := s.load(a, 0)
+	if len(s.Targets.View().Serving(a.Service.Name)) == 0 {
+		return nil, own // nothing to wait for: the run is refused at once
+	}
 	ctx, cancel := context.WithTimeout(ctx, maxWait(a, own))
 	defer cancel()
 	need := newNeed(a, own, s.Domain)
