--- a/internal/edge/observe/observer.go
+++ b/internal/edge/observe/observer.go
@@ -12,12 +12,16 @@
 	"corianderhitch/internal/edge"
 	"corianderhitch/internal/edge/targets"
 	"corianderhitch/internal/rendezvous"
+	"corianderhitch/internal/wait"
 )
 
 const (
-	// Period is how often an engine is asked. A notice of two seconds leaves
-	// time to move its runs if it is heard within one.
-	Period = 500 * time.Millisecond
+	// period is how often an engine is asked while the target list is followed,
+	// which usually knows first.
+	period = 500 * time.Millisecond
+	// alonePeriod is the same while it is not: a notice of two seconds leaves time
+	// to move runs only if it is heard soon after the half second that reports lag.
+	alonePeriod = 150 * time.Millisecond
 	// askTimeout bounds one report.
 	askTimeout = 300 * time.Millisecond
 )
@@ -28,22 +32,22 @@
 	Host     string
 	Engines  edge.Engines
 	Targets  *targets.Registry
-	Services func() []string                // services whose targets are engines
-	Hosts    func() []string                // all hosts, this one included
-	Worth    func(target string) (runs int) // in flight at a target; idle ones are not asked
+	Services func() []string         // services whose targets are engines
+	Hosts    func() []string         // all hosts, this one included
+	Runs     func(target string) int // in flight at a target; idle ones are not asked
+	Listed   func() bool             // tells whether the target list is followed now
 }
 
 // Run asks until ctx ends.
 func (o *Observer) Run(ctx context.Context) {
-	ticker := time.NewTicker(Period)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			o.round(ctx)
+	for ctx.Err() == nil {
+		begun := time.Now()
+		o.round(ctx)
+		pause := period
+		if !o.Listed() {
+			pause = alonePeriod
 		}
+		wait.For(ctx, pause-time.Since(begun))
 	}
 }
 
@@ -51,15 +55,15 @@
 // twice.
 func (o *Observer) round(ctx context.Context) {
 	view, hosts := o.Targets.View(), o.Hosts()
-	var wait sync.WaitGroup
+	var asked sync.WaitGroup
 	for _, service := range o.Services() {
 		for _, t := range view.Serving(service) {
-			if o.Worth(t.Key()) > 0 && rendezvous.Owner(t.Key(), hosts) == o.Host {
-				wait.Go(func() { o.ask(ctx, t) })
+			if o.Runs(t.Key()) > 0 && rendezvous.Owner(t.Key(), hosts) == o.Host {
+				asked.Go(func() { o.ask(ctx, t) })
 			}
 		}
 	}
-	wait.Wait()
+	asked.Wait()
 }
 
 func (o *Observer) ask(ctx context.Context, t *targets.Target) {
--- a/internal/edge/process/runs.go
+++ b/internal/edge/process/runs.go
@@ -36,8 +36,9 @@
 			}
 			return nil
 		},
-		Hosts: p.members.Names,
-		Worth: func(target string) int { return p.book.Load(target).Runs },
+		Hosts:  p.members.Names,
+		Runs:   func(target string) int { return p.book.Load(target).Runs },
+		Listed: func() bool { return p.exchange.Served() || p.feeds.targets.Live() },
 	}
 }
 
