--- a/internal/cli/operations_test.go
+++ b/internal/cli/operations_test.go
@@ -77,7 +77,7 @@
 
 func TestOperatingPageNamesMetricsThatExist(t *testing.T) {
 	var source strings.Builder
-	for _, pattern := range []string{"../gateway/metrics/*.go", "../agent/*.go"} {
+	for _, pattern := range []string{"../gateway/metrics/*.go", "../agent/*.go", "../edge/metrics/*.go"} {
 		files, err := filepath.Glob(pattern)
 		require.NoError(t, err)
 		for _, file := range files {
--- a/internal/edge/metrics/metrics.go
+++ b/internal/edge/metrics/metrics.go
@@ -40,17 +40,17 @@
 func New(meter metric.Meter, g Gauges) (*Metrics, error) {
 	m := &Metrics{}
 	b := &builder{meter: meter}
-	m.requests = b.counter("corianderhitch_requests", "requests by kind of route and outcome")
-	m.latency = b.seconds("corianderhitch_request_duration", "time from arrival to the end of the answer")
-	m.moves = b.counter("corianderhitch_moves", "runs moved between engines, by outcome")
-	m.moving = b.seconds("corianderhitch_move_duration", "time that a move took")
-	b.gauge("corianderhitch_runs", "generations in flight from this host", func() int64 { return int64(g.Runs()) })
-	b.gauge("corianderhitch_waiting_runs", "generations that wait for room", func() int64 { return int64(g.Waiting()) })
-	b.gauge("corianderhitch_targets", "targets in the list", func() int64 { return int64(g.Targets()) })
-	b.gauge("corianderhitch_hosts", "hosts of the fleet, this one included", func() int64 { return int64(g.Hosts()) })
-	b.gauge("corianderhitch_policy_age_milliseconds", "time since the configuration was surely the newest", func() int64 { return g.PolicyAge().Milliseconds() })
-	b.gauge("corianderhitch_policy_version", "version of the configuration in force", g.Version)
-	b.gauge("corianderhitch_log_lines_dropped", "log lines dropped and not reported yet", g.Dropped)
+	m.requests = b.counter("hitch_edge_requests", "requests by kind of route and outcome")
+	m.latency = b.seconds("hitch_edge_request_duration", "time from arrival to the end of the answer")
+	m.moves = b.counter("hitch_edge_moves", "runs moved between engines, by outcome")
+	m.moving = b.seconds("hitch_edge_move_duration", "time that a move took")
+	b.gauge("hitch_edge_runs", "generations in flight from this host", func() int64 { return int64(g.Runs()) })
+	b.gauge("hitch_edge_waiting_runs", "generations that wait for room", func() int64 { return int64(g.Waiting()) })
+	b.gauge("hitch_edge_targets", "targets in the list", func() int64 { return int64(g.Targets()) })
+	b.gauge("hitch_edge_hosts", "hosts of the fleet, this one included", func() int64 { return int64(g.Hosts()) })
+	b.gauge("hitch_edge_policy_age_milliseconds", "time since the configuration was surely the newest", func() int64 { return g.PolicyAge().Milliseconds() })
+	b.gauge("hitch_edge_policy_version", "version of the configuration in force", g.Version)
+	b.gauge("hitch_edge_log_lines_dropped", "log lines dropped and not reported yet", g.Dropped)
 	return m, b.err
 }
 
