--- a/internal/edge/admission/queue_test.go
+++ b/internal/edge/admission/queue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,13 +16,13 @@
 
 func TestMoreUrgentRunsGoFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		room := 0
+		var room atomic.Int32
 		q := New(func() <-chan struct{} { return nil })
 		try := func() *targets.Target {
-			if room == 0 {
+			if room.Load() == 0 {
 				return nil
 			}
-			room--
+			room.Add(-1)
 			return target
 		}
 		order := make(chan string, 3)
@@ -37,7 +38,7 @@
 		synctest.Wait()
 		require.Equal(t, 3, q.Len())
 		for _, want := range []string{"summary", "draft 1", "draft 2"} {
-			room = 1
+			room.Store(1)
 			require.Equal(t, want, <-order)
 		}
 	})
