Give large prompts the same chance of room as small ones

Limits on memory and on unread prompts counted the run's own size, so that small runs took room before a large one could. Change: both limits look at what is ahead only; with the run an engine may be expected to hold at most 1.05 of its memory.

--- a/internal/edge/placing/engine.go
+++ b/internal/edge/placing/engine.go
@@ -11,10 +11,14 @@
 )
 
 const (
-	// fullShare is the part of an engine's memory that runs may be expected to
-	// fill at their ends, which do not coincide. Preemption reads a whole prompt
-	// again, so that some is left for runs that grow longer than expected.
-	fullShare = 0.92
+	// fullShare is the part of an engine's memory that the runs at it may be
+	// expected to fill at their ends for another one to be added. It does not
+	// depend on that one's size: small runs would take all the room before a large
+	// one finds enough.
+	fullShare = 0.78
+	// mostShare bounds the part with the added run. The ends of runs do not
+	// coincide, so that it may exceed the memory by a little.
+	mostShare = 1.05
 	// moveShare is the same for moved runs: one without a destination is lost with
 	// all its work, while a new one may come back.
 	moveShare = 1.15
@@ -30,10 +34,9 @@
 	// readRate is how many prompt tokens an engine reads in a second beside its
 	// running batch: chunks of 112 tokens in steps of about 16 ms.
 	readRate = 7000.0
-	// fullWait is the part of the objective that the wait for the first event may
-	// be expected to take on an engine that is not idle. Beyond it a run had better
-	// wait for another engine than behind prompts that it cannot overtake.
-	fullWait = 0.75
+	// fullAhead is the part of the objective that the prompts ahead of a run may
+	// take. It does not depend on the run's own prompt either.
+	fullAhead = 0.42
 	// waitShare is what a wait for the first event as long as the objective counts,
 	// as a share.
 	waitShare = 0.6
@@ -144,19 +147,16 @@
 func engineShare(c Candidate, engine *policy.Engine, need Need) float64 {
 	capacity := float64(max(1, engine.MemoryTokens))
 	share := float64(c.Load.Tokens+need.Tokens) / capacity
-	full := fullShare
-	if need.Move {
-		full = moveShare
-	}
-	if c.Load.Runs >= engine.Slots || (share > full && c.Load.Runs > 0) {
+	if c.Load.Runs >= engine.Slots || (c.Load.Runs > 0 && full(c.Load.Tokens, share, capacity, need.Move)) {
 		return math.Inf(1)
 	}
 	if need.Objective > 0 {
-		wait := ReadTime(c.Load.Unread+need.Unread).Seconds() / need.Objective.Seconds()
-		if wait > fullWait && c.Load.Unread > 0 {
+		ahead := ReadTime(c.Load.Unread).Seconds() / need.Objective.Seconds()
+		own := ReadTime(need.Unread).Seconds() / need.Objective.Seconds()
+		if ahead > fullAhead {
 			return math.Inf(1)
 		}
-		share += waitShare * wait
+		share += waitShare * (ahead + own)
 	}
 	share += failingShare * (c.Cost - 1)
 	if c.Target.Cold > 0 {
@@ -170,3 +170,12 @@
 	}
 	return share
 }
+
+// full tells whether an engine lacks memory for a run, with which it would hold
+// the given share.
+func full(tokens int, share, capacity float64, move bool) bool {
+	if move {
+		return share > moveShare
+	}
+	return float64(tokens)/capacity > fullShare || share > mostShare
+}
--- a/internal/edge/placing/engine_test.go
+++ b/internal/edge/placing/engine_test.go
@@ -130,6 +130,43 @@
 	require.Greater(t, crowd(4*unseen, 1), bound, "hosts that all take the best, with a hub that is slow")
 }
 
+// Answers crowded engines with prompts of unequal size: the largest tenth must not
+// starve. The target is that it is served at least half as often as all.
+func TestLargePromptsDoNotStarve(t *testing.T) {
+	const (
+		engines, runs, perSecond = 31, 6000, 110.0
+		small, large             = 2400, 6000
+		objective                = 1500 * time.Millisecond
+	)
+	random := rand.New(rand.NewPCG(3, 4))
+	unread, held := make([]float64, engines), make([]float64, engines)
+	served, asked := map[int]float64{}, map[int]float64{}
+	for range runs {
+		prompt := small
+		if random.Float64() < 0.1 {
+			prompt = large
+		}
+		candidates := make([]Candidate, engines)
+		for i := range candidates {
+			candidates[i] = candidate(fmt.Sprint(i), "a", loadbook.Load{Runs: 1, Unread: int(unread[i]), Tokens: int(held[i])})
+		}
+		need := Need{Tokens: prompt + 20, Unread: prompt, Objective: objective, Domain: "a"}
+		asked[prompt]++
+		if i := Engine(candidates, engine, need, nil); i >= 0 {
+			served[prompt]++
+			unread[i] += float64(prompt)
+			held[i] += float64(prompt)
+		}
+		for i := range unread {
+			unread[i] = max(0, unread[i]-readRate/perSecond)
+			held[i] *= 0.992 // runs end within seconds
+		}
+	}
+	all := (served[small] + served[large]) / (asked[small] + asked[large])
+	require.Less(t, all, 0.99, "the load must exceed the engines")
+	require.GreaterOrEqual(t, served[large]/asked[large], all/2)
+}
+
 func TestPlain(t *testing.T) {
 	sound := Candidate{Target: &targets.Target{ID: "1", Zone: "a", Slots: 6}, Cost: 1, Latency: 0.015}
 	busy := sound
--- a/internal/edge/streaming/refusal.go
+++ b/internal/edge/streaming/refusal.go
@@ -15,9 +15,9 @@
 const (
 	// readMargin is how many times its prompt's reading time a run leaves of its
 	// objective when it stops to wait for room.
-	readMargin = 1.5
+	readMargin = 1.0
 	// leastWait is the part of the objective that a run waits for room at least.
-	leastWait = 0.3
+	leastWait = 0.5
 	// comeBack is when a run that could not start may return.
 	comeBack = 400 * time.Millisecond
 	// fullComeBack is when a run may return that found no room: bursts last
