Weigh a run's own need less in the limit on memory

Change: the limit on memory counts the run with 0.35 of its need free, prompts ahead may take half of the objective for runs of any size. Conclusion: kept for the callers with large prompts.

--- a/internal/edge/placing/engine.go
+++ b/internal/edge/placing/engine.go
@@ -11,14 +11,13 @@
 )
 
 const (
-	// fullShare is the part of an engine's memory that the runs at it may be
-	// expected to fill at their ends for another one to be added. It does not
-	// depend on that one's size: small runs would take all the room before a large
-	// one finds enough.
-	fullShare = 0.78
-	// mostShare bounds the part with the added run. The ends of runs do not
-	// coincide, so that it may exceed the memory by a little.
-	mostShare = 1.05
+	// fullShare is the part of an engine's memory that runs may be expected to
+	// fill at their ends, which do not coincide. Preemption reads a whole prompt
+	// again, so that some is left for runs that grow longer than expected.
+	fullShare = 0.87
+	// ownPart is how much of a run's own need may go beyond it: small runs would
+	// otherwise take all the room before a large one finds enough.
+	ownPart = 0.35
 	// moveShare is the same for moved runs: one without a destination is lost with
 	// all its work, while a new one may come back.
 	moveShare = 1.15
@@ -36,7 +35,7 @@
 	readRate = 7000.0
 	// fullAhead is the part of the objective that the prompts ahead of a run may
 	// take. It does not depend on the run's own prompt either.
-	fullAhead = 0.42
+	fullAhead = 0.5
 	// waitShare is what a wait for the first event as long as the objective counts,
 	// as a share.
 	waitShare = 0.6
@@ -147,7 +146,11 @@
 func engineShare(c Candidate, engine *policy.Engine, need Need) float64 {
 	capacity := float64(max(1, engine.MemoryTokens))
 	share := float64(c.Load.Tokens+need.Tokens) / capacity
-	if c.Load.Runs >= engine.Slots || (c.Load.Runs > 0 && full(c.Load.Tokens, share, capacity, need.Move)) {
+	full := fullShare + ownPart*float64(need.Tokens)/capacity
+	if need.Move {
+		full = moveShare
+	}
+	if c.Load.Runs >= engine.Slots || (share > full && c.Load.Runs > 0) {
 		return math.Inf(1)
 	}
 	if need.Objective > 0 {
@@ -170,12 +173,3 @@
 	}
 	return share
 }
-
-// full tells whether an engine lacks memory for a run, with which it would hold
-// the given share.
-func full(tokens int, share, capacity float64, move bool) bool {
-	if move {
-		return share > moveShare
-	}
-	return float64(tokens)/capacity > fullShare || share > mostShare
-}
