Judge a run by the peak of an engine's memory while it is there

Room was judged by what all runs will hold at their ends, which the drafts reach seconds after a short run has gone.

Now the others are taken to grow by no more than the run's own output, and runs of up to 48 tokens may fill 0.97 of the memory.

Table tests name what engines hold now, which the rule needs; their bounds are as before.

--- a/internal/edge/migration/mover.go
+++ b/internal/edge/migration/mover.go
@@ -95,7 +95,7 @@
 			return tooLate, len(tried) - 1
 		}
 		load := loadbook.Load{Runs: 1, Tokens: max(r.Expected(), held), Held: held}
-		need := placing.Need{Tokens: load.Tokens, Domain: source.Zone, Move: true, Far: far, Affinity: source.Key()}
+		need := placing.Need{Tokens: load.Tokens, Output: load.Tokens - held, Domain: source.Zone, Move: true, Far: far, Affinity: source.Key()}
 		dest := m.Choose(ctx, service, need, load, tried).Target
 		if dest == nil {
 			break
--- a/internal/edge/placing/engine.go
+++ b/internal/edge/placing/engine.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"corianderhitch/internal/edge/loadbook"
 	"corianderhitch/internal/edge/policy"
 )
 
@@ -18,6 +19,12 @@
 	// ownPart is how much of a run's own need may go beyond it: small runs would
 	// otherwise take all the room before a large one finds enough.
 	ownPart = 0.35
+	// briefShare is the same for runs that end soon: little can grow unexpectedly
+	// until then.
+	briefShare = 0.97
+	// briefTokens is the output up to which a run counts as brief: half a second at
+	// the usual pace of an engine.
+	briefTokens = 48
 	// moveShare is the same for moved runs: one without a destination is lost with
 	// all its work, while a new one may come back.
 	moveShare = 1.15
@@ -50,6 +57,7 @@
 // Need is what a run needs of an engine.
 type Need struct {
 	Tokens    int           // expected memory at the end of the run
+	Output    int           // output tokens that are expected to come
 	Unread    int           // prompt tokens to read before the first event
 	Objective time.Duration // latency objective of the first event; 0 for none
 	Affinity  string        // what runs that should meet have in common, "" if nothing
@@ -141,16 +149,32 @@
 	return order[min(among-1, int(need.Draw*float64(among)))]
 }
 
+// peak is the most memory that an engine is expected to use while the run is
+// there. All runs of a batch make a token a step, so that the others grow by no
+// more than the run's own output: brief runs find room between long ones that
+// have yet to grow into theirs.
+func peak(l loadbook.Load, need Need) int {
+	return min(l.Tokens, l.Held+l.Runs*need.Output) + need.Tokens
+}
+
+// fullFor is the part of an engine's memory that may be in use with the run.
+func fullFor(need Need, capacity float64) float64 {
+	switch own := float64(need.Tokens) / capacity; {
+	case need.Move:
+		return moveShare
+	case need.Output <= briefTokens:
+		return briefShare
+	default:
+		return fullShare + ownPart*own
+	}
+}
+
 // engineShare is the part of the engine's memory that is expected to be in use
 // with the run, plus penalties; +Inf if the run does not fit. Lower is better.
 func engineShare(c Candidate, engine *policy.Engine, need Need) float64 {
 	capacity := float64(max(1, engine.MemoryTokens))
-	share := float64(c.Load.Tokens+need.Tokens) / capacity
-	full := fullShare + ownPart*float64(need.Tokens)/capacity
-	if need.Move {
-		full = moveShare
-	}
-	if c.Load.Runs >= engine.Slots || (share > full && c.Load.Runs > 0) {
+	share := float64(peak(c.Load, need)) / capacity
+	if c.Load.Runs >= engine.Slots || (share > fullFor(need, capacity) && c.Load.Runs > 0) {
 		return math.Inf(1)
 	}
 	if need.Objective > 0 {
--- a/internal/edge/placing/engine_test.go
+++ b/internal/edge/placing/engine_test.go
@@ -15,12 +15,17 @@
 
 var engine = &policy.Engine{Slots: 24, MemoryTokens: 20000}
 
+// candidate returns a sound engine. Its runs are at their ends unless l tells what
+// they hold.
 func candidate(id, zone string, l loadbook.Load) Candidate {
+	if l.Held == 0 {
+		l.Held = l.Tokens
+	}
 	return Candidate{Target: &targets.Target{ID: id, Zone: zone}, Load: l, Cost: 1}
 }
 
 func TestEngine(t *testing.T) {
-	need := Need{Tokens: 3000, Unread: 2500, Objective: 1800 * time.Millisecond, Domain: "a"}
+	need := Need{Tokens: 3000, Output: 500, Unread: 2500, Objective: 1800 * time.Millisecond, Domain: "a"}
 	for name, c := range map[string]struct {
 		candidates []Candidate
 		need       Need
@@ -33,9 +38,9 @@
 		"no memory left": {candidates: []Candidate{candidate("1", "a", loadbook.Load{Runs: 5, Tokens: 18000})}, need: need, want: -1},
 		"no place left":  {candidates: []Candidate{candidate("1", "a", loadbook.Load{Runs: 24, Tokens: 100})}, need: need, want: -1},
 		"a moved run goes before new ones": {candidates: []Candidate{candidate("1", "a", loadbook.Load{Runs: 5, Tokens: 18000})},
-			need: Need{Tokens: 3000, Domain: "a", Move: true}, want: 0},
+			need: Need{Tokens: 3000, Output: 500, Domain: "a", Move: true}, want: 0},
 		"larger than an empty engine": {candidates: []Candidate{candidate("1", "a", loadbook.Load{})},
-			need: Need{Tokens: 19500, Domain: "a"}, want: 0},
+			need: Need{Tokens: 19500, Output: 500, Domain: "a"}, want: 0},
 		"unread prompts ahead": {candidates: []Candidate{
 			candidate("1", "a", loadbook.Load{Runs: 1, Tokens: 3000, Unread: 5000}), candidate("2", "a", loadbook.Load{Runs: 2, Tokens: 5000}),
 		}, need: need, want: 1},
@@ -50,10 +55,10 @@
 		}, need: need, want: 1},
 		"a move stays in the domain while time is short": {candidates: []Candidate{
 			candidate("1", "b", loadbook.Load{}), candidate("2", "a", loadbook.Load{Runs: 3, Tokens: 9000}),
-		}, need: Need{Tokens: 3000, Domain: "a", Move: true, Far: 0.6}, want: 1},
+		}, need: Need{Tokens: 3000, Output: 500, Domain: "a", Move: true, Far: 0.6}, want: 1},
 		"a move leaves the domain when there is time": {candidates: []Candidate{
 			candidate("1", "b", loadbook.Load{}), candidate("2", "a", loadbook.Load{Runs: 3, Tokens: 9000}),
-		}, need: Need{Tokens: 3000, Domain: "a", Move: true, Far: 0.1}, want: 0},
+		}, need: Need{Tokens: 3000, Output: 500, Domain: "a", Move: true, Far: 0.1}, want: 0},
 		"none": {need: need, want: -1},
 	} {
 		t.Run(name, func(t *testing.T) { require.Equal(t, c.want, Engine(c.candidates, engine, c.need, c.tried)) })
@@ -63,7 +68,7 @@
 func TestFailingEngineIsLeftOutUnlessAllFail(t *testing.T) {
 	bad, sound := candidate("1", "a", loadbook.Load{}), candidate("2", "a", loadbook.Load{Runs: 3, Tokens: 12000})
 	bad.Cost = MaxCost + 1
-	need := Need{Tokens: 3000, Domain: "a"}
+	need := Need{Tokens: 3000, Output: 500, Domain: "a"}
 	require.Equal(t, 1, Engine([]Candidate{bad, sound}, engine, need, nil))
 	require.Equal(t, 0, Engine([]Candidate{bad}, engine, need, nil))
 	require.Equal(t, -1, Engine([]Candidate{bad}, engine, need, map[string]bool{"1@0": true}))
@@ -76,10 +81,10 @@
 	for i := range 8 {
 		candidates = append(candidates, candidate(fmt.Sprint(i), "a", loadbook.Load{Runs: 1, Tokens: 2000 + 100*i}))
 	}
-	need := Need{Tokens: 2500, Domain: "a", Affinity: "p", Shared: 350}
+	need := Need{Tokens: 2500, Output: 500, Domain: "a", Affinity: "p", Shared: 350}
 	first := Engine(candidates, engine, need, nil)
 	require.Equal(t, first, Engine(candidates, engine, need, nil))
-	candidates[first].Load.Tokens = 14000
+	candidates[first].Load.Tokens, candidates[first].Load.Held = 14000, 14000
 	require.NotEqual(t, first, Engine(candidates, engine, need, nil))
 }
 
@@ -104,7 +109,7 @@
 		for i := range candidates {
 			candidates[i] = candidate(fmt.Sprint(i), "a", loadbook.Load{Runs: 1, Unread: int(seen[i]), Tokens: 5000})
 		}
-		need := Need{Tokens: 3400, Unread: prompt, Objective: objective, Domain: "a", Spread: spread, Draw: random.Float64()}
+		need := Need{Tokens: 3400, Output: 600, Unread: prompt, Objective: objective, Domain: "a", Spread: spread, Draw: random.Float64()}
 		i := Engine(candidates, engine, need, nil)
 		if i < 0 || ReadTime(int(unread[i])+prompt) > objective {
 			missed++
@@ -150,7 +155,7 @@
 		for i := range candidates {
 			candidates[i] = candidate(fmt.Sprint(i), "a", loadbook.Load{Runs: 1, Unread: int(unread[i]), Tokens: int(held[i])})
 		}
-		need := Need{Tokens: prompt + 20, Unread: prompt, Objective: objective, Domain: "a"}
+		need := Need{Tokens: prompt + 20, Output: 20, Unread: prompt, Objective: objective, Domain: "a"}
 		asked[prompt]++
 		if i := Engine(candidates, engine, need, nil); i >= 0 {
 			served[prompt]++
--- a/internal/edge/streaming/choose.go
+++ b/internal/edge/streaming/choose.go
@@ -75,7 +75,7 @@
 
 // newNeed returns what a new run needs of an engine.
 func newNeed(a *edge.Admitted, own loadbook.Load, domain string) placing.Need {
-	need := placing.Need{Tokens: own.Tokens, Unread: own.Unread, Objective: a.Route.Objective, Domain: domain}
+	need := placing.Need{Tokens: own.Tokens, Output: own.Tokens - own.Held, Unread: own.Unread, Objective: a.Route.Objective, Domain: domain}
 	// The last part of a prompt is the request's own; what comes before it is
 	// cached where other requests have been.
 	if g := a.Call.Generation; g != nil && len(g.Prefix) > 1 {
