Let drafts fill engines nearly whole; moves wait for room

Change: drafts may fill 0.95 (plus a part of their own need); a moved run needs room for what it holds now and waits for it until the copy would not fit the notice any more.

--- a/internal/edge/metrics/metrics.go
+++ b/internal/edge/metrics/metrics.go
@@ -15,7 +15,7 @@
 
 // latencyBounds are the buckets of latency histograms, in seconds: from a lookup
 // to the longest draft.
-var latencyBounds = []float64{0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 5, 10, 20, 40}
+var latencyBounds = []float64{0.01, 0.025, 0.05, 0.1, 0.18, 0.25, 0.5, 1, 2, 5, 10, 20, 40}
 
 // Metrics records counters and histograms.
 type Metrics struct {
@@ -23,6 +23,9 @@
 	latency  metric.Float64Histogram
 	moves    metric.Int64Counter
 	moving   metric.Float64Histogram
+	waiting  metric.Float64Histogram
+	first    metric.Float64Histogram
+	pauses   metric.Float64Histogram
 }
 
 // Gauges are read at each scrape.
@@ -44,6 +47,9 @@
 	m.latency = b.seconds("hitch_edge_request_duration", "time from arrival to the end of the answer")
 	m.moves = b.counter("hitch_edge_moves", "runs moved between engines, by outcome")
 	m.moving = b.seconds("hitch_edge_move_duration", "time that a move took")
+	m.waiting = b.seconds("hitch_edge_admission_wait", "time that a generation waited for an engine with room, by whether one was found")
+	m.first = b.seconds("hitch_edge_first_event", "time from arrival to the first event of a generation")
+	m.pauses = b.seconds("hitch_edge_longest_pause", "longest time between two events of a generation")
 	b.gauge("hitch_edge_runs", "generations in flight from this host", func() int64 { return int64(g.Runs()) })
 	b.gauge("hitch_edge_waiting_runs", "generations that wait for room", func() int64 { return int64(g.Waiting()) })
 	b.gauge("hitch_edge_targets", "targets in the list", func() int64 { return int64(g.Targets()) })
@@ -71,6 +77,21 @@
 	m.moving.Record(context.Background(), took.Seconds())
 }
 
+// Wait implements streaming.Observer.
+func (m *Metrics) Wait(took time.Duration, found bool) {
+	m.waiting.Record(context.Background(), took.Seconds(), metric.WithAttributes(attribute.Bool("found", found)))
+}
+
+// FirstEvent implements streaming.Observer.
+func (m *Metrics) FirstEvent(took time.Duration) {
+	m.first.Record(context.Background(), took.Seconds())
+}
+
+// Pause implements streaming.Observer.
+func (m *Metrics) Pause(longest time.Duration) {
+	m.pauses.Record(context.Background(), longest.Seconds())
+}
+
 // builder creates instruments and keeps the first error.
 type builder struct {
 	meter metric.Meter
--- a/internal/edge/migration/mover.go
+++ b/internal/edge/migration/mover.go
@@ -16,8 +16,9 @@
 )
 
 const (
-	// maxDestinations bounds the engines that are tried for one run.
-	maxDestinations = 4
+	// roomPause is how often room for a run is looked for while all engines are
+	// full: runs end on them many times a second.
+	roomPause = 50 * time.Millisecond
 	// moveTimeout bounds a copy: the transfer of a whole engine between domains.
 	moveTimeout = 2500 * time.Millisecond
 	// cutAfter is how long a stopped run's stream may stay open at the source
@@ -84,28 +85,43 @@
 func (m *Mover) tryAll(ctx context.Context, source *targets.Target, noticed bootclock.Instant, far float64, r *streaming.Run) (outcome string, tries int) {
 	service := r.Service()
 	tried := map[string]bool{source.Key(): true}
-	for range maxDestinations {
+	for {
 		select {
 		case <-r.Ended():
-			return runEnded, len(tried) - 1
+			return runEnded, tries
+		case <-ctx.Done():
+			return tooLate, tries
 		default:
 		}
 		held := r.Held()
 		if !Fits(service.Engine, held, bootclock.Since(noticed)) {
-			return tooLate, len(tried) - 1
+			return tooLate, tries
 		}
 		load := loadbook.Load{Runs: 1, Tokens: max(r.Expected(), held), Held: held}
 		need := placing.Need{Tokens: load.Tokens, Output: load.Tokens - held, Domain: source.Zone, Move: true, Far: far, Affinity: source.Key()}
 		dest := m.Choose(ctx, service, need, load, tried).Target
 		if dest == nil {
-			break
+			m.awaitRoom(ctx)
+			tried = map[string]bool{source.Key(): true}
+			continue
 		}
 		tried[dest.Key()] = true
+		tries++
 		if outcome := m.to(ctx, source, dest, load, r); outcome != edge.MoveNoRoom.String() {
-			return outcome, len(tried) - 1
+			return outcome, tries
 		}
 	}
-	return edge.MoveNoRoom.String(), len(tried) - 1
+}
+
+// awaitRoom waits until runs have ended or other hosts' loads may have changed.
+func (m *Mover) awaitRoom(ctx context.Context) {
+	timer := time.NewTimer(roomPause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-m.Book.Changed():
+	case <-ctx.Done():
+	}
 }
 
 // to copies a run to one destination, for which load is counted already, and
--- a/internal/edge/placing/engine.go
+++ b/internal/edge/placing/engine.go
@@ -15,7 +15,7 @@
 	// fullShare is the part of an engine's memory that runs may be expected to
 	// fill at their ends, which do not coincide. Preemption reads a whole prompt
 	// again, so that some is left for runs that grow longer than expected.
-	fullShare = 0.87
+	fullShare = 0.95
 	// ownPart is how much of a run's own need may go beyond it: small runs would
 	// otherwise take all the room before a large one finds enough.
 	ownPart = 0.35
@@ -25,9 +25,9 @@
 	// briefTokens is the output up to which a run counts as brief: half a second at
 	// the usual pace of an engine.
 	briefTokens = 48
-	// moveShare is the same for moved runs: one without a destination is lost with
-	// all its work, while a new one may come back.
-	moveShare = 1.15
+	// moveAhead is how many tokens each run of a destination may grow by while a
+	// moved run settles: the copy and the first events take about half a second.
+	moveAhead = 48
 	// bandPerSharedToken is how much worse than the best engine one may be, as a
 	// share, for each prompt token that it has probably cached: reading 350 tokens
 	// again costs about as much as a fifth more load.
@@ -157,16 +157,19 @@
 	return min(l.Tokens, l.Held+l.Runs*need.Output) + need.Tokens
 }
 
-// fullFor is the part of an engine's memory that may be in use with the run.
-func fullFor(need Need, capacity float64) float64 {
-	switch own := float64(need.Tokens) / capacity; {
-	case need.Move:
-		return moveShare
-	case need.Output <= briefTokens:
-		return briefShare
-	default:
-		return fullShare + ownPart*own
+// fits tells whether an engine has room for the run. A moved run needs room for
+// what it holds now: without a destination it is lost with all its work, while an
+// engine that fills up later preempts the newest run, which only pauses.
+func fits(l loadbook.Load, need Need, capacity float64) bool {
+	if need.Move {
+		held := need.Tokens - need.Output
+		return float64(l.Held+held+(l.Runs+1)*moveAhead) <= capacity
 	}
+	full := fullShare + ownPart*float64(need.Tokens)/capacity
+	if need.Output <= briefTokens {
+		full = briefShare
+	}
+	return float64(peak(l, need)) <= full*capacity
 }
 
 // engineShare is the part of the engine's memory that is expected to be in use
@@ -174,7 +177,7 @@
 func engineShare(c Candidate, engine *policy.Engine, need Need) float64 {
 	capacity := float64(max(1, engine.MemoryTokens))
 	share := float64(peak(c.Load, need)) / capacity
-	if c.Load.Runs >= engine.Slots || (share > fullFor(need, capacity) && c.Load.Runs > 0) {
+	if c.Load.Runs >= engine.Slots || (c.Load.Runs > 0 && !fits(c.Load, need, capacity)) {
 		return math.Inf(1)
 	}
 	if need.Objective > 0 {
--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -108,6 +108,7 @@
 		if err != nil {
 			return err
 		}
+		p.streaming.Observer, p.mover.Observe = p.metrics, p.metrics.Move
 		log.Info("edge: start", "host", n.Name, "domain", n.Domain, "front", n.Front, "store", n.StoreAddress, "memory_bytes", n.MemoryBytes)
 		return p.run(ctx, signals, s)
 	}
@@ -138,7 +139,6 @@
 	p.exchange.Decide = p.decide
 	p.mover = &migration.Mover{
 		Log: log, Host: n.Name, Engines: p.streaming.Engines, Book: p.book, Choose: p.streaming.Choose,
-		Observe: func(outcome string, took time.Duration) { p.metrics.Move(outcome, took) },
 	}
 	return p
 }
--- a/internal/edge/streaming/forward.go
+++ b/internal/edge/streaming/forward.go
@@ -49,18 +49,12 @@
 		if err != nil {
 			return err
 		}
-		if first && r.started {
-			r.call.Log.Info("stream: first event after a move", "target", s.target.ID, "after_event", r.lastID,
-				"pause_ms", bootclock.Since(r.passedAt).Milliseconds())
+		if r.started {
+			r.notePause(s.target, first)
+		} else {
+			r.begin(s.target, head)
 		}
 		r.passedAt = bootclock.Now()
-		if !r.started {
-			edge.CopyHeader(r.w.Header(), head)
-			r.w.Header().Del("Content-Length")
-			r.w.WriteHeader(http.StatusOK)
-			r.started = true
-			r.call.Log.Info("stream: first event", "target", s.target.ID, "age_ms", r.call.Age().Milliseconds())
-		}
 		if _, err := r.w.Write(b.bytes); err != nil {
 			return errCallerGone
 		}
@@ -74,6 +68,31 @@
 	}
 }
 
+// begin sends the head of the answer.
+func (r *Run) begin(t *targets.Target, head http.Header) {
+	edge.CopyHeader(r.w.Header(), head)
+	r.w.Header().Del("Content-Length")
+	r.w.WriteHeader(http.StatusOK)
+	r.started = true
+	age := r.call.Age()
+	r.server.Observer.FirstEvent(age)
+	r.call.Log.Info("stream: first event", "target", t.ID, "age_ms", age.Milliseconds())
+}
+
+// notePause records the time since the last events. Pauses beyond the route's
+// objective are logged: they make the answer late.
+func (r *Run) notePause(t *targets.Target, moved bool) {
+	pause := bootclock.Since(r.passedAt)
+	r.longestPause = max(r.longestPause, pause)
+	objective := r.call.Route.GapObjective
+	switch {
+	case moved:
+		r.call.Log.Info("stream: first event after a move", "target", t.ID, "after_event", r.lastID, "pause_ms", pause.Milliseconds())
+	case objective > 0 && pause > objective:
+		r.call.Log.Info("stream: pause exceeds the objective", "target", t.ID, "after_event", r.lastID, "pause_ms", pause.Milliseconds())
+	}
+}
+
 const (
 	ended      = "completed"
 	brokenOff  = edge.ReasonBrokenOff
@@ -169,6 +188,9 @@
 // end finishes the caller's answer. A stream that is not whole ends without the
 // mark of its end.
 func (r *Run) end(ctx context.Context, source *targets.Target, reason string, err error) string {
+	if r.started {
+		r.server.Observer.Pause(r.longestPause)
+	}
 	engine := r.call.Service.Engine
 	r.server.Lengths.Observe(r.call, r.events*engine.TokensPerEvent, reason == ended)
 	if reason == ended && r.started {
--- a/internal/edge/streaming/run.go
+++ b/internal/edge/streaming/run.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"net/http"
 	"sync"
+	"time"
 
 	"corianderhitch/internal/edge"
 	"corianderhitch/internal/edge/bootclock"
@@ -24,6 +25,8 @@
 	ended   chan struct{}
 	// passedAt is when the last events were passed on; reader only.
 	passedAt bootclock.Instant
+	// longestPause is the longest time between two events; reader only.
+	longestPause time.Duration
 
 	mu      sync.Mutex
 	target  *targets.Target // guarded by mu; where it runs
--- a/internal/edge/streaming/server.go
+++ b/internal/edge/streaming/server.go
@@ -12,6 +12,7 @@
 
 	"corianderhitch/internal/edge"
 	"corianderhitch/internal/edge/admission"
+	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/edge/ejection"
 	"corianderhitch/internal/edge/loadbook"
 	"corianderhitch/internal/edge/peers"
@@ -34,6 +35,17 @@
 	writeSlack = time.Second
 )
 
+// Observer takes durations of streams, for metrics.
+type Observer interface {
+	// Wait is how long a run waited for an engine with room; found tells whether
+	// there was one.
+	Wait(took time.Duration, found bool)
+	// FirstEvent is the time from arrival to the first event.
+	FirstEvent(took time.Duration)
+	// Pause is the longest time between two events of a stream.
+	Pause(longest time.Duration)
+}
+
 // Server serves streaming routes.
 type Server struct {
 	Sender  *edge.Sender
@@ -48,6 +60,8 @@
 	Domain  string // failure domain of this host
 	// Ask asks a hub for an engine; false means that none can decide.
 	Ask func(ctx context.Context, args peers.PlaceArgs) (peers.PlaceReply, bool)
+	// Observer counts waits and pauses, for metrics.
+	Observer Observer
 	// Spread returns how many runs other hosts place before this one hears of them.
 	Spread func() int
 }
@@ -136,10 +150,12 @@
 	defer cancel()
 	need := newNeed(a, own, s.Domain)
 	var c Choice
+	begun := bootclock.Now()
 	t := s.Queue.Place(ctx, a.Urgency, func() *targets.Target {
 		c = s.Choose(ctx, a.Service, need, own, tried)
 		return c.Target
 	})
+	s.Observer.Wait(bootclock.Since(begun), t != nil)
 	if t != nil {
 		a.Log.Info("stream: engine chosen", "target", t.ID, "by", c.By, "runs", c.Before.Runs, "expected_tokens", c.Before.Tokens,
 			"unread_tokens", c.Before.Unread, "needs_tokens", need.Tokens,
