Say why no engine had room, and why a copy was not made

Cause: a refused run's story said "no_room" without what bound, and a move with an unknown result dropped its error.

Change: whoever decides counts the engines that lack memory, have too many prompts ahead or are out of the question, and how much memory runs hold; the host logs it. Moves carry the error of a call without an answer.

--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -74,6 +74,7 @@
 	Result MoveResult
 	Handle string // names the copy; also set with MoveNoRoom if the run has stopped
 	Events int    // events that the run had made by then
+	Err    error  // why the result is unknown
 }
 
 // EngineReport is what an engine says of itself. It is some hundred
--- a/internal/edge/migration/mover.go
+++ b/internal/edge/migration/mover.go
@@ -132,6 +132,7 @@
 	first := m.Engines.Move(ctx, source.Address, r.ID(), dest.Address, false)
 	if first.Result != edge.MoveCopied {
 		m.Book.Remove(dest.Key(), load)
+		m.logCopy(r, source, dest, "first", first)
 		return first.Result.String()
 	}
 	c := r.Secure(source, dest, first.Handle, load)
@@ -147,10 +148,23 @@
 	last := m.Engines.Move(ctx, source.Address, r.ID(), dest.Address, true)
 	r.Stopped(c, last, cutAfter)
 	r.Log().Info("migration: final copy", "result", last.Result.String(), "source", source.ID, "dest", dest.ID,
-		"took_ms", bootclock.Since(begun).Milliseconds(), "events", last.Events)
+		"took_ms", bootclock.Since(begun).Milliseconds(), "events", last.Events, "error", text(last.Err))
 	return "final_" + last.Result.String()
 }
 
+// logCopy logs a copy that was not made.
+func (m *Mover) logCopy(r *streaming.Run, source, dest *targets.Target, which string, moved edge.Moved) {
+	r.Log().Info("migration: copy not made", "which", which, "result", moved.Result.String(), "source", source.ID, "dest", dest.ID,
+		"error", text(moved.Err))
+}
+
+func text(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
 // awaitLink copies what is new until that goes fast, which shows that no other
 // run's copy is ahead on the links: a final copy behind one would stall the
 // stream. It returns false if the run cannot be copied any more. If the engine
@@ -160,6 +174,7 @@
 		begun := bootclock.Now()
 		delta := m.Engines.Move(ctx, source.Address, r.ID(), dest.Address, false)
 		if delta.Result != edge.MoveCopied {
+			m.logCopy(r, source, dest, "next", delta)
 			return false
 		}
 		if bootclock.Since(begun) < idleLink {
--- a/internal/edge/peers/exchange.go
+++ b/internal/edge/peers/exchange.go
@@ -73,9 +73,9 @@
 	Health    *ejection.Tracker
 	// Live tells whether this host follows the store itself at this moment.
 	Live func() bool
-	// Decide chooses an engine with room and returns its incarnation and load, or
-	// "". It runs on a hub for the runs of other hosts.
-	Decide func(service string, need placing.Need, tried map[string]bool) (string, loadbook.Load)
+	// Decide chooses an engine with room. It runs on a hub for the runs of other
+	// hosts.
+	Decide func(service string, need placing.Need, tried map[string]bool) placing.Decision
 
 	pool   *rpcconn.Pool
 	server *rpcconn.Server
--- a/internal/edge/peers/messages.go
+++ b/internal/edge/peers/messages.go
@@ -47,9 +47,8 @@
 // PlaceReply names it.
 type PlaceReply struct {
 	// Able tells whether the hub can decide; otherwise the host chooses alone.
-	Able   bool
-	Target string        // incarnation; empty if none has room
-	Before loadbook.Load // of the target, for the log
+	Able bool
+	placing.Decision
 }
 
 // Vouch tells how fresh a host's configuration is.
--- a/internal/edge/peers/service.go
+++ b/internal/edge/peers/service.go
@@ -37,7 +37,7 @@
 		tried[key] = true
 	}
 	reply.Able = true
-	if reply.Target, reply.Before = e.Decide(args.Service, args.Need, tried); reply.Target != "" {
+	if reply.Decision = e.Decide(args.Service, args.Need, tried); reply.Target != "" {
 		e.Book.Grant(args.Host, reply.Target, args.Load)
 	}
 	return nil
--- a/internal/edge/placing/engine.go
+++ b/internal/edge/placing/engine.go
@@ -157,19 +157,30 @@
 	return min(l.Tokens, l.Held+l.Runs*need.Output) + need.Tokens
 }
 
-// fits tells whether an engine has room for the run. A moved run needs room for
-// what it holds now: without a destination it is lost with all its work, while an
-// engine that fills up later preempts the newest run, which only pauses.
-func fits(l loadbook.Load, need Need, capacity float64) bool {
-	if need.Move {
+// hasMemory tells whether an engine has room for the run. A moved run needs room
+// for what it holds now: without a destination it is lost with all its work, while
+// an engine that fills up later preempts the newest run, which only pauses.
+func hasMemory(l loadbook.Load, engine *policy.Engine, need Need) bool {
+	capacity := float64(max(1, engine.MemoryTokens))
+	switch {
+	case l.Runs >= engine.Slots:
+		return false
+	case l.Runs == 0:
+		return true
+	case need.Move:
 		held := need.Tokens - need.Output
 		return float64(l.Held+held+(l.Runs+1)*moveAhead) <= capacity
+	case need.Output <= briefTokens:
+		return float64(peak(l, need)) <= briefShare*capacity
+	default:
+		return float64(peak(l, need)) <= fullShare*capacity+ownPart*float64(need.Tokens)
 	}
-	full := fullShare + ownPart*float64(need.Tokens)/capacity
-	if need.Output <= briefTokens {
-		full = briefShare
-	}
-	return float64(peak(l, need)) <= full*capacity
+}
+
+// readsInTime tells whether the prompts ahead of the run leave it enough of its
+// objective.
+func readsInTime(l loadbook.Load, need Need) bool {
+	return need.Objective <= 0 || ReadTime(l.Unread).Seconds() <= fullAhead*need.Objective.Seconds()
 }
 
 // engineShare is the part of the engine's memory that is expected to be in use
@@ -177,16 +188,11 @@
 func engineShare(c Candidate, engine *policy.Engine, need Need) float64 {
 	capacity := float64(max(1, engine.MemoryTokens))
 	share := float64(peak(c.Load, need)) / capacity
-	if c.Load.Runs >= engine.Slots || (c.Load.Runs > 0 && !fits(c.Load, need, capacity)) {
+	if !hasMemory(c.Load, engine, need) || !readsInTime(c.Load, need) {
 		return math.Inf(1)
 	}
 	if need.Objective > 0 {
-		ahead := ReadTime(c.Load.Unread).Seconds() / need.Objective.Seconds()
-		own := ReadTime(need.Unread).Seconds() / need.Objective.Seconds()
-		if ahead > fullAhead {
-			return math.Inf(1)
-		}
-		share += waitShare * (ahead + own)
+		share += waitShare * ReadTime(c.Load.Unread+need.Unread).Seconds() / need.Objective.Seconds()
 	}
 	share += failingShare * (c.Cost - 1)
 	if c.Target.Cold > 0 {
--- a/internal/edge/process/runs.go
+++ b/internal/edge/process/runs.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 
-	"corianderhitch/internal/edge/loadbook"
 	"corianderhitch/internal/edge/observe"
 	"corianderhitch/internal/edge/placing"
 	"corianderhitch/internal/edge/retrybudget"
@@ -19,10 +18,10 @@
 }
 
 // decide chooses an engine for another host.
-func (p *Process) decide(service string, need placing.Need, tried map[string]bool) (string, loadbook.Load) {
+func (p *Process) decide(service string, need placing.Need, tried map[string]bool) placing.Decision {
 	c := p.policy.Current()
 	if c == nil || c.Service(service) == nil || c.Service(service).Engine == nil {
-		return "", loadbook.Load{}
+		return placing.Decision{}
 	}
 	return p.streaming.Decide(c.Service(service), need, tried)
 }
--- a/internal/edge/streaming/choose.go
+++ b/internal/edge/streaming/choose.go
@@ -17,9 +17,10 @@
 
 // Choice is an engine for a run, which its load is counted at already.
 type Choice struct {
-	Target *targets.Target // nil if none has room
-	Before loadbook.Load   // of the target, as the one who chose knew it
-	By     string          // who chose, for the log
+	Target   *targets.Target  // nil if none has room
+	Before   loadbook.Load    // of the target, as the one who chose knew it
+	Shortage placing.Shortage // why there is no target
+	By       string           // who chose, for the log
 }
 
 // Choose finds an engine with room and counts the run's load there. A hub, which
@@ -29,16 +30,15 @@
 	out := append(slices.Collect(maps.Keys(tried)), s.failing(service)...)
 	reply, able := s.Ask(ctx, peers.PlaceArgs{Service: service.Name, Need: need, Load: own, Tried: out})
 	if able {
-		c.Target, c.Before = s.Targets.View().Get(reply.Target), reply.Before
+		c.Target, c.Before, c.Shortage = s.Targets.View().Get(reply.Target), reply.Before, reply.Shortage
 		if c.Target == nil && reply.Target != "" {
 			able = false // this host does not know the target yet
 		}
 	}
 	if !able {
 		need.Spread, need.Draw = s.Spread(), rand.Float64()
-		var key string
-		key, c.Before = s.Decide(service, need, tried)
-		c.Target, c.By = s.Targets.View().Get(key), "host"
+		decision := s.Decide(service, need, tried)
+		c.Target, c.Before, c.Shortage, c.By = s.Targets.View().Get(decision.Target), decision.Before, decision.Shortage, "host"
 	}
 	if c.Target != nil {
 		s.Book.Add(c.Target.Key(), own)
@@ -57,9 +57,8 @@
 	return keys
 }
 
-// Decide returns the engine with room that is best by what this host knows, and
-// its load, or "".
-func (s *Server) Decide(service *policy.Service, need placing.Need, tried map[string]bool) (string, loadbook.Load) {
+// Decide chooses the engine with room that is best by what this host knows.
+func (s *Server) Decide(service *policy.Service, need placing.Need, tried map[string]bool) placing.Decision {
 	serving := s.Targets.View().Serving(service.Name)
 	candidates := make([]placing.Candidate, len(serving))
 	for i, t := range serving {
@@ -68,9 +67,9 @@
 	}
 	i := placing.Engine(candidates, service.Engine, need, tried)
 	if i < 0 {
-		return "", loadbook.Load{}
+		return placing.Decision{Shortage: placing.Explain(candidates, service.Engine, need, tried)}
 	}
-	return serving[i].Key(), candidates[i].Load
+	return placing.Decision{Target: serving[i].Key(), Before: candidates[i].Load}
 }
 
 // newNeed returns what a new run needs of an engine.
--- a/internal/edge/streaming/server.go
+++ b/internal/edge/streaming/server.go
@@ -155,8 +155,13 @@
 		c = s.Choose(ctx, a.Service, need, own, tried)
 		return c.Target
 	})
-	s.Observer.Wait(bootclock.Since(begun), t != nil)
-	if t != nil {
+	waited := bootclock.Since(begun)
+	s.Observer.Wait(waited, t != nil)
+	if t == nil {
+		a.Log.Info("stream: no engine has room", "by", c.By, "engines_full", c.Shortage.Memory, "engines_reading", c.Shortage.Reading,
+			"engines_tried", c.Shortage.Tried, "memory_held_percent", c.Shortage.HeldPercent, "needs_tokens", need.Tokens,
+			"list_revision", s.Targets.View().Revision, "waited_ms", waited.Milliseconds(), "age_ms", a.Age().Milliseconds())
+	} else {
 		a.Log.Info("stream: engine chosen", "target", t.ID, "by", c.By, "runs", c.Before.Runs, "expected_tokens", c.Before.Tokens,
 			"unread_tokens", c.Before.Unread, "needs_tokens", need.Tokens,
 			"list_revision", s.Targets.View().Revision, "age_ms", a.Age().Milliseconds())
