--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -25,21 +25,15 @@
 	Domain       string // failure domain
 	Front        string // ip:port for callers
 	Ready        string // ip:port for readiness checks and metrics
-	Control      string // ip:port of the control plane; unused
-	FirstPort    int    // ports free for the system's own connections
-	LastPort     int
+	FirstPort    int    // of those free for the system's own connections
 	StoreAddress string
-	CPUs         float64 // share of a core
-	MemoryBytes  int64   // the process is killed beyond it
-	LinkMbps     float64 // of the host's link
-	MaxFDs       int
+	CPUs         float64       // share of a core
+	MemoryBytes  int64         // the process is killed beyond it
+	LinkMbps     float64       // of the host's link
 	Grace        time.Duration // from SIGTERM to SIGKILL
-	DrainWithin  time.Duration // a leaving target gets nothing later than this
-	ApplyWithin  time.Duration // a configuration is in force everywhere within this
 	RevokeWithin time.Duration // a removed API key admits nothing later than this
 	RevokeStrict bool          // RevokeWithin holds on hosts that are cut off, too
 	Retry        RetryBudget
-	CacheReuse   time.Duration // how long a cached prefix is worth being met again
 	Heartbeat    time.Duration // period of the targets' own entries
 }
 
--- a/internal/edge/peers/exchange.go
+++ b/internal/edge/peers/exchange.go
@@ -82,6 +82,8 @@
 	kick   chan struct{} // holds one pending announcement
 	hurry  chan struct{} // holds one pending Sync
 
+	placing sync.Mutex // makes choice and grant one step
+
 	mu    sync.Mutex
 	quiet map[string]bool   // guarded by mu; hosts that did not answer last
 	heard bootclock.Instant // guarded by mu; last answer of a hub that is live
@@ -205,6 +207,13 @@
 	return false
 }
 
+// PlacesRuns tells whether this host places the runs of all hosts, so that it knows
+// of each at once.
+func (e *Exchange) PlacesRuns() bool {
+	hubs := e.Members.Hubs()
+	return len(hubs) > 0 && hubs[0].Name == e.Host && e.Live()
+}
+
 // Served tells whether a hub that is live answered lately.
 func (e *Exchange) Served() bool {
 	e.mu.Lock()
--- a/internal/edge/peers/service.go
+++ b/internal/edge/peers/service.go
@@ -37,6 +37,10 @@
 		tried[key] = true
 	}
 	reply.Able = true
+	// Of runs that are placed at the same time, each must see the load of those
+	// before it.
+	e.placing.Lock()
+	defer e.placing.Unlock()
 	if reply.Decision = e.Decide(args.Service, args.Need, tried); reply.Target != "" {
 		e.Book.Grant(args.Host, reply.Target, args.Load)
 	}
--- a/internal/edge/policy/configuration.go
+++ b/internal/edge/policy/configuration.go
@@ -16,8 +16,7 @@
 
 // Limits bound what callers may send.
 type Limits struct {
-	MaxHeaderBytes int
-	MaxBodyBytes   int64
+	MaxBodyBytes int64
 }
 
 // Configuration is one version of the routing configuration.
--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -8,9 +8,11 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -76,6 +78,7 @@
 	runRate   placing.Rate
 	listed    atomic.Bool
 	stopping  atomic.Bool
+	hangups   <-chan os.Signal // changes of the settings
 
 	budgetsMu sync.Mutex
 	budgets   map[string]*retrybudget.Budget // guarded by budgetsMu; by service
@@ -84,6 +87,10 @@
 // Run returns the main function of the process for a platform.
 func Run(adapter Adapter) func(ctx context.Context, _ io.Writer, s Settings) error {
 	return func(ctx context.Context, _ io.Writer, s Settings) error {
+		// Without a handler a hangup ends the process, also while it starts.
+		hangups := make(chan os.Signal, 1)
+		signal.Notify(hangups, syscall.SIGHUP)
+		defer signal.Stop(hangups)
 		out := adapter.Logs
 		if out == nil {
 			out = os.Stdout
@@ -104,6 +111,7 @@
 			return err
 		}
 		p := newProcess(log, n, adapter)
+		p.hangups = hangups
 		p.metrics, err = metrics.New(signals.Meter, p.gauges(lines))
 		if err != nil {
 			return err
--- a/internal/edge/process/runs.go
+++ b/internal/edge/process/runs.go
@@ -14,6 +14,9 @@
 // them, if no hub places it.
 func (p *Process) spread() int {
 	p.runRate.Add()
+	if p.exchange.PlacesRuns() {
+		return 1
+	}
 	return placing.Spread(p.runRate.PerSecond(), p.members.Count(), p.exchange.FleetAge())
 }
 
--- a/internal/edge/process/stop.go
+++ b/internal/edge/process/stop.go
@@ -3,9 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 )
 
@@ -35,14 +32,11 @@
 // reload takes notice of changed settings. Addresses and bounds stay as they
 // were at the start; the platform restarts the process to change them.
 func (p *Process) reload(ctx context.Context, path string) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-hangups:
+		case <-p.hangups:
 		}
 		n, err := p.adapter.ReadNode(path)
 		if err != nil {
--- a/internal/edge/targetconn/conn.go
+++ b/internal/edge/targetconn/conn.go
@@ -22,13 +22,12 @@
 	net.Conn
 	reader *bufio.Reader
 	owner  string // incarnation
-	fresh  bool   // has not answered a request yet
 	usedAt bootclock.Instant
 	keep   time.Duration // how long the target keeps it when idle
 }
 
 func newConn(c net.Conn, owner string) *Conn {
-	return &Conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferBytes), owner: owner, fresh: true, keep: defaultKeep}
+	return &Conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferBytes), owner: owner, keep: defaultKeep}
 }
 
 // sound tells whether an idle connection is still open and has no bytes that
--- a/internal/edge/targetconn/pool.go
+++ b/internal/edge/targetconn/pool.go
@@ -5,7 +5,6 @@
 package targetconn
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"net"
@@ -61,20 +60,19 @@
 	written, err := send(conn, req)
 	if err != nil {
 		stop()
-		p.discard(conn)
+		_ = conn.Close()
 		return nil, eris.Wrap(ErrBroken, err.Error())
 	}
 	head, err := p.head(conn, req)
 	if err != nil {
 		stop()
-		p.discard(conn)
+		_ = conn.Close()
 		return nil, err
 	}
 	closing := head.Close
 	conn.keep = keepOf(head.Header)
-	conn.fresh = false
 	return &Response{
-		Status: head.StatusCode, Header: head.Header, Length: head.ContentLength, Closing: closing,
+		Status: head.StatusCode, Header: head.Header, Closing: closing,
 		body: head.Body, conn: conn, pool: p, stop: stop, written: written,
 		reusable: !closing,
 	}, nil
@@ -121,14 +119,14 @@
 		if id := p.requestID(head.Header); req.ID == "" || id == "" || id == req.ID {
 			return head, nil
 		}
-		if skipped++; skipped > maxForeign || !skipBody(conn.reader, head) {
+		if skipped++; skipped > maxForeign || !skipBody(head) {
 			return nil, eris.Wrap(ErrForeign, "answers to other requests")
 		}
 	}
 }
 
 // skipBody reads the rest of an answer that belongs to another request.
-func skipBody(_ *bufio.Reader, head *http.Response) bool {
+func skipBody(head *http.Response) bool {
 	if head.ContentLength < 0 && len(head.TransferEncoding) == 0 {
 		return false // ends with the connection
 	}
@@ -189,8 +187,6 @@
 	}
 }
 
-func (p *Pool) discard(c *Conn) { _ = c.Close() }
-
 func dial(ctx context.Context, owner, address string) (*Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	c, err := d.DialContext(ctx, "tcp", address)
--- a/internal/edge/targetconn/response.go
+++ b/internal/edge/targetconn/response.go
@@ -13,8 +13,7 @@
 type Response struct {
 	Status   int
 	Header   http.Header
-	Length   int64 // -1 if unknown
-	Closing  bool  // the target closes the connection after this answer
+	Closing  bool // the target closes the connection after this answer
 	body     io.ReadCloser
 	conn     *Conn
 	pool     *Pool
@@ -33,9 +32,6 @@
 	return n, err
 }
 
-// Buffered returns how many bytes can be read without a wait for the network.
-func (r *Response) Buffered() int { return r.conn.reader.Buffered() }
-
 // Close returns the connection to the pool after a whole answer and closes it
 // otherwise.
 func (r *Response) Close() {
@@ -44,7 +40,7 @@
 		r.pool.put(r.conn)
 		return
 	}
-	r.pool.discard(r.conn)
+	_ = r.conn.Close()
 }
 
 // requestLeft tells whether the whole request has been written: bytes that are
--- a/tests/edge/desk_test.go
+++ b/tests/edge/desk_test.go
@@ -6,65 +6,22 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
-	"sync"
 	"testing"
 
 	"github.com/stretchr/testify/require"
-)
-
-// deskServer is a stand-in of a plain service's target.
-type deskServer struct {
-	*httptest.Server
-	id string
 
-	mu       sync.Mutex
-	arrivals []*http.Request                              // guarded by mu
-	behave   func(w http.ResponseWriter, r *http.Request) // guarded by mu; nil for a good answer
-}
+	"corianderhitch/platform/standin"
+)
 
-func (f *fleet) desk(id string) *deskServer {
-	d := &deskServer{id: id}
-	d.Server = httptest.NewServer(http.HandlerFunc(d.serve))
+func (f *fleet) desk(id string) *standin.Desk {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(f.t, err)
+	d := standin.StartDesk(id, listener)
 	f.t.Cleanup(d.Close)
-	f.register(id, desk, d.Listener.Addr().String(), "ready")
+	f.register(id, desk, d.Address(), "ready")
 	return d
 }
 
-func (d *deskServer) serve(w http.ResponseWriter, r *http.Request) {
-	d.mu.Lock()
-	d.arrivals = append(d.arrivals, r.Clone(r.Context()))
-	behave := d.behave
-	d.mu.Unlock()
-	if expected := r.Header.Get("Expect-Instance"); expected != d.id {
-		w.WriteHeader(http.StatusMisdirectedRequest)
-		return
-	}
-	if behave != nil {
-		behave(w, r)
-		return
-	}
-	good(w, r)
-}
-
-func (d *deskServer) set(behave func(http.ResponseWriter, *http.Request)) {
-	d.mu.Lock()
-	d.behave = behave
-	d.mu.Unlock()
-}
-
-func (d *deskServer) seen() []*http.Request {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return append([]*http.Request(nil), d.arrivals...)
-}
-
-func good(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
-	w.Header().Set("Response-Signature", "signed")
-	_, _ = fmt.Fprintf(w, "done %s", r.Header.Get("Request-Id"))
-}
-
 // failing answers with the target's own failure, which counts as run.
 func failing(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
@@ -104,19 +61,19 @@
 	_ = conn.Close()
 }
 
-func total(servers ...*deskServer) int {
+func total(servers ...*standin.Desk) int {
 	n := 0
 	for _, s := range servers {
-		n += len(s.seen())
+		n += len(s.Arrivals())
 	}
 	return n
 }
 
 // deskFleet starts a host before desks d-1, d-2, ...
-func deskFleet(t *testing.T, n int) (*fleet, *host, []*deskServer) {
+func deskFleet(t *testing.T, n int) (*fleet, *host, []*standin.Desk) {
 	f := newFleet(t)
 	f.configure()
-	var desks []*deskServer
+	var desks []*standin.Desk
 	for i := range n {
 		desks = append(desks, f.desk(fmt.Sprintf("d-%d", i+1)))
 	}
--- a/tests/edge/fleet_test.go
+++ b/tests/edge/fleet_test.go
@@ -179,7 +179,7 @@
 	adapter.ReadNode = func(string) (node.Node, error) {
 		return node.Node{
 			Name: fmt.Sprintf("host-%d", n), IP: "127.0.0.1", Domain: "a", Front: front, Ready: ready, StoreAddress: "test",
-			FirstPort: port, LastPort: port, Grace: f.grace, RevokeStrict: true, RevokeWithin: 2 * time.Second,
+			FirstPort: port, Grace: f.grace, RevokeStrict: true, RevokeWithin: 2 * time.Second,
 			Retry: node.RetryBudget{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, Heartbeat: 1200 * time.Millisecond,
 		}, nil
 	}
--- a/tests/edge/plain_test.go
+++ b/tests/edge/plain_test.go
@@ -22,7 +22,7 @@
 	require.Equal(t, http.StatusOK, a.status)
 	require.Equal(t, "done r-1", a.body)
 	require.Equal(t, "signed", a.header.Get("Response-Signature"))
-	seen := d.seen()
+	seen := d.Arrivals()
 	require.Len(t, seen, 1)
 	require.Equal(t, "/hold/x?y=%2F1", seen[0].RequestURI)
 	require.Equal(t, account, seen[0].Header.Get("Tenant"))
@@ -53,7 +53,7 @@
 			require.Equal(t, c.want, send(r).status)
 		})
 	}
-	require.Empty(t, d.seen())
+	require.Empty(t, d.Arrivals())
 }
 
 // A GET may be repeated by HTTP's own rules, not by this route's.
@@ -74,8 +74,8 @@
 			_, h, desks := deskFleet(t, 2)
 			d, other := desks[0], desks[1]
 			require.Equal(t, http.StatusOK, send(h.request(t.Context(), http.MethodGet, "hold", "warm", nil)).status)
-			d.set(behave)
-			other.set(behave)
+			d.Set(behave)
+			other.Set(behave)
 			before := total(d, other)
 			a := send(h.request(t.Context(), http.MethodGet, "hold", "r-1", nil))
 			require.NoError(t, a.err)
@@ -88,11 +88,11 @@
 func TestRejectedCallThatMayRunOnceIsRefusedAsNotRun(t *testing.T) {
 	_, h, desks := deskFleet(t, 1)
 	d := desks[0]
-	d.set(shedding)
+	d.Set(shedding)
 	a := send(h.request(t.Context(), http.MethodPost, "hold", "r-1", nil))
 	require.Equal(t, http.StatusServiceUnavailable, a.status)
 	require.NotEmpty(t, a.header.Get("Retry-After"))
-	require.Len(t, d.seen(), 1)
+	require.Len(t, d.Arrivals(), 1)
 }
 
 func TestIdempotentCallIsSentAgain(t *testing.T) {
@@ -102,7 +102,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, h, desks := deskFleet(t, 2)
-			desks[0].set(behave)
+			desks[0].Set(behave)
 			for i := range 6 {
 				a := send(h.request(t.Context(), http.MethodGet, "check", fmt.Sprintf("r-%d", i), nil))
 				require.NoError(t, a.err)
@@ -115,7 +115,7 @@
 func TestOwnFailureOfATargetIsPassedOn(t *testing.T) {
 	_, h, desks := deskFleet(t, 1)
 	d := desks[0]
-	d.set(failing)
+	d.Set(failing)
 	a := send(h.request(t.Context(), http.MethodPost, "hold", "r-1", nil))
 	require.Equal(t, http.StatusInternalServerError, a.status)
 	require.Equal(t, "signed", a.header.Get("Response-Signature"))
@@ -165,8 +165,8 @@
 func TestRequestOverAnotherInstanceIsNotRun(t *testing.T) {
 	f, h, desks := deskFleet(t, 1)
 	d := desks[0]
-	f.register("d-1", desk, d.Listener.Addr().String(), "draining")
-	f.register("d-9", desk, d.Listener.Addr().String(), "ready") // the address was taken over, and d-1's process answers
+	f.register("d-1", desk, d.Address(), "draining")
+	f.register("d-9", desk, d.Address(), "ready") // the address was taken over, and d-1's process answers
 	require.Eventually(t, func() bool {
 		return send(h.request(t.Context(), http.MethodPost, "hold", "r-1", nil)).status == http.StatusServiceUnavailable
 	}, waitFor, checkEvery)
@@ -175,7 +175,7 @@
 func TestFinalAnswerAtTheRoutesTimeout(t *testing.T) {
 	_, h, desks := deskFleet(t, 1)
 	d := desks[0]
-	d.set(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	d.Set(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
 	r := h.request(t.Context(), http.MethodPost, "hold", "r-1", nil)
 	r.Header.Set("Deadline-Ms", "300")
 	began := time.Now()
--- a/tests/edge/story_test.go
+++ b/tests/edge/story_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"corianderhitch/internal/story"
+	"corianderhitch/platform/standin"
 )
 
 // tell returns a request's story from the logs of a host.
@@ -31,7 +32,7 @@
 func TestStoryNamesTheCause(t *testing.T) {
 	t.Run("refused because the target rejected it", func(t *testing.T) {
 		_, h, desks := deskFleet(t, 1)
-		desks[0].set(shedding)
+		desks[0].Set(shedding)
 		require.Equal(t, http.StatusServiceUnavailable, send(h.request(t.Context(), http.MethodPost, "hold", "r-1", nil)).status)
 		text := tell(t, h, "r-1")
 		require.Contains(t, text, "reason=target_full")
@@ -52,9 +53,9 @@
 	t.Run("stream broken off by a crash", func(t *testing.T) {
 		_, h, all := engineFleet(t, 1)
 		pending := async(draft(t.Context(), h, "r-1", longDraft))
-		<-all[0].busy
-		time.Sleep(20 * eventEvery)
-		all[0].crash()
+		<-all[0].Busy()
+		time.Sleep(20 * standin.EventEvery)
+		all[0].Crash()
 		require.Error(t, (<-pending).err)
 		text := tell(t, h, "r-1")
 		require.Contains(t, text, "reason=broken_off")
@@ -63,7 +64,7 @@
 	})
 	t.Run("outcome unknown because the target closed the connection", func(t *testing.T) {
 		_, h, desks := deskFleet(t, 1)
-		desks[0].set(closing)
+		desks[0].Set(closing)
 		require.Equal(t, http.StatusBadGateway, send(h.request(t.Context(), http.MethodPost, "hold", "r-1", nil)).status)
 		text := tell(t, h, "r-1")
 		require.Contains(t, text, "reason=may_have_run")
--- a/tests/edge/stream_test.go
+++ b/tests/edge/stream_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"corianderhitch/platform/standin"
 )
 
 const (
@@ -18,11 +20,11 @@
 	shortDraft = 5
 )
 
-func engineFleet(t *testing.T, n int) (*fleet, *host, []*engineServer) {
+func engineFleet(t *testing.T, n int) (*fleet, *host, []*standin.Engine) {
 	f := newFleet(t)
 	f.configure()
-	set := &engineSet{byAddr: map[string]*engineServer{}}
-	var all []*engineServer
+	set := standin.NewEngines()
+	var all []*standin.Engine
 	for i := range n {
 		all = append(all, f.engine(set, fmt.Sprintf("e-%d", i+1)))
 	}
@@ -30,13 +32,13 @@
 }
 
 // busyOne returns the engine that has a run, and the others.
-func busyOne(t *testing.T, all []*engineServer) (*engineServer, []*engineServer) {
+func busyOne(t *testing.T, all []*standin.Engine) (*standin.Engine, []*standin.Engine) {
 	t.Helper()
 	for deadline := time.Now().Add(waitFor); time.Now().Before(deadline); time.Sleep(checkEvery) {
 		for i, e := range all {
 			select {
-			case <-e.busy:
-				return e, append(append([]*engineServer(nil), all[:i]...), all[i+1:]...)
+			case <-e.Busy():
+				return e, append(append([]*standin.Engine(nil), all[:i]...), all[i+1:]...)
 			default:
 			}
 		}
@@ -58,42 +60,45 @@
 	require.Equal(t, wholeStream("r-1", shortDraft), a.body)
 	require.Equal(t, "text/event-stream", a.header.Get("Content-Type"))
 	require.Equal(t, "signed", a.header.Get("Response-Signature"))
-	require.Equal(t, []string{"r-1"}, all[0].list(&all[0].starts))
+	require.Equal(t, []string{"r-1"}, all[0].Starts())
 }
 
 func TestRunMovesOffALeavingEngine(t *testing.T) {
 	f, h, all := engineFleet(t, 3)
 	pending := async(draft(t.Context(), h, "r-1", longDraft))
 	source, others := busyOne(t, all)
-	f.register(source.id, engines, source.address(), "draining")
+	f.register(source.ID, engines, source.Address(), "draining")
 	a := <-pending
 	require.NoError(t, a.err)
 	require.Equal(t, wholeStream("r-1", longDraft), a.body)
 	resumed := 0
 	for _, e := range others {
-		resumed += len(e.list(&e.resumed))
-		require.Empty(t, e.list(&e.starts))
-		require.Zero(t, e.held())
+		resumed += len(e.Resumed())
+		require.Empty(t, e.Starts())
+		require.Zero(t, e.Held())
 	}
 	require.Equal(t, 1, resumed)
 }
 
 // All runs of a leaving engine go on, whatever host they came through.
 func TestLeavingEngineIsEmptiedByAllHosts(t *testing.T) {
-	f, first, all := engineFleet(t, 1)
-	second := f.start()
+	f := newFleet(t)
+	f.configure()
+	set := standin.NewEngines()
+	all := []*standin.Engine{f.engine(set, "e-1")}
+	first, second := f.start(), f.start()
 	var pending []<-chan answer
 	for i := range 6 {
 		h := []*host{first, second}[i%2]
 		pending = append(pending, async(draft(t.Context(), h, fmt.Sprintf("r-%d", i), longDraft)))
 	}
-	require.Eventually(t, func() bool { return len(all[0].list(&all[0].starts)) == 6 }, waitFor, checkEvery)
-	f.engine(all[0].all, "e-2")
-	f.engine(all[0].all, "e-3")
+	require.Eventually(t, func() bool { return len(all[0].Starts()) == 6 }, waitFor, checkEvery)
+	f.engine(set, "e-2")
+	f.engine(set, "e-3")
 	for _, h := range f.hosts {
 		require.Eventually(t, func() bool { return bytesContain(h, `"target":"e-3"`) }, waitFor, checkEvery)
 	}
-	f.register("e-1", engines, all[0].address(), "draining")
+	f.register("e-1", engines, all[0].Address(), "draining")
 	for i, p := range pending {
 		a := <-p
 		require.NoError(t, a.err)
@@ -107,14 +112,12 @@
 	pending := async(draft(t.Context(), h, "r-1", longDraft))
 	source, _ := busyOne(t, all)
 	var once sync.Once
-	source.mu.Lock()
-	source.onMove = func(final bool) {
+	source.OnMove(func(final bool) {
 		if !final {
-			once.Do(func() { time.AfterFunc(time.Millisecond, source.crash) })
+			once.Do(func() { time.AfterFunc(time.Millisecond, source.Crash) })
 		}
-	}
-	source.mu.Unlock()
-	f.register(source.id, engines, source.address(), "draining")
+	})
+	f.register(source.ID, engines, source.Address(), "draining")
 	a := <-pending
 	require.NoError(t, a.err)
 	require.Equal(t, wholeStream("r-1", longDraft), a.body)
@@ -125,12 +128,12 @@
 	_, h, all := engineFleet(t, 2)
 	pending := async(draft(t.Context(), h, "r-1", longDraft))
 	source, others := busyOne(t, all)
-	time.Sleep(20 * eventEvery)
-	source.crash()
+	time.Sleep(20 * standin.EventEvery)
+	source.Crash()
 	a := <-pending
 	require.Error(t, a.err)
 	require.Equal(t, wholeStream("r-1", longDraft)[:len(a.body)], a.body)
-	require.Empty(t, others[0].list(&others[0].starts))
+	require.Empty(t, others[0].Starts())
 }
 
 func TestRunIsCanceledWhenItsCallerLeaves(t *testing.T) {
@@ -142,7 +145,7 @@
 	require.NoError(t, err)
 	cancel()
 	_ = response.Body.Close()
-	require.Eventually(t, func() bool { return len(all[0].list(&all[0].canceled)) == 1 }, 500*time.Millisecond, checkEvery)
+	require.Eventually(t, func() bool { return len(all[0].Canceled()) == 1 }, 500*time.Millisecond, checkEvery)
 }
 
 func TestUnreachableEngineIsPassedOver(t *testing.T) {
@@ -160,11 +163,11 @@
 	f := newFleet(t)
 	f.grace = 4 * time.Second
 	f.configure()
-	set := &engineSet{byAddr: map[string]*engineServer{}}
+	set := standin.NewEngines()
 	e := f.engine(set, "e-1")
 	h := f.start()
 	pending := async(draft(t.Context(), h, "r-1", longDraft))
-	<-e.busy
+	<-e.Busy()
 	h.stop()
 	require.Eventually(t, func() bool { return !h.isReady() }, waitFor, checkEvery)
 	late := async(draft(t.Context(), h, "r-2", shortDraft)) // callers come until the platform has noticed
@@ -179,22 +182,20 @@
 // own word and the list call it sound; callers that leave it are not sent again.
 func TestSilentEngineIsPassedOver(t *testing.T) {
 	_, h, all := engineFleet(t, 2)
-	all[0].mu.Lock()
-	all[0].hangs = true
-	all[0].mu.Unlock()
+	all[0].Hang()
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	for i := range 4 {
 		go func() { _ = send(draft(ctx, h, fmt.Sprintf("r-%d", i), shortDraft)) }()
 	}
 	require.Eventually(t, func() bool { return bytesContain(h, "stream: engine is silent") }, waitFor, checkEvery)
-	before := len(all[0].list(&all[0].starts))
+	before := len(all[0].Starts())
 	for i := range 8 {
 		a := send(draft(t.Context(), h, fmt.Sprintf("s-%d", i), shortDraft))
 		require.NoError(t, a.err)
 		require.Equal(t, http.StatusOK, a.status)
 	}
-	require.Len(t, all[0].list(&all[0].starts), before)
+	require.Len(t, all[0].Starts(), before)
 }
 
 // The deadline of a stream does not outlive it on a kept connection.
--- a/tests/prove/proxy_test.go
+++ b/tests/harness/proxy.go
@@ -1,4 +1,4 @@
-package prove
+package harness
 
 import (
 	"io"
@@ -10,27 +10,31 @@
 	"github.com/stretchr/testify/require"
 )
 
-// proxyMode is what a faultProxy does with bytes.
-type proxyMode int
+// Mode is what a Proxy does with bytes.
+type Mode int
 
+// Modes of a Proxy.
 const (
-	pass      proxyMode = iota
-	stall               // both directions stop; connections stay open
-	stallUp             // bytes towards the target stop
-	stallDown           // bytes from the target stop
-	refuse              // new connections are closed at once
+	Pass      Mode = iota
+	Stall          // both directions stop; connections stay open
+	StallUp        // bytes towards the target stop
+	StallDown      // bytes from the target stop
+	Refuse         // new connections are closed at once
 )
 
-// faultProxy forwards TCP connections to one target and disturbs them on order.
-type faultProxy struct {
-	at     string // address listened on
+// readyLimit bounds the start of a process on a busy machine.
+const readyLimit = 20 * time.Second
+
+// Proxy forwards TCP connections to one target and disturbs them on order.
+type Proxy struct {
+	at     string // Address listened on
 	target string
 	done   sync.WaitGroup
 
 	mu       sync.Mutex
 	listener net.Listener // nil while connections are refused
 	changed  *sync.Cond   // signals a change of mode or closed
-	mode     proxyMode
+	mode     Mode
 	delay    time.Duration         // added before each forwarded read
 	cutUp    int                   // closes a connection after this many bytes towards the target; 0 is off
 	cutDown  int                   // closes a connection after this many bytes from the target; 0 is off
@@ -38,20 +42,20 @@
 	closed   bool
 }
 
-func newFaultProxy(t testing.TB, target string) *faultProxy {
+func NewProxy(t testing.TB, target string) *Proxy {
 	t.Helper()
-	p := &faultProxy{target: target, conns: make(map[net.Conn]struct{})}
+	p := &Proxy{target: target, conns: make(map[net.Conn]struct{})}
 	p.changed = sync.NewCond(&p.mu)
-	p.begin(freeListener(t))
+	p.begin(FreeListener(t))
 	p.at = p.listener.Addr().String()
-	t.Cleanup(p.close)
+	t.Cleanup(p.Close)
 	return p
 }
 
-func (p *faultProxy) address() string { return p.at }
+func (p *Proxy) Address() string { return p.at }
 
-// listen accepts connections, as after the start.
-func (p *faultProxy) listen(t testing.TB) {
+// Listen accepts connections, as after the start.
+func (p *Proxy) Listen(t testing.TB) {
 	t.Helper()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -63,13 +67,13 @@
 	p.begin(listener)
 }
 
-func (p *faultProxy) begin(listener net.Listener) {
+func (p *Proxy) begin(listener net.Listener) {
 	p.listener = listener
 	p.done.Go(func() { p.accept(listener) })
 }
 
-// unlisten refuses new connections, as a host does on which nothing listens.
-func (p *faultProxy) unlisten() {
+// Unlisten refuses new connections, as a host does on which nothing listens.
+func (p *Proxy) Unlisten() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.listener != nil {
@@ -78,30 +82,30 @@
 	}
 }
 
-// set changes the mode for all connections, open and new.
-func (p *faultProxy) set(mode proxyMode) {
+// Set changes the mode for all connections, open and new.
+func (p *Proxy) Set(mode Mode) {
 	p.mu.Lock()
 	p.mode = mode
 	p.mu.Unlock()
 	p.changed.Broadcast()
 }
 
-// setDelay holds every forwarded read back for d.
-func (p *faultProxy) setDelay(d time.Duration) {
+// SetDelay holds every forwarded read back for d.
+func (p *Proxy) SetDelay(d time.Duration) {
 	p.mu.Lock()
 	p.delay = d
 	p.mu.Unlock()
 }
 
-// cutAfter closes each connection after so many more bytes in a direction.
-func (p *faultProxy) cutAfter(up, down int) {
+// CutAfter closes each connection after so many more bytes in a direction.
+func (p *Proxy) CutAfter(up, down int) {
 	p.mu.Lock()
 	p.cutUp, p.cutDown = up, down
 	p.mu.Unlock()
 }
 
-// cut closes all open connections.
-func (p *faultProxy) cut() {
+// Cut closes all open connections.
+func (p *Proxy) Cut() {
 	p.mu.Lock()
 	conns := p.conns
 	p.conns = make(map[net.Conn]struct{})
@@ -112,39 +116,39 @@
 	p.changed.Broadcast()
 }
 
-// follow makes the proxy refuse connections once the process is dead, as the
+// Follow makes the proxy refuse connections once the process is dead, as the
 // target's own port does.
-func (p *faultProxy) follow(process *process) {
-	ended := process.ended()
+func (p *Proxy) Follow(process *Process) {
+	ended := process.Ended()
 	p.done.Go(func() {
 		<-ended
-		p.unlisten()
-		p.cut()
+		p.Unlisten()
+		p.Cut()
 	})
 }
 
-// revive listens again after a restart of the target.
-func (p *faultProxy) revive(t testing.TB, process *process) {
+// Revive listens again after a restart of the target.
+func (p *Proxy) Revive(t testing.TB, process *Process) {
 	t.Helper()
-	await(t, readyLimit, "refusals after the death of the target", func() bool {
+	Await(t, readyLimit, "refusals after the death of the target", func() bool {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		return p.listener == nil
 	})
-	p.listen(t)
-	p.follow(process)
+	p.Listen(t)
+	p.Follow(process)
 }
 
-func (p *faultProxy) close() {
-	p.unlisten()
+func (p *Proxy) Close() {
+	p.Unlisten()
 	p.mu.Lock()
 	p.closed = true
 	p.mu.Unlock()
-	p.cut()
+	p.Cut()
 	p.done.Wait()
 }
 
-func (p *faultProxy) accept(listener net.Listener) {
+func (p *Proxy) accept(listener net.Listener) {
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
@@ -155,11 +159,11 @@
 	}
 }
 
-func (p *faultProxy) serve(client net.Conn) {
+func (p *Proxy) serve(client net.Conn) {
 	defer p.done.Done()
 	defer client.Close()
 	p.mu.Lock()
-	refused := p.mode == refuse || p.closed
+	refused := p.mode == Refuse || p.closed
 	p.mu.Unlock()
 	if refused {
 		return
@@ -179,7 +183,7 @@
 }
 
 // pump copies one direction until either side closes.
-func (p *faultProxy) pump(dst, src net.Conn, up bool) {
+func (p *Proxy) pump(dst, src net.Conn, up bool) {
 	defer dst.Close()
 	defer src.Close()
 	buffer := make([]byte, 16<<10)
@@ -204,7 +208,7 @@
 
 // gate waits while the direction stalls and returns how many of n bytes may
 // pass, and false if the connection is to be closed after them.
-func (p *faultProxy) gate(up bool, sent, n int) (int, bool) {
+func (p *Proxy) gate(up bool, sent, n int) (int, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for p.stalled(up) && !p.closed {
@@ -228,20 +232,20 @@
 	return n, true
 }
 
-func (p *faultProxy) stalled(up bool) bool {
+func (p *Proxy) stalled(up bool) bool {
 	switch p.mode {
-	case stall:
+	case Stall:
 		return true
-	case stallUp:
+	case StallUp:
 		return up
-	case stallDown:
+	case StallDown:
 		return !up
 	default:
 		return false
 	}
 }
 
-func (p *faultProxy) track(conns ...net.Conn) {
+func (p *Proxy) track(conns ...net.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, c := range conns {
@@ -249,7 +253,7 @@
 	}
 }
 
-func (p *faultProxy) untrack(conns ...net.Conn) {
+func (p *Proxy) untrack(conns ...net.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, c := range conns {
--- a/tests/prove/admin_test.go
+++ b/tests/prove/admin_test.go
@@ -75,11 +75,11 @@
 	c.t.Helper()
 	var list []platform.Target
 	for i, e := range c.engines {
-		list = append(list, platform.Target{Name: e.name, Address: e.link.address(), Domain: domains[i%len(domains)],
+		list = append(list, platform.Target{Name: e.name, Address: e.link.Address(), Domain: domains[i%len(domains)],
 			Region: "sk-west", Kind: platform.TargetEngine, Leaving: leaving[e.name]})
 	}
 	for i, s := range c.services {
-		list = append(list, platform.Target{Name: s.name, Address: s.link.address(), Domain: domains[i%len(domains)],
+		list = append(list, platform.Target{Name: s.name, Address: s.link.Address(), Domain: domains[i%len(domains)],
 			Region: "sk-west", Kind: platform.TargetService, Service: "booking", Leaving: leaving[s.name]})
 	}
 	send(c.t, http.MethodPut, "http://"+c.storeAt+"/admin/targets", list)
--- a/tests/prove/calls_test.go
+++ b/tests/prove/calls_test.go
@@ -13,6 +13,7 @@
 	"corianderhitch/api/problem"
 
 	"corianderhitch/internal/platform/memstore"
+	"corianderhitch/tests/harness"
 )
 
 // callOutcome is what one attempt of a call was told.
@@ -44,29 +45,29 @@
 	return []callFault{
 		{name: "none", short: true, bring: func(*cluster) func() { return nothing }},
 		{name: "gateway killed", short: true, bring: func(c *cluster) func() {
-			c.hosts[0].gateway.kill()
+			c.hosts[0].gateway.Kill()
 			return nothing
 		}},
 		{name: "gateway frozen past its leases", bring: func(c *cluster) func() {
-			c.hosts[0].gateway.freeze()
+			c.hosts[0].gateway.Freeze()
 			<-time.After(4 * time.Second) // longer than any lease and suspicion
-			c.hosts[0].gateway.thaw()
+			c.hosts[0].gateway.Thaw()
 			return nothing
 		}},
 		{name: "gateway killed and store answers lost", bring: func(c *cluster) func() {
 			c.storeFault(memstore.Fault{LoseAnswers: 0.5})
-			c.hosts[0].gateway.kill()
+			c.hosts[0].gateway.Kill()
 			return func() { c.storeFault(memstore.Fault{}) }
 		}},
 		{name: "agent frozen past suspicion, then thawed", bring: func(c *cluster) func() {
-			c.hosts[0].agent.freeze()
+			c.hosts[0].agent.Freeze()
 			<-time.After(pastSuspicion)
-			c.hosts[0].agent.thaw()
+			c.hosts[0].agent.Thaw()
 			return nothing
 		}},
 		{name: "all agents killed", bring: func(c *cluster) func() {
 			for _, h := range c.hosts {
-				h.agent.kill()
+				h.agent.Kill()
 			}
 			return nothing
 		}},
@@ -82,14 +83,14 @@
 		}},
 		{name: "store link cut", bring: func(c *cluster) func() {
 			for _, h := range c.hosts {
-				h.storeLink.set(refuse)
-				h.storeLink.cut()
+				h.storeLink.Set(harness.Refuse)
+				h.storeLink.Cut()
 			}
-			return func() { c.setStoreLinks(pass) }
+			return func() { c.setStoreLinks(harness.Pass) }
 		}},
 		{name: "store link stalled", bring: func(c *cluster) func() {
-			c.setStoreLinks(stall)
-			return func() { c.setStoreLinks(pass) }
+			c.setStoreLinks(harness.Stall)
+			return func() { c.setStoreLinks(harness.Pass) }
 		}},
 		{name: "store answers lost after the write", short: true, bring: func(c *cluster) func() {
 			c.storeFault(memstore.Fault{LoseAnswers: 0.5})
@@ -110,26 +111,26 @@
 func targetCallFaults() []callFault {
 	return []callFault{
 		{name: "target killed", bring: func(c *cluster) func() {
-			c.services[0].process.kill()
+			c.services[0].process.Kill()
 			return nothing
 		}},
 		{name: "target link cut before its answer", bring: func(c *cluster) func() {
 			for _, s := range c.services {
-				s.link.cutAfter(0, 20)
-				s.link.cut()
+				s.link.CutAfter(0, 20)
+				s.link.Cut()
 			}
-			return func() { c.eachService(func(s *target) { s.link.cutAfter(0, 0) }) }
+			return func() { c.eachService(func(s *target) { s.link.CutAfter(0, 0) }) }
 		}},
 		{name: "target link cut inside the request", bring: func(c *cluster) func() {
 			for _, s := range c.services {
-				s.link.cutAfter(60, 0)
-				s.link.cut()
+				s.link.CutAfter(60, 0)
+				s.link.Cut()
 			}
-			return func() { c.eachService(func(s *target) { s.link.cutAfter(0, 0) }) }
+			return func() { c.eachService(func(s *target) { s.link.CutAfter(0, 0) }) }
 		}},
 		{name: "target link stalled", bring: func(c *cluster) func() {
-			c.eachService(func(s *target) { s.link.set(stallDown) })
-			return func() { c.eachService(func(s *target) { s.link.set(pass) }) }
+			c.eachService(func(s *target) { s.link.Set(harness.StallDown) })
+			return func() { c.eachService(func(s *target) { s.link.Set(harness.Pass) }) }
 		}},
 	}
 }
@@ -234,9 +235,9 @@
 		keys, len(outcomes), succeeded, notRun, unknown, cut, len(ran))
 }
 
-func (c *cluster) setStoreLinks(mode proxyMode) {
+func (c *cluster) setStoreLinks(mode harness.Mode) {
 	for _, h := range c.hosts {
-		h.storeLink.set(mode)
+		h.storeLink.Set(mode)
 	}
 }
 
--- a/tests/prove/cluster_test.go
+++ b/tests/prove/cluster_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"corianderhitch/tests/harness"
 )
 
 // readyLimit bounds the start of a process on a busy machine.
@@ -34,31 +36,31 @@
 // host is one entry host: a gateway and an agent, each behind proxies.
 type host struct {
 	name       string
-	gateway    *process
-	agent      *process
-	url        string      // of the gateway's HTTP for callers
-	ops        string      // of the gateway's HTTP for operators
-	agentRPC   string      // address of the agent's net/rpc behind its proxy
-	agentHTTP  string      // address of the agent's HTTP
-	storeLink  *faultProxy // gateway and agent towards the store
-	agentLink  *faultProxy // everybody towards the agent
-	localAgent string      // address of the agent's net/rpc without the proxy
+	gateway    *harness.Process
+	agent      *harness.Process
+	url        string         // of the gateway's HTTP for callers
+	ops        string         // of the gateway's HTTP for operators
+	agentRPC   string         // address of the agent's net/rpc behind its proxy
+	agentHTTP  string         // address of the agent's HTTP
+	storeLink  *harness.Proxy // gateway and agent towards the store
+	agentLink  *harness.Proxy // everybody towards the agent
+	localAgent string         // address of the agent's net/rpc without the proxy
 }
 
 // target is one stand-in engine or service behind a proxy.
 type target struct {
 	name    string
-	process *process
-	link    *faultProxy // gateways and agents towards the target
-	direct  string      // address without the proxy, for journals and faults
-	journal string      // file of the journal
+	process *harness.Process
+	link    *harness.Proxy // gateways and agents towards the target
+	direct  string         // address without the proxy, for journals and faults
+	journal string         // file of the journal
 }
 
 // cluster is a whole deployment of separate processes on loopback.
 type cluster struct {
 	t        testing.TB
 	dir      string
-	store    *process
+	store    *harness.Process
 	storeAt  string // address without a proxy
 	hosts    []*host
 	engines  []*target
@@ -72,9 +74,9 @@
 // startCluster starts everything and waits until every host is ready.
 func startCluster(t testing.TB, size clusterSize) *cluster {
 	t.Helper()
-	c := &cluster{t: t, dir: t.TempDir(), size: size, storeAt: freeAddress(t)}
+	c := &cluster{t: t, dir: t.TempDir(), size: size, storeAt: harness.FreeAddress(t)}
 	c.store = launch(t, c.dir, "store", "standin", "store", "--listen", c.storeAt)
-	await(t, readyLimit, "store answers", func() bool { return getOK("http://" + c.storeAt + "/admin/counts") })
+	harness.Await(t, readyLimit, "store answers", func() bool { return getOK("http://" + c.storeAt + "/admin/counts") })
 	for i := range size.engines {
 		c.addEngine(fmt.Sprintf("engine-%d", i+1))
 	}
@@ -93,8 +95,8 @@
 	for _, h := range c.hosts {
 		c.awaitReady(h)
 	}
-	await(t, readyLimit, "healthy targets on every host", c.targetsHealthy)
-	await(t, readyLimit, "every host knows every gateway", c.membersKnown)
+	harness.Await(t, readyLimit, "healthy targets on every host", c.targetsHealthy)
+	harness.Await(t, readyLimit, "every host knows every gateway", c.membersKnown)
 	return c
 }
 
@@ -102,26 +104,26 @@
 var domains = []string{"sk-west-a", "sk-west-b", "sk-west-c"}
 
 func (c *cluster) newHost(name, domain string) *host {
-	h := &host{name: name, localAgent: freeAddress(c.t), agentHTTP: freeAddress(c.t)}
-	h.storeLink = newFaultProxy(c.t, c.storeAt)
-	h.agentLink = newFaultProxy(c.t, h.localAgent)
-	h.agentRPC = h.agentLink.address()
-	listen := freeAddress(c.t)
+	h := &host{name: name, localAgent: harness.FreeAddress(c.t), agentHTTP: harness.FreeAddress(c.t)}
+	h.storeLink = harness.NewProxy(c.t, c.storeAt)
+	h.agentLink = harness.NewProxy(c.t, h.localAgent)
+	h.agentRPC = h.agentLink.Address()
+	listen := harness.FreeAddress(c.t)
 	h.url = "http://" + listen
-	ops := freeAddress(c.t)
+	ops := harness.FreeAddress(c.t)
 	h.ops = "http://" + ops
 	c.peers = append(c.peers, h.agentRPC)
-	h.agent = &process{name: name + "-agent", path: filepath.Join(binDir, "agent"), log: filepath.Join(c.dir, name+"-agent.log")}
-	h.agent.args = append([]string{
+	h.agent = &harness.Process{Name: name + "-agent", Path: filepath.Join(binDir, "agent"), Log: filepath.Join(c.dir, name+"-agent.log")}
+	h.agent.Args = append([]string{
 		"--host", name, "--domain", domain, "--region", "sk-west",
 		"--listen", h.localAgent, "--advertise", h.agentRPC, "--http", h.agentHTTP,
-		"--store", "http://" + h.storeLink.address(), "--environment", "production",
+		"--store", "http://" + h.storeLink.Address(), "--environment", "production",
 		"--log-level", "debug",
 	}, c.size.agentArgs...)
-	h.gateway = &process{name: name + "-gateway", path: filepath.Join(binDir, "gateway"), log: filepath.Join(c.dir, name+"-gateway.log")}
-	h.gateway.args = append([]string{
+	h.gateway = &harness.Process{Name: name + "-gateway", Path: filepath.Join(binDir, "gateway"), Log: filepath.Join(c.dir, name+"-gateway.log")}
+	h.gateway.Args = append([]string{
 		"--host", name, "--region", "sk-west", "--listen", listen, "--http", ops,
-		"--store", "http://" + h.storeLink.address(),
+		"--store", "http://" + h.storeLink.Address(),
 		"--token-keys", tokenKeys, "--log-level", "debug",
 	}, c.size.gatewayArgs...)
 	return h
@@ -129,23 +131,23 @@
 
 // startHost starts both processes of a host. Peers are known by then.
 func (c *cluster) startHost(h *host) {
-	h.agent.args = append(h.agent.args, "--peers", strings.Join(c.peers, ","))
+	h.agent.Args = append(h.agent.Args, "--peers", strings.Join(c.peers, ","))
 	agents := []string{h.localAgent}
 	for _, peer := range c.peers {
 		if peer != h.agentRPC {
 			agents = append(agents, peer)
 		}
 	}
-	h.gateway.args = append(h.gateway.args, "--agents", strings.Join(agents, ","))
-	for _, p := range []*process{h.agent, h.gateway} {
-		p.start(c.t)
-		c.t.Cleanup(func() { p.end(c.t) })
+	h.gateway.Args = append(h.gateway.Args, "--agents", strings.Join(agents, ","))
+	for _, p := range []*harness.Process{h.agent, h.gateway} {
+		p.Start(c.t)
+		c.t.Cleanup(func() { p.End(c.t) })
 	}
 }
 
 func (c *cluster) awaitReady(h *host) {
 	c.t.Helper()
-	await(c.t, readyLimit, h.name+" ready", func() bool { return getOK(h.ops+"/readyz") && getOK("http://"+h.agentHTTP+"/readyz") })
+	harness.Await(c.t, readyLimit, h.name+" ready", func() bool { return getOK(h.ops+"/readyz") && getOK("http://"+h.agentHTTP+"/readyz") })
 }
 
 func (c *cluster) addEngine(name string) *target {
@@ -153,7 +155,7 @@
 	args := append([]string{"engine", "--listen", e.direct, "--name", name, "--domain", domains[len(c.engines)%len(domains)],
 		"--model", "briefing@v1+sk,briefing@v2+sk", "--journal", e.journal}, c.size.engineArgs...)
 	e.process = launch(c.t, c.dir, name, "standin", args...)
-	e.link.follow(e.process)
+	e.link.Follow(e.process)
 	c.engines = append(c.engines, e)
 	c.awaitTarget(e)
 	return e
@@ -164,20 +166,20 @@
 	args := append([]string{"service", "--listen", s.direct, "--name", name,
 		"--domain", domains[len(c.services)%len(domains)], "--service", "booking", "--journal", s.journal}, c.size.serviceArgs...)
 	s.process = launch(c.t, c.dir, name, "standin", args...)
-	s.link.follow(s.process)
+	s.link.Follow(s.process)
 	c.services = append(c.services, s)
 	c.awaitTarget(s)
 	return s
 }
 
 func (c *cluster) newTarget(name string) *target {
-	direct := freeAddress(c.t)
-	return &target{name: name, direct: direct, link: newFaultProxy(c.t, direct), journal: filepath.Join(c.dir, name+".journal")}
+	direct := harness.FreeAddress(c.t)
+	return &target{name: name, direct: direct, link: harness.NewProxy(c.t, direct), journal: filepath.Join(c.dir, name+".journal")}
 }
 
 func (c *cluster) awaitTarget(t *target) {
 	c.t.Helper()
-	await(c.t, readyLimit, t.name+" answers", func() bool { return getOK("http://" + t.direct + "/livez") })
+	harness.Await(c.t, readyLimit, t.name+" answers", func() bool { return getOK("http://" + t.direct + "/livez") })
 }
 
 // applyDocument applies a document with the operators' command line.
--- a/tests/prove/crash_test.go
+++ b/tests/prove/crash_test.go
@@ -86,7 +86,7 @@
 	lost := 0
 	for _, e := range c.engines {
 		select {
-		case <-e.process.ended():
+		case <-e.process.Ended():
 			lost++
 		default:
 		}
--- a/tests/prove/dochistory_test.go
+++ b/tests/prove/dochistory_test.go
@@ -17,6 +17,7 @@
 
 	"corianderhitch/internal/docstore"
 	"corianderhitch/internal/platform/memstore"
+	"corianderhitch/tests/harness"
 )
 
 // docInput is one call on the documents of the environment.
@@ -120,7 +121,7 @@
 		watched, shown := c.watchRevisions(stop), c.watchShown(recorder, stop)
 		c.raceThroughOutages(t, recorder)
 		last := c.currentRevision(t)
-		took := await(t, inForceLimit, fmt.Sprintf("revision %d everywhere", last), func() bool { return c.inForce(last) })
+		took := harness.Await(t, inForceLimit, fmt.Sprintf("revision %d everywhere", last), func() bool { return c.inForce(last) })
 		close(stop)
 		shown()
 		readings, reverted := watched()
@@ -209,7 +210,7 @@
 	var done sync.WaitGroup
 	done.Go(func() {
 		last := make(map[string]int64)
-		ticker := time.NewTicker(pollInterval)
+		ticker := time.NewTicker(harness.PollInterval)
 		defer ticker.Stop()
 		for {
 			select {
--- a/tests/prove/documents_test.go
+++ b/tests/prove/documents_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"corianderhitch/internal/platform/memstore"
+	"corianderhitch/tests/harness"
 )
 
 // inForceLimit is the users' bound for a change to be in force everywhere.
@@ -37,43 +38,43 @@
 		}},
 		{name: "six operators at once", short: true, bring: raceOperators},
 		{name: "agent frozen across three changes", bring: func(_ *testing.T, c *cluster) int64 {
-			c.hosts[2].agent.freeze()
+			c.hosts[2].agent.Freeze()
 			apply(c, 3)
-			c.hosts[2].agent.thaw()
+			c.hosts[2].agent.Thaw()
 			return 4
 		}},
 		{name: "store down and back", bring: func(_ *testing.T, c *cluster) int64 {
-			c.setStoreLinks(refuse)
+			c.setStoreLinks(harness.Refuse)
 			for _, h := range c.hosts {
-				h.storeLink.cut()
+				h.storeLink.Cut()
 			}
 			apply(c, 1) // the operator reaches the store, the hosts don't
-			c.setStoreLinks(pass)
+			c.setStoreLinks(harness.Pass)
 			return 2
 		}},
 		{name: "only one host reaches the store", bring: func(_ *testing.T, c *cluster) int64 {
 			for _, h := range c.hosts[1:] {
-				h.storeLink.set(refuse)
-				h.storeLink.cut()
+				h.storeLink.Set(harness.Refuse)
+				h.storeLink.Cut()
 			}
 			apply(c, 1)
 			return 2
 		}},
 		{name: "watch lost silently", bring: func(_ *testing.T, c *cluster) int64 {
-			c.setStoreLinks(stallDown)
+			c.setStoreLinks(harness.StallDown)
 			apply(c, 1)
-			c.setStoreLinks(pass)
+			c.setStoreLinks(harness.Pass)
 			return 2
 		}},
 		{name: "gateway falls back to an agent with an old document", bring: fallBack},
 		{name: "host started during a store outage", bring: func(t *testing.T, c *cluster) int64 {
 			apply(c, 1)
-			await(t, inForceLimit, "revision 2 on the first host", func() bool { return c.revisionsInForce()["host-1"] == 2 })
-			c.hosts[2].gateway.kill()
-			c.hosts[2].agent.kill()
+			harness.Await(t, inForceLimit, "revision 2 on the first host", func() bool { return c.revisionsInForce()["host-1"] == 2 })
+			c.hosts[2].gateway.Kill()
+			c.hosts[2].agent.Kill()
 			c.storeFault(memstore.Fault{Outage: true})
-			c.hosts[2].agent.restart(t)
-			c.hosts[2].gateway.restart(t)
+			c.hosts[2].agent.Restart(t)
+			c.hosts[2].gateway.Restart(t)
 			return 2
 		}},
 	}
@@ -83,24 +84,24 @@
 // slept through two changes and reaches nobody.
 func fallBack(t *testing.T, c *cluster) int64 {
 	last := c.hosts[2]
-	last.agent.freeze() // its gateway turns to the others
+	last.agent.Freeze() // its gateway turns to the others
 	c.applyDocument(documentWith("v2"))
 	c.applyDocument(documentWith("v1"))
-	await(t, inForceLimit, "revision 3 in the last gateway", func() bool {
+	harness.Await(t, inForceLimit, "revision 3 in the last gateway", func() bool {
 		revision, _ := gatewayRevision(last)
 		return revision == 3
 	})
-	last.storeLink.set(refuse)
-	last.storeLink.cut()
+	last.storeLink.Set(harness.Refuse)
+	last.storeLink.Cut()
 	for _, h := range c.hosts {
-		h.agentLink.set(refuse)
-		h.agentLink.cut()
+		h.agentLink.Set(harness.Refuse)
+		h.agentLink.Cut()
 	}
-	last.agent.thaw()             // the gateway turns back to it, which has revision 1
+	last.agent.Thaw()             // the gateway turns back to it, which has revision 1
 	<-time.After(2 * time.Second) // some polls
 	for _, h := range c.hosts {
-		h.agentLink.set(pass)
-		h.storeLink.set(pass)
+		h.agentLink.Set(harness.Pass)
+		h.storeLink.Set(harness.Pass)
 	}
 	return 3
 }
@@ -154,11 +155,11 @@
 	figures := ""
 	record(t, "document in force everywhere", fault.name, &figures)
 	c := startCluster(t, clusterSize{hosts: 4, engines: 1})
-	await(t, inForceLimit, "revision 1 everywhere", func() bool { return c.inForce(1) })
+	harness.Await(t, inForceLimit, "revision 1 everywhere", func() bool { return c.inForce(1) })
 	stop := make(chan struct{})
 	watched := c.watchRevisions(stop)
 	revision := fault.bring(t, c)
-	took := await(t, inForceLimit, fmt.Sprintf("revision %d everywhere", revision), func() bool { return c.inForce(revision) })
+	took := harness.Await(t, inForceLimit, fmt.Sprintf("revision %d everywhere", revision), func() bool { return c.inForce(revision) })
 	close(stop)
 	readings, reverted := watched()
 	require.Emptyf(t, reverted, "a host stepped back")
--- a/tests/prove/faults_test.go
+++ b/tests/prove/faults_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"corianderhitch/internal/platform/memstore"
+	"corianderhitch/tests/harness"
 )
 
 // clusterFault is a fault that any traffic can meet. It ends by itself or by end.
@@ -54,21 +55,21 @@
 
 // revive returns a function that starts a process again after its end and waits
 // until it is of use. Another fault may have started it again already.
-func revive(t *testing.T, p *process, ready func()) func() {
-	ended := p.ended()
+func revive(t *testing.T, p *harness.Process, ready func()) func() {
+	ended := p.Ended()
 	return func() {
-		p.restartAfter(t, ended)
+		p.RestartAfter(t, ended)
 		ready()
 	}
 }
 
 // reviveTarget is revive for a target, whose link listens again as well.
 func reviveTarget(t *testing.T, c *cluster, target *target) func() {
-	ended := target.process.ended()
+	ended := target.process.Ended()
 	return func() {
-		if target.process.restartAfter(t, ended) {
+		if target.process.RestartAfter(t, ended) {
 			c.awaitTarget(target)
-			target.link.revive(t, target.process)
+			target.link.Revive(t, target.process)
 		}
 	}
 }
@@ -77,13 +78,13 @@
 	return []clusterFault{
 		{name: "engine killed", loses: onEngine, bring: func(t *testing.T, c *cluster, d drawn) func() {
 			back := reviveTarget(t, c, d.engine)
-			d.engine.process.kill()
+			d.engine.process.Kill()
 			return back
 		}},
 		{name: "engine frozen", loses: onEngine, bring: func(_ *testing.T, _ *cluster, d drawn) func() {
-			d.engine.process.freeze()
+			d.engine.process.Freeze()
 			<-time.After(faultLength)
-			return d.engine.process.thaw
+			return d.engine.process.Thaw
 		}},
 		{name: "engine reclaimed", loses: onEngine, bring: func(t *testing.T, c *cluster, d drawn) func() {
 			back := reviveTarget(t, c, d.engine)
@@ -92,13 +93,13 @@
 			return back
 		}},
 		{name: "engine link stalled", loses: onEngine, bring: func(_ *testing.T, _ *cluster, d drawn) func() {
-			d.engine.link.set(stall)
+			d.engine.link.Set(harness.Stall)
 			<-time.After(faultLength)
-			return func() { d.engine.link.set(pass) }
+			return func() { d.engine.link.Set(harness.Pass) }
 		}},
 		{name: "engine links cut", bring: func(_ *testing.T, c *cluster, _ drawn) func() {
 			for _, e := range c.engines {
-				e.link.cut()
+				e.link.Cut()
 			}
 			return nothing
 		}},
@@ -116,28 +117,28 @@
 	return []clusterFault{
 		{name: "gateway killed", loses: onGateway, bring: func(t *testing.T, c *cluster, d drawn) func() {
 			back := revive(t, d.host.gateway, ready(c, d.host))
-			d.host.gateway.kill()
+			d.host.gateway.Kill()
 			return back
 		}},
 		{name: "gateway frozen", bring: func(_ *testing.T, _ *cluster, d drawn) func() {
-			d.host.gateway.freeze()
+			d.host.gateway.Freeze()
 			<-time.After(faultLength)
-			return d.host.gateway.thaw
+			return d.host.gateway.Thaw
 		}},
 		{name: "agent killed", bring: func(t *testing.T, c *cluster, d drawn) func() {
 			back := revive(t, d.host.agent, ready(c, d.host))
-			d.host.agent.kill()
+			d.host.agent.Kill()
 			return back
 		}},
 		{name: "agent frozen past suspicion", bring: func(_ *testing.T, _ *cluster, d drawn) func() {
-			d.host.agent.freeze()
+			d.host.agent.Freeze()
 			<-time.After(pastSuspicion)
-			return d.host.agent.thaw
+			return d.host.agent.Thaw
 		}},
 		{name: "host killed", loses: onGateway, bring: func(t *testing.T, c *cluster, d drawn) func() {
 			agent, gateway := revive(t, d.host.agent, nothing), revive(t, d.host.gateway, nothing)
-			d.host.gateway.kill()
-			d.host.agent.kill()
+			d.host.gateway.Kill()
+			d.host.agent.Kill()
 			return func() {
 				agent()
 				gateway()
@@ -147,11 +148,11 @@
 		{name: "host without store, out of reach", bring: func(_ *testing.T, c *cluster, d drawn) func() {
 			c.isolate(d.host)
 			<-time.After(faultLength)
-			return func() { d.host.storeLink.set(pass); d.host.agentLink.set(pass) }
+			return func() { d.host.storeLink.Set(harness.Pass); d.host.agentLink.Set(harness.Pass) }
 		}},
 		{name: "gateway stopped in order", bring: func(t *testing.T, c *cluster, d drawn) func() {
 			back := revive(t, d.host.gateway, ready(c, d.host))
-			d.host.gateway.signal(syscall.SIGTERM)
+			d.host.gateway.Signal(syscall.SIGTERM)
 			return back
 		}},
 	}
@@ -171,9 +172,9 @@
 		{name: "store slow", bring: lasting(memstore.Fault{AnswerDelay: 400 * time.Millisecond})},
 		{name: "store writes late", bring: lasting(memstore.Fault{RequestDelay: 1500 * time.Millisecond})},
 		{name: "store link of a host stalled", bring: func(_ *testing.T, _ *cluster, d drawn) func() {
-			d.host.storeLink.set(stallDown)
+			d.host.storeLink.Set(harness.StallDown)
 			<-time.After(faultLength)
-			return func() { d.host.storeLink.set(pass) }
+			return func() { d.host.storeLink.Set(harness.Pass) }
 		}},
 	}
 }
@@ -182,7 +183,7 @@
 	return []clusterFault{
 		{name: "service killed", bring: func(t *testing.T, c *cluster, d drawn) func() {
 			back := reviveTarget(t, c, d.service)
-			d.service.process.kill()
+			d.service.process.Kill()
 			return back
 		}},
 		{name: "service runs and dies", bring: func(t *testing.T, c *cluster, d drawn) func() {
@@ -195,9 +196,9 @@
 			return nothing
 		}},
 		{name: "service link stalled", bring: func(_ *testing.T, _ *cluster, d drawn) func() {
-			d.service.link.set(stallDown)
+			d.service.link.Set(harness.StallDown)
 			<-time.After(faultLength)
-			return func() { d.service.link.set(pass) }
+			return func() { d.service.link.Set(harness.Pass) }
 		}},
 	}
 }
--- a/tests/prove/holds_test.go
+++ b/tests/prove/holds_test.go
@@ -5,6 +5,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"corianderhitch/tests/harness"
 )
 
 // holdTraffic sends seat holds until it is stopped. Every key is sent by several
@@ -81,7 +83,7 @@
 // awaitCalls waits until so many calls have been answered.
 func (h *holdTraffic) awaitCalls(t *testing.T, n int) {
 	t.Helper()
-	await(t, callLimit, fmt.Sprintf("%d calls", n), func() bool {
+	harness.Await(t, callLimit, fmt.Sprintf("%d calls", n), func() bool {
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		return len(h.outcomes) >= n
@@ -92,7 +94,7 @@
 func (h *holdTraffic) awaitBlocked(t *testing.T) int {
 	t.Helper()
 	blocked := 0
-	await(t, callLimit, "a blocked call", func() bool {
+	harness.Await(t, callLimit, "a blocked call", func() bool {
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		for gateway, calls := range h.inFlight {
--- a/tests/prove/identity_test.go
+++ b/tests/prove/identity_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"corianderhitch/api/completion"
+	"corianderhitch/tests/harness"
 )
 
 // identityCase is one way in which answers could reach the wrong caller.
@@ -227,9 +228,9 @@
 		go func() { defer open.Done(); c.leaveAfter(one, 0, 5) }()
 	}
 	open.Wait()
-	c.hosts[0].gateway.kill()
+	c.hosts[0].gateway.Kill()
 	if wholeHost {
-		c.hosts[0].agent.kill()
+		c.hosts[0].agent.Kill()
 	}
 	before := c.prepareReturn(callers, false)
 	c.read(t, callers, func(i int) int { return 1 + i%2 })
@@ -246,13 +247,13 @@
 	const streams = 40
 	spec := trafficSpec{streams: streams, tokens: 100, trigger: streams * 10, resume: true, idPrefix: "crossed"}
 	for _, e := range c.engines {
-		e.link.setDelay(pollInterval)
+		e.link.SetDelay(harness.PollInterval)
 	}
 	tr := startTraffic(c, spec)
 	tr.awaitReached()
 	for _, e := range c.engines {
-		e.link.cut()
-		e.link.setDelay(0)
+		e.link.Cut()
+		e.link.SetDelay(0)
 	}
 	tr.finish()
 	tokens := tr.checkWhole(t, spec, "v1")
--- a/tests/prove/late_test.go
+++ b/tests/prove/late_test.go
@@ -15,6 +15,7 @@
 	"corianderhitch/api/completion"
 
 	"corianderhitch/internal/platform/memstore"
+	"corianderhitch/tests/harness"
 )
 
 // lateLimit bounds the time until a late answer is ready after its fault.
@@ -32,18 +33,18 @@
 		{name: "none", short: true, bring: func(*testing.T, *cluster) {}},
 		{name: "all hosts replaced while pending", short: true, bring: func(t *testing.T, c *cluster) {
 			for _, h := range c.hosts {
-				h.gateway.kill()
-				h.agent.kill()
+				h.gateway.Kill()
+				h.agent.Kill()
 			}
 			for _, h := range c.hosts {
-				h.agent.restart(t)
-				h.gateway.restart(t)
+				h.agent.Restart(t)
+				h.gateway.Restart(t)
 				c.awaitReady(h)
 			}
 		}},
 		{name: "owner killed, others take over", bring: func(_ *testing.T, c *cluster) {
-			c.hosts[0].gateway.kill()
-			c.hosts[0].agent.kill()
+			c.hosts[0].gateway.Kill()
+			c.hosts[0].agent.Kill()
 		}},
 		{name: "store down for a while", bring: func(_ *testing.T, c *cluster) {
 			c.storeFault(memstore.Fault{Outage: true})
@@ -53,12 +54,12 @@
 		{name: "store answers lost", bring: func(_ *testing.T, c *cluster) { c.storeFault(memstore.Fault{LoseAnswers: 0.4}) }},
 		{name: "all engines killed and replaced", bring: func(t *testing.T, c *cluster) {
 			for _, e := range c.engines {
-				e.process.kill()
+				e.process.Kill()
 			}
 			for _, e := range c.engines {
-				e.process.restart(t)
+				e.process.Restart(t)
 				c.awaitTarget(e)
-				e.link.revive(t, e.process)
+				e.link.Revive(t, e.process)
 			}
 		}},
 	}
@@ -131,7 +132,7 @@
 	t.Helper()
 	var answer completion.Response
 	attempt := 0
-	await(t, lateLimit, fmt.Sprintf("answer of draft %d", i), func() bool {
+	harness.Await(t, lateLimit, fmt.Sprintf("answer of draft %d", i), func() bool {
 		attempt++
 		response, ok := c.getDraft(c.hosts[attempt%len(c.hosts)], i)
 		answer = response
--- a/tests/prove/leaving_test.go
+++ b/tests/prove/leaving_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"corianderhitch/internal/platform/memstore"
+	"corianderhitch/tests/harness"
 )
 
 // leavingWindow is how long a leaving target may still receive new work.
@@ -47,22 +48,22 @@
 			ownWord(c, e)
 		}},
 		{name: "host list only, store link of one host cut", leave: func(c *cluster, e *target) {
-			c.hosts[2].storeLink.set(refuse)
-			c.hosts[2].storeLink.cut()
+			c.hosts[2].storeLink.Set(harness.Refuse)
+			c.hosts[2].storeLink.Cut()
 			c.publishTargets(map[string]bool{e.name: true})
 		}},
 		{name: "engine's own word, all agents frozen for 3 s", leave: func(c *cluster, e *target) {
 			for _, h := range c.hosts {
-				h.agent.freeze()
+				h.agent.Freeze()
 			}
 			ownWord(c, e)
 			<-time.After(3 * time.Second) // part of the window: gateways must learn from the refusals
 			for _, h := range c.hosts {
-				h.agent.thaw()
+				h.agent.Thaw()
 			}
 		}},
 		{name: "engine's own word, one agent killed", leave: func(c *cluster, e *target) {
-			c.hosts[0].agent.kill()
+			c.hosts[0].agent.Kill()
 			ownWord(c, e)
 		}},
 	}
@@ -75,16 +76,16 @@
 // a late list shows what was in force before it.
 func (c *cluster) delayList() {
 	c.t.Helper()
-	await(c.t, 2*listLag, "a list older than its lag", func() bool { return time.Since(c.published) > listLag })
+	harness.Await(c.t, 2*listLag, "a list older than its lag", func() bool { return time.Since(c.published) > listLag })
 	c.storeFault(memstore.Fault{HostListLag: listLag})
 }
 
 // isolate cuts a host from the store, and its agent from calls of all others. It
 // can still call them, and its targets stay reachable.
 func (c *cluster) isolate(h *host) {
-	for _, link := range []*faultProxy{h.storeLink, h.agentLink} {
-		link.set(refuse)
-		link.cut()
+	for _, link := range []*harness.Proxy{h.storeLink, h.agentLink} {
+		link.Set(harness.Refuse)
+		link.Cut()
 	}
 }
 
@@ -109,10 +110,10 @@
 	stop := make(chan struct{})
 	counted := c.steadyStream(stop)
 	victim := c.engines[draw(t).IntN(len(c.engines))]
-	await(t, 10*time.Second, "work on the victim", func() bool { return startsAfter(t, victim, time.Time{}) > 0 })
+	harness.Await(t, 10*time.Second, "work on the victim", func() bool { return startsAfter(t, victim, time.Time{}) > 0 })
 	fault.leave(c, victim)
 	left := time.Now()
-	await(t, 3*leavingWindow, "twice the window", func() bool { return time.Since(left) > 2*leavingWindow })
+	harness.Await(t, 3*leavingWindow, "twice the window", func() bool { return time.Since(left) > 2*leavingWindow })
 	close(stop)
 	streams := counted()
 	late := startsAfter(t, victim, left.Add(leavingWindow))
--- a/tests/prove/main_test.go
+++ b/tests/prove/main_test.go
@@ -13,6 +13,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"corianderhitch/tests/harness"
 )
 
 // binDir holds the programs under test, built by TestMain.
@@ -36,7 +38,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
-	if err := claimPorts(); err != nil {
+	if err := harness.ClaimPorts(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
--- a/tests/prove/orders_test.go
+++ b/tests/prove/orders_test.go
@@ -12,6 +12,7 @@
 	"corianderhitch/api/engine"
 	"corianderhitch/internal/platform"
 	"corianderhitch/internal/platform/memstore"
+	"corianderhitch/tests/harness"
 )
 
 const (
@@ -38,18 +39,18 @@
 		{name: "holder frozen past its lease, lax engines", fence: "lax", bring: freezeHolder},
 		{name: "holder cut from the store, lax engines", fence: "lax", bring: isolateHolder},
 		{name: "holder killed, lax engines", fence: "lax", bring: func(c *cluster, store platform.Store, first holding) {
-			c.hostNamed(first.host).agent.kill()
+			c.hostNamed(first.host).agent.Kill()
 			c.awaitOtherHolder(store, first)
 		}},
 		{name: "answers of orders lost", fence: "strict", bring: func(c *cluster, _ platform.Store, _ holding) {
 			for range 3 {
 				for _, e := range c.engines {
-					e.link.cutAfter(0, 1)
-					e.link.cut()
+					e.link.CutAfter(0, 1)
+					e.link.Cut()
 				}
 				<-time.After(700 * time.Millisecond) // some of the rounds, one a second, fall into it
 				for _, e := range c.engines {
-					e.link.cutAfter(0, 0)
+					e.link.CutAfter(0, 0)
 				}
 				<-time.After(300 * time.Millisecond) // keeps the engines from being taken for dead
 			}
@@ -69,11 +70,11 @@
 // thaws it while new orders are due.
 func freezeHolder(c *cluster, store platform.Store, first holding) {
 	h := c.hostNamed(first.host)
-	h.agent.freeze()
+	h.agent.Freeze()
 	second := c.awaitOtherHolder(store, first)
 	c.applyDocument(placementDocument("v5"))
-	await(c.t, takeOverLimit, "an order of the second holder", func() bool { return c.highestOrder() >= second.fence })
-	h.agent.thaw()
+	harness.Await(c.t, takeOverLimit, "an order of the second holder", func() bool { return c.highestOrder() >= second.fence })
+	h.agent.Thaw()
 	c.applyDocument(placementDocument("v6"))
 }
 
@@ -90,18 +91,18 @@
 // isolateHolder cuts the holder from the store, not from the engines.
 func isolateHolder(c *cluster, store platform.Store, first holding) {
 	h := c.hostNamed(first.host)
-	h.storeLink.set(refuse)
-	h.storeLink.cut()
+	h.storeLink.Set(harness.Refuse)
+	h.storeLink.Cut()
 	c.awaitOtherHolder(store, first)
 	c.applyDocument(placementDocument("v5"))
-	await(c.t, takeOverLimit, "an order of the second holder", func() bool { return c.highestOrder() > first.fence })
-	h.storeLink.set(pass)
+	harness.Await(c.t, takeOverLimit, "an order of the second holder", func() bool { return c.highestOrder() > first.fence })
+	h.storeLink.Set(harness.Pass)
 }
 
 func (c *cluster) awaitOtherHolder(store platform.Store, first holding) holding {
 	c.t.Helper()
 	var second holding
-	await(c.t, takeOverLimit, "another fence", func() bool {
+	harness.Await(c.t, takeOverLimit, "another fence", func() bool {
 		second = holder(c.t, store)
 		return second.fence > first.fence
 	})
@@ -129,13 +130,13 @@
 	c := startCluster(t, clusterSize{hosts: 3, engines: 5, engineArgs: args})
 	store := c.storeClient()
 	c.applyDocument(placementDocument("v3"))
-	await(t, takeOverLimit, "the first order", func() bool { return c.highestOrder() > 0 })
+	harness.Await(t, takeOverLimit, "the first order", func() bool { return c.highestOrder() > 0 })
 	first := holder(t, store)
 	c.applyDocument(placementDocument("v4"))
 	begin := time.Now()
 	fault.bring(c, store, first)
 	c.applyDocument(placementDocument("v7"))
-	await(t, takeOverLimit, "version v7 placed", func() bool { return c.enginesLoading("v7") >= placedEngines })
+	harness.Await(t, takeOverLimit, "version v7 placed", func() bool { return c.enginesLoading("v7") >= placedEngines })
 	took := time.Since(begin)
 	require.LessOrEqual(t, c.enginesLoading("v7"), len(c.engines))
 	orders, fences, refused := c.checkOrders(t, fault.fence)
--- a/tests/prove/pairs_test.go
+++ b/tests/prove/pairs_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"corianderhitch/tests/harness"
 )
 
 // pairs is how many pairs of faults a seed draws; the short form takes the first.
@@ -135,7 +137,7 @@
 
 // awaitChunks waits until the callers have received so many chunks in all.
 func (l *pairLoad) awaitChunks(n int64) {
-	ticker := time.NewTicker(pollInterval)
+	ticker := time.NewTicker(harness.PollInterval)
 	defer ticker.Stop()
 	for l.streams.started.Load() < n {
 		<-ticker.C
@@ -174,7 +176,7 @@
 	_, reverted := l.watched()
 	require.Empty(t, reverted, "a host stepped back")
 	last := l.c.currentRevision(t)
-	took := await(t, inForceLimit, fmt.Sprintf("revision %d everywhere", last), func() bool { return l.c.inForce(last) })
+	took := harness.Await(t, inForceLimit, fmt.Sprintf("revision %d everywhere", last), func() bool { return l.c.inForce(last) })
 	return fmt.Sprintf("%d tokens, %d typed ends; %s; revision %d everywhere after %s",
 		l.tokens, failed, calls, last, took.Round(10*time.Millisecond))
 }
@@ -183,7 +185,7 @@
 func (c *cluster) awaitRecovered(t *testing.T) time.Duration {
 	t.Helper()
 	n := 0
-	return await(t, recoverLimit, "every host serves everything", func() bool {
+	return harness.Await(t, recoverLimit, "every host serves everything", func() bool {
 		n++
 		for i := range c.hosts {
 			if !c.serves(t, i, fmt.Sprintf(probePrefix+"%d-%d", i, n)) {
--- a/tests/prove/security_test.go
+++ b/tests/prove/security_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"corianderhitch/api/problem"
+	"corianderhitch/tests/harness"
 )
 
 // attack is one thing that a hostile caller does.
@@ -171,7 +172,7 @@
 	one := deskToken(t, c, "token-to-expire")
 	take := func() plainAnswer { return resumeWith(t, c, keyDesk, "token-to-expire", one.got.lastEventID) }
 	require.Nil(t, take().failure)
-	took := await(t, 3*tokenLifeInTests, "expiry of the token", func() bool { return take().failure != nil })
+	took := harness.Await(t, 3*tokenLifeInTests, "expiry of the token", func() bool { return take().failure != nil })
 	require.Equal(t, problem.KindBadResumeToken, take().failure.Kind)
 	return fmt.Sprintf("token refused %s after its last use", took.Round(100*time.Millisecond))
 }
--- a/tests/prove/steps_test.go
+++ b/tests/prove/steps_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"corianderhitch/tests/harness"
 )
 
 // pastDispatch is longer than the window in which a claim may be dispatched and
@@ -13,18 +15,18 @@
 // callStep is a step of a call at which its gateway is stopped.
 type callStep struct {
 	name  string
-	block func(c *cluster, mode proxyMode)
-	mode  proxyMode
+	block func(c *cluster, mode harness.Mode)
+	mode  harness.Mode
 }
 
 func callSteps() []callStep {
-	store := func(c *cluster, mode proxyMode) { c.hosts[0].storeLink.set(mode) }
-	services := func(c *cluster, mode proxyMode) { c.eachService(func(s *target) { s.link.set(mode) }) }
+	store := func(c *cluster, mode harness.Mode) { c.hosts[0].storeLink.Set(mode) }
+	services := func(c *cluster, mode harness.Mode) { c.eachService(func(s *target) { s.link.Set(mode) }) }
 	return []callStep{
-		{name: "before its claim", block: store, mode: stallUp},
-		{name: "after its claim, before it knows", block: store, mode: stallDown},
-		{name: "while the request leaves", block: services, mode: stallUp},
-		{name: "while the answer comes", block: services, mode: stallDown},
+		{name: "before its claim", block: store, mode: harness.StallUp},
+		{name: "after its claim, before it knows", block: store, mode: harness.StallDown},
+		{name: "while the request leaves", block: services, mode: harness.StallUp},
+		{name: "while the answer comes", block: services, mode: harness.StallDown},
 	}
 }
 
@@ -59,13 +61,13 @@
 	step.block(c, step.mode)
 	gateway := c.hosts[holds.awaitBlocked(t)].gateway
 	if kill {
-		gateway.kill()
-		step.block(c, pass)
+		gateway.Kill()
+		step.block(c, harness.Pass)
 	} else {
-		gateway.freeze()
-		step.block(c, pass)
+		gateway.Freeze()
+		step.block(c, harness.Pass)
 		<-time.After(pastDispatch)
-		gateway.thaw()
+		gateway.Thaw()
 	}
 	holds.awaitCalls(t, len(holds.snapshot())+60)
 	outcomes, keys := holds.finish()
--- a/tests/prove/stop_test.go
+++ b/tests/prove/stop_test.go
@@ -9,11 +9,9 @@
 	"github.com/stretchr/testify/require"
 
 	"corianderhitch/internal/platform/memstore"
+	"corianderhitch/tests/harness"
 )
 
-// drainLimit bounds a planned stop of a process whose streams last seconds.
-const drainLimit = 40 * time.Second
-
 // stopFault is one planned stop.
 type stopFault struct {
 	name  string
@@ -32,16 +30,16 @@
 		{name: "rolling restart of 8 hosts", hosts: 8, longer: 2, bring: rollingRestart},
 		{name: "all agents at once", bring: func(t *testing.T, c *cluster) {
 			for _, h := range c.hosts {
-				h.agent.signal(syscall.SIGTERM)
+				h.agent.Signal(syscall.SIGTERM)
 			}
 			for _, h := range c.hosts {
 				planned(t, h.agent)
 			}
 		}},
 		{name: "host, while its agent is frozen", bring: func(t *testing.T, c *cluster) {
-			c.hosts[0].agent.freeze()
+			c.hosts[0].agent.Freeze()
 			planned(t, c.hosts[0].gateway)
-			c.hosts[0].agent.thaw()
+			c.hosts[0].agent.Thaw()
 			planned(t, c.hosts[0].agent)
 		}},
 		{name: "one gateway, store down", bring: func(t *testing.T, c *cluster) {
@@ -50,32 +48,32 @@
 			c.storeFault(memstore.Fault{})
 		}},
 		{name: "two gateways at once", bring: func(t *testing.T, c *cluster) {
-			c.hosts[0].gateway.signal(syscall.SIGTERM)
+			c.hosts[0].gateway.Signal(syscall.SIGTERM)
 			planned(t, c.hosts[1].gateway)
-			c.hosts[0].gateway.wait()
-			require.Zero(t, c.hosts[0].gateway.exitCode())
+			c.hosts[0].gateway.Wait()
+			require.Zero(t, c.hosts[0].gateway.ExitCode())
 		}},
 	}
 }
 
 // planned stops a process in order and requires exit code 0.
-func planned(t *testing.T, p *process) {
+func planned(t *testing.T, p *harness.Process) {
 	t.Helper()
-	p.signal(syscall.SIGTERM)
+	p.Signal(syscall.SIGTERM)
 	select {
-	case <-p.ended():
-	case <-time.After(drainLimit):
-		require.FailNowf(t, "planned stop", "%s did not end within %s", p.name, drainLimit)
+	case <-p.Ended():
+	case <-time.After(harness.DrainLimit):
+		require.FailNowf(t, "planned stop", "%s did not end within %s", p.Name, harness.DrainLimit)
 	}
-	require.Zerof(t, p.exitCode(), "exit code of %s", p.name)
+	require.Zerof(t, p.ExitCode(), "exit code of %s", p.Name)
 }
 
 func rollingRestart(t *testing.T, c *cluster) {
 	for _, h := range c.hosts {
 		planned(t, h.gateway)
 		planned(t, h.agent)
-		h.agent.restart(t)
-		h.gateway.restart(t)
+		h.agent.Restart(t)
+		h.gateway.Restart(t)
 		c.awaitReady(h)
 	}
 }
--- a/tests/prove/streams_test.go
+++ b/tests/prove/streams_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"corianderhitch/internal/rendezvous"
+	"corianderhitch/tests/harness"
 )
 
 // streamFault is one way to disturb streams that are under way.
@@ -32,13 +33,13 @@
 func engineStreamFaults() []streamFault {
 	return []streamFault{
 		{name: "none", short: true, bring: func(*cluster) {}},
-		{name: "engine killed", short: true, bring: func(c *cluster) { c.busiestEngine().process.kill() }},
-		{name: "engine frozen for good", bring: func(c *cluster) { c.busiestEngine().process.freeze() }},
+		{name: "engine killed", short: true, bring: func(c *cluster) { c.busiestEngine().process.Kill() }},
+		{name: "engine frozen for good", bring: func(c *cluster) { c.busiestEngine().process.Freeze() }},
 		{name: "engine frozen, then thawed", bring: func(c *cluster) {
 			v := c.busiestEngine()
-			v.process.freeze()
+			v.process.Freeze()
 			<-time.After(3 * time.Second) // longer than any stall bound, so that streams move
-			v.process.thaw()
+			v.process.Thaw()
 		}},
 		{name: "engine reclaimed at short notice", bring: func(c *cluster) { c.reclaim(c.busiestEngine(), 500*time.Millisecond) }},
 		{name: "memory full mid-decode", tokens: 400, bring: func(c *cluster) {
@@ -52,60 +53,60 @@
 // linkStreamFaults are the faults of links between gateways and engines.
 func linkStreamFaults() []streamFault {
 	return []streamFault{
-		{name: "link cut", short: true, bring: func(c *cluster) { c.busiestEngine().link.cut() }},
+		{name: "link cut", short: true, bring: func(c *cluster) { c.busiestEngine().link.Cut() }},
 		{name: "all links cut three times", bring: func(c *cluster) {
 			for range 3 {
 				for _, e := range c.engines {
-					e.link.cut()
+					e.link.Cut()
 				}
 				<-time.After(300 * time.Millisecond) // lets streams come back before the next cut
 			}
 		}},
-		{name: "link stalled for good", bring: func(c *cluster) { c.busiestEngine().link.set(stall) }},
-		{name: "link one-way: no bytes from engine", bring: func(c *cluster) { c.busiestEngine().link.set(stallDown) }},
-		{name: "link one-way: no bytes to engine", bring: func(c *cluster) { c.busiestEngine().link.set(stallUp) }},
+		{name: "link stalled for good", bring: func(c *cluster) { c.busiestEngine().link.Set(harness.Stall) }},
+		{name: "link one-way: no bytes from engine", bring: func(c *cluster) { c.busiestEngine().link.Set(harness.StallDown) }},
+		{name: "link one-way: no bytes to engine", bring: func(c *cluster) { c.busiestEngine().link.Set(harness.StallUp) }},
 	}
 }
 
 // hostStreamFaults are the faults of hosts, the document and the store.
 func hostStreamFaults() []streamFault {
 	return []streamFault{
-		{name: "gateway killed, callers reconnect", short: true, bring: func(c *cluster) { c.hosts[0].gateway.kill() }},
+		{name: "gateway killed, callers reconnect", short: true, bring: func(c *cluster) { c.hosts[0].gateway.Kill() }},
 		{name: "host killed, callers reconnect", bring: func(c *cluster) {
-			c.hosts[1].gateway.kill()
-			c.hosts[1].agent.kill()
+			c.hosts[1].gateway.Kill()
+			c.hosts[1].agent.Kill()
 		}},
 		{name: "all agents killed", bring: func(c *cluster) {
 			for _, h := range c.hosts {
-				h.agent.kill()
+				h.agent.Kill()
 			}
 		}},
 		{name: "pool owner frozen past suspicion, then thawed", bring: func(c *cluster) {
 			owner := c.poolOwner()
-			owner.agent.freeze()
+			owner.agent.Freeze()
 			<-time.After(pastSuspicion)
-			owner.agent.thaw()
+			owner.agent.Thaw()
 		}, tokens: 450},
 		{name: "request directory's hosts frozen in turn", tokens: 450, bring: func(c *cluster) {
 			for _, h := range c.hosts {
-				h.agent.freeze()
+				h.agent.Freeze()
 				<-time.After(2 * time.Second) // longer than an exchange with an agent may last
-				h.agent.thaw()
+				h.agent.Thaw()
 			}
 		}},
 		// The only two copies of the delivered tokens are gone at once, so that no
 		// engine can continue: a typed end is the right answer, a splice is not.
 		{name: "gateway killed and engine killed", mayEnd: true, bring: func(c *cluster) {
 			v := c.busiestEngine()
-			c.hosts[0].gateway.kill()
-			v.process.kill()
+			c.hosts[0].gateway.Kill()
+			v.process.Kill()
 		}},
 		{name: "document changed mid-stream", bring: func(c *cluster) { c.applyDocument(documentWith("v2")) }},
-		{name: "store down", bring: func(c *cluster) { c.store.freeze() }},
+		{name: "store down", bring: func(c *cluster) { c.store.Freeze() }},
 		{name: "gateway frozen, then thawed", bring: func(c *cluster) {
-			c.hosts[0].gateway.freeze()
+			c.hosts[0].gateway.Freeze()
 			<-time.After(2 * time.Second) // longer than the peers' suspicion
-			c.hosts[0].gateway.signal(syscall.SIGCONT)
+			c.hosts[0].gateway.Signal(syscall.SIGCONT)
 		}},
 	}
 }
--- a/tests/prove/truth_test.go
+++ b/tests/prove/truth_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"corianderhitch/api/problem"
+	"corianderhitch/tests/harness"
 )
 
 // serviceFault is the fault of a stand-in service.
@@ -173,16 +174,16 @@
 	return fmt.Sprintf(", ran %d times, resend agrees", c.executions()[key])
 }
 
-func (one truthCase) disturb(t *testing.T, link *faultProxy) {
+func (one truthCase) disturb(t *testing.T, link *harness.Proxy) {
 	t.Helper()
-	link.cutAfter(one.upAt, one.downAt)
+	link.CutAfter(one.upAt, one.downAt)
 	if one.linksClosing {
-		link.set(refuse)
+		link.Set(harness.Refuse)
 	}
 	if one.linksDown {
-		link.unlisten()
+		link.Unlisten()
 	}
-	link.cut()
+	link.Cut()
 }
 
 func validID(text string) string {
@@ -215,24 +216,24 @@
 func (c *cluster) healServices(t *testing.T) {
 	t.Helper()
 	for _, s := range c.services {
-		s.link.set(pass)
-		s.link.cutAfter(0, 0)
+		s.link.Set(harness.Pass)
+		s.link.CutAfter(0, 0)
 		// A process that is dying answers no more and is about to end.
 		if trySend(http.MethodPut, "http://"+s.direct+"/admin/fault", serviceFault{}) != nil {
-			s.process.restart(t)
+			s.process.Restart(t)
 			c.awaitTarget(s)
-			s.link.revive(t, s.process)
+			s.link.Revive(t, s.process)
 			continue
 		}
-		s.link.listen(t)
+		s.link.Listen(t)
 	}
 }
 
 // awaitServices waits until every gateway can use every target.
 func (c *cluster) awaitServices(t *testing.T) {
 	t.Helper()
-	await(t, readyLimit, "healthy targets on every host", c.targetsHealthy)
-	await(t, readyLimit, "lookups through every gateway", func() bool {
+	harness.Await(t, readyLimit, "healthy targets on every host", c.targetsHealthy)
+	harness.Await(t, readyLimit, "lookups through every gateway", func() bool {
 		for _, h := range c.hosts {
 			answer, err := plain(t, h.url, keyDesk, http.MethodGet, "/services/booking/availability", "", "")
 			if err != nil || answer.status != http.StatusOK {
@@ -258,8 +259,8 @@
 			down = 1 + r.IntN(250) // an answer has some 180 bytes
 		}
 		for _, s := range c.services {
-			s.link.cutAfter(up, down)
-			s.link.cut()
+			s.link.CutAfter(up, down)
+			s.link.Cut()
 		}
 		key := fmt.Sprintf("position-%d", i)
 		answer, err := c.hold(t, 0, key)
