A fault soak with real processes; a stalled standard output no longer stops a stop

Cause: promises were proved one at a time in one process; overlapping faults on real processes were left to the bench.

It waits 200 ms now (TestCloseDoesNotWaitForA StalledOutput, hangs before).

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SEED ?= 1
 SCENARIO ?= crowded
 
-.PHONY: all build test unit race lint generate generate-check demo prove prove-short experiment bench fuzz-short clean \
+.PHONY: all build test unit race lint generate generate-check demo prove prove-short soak experiment bench fuzz-short clean \
 	load overhead compare rest documents ledger measure figures capacity
 
 all: build
@@ -75,6 +75,12 @@
 	@$(GO) test ./tests/prove -count=1 -timeout 10m -v -seed $(SEED) > out/prove.log 2>&1; \
 	code=$$?; grep -E '$(PROVE_LINES)' out/prove.log | grep -v 'not in the short form'; scripts/known-red.sh out/prove.log $$code
 
+# soak plays a random series of faults on real edge processes; every test run plays
+# seed 1. SOAK_FOR sets how long faults are injected.
+SOAK_FOR ?= 30s
+soak:
+	$(GO) test ./tests/soak -count=1 -v -timeout 10m -run TestSoak -seed $(SEED) -for $(SOAK_FOR)
+
 prove-short:
 	@mkdir -p out
 	@$(GO) test ./tests/prove -count=1 -short -v -seed $(SEED) > out/prove-short.log 2>&1; \
--- a/internal/edge/decisionlog/decisionlog_test.go
+++ b/internal/edge/decisionlog/decisionlog_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -75,3 +76,17 @@
 	w.Close()
 	require.Equal(t, "last\n", out.String())
 }
+
+// A process whose standard output nobody reads ends nevertheless.
+func TestCloseDoesNotWaitForAStalledOutput(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &stalled{release: make(chan struct{})}
+		w := NewWriter(out)
+		_, err := w.Write([]byte("line\n"))
+		require.NoError(t, err)
+		begun := time.Now()
+		w.Close()
+		require.Equal(t, closeWait, time.Since(begun))
+		close(out.release)
+	})
+}
--- a/internal/edge/decisionlog/writer.go
+++ b/internal/edge/decisionlog/writer.go
@@ -7,6 +7,7 @@
 	"io"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 const (
@@ -14,6 +15,9 @@
 	queueLines = 512
 	// maxBatchBytes bounds one write, which carries all lines at hand.
 	maxBatchBytes = 32 << 10
+	// closeWait bounds the wait for a slow output at the end of the process, well
+	// within what a planned stop leaves.
+	closeWait = 200 * time.Millisecond
 )
 
 // Writer queues lines for another writer. It never blocks and is safe for
@@ -48,10 +52,16 @@
 // Dropped returns how many lines were dropped and not reported yet.
 func (w *Writer) Dropped() int64 { return w.dropped.Load() }
 
-// Close writes what is queued. Write must not be called any more.
+// Close writes what is queued, unless the output takes longer than closeWait.
+// Write must not be called any more.
 func (w *Writer) Close() {
 	w.once.Do(func() { close(w.lines) })
-	<-w.done
+	timer := time.NewTimer(closeWait)
+	defer timer.Stop()
+	select {
+	case <-w.done:
+	case <-timer.C:
+	}
 }
 
 func (w *Writer) run() {
--- a/tests/edge/engine_test.go
+++ b/tests/edge/engine_test.go
@@ -42,7 +42,7 @@
 func wholeStream(id string, events int) string {
 	var b strings.Builder
 	for n := 1; n <= events; n++ {
-		fmt.Fprintf(&b, "id: %d\ndata: event %d of %s\n\n", n, n, id)
+		b.WriteString(standin.EventText(id, n))
 	}
 	return b.String()
 }
--- a/tests/harness/process.go
+++ b/tests/harness/process.go
@@ -25,6 +25,7 @@
 	Args []string
 	Env  []string // beside those of the test
 	Log  string   // file with stdout and stderr
+	Out  *os.File // gets stdout instead of the file; nil for none
 
 	mu   sync.Mutex
 	cmd  *exec.Cmd     // guarded by mu
@@ -40,6 +41,9 @@
 	cmd := exec.Command(p.Path, p.Args...)
 	cmd.Env = append(os.Environ(), p.Env...)
 	cmd.Stdout, cmd.Stderr = file, file
+	if p.Out != nil {
+		cmd.Stdout = p.Out
+	}
 	// A program dies with the test process, even if that is killed.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	require.NoError(t, cmd.Start())
@@ -114,6 +118,22 @@
 	return p.code
 }
 
+// CPU returns the processor time that the program took, after its end.
+func (p *Process) CPU() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd.ProcessState.UserTime() + p.cmd.ProcessState.SystemTime()
+}
+
+// PID returns the process id.
+func (p *Process) PID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd.Process.Pid
+}
+
+// End ends the program at the end of a test and shows the last of its log if the
+// test failed.
 func (p *Process) End(t testing.TB) {
 	p.Kill()
 	if t.Failed() {
