Draw engines until the hosts know each other; hangups from the first moment

After a power loss of all hosts each chose the engine that looked emptiest, the same one for all (33 and 57 lines "engine is silent", 13 callers gave up). A hangup within 10 ms of a start ended the process: 20 of 20 signals up to 6 ms, 7 of 20 at 8 ms.

Change: before the list of hosts is known a run is drawn among all engines with room. The handler of SIGHUP is installed by a package that is initialised before the large ones: 20 of 20 at 2 ms, 1 of 20 at 4 ms, none after; what is left is the loading of the program, which the soak waits for.

--- a/internal/edge/placing/engine_test.go
+++ b/internal/edge/placing/engine_test.go
@@ -129,9 +129,13 @@
 	const (
 		bound  = 0.05
 		unseen = 8 // 62 hosts, loads 124 ms old
+		// beforeList is how many runs come in the 0.7 s before hosts know each other.
+		beforeList = 42
 	)
 	require.LessOrEqual(t, crowd(1, 1), bound, "a hub that sees each run at once")
 	require.LessOrEqual(t, crowd(unseen, Spread(1, 62, 124*time.Millisecond)), bound, "hosts that draw among the best")
+	require.LessOrEqual(t, crowd(beforeList, Unknown), bound, "hosts that have just started together")
+	require.Greater(t, crowd(beforeList, 0), 0.5, "the same, if each takes the engine that looks best")
 	require.Greater(t, crowd(4*unseen, 1), bound, "hosts that all take the best, with a hub that is slow")
 }
 
--- a/internal/edge/placing/spread.go
+++ b/internal/edge/placing/spread.go
@@ -42,6 +42,11 @@
 	r.at = now
 }
 
+// Unknown is the spread of a host that knows nothing of the others, as after a
+// start of all hosts at once: to each of them all engines look empty, so that one
+// is drawn among all.
+const Unknown = math.MaxInt
+
 // Spread returns how many runs the other hosts place while this one's knowledge
 // of them ages, if all place as many as this host.
 func Spread(perSecond float64, hosts int, age time.Duration) int {
--- a/internal/edge/process/runs.go
+++ b/internal/edge/process/runs.go
@@ -14,7 +14,10 @@
 // them, if no hub places it.
 func (p *Process) spread() int {
 	p.runRate.Add()
-	if p.exchange.PlacesRuns() {
+	switch {
+	case len(p.members.Hubs()) == 0: // the list of hosts is not known yet
+		return placing.Unknown
+	case p.exchange.PlacesRuns():
 		return 1
 	}
 	return placing.Spread(p.runRate.PerSecond(), p.members.Count(), p.exchange.FleetAge())
--- /dev/null
+++ b/internal/edge/process/spread_test.go
@@ -0,0 +1,19 @@
+package process
+
+import (
+	"log/slog"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"corianderhitch/internal/edge/peers"
+	"corianderhitch/internal/edge/placing"
+	"corianderhitch/internal/edge/relay"
+)
+
+// A host that has just started does not trust that engines are as empty as they
+// look.
+func TestRunsAreDrawnAmongAllEnginesBeforeTheHostsAreKnown(t *testing.T) {
+	p := &Process{members: peers.NewMembers(slog.New(slog.DiscardHandler), nil, relay.Host{Name: "host"})}
+	require.Equal(t, placing.Unknown, p.spread())
+}
--- a/internal/edge/process/stop.go
+++ b/internal/edge/process/stop.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 	"time"
+
+	"corianderhitch/internal/hangup"
 )
 
 const (
@@ -36,7 +38,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-p.hangups:
+		case <-hangup.Signals():
 		}
 		n, err := p.adapter.ReadNode(path)
 		if err != nil {
--- /dev/null
+++ b/tests/soak/regressions_test.go
@@ -0,0 +1,23 @@
+package soak
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// TestSeedsThatFailed plays each seed that ever failed, as it was played then.
+func TestSeedsThatFailed(t *testing.T) {
+	for _, c := range []struct {
+		seed  uint64
+		lasts time.Duration
+		cause string
+	}{
+		{10, 12 * time.Second, "a hangup ended a process that had started less than 10 ms ago"},
+	} {
+		t.Run(fmt.Sprintf("seed %d: %s", c.seed, c.cause), func(t *testing.T) {
+			t.Parallel()
+			play(t, c.seed, c.lasts)
+		})
+	}
+}
