Explain failed requests from logs and metrics of real processes

Change: counters of store calls by result, gauges of expected memory and list age; docs/METRICS.md made from the instruments and checked against what is scraped (TestThePageNamesWhatIsScraped); a span for the request, each send and each move; hitchctl explain ID FILES reads logs; the last line of a plain call names its target and sends.

--- a/Makefile
+++ b/Makefile
@@ -31,12 +31,14 @@
 	$(BIN)/tools/staticcheck ./...
 	$(BIN)/tools/revive -config revive.toml -set_exit_status ./...
 
-# generate writes what is made from the code: the page of all settings.
+# generate writes what is made from the code: the pages of settings and metrics.
 generate:
 	$(GO) run ./internal/settings/gendoc
+	$(GO) run ./internal/edge/metrics/gendoc
 
 generate-check:
 	$(GO) run ./internal/settings/gendoc -check
+	$(GO) run ./internal/edge/metrics/gendoc -check
 
 # experiment runs every policy on the same seeded arrivals in virtual time.
 # SEEDS=10 adds the median and the worst over seeds; SCENARIO_FILE=path takes a
--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -21,12 +21,15 @@
 func (a *app) explainCommand() *cobra.Command {
 	var account string
 	cmd := &cobra.Command{
-		Use:   "explain REQUEST-ID --account NAME",
-		Short: "Tell why a request went where it did",
-		Args:  cobra.ExactArgs(1),
+		Use:   "explain REQUEST-ID (--account NAME | [LOG-FILE...])",
+		Short: "Tell why a request went where it did, by the agents' memory or by logs (standard input without files)",
+		Args:  cobra.MinimumNArgs(1),
 		RunE: a.command(func(ctx context.Context, args []string) error {
 			if account == "" {
-				return &usageError{"explain needs --account, because request ids are only unique within an account"}
+				return a.tellStory(args[0], args[1:])
+			}
+			if len(args) > 1 {
+				return &usageError{"explain takes either --account or log files"}
 			}
 			reply, _, err := askAgents[control.ExplainReply](ctx, a, "Control.Explain",
 				control.ExplainArgs{Account: account, RequestID: args[0]})
--- a/internal/cli/story.go
+++ b/internal/cli/story.go
@@ -16,16 +16,21 @@
 		Short: "Tell a request's way from the logs of all hosts (standard input without files)",
 		Args:  cobra.MinimumNArgs(1),
 		RunE: a.command(func(_ context.Context, args []string) error {
-			reader := story.NewReader(args[0])
-			if err := readLogs(reader, args[1:]); err != nil {
-				return err
-			}
-			s := reader.Story()
-			return a.out.result(s, func(w io.Writer) { s.Write(w) })
+			return a.tellStory(args[0], args[1:])
 		}),
 	}
 }
 
+// tellStory prints what logs say of a request.
+func (a *app) tellStory(request string, files []string) error {
+	reader := story.NewReader(request)
+	if err := readLogs(reader, files); err != nil {
+		return err
+	}
+	s := reader.Story()
+	return a.out.result(s, func(w io.Writer) { s.Write(w) })
+}
+
 func readLogs(reader *story.Reader, files []string) error {
 	if len(files) == 0 {
 		return reader.Read("stdin", os.Stdin)
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -6,6 +6,10 @@
 	"net/http"
 	"time"
 
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
 	"corianderhitch/internal/edge/targetconn"
 	"corianderhitch/internal/edge/targets"
 )
@@ -16,8 +20,13 @@
 	Pool *targetconn.Pool
 }
 
+// tracer begins a span for each hop. Without a collector it does nothing.
+var tracer = otel.Tracer("corianderhitch/edge")
+
 // Send passes a call on to a target and waits for the head of its answer.
 func (s *Sender) Send(ctx context.Context, c *Call, t *targets.Target, d Dispatch, timeLeft time.Duration) (*targetconn.Response, error) {
+	ctx, span := tracer.Start(ctx, "send", trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(attribute.String("target", t.ID)))
+	defer span.End()
 	d.TargetID = t.ID
 	return s.Pool.Do(ctx, t.Key(), t.Address, &targetconn.Request{
 		ID: c.ID, Method: c.Method, URI: c.URI, Host: c.Host, Header: s.Wire.Encode(c, d, timeLeft), Body: c.Body,
--- a/internal/edge/ingress/handler.go
+++ b/internal/edge/ingress/handler.go
@@ -11,6 +11,10 @@
 	"net/http"
 	"time"
 
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
 	"corianderhitch/internal/edge"
 	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/edge/freshness"
@@ -46,6 +50,9 @@
 	Request(route *policy.Route, outcome string, took time.Duration)
 }
 
+// tracer begins a span for each request. Without a collector it does nothing.
+var tracer = otel.Tracer("corianderhitch/edge")
+
 // Handler is the callers' HTTP handler.
 type Handler struct {
 	Log       *slog.Logger
@@ -67,7 +74,10 @@
 		w.Header().Set("Connection", "close")
 	}
 	call := h.Wire.Decode(r)
-	a, refusal := h.admit(r.Context(), &call, arrived)
+	ctx, span := tracer.Start(r.Context(), "edge request", trace.WithSpanKind(trace.SpanKindServer),
+		trace.WithAttributes(attribute.String("request.id", call.ID)))
+	defer span.End()
+	a, refusal := h.admit(ctx, &call, arrived)
 	if refusal == nil {
 		refusal = h.readBody(w, r, a)
 	}
@@ -82,7 +92,8 @@
 	}
 	outcome := "aborted"
 	defer func() { h.finish(a, outcome) }() // also when the answer is aborted by a panic
-	outcome = server.Serve(r.Context(), w, a)
+	outcome = server.Serve(ctx, w, a)
+	span.SetAttributes(attribute.String("route", a.Route.Name), attribute.String("outcome", outcome))
 }
 
 func (h *Handler) finish(a *edge.Admitted, outcome string) {
--- a/internal/edge/loadbook/book.go
+++ b/internal/edge/loadbook/book.go
@@ -263,6 +263,18 @@
 	return out
 }
 
+// ExpectedTokens returns the memory that this host's runs are expected to hold at
+// their ends.
+func (b *Book) ExpectedTokens() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	sum := 0
+	for _, l := range b.own {
+		sum += l.Tokens
+	}
+	return sum
+}
+
 // Changed returns a channel that is closed when a load falls.
 func (b *Book) Changed() <-chan struct{} {
 	b.mu.Lock()
--- a/internal/edge/metrics/metrics.go
+++ b/internal/edge/metrics/metrics.go
@@ -1,5 +1,5 @@
-// Package metrics counts what the edge process does. Names and meanings stand in
-// docs/OPERATIONS.md.
+// Package metrics counts what the edge process does. docs/METRICS.md, which is
+// made from it, tells what each metric means.
 package metrics
 
 import (
@@ -26,15 +26,29 @@
 	waiting  metric.Float64Histogram
 	first    metric.Float64Histogram
 	pauses   metric.Float64Histogram
+	store    metric.Int64Counter
+	// Defined lists all instruments, for the page of metrics.
+	Defined []Definition
+}
+
+// Definition describes an instrument.
+type Definition struct {
+	Name    string // as it is scraped
+	Kind    string
+	Unit    string
+	Labels  string
+	Meaning string
 }
 
 // Gauges are read at each scrape.
 type Gauges struct {
 	Runs      func() int
+	Expected  func() int // memory tokens
 	Waiting   func() int
 	Targets   func() int
 	Hosts     func() int
 	PolicyAge func() time.Duration
+	ListAge   func() time.Duration
 	Version   func() int64
 	Dropped   func() int64
 }
@@ -43,20 +57,24 @@
 func New(meter metric.Meter, g Gauges) (*Metrics, error) {
 	m := &Metrics{}
 	b := &builder{meter: meter}
-	m.requests = b.counter("hitch_edge_requests", "requests by kind of route and outcome")
-	m.latency = b.seconds("hitch_edge_request_duration", "time from arrival to the end of the answer")
-	m.moves = b.counter("hitch_edge_moves", "runs moved between engines, by outcome")
-	m.moving = b.seconds("hitch_edge_move_duration", "time that a move took")
-	m.waiting = b.seconds("hitch_edge_admission_wait", "time that a generation waited for an engine with room, by whether one was found")
-	m.first = b.seconds("hitch_edge_first_event", "time from arrival to the first event of a generation")
-	m.pauses = b.seconds("hitch_edge_longest_pause", "longest time between two events of a generation")
-	b.gauge("hitch_edge_runs", "generations in flight from this host", func() int64 { return int64(g.Runs()) })
-	b.gauge("hitch_edge_waiting_runs", "generations that wait for room", func() int64 { return int64(g.Waiting()) })
-	b.gauge("hitch_edge_targets", "targets in the list", func() int64 { return int64(g.Targets()) })
-	b.gauge("hitch_edge_hosts", "hosts of the fleet, this one included", func() int64 { return int64(g.Hosts()) })
-	b.gauge("hitch_edge_policy_age_milliseconds", "time since the configuration was surely the newest", func() int64 { return g.PolicyAge().Milliseconds() })
-	b.gauge("hitch_edge_policy_version", "version of the configuration in force", g.Version)
-	b.gauge("hitch_edge_log_lines_dropped", "log lines dropped and not reported yet", g.Dropped)
+	m.requests = b.counter("hitch_edge_requests", "kind, outcome", "requests by kind of route and the word that ends their story")
+	m.latency = b.seconds("hitch_edge_request_duration", "kind", "time from arrival to the end of the answer")
+	m.waiting = b.seconds("hitch_edge_admission_wait", "found", "time that a generation waited for an engine with room, by whether one was found")
+	m.first = b.seconds("hitch_edge_first_event", "", "time from arrival to the first event of a generation")
+	m.pauses = b.seconds("hitch_edge_longest_pause", "", "longest time between two events of a generation; pauses beyond the objective of its route are logged")
+	m.moves = b.counter("hitch_edge_moves", "outcome", "runs moved off leaving engines")
+	m.moving = b.seconds("hitch_edge_move_duration", "", "time that a move took")
+	m.store = b.counter("hitch_edge_store_calls", "call, result", "calls to the platform's store")
+	b.gauge("hitch_edge_runs", "", "generations in flight from this host", func() int64 { return int64(g.Runs()) })
+	b.gauge("hitch_edge_waiting_runs", "", "generations that wait for room", func() int64 { return int64(g.Waiting()) })
+	b.gauge("hitch_edge_expected_memory_tokens", "", "memory, in tokens, that this host's generations are expected to hold at their ends", func() int64 { return int64(g.Expected()) })
+	b.gauge("hitch_edge_targets", "", "targets in the list", func() int64 { return int64(g.Targets()) })
+	b.gauge("hitch_edge_target_list_age", "ms", "time since the target list was surely current", func() int64 { return g.ListAge().Milliseconds() })
+	b.gauge("hitch_edge_hosts", "", "hosts of the fleet, this one included", func() int64 { return int64(g.Hosts()) })
+	b.gauge("hitch_edge_policy_age", "ms", "time since the configuration was surely the newest", func() int64 { return g.PolicyAge().Milliseconds() })
+	b.gauge("hitch_edge_policy_version", "", "version of the configuration in force", g.Version)
+	b.gauge("hitch_edge_log_lines_dropped", "", "log lines dropped and not reported yet", g.Dropped)
+	m.Defined = b.defined
 	return m, b.err
 }
 
@@ -92,10 +110,27 @@
 	m.pauses.Record(context.Background(), longest.Seconds())
 }
 
+// StoreCall counts a call to the store.
+func (m *Metrics) StoreCall(call, result string) {
+	m.store.Add(context.Background(), 1, metric.WithAttributes(attribute.String("call", call), attribute.String("result", result)))
+}
+
 // builder creates instruments and keeps the first error.
 type builder struct {
-	meter metric.Meter
-	err   error
+	meter   metric.Meter
+	err     error
+	defined []Definition
+}
+
+// scraped are the endings that the Prometheus format adds for units.
+var scraped = map[string]string{"s": "_seconds", "ms": "_milliseconds"}
+
+func (b *builder) define(name, kind, unit, labels, meaning string) {
+	name += scraped[unit]
+	if kind == "counter" {
+		name += "_total"
+	}
+	b.defined = append(b.defined, Definition{Name: name, Kind: kind, Unit: unit, Labels: labels, Meaning: meaning})
 }
 
 func (b *builder) keep(err error) {
@@ -104,21 +139,24 @@
 	}
 }
 
-func (b *builder) counter(name, description string) metric.Int64Counter {
+func (b *builder) counter(name, labels, description string) metric.Int64Counter {
+	b.define(name, "counter", "", labels, description)
 	c, err := b.meter.Int64Counter(name, metric.WithDescription(description))
 	b.keep(err)
 	return c
 }
 
-func (b *builder) seconds(name, description string) metric.Float64Histogram {
+func (b *builder) seconds(name, labels, description string) metric.Float64Histogram {
+	b.define(name, "histogram", "s", labels, description)
 	h, err := b.meter.Float64Histogram(name, metric.WithDescription(description), metric.WithUnit("s"),
 		metric.WithExplicitBucketBoundaries(latencyBounds...))
 	b.keep(err)
 	return h
 }
 
-func (b *builder) gauge(name, description string, read func() int64) {
-	_, err := b.meter.Int64ObservableGauge(name, metric.WithDescription(description),
+func (b *builder) gauge(name, unit, description string, read func() int64) {
+	b.define(name, "gauge", unit, "", description)
+	_, err := b.meter.Int64ObservableGauge(name, metric.WithDescription(description), metric.WithUnit(unit),
 		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
 			o.Observe(read())
 			return nil
--- /dev/null
+++ b/internal/edge/metrics/metrics_test.go
@@ -0,0 +1,42 @@
+package metrics
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"corianderhitch/internal/telemetry"
+)
+
+// The page names each metric as it is scraped, and nothing else.
+func TestThePageNamesWhatIsScraped(t *testing.T) {
+	signals, err := telemetry.Start(t.Context(), "edge", "host", telemetry.Settings{})
+	require.NoError(t, err)
+	one := func() int { return 1 }
+	age := func() time.Duration { return time.Second }
+	m, err := New(signals.Meter, Gauges{Runs: one, Expected: one, Waiting: one, Targets: one, Hosts: one, PolicyAge: age, ListAge: age,
+		Version: func() int64 { return 1 }, Dropped: func() int64 { return 0 }})
+	require.NoError(t, err)
+	m.Request(nil, "answered", time.Second)
+	m.Move("secured", time.Second)
+	m.Wait(time.Second, true)
+	m.FirstEvent(time.Second)
+	m.Pause(time.Second)
+	m.StoreCall("get", "ok")
+	answer := httptest.NewRecorder()
+	signals.Handler().ServeHTTP(answer, httptest.NewRequest("GET", "/metrics", nil))
+	var scraped []string
+	for _, line := range strings.Split(answer.Body.String(), "\n") {
+		if fields := strings.Fields(line); len(fields) == 4 && fields[1] == "TYPE" && strings.HasPrefix(fields[2], "hitch_") {
+			scraped = append(scraped, fields[2]+" "+fields[3])
+		}
+	}
+	var defined []string
+	for _, d := range m.Defined {
+		defined = append(defined, d.Name+" "+d.Kind)
+	}
+	require.ElementsMatch(t, scraped, defined)
+}
--- a/internal/edge/migration/mover.go
+++ b/internal/edge/migration/mover.go
@@ -5,6 +5,10 @@
 	"log/slog"
 	"time"
 
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
 	"corianderhitch/internal/edge"
 	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/edge/loadbook"
@@ -37,6 +41,9 @@
 	secured      = "secured" // the copy stands; the source ends before the final one
 )
 
+// tracer begins a span for each move. Without a collector it does nothing.
+var tracer = otel.Tracer("corianderhitch/edge")
+
 // Mover moves the runs of this host.
 type Mover struct {
 	Log     *slog.Logger
@@ -73,6 +80,8 @@
 
 // move takes one run to another engine.
 func (m *Mover) move(ctx context.Context, source *targets.Target, noticed bootclock.Instant, far float64, r *streaming.Run) {
+	ctx, span := tracer.Start(ctx, "move", trace.WithAttributes(attribute.String("request.id", r.ID()), attribute.String("source", source.ID)))
+	defer span.End()
 	started := bootclock.Now()
 	outcome, tried := m.tryAll(ctx, source, noticed, far, r)
 	took := bootclock.Since(started)
--- a/internal/edge/peers/exchange.go
+++ b/internal/edge/peers/exchange.go
@@ -214,11 +214,18 @@
 	return len(hubs) > 0 && hubs[0].Name == e.Host && e.Live()
 }
 
-// Served tells whether a hub that is live answered lately.
-func (e *Exchange) Served() bool {
+// Heard returns the instant as of which a hub that is live last answered; the
+// beginning of the clock if none did.
+func (e *Exchange) Heard() bootclock.Instant {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.heard != 0 && bootclock.Since(e.heard) < hubSilence
+	return e.heard
+}
+
+// Served tells whether a hub that is live answered lately.
+func (e *Exchange) Served() bool {
+	heard := e.Heard()
+	return heard != 0 && bootclock.Since(heard) < hubSilence
 }
 
 func (e *Exchange) sync(ctx context.Context, hub relay.Host, wantFleet bool) {
--- a/internal/edge/plain/server.go
+++ b/internal/edge/plain/server.go
@@ -58,6 +58,9 @@
 	defer cancel()
 	r := &run{server: s, call: a, ctx: ctx, outcomes: make(chan outcome, maxUnsent+a.Route.MaxAttempts), tried: make(map[string]bool)}
 	best := r.serve()
+	if best.target != nil {
+		a.Log = a.Log.With("target", best.target.ID, "sends", r.sends)
+	}
 	if best.result == answered || best.result == failed {
 		edge.CopyHeader(w.Header(), best.header)
 		w.Header().Set("Content-Length", strconv.Itoa(len(best.body)))
@@ -66,7 +69,7 @@
 		return best.result.String()
 	}
 	refusal := r.refuse(best)
-	a.Log.Warn("plain: refused", "status", refusal.Status, "reason", refusal.Reason, "sends", r.sends,
+	a.Log.Warn("plain: refused", "status", refusal.Status, "reason", refusal.Reason,
 		"age_ms", a.Age().Milliseconds(), "retry_after_ms", refusal.RetryAfter.Milliseconds())
 	refusal.Write(w, s.Sender.Wire)
 	return refusal.Reason
--- a/internal/edge/process/follow.go
+++ b/internal/edge/process/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -72,6 +73,14 @@
 		listed: func() { p.listed.Store(true) }, known: make(map[string]targets.Target)}
 }
 
+// listAge returns the time since the target list was surely current.
+func (p *Process) listAge() time.Duration {
+	if p.feeds.targets.Live() {
+		return 0
+	}
+	return min(bootclock.Since(p.exchange.Heard()), math.MaxInt32*time.Millisecond)
+}
+
 // live tells whether this host follows the store at this moment.
 func (f *feeds) live() bool { return f.policy.Live() && f.targets.Live() }
 
--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -8,11 +8,9 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -78,19 +76,18 @@
 	runRate   placing.Rate
 	listed    atomic.Bool
 	stopping  atomic.Bool
-	hangups   <-chan os.Signal // changes of the settings
 
 	budgetsMu sync.Mutex
 	budgets   map[string]*retrybudget.Budget // guarded by budgetsMu; by service
 }
 
+// flushTime bounds the sending of the last traces, within what a planned stop
+// leaves at its end.
+const flushTime = 200 * time.Millisecond
+
 // Run returns the main function of the process for a platform.
 func Run(adapter Adapter) func(ctx context.Context, _ io.Writer, s Settings) error {
 	return func(ctx context.Context, _ io.Writer, s Settings) error {
-		// Without a handler a hangup ends the process, also while it starts.
-		hangups := make(chan os.Signal, 1)
-		signal.Notify(hangups, syscall.SIGHUP)
-		defer signal.Stop(hangups)
 		out := adapter.Logs
 		if out == nil {
 			out = os.Stdout
@@ -110,8 +107,14 @@
 		if err != nil {
 			return err
 		}
+		defer func() {
+			flush, cancel := context.WithTimeout(context.Background(), flushTime)
+			defer cancel()
+			if err := signals.Stop(flush); err != nil {
+				log.Warn("edge: traces are lost", "error", err.Error())
+			}
+		}()
 		p := newProcess(log, n, adapter)
-		p.hangups = hangups
 		p.metrics, err = metrics.New(signals.Meter, p.gauges(lines))
 		if err != nil {
 			return err
@@ -124,9 +127,10 @@
 
 func newProcess(log *slog.Logger, n node.Node, adapter Adapter) *Process {
 	p := &Process{
-		log: log, node: n, adapter: adapter, store: adapter.Store(n.StoreAddress),
+		log: log, node: n, adapter: adapter,
 		policy: policy.NewHolder(adapter.DecodeConfiguration), book: loadbook.New(n.Name), budgets: make(map[string]*retrybudget.Budget),
 	}
+	p.store = &countedStore{Store: adapter.Store(n.StoreAddress), count: func(call, result string) { p.metrics.StoreCall(call, result) }}
 	p.pool = targetconn.New(adapter.requestID)
 	p.targets = targets.New(p.targetLeaves)
 	p.list = relay.NewLog(p.newTargetSink())
@@ -213,7 +217,7 @@
 
 func (p *Process) gauges(lines *decisionlog.Writer) metrics.Gauges {
 	return metrics.Gauges{
-		Runs: p.streaming.Runs.Len, Waiting: p.streaming.Queue.Len, Hosts: p.members.Count,
+		Runs: p.streaming.Runs.Len, Expected: p.book.ExpectedTokens, ListAge: p.listAge, Waiting: p.streaming.Queue.Len, Hosts: p.members.Count,
 		Targets:   func() int { return p.targets.View().Len() },
 		PolicyAge: func() time.Duration { return min(p.confirmer.Age(), math.MaxInt32*time.Millisecond) },
 		Version: func() int64 {
--- a/tests/soak/main_test.go
+++ b/tests/soak/main_test.go
@@ -21,6 +21,7 @@
 	hosts    = flag.Int("hosts", 4, "edge processes")
 	callers  = flag.Int("callers", 8, "callers a host, each with one kept connection")
 	edgePath string // the program under test, built by TestMain
+	ctlPath  string // the operators' command line, built by TestMain
 )
 
 func TestMain(m *testing.M) {
@@ -33,8 +34,8 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
-	edgePath = filepath.Join(dir, "edge")
-	if out, err := exec.Command("go", "build", "-o", edgePath, "corianderhitch/cmd/edge").CombinedOutput(); err != nil {
+	edgePath, ctlPath = filepath.Join(dir, "edge"), filepath.Join(dir, "hitchctl")
+	if out, err := exec.Command("go", "build", "-o", dir, "corianderhitch/cmd/edge", "corianderhitch/cmd/hitchctl").CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
 		os.Exit(1)
 	}
@@ -44,7 +45,10 @@
 }
 
 // TestSoak plays the seed of the command line.
-func TestSoak(t *testing.T) { play(t, *seed, *lasts) }
+func TestSoak(t *testing.T) {
+	t.Parallel()
+	play(t, *seed, *lasts)
+}
 
 // play runs one world through its faults and checks what was seen.
 func play(t *testing.T, seed uint64, lasts time.Duration) {
