--- a/internal/edge/peers/exchange.go
+++ b/internal/edge/peers/exchange.go
@@ -24,38 +24,14 @@
 	"corianderhitch/internal/edge/relay"
 	"corianderhitch/internal/edge/targets"
 	"corianderhitch/internal/rpcconn"
-	"corianderhitch/internal/wait"
 )
 
 const (
-	// leastSyncPeriod is the age that loads of other hosts reach in a small fleet:
-	// within it, hosts choose the same empty engine.
-	leastSyncPeriod = 80 * time.Millisecond
-	// syncPerHost makes the period grow with the fleet, so that a hub answers at
-	// most 200 calls a second: it knows of runs that begin from placing them, and
-	// learns from syncs only that they ended.
-	syncPerHost = 5 * time.Millisecond
-	// fleetTurns is how many syncs go without the loads of all hosts to one with
-	// them.
-	fleetTurns = 4
-	// standbyTurns is how many syncs with the first hub go with one to the second,
-	// which only stands by.
-	standbyTurns = 5
 	// callTimeout bounds a call between hosts.
 	callTimeout = 400 * time.Millisecond
-	// placeTimeout bounds the question for an engine; a host that gets no answer
-	// chooses alone.
-	placeTimeout = 60 * time.Millisecond
 	// hubSilence is how long the hubs may be silent before this host follows the
 	// store itself: two lost calls.
 	hubSilence = 900 * time.Millisecond
-	// maxVouchAge is the oldest vouched confirmation that is of use; a peer without
-	// any says an endless age.
-	maxVouchAge = time.Hour
-	// noticeGather collects notices that come close together into one call.
-	noticeGather = 5 * time.Millisecond
-	// vouchPeers is how many hosts are asked to vouch at once.
-	vouchPeers = 4
 	// serviceName is the name of the net/rpc service.
 	serviceName = "Peer"
 )
@@ -133,39 +109,6 @@
 	}
 }
 
-// Run syncs with the hubs until ctx ends.
-func (e *Exchange) Run(ctx context.Context) {
-	go e.announce(ctx)
-	timer := time.NewTimer(leastSyncPeriod)
-	defer timer.Stop()
-	for turn := 0; ; turn++ {
-		hurried := false
-		select {
-		case <-ctx.Done():
-			return
-		case <-e.hurry:
-			hurried = true
-		case <-timer.C:
-		}
-		timer.Reset(e.Period())
-		for rank, hub := range e.Members.Hubs() {
-			due := rank == 0 || hurried || turn%standbyTurns == 0 || !e.answers(e.Members.Hubs()[0].Name)
-			if hub.Name != e.Host && due {
-				go e.sync(ctx, hub, turn%fleetTurns == 0 || len(e.Members.Hubs()) < relay.Hubs)
-			}
-		}
-	}
-}
-
-// Period returns the time between two syncs with the first hub.
-func (e *Exchange) Period() time.Duration {
-	return max(leastSyncPeriod, syncPerHost*time.Duration(e.Members.Count()))
-}
-
-// FleetAge returns the age that the loads of all hosts reach on a host that
-// places runs alone.
-func (e *Exchange) FleetAge() time.Duration { return fleetTurns * e.Period() }
-
 // answers tells whether a host answered the last call.
 func (e *Exchange) answers(host string) bool {
 	e.mu.Lock()
@@ -173,30 +116,6 @@
 	return !e.quiet[host]
 }
 
-// announce sends notices to the hosts that do not hear of them otherwise: a hub
-// to all hosts, another host to the hubs.
-func (e *Exchange) announce(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-e.kick:
-		}
-		wait.For(ctx, noticeGather)
-		args := NoticeArgs{Host: e.Host, Leaving: e.Targets.Notices()}
-		receivers := e.Members.Hubs()
-		if e.IsHub() {
-			receivers = e.Members.All()
-			args.Parts = e.Book.Parts(e.Targets.NewlyLeaving())
-		}
-		for _, host := range receivers {
-			if host.Name != e.Host {
-				go func() { _ = e.call(ctx, host.Name, host.Address, "Notice", args, new(NoticeReply)) }()
-			}
-		}
-	}
-}
-
 // IsHub tells whether this host follows the store for others.
 func (e *Exchange) IsHub() bool {
 	for _, hub := range e.Members.Hubs() {
@@ -228,61 +147,6 @@
 	return heard != 0 && bootclock.Since(heard) < hubSilence
 }
 
-func (e *Exchange) sync(ctx context.Context, hub relay.Host, wantFleet bool) {
-	args := SyncArgs{Host: e.Host, WantFleet: wantFleet, Loads: e.Book.Own(), Leaving: e.Targets.Notices(), Failing: e.Health.Failing(), ListRevision: e.List.Revision()}
-	if p := e.Policy.Current(); p != nil {
-		args.PolicyRevision = p.Revision
-	}
-	asked := bootclock.Now()
-	reply := new(SyncReply)
-	if err := e.call(ctx, hub.Name, hub.Address, "Sync", args, reply); err != nil {
-		return // call logs it
-	}
-	if !e.IsHub() { // hubs hear of each host directly
-		if wantFleet {
-			e.Book.SetFleet(reply.Fleet)
-		}
-		e.Book.SetParts(reply.Parts)
-		e.Health.SetFleet(reply.Failing)
-	}
-	e.takeLeaving(hub.Name, reply.Leaving)
-	if asOf, ok := e.takeVouch(hub.Address, asked, &reply.Vouch); ok {
-		e.Confirmer.Note(asOf)
-	}
-	if !reply.Live {
-		return
-	}
-	e.List.Take(reply.List)
-	e.mu.Lock()
-	e.heard = max(e.heard, asked)
-	e.mu.Unlock()
-}
-
-// Place asks the first hub that answers for an engine. It returns false if this
-// host must choose alone: it is that hub itself, or no hub can.
-func (e *Exchange) Place(ctx context.Context, args PlaceArgs) (PlaceReply, bool) {
-	args.Host = e.Host
-	for _, hub := range e.Members.Hubs() {
-		if hub.Name == e.Host {
-			return PlaceReply{}, false
-		}
-		if !e.answers(hub.Name) {
-			continue
-		}
-		ctx, cancel := context.WithTimeout(ctx, placeTimeout)
-		defer cancel()
-		reply := new(PlaceReply)
-		if err := e.pool.Call(ctx, hub.Address, serviceName+".Place", args, reply); err != nil {
-			e.Log.Warn("peers: hub does not place a run", "hub", hub.Name, "error", err.Error())
-			return PlaceReply{}, false
-		}
-		if reply.Able {
-			return *reply, true
-		}
-	}
-	return PlaceReply{}, false
-}
-
 // call calls a host and logs when it falls silent and when it is back.
 func (e *Exchange) call(ctx context.Context, host, address, method string, args, reply any) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -303,73 +167,3 @@
 	}
 	return err
 }
-
-func (e *Exchange) takeLeaving(host string, keys []string) {
-	for _, key := range keys {
-		e.Targets.Leaving(key, "peer "+host)
-	}
-}
-
-// Vouch asks other hosts until one has a configuration that was surely the
-// newest less than maxAge ago, puts it in force if it is newer, and returns that
-// instant.
-func (e *Exchange) Vouch(ctx context.Context, maxAge time.Duration) (bootclock.Instant, error) {
-	answers := make(chan bootclock.Instant, 1)
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	asked := 0
-	for _, host := range e.Members.Sample(vouchPeers) {
-		asked++
-		go func() {
-			if asOf, ok := e.ask(ctx, host, maxAge); ok {
-				select {
-				case answers <- asOf:
-				default:
-				}
-			}
-		}()
-	}
-	select {
-	case asOf := <-answers:
-		return asOf, nil
-	case <-ctx.Done():
-		return 0, eris.Errorf("none of %d peers has a confirmation younger than %v", asked, maxAge)
-	}
-}
-
-func (e *Exchange) ask(ctx context.Context, host relay.Host, maxAge time.Duration) (bootclock.Instant, bool) {
-	args := VouchArgs{}
-	if p := e.Policy.Current(); p != nil {
-		args.Revision = p.Revision
-	}
-	asked := bootclock.Now()
-	reply := new(Vouch)
-	if err := e.call(ctx, host.Name, host.Address, "Vouch", args, reply); err != nil || reply.Age > maxAge {
-		return 0, false
-	}
-	return e.takeVouch(host.Address, asked, reply)
-}
-
-// takeVouch puts a peer's configuration in force if it is newer and returns the
-// instant as of which it was surely the newest. The peer's age is of a moment
-// after the question was sent: what happens to the answer on its way makes the
-// instant earlier, never later.
-func (e *Exchange) takeVouch(address string, asked bootclock.Instant, v *Vouch) (bootclock.Instant, bool) {
-	if v.Raw != nil {
-		accepted, err := e.Policy.Offer(v.Raw, v.Revision)
-		if err != nil {
-			e.Log.Error("peers: configuration of a peer cannot be read", "address", address, "revision", v.Revision, "error", err.Error())
-			return 0, false
-		}
-		if accepted {
-			e.Log.Info("policy: configuration in force", "version", e.Policy.Current().Version, "revision", v.Revision, "source", "peer "+address)
-		}
-	}
-	if p := e.Policy.Current(); p == nil || p.Revision < v.Revision {
-		return 0, false
-	}
-	if v.Age > maxVouchAge {
-		return 0, false
-	}
-	return asked.Add(-v.Age), true
-}
--- a/internal/edge/process/sinks.go
+++ b/internal/edge/process/sinks.go
@@ -60,6 +60,8 @@
 	for i := range entries {
 		if t, ok := s.read(&entries[i]); ok {
 			now[entries[i].Key] = t
+		} else {
+			s.registry.Apply([]targets.Change{{Name: entries[i].Key, Unread: true}}, s.registry.View().Revision)
 		}
 	}
 	if !settled {
@@ -77,27 +79,34 @@
 
 // Apply implements feed.Sink.
 func (s *targetSink) Apply(events []platform.Event, revision platform.Revision) {
+	changes := make([]targets.Change, 0, len(events))
 	for i := range events {
-		e := &events[i].Entry
-		if events[i].Deleted {
-			delete(s.known, e.Key)
-			s.registry.Remove(e.Key, int64(revision))
-			s.log.Info("targets: entry removed", "key", e.Key, "revision", e.Revision)
-			continue
-		}
-		if t, ok := s.read(e); ok {
-			s.known[e.Key] = t
-			s.registry.Put(e.Key, t, int64(revision))
-			s.log.Info("targets: entry changed", "target", t.ID, "service", t.Service, "address", t.Address, "leaving", t.Leaving, "revision", e.Revision)
-		}
+		changes = append(changes, s.change(&events[i]))
+	}
+	s.registry.Apply(changes, int64(revision))
+}
+
+// change decodes one changed entry.
+func (s *targetSink) change(event *platform.Event) targets.Change {
+	e := &event.Entry
+	if event.Deleted {
+		delete(s.known, e.Key)
+		s.log.Info("targets: entry removed", "key", e.Key, "revision", e.Revision)
+		return targets.Change{Name: e.Key}
+	}
+	t, ok := s.read(e)
+	if !ok {
+		return targets.Change{Name: e.Key, Unread: true}
 	}
+	s.known[e.Key] = t
+	s.log.Info("targets: entry changed", "target", t.ID, "service", t.Service, "address", t.Address, "leaving", t.Leaving, "revision", e.Revision)
+	return targets.Change{Name: e.Key, Target: &t}
 }
 
 func (s *targetSink) read(e *platform.Entry) (targets.Target, bool) {
 	t, err := s.decode(e.Key, e.Value)
 	if err != nil {
 		s.log.Warn("targets: entry ignored", "key", e.Key, "revision", e.Revision, "error", err.Error())
-		s.registry.Hide(e.Key)
 		delete(s.known, e.Key)
 		return t, false
 	}
--- a/internal/edge/targets/registry.go
+++ b/internal/edge/targets/registry.go
@@ -85,37 +85,50 @@
 	r.tell(notices)
 }
 
-// Put takes a changed entry.
-func (r *Registry) Put(name string, t Target, revision int64) {
-	r.mu.Lock()
-	var news []Target
-	if old, ok := r.entries[name]; ok && old.Key() != t.Key() {
-		news = append(news, old)
-	}
-	if t.Leaving {
-		news = append(news, t)
-	}
-	r.entries[name] = t
-	r.returned(t)
-	notices := r.notice(news, "target_list")
-	r.publish(revision)
-	r.mu.Unlock()
-	r.tell(notices)
+// Change is a changed entry of the platform's list.
+type Change struct {
+	Name   string  // key of the entry
+	Target *Target // nil if the entry has ended or cannot be read
+	// Unread tells that the entry cannot be read: it names no target for new
+	// requests, and says nothing of what runs on the one that it named before.
+	Unread bool
 }
 
-// Remove takes the end of an entry.
-func (r *Registry) Remove(name string, revision int64) {
+// Apply takes changed entries, in order. The view is built once for all of them:
+// a fleet of thousands of targets that starts registers them within seconds.
+func (r *Registry) Apply(changes []Change, revision int64) {
 	r.mu.Lock()
 	var notices []announced
-	if old, ok := r.entries[name]; ok {
-		delete(r.entries, name)
-		notices = r.notice([]Target{old}, removed)
+	for _, c := range changes {
+		notices = append(notices, r.change(c)...)
 	}
 	r.publish(revision)
 	r.mu.Unlock()
 	r.tell(notices)
 }
 
+// change takes one changed entry. Callers hold r.mu.
+func (r *Registry) change(c Change) []announced {
+	old, known := r.entries[c.Name]
+	if c.Target == nil {
+		delete(r.entries, c.Name)
+		if !known || c.Unread {
+			return nil
+		}
+		return r.notice([]Target{old}, removed)
+	}
+	var news []Target
+	if known && old.Key() != c.Target.Key() {
+		news = append(news, old)
+	}
+	if c.Target.Leaving {
+		news = append(news, *c.Target)
+	}
+	r.entries[c.Name] = *c.Target
+	r.returned(*c.Target)
+	return r.notice(news, "target_list")
+}
+
 // NewlyLeaving returns the incarnations that leave or left the list lately, some
 // of which may still come back.
 func (r *Registry) NewlyLeaving() []string {
@@ -138,15 +151,6 @@
 	return n, ok
 }
 
-// Hide takes an entry that cannot be read: it names no target for new requests,
-// and says nothing of what runs on the one that it named before.
-func (r *Registry) Hide(name string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	delete(r.entries, name)
-	r.publish(r.view.Load().Revision)
-}
-
 // Leaving takes news from elsewhere that an incarnation leaves.
 func (r *Registry) Leaving(key, source string) {
 	r.mu.Lock()
