Keep copies of runs that survive crashed and silent engines

Change: while an engine has memory to spare (60% with the copy), runs with two seconds to go keep a copy there, made and renewed by the calls that moves use; a run whose engine is silent for a second goes on at its copy; a run whose stream broke off is stopped at its engine first; a leaving engine is left by the copy that stands by.

Ruled out: the platform's backup header, whose place is fixed at the start of a run, while engines leave with a hazard of 5% a second.

--- a/internal/edge/metrics/metrics.go
+++ b/internal/edge/metrics/metrics.go
@@ -27,6 +27,7 @@
 	first    metric.Float64Histogram
 	pauses   metric.Float64Histogram
 	store    metric.Int64Counter
+	backups  metric.Int64Counter
 	// Defined lists all instruments, for the page of metrics.
 	Defined []Definition
 }
@@ -64,6 +65,7 @@
 	m.pauses = b.seconds("hitch_edge_longest_pause", "", "longest time between two events of a generation; pauses beyond the objective of its route are logged")
 	m.moves = b.counter("hitch_edge_moves", "outcome", "runs moved off leaving engines")
 	m.moving = b.seconds("hitch_edge_move_duration", "", "time that a move took")
+	m.backups = b.counter("hitch_edge_backups", "outcome", "copies of runs that stand by at another engine")
 	m.store = b.counter("hitch_edge_store_calls", "call, result", "calls to the platform's store")
 	b.gauge("hitch_edge_runs", "", "generations in flight from this host", func() int64 { return int64(g.Runs()) })
 	b.gauge("hitch_edge_waiting_runs", "", "generations that wait for room", func() int64 { return int64(g.Waiting()) })
@@ -110,6 +112,11 @@
 	m.pauses.Record(context.Background(), longest.Seconds())
 }
 
+// Backup counts the outcome of a copy that stands by.
+func (m *Metrics) Backup(outcome string) {
+	m.backups.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
+}
+
 // StoreCall counts a call to the store.
 func (m *Metrics) StoreCall(call, result string) {
 	m.store.Add(context.Background(), 1, metric.WithAttributes(attribute.String("call", call), attribute.String("result", result)))
--- a/internal/edge/metrics/metrics_test.go
+++ b/internal/edge/metrics/metrics_test.go
@@ -25,6 +25,7 @@
 	m.Wait(time.Second, true)
 	m.FirstEvent(time.Second)
 	m.Pause(time.Second)
+	m.Backup("copied")
 	m.StoreCall("get", "ok")
 	answer := httptest.NewRecorder()
 	signals.Handler().ServeHTTP(answer, httptest.NewRequest("GET", "/metrics", nil))
--- a/internal/edge/migration/mover.go
+++ b/internal/edge/migration/mover.go
@@ -52,6 +52,8 @@
 	Book    *loadbook.Book
 	// Choose finds an engine with room and counts the run's load there.
 	Choose func(ctx context.Context, service *policy.Service, need placing.Need, own loadbook.Load, tried map[string]bool) streaming.Choice
+	// Leaves tells whether a target leaves.
+	Leaves func(target string) bool
 	// Observe counts the outcome of each move, for metrics.
 	Observe func(outcome string, took time.Duration)
 }
@@ -61,7 +63,7 @@
 func (m *Mover) Evacuate(ctx context.Context, source *targets.Target, noticed bootclock.Instant, runs []*streaming.Run) {
 	sequences := make([]Sequence, len(runs))
 	for i, r := range runs {
-		sequences[i] = Sequence{Held: r.Held(), Remaining: r.Remaining()}
+		sequences[i] = Sequence{Held: r.Held(), Remaining: r.Remaining(), Copied: r.Standing() != nil}
 	}
 	order := Order(sequences)
 	if len(order) == 0 || !runs[order[0]].Service().Engine.CanMove {
@@ -83,6 +85,8 @@
 	ctx, span := tracer.Start(ctx, "move", trace.WithAttributes(attribute.String("request.id", r.ID()), attribute.String("source", source.ID)))
 	defer span.End()
 	started := bootclock.Now()
+	r.Copying.Lock()
+	defer r.Copying.Unlock()
 	outcome, tried := m.tryAll(ctx, source, noticed, far, r)
 	took := bootclock.Since(started)
 	m.Observe(outcome, took)
@@ -94,6 +98,12 @@
 func (m *Mover) tryAll(ctx context.Context, source *targets.Target, noticed bootclock.Instant, far float64, r *streaming.Run) (outcome string, tries int) {
 	service := r.Service()
 	tried := map[string]bool{source.Key(): true}
+	if c := r.Standing(); c != nil && c.Source.Key() == source.Key() {
+		if !m.Leaves(c.Dest.Key()) {
+			return m.finish(ctx, c, r), 1
+		}
+		r.Discard(c)
+	}
 	for {
 		select {
 		case <-r.Ended():
@@ -150,6 +160,14 @@
 		m.release(source, r, first.Handle)
 		return runElsewhere
 	}
+	return m.finish(ctx, c, r)
+}
+
+// finish moves a run to where its copy is.
+func (m *Mover) finish(ctx context.Context, c *streaming.Copy, r *streaming.Run) string {
+	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
+	defer cancel()
+	source, dest := c.Source, c.Dest
 	if !m.awaitLink(ctx, source, dest, r) || !r.Stop(c) {
 		return secured
 	}
--- a/internal/edge/migration/plan.go
+++ b/internal/edge/migration/plan.go
@@ -37,12 +37,14 @@
 
 // Sequence is a run as the plan sees it.
 type Sequence struct {
-	Held      int // tokens in memory
-	Remaining int // output tokens that are expected to come
+	Held      int  // tokens in memory
+	Remaining int  // output tokens that are expected to come
+	Copied    bool // a copy stands by: the run survives the engine
 }
 
 // Order returns the indexes of the runs to move, those with the most work sunk
-// first: the notice may be too short for all.
+// first: the notice may be too short for all. Those that have a copy come last,
+// since they go on even without a move.
 func Order(sequences []Sequence) []int {
 	var order []int
 	for i, s := range sequences {
@@ -50,7 +52,13 @@
 			order = append(order, i)
 		}
 	}
-	sort.SliceStable(order, func(i, j int) bool { return sequences[order[i]].Held > sequences[order[j]].Held })
+	sort.SliceStable(order, func(i, j int) bool {
+		a, b := sequences[order[i]], sequences[order[j]]
+		if a.Copied != b.Copied {
+			return b.Copied
+		}
+		return a.Held > b.Held
+	})
 	return order
 }
 
--- a/internal/edge/migration/plan_test.go
+++ b/internal/edge/migration/plan_test.go
@@ -17,6 +17,9 @@
 	require.Equal(t, []int{2, 0}, Order([]Sequence{
 		{Held: 3000, Remaining: 400}, {Held: 6000, Remaining: 10}, {Held: 4000, Remaining: 100},
 	}))
+	require.Equal(t, []int{2, 1, 0}, Order([]Sequence{
+		{Held: 6000, Remaining: 400, Copied: true}, {Held: 3000, Remaining: 100}, {Held: 4000, Remaining: 100},
+	}))
 }
 
 // The turns of all hosts at a source do not overlap.
--- a/internal/edge/placing/engine.go
+++ b/internal/edge/placing/engine.go
@@ -64,6 +64,9 @@
 	Shared    int           // prompt tokens that the engine of that affinity has cached
 	Domain    string        // of the sender, or of the source of a move
 	Move      bool
+	// Limit is the part of the memory that may be expected in use with a copy that
+	// only stands by, which must not cost new runs their room; 0 for runs.
+	Limit float64
 	// Far is what another failure domain counts for a move, as a share of memory.
 	Far float64
 	// Spread is among how many of the best engines one is drawn: about as many
@@ -93,12 +96,24 @@
 // Engines that fail are left out unless all others lack room: a fault on this
 // side of the links must not empty the pool.
 func Engine(candidates []Candidate, engine *policy.Engine, need Need, tried map[string]bool) int {
+	if need.Limit > 0 && fullness(candidates, engine) > need.Limit {
+		return -1 // the room of the emptiest engine is that of the next runs
+	}
 	if i := choose(candidates, engine, need, tried, MaxCost); i >= 0 {
 		return i
 	}
 	return choose(candidates, engine, need, tried, math.Inf(1))
 }
 
+// fullness is the part of the memory of all engines that is expected to be in use.
+func fullness(candidates []Candidate, engine *policy.Engine) float64 {
+	tokens := 0
+	for _, c := range candidates {
+		tokens += c.Load.Tokens
+	}
+	return float64(tokens) / float64(max(1, len(candidates)*engine.MemoryTokens))
+}
+
 func choose(candidates []Candidate, engine *policy.Engine, need Need, tried map[string]bool, maxCost float64) int {
 	shares := make([]float64, len(candidates))
 	best := math.Inf(1)
@@ -167,6 +182,8 @@
 		return false
 	case l.Runs == 0:
 		return true
+	case need.Limit > 0:
+		return float64(peak(l, need)) <= need.Limit*capacity
 	case need.Move:
 		held := need.Tokens - need.Output
 		return float64(l.Held+held+(l.Runs+1)*moveAhead) <= capacity
--- a/internal/edge/placing/engine_test.go
+++ b/internal/edge/placing/engine_test.go
@@ -74,6 +74,16 @@
 	require.Equal(t, -1, Engine([]Candidate{bad}, engine, need, map[string]bool{"1@0": true}))
 }
 
+// A copy that stands by takes an engine with memory to spare, and none where all
+// but one are full: that one is for the next runs.
+func TestCopyStandsByOnlyWhereMemoryIsToSpare(t *testing.T) {
+	copied := Need{Tokens: 3000, Domain: "a", Limit: 0.6}
+	full, half := loadbook.Load{Runs: 5, Tokens: 18000}, loadbook.Load{Runs: 3, Tokens: 9500}
+	require.Equal(t, 1, Engine([]Candidate{candidate("1", "a", half), candidate("2", "a", loadbook.Load{})}, engine, copied, nil))
+	require.Equal(t, -1, Engine([]Candidate{candidate("1", "a", half)}, engine, copied, nil), "it would be too full with the copy")
+	require.Equal(t, -1, Engine([]Candidate{candidate("1", "a", full), candidate("2", "a", full), candidate("3", "a", loadbook.Load{Runs: 1, Tokens: 3000})}, engine, copied, nil))
+}
+
 // Requests that share a prefix meet at one engine, whatever host they come
 // through, unless it is much fuller than others.
 func TestSharedPrefixMeetsAtOneEngine(t *testing.T) {
--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -70,6 +70,7 @@
 	streaming *streaming.Server
 	plain     *plain.Server
 	mover     *migration.Mover
+	keeper    *migration.Keeper
 	metrics   *metrics.Metrics
 	list      *relay.Log
 	feeds     *feeds
@@ -119,7 +120,8 @@
 		if err != nil {
 			return err
 		}
-		p.streaming.Observer, p.mover.Observe = p.metrics, p.metrics.Move
+		p.streaming.Observer, p.mover.Observe, p.keeper.Observe = p.metrics, p.metrics.Move, p.metrics.Backup
+		p.keeper.Limit = float64(s.BackupShare) / 100
 		log.Info("edge: start", "host", n.Name, "domain", n.Domain, "front", n.Front, "store", n.StoreAddress, "memory_bytes", n.MemoryBytes)
 		return p.run(ctx, signals, s)
 	}
@@ -151,6 +153,10 @@
 	p.exchange.Decide = p.decide
 	p.mover = &migration.Mover{
 		Log: log, Host: n.Name, Engines: p.streaming.Engines, Book: p.book, Choose: p.streaming.Choose,
+		Leaves: p.leaves,
+	}
+	p.keeper = &migration.Keeper{
+		Log: log, Engines: p.streaming.Engines, Book: p.book, Runs: p.streaming.Runs.All, Choose: p.streaming.Choose, Leaves: p.leaves,
 	}
 	return p
 }
@@ -195,6 +201,7 @@
 	wait.Go(func() { p.confirmer.Run(ctx) })
 	wait.Go(func() { p.members.Run(ctx) })
 	wait.Go(func() { p.exchange.Run(ctx) })
+	wait.Go(func() { p.keeper.Run(ctx) })
 	wait.Go(func() { p.observer().Run(ctx) })
 	wait.Go(func() { p.reload(ctx, s.NodeFile) })
 }
--- a/internal/edge/process/runs.go
+++ b/internal/edge/process/runs.go
@@ -55,6 +55,12 @@
 	go p.mover.Evacuate(context.Background(), &t, n.At, runs)
 }
 
+// leaves tells whether a target leaves, or is not listed any more.
+func (p *Process) leaves(key string) bool {
+	_, leaves := p.targets.LeavesSince(key)
+	return leaves || p.targets.View().Get(key) == nil
+}
+
 // runEntered moves a run on that has come to an engine which leaves by now.
 func (p *Process) runEntered(r *streaming.Run, key string) {
 	n, leaves := p.targets.LeavesSince(key)
--- a/internal/edge/streaming/copy.go
+++ b/internal/edge/streaming/copy.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"corianderhitch/internal/edge"
+	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/edge/loadbook"
 	"corianderhitch/internal/edge/targets"
 )
@@ -12,6 +13,9 @@
 const (
 	// stopPatience bounds the wait for the outcome of a final copy.
 	stopPatience = 2500 * time.Millisecond
+	// haltPatience bounds the call that stops a run whose stream broke off. An engine
+	// that does not answer within it is dead or out of reach.
+	haltPatience = 400 * time.Millisecond
 	// releaseTimeout bounds the call that frees a copy.
 	releaseTimeout = time.Second
 )
@@ -23,6 +27,9 @@
 	Dest     *targets.Target
 	Handle   string
 	Reserved loadbook.Load // counted in the load book for Dest
+	// At is when the copy was made or brought up to date last; guarded by the run's
+	// Copying.
+	At bootclock.Instant
 
 	stopping bool       // guarded by the run's mu; a final copy was asked for
 	moved    edge.Moved // outcome of the final copy, set before done is closed
@@ -37,10 +44,49 @@
 	if r.copied != nil || r.target == nil || r.target.Key() != source.Key() {
 		return nil
 	}
-	r.copied = &Copy{Source: source, Dest: dest, Handle: handle, Reserved: reserved, done: make(chan struct{})}
+	r.copied = &Copy{Source: source, Dest: dest, Handle: handle, Reserved: reserved, At: bootclock.Now(), done: make(chan struct{})}
 	return r.copied
 }
 
+// Standing returns the copy of the run that was made at its present target, nil
+// if there is none.
+func (r *Run) Standing() *Copy {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.copied
+}
+
+// Silent returns how long the run's engine has sent no events, 0 before the first.
+func (r *Run) Silent() time.Duration {
+	heard := r.heardAt.Load()
+	if heard == 0 {
+		return 0
+	}
+	return bootclock.Since(bootclock.Instant(heard))
+}
+
+// Abandon ends the stream from an engine that has fallen silent, so that the run
+// goes on at its copy.
+func (r *Run) Abandon(c *Copy) {
+	r.Log().Warn("stream: engine has fallen silent; the run goes on at its copy", "source", c.Source.ID, "dest", c.Dest.ID, "silent_ms", r.Silent().Milliseconds())
+	r.cutSegment(c)
+}
+
+// Discard frees a copy that will not be used. It returns false if the run has gone
+// on from it, or ended, already.
+func (r *Run) Discard(c *Copy) bool {
+	r.mu.Lock()
+	found := r.copied == c && !c.stopping
+	if found {
+		r.copied = nil
+	}
+	r.mu.Unlock()
+	if found {
+		r.dropCopy(c)
+	}
+	return found
+}
+
 // Stop announces that the run is about to be stopped for its final copy, so that
 // the end of its stream is not taken for its completion. It returns false if the
 // run has gone on from the copy, or ended, already.
--- a/internal/edge/streaming/forward.go
+++ b/internal/edge/streaming/forward.go
@@ -55,6 +55,7 @@
 			r.begin(s.target, head)
 		}
 		r.passedAt = bootclock.Now()
+		r.heardAt.Store(int64(r.passedAt))
 		if _, err := r.w.Write(b.bytes); err != nil {
 			return errCallerGone
 		}
@@ -118,8 +119,24 @@
 		r.dropCopy(c)
 		return nil, ended
 	}
-	// The engine died under the run, but not before its memory was copied.
-	return r.resumeAt(ctx, c, c.Handle)
+	// The engine died under the run, but not before its memory was copied, or only
+	// the connection broke: then the run must not go on at both.
+	c.moved = r.halt(ctx, source, c)
+	close(c.done)
+	return r.afterStop(ctx, source, c, err)
+}
+
+// halt stops the run at an engine that may still work on it.
+func (r *Run) halt(ctx context.Context, source *targets.Target, c *Copy) edge.Moved {
+	ctx, cancel := context.WithTimeout(ctx, haltPatience)
+	defer cancel()
+	moved := r.server.Engines.Move(ctx, source.Address, r.ID(), c.Dest.Address, true)
+	text := ""
+	if moved.Err != nil {
+		text = moved.Err.Error()
+	}
+	r.call.Log.Info("stream: run is stopped where its stream broke off", "target", source.ID, "result", moved.Result.String(), "error", text)
+	return moved
 }
 
 // afterStop waits for the outcome of the final copy and continues at the copy.
--- a/internal/edge/streaming/run.go
+++ b/internal/edge/streaming/run.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"corianderhitch/internal/edge"
@@ -25,9 +26,15 @@
 	ended   chan struct{}
 	// passedAt is when the last events were passed on; reader only.
 	passedAt bootclock.Instant
+	// heardAt is when events came last, a bootclock.Instant; 0 before the first.
+	heardAt atomic.Int64
 	// longestPause is the longest time between two events; reader only.
 	longestPause time.Duration
 
+	// Copying is held by who copies the run's memory: an engine makes one copy of a
+	// run at a time.
+	Copying sync.Mutex
+
 	mu      sync.Mutex
 	target  *targets.Target // guarded by mu; where it runs
 	segment *segment        // guarded by mu
--- a/internal/edge/streaming/runs.go
+++ b/internal/edge/streaming/runs.go
@@ -28,6 +28,19 @@
 	return out
 }
 
+// All returns the runs of this host.
+func (t *Runs) All() []*Run {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []*Run
+	for _, runs := range t.byID {
+		for r := range runs {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // Len returns how many runs are in flight.
 func (t *Runs) Len() int {
 	t.mu.Lock()
--- a/tests/harness/process.go
+++ b/tests/harness/process.go
@@ -33,6 +33,7 @@
 	code int           // exit code, valid after done
 }
 
+// Start runs the program.
 func (p *Process) Start(t testing.TB) {
 	t.Helper()
 	file, err := os.OpenFile(p.Log, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
@@ -60,6 +61,7 @@
 	}()
 }
 
+// Signal sends a signal to the program.
 func (p *Process) Signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -72,7 +74,10 @@
 	p.Wait()
 }
 
+// Freeze suspends the program.
 func (p *Process) Freeze() { p.Signal(syscall.SIGSTOP) }
+
+// Thaw lets the program go on.
 func (p *Process) Thaw()   { p.Signal(syscall.SIGCONT) }
 
 // Restart starts the program again after its end.
@@ -98,6 +103,7 @@
 	return true
 }
 
+// Wait returns when the program has ended.
 func (p *Process) Wait() {
 	p.mu.Lock()
 	done := p.done
@@ -112,6 +118,7 @@
 	return p.done
 }
 
+// ExitCode returns how the program ended, -1 for a signal.
 func (p *Process) ExitCode() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -190,7 +197,6 @@
 	return listener.Addr().String()
 }
 
-// freeListener listens on a loopback address that nothing listened on.
 // FreeListener listens on a port of the block that ClaimPorts claimed.
 func FreeListener(t testing.TB) net.Listener {
 	t.Helper()
--- a/tests/harness/proxy.go
+++ b/tests/harness/proxy.go
@@ -42,6 +42,7 @@
 	closed   bool
 }
 
+// NewProxy listens on a free port for connections to the target.
 func NewProxy(t testing.TB, target string) *Proxy {
 	t.Helper()
 	p := &Proxy{target: target, conns: make(map[net.Conn]struct{})}
@@ -52,6 +53,7 @@
 	return p
 }
 
+// Address is where the proxy listens.
 func (p *Proxy) Address() string { return p.at }
 
 // Listen accepts connections, as after the start.
@@ -139,6 +141,7 @@
 	p.Follow(process)
 }
 
+// Close ends all connections.
 func (p *Proxy) Close() {
 	p.Unlisten()
 	p.mu.Lock()
