--- a/tests/harness/process.go
+++ b/tests/harness/process.go
@@ -78,7 +78,7 @@
 func (p *Process) Freeze() { p.Signal(syscall.SIGSTOP) }
 
 // Thaw lets the program go on.
-func (p *Process) Thaw()   { p.Signal(syscall.SIGCONT) }
+func (p *Process) Thaw() { p.Signal(syscall.SIGCONT) }
 
 // Restart starts the program again after its end.
 func (p *Process) Restart(t testing.TB) {
