--- a/internal/settings/gendoc/main.go
+++ b/internal/settings/gendoc/main.go
@@ -3,34 +3,14 @@
 package main
 
 import (
-	"bytes"
-	"flag"
-	"fmt"
-	"os"
+	"io"
+
+	"corianderhitch/internal/docpage"
 )
 
-func main() {
-	out := flag.String("out", "docs/CONFIGURATION.md", "file to write or check")
-	check := flag.Bool("check", false, "fail if the file is not current, and change nothing")
-	flag.Parse()
-	if err := run(*out, *check); err != nil {
-		fmt.Fprintln(os.Stderr, "gendoc:", err)
-		os.Exit(1)
-	}
-}
+func main() { docpage.Main("docs/CONFIGURATION.md", page) }
 
-func run(out string, check bool) error {
-	var page bytes.Buffer
-	writePage(&page)
-	if !check {
-		return os.WriteFile(out, page.Bytes(), 0o644)
-	}
-	committed, err := os.ReadFile(out)
-	if err != nil {
-		return err
-	}
-	if !bytes.Equal(committed, page.Bytes()) {
-		return fmt.Errorf("%s is not current; run make generate and commit it", out)
-	}
+func page(w io.Writer) error {
+	writePage(w)
 	return nil
 }
--- a/internal/settings/gendoc/page_test.go
+++ b/internal/settings/gendoc/page_test.go
@@ -5,11 +5,12 @@
 
 	"github.com/stretchr/testify/require"
 
+	"corianderhitch/internal/docpage"
 	"corianderhitch/internal/settings"
 )
 
 func TestCommittedPageIsCurrent(t *testing.T) {
-	require.NoError(t, run("../../../docs/CONFIGURATION.md", true))
+	require.NoError(t, docpage.Make("../../../docs/CONFIGURATION.md", true, page))
 }
 
 func TestEverySettingIsExplained(t *testing.T) {
