Late drafts are not refused on the word of those that ran beside them

Traced with a line at each news and verdict: both engines died under the draft; within 8 ms the owner had the news of the other drafts, which name it as beside them, and it was the only request in both crashes, so that it was refused for good. Only its own news said that it is a late draft, which may cost a third target.

Change: a bit of the fingerprint tells late drafts; whoever names a request says so. The field of the news that said it is gone.

Without processes: TestALateDraftIsNotRefusedOnTheWordOfOthers (refused before) and the second case of TestLateDraftGetsATargetOfItsOwnBeforeItIsRefused, whose first case marks the fingerprint instead of the news and asks the same verdicts.

Ruled out: a stuck draft (no goroutine of it was left), a slow one, engines that are avoided.

--- a/api/control/control.go
+++ b/api/control/control.go
@@ -110,7 +110,6 @@
 	Ticket      string   // unique per attempt, for NewsCrash
 	Fingerprint uint64   // request body and account, for NewsCrash
 	Produced    int      // tokens that the request had made, for NewsCrash
-	Late        bool     // a draft for late delivery, which must not be lost, for NewsCrash
 	Beside      []uint64 // fingerprints that ran beside it, for NewsCrash
 	Seen        time.Time
 }
--- a/internal/agent/suspicion/suspicion.go
+++ b/internal/agent/suspicion/suspicion.go
@@ -48,11 +48,9 @@
 	return r.tracker.Verdict(fingerprint, now), r.tracker.Remaining(fingerprint, now)
 }
 
-// Progressed returns the request of the news if it had made tokens, and also if
-// it is a late draft: a draft must not be lost to two deaths of other causes, and
-// may wait for a target of its own.
+// Progressed returns the request of the news if it had made tokens.
 func Progressed(n control.News) []uint64 {
-	if n.Produced == 0 && !n.Late {
+	if n.Produced == 0 {
 		return nil
 	}
 	return []uint64{n.Fingerprint}
--- a/internal/agent/suspicion/suspicion_test.go
+++ b/internal/agent/suspicion/suspicion_test.go
@@ -99,15 +99,16 @@
 }
 
 func TestLateDraftGetsATargetOfItsOwnBeforeItIsRefused(t *testing.T) {
-	r := &Register{}
-	for i, target := range []string{"e1", "e2"} {
-		n := crash(target, 1)
-		n.Late = true
-		r.Add(start.Add(time.Duration(i)*time.Millisecond), n)
+	draft := suspicion.Mark(1, true)
+	for name, n := range map[string]control.News{"its own news": crash("", draft), "news of another request": crash("", 2, draft)} {
+		r := &Register{}
+		for i, target := range []string{"e1", "e2"} {
+			n.Target = target
+			r.Add(start.Add(time.Duration(i)*time.Millisecond), n)
+		}
+		require.Equal(t, suspicion.Isolate, verdict(r, start, draft), name)
+		n.Target = "e3"
+		r.Add(start.Add(time.Second), n)
+		require.Equal(t, suspicion.Refuse, verdict(r, start.Add(time.Second), draft), name)
 	}
-	require.Equal(t, suspicion.Isolate, verdict(r, start, 1))
-	third := crash("e3", 1)
-	third.Late = true
-	r.Add(start.Add(time.Second), third)
-	require.Equal(t, suspicion.Refuse, verdict(r, start.Add(time.Second), 1))
 }
--- a/internal/gateway/api/create.go
+++ b/internal/gateway/api/create.go
@@ -14,6 +14,7 @@
 	"corianderhitch/internal/gateway/sse"
 	"corianderhitch/internal/prefix"
 	"corianderhitch/internal/resumetoken"
+	"corianderhitch/internal/scheduling/suspicion"
 )
 
 // create answers POST /v1/completions.
@@ -84,7 +85,7 @@
 			MaxTokens:    maxTokens,
 			PrefixHashes: prefix.Hashes(model.Name, grant.Version, grant.Adapter, wanted.Prompt),
 			Deadline:     firstTokenDeadline(wanted, class, started),
-			Fingerprint:  fingerprint(account.Name, hash),
+			Fingerprint:  suspicion.Mark(fingerprint(account.Name, hash), false),
 		},
 	}, nil
 }
--- a/internal/gateway/drafts.go
+++ b/internal/gateway/drafts.go
@@ -13,6 +13,7 @@
 	"corianderhitch/internal/gateway/api"
 	"corianderhitch/internal/gateway/fleet"
 	"corianderhitch/internal/gateway/runner"
+	"corianderhitch/internal/scheduling/suspicion"
 )
 
 // Retention where the document states none.
@@ -40,7 +41,7 @@
 		return delivery.Outcome{Err: problem.From(err)}
 	}
 	job.WholeAnswer = true
-	job.Late = true
+	job.Admit.Fingerprint = suspicion.Mark(job.Admit.Fingerprint, true)
 	job.Admit.Deadline = time.Time{}
 	if entry, found := d.fleet.Lookup(ctx, account, id); found && entry.BodyHash == job.BodyHash {
 		job.Admit.Version, job.Admit.Adapter = entry.Version, entry.Adapter
--- a/internal/gateway/runner/job.go
+++ b/internal/gateway/runner/job.go
@@ -18,8 +18,6 @@
 	MayContinue bool
 	// WholeAnswer states that the caller gets nothing before the end.
 	WholeAnswer bool
-	// Late states that the request was accepted for late delivery.
-	Late bool
 	// StallBound is the time without a token after which the runner attaches again.
 	StallBound time.Duration
 	// Resume attaches to a generation that runs already, if set.
--- a/internal/gateway/runner/news.go
+++ b/internal/gateway/runner/news.go
@@ -27,7 +27,6 @@
 		news.Ticket = s.place.Ticket()
 		news.Fingerprint = s.job.Admit.Fingerprint
 		news.Produced = len(s.machine.Tokens())
-		news.Late = s.job.Late
 		news.Beside = s.r.fleet.InFlight().Beside(target, s.job.Admit.Fingerprint)
 	case errors.As(err, &refused) && refused.Problem.Kind == problem.KindDraining:
 		news.Kind = control.NewsLeaving
--- a/internal/scheduling/suspicion/tracker.go
+++ b/internal/scheduling/suspicion/tracker.go
@@ -117,7 +117,7 @@
 // so many that chance is no explanation.
 func (t *Tracker) culprit(fingerprint uint64) bool {
 	count, near := 0, 0
-	made := false
+	made := IsLate(fingerprint)
 	var common map[uint64]struct{}
 	for _, r := range t.crashes {
 		if _, passed := r.passed[fingerprint]; passed {
