Explain takes log files or an account; the page's metrics with units

What is scraped is compared with the page of metrics by TestThePageNamesWhatIsScraped.

Change: - stands for standard input; the test trims that ending as well.

--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -21,14 +21,16 @@
 func (a *app) explainCommand() *cobra.Command {
 	var account string
 	cmd := &cobra.Command{
-		Use:   "explain REQUEST-ID (--account NAME | [LOG-FILE...])",
-		Short: "Tell why a request went where it did, by the agents' memory or by logs (standard input without files)",
+		Use:   "explain REQUEST-ID (--account NAME | LOG-FILE...)",
+		Short: "Tell why a request went where it did, by the agents' memory or by logs (- is standard input)",
 		Args:  cobra.MinimumNArgs(1),
 		RunE: a.command(func(ctx context.Context, args []string) error {
-			if account == "" {
-				return a.tellStory(args[0], args[1:])
-			}
-			if len(args) > 1 {
+			switch files := args[1:]; {
+			case account == "" && len(files) > 0:
+				return a.tellStory(args[0], files)
+			case account == "":
+				return &usageError{"explain needs --account, because request ids are only unique within an account, or log files"}
+			case len(files) > 0:
 				return &usageError{"explain takes either --account or log files"}
 			}
 			reply, _, err := askAgents[control.ExplainReply](ctx, a, "Control.Explain",
--- a/internal/cli/operations_test.go
+++ b/internal/cli/operations_test.go
@@ -89,7 +89,10 @@
 	names := regexp.MustCompile(`hitch_[a-z_]+`).FindAllString(operatingPage(t), -1)
 	require.NotEmpty(t, names)
 	for _, name := range names {
-		base := strings.TrimSuffix(strings.TrimSuffix(name, "_total"), "_seconds")
+		base := name
+		for _, ending := range []string{"_total", "_seconds", "_milliseconds"} { // the exporter adds units
+			base = strings.TrimSuffix(base, ending)
+		}
 		require.Contains(t, source.String(), `"`+base+`"`, "metric %s", name)
 	}
 }
--- a/internal/cli/story.go
+++ b/internal/cli/story.go
@@ -36,6 +36,12 @@
 		return reader.Read("stdin", os.Stdin)
 	}
 	for _, name := range files {
+		if name == "-" {
+			if err := reader.Read("stdin", os.Stdin); err != nil {
+				return err
+			}
+			continue
+		}
 		file, err := os.Open(name)
 		if err != nil {
 			return err
