Silence is counted anew at the next engine

Cause: read as a newcomer: a run that goes on at its copy keeps the instant of its last event, so that a copy made for it there before its first event would be taken as one of a silent engine, and the run moved once more.

Change: the instant is set anew when a run comes to an engine (TestSilenceBeginsAnewAtTheNextEngine failed before).

--- a/internal/edge/streaming/run.go
+++ b/internal/edge/streaming/run.go
@@ -88,6 +88,9 @@
 	r.mu.Lock()
 	r.target, r.segment, r.counted = s.target, s, counted
 	r.mu.Unlock()
+	if r.heardAt.Load() != 0 {
+		r.heardAt.Store(int64(bootclock.Now())) // the silence of the engine before is not this one's
+	}
 	r.server.Runs.put(r, s.target.Key())
 }
 
--- /dev/null
+++ b/internal/edge/streaming/run_test.go
@@ -0,0 +1,23 @@
+package streaming
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"corianderhitch/internal/edge/bootclock"
+	"corianderhitch/internal/edge/loadbook"
+	"corianderhitch/internal/edge/targets"
+)
+
+// A run that goes on elsewhere must not be taken for silent there because of the
+// engine before.
+func TestSilenceBeginsAnewAtTheNextEngine(t *testing.T) {
+	r := &Run{server: &Server{Runs: NewRuns(func(*Run, string) {})}}
+	require.Zero(t, r.Silent(), "no event yet")
+	r.heardAt.Store(int64(bootclock.Now().Add(-time.Minute)))
+	require.GreaterOrEqual(t, r.Silent(), time.Minute)
+	r.enter(&segment{target: &targets.Target{ID: "t"}}, loadbook.Load{})
+	require.Less(t, r.Silent(), time.Minute)
+}
