Look up a route or key before a denial by a configuration near its bound

The lookup before a denial began at an age of 3.5 s, above the bound of 2 s.

Change: it begins 0.6 s before the bound, hubs confirm often enough for that, and a host that cannot confirm denies nobody: 503 with when to come back.

--- a/internal/edge/ingress/handler.go
+++ b/internal/edge/ingress/handler.go
@@ -29,10 +29,6 @@
 	firstConfigurationComeBack = 500 * time.Millisecond
 	// unconfirmedComeBack is the same while the store cannot be reached.
 	unconfirmedComeBack = time.Second
-	// doubtAge is the age of the last confirmation from which a route or key that
-	// the configuration lacks is looked up in the store before the request is
-	// denied. Younger ones come from a source that passes changes on at once.
-	doubtAge = 3500 * time.Millisecond
 	// doubtPatience bounds that lookup.
 	doubtPatience = 400 * time.Millisecond
 	// defaultMaxBody applies where the configuration sets no limit.
@@ -60,6 +56,10 @@
 	Policy    *policy.Holder
 	Confirmer *freshness.Confirmer
 	KeyAge    time.Duration // oldest confirmation with which an API key admits; 0 for any
+	// DoubtAge is the age of the last confirmation from which a route or key that the
+	// configuration lacks is looked up before the request is denied: a newer version
+	// may have it.
+	DoubtAge  time.Duration
 	Plain     Server
 	Streaming Server
 	Observer  Observer
@@ -109,8 +109,8 @@
 		return nil, edge.Unavailable(edge.ReasonNoConfiguration, firstConfigurationComeBack)
 	}
 	a, refusal := h.match(c)
-	if refusal != nil && h.Confirmer.Ensure(ctx, doubtAge, doubtPatience) {
-		a, refusal = h.match(c)
+	if refusal != nil && h.Confirmer.Age() >= h.DoubtAge {
+		a, refusal = h.matchNewest(ctx, c)
 	}
 	if refusal != nil {
 		return nil, refusal
@@ -132,6 +132,15 @@
 	return a, nil
 }
 
+// matchNewest looks the call up again in a configuration that is surely the newest.
+// Without one nobody is denied: the caller may come back.
+func (h *Handler) matchNewest(ctx context.Context, c *edge.Call) (*edge.Admitted, *edge.Refusal) {
+	if !h.Confirmer.Ensure(ctx, h.DoubtAge, doubtPatience) {
+		return nil, edge.Unavailable(edge.ReasonUnconfirmed, unconfirmedComeBack)
+	}
+	return h.match(c)
+}
+
 // match looks the call up in the configuration in force.
 func (h *Handler) match(c *edge.Call) (*edge.Admitted, *edge.Refusal) {
 	p := h.Policy.Current()
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -31,6 +31,7 @@
 	MemoryBytes  int64         // the process is killed beyond it
 	LinkMbps     float64       // of the host's link
 	Grace        time.Duration // from SIGTERM to SIGKILL
+	ApplyWithin  time.Duration // a configuration is in force everywhere within this
 	RevokeWithin time.Duration // a removed API key admits nothing later than this
 	RevokeStrict bool          // RevokeWithin holds on hosts that are cut off, too
 	Retry        RetryBudget
--- a/internal/edge/process/confirm.go
+++ b/internal/edge/process/confirm.go
@@ -18,6 +18,14 @@
 	// confirmShare is the same for other hosts, whose confirmations come from the
 	// hubs: they ask the store only when those are silent.
 	confirmShare = 0.5
+	// applyMargin is left of the time within which a configuration must be in force,
+	// for the lookup that precedes a denial.
+	applyMargin = 600 * time.Millisecond
+	// doubtConfirmShare is the part of the age from which denials are doubted after
+	// which a hub confirms, so that hosts that it serves rarely doubt.
+	doubtConfirmShare = 0.7
+	// usualDoubtAge is from when denials are doubted if the platform sets no bound.
+	usualDoubtAge = 3500 * time.Millisecond
 	// looseConfirm is the period of confirmations where keys need none.
 	looseConfirm = 10 * time.Second
 	// secondPlaceAfter is how long the first place may take.
@@ -32,13 +40,23 @@
 	return max(p.node.RevokeWithin-keyMargin, p.node.RevokeWithin/2)
 }
 
+// doubtAge returns the age of the last confirmation from which a request is not
+// denied without a lookup: a host whose hubs have lost the store notices that after
+// a while only, and must not deny by a configuration that is older than the bound.
+func (p *Process) doubtAge() time.Duration {
+	if p.node.ApplyWithin <= 0 {
+		return usualDoubtAge
+	}
+	return max(p.node.ApplyWithin-applyMargin, p.node.ApplyWithin/2)
+}
+
 // confirmPeriod returns the age at which this host confirms the configuration.
 func (p *Process) confirmPeriod() time.Duration {
 	switch {
 	case p.keyAge() == 0:
 		return looseConfirm
 	case p.exchange.IsHub():
-		return time.Duration(hubConfirmShare * float64(p.node.RevokeWithin))
+		return min(time.Duration(hubConfirmShare*float64(p.node.RevokeWithin)), time.Duration(doubtConfirmShare*float64(p.doubtAge())))
 	default:
 		return time.Duration(confirmShare * float64(p.node.RevokeWithin))
 	}
@@ -88,7 +106,7 @@
 
 // askPeers asks other hosts to vouch.
 func (p *Process) askPeers(ctx context.Context) (bootclock.Instant, error) {
-	return p.exchange.Vouch(ctx, p.node.RevokeWithin/2)
+	return p.exchange.Vouch(ctx, min(p.node.RevokeWithin/2, p.doubtAge()))
 }
 
 func (p *Process) readConfiguration(ctx context.Context) (bootclock.Instant, error) {
--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -208,7 +208,7 @@
 
 func (p *Process) handler() http.Handler {
 	return &ingress.Handler{
-		Log: p.log, Wire: p.adapter.Wire, Policy: p.policy, Confirmer: p.confirmer, KeyAge: p.keyAge(),
+		Log: p.log, Wire: p.adapter.Wire, Policy: p.policy, Confirmer: p.confirmer, KeyAge: p.keyAge(), DoubtAge: p.doubtAge(),
 		Plain: p.plain, Streaming: p.streaming, Observer: p.metrics,
 		Count: func(service string) { p.budget(service).Request() }, Closing: p.stopping.Load,
 	}
