--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -44,12 +44,11 @@
 
 // Dispatch is what the system says to a target about a call.
 type Dispatch struct {
-	TargetID      string // the incarnation that alone may run it
-	Account       string // name of the client account; empty on public routes
-	Urgency       int    // 0 to 9, 0 is the most urgent
-	BackupAddress string // target that keeps a copy of the run's memory; empty for none
-	ContinueFrom  *Copy  // nil for a new run
-	LastEvent     string // id of the last event that the caller has, with ContinueFrom
+	TargetID     string // the incarnation that alone may run it
+	Account      string // name of the client account; empty on public routes
+	Urgency      int    // 0 to 9, 0 is the most urgent
+	ContinueFrom *Copy  // nil for a new run
+	LastEvent    string // id of the last event that the caller has, with ContinueFrom
 }
 
 // MoveResult is the outcome of copying a run's memory.
@@ -77,6 +76,14 @@
 	Err    error  // why the result is unknown
 }
 
+// Why returns the reason of an unknown result for log lines, "" for any other.
+func (m *Moved) Why() string {
+	if m.Err == nil {
+		return ""
+	}
+	return m.Err.Error()
+}
+
 // EngineReport is what an engine says of itself. It is some hundred
 // milliseconds old when it arrives.
 type EngineReport struct {
--- a/internal/edge/host.go
+++ b/internal/edge/host.go
@@ -20,12 +20,13 @@
 	Pool *targetconn.Pool
 }
 
-// tracer begins a span for each hop. Without a collector it does nothing.
-var tracer = otel.Tracer("corianderhitch/edge")
+// Tracer begins the spans of the edge process: one for each request, send and move.
+// Without a collector it does nothing.
+var Tracer = otel.Tracer("corianderhitch/edge")
 
 // Send passes a call on to a target and waits for the head of its answer.
 func (s *Sender) Send(ctx context.Context, c *Call, t *targets.Target, d Dispatch, timeLeft time.Duration) (*targetconn.Response, error) {
-	ctx, span := tracer.Start(ctx, "send", trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(attribute.String("target", t.ID)))
+	ctx, span := Tracer.Start(ctx, "send", trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(attribute.String("target", t.ID)))
 	defer span.End()
 	d.TargetID = t.ID
 	return s.Pool.Do(ctx, t.Key(), t.Address, &targetconn.Request{
--- a/internal/edge/ingress/handler.go
+++ b/internal/edge/ingress/handler.go
@@ -11,7 +11,6 @@
 	"net/http"
 	"time"
 
-	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
@@ -46,9 +45,6 @@
 	Request(route *policy.Route, outcome string, took time.Duration)
 }
 
-// tracer begins a span for each request. Without a collector it does nothing.
-var tracer = otel.Tracer("corianderhitch/edge")
-
 // Handler is the callers' HTTP handler.
 type Handler struct {
 	Log       *slog.Logger
@@ -74,7 +70,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	call := h.Wire.Decode(r)
-	ctx, span := tracer.Start(r.Context(), "edge request", trace.WithSpanKind(trace.SpanKindServer),
+	ctx, span := edge.Tracer.Start(r.Context(), "edge request", trace.WithSpanKind(trace.SpanKindServer),
 		trace.WithAttributes(attribute.String("request.id", call.ID)))
 	defer span.End()
 	a, refusal := h.admit(ctx, &call, arrived)
--- a/internal/edge/migration/keeper.go
+++ b/internal/edge/migration/keeper.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"time"
 
 	"corianderhitch/internal/edge"
@@ -38,7 +37,6 @@
 // engine that ends without notice takes the others with it, and one that leaves
 // has less to copy.
 type Keeper struct {
-	Log     *slog.Logger
 	Engines edge.Engines
 	Book    *loadbook.Book
 	Runs    func() []*streaming.Run
@@ -139,19 +137,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
 	defer cancel()
-	first := k.Engines.Move(ctx, source.Address, r.ID(), dest.Address, false)
+	_, first := r.Secure(ctx, source, dest, load)
 	k.Observe(first.Result.String())
-	r.Log().Info("backup: memory copied", "result", first.Result.String(), "source", source.ID, "dest", dest.ID, "held_tokens", held, "error", text(first.Err))
-	if first.Result != edge.MoveCopied {
-		k.Book.Remove(dest.Key(), load)
-		return true
-	}
-	if c := r.Secure(source, dest, first.Handle, load); c == nil { // it has ended or is elsewhere
-		k.Book.Remove(dest.Key(), load)
-		if err := k.Engines.Release(ctx, source.Address, first.Handle); err != nil {
-			r.Log().Info("backup: unused copy is left to expire", "source", source.ID, "copy", first.Handle, "error", err.Error())
-		}
-	}
+	r.Log().Info("backup: memory copied", "result", first.Result.String(), "source", source.ID, "dest", dest.ID, "held_tokens", held, "error", first.Why())
 	return true
 }
 
@@ -168,6 +156,6 @@
 		return // the engine may be dying: the copy is what the run will need
 	}
 	k.Observe("renewal_" + next.Result.String())
-	r.Log().Info("backup: copy cannot be renewed", "result", next.Result.String(), "dest", c.Dest.ID, "error", text(next.Err))
+	r.Log().Info("backup: copy cannot be renewed", "result", next.Result.String(), "dest", c.Dest.ID, "error", next.Why())
 	r.Discard(c)
 }
--- a/internal/edge/migration/mover.go
+++ b/internal/edge/migration/mover.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"time"
 
-	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
@@ -41,9 +40,6 @@
 	secured      = "secured" // the copy stands; the source ends before the final one
 )
 
-// tracer begins a span for each move. Without a collector it does nothing.
-var tracer = otel.Tracer("corianderhitch/edge")
-
 // Mover moves the runs of this host.
 type Mover struct {
 	Log     *slog.Logger
@@ -82,7 +78,7 @@
 
 // move takes one run to another engine.
 func (m *Mover) move(ctx context.Context, source *targets.Target, noticed bootclock.Instant, far float64, r *streaming.Run) {
-	ctx, span := tracer.Start(ctx, "move", trace.WithAttributes(attribute.String("request.id", r.ID()), attribute.String("source", source.ID)))
+	ctx, span := edge.Tracer.Start(ctx, "move", trace.WithAttributes(attribute.String("request.id", r.ID()), attribute.String("source", source.ID)))
 	defer span.End()
 	started := bootclock.Now()
 	r.Copying.Lock()
@@ -148,19 +144,15 @@
 func (m *Mover) to(ctx context.Context, source, dest *targets.Target, load loadbook.Load, r *streaming.Run) string {
 	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
 	defer cancel()
-	first := m.Engines.Move(ctx, source.Address, r.ID(), dest.Address, false)
-	if first.Result != edge.MoveCopied {
-		m.Book.Remove(dest.Key(), load)
-		m.logCopy(r, source, dest, "first", first)
-		return first.Result.String()
-	}
-	c := r.Secure(source, dest, first.Handle, load)
-	if c == nil {
-		m.Book.Remove(dest.Key(), load)
-		m.release(source, r, first.Handle)
+	c, first := r.Secure(ctx, source, dest, load)
+	switch {
+	case c != nil:
+		return m.finish(ctx, c, r)
+	case first.Result == edge.MoveCopied:
 		return runElsewhere
 	}
-	return m.finish(ctx, c, r)
+	m.logCopy(r, source, dest, "first", first)
+	return first.Result.String()
 }
 
 // finish moves a run to where its copy is.
@@ -175,21 +167,14 @@
 	last := m.Engines.Move(ctx, source.Address, r.ID(), dest.Address, true)
 	r.Stopped(c, last, cutAfter)
 	r.Log().Info("migration: final copy", "result", last.Result.String(), "source", source.ID, "dest", dest.ID,
-		"took_ms", bootclock.Since(begun).Milliseconds(), "events", last.Events, "error", text(last.Err))
+		"took_ms", bootclock.Since(begun).Milliseconds(), "events", last.Events, "error", last.Why())
 	return "final_" + last.Result.String()
 }
 
 // logCopy logs a copy that was not made.
 func (m *Mover) logCopy(r *streaming.Run, source, dest *targets.Target, which string, moved edge.Moved) {
 	r.Log().Info("migration: copy not made", "which", which, "result", moved.Result.String(), "source", source.ID, "dest", dest.ID,
-		"error", text(moved.Err))
-}
-
-func text(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
+		"error", moved.Why())
 }
 
 // awaitLink copies what is new until that goes fast, which shows that no other
@@ -209,12 +194,3 @@
 		}
 	}
 }
-
-// release frees a copy that is not used; it holds memory at the destination.
-func (m *Mover) release(source *targets.Target, r *streaming.Run, handle string) {
-	ctx, cancel := context.WithTimeout(context.Background(), moveTimeout)
-	defer cancel()
-	if err := m.Engines.Release(ctx, source.Address, handle); err != nil {
-		r.Log().Warn("migration: unused copy is left to expire", "source", source.ID, "copy", handle, "error", err.Error())
-	}
-}
--- a/internal/edge/policy/engine.go
+++ b/internal/edge/policy/engine.go
@@ -9,7 +9,6 @@
 	TokenBytes     int // KV cache bytes of one token
 	LinkMbps       float64
 	CanMove        bool // copies the memory of a run to another engine
-	CanBackup      bool // keeps a copy of a run on another engine as it grows
 	TokensPerEvent int
 	HandleLifetime time.Duration // how long an unused copy is kept
 }
--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -156,7 +156,7 @@
 		Leaves: p.leaves,
 	}
 	p.keeper = &migration.Keeper{
-		Log: log, Engines: p.streaming.Engines, Book: p.book, Runs: p.streaming.Runs.All, Choose: p.streaming.Choose, Leaves: p.leaves,
+		Engines: p.streaming.Engines, Book: p.book, Runs: p.streaming.Runs.All, Choose: p.streaming.Choose, Leaves: p.leaves,
 	}
 	return p
 }
--- a/internal/edge/streaming/copy.go
+++ b/internal/edge/streaming/copy.go
@@ -36,16 +36,33 @@
 	done     chan struct{}
 }
 
-// Secure records a copy made while the run went on, which takes over the load
-// reserved for it. It returns nil if the run is elsewhere or over by now.
-func (r *Run) Secure(source, dest *targets.Target, handle string, reserved loadbook.Load) *Copy {
+// Secure copies the run's memory to an engine while it goes on, for which reserved
+// is counted already, and records the copy. Without a copy it takes the load back.
+// It returns a nil Copy if none was made, or if the run is elsewhere or over by
+// then, in which case the copy is freed.
+func (r *Run) Secure(ctx context.Context, source, dest *targets.Target, reserved loadbook.Load) (*Copy, edge.Moved) {
+	moved := r.server.Engines.Move(ctx, source.Address, r.ID(), dest.Address, false)
+	if moved.Result != edge.MoveCopied {
+		r.server.Book.Remove(dest.Key(), reserved)
+		return nil, moved
+	}
+	c := &Copy{Source: source, Dest: dest, Handle: moved.Handle, Reserved: reserved, At: bootclock.Now(), done: make(chan struct{})}
+	if !r.record(c) {
+		r.dropCopy(c)
+		return nil, moved
+	}
+	return c, moved
+}
+
+// record keeps a copy unless the run is elsewhere or over, or has one.
+func (r *Run) record(c *Copy) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.copied != nil || r.target == nil || r.target.Key() != source.Key() {
-		return nil
+	if r.copied != nil || r.target == nil || r.target.Key() != c.Source.Key() {
+		return false
 	}
-	r.copied = &Copy{Source: source, Dest: dest, Handle: handle, Reserved: reserved, At: bootclock.Now(), done: make(chan struct{})}
-	return r.copied
+	r.copied = c
+	return true
 }
 
 // Standing returns the copy of the run that was made at its present target, nil
--- a/internal/edge/streaming/forward.go
+++ b/internal/edge/streaming/forward.go
@@ -131,11 +131,7 @@
 	ctx, cancel := context.WithTimeout(ctx, haltPatience)
 	defer cancel()
 	moved := r.server.Engines.Move(ctx, source.Address, r.ID(), c.Dest.Address, true)
-	text := ""
-	if moved.Err != nil {
-		text = moved.Err.Error()
-	}
-	r.call.Log.Info("stream: run is stopped where its stream broke off", "target", source.ID, "result", moved.Result.String(), "error", text)
+	r.call.Log.Info("stream: run is stopped where its stream broke off", "target", source.ID, "result", moved.Result.String(), "error", moved.Why())
 	return moved
 }
 
