The tests speak the platform through its stand-ins; events instead of sleeps

Cause: tests/edge and tests/soak each built the configuration, the list's entries, callers' headers, a target's own failure and the text of a stream by hand, twice the same and with the platform's names outside its folder; three tests slept until some events had been made.

Change: platform/standin has Configuration, Entry, Call, Fail, Shed, StreamText and what an arrival says; tests use them. Engine.Made lets the three tests wait for the twentieth event.

--- a/internal/edge/ingress/handler_test.go
+++ b/internal/edge/ingress/handler_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
@@ -19,6 +18,7 @@
 	"corianderhitch/internal/edge/ingress"
 	"corianderhitch/internal/edge/policy"
 	"corianderhitch/platform"
+	"corianderhitch/platform/standin"
 )
 
 // served answers every admitted call.
@@ -31,8 +31,16 @@
 
 func (served) Request(*policy.Route, string, time.Duration) {}
 
-func configuration(version int, prefix string) []byte {
-	return fmt.Appendf(nil, `{"version":%d,"routes":[{"name":"r","host":"desk.example","prefix":%q,"kind":"idempotent","timeoutMs":1000,"service":"s","public":true}],"services":[{"name":"s"}]}`, version, prefix)
+const key = "key-1"
+
+// configuration has one route, which is called as its prefix.
+func configuration(t *testing.T, version int, route string) []byte {
+	t.Helper()
+	c := standin.Configuration{Version: version, Timeout: time.Second, Plain: []string{"s"}, Account: "a", Keys: []string{key},
+		Routes: []standin.Route{{Name: route, Kind: standin.Idempotent, Service: "s", Attempts: 1}}}
+	raw, err := c.Encode()
+	require.NoError(t, err)
+	return raw
 }
 
 var errStore = errors.New("the store is away")
@@ -53,14 +61,14 @@
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			holder := policy.NewHolder(platform.DecodeConfiguration)
-			_, err := holder.Offer(configuration(1, "/old/"), 1)
+			_, err := holder.Offer(configuration(t, 1, "old"), 1)
 			require.NoError(t, err)
 			log := slog.New(slog.DiscardHandler)
 			confirmer := freshness.New(log, func() time.Duration { return time.Hour }, func(context.Context) (bootclock.Instant, error) {
 				if c.store != nil {
 					return 0, c.store
 				}
-				_, err := holder.Offer(configuration(2, "/new/"), 2)
+				_, err := holder.Offer(configuration(t, 2, "new"), 2)
 				return bootclock.Now(), err
 			})
 			confirmer.Note(bootclock.Now().Add(-c.age))
@@ -68,6 +76,7 @@
 				Plain: served{}, Streaming: served{}, Observer: served{}, Count: func(string) {}, Closing: func() bool { return false }}
 			r := httptest.NewRequest(http.MethodGet, "/new/x", nil)
 			r.Host = "desk.example"
+			(&standin.Call{ID: "r-1", Key: key, Patience: time.Second}).SetHead(r)
 			answer := httptest.NewRecorder()
 			h.ServeHTTP(answer, r)
 			require.Equal(t, c.want, answer.Code, "age %v, store %v", c.age, c.store)
--- a/tests/edge/desk_test.go
+++ b/tests/edge/desk_test.go
@@ -22,19 +22,6 @@
 	return d
 }
 
-// failing answers with the target's own failure, which counts as run.
-func failing(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
-	w.Header().Set("Response-Signature", "signed")
-	w.WriteHeader(http.StatusInternalServerError)
-}
-
-// shedding says that the request was not run.
-func shedding(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Not-Executed", "1")
-	w.WriteHeader(http.StatusServiceUnavailable)
-}
-
 // closing reads the request and closes the connection without an answer.
 func closing(w http.ResponseWriter, _ *http.Request) { raw(w, "") }
 
--- a/tests/edge/engine_test.go
+++ b/tests/edge/engine_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
 	"net/http"
-	"strings"
 
 	"github.com/stretchr/testify/require"
 
@@ -33,16 +31,6 @@
 
 func draft(ctx context.Context, h *host, id string, events int) *http.Request {
 	r := h.request(ctx, http.MethodPost, "draft", id, []byte("prompt"))
-	r.Header.Set("Model", "m")
-	r.Header.Set("Token-Usage", fmt.Sprintf("1000,%d", events*4))
-	r.Header.Set("Prompt-Prefix", "aa:100,bb:900")
+	(&standin.Call{ID: id, Key: key, Patience: patience, Events: events}).SetHead(r)
 	return r
 }
-
-func wholeStream(id string, events int) string {
-	var b strings.Builder
-	for n := 1; n <= events; n++ {
-		b.WriteString(standin.EventText(id, n))
-	}
-	return b.String()
-}
--- a/tests/edge/fleet_test.go
+++ b/tests/edge/fleet_test.go
@@ -6,7 +6,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -26,6 +25,7 @@
 	ports "corianderhitch/internal/platform"
 	"corianderhitch/internal/platform/memstore"
 	"corianderhitch/platform"
+	"corianderhitch/platform/standin"
 )
 
 const (
@@ -33,6 +33,7 @@
 	account    = "skippers"
 	engines    = "engines"
 	desk       = "desk"
+	patience   = 8 * time.Second // of callers and routes
 	waitFor    = 10 * time.Second
 	checkEvery = 5 * time.Millisecond
 )
@@ -127,30 +128,15 @@
 // configure writes the next version of the configuration.
 func (f *fleet) configure() {
 	f.version++
-	route := func(name, kind, service string, attempts int, more map[string]any) map[string]any {
-		r := map[string]any{"name": name, "host": "desk.example", "prefix": "/" + name + "/", "kind": kind, "timeoutMs": 8000,
-			"targetLatencyMs": 100, "priority": 1, "service": service, "maxAttempts": attempts, "public": false}
-		for k, v := range more {
-			r[k] = v
-		}
-		return r
-	}
-	config := map[string]any{
-		"version": f.version,
-		"routes": []any{
-			route("draft", "streaming", engines, 1, map[string]any{"targetLatencyMs": 1800, "gapAimMs": 180}),
-			route("hold", "non_idempotent", desk, 1, nil),
-			route("check", "idempotent", desk, 2, nil),
-		},
-		"services": []any{
-			map[string]any{"name": engines, "healthPath": "/healthz", "maxConnections": 100, "engine": map[string]any{
-				"slots": 24, "kvCapacity": 34000, "kvTokenBytes": 262144, "linkMbps": 38000.0, "moves": true, "stride": 4, "handleS": 5.0}},
-			map[string]any{"name": desk, "healthPath": "/healthz", "maxConnections": 100},
+	config := standin.Configuration{
+		Version: f.version, Timeout: patience, Engines: engines, Plain: []string{desk}, Account: account, Keys: f.keys,
+		Routes: []standin.Route{
+			{Name: "draft", Kind: standin.Streaming, Service: engines, Objective: 1800 * time.Millisecond, Attempts: 1},
+			{Name: "hold", Kind: standin.NonIdempotent, Service: desk, Objective: 100 * time.Millisecond, Attempts: 1},
+			{Name: "check", Kind: standin.Idempotent, Service: desk, Objective: 100 * time.Millisecond, Attempts: 2},
 		},
-		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": []any{map[string]any{"name": account, "apiKeys": f.keys}},
 	}
-	raw, err := json.Marshal(config)
+	raw, err := config.Encode()
 	require.NoError(f.t, err)
 	_, err = f.store.Put(f.t.Context(), platform.ConfigurationKey, raw, ports.AnyRevision, 0)
 	require.NoError(f.t, err)
@@ -158,8 +144,7 @@
 
 // register writes a target's entry.
 func (f *fleet) register(id, service, address, state string) {
-	entry := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","slots":6,"state":%q,"coldRemainingMs":0,"sequence":1,"born":1700000000000}`, service, address, state)
-	_, err := f.store.Put(f.t.Context(), platform.TargetPrefix+id, []byte(entry), ports.AnyRevision, 0)
+	_, err := f.store.Put(f.t.Context(), platform.TargetPrefix+id, standin.Entry(service, address, state, 6), ports.AnyRevision, 0)
 	require.NoError(f.t, err)
 }
 
@@ -245,9 +230,7 @@
 	}
 	r.Host = "desk.example"
 	r.GetBody = nil // the caller's transport must not repeat it either
-	r.Header.Set("Request-Id", id)
-	r.Header.Set("Authorization", "Bearer "+key)
-	r.Header.Set("Deadline-Ms", "8000")
+	(&standin.Call{ID: id, Key: key, Patience: patience}).SetHead(r)
 	return r
 }
 
--- a/tests/edge/plain_test.go
+++ b/tests/edge/plain_test.go
@@ -7,30 +7,33 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"corianderhitch/platform/headers"
+	"corianderhitch/platform/standin"
 )
 
 func TestPlainCallPassesUnchanged(t *testing.T) {
 	_, h, desks := deskFleet(t, 1)
 	d := desks[0]
 	r := h.request(t.Context(), http.MethodPost, "hold", "r-1", []byte("two berths"))
-	r.Header.Set("Tenant", "forged")
-	r.Header.Set("Hold", "forged")
-	r.Header.Set("Kv-From", "forged")
+	r.Header.Set(headers.Account, "forged")
+	r.Header.Set(headers.Lease, "forged")
+	r.Header.Set(headers.Copy, "forged")
 	r.Header.Set("Trip", "7")
 	a := send(r)
 	require.NoError(t, a.err)
 	require.Equal(t, http.StatusOK, a.status)
 	require.Equal(t, "done r-1", a.body)
-	require.Equal(t, "signed", a.header.Get("Response-Signature"))
+	require.Equal(t, "signed", a.header.Get(headers.Signature))
 	seen := d.Arrivals()
 	require.Len(t, seen, 1)
 	require.Equal(t, "/hold/x?y=%2F1", seen[0].RequestURI)
-	require.Equal(t, account, seen[0].Header.Get("Tenant"))
+	require.Equal(t, account, seen[0].Header.Get(headers.Account))
 	require.Equal(t, "7", seen[0].Header.Get("Trip"))
-	require.Empty(t, seen[0].Header.Get("Authorization"))
-	require.Empty(t, seen[0].Header.Get("Hold"))
-	require.Empty(t, seen[0].Header.Get("Kv-From"))
-	require.NotEmpty(t, seen[0].Header.Get("Deadline-Ms"))
+	require.Empty(t, seen[0].Header.Get(headers.Credentials))
+	require.Empty(t, seen[0].Header.Get(headers.Lease))
+	require.Empty(t, seen[0].Header.Get(headers.Copy))
+	require.NotEmpty(t, seen[0].Header.Get(headers.Deadline))
 }
 
 func TestRefusalsBeforeATarget(t *testing.T) {
@@ -43,8 +46,8 @@
 	}{
 		"unknown route": {change: func(r *http.Request) { r.URL.Path = "/none/x" }, want: http.StatusNotFound},
 		"unknown host":  {change: func(r *http.Request) { r.Host = "other.example" }, want: http.StatusNotFound},
-		"unknown key":   {change: func(r *http.Request) { r.Header.Set("Authorization", "Bearer none") }, want: http.StatusUnauthorized},
-		"no key":        {change: func(r *http.Request) { r.Header.Del("Authorization") }, want: http.StatusUnauthorized},
+		"unknown key":   {change: func(r *http.Request) { r.Header.Set(headers.Credentials, headers.Bearer+"none") }, want: http.StatusUnauthorized},
+		"no key":        {change: func(r *http.Request) { r.Header.Del(headers.Credentials) }, want: http.StatusUnauthorized},
 		"too large":     {change: func(*http.Request) {}, body: make([]byte, 70000), want: http.StatusRequestEntityTooLarge},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -64,10 +67,10 @@
 		"no HTTP":                  func(w http.ResponseWriter, _ *http.Request) { raw(w, "nonsense\r\n\r\n") },
 		"unsigned success":         func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) },
 		"body cut short": func(w http.ResponseWriter, _ *http.Request) {
-			raw(w, "HTTP/1.1 200 OK\r\nResponse-Signature: s\r\nContent-Length: 10\r\n\r\nabc")
+			raw(w, "HTTP/1.1 200 OK\r\n"+headers.Signature+": s\r\nContent-Length: 10\r\n\r\nabc")
 		},
 		"body without length reset": func(w http.ResponseWriter, _ *http.Request) {
-			reset(w, "HTTP/1.1 200 OK\r\nResponse-Signature: s\r\n\r\nabc")
+			reset(w, "HTTP/1.1 200 OK\r\n"+headers.Signature+": s\r\n\r\nabc")
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -88,7 +91,7 @@
 func TestRejectedCallThatMayRunOnceIsRefusedAsNotRun(t *testing.T) {
 	_, h, desks := deskFleet(t, 1)
 	d := desks[0]
-	d.Set(shedding)
+	d.Set(standin.Shed)
 	a := send(h.request(t.Context(), http.MethodPost, "hold", "r-1", nil))
 	require.Equal(t, http.StatusServiceUnavailable, a.status)
 	require.NotEmpty(t, a.header.Get("Retry-After"))
@@ -97,7 +100,7 @@
 
 func TestIdempotentCallIsSentAgain(t *testing.T) {
 	for name, behave := range map[string]func(http.ResponseWriter, *http.Request){
-		"failed": failing, "closed": closing, "shed": shedding,
+		"failed": standin.Fail, "closed": closing, "shed": standin.Shed,
 		"hangs": func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() },
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -115,21 +118,21 @@
 func TestOwnFailureOfATargetIsPassedOn(t *testing.T) {
 	_, h, desks := deskFleet(t, 1)
 	d := desks[0]
-	d.Set(failing)
+	d.Set(standin.Fail)
 	a := send(h.request(t.Context(), http.MethodPost, "hold", "r-1", nil))
 	require.Equal(t, http.StatusInternalServerError, a.status)
-	require.Equal(t, "signed", a.header.Get("Response-Signature"))
+	require.Equal(t, "signed", a.header.Get(headers.Signature))
 }
 
 // A second answer on a kept connection belongs to no request, whether it is
 // there before the next request or comes where its answer is due.
 func TestStrayAnswerIsNotGivenToTheNextRequest(t *testing.T) {
 	text := func(id string) string {
-		return fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: s\r\nContent-Length: %d\r\n\r\n%s", id, len(id), id)
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\nContent-Length: %d\r\n\r\n%s", headers.RequestID, id, headers.Signature, len(id), id)
 	}
 	for name, answer := range map[string]func(last *string, r *http.Request) string{
 		"at once": func(_ *string, r *http.Request) string {
-			id := r.Header.Get("Request-Id")
+			id := r.Header.Get(headers.RequestID)
 			return text(id) + text(id)
 		},
 		"late": func(last *string, r *http.Request) string {
@@ -137,7 +140,7 @@
 			if *last != "" {
 				stray = text(*last)
 			}
-			*last = r.Header.Get("Request-Id")
+			*last = r.Header.Get(headers.RequestID)
 			return stray + text(*last)
 		},
 	} {
@@ -177,7 +180,7 @@
 	d := desks[0]
 	d.Set(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
 	r := h.request(t.Context(), http.MethodPost, "hold", "r-1", nil)
-	r.Header.Set("Deadline-Ms", "300")
+	standin.SetPatience(r, 300*time.Millisecond)
 	began := time.Now()
 	a := send(r)
 	require.Equal(t, http.StatusGatewayTimeout, a.status)
--- a/tests/edge/story_test.go
+++ b/tests/edge/story_test.go
@@ -32,7 +32,7 @@
 func TestStoryNamesTheCause(t *testing.T) {
 	t.Run("refused because the target rejected it", func(t *testing.T) {
 		_, h, desks := deskFleet(t, 1)
-		desks[0].Set(shedding)
+		desks[0].Set(standin.Shed)
 		require.Equal(t, http.StatusServiceUnavailable, send(h.request(t.Context(), http.MethodPost, "hold", "r-1", nil)).status)
 		text := tell(t, h, "r-1")
 		require.Contains(t, text, "reason=target_full")
@@ -54,7 +54,7 @@
 		_, h, all := engineFleet(t, 1)
 		pending := async(draft(t.Context(), h, "r-1", longDraft))
 		<-all[0].Busy()
-		time.Sleep(20 * standin.EventEvery)
+		require.Eventually(t, func() bool { return all[0].Made("r-1") >= 20 }, waitFor, checkEvery)
 		all[0].Crash()
 		require.Error(t, (<-pending).err)
 		text := tell(t, h, "r-1")
--- a/tests/edge/stream_test.go
+++ b/tests/edge/stream_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"corianderhitch/platform/headers"
 	"corianderhitch/platform/standin"
 )
 
@@ -57,9 +58,9 @@
 	_, h, all := engineFleet(t, 1)
 	a := send(draft(t.Context(), h, "r-1", shortDraft))
 	require.NoError(t, a.err)
-	require.Equal(t, wholeStream("r-1", shortDraft), a.body)
+	require.Equal(t, standin.StreamText("r-1", shortDraft), a.body)
 	require.Equal(t, "text/event-stream", a.header.Get("Content-Type"))
-	require.Equal(t, "signed", a.header.Get("Response-Signature"))
+	require.Equal(t, "signed", a.header.Get(headers.Signature))
 	require.Equal(t, []string{"r-1"}, all[0].Starts())
 }
 
@@ -70,7 +71,7 @@
 	f.register(source.ID, engines, source.Address(), "draining")
 	a := <-pending
 	require.NoError(t, a.err)
-	require.Equal(t, wholeStream("r-1", longDraft), a.body)
+	require.Equal(t, standin.StreamText("r-1", longDraft), a.body)
 	resumed := 0
 	for _, e := range others {
 		resumed += len(e.Resumed())
@@ -104,7 +105,7 @@
 	for i, p := range pending {
 		a := <-p
 		require.NoError(t, a.err)
-		require.Equal(t, wholeStream(fmt.Sprintf("r-%d", i), longDraft), a.body)
+		require.Equal(t, standin.StreamText(fmt.Sprintf("r-%d", i), longDraft), a.body)
 	}
 }
 
@@ -122,7 +123,7 @@
 	f.register(source.ID, engines, source.Address(), "draining")
 	a := <-pending
 	require.NoError(t, a.err)
-	require.Equal(t, wholeStream("r-1", longDraft), a.body)
+	require.Equal(t, standin.StreamText("r-1", longDraft), a.body)
 }
 
 // A stream that nothing can continue must not look whole.
@@ -130,11 +131,11 @@
 	_, h, all := engineFleet(t, 2)
 	pending := async(draft(t.Context(), h, "r-1", longDraft))
 	source, others := busyOne(t, all)
-	time.Sleep(20 * standin.EventEvery)
+	require.Eventually(t, func() bool { return source.Made("r-1") >= 20 }, waitFor, checkEvery)
 	source.Crash()
 	a := <-pending
 	require.Error(t, a.err)
-	require.Equal(t, wholeStream("r-1", longDraft)[:len(a.body)], a.body)
+	require.Equal(t, standin.StreamText("r-1", longDraft)[:len(a.body)], a.body)
 	require.Empty(t, others[0].Starts())
 }
 
@@ -175,9 +176,9 @@
 	late := async(draft(t.Context(), h, "r-2", shortDraft)) // callers come until the platform has noticed
 	a, b := <-pending, <-late
 	require.NoError(t, a.err)
-	require.Equal(t, wholeStream("r-1", longDraft), a.body)
+	require.Equal(t, standin.StreamText("r-1", longDraft), a.body)
 	require.NoError(t, b.err)
-	require.Equal(t, wholeStream("r-2", shortDraft), b.body)
+	require.Equal(t, standin.StreamText("r-2", shortDraft), b.body)
 }
 
 // An engine that takes runs and never answers is passed over soon, although its
@@ -217,10 +218,10 @@
 		return string(body), err
 	}
 	r := draft(t.Context(), h, "r-1", shortDraft)
-	r.Header.Set("Deadline-Ms", "300")
+	standin.SetPatience(r, 300*time.Millisecond)
 	body, err := over(r)
 	require.NoError(t, err)
-	require.Equal(t, wholeStream("r-1", shortDraft), body)
+	require.Equal(t, standin.StreamText("r-1", shortDraft), body)
 	time.Sleep(1500 * time.Millisecond) // beyond the stream's deadline and what is added for slow callers
 	body, err = over(h.request(t.Context(), http.MethodPost, "hold", "r-2", []byte("x")))
 	require.NoError(t, err)
@@ -244,7 +245,7 @@
 	source.Crash()
 	a := <-pending
 	require.NoError(t, a.err)
-	require.Equal(t, wholeStream("r-1", events), a.body)
+	require.Equal(t, standin.StreamText("r-1", events), a.body)
 	for _, e := range others {
 		require.Empty(t, e.Starts())
 	}
@@ -261,7 +262,7 @@
 	f.register(source.ID, engines, source.Address(), "draining")
 	a := <-pending
 	require.NoError(t, a.err)
-	require.Equal(t, wholeStream("r-1", events), a.body)
+	require.Equal(t, standin.StreamText("r-1", events), a.body)
 	require.Equal(t, []string{"r-1"}, others[0].Resumed())
 	require.Eventually(t, func() bool { return source.Held() == 0 }, time.Second, checkEvery)
 }
@@ -279,7 +280,7 @@
 	source.CutStreams()
 	a := <-pending
 	require.NoError(t, a.err)
-	require.Equal(t, wholeStream("r-1", events), a.body)
+	require.Equal(t, standin.StreamText("r-1", events), a.body)
 	before, after := source.Spans()[0], others[0].Spans()[0]
 	require.Less(t, before.To.Sub(after.From), 400*time.Millisecond, "both engines worked on it")
 }
@@ -295,6 +296,6 @@
 	source.GoDark()
 	a := <-pending
 	require.NoError(t, a.err)
-	require.Equal(t, wholeStream("r-1", events), a.body)
+	require.Equal(t, standin.StreamText("r-1", events), a.body)
 	require.Equal(t, []string{"r-1"}, others[0].Resumed())
 }
--- a/tests/soak/callers_test.go
+++ b/tests/soak/callers_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"corianderhitch/platform/standin"
 )
 
 // kindsOfCall are drawn by callers: route and method.
@@ -100,14 +102,11 @@
 		panic(err)
 	}
 	r.Host = "desk.example"
-	r.Header.Set("Request-Id", o.id)
-	r.Header.Set("Authorization", "Bearer "+o.key)
-	r.Header.Set("Deadline-Ms", fmt.Sprint(callDeadline.Milliseconds()))
+	call := standin.Call{ID: o.id, Key: o.key, Patience: callDeadline}
 	if o.route == "draft" {
-		r.Header.Set("Model", "m")
-		r.Header.Set("Token-Usage", fmt.Sprintf("1000,%d", 4*o.events))
-		r.Header.Set("Prompt-Prefix", "aa:100,bb:900")
+		call.Events = o.events
 	}
+	call.SetHead(r)
 	o.sent = time.Now()
 	defer func() { o.ended = time.Now() }()
 	response, err := client.Do(r)
@@ -118,6 +117,6 @@
 	defer func() { _ = response.Body.Close() }()
 	text, err := io.ReadAll(response.Body)
 	o.status, o.err, o.body = response.StatusCode, err, string(text)
-	o.signed = response.Header.Get("Response-Signature") != ""
+	o.signed = standin.Signed(response.Header)
 	o.retryAfter = response.Header.Get("Retry-After")
 }
--- a/tests/soak/checks_test.go
+++ b/tests/soak/checks_test.go
@@ -32,9 +32,8 @@
 			continue
 		}
 		for _, a := range t.desk.Arrivals() {
-			if a.Header.Get("Expect-Instance") == t.id {
-				id := a.Header.Get("Request-Id")
-				out[id] = append(out[id], sighting{at: a.At, end: a.At, target: t, anew: true, account: a.Header.Get("Tenant")})
+			if a.Wanted() == t.id {
+				out[a.ID()] = append(out[a.ID()], sighting{at: a.At, end: a.At, target: t, anew: true, account: a.Account()})
 			}
 		}
 	}
@@ -60,7 +59,7 @@
 			"drained targets":     w.leftAlone(o, seen[o.id]),
 			"planned stops":       w.cutsNothing(o, seen[o.id]),
 			"configuration":       w.applied(o, seen[o.id]),
-			"client account":      account(seen[o.id]),
+			"client account":      otherAccount(seen[o.id]),
 			"refusals say when":   o.saysWhen(),
 			"answers in time":     o.inTime(),
 			"nothing else denied": w.denied(o),
@@ -86,7 +85,7 @@
 	}
 	want := "done " + o.id
 	if o.route == "draft" {
-		want = stream(o.id, o.events)
+		want = standin.StreamText(o.id, o.events)
 	}
 	switch {
 	case !o.signed:
@@ -99,14 +98,6 @@
 	return ""
 }
 
-func stream(id string, events int) string {
-	var b strings.Builder
-	for n := 1; n <= events; n++ {
-		b.WriteString(standin.EventText(id, n))
-	}
-	return b.String()
-}
-
 func (w *world) once(o *outcome, seen []sighting) string {
 	if o.route != "hold" && o.route != "draft" {
 		return ""
@@ -271,9 +262,9 @@
 	return false
 }
 
-func account(seen []sighting) string {
+func otherAccount(seen []sighting) string {
 	for _, s := range seen {
-		if s.account != "" && s.account != "skippers" {
+		if s.account != "" && s.account != account {
 			return "forwarded for the client account " + s.account
 		}
 	}
--- a/tests/soak/faults_test.go
+++ b/tests/soak/faults_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"corianderhitch/internal/platform/memstore"
+	"corianderhitch/platform/standin"
 	"corianderhitch/tests/harness"
 )
 
@@ -162,9 +163,7 @@
 			if d.pick%2 == 0 {
 				panic(http.ErrAbortHandler)
 			}
-			rw.Header().Set("Request-Id", r.Header.Get("Request-Id"))
-			rw.Header().Set("Response-Signature", "signed")
-			rw.WriteHeader(http.StatusInternalServerError)
+			standin.Fail(rw, r)
 		})
 		time.Sleep(d.long)
 		t.desk.Set(nil)
--- a/tests/soak/promises_test.go
+++ b/tests/soak/promises_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"corianderhitch/platform/standin"
 )
 
 // The checks themselves: each finds the broken promise that it is for, and lets
@@ -27,8 +29,8 @@
 			w.once(draft, []sighting{run(first, 0, 1, true), run(second, 1, 2, false)})},
 		"engines": {w.oneEngine(draft, []sighting{run(first, 0, time.Second, true), run(second, 500*time.Millisecond, time.Second, false)}),
 			w.oneEngine(draft, []sighting{run(first, 0, time.Second, true), run(second, 700*time.Millisecond, 2*time.Second, false)})},
-		"whole": {(&outcome{id: "r", route: "draft", status: http.StatusOK, signed: true, events: 2, body: stream("r", 1)}).whole(),
-			(&outcome{id: "r", route: "draft", status: http.StatusOK, signed: true, events: 2, body: stream("r", 1), err: errors.New("reset")}).whole()},
+		"whole": {(&outcome{id: "r", route: "draft", status: http.StatusOK, signed: true, events: 2, body: standin.StreamText("r", 1)}).whole(),
+			(&outcome{id: "r", route: "draft", status: http.StatusOK, signed: true, events: 2, body: standin.StreamText("r", 1), err: errors.New("reset")}).whole()},
 		"another's answer": {(&outcome{id: "r", route: "hold", status: http.StatusOK, signed: true, body: "done s"}).whole(),
 			(&outcome{id: "r", route: "hold", status: http.StatusOK, signed: true, body: "done r"}).whole()},
 		"refusal": {(&outcome{status: http.StatusServiceUnavailable}).truthful([]sighting{run(first, 0, 1, true)}),
@@ -37,7 +39,7 @@
 			w.withdrawn(&outcome{key: "gone", sent: after(revokeWithin)}, []sighting{run(first, 0, 1, true)})},
 		"drained": {w.leftAlone(&outcome{host: h}, []sighting{run(leaves, drainWithin+2*scheduling, drainWithin+2*scheduling, true)}),
 			w.leftAlone(&outcome{host: h}, []sighting{run(leaves, drainWithin, drainWithin, true)})},
-		"account": {account([]sighting{{account: "others"}}), account([]sighting{{account: "skippers"}})},
+		"account": {otherAccount([]sighting{{account: "others"}}), otherAccount([]sighting{{account: account}})},
 		"denied": {w.denied(&outcome{host: h, status: http.StatusUnauthorized, key: "key-1", sent: at, ended: at}),
 			w.denied(&outcome{host: h, status: http.StatusUnauthorized, key: "gone", sent: at, ended: at})},
 	} {
--- a/tests/soak/story_test.go
+++ b/tests/soak/story_test.go
@@ -5,7 +5,6 @@
 	"os/exec"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -42,15 +41,14 @@
 	broken := &outcome{id: "story-broken", route: "draft", host: h, key: "key-1", events: 400}
 	done := send(broken, http.MethodPost)
 	var engine *target
-	harness.Await(t, callDeadline, "a run on an engine", func() bool {
+	harness.Await(t, callDeadline, "some events of a run on an engine", func() bool {
 		for _, e := range w.live(engines) {
-			if len(e.engine.Starts()) > 0 {
+			if e.engine.Made(broken.id) >= 20 {
 				engine = e
 			}
 		}
 		return engine != nil
 	})
-	time.Sleep(100 * time.Millisecond) // some events
 	engine.engine.Crash()
 	<-done
 	require.Error(t, broken.err)
--- a/tests/soak/target_test.go
+++ b/tests/soak/target_test.go
@@ -54,8 +54,7 @@
 }
 
 func (w *world) register(t *target, state string) {
-	w.put(platform.TargetPrefix+t.id, fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"a","slots":24,"state":%q,"coldRemainingMs":0,"sequence":1,"born":1700000000000}`,
-		t.service, t.proxy.Address(), state))
+	w.put(platform.TargetPrefix+t.id, standin.Entry(t.service, t.proxy.Address(), state, 24))
 }
 
 // live returns the targets of a service that do not leave.
--- a/tests/soak/world_test.go
+++ b/tests/soak/world_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -24,6 +23,7 @@
 const (
 	engines     = "engines"
 	desk        = "desk"
+	account     = "skippers"
 	annexes     = 3 // services that the route "switch" goes round, one a version
 	engineCount = 5
 	deskCount   = 3
@@ -98,25 +98,19 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	number := len(w.versions) + 1
-	route := func(name, kind, service string, objective int, attempts int) map[string]any {
-		return map[string]any{"name": name, "host": "desk.example", "prefix": "/" + name + "/", "kind": kind, "timeoutMs": callDeadline.Milliseconds(),
-			"targetLatencyMs": objective, "gapAimMs": 180, "priority": 1, "service": service, "maxAttempts": attempts, "public": false}
-	}
-	services := []any{
-		map[string]any{"name": desk, "healthPath": "/healthz", "maxConnections": 200},
-		map[string]any{"name": engines, "healthPath": "/healthz", "maxConnections": 200, "engine": map[string]any{
-			"slots": 24, "kvCapacity": 34000, "kvTokenBytes": 262144, "linkMbps": 38000.0, "moves": true, "stride": 4, "handleS": 5.0}},
+	config := standin.Configuration{
+		Version: number, Timeout: callDeadline, Engines: engines, Plain: []string{desk}, Account: account, Keys: w.keys,
+		Routes: []standin.Route{
+			{Name: "draft", Kind: standin.Streaming, Service: engines, Objective: 1800 * time.Millisecond, Attempts: 1},
+			{Name: "hold", Kind: standin.NonIdempotent, Service: desk, Objective: 100 * time.Millisecond, Attempts: 1},
+			{Name: "check", Kind: standin.Idempotent, Service: desk, Objective: 100 * time.Millisecond, Attempts: 2},
+			{Name: "switch", Kind: standin.Idempotent, Service: annex(number), Objective: 100 * time.Millisecond, Attempts: 1},
+		},
 	}
 	for n := range annexes {
-		services = append(services, map[string]any{"name": annex(n), "healthPath": "/healthz", "maxConnections": 200})
+		config.Plain = append(config.Plain, annex(n))
 	}
-	raw, err := json.Marshal(map[string]any{
-		"version": number, "services": services,
-		"routes": []any{route("draft", "streaming", engines, 1800, 1), route("hold", "non_idempotent", desk, 100, 1),
-			route("check", "idempotent", desk, 100, 2), route("switch", "idempotent", annex(number), 100, 1)},
-		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": []any{map[string]any{"name": "skippers", "apiKeys": w.keys}},
-	})
+	raw, err := config.Encode()
 	require.NoError(w.t, err)
 	v := version{number: number, sent: time.Now()}
 	w.put(platform.ConfigurationKey, raw)
