Streams of resumable routes resume after the caller's last event, and at another engine

Ruled out: repeated bytes of the target, a second send of ours (one send, one run, outcome completed).

Change: routes have Resumable; the caller's id goes to the target, events up to it are not sent again, malformed ids get 400. A resumable stream that breaks off restarts at another engine within the same response, within the route's attempts and the retry budget; it gets no replica.

--- a/internal/edge/authorizedcall.go
+++ b/internal/edge/authorizedcall.go
@@ -26,6 +26,15 @@
 	StillAuthorized func(ctx context.Context) bool
 }
 
+// ResumesAfter returns the id of the event after which the stream resumes, 0 for a stream
+// from its start.
+func (a *AuthorizedCall) ResumesAfter() int64 {
+	if !a.Route.Resumable {
+		return 0
+	}
+	return a.Call.LastEventID
+}
+
 // TimeLeft returns the time to the deadline; it is negative after the deadline.
 func (a *AuthorizedCall) TimeLeft() time.Duration { return a.Deadline.Sub(bootclock.Now()) }
 
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -37,8 +37,19 @@
 	Credential    string             // API key, never passed on to a target
 	CallerTimeout time.Duration      // how long the caller waits from arrival; 0 if not stated
 	Generation    *GenerationRequest // nil for plain calls
+	// LastEventID is the id of the last event that the caller has of the stream, 0 if it
+	// has none, InvalidEventID if what it sent can't be an id. Only resumable routes use it.
+	LastEventID int64
 }
 
+const (
+	// InvalidEventID is the LastEventID of a call whose header is malformed.
+	InvalidEventID = -1
+	// MaxEventID is the largest id of an event. It is far above the length of any
+	// generation and leaves room for arithmetic.
+	MaxEventID = 1<<31 - 1
+)
+
 // ReplicaRef names a copy of a run's memory from which a request continues.
 type ReplicaRef struct {
 	Address string // ip:port of the target that issued the handle
@@ -51,7 +62,7 @@
 	Account      string      // name of the client account; empty on public routes
 	Urgency      int         // 0 to 9, 0 is the most urgent
 	ContinueFrom *ReplicaRef // nil for a new run
-	LastEventID  string      // id of the last event that the caller has received; only with ContinueFrom
+	LastEventID  int64       // id of the last event that the caller has received; 0 if none
 }
 
 // MoveResult is the outcome of copying a run's memory to another engine.
--- a/internal/edge/ingress/handler.go
+++ b/internal/edge/ingress/handler.go
@@ -145,6 +145,9 @@
 	if route == nil {
 		return nil, &edge.Rejection{Status: http.StatusNotFound, Reason: edge.ReasonNoRoute}
 	}
+	if route.Resumable && c.LastEventID == edge.InvalidEventID {
+		return nil, &edge.Rejection{Status: http.StatusBadRequest, Reason: edge.ReasonBadLastEventID}
+	}
 	a := &edge.AuthorizedCall{Call: c, Route: route, Urgency: route.Priority}
 	if !route.Public && p.HasAccounts() {
 		account := p.AccountByKey(c.Credential)
--- a/internal/edge/migration/mover.go
+++ b/internal/edge/migration/mover.go
@@ -60,7 +60,7 @@
 func (m *Mover) Evacuate(ctx context.Context, source *targets.Target, noticedAt bootclock.Instant, runs []*streaming.Run) {
 	planned := make([]PlannedRun, len(runs))
 	for i, r := range runs {
-		planned[i] = PlannedRun{Held: r.HeldTokens(), Remaining: r.RemainingTokens(), Replicated: r.Replica() != nil}
+		planned[i] = PlannedRun{Held: r.HeldTokens(), Remaining: r.RemainingTokens(), Survives: r.Replica() != nil || r.Resumable()}
 	}
 	order := EvacuationOrder(planned)
 	if len(order) == 0 || !runs[order[0]].Service().Engine.SupportsMigration {
--- a/internal/edge/migration/plan.go
+++ b/internal/edge/migration/plan.go
@@ -40,14 +40,14 @@
 
 // PlannedRun describes a run for the order of an evacuation.
 type PlannedRun struct {
-	Held       int  // tokens in memory
-	Remaining  int  // output tokens that are still expected
-	Replicated bool // a replica exists, from which the run can continue without a move
+	Held      int  // tokens in memory
+	Remaining int  // output tokens that are still expected
+	Survives  bool // the run can continue without a move: it has a replica or is resumable
 }
 
 // EvacuationOrder returns the indexes of the runs to move, in order. The notice may
-// be too short for all, so the runs that hold the most memory come first. Runs with
-// a replica come last, because they survive without a move.
+// be too short for all, so the runs that hold the most memory come first. Runs that
+// survive without a move come last.
 func EvacuationOrder(runs []PlannedRun) []int {
 	var order []int
 	for i, r := range runs {
@@ -57,8 +57,8 @@
 	}
 	sort.SliceStable(order, func(i, j int) bool {
 		a, b := runs[order[i]], runs[order[j]]
-		if a.Replicated != b.Replicated {
-			return b.Replicated
+		if a.Survives != b.Survives {
+			return b.Survives
 		}
 		return a.Held > b.Held
 	})
--- a/internal/edge/migration/plan_test.go
+++ b/internal/edge/migration/plan_test.go
@@ -18,7 +18,7 @@
 		{Held: 3000, Remaining: 400}, {Held: 6000, Remaining: 10}, {Held: 4000, Remaining: 100},
 	}))
 	require.Equal(t, []int{2, 1, 0}, EvacuationOrder([]PlannedRun{
-		{Held: 6000, Remaining: 400, Replicated: true}, {Held: 3000, Remaining: 100}, {Held: 4000, Remaining: 100},
+		{Held: 6000, Remaining: 400, Survives: true}, {Held: 3000, Remaining: 100}, {Held: 4000, Remaining: 100},
 	}))
 }
 
--- a/internal/edge/migration/replicator.go
+++ b/internal/edge/migration/replicator.go
@@ -53,26 +53,31 @@
 	MaxMemoryShare float64
 }
 
-// Run maintains replicas until ctx ends.
+// Run maintains replicas and continues stalled runs until ctx ends.
 func (r *Replicator) Run(ctx context.Context) {
+	go r.failOverStalledRuns(ctx)
 	if r.MaxMemoryShare <= 0 {
 		return
 	}
-	go r.failOverStalledRuns(ctx)
 	for ctx.Err() == nil {
 		wait.For(ctx, replicationInterval)
 		r.maintainAll(ctx)
 	}
 }
 
-// failOverStalledRuns continues the runs whose engine has stopped sending events from
-// their replicas, until ctx ends.
+// failOverStalledRuns continues the runs whose engine has stopped sending events, from
+// their replicas or, if they are resumable, from their prompts, until ctx ends.
 func (r *Replicator) failOverStalledRuns(ctx context.Context) {
 	for ctx.Err() == nil {
 		wait.For(ctx, stallCheckInterval)
 		for _, run := range r.Runs() {
-			if replica := run.Replica(); replica != nil && run.SinceLastEvent() > stallTimeout {
+			if run.SinceLastEvent() <= stallTimeout {
+				continue
+			}
+			if replica := run.Replica(); replica != nil {
 				run.FailOver(replica)
+			} else if run.MayRestart() {
+				run.BreakOff()
 			}
 		}
 	}
@@ -93,13 +98,15 @@
 	}
 }
 
-// maintain creates, refreshes or discards the replica of a run. It returns false if
-// no engine had memory to spare. Callers hold run.CopyLock.
+// maintain creates, refreshes or discards the replica of a run. A resumable run gets
+// none: after a crash its prompt is read again, which costs a fraction of a second of one
+// engine, while a replica occupies memory of a second engine as long as the run lasts. It
+// returns false if no engine had memory to spare. Callers hold run.CopyLock.
 func (r *Replicator) maintain(ctx context.Context, run *streaming.Run) bool {
 	engine := run.Service().Engine
 	replica := run.Replica()
 	switch {
-	case replica == nil && engine.SupportsMigration && run.RemainingTokens() >= minRemainingForReplica && run.HeldTokens() > 0:
+	case replica == nil && engine.SupportsMigration && !run.Resumable() && run.RemainingTokens() >= minRemainingForReplica && run.HeldTokens() > 0:
 		return r.create(ctx, run)
 	case replica == nil:
 	case r.isObsolete(replica, engine):
--- a/internal/edge/policy/route.go
+++ b/internal/edge/policy/route.go
@@ -10,7 +10,7 @@
 const (
 	NonIdempotent RouteKind = iota // runs at most once for each request id
 	Idempotent                     // may run more than once
-	Streaming                      // a series of events; runs at most once
+	Streaming                      // a series of events; runs at most once unless the route is resumable
 )
 
 // String returns the name of the kind for logs and metrics.
@@ -45,6 +45,9 @@
 	Backends     []Backend
 	MaxAttempts  int  // maximum number of targets that a request is sent to
 	Public       bool // needs no API key
+	// Resumable allows streams to be resumed after an event, which may run a request
+	// more than once; for Streaming only.
+	Resumable bool
 }
 
 // PickService returns the service for a request, selected by a random number in
--- a/internal/edge/rejection.go
+++ b/internal/edge/rejection.go
@@ -23,6 +23,7 @@
 	ReasonNoRoute         = "no_route"
 	ReasonUnknownKey      = "unknown_key"
 	ReasonBadRequest      = "bad_request"
+	ReasonBadLastEventID  = "bad_last_event_id"
 	ReasonTooLarge        = "body_too_large"
 	ReasonNoTarget        = "no_target"
 	ReasonNoRoom          = "no_room"
--- /dev/null
+++ b/internal/edge/streaming/attempts.go
@@ -0,0 +1,134 @@
+package streaming
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"corianderhitch/internal/edge"
+	"corianderhitch/internal/edge/targets"
+)
+
+// attempts records to which engines a request was sent, and what is known of the outcome.
+// Only the reading goroutine uses it, except for sends.
+type attempts struct {
+	tried map[string]bool // incarnations that were chosen
+	// sends counts the sends that reached an engine and failed; continuations from a
+	// replica don't count.
+	sends      atomic.Int32
+	mayHaveRun bool            // an engine may have begun to run the request
+	failed     *failedResponse // the last failure that an engine answered with; nil if none
+}
+
+// unavailable returns the rejection of a request for which no engine is left. Only a
+// request that certainly has not run gets status 503.
+func (a *attempts) unavailable(reason string, retryAfter time.Duration) *edge.Rejection {
+	if a.mayHaveRun {
+		return &edge.Rejection{Status: http.StatusBadGateway, Reason: edge.ReasonMayHaveRun}
+	}
+	return edge.Unavailable(reason, retryAfter)
+}
+
+// takeAttempt reports whether the request may be sent to one more engine, and takes that
+// send from the retry budget.
+func (s *Server) takeAttempt(r *Run) bool {
+	if int(r.attempts.sends.Load()) >= r.call.Route.MaxAttempts {
+		return false
+	}
+	if !s.RetryBudget(r.call.Service.Name).TakeRetry() {
+		r.call.Log.Warn("stream: not sent again", "sends", r.attempts.sends.Load(), "bound", "retry_budget")
+		return false
+	}
+	return true
+}
+
+// restart starts a resumable run again at another engine, after the last event that the
+// caller has. The engine reads the prompt again; that costs less than replicas of all
+// such runs, and loses no event. It returns nil if the run cannot be restarted.
+func (r *Run) restart(ctx context.Context, source *targets.Target, reason string, err error) *segment {
+	if !r.Resumable() || ctx.Err() != nil {
+		return nil
+	}
+	r.server.Health.RecordFailure(source.Key(), 1)
+	r.attempts.sends.Add(1)
+	r.attempts.mayHaveRun = true
+	r.attempts.tried[source.Key()] = true
+	if !r.server.takeAttempt(r) {
+		return nil
+	}
+	started := time.Now()
+	next, rejection := r.server.start(ctx, r)
+	if next != nil && next.response.Status != http.StatusOK {
+		rejection = &edge.Rejection{Status: next.response.Status, Reason: responseFailed}
+		next.close()
+		r.leaveTarget()
+		next = nil
+	}
+	errText := ""
+	if err != nil {
+		errText = err.Error()
+	}
+	if next == nil {
+		r.call.Log.Warn("stream: run could not be restarted", "source", source.ID, "after_event", r.lastEventID, "reason", rejection.Reason, "broke_off", reason, "error", errText)
+		return nil
+	}
+	if !r.headSent {
+		r.head = next.response.Header
+	}
+	r.call.Log.Info("stream: run restarted", "source", source.ID, "target", next.target.ID, "after_event", r.lastEventID,
+		"broke_off", reason, "error", errText, "took_ms", time.Since(started).Milliseconds())
+	return next
+}
+
+// responseFailed is the outcome of a request that the caller got an engine's failure for.
+const responseFailed = "failed"
+
+// failedResponse is a complete response of an engine that is not a stream.
+type failedResponse struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// write forwards the response to the caller.
+func (f *failedResponse) write(w http.ResponseWriter) {
+	edge.CopyHeader(w.Header(), f.header)
+	w.Header().Set("Content-Length", strconv.Itoa(len(f.body)))
+	w.WriteHeader(f.status)
+	_, _ = w.Write(f.body) // ignored: the caller may have disconnected
+}
+
+// readFailedResponse reads a response that is not a stream and leaves its engine. It
+// returns nil if the response is incomplete.
+func (r *Run) readFailedResponse(s *segment) *failedResponse {
+	body, err := io.ReadAll(io.LimitReader(s.response, maxEventBytes))
+	r.server.Health.RecordFailure(s.target.Key(), nonStreamSeverity)
+	s.close()
+	r.leaveTarget()
+	if err != nil {
+		return nil
+	}
+	return &failedResponse{status: s.response.Status, header: s.response.Header, body: body}
+}
+
+// retryFailedResponse reports whether the response is a server error after which the
+// request is to be sent to another engine. If so, it keeps the response in case that no
+// engine does better.
+func (s *Server) retryFailedResponse(r *Run, opened *segment) bool {
+	if opened.response.Status < http.StatusInternalServerError || !r.Resumable() || r.headSent {
+		return false
+	}
+	r.attempts.sends.Add(1)
+	r.attempts.mayHaveRun = true
+	if !s.takeAttempt(r) {
+		return false
+	}
+	if f := r.readFailedResponse(opened); f != nil {
+		r.attempts.failed = f
+	}
+	r.call.Log.Info("stream: sent again after a failure", "target", opened.target.ID, "status", opened.response.Status)
+	return true
+}
--- a/internal/edge/streaming/forward.go
+++ b/internal/edge/streaming/forward.go
@@ -17,12 +17,12 @@
 // forward sends the events to the caller as they arrive, from each engine that
 // executes the run in turn, and returns the outcome of the stream.
 func (r *Run) forward(ctx context.Context, current *segment) string {
-	head := current.response
-	if head.Status != http.StatusOK {
+	if current.response.Status != http.StatusOK {
 		return r.forwardResponse(current)
 	}
+	r.head = current.response.Header
 	for {
-		err := r.forwardEvents(current, head.Header)
+		err := r.forwardEvents(current)
 		source := current.target
 		current.close()
 		if err == errCallerGone {
@@ -33,6 +33,9 @@
 			return edge.ReasonCallerGone
 		}
 		next, reason := r.nextSegment(ctx, source, err)
+		if next == nil && reason != completed {
+			next = r.restart(ctx, source, reason, err)
+		}
 		if next == nil {
 			return r.finish(ctx, source, reason, err)
 		}
@@ -43,7 +46,7 @@
 var errCallerGone = errors.New("caller closed the connection")
 
 // forwardEvents forwards the events of one segment until the segment ends.
-func (r *Run) forwardEvents(s *segment, head http.Header) error {
+func (r *Run) forwardEvents(s *segment) error {
 	for first := true; ; first = false {
 		b, err := s.next(r.lastEventID)
 		if err != nil {
@@ -52,7 +55,7 @@
 		if r.headSent {
 			r.recordPause(s.target, first)
 		} else {
-			r.sendHead(s.target, head)
+			r.sendHead(s.target)
 		}
 		r.forwardedAt = bootclock.Now()
 		r.lastEventAt.Store(int64(r.forwardedAt))
@@ -70,8 +73,8 @@
 }
 
 // sendHead sends the status and headers of the response.
-func (r *Run) sendHead(t *targets.Target, head http.Header) {
-	edge.CopyHeader(r.w.Header(), head)
+func (r *Run) sendHead(t *targets.Target) {
+	edge.CopyHeader(r.w.Header(), r.head)
 	r.w.Header().Del("Content-Length")
 	r.w.WriteHeader(http.StatusOK)
 	r.headSent = true
@@ -186,7 +189,7 @@
 func (r *Run) resume(ctx context.Context, t *targets.Target, load inflight.Load, from *edge.ReplicaRef) *segment {
 	started := time.Now()
 	s, err := r.server.open(ctx, r, t, load, edge.Dispatch{
-		Account: r.call.Account, Urgency: r.call.Urgency, ContinueFrom: from, LastEventID: strconv.FormatInt(r.lastEventID, 10),
+		Account: r.call.Account, Urgency: r.call.Urgency, ContinueFrom: from, LastEventID: r.lastEventID,
 	})
 	if err == nil && s.response.Status != http.StatusOK {
 		err = errors.New("status " + strconv.Itoa(s.response.Status))
@@ -210,6 +213,9 @@
 	}
 	engine := r.call.Service.Engine
 	r.server.Lengths.Observe(r.call, r.events*engine.TokensPerEvent, reason == completed)
+	if reason == completed && !r.headSent && r.call.ResumesAfter() > 0 {
+		r.sendHead(source) // the caller already had all events
+	}
 	if reason == completed && r.headSent {
 		return completed
 	}
@@ -245,17 +251,11 @@
 
 // forwardResponse forwards a response that is not a stream.
 func (r *Run) forwardResponse(s *segment) string {
-	body, err := io.ReadAll(io.LimitReader(s.response, maxEventBytes))
-	r.server.Health.RecordFailure(s.target.Key(), nonStreamSeverity)
-	s.close()
-	r.leaveTarget()
-	if err != nil {
+	response := r.readFailedResponse(s)
+	if response == nil {
 		(&edge.Rejection{Status: http.StatusBadGateway, Reason: edge.ReasonMayHaveRun}).Write(r.w, r.server.Sender.Wire)
 		return edge.ReasonMayHaveRun
 	}
-	edge.CopyHeader(r.w.Header(), s.response.Header)
-	r.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	r.w.WriteHeader(s.response.Status)
-	_, _ = r.w.Write(body) // ignored: the caller may have disconnected
-	return "failed"
+	response.write(r.w)
+	return responseFailed
 }
--- a/internal/edge/streaming/rejection.go
+++ b/internal/edge/streaming/rejection.go
@@ -30,16 +30,17 @@
 )
 
 // noCapacity returns the rejection of a run for which no engine was found.
-func (s *Server) noCapacity(ctx context.Context, a *edge.AuthorizedCall) *edge.Rejection {
+func (s *Server) noCapacity(ctx context.Context, r *Run) *edge.Rejection {
+	a := r.call
 	if ctx.Err() != nil && a.TimeLeft() <= 0 {
 		return &edge.Rejection{Status: http.StatusGatewayTimeout, Reason: edge.ReasonTimeout}
 	}
 	if len(s.Targets.View().Available(a.Service.Name)) == 0 {
-		return edge.Unavailable(edge.ReasonNoTarget, startRetryAfter)
+		return r.attempts.unavailable(edge.ReasonNoTarget, startRetryAfter)
 	}
 	// Spreads the retries of callers that were rejected at the same time.
 	retryAfter := fullRetryAfter + time.Duration(rand.Float64()*float64(fullRetryAfter))
-	return edge.Unavailable(edge.ReasonNoRoom, min(retryAfter, time.Duration(maxRetryAfterShare*float64(a.TimeLeft()))))
+	return r.attempts.unavailable(edge.ReasonNoRoom, min(retryAfter, time.Duration(maxRetryAfterShare*float64(a.TimeLeft()))))
 }
 
 // maxWait returns how long a run waits for capacity. A run that would start too late
@@ -60,6 +61,10 @@
 	if errors.Is(ctx.Err(), context.Canceled) {
 		rejection = &edge.Rejection{Status: http.StatusBadGateway, Reason: edge.ReasonCallerGone}
 	}
+	if r.attempts.failed != nil && ctx.Err() == nil {
+		r.attempts.failed.write(r.w)
+		return responseFailed
+	}
 	a.Log.Warn("stream: request rejected", "status", rejection.Status, "reason", rejection.Reason, "age_ms", a.Age().Milliseconds(),
 		"waiting", s.Queue.Len(), "engines", len(s.Targets.View().Available(a.Service.Name)), "list_revision", s.Targets.View().Revision,
 		"retry_after_ms", rejection.RetryAfter.Milliseconds())
--- a/internal/edge/streaming/run.go
+++ b/internal/edge/streaming/run.go
@@ -31,6 +31,8 @@
 	// longestPause is the longest time between two events; only for the reading
 	// goroutine.
 	longestPause time.Duration
+	head         http.Header // of the caller's response; only for the reading goroutine
+	attempts     attempts
 
 	// CopyLock is held while the run's memory is copied: an engine makes one copy of
 	// a run at a time.
@@ -39,11 +41,20 @@
 	mu          sync.Mutex
 	target      *targets.Target // guarded by mu; where the run executes, nil between targets
 	segment     *segment        // guarded by mu
-	events      int             // guarded by mu; number of events sent to the caller
+	events      int             // guarded by mu; number of events of the stream that the caller has
 	countedLoad inflight.Load   // guarded by mu; load counted for target
 	replica     *Replica        // guarded by mu; copied from the current target
 }
 
+// newRun returns the run of a call. A stream that the caller resumes begins after the
+// event that the caller has.
+func newRun(s *Server, a *edge.AuthorizedCall, w http.ResponseWriter, flush func() error) *Run {
+	r := &Run{server: s, call: a, w: w, flush: flush, done: make(chan struct{}), lastEventID: a.ResumesAfter()}
+	r.events = min(int(r.lastEventID), outputLimit(a)/a.Service.Engine.TokensPerEvent)
+	r.attempts.tried = make(map[string]bool)
+	return r
+}
+
 // ID returns the request id, which also identifies the run at its target.
 func (r *Run) ID() string { return r.call.Call.ID }
 
@@ -109,13 +120,29 @@
 	}
 }
 
-// recordProgress counts events that were sent to the caller and regularly updates
-// the run's load.
+// Resumable reports whether the run may be started again at another engine, after the
+// last event that the caller has.
+func (r *Run) Resumable() bool { return r.call.Route.Resumable }
+
+// MayRestart reports whether the run is resumable and has an attempt left.
+func (r *Run) MayRestart() bool {
+	return r.Resumable() && int(r.attempts.sends.Load())+1 < r.call.Route.MaxAttempts
+}
+
+// deliveredEvents returns how many events of the stream the caller has.
+func (r *Run) deliveredEvents() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.events
+}
+
+// recordProgress counts events that were sent to the caller and updates the run's load
+// regularly, and when the first event shows that the prompt has been read.
 func (r *Run) recordProgress(events int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	before := r.events / reestimateEvents
-	first := r.events == 0
+	first := r.countedLoad.Unread > 0
 	r.events += events
 	if r.target == nil || (!first && r.events/reestimateEvents == before) {
 		return
@@ -128,12 +155,23 @@
 // Service returns the service that the run belongs to.
 func (r *Run) Service() *policy.Service { return r.call.Service }
 
+// BreakOff cancels the stream from an engine that has stopped sending events. A resumable
+// run then continues at another engine.
+func (r *Run) BreakOff() {
+	silent := r.SinceLastEvent()
+	if r.cancelSegment(nil) {
+		r.Log().Warn("stream: engine stopped sending events; the run resumes at another", "silent_ms", silent.Milliseconds())
+	}
+}
+
 // cancelSegment cancels the stream from the current target if replica is still the
-// run's replica.
-func (r *Run) cancelSegment(replica *Replica) {
+// run's replica, and reports whether it did; nil stands for no replica.
+func (r *Run) cancelSegment(replica *Replica) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.replica == replica && r.segment != nil {
-		r.segment.cancel()
+	if r.replica != replica || r.segment == nil {
+		return false
 	}
+	r.segment.cancel()
+	return true
 }
--- a/internal/edge/streaming/server.go
+++ b/internal/edge/streaming/server.go
@@ -82,7 +82,7 @@
 	if err := control.SetWriteDeadline(time.Now().Add(a.TimeLeft() + writeSlack)); err != nil {
 		a.Log.Warn("stream: write deadline could not be set", "error", err.Error())
 	}
-	r := &Run{server: s, call: a, w: w, flush: control.Flush, done: make(chan struct{})}
+	r := newRun(s, a, w, control.Flush)
 	defer close(r.done)
 	segment, rejection := s.start(ctx, r)
 	if rejection != nil {
@@ -91,32 +91,29 @@
 	return r.forward(ctx, segment)
 }
 
-// start places the run and opens its first segment, or returns the rejection.
+// start places the run and opens a segment after the last event that the caller has, or
+// returns the rejection.
 func (s *Server) start(ctx context.Context, r *Run) (*segment, *edge.Rejection) {
 	a := r.call
-	tried := make(map[string]bool)
-	sends := 0
 	for range maxPlacements {
-		t, load := s.place(ctx, a, tried)
+		t, load := s.place(ctx, r)
 		if t == nil {
-			return nil, s.noCapacity(ctx, a)
+			return nil, s.noCapacity(ctx, r)
 		}
-		tried[t.Key()] = true
-		segment, err := s.open(ctx, r, t, load, edge.Dispatch{Account: a.Account, Urgency: a.Urgency})
-		if err == nil {
+		r.attempts.tried[t.Key()] = true
+		segment, err := s.open(ctx, r, t, load, edge.Dispatch{Account: a.Account, Urgency: a.Urgency, LastEventID: r.lastEventID})
+		if err == nil && !s.retryFailedResponse(r, segment) {
 			return segment, nil
 		}
-		rejection, retryable := s.startFailure(ctx, a, t, err)
-		if errors.Is(err, errNotExecuted) {
-			if sends++; sends < a.Route.MaxAttempts && s.RetryBudget(a.Service.Name).TakeRetry() {
-				continue
-			}
+		if err == nil {
+			continue
 		}
+		rejection, retryable := s.startFailure(ctx, r, t, err)
 		if !retryable {
 			return nil, rejection
 		}
 	}
-	return nil, edge.Unavailable(edge.ReasonNoTarget, startRetryAfter)
+	return nil, r.attempts.unavailable(edge.ReasonNoTarget, startRetryAfter)
 }
 
 var (
@@ -126,29 +123,35 @@
 )
 
 // startFailure returns the rejection for a failed start. It is retryable at another
-// engine if no byte of the request was sent.
-func (s *Server) startFailure(ctx context.Context, a *edge.AuthorizedCall, t *targets.Target, err error) (rejection *edge.Rejection, retryable bool) {
+// engine if no byte of the request was sent, and within the attempts and the retry budget
+// if the engine did not run the request or the request may run again.
+func (s *Server) startFailure(ctx context.Context, r *Run, t *targets.Target, err error) (rejection *edge.Rejection, retryable bool) {
+	a := r.call
 	a.Log.Warn("stream: start failed", "target", t.ID, "address", t.Address, "age_ms", a.Age().Milliseconds(), "error", err.Error())
 	switch {
 	case ctx.Err() != nil:
 		return &edge.Rejection{Status: http.StatusGatewayTimeout, Reason: edge.ReasonTimeout}, false
 	case errors.Is(err, errKeyUnconfirmed):
-		return edge.Unavailable(edge.ReasonUnconfirmed, startRetryAfter), false
+		return r.attempts.unavailable(edge.ReasonUnconfirmed, startRetryAfter), false
 	case errors.Is(err, errNotExecuted):
-		return edge.Unavailable(edge.ReasonTargetFull, startRetryAfter), false
+		r.attempts.sends.Add(1)
+		return r.attempts.unavailable(edge.ReasonTargetFull, startRetryAfter), s.takeAttempt(r)
 	case errors.Is(err, targetconn.ErrNotSent):
 		s.Health.RecordFailure(t.Key(), 1)
 		return nil, true
 	default:
 		s.Health.RecordFailure(t.Key(), 1)
-		return &edge.Rejection{Status: http.StatusBadGateway, Reason: edge.ReasonMayHaveRun}, false
+		r.attempts.sends.Add(1)
+		r.attempts.mayHaveRun = true
+		return r.attempts.unavailable(edge.ReasonMayHaveRun, 0), r.Resumable() && s.takeAttempt(r)
 	}
 }
 
 // place waits for an engine with capacity and reserves the run's load there. The
 // target is nil if none was found in time.
-func (s *Server) place(ctx context.Context, a *edge.AuthorizedCall, tried map[string]bool) (*targets.Target, inflight.Load) {
-	load := s.runLoad(a, 0)
+func (s *Server) place(ctx context.Context, r *Run) (*targets.Target, inflight.Load) {
+	a := r.call
+	load := s.startLoad(a, r.deliveredEvents())
 	if len(s.Targets.View().Available(a.Service.Name)) == 0 {
 		return nil, load // without engines waiting is pointless: the run is rejected immediately
 	}
@@ -158,7 +161,7 @@
 	var placed Placement
 	started := bootclock.Now()
 	t := s.Queue.Acquire(ctx, a.Urgency, func() *targets.Target {
-		placed = s.ReserveEngine(ctx, a.Service, need, load, tried)
+		placed = s.ReserveEngine(ctx, a.Service, need, load, r.attempts.tried)
 		return placed.Target
 	})
 	waited := bootclock.Since(started)
@@ -239,8 +242,13 @@
 	produced := events * a.Service.Engine.TokensPerEvent
 	load.Tokens = prompt + s.Lengths.Expected(a, produced)
 	load.Held = prompt + produced
-	if events == 0 {
-		load.Unread = prompt
-	}
+	return load
+}
+
+// startLoad returns the load of a run that starts after the given number of events: the
+// engine reads the prompt and what was produced.
+func (s *Server) startLoad(a *edge.AuthorizedCall, events int) inflight.Load {
+	load := s.runLoad(a, events)
+	load.Unread = load.Held
 	return load
 }
--- a/tests/edge/fleet_test.go
+++ b/tests/edge/fleet_test.go
@@ -133,6 +133,7 @@
 		Version: f.version, Timeout: callerTimeout, EngineService: engineService, PlainServices: []string{plainService}, Account: account, Keys: f.keys,
 		Routes: []standin.Route{
 			{Name: "draft", Kind: standin.Streaming, Service: engineService, Objective: 1800 * time.Millisecond, Attempts: 1},
+			{Name: "lookup", Kind: standin.Streaming, Service: engineService, Objective: 1500 * time.Millisecond, Attempts: 2, Resumable: true},
 			{Name: "hold", Kind: standin.NonIdempotent, Service: plainService, Objective: 100 * time.Millisecond, Attempts: 1},
 			{Name: "check", Kind: standin.Idempotent, Service: plainService, Objective: 100 * time.Millisecond, Attempts: 2},
 		},
