A store that comes back from an older copy: eras of revisions, confirmations, leases and lists

Cause (by reading, then by tests on the stand-in): revisions of a restored store are given out again, so that a watch missed changes, a configuration written again was taken for older and a withdrawn key served again, and hosts renewed leases that were no longer theirs.

Across eras the version of a configuration says what is newer. Until an era is settled (2.5 s, or a marker of another host) the store confirms nothing and missing entries are kept; hosts register again within 1.2 s of hearing of it and never touch a lease of an earlier era. A lease whose entry could not be written is used for the next attempt instead of being left behind.

--- a/internal/edge/feed/feed.go
+++ b/internal/edge/feed/feed.go
@@ -24,8 +24,8 @@
 // Sink receives what a Feed reads. One goroutine calls its methods.
 type Sink interface {
 	// Replace passes a complete list. If settled is false, the store has just come
-	// back from an outage and missing entries must be kept: their leases may have
-	// expired during the outage, before their owners could renew them.
+	// back from an outage or from a copy, and missing entries must be kept: their leases
+	// may have expired, or their writes may be lost, and their owners write them again.
 	Replace(entries []platform.Entry, revision platform.Revision, settled bool)
 	// Apply passes changes in order of revision.
 	Apply(events []platform.Event, revision platform.Revision)
@@ -40,7 +40,10 @@
 	// OutageThreshold is how long the store must have been unreachable for missing
 	// entries to be kept at first. 0 disables this.
 	OutageThreshold time.Duration
-	// SettlePeriod is how long missing entries are kept after such an outage.
+	// EraSettled reports whether the entries that were lost with the restore before an era
+	// have been written again. Nil stands for a store that is never restored.
+	EraSettled func(era int64) bool
+	// SettlePeriod is how long missing entries are kept after such an outage or restore.
 	SettlePeriod time.Duration
 	// WatchInterval returns the minimum time between two watches, so that changes in
 	// quick succession cost one call.
@@ -48,6 +51,10 @@
 	// RetryDelay returns the delay after a failed call. Failed calls are billed too.
 	RetryDelay func() time.Duration
 
+	// Only for the goroutine of Run:
+	settling  bool              // missing entries are kept
+	settledAt bootclock.Instant // when settling ends
+
 	state  atomic.Int32 // a followState
 	lostAt atomic.Int64 // bootclock.Instant of the failure that changed the state to lost
 }
@@ -96,7 +103,11 @@
 				f.Log.Info("feed: store is reachable again", "prefix", f.Prefix, "revision", revision)
 			}
 			wait.For(ctx, f.WatchInterval())
-			revision, err = f.watch(ctx, revision)
+			if f.settling && lastReached >= f.settledAt {
+				revision, err = f.list(ctx, lastReached)
+			} else {
+				revision, err = f.watch(ctx, revision)
+			}
 		}
 		f.markLost()
 		if ctx.Err() != nil {
@@ -114,55 +125,47 @@
 	}
 }
 
-// list reads all entries. After an outage it reads them twice, because leases expire
-// during the outage and their owners need some time to register again.
+// list reads all entries. After an outage or a restore of the store, missing entries are
+// kept until the SettlePeriod has passed: leases expire during an outage, a restored store
+// has lost what was written since the copy, and the owners need some time to write their
+// entries again.
 func (f *Feed) list(ctx context.Context, lastReached bootclock.Instant) (platform.Revision, error) {
 	entries, revision, err := f.Store.List(ctx, f.Prefix, "", 0)
 	if err != nil {
 		return 0, err
 	}
 	outage := bootclock.Since(lastReached)
-	if f.OutageThreshold == 0 || outage < f.OutageThreshold {
-		f.Sink.Replace(entries, revision, true)
-		return revision, nil
-	}
-	f.Log.Info("feed: store was unreachable, keeping missing entries for now", "prefix", f.Prefix, "away_ms", outage.Milliseconds())
-	f.Sink.Replace(entries, revision, false)
-	return f.awaitSettled(ctx, revision)
-}
-
-// awaitSettled applies new and changed entries, but no deletions, until SettlePeriod has
-// passed. Then it lists again.
-func (f *Feed) awaitSettled(ctx context.Context, revision platform.Revision) (platform.Revision, error) {
-	until := bootclock.Now().Add(f.SettlePeriod)
-	for {
-		remaining := until.Sub(bootclock.Now())
-		if remaining <= 0 {
-			break
-		}
-		watchCtx, cancel := context.WithTimeout(ctx, remaining)
-		events, next, err := f.Store.Watch(watchCtx, f.Prefix, revision)
-		cancel()
-		// An error needs no handling: the list after the loop is complete in any case.
-		if err == nil {
-			f.Sink.Apply(withoutDeletions(events), next)
-			revision = next
-		}
-		wait.For(ctx, min(remaining, f.WatchInterval()))
-		if ctx.Err() != nil {
-			return 0, ctx.Err()
-		}
-	}
-	entries, revision, err := f.Store.List(ctx, f.Prefix, "", 0)
-	if err == nil {
-		f.Sink.Replace(entries, revision, true)
+	restored := f.EraSettled != nil && !f.EraSettled(revision.Era())
+	now := bootclock.Now()
+	switch {
+	case f.settling && now < f.settledAt:
+	case restored, f.OutageThreshold > 0 && outage >= f.OutageThreshold:
+		f.settling, f.settledAt = true, now.Add(f.SettlePeriod)
+		f.Log.Info("feed: store was away, keeping missing entries for now", "prefix", f.Prefix, "away_ms", outage.Milliseconds(), "restored", restored)
+	default:
+		f.settling = false
 	}
-	return revision, err
+	f.Sink.Replace(entries, revision, !f.settling)
+	return revision, nil
 }
 
 // watch waits for the next changes, applies them and returns the revision to watch from.
+// While the list is settling it waits no longer than that, and does not apply deletions:
+// an entry that expires has owners who may still write it again.
 func (f *Feed) watch(ctx context.Context, after platform.Revision) (platform.Revision, error) {
-	events, next, err := f.Store.Watch(ctx, f.Prefix, after)
+	watchCtx := ctx
+	if f.settling {
+		var cancel context.CancelFunc
+		watchCtx, cancel = context.WithTimeout(ctx, f.settledAt.Sub(bootclock.Now()))
+		defer cancel()
+	}
+	events, next, err := f.Store.Watch(watchCtx, f.Prefix, after)
+	if f.settling {
+		events = withoutDeletions(events)
+		if err != nil && watchCtx.Err() != nil && ctx.Err() == nil {
+			return after, nil // the wait ended, not the connection
+		}
+	}
 	if err != nil {
 		return after, err
 	}
--- a/internal/edge/metrics/metrics.go
+++ b/internal/edge/metrics/metrics.go
@@ -52,6 +52,7 @@
 	PolicyAge       func() time.Duration
 	TargetListAge   func() time.Duration
 	PolicyVersion   func() int64
+	StoreEra        func() int64
 	DroppedLogLines func() int64
 }
 
@@ -76,6 +77,7 @@
 	b.gauge("hitch_edge_hosts", "", "hosts of the fleet, this one included", func() int64 { return int64(g.Hosts()) })
 	b.gauge("hitch_edge_policy_age", "ms", "time since the configuration was surely the newest", func() int64 { return g.PolicyAge().Milliseconds() })
 	b.gauge("hitch_edge_policy_version", "", "version of the configuration in force", g.PolicyVersion)
+	b.gauge("hitch_edge_store_era", "", "era of the platform's store: it rises when the store was restored from a copy", g.StoreEra)
 	b.gauge("hitch_edge_log_lines_dropped", "", "log lines dropped and not reported yet", g.DroppedLogLines)
 	m.Definitions = b.defined
 	return m, b.err
--- a/internal/edge/peers/confirmation.go
+++ b/internal/edge/peers/confirmation.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	"corianderhitch/internal/edge/bootclock"
+	"corianderhitch/internal/edge/policy"
 	"corianderhitch/internal/edge/relay"
 )
 
@@ -48,10 +49,8 @@
 // askPeer asks one host for its confirmation. It returns false if the call fails or
 // the confirmation is older than maxAge.
 func (e *Exchange) askPeer(ctx context.Context, host relay.Host, maxAge time.Duration) (bootclock.Instant, bool) {
-	args := VouchArgs{}
-	if p := e.Policy.Current(); p != nil {
-		args.Revision = p.Revision
-	}
+	own := e.Policy.Current().Stamp()
+	args := VouchArgs{Revision: own.Revision, Version: own.Version}
 	askedAt := bootclock.Now()
 	reply := new(Confirmation)
 	if err := e.call(ctx, host.Name, host.Address, "Vouch", args, reply); err != nil || reply.Age > maxAge {
@@ -62,7 +61,8 @@
 
 // applyConfirmation applies a peer's configuration if it is newer and returns when it
 // was confirmed to be the newest. The peer measures the age after the request was
-// sent, so a delayed answer makes the returned instant earlier, never later.
+// sent, so a delayed answer makes the returned instant earlier, never later. A
+// confirmation of an earlier era of the store holds for its instant like any other.
 func (e *Exchange) applyConfirmation(address string, askedAt bootclock.Instant, c *Confirmation) (bootclock.Instant, bool) {
 	if c.Raw != nil {
 		accepted, err := e.Policy.ApplyIfNewer(c.Raw, c.Revision)
@@ -74,7 +74,8 @@
 			e.Log.Info("policy: configuration in force", "version", e.Policy.Current().Version, "revision", c.Revision, "source", "peer "+address)
 		}
 	}
-	if p := e.Policy.Current(); p == nil || p.Revision < c.Revision {
+	confirmed := policy.Stamp{Version: c.Version, Revision: c.Revision}
+	if own := e.Policy.Current().Stamp(); own == (policy.Stamp{}) || confirmed.NewerThan(own) {
 		return 0, false
 	}
 	if c.Age > maxConfirmationAge {
--- a/internal/edge/peers/exchange.go
+++ b/internal/edge/peers/exchange.go
@@ -23,6 +23,7 @@
 	"corianderhitch/internal/edge/placement"
 	"corianderhitch/internal/edge/policy"
 	"corianderhitch/internal/edge/relay"
+	"corianderhitch/internal/edge/storeera"
 	"corianderhitch/internal/edge/targets"
 	"corianderhitch/internal/rpcconn"
 )
@@ -50,6 +51,7 @@
 	Policy    *policy.Holder
 	Confirmer *freshness.Confirmer
 	Health    *ejection.Tracker
+	Eras      *storeera.Tracker
 	// FollowsStore reports whether this host currently follows the store itself.
 	FollowsStore func() bool
 	// ChooseEngine chooses an engine with free capacity. A hub calls it for the runs
--- a/internal/edge/peers/members.go
+++ b/internal/edge/peers/members.go
@@ -10,7 +10,9 @@
 	"sync"
 	"time"
 
+	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/edge/relay"
+	"corianderhitch/internal/edge/storeera"
 	"corianderhitch/internal/platform"
 	"corianderhitch/internal/wait"
 )
@@ -31,6 +33,12 @@
 	firstListDelay = 700 * time.Millisecond
 	// aloneListInterval replaces listInterval while this host knows no other host.
 	aloneListInterval = 1500 * time.Millisecond
+	// maxReregisterDelay is the maximum of the random delays after which hosts register
+	// again when the store has lost their entries.
+	maxReregisterDelay = 1200 * time.Millisecond
+	// memberSettlePeriod is how long after a restore of the store missing hosts are kept:
+	// they have heard of it and registered again by then.
+	memberSettlePeriod = 4 * time.Second
 )
 
 // Store is the platform's store with an additional cheaper list.
@@ -38,6 +46,8 @@
 	platform.Store
 	// ListStale is List at a lower price per call. Its result may be seconds old.
 	ListStale(ctx context.Context, prefix string) ([]platform.Entry, platform.Revision, error)
+	// Era returns the latest era of the store's answers, 0 if the store has no eras.
+	Era() int64
 }
 
 // Members keeps this host registered in the store and tracks the other hosts. It is
@@ -45,17 +55,30 @@
 type Members struct {
 	log   *slog.Logger
 	store Store
+	eras  *storeera.Tracker
 	self  relay.Host
 
+	// keepUntil is until when hosts missing in the list are kept, listEra the era of the
+	// last list; both only for the goroutine that polls.
+	keepUntil bootclock.Instant
+	listEra   int64
+
 	mu    sync.Mutex
 	hosts map[string]relay.Host // guarded by mu; by name, including this host
 	hubs  []relay.Host          // guarded by mu; chosen from hosts
 }
 
+// registration is this host's entry in the store.
+type registration struct {
+	lease   platform.LeaseID // 0 if none was granted
+	era     int64            // of the store that granted lease; in another era it is not ours
+	written bool             // the entry was written under lease
+}
+
 // NewMembers returns a member list that holds only this host until Run has read the
 // store.
-func NewMembers(log *slog.Logger, store Store, self relay.Host) *Members {
-	m := &Members{log: log, store: store, self: self}
+func NewMembers(log *slog.Logger, store Store, eras *storeera.Tracker, self relay.Host) *Members {
+	m := &Members{log: log, store: store, eras: eras, self: self}
 	m.hosts = map[string]relay.Host{self.Name: self}
 	return m
 }
@@ -119,45 +142,61 @@
 	tasks.Wait()
 }
 
-// maintainRegistration registers this host, renews its lease until ctx ends, and
-// then revokes the lease.
+// maintainRegistration registers this host, renews its lease until ctx ends, and then
+// revokes the lease. A restored store has lost the lease, and may have granted its id to
+// another host: then this host registers again without touching it.
 func (m *Members) maintainRegistration(ctx context.Context) {
-	lease := platform.LeaseID(0)
+	var r registration
 	for ctx.Err() == nil {
-		if lease == 0 {
-			lease = m.register(ctx)
-		} else if err := m.store.KeepAlive(ctx, lease); errors.Is(err, platform.ErrLeaseExpired) {
-			m.log.Warn("peers: lease of this host expired, registering again", "lease", lease)
-			lease = m.register(ctx)
+		changed := m.eras.Changed()
+		if !r.written || r.era != m.eras.Current() {
+			r = m.register(ctx, r)
+		} else if err := m.store.KeepAlive(ctx, r.lease); errors.Is(err, platform.ErrLeaseExpired) {
+			m.log.Warn("peers: lease of this host expired, registering again", "lease", r.lease)
+			r = m.register(ctx, registration{})
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(renewInterval):
+		case <-changed:
+			wait.For(ctx, rand.N(maxReregisterDelay))
 		}
-		wait.For(ctx, renewInterval)
 	}
-	if lease != 0 {
+	if r.lease != 0 && r.era == m.eras.Current() {
 		revokeCtx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
-		if err := m.store.Revoke(revokeCtx, lease); err != nil {
+		if err := m.store.Revoke(revokeCtx, r.lease); err != nil {
 			m.log.Warn("peers: cannot remove the entry of this host, it stays until its lease expires", "error", err.Error())
 		}
 	}
 }
 
-// register writes this host's entry under a new lease. It returns 0 if that fails;
-// the caller retries.
-func (m *Members) register(ctx context.Context) platform.LeaseID {
-	lease, err := m.store.Grant(ctx, memberTTL)
+// register writes this host's entry under a new lease, or under the lease of an earlier
+// attempt that could not write the entry. The caller retries unless the entry is written.
+func (m *Members) register(ctx context.Context, r registration) registration {
+	var err error
+	if r.written || r.lease == 0 || r.era != m.store.Era() {
+		r = registration{}
+		if r.lease, err = m.store.Grant(ctx, memberTTL); err == nil {
+			r.era = m.store.Era()
+		}
+	}
 	if err == nil {
 		var value []byte
-		value, err = json.Marshal(m.self)
-		if err == nil {
-			_, err = m.store.Put(ctx, memberPrefix+m.self.Name, value, platform.AnyRevision, lease)
+		if value, err = json.Marshal(m.self); err == nil {
+			_, err = m.store.Put(ctx, memberPrefix+m.self.Name, value, platform.AnyRevision, r.lease)
 		}
 	}
 	if err != nil {
 		m.log.Warn("peers: cannot register this host", "error", err.Error())
-		return 0
+		if errors.Is(err, platform.ErrLeaseExpired) {
+			return registration{}
+		}
+		return r
 	}
-	m.log.Info("peers: host registered", "address", m.self.Address, "lease", lease)
-	return lease
+	r.written = true
+	m.log.Info("peers: host registered", "address", m.self.Address, "lease", r.lease, "era", r.era)
+	return r
 }
 
 // pollHosts reads the host list until ctx ends.
@@ -178,7 +217,8 @@
 	}
 }
 
-// updateHosts replaces the known hosts by the listed ones and logs the differences.
+// updateHosts replaces the known hosts by the listed ones and logs the differences. Right
+// after a restore of the store, hosts that are missing in the list are kept.
 func (m *Members) updateHosts(entries []platform.Entry, revision platform.Revision) {
 	hosts := make(map[string]relay.Host, len(entries))
 	for _, e := range entries {
@@ -189,6 +229,16 @@
 		}
 		hosts[h.Name] = h
 	}
+	if era := revision.Era(); era != m.listEra {
+		m.listEra, m.keepUntil = era, bootclock.Now().Add(memberSettlePeriod)
+	}
+	if bootclock.Now() < m.keepUntil {
+		for _, h := range m.All() {
+			if _, listed := hosts[h.Name]; !listed {
+				hosts[h.Name] = h
+			}
+		}
+	}
 	previous := m.replaceHosts(hosts)
 	for name, h := range hosts {
 		if _, known := previous[name]; !known {
--- a/internal/edge/peers/messages.go
+++ b/internal/edge/peers/messages.go
@@ -16,8 +16,10 @@
 	Loads          map[string]inflight.Load // in flight from this host, by target incarnation
 	Leaving        []string                 // incarnations that are known to be leaving
 	Failing        []string                 // incarnations that recently failed requests of this host
-	PolicyRevision int64
+	PolicyRevision platform.Revision
+	PolicyVersion  int64
 	ListRevision   platform.Revision
+	ListSettling   bool // see relay.ChangeLog.Settling
 	// WantFleet requests the loads of all hosts. Only a host that has to place runs
 	// itself needs them.
 	WantFleet bool
@@ -32,8 +34,12 @@
 	Parts   map[string]map[string]inflight.Load // in flight by target and host, for leaving targets
 	Leaving []string
 	Failing map[string]int // number of other hosts for which each target recently failed
-	List    relay.Changes
-	Vouch   Confirmation
+	// Era is the latest era of the store that the hub knows, SettledEra the same if that
+	// era is settled.
+	Era        int64
+	SettledEra int64
+	List       relay.Changes
+	Vouch      Confirmation
 }
 
 // PlaceArgs asks a hub to choose an engine for a run.
@@ -54,15 +60,20 @@
 
 // Confirmation states how fresh a host's configuration is.
 type Confirmation struct {
-	Revision int64
+	Revision platform.Revision
+	Version  int64
 	// Age is the time since the configuration was last confirmed to be the newest,
 	// measured after the request arrived.
 	Age time.Duration
 	Raw []byte // the configuration, if it is newer than the caller's
 }
 
-// VouchArgs asks a host for a Confirmation. Revision is the caller's own.
-type VouchArgs struct{ Revision int64 }
+// VouchArgs asks a host for a Confirmation. Revision and Version are those of the caller's
+// own configuration.
+type VouchArgs struct {
+	Revision platform.Revision
+	Version  int64
+}
 
 // NoticeArgs carries updates that are too urgent for the next Sync.
 type NoticeArgs struct {
--- a/internal/edge/peers/service.go
+++ b/internal/edge/peers/service.go
@@ -1,5 +1,7 @@
 package peers
 
+import "corianderhitch/internal/edge/policy"
+
 // service serves the RPCs of other hosts. Its methods have the signatures that
 // net/rpc requires.
 type service struct{ exchange *Exchange }
@@ -14,8 +16,9 @@
 		Live:    e.FollowsStore(),
 		Leaving: e.Targets.AnnouncedLeaving(),
 		Failing: e.Health.CountReports(args.Host),
-		List:    e.ChangeLog.Since(args.ListRevision),
-		Vouch:   e.confirmation(args.PolicyRevision),
+		List:    e.ChangeLog.Since(args.ListRevision, args.ListSettling),
+		Vouch:   e.confirmation(policy.Stamp{Version: args.PolicyVersion, Revision: args.PolicyRevision}),
+		Era:     e.Eras.Current(), SettledEra: e.Eras.SettledEra(),
 	}
 	if args.WantFleet {
 		reply.Fleet = e.Inflight.LoadsExcept(args.Host)
@@ -59,19 +62,19 @@
 
 // Vouch returns how fresh this host's configuration is.
 func (s *service) Vouch(args VouchArgs, reply *Confirmation) error {
-	*reply = s.exchange.confirmation(args.Revision)
+	*reply = s.exchange.confirmation(policy.Stamp{Version: args.Version, Revision: args.Revision})
 	return nil
 }
 
 // confirmation returns how fresh this host's configuration is, including its text if
-// it is newer than knownRevision.
-func (e *Exchange) confirmation(knownRevision int64) Confirmation {
+// it is newer than known.
+func (e *Exchange) confirmation(known policy.Stamp) Confirmation {
 	// Read the age before the configuration: a newer configuration may be applied in
 	// between, but never an older one.
 	c := Confirmation{Age: e.Confirmer.Age()}
 	if p := e.Policy.Current(); p != nil {
-		c.Revision = p.Revision
-		if p.Revision > knownRevision {
+		c.Revision, c.Version = p.Revision, p.Version
+		if p.Stamp().NewerThan(known) {
 			c.Raw = p.Raw
 		}
 	}
--- a/internal/edge/peers/sync.go
+++ b/internal/edge/peers/sync.go
@@ -58,10 +58,9 @@
 
 // sync sends this host's state to a hub and applies its answer.
 func (e *Exchange) sync(ctx context.Context, hub relay.Host, wantFleet bool) {
-	args := SyncArgs{Host: e.Host, WantFleet: wantFleet, Loads: e.Inflight.OwnLoads(), Leaving: e.Targets.AnnouncedLeaving(), Failing: e.Health.RecentlyFailed(), ListRevision: e.ChangeLog.Revision()}
-	if p := e.Policy.Current(); p != nil {
-		args.PolicyRevision = p.Revision
-	}
+	args := SyncArgs{Host: e.Host, WantFleet: wantFleet, Loads: e.Inflight.OwnLoads(), Leaving: e.Targets.AnnouncedLeaving(), Failing: e.Health.RecentlyFailed(), ListRevision: e.ChangeLog.Revision(), ListSettling: e.ChangeLog.Settling()}
+	own := e.Policy.Current().Stamp()
+	args.PolicyRevision, args.PolicyVersion = own.Revision, own.Version
 	askedAt := bootclock.Now()
 	reply := new(SyncReply)
 	if err := e.call(ctx, hub.Name, hub.Address, "Sync", args, reply); err != nil {
@@ -75,6 +74,8 @@
 		e.Health.SetFleetReports(reply.Failing)
 	}
 	e.markLeaving(hub.Name, reply.Leaving)
+	e.Eras.Observe(reply.Era, "peer "+hub.Name)
+	e.Eras.MarkSettled(reply.SettledEra)
 	if confirmedAt, ok := e.applyConfirmation(hub.Address, askedAt, &reply.Vouch); ok {
 		e.Confirmer.RecordConfirmation(confirmedAt)
 	}
--- a/internal/edge/policy/holder.go
+++ b/internal/edge/policy/holder.go
@@ -3,17 +3,53 @@
 import (
 	"sync"
 	"sync/atomic"
+
+	"github.com/rotisserie/eris"
+
+	"corianderhitch/internal/platform"
 )
 
+// ErrOlderVersion is returned for a configuration that an earlier era of the store had
+// already replaced by a newer version.
+var ErrOlderVersion = eris.New("policy: the store holds an older version than the one in force; it was restored from a copy and the operator has not written the newer one again yet")
+
+// Stamp tells which of two configurations is newer. The zero value stands for none.
+type Stamp struct {
+	Version  int64
+	Revision platform.Revision
+}
+
+// NewerThan reports whether s replaces o. Within an era the store's revision decides. A
+// restored store gives older configurations new revisions, so that across eras only the
+// version says which one is newer.
+func (s Stamp) NewerThan(o Stamp) bool {
+	switch {
+	case o == Stamp{}:
+		return s != Stamp{}
+	case s.Revision.Era() == o.Revision.Era():
+		return s.Revision > o.Revision
+	default:
+		return s.Version > o.Version
+	}
+}
+
 // Snapshot is a configuration with the store revision that it was written at.
 type Snapshot struct {
 	*Configuration
-	Revision int64
+	Revision platform.Revision
 	Raw      []byte // as stored, for hosts that cannot reach the store
 }
 
-// Holder holds the configuration in force. It never goes back to an older revision.
-// It is safe for concurrent use.
+// Stamp returns the version and revision, the zero Stamp for nil.
+func (s *Snapshot) Stamp() Stamp {
+	if s == nil {
+		return Stamp{}
+	}
+	return Stamp{Version: s.Version, Revision: s.Revision}
+}
+
+// Holder holds the configuration in force. It never goes back to an older one. It is safe
+// for concurrent use.
 type Holder struct {
 	decode  func([]byte) (*Configuration, error)
 	current atomic.Pointer[Snapshot]
@@ -26,18 +62,33 @@
 // Current returns the configuration in force, or nil before the first.
 func (h *Holder) Current() *Snapshot { return h.current.Load() }
 
-// ApplyIfNewer puts a configuration in force if its revision is newer, and reports
-// whether it did. If raw cannot be decoded, the current configuration stays in force.
-func (h *Holder) ApplyIfNewer(raw []byte, revision int64) (bool, error) {
+// ApplyIfNewer puts a configuration in force if it is newer than the current one, and
+// reports whether it did. It returns ErrOlderVersion if a later era of the store than the
+// current configuration's holds an older version. If raw cannot be decoded, the current
+// configuration stays in force.
+func (h *Holder) ApplyIfNewer(raw []byte, revision platform.Revision) (bool, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if current := h.current.Load(); current != nil && current.Revision >= revision {
+	current := h.current.Load()
+	if current != nil && current.Revision.Era() == revision.Era() && current.Revision >= revision {
 		return false, nil
 	}
 	c, err := h.decode(raw)
 	if err != nil {
 		return false, err
 	}
-	h.current.Store(&Snapshot{Configuration: c, Revision: revision, Raw: raw})
-	return true, nil
+	next := &Snapshot{Configuration: c, Revision: revision, Raw: raw}
+	switch {
+	case next.Stamp().NewerThan(current.Stamp()):
+		h.current.Store(next)
+		return true, nil
+	case revision.Era() < current.Revision.Era():
+		return false, nil
+	case c.Version < current.Version:
+		return false, eris.Wrapf(ErrOlderVersion, "version %d at revision %v, in force is version %d", c.Version, revision, current.Version)
+	}
+	// The operator has written the configuration in force again in a new era, where
+	// revisions decide what is newer.
+	h.current.Store(next)
+	return false, nil
 }
--- a/internal/edge/process/confirm.go
+++ b/internal/edge/process/confirm.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/edge/freshness"
 )
@@ -112,17 +114,27 @@
 	return p.exchange.ConfirmByPeers(ctx, min(p.node.RevokeWithin/2, p.recheckAge()))
 }
 
+// errEraUnsettled means that the store was restored a moment ago: the operator may not have
+// written again yet what was lost.
+var errEraUnsettled = eris.New("store: restored a moment ago; its configuration may not be the newest")
+
 // confirmWithStore reads the configuration from the store, which confirms it as of the
-// start of the read.
+// start of the read. A restored store confirms nothing until its era is settled: a key that
+// was withdrawn since the copy would be accepted again.
 func (p *Process) confirmWithStore(ctx context.Context) (bootclock.Instant, error) {
 	asOf := bootclock.Now()
+	era := p.eras.Current()
+	settled := p.eras.Settled(era)
 	entry, err := p.store.Get(ctx, p.adapter.ConfigurationKey)
 	if err != nil {
 		return 0, err
 	}
-	accepted, err := p.policy.ApplyIfNewer(entry.Value, int64(entry.Revision))
+	accepted, err := p.policy.ApplyIfNewer(entry.Value, entry.Revision)
 	if accepted {
 		p.log.Info("policy: configuration in force", "version", p.policy.Current().Version, "revision", entry.Revision, "source", "confirmation")
 	}
+	if err == nil && (!settled || entry.Revision.Era() != era) {
+		err = errEraUnsettled
+	}
 	return asOf, err
 }
--- a/internal/edge/process/countedstore.go
+++ b/internal/edge/process/countedstore.go
@@ -9,13 +9,20 @@
 	"corianderhitch/internal/platform"
 )
 
-// countedStore counts the calls to the store by result, since each call is paid for.
+// countedStore counts the calls to the store by result, since each call is paid for, and
+// passes on the era of the answers.
 type countedStore struct {
 	peers.Store
-	count func(call, result string)
+	count      func(call, result string)
+	observeEra func(era int64, source string)
 }
 
-func (s *countedStore) record(call string, err error) { s.count(call, resultLabel(err)) }
+func (s *countedStore) record(call string, err error) {
+	s.count(call, resultLabel(err))
+	if err == nil || !errors.Is(err, platform.ErrUnavailable) { // without an answer there is no era to observe
+		s.observeEra(s.Era(), "store")
+	}
+}
 
 // resultLabel returns the metric label for the result of a call to the store.
 func resultLabel(err error) string {
--- a/internal/edge/process/countedstore_test.go
+++ b/internal/edge/process/countedstore_test.go
@@ -25,7 +25,7 @@
 func TestStoreCallsAreCountedByResult(t *testing.T) {
 	counts := make(map[string]int)
 	inner := staleListStore{memstore.New(memstore.Options{})}
-	s := &countedStore{Store: inner, count: func(call, result string) { counts[call+" "+result]++ }}
+	s := &countedStore{Store: inner, count: func(call, result string) { counts[call+" "+result]++ }, observeEra: func(int64, string) {}}
 	ctx := t.Context()
 	_, err := s.Get(ctx, "a")
 	require.ErrorIs(t, err, platform.ErrNotFound)
--- a/internal/edge/process/follow.go
+++ b/internal/edge/process/follow.go
@@ -9,6 +9,7 @@
 
 	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/edge/feed"
+	"corianderhitch/internal/edge/storeera"
 	"corianderhitch/internal/edge/targets"
 )
 
@@ -47,7 +48,7 @@
 		policy: &feed.Feed{Log: p.log, Store: p.store, Prefix: p.adapter.ConfigurationKey, WatchInterval: p.watchInterval(policyWatchInterval), RetryDelay: p.retryDelay,
 			Sink: &policySink{log: p.log, holder: p.policy, key: p.adapter.ConfigurationKey}},
 		targets: &feed.Feed{Log: p.log, Store: p.store, Prefix: p.adapter.TargetPrefix, WatchInterval: p.watchInterval(targetWatchInterval), RetryDelay: p.retryDelay,
-			Sink: p.targetLog, OutageThreshold: expiryHeartbeats * p.node.TargetHeartbeat, SettlePeriod: settlePeriod},
+			Sink: p.targetLog, OutageThreshold: expiryHeartbeats * p.node.TargetHeartbeat, EraSettled: p.eras.Settled, SettlePeriod: storeera.SettlePeriod},
 	}
 }
 
--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -31,6 +31,7 @@
 	"corianderhitch/internal/edge/policy"
 	"corianderhitch/internal/edge/relay"
 	"corianderhitch/internal/edge/retrybudget"
+	"corianderhitch/internal/edge/storeera"
 	"corianderhitch/internal/edge/streaming"
 	"corianderhitch/internal/edge/targetconn"
 	"corianderhitch/internal/edge/targets"
@@ -43,8 +44,6 @@
 	// expiryHeartbeats times the targets' heartbeat period is how long a store outage
 	// must last before entries of live targets may have expired during it.
 	expiryHeartbeats = 2
-	// settlePeriod is how long targets need to register again after a store outage.
-	settlePeriod = 2500 * time.Millisecond
 	// idleTimeout closes idle connections of callers. Callers reuse a connection for up
 	// to 12 s (four fifths of 15 s), so that no request meets a connection being closed.
 	idleTimeout = 16 * time.Second
@@ -64,6 +63,7 @@
 	confirmer     *freshness.Confirmer
 	targets       *targets.Registry
 	inflight      *inflight.Table
+	eras          *storeera.Tracker
 	members       *peers.Members
 	exchange      *peers.Exchange
 	pool          *targetconn.Pool
@@ -132,16 +132,17 @@
 		log: log, node: n, adapter: adapter,
 		policy: policy.NewHolder(adapter.DecodeConfiguration), inflight: inflight.New(n.Name), retryBudgets: make(map[string]*retrybudget.Budget),
 	}
-	p.store = &countedStore{Store: adapter.NewStore(n.StoreAddress), count: func(call, result string) { p.metrics.ObserveStoreCall(call, result) }}
+	p.eras = storeera.New(log)
+	p.store = &countedStore{Store: adapter.NewStore(n.StoreAddress), count: func(call, result string) { p.metrics.ObserveStoreCall(call, result) }, observeEra: p.eras.Observe}
 	p.pool = targetconn.New(adapter.requestID)
 	p.targets = targets.New(p.onTargetLeaving)
 	p.targetLog = relay.NewChangeLog(p.newTargetSink())
 	p.feeds = p.newFeeds()
 	p.confirmer = freshness.New(log, p.confirmPeriod, p.confirm)
-	p.members = peers.NewMembers(log, p.store, relay.Host{Name: n.Name, Address: n.PeerAddress(), CPUs: n.CPUs, Mbps: n.LinkMbps})
+	p.members = peers.NewMembers(log, p.store, p.eras, relay.Host{Name: n.Name, Address: n.PeerAddress(), CPUs: n.CPUs, Mbps: n.LinkMbps})
 	health := ejection.New()
 	p.exchange = &peers.Exchange{Log: log, Host: n.Name, Members: p.members, Inflight: p.inflight, Targets: p.targets,
-		ChangeLog: p.targetLog, Policy: p.policy, Confirmer: p.confirmer, Health: health, FollowsStore: p.feeds.live}
+		ChangeLog: p.targetLog, Policy: p.policy, Confirmer: p.confirmer, Health: health, Eras: p.eras, FollowsStore: p.feeds.live}
 	p.exchange.Init()
 	sender := &edge.Sender{Wire: adapter.Wire, Pool: p.pool}
 	p.plain = &plain.Server{Sender: sender, Targets: p.targets, Inflight: p.inflight, Health: health, RetryBudget: p.retryBudget, Domain: n.Domain}
@@ -201,6 +202,7 @@
 	wait.Go(func() { p.follow(ctx) })
 	wait.Go(func() { p.confirmer.Run(ctx) })
 	wait.Go(func() { p.members.Run(ctx) })
+	wait.Go(func() { p.eras.Run(ctx, p.store, p.exchange.IsHub) })
 	wait.Go(func() { p.exchange.Run(ctx) })
 	wait.Go(func() { p.replicator.Run(ctx) })
 	wait.Go(func() { p.reportPoller().Run(ctx) })
@@ -236,6 +238,7 @@
 			}
 			return 0
 		},
+		StoreEra:        p.eras.Current,
 		DroppedLogLines: logWriter.Dropped,
 	}
 }
--- a/internal/edge/process/sinks.go
+++ b/internal/edge/process/sinks.go
@@ -1,6 +1,7 @@
 package process
 
 import (
+	"errors"
 	"log/slog"
 
 	"corianderhitch/internal/edge/policy"
@@ -37,8 +38,10 @@
 	if e.Key != s.key {
 		return
 	}
-	accepted, err := s.holder.ApplyIfNewer(e.Value, int64(e.Revision))
+	accepted, err := s.holder.ApplyIfNewer(e.Value, e.Revision)
 	switch {
+	case errors.Is(err, policy.ErrOlderVersion):
+		s.log.Warn("policy: the restored store holds an older version; the current one stays in force", "source", source, "error", err.Error())
 	case err != nil:
 		s.log.Error("policy: configuration could not be decoded; the previous one stays in force", "revision", e.Revision, "source", source, "error", err.Error())
 	case accepted:
@@ -73,7 +76,7 @@
 		}
 	}
 	s.known = current
-	s.registry.Replace(current, int64(revision))
+	s.registry.Replace(current, revision)
 	s.log.Info("targets: list replaced", "targets", len(current), "revision", revision, "settled", settled)
 	s.onListed()
 }
@@ -84,7 +87,7 @@
 	for i := range events {
 		changes = append(changes, s.change(&events[i]))
 	}
-	s.registry.Apply(changes, int64(revision))
+	s.registry.Apply(changes, revision)
 }
 
 // change decodes one changed entry.
--- a/internal/edge/relay/changelog.go
+++ b/internal/edge/relay/changelog.go
@@ -18,6 +18,7 @@
 type Changes struct {
 	Revision platform.Revision
 	Whole    bool // Entries replace everything
+	Settling bool // with Whole: entries that are missing must be kept, see feed.Sink
 	Entries  []platform.Entry
 	Events   []platform.Event
 }
@@ -32,6 +33,7 @@
 	events      []platform.Event          // guarded by mu; in ascending order of revision
 	eventsAfter platform.Revision         // guarded by mu; events holds all changes after this revision
 	revision    platform.Revision         // guarded by mu
+	settling    bool                      // guarded by mu; the last list was not settled
 }
 
 // NewChangeLog returns an empty log that passes changes to sink.
@@ -54,7 +56,7 @@
 	for _, e := range entries {
 		l.entries[e.Key] = e
 	}
-	l.events, l.eventsAfter, l.revision = nil, revision, revision
+	l.events, l.eventsAfter, l.revision, l.settling = nil, revision, revision, !settled
 	l.sink.Replace(entries, revision, settled)
 }
 
@@ -97,16 +99,24 @@
 	return l.revision
 }
 
-// Since returns the changes after a revision.
-func (l *ChangeLog) Since(revision platform.Revision) Changes {
+// Settling reports whether the list may hold entries that the store lacks.
+func (l *ChangeLog) Settling() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.settling
+}
+
+// Since returns the changes after a revision, for a host whose list is settling or not.
+func (l *ChangeLog) Since(revision platform.Revision, settling bool) Changes {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c := Changes{Revision: l.revision}
-	if l.revision == 0 || revision >= l.revision {
+	settles := settling && !l.settling && revision <= l.revision
+	if l.revision == 0 || (revision >= l.revision && !settles) {
 		return c
 	}
-	if revision == 0 || revision < l.eventsAfter {
-		c.Whole = true
+	if revision == 0 || revision < l.eventsAfter || settles {
+		c.Whole, c.Settling = true, l.settling
 		for _, e := range l.entries {
 			c.Entries = append(c.Entries, e)
 		}
@@ -123,8 +133,8 @@
 // ApplyChanges applies the changes that another host's log returned.
 func (l *ChangeLog) ApplyChanges(c Changes) {
 	if c.Whole {
-		if c.Revision > l.Revision() {
-			l.Replace(c.Entries, c.Revision, true)
+		if own := l.Revision(); c.Revision > own || (c.Revision == own && l.Settling()) {
+			l.Replace(c.Entries, c.Revision, !c.Settling)
 		}
 		return
 	}
--- a/internal/edge/relay/relay_test.go
+++ b/internal/edge/relay/relay_test.go
@@ -43,10 +43,10 @@
 	hubState, followerState := state{}, state{}
 	hub, follower := NewChangeLog(hubState), NewChangeLog(followerState)
 	hub.Replace([]platform.Entry{{Key: "a", Value: []byte("1"), Revision: 3}, {Key: "b", Value: []byte("1"), Revision: 5}}, 5, true)
-	follower.ApplyChanges(hub.Since(follower.Revision()))
+	follower.ApplyChanges(hub.Since(follower.Revision(), false))
 	require.Equal(t, hubState, followerState)
 	hub.Apply([]platform.Event{put("a", "2", 6), remove("b", 7)}, 7)
-	changes := hub.Since(follower.Revision())
+	changes := hub.Since(follower.Revision(), false)
 	require.False(t, changes.Whole)
 	require.Len(t, changes.Events, 2)
 	follower.ApplyChanges(changes)
@@ -58,11 +58,11 @@
 	hubState, followerState := state{}, state{}
 	hub, follower := NewChangeLog(hubState), NewChangeLog(followerState)
 	hub.Replace(nil, 1, true)
-	follower.ApplyChanges(hub.Since(0))
+	follower.ApplyChanges(hub.Since(0, false))
 	for i := range maxKeptEvents + 10 {
 		hub.Apply([]platform.Event{put(fmt.Sprint(i%7), fmt.Sprint(i), platform.Revision(2+i))}, platform.Revision(2+i))
 	}
-	changes := hub.Since(follower.Revision())
+	changes := hub.Since(follower.Revision(), false)
 	require.True(t, changes.Whole)
 	follower.ApplyChanges(changes)
 	require.Equal(t, hubState, followerState)
@@ -89,3 +89,20 @@
 	require.Equal(t, chosen, ChooseHubs([]Host{hosts[3], hosts[2], hosts[1], hosts[0]}))
 	require.Len(t, ChooseHubs(hosts[:1]), 1)
 }
+
+// The hub lists the store right after it came back, when entries of live targets are
+// missing, and once more when they have been written again or are gone for good. Both
+// lists may have the same revision.
+func TestFollowerKeepsMissingEntriesWhileTheHubIsSettling(t *testing.T) {
+	followerState := state{}
+	hub, follower := NewChangeLog(state{}), NewChangeLog(followerState)
+	follower.Replace([]platform.Entry{{Key: "a", Revision: 3}, {Key: "b", Revision: 4}}, 4, true)
+	returned := platform.NewRevision(1, 3)
+	hub.Replace([]platform.Entry{{Key: "a", Revision: returned}}, returned, false)
+	follower.ApplyChanges(hub.Since(follower.Revision(), follower.Settling()))
+	require.Contains(t, followerState, "b")
+	hub.Replace([]platform.Entry{{Key: "a", Revision: returned}}, returned, true)
+	follower.ApplyChanges(hub.Since(follower.Revision(), follower.Settling()))
+	require.NotContains(t, followerState, "b")
+	require.False(t, hub.Since(follower.Revision(), follower.Settling()).Whole)
+}
--- a/internal/edge/targets/registry.go
+++ b/internal/edge/targets/registry.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"corianderhitch/internal/edge/bootclock"
+	"corianderhitch/internal/platform"
 )
 
 // noticeRetention is how long a leaving notice is kept. Targets go on serving for
@@ -33,7 +34,7 @@
 
 // View is an immutable snapshot of the registry.
 type View struct {
-	Revision  int64 // of the platform's list
+	Revision  platform.Revision // of the platform's list
 	byService map[string][]*Target
 	byKey     map[string]*Target
 }
@@ -67,7 +68,7 @@
 
 // Replace applies a complete target list. Targets that are no longer listed count as
 // leaving. The keys of entries are the entry keys of the list.
-func (r *Registry) Replace(entries map[string]Target, revision int64) {
+func (r *Registry) Replace(entries map[string]Target, revision platform.Revision) {
 	r.mu.Lock()
 	var unlisted []Target
 	for name, old := range r.entries {
@@ -97,7 +98,7 @@
 
 // Apply applies changed entries in order. It builds the view once for the whole batch,
 // because a starting fleet registers thousands of targets within seconds.
-func (r *Registry) Apply(changes []Change, revision int64) {
+func (r *Registry) Apply(changes []Change, revision platform.Revision) {
 	r.mu.Lock()
 	var leaving []newlyLeaving
 	for _, c := range changes {
@@ -227,7 +228,7 @@
 }
 
 // publishView deletes expired notices and builds a new view. Callers hold r.mu.
-func (r *Registry) publishView(revision int64) {
+func (r *Registry) publishView(revision platform.Revision) {
 	for key, n := range r.notices {
 		if bootclock.Since(n.ReceivedAt) > noticeRetention {
 			delete(r.notices, key)
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -13,15 +13,6 @@
 // MaxValueBytes is the largest value that the store accepts.
 const MaxValueBytes = 1 << 20
 
-// Revision is the number of a state of the store. It grows with every write.
-type Revision int64
-
-// Conditions on the revision of a key for Put and Delete.
-const (
-	AnyRevision Revision = -1 // write unconditionally
-	Absent      Revision = 0  // write only if the key does not exist
-)
-
 // LeaseID identifies a lease. Zero means no lease.
 type LeaseID int64
 
@@ -54,7 +45,9 @@
 // Store is the platform's key-value service. All methods are safe for
 // concurrent use. A write whose answer was lost returns ErrOutcomeUnknown;
 // ErrUnavailable and ErrRateLimited are returned only if the call certainly had no
-// effect.
+// effect. A store that was restored from a copy has lost the writes and leases since the
+// copy: watches from revisions of an earlier era return ErrCompacted, and conditions on
+// them ErrConflict.
 type Store interface {
 	// Get returns the entry of key or ErrNotFound.
 	Get(ctx context.Context, key string) (Entry, error)
--- a/tests/edge/fleet_test.go
+++ b/tests/edge/fleet_test.go
@@ -32,6 +32,7 @@
 	account       = "skippers"
 	engineService = "engines"
 	plainService  = "desk"
+	revokeWithin  = 2 * time.Second // default within which a withdrawn key stops being served
 	callerTimeout = 8 * time.Second // deadline of callers and routes
 	waitTimeout   = 10 * time.Second
 	checkInterval = 5 * time.Millisecond
@@ -45,6 +46,8 @@
 	version int
 	keys    []string
 	grace   time.Duration
+	// revokeWithin is within which hosts that start later stop serving a withdrawn key.
+	revokeWithin time.Duration
 }
 
 // host is one running edge process.
@@ -123,7 +126,7 @@
 }
 
 func newFleet(t *testing.T) *fleet {
-	return &fleet{t: t, store: memstore.New(memstore.Options{}), keys: []string{apiKey}, grace: 600 * time.Millisecond}
+	return &fleet{t: t, store: memstore.New(memstore.Options{}), keys: []string{apiKey}, grace: 600 * time.Millisecond, revokeWithin: revokeWithin}
 }
 
 // configure writes the next version of the configuration to the store.
@@ -166,7 +169,7 @@
 	adapter.ReadNode = func(string) (node.Node, error) {
 		return node.Node{
 			Name: fmt.Sprintf("host-%d", n), IP: "127.0.0.1", Domain: "a", CallerAddress: callerAddress, ReadinessAddress: readinessAddress, StoreAddress: "test",
-			FirstPort: port, Grace: f.grace, RevokeStrict: true, RevokeWithin: 2 * time.Second,
+			FirstPort: port, Grace: f.grace, RevokeStrict: true, RevokeWithin: f.revokeWithin,
 			Retry: node.RetryBudget{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, TargetHeartbeat: 1200 * time.Millisecond,
 		}, nil
 	}
--- a/tests/edge/keys_test.go
+++ b/tests/edge/keys_test.go
@@ -21,7 +21,7 @@
 	f.keys = []string{"key-2"}
 	f.configure()
 	revokedAt := time.Now()
-	const bound = 2 * time.Second // RevokeWithin of the hosts
+	const bound = revokeWithin
 	for time.Since(revokedAt) < bound {
 		send(h.request(t.Context(), http.MethodPost, "hold", "r-early", nil))
 		time.Sleep(50 * time.Millisecond)
--- a/tests/edge/resume_test.go
+++ b/tests/edge/resume_test.go
@@ -30,6 +30,7 @@
 // A caller whose connection broke resumes its stream. Without its Last-Event-Id the engine
 // starts over, and the caller gets the first events a second time.
 func TestCallerResumesStream(t *testing.T) {
+	t.Parallel()
 	_, h, engines := startEngineFleet(t, 1)
 	a := send(resumableRequest(t.Context(), h, "r-1", shortGeneration, 2))
 	require.NoError(t, a.err)
@@ -40,6 +41,7 @@
 
 // The engine ignores the Last-Event-Id and sends all events.
 func TestCallerGetsNoEventTwiceFromEngineThatRepeatsThem(t *testing.T) {
+	t.Parallel()
 	_, h, engines := startEngineFleet(t, 1)
 	engines[0].RepeatEvents()
 	a := send(resumableRequest(t.Context(), h, "r-1", shortGeneration, 2))
@@ -50,6 +52,7 @@
 // The caller's connection broke after the last event but before the end of the stream. The
 // resumed stream has no events, and is complete nevertheless.
 func TestResumeAfterLastEventCompletes(t *testing.T) {
+	t.Parallel()
 	_, h, _ := startEngineFleet(t, 1)
 	a := send(resumableRequest(t.Context(), h, "r-1", shortGeneration, shortGeneration))
 	require.NoError(t, a.err)
@@ -61,6 +64,7 @@
 // An id that no stream can have is rejected, rather than answered with events that the
 // caller may have.
 func TestMalformedLastEventIDIsRejected(t *testing.T) {
+	t.Parallel()
 	_, h, engines := startEngineFleet(t, 1)
 	for _, id := range []string{"-1", "two", "1.5", "99999999999999999999", "9223372036854775807"} {
 		r := resumableRequest(t.Context(), h, "r-1", shortGeneration, 0)
@@ -76,6 +80,7 @@
 
 // A Last-Event-Id has no meaning on routes that are not resumable.
 func TestLastEventIDIsIgnoredOnOtherRoutes(t *testing.T) {
+	t.Parallel()
 	_, h, engines := startEngineFleet(t, 1)
 	r := generationRequest(t.Context(), h, "r-1", shortGeneration)
 	standin.SetLastEvent(r, "2")
@@ -89,6 +94,7 @@
 // stream breaks off in the middle of an event, or it stops sending. The stream continues at
 // another engine within the same response.
 func TestResumableStreamContinuesAtAnotherEngine(t *testing.T) {
+	t.Parallel()
 	for name, fail := range map[string]func(*standin.Engine){
 		"crash":            (*standin.Engine).Crash,
 		"cut in an event":  func(e *standin.Engine) { e.CutWithinEvent(e.EventsProduced("r-1") + 5) },
@@ -114,6 +120,7 @@
 
 // A stream that a caller resumed is resumed again by the system.
 func TestResumedStreamContinuesAtAnotherEngine(t *testing.T) {
+	t.Parallel()
 	_, h, engines := startEngineFleet(t, 2)
 	pending := sendAsync(resumableRequest(t.Context(), h, "r-1", longGeneration, 30))
 	require.Eventually(t, func() bool { return max(engines[0].EventsProduced("r-1"), engines[1].EventsProduced("r-1")) >= 50 }, waitTimeout, checkInterval)
@@ -131,6 +138,7 @@
 // Attempts count all engines that a request was sent to: with both used up, the stream
 // breaks off, and must not look complete.
 func TestResumesStayWithinMaxAttempts(t *testing.T) {
+	t.Parallel()
 	_, h, engines := startEngineFleet(t, 3)
 	pending := sendAsync(resumableRequest(t.Context(), h, "r-1", 4*longGeneration, 0))
 	for range 2 {
@@ -159,6 +167,7 @@
 // An engine takes a request of a resumable stream and loses its connection before it
 // answers. The request may have run; since it may run again, it is sent to another engine.
 func TestResumableStreamIsRetriedBeforeFirstEvent(t *testing.T) {
+	t.Parallel()
 	_, h, engines := startEngineFleet(t, 2)
 	for _, e := range engines {
 		e.StopAnswering()
@@ -181,6 +190,7 @@
 // A resumable request that may have run is not rejected as "not run" when no other engine
 // is left.
 func TestResumableStreamThatMayHaveRunIsNotDenied(t *testing.T) {
+	t.Parallel()
 	_, h, engines := startEngineFleet(t, 1)
 	engines[0].StopAnswering()
 	pending := sendAsync(resumableRequest(t.Context(), h, "r-1", shortGeneration, 0))
@@ -193,6 +203,7 @@
 
 // The run at the first engine is canceled when its caller leaves a resumed stream.
 func TestResumedRunIsCanceledWhenCallerDisconnects(t *testing.T) {
+	t.Parallel()
 	_, h, engines := startEngineFleet(t, 1)
 	ctx, cancel := context.WithCancel(t.Context())
 	response, err := client().Do(resumableRequest(ctx, h, "r-1", 4000, 10))
