Faults found by reading, each with a test that failed before

- Scheduling: an isolated request that was canceled and submitted again ended the process (nil pointer).
- MayHaveRun denies only if all hosts that may keep a record answer.
- The end of a request is kept while the inbox of its pool is full; unknown hosts of each page of the registration are probed.
- What was started is stopped when an agent cannot start.
- A late answer above 64 MiB is unreadable instead of cut; an engine's problem document cannot set a status that HTTP does not know.
- A second SIGINT ends a draining program; a second SIGTERM does not, as a platform may send several.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -91,6 +91,8 @@
 	server, err := a.rpcServer(presence)
 	if err != nil {
 		cancel()
+		a.scheduler.Stop()
+		_ = listener.Close()
 		return nil, err
 	}
 	a.server = rpcconn.Serve(conns.listen(listener), server)
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -28,6 +28,7 @@
 		return err
 	}
 	if err := a.RegisterMetrics(metrics.Meter); err != nil {
+		a.Stop(ctx)
 		return err
 	}
 	endpoints, err := web.Start(s.HTTP, a.Ready, metrics.Handler())
--- a/internal/agent/scheduler/pool.go
+++ b/internal/agent/scheduler/pool.go
@@ -23,12 +23,13 @@
 )
 
 // pool drives the policy of one pool. Only its goroutine accesses its fields, other
-// goroutines use send.
+// goroutines use send and sendAlways.
 type pool struct {
 	key       Key
 	log       *slog.Logger
 	policy    scheduling.Policy
 	inbox     chan message
+	overflow  overflow
 	quit      chan struct{}
 	stopped   chan struct{} // closed when the goroutine has ended and answers nothing more
 	done      sync.WaitGroup
@@ -95,6 +96,35 @@
 	}
 }
 
+// overflow holds messages that must not be dropped while the inbox is full.
+type overflow struct {
+	mu       sync.Mutex
+	messages []message // guarded by mu; in order of arrival
+}
+
+// sendAlways queues a message that must not be dropped, such as the end of a request.
+// While the inbox is full it waits outside, where the next message of the inbox takes it
+// along. There are at most as many as requests were granted.
+func (p *pool) sendAlways(m message) {
+	if p.send(m) {
+		return
+	}
+	p.overflow.mu.Lock()
+	p.overflow.messages = append(p.overflow.messages, m)
+	p.overflow.mu.Unlock()
+	// The inbox may have been emptied meanwhile; otherwise its next message suffices.
+	p.send(func(*pool, time.Time) {})
+}
+
+// takeOverflow removes and returns the messages that found the inbox full.
+func (p *pool) takeOverflow() []message {
+	p.overflow.mu.Lock()
+	defer p.overflow.mu.Unlock()
+	taken := p.overflow.messages
+	p.overflow.messages = nil
+	return taken
+}
+
 // run handles the messages of the pool and makes its decisions until it is stopped.
 func (p *pool) run() {
 	defer close(p.stopped)
@@ -118,6 +148,13 @@
 
 // handleBacklog handles the queued messages, so that one decision covers a burst.
 func (p *pool) handleBacklog() {
+	p.handleInbox()
+	for _, m := range p.takeOverflow() {
+		m(p, time.Now())
+	}
+}
+
+func (p *pool) handleInbox() {
 	for range inboxSize {
 		select {
 		case m := <-p.inbox:
--- a/internal/agent/scheduler/scheduler.go
+++ b/internal/agent/scheduler/scheduler.go
@@ -150,9 +150,7 @@
 			if f.Model != "" && f.Model != p.key.Model {
 				continue
 			}
-			if !p.send(func(p *pool, now time.Time) { p.finish(now, f) }) {
-				s.log.Warn("Pool inbox is full, the end of a request is dropped and its slot is released late.", "pool", p.key.String())
-			}
+			p.sendAlways(func(p *pool, now time.Time) { p.finish(now, f) })
 		}
 	}
 }
--- a/internal/agent/scheduler/scheduler_test.go
+++ b/internal/agent/scheduler/scheduler_test.go
@@ -257,3 +257,17 @@
 		require.Positive(t, reply.RetryAfter)
 	})
 }
+
+// The end of a request arrives while the inbox of its pool is full of other messages. It
+// must not be dropped: the slot would stay taken until its grant expires.
+func TestFinishIsKeptWhileTheInboxIsFull(t *testing.T) {
+	p := &pool{inbox: make(chan message, 1)}
+	var handled []int
+	note := func(n int) message { return func(*pool, time.Time) { handled = append(handled, n) } }
+	require.True(t, p.send(note(0)))
+	require.False(t, p.send(note(1)), "new requests are rejected")
+	p.sendAlways(note(2))
+	p.sendAlways(note(3))
+	p.handleBacklog()
+	require.Equal(t, []int{0, 2, 3}, handled)
+}
--- a/internal/agent/state/state.go
+++ b/internal/agent/state/state.go
@@ -10,6 +10,7 @@
 import (
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -137,9 +138,10 @@
 	return s.members.Get(host)
 }
 
-// DiscoverMembers takes the members listed in the store's registration and returns
-// how many of them are not known to be live. It queues a random few of those for a
-// direct exchange instead of adding them, since the registration may be out of date.
+// DiscoverMembers takes one page of the members listed in the store's registration and
+// returns how many of them are not known to be live. It queues a random few of those of
+// all pages for a direct exchange instead of adding them, since the registration may be
+// out of date.
 func (s *State) DiscoverMembers(members []control.Member) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -150,8 +152,11 @@
 			unknown = append(unknown, m.AgentAddr)
 		}
 	}
-	rand.Shuffle(len(unknown), func(i, j int) { unknown[i], unknown[j] = unknown[j], unknown[i] })
-	s.probeAddresses = unknown[:min(len(unknown), maxDiscoveryProbes)]
+	candidates := append(slices.Clone(unknown), s.probeAddresses...)
+	slices.Sort(candidates)
+	candidates = slices.Compact(candidates)
+	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	s.probeAddresses = candidates[:min(len(candidates), maxDiscoveryProbes)]
 	return len(unknown)
 }
 
--- a/internal/agent/state/state_test.go
+++ b/internal/agent/state/state_test.go
@@ -245,3 +245,13 @@
 	after, _ := s.Version()
 	require.NotEqual(t, before, after, "the delayed load change is notified")
 }
+
+// The registration is read in pages. The unknown hosts of the first page must stay queued
+// when the last page, whose hosts are known, has been read.
+func TestUnknownHostsOfEachPageAreProbed(t *testing.T) {
+	f := newFleet(1, 1)
+	s := f.agents[0]
+	require.Equal(t, 1, s.DiscoverMembers([]control.Member{{Host: "unknown", AgentAddr: "127.0.0.9:1"}}))
+	require.Zero(t, s.DiscoverMembers([]control.Member{s.Self()}))
+	require.Contains(t, s.TakeProbeAddresses(), "127.0.0.9:1")
+}
--- a/internal/delivery/delivery_test.go
+++ b/internal/delivery/delivery_test.go
@@ -295,3 +295,13 @@
 		s.Stop(t.Context())
 	})
 }
+
+// An answer above the bound must not be cut without a word: the caller would take the part
+// for the whole.
+func TestOversizedAnswerIsUnreadable(t *testing.T) {
+	_, err := decompress(compress(make([]byte, maxAnswerBytes+1)))
+	require.ErrorIs(t, err, errUnreadableRecord)
+	body, err := decompress(compress(make([]byte, maxAnswerBytes)))
+	require.NoError(t, err)
+	require.Len(t, body, maxAnswerBytes)
+}
--- a/internal/delivery/records.go
+++ b/internal/delivery/records.go
@@ -82,9 +82,12 @@
 	if err != nil {
 		return nil, eris.Wrap(errUnreadableRecord, err.Error())
 	}
-	body, err := io.ReadAll(io.LimitReader(r, maxAnswerBytes))
+	body, err := io.ReadAll(io.LimitReader(r, maxAnswerBytes+1))
 	if err != nil {
 		return nil, eris.Wrap(errUnreadableRecord, err.Error())
 	}
+	if len(body) > maxAnswerBytes {
+		return nil, eris.Wrapf(errUnreadableRecord, "the answer exceeds %d bytes", maxAnswerBytes)
+	}
 	return body, nil
 }
--- a/internal/edge/admission/queue.go
+++ b/internal/edge/admission/queue.go
@@ -21,8 +21,9 @@
 type Queue struct {
 	changed func() <-chan struct{} // returns a channel that is closed when room may have appeared
 
-	mu      sync.Mutex
-	waiting []*waiter // guarded by mu; in order
+	mu        sync.Mutex
+	waiting   []*waiter // guarded by mu; in order
+	reserving bool      // guarded by mu; a call of tryReserve runs
 }
 
 type waiter struct {
@@ -43,17 +44,11 @@
 
 // Acquire calls tryReserve until it returns a target, and returns that target, or
 // nil if ctx ends first. Runs that already wait with the same or a lower number for
-// urgency go first, 0 being the most urgent. Calls of tryReserve never overlap.
+// urgency go first, 0 being the most urgent. Calls of tryReserve never overlap, so that
+// the choice of a target and its reservation are one step; the queue is not locked
+// meanwhile, since a choice may take a call to another host.
 func (q *Queue) Acquire(ctx context.Context, urgency int, tryReserve func() *targets.Target) *targets.Target {
-	q.mu.Lock()
-	if !q.mustWait(urgency) {
-		if t := tryReserve(); t != nil {
-			q.mu.Unlock()
-			return t
-		}
-	}
 	w := q.add(urgency)
-	q.mu.Unlock()
 	defer q.remove(w)
 	for {
 		changed := q.changed()
@@ -73,25 +68,39 @@
 	}
 }
 
-// tryIfFirst calls tryReserve if w is the first in the queue. It holds the lock so
-// that the choice of a target and its reservation are one step.
+// tryIfFirst calls tryReserve if w is the first in the queue and no other call runs. When
+// the call ends, it wakes the first run if that is another one by then.
 func (q *Queue) tryIfFirst(w *waiter, tryReserve func() *targets.Target) *targets.Target {
 	q.mu.Lock()
-	defer q.mu.Unlock()
-	if q.waiting[0] != w {
+	if q.reserving || q.waiting[0] != w {
+		q.mu.Unlock()
 		return nil
 	}
+	q.reserving = true
+	q.mu.Unlock()
+	defer func() {
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		q.reserving = false
+		if q.waiting[0] != w {
+			q.waiting[0].signal()
+		}
+	}()
 	return tryReserve()
 }
 
-// mustWait reports whether a waiting run goes before a new one of this urgency.
-// Callers hold q.mu.
-func (q *Queue) mustWait(urgency int) bool {
-	return len(q.waiting) > 0 && q.waiting[0].urgency <= urgency
+// signal wakes the waiter.
+func (w *waiter) signal() {
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
 }
 
-// add inserts a waiter behind those of the same urgency. Callers hold q.mu.
+// add inserts a waiter behind those of the same urgency.
 func (q *Queue) add(urgency int) *waiter {
+	q.mu.Lock()
+	defer q.mu.Unlock()
 	w := &waiter{urgency: urgency, wake: make(chan struct{}, 1)}
 	i := len(q.waiting)
 	for i > 0 && q.waiting[i-1].urgency > urgency {
@@ -114,9 +123,6 @@
 		}
 	}
 	if len(q.waiting) > 0 {
-		select {
-		case q.waiting[0].wake <- struct{}{}:
-		default:
-		}
+		q.waiting[0].signal()
 	}
 }
--- a/internal/edge/admission/queue_test.go
+++ b/internal/edge/admission/queue_test.go
@@ -66,3 +66,30 @@
 		require.Equal(t, target, q.Acquire(ctx, 1, func() *targets.Target { return target }))
 	})
 }
+
+// Choosing an engine may take a call to a hub. Meanwhile the queue must answer how long it
+// is, and take further runs.
+func TestQueueIsNotLockedWhileAnEngineIsChosen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := New(func() <-chan struct{} { return nil })
+		chosen := make(chan struct{})
+		overlapping, most := atomic.Int32{}, atomic.Int32{}
+		choose := func() *targets.Target {
+			most.Store(max(most.Load(), overlapping.Add(1)))
+			defer overlapping.Add(-1)
+			<-chosen
+			return target
+		}
+		for range 3 {
+			go q.Acquire(t.Context(), 1, choose)
+		}
+		synctest.Wait()
+		require.Equal(t, 3, q.Len())
+		for range 3 {
+			chosen <- struct{}{}
+			synctest.Wait()
+		}
+		require.Zero(t, q.Len())
+		require.EqualValues(t, 1, most.Load(), "the calls overlapped")
+	})
+}
--- a/internal/edge/inflight/table.go
+++ b/internal/edge/inflight/table.go
@@ -39,8 +39,10 @@
 	receivedAt bootclock.Instant
 }
 
+// isFresh reports whether a report was received within reportLifetime. The clock starts
+// when the host boots, at 0, which therefore stands for no report.
 func (r *loadReport) isFresh(now bootclock.Instant) bool {
-	return now.Sub(r.receivedAt) <= reportLifetime
+	return r.receivedAt != 0 && now.Sub(r.receivedAt) <= reportLifetime
 }
 
 // Table holds the load in flight at all targets, by incarnation of the target. It
--- a/internal/edge/inflight/table_test.go
+++ b/internal/edge/inflight/table_test.go
@@ -1,6 +1,7 @@
 package inflight
 
 import (
+	"corianderhitch/internal/edge/bootclock"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -59,3 +60,10 @@
 		<-changed
 	})
 }
+
+// A host that has just booted has no report of a hub: that must not count as a fresh one,
+// which would hide what single hosts reported.
+func TestReportsOfHostsCountRightAfterBoot(t *testing.T) {
+	require.False(t, (&loadReport{}).isFresh(bootclock.Instant(time.Second)))
+	require.True(t, (&loadReport{receivedAt: 1}).isFresh(bootclock.Instant(time.Second)))
+}
--- a/internal/edge/peers/confirmation.go
+++ b/internal/edge/peers/confirmation.go
@@ -23,27 +23,26 @@
 // newest less than maxAge ago, applies it if it is newer than this host's, and
 // returns when it was confirmed. The first such answer wins.
 func (e *Exchange) ConfirmByPeers(ctx context.Context, maxAge time.Duration) (bootclock.Instant, error) {
-	answers := make(chan bootclock.Instant, 1)
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	peersAsked := 0
-	for _, host := range e.Members.Sample(confirmationPeers) {
-		peersAsked++
+	asked := e.Members.Sample(confirmationPeers)
+	answers := make(chan bootclock.Instant, len(asked)) // 0 for none
+	for _, host := range asked {
 		go func() {
-			if confirmedAt, ok := e.askPeer(ctx, host, maxAge); ok {
-				select {
-				case answers <- confirmedAt:
-				default:
-				}
-			}
+			confirmedAt, _ := e.askPeer(ctx, host, maxAge)
+			answers <- confirmedAt
 		}()
 	}
-	select {
-	case confirmedAt := <-answers:
-		return confirmedAt, nil
-	case <-ctx.Done():
-		return 0, eris.Errorf("none of %d peers has a confirmation younger than %v", peersAsked, maxAge)
+	for range asked {
+		select {
+		case confirmedAt := <-answers:
+			if confirmedAt != 0 {
+				return confirmedAt, nil
+			}
+		case <-ctx.Done():
+		}
 	}
+	return 0, eris.Errorf("none of %d peers has a confirmation younger than %v", len(asked), maxAge)
 }
 
 // askPeer asks one host for its confirmation. It returns false if the call fails or
--- a/internal/edge/retrybudget/budget.go
+++ b/internal/edge/retrybudget/budget.go
@@ -48,8 +48,8 @@
 	defer b.mu.Unlock()
 	slot := b.currentSlot()
 	hostSlack := float64(int(b.slack / float64(max(1, b.hosts()))))
-	allowed := safetyFactor * (b.ratio*float64(b.requests.sum(slot)) + hostSlack)
-	if float64(b.retries.sum(slot)+1) > allowed {
+	allowed := safetyFactor * (b.ratio*float64(b.requests.atMostOneWindow(slot)) + hostSlack)
+	if float64(b.retries.atLeastOneWindow(slot)+1) > allowed {
 		return false
 	}
 	b.retries.add(slot)
@@ -74,10 +74,17 @@
 	c.counts[i]++
 }
 
-func (c *slidingCounter) sum(slot int64) int {
+// atMostOneWindow counts over the last nine to ten tenths of a window.
+func (c *slidingCounter) atMostOneWindow(slot int64) int { return c.sum(slot, slotsPerWindow-1) }
+
+// atLeastOneWindow counts over the last ten to eleven tenths of a window.
+func (c *slidingCounter) atLeastOneWindow(slot int64) int { return c.sum(slot, slotsPerWindow) }
+
+// sum counts over the current slot and the ones before it up to the given age.
+func (c *slidingCounter) sum(slot, maxAge int64) int {
 	total := 0
 	for i, s := range c.slots {
-		if slot-s <= slotsPerWindow {
+		if slot-s <= maxAge {
 			total += c.counts[i]
 		}
 	}
--- a/internal/edge/retrybudget/budget_test.go
+++ b/internal/edge/retrybudget/budget_test.go
@@ -25,3 +25,15 @@
 func TestNoRetriesWithoutRequestsAndSlack(t *testing.T) {
 	require.False(t, New(0.2, 3, 10*time.Second, func() int { return 6 }).TakeRetry())
 }
+
+// Requests of more than one window must not raise the budget, and retries of less than one
+// must not be forgotten.
+func TestBudgetCountsRequestsOfOneWindow(t *testing.T) {
+	var c slidingCounter
+	for slot := int64(100); slot <= 100+slotsPerWindow; slot++ {
+		c.add(slot)
+	}
+	now := int64(100 + slotsPerWindow)
+	require.Equal(t, slotsPerWindow, c.atMostOneWindow(now))
+	require.Equal(t, slotsPerWindow+1, c.atLeastOneWindow(now))
+}
--- a/internal/edge/streaming/forward.go
+++ b/internal/edge/streaming/forward.go
@@ -32,6 +32,9 @@
 			}
 			return edge.ReasonCallerGone
 		}
+		if err != io.EOF {
+			r.awaitCopy(ctx)
+		}
 		next, reason := r.nextSegment(ctx, source, err)
 		if next == nil && reason != completed {
 			next = r.restart(ctx, source, reason, err)
--- a/internal/edge/streaming/replica.go
+++ b/internal/edge/streaming/replica.go
@@ -13,8 +13,9 @@
 const (
 	// finalCopyTimeout bounds the wait for the outcome of a final copy.
 	finalCopyTimeout = 2500 * time.Millisecond
-	// stopTimeout bounds the call that stops a run whose stream broke off. An engine
-	// that does not answer in time has crashed or is unreachable.
+	// stopTimeout bounds the calls to an engine whose stream broke off: the one that
+	// stops the run, and a copy in progress. An engine that does not answer in time has
+	// crashed or is unreachable.
 	stopTimeout = 400 * time.Millisecond
 	// releaseTimeout bounds the call that frees a replica.
 	releaseTimeout = time.Second
@@ -40,6 +41,7 @@
 // it if the copy fails. The replica is nil if the copy failed, or if meanwhile the
 // run ended, moved or got another replica, in which case the copy is released.
 func (r *Run) Replicate(ctx context.Context, source, dest *targets.Target, reserved inflight.Load) (*Replica, edge.MoveReply) {
+	defer r.beginCopy()()
 	reply := r.server.Engines.Move(ctx, source.Address, r.ID(), dest.Address, false)
 	if reply.Result != edge.MoveCopied {
 		r.server.Inflight.Remove(dest.Key(), reserved)
@@ -53,6 +55,39 @@
 	return replica, reply
 }
 
+// beginCopy announces a copy that may become the run's replica, and returns the function
+// that ends it. Callers hold CopyLock.
+func (r *Run) beginCopy() (end func()) {
+	copying := make(chan struct{})
+	r.mu.Lock()
+	r.copying = copying
+	r.mu.Unlock()
+	return func() {
+		r.mu.Lock()
+		r.copying = nil
+		r.mu.Unlock()
+		close(copying)
+	}
+}
+
+// awaitCopy waits for the outcome of a copy in progress. An engine that crashes right
+// after a copy may have answered already, so that the run can continue from there.
+func (r *Run) awaitCopy(ctx context.Context) {
+	r.mu.Lock()
+	copying := r.copying
+	r.mu.Unlock()
+	if copying == nil {
+		return
+	}
+	timer := time.NewTimer(stopTimeout)
+	defer timer.Stop()
+	select {
+	case <-copying:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // setReplica records a replica and reports whether it did: not if the run already
 // has one, has ended or has left the replica's source.
 func (r *Run) setReplica(replica *Replica) bool {
--- a/internal/edge/streaming/run.go
+++ b/internal/edge/streaming/run.go
@@ -44,6 +44,7 @@
 	events      int             // guarded by mu; number of events of the stream that the caller has
 	countedLoad inflight.Load   // guarded by mu; load counted for target
 	replica     *Replica        // guarded by mu; copied from the current target
+	copying     chan struct{}   // guarded by mu; closed at the end of the copy in progress, nil if there is none
 }
 
 // newRun returns the run of a call. A stream that the caller resumes begins after the
--- a/internal/engineclient/client.go
+++ b/internal/engineclient/client.go
@@ -91,6 +91,10 @@
 	return newStream(resp.Body, cancel), nil
 }
 
+// isFailureStatus reports whether a status is one of HTTP's failures. It reaches the
+// caller's response, where a status that HTTP does not know ends the handler.
+func isFailureStatus(status int) bool { return status >= http.StatusBadRequest && status < 600 }
+
 // responseError returns the typed error for a response other than success.
 func responseError(resp *http.Response) error {
 	var document problem.Document
@@ -99,6 +103,12 @@
 		return eris.Wrapf(ErrProtocol, "status %d without a problem document", resp.StatusCode)
 	}
 	failure := problem.FromDocument(document)
+	if !isFailureStatus(failure.Status) {
+		failure.Status = resp.StatusCode
+	}
+	if !isFailureStatus(failure.Status) {
+		failure.Status = http.StatusBadGateway
+	}
 	switch {
 	case resp.StatusCode == http.StatusNotFound && failure.Kind == problem.KindNotFound:
 		return eris.Wrap(ErrUnknownGeneration, failure.Detail)
--- a/internal/engineclient/client_test.go
+++ b/internal/engineclient/client_test.go
@@ -117,3 +117,17 @@
 	require.NoError(t, err)
 	require.Equal(t, long, event.Token.Text)
 }
+
+// The status in a problem document reaches the caller's response, where one that HTTP
+// does not know ends the handler.
+func TestProblemDocumentWithInvalidStatus(t *testing.T) {
+	for _, status := range []int{0, 7, 200, 1000} {
+		_, err := outcome(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			_ = json.NewEncoder(w).Encode(problem.Document{Kind: problem.KindOverloaded, Ran: problem.RanNo, Status: status})
+		})
+		var rejected *RejectedError
+		require.ErrorAs(t, err, &rejected)
+		require.Equal(t, http.StatusServiceUnavailable, rejected.Problem.Status, "status %d", status)
+	}
+}
--- a/internal/gateway/fleet/dispatchrecords.go
+++ b/internal/gateway/fleet/dispatchrecords.go
@@ -23,12 +23,12 @@
 	})
 }
 
-// MayHaveRun implements ledger.DispatchRecorder. The hosts that keep a record are among
-// those asked, so it returns false if at least one host answers and none has a record.
-// It returns true if no host can be asked or none answers.
+// MayHaveRun implements ledger.DispatchRecorder. Some of the hosts that are asked keep a
+// record, and any of them may be the only one: it returns false only if there are such
+// hosts, all answer and none has a record.
 func (f *Fleet) MayHaveRun(ctx context.Context, account, key string) bool {
 	requestID := dispatchRecordPrefix + key
-	owners := f.responsive(f.directoryOwners(account, requestID))
+	owners := f.directoryOwners(account, requestID)
 	_, found, unanswered := f.lookup(ctx, directoryTimeout, account, requestID, owners)
-	return found || len(unanswered) == len(owners)
+	return found || len(owners) == 0 || len(unanswered) > 0
 }
--- a/internal/gateway/fleet/fleet_test.go
+++ b/internal/gateway/fleet/fleet_test.go
@@ -342,3 +342,16 @@
 	require.Equal(t, 2, f.Count("e"))
 	require.Empty(t, f.CoResidents("e", 2))
 }
+
+// The record of a call is on a host that does not answer. An answer of another host, which
+// keeps no record, does not show that the call has not run.
+func TestCallMayHaveRunIfAnyOwnerIsSilent(t *testing.T) {
+	a, b := newAgent(t), newAgent(t)
+	a.members = []control.Member{member("one", a), member("two", b)}
+	f := startFleet(t, a, b)
+	awaitView(t, f, func(v *View) bool { return len(v.Members) == 2 })
+	require.False(t, f.MayHaveRun(t.Context(), "a", "k"))
+	b.server.Stop()
+	require.True(t, f.MayHaveRun(t.Context(), "a", "k"))
+	require.True(t, f.MayHaveRun(t.Context(), "a", "k"), "also when the host is known to be unresponsive")
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -33,8 +33,11 @@
 }
 
 // Main runs the daemon until SIGTERM or SIGINT and exits the process with its exit code.
+// Then the daemon drains: further SIGTERMs don't cut that short, since a platform may send
+// several, but a second SIGINT, of a person who doesn't want to wait, ends the process.
 func (d Daemon[T]) Main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	context.AfterFunc(ctx, func() { signal.Reset(os.Interrupt) })
 	err := d.Command().ExecuteContext(ctx)
 	stop()
 	if err != nil {
--- a/internal/program/program_test.go
+++ b/internal/program/program_test.go
@@ -1,11 +1,17 @@
 package program
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"os"
+	"os/exec"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -45,3 +51,51 @@
 		})
 	}
 }
+
+// mainEnv makes the test program run a daemon that drains forever.
+const mainEnv = "PROGRAM_TEST_MAIN"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(mainEnv) != "" {
+		os.Args = os.Args[:1]
+		d := testDaemon(nil)
+		d.Run = func(ctx context.Context, _ io.Writer, _ testSettings) error {
+			fmt.Println("started")
+			<-ctx.Done()
+			fmt.Println("draining")
+			select {}
+		}
+		go func() { time.Sleep(20 * time.Second); os.Exit(3) }()
+		d.Main()
+	}
+	os.Exit(m.Run())
+}
+
+// A repeated SIGTERM must not end a process that drains; a repeated SIGINT must.
+func TestRepeatedSignalsWhileDraining(t *testing.T) {
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), mainEnv+"=1")
+	out, err := cmd.StdoutPipe()
+	require.NoError(t, err)
+	require.NoError(t, cmd.Start())
+	lines := bufio.NewScanner(out)
+	require.True(t, lines.Scan())
+	require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
+	require.True(t, lines.Scan())
+	require.Equal(t, "draining", lines.Text())
+	ended := make(chan error, 1)
+	go func() { ended <- cmd.Wait() }()
+	require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
+	select {
+	case <-ended:
+		t.Fatal("the second SIGTERM ended the process")
+	case <-time.After(300 * time.Millisecond):
+	}
+	require.NoError(t, cmd.Process.Signal(os.Interrupt))
+	select {
+	case <-ended:
+		require.Equal(t, syscall.SIGINT, cmd.ProcessState.Sys().(syscall.WaitStatus).Signal())
+	case <-time.After(10 * time.Second):
+		t.Fatal("the SIGINT did not end the process")
+	}
+}
--- a/internal/scheduling/isolated.go
+++ b/internal/scheduling/isolated.go
@@ -1,6 +1,7 @@
 package scheduling
 
 import (
+	"slices"
 	"time"
 
 	"corianderhitch/internal/scheduling/suspicion"
@@ -18,9 +19,9 @@
 // have a quarantined target, and to the longest waiting ones as long as further
 // targets may be quarantined.
 func (p *Pool) decideIsolated(now time.Time, d *Decisions) {
-	kept := p.isolated[:0]
+	var kept []string
 	stillWaiting := 0
-	for _, ticket := range p.isolated {
+	for _, ticket := range slices.Clone(p.isolated) { // reconsider withdraws requests
 		w, ok := p.waiting[ticket]
 		if !ok || p.reconsider(now, w, d) {
 			continue
--- a/internal/scheduling/pool.go
+++ b/internal/scheduling/pool.go
@@ -146,6 +146,7 @@
 		return
 	}
 	p.queue.Remove(ticket)
+	p.isolated = slices.DeleteFunc(p.isolated, func(isolated string) bool { return isolated == ticket })
 	delete(p.waiting, ticket)
 	p.closeRequest(w.request.Fingerprint)
 }
--- a/internal/scheduling/pool_test.go
+++ b/internal/scheduling/pool_test.go
@@ -10,6 +10,7 @@
 
 	"corianderhitch/api/problem"
 	"corianderhitch/internal/document"
+	"corianderhitch/internal/scheduling/suspicion"
 )
 
 var testStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -322,3 +323,32 @@
 	target.ReportedAt = now
 	return []Target{target}
 }
+
+// A request that waits to run alone is canceled and submitted again before the next
+// decision. It then waits in the fair queue, and must not be granted as the isolated
+// request that it was, after which the queue would hold a request that nobody waits for.
+func TestIsolatedRequestCanBeSubmittedAgain(t *testing.T) {
+	p := newTestPool(Config{}, healthyTargets("x")...)
+	now := testStart
+	r := testRequest("culprit")
+	for _, id := range []string{"first", "second"} {
+		p.suspects.RecordCrash(suspicion.Crash{ID: id, Target: id, At: now, Suspects: []uint64{r.Fingerprint, 1}})
+	}
+	require.Equal(t, suspicion.Isolate, p.suspects.Verdict(r.Fingerprint, now))
+	p.Submit(now, testRequest("busy"))
+	require.Len(t, p.Decide(now).Grants, 1)
+	r.Ticket = "again"
+	p.Submit(now, r)
+	p.Decide(now)
+	require.Equal(t, []string{"again"}, p.isolated, "no target is empty")
+	p.Cancel(now, "again")
+	p.Submit(now, r)
+	p.Finish(now, Finished{Ticket: "busy", Produced: 1, Complete: true})
+	var grants []Grant
+	require.NotPanics(t, func() { grants = p.Decide(now).Grants })
+	for range 10 {
+		now = now.Add(time.Second)
+		grants = append(grants, p.Decide(now).Grants...)
+	}
+	require.Len(t, grants, 1)
+}
