Resumable streams leave engines that are silent and count as failing

Change: after suspectDelay such a run is canceled once the engine counts as failing, and sent to another within its attempts. Ruled out: leaving after suspectDelay alone (a crowded engine would get the load twice).

--- a/internal/edge/streaming/server.go
+++ b/internal/edge/streaming/server.go
@@ -16,10 +16,12 @@
 	"corianderhitch/internal/edge/ejection"
 	"corianderhitch/internal/edge/inflight"
 	"corianderhitch/internal/edge/peers"
+	"corianderhitch/internal/edge/placement"
 	"corianderhitch/internal/edge/policy"
 	"corianderhitch/internal/edge/retrybudget"
 	"corianderhitch/internal/edge/targetconn"
 	"corianderhitch/internal/edge/targets"
+	"corianderhitch/internal/wait"
 )
 
 const (
@@ -33,6 +35,9 @@
 	// are expected to start within one objective. minSuspectDelay is the minimum delay.
 	suspectDelayFactor = 1.3
 	minSuspectDelay    = time.Second
+	// silenceCheckInterval is how often a run at a suspected engine checks whether the
+	// engine counts as failing meanwhile.
+	silenceCheckInterval = 100 * time.Millisecond
 	// writeSlack is how long after the deadline writes to the caller may still succeed.
 	writeSlack = time.Second
 )
@@ -181,7 +186,7 @@
 // open sends the run to a target. Its load has been counted there already and is
 // removed if the run does not start.
 func (s *Server) open(ctx context.Context, r *Run, t *targets.Target, load inflight.Load, d edge.Dispatch) (*segment, error) {
-	response, cancel, err := s.send(ctx, r.call, t, d)
+	response, cancel, err := s.send(ctx, r, t, d)
 	if err != nil {
 		s.Inflight.Remove(t.Key(), load)
 		return nil, err
@@ -193,19 +198,17 @@
 
 // send sends the call to a target and checks the head of its response. The returned
 // function cancels the run at the target.
-func (s *Server) send(ctx context.Context, a *edge.AuthorizedCall, t *targets.Target, d edge.Dispatch) (*targetconn.Response, context.CancelFunc, error) {
+func (s *Server) send(ctx context.Context, r *Run, t *targets.Target, d edge.Dispatch) (*targetconn.Response, context.CancelFunc, error) {
+	a := r.call
 	// A run that continues at another engine is not a new request: its key was
 	// checked when it started.
 	if d.ContinueFrom == nil && !a.StillAuthorized(ctx) {
 		return nil, nil, errKeyUnconfirmed
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	suspect := time.AfterFunc(suspectDelay(a), func() {
-		a.Log.Warn("stream: engine is silent", "target", t.ID, "age_ms", a.Age().Milliseconds())
-		s.Health.RecordFailure(t.Key(), 1)
-	})
+	stopWatching := s.watchSilence(ctx, cancel, r, t)
 	response, err := s.Sender.Send(ctx, a.Call, t, d, a.TimeLeft())
-	suspect.Stop()
+	stopWatching()
 	if err != nil {
 		cancel()
 		return nil, nil, err
@@ -226,6 +229,32 @@
 	return response, cancel, nil
 }
 
+// watchSilence suspects the engine if it has not begun to respond after suspectDelay. If
+// other runs have failed there as well, so that it counts as failing, a run that may be sent
+// again is canceled: it has no use in waiting. A single slow response does not suffice, since
+// on crowded engines a second start would only add load. The returned function ends the watch.
+func (s *Server) watchSilence(ctx context.Context, cancel context.CancelFunc, r *Run, t *targets.Target) (stop func()) {
+	watch, stop := context.WithCancel(ctx)
+	go func() {
+		a := r.call
+		wait.For(watch, suspectDelay(a))
+		if watch.Err() != nil {
+			return
+		}
+		a.Log.Warn("stream: engine is silent", "target", t.ID, "age_ms", a.Age().Milliseconds())
+		s.Health.RecordFailure(t.Key(), 1)
+		for r.MayRestart() && watch.Err() == nil {
+			if cost := s.Health.FailureCost(t.Key()); cost > placement.MaxHealthyCost {
+				a.Log.Warn("stream: engine is silent and failing; the run is sent to another", "target", t.ID, "failure_cost", cost, "age_ms", a.Age().Milliseconds())
+				cancel()
+				return
+			}
+			wait.For(watch, silenceCheckInterval)
+		}
+	}()
+	return stop
+}
+
 // suspectDelay returns how long an engine may take to start its response before it
 // is suspected to hang.
 func suspectDelay(a *edge.AuthorizedCall) time.Duration {
--- a/tests/edge/resume_test.go
+++ b/tests/edge/resume_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -214,3 +215,25 @@
 	_ = response.Body.Close()
 	require.Eventually(t, func() bool { return len(engines[0].Canceled()) == 1 }, 500*time.Millisecond, checkInterval)
 }
+
+// An engine accepts requests and stays silent, while the platform calls it healthy. When
+// several runs show that it fails, those that may run again are sent to another engine long
+// before their callers give up.
+func TestResumableStreamsLeaveSilentEngine(t *testing.T) {
+	t.Parallel()
+	_, h, engines := startEngineFleet(t, 2)
+	engines[0].StopAnswering()
+	var pending []<-chan answer
+	sent := time.Now()
+	for i := range 8 {
+		pending = append(pending, sendAsync(resumableRequest(t.Context(), h, fmt.Sprintf("r-%d", i), shortGeneration, 0)))
+	}
+	for i, p := range pending {
+		a := <-p
+		require.NoError(t, a.err)
+		require.Equal(t, http.StatusOK, a.status)
+		require.Equal(t, standin.StreamText(fmt.Sprintf("r-%d", i), shortGeneration), a.body)
+	}
+	require.Less(t, time.Since(sent), callerTimeout/2)
+	require.NotEmpty(t, engines[0].Started(), "no run was sent to the silent engine")
+}
