Own form: a restored store loses no promise of calls, answers, documents and orders

The stand-in store restores a copy on request; its lease ids carry the era, so that an id of an earlier era names no lease of another client. Change: for an hour after a restore, as long as dispatch records are kept, a call without a record runs only if the hosts that would keep its dispatch record all deny it; otherwise it is answered with an unknown outcome. make prove has the drill for calls, late answers, documents and placement orders.

--- a/internal/ledger/attempt.go
+++ b/internal/ledger/attempt.go
@@ -95,13 +95,18 @@
 }
 
 // grant returns the claim that was written at the revision, or releases it if the
-// dispatch window has passed.
+// dispatch window has passed. If an earlier record of the call may have been lost with a
+// restore of the store, the claim stays without an outcome: the call may have run.
 func (a *attempt) grant(revision platform.Revision) (Decision, error) {
 	claim := &Claim{attempt: a, revision: revision}
 	if claim.windowPassed() {
 		claim.Release()
 		return Decision{}, a.ledger.storeUnavailable(a.call, errPaused)
 	}
+	if a.ledger.recordIsLost(a.call, revision) {
+		claim.Abandon()
+		return Decision{}, a.ledger.outcomeUnknown(a.call, errRecordLost)
+	}
 	a.ledger.recordDispatch(a.call)
 	return Decision{Claim: claim}, nil
 }
--- a/internal/ledger/claim.go
+++ b/internal/ledger/claim.go
@@ -13,6 +13,9 @@
 // errPaused is the cause when the process was paused between claim and dispatch.
 var errPaused = eris.New("ledger: the gateway was paused between claim and dispatch; the claim is released")
 
+// errRecordLost is the cause when the record of an earlier sending may be lost.
+var errRecordLost = eris.New("ledger: the store was restored from a copy, and the call may have run before")
+
 // Claim is the exclusive right to dispatch a call once. The holder must call
 // exactly one of Complete, Release and Abandon.
 type Claim struct {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -56,6 +56,7 @@
 	leases      *storelease.Leases
 	log         *slog.Logger
 	recentCalls *recentCalls
+	restores    restoreWatch
 	recorder    DispatchRecorder // nil if there is none
 
 	taskSlots   chan struct{} // one element per running task
--- a/internal/ledger/recorder.go
+++ b/internal/ledger/recorder.go
@@ -6,7 +6,8 @@
 )
 
 // DispatchRecorder remembers outside the store, and for all gateways, which calls
-// may have run. It is queried only while the store gives no answer.
+// may have run. It is queried while the store gives no answer, and for a while after the
+// store was restored from a copy.
 type DispatchRecorder interface {
 	// RecordDispatch remembers a call that is about to be dispatched.
 	RecordDispatch(ctx context.Context, account, key string)
@@ -51,7 +52,7 @@
 	defer cancel()
 	entry, err := l.store.Get(ctx, call.storeKey())
 	if isNotFound(err) {
-		return false
+		return l.missingRecordIsLost(ctx, call)
 	}
 	if err != nil {
 		return l.mayHaveRunWithoutStore(call)
--- a/internal/standin/store/admin.go
+++ b/internal/standin/store/admin.go
@@ -19,6 +19,8 @@
 //	GET    /admin/fault                   memstore.Fault
 //	PUT    /admin/fault                   memstore.Fault: replace the injected fault
 //	PATCH  /admin/fault                   memstore.Fault: change only the fields in the body
+//	POST   /admin/copy                    keep a copy of the store in place of the last one
+//	POST   /admin/restore                 replace the store by the copy, in a new era
 //	GET    /admin/counts                  memstore.Counts
 //	GET    /admin/targets                 []platform.Target, without the injected lag
 //	PUT    /admin/targets                 []platform.Target: replace the host list
@@ -29,6 +31,8 @@
 	r.HandleFunc("/admin/fault", s.getFault).Methods(http.MethodGet)
 	r.HandleFunc("/admin/fault", s.putFault).Methods(http.MethodPut)
 	r.HandleFunc("/admin/fault", s.patchFault).Methods(http.MethodPatch)
+	r.HandleFunc("/admin/copy", s.postCopy).Methods(http.MethodPost)
+	r.HandleFunc("/admin/restore", s.postRestore).Methods(http.MethodPost)
 	r.HandleFunc("/admin/counts", s.getCounts).Methods(http.MethodGet)
 	r.HandleFunc("/admin/targets", s.getTargets).Methods(http.MethodGet)
 	r.HandleFunc("/admin/targets", s.putTargets).Methods(http.MethodPut)
@@ -59,6 +63,24 @@
 	writeResult(w, fault, nil)
 }
 
+func (s *Server) postCopy(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	s.copied = s.store.Copy()
+	s.mu.Unlock()
+	writeResult(w, struct{}{}, nil)
+}
+
+func (s *Server) postRestore(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.copied == nil {
+		writeResult(w, nil, platform.ErrNotFound)
+		return
+	}
+	s.store.Restore(s.copied)
+	writeResult(w, struct{}{}, nil)
+}
+
 func (s *Server) getCounts(w http.ResponseWriter, _ *http.Request) {
 	writeResult(w, s.store.Counts(), nil)
 }
--- a/internal/standin/store/server.go
+++ b/internal/standin/store/server.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -22,12 +23,33 @@
 // errBadRequest is returned for a request that cannot be parsed.
 var errBadRequest = eris.New("store: malformed call; see package kvwire for the paths and parameters")
 
-// Server serves a memstore.Store over HTTP.
-type Server struct{ store *memstore.Store }
+// Server serves a memstore.Store over HTTP. Its lease ids carry the era of the store like
+// revisions do, so that an id of an earlier era never names a lease of another client.
+type Server struct {
+	store *memstore.Store
+
+	mu     sync.Mutex
+	copied *memstore.Copy // guarded by mu; the copy that the admin API restores, nil if none was made
+}
 
 // New returns a server for the store.
 func New(store *memstore.Store) *Server { return &Server{store: store} }
 
+// leaseWithEra returns the id by which clients know a lease of the current era.
+func (s *Server) leaseWithEra(id platform.LeaseID) platform.LeaseID {
+	return platform.LeaseID(platform.NewRevision(s.store.Era(), int64(id)))
+}
+
+// storeLease returns the store's id of a lease, or ErrLeaseExpired for a lease of an earlier
+// era. 0 stands for no lease.
+func (s *Server) storeLease(id int64) (platform.LeaseID, error) {
+	named := platform.Revision(id)
+	if id != 0 && named.Era() != s.store.Era() {
+		return 0, platform.ErrLeaseExpired
+	}
+	return platform.LeaseID(named.Number()), nil
+}
+
 // Handler returns the store API and the admin API.
 func (s *Server) Handler() http.Handler {
 	r := mux.NewRouter()
@@ -89,7 +111,12 @@
 		writeResult(w, nil, errBadRequest)
 		return
 	}
-	revision, err := s.store.Put(r.Context(), q.Get("key"), value, platform.Revision(condition), platform.LeaseID(lease))
+	storeLease, err := s.storeLease(lease)
+	if err != nil {
+		writeResult(w, nil, err)
+		return
+	}
+	revision, err := s.store.Put(r.Context(), q.Get("key"), value, platform.Revision(condition), storeLease)
 	writeResult(w, kvwire.WriteReply{Revision: revision}, err)
 }
 
@@ -109,21 +136,29 @@
 		return
 	}
 	id, err := s.store.Grant(r.Context(), ttl)
-	writeResult(w, kvwire.LeaseReply{ID: id}, err)
+	writeResult(w, kvwire.LeaseReply{ID: s.leaseWithEra(id)}, err)
 }
 
 func (s *Server) renewLease(w http.ResponseWriter, r *http.Request) {
 	id, err := parseInteger(mux.Vars(r)["id"])
+	var storeLease platform.LeaseID
 	if err == nil {
-		err = s.store.KeepAlive(r.Context(), platform.LeaseID(id))
+		storeLease, err = s.storeLease(id)
+	}
+	if err == nil {
+		err = s.store.KeepAlive(r.Context(), storeLease)
 	}
 	writeResult(w, kvwire.LeaseReply{ID: platform.LeaseID(id)}, err)
 }
 
 func (s *Server) revokeLease(w http.ResponseWriter, r *http.Request) {
 	id, err := parseInteger(mux.Vars(r)["id"])
+	var storeLease platform.LeaseID
+	if err == nil {
+		storeLease, err = s.storeLease(id)
+	}
 	if err == nil {
-		err = s.store.Revoke(r.Context(), platform.LeaseID(id))
+		err = s.store.Revoke(r.Context(), storeLease)
 	}
 	writeResult(w, kvwire.LeaseReply{ID: platform.LeaseID(id)}, err)
 }
--- a/tests/prove/admin_test.go
+++ b/tests/prove/admin_test.go
@@ -93,6 +93,22 @@
 	callAdmin(c.t, http.MethodPut, "http://"+c.storeAddress+"/admin/fault", fault)
 }
 
+// copyStore makes the store stand-in keep a copy of its state.
+func (c *cluster) copyStore() {
+	c.t.Helper()
+	callAdmin(c.t, http.MethodPost, "http://"+c.storeAddress+"/admin/copy", struct{}{})
+}
+
+// restoreStore takes the store away for a moment and brings it back from the copy: what was
+// written since is lost, leases too.
+func (c *cluster) restoreStore() {
+	c.t.Helper()
+	c.storeFault(memstore.Fault{Outage: true})
+	<-time.After(300 * time.Millisecond)
+	callAdmin(c.t, http.MethodPost, "http://"+c.storeAddress+"/admin/restore", struct{}{})
+	c.storeFault(memstore.Fault{})
+}
+
 // reclaim announces to an engine that it will be stopped after the notice.
 func (c *cluster) reclaim(e *target, notice time.Duration) {
 	c.t.Helper()
--- a/tests/prove/calls_test.go
+++ b/tests/prove/calls_test.go
@@ -33,6 +33,9 @@
 	// inject starts the fault while callers send and returns the function that ends
 	// it.
 	inject func(c *cluster) func()
+	// resend makes callers send every key once more after the fault, when records that
+	// the fault lost are missed.
+	resend bool
 }
 
 // callFaults returns the faults against calls that may run at most once.
@@ -100,6 +103,19 @@
 			c.storeFault(memstore.Fault{AnswerDelay: 400 * time.Millisecond})
 			return func() { c.storeFault(memstore.Fault{}) }
 		}},
+		{name: "store restored from a copy", short: true, resend: true, inject: func(c *cluster) func() {
+			c.copyStore()
+			<-time.After(300 * time.Millisecond) // calls are claimed and run meanwhile
+			c.restoreStore()
+			return noop
+		}},
+		{name: "store restored from a copy, gateway killed", resend: true, inject: func(c *cluster) func() {
+			c.copyStore()
+			<-time.After(300 * time.Millisecond)
+			c.hosts[0].gateway.Kill()
+			c.restoreStore()
+			return noop
+		}},
 		{name: "store writes take effect late", inject: func(c *cluster) func() {
 			c.storeFault(memstore.Fault{RequestDelay: 1500 * time.Millisecond}) // longer than a gateway waits for a claim
 			return func() { c.storeFault(memstore.Fault{}) }
@@ -172,6 +188,15 @@
 	r := randomFor(t)
 	start := time.Now()
 	trigger := 1 + r.IntN(keys/2)
+	send := func(s, k int) {
+		key := fmt.Sprintf("hold-%d", k)
+		h := c.hosts[(k+s)%len(c.hosts)]
+		sent := time.Since(start)
+		answer, err := callPlain(t, h.callerURL, keyDesk, http.MethodPost, "/services/booking/seat-holds", key, `{"berth":"`+key+`"}`)
+		mu.Lock()
+		defer mu.Unlock()
+		outcomes = append(outcomes, callOutcome{key: key, answer: answer, err: err, sender: s, begin: sent, end: time.Since(start)})
+	}
 	for s := range senders {
 		wg.Add(1)
 		go func() {
@@ -180,13 +205,7 @@
 				if k == trigger {
 					once.Do(func() { close(faultDue) })
 				}
-				key := fmt.Sprintf("hold-%d", k)
-				h := c.hosts[(k+s)%len(c.hosts)]
-				sent := time.Since(start)
-				answer, err := callPlain(t, h.callerURL, keyDesk, http.MethodPost, "/services/booking/seat-holds", key, `{"berth":"`+key+`"}`)
-				mu.Lock()
-				outcomes = append(outcomes, callOutcome{key: key, answer: answer, err: err, sender: s, begin: sent, end: time.Since(start)})
-				mu.Unlock()
+				send(s, k)
 			}
 		}()
 	}
@@ -195,6 +214,11 @@
 	<-time.After(2 * time.Second) // so that the fault affects calls
 	end()
 	wg.Wait()
+	if fault.resend {
+		for k := range keys {
+			send(senders, k)
+		}
+	}
 	return outcomes
 }
 
--- a/tests/prove/cluster_test.go
+++ b/tests/prove/cluster_test.go
@@ -187,11 +187,12 @@
 }
 
 // applyDocument applies a document with the operators' command line.
-func (c *cluster) applyDocument(text string) {
+func (c *cluster) applyDocument(text string, flags ...string) {
 	c.t.Helper()
 	file := filepath.Join(c.dir, fmt.Sprintf("document-%d.yaml", time.Now().UnixNano()))
 	require.NoError(c.t, os.WriteFile(file, []byte(text), 0o600))
-	out, code := hitchctl(c.t, "apply", file, "--store", "http://"+c.storeAddress, "--environment", "production", "--operator", "prove")
+	args := append([]string{"apply", file, "--store", "http://" + c.storeAddress, "--environment", "production", "--operator", "prove"}, flags...)
+	out, code := hitchctl(c.t, args...)
 	require.Zerof(c.t, code, "hitchctl apply: %s", out)
 }
 
--- a/tests/prove/documents_test.go
+++ b/tests/prove/documents_test.go
@@ -53,6 +53,15 @@
 			c.setStoreLinks(harness.Pass)
 			return 2
 		}},
+		{name: "store restored from a copy without the change", inject: func(t *testing.T, c *cluster) int64 {
+			c.copyStore()
+			apply(c, 1)
+			harness.Await(t, inForceBound, "revision 2 everywhere", func() bool { return c.inForce(2) })
+			c.restoreStore()
+			<-time.After(time.Second) // hosts read the store, which holds revision 1
+			c.applyDocument(documentWith("v2"), "--above", "2")
+			return 3
+		}},
 		{name: "only one host reaches the store", inject: func(_ *testing.T, c *cluster) int64 {
 			for _, h := range c.hosts[1:] {
 				h.storeLink.SetMode(harness.CloseNew)
--- a/tests/prove/late_test.go
+++ b/tests/prove/late_test.go
@@ -51,6 +51,11 @@
 			<-time.After(3 * time.Second) // longer than the late requests run
 			c.storeFault(memstore.Fault{})
 		}},
+		{name: "store restored from a copy without the answers", short: true, inject: func(_ *testing.T, c *cluster) {
+			c.copyStore()
+			<-time.After(time.Second) // some answers are stored meanwhile
+			c.restoreStore()
+		}},
 		{name: "store answers lost", inject: func(_ *testing.T, c *cluster) { c.storeFault(memstore.Fault{LoseAnswers: 0.4}) }},
 		{name: "all engines killed and replaced", inject: func(t *testing.T, c *cluster) {
 			for _, e := range c.engines {
--- a/tests/prove/orders_test.go
+++ b/tests/prove/orders_test.go
@@ -59,6 +59,14 @@
 		{name: "store answers lost", fenceMode: "strict", inject: func(c *cluster, _ platform.Store, _ leaseHolder) {
 			c.storeFault(memstore.Fault{LoseAnswers: 0.5})
 		}},
+		{name: "store restored from a copy", fenceMode: "strict", inject: func(c *cluster, store platform.Store, first leaseHolder) {
+			c.copyStore()
+			c.applyDocument(placementDocument("v5"))
+			<-time.After(time.Second) // orders are sent meanwhile
+			c.restoreStore()
+			c.applyDocument(placementDocument("v6"), "--above", "2")
+			c.awaitOtherHolder(store, first)
+		}},
 		{name: "a later holder has ordered", fenceMode: "strict", inject: orderAsLaterHolder},
 		{name: "lease taken from a holder that goes on", fenceMode: "strict", inject: func(c *cluster, store platform.Store, first leaseHolder) {
 			require.NoError(c.t, store.Delete(c.t.Context(), leaseKey, platform.AnyRevision))
