--- a/internal/ledger/restored_test.go
+++ b/internal/ledger/restored_test.go
@@ -16,7 +16,9 @@
 // fleetRecords is a DispatchRecorder of all gateways of a test.
 type fleetRecords map[string]bool
 
-func (f fleetRecords) RecordDispatch(_ context.Context, account, key string) { f[account+"/"+key] = true }
+func (f fleetRecords) RecordDispatch(_ context.Context, account, key string) {
+	f[account+"/"+key] = true
+}
 
 func (f fleetRecords) MayHaveRun(_ context.Context, account, key string) bool {
 	return f[account+"/"+key]
