--- a/tests/harness/process.go
+++ b/tests/harness/process.go
@@ -128,6 +128,14 @@
 	return p.exitCode
 }
 
+// ExitReason returns how a program that has exited ended: its exit code, or the signal that
+// ended it.
+func (p *Process) ExitReason() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd.ProcessState.String()
+}
+
 // CPUTime returns the user and system time that an exited program used.
 func (p *Process) CPUTime() time.Duration {
 	p.mu.Lock()
