--- a/internal/edge/storeera/tracker_test.go
+++ b/internal/edge/storeera/tracker_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -81,7 +82,7 @@
 		running.Go(func() { tracker.Run(ctx, store, func() bool { return true }) })
 		tracker.MarkSettled(1)
 		time.Sleep(10 * time.Second)
-		require.Equal(t, 1, store.puts)
+		require.EqualValues(t, 1, store.puts.Load())
 		cancel()
 		running.Wait()
 	})
@@ -90,10 +91,10 @@
 // countingStore counts writes.
 type countingStore struct {
 	*memstore.Store
-	puts int
+	puts atomic.Int32
 }
 
 func (s *countingStore) Put(ctx context.Context, key string, value []byte, ifRevision platform.Revision, lease platform.LeaseID) (platform.Revision, error) {
-	s.puts++
+	s.puts.Add(1)
 	return s.Store.Put(ctx, key, value, ifRevision, lease)
 }
