--- a/internal/edge/feed/feed.go
+++ b/internal/edge/feed/feed.go
@@ -138,7 +138,7 @@
 	restored := f.EraSettled != nil && !f.EraSettled(revision.Era())
 	now := bootclock.Now()
 	switch {
-	case f.settling && now < f.settledAt:
+	case f.settling && now < f.settledAt: // missing entries are being kept already
 	case restored, f.OutageThreshold > 0 && outage >= f.OutageThreshold:
 		f.settling, f.settledAt = true, now.Add(f.SettlePeriod)
 		f.Log.Info("feed: store was away, keeping missing entries for now", "prefix", f.Prefix, "away_ms", outage.Milliseconds(), "restored", restored)
--- a/internal/edge/streaming/server.go
+++ b/internal/edge/streaming/server.go
@@ -107,11 +107,11 @@
 		}
 		r.attempts.tried[t.Key()] = true
 		segment, err := s.open(ctx, r, t, load, edge.Dispatch{Account: a.Account, Urgency: a.Urgency, LastEventID: r.lastEventID})
-		if err == nil && !s.retryFailedResponse(r, segment) {
-			return segment, nil
-		}
 		if err == nil {
-			continue
+			if s.retryFailedResponse(r, segment) {
+				continue
+			}
+			return segment, nil
 		}
 		rejection, retryable := s.startFailure(ctx, r, t, err)
 		if !retryable {
