Logs tell aborts by the host from callers that left, and show a retry's budget

The record of the restarts in series shows streams that a host aborted at the end of its grace period as caller_gone, and no line says when a request reached a draining host, on which connection, or what a retry budget was made of; three hypotheses for each rule cannot be told apart. Aborted requests now end with host_stopping (the cause of their context), requests that reach a draining host are logged with the drain's and the connection's age, each retry decision carries its inputs, and net/http's own errors, among them panics of handlers, are warnings instead of debug lines. Which requests are served, aborted or repeated has not changed.

--- a/internal/edge/ingress/handler.go
+++ b/internal/edge/ingress/handler.go
@@ -59,15 +59,19 @@
 	Streaming    Server
 	Observer     Observer
 	CountRequest func(service string) // counts a request for the retry budget
-	Draining     func() bool          // the process is draining and connections should be closed
+	// DrainAge returns the time since the process began to drain, 0 before. Connections
+	// are closed after their response then.
+	DrainAge func() time.Duration
 }
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := bootclock.Now()
-	if h.Draining() {
+	drainAge := h.DrainAge()
+	if drainAge > 0 {
 		w.Header().Set("Connection", "close")
 	}
+	connection := recordRequest(r.Context())
 	call := h.Wire.Decode(r)
 	ctx, span := edge.Tracer.Start(r.Context(), "edge request", trace.WithSpanKind(trace.SpanKindServer),
 		trace.WithAttributes(attribute.String("request.id", call.ID)))
@@ -80,6 +84,10 @@
 		h.reject(w, &call, rejection, arrived)
 		return
 	}
+	if drainAge > 0 {
+		a.Log.Info("ingress: request received while draining", "drain_age_ms", drainAge.Milliseconds(),
+			"connection_age_ms", connection.age().Milliseconds(), "connection_requests", connection.requests)
+	}
 	h.CountRequest(a.Service.Name)
 	server := h.Plain
 	if a.Route.Kind == policy.Streaming {
--- a/internal/edge/plain/server.go
+++ b/internal/edge/plain/server.go
@@ -159,11 +159,12 @@
 	if r.sends >= r.call.Route.MaxAttempts {
 		return
 	}
-	if !r.server.RetryBudget(r.call.Service.Name).TakeRetry() {
-		r.call.Log.Warn("plain: not sent again", "reason", reason, "bound", "retry_budget")
+	budget := r.server.RetryBudget(r.call.Service.Name).TakeRetry()
+	if !budget.Granted {
+		r.call.Log.Warn("plain: not sent again", "reason", reason, "bound", "retry_budget", "budget", budget)
 		return
 	}
-	r.call.Log.Info("plain: sent again", "reason", reason, "sends", r.sends+1)
+	r.call.Log.Info("plain: sent again", "reason", reason, "sends", r.sends+1, "budget", budget)
 	r.send()
 }
 
--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -76,7 +76,7 @@
 	feeds         *feeds
 	placementRate placement.Rate
 	targetsListed atomic.Bool
-	draining      atomic.Bool
+	drainingSince atomic.Int64 // a bootclock.Instant; 0 until the process is asked to stop
 
 	retryBudgetsMu sync.Mutex
 	retryBudgets   map[string]*retrybudget.Budget // guarded by retryBudgetsMu; by service
@@ -179,15 +179,19 @@
 	background, cancel := context.WithCancel(context.Background())
 	var wait sync.WaitGroup
 	p.background(background, &wait, s)
+	requests, abort := context.WithCancelCause(context.Background())
+	defer abort(nil)
 	server := &http.Server{
 		Handler: p.handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: slog.NewLogLogger(p.log.Handler(), slog.LevelDebug),
+		ErrorLog:    slog.NewLogLogger(p.log.Handler(), slog.LevelWarn),
+		BaseContext: func(net.Listener) context.Context { return requests },
+		ConnContext: ingress.WithConnection,
 	}
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
 	select {
 	case <-ctx.Done():
-		p.drain(server)
+		p.drain(server, abort)
 	case err = <-served:
 	}
 	cancel()
@@ -214,13 +218,13 @@
 	return &ingress.Handler{
 		Log: p.log, Wire: p.adapter.Wire, Policy: p.policy, Confirmer: p.confirmer, MaxKeyAge: p.maxKeyAge(), RecheckAge: p.recheckAge(),
 		Plain: p.plain, Streaming: p.streaming, Observer: p.metrics,
-		CountRequest: func(service string) { p.retryBudget(service).RecordRequest() }, Draining: p.draining.Load,
+		CountRequest: func(service string) { p.retryBudget(service).RecordRequest() }, DrainAge: p.drainAge,
 	}
 }
 
 // ready reports whether the platform may send callers to this host.
 func (p *Process) ready() bool {
-	if p.draining.Load() || p.policy.Current() == nil || !p.targetsListed.Load() {
+	if p.drainAge() > 0 || p.policy.Current() == nil || !p.targetsListed.Load() {
 		return false
 	}
 	return p.maxKeyAge() == 0 || p.confirmer.Age() < p.maxKeyAge()
--- a/internal/edge/rejection.go
+++ b/internal/edge/rejection.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -32,8 +34,22 @@
 	ReasonBrokenOff       = "broken_off"
 	ReasonTimeout         = "timeout"
 	ReasonCallerGone      = "caller_gone"
+	ReasonStopping        = "host_stopping"
 )
 
+// ErrStopping is the cause of the end of a request's context if the host aborts the
+// request because its own process ends.
+var ErrStopping = errors.New("edge: the host's process ends")
+
+// CanceledReason returns why the context of a request was canceled: the host aborted it,
+// or its caller left.
+func CanceledReason(ctx context.Context) string {
+	if errors.Is(context.Cause(ctx), ErrStopping) {
+		return ReasonStopping
+	}
+	return ReasonCallerGone
+}
+
 // Unavailable returns the rejection, with status 503, of a request that has not run.
 func Unavailable(reason string, retryAfter time.Duration) *Rejection {
 	return &Rejection{Status: http.StatusServiceUnavailable, Reason: reason, RetryAfter: retryAfter}
--- a/internal/edge/retrybudget/budget.go
+++ b/internal/edge/retrybudget/budget.go
@@ -3,6 +3,7 @@
 package retrybudget
 
 import (
+	"log/slog"
 	"sync"
 	"time"
 
@@ -42,18 +43,32 @@
 	b.requests.add(b.currentSlot())
 }
 
-// TakeRetry takes one retry from the budget. It returns false if none is left.
-func (b *Budget) TakeRetry() bool {
+// Decision is the outcome of TakeRetry with its inputs.
+type Decision struct {
+	Granted  bool
+	Allowed  float64 // retries of this host in a window
+	Retries  int     // of this host in the current window, without this one
+	Requests int     // of this host in the current window
+	Hosts    int     // hosts that share the slack
+}
+
+// LogValue implements slog.LogValuer.
+func (d Decision) LogValue() slog.Value {
+	return slog.GroupValue(slog.Float64("allowed", d.Allowed), slog.Int("retries", d.Retries), slog.Int("requests", d.Requests), slog.Int("hosts", d.Hosts))
+}
+
+// TakeRetry takes one retry from the budget unless none is left.
+func (b *Budget) TakeRetry() Decision {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	slot := b.currentSlot()
-	hostSlack := float64(int(b.slack / float64(max(1, b.hosts()))))
-	allowed := safetyFactor * (b.ratio*float64(b.requests.atMostOneWindow(slot)) + hostSlack)
-	if float64(b.retries.atLeastOneWindow(slot)+1) > allowed {
-		return false
+	d := Decision{Retries: b.retries.atLeastOneWindow(slot), Requests: b.requests.atMostOneWindow(slot), Hosts: max(1, b.hosts())}
+	hostSlack := float64(int(b.slack / float64(d.Hosts)))
+	d.Allowed = safetyFactor * (b.ratio*float64(d.Requests) + hostSlack)
+	if d.Granted = float64(d.Retries+1) <= d.Allowed; d.Granted {
+		b.retries.add(slot)
 	}
-	b.retries.add(slot)
-	return true
+	return d
 }
 
 func (b *Budget) currentSlot() int64 {
--- a/internal/edge/retrybudget/budget_test.go
+++ b/internal/edge/retrybudget/budget_test.go
@@ -14,16 +14,16 @@
 		b.RecordRequest()
 	}
 	taken := 0
-	for b.TakeRetry() {
+	for b.TakeRetry().Granted {
 		taken++
 	}
 	require.Equal(t, int(safetyFactor*(0.2*100+10)), taken)
 	hosts = 8 // more hosts share the same slack
-	require.False(t, b.TakeRetry())
+	require.False(t, b.TakeRetry().Granted)
 }
 
 func TestNoRetriesWithoutRequestsAndSlack(t *testing.T) {
-	require.False(t, New(0.2, 3, 10*time.Second, func() int { return 6 }).TakeRetry())
+	require.False(t, New(0.2, 3, 10*time.Second, func() int { return 6 }).TakeRetry().Granted)
 }
 
 // Requests of more than one window must not raise the budget, and retries of less than one
--- a/internal/edge/streaming/attempts.go
+++ b/internal/edge/streaming/attempts.go
@@ -38,10 +38,12 @@
 	if int(r.attempts.sends.Load()) >= r.call.Route.MaxAttempts {
 		return false
 	}
-	if !s.RetryBudget(r.call.Service.Name).TakeRetry() {
-		r.call.Log.Warn("stream: not sent again", "sends", r.attempts.sends.Load(), "bound", "retry_budget")
+	budget := s.RetryBudget(r.call.Service.Name).TakeRetry()
+	if !budget.Granted {
+		r.call.Log.Warn("stream: not sent again", "sends", r.attempts.sends.Load(), "bound", "retry_budget", "budget", budget)
 		return false
 	}
+	r.call.Log.Info("stream: may be sent again", "sends", r.attempts.sends.Load(), "budget", budget)
 	return true
 }
 
--- a/internal/edge/streaming/forward.go
+++ b/internal/edge/streaming/forward.go
@@ -30,7 +30,7 @@
 			if replica, _ := r.takeReplica(); replica != nil {
 				r.releaseReplica(replica)
 			}
-			return edge.ReasonCallerGone
+			return edge.CanceledReason(ctx)
 		}
 		if err != io.EOF {
 			r.awaitCopy(ctx)
@@ -229,7 +229,7 @@
 	}
 	switch {
 	case ctx.Err() != nil && a.TimeLeft() > 0:
-		reason = edge.ReasonCallerGone
+		reason = edge.CanceledReason(ctx)
 	case ctx.Err() != nil:
 		reason = edge.ReasonTimeout
 	default:
--- a/internal/edge/streaming/rejection.go
+++ b/internal/edge/streaming/rejection.go
@@ -59,7 +59,7 @@
 func (s *Server) reject(ctx context.Context, r *Run, rejection *edge.Rejection) string {
 	a := r.call
 	if errors.Is(ctx.Err(), context.Canceled) {
-		rejection = &edge.Rejection{Status: http.StatusBadGateway, Reason: edge.ReasonCallerGone}
+		rejection = &edge.Rejection{Status: http.StatusBadGateway, Reason: edge.CanceledReason(ctx)}
 	}
 	if r.attempts.failed != nil && ctx.Err() == nil {
 		r.attempts.failed.write(r.w)
