Known red: a process ends without its aborted requests

Callers whose request is still open at the end of the grace period, with no byte of an answer sent, see a closed connection (EOF), although the handler has computed its 502 within milliseconds: drain calls server.Close right after abort. Nor does the process wait for the handlers: it ends while they run, and with it their lines of the log.

No logic has changed; the fleet of the tests can set a host's log level and its wire.

--- a/tests/edge/fleet_test.go
+++ b/tests/edge/fleet_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"corianderhitch/internal/edge"
 	"corianderhitch/internal/edge/node"
 	"corianderhitch/internal/edge/peers"
 	"corianderhitch/internal/edge/process"
@@ -46,6 +47,9 @@
 	version int
 	keys    []string
 	grace   time.Duration
+	// wire and logLevel are those of hosts that start later.
+	wire     edge.Wire
+	logLevel string
 	// revokeWithin is within which hosts that start later stop serving a withdrawn key.
 	revokeWithin time.Duration
 }
@@ -126,7 +130,7 @@
 }
 
 func newFleet(t *testing.T) *fleet {
-	return &fleet{t: t, store: memstore.New(memstore.Options{}), keys: []string{apiKey}, grace: 600 * time.Millisecond, revokeWithin: revokeWithin}
+	return &fleet{t: t, store: memstore.New(memstore.Options{}), keys: []string{apiKey}, grace: 600 * time.Millisecond, wire: platform.Wire{}, logLevel: "info", revokeWithin: revokeWithin}
 }
 
 // configure writes the next version of the configuration to the store.
@@ -164,7 +168,7 @@
 	require.NoError(f.t, err)
 	h := &host{callerAddress: callerAddress, readinessAddress: readinessAddress, done: make(chan error, 1), logs: &safeBuffer{}, store: &partitionableStore{Store: f.store}}
 	adapter := platform.Adapter()
-	adapter.LogOutput = h.logs
+	adapter.LogOutput, adapter.Wire = h.logs, f.wire
 	adapter.NewStore = func(string) peers.Store { return h.store }
 	adapter.ReadNode = func(string) (node.Node, error) {
 		return node.Node{
@@ -176,7 +180,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h.stop = cancel
 	go func() {
-		h.done <- process.Run(adapter)(ctx, nil, process.Settings{MemoryShare: 70, ReplicaShare: 60, LogLevel: "info"})
+		h.done <- process.Run(adapter)(ctx, nil, process.Settings{MemoryShare: 70, ReplicaShare: 60, LogLevel: f.logLevel})
 	}()
 	f.t.Cleanup(func() {
 		cancel()
--- /dev/null
+++ b/tests/edge/stop_test.go
@@ -0,0 +1,79 @@
+package edge_test
+
+import (
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"corianderhitch/internal/edge"
+	"corianderhitch/platform"
+	"corianderhitch/platform/standin"
+)
+
+// newAbortingFleet returns a fleet whose hosts log nothing while they abort requests, since a
+// line after the end of the log crashes the test.
+func newAbortingFleet(t *testing.T) *fleet {
+	f := newFleet(t)
+	f.grace, f.logLevel = time.Second, "error"
+	return f
+}
+
+func TestAbortedCallGetsNoAnswer(t *testing.T) {
+	f := newAbortingFleet(t)
+	f.configure()
+	target := f.startPlainTarget("d-1")
+	target.SetHandler(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	h := f.startHost()
+	pending := sendAsync(h.request(t.Context(), http.MethodPost, "hold", "r-1", nil))
+	require.Eventually(t, func() bool { return len(target.Requests()) == 1 }, waitTimeout, checkInterval)
+	h.stop()
+	a := <-pending
+	require.NoError(t, a.err)
+	require.Equal(t, http.StatusBadGateway, a.status)
+}
+
+func TestAbortedStreamGetsNoAnswerBeforeItsFirstEvent(t *testing.T) {
+	f := newAbortingFleet(t)
+	f.configure()
+	engine := f.startEngine(standin.NewEngines(), "e-1")
+	engine.StopAnswering()
+	h := f.startHost()
+	pending := sendAsync(generationRequest(t.Context(), h, "r-1", longGeneration))
+	require.Eventually(t, func() bool { return len(engine.Started()) == 1 }, waitTimeout, checkInterval)
+	h.stop()
+	a := <-pending
+	require.NoError(t, a.err)
+	require.Equal(t, http.StatusBadGateway, a.status)
+}
+
+// slowWire keeps the handler of a request running for a while after the request was aborted.
+type slowWire struct {
+	platform.Wire
+	handled *atomic.Int32
+}
+
+func (w slowWire) Decode(r *http.Request) edge.Call {
+	<-r.Context().Done()
+	time.Sleep(50 * time.Millisecond)
+	w.handled.Add(1)
+	return w.Wire.Decode(r)
+}
+
+func TestProcessEndsBeforeHandlerOfAbortedRequest(t *testing.T) {
+	var handled atomic.Int32
+	f := newAbortingFleet(t)
+	f.wire = slowWire{handled: &handled}
+	f.configure()
+	f.startPlainTarget("d-1")
+	h := f.startHost()
+	sendAsync(h.request(t.Context(), http.MethodPost, "hold", "r-1", nil))
+	time.Sleep(100 * time.Millisecond)
+	h.stop()
+	err := <-h.done
+	ended := handled.Load()
+	h.done <- err
+	require.EqualValues(t, 1, ended, "handlers that had ended when the process did")
+}
