Known red: a line after the end of the log crashes the process

process.Run closes the log's queue while handlers of aborted requests, and goroutines of sends, moves and releases, still run. A line of theirs panics with "send on closed channel". net/http recovers a handler's panic and logs it with the server's ErrorLog, which panics again inside the recovery: the process crashes and the lines of the aborts are lost, as in the record of the two hosts without a line of an abort.

--- a/internal/edge/asynclog/asynclog_test.go
+++ b/internal/edge/asynclog/asynclog_test.go
@@ -90,3 +90,10 @@
 		close(out.release)
 	})
 }
+
+// A panic in net/http's own log line about a panic of a handler ends the process.
+func TestLineAfterCloseCrashesProcess(t *testing.T) {
+	w := NewWriter(io.Discard)
+	w.Close()
+	require.NotPanics(t, func() { _, _ = io.WriteString(w, "late\n") })
+}
