Known red: a draining host keeps the connections of answered requests

ingress sets "Connection: close" on each response while the host drains, but edge.CopyHeader, which copies the target's headers, deletes the hop-by-hop names from the caller's response instead of leaving out the target's. So only rejections carry it. Callers send further requests, long streams among them, on the same connection until the host closes idle connections 2.5 s after SIGTERM, and those that cross this close are cut.

--- a/tests/edge/stop_test.go
+++ b/tests/edge/stop_test.go
@@ -1,6 +1,7 @@
 package edge_test
 
 import (
+	"io"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -77,3 +78,27 @@
 	h.done <- err
 	require.EqualValues(t, 1, ended, "handlers that had ended when the process did")
 }
+
+func TestDrainingHostKeepsConnectionOfAnsweredRequest(t *testing.T) {
+	f := newFleet(t)
+	f.grace = 4 * time.Second
+	f.configure()
+	f.startPlainTarget("d-1")
+	f.startEngine(standin.NewEngines(), "e-1")
+	h := f.startHost()
+	h.stop()
+	require.Eventually(t, func() bool { return !h.isReady() }, waitTimeout, checkInterval)
+	for _, r := range []*http.Request{
+		h.request(t.Context(), http.MethodPost, "hold", "r-1", nil),
+		generationRequest(t.Context(), h, "r-2", shortGeneration),
+	} {
+		response, err := (&http.Transport{}).RoundTrip(r)
+		require.NoError(t, err)
+		_, err = io.ReadAll(response.Body)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, response.StatusCode)
+		if !response.Close {
+			t.Errorf("the caller may send its next request on the connection of %s", r.URL.Path)
+		}
+	}
+}
