Known red: a process outlives its grace period

The abort leaves 0.4 s of the grace period for the end of the process, but what follows is not bounded by it: members revokes its lease for up to 1 s, and endpoints.Stop has no deadline, so that a connection to the readiness port on which nothing was sent yet holds the process for the 5 s that net/http gives it. The platform kills such a process at the end of the grace period: the last lines of its log and its traces are lost.

--- a/tests/edge/fleet_test.go
+++ b/tests/edge/fleet_test.go
@@ -66,6 +66,7 @@
 // partitionableStore is a host's connection to the store, which tests can interrupt.
 type partitionableStore struct {
 	*memstore.Store
+	hangRevoke  atomic.Bool // Revoke is not answered
 	mu          sync.Mutex
 	partitioned bool
 }
@@ -111,6 +112,14 @@
 	return events, next, err
 }
 
+func (s *partitionableStore) Revoke(ctx context.Context, id ports.LeaseID) error {
+	if s.hangRevoke.Load() {
+		<-ctx.Done()
+		return ports.ErrOutcomeUnknown
+	}
+	return s.Store.Revoke(ctx, id)
+}
+
 // safeBuffer is a bytes.Buffer that is safe for concurrent use.
 type safeBuffer struct {
 	mu sync.Mutex
--- a/tests/edge/stop_test.go
+++ b/tests/edge/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -102,3 +103,32 @@
 		}
 	}
 }
+
+// A process that runs on is killed, with the last lines of its log and its traces.
+func TestProcessOutlivesGrace(t *testing.T) {
+	for name, hold := range map[string]func(t *testing.T, h *host){
+		"store hangs": func(_ *testing.T, h *host) { h.store.hangRevoke.Store(true) },
+		"silent connection to the readiness port": func(t *testing.T, h *host) {
+			conn, err := net.Dial("tcp", h.readinessAddress)
+			require.NoError(t, err)
+			t.Cleanup(func() { _ = conn.Close() })
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newAbortingFleet(t)
+			f.configure()
+			f.startEngine(standin.NewEngines(), "e-1")
+			h := f.startHost()
+			response, err := client().Do(generationRequest(t.Context(), h, "r-1", 4000))
+			require.NoError(t, err)
+			defer func() { _ = response.Body.Close() }()
+			hold(t, h)
+			stoppedAt := time.Now()
+			h.stop()
+			err = <-h.done
+			took := time.Since(stoppedAt)
+			h.done <- err
+			require.Less(t, took, f.grace)
+		})
+	}
+}
