Known red: a restarted agent forgets crash suspects

Crashes are told as rumors for some seconds and kept in memory. An agent that starts later, with the duty of a pool as before, hears of none, although hosts that run on hold a crash against its requests for 30 minutes.

--- a/internal/agent/state/state_test.go
+++ b/internal/agent/state/state_test.go
@@ -255,3 +255,21 @@
 	require.Zero(t, s.DiscoverMembers([]control.Member{s.Self()}))
 	require.Contains(t, s.TakeProbeAddresses(), "127.0.0.9:1")
 }
+
+// The crashed engine's request is held for 30 minutes by hosts that run on.
+func TestRestartedAgentForgetsCrashSuspect(t *testing.T) {
+	f := newFleet(3, 7)
+	_, ok := f.runUntil(30*time.Second, f.membershipAgrees)
+	require.True(t, ok)
+	f.agents[0].AddEvents(f.now, []control.Event{{ID: "c1", Kind: control.EventCrash, Target: "engine-1", Fingerprint: 7, Seen: f.now}})
+	f.run(10 * time.Second)
+	require.Len(t, f.agents[1].NewEvents(), 1)
+	f.stopped[1] = true
+	f.run(5 * time.Second)
+	f.stopped[1] = false
+	f.start(1, 99)
+	_, ok = f.runUntil(30*time.Second, f.membershipAgrees)
+	require.True(t, ok)
+	f.run(10 * time.Second)
+	require.Len(t, f.agents[1].NewEvents(), 1, "the crash is not known to the restarted agent")
+}
