asynclog: a line after the end of the log is dropped, not a panic

What was seen: a process that aborts requests at the end of its grace period exits with status 2 and loses its last lines, so that the operator finds no line of the requests that were cut.

Cause: handlers and their sends outlive the log. Writer.Write sent on the channel that Close had closed. net/http recovers the panic of a handler, but logs it with the same writer; nothing recovers the goroutine of a send.

Close and Write now agree under a lock on whether the channel is open; a line that comes later is counted as dropped. That the process does not wait for these goroutines is a fault of its own.

--- a/internal/edge/asynclog/asynclog_test.go
+++ b/internal/edge/asynclog/asynclog_test.go
@@ -8,10 +8,12 @@
 	"regexp"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
 
@@ -97,3 +99,19 @@
 	w.Close()
 	require.NotPanics(t, func() { _, _ = io.WriteString(w, "late\n") })
 }
+
+func TestLineDuringCloseCrashesProcess(t *testing.T) {
+	w := NewWriter(io.Discard)
+	var writers sync.WaitGroup
+	for range 8 {
+		writers.Go(func() {
+			for range 1000 {
+				_, err := w.Write([]byte("line\n"))
+				assert.NoError(t, err)
+			}
+		})
+	}
+	w.Close()
+	writers.Wait()
+	w.Close()
+}
--- a/internal/edge/asynclog/writer.go
+++ b/internal/edge/asynclog/writer.go
@@ -16,18 +16,20 @@
 	// maxBatchBytes bounds one write, which carries all queued lines that fit.
 	maxBatchBytes = 32 << 10
 	// closeTimeout bounds the wait for a slow output at the end of the process. It is
-	// within the exitMargin of package process.
-	closeTimeout = 200 * time.Millisecond
+	// within the maxExitMargin of package process.
+	closeTimeout = 150 * time.Millisecond
 )
 
 // Writer queues lines for another writer. It never blocks and is safe for
 // concurrent use.
 type Writer struct {
-	out       io.Writer
-	lines     chan []byte
-	dropped   atomic.Int64
-	done      chan struct{}
-	closeOnce sync.Once
+	out     io.Writer
+	lines   chan []byte
+	dropped atomic.Int64
+	done    chan struct{}
+
+	mu     sync.RWMutex
+	closed bool // guarded by mu; lines is closed
 }
 
 // NewWriter starts a goroutine that writes to out. Call Close at the end.
@@ -38,9 +40,15 @@
 }
 
 // Write implements io.Writer. It queues a copy of the line or counts it as
-// dropped.
+// dropped. Lines after Close are dropped: requests may outlive the log.
 func (w *Writer) Write(line []byte) (int, error) {
 	copied := append([]byte(nil), line...)
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	if w.closed {
+		w.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case w.lines <- copied:
 	default:
@@ -52,10 +60,14 @@
 // Dropped returns how many lines were dropped and not yet reported.
 func (w *Writer) Dropped() int64 { return w.dropped.Load() }
 
-// Close writes the queued lines but waits at most closeTimeout. Write must not be
-// called any more.
+// Close writes the queued lines but waits at most closeTimeout.
 func (w *Writer) Close() {
-	w.closeOnce.Do(func() { close(w.lines) })
+	w.mu.Lock()
+	if !w.closed {
+		w.closed = true
+		close(w.lines)
+	}
+	w.mu.Unlock()
 	timer := time.NewTimer(closeTimeout)
 	defer timer.Stop()
 	select {
