Retry budget: restarts in series no longer raise what the fleet repeats

Targets that are already slow get more repeats than the platform allows.

Cause: each process counts its repeats in memory and starts with the host's whole share, which its predecessor may just have used. A process that has read no host list, or a partial one after an outage of the store, also divides the slack by too few hosts; and those that stay raise their shares as soon as a stopped host leaves the list, while its repeats are still in the window. Sends that bypass the budget were ruled out: no repeat at a target was without a line of its host.

A process uses the slack only when it has known the number of hosts for a window, divided by the largest number within the window, and in its first window only the part of the ratio that its predecessor could not use (a fifth). So at most one share of each host counts in any window.

--- a/internal/edge/peers/members.go
+++ b/internal/edge/peers/members.go
@@ -65,7 +65,7 @@
 
 	mu    sync.Mutex
 	hosts map[string]relay.Host // guarded by mu; by name, including this host
-	hubs  []relay.Host          // guarded by mu; chosen from hosts
+	hubs  []relay.Host          // guarded by mu; chosen from hosts, empty until these have been listed
 }
 
 // registration is this host's entry in the store.
@@ -133,6 +133,17 @@
 	return len(m.hosts)
 }
 
+// ListedCount returns the number of hosts in the last list that was read, including this
+// one, and 0 before the first.
+func (m *Members) ListedCount() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.hubs) == 0 {
+		return 0
+	}
+	return len(m.hosts)
+}
+
 // Run keeps this host registered and polls the host list until ctx ends, then
 // removes the entry of this host.
 func (m *Members) Run(ctx context.Context) {
--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -18,6 +18,7 @@
 	"corianderhitch/internal/edge"
 	"corianderhitch/internal/edge/admission"
 	"corianderhitch/internal/edge/asynclog"
+	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/edge/ejection"
 	"corianderhitch/internal/edge/freshness"
 	"corianderhitch/internal/edge/inflight"
@@ -56,6 +57,7 @@
 // Process is the edge process of one host.
 type Process struct {
 	log           *slog.Logger
+	startedAt     bootclock.Instant
 	node          node.Node
 	adapter       Adapter
 	store         peers.Store
@@ -129,7 +131,7 @@
 // newProcess composes the process without starting it.
 func newProcess(log *slog.Logger, n node.Node, adapter Adapter) *Process {
 	p := &Process{
-		log: log, node: n, adapter: adapter,
+		log: log, startedAt: bootclock.Now(), node: n, adapter: adapter,
 		policy: policy.NewHolder(adapter.DecodeConfiguration), inflight: inflight.New(n.Name), retryBudgets: make(map[string]*retrybudget.Budget),
 	}
 	p.eras = storeera.New(log)
--- a/internal/edge/process/runs.go
+++ b/internal/edge/process/runs.go
@@ -78,7 +78,7 @@
 	defer p.retryBudgetsMu.Unlock()
 	b := p.retryBudgets[service]
 	if b == nil {
-		b = retrybudget.New(p.node.Retry.Ratio, p.node.Retry.Slack, p.node.Retry.Window, p.members.Count)
+		b = retrybudget.New(p.node.Retry.Ratio, p.node.Retry.Slack, p.node.Retry.Window, p.startedAt, p.members.ListedCount)
 		p.retryBudgets[service] = b
 	}
 	return b
--- a/internal/edge/retrybudget/budget.go
+++ b/internal/edge/retrybudget/budget.go
@@ -1,5 +1,7 @@
 // Package retrybudget bounds how many retries and hedged requests the fleet sends.
-// Each host uses its share of the fleet's budget without coordination.
+// Each host uses its share of the fleet's budget without coordination. The bound holds
+// while hosts restart, in series or together, because in each window at most one process of
+// a host uses the host's share.
 package retrybudget
 
 import (
@@ -14,6 +16,10 @@
 // on the number of hosts for a while.
 const safetyFactor = 0.8
 
+// firstWindowFactor is the share of the ratio that a process uses during its first window:
+// the rest of it, and the slack, may have been used by an earlier process of its host.
+const firstWindowFactor = 1 - safetyFactor
+
 // slotsPerWindow is the number of slots that a window is divided into. Counts expire
 // by whole slots.
 const slotsPerWindow = 10
@@ -25,22 +31,33 @@
 	window time.Duration
 	hosts  func() int
 
-	mu       sync.Mutex
-	requests slidingCounter // guarded by mu
-	retries  slidingCounter // guarded by mu
+	mu          sync.Mutex
+	startedSlot int64          // guarded by mu; in which the process started
+	requests    slidingCounter // guarded by mu
+	retries     slidingCounter // guarded by mu
+	sharing     hostCounts     // guarded by mu
 }
 
-// New returns a budget that allows, in each window, ratio x the requests of this
-// host, plus an equal share of slack, which as many hosts share as hosts returns.
-func New(ratio, slack float64, window time.Duration, hosts func() int) *Budget {
-	return &Budget{ratio: ratio, slack: slack, window: window, hosts: hosts}
+// New returns a budget of the process that started at the given time. It allows, in each
+// window, ratio x the requests of this host, plus an equal share of slack. hosts returns
+// how many hosts share the slack, 0 if that is not known.
+//
+// The slack is divided by the largest number of hosts that was known within the window:
+// what a host that left has used still counts. It is not used until the number has been
+// known for a window, since the first lists after an outage of the store are incomplete.
+func New(ratio, slack float64, window time.Duration, processStart bootclock.Instant, hosts func() int) *Budget {
+	b := &Budget{ratio: ratio, slack: slack, window: window, hosts: hosts}
+	b.startedSlot = b.slotAt(processStart)
+	return b
 }
 
 // RecordRequest counts a caller's request.
 func (b *Budget) RecordRequest() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.requests.add(b.currentSlot())
+	slot := b.currentSlot()
+	b.requests.add(slot)
+	b.sharing.add(slot, b.hosts())
 }
 
 // Decision is the outcome of TakeRetry with its inputs.
@@ -49,7 +66,7 @@
 	Allowed  float64 // retries of this host in a window
 	Retries  int     // of this host in the current window, without this one
 	Requests int     // of this host in the current window
-	Hosts    int     // hosts that share the slack
+	Hosts    int     // hosts that share the slack, 0 if this host may not use it
 }
 
 // LogValue implements slog.LogValuer.
@@ -62,17 +79,26 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	slot := b.currentSlot()
-	d := Decision{Retries: b.retries.atLeastOneWindow(slot), Requests: b.requests.atMostOneWindow(slot), Hosts: max(1, b.hosts())}
-	hostSlack := float64(int(b.slack / float64(d.Hosts)))
-	d.Allowed = safetyFactor * (b.ratio*float64(d.Requests) + hostSlack)
+	d := Decision{Retries: b.retries.atLeastOneWindow(slot), Requests: b.requests.atMostOneWindow(slot)}
+	b.sharing.add(slot, b.hosts())
+	factor, hostSlack := firstWindowFactor, 0.0
+	if slot-b.startedSlot > slotsPerWindow {
+		factor = safetyFactor
+		if d.Hosts = b.sharing.largestOfWindow(slot); d.Hosts > 0 {
+			hostSlack = float64(int(b.slack / float64(d.Hosts)))
+		}
+	}
+	d.Allowed = factor * (b.ratio*float64(d.Requests) + hostSlack)
 	if d.Granted = float64(d.Retries+1) <= d.Allowed; d.Granted {
 		b.retries.add(slot)
 	}
 	return d
 }
 
-func (b *Budget) currentSlot() int64 {
-	return int64(time.Duration(bootclock.Now()) / (b.window / slotsPerWindow))
+func (b *Budget) currentSlot() int64 { return b.slotAt(bootclock.Now()) }
+
+func (b *Budget) slotAt(t bootclock.Instant) int64 {
+	return int64(time.Duration(t) / (b.window / slotsPerWindow))
 }
 
 // slidingCounter counts events in a sliding window, by slot of time.
