A draining host tells callers of answered requests to leave

What callers saw: answers of a host that is stopped lack "Connection: close", so that they send the next request on the same connection until the host closes it 2.5 s after SIGTERM. Requests crossed that close, and long streams began on a host that was about to end.

Cause: ingress sets the header, and CopyHeader deletes hop-by-hop names from the caller's header map after copying the target's, which removes our own.

CopyHeader now leaves those names out while it copies, and touches nothing that the host has set itself.

--- a/internal/edge/sender.go
+++ b/internal/edge/sender.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"slices"
 	"time"
 
 	"go.opentelemetry.io/otel"
@@ -36,17 +37,16 @@
 }
 
 // hopByHopHeaders apply to one connection only and are not copied to the caller's
-// response.
+// response, whose own connection may have to close.
 var hopByHopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "Trailer", "Upgrade", "Te"}
 
 // CopyHeader copies the headers of a target's response to the caller's response and
 // keeps net/http from adding Date and Content-Type.
 func CopyHeader(dst, src http.Header) {
 	for name, values := range src {
-		dst[name] = values
-	}
-	for _, name := range hopByHopHeaders {
-		dst.Del(name)
+		if !slices.Contains(hopByHopHeaders, name) {
+			dst[name] = values
+		}
 	}
 	for _, name := range [...]string{"Date", "Content-Type"} {
 		if _, ok := src[name]; !ok {
