--- a/tests/soak/cluster_test.go
+++ b/tests/soak/cluster_test.go
@@ -30,6 +30,15 @@
 	lookupAttempts     = 2
 )
 
+// site is the part of the platform's settings in which clusters differ.
+type site struct {
+	grace, revoke, apply, callTimeout time.Duration
+	retrySlack                        int
+}
+
+// soakSite has bounds that a short run reaches. apply is unset: hosts use their default.
+var soakSite = site{grace: gracePeriod, revoke: revokeBound, callTimeout: callTimeout, retrySlack: 50}
+
 // configVersion is a version of the configuration that the store has acknowledged.
 type configVersion struct {
 	number      int
@@ -46,6 +55,7 @@
 // that one seed runs with.
 type cluster struct {
 	t            testing.TB
+	site         site
 	random       *rand.Rand // used only by the goroutine that injects faults
 	store        *standin.Store
 	storeAddress string
@@ -68,7 +78,11 @@
 }
 
 func newCluster(t testing.TB, seed uint64, hosts int, options ...func(*harness.Process)) *cluster {
-	c := &cluster{t: t, random: rand.New(rand.NewPCG(seed, 1)), store: standin.NewStore(memstore.Options{Seed: seed}),
+	return newClusterAt(t, soakSite, seed, hosts, options...)
+}
+
+func newClusterAt(t testing.TB, s site, seed uint64, hosts int, options ...func(*harness.Process)) *cluster {
+	c := &cluster{t: t, site: s, random: rand.New(rand.NewPCG(seed, 1)), store: standin.NewStore(memstore.Options{Seed: seed}),
 		engines: standin.NewEngines(), disturbances: &disturbanceLog{}, keys: []string{"key-0", "key-1"}, keyAddedAt: make(map[string]time.Time), written: make(map[string][]byte)}
 	server := httptest.NewServer(c.store)
 	c.storeAddress = server.Listener.Addr().String()
@@ -102,7 +116,7 @@
 	defer c.mu.Unlock()
 	number := len(c.versions) + 1
 	config := standin.Configuration{
-		Version: number, Timeout: callTimeout, EngineService: engineService, PlainServices: []string{plainService}, Account: clientAccount, Keys: c.keys,
+		Version: number, Timeout: c.site.callTimeout, EngineService: engineService, PlainServices: []string{plainService}, Account: clientAccount, Keys: c.keys,
 		Routes: []standin.Route{
 			{Name: "draft", Kind: standin.Streaming, Service: engineService, Objective: 1800 * time.Millisecond, Attempts: 1},
 			{Name: "lookup", Kind: standin.Streaming, Service: engineService, Objective: 1500 * time.Millisecond, Attempts: lookupAttempts, Resumable: true},
--- a/tests/soak/host_test.go
+++ b/tests/soak/host_test.go
@@ -24,6 +24,7 @@
 	readinessAddress string
 	storeProxy       *harness.Proxy
 	process          *harness.Process
+	grace            time.Duration // from SIGTERM to SIGKILL
 
 	mu        sync.Mutex  // held while a fault of the process lasts
 	startedAt []time.Time // guarded by cluster.mu; each start of the process
@@ -33,7 +34,7 @@
 }
 
 func (c *cluster) startHost(dir string, n int, options ...func(*harness.Process)) *host {
-	h := &host{name: fmt.Sprintf("host-%d", n), callerAddress: harness.FreeAddress(c.t), readinessAddress: harness.FreeAddress(c.t), storeProxy: harness.NewProxy(c.t, c.storeAddress)}
+	h := &host{name: fmt.Sprintf("host-%d", n), grace: c.site.grace, callerAddress: harness.FreeAddress(c.t), readinessAddress: harness.FreeAddress(c.t), storeProxy: harness.NewProxy(c.t, c.storeAddress)}
 	_, text, err := net.SplitHostPort(harness.FreeAddress(c.t))
 	require.NoError(c.t, err)
 	port, err := strconv.Atoi(text)
@@ -42,8 +43,8 @@
 		"nodeName": h.name, "ip": "127.0.0.1", "zone": "a", "listen": map[string]string{"front": h.callerAddress, "ready": h.readinessAddress},
 		"internalPorts": []int{port, port}, "heartbeatMs": heartbeatInterval.Milliseconds(),
 		"limits": map[string]any{"cpuShare": 0.4, "cores": 1, "memoryMb": 134, "linkMbps": 1000},
-		"bounds": map[string]any{"graceS": gracePeriod.Seconds(), "revokeStrict": true, "revokeMs": revokeBound.Milliseconds(),
-			"retryBudgetRatio": 0.2, "budgetWindowS": 10, "retrySlack": 50},
+		"bounds": map[string]any{"graceS": c.site.grace.Seconds(), "revokeStrict": true, "revokeMs": c.site.revoke.Milliseconds(),
+			"configApplyMs": c.site.apply.Milliseconds(), "retryBudgetRatio": 0.2, "budgetWindowS": 10, "retrySlack": c.site.retrySlack},
 		"platform": map[string]any{"address": h.storeProxy.Address()},
 	})
 	require.NoError(c.t, err)
@@ -92,7 +93,7 @@
 	h.process.Signal(syscall.SIGTERM)
 	select {
 	case <-h.process.Ended():
-	case <-time.After(gracePeriod):
+	case <-time.After(h.grace):
 		h.process.Kill()
 	}
 }
--- a/tests/soak/traffic_test.go
+++ b/tests/soak/traffic_test.go
@@ -114,24 +114,35 @@
 func (o *outcome) send(client *http.Client, method string) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout+time.Second)
 	defer cancel()
+	r := o.request(ctx, method, callTimeout)
+	o.sent = time.Now()
+	defer func() { o.ended = time.Now() }()
+	response, err := client.Do(r)
+	if err != nil {
+		o.err = err
+		return
+	}
+	o.read(response)
+}
+
+// request builds the request.
+func (o *outcome) request(ctx context.Context, method string, timeout time.Duration) *http.Request {
 	body := io.MultiReader(strings.NewReader("content of " + o.id))
 	r, err := http.NewRequestWithContext(ctx, method, "http://"+o.host.callerAddress+"/"+o.route+"/x", body)
 	if err != nil {
 		panic(err)
 	}
 	r.Host = "desk.example"
-	call := standin.Call{ID: o.id, APIKey: o.key, Timeout: callTimeout}
+	call := standin.Call{ID: o.id, APIKey: o.key, Timeout: timeout}
 	if o.isStream() {
 		call.Events, call.ResumeAfter = o.events, o.after
 	}
 	call.SetHeaders(r)
-	o.sent = time.Now()
-	defer func() { o.ended = time.Now() }()
-	response, err := client.Do(r)
-	if err != nil {
-		o.err = err
-		return
-	}
+	return r
+}
+
+// read reads the whole response.
+func (o *outcome) read(response *http.Response) {
 	defer func() { _ = response.Body.Close() }()
 	text, err := io.ReadAll(response.Body)
 	o.status, o.err, o.body = response.StatusCode, err, string(text)
