A process ends within its grace period, whatever its tasks wait for

What was seen: a host that is stopped while the store gives no answer, while a connection to its readiness port carries no request, or while a reader of its metrics has stalled, still runs at the end of its grace period. The platform kills it, with the last lines of its log and its traces.

Cause: what follows the abort of requests was not bounded by the 0.4 s that were reserved for it: the removal of the host's entry may take 1 s, and the readiness endpoint stops without a deadline.

All that follows the drain now shares one margin, 0.6 s or 15 % of a short grace period, by fixed parts; the process ends without tasks that take longer. The abort comes 7.4 s after SIGTERM instead of 7.6 s, which is in the last sixth of the grace period.

--- a/internal/edge/asynclog/writer.go
+++ b/internal/edge/asynclog/writer.go
@@ -17,7 +17,7 @@
 	maxBatchBytes = 32 << 10
 	// closeTimeout bounds the wait for a slow output at the end of the process. It is
 	// within the maxExitMargin of package process.
-	closeTimeout = 150 * time.Millisecond
+	closeTimeout = 120 * time.Millisecond
 )
 
 // Writer queues lines for another writer. It never blocks and is safe for
--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -84,9 +84,6 @@
 	retryBudgets   map[string]*retrybudget.Budget // guarded by retryBudgetsMu; by service
 }
 
-// traceFlushTimeout bounds the export of the last traces. It is within exitMargin.
-const traceFlushTimeout = 200 * time.Millisecond
-
 // Run returns the main function of the edge process on a platform.
 func Run(adapter Adapter) func(ctx context.Context, _ io.Writer, s Settings) error {
 	return func(ctx context.Context, _ io.Writer, s Settings) error {
@@ -105,18 +102,18 @@
 		if n.MemoryBytes > 0 {
 			debug.SetMemoryLimit(n.MemoryBytes * int64(s.MemoryShare) / 100)
 		}
+		p := newProcess(log, n, adapter)
 		signals, err := telemetry.Start(ctx, "edge", n.Name, s.Settings)
 		if err != nil {
 			return err
 		}
 		defer func() {
-			flush, cancel := context.WithTimeout(context.Background(), traceFlushTimeout)
+			flush, cancel := context.WithTimeout(context.Background(), p.exitTime(tracesShare))
 			defer cancel()
 			if err := signals.Stop(flush); err != nil {
 				log.Warn("edge: last traces could not be exported", "error", err.Error())
 			}
 		}()
-		p := newProcess(log, n, adapter)
 		p.metrics, err = metrics.New(signals.Meter, p.gauges(logWriter))
 		if err != nil {
 			return err
@@ -173,9 +170,9 @@
 	if err := p.exchange.Start(p.node.PeerAddress()); err != nil {
 		return err
 	}
-	defer p.exchange.Stop()
 	endpoints, err := web.Start(p.node.ReadinessAddress, p.ready, signals.Handler(), p.adapter.ReadyPath)
 	if err != nil {
+		p.exchange.Stop()
 		return err
 	}
 	background, cancel := context.WithCancel(context.Background())
@@ -196,9 +193,7 @@
 		p.drain(server, abort)
 	case err = <-served:
 	}
-	cancel()
-	wait.Wait()
-	endpoints.Stop(context.Background())
+	p.stopTasks(cancel, &wait, endpoints)
 	p.log.Info("edge: stop", "runs_left", p.streaming.Runs.Len())
 	return err
 }
--- a/internal/edge/process/stop.go
+++ b/internal/edge/process/stop.go
@@ -3,22 +3,41 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"corianderhitch/internal/edge"
 	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/sighup"
+	"corianderhitch/internal/web"
 )
 
 const (
 	// readinessDelay is how long the platform may keep sending connections to a host
 	// that reports that it is not ready: two probes a second apart, and a margin.
 	readinessDelay = 2500 * time.Millisecond
-	// exitMargin is the part of the grace period that is reserved for the end of the
-	// process itself, such as the last traces and log lines.
-	exitMargin = 400 * time.Millisecond
+	// maxExitMargin and exitShare, of the grace period, bound the time that is reserved for
+	// the end of the process itself.
+	maxExitMargin = 600 * time.Millisecond
+	exitShare     = 0.15
+	// tasksShare and tracesShare are the parts of that time within which the tasks stop,
+	// one of which calls the store, and the last traces are exported. The rest is for the
+	// last log lines.
+	tasksShare  = 0.3
+	tracesShare = 0.1
 )
 
+// exitMargin returns the time at the end of the grace period that is reserved for the end
+// of the process itself.
+func exitMargin(grace time.Duration) time.Duration {
+	return min(maxExitMargin, time.Duration(exitShare*float64(grace)))
+}
+
+// exitTime returns a part of the process's exitMargin.
+func (p *Process) exitTime(share float64) time.Duration {
+	return time.Duration(share * float64(exitMargin(p.node.Grace)))
+}
+
 // drain first waits until the platform sends callers to other hosts, then until the
 // requests in flight have ended. Those that remain shortly before the end of the grace
 // period are aborted: abort cancels their contexts.
@@ -27,7 +46,7 @@
 	p.drainingSince.Store(int64(bootclock.Now()))
 	p.log.Info("edge: draining", "runs", p.streaming.Runs.Len(), "grace_ms", p.node.Grace.Milliseconds())
 	time.Sleep(min(readinessDelay, p.node.Grace/2))
-	ctx, cancel := context.WithTimeout(context.Background(), max(0, p.node.Grace-exitMargin-time.Since(started)))
+	ctx, cancel := context.WithTimeout(context.Background(), max(0, p.node.Grace-exitMargin(p.node.Grace)-time.Since(started)))
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
 		p.log.Warn("edge: grace period ended; remaining requests are aborted", "runs", p.streaming.Runs.Len(),
@@ -46,6 +65,28 @@
 	return max(1, bootclock.Since(bootclock.Instant(since)))
 }
 
+// stopTasks stops the background tasks and servers. The process ends without those that
+// take too long.
+func (p *Process) stopTasks(cancel context.CancelFunc, tasks *sync.WaitGroup, endpoints *web.Server) {
+	cancel()
+	ctx, expire := context.WithTimeout(context.Background(), p.exitTime(tasksShare))
+	defer expire()
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		var wait sync.WaitGroup
+		wait.Go(tasks.Wait)
+		wait.Go(p.exchange.Stop)
+		wait.Go(func() { endpoints.Stop(ctx) })
+		wait.Wait()
+	}()
+	select {
+	case <-stopped:
+	case <-ctx.Done():
+		p.log.Warn("edge: tasks did not stop in time; the process ends without them")
+	}
+}
+
 // reload reads the node file again on SIGHUP and logs whether it changed. Changes
 // have no effect until the platform restarts the process.
 func (p *Process) reload(ctx context.Context, path string) {
--- a/internal/web/web.go
+++ b/internal/web/web.go
@@ -52,8 +52,11 @@
 	return s, nil
 }
 
-// Stop stops the server. It waits for requests in progress until ctx ends.
+// Stop stops the server. It waits for requests in progress until ctx ends, and then closes
+// their connections.
 func (s *Server) Stop(ctx context.Context) {
-	_ = s.server.Shutdown(ctx)
+	if s.server.Shutdown(ctx) != nil {
+		_ = s.server.Close()
+	}
 	<-s.done
 }
