Requests that a host aborts at its end are answered and logged

What callers saw: a call, or a stream before its first event, that is open at the end of a host's grace period ends with a closed connection instead of an answer. What the operator saw: no line of such requests.

Cause: the abort closed all connections in the moment in which it canceled the requests, and the process ended without waiting for their handlers, which had just worked out a 502 or 503.

The requests are now canceled first, and connections are closed once their handlers have ended, at most 0.24 s later. A request that was sent to no target gets 503 with Retry-After, one that may have run 502; a send that the abort cut counts as one that may have run.

--- a/internal/edge/plain/server.go
+++ b/internal/edge/plain/server.go
@@ -207,6 +207,8 @@
 		return &edge.Rejection{Status: http.StatusGatewayTimeout, Reason: edge.ReasonTimeout}
 	case r.mayHaveRun || r.pending > 0:
 		return &edge.Rejection{Status: http.StatusBadGateway, Reason: edge.ReasonMayHaveRun}
+	case edge.CanceledReason(r.ctx) == edge.ReasonStopping:
+		return edge.Stopping()
 	case best.result == keyUnconfirmed:
 		return edge.Unavailable(edge.ReasonUnconfirmed, noTargetRetryAfter)
 	case best.result == rejected:
--- a/internal/edge/process/stop.go
+++ b/internal/edge/process/stop.go
@@ -20,9 +20,10 @@
 	// the end of the process itself.
 	maxExitMargin = 600 * time.Millisecond
 	exitShare     = 0.15
-	// tasksShare and tracesShare are the parts of that time within which the tasks stop,
-	// one of which calls the store, and the last traces are exported. The rest is for the
-	// last log lines.
+	// abortShare, tasksShare and tracesShare are the parts of that time within which
+	// requests that are aborted are answered, the tasks stop, one of which calls the store,
+	// and the last traces are exported. The rest is for the last log lines.
+	abortShare  = 0.4
 	tasksShare  = 0.3
 	tracesShare = 0.1
 )
@@ -48,10 +49,16 @@
 	time.Sleep(min(readinessDelay, p.node.Grace/2))
 	ctx, cancel := context.WithTimeout(context.Background(), max(0, p.node.Grace-exitMargin(p.node.Grace)-time.Since(started)))
 	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
-		p.log.Warn("edge: grace period ended; remaining requests are aborted", "runs", p.streaming.Runs.Len(),
-			"after_ms", time.Since(started).Milliseconds(), "error", err.Error())
-		abort(edge.ErrStopping)
+	err := server.Shutdown(ctx)
+	if err == nil {
+		return
+	}
+	p.log.Warn("edge: grace period ended; remaining requests are aborted", "runs", p.streaming.Runs.Len(),
+		"after_ms", time.Since(started).Milliseconds(), "error", err.Error())
+	abort(edge.ErrStopping)
+	answered, cancel := context.WithTimeout(context.Background(), p.exitTime(abortShare))
+	defer cancel()
+	if server.Shutdown(answered) != nil {
 		_ = server.Close()
 	}
 }
--- a/internal/edge/rejection.go
+++ b/internal/edge/rejection.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -55,6 +56,21 @@
 	return &Rejection{Status: http.StatusServiceUnavailable, Reason: reason, RetryAfter: retryAfter}
 }
 
+const (
+	// stoppingRetryAfter is when a caller may retry a request that its host rejects because
+	// its process ends: other hosts can take it at once.
+	stoppingRetryAfter = 50 * time.Millisecond
+	// stoppingRetrySpread is the maximum of the random time that is added, so that callers
+	// of one host do not return at the same moment.
+	stoppingRetrySpread = 150 * time.Millisecond
+)
+
+// Stopping returns the rejection of a request that has not run and that the host cannot
+// serve before its process ends.
+func Stopping() *Rejection {
+	return Unavailable(ReasonStopping, stoppingRetryAfter+rand.N(stoppingRetrySpread))
+}
+
 // Write sends the rejection to the caller.
 func (r *Rejection) Write(w http.ResponseWriter, wire Wire) {
 	h := w.Header()
--- a/internal/edge/streaming/rejection.go
+++ b/internal/edge/streaming/rejection.go
@@ -58,8 +58,13 @@
 // reject logs the rejection, sends it to the caller and returns its reason.
 func (s *Server) reject(ctx context.Context, r *Run, rejection *edge.Rejection) string {
 	a := r.call
-	if errors.Is(ctx.Err(), context.Canceled) {
-		rejection = &edge.Rejection{Status: http.StatusBadGateway, Reason: edge.CanceledReason(ctx)}
+	switch {
+	case !errors.Is(ctx.Err(), context.Canceled):
+	case edge.CanceledReason(ctx) == edge.ReasonStopping:
+		stopping := edge.Stopping()
+		rejection = r.attempts.unavailable(stopping.Reason, stopping.RetryAfter)
+	default:
+		rejection = &edge.Rejection{Status: http.StatusBadGateway, Reason: edge.ReasonCallerGone}
 	}
 	if r.attempts.failed != nil && ctx.Err() == nil {
 		r.attempts.failed.write(r.w)
--- a/internal/edge/streaming/server.go
+++ b/internal/edge/streaming/server.go
@@ -135,6 +135,9 @@
 	a.Log.Warn("stream: start failed", "target", t.ID, "address", t.Address, "age_ms", a.Age().Milliseconds(), "error", err.Error())
 	switch {
 	case ctx.Err() != nil:
+		if !errors.Is(err, errNotExecuted) && !errors.Is(err, targetconn.ErrNotSent) && !errors.Is(err, errKeyUnconfirmed) {
+			r.attempts.mayHaveRun = true
+		}
 		return &edge.Rejection{Status: http.StatusGatewayTimeout, Reason: edge.ReasonTimeout}, false
 	case errors.Is(err, errKeyUnconfirmed):
 		return r.attempts.unavailable(edge.ReasonUnconfirmed, startRetryAfter), false
