A request whose caller has left is not sent on an idle connection

What targets saw: requests that arrive after their caller left or after the host aborted them, and run for nobody (GONE), some of them repeats.

Cause: Pool.Do looked at the context only while it dialed. With an idle connection it wrote the request, and a goroutine set the deadline afterwards. In plain calls the broken outcome and the end of the context are ready at the same time; if the outcome was picked, the call was sent once more.

Do now reports ErrNotSent for a context that is done, plain calls are not repeated then, and the target is not blamed.

--- a/internal/edge/plain/server.go
+++ b/internal/edge/plain/server.go
@@ -132,9 +132,14 @@
 // retry sends the call again if its outcome, the route's kind and the budgets
 // allow.
 func (r *run) retry(o outcome) {
+	if o.result == unsent {
+		r.sends--
+	}
+	if r.ctx.Err() != nil {
+		return // the caller left, its deadline passed or the host aborts the call
+	}
 	switch o.result {
 	case unsent:
-		r.sends--
 		if r.unsent++; r.unsent < maxUnsent {
 			r.send()
 		}
@@ -253,7 +258,9 @@
 	case failed:
 		s.Health.RecordFailure(key, serverErrorSeverity)
 	case unsent:
-		s.Health.RecordFailure(key, 1)
+		if ctx.Err() == nil {
+			s.Health.RecordFailure(key, 1)
+		}
 	case broken:
 		switch {
 		case !errors.Is(ctx.Err(), context.Canceled):
--- a/internal/edge/targetconn/pool.go
+++ b/internal/edge/targetconn/pool.go
@@ -52,6 +52,9 @@
 // response arrives. The end of ctx closes the connection, which cancels the run. The
 // error matches ErrNotSent, ErrBroken or ErrInvalidResponse.
 func (p *Pool) Do(ctx context.Context, incarnation, address string, req *Request) (*Response, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, eris.Wrap(ErrNotSent, err.Error())
+	}
 	conn, err := p.get(ctx, incarnation, address)
 	if err != nil {
 		return nil, err
