A draining host rejects requests that cannot end before it does

What callers saw: long streams that reach a host after it was asked to stop are started at an engine and cut at the end of the grace period (LOST where the last byte of the request came later than 3 s after SIGTERM: slow bodies, or a host that handles the signal late). They are not repeatable for their callers, who lose the whole generation.

Cause: nothing asked whether a request can end in time. Until its idle connections are closed, and for requests whose body is still coming in even later, a draining host took all work; a run that waited for an engine was closed without an answer.

Package draining judges a request by the start and pace of its route's recent requests, or by the route's objectives before there are any, against the time that is left. What does not fit gets 503 with a short Retry-After, at once: on arrival, while its body comes in, and while it waits for an engine. Short requests are served until the end, as before.

--- a/internal/edge/ingress/handler.go
+++ b/internal/edge/ingress/handler.go
@@ -16,6 +16,7 @@
 
 	"corianderhitch/internal/edge"
 	"corianderhitch/internal/edge/bootclock"
+	"corianderhitch/internal/edge/draining"
 	"corianderhitch/internal/edge/freshness"
 	"corianderhitch/internal/edge/policy"
 )
@@ -59,16 +60,15 @@
 	Streaming    Server
 	Observer     Observer
 	CountRequest func(service string) // counts a request for the retry budget
-	// DrainAge returns the time since the process began to drain, 0 before. Connections
-	// are closed after their response then.
-	DrainAge func() time.Duration
+	// Drain is the end of the process. Once it has begun, connections are closed after
+	// their response, and requests that cannot end in time are rejected.
+	Drain *draining.Drain
 }
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := bootclock.Now()
-	drainAge := h.DrainAge()
-	if drainAge > 0 {
+	if h.Drain.Begun().Err() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	connection := recordRequest(r.Context())
@@ -80,14 +80,13 @@
 	if rejection == nil {
 		rejection = h.readBody(w, r, a)
 	}
+	if rejection == nil {
+		rejection = h.checkDrain(a, connection)
+	}
 	if rejection != nil {
 		h.reject(w, &call, rejection, arrived)
 		return
 	}
-	if drainAge > 0 {
-		a.Log.Info("ingress: request received while draining", "drain_age_ms", drainAge.Milliseconds(),
-			"connection_age_ms", connection.age().Milliseconds(), "connection_requests", connection.requests)
-	}
 	h.CountRequest(a.Service.Name)
 	server := h.Plain
 	if a.Route.Kind == policy.Streaming {
@@ -99,9 +98,27 @@
 	span.SetAttributes(attribute.String("route", a.Route.Name), attribute.String("outcome", outcome))
 }
 
+// checkDrain rejects a call that cannot end before the process does.
+func (h *Handler) checkDrain(a *edge.AuthorizedCall, c *connection) *edge.Rejection {
+	age, begun := h.Drain.Age()
+	if !begun {
+		return nil
+	}
+	fits := h.Drain.Fits(a)
+	a.Log.Info("ingress: request received while draining", "drain_age_ms", age.Milliseconds(), "fits", fits, "age_ms", a.Age().Milliseconds(),
+		"connection_age_ms", c.age().Milliseconds(), "connection_requests", c.requests)
+	if fits {
+		return nil
+	}
+	return edge.Stopping()
+}
+
 // finish records the end of an authorized request.
 func (h *Handler) finish(a *edge.AuthorizedCall, outcome string) {
 	took := a.Age()
+	if outcome == edge.OutcomeAnswered {
+		h.Drain.Record(a.Route.Name, draining.Duration{Start: took})
+	}
 	h.Observer.ObserveRequest(a.Route, outcome, took)
 	a.Log.Info("ingress: request ended", "outcome", outcome, "kind", a.Route.Kind.String(), "account", a.Account,
 		"took_ms", took.Milliseconds(), "policy", h.Policy.Current().Version)
@@ -195,11 +212,22 @@
 	if r.ContentLength == 0 {
 		return nil
 	}
+	// A caller may take long to send the body; the process does not wait for it any more
+	// once it cannot serve the call.
+	stopWatching := context.AfterFunc(h.Drain.Begun(), func() {
+		if !h.Drain.Fits(a) {
+			interruptRead(w)
+		}
+	})
+	defer stopWatching()
+	defer context.AfterFunc(r.Context(), func() { interruptRead(w) })()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return &edge.Rejection{Status: http.StatusRequestEntityTooLarge, Reason: edge.ReasonTooLarge}
+	case err != nil && h.Drain.Begun().Err() != nil:
+		return edge.Stopping()
 	case err != nil:
 		return &edge.Rejection{Status: http.StatusBadRequest, Reason: edge.ReasonBadRequest}
 	}
@@ -207,6 +235,11 @@
 	return nil
 }
 
+// interruptRead ends the read of a request's body with an error.
+func interruptRead(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
+}
+
 // reject logs the rejection and sends it to the caller.
 func (h *Handler) reject(w http.ResponseWriter, c *edge.Call, rejection *edge.Rejection, arrived bootclock.Instant) {
 	version := int64(0)
--- a/internal/edge/ingress/handler_test.go
+++ b/internal/edge/ingress/handler_test.go
@@ -14,6 +14,7 @@
 
 	"corianderhitch/internal/edge"
 	"corianderhitch/internal/edge/bootclock"
+	"corianderhitch/internal/edge/draining"
 	"corianderhitch/internal/edge/freshness"
 	"corianderhitch/internal/edge/ingress"
 	"corianderhitch/internal/edge/policy"
@@ -74,7 +75,7 @@
 			})
 			confirmer.RecordConfirmation(bootclock.Now().Add(-c.age))
 			h := &ingress.Handler{Log: log, Wire: platform.Wire{}, Policy: holder, Confirmer: confirmer, RecheckAge: 1400 * time.Millisecond,
-				Plain: stubServer{}, Streaming: stubServer{}, Observer: stubServer{}, CountRequest: func(string) {}, DrainAge: func() time.Duration { return 0 }}
+				Plain: stubServer{}, Streaming: stubServer{}, Observer: stubServer{}, CountRequest: func(string) {}, Drain: draining.New(0)}
 			r := httptest.NewRequest(http.MethodGet, "/new/x", nil)
 			r.Host = "desk.example"
 			(&standin.Call{ID: "r-1", APIKey: key, Timeout: time.Second}).SetHeaders(r)
--- a/internal/edge/plain/outcome.go
+++ b/internal/edge/plain/outcome.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"corianderhitch/internal/edge"
 	"corianderhitch/internal/edge/targetconn"
 	"corianderhitch/internal/edge/targets"
 )
@@ -23,7 +24,7 @@
 )
 
 func (r result) String() string {
-	return [...]string{"answered", "failed", "rejected", "not_sent", "broken", "key_unconfirmed"}[r]
+	return [...]string{edge.OutcomeAnswered, "failed", "rejected", "not_sent", "broken", "key_unconfirmed"}[r]
 }
 
 // outcome is the result of one send with the target's response.
--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -19,6 +19,7 @@
 	"corianderhitch/internal/edge/admission"
 	"corianderhitch/internal/edge/asynclog"
 	"corianderhitch/internal/edge/bootclock"
+	"corianderhitch/internal/edge/draining"
 	"corianderhitch/internal/edge/ejection"
 	"corianderhitch/internal/edge/freshness"
 	"corianderhitch/internal/edge/inflight"
@@ -78,7 +79,7 @@
 	feeds         *feeds
 	placementRate placement.Rate
 	targetsListed atomic.Bool
-	drainingSince atomic.Int64 // a bootclock.Instant; 0 until the process is asked to stop
+	end           *draining.Drain
 
 	retryBudgetsMu sync.Mutex
 	retryBudgets   map[string]*retrybudget.Budget // guarded by retryBudgetsMu; by service
@@ -130,6 +131,7 @@
 	p := &Process{
 		log: log, startedAt: bootclock.Now(), node: n, adapter: adapter,
 		policy: policy.NewHolder(adapter.DecodeConfiguration), inflight: inflight.New(n.Name), retryBudgets: make(map[string]*retrybudget.Budget),
+		end: draining.New(n.Grace - exitMargin(n.Grace)),
 	}
 	p.eras = storeera.New(log)
 	p.store = &countedStore{Store: adapter.NewStore(n.StoreAddress), count: func(call, result string) { p.metrics.ObserveStoreCall(call, result) }, observeEra: p.eras.Observe}
@@ -148,7 +150,7 @@
 	p.streaming = &streaming.Server{
 		Sender: sender, Engines: adapter.NewEngineClient(p.pool), Targets: p.targets, Inflight: p.inflight, Health: health,
 		Lengths: streaming.NewOutputLengths(), Queue: admission.New(p.inflight.Changed), Runs: streaming.NewRuns(p.onRunEntered),
-		RetryBudget: p.retryBudget, Domain: n.Domain, EstimateSpread: p.estimateSpread, PlaceViaHub: p.exchange.PlaceAtHub,
+		RetryBudget: p.retryBudget, Domain: n.Domain, EstimateSpread: p.estimateSpread, PlaceViaHub: p.exchange.PlaceAtHub, Drain: p.end,
 	}
 	p.exchange.ChooseEngine = p.chooseForPeer
 	p.mover = &migration.Mover{
@@ -215,13 +217,13 @@
 	return &ingress.Handler{
 		Log: p.log, Wire: p.adapter.Wire, Policy: p.policy, Confirmer: p.confirmer, MaxKeyAge: p.maxKeyAge(), RecheckAge: p.recheckAge(),
 		Plain: p.plain, Streaming: p.streaming, Observer: p.metrics,
-		CountRequest: func(service string) { p.retryBudget(service).RecordRequest() }, DrainAge: p.drainAge,
+		CountRequest: func(service string) { p.retryBudget(service).RecordRequest() }, Drain: p.end,
 	}
 }
 
 // ready reports whether the platform may send callers to this host.
 func (p *Process) ready() bool {
-	if p.drainAge() > 0 || p.policy.Current() == nil || !p.targetsListed.Load() {
+	if p.end.Begun().Err() != nil || p.policy.Current() == nil || !p.targetsListed.Load() {
 		return false
 	}
 	return p.maxKeyAge() == 0 || p.confirmer.Age() < p.maxKeyAge()
--- a/internal/edge/process/stop.go
+++ b/internal/edge/process/stop.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"corianderhitch/internal/edge"
-	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/sighup"
 	"corianderhitch/internal/web"
 )
@@ -43,18 +42,19 @@
 // requests in flight have ended. Those that remain shortly before the end of the grace
 // period are aborted: abort cancels their contexts.
 func (p *Process) drain(server *http.Server, abort context.CancelCauseFunc) {
-	started := time.Now()
-	p.drainingSince.Store(int64(bootclock.Now()))
+	p.end.Begin()
 	p.log.Info("edge: draining", "runs", p.streaming.Runs.Len(), "grace_ms", p.node.Grace.Milliseconds())
 	time.Sleep(min(readinessDelay, p.node.Grace/2))
-	ctx, cancel := context.WithTimeout(context.Background(), max(0, p.node.Grace-exitMargin(p.node.Grace)-time.Since(started)))
+	age, _ := p.end.Age()
+	ctx, cancel := context.WithTimeout(context.Background(), max(0, p.node.Grace-exitMargin(p.node.Grace)-age))
 	defer cancel()
 	err := server.Shutdown(ctx)
 	if err == nil {
 		return
 	}
+	age, _ = p.end.Age()
 	p.log.Warn("edge: grace period ended; remaining requests are aborted", "runs", p.streaming.Runs.Len(),
-		"after_ms", time.Since(started).Milliseconds(), "error", err.Error())
+		"after_ms", age.Milliseconds(), "error", err.Error())
 	abort(edge.ErrStopping)
 	answered, cancel := context.WithTimeout(context.Background(), p.exitTime(abortShare))
 	defer cancel()
@@ -63,15 +63,6 @@
 	}
 }
 
-// drainAge returns the time since this process began to drain, 0 before.
-func (p *Process) drainAge() time.Duration {
-	since := p.drainingSince.Load()
-	if since == 0 {
-		return 0
-	}
-	return max(1, bootclock.Since(bootclock.Instant(since)))
-}
-
 // stopTasks stops the background tasks and servers. The process ends without those that
 // take too long.
 func (p *Process) stopTasks(cancel context.CancelFunc, tasks *sync.WaitGroup, endpoints *web.Server) {
--- a/internal/edge/rejection.go
+++ b/internal/edge/rejection.go
@@ -42,6 +42,9 @@
 // request because its own process ends.
 var ErrStopping = errors.New("edge: the host's process ends")
 
+// OutcomeAnswered is the outcome of a plain call that got a target's complete response.
+const OutcomeAnswered = "answered"
+
 // CanceledReason returns why the context of a request was canceled: the host aborted it,
 // or its caller left.
 func CanceledReason(ctx context.Context) string {
--- a/internal/edge/streaming/forward.go
+++ b/internal/edge/streaming/forward.go
@@ -10,6 +10,7 @@
 
 	"corianderhitch/internal/edge"
 	"corianderhitch/internal/edge/bootclock"
+	"corianderhitch/internal/edge/draining"
 	"corianderhitch/internal/edge/inflight"
 	"corianderhitch/internal/edge/targets"
 )
@@ -81,9 +82,9 @@
 	r.w.Header().Del("Content-Length")
 	r.w.WriteHeader(http.StatusOK)
 	r.headSent = true
-	age := r.call.Age()
-	r.server.Observer.ObserveFirstEvent(age)
-	r.call.Log.Info("stream: first event", "target", t.ID, "age_ms", age.Milliseconds())
+	r.startedAfter = r.call.Age()
+	r.server.Observer.ObserveFirstEvent(r.startedAfter)
+	r.call.Log.Info("stream: first event", "target", t.ID, "age_ms", r.startedAfter.Milliseconds())
 }
 
 // recordPause measures the time since the last events. Pauses longer than the
@@ -220,6 +221,7 @@
 		r.sendHead(source) // the caller already had all events
 	}
 	if reason == completed && r.headSent {
+		r.recordDuration()
 		return completed
 	}
 	a := r.call
@@ -248,6 +250,16 @@
 	panic(http.ErrAbortHandler) // closes the connection, so that the response does not look complete
 }
 
+// recordDuration records how long the run took, for the drain of this process.
+func (r *Run) recordDuration() {
+	tokens := (r.events - r.eventsBefore - 1) * r.call.Service.Engine.TokensPerEvent // after the first event
+	if tokens <= 0 {
+		return
+	}
+	d := draining.Duration{Start: r.startedAfter, PerToken: (r.call.Age() - r.startedAfter) / time.Duration(tokens)}
+	r.server.Drain.Record(r.call.Route.Name, d)
+}
+
 // nonStreamSeverity is how much a response that is not a stream counts as a failure
 // of the engine; less than 1, since the request itself may be at fault.
 const nonStreamSeverity = 0.5
--- a/internal/edge/streaming/rejection.go
+++ b/internal/edge/streaming/rejection.go
@@ -35,6 +35,10 @@
 	if ctx.Err() != nil && a.TimeLeft() <= 0 {
 		return &edge.Rejection{Status: http.StatusGatewayTimeout, Reason: edge.ReasonTimeout}
 	}
+	if !s.fitsDrain(r) {
+		stopping := edge.Stopping()
+		return r.attempts.unavailable(stopping.Reason, stopping.RetryAfter)
+	}
 	if len(s.Targets.View().Available(a.Service.Name)) == 0 {
 		return r.attempts.unavailable(edge.ReasonNoTarget, startRetryAfter)
 	}
--- a/internal/edge/streaming/run.go
+++ b/internal/edge/streaming/run.go
@@ -31,7 +31,9 @@
 	// longestPause is the longest time between two events; only for the reading
 	// goroutine.
 	longestPause time.Duration
-	head         http.Header // of the caller's response; only for the reading goroutine
+	startedAfter time.Duration // from arrival to the first event; only for the reading goroutine
+	eventsBefore int           // events that the caller had before it resumed the stream
+	head         http.Header   // of the caller's response; only for the reading goroutine
 	attempts     attempts
 
 	// CopyLock is held while the run's memory is copied: an engine makes one copy of
@@ -52,6 +54,7 @@
 func newRun(s *Server, a *edge.AuthorizedCall, w http.ResponseWriter, flush func() error) *Run {
 	r := &Run{server: s, call: a, w: w, flush: flush, done: make(chan struct{}), lastEventID: a.ResumesAfter()}
 	r.events = min(int(r.lastEventID), outputLimit(a)/a.Service.Engine.TokensPerEvent)
+	r.eventsBefore = r.events
 	r.attempts.tried = make(map[string]bool)
 	return r
 }
--- a/internal/edge/streaming/server.go
+++ b/internal/edge/streaming/server.go
@@ -13,6 +13,7 @@
 	"corianderhitch/internal/edge"
 	"corianderhitch/internal/edge/admission"
 	"corianderhitch/internal/edge/bootclock"
+	"corianderhitch/internal/edge/draining"
 	"corianderhitch/internal/edge/ejection"
 	"corianderhitch/internal/edge/inflight"
 	"corianderhitch/internal/edge/peers"
@@ -67,6 +68,8 @@
 	Domain      string // failure domain of this host
 	// PlaceViaHub asks a hub to choose an engine; false means that no hub could.
 	PlaceViaHub func(ctx context.Context, args peers.PlaceArgs) (peers.PlaceReply, bool)
+	// Drain is the end of the process, before which a run must have ended.
+	Drain *draining.Drain
 	// Observer records waits and pauses as metrics.
 	Observer Observer
 	// EstimateSpread estimates how many runs other hosts place before this host
@@ -168,11 +171,21 @@
 	need := newRequirements(a, load, s.Domain)
 	var placed Placement
 	started := bootclock.Now()
+	stopWatching := context.AfterFunc(s.Drain.Begun(), func() {
+		if !s.fitsDrain(r) {
+			cancel()
+		}
+	})
+	defer stopWatching()
 	t := s.Queue.Acquire(ctx, a.Urgency, func() *targets.Target {
 		placed = s.ReserveEngine(ctx, a.Service, need, load, r.attempts.tried)
 		return placed.Target
 	})
 	waited := bootclock.Since(started)
+	if t != nil && !s.fitsDrain(r) {
+		s.Inflight.Remove(t.Key(), load)
+		t = nil
+	}
 	s.Observer.ObservePlacementWait(waited, t != nil)
 	if t == nil {
 		a.Log.Info("stream: no engine has capacity", "by", placed.DecidedBy, "engines_full", placed.Shortage.Memory, "engines_reading", placed.Shortage.Reading,
@@ -186,6 +199,12 @@
 	return t, load
 }
 
+// fitsDrain reports whether the run is expected to end before the process does. A run
+// whose caller has a part of the stream continues in any case.
+func (s *Server) fitsDrain(r *Run) bool {
+	return r.headSent || s.Drain.Fits(r.call)
+}
+
 // open sends the run to a target. Its load has been counted there already and is
 // removed if the run does not start.
 func (s *Server) open(ctx context.Context, r *Run, t *targets.Target, load inflight.Load, d edge.Dispatch) (*segment, error) {
