A host that was frozen does not take its own pause for an engine's silence

What callers saw: streams are broken off in the moment in which a host that was frozen or starved for a second runs again; resumable ones end when the retry budget grants no restart, others go over to their replica, and are lost if that fails. The record shows both kinds (lost_in_move) on hosts that were about to end.

Cause: silence is the time since a run's last event. Events that arrived while the process did not run wait unread, but the check that runs first after the pause sees more than a second without any, for all streams at once.

The check notices that it was late itself and judges no engine until the process has run for as long as an engine may be silent. The watch for the first response waits once more after such a pause.

--- a/internal/edge/migration/replicator.go
+++ b/internal/edge/migration/replicator.go
@@ -24,6 +24,10 @@
 	// stalled and continues from its replica. Events normally arrive several times
 	// within the usual pause objective of 180 ms; callers wait for at least 2 s.
 	stallTimeout = time.Second
+	// maxCheckDelay is how long after the last check the next one may come. A longer time
+	// shows that this process was frozen or starved: events wait unread, and the silence
+	// of engines cannot be judged.
+	maxCheckDelay = 2 * stallCheckInterval
 	// defaultHandleLifetime is how long an engine is assumed to keep an unused
 	// replica if the configuration does not say.
 	defaultHandleLifetime = 5 * time.Second
@@ -68,8 +72,17 @@
 // failOverStalledRuns continues the runs whose engine has stopped sending events, from
 // their replicas or, if they are resumable, from their prompts, until ctx ends.
 func (r *Replicator) failOverStalledRuns(ctx context.Context) {
-	for ctx.Err() == nil {
+	runningSince := bootclock.Now() // since when this process has not been frozen
+	for checkedAt := runningSince; ctx.Err() == nil; {
 		wait.For(ctx, stallCheckInterval)
+		now := bootclock.Now()
+		if now.Sub(checkedAt) > maxCheckDelay {
+			runningSince = now
+		}
+		checkedAt = now
+		if now.Sub(runningSince) <= stallTimeout {
+			continue
+		}
 		for _, run := range r.Runs() {
 			if run.SinceLastEvent() <= stallTimeout {
 				continue
--- a/internal/edge/streaming/server.go
+++ b/internal/edge/streaming/server.go
@@ -39,6 +39,9 @@
 	// silenceCheckInterval is how often a run at a suspected engine checks whether the
 	// engine counts as failing meanwhile.
 	silenceCheckInterval = 100 * time.Millisecond
+	// maxWakeDelay is by how much a wait for an engine may exceed its time. A longer wait
+	// shows that this process was frozen or starved, and the response may wait unread.
+	maxWakeDelay = 500 * time.Millisecond
 	// writeSlack is how long after the deadline writes to the caller may still succeed.
 	writeSlack = time.Second
 )
@@ -259,9 +262,15 @@
 	watch, stop := context.WithCancel(ctx)
 	go func() {
 		a := r.call
-		wait.For(watch, suspectDelay(a))
-		if watch.Err() != nil {
-			return
+		for {
+			started := bootclock.Now()
+			wait.For(watch, suspectDelay(a))
+			if watch.Err() != nil {
+				return
+			}
+			if bootclock.Since(started) < suspectDelay(a)+maxWakeDelay {
+				break
+			}
 		}
 		a.Log.Warn("stream: engine is silent", "target", t.ID, "age_ms", a.Age().Milliseconds())
 		s.Health.RecordFailure(t.Key(), 1)
