--- a/tests/soak/restarts_test.go
+++ b/tests/soak/restarts_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"flag"
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
@@ -15,6 +16,8 @@
 	"time"
 )
 
+var lateStops = flag.Duration("late-stops", 0, "how late processes handle the SIGTERMs of restarts in series at most")
+
 // restartSite has the bounds of the users' sites.
 var restartSite = site{grace: 8 * time.Second, revoke: 5 * time.Second, apply: 2 * time.Second, callTimeout: 39 * time.Second, retrySlack: 56}
 
@@ -142,7 +145,7 @@
 	r.cluster.mu.Unlock()
 	stop := hostStop{host: h, at: time.Now(), signals: signals, startedAt: startedAt, logFrom: h.logOffset}
 	kill := time.After(h.grace)
-	h.process.Signal(syscall.SIGTERM)
+	r.sendLate(h, syscall.SIGTERM)
 	for _, s := range signals {
 		select {
 		case <-h.process.Ended():
@@ -164,6 +167,16 @@
 	r.mu.Unlock()
 }
 
+// sendLate sends a signal that the process handles up to lateStops later.
+func (r *restartRun) sendLate(h *host, s syscall.Signal) {
+	if *lateStops > 0 {
+		h.process.Freeze()
+		defer h.process.Thaw()
+		defer time.Sleep(rand.N(*lateStops))
+	}
+	h.process.Signal(s)
+}
+
 // caller is a way in which callers use connections.
 type caller struct {
 	name        string
