--- a/tests/soak/retrybudget_test.go
+++ b/tests/soak/retrybudget_test.go
@@ -236,6 +236,7 @@
 }
 
 // together restarts all hosts at once and calls meanwhile when they have started.
+// Calls then go on for the rest of the window in which the first ones failed.
 func (f *retriedFleet) together(restart func(*host), meanwhile func()) {
 	var restarts sync.WaitGroup
 	for _, h := range f.hosts {
@@ -243,7 +244,7 @@
 	}
 	restarts.Wait()
 	meanwhile()
-	time.Sleep(afterRestarts)
+	time.Sleep(budgetWindow - failingLead)
 }
 
 func (f *retriedFleet) crash(h *host) { f.crashAndRestart(h, 300*time.Millisecond) }
