--- a/tests/soak/retrybudget_test.go
+++ b/tests/soak/retrybudget_test.go
@@ -37,8 +37,12 @@
 )
 
 const (
-	budgetLead    = 5 * time.Second // of the calls before the targets fail
-	failingLead   = 2 * time.Second // from then to the first restart
+	// budgetLead is how long calls succeed before the targets fail: longer than a window,
+	// since a process might use its budget only then.
+	budgetLead    = budgetWindow + time.Second
+	failingLead   = 2 * time.Second        // from then to the first restart
+	restartGap    = 700 * time.Millisecond // between restarts in series
+	afterRestarts = 4 * time.Second
 	budgetTimeout = 800 * time.Millisecond
 	// slowAnswer is later than the hedge and earlier than the deadline.
 	slowAnswer     = 300 * time.Millisecond
@@ -65,7 +69,7 @@
 		{"crashed in series", true, func(f *retriedFleet) { f.inSeries(f.crash) }},
 		{"crashed in series, host list away", true, func(f *retriedFleet) {
 			var away sync.WaitGroup
-			away.Go(func() { f.storeFault(memstore.Fault{Outage: true, Prefix: hostListPrefix}, 12*time.Second) })
+			away.Go(func() { f.storeFault(memstore.Fault{Outage: true, Prefix: hostListPrefix}, 9*time.Second) })
 			f.inSeries(f.crash)
 			away.Wait()
 		}},
@@ -128,7 +132,6 @@
 	raw, err := config.Encode()
 	require.NoError(t, err)
 	f.put(platform.ConfigurationKey, raw)
-	time.Sleep(applyBound)
 	for _, h := range f.hosts {
 		f.taken[h] = &atomic.Bool{}
 		f.calls.Go(func() { f.probe(h) })
@@ -221,18 +224,19 @@
 	f.calls.Wait()
 }
 
-// inSeries restarts all hosts but one, a second apart.
+// inSeries restarts all hosts but one, several within a window.
 func (f *retriedFleet) inSeries(restart func(*host)) {
 	var restarts sync.WaitGroup
 	for _, n := range f.random.Perm(len(f.hosts))[:budgetHosts-1] {
 		restarts.Go(func() { restart(f.hosts[n]) })
-		time.Sleep(time.Second)
+		time.Sleep(restartGap)
 	}
 	restarts.Wait()
-	time.Sleep(budgetWindow / 2)
+	time.Sleep(afterRestarts)
 }
 
 // together restarts all hosts at once and calls meanwhile when they have started.
+// Calls then go on for the rest of the window in which the first ones failed.
 func (f *retriedFleet) together(restart func(*host), meanwhile func()) {
 	var restarts sync.WaitGroup
 	for _, h := range f.hosts {
@@ -240,7 +244,7 @@
 	}
 	restarts.Wait()
 	meanwhile()
-	time.Sleep(budgetWindow / 2)
+	time.Sleep(budgetWindow - failingLead)
 }
 
 func (f *retriedFleet) crash(h *host) { f.crashAndRestart(h, 300*time.Millisecond) }
