Decision whether a target that leaves or wants a pause may be sent a request

Hosts' pauses end up to a second apart. Pauses are bounded to ten minutes and incarnations start clean, so that no number takes a target away for good.

--- /dev/null
+++ b/internal/edge/targetnotice/tracker.go
@@ -0,0 +1,179 @@
+// Package targetnotice decides whether a target may be sent a request after it has stated in
+// its answers to this host that it leaves, or that it wants a pause. The answers alone
+// count: a target list or a peer that calls the target ready doesn't change the decision,
+// so that a host without its store and peers decides alike. It reads no clock and does no I/O.
+package targetnotice
+
+import (
+	"sync"
+	"time"
+
+	"corianderhitch/internal/edge/bootclock"
+)
+
+const (
+	// maxPause bounds how long an answer pauses a target. A target whose incarnation has no
+	// start time may restart unnoticed, and a faulty one may state any number. After the
+	// bound its next answer pauses it again; until then it gets only the requests that are
+	// sent before that answer arrives. Pauses up to the bound are kept in full.
+	maxPause = 10 * time.Minute
+	// maxContinuations is how many runs may continue at a target during its pause. They are
+	// lost otherwise, and the platform allows two requests in a pause.
+	maxContinuations = 2
+	// spreadShare of a pause, at most maxSpread, is the range of the random delays after
+	// which hosts use the target again.
+	spreadShare = 0.25
+	maxSpread   = time.Second
+	// maxTargets bounds the memory for incarnations that no longer exist.
+	maxTargets = 4096
+)
+
+// Use is what a target is needed for.
+type Use int
+
+// Uses of a target. The zero value is the one that the rules restrict most.
+const (
+	Request         Use = iota // a caller's request, also when it is sent again or hedged
+	Continuation               // a caller's request that continues from memory that the target holds
+	Probe                      // a question about the target itself
+	CopyDestination            // to receive the memory of a run
+	Control                    // a call for a run that executes at the target, such as moving it
+)
+
+// Verdict states whether a target may be used, or why not.
+type Verdict int
+
+// Verdicts.
+const (
+	Allowed Verdict = iota
+	Leaving
+	Paused
+)
+
+// String returns the name of the verdict in logs and metrics.
+func (v Verdict) String() string { return [...]string{"allowed", "leaving", "paused"}[v] }
+
+// Tracker remembers what targets have stated, by incarnation. It is safe for concurrent use.
+type Tracker struct {
+	mu      sync.Mutex
+	targets map[string]*statements // guarded by mu
+}
+
+// statements is what one incarnation has stated.
+type statements struct {
+	leaving       bool
+	leavingAt     bootclock.Instant // when the first such answer arrived
+	pausedUntil   bootclock.Instant
+	continuations int // sent in the current pause
+	updatedAt     bootclock.Instant
+}
+
+func (s *statements) paused(now bootclock.Instant) bool { return now < s.pausedUntil }
+
+// New returns an empty tracker.
+func New() *Tracker { return &Tracker{targets: make(map[string]*statements)} }
+
+// ObserveLeaving records an answer, received at the given time, that states that the
+// incarnation leaves. It reports whether this is the first one.
+func (t *Tracker) ObserveLeaving(incarnation string, at bootclock.Instant) (first bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.statements(incarnation, at)
+	first = !s.leaving
+	if first || at < s.leavingAt {
+		s.leaving, s.leavingAt = true, at
+	}
+	return first
+}
+
+// ObservePause records an answer, received at the given time, that asks for a pause. draw is
+// a random number in [0, 1) that places the end of the pause at this host. It returns the
+// end, and whether the target was not paused before.
+func (t *Tracker) ObservePause(incarnation string, at bootclock.Instant, pause time.Duration, draw float64) (until bootclock.Instant, began bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.statements(incarnation, at)
+	pause = min(pause, maxPause)
+	spread := time.Duration(draw * min(spreadShare*float64(pause), float64(maxSpread)))
+	if began = !s.paused(at); began {
+		s.continuations = 0
+	}
+	s.pausedUntil = max(s.pausedUntil, at.Add(pause+spread))
+	return s.pausedUntil, began
+}
+
+// Check returns whether an incarnation may be used now. arrived is when the caller's request
+// arrived at this host; only requests and continuations have one.
+func (t *Tracker) Check(incarnation string, use Use, arrived, now bootclock.Instant) Verdict {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.verdict(t.targets[incarnation], use, arrived, now)
+}
+
+// Admit is Check for a send that follows immediately, which it counts.
+func (t *Tracker) Admit(incarnation string, use Use, arrived, now bootclock.Instant) Verdict {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.targets[incarnation]
+	v := t.verdict(s, use, arrived, now)
+	if v == Allowed && use == Continuation && s != nil && s.paused(now) {
+		s.continuations++
+	}
+	return v
+}
+
+// verdict decides by what the target has stated; s is nil if it has stated nothing. Callers
+// hold t.mu.
+func (t *Tracker) verdict(s *statements, use Use, arrived, now bootclock.Instant) Verdict {
+	if s == nil || use == Control {
+		return Allowed
+	}
+	if s.leaving {
+		takenBefore := (use == Request || use == Continuation) && arrived <= s.leavingAt
+		if !takenBefore {
+			return Leaving
+		}
+	}
+	if s.paused(now) && (use != Continuation || s.continuations >= maxContinuations) {
+		return Paused
+	}
+	return Allowed
+}
+
+// IsLeaving reports whether the incarnation has stated that it leaves.
+func (t *Tracker) IsLeaving(incarnation string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.targets[incarnation]
+	return s != nil && s.leaving
+}
+
+// statements returns the record of an incarnation. Callers hold t.mu.
+func (t *Tracker) statements(incarnation string, now bootclock.Instant) *statements {
+	s := t.targets[incarnation]
+	if s == nil {
+		if len(t.targets) >= maxTargets {
+			t.forgetOne(now)
+		}
+		s = &statements{}
+		t.targets[incarnation] = s
+	}
+	s.updatedAt = max(s.updatedAt, now)
+	return s
+}
+
+// forgetOne deletes a record that restricts nothing any more or, if there is none, the one
+// that was updated first. Callers hold t.mu.
+func (t *Tracker) forgetOne(now bootclock.Instant) {
+	oldest := ""
+	for incarnation, s := range t.targets {
+		if !s.leaving && !s.paused(now) {
+			delete(t.targets, incarnation)
+			return
+		}
+		if oldest == "" || s.updatedAt < t.targets[oldest].updatedAt {
+			oldest = incarnation
+		}
+	}
+	delete(t.targets, oldest)
+}
