--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -123,6 +123,16 @@
 	Report(ctx context.Context, address string) (EngineReport, error)
 }
 
+// TargetNotice is what a target states about itself in the head of a response, in addition to
+// the response.
+type TargetNotice struct {
+	Leaving bool
+	// Pause is how long the target wants nothing from this host; 0 if it doesn't say so.
+	Pause time.Duration
+	// Malformed is a header that could not be read, for logs; "" if there is none.
+	Malformed string
+}
+
 // Wire translates between calls and the HTTP headers of a platform.
 type Wire interface {
 	// Decode reads a caller's request, except for its body.
@@ -136,6 +146,8 @@
 	NotExecuted(status int, h http.Header) bool
 	// Signed reports whether the response carries the target's signature.
 	Signed(h http.Header) bool
+	// TargetNotice returns what a target states about itself in the head of a response.
+	TargetNotice(status int, h http.Header) TargetNotice
 	// SetRetryAfter sets the header that tells the caller when it may retry.
 	SetRetryAfter(h http.Header, d time.Duration)
 }
