--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -7,6 +7,8 @@
 	"context"
 	"net/http"
 	"time"
+
+	"corianderhitch/internal/edge/targets"
 )
 
 // PrefixPart is a leading part of a prompt that other requests may share, so that
@@ -73,7 +75,7 @@
 	MoveCopied  MoveResult = iota
 	MoveNoRun              // the source runs no such request
 	MoveBusy               // another copy of this run is in progress
-	MoveNoRoom             // the destination is full or cannot be reached
+	MoveNoRoom             // the destination is full, cannot be reached, leaves or wants a pause
 	MoveUnknown            // the source did not answer
 )
 
@@ -113,14 +115,14 @@
 
 // EngineClient makes the control calls that model engines serve.
 type EngineClient interface {
-	// Move copies the KV memory of a request's run from the engine at address to
-	// the engine at destination. A final move stops the run at the source.
-	Move(ctx context.Context, address, requestID, destination string, final bool) MoveReply
+	// Move copies the KV memory of a request's run from the source engine to another.
+	// A final move stops the run at the source.
+	Move(ctx context.Context, source *targets.Target, requestID string, dest *targets.Target, final bool) MoveReply
 	// Release frees a copy that will not be used. Called at the source, it frees
 	// the memory at both engines.
-	Release(ctx context.Context, address, handle string) error
+	Release(ctx context.Context, source *targets.Target, handle string) error
 	// Report returns the engine's current state.
-	Report(ctx context.Context, address string) (EngineReport, error)
+	Report(ctx context.Context, t *targets.Target) (EngineReport, error)
 }
 
 // TargetNotice is what a target states about itself in the head of a response, in addition to
--- a/internal/edge/metrics/metrics.go
+++ b/internal/edge/metrics/metrics.go
@@ -28,6 +28,8 @@
 	longestPause    metric.Float64Histogram
 	storeCalls      metric.Int64Counter
 	replicas        metric.Int64Counter
+	targetNotices   metric.Int64Counter
+	refusedSends    metric.Int64Counter
 	// Definitions lists all instruments in the order of their creation, for the generated page.
 	Definitions []Definition
 }
@@ -68,6 +70,8 @@
 	m.moves = b.counter("hitch_edge_moves", "outcome", "runs moved off leaving engines")
 	m.moveDuration = b.seconds("hitch_edge_move_duration", "", "time that a move took")
 	m.replicas = b.counter("hitch_edge_backups", "outcome", "copies of runs that stand by at another engine")
+	m.targetNotices = b.counter("hitch_edge_target_notices", "kind", "answers in which a target states that it leaves or wants a pause, or with a malformed statement")
+	m.refusedSends = b.counter("hitch_edge_refused_sends", "reason", "sends that were not made because the target leaves or wants a pause")
 	m.storeCalls = b.counter("hitch_edge_store_calls", "call, result", "calls to the platform's store")
 	b.gauge("hitch_edge_runs", "", "generations in flight from this host", func() int64 { return int64(g.Runs()) })
 	b.gauge("hitch_edge_waiting_runs", "", "generations that wait for room", func() int64 { return int64(g.WaitingRuns()) })
@@ -120,6 +124,16 @@
 	m.replicas.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
 }
 
+// ObserveTargetNotice implements targetgate.Observer.
+func (m *Metrics) ObserveTargetNotice(kind string) {
+	m.targetNotices.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", kind)))
+}
+
+// ObserveRefusedSend implements targetgate.Observer.
+func (m *Metrics) ObserveRefusedSend(reason string) {
+	m.refusedSends.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason)))
+}
+
 // ObserveStoreCall counts a call to the store by result.
 func (m *Metrics) ObserveStoreCall(call, result string) {
 	m.storeCalls.Add(context.Background(), 1, metric.WithAttributes(attribute.String("call", call), attribute.String("result", result)))
--- a/internal/edge/metrics/metrics_test.go
+++ b/internal/edge/metrics/metrics_test.go
@@ -26,6 +26,8 @@
 	m.ObserveFirstEvent(time.Second)
 	m.ObserveLongestPause(time.Second)
 	m.ObserveReplica("copied")
+	m.ObserveTargetNotice("pause")
+	m.ObserveRefusedSend("paused")
 	m.ObserveStoreCall("get", "ok")
 	answer := httptest.NewRecorder()
 	signals.Handler().ServeHTTP(answer, httptest.NewRequest("GET", "/metrics", nil))
--- a/internal/edge/migration/mover.go
+++ b/internal/edge/migration/mover.go
@@ -168,7 +168,7 @@
 		return onlyReplicated
 	}
 	started := bootclock.Now()
-	final := m.Engines.Move(ctx, source.Address, r.ID(), dest.Address, true)
+	final := m.Engines.Move(ctx, source, r.ID(), dest, true)
 	r.EndFinalCopy(replica, final, streamCloseGrace)
 	r.Log().Info("migration: final copy", "result", final.Result.String(), "source", source.ID, "dest", dest.ID,
 		"took_ms", bootclock.Since(started).Milliseconds(), "events", final.Events, "error", final.ErrorText())
@@ -188,7 +188,7 @@
 func (m *Mover) awaitIdleLink(ctx context.Context, source, dest *targets.Target, r *streaming.Run) bool {
 	for {
 		started := bootclock.Now()
-		reply := m.Engines.Move(ctx, source.Address, r.ID(), dest.Address, false)
+		reply := m.Engines.Move(ctx, source, r.ID(), dest, false)
 		if reply.Result != edge.MoveCopied {
 			m.logFailedCopy(r, source, dest, "next", reply)
 			return false
--- a/internal/edge/migration/replicator.go
+++ b/internal/edge/migration/replicator.go
@@ -160,7 +160,7 @@
 func (r *Replicator) refresh(ctx context.Context, replica *streaming.Replica, run *streaming.Run) {
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
-	reply := r.Engines.Move(ctx, replica.Source.Address, run.ID(), replica.Dest.Address, false)
+	reply := r.Engines.Move(ctx, replica.Source, run.ID(), replica.Dest, false)
 	switch reply.Result {
 	case edge.MoveCopied:
 		replica.CopiedAt = bootclock.Now()
--- a/internal/edge/observe/poller.go
+++ b/internal/edge/observe/poller.go
@@ -71,7 +71,7 @@
 func (p *ReportPoller) poll(ctx context.Context, t *targets.Target) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	report, err := p.Engines.Report(ctx, t.Address)
+	report, err := p.Engines.Report(ctx, t)
 	if err != nil {
 		p.Log.Warn("observe: engine report failed", "target", t.ID, "address", t.Address, "error", err.Error())
 		return
--- a/internal/edge/observe/poller_test.go
+++ b/internal/edge/observe/poller_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"corianderhitch/internal/edge"
+	"corianderhitch/internal/edge/targetnotice"
 	"corianderhitch/internal/edge/targets"
 )
 
@@ -21,11 +22,11 @@
 	leaving map[string]bool
 }
 
-func (e *fakeEngines) Report(_ context.Context, address string) (edge.EngineReport, error) {
+func (e *fakeEngines) Report(_ context.Context, t *targets.Target) (edge.EngineReport, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.polls[address]++
-	return edge.EngineReport{Leaving: e.leaving[address]}, nil
+	e.polls[t.Address]++
+	return edge.EngineReport{Leaving: e.leaving[t.Address]}, nil
 }
 
 func (e *fakeEngines) count(address string) int {
@@ -36,7 +37,7 @@
 
 func TestPollsOwnedBusyEngines(t *testing.T) {
 	leavingIDs := make(chan string, 1)
-	registry := targets.New(func(t targets.Target, _ targets.LeavingNotice) { leavingIDs <- t.ID })
+	registry := targets.New(targetnotice.New(), func(t targets.Target, _ targets.LeavingNotice) { leavingIDs <- t.ID })
 	registry.Replace(map[string]targets.Target{
 		"k1": {ID: "busy", Service: "s", Address: "busy"}, "k2": {ID: "idle", Service: "s", Address: "idle"},
 	}, 1)
--- a/internal/edge/plain/server.go
+++ b/internal/edge/plain/server.go
@@ -209,7 +209,12 @@
 		return &edge.Rejection{Status: http.StatusBadGateway, Reason: edge.ReasonMayHaveRun}
 	case best.result == keyUnconfirmed:
 		return edge.Unavailable(edge.ReasonUnconfirmed, noTargetRetryAfter)
-	case best.result == rejected:
+	}
+	if left, paused := r.server.Targets.View().PauseLeft(r.call.Service.Name); paused {
+		return edge.AllPaused(left)
+	}
+	switch best.result {
+	case rejected:
 		return edge.Unavailable(edge.ReasonTargetFull, fullRetryAfter)
 	default:
 		return edge.Unavailable(edge.ReasonNoTarget, noTargetRetryAfter)
@@ -226,7 +231,7 @@
 	s.Inflight.Add(key, load)
 	defer s.Inflight.Remove(key, load)
 	started := time.Now()
-	response, err := s.Sender.Send(ctx, a.Call, t, edge.Dispatch{Account: a.Account, Urgency: a.Urgency}, a.TimeLeft())
+	response, err := s.Sender.Send(ctx, a, t, edge.Dispatch{Account: a.Account, Urgency: a.Urgency})
 	var o outcome
 	switch {
 	case errors.Is(err, targetconn.ErrNotSent):
@@ -251,7 +256,9 @@
 	case failed:
 		s.Health.RecordFailure(key, serverErrorSeverity)
 	case unsent:
-		s.Health.RecordFailure(key, 1)
+		if !errors.Is(o.err, targetconn.ErrRefused) {
+			s.Health.RecordFailure(key, 1)
+		}
 	case broken:
 		switch {
 		case !errors.Is(ctx.Err(), context.Canceled):
--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -34,6 +34,8 @@
 	"corianderhitch/internal/edge/storeera"
 	"corianderhitch/internal/edge/streaming"
 	"corianderhitch/internal/edge/targetconn"
+	"corianderhitch/internal/edge/targetgate"
+	"corianderhitch/internal/edge/targetnotice"
 	"corianderhitch/internal/edge/targets"
 	"corianderhitch/internal/logging"
 	"corianderhitch/internal/telemetry"
@@ -66,6 +68,7 @@
 	eras          *storeera.Tracker
 	members       *peers.Members
 	exchange      *peers.Exchange
+	gate          *targetgate.Gate
 	pool          *targetconn.Pool
 	streaming     *streaming.Server
 	plain         *plain.Server
@@ -120,6 +123,7 @@
 			return err
 		}
 		p.streaming.Observer, p.mover.Observe, p.replicator.Observe = p.metrics, p.metrics.ObserveMove, p.metrics.ObserveReplica
+		p.gate.Observer = p.metrics
 		p.replicator.MaxMemoryShare = float64(s.ReplicaShare) / 100
 		log.Info("edge: start", "host", n.Name, "domain", n.Domain, "front", n.CallerAddress, "store", n.StoreAddress, "memory_bytes", n.MemoryBytes)
 		return p.run(ctx, signals, s)
@@ -134,8 +138,10 @@
 	}
 	p.eras = storeera.New(log)
 	p.store = &countedStore{Store: adapter.NewStore(n.StoreAddress), count: func(call, result string) { p.metrics.ObserveStoreCall(call, result) }, observeEra: p.eras.Observe}
-	p.pool = targetconn.New(adapter.requestID)
-	p.targets = targets.New(p.onTargetLeaving)
+	notices := targetnotice.New()
+	p.targets = targets.New(notices, p.onTargetLeaving)
+	p.gate = &targetgate.Gate{Log: log, Wire: adapter.Wire, Notices: notices, Targets: p.targets}
+	p.pool = targetconn.New(adapter.requestID, p.gate)
 	p.targetLog = relay.NewChangeLog(p.newTargetSink())
 	p.feeds = p.newFeeds()
 	p.confirmer = freshness.New(log, p.confirmPeriod, p.confirm)
--- a/internal/edge/process/runs.go
+++ b/internal/edge/process/runs.go
@@ -23,13 +23,14 @@
 	return placement.EstimateSpread(p.placementRate.PerSecond(), p.members.Count(), p.exchange.FleetLoadAge())
 }
 
-// chooseForPeer chooses an engine for a run of another host.
+// chooseForPeer chooses an engine for a run of another host. Engines that want a pause from
+// this host may accept that run; the other host excludes those that want one from it.
 func (p *Process) chooseForPeer(service string, need placement.Requirements, tried map[string]bool) placement.Decision {
 	c := p.policy.Current()
 	if c == nil || c.Service(service) == nil || c.Service(service).Engine == nil {
 		return placement.Decision{}
 	}
-	return p.streaming.ChooseEngine(c.Service(service), need, tried)
+	return p.streaming.ChooseEngine(p.targets.View().Serving(service), c.Service(service), need, tried)
 }
 
 // reportPoller returns the poller of the engines' reports.
--- a/internal/edge/rejection.go
+++ b/internal/edge/rejection.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -30,6 +31,7 @@
 	ReasonNoTarget        = "no_target"
 	ReasonNoRoom          = "no_room"
 	ReasonTargetFull      = "target_full"
+	ReasonTargetsPaused   = "targets_paused"
 	ReasonMayHaveRun      = "may_have_run"
 	ReasonBrokenOff       = "broken_off"
 	ReasonTimeout         = "timeout"
@@ -55,6 +57,20 @@
 	return &Rejection{Status: http.StatusServiceUnavailable, Reason: reason, RetryAfter: retryAfter}
 }
 
+const (
+	// pauseSpreadShare of the time left, at least minPauseSpread, is the range over which
+	// callers return after a pause of all targets.
+	pauseSpreadShare = 0.5
+	minPauseSpread   = 500 * time.Millisecond
+)
+
+// AllPaused returns the rejection of a request whose service has no target that wants
+// requests within left.
+func AllPaused(left time.Duration) *Rejection {
+	spread := max(pauseSpreadShare*float64(left), float64(minPauseSpread))
+	return Unavailable(ReasonTargetsPaused, left+time.Duration(rand.Float64()*spread))
+}
+
 // Write sends the rejection to the caller.
 func (r *Rejection) Write(w http.ResponseWriter, wire Wire) {
 	h := w.Header()
--- a/internal/edge/sender.go
+++ b/internal/edge/sender.go
@@ -4,13 +4,13 @@
 	"context"
 	"log/slog"
 	"net/http"
-	"time"
 
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
 	"corianderhitch/internal/edge/targetconn"
+	"corianderhitch/internal/edge/targetnotice"
 	"corianderhitch/internal/edge/targets"
 )
 
@@ -26,12 +26,18 @@
 
 // Send sends a call to a target and returns once the head of the response arrives.
 // Errors are those of targetconn.Pool.Do.
-func (s *Sender) Send(ctx context.Context, c *Call, t *targets.Target, d Dispatch, timeLeft time.Duration) (*targetconn.Response, error) {
+func (s *Sender) Send(ctx context.Context, a *AuthorizedCall, t *targets.Target, d Dispatch) (*targetconn.Response, error) {
 	ctx, span := Tracer.Start(ctx, "send", trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(attribute.String("target", t.ID)))
 	defer span.End()
 	d.TargetID = t.ID
+	use := targetnotice.Request
+	if d.ContinueFrom != nil {
+		use = targetnotice.Continuation
+	}
+	c := a.Call
 	return s.Pool.Do(ctx, t.Key(), t.Address, &targetconn.Request{
-		ID: c.ID, Method: c.Method, URI: c.URI, Host: c.Host, Header: s.Wire.Encode(c, d, timeLeft), Body: c.Body,
+		ID: c.ID, Method: c.Method, URI: c.URI, Host: c.Host, Header: s.Wire.Encode(c, d, a.TimeLeft()), Body: c.Body,
+		Use: use, Arrived: a.Arrived,
 	})
 }
 
--- a/internal/edge/streaming/attempts.go
+++ b/internal/edge/streaming/attempts.go
@@ -32,6 +32,15 @@
 	return edge.Unavailable(reason, retryAfter)
 }
 
+// pausedOr returns the rejection of a request while all engines of its service want a pause,
+// and otherwise that of unavailable.
+func (r *Run) pausedOr(reason string, retryAfter time.Duration) *edge.Rejection {
+	if left, paused := r.server.Targets.View().PauseLeft(r.call.Service.Name); paused && !r.attempts.mayHaveRun {
+		return edge.AllPaused(left)
+	}
+	return r.attempts.unavailable(reason, retryAfter)
+}
+
 // takeAttempt reports whether the request may be sent to one more engine, and takes that
 // send from the retry budget.
 func (s *Server) takeAttempt(r *Run) bool {
--- a/internal/edge/streaming/forward.go
+++ b/internal/edge/streaming/forward.go
@@ -136,7 +136,7 @@
 func (r *Run) stopAtSource(ctx context.Context, source *targets.Target, replica *Replica) edge.MoveReply {
 	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
 	defer cancel()
-	reply := r.server.Engines.Move(ctx, source.Address, r.ID(), replica.Dest.Address, true)
+	reply := r.server.Engines.Move(ctx, source, r.ID(), replica.Dest, true)
 	r.call.Log.Info("stream: asked the engine to stop the run after its stream broke off", "target", source.ID, "result", reply.Result.String(), "error", reply.ErrorText())
 	return reply
 }
--- a/internal/edge/streaming/placement.go
+++ b/internal/edge/streaming/placement.go
@@ -28,6 +28,7 @@
 func (s *Server) ReserveEngine(ctx context.Context, service *policy.Service, need placement.Requirements, load inflight.Load, tried map[string]bool) Placement {
 	placed := Placement{DecidedBy: "hub"}
 	excluded := append(slices.Collect(maps.Keys(tried)), s.failingEngines(service)...)
+	excluded = append(excluded, s.Targets.View().Refusing(service.Name)...)
 	reply, placedByHub := s.PlaceViaHub(ctx, peers.PlaceArgs{Service: service.Name, Need: need, Load: load, Tried: excluded})
 	if placedByHub {
 		placed.Target, placed.LoadBefore, placed.Shortage = s.Targets.View().Get(reply.Target), reply.Before, reply.Shortage
@@ -37,7 +38,7 @@
 	}
 	if !placedByHub {
 		need.Spread, need.Draw = s.EstimateSpread(), rand.Float64()
-		decision := s.ChooseEngine(service, need, tried)
+		decision := s.ChooseEngine(s.Targets.View().Available(service.Name), service, need, tried)
 		placed.Target, placed.LoadBefore, placed.Shortage, placed.DecidedBy = s.Targets.View().Get(decision.Target), decision.Before, decision.Shortage, "host"
 	}
 	if placed.Target != nil {
@@ -59,10 +60,9 @@
 }
 
 // ChooseEngine chooses the best engine with capacity from what this host knows.
-func (s *Server) ChooseEngine(service *policy.Service, need placement.Requirements, tried map[string]bool) placement.Decision {
-	available := s.Targets.View().Available(service.Name)
-	candidates := make([]placement.Candidate, len(available))
-	for i, t := range available {
+func (s *Server) ChooseEngine(engines []*targets.Target, service *policy.Service, need placement.Requirements, tried map[string]bool) placement.Decision {
+	candidates := make([]placement.Candidate, len(engines))
+	for i, t := range engines {
 		key := t.Key()
 		candidates[i] = placement.Candidate{Target: t, Load: s.Inflight.TotalLoad(key), FailureCost: s.Health.FailureCost(key)}
 	}
@@ -70,7 +70,7 @@
 	if i < 0 {
 		return placement.Decision{Shortage: placement.CountShortage(candidates, service.Engine, need, tried)}
 	}
-	return placement.Decision{Target: available[i].Key(), Before: candidates[i].Load}
+	return placement.Decision{Target: engines[i].Key(), Before: candidates[i].Load}
 }
 
 // newRequirements returns what a new run requires of an engine. domain is the failure
--- a/internal/edge/streaming/rejection.go
+++ b/internal/edge/streaming/rejection.go
@@ -36,7 +36,7 @@
 		return &edge.Rejection{Status: http.StatusGatewayTimeout, Reason: edge.ReasonTimeout}
 	}
 	if len(s.Targets.View().Available(a.Service.Name)) == 0 {
-		return r.attempts.unavailable(edge.ReasonNoTarget, startRetryAfter)
+		return r.pausedOr(edge.ReasonNoTarget, startRetryAfter)
 	}
 	// Spreads the retries of callers that were rejected at the same time.
 	retryAfter := fullRetryAfter + time.Duration(rand.Float64()*float64(fullRetryAfter))
--- a/internal/edge/streaming/replica.go
+++ b/internal/edge/streaming/replica.go
@@ -42,7 +42,7 @@
 // run ended, moved or got another replica, in which case the copy is released.
 func (r *Run) Replicate(ctx context.Context, source, dest *targets.Target, reserved inflight.Load) (*Replica, edge.MoveReply) {
 	defer r.beginCopy()()
-	reply := r.server.Engines.Move(ctx, source.Address, r.ID(), dest.Address, false)
+	reply := r.server.Engines.Move(ctx, source, r.ID(), dest, false)
 	if reply.Result != edge.MoveCopied {
 		r.server.Inflight.Remove(dest.Key(), reserved)
 		return nil, reply
@@ -186,7 +186,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 		defer cancel()
-		if err := r.server.Engines.Release(ctx, replica.Source.Address, replica.Handle); err != nil {
+		if err := r.server.Engines.Release(ctx, replica.Source, replica.Handle); err != nil {
 			r.Log().Info("stream: unused replica could not be released and is left to expire", "source", replica.Source.ID, "copy", replica.Handle, "error", err.Error())
 		}
 	}()
--- a/internal/edge/streaming/replica_test.go
+++ b/internal/edge/streaming/replica_test.go
@@ -21,7 +21,7 @@
 	asked, answer chan struct{}
 }
 
-func (c *slowCopier) Move(context.Context, string, string, string, bool) edge.MoveReply {
+func (c *slowCopier) Move(context.Context, *targets.Target, string, *targets.Target, bool) edge.MoveReply {
 	close(c.asked)
 	<-c.answer
 	return edge.MoveReply{Result: edge.MoveCopied, Handle: "h"}
--- a/internal/edge/streaming/server.go
+++ b/internal/edge/streaming/server.go
@@ -118,7 +118,7 @@
 			return nil, rejection
 		}
 	}
-	return nil, r.attempts.unavailable(edge.ReasonNoTarget, startRetryAfter)
+	return nil, r.pausedOr(edge.ReasonNoTarget, startRetryAfter)
 }
 
 var (
@@ -140,7 +140,9 @@
 		return r.attempts.unavailable(edge.ReasonUnconfirmed, startRetryAfter), false
 	case errors.Is(err, errNotExecuted):
 		r.attempts.sends.Add(1)
-		return r.attempts.unavailable(edge.ReasonTargetFull, startRetryAfter), s.takeAttempt(r)
+		return r.pausedOr(edge.ReasonTargetFull, startRetryAfter), s.takeAttempt(r)
+	case errors.Is(err, targetconn.ErrRefused):
+		return nil, true
 	case errors.Is(err, targetconn.ErrNotSent):
 		s.Health.RecordFailure(t.Key(), 1)
 		return nil, true
@@ -166,6 +168,10 @@
 	var placed Placement
 	started := bootclock.Now()
 	t := s.Queue.Acquire(ctx, a.Urgency, func() *targets.Target {
+		if _, paused := s.Targets.View().PauseLeft(a.Service.Name); paused {
+			cancel() // waiting is pointless: the run is rejected with the time left
+			return nil
+		}
 		placed = s.ReserveEngine(ctx, a.Service, need, load, r.attempts.tried)
 		return placed.Target
 	})
@@ -207,7 +213,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	stopWatching := s.watchSilence(ctx, cancel, r, t)
-	response, err := s.Sender.Send(ctx, a.Call, t, d, a.TimeLeft())
+	response, err := s.Sender.Send(ctx, a, t, d)
 	stopWatching()
 	if err != nil {
 		cancel()
--- a/internal/edge/targetconn/conn.go
+++ b/internal/edge/targetconn/conn.go
@@ -21,13 +21,13 @@
 type Conn struct {
 	net.Conn
 	reader      *bufio.Reader
-	incarnation string // of the target
+	key         string // under which the pool keeps the connection
 	usedAt      bootclock.Instant
 	idleTimeout time.Duration // how long the target keeps the connection open when idle
 }
 
-func newConn(c net.Conn, incarnation string) *Conn {
-	return &Conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferBytes), incarnation: incarnation, idleTimeout: defaultIdleTimeout}
+func newConn(c net.Conn, key string) *Conn {
+	return &Conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferBytes), key: key, idleTimeout: defaultIdleTimeout}
 }
 
 // healthy reports whether an idle connection is still open and has received no
--- a/internal/edge/targetconn/errors.go
+++ b/internal/edge/targetconn/errors.go
@@ -1,11 +1,18 @@
 package targetconn
 
-import "github.com/rotisserie/eris"
+import (
+	"github.com/rotisserie/eris"
+
+	"corianderhitch/internal/edge/targetnotice"
+)
 
 // Errors of Do, to be tested with errors.Is.
 var (
 	// ErrNotSent means that no byte of the request was sent.
 	ErrNotSent = eris.New("target: not reachable and nothing was sent; try another target")
+	// ErrRefused means that the gate refused the send: the target leaves or wants a pause.
+	// Such an error also matches ErrNotSent; the target is not at fault.
+	ErrRefused = eris.New("target: leaves or wants a pause, and nothing was sent; try another target")
 	// ErrBroken means that the request was sent, at least in part, but no complete
 	// response arrived: the target may have run it.
 	ErrBroken = eris.New("target: connection broke after the request was sent; repeat it only if it is idempotent")
@@ -13,3 +20,10 @@
 	// request.
 	ErrInvalidResponse = eris.New("target: response is not HTTP or belongs to another request; repeat the request only if it is idempotent")
 )
+
+// refusal is the error of a send that the gate refused.
+type refusal struct{ verdict targetnotice.Verdict }
+
+func (r *refusal) Error() string { return ErrRefused.Error() + ": " + r.verdict.String() }
+
+func (r *refusal) Is(target error) bool { return target == ErrRefused || target == ErrNotSent }
--- /dev/null
+++ b/internal/edge/targetconn/gate.go
@@ -0,0 +1,20 @@
+package targetconn
+
+import (
+	"net/http"
+
+	"corianderhitch/internal/edge/targetnotice"
+)
+
+// Gate decides which sends may reach a target, and learns from its responses. All requests to
+// targets pass it in Pool.Do.
+type Gate interface {
+	// Check returns whether a request may be sent to an incarnation.
+	Check(incarnation string, r *Request) targetnotice.Verdict
+	// Admit is Check for a request that is sent at once, which it counts.
+	Admit(incarnation string, r *Request) targetnotice.Verdict
+	// Observe is called with the head of each response that arrives from the address on a
+	// connection to the incarnation. It reports whether the response states that the target
+	// leaves.
+	Observe(incarnation, address string, r *Request, status int, h http.Header) (leaving bool)
+}
--- a/internal/edge/targetconn/pool.go
+++ b/internal/edge/targetconn/pool.go
@@ -1,6 +1,6 @@
 // Package targetconn sends requests to targets over HTTP/1.1. It never sends a
-// request twice, reports whether any byte was sent, ties connections to one
-// incarnation of a target and matches responses with requests by id. net/http's
+// request twice, reports whether any byte was sent, asks a gate before each send, ties
+// connections to one incarnation of a target and matches responses with requests by id. net/http's
 // Transport retries GET requests on its own and therefore cannot be used here.
 package targetconn
 
@@ -16,6 +16,7 @@
 	"golang.org/x/sys/unix"
 
 	"corianderhitch/internal/edge/bootclock"
+	"corianderhitch/internal/edge/targetnotice"
 )
 
 const (
@@ -38,24 +39,34 @@
 // Pool holds the idle connections to all targets. It is safe for concurrent use.
 type Pool struct {
 	requestID func(http.Header) string
+	gate      Gate
 
 	mu   sync.Mutex
-	idle map[string][]*Conn // guarded by mu; by incarnation, most recently used last
+	idle map[string][]*Conn // guarded by mu; by Conn.key, most recently used last
 }
 
 // New returns an empty pool. requestID returns the request id that a response states.
-func New(requestID func(http.Header) string) *Pool {
-	return &Pool{requestID: requestID, idle: make(map[string][]*Conn)}
+func New(requestID func(http.Header) string, gate Gate) *Pool {
+	return &Pool{requestID: requestID, gate: gate, idle: make(map[string][]*Conn)}
 }
 
-// Do sends a request to the target at address and returns once the head of the
-// response arrives. The end of ctx closes the connection, which cancels the run. The
-// error matches ErrNotSent, ErrBroken or ErrInvalidResponse.
+// Do sends a request to the target at address, unless the gate refuses it, and returns
+// once the head of the response arrives. The end of ctx closes the connection, which
+// cancels the run. The error matches ErrNotSent, ErrBroken or ErrInvalidResponse.
 func (p *Pool) Do(ctx context.Context, incarnation, address string, req *Request) (*Response, error) {
-	conn, err := p.get(ctx, incarnation, address)
+	// A refused request must not cost the target a connection.
+	if v := p.gate.Check(incarnation, req); v != targetnotice.Allowed {
+		return nil, &refusal{v}
+	}
+	conn, err := p.get(ctx, connKey(incarnation, req), address)
 	if err != nil {
 		return nil, err
 	}
+	// The target may have answered other requests while the connection was established.
+	if v := p.gate.Admit(incarnation, req); v != targetnotice.Allowed {
+		p.put(conn)
+		return nil, &refusal{v}
+	}
 	detach := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	written, err := writeRequest(conn, req)
 	if err != nil {
@@ -63,7 +74,10 @@
 		_ = conn.Close()
 		return nil, eris.Wrap(ErrBroken, err.Error())
 	}
-	head, err := p.readHead(conn, req)
+	leaving := false
+	head, err := p.readHead(conn, req, func(h *http.Response) {
+		leaving = p.gate.Observe(incarnation, address, req, h.StatusCode, h.Header) || leaving
+	})
 	if err != nil {
 		detach()
 		_ = conn.Close()
@@ -74,11 +88,11 @@
 	return &Response{
 		Status: head.StatusCode, Header: head.Header, ConnectionClosing: closing,
 		body: head.Body, conn: conn, pool: p, detach: detach, written: written,
-		reusable: !closing,
+		reusable: !closing && !(leaving && isCallersRequest(req)),
 	}, nil
 }
 
-// CloseIdle closes the idle connections to an incarnation.
+// CloseIdle closes the idle connections for requests to an incarnation.
 func (p *Pool) CloseIdle(incarnation string) {
 	p.mu.Lock()
 	conns := p.idle[incarnation]
@@ -106,13 +120,30 @@
 	return written, nil
 }
 
-// readHead reads response heads until one belongs to the request.
-func (p *Pool) readHead(conn *Conn, req *Request) (*http.Response, error) {
+// controlPrefix separates the idle connections for control calls, which are still needed
+// when a target leaves, from those for requests.
+const controlPrefix = "control "
+
+// connKey returns the key of the connections that serve a request.
+func connKey(incarnation string, req *Request) string {
+	if isCallersRequest(req) {
+		return incarnation
+	}
+	return controlPrefix + incarnation
+}
+
+func isCallersRequest(req *Request) bool {
+	return req.Use == targetnotice.Request || req.Use == targetnotice.Continuation
+}
+
+// readHead reads response heads until one belongs to the request. It passes each to observe.
+func (p *Pool) readHead(conn *Conn, req *Request, observe func(*http.Response)) (*http.Response, error) {
 	for skipped := 0; ; {
 		head, err := http.ReadResponse(conn.reader, &http.Request{Method: req.Method})
 		if err != nil {
 			return nil, classifyReadError(err)
 		}
+		observe(head)
 		if head.StatusCode < http.StatusOK {
 			continue // an interim response
 		}
@@ -147,11 +178,11 @@
 }
 
 // get returns a healthy idle connection or a new one.
-func (p *Pool) get(ctx context.Context, incarnation, address string) (*Conn, error) {
+func (p *Pool) get(ctx context.Context, key, address string) (*Conn, error) {
 	for {
-		conn := p.takeIdle(incarnation)
+		conn := p.takeIdle(key)
 		if conn == nil {
-			return dial(ctx, incarnation, address)
+			return dial(ctx, key, address)
 		}
 		if conn.healthy() {
 			return conn, nil
@@ -160,16 +191,16 @@
 	}
 }
 
-func (p *Pool) takeIdle(incarnation string) *Conn {
+func (p *Pool) takeIdle(key string) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	conns := p.idle[incarnation]
+	conns := p.idle[key]
 	if len(conns) == 0 {
 		return nil
 	}
 	last := conns[len(conns)-1]
 	conns[len(conns)-1] = nil
-	p.idle[incarnation] = conns[:len(conns)-1]
+	p.idle[key] = conns[:len(conns)-1]
 	return last
 }
 
@@ -181,9 +212,9 @@
 		return
 	}
 	p.mu.Lock()
-	full := len(p.idle[c.incarnation]) >= maxIdlePerTarget
+	full := len(p.idle[c.key]) >= maxIdlePerTarget
 	if !full {
-		p.idle[c.incarnation] = append(p.idle[c.incarnation], c)
+		p.idle[c.key] = append(p.idle[c.key], c)
 	}
 	p.mu.Unlock()
 	if full {
@@ -191,14 +222,14 @@
 	}
 }
 
-func dial(ctx context.Context, incarnation, address string) (*Conn, error) {
+func dial(ctx context.Context, key, address string) (*Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	c, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, eris.Wrapf(ErrNotSent, "%s: %v", address, err)
 	}
 	setUserTimeout(c)
-	return newConn(c, incarnation), nil
+	return newConn(c, key), nil
 }
 
 // setUserTimeout makes the connection fail when the peer stops acknowledging data.
--- /dev/null
+++ b/internal/edge/targetconn/pool_test.go
@@ -0,0 +1,179 @@
+package targetconn
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"corianderhitch/internal/edge/targetnotice"
+)
+
+const (
+	idHeader      = "Id"
+	leavingHeader = "Leaves"
+)
+
+// scriptedGate refuses as told and records the heads that it observes.
+type scriptedGate struct {
+	check, admit targetnotice.Verdict
+
+	mu       sync.Mutex
+	observed []int // guarded by mu; statuses
+}
+
+func (g *scriptedGate) Check(string, *Request) targetnotice.Verdict { return g.check }
+
+func (g *scriptedGate) Admit(string, *Request) targetnotice.Verdict { return g.admit }
+
+func (g *scriptedGate) Observe(_, _ string, _ *Request, status int, h http.Header) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.observed = append(g.observed, status)
+	return h.Get(leavingHeader) != ""
+}
+
+// rawTarget answers each request with the same bytes and counts connections and requests.
+type rawTarget struct {
+	listener    net.Listener
+	mu          sync.Mutex
+	connections int // guarded by mu
+	requests    int // guarded by mu
+}
+
+func startRawTarget(t *testing.T, answer string) *rawTarget {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	target := &rawTarget{listener: listener}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			target.count(&target.connections)
+			go target.serve(conn, answer)
+		}
+	}()
+	return target
+}
+
+func (r *rawTarget) serve(conn net.Conn, answer string) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		r.count(&r.requests)
+		_, _ = io.Copy(io.Discard, request.Body)
+		if _, err := io.WriteString(conn, answer); err != nil {
+			return
+		}
+	}
+}
+
+func (r *rawTarget) count(n *int) {
+	r.mu.Lock()
+	*n++
+	r.mu.Unlock()
+}
+
+func (r *rawTarget) counts() (connections, requests int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.connections, r.requests
+}
+
+func newTestPool(gate Gate) *Pool {
+	return New(func(h http.Header) string { return h.Get(idHeader) }, gate)
+}
+
+func exchange(t *testing.T, p *Pool, r *rawTarget) error {
+	response, err := p.Do(t.Context(), "a@1", r.listener.Addr().String(), &Request{ID: "r-1", Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{}})
+	if err != nil {
+		return err
+	}
+	_, err = io.Copy(io.Discard, response)
+	response.Close()
+	return err
+}
+
+func TestRefusedSendDoesNotReachTarget(t *testing.T) {
+	for name, c := range map[string]struct {
+		gate        *scriptedGate
+		connections int
+	}{
+		"before the connection": {gate: &scriptedGate{check: targetnotice.Leaving}},
+		"before the request":    {gate: &scriptedGate{admit: targetnotice.Paused}, connections: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			target := startRawTarget(t, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			pool := newTestPool(c.gate)
+			err := exchange(t, pool, target)
+			require.ErrorIs(t, err, ErrRefused)
+			require.ErrorIs(t, err, ErrNotSent)
+			require.NotErrorIs(t, err, ErrBroken)
+			time.Sleep(50 * time.Millisecond)
+			connections, requests := target.counts()
+			require.Equal(t, c.connections, connections)
+			require.Zero(t, requests)
+			c.gate.check, c.gate.admit = targetnotice.Allowed, targetnotice.Allowed
+			require.NoError(t, exchange(t, pool, target))
+			connections, _ = target.counts()
+			require.Equal(t, 1, connections, "the connection of a refused request is kept")
+		})
+	}
+}
+
+// The head of a response to another request, of an interim and of a broken response count too.
+func TestEveryHeadIsObserved(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer string
+		want   []int
+	}{
+		"error":            {"HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n", []int{500}},
+		"misdirected":      {"HTTP/1.1 421 M\r\nContent-Length: 0\r\n\r\n", []int{421}},
+		"interim":          {"HTTP/1.1 103 E\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", []int{103, 200}},
+		"another request":  {"HTTP/1.1 503 N\r\nId: r-0\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nId: r-1\r\nContent-Length: 0\r\n\r\n", []int{503, 200}},
+		"body cut short":   {"HTTP/1.1 503 N\r\nConnection: close\r\nContent-Length: 9\r\n\r\nabc", []int{503}},
+		"stream goes on":   {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n", []int{200}},
+		"until connection": {"HTTP/1.1 200 OK\r\n\r\nabc", []int{200}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			gate := &scriptedGate{}
+			target := startRawTarget(t, c.answer)
+			response, err := newTestPool(gate).Do(t.Context(), "a@1", target.listener.Addr().String(), &Request{ID: "r-1", Method: http.MethodGet, URI: "/", Header: http.Header{}})
+			require.NoError(t, err)
+			defer response.Close()
+			gate.mu.Lock()
+			defer gate.mu.Unlock()
+			require.Equal(t, c.want, gate.observed, "heads are observed before the body is read")
+		})
+	}
+}
+
+// No request would use the idle connection to a leaving target, which would stay open.
+func TestConnectionToLeavingTargetIsNotKept(t *testing.T) {
+	for _, c := range []struct {
+		answer string
+		want   int
+	}{
+		{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 1},
+		{"HTTP/1.1 200 OK\r\n" + leavingHeader + ": 1\r\nContent-Length: 0\r\n\r\n", 2},
+	} {
+		target := startRawTarget(t, c.answer)
+		pool := newTestPool(&scriptedGate{})
+		require.NoError(t, exchange(t, pool, target))
+		require.NoError(t, exchange(t, pool, target))
+		connections, _ := target.counts()
+		require.Equal(t, c.want, connections)
+	}
+}
--- a/internal/edge/targetconn/request.go
+++ b/internal/edge/targetconn/request.go
@@ -4,6 +4,9 @@
 	"bytes"
 	"net/http"
 	"strconv"
+
+	"corianderhitch/internal/edge/bootclock"
+	"corianderhitch/internal/edge/targetnotice"
 )
 
 // Request is a request to a target.
@@ -14,6 +17,10 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+
+	Use     targetnotice.Use
+	Arrived bootclock.Instant // when the caller's request arrived at this host; 0 for control calls
+	CopyTo  string            // incarnation to which the target is asked to copy a run; "" if none
 }
 
 // encode returns the whole request, so that it is sent in one write.
--- /dev/null
+++ b/internal/edge/targetgate/gate.go
@@ -0,0 +1,134 @@
+// Package targetgate decides which sends may reach a target, by what targets state in their
+// answers to this host, and passes on what they state: to the registry of targets, the log and
+// the metrics. Package targetnotice holds the rules.
+package targetgate
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"corianderhitch/internal/edge"
+	"corianderhitch/internal/edge/bootclock"
+	"corianderhitch/internal/edge/targetconn"
+	"corianderhitch/internal/edge/targetnotice"
+	"corianderhitch/internal/edge/targets"
+)
+
+// malformedLogInterval is the least time between two log lines about malformed headers: a
+// target may send one with each answer.
+const malformedLogInterval = 10 * time.Second
+
+// Observer counts notices and refused sends as metrics.
+type Observer interface {
+	// ObserveTargetNotice counts an answer that states that its target leaves or wants a
+	// pause, or whose statement is malformed.
+	ObserveTargetNotice(kind string)
+	// ObserveRefusedSend counts a send that was refused because of such an answer.
+	ObserveRefusedSend(reason string)
+}
+
+// Kinds of notices in metrics.
+const (
+	kindLeaving   = "leaving"
+	kindPause     = "pause"
+	kindMalformed = "malformed"
+)
+
+// Gate implements targetconn.Gate. Its fields are set before the first send. It is safe for
+// concurrent use.
+type Gate struct {
+	Log      *slog.Logger
+	Wire     edge.Wire
+	Notices  *targetnotice.Tracker
+	Targets  *targets.Registry
+	Observer Observer
+
+	malformedLoggedAt atomic.Int64 // a bootclock.Instant
+}
+
+var _ targetconn.Gate = (*Gate)(nil)
+
+// Check implements targetconn.Gate.
+func (g *Gate) Check(incarnation string, r *targetconn.Request) targetnotice.Verdict {
+	return g.decide(g.Notices.Check, incarnation, r)
+}
+
+// Admit implements targetconn.Gate.
+func (g *Gate) Admit(incarnation string, r *targetconn.Request) targetnotice.Verdict {
+	return g.decide(g.Notices.Admit, incarnation, r)
+}
+
+// decide returns the verdict on a request, and on the destination of the copy that it asks
+// for.
+func (g *Gate) decide(verdict func(string, targetnotice.Use, bootclock.Instant, bootclock.Instant) targetnotice.Verdict, incarnation string, r *targetconn.Request) targetnotice.Verdict {
+	now := bootclock.Now()
+	v := verdict(incarnation, r.Use, r.Arrived, now)
+	if v == targetnotice.Allowed && r.CopyTo != "" {
+		v = verdict(r.CopyTo, targetnotice.CopyDestination, 0, now)
+	}
+	if v != targetnotice.Allowed {
+		g.Observer.ObserveRefusedSend(v.String())
+	}
+	return v
+}
+
+// Observe implements targetconn.Gate.
+func (g *Gate) Observe(incarnation, address string, r *targetconn.Request, status int, h http.Header) (leaving bool) {
+	n := g.Wire.TargetNotice(status, h)
+	if n == (edge.TargetNotice{}) {
+		return false
+	}
+	answer := slog.Group("answer", "request", r.ID, "path", r.URI, "status", status)
+	if n.Malformed != "" {
+		g.observeMalformed(incarnation, n.Malformed, answer)
+	}
+	for _, key := range g.authors(incarnation, address, status) {
+		if n.Leaving {
+			g.observeLeaving(key, r.ID, answer)
+		}
+		if n.Pause > 0 {
+			g.observePause(key, r.ID, n.Pause, answer)
+		}
+	}
+	return n.Leaving
+}
+
+// authors returns the incarnations that an answer is from: a misdirected request was answered
+// by whichever other target has the address now.
+func (g *Gate) authors(incarnation, address string, status int) []string {
+	if status == http.StatusMisdirectedRequest {
+		return g.Targets.View().OthersAt(address, incarnation)
+	}
+	return []string{incarnation}
+}
+
+func (g *Gate) observeLeaving(incarnation, request string, answer slog.Attr) {
+	g.Observer.ObserveTargetNotice(kindLeaving)
+	if !g.Notices.ObserveLeaving(incarnation, bootclock.Now()) {
+		return
+	}
+	g.Log.Info("targets: target stated that it leaves; it gets no more requests", "target", incarnation, "request", request, answer)
+	g.Targets.MarkLeaving(incarnation, targets.SourceAnswer)
+}
+
+func (g *Gate) observePause(incarnation, request string, pause time.Duration, answer slog.Attr) {
+	g.Observer.ObserveTargetNotice(kindPause)
+	now := bootclock.Now()
+	until, began := g.Notices.ObservePause(incarnation, now, pause, rand.Float64())
+	if began {
+		g.Log.Info("targets: target wants a pause; it gets no requests until then", "target", incarnation, "request", request,
+			"retry_after_ms", pause.Milliseconds(), "until", time.Now().Add(until.Sub(now)), answer)
+	}
+}
+
+func (g *Gate) observeMalformed(incarnation, malformed string, answer slog.Attr) {
+	g.Observer.ObserveTargetNotice(kindMalformed)
+	now, last := int64(bootclock.Now()), g.malformedLoggedAt.Load()
+	if (last != 0 && now-last < int64(malformedLogInterval)) || !g.malformedLoggedAt.CompareAndSwap(last, now) {
+		return
+	}
+	g.Log.Warn("targets: malformed header of a target ignored", "target", incarnation, "header", malformed, answer)
+}
--- /dev/null
+++ b/internal/edge/targetgate/gate_test.go
@@ -0,0 +1,120 @@
+package targetgate
+
+import (
+	"bytes"
+	"log/slog"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"corianderhitch/internal/edge"
+	"corianderhitch/internal/edge/bootclock"
+	"corianderhitch/internal/edge/targetconn"
+	"corianderhitch/internal/edge/targetnotice"
+	"corianderhitch/internal/edge/targets"
+)
+
+const (
+	address = "127.0.0.1:1"
+	pause   = time.Minute
+)
+
+// fakeWire reads the headers Leaving, Pause and Malformed.
+type fakeWire struct{ edge.Wire }
+
+func (fakeWire) TargetNotice(_ int, h http.Header) edge.TargetNotice {
+	n := edge.TargetNotice{Leaving: h.Get("Leaving") != "", Malformed: h.Get("Malformed")}
+	if h.Get("Pause") != "" {
+		n.Pause = pause
+	}
+	return n
+}
+
+type counts map[string]int
+
+func (c counts) ObserveTargetNotice(kind string) { c["notice "+kind]++ }
+
+func (c counts) ObserveRefusedSend(reason string) { c["refused "+reason]++ }
+
+// newGate returns a gate for the targets a@1 and b@1 at one address, with its counters, its
+// log and the incarnations of which it was told that they leave.
+func newGate() (g *Gate, counted counts, log *bytes.Buffer, leaving *[]string) {
+	counted, log, leaving = make(counts), &bytes.Buffer{}, &[]string{}
+	notices := targetnotice.New()
+	registry := targets.New(notices, func(_ targets.Target, n targets.LeavingNotice) { *leaving = append(*leaving, n.Key+" "+n.Source) })
+	registry.Replace(map[string]targets.Target{
+		"a": {ID: "a", StartedAtMS: 1, Service: "s", Address: address}, "b": {ID: "b", StartedAtMS: 1, Service: "s", Address: address},
+	}, 1)
+	return &Gate{Log: slog.New(slog.NewJSONHandler(log, nil)), Wire: fakeWire{}, Notices: notices, Targets: registry, Observer: counted}, counted, log, leaving
+}
+
+// request returns a caller's request that arrives now.
+func request() *targetconn.Request {
+	return &targetconn.Request{ID: "r-1", URI: "/x", Arrived: bootclock.Now()}
+}
+
+func TestLeavingAnswerIsPassedOnOnce(t *testing.T) {
+	g, counted, log, leaving := newGate()
+	before := request()
+	for range 3 {
+		require.True(t, g.Observe("a@1", address, before, http.StatusOK, http.Header{"Leaving": {"1"}}))
+	}
+	require.Equal(t, []string{"a@1 answer"}, *leaving)
+	require.Equal(t, 1, strings.Count(log.String(), "\n"))
+	require.Contains(t, log.String(), `"request":"r-1"`, "explain shows the line of the request")
+	require.Equal(t, targetnotice.Allowed, g.Check("a@1", before))
+	require.Equal(t, targetnotice.Leaving, g.Admit("a@1", request()))
+	require.Equal(t, targetnotice.Allowed, g.Admit("b@1", request()))
+	require.Equal(t, counts{"notice leaving": 3, "refused leaving": 1}, counted)
+}
+
+// A misdirected request was answered by the other target at the address, not by the one that
+// it was sent to.
+func TestMisdirectedAnswerIsFromTheOtherTarget(t *testing.T) {
+	g, _, _, leaving := newGate()
+	g.Observe("a@1", address, request(), http.StatusMisdirectedRequest, http.Header{"Leaving": {"1"}})
+	require.Equal(t, []string{"b@1 answer"}, *leaving)
+	require.Equal(t, targetnotice.Allowed, g.Admit("a@1", request()))
+	require.Equal(t, targetnotice.Leaving, g.Admit("b@1", request()))
+	g.Observe("c@1", "127.0.0.1:9", request(), http.StatusMisdirectedRequest, http.Header{"Leaving": {"1"}})
+	require.Equal(t, targetnotice.Allowed, g.Admit("c@1", request()))
+}
+
+func TestPauseIsLoggedOnce(t *testing.T) {
+	g, counted, log, leaving := newGate()
+	for range 3 {
+		require.False(t, g.Observe("a@1", address, request(), http.StatusServiceUnavailable, http.Header{"Pause": {"1"}}))
+	}
+	require.Empty(t, *leaving)
+	require.Equal(t, 1, strings.Count(log.String(), "\n"))
+	require.Contains(t, log.String(), `"retry_after_ms":60000`)
+	require.Equal(t, targetnotice.Paused, g.Admit("a@1", request()))
+	require.Equal(t, counts{"notice pause": 3, "refused paused": 1}, counted)
+}
+
+func TestRunsGoOnWhileTheirTargetLeaves(t *testing.T) {
+	g, _, _, _ := newGate()
+	g.Observe("a@1", address, request(), http.StatusOK, http.Header{"Leaving": {"1"}})
+	move := &targetconn.Request{Use: targetnotice.Control, CopyTo: "b@1"}
+	require.Equal(t, targetnotice.Allowed, g.Admit("a@1", move), "a run moves off")
+	require.Equal(t, targetnotice.Allowed, g.Admit("a@1", &targetconn.Request{Use: targetnotice.Control}))
+	require.Equal(t, targetnotice.Leaving, g.Admit("a@1", &targetconn.Request{Use: targetnotice.Probe}))
+	move.CopyTo = "a@1"
+	require.Equal(t, targetnotice.Leaving, g.Admit("b@1", move), "no run is copied to a leaving target")
+	g.Observe("b@1", address, request(), http.StatusServiceUnavailable, http.Header{"Pause": {"1"}})
+	move.CopyTo = "b@1"
+	require.Equal(t, targetnotice.Paused, g.Admit("a@1", move))
+}
+
+func TestMalformedHeadersAreLoggedRarely(t *testing.T) {
+	g, counted, log, _ := newGate()
+	for range 1000 {
+		g.Observe("a@1", address, request(), http.StatusOK, http.Header{"Malformed": {"x"}})
+	}
+	require.Equal(t, 1, strings.Count(log.String(), "\n"))
+	require.Equal(t, counts{"notice malformed": 1000}, counted)
+	require.Equal(t, targetnotice.Allowed, g.Admit("a@1", request()))
+}
--- a/internal/edge/targetnotice/tracker.go
+++ b/internal/edge/targetnotice/tracker.go
@@ -6,6 +6,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"corianderhitch/internal/edge/bootclock"
@@ -57,6 +58,8 @@
 type Tracker struct {
 	mu      sync.Mutex
 	targets map[string]*statements // guarded by mu
+	// lastEnd is when the last pause of any target ends, a bootclock.Instant.
+	lastEnd atomic.Int64
 }
 
 // statements is what one incarnation has stated.
@@ -99,6 +102,7 @@
 		s.continuations = 0
 	}
 	s.pausedUntil = max(s.pausedUntil, at.Add(pause+spread))
+	t.lastEnd.Store(max(t.lastEnd.Load(), int64(s.pausedUntil)))
 	return s.pausedUntil, began
 }
 
@@ -140,6 +144,19 @@
 	return Allowed
 }
 
+// AnyPaused reports whether a target may be paused. It is cheap.
+func (t *Tracker) AnyPaused(now bootclock.Instant) bool { return int64(now) < t.lastEnd.Load() }
+
+// PauseLeft returns how long the incarnation's pause lasts, 0 if it isn't paused.
+func (t *Tracker) PauseLeft(incarnation string, now bootclock.Instant) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.targets[incarnation]; s != nil && s.paused(now) {
+		return s.pausedUntil.Sub(now)
+	}
+	return 0
+}
+
 // IsLeaving reports whether the incarnation has stated that it leaves.
 func (t *Tracker) IsLeaving(incarnation string) bool {
 	t.mu.Lock()
--- a/internal/edge/targets/registry.go
+++ b/internal/edge/targets/registry.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"corianderhitch/internal/edge/bootclock"
+	"corianderhitch/internal/edge/targetnotice"
 	"corianderhitch/internal/platform"
 )
 
@@ -25,6 +26,10 @@
 // entry of a healthy target may expire while the store is unavailable, and reappear.
 const sourceRemoved = "target_removed"
 
+// SourceAnswer is the source of a notice that the target itself gave in an answer to this
+// host. It outlasts noticeRetention, whatever the list says of the incarnation meanwhile.
+const SourceAnswer = "answer"
+
 // LeavingNotice records that a target is leaving.
 type LeavingNotice struct {
 	Key        string // of the incarnation
@@ -37,12 +42,14 @@
 	Revision  platform.Revision // of the platform's list
 	byService map[string][]*Target
 	byKey     map[string]*Target
+	stated    *targetnotice.Tracker
 }
 
 // Registry tracks targets and their leaving notices. It is safe for concurrent use.
 type Registry struct {
 	view      atomic.Pointer[View]
 	onLeaving func(Target, LeavingNotice)
+	stated    *targetnotice.Tracker // what targets have stated in their answers
 
 	mu             sync.Mutex
 	entries        map[string]Target        // guarded by mu; by entry key
@@ -50,16 +57,17 @@
 	leavingTargets map[string]Target        // guarded by mu; targets of notices, by incarnation
 }
 
-// New returns an empty registry. onLeaving is called once for each incarnation that
-// starts to leave, without locks held.
-func New(onLeaving func(Target, LeavingNotice)) *Registry {
+// New returns an empty registry. stated holds what targets have stated in their answers.
+// onLeaving is called once for each incarnation that starts to leave, without locks held.
+func New(stated *targetnotice.Tracker, onLeaving func(Target, LeavingNotice)) *Registry {
 	r := &Registry{
 		onLeaving:      onLeaving,
+		stated:         stated,
 		entries:        make(map[string]Target),
 		notices:        make(map[string]LeavingNotice),
 		leavingTargets: make(map[string]Target),
 	}
-	r.view.Store(&View{byService: map[string][]*Target{}, byKey: map[string]*Target{}})
+	r.view.Store(&View{stated: stated})
 	return r
 }
 
@@ -156,15 +164,19 @@
 }
 
 // MarkLeaving records that an incarnation is leaving, as reported by source. It ignores
-// unknown incarnations and those that already have a notice.
+// unknown incarnations. A notice that is there already stays, except that one based only on
+// a missing entry is confirmed, so that the entry's return doesn't withdraw it.
 func (r *Registry) MarkLeaving(key, source string) {
 	r.mu.Lock()
 	var leaving []newlyLeaving
-	if _, known := r.notices[key]; !known {
-		if t := r.view.Load().byKey[key]; t != nil {
-			leaving = r.recordLeaving([]Target{*t}, source)
-			r.publishView(r.view.Load().Revision)
+	if n, known := r.notices[key]; known {
+		if n.Source == sourceRemoved {
+			n.Source = source
+			r.notices[key] = n
 		}
+	} else if t := r.view.Load().byKey[key]; t != nil {
+		leaving = r.recordLeaving([]Target{*t}, source)
+		r.publishView(r.view.Load().Revision)
 	}
 	r.mu.Unlock()
 	r.notifyLeaving(leaving)
@@ -230,12 +242,12 @@
 // publishView deletes expired notices and builds a new view. Callers hold r.mu.
 func (r *Registry) publishView(revision platform.Revision) {
 	for key, n := range r.notices {
-		if bootclock.Since(n.ReceivedAt) > noticeRetention {
+		if bootclock.Since(n.ReceivedAt) > noticeRetention && !r.stated.IsLeaving(key) {
 			delete(r.notices, key)
 			delete(r.leavingTargets, key)
 		}
 	}
-	v := &View{Revision: revision, byService: make(map[string][]*Target), byKey: make(map[string]*Target, len(r.entries))}
+	v := &View{Revision: revision, stated: r.stated, byService: make(map[string][]*Target), byKey: make(map[string]*Target, len(r.entries))}
 	for key := range r.leavingTargets {
 		t := r.leavingTargets[key]
 		v.byKey[key] = &t
@@ -243,7 +255,7 @@
 	for _, t := range r.entries {
 		key := t.Key()
 		_, leaving := r.notices[key]
-		t.Leaving = t.Leaving || leaving
+		t.Leaving = t.Leaving || leaving || r.stated.IsLeaving(key)
 		v.byKey[key] = &t
 		v.byService[t.Service] = append(v.byService[t.Service], &t)
 	}
--- a/internal/edge/targets/registry_test.go
+++ b/internal/edge/targets/registry_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"corianderhitch/internal/edge/targetnotice"
 )
 
 func readyEntry(n int) Change {
@@ -21,7 +23,7 @@
 		batch = append(batch, readyEntry(n))
 	}
 	allocations := testing.AllocsPerRun(1, func() {
-		r := New(func(Target, LeavingNotice) {})
+		r := New(targetnotice.New(), func(Target, LeavingNotice) {})
 		r.Apply(batch, 1)
 		require.Equal(t, targets, r.View().Len())
 	})
@@ -30,7 +32,7 @@
 
 func TestApplyKeepsOrderWithinBatch(t *testing.T) {
 	var leavingIDs []string
-	r := New(func(t Target, _ LeavingNotice) { leavingIDs = append(leavingIDs, t.ID) })
+	r := New(targetnotice.New(), func(t Target, _ LeavingNotice) { leavingIDs = append(leavingIDs, t.ID) })
 	r.Apply([]Change{readyEntry(1), readyEntry(2), readyEntry(3)}, 1)
 	leaving := readyEntry(2)
 	leaving.Target.Leaving = true
--- a/internal/edge/targets/view.go
+++ b/internal/edge/targets/view.go
@@ -1,21 +1,75 @@
 package targets
 
-// Available returns the targets of a service that accept new requests, sorted by key.
-// The slice is shared; callers must not change it.
+import (
+	"time"
+
+	"corianderhitch/internal/edge/bootclock"
+)
+
+// Serving returns the targets of a service that don't leave, sorted by key, whether or not
+// they want a pause from this host. The slice is shared; callers must not change it.
+func (v *View) Serving(service string) []*Target {
+	return keep(v.byService[service], func(t *Target) bool { return !t.Leaving })
+}
+
+// Available returns the targets of a service that accept new requests from this host, sorted
+// by key. The slice is shared; callers must not change it.
 func (v *View) Available(service string) []*Target {
-	all := v.byService[service]
-	for i, t := range all {
-		if t.Leaving {
-			return withoutLeaving(all, i)
+	now := bootclock.Now()
+	if !v.stated.AnyPaused(now) {
+		return v.Serving(service)
+	}
+	return keep(v.Serving(service), func(t *Target) bool { return v.stated.PauseLeft(t.Key(), now) == 0 })
+}
+
+// Refusing returns the incarnations of a service that have stated to this host that they
+// leave or want a pause; other hosts may not know.
+func (v *View) Refusing(service string) []string {
+	var keys []string
+	now := bootclock.Now()
+	for _, t := range v.byService[service] {
+		if key := t.Key(); v.stated.IsLeaving(key) || v.stated.PauseLeft(key, now) > 0 {
+			keys = append(keys, key)
 		}
 	}
-	return all
+	return keys
+}
+
+// PauseLeft returns the shortest time until a target of the service accepts requests again.
+// It returns false if a target accepts them now, or if all targets leave.
+func (v *View) PauseLeft(service string) (time.Duration, bool) {
+	now := bootclock.Now()
+	if !v.stated.AnyPaused(now) {
+		return 0, false
+	}
+	shortest, paused := time.Duration(0), false
+	for _, t := range v.Serving(service) {
+		left := v.stated.PauseLeft(t.Key(), now)
+		if left == 0 {
+			return 0, false
+		}
+		if !paused || left < shortest {
+			shortest, paused = left, true
+		}
+	}
+	return shortest, paused
 }
 
 // Get returns the target of an incarnation, or nil. It also finds leaving targets that
 // were recently removed from the list.
 func (v *View) Get(key string) *Target { return v.byKey[key] }
 
+// OthersAt returns the incarnations at an address except one.
+func (v *View) OthersAt(address, except string) []string {
+	var keys []string
+	for key, t := range v.byKey {
+		if t.Address == address && key != except {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
 // Len returns the number of targets in the platform's list.
 func (v *View) Len() int {
 	n := 0
@@ -25,12 +79,19 @@
 	return n
 }
 
-func withoutLeaving(all []*Target, first int) []*Target {
-	kept := append([]*Target(nil), all[:first]...)
-	for _, t := range all[first:] {
-		if !t.Leaving {
-			kept = append(kept, t)
+// keep returns the targets for which ok is true; all itself if that is all of them.
+func keep(all []*Target, ok func(*Target) bool) []*Target {
+	for i, t := range all {
+		if ok(t) {
+			continue
 		}
+		kept := append([]*Target(nil), all[:i]...)
+		for _, t := range all[i+1:] {
+			if ok(t) {
+				kept = append(kept, t)
+			}
+		}
+		return kept
 	}
-	return kept
+	return all
 }
