--- a/internal/edge/targets/stated_test.go
+++ b/internal/edge/targets/stated_test.go
@@ -56,6 +56,16 @@
 	}
 }
 
+// The answer came while the list did not have the target.
+func TestStatementPrecedesEntry(t *testing.T) {
+	stated := targetnotice.New()
+	r := New(stated, func(Target, LeavingNotice) {})
+	stated.ObserveLeaving("a@1", bootclock.Now())
+	r.MarkLeaving("a@1", SourceAnswer)
+	r.Apply([]Change{entry(1, false)}, 1)
+	require.Empty(t, r.View().Available("s"))
+}
+
 // The notice outlasts the time after which others are forgotten, as long as the entry may
 // return.
 func TestStatedLeavingIsNotForgotten(t *testing.T) {
--- a/tests/edge/notices_test.go
+++ b/tests/edge/notices_test.go
@@ -1,6 +1,7 @@
 package edge_test
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -9,6 +10,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	ports "corianderhitch/internal/platform"
+	"corianderhitch/platform"
 	"corianderhitch/platform/headers"
 	"corianderhitch/platform/standin"
 )
@@ -92,6 +95,64 @@
 	}
 }
 
+// The list goes on calling the target ready, with entries that are newer than its answer.
+func TestReadyEntryDoesNotBringLeavingTargetBack(t *testing.T) {
+	t.Parallel()
+	f, h, targets := startPlainFleet(t, 1)
+	target := targets[0]
+	target.Leave()
+	require.Equal(t, http.StatusOK, send(h.request(t.Context(), http.MethodGet, "check", "first", nil)).status)
+	for _, state := range []string{"ready", "draining", "ready"} {
+		f.register(target.ID, plainService, target.Address(), state)
+		require.Eventually(t, func() bool { return logContains(h, `"leaving":`+strconv.FormatBool(state == "draining")) }, waitTimeout, checkInterval)
+	}
+	f.startPlainTarget("d-2")
+	require.Eventually(t, func() bool { return logContains(h, `"target":"d-2"`) }, waitTimeout, checkInterval)
+	for i := range 10 {
+		require.Equal(t, http.StatusOK, send(h.request(t.Context(), http.MethodGet, "check", fmt.Sprintf("r-%d", i), nil)).status)
+	}
+	require.Len(t, target.Requests(), 1, "a leaving target got a request")
+}
+
+// The target starts again under the id that it had, after it left and asked for a pause that
+// no one would wait for.
+func TestRestartedTargetIsUsedAgain(t *testing.T) {
+	t.Parallel()
+	f, h, targets := startPlainFleet(t, 1)
+	first := targets[0]
+	first.Leave()
+	first.Pause(1000 * time.Hour)
+	require.Equal(t, http.StatusServiceUnavailable, send(h.request(t.Context(), http.MethodGet, "check", "r-1", nil)).status)
+	second := f.startPlainTarget(first.ID)
+	entry := standin.TargetEntry(plainService, second.Address(), "ready", 6)
+	restarted := bytes.Replace(entry, []byte(`"born":17`), []byte(`"born":18`), 1)
+	require.NotEqual(t, entry, restarted)
+	_, err := f.store.Put(t.Context(), platform.TargetPrefix+first.ID, restarted, ports.AnyRevision, 0)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool {
+		return send(h.request(t.Context(), http.MethodGet, "check", "r-2", nil)).status == http.StatusOK
+	}, waitTimeout, checkInterval)
+	require.Len(t, first.Requests(), 1)
+}
+
+// The host that got the answer tells the others, who then place elsewhere.
+func TestPeersHearOfLeavingTarget(t *testing.T) {
+	t.Parallel()
+	f, told, targets := startPlainFleet(t, 2)
+	other := f.startHost()
+	targets[0].Leave()
+	require.Eventually(t, func() bool {
+		sendConcurrently(t, told, "warm", 2, "check")
+		return logContains(told, `"source":"answer"`)
+	}, waitTimeout, checkInterval)
+	require.Eventually(t, func() bool { return logContains(other, `"source":"peer host-0"`) }, waitTimeout, checkInterval)
+	reached := len(targets[0].Requests())
+	for _, a := range sendConcurrently(t, other, "r", 6, "check") {
+		require.Equal(t, http.StatusOK, a.status)
+	}
+	require.Equal(t, reached, len(targets[0].Requests()))
+}
+
 // The engine's load report is the first answer that bears the header. The run in progress
 // moves, and later runs start elsewhere.
 func TestRunMovesOffEngineThatSaysItLeaves(t *testing.T) {
@@ -217,3 +278,47 @@
 	require.Len(t, plain.Requests(), 1)
 	require.Len(t, engine.Requests(), 1)
 }
+
+// The timeline of the request that got the answer names the notice.
+func TestRequestLogNamesTargetNotices(t *testing.T) {
+	t.Parallel()
+	_, h, targets := startPlainFleet(t, 1)
+	targets[0].Leave()
+	targets[0].Pause(time.Minute)
+	require.Equal(t, http.StatusServiceUnavailable, send(h.request(t.Context(), http.MethodGet, "check", "r-1", nil)).status)
+	text := requestTimeline(t, h, "r-1")
+	require.Contains(t, text, "targets: target stated that it leaves")
+	require.Contains(t, text, "targets: target wants a pause")
+	require.Contains(t, text, "retry_after_ms=")
+	require.Contains(t, text, "until=")
+}
+
+// Runs that wait for room when the last engine asks for a pause don't wait any longer.
+func TestWaitingRunsAreRejectedWhenAllEnginesPause(t *testing.T) {
+	t.Parallel()
+	_, h, engines := startEngineFleet(t, 1)
+	const slots, waiting = 24, 4
+	var running, queued []<-chan answer
+	for i := range slots {
+		running = append(running, sendAsync(generationRequest(t.Context(), h, fmt.Sprintf("r-%d", i), longGeneration)))
+	}
+	require.Eventually(t, func() bool { return len(engines[0].Started()) == slots }, waitTimeout, checkInterval)
+	engines[0].Pause(10 * time.Second)
+	for i := range waiting {
+		queued = append(queued, sendAsync(generationRequest(t.Context(), h, fmt.Sprintf("w-%d", i), longGeneration)))
+	}
+	for _, a := range running {
+		require.NoError(t, (<-a).err, "a pause doesn't end runs in progress")
+	}
+	var firstRejected time.Time
+	for _, a := range queued {
+		got := <-a
+		require.Equal(t, http.StatusServiceUnavailable, got.status)
+		require.Equal(t, "targets_paused\n", got.body)
+		if firstRejected.IsZero() {
+			firstRejected = time.Now()
+		}
+	}
+	require.Less(t, time.Since(firstRejected), 300*time.Millisecond, "the others were not rejected at once")
+	require.LessOrEqual(t, len(engines[0].Requests()), slots+1)
+}
