Soak: targets leave by their answers and turn requests away with pauses

Both rules are checked from what targets and callers saw: nothing that was sent after a host had passed on a leaving answer reaches that target from that host, whatever happens to store and peers, unless the host restarted; at most two requests of a host reach a target in a pause. Rejected requests have not run, so that the other checks leave them out.

--- a/tests/soak/checks_test.go
+++ b/tests/soak/checks_test.go
@@ -32,8 +32,9 @@
 			}
 			continue
 		}
+		rejected := t.rejected()
 		for _, a := range t.plain.Requests() {
-			if a.ExpectedTarget() == t.id {
+			if a.ExpectedTarget() == t.id && !rejected[a.ID()] {
 				out[a.ID()] = append(out[a.ID()], observation{arrivedAt: a.ReceivedAt, endedAt: a.ReceivedAt, target: t, fromStart: true, account: a.Account()})
 			}
 		}
@@ -72,6 +73,7 @@
 			}
 		}
 	}
+	c.checkStatements(outcomes)
 	c.checkNoRollback(outcomes, seen)
 	c.checkRecovery(outcomes)
 	c.t.Logf("%d requests: %v; %d versions, %d keys revoked, %d targets", len(outcomes), ended, len(c.versions), len(c.revocations), len(c.targets))
--- a/tests/soak/disturbances_test.go
+++ b/tests/soak/disturbances_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -51,6 +52,19 @@
 	return false
 }
 
+// interrupted reports whether a fault of one of the kinds affected the subject between from
+// and to. Both ends are widened by schedulingSlack.
+func (l *disturbanceLog) interrupted(from, to time.Time, subject string, kinds ...string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, d := range l.all {
+		if d.subject == subject && slices.Contains(kinds, d.kind) && d.from.Before(to.Add(schedulingSlack)) && (d.to.IsZero() || d.to.After(from.Add(-schedulingSlack))) {
+			return true
+		}
+	}
+	return false
+}
+
 // ofKind returns the disturbances of one kind, in the order in which they began.
 func (l *disturbanceLog) ofKind(kind string) []disturbance {
 	l.mu.Lock()
--- a/tests/soak/faults_test.go
+++ b/tests/soak/faults_test.go
@@ -102,6 +102,7 @@
 	for _, t := range c.targets {
 		t.proxy.SetMode(harness.Pass)
 		t.proxy.SetDelay(0)
+		t.pause(0)
 		if t.plain != nil {
 			t.plain.SetHandler(nil)
 		}
@@ -146,7 +147,8 @@
 	active := c.activeTargets(service)
 	t := active[choices.pick%len(active)]
 	c.mu.Lock()
-	leaving := !t.leavingSince.IsZero() || t.removed
+	leaving := !t.leavingSince.IsZero() || t.removed || t.replaced
+	t.replaced = t.replaced || len(active) >= 2
 	c.mu.Unlock()
 	if leaving || len(active) < 2 {
 		return
--- a/tests/soak/main_test.go
+++ b/tests/soak/main_test.go
@@ -59,6 +59,7 @@
 	time.Sleep(warmUp)
 	var restores sync.WaitGroup
 	restores.Go(func() { c.injectRestores(seed, duration) })
+	restores.Go(func() { c.injectStatements(seed, duration) })
 	c.injectFaults(duration)
 	restores.Wait()
 	c.endFaults()
--- a/tests/soak/target_test.go
+++ b/tests/soak/target_test.go
@@ -18,6 +18,7 @@
 	plain        *standin.PlainTarget // nil for an engine
 	leavingSince time.Time            // guarded by cluster.mu; when the store acknowledged that it is leaving
 	removed      bool                 // guarded by cluster.mu
+	replaced     bool                 // guarded by cluster.mu; another target takes its place
 }
 
 func (c *cluster) addEngine() {
@@ -62,7 +63,7 @@
 	defer c.mu.Unlock()
 	var out []*target
 	for _, t := range c.targets {
-		if t.service == service && t.leavingSince.IsZero() && !t.removed {
+		if t.service == service && t.leavingSince.IsZero() && !t.removed && !t.replaced {
 			out = append(out, t)
 		}
 	}
@@ -71,6 +72,7 @@
 
 // retireTarget announces that a target is leaving and removes it after leavingBound.
 func (c *cluster) retireTarget(t *target) {
+	t.leave()
 	c.register(t, "draining")
 	c.mu.Lock()
 	t.leavingSince = time.Now()
--- a/tests/soak/traffic_test.go
+++ b/tests/soak/traffic_test.go
@@ -23,9 +23,11 @@
 	id, route, key string
 	host           *host
 	sent, ended    time.Time
-	events         int // requested length of a stream
-	after          int // last event that the caller had before; its stream resumes from there
-	status         int // 0 without a response
+	headAt         time.Time // when the head of the response arrived; zero without a response
+	leaving        bool      // the response bears its target's statement that it leaves
+	events         int       // requested length of a stream
+	after          int       // last event that the caller had before; its stream resumes from there
+	status         int       // 0 without a response
 	retryAfter     string
 	signed         bool
 	body           string
@@ -132,6 +134,7 @@
 		o.err = err
 		return
 	}
+	o.headAt, o.leaving = time.Now(), standin.Leaving(response.Header)
 	defer func() { _ = response.Body.Close() }()
 	text, err := io.ReadAll(response.Body)
 	o.status, o.err, o.body = response.StatusCode, err, string(text)
--- a/tests/soak/violations_test.go
+++ b/tests/soak/violations_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"corianderhitch/platform/headers"
 	"corianderhitch/platform/standin"
 )
 
@@ -50,6 +51,25 @@
 		require.NotEmpty(t, result.violation, name)
 		require.Empty(t, result.allowed, name)
 	}
+	reached := func(ids ...string) []standin.ReceivedRequest {
+		var requests []standin.ReceivedRequest
+		for i, id := range ids {
+			r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://target/", nil)
+			require.NoError(t, err)
+			r.Header.Set(headers.RequestID, id)
+			r.Header.Set(headers.Target, leaving.id)
+			requests = append(requests, standin.ReceivedRequest{Request: r, ReceivedAt: after(2*time.Second + time.Duration(i))})
+		}
+		return requests
+	}
+	told := &outcome{host: h, headAt: at}
+	byID := map[string]*outcome{"late": {id: "late", host: h, sent: after(1)}, "early": {id: "early", host: h, sent: at}, "other": {host: &host{}, sent: after(1)}}
+	require.NotEmpty(t, checkLeavingAnswer(leaving, told, reached("early", "late"), byID))
+	require.Empty(t, checkLeavingAnswer(leaving, told, reached("early", "other"), byID))
+	pause := standin.Statement{At: at, Pause: 3 * time.Second}
+	require.NotEmpty(t, c.checkPause(leaving, h, pause, reached("early", "late", "late"), byID))
+	require.Empty(t, c.checkPause(leaving, h, pause, reached("early", "late", "other"), byID))
+	require.Empty(t, c.checkPause(leaving, h, standin.Statement{At: at, Pause: time.Second}, reached("early", "late", "late"), byID))
 	c.disturbances.during("host-0", plannedStop, func() { time.Sleep(time.Millisecond) })
 	aborted := &outcome{id: "r", route: "hold", host: h, sent: at, ended: time.Now().Add(time.Second), err: errors.New("reset")}
 	require.NotEmpty(t, c.checkPlannedStop(aborted, []observation{run(leaving, 0, 0, true)}))
