Registry: an old target that stated its leaving is no longer part of each view

The statement is kept for long, so that a restored list can't bring the target back; the target's data is needed only for a minute, as for other notices. TestStatedLeavingIsNotForgotten covers it.

--- a/internal/edge/targets/registry.go
+++ b/internal/edge/targets/registry.go
@@ -242,9 +242,12 @@
 // publishView deletes expired notices and builds a new view. Callers hold r.mu.
 func (r *Registry) publishView(revision platform.Revision) {
 	for key, n := range r.notices {
-		if bootclock.Since(n.ReceivedAt) > noticeRetention && !r.stated.IsLeaving(key) {
+		if bootclock.Since(n.ReceivedAt) <= noticeRetention {
+			continue
+		}
+		delete(r.leavingTargets, key)
+		if !r.stated.IsLeaving(key) {
 			delete(r.notices, key)
-			delete(r.leavingTargets, key)
 		}
 	}
 	v := &View{Revision: revision, stated: r.stated, byService: make(map[string][]*Target), byKey: make(map[string]*Target, len(r.entries))}
--- a/internal/edge/targets/stated_test.go
+++ b/internal/edge/targets/stated_test.go
@@ -79,7 +79,9 @@
 	n.ReceivedAt = n.ReceivedAt.Add(-2 * noticeRetention)
 	r.notices["a@1"] = n
 	r.mu.Unlock()
-	r.Apply([]Change{entry(1, false)}, 2)
+	r.Apply([]Change{{Name: "a"}}, 2)
+	require.Nil(t, r.View().Get("a@1"), "the target itself is not kept for ever")
+	r.Apply([]Change{entry(1, false)}, 3)
 	require.Empty(t, r.View().Available("s"))
 	_, leaving := r.LeavingNotice("a@1")
 	require.True(t, leaving)
