--- a/internal/edge/rejection.go
+++ b/internal/edge/rejection.go
@@ -31,6 +31,7 @@
 	ReasonNoTarget        = "no_target"
 	ReasonNoRoom          = "no_room"
 	ReasonTargetFull      = "target_full"
+	ReasonTargetsPaused   = "targets_paused"
 	ReasonMayHaveRun      = "may_have_run"
 	ReasonBrokenOff       = "broken_off"
 	ReasonTimeout         = "timeout"
@@ -74,6 +75,20 @@
 	return Unavailable(ReasonStopping, stoppingRetryAfter+rand.N(stoppingRetrySpread))
 }
 
+const (
+	// pauseSpreadShare of the time left, at least minPauseSpread, is the range over which
+	// callers return after a pause of all targets.
+	pauseSpreadShare = 0.5
+	minPauseSpread   = 500 * time.Millisecond
+)
+
+// AllPaused returns the rejection of a request whose service has no target that wants
+// requests within left.
+func AllPaused(left time.Duration) *Rejection {
+	spread := max(pauseSpreadShare*float64(left), float64(minPauseSpread))
+	return Unavailable(ReasonTargetsPaused, left+time.Duration(rand.Float64()*spread))
+}
+
 // Write sends the rejection to the caller.
 func (r *Rejection) Write(w http.ResponseWriter, wire Wire) {
 	h := w.Header()
