agent: a restarted agent learns of earlier crashes from its peers

What operators saw: hosts that run on hold a crash against a request for 30 minutes, but an agent that starts knows of none. A pool or request whose owner was restarted was clear again, so that a resent request could kill up to two more engines after each restart.

Cause: events spread as rumors only, for seconds, and no repair covered them.

Crash, completion and survival events of the last 30 minutes are now part of the repair between agents: a third digest, and, if it differs, the hashes of the caller's events in the differing buckets, which the peer answers with the oldest missing ones. The age of an event goes with it instead of a time, so a crash counts from its own time whatever the clocks say; the trackers take crashes in any order and clear a request of the crashes until its completion only. Repaired events mark no target down, free no slots and name no requests of today. Because a restarted agent can't know what was leaving then, an agent decides that when the news comes. A pool that starts is told of the crashes that its agent knows.

Bounds: 4,096 events of up to 2.3 KB an agent; 64 events and 2,048 fingerprints a message; four repairs a period, with pauses of up to 15 periods while they find nothing.

The tests of the tracker only pass the time of a completion, which is now a parameter. Old and new agents can be mixed: the old ones ignore the new fields.

--- a/api/control/control.go
+++ b/api/control/control.go
@@ -114,6 +114,9 @@
 	Produced    int       // output tokens before the crash, for EventCrash
 	Beside      []uint64  // fingerprints of the co-resident requests, for EventCrash
 	Seen        time.Time // when it was observed
+	// Age is the time since agents received the event, which does not depend on the hosts'
+	// clocks. It is zero in news, and counts in the repair of earlier events.
+	Age time.Duration
 }
 
 // EventsArgs carries events.
@@ -230,6 +233,8 @@
 	DocumentHash     uint64 // hash of the document of DocumentRevision
 	MemberDigest     Digest
 	TargetDigest     Digest
+	EventDigest      Digest   // of the events about suspects of crashes
+	EventHashes      []uint64 // hashes of the events that the caller has in differing buckets, if EventDigest has buckets
 }
 
 // ExchangeReply is the reply of a gossip exchange, with the changes that the caller is
@@ -244,6 +249,7 @@
 	DocumentHash     uint64 // hash of the document of DocumentRevision
 	MemberDigest     Digest
 	TargetDigest     Digest
+	EventDigest      Digest // with buckets if the caller may lack further events
 }
 
 // CacheDelta carries the prefix cache events of one target. Lost marks a gap in the
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -17,6 +17,7 @@
 	"corianderhitch/api/control"
 	"corianderhitch/internal/agent/directory"
 	"corianderhitch/internal/agent/docsync"
+	"corianderhitch/internal/agent/events"
 	"corianderhitch/internal/agent/exchange"
 	"corianderhitch/internal/agent/membership"
 	"corianderhitch/internal/agent/modelplacement"
@@ -170,9 +171,12 @@
 }
 
 // handleEvent records an event for scheduling, and polls its target immediately if
-// the event says that the target may be unavailable.
+// the event says that the target may be unavailable now.
 func (a *Agent) handleEvent(e control.Event) {
 	e = a.scheduler.RecordEvent(time.Now(), e)
+	if events.IsHistory(e) {
+		return
+	}
 	switch e.Kind {
 	case control.EventCrash, control.EventDown, control.EventLeaving:
 		a.observer.PollNow(e.Target)
--- a/internal/agent/observer/table.go
+++ b/internal/agent/observer/table.go
@@ -125,6 +125,12 @@
 	return listed
 }
 
+// IsLeaving reports whether a target is known to be leaving.
+func (t *Table) IsLeaving(now time.Time, name string) bool {
+	r, exists := t.rows[name]
+	return exists && (r.Leaving || r.Load.Leaving || now.Before(t.overlays[name].leavingUntil))
+}
+
 // MarkLeaving records an event that the target rejects new work because it is leaving.
 func (t *Table) MarkLeaving(now time.Time, name string) {
 	o := t.overlays[name]
--- a/internal/agent/scheduler/crashes.go
+++ b/internal/agent/scheduler/crashes.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"corianderhitch/api/control"
+	"corianderhitch/internal/agent/events"
 	fleetsuspicion "corianderhitch/internal/agent/suspicion"
 	"corianderhitch/internal/scheduling/suspicion"
 )
@@ -25,38 +26,46 @@
 // returns it with the fingerprints of all requests that this host's pools had on the
 // target. A gateway knows only its own requests on a target that crashed; the owner of
 // the pool knows all of them. A verdict based on only some of them could reject a co-resident
-// of the request that caused the crash.
+// of the request that caused the crash. An event that agents repair is returned as it is.
 func (s *Scheduler) RecordEvent(now time.Time, e control.Event) control.Event {
-	if e.Kind == control.EventCrash && s.isLeaving(now, e.Target) {
+	history := events.IsHistory(e)
+	if e.Kind == control.EventCrash && !history && s.isLeaving(now, e.Target) {
 		e.Kind = control.EventDown // the end of a leaving target is not caused by a request
 	}
-	if e.Kind == control.EventCrash {
+	if e.Kind == control.EventCrash && !history {
 		e.Beside = append(e.Beside, s.fingerprintsOn(e.Target)...)
 	}
 	s.suspects.Add(now, e)
 	switch e.Kind {
 	case control.EventCrash:
-		s.recordCrash(e)
-	case control.EventSurvived:
-		s.recordSurvival(e.Fingerprint)
+		s.recordCrash(e, history)
+	case control.EventSurvived, control.EventCleared:
+		s.recordClearance(e)
 	}
 	return e
 }
 
-// survivalRecorder is implemented by policies that track suspects themselves.
-type survivalRecorder interface {
+// clearanceRecorder is implemented by policies that track suspects themselves.
+type clearanceRecorder interface {
 	// RecordSurvival records that a request has run on past the point at which its
 	// target crashed.
-	RecordSurvival(fingerprint uint64)
+	RecordSurvival(fingerprint uint64, at time.Time)
+	// RecordCompletion records that a request has run to its end.
+	RecordCompletion(fingerprint uint64, at time.Time)
 }
 
-// recordSurvival tells all pools that a request has run on past the point at which its
-// target crashed.
-func (s *Scheduler) recordSurvival(fingerprint uint64) {
+// recordClearance tells all pools that a request has run to its end, or past the point at
+// which its target crashed.
+func (s *Scheduler) recordClearance(e control.Event) {
 	for _, p := range s.allPools() {
-		p.send(func(p *pool, _ time.Time) {
-			if policy, ok := p.policy.(survivalRecorder); ok {
-				policy.RecordSurvival(fingerprint)
+		p.send(func(p *pool, now time.Time) {
+			policy, ok := p.policy.(clearanceRecorder)
+			switch {
+			case !ok:
+			case e.Kind == control.EventSurvived:
+				policy.RecordSurvival(e.Fingerprint, fleetsuspicion.ClearedAt(now, e))
+			default:
+				policy.RecordCompletion(e.Fingerprint, fleetsuspicion.ClearedAt(now, e))
 			}
 		})
 	}
@@ -91,21 +100,29 @@
 }
 
 // recordCrash tells all pools that a target crashed, with the requests that are known
-// to have run on it.
-func (s *Scheduler) recordCrash(e control.Event) {
+// to have run on it. What runs on the target now is not affected by an earlier crash.
+func (s *Scheduler) recordCrash(e control.Event, earlier bool) {
 	for _, p := range s.allPools() {
 		p.send(func(p *pool, now time.Time) {
-			p.recordCrash(now, e.Target)
-			if policy, ok := p.policy.(remoteCrashRecorder); ok {
-				policy.RecordRemoteCrash(suspicion.Crash{
-					ID: e.ID, Target: e.Target, At: now, Suspects: append([]uint64{e.Fingerprint}, e.Beside...),
-					Progressed: fleetsuspicion.ProgressedRequests(e),
-				})
+			if !earlier {
+				p.recordCrash(now, e.Target)
 			}
+			crash := fleetsuspicion.RemoteCrash(now, e)
+			crash.ID = e.ID
+			p.recordRemoteCrashes(crash)
 		})
 	}
 }
 
+// recordRemoteCrashes tells the policy of crashes that other hosts have observed.
+func (p *pool) recordRemoteCrashes(crashes ...suspicion.Crash) {
+	if policy, ok := p.policy.(remoteCrashRecorder); ok {
+		for _, crash := range crashes {
+			policy.RecordRemoteCrash(crash)
+		}
+	}
+}
+
 // remoteCrashRecorder is implemented by policies that use other hosts' reports of a
 // crash.
 type remoteCrashRecorder interface {
--- a/internal/agent/scheduler/scheduler.go
+++ b/internal/agent/scheduler/scheduler.go
@@ -319,7 +319,10 @@
 	p := startPool(key, s.log, s.newPolicy(policyConfig(s.fleet.Document().Document)), s)
 	rows := poolEngines(key, s.overlayLoads(s.fleet.Targets(time.Now())))
 	s.engines[key] = rows
-	p.send(func(p *pool, now time.Time) { p.setTargets(now, rows) })
+	p.send(func(p *pool, now time.Time) {
+		p.setTargets(now, rows)
+		p.recordRemoteCrashes(s.suspects.Crashes(now)...)
+	})
 	s.pools[key] = p
 	s.log.Info("Started to serve the pool.", "pool", key.String())
 	return p, true
--- a/internal/agent/scheduler/scheduler_test.go
+++ b/internal/agent/scheduler/scheduler_test.go
@@ -16,6 +16,7 @@
 	"corianderhitch/internal/logging"
 	"corianderhitch/internal/platform"
 	"corianderhitch/internal/scheduling"
+	crashes "corianderhitch/internal/scheduling/suspicion"
 )
 
 // fakeFleet is a Fleet whose state a test sets.
@@ -271,3 +272,51 @@
 	p.handleBacklog()
 	require.Equal(t, []int{0, 2, 3}, handled)
 }
+
+// crashPolicy records what it is told of crashes.
+type crashPolicy struct {
+	*oneAtATime
+	crashed []string
+	remote  []crashes.Crash
+	cleared []uint64
+}
+
+func (p *crashPolicy) Crashed(_ time.Time, target string)    { p.crashed = append(p.crashed, target) }
+func (p *crashPolicy) RecordRemoteCrash(crash crashes.Crash) { p.remote = append(p.remote, crash) }
+func (p *crashPolicy) RecordSurvival(uint64, time.Time)      {}
+func (p *crashPolicy) RecordCompletion(request uint64, _ time.Time) {
+	p.cleared = append(p.cleared, request)
+}
+
+// Guards against a repaired crash that ends what runs on its target now, or that names
+// today's requests as its suspects, and against a pool that starts without it.
+func TestEarlierCrashIsCountedOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		policy := &crashPolicy{oneAtATime: newOneAtATime(scheduling.Config{}).(*oneAtATime)}
+		s, _, suspects := newScheduler(func(scheduling.Config) scheduling.Policy { return policy }, target("e1", "1"))
+		defer s.Stop()
+		crash := control.Event{ID: "c1", Kind: control.EventCrash, Target: "e1", Fingerprint: 8, Age: 20 * time.Minute}
+		require.Equal(t, crash, s.RecordEvent(time.Now(), crash))
+		reply, err := s.Admit(admitArgs("t1"))
+		require.NoError(t, err)
+		require.True(t, reply.Granted)
+		synctest.Wait()
+		require.Len(t, policy.remote, 1, "known to a pool that starts later")
+		require.Equal(t, 20*time.Minute, time.Since(policy.remote[0].At))
+
+		crash.ID, crash.Age = "c2", 10*time.Minute
+		require.Equal(t, crash, s.RecordEvent(time.Now(), crash), "the request that runs now is no suspect")
+		s.RecordEvent(time.Now(), control.Event{ID: "f", Kind: control.EventCleared, Fingerprint: 9, Age: 10 * time.Minute})
+		synctest.Wait()
+		require.Empty(t, policy.crashed)
+		require.Len(t, policy.remote, 2)
+		require.Equal(t, []uint64{9}, policy.cleared)
+		verdict, _ := suspects.Verdict(time.Now(), 8)
+		require.Equal(t, crashes.Reject, verdict)
+
+		crash.ID, crash.Age = "c3", 0
+		s.RecordEvent(time.Now(), crash)
+		synctest.Wait()
+		require.Equal(t, []string{"e1"}, policy.crashed, "a crash now ends what runs on its target")
+	})
+}
--- a/internal/agent/state/exchange.go
+++ b/internal/agent/state/exchange.go
@@ -85,6 +85,7 @@
 	args.DocumentHash = current.Hash
 	args.MemberDigest = s.members.Checksums().Short()
 	args.TargetDigest = s.targets.Checksums().Short()
+	args.EventDigest = s.events.Checksums().Short()
 }
 
 func (s *State) mergeRequest(now time.Time, args control.ExchangeArgs) {
@@ -130,6 +131,23 @@
 	} else if args.TargetDigest.Sum != reply.TargetDigest.Sum {
 		reply.TargetDigest = targets.Full()
 	}
+	s.addMissingEvents(args, reply)
+}
+
+// addMissingEvents adds to a reply the events about suspects that the caller lacks, or
+// the bucket checksums if the caller has to name the events that it has.
+func (s *State) addMissingEvents(args control.ExchangeArgs, reply *control.ExchangeReply) {
+	checksums := s.events.Checksums()
+	reply.EventDigest = checksums.Short()
+	more := args.EventDigest.Sum != reply.EventDigest.Sum
+	if differing, differ := checksums.DifferingBuckets(args.EventDigest); differ {
+		var missing []control.Event
+		missing, more = s.events.Missing(differing, args.EventHashes)
+		reply.News = append(reply.News, missing...)
+	}
+	if more {
+		reply.EventDigest = checksums.Full()
+	}
 }
 
 // buildRepair builds the follow-up message of an exchange between agents whose
@@ -140,7 +158,9 @@
 	memberChecksums, targetChecksums := s.members.Checksums(), s.targets.Checksums()
 	memberBuckets, membersDiffer := memberChecksums.DifferingBuckets(reply.MemberDigest)
 	targetBuckets, targetsDiffer := targetChecksums.DifferingBuckets(reply.TargetDigest)
-	if !membersDiffer && !targetsDiffer && !s.members.HasDeathReport(reply.From.Host) {
+	eventBuckets, eventsDiffer := s.events.Checksums().DifferingBuckets(reply.EventDigest)
+	eventsDiffer = eventsDiffer && s.events.TakeRepair()
+	if !membersDiffer && !targetsDiffer && !eventsDiffer && !s.members.HasDeathReport(reply.From.Host) {
 		return control.ExchangeArgs{}, false
 	}
 	args := control.ExchangeArgs{Members: s.members.TakeRumors(reply.From.Host)}
@@ -153,6 +173,10 @@
 	s.fillHeader(&args)
 	args.MemberDigest = memberChecksums.Full()
 	args.TargetDigest = targetChecksums.Full()
+	if eventsDiffer {
+		args.EventDigest = s.events.Checksums().Full()
+		args.EventHashes = s.events.Hashes(eventBuckets)
+	}
 	return args, true
 }
 
--- a/internal/agent/state/state.go
+++ b/internal/agent/state/state.go
@@ -16,7 +16,7 @@
 
 	"corianderhitch/api/control"
 	"corianderhitch/internal/agent/docsync"
-	"corianderhitch/internal/agent/events"
+	eventtable "corianderhitch/internal/agent/events"
 	"corianderhitch/internal/agent/membership"
 	"corianderhitch/internal/agent/observer"
 	"corianderhitch/internal/logging"
@@ -31,7 +31,7 @@
 	members           *membership.Table           // guarded by mu
 	partners          *membership.PartnerSelector // guarded by mu
 	targets           *observer.Table             // guarded by mu
-	events            *events.Table               // guarded by mu
+	events            *eventtable.Table           // guarded by mu
 	document          *docsync.Holder             // guarded by mu
 	newerDocumentPeer string                      // address of a peer with a higher document revision, or empty; guarded by mu
 	probeAddresses    []string                    // agents to exchange with outside the partners, guarded by mu
@@ -71,7 +71,7 @@
 		members:     membership.NewTable(config, self),
 		partners:    membership.NewPartnerSelector(seed),
 		targets:     observer.NewTable(),
-		events:      events.NewTable(),
+		events:      eventtable.NewTable(),
 		document:    docsync.NewHolder(environment),
 		version:     1,
 		changed:     make(chan struct{}),
@@ -319,14 +319,19 @@
 	s.signalUrgent()
 }
 
-// addEvents records events. It applies those that were not known before to the targets
-// and passes them on to NewEvents.
+// addEvents records events. It applies those that were not known before to the targets,
+// unless they are history, and passes them on to NewEvents.
 func (s *State) addEvents(now time.Time, from string, events []control.Event) {
-	added := s.events.Add(now, from, events, len(s.members.Live()))
+	added := s.events.Add(now, from, s.discountLeaving(now, events), len(s.members.Live()))
 	if len(added) == 0 {
 		return
 	}
+	news := false
 	for _, e := range added {
+		if eventtable.IsHistory(e) {
+			continue
+		}
+		news = true
 		switch e.Kind {
 		case control.EventLeaving:
 			s.markTargetLeaving(now, e.Target)
@@ -339,8 +344,27 @@
 	default:
 		s.log.Warn("Events dropped because their queue is full.", "events", len(added))
 	}
-	s.notify()
-	s.signalUrgent()
+	if news {
+		s.notify()
+		s.signalUrgent()
+	}
+}
+
+// discountLeaving turns news of the crash of a leaving target into EventDown: its end is
+// not caused by a request. An agent that is sent the event later can't know that the
+// target was leaving.
+func (s *State) discountLeaving(now time.Time, received []control.Event) []control.Event {
+	result := received
+	for i, e := range received {
+		if e.Kind != control.EventCrash || eventtable.IsHistory(e) || !s.targets.IsLeaving(now, e.Target) {
+			continue
+		}
+		if &result[0] == &received[0] {
+			result = slices.Clone(received)
+		}
+		result[i].Kind = control.EventDown
+	}
+	return result
 }
 
 // markTargetLeaving applies a leaving event to a target. The host that observes the
--- a/internal/agent/state/state_test.go
+++ b/internal/agent/state/state_test.go
@@ -273,3 +273,106 @@
 	f.run(10 * time.Second)
 	require.Len(t, f.agents[1].NewEvents(), 1, "the crash is not known to the restarted agent")
 }
+
+// Guards against a restarted agent that takes the target of an earlier crash for down, or
+// counts the crash from its own start.
+func TestRepairOfEarlierCrashIsNoNews(t *testing.T) {
+	f := newFleet(3, 7)
+	_, ok := f.runUntil(30*time.Second, f.membershipAgrees)
+	require.True(t, ok)
+	f.agents[0].AddEvents(f.now, []control.Event{
+		{ID: "c1", Kind: control.EventCrash, Target: "engine-1", Fingerprint: 7},
+		{ID: "f1", Kind: control.EventCleared, Fingerprint: 7},
+	})
+	f.run(20 * time.Minute)
+	f.putEverywhere(1)
+	f.agents[0].UpdateTarget(f.now, "engine-1", func(control.TargetState) (control.TargetState, bool) {
+		return control.TargetState{Target: platform.Target{Name: "engine-1", Kind: platform.TargetEngine}, Healthy: true, Owner: "host-000"}, true
+	})
+	f.start(1, 99)
+	_, ok = f.runUntil(30*time.Second, func() bool {
+		rows := f.agents[1].Targets(f.now)
+		require.True(t, len(rows) == 0 || rows[0].Healthy, "marked down by an earlier crash")
+		return len(rows) == 2 && len(f.agents[1].NewEvents()) == 1
+	})
+	require.True(t, ok)
+	events := <-f.agents[1].NewEvents()
+	require.Len(t, events, 2)
+	require.Equal(t, control.EventCrash, events[0].Kind, "the oldest comes first")
+	for _, e := range events {
+		require.InDelta(t, 20*time.Minute, e.Age, float64(20*time.Second))
+	}
+	f.run(11 * time.Minute)
+	f.start(2, 98)
+	f.run(30 * time.Second)
+	require.Empty(t, f.agents[2].NewEvents(), "an expired crash was repaired")
+}
+
+// Guards against suspects of a planned end: whoever is told of the crash later can't know
+// that the target was leaving.
+func TestCrashOfLeavingTargetIsNotRepairedAsCrash(t *testing.T) {
+	f := newFleet(3, 7)
+	_, ok := f.runUntil(30*time.Second, f.membershipAgrees)
+	require.True(t, ok)
+	f.agents[0].UpdateTarget(f.now, "engine-1", func(control.TargetState) (control.TargetState, bool) {
+		return control.TargetState{Target: platform.Target{Name: "engine-1", Kind: platform.TargetEngine, Leaving: true}, Owner: "host-000"}, true
+	})
+	f.run(5 * time.Second)
+	f.agents[2].AddEvents(f.now, []control.Event{{ID: "c1", Kind: control.EventCrash, Target: "engine-1", Fingerprint: 7}})
+	f.run(time.Minute)
+	f.agents[0].UpdateTarget(f.now, "engine-1", func(row control.TargetState) (control.TargetState, bool) {
+		row.Left = true
+		return row, true
+	})
+	f.start(1, 99)
+	_, ok = f.runUntil(30*time.Second, func() bool { return len(f.agents[1].NewEvents()) == 1 })
+	require.True(t, ok)
+	require.Equal(t, control.EventDown, (<-f.agents[1].NewEvents())[0].Kind)
+}
+
+// More happens than agents keep, with a full list of suspects at each crash. A message
+// holds no more than one batch, a restarted agent gets what others have, and repairs
+// become rare although the agents keep different events.
+func TestRepairOfManyEventsIsBounded(t *testing.T) {
+	const hosts, kept, batch = 8, 4096, 64 // as in internal/agent/events
+	f := newFleet(hosts, 7)
+	_, ok := f.runUntil(time.Minute, f.membershipAgrees)
+	require.True(t, ok)
+	for i := range kept + 500 {
+		e := control.Event{ID: fmt.Sprintf("c%d", i), Kind: control.EventCrash, Target: fmt.Sprintf("engine-%d", i), Fingerprint: uint64(i), Beside: make([]uint64, 256*(i%2))}
+		f.agents[f.random.IntN(hosts)].AddEvents(f.now, []control.Event{e})
+		if i%100 == 0 {
+			f.run(time.Second)
+		}
+	}
+	f.run(30 * time.Second)
+	largest, mostSuspects, repairs := 0, 0, 0
+	f.onCall = func(args control.ExchangeArgs, reply control.ExchangeReply) {
+		suspects := 0
+		for _, e := range reply.News {
+			suspects += len(e.Beside)
+		}
+		largest, mostSuspects = max(largest, len(reply.News)), max(mostSuspects, suspects)
+		if len(args.EventHashes) > 0 {
+			repairs++
+		}
+	}
+	received := make(map[string]bool)
+	f.start(1, 99)
+	_, ok = f.runUntil(5*time.Minute, func() bool {
+		for len(f.agents[1].NewEvents()) > 0 {
+			for _, e := range <-f.agents[1].NewEvents() {
+				received[e.ID] = true
+			}
+		}
+		return len(received) >= kept-50
+	})
+	require.True(t, ok, "the restarted agent got %d events", len(received))
+	require.LessOrEqual(t, largest, batch)
+	require.LessOrEqual(t, mostSuspects, 2048)
+	f.run(time.Minute)
+	repairs = 0
+	f.run(time.Minute)
+	require.LessOrEqual(t, repairs, hosts*4*8, "repairs in a minute: four in each period that follows a pause of 15")
+	t.Logf("largest message: %d events, %d suspects; %d repairs in a minute", largest, mostSuspects, repairs)
+}
--- a/internal/agent/suspicion/suspicion.go
+++ b/internal/agent/suspicion/suspicion.go
@@ -12,15 +12,15 @@
 	"corianderhitch/internal/scheduling/suspicion"
 )
 
-// sameCrashWindow is the time within which reports about one target count as one crash.
-const sameCrashWindow = 5 * time.Second
+// historySlack is added to the time of a completion or survival that agents repair: the
+// delays of messages shift it against the crash that it follows.
+const historySlack = time.Second
 
 // FleetTracker is a suspicion.Tracker fed by events from the whole fleet. It is safe for
 // concurrent use, and its zero value is ready to use.
 type FleetTracker struct {
-	mu        sync.Mutex
-	tracker   suspicion.Tracker    // guarded by mu
-	lastCrash map[string]time.Time // last crash by target, guarded by mu
+	mu      sync.Mutex
+	tracker suspicion.Tracker // guarded by mu
 }
 
 // Add records an event about a request: a crash, a completion, or the survival of the
@@ -30,19 +30,44 @@
 	defer t.mu.Unlock()
 	switch e.Kind {
 	case control.EventCrash:
-		t.tracker.RecordCrash(suspicion.Crash{
-			ID:         t.crashID(now, e.Target),
-			At:         t.lastCrash[e.Target],
-			Suspects:   append([]uint64{e.Fingerprint}, e.Beside...),
-			Progressed: ProgressedRequests(e),
-		})
+		t.tracker.RecordCrash(RemoteCrash(now, e))
 	case control.EventCleared:
-		t.tracker.RecordCompletion(e.Fingerprint)
+		t.tracker.RecordCompletion(e.Fingerprint, ClearedAt(now, e))
 	case control.EventSurvived:
-		t.tracker.RecordSurvival(e.Fingerprint)
+		t.tracker.RecordSurvival(e.Fingerprint, ClearedAt(now, e))
 	}
 }
 
+// Crashes returns the recorded crashes with their present suspects.
+func (t *FleetTracker) Crashes(now time.Time) []suspicion.Crash {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.tracker.Crashes(now)
+}
+
+// RemoteCrash returns the crash that an event received now reports. Several gateways
+// report a crash; their reports count as one.
+func RemoteCrash(now time.Time, e control.Event) suspicion.Crash {
+	at := now.Add(-e.Age)
+	return suspicion.Crash{
+		ID:         fmt.Sprintf("%s/%d", e.Target, at.UnixNano()),
+		Target:     e.Target,
+		Remote:     true,
+		At:         at,
+		Suspects:   append([]uint64{e.Fingerprint}, e.Beside...),
+		Progressed: progressedRequests(e),
+	}
+}
+
+// ClearedAt returns the time until which an event received now clears a request of
+// crashes.
+func ClearedAt(now time.Time, e control.Event) time.Time {
+	if e.Age == 0 {
+		return now
+	}
+	return now.Add(historySlack - e.Age)
+}
+
 // Verdict returns whether and with which restrictions a request may run, and for how
 // long it remains a suspect.
 func (t *FleetTracker) Verdict(now time.Time, fingerprint uint64) (suspicion.Verdict, time.Duration) {
@@ -51,28 +76,11 @@
 	return t.tracker.Verdict(fingerprint, now), t.tracker.ExpiresIn(fingerprint, now)
 }
 
-// ProgressedRequests returns the fingerprint of the event if its request had produced
+// progressedRequests returns the fingerprint of the event if its request had produced
 // tokens, otherwise nil.
-func ProgressedRequests(e control.Event) []uint64 {
+func progressedRequests(e control.Event) []uint64 {
 	if e.Produced == 0 {
 		return nil
 	}
 	return []uint64{e.Fingerprint}
 }
-
-// crashID returns an id of the crash that a report about the target refers to, and drops
-// crashes older than suspicion.Retention.
-func (t *FleetTracker) crashID(now time.Time, target string) string {
-	if t.lastCrash == nil {
-		t.lastCrash = make(map[string]time.Time)
-	}
-	for name, at := range t.lastCrash {
-		if now.Sub(at) > suspicion.Retention {
-			delete(t.lastCrash, name)
-		}
-	}
-	if last, ok := t.lastCrash[target]; !ok || now.Sub(last) >= sameCrashWindow {
-		t.lastCrash[target] = now
-	}
-	return fmt.Sprintf("%s/%d", target, t.lastCrash[target].UnixNano())
-}
--- a/internal/agent/suspicion/suspicion_test.go
+++ b/internal/agent/suspicion/suspicion_test.go
@@ -112,3 +112,31 @@
 		require.Equal(t, suspicion.Reject, verdict(tracker, start.Add(time.Second), late), name)
 	}
 }
+
+// An agent that starts later is told of earlier crashes: each counts from its own time,
+// in any order, and beside what the agent has seen itself.
+func TestRepairedCrashCountsFromItsOwnTime(t *testing.T) {
+	tracker, old := &FleetTracker{}, crash("e1", 1, 2)
+	tracker.Add(start, crash("e1", 1))
+	old.Age = 20 * time.Minute
+	tracker.Add(start, old)
+	require.Equal(t, suspicion.Reject, verdict(tracker, start, 1), "two crashes of one target")
+	require.Equal(t, suspicion.Clear, verdict(tracker, start, 2))
+	_, remaining := tracker.Verdict(start, 1)
+	require.Equal(t, 10*time.Minute, remaining)
+	require.Equal(t, suspicion.Spread, verdict(tracker, start.Add(10*time.Minute), 1))
+	require.Equal(t, suspicion.Clear, verdict(tracker, start.Add(suspicion.Retention), 1))
+}
+
+func TestRepairedCompletionClearsOnlyEarlierCrashes(t *testing.T) {
+	for _, kind := range []control.EventKind{control.EventCleared, control.EventSurvived} {
+		tracker, old := &FleetTracker{}, crash("e1", 1, 2)
+		tracker.Add(start, crash("e2", 1))
+		old.Age = 20 * time.Minute
+		tracker.Add(start, old)
+		tracker.Add(start, control.Event{Kind: kind, Fingerprint: 1, Age: 20 * time.Minute})
+		tracker.Add(start, control.Event{Kind: kind, Fingerprint: 2, Age: 20*time.Minute + 10*time.Millisecond})
+		require.Equal(t, suspicion.Spread, verdict(tracker, start, 1), "%s: a suspect of the later crash", kind)
+		require.Equal(t, suspicion.Clear, verdict(tracker, start, 2), kind)
+	}
+}
--- a/internal/scheduling/pool.go
+++ b/internal/scheduling/pool.go
@@ -115,7 +115,7 @@
 	p.queue.AdjustCharge(r.request.Account, r.request.Weight, float64(finished.Produced-r.request.Produced)-r.expectedTokens)
 	p.accounts.Ended(now, r.request.Account, finished.Produced)
 	if finished.Complete {
-		p.suspects.RecordCompletion(r.request.Fingerprint)
+		p.suspects.RecordCompletion(r.request.Fingerprint, now)
 		p.duplicates.markCompleted(r.request.Fingerprint)
 	}
 }
--- a/internal/scheduling/pooltargets.go
+++ b/internal/scheduling/pooltargets.go
@@ -134,4 +134,11 @@
 
 // RecordSurvival records that a request has run on past the point at which its
 // target crashed.
-func (p *Pool) RecordSurvival(fingerprint uint64) { p.suspects.RecordSurvival(fingerprint) }
+func (p *Pool) RecordSurvival(fingerprint uint64, at time.Time) {
+	p.suspects.RecordSurvival(fingerprint, at)
+}
+
+// RecordCompletion records that a request has run to its end, here or at another host.
+func (p *Pool) RecordCompletion(fingerprint uint64, at time.Time) {
+	p.suspects.RecordCompletion(fingerprint, at)
+}
--- a/internal/scheduling/suspicion/tracker.go
+++ b/internal/scheduling/suspicion/tracker.go
@@ -1,6 +1,10 @@
 package suspicion
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // Tracker records recent crashes with the requests that were running on the
 // crashed targets, and derives from them how each request may be run. It is not
@@ -29,7 +33,11 @@
 	if r == nil {
 		r = &crashRecord{crash: crash, suspects: make(map[uint64]struct{}), survived: make(map[uint64]struct{}), progressed: make(map[uint64]struct{})}
 		r.crash.Suspects, r.crash.Progressed = nil, nil
-		t.crashes = append(t.crashes, r)
+		i := len(t.crashes) // reports of earlier crashes may arrive later
+		for i > 0 && t.crashes[i-1].crash.At.After(crash.At) {
+			i--
+		}
+		t.crashes = slices.Insert(t.crashes, i, r)
 	}
 	for _, fingerprint := range crash.Suspects {
 		if _, survived := r.survived[fingerprint]; !survived && len(r.suspects) < maxSuspectsPerCrash {
@@ -46,26 +54,42 @@
 	}
 }
 
-// RecordCompletion clears a request that ran to its end of all recorded crashes.
-func (t *Tracker) RecordCompletion(fingerprint uint64) {
+// RecordCompletion clears a request that ran to its end at the given time of the crashes
+// recorded until then.
+func (t *Tracker) RecordCompletion(fingerprint uint64, at time.Time) {
 	for _, r := range t.crashes {
-		delete(r.suspects, fingerprint)
+		if !r.crash.At.After(at) {
+			delete(r.suspects, fingerprint)
+		}
 	}
 }
 
-// RecordSurvival clears a request of the recorded crashes after it was continued
-// on another target and ran past the point of the crash: a request that crashes
-// its targets would have crashed that one too. These crashes still count towards
+// RecordSurvival clears a request of the crashes recorded until the given time, when it
+// was continued on another target and ran past the point of the crash: a request that
+// crashes its targets would have crashed that one too. These crashes still count towards
 // rejectSurvivorAfter.
-func (t *Tracker) RecordSurvival(fingerprint uint64) {
+func (t *Tracker) RecordSurvival(fingerprint uint64, at time.Time) {
 	for _, r := range t.crashes {
-		if r.isSuspect(fingerprint) {
+		if r.isSuspect(fingerprint) && !r.crash.At.After(at) {
 			delete(r.suspects, fingerprint)
 			r.survived[fingerprint] = struct{}{}
 		}
 	}
 }
 
+// Crashes returns the crashes recorded until now with their present suspects.
+func (t *Tracker) Crashes(now time.Time) []Crash {
+	t.dropExpired(now)
+	crashes := make([]Crash, 0, len(t.crashes))
+	for _, r := range t.crashes {
+		crash := r.crash
+		crash.Suspects = slices.Collect(maps.Keys(r.suspects))
+		crash.Progressed = slices.Collect(maps.Keys(r.progressed))
+		crashes = append(crashes, crash)
+	}
+	return crashes
+}
+
 // Verdict returns how the request may be run at the given time.
 func (t *Tracker) Verdict(fingerprint uint64, now time.Time) Verdict {
 	t.dropExpired(now)
--- a/internal/scheduling/suspicion/tracker_test.go
+++ b/internal/scheduling/suspicion/tracker_test.go
@@ -42,7 +42,7 @@
 				tracker.RecordCrash(crash)
 			}
 			for _, fingerprint := range c.finished {
-				tracker.RecordCompletion(fingerprint)
+				tracker.RecordCompletion(fingerprint, start)
 			}
 			for fingerprint, want := range c.want {
 				require.Equalf(t, want, tracker.Verdict(fingerprint, start), "request %d", fingerprint)
@@ -81,13 +81,13 @@
 func TestSurvivorIsClearedUntilManyCrashes(t *testing.T) {
 	tracker := NewTracker()
 	tracker.RecordCrash(Crash{ID: "a", At: start, Suspects: []uint64{1, 2}})
-	tracker.RecordSurvival(1)
+	tracker.RecordSurvival(1, start)
 	tracker.RecordCrash(Crash{ID: "a", At: start, Suspects: []uint64{1}}) // a late report of the same crash
 	require.Equal(t, Clear, tracker.Verdict(1, start))
 	tracker.RecordCrash(Crash{ID: "b", At: start, Suspects: []uint64{1, 3}})
 	require.Equal(t, Spread, tracker.Verdict(1, start), "after a crash that it survived and one that it did not")
 	for i := range rejectSurvivorAfter - 2 {
-		tracker.RecordSurvival(1)
+		tracker.RecordSurvival(1, start)
 		tracker.RecordCrash(Crash{ID: fmt.Sprint("c", i), At: start, Suspects: []uint64{1}})
 	}
 	require.Equal(t, Reject, tracker.Verdict(1, start), "after rejectSurvivorAfter crashes, all survived but the last")
