delivery: a change of hosts refills no budget of late requests

Cause: the budget replaced its limiters by full ones whenever the number of hosts changed, and took an unread host list (0 hosts) for a fleet of one.

The limiters now keep what has been used when their rate changes. Nothing is accepted (503, not run, with Retry-After) until the list was read once; a host that knows only itself at its first request starts with one request instead of a burst, since its agent may not have met the others yet. For about the first second it still has the rate of a fleet of one.

--- a/internal/delivery/budget.go
+++ b/internal/delivery/budget.go
@@ -26,43 +26,58 @@
 	writesPerSecond float64 // over all hosts
 
 	mu       sync.Mutex
-	rate     *rate.Limiter             // guarded by mu
+	rate     *rate.Limiter             // nil until the hosts are known; guarded by mu
 	bytes    int                       // guarded by mu
 	accounts map[string]*accountBudget // guarded by mu
 }
 
 // accountBudget is the part of the budget that one account uses.
 type accountBudget struct {
-	rate     *rate.Limiter
+	rate     *rate.Limiter // nil before the first request that is not resumed
 	bytes    int
 	requests int // in progress
 }
 
 func newBudget(writesPerSecond float64) *budget {
-	return &budget{writesPerSecond: writesPerSecond, rate: newLimiter(0), accounts: make(map[string]*accountBudget)}
+	return &budget{writesPerSecond: writesPerSecond, accounts: make(map[string]*accountBudget)}
 }
 
-// newLimiter returns a limiter that allows a burst of one second's events, and at
-// least one.
-func newLimiter(perSecond rate.Limit) *rate.Limiter {
-	return rate.NewLimiter(perSecond, max(1, int(perSecond)))
+// burst returns the burst of a limiter: one second's events, and at least one.
+func burst(perSecond rate.Limit) int { return max(1, int(perSecond)) }
+
+// withRate returns the limiter with another rate, or a full one for nil. What has been
+// used stays used, so that no change of the rate grants a burst.
+func withRate(l *rate.Limiter, perSecond rate.Limit, now time.Time) *rate.Limiter {
+	if l == nil {
+		return rate.NewLimiter(perSecond, burst(perSecond))
+	}
+	if l.Limit() != perSecond {
+		l.SetLimitAt(now, perSecond)
+		l.SetBurstAt(now, burst(perSecond))
+	}
+	return l
 }
 
 // tryReserve reserves budget for a late request with a prompt of size bytes, or
 // returns how long the caller should wait. The writes per second and the account's
-// limit of requests (zero for none) are divided evenly between hosts.
+// limit of requests (zero for none) are divided evenly between hosts; until the hosts
+// are known nothing is reserved.
 func (b *budget) tryReserve(account string, size, limit, hosts int, now time.Time) (time.Duration, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if hosts == 0 && b.rate == nil {
+		return budgetRetryAfter, false
+	}
 	hosts = max(hosts, 1)
 	share := rate.Limit(b.writesPerSecond / float64(writesPerRequest*hosts))
-	if b.rate.Limit() != share {
-		b.rate = newLimiter(share)
+	if b.rate == nil && hosts == 1 {
+		// A host that has just started may not know the others yet.
+		b.rate = rate.NewLimiter(share, 1)
+		b.rate.SetBurstAt(now, burst(share))
 	}
+	b.rate = withRate(b.rate, share, now)
 	used := b.accountLocked(account)
-	if used.rate.Limit() != share*accountShare {
-		used.rate = newLimiter(share * accountShare)
-	}
+	used.rate = withRate(used.rate, share*accountShare, now)
 	if limit > 0 && used.requests >= (limit+hosts-1)/hosts {
 		return budgetRetryAfter, false
 	}
@@ -97,7 +112,7 @@
 func (b *budget) accountLocked(account string) *accountBudget {
 	used := b.accounts[account]
 	if used == nil {
-		used = &accountBudget{rate: newLimiter(0)}
+		used = &accountBudget{}
 		b.accounts[account] = used
 	}
 	return used
