limits: a new document revision refills no rates

What operators saw: each accepted document, also one that changes nothing about an account, let all accounts of a pool start anew with full rates, so that an account exceeded requestsPerSecond and tokensPerMinute by a burst per revision.

Cause: Configure replaced the rate limiters by new ones, which are full. Evidence, before: TestDocumentChangeRefillsNoRates, four revisions in one moment grant 5 requests each where none is left, with the same limits, other limits changed, changed rates and limits lifted for a while.

The limiters now stay, and a changed rate is put in force at the next request, whose time the limits know; what has been used stays used.

--- a/internal/scheduling/limits/limits.go
+++ b/internal/scheduling/limits/limits.go
@@ -40,8 +40,8 @@
 }
 
 type accountState struct {
-	requests *rate.Limiter
-	tokens   *rate.Limiter
+	requests *rate.Limiter // nil while the account has never had this limit
+	tokens   *rate.Limiter // as requests
 	running  int
 }
 
@@ -63,11 +63,12 @@
 	if l.Queued > 0 && waiting >= l.Queued {
 		return Queue, 0
 	}
-	s := a.stateOf(account, l)
-	if s.tokens != nil && s.tokens.TokensAt(now) <= 0 {
+	s := a.stateOf(account)
+	s.setRates(now, l)
+	if l.TokensPerMinute > 0 && s.tokens.TokensAt(now) <= 0 {
 		return TokenRate, timeToRefill(1-s.tokens.TokensAt(now), float64(s.tokens.Limit()))
 	}
-	if s.requests != nil && !s.requests.AllowN(now, 1) {
+	if l.RequestsPerSecond > 0 && !s.requests.AllowN(now, 1) {
 		return RequestRate, timeToRefill(1-s.requests.TokensAt(now), float64(s.requests.Limit()))
 	}
 	return None, 0
@@ -76,13 +77,13 @@
 // MayRun reports whether the account may run one more request.
 func (a *Accounts) MayRun(account string) bool {
 	l, ok := a.limits[account]
-	return !ok || l.Concurrent == 0 || a.stateOf(account, l).running < l.Concurrent
+	return !ok || l.Concurrent == 0 || a.stateOf(account).running < l.Concurrent
 }
 
 // Started counts a granted request against the concurrency limit.
 func (a *Accounts) Started(account string) {
-	if l, ok := a.limits[account]; ok {
-		a.stateOf(account, l).running++
+	if _, ok := a.limits[account]; ok {
+		a.stateOf(account).running++
 	}
 }
 
@@ -93,32 +94,43 @@
 	if !ok {
 		return
 	}
-	s := a.stateOf(account, l)
+	s := a.stateOf(account)
+	s.setRates(now, l)
 	s.running = max(0, s.running-1)
-	if s.tokens != nil {
+	if l.TokensPerMinute > 0 {
 		s.tokens.ReserveN(now, min(tokens, s.tokens.Burst()))
 	}
 }
 
-func (a *Accounts) stateOf(account string, l document.Limits) *accountState {
-	if s, ok := a.states[account]; ok {
-		return s
+func (a *Accounts) stateOf(account string) *accountState {
+	s := a.states[account]
+	if s == nil {
+		s = &accountState{}
+		a.states[account] = s
 	}
-	s := newState(l)
-	a.states[account] = s
 	return s
 }
 
-func newState(l document.Limits) *accountState {
-	s := &accountState{}
-	if l.RequestsPerSecond > 0 {
-		s.requests = rate.NewLimiter(rate.Limit(l.RequestsPerSecond), max(1, int(l.RequestsPerSecond*requestBurst.Seconds())))
+// setRates puts the rates of the limits in force.
+func (s *accountState) setRates(now time.Time, l document.Limits) {
+	s.requests = withRate(s.requests, now, l.RequestsPerSecond, requestBurst)
+	s.tokens = withRate(s.tokens, now, l.TokensPerMinute/time.Minute.Seconds(), tokenBurst)
+}
+
+// withRate returns the limiter with another rate, or a full one for nil. What has been
+// used stays used, so that no change of the rate grants a burst. A rate of zero, which
+// stands for no limit, leaves the limiter as it is.
+func withRate(l *rate.Limiter, now time.Time, perSecond float64, burstTime time.Duration) *rate.Limiter {
+	if perSecond <= 0 || (l != nil && l.Limit() == rate.Limit(perSecond)) {
+		return l
 	}
-	if l.TokensPerMinute > 0 {
-		perSecond := l.TokensPerMinute / time.Minute.Seconds()
-		s.tokens = rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond*tokenBurst.Seconds())))
+	burst := max(1, int(perSecond*burstTime.Seconds()))
+	if l == nil {
+		return rate.NewLimiter(rate.Limit(perSecond), burst)
 	}
-	return s
+	l.SetLimitAt(now, rate.Limit(perSecond))
+	l.SetBurstAt(now, burst)
+	return l
 }
 
 // timeToRefill returns how long a rate of perSecond takes to supply the amount.
@@ -126,13 +138,6 @@
 	return time.Duration(max(0, amount) / perSecond * float64(time.Second))
 }
 
-// Configure replaces the limits. The counts of running requests are kept, while
-// unused and overdrawn rates are reset.
-func (a *Accounts) Configure(limits map[string]document.Limits) {
-	a.limits = limits
-	for name, s := range a.states {
-		renewed := newState(limits[name])
-		renewed.running = s.running
-		a.states[name] = renewed
-	}
-}
+// Configure replaces the limits. The counts of running requests are kept, and so is
+// what has been used of the rates.
+func (a *Accounts) Configure(limits map[string]document.Limits) { a.limits = limits }
--- a/internal/scheduling/limits/limits_test.go
+++ b/internal/scheduling/limits/limits_test.go
@@ -54,6 +54,61 @@
 	assert.Equal(t, None, reason)
 }
 
+func TestDocumentChangeRefillsNoRates(t *testing.T) {
+	for name, changed := range map[string]document.Limits{
+		"same limits":          {RequestsPerSecond: 5, TokensPerMinute: 600},
+		"other limits changed": {RequestsPerSecond: 5, TokensPerMinute: 600, Queued: 9},
+		"changed back":         {RequestsPerSecond: 4, TokensPerMinute: 500},
+		"lifted for a while":   {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			limits := document.Limits{RequestsPerSecond: 5, TokensPerMinute: 600}
+			a := New(map[string]document.Limits{"a": limits})
+			admitAll := func() (granted int) {
+				for range 100 {
+					if reason, _ := a.Admit(start, "a", 0); reason == None {
+						granted++
+					}
+				}
+				return granted
+			}
+			assert.Equal(t, 5, admitAll())
+			for range 4 {
+				a.Configure(map[string]document.Limits{"a": changed})
+				if changed.RequestsPerSecond > 0 {
+					assert.Zero(t, admitAll())
+				}
+				a.Configure(map[string]document.Limits{"a": limits})
+				assert.Zero(t, admitAll())
+			}
+			later := start.Add(time.Second)
+			a.Ended(later, "a", 600)
+			a.Configure(map[string]document.Limits{"a": changed})
+			a.Configure(map[string]document.Limits{"a": limits})
+			reason, _ := a.Admit(later, "a", 0)
+			assert.Equal(t, TokenRate, reason)
+			reason, _ = a.Admit(later.Add(15*time.Second), "a", 0)
+			assert.Equal(t, None, reason)
+		})
+	}
+}
+
+func TestChangedRateIsInForceAtOnce(t *testing.T) {
+	a := New(map[string]document.Limits{"a": {RequestsPerSecond: 5}})
+	admitted := func(at time.Time) (n int) {
+		for reason, _ := a.Admit(at, "a", 0); reason == None; reason, _ = a.Admit(at, "a", 0) {
+			n++
+		}
+		return n
+	}
+	assert.Equal(t, 5, admitted(start))
+	a.Configure(map[string]document.Limits{"a": {RequestsPerSecond: 50}})
+	assert.Zero(t, admitted(start))
+	assert.Equal(t, 50, admitted(start.Add(time.Second)))
+	a.Configure(map[string]document.Limits{"a": {RequestsPerSecond: 2}})
+	assert.Equal(t, 2, admitted(start.Add(time.Minute)))
+}
+
 func BenchmarkSubmit(b *testing.B) {
 	for _, accounts := range []int{10, 1000, 27000} {
 		b.Run(fmt.Sprintf("accounts=%d", accounts), func(b *testing.B) {
