gateway: keep the outcome of a call that ends after the drain timeout

A resend with its key hears "unknown" for as long as the record is kept, about a call whose result was known.

Cause: the ledger was stopped before the handlers had ended, although Stop waits for them afterwards.

The default, no drain timeout, waits as before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -183,16 +183,29 @@
 	g.runner.Drain()
 	g.awaitRequests(ctx)
 	g.late.Stop(ctx)
-	g.ledger.Stop(ctx)
 	g.runner.Stop()
 	g.cancel()
 	_ = g.server.Close()
 	g.tasks.Wait()
+	g.stopLedger(ctx)
 	g.pool.Close()
 	g.transport.Close()
 	g.log.Info("Gateway stopped.")
 }
 
+// stopLedger waits until the outcomes of calls are stored. Calls may end after the drain
+// timeout too, so the last outcomes get the time of one write after ctx has ended.
+func (g *Gateway) stopLedger(ctx context.Context) {
+	extended, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() {
+		wait.For(extended, g.settings.ClaimTimeout)
+		cancel()
+	})
+	defer stop()
+	g.ledger.Stop(extended)
+}
+
 // awaitRequests waits for requests in progress until ctx ends. Completed answers are sent
 // before the connections are closed.
 func (g *Gateway) awaitRequests(ctx context.Context) {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"testing"
 	"time"
@@ -10,6 +11,8 @@
 	"go.opentelemetry.io/otel/metric/noop"
 	"go.uber.org/goleak"
 
+	"corianderhitch/internal/gateway/ids"
+	"corianderhitch/internal/ledger"
 	"corianderhitch/internal/logging"
 	"corianderhitch/internal/platform/memstore"
 	"corianderhitch/internal/settings"
@@ -44,6 +47,31 @@
 	g.Stop(t.Context())
 }
 
+func TestOutcomeOfCallThatEndsAfterDrainTimeoutIsStored(t *testing.T) {
+	s, err := loadSettings(t, "--host=h", "--agents=127.0.0.1:1", "--store=http://127.0.0.1:1",
+		"--token-keys=a:00112233445566778899aabbccddeeff", "--drain-notice=1ms")
+	require.NoError(t, err)
+	s.Listen = "127.0.0.1:0"
+	store := memstore.New(memstore.Options{})
+	g, err := Start(logging.Discard(), s, store, noop.NewMeterProvider().Meter(""))
+	require.NoError(t, err)
+	call := ledger.Call{Account: "a", Key: "k"}
+	first, err := g.ledger.Claim(t.Context(), call)
+	require.NoError(t, err)
+	drainTimeout, cancel := context.WithCancel(t.Context())
+	cancel()
+	g.tasks.Go(func() { // as the wait for the handler of the call
+		time.Sleep(200 * time.Millisecond)
+		first.Claim.Complete(ledger.Outcome{Status: http.StatusCreated})
+	})
+	g.Stop(drainTimeout)
+	other := ledger.New(store, "other", func() time.Duration { return time.Hour }, ids.New, nil, ledger.DefaultSettings(), logging.Discard())
+	defer other.Stop(t.Context())
+	resent, err := other.Claim(t.Context(), call)
+	require.NoError(t, err, "the outcome is known")
+	require.Equal(t, http.StatusCreated, resent.Replay.Status)
+}
+
 // All invalid and missing settings are reported together, not only the first.
 func TestInvalidSettingsAreAllReported(t *testing.T) {
 	_, err := loadSettings(t, "--listen=nowhere", "--claim-timeout=1h")
