--- a/internal/edge/authorizedcall.go
+++ b/internal/edge/authorizedcall.go
@@ -19,6 +19,7 @@
 	Urgency    int    // 0 is the most urgent
 	UsesAPIKey bool   // authorized by an API key, which may be revoked
 	Arrived    bootclock.Instant
+	Received   bootclock.Instant // when the whole request had been read
 	Deadline   bootclock.Instant // when the caller stops waiting or the route's timeout ends, whichever is earlier
 	Log        *slog.Logger
 	// StillAuthorized reports whether the call may still be sent: its API key must
@@ -38,5 +39,8 @@
 // TimeLeft returns the time to the deadline; it is negative after the deadline.
 func (a *AuthorizedCall) TimeLeft() time.Duration { return a.Deadline.Sub(bootclock.Now()) }
 
+// SinceReceived returns the time since the whole request had been read.
+func (a *AuthorizedCall) SinceReceived() time.Duration { return bootclock.Since(a.Received) }
+
 // Age returns the time since arrival.
 func (a *AuthorizedCall) Age() time.Duration { return bootclock.Since(a.Arrived) }
--- a/internal/edge/draining/drain.go
+++ b/internal/edge/draining/drain.go
@@ -82,7 +82,7 @@
 		if a.Call.Generation == nil || a.Call.Generation.MaxOutputTokens <= 0 {
 			return a.TimeLeft()
 		}
-		tokens = a.Call.Generation.MaxOutputTokens
+		tokens = max(0, a.Call.Generation.MaxOutputTokens-int(a.ResumesAfter())*tokensPerEvent(a))
 	}
 	switch {
 	case known:
@@ -91,9 +91,16 @@
 		return plainObjectives * a.Route.Objective
 	case a.Route.Kind != policy.Streaming:
 		return a.TimeLeft()
-	case a.Route.GapObjective > 0 && a.Service.Engine != nil:
-		return a.Route.Objective + time.Duration(tokens)*a.Route.GapObjective/time.Duration(max(1, a.Service.Engine.TokensPerEvent))
+	case a.Route.GapObjective > 0:
+		return a.Route.Objective + time.Duration(tokens)*a.Route.GapObjective/time.Duration(tokensPerEvent(a))
 	default:
 		return a.Route.Objective + time.Duration(tokens)*defaultTokenTime
 	}
 }
+
+func tokensPerEvent(a *edge.AuthorizedCall) int {
+	if a.Service == nil || a.Service.Engine == nil {
+		return 1
+	}
+	return max(1, a.Service.Engine.TokensPerEvent)
+}
--- a/internal/edge/draining/drain_test.go
+++ b/internal/edge/draining/drain_test.go
@@ -96,6 +96,12 @@
 	}
 }
 
+func TestResumedStreamFitsByWhatIsLeftOfIt(t *testing.T) {
+	a := streamCall(928)
+	a.Route.Resumable, a.Call.LastEventID = true, 229 // of 232
+	require.True(t, at(0).Fits(a))
+}
+
 func TestEverythingFitsBeforeTheDrain(t *testing.T) {
 	d := New(length)
 	d.Record("route", Duration{Start: time.Minute})
--- a/internal/edge/plain/server.go
+++ b/internal/edge/plain/server.go
@@ -11,11 +11,14 @@
 	"time"
 
 	"corianderhitch/internal/edge"
+	"corianderhitch/internal/edge/bootclock"
+	"corianderhitch/internal/edge/draining"
 	"corianderhitch/internal/edge/ejection"
 	"corianderhitch/internal/edge/inflight"
 	"corianderhitch/internal/edge/placement"
 	"corianderhitch/internal/edge/policy"
 	"corianderhitch/internal/edge/retrybudget"
+	"corianderhitch/internal/edge/stall"
 	"corianderhitch/internal/edge/targetconn"
 	"corianderhitch/internal/edge/targets"
 )
@@ -51,6 +54,8 @@
 	Health      *ejection.Tracker
 	RetryBudget func(service string) *retrybudget.Budget
 	Domain      string // failure domain of this host
+	Stalls      *stall.Detector
+	Drain       *draining.Drain // the end of the process, before which a call must have ended
 }
 
 // Serve answers the call and returns its outcome.
@@ -98,6 +103,7 @@
 	}
 	hedge := time.NewTimer(max(minHedgeDelay, time.Duration(hedgeDelayFactor*float64(r.call.Route.Objective))))
 	defer hedge.Stop()
+	delayed := false // the hedge was put off once
 	for r.pending > 0 {
 		select {
 		case o := <-r.outcomes:
@@ -108,6 +114,11 @@
 			best = r.mergeOutcome(best, o)
 			r.retry(o)
 		case <-hedge.C:
+			if now := bootclock.Now(); r.server.Stalls.Affected(r.call.Received, now) && !delayed {
+				delayed = true
+				hedge.Reset(minHedgeDelay) // the response may wait unread
+				continue
+			}
 			r.hedge()
 		case <-r.ctx.Done():
 			r.mayHaveRun = r.mayHaveRun || r.sends > 0
@@ -161,7 +172,7 @@
 
 // sendAgain sends the call to one more target if the retry budget allows.
 func (r *run) sendAgain(reason string) {
-	if r.sends >= r.call.Route.MaxAttempts {
+	if r.sends >= r.call.Route.MaxAttempts || !r.server.Drain.Fits(r.call) {
 		return
 	}
 	budget := r.server.RetryBudget(r.call.Service.Name).TakeRetry()
@@ -257,15 +268,16 @@
 // recordHealth records what the outcome of a send shows about the target's health.
 func (s *Server) recordHealth(ctx context.Context, o *outcome) {
 	key := o.target.Key()
+	if o.result != answered && s.ownFault(ctx, o) {
+		return
+	}
 	switch o.result {
 	case answered:
 		s.Health.RecordSuccess(key, o.took)
 	case failed:
 		s.Health.RecordFailure(key, serverErrorSeverity)
 	case unsent:
-		if ctx.Err() == nil && !errors.Is(o.err, targetconn.ErrRefused) {
-			s.Health.RecordFailure(key, 1)
-		}
+		s.Health.RecordFailure(key, 1)
 	case broken:
 		switch {
 		case !errors.Is(ctx.Err(), context.Canceled):
@@ -276,6 +288,17 @@
 	}
 }
 
+// ownFault reports whether a send failed for a reason that says nothing about its target:
+// it was not sent for the host's own reasons, the host's process ends, or it was stalled
+// while the send lasted.
+func (s *Server) ownFault(ctx context.Context, o *outcome) bool {
+	if o.result == unsent && (ctx.Err() != nil || errors.Is(o.err, targetconn.ErrRefused)) {
+		return true
+	}
+	now := bootclock.Now()
+	return errors.Is(context.Cause(ctx), edge.ErrStopping) || (o.result != failed && s.Stalls.Affected(now.Add(-o.took), now))
+}
+
 // logOutcome logs a send that got no successful response.
 func logOutcome(a *edge.AuthorizedCall, o *outcome) {
 	if o.result == answered {
--- a/internal/edge/process/follow.go
+++ b/internal/edge/process/follow.go
@@ -97,7 +97,7 @@
 	ticker := time.NewTicker(followCheckInterval)
 	defer ticker.Stop()
 	for {
-		p.heartbeat.Beat(bootclock.Now())
+		p.stalls.Beat(bootclock.Now())
 		hubIsLive := p.exchange.HasLiveHub()
 		switch {
 		case hubIsLive:
--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -33,6 +33,7 @@
 	"corianderhitch/internal/edge/policy"
 	"corianderhitch/internal/edge/relay"
 	"corianderhitch/internal/edge/retrybudget"
+	"corianderhitch/internal/edge/stall"
 	"corianderhitch/internal/edge/storeera"
 	"corianderhitch/internal/edge/streaming"
 	"corianderhitch/internal/edge/targetconn"
@@ -83,7 +84,7 @@
 	placementRate placement.Rate
 	targetsListed atomic.Bool
 	end           *draining.Drain
-	heartbeat     draining.Heartbeat
+	stalls        stall.Detector
 
 	retryBudgetsMu sync.Mutex
 	retryBudgets   map[string]*retrybudget.Budget // guarded by retryBudgetsMu; by service
@@ -153,7 +154,7 @@
 		ChangeLog: p.targetLog, Policy: p.policy, Confirmer: p.confirmer, Health: health, Eras: p.eras, FollowsStore: p.feeds.live}
 	p.exchange.Init()
 	sender := &edge.Sender{Wire: adapter.Wire, Pool: p.pool}
-	p.plain = &plain.Server{Sender: sender, Targets: p.targets, Inflight: p.inflight, Health: health, RetryBudget: p.retryBudget, Domain: n.Domain}
+	p.plain = &plain.Server{Sender: sender, Targets: p.targets, Inflight: p.inflight, Health: health, RetryBudget: p.retryBudget, Domain: n.Domain, Stalls: &p.stalls, Drain: p.end}
 	p.streaming = &streaming.Server{
 		Sender: sender, Engines: adapter.NewEngineClient(p.pool), Targets: p.targets, Inflight: p.inflight, Health: health,
 		Lengths: streaming.NewOutputLengths(), Queue: admission.New(p.inflight.Changed), Runs: streaming.NewRuns(p.onRunEntered),
--- a/internal/edge/process/stop.go
+++ b/internal/edge/process/stop.go
@@ -16,9 +16,9 @@
 	// readinessDelay is how long the platform may keep sending connections to a host
 	// that reports that it is not ready: two probes a second apart, and a margin.
 	readinessDelay = 2500 * time.Millisecond
-	// maxLateShare bounds how late a signal is taken to be handled, as a share of the grace
-	// period.
-	maxLateShare = 0.25
+	// abortPart is the last part of the grace period, as a share of it, in which the platform
+	// lets requests be aborted.
+	abortPart = 1.0 / 6
 	// maxExitMargin and exitShare, of the grace period, bound the time that is reserved for
 	// the end of the process itself.
 	maxExitMargin = 600 * time.Millisecond
@@ -68,12 +68,13 @@
 	}
 }
 
-// stopRequestedAt returns when the signal that is handled now was sent at the earliest, at
-// most maxLateShare of the grace period ago.
+// stopRequestedAt returns when the signal that is handled now was sent at the earliest. It
+// is not so long ago that requests would be aborted before the last part of the grace
+// period, since the signal may also have come after a stall.
 func (p *Process) stopRequestedAt() bootclock.Instant {
 	now := bootclock.Now()
-	maxLate := time.Duration(maxLateShare * float64(p.node.Grace))
-	return max(p.heartbeat.Earliest(now), now.Add(-maxLate))
+	maxLate := time.Duration(abortPart*float64(p.node.Grace)) - exitMargin(p.node.Grace)
+	return max(p.stalls.Earliest(now), now.Add(-maxLate))
 }
 
 // stopTasks stops the background tasks and servers. The process ends without those that
--- a/internal/edge/retrybudget/budget.go
+++ b/internal/edge/retrybudget/budget.go
@@ -20,6 +20,9 @@
 // the rest of it, and the slack, may have been used by an earlier process of its host.
 const firstWindowFactor = 1 - safetyFactor
 
+// defaultWindow applies if the platform sets none.
+const defaultWindow = 10 * time.Second
+
 // slotsPerWindow is the number of slots that a window is divided into. Counts expire
 // by whole slots.
 const slotsPerWindow = 10
@@ -46,6 +49,9 @@
 // what a host that left has used still counts. It is not used until the number has been
 // known for a window, since the first lists after an outage of the store are incomplete.
 func New(ratio, slack float64, window time.Duration, processStart bootclock.Instant, hosts func() int) *Budget {
+	if window <= 0 {
+		window = defaultWindow
+	}
 	b := &Budget{ratio: ratio, slack: slack, window: window, hosts: hosts}
 	b.startedSlot = b.slotAt(processStart)
 	return b
--- a/internal/edge/draining/heartbeat_test.go
+++ b/internal/edge/stall/detector_test.go
@@ -1,4 +1,4 @@
-package draining
+package stall
 
 import (
 	"testing"
@@ -26,12 +26,12 @@
 		"a process without beats is not stale": {stall: -1, handle: time.Second, want: 0},
 	} {
 		t.Run(name, func(t *testing.T) {
-			var h Heartbeat
+			var d Detector
 			now := bootclock.Instant(time.Hour)
 			if c.stall >= 0 {
 				for range 10 {
 					now = now.Add(beat)
-					h.Beat(now)
+					d.Beat(now)
 				}
 			}
 			for n := range c.beats {
@@ -39,10 +39,25 @@
 					now = now.Add(c.stall - beat)
 				}
 				now = now.Add(beat)
-				h.Beat(now)
+				d.Beat(now)
 			}
 			now = now.Add(c.handle)
-			require.Equal(t, c.want, now.Sub(h.Earliest(now)))
+			require.Equal(t, c.want, now.Sub(d.Earliest(now)))
 		})
 	}
 }
+
+func TestTimesAroundAStallAreAffected(t *testing.T) {
+	var d Detector
+	start := bootclock.Instant(time.Hour)
+	at := func(ms int) bootclock.Instant { return start.Add(time.Duration(ms) * time.Millisecond) }
+	d.Beat(at(0))
+	require.False(t, d.Affected(at(0), at(300)))
+	require.True(t, d.Affected(at(0), at(1500)), "the stall still lasts")
+	d.Beat(at(1500))
+	d.Beat(at(1600))
+	require.True(t, d.Affected(at(-500), at(1650)), "began before the stall")
+	require.True(t, d.Affected(at(1700), at(1700)), "right after the stall")
+	d.Beat(at(1950))
+	require.False(t, d.Affected(at(2000), at(2000)))
+}
--- a/internal/edge/streaming/forward.go
+++ b/internal/edge/streaming/forward.go
@@ -82,9 +82,10 @@
 	r.w.Header().Del("Content-Length")
 	r.w.WriteHeader(http.StatusOK)
 	r.headSent = true
-	r.startedAfter = r.call.Age()
-	r.server.Observer.ObserveFirstEvent(r.startedAfter)
-	r.call.Log.Info("stream: first event", "target", t.ID, "age_ms", r.startedAfter.Milliseconds())
+	age := r.call.Age()
+	r.startedAfter = r.call.SinceReceived()
+	r.server.Observer.ObserveFirstEvent(age)
+	r.call.Log.Info("stream: first event", "target", t.ID, "age_ms", age.Milliseconds())
 }
 
 // recordPause measures the time since the last events. Pauses longer than the
@@ -256,7 +257,7 @@
 	if tokens <= 0 {
 		return
 	}
-	d := draining.Duration{Start: r.startedAfter, PerToken: (r.call.Age() - r.startedAfter) / time.Duration(tokens)}
+	d := draining.Duration{Start: r.startedAfter, PerToken: (r.call.SinceReceived() - r.startedAfter) / time.Duration(tokens)}
 	r.server.Drain.Record(r.call.Route.Name, d)
 }
 
--- a/internal/edge/streaming/run.go
+++ b/internal/edge/streaming/run.go
@@ -31,7 +31,7 @@
 	// longestPause is the longest time between two events; only for the reading
 	// goroutine.
 	longestPause time.Duration
-	startedAfter time.Duration // from arrival to the first event; only for the reading goroutine
+	startedAfter time.Duration // from when the request had been read to the first event; only for the reading goroutine
 	eventsBefore int           // events that the caller had before it resumed the stream
 	head         http.Header   // of the caller's response; only for the reading goroutine
 	attempts     attempts
--- a/internal/edge/streaming/server.go
+++ b/internal/edge/streaming/server.go
@@ -176,12 +176,14 @@
 	need := newRequirements(a, load, s.Domain)
 	var placed Placement
 	started := bootclock.Now()
-	stopWatching := context.AfterFunc(s.Drain.Begun(), func() {
-		if !s.fitsDrain(r) {
-			cancel()
-		}
-	})
-	defer stopWatching()
+	if !r.headSent {
+		stopWatching := context.AfterFunc(s.Drain.Begun(), func() {
+			if !s.Drain.Fits(a) {
+				cancel()
+			}
+		})
+		defer stopWatching()
+	}
 	t := s.Queue.Acquire(ctx, a.Urgency, func() *targets.Target {
 		if _, paused := s.Targets.View().PauseLeft(a.Service.Name); paused {
 			cancel() // waiting is pointless: the run is rejected with the time left
