A drain that begins while a run is placed reads no state of its goroutine

What was seen: a data race. When a drain begins in the moment in which a run gets its engine, the goroutine that the drain starts reads whether the caller has a part of the stream, while the request's goroutine writes it. The run's fields are only for that goroutine; stopping the watch does not wait for a function that has begun.

Whether the caller has a part of the stream cannot change while the run is placed, so it is asked before the watch starts; the watch itself reads only the call.

--- a/internal/edge/streaming/server.go
+++ b/internal/edge/streaming/server.go
@@ -174,12 +174,14 @@
 	need := newRequirements(a, load, s.Domain)
 	var placed Placement
 	started := bootclock.Now()
-	stopWatching := context.AfterFunc(s.Drain.Begun(), func() {
-		if !s.fitsDrain(r) {
-			cancel()
-		}
-	})
-	defer stopWatching()
+	if !r.headSent { // the function may run when the caller has a part of the stream
+		stopWatching := context.AfterFunc(s.Drain.Begun(), func() {
+			if !s.Drain.Fits(a) {
+				cancel()
+			}
+		})
+		defer stopWatching()
+	}
 	t := s.Queue.Acquire(ctx, a.Urgency, func() *targets.Target {
 		placed = s.ReserveEngine(ctx, a.Service, need, load, r.attempts.tried)
 		return placed.Target
