A resumed stream is judged by what is left of it in the drain

What callers would see: a caller whose stream broke off near its end and that resumes it at a host which is draining gets 503, although the rest takes a fraction of a second. In restarts in series that is where such callers come from.

Cause: the drain counts MaxOutputTokens of the whole generation, also for a stream that goes on at Last-Event-Id; run.go subtracts what the caller has, the drain did not.

Evidence: TestResumedStreamFitsByWhatIsLeftOfIt, 8 of 928 tokens left and 4.6 s to go, fails without the fix. No case on real processes was run.

The tokens of the events that the caller has are subtracted, on resumable routes only, as the run itself does.

--- a/internal/edge/draining/drain.go
+++ b/internal/edge/draining/drain.go
@@ -83,6 +83,10 @@
 			return a.TimeLeft()
 		}
 		tokens = a.Call.Generation.MaxOutputTokens
+		if a.Service.Engine != nil {
+			delivered := int(a.ResumesAfter()) * a.Service.Engine.TokensPerEvent
+			tokens = max(0, tokens-delivered)
+		}
 	}
 	switch {
 	case known:
--- a/internal/edge/draining/drain_test.go
+++ b/internal/edge/draining/drain_test.go
@@ -96,6 +96,20 @@
 	}
 }
 
+func TestResumedStreamFitsByWhatIsLeftOfIt(t *testing.T) {
+	d := at(3 * time.Second)
+	d.Record("route", Duration{time.Second, 10 * time.Millisecond})
+	a := streamCall(928)
+	a.Call.LastEventID = 230
+	require.False(t, d.Fits(a), "the route's streams cannot be resumed")
+	a.Route.Resumable = true
+	require.True(t, d.Fits(a), "8 tokens are left")
+	a.Call.LastEventID = 4
+	require.False(t, d.Fits(a))
+	a.Call.LastEventID = edge.MaxEventID
+	require.True(t, d.Fits(a))
+}
+
 func TestEverythingFitsBeforeTheDrain(t *testing.T) {
 	d := New(length)
 	d.Record("route", Duration{Start: time.Minute})
