A caller that sends its body slowly does not make a drain reject others

Cause: the drain's record of how long a route's requests take began at the arrival of the request's head. The time of the body is the caller's, and a request that is judged has sent its own already.

No case on real processes was run.

The durations are counted from when the body was read.

--- a/internal/edge/authorizedcall.go
+++ b/internal/edge/authorizedcall.go
@@ -19,6 +19,7 @@
 	Urgency    int    // 0 is the most urgent
 	UsesAPIKey bool   // authorized by an API key, which may be revoked
 	Arrived    bootclock.Instant
+	BodyTook   time.Duration     // how long the caller took to send the body
 	Deadline   bootclock.Instant // when the caller stops waiting or the route's timeout ends, whichever is earlier
 	Log        *slog.Logger
 	// StillAuthorized reports whether the call may still be sent: its API key must
--- a/internal/edge/draining/durations.go
+++ b/internal/edge/draining/durations.go
@@ -14,7 +14,7 @@
 
 // Duration is how long a complete request took.
 type Duration struct {
-	Start    time.Duration // from arrival to the first event; of plain calls to the response
+	Start    time.Duration // from when the whole request was read to the first event; of plain calls to the response
 	PerToken time.Duration // from then on, for each output token; 0 for plain calls
 }
 
--- a/internal/edge/ingress/handler.go
+++ b/internal/edge/ingress/handler.go
@@ -117,7 +117,7 @@
 func (h *Handler) finish(a *edge.AuthorizedCall, outcome string) {
 	took := a.Age()
 	if outcome == edge.OutcomeAnswered {
-		h.Drain.Record(a.Route.Name, draining.Duration{Start: took})
+		h.Drain.Record(a.Route.Name, draining.Duration{Start: took - a.BodyTook})
 	}
 	h.Observer.ObserveRequest(a.Route, outcome, took)
 	a.Log.Info("ingress: request ended", "outcome", outcome, "kind", a.Route.Kind.String(), "account", a.Account,
@@ -212,6 +212,7 @@
 	if r.ContentLength == 0 {
 		return nil
 	}
+	started := bootclock.Now()
 	// A caller may take long to send the body; the process does not wait for it any more
 	// once it cannot serve the call.
 	stopWatching := context.AfterFunc(h.Drain.Begun(), func() {
@@ -231,7 +232,7 @@
 	case err != nil:
 		return &edge.Rejection{Status: http.StatusBadRequest, Reason: edge.ReasonBadRequest}
 	}
-	a.Call.Body = body
+	a.Call.Body, a.BodyTook = body, bootclock.Since(started)
 	return nil
 }
 
--- a/internal/edge/ingress/handler_test.go
+++ b/internal/edge/ingress/handler_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
@@ -85,3 +86,33 @@
 		})
 	}
 }
+
+// slowBody is the body of a caller that takes a while to send it.
+type slowBody struct{ took time.Duration }
+
+func (b slowBody) Read([]byte) (int, error) {
+	time.Sleep(b.took)
+	return 0, io.EOF
+}
+
+func TestSlowCallerDoesNotMakeTheDrainRejectOthers(t *testing.T) {
+	holder := policy.NewHolder(platform.DecodeConfiguration)
+	_, err := holder.ApplyIfNewer(configuration(t, 1, "route"), 1)
+	require.NoError(t, err)
+	log := slog.New(slog.DiscardHandler)
+	confirmer := freshness.New(log, func() time.Duration { return time.Hour }, func(context.Context) (bootclock.Instant, error) { return bootclock.Now(), nil })
+	drain := draining.New(500 * time.Millisecond)
+	h := &ingress.Handler{Log: log, Wire: platform.Wire{}, Policy: holder, Confirmer: confirmer, RecheckAge: time.Hour,
+		Plain: stubServer{}, Streaming: stubServer{}, Observer: stubServer{}, CountRequest: func(string) {}, Drain: drain}
+	serve := func(id string, took time.Duration) int {
+		r := httptest.NewRequest(http.MethodPost, "/route/x", slowBody{took})
+		r.Host = "desk.example"
+		(&standin.Call{ID: id, APIKey: key, Timeout: time.Second}).SetHeaders(r)
+		answer := httptest.NewRecorder()
+		h.ServeHTTP(answer, r)
+		return answer.Code
+	}
+	require.Equal(t, http.StatusOK, serve("r-1", 400*time.Millisecond))
+	drain.Begin(bootclock.Now())
+	require.Equal(t, http.StatusOK, serve("r-2", 0))
+}
--- a/internal/edge/streaming/forward.go
+++ b/internal/edge/streaming/forward.go
@@ -256,7 +256,7 @@
 	if tokens <= 0 {
 		return
 	}
-	d := draining.Duration{Start: r.startedAfter, PerToken: (r.call.Age() - r.startedAfter) / time.Duration(tokens)}
+	d := draining.Duration{Start: r.startedAfter - r.call.BodyTook, PerToken: (r.call.Age() - r.startedAfter) / time.Duration(tokens)}
 	r.server.Drain.Record(r.call.Route.Name, d)
 }
 
