retrybudget: the number of hosts from before the window is kept, and no more

Two mutations passed all tests: numbers are never dropped, and the last one from before the window is dropped with the older ones. The new test fails for both.

--- a/internal/edge/retrybudget/budget_test.go
+++ b/internal/edge/retrybudget/budget_test.go
@@ -54,6 +54,20 @@
 	require.Equal(t, 1, b.TakeRetry().Hosts)
 }
 
+func TestHostCountsKeepTheNumberFromBeforeTheWindow(t *testing.T) {
+	var h hostCounts
+	h.add(0, 20)
+	h.add(100, 8)
+	h.add(104, 7)
+	require.Equal(t, 20, h.largestOfWindow(104), "20 were known until slot 100")
+	require.Equal(t, 8, h.largestOfWindow(100+slotsPerWindow+1))
+	for slot := int64(200); slot < 300; slot++ {
+		h.add(slot, int(slot%2)+8)
+		require.NotZero(t, h.largestOfWindow(slot))
+	}
+	require.LessOrEqual(t, len(h.counts), slotsPerWindow+3)
+}
+
 func TestNoRetriesWithoutRequestsAndSlack(t *testing.T) {
 	require.False(t, New(0.2, 3, 10*time.Second, longAgo(), func() int { return 6 }).TakeRetry().Granted)
 }
