--- a/internal/edge/ingress/handler_test.go
+++ b/internal/edge/ingress/handler_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -87,6 +88,17 @@
 	}
 }
 
+// newDrainHandler returns a handler with one route. Calls have a second to their deadline.
+func newDrainHandler(t *testing.T, drain *draining.Drain) *ingress.Handler {
+	holder := policy.NewHolder(platform.DecodeConfiguration)
+	_, err := holder.ApplyIfNewer(configuration(t, 1, "route"), 1)
+	require.NoError(t, err)
+	log := slog.New(slog.DiscardHandler)
+	confirmer := freshness.New(log, func() time.Duration { return time.Hour }, func(context.Context) (bootclock.Instant, error) { return bootclock.Now(), nil })
+	return &ingress.Handler{Log: log, Wire: platform.Wire{}, Policy: holder, Confirmer: confirmer, RecheckAge: time.Hour,
+		Plain: stubServer{}, Streaming: stubServer{}, Observer: stubServer{}, CountRequest: func(string) {}, Drain: drain}
+}
+
 // slowBody is the body of a caller that takes a while to send it.
 type slowBody struct{ took time.Duration }
 
@@ -96,14 +108,8 @@
 }
 
 func TestSlowCallerDoesNotMakeTheDrainRejectOthers(t *testing.T) {
-	holder := policy.NewHolder(platform.DecodeConfiguration)
-	_, err := holder.ApplyIfNewer(configuration(t, 1, "route"), 1)
-	require.NoError(t, err)
-	log := slog.New(slog.DiscardHandler)
-	confirmer := freshness.New(log, func() time.Duration { return time.Hour }, func(context.Context) (bootclock.Instant, error) { return bootclock.Now(), nil })
 	drain := draining.New(500 * time.Millisecond)
-	h := &ingress.Handler{Log: log, Wire: platform.Wire{}, Policy: holder, Confirmer: confirmer, RecheckAge: time.Hour,
-		Plain: stubServer{}, Streaming: stubServer{}, Observer: stubServer{}, CountRequest: func(string) {}, Drain: drain}
+	h := newDrainHandler(t, drain)
 	serve := func(id string, took time.Duration) int {
 		r := httptest.NewRequest(http.MethodPost, "/route/x", slowBody{took})
 		r.Host = "desk.example"
@@ -116,3 +122,60 @@
 	drain.Begin(bootclock.Now())
 	require.Equal(t, http.StatusOK, serve("r-2", 0))
 }
+
+func TestPlainCallThatCannotEndIsRejectedInTheDrain(t *testing.T) {
+	drain := draining.New(500 * time.Millisecond)
+	drain.Record("route", draining.Duration{Start: time.Second})
+	for _, want := range []int{http.StatusOK, http.StatusServiceUnavailable} {
+		r := httptest.NewRequest(http.MethodGet, "/route/x", nil)
+		r.Host = "desk.example"
+		(&standin.Call{ID: "r-1", APIKey: key, Timeout: time.Second}).SetHeaders(r)
+		answer := httptest.NewRecorder()
+		newDrainHandler(t, drain).ServeHTTP(answer, r)
+		require.Equal(t, want, answer.Code)
+		if want == http.StatusOK {
+			drain.Begin(bootclock.Now())
+		}
+	}
+}
+
+// The caller has sent a part of the body when the process is to stop, or aborts its requests.
+func TestRequestWhoseBodyIsComingInIsRejectedInTheDrain(t *testing.T) {
+	for name, c := range map[string]struct {
+		length time.Duration // of the drain
+		abort  bool
+	}{
+		"cannot end in time": {length: 500 * time.Millisecond},
+		"aborted":            {length: time.Minute, abort: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			drain := draining.New(c.length)
+			requests, abort := context.WithCancelCause(t.Context())
+			server := httptest.NewUnstartedServer(newDrainHandler(t, drain))
+			server.Config.BaseContext = func(net.Listener) context.Context { return requests }
+			server.Start()
+			defer server.Close()
+			body, rest := io.Pipe()
+			r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL+"/route/x", body)
+			require.NoError(t, err)
+			r.Host = "desk.example"
+			(&standin.Call{ID: "r-1", APIKey: key, Timeout: 10 * time.Second}).SetHeaders(r)
+			go func() {
+				_, _ = rest.Write([]byte("pro"))
+				time.Sleep(100 * time.Millisecond)
+				drain.Begin(bootclock.Now())
+				if c.abort {
+					abort(edge.ErrStopping)
+				}
+				time.Sleep(2 * time.Second)
+				_ = rest.Close()
+			}()
+			started := time.Now()
+			response, err := http.DefaultClient.Do(r)
+			require.NoError(t, err)
+			defer func() { _ = response.Body.Close() }()
+			require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+			require.Less(t, time.Since(started), time.Second)
+		})
+	}
+}
