--- a/internal/edge/plain/health_test.go
+++ b/internal/edge/plain/health_test.go
@@ -36,6 +36,7 @@
 		"broken while the host was stalled":   {t.Context(), stalled, broken, targetconn.ErrBroken, false},
 		"deadline":                            {expired, &stall.Detector{}, broken, targetconn.ErrBroken, true},
 		"deadline while the host was stalled": {expired, stalled, broken, targetconn.ErrBroken, false},
+		"the caller left a slow target":       {left, &stall.Detector{}, broken, targetconn.ErrBroken, true},
 		"aborted at the end of the process":   {stopping, &stall.Detector{}, broken, targetconn.ErrBroken, false},
 		"not reachable":                       {t.Context(), &stall.Detector{}, unsent, targetconn.ErrNotSent, true},
 		"not sent, since the caller had left": {left, &stall.Detector{}, unsent, targetconn.ErrNotSent, false},
