Retry budget: the number of hosts is known before a service's first request

What callers would have seen: requests of a service that is called rarely, or for the first time, are not repeated after a failure for a window, because the budget noted the number of hosts only when the service had requests.

The loop that follows the store now tells the budgets of all configured services.

--- a/internal/edge/policy/configuration.go
+++ b/internal/edge/policy/configuration.go
@@ -3,6 +3,8 @@
 package policy
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 )
@@ -89,6 +91,9 @@
 // HasAccounts reports whether there are API keys. Without any, no route needs one.
 func (c *Configuration) HasAccounts() bool { return len(c.byKey) > 0 }
 
+// ServiceNames returns the names of all services, in no order.
+func (c *Configuration) ServiceNames() []string { return slices.Collect(maps.Keys(c.services)) }
+
 // EngineServices returns the names of the services of model engines, sorted.
 func (c *Configuration) EngineServices() []string {
 	var names []string
--- a/internal/edge/process/follow.go
+++ b/internal/edge/process/follow.go
@@ -98,6 +98,7 @@
 	defer ticker.Stop()
 	for {
 		p.stalls.Beat(bootclock.Now())
+		p.observeHosts()
 		hubIsLive := p.exchange.HasLiveHub()
 		switch {
 		case hubIsLive:
--- a/internal/edge/process/runs.go
+++ b/internal/edge/process/runs.go
@@ -73,6 +73,17 @@
 	}
 }
 
+// observeHosts tells the retry budgets of all services how many hosts there are.
+func (p *Process) observeHosts() {
+	c := p.policy.Current()
+	if c == nil {
+		return
+	}
+	for _, service := range c.ServiceNames() {
+		p.retryBudget(service).ObserveHosts()
+	}
+}
+
 // retryBudget returns the retry budget of a service.
 func (p *Process) retryBudget(service string) *retrybudget.Budget {
 	p.retryBudgetsMu.Lock()
--- a/internal/edge/retrybudget/budget.go
+++ b/internal/edge/retrybudget/budget.go
@@ -66,6 +66,14 @@
 	b.sharing.add(slot, b.hosts())
 }
 
+// ObserveHosts notes how many hosts share the slack now. It is to be called often, also
+// while the service has no requests.
+func (b *Budget) ObserveHosts() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.sharing.add(b.currentSlot(), b.hosts())
+}
+
 // Decision is the outcome of TakeRetry with its inputs.
 type Decision struct {
 	Granted  bool
--- a/internal/edge/retrybudget/budget_test.go
+++ b/internal/edge/retrybudget/budget_test.go
@@ -38,6 +38,16 @@
 	require.True(t, b.TakeRetry().Granted)
 }
 
+func TestSlackIsKnownBeforeAServicesFirstRequest(t *testing.T) {
+	b := New(0, 40, fleetWindow, longAgo(), func() int { return 4 })
+	b.startedSlot -= 2 * slotsPerWindow
+	for range slotsPerWindow + 1 {
+		b.ObserveHosts()
+		b.nextSlot()
+	}
+	require.True(t, b.TakeRetry().Granted)
+}
+
 func TestSlackOfAHostThatLeftIsNotUsedWithinTheWindow(t *testing.T) {
 	hosts := 20
 	b := New(0, 40, fleetWindow, longAgo(), func() int { return hosts })
