--- a/tests/soak/lost_test.go
+++ b/tests/soak/lost_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net/http"
 	"os"
 	"strings"
 	"testing"
@@ -20,6 +21,8 @@
 	// lateBound is how long after SIGTERM a request may be sent that is cut at the end of
 	// the grace period.
 	lateBound = 3 * time.Second
+	// earlyBound is how long after SIGTERM short requests must still be served.
+	earlyBound = 2 * time.Second
 	// minServed is the number of requests that a run must serve for its check to mean
 	// anything.
 	minServed = 150
@@ -40,13 +43,23 @@
 func (r *restartRun) checkNothingLost() {
 	seen := r.observations()
 	served, cut, lost, unlogged := 0, 0, 0, 0
+	early, earlyServed := 0, 0 // short requests sent early in a stop
 	for i := range r.uses {
 		u := &r.uses[i]
 		if u.abandoned {
 			continue
 		}
-		if u.err == nil {
+		ok := u.err == nil && u.status == http.StatusOK
+		if ok {
 			served++
+		}
+		if s := r.stopBefore(u.host, u.sentWhole); s != nil && u.events <= shortStream && s.since(u.sentWhole) < earlyBound && (u.status != 0 || len(seen[u.id]) > 0) {
+			early++
+			if ok {
+				earlyServed++
+			}
+		}
+		if u.err == nil {
 			continue
 		}
 		lines := u.host.logLines(u.id)
@@ -65,7 +78,9 @@
 		r.t.Log(r.stops[i].describe())
 	}
 	r.t.Logf("%d requests, %d served, %d cut after a target had received them, %d lost; the end of %d is not logged", len(r.uses), served, cut, lost, unlogged)
+	r.t.Logf("%d of %d short requests sent early in a stop were served", earlyServed, early)
 	require.Greater(r.t, served, minServed)
+	require.GreaterOrEqual(r.t, 2*earlyServed, early, "a stopping host serves what can end in time")
 }
 
 // checkLost checks that a request whose connection ended without a complete answer either
