Soak: the stop of a frozen process is played by default

TestStopSignals plays its case "TERM while frozen" only with -all-signals, so that no default test failed without the lateness of a stalled process: without it (heartbeat not used, or no beats) unit tests, tests/edge and TestStopSignals passed. With the case and without the lateness the process ends 8.419 s after the signal; with it the case passes, alone and with the other eight.

--- a/tests/soak/signals_test.go
+++ b/tests/soak/signals_test.go
@@ -121,7 +121,7 @@
 	{name: "HUP while draining", main: true, steps: []step{at(0, send(syscall.SIGTERM)), at(time.Second, send(syscall.SIGHUP)), at(5*time.Second, send(syscall.SIGHUP)), at(7590*time.Millisecond, send(syscall.SIGHUP))}},
 	{name: "TERM, frozen from 1 s for 1 s", disturbed: true, steps: []step{at(0, send(syscall.SIGTERM)), at(time.Second, freezeFor(time.Second))}},
 	{name: "TERM, frozen from 2 s for 3 s", disturbed: true, steps: []step{at(0, send(syscall.SIGTERM)), at(2*time.Second, freezeFor(3*time.Second))}},
-	{name: "TERM while frozen", disturbed: true, steps: []step{at(-500*time.Millisecond, func(p *stopPlay) { p.host.process.Freeze() }), at(0, send(syscall.SIGTERM)), at(time.Second, func(p *stopPlay) { p.host.process.Thaw() })}},
+	{name: "TERM while frozen", main: true, disturbed: true, steps: []step{at(-500*time.Millisecond, func(p *stopPlay) { p.host.process.Freeze() }), at(0, send(syscall.SIGTERM)), at(time.Second, func(p *stopPlay) { p.host.process.Thaw() })}},
 	{name: "TERM while the log's reader is stalled", main: true, stalledLog: true, steps: []step{at(0, send(syscall.SIGTERM))}},
 	{name: "TERM while the store is down", steps: []step{at(-100*time.Millisecond, func(p *stopPlay) { p.cluster.setFault(memstore.Fault{Outage: true}) }), at(0, send(syscall.SIGTERM))}},
 	{name: "TERM while the store is silent", main: true, steps: []step{at(-100*time.Millisecond, func(p *stopPlay) { p.host.storeProxy.SetMode(harness.Stall) }), at(0, send(syscall.SIGTERM))}},
