streaming: tests of runs that are placed or aborted while a host drains

Five mutations passed all unit tests and tests/edge: a run that waits for an engine is not rejected when the drain begins, an engine chosen meanwhile is used all the same, a run whose caller has a part is rejected, and an aborted run's answer does not tell the host's end. The new tests fail for each, and for the watch of a run that has started.

--- a/internal/edge/streaming/place_test.go
+++ b/internal/edge/streaming/place_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,7 +18,6 @@
 	"corianderhitch/internal/edge/ejection"
 	"corianderhitch/internal/edge/inflight"
 	"corianderhitch/internal/edge/peers"
-	"corianderhitch/internal/edge/placement"
 	"corianderhitch/internal/edge/policy"
 	"corianderhitch/internal/edge/targets"
 )
@@ -28,24 +30,101 @@
 
 func (o endingObserver) ObservePlacementWait(time.Duration, bool) { o.drain.Begin(bootclock.Now()) }
 
-// The race detector reports it.
-func TestDrainThatBeginsDuringPlacementReadsStateOfTheRun(t *testing.T) {
+// placingServer returns a server with one engine, which the hub chooses as chooses says, and
+// a run that cannot end within a drain of ten seconds.
+func placingServer(drain *draining.Drain, observer Observer, chooses func() bool) (*Server, *Run) {
 	engine := &targets.Target{ID: "e", Service: "s", Address: "127.0.0.1:1"}
 	registry := targets.New(func(targets.Target, targets.LeavingNotice) {})
 	registry.Apply([]targets.Change{{Name: "e", Target: engine}}, 1)
 	table := inflight.New("host")
-	drain := draining.New(time.Minute)
-	s := &Server{Targets: registry, Inflight: table, Health: ejection.New(), Lengths: NewOutputLengths(), Queue: admission.New(table.Changed),
-		Drain: drain, Observer: endingObserver{drain: drain}}
+	s := &Server{
+		Targets: registry, Inflight: table, Health: ejection.New(), Lengths: NewOutputLengths(), Queue: admission.New(table.Changed),
+		Drain: drain, Observer: observer, Sender: &edge.Sender{Wire: silentWire{}},
+	}
 	s.PlaceViaHub = func(context.Context, peers.PlaceArgs) (peers.PlaceReply, bool) {
-		return peers.PlaceReply{Able: true, Decision: placement.Decision{Target: engine.Key()}}, true
+		reply := peers.PlaceReply{Able: true}
+		if chooses() {
+			reply.Target = engine.Key()
+		}
+		return reply, true
 	}
-	a := &edge.AuthorizedCall{Call: &edge.Call{ID: "r"}, Route: &policy.Route{Name: "route", Kind: policy.Streaming}, Arrived: bootclock.Now(),
+	a := &edge.AuthorizedCall{
+		Call: &edge.Call{ID: "r"}, Route: &policy.Route{Name: "route", Kind: policy.Streaming}, Arrived: bootclock.Now(),
 		Service:  &policy.Service{Name: "s", Engine: &policy.Engine{TokensPerEvent: 1, Slots: 1, MemoryTokens: 1 << 20}},
-		Deadline: bootclock.Now().Add(time.Second), Log: slog.New(slog.DiscardHandler)}
-	r := newRun(s, a, nil, nil)
+		Deadline: bootclock.Now().Add(20 * time.Second), Log: slog.New(slog.DiscardHandler),
+	}
+	return s, newRun(s, a, nil, nil)
+}
+
+type silentWire struct{ edge.Wire }
+
+func (silentWire) SetRetryAfter(http.Header, time.Duration) {}
+
+type silentObserver struct{ Observer }
+
+func (silentObserver) ObservePlacementWait(time.Duration, bool) {}
+
+const placingDrain = 10 * time.Second
+
+// The race detector reports it.
+func TestDrainThatBeginsDuringPlacementReadsStateOfTheRun(t *testing.T) {
+	drain := draining.New(placingDrain)
+	s, r := placingServer(drain, endingObserver{drain: drain}, func() bool { return true })
 	placed, _ := s.place(t.Context(), r)
 	r.headSent = true
 	time.Sleep(20 * time.Millisecond) // of the goroutine that the drain has started
 	require.NotNil(t, placed)
 }
+
+func TestRunThatWaitsForAnEngineIsRejectedWhenTheDrainBegins(t *testing.T) {
+	drain := draining.New(placingDrain)
+	s, r := placingServer(drain, silentObserver{}, func() bool { return false })
+	time.AfterFunc(50*time.Millisecond, func() { drain.Begin(bootclock.Now()) })
+	started := time.Now()
+	_, rejection := s.start(t.Context(), r)
+	require.Less(t, time.Since(started), time.Second)
+	require.Equal(t, http.StatusServiceUnavailable, rejection.Status)
+	require.Equal(t, edge.ReasonStopping, rejection.Reason)
+}
+
+func TestEngineChosenWhenTheDrainBeginsIsNotUsed(t *testing.T) {
+	for name, hasStarted := range map[string]bool{"new run": false, "run whose caller has a part": true} {
+		t.Run(name, func(t *testing.T) {
+			drain := draining.New(placingDrain)
+			s, r := placingServer(drain, silentObserver{}, func() bool { drain.Begin(bootclock.Now()); return true })
+			r.headSent = hasStarted
+			placed, _ := s.place(t.Context(), r)
+			require.Equal(t, hasStarted, placed != nil)
+			if placed == nil {
+				require.Zero(t, s.Inflight.TotalLoad(s.Targets.View().Available("s")[0].Key()).Runs)
+			}
+		})
+	}
+}
+
+func TestAbortedRunIsRejectedByWhetherItMayHaveRun(t *testing.T) {
+	for mayHaveRun, want := range map[bool]int{false: http.StatusServiceUnavailable, true: http.StatusBadGateway} {
+		s, r := placingServer(draining.New(placingDrain), silentObserver{}, func() bool { return false })
+		answer := httptest.NewRecorder()
+		r.w, r.attempts.mayHaveRun = answer, mayHaveRun
+		ctx, abort := context.WithCancelCause(t.Context())
+		abort(edge.ErrStopping)
+		reason := s.reject(ctx, r, edge.Unavailable(edge.ReasonNoRoom, 0))
+		require.Equal(t, want, answer.Code)
+		require.Equal(t, !mayHaveRun, reason == edge.ReasonStopping)
+	}
+}
+
+func TestStartedRunWaitsForAnEngineInTheDrain(t *testing.T) {
+	var free atomic.Bool
+	drain := draining.New(placingDrain)
+	s, r := placingServer(drain, silentObserver{}, free.Load)
+	r.headSent = true
+	time.AfterFunc(50*time.Millisecond, func() { drain.Begin(bootclock.Now()) })
+	time.AfterFunc(150*time.Millisecond, func() {
+		free.Store(true)
+		s.Inflight.Add("other", inflight.Load{Runs: 1}) // wakes the queue
+	})
+	placed, _ := s.place(t.Context(), r)
+	require.NotNil(t, placed)
+}
