delivery: a draining host starts and adopts no late requests

What operators saw: a gateway that drains goes on adopting the late requests of hosts that are gone, and starting queued ones, until all its requests have ended, while the others, which no longer count it as alive, adopt the same ones. Its drain then lasts a late request longer, or cuts it.

Cause: the service stopped starting in Stop, which comes after all requests have ended. Drain now does that part when the gateway begins to refuse requests; what runs is finished, the rest stays in the store for other hosts. The test plays both: without Drain, as before, the host runs the orphan and the new request too; with it, neither.

--- a/internal/delivery/delivery_test.go
+++ b/internal/delivery/delivery_test.go
@@ -305,3 +305,37 @@
 	require.NoError(t, err)
 	require.Len(t, body, maxAnswerBytes)
 }
+
+func TestDrainingHostStartsAndAdoptsNothing(t *testing.T) {
+	for _, draining := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			store, h := memstore.New(memstore.Options{}), &hosts{alive: []string{"one", "two"}}
+			var runs atomic.Int32
+			answer := make(chan struct{})
+			s := newService(store, "one", h, func(context.Context, string, string, completion.Request, uint64) Outcome {
+				runs.Add(1)
+				<-answer
+				return Outcome{Response: &completion.Response{}}
+			})
+			s.Start()
+			gone := newService(store, "gone", h, runUntilCanceled)
+			accept(t, gone, "orphan")
+			synctest.Wait()
+			stopImmediately(gone)
+			accept(t, s, "running")
+			synctest.Wait()
+			if draining {
+				s.Drain()
+			}
+			h.set("one")
+			accept(t, s, "new")
+			time.Sleep(10 * time.Second)
+			want := map[bool]int32{false: 3, true: 1}[draining]
+			require.Equal(t, want, runs.Load(), "draining: %t", draining)
+			close(answer)
+			synctest.Wait()
+			require.Equal(t, completion.LateReady, fetch(t, s, "running").State, "what runs is finished")
+			s.Stop(t.Context())
+		})
+	}
+}
--- a/internal/delivery/service.go
+++ b/internal/delivery/service.go
@@ -65,7 +65,7 @@
 	stopping     bool                     // guarded by mu
 	unconfirmed  map[requestRef]time.Time // guarded by mu; requests whose records may exist or still be written
 	tasks        sync.WaitGroup
-	startCtx     context.Context // ends at Stop; requests that have not begun are left to other hosts
+	startCtx     context.Context // ends at Drain; requests that have not begun are left to other hosts
 	stopStarting context.CancelFunc
 	runCtx       context.Context // ends when Stop's context ends
 	cancelRuns   context.CancelFunc
--- a/internal/delivery/worker.go
+++ b/internal/delivery/worker.go
@@ -125,7 +125,7 @@
 	}
 }
 
-// Start searches for orphans in the background until Stop.
+// Start searches for orphans in the background until Drain.
 func (s *Service) Start() {
 	s.tasks.Go(func() {
 		for s.startCtx.Err() == nil {
@@ -135,13 +135,19 @@
 	})
 }
 
-// Stop leaves the requests that have not begun to other hosts, and waits until the
-// answers of the running ones are stored or ctx ends.
-func (s *Service) Stop(ctx context.Context) {
+// Drain leaves the requests that have not begun to other hosts: it starts and adopts no
+// more. Requests accepted from now on are only recorded.
+func (s *Service) Drain() {
 	s.mu.Lock()
 	s.stopping = true
 	s.mu.Unlock()
 	s.stopStarting()
+}
+
+// Stop drains the service, and waits until the answers of the running requests are stored
+// or ctx ends.
+func (s *Service) Stop(ctx context.Context) {
+	s.Drain()
 	cancel := context.AfterFunc(ctx, s.cancelRuns)
 	defer cancel()
 	s.tasks.Wait()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -180,6 +180,7 @@
 	g.log.Info("Gateway draining.")
 	wait.For(ctx, g.settings.DrainNotice)
 	g.api.Drain()
+	g.late.Drain()
 	g.runner.Drain()
 	g.awaitRequests(ctx)
 	g.late.Stop(ctx)
