Tests of ended plain calls, and of the pace that a drain knows of streams

Three mutations passed all tests: a call that has ended is sent again, its target is blamed though nothing was sent, and durations of streams are never recorded. The new tests fail for each.

--- a/internal/edge/plain/server_test.go
+++ b/internal/edge/plain/server_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"log/slog"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"corianderhitch/internal/edge"
+	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/edge/ejection"
+	"corianderhitch/internal/edge/policy"
+	"corianderhitch/internal/edge/retrybudget"
 	"corianderhitch/internal/edge/targets"
 )
 
@@ -24,3 +28,28 @@
 	require.Greater(t, cost(nil), 1.0, "the caller left a slow target")
 	require.InDelta(t, 1.0, cost(edge.ErrStopping), 0)
 }
+
+func TestUnsentCallThatHasEndedBlamesNoTarget(t *testing.T) {
+	target := &targets.Target{ID: "t"}
+	s := &Server{Health: ejection.New()}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	s.recordHealth(ctx, &outcome{result: unsent, target: target})
+	require.InDelta(t, 1.0, s.Health.FailureCost(target.Key()), 0)
+	s.recordHealth(t.Context(), &outcome{result: unsent, target: target})
+	require.Greater(t, s.Health.FailureCost(target.Key()), 1.0)
+}
+
+func TestEndedCallIsNotSentAgain(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	s := &Server{RetryBudget: func(string) *retrybudget.Budget {
+		t.Error("a retry was asked for")
+		return retrybudget.New(0, 0, time.Second, bootclock.Now(), func() int { return 1 })
+	}}
+	for _, result := range []result{failed, broken, rejected} {
+		r := &run{server: s, ctx: ctx, sends: 1, call: &edge.AuthorizedCall{Route: &policy.Route{Kind: policy.Idempotent, MaxAttempts: 3}, Service: &policy.Service{}, Log: slog.New(slog.DiscardHandler)}}
+		r.retry(outcome{result: result})
+		require.Equal(t, 1, r.sends)
+	}
+}
--- a/internal/edge/streaming/place_test.go
+++ b/internal/edge/streaming/place_test.go
@@ -64,6 +64,8 @@
 
 func (silentObserver) ObservePlacementWait(time.Duration, bool) {}
 
+func (silentObserver) ObserveLongestPause(time.Duration) {}
+
 const placingDrain = 10 * time.Second
 
 // The race detector reports it.
@@ -128,3 +130,14 @@
 	placed, _ := s.place(t.Context(), r)
 	require.NotNil(t, placed)
 }
+
+func TestDrainKnowsThePaceOfCompleteRuns(t *testing.T) {
+	drain := draining.New(placingDrain)
+	s, r := placingServer(drain, silentObserver{}, func() bool { return true })
+	r.call.Call.Generation = &edge.GenerationRequest{MaxOutputTokens: 100}
+	r.call.Arrived = bootclock.Now().Add(-20 * time.Second)
+	r.startedAfter, r.events, r.headSent = time.Second, 101, true
+	require.Equal(t, completed, r.finish(t.Context(), s.Targets.View().Available("s")[0], completed, nil))
+	drain.Begin(bootclock.Now())
+	require.False(t, drain.Fits(r.call), "100 tokens took 19 s")
+}
