Edge test: the log tells the host's own abort from callers that left

With the abort's cause taken out (cancel without edge.ErrStopping) all tests passed that ran, though the line of an aborted stream again read caller_gone, which hid the incident's cause. The new test fails then.

--- a/tests/edge/stop_test.go
+++ b/tests/edge/stop_test.go
@@ -132,3 +132,19 @@
 		})
 	}
 }
+
+func TestLogTellsAbortOfTheHostFromCallerThatLeft(t *testing.T) {
+	f := newAbortingFleet(t)
+	f.logLevel = "info"
+	f.configure()
+	f.startEngine(standin.NewEngines(), "e-1")
+	h := f.startHost()
+	response, err := client().Do(generationRequest(t.Context(), h, "r-1", 4000))
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	h.stop()
+	err = <-h.done
+	h.done <- err
+	require.Contains(t, h.logs.String(), `"reason":"host_stopping"`)
+	require.NotContains(t, h.logs.String(), `"reason":"caller_gone"`)
+}
