--- a/tests/edge/stop_test.go
+++ b/tests/edge/stop_test.go
@@ -15,8 +15,7 @@
 	"corianderhitch/platform/standin"
 )
 
-// newAbortingFleet returns a fleet whose hosts log nothing while they abort requests, since a
-// line after the end of the log crashes the test.
+// newAbortingFleet returns a fleet whose hosts soon abort the requests that remain.
 func newAbortingFleet(t *testing.T) *fleet {
 	f := newFleet(t)
 	f.grace, f.logLevel = time.Second, "error"
@@ -132,3 +131,19 @@
 		})
 	}
 }
+
+func TestLogTellsAbortOfTheHostFromCallerThatLeft(t *testing.T) {
+	f := newAbortingFleet(t)
+	f.logLevel = "info"
+	f.configure()
+	f.startEngine(standin.NewEngines(), "e-1")
+	h := f.startHost()
+	response, err := client().Do(generationRequest(t.Context(), h, "r-1", 4000))
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	h.stop()
+	err = <-h.done
+	h.done <- err
+	require.Contains(t, h.logs.String(), `"reason":"host_stopping"`)
+	require.NotContains(t, h.logs.String(), `"reason":"caller_gone"`)
+}
