--- a/internal/edge/draining/drain.go
+++ b/internal/edge/draining/drain.go
@@ -20,7 +20,7 @@
 // Drain is the end of one process. It is safe for concurrent use.
 type Drain struct {
 	length time.Duration // from the request to stop until the remaining requests are aborted
-	took   durations
+	took   paces
 	begun  context.Context
 	begin  context.CancelFunc
 	since  bootclock.Instant // written before begun is done
@@ -29,7 +29,7 @@
 // New returns the drain of a process that has not been asked to stop yet. Requests that
 // remain when it has lasted for length are aborted.
 func New(length time.Duration) *Drain {
-	d := &Drain{length: max(0, length), took: durations{byRoute: make(map[string]*recentDurations)}}
+	d := &Drain{length: max(0, length), took: paces{byRoute: make(map[string]*recentPaces)}}
 	d.begun, d.begin = context.WithCancel(context.Background())
 	return d
 }
@@ -53,7 +53,7 @@
 }
 
 // Record adds the duration of a complete request to what is known of its route.
-func (d *Drain) Record(route string, took Duration) { d.took.record(route, took) }
+func (d *Drain) Record(route string, took Pace) { d.took.record(route, took) }
 
 // Fits reports whether a call that has not been sent yet is expected to end before the
 // process aborts it.
@@ -69,9 +69,9 @@
 // objective for the pauses of a stream.
 const defaultTokenTime = 20 * time.Millisecond
 
-// plainObjectives times the latency objective is how long a plain call takes at most. One
+// maxPlainObjectives times the latency objective is how long a plain call takes at most. One
 // that takes longer is still answered when it is aborted.
-const plainObjectives = 10
+const maxPlainObjectives = 10
 
 // longestDuration returns how long a call takes at most, judged by its route's recent
 // requests or, without any, by the route's objectives.
@@ -88,7 +88,7 @@
 	case known:
 		return time.Duration(durationMargin * float64(recent.Start+time.Duration(tokens)*recent.PerToken))
 	case a.Route.Kind != policy.Streaming && a.Route.Objective > 0:
-		return plainObjectives * a.Route.Objective
+		return maxPlainObjectives * a.Route.Objective
 	case a.Route.Kind != policy.Streaming:
 		return a.TimeLeft()
 	case a.Route.GapObjective > 0:
--- a/internal/edge/draining/drain_test.go
+++ b/internal/edge/draining/drain_test.go
@@ -56,7 +56,7 @@
 		t.Run(name, func(t *testing.T) {
 			d := at(c.age)
 			for _, took := range c.recent {
-				d.Record("route", Duration{Start: took})
+				d.Record("route", Pace{Start: took})
 			}
 			require.Equal(t, c.want, d.Fits(plainCall(c.timeLeft)))
 		})
@@ -73,18 +73,18 @@
 func TestStreamThatCannotEndInTimeDoesNotFit(t *testing.T) {
 	for name, c := range map[string]struct {
 		age    time.Duration
-		recent []Duration
+		recent []Pace
 		tokens int
 		want   bool
 	}{
 		"short, route unknown":                  {0, nil, 12, true},
 		"long, route unknown":                   {0, nil, 928, false},
-		"short":                                 {3 * time.Second, []Duration{{time.Second, 10 * time.Millisecond}}, 12, true},
-		"short, near the end":                   {7 * time.Second, []Duration{{time.Second, 10 * time.Millisecond}}, 12, false},
-		"long":                                  {0, []Duration{{time.Second, 10 * time.Millisecond}}, 928, false},
-		"long, at a fast engine":                {0, []Duration{{time.Second, 2 * time.Millisecond}}, 928, true},
-		"long, where recent streams were short": {5 * time.Second, []Duration{{200 * time.Millisecond, 10 * time.Millisecond}}, 928, false},
-		"length unknown":                        {0, []Duration{{time.Second, time.Millisecond}}, 0, false},
+		"short":                                 {3 * time.Second, []Pace{{time.Second, 10 * time.Millisecond}}, 12, true},
+		"short, near the end":                   {7 * time.Second, []Pace{{time.Second, 10 * time.Millisecond}}, 12, false},
+		"long":                                  {0, []Pace{{time.Second, 10 * time.Millisecond}}, 928, false},
+		"long, at a fast engine":                {0, []Pace{{time.Second, 2 * time.Millisecond}}, 928, true},
+		"long, where recent streams were short": {5 * time.Second, []Pace{{200 * time.Millisecond, 10 * time.Millisecond}}, 928, false},
+		"length unknown":                        {0, []Pace{{time.Second, time.Millisecond}}, 0, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := at(c.age)
@@ -98,7 +98,7 @@
 
 func TestResumedStreamFitsByWhatIsLeftOfIt(t *testing.T) {
 	d := at(3 * time.Second)
-	d.Record("route", Duration{time.Second, 10 * time.Millisecond})
+	d.Record("route", Pace{time.Second, 10 * time.Millisecond})
 	a := streamCall(928)
 	a.Call.LastEventID = 230
 	require.False(t, d.Fits(a), "the route's streams cannot be resumed")
@@ -112,16 +112,16 @@
 
 func TestEverythingFitsBeforeTheDrain(t *testing.T) {
 	d := New(length)
-	d.Record("route", Duration{Start: time.Minute})
+	d.Record("route", Pace{Start: time.Minute})
 	require.True(t, d.Fits(plainCall(deadline)))
 	require.True(t, d.Fits(streamCall(928)))
 }
 
 func TestDurationsOfOldRequestsAreForgotten(t *testing.T) {
 	d := New(length)
-	d.Record("route", Duration{Start: time.Minute})
+	d.Record("route", Pace{Start: time.Minute})
 	for range recentRequests {
-		d.Record("route", Duration{Start: time.Second})
+		d.Record("route", Pace{Start: time.Second})
 	}
 	longest, known := d.took.longest("route")
 	require.True(t, known)
@@ -131,7 +131,7 @@
 func TestDurationsAreKeptOfABoundedNumberOfRoutes(t *testing.T) {
 	d := New(length)
 	for n := range 3 * maxRoutes {
-		d.Record(fmt.Sprint(n), Duration{Start: time.Second})
+		d.Record(fmt.Sprint(n), Pace{Start: time.Second})
 	}
 	require.LessOrEqual(t, len(d.took.byRoute), maxRoutes)
 }
--- a/internal/edge/ingress/handler.go
+++ b/internal/edge/ingress/handler.go
@@ -118,7 +118,7 @@
 func (h *Handler) finish(a *edge.AuthorizedCall, outcome string) {
 	took := a.Age()
 	if outcome == edge.OutcomeAnswered {
-		h.Drain.Record(a.Route.Name, draining.Duration{Start: a.SinceReceived()})
+		h.Drain.Record(a.Route.Name, draining.Pace{Start: a.SinceReceived()})
 	}
 	h.Observer.ObserveRequest(a.Route, outcome, took)
 	a.Log.Info("ingress: request ended", "outcome", outcome, "kind", a.Route.Kind.String(), "account", a.Account,
--- a/internal/edge/ingress/handler_test.go
+++ b/internal/edge/ingress/handler_test.go
@@ -125,7 +125,7 @@
 
 func TestPlainCallThatCannotEndIsRejectedInTheDrain(t *testing.T) {
 	drain := draining.New(500 * time.Millisecond)
-	drain.Record("route", draining.Duration{Start: time.Second})
+	drain.Record("route", draining.Pace{Start: time.Second})
 	for _, want := range []int{http.StatusOK, http.StatusServiceUnavailable} {
 		r := httptest.NewRequest(http.MethodGet, "/route/x", nil)
 		r.Host = "desk.example"
--- a/internal/edge/migration/replicator.go
+++ b/internal/edge/migration/replicator.go
@@ -9,6 +9,7 @@
 	"corianderhitch/internal/edge/inflight"
 	"corianderhitch/internal/edge/placement"
 	"corianderhitch/internal/edge/policy"
+	"corianderhitch/internal/edge/stall"
 	"corianderhitch/internal/edge/streaming"
 	"corianderhitch/internal/wait"
 )
@@ -24,10 +25,6 @@
 	// stalled and continues from its replica. Events normally arrive several times
 	// within the usual pause objective of 180 ms; callers wait for at least 2 s.
 	stallTimeout = time.Second
-	// maxCheckDelay is how long after the last check the next one may come. A longer time
-	// shows that this process was frozen or starved: events wait unread, and the silence
-	// of engines cannot be judged.
-	maxCheckDelay = 2 * stallCheckInterval
 	// defaultHandleLifetime is how long an engine is assumed to keep an unused
 	// replica if the configuration does not say.
 	defaultHandleLifetime = 5 * time.Second
@@ -50,6 +47,8 @@
 	ReserveEngine func(ctx context.Context, service *policy.Service, need placement.Requirements, load inflight.Load, tried map[string]bool) streaming.Placement
 	// IsLeaving reports whether a target is leaving.
 	IsLeaving func(target string) bool
+	// Stalls tells when this process was stalled, so that engines only seem silent.
+	Stalls *stall.Detector
 	// Observe counts the outcome of each replication in the metrics.
 	Observe func(outcome string)
 	// MaxMemoryShare is the share of an engine's memory that may be expected in use
@@ -72,16 +71,10 @@
 // failOverStalledRuns continues the runs whose engine has stopped sending events, from
 // their replicas or, if they are resumable, from their prompts, until ctx ends.
 func (r *Replicator) failOverStalledRuns(ctx context.Context) {
-	runningSince := bootclock.Now() // since when this process has not been frozen
-	for checkedAt := runningSince; ctx.Err() == nil; {
+	for ctx.Err() == nil {
 		wait.For(ctx, stallCheckInterval)
-		now := bootclock.Now()
-		if now.Sub(checkedAt) > maxCheckDelay {
-			runningSince = now
-		}
-		checkedAt = now
-		if now.Sub(runningSince) <= stallTimeout {
-			continue
+		if now := bootclock.Now(); r.Stalls.Affected(now.Add(-stallTimeout), now) {
+			continue // events may wait unread
 		}
 		for _, run := range r.Runs() {
 			if run.SinceLastEvent() <= stallTimeout {
--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -83,7 +83,7 @@
 	feeds         *feeds
 	placementRate placement.Rate
 	targetsListed atomic.Bool
-	end           *draining.Drain
+	drain         *draining.Drain
 	stalls        stall.Detector
 
 	retryBudgetsMu sync.Mutex
@@ -137,7 +137,7 @@
 	p := &Process{
 		log: log, startedAt: bootclock.Now(), node: n, adapter: adapter,
 		policy: policy.NewHolder(adapter.DecodeConfiguration), inflight: inflight.New(n.Name), retryBudgets: make(map[string]*retrybudget.Budget),
-		end: draining.New(n.Grace - exitMargin(n.Grace)),
+		drain: draining.New(n.Grace - exitMargin(n.Grace)),
 	}
 	p.eras = storeera.New(log)
 	p.store = &countedStore{Store: adapter.NewStore(n.StoreAddress), count: func(call, result string) { p.metrics.ObserveStoreCall(call, result) }, observeEra: p.eras.Observe}
@@ -154,11 +154,11 @@
 		ChangeLog: p.targetLog, Policy: p.policy, Confirmer: p.confirmer, Health: health, Eras: p.eras, FollowsStore: p.feeds.live}
 	p.exchange.Init()
 	sender := &edge.Sender{Wire: adapter.Wire, Pool: p.pool}
-	p.plain = &plain.Server{Sender: sender, Targets: p.targets, Inflight: p.inflight, Health: health, RetryBudget: p.retryBudget, Domain: n.Domain, Stalls: &p.stalls, Drain: p.end}
+	p.plain = &plain.Server{Sender: sender, Targets: p.targets, Inflight: p.inflight, Health: health, RetryBudget: p.retryBudget, Domain: n.Domain, Stalls: &p.stalls, Drain: p.drain}
 	p.streaming = &streaming.Server{
 		Sender: sender, Engines: adapter.NewEngineClient(p.pool), Targets: p.targets, Inflight: p.inflight, Health: health,
 		Lengths: streaming.NewOutputLengths(), Queue: admission.New(p.inflight.Changed), Runs: streaming.NewRuns(p.onRunEntered),
-		RetryBudget: p.retryBudget, Domain: n.Domain, EstimateSpread: p.estimateSpread, PlaceViaHub: p.exchange.PlaceAtHub, Drain: p.end,
+		RetryBudget: p.retryBudget, Domain: n.Domain, EstimateSpread: p.estimateSpread, PlaceViaHub: p.exchange.PlaceAtHub, Drain: p.drain, Stalls: &p.stalls,
 	}
 	p.exchange.ChooseEngine = p.chooseForPeer
 	p.mover = &migration.Mover{
@@ -167,6 +167,7 @@
 	}
 	p.replicator = &migration.Replicator{
 		Engines: p.streaming.Engines, Inflight: p.inflight, Runs: p.streaming.Runs.All, ReserveEngine: p.streaming.ReserveEngine, IsLeaving: p.isLeaving,
+		Stalls: &p.stalls,
 	}
 	return p
 }
@@ -200,7 +201,7 @@
 	go func() { served <- server.Serve(listener) }()
 	select {
 	case <-ctx.Done():
-		p.drain(server, abort)
+		p.stop(server, abort)
 	case err = <-served:
 	}
 	p.stopTasks(cancel, &wait, endpoints)
@@ -225,13 +226,13 @@
 	return &ingress.Handler{
 		Log: p.log, Wire: p.adapter.Wire, Policy: p.policy, Confirmer: p.confirmer, MaxKeyAge: p.maxKeyAge(), RecheckAge: p.recheckAge(),
 		Plain: p.plain, Streaming: p.streaming, Observer: p.metrics,
-		CountRequest: func(service string) { p.retryBudget(service).RecordRequest() }, Drain: p.end,
+		CountRequest: func(service string) { p.retryBudget(service).RecordRequest() }, Drain: p.drain,
 	}
 }
 
 // ready reports whether the platform may send callers to this host.
 func (p *Process) ready() bool {
-	if p.end.Begun().Err() != nil || p.policy.Current() == nil || !p.targetsListed.Load() {
+	if p.drain.Begun().Err() != nil || p.policy.Current() == nil || !p.targetsListed.Load() {
 		return false
 	}
 	return p.maxKeyAge() == 0 || p.confirmer.Age() < p.maxKeyAge()
--- a/internal/edge/process/stop.go
+++ b/internal/edge/process/stop.go
@@ -19,10 +19,10 @@
 	// abortPart is the last part of the grace period, as a share of it, in which the platform
 	// lets requests be aborted.
 	abortPart = 1.0 / 6
-	// maxExitMargin and exitShare, of the grace period, bound the time that is reserved for
+	// maxExitMargin and maxExitShare, of the grace period, bound the time that is reserved for
 	// the end of the process itself.
 	maxExitMargin = 600 * time.Millisecond
-	exitShare     = 0.15
+	maxExitShare  = 0.15
 	// abortShare, tasksShare and tracesShare are the parts of that time within which
 	// requests that are aborted are answered, the tasks stop, one of which calls the store,
 	// and the last traces are exported. The rest is for the last log lines.
@@ -34,7 +34,7 @@
 // exitMargin returns the time at the end of the grace period that is reserved for the end
 // of the process itself.
 func exitMargin(grace time.Duration) time.Duration {
-	return min(maxExitMargin, time.Duration(exitShare*float64(grace)))
+	return min(maxExitMargin, time.Duration(maxExitShare*float64(grace)))
 }
 
 // exitTime returns a part of the process's exitMargin.
@@ -42,22 +42,22 @@
 	return time.Duration(share * float64(exitMargin(p.node.Grace)))
 }
 
-// drain first waits until the platform sends callers to other hosts, then until the
+// stop first waits until the platform sends callers to other hosts, then until the
 // requests in flight have ended. Those that remain shortly before the end of the grace
 // period are aborted: abort cancels their contexts.
-func (p *Process) drain(server *http.Server, abort context.CancelCauseFunc) {
-	p.end.Begin(p.stopRequestedAt())
-	age, _ := p.end.Age()
+func (p *Process) stop(server *http.Server, abort context.CancelCauseFunc) {
+	p.drain.Begin(p.stopRequestedAt())
+	age, _ := p.drain.Age()
 	p.log.Info("edge: draining", "runs", p.streaming.Runs.Len(), "grace_ms", p.node.Grace.Milliseconds(), "late_ms", age.Milliseconds())
-	time.Sleep(min(readinessDelay, p.node.Grace/2) - age)
-	age, _ = p.end.Age()
+	time.Sleep(min(readinessDelay, p.node.Grace/2))
+	age, _ = p.drain.Age()
 	ctx, cancel := context.WithTimeout(context.Background(), max(0, p.node.Grace-exitMargin(p.node.Grace)-age))
 	defer cancel()
 	err := server.Shutdown(ctx)
 	if err == nil {
 		return
 	}
-	age, _ = p.end.Age()
+	age, _ = p.drain.Age()
 	p.log.Warn("edge: grace period ended; remaining requests are aborted", "runs", p.streaming.Runs.Len(),
 		"after_ms", age.Milliseconds(), "error", err.Error())
 	abort(edge.ErrStopping)
--- a/internal/edge/retrybudget/budget.go
+++ b/internal/edge/retrybudget/budget.go
@@ -1,7 +1,7 @@
 // Package retrybudget bounds how many retries and hedged requests the fleet sends.
 // Each host uses its share of the fleet's budget without coordination. The bound holds
-// while hosts restart, in series or together, because in each window at most one process of
-// a host uses the host's share.
+// while hosts restart, in series or together: the processes of a host together use at most
+// one share in a window.
 package retrybudget
 
 import (
--- a/internal/edge/streaming/forward.go
+++ b/internal/edge/streaming/forward.go
@@ -257,7 +257,7 @@
 	if tokens <= 0 {
 		return
 	}
-	d := draining.Duration{Start: r.startedAfter, PerToken: (r.call.SinceReceived() - r.startedAfter) / time.Duration(tokens)}
+	d := draining.Pace{Start: r.startedAfter, PerToken: (r.call.SinceReceived() - r.startedAfter) / time.Duration(tokens)}
 	r.server.Drain.Record(r.call.Route.Name, d)
 }
 
--- a/internal/edge/streaming/server.go
+++ b/internal/edge/streaming/server.go
@@ -20,6 +20,7 @@
 	"corianderhitch/internal/edge/placement"
 	"corianderhitch/internal/edge/policy"
 	"corianderhitch/internal/edge/retrybudget"
+	"corianderhitch/internal/edge/stall"
 	"corianderhitch/internal/edge/targetconn"
 	"corianderhitch/internal/edge/targets"
 	"corianderhitch/internal/wait"
@@ -39,9 +40,6 @@
 	// silenceCheckInterval is how often a run at a suspected engine checks whether the
 	// engine counts as failing meanwhile.
 	silenceCheckInterval = 100 * time.Millisecond
-	// maxWakeDelay is by how much a wait for an engine may exceed its time. A longer wait
-	// shows that this process was frozen or starved, and the response may wait unread.
-	maxWakeDelay = 500 * time.Millisecond
 	// writeSlack is how long after the deadline writes to the caller may still succeed.
 	writeSlack = time.Second
 )
@@ -73,6 +71,8 @@
 	PlaceViaHub func(ctx context.Context, args peers.PlaceArgs) (peers.PlaceReply, bool)
 	// Drain is the end of the process, before which a run must have ended.
 	Drain *draining.Drain
+	// Stalls tells when this process was stalled, so that engines only seem silent.
+	Stalls *stall.Detector
 	// Observer records waits and pauses as metrics.
 	Observer Observer
 	// EstimateSpread estimates how many runs other hosts place before this host
@@ -276,8 +276,8 @@
 			if watch.Err() != nil {
 				return
 			}
-			if bootclock.Since(started) < suspectDelay(a)+maxWakeDelay {
-				break
+			if !s.Stalls.Affected(started, bootclock.Now()) {
+				break // otherwise the response may wait unread
 			}
 		}
 		a.Log.Warn("stream: engine is silent", "target", t.ID, "age_ms", a.Age().Milliseconds())
