--- a/internal/edge/draining/drain.go
+++ b/internal/edge/draining/drain.go
@@ -52,7 +52,7 @@
 	return bootclock.Since(d.since), true
 }
 
-// Record adds the duration of a complete request to what is known of its route.
+// Record adds the pace of a complete request to what is known of its route.
 func (d *Drain) Record(route string, took Pace) { d.took.record(route, took) }
 
 // Fits reports whether a call that has not been sent yet is expected to end before the
--- a/internal/edge/migration/replicator.go
+++ b/internal/edge/migration/replicator.go
@@ -19,12 +19,12 @@
 	// whose engine crashes before that is lost; a shorter interval costs more placement
 	// calls to the hub.
 	replicationInterval = time.Second
-	// stallCheckInterval is how often stalled runs are looked for.
-	stallCheckInterval = 250 * time.Millisecond
-	// stallTimeout is how long a run may go without events before it counts as
-	// stalled and continues from its replica. Events normally arrive several times
+	// silenceCheckInterval is how often runs at silent engines are looked for.
+	silenceCheckInterval = 250 * time.Millisecond
+	// silenceTimeout is how long a run may go without events before its engine
+	// counts as silent and the run continues from its replica. Events normally arrive several times
 	// within the usual pause objective of 180 ms; callers wait for at least 2 s.
-	stallTimeout = time.Second
+	silenceTimeout = time.Second
 	// defaultHandleLifetime is how long an engine is assumed to keep an unused
 	// replica if the configuration does not say.
 	defaultHandleLifetime = 5 * time.Second
@@ -56,9 +56,9 @@
 	MaxMemoryShare float64
 }
 
-// Run maintains replicas and continues stalled runs until ctx ends.
+// Run maintains replicas and continues the runs of silent engines until ctx ends.
 func (r *Replicator) Run(ctx context.Context) {
-	go r.failOverStalledRuns(ctx)
+	go r.leaveSilentEngines(ctx)
 	if r.MaxMemoryShare <= 0 {
 		return
 	}
@@ -68,16 +68,16 @@
 	}
 }
 
-// failOverStalledRuns continues the runs whose engine has stopped sending events, from
+// leaveSilentEngines continues the runs whose engine has stopped sending events, from
 // their replicas or, if they are resumable, from their prompts, until ctx ends.
-func (r *Replicator) failOverStalledRuns(ctx context.Context) {
+func (r *Replicator) leaveSilentEngines(ctx context.Context) {
 	for ctx.Err() == nil {
-		wait.For(ctx, stallCheckInterval)
-		if now := bootclock.Now(); r.Stalls.Affected(now.Add(-stallTimeout), now) {
+		wait.For(ctx, silenceCheckInterval)
+		if now := bootclock.Now(); r.Stalls.Affected(now.Add(-silenceTimeout), now) {
 			continue // events may wait unread
 		}
 		for _, run := range r.Runs() {
-			if run.SinceLastEvent() <= stallTimeout {
+			if run.SinceLastEvent() <= silenceTimeout {
 				continue
 			}
 			if replica := run.Replica(); replica != nil {
