delivery: a host that has just started rejected late requests as over budget

What callers saw: a ready gateway answered 503, "the budget for late drafts is used up", to the second late request after its start.

Hosts list each other up to a gossip period after they are ready (the test's membersKnown asks the members themselves, so it doesn't see that). Once the others are known the rate falls to this host's share with no token left: with three hosts the next request was rejected for 150 ms.

A request now waits for its turn while the burst is withheld, one second at most; what the rate does not allow in that time is rejected at once. The bound over all hosts is as it was. The test of bursts counts what is granted without a wait, as before. prove plays late requests to hosts that have just started.

--- a/internal/delivery/budget.go
+++ b/internal/delivery/budget.go
@@ -18,6 +18,8 @@
 	// budgetRetryAfter is when a caller should retry if a limit other than a rate is
 	// exceeded.
 	budgetRetryAfter = 5 * time.Second
+	// burstPeriod is the time whose events a limiter allows at once.
+	burstPeriod = 1 * time.Second
 )
 
 // budget bounds the store writes, prompt bytes and number of late requests. It is
@@ -27,6 +29,7 @@
 
 	mu       sync.Mutex
 	rate     *rate.Limiter             // nil until the hosts are known; guarded by mu
+	noBurst  time.Time                 // until when the burst of a host that has just started is withheld; guarded by mu
 	bytes    int                       // guarded by mu
 	accounts map[string]*accountBudget // guarded by mu
 }
@@ -42,8 +45,8 @@
 	return &budget{writesPerSecond: writesPerSecond, accounts: make(map[string]*accountBudget)}
 }
 
-// burst returns the burst of a limiter: one second's events, and at least one.
-func burst(perSecond rate.Limit) int { return max(1, int(perSecond)) }
+// burst returns the burst of a limiter: the events of burstPeriod, and at least one.
+func burst(perSecond rate.Limit) int { return max(1, int(float64(perSecond)*burstPeriod.Seconds())) }
 
 // withRate returns the limiter with another rate, or a full one for nil. What has been
 // used stays used, so that no change of the rate grants a burst.
@@ -58,10 +61,14 @@
 	return l
 }
 
-// tryReserve reserves budget for a late request with a prompt of size bytes, or
-// returns how long the caller should wait. The writes per second and the account's
-// limit of requests (zero for none) are divided evenly between hosts; until the hosts
-// are known nothing is reserved.
+// tryReserve reserves budget for a late request with a prompt of size bytes, and
+// returns how long to wait before the request may be recorded. If it returns false nothing
+// is reserved, and the caller should retry after that time. The writes per second and the
+// account's limit of requests (zero for none) are divided evenly between hosts; until the
+// hosts are known nothing is reserved.
+//
+// A host that has just started may not know the others yet, so it gets no burst. Until
+// the burst would be available, requests wait for their turn.
 func (b *budget) tryReserve(account string, size, limit, hosts int, now time.Time) (time.Duration, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -71,9 +78,9 @@
 	hosts = max(hosts, 1)
 	share := rate.Limit(b.writesPerSecond / float64(writesPerRequest*hosts))
 	if b.rate == nil && hosts == 1 {
-		// A host that has just started may not know the others yet.
 		b.rate = rate.NewLimiter(share, 1)
 		b.rate.SetBurstAt(now, burst(share))
+		b.noBurst = now.Add(burstPeriod)
 	}
 	b.rate = withRate(b.rate, share, now)
 	used := b.accountLocked(account)
@@ -84,16 +91,18 @@
 	if b.bytes+size > maxPendingBytes || float64(used.bytes+size) > accountShare*maxPendingBytes {
 		return budgetRetryAfter, false
 	}
-	if delay := reserveAll(now, b.rate, used.rate); delay > 0 {
+	maxDelay := max(0, b.noBurst.Sub(now))
+	delay := reserveAll(now, maxDelay, b.rate, used.rate)
+	if delay > maxDelay {
 		return delay, false
 	}
 	b.addLocked(account, size)
-	return 0, true
+	return delay, true
 }
 
-// reserveAll takes one event from each limiter, or takes none and returns how long
-// to wait.
-func reserveAll(now time.Time, limiters ...*rate.Limiter) time.Duration {
+// reserveAll takes one event from each limiter and returns the time until they are due. If
+// that is longer than maxDelay it takes none.
+func reserveAll(now time.Time, maxDelay time.Duration, limiters ...*rate.Limiter) time.Duration {
 	var reservations []*rate.Reservation
 	var delay time.Duration
 	for _, l := range limiters {
@@ -101,7 +110,7 @@
 		reservations = append(reservations, r)
 		delay = max(delay, r.DelayFrom(now))
 	}
-	if delay > 0 {
+	if delay > maxDelay {
 		for _, r := range reservations {
 			r.CancelAt(now)
 		}
--- a/internal/delivery/budget_test.go
+++ b/internal/delivery/budget_test.go
@@ -10,7 +10,7 @@
 // grantedAt returns how many requests of the account are granted at once.
 func grantedAt(b *budget, account string, hosts int, now time.Time) (granted int) {
 	for {
-		if _, ok := b.tryReserve(account, 1, 0, hosts, now); !ok {
+		if delay, ok := b.tryReserve(account, 1, 0, hosts, now); !ok || delay > 0 {
 			return granted
 		}
 		granted++
--- a/internal/delivery/delivery_test.go
+++ b/internal/delivery/delivery_test.go
@@ -339,3 +339,70 @@
 		})
 	}
 }
+
+func TestHostThatKnowsOnlyItselfRejectsFirstLateRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, h := memstore.New(memstore.Options{}), &hosts{alive: []string{"one"}}
+		var runs atomic.Int32
+		s := newService(store, "one", h, respondWith("one", &runs))
+		var callers sync.WaitGroup
+		for i := range 4 {
+			callers.Go(func() { accept(t, s, fmt.Sprint("d", i)) })
+		}
+		callers.Wait()
+		synctest.Wait()
+		require.EqualValues(t, 4, runs.Load())
+		s.Stop(t.Context())
+	})
+}
+
+func TestStartingHostRejectsWhatExceedsItsRateAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, h := memstore.New(memstore.Options{}), &hosts{alive: []string{"one"}}
+		var runs atomic.Int32
+		s := newService(store, "one", h, respondWith("one", &runs))
+		begin := time.Now()
+		var accepted, rejected atomic.Int32
+		var callers sync.WaitGroup
+		for i := range 200 {
+			callers.Go(func() {
+				_, err := s.Accept(t.Context(), "a", fmt.Sprint("d", i), lateRequest, 1)
+				if err == nil {
+					accepted.Add(1)
+					return
+				}
+				rejected.Add(1)
+				require.Zero(t, time.Since(begin), "a rejected request must not wait")
+				require.Positive(t, problem.From(err).RetryAfter)
+			})
+		}
+		callers.Wait()
+		require.EqualValues(t, 300/writesPerRequest, accepted.Load(), "what the rate allows in a second")
+		require.LessOrEqual(t, time.Since(begin), time.Second)
+		require.EqualValues(t, 200, accepted.Load()+rejected.Load())
+		s.Stop(t.Context())
+	})
+}
+
+func TestCallerThatLeavesWhileItWaitsFreesItsBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, h := memstore.New(memstore.Options{}), &hosts{alive: []string{"one"}}
+		var runs atomic.Int32
+		s := newService(store, "one", h, respondWith("one", &runs))
+		accept(t, s, "first")
+		ctx, leave := context.WithCancel(t.Context())
+		var caller sync.WaitGroup
+		caller.Go(func() {
+			_, err := s.Accept(ctx, "a", "second", lateRequest, 1)
+			require.Equal(t, problem.RanNo, problem.From(err).Ran)
+		})
+		synctest.Wait()
+		leave()
+		caller.Wait()
+		synctest.Wait()
+		require.EqualValues(t, 1, runs.Load())
+		require.Zero(t, s.budget.accounts["a"].requests)
+		require.Zero(t, s.budget.bytes)
+		s.Stop(t.Context())
+	})
+}
--- a/internal/delivery/service.go
+++ b/internal/delivery/service.go
@@ -20,6 +20,7 @@
 	"corianderhitch/internal/gateway/ids"
 	"corianderhitch/internal/platform"
 	"corianderhitch/internal/storelease"
+	"corianderhitch/internal/wait"
 )
 
 // Settings holds the limits, intervals and inputs of late delivery.
@@ -93,29 +94,55 @@
 // Accept implements api.LateDelivery. A resend of the same request gets the state of
 // the first one.
 func (s *Service) Accept(ctx context.Context, account, id string, request completion.Request, hash uint64) (completion.LateStatus, error) {
-	ctx, cancel := context.WithTimeout(ctx, s.settings.StoreTimeout)
-	defer cancel()
 	ref := requestRef{Account: account, ID: id}
-	if known, err := s.answerStatus(ctx, ref, hash); known != nil || err != nil {
+	if known, err := s.earlierStatus(ctx, ref, hash); known != nil || err != nil {
 		return statusOrZero(known), err
 	}
 	size := len(request.Prompt)
-	limit, hosts := s.settings.PendingLimit(account), len(s.settings.AliveHosts())
-	if after, ok := s.budget.tryReserve(account, size, limit, hosts, time.Now()); !ok {
-		return completion.LateStatus{}, overBudget(after)
+	if err := s.awaitBudget(ctx, account, size); err != nil {
+		return completion.LateStatus{}, err
 	}
 	p := pendingRecord{Account: account, ID: id, BodyHash: hash, Host: s.settings.Host, Accepted: time.Now(), Request: request}
+	return s.record(ctx, p)
+}
+
+// earlierStatus is answerStatus with the limit for an operation on the store.
+func (s *Service) earlierStatus(ctx context.Context, ref requestRef, hash uint64) (*completion.LateStatus, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.settings.StoreTimeout)
+	defer cancel()
+	return s.answerStatus(ctx, ref, hash)
+}
+
+// awaitBudget reserves budget for a request and waits until the request may be recorded.
+func (s *Service) awaitBudget(ctx context.Context, account string, size int) error {
+	limit, hosts := s.settings.PendingLimit(account), len(s.settings.AliveHosts())
+	delay, ok := s.budget.tryReserve(account, size, limit, hosts, time.Now())
+	if !ok {
+		return overBudget(delay)
+	}
+	wait.For(ctx, delay)
+	if ctx.Err() != nil {
+		s.budget.release(account, size)
+		return overBudget(budgetRetryAfter)
+	}
+	return nil
+}
+
+// record writes a request for which budget is reserved to the store, and starts it.
+func (s *Service) record(ctx context.Context, p pendingRecord) (completion.LateStatus, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.settings.StoreTimeout)
+	defer cancel()
 	err := s.repository.addPending(ctx, p)
 	if err == nil {
 		s.startProcessing(p)
-		return status(id, completion.LatePending), nil
+		return status(p.ID, completion.LatePending), nil
 	}
-	s.budget.release(account, size)
+	s.budget.release(p.Account, len(p.Request.Prompt))
 	if errors.Is(err, errExists) {
-		return s.recordedStatus(ctx, ref, hash)
+		return s.recordedStatus(ctx, p.ref(), p.BodyHash)
 	}
 	if errors.Is(err, platform.ErrOutcomeUnknown) {
-		s.trackUnconfirmed(ref)
+		s.trackUnconfirmed(p.ref())
 	}
 	return completion.LateStatus{}, notRecorded(err)
 }
--- a/tests/prove/cluster_test.go
+++ b/tests/prove/cluster_test.go
@@ -32,6 +32,8 @@
 	gatewayArgs []string
 	// serviceArgs are appended to the flags of every service.
 	serviceArgs []string
+	// unsettled is set if requests come while the hosts don't know each other yet.
+	unsettled bool
 }
 
 // host is one host of the deployment: a gateway and an agent. They reach the store,
@@ -73,8 +75,8 @@
 	publishedAt time.Time
 }
 
-// startCluster starts the processes and waits until every host is ready and knows all
-// targets and gateways.
+// startCluster starts the processes and waits until every host is ready and, unless the
+// cluster may be unsettled, knows all targets and gateways.
 func startCluster(t testing.TB, spec clusterSpec) *cluster {
 	t.Helper()
 	c := &cluster{t: t, dir: t.TempDir(), spec: spec, storeAddress: harness.FreeAddress(t)}
@@ -98,6 +100,9 @@
 	for _, h := range c.hosts {
 		c.awaitReady(h)
 	}
+	if spec.unsettled {
+		return c
+	}
 	harness.Await(t, readyTimeout, "healthy targets on every host", c.targetsHealthy)
 	harness.Await(t, readyTimeout, "every host knows every gateway", c.membersKnown)
 	return c
--- a/tests/prove/late_test.go
+++ b/tests/prove/late_test.go
@@ -23,14 +23,16 @@
 
 // lateFault is one fault against late delivery.
 type lateFault struct {
-	name   string
-	short  bool
-	inject func(t *testing.T, c *cluster)
+	name      string
+	short     bool
+	unsettled bool // whether the requests are sent as soon as the hosts are ready
+	inject    func(t *testing.T, c *cluster)
 }
 
 func lateFaults() []lateFault {
 	return []lateFault{
 		{name: "none", short: true, inject: func(*testing.T, *cluster) {}},
+		{name: "hosts have just started", short: true, unsettled: true, inject: func(*testing.T, *cluster) {}},
 		{name: "all hosts replaced while pending", short: true, inject: func(t *testing.T, c *cluster) {
 			for _, h := range c.hosts {
 				h.gateway.Kill()
@@ -89,7 +91,7 @@
 	defer acquireSlot()()
 	summary := ""
 	recordResult(t, "whole answer to its caller", "late: "+fault.name, &summary)
-	c := startCluster(t, clusterSpec{hosts: 3, engines: 2})
+	c := startCluster(t, clusterSpec{hosts: 3, engines: 2, unsettled: fault.unsettled})
 	const requests = 10
 	for i := range requests {
 		c.sendLateRequest(t, i)
