A target's latency no longer includes a stall of the host

What callers would see: after a host was frozen or starved for a second, the plain targets that had calls of it in flight seem slow to it. One that answered its first call then keeps the whole pause as its latency and gets no call of this host any more, since nothing corrects the latency of a target that is not used; for the others it takes some tens of answers to return.

Cause: a success was recorded with the time until the host read the answer, which may have waited unread. Only failures asked the detector of stalls.

Evidence: TestLatencyOfTargetIncludesTheHostsOwnStall, a pause of 1.5 s: latency 1.5 s after the first answer instead of none, 163.5 ms instead of 15 ms after a later one.

The answer still counts as a success; its duration counts only if the host was not stalled around it.

--- a/internal/edge/ejection/tracker.go
+++ b/internal/edge/ejection/tracker.go
@@ -136,14 +136,14 @@
 	return n
 }
 
-// RecordSuccess records an answer of a target and how long it took.
+// RecordSuccess records an answer of a target and how long it took, 0 if that is not known.
 func (t *Tracker) RecordSuccess(target string, took time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.record(target)
 	r.failureRate *= 1 - sampleWeight
-	if r.latency == 0 {
-		r.latency = took.Seconds()
+	if r.latency == 0 || took == 0 {
+		r.latency = max(r.latency, took.Seconds())
 		return
 	}
 	r.latency += sampleWeight * (took.Seconds() - r.latency)
--- a/internal/edge/plain/health_test.go
+++ b/internal/edge/plain/health_test.go
@@ -50,3 +50,23 @@
 		})
 	}
 }
+
+func TestLatencyOfTargetIncludesTheHostsOwnStall(t *testing.T) {
+	stalled := &stall.Detector{}
+	stalled.Beat(bootclock.Now().Add(-2 * time.Second))
+	stalled.Beat(bootclock.Now())
+	target := &targets.Target{ID: "t"}
+	for name, before := range map[string]time.Duration{"first answer": 0, "later answer": 15 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			s := &Server{Health: ejection.New(), Stalls: stalled}
+			if before > 0 {
+				s.Health.RecordSuccess(target.Key(), before)
+			}
+			s.recordHealth(t.Context(), &outcome{result: answered, target: target, took: 1500 * time.Millisecond})
+			require.Equal(t, before, s.Health.Latency(target.Key()))
+			s.Stalls = &stall.Detector{}
+			s.recordHealth(t.Context(), &outcome{result: answered, target: target, took: 15 * time.Millisecond})
+			require.Equal(t, 15*time.Millisecond, s.Health.Latency(target.Key()).Round(time.Millisecond))
+		})
+	}
+}
--- a/internal/edge/plain/server.go
+++ b/internal/edge/plain/server.go
@@ -273,7 +273,7 @@
 	}
 	switch o.result {
 	case answered:
-		s.Health.RecordSuccess(key, o.took)
+		s.Health.RecordSuccess(key, s.latency(o))
 	case failed:
 		s.Health.RecordFailure(key, serverErrorSeverity)
 	case unsent:
@@ -288,6 +288,15 @@
 	}
 }
 
+// latency returns how long a target took to answer, 0 if the answer may have waited unread
+// because this host was stalled.
+func (s *Server) latency(o *outcome) time.Duration {
+	if now := bootclock.Now(); s.Stalls.Affected(now.Add(-o.took), now) {
+		return 0
+	}
+	return o.took
+}
+
 // ownFault reports whether a send failed for a reason that says nothing about its target:
 // it was not sent for the host's own reasons, the host's process ends, or it was stalled
 // while the send lasted.
