An engine is not blamed for failures while its host was stalled

What others would see: a host that was frozen or starved for a second reports sound engines as failing to the hubs, and places no runs of its own at those that three of its sends had failed at.

Cause: only the watch for the first response and plain calls asked the detector of stalls. A connection that was being established, whose 400 ms ran out during the pause, and a stream that broke off during it counted as the engine's failure.

No stall on real processes was run for it.

Failed starts and streams that break off count only if the host has not been stalled since the request was sent or the last event arrived.

--- a/internal/edge/streaming/attempts.go
+++ b/internal/edge/streaming/attempts.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"corianderhitch/internal/edge"
+	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/edge/targets"
 )
 
@@ -63,7 +64,7 @@
 	if !r.Resumable() || ctx.Err() != nil {
 		return nil
 	}
-	r.server.Health.RecordFailure(source.Key(), 1)
+	r.server.recordFailure(source, bootclock.Now().Add(-r.SinceLastEvent()))
 	r.attempts.sends.Add(1)
 	r.attempts.mayHaveRun = true
 	r.attempts.tried[source.Key()] = true
--- a/internal/edge/streaming/forward.go
+++ b/internal/edge/streaming/forward.go
@@ -236,7 +236,7 @@
 	case ctx.Err() != nil:
 		reason = edge.ReasonTimeout
 	default:
-		r.server.Health.RecordFailure(source.Key(), 1)
+		r.server.recordFailure(source, bootclock.Now().Add(-r.SinceLastEvent()))
 	}
 	a.Log.Warn("stream: broken off", "reason", reason, "target", source.ID, "after_event", r.lastEventID,
 		"age_ms", a.Age().Milliseconds(), "error", errText)
--- a/internal/edge/streaming/place_test.go
+++ b/internal/edge/streaming/place_test.go
@@ -19,6 +19,7 @@
 	"corianderhitch/internal/edge/inflight"
 	"corianderhitch/internal/edge/peers"
 	"corianderhitch/internal/edge/policy"
+	"corianderhitch/internal/edge/stall"
 	"corianderhitch/internal/edge/targetnotice"
 	"corianderhitch/internal/edge/targets"
 )
@@ -40,7 +41,7 @@
 	table := inflight.New("host")
 	s := &Server{
 		Targets: registry, Inflight: table, Health: ejection.New(), Lengths: NewOutputLengths(), Queue: admission.New(table.Changed),
-		Drain: drain, Observer: observer, Sender: &edge.Sender{Wire: silentWire{}},
+		Drain: drain, Observer: observer, Sender: &edge.Sender{Wire: silentWire{}}, Stalls: &stall.Detector{},
 	}
 	s.PlaceViaHub = func(context.Context, peers.PlaceArgs) (peers.PlaceReply, bool) {
 		reply := peers.PlaceReply{Able: true}
--- a/internal/edge/streaming/server.go
+++ b/internal/edge/streaming/server.go
@@ -112,6 +112,7 @@
 			return nil, s.noCapacity(ctx, r)
 		}
 		r.attempts.tried[t.Key()] = true
+		sentAt := bootclock.Now()
 		segment, err := s.open(ctx, r, t, load, edge.Dispatch{Account: a.Account, Urgency: a.Urgency, LastEventID: r.lastEventID})
 		if err == nil {
 			if s.retryFailedResponse(r, segment) {
@@ -119,7 +120,7 @@
 			}
 			return segment, nil
 		}
-		rejection, retryable := s.startFailure(ctx, r, t, err)
+		rejection, retryable := s.startFailure(ctx, r, t, sentAt, err)
 		if !retryable {
 			return nil, rejection
 		}
@@ -133,10 +134,18 @@
 	errUnsigned       = errors.New("response lacks the target's signature or has a Content-Encoding")
 )
 
+// recordFailure records a failure of an engine, unless this host was stalled since the given
+// time, so that the engine may not be at fault.
+func (s *Server) recordFailure(t *targets.Target, since bootclock.Instant) {
+	if !s.Stalls.Affected(since, bootclock.Now()) {
+		s.Health.RecordFailure(t.Key(), 1)
+	}
+}
+
 // startFailure returns the rejection for a failed start. It is retryable at another
 // engine if no byte of the request was sent, and within the attempts and the retry budget
 // if the engine did not run the request or the request may run again.
-func (s *Server) startFailure(ctx context.Context, r *Run, t *targets.Target, err error) (rejection *edge.Rejection, retryable bool) {
+func (s *Server) startFailure(ctx context.Context, r *Run, t *targets.Target, sentAt bootclock.Instant, err error) (rejection *edge.Rejection, retryable bool) {
 	a := r.call
 	a.Log.Warn("stream: start failed", "target", t.ID, "address", t.Address, "age_ms", a.Age().Milliseconds(), "error", err.Error())
 	switch {
@@ -153,10 +162,10 @@
 	case errors.Is(err, targetconn.ErrRefused):
 		return nil, true
 	case errors.Is(err, targetconn.ErrNotSent):
-		s.Health.RecordFailure(t.Key(), 1)
+		s.recordFailure(t, sentAt)
 		return nil, true
 	default:
-		s.Health.RecordFailure(t.Key(), 1)
+		s.recordFailure(t, sentAt)
 		r.attempts.sends.Add(1)
 		r.attempts.mayHaveRun = true
 		return r.attempts.unavailable(edge.ReasonMayHaveRun, 0), r.Resumable() && s.takeAttempt(r)
