A stall of the host does not make its drain reject short streams

What callers would see: a host that was frozen or starved for a second before or while it was asked to stop rejects all short streams of a route in its drain, with 503, though they would end in time. In restarts in series this is the host whose SIGTERM is handled late.

Cause: the pace of a stream that was running during the stall counts as its route's, and the slowest of the last 32 decides. Of a stream of three events that were read 1.4 s late, the pace is 0.7 s for each token.

Evidence: TestStallDoesNotMakeTheDrainRejectShortRuns, 10 tokens and 10 s to the end: rejected without the fix. No case on real processes was run.

Streams during which the host was stalled leave the pace of their route as it was.

--- a/internal/edge/streaming/forward.go
+++ b/internal/edge/streaming/forward.go
@@ -254,8 +254,8 @@
 // recordDuration records how long the run took, for the drain of this process.
 func (r *Run) recordDuration() {
 	tokens := (r.events - r.eventsBefore - 1) * r.call.Service.Engine.TokensPerEvent // after the first event
-	if tokens <= 0 {
-		return
+	if tokens <= 0 || r.server.Stalls.Affected(r.call.Received, bootclock.Now()) {
+		return // events may have waited unread
 	}
 	d := draining.Pace{Start: r.startedAfter, PerToken: (r.call.SinceReceived() - r.startedAfter) / time.Duration(tokens)}
 	r.server.Drain.Record(r.call.Route.Name, d)
--- a/internal/edge/streaming/place_test.go
+++ b/internal/edge/streaming/place_test.go
@@ -143,3 +143,17 @@
 	drain.Begin(bootclock.Now())
 	require.False(t, drain.Fits(r.call), "100 tokens took 19 s")
 }
+
+func TestStallDoesNotMakeTheDrainRejectShortRuns(t *testing.T) {
+	drain := draining.New(placingDrain)
+	s, r := placingServer(drain, silentObserver{}, func() bool { return true })
+	r.call.Call.Generation = &edge.GenerationRequest{MaxOutputTokens: 10}
+	r.call.Route.Objective, r.call.Route.GapObjective = time.Second, 100*time.Millisecond
+	r.call.Received = bootclock.Now().Add(-2200 * time.Millisecond)
+	s.Stalls.Beat(bootclock.Now().Add(-1400 * time.Millisecond))
+	s.Stalls.Beat(bootclock.Now())
+	r.startedAfter, r.events, r.headSent = 800*time.Millisecond, 3, true
+	require.Equal(t, completed, r.finish(t.Context(), s.Targets.View().Available("s")[0], completed, nil))
+	drain.Begin(bootclock.Now())
+	require.True(t, drain.Fits(r.call), "10 tokens take a second")
+}
