limits: requests stay counted while their account has no limit

What operators saw: an account whose limits were lifted by one document and set again by a later one is rejected for good, since requests that ended in between count against its concurrency until the owner of the pool restarts; requests that started in between do not count, so that the account exceeds its limit.

Cause: Started and Ended left the count alone for accounts without limits, and Configure keeps it.

Evidence: TestRequestThatEndsWhileItsLimitIsLiftedIsCountedForever and TestRequestThatStartsWhileItsLimitIsLiftedIsNotCounted fail without the change. No run of real processes.

All granted requests are counted now; the limit is only looked at when one is to run.

--- a/internal/scheduling/limits/limits.go
+++ b/internal/scheduling/limits/limits.go
@@ -82,21 +82,19 @@
 
 // Started counts a granted request against the concurrency limit.
 func (a *Accounts) Started(account string) {
-	if _, ok := a.limits[account]; ok {
-		a.stateOf(account).running++
-	}
+	a.stateOf(account).running++
 }
 
 // Ended removes a granted request from the concurrency count and charges its
 // output tokens to the token rate.
 func (a *Accounts) Ended(now time.Time, account string, tokens int) {
+	s := a.stateOf(account)
+	s.running = max(0, s.running-1)
 	l, ok := a.limits[account]
 	if !ok {
 		return
 	}
-	s := a.stateOf(account)
 	s.setRates(now, l)
-	s.running = max(0, s.running-1)
 	if l.TokensPerMinute > 0 {
 		s.tokens.ReserveN(now, min(tokens, s.tokens.Burst()))
 	}
--- a/internal/scheduling/limits/limits_test.go
+++ b/internal/scheduling/limits/limits_test.go
@@ -42,6 +42,25 @@
 	assert.True(t, a.MayRun("x"))
 }
 
+func TestRequestThatEndsWhileItsLimitIsLiftedIsCountedForever(t *testing.T) {
+	limited := map[string]document.Limits{"x": {Concurrent: 1}}
+	a := New(limited)
+	a.Started("x")
+	a.Configure(nil)
+	a.Ended(start, "x", 0)
+	a.Configure(limited)
+	assert.True(t, a.MayRun("x"), "nothing runs")
+}
+
+func TestRequestThatStartsWhileItsLimitIsLiftedIsNotCounted(t *testing.T) {
+	a := New(nil)
+	a.Started("x")
+	a.Configure(map[string]document.Limits{"x": {Concurrent: 1}})
+	assert.False(t, a.MayRun("x"), "it still runs")
+	a.Ended(start, "x", 0)
+	assert.True(t, a.MayRun("x"))
+}
+
 func TestTokensPerMinute(t *testing.T) {
 	a := New(map[string]document.Limits{"x": {TokensPerMinute: 600}})
 	reason, _ := a.Admit(start, "x", 0)
