streaming: test of starts that the abort cuts

Without the line of that counts a send which the abort cut as one that may have run, all tests of package streaming pass, and callers would get 503 for a stream that its engine may have begun. The new test fails then: 503 instead of 502 for ErrBroken and errUnsigned.

--- a/internal/edge/streaming/place_test.go
+++ b/internal/edge/streaming/place_test.go
@@ -20,6 +20,7 @@
 	"corianderhitch/internal/edge/peers"
 	"corianderhitch/internal/edge/policy"
 	"corianderhitch/internal/edge/stall"
+	"corianderhitch/internal/edge/targetconn"
 	"corianderhitch/internal/edge/targetnotice"
 	"corianderhitch/internal/edge/targets"
 )
@@ -119,6 +120,23 @@
 	}
 }
 
+func TestStartThatTheAbortCutCountsAsMayHaveRun(t *testing.T) {
+	ctx, abort := context.WithCancelCause(t.Context())
+	abort(edge.ErrStopping)
+	for err, want := range map[error]int{
+		targetconn.ErrBroken: http.StatusBadGateway, errUnsigned: http.StatusBadGateway,
+		targetconn.ErrNotSent: http.StatusServiceUnavailable, errNotExecuted: http.StatusServiceUnavailable, errKeyUnconfirmed: http.StatusServiceUnavailable,
+	} {
+		s, r := placingServer(draining.New(placingDrain), silentObserver{}, func() bool { return true })
+		answer := httptest.NewRecorder()
+		r.w = answer
+		rejection, retryable := s.startFailure(ctx, r, s.Targets.View().Available("s")[0], bootclock.Now(), err)
+		require.False(t, retryable)
+		s.reject(ctx, r, rejection)
+		require.Equal(t, want, answer.Code, "%v", err)
+	}
+}
+
 func TestStartedRunWaitsForAnEngineInTheDrain(t *testing.T) {
 	var free atomic.Bool
 	drain := draining.New(placingDrain)
