suspicion: a completion clears its request of crashes that become known later

What callers could see: a request that has run to its end is rejected for up to 30 minutes by a pool whose owner has just started.

Cause: a completion cleared only the crashes that were known when it came. Since agents repair the crashes of the last 30 minutes, an agent that starts hears of a completion at once, as a rumor, but of the crashes before it only with its first repairs; the completion is not repeated, since its id is known by then.

Evidence: TestCompletionThatComesBeforeTheRepairOfItsCrashesIsForgotten and TestCompletionThatArrivesBeforeItsCrashIsForgotten: refuse instead of clear. No run of real agents; the time until the first repair is about a second, so that it takes a completion within that time.

Crashes of the last 15 s, which the repair hands on without their age, count as before.

--- a/internal/agent/suspicion/suspicion_test.go
+++ b/internal/agent/suspicion/suspicion_test.go
@@ -140,3 +140,15 @@
 		require.Equal(t, suspicion.Clear, verdict(tracker, start, 2), kind)
 	}
 }
+
+// An agent that starts may hear of the completion before the repair brings the crashes.
+func TestCompletionThatComesBeforeTheRepairOfItsCrashesIsForgotten(t *testing.T) {
+	tracker := &FleetTracker{}
+	tracker.Add(start, control.Event{Kind: control.EventCleared, Fingerprint: 1})
+	for _, target := range []string{"e1", "e2"} {
+		old := crash(target, 1)
+		old.Age = time.Minute
+		tracker.Add(start.Add(time.Second), old)
+	}
+	require.Equal(t, suspicion.Clear, verdict(tracker, start.Add(time.Second), 1))
+}
--- a/internal/scheduling/suspicion/tracker.go
+++ b/internal/scheduling/suspicion/tracker.go
@@ -10,7 +10,8 @@
 // crashed targets, and derives from them how each request may be run. It is not
 // safe for concurrent use; its zero value is ready.
 type Tracker struct {
-	crashes []*crashRecord // oldest first
+	crashes   []*crashRecord // oldest first
+	completed completions
 }
 
 // crashRecord is one crash with the fingerprints of its suspects. Requests that
@@ -40,6 +41,9 @@
 		t.crashes = slices.Insert(t.crashes, i, r)
 	}
 	for _, fingerprint := range crash.Suspects {
+		if t.completed.isAfter(fingerprint, r.crash.At) {
+			continue // an agent that has just started may learn of the crash last
+		}
 		if _, survived := r.survived[fingerprint]; !survived && len(r.suspects) < maxSuspectsPerCrash {
 			r.suspects[fingerprint] = struct{}{}
 		}
@@ -55,8 +59,9 @@
 }
 
 // RecordCompletion clears a request that ran to its end at the given time of the crashes
-// recorded until then.
+// until then, also of those that are recorded later.
 func (t *Tracker) RecordCompletion(fingerprint uint64, at time.Time) {
+	t.completed.add(fingerprint, at)
 	for _, r := range t.crashes {
 		if !r.crash.At.After(at) {
 			delete(r.suspects, fingerprint)
--- a/internal/scheduling/suspicion/tracker_test.go
+++ b/internal/scheduling/suspicion/tracker_test.go
@@ -65,6 +65,30 @@
 	require.Equal(t, Reject, tracker.Verdict(1, start), "crashed a target of its own")
 }
 
+func TestCompletionThatArrivesBeforeItsCrashIsForgotten(t *testing.T) {
+	tracker := NewTracker()
+	tracker.RecordCompletion(1, start.Add(time.Minute))
+	tracker.RecordCrash(Crash{ID: "a", At: start, Suspects: []uint64{1, 2}})
+	tracker.RecordCrash(Crash{ID: "b", At: start.Add(time.Second), Suspects: []uint64{1, 3}})
+	require.Equal(t, Clear, tracker.Verdict(1, start.Add(time.Minute)), "has completed since")
+	tracker.RecordCrash(Crash{ID: "c", At: start.Add(2 * time.Minute), Suspects: []uint64{1}})
+	require.Equal(t, Spread, tracker.Verdict(1, start.Add(2*time.Minute)), "has not completed since")
+	require.Equal(t, Spread, tracker.Verdict(2, start.Add(2*time.Minute)), "has never completed")
+}
+
+func TestCompletionsAreKeptInTheOrderOfTheirRecording(t *testing.T) {
+	var c completions
+	for n := range uint64(3 * maxRecentCompletions) {
+		c.add(n, start.Add(time.Duration(n)))
+	}
+	require.True(t, c.isAfter(2*maxRecentCompletions, start))
+	require.False(t, c.isAfter(maxRecentCompletions-1, start))
+	require.LessOrEqual(t, len(c.recent)+len(c.earlier), 2*maxRecentCompletions)
+	c.add(7, start.Add(time.Minute))
+	c.add(7, start.Add(time.Second))
+	require.True(t, c.isAfter(7, start.Add(2*time.Second)), "an earlier completion that arrives later changes nothing")
+}
+
 func TestShareCrash(t *testing.T) {
 	tracker := NewTracker()
 	tracker.RecordCrash(Crash{ID: "1", At: start, Suspects: []uint64{1, 2}})
