fleet: a gateway sends its last events and directory entries before it ends

What operators would see: a gateway that stops right after its last request loses what that request reported: the crash of an engine, the completion that clears a suspect (which then stays one for 30 minutes), or the second copy of a directory entry and of the record that a call was dispatched.

Cause: the loops that send events and entries ended with their context, although items were queued, and calls in progress were canceled with it. Only the loop that releases slots sends what is left.

No run of real gateways.

The last batch of events goes to the first agent, and entries are sent for at most a second more; calls in progress end by their own timeouts.

--- a/internal/gateway/fleet/directory.go
+++ b/internal/gateway/fleet/directory.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"corianderhitch/api/control"
+	"corianderhitch/internal/wait"
 )
 
 const (
@@ -61,14 +62,27 @@
 	}
 }
 
-// replicateEntries sends queued entries to their further owners until ctx ends.
+// replicateEntries sends queued entries to their further owners until ctx ends, and then the
+// rest within directoryLongTimeout.
 func (f *Fleet) replicateEntries(ctx context.Context) {
-	for {
+	calls, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	defer context.AfterFunc(ctx, func() {
+		wait.For(calls, directoryLongTimeout)
+		cancel()
+	})()
+	for calls.Err() == nil {
+		select {
+		case r := <-f.replications:
+			f.replicateEntry(calls, r)
+			continue
+		default:
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case r := <-f.replications:
-			f.replicateEntry(ctx, r)
+			f.replicateEntry(calls, r)
 		}
 	}
 }
--- a/internal/gateway/fleet/events.go
+++ b/internal/gateway/fleet/events.go
@@ -38,11 +38,14 @@
 	return targets
 }
 
-// sendEvents sends queued events in batches until ctx ends.
+// sendEvents sends queued events in batches until ctx ends, and then the last batch.
 func (f *Fleet) sendEvents(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
+			if last := f.collectEvents(); len(last) > 0 {
+				f.flushEvents(ctx, last)
+			}
 			return
 		case first := <-f.events:
 			f.flushEvents(ctx, f.collectEvents(first))
@@ -50,8 +53,8 @@
 	}
 }
 
-func (f *Fleet) collectEvents(first control.Event) []control.Event {
-	batch := []control.Event{first}
+// collectEvents adds queued events to a batch, up to maxBatch.
+func (f *Fleet) collectEvents(batch ...control.Event) []control.Event {
 	for len(batch) < maxBatch {
 		select {
 		case event := <-f.events:
@@ -64,10 +67,10 @@
 }
 
 // flushEvents sends a batch to the first agent that accepts it; if none does, the batch
-// is dropped.
+// is dropped. The end of ctx cancels no call, but no further agent is asked after it.
 func (f *Fleet) flushEvents(ctx context.Context, batch []control.Event) {
 	for _, agent := range f.agentOrder() {
-		callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
+		callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), reportTimeout)
 		err := f.pool.Call(callCtx, agent, "Control.News", control.EventsArgs{News: batch}, new(control.Empty))
 		cancel()
 		if err == nil || ctx.Err() != nil {
--- a/internal/gateway/fleet/fleet_test.go
+++ b/internal/gateway/fleet/fleet_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
@@ -275,6 +276,28 @@
 	}
 }
 
+// A gateway whose last request has ended stops at once.
+func TestGatewayEndsWithoutSendingItsLastReports(t *testing.T) {
+	a := newAgent(t)
+	pool := rpcconn.NewPool(rpcconn.TCP)
+	t.Cleanup(func() {
+		pool.Close()
+		a.server.Stop()
+	})
+	f := New(Options{Host: "me", Region: "r", Agents: []string{a.server.Address()}, Log: logging.Discard()}, pool)
+	f.Report(control.Event{ID: "n", Kind: control.EventCleared, Fingerprint: 7})
+	f.queueFinished(a.server.Address(), control.Finished{Ticket: "t"})
+	f.queueReplication(entryReplication{entry: control.DirectoryEntry{Account: "a", RequestID: "r", Generation: "g"}, owners: []string{a.server.Address()}, missing: 1})
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	f.Run(ctx)
+	assert.Len(t, a.events, 1, "the completion of a suspect")
+	assert.Len(t, a.finished, 1, "the release of a slot")
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	assert.Len(t, a.entries, 1, "the second copy of an entry")
+}
+
 func TestDirectoryReturnsFirstRegistration(t *testing.T) {
 	a := newAgent(t)
 	a.members = []control.Member{member("h", a)}
