gateway limits: a change of an account's limits refills no rate

What operators saw: each document that changes any limit of an account, also its concurrency only, lets every gateway admit a new burst of it at once.

No run of real gateways.

The limiter stays and takes over a changed rate; what has been used stays used.

--- a/internal/gateway/limits/limits.go
+++ b/internal/gateway/limits/limits.go
@@ -31,8 +31,7 @@
 }
 
 type account struct {
-	limits     document.Limits
-	limiter    *rate.Limiter
+	limiter    *rate.Limiter // nil while the account has never had a rate
 	inProgress int
 }
 
@@ -47,20 +46,19 @@
 	defer l.mu.Unlock()
 	a := l.accounts[name]
 	if a == nil {
-		a = &account{limiter: rate.NewLimiter(rate.Inf, 1)}
+		a = &account{}
 		l.accounts[name] = a
 	}
-	if a.limits != limits || a.limiter.Limit() == rate.Inf {
-		a.limits = limits
-		a.setRate(now)
-	}
 	if limits.Concurrent > 0 && a.inProgress >= limits.Concurrent {
 		return nil, limitReached("concurrent requests", concurrentRetryAfter)
 	}
-	reservation := a.limiter.ReserveN(now, 1)
-	if delay := reservation.DelayFrom(now); delay > 0 {
-		reservation.CancelAt(now)
-		return nil, limitReached("requests per second", delay)
+	if limits.RequestsPerSecond > 0 {
+		a.setRate(now, limits.RequestsPerSecond)
+		reservation := a.limiter.ReserveN(now, 1)
+		if delay := reservation.DelayFrom(now); delay > 0 {
+			reservation.CancelAt(now)
+			return nil, limitReached("requests per second", delay)
+		}
 	}
 	a.inProgress++
 	return sync.OnceFunc(func() { l.release(a) }), nil
@@ -72,14 +70,17 @@
 	a.inProgress--
 }
 
-// setRate replaces the rate limiter by one for the account's limits.
-func (a *account) setRate(now time.Time) {
-	perSecond := a.limits.RequestsPerSecond
-	if perSecond <= 0 {
-		a.limiter.SetLimitAt(now, rate.Inf)
-		return
+// setRate puts a rate in force. What has been used of an earlier one stays used, so that no
+// change of the limits grants a burst.
+func (a *account) setRate(now time.Time, perSecond float64) {
+	burst := int(math.Max(1, math.Ceil(perSecond*burstWindow.Seconds())))
+	switch {
+	case a.limiter == nil:
+		a.limiter = rate.NewLimiter(rate.Limit(perSecond), burst)
+	case a.limiter.Limit() != rate.Limit(perSecond):
+		a.limiter.SetLimitAt(now, rate.Limit(perSecond))
+		a.limiter.SetBurstAt(now, burst)
 	}
-	a.limiter = rate.NewLimiter(rate.Limit(perSecond), int(math.Max(1, math.Ceil(perSecond*burstWindow.Seconds()))))
 }
 
 func limitReached(limit string, retryAfter time.Duration) *problem.Error {
