Known red: a restarted owner of a pool refills the rates of all accounts

What operators see: after each restart of a pool's owner, and each change of the owner, an account gets its full burst again: a second of its requests, a minute of its tokens. In restarts in series this adds up.

Cause: the owner keeps limits.Accounts in memory, and a new pool starts with full limiters.

Not mended here: an empty limiter would reject callers of a host that has just started, so that what was used must come from elsewhere, for example from the gateways' requests in progress or from the other agents.

--- a/internal/agent/scheduler/scheduler_test.go
+++ b/internal/agent/scheduler/scheduler_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -13,6 +14,7 @@
 	"corianderhitch/api/problem"
 	"corianderhitch/internal/agent/docsync"
 	"corianderhitch/internal/agent/suspicion"
+	"corianderhitch/internal/document"
 	"corianderhitch/internal/logging"
 	"corianderhitch/internal/platform"
 	"corianderhitch/internal/scheduling"
@@ -203,6 +205,28 @@
 	})
 }
 
+func TestRestartedOwnerRefillsTheRatesOfAccounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limited := func(c scheduling.Config) scheduling.Policy {
+			c.Limits = map[string]document.Limits{"a": {RequestsPerSecond: 2}}
+			return scheduling.NewPool(c)
+		}
+		granted := 0
+		for range 3 { // processes of the owner
+			s, _, _ := newScheduler(limited, target("e1", "1"))
+			for n := range 3 {
+				reply, err := s.Admit(admitArgs(fmt.Sprint(granted, "-", n)))
+				require.NoError(t, err)
+				if reply.Granted {
+					granted++
+				}
+			}
+			s.Stop()
+		}
+		require.LessOrEqual(t, granted, 2, "requests granted in one moment, 2 a second are allowed")
+	})
+}
+
 func TestWaitingRequestsAreRedirectedToNewOwner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s, fleet, _ := newScheduler(newOneAtATime, target("e1", "1"))
