plain: test that a draining host repeats no call that cannot end

Without the check in sendAgain all tests of packages plain and tests/edge pass. The new test fails then: 6 retries are asked for instead of 3.

--- a/internal/edge/plain/server_test.go
+++ b/internal/edge/plain/server_test.go
@@ -10,6 +10,7 @@
 
 	"corianderhitch/internal/edge"
 	"corianderhitch/internal/edge/bootclock"
+	"corianderhitch/internal/edge/draining"
 	"corianderhitch/internal/edge/ejection"
 	"corianderhitch/internal/edge/policy"
 	"corianderhitch/internal/edge/retrybudget"
@@ -54,3 +55,26 @@
 		require.Equal(t, 1, r.sends)
 	}
 }
+
+func TestCallThatCannotEndInTheDrainIsNotSentAgain(t *testing.T) {
+	drain := draining.New(time.Second)
+	drain.Record("route", draining.Pace{Start: time.Second})
+	asked := 0
+	s := &Server{Drain: drain, RetryBudget: func(string) *retrybudget.Budget {
+		asked++
+		return retrybudget.New(0, 0, time.Second, bootclock.Now(), func() int { return 1 })
+	}}
+	retry := func() int {
+		for _, result := range []result{failed, broken, rejected} {
+			r := &run{server: s, ctx: t.Context(), sends: 1, call: &edge.AuthorizedCall{
+				Route: &policy.Route{Name: "route", Kind: policy.Idempotent, MaxAttempts: 3}, Service: &policy.Service{},
+				Deadline: bootclock.Now().Add(time.Minute), Log: slog.New(slog.DiscardHandler),
+			}}
+			r.retry(outcome{result: result})
+		}
+		return asked
+	}
+	require.Equal(t, 3, retry(), "before the drain")
+	drain.Begin(bootclock.Now())
+	require.Equal(t, 3, retry(), "a retry was asked for in the drain")
+}
