--- a/internal/edge/streaming/place_test.go
+++ b/internal/edge/streaming/place_test.go
@@ -19,6 +19,8 @@
 	"corianderhitch/internal/edge/inflight"
 	"corianderhitch/internal/edge/peers"
 	"corianderhitch/internal/edge/policy"
+	"corianderhitch/internal/edge/stall"
+	"corianderhitch/internal/edge/targetconn"
 	"corianderhitch/internal/edge/targetnotice"
 	"corianderhitch/internal/edge/targets"
 )
@@ -40,7 +42,7 @@
 	table := inflight.New("host")
 	s := &Server{
 		Targets: registry, Inflight: table, Health: ejection.New(), Lengths: NewOutputLengths(), Queue: admission.New(table.Changed),
-		Drain: drain, Observer: observer, Sender: &edge.Sender{Wire: silentWire{}},
+		Drain: drain, Observer: observer, Sender: &edge.Sender{Wire: silentWire{}}, Stalls: &stall.Detector{},
 	}
 	s.PlaceViaHub = func(context.Context, peers.PlaceArgs) (peers.PlaceReply, bool) {
 		reply := peers.PlaceReply{Able: true}
@@ -118,6 +120,23 @@
 	}
 }
 
+func TestStartThatTheAbortCutCountsAsMayHaveRun(t *testing.T) {
+	ctx, abort := context.WithCancelCause(t.Context())
+	abort(edge.ErrStopping)
+	for err, want := range map[error]int{
+		targetconn.ErrBroken: http.StatusBadGateway, errUnsigned: http.StatusBadGateway,
+		targetconn.ErrNotSent: http.StatusServiceUnavailable, errNotExecuted: http.StatusServiceUnavailable, errKeyUnconfirmed: http.StatusServiceUnavailable,
+	} {
+		s, r := placingServer(draining.New(placingDrain), silentObserver{}, func() bool { return true })
+		answer := httptest.NewRecorder()
+		r.w = answer
+		rejection, retryable := s.startFailure(ctx, r, s.Targets.View().Available("s")[0], bootclock.Now(), err)
+		require.False(t, retryable)
+		s.reject(ctx, r, rejection)
+		require.Equal(t, want, answer.Code, "%v", err)
+	}
+}
+
 func TestStartedRunWaitsForAnEngineInTheDrain(t *testing.T) {
 	var free atomic.Bool
 	drain := draining.New(placingDrain)
@@ -142,3 +161,17 @@
 	drain.Begin(bootclock.Now())
 	require.False(t, drain.Fits(r.call), "100 tokens took 19 s")
 }
+
+func TestStallDoesNotMakeTheDrainRejectShortRuns(t *testing.T) {
+	drain := draining.New(placingDrain)
+	s, r := placingServer(drain, silentObserver{}, func() bool { return true })
+	r.call.Call.Generation = &edge.GenerationRequest{MaxOutputTokens: 10}
+	r.call.Route.Objective, r.call.Route.GapObjective = time.Second, 100*time.Millisecond
+	r.call.Received = bootclock.Now().Add(-2200 * time.Millisecond)
+	s.Stalls.Beat(bootclock.Now().Add(-1400 * time.Millisecond))
+	s.Stalls.Beat(bootclock.Now())
+	r.startedAfter, r.events, r.headSent = 800*time.Millisecond, 3, true
+	require.Equal(t, completed, r.finish(t.Context(), s.Targets.View().Available("s")[0], completed, nil))
+	drain.Begin(bootclock.Now())
+	require.True(t, drain.Fits(r.call), "10 tokens take a second")
+}
