Migration: runs that outlast their estimate leave an engine before it exits

Callers saw a stream break off when its engine exited two seconds after its leaving notice, although other engines had room. Evacuate looked at the runs of a leaving engine once. Those with less than 48 expected tokens were left there to end, also if the estimate came from much shorter outputs of the same route.

The runs that stay are now looked at again every 200 ms until the engine is about to exit, with the estimate of that moment. The bound of 48 tokens decreases with the time that is left, so that a run whose estimate stays low moves as well. Runs that do end in time are not moved, as before.

--- a/internal/edge/migration/mover.go
+++ b/internal/edge/migration/mover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -19,6 +20,9 @@
 )
 
 const (
+	// reviewInterval is how often runs are looked at again that were expected to end before
+	// their engine exits.
+	reviewInterval = 200 * time.Millisecond
 	// roomRetryInterval is how often a destination is looked for while all engines
 	// are full: runs end on them many times a second.
 	roomRetryInterval = 50 * time.Millisecond
@@ -55,26 +59,53 @@
 	Observe func(outcome string, took time.Duration)
 }
 
-// Evacuate moves runs, one after the other, off an engine that gave its leaving
-// notice at noticedAt. It returns when all have been tried.
+// Evacuate moves runs, one after the other, off an engine that gave its leaving notice at
+// noticedAt. Runs that are expected to end before the engine exits stay, and are looked at
+// again until it does: an estimate may be too low. It returns when all have been tried or
+// have ended, or when the engine is about to exit.
 func (m *Mover) Evacuate(ctx context.Context, source *targets.Target, noticedAt bootclock.Instant, runs []*streaming.Run) {
+	if len(runs) == 0 || !runs[0].Service().Engine.SupportsMigration {
+		return
+	}
+	begun := false
+	for {
+		order := EvacuationOrder(describe(runs), bootclock.Since(noticedAt))
+		if len(order) > 0 && !begun {
+			begun = true
+			m.awaitTurn(ctx, source, noticedAt, runs[0].Service().Engine, len(order))
+		}
+		total := m.Inflight.TotalLoad(source.Key())
+		domainPenalty := OtherDomainPenalty(runs[0].Service().Engine, total.Held, total.Runs)
+		moved := make(map[*streaming.Run]bool)
+		for _, i := range order {
+			moved[runs[i]] = true
+			m.move(ctx, source, noticedAt, domainPenalty, runs[i])
+		}
+		runs = slices.DeleteFunc(runs, func(r *streaming.Run) bool {
+			t := r.Target()
+			return moved[r] || t == nil || t.Key() != source.Key()
+		})
+		if len(runs) == 0 || bootclock.Since(noticedAt) > assumedNoticePeriod || ctx.Err() != nil {
+			return
+		}
+		wait.For(ctx, reviewInterval)
+	}
+}
+
+func describe(runs []*streaming.Run) []PlannedRun {
 	planned := make([]PlannedRun, len(runs))
 	for i, r := range runs {
 		planned[i] = PlannedRun{Held: r.HeldTokens(), Remaining: r.RemainingTokens(), Survives: r.Replica() != nil || r.Resumable()}
 	}
-	order := EvacuationOrder(planned)
-	if len(order) == 0 || !runs[order[0]].Service().Engine.SupportsMigration {
-		return
-	}
+	return planned
+}
+
+// awaitTurn waits until this host may begin to copy from a leaving engine.
+func (m *Mover) awaitTurn(ctx context.Context, source *targets.Target, noticedAt bootclock.Instant, engine *policy.Engine, runs int) {
 	loads := m.Inflight.LoadByHost(source.Key())
-	delay := StartDelay(runs[order[0]].Service().Engine, source.Key(), m.Host, loads)
-	m.Log.Info("migration: engine is leaving", "source", source.ID, "runs", len(order), "other_hosts", len(loads), "turn_ms", delay.Milliseconds())
-	total := m.Inflight.TotalLoad(source.Key())
-	domainPenalty := OtherDomainPenalty(runs[order[0]].Service().Engine, total.Held, total.Runs)
+	delay := StartDelay(engine, source.Key(), m.Host, loads)
+	m.Log.Info("migration: engine is leaving", "source", source.ID, "runs", runs, "other_hosts", len(loads), "turn_ms", delay.Milliseconds())
 	wait.For(ctx, noticedAt.Add(delay).Sub(bootclock.Now()))
-	for _, i := range order {
-		m.move(ctx, source, noticedAt, domainPenalty, runs[i])
-	}
 }
 
 // move tries to move one run to another engine and records the outcome.
--- a/internal/edge/migration/plan.go
+++ b/internal/edge/migration/plan.go
@@ -33,8 +33,9 @@
 	// tenth of its memory; at the maximum, practically never.
 	minDomainPenalty = 0.1
 	maxDomainPenalty = 0.8
-	// minRemainingTokens is the expected remaining output below which a run is not
-	// moved: it is expected to end before the engine exits.
+	// minRemainingTokens is the expected remaining output below which a run is not moved
+	// right after the notice: it is expected to end before the engine exits. The bound
+	// decreases with the time that is left.
 	minRemainingTokens = 48
 )
 
@@ -45,13 +46,16 @@
 	Survives  bool // the run can continue without a move: it has a replica or is resumable
 }
 
-// EvacuationOrder returns the indexes of the runs to move, in order. The notice may
-// be too short for all, so the runs that hold the most memory come first. Runs that
-// survive without a move come last.
-func EvacuationOrder(runs []PlannedRun) []int {
+// EvacuationOrder returns the indexes of the runs to move, in order, at the given time
+// after the notice. The notice may be too short for all, so the runs that hold the most
+// memory come first. Runs that survive without a move come last. Runs that are expected to
+// end before the engine exits are left out.
+func EvacuationOrder(runs []PlannedRun, sinceNotice time.Duration) []int {
+	timeLeft := max(0, assumedNoticePeriod-sinceNotice)
+	minRemaining := minRemainingTokens * timeLeft.Seconds() / assumedNoticePeriod.Seconds()
 	var order []int
 	for i, r := range runs {
-		if r.Remaining >= minRemainingTokens {
+		if float64(r.Remaining) >= minRemaining {
 			order = append(order, i)
 		}
 	}
--- a/internal/edge/migration/plan_test.go
+++ b/internal/edge/migration/plan_test.go
@@ -16,10 +16,18 @@
 func TestEvacuationOrder(t *testing.T) {
 	require.Equal(t, []int{2, 0}, EvacuationOrder([]PlannedRun{
 		{Held: 3000, Remaining: 400}, {Held: 6000, Remaining: 10}, {Held: 4000, Remaining: 100},
-	}))
+	}, 0))
 	require.Equal(t, []int{2, 1, 0}, EvacuationOrder([]PlannedRun{
 		{Held: 6000, Remaining: 400, Survives: true}, {Held: 3000, Remaining: 100}, {Held: 4000, Remaining: 100},
-	}))
+	}, 0))
+}
+
+// A run that has not ended although little was expected of it moves when time runs out.
+func TestRunThatWasExpectedToEndIsLeftAtLeavingEngine(t *testing.T) {
+	runs := []PlannedRun{{Held: 3000, Remaining: 40}}
+	require.Empty(t, EvacuationOrder(runs, 0))
+	require.Empty(t, EvacuationOrder(runs, assumedNoticePeriod/10))
+	require.Equal(t, []int{0}, EvacuationOrder(runs, assumedNoticePeriod/2))
 }
 
 // Copies of different hosts that overlap on a source's link stall each other.
--- a/tests/edge/stream_test.go
+++ b/tests/edge/stream_test.go
@@ -305,3 +305,38 @@
 	require.Equal(t, standin.StreamText("r-1", events), a.body)
 	require.Equal(t, []string{"r-1"}, others[0].Resumed())
 }
+
+// Short runs on the same route make the run seem about to end when its engine leaves.
+func TestRunThatOutlastsItsEstimateIsCutWhenItsEngineExits(t *testing.T) {
+	f := newFleet(t)
+	f.configure()
+	set := standin.NewEngines()
+	engines := []*standin.Engine{f.startEngine(set, "e-1"), f.startEngine(set, "e-2")}
+	set.SetEventInterval(func(request string, _ int) time.Duration {
+		if request == "r-1" {
+			return 60 * time.Millisecond
+		}
+		return standin.EventInterval
+	})
+	h := f.startHost()
+	for i := range 20 {
+		require.Equal(t, http.StatusOK, send(generationRequest(t.Context(), h, fmt.Sprintf("s-%d", i), 3)).status)
+	}
+	const events = 80 // about five seconds
+	pending := sendAsync(generationRequest(t.Context(), h, "r-1", events))
+	var source *standin.Engine
+	require.Eventually(t, func() bool {
+		for _, e := range engines {
+			if e.EventsProduced("r-1") > 0 {
+				source = e
+			}
+		}
+		return source != nil
+	}, waitTimeout, checkInterval)
+	f.register(source.ID, engineService, source.Address(), "draining")
+	time.Sleep(2300 * time.Millisecond) // the notice is read up to half a second late
+	source.Crash()
+	a := <-pending
+	require.NoError(t, a.err)
+	require.Equal(t, standin.StreamText("r-1", events), a.body)
+}
