Ingress: a draining host reads the body before it rejects a request

Callers of a draining host got a broken connection instead of a 503 now and then. Whoever may not repeat its request unless it is told that it has not run could not send it elsewhere. A request that cannot end in time was rejected while its body was still coming in, with a read deadline in the past, and the connection was closed at once: the caller's next write of its body failed.

The host now goes on reading for up to 100 ms before it rejects. A body that takes longer is still interrupted, so its caller may miss the answer as before.

--- a/internal/edge/ingress/handler.go
+++ b/internal/edge/ingress/handler.go
@@ -31,6 +31,10 @@
 	unconfirmedRetryAfter = time.Second
 	// recheckTimeout bounds the confirmation of the configuration for a request.
 	recheckTimeout = 400 * time.Millisecond
+	// bodyArrivalTime is how long a draining host still reads the body of a request that it
+	// will reject: a caller that is sending its body would meet a closed connection instead
+	// of the rejection.
+	bodyArrivalTime = 100 * time.Millisecond
 	// defaultMaxBodyBytes applies if the configuration sets no limit.
 	defaultMaxBodyBytes = 4 << 20
 )
@@ -217,11 +221,11 @@
 	// once it cannot serve the call.
 	stopWatching := context.AfterFunc(h.Drain.Begun(), func() {
 		if !h.Drain.Fits(a) {
-			interruptRead(w)
+			endRead(w, time.Now().Add(bodyArrivalTime))
 		}
 	})
 	defer stopWatching()
-	defer context.AfterFunc(r.Context(), func() { interruptRead(w) })()
+	defer context.AfterFunc(r.Context(), func() { endRead(w, time.Unix(1, 0)) })()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -236,9 +240,9 @@
 	return nil
 }
 
-// interruptRead ends the read of a request's body with an error.
-func interruptRead(w http.ResponseWriter) {
-	_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
+// endRead ends the read of a request's body with an error at the given time.
+func endRead(w http.ResponseWriter, at time.Time) {
+	_ = http.NewResponseController(w).SetReadDeadline(at)
 }
 
 // reject logs the rejection and sends it to the caller.
--- a/tests/soak/signals_test.go
+++ b/tests/soak/signals_test.go
@@ -423,6 +423,8 @@
 		return fmt.Sprint(r.status)
 	case errors.Is(r.err, syscall.ECONNREFUSED):
 		return "no connection"
+	case len(r.works) == 0 && r.logged:
+		return "closed, answer lost"
 	case len(r.works) == 0:
 		return "closed, not run"
 	default:
@@ -453,6 +455,9 @@
 		out = append(out, fmt.Sprintf("LOST: sent %v after the stop, %d runs, ended without a complete answer at %v",
 			r.sent.Sub(p.stopped).Round(time.Millisecond), runs, r.ended.Sub(p.stopped).Round(time.Millisecond)))
 	}
+	if incomplete && runs == 0 && r.logged && r.arrival.body == 0 && !c.disturbed {
+		out = append(out, "the host rejected it, but its caller got no answer: "+r.err.Error())
+	}
 	if r.status == http.StatusServiceUnavailable && (runs > 0 || r.retryAfter == "") {
 		out = append(out, fmt.Sprintf("REFUSED: 503 with %d runs, Retry-After %q", runs, r.retryAfter))
 	}
