Soak: repeated stop signals, signals to frozen and to fresh processes

TestStopSignals played SIGTERM twice, but not three times, while requests are aborted, together with SIGHUP to a frozen process, or right after a crash and a start.

--- a/tests/soak/signals_test.go
+++ b/tests/soak/signals_test.go
@@ -102,6 +102,7 @@
 	disturbed  bool   // the platform excuses what is cut
 	stalledLog bool   // nobody reads standard output
 	slowBodies bool   // the slowBody arrives too
+	fresh      bool   // the process has just started, so that no connection is older
 	ended      string // how the process ends; "" for exit code 0
 }
 
@@ -111,6 +112,11 @@
 	{name: "TERM and TERM after 1 ms", steps: []step{at(0, send(syscall.SIGTERM)), at(time.Millisecond, send(syscall.SIGTERM))}},
 	{name: "TERM and TERM after 1 s", steps: []step{at(0, send(syscall.SIGTERM)), at(time.Second, send(syscall.SIGTERM))}},
 	{name: "TERM and TERM after 5 s", main: true, steps: []step{at(0, send(syscall.SIGTERM)), at(5*time.Second, send(syscall.SIGTERM))}},
+	{name: "TERM three times in 2 s", steps: []step{at(0, send(syscall.SIGTERM)), at(time.Second, send(syscall.SIGTERM)), at(2*time.Second, send(syscall.SIGTERM))}},
+	{name: "TERM and TERM while requests are aborted", steps: []step{at(0, send(syscall.SIGTERM)), at(7410*time.Millisecond, send(syscall.SIGTERM)), at(7420*time.Millisecond, send(syscall.SIGTERM))}},
+	{name: "TERM 0.9 s after a crash and a start", fresh: true, steps: []step{at(-900*time.Millisecond, crashAndStart), at(0, send(syscall.SIGTERM))}},
+	{name: "TERM 0.5 s after a crash and a start", fresh: true, steps: []step{at(-500*time.Millisecond, crashAndStart), at(0, send(syscall.SIGTERM))}},
+	{name: "HUP and TERM 0.7 s after a crash and a start", fresh: true, steps: []step{at(-700*time.Millisecond, crashAndStart), at(-time.Millisecond, send(syscall.SIGHUP)), at(0, send(syscall.SIGTERM)), at(time.Millisecond, send(syscall.SIGHUP))}},
 	{name: "INT", steps: []step{at(0, send(syscall.SIGINT))}},
 	{name: "INT and TERM after 1 s", steps: []step{at(0, send(syscall.SIGINT)), at(time.Second, send(syscall.SIGTERM))}},
 	{name: "TERM and INT after 1 s", disturbed: true, ended: "signal: interrupt", steps: []step{at(0, send(syscall.SIGTERM)), at(time.Second, send(syscall.SIGINT))}},
@@ -122,6 +128,9 @@
 	{name: "TERM, frozen from 1 s for 1 s", disturbed: true, steps: []step{at(0, send(syscall.SIGTERM)), at(time.Second, freezeFor(time.Second))}},
 	{name: "TERM, frozen from 2 s for 3 s", disturbed: true, steps: []step{at(0, send(syscall.SIGTERM)), at(2*time.Second, freezeFor(3*time.Second))}},
 	{name: "TERM while frozen", main: true, disturbed: true, steps: []step{at(-500*time.Millisecond, func(p *stopPlay) { p.host.process.Freeze() }), at(0, send(syscall.SIGTERM)), at(time.Second, func(p *stopPlay) { p.host.process.Thaw() })}},
+	{name: "TERM while frozen for 2.5 s", disturbed: true, steps: []step{at(-500*time.Millisecond, func(p *stopPlay) { p.host.process.Freeze() }), at(0, send(syscall.SIGTERM)), at(2500*time.Millisecond, func(p *stopPlay) { p.host.process.Thaw() })}},
+	{name: "HUP, TERM and TERM while frozen", disturbed: true, steps: []step{at(-500*time.Millisecond, func(p *stopPlay) { p.host.process.Freeze() }), at(-100*time.Millisecond, send(syscall.SIGHUP)), at(0, send(syscall.SIGTERM)), at(300*time.Millisecond, send(syscall.SIGTERM)), at(600*time.Millisecond, func(p *stopPlay) { p.host.process.Thaw() })}},
+	{name: "TERM, frozen again and again", disturbed: true, steps: []step{at(0, send(syscall.SIGTERM)), at(500*time.Millisecond, freezeFor(300*time.Millisecond)), at(1200*time.Millisecond, freezeFor(300*time.Millisecond)), at(2600*time.Millisecond, freezeFor(600*time.Millisecond)), at(7*time.Second, freezeFor(300*time.Millisecond))}},
 	{name: "TERM while the log's reader is stalled", main: true, stalledLog: true, steps: []step{at(0, send(syscall.SIGTERM))}},
 	{name: "TERM while the store is down", steps: []step{at(-100*time.Millisecond, func(p *stopPlay) { p.cluster.setFault(memstore.Fault{Outage: true}) }), at(0, send(syscall.SIGTERM))}},
 	{name: "TERM while the store is silent", main: true, steps: []step{at(-100*time.Millisecond, func(p *stopPlay) { p.host.storeProxy.SetMode(harness.Stall) }), at(0, send(syscall.SIGTERM))}},
@@ -141,6 +150,8 @@
 	}
 }
 
+func crashAndStart(p *stopPlay) { p.cluster.crashAndRestart(p.host, 0) }
+
 // enginesLeave announces that all engines but three are leaving.
 func enginesLeave(p *stopPlay) {
 	for _, target := range p.cluster.activeTargets(engineService)[3:] {
@@ -367,6 +378,9 @@
 		all = append(slices.Clip(all), slowBody)
 	}
 	for i, a := range all {
+		if c.fresh && a.used {
+			continue
+		}
 		for k, request := range stopRequests {
 			r := &stopResult{outcome: outcome{id: fmt.Sprintf("r-%d-%d", i, k), route: request.route, host: p.host, events: request.events}, request: request, arrival: a}
 			results = append(results, r)
