Prove: a connection closed before the first byte may be told as "not run"

Cause: the test. Its proxy closes a connection as soon as it is accepted. The gateway then sees the end of the connection either before it has written a byte ("no byte of the request was sent: EOF", so "not run" is true) or after. The test took "no" for a fault that the agents had noticed first and tried again, five times at most; on a busy machine all five can be "no".

Two cases replace it. "closed at the first byte" waits for a byte before it closes the connection, so that bytes were sent for certain: only "unknown" passes.

--- a/tests/harness/proxy.go
+++ b/tests/harness/proxy.go
@@ -15,11 +15,12 @@
 
 // The modes of a Proxy.
 const (
-	Pass      Mode = iota
-	Stall          // forwards nothing in either direction; connections stay open
-	StallUp        // forwards nothing towards the target
-	StallDown      // forwards nothing from the target
-	CloseNew       // accepts new connections and closes them immediately
+	Pass        Mode = iota
+	Stall            // forwards nothing in either direction; connections stay open
+	StallUp          // forwards nothing towards the target
+	StallDown        // forwards nothing from the target
+	CloseNew         // accepts new connections and closes them immediately
+	CloseOnData      // accepts new connections and closes each when its first byte has arrived
 )
 
 // reopenTimeout bounds the wait of Reopen on a busy machine.
@@ -171,9 +172,15 @@
 	defer p.goroutines.Done()
 	defer client.Close()
 	p.mu.Lock()
-	rejected := p.mode == CloseNew || p.closed
+	mode, closed := p.mode, p.closed
 	p.mu.Unlock()
-	if rejected {
+	if mode == CloseNew || closed {
+		return
+	}
+	if mode == CloseOnData {
+		p.track(client)
+		_, _ = client.Read(make([]byte, 1))
+		p.untrack(client)
 		return
 	}
 	target, err := net.DialTimeout("tcp", p.target, time.Second)
--- a/tests/prove/notrun_test.go
+++ b/tests/prove/notrun_test.go
@@ -32,12 +32,15 @@
 	fault                        serviceFault
 	oneTarget                    bool // the fault affects only the first target
 	last                         bool // the call is not sent again afterwards
-	// linksRefuse refuses connections to the targets; linksClose accepts and closes
-	// them.
-	linksRefuse, linksClose bool
+	// linksRefuse refuses connections to the targets; linksClose accepts and closes them
+	// at once, linksCloseOnData when the first byte has arrived.
+	linksRefuse, linksClose, linksCloseOnData bool
 	// ran is the value that the problem returned to the caller must have; "" means that
 	// the call succeeds.
 	ran problem.Ran
+	// maybeSent means that a call that met the fault may also be reported as not run: it
+	// may come before the call's first byte is sent.
+	maybeSent bool
 	// executed is how often targets must have run the call.
 	executed int
 }
@@ -56,7 +59,8 @@
 		{name: "cut inside the request's header", closeAfterUp: insideHeader, ran: problem.RanUnknown},
 		{name: "cut at the first byte of the answer", closeAfterDown: 1, ran: problem.RanUnknown, executed: 1},
 		{name: "cut inside the answer", closeAfterDown: insideResponse, ran: problem.RanUnknown, executed: 1},
-		{name: "connections accepted and closed", linksClose: true, ran: problem.RanUnknown},
+		{name: "connections accepted and closed", linksClose: true, ran: problem.RanUnknown, maybeSent: true},
+		{name: "connections closed at the first byte", linksCloseOnData: true, ran: problem.RanUnknown},
 		{name: "target drops the call without running", fault: serviceFault{DropRequestNext: 1}, ran: problem.RanUnknown},
 		{name: "target runs and cuts the answer", short: true, fault: serviceFault{DropResponseNext: 1}, ran: problem.RanUnknown, executed: 1},
 		{name: "target runs and dies", short: true, fault: serviceFault{CrashNext: 1}, ran: problem.RanUnknown, executed: 1},
@@ -117,6 +121,9 @@
 	for try := 1; ; try++ {
 		key := fmt.Sprintf("%s-%d", validID(tc.name), try)
 		answer := c.holdWithFault(t, tc, key)
+		if tc.maybeSent && answer.failure != nil && answer.failure.Kind == problem.KindTargetFailed {
+			tc.ran = problem.RanNo
+		}
 		if noticedBeforeCall(tc, answer) && try < maxInjections {
 			require.Zero(t, c.executions()[key], "reported as not run")
 			continue
@@ -186,6 +193,9 @@
 	if tc.linksClose {
 		link.SetMode(harness.CloseNew)
 	}
+	if tc.linksCloseOnData {
+		link.SetMode(harness.CloseOnData)
+	}
 	if tc.linksRefuse {
 		link.StopListening()
 	}
