Experiment: scenario pause, with pauses heeded and ignored

The engine model now rejects new generations in a pause and states the time left; scenarios/pause.yaml lets a third of the targets pause in turn. Each policy also runs with gateways that ignore pauses: the target stays a candidate, and what it rejects is sent to another one, up to three sends.

--- a/internal/enginemodel/engine.go
+++ b/internal/enginemodel/engine.go
@@ -36,10 +36,11 @@
 	events         []Event // not yet returned by Step
 	recycledEvents []Event // the slice that the last Step returned
 
-	stopAt  time.Time // when a reclaimed engine stops; zero if it is not reclaimed
-	orders  orderProcessor
-	reports reporter
-	stats   Stats
+	stopAt   time.Time // when a reclaimed engine stops; zero if it is not reclaimed
+	pauseEnd time.Time // until when new generations are rejected; zero if never
+	orders   orderProcessor
+	reports  reporter
+	stats    Stats
 }
 
 // New returns an engine without any generation.
@@ -79,7 +80,7 @@
 	if _, known := e.sequences[submission.ID]; known {
 		return nil
 	}
-	if err := e.checkAdmission(submission); err != nil {
+	if err := e.checkAdmission(now, submission); err != nil {
 		return err
 	}
 	e.arrivals++
--- a/internal/enginemodel/engine_test.go
+++ b/internal/enginemodel/engine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
@@ -267,3 +268,17 @@
 	}
 	require.Zero(t, testing.AllocsPerRun(1000, step))
 }
+
+func TestPausedEngineRejectsOnlyNewGenerations(t *testing.T) {
+	e := New(testConfig())
+	require.NoError(t, e.Start(epoch, request("before", "#len=3")))
+	e.Pause(epoch.Add(6 * time.Second))
+	rejection := problem.From(e.Start(epoch.Add(2*time.Second), request("in", "#len=3")))
+	require.Equal(t, problem.KindOverloaded, rejection.Kind)
+	require.Equal(t, http.StatusServiceUnavailable, rejection.Status)
+	require.Equal(t, problem.RanNo, rejection.Ran)
+	require.Equal(t, 4*time.Second, rejection.RetryAfter)
+	events := run(e)
+	require.Equal(t, EventDone, events[len(events)-1].Kind)
+	require.NoError(t, e.Start(epoch.Add(6*time.Second), request("after", "#len=3")))
+}
--- a/internal/enginemodel/status.go
+++ b/internal/enginemodel/status.go
@@ -35,6 +35,10 @@
 	e.stopAt = now.Add(notice)
 }
 
+// Pause makes the engine reject new generations until end, with the time that is left as
+// their Retry-After. Existing generations continue. An end in the past ends the pause.
+func (e *Engine) Pause(end time.Time) { e.pauseEnd = end }
+
 // SetTotalBlocks changes the size of the KV memory to blocks, at least 1. Sequences that
 // no longer fit are preempted.
 func (e *Engine) SetTotalBlocks(now time.Time, blocks int) {
--- a/internal/enginemodel/submission.go
+++ b/internal/enginemodel/submission.go
@@ -90,11 +90,15 @@
 }
 
 // checkAdmission returns an error if the submission cannot run on this engine now.
-func (e *Engine) checkAdmission(s Submission) error {
+func (e *Engine) checkAdmission(now time.Time, s Submission) error {
 	if e.status != StatusServing {
 		return reject(problem.KindDraining, http.StatusServiceUnavailable,
 			"send the request to another target", "engine %s is leaving", e.config.Name).WithRetryAfter(leavingRetryAfter)
 	}
+	if now.Before(e.pauseEnd) {
+		return reject(problem.KindOverloaded, http.StatusServiceUnavailable,
+			"send the request to another target", "engine %s is paused", e.config.Name).WithRetryAfter(e.pauseEnd.Sub(now))
+	}
 	if e.orders.role == engine.RoleStandby {
 		return reject(problem.KindNoTarget, http.StatusServiceUnavailable,
 			"send the request to another target", "engine %s is on standby", e.config.Name)
--- a/internal/experiment/call.go
+++ b/internal/experiment/call.go
@@ -14,6 +14,7 @@
 // call is a request at a gateway, with all its attempts.
 type call struct {
 	arrival              *Arrival
+	gateway              int
 	state                callState
 	attempt              int
 	ticket               string // of the current attempt
@@ -22,6 +23,7 @@
 	firstTokenAt         time.Time
 	lastTokenAt          time.Time
 	excluded             []string // targets of earlier attempts
+	rejectedInPause      int      // attempts that reached a target in a pause
 	resends              int      // by the caller after a final error
 	attemptsBeforeResend int      // number of attempts before the last resend
 }
--- a/internal/experiment/compare.go
+++ b/internal/experiment/compare.go
@@ -14,7 +14,7 @@
 // seeds from seed on. It prints one JSON line per policy and seed, a summary per policy if
 // there are several seeds, and the results of CheckCriteria.
 func Compare(w io.Writer, s *Scenario, seed uint64, seeds int, names []string) error {
-	specs, err := choosePolicies(names)
+	specs, err := choosePolicies(s, names)
 	if err != nil {
 		return err
 	}
@@ -40,8 +40,21 @@
 	return printCriteria(w, CheckCriteria(s, all))
 }
 
-// choosePolicies returns the named policies, or those of Policies if names is empty.
-func choosePolicies(names []string) ([]PolicySpec, error) {
+// choosePolicies returns the named policies, or those of Policies if names is empty. For a
+// scenario with pauses it adds the variant of each that ignores them.
+func choosePolicies(s *Scenario, names []string) ([]PolicySpec, error) {
+	chosen, err := namedPolicies(names)
+	if err != nil || !s.hasPauses() {
+		return chosen, err
+	}
+	var variants []PolicySpec
+	for _, spec := range chosen {
+		variants = append(variants, spec.ignoringPauses(), spec)
+	}
+	return variants, nil
+}
+
+func namedPolicies(names []string) ([]PolicySpec, error) {
 	all := Policies()
 	if len(names) == 0 {
 		return all, nil
--- a/internal/experiment/criteria.go
+++ b/internal/experiment/criteria.go
@@ -45,6 +45,8 @@
 			criteria = append(criteria, checkSurge(product)...)
 		case "churn":
 			criteria = append(criteria, checkChurn(s, product)...)
+		case "pause":
+			criteria = append(criteria, checkPause(product, withSeed(all, product.Seed))...)
 		}
 	}
 	return criteria
@@ -127,6 +129,20 @@
 	return []CriterionResult{atMost(r, "stall seconds against the detection bound of each interrupted generation", r.StallSeconds, bound)}
 }
 
+// checkPause compares the product's policy with the same policy when gateways ignore pauses.
+func checkPause(product *Result, results []Result) []CriterionResult {
+	criteria := []CriterionResult{
+		atMost(product, "requests beyond those that may reach a target in a pause", float64(product.ArrivalsOverBudget), 0),
+		atMost(product, "first token p95 in ms", product.FirstTokenP95MS, firstTokenBoundMS),
+	}
+	for i := range results {
+		if other := &results[i]; other.Policy == ProductPolicy+ignoringPausesSuffix {
+			criteria = append(criteria, atLeast(product, "completed requests against "+other.Policy, float64(product.Completed), float64(other.Completed)))
+		}
+	}
+	return criteria
+}
+
 func atMost(r *Result, criterion string, value, bound float64) CriterionResult {
 	return CriterionResult{Seed: r.Seed, Criterion: criterion, Met: value <= bound, Detail: fmt.Sprintf("%.4g, bound at most %.4g", value, bound)}
 }
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -21,19 +21,21 @@
 }
 
 func TestSameSeedSameFigures(t *testing.T) {
-	s := loadShipped(t, "churn", 30)
 	names := []string{"independent_p2c", "target_owner", ProductPolicy} // the first two make random choices
-	var first, second, other bytes.Buffer
-	require.NoError(t, Compare(&first, s, 1, 1, names))
-	require.NoError(t, Compare(&second, s, 1, 1, names))
-	require.NoError(t, Compare(&other, s, 2, 1, names))
-	assert.Equal(t, first.String(), second.String())
-	assert.NotEqual(t, first.String(), other.String())
+	for _, scenario := range []string{"churn", "pause"} {
+		s := loadShipped(t, scenario, 30)
+		var first, second, other bytes.Buffer
+		require.NoError(t, Compare(&first, s, 1, 1, names))
+		require.NoError(t, Compare(&second, s, 1, 1, names))
+		require.NoError(t, Compare(&other, s, 2, 1, names))
+		assert.Equal(t, first.String(), second.String(), scenario)
+		assert.NotEqual(t, first.String(), other.String(), scenario)
+	}
 }
 
 func TestEveryPolicyAnswersEveryRequest(t *testing.T) {
-	windows := map[string]float64{ // seconds; that of churn includes its faults
-		"steady": 5, "crowded": 5, "surge": 5, "churn": 50, "charter": 5, "callbox": 5,
+	windows := map[string]float64{ // seconds; those of churn and pause include faults
+		"steady": 5, "crowded": 5, "surge": 5, "churn": 50, "charter": 5, "callbox": 5, "pause": 40,
 	}
 	for name, window := range windows {
 		t.Run(name, func(t *testing.T) {
--- a/internal/experiment/faults.go
+++ b/internal/experiment/faults.go
@@ -74,6 +74,8 @@
 	case FaultStall:
 		target.stalledUntil = r.timeline.now.Add(seconds(f.Seconds))
 		r.metrics.interrupted += len(r.runningOn(target))
+	case FaultPause:
+		r.pause(target, seconds(f.Seconds))
 	case FaultCrash: // Arrivals includes its request
 	}
 }
@@ -135,6 +137,7 @@
 	for i, s := range r.targets {
 		if s == target {
 			target.engine = r.newEngine(i)
+			target.starts++
 		}
 	}
 	target.running, target.believedHealthy, target.knownLeaving = true, true, false
--- a/internal/experiment/metrics.go
+++ b/internal/experiment/metrics.go
@@ -26,7 +26,8 @@
 	windowTokens     float64            // tokens received in the arrival window
 	requestedTokens  map[string]float64 // by account, all arrivals
 	receivedTokens   map[string]float64 // by account, in the arrival window
-	interrupted      int                // generations that lost their engine or were on a stalled link
+	pauses           pauseLog
+	interrupted      int // generations that lost their engine or were on a stalled link
 }
 
 func newMetrics(windowEnd time.Time) *metrics {
--- a/internal/experiment/policies.go
+++ b/internal/experiment/policies.go
@@ -14,9 +14,22 @@
 	Remote bool
 	// Baseline policies are those that CheckCriteria compares the product's policy with.
 	Baseline bool
-	New      func(s *Scenario, seed uint64) scheduling.Policy
+	// IgnoresPauses makes the gateways keep a target that wants a pause as a candidate.
+	// They send what it rejects to another target.
+	IgnoresPauses bool
+	New           func(s *Scenario, seed uint64) scheduling.Policy
 }
 
+// ignoringPauses returns the policy with gateways that ignore pauses.
+func (p PolicySpec) ignoringPauses() PolicySpec {
+	p.Name += ignoringPausesSuffix
+	p.IgnoresPauses = true
+	return p
+}
+
+// ignoringPausesSuffix ends the names of policies whose gateways ignore pauses.
+const ignoringPausesSuffix = "_ignoring_pauses"
+
 // ProductPolicy is the name of the policy that the product uses.
 const ProductPolicy = "pool_owner"
 
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -33,9 +33,11 @@
 	// StallThresholdMS: waits due to preemption, to the prefill of others, to a
 	// stalled link, and until the work of a crashed engine continues elsewhere.
 	StallSeconds float64 `json:"stall_seconds"`
-	// FirstTokenP95MS is measured from a request's submission to the arrival of its
+	// The first-token figures are measured from a request's submission to the arrival of its
 	// first token at the caller, over completed requests.
+	FirstTokenP50MS float64 `json:"first_token_p50_ms"`
 	FirstTokenP95MS float64 `json:"first_token_p95_ms"`
+	FirstTokenP99MS float64 `json:"first_token_p99_ms"`
 	// The inter-token figures cover the gaps between tokens of all answers.
 	InterTokenP50MS float64 `json:"inter_token_p50_ms"`
 	InterTokenP95MS float64 `json:"inter_token_p95_ms"`
@@ -50,6 +52,15 @@
 	// received within the arrival window, divided by its weighted max-min fair share of
 	// all such tokens, given the tokens that it requested in the window.
 	FairnessJain float64 `json:"fairness_jain"`
+	// ArrivalsInPause counts the requests that reached a target in a pause, which rejects
+	// them. ArrivalsOverBudget counts those beyond the two that a gateway may send between
+	// half a second after the target's first answer and the end of the pause.
+	ArrivalsInPause    int `json:"arrivals_in_pause"`
+	ArrivalsOverBudget int `json:"arrivals_over_budget"`
+	// PeakReturn is the most requests that reached one target in any 250 ms of the 4 s
+	// after a pause of it. ReturnCurve is the mean for each 250 ms of the 4 s.
+	PeakReturn  int       `json:"peak_return"`
+	ReturnCurve []float64 `json:"return_curve,omitempty"`
 
 	interrupted          int     // generations that lost their engine or were on a stalled link
 	lookupWithoutSurgeMS float64 // LookupP99MS of the scenario without its surge
--- a/internal/experiment/runner.go
+++ b/internal/experiment/runner.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"time"
 
+	"corianderhitch/api/problem"
 	"corianderhitch/internal/enginemodel"
 	"corianderhitch/internal/scheduling"
 )
@@ -14,8 +15,12 @@
 const (
 	// callerDelay is the one-way delay between callers and gateways.
 	callerDelay = 3 * time.Millisecond
-	// maxAttempts limits how often a gateway runs a request.
+	// maxAttempts limits how often a gateway runs a request, and how often it sends one to
+	// targets that want a pause.
 	maxAttempts = 3
+	// refusedSendDelay is the time until a gateway submits a call again that it did not
+	// send. It ends loops with a policy that decides at once and chooses the same target.
+	refusedSendDelay = time.Millisecond
 	// maxResends is how often the caller of a request that crashes engines resends it.
 	maxResends  = 3
 	resendDelay = 2 * time.Second
@@ -38,8 +43,9 @@
 	unfinished      []*call // allCalls without the ended calls at its end
 	callsByTicket   map[string]*call
 	metrics         *metrics
-	decisionPending bool      // a Decide is scheduled for the current time
-	nextDecisionAt  time.Time // when the policy asked for its next Decide
+	gates           []*pauseGate // one a gateway; none if the gateways ignore pauses
+	decisionPending bool         // a Decide is scheduled for the current time
+	nextDecisionAt  time.Time    // when the policy asked for its next Decide
 }
 
 // Run runs one policy on a scenario with the given arrivals, which Arrivals returns, until
@@ -47,7 +53,7 @@
 func Run(s *Scenario, spec PolicySpec, seed uint64, arrivals []Arrival) Result {
 	r := newRunner(s, spec, seed)
 	for i := range arrivals {
-		c := &call{arrival: &arrivals[i]}
+		c := &call{arrival: &arrivals[i], gateway: i % s.Gateways}
 		r.allCalls = append(r.allCalls, c)
 		r.metrics.requestedTokens[c.arrival.Account.Name] += float64(c.arrival.Output)
 		r.timeline.schedule(startTime.Add(c.arrival.At+callerDelay), func() { r.submit(c) })
@@ -74,6 +80,9 @@
 	if spec.Remote {
 		r.ownerDelay = r.linkDelay
 	}
+	if !spec.IgnoresPauses {
+		r.gates = newPauseGates(s.Gateways, seed)
+	}
 	for i := range s.Targets {
 		target := &targetState{name: targetName(i), engine: r.newEngine(i), running: true, believedHealthy: true}
 		r.targets = append(r.targets, target)
@@ -99,8 +108,13 @@
 	return false
 }
 
-// submit submits a new attempt of a call to the policy.
+// submit submits a new attempt of a call to the policy, or rejects the call if its gateway
+// knows that no target wants it.
 func (r *runner) submit(c *call) {
+	if r.allPaused(c.gateway) {
+		r.rejectOrResend(c)
+		return
+	}
 	c.attempt++
 	c.target = ""
 	c.ticket = fmt.Sprintf("%s/%d", c.arrival.ID, c.attempt)
@@ -119,7 +133,7 @@
 		Ticket: c.ticket, Account: a.Account.Name, Model: model, Version: version, Class: a.Class.Name,
 		Priority: a.Class.Priority, Weight: a.Account.Weight, LateDelivery: a.Class.LateDelivery,
 		PromptTokens: a.Prompt, Produced: c.delivered, MaxTokens: a.Class.MaxTokens,
-		PrefixHashes: a.Hashes, Submitted: r.timeline.now, Fingerprint: a.Fingerprint, ExcludedTargets: c.excluded,
+		PrefixHashes: a.Hashes, Submitted: r.timeline.now, Fingerprint: a.Fingerprint, ExcludedTargets: r.excludedTargets(c),
 	}
 	if a.Class.DeadlineMS > 0 {
 		request.Deadline = r.timeline.now.Add(milliseconds(a.Class.DeadlineMS))
@@ -143,7 +157,7 @@
 	r.decisionPending = false
 	d := r.policy.Decide(r.timeline.now)
 	for _, g := range d.Grants {
-		r.timeline.scheduleAfter(r.ownerDelay+r.linkDelay, func() { r.startGranted(g) })
+		r.timeline.scheduleAfter(r.ownerDelay, func() { r.sendGranted(g) })
 	}
 	for _, rejection := range d.Rejections {
 		r.timeline.scheduleAfter(r.ownerDelay, func() { r.handleRejection(rejection.Ticket) })
@@ -160,6 +174,17 @@
 	})
 }
 
+// sendGranted sends a granted call to its engine, or submits it again if the target wants a
+// pause.
+func (r *runner) sendGranted(g scheduling.Grant) {
+	if c := r.callsByTicket[g.Ticket]; c != nil && r.refusesSend(c, r.targetsByName[g.Target]) {
+		r.endAttempt(c, 0)
+		r.timeline.scheduleAfter(refusedSendDelay, func() { r.submit(c) })
+		return
+	}
+	r.timeline.scheduleAfter(r.linkDelay, func() { r.startGranted(g) })
+}
+
 // startGranted starts a granted call on its engine, or tries again elsewhere if the engine
 // is down or rejects it.
 func (r *runner) startGranted(g scheduling.Grant) {
@@ -173,26 +198,41 @@
 		r.retry(c, 0, false)
 		return
 	}
+	r.metrics.pauses.recordArrival(g.Target, c.gateway, r.timeline.now)
 	a := c.arrival
 	err := target.engine.Submit(r.timeline.now, enginemodel.Submission{
 		ID: c.ticket, Model: model, Version: version, Priority: a.Class.Priority, PromptTokens: a.Prompt, PrefixHashes: a.Hashes,
 		MaxTokens: a.Class.MaxTokens, Length: a.Output, Produced: c.delivered, Crash: a.CrashesEngine,
 	})
 	if err != nil {
+		r.handleEngineRejection(c, target, problem.From(err))
+		return
+	}
+	r.scheduleStep(target)
+}
+
+// handleEngineRejection sends a call that its engine has rejected to another one. Only the
+// rejections in a pause are limited: a leaving target gets no more grants.
+func (r *runner) handleEngineRejection(c *call, target *targetState, rejection *problem.Error) {
+	if rejection.Kind != problem.KindOverloaded {
 		target.knownLeaving = true
 		r.retry(c, r.linkDelay, false)
 		return
 	}
-	r.scheduleStep(target)
+	r.observePause(c.gateway, target, rejection.RetryAfter)
+	if c.rejectedInPause++; c.rejectedInPause == maxAttempts {
+		r.endAttempt(c, r.linkDelay)
+		r.rejectOrResend(c)
+		return
+	}
+	r.retry(c, r.linkDelay, false)
 }
 
 // retry submits a call again after a delay, because its engine rejected it or was lost.
 // If the attempt ran, maxAttempts limits the number of attempts.
 func (r *runner) retry(c *call, delay time.Duration, ran bool) {
-	delete(r.callsByTicket, c.ticket)
-	ticket, target, produced := c.ticket, c.target, c.delivered
-	r.timeline.scheduleAfter(delay+r.ownerDelay, func() { r.reportFinished(ticket, produced, false) })
-	c.excluded = append(c.excluded, target)
+	r.endAttempt(c, delay)
+	c.excluded = append(c.excluded, c.target)
 	if ran && c.attempt >= maxAttempts+c.attemptsBeforeResend {
 		r.rejectOrResend(c)
 		return
@@ -200,6 +240,13 @@
 	r.timeline.scheduleAfter(delay, func() { r.submit(c) })
 }
 
+// endAttempt ends a call's attempt, of which the policy hears after a delay.
+func (r *runner) endAttempt(c *call, delay time.Duration) {
+	delete(r.callsByTicket, c.ticket)
+	ticket, produced := c.ticket, c.delivered
+	r.timeline.scheduleAfter(delay+r.ownerDelay, func() { r.reportFinished(ticket, produced, false) })
+}
+
 func (r *runner) reportFinished(ticket string, produced int, complete bool) {
 	r.policy.Finish(r.timeline.now, scheduling.Finished{Ticket: ticket, Produced: produced, Complete: complete})
 	r.scheduleDecision()
@@ -237,6 +284,6 @@
 	}
 	c.resends++
 	c.attemptsBeforeResend = c.attempt
-	c.excluded = nil
+	c.excluded, c.rejectedInPause = nil, 0
 	r.timeline.scheduleAfter(resendDelay, func() { r.submit(c) })
 }
--- a/internal/experiment/runresult.go
+++ b/internal/experiment/runresult.go
@@ -9,14 +9,18 @@
 		Policy: policy, Scenario: r.scenario.Name, Seed: r.seed,
 		DuplicatedTokens: m.duplicatedTokens, Preemptions: m.preemptions,
 		StallSeconds:    round(m.stall.Seconds()),
+		FirstTokenP50MS: percentileMS(m.firstToken, 50),
 		FirstTokenP95MS: percentileMS(m.firstToken, 95),
+		FirstTokenP99MS: percentileMS(m.firstToken, 99),
 		InterTokenP50MS: percentileMS(m.tokenGaps, 50),
 		InterTokenP95MS: percentileMS(m.tokenGaps, 95),
 		InterTokenP99MS: percentileMS(m.tokenGaps, 99),
 		LookupP99MS:     percentileMS(m.lookupTimes, 99),
 		TokensPerSecond: round(m.windowTokens / r.scenario.Seconds),
 		FairnessJain:    round(jainIndex(m.accountShares(r.scenario))),
-		interrupted:     m.interrupted,
+		ArrivalsInPause: m.pauses.arrivals(), ArrivalsOverBudget: m.pauses.overBudget(),
+		PeakReturn: m.pauses.peakReturn(), ReturnCurve: m.pauses.returnCurve(),
+		interrupted: m.interrupted,
 	}
 	for _, c := range r.allCalls {
 		out.Offered++
--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -99,6 +100,7 @@
 	FaultReclaim FaultKind = "reclaim" // the engine is leaving, stops after GraceSeconds and restarts Seconds later
 	FaultStall   FaultKind = "stall"   // the link from the engine delivers nothing for Seconds
 	FaultCrash   FaultKind = "crash"   // a request arrives that crashes every engine that runs it
+	FaultPause   FaultKind = "pause"   // the engine rejects new generations for Seconds and says so
 )
 
 // Fault is a fault that is injected at a time of the scenario.
@@ -129,6 +131,11 @@
 	return s, s.check()
 }
 
+// hasPauses reports whether targets pause.
+func (s *Scenario) hasPauses() bool {
+	return slices.ContainsFunc(s.Faults, func(f Fault) bool { return f.Kind == FaultPause })
+}
+
 // check returns an error that says what is missing from or wrong with the scenario.
 func (s *Scenario) check() error {
 	switch {
--- a/internal/experiment/seedsummary.go
+++ b/internal/experiment/seedsummary.go
@@ -26,13 +26,18 @@
 	Preemptions        float64 `json:"preemptions"`
 	PreemptionsPer1000 float64 `json:"preemptions_per_1000"`
 	StallSeconds       float64 `json:"stall_seconds"`
+	FirstTokenP50MS    float64 `json:"first_token_p50_ms"`
 	FirstTokenP95MS    float64 `json:"first_token_p95_ms"`
+	FirstTokenP99MS    float64 `json:"first_token_p99_ms"`
 	InterTokenP50MS    float64 `json:"inter_token_p50_ms"`
 	InterTokenP95MS    float64 `json:"inter_token_p95_ms"`
 	InterTokenP99MS    float64 `json:"inter_token_p99_ms"`
 	LookupP99MS        float64 `json:"lookup_p99_ms"`
 	TokensPerSecond    float64 `json:"tokens_per_second"`
 	FairnessJain       float64 `json:"fairness_jain"`
+	ArrivalsInPause    float64 `json:"arrivals_in_pause"`
+	ArrivalsOverBudget float64 `json:"arrivals_over_budget"`
+	PeakReturn         float64 `json:"peak_return"`
 }
 
 // summarize returns the median and the worst figures of each policy over all seeds.
@@ -71,6 +76,11 @@
 		Preemptions:        figure(low, func(r *Result) float64 { return float64(r.Preemptions) }),
 		PreemptionsPer1000: figure(low, func(r *Result) float64 { return r.PreemptionsPer1000 }),
 		StallSeconds:       figure(low, func(r *Result) float64 { return r.StallSeconds }),
+		FirstTokenP50MS:    figure(low, func(r *Result) float64 { return r.FirstTokenP50MS }),
+		FirstTokenP99MS:    figure(low, func(r *Result) float64 { return r.FirstTokenP99MS }),
+		ArrivalsInPause:    figure(low, func(r *Result) float64 { return float64(r.ArrivalsInPause) }),
+		ArrivalsOverBudget: figure(low, func(r *Result) float64 { return float64(r.ArrivalsOverBudget) }),
+		PeakReturn:         figure(low, func(r *Result) float64 { return float64(r.PeakReturn) }),
 		FirstTokenP95MS:    figure(low, func(r *Result) float64 { return r.FirstTokenP95MS }),
 		InterTokenP50MS:    figure(low, func(r *Result) float64 { return r.InterTokenP50MS }),
 		InterTokenP95MS:    figure(low, func(r *Result) float64 { return r.InterTokenP95MS }),
--- a/internal/experiment/target.go
+++ b/internal/experiment/target.go
@@ -12,6 +12,7 @@
 type targetState struct {
 	name            string
 	engine          *enginemodel.Engine
+	starts          int // of engines, which states that earlier ones made don't bind
 	running         bool
 	believedHealthy bool      // as reported to the policy
 	knownLeaving    bool      // an engine rejected a request as leaving, possibly before reports show it
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -1,11 +1,14 @@
 package load
 
 import (
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"corianderhitch/internal/experiment"
 )
 
 var testMix = Mix{
@@ -79,3 +82,20 @@
 	require.InDelta(t, 10, ValueAt(result.FirstToken, 50), 0.1)
 	require.NoError(t, plotResults(t.TempDir(), []Result{result}))
 }
+
+func TestPausesAreDrawn(t *testing.T) {
+	dir := t.TempDir()
+	results := []experiment.Result{
+		{Scenario: "pause", Policy: "a", Offered: 10, Completed: 9, ReturnCurve: []float64{1, 2}},
+		{Scenario: "pause", Policy: "a", Offered: 10, Completed: 9, ReturnCurve: []float64{2, 4}},
+		{Scenario: "pause", Policy: "b", Offered: 10, Completed: 10, ReturnCurve: []float64{0, 1}},
+	}
+	lines := returnLines(results)
+	require.Len(t, lines, 2)
+	require.Equal(t, []float64{0, 0.25}, lines[0].X)
+	require.Equal(t, []float64{1.5, 3}, lines[0].Y)
+	require.NoError(t, drawExperiment(dir, results))
+	for _, name := range []string{"served", "arrivals", "first_token", "return"} {
+		require.FileExists(t, filepath.Join(dir, "pause_"+name+".svg"))
+	}
+}
--- a/internal/load/reportcommand.go
+++ b/internal/load/reportcommand.go
@@ -68,18 +68,15 @@
 	return plotResults(s.Out, all)
 }
 
-// drawExperiment draws bar charts of the medians over the seeds of one scenario.
+// drawExperiment draws the medians over the seeds of one scenario.
 func drawExperiment(dir string, results []experiment.Result) error {
-	policies := policyNames(results)
-	scenario := results[0].Scenario
+	if len(results[0].ReturnCurve) > 0 {
+		return drawPauses(dir, results)
+	}
 	series := func(label string, metric func(*experiment.Result) float64) report.Series {
-		return report.Series{Label: label, Values: medianPerPolicy(results, policies, metric)}
+		return policySeries(results, label, metric)
 	}
-	for _, figure := range []struct {
-		file   string
-		axes   report.Axes
-		series []report.Series
-	}{
+	return drawBars(dir, results, []barFigure{
 		{"inter_token", report.Axes{Title: "Time between tokens", Y: "ms"}, []report.Series{
 			series("p50", func(r *experiment.Result) float64 { return r.InterTokenP50MS }),
 			series("p95", func(r *experiment.Result) float64 { return r.InterTokenP95MS }),
@@ -94,10 +91,27 @@
 		{"fairness", report.Axes{Title: "Jain index of the weighted shares", Y: "index"}, []report.Series{
 			series("", func(r *experiment.Result) float64 { return r.FairnessJain }),
 		}},
-	} {
+	})
+}
+
+// barFigure is a bar chart with a group for each policy.
+type barFigure struct {
+	file   string
+	axes   report.Axes
+	series []report.Series
+}
+
+// policySeries returns the median of a metric for each policy.
+func policySeries(results []experiment.Result, label string, metric func(*experiment.Result) float64) report.Series {
+	return report.Series{Label: label, Values: medianPerPolicy(results, policyNames(results), metric)}
+}
+
+func drawBars(dir string, results []experiment.Result, figures []barFigure) error {
+	scenario := results[0].Scenario
+	for _, figure := range figures {
 		figure.axes.Title += ", scenario " + scenario
 		file := filepath.Join(dir, scenario+"_"+figure.file+".svg")
-		if err := report.Bars(file, figure.axes, policies, figure.series); err != nil {
+		if err := report.Bars(file, figure.axes, policyNames(results), figure.series); err != nil {
 			return err
 		}
 	}
