Experiment: scenario restart compares what happens to lost streams

Each policy runs with streams that break off, with callers that repeat them from the first token, and with streams that continue; results count tokens decoded and read again, streams interrupted and broken off.

--- a/Makefile
+++ b/Makefile
@@ -127,8 +127,8 @@
 figures: build
 	mkdir -p out/experiment
 	for s in steady crowded surge; do $(BIN)/hitchload experiment --scenario $$s --seed $(SEED) >out/experiment/$$s.jsonl || true; done
-	$(BIN)/hitchload experiment --scenario pause --seeds 10 --policies least_in_flight,pool_owner >out/experiment/pause.jsonl
-	$(BIN)/hitchload report --out docs/figures --experiment out/experiment/steady.jsonl,out/experiment/crowded.jsonl,out/experiment/surge.jsonl,out/experiment/pause.jsonl \
+	for s in pause restart; do $(BIN)/hitchload experiment --scenario $$s --seeds 10 --policies least_in_flight,pool_owner >out/experiment/$$s.jsonl; done
+	$(BIN)/hitchload report --out docs/figures --experiment out/experiment/steady.jsonl,out/experiment/crowded.jsonl,out/experiment/surge.jsonl,out/experiment/pause.jsonl,out/experiment/restart.jsonl \
 	  --result docs/measurements/compare-2-quiet.json
 
 # capacity writes the tables of docs/CAPACITY.md from the measurements in
--- a/internal/experiment/call.go
+++ b/internal/experiment/call.go
@@ -20,9 +20,11 @@
 	ticket               string // of the current attempt
 	target               string // that runs the current attempt; empty while it waits
 	delivered            int    // tokens that the caller has received
+	next                 int    // offset of the next token of the current attempt
 	firstTokenAt         time.Time
 	lastTokenAt          time.Time
 	excluded             []string // targets of earlier attempts
+	lostEngines          int      // attempts that lost their engine
 	rejectedInPause      int      // attempts that reached a target in a pause
 	resends              int      // by the caller after a final error
 	attemptsBeforeResend int      // number of attempts before the last resend
--- a/internal/experiment/compare.go
+++ b/internal/experiment/compare.go
@@ -40,16 +40,16 @@
 	return printCriteria(w, CheckCriteria(s, all))
 }
 
-// choosePolicies returns the named policies, or those of Policies if names is empty. For a
-// scenario with pauses it adds the variant of each that ignores them.
+// choosePolicies returns the named policies, or those of Policies if names is empty, with
+// the variants that the scenario compares.
 func choosePolicies(s *Scenario, names []string) ([]PolicySpec, error) {
 	chosen, err := namedPolicies(names)
-	if err != nil || !s.hasPauses() {
-		return chosen, err
+	if err != nil {
+		return nil, err
 	}
 	var variants []PolicySpec
 	for _, spec := range chosen {
-		variants = append(variants, spec.ignoringPauses(), spec)
+		variants = append(variants, spec.variants(s)...)
 	}
 	return variants, nil
 }
--- a/internal/experiment/criteria.go
+++ b/internal/experiment/criteria.go
@@ -47,6 +47,8 @@
 			criteria = append(criteria, checkChurn(s, product)...)
 		case "pause":
 			criteria = append(criteria, checkPause(product, withSeed(all, product.Seed))...)
+		case "restart":
+			criteria = append(criteria, checkRestart(product, withSeed(all, product.Seed))...)
 		}
 	}
 	return criteria
@@ -125,7 +127,7 @@
 }
 
 func checkChurn(s *Scenario, r *Result) []CriterionResult {
-	bound := float64(r.interrupted) * s.DetectionMS / 1000
+	bound := float64(r.Interrupted) * s.DetectionMS / 1000
 	return []CriterionResult{atMost(r, "stall seconds against the detection bound of each interrupted generation", r.StallSeconds, bound)}
 }
 
@@ -143,6 +145,21 @@
 	return criteria
 }
 
+// checkRestart compares the product's policy with the same policy when lost streams are
+// repeated by their callers or broken off.
+func checkRestart(product *Result, results []Result) []CriterionResult {
+	criteria := []CriterionResult{atMost(product, "tokens decoded again", float64(product.TokensDecodedAgain), 0)}
+	for i := range results {
+		switch other := &results[i]; other.Policy {
+		case ProductPolicy + repeatLostSuffix:
+			criteria = append(criteria, atMost(product, "stall seconds against "+other.Policy, product.StallSeconds, other.StallSeconds))
+		case ProductPolicy + breakOffLostSuffix:
+			criteria = append(criteria, atMost(product, "streams broken off against "+other.Policy, float64(product.BrokenOff), float64(other.BrokenOff)))
+		}
+	}
+	return criteria
+}
+
 func atMost(r *Result, criterion string, value, bound float64) CriterionResult {
 	return CriterionResult{Seed: r.Seed, Criterion: criterion, Met: value <= bound, Detail: fmt.Sprintf("%.4g, bound at most %.4g", value, bound)}
 }
--- a/internal/experiment/faults.go
+++ b/internal/experiment/faults.go
@@ -116,19 +116,27 @@
 	return list
 }
 
-// rerunLost runs the calls of a lost engine again, or ends those that have delivered
-// tokens if the scenario doesn't allow continuing from a prefix.
+// rerunLost runs the calls of a lost engine again, or breaks off the streams that have
+// begun.
 func (r *runner) rerunLost(lost []*call) {
 	for _, c := range lost {
-		if c.delivered > 0 && !r.scenario.ContinueFromPrefix {
+		c.lostEngines++
+		switch {
+		case c.delivered > 0 && r.breaksOffLost():
 			delete(r.callsByTicket, c.ticket)
 			r.rejectOrResend(c)
-			continue
+		case c.delivered > 0 && r.lostStreams == RepeatLost:
+			r.retry(c, 2*callerDelay, true)
+		default:
+			r.retry(c, 0, true)
 		}
-		r.retry(c, 0, true)
 	}
 }
 
+func (r *runner) breaksOffLost() bool {
+	return r.lostStreams == BreakOffLost || (r.lostStreams == ContinueLost && !r.scenario.ContinueFromPrefix)
+}
+
 // restart starts a new, empty engine at a target that is not running.
 func (r *runner) restart(target *targetState) {
 	if target.running {
--- a/internal/experiment/metrics.go
+++ b/internal/experiment/metrics.go
@@ -16,18 +16,20 @@
 
 // metrics collects the measurements of one run.
 type metrics struct {
-	windowEnd        time.Time
-	firstToken       *hdrhistogram.Histogram // microseconds
-	tokenGaps        *hdrhistogram.Histogram // microseconds between tokens of an answer
-	lookupTimes      *hdrhistogram.Histogram // microseconds
-	stall            time.Duration
-	duplicatedTokens int
-	preemptions      int64
-	windowTokens     float64            // tokens received in the arrival window
-	requestedTokens  map[string]float64 // by account, all arrivals
-	receivedTokens   map[string]float64 // by account, in the arrival window
-	pauses           pauseLog
-	interrupted      int // generations that lost their engine or were on a stalled link
+	windowEnd          time.Time
+	firstToken         *hdrhistogram.Histogram // microseconds
+	tokenGaps          *hdrhistogram.Histogram // microseconds between tokens of an answer
+	lookupTimes        *hdrhistogram.Histogram // microseconds
+	stall              time.Duration
+	duplicatedTokens   int
+	tokensDecodedAgain int
+	tokensReadAgain    int
+	preemptions        int64
+	windowTokens       float64            // tokens received in the arrival window
+	requestedTokens    map[string]float64 // by account, all arrivals
+	receivedTokens     map[string]float64 // by account, in the arrival window
+	pauses             pauseLog
+	interrupted        int // generations that lost their engine or were on a stalled link
 }
 
 func newMetrics(windowEnd time.Time) *metrics {
@@ -40,10 +42,15 @@
 
 // recordToken records that a caller receives the token at an offset.
 func (m *metrics) recordToken(c *call, offset int, at time.Time) {
-	if offset != c.delivered {
+	if offset != c.next {
 		m.duplicatedTokens++
 		return
 	}
+	c.next++
+	if offset < c.delivered {
+		m.tokensDecodedAgain++
+		return
+	}
 	c.delivered++
 	if !at.After(m.windowEnd) {
 		m.windowTokens++
--- a/internal/experiment/policies.go
+++ b/internal/experiment/policies.go
@@ -17,7 +17,48 @@
 	// IgnoresPauses makes the gateways keep a target that wants a pause as a candidate.
 	// They send what it rejects to another target.
 	IgnoresPauses bool
-	New           func(s *Scenario, seed uint64) scheduling.Policy
+	// LostStreams is what happens to a stream that has begun if its engine is lost.
+	LostStreams LostStreams
+	New         func(s *Scenario, seed uint64) scheduling.Policy
+}
+
+// LostStreams is what happens to a stream that has begun if its engine is lost.
+type LostStreams int
+
+// Ways to handle lost streams. Each request runs at most maxAttempts times.
+const (
+	// ContinueLost continues a stream at another engine after the last token that its
+	// caller has, or breaks it off if the scenario doesn't allow that.
+	ContinueLost LostStreams = iota
+	// RepeatLost makes the caller send the request again at once and begins the answer anew.
+	RepeatLost
+	// BreakOffLost ends the stream.
+	BreakOffLost
+)
+
+// The ends of the names of policies with other ways than ContinueLost.
+const (
+	repeatLostSuffix   = "_repeating_lost_streams"
+	breakOffLostSuffix = "_breaking_off_lost_streams"
+)
+
+// withLostStreams returns the policy with another way to handle lost streams.
+func (p PolicySpec) withLostStreams(way LostStreams, suffix string) PolicySpec {
+	p.Name += suffix
+	p.LostStreams = way
+	return p
+}
+
+// variants returns the policy with the variants that the scenario compares it with.
+func (p PolicySpec) variants(s *Scenario) []PolicySpec {
+	switch {
+	case s.hasPauses():
+		return []PolicySpec{p.ignoringPauses(), p}
+	case s.CompareLostStreams:
+		return []PolicySpec{p.withLostStreams(BreakOffLost, breakOffLostSuffix), p.withLostStreams(RepeatLost, repeatLostSuffix), p}
+	default:
+		return []PolicySpec{p}
+	}
 }
 
 // ignoringPauses returns the policy with gateways that ignore pauses.
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -52,6 +52,15 @@
 	// received within the arrival window, divided by its weighted max-min fair share of
 	// all such tokens, given the tokens that it requested in the window.
 	FairnessJain float64 `json:"fairness_jain"`
+	// Interrupted counts the generations that lost their engine or were on a stalled link.
+	// BrokenOff counts the Rejected requests whose callers had begun to receive the answer.
+	Interrupted int `json:"interrupted"`
+	BrokenOff   int `json:"broken_off"`
+	// TokensDecodedAgain counts output tokens that their caller already had from an earlier
+	// attempt. TokensReadAgain counts the prompt and output tokens with which attempts began
+	// after an engine was lost, cached or not.
+	TokensDecodedAgain int `json:"tokens_decoded_again"`
+	TokensReadAgain    int `json:"tokens_read_again"`
 	// ArrivalsInPause counts the requests that reached a target in a pause, which rejects
 	// them. ArrivalsOverBudget counts those beyond the two that a gateway may send between
 	// half a second after the target's first answer and the end of the pause.
@@ -62,6 +71,5 @@
 	PeakReturn  int       `json:"peak_return"`
 	ReturnCurve []float64 `json:"return_curve,omitempty"`
 
-	interrupted          int     // generations that lost their engine or were on a stalled link
 	lookupWithoutSurgeMS float64 // LookupP99MS of the scenario without its surge
 }
--- a/internal/experiment/runner.go
+++ b/internal/experiment/runner.go
@@ -34,6 +34,7 @@
 	scenario        *Scenario
 	seed            uint64
 	policy          scheduling.Policy
+	lostStreams     LostStreams
 	timeline        timeline
 	linkDelay       time.Duration // one way between two processes
 	ownerDelay      time.Duration // one way between a gateway and the process that decides
@@ -72,7 +73,7 @@
 
 func newRunner(s *Scenario, spec PolicySpec, seed uint64) *runner {
 	r := &runner{
-		scenario: s, seed: seed, policy: spec.New(s, seed), linkDelay: milliseconds(s.LinkMS),
+		scenario: s, seed: seed, policy: spec.New(s, seed), lostStreams: spec.LostStreams, linkDelay: milliseconds(s.LinkMS),
 		targetsByName: make(map[string]*targetState), callsByTicket: make(map[string]*call),
 		metrics: newMetrics(startTime.Add(seconds(s.Seconds))),
 	}
@@ -117,6 +118,10 @@
 	}
 	c.attempt++
 	c.target = ""
+	c.next = c.delivered
+	if r.lostStreams == RepeatLost {
+		c.next = 0
+	}
 	c.ticket = fmt.Sprintf("%s/%d", c.arrival.ID, c.attempt)
 	ticket := c.ticket
 	r.callsByTicket[ticket] = c
@@ -132,7 +137,7 @@
 	request := scheduling.Request{
 		Ticket: c.ticket, Account: a.Account.Name, Model: model, Version: version, Class: a.Class.Name,
 		Priority: a.Class.Priority, Weight: a.Account.Weight, LateDelivery: a.Class.LateDelivery,
-		PromptTokens: a.Prompt, Produced: c.delivered, MaxTokens: a.Class.MaxTokens,
+		PromptTokens: a.Prompt, Produced: c.next, MaxTokens: a.Class.MaxTokens,
 		PrefixHashes: a.Hashes, Submitted: r.timeline.now, Fingerprint: a.Fingerprint, ExcludedTargets: r.excludedTargets(c),
 	}
 	if a.Class.DeadlineMS > 0 {
@@ -202,12 +207,15 @@
 	a := c.arrival
 	err := target.engine.Submit(r.timeline.now, enginemodel.Submission{
 		ID: c.ticket, Model: model, Version: version, Priority: a.Class.Priority, PromptTokens: a.Prompt, PrefixHashes: a.Hashes,
-		MaxTokens: a.Class.MaxTokens, Length: a.Output, Produced: c.delivered, Crash: a.CrashesEngine,
+		MaxTokens: a.Class.MaxTokens, Length: a.Output, Produced: c.next, Crash: a.CrashesEngine,
 	})
 	if err != nil {
 		r.handleEngineRejection(c, target, problem.From(err))
 		return
 	}
+	if c.lostEngines > 0 {
+		r.metrics.tokensReadAgain += a.Prompt + c.next
+	}
 	r.scheduleStep(target)
 }
 
@@ -243,7 +251,7 @@
 // endAttempt ends a call's attempt, of which the policy hears after a delay.
 func (r *runner) endAttempt(c *call, delay time.Duration) {
 	delete(r.callsByTicket, c.ticket)
-	ticket, produced := c.ticket, c.delivered
+	ticket, produced := c.ticket, c.next
 	r.timeline.scheduleAfter(delay+r.ownerDelay, func() { r.reportFinished(ticket, produced, false) })
 }
 
--- a/internal/experiment/runresult.go
+++ b/internal/experiment/runresult.go
@@ -20,7 +20,7 @@
 		FairnessJain:    round(jainIndex(m.accountShares(r.scenario))),
 		ArrivalsInPause: m.pauses.arrivals(), ArrivalsOverBudget: m.pauses.overBudget(),
 		PeakReturn: m.pauses.peakReturn(), ReturnCurve: m.pauses.returnCurve(),
-		interrupted: m.interrupted,
+		Interrupted: m.interrupted, TokensDecodedAgain: m.tokensDecodedAgain, TokensReadAgain: m.tokensReadAgain,
 	}
 	for _, c := range r.allCalls {
 		out.Offered++
@@ -29,6 +29,9 @@
 			out.Completed++
 		case callRejected:
 			out.Rejected++
+			if c.delivered > 0 {
+				out.BrokenOff++
+			}
 		default:
 			out.Lost++
 		}
--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -33,6 +33,8 @@
 	Objectives document.Objectives `yaml:"objectives"`
 	// ContinueFromPrefix allows another engine to continue a generation.
 	ContinueFromPrefix bool `yaml:"continueFromPrefix"`
+	// CompareLostStreams also runs each policy with every other way of LostStreams.
+	CompareLostStreams bool `yaml:"compareLostStreams"`
 	// DetectionMS is the longest time until a gateway detects a stalled link or a
 	// killed engine and resumes the generation or runs it again.
 	DetectionMS float64 `yaml:"detectionMs"`
--- a/internal/experiment/seedsummary.go
+++ b/internal/experiment/seedsummary.go
@@ -35,6 +35,10 @@
 	LookupP99MS        float64 `json:"lookup_p99_ms"`
 	TokensPerSecond    float64 `json:"tokens_per_second"`
 	FairnessJain       float64 `json:"fairness_jain"`
+	Interrupted        float64 `json:"interrupted"`
+	BrokenOff          float64 `json:"broken_off"`
+	TokensDecodedAgain float64 `json:"tokens_decoded_again"`
+	TokensReadAgain    float64 `json:"tokens_read_again"`
 	ArrivalsInPause    float64 `json:"arrivals_in_pause"`
 	ArrivalsOverBudget float64 `json:"arrivals_over_budget"`
 	PeakReturn         float64 `json:"peak_return"`
@@ -78,6 +82,10 @@
 		StallSeconds:       figure(low, func(r *Result) float64 { return r.StallSeconds }),
 		FirstTokenP50MS:    figure(low, func(r *Result) float64 { return r.FirstTokenP50MS }),
 		FirstTokenP99MS:    figure(low, func(r *Result) float64 { return r.FirstTokenP99MS }),
+		Interrupted:        figure(low, func(r *Result) float64 { return float64(r.Interrupted) }),
+		BrokenOff:          figure(low, func(r *Result) float64 { return float64(r.BrokenOff) }),
+		TokensDecodedAgain: figure(low, func(r *Result) float64 { return float64(r.TokensDecodedAgain) }),
+		TokensReadAgain:    figure(low, func(r *Result) float64 { return float64(r.TokensReadAgain) }),
 		ArrivalsInPause:    figure(low, func(r *Result) float64 { return float64(r.ArrivalsInPause) }),
 		ArrivalsOverBudget: figure(low, func(r *Result) float64 { return float64(r.ArrivalsOverBudget) }),
 		PeakReturn:         figure(low, func(r *Result) float64 { return float64(r.PeakReturn) }),
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -99,3 +99,14 @@
 		require.FileExists(t, filepath.Join(dir, "pause_"+name+".svg"))
 	}
 }
+
+func TestRestartsAreDrawn(t *testing.T) {
+	dir := t.TempDir()
+	require.NoError(t, drawExperiment(dir, []experiment.Result{
+		{Scenario: "restart", Policy: "a", Offered: 10, BrokenOff: 3},
+		{Scenario: "restart", Policy: "b", Offered: 10, TokensDecodedAgain: 40},
+	}))
+	for _, name := range []string{"broken_off", "tokens_again", "stall"} {
+		require.FileExists(t, filepath.Join(dir, "restart_"+name+".svg"))
+	}
+}
--- a/internal/load/reportcommand.go
+++ b/internal/load/reportcommand.go
@@ -73,6 +73,9 @@
 	if len(results[0].ReturnCurve) > 0 {
 		return drawPauses(dir, results)
 	}
+	if comparesLostStreams(results) {
+		return drawRestarts(dir, results)
+	}
 	series := func(label string, metric func(*experiment.Result) float64) report.Series {
 		return policySeries(results, label, metric)
 	}
