--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -32,6 +33,8 @@
 	Objectives document.Objectives `yaml:"objectives"`
 	// ContinueFromPrefix allows another engine to continue a generation.
 	ContinueFromPrefix bool `yaml:"continueFromPrefix"`
+	// CompareLostStreams also runs each policy with every other way of LostStreams.
+	CompareLostStreams bool `yaml:"compareLostStreams"`
 	// DetectionMS is the longest time until a gateway detects a stalled link or a
 	// killed engine and resumes the generation or runs it again.
 	DetectionMS float64 `yaml:"detectionMs"`
@@ -99,6 +102,7 @@
 	FaultReclaim FaultKind = "reclaim" // the engine is leaving, stops after GraceSeconds and restarts Seconds later
 	FaultStall   FaultKind = "stall"   // the link from the engine delivers nothing for Seconds
 	FaultCrash   FaultKind = "crash"   // a request arrives that crashes every engine that runs it
+	FaultPause   FaultKind = "pause"   // the engine rejects new generations for Seconds and says so
 )
 
 // Fault is a fault that is injected at a time of the scenario.
@@ -129,6 +133,11 @@
 	return s, s.check()
 }
 
+// hasPauses reports whether targets pause.
+func (s *Scenario) hasPauses() bool {
+	return slices.ContainsFunc(s.Faults, func(f Fault) bool { return f.Kind == FaultPause })
+}
+
 // check returns an error that says what is missing from or wrong with the scenario.
 func (s *Scenario) check() error {
 	switch {
