Targets: one request goes first after a pause

What targets saw: when the pause of a target ended at a host, all requests of the host that preferred it went there at once, though it often still wanted nothing.

Cause: the end of a pause was drawn by each host, but not divided within a host.

Evidence: tests/edge TestOneRequestTriesTargetAfterItsPause, 16 callers, a target that rejects after 50 ms.

Why it works: the first request after a pause is a trial. The gate refuses others, which go to other targets, until Pool.Do has the trial's response head; a head that asks for a pause has been observed by then. A trial that is lost is followed by the next request, and 150 ms after the first the target is open in any case.

Requests that find the only target of their service on trial wait for its answer: without that, plain calls and streams were rejected as no_target (TestRequestsWaitForTrialOfTheOnlyTarget, with either wait taken out). Streams wait in their queue.

TestRulesHoldInRandomOrders plays bursts, lost trials and late answers as well, and checks that requests go one after the other until one is answered, and that none is withheld otherwise.

The gate now checks the destination of a copy before it counts a send, so that a refused one counts nothing.

--- a/internal/edge/metrics/metrics.go
+++ b/internal/edge/metrics/metrics.go
@@ -71,7 +71,7 @@
 	m.moveDuration = b.seconds("hitch_edge_move_duration", "", "time that a move took")
 	m.replicas = b.counter("hitch_edge_backups", "outcome", "copies of runs that stand by at another engine")
 	m.targetNotices = b.counter("hitch_edge_target_notices", "kind", "answers in which a target states that it leaves or wants a pause, or with a malformed statement")
-	m.refusedSends = b.counter("hitch_edge_refused_sends", "reason", "sends that were not made because the target leaves or wants a pause")
+	m.refusedSends = b.counter("hitch_edge_refused_sends", "reason", "sends that were not made because the target leaves, wants a pause or is on trial after one")
 	m.storeCalls = b.counter("hitch_edge_store_calls", "call, result", "calls to the platform's store")
 	b.gauge("hitch_edge_runs", "", "generations in flight from this host", func() int64 { return int64(g.Runs()) })
 	b.gauge("hitch_edge_waiting_runs", "", "generations that wait for room", func() int64 { return int64(g.WaitingRuns()) })
--- a/internal/edge/plain/server.go
+++ b/internal/edge/plain/server.go
@@ -56,6 +56,8 @@
 	Domain      string // failure domain of this host
 	Stalls      *stall.Detector
 	Drain       *draining.Drain // the end of the process, before which a call must have ended
+
+	awaitingTrial waiters
 }
 
 // Serve answers the call and returns its outcome.
@@ -151,6 +153,9 @@
 	}
 	switch o.result {
 	case unsent:
+		if errors.Is(o.err, targetconn.ErrOnTrial) {
+			delete(r.tried, o.target.Key())
+		}
 		if r.unsent++; r.unsent < maxUnsent {
 			r.send()
 		}
@@ -188,6 +193,10 @@
 // for it.
 func (r *run) send() bool {
 	t := r.chooseTarget()
+	if t == nil && r.pending == 0 {
+		r.awaitTrial()
+		t = r.chooseTarget()
+	}
 	if t == nil {
 		return false
 	}
--- a/internal/edge/streaming/server.go
+++ b/internal/edge/streaming/server.go
@@ -150,6 +150,9 @@
 	case errors.Is(err, errNotExecuted):
 		r.attempts.sends.Add(1)
 		return r.pausedOr(edge.ReasonTargetFull, startRetryAfter), s.takeAttempt(r)
+	case errors.Is(err, targetconn.ErrOnTrial):
+		delete(r.attempts.tried, t.Key())
+		return nil, true
 	case errors.Is(err, targetconn.ErrRefused):
 		return nil, true
 	case errors.Is(err, targetconn.ErrNotSent):
@@ -168,7 +171,7 @@
 func (s *Server) place(ctx context.Context, r *Run) (*targets.Target, inflight.Load) {
 	a := r.call
 	load := s.startLoad(a, r.deliveredEvents())
-	if len(s.Targets.View().Available(a.Service.Name)) == 0 {
+	if s.Targets.View().Trials(a.Service.Name).Left == 0 && len(s.Targets.View().Available(a.Service.Name)) == 0 {
 		return nil, load // without engines waiting is pointless: the run is rejected immediately
 	}
 	ctx, cancel := context.WithTimeout(ctx, maxWait(a, load))
@@ -185,7 +188,8 @@
 		defer stopWatching()
 	}
 	t := s.Queue.Acquire(ctx, a.Urgency, func() *targets.Target {
-		if _, paused := s.Targets.View().PauseLeft(a.Service.Name); paused {
+		view := s.Targets.View()
+		if _, paused := view.PauseLeft(a.Service.Name); paused && view.Trials(a.Service.Name).Left == 0 {
 			cancel() // waiting is pointless: the run is rejected with the time left
 			return nil
 		}
--- a/internal/edge/targetconn/errors.go
+++ b/internal/edge/targetconn/errors.go
@@ -13,6 +13,9 @@
 	// ErrRefused means that the gate refused the send: the target leaves or wants a pause.
 	// Such an error also matches ErrNotSent; the target is not at fault.
 	ErrRefused = eris.New("target: leaves or wants a pause, and nothing was sent; try another target")
+	// ErrOnTrial means that the gate refused the send until the target has answered the first
+	// request after its pause. Such an error also matches ErrRefused.
+	ErrOnTrial = eris.New("target: on trial after a pause, and nothing was sent; try another target or wait for the trial")
 	// ErrBroken means that the request was sent, at least in part, but no complete
 	// response arrived: the target may have run it.
 	ErrBroken = eris.New("target: connection broke after the request was sent; repeat it only if it is idempotent")
@@ -24,6 +27,13 @@
 // refusal is the error of a send that the gate refused.
 type refusal struct{ verdict targetnotice.Verdict }
 
-func (r *refusal) Error() string { return ErrRefused.Error() + ": " + r.verdict.String() }
+func (r *refusal) Error() string {
+	if r.verdict == targetnotice.OnTrial {
+		return ErrOnTrial.Error()
+	}
+	return ErrRefused.Error() + ": " + r.verdict.String()
+}
 
-func (r *refusal) Is(target error) bool { return target == ErrRefused || target == ErrNotSent }
+func (r *refusal) Is(target error) bool {
+	return target == ErrRefused || target == ErrNotSent || target == ErrOnTrial && r.verdict == targetnotice.OnTrial
+}
--- a/internal/edge/targetconn/gate.go
+++ b/internal/edge/targetconn/gate.go
@@ -11,8 +11,9 @@
 type Gate interface {
 	// Check returns whether a request may be sent to an incarnation.
 	Check(incarnation string, r *Request) targetnotice.Verdict
-	// Admit is Check for a request that is sent at once, which it counts.
-	Admit(incarnation string, r *Request) targetnotice.Verdict
+	// Admit is Check for a request that is sent at once, which it counts. If the request is
+	// allowed, ended must be called when its answer has been observed or the send has failed.
+	Admit(incarnation string, r *Request) (v targetnotice.Verdict, ended func(answered bool))
 	// Observe is called with the head of each response that arrives from the address on a
 	// connection to the incarnation. It reports whether the response states that the target
 	// leaves.
--- a/internal/edge/targetconn/pool.go
+++ b/internal/edge/targetconn/pool.go
@@ -66,10 +66,13 @@
 		return nil, err
 	}
 	// The target may have answered other requests while the connection was established.
-	if v := p.gate.Admit(incarnation, req); v != targetnotice.Allowed {
+	v, ended := p.gate.Admit(incarnation, req)
+	if v != targetnotice.Allowed {
 		p.put(conn)
 		return nil, &refusal{v}
 	}
+	answered := false
+	defer func() { ended(answered) }()
 	detach := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	written, err := writeRequest(conn, req)
 	if err != nil {
@@ -86,6 +89,7 @@
 		_ = conn.Close()
 		return nil, err
 	}
+	answered = true
 	closing := head.Close
 	conn.idleTimeout = idleTimeout(head.Header)
 	return &Response{
--- a/internal/edge/targetconn/pool_test.go
+++ b/internal/edge/targetconn/pool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -24,12 +25,19 @@
 	check, admit targetnotice.Verdict
 
 	mu       sync.Mutex
-	observed []int // guarded by mu; statuses
+	observed []int  // guarded by mu; statuses
+	ended    []bool // guarded by mu; whether each admitted request was answered
 }
 
 func (g *scriptedGate) Check(string, *Request) targetnotice.Verdict { return g.check }
 
-func (g *scriptedGate) Admit(string, *Request) targetnotice.Verdict { return g.admit }
+func (g *scriptedGate) Admit(string, *Request) (targetnotice.Verdict, func(bool)) {
+	return g.admit, func(answered bool) {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.ended = append(g.ended, answered)
+	}
+}
 
 func (g *scriptedGate) Observe(_, _ string, _ *Request, status int, h http.Header) bool {
 	g.mu.Lock()
@@ -177,3 +185,31 @@
 		require.Equal(t, c.want, connections)
 	}
 }
+
+// A target on trial gets no other request until the first one has ended, however that is.
+func TestEveryEndOfAnAdmittedRequestIsReported(t *testing.T) {
+	const silent = ""
+	for name, c := range map[string]struct {
+		answer string
+		want   bool
+	}{
+		"answered":           {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", true},
+		"stream has begun":   {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", true},
+		"not HTTP":           {"nonsense\r\n\r\n", false},
+		"only interim heads": {"HTTP/1.1 103 E\r\n\r\n", false},
+		"caller left":        {silent, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			gate := &scriptedGate{}
+			target := startRawTarget(t, c.answer)
+			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+			defer cancel()
+			response, err := newTestPool(gate).Do(ctx, "a@1", target.listener.Addr().String(), &Request{ID: "r-1", Method: http.MethodGet, URI: "/", Header: http.Header{}})
+			if err == nil {
+				response.Close()
+			}
+			require.Equal(t, c.want, err == nil)
+			require.Equal(t, []bool{c.want}, gate.ended)
+		})
+	}
+}
--- a/internal/edge/targetgate/gate.go
+++ b/internal/edge/targetgate/gate.go
@@ -53,21 +53,34 @@
 
 // Check implements targetconn.Gate.
 func (g *Gate) Check(incarnation string, r *targetconn.Request) targetnotice.Verdict {
-	return g.decide(g.Notices.Check, incarnation, r)
+	return g.decide(incarnation, r, func(now bootclock.Instant) targetnotice.Verdict {
+		return g.Notices.Check(incarnation, r.Use, r.Arrived, now)
+	})
 }
 
 // Admit implements targetconn.Gate.
-func (g *Gate) Admit(incarnation string, r *targetconn.Request) targetnotice.Verdict {
-	return g.decide(g.Notices.Admit, incarnation, r)
+func (g *Gate) Admit(incarnation string, r *targetconn.Request) (v targetnotice.Verdict, ended func(answered bool)) {
+	var trial *targetnotice.Trial
+	v = g.decide(incarnation, r, func(now bootclock.Instant) (v targetnotice.Verdict) {
+		v, trial = g.Notices.Admit(incarnation, r.Use, r.Arrived, now)
+		return v
+	})
+	if trial != nil {
+		g.Log.Info("targets: request tries target after its pause", "target", incarnation, "request", r.ID)
+	}
+	return v, func(answered bool) { g.Notices.EndTrial(trial, answered) }
 }
 
 // decide returns the verdict on a request, and on the destination of the copy that it asks
 // for.
-func (g *Gate) decide(verdict func(string, targetnotice.Use, bootclock.Instant, bootclock.Instant) targetnotice.Verdict, incarnation string, r *targetconn.Request) targetnotice.Verdict {
+func (g *Gate) decide(incarnation string, r *targetconn.Request, verdict func(now bootclock.Instant) targetnotice.Verdict) targetnotice.Verdict {
 	now := bootclock.Now()
-	v := verdict(incarnation, r.Use, r.Arrived, now)
-	if v == targetnotice.Allowed && r.CopyTo != "" {
-		v = verdict(r.CopyTo, targetnotice.CopyDestination, 0, now)
+	v := targetnotice.Allowed
+	if r.CopyTo != "" {
+		v = g.Notices.Check(r.CopyTo, targetnotice.CopyDestination, 0, now)
+	}
+	if v == targetnotice.Allowed {
+		v = verdict(now)
 	}
 	if v != targetnotice.Allowed {
 		g.Observer.ObserveRefusedSend(v.String())
--- a/internal/edge/targetgate/gate_test.go
+++ b/internal/edge/targetgate/gate_test.go
@@ -56,6 +56,13 @@
 	return &targetconn.Request{ID: "r-1", URI: "/x", Arrived: bootclock.Now()}
 }
 
+// admit returns the verdict on a send that is answered at once.
+func admit(g *Gate, incarnation string, r *targetconn.Request) targetnotice.Verdict {
+	v, ended := g.Admit(incarnation, r)
+	ended(true)
+	return v
+}
+
 func TestLeavingAnswerIsPassedOnOnce(t *testing.T) {
 	g, counted, log, leaving := newGate()
 	before := request()
@@ -66,8 +73,8 @@
 	require.Equal(t, 1, strings.Count(log.String(), "\n"))
 	require.Contains(t, log.String(), `"request":"r-1"`, "explain shows the line of the request")
 	require.Equal(t, targetnotice.Allowed, g.Check("a@1", before))
-	require.Equal(t, targetnotice.Leaving, g.Admit("a@1", request()))
-	require.Equal(t, targetnotice.Allowed, g.Admit("b@1", request()))
+	require.Equal(t, targetnotice.Leaving, admit(g, "a@1", request()))
+	require.Equal(t, targetnotice.Allowed, admit(g, "b@1", request()))
 	require.Equal(t, counts{"notice leaving": 3, "refused leaving": 1}, counted)
 }
 
@@ -77,10 +84,10 @@
 	g, _, _, leaving := newGate()
 	g.Observe("a@1", address, request(), http.StatusMisdirectedRequest, http.Header{"Leaving": {"1"}})
 	require.Equal(t, []string{"b@1 answer"}, *leaving)
-	require.Equal(t, targetnotice.Allowed, g.Admit("a@1", request()))
-	require.Equal(t, targetnotice.Leaving, g.Admit("b@1", request()))
+	require.Equal(t, targetnotice.Allowed, admit(g, "a@1", request()))
+	require.Equal(t, targetnotice.Leaving, admit(g, "b@1", request()))
 	g.Observe("c@1", "127.0.0.1:9", request(), http.StatusMisdirectedRequest, http.Header{"Leaving": {"1"}})
-	require.Equal(t, targetnotice.Allowed, g.Admit("c@1", request()))
+	require.Equal(t, targetnotice.Allowed, admit(g, "c@1", request()))
 }
 
 func TestPauseIsLoggedOnce(t *testing.T) {
@@ -91,7 +98,7 @@
 	require.Empty(t, *leaving)
 	require.Equal(t, 1, strings.Count(log.String(), "\n"))
 	require.Contains(t, log.String(), `"retry_after_ms":60000`)
-	require.Equal(t, targetnotice.Paused, g.Admit("a@1", request()))
+	require.Equal(t, targetnotice.Paused, admit(g, "a@1", request()))
 	require.Equal(t, counts{"notice pause": 3, "refused paused": 1}, counted)
 }
 
@@ -99,14 +106,14 @@
 	g, _, _, _ := newGate()
 	g.Observe("a@1", address, request(), http.StatusOK, http.Header{"Leaving": {"1"}})
 	move := &targetconn.Request{Use: targetnotice.Control, CopyTo: "b@1"}
-	require.Equal(t, targetnotice.Allowed, g.Admit("a@1", move), "a run moves off")
-	require.Equal(t, targetnotice.Allowed, g.Admit("a@1", &targetconn.Request{Use: targetnotice.Control}))
-	require.Equal(t, targetnotice.Leaving, g.Admit("a@1", &targetconn.Request{Use: targetnotice.Probe}))
+	require.Equal(t, targetnotice.Allowed, admit(g, "a@1", move), "a run moves off")
+	require.Equal(t, targetnotice.Allowed, admit(g, "a@1", &targetconn.Request{Use: targetnotice.Control}))
+	require.Equal(t, targetnotice.Leaving, admit(g, "a@1", &targetconn.Request{Use: targetnotice.Probe}))
 	move.CopyTo = "a@1"
-	require.Equal(t, targetnotice.Leaving, g.Admit("b@1", move), "no run is copied to a leaving target")
+	require.Equal(t, targetnotice.Leaving, admit(g, "b@1", move), "no run is copied to a leaving target")
 	g.Observe("b@1", address, request(), http.StatusServiceUnavailable, http.Header{"Pause": {"1"}})
 	move.CopyTo = "b@1"
-	require.Equal(t, targetnotice.Paused, g.Admit("a@1", move))
+	require.Equal(t, targetnotice.Paused, admit(g, "a@1", move))
 }
 
 func TestMalformedHeadersAreLoggedRarely(t *testing.T) {
@@ -116,5 +123,5 @@
 	}
 	require.Equal(t, 1, strings.Count(log.String(), "\n"))
 	require.Equal(t, counts{"notice malformed": 1000}, counted)
-	require.Equal(t, targetnotice.Allowed, g.Admit("a@1", request()))
+	require.Equal(t, targetnotice.Allowed, admit(g, "a@1", request()))
 }
--- a/internal/edge/targetnotice/rules_test.go
+++ b/internal/edge/targetnotice/rules_test.go
@@ -21,6 +21,8 @@
 	onTheWay   = 500 * time.Millisecond
 	// maxRequestsInPause is how many requests may reach a target in a pause.
 	maxRequestsInPause = 2
+	// mostInBurst is how many requests wait for a target at the end of its pause at most.
+	mostInBurst = 6
 )
 
 // world is a host and its targets in virtual time. It checks the rules at the targets.
@@ -35,6 +37,7 @@
 	listed  []*incarnation
 	starts  int
 	reached int // requests of callers
+	trials  int
 }
 
 // incarnation is a target, with what the host has been told since its last start.
@@ -45,6 +48,16 @@
 	toldLeaving bootclock.Instant // 0 if it was not told
 	pauses      []window
 	boots       int // start of the host to which toldLeaving and pauses belong
+	trial       trial
+}
+
+// trial is what the host has sent since the end of the last pause that it knows of.
+type trial struct {
+	boots      int // start of the host
+	pauses     int // pauses that the host has been told of
+	from, to   bootclock.Instant
+	unanswered int
+	answered   bool
 }
 
 // window is a span in which a target wants nothing.
@@ -94,20 +107,84 @@
 // send makes the host try a random use of a target. Requests may be old ones that are sent
 // again.
 func (w *world) send() {
-	s, arrived, boot := w.any(), w.now.Add(-w.upTo(3*time.Second)), w.boots
+	s := w.any()
+	w.sendTo(s)
+	if w.random.IntN(10) == 0 {
+		w.burst(s)
+	}
+}
+
+// burst makes the host try several uses of a target at about the same time.
+func (w *world) burst(s *incarnation) {
+	for range w.random.IntN(mostInBurst) {
+		w.after(w.upTo(maxTransit/8), func() { w.sendTo(s) })
+	}
+}
+
+func (w *world) sendTo(s *incarnation) {
+	arrived, boot := w.now.Add(-w.upTo(3*time.Second)), w.boots
 	use := []Use{Request, Request, Request, Continuation, Probe, Control}[w.random.IntN(6)]
 	if w.tracker.Check(s.key, use, arrived, w.now) != Allowed {
 		return
 	}
 	w.after(w.upTo(maxTransit/4), func() { // the connection is established
-		if boot == w.boots && w.tracker.Admit(s.key, use, arrived, w.now) == Allowed {
-			w.after(w.upTo(maxTransit), func() { w.receive(s, use, arrived, boot) })
+		if boot != w.boots {
+			return
+		}
+		verdict, trial := w.tracker.Admit(s.key, use, arrived, w.now)
+		w.checkTrial(s, use, verdict, trial != nil)
+		if verdict != Allowed {
+			return
+		}
+		end := w.trialEnds(s, trial)
+		if w.random.IntN(8) == 0 { // its caller leaves, or the connection breaks
+			w.after(w.upTo(maxTransit), func() { end(false) })
+			return
 		}
+		w.after(w.upTo(maxTransit), func() { w.receive(s, use, arrived, boot, end) })
 	})
 }
 
+// checkTrial checks that after a pause one request after the other is sent, until one is
+// answered or trialTimeout has passed since the first, and that no other request is withheld.
+func (w *world) checkTrial(s *incarnation, use Use, verdict Verdict, isTrial bool) {
+	p := &s.trial
+	awaited := p.boots == w.boots && w.now >= p.from && w.now < p.to && !p.answered
+	if use != Request || !awaited {
+		require.NotEqual(w.t, OnTrial, verdict, "seed %d: %s is withheld without need", w.seed, s.key)
+		require.False(w.t, isTrial, "seed %d: %s", w.seed, s.key)
+		return
+	}
+	switch {
+	case verdict == Leaving:
+	case p.unanswered > 0:
+		require.Equal(w.t, OnTrial, verdict, "seed %d: a crowd is sent to %s after its pause", w.seed, s.key)
+	default:
+		require.Equal(w.t, Allowed, verdict, "seed %d: %s is held back by a trial that has ended", w.seed, s.key)
+		require.True(w.t, isTrial, "seed %d: %s", w.seed, s.key)
+		p.unanswered++
+		p.to = min(p.to, w.now.Add(trialTimeout))
+		w.trials++
+	}
+}
+
+// trialEnds returns the function that ends a trial at the host, which may have restarted.
+func (w *world) trialEnds(s *incarnation, t *Trial) (end func(answered bool)) {
+	boot, pauses := w.boots, s.trial.pauses
+	return func(answered bool) {
+		if boot != w.boots {
+			return
+		}
+		w.tracker.EndTrial(t, answered)
+		if t != nil && s.trial.pauses == pauses {
+			s.trial.unanswered--
+			s.trial.answered = answered
+		}
+	}
+}
+
 // receive checks the rules at the target and lets it answer.
-func (w *world) receive(s *incarnation, use Use, arrived bootclock.Instant, boot int) {
+func (w *world) receive(s *incarnation, use Use, arrived bootclock.Instant, boot int, end func(answered bool)) {
 	if use == Request || use == Continuation {
 		w.check(s, arrived, boot)
 	}
@@ -131,8 +208,13 @@
 			}
 		}
 		if pause > 0 {
-			w.tracker.ObservePause(s.key, w.now, pause, w.random.Float64())
+			until, _ := w.tracker.ObservePause(s.key, w.now, pause, w.random.Float64())
+			s.trial = trial{boots: boot, pauses: s.trial.pauses + 1, from: until, to: until.Add(trialWindow)}
+			if w.random.IntN(2) == 0 && pause < maxPause {
+				w.after(until.Sub(w.now), func() { w.burst(s) })
+			}
 		}
+		end(true)
 	})
 	if pause > 0 && boot == w.boots {
 		s.forgetEarlierBoots(boot)
@@ -219,12 +301,14 @@
 // Answers, sends, restarts of targets and of the host come in random orders, while the
 // target list calls every target ready.
 func TestRulesHoldInRandomOrders(t *testing.T) {
-	reached := 0
+	reached, trials := 0, 0
 	for seed := uint64(1); seed <= drawnOrders; seed++ {
 		w := &world{t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 0)), now: at(0), tracker: New()}
 		w.run()
 		reached += w.reached
+		trials += w.trials
 	}
 	require.Greater(t, reached, 10*drawnOrders, "the targets must get requests")
-	t.Logf("%d orders, %d requests reached their targets", drawnOrders, reached)
+	require.Greater(t, trials, drawnOrders, "pauses must end in trials")
+	t.Logf("%d orders, %d requests reached their targets, %d trials after pauses", drawnOrders, reached, trials)
 }
--- a/internal/edge/targetnotice/tracker.go
+++ b/internal/edge/targetnotice/tracker.go
@@ -25,6 +25,12 @@
 	// which hosts use the target again.
 	spreadShare = 0.25
 	maxSpread   = time.Second
+	// trialTimeout is how long after the first trial of a target that has not answered it
+	// gets all requests: targets reject at once, and accepted requests may take long.
+	trialTimeout = 150 * time.Millisecond
+	// trialWindow is how long after a pause the first request is a trial. Later, none have
+	// accumulated.
+	trialWindow = 10 * time.Second
 	// maxTargets bounds the memory for incarnations that no longer exist.
 	maxTargets = 4096
 )
@@ -49,32 +55,47 @@
 	Allowed Verdict = iota
 	Leaving
 	Paused
+	OnTrial // the pause has ended, and the answer to the first request is awaited
 )
 
 // String returns the name of the verdict in logs and metrics.
-func (v Verdict) String() string { return [...]string{"allowed", "leaving", "paused"}[v] }
+func (v Verdict) String() string { return [...]string{"allowed", "leaving", "paused", "on_trial"}[v] }
 
 // Tracker remembers what targets have stated, by incarnation. It is safe for concurrent use.
 type Tracker struct {
 	mu      sync.Mutex
 	targets map[string]*statements // guarded by mu
-	// lastEnd is when the last pause of any target ends, a bootclock.Instant.
+	// trialEnded is closed and replaced when a trial ends.
+	trialEnded chan struct{} // guarded by mu
+	// lastEnd is when the last restriction after a pause of any target ends, a
+	// bootclock.Instant.
 	lastEnd atomic.Int64
 }
 
+// Trial is the first request to a target after its pause. Others are sent only after the
+// target has answered it.
+type Trial struct{ incarnation string }
+
 // statements is what one incarnation has stated.
 type statements struct {
 	leaving       bool
 	leavingAt     bootclock.Instant // when the first such answer arrived
 	pausedUntil   bootclock.Instant
-	continuations int // sent in the current pause
+	continuations int               // sent in the current pause
+	openAt        bootclock.Instant // when requests need no trial any more
+	trial         *Trial            // without an answer yet; nil if none
 	updatedAt     bootclock.Instant
 }
 
 func (s *statements) paused(now bootclock.Instant) bool { return now < s.pausedUntil }
 
+// onTrial reports whether the answer to a trial is awaited.
+func (s *statements) onTrial(now bootclock.Instant) bool { return s.trial != nil && now < s.openAt }
+
 // New returns an empty tracker.
-func New() *Tracker { return &Tracker{targets: make(map[string]*statements)} }
+func New() *Tracker {
+	return &Tracker{targets: make(map[string]*statements), trialEnded: make(chan struct{})}
+}
 
 // ObserveLeaving records an answer, received at the given time, that states that the
 // incarnation leaves. It reports whether this is the first one.
@@ -102,7 +123,9 @@
 		s.continuations = 0
 	}
 	s.pausedUntil = max(s.pausedUntil, at.Add(pause+spread))
-	t.lastEnd.Store(max(t.lastEnd.Load(), int64(s.pausedUntil)))
+	s.openAt = s.pausedUntil.Add(trialWindow)
+	t.lastEnd.Store(max(t.lastEnd.Load(), int64(s.openAt)))
+	t.endTrial(s)
 	return s.pausedUntil, began
 }
 
@@ -114,16 +137,69 @@
 	return t.verdict(t.targets[incarnation], use, arrived, now)
 }
 
-// Admit is Check for a send that follows immediately, which it counts.
-func (t *Tracker) Admit(incarnation string, use Use, arrived, now bootclock.Instant) Verdict {
+// Admit is Check for a send that follows immediately, which it counts. If the send is a trial,
+// it is returned and EndTrial must be called.
+func (t *Tracker) Admit(incarnation string, use Use, arrived, now bootclock.Instant) (Verdict, *Trial) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.targets[incarnation]
 	v := t.verdict(s, use, arrived, now)
-	if v == Allowed && use == Continuation && s != nil && s.paused(now) {
+	if v != Allowed || s == nil {
+		return v, nil
+	}
+	switch {
+	case use == Continuation && s.paused(now):
 		s.continuations++
+	case use == Request && now < s.openAt:
+		s.openAt = min(s.openAt, now.Add(trialTimeout))
+		s.trial = &Trial{incarnation}
+		return v, s.trial
 	}
-	return v
+	return v, nil
+}
+
+// EndTrial ends a trial; nil stands for a send that is none. If the target has not answered,
+// the next request is a trial. An answer that asks for a pause must have been observed before.
+func (t *Tracker) EndTrial(trial *Trial, answered bool) {
+	if trial == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.targets[trial.incarnation]
+	if s == nil || s.trial != trial {
+		return // the target has asked for another pause
+	}
+	if answered {
+		s.openAt = 0
+	}
+	t.endTrial(s)
+}
+
+// endTrial ends the trial of a target, if there is one. Callers hold t.mu.
+func (t *Tracker) endTrial(s *statements) {
+	if s.trial != nil {
+		s.trial = nil
+		close(t.trialEnded)
+		t.trialEnded = make(chan struct{})
+	}
+}
+
+// TrialEnded returns a channel that is closed when a trial ends.
+func (t *Tracker) TrialEnded() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.trialEnded
+}
+
+// TrialLeft returns how long the incarnation's trial may last, 0 if it isn't on trial.
+func (t *Tracker) TrialLeft(incarnation string, now bootclock.Instant) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.targets[incarnation]; s != nil && s.onTrial(now) {
+		return s.openAt.Sub(now)
+	}
+	return 0
 }
 
 // verdict decides by what the target has stated; s is nil if it has stated nothing. Callers
@@ -141,10 +217,13 @@
 	if s.paused(now) && (use != Continuation || s.continuations >= maxContinuations) {
 		return Paused
 	}
+	if use == Request && s.onTrial(now) {
+		return OnTrial
+	}
 	return Allowed
 }
 
-// AnyPaused reports whether a target may be paused. It is cheap.
+// AnyPaused reports whether a target may be paused or on trial. It is cheap.
 func (t *Tracker) AnyPaused(now bootclock.Instant) bool { return int64(now) < t.lastEnd.Load() }
 
 // PauseLeft returns how long the incarnation's pause lasts, 0 if it isn't paused.
@@ -184,7 +263,7 @@
 func (t *Tracker) forgetOne(now bootclock.Instant) {
 	oldest := ""
 	for incarnation, s := range t.targets {
-		if !s.leaving && !s.paused(now) {
+		if !s.leaving && now >= s.openAt {
 			delete(t.targets, incarnation)
 			return
 		}
--- a/internal/edge/targetnotice/tracker_test.go
+++ b/internal/edge/targetnotice/tracker_test.go
@@ -15,6 +15,13 @@
 	return bootclock.Instant(time.Hour).Add(time.Duration(seconds * float64(time.Second)))
 }
 
+// admit returns the verdict on a send whose trial, if it is one, is answered at once.
+func admit(tracker *Tracker, incarnation string, use Use, arrived, now bootclock.Instant) Verdict {
+	v, trial := tracker.Admit(incarnation, use, arrived, now)
+	tracker.EndTrial(trial, true)
+	return v
+}
+
 func TestVerdictOnLeavingTarget(t *testing.T) {
 	for name, c := range map[string]struct {
 		use     Use
@@ -34,8 +41,8 @@
 			tracker := New()
 			require.True(t, tracker.ObserveLeaving("a@1", at(10)))
 			require.False(t, tracker.ObserveLeaving("a@1", at(12)))
-			require.Equal(t, c.want, tracker.Admit("a@1", c.use, c.arrived, at(13)))
-			require.Equal(t, Allowed, tracker.Admit("a@2", c.use, c.arrived, at(13)), "a restarted target starts clean")
+			require.Equal(t, c.want, admit(tracker, "a@1", c.use, c.arrived, at(13)))
+			require.Equal(t, Allowed, admit(tracker, "a@2", c.use, c.arrived, at(13)), "a restarted target starts clean")
 		})
 	}
 }
@@ -67,8 +74,8 @@
 			until, began := tracker.ObservePause("a@1", at(10), 4*time.Second, 0)
 			require.True(t, began)
 			require.Equal(t, at(14), until)
-			require.Equal(t, c.want, tracker.Admit("a@1", c.use, at(9), c.now))
-			require.Equal(t, Allowed, tracker.Admit("a@2", c.use, at(9), c.now), "a restarted target starts clean")
+			require.Equal(t, c.want, admit(tracker, "a@1", c.use, at(9), c.now))
+			require.Equal(t, Allowed, admit(tracker, "a@2", c.use, at(9), c.now), "a restarted target starts clean")
 		})
 	}
 }
@@ -78,12 +85,12 @@
 	tracker.ObservePause("a", at(0), 4*time.Second, 0)
 	require.Equal(t, Allowed, tracker.Check("a", Continuation, at(0), at(1)), "a check is not counted")
 	for _, want := range []Verdict{Allowed, Allowed, Paused} {
-		require.Equal(t, want, tracker.Admit("a", Continuation, at(0), at(1)))
+		require.Equal(t, want, admit(tracker, "a", Continuation, at(0), at(1)))
 	}
 	tracker.ObservePause("a", at(2), 4*time.Second, 0)
-	require.Equal(t, Paused, tracker.Admit("a", Continuation, at(0), at(3)), "the first pause goes on within the second")
+	require.Equal(t, Paused, admit(tracker, "a", Continuation, at(0), at(3)), "the first pause goes on within the second")
 	tracker.ObservePause("a", at(7), time.Second, 0)
-	require.Equal(t, Allowed, tracker.Admit("a", Continuation, at(0), at(7)))
+	require.Equal(t, Allowed, admit(tracker, "a", Continuation, at(0), at(7)))
 }
 
 func TestLongerPauseStands(t *testing.T) {
@@ -111,11 +118,59 @@
 	}
 }
 
+func TestRequestsAfterPauseFollowAnswerOfTrial(t *testing.T) {
+	for name, c := range map[string]struct {
+		end  func(tracker *Tracker, trial *Trial)
+		now  bootclock.Instant
+		want Verdict
+	}{
+		"not answered yet":      {func(*Tracker, *Trial) {}, at(1.05), OnTrial},
+		"not answered for long": {func(*Tracker, *Trial) {}, at(1).Add(trialTimeout), Allowed},
+		"answered":              {func(tracker *Tracker, trial *Trial) { tracker.EndTrial(trial, true) }, at(1.05), Allowed},
+		"lost":                  {func(tracker *Tracker, trial *Trial) { tracker.EndTrial(trial, false) }, at(1.05), Allowed},
+		"rejected": {func(tracker *Tracker, trial *Trial) {
+			tracker.ObservePause("a", at(1.02), time.Second, 0)
+			tracker.EndTrial(trial, true)
+		}, at(1.05), Paused},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tracker := New()
+			tracker.ObservePause("a", at(0), time.Second, 0)
+			v, trial := tracker.Admit("a", Request, at(0), at(1))
+			require.Equal(t, Allowed, v)
+			require.NotNil(t, trial)
+			ended := tracker.TrialEnded()
+			c.end(tracker, trial)
+			require.Equal(t, c.want, tracker.Check("a", Request, at(1), c.now))
+			require.Equal(t, c.want == OnTrial, tracker.TrialLeft("a", c.now) > 0)
+			select {
+			case <-ended:
+			default:
+				require.Contains(t, name, "not answered", "those who wait were not told")
+			}
+			for _, use := range []Use{Continuation, Probe, CopyDestination, Control} {
+				if c.want == OnTrial {
+					require.Equal(t, Allowed, tracker.Check("a", use, at(1), c.now))
+				}
+			}
+		})
+	}
+}
+
+func TestFirstRequestLongAfterPauseIsNoTrial(t *testing.T) {
+	tracker := New()
+	tracker.ObservePause("a", at(0), time.Second, 0)
+	late := at(1).Add(trialWindow)
+	require.False(t, tracker.AnyPaused(late))
+	_, trial := tracker.Admit("a", Request, at(0), late)
+	require.Nil(t, trial)
+}
+
 func TestHugePauseIsBounded(t *testing.T) {
 	tracker := New()
 	until, _ := tracker.ObservePause("a", at(0), 1<<62, 0)
 	require.Equal(t, at(0).Add(maxPause), until)
-	require.Equal(t, Allowed, tracker.Admit("a", Request, at(0), until))
+	require.Equal(t, Allowed, admit(tracker, "a", Request, at(0), until))
 }
 
 func TestMemoryIsBounded(t *testing.T) {
--- a/internal/edge/targets/stated_test.go
+++ b/internal/edge/targets/stated_test.go
@@ -124,3 +124,28 @@
 	_, paused = r.View().PauseLeft("s")
 	require.False(t, paused, "waiting for targets that leave is pointless")
 }
+
+func TestTargetOnTrialIsNotAvailable(t *testing.T) {
+	stated := targetnotice.New()
+	r := New(stated, func(Target, LeavingNotice) {})
+	r.Apply([]Change{readyEntry(1), readyEntry(2)}, 1)
+	now := bootclock.Now()
+	stated.ObservePause("1@0", now.Add(-2*time.Second), time.Second, 0)
+	require.Len(t, r.View().Available("s"), 2)
+	_, trial := stated.Admit("1@0", targetnotice.Request, now, now.Add(5*time.Second)) // it must outlast this test
+	require.NotNil(t, trial)
+	require.Len(t, r.View().Available("s"), 1)
+	require.Equal(t, []string{"1@0"}, r.View().Refusing("s"))
+	require.Zero(t, r.View().Trials("s").Left, "another target accepts requests")
+	r.MarkLeaving("2@0", "peer")
+	trials := r.View().Trials("s")
+	require.Positive(t, trials.Left)
+	require.Equal(t, 1, trials.Slots)
+	left, paused := r.View().PauseLeft("s")
+	require.True(t, paused)
+	require.InDelta(t, trials.Left.Seconds(), left.Seconds(), 1)
+	stated.EndTrial(trial, true)
+	<-trials.Ended
+	require.Zero(t, r.View().Trials("s").Left)
+	require.Len(t, r.View().Available("s"), 1)
+}
--- a/internal/edge/targets/view.go
+++ b/internal/edge/targets/view.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"corianderhitch/internal/edge/bootclock"
+	"corianderhitch/internal/edge/targetnotice"
 )
 
 // Serving returns the targets of a service that don't leave, sorted by key, whether or not
@@ -19,22 +20,58 @@
 	if !v.stated.AnyPaused(now) {
 		return v.Serving(service)
 	}
-	return keep(v.Serving(service), func(t *Target) bool { return v.stated.PauseLeft(t.Key(), now) == 0 })
+	return keep(v.Serving(service), func(t *Target) bool { return v.accepts(t.Key(), now) })
 }
 
 // Refusing returns the incarnations of a service that have stated to this host that they
-// leave or want a pause; other hosts may not know.
+// leave or want a pause, or are on trial after one; other hosts may not know.
 func (v *View) Refusing(service string) []string {
 	var keys []string
 	now := bootclock.Now()
 	for _, t := range v.byService[service] {
-		if key := t.Key(); v.stated.IsLeaving(key) || v.stated.PauseLeft(key, now) > 0 {
+		if key := t.Key(); !v.accepts(key, now) {
 			keys = append(keys, key)
 		}
 	}
 	return keys
 }
 
+// accepts reports whether an incarnation has stated nothing to this host that keeps a request
+// which arrives now from it.
+func (v *View) accepts(key string, now bootclock.Instant) bool {
+	return v.stated.Check(key, targetnotice.Request, now, now) == targetnotice.Allowed
+}
+
+// Trials are targets on trial whose answers requests may wait for.
+type Trials struct {
+	Left  time.Duration   // until the first of them gets requests in any case; 0 if there are none
+	Ended <-chan struct{} // closed when a trial ends
+	Slots int             // requests that these targets process at once
+}
+
+// Trials returns the targets of a service that are on trial. There are none if another accepts
+// requests.
+func (v *View) Trials(service string) Trials {
+	now := bootclock.Now()
+	if !v.stated.AnyPaused(now) {
+		return Trials{}
+	}
+	trials := Trials{Ended: v.stated.TrialEnded()} // read before the targets, so that no end is missed
+	for _, t := range v.Serving(service) {
+		key := t.Key()
+		if v.accepts(key, now) {
+			return Trials{}
+		}
+		if left := v.stated.TrialLeft(key, now); left > 0 {
+			if trials.Left == 0 || left < trials.Left {
+				trials.Left = left
+			}
+			trials.Slots += max(1, t.Slots)
+		}
+	}
+	return trials
+}
+
 // PauseLeft returns the shortest time until a target of the service accepts requests again.
 // It returns false if a target accepts them now, or if all targets leave.
 func (v *View) PauseLeft(service string) (time.Duration, bool) {
@@ -44,7 +81,7 @@
 	}
 	shortest, paused := time.Duration(0), false
 	for _, t := range v.Serving(service) {
-		left := v.stated.PauseLeft(t.Key(), now)
+		left := max(v.stated.PauseLeft(t.Key(), now), v.stated.TrialLeft(t.Key(), now))
 		if left == 0 {
 			return 0, false
 		}
--- a/tests/edge/notices_test.go
+++ b/tests/edge/notices_test.go
@@ -4,10 +4,13 @@
 	"bytes"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	ports "corianderhitch/internal/platform"
@@ -322,3 +325,83 @@
 	require.Less(t, time.Since(firstRejected), 300*time.Millisecond, "the others were not rejected at once")
 	require.LessOrEqual(t, len(engines[0].Requests()), slots+1)
 }
+
+// A target that still wants nothing when its pause ends gets one request, not all that wait
+// for it, before the host has read its next rejection.
+func TestOneRequestTriesTargetAfterItsPause(t *testing.T) {
+	t.Parallel()
+	const (
+		pause       = time.Second
+		answerTakes = 30 * time.Millisecond
+		callers     = 16
+	)
+	_, h, targets := startPlainFleet(t, 2)
+	target := targets[0]
+	targets[1].SetHandler(succeedSlowly)
+	target.SetHandler(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(answerTakes)
+		w.Header().Set(headers.NotExecuted, "1")
+		w.Header().Set(headers.RetryAfter, strconv.FormatFloat(pause.Seconds(), 'f', -1, 64))
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	end := time.Now().Add(6 * pause)
+	var wait sync.WaitGroup
+	for caller := range callers {
+		wait.Go(func() {
+			for i := 0; time.Now().Before(end); i++ {
+				a := send(h.request(t.Context(), http.MethodGet, "check", fmt.Sprintf("r-%d-%d", caller, i), nil))
+				assert.NoError(t, a.err)
+				assert.Equal(t, http.StatusOK, a.status)
+			}
+		})
+	}
+	wait.Wait()
+	var crowds []int
+	var lastReceived time.Time
+	for _, r := range target.Requests() {
+		if len(crowds) == 0 || r.ReceivedAt.Sub(lastReceived) > pause/2 {
+			crowds = append(crowds, 0)
+		}
+		crowds[len(crowds)-1]++
+		lastReceived = r.ReceivedAt
+	}
+	t.Logf("requests at the end of each pause: %v", crowds)
+	require.Greater(t, len(crowds), 3, "the target must be tried again after each pause")
+	// On a busy machine an answer may come too late to hold the others back.
+	slices.Sort(crowds[1:])
+	require.Equal(t, 1, crowds[len(crowds)/2], "crowds reached the target at the end of its pauses: %v", crowds)
+}
+
+// Requests that find the only target of their service on trial wait for its answer. They were
+// rejected otherwise, and their callers would come back only after half a second.
+func TestRequestsWaitForTrialOfTheOnlyTarget(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure()
+	plain, engine := f.startPlainTarget("d-1"), f.startEngine(standin.NewEngines(), "e-1")
+	plain.SetHandler(succeedSlowly)
+	h := f.startHost()
+	const pause, callers = time.Second, 6 // the trial and five, for which the target has places
+	plain.Pause(pause)
+	engine.Pause(pause)
+	build := map[string]func(id string) *http.Request{
+		"plain":  func(id string) *http.Request { return h.request(t.Context(), http.MethodGet, "check", id, nil) },
+		"stream": func(id string) *http.Request { return generationRequest(t.Context(), h, id, shortGeneration) },
+	}
+	for kind, request := range build {
+		require.Equal(t, http.StatusServiceUnavailable, send(request(kind+"-first")).status)
+	}
+	time.Sleep(pause + pause/2) // the end is drawn within a quarter
+	for kind, request := range build {
+		var answers []<-chan answer
+		for i := range callers {
+			answers = append(answers, sendAsync(request(fmt.Sprintf("%s-%d", kind, i))))
+		}
+		for _, a := range answers {
+			got := <-a
+			require.NoError(t, got.err)
+			require.Equal(t, http.StatusOK, got.status, "%s: %s", kind, got.body)
+		}
+	}
+	require.True(t, logContains(h, "request tries target after its pause"))
+}
