Admission: runs wait only behind runs of their own service

What callers saw: while a run waited for an engine of one service, runs of all other services on that host waited behind it, though their engines had room: until the first one got an engine or was rejected, which takes up to the objective of its route. Runs that wait for the trial of their service's only engine would have added to that.

Cause: a host has one queue, and only its first run looks for an engine.

Evidence: TestRunsOfOtherServicesDoNotWait. On the code before, the run of the other service got no engine until its context ended.

Why it works: the queue has a line for each service, ordered as before. Engines belong to one service, so that choices for different services cannot take the same room.

--- a/internal/edge/admission/queue.go
+++ b/internal/edge/admission/queue.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,14 +17,19 @@
 // the loads of other hosts and the expiry of old load reports change without one.
 const recheckInterval = 100 * time.Millisecond
 
-// Queue orders waiting runs by urgency, then arrival. It is safe for concurrent
-// use.
+// Queue orders the waiting runs of each service by urgency, then arrival. It is safe for
+// concurrent use.
 type Queue struct {
 	changed func() <-chan struct{} // returns a channel that is closed when room may have appeared
 
-	mu        sync.Mutex
-	waiting   []*waiter // guarded by mu; in order
-	reserving bool      // guarded by mu; a call of tryReserve runs
+	mu    sync.Mutex
+	lines map[string]*line // guarded by mu; by service, without those that nobody waits in
+}
+
+// line holds the waiting runs of one service.
+type line struct {
+	waiting   []*waiter // in order
+	reserving bool      // a call of tryReserve runs
 }
 
 type waiter struct {
@@ -33,26 +39,32 @@
 
 // New returns an empty queue. The function changed returns a channel that is closed
 // when room may have appeared.
-func New(changed func() <-chan struct{}) *Queue { return &Queue{changed: changed} }
+func New(changed func() <-chan struct{}) *Queue {
+	return &Queue{changed: changed, lines: make(map[string]*line)}
+}
 
 // Len returns the number of waiting runs.
 func (q *Queue) Len() int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return len(q.waiting)
+	n := 0
+	for _, l := range q.lines {
+		n += len(l.waiting)
+	}
+	return n
 }
 
 // Acquire calls tryReserve until it returns a target, and returns that target, or
-// nil if ctx ends first. Runs that already wait with the same or a lower number for
-// urgency go first, 0 being the most urgent. Calls of tryReserve never overlap, so that
-// the choice of a target and its reservation are one step; the queue is not locked
-// meanwhile, since a choice may take a call to another host.
-func (q *Queue) Acquire(ctx context.Context, urgency int, tryReserve func() *targets.Target) *targets.Target {
-	w := q.add(urgency)
-	defer q.remove(w)
+// nil if ctx ends first. Runs of the service that already wait with the same or a lower number
+// for urgency go first, 0 being the most urgent. Calls of tryReserve for a service never
+// overlap, so that the choice of a target and its reservation are one step; the queue is not
+// locked meanwhile, since a choice may take a call to another host.
+func (q *Queue) Acquire(ctx context.Context, service string, urgency int, tryReserve func() *targets.Target) *targets.Target {
+	l, w := q.add(service, urgency)
+	defer q.remove(service, l, w)
 	for {
 		changed := q.changed()
-		if t := q.tryIfFirst(w, tryReserve); t != nil {
+		if t := q.tryIfFirst(l, w, tryReserve); t != nil {
 			return t
 		}
 		timer := time.NewTimer(recheckInterval)
@@ -68,22 +80,22 @@
 	}
 }
 
-// tryIfFirst calls tryReserve if w is the first in the queue and no other call runs. When
+// tryIfFirst calls tryReserve if w is the first in its line and no other call runs. When
 // the call ends, it wakes the first run if that is another one by then.
-func (q *Queue) tryIfFirst(w *waiter, tryReserve func() *targets.Target) *targets.Target {
+func (q *Queue) tryIfFirst(l *line, w *waiter, tryReserve func() *targets.Target) *targets.Target {
 	q.mu.Lock()
-	if q.reserving || q.waiting[0] != w {
+	if l.reserving || l.waiting[0] != w {
 		q.mu.Unlock()
 		return nil
 	}
-	q.reserving = true
+	l.reserving = true
 	q.mu.Unlock()
 	defer func() {
 		q.mu.Lock()
 		defer q.mu.Unlock()
-		q.reserving = false
-		if q.waiting[0] != w {
-			q.waiting[0].signal()
+		l.reserving = false
+		if l.waiting[0] != w {
+			l.waiting[0].signal()
 		}
 	}()
 	return tryReserve()
@@ -97,32 +109,33 @@
 	}
 }
 
-// add inserts a waiter behind those of the same urgency.
-func (q *Queue) add(urgency int) *waiter {
+// add inserts a waiter behind those of the same service and urgency.
+func (q *Queue) add(service string, urgency int) (*line, *waiter) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	l := q.lines[service]
+	if l == nil {
+		l = &line{}
+		q.lines[service] = l
+	}
 	w := &waiter{urgency: urgency, wake: make(chan struct{}, 1)}
-	i := len(q.waiting)
-	for i > 0 && q.waiting[i-1].urgency > urgency {
+	i := len(l.waiting)
+	for i > 0 && l.waiting[i-1].urgency > urgency {
 		i--
 	}
-	q.waiting = append(q.waiting, nil)
-	copy(q.waiting[i+1:], q.waiting[i:])
-	q.waiting[i] = w
-	return w
+	l.waiting = slices.Insert(l.waiting, i, w)
+	return l, w
 }
 
-// remove takes a waiter out of the queue and wakes the first one left.
-func (q *Queue) remove(w *waiter) {
+// remove takes a waiter out of its line and wakes the first one left.
+func (q *Queue) remove(service string, l *line, w *waiter) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for i, other := range q.waiting {
-		if other == w {
-			q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
-			break
-		}
-	}
-	if len(q.waiting) > 0 {
-		q.waiting[0].signal()
+	i := slices.Index(l.waiting, w)
+	l.waiting = slices.Delete(l.waiting, i, i+1)
+	if len(l.waiting) == 0 {
+		delete(q.lines, service)
+		return
 	}
+	l.waiting[0].signal()
 }
--- a/internal/edge/admission/queue_test.go
+++ b/internal/edge/admission/queue_test.go
@@ -27,7 +27,7 @@
 		}
 		order := make(chan string, 3)
 		acquire := func(name string, urgency int) {
-			require.NotNil(t, q.Acquire(context.Background(), urgency, tryReserve))
+			require.NotNil(t, q.Acquire(context.Background(), "s", urgency, tryReserve))
 			order <- name
 		}
 		go acquire("long run 1", 1)
@@ -50,7 +50,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
 		started := time.Now()
-		require.Nil(t, q.Acquire(ctx, 1, func() *targets.Target { return nil }))
+		require.Nil(t, q.Acquire(ctx, "s", 1, func() *targets.Target { return nil }))
 		require.Equal(t, time.Second, time.Since(started))
 		require.Zero(t, q.Len())
 	})
@@ -61,9 +61,9 @@
 		q := New(func() <-chan struct{} { return nil })
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		go q.Acquire(ctx, 5, func() *targets.Target { return nil })
+		go q.Acquire(ctx, "s", 5, func() *targets.Target { return nil })
 		synctest.Wait()
-		require.Equal(t, target, q.Acquire(ctx, 1, func() *targets.Target { return target }))
+		require.Equal(t, target, q.Acquire(ctx, "s", 1, func() *targets.Target { return target }))
 	})
 }
 
@@ -81,7 +81,7 @@
 			return target
 		}
 		for range 3 {
-			go q.Acquire(t.Context(), 1, choose)
+			go q.Acquire(t.Context(), "s", 1, choose)
 		}
 		synctest.Wait()
 		require.Equal(t, 3, q.Len())
@@ -93,3 +93,18 @@
 		require.EqualValues(t, 1, most.Load(), "the calls overlapped")
 	})
 }
+
+// Its engines are of no use to the others.
+func TestRunsOfOtherServicesDoNotWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := New(func() <-chan struct{} { return nil })
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		go q.Acquire(ctx, "full", 1, func() *targets.Target { return nil })
+		synctest.Wait()
+		started := time.Now()
+		require.Equal(t, target, q.Acquire(ctx, "other", 1, func() *targets.Target { return target }))
+		require.Zero(t, time.Since(started), "the run waited for the engines of another service")
+		require.Equal(t, 1, q.Len())
+	})
+}
--- a/internal/edge/streaming/server.go
+++ b/internal/edge/streaming/server.go
@@ -187,7 +187,7 @@
 		})
 		defer stopWatching()
 	}
-	t := s.Queue.Acquire(ctx, a.Urgency, func() *targets.Target {
+	t := s.Queue.Acquire(ctx, a.Service.Name, a.Urgency, func() *targets.Target {
 		view := s.Targets.View()
 		if _, paused := view.PauseLeft(a.Service.Name); paused && view.Trials(a.Service.Name).Left == 0 {
 			cancel() // waiting is pointless: the run is rejected with the time left
