--- a/internal/edge/targetgate/gate_test.go
+++ b/internal/edge/targetgate/gate_test.go
@@ -102,6 +102,35 @@
 	require.Equal(t, counts{"notice pause": 3, "refused paused": 1}, counted)
 }
 
+func TestOtherRequestsAreRefusedDuringTrial(t *testing.T) {
+	g, counted, _, _ := newGate()
+	now := bootclock.Now()
+	g.Notices.ObservePause("a@1", now.Add(-2*time.Second), time.Second, 0)
+	_, trial := g.Notices.Admit("a@1", targetnotice.Request, now, now.Add(5*time.Second)) // it must outlast this test
+	require.Equal(t, targetnotice.OnTrial, g.Check("a@1", request()))
+	require.Equal(t, targetnotice.OnTrial, admit(g, "a@1", request()))
+	require.Equal(t, counts{"refused on_trial": 2}, counted)
+	g.Notices.EndTrial(trial, true)
+	require.Equal(t, targetnotice.Allowed, admit(g, "a@1", request()))
+}
+
+func TestEndOfRequestEndsItsTrial(t *testing.T) {
+	for _, answered := range []bool{true, false} {
+		g, _, log, _ := newGate()
+		g.Notices.ObservePause("a@1", bootclock.Now().Add(-2*time.Second), time.Second, 0)
+		trialEnded := g.Notices.TrialEnded()
+		v, ended := g.Admit("a@1", request())
+		require.Equal(t, targetnotice.Allowed, v)
+		require.Contains(t, log.String(), `"request":"r-1"`, "explain shows the line of the request")
+		ended(answered)
+		<-trialEnded
+		require.Equal(t, targetnotice.Allowed, admit(g, "a@1", request()))
+		if answered {
+			require.Equal(t, 1, strings.Count(log.String(), "\n"), "the target is open")
+		}
+	}
+}
+
 func TestRunsGoOnWhileTheirTargetLeaves(t *testing.T) {
 	g, _, _, _ := newGate()
 	g.Observe("a@1", address, request(), http.StatusOK, http.Header{"Leaving": {"1"}})
