--- a/internal/experiment/call.go
+++ b/internal/experiment/call.go
@@ -1,6 +1,10 @@
 package experiment
 
-import "time"
+import (
+	"time"
+
+	"corianderhitch/internal/edge/targetnotice"
+)
 
 // callState is the state of a call.
 type callState int
@@ -23,9 +27,10 @@
 	next                 int    // offset of the next token of the current attempt
 	firstTokenAt         time.Time
 	lastTokenAt          time.Time
-	excluded             []string // targets of earlier attempts
-	lostEngines          int      // attempts that lost their engine
-	rejectedInPause      int      // attempts that reached a target in a pause
-	resends              int      // by the caller after a final error
-	attemptsBeforeResend int      // number of attempts before the last resend
+	excluded             []string            // targets of earlier attempts
+	lostEngines          int                 // attempts that lost their engine
+	trial                *targetnotice.Trial // the current attempt, if it is the first after a pause
+	rejectedInPause      int                 // attempts that reached a target in a pause
+	resends              int                 // by the caller after a final error
+	attemptsBeforeResend int                 // number of attempts before the last resend
 }
--- a/internal/experiment/pausegate.go
+++ b/internal/experiment/pausegate.go
@@ -44,31 +44,52 @@
 	})
 }
 
-// refusesSend reports whether the call's gateway must not send it to the target.
+// refusesSend reports whether the call's gateway must not send it to the target now.
 func (r *runner) refusesSend(c *call, target *targetState) bool {
 	if r.gates == nil {
 		return false
 	}
 	arrived := instant(startTime.Add(c.arrival.At + callerDelay))
-	verdict := r.gates[c.gateway].notices.Admit(target.incarnation(), targetnotice.Request, arrived, instant(r.timeline.now))
+	verdict, trial := r.gates[c.gateway].notices.Admit(target.incarnation(), targetnotice.Request, arrived, instant(r.timeline.now))
+	c.trial = trial
 	return verdict != targetnotice.Allowed
 }
 
-// paused returns the targets that the gateway must send no requests now.
-func (r *runner) paused(gateway int) []string {
-	now := instant(r.timeline.now)
-	if r.gates == nil || !r.gates[gateway].notices.AnyPaused(now) {
+// endTrial tells the call's gateway, one link delay from now, that the target has answered
+// the call or that the call is lost, if the call is a trial.
+func (r *runner) endTrial(c *call, answered bool) {
+	trial := c.trial
+	c.trial = nil
+	if trial != nil {
+		r.timeline.scheduleAfter(r.linkDelay, func() { r.gates[c.gateway].notices.EndTrial(trial, answered) })
+	}
+}
+
+// targetsWithTimeLeft returns the targets of which a gateway has a time left, such as that of
+// a pause.
+func (r *runner) targetsWithTimeLeft(gateway int, left func(t *targetnotice.Tracker, incarnation string, now bootclock.Instant) time.Duration) []string {
+	if r.gates == nil {
 		return nil
 	}
 	var names []string
 	for _, target := range r.targets {
-		if r.gates[gateway].notices.PauseLeft(target.incarnation(), now) > 0 {
+		if left(r.gates[gateway].notices, target.incarnation(), instant(r.timeline.now)) > 0 {
 			names = append(names, target.name)
 		}
 	}
 	return names
 }
 
+// paused returns the targets that the gateway must send no requests now.
+func (r *runner) paused(gateway int) []string {
+	return r.targetsWithTimeLeft(gateway, (*targetnotice.Tracker).PauseLeft)
+}
+
+// onTrial returns the targets that answer the gateway's first request after a pause.
+func (r *runner) onTrial(gateway int) []string {
+	return r.targetsWithTimeLeft(gateway, (*targetnotice.Tracker).TrialLeft)
+}
+
 // allPaused reports whether a target accepts requests, but none does from this gateway.
 func (r *runner) allPaused(gateway int) bool {
 	paused := r.paused(gateway)
@@ -76,14 +97,17 @@
 }
 
 // excludedTargets returns the targets that the policy must not choose for the call: those
-// of earlier attempts, unless no other is left, and those that want a pause.
+// that want a pause, and unless no other is left also those on trial and those of earlier
+// attempts.
 func (r *runner) excludedTargets(c *call) []string {
-	paused := r.paused(c.gateway)
-	if len(paused) == 0 {
+	paused, onTrial := r.paused(c.gateway), r.onTrial(c.gateway)
+	if len(paused)+len(onTrial) == 0 {
 		return c.excluded
 	}
-	if all := slices.Concat(c.excluded, paused); r.anyUsableExcept(all) {
-		return all
+	for _, all := range [][]string{slices.Concat(c.excluded, paused, onTrial), slices.Concat(paused, onTrial)} {
+		if r.anyUsableExcept(all) {
+			return all
+		}
 	}
 	return paused
 }
--- a/internal/experiment/runner.go
+++ b/internal/experiment/runner.go
@@ -200,6 +200,7 @@
 	}
 	c.target = g.Target
 	if !target.running {
+		r.endTrial(c, false)
 		r.retry(c, 0, false)
 		return
 	}
@@ -213,6 +214,7 @@
 		r.handleEngineRejection(c, target, problem.From(err))
 		return
 	}
+	r.endTrial(c, true)
 	if c.lostEngines > 0 {
 		r.metrics.tokensReadAgain += a.Prompt + c.next
 	}
@@ -223,11 +225,13 @@
 // rejections in a pause are limited: a leaving target gets no more grants.
 func (r *runner) handleEngineRejection(c *call, target *targetState, rejection *problem.Error) {
 	if rejection.Kind != problem.KindOverloaded {
+		r.endTrial(c, true)
 		target.knownLeaving = true
 		r.retry(c, r.linkDelay, false)
 		return
 	}
 	r.observePause(c.gateway, target, rejection.RetryAfter)
+	r.endTrial(c, true)
 	if c.rejectedInPause++; c.rejectedInPause == maxAttempts {
 		r.endAttempt(c, r.linkDelay)
 		r.rejectOrResend(c)
