--- a/internal/edge/streaming/place_test.go
+++ b/internal/edge/streaming/place_test.go
@@ -69,6 +69,8 @@
 
 func (silentObserver) ObserveLongestPause(time.Duration) {}
 
+func (silentObserver) ObserveFirstEvent(time.Duration) {}
+
 const placingDrain = 10 * time.Second
 
 // The race detector reports it.
@@ -175,3 +177,17 @@
 	drain.Begin(bootclock.Now())
 	require.True(t, drain.Fits(r.call), "10 tokens take a second")
 }
+
+func TestSlowCallerDoesNotMakeTheDrainRejectRuns(t *testing.T) {
+	drain := draining.New(placingDrain)
+	s, r := placingServer(drain, silentObserver{}, func() bool { return true })
+	engine := s.Targets.View().Available("s")[0]
+	r.call.Call.Generation = &edge.GenerationRequest{MaxOutputTokens: 10}
+	r.call.Arrived, r.call.Received = bootclock.Now().Add(-12*time.Second), bootclock.Now().Add(-time.Second)
+	r.w = httptest.NewRecorder()
+	r.sendHead(engine)
+	r.events = 2
+	require.Equal(t, completed, r.finish(t.Context(), engine, completed, nil))
+	drain.Begin(bootclock.Now())
+	require.True(t, drain.Fits(r.call), "the request was read 11 s after its head")
+}
