Replicator: a draining host makes no replica of a run that it will abort

Operators saw the memory of runs copied between engines, and kept there, by a host whose process was about to abort those runs. The replicator did not look at the drain. It now leaves out runs that are expected to last longer than the process, by their expected tokens and the pace of their route. Replicas that exist are still refreshed, and runs that end in time still get one.

After: passes 2 of 2, with all of tests/edge.

--- a/internal/edge/draining/drain.go
+++ b/internal/edge/draining/drain.go
@@ -65,6 +65,20 @@
 	return age+min(a.TimeLeft(), d.longestDuration(a)) <= d.length
 }
 
+// Outlasts reports whether a run that is expected to produce so many more tokens is still
+// running when the process aborts it.
+func (d *Drain) Outlasts(a *edge.AuthorizedCall, tokens int) bool {
+	age, begun := d.Age()
+	if !begun {
+		return false
+	}
+	pace, known := d.took.longest(a.Route.Name)
+	if !known {
+		pace.PerToken = tokenTime(a)
+	}
+	return age+time.Duration(tokens)*pace.PerToken > d.length
+}
+
 // defaultTokenTime is how long an engine takes for a token at most, for routes without an
 // objective for the pauses of a stream.
 const defaultTokenTime = 20 * time.Millisecond
@@ -91,11 +105,18 @@
 		return maxPlainObjectives * a.Route.Objective
 	case a.Route.Kind != policy.Streaming:
 		return a.TimeLeft()
-	case a.Route.GapObjective > 0:
-		return a.Route.Objective + time.Duration(tokens)*a.Route.GapObjective/time.Duration(tokensPerEvent(a))
 	default:
-		return a.Route.Objective + time.Duration(tokens)*defaultTokenTime
+		return a.Route.Objective + time.Duration(tokens)*tokenTime(a)
+	}
+}
+
+// tokenTime returns how long an engine takes for a token at most, judged by the route's
+// objective for the pauses of a stream.
+func tokenTime(a *edge.AuthorizedCall) time.Duration {
+	if a.Route.GapObjective <= 0 {
+		return defaultTokenTime
 	}
+	return a.Route.GapObjective / time.Duration(tokensPerEvent(a))
 }
 
 func tokensPerEvent(a *edge.AuthorizedCall) int {
--- a/internal/edge/draining/drain_test.go
+++ b/internal/edge/draining/drain_test.go
@@ -135,3 +135,24 @@
 	}
 	require.LessOrEqual(t, len(d.took.byRoute), maxRoutes)
 }
+
+func TestRunOutlastsDrainByTheTokensThatAreLeft(t *testing.T) {
+	a := streamCall(928)
+	require.False(t, New(length).Outlasts(a, 928), "before the drain")
+	// 7 ms a token, as recorded; 45 ms by the route's objective
+	for _, c := range []struct {
+		known    bool
+		age      time.Duration
+		tokens   int
+		outlasts bool
+	}{
+		{true, 0, 928, false}, {true, 2 * time.Second, 928, true}, {true, 2 * time.Second, 700, false},
+		{false, 0, 168, false}, {false, 0, 170, true},
+	} {
+		d := at(c.age)
+		if c.known {
+			d.Record("route", Pace{PerToken: 7 * time.Millisecond})
+		}
+		require.Equal(t, c.outlasts, d.Outlasts(a, c.tokens), "%+v", c)
+	}
+}
--- a/internal/edge/migration/replicator.go
+++ b/internal/edge/migration/replicator.go
@@ -112,7 +112,7 @@
 	engine := run.Service().Engine
 	replica := run.Replica()
 	switch {
-	case replica == nil && engine.SupportsMigration && !run.Resumable() && run.RemainingTokens() >= minRemainingForReplica && run.HeldTokens() > 0:
+	case replica == nil && engine.SupportsMigration && worthReplica(run):
 		return r.create(ctx, run)
 	case replica == nil:
 	case r.isObsolete(replica, engine):
@@ -125,6 +125,12 @@
 	return true
 }
 
+// worthReplica reports whether a run is to get a replica. One that the end of this process
+// will abort has no use for it.
+func worthReplica(run *streaming.Run) bool {
+	return !run.Resumable() && run.RemainingTokens() >= minRemainingForReplica && run.HeldTokens() > 0 && !run.OutlastsProcess()
+}
+
 // isObsolete reports whether the replica's engine is leaving or needs its memory for
 // runs.
 func (r *Replicator) isObsolete(replica *streaming.Replica, engine *policy.Engine) bool {
--- a/internal/edge/streaming/run.go
+++ b/internal/edge/streaming/run.go
@@ -92,6 +92,11 @@
 // RemainingTokens returns how many output tokens are expected to follow.
 func (r *Run) RemainingTokens() int { return max(0, r.ExpectedTokens()-r.HeldTokens()) }
 
+// OutlastsProcess reports whether the run is expected to be aborted because its process ends.
+func (r *Run) OutlastsProcess() bool {
+	return r.server.Drain.Outlasts(r.call, r.RemainingTokens())
+}
+
 // promptTokens returns the length of the prompt, 0 if unknown.
 func (r *Run) promptTokens() int {
 	if g := r.call.Call.Generation; g != nil {
--- a/tests/edge/drain_test.go
+++ b/tests/edge/drain_test.go
@@ -34,3 +34,22 @@
 		require.Equal(t, standin.StreamText("r-1", longGeneration), a.body)
 	}
 }
+
+// The host aborts the run before it could need the copy, which costs a transfer and the
+// memory of a second engine.
+func TestDrainingHostCopiesRunThatItWillAbort(t *testing.T) {
+	f := newFleet(t)
+	f.grace = 4 * time.Second
+	f.configure()
+	set := standin.NewEngines()
+	engines := []*standin.Engine{f.startEngine(set, "e-1"), f.startEngine(set, "e-2")}
+	h := f.startHost()
+	pending := sendAsync(generationRequest(t.Context(), h, "r-1", 4000))
+	source, others := waitForBusyEngine(t, engines)
+	copied := make(chan struct{}, 10)
+	source.OnMove(func(bool) { copied <- struct{}{} })
+	h.stop()
+	<-pending
+	require.Empty(t, copied)
+	require.Zero(t, others[0].HeldCopies())
+}
