--- a/tests/edge/drain_test.go
+++ b/tests/edge/drain_test.go
@@ -53,3 +53,41 @@
 	require.Empty(t, copied)
 	require.Zero(t, others[0].HeldCopies())
 }
+
+// The platform excuses a stream that the end of a process cuts only if its engine was still
+// at work in the last part of the grace period.
+func TestStreamIsCutLongAfterItsEngineStoppedForAMove(t *testing.T) {
+	for name, exits := range map[string]bool{"engine goes on": false, "engine exits": true} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			f.grace = 4 * time.Second
+			f.configure()
+			set := standin.NewEngines()
+			engines := []*standin.Engine{f.startEngine(set, "e-1"), f.startEngine(set, "e-2")}
+			h := f.startHost()
+			pending := sendAsync(generationRequest(t.Context(), h, "r-1", 4000))
+			source, others := waitForBusyEngine(t, engines)
+			source.OnMove(func(final bool) {
+				if final {
+					time.Sleep(f.grace) // behind other copies
+				}
+			})
+			h.stop()
+			stopped := time.Now()
+			time.Sleep(time.Second)
+			f.register(source.ID, engineService, source.Address(), "draining")
+			if exits {
+				time.Sleep(1800 * time.Millisecond)
+				source.Crash()
+			}
+			require.Error(t, (<-pending).err)
+			cut := time.Since(stopped)
+			time.Sleep(100 * time.Millisecond) // for engines that notice that their caller has left
+			var worked time.Duration
+			for _, s := range append(source.Spans(), others[0].Spans()...) {
+				worked = max(worked, s.To.Sub(stopped))
+			}
+			require.GreaterOrEqual(t, worked, f.grace*5/6, "an engine worked until then, the stream was cut after %v", cut)
+		})
+	}
+}
