Edge: a hub that places late is not asked by each request

Callers waited 60 ms more for each run while the first hub was late or frozen, and the host logged a warning each time. At 295 hosts a sync finds a frozen hub only after up to 1.9 s (interval 1.5 s, timeout 0.4 s); a hub that answers syncs but places late was never found.

Cause: placement calls bypass the exchange's call, so that their failures had no consequence. call itself would be wrong: a late placement would mark the hub unresponsive and close the connection that syncs use.

A failed placement call now stops placement calls to this hub until it answers another call. Each host then asks a late hub at most once per sync, at most 200 times a second over the fleet, and asks the other hub meanwhile, as it does while a hub is unresponsive. Only the change is logged.

Failed before: TestEachRequestWaitsForHubThatPlacesLate (ten requests waited 606 ms, limit 300), TestHubThatPlacedLateIsNotAskedAgain (3 warnings, expected 1), TestRequestsWaitForDeadFirstHubAlthoughSecondPlaces (not placed). TestLatePlacementStopsOtherCallsToHub and TestEachRequestWaitsForHubThatAnswersNothing passed before; they guard against a use of call and against a pause that ends with a failed call.

--- a/internal/edge/peers/exchange.go
+++ b/internal/edge/peers/exchange.go
@@ -68,6 +68,8 @@
 	mu            sync.Mutex
 	unresponsive  map[string]bool   // guarded by mu; hosts whose last call failed
 	lastHubAnswer bootclock.Instant // guarded by mu; see LastHubAnswer
+	placesLate    map[string]bool   // guarded by mu; hubs whose last placement call failed
+	placePaused   map[string]bool   // guarded by mu; those of them that have answered no other call since
 }
 
 // Init prepares the exchange. It must be called before any other method.
@@ -76,6 +78,7 @@
 	e.noticeRequested = make(chan struct{}, 1)
 	e.syncRequested = make(chan struct{}, 1)
 	e.unresponsive = make(map[string]bool)
+	e.placesLate, e.placePaused = make(map[string]bool), make(map[string]bool)
 }
 
 // Start listens on address (ip:port) for RPCs of the other hosts.
@@ -167,6 +170,9 @@
 	e.mu.Lock()
 	wasUnresponsive := e.unresponsive[host]
 	e.unresponsive[host] = err != nil
+	if err == nil {
+		delete(e.placePaused, host)
+	}
 	e.mu.Unlock()
 	switch {
 	case err != nil && !wasUnresponsive && ctx.Err() != context.Canceled:
--- a/internal/edge/peers/place.go
+++ b/internal/edge/peers/place.go
@@ -9,8 +9,12 @@
 // chooses an engine itself.
 const placeTimeout = 60 * time.Millisecond
 
-// PlaceAtHub asks the first responsive hub to choose an engine. It returns false if
+// PlaceAtHub asks the first hub that answers to choose an engine. It returns false if
 // this host must choose itself, because it is that hub or no hub can choose.
+//
+// A failed placement call says little about the hub, as its timeout is short. It only
+// stops placement calls to this hub until the hub answers another call, such as the next
+// sync, so that each host asks a hub that is late at most once per sync.
 func (e *Exchange) PlaceAtHub(callerCtx context.Context, args PlaceArgs) (PlaceReply, bool) {
 	args.Host = e.Host
 	ctx, cancel := context.WithTimeout(callerCtx, placeTimeout)
@@ -19,15 +23,15 @@
 		if hub.Name == e.Host {
 			return PlaceReply{}, false
 		}
-		if !e.isResponsive(hub.Name) {
+		if !e.isAskedToPlace(hub.Name) {
 			continue
 		}
 		reply := new(PlaceReply)
-		if err := e.pool.Call(ctx, hub.Address, serviceName+".Place", args, reply); err != nil {
-			if callerCtx.Err() != nil {
-				return PlaceReply{}, false
-			}
-			e.Log.Warn("peers: placement call to a hub failed", "hub", hub.Name, "error", err.Error())
+		err := e.pool.Call(ctx, hub.Address, serviceName+".Place", args, reply)
+		if callerCtx.Err() == nil {
+			e.recordPlacement(hub.Name, err)
+		}
+		if err != nil {
 			return PlaceReply{}, false
 		}
 		if reply.Able {
@@ -36,3 +40,33 @@
 	}
 	return PlaceReply{}, false
 }
+
+// isAskedToPlace reports whether placement calls to the hub may succeed in time.
+func (e *Exchange) isAskedToPlace(hub string) bool {
+	if !e.isResponsive(hub) {
+		return false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.placePaused[hub]
+}
+
+// recordPlacement records the outcome of a placement call that its caller awaited, and
+// logs when the hub becomes late or answers in time again.
+func (e *Exchange) recordPlacement(hub string, err error) {
+	e.mu.Lock()
+	wasLate := e.placesLate[hub]
+	if err != nil {
+		e.placesLate[hub], e.placePaused[hub] = true, true
+	} else {
+		delete(e.placesLate, hub)
+		delete(e.placePaused, hub)
+	}
+	e.mu.Unlock()
+	switch {
+	case err != nil && !wasLate:
+		e.Log.Warn("peers: placement call to a hub failed, not asked again until it answers another call", "hub", hub, "error", err.Error())
+	case err == nil && wasLate:
+		e.Log.Info("peers: hub answers placement calls again", "hub", hub)
+	}
+}
--- a/internal/edge/peers/slowhub_test.go
+++ b/internal/edge/peers/slowhub_test.go
@@ -91,6 +91,68 @@
 	return e, logs
 }
 
+const lateAnswer = 4 * placeTimeout
+
+func TestEachRequestWaitsForHubThatPlacesLate(t *testing.T) {
+	hub, host := startScriptedHub(t, "first")
+	hub.placeDelay.Store(int64(lateAnswer))
+	e, logs := newAskingExchange(t, host)
+	begin := time.Now()
+	for range 10 {
+		_, placed := e.PlaceAtHub(t.Context(), PlaceArgs{})
+		require.False(t, placed)
+	}
+	require.Less(t, time.Since(begin), 5*placeTimeout)
+	require.EqualValues(t, 1, hub.places.Load())
+	require.Equal(t, 1, logs.countLines("level=WARN"))
+}
+
+func TestLatePlacementStopsOtherCallsToHub(t *testing.T) {
+	hub, host := startScriptedHub(t, "first")
+	hub.placeDelay.Store(int64(lateAnswer))
+	hub.noticeDelay.Store(int64(2 * placeTimeout))
+	e, _ := newAskingExchange(t, host)
+	noticed := make(chan error, 1)
+	require.NoError(t, e.call(t.Context(), host.Name, host.Address, "Notice", NoticeArgs{}, new(NoticeReply)))
+	go func() {
+		noticed <- e.call(t.Context(), host.Name, host.Address, "Notice", NoticeArgs{}, new(NoticeReply))
+	}()
+	_, placed := e.PlaceAtHub(t.Context(), PlaceArgs{})
+	require.False(t, placed)
+	require.NoError(t, <-noticed, "a call on the same connection")
+	require.True(t, e.isResponsive(host.Name))
+}
+
+func TestHubThatPlacedLateIsNotAskedAgain(t *testing.T) {
+	hub, host := startScriptedHub(t, "first")
+	hub.placeDelay.Store(int64(lateAnswer))
+	e, logs := newAskingExchange(t, host)
+	for range 3 {
+		_, placed := e.PlaceAtHub(t.Context(), PlaceArgs{})
+		require.False(t, placed)
+		require.NoError(t, e.call(t.Context(), host.Name, host.Address, "Notice", NoticeArgs{}, new(NoticeReply)))
+	}
+	require.EqualValues(t, 3, hub.places.Load(), "once after each answered call")
+	require.Equal(t, 1, logs.countLines("level=WARN"))
+	hub.placeDelay.Store(0)
+	reply, placed := e.PlaceAtHub(t.Context(), PlaceArgs{})
+	require.True(t, placed)
+	require.Equal(t, "first", reply.Target)
+	require.Equal(t, 1, logs.countLines("level=INFO"))
+}
+
+func TestRequestsWaitForDeadFirstHubAlthoughSecondPlaces(t *testing.T) {
+	first, firstHost := startScriptedHub(t, "first")
+	first.placeDelay.Store(int64(lateAnswer))
+	_, secondHost := startScriptedHub(t, "second")
+	e, _ := newAskingExchange(t, firstHost, secondHost)
+	_, placed := e.PlaceAtHub(t.Context(), PlaceArgs{})
+	require.False(t, placed)
+	reply, placed := e.PlaceAtHub(t.Context(), PlaceArgs{})
+	require.True(t, placed)
+	require.Equal(t, "second", reply.Target)
+}
+
 func TestCallerThatLeavesIsBlamedOnHub(t *testing.T) {
 	hub, host := startScriptedHub(t, "first")
 	hub.placeDelay.Store(int64(placeTimeout / 2))
@@ -104,3 +166,17 @@
 	_, placed = e.PlaceAtHub(t.Context(), PlaceArgs{})
 	require.True(t, placed)
 }
+
+func TestEachRequestWaitsForHubThatAnswersNothing(t *testing.T) {
+	hub, host := startScriptedHub(t, "first")
+	hub.placeDelay.Store(int64(lateAnswer))
+	hub.noticeDelay.Store(int64(2 * callTimeout))
+	e, logs := newAskingExchange(t, host)
+	for range 3 {
+		_, placed := e.PlaceAtHub(t.Context(), PlaceArgs{})
+		require.False(t, placed)
+		require.Error(t, e.call(t.Context(), host.Name, host.Address, "Notice", NoticeArgs{}, new(NoticeReply)))
+	}
+	require.EqualValues(t, 1, hub.places.Load())
+	require.Equal(t, 2, logs.countLines("level=WARN"), "one for placements, one for the hub")
+}
