Gateway: callers with tokens of a crashing request are not told to repeat it

A caller that had received tokens of a request that crashed two engines got "generation-lost", whose remedy is to send the request with a new key. With no owner of the pool, each such resend may crash two more engines. The operator's signal, outcome "crash-suspect", stayed silent.

Cause: failoverProblem turned each refused failover into generation-lost once tokens were delivered, also crash-suspect. It now leaves that kind, with ran "yes".

TestCallerWithTokensIsToldToRepeatRequestThatCrashesEngines failed before (generation-lost instead of crash-suspect).

--- a/internal/gateway/api/completion_test.go
+++ b/internal/gateway/api/completion_test.go
@@ -212,6 +212,27 @@
 	require.Equal(t, control.EventCrash, g.fleet.events[len(g.fleet.events)-1].Kind, "the pool's owner must learn that the request's engine crashed")
 }
 
+func TestCallerWithTokensIsToldToRepeatRequestThatCrashesEngines(t *testing.T) {
+	var addresses []string
+	for _, name := range []string{"one", "two", "three"} {
+		e := newEngine(t, name, 30)
+		e.beforeToken = func(_ string, offset int) bool {
+			if offset < 10 {
+				return true
+			}
+			e.server.Listener.Close() // the engine is unreachable from now on
+			return false
+		}
+		addresses = append(addresses, e.address())
+	}
+	g := newTestGateway(t, addresses...)
+	got := readStream(t, g.request(t, http.MethodPost, "/v1/completions", bookingKey, streamBody), 0)
+	require.Len(t, got.offsets, 10)
+	require.NotNil(t, got.failure)
+	require.Equal(t, problem.KindCrashSuspect, got.failure.Kind)
+	require.Equal(t, problem.RanYes, got.failure.Ran)
+}
+
 // The second engine knows the generation, but with other tokens than those delivered.
 // Its tokens must not be appended to the caller's stream.
 func TestDivergedContinuationIsNotAppended(t *testing.T) {
--- a/internal/gateway/runner/result.go
+++ b/internal/gateway/runner/result.go
@@ -30,11 +30,12 @@
 }
 
 // failoverProblem returns the error for a failed admission to another engine, with
-// what is known about the execution so far.
+// what is known about the execution so far. A caller that has tokens learns that the rest
+// is lost, unless the request must not be sent again.
 func (s *session) failoverProblem(err error) *problem.Error {
 	e := *problem.From(err)
 	e.Ran = execution.Ran(execution.Evidence{Dispatched: s.machine.MayHaveRun(), Answered: s.delivered > 0})
-	if s.delivered > 0 {
+	if s.delivered > 0 && e.Kind != problem.KindCrashSuspect {
 		lost := reasonProblem(stream.ReasonGenerationLost, e.Ran)
 		return lost.WithCause(err)
 	}
--- a/internal/gateway/stream/machine_test.go
+++ b/internal/gateway/stream/machine_test.go
@@ -62,6 +62,7 @@
 			sim.deliver(token)
 		}
 	case StepAttach:
+		require.True(sim.t, sim.machine.MayHaveRun(), "an engine that cannot have run the request is attached to again")
 		sim.attach(sim.machine.Offset())
 	case StepContinue:
 		sim.current = sim.continueElsewhere()
