--- a/internal/edge/plain/hedge_test.go
+++ b/internal/edge/plain/hedge_test.go
@@ -26,7 +26,9 @@
 type openGate struct{}
 
 func (openGate) Check(string, *targetconn.Request) targetnotice.Verdict { return targetnotice.Allowed }
-func (openGate) Admit(string, *targetconn.Request) targetnotice.Verdict { return targetnotice.Allowed }
+func (openGate) Admit(string, *targetconn.Request) (targetnotice.Verdict, func(bool)) {
+	return targetnotice.Allowed, func(bool) {}
+}
 func (openGate) Observe(string, string, *targetconn.Request, int, http.Header) bool {
 	return false
 }
