Ejection: a target whose first answer was slow was never used again

What callers would see: a plain target whose first answer took long, for example while the machine was busy, gets no call of that host any more as long as others are idle. Seen once in some thirty runs beside load: TestNoRequestAfterAnswerOfLeavingTarget (success) ended in its time-out, since the target, which had answered once after 36 ms, got none of some 600 calls.

Cause: the average latency changes only by new answers, and a target that seems slow gets none. The failure rate beside it decreases with time for this reason.

Evidence: TestTargetWhoseFirstAnswerWasSlowIsNeverUsedAgain; before, the latency stayed at 36 ms for good.

The latency that placement reads now halves each 2 s without a measured answer; the average itself is unchanged, so that targets in use are judged as before.

--- a/internal/edge/ejection/tracker.go
+++ b/internal/edge/ejection/tracker.go
@@ -21,6 +21,8 @@
 	// failureHalfLife is the time in which a failure rate without new samples halves,
 	// so that a target which is avoided is tried again.
 	failureHalfLife = 1500 * time.Millisecond
+	// latencyHalfLife is the same for an average latency.
+	latencyHalfLife = 2 * time.Second
 	// failurePower is the exponent of the failure cost: a target that fails half of
 	// its requests costs eight times as much as a healthy one.
 	failurePower = 3
@@ -39,8 +41,9 @@
 // record holds the outcomes of this host's requests to a target.
 type record struct {
 	failureRate float64           // moving average, 0 to 1
-	latency     float64           // moving average in seconds
+	latency     float64           // moving average in seconds, as of measuredAt
 	updatedAt   bootclock.Instant // as of when failureRate holds
+	measuredAt  bootclock.Instant // when the last answer was measured
 }
 
 // decayedRate returns the failure rate as of now.
@@ -142,8 +145,12 @@
 	defer t.mu.Unlock()
 	r := t.record(target)
 	r.failureRate *= 1 - sampleWeight
-	if r.latency == 0 || took == 0 {
-		r.latency = max(r.latency, took.Seconds())
+	if took == 0 {
+		return
+	}
+	r.measuredAt = r.updatedAt
+	if r.latency == 0 {
+		r.latency = took.Seconds()
 		return
 	}
 	r.latency += sampleWeight * (took.Seconds() - r.latency)
@@ -176,14 +183,17 @@
 	return 1 / math.Pow(1-math.Min(0.95, failureRate), failurePower)
 }
 
-// Latency returns the average time to an answer of a target, 0 if unknown.
+// Latency returns the average time to an answer of a target, 0 if unknown. It decreases
+// while no answer is measured.
 func (t *Tracker) Latency(target string) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r := t.records[target]; r != nil {
-		return time.Duration(r.latency * float64(time.Second))
+	r := t.records[target]
+	if r == nil {
+		return 0
 	}
-	return 0
+	age := bootclock.Since(r.measuredAt).Seconds()
+	return time.Duration(r.latency * math.Exp2(-age/latencyHalfLife.Seconds()) * float64(time.Second))
 }
 
 // record returns the record of a target, decayed to now. Callers hold t.mu.
--- a/internal/edge/ejection/tracker_test.go
+++ b/internal/edge/ejection/tracker_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"corianderhitch/internal/edge/bootclock"
 )
 
 func TestFailureCostFollowsOutcomes(t *testing.T) {
@@ -53,3 +55,13 @@
 	}
 	require.InDelta(t, 1, hub.FailureCost("t"), 1e-9)
 }
+
+func TestTargetWhoseFirstAnswerWasSlowIsNeverUsedAgain(t *testing.T) {
+	tracker := New()
+	tracker.RecordSuccess("t", 36*time.Millisecond)
+	require.Equal(t, 36*time.Millisecond, tracker.Latency("t").Round(time.Millisecond))
+	tracker.records["t"].measuredAt = bootclock.Now().Add(-2 * latencyHalfLife)
+	require.Equal(t, 9*time.Millisecond, tracker.Latency("t").Round(time.Millisecond))
+	tracker.RecordSuccess("t", time.Millisecond)
+	require.Equal(t, 32500*time.Microsecond, tracker.Latency("t").Round(100*time.Microsecond), "a new answer counts as much as ever")
+}
