Edge: idle connections of other hosts no longer make calls fail

Targets reset connections beyond maxConnections, counted over all hosts, and a request on such a connection may have run as far as the host can tell.

Cause: maxConnections was decoded and not heeded. Each host kept up to 24 idle connections a target, so that a few hosts after a burst, or all of a large fleet, left no connection to the others.

A host now keeps idle at most half of its share, maxConnections by the number of listed hosts, and closes the least recently used beyond it. A part of a connection is rounded at random, so that the sum holds at 295 hosts. Without a known share it keeps 24, as before. Connections in use are not bounded: the target bounds them by its slots, and refusing callers would serve them worse.

--- a/internal/edge/process/runs.go
+++ b/internal/edge/process/runs.go
@@ -95,3 +95,17 @@
 	}
 	return b
 }
+
+// connectionShare returns how many of the connections that a target accepts from all hosts
+// fall to this one, 0 if that is not known.
+func (p *Process) connectionShare(incarnation string) float64 {
+	target, config, hosts := p.targets.View().Get(incarnation), p.policy.Current(), p.members.ListedCount()
+	if target == nil || config == nil || hosts == 0 {
+		return 0
+	}
+	service := config.Service(target.Service)
+	if service == nil {
+		return 0
+	}
+	return float64(service.MaxConnections) / float64(hosts)
+}
--- a/internal/edge/targetconn/pool.go
+++ b/internal/edge/targetconn/pool.go
@@ -7,8 +7,11 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -28,6 +31,9 @@
 	idleTimeoutMargin = 700 * time.Millisecond
 	// maxIdlePerTarget bounds the idle connections of a target; others are closed.
 	maxIdlePerTarget = 24
+	// idleShare is the part of this host's share of a target's connections that may be
+	// idle. The rest of all shares is left to hosts that have many requests.
+	idleShare = 0.5
 	// dialTimeout bounds the establishment of a connection.
 	dialTimeout = 400 * time.Millisecond
 	// tcpUserTimeout ends a connection whose peer acknowledges no data.
@@ -40,14 +46,17 @@
 type Pool struct {
 	requestID func(http.Header) string
 	gate      Gate
+	share     func(incarnation string) float64
 
 	mu   sync.Mutex
 	idle map[string][]*Conn // guarded by mu; by Conn.key, most recently used last
 }
 
-// New returns an empty pool. requestID returns the request id that a response states.
-func New(requestID func(http.Header) string, gate Gate) *Pool {
-	return &Pool{requestID: requestID, gate: gate, idle: make(map[string][]*Conn)}
+// New returns an empty pool. requestID returns the request id that a response states, share
+// how many of the connections that a target accepts from all hosts fall to this one, 0 if
+// that is not known.
+func New(requestID func(http.Header) string, gate Gate, share func(incarnation string) float64) *Pool {
+	return &Pool{requestID: requestID, gate: gate, share: share, idle: make(map[string][]*Conn)}
 }
 
 // Do sends a request to the target at address, unless the gate refuses it, and returns
@@ -207,22 +216,39 @@
 	return last
 }
 
-// put keeps a connection for reuse, or closes it if it cannot be reused.
+// put keeps a connection for reuse, or closes it if it cannot be reused. Of the idle
+// connections beyond the limit, it closes the least recently used.
 func (p *Pool) put(c *Conn) {
 	c.usedAt = bootclock.Now()
 	if c.reader.Buffered() > 0 {
 		_ = c.Close()
 		return
 	}
+	incarnation := strings.TrimPrefix(c.key, controlPrefix)
+	limit := p.idleLimit(incarnation)
 	p.mu.Lock()
-	full := len(p.idle[c.key]) >= maxIdlePerTarget
-	if !full {
-		p.idle[c.key] = append(p.idle[c.key], c)
+	conns := append(p.idle[c.key], c)
+	otherKey := incarnation
+	if c.key == incarnation {
+		otherKey = controlPrefix + incarnation
 	}
+	excess := min(max(len(conns)+len(p.idle[otherKey])-limit, 0), len(conns))
+	closing := slices.Clone(conns[:excess])
+	p.idle[c.key] = slices.Delete(conns, 0, excess)
 	p.mu.Unlock()
-	if full {
-		_ = c.Close()
+	for _, surplus := range closing {
+		_ = surplus.Close()
+	}
+}
+
+// idleLimit returns how many connections to a target may be idle now. It rounds a part of a
+// connection at random, so that the expected sum over many hosts is within their shares.
+func (p *Pool) idleLimit(incarnation string) int {
+	share := p.share(incarnation)
+	if share <= 0 {
+		return maxIdlePerTarget
 	}
+	return min(int(share*idleShare+rand.Float64()), maxIdlePerTarget)
 }
 
 func dial(ctx context.Context, key, address string) (*Conn, error) {
--- a/internal/edge/targetconn/pool_test.go
+++ b/internal/edge/targetconn/pool_test.go
@@ -93,7 +93,11 @@
 }
 
 func newTestPool(gate Gate) *Pool {
-	return New(func(h http.Header) string { return h.Get(idHeader) }, gate)
+	return newTestPoolWithShare(gate, 0)
+}
+
+func newTestPoolWithShare(gate Gate, share float64) *Pool {
+	return New(func(h http.Header) string { return h.Get(idHeader) }, gate, func(string) float64 { return share })
 }
 
 func exchange(t *testing.T, p *Pool, r *rawTarget) error {
@@ -177,3 +181,30 @@
 		require.Equal(t, c.want, connections)
 	}
 }
+
+func TestIdleConnectionsOfAllHostsExceedWhatTargetAccepts(t *testing.T) {
+	const maxConnections, concurrent = 100, 4
+	for _, hosts := range []int{10, 295} {
+		target := startRawTarget(t, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		idle := 0
+		for range hosts {
+			pool := newTestPoolWithShare(&scriptedGate{}, float64(maxConnections)/float64(hosts))
+			var responses []*Response
+			for range concurrent {
+				request := &Request{Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{}}
+				response, err := pool.Do(t.Context(), "a@1", target.listener.Addr().String(), request)
+				require.NoError(t, err)
+				_, err = io.Copy(io.Discard, response)
+				require.NoError(t, err)
+				responses = append(responses, response)
+			}
+			for _, response := range responses {
+				response.Close()
+			}
+			idle += len(pool.idle["a@1"])
+			t.Cleanup(func() { pool.CloseIdle("a@1") })
+		}
+		require.Less(t, idle, maxConnections, "%d hosts", hosts)
+		require.Greater(t, idle, maxConnections/5, "%d hosts: connections must be reused", hosts)
+	}
+}
--- a/tests/edge/fleet_test.go
+++ b/tests/edge/fleet_test.go
@@ -52,6 +52,8 @@
 	logLevel string
 	// revokeWithin is within which hosts that start later stop serving a withdrawn key.
 	revokeWithin time.Duration
+	// maxConnections is how many connections a target accepts, 0 for the default.
+	maxConnections int
 }
 
 // host is one running edge process.
@@ -146,7 +148,7 @@
 func (f *fleet) configure() {
 	f.version++
 	config := standin.Configuration{
-		Version: f.version, Timeout: callerTimeout, EngineService: engineService, PlainServices: []string{plainService}, Account: account, Keys: f.keys,
+		Version: f.version, Timeout: callerTimeout, EngineService: engineService, PlainServices: []string{plainService}, Account: account, Keys: f.keys, MaxConnections: f.maxConnections,
 		Routes: []standin.Route{
 			{Name: "draft", Kind: standin.Streaming, Service: engineService, Objective: 1800 * time.Millisecond, Attempts: 1},
 			{Name: "lookup", Kind: standin.Streaming, Service: engineService, Objective: 1500 * time.Millisecond, Attempts: 2, Resumable: true},
