--- a/internal/edge/plain/hedge_test.go
+++ b/internal/edge/plain/hedge_test.go
@@ -64,7 +64,7 @@
 	registry, opened := startSilentTargets(t, 2)
 	now := bootclock.Now()
 	s := &Server{
-		Sender: &edge.Sender{Wire: plainWire{}, Pool: targetconn.New(func(http.Header) string { return "" }, openGate{})}, Targets: registry,
+		Sender: &edge.Sender{Wire: plainWire{}, Pool: targetconn.New(func(http.Header) string { return "" }, openGate{}, func(string) float64 { return 0 })}, Targets: registry,
 		Inflight: inflight.New("host"), Health: ejection.New(), Drain: draining.New(time.Minute), Stalls: &stall.Detector{},
 		RetryBudget: generousBudget,
 	}
