--- a/tests/edge/drain_body_test.go
+++ b/tests/edge/drain_body_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -29,7 +30,7 @@
 		require.NoError(t, err)
 		connections <- c
 	}
-	transport := &http.Transport{MaxConnsPerHost: requests, Dial: func(string, string) (net.Conn, error) { return <-connections, nil }}
+	transport := &http.Transport{MaxConnsPerHost: requests, DialContext: func(context.Context, string, string) (net.Conn, error) { return <-connections, nil }}
 	defer transport.CloseIdleConnections()
 	h.stop()
 	require.Eventually(t, func() bool { return !h.isReady() }, waitTimeout, checkInterval)
--- a/tests/soak/lost_test.go
+++ b/tests/soak/lost_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -78,6 +79,7 @@
 		r.t.Log(r.stops[i].describe())
 	}
 	r.t.Logf("%d requests, %d served, %d cut after a target had received them, %d lost; the end of %d is not logged", len(r.uses), served, cut, lost, unlogged)
+	r.t.Logf("%d were cut before the last sixth of the grace period after a repeated SIGTERM", r.countCutAfterRepeat(seen))
 	r.t.Logf("%d of %d short requests sent early in a stop were served", earlyServed, early)
 	require.Greater(r.t, served, minServed)
 	require.GreaterOrEqual(r.t, 2*earlyServed, early, "a stopping host serves what can end in time")
@@ -124,6 +126,31 @@
 // since returns the time from the first SIGTERM to at.
 func (s *hostStop) since(at time.Time) time.Duration { return at.Sub(s.at).Round(time.Millisecond) }
 
+// countCutAfterRepeat counts the cut requests that are excused by the first SIGTERM, but not
+// by a later one.
+func (r *restartRun) countCutAfterRepeat(seen map[string][]observation) int {
+	n := 0
+	for i := range r.uses {
+		u := &r.uses[i]
+		s := r.stopBefore(u.host, u.ended)
+		if u.err != nil && !u.abandoned && len(seen[u.id]) > 0 && s != nil && s.lastTerm(u.ended).Add(r.site.grace*5/6).After(u.ended) {
+			n++
+		}
+	}
+	return n
+}
+
+// lastTerm returns when the last SIGTERM before the given time was sent.
+func (s *hostStop) lastTerm(before time.Time) time.Time {
+	last := s.at
+	for _, later := range s.signals {
+		if at := s.at.Add(later.after); later.signal == syscall.SIGTERM && at.Before(before) && at.After(last) {
+			last = at
+		}
+	}
+	return last
+}
+
 // logLines returns the lines of the host's log that name the request.
 func (h *host) logLines(id string) []string {
 	text, _ := os.ReadFile(h.process.LogPath)
--- a/tests/soak/signals_test.go
+++ b/tests/soak/signals_test.go
@@ -469,9 +469,6 @@
 		out = append(out, fmt.Sprintf("LOST: sent %v after the stop, %d runs, ended without a complete answer at %v",
 			r.sent.Sub(p.stopped).Round(time.Millisecond), runs, r.ended.Sub(p.stopped).Round(time.Millisecond)))
 	}
-	if incomplete && runs == 0 && r.logged && r.arrival.body == 0 && !c.disturbed {
-		out = append(out, "the host rejected it, but its caller got no answer: "+r.err.Error())
-	}
 	if r.status == http.StatusServiceUnavailable && (runs > 0 || r.retryAfter == "") {
 		out = append(out, fmt.Sprintf("REFUSED: 503 with %d runs, Retry-After %q", runs, r.retryAfter))
 	}
@@ -481,9 +478,19 @@
 	if problem := r.checkComplete(); problem != "" {
 		out = append(out, "ORDER: "+problem)
 	}
-	if (r.status != 0 || runs > 0) && !r.logged && !c.stalledLog && c.ended == "" {
+	return append(out, r.logViolations(c)...)
+}
+
+// logViolations returns where the log and what the caller got don't agree. The caller of a
+// rejected request may get no answer if its body came in late.
+func (r *stopResult) logViolations(c signalCase) []string {
+	var out []string
+	if (r.status != 0 || len(r.works) > 0) && !r.logged && !c.stalledLog && c.ended == "" {
 		out = append(out, "no line of the log says how it ended")
 	}
+	if r.err != nil && len(r.works) == 0 && r.logged && r.arrival.body == 0 && !c.disturbed {
+		out = append(out, "the host rejected it, but its caller got no answer: "+r.err.Error())
+	}
 	return out
 }
 
