--- a/tests/harness/proxy.go
+++ b/tests/harness/proxy.go
@@ -1,9 +1,11 @@
 package harness
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -66,9 +68,22 @@
 	if p.listener != nil {
 		return
 	}
-	listener, err := net.Listen("tcp", p.address)
-	require.NoError(t, err)
-	p.startAccepting(listener)
+	p.startAccepting(listenAgain(t, p.address))
+}
+
+// listenAgain listens on an address whose listener has been closed. A child process that
+// was being started meanwhile holds a copy of the listener until it executes its program.
+func listenAgain(t testing.TB, address string) net.Listener {
+	t.Helper()
+	for begin := time.Now(); ; time.Sleep(PollInterval) {
+		listener, err := net.Listen("tcp", address)
+		if err == nil {
+			return listener
+		}
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Since(begin) > reopenTimeout {
+			require.NoError(t, err)
+		}
+	}
 }
 
 func (p *Proxy) startAccepting(listener net.Listener) {
