--- a/internal/edge/admission/queue.go
+++ b/internal/edge/admission/queue.go
@@ -22,12 +22,12 @@
 type Queue struct {
 	changed func() <-chan struct{} // returns a channel that is closed when room may have appeared
 
-	mu    sync.Mutex
-	lines map[string]*line // guarded by mu; by service, without those that nobody waits in
+	mu       sync.Mutex
+	services map[string]*serviceQueue // guarded by mu; without services that no run waits for
 }
 
-// line holds the waiting runs of one service.
-type line struct {
+// serviceQueue holds the waiting runs of one service. Queue.mu guards it.
+type serviceQueue struct {
 	waiting   []*waiter // in order
 	reserving bool      // a call of tryReserve runs
 }
@@ -40,7 +40,7 @@
 // New returns an empty queue. The function changed returns a channel that is closed
 // when room may have appeared.
 func New(changed func() <-chan struct{}) *Queue {
-	return &Queue{changed: changed, lines: make(map[string]*line)}
+	return &Queue{changed: changed, services: make(map[string]*serviceQueue)}
 }
 
 // Len returns the number of waiting runs.
@@ -48,8 +48,8 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	n := 0
-	for _, l := range q.lines {
-		n += len(l.waiting)
+	for _, s := range q.services {
+		n += len(s.waiting)
 	}
 	return n
 }
@@ -60,11 +60,11 @@
 // overlap, so that the choice of a target and its reservation are one step; the queue is not
 // locked meanwhile, since a choice may take a call to another host.
 func (q *Queue) Acquire(ctx context.Context, service string, urgency int, tryReserve func() *targets.Target) *targets.Target {
-	l, w := q.add(service, urgency)
-	defer q.remove(service, l, w)
+	s, w := q.add(service, urgency)
+	defer q.remove(service, s, w)
 	for {
 		changed := q.changed()
-		if t := q.tryIfFirst(l, w, tryReserve); t != nil {
+		if t := q.tryIfFirst(s, w, tryReserve); t != nil {
 			return t
 		}
 		timer := time.NewTimer(recheckInterval)
@@ -80,22 +80,22 @@
 	}
 }
 
-// tryIfFirst calls tryReserve if w is the first in its line and no other call runs. When
+// tryIfFirst calls tryReserve if w is the first of its service and no other call runs. When
 // the call ends, it wakes the first run if that is another one by then.
-func (q *Queue) tryIfFirst(l *line, w *waiter, tryReserve func() *targets.Target) *targets.Target {
+func (q *Queue) tryIfFirst(s *serviceQueue, w *waiter, tryReserve func() *targets.Target) *targets.Target {
 	q.mu.Lock()
-	if l.reserving || l.waiting[0] != w {
+	if s.reserving || s.waiting[0] != w {
 		q.mu.Unlock()
 		return nil
 	}
-	l.reserving = true
+	s.reserving = true
 	q.mu.Unlock()
 	defer func() {
 		q.mu.Lock()
 		defer q.mu.Unlock()
-		l.reserving = false
-		if l.waiting[0] != w {
-			l.waiting[0].signal()
+		s.reserving = false
+		if s.waiting[0] != w {
+			s.waiting[0].signal()
 		}
 	}()
 	return tryReserve()
@@ -110,32 +110,32 @@
 }
 
 // add inserts a waiter behind those of the same service and urgency.
-func (q *Queue) add(service string, urgency int) (*line, *waiter) {
+func (q *Queue) add(service string, urgency int) (*serviceQueue, *waiter) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	l := q.lines[service]
-	if l == nil {
-		l = &line{}
-		q.lines[service] = l
+	s := q.services[service]
+	if s == nil {
+		s = &serviceQueue{}
+		q.services[service] = s
 	}
 	w := &waiter{urgency: urgency, wake: make(chan struct{}, 1)}
-	i := len(l.waiting)
-	for i > 0 && l.waiting[i-1].urgency > urgency {
+	i := len(s.waiting)
+	for i > 0 && s.waiting[i-1].urgency > urgency {
 		i--
 	}
-	l.waiting = slices.Insert(l.waiting, i, w)
-	return l, w
+	s.waiting = slices.Insert(s.waiting, i, w)
+	return s, w
 }
 
-// remove takes a waiter out of its line and wakes the first one left.
-func (q *Queue) remove(service string, l *line, w *waiter) {
+// remove takes a waiter out of its queue and wakes the first one left.
+func (q *Queue) remove(service string, s *serviceQueue, w *waiter) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	i := slices.Index(l.waiting, w)
-	l.waiting = slices.Delete(l.waiting, i, i+1)
-	if len(l.waiting) == 0 {
-		delete(q.lines, service)
+	i := slices.Index(s.waiting, w)
+	s.waiting = slices.Delete(s.waiting, i, i+1)
+	if len(s.waiting) == 0 {
+		delete(q.services, service)
 		return
 	}
-	l.waiting[0].signal()
+	s.waiting[0].signal()
 }
--- a/internal/edge/plain/server.go
+++ b/internal/edge/plain/server.go
@@ -154,7 +154,7 @@
 	switch o.result {
 	case unsent:
 		if errors.Is(o.err, targetconn.ErrOnTrial) {
-			delete(r.tried, o.target.Key())
+			delete(r.tried, o.target.Key()) // it may accept the call after its trial
 		}
 		if r.unsent++; r.unsent < maxUnsent {
 			r.send()
--- a/internal/edge/streaming/server.go
+++ b/internal/edge/streaming/server.go
@@ -160,7 +160,7 @@
 		r.attempts.sends.Add(1)
 		return r.pausedOr(edge.ReasonTargetFull, startRetryAfter), s.takeAttempt(r)
 	case errors.Is(err, targetconn.ErrOnTrial):
-		delete(r.attempts.tried, t.Key())
+		delete(r.attempts.tried, t.Key()) // it may accept the run after its trial
 		return nil, true
 	case errors.Is(err, targetconn.ErrRefused):
 		return nil, true
