Streams: a run leaves a silent engine only when another one has answered

Callers saw streams cut in the middle, and 502 for resumable requests, although their engine was sound and went on after a second or so.

Cause: silence was taken for the engine's end. One second without events canceled the stream at its engine first; only then did the host find out whether the run could continue from its replica or be started again. Where it could not (the copy gone, its engine silent, full or not answering, no attempt, no budget, no room), the stream was cut. Before the head, resumable requests were canceled at engines that counted as failing in the same way.

Why it works: the other engine is asked while the stream of the silent one stays open. The first of the two to answer serves the caller; the other request is canceled. A run that continues at its replica is then stopped at the silent engine, which may not have noticed the closed connection. Events that both engines sent are dropped by their ids, as before.

--- a/internal/edge/migration/replicator.go
+++ b/internal/edge/migration/replicator.go
@@ -68,8 +68,8 @@
 	}
 }
 
-// leaveSilentEngines continues the runs whose engine has stopped sending events, from
-// their replicas or, if they are resumable, from their prompts, until ctx ends.
+// leaveSilentEngines continues the runs whose engine sends no events, from their replicas or,
+// if they are resumable, from their prompts, until ctx ends.
 func (r *Replicator) leaveSilentEngines(ctx context.Context) {
 	for ctx.Err() == nil {
 		wait.For(ctx, silenceCheckInterval)
@@ -80,11 +80,7 @@
 			if run.SinceLastEvent() <= silenceTimeout {
 				continue
 			}
-			if replica := run.Replica(); replica != nil {
-				run.FailOver(replica)
-			} else if run.MayRestart() {
-				run.BreakOff()
-			}
+			run.LeaveSilentEngine()
 		}
 	}
 }
--- a/internal/edge/streaming/attempts.go
+++ b/internal/edge/streaming/attempts.go
@@ -65,6 +65,26 @@
 		return nil
 	}
 	r.server.recordFailure(source, bootclock.Now().Add(-r.SinceLastEvent()))
+	errText := ""
+	if err != nil {
+		errText = err.Error()
+	}
+	next := r.startElsewhere(ctx, source, "broke_off", reason, "error", errText)
+	if next == nil {
+		return nil
+	}
+	r.enterTarget(next)
+	if !r.headSent {
+		r.head = next.response.Header
+	}
+	return next
+}
+
+// startElsewhere starts the run at an engine other than source, after the last event that
+// the caller has. The send to source counts as an attempt. It returns nil if the attempts or
+// the retry budget are used up or no engine takes the run. Only one goroutine at a time
+// may call it. cause holds attributes for the log.
+func (r *Run) startElsewhere(ctx context.Context, source *targets.Target, cause ...any) *segment {
 	r.attempts.sends.Add(1)
 	r.attempts.mayHaveRun = true
 	r.attempts.tried[source.Key()] = true
@@ -75,23 +95,15 @@
 	next, rejection := r.server.start(ctx, r)
 	if next != nil && next.response.Status != http.StatusOK {
 		rejection = &edge.Rejection{Status: next.response.Status, Reason: responseFailed}
-		next.close()
-		r.leaveTarget()
+		r.abandon(next)
 		next = nil
 	}
-	errText := ""
-	if err != nil {
-		errText = err.Error()
-	}
+	log := r.call.Log.With("source", source.ID, "after_event", r.lastEventID.Load()).With(cause...)
 	if next == nil {
-		r.call.Log.Warn("stream: run could not be restarted", "source", source.ID, "after_event", r.lastEventID, "reason", rejection.Reason, "broke_off", reason, "error", errText)
+		log.Warn("stream: run could not be restarted", "reason", rejection.Reason)
 		return nil
 	}
-	if !r.headSent {
-		r.head = next.response.Header
-	}
-	r.call.Log.Info("stream: run restarted", "source", source.ID, "target", next.target.ID, "after_event", r.lastEventID,
-		"broke_off", reason, "error", errText, "took_ms", time.Since(started).Milliseconds())
+	log.Info("stream: run restarted", "target", next.target.ID, "took_ms", time.Since(started).Milliseconds())
 	return next
 }
 
@@ -113,13 +125,12 @@
 	_, _ = w.Write(f.body) // ignored: the caller may have disconnected
 }
 
-// readFailedResponse reads a response that is not a stream and leaves its engine. It
-// returns nil if the response is incomplete.
+// readFailedResponse reads a response that is not a stream, whose engine the run has not
+// entered. It returns nil if the response is incomplete.
 func (r *Run) readFailedResponse(s *segment) *failedResponse {
 	body, err := io.ReadAll(io.LimitReader(s.response, maxEventBytes))
 	r.server.Health.RecordFailure(s.target.Key(), nonStreamSeverity)
-	s.close()
-	r.leaveTarget()
+	r.abandon(s)
 	if err != nil {
 		return nil
 	}
--- a/internal/edge/streaming/forward.go
+++ b/internal/edge/streaming/forward.go
@@ -21,11 +21,19 @@
 	if current.response.Status != http.StatusOK {
 		return r.forwardResponse(current)
 	}
+	r.ctx = ctx
+	r.enterTarget(current)
 	r.head = current.response.Header
 	for {
 		err := r.forwardEvents(current)
 		source := current.target
 		current.close()
+		if next := r.endTakeover(err); next != nil {
+			r.leaveTarget()
+			r.enterTarget(next)
+			current = next
+			continue
+		}
 		if err == errCallerGone {
 			r.leaveTarget()
 			if replica, _ := r.takeReplica(); replica != nil {
@@ -52,7 +60,7 @@
 // forwardEvents forwards the events of one segment until the segment ends.
 func (r *Run) forwardEvents(s *segment) error {
 	for first := true; ; first = false {
-		b, err := s.next(r.lastEventID)
+		b, err := s.next(r.lastEventID.Load())
 		if err != nil {
 			return err
 		}
@@ -70,7 +78,7 @@
 			return errCallerGone
 		}
 		if b.hasID {
-			r.lastEventID = b.lastID
+			r.lastEventID.Store(b.lastID)
 		}
 		r.recordProgress(b.events)
 	}
@@ -96,9 +104,9 @@
 	objective := r.call.Route.GapObjective
 	switch {
 	case afterMove:
-		r.call.Log.Info("stream: first event after a move", "target", t.ID, "after_event", r.lastEventID, "pause_ms", pause.Milliseconds())
+		r.call.Log.Info("stream: first event after a move", "target", t.ID, "after_event", r.lastEventID.Load(), "pause_ms", pause.Milliseconds())
 	case objective > 0 && pause > objective:
-		r.call.Log.Info("stream: pause exceeds the objective", "target", t.ID, "after_event", r.lastEventID, "pause_ms", pause.Milliseconds())
+		r.call.Log.Info("stream: pause exceeds the objective", "target", t.ID, "after_event", r.lastEventID.Load(), "pause_ms", pause.Milliseconds())
 	}
 }
 
@@ -165,27 +173,28 @@
 	if stoppedAtSource(reply) {
 		handle = reply.Handle
 	}
-	next, reason := r.resumeAtReplica(ctx, replica, handle)
-	if next != nil || !stoppedAtSource(reply) {
-		return next, reason
+	next := r.resumeAtReplica(ctx, replica, handle)
+	if next != nil {
+		r.enterTarget(next)
+		return next, ""
+	}
+	if !stoppedAtSource(reply) {
+		return nil, lostInMove
 	}
 	// The run cannot continue at the destination. The source still holds the memory of
 	// a run that a final copy stopped, so it continues there.
 	load := r.server.runLoad(r.call, r.events)
 	r.server.Inflight.Add(source.Key(), load)
 	if next := r.resume(ctx, source, load, &edge.ReplicaRef{Address: source.Address, Handle: handle}); next != nil {
+		r.enterTarget(next)
 		return next, ""
 	}
 	return nil, lostInMove
 }
 
 // resumeAtReplica continues the run at the engine that holds its replica.
-func (r *Run) resumeAtReplica(ctx context.Context, replica *Replica, handle string) (*segment, string) {
-	next := r.resume(ctx, replica.Dest, replica.Reserved, &edge.ReplicaRef{Address: replica.Source.Address, Handle: handle})
-	if next == nil {
-		return nil, lostInMove
-	}
-	return next, ""
+func (r *Run) resumeAtReplica(ctx context.Context, replica *Replica, handle string) *segment {
+	return r.resume(ctx, replica.Dest, replica.Reserved, &edge.ReplicaRef{Address: replica.Source.Address, Handle: handle})
 }
 
 // resume continues the run at t from the memory that from names. At the destination
@@ -194,18 +203,17 @@
 func (r *Run) resume(ctx context.Context, t *targets.Target, load inflight.Load, from *edge.ReplicaRef) *segment {
 	started := time.Now()
 	s, err := r.server.open(ctx, r, t, load, edge.Dispatch{
-		Account: r.call.Account, Urgency: r.call.Urgency, ContinueFrom: from, LastEventID: r.lastEventID,
-	})
+		Account: r.call.Account, Urgency: r.call.Urgency, ContinueFrom: from, LastEventID: r.lastEventID.Load(),
+	}, nil)
 	if err == nil && s.response.Status != http.StatusOK {
 		err = errors.New("status " + strconv.Itoa(s.response.Status))
-		s.close()
-		r.leaveTarget()
+		r.abandon(s)
 	}
 	if err != nil {
-		r.call.Log.Warn("stream: run could not be resumed", "target", t.ID, "copy", from.Handle, "after_event", r.lastEventID, "error", err.Error())
+		r.call.Log.Warn("stream: run could not be resumed", "target", t.ID, "copy", from.Handle, "after_event", r.lastEventID.Load(), "error", err.Error())
 		return nil
 	}
-	r.call.Log.Info("stream: run resumed", "target", t.ID, "copy", from.Handle, "after_event", r.lastEventID,
+	r.call.Log.Info("stream: run resumed", "target", t.ID, "copy", from.Handle, "after_event", r.lastEventID.Load(),
 		"took_ms", time.Since(started).Milliseconds())
 	return s
 }
@@ -238,7 +246,7 @@
 	default:
 		r.server.recordFailure(source, bootclock.Now().Add(-r.SinceLastEvent()))
 	}
-	a.Log.Warn("stream: broken off", "reason", reason, "target", source.ID, "after_event", r.lastEventID,
+	a.Log.Warn("stream: broken off", "reason", reason, "target", source.ID, "after_event", r.lastEventID.Load(),
 		"silent_ms", r.SinceLastEvent().Milliseconds(), "age_ms", a.Age().Milliseconds(), "error", errText)
 	if !r.headSent {
 		status := http.StatusBadGateway
--- a/internal/edge/streaming/replica.go
+++ b/internal/edge/streaming/replica.go
@@ -89,11 +89,11 @@
 }
 
 // setReplica records a replica and reports whether it did: not if the run already
-// has one, has ended or has left the replica's source.
+// has one, has ended, has left the replica's source or is about to.
 func (r *Run) setReplica(replica *Replica) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.replica != nil || r.target == nil || r.target.Key() != replica.Source.Key() {
+	if r.replica != nil || r.takeover != nil || r.target == nil || r.target.Key() != replica.Source.Key() {
 		return false
 	}
 	r.replica = replica
@@ -118,13 +118,6 @@
 	return bootclock.Since(bootclock.Instant(last))
 }
 
-// FailOver cancels the stream from an engine that has stopped sending events, so
-// that the run continues from the replica.
-func (r *Run) FailOver(replica *Replica) {
-	r.Log().Warn("stream: engine stopped sending events; the run continues from its replica", "source", replica.Source.ID, "dest", replica.Dest.ID, "silent_ms", r.SinceLastEvent().Milliseconds())
-	r.cancelSegment(replica)
-}
-
 // DiscardReplica releases a replica that is not needed any more. It returns false if
 // the run has ended, already continues from the replica or is being stopped for its
 // final copy.
@@ -183,11 +176,14 @@
 // occupies memory at the destination.
 func (r *Run) releaseReplica(replica *Replica) {
 	r.server.Inflight.Remove(replica.Dest.Key(), replica.Reserved)
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
-		defer cancel()
-		if err := r.server.Engines.Release(ctx, replica.Source, replica.Handle); err != nil {
-			r.Log().Info("stream: unused replica could not be released and is left to expire", "source", replica.Source.ID, "copy", replica.Handle, "error", err.Error())
-		}
-	}()
+	go r.releaseCopy(replica.Source, replica.Handle)
+}
+
+// releaseCopy frees a copy that source has made and whose load is not counted any more.
+func (r *Run) releaseCopy(source *targets.Target, handle string) {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	if err := r.server.Engines.Release(ctx, source, handle); err != nil {
+		r.Log().Info("stream: unused replica could not be released and is left to expire", "source", source.ID, "copy", handle, "error", err.Error())
+	}
 }
--- a/internal/edge/streaming/replica_test.go
+++ b/internal/edge/streaming/replica_test.go
@@ -34,7 +34,7 @@
 	source, dest := &targets.Target{ID: "s"}, &targets.Target{ID: "d"}
 	server := &Server{Engines: copier, Inflight: inflight.New("host"), Runs: NewRuns(func(*Run, string) {})}
 	r := &Run{server: server, call: &edge.AuthorizedCall{Call: &edge.Call{ID: "r"}, Route: &policy.Route{}, Log: slog.New(slog.DiscardHandler)}}
-	r.enterTarget(&segment{target: source}, inflight.Load{})
+	r.enterTarget(&segment{target: source})
 	go r.Replicate(t.Context(), source, dest, inflight.Load{})
 	<-copier.asked
 	time.AfterFunc(20*time.Millisecond, func() { close(copier.answer) })
--- a/internal/edge/streaming/run.go
+++ b/internal/edge/streaming/run.go
@@ -1,6 +1,7 @@
 package streaming
 
 import (
+	"context"
 	"log/slog"
 	"net/http"
 	"sync"
@@ -21,8 +22,8 @@
 	call        *edge.AuthorizedCall
 	w           http.ResponseWriter
 	flush       func() error
-	lastEventID int64 // id of the last event that was sent to the caller; only for the reading goroutine
-	headSent    bool  // status and headers were sent to the caller; only for the reading goroutine
+	lastEventID atomic.Int64 // id of the last event that was sent to the caller
+	headSent    bool         // status and headers were sent to the caller; only for the reading goroutine
 	done        chan struct{}
 	// forwardedAt is when the last events were sent; only for the reading goroutine.
 	forwardedAt bootclock.Instant
@@ -40,6 +41,9 @@
 	// a run at a time.
 	CopyLock sync.Mutex
 
+	// ctx is that of the caller's request. Set before the run enters its first target.
+	ctx context.Context
+
 	mu          sync.Mutex
 	target      *targets.Target // guarded by mu; where the run executes, nil between targets
 	segment     *segment        // guarded by mu
@@ -47,13 +51,17 @@
 	countedLoad inflight.Load   // guarded by mu; load counted for target
 	replica     *Replica        // guarded by mu; copied from the current target
 	copying     chan struct{}   // guarded by mu; closed at the end of the copy in progress, nil if there is none
+	takeover    *takeover       // guarded by mu; from its begin until the reading goroutine has used it or it has failed
+	// nextTakeover is the earliest time of the next takeover; guarded by mu.
+	nextTakeover bootclock.Instant
 }
 
 // newRun returns the run of a call. A stream that the caller resumes begins after the
 // event that the caller has.
 func newRun(s *Server, a *edge.AuthorizedCall, w http.ResponseWriter, flush func() error) *Run {
-	r := &Run{server: s, call: a, w: w, flush: flush, done: make(chan struct{}), lastEventID: a.ResumesAfter()}
-	r.events = min(int(r.lastEventID), outputLimit(a)/a.Service.Engine.TokensPerEvent)
+	r := &Run{server: s, call: a, w: w, flush: flush, done: make(chan struct{})}
+	r.lastEventID.Store(a.ResumesAfter())
+	r.events = min(int(a.ResumesAfter()), outputLimit(a)/a.Service.Engine.TokensPerEvent)
 	r.eventsBefore = r.events
 	r.attempts.tried = make(map[string]bool)
 	return r
@@ -105,11 +113,10 @@
 	return 0
 }
 
-// enterTarget records the target that now executes the run; its load was counted
-// before.
-func (r *Run) enterTarget(s *segment, load inflight.Load) {
+// enterTarget records the target that now executes the run.
+func (r *Run) enterTarget(s *segment) {
 	r.mu.Lock()
-	r.target, r.segment, r.countedLoad = s.target, s, load
+	r.target, r.segment, r.countedLoad = s.target, s, s.load
 	r.mu.Unlock()
 	if r.lastEventAt.Load() != 0 {
 		r.lastEventAt.Store(int64(bootclock.Now())) // the previous engine's silence does not count against this one
@@ -117,6 +124,12 @@
 	r.server.Runs.add(r, s.target.Key())
 }
 
+// abandon closes a segment whose target the run has not entered.
+func (r *Run) abandon(s *segment) {
+	s.close()
+	r.server.Inflight.Remove(s.target.Key(), s.load)
+}
+
 // leaveTarget removes the run and its load from its target but keeps its replica.
 func (r *Run) leaveTarget() {
 	r.mu.Lock()
@@ -150,6 +163,7 @@
 func (r *Run) recordProgress(events int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.takeover.cancelUncommitted()
 	before := r.events / reestimateEvents
 	first := r.countedLoad.Unread > 0
 	r.events += events
@@ -164,23 +178,12 @@
 // Service returns the service that the run belongs to.
 func (r *Run) Service() *policy.Service { return r.call.Service }
 
-// BreakOff cancels the stream from an engine that has stopped sending events. A resumable
-// run then continues at another engine.
-func (r *Run) BreakOff() {
-	silent := r.SinceLastEvent()
-	if r.cancelSegment(nil) {
-		r.Log().Warn("stream: engine stopped sending events; the run resumes at another", "silent_ms", silent.Milliseconds())
-	}
-}
-
 // cancelSegment cancels the stream from the current target if replica is still the
-// run's replica, and reports whether it did; nil stands for no replica.
-func (r *Run) cancelSegment(replica *Replica) bool {
+// run's replica.
+func (r *Run) cancelSegment(replica *Replica) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.replica != replica || r.segment == nil {
-		return false
+	if r.replica == replica && r.segment != nil {
+		r.segment.cancel()
 	}
-	r.segment.cancel()
-	return true
 }
--- a/internal/edge/streaming/run_test.go
+++ b/internal/edge/streaming/run_test.go
@@ -7,7 +7,6 @@
 	"github.com/stretchr/testify/require"
 
 	"corianderhitch/internal/edge/bootclock"
-	"corianderhitch/internal/edge/inflight"
 	"corianderhitch/internal/edge/targets"
 )
 
@@ -18,6 +17,6 @@
 	require.Zero(t, r.SinceLastEvent(), "no event yet")
 	r.lastEventAt.Store(int64(bootclock.Now().Add(-time.Minute)))
 	require.GreaterOrEqual(t, r.SinceLastEvent(), time.Minute)
-	r.enterTarget(&segment{target: &targets.Target{ID: "t"}}, inflight.Load{})
+	r.enterTarget(&segment{target: &targets.Target{ID: "t"}})
 	require.Less(t, r.SinceLastEvent(), time.Minute)
 }
--- a/internal/edge/streaming/segment.go
+++ b/internal/edge/streaming/segment.go
@@ -8,6 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"corianderhitch/internal/edge/inflight"
 	"corianderhitch/internal/edge/targetconn"
 	"corianderhitch/internal/edge/targets"
 )
@@ -27,6 +28,7 @@
 // only, so that the run can continue at another engine between two events.
 type segment struct {
 	target   *targets.Target
+	load     inflight.Load // counted for target
 	response *targetconn.Response
 	cancel   context.CancelFunc // cancels the run at the target
 	buffer   []byte
--- a/internal/edge/streaming/server.go
+++ b/internal/edge/streaming/server.go
@@ -113,7 +113,7 @@
 		}
 		r.attempts.tried[t.Key()] = true
 		sentAt := bootclock.Now()
-		segment, err := s.open(ctx, r, t, load, edge.Dispatch{Account: a.Account, Urgency: a.Urgency, LastEventID: r.lastEventID})
+		segment, err := s.openOrStartElsewhere(ctx, r, t, load, edge.Dispatch{Account: a.Account, Urgency: a.Urgency, LastEventID: r.lastEventID.Load()})
 		if err == nil {
 			if s.retryFailedResponse(r, segment) {
 				continue
@@ -230,21 +230,19 @@
 }
 
 // open sends the run to a target. Its load has been counted there already and is
-// removed if the run does not start.
-func (s *Server) open(ctx context.Context, r *Run, t *targets.Target, load inflight.Load, d edge.Dispatch) (*segment, error) {
-	response, cancel, err := s.send(ctx, r, t, d)
+// removed if the run does not start. onSilent may be nil, see watchSilence.
+func (s *Server) open(ctx context.Context, r *Run, t *targets.Target, load inflight.Load, d edge.Dispatch, onSilent func()) (*segment, error) {
+	response, cancel, err := s.send(ctx, r, t, d, onSilent)
 	if err != nil {
 		s.Inflight.Remove(t.Key(), load)
 		return nil, err
 	}
-	segment := &segment{target: t, response: response, cancel: cancel}
-	r.enterTarget(segment, load)
-	return segment, nil
+	return &segment{target: t, load: load, response: response, cancel: cancel}, nil
 }
 
 // send sends the call to a target and checks the head of its response. The returned
 // function cancels the run at the target.
-func (s *Server) send(ctx context.Context, r *Run, t *targets.Target, d edge.Dispatch) (*targetconn.Response, context.CancelFunc, error) {
+func (s *Server) send(ctx context.Context, r *Run, t *targets.Target, d edge.Dispatch, onSilent func()) (*targetconn.Response, context.CancelFunc, error) {
 	a := r.call
 	// A run that continues at another engine is not a new request: its key was
 	// checked when it started.
@@ -252,7 +250,7 @@
 		return nil, nil, errKeyUnconfirmed
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	stopWatching := s.watchSilence(ctx, cancel, r, t)
+	stopWatching := s.watchSilence(ctx, r, t, onSilent)
 	response, err := s.Sender.Send(ctx, a, t, d)
 	stopWatching()
 	if err != nil {
@@ -276,10 +274,11 @@
 }
 
 // watchSilence suspects the engine if it has not begun to respond after suspectDelay. If
-// other runs have failed there as well, so that it counts as failing, a run that may be sent
-// again is canceled: it has no use in waiting. A single slow response does not suffice, since
-// on crowded engines a second start would only add load. The returned function ends the watch.
-func (s *Server) watchSilence(ctx context.Context, cancel context.CancelFunc, r *Run, t *targets.Target) (stop func()) {
+// other runs have failed there as well, so that it counts as failing, it calls onSilent,
+// unless that is nil, for a run that may be sent again. A single slow response does not
+// suffice, since on crowded engines a second start would only add load. The returned function
+// ends the watch.
+func (s *Server) watchSilence(ctx context.Context, r *Run, t *targets.Target, onSilent func()) (stop func()) {
 	watch, stop := context.WithCancel(ctx)
 	go func() {
 		a := r.call
@@ -295,10 +294,10 @@
 		}
 		a.Log.Warn("stream: engine is silent", "target", t.ID, "age_ms", a.Age().Milliseconds())
 		s.Health.RecordFailure(t.Key(), 1)
-		for r.MayRestart() && watch.Err() == nil {
+		for onSilent != nil && r.MayRestart() && watch.Err() == nil {
 			if cost := s.Health.FailureCost(t.Key()); cost > placement.MaxHealthyCost {
-				a.Log.Warn("stream: engine is silent and failing; the run is sent to another", "target", t.ID, "failure_cost", cost, "age_ms", a.Age().Milliseconds())
-				cancel()
+				a.Log.Warn("stream: engine is silent and failing; the run is also sent to another", "target", t.ID, "failure_cost", cost, "age_ms", a.Age().Milliseconds())
+				onSilent()
 				return
 			}
 			wait.For(watch, silenceCheckInterval)
--- /dev/null
+++ b/internal/edge/streaming/takeover.go
@@ -0,0 +1,231 @@
+package streaming
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"corianderhitch/internal/edge"
+	"corianderhitch/internal/edge/bootclock"
+	"corianderhitch/internal/edge/inflight"
+	"corianderhitch/internal/edge/targets"
+)
+
+const (
+	// takeoverInterval is the minimum time from a failed takeover of a run to its next.
+	takeoverInterval = time.Second
+	// silentStopTimeout bounds the call that stops a run at an engine that it left because
+	// the engine was silent. The engine answers once it goes on.
+	silentStopTimeout = 2500 * time.Millisecond
+)
+
+// takeover is an attempt to continue a run at another engine while its own sends nothing. A
+// silent engine may be sound, so the run leaves it only when the other one has answered.
+type takeover struct {
+	source    *segment
+	replica   *Replica        // nil if the run starts again from its prompt
+	ctx       context.Context // of the request to the other engine, and of its stream
+	cancel    context.CancelFunc
+	committed bool          // guarded by the run's mu; the stream of source was canceled
+	done      chan struct{} // closed when next is set
+	next      *segment      // nil if the run stays at its engine
+}
+
+// cancelUncommitted ends a takeover, if there is one, because the silent engine goes on.
+// Callers hold the run's mu.
+func (t *takeover) cancelUncommitted() {
+	if t != nil && !t.committed {
+		t.cancel()
+	}
+}
+
+// LeaveSilentEngine begins to continue the run at another engine, from its replica or, if it
+// is resumable, from its prompt. It does nothing if the run can do neither or is about to
+// leave its engine.
+func (r *Run) LeaveSilentEngine() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	replica := r.replica
+	if r.segment == nil || r.takeover != nil || bootclock.Now() < r.nextTakeover {
+		return
+	}
+	if replica == nil && !r.MayRestart() || replica != nil && replica.stopping {
+		return
+	}
+	t := &takeover{source: r.segment, replica: replica, done: make(chan struct{})}
+	t.ctx, t.cancel = context.WithCancel(r.ctx)
+	r.takeover, r.replica = t, nil
+	go r.runTakeover(t)
+}
+
+// runTakeover opens the stream of the other engine and then cancels that of the silent one.
+func (r *Run) runTakeover(t *takeover) {
+	silent := r.SinceLastEvent()
+	source := t.source.target
+	r.Log().Warn("stream: engine is silent; the run is also sent to another", "source", source.ID, "replica", t.replica != nil, "silent_ms", silent.Milliseconds())
+	var next *segment
+	if t.replica != nil {
+		next = r.resumeAtReplica(t.ctx, t.replica, t.replica.Handle)
+	} else {
+		next = r.startBeside(t.ctx, source)
+	}
+	r.mu.Lock()
+	t.committed = next != nil && t.ctx.Err() == nil
+	if t.committed {
+		t.source.cancel()
+	} else {
+		r.takeover, r.nextTakeover = nil, bootclock.Now().Add(takeoverInterval)
+	}
+	r.mu.Unlock()
+	switch {
+	case t.committed:
+		t.next = next
+		r.server.recordFailure(source, bootclock.Now().Add(-silent))
+	case next != nil:
+		r.abandon(next)
+	default:
+		r.Log().Info("stream: the run stays at its silent engine", "target", source.ID, "engine_went_on", t.ctx.Err() != nil, "silent_ms", silent.Milliseconds())
+	}
+	close(t.done)
+	switch {
+	case !t.committed:
+		t.cancel()
+		if t.replica != nil {
+			r.releaseCopy(t.replica.Source, t.replica.Handle)
+		}
+	case t.replica != nil:
+		r.stopSilentSource(t.replica)
+	}
+}
+
+// startBeside starts a resumable run at another engine while source may still execute it.
+func (r *Run) startBeside(ctx context.Context, source *targets.Target) *segment {
+	r.attempts.tried[source.Key()] = true
+	tried := len(r.attempts.tried)
+	next := r.startElsewhere(ctx, source, "silent_ms", r.SinceLastEvent().Milliseconds())
+	if next == nil && len(r.attempts.tried) == tried {
+		r.attempts.sends.Add(-1) // no other engine was chosen
+	}
+	return next
+}
+
+// stopSilentSource stops a run that continues at its replica at the engine that it left, if
+// that has not noticed the closed connection.
+func (r *Run) stopSilentSource(replica *Replica) {
+	ctx, cancel := context.WithTimeout(context.Background(), silentStopTimeout)
+	defer cancel()
+	reply := r.server.Engines.Move(ctx, replica.Source, r.ID(), replica.Dest, true)
+	if reply.Handle != "" {
+		r.releaseCopy(replica.Source, reply.Handle)
+	}
+}
+
+// endTakeover waits for the outcome of a takeover in progress after the stream of the run's
+// engine ended with err. It returns the stream of the other engine, nil if the run does not
+// continue there.
+func (r *Run) endTakeover(err error) *segment {
+	r.mu.Lock()
+	t := r.takeover
+	if t != nil && (err == io.EOF || err == errCallerGone) {
+		t.cancelUncommitted()
+	}
+	r.segment = nil // no takeover begins any more
+	r.mu.Unlock()
+	if t == nil {
+		return nil
+	}
+	<-t.done
+	r.mu.Lock()
+	if r.takeover == t {
+		r.takeover = nil
+	}
+	r.mu.Unlock()
+	if t.next != nil && (err == io.EOF || err == errCallerGone) {
+		r.abandon(t.next)
+		return nil
+	}
+	return t.next
+}
+
+// opening is a request to an engine in progress.
+type opening struct {
+	ctx     context.Context
+	cancel  context.CancelFunc
+	outcome chan openResult // receives one value
+}
+
+// openResult is the outcome of a request to an engine. Its error may be nil without a segment.
+type openResult struct {
+	segment *segment
+	err     error
+}
+
+func beginOpening(ctx context.Context, open func(context.Context) (*segment, error)) *opening {
+	o := &opening{outcome: make(chan openResult, 1)}
+	o.ctx, o.cancel = context.WithCancel(ctx)
+	go func() {
+		segment, err := open(o.ctx)
+		o.outcome <- openResult{segment, err}
+	}()
+	return o
+}
+
+// keep returns the outcome. The context of a segment ends with it.
+func (o *opening) keep(result openResult) (*segment, error) {
+	if result.segment == nil {
+		o.cancel()
+		return nil, result.err
+	}
+	cancelRun := result.segment.cancel
+	result.segment.cancel = func() { cancelRun(); o.cancel() }
+	return result.segment, nil
+}
+
+// discard ends the request.
+func (o *opening) discard(r *Run) {
+	o.cancel()
+	if result := <-o.outcome; result.segment != nil {
+		r.abandon(result.segment)
+	}
+}
+
+// firstToAnswer returns the segment of the engine that answers first, and ends the request
+// to the other one.
+func (r *Run) firstToAnswer(a, b *opening) (*segment, error) {
+	first, other := a, b
+	var result openResult
+	select {
+	case result = <-a.outcome:
+	case result = <-b.outcome:
+		first, other = b, a
+	}
+	if result.segment != nil {
+		other.discard(r)
+		return first.keep(result)
+	}
+	first.cancel()
+	second := <-other.outcome
+	if second.err == nil {
+		second.err = result.err
+	}
+	return other.keep(second)
+}
+
+// openOrStartElsewhere is open, but a run that may be sent again is also started at another
+// engine if the engine is silent and counts as failing. The first to answer serves it.
+func (s *Server) openOrStartElsewhere(ctx context.Context, r *Run, t *targets.Target, load inflight.Load, d edge.Dispatch) (*segment, error) {
+	if !r.MayRestart() {
+		return s.open(ctx, r, t, load, d, nil)
+	}
+	silent := make(chan struct{})
+	first := beginOpening(ctx, func(ctx context.Context) (*segment, error) {
+		return s.open(ctx, r, t, load, d, func() { close(silent) })
+	})
+	select {
+	case result := <-first.outcome:
+		return first.keep(result)
+	case <-silent:
+	}
+	second := beginOpening(ctx, func(ctx context.Context) (*segment, error) { return r.startBeside(ctx, t), nil })
+	return r.firstToAnswer(first, second)
+}
