Streams: a caller that reads slowly does not make its engine look silent

While a caller read nothing for a second, its engine seemed to send nothing, and the run was moved off a sound engine. The time since the last event was measured from before the write to the caller; now it starts when the host waits for the next event.

--- a/internal/edge/streaming/forward.go
+++ b/internal/edge/streaming/forward.go
@@ -70,11 +70,7 @@
 			r.sendHead(s.target)
 		}
 		r.forwardedAt = bootclock.Now()
-		r.lastEventAt.Store(int64(r.forwardedAt))
-		if _, err := r.w.Write(b.bytes); err != nil {
-			return errCallerGone
-		}
-		if err := r.flush(); err != nil {
+		if err := r.writeEvents(b.bytes); err != nil {
 			return errCallerGone
 		}
 		if b.hasID {
@@ -84,6 +80,17 @@
 	}
 }
 
+// writeEvents sends events to the caller. While a slow caller keeps it from reading further
+// events, the engine does not count as silent.
+func (r *Run) writeEvents(events []byte) error {
+	r.lastEventAt.Store(0)
+	defer func() { r.lastEventAt.Store(int64(bootclock.Now())) }()
+	if _, err := r.w.Write(events); err != nil {
+		return err
+	}
+	return r.flush()
+}
+
 // sendHead sends the status and headers of the response.
 func (r *Run) sendHead(t *targets.Target) {
 	edge.CopyHeader(r.w.Header(), r.head)
--- a/internal/edge/streaming/replica.go
+++ b/internal/edge/streaming/replica.go
@@ -108,8 +108,8 @@
 	return r.replica
 }
 
-// SinceLastEvent returns the time since the run's current engine sent an event or, if
-// it has sent none, since the run moved to it; 0 before the run's first event.
+// SinceLastEvent returns for how long this host has been waiting for an event of the run's
+// current engine; 0 before the run's first event.
 func (r *Run) SinceLastEvent() time.Duration {
 	last := r.lastEventAt.Load()
 	if last == 0 {
--- a/internal/edge/streaming/run.go
+++ b/internal/edge/streaming/run.go
@@ -27,7 +27,8 @@
 	done        chan struct{}
 	// forwardedAt is when the last events were sent; only for the reading goroutine.
 	forwardedAt bootclock.Instant
-	// lastEventAt is a bootclock.Instant, see SinceLastEvent; 0 before the first event.
+	// lastEventAt is a bootclock.Instant, see SinceLastEvent; 0 before the first event and
+	// while events are sent to the caller.
 	lastEventAt atomic.Int64
 	// longestPause is the longest time between two events; only for the reading
 	// goroutine.
