Streams: a stream with its end is complete whatever its final copy says

A run that was to move had its final copy requested, but its source stayed silent for longer than the call waited, and then went on and completed the stream. Since the outcome of the copy was unknown, the host tried to continue the complete run at the destination, and cut the caller's stream when that failed. A stream that ends with its length or its last chunk is now complete in this case. One that ends with its connection is not: it may have been stopped.

--- a/internal/edge/streaming/forward.go
+++ b/internal/edge/streaming/forward.go
@@ -44,7 +44,7 @@
 		if err != io.EOF {
 			r.awaitCopy(ctx)
 		}
-		next, reason := r.nextSegment(ctx, source, err)
+		next, reason := r.nextSegment(ctx, current, err)
 		if next == nil && reason != completed {
 			next = r.restart(ctx, source, reason, err)
 		}
@@ -125,7 +125,7 @@
 
 // nextSegment returns the segment that follows one that ended with err, or the
 // outcome of the stream if none follows.
-func (r *Run) nextSegment(ctx context.Context, source *targets.Target, err error) (*segment, string) {
+func (r *Run) nextSegment(ctx context.Context, ended *segment, err error) (*segment, string) {
 	r.leaveTarget()
 	replica, stopping := r.takeReplica()
 	switch {
@@ -137,16 +137,16 @@
 		r.releaseReplica(replica)
 		return nil, brokenOff
 	case stopping:
-		return r.continueAfterStop(ctx, source, replica, err)
+		return r.continueAfterStop(ctx, ended, replica, err)
 	case err == io.EOF:
 		r.releaseReplica(replica)
 		return nil, completed
 	}
 	// Either the engine crashed, or only the connection broke and the engine still
 	// executes the run. It is stopped there, so that it does not continue at both.
-	replica.finalCopy = r.stopAtSource(ctx, source, replica)
+	replica.finalCopy = r.stopAtSource(ctx, ended.target, replica)
 	close(replica.done)
-	return r.continueAfterStop(ctx, source, replica, err)
+	return r.continueAfterStop(ctx, ended, replica, err)
 }
 
 // stopAtSource stops the run at an engine that may still execute it.
@@ -160,7 +160,7 @@
 
 // continueAfterStop waits for the outcome of the final copy and continues the run
 // from the replica, or at the source if that fails.
-func (r *Run) continueAfterStop(ctx context.Context, source *targets.Target, replica *Replica, err error) (*segment, string) {
+func (r *Run) continueAfterStop(ctx context.Context, ended *segment, replica *Replica, err error) (*segment, string) {
 	timer := time.NewTimer(finalCopyTimeout)
 	defer timer.Stop()
 	reply := edge.MoveReply{Result: edge.MoveUnknown}
@@ -185,11 +185,15 @@
 		r.enterTarget(next)
 		return next, ""
 	}
+	if err == io.EOF && reply.Result == edge.MoveUnknown && ended.response.Delimited {
+		return nil, completed // the run may have completed before the final copy
+	}
 	if !stoppedAtSource(reply) {
 		return nil, lostInMove
 	}
 	// The run cannot continue at the destination. The source still holds the memory of
 	// a run that a final copy stopped, so it continues there.
+	source := ended.target
 	load := r.server.runLoad(r.call, r.events)
 	r.server.Inflight.Add(source.Key(), load)
 	if next := r.resume(ctx, source, load, &edge.ReplicaRef{Address: source.Address, Handle: handle}); next != nil {
@@ -209,9 +213,8 @@
 // memory of the run that the final copy stopped. It returns nil if that fails.
 func (r *Run) resume(ctx context.Context, t *targets.Target, load inflight.Load, from *edge.ReplicaRef) *segment {
 	started := time.Now()
-	s, err := r.server.open(ctx, r, t, load, edge.Dispatch{
-		Account: r.call.Account, Urgency: r.call.Urgency, ContinueFrom: from, LastEventID: r.lastEventID.Load(),
-	}, nil)
+	dispatch := edge.Dispatch{Account: r.call.Account, Urgency: r.call.Urgency, ContinueFrom: from, LastEventID: r.lastEventID.Load()}
+	s, err := r.server.open(ctx, r, t, load, dispatch, nil)
 	if err == nil && s.response.Status != http.StatusOK {
 		err = errors.New("status " + strconv.Itoa(s.response.Status))
 		r.abandon(s)
--- a/internal/edge/streaming/replica_test.go
+++ b/internal/edge/streaming/replica_test.go
@@ -50,7 +50,7 @@
 	started := time.Now()
 	r.awaitCopy(t.Context())
 	require.Less(t, time.Since(started), stopTimeout/2)
-	next, reason := r.nextSegment(t.Context(), &targets.Target{}, io.ErrUnexpectedEOF)
+	next, reason := r.nextSegment(t.Context(), &segment{target: &targets.Target{}}, io.ErrUnexpectedEOF)
 	require.Nil(t, next)
 	require.Equal(t, brokenOff, reason)
 }
--- a/internal/edge/targetconn/pool.go
+++ b/internal/edge/targetconn/pool.go
@@ -103,7 +103,8 @@
 	conn.idleTimeout = idleTimeout(head.Header)
 	return &Response{
 		Status: head.StatusCode, Header: head.Header, ConnectionClosing: closing,
-		body: head.Body, conn: conn, pool: p, detach: detach, written: written,
+		Delimited: head.ContentLength >= 0 || len(head.TransferEncoding) > 0,
+		body:      head.Body, conn: conn, pool: p, detach: detach, written: written,
 		reusable: !closing && !(leaving && isCallersRequest(req)),
 	}, nil
 }
--- a/internal/edge/targetconn/response.go
+++ b/internal/edge/targetconn/response.go
@@ -14,6 +14,7 @@
 	Status            int
 	Header            http.Header
 	ConnectionClosing bool // the target closes the connection after this response
+	Delimited         bool // the body has a length or chunks, so that its end does not depend on the connection
 	body              io.ReadCloser
 	conn              *Conn
 	pool              *Pool
