Streams: a run tries again to reach the engine that holds its memory

A run whose engine had ended was lost if the engine of its replica, or of its final copy, accepted no connection at that moment: one dial of 400 ms was all. No other engine has the memory, so that the run now tries for 1.5 s, less than callers wait for an event. TestRunIsLostWhileTheEngineOfItsReplicaAcceptsNoConnections failed before (unexpected EOF).

--- a/internal/edge/streaming/forward.go
+++ b/internal/edge/streaming/forward.go
@@ -12,7 +12,9 @@
 	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/edge/draining"
 	"corianderhitch/internal/edge/inflight"
+	"corianderhitch/internal/edge/targetconn"
 	"corianderhitch/internal/edge/targets"
+	"corianderhitch/internal/wait"
 )
 
 // forward sends the events to the caller as they arrive, from each engine that
@@ -117,6 +119,13 @@
 	}
 }
 
+const (
+	// resumeRetryTime is how long a run tries to reach the engine from whose memory it
+	// continues. Callers wait at least 2 s for the next event.
+	resumeRetryTime     = 1500 * time.Millisecond
+	resumeRetryInterval = 100 * time.Millisecond
+)
+
 const (
 	completed  = "completed"
 	brokenOff  = edge.ReasonBrokenOff
@@ -210,11 +219,17 @@
 
 // resume continues the run at t from the memory that from names. At the destination
 // that is the replica, or the final copy if one was made; at the source it is the
-// memory of the run that the final copy stopped. It returns nil if that fails.
+// memory of the run that the final copy stopped. It tries again for resumeRetryTime while no
+// byte can be sent to t, since no other engine has the memory. It returns nil if that fails.
 func (r *Run) resume(ctx context.Context, t *targets.Target, load inflight.Load, from *edge.ReplicaRef) *segment {
 	started := time.Now()
 	dispatch := edge.Dispatch{Account: r.call.Account, Urgency: r.call.Urgency, ContinueFrom: from, LastEventID: r.lastEventID.Load()}
 	s, err := r.server.open(ctx, r, t, load, dispatch, nil)
+	for errors.Is(err, targetconn.ErrNotSent) && !errors.Is(err, targetconn.ErrRefused) && ctx.Err() == nil && time.Since(started) < resumeRetryTime {
+		wait.For(ctx, resumeRetryInterval)
+		r.server.Inflight.Add(t.Key(), load)
+		s, err = r.server.open(ctx, r, t, load, dispatch, nil)
+	}
 	if err == nil && s.response.Status != http.StatusOK {
 		err = errors.New("status " + strconv.Itoa(s.response.Status))
 		r.abandon(s)
--- a/tests/edge/silence_test.go
+++ b/tests/edge/silence_test.go
@@ -1,6 +1,7 @@
 package edge_test
 
 import (
+	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -9,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"corianderhitch/platform/standin"
+	"corianderhitch/tests/harness"
 )
 
 // targetSilence is how long a sound engine sends nothing. It is longer than what makes a run
@@ -108,3 +110,31 @@
 		require.Equal(t, http.StatusOK, a.status)
 	}
 }
+
+func TestRunIsLostWhileTheEngineOfItsReplicaAcceptsNoConnections(t *testing.T) {
+	t.Parallel()
+	const events, unreachableFor = 800, 700 * time.Millisecond
+	f := newFleet(t)
+	f.configure()
+	set := standin.NewEngines()
+	source := f.startEngine(set, "e-1")
+	h := f.startHost()
+	pending := sendAsync(generationRequest(t.Context(), h, "r-1", events))
+	require.Eventually(t, func() bool { return len(source.Started()) == 1 }, waitTimeout, checkInterval)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	dest := set.Start("e-2", listener)
+	t.Cleanup(dest.Crash)
+	proxy := harness.NewProxy(t, dest.Address())
+	set.SetAddress(dest, proxy.Address())
+	f.register(dest.ID, engineService, proxy.Address(), "ready")
+	require.Eventually(t, func() bool { return dest.HeldCopies() == 1 }, waitTimeout, checkInterval)
+	proxy.StopListening()
+	source.Crash()
+	time.Sleep(unreachableFor)
+	proxy.Listen(t)
+	a := <-pending
+	require.NoError(t, a.err)
+	require.Equal(t, standin.StreamText("r-1", events), a.body)
+	require.Equal(t, []string{"r-1"}, dest.Resumed())
+}
