--- a/internal/edge/policy/configuration.go
+++ b/internal/edge/policy/configuration.go
@@ -7,6 +7,7 @@
 	"slices"
 	"sort"
 	"strings"
+	"time"
 )
 
 // Account is a client account with its API keys.
@@ -19,6 +20,7 @@
 // Limits bound the requests of callers.
 type Limits struct {
 	MaxBodyBytes int64
+	IdleTimeout  time.Duration // how long a caller's connection may stay idle; 0 if not stated
 }
 
 // Configuration is one version of the routing configuration.
--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -49,9 +49,6 @@
 	// expiryHeartbeats times the targets' heartbeat period is how long a store outage
 	// must last before entries of live targets may have expired during it.
 	expiryHeartbeats = 2
-	// idleTimeout closes idle connections of callers. Callers reuse a connection for up
-	// to 12 s (four fifths of 15 s), so that no request meets a connection being closed.
-	idleTimeout = 16 * time.Second
 	// headerTimeout bounds the time for reading a request's headers.
 	headerTimeout = 3 * time.Second
 	// maxHeaderBytes bounds the size of a request's headers.
@@ -189,13 +186,16 @@
 	background, cancel := context.WithCancel(context.Background())
 	var wait sync.WaitGroup
 	p.background(background, &wait, s)
+	idle := &ingress.IdleConnections{Configured: p.idleTimeout}
+	wait.Go(func() { idle.Run(background) })
 	requests, abort := context.WithCancelCause(context.Background())
 	defer abort(nil)
 	server := &http.Server{
-		Handler: p.handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: p.handler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog:    slog.NewLogLogger(p.log.Handler(), slog.LevelWarn),
 		BaseContext: func(net.Listener) context.Context { return requests },
 		ConnContext: ingress.WithConnection,
+		ConnState:   idle.ConnState,
 	}
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
@@ -209,6 +209,14 @@
 	return err
 }
 
+// idleTimeout returns the idle timeout of the configuration in force, 0 if there is none.
+func (p *Process) idleTimeout() time.Duration {
+	if c := p.policy.Current(); c != nil {
+		return c.Limits.IdleTimeout
+	}
+	return 0
+}
+
 // background starts the tasks that run in addition to the callers' requests.
 func (p *Process) background(ctx context.Context, wait *sync.WaitGroup, s Settings) {
 	wait.Go(func() { p.follow(ctx) })
--- a/tests/edge/fleet_test.go
+++ b/tests/edge/fleet_test.go
@@ -54,6 +54,8 @@
 	revokeWithin time.Duration
 	// maxConnections is how many connections a target accepts, 0 for the default.
 	maxConnections int
+	// idleTimeout is how long callers' connections may stay idle, 0 for the default.
+	idleTimeout time.Duration
 }
 
 // host is one running edge process.
@@ -148,7 +150,7 @@
 func (f *fleet) configure() {
 	f.version++
 	config := standin.Configuration{
-		Version: f.version, Timeout: callerTimeout, EngineService: engineService, PlainServices: []string{plainService}, Account: account, Keys: f.keys, MaxConnections: f.maxConnections,
+		Version: f.version, Timeout: callerTimeout, EngineService: engineService, PlainServices: []string{plainService}, Account: account, Keys: f.keys, MaxConnections: f.maxConnections, IdleTimeout: f.idleTimeout,
 		Routes: []standin.Route{
 			{Name: "draft", Kind: standin.Streaming, Service: engineService, Objective: 1800 * time.Millisecond, Attempts: 1},
 			{Name: "lookup", Kind: standin.Streaming, Service: engineService, Objective: 1500 * time.Millisecond, Attempts: 2, Resumable: true},
