Edge: lines about broken streams name the shared parts of the prompt

"stream: broken off" and "stream: start failed" now name at most the six deepest shared parts, each cut to 40 bytes.

--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
 	"corianderhitch/internal/edge/targets"
@@ -26,6 +27,33 @@
 	Prefix          []PrefixPart
 }
 
+// maxNamedParts and maxNamedPartBytes bound what a log line names of a prompt.
+const (
+	maxNamedParts     = 6
+	maxNamedPartBytes = 40
+)
+
+// SharedParts returns the parts of the prompt that other requests may have too: each but
+// the last. It is safe on nil.
+func (g *GenerationRequest) SharedParts() []PrefixPart {
+	if g == nil || len(g.Prefix) < 2 {
+		return nil
+	}
+	return g.Prefix[:len(g.Prefix)-1]
+}
+
+// SharedPartNames returns the IDs of the shared parts for a log line, at most the deepest
+// maxNamedParts of them, cut to maxNamedPartBytes each.
+func (g *GenerationRequest) SharedPartNames() string {
+	shared := g.SharedParts()
+	shared = shared[max(0, len(shared)-maxNamedParts):]
+	names := make([]string, len(shared))
+	for i, part := range shared {
+		names[i] = part.ID[:min(len(part.ID), maxNamedPartBytes)]
+	}
+	return strings.Join(names, ",")
+}
+
 // Call is one request as a caller sent it to this host. A caller that retries sends
 // a new call with a new ID.
 type Call struct {
--- a/internal/edge/streaming/forward.go
+++ b/internal/edge/streaming/forward.go
@@ -239,7 +239,7 @@
 		r.server.recordFailure(source, bootclock.Now().Add(-r.SinceLastEvent()))
 	}
 	a.Log.Warn("stream: broken off", "reason", reason, "target", source.ID, "after_event", r.lastEventID,
-		"age_ms", a.Age().Milliseconds(), "error", errText)
+		"age_ms", a.Age().Milliseconds(), "shared_parts", a.Call.Generation.SharedPartNames(), "error", errText)
 	if !r.headSent {
 		status := http.StatusBadGateway
 		if reason == edge.ReasonTimeout {
--- a/internal/edge/streaming/server.go
+++ b/internal/edge/streaming/server.go
@@ -147,7 +147,8 @@
 // if the engine did not run the request or the request may run again.
 func (s *Server) startFailure(ctx context.Context, r *Run, t *targets.Target, sentAt bootclock.Instant, err error) (rejection *edge.Rejection, retryable bool) {
 	a := r.call
-	a.Log.Warn("stream: start failed", "target", t.ID, "address", t.Address, "age_ms", a.Age().Milliseconds(), "error", err.Error())
+	a.Log.Warn("stream: start failed", "target", t.ID, "address", t.Address, "age_ms", a.Age().Milliseconds(),
+		"shared_parts", a.Call.Generation.SharedPartNames(), "error", err.Error())
 	switch {
 	case ctx.Err() != nil:
 		if !errors.Is(err, errNotExecuted) && !errors.Is(err, targetconn.ErrNotSent) && !errors.Is(err, errKeyUnconfirmed) {
