Edge: hold back requests that share what targets crash under

Each host now reports failed starts and survivals to its quarantine.Tracker; hosts tell each other at once through the hubs, and the regular sync repairs what is lost. Sender.Send asks before each send; a request that is held, waits or arrives is rejected at once with 503 crash_suspect. What is held back is kept in the store, for a loss of power on all hosts.

It works because a part that crashes engines never survives, while what it shares its requests with does.

--- a/internal/edge/authorizedcall.go
+++ b/internal/edge/authorizedcall.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"time"
 
 	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/edge/policy"
+	"corianderhitch/internal/quarantine"
 )
 
 // AuthorizedCall is a call that the configuration allows, with the route, service,
@@ -25,6 +27,9 @@
 	// StillAuthorized reports whether the call may still be sent: its API key must
 	// have been confirmed recently. It is called just before the request is sent.
 	StillAuthorized func(ctx context.Context) bool
+
+	crashKeysOnce sync.Once
+	crashKeysList []quarantine.Key // see crashKeys
 }
 
 // ResumesAfter returns the id of the event after which the stream resumes, 0 for a stream
--- /dev/null
+++ b/internal/edge/crashguard.go
@@ -0,0 +1,141 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"sync"
+	"time"
+
+	"corianderhitch/internal/edge/bootclock"
+	"corianderhitch/internal/quarantine"
+)
+
+// ErrHeld means that a request was not sent, since it has something in common with others
+// under which targets crashed.
+var ErrHeld = errors.New("edge: not sent, since targets crashed under requests like it")
+
+const (
+	// minHeldRetryAfter and maxHeldRetryAfter bound the Retry-After of held requests: a
+	// hold may also end early.
+	minHeldRetryAfter = time.Second
+	maxHeldRetryAfter = 30 * time.Second
+)
+
+// CrashGuard keeps requests that crash targets from being sent, and collects the evidence.
+// It is safe for concurrent use. A nil guard holds nothing back.
+type CrashGuard struct {
+	Tracker *quarantine.Tracker
+	// OnEvidence is called without locks held when other hosts should hear of new evidence.
+	OnEvidence func()
+
+	mu      sync.Mutex
+	waiting map[*waitingCall]struct{} // guarded by mu
+}
+
+// waitingCall is a call that waits for a target.
+type waitingCall struct {
+	call   *AuthorizedCall
+	cancel context.CancelFunc
+}
+
+func instant(i bootclock.Instant) quarantine.Instant { return quarantine.Instant(i) }
+
+// crashKeys returns what the call may have in common with others that crash targets, from
+// the least to the most specific.
+func (a *AuthorizedCall) crashKeys() []quarantine.Key {
+	a.crashKeysOnce.Do(func() {
+		c := a.Call
+		fields := []string{c.Method, c.Host, c.URI, a.Account, string(c.Body)}
+		for _, part := range c.Generation.SharedParts() {
+			a.crashKeysList = append(a.crashKeysList, quarantine.Part(part.ID))
+		}
+		if g := c.Generation; g != nil {
+			fields = append(fields, strconv.Itoa(g.PromptTokens), strconv.Itoa(g.MaxOutputTokens), strconv.Itoa(g.LengthHint))
+			for _, part := range g.Prefix {
+				fields = append(fields, part.ID, strconv.Itoa(part.Tokens))
+			}
+		}
+		a.crashKeysList = append(a.crashKeysList, quarantine.Request(fields...))
+	})
+	return a.crashKeysList
+}
+
+// Check returns the rejection of a call that is held back, and the key because of which it is;
+// nil if it may be sent.
+func (g *CrashGuard) Check(a *AuthorizedCall) (rejection *Rejection, key string) {
+	if g == nil {
+		return nil, ""
+	}
+	now := instant(bootclock.Now())
+	hold := g.Tracker.Check(now, a.crashKeys())
+	if hold == nil {
+		return nil, ""
+	}
+	left := g.Tracker.RetryAfter(now, hold)
+	return Unavailable(ReasonCrashSuspect, min(max(left, minHeldRetryAfter), maxHeldRetryAfter)), hold.Key.String()
+}
+
+// admit returns ErrHeld if the call must not be sent now.
+func (g *CrashGuard) admit(a *AuthorizedCall) error {
+	if g == nil || g.Tracker.Admit(instant(bootclock.Now()), a.crashKeys()) == nil {
+		return nil
+	}
+	return ErrHeld
+}
+
+// ReportFailure records that the answer to a call ended, or did not begin, although its
+// target had to give it: the target may have crashed under the call.
+func (g *CrashGuard) ReportFailure(a *AuthorizedCall, incarnation string) {
+	if g == nil {
+		return
+	}
+	now := instant(bootclock.Now())
+	if g.Tracker.ReportFailure(now, now, incarnation, a.crashKeys()) {
+		g.OnEvidence()
+	}
+}
+
+// ReportSurvival records that a target answered a call in full, or for long enough, and when
+// the answer began.
+func (g *CrashGuard) ReportSurvival(a *AuthorizedCall, incarnation string, sentAt, began bootclock.Instant) {
+	if g == nil {
+		return
+	}
+	if g.Tracker.ReportSurvival(instant(bootclock.Now()), instant(sentAt), instant(began), incarnation, a.crashKeys()) {
+		g.OnEvidence()
+	}
+}
+
+// EndWaitWhenHeld returns a context that also ends when the call becomes held back. The
+// returned function must be called once the call does not wait any more.
+func (g *CrashGuard) EndWaitWhenHeld(ctx context.Context, a *AuthorizedCall) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	if g == nil {
+		return ctx, cancel
+	}
+	w := &waitingCall{a, cancel}
+	g.mu.Lock()
+	if g.waiting == nil {
+		g.waiting = make(map[*waitingCall]struct{})
+	}
+	g.waiting[w] = struct{}{}
+	g.mu.Unlock()
+	return ctx, func() {
+		g.mu.Lock()
+		delete(g.waiting, w)
+		g.mu.Unlock()
+		cancel()
+	}
+}
+
+// EndHeldWaits ends the waits of the calls that are held back now.
+func (g *CrashGuard) EndHeldWaits() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for w := range g.waiting {
+		if rejection, _ := g.Check(w.call); rejection != nil {
+			w.cancel()
+		}
+	}
+}
--- a/internal/edge/metrics/metrics.go
+++ b/internal/edge/metrics/metrics.go
@@ -30,6 +30,7 @@
 	replicas        metric.Int64Counter
 	targetNotices   metric.Int64Counter
 	refusedSends    metric.Int64Counter
+	quarantine      metric.Int64Counter
 	// Definitions lists all instruments in the order of their creation, for the generated page.
 	Definitions []Definition
 }
@@ -55,6 +56,7 @@
 	TargetListAge   func() time.Duration
 	PolicyVersion   func() int64
 	StoreEra        func() int64
+	HeldKeys        func() int
 	DroppedLogLines func() int64
 }
 
@@ -72,6 +74,7 @@
 	m.replicas = b.counter("hitch_edge_backups", "outcome", "copies of runs that stand by at another engine")
 	m.targetNotices = b.counter("hitch_edge_target_notices", "kind", "answers in which a target states that it leaves or wants a pause, or with a malformed statement")
 	m.refusedSends = b.counter("hitch_edge_refused_sends", "reason", "sends that were not made because the target leaves, wants a pause or is on trial after one")
+	m.quarantine = b.counter("hitch_edge_quarantine_changes", "change", "prompt parts and requests that were held back because targets crashed under them, or no longer are")
 	m.storeCalls = b.counter("hitch_edge_store_calls", "call, result", "calls to the platform's store")
 	b.gauge("hitch_edge_runs", "", "generations in flight from this host", func() int64 { return int64(g.Runs()) })
 	b.gauge("hitch_edge_waiting_runs", "", "generations that wait for room", func() int64 { return int64(g.WaitingRuns()) })
@@ -82,6 +85,7 @@
 	b.gauge("hitch_edge_policy_age", "ms", "time since the configuration was surely the newest", func() int64 { return g.PolicyAge().Milliseconds() })
 	b.gauge("hitch_edge_policy_version", "", "version of the configuration in force", g.PolicyVersion)
 	b.gauge("hitch_edge_store_era", "", "era of the platform's store: it rises when the store was restored from a copy", g.StoreEra)
+	b.gauge("hitch_edge_held_keys", "", "prompt parts and requests that are held back or on probation because targets crashed under them", func() int64 { return int64(g.HeldKeys()) })
 	b.gauge("hitch_edge_log_lines_dropped", "", "log lines dropped and not reported yet", g.DroppedLogLines)
 	m.Definitions = b.defined
 	return m, b.err
@@ -134,6 +138,11 @@
 	m.refusedSends.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason)))
 }
 
+// ObserveQuarantine counts a change of what is held back.
+func (m *Metrics) ObserveQuarantine(change string) {
+	m.quarantine.Add(context.Background(), 1, metric.WithAttributes(attribute.String("change", change)))
+}
+
 // ObserveStoreCall counts a call to the store by result.
 func (m *Metrics) ObserveStoreCall(call, result string) {
 	m.storeCalls.Add(context.Background(), 1, metric.WithAttributes(attribute.String("call", call), attribute.String("result", result)))
--- a/internal/edge/peers/exchange.go
+++ b/internal/edge/peers/exchange.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/rpc"
 	"sync"
@@ -25,6 +26,7 @@
 	"corianderhitch/internal/edge/relay"
 	"corianderhitch/internal/edge/storeera"
 	"corianderhitch/internal/edge/targets"
+	"corianderhitch/internal/quarantine"
 	"corianderhitch/internal/rpcconn"
 )
 
@@ -52,16 +54,21 @@
 	Confirmer *freshness.Confirmer
 	Health    *ejection.Tracker
 	Eras      *storeera.Tracker
+	// Quarantine holds the evidence of requests that crash targets.
+	Quarantine *quarantine.Tracker
 	// FollowsStore reports whether this host currently follows the store itself.
 	FollowsStore func() bool
 	// ChooseEngine chooses an engine with free capacity. A hub calls it for the runs
 	// of other hosts.
 	ChooseEngine func(service string, need placement.Requirements, tried map[string]bool) placement.Decision
 
-	pool            *rpcconn.Pool
-	server          *rpcconn.Server
-	noticeRequested chan struct{} // holds at most one pending request
-	syncRequested   chan struct{} // holds at most one pending request
+	pool              *rpcconn.Pool
+	server            *rpcconn.Server
+	noticeRequested   chan struct{} // holds at most one pending request
+	syncRequested     chan struct{} // holds at most one pending request
+	evidenceRequested chan struct{} // holds at most one pending request
+	process           uint64        // drawn at random; names this process to its peers
+	evidence          evidenceProgress
 
 	placeMu sync.Mutex // makes choosing an engine and reserving its capacity atomic
 
@@ -77,6 +84,11 @@
 	e.pool = rpcconn.NewPool(rpcconn.TCP)
 	e.noticeRequested = make(chan struct{}, 1)
 	e.syncRequested = make(chan struct{}, 1)
+	e.evidenceRequested = make(chan struct{}, 1)
+	e.process = rand.Uint64()
+	if e.Quarantine == nil {
+		e.Quarantine = quarantine.New(e.Host, nil)
+	}
 	e.unresponsive = make(map[string]bool)
 	e.placesLate, e.placePaused = make(map[string]bool), make(map[string]bool)
 }
--- a/internal/edge/peers/messages.go
+++ b/internal/edge/peers/messages.go
@@ -20,6 +20,8 @@
 	PolicyVersion  int64
 	ListRevision   platform.Revision
 	ListSettling   bool // see relay.ChangeLog.Settling
+	// Evidence is what the hub lacks of this host's evidence of crashing requests.
+	Evidence EvidenceArgs
 	// WantFleet requests the loads of all hosts. Only a host that has to place runs
 	// itself needs them.
 	WantFleet bool
@@ -40,6 +42,7 @@
 	SettledEra int64
 	List       relay.Changes
 	Vouch      Confirmation
+	Evidence   EvidenceReply
 }
 
 // PlaceArgs asks a hub to choose an engine for a run.
--- a/internal/edge/peers/sync.go
+++ b/internal/edge/peers/sync.go
@@ -26,6 +26,7 @@
 // Run syncs with the hubs and sends leaving notices until ctx ends.
 func (e *Exchange) Run(ctx context.Context) {
 	go e.sendNoticesOnRequest(ctx)
+	go e.sendEvidenceOnRequest(ctx)
 	timer := time.NewTimer(minSyncInterval)
 	defer timer.Stop()
 	for round := 0; ; round++ {
@@ -59,6 +60,8 @@
 // sync sends this host's state to a hub and applies its answer.
 func (e *Exchange) sync(ctx context.Context, hub relay.Host, wantFleet bool) {
 	args := SyncArgs{Host: e.Host, WantFleet: wantFleet, Loads: e.Inflight.OwnLoads(), Leaving: e.Targets.AnnouncedLeaving(), Failing: e.Health.RecentlyFailed(), ListRevision: e.ChangeLog.Revision(), ListSettling: e.ChangeLog.Settling()}
+	var sentEvidence uint64
+	args.Evidence, sentEvidence = e.evidenceFor(hub.Name)
 	own := e.Policy.Current().Stamp()
 	args.PolicyRevision, args.PolicyVersion = own.Revision, own.Version
 	askedAt := bootclock.Now()
@@ -66,6 +69,7 @@
 	if err := e.call(ctx, hub.Name, hub.Address, "Sync", args, reply); err != nil {
 		return // logged by call
 	}
+	e.applyEvidence(hub.Name, args.Evidence.Have.Process, sentEvidence, &reply.Evidence)
 	if !e.IsHub() { // a hub gets the state of each host directly
 		if wantFleet {
 			e.Inflight.SetFleetLoads(reply.Fleet)
--- a/internal/edge/plain/outcome.go
+++ b/internal/edge/plain/outcome.go
@@ -21,10 +21,11 @@
 	unsent                       // no byte of the request was sent
 	broken                       // sent, but no complete response arrived
 	keyUnconfirmed               // the API key could not be confirmed; nothing was sent
+	held                         // targets crashed under calls like it; nothing was sent
 )
 
 func (r result) String() string {
-	return [...]string{edge.OutcomeAnswered, "failed", "rejected", "not_sent", "broken", "key_unconfirmed"}[r]
+	return [...]string{edge.OutcomeAnswered, "failed", "rejected", "not_sent", "broken", "key_unconfirmed", "held"}[r]
 }
 
 // outcome is the result of one send with the target's response.
@@ -36,6 +37,8 @@
 	body   []byte
 	took   time.Duration
 	err    error
+	// endsWithConnection reports whether the connection ended with the response.
+	endsWithConnection bool
 }
 
 // maxBodyBytes bounds a response, which is buffered until it is complete.
@@ -44,7 +47,7 @@
 // readResponse reads the whole body of a response and classifies it.
 func (s *Server) readResponse(response *targetconn.Response) outcome {
 	defer response.Close()
-	o := outcome{status: response.Status, header: response.Header}
+	o := outcome{status: response.Status, header: response.Header, endsWithConnection: response.ConnectionClosing}
 	body, err := io.ReadAll(io.LimitReader(response, maxBodyBytes+1))
 	switch {
 	case err != nil:
--- a/internal/edge/plain/server.go
+++ b/internal/edge/plain/server.go
@@ -65,7 +65,10 @@
 	ctx, cancel := context.WithTimeout(ctx, a.TimeLeft())
 	defer cancel()
 	r := &run{server: s, call: a, ctx: ctx, outcomes: make(chan outcome, maxUnsent+a.Route.MaxAttempts), tried: make(map[string]bool)}
-	best := r.serve()
+	best := outcome{result: held}
+	if r.crashSuspect() == nil {
+		best = r.serve()
+	}
 	if best.target != nil {
 		a.Log = a.Log.With("target", best.target.ID, "sends", r.sends)
 	}
@@ -145,7 +148,7 @@
 // retry sends the call again if its outcome, the route's kind and the budgets
 // allow.
 func (r *run) retry(o outcome) {
-	if o.result == unsent {
+	if o.result == unsent || o.result == held {
 		r.sends--
 	}
 	if r.ctx.Err() != nil {
@@ -234,6 +237,11 @@
 		return &edge.Rejection{Status: http.StatusBadGateway, Reason: edge.ReasonMayHaveRun}
 	case edge.CanceledReason(r.ctx) == edge.ReasonStopping:
 		return edge.Stopping()
+	case best.result == held:
+		if rejection := r.crashSuspect(); rejection != nil {
+			return rejection
+		}
+		return edge.Unavailable(edge.ReasonCrashSuspect, noTargetRetryAfter) // released meanwhile
 	case best.result == keyUnconfirmed:
 		return edge.Unavailable(edge.ReasonUnconfirmed, noTargetRetryAfter)
 	}
@@ -257,10 +265,12 @@
 	load := inflight.Load{Runs: 1}
 	s.Inflight.Add(key, load)
 	defer s.Inflight.Remove(key, load)
-	started := time.Now()
+	started, sentAt := time.Now(), bootclock.Now()
 	response, err := s.Sender.Send(ctx, a, t, edge.Dispatch{Account: a.Account, Urgency: a.Urgency})
 	var o outcome
 	switch {
+	case errors.Is(err, edge.ErrHeld):
+		o = outcome{result: held, err: err}
 	case errors.Is(err, targetconn.ErrNotSent):
 		o = outcome{result: unsent, err: err}
 	case err != nil:
@@ -270,6 +280,7 @@
 	}
 	o.target, o.took = t, time.Since(started)
 	s.recordHealth(ctx, &o)
+	s.recordEvidence(ctx, a, sentAt, &o)
 	logOutcome(a, &o)
 	return o
 }
--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -41,6 +41,7 @@
 	"corianderhitch/internal/edge/targetnotice"
 	"corianderhitch/internal/edge/targets"
 	"corianderhitch/internal/logging"
+	"corianderhitch/internal/quarantine"
 	"corianderhitch/internal/telemetry"
 	"corianderhitch/internal/web"
 )
@@ -85,6 +86,9 @@
 	targetsListed atomic.Bool
 	drain         *draining.Drain
 	stalls        stall.Detector
+	quarantine    *quarantine.Tracker
+	crashes       *edge.CrashGuard
+	heldChanged   chan struct{} // holds at most one pending request to store what is held back
 
 	retryBudgetsMu sync.Mutex
 	retryBudgets   map[string]*retrybudget.Budget // guarded by retryBudgetsMu; by service
@@ -139,6 +143,8 @@
 		policy: policy.NewHolder(adapter.DecodeConfiguration), inflight: inflight.New(n.Name), retryBudgets: make(map[string]*retrybudget.Budget),
 		drain: draining.New(n.Grace - exitMargin(n.Grace)),
 	}
+	p.quarantine = quarantine.New(n.Name, p.onQuarantineChange)
+	p.crashes, p.heldChanged = &edge.CrashGuard{Tracker: p.quarantine}, make(chan struct{}, 1)
 	p.eras = storeera.New(log)
 	p.store = &countedStore{Store: adapter.NewStore(n.StoreAddress), count: func(call, result string) { p.metrics.ObserveStoreCall(call, result) }, observeEra: p.eras.Observe}
 	notices := targetnotice.New()
@@ -151,9 +157,11 @@
 	p.members = peers.NewMembers(log, p.store, p.eras, relay.Host{Name: n.Name, Address: n.PeerAddress(), CPUs: n.CPUs, Mbps: n.LinkMbps})
 	health := ejection.New()
 	p.exchange = &peers.Exchange{Log: log, Host: n.Name, Members: p.members, Inflight: p.inflight, Targets: p.targets,
-		ChangeLog: p.targetLog, Policy: p.policy, Confirmer: p.confirmer, Health: health, Eras: p.eras, FollowsStore: p.feeds.live}
+		ChangeLog: p.targetLog, Policy: p.policy, Confirmer: p.confirmer, Health: health, Eras: p.eras, FollowsStore: p.feeds.live,
+		Quarantine: p.quarantine}
+	p.crashes.OnEvidence = p.exchange.SendEvidence
 	p.exchange.Init()
-	sender := &edge.Sender{Wire: adapter.Wire, Pool: p.pool}
+	sender := &edge.Sender{Wire: adapter.Wire, Pool: p.pool, Crashes: p.crashes}
 	p.plain = &plain.Server{Sender: sender, Targets: p.targets, Inflight: p.inflight, Health: health, RetryBudget: p.retryBudget, Domain: n.Domain, Stalls: &p.stalls, Drain: p.drain}
 	p.streaming = &streaming.Server{
 		Sender: sender, Engines: adapter.NewEngineClient(p.pool), Targets: p.targets, Inflight: p.inflight, Health: health,
@@ -218,6 +226,7 @@
 	wait.Go(func() { p.exchange.Run(ctx) })
 	wait.Go(func() { p.replicator.Run(ctx) })
 	wait.Go(func() { p.reportPoller().Run(ctx) })
+	wait.Go(func() { p.keepHeld(ctx) })
 	wait.Go(func() { p.reload(ctx, s.NodeFile) })
 }
 
@@ -251,6 +260,7 @@
 			return 0
 		},
 		StoreEra:        p.eras.Current,
+		HeldKeys:        p.heldKeys,
 		DroppedLogLines: logWriter.Dropped,
 	}
 }
--- a/internal/edge/rejection.go
+++ b/internal/edge/rejection.go
@@ -32,6 +32,7 @@
 	ReasonNoRoom          = "no_room"
 	ReasonTargetFull      = "target_full"
 	ReasonTargetsPaused   = "targets_paused"
+	ReasonCrashSuspect    = "crash_suspect"
 	ReasonMayHaveRun      = "may_have_run"
 	ReasonBrokenOff       = "broken_off"
 	ReasonTimeout         = "timeout"
--- a/internal/edge/sender.go
+++ b/internal/edge/sender.go
@@ -19,6 +19,8 @@
 type Sender struct {
 	Wire Wire
 	Pool *targetconn.Pool
+	// Crashes holds back the calls that crash targets; nil for none.
+	Crashes *CrashGuard
 }
 
 // Tracer starts the spans of the edge process: one for each request, send and move.
@@ -26,8 +28,14 @@
 var Tracer = otel.Tracer("corianderhitch/edge")
 
 // Send sends a call to a target and returns once the head of the response arrives.
-// Errors are those of targetconn.Pool.Do.
+// Errors are those of targetconn.Pool.Do, and ErrHeld.
 func (s *Sender) Send(ctx context.Context, a *AuthorizedCall, t *targets.Target, d Dispatch) (*targetconn.Response, error) {
+	// A run that continues from a copy has survived its start.
+	if d.ContinueFrom == nil {
+		if err := s.Crashes.admit(a); err != nil {
+			return nil, err
+		}
+	}
 	ctx, span := Tracer.Start(ctx, "send", trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(attribute.String("target", t.ID)))
 	defer span.End()
 	d.TargetID = t.ID
--- a/internal/edge/streaming/attempts.go
+++ b/internal/edge/streaming/attempts.go
@@ -118,6 +118,11 @@
 func (r *Run) readFailedResponse(s *segment) *failedResponse {
 	body, err := io.ReadAll(io.LimitReader(s.response, maxEventBytes))
 	r.server.Health.RecordFailure(s.target.Key(), nonStreamSeverity)
+	if err == nil {
+		s.watch.answered()
+	} else {
+		s.watch.ended(err, s.response.ConnectionClosing)
+	}
 	s.close()
 	r.leaveTarget()
 	if err != nil {
--- a/internal/edge/streaming/forward.go
+++ b/internal/edge/streaming/forward.go
@@ -54,8 +54,10 @@
 	for first := true; ; first = false {
 		b, err := s.next(r.lastEventID)
 		if err != nil {
+			s.watch.ended(err, s.response.ConnectionClosing)
 			return err
 		}
+		s.watch.event()
 		if r.headSent {
 			r.recordPause(s.target, first)
 		} else {
--- a/internal/edge/streaming/rejection.go
+++ b/internal/edge/streaming/rejection.go
@@ -35,6 +35,9 @@
 	if ctx.Err() != nil && a.TimeLeft() <= 0 {
 		return &edge.Rejection{Status: http.StatusGatewayTimeout, Reason: edge.ReasonTimeout}
 	}
+	if rejection := s.crashSuspect(r); rejection != nil {
+		return rejection
+	}
 	if !s.fitsDrain(r) {
 		stopping := edge.Stopping()
 		return r.attempts.unavailable(stopping.Reason, stopping.RetryAfter)
--- a/internal/edge/streaming/segment.go
+++ b/internal/edge/streaming/segment.go
@@ -29,6 +29,7 @@
 	target   *targets.Target
 	response *targetconn.Response
 	cancel   context.CancelFunc // cancels the run at the target
+	watch    *startWatch        // of the run's start at the target
 	buffer   []byte
 	start    int // buffer[start:end] has not been returned yet
 	end      int
@@ -97,6 +98,7 @@
 
 // close ends the response and cancels the run at the target if it still executes.
 func (s *segment) close() {
+	s.watch.stop()
 	s.response.Close()
 	s.cancel()
 }
--- a/internal/edge/streaming/server.go
+++ b/internal/edge/streaming/server.go
@@ -95,6 +95,10 @@
 	}
 	r := newRun(s, a, w, control.Flush)
 	defer close(r.done)
+	rejection := s.crashSuspect(r)
+	if rejection != nil {
+		return s.reject(ctx, r, rejection)
+	}
 	segment, rejection := s.start(ctx, r)
 	if rejection != nil {
 		return s.reject(ctx, r, rejection)
@@ -155,6 +159,11 @@
 			r.attempts.mayHaveRun = true
 		}
 		return &edge.Rejection{Status: http.StatusGatewayTimeout, Reason: edge.ReasonTimeout}, false
+	case errors.Is(err, edge.ErrHeld):
+		if rejection := s.crashSuspect(r); rejection != nil {
+			return rejection, false
+		}
+		return nil, true // released meanwhile
 	case errors.Is(err, errKeyUnconfirmed):
 		return r.attempts.unavailable(edge.ReasonUnconfirmed, startRetryAfter), false
 	case errors.Is(err, errNotExecuted):
@@ -186,6 +195,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, maxWait(a, load))
 	defer cancel()
+	ctx, endWait := s.Sender.Crashes.EndWaitWhenHeld(ctx, a)
+	defer endWait()
 	need := newRequirements(a, load, s.Domain)
 	var placed Placement
 	started := bootclock.Now()
@@ -233,12 +244,14 @@
 // open sends the run to a target. Its load has been counted there already and is
 // removed if the run does not start.
 func (s *Server) open(ctx context.Context, r *Run, t *targets.Target, load inflight.Load, d edge.Dispatch) (*segment, error) {
+	watch := s.watchStart(ctx, r, t, d)
 	response, cancel, err := s.send(ctx, r, t, d)
 	if err != nil {
+		watch.ended(err, false)
 		s.Inflight.Remove(t.Key(), load)
 		return nil, err
 	}
-	segment := &segment{target: t, response: response, cancel: cancel}
+	segment := &segment{target: t, response: response, cancel: cancel, watch: watch}
 	r.enterTarget(segment, load)
 	return segment, nil
 }
--- a/internal/edge/targets/registry.go
+++ b/internal/edge/targets/registry.go
@@ -163,6 +163,13 @@
 	return n, ok
 }
 
+// HasAnnounced reports whether an incarnation is known to leave by more than its missing
+// entry, which a crash leaves behind too.
+func (r *Registry) HasAnnounced(key string) bool {
+	n, ok := r.LeavingNotice(key)
+	return ok && n.Source != sourceRemoved
+}
+
 // MarkLeaving records that an incarnation is leaving, as reported by source. It ignores
 // unknown incarnations. A notice that is there already stays, except that one based only on
 // a missing entry is confirmed, so that the entry's return doesn't withdraw it.
