--- a/internal/cli/app.go
+++ b/internal/cli/app.go
@@ -72,6 +72,7 @@
 		a.statusCommand(),
 		a.explainCommand(),
 		a.storyCommand(),
+		a.quarantineCommand(),
 		a.keyCommand(),
 		a.schemaCommand(),
 	)
--- a/internal/edge/crashguard.go
+++ b/internal/edge/crashguard.go
@@ -107,6 +107,16 @@
 	}
 }
 
+// ReportAlive records that a target which seemed to have crashed lives.
+func (g *CrashGuard) ReportAlive(incarnation string) {
+	if g == nil {
+		return
+	}
+	if now := instant(bootclock.Now()); g.Tracker.ReportSurvival(now, now, now, incarnation, nil) {
+		g.OnEvidence()
+	}
+}
+
 // EndWaitWhenHeld returns a context that also ends when the call becomes held back. The
 // returned function must be called once the call does not wait any more.
 func (g *CrashGuard) EndWaitWhenHeld(ctx context.Context, a *AuthorizedCall) (context.Context, context.CancelFunc) {
--- a/internal/edge/peers/evidence.go
+++ b/internal/edge/peers/evidence.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"corianderhitch/api/control"
 	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/edge/relay"
 	"corianderhitch/internal/quarantine"
@@ -152,52 +153,22 @@
 	return nil
 }
 
-// HoldsArgs is empty.
-type HoldsArgs struct{}
-
-// HoldsReply lists what a host holds back.
-type HoldsReply struct {
-	Host  string
-	Holds []HoldReport
-}
-
-// HoldReport is one key that is held back, for operators.
-type HoldReport struct {
-	Key      string
-	Left     time.Duration // negative on probation
-	Survived bool          // the key has survived lately, before the crashes
-	Crashes  []CrashReport
-}
-
-// CrashReport is one crash under a key.
-type CrashReport struct {
-	Incarnation string
-	Host        string // that sent the request
-	Age         time.Duration
-}
-
 // Holds lists what this host holds back.
-func (s *service) Holds(_ HoldsArgs, reply *HoldsReply) error {
+func (s *service) Holds(_ control.HoldsArgs, reply *control.HoldsReply) error {
 	now := steadyNow()
 	reply.Host = s.exchange.Host
 	for _, h := range s.exchange.Quarantine.Holds() {
-		r := HoldReport{Key: h.Key.String(), Left: h.Until - now, Survived: h.Survived}
+		r := control.Hold{Key: h.Key.String(), Left: h.Until - now, Survived: h.Survived}
 		for _, c := range h.Crashes {
-			r.Crashes = append(r.Crashes, CrashReport{c.Incarnation, c.Host, now - c.At})
+			r.Crashes = append(r.Crashes, control.Crash{Target: c.Incarnation, Host: c.Host, Age: now - c.At})
 		}
 		reply.Holds = append(reply.Holds, r)
 	}
 	return nil
 }
 
-// ReleaseArgs names the key that an operator releases.
-type ReleaseArgs struct{ Key string }
-
-// ReleaseReply reports whether the key was held back.
-type ReleaseReply struct{ Released bool }
-
 // Release ends the hold of a key on all hosts.
-func (s *service) Release(args ReleaseArgs, reply *ReleaseReply) error {
+func (s *service) Release(args control.ReleaseArgs, reply *control.ReleaseReply) error {
 	key, err := quarantine.ParseKey(args.Key)
 	if err != nil {
 		return err
--- a/internal/edge/streaming/evidence.go
+++ b/internal/edge/streaming/evidence.go
@@ -18,8 +18,10 @@
 	// survivalAge is how long after its first event a stream must go on for its engine to
 	// have survived the request.
 	survivalAge = time.Second
-	// maxCrashSilence bounds the time after which an engine that has sent nothing may have
-	// crashed; hosts must learn of crashes within 3 s.
+	// minCrashSilence and maxCrashSilence bound the time after which an engine that sends
+	// nothing may have crashed: sound engines pause for a second, and hosts must learn of
+	// crashes within 3 s.
+	minCrashSilence = 2 * time.Second
 	maxCrashSilence = 2500 * time.Millisecond
 	// unlistedSilence is the same for an engine that is not listed any more.
 	unlistedSilence = 500 * time.Millisecond
@@ -38,6 +40,8 @@
 	conclude context.CancelFunc
 	firstAt  bootclock.Instant // of the first event; only for the reading goroutine
 	lastAt   atomic.Int64      // bootclock.Instant of the last sign of the run
+	// silenceReported is set once the engine was reported because it sent nothing.
+	silenceReported atomic.Bool
 }
 
 // watchStart begins to watch a run that is about to be sent to an engine.
@@ -55,7 +59,7 @@
 // watchSilence reports a failed start if nothing comes from the engine.
 func (w *startWatch) watchSilence() {
 	s := w.run.server
-	limit := min(suspectDelay(w.run.call), maxCrashSilence)
+	limit := min(max(suspectDelay(w.run.call), minCrashSilence), maxCrashSilence)
 	ticker := time.NewTicker(startCheckInterval)
 	defer ticker.Stop()
 	for {
@@ -71,6 +75,7 @@
 		if silent < unlistedSilence || (silent < limit && !unlisted) || s.Stalls.Affected(since, now) || w.isLeaving() || s.sendsEvents(w.target) {
 			continue
 		}
+		w.silenceReported.Store(true)
 		s.Sender.Crashes.ReportFailure(w.run.call, w.target.Key())
 		return
 	}
@@ -97,6 +102,9 @@
 	}
 	now := bootclock.Now()
 	w.lastAt.Store(int64(now))
+	if w.silenceReported.CompareAndSwap(true, false) {
+		w.run.server.Sender.Crashes.ReportAlive(w.target.Key())
+	}
 	if w.firstAt == 0 {
 		w.firstAt = now
 	} else if now.Sub(w.firstAt) >= survivalAge {
--- a/internal/edge/targetconn/architecture_test.go
+++ b/internal/edge/targetconn/architecture_test.go
@@ -114,3 +114,23 @@
 		})
 	})
 }
+
+// Callers' requests reach the pool through Sender.Send only, which asks the crash guard.
+func TestOnlySendersSendCallersRequests(t *testing.T) {
+	sending := make(map[string]bool)
+	forEachSourceFile(t, func(path string, file *ast.File) {
+		ast.Inspect(file, func(n ast.Node) bool {
+			literal, ok := n.(*ast.CompositeLit)
+			if !ok {
+				return true
+			}
+			if selector, ok := literal.Type.(*ast.SelectorExpr); ok && selector.Sel.Name == "Request" {
+				if pkg, ok := selector.X.(*ast.Ident); ok && pkg.Name == "targetconn" {
+					sending[path] = true
+				}
+			}
+			return true
+		})
+	})
+	require.Equal(t, map[string]bool{"internal/edge/sender.go": true, "platform/engineclient.go": true}, sending, "other requests are control calls")
+}
--- a/internal/quarantine/decide.go
+++ b/internal/quarantine/decide.go
@@ -12,8 +12,10 @@
 	partCrashes    = 4
 	requestCrashes = 3
 	// survivedExtra is how many more are needed if the key has survived lately: it is then
-	// more likely that it shares its targets with the key at fault.
-	survivedExtra = 2
+	// more likely that it shares its targets with the key at fault. Its crashes count only
+	// after settleTime, since streams that began at the same time survive later.
+	survivedExtra = 1
+	settleTime    = 1500 * time.Millisecond
 	// survivalMemory is how long a survival counts as recent.
 	survivalMemory = 10 * time.Minute
 	// partMoments and requestMoments are at how many different moments the crashes must have
@@ -63,9 +65,10 @@
 // enough crashes first the ones that have not survived lately, then the one with most crashes,
 // then the most specific. What crashed under a blamed key does not count against the others,
 // which merely shared the prompt or the target.
-// counts is the number of failures of each key.
-func decide(failures []*failure, counts map[Key]int, survivedAt func(Key) (Instant, bool)) map[Key]*Hold {
-	suspects := collectSuspects(failures, counts, survivedAt)
+// counts is the number of failures of each key. The result holds until the returned instant
+// unless the evidence changes.
+func decide(now Instant, failures []*failure, counts map[Key]int, survivedAt func(Key) (Instant, bool)) (map[Key]*Hold, Instant) {
+	suspects, until := collectSuspects(now, failures, counts, survivedAt)
 	held := make(map[Key]*Hold)
 	explained := make(map[string]bool) // incarnations
 	for {
@@ -77,7 +80,7 @@
 			}
 		}
 		if worst == nil {
-			return held
+			return held, until
 		}
 		held[worst.key] = worst.hold()
 		for _, c := range worst.crashes {
@@ -95,10 +98,13 @@
 	survivedAt Instant
 }
 
-// collectSuspects returns the keys with enough crashes since their last survival.
-func collectSuspects(failures []*failure, counts map[Key]int, survivedAt func(Key) (Instant, bool)) map[Key]*suspect {
+// collectSuspects returns the keys with enough crashes since their last survival, and when
+// the next crash counts or is forgotten.
+func collectSuspects(now Instant, failures []*failure, counts map[Key]int, survivedAt func(Key) (Instant, bool)) (map[Key]*suspect, Instant) {
 	suspects := make(map[Key]*suspect)
+	until := now + evidenceLifetime
 	for _, f := range failures {
+		until = min(until, f.At+evidenceLifetime+1)
 		if at, ok := survivedAt(targetKey(f.Incarnation)); ok && at > f.At {
 			continue // the target is alive, so that only the connection broke
 		}
@@ -113,7 +119,11 @@
 				suspects[key] = s
 			}
 			s.depth = max(s.depth, depth)
-			if !s.survived || s.survivedAt < f.At {
+			switch {
+			case s.survived && s.survivedAt >= f.At:
+			case s.survived && f.At+settleTime > now:
+				until = min(until, f.At+settleTime)
+			default:
 				s.crashes = append(s.crashes, f.Crash)
 			}
 		}
@@ -124,7 +134,7 @@
 			delete(suspects, key)
 		}
 	}
-	return suspects
+	return suspects, until
 }
 
 func firstOfEachIncarnation(crashes []Crash) []Crash {
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -41,7 +41,7 @@
 	held     map[Key]*Hold           // guarded by mu; result of decide
 	trials   map[Key]Instant         // guarded by mu; when this host last let a key on probation through
 	expired  map[Key]Instant         // guarded by mu; Until of holds whose end was reported
-	forgetAt Instant                 // guarded by mu; when the next failure is too old
+	decideAt Instant                 // guarded by mu; until when held follows from the evidence
 	seq      uint64                  // guarded by mu; of the latest change of the evidence
 }
 
@@ -256,7 +256,7 @@
 	if !evidenceChanged {
 		return nil
 	}
-	held := decide(t.failures, t.suspects, func(key Key) (Instant, bool) {
+	held, until := decide(now, t.failures, t.suspects, func(key Key) (Instant, bool) {
 		s := t.shared[key]
 		if s == nil || s.at < now-survivalMemory {
 			return 0, false
@@ -281,11 +281,7 @@
 		delete(t.trials, key)
 		delete(t.expired, key)
 	}
-	t.held = held
-	t.forgetAt = now + evidenceLifetime
-	for _, f := range t.failures {
-		t.forgetAt = min(t.forgetAt, f.At+evidenceLifetime+1)
-	}
+	t.held, t.decideAt = held, until
 	slices.SortFunc(changes, func(a, b Change) int { return strings.Compare(a.Hold.Key.String(), b.Hold.Key.String()) })
 	return changes
 }
@@ -315,11 +311,11 @@
 func (t *Tracker) check(now Instant, keys []Key, sends bool) (*Hold, []Change) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.held) == 0 {
+	if len(t.failures) == 0 {
 		return nil, nil
 	}
 	var changes []Change
-	if now >= t.forgetAt {
+	if now >= t.decideAt {
 		t.prune(now)
 		changes = t.decide(now, true, false)
 	}
--- /dev/null
+++ b/tests/edge/crashingrequest_test.go
@@ -0,0 +1,118 @@
+package edge_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	ports "corianderhitch/internal/platform"
+	"corianderhitch/platform"
+	"corianderhitch/platform/standin"
+)
+
+const poisonBody = "crashes plain targets"
+
+// plainCrashes are plain targets that crash by requests with poisonBody and come back.
+type plainCrashes struct {
+	*fleet
+	mu      sync.Mutex
+	targets int         // guarded by mu; number of incarnations
+	reached []time.Time // guarded by mu; when requests with the body reached targets
+	crashed []time.Time // guarded by mu
+}
+
+func (p *plainCrashes) start() {
+	p.mu.Lock()
+	p.targets++
+	id := fmt.Sprintf("d-%d", p.targets)
+	p.mu.Unlock()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		p.t.Error(err)
+		return
+	}
+	target := standin.StartPlainTarget(id, listener)
+	p.t.Cleanup(target.Close)
+	var once sync.Once
+	target.SetHandler(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength != int64(len(poisonBody)) {
+			standin.Succeed(w, r)
+			return
+		}
+		p.mu.Lock()
+		p.reached = append(p.reached, time.Now())
+		p.mu.Unlock()
+		once.Do(func() {
+			p.mu.Lock()
+			p.crashed = append(p.crashed, time.Now())
+			p.mu.Unlock()
+			go func() {
+				target.Close()
+				time.Sleep(engineAbsence)
+				if p.t.Context().Err() == nil {
+					_ = p.store.Delete(p.t.Context(), platform.TargetPrefix+id, ports.AnyRevision)
+					p.start()
+				}
+			}()
+		})
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	})
+	_, _ = p.store.Put(p.t.Context(), platform.TargetPrefix+id, standin.TargetEntry(plainService, target.Address(), "ready", 6), ports.AnyRevision, 0)
+}
+
+// BUDGET: a request that crashes each target that runs it is sent again at any host, with the
+// same path, caller and body.
+func TestRepeatedRequestThatCrashesTargetsIsHeldBack(t *testing.T) {
+	t.Parallel()
+	for _, route := range []string{"hold", "check"} {
+		t.Run(route, func(t *testing.T) {
+			t.Parallel()
+			p := &plainCrashes{fleet: newFleet(t)}
+			p.configure()
+			for range 5 {
+				p.start()
+			}
+			for range 3 {
+				p.startHost()
+			}
+			var sound, served int
+			var learned time.Time
+			for n := 0; learned.IsZero() || time.Since(learned) < contact+3*time.Second; n++ {
+				h := p.hosts[n%len(p.hosts)]
+				r := send(h.request(t.Context(), http.MethodPost, route, fmt.Sprint(route, "-poison-", n), []byte(poisonBody)))
+				require.NoError(t, r.err)
+				if !learned.IsZero() && time.Since(learned) > contact {
+					require.Equal(t, "crash_suspect\n", r.body)
+					sound++
+					if send(h.request(t.Context(), http.MethodPost, route, fmt.Sprint(route, "-sound-", n), []byte("sound"))).status == http.StatusOK {
+						served++
+					}
+				}
+				time.Sleep(150 * time.Millisecond)
+				p.mu.Lock()
+				if len(p.crashed) >= 3 && learned.IsZero() {
+					learned = p.crashed[2]
+				}
+				p.mu.Unlock()
+			}
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			late := 0
+			for _, at := range p.reached {
+				if at.After(learned.Add(contact)) {
+					late++
+				}
+			}
+			require.LessOrEqual(t, late, 3, "%d crashes", len(p.crashed))
+			require.Greater(t, sound, 5)
+			require.Equal(t, sound, served)
+			t.Logf("%d crashes, %d later sends", len(p.crashed), late)
+		})
+	}
+}
