--- a/internal/edge/peers/evidence.go
+++ b/internal/edge/peers/evidence.go
@@ -18,7 +18,6 @@
 // EvidenceArgs carries new evidence of requests that crash targets, and what the host has of
 // the receiver's.
 type EvidenceArgs struct {
-	Host     string
 	Evidence quarantine.Evidence
 	Have     EvidencePosition
 }
@@ -107,7 +106,7 @@
 		after = sent.Seq // otherwise the host has started again
 	}
 	evidence, next := e.Quarantine.Since(steadyNow(), after)
-	return EvidenceArgs{Host: e.Host, Evidence: evidence, Have: have}, next
+	return EvidenceArgs{Evidence: evidence, Have: have}, next
 }
 
 // applyEvidence merges a host's reply and records what it and this host have. known is the
--- a/tests/edge/crashingpart_test.go
+++ b/tests/edge/crashingpart_test.go
@@ -220,7 +220,8 @@
 		survivesBefore bool
 	}{
 		"reset": {mode: standin.CrashReset}, "close": {mode: standin.CrashClose}, "silence": {mode: standin.CrashSilent},
-		"reset, survived before": {mode: standin.CrashReset, survivesBefore: true},
+		"in an answer that ends with its connection": {mode: standin.CrashInAnswer},
+		"reset, survived before":                     {mode: standin.CrashReset, survivesBefore: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
