--- a/internal/edge/streaming/attempts.go
+++ b/internal/edge/streaming/attempts.go
@@ -130,6 +130,11 @@
 func (r *Run) readFailedResponse(s *segment) *failedResponse {
 	body, err := io.ReadAll(io.LimitReader(s.response, maxEventBytes))
 	r.server.Health.RecordFailure(s.target.Key(), nonStreamSeverity)
+	if err == nil {
+		s.watch.answered()
+	} else {
+		s.watch.ended(err, s.response.ConnectionClosing)
+	}
 	r.abandon(s)
 	if err != nil {
 		return nil
--- a/internal/edge/streaming/segment.go
+++ b/internal/edge/streaming/segment.go
@@ -31,6 +31,7 @@
 	load     inflight.Load // counted for target
 	response *targetconn.Response
 	cancel   context.CancelFunc // cancels the run at the target
+	watch    *startWatch        // of the run's start at the target
 	buffer   []byte
 	start    int // buffer[start:end] has not been returned yet
 	end      int
@@ -99,6 +100,7 @@
 
 // close ends the response and cancels the run at the target if it still executes.
 func (s *segment) close() {
+	s.watch.stop()
 	s.response.Close()
 	s.cancel()
 }
--- a/internal/edge/streaming/server.go
+++ b/internal/edge/streaming/server.go
@@ -95,6 +95,10 @@
 	}
 	r := newRun(s, a, w, control.Flush)
 	defer close(r.done)
+	rejection := s.crashSuspect(r)
+	if rejection != nil {
+		return s.reject(ctx, r, rejection)
+	}
 	segment, rejection := s.start(ctx, r)
 	if rejection != nil {
 		return s.reject(ctx, r, rejection)
@@ -147,13 +151,19 @@
 // if the engine did not run the request or the request may run again.
 func (s *Server) startFailure(ctx context.Context, r *Run, t *targets.Target, sentAt bootclock.Instant, err error) (rejection *edge.Rejection, retryable bool) {
 	a := r.call
-	a.Log.Warn("stream: start failed", "target", t.ID, "address", t.Address, "age_ms", a.Age().Milliseconds(), "error", err.Error())
+	a.Log.Warn("stream: start failed", "target", t.ID, "address", t.Address, "age_ms", a.Age().Milliseconds(),
+		"shared_parts", a.Call.Generation.SharedPartNames(), "error", err.Error())
 	switch {
 	case ctx.Err() != nil:
 		if !errors.Is(err, errNotExecuted) && !errors.Is(err, targetconn.ErrNotSent) && !errors.Is(err, errKeyUnconfirmed) {
 			r.attempts.mayHaveRun = true
 		}
 		return &edge.Rejection{Status: http.StatusGatewayTimeout, Reason: edge.ReasonTimeout}, false
+	case errors.Is(err, edge.ErrHeld):
+		if rejection := s.crashSuspect(r); rejection != nil {
+			return rejection, false
+		}
+		return nil, true // released meanwhile
 	case errors.Is(err, errKeyUnconfirmed):
 		return r.attempts.unavailable(edge.ReasonUnconfirmed, startRetryAfter), false
 	case errors.Is(err, errNotExecuted):
@@ -185,6 +195,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, maxWait(a, load))
 	defer cancel()
+	ctx, endWait := s.Sender.Crashes.EndWaitWhenHeld(ctx, a)
+	defer endWait()
 	need := newRequirements(a, load, s.Domain)
 	var placed Placement
 	started := bootclock.Now()
@@ -232,12 +244,14 @@
 // open sends the run to a target. Its load has been counted there already and is
 // removed if the run does not start. onSilent may be nil, see watchSilence.
 func (s *Server) open(ctx context.Context, r *Run, t *targets.Target, load inflight.Load, d edge.Dispatch, onSilent func()) (*segment, error) {
+	watch := s.watchStart(ctx, r, t, d)
 	response, cancel, err := s.send(ctx, r, t, d, onSilent)
 	if err != nil {
+		watch.ended(err, false)
 		s.Inflight.Remove(t.Key(), load)
 		return nil, err
 	}
-	return &segment{target: t, load: load, response: response, cancel: cancel}, nil
+	return &segment{target: t, load: load, response: response, cancel: cancel, watch: watch}, nil
 }
 
 // send sends the call to a target and checks the head of its response. The returned
