Moves: a run that stayed at its silent engine is moved when that leaves

An engine announced its end while it was silent and another engine had been asked to take over one of its runs. The mover took the takeover for a move: it counted the run as gone, and did not look at it again. When the engine went on, the takeover was given up, and the run stayed until the engine exited: the caller's stream was cut.

Runs that another engine may take over are now looked at again, like those that are expected to end in time; no copy is made meanwhile. The same holds if the takeover begins during a move.

--- a/internal/edge/migration/mover.go
+++ b/internal/edge/migration/mover.go
@@ -40,7 +40,7 @@
 // Outcomes of a move in addition to those of edge.MoveResult.
 const (
 	runEnded       = "run_ended"
-	runElsewhere   = "run_elsewhere" // the run had left the source or ended when the first copy was done
+	runElsewhere   = "run_elsewhere" // the run has left the source or ended, or may do so since the source is silent
 	tooLate        = "too_late"
 	onlyReplicated = "secured" // no final copy; the run continues from its replica when the source exits
 )
@@ -61,8 +61,9 @@
 
 // Evacuate moves runs, one after the other, off an engine that gave its leaving notice at
 // noticedAt. Runs that are expected to end before the engine exits stay, and are looked at
-// again until it does: an estimate may be too low. It returns when all have been tried or
-// have ended, or when the engine is about to exit.
+// again until it does: an estimate may be too low. So are runs that another engine may take
+// over because the source is silent. It returns when all have been tried or have ended, or
+// when the engine is about to exit.
 func (m *Mover) Evacuate(ctx context.Context, source *targets.Target, noticedAt bootclock.Instant, runs []*streaming.Run) {
 	if len(runs) == 0 || !runs[0].Service().Engine.SupportsMigration {
 		return
@@ -76,14 +77,14 @@
 		}
 		total := m.Inflight.TotalLoad(source.Key())
 		domainPenalty := OtherDomainPenalty(runs[0].Service().Engine, total.Held, total.Runs)
-		moved := make(map[*streaming.Run]bool)
+		settled := make(map[*streaming.Run]bool)
 		for _, i := range order {
-			moved[runs[i]] = true
-			m.move(ctx, source, noticedAt, domainPenalty, runs[i])
+			outcome := m.move(ctx, source, noticedAt, domainPenalty, runs[i])
+			settled[runs[i]] = outcome != runElsewhere && (outcome != onlyReplicated || runs[i].Replica() != nil)
 		}
 		runs = slices.DeleteFunc(runs, func(r *streaming.Run) bool {
 			t := r.Target()
-			return moved[r] || t == nil || t.Key() != source.Key()
+			return settled[r] || t == nil || t.Key() != source.Key()
 		})
 		if len(runs) == 0 || bootclock.Since(noticedAt) > assumedNoticePeriod || ctx.Err() != nil {
 			return
@@ -108,8 +109,8 @@
 	wait.For(ctx, noticedAt.Add(delay).Sub(bootclock.Now()))
 }
 
-// move tries to move one run to another engine and records the outcome.
-func (m *Mover) move(ctx context.Context, source *targets.Target, noticedAt bootclock.Instant, domainPenalty float64, r *streaming.Run) {
+// move tries to move one run to another engine, and records and returns the outcome.
+func (m *Mover) move(ctx context.Context, source *targets.Target, noticedAt bootclock.Instant, domainPenalty float64, r *streaming.Run) string {
 	ctx, span := edge.Tracer.Start(ctx, "move", trace.WithAttributes(attribute.String("request.id", r.ID()), attribute.String("source", source.ID)))
 	defer span.End()
 	started := bootclock.Now()
@@ -120,6 +121,7 @@
 	m.Observe(outcome, took)
 	r.Log().Info("migration: move finished", "outcome", outcome, "source", source.ID, "tried", attempts, "held_tokens", r.HeldTokens(),
 		"since_notice_ms", bootclock.Since(noticedAt).Milliseconds(), "took_ms", took.Milliseconds())
+	return outcome
 }
 
 // moveToAny moves a run to its replica's engine if it has one, and otherwise tries
@@ -127,6 +129,9 @@
 func (m *Mover) moveToAny(ctx context.Context, source *targets.Target, noticedAt bootclock.Instant, domainPenalty float64, r *streaming.Run) (outcome string, attempts int) {
 	service := r.Service()
 	tried := map[string]bool{source.Key(): true}
+	if r.LeavesSilentEngine() {
+		return runElsewhere, 0
+	}
 	if replica := r.Replica(); replica != nil && replica.Source.Key() == source.Key() {
 		if !m.IsLeaving(replica.Dest.Key()) {
 			return m.switchTo(ctx, replica, r), 1
--- a/internal/edge/streaming/takeover.go
+++ b/internal/edge/streaming/takeover.go
@@ -58,6 +58,13 @@
 	go r.runTakeover(t)
 }
 
+// LeavesSilentEngine reports whether another engine may be about to take over the run.
+func (r *Run) LeavesSilentEngine() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.takeover != nil
+}
+
 // runTakeover opens the stream of the other engine and then cancels that of the silent one.
 func (r *Run) runTakeover(t *takeover) {
 	silent := r.SinceLastEvent()
