Streams: a run at a silent engine waits for another one behind all other runs

A resumable run whose engine is silent looks for another engine. If there was none, it waited at the head of its service's queue for up to its objective, again each second: new runs of the service waited behind it, or were rejected, beside engines with room for them. They go first now, since they have no engine yet.

--- a/internal/edge/streaming/attempts.go
+++ b/internal/edge/streaming/attempts.go
@@ -21,6 +21,7 @@
 	// replica don't count.
 	sends      atomic.Int32
 	mayHaveRun bool            // an engine may have begun to run the request
+	beside     bool            // an engine is asked while another one may go on with the request
 	failed     *failedResponse // the last failure that an engine answered with; nil if none
 }
 
--- a/internal/edge/streaming/server.go
+++ b/internal/edge/streaming/server.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"time"
 
@@ -196,7 +197,11 @@
 		})
 		defer stopWatching()
 	}
-	t := s.Queue.Acquire(ctx, a.Service.Name, a.Urgency, func() *targets.Target {
+	urgency := a.Urgency
+	if r.attempts.beside {
+		urgency = math.MaxInt // runs without an engine go first
+	}
+	t := s.Queue.Acquire(ctx, a.Service.Name, urgency, func() *targets.Target {
 		view := s.Targets.View()
 		if _, paused := view.PauseLeft(a.Service.Name); paused && view.Trials(a.Service.Name).Left == 0 {
 			cancel() // waiting is pointless: the run is rejected with the time left
--- a/internal/edge/streaming/takeover.go
+++ b/internal/edge/streaming/takeover.go
@@ -109,6 +109,8 @@
 func (r *Run) startBeside(ctx context.Context, source *targets.Target) *segment {
 	r.attempts.tried[source.Key()] = true
 	tried := len(r.attempts.tried)
+	defer func(before bool) { r.attempts.beside = before }(r.attempts.beside)
+	r.attempts.beside = true
 	next := r.startElsewhere(ctx, source, "silent_ms", r.SinceLastEvent().Milliseconds())
 	if next == nil && len(r.attempts.tried) == tried {
 		r.attempts.sends.Add(-1) // no other engine was chosen
