Streams: a retry for which no engine was found is given back to the budget

A resumable run at a silent engine took a retry from the budget of its service each time it looked for another engine, and kept it if there was none. Nothing was sent, but other runs of the service had fewer retries.

The oldest counted retry is the one that is given back, so that no other one expires before its window has passed.

--- a/internal/edge/retrybudget/budget.go
+++ b/internal/edge/retrybudget/budget.go
@@ -109,6 +109,13 @@
 	return d
 }
 
+// ReturnRetry gives back a retry that was taken and not sent.
+func (b *Budget) ReturnRetry() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.retries.removeOldest(b.currentSlot(), slotsPerWindow)
+}
+
 func (b *Budget) currentSlot() int64 { return b.slotAt(bootclock.Now()) }
 
 func (b *Budget) slotAt(t bootclock.Instant) int64 {
@@ -135,6 +142,18 @@
 // atLeastOneWindow counts over the last ten to eleven tenths of a window.
 func (c *slidingCounter) atLeastOneWindow(slot int64) int { return c.sum(slot, slotsPerWindow) }
 
+// removeOldest takes back the oldest event that is not older than maxAge. The others, counted
+// later, expire no sooner than they happened.
+func (c *slidingCounter) removeOldest(slot, maxAge int64) {
+	for age := maxAge; age >= 0; age-- {
+		i := (slot - age) % int64(len(c.slots))
+		if i >= 0 && c.slots[i] == slot-age && c.counts[i] > 0 {
+			c.counts[i]--
+			return
+		}
+	}
+}
+
 // sum counts over the current slot and the ones before it up to the given age.
 func (c *slidingCounter) sum(slot, maxAge int64) int {
 	total := 0
--- a/internal/edge/retrybudget/budget_test.go
+++ b/internal/edge/retrybudget/budget_test.go
@@ -93,3 +93,32 @@
 	require.Equal(t, slotsPerWindow, c.atMostOneWindow(now))
 	require.Equal(t, slotsPerWindow+1, c.atLeastOneWindow(now))
 }
+
+func TestReturnedRetryCanBeTakenAgain(t *testing.T) {
+	b := New(1, 0, fleetWindow, longAgo(), func() int { return 1 })
+	b.startedSlot -= 2 * slotsPerWindow
+	for range 4 {
+		b.RecordRequest()
+	}
+	taken := 0
+	for b.TakeRetry().Granted {
+		taken++
+	}
+	require.Positive(t, taken)
+	b.ReturnRetry()
+	require.True(t, b.TakeRetry().Granted)
+	require.False(t, b.TakeRetry().Granted)
+}
+
+func TestReturnedRetryDoesNotMakeTheOthersExpireSooner(t *testing.T) {
+	b := New(1, 0, fleetWindow, longAgo(), func() int { return 1 })
+	var c slidingCounter
+	slot := b.currentSlot()
+	c.add(slot)
+	c.add(slot + 3)
+	c.removeOldest(slot+3, slotsPerWindow)
+	require.Equal(t, 1, c.sum(slot+3+slotsPerWindow, slotsPerWindow))
+	c.removeOldest(slot+3, slotsPerWindow)
+	c.removeOldest(slot+3, slotsPerWindow)
+	require.Zero(t, c.sum(slot+3, slotsPerWindow))
+}
--- a/internal/edge/streaming/attempts.go
+++ b/internal/edge/streaming/attempts.go
@@ -92,8 +92,11 @@
 	if !r.server.takeAttempt(r) {
 		return nil
 	}
-	started := time.Now()
+	started, tried := time.Now(), len(r.attempts.tried)
 	next, rejection := r.server.start(ctx, r)
+	if next == nil && len(r.attempts.tried) == tried {
+		r.server.RetryBudget(r.call.Service.Name).ReturnRetry() // no engine was chosen
+	}
 	if next != nil && next.response.Status != http.StatusOK {
 		rejection = &edge.Rejection{Status: next.response.Status, Reason: responseFailed}
 		r.abandon(next)
