Edge tests: random silences, and a takeover that was given up but runs on (failing)

TestSilencesCutNoStream draws silences of engines, lost copies, late heads and late answers to control calls, pauses that engines ask for. It checks the bytes of each stream, that one engine at a time executes a run, that no load and no copy is left. TestTakeoverThatWasGivenUpRunsOnAtTheOtherEngine fails: two engines execute a run for over a second after its takeover was given up, if the other one does not notice the closed connection.

--- a/tests/edge/silence_effects_test.go
+++ b/tests/edge/silence_effects_test.go
@@ -71,3 +71,34 @@
 	require.NoError(t, a.err)
 	require.Equal(t, standin.StreamText("r-1", events), a.body)
 }
+
+func TestTakeoverThatWasGivenUpRunsOnAtTheOtherEngine(t *testing.T) {
+	t.Parallel()
+	const events, silentBefore = 800, 400
+	f := newFleet(t)
+	f.configure()
+	set := standin.NewEngines()
+	pauses := make(chan time.Duration, 2)
+	pauses <- targetSilence          // of the source
+	pauses <- 700 * time.Millisecond // of the other engine, before its first event
+	set.SetEventInterval(func(_ string, n int) time.Duration {
+		if n == silentBefore {
+			select {
+			case pause := <-pauses:
+				return pause
+			default:
+			}
+		}
+		return standin.EventInterval
+	})
+	engines := []*standin.Engine{f.startEngine(set, "e-1"), f.startEngine(set, "e-2")}
+	h := f.startHost()
+	pending := sendAsync(generationRequest(t.Context(), h, "r-1", events))
+	_, others := waitForBusyEngine(t, engines)
+	others[0].ContinueWithoutCaller()
+	a := <-pending
+	require.NoError(t, a.err)
+	require.Equal(t, standin.StreamText("r-1", events), a.body)
+	require.Equal(t, []string{"r-1"}, others[0].Resumed(), "the other engine had begun")
+	requireOneEngineAtATime(t, engines)
+}
--- /dev/null
+++ b/tests/edge/silence_random_test.go
@@ -0,0 +1,159 @@
+package edge_test
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"regexp"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"corianderhitch/platform/standin"
+)
+
+var silenceSeed = flag.Uint64("silence.seed", 1, "seed of TestSilencesCutNoStream")
+
+// silentRun is one caller's request in TestSilencesCutNoStream.
+type silentRun struct {
+	id        string
+	resumable bool
+	events    int
+	pauses    map[int]time.Duration // of the engine, by the event that it precedes
+	answer    <-chan answer
+}
+
+// drawSilentRun draws a run whose engine may be silent once or twice.
+func drawSilentRun(random *rand.Rand, n int) *silentRun {
+	r := &silentRun{id: fmt.Sprintf("r-%d", n), resumable: random.IntN(2) == 0, events: 100 + random.IntN(400), pauses: map[int]time.Duration{}}
+	for range random.IntN(3) {
+		r.pauses[1+random.IntN(r.events)] = time.Duration(1000+random.IntN(900)) * time.Millisecond
+	}
+	return r
+}
+
+// silences makes the engines pause as the runs say, once before each event.
+type silences struct {
+	mu   sync.Mutex
+	runs map[string]*silentRun // guarded by mu
+}
+
+func (s *silences) before(request string, n int) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r := s.runs[request]; r != nil && r.pauses[n] > 0 {
+		pause := r.pauses[n]
+		delete(r.pauses, n)
+		return pause
+	}
+	return standin.EventInterval
+}
+
+// disturbOneEngine draws something that a sound engine does, and returns what ends it.
+func disturbOneEngine(random *rand.Rand, engines []*standin.Engine) (end func()) {
+	e := engines[random.IntN(len(engines))]
+	d := time.Duration(200+random.IntN(1300)) * time.Millisecond
+	switch random.IntN(4) {
+	case 0:
+		e.DropCopies()
+	case 1:
+		e.DelayHeads(d)
+		return func() { e.DelayHeads(0) }
+	case 2:
+		e.OnMove(func(bool) { time.Sleep(d) })
+		return func() { e.OnMove(nil) }
+	case 3:
+		e.Pause(d / 4)
+	}
+	return func() {}
+}
+
+// requireOneEngineAtATime checks that no two engines execute a run for longer than it takes to
+// stop one of them.
+func requireOneEngineAtATime(t *testing.T, engines []*standin.Engine) {
+	const maxOverlap = 400 * time.Millisecond
+	spans := make(map[string][]standin.Span)
+	for _, e := range engines {
+		for _, s := range e.Spans() {
+			spans[s.ID] = append(spans[s.ID], s)
+		}
+	}
+	for id, of := range spans {
+		slices.SortFunc(of, func(a, b standin.Span) int { return a.From.Compare(b.From) })
+		for i := 1; i < len(of); i++ {
+			end := of[i-1].To
+			if of[i].To.Before(end) {
+				end = of[i].To
+			}
+			assert.Less(t, end.Sub(of[i].From), maxOverlap, "%s at %s and %s", id, of[i-1].Engine, of[i].Engine)
+		}
+	}
+}
+
+// gauge returns the value of a gauge of the host's metrics.
+func (h *host) gauge(t *testing.T, name string) string {
+	response, err := http.Get("http://" + h.readinessAddress + "/metrics")
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	found := regexp.MustCompile(`(?m)^` + name + `(?:\{[^}]*\})? (\S+)$`).FindSubmatch(text)
+	require.NotNil(t, found, "no gauge %s", name)
+	return string(found[1])
+}
+
+func TestSilencesCutNoStream(t *testing.T) {
+	t.Parallel()
+	const runs, engineCount, arrivalInterval = 30, 5, 120 * time.Millisecond
+	random := rand.New(rand.NewPCG(*silenceSeed, 5))
+	f := newFleet(t)
+	f.configure()
+	set := standin.NewEngines()
+	silent := &silences{runs: make(map[string]*silentRun)}
+	set.SetEventInterval(silent.before)
+	var engines []*standin.Engine
+	for i := range engineCount {
+		engines = append(engines, f.startEngine(set, fmt.Sprintf("e-%d", i+1)))
+	}
+	h := f.startHost()
+	var sent []*silentRun
+	for n := range runs {
+		r := drawSilentRun(random, n)
+		silent.mu.Lock()
+		silent.runs[r.id] = r
+		silent.mu.Unlock()
+		if r.resumable {
+			r.answer = sendAsync(resumableRequest(t.Context(), h, r.id, r.events, 0))
+		} else {
+			r.answer = sendAsync(generationRequest(t.Context(), h, r.id, r.events))
+		}
+		sent = append(sent, r)
+		end := disturbOneEngine(random, engines)
+		time.AfterFunc(time.Second, end)
+		time.Sleep(arrivalInterval)
+	}
+	for _, r := range sent {
+		a := <-r.answer
+		if assert.NoError(t, a.err, r.id) && a.status != http.StatusServiceUnavailable {
+			assert.Equal(t, http.StatusOK, a.status, r.id)
+			assert.Equal(t, standin.StreamText(r.id, r.events), a.body, r.id)
+		}
+	}
+	requireOneEngineAtATime(t, engines)
+	for _, name := range []string{"hitch_edge_runs", "hitch_edge_expected_memory_tokens", "hitch_edge_waiting_runs"} {
+		assert.Eventually(t, func() bool { return h.gauge(t, name) == "0" }, waitTimeout, 100*time.Millisecond, name)
+	}
+	for _, e := range engines {
+		assert.Eventually(t, func() bool { return e.HeldCopies() == 0 }, waitTimeout, 100*time.Millisecond, "copies at %s", e.ID)
+	}
+	if taken := strings.Count(h.logs.String(), takeoverBegun); taken == 0 {
+		t.Error("no run was at a silent engine")
+	}
+}
