Streams: a takeover that is given up is stopped at the other engine

When a silent engine went on while another one had been asked to continue its run from the replica, the host only closed the connection to the other one. An engine that does not notice that went on: two engines executed a run that may execute once. The run is now stopped there by a final copy whose handle is released, as at the silent engine in the opposite case.

--- a/internal/edge/streaming/takeover.go
+++ b/internal/edge/streaming/takeover.go
@@ -94,14 +94,19 @@
 		r.Log().Info("stream: the run stays at its silent engine", "target", source.ID, "engine_went_on", t.ctx.Err() != nil, "silent_ms", silent.Milliseconds())
 	}
 	close(t.done)
-	switch {
-	case !t.committed:
+	wentOn := t.ctx.Err() != nil
+	if !t.committed {
 		t.cancel()
-		if t.replica != nil {
-			r.releaseCopy(t.replica.Source, t.replica.Handle)
+	}
+	switch replica := t.replica; {
+	case replica == nil:
+	case t.committed:
+		r.stopCanceled(replica.Source, replica.Dest, silentStopTimeout)
+	default:
+		if wentOn { // the other engine may have begun
+			r.stopCanceled(replica.Dest, replica.Source, stopTimeout)
 		}
-	case t.replica != nil:
-		r.stopSilentSource(t.replica)
+		r.releaseCopy(replica.Source, replica.Handle)
 	}
 }
 
@@ -118,14 +123,14 @@
 	return next
 }
 
-// stopSilentSource stops a run that continues at its replica at the engine that it left, if
-// that has not noticed the closed connection.
-func (r *Run) stopSilentSource(replica *Replica) {
-	ctx, cancel := context.WithTimeout(context.Background(), silentStopTimeout)
+// stopCanceled stops the run at an engine whose stream was canceled, in case that it has not
+// noticed the closed connection. The run goes on at other.
+func (r *Run) stopCanceled(engine, other *targets.Target, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	reply := r.server.Engines.Move(ctx, replica.Source, r.ID(), replica.Dest, true)
+	reply := r.server.Engines.Move(ctx, engine, r.ID(), other, true)
 	if reply.Handle != "" {
-		r.releaseCopy(replica.Source, reply.Handle)
+		r.releaseCopy(engine, reply.Handle)
 	}
 }
 
