Streaming tests: parts of takeovers that no test covered

Each of these changes passed all tests before and fails now: a takeover is not ended when the engine goes on or its stream ends, is not awaited when the stream breaks off, or is used after the end; a replica that is made meanwhile is kept; a takeover begins during a final copy, after the end or right after another one; the silent engine is not told to stop.

--- a/internal/edge/streaming/takeover_test.go
+++ b/internal/edge/streaming/takeover_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -9,7 +13,11 @@
 
 	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/edge/draining"
+	"corianderhitch/internal/edge/inflight"
 	"corianderhitch/internal/edge/retrybudget"
+	"corianderhitch/internal/edge/targetconn"
+	"corianderhitch/internal/edge/targetnotice"
+	"corianderhitch/internal/edge/targets"
 )
 
 func TestTakeoverWithoutAnotherEngineUsesRetryBudget(t *testing.T) {
@@ -26,3 +34,84 @@
 	require.Zero(t, budget.TakeRetry().Retries)
 	require.True(t, r.MayRestart())
 }
+
+// openGate refuses no sends.
+type openGate struct{}
+
+func (openGate) Check(string, *targetconn.Request) targetnotice.Verdict { return targetnotice.Allowed }
+
+func (openGate) Admit(string, *targetconn.Request) (targetnotice.Verdict, func(bool)) {
+	return targetnotice.Allowed, func(bool) {}
+}
+
+func (openGate) Observe(string, string, *targetconn.Request, int, http.Header) bool { return false }
+
+// openSegment returns the segment of an engine that has sent its head, and counts its load.
+func openSegment(t *testing.T, s *Server, target *targets.Target) *segment {
+	engine := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	t.Cleanup(engine.Close)
+	pool := targetconn.New(func(http.Header) string { return "" }, openGate{}, func(string) float64 { return 0 })
+	address := strings.TrimPrefix(engine.URL, "http://")
+	response, err := pool.Do(t.Context(), target.Key(), address, &targetconn.Request{Method: http.MethodGet, URI: "/", Host: "e"})
+	require.NoError(t, err)
+	load := inflight.Load{Runs: 1}
+	s.Inflight.Add(target.Key(), load)
+	return &segment{target: target, load: load, response: response, cancel: func() {}}
+}
+
+func TestEndOfStreamDoesNotAwaitTakeover(t *testing.T) {
+	for name, test := range map[string]struct {
+		err       error
+		continues bool
+	}{
+		"complete":    {io.EOF, false},
+		"caller gone": {errCallerGone, false},
+		"broken off":  {io.ErrUnexpectedEOF, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, r := placingServer(draining.New(placingDrain), silentObserver{}, func() bool { return true })
+			dest := &targets.Target{ID: "d"}
+			next := openSegment(t, s, dest)
+			taking := &takeover{done: make(chan struct{})}
+			taking.ctx, taking.cancel = context.WithCancel(t.Context())
+			defer taking.cancel()
+			r.takeover = taking
+			time.AfterFunc(20*time.Millisecond, func() {
+				taking.next = next
+				close(taking.done)
+			})
+			got := r.endTakeover(test.err)
+			require.Equal(t, test.continues, got == next)
+			require.Equal(t, test.continues, got != nil)
+			require.Equal(t, test.continues, taking.ctx.Err() == nil, "a run that has ended is not started elsewhere")
+			require.Equal(t, test.continues, s.Inflight.TotalLoad(dest.Key()).Runs == 1)
+			require.Nil(t, r.takeover)
+		})
+	}
+}
+
+func TestReplicaMadeDuringTakeoverIsKept(t *testing.T) {
+	_, r := placingServer(draining.New(placingDrain), silentObserver{}, func() bool { return true })
+	source := &targets.Target{ID: "s"}
+	r.target, r.takeover = source, &takeover{}
+	require.False(t, r.setReplica(&Replica{Source: source}))
+	r.takeover = nil
+	require.True(t, r.setReplica(&Replica{Source: source}))
+}
+
+func TestTakeoverBeginsAtWrongTime(t *testing.T) {
+	for name, prepare := range map[string]func(*Run){
+		"final copy in progress": func(r *Run) { r.replica.stopping = true },
+		"right after another":    func(r *Run) { r.nextTakeover = bootclock.Now().Add(time.Second) },
+		"stream has ended":       func(r *Run) { r.segment = nil },
+		"nothing to go on from":  func(r *Run) { r.replica = nil },
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, r := placingServer(draining.New(placingDrain), silentObserver{}, func() bool { return true })
+			r.ctx, r.segment, r.replica = t.Context(), &segment{}, &Replica{}
+			prepare(r)
+			r.LeaveSilentEngine()
+			require.Nil(t, r.takeover)
+		})
+	}
+}
--- a/tests/edge/silence_effects_test.go
+++ b/tests/edge/silence_effects_test.go
@@ -94,11 +94,31 @@
 	engines := []*standin.Engine{f.startEngine(set, "e-1"), f.startEngine(set, "e-2")}
 	h := f.startHost()
 	pending := sendAsync(generationRequest(t.Context(), h, "r-1", events))
-	_, others := waitForBusyEngine(t, engines)
+	source, others := waitForBusyEngine(t, engines)
 	others[0].ContinueWithoutCaller()
 	a := <-pending
 	require.NoError(t, a.err)
 	require.Equal(t, standin.StreamText("r-1", events), a.body)
 	require.Equal(t, []string{"r-1"}, others[0].Resumed(), "the other engine had begun")
+	require.Empty(t, source.Canceled(), "the run stays at its engine")
+	requireOneEngineAtATime(t, engines)
+}
+
+func TestSilentEngineGoesOnWithRunThatWasTakenOver(t *testing.T) {
+	t.Parallel()
+	const events, silentBefore = 800, 400
+	f := newFleet(t)
+	f.configure()
+	set := standin.NewEngines()
+	pauseRunOnce(set, silentBefore, targetSilence)
+	engines := []*standin.Engine{f.startEngine(set, "e-1"), f.startEngine(set, "e-2")}
+	h := f.startHost()
+	pending := sendAsync(generationRequest(t.Context(), h, "r-1", events))
+	source, others := waitForBusyEngine(t, engines)
+	source.ContinueWithoutCaller()
+	a := <-pending
+	require.NoError(t, a.err)
+	require.Equal(t, standin.StreamText("r-1", events), a.body)
+	require.Equal(t, []string{"r-1"}, others[0].Resumed())
 	requireOneEngineAtATime(t, engines)
 }
