--- a/internal/edge/streaming/takeover_test.go
+++ b/internal/edge/streaming/takeover_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -14,6 +16,8 @@
 	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/edge/draining"
 	"corianderhitch/internal/edge/inflight"
+	"corianderhitch/internal/edge/peers"
+	"corianderhitch/internal/edge/placement"
 	"corianderhitch/internal/edge/retrybudget"
 	"corianderhitch/internal/edge/targetconn"
 	"corianderhitch/internal/edge/targetnotice"
@@ -115,3 +119,36 @@
 		})
 	}
 }
+
+func TestHubFindsNoEngineWhenAllSeemToFail(t *testing.T) {
+	for failing, want := range map[int]string{0: "e-0", 1: "e-1", 2: "e-2", 3: "e-0"} {
+		t.Run(fmt.Sprint(failing, " failing"), func(t *testing.T) {
+			s, r := placingServer(draining.New(placingDrain), silentObserver{}, nil)
+			s.Targets.Apply([]targets.Change{{Name: "e"}}, 2)
+			var engines []*targets.Target
+			for i := range 3 {
+				e := &targets.Target{ID: fmt.Sprintf("e-%d", i), Service: "s", Address: "127.0.0.1:1"}
+				s.Targets.Apply([]targets.Change{{Name: e.ID, Target: e}}, 3)
+				engines = append(engines, e)
+			}
+			for _, e := range engines[:failing] {
+				for range 5 {
+					s.Health.RecordFailure(e.Key(), 1)
+				}
+			}
+			s.PlaceViaHub = func(_ context.Context, args peers.PlaceArgs) (peers.PlaceReply, bool) {
+				for _, e := range engines {
+					if !slices.Contains(args.Tried, e.Key()) {
+						reply := peers.PlaceReply{Able: true}
+						reply.Target = e.Key()
+						return reply, true
+					}
+				}
+				return peers.PlaceReply{Able: true}, true
+			}
+			placed := s.ReserveEngine(t.Context(), r.call.Service, placement.Requirements{}, inflight.Load{Runs: 1}, nil)
+			require.NotNil(t, placed.Target)
+			require.Equal(t, want, placed.Target.ID)
+		})
+	}
+}
