Placement: a hub finds an engine when all seem to fail to one host

After all engines of a service had been silent for a second, each counted as failing at a host whose runs had left them. The host excluded them all when it asked its hub for an engine, and its requests were rejected for lack of room until the failures had faded, although all engines were sound and free. If no other engine is left, failing ones are not excluded any more, as when the host chooses by itself. TestHubFindsNoEngineWhenAllSeemToFail/3_failing failed before (no engine).

--- a/internal/edge/streaming/placement.go
+++ b/internal/edge/streaming/placement.go
@@ -27,7 +27,7 @@
 // knows the runs of all hosts, chooses; if no hub can, this host does.
 func (s *Server) ReserveEngine(ctx context.Context, service *policy.Service, need placement.Requirements, load inflight.Load, tried map[string]bool) Placement {
 	placed := Placement{DecidedBy: "hub"}
-	excluded := append(slices.Collect(maps.Keys(tried)), s.failingEngines(service)...)
+	excluded := append(slices.Collect(maps.Keys(tried)), s.failingEngines(service, tried)...)
 	excluded = append(excluded, s.Targets.View().Refusing(service.Name)...)
 	reply, placedByHub := s.PlaceViaHub(ctx, peers.PlaceArgs{Service: service.Name, Need: need, Load: load, Tried: excluded})
 	if placedByHub {
@@ -47,16 +47,24 @@
 	return placed
 }
 
-// failingEngines returns the keys of the engines whose recent calls from this host
-// failed; the hub does not know of them.
-func (s *Server) failingEngines(service *policy.Service) []string {
-	var keys []string
+// failingEngines returns the keys of the engines whose recent calls from this host failed; the
+// hub does not know of them. It returns none if all engines that were not tried are failing: a
+// fault near this host, or a silence of all, must not make all of them unusable.
+func (s *Server) failingEngines(service *policy.Service, tried map[string]bool) []string {
+	var failing []string
+	healthy := false
 	for _, t := range s.Targets.View().Available(service.Name) {
-		if key := t.Key(); s.Health.FailureCost(key) > placement.MaxHealthyCost {
-			keys = append(keys, key)
+		switch key := t.Key(); {
+		case s.Health.FailureCost(key) > placement.MaxHealthyCost:
+			failing = append(failing, key)
+		case !tried[key]:
+			healthy = true
 		}
 	}
-	return keys
+	if !healthy {
+		return nil
+	}
+	return failing
 }
 
 // ChooseEngine chooses the best engine with capacity from what this host knows.
