--- a/internal/edge/streaming/takeover_test.go
+++ b/internal/edge/streaming/takeover_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"corianderhitch/internal/edge"
 	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/edge/draining"
 	"corianderhitch/internal/edge/inflight"
@@ -39,6 +40,22 @@
 	require.True(t, r.MayRestart())
 }
 
+// The run goes on at its engine, which may still answer that it did not run the request.
+func TestFailedTakeoverCountsAsAttempt(t *testing.T) {
+	s, r := placingServer(draining.New(placingDrain), silentObserver{}, func() bool { return true })
+	s.RetryBudget = func(string) *retrybudget.Budget {
+		b := retrybudget.New(50, 0, 10*time.Second, bootclock.Now(), func() int { return 1 })
+		b.RecordRequest()
+		return b
+	}
+	s.Sender = &edge.Sender{Wire: plainWire{}, Pool: targetconn.New(nil, openGate{}, func(string) float64 { return 0 })}
+	r.call.StillAuthorized = func(context.Context) bool { return true }
+	r.call.Route.Resumable, r.call.Route.MaxAttempts = true, 2
+	require.Nil(t, r.startBeside(t.Context(), &targets.Target{ID: "source"}), "the other engine cannot be reached")
+	require.Zero(t, r.attempts.sends.Load())
+	require.False(t, r.attempts.mayHaveRun)
+}
+
 // openGate refuses no sends.
 type openGate struct{}
 
