Streams: a failed takeover counts only the sends that were made

While a resumable run was also sent to another engine, its send to the silent engine was counted as a failed attempt that may have run, and stayed counted if the other engine failed or was not reached. An engine that went on then used up the attempts of its run: a later crash cut the stream. A silent engine that answered that it had not run the request got the caller a 502, which it may not repeat, instead of a 503.

The send to the silent engine counts for good only if the other engine takes the run; a send to the other engine that was canceled counts too, as it may have run.

--- a/internal/edge/streaming/attempts.go
+++ b/internal/edge/streaming/attempts.go
@@ -70,6 +70,9 @@
 	if err != nil {
 		errText = err.Error()
 	}
+	r.attempts.sends.Add(1)
+	r.attempts.mayHaveRun = true
+	r.attempts.tried[source.Key()] = true
 	next := r.startElsewhere(ctx, source, "broke_off", reason, "error", errText)
 	if next == nil {
 		return nil
@@ -81,14 +84,10 @@
 	return next
 }
 
-// startElsewhere starts the run at an engine other than source, after the last event that
-// the caller has. The send to source counts as an attempt. It returns nil if the attempts or
-// the retry budget are used up or no engine takes the run. Only one goroutine at a time
-// may call it. cause holds attributes for the log.
+// startElsewhere starts the run at an engine that was not tried, after the last event that
+// the caller has. It returns nil if the attempts or the retry budget are used up or no engine
+// takes the run. Only one goroutine at a time may call it. cause holds attributes for the log.
 func (r *Run) startElsewhere(ctx context.Context, source *targets.Target, cause ...any) *segment {
-	r.attempts.sends.Add(1)
-	r.attempts.mayHaveRun = true
-	r.attempts.tried[source.Key()] = true
 	if !r.server.takeAttempt(r) {
 		return nil
 	}
--- a/internal/edge/streaming/takeover.go
+++ b/internal/edge/streaming/takeover.go
@@ -110,15 +110,20 @@
 	}
 }
 
-// startBeside starts a resumable run at another engine while source may still execute it.
+// startBeside starts a resumable run at another engine while source may still execute it. The
+// send to source counts as an attempt meanwhile, and for good if the other engine takes the run.
 func (r *Run) startBeside(ctx context.Context, source *targets.Target) *segment {
-	r.attempts.tried[source.Key()] = true
-	tried := len(r.attempts.tried)
 	defer func(before bool) { r.attempts.beside = before }(r.attempts.beside)
 	r.attempts.beside = true
+	r.attempts.tried[source.Key()] = true
+	tried := len(r.attempts.tried)
+	r.attempts.sends.Add(1)
 	next := r.startElsewhere(ctx, source, "silent_ms", r.SinceLastEvent().Milliseconds())
-	if next == nil && len(r.attempts.tried) == tried {
-		r.attempts.sends.Add(-1) // no other engine was chosen
+	switch {
+	case next != nil:
+		r.attempts.mayHaveRun = true
+	case ctx.Err() == nil || len(r.attempts.tried) == tried: // otherwise the other send was canceled
+		r.attempts.sends.Add(-1)
 	}
 	return next
 }
