--- a/internal/edge/streaming/takeover_test.go
+++ b/internal/edge/streaming/takeover_test.go
@@ -169,3 +169,24 @@
 		})
 	}
 }
+
+// busyEngine answers that it copies the run already, until the third call.
+type busyEngine struct {
+	edge.EngineClient
+	calls int
+}
+
+func (e *busyEngine) Move(context.Context, *targets.Target, string, *targets.Target, bool) edge.MoveReply {
+	if e.calls++; e.calls < 3 {
+		return edge.MoveReply{Result: edge.MoveBusy}
+	}
+	return edge.MoveReply{Result: edge.MoveNoRun}
+}
+
+func TestRunIsNotStoppedAtEngineThatCopiesIt(t *testing.T) {
+	s, r := placingServer(draining.New(placingDrain), silentObserver{}, func() bool { return true })
+	engine := &busyEngine{}
+	s.Engines = engine
+	r.stopCanceled(&targets.Target{ID: "s"}, &targets.Target{ID: "d"}, time.Second)
+	require.Equal(t, 3, engine.calls)
+}
