--- a/internal/edge/streaming/takeover.go
+++ b/internal/edge/streaming/takeover.go
@@ -58,6 +58,13 @@
 	go r.runTakeover(t)
 }
 
+// LeavesSilentEngine reports whether another engine may be about to take over the run.
+func (r *Run) LeavesSilentEngine() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.takeover != nil
+}
+
 // runTakeover opens the stream of the other engine and then cancels that of the silent one.
 func (r *Run) runTakeover(t *takeover) {
 	silent := r.SinceLastEvent()
@@ -87,36 +94,48 @@
 		r.Log().Info("stream: the run stays at its silent engine", "target", source.ID, "engine_went_on", t.ctx.Err() != nil, "silent_ms", silent.Milliseconds())
 	}
 	close(t.done)
-	switch {
-	case !t.committed:
+	wentOn := t.ctx.Err() != nil
+	if !t.committed {
 		t.cancel()
-		if t.replica != nil {
-			r.releaseCopy(t.replica.Source, t.replica.Handle)
+	}
+	switch replica := t.replica; {
+	case replica == nil:
+	case t.committed:
+		r.stopCanceled(replica.Source, replica.Dest, silentStopTimeout)
+	default:
+		if wentOn { // the other engine may have begun
+			r.stopCanceled(replica.Dest, replica.Source, stopTimeout)
 		}
-	case t.replica != nil:
-		r.stopSilentSource(t.replica)
+		r.releaseCopy(replica.Source, replica.Handle)
 	}
 }
 
-// startBeside starts a resumable run at another engine while source may still execute it.
+// startBeside starts a resumable run at another engine while source may still execute it. The
+// send to source counts as an attempt meanwhile, and for good if the other engine takes the run.
 func (r *Run) startBeside(ctx context.Context, source *targets.Target) *segment {
+	defer func(before bool) { r.attempts.beside = before }(r.attempts.beside)
+	r.attempts.beside = true
 	r.attempts.tried[source.Key()] = true
 	tried := len(r.attempts.tried)
+	r.attempts.sends.Add(1)
 	next := r.startElsewhere(ctx, source, "silent_ms", r.SinceLastEvent().Milliseconds())
-	if next == nil && len(r.attempts.tried) == tried {
-		r.attempts.sends.Add(-1) // no other engine was chosen
+	switch {
+	case next != nil:
+		r.attempts.mayHaveRun = true
+	case ctx.Err() == nil || len(r.attempts.tried) == tried: // otherwise the other send was canceled
+		r.attempts.sends.Add(-1)
 	}
 	return next
 }
 
-// stopSilentSource stops a run that continues at its replica at the engine that it left, if
-// that has not noticed the closed connection.
-func (r *Run) stopSilentSource(replica *Replica) {
-	ctx, cancel := context.WithTimeout(context.Background(), silentStopTimeout)
+// stopCanceled stops the run at an engine whose stream was canceled, in case that it has not
+// noticed the closed connection. The run goes on at other.
+func (r *Run) stopCanceled(engine, other *targets.Target, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	reply := r.server.Engines.Move(ctx, replica.Source, r.ID(), replica.Dest, true)
+	reply := r.server.Engines.Move(ctx, engine, r.ID(), other, true)
 	if reply.Handle != "" {
-		r.releaseCopy(replica.Source, reply.Handle)
+		r.releaseCopy(engine, reply.Handle)
 	}
 }
 
--- /dev/null
+++ b/internal/edge/streaming/takeover_test.go
@@ -0,0 +1,192 @@
+package streaming
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"corianderhitch/internal/edge"
+	"corianderhitch/internal/edge/bootclock"
+	"corianderhitch/internal/edge/draining"
+	"corianderhitch/internal/edge/inflight"
+	"corianderhitch/internal/edge/peers"
+	"corianderhitch/internal/edge/placement"
+	"corianderhitch/internal/edge/retrybudget"
+	"corianderhitch/internal/edge/targetconn"
+	"corianderhitch/internal/edge/targetnotice"
+	"corianderhitch/internal/edge/targets"
+)
+
+func TestTakeoverWithoutAnotherEngineUsesRetryBudget(t *testing.T) {
+	s, r := placingServer(draining.New(placingDrain), silentObserver{}, func() bool { return false })
+	budget := retrybudget.New(50, 0, 10*time.Second, bootclock.Now(), func() int { return 1 })
+	budget.RecordRequest()
+	s.RetryBudget = func(string) *retrybudget.Budget { return budget }
+	r.call.Route.Resumable, r.call.Route.MaxAttempts = true, 2
+	for range 3 {
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+		require.Nil(t, r.startBeside(ctx, s.Targets.View().Available("s")[0]))
+		cancel()
+	}
+	require.Zero(t, budget.TakeRetry().Retries)
+	require.True(t, r.MayRestart())
+}
+
+// The run goes on at its engine, which may still answer that it did not run the request.
+func TestFailedTakeoverCountsAsAttempt(t *testing.T) {
+	s, r := placingServer(draining.New(placingDrain), silentObserver{}, func() bool { return true })
+	s.RetryBudget = func(string) *retrybudget.Budget {
+		b := retrybudget.New(50, 0, 10*time.Second, bootclock.Now(), func() int { return 1 })
+		b.RecordRequest()
+		return b
+	}
+	s.Sender = &edge.Sender{Wire: plainWire{}, Pool: targetconn.New(nil, openGate{}, func(string) float64 { return 0 })}
+	r.call.StillAuthorized = func(context.Context) bool { return true }
+	r.call.Route.Resumable, r.call.Route.MaxAttempts = true, 2
+	require.Nil(t, r.startBeside(t.Context(), &targets.Target{ID: "source"}), "the other engine cannot be reached")
+	require.Zero(t, r.attempts.sends.Load())
+	require.False(t, r.attempts.mayHaveRun)
+}
+
+// openGate refuses no sends.
+type openGate struct{}
+
+func (openGate) Check(string, *targetconn.Request) targetnotice.Verdict { return targetnotice.Allowed }
+
+func (openGate) Admit(string, *targetconn.Request) (targetnotice.Verdict, func(bool)) {
+	return targetnotice.Allowed, func(bool) {}
+}
+
+func (openGate) Observe(string, string, *targetconn.Request, int, http.Header) bool { return false }
+
+// openSegment returns the segment of an engine that has sent its head, and counts its load.
+func openSegment(t *testing.T, s *Server, target *targets.Target) *segment {
+	engine := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	t.Cleanup(engine.Close)
+	pool := targetconn.New(func(http.Header) string { return "" }, openGate{}, func(string) float64 { return 0 })
+	address := strings.TrimPrefix(engine.URL, "http://")
+	response, err := pool.Do(t.Context(), target.Key(), address, &targetconn.Request{Method: http.MethodGet, URI: "/", Host: "e"})
+	require.NoError(t, err)
+	load := inflight.Load{Runs: 1}
+	s.Inflight.Add(target.Key(), load)
+	return &segment{target: target, load: load, response: response, cancel: func() {}}
+}
+
+func TestEndOfStreamDoesNotAwaitTakeover(t *testing.T) {
+	for name, test := range map[string]struct {
+		err       error
+		continues bool
+	}{
+		"complete":    {io.EOF, false},
+		"caller gone": {errCallerGone, false},
+		"broken off":  {io.ErrUnexpectedEOF, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, r := placingServer(draining.New(placingDrain), silentObserver{}, func() bool { return true })
+			dest := &targets.Target{ID: "d"}
+			next := openSegment(t, s, dest)
+			taking := &takeover{done: make(chan struct{})}
+			taking.ctx, taking.cancel = context.WithCancel(t.Context())
+			defer taking.cancel()
+			r.takeover = taking
+			time.AfterFunc(20*time.Millisecond, func() {
+				taking.next = next
+				close(taking.done)
+			})
+			got := r.endTakeover(test.err)
+			require.Equal(t, test.continues, got == next)
+			require.Equal(t, test.continues, got != nil)
+			require.Equal(t, test.continues, taking.ctx.Err() == nil, "a run that has ended is not started elsewhere")
+			require.Equal(t, test.continues, s.Inflight.TotalLoad(dest.Key()).Runs == 1)
+			require.Nil(t, r.takeover)
+		})
+	}
+}
+
+func TestReplicaMadeDuringTakeoverIsKept(t *testing.T) {
+	_, r := placingServer(draining.New(placingDrain), silentObserver{}, func() bool { return true })
+	source := &targets.Target{ID: "s"}
+	r.target, r.takeover = source, &takeover{}
+	require.False(t, r.setReplica(&Replica{Source: source}))
+	r.takeover = nil
+	require.True(t, r.setReplica(&Replica{Source: source}))
+}
+
+func TestTakeoverBeginsAtWrongTime(t *testing.T) {
+	for name, prepare := range map[string]func(*Run){
+		"final copy in progress": func(r *Run) { r.replica.stopping = true },
+		"right after another":    func(r *Run) { r.nextTakeover = bootclock.Now().Add(time.Second) },
+		"stream has ended":       func(r *Run) { r.segment = nil },
+		"nothing to go on from":  func(r *Run) { r.replica = nil },
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, r := placingServer(draining.New(placingDrain), silentObserver{}, func() bool { return true })
+			r.ctx, r.segment, r.replica = t.Context(), &segment{}, &Replica{}
+			prepare(r)
+			r.LeaveSilentEngine()
+			require.Nil(t, r.takeover)
+		})
+	}
+}
+
+func TestHubFindsNoEngineWhenAllSeemToFail(t *testing.T) {
+	for failing, want := range map[int]string{0: "e-0", 1: "e-1", 2: "e-2", 3: "e-0"} {
+		t.Run(fmt.Sprint(failing, " failing"), func(t *testing.T) {
+			s, r := placingServer(draining.New(placingDrain), silentObserver{}, nil)
+			s.Targets.Apply([]targets.Change{{Name: "e"}}, 2)
+			var engines []*targets.Target
+			for i := range 3 {
+				e := &targets.Target{ID: fmt.Sprintf("e-%d", i), Service: "s", Address: "127.0.0.1:1"}
+				s.Targets.Apply([]targets.Change{{Name: e.ID, Target: e}}, 3)
+				engines = append(engines, e)
+			}
+			for _, e := range engines[:failing] {
+				for range 5 {
+					s.Health.RecordFailure(e.Key(), 1)
+				}
+			}
+			s.PlaceViaHub = func(_ context.Context, args peers.PlaceArgs) (peers.PlaceReply, bool) {
+				for _, e := range engines {
+					if !slices.Contains(args.Tried, e.Key()) {
+						reply := peers.PlaceReply{Able: true}
+						reply.Target = e.Key()
+						return reply, true
+					}
+				}
+				return peers.PlaceReply{Able: true}, true
+			}
+			placed := s.ReserveEngine(t.Context(), r.call.Service, placement.Requirements{}, inflight.Load{Runs: 1}, nil)
+			require.NotNil(t, placed.Target)
+			require.Equal(t, want, placed.Target.ID)
+		})
+	}
+}
+
+// busyEngine answers that it copies the run already, until the third call.
+type busyEngine struct {
+	edge.EngineClient
+	calls int
+}
+
+func (e *busyEngine) Move(context.Context, *targets.Target, string, *targets.Target, bool) edge.MoveReply {
+	if e.calls++; e.calls < 3 {
+		return edge.MoveReply{Result: edge.MoveBusy}
+	}
+	return edge.MoveReply{Result: edge.MoveNoRun}
+}
+
+func TestRunIsNotStoppedAtEngineThatCopiesIt(t *testing.T) {
+	s, r := placingServer(draining.New(placingDrain), silentObserver{}, func() bool { return true })
+	engine := &busyEngine{}
+	s.Engines = engine
+	r.stopCanceled(&targets.Target{ID: "s"}, &targets.Target{ID: "d"}, time.Second)
+	require.Equal(t, 3, engine.calls)
+}
