--- a/tests/edge/plaintarget_test.go
+++ b/tests/edge/plaintarget_test.go
@@ -45,8 +45,7 @@
 	}
 	_, _ = buffer.WriteString(text)
 	_ = buffer.Flush()
-	_ = conn.(*net.TCPConn).SetLinger(0)
-	_ = conn.Close()
+	standin.Reset(conn)
 }
 
 // totalRequests returns how many requests reached the targets.
