Edge test: the engine that takes over answers before the other one crashes

TestResumableStreamIsRetriedBeforeFirstEvent failed once in a run of the whole package beside other load (502 instead of 200): the test crashed the engine that had the request and only then looked at the other one. The host had sent the request there within 0.4 ms, so that the test took that engine for the one to crash as well, and crashed both. It now chooses the engines first. What it requires of the host is unchanged.

--- a/tests/edge/resume_test.go
+++ b/tests/edge/resume_test.go
@@ -175,13 +175,12 @@
 	}
 	pending := sendAsync(resumableRequest(t.Context(), h, "r-1", shortGeneration, 0))
 	require.Eventually(t, func() bool { return len(engines[0].Started())+len(engines[1].Started()) == 1 }, waitTimeout, checkInterval)
-	for _, e := range engines {
-		if len(e.Started()) == 1 {
-			e.Crash()
-		} else {
-			e.AnswerAgain()
-		}
+	source, other := engines[0], engines[1]
+	if len(other.Started()) == 1 {
+		source, other = other, source
 	}
+	other.AnswerAgain()
+	source.Crash()
 	a := <-pending
 	require.NoError(t, a.err)
 	require.Equal(t, http.StatusOK, a.status)
