--- a/internal/edge/streaming/forward.go
+++ b/internal/edge/streaming/forward.go
@@ -12,7 +12,9 @@
 	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/edge/draining"
 	"corianderhitch/internal/edge/inflight"
+	"corianderhitch/internal/edge/targetconn"
 	"corianderhitch/internal/edge/targets"
+	"corianderhitch/internal/wait"
 )
 
 // forward sends the events to the caller as they arrive, from each engine that
@@ -44,7 +46,7 @@
 		if err != io.EOF {
 			r.awaitCopy(ctx)
 		}
-		next, reason := r.nextSegment(ctx, source, err)
+		next, reason := r.nextSegment(ctx, current, err)
 		if next == nil && reason != completed {
 			next = r.restart(ctx, source, reason, err)
 		}
@@ -70,11 +72,7 @@
 			r.sendHead(s.target)
 		}
 		r.forwardedAt = bootclock.Now()
-		r.lastEventAt.Store(int64(r.forwardedAt))
-		if _, err := r.w.Write(b.bytes); err != nil {
-			return errCallerGone
-		}
-		if err := r.flush(); err != nil {
+		if err := r.writeEvents(b.bytes); err != nil {
 			return errCallerGone
 		}
 		if b.hasID {
@@ -84,6 +82,17 @@
 	}
 }
 
+// writeEvents sends events to the caller. While a slow caller keeps it from reading further
+// events, the engine does not count as silent.
+func (r *Run) writeEvents(events []byte) error {
+	r.lastEventAt.Store(0)
+	defer func() { r.lastEventAt.Store(int64(bootclock.Now())) }()
+	if _, err := r.w.Write(events); err != nil {
+		return err
+	}
+	return r.flush()
+}
+
 // sendHead sends the status and headers of the response.
 func (r *Run) sendHead(t *targets.Target) {
 	edge.CopyHeader(r.w.Header(), r.head)
@@ -110,6 +119,13 @@
 	}
 }
 
+const (
+	// resumeRetryTime is how long a run tries to reach the engine from whose memory it
+	// continues. Callers wait at least 2 s for the next event.
+	resumeRetryTime     = 1500 * time.Millisecond
+	resumeRetryInterval = 100 * time.Millisecond
+)
+
 const (
 	completed  = "completed"
 	brokenOff  = edge.ReasonBrokenOff
@@ -118,7 +134,7 @@
 
 // nextSegment returns the segment that follows one that ended with err, or the
 // outcome of the stream if none follows.
-func (r *Run) nextSegment(ctx context.Context, source *targets.Target, err error) (*segment, string) {
+func (r *Run) nextSegment(ctx context.Context, ended *segment, err error) (*segment, string) {
 	r.leaveTarget()
 	replica, stopping := r.takeReplica()
 	switch {
@@ -130,16 +146,16 @@
 		r.releaseReplica(replica)
 		return nil, brokenOff
 	case stopping:
-		return r.continueAfterStop(ctx, source, replica, err)
+		return r.continueAfterStop(ctx, ended, replica, err)
 	case err == io.EOF:
 		r.releaseReplica(replica)
 		return nil, completed
 	}
 	// Either the engine crashed, or only the connection broke and the engine still
 	// executes the run. It is stopped there, so that it does not continue at both.
-	replica.finalCopy = r.stopAtSource(ctx, source, replica)
+	replica.finalCopy = r.stopAtSource(ctx, ended.target, replica)
 	close(replica.done)
-	return r.continueAfterStop(ctx, source, replica, err)
+	return r.continueAfterStop(ctx, ended, replica, err)
 }
 
 // stopAtSource stops the run at an engine that may still execute it.
@@ -153,7 +169,7 @@
 
 // continueAfterStop waits for the outcome of the final copy and continues the run
 // from the replica, or at the source if that fails.
-func (r *Run) continueAfterStop(ctx context.Context, source *targets.Target, replica *Replica, err error) (*segment, string) {
+func (r *Run) continueAfterStop(ctx context.Context, ended *segment, replica *Replica, err error) (*segment, string) {
 	timer := time.NewTimer(finalCopyTimeout)
 	defer timer.Stop()
 	reply := edge.MoveReply{Result: edge.MoveUnknown}
@@ -178,11 +194,15 @@
 		r.enterTarget(next)
 		return next, ""
 	}
+	if err == io.EOF && reply.Result == edge.MoveUnknown && ended.response.Delimited {
+		return nil, completed // the run may have completed before the final copy
+	}
 	if !stoppedAtSource(reply) {
 		return nil, lostInMove
 	}
 	// The run cannot continue at the destination. The source still holds the memory of
 	// a run that a final copy stopped, so it continues there.
+	source := ended.target
 	load := r.server.runLoad(r.call, r.events)
 	r.server.Inflight.Add(source.Key(), load)
 	if next := r.resume(ctx, source, load, &edge.ReplicaRef{Address: source.Address, Handle: handle}); next != nil {
@@ -199,12 +219,17 @@
 
 // resume continues the run at t from the memory that from names. At the destination
 // that is the replica, or the final copy if one was made; at the source it is the
-// memory of the run that the final copy stopped. It returns nil if that fails.
+// memory of the run that the final copy stopped. It tries again for resumeRetryTime while no
+// byte can be sent to t, since no other engine has the memory. It returns nil if that fails.
 func (r *Run) resume(ctx context.Context, t *targets.Target, load inflight.Load, from *edge.ReplicaRef) *segment {
 	started := time.Now()
-	s, err := r.server.open(ctx, r, t, load, edge.Dispatch{
-		Account: r.call.Account, Urgency: r.call.Urgency, ContinueFrom: from, LastEventID: r.lastEventID.Load(),
-	}, nil)
+	dispatch := edge.Dispatch{Account: r.call.Account, Urgency: r.call.Urgency, ContinueFrom: from, LastEventID: r.lastEventID.Load()}
+	s, err := r.server.open(ctx, r, t, load, dispatch, nil)
+	for errors.Is(err, targetconn.ErrNotSent) && !errors.Is(err, targetconn.ErrRefused) && ctx.Err() == nil && time.Since(started) < resumeRetryTime {
+		wait.For(ctx, resumeRetryInterval)
+		r.server.Inflight.Add(t.Key(), load)
+		s, err = r.server.open(ctx, r, t, load, dispatch, nil)
+	}
 	if err == nil && s.response.Status != http.StatusOK {
 		err = errors.New("status " + strconv.Itoa(s.response.Status))
 		r.abandon(s)
