--- a/tests/harness/proxy.go
+++ b/tests/harness/proxy.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net"
 	"sync"
 	"syscall"
@@ -126,17 +125,32 @@
 }
 
 // CloseConnections closes all open connections.
-func (p *Proxy) CloseConnections() {
+func (p *Proxy) CloseConnections() { p.endConnections(func(net.Conn) {}) }
+
+// ResetConnections closes all open connections such that both sides see a reset.
+func (p *Proxy) ResetConnections() { p.endConnections(resetOnClose) }
+
+func (p *Proxy) endConnections(prepare func(net.Conn)) {
 	p.mu.Lock()
 	conns := p.conns
 	p.conns = make(map[net.Conn]struct{})
 	p.mu.Unlock()
+	for conn := range conns {
+		prepare(conn)
+	}
 	for conn := range conns {
 		_ = conn.Close()
 	}
 	p.changed.Broadcast()
 }
 
+// resetOnClose makes a later close of the connection reset it.
+func resetOnClose(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
+
 // StopWithProcess stops listening and closes all connections once the process has
 // exited, so that clients see the same as without the proxy.
 func (p *Proxy) StopWithProcess(process *Process) {
@@ -212,7 +226,8 @@
 	p.untrack(client, target)
 }
 
-// pump forwards one direction until either side closes, and then closes both.
+// pump forwards one direction until either side closes, and then closes both. It passes a
+// reset on as one, since it is no end of an answer.
 func (p *Proxy) pump(dst, src net.Conn, up bool) {
 	defer dst.Close()
 	defer src.Close()
@@ -228,8 +243,8 @@
 			sent += allowed
 		}
 		if err != nil {
-			if err != io.EOF {
-				return
+			if errors.Is(err, syscall.ECONNRESET) {
+				resetOnClose(dst)
 			}
 			return
 		}
