Edge test: an engine crashes only when the host knows the replica

TestBrokenStreamWithoutChunksContinuesAtReplica/crash failed once beside two soaks: the engine crashed after it had copied the run and before it had answered, so that the host knew of no replica. The test now waits for the host's line.

--- a/tests/edge/framing_test.go
+++ b/tests/edge/framing_test.go
@@ -194,7 +194,7 @@
 			const events = 800
 			pending := sendAsync(generationRequest(t.Context(), h, "r-1", events))
 			source, others := waitForBusyEngine(t, engines)
-			require.Eventually(t, func() bool { return others[0].HeldCopies() == 1 }, waitTimeout, checkInterval)
+			require.Eventually(t, func() bool { return logContains(h, `"result":"copied"`) }, waitTimeout, checkInterval)
 			breakOff(source)
 			a := <-pending
 			require.NoError(t, a.err)
