Targets: heads of responses are bounded

Callers of a target in trouble whose status line, header lines or interim responses never end waited until their deadline (504), and each such request kept what it had read: memory of a host with 112 MB grew as fast as the target could write. `Pool.readHead` gave http.ReadResponse a reader without any bound.

All heads that are read for one request may now have 64 KiB together, and at most 100 may be interim. A status below 100 or 101, which no request asks for, precedes no response either. Beyond the bounds the error matches ErrInvalidResponse, so that the connection is closed, the target counts as failing, calls that may run again are sent elsewhere at once, and others get 502.

--- a/internal/edge/targetconn/conn.go
+++ b/internal/edge/targetconn/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -21,13 +22,38 @@
 type Conn struct {
 	net.Conn
 	reader      *bufio.Reader
-	key         string // under which the pool keeps the connection
+	head        *headReader // source of reader
+	key         string      // under which the pool keeps the connection
 	usedAt      bootclock.Instant
 	idleTimeout time.Duration // how long the target keeps the connection open when idle
 }
 
 func newConn(c net.Conn, key string) *Conn {
-	return &Conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferBytes), key: key, idleTimeout: defaultIdleTimeout}
+	head := &headReader{conn: c}
+	return &Conn{Conn: c, reader: bufio.NewReaderSize(head, readBufferBytes), head: head, key: key, idleTimeout: defaultIdleTimeout}
+}
+
+var errHeadTooLarge = errors.New("response heads exceed 64 KiB")
+
+// headReader reads from a connection. While a head is read, it fails once the heads of the
+// request have used up their bytes.
+type headReader struct {
+	conn    net.Conn
+	reading bool // a head is read
+	left    int  // bytes left for heads of the current request
+}
+
+// Read implements io.Reader.
+func (h *headReader) Read(p []byte) (int, error) {
+	if !h.reading {
+		return h.conn.Read(p)
+	}
+	if h.left <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := h.conn.Read(p[:min(len(p), h.left)])
+	h.left -= n
+	return n, err
 }
 
 // healthy reports whether an idle connection is still open and has received no
--- a/internal/edge/targetconn/errors.go
+++ b/internal/edge/targetconn/errors.go
@@ -19,8 +19,8 @@
 	// ErrBroken means that the request was sent, at least in part, but no complete
 	// response arrived: the target may have run it.
 	ErrBroken = eris.New("target: connection broke after the request was sent; repeat it only if it is idempotent")
-	// ErrInvalidResponse means that the response is not HTTP or belongs to another
-	// request.
+	// ErrInvalidResponse means that the response is not HTTP, belongs to another request or
+	// has a head that exceeds its bounds.
 	ErrInvalidResponse = eris.New("target: response is not HTTP or belongs to another request; repeat the request only if it is idempotent")
 )
 
--- a/internal/edge/targetconn/pool.go
+++ b/internal/edge/targetconn/pool.go
@@ -40,6 +40,10 @@
 	tcpUserTimeout = 2 * time.Second
 	// maxMismatched is how many responses to other requests are skipped.
 	maxMismatched = 2
+	// maxHeadBytes bounds the heads of all responses that are read for one request.
+	maxHeadBytes = 64 << 10
+	// maxInterim bounds the interim responses to one request.
+	maxInterim = 100
 )
 
 // Pool holds the idle connections to all targets. It is safe for concurrent use.
@@ -154,14 +158,21 @@
 
 // readHead reads response heads until one belongs to the request. It passes each to observe.
 func (p *Pool) readHead(conn *Conn, req *Request, observe func(*http.Response)) (*http.Response, error) {
-	for skipped := 0; ; {
+	conn.head.left = maxHeadBytes
+	skipped, interim := 0, 0
+	for {
+		conn.head.reading = true
 		head, err := http.ReadResponse(conn.reader, &http.Request{Method: req.Method})
+		conn.head.reading = false
 		if err != nil {
 			return nil, classifyReadError(err)
 		}
 		observe(head)
 		if head.StatusCode < http.StatusOK {
-			continue // an interim response
+			if interim++; interim > maxInterim || !isInterim(head.StatusCode) {
+				return nil, eris.Wrapf(ErrInvalidResponse, "%d interim responses, the last with status %d", interim, head.StatusCode)
+			}
+			continue
 		}
 		if id := p.requestID(head.Header); req.ID == "" || id == "" || id == req.ID {
 			return head, nil
@@ -172,6 +183,12 @@
 	}
 }
 
+// isInterim reports whether a status below 200 may precede a response. No request asks for
+// another protocol.
+func isInterim(status int) bool {
+	return status >= http.StatusContinue && status != http.StatusSwitchingProtocols
+}
+
 // skipBody reads the rest of a response that belongs to another request.
 func skipBody(head *http.Response) bool {
 	if head.ContentLength < 0 && len(head.TransferEncoding) == 0 {
