Targets: skipped responses to other requests are bounded

A response to another request that arrives where the next one is due is skipped. If its body never ended, the request waited for it until its deadline, though its connection would never bring an answer. `skipBody` closed the body, which net/http reads to its end.

At most 256 KiB within 2 s are skipped of each such response; beyond that the connection is closed with ErrInvalidResponse.

--- a/internal/edge/targetconn/conn.go
+++ b/internal/edge/targetconn/conn.go
@@ -56,6 +56,12 @@
 	return n, err
 }
 
+// endReadsAfter makes the reads of the connection fail after d, unless stop is called before.
+// stop reports whether it was; otherwise the connection cannot be read any more.
+func (c *Conn) endReadsAfter(d time.Duration) (stop func() bool) {
+	return time.AfterFunc(d, func() { _ = c.SetReadDeadline(time.Unix(1, 0)) }).Stop
+}
+
 // healthy reports whether an idle connection is still open and has received no
 // unexpected bytes.
 func (c *Conn) healthy() bool {
--- a/internal/edge/targetconn/endless_test.go
+++ b/internal/edge/targetconn/endless_test.go
@@ -1,11 +1,14 @@
 package targetconn
 
 import (
+	"bytes"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -75,3 +78,80 @@
 	_ = conn.Close()
 	<-written
 }
+
+func TestResponseToAnotherRequestIsSkippedUpToBound(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nId: r-0\r\n"
+	for name, c := range map[string]struct{ start, repeated string }{
+		"length":     {head + "Content-Length: 1152921504606846976\r\n\r\n", strings.Repeat("x", 4096)},
+		"chunks":     {head + "Transfer-Encoding: chunked\r\n\r\n", "1000\r\n" + strings.Repeat("x", 4096) + "\r\n"},
+		"connection": {head + "\r\n", strings.Repeat("x", 4096)},
+		"responses":  {"", head + "Content-Length: 0\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			conn, written := playEndless(t, c.start, c.repeated)
+			_, err := newTestPool(&scriptedGate{}).readHead(conn, &Request{ID: "r-1", Method: http.MethodGet}, func(*http.Response) {})
+			_ = conn.Close()
+			require.ErrorIs(t, err, ErrInvalidResponse)
+			require.LessOrEqual(t, <-written, maxHeadBytes+maxSkippedBytes+2*readBufferBytes)
+		})
+	}
+}
+
+func TestResponseToAnotherRequestThatTricklesIsSkippedInBoundedTime(t *testing.T) {
+	ours, theirs := net.Pipe()
+	go func() {
+		_, _ = io.WriteString(theirs, "HTTP/1.1 200 OK\r\nId: r-0\r\nContent-Length: 1000\r\n\r\n")
+		for range 1000 {
+			if _, err := io.WriteString(theirs, "x"); err != nil {
+				return
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		_ = theirs.Close()
+	}()
+	conn := newConn(ours, "t@1")
+	defer func() { _ = conn.Close() }()
+	startedAt := time.Now()
+	_, err := newTestPool(&scriptedGate{}).readHead(conn, &Request{ID: "r-1", Method: http.MethodGet}, func(*http.Response) {})
+	require.ErrorIs(t, err, ErrInvalidResponse)
+	require.Less(t, time.Since(startedAt), 2*skipTimeout)
+}
+
+// FuzzReadHead checks that no bytes make the reader of heads read beyond its bound or return an
+// error of another kind.
+func FuzzReadHead(f *testing.F) {
+	for _, c := range endlessHeads {
+		f.Add([]byte(c.start + c.repeated))
+	}
+	f.Add([]byte("HTTP/1.1 200 OK\r\nId: r-1\r\nContent-Length: 0\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nId: r-0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nHTTP/1.1 200 OK\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, played []byte) {
+		// The fuzzed bytes are repeated until they exceed all bounds.
+		const enough = maxHeadBytes + (maxMismatched+1)*(maxSkippedBytes+readBufferBytes)
+		source := &countingConn{Reader: bytes.NewReader(bytes.Repeat(played, enough/max(len(played), 1)+1))}
+		conn := newConn(source, "t@1")
+		observed := 0
+		_, err := newTestPool(&scriptedGate{}).readHead(conn, &Request{ID: "r-1", Method: http.MethodGet}, func(*http.Response) { observed++ })
+		if err != nil && !errors.Is(err, ErrInvalidResponse) && !errors.Is(err, ErrBroken) {
+			t.Fatalf("error of unknown kind: %v", err)
+		}
+		if source.read > enough || observed > maxInterim+maxMismatched+1 {
+			t.Fatalf("%d bytes and %d heads were read", source.read, observed)
+		}
+	})
+}
+
+// countingConn is a connection whose peer has sent the bytes of Reader.
+type countingConn struct {
+	net.Conn
+	io.Reader
+	read int
+}
+
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Reader.Read(p)
+	c.read += n
+	return n, err
+}
+
+func (c *countingConn) SetReadDeadline(time.Time) error { return nil }
--- a/internal/edge/targetconn/pool.go
+++ b/internal/edge/targetconn/pool.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -40,6 +41,10 @@
 	tcpUserTimeout = 2 * time.Second
 	// maxMismatched is how many responses to other requests are skipped.
 	maxMismatched = 2
+	// maxSkippedBytes bounds the body of a response that is skipped, skipTimeout the time
+	// for reading it.
+	maxSkippedBytes = 256 << 10
+	skipTimeout     = 2 * time.Second
 	// maxHeadBytes bounds the heads of all responses that are read for one request.
 	maxHeadBytes = 64 << 10
 	// maxInterim bounds the interim responses to one request.
@@ -177,7 +182,7 @@
 		if id := p.requestID(head.Header); req.ID == "" || id == "" || id == req.ID {
 			return head, nil
 		}
-		if skipped++; skipped > maxMismatched || !skipBody(head) {
+		if skipped++; skipped > maxMismatched || !skipBody(conn, head) {
 			return nil, eris.Wrap(ErrInvalidResponse, "responses to other requests")
 		}
 	}
@@ -189,12 +194,15 @@
 	return status >= http.StatusContinue && status != http.StatusSwitchingProtocols
 }
 
-// skipBody reads the rest of a response that belongs to another request.
-func skipBody(head *http.Response) bool {
+// skipBody reads the rest of a response that belongs to another request. It returns false if
+// the next response cannot be read.
+func skipBody(conn *Conn, head *http.Response) bool {
 	if head.ContentLength < 0 && len(head.TransferEncoding) == 0 {
 		return false // the body ends with the connection
 	}
-	return head.Body.Close() == nil
+	stop := conn.endReadsAfter(skipTimeout)
+	_, err := io.CopyN(io.Discard, head.Body, maxSkippedBytes+1)
+	return stop() && err == io.EOF
 }
 
 // classifyReadError returns ErrBroken for a lost connection, ErrInvalidResponse for
