Targets: rejections and foreign answers end with their heads

A target that rejects a request with Not-Executed, or answers without its signature, has said all in the head. The host read the body all the same: one that never ended held the caller until its deadline (504), and of a plain call 8 MiB were read, after which a call that had certainly not run was reported as one that may have run (502).

The head decides now. Of the body that nobody needs, at most 64 KiB within 100 ms are read, so that the connection can be used again; otherwise it is closed.

--- a/internal/edge/plain/outcome.go
+++ b/internal/edge/plain/outcome.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -41,31 +40,39 @@
 // maxBodyBytes bounds a response, which is buffered until it is complete.
 const maxBodyBytes = 8 << 20
 
-// readResponse reads the whole body of a response and classifies it.
+// readResponse classifies a response by its head and reads the body of one that may be passed
+// on to the caller.
 func (s *Server) readResponse(response *targetconn.Response) outcome {
-	defer response.Close()
 	o := outcome{status: response.Status, header: response.Header}
-	body, err := io.ReadAll(io.LimitReader(response, maxBodyBytes+1))
 	switch {
-	case err != nil:
-		o.result, o.err = broken, err
-	case len(body) > maxBodyBytes:
-		o.result, o.err = broken, errTooLong
 	case s.Sender.Wire.NotExecuted(response.Status, response.Header):
 		o.result = rejected
 	case !s.Sender.Wire.Signed(response.Header):
 		o.result, o.err = broken, errUnsigned
 	case response.Header.Get("Content-Encoding") != "":
 		o.result, o.err = broken, errEncoded
+	default:
+		readBody(response, &o)
+		return o
+	}
+	response.Discard()
+	return o
+}
+
+// readBody reads the body of a response into the outcome of its send.
+func readBody(response *targetconn.Response, o *outcome) {
+	defer response.Close()
+	body, err := response.ReadAll(maxBodyBytes)
+	switch {
+	case err != nil:
+		o.result, o.err = broken, err
 	case response.Status >= http.StatusInternalServerError:
 		o.result = failed
 	}
 	o.body = body
-	return o
 }
 
 var (
-	errTooLong  = errors.New("response exceeds 8 MiB")
 	errUnsigned = errors.New("response lacks the target's signature")
 	errEncoded  = errors.New("response has a Content-Encoding, which was not requested")
 )
--- a/internal/edge/streaming/server.go
+++ b/internal/edge/streaming/server.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -262,13 +261,13 @@
 	wire := s.Sender.Wire
 	switch {
 	case wire.NotExecuted(response.Status, response.Header):
-		_, _ = io.Copy(io.Discard, response) // makes the connection reusable
+		response.Discard()
 		err = errNotExecuted
 	case !wire.Signed(response.Header) || response.Header.Get("Content-Encoding") != "":
+		response.Close()
 		err = errUnsigned
 	}
 	if err != nil {
-		response.Close()
 		cancel()
 		return nil, nil, err
 	}
--- a/internal/edge/targetconn/pool.go
+++ b/internal/edge/targetconn/pool.go
@@ -112,7 +112,7 @@
 	conn.idleTimeout = idleTimeout(head.Header)
 	return &Response{
 		Status: head.StatusCode, Header: head.Header, ConnectionClosing: closing,
-		body: head.Body, conn: conn, pool: p, detach: detach, written: written,
+		length: head.ContentLength, body: head.Body, conn: conn, pool: p, detach: detach, written: written,
 		reusable: !closing && !(leaving && isCallersRequest(req)),
 	}, nil
 }
--- a/internal/edge/targetconn/response.go
+++ b/internal/edge/targetconn/response.go
@@ -6,6 +6,15 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// maxDiscardBytes and discardTimeout bound what is read of a body that nobody needs, so
+	// that its connection can be used again.
+	maxDiscardBytes = 64 << 10
+	discardTimeout  = 100 * time.Millisecond
 )
 
 // Response is the head of a response with the reader of its body. Close must be
@@ -13,7 +22,8 @@
 type Response struct {
 	Status            int
 	Header            http.Header
-	ConnectionClosing bool // the target closes the connection after this response
+	ConnectionClosing bool  // the target closes the connection after this response
+	length            int64 // of the body, -1 if the target does not state it
 	body              io.ReadCloser
 	conn              *Conn
 	pool              *Pool
@@ -32,6 +42,39 @@
 	return n, err
 }
 
+// ReadAll reads the rest of the body. If it exceeds limit bytes, the error matches
+// ErrInvalidResponse.
+func (r *Response) ReadAll(limit int64) ([]byte, error) {
+	if r.length > limit {
+		return nil, eris.Wrapf(ErrInvalidResponse, "body of %d bytes exceeds %d bytes", r.length, limit)
+	}
+	body, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(body)) > limit {
+		return nil, eris.Wrapf(ErrInvalidResponse, "body exceeds %d bytes", limit)
+	}
+	return body, nil
+}
+
+// ReadAllWithin is ReadAll for a body that must arrive within d.
+func (r *Response) ReadAllWithin(limit int64, d time.Duration) ([]byte, error) {
+	stop := r.conn.endReadsAfter(d)
+	body, err := r.ReadAll(limit)
+	if !stop() {
+		r.reusable = false
+	}
+	return body, err
+}
+
+// Discard closes a response whose body is not needed. A short body is read first, which allows
+// to use the connection again.
+func (r *Response) Discard() {
+	_, _ = r.ReadAllWithin(maxDiscardBytes, discardTimeout)
+	r.Close()
+}
+
 // Close returns the connection to the pool after a complete response and closes it
 // otherwise.
 func (r *Response) Close() {
--- a/tests/edge/endless_test.go
+++ b/tests/edge/endless_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"corianderhitch/platform/headers"
 	"corianderhitch/platform/standin"
 )
 
@@ -17,9 +18,12 @@
 	knownOutcomeTime = callerTimeout / 4
 	// socketBytes is what the sockets of one connection may hold without being read.
 	socketBytes = 8 << 20
-	// headBytes and skippedBytes are the bounds of heads and of bodies that nobody wants.
+	// Bounds of what a host reads of heads, of responses to other requests, of rejections,
+	// and of plain answers.
 	headBytes    = 64 << 10
 	skippedBytes = 256 << 10
+	discardBytes = 64 << 10
+	plainBytes   = 8 << 20
 )
 
 // startEndlessTarget starts and registers a target that never ends its answers.
@@ -121,3 +125,72 @@
 		})
 	}
 }
+
+// trickle returns an answer that goes on slowly.
+func trickle(b standin.EndlessBody, status int, headerLines string) standin.Endless {
+	answer := b.With(status, headerLines, "x")
+	answer.Interval = 20 * time.Millisecond
+	return answer
+}
+
+// The head states that the target did not run the call; what follows changes nothing.
+func TestRejectedPlainCallsEndDespiteBodiesWithoutEnd(t *testing.T) {
+	for name, body := range standin.EndlessBodies {
+		t.Run(name, func(t *testing.T) {
+			answer := body.With(http.StatusServiceUnavailable, standin.NotExecutedLine, standin.Filler())
+			requirePlainCallsEnd(t, answer, headBytes+discardBytes, http.StatusServiceUnavailable)
+		})
+		t.Run(name+", slow", func(t *testing.T) {
+			answer := trickle(body, http.StatusServiceUnavailable, standin.NotExecutedLine)
+			requirePlainCallsEnd(t, answer, headBytes+discardBytes, http.StatusServiceUnavailable)
+		})
+	}
+}
+
+func TestPlainCallsEndDespiteBodiesWithoutEnd(t *testing.T) {
+	for name, body := range standin.EndlessBodies {
+		t.Run(name, func(t *testing.T) {
+			requirePlainCallsEnd(t, body.With(http.StatusOK, standin.SignedLine, standin.Filler()), plainBytes, http.StatusBadGateway)
+		})
+		t.Run(name+", failure", func(t *testing.T) {
+			requirePlainCallsEnd(t, body.With(http.StatusInternalServerError, standin.SignedLine, standin.Filler()), plainBytes, http.StatusBadGateway)
+		})
+		t.Run(name+", unsigned and slow", func(t *testing.T) {
+			requirePlainCallsEnd(t, trickle(body, http.StatusOK, ""), headBytes+discardBytes, http.StatusBadGateway)
+		})
+	}
+}
+
+// requireStreamsEnd starts a host with an engine that gives the answer and checks that it gives
+// a stream that may not run again the status, and that another engine serves those that may.
+func requireStreamsEnd(t *testing.T, answer standin.Endless, status int, bytesPerAnswer int64) {
+	f := newFleet(t)
+	f.configure()
+	endless := f.startEndlessTarget("e-9", engineService, answer)
+	h := f.startHost()
+	a := sendTimed(t, generationRequest(t.Context(), h, "r-0", shortGeneration))
+	require.NoError(t, a.err)
+	require.Equal(t, status, a.status)
+	require.Empty(t, a.header.Get(headers.Signature), "the answer is not the engine's")
+	f.startEngine(standin.NewEngines(), "e-1")
+	require.Eventually(t, func() bool { return logContains(h, `"target":"e-1"`) }, waitTimeout, checkInterval)
+	for i := range 6 {
+		id := fmt.Sprintf("r-%d", i+1)
+		a := sendTimed(t, lookupRequest(t, h, id, shortGeneration))
+		require.NoError(t, a.err)
+		require.Equal(t, standin.StreamText(id, shortGeneration), a.body)
+	}
+	requireBounded(t, endless, bytesPerAnswer)
+}
+
+func TestRejectedStreamsEndDespiteBodiesWithoutEnd(t *testing.T) {
+	for name, body := range standin.EndlessBodies {
+		t.Run(name, func(t *testing.T) {
+			answer := body.With(http.StatusServiceUnavailable, standin.NotExecutedLine, standin.Filler())
+			requireStreamsEnd(t, answer, http.StatusServiceUnavailable, headBytes+discardBytes)
+		})
+		t.Run(name+", slow", func(t *testing.T) {
+			requireStreamsEnd(t, trickle(body, http.StatusServiceUnavailable, standin.NotExecutedLine), http.StatusServiceUnavailable, headBytes+discardBytes)
+		})
+	}
+}
