Streams: a failure that exceeds its bound is not passed on cut short

An engine's response other than 200 was read up to 1 MiB, and a longer one was passed on as if it were complete: with the engine's signature, and with the length of what had been read (MIXED). A body that came slowly and never ended held a stream that could run elsewhere until its deadline.

A response beyond 1 MiB is now incomplete: 502, which says that the request may have run. If another engine may run the request, the body must arrive within 250 ms to be kept for the case that no engine does better.

--- a/internal/edge/streaming/attempts.go
+++ b/internal/edge/streaming/attempts.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -113,14 +112,23 @@
 	_, _ = w.Write(f.body) // ignored: the caller may have disconnected
 }
 
+const (
+	// maxFailedBytes bounds the body of a response that is not a stream.
+	maxFailedBytes = 1 << 20
+	// failedBodyTimeout bounds the wait for such a body while another engine could run the
+	// request.
+	failedBodyTimeout = 250 * time.Millisecond
+)
+
 // readFailedResponse reads a response that is not a stream and leaves its engine. It
-// returns nil if the response is incomplete.
-func (r *Run) readFailedResponse(s *segment) *failedResponse {
-	body, err := io.ReadAll(io.LimitReader(s.response, maxEventBytes))
+// returns nil if the response is incomplete, exceeds its bound or takes longer than within.
+func (r *Run) readFailedResponse(s *segment, within time.Duration) *failedResponse {
+	body, err := s.response.ReadAllWithin(maxFailedBytes, within)
 	r.server.Health.RecordFailure(s.target.Key(), nonStreamSeverity)
 	s.close()
 	r.leaveTarget()
 	if err != nil {
+		r.call.Log.Warn("stream: failure of an engine is incomplete", "target", s.target.ID, "status", s.response.Status, "error", err.Error())
 		return nil
 	}
 	return &failedResponse{status: s.response.Status, header: s.response.Header, body: body}
@@ -138,7 +146,7 @@
 	if !s.takeAttempt(r) {
 		return false
 	}
-	if f := r.readFailedResponse(opened); f != nil {
+	if f := r.readFailedResponse(opened, failedBodyTimeout); f != nil {
 		r.attempts.failed = f
 	}
 	r.call.Log.Info("stream: sent again after a failure", "target", opened.target.ID, "status", opened.response.Status)
--- a/internal/edge/streaming/forward.go
+++ b/internal/edge/streaming/forward.go
@@ -267,7 +267,7 @@
 
 // forwardResponse forwards a response that is not a stream.
 func (r *Run) forwardResponse(s *segment) string {
-	response := r.readFailedResponse(s)
+	response := r.readFailedResponse(s, r.call.TimeLeft())
 	if response == nil {
 		(&edge.Rejection{Status: http.StatusBadGateway, Reason: edge.ReasonMayHaveRun}).Write(r.w, r.server.Sender.Wire)
 		return edge.ReasonMayHaveRun
--- a/tests/edge/endless_test.go
+++ b/tests/edge/endless_test.go
@@ -19,11 +19,12 @@
 	// socketBytes is what the sockets of one connection may hold without being read.
 	socketBytes = 8 << 20
 	// Bounds of what a host reads of heads, of responses to other requests, of rejections,
-	// and of plain answers.
+	// of plain answers, and of failures of engines.
 	headBytes    = 64 << 10
 	skippedBytes = 256 << 10
 	discardBytes = 64 << 10
 	plainBytes   = 8 << 20
+	failedBytes  = 1 << 20
 )
 
 // startEndlessTarget starts and registers a target that never ends its answers.
@@ -194,3 +195,39 @@
 		})
 	}
 }
+
+// A failure whose body exceeds the bound was passed on, cut short, as if it were the engine's.
+func TestFailureOfEngineWithoutEndIsNotPassedOn(t *testing.T) {
+	for name, body := range standin.EndlessBodies {
+		t.Run(name, func(t *testing.T) {
+			answer := body.With(http.StatusInternalServerError, standin.SignedLine, standin.Filler())
+			requireStreamsEnd(t, answer, http.StatusBadGateway, headBytes+failedBytes)
+		})
+	}
+}
+
+// The caller is served by another engine as soon as the failure is known, not when it is complete.
+func TestStreamIsSentAgainDespiteFailureWithoutEnd(t *testing.T) {
+	for name, body := range standin.EndlessBodies {
+		t.Run(name, func(t *testing.T) {
+			const streams = 8
+			f := newFleet(t)
+			f.configure()
+			f.startEngine(standin.NewEngines(), "e-1")
+			endless := f.startEndlessTarget("e-9", engineService, trickle(body, http.StatusInternalServerError, standin.SignedLine))
+			h := f.startHost()
+			var pending [streams]<-chan answered
+			for i := range streams {
+				pending[i] = sendAsyncTimed(lookupRequest(t, h, fmt.Sprintf("r-%d", i), shortGeneration))
+			}
+			for i := range streams {
+				a := <-pending[i]
+				require.NoError(t, a.err)
+				require.Equal(t, standin.StreamText(fmt.Sprintf("r-%d", i), shortGeneration), a.body)
+				require.Less(t, a.took, knownOutcomeTime)
+			}
+			require.Positive(t, endless.Requests(), "no stream reached the engine")
+			requireBounded(t, endless, headBytes+failedBytes)
+		})
+	}
+}
