Streams: bytes that are no event cost little processor time

After each read the whole unfinished event was searched for its end.

Only what has arrived since is searched now.

--- a/internal/edge/streaming/segment.go
+++ b/internal/edge/streaming/segment.go
@@ -29,9 +29,11 @@
 	target   *targets.Target
 	response *targetconn.Response
 	cancel   context.CancelFunc // cancels the run at the target
+	body     io.Reader          // of response
 	buffer   []byte
 	start    int // buffer[start:end] has not been returned yet
 	end      int
+	searched int // buffer[start:searched] contains no end of an event
 }
 
 // batch is one or more whole events.
@@ -62,13 +64,15 @@
 
 // completeEvents removes the whole events from the buffer and returns them.
 func (s *segment) completeEvents() ([]byte, bool) {
-	data := s.buffer[s.start:s.end]
-	cut := bytes.LastIndex(data, []byte("\n\n"))
+	from := max(s.start, s.searched-1) // the last byte searched may begin an end
+	s.searched = s.end
+	cut := bytes.LastIndex(s.buffer[from:s.end], []byte("\n\n"))
 	if cut < 0 {
 		return nil, false
 	}
-	s.start += cut + 2
-	return data[:cut+2], true
+	events := s.buffer[s.start : from+cut+2]
+	s.start = from + cut + 2
+	return events, true
 }
 
 // fill reads more bytes into the buffer.
@@ -76,6 +80,7 @@
 	if s.start > 0 {
 		copy(s.buffer, s.buffer[s.start:s.end])
 		s.end -= s.start
+		s.searched -= s.start
 		s.start = 0
 	}
 	if s.end == len(s.buffer) {
@@ -84,7 +89,7 @@
 		}
 		s.buffer = append(s.buffer, make([]byte, max(initialBufferBytes, len(s.buffer)))...)
 	}
-	n, err := s.response.Read(s.buffer[s.end:])
+	n, err := s.body.Read(s.buffer[s.end:])
 	s.end += n
 	if n > 0 {
 		return nil // a persistent error is returned by the next read
--- /dev/null
+++ b/internal/edge/streaming/segment_test.go
@@ -0,0 +1,74 @@
+package streaming
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// endless repeats text without end and counts what was read.
+type endless struct {
+	text string
+	read int
+}
+
+func (e *endless) Read(p []byte) (int, error) {
+	n := copy(p, e.text[e.read%len(e.text):])
+	e.read += n
+	return n, nil
+}
+
+// smallReads returns at most size bytes per read.
+type smallReads struct {
+	io.Reader
+	size int
+}
+
+func (s smallReads) Read(p []byte) (int, error) { return s.Reader.Read(p[:min(len(p), s.size)]) }
+
+// Each read searched the whole of an unfinished event, which took a processor for seconds.
+func TestBytesThatAreNoEventCostLittleTime(t *testing.T) {
+	source := &endless{text: strings.Repeat("x", 64)}
+	startedAt := time.Now()
+	_, err := (&segment{body: source}).next(0)
+	require.ErrorIs(t, err, errEventTooLarge)
+	require.LessOrEqual(t, source.read, maxEventBytes)
+	require.Less(t, time.Since(startedAt), time.Second)
+}
+
+func TestEventsAreFoundHoweverTheyAreSplit(t *testing.T) {
+	const events = 200
+	var sent bytes.Buffer
+	for n := range events {
+		fmt.Fprintf(&sent, "id: %d\ndata: %s\n\n", n+1, strings.Repeat("x", n*n%500))
+	}
+	for name, body := range map[string]io.Reader{
+		"one byte":     iotest.OneByteReader(bytes.NewReader(sent.Bytes())),
+		"seven bytes":  smallReads{bytes.NewReader(sent.Bytes()), 7},
+		"whole buffer": bytes.NewReader(sent.Bytes()),
+		"half":         iotest.HalfReader(bytes.NewReader(sent.Bytes())),
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &segment{body: body}
+			var got bytes.Buffer
+			last := int64(0)
+			for {
+				b, err := s.next(last)
+				if err == io.EOF {
+					break
+				}
+				require.NoError(t, err)
+				got.Write(b.bytes)
+				last = b.lastID
+			}
+			require.Equal(t, sent.String(), got.String())
+			require.EqualValues(t, events, last)
+		})
+	}
+}
--- a/internal/edge/streaming/server.go
+++ b/internal/edge/streaming/server.go
@@ -236,7 +236,7 @@
 		s.Inflight.Remove(t.Key(), load)
 		return nil, err
 	}
-	segment := &segment{target: t, response: response, cancel: cancel}
+	segment := &segment{target: t, response: response, cancel: cancel, body: response}
 	r.enterTarget(segment, load)
 	return segment, nil
 }
