Streams: repeated events are skipped up to their number

A stream that goes on after an event may repeat events that its caller has; they are skipped. A target that repeated them without end held the caller until its deadline, although the run could have gone on at another engine.

More repeated events than there were are an error now, as other events out of order are.

--- a/internal/edge/streaming/segment.go
+++ b/internal/edge/streaming/segment.go
@@ -33,27 +33,36 @@
 	buffer   []byte
 	start    int // buffer[start:end] has not been returned yet
 	end      int
-	searched int // buffer[start:searched] contains no end of an event
+	searched int   // buffer[start:searched] contains no end of an event
+	repeated int64 // events that the caller already had
 }
 
 // batch is one or more whole events.
 type batch struct {
 	bytes  []byte // valid until the next call of next
 	events int
-	lastID int64
-	hasID  bool
+	// repeated is the number of events that were dropped because the caller already has them.
+	repeated int64
+	lastID   int64
+	hasID    bool
 }
 
-// next returns the next whole events. It skips events with ids up to after and fails
-// if the ids that follow are not consecutive. io.EOF is returned only if the target
-// ended the stream after a whole event.
+// next returns the next whole events. It skips events with ids up to after, but not more than
+// there are, and fails if the ids that follow are not consecutive. io.EOF is returned only if
+// the target ended the stream after a whole event.
 func (s *segment) next(after int64) (batch, error) {
 	for {
 		if b, ok := s.completeEvents(); ok {
 			kept, err := dropDelivered(b, after)
-			if err != nil || kept.events > 0 {
+			if err != nil {
 				return kept, err
 			}
+			if s.repeated += kept.repeated; s.repeated > max(after, 0)+1 { // ids may begin with 0
+				return batch{}, eris.Wrapf(errMissingEvents, "%d events up to %d were repeated", s.repeated, after)
+			}
+			if kept.events > 0 {
+				return kept, nil
+			}
 			continue
 		}
 		if err := s.fill(); err != nil {
@@ -120,6 +129,7 @@
 		}
 		if id <= after {
 			b.bytes = rest
+			b.repeated++
 			continue
 		}
 		if id != b.lastID+1 {
--- a/internal/edge/streaming/segment_test.go
+++ b/internal/edge/streaming/segment_test.go
@@ -72,3 +72,36 @@
 		})
 	}
 }
+
+// No event reached the caller, and none ended the stream, which was held until its deadline.
+func TestEventsThatTheCallerHasAreSkippedUpToTheirNumber(t *testing.T) {
+	for name, c := range map[string]struct {
+		text  string
+		after int64
+	}{
+		"one event":       {"id: 3\ndata: x\n\n", 20},
+		"several events":  {"id: 1\ndata: x\n\nid: 2\ndata: x\n\n", 20},
+		"id below 1":      {"id: 0\ndata: x\n\n", 0},
+		"negative id":     {"id: -7\ndata: x\n\n", 5},
+		"with a big jump": {"id: 19\ndata: x\n\n", 20},
+	} {
+		t.Run(name, func(t *testing.T) {
+			source := &endless{text: c.text}
+			_, err := (&segment{body: io.LimitReader(source, 1<<20)}).next(c.after)
+			require.ErrorIs(t, err, errMissingEvents)
+			require.Less(t, source.read, 2*initialBufferBytes)
+		})
+	}
+}
+
+func TestResumedStreamMayRepeatAllEvents(t *testing.T) {
+	const delivered = 300
+	var sent strings.Builder
+	for n := 0; n <= delivered+1; n++ {
+		fmt.Fprintf(&sent, "id: %d\ndata: x\n\n", n)
+	}
+	b, err := (&segment{body: strings.NewReader(sent.String())}).next(delivered)
+	require.NoError(t, err)
+	require.EqualValues(t, delivered+1, b.lastID)
+	require.Equal(t, fmt.Sprintf("id: %d\ndata: x\n\n", delivered+1), string(b.bytes))
+}
--- a/tests/edge/endless_test.go
+++ b/tests/edge/endless_test.go
@@ -19,12 +19,13 @@
 	// socketBytes is what the sockets of one connection may hold without being read.
 	socketBytes = 8 << 20
 	// Bounds of what a host reads of heads, of responses to other requests, of rejections,
-	// of plain answers, and of failures of engines.
+	// of plain answers, of failures of engines, and of one event.
 	headBytes    = 64 << 10
 	skippedBytes = 256 << 10
 	discardBytes = 64 << 10
 	plainBytes   = 8 << 20
 	failedBytes  = 1 << 20
+	eventBytes   = 1 << 20
 )
 
 // startEndlessTarget starts and registers a target that never ends its answers.
@@ -231,3 +232,14 @@
 		})
 	}
 }
+
+// The engine has the signature and the status of a stream, but no event of the run ever follows.
+func TestStreamsEndDespiteBodiesWithoutEvents(t *testing.T) {
+	for name, content := range map[string]string{"no event": standin.Filler(), "event of a run's start": "id: 0\ndata: x\n\n", "event far ahead": "id: 9\ndata: x\n\n"} {
+		for framing, body := range standin.EndlessBodies {
+			t.Run(name+", "+framing, func(t *testing.T) {
+				requireStreamsEnd(t, body.With(http.StatusOK, standin.SignedLine, content), http.StatusBadGateway, headBytes+eventBytes)
+			})
+		}
+	}
+}
