Streams: an unfinished event holds at most 256 KiB

Each stream may hold one unfinished event, and that could have 1 MiB. When engines in trouble send bytes without an end of an event, 200 streams held 254 MB, more than twice the memory of a host; the process would be killed and all requests on it be lost.

The bound is 256 KiB, as in the own form (`engineclient`), for an event and for a response that is not a stream; the buffer grows to exactly that.

--- a/internal/edge/streaming/attempts.go
+++ b/internal/edge/streaming/attempts.go
@@ -114,7 +114,7 @@
 
 const (
 	// maxFailedBytes bounds the body of a response that is not a stream.
-	maxFailedBytes = 1 << 20
+	maxFailedBytes = 256 << 10
 	// failedBodyTimeout bounds the wait for such a body while another engine could run the
 	// request.
 	failedBodyTimeout = 250 * time.Millisecond
--- a/internal/edge/streaming/segment.go
+++ b/internal/edge/streaming/segment.go
@@ -14,13 +14,14 @@
 
 const (
 	initialBufferBytes = 2 << 10
-	// maxEventBytes bounds one event; a larger one ends the stream with an error.
-	maxEventBytes = 1 << 20
+	// maxEventBytes bounds one event; a larger one ends the stream with an error. Each stream
+	// may hold that much.
+	maxEventBytes = 256 << 10
 )
 
 var (
 	errMissingEvents = eris.New("stream: event ids are not consecutive; the run cannot continue")
-	errEventTooLarge = eris.New("stream: event exceeds 1 MiB")
+	errEventTooLarge = eris.New("stream: event exceeds 256 KiB")
 )
 
 // segment is the part of a stream that one target sends. It returns whole events
@@ -96,7 +97,9 @@
 		if len(s.buffer) >= maxEventBytes {
 			return errEventTooLarge
 		}
-		s.buffer = append(s.buffer, make([]byte, max(initialBufferBytes, len(s.buffer)))...)
+		larger := make([]byte, max(initialBufferBytes, 2*len(s.buffer)))
+		copy(larger, s.buffer)
+		s.buffer = larger
 	}
 	n, err := s.body.Read(s.buffer[s.end:])
 	s.end += n
--- a/internal/edge/streaming/segment_test.go
+++ b/internal/edge/streaming/segment_test.go
@@ -42,6 +42,27 @@
 	require.Less(t, time.Since(startedAt), time.Second)
 }
 
+// A host with 112 MB may serve 200 streams at once, whose engines may all fail in the same way.
+func TestUnfinishedEventsOfManyStreamsFitIntoMemory(t *testing.T) {
+	const streams, bound = 200, 56 << 20
+	held := 0
+	for range streams {
+		s := &segment{body: &endless{text: strings.Repeat("x", 1<<10)}}
+		_, err := s.next(0)
+		require.ErrorIs(t, err, errEventTooLarge)
+		held += cap(s.buffer)
+	}
+	require.LessOrEqual(t, held, bound)
+}
+
+func TestLargestEventIsPassedOn(t *testing.T) {
+	text := "id: 1\ndata: "
+	text += strings.Repeat("x", maxEventBytes-len(text)-2) + "\n\n"
+	b, err := (&segment{body: strings.NewReader(text)}).next(0)
+	require.NoError(t, err)
+	require.Equal(t, text, string(b.bytes))
+}
+
 func TestEventsAreFoundHoweverTheyAreSplit(t *testing.T) {
 	const events = 200
 	var sent bytes.Buffer
--- a/tests/edge/endless_test.go
+++ b/tests/edge/endless_test.go
@@ -24,8 +24,8 @@
 	skippedBytes = 256 << 10
 	discardBytes = 64 << 10
 	plainBytes   = 8 << 20
-	failedBytes  = 1 << 20
-	eventBytes   = 1 << 20
+	failedBytes  = 256 << 10
+	eventBytes   = 256 << 10
 )
 
 // startEndlessTarget starts and registers a target that never ends its answers.
