Plain calls: large responses share a quarter of the host's memory

Each response to a plain call may have 8 MiB and is held until it is complete and the caller has it. Nothing bounded the sum: 14 of them at once, which one target in trouble can send, exceed the 112 MB of a host, whose process is then killed with all its requests.

A response holds up to 256 KiB as before. A larger one needs a share of a quarter of the host's memory, with its stated length or 8 MiB, before more of it is read; the rest waits at the target meanwhile, in the order of arrival, until the call's deadline. A call that gets no share ends as one that may have run, and the target is not blamed.

TestBodyIsCompleteOnlyAtItsEnd and TestChunksWithoutEndOfTheirExtensionsOrTrailersAreErrors cover what net/http already bounds: no cut body looks complete, and chunk extensions and trailers without end are errors.

--- a/internal/edge/plain/outcome.go
+++ b/internal/edge/plain/outcome.go
@@ -1,6 +1,7 @@
 package plain
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"time"
@@ -37,12 +38,16 @@
 	err    error
 }
 
-// maxBodyBytes bounds a response, which is buffered until it is complete.
-const maxBodyBytes = 8 << 20
+const (
+	// maxBodyBytes bounds a response, which is buffered until it is complete.
+	maxBodyBytes = 8 << 20
+	// smallBodyBytes is how much of a response is buffered without a share of LargeBodies.
+	smallBodyBytes = 256 << 10
+)
 
 // readResponse classifies a response by its head and reads the body of one that may be passed
-// on to the caller.
-func (s *Server) readResponse(response *targetconn.Response) outcome {
+// on to the caller. The end of served is the end of the call, which needs the body until then.
+func (s *Server) readResponse(ctx, served context.Context, response *targetconn.Response) outcome {
 	o := outcome{status: response.Status, header: response.Header}
 	switch {
 	case s.Sender.Wire.NotExecuted(response.Status, response.Header):
@@ -52,7 +57,7 @@
 	case response.Header.Get("Content-Encoding") != "":
 		o.result, o.err = broken, errEncoded
 	default:
-		readBody(response, &o)
+		s.readBody(ctx, served, response, &o)
 		return o
 	}
 	response.Discard()
@@ -60,9 +65,23 @@
 }
 
 // readBody reads the body of a response into the outcome of its send.
-func readBody(response *targetconn.Response, o *outcome) {
+func (s *Server) readBody(ctx, served context.Context, response *targetconn.Response, o *outcome) {
 	defer response.Close()
-	body, err := response.ReadAll(maxBodyBytes)
+	var giveBack func()
+	body, err := response.ReadAllReserved(maxBodyBytes, smallBodyBytes, func(bytes int64) error {
+		var err error
+		if giveBack, err = s.LargeBodies.Take(ctx, bytes); err != nil {
+			return errors.Join(errNoMemory, err)
+		}
+		return nil
+	})
+	switch {
+	case giveBack == nil:
+	case err != nil:
+		giveBack()
+	default:
+		context.AfterFunc(served, giveBack)
+	}
 	switch {
 	case err != nil:
 		o.result, o.err = broken, err
@@ -73,6 +92,7 @@
 }
 
 var (
+	errNoMemory = errors.New("no memory was free for a large response")
 	errUnsigned = errors.New("response lacks the target's signature")
 	errEncoded  = errors.New("response has a Content-Encoding, which was not requested")
 )
--- a/internal/edge/plain/server.go
+++ b/internal/edge/plain/server.go
@@ -15,6 +15,7 @@
 	"corianderhitch/internal/edge/draining"
 	"corianderhitch/internal/edge/ejection"
 	"corianderhitch/internal/edge/inflight"
+	"corianderhitch/internal/edge/memquota"
 	"corianderhitch/internal/edge/placement"
 	"corianderhitch/internal/edge/policy"
 	"corianderhitch/internal/edge/retrybudget"
@@ -56,6 +57,9 @@
 	Domain      string // failure domain of this host
 	Stalls      *stall.Detector
 	Drain       *draining.Drain // the end of the process, before which a call must have ended
+	// LargeBodies is the memory for responses that exceed smallBodyBytes. Beyond it, the rest of
+	// such a response waits unread.
+	LargeBodies *memquota.Quota
 
 	awaitingTrial waiters
 }
@@ -64,7 +68,9 @@
 func (s *Server) Serve(ctx context.Context, w http.ResponseWriter, a *edge.AuthorizedCall) string {
 	ctx, cancel := context.WithTimeout(ctx, a.TimeLeft())
 	defer cancel()
-	r := &run{server: s, call: a, ctx: ctx, outcomes: make(chan outcome, maxUnsent+a.Route.MaxAttempts), tried: make(map[string]bool)}
+	served, end := context.WithCancel(context.Background())
+	defer end()
+	r := &run{server: s, call: a, ctx: ctx, served: served, outcomes: make(chan outcome, maxUnsent+a.Route.MaxAttempts), tried: make(map[string]bool)}
 	best := r.serve()
 	if best.target != nil {
 		a.Log = a.Log.With("target", best.target.ID, "sends", r.sends)
@@ -88,6 +94,7 @@
 	server     *Server
 	call       *edge.AuthorizedCall
 	ctx        context.Context
+	served     context.Context // ends once the caller has been answered
 	outcomes   chan outcome
 	tried      map[string]bool
 	sends      int  // sends that may have reached a target
@@ -203,7 +210,7 @@
 	r.tried[t.Key()] = true
 	r.sends++
 	r.pending++
-	go func() { r.outcomes <- r.server.send(r.ctx, r.call, t) }()
+	go func() { r.outcomes <- r.server.send(r.ctx, r.served, r.call, t) }()
 	return true
 }
 
@@ -249,7 +256,7 @@
 }
 
 // send sends the call to one target and waits for the complete response.
-func (s *Server) send(ctx context.Context, a *edge.AuthorizedCall, t *targets.Target) outcome {
+func (s *Server) send(ctx, served context.Context, a *edge.AuthorizedCall, t *targets.Target) outcome {
 	if !a.StillAuthorized(ctx) {
 		return outcome{result: keyUnconfirmed, target: t}
 	}
@@ -266,7 +273,7 @@
 	case err != nil:
 		o = outcome{result: broken, err: err}
 	default:
-		o = s.readResponse(response)
+		o = s.readResponse(ctx, served, response)
 	}
 	o.target, o.took = t, time.Since(started)
 	s.recordHealth(ctx, &o)
@@ -307,12 +314,15 @@
 }
 
 // ownFault reports whether a send failed for a reason that says nothing about its target:
-// it was not sent for the host's own reasons, the host's process ends, or it was stalled
-// while the send lasted.
+// it was not sent for the host's own reasons, the host had no memory for a large response, the
+// host's process ends, or it was stalled while the send lasted.
 func (s *Server) ownFault(ctx context.Context, o *outcome) bool {
 	if o.result == unsent && (ctx.Err() != nil || errors.Is(o.err, targetconn.ErrRefused)) {
 		return true
 	}
+	if errors.Is(o.err, errNoMemory) {
+		return true
+	}
 	now := bootclock.Now()
 	return errors.Is(context.Cause(ctx), edge.ErrStopping) || (o.result != failed && s.Stalls.Affected(now.Add(-o.took), now))
 }
--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -24,6 +24,7 @@
 	"corianderhitch/internal/edge/freshness"
 	"corianderhitch/internal/edge/inflight"
 	"corianderhitch/internal/edge/ingress"
+	"corianderhitch/internal/edge/memquota"
 	"corianderhitch/internal/edge/metrics"
 	"corianderhitch/internal/edge/migration"
 	"corianderhitch/internal/edge/node"
@@ -56,6 +57,9 @@
 	headerTimeout = 3 * time.Second
 	// maxHeaderBytes bounds the size of a request's headers.
 	maxHeaderBytes = 16 << 10
+	// largeBodiesShare is the share of the host's memory, as a divisor, that large responses to
+	// plain calls may hold together.
+	largeBodiesShare = 4
 )
 
 // Process is the edge process of one host.
@@ -154,7 +158,8 @@
 		ChangeLog: p.targetLog, Policy: p.policy, Confirmer: p.confirmer, Health: health, Eras: p.eras, FollowsStore: p.feeds.live}
 	p.exchange.Init()
 	sender := &edge.Sender{Wire: adapter.Wire, Pool: p.pool}
-	p.plain = &plain.Server{Sender: sender, Targets: p.targets, Inflight: p.inflight, Health: health, RetryBudget: p.retryBudget, Domain: n.Domain, Stalls: &p.stalls, Drain: p.drain}
+	p.plain = &plain.Server{Sender: sender, Targets: p.targets, Inflight: p.inflight, Health: health, RetryBudget: p.retryBudget, Domain: n.Domain, Stalls: &p.stalls, Drain: p.drain,
+		LargeBodies: memquota.New(n.MemoryBytes / largeBodiesShare)}
 	p.streaming = &streaming.Server{
 		Sender: sender, Engines: adapter.NewEngineClient(p.pool), Targets: p.targets, Inflight: p.inflight, Health: health,
 		Lengths: streaming.NewOutputLengths(), Queue: admission.New(p.inflight.Changed), Runs: streaming.NewRuns(p.onRunEntered),
--- a/internal/edge/targetconn/endless_test.go
+++ b/internal/edge/targetconn/endless_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -155,3 +156,99 @@
 }
 
 func (c *countingConn) SetReadDeadline(time.Time) error { return nil }
+
+func TestLargeBodyIsReadOnceItsMemoryIsReserved(t *testing.T) {
+	const limit, small = 1 << 20, 16 << 10
+	refused := errors.New("no memory")
+	for name, c := range map[string]struct {
+		start, repeated string
+		want            int64 // bytes that are reserved
+	}{
+		"length":     {"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n", strings.Repeat("x", 4096), 100000},
+		"chunks":     {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1000\r\n" + strings.Repeat("x", 4096) + "\r\n", limit},
+		"connection": {"HTTP/1.1 200 OK\r\n\r\n", strings.Repeat("x", 4096), limit},
+	} {
+		t.Run(name, func(t *testing.T) {
+			conn, written := playEndless(t, c.start, c.repeated)
+			head, err := newTestPool(&scriptedGate{}).readHead(conn, &Request{Method: http.MethodGet}, func(*http.Response) {})
+			require.NoError(t, err)
+			response := &Response{length: head.ContentLength, body: head.Body, conn: conn}
+			reserved := int64(0)
+			_, err = response.ReadAllReserved(limit, small, func(bytes int64) error {
+				reserved = bytes
+				return refused
+			})
+			require.ErrorIs(t, err, refused)
+			require.Equal(t, c.want, reserved)
+			_ = conn.Close()
+			require.LessOrEqual(t, <-written, small+2*readBufferBytes)
+		})
+	}
+}
+
+// A body that is cut short must not look complete, whether or not its memory was reserved.
+func TestBodyIsCompleteOnlyAtItsEnd(t *testing.T) {
+	const limit, small = 4096, 1024
+	read := func(raw string) (int, error) {
+		ours, theirs := net.Pipe()
+		go func() {
+			_, _ = io.WriteString(theirs, "HTTP/1.1 200 OK\r\n"+raw)
+			_ = theirs.Close()
+		}()
+		conn := newConn(ours, "t@1")
+		defer func() { _ = conn.Close() }()
+		head, err := newTestPool(&scriptedGate{}).readHead(conn, &Request{Method: http.MethodGet}, func(*http.Response) {})
+		require.NoError(t, err)
+		response := &Response{length: head.ContentLength, body: head.Body, conn: conn}
+		body, err := response.ReadAllReserved(limit, small, func(int64) error { return nil })
+		require.True(t, err != nil || response.bodyRead)
+		return len(body), err
+	}
+	for _, size := range []int{0, 1, small - 1, small, small + 1, limit - 1, limit, limit + 1} {
+		text := strings.Repeat("x", size)
+		for name, raw := range map[string]struct {
+			text     string
+			complete bool
+		}{
+			"length":          {fmt.Sprintf("Content-Length: %d\r\n\r\n%s", size, text), true},
+			"length cut":      {fmt.Sprintf("Content-Length: %d\r\n\r\n%s", size+1, text), false},
+			"connection":      {"\r\n" + text, true},
+			"chunks":          {fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n%s", size, text, "0\r\n\r\n"), true},
+			"chunks cut":      {fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", size+1, text), false},
+			"last chunk lost": {fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", max(size, 1), text), false},
+		} {
+			if size == 0 && strings.HasPrefix(name, "chunks") {
+				continue // a chunk of no bytes is the last
+			}
+			got, err := read(raw.text)
+			if raw.complete && size <= limit {
+				require.NoError(t, err, "%s of %d bytes", name, size)
+				require.Equal(t, size, got)
+			} else {
+				require.Error(t, err, "%s of %d bytes", name, size)
+			}
+		}
+	}
+}
+
+func TestChunksWithoutEndOfTheirExtensionsOrTrailersAreErrors(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, c := range map[string]struct{ start, repeated string }{
+		"extension":      {head + "1;a=", strings.Repeat("x", 4096)},
+		"extensions":     {head, "1;a=" + strings.Repeat("x", 1024) + "\r\nx\r\n"},
+		"chunk size":     {head, strings.Repeat("0", 4096)},
+		"trailer":        {head + "0\r\nA: ", strings.Repeat("x", 4096)},
+		"trailers":       {head + "0\r\n", "A: b\r\n"},
+		"end of a chunk": {head + "1\r\nx", strings.Repeat("\r", 4096)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			conn, written := playEndless(t, c.start, c.repeated)
+			head, err := newTestPool(&scriptedGate{}).readHead(conn, &Request{Method: http.MethodGet}, func(*http.Response) {})
+			require.NoError(t, err)
+			_, err = (&Response{length: head.ContentLength, body: head.Body, conn: conn}).ReadAll(1 << 20)
+			_ = conn.Close()
+			require.Error(t, err)
+			require.Less(t, <-written, 128<<10)
+		})
+	}
+}
--- a/internal/edge/targetconn/response.go
+++ b/internal/edge/targetconn/response.go
@@ -46,18 +46,54 @@
 // ErrInvalidResponse.
 func (r *Response) ReadAll(limit int64) ([]byte, error) {
 	if r.length > limit {
-		return nil, eris.Wrapf(ErrInvalidResponse, "body of %d bytes exceeds %d bytes", r.length, limit)
+		return nil, bodyTooLarge(r.length, limit)
 	}
 	body, err := io.ReadAll(io.LimitReader(r, limit+1))
 	if err != nil {
 		return nil, err
 	}
 	if int64(len(body)) > limit {
-		return nil, eris.Wrapf(ErrInvalidResponse, "body exceeds %d bytes", limit)
+		return nil, bodyTooLarge(int64(len(body)), limit)
 	}
 	return body, nil
 }
 
+// ReadAllReserved is ReadAll, but calls reserve with the memory in bytes that the body may need
+// before more than small bytes of it are held. If that fails, so does the read.
+func (r *Response) ReadAllReserved(limit, small int64, reserve func(bytes int64) error) ([]byte, error) {
+	if r.length > limit {
+		return nil, bodyTooLarge(r.length, limit)
+	}
+	start, err := io.ReadAll(io.LimitReader(r, small+1))
+	if err != nil || int64(len(start)) <= small {
+		return start, err
+	}
+	size := limit
+	if r.length >= 0 {
+		size = r.length
+	}
+	if err := reserve(size); err != nil {
+		return nil, err
+	}
+	body := make([]byte, size+1) // one more shows that the body ends or exceeds limit
+	n := copy(body, start)
+	for int64(n) <= size {
+		read, err := r.Read(body[n:])
+		n += read
+		if err == io.EOF && int64(n) <= size {
+			return body[:n], nil
+		}
+		if err != nil && err != io.EOF {
+			return nil, err
+		}
+	}
+	return nil, bodyTooLarge(int64(n), limit)
+}
+
+func bodyTooLarge(bytes, limit int64) error {
+	return eris.Wrapf(ErrInvalidResponse, "body of %d bytes or more exceeds %d bytes", bytes, limit)
+}
+
 // ReadAllWithin is ReadAll for a body that must arrive within d.
 func (r *Response) ReadAllWithin(limit int64, d time.Duration) ([]byte, error) {
 	stop := r.conn.endReadsAfter(d)
