Engine client: bytes without an event are bounded

An engine of the own form that sent empty lines, comments or names of events without end kept the reader of its stream busy until the watchdog of the runner ended it, and again after each attachment.

An event may have 512 KiB with all that precedes it; beyond that the stream breaks the protocol. Comments between tokens stay allowed.

Before, the cases "empty lines", "comments" and "names of an event" of TestResponsesMapToErrors read to the end of what was played and got ErrBroken.

--- a/internal/engineclient/stream.go
+++ b/internal/engineclient/stream.go
@@ -17,6 +17,8 @@
 const (
 	// maxLineBytes bounds one line and one event of the stream. A token is far smaller.
 	maxLineBytes = 256 << 10
+	// maxBytesPerEvent bounds an event with the comments and empty lines before it.
+	maxBytesPerEvent = 2 * maxLineBytes
 	// readBufferBytes is the size of the read buffer, which holds several batches of
 	// tokens.
 	readBufferBytes = 8 << 10
@@ -48,11 +50,14 @@
 // The errors are ErrBroken, ErrProtocol or a *FailedError.
 func (s *Stream) Next() (Event, error) {
 	s.eventName, s.data = s.eventName[:0], s.data[:0]
-	for {
+	for read := 0; ; {
 		line, err := s.readLine()
 		if err != nil {
 			return Event{}, err
 		}
+		if read += len(line) + 1; read > maxBytesPerEvent {
+			return Event{}, eris.Wrapf(ErrProtocol, "%d bytes without an event", read)
+		}
 		if len(line) == 0 {
 			if len(s.data) == 0 {
 				continue
