Own form: heads of polls, orders and store replies have 64 KiB

The clients that poll targets, send orders to engines and call the store accepted heads of 10 MB, net/http's default, for each of many calls at once. The client of orders has connections of its own and no longer takes a proxy from the environment.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -7,7 +7,6 @@
 	"context"
 	"log/slog"
 	"net"
-	"net/http"
 	"net/rpc"
 	"sync"
 	"time"
@@ -149,7 +148,7 @@
 	a.lister = observer.StartLister(a.log, p, a.state, s.ListPeriod)
 	a.reports = reports.Start(a.log, a.state, a.ownerPool, a.scheduler)
 	a.observer = observer.Start(a.log, a.state, a.reports, observer.Config{PollInterval: s.Poll, PollTimeout: s.PollTimeout})
-	orders := modelplacement.HTTPOrderClient{Client: &http.Client{}}
+	orders := modelplacement.NewHTTPOrderClient()
 	a.placement = modelplacement.Start(a.log, p, a.state, orders, s.Environment)
 	a.done.Go(func() { presence.Run(ctx) })
 	a.done.Go(func() { a.connections.watch(ctx) })
--- a/internal/agent/modelplacement/orders.go
+++ b/internal/agent/modelplacement/orders.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -13,8 +14,11 @@
 	"corianderhitch/api/problem"
 )
 
-// maxAnswerBytes bounds the size of an engine's answer.
-const maxAnswerBytes = 4 << 20
+const (
+	// maxAnswerBytes bounds the body of an engine's answer, maxHeadBytes its heads.
+	maxAnswerBytes = 4 << 20
+	maxHeadBytes   = 64 << 10
+)
 
 // ErrFenced means that the engine has seen a higher fencing token.
 var ErrFenced = eris.New("placement: the engine rejected the fencing token, another host holds the lease now; release it")
@@ -29,7 +33,12 @@
 }
 
 // HTTPOrderClient is an OrderClient over HTTP.
-type HTTPOrderClient struct{ Client *http.Client }
+type HTTPOrderClient struct{ client *http.Client }
+
+// NewHTTPOrderClient returns an HTTPOrderClient with its own connections.
+func NewHTTPOrderClient() HTTPOrderClient {
+	return HTTPOrderClient{client: &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: maxHeadBytes, IdleConnTimeout: time.Minute}}}
+}
 
 // Send implements OrderClient.
 func (h HTTPOrderClient) Send(ctx context.Context, address string, order engine.Order) (engine.OrderResult, error) {
@@ -57,7 +66,7 @@
 		return err
 	}
 	request.Header.Set("Content-Type", "application/json")
-	response, err := h.Client.Do(request)
+	response, err := h.client.Do(request)
 	if err != nil {
 		return err
 	}
--- a/internal/agent/observer/probe.go
+++ b/internal/agent/observer/probe.go
@@ -20,6 +20,8 @@
 const (
 	// maxAnswerBytes bounds the size of a target's answer to a poll.
 	maxAnswerBytes = 4 << 20
+	// maxHeadBytes bounds the heads of an answer.
+	maxHeadBytes = 64 << 10
 	// idleConnections is the number of idle connections to keep per address.
 	// Successive polls of one target need one, but several targets may share an
 	// address, and a new connection for each poll costs more than the poll.
@@ -39,6 +41,8 @@
 		MaxIdleConnsPerHost: idleConnections,
 		DisableCompression:  true, // answers are small, and the header costs more than compression saves
 		IdleConnTimeout:     time.Minute,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}}}
 }
 
--- a/internal/platform/kvhttp/client.go
+++ b/internal/platform/kvhttp/client.go
@@ -25,6 +25,8 @@
 const (
 	// maxReplyBytes limits a reply: a full list of values in base64.
 	maxReplyBytes = 2 << 30
+	// maxHeadBytes limits the heads of a reply.
+	maxHeadBytes = 64 << 10
 	// maxIdleConns is the number of idle connections kept for concurrent calls.
 	maxIdleConns = 64
 )
@@ -54,6 +56,8 @@
 			MaxIdleConnsPerHost: maxIdleConns,
 			IdleConnTimeout:     time.Minute,
 			DisableCompression:  true,
+
+			MaxResponseHeaderBytes: maxHeadBytes,
 		}},
 	}
 }
--- a/internal/platform/kvhttp/client_test.go
+++ b/internal/platform/kvhttp/client_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -224,3 +225,22 @@
 	require.NoError(t, response.Body.Close())
 	require.Equal(t, status, response.StatusCode)
 }
+
+func TestReplyWithLargeHeadIsAnError(t *testing.T) {
+	for name, c := range map[string]struct {
+		bytes int
+		want  error
+	}{"within the bound": {32 << 10, nil}, "beyond it": {128 << 10, platform.ErrUnavailable}} {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Filler", strings.Repeat("x", c.bytes))
+				_, _ = w.Write([]byte("{}"))
+			}))
+			defer server.Close()
+			client := kvhttp.New(server.URL, kvhttp.Options{})
+			defer client.Close()
+			_, err := client.Get(t.Context(), "a")
+			require.ErrorIs(t, err, c.want)
+		})
+	}
+}
