Ingress: a request's body is read until its deadline

A caller that sent its body byte by byte kept the host reading long after its own deadline and the route's time-out: only the size of the body was bounded, so that 64 KiB at one byte in 20 ms held a connection and what had been read for 20 minutes.

The read ends at the deadline, and the caller gets 408: the request has not run.

Before, TestBodyThatTricklesEndsAtTheDeadline (deadline after 0.3 s) got no answer within 3 s, with a length and with chunks.

--- a/internal/edge/ingress/handler.go
+++ b/internal/edge/ingress/handler.go
@@ -208,7 +208,8 @@
 	return account != nil && account.Name == a.Account
 }
 
-// readBody reads the request's body into the call, or returns the rejection.
+// readBody reads the request's body into the call, or returns the rejection. It reads until the
+// call's deadline.
 func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, a *edge.AuthorizedCall) *edge.Rejection {
 	limit := h.Policy.Current().Limits.MaxBodyBytes
 	if limit <= 0 {
@@ -226,11 +227,14 @@
 	})
 	defer stopWatching()
 	defer context.AfterFunc(r.Context(), func() { endRead(w, time.Unix(1, 0)) })()
+	defer time.AfterFunc(a.TimeLeft(), func() { endRead(w, time.Unix(1, 0)) }).Stop()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return &edge.Rejection{Status: http.StatusRequestEntityTooLarge, Reason: edge.ReasonTooLarge}
+	case err != nil && a.TimeLeft() <= 0:
+		return &edge.Rejection{Status: http.StatusRequestTimeout, Reason: edge.ReasonTimeout}
 	case err != nil && h.Drain.Begun().Err() != nil:
 		return edge.Stopping()
 	case err != nil:
--- /dev/null
+++ b/tests/edge/endless_callers_test.go
@@ -0,0 +1,55 @@
+package edge_test
+
+import (
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"corianderhitch/platform/headers"
+)
+
+// dialCaller opens a caller's connection and writes a request's head, with further header lines.
+func dialCaller(t *testing.T, h *host, route, id string, timeout time.Duration, lines string) net.Conn {
+	conn, err := net.Dial("tcp", h.callerAddress)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	require.NoError(t, conn.(*net.TCPConn).SetReadBuffer(4096))
+	_, err = fmt.Fprintf(conn, "POST /%s/x HTTP/1.1\r\nHost: desk.example\r\n%s: %s\r\n%s: %s%s\r\n%s: %d\r\n%s\r\n", route,
+		headers.RequestID, id, headers.Credentials, headers.Bearer, apiKey, headers.Deadline, timeout.Milliseconds(), lines)
+	require.NoError(t, err)
+	return conn
+}
+
+func TestBodyThatTricklesEndsAtTheDeadline(t *testing.T) {
+	for name, c := range map[string]struct{ lines, piece string }{
+		"length": {"Content-Length: 60000\r\n", "x"},
+		"chunks": {"Transfer-Encoding: chunked\r\n", "1\r\nx\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, h, targets := startPlainFleet(t, 1)
+			conn := dialCaller(t, h, "hold", "r-1", 300*time.Millisecond, c.lines)
+			answered := make(chan string, 1)
+			go func() {
+				answer := make([]byte, 512)
+				n, _ := conn.Read(answer)
+				answered <- string(answer[:n])
+			}()
+			for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+				if _, err := conn.Write([]byte(c.piece)); err != nil {
+					break
+				}
+				select {
+				case text := <-answered:
+					require.Contains(t, text, "HTTP/1.1 408 ", "the request has not run")
+					require.Empty(t, targets[0].Requests())
+					return
+				default:
+				}
+			}
+			t.Fatal("the request was still read long after its deadline")
+		})
+	}
+}
