Plain calls: an answer that its caller does not read is given up

Streams have a write deadline, plain calls had none: a caller that kept its connection open and did not read its answer held up to 8 MiB of a host, and its share of the memory for large responses, for as long as it liked.

The connection is closed one second after the call's deadline, as for streams.

Before, TestAnswerThatIsNotReadEndsAfterTheDeadline (deadline after 0.5 s, an answer of 7 MiB) had not ended after 4 s.

--- a/internal/edge/plain/server.go
+++ b/internal/edge/plain/server.go
@@ -45,6 +45,8 @@
 	// slowTargetSeverity is the same for a target that had not answered within the
 	// minimum hedge delay: it may have been busy with a long call.
 	slowTargetSeverity = 0.5
+	// writeSlack is how long after the deadline writes to the caller may still succeed.
+	writeSlack = time.Second
 )
 
 // Server serves plain calls.
@@ -70,6 +72,9 @@
 	defer cancel()
 	served, end := context.WithCancel(context.Background())
 	defer end()
+	if err := http.NewResponseController(w).SetWriteDeadline(time.Now().Add(a.TimeLeft() + writeSlack)); err != nil {
+		a.Log.Warn("plain: write deadline could not be set", "error", err.Error())
+	}
 	r := &run{server: s, call: a, ctx: ctx, served: served, outcomes: make(chan outcome, maxUnsent+a.Route.MaxAttempts), tried: make(map[string]bool)}
 	best := r.serve()
 	if best.target != nil {
--- a/tests/edge/endless_callers_test.go
+++ b/tests/edge/endless_callers_test.go
@@ -3,12 +3,14 @@
 import (
 	"fmt"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"corianderhitch/platform/headers"
+	"corianderhitch/platform/standin"
 )
 
 // dialCaller opens a caller's connection and writes a request's head, with further header lines.
@@ -53,3 +55,16 @@
 		})
 	}
 }
+
+func TestAnswerThatIsNotReadEndsAfterTheDeadline(t *testing.T) {
+	_, h, targets := startPlainFleet(t, 1)
+	targets[0].SetHandler(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(headers.RequestID, r.Header.Get(headers.RequestID))
+		w.Header().Set(headers.Signature, "signed")
+		for range 7 << 20 / len(standin.Filler()) {
+			_, _ = w.Write([]byte(standin.Filler()))
+		}
+	})
+	dialCaller(t, h, "hold", "r-1", 500*time.Millisecond, "Content-Length: 0\r\n")
+	require.Eventually(t, func() bool { return logContains(h, "ingress: request ended") }, 4*time.Second, checkInterval)
+}
