Agent: a leaving event was lost when rows of two observers crossed

Cause, from a trace of the tables: while hosts still disagree about the members, two observe the same engine. The owner of the row marked it as leaving and thereby ended its own overlay, which held the event. At that moment the other host wrote a row from its poll, of the same version and from a host with a higher name, that did not know of the event; it replaced the owner's row everywhere. The event was seen, so that nothing brought it back: no message was lost. Hosts that had only the overlay went on for 30 s.

Fix: the overlay stays until the host that confirmed it in the row clears it, or expires; rows of other hosts don't end it. A host that polls a target writes the events that it knows into the row, so that they outlast the overlay.

--- a/internal/agent/observer/row.go
+++ b/internal/agent/observer/row.go
@@ -60,8 +60,10 @@
 }
 
 // overlay is what peers or gateways have reported of a target since its row was
-// written. Each part applies until the row confirms it or it expires.
+// written. Each part applies until it expires; leaving ends earlier if the host that
+// confirmed it clears it.
 type overlay struct {
 	leavingUntil time.Time
+	confirmedBy  string // owner of the last row that was leaving; empty if none has come since the event
 	downUntil    time.Time
 }
--- a/internal/agent/observer/table.go
+++ b/internal/agent/observer/table.go
@@ -13,8 +13,8 @@
 	// leftRetention is how long the row of a target that left the platform's list is
 	// kept, so that older rows from peers can't restore it.
 	leftRetention = 10 * time.Minute
-	// leavingOverlayTTL is how long a leaving event applies without a confirming row.
-	// The observing host confirms it within one poll.
+	// leavingOverlayTTL is how long a leaving event applies if no host that confirmed it
+	// in the target's row clears it earlier. The observing host confirms it within one poll.
 	leavingOverlayTTL = 30 * time.Second
 	// downOverlayTTL is how long a broken-connection event applies without a
 	// confirming row.
@@ -107,6 +107,18 @@
 	return *r, true
 }
 
+// ForUpdate returns the row of a target for its observing host to update. It is leaving if
+// an event says so that the row does not show, as after rows of two hosts crossed.
+func (t *Table) ForUpdate(now time.Time, name string) control.TargetState {
+	r, ok := t.rows[name]
+	if !ok {
+		return control.TargetState{}
+	}
+	row := *r
+	row.Leaving = row.Leaving || now.Before(t.overlays[name].leavingUntil)
+	return row
+}
+
 // Listed returns the rows of all targets in the platform's list, sorted by name, with
 // overlays applied.
 func (t *Table) Listed(now time.Time) []control.TargetState {
@@ -134,7 +146,10 @@
 // MarkLeaving records an event that the target rejects new work because it is leaving.
 func (t *Table) MarkLeaving(now time.Time, name string) {
 	o := t.overlays[name]
-	o.leavingUntil = now.Add(leavingOverlayTTL)
+	o.leavingUntil, o.confirmedBy = now.Add(leavingOverlayTTL), ""
+	if r, exists := t.rows[name]; exists && r.Leaving {
+		o.confirmedBy = r.Owner
+	}
 	t.overlays[name] = o
 	t.version++
 	t.topologyVersion++
@@ -243,19 +258,23 @@
 		return
 	}
 	delete(t.leftAt, r.Name)
-	if r.Leaving {
-		t.confirmLeaving(r.Name)
-	}
+	t.updateLeavingOverlay(r)
 }
 
-// confirmLeaving ends the leaving overlay of a target whose row is leaving.
-func (t *Table) confirmLeaving(name string) {
-	o, ok := t.overlays[name]
-	if !ok {
+// updateLeavingOverlay ends the leaving overlay of a target when the host that confirmed
+// it in a row writes that the target is not leaving any more. A row of another host may
+// have been written without knowing of the event.
+func (t *Table) updateLeavingOverlay(r control.TargetState) {
+	o, ok := t.overlays[r.Name]
+	switch {
+	case !ok:
 		return
+	case r.Leaving:
+		o.confirmedBy = r.Owner
+	case o.confirmedBy != "" && o.confirmedBy == r.Owner:
+		o.leavingUntil, o.confirmedBy = time.Time{}, ""
 	}
-	o.leavingUntil = time.Time{}
-	t.overlays[name] = o
+	t.overlays[r.Name] = o
 }
 
 // FilterByKind returns the rows of targets of one kind.
--- a/internal/agent/state/state.go
+++ b/internal/agent/state/state.go
@@ -201,13 +201,12 @@
 }
 
 // UpdateTarget changes the row of a target. The function change receives the
-// current row, or a zero one, and returns the new row and whether to store it. It
-// runs with the state locked.
+// current row with the leaving events that apply, or a zero row, and returns the new row
+// and whether to store it. It runs with the state locked.
 func (s *State) UpdateTarget(now time.Time, name string, change func(control.TargetState) (control.TargetState, bool)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	old, _ := s.targets.Get(name)
-	row, write := change(old)
+	row, write := change(s.targets.ForUpdate(now, name))
 	if !write {
 		return
 	}
--- a/internal/agent/state/state_test.go
+++ b/internal/agent/state/state_test.go
@@ -149,6 +149,61 @@
 	}
 }
 
+// Two hosts observe a target at first, and the row of the one that did not mark it replaces
+// the other's.
+func TestLeavingEventIsLostWhenRowsOfTwoObserversCross(t *testing.T) {
+	const owner, other = 0, 1
+	for name, otherKnows := range map[string]bool{"other observer knows the event": true, "it does not yet": false} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(2, 1)
+			_, ok := f.runUntil(time.Minute, f.membershipAgrees)
+			require.True(t, ok)
+			poll := func(i int, change func(*control.TargetState)) {
+				host := f.agents[i].Self().Host
+				f.agents[i].UpdateTarget(f.now, "engine-1", func(row control.TargetState) (control.TargetState, bool) {
+					row.Owner, row.Observed = host, f.now
+					change(&row)
+					return row, true
+				})
+			}
+			unchanged := func(*control.TargetState) {}
+			poll(owner, func(row *control.TargetState) {
+				row.Target, row.Healthy = platform.Target{Name: "engine-1", Kind: platform.TargetEngine}, true
+			})
+			_, ok = f.runUntil(5*time.Second, f.onAllRunning(func(s *State) bool { return len(s.Targets(f.now)) == 1 }))
+			require.True(t, ok, "target not known everywhere")
+
+			event := []control.Event{{ID: "n1", Kind: control.EventLeaving, Target: "engine-1", Seen: f.now}}
+			f.agents[owner].AddEvents(f.now, event)
+			if otherKnows {
+				f.agents[other].AddEvents(f.now, event)
+			}
+			poll(other, unchanged)
+			if !otherKnows {
+				reply := control.ExchangeArgs{Environment: "test", From: f.agents[other].Self(), Targets: rawRows(f.agents[other], "engine-1")}
+				_, err := f.agents[owner].HandleRequest(f.now, reply)
+				require.NoError(t, err)
+				poll(owner, unchanged)
+			}
+			leaving := func(s *State) bool { return s.Targets(f.now)[0].Leaving }
+			f.run(5 * time.Second)
+			require.True(t, f.onAllRunning(leaving)(), "leaving lost")
+			poll(other, unchanged)
+			f.run(5 * time.Second)
+			require.True(t, rawRows(f.agents[owner], "engine-1")[0].Leaving, "leaving is not in the row, which outlasts the event")
+
+			poll(other, func(row *control.TargetState) { row.Leaving = false })
+			f.run(5 * time.Second)
+			require.False(t, leaving(f.agents[owner]) || leaving(f.agents[other]), "the observer has cleared it")
+		})
+	}
+}
+
+func rawRows(s *State, name string) []control.TargetState {
+	row, _ := s.Target(name)
+	return []control.TargetState{row}
+}
+
 // TestDocumentRevisionsNeverDecrease injects random faults: lost, duplicated and
 // reordered messages, pauses, partitions, and stale reads of the store by several
 // watchers. No host may return to a lower revision, and all must converge.
