Ingress: the 503 of a draining host reaches callers that send their body slowly

Callers whose body took more than 0.1 s to arrive met a closed connection instead of the 503 of a draining host, and did not learn that their request had not run.

Cause: to reject a request whose body was coming in, the host ended the read of the body 0.1 s later, answered, and closed the connection with bytes of the body unread or still to come. The kernel then resets the connection, and the caller's write fails, or the response is lost with the caller's receive buffer. On a starved machine bodies take longer than any such bound.

Fix: the rejection is sent as soon as the call cannot end before the process does, while the body is still read and discarded, until it ends, exceeds the limit, the caller closes or the process ends. This is also checked while the body comes in, no longer only when the drain begins and when the body has been read: before, a body that never ended got no answer until the process aborted it. No read deadline stays on the connection any more that could end a request which is served after all.

A process whose caller goes on sending a rejected body now stays until the end of its grace period instead of closing that connection early.

--- a/internal/edge/ingress/handler.go
+++ b/internal/edge/ingress/handler.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"log/slog"
 	"math/rand/v2"
@@ -19,6 +18,7 @@
 	"corianderhitch/internal/edge/draining"
 	"corianderhitch/internal/edge/freshness"
 	"corianderhitch/internal/edge/policy"
+	"corianderhitch/internal/wait"
 )
 
 const (
@@ -31,10 +31,9 @@
 	unconfirmedRetryAfter = time.Second
 	// recheckTimeout bounds the confirmation of the configuration for a request.
 	recheckTimeout = 400 * time.Millisecond
-	// bodyArrivalTime is how long a draining host still reads the body of a request that it
-	// will reject: a caller that is sending its body would meet a closed connection instead
-	// of the rejection.
-	bodyArrivalTime = 100 * time.Millisecond
+	// fitCheckInterval is how often a draining host checks whether a call whose body is still
+	// coming in can end in time.
+	fitCheckInterval = 100 * time.Millisecond
 	// defaultMaxBodyBytes applies if the configuration sets no limit.
 	defaultMaxBodyBytes = 4 << 20
 )
@@ -82,7 +81,10 @@
 	defer span.End()
 	a, rejection := h.authorize(ctx, &call, arrived)
 	if rejection == nil {
-		rejection = h.readBody(w, r, a)
+		var rejected bool
+		if rejection, rejected = h.readBody(w, r, a); rejected {
+			return
+		}
 	}
 	if rejection == nil {
 		a.Received = bootclock.Now()
@@ -208,41 +210,63 @@
 	return account != nil && account.Name == a.Account
 }
 
-// readBody reads the request's body into the call, or returns the rejection.
-func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, a *edge.AuthorizedCall) *edge.Rejection {
+// readBody reads the request's body into the call. It returns the rejection if that fails;
+// rejected means that the caller has been sent one already.
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, a *edge.AuthorizedCall) (rejection *edge.Rejection, rejected bool) {
 	limit := h.Policy.Current().Limits.MaxBodyBytes
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
 	if r.ContentLength == 0 {
-		return nil
+		return nil, false
 	}
-	// A caller may take long to send the body; the process does not wait for it any more
-	// once it cannot serve the call.
-	stopWatching := context.AfterFunc(h.Drain.Begun(), func() {
-		if !h.Drain.Fits(a) {
-			endRead(w, time.Now().Add(bodyArrivalTime))
-		}
-	})
-	defer stopWatching()
-	defer context.AfterFunc(r.Context(), func() { endRead(w, time.Unix(1, 0)) })()
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	var tooLarge *http.MaxBytesError
+	stopRejecting := h.rejectWhileReading(w, a)
+	defer context.AfterFunc(r.Context(), func() { endRead(w) })()
+	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
 	switch {
-	case errors.As(err, &tooLarge):
-		return &edge.Rejection{Status: http.StatusRequestEntityTooLarge, Reason: edge.ReasonTooLarge}
+	case stopRejecting():
+		return nil, true
+	case int64(len(body)) > limit:
+		w.Header().Set("Connection", "close")
+		return &edge.Rejection{Status: http.StatusRequestEntityTooLarge, Reason: edge.ReasonTooLarge}, false
 	case err != nil && h.Drain.Begun().Err() != nil:
-		return edge.Stopping()
+		return edge.Stopping(), false
 	case err != nil:
-		return &edge.Rejection{Status: http.StatusBadRequest, Reason: edge.ReasonBadRequest}
+		return &edge.Rejection{Status: http.StatusBadRequest, Reason: edge.ReasonBadRequest}, false
 	}
 	a.Call.Body = body
-	return nil
+	return nil, false
+}
+
+// rejectWhileReading rejects the call as soon as it cannot end before the process does. Its
+// body is still read meanwhile: a connection that is closed while the caller writes may lose
+// the rejection. The returned function ends this and reports whether the call was rejected.
+func (h *Handler) rejectWhileReading(w http.ResponseWriter, a *edge.AuthorizedCall) (stop func() (rejected bool)) {
+	reading, cancel := context.WithCancel(context.Background())
+	result := make(chan bool, 1)
+	stopWatching := context.AfterFunc(h.Drain.Begun(), func() {
+		for h.Drain.Fits(a) {
+			if wait.For(reading, fitCheckInterval); reading.Err() != nil {
+				result <- false
+				return
+			}
+		}
+		control := http.NewResponseController(w)
+		_ = control.EnableFullDuplex() // otherwise the body would be read before the response is sent
+		w.Header().Set("Connection", "close")
+		h.reject(w, a.Call, edge.Stopping(), a.Arrived)
+		_ = control.Flush() // ignored: a caller that disconnected ends the read of the body
+		result <- true
+	})
+	return func() bool {
+		cancel()
+		return !stopWatching() && <-result
+	}
 }
 
-// endRead ends the read of a request's body with an error at the given time.
-func endRead(w http.ResponseWriter, at time.Time) {
-	_ = http.NewResponseController(w).SetReadDeadline(at)
+// endRead ends the read of a request's body with an error.
+func endRead(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
 }
 
 // reject logs the rejection and sends it to the caller.
--- a/internal/edge/ingress/handler_test.go
+++ b/internal/edge/ingress/handler_test.go
@@ -1,8 +1,10 @@
 package ingress_test
 
 import (
+	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -179,3 +181,64 @@
 		})
 	}
 }
+
+// The caller goes on sending its body for a second, and reads the response afterwards.
+func TestRejectionOfDrainingHostIsLostWhileTheBodyComesIn(t *testing.T) {
+	for name, c := range map[string]struct {
+		start      time.Duration // that the drain expects of a call
+		atLeast    time.Duration // from the begin of the drain to the rejection
+		lessThan   time.Duration
+		contentLen bool
+	}{
+		"in chunks, cannot end in time":               {start: time.Second, lessThan: 300 * time.Millisecond},
+		"of stated length, cannot end in time":        {start: time.Second, lessThan: 300 * time.Millisecond, contentLen: true},
+		"comes in until the call cannot end any more": {start: 200 * time.Millisecond, atLeast: 200 * time.Millisecond, lessThan: 600 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			const parts = 20
+			drain := draining.New(600 * time.Millisecond)
+			drain.Record("route", draining.Pace{Start: c.start})
+			server := httptest.NewServer(newDrainHandler(t, drain))
+			defer server.Close()
+			r := httptest.NewRequest(http.MethodPost, "/route/x", nil)
+			(&standin.Call{ID: "r-1", APIKey: key, Timeout: 10 * time.Second}).SetHeaders(r)
+			head, part := "Transfer-Encoding: chunked", "7\r\nprompt \r\n"
+			if c.contentLen {
+				head, part = fmt.Sprintf("Content-Length: %d", 7*parts), "prompt "
+			}
+			conn, err := net.Dial("tcp", server.Listener.Addr().String())
+			require.NoError(t, err)
+			defer func() { _ = conn.Close() }()
+			require.NoError(t, conn.SetDeadline(time.Now().Add(5*time.Second)))
+			_, err = fmt.Fprintf(conn, "POST /route/x HTTP/1.1\r\nHost: desk.example\r\n%s\r\n", head)
+			require.NoError(t, err)
+			require.NoError(t, r.Header.Write(conn))
+			_, err = io.WriteString(conn, "\r\n"+part)
+			require.NoError(t, err)
+			time.Sleep(50 * time.Millisecond)
+
+			drain.Begin(bootclock.Now())
+			began := time.Now()
+			arrived := make(chan time.Duration, 1)
+			reader := bufio.NewReader(conn)
+			go func() {
+				_, _ = reader.Peek(1)
+				arrived <- time.Since(began)
+			}()
+			for range parts - 1 {
+				time.Sleep(50 * time.Millisecond)
+				_, err := io.WriteString(conn, part)
+				require.NoError(t, err, "the host closed the connection while the body came in")
+			}
+			after := <-arrived
+			response, err := http.ReadResponse(reader, r)
+			require.NoError(t, err)
+			_, err = io.ReadAll(response.Body)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+			require.True(t, response.Close)
+			require.GreaterOrEqual(t, after, c.atLeast)
+			require.Less(t, after, c.lessThan)
+		})
+	}
+}
