Stand-ins and engine model: targets fall silent for a while and go on

PUT /admin/silence holds back everything an engine or a service sends, from a planned byte of its answers on; PUT /admin/stall lets an engine make no step. A service also answers with neither a length nor chunks, whole or reset in the middle.

--- a/internal/enginemodel/engine.go
+++ b/internal/enginemodel/engine.go
@@ -38,6 +38,7 @@
 
 	stopAt   time.Time // when a reclaimed engine stops; zero if it is not reclaimed
 	pauseEnd time.Time // until when new generations are rejected; zero if never
+	silentTo time.Time // before which no step ends; zero if never
 	orders   orderProcessor
 	reports  reporter
 	stats    Stats
@@ -119,7 +120,7 @@
 	if e.status.ended() {
 		return time.Time{}, false
 	}
-	next, ok := e.stepEnd, e.stepping
+	next, ok := e.stepDue(), e.stepping
 	if !e.stopAt.IsZero() && (!ok || e.stopAt.Before(next)) {
 		next, ok = e.stopAt, true
 	}
@@ -134,7 +135,7 @@
 	case e.status.ended():
 	case !e.stopAt.IsZero() && !now.Before(e.stopAt):
 		e.stop(StatusStopped, Event{Kind: EventStopped})
-	case e.stepping && !now.Before(e.stepEnd):
+	case e.stepping && !now.Before(e.stepDue()):
 		e.finishStep(now)
 		e.planStep(e.nextStepStart(now))
 	}
@@ -144,6 +145,14 @@
 	return out
 }
 
+// stepDue returns when the effects of the step in progress are due.
+func (e *Engine) stepDue() time.Time {
+	if e.stepEnd.Before(e.silentTo) {
+		return e.silentTo
+	}
+	return e.stepEnd
+}
+
 // maxCatchUpDelay is how late a real-time caller may call Step without delaying the
 // following steps: up to it, the next step starts when the last one ended.
 const maxCatchUpDelay = 20 * time.Millisecond
--- a/internal/enginemodel/engine_test.go
+++ b/internal/enginemodel/engine_test.go
@@ -49,6 +49,27 @@
 	require.Equal(t, Event{Kind: EventDone, ID: "g", Tokens: 5, Reason: engine.FinishStop}, events[5])
 }
 
+func TestSilentEngineKeepsItsGenerations(t *testing.T) {
+	e := New(testConfig())
+	require.NoError(t, e.Start(epoch, request("g", "hello #len=4")))
+	first, _ := e.NextStep()
+	require.Len(t, e.Step(first), 1)
+	silentUntil := first.Add(time.Second)
+	e.Silence(silentUntil)
+	require.NoError(t, e.Start(first, request("h", "hello #len=1")), "a silent engine takes new generations")
+	next, ok := e.NextStep()
+	require.True(t, ok)
+	require.Equal(t, silentUntil, next)
+	require.Empty(t, e.Step(silentUntil.Add(-time.Millisecond)))
+	tokens := map[string]int{}
+	for _, event := range run(e) {
+		if event.Kind == EventToken {
+			tokens[event.ID]++
+		}
+	}
+	require.Equal(t, map[string]int{"g": 3, "h": 1}, tokens)
+}
+
 func TestMaxTokensEndsWithReasonLength(t *testing.T) {
 	e := New(testConfig())
 	r := request("g", "#len=50")
--- a/internal/enginemodel/status.go
+++ b/internal/enginemodel/status.go
@@ -39,6 +39,10 @@
 // their Retry-After. Existing generations continue. An end in the past ends the pause.
 func (e *Engine) Pause(end time.Time) { e.pauseEnd = end }
 
+// Silence lets no step end before the given time. The engine keeps all generations, accepts
+// new ones, and then goes on. An end in the past ends the silence.
+func (e *Engine) Silence(end time.Time) { e.silentTo = end }
+
 // SetTotalBlocks changes the size of the KV memory to blocks, at least 1. Sequences that
 // no longer fit are preempted.
 func (e *Engine) SetTotalBlocks(now time.Time, blocks int) {
--- a/internal/standin/engine/admin.go
+++ b/internal/standin/engine/admin.go
@@ -8,6 +8,7 @@
 
 	apiengine "corianderhitch/api/engine"
 	"corianderhitch/internal/enginemodel"
+	"corianderhitch/internal/standin/process"
 )
 
 // Reclaim is the body of POST /admin/reclaim, which simulates that the platform reclaims
@@ -37,6 +38,11 @@
 	Factor float64 `json:"factor"` // by which step times are multiplied
 }
 
+// Stall is the body of PUT /admin/stall.
+type Stall struct {
+	For time.Duration `json:"for_ns"`
+}
+
 // State is the response of GET /admin/state. Unlike GET /v1/load it has no reporting
 // lag.
 type State struct {
@@ -53,6 +59,8 @@
 //	PUT  /admin/memory           Memory: resize the KV memory
 //	PUT  /admin/cache-loss       CacheLoss: drop cache events
 //	PUT  /admin/slowdown         Slowdown: multiply the step times
+//	PUT  /admin/stall            Stall: make no step for a while, but answer
+//	PUT  /admin/silence          process.Silence: make no step and send nothing for a while
 func (s *Server) addAdmin(r *mux.Router) {
 	r.HandleFunc("/admin/journal", s.getJournal).Methods(http.MethodGet)
 	r.HandleFunc("/admin/state", s.getState).Methods(http.MethodGet)
@@ -71,6 +79,11 @@
 	r.HandleFunc("/admin/slowdown", adminHandler(s, func(e *enginemodel.Engine, _ time.Time, b Slowdown) {
 		e.SetSlowdown(b.Factor)
 	})).Methods(http.MethodPut)
+	r.HandleFunc("/admin/stall", adminHandler(s, func(e *enginemodel.Engine, now time.Time, b Stall) {
+		e.Silence(now.Add(b.For))
+	})).Methods(http.MethodPut)
+	r.HandleFunc("/admin/silence", adminHandler(s, func(*enginemodel.Engine, time.Time, process.Silence) {},
+		s.silence.Arm)).Methods(http.MethodPut)
 }
 
 // adminHandler returns a handler that decodes a body of type T, applies it to the
--- a/internal/standin/engine/run.go
+++ b/internal/standin/engine/run.go
@@ -53,6 +53,7 @@
 		OnLeaving: registration.SetLeaving,
 		Log:       log,
 	})
+	listener.GateWith(server.SilenceGate())
 	defer registration.Remove()
 	runCtx, stopRunning := context.WithCancel(context.Background())
 	stopped := make(chan struct{})
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -17,6 +17,7 @@
 	"corianderhitch/api/problem"
 	"corianderhitch/internal/enginemodel"
 	"corianderhitch/internal/standin/journal"
+	"corianderhitch/internal/standin/process"
 )
 
 const (
@@ -52,6 +53,7 @@
 	options Options
 	log     *slog.Logger
 	wakeup  chan struct{}
+	silence *process.SilenceGate
 
 	mu          sync.Mutex
 	model       *enginemodel.Engine    // guarded by mu
@@ -73,13 +75,26 @@
 	if options.Journal == nil {
 		options.Journal = &journal.Journal[Entry]{}
 	}
-	return &Server{
+	s := &Server{
 		options:     options,
 		log:         options.Log,
 		wakeup:      make(chan struct{}, 1),
 		model:       enginemodel.New(options.Model),
 		generations: make(map[string]*generation),
 	}
+	s.silence = process.NewSilenceGate(s.stallUntil)
+	return s
+}
+
+// SilenceGate returns the gate that the engine's answers must pass.
+func (s *Server) SilenceGate() *process.SilenceGate { return s.silence }
+
+// stallUntil makes the engine make no step before the given time.
+func (s *Server) stallUntil(end time.Time) {
+	s.mu.Lock()
+	s.model.Silence(end)
+	s.mu.Unlock()
+	s.wakeRunLoop()
 }
 
 // Run advances the engine in real time until ctx is done, the engine crashes or it
--- a/internal/standin/process/process_test.go
+++ b/internal/standin/process/process_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -84,6 +85,48 @@
 	require.ErrorContains(t, err, "--listen")
 }
 
+func TestSilentServerSendsPartsAndGoesOn(t *testing.T) {
+	const silence = 200 * time.Millisecond
+	for name, planned := range map[string]process.Silence{
+		"before the answer": {For: silence},
+		"in its head":       {For: silence, AfterBytes: 10},
+		"at once":           {For: silence, AfterBytes: -1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server, err := process.Listen("127.0.0.1:0", logging.Discard())
+			require.NoError(t, err)
+			begun := make(chan time.Time, 1)
+			gate := process.NewSilenceGate(func(until time.Time) { begun <- until })
+			server.GateWith(gate)
+			ctx, cancel := context.WithCancel(t.Context())
+			runResult := make(chan error, 1)
+			handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = fmt.Fprint(w, r.URL.Path) })
+			go func() { runResult <- server.Run(ctx, handler, func() {}, shutdownGrace) }()
+			get := func(path string) time.Duration {
+				begin := time.Now()
+				response, err := http.Get("http://" + server.Address() + path)
+				require.NoError(t, err)
+				defer func() { _ = response.Body.Close() }()
+				body, err := io.ReadAll(response.Body)
+				require.NoError(t, err)
+				require.Equal(t, path, string(body))
+				return time.Since(begin)
+			}
+			gate.Arm(planned)
+			if planned.AfterBytes >= 0 {
+				get("/v1/load")
+				require.Empty(t, begun, "a poll begins no silence")
+			}
+			require.GreaterOrEqual(t, get("/answer"), silence/2)
+			require.Len(t, begun, 1)
+			get("/answer")
+			require.Len(t, begun, 1, "one silence")
+			cancel()
+			require.NoError(t, <-runResult)
+		})
+	}
+}
+
 // shutdownGrace (18 minutes) is long enough that the test never reaches it.
 const shutdownGrace = 1 << 40
 
--- a/internal/standin/process/serve.go
+++ b/internal/standin/process/serve.go
@@ -19,6 +19,7 @@
 	listener net.Listener
 	http     *http.Server
 	log      *slog.Logger
+	gate     *SilenceGate // may be nil
 }
 
 // Listen opens a listener and logs its address.
@@ -35,15 +36,24 @@
 	}, nil
 }
 
+// GateWith makes everything that the server sends, except answers of the admin API, pass
+// the gate. Call it before Run.
+func (s *Server) GateWith(gate *SilenceGate) { s.gate = gate }
+
 // Address returns the ip:port of the listener.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
 // Run serves the handler until ctx is done. It then calls drain, waits up to grace for
 // open requests and closes the remaining connections.
 func (s *Server) Run(ctx context.Context, handler http.Handler, drain func(), grace time.Duration) error {
+	listener := s.listener
 	s.http.Handler = handler
+	if s.gate != nil {
+		listener = &gatedListener{Listener: listener, gate: s.gate}
+		s.http.Handler, s.http.ConnContext = gated(handler), withGatedConn
+	}
 	served := make(chan error, 1)
-	go func() { served <- s.http.Serve(s.listener) }()
+	go func() { served <- s.http.Serve(listener) }()
 	select {
 	case err := <-served:
 		return eris.Wrap(err, "the HTTP server stopped unexpectedly")
--- a/internal/standin/service/admin.go
+++ b/internal/standin/service/admin.go
@@ -8,6 +8,7 @@
 	"github.com/gorilla/mux"
 
 	"corianderhitch/api/problem"
+	"corianderhitch/internal/standin/process"
 )
 
 // Leaving is the body of PUT /admin/leaving.
@@ -21,11 +22,13 @@
 //	GET /admin/fault            Fault
 //	PUT /admin/fault            Fault: replace the injected fault
 //	PUT /admin/leaving          Leaving: reject new calls, or accept them again
+//	PUT /admin/silence          process.Silence: send nothing for a while
 func (s *Server) addAdmin(r *mux.Router) {
 	r.HandleFunc("/admin/journal", s.getJournal).Methods(http.MethodGet)
 	r.HandleFunc("/admin/fault", s.getFault).Methods(http.MethodGet)
 	r.HandleFunc("/admin/fault", s.putFault).Methods(http.MethodPut)
 	r.HandleFunc("/admin/leaving", s.putLeaving).Methods(http.MethodPut)
+	r.HandleFunc("/admin/silence", s.putSilence).Methods(http.MethodPut)
 }
 
 func (s *Server) getJournal(w http.ResponseWriter, r *http.Request) {
@@ -66,6 +69,16 @@
 	writeJSON(w, body)
 }
 
+func (s *Server) putSilence(w http.ResponseWriter, r *http.Request) {
+	var body process.Silence
+	if err := decodeBody(r, &body); err != nil {
+		problem.Write(w, badRequest(err.Error()))
+		return
+	}
+	s.silence.Arm(body)
+	writeJSON(w, body)
+}
+
 func (s *Server) setLeaving(leaving bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/standin/service/fault.go
+++ b/internal/standin/service/fault.go
@@ -16,6 +16,8 @@
 	DropResponseNext int           `json:"cut_next,omitempty"`         // number of calls that run, but whose connection is closed without a response
 	DropRequestNext  int           `json:"drop_next,omitempty"`        // number of calls whose connection is closed before they run
 	CrashNext        int           `json:"die_next,omitempty"`         // number of calls that run, after which the process exits without a response
+	UnframedNext     int           `json:"unframed_next,omitempty"`    // number of answers without a length or chunks, which end with their connection
+	BrokenNext       int           `json:"broken_next,omitempty"`      // the same, but reset in the middle of the body
 	PathPrefix       string        `json:"path,omitempty"`
 }
 
@@ -29,6 +31,8 @@
 	effectDropResponse
 	effectDropRequest
 	effectCrash
+	effectUnframed
+	effectBroken
 )
 
 // takeFault returns the effect of the injected fault on a call to path, and
@@ -52,6 +56,8 @@
 		{&f.FailNext, effectInternalError},
 		{&f.DropResponseNext, effectDropResponse},
 		{&f.CrashNext, effectCrash},
+		{&f.UnframedNext, effectUnframed},
+		{&f.BrokenNext, effectBroken},
 	} {
 		if *counter.remaining > 0 {
 			*counter.remaining--
--- a/internal/standin/service/run.go
+++ b/internal/standin/service/run.go
@@ -58,6 +58,7 @@
 		OnLeaving: registration.SetLeaving,
 		Log:       log,
 	})
+	listener.GateWith(server.SilenceGate())
 	return listener.Run(ctx, server.Handler(), func() {
 		registration.SetLeaving(true)
 		server.setLeaving(true)
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -24,6 +24,7 @@
 
 	"corianderhitch/api/problem"
 	"corianderhitch/internal/standin/journal"
+	"corianderhitch/internal/standin/process"
 )
 
 const (
@@ -49,6 +50,7 @@
 type Server struct {
 	options Options
 	log     *slog.Logger
+	silence *process.SilenceGate
 
 	mu         sync.Mutex
 	fault      Fault          // guarded by mu
@@ -72,11 +74,15 @@
 		options:    options,
 		fault:      Fault{RequestDelay: options.Delay},
 		log:        options.Log,
+		silence:    process.NewSilenceGate(nil),
 		holds:      make(map[string]int),
 		dispatches: make(map[string]int),
 	}
 }
 
+// SilenceGate returns the gate that the service's answers must pass.
+func (s *Server) SilenceGate() *process.SilenceGate { return s.silence }
+
 // Handler returns the service's paths, the health checks and the admin API.
 func (s *Server) Handler() http.Handler {
 	r := mux.NewRouter()
--- a/internal/standin/service/service_test.go
+++ b/internal/standin/service/service_test.go
@@ -45,6 +45,23 @@
 	return response.StatusCode, string(content), nil
 }
 
+func TestUnframedAnswerIsWholeOrReset(t *testing.T) {
+	server, base := startService(t, Options{})
+	server.fault = Fault{UnframedNext: 1, BrokenNext: 1}
+	status, body, err := postHold(t, base, "k-1", `{"berth":"a"}`)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+	require.JSONEq(t, `{"service":"s1","execution":1,"subject":"a"}`, body)
+	response, err := http.Post(base+"/seat-holds", "application/json", strings.NewReader(`{"berth":"b"}`))
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	part, err := io.ReadAll(response.Body)
+	require.Error(t, err)
+	require.NotEmpty(t, part)
+	require.EqualValues(t, -1, response.ContentLength)
+	require.Empty(t, response.TransferEncoding)
+}
+
 func putJSON(t *testing.T, url string, body any) {
 	t.Helper()
 	encoded, err := json.Marshal(body)
--- a/internal/standin/service/withfaults.go
+++ b/internal/standin/service/withfaults.go
@@ -1,10 +1,13 @@
 package service
 
 import (
+	"encoding/json"
+	"net"
 	"net/http"
 	"time"
 
 	"corianderhitch/api/problem"
+	"corianderhitch/internal/standin/process"
 )
 
 // withFaults returns a handler that applies the injected fault to a call. A call that
@@ -33,8 +36,38 @@
 			http.Error(w, "internal error", http.StatusInternalServerError)
 		case err != nil:
 			problem.Write(w, err)
+		case injected == effectUnframed, injected == effectBroken:
+			writeUnframed(w, result, injected == effectBroken)
 		default:
 			writeJSON(w, result)
 		}
 	}
 }
+
+// writeUnframed answers with a body that has neither a length nor chunks and ends with
+// its connection. A broken one is reset after half of the body.
+func writeUnframed(w http.ResponseWriter, result any, broken bool) {
+	body, err := json.Marshal(result)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer func() { _ = conn.Close() }()
+	if broken {
+		body = body[:len(body)/2]
+	}
+	_, _ = conn.Write(append([]byte("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nConnection: close\r\n\r\n"), body...))
+	if !broken {
+		return
+	}
+	time.Sleep(flushDelay)
+	if tcp, ok := process.Unwrap(conn).(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // close with a reset
+	}
+}
+
+// flushDelay lets the peer read what was sent before a reset, which discards it.
+const flushDelay = 50 * time.Millisecond
