--- a/internal/experiment/criteria.go
+++ b/internal/experiment/criteria.go
@@ -45,6 +45,8 @@
 			criteria = append(criteria, checkSurge(product)...)
 		case "churn":
 			criteria = append(criteria, checkChurn(s, product)...)
+		case "silence":
+			criteria = append(criteria, checkSilence(s, product)...)
 		case "pause":
 			criteria = append(criteria, checkPause(product, withSeed(all, product.Seed))...)
 		case "restart":
@@ -131,6 +133,17 @@
 	return []CriterionResult{atMost(r, "stall seconds against the detection bound of each interrupted generation", r.StallSeconds, bound)}
 }
 
+func checkSilence(s *Scenario, r *Result) []CriterionResult {
+	longest := 0.0
+	for _, f := range s.Faults {
+		longest = max(longest, f.Seconds)
+	}
+	return []CriterionResult{
+		atMost(r, "answers broken off", float64(r.BrokenOff), 0),
+		atMost(r, "stall seconds against the longest silence for each generation in one", r.StallSeconds, longest*float64(r.Interrupted)),
+	}
+}
+
 // checkPause compares the product's policy with the same policy when gateways ignore pauses.
 func checkPause(product *Result, results []Result) []CriterionResult {
 	criteria := []CriterionResult{
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -35,7 +35,7 @@
 
 func TestEveryPolicyAnswersEveryRequest(t *testing.T) {
 	windows := map[string]float64{ // seconds; those of churn, pause and restart include faults
-		"steady": 5, "crowded": 5, "surge": 5, "churn": 50, "charter": 5, "callbox": 5, "pause": 40, "restart": 40,
+		"steady": 5, "crowded": 5, "surge": 5, "churn": 50, "charter": 5, "callbox": 5, "pause": 40, "restart": 40, "silence": 30,
 	}
 	for name, window := range windows {
 		t.Run(name, func(t *testing.T) {
--- a/internal/experiment/faults.go
+++ b/internal/experiment/faults.go
@@ -74,6 +74,10 @@
 	case FaultStall:
 		target.stalledUntil = r.timeline.now.Add(seconds(f.Seconds))
 		r.metrics.interrupted += len(r.runningOn(target))
+	case FaultSilence:
+		target.engine.Silence(r.timeline.now.Add(seconds(f.Seconds)))
+		r.metrics.interrupted += len(r.runningOn(target))
+		r.scheduleStep(target)
 	case FaultPause:
 		r.pause(target, seconds(f.Seconds))
 	case FaultCrash: // Arrivals includes its request
--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -103,6 +103,7 @@
 	FaultStall   FaultKind = "stall"   // the link from the engine delivers nothing for Seconds
 	FaultCrash   FaultKind = "crash"   // a request arrives that crashes every engine that runs it
 	FaultPause   FaultKind = "pause"   // the engine rejects new generations for Seconds and says so
+	FaultSilence FaultKind = "silence" // the engine makes no step for Seconds, keeps everything and goes on
 )
 
 // Fault is a fault that is injected at a time of the scenario.
