--- a/internal/gateway/services/services_test.go
+++ b/internal/gateway/services/services_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -230,3 +231,68 @@
 	}
 	require.InDelta(t, 100, spent, 1)
 }
+
+func TestRejectionOfTheHedgeLeavesTheSilentTargetItsAnswer(t *testing.T) {
+	var runs atomic.Int32
+	var silent atomic.Bool
+	answer := func(w http.ResponseWriter, r *http.Request) {
+		if !silent.Load() {
+			answerOK(w, r)
+			return
+		}
+		if silent.CompareAndSwap(true, false) { // the first of the two attempts
+			time.Sleep(1200 * time.Millisecond)
+			answerOK(w, r)
+			return
+		}
+	}
+	rejects := func(w http.ResponseWriter, r *http.Request) {
+		problem.Write(w, problem.New(problem.KindAccountLimited, http.StatusTooManyRequests, problem.RanNo, "slow down", "limited"))
+	}
+	sound := startTarget(&runs, answer)
+	fx := newFixture(t, sound)
+	for range 2 * minLatencySamples {
+		_, err := fx.call(t, true, "")
+		require.Nil(t, err)
+	}
+	second := httptest.NewServer(http.HandlerFunc(rejects))
+	t.Cleanup(second.Close)
+	target := fx.fleet.view.Targets["t0"].Target
+	target.Name, target.Address, target.Region = "t1", strings.TrimPrefix(second.URL, "http://"), "elsewhere"
+	fx.fleet.view.Targets["t1"] = control.TargetState{Healthy: true, Target: target}
+	silent.Store(true)
+	answered, err := fx.call(t, true, "")
+	require.Nil(t, err)
+	require.Equal(t, "held", string(answered.Body))
+}
+
+func TestAnswersThatEndWithTheirConnection(t *testing.T) {
+	unframed := func(broken bool) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				panic(err)
+			}
+			defer func() { _ = conn.Close() }()
+			_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nheld"))
+			if broken {
+				time.Sleep(50 * time.Millisecond) // the reset discards what has not been read
+				_ = conn.(*net.TCPConn).SetLinger(0)
+			}
+		}
+	}
+	for _, idempotent := range []bool{true, false} {
+		t.Run(fmt.Sprintf("idempotent %t", idempotent), func(t *testing.T) {
+			var runs, brokenRuns atomic.Int32
+			fx := newFixture(t, startTarget(&runs, unframed(false)))
+			answer, err := fx.call(t, idempotent, "k")
+			require.Nil(t, err)
+			require.Equal(t, "held", string(answer.Body))
+
+			fx = newFixture(t, startTarget(&brokenRuns, unframed(true)))
+			_, err = fx.call(t, idempotent, "k")
+			require.NotNil(t, err, "a reset answer is no whole answer")
+			require.Equal(t, problem.RanUnknown, err.Ran)
+		})
+	}
+}
--- a/internal/gateway/stream/machine_test.go
+++ b/internal/gateway/stream/machine_test.go
@@ -240,3 +240,26 @@
 	require.Equal(t, StepAccept, m.HandleToken(epoch, engine.Token{Generation: "g", Text: "a"}).Kind)
 	require.Equal(t, StepAttach, m.HandleFailure(epoch, FailureUnresponsive).Kind, "no other engine can continue")
 }
+
+func TestStreamSurvivesManySilencesWithTokensBetweenThem(t *testing.T) {
+	m := New(Options{Limits: DefaultLimits(), Generation: "g", ContinueFromPrefix: true})
+	for offset := range 3 * DefaultLimits().Failovers {
+		epoch := m.BeginAttachment()
+		m.AttachmentAccepted(epoch)
+		for known := m.Offset(); known < offset; known++ {
+			require.Equal(t, StepIgnore, m.HandleToken(epoch, engine.Token{Generation: "g", Offset: known, Text: "a"}).Kind)
+		}
+		require.Equal(t, StepAccept, m.HandleToken(epoch, engine.Token{Generation: "g", Offset: offset, Text: "a"}).Kind)
+		require.Equal(t, StepAttach, m.HandleFailure(epoch, FailureStalled).Kind)
+		step := m.HandleFailure(m.BeginAttachment(), FailureUnresponsive)
+		require.Equalf(t, StepContinue, step.Kind, "silence %d", offset)
+	}
+	for moved := 1; ; moved++ {
+		step := m.HandleFailure(m.BeginAttachment(), FailureUnresponsive)
+		if step.Kind == StepFail {
+			require.Equal(t, ReasonRetriesExhausted, step.Reason)
+			return
+		}
+		require.LessOrEqual(t, moved, DefaultLimits().Failovers, "without a token")
+	}
+}
