Runner: a silent engine is left only once another has taken over

Callers saw a stream end with generation_lost, or a request without tokens with a rejection, 1.5 s after its engine had fallen silent, when no other engine took it. The gateway cancelled the generation and gave its slot back before it asked for another one; the engine went on 0.1 s later. A pool of one engine granted the same one again, where the cancelled generation then ended.

The generation is cancelled once the slot elsewhere is there.

--- a/internal/gateway/runner/admission.go
+++ b/internal/gateway/runner/admission.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"corianderhitch/api/control"
 	"corianderhitch/api/problem"
 	"corianderhitch/internal/gateway/ids"
 	"corianderhitch/internal/gateway/stream"
+	"corianderhitch/internal/platform"
+	"corianderhitch/internal/wait"
 )
 
 // acquireFirstSlot requests the first slot and registers the generation. To resume a
@@ -72,16 +75,26 @@
 		"the Idempotency-Key was used before with another body")
 }
 
-// admit requests a slot for the job, with what the runner has learned so far.
-func (s *session) admit() error {
+// admit requests a slot for the job, with what the runner has learned so far. It waits
+// until the time that admitDeadline returns.
+func (s *session) admit() error { return s.admitUntil(s.admitDeadline()) }
+
+// admitDeadline returns until when the job may wait for a slot.
+func (s *session) admitDeadline() time.Time {
+	if deadline := s.job.Admit.Deadline; !deadline.IsZero() && s.delivered == 0 {
+		return deadline
+	}
+	return time.Now().Add(defaultAdmitTimeout)
+}
+
+// admitUntil is admit with another end of the wait.
+func (s *session) admitUntil(deadline time.Time) error {
 	args := s.job.Admit
 	args.Ticket = ids.New()
 	args.Avoid = s.triedTargets
 	args.News = s.events
 	args.Produced = len(s.machine.Tokens())
-	if args.Deadline.IsZero() || s.delivered > 0 {
-		args.Deadline = time.Now().Add(defaultAdmitTimeout)
-	}
+	args.Deadline = deadline
 	ctx, span := s.runner.tracer.Start(s.admitContext(), "admit")
 	defer span.End()
 	slot, err := s.runner.fleet.Admit(ctx, args)
@@ -103,6 +116,10 @@
 // the caller already has tokens.
 const defaultAdmitTimeout = 30 * time.Second
 
+// replaceTimeout bounds the wait for another engine in place of a silent one, which may go
+// on meanwhile.
+const replaceTimeout = 500 * time.Millisecond
+
 // admitContext returns the context that bounds the wait for a slot: the caller's,
 // until an engine may have run the request.
 func (s *session) admitContext() context.Context {
@@ -113,15 +130,33 @@
 }
 
 // failOver requests a slot on another engine and prepares the attachment to it, which
-// continues the generation or restarts the request as a new one.
-func (s *session) failOver(kind stream.StepKind) error {
-	s.triedTargets = append(s.triedTargets, s.slot.Target.Name)
+// continues the generation or restarts the request as a new one. An engine that may only
+// be silent is kept until another has taken over.
+func (s *session) failOver(step stream.Step) error {
+	left, generation := s.target(), s.machine.Generation()
+	if !slices.Contains(s.triedTargets, left.Name) {
+		s.triedTargets = append(s.triedTargets, left.Name)
+	}
 	s.releaseSlot(false)
+	deadline := s.admitDeadline()
+	if limit := time.Now().Add(replaceTimeout); step.MayReturn && limit.Before(deadline) {
+		deadline = limit
+	}
+	err := s.admitUntil(deadline)
+	sameEngine := err == nil && s.target().Name == left.Name
+	if step.MayReturn && (err != nil || sameEngine) {
+		return s.returnTo(left)
+	}
+	if step.CancelGeneration {
+		s.runner.cancelInBackground(left, generation)
+	}
+	if err != nil {
+		return err
+	}
 	s.attached = false
 	s.dispatched = false
 	s.stallTimeout = s.job.StallTimeout
-	s.failovers++
-	if kind == stream.StepRestart {
+	if step.Kind == stream.StepRestart {
 		s.machine.Restart(ids.New())
 		s.mode = modeStart
 		s.runner.metrics.RecordRetry("restart")
@@ -129,14 +164,31 @@
 		s.mode = modeContinue
 		s.runner.metrics.RecordRetry("continue")
 	}
-	if err := s.admit(); err != nil {
-		return err
-	}
 	s.lastTokenAt = time.Now()
 	s.updateDirectory()
 	return nil
 }
 
+// returnTo prepares another attachment to the engine that was to be left. Unless the owner
+// of the pool has granted a slot there again, the stream goes on without one.
+func (s *session) returnTo(target platform.Target) error {
+	s.machine.Return()
+	if s.slot != nil && s.slot.Target.Name != target.Name {
+		s.releaseSlot(false)
+	}
+	if s.slot == nil {
+		s.slot = s.runner.fleet.AttachedSlot(target, s.job.Admit.Fingerprint)
+	}
+	if missed := s.deadlineProblem(); missed != nil {
+		s.runner.cancelInBackground(target, s.machine.Generation())
+		return missed
+	}
+	s.runner.metrics.RecordRetry("return")
+	s.setReattachMode()
+	wait.For(s.ctx, s.nextBackoff())
+	return nil
+}
+
 // updateDirectory registers the generation's new engine, best effort.
 func (s *session) updateDirectory() {
 	s.runner.fleet.Register(s.ctx, control.DirectoryEntry{
--- a/internal/gateway/runner/session.go
+++ b/internal/gateway/runner/session.go
@@ -60,7 +60,6 @@
 	dispatched      bool
 	triedTargets    []string
 	events          []control.Event // about the tried targets, for the next owner
-	failovers       int
 	stallTimeout    time.Duration
 	lastTokenAt     time.Time // time of the last token, or of the start of the wait
 	backoff         time.Duration
@@ -113,11 +112,11 @@
 	}
 	for {
 		step := s.attach()
-		s.cancelGeneration(step)
 		switch step.Kind {
 		case stream.StepFinish:
 			return s.completed()
 		case stream.StepFail:
+			s.cancelGeneration(step)
 			return s.failed(failureProblem(step.Reason, s.delivered > 0, s.machine.MayHaveRun(), s.lastErr))
 		case stream.StepAttach:
 			if missed := s.deadlineProblem(); missed != nil {
@@ -130,7 +129,7 @@
 			if invalid := s.invalidRequestProblem(); invalid != nil {
 				return s.failed(invalid)
 			}
-			if err := s.failOver(step.Kind); err != nil {
+			if err := s.failOver(step); err != nil {
 				return s.failed(s.failoverProblem(err))
 			}
 		}
@@ -155,8 +154,8 @@
 	}
 }
 
-// cancelGeneration cancels the generation on the engine that the session leaves, if the
-// step asks for it.
+// cancelGeneration cancels the generation on the engine of the current slot, if the step
+// asks for it.
 func (s *session) cancelGeneration(step stream.Step) {
 	if step.CancelGeneration && s.slot != nil {
 		s.runner.cancelInBackground(s.slot.Target, s.machine.Generation())
--- a/internal/gateway/stream/machine.go
+++ b/internal/gateway/stream/machine.go
@@ -70,8 +70,12 @@
 	failovers  int
 	crashes    int
 	rejections int
+	left       position // at the last failover
 }
 
+// position is what a failover changes of a stream's state at its engine.
+type position struct{ confirmed, failures, failovers int }
+
 // New returns a Machine before its first attachment.
 func New(options Options) *Machine {
 	return &Machine{options: options, generation: options.Generation, mayHaveRun: options.MayHaveRun}
@@ -116,6 +120,12 @@
 	m.confirmed = 0
 }
 
+// Return undoes a failover whose step has MayReturn set, so that the next attachment is to
+// the engine that was to be left.
+func (m *Machine) Return() {
+	m.confirmed, m.failures, m.failovers = m.left.confirmed, m.left.failures, m.left.failovers
+}
+
 // AdoptGeneration replaces the machine's generation by one that already runs. Call it
 // only before the first attachment.
 func (m *Machine) AdoptGeneration(generation string) {
@@ -231,7 +241,7 @@
 	if m.failures <= limit {
 		return Step{Kind: StepAttach}
 	}
-	return m.failOver(true)
+	return m.leaveSilent()
 }
 
 // handleUnresponsive fails over from a frozen or unreachable engine at once if another
@@ -241,12 +251,23 @@
 		return m.handleConnectionLoss()
 	}
 	m.mayHaveRun = true
-	return m.failOver(true)
+	m.failures++
+	return m.leaveSilent()
+}
+
+// leaveSilent fails over from an engine that may still run the generation. The stream may
+// return to it until the limit of reattachments.
+func (m *Machine) leaveSilent() Step {
+	mayReturn := m.failures <= m.options.Limits.LastEngineReattachments
+	step := m.failOver(true)
+	step.MayReturn = mayReturn && step.Kind != StepFail
+	return step
 }
 
 // failOver moves to another engine, which continues the generation or restarts the
 // request. cancel states that the generation may still run on the current engine.
 func (m *Machine) failOver(cancel bool) Step {
+	m.left = position{confirmed: m.confirmed, failures: m.failures, failovers: m.failovers}
 	m.failures = 0
 	if m.mayHaveRun {
 		m.failovers++
--- a/internal/gateway/stream/machine_test.go
+++ b/internal/gateway/stream/machine_test.go
@@ -56,6 +56,11 @@
 
 // applyStep carries out a step.
 func (sim *simulation) applyStep(step Step, token engine.Token) {
+	if step.MayReturn && rapid.Bool().Draw(sim.t, "no other engine") {
+		sim.machine.Return()
+		sim.attach(sim.machine.Offset())
+		return
+	}
 	switch step.Kind {
 	case StepAccept:
 		if !sim.options.NonStreaming && token.Offset >= sim.options.DeliveredTokens {
@@ -223,7 +228,7 @@
 	require.Equal(t, Step{Kind: StepAttach}, m.HandleFailure(epoch, FailureStalled))
 	require.Equal(t, Step{Kind: StepAttach}, m.HandleFailure(m.BeginAttachment(), FailureConnectionLost))
 	require.Equal(t, Step{Kind: StepAttach}, m.HandleFailure(m.BeginAttachment(), FailureConnectionLost))
-	require.Equal(t, Step{Kind: StepContinue, CancelGeneration: true}, m.HandleFailure(m.BeginAttachment(), FailureConnectionLost))
+	require.Equal(t, Step{Kind: StepContinue, CancelGeneration: true, MayReturn: true}, m.HandleFailure(m.BeginAttachment(), FailureConnectionLost))
 	require.Equal(t, []string{"a"}, m.Tokens())
 }
 
@@ -263,3 +268,16 @@
 		require.LessOrEqual(t, moved, DefaultLimits().Failovers, "without a token")
 	}
 }
+
+func TestReturnsToSilentEngineAreBounded(t *testing.T) {
+	m := New(Options{Limits: DefaultLimits(), Generation: "g", ContinueFromPrefix: true})
+	epoch := m.BeginAttachment()
+	m.AttachmentAccepted(epoch)
+	require.Equal(t, StepAccept, m.HandleToken(epoch, engine.Token{Generation: "g", Text: "a"}).Kind)
+	for range DefaultLimits().LastEngineReattachments {
+		require.Equal(t, Step{Kind: StepContinue, CancelGeneration: true, MayReturn: true}, m.HandleFailure(epoch, FailureUnresponsive))
+		m.Return()
+		epoch = m.BeginAttachment()
+	}
+	require.Equal(t, Step{Kind: StepContinue, CancelGeneration: true}, m.HandleFailure(epoch, FailureUnresponsive))
+}
--- a/internal/gateway/stream/step.go
+++ b/internal/gateway/stream/step.go
@@ -35,9 +35,12 @@
 )
 
 // Step is the machine's answer to an input. CancelGeneration asks the runner to cancel
-// the generation on the engine that it stops using, once that can be reached.
+// the generation on the engine that it stops using, once that can be reached. MayReturn
+// states that this engine may only be silent: if no other takes over, the runner calls
+// Machine.Return and attaches to it again.
 type Step struct {
 	Kind             StepKind
 	Reason           Reason
 	CancelGeneration bool
+	MayReturn        bool
 }
