Stream: moves away from silent engines are counted since the last token

A long stream ended with target_failed at the fifth silence of 1.5 s or more, whatever it had produced between them: four moves a request were never set back. TestStreamSurvivesManySilencesWithTokensBetweenThem failed before at silence 4 (index). Crashes, errors of engines and silences without a token between them keep their limits.

--- a/internal/gateway/stream/machine.go
+++ b/internal/gateway/stream/machine.go
@@ -17,7 +17,8 @@
 	// LastEngineReattachments is the same where no other engine can take over.
 	LastEngineReattachments int
 	// Failovers is the number of times that a request that may have run moves to
-	// another engine.
+	// another engine. Moves away from silent engines are counted apart, since the last
+	// new token: a sound engine may fall silent at any time.
 	Failovers int
 	// Crashes is the number of engines that may crash while they run the request; the
 	// stream fails at the last of them. It is the last resort: owners of pools reject a
@@ -68,13 +69,14 @@
 
 	failures   int // consecutive failed attachments
 	failovers  int
+	silences   int // failovers from silent engines since the last new token
 	crashes    int
 	rejections int
 	left       position // at the last failover
 }
 
 // position is what a failover changes of a stream's state at its engine.
-type position struct{ confirmed, failures, failovers int }
+type position struct{ confirmed, failures, failovers, silences int }
 
 // New returns a Machine before its first attachment.
 func New(options Options) *Machine {
@@ -123,7 +125,8 @@
 // Return undoes a failover whose step has MayReturn set, so that the next attachment is to
 // the engine that was to be left.
 func (m *Machine) Return() {
-	m.confirmed, m.failures, m.failovers = m.left.confirmed, m.left.failures, m.left.failovers
+	m.confirmed, m.failures = m.left.confirmed, m.left.failures
+	m.failovers, m.silences = m.left.failovers, m.left.silences
 }
 
 // AdoptGeneration replaces the machine's generation by one that already runs. Call it
@@ -143,7 +146,7 @@
 		return m.HandleFailure(epoch, FailureProtocol) // a token of another stream or a gap
 	}
 	if token.Offset == len(m.tokens) {
-		m.failures = 0
+		m.failures, m.silences = 0, 0
 		m.tokens = append(m.tokens, token.Text)
 		m.advance()
 		return Step{Kind: StepAccept}
@@ -259,7 +262,12 @@
 // return to it until the limit of reattachments.
 func (m *Machine) leaveSilent() Step {
 	mayReturn := m.failures <= m.options.Limits.LastEngineReattachments
-	step := m.failOver(true)
+	m.setLeft()
+	m.silences++
+	if m.silences > m.options.Limits.Failovers {
+		return m.fail(ReasonRetriesExhausted)
+	}
+	step := m.moveOn(true)
 	step.MayReturn = mayReturn && step.Kind != StepFail
 	return step
 }
@@ -267,14 +275,23 @@
 // failOver moves to another engine, which continues the generation or restarts the
 // request. cancel states that the generation may still run on the current engine.
 func (m *Machine) failOver(cancel bool) Step {
-	m.left = position{confirmed: m.confirmed, failures: m.failures, failovers: m.failovers}
-	m.failures = 0
 	if m.mayHaveRun {
 		m.failovers++
 	}
 	if m.failovers > m.options.Limits.Failovers {
 		return m.fail(ReasonRetriesExhausted)
 	}
+	return m.moveOn(cancel)
+}
+
+// setLeft records what Return restores.
+func (m *Machine) setLeft() {
+	m.left = position{confirmed: m.confirmed, failures: m.failures, failovers: m.failovers, silences: m.silences}
+}
+
+// moveOn is failOver without its limit.
+func (m *Machine) moveOn(cancel bool) Step {
+	m.failures = 0
 	switch {
 	case m.canContinueElsewhere():
 		m.confirmed = 0
