Services: a rejected hedge leaves the first target its answer

TestRejectionOfTheHedgeLeavesTheSilentTargetItsAnswer failed before. A rejection now counts only once no other attempt is out.

--- a/internal/gateway/services/idempotent.go
+++ b/internal/gateway/services/idempotent.go
@@ -32,11 +32,14 @@
 			}
 		case a := <-results:
 			run.pending--
-			if !a.worthRetrying() {
+			if !a.worthRetrying() && !(a.rejected() && run.pending > 0) {
 				c.observeLatency(call, time.Since(run.started))
 				return run.answer(a)
 			}
 			run.otherMayHaveRun = run.otherMayHaveRun || !a.notExecuted()
+			if !a.worthRetrying() {
+				continue // the target of the other attempt may still answer
+			}
 			if ctx.Err() == nil && c.retryBudget.spend() && run.startAttempt() == nil {
 				c.metrics.RecordRetry("failed")
 			}
