Quarantine: finds what requests have in common under which targets crash

Hosts report starts that failed and starts that succeeded, by keys: a part of prompts, or a whole request that is repeated. A key is held back once 4 incarnations (3 for a request) crashed under it at different moments since its last survival, 2 more if it has survived lately. What crashed under a blamed key does not count against what shared its prompt or target. The result is a pure function of the merged evidence, so that hosts with the same evidence agree.

--- /dev/null
+++ b/internal/quarantine/decide.go
@@ -0,0 +1,194 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// partCrashes and requestCrashes are how many incarnations must have crashed under a
+	// key for it to be held back.
+	partCrashes    = 4
+	requestCrashes = 3
+	// survivedExtra is how many more are needed if the key has survived lately: it is then
+	// more likely that it shares its targets with the key at fault.
+	survivedExtra = 2
+	// survivalMemory is how long a survival counts as recent.
+	survivalMemory = 10 * time.Minute
+	// partMoments and requestMoments are at how many different moments the crashes must have
+	// happened, so that a failure domain that ends at once counts once. momentLength is
+	// how long a moment lasts.
+	partMoments    = 3
+	requestMoments = 2
+	momentLength   = 250 * time.Millisecond
+	// holdTime is for how long after its last crash a key is held back. A key that has
+	// survived lately is held back for survivedHoldTime, and after each further crash for
+	// survivedHoldGrowth times as long, up to holdTime.
+	holdTime           = 5 * time.Minute
+	survivedHoldTime   = 15 * time.Second
+	survivedHoldGrowth = 4
+	// evidenceLifetime is how long a crash counts. It is longer than holdTime, so that one
+	// crash on probation suffices to hold a key back again.
+	evidenceLifetime = 30 * time.Minute
+)
+
+// Instant is a time on a steady clock, since any origin before the process started.
+type Instant = time.Duration
+
+// Crash is the crash of a target under a key.
+type Crash struct {
+	Incarnation string
+	Host        string // that sent the request and saw the crash
+	At          Instant
+}
+
+// Hold is a key that is held back.
+type Hold struct {
+	Key        Key
+	Until      Instant // from then on the key is on probation
+	Crashes    []Crash // of different incarnations, in ascending order of time
+	Survived   bool    // the key has survived lately, before the crashes
+	SurvivedAt Instant // if Survived
+}
+
+// failure is a request that failed at a target before or just after its answer began.
+type failure struct {
+	Crash
+	keys []Key // from the least to the most specific
+	seq  uint64
+}
+
+// decide returns the keys to hold back. It blames one key after the other: of those with
+// enough crashes first the ones that have not survived lately, then the one with most crashes,
+// then the most specific. What crashed under a blamed key does not count against the others,
+// which merely shared the prompt or the target.
+// counts is the number of failures of each key.
+func decide(failures []*failure, counts map[Key]int, survivedAt func(Key) (Instant, bool)) map[Key]*Hold {
+	suspects := collectSuspects(failures, counts, survivedAt)
+	held := make(map[Key]*Hold)
+	explained := make(map[string]bool) // incarnations
+	for {
+		var worst *suspect
+		for _, s := range suspects {
+			s.crashes = slices.DeleteFunc(s.crashes, func(c Crash) bool { return explained[c.Incarnation] })
+			if held[s.key] == nil && s.isEnough() && (worst == nil || s.compare(worst) < 0) {
+				worst = s
+			}
+		}
+		if worst == nil {
+			return held
+		}
+		held[worst.key] = worst.hold()
+		for _, c := range worst.crashes {
+			explained[c.Incarnation] = true
+		}
+	}
+}
+
+// suspect is a key with the crashes since its last survival.
+type suspect struct {
+	key        Key
+	depth      int // position in prompts, counted from the first part
+	crashes    []Crash
+	survived   bool
+	survivedAt Instant
+}
+
+// collectSuspects returns the keys with enough crashes since their last survival.
+func collectSuspects(failures []*failure, counts map[Key]int, survivedAt func(Key) (Instant, bool)) map[Key]*suspect {
+	suspects := make(map[Key]*suspect)
+	for _, f := range failures {
+		if at, ok := survivedAt(targetKey(f.Incarnation)); ok && at > f.At {
+			continue // the target is alive, so that only the connection broke
+		}
+		for depth, key := range f.keys {
+			if counts[key] < min(partCrashes, requestCrashes) {
+				continue
+			}
+			s := suspects[key]
+			if s == nil {
+				s = &suspect{key: key}
+				s.survivedAt, s.survived = survivedAt(key)
+				suspects[key] = s
+			}
+			s.depth = max(s.depth, depth)
+			if !s.survived || s.survivedAt < f.At {
+				s.crashes = append(s.crashes, f.Crash)
+			}
+		}
+	}
+	for key, s := range suspects {
+		s.crashes = firstOfEachIncarnation(s.crashes)
+		if !s.isEnough() {
+			delete(suspects, key)
+		}
+	}
+	return suspects
+}
+
+func firstOfEachIncarnation(crashes []Crash) []Crash {
+	slices.SortFunc(crashes, func(a, b Crash) int {
+		return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+	seen := make(map[string]bool, len(crashes))
+	return slices.DeleteFunc(crashes, func(c Crash) bool {
+		again := seen[c.Incarnation]
+		seen[c.Incarnation] = true
+		return again
+	})
+}
+
+func (s *suspect) isEnough() bool {
+	crashes, moments := s.required()
+	return len(s.crashes) >= crashes && countMoments(s.crashes) >= moments
+}
+
+func (s *suspect) required() (crashes, moments int) {
+	crashes, moments = partCrashes, partMoments
+	if s.key.Kind == KindRequest {
+		crashes, moments = requestCrashes, requestMoments
+	}
+	if s.survived {
+		crashes += survivedExtra
+	}
+	return crashes, moments
+}
+
+// countMoments returns at how many different moments the crashes happened.
+func countMoments(crashes []Crash) int {
+	moments := 0
+	var began Instant
+	for _, c := range crashes {
+		if moments == 0 || c.At >= began+momentLength {
+			moments++
+			began = c.At
+		}
+	}
+	return moments
+}
+
+// compare orders suspects by blame, the first to be held back first.
+func (s *suspect) compare(o *suspect) int {
+	if s.survived != o.survived {
+		if s.survived {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Or(cmp.Compare(len(o.crashes), len(s.crashes)), cmp.Compare(o.depth, s.depth),
+		cmp.Compare(s.key.Kind, o.key.Kind), cmp.Compare(s.key.ID, o.key.ID))
+}
+
+func (s *suspect) hold() *Hold {
+	length := holdTime
+	if s.survived {
+		required, _ := s.required()
+		length = survivedHoldTime
+		for range len(s.crashes) - required {
+			length = min(length*survivedHoldGrowth, holdTime)
+		}
+	}
+	crashes := slices.Clone(s.crashes)
+	return &Hold{Key: s.key, Until: crashes[len(crashes)-1].At + length, Crashes: crashes, Survived: s.survived, SurvivedAt: s.survivedAt}
+}
--- /dev/null
+++ b/internal/quarantine/decide_test.go
@@ -0,0 +1,275 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// epoch is the instant at which the scenarios begin.
+const epoch = time.Hour
+
+// step is one report of a scenario, at a time after epoch.
+type step struct {
+	at       time.Duration
+	target   string // that crashed; "" for a survival
+	parts    []string
+	survived bool
+}
+
+func crash(at time.Duration, target string, parts ...string) step {
+	return step{at: at, target: target, parts: parts}
+}
+
+func survival(at time.Duration, parts ...string) step {
+	return step{at: at, parts: parts, survived: true}
+}
+
+func keysOf(parts []string) []Key {
+	var keys []Key
+	for _, p := range parts {
+		keys = append(keys, Part(p))
+	}
+	return keys
+}
+
+func heldNames(t *Tracker) []string {
+	names := []string{}
+	for _, h := range t.Holds() {
+		names = append(names, h.Key.String())
+	}
+	return names
+}
+
+const ms = time.Millisecond
+
+func TestWhatIsHeldBack(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		steps []step
+		held  []string
+	}{
+		"nothing before the fourth crash": {
+			steps: []step{crash(0, "a", "g"), crash(300*ms, "b", "g"), crash(600*ms, "c", "g")},
+		},
+		"the fourth crash": {
+			steps: []step{crash(0, "a", "g"), crash(300*ms, "b", "g"), crash(600*ms, "c", "g"), crash(900*ms, "d", "g")},
+			held:  []string{"part:g"},
+		},
+		"one target that fails again and again is one crash": {
+			steps: []step{crash(0, "a", "g"), crash(300*ms, "a", "g"), crash(600*ms, "a", "g"), crash(900*ms, "a", "g"), crash(1200*ms, "a", "g")},
+		},
+		"of parts that were in all requests the most specific": {
+			steps: []step{crash(0, "a", "first", "account", "g"), crash(300*ms, "b", "first", "account", "g"), crash(600*ms, "c", "first", "account", "g"), crash(900*ms, "d", "first", "account", "g")},
+			held:  []string{"part:g"},
+		},
+		"the guilty part comes first and a part that survives elsewhere last": {
+			steps: []step{crash(0, "a", "g", "account"), crash(300*ms, "b", "g", "account"), survival(350*ms, "other", "account"), crash(600*ms, "c", "g", "account"), crash(900*ms, "d", "g", "account")},
+			held:  []string{"part:g"},
+		},
+		"a part that was beside the guilty one four times is cleared by a crash without it": {
+			steps: []step{crash(0, "a", "g", "beside"), crash(300*ms, "b", "g", "beside"), crash(600*ms, "c", "g", "beside"), crash(900*ms, "d", "g", "beside"), crash(1200*ms, "e", "g", "else")},
+			held:  []string{"part:g"},
+		},
+		"a first part that everyone shares": {
+			steps: []step{survival(0, "first"), crash(100*ms, "a", "first", "g"), survival(200*ms, "first"), crash(400*ms, "b", "first", "g"), crash(700*ms, "c", "first", "g"), crash(1000*ms, "d", "first", "g"), crash(1300*ms, "e", "first", "x")},
+			held:  []string{"part:g"},
+		},
+		"two guilty parts": {
+			steps: []step{
+				survival(0, "first"),
+				crash(100*ms, "a", "first", "g"), crash(400*ms, "b", "first", "h"), crash(700*ms, "c", "first", "g"), survival(750*ms, "first"), crash(1000*ms, "d", "first", "h"),
+				crash(1300*ms, "e", "first", "g"), crash(1600*ms, "f", "first", "h"), crash(1900*ms, "i", "first", "g"), crash(2200*ms, "j", "first", "h"),
+			},
+			held: []string{"part:g", "part:h"},
+		},
+		"two guilty parts under a first part that has not been seen to survive": {
+			steps: []step{
+				crash(100*ms, "a", "first", "g"), crash(400*ms, "b", "first", "h"), crash(700*ms, "c", "first", "g"), crash(1000*ms, "d", "first", "h"),
+				survival(1050*ms, "first"), crash(1300*ms, "e", "first", "g"), crash(1600*ms, "f", "first", "h"), crash(1900*ms, "i", "first", "g"), crash(2200*ms, "j", "first", "h"),
+			},
+			held: []string{"part:g", "part:h"},
+		},
+		"sound requests in the same batches": {
+			steps: []step{
+				crash(0, "a", "g"), crash(0, "a", "s"), crash(300*ms, "b", "g"), crash(310*ms, "b", "s"), crash(600*ms, "c", "g"), crash(610*ms, "c", "s"),
+				crash(900*ms, "d", "g"), crash(910*ms, "d", "s"), crash(1200*ms, "e", "g"),
+			},
+			held: []string{"part:g"},
+		},
+		"a failure domain that ends at once": {
+			steps: []step{crash(0, "a", "s"), crash(1*ms, "b", "s"), crash(2*ms, "c", "s"), crash(100*ms, "d", "s"), crash(200*ms, "e", "s"), crash(210*ms, "f", "s")},
+		},
+		"two failure domains that end one after the other": {
+			steps: []step{crash(0, "a", "s"), crash(1*ms, "b", "s"), crash(2*ms, "c", "s"), crash(2000*ms, "d", "s"), crash(2001*ms, "e", "s"), crash(2002*ms, "f", "s")},
+		},
+		"targets that end for reasons of their own under a part that survives between": {
+			steps: []step{crash(0, "a", "s"), survival(100*ms, "s"), crash(300*ms, "b", "s"), crash(600*ms, "c", "s"), survival(650*ms, "s"), crash(900*ms, "d", "s"), crash(1200*ms, "e", "s"), crash(1500*ms, "f", "s"), crash(1800*ms, "i", "s")},
+		},
+		"a part that survived before needs six": {
+			steps: []step{survival(0, "g"), crash(100*ms, "a", "g"), crash(400*ms, "b", "g"), crash(700*ms, "c", "g"), crash(1000*ms, "d", "g"), crash(1300*ms, "e", "g")},
+		},
+		"a part that survived before is held back after six": {
+			steps: []step{survival(0, "g"), crash(100*ms, "a", "g"), crash(400*ms, "b", "g"), crash(700*ms, "c", "g"), crash(1000*ms, "d", "g"), crash(1300*ms, "e", "g"), crash(1600*ms, "f", "g")},
+			held:  []string{"part:g"},
+		},
+		"a later survival": {
+			steps: []step{crash(0, "a", "g"), crash(300*ms, "b", "g"), crash(600*ms, "c", "g"), crash(900*ms, "d", "g"), survival(950*ms, "g")},
+		},
+		"a survival that began before the crashes": {
+			steps: []step{crash(100*ms, "a", "g"), crash(300*ms, "b", "g"), crash(600*ms, "c", "g"), crash(900*ms, "d", "g"), crash(1200*ms, "e", "g"), crash(1500*ms, "f", "g"), survival(50*ms, "g")},
+			held:  []string{"part:g"},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			tracker := New("host", nil)
+			now := epoch
+			for _, s := range c.steps {
+				at := epoch + s.at
+				now = max(now, at)
+				if s.survived {
+					tracker.ReportSurvival(now, at, at, "sound-target", keysOf(s.parts))
+				} else {
+					tracker.ReportFailure(now, at, s.target, keysOf(s.parts))
+				}
+			}
+			if c.held == nil {
+				c.held = []string{}
+			}
+			require.Equal(t, c.held, heldNames(tracker))
+		})
+	}
+}
+
+func TestTargetThatAnswersLaterHasNotCrashed(t *testing.T) {
+	t.Parallel()
+	tracker := New("host", nil)
+	for i, target := range []string{"a", "b", "c", "d"} {
+		at := epoch + time.Duration(i)*300*ms
+		tracker.ReportFailure(at, at, target, keysOf([]string{"s"}))
+	}
+	require.Equal(t, []string{"part:s"}, heldNames(tracker))
+	tracker.ReportSurvival(epoch+3*time.Second, epoch+100*ms, epoch+100*ms, "b", keysOf([]string{"x"})) // sent before b failed
+	require.Equal(t, []string{"part:s"}, heldNames(tracker))
+	tracker.ReportSurvival(epoch+3*time.Second, epoch+2*time.Second, epoch+2*time.Second, "b", keysOf([]string{"x"}))
+	require.Empty(t, heldNames(tracker))
+}
+
+func TestRequestThatIsRepeatedIsHeldBackAfterThreeCrashes(t *testing.T) {
+	t.Parallel()
+	tracker := New("host", nil)
+	key := Request("GET", "example", "/x", "account", "body")
+	require.NotEqual(t, key, Request("GET", "example", "/xa", "ccount", "body"))
+	for i, target := range []string{"a", "b"} {
+		at := epoch + time.Duration(i)*300*ms
+		tracker.ReportFailure(at, at, target, []Key{key})
+		require.Nil(t, tracker.Check(at, []Key{key}))
+	}
+	at := epoch + 600*ms
+	tracker.ReportFailure(at, at, "c", []Key{key})
+	require.NotNil(t, tracker.Check(at, []Key{key}))
+	require.Nil(t, tracker.Check(at, []Key{Request("GET", "example", "/y", "account", "body")}))
+}
+
+// holdPart makes a tracker hold back the part g and returns the instant of the last crash.
+func holdPart(t *testing.T, tracker *Tracker) Instant {
+	t.Helper()
+	at := epoch
+	for i := range partCrashes {
+		at = epoch + time.Duration(i)*300*ms
+		tracker.ReportFailure(at, at, fmt.Sprint("t-", i), keysOf([]string{"beside", "g"}))
+	}
+	require.Equal(t, []string{"part:g"}, heldNames(tracker))
+	return at
+}
+
+func TestHoldEndsOnProbation(t *testing.T) {
+	t.Parallel()
+	var changes []string
+	tracker := New("host", func(c Change) { changes = append(changes, c.Kind.String()+" "+c.Hold.Key.String()) })
+	last := holdPart(t, tracker)
+	g := keysOf([]string{"x", "g"})
+	hold := tracker.Check(last, g)
+	require.NotNil(t, hold)
+	require.Equal(t, last+holdTime, hold.Until)
+	require.GreaterOrEqual(t, tracker.RetryAfter(last, hold), holdTime)
+	require.NotNil(t, tracker.Check(hold.Until-1, g))
+
+	over := hold.Until + probationSpread
+	require.Nil(t, tracker.Admit(over, g))
+	require.NotNil(t, tracker.Admit(over+1, g), "one request at a time")
+	tracker.ReportFailure(over+100*ms, over+100*ms, "t-9", g)
+	require.Equal(t, over+100*ms+holdTime, tracker.Check(over+200*ms, g).Until)
+
+	over += 100*ms + holdTime + probationSpread
+	require.Nil(t, tracker.Admit(over, g))
+	tracker.ReportSurvival(over+time.Second, over, over+100*ms, "t-10", g)
+	for range 3 {
+		require.Nil(t, tracker.Admit(over+time.Second, g))
+	}
+	require.Equal(t, []string{"held part:g", "expired part:g", "held part:g", "expired part:g", "cleared part:g"}, changes)
+}
+
+func TestForgottenCrashesHoldNothingBack(t *testing.T) {
+	t.Parallel()
+	tracker := New("host", nil)
+	last := holdPart(t, tracker)
+	require.Nil(t, tracker.Check(last+evidenceLifetime+time.Second, keysOf([]string{"g"})))
+	require.Empty(t, heldNames(tracker))
+}
+
+func TestReleasedKeyBlamesNoOther(t *testing.T) {
+	t.Parallel()
+	var changes []string
+	tracker := New("host", func(c Change) { changes = append(changes, c.Kind.String()+" "+c.Hold.Key.String()) })
+	last := holdPart(t, tracker)
+	other := New("other", nil)
+	e, _ := tracker.Since(last, 0)
+	other.Merge(last, e)
+	require.Equal(t, []string{"part:g"}, heldNames(other))
+
+	require.False(t, tracker.Release(last, Part("unknown")))
+	before := tracker.Seq()
+	require.True(t, tracker.Release(last+time.Second, Part("g")))
+	require.Empty(t, heldNames(tracker))
+	require.Equal(t, []string{"held part:g", "released part:g"}, changes)
+	e, _ = tracker.Since(last+time.Second, before)
+	other.Merge(last+time.Second, e)
+	require.Empty(t, heldNames(other))
+}
+
+func TestMemoryIsBoundedIfEachRequestBringsNewParts(t *testing.T) {
+	t.Parallel()
+	tracker := New("host", nil)
+	last := holdPart(t, tracker)
+	for i := range 3 * maxFailures {
+		now := last + time.Duration(i)*ms
+		parts := keysOf([]string{fmt.Sprint("a", i), fmt.Sprint("b", i), fmt.Sprint("c", i)})
+		tracker.ReportFailure(now, now, fmt.Sprint("target-", i/2), parts)
+		tracker.ReportSurvival(now, now, now, fmt.Sprint("sound-", i), keysOf([]string{fmt.Sprint("d", i), fmt.Sprint("e", i)}))
+		tracker.ReportSurvival(now, now, now, fmt.Sprint("sound-", i), parts)
+	}
+	require.LessOrEqual(t, len(tracker.failures), maxFailures)
+	require.LessOrEqual(t, len(tracker.known), maxFailures)
+	require.LessOrEqual(t, len(tracker.shared), maxShared)
+	require.LessOrEqual(t, tracker.seen.len(), maxSurvivals)
+	require.Equal(t, []string{"part:g"}, heldNames(tracker), "what is held back is dropped last")
+	long := Part(string(make([]byte, 4000)))
+	require.LessOrEqual(t, len(long.ID), maxIDBytes)
+}
+
+func TestKeysAreParsed(t *testing.T) {
+	t.Parallel()
+	for _, key := range []Key{Part("a:b"), Request("x")} {
+		parsed, err := ParseKey(key.String())
+		require.NoError(t, err)
+		require.Equal(t, key, parsed)
+	}
+	for _, text := range []string{"", "part:", "target:x", "a"} {
+		_, err := ParseKey(text)
+		require.Error(t, err, text)
+	}
+}
--- /dev/null
+++ b/internal/quarantine/evidence.go
@@ -0,0 +1,121 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+// maxEvidence bounds the records of each kind in one message. The rest follows in the next.
+const maxEvidence = 256
+
+// Failure is a failure as hosts tell each other of it. Age is the time since it happened.
+type Failure struct {
+	Incarnation string
+	Host        string
+	Keys        []Key
+	Age         time.Duration
+}
+
+// Survival is a survival as hosts tell each other of it.
+type Survival struct {
+	Key      Key
+	Age      time.Duration
+	Released bool // by an operator
+}
+
+// Evidence is a part of a host's evidence.
+type Evidence struct {
+	Failures  []Failure
+	Survivals []Survival
+}
+
+// Empty reports whether the evidence holds nothing.
+func (e *Evidence) Empty() bool { return len(e.Failures) == 0 && len(e.Survivals) == 0 }
+
+// Seq returns the sequence number of the latest change of the evidence.
+func (t *Tracker) Seq() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.seq
+}
+
+// Since returns the evidence that changed after a sequence number, 0 for all, in the order of
+// the changes, and the sequence number from which the next call continues.
+func (t *Tracker) Since(now Instant, after uint64) (Evidence, uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if after >= t.seq {
+		return Evidence{}, t.seq
+	}
+	var changed []uint64
+	for _, f := range t.failures {
+		if f.seq > after {
+			changed = append(changed, f.seq)
+		}
+	}
+	for _, s := range t.shared {
+		if s.seq > after {
+			changed = append(changed, s.seq)
+		}
+	}
+	slices.Sort(changed)
+	next := t.seq
+	if len(changed) > maxEvidence {
+		next = changed[maxEvidence-1]
+	}
+	var e Evidence
+	for _, f := range t.failures {
+		if f.seq > after && f.seq <= next {
+			e.Failures = append(e.Failures, Failure{Incarnation: f.Incarnation, Host: f.Host, Keys: f.keys, Age: now - f.At})
+		}
+	}
+	for key, s := range t.shared {
+		if s.seq > after && s.seq <= next {
+			e.Survivals = append(e.Survivals, Survival{Key: key, Age: now - s.at, Released: s.released})
+		}
+	}
+	return e, next
+}
+
+// Merge adds another host's evidence. It reports whether something was new to this host, so
+// that those which learn from it should hear of it.
+func (t *Tracker) Merge(now Instant, e Evidence) bool {
+	if e.Empty() {
+		return false
+	}
+	t.mu.Lock()
+	changed := false
+	for _, f := range e.Failures {
+		changed = t.addFailure(now, &failure{Crash: Crash{Incarnation: f.Incarnation, Host: f.Host, At: now - max(f.Age, 0)}, keys: f.Keys}) || changed
+	}
+	for _, s := range e.Survivals {
+		at := now - max(s.Age, 0)
+		t.seen.add(s.Key, at) // a failure that it matters for may arrive later
+		changed = t.share(now, s.Key, at, s.Released) || changed
+	}
+	changes := t.decide(now, changed, false)
+	t.mu.Unlock()
+	t.notify(changes)
+	return changed
+}
+
+// HeldEvidence returns the evidence because of which keys are held back.
+func (t *Tracker) HeldEvidence(now Instant) Evidence {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var e Evidence
+	for _, f := range t.failures {
+		if len(e.Failures) < maxEvidence && slices.ContainsFunc(f.keys, func(key Key) bool {
+			h := t.held[key]
+			return h != nil && slices.ContainsFunc(h.Crashes, func(c Crash) bool { return c.Incarnation == f.Incarnation })
+		}) {
+			e.Failures = append(e.Failures, Failure{Incarnation: f.Incarnation, Host: f.Host, Keys: f.keys, Age: now - f.At})
+			for _, key := range f.keys {
+				if s := t.shared[key]; s != nil && !slices.ContainsFunc(e.Survivals, func(o Survival) bool { return o.Key == key }) {
+					e.Survivals = append(e.Survivals, Survival{Key: key, Age: now - s.at, Released: s.released})
+				}
+			}
+		}
+	}
+	return e
+}
