--- a/internal/enginemodel/config.go
+++ b/internal/enginemodel/config.go
@@ -50,6 +50,10 @@
 	Lengths    LengthMixture
 	LengthSeed uint64
 
+	// CrashingBlock is the prefix hash of a block of prompts, zero for none. The engine
+	// crashes when it begins to write the answer to a prompt that contains the block.
+	CrashingBlock uint64
+
 	// Load reports are sampled every ReportEvery and visible ReportLag later. If both
 	// are zero, reports show the current state.
 	ReportEvery time.Duration
--- a/internal/enginemodel/engine.go
+++ b/internal/enginemodel/engine.go
@@ -86,6 +86,7 @@
 	}
 	e.arrivals++
 	s := newSequence(submission, e.arrivals)
+	s.crashesEngine = s.crashesEngine || (e.config.CrashingBlock != 0 && slices.Contains(s.prefixHashes, e.config.CrashingBlock))
 	e.sequences[s.id] = s
 	e.waiting.push(s)
 	if !e.stepping {
--- a/internal/enginemodel/engine_test.go
+++ b/internal/enginemodel/engine_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -70,6 +71,24 @@
 	require.Equal(t, map[string]int{"g": 3, "h": 1}, tokens)
 }
 
+func TestCrashingBlockCrashesTheEngineWhateverFollows(t *testing.T) {
+	shared := strings.Repeat("s", 2*BlockTokens*prefix.BytesPerToken)
+	guilty := shared + strings.Repeat("g", BlockTokens*prefix.BytesPerToken)
+	config := testConfig()
+	hashes := prefix.BlockHashes("m", "1", "", guilty)
+	config.CrashingBlock = hashes[len(hashes)-1]
+	for prompt, crashes := range map[string]bool{guilty + "one": true, guilty + "two": true, shared + "sound": false} {
+		e := New(config)
+		require.NoError(t, e.Start(epoch, request("g", prompt+" #len=2")))
+		events := run(e)
+		if crashes {
+			require.Equal(t, []Event{{Kind: EventCrashed, ID: "g"}}, events, "before its first token")
+		} else {
+			require.Equal(t, EventDone, events[len(events)-1].Kind)
+		}
+	}
+}
+
 func TestMaxTokensEndsWithReasonLength(t *testing.T) {
 	e := New(testConfig())
 	r := request("g", "#len=50")
--- a/internal/standin/engine/settings.go
+++ b/internal/standin/engine/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 	"time"
 
@@ -41,6 +42,8 @@
 	CacheJitter    time.Duration `flag:"cache-jitter" default:"200ms" usage:"largest random addition to the delay of cache events" validate:"min=0"`
 	CacheLoss      float64       `flag:"cache-loss" default:"0.01" usage:"probability that a cache event is lost" validate:"min=0,max=1"`
 
+	CrashOnBlock string `flag:"crash-on-block" usage:"prefix hash, in hexadecimal, of a block of prompts under which the engine crashes when it begins to write; empty for none" validate:"omitempty,hexadecimal"`
+
 	Retention    time.Duration `flag:"retention" default:"1m" usage:"how long ended generations can be read" validate:"min=1ms"`
 	DrainTimeout time.Duration `flag:"drain" default:"30s" usage:"longest wait for running generations after SIGTERM" validate:"min=0"`
 	JournalPath  string        `flag:"journal" usage:"file to which the journal is appended as JSON lines; empty for none"`
@@ -59,7 +62,14 @@
 			return enginemodel.Config{}, fmt.Errorf("--lengths: %w", err)
 		}
 	}
+	var crashingBlock uint64
+	if s.CrashOnBlock != "" {
+		if crashingBlock, err = strconv.ParseUint(s.CrashOnBlock, 16, 64); err != nil {
+			return enginemodel.Config{}, fmt.Errorf("--crash-on-block: %w", err)
+		}
+	}
 	return enginemodel.Config{
+		CrashingBlock:       crashingBlock,
 		Name:                s.Name,
 		Seed:                uint64(s.Seed),
 		Loaded:              loaded,
