Agents hold back beginnings of prompts under which targets crash

Suspicion went by account and body, so that each request was a new one.

A gateway now adds up to 16 of the prompt's chained block hashes to its report of a crash before the first token: those at which the prompts that it has seen branch, which is where a part ends, and some at fixed depths. Agents count them with package quarantine: a beginning of prompts under which four engines crashed at three moments is held back, and requests with it are refused as crash-suspect, at once and while they wait. Owners report the answers that begin meanwhile, which take the crashes back for what sound requests share. Events keep their age also while they are news: an agent that restarted took the crashes of the last 15 s for one moment (TestRepairOfRecentCrashesKeepsTheirAges failed before).

--- a/api/control/control.go
+++ b/api/control/control.go
@@ -109,13 +109,18 @@
 	ID          string // unique; duplicates are suppressed
 	Kind        EventKind
 	Target      string
-	Ticket      string    // unique per attempt, for EventCrash
-	Fingerprint uint64    // hash of request body and account, for events about a request
-	Produced    int       // output tokens before the crash, for EventCrash
-	Beside      []uint64  // fingerprints of the co-resident requests, for EventCrash
-	Seen        time.Time // when it was observed
-	// Age is the time since agents received the event, which does not depend on the hosts'
-	// clocks. It is zero in news, and counts in the repair of earlier events.
+	Ticket      string   // unique per attempt, for EventCrash
+	Fingerprint uint64   // hash of request body and account, for events about a request
+	Produced    int      // output tokens before the crash, for EventCrash
+	Beside      []uint64 // fingerprints of the co-resident requests, for EventCrash
+	// Prefixes are hashes of beginnings of the prompt, shortest first: of a request whose
+	// target crashed before its first token, or in EventCleared without Fingerprint those
+	// under which an answer began Since before the event.
+	Prefixes []uint64
+	Since    time.Duration
+	Seen     time.Time // when it was observed
+	// Age is the time since agents received an event about a suspect, which does not depend
+	// on the hosts' clocks. It is zero in what a gateway reports.
 	Age time.Duration
 }
 
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -28,6 +28,7 @@
 	"corianderhitch/internal/agent/services"
 	"corianderhitch/internal/agent/state"
 	"corianderhitch/internal/agent/suspicion"
+	"corianderhitch/internal/logging"
 	"corianderhitch/internal/platform"
 	"corianderhitch/internal/rpcconn"
 )
@@ -81,7 +82,7 @@
 		settings:     s,
 		connections:  conns,
 		directory:    directory.New(),
-		crashTracker: &suspicion.FleetTracker{},
+		crashTracker: &suspicion.FleetTracker{Host: s.Host, Log: logging.WithPrefix(log, "suspicion")},
 		stopping:     make(chan struct{}),
 		cancel:       cancel,
 	}
--- a/internal/agent/events/repair.go
+++ b/internal/agent/events/repair.go
@@ -43,13 +43,11 @@
 		if _, has := slices.BinarySearch(known, e.hash); has {
 			continue
 		}
-		suspects += len(e.Beside)
+		suspects += len(e.Beside) + len(e.Prefixes)
 		if len(missing) == maxPerExchange || (len(missing) > 0 && suspects > maxRepairSuspects) {
 			return missing, true
 		}
-		event := e.Event
-		event.Age = t.now.Sub(e.since)
-		missing = append(missing, event)
+		missing = append(missing, t.sent(e))
 	}
 	return missing, false
 }
--- a/internal/agent/events/table.go
+++ b/internal/agent/events/table.go
@@ -24,14 +24,16 @@
 	// suspectRetention is the same for events about suspects. It exceeds the time for
 	// which they are repaired, since hosts differ by seconds in the age of an event.
 	suspectRetention = suspicion.Retention + time.Minute
-	// maxSuspectEvents bounds the events about suspects, of 200 bytes to 2.3 KB each. A
+	// maxSuspectEvents bounds the events about suspects, of 200 bytes to 2.5 KB each. A
 	// crash takes about three events for each request that ran on the target.
 	maxSuspectEvents = 4096
 	// maxPerExchange bounds the events of one message.
 	maxPerExchange = 64
 	// maxSuspects bounds the fingerprints in the Beside field of a crash event.
 	maxSuspects = 256
-	// maxRepairSuspects bounds the fingerprints in the events of one repair, of up to 9
+	// maxPrefixes bounds the hashes in the Prefixes field of an event.
+	maxPrefixes = 16
+	// maxRepairSuspects bounds the fingerprints and hashes in the events of one repair, of up to 9
 	// bytes each, except that a repair holds at least one event.
 	maxRepairSuspects = 2048
 	// historyAge is the age from which an event about a suspect is no longer news: it
@@ -87,7 +89,7 @@
 	t.now = now
 	var added []control.Event
 	for _, e := range events {
-		if !IsHistory(e) {
+		if !concernsSuspect(e) {
 			e.Age = 0
 		}
 		if e.ID == "" || e.Kind == "" || (concernsSuspect(e) && e.Age >= suspicion.Retention) {
@@ -98,6 +100,7 @@
 			continue
 		}
 		e.Beside = e.Beside[:min(len(e.Beside), maxSuspects)]
+		e.Prefixes = e.Prefixes[:min(len(e.Prefixes), maxPrefixes)]
 		if !t.insert(e) {
 			continue
 		}
@@ -152,12 +155,21 @@
 	var events []control.Event
 	for _, id := range t.rumors.Take(peer, maxPerExchange) {
 		if element, ok := t.byID[id]; ok {
-			events = append(events, element.Value.(*entry).Event)
+			events = append(events, t.sent(element.Value.(*entry)))
 		}
 	}
 	return events
 }
 
+// sent returns an event as it is sent now.
+func (t *Table) sent(e *entry) control.Event {
+	event := e.Event
+	if concernsSuspect(event) {
+		event.Age = max(0, t.now.Sub(e.since))
+	}
+	return event
+}
+
 func (t *Table) expire() {
 	for oldest := t.targets.Front(); oldest != nil; oldest = t.targets.Front() {
 		e := oldest.Value.(*entry)
--- a/internal/agent/scheduler/crashes.go
+++ b/internal/agent/scheduler/crashes.go
@@ -40,7 +40,9 @@
 	case control.EventCrash:
 		s.recordCrash(e, history)
 	case control.EventSurvived, control.EventCleared:
-		s.recordClearance(e)
+		if len(e.Prefixes) == 0 {
+			s.recordClearance(e)
+		}
 	}
 	return e
 }
--- a/internal/agent/scheduler/pool.go
+++ b/internal/agent/scheduler/pool.go
@@ -41,6 +41,7 @@
 	lastCrash    map[string]time.Time // by target
 	incomplete   []incompleteRequest  // requests that ended incomplete within incompleteRetention
 	incarnations map[string]int64     // highest seen, by gateway host
+	holds        uint64               // callbacks.holds when the waiting requests were checked last
 }
 
 // waiter is a queued request and the channel on which its caller waits for the answer.
@@ -54,6 +55,13 @@
 type callbacks interface {
 	onDecision(now time.Time, args control.AdmitArgs, reply control.AdmitReply)
 	onCompletion(fingerprint uint64)
+	// onAnswer is called when the answer to a prompt has begun since the grant.
+	onAnswer(grantedAt time.Time, prefixes []uint64)
+	// holds returns the number of times that a beginning of prompts was held back.
+	holds() uint64
+	// rejectIfHeld returns the rejection of a request whose prompt begins with a held
+	// prefix, and whether it must be rejected.
+	rejectIfHeld(now time.Time, prefixes []uint64, admits bool) (control.AdmitReply, bool)
 	// rejectIfSuspect returns the rejection of a request that is known to crash
 	// targets, and whether it must be rejected.
 	rejectIfSuspect(now time.Time, fingerprint uint64) (control.AdmitReply, bool)
@@ -184,15 +192,21 @@
 	}
 }
 
-// rejectSuspects rejects waiting requests that another host's crash report has
-// meanwhile shown to be the cause of crashes.
+// rejectSuspects rejects waiting requests that crash reports have meanwhile shown to be the
+// cause of crashes, or whose prompts begin like those under which targets crashed.
 func (p *pool) rejectSuspects(now time.Time) {
+	holds := p.callbacks.holds()
 	for ticket, w := range p.waiting {
-		if reply, rejected := p.callbacks.rejectIfSuspect(now, w.args.Fingerprint); rejected {
+		reply, rejected := p.callbacks.rejectIfSuspect(now, w.args.Fingerprint)
+		if !rejected && holds != p.holds {
+			reply, rejected = p.callbacks.rejectIfHeld(now, w.args.PrefixHashes, false)
+		}
+		if rejected {
 			p.policy.Cancel(now, ticket)
 			p.answer(now, ticket, reply)
 		}
 	}
+	p.holds = holds
 }
 
 func (p *pool) grant(now time.Time, g scheduling.Grant) {
@@ -272,6 +286,9 @@
 	}
 	delete(p.granted, f.Ticket)
 	p.policy.Finish(now, scheduling.Finished{Ticket: f.Ticket, Produced: f.Produced, Complete: f.Complete})
+	if f.Produced > g.args.Produced {
+		p.callbacks.onAnswer(g.grantedAt, g.args.PrefixHashes)
+	}
 	if f.Complete {
 		p.callbacks.onCompletion(g.args.Fingerprint)
 		return
--- a/internal/agent/scheduler/scheduler.go
+++ b/internal/agent/scheduler/scheduler.go
@@ -135,8 +135,11 @@
 	}
 	s.recordEvents(now, args.News)
 	verdict, expires := s.suspects.Verdict(now, args.Fingerprint)
-	if verdict == suspicion.Reject {
-		reply := crashSuspectReply(expires)
+	reply, rejected := crashSuspectReply(expires), verdict == suspicion.Reject
+	if !rejected {
+		reply, rejected = s.rejectIfHeld(now, args.PrefixHashes, true)
+	}
+	if rejected {
 		s.onDecision(now, args, reply)
 		return reply, nil
 	}
@@ -361,6 +364,39 @@
 	s.fleet.AddEvents(now, []control.Event{{ID: id, Kind: control.EventCleared, Fingerprint: fingerprint, Seen: now}})
 }
 
+// onAnswer implements callbacks: a prefix under which answers begin is cleared in the whole
+// fleet of the crashes before.
+func (s *Scheduler) onAnswer(grantedAt time.Time, prefixes []uint64) {
+	now := time.Now()
+	cleared := s.suspects.RecordAnswer(now, grantedAt, prefixes)
+	if len(cleared) == 0 {
+		return
+	}
+	cleared = cleared[max(0, len(cleared)-maxClearedPrefixes):]
+	id := fmt.Sprintf("answered/%s/%x/%d", s.fleet.Self().Host, cleared[0], now.UnixNano())
+	s.fleet.AddEvents(now, []control.Event{{ID: id, Kind: control.EventCleared, Prefixes: cleared, Since: now.Sub(grantedAt), Seen: now}})
+}
+
+// maxClearedPrefixes bounds the prefixes of one event; agents keep no more.
+const maxClearedPrefixes = 16
+
+// holds implements callbacks.
+func (s *Scheduler) holds() uint64 { return s.suspects.Holds() }
+
+// rejectIfHeld implements callbacks.
+func (s *Scheduler) rejectIfHeld(now time.Time, prefixes []uint64, admits bool) (control.AdmitReply, bool) {
+	held := s.suspects.Held(now, prefixes, admits)
+	if held == nil {
+		return control.AdmitReply{}, false
+	}
+	return control.AdmitReply{
+		Kind: string(problem.KindCrashSuspect),
+		Detail: fmt.Sprintf("%d targets crashed when they began to answer prompts that begin like this one (prefix %s)",
+			held.Crashes, held.Prefix),
+		RetryAfter: held.RetryAfter,
+	}, true
+}
+
 // targetsWithSuspects returns the targets on which requests under suspicion run.
 func (p *pool) targetsWithSuspects(now time.Time, suspects *fleetsuspicion.FleetTracker) []string {
 	var targets []string
--- a/internal/agent/scheduler/scheduler_test.go
+++ b/internal/agent/scheduler/scheduler_test.go
@@ -283,6 +283,58 @@
 	})
 }
 
+// No two requests are alike, so that only a part of their prompts tells that they crash
+// targets.
+func TestRequestsWithAHeldPartAreRejectedAtOnceAndWhileTheyWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, fleet, _ := newScheduler(newOneAtATime, target("e1", "1"))
+		defer s.Stop()
+		args := func(ticket string, fingerprint uint64, prefixes ...uint64) control.AdmitArgs {
+			a := admitArgs(ticket)
+			a.Fingerprint, a.PrefixHashes = fingerprint, prefixes
+			return a
+		}
+		sound, err := s.Admit(args("sound", 50, 1, 3))
+		require.NoError(t, err)
+		require.True(t, sound.Granted)
+		answers := make(chan control.AdmitReply, 1)
+		go func() {
+			reply, err := s.Admit(args("waits", 51, 1, 2, 99))
+			require.NoError(t, err)
+			answers <- reply
+		}()
+		for i := range uint64(4) {
+			time.Sleep(300 * time.Millisecond)
+			require.Empty(t, answers)
+			s.RecordEvent(time.Now(), control.Event{
+				ID: fmt.Sprint("c", i), Kind: control.EventCrash, Target: fmt.Sprint("x", i), Fingerprint: 60 + i, Prefixes: []uint64{1, 2, 70 + i},
+			})
+		}
+		require.Equal(t, string(problem.KindCrashSuspect), (<-answers).Kind, "waiting when the part became known")
+		begin := time.Now()
+		reply, err := s.Admit(args("next", 52, 1, 2, 98))
+		require.NoError(t, err)
+		require.Equal(t, string(problem.KindCrashSuspect), reply.Kind)
+		require.Contains(t, reply.Detail, "prefix 2")
+		require.Positive(t, reply.RetryAfter)
+		require.Zero(t, time.Since(begin))
+
+		s.Finish(control.FinishArgs{Finished: []control.Finished{{Ticket: "sound", Model: "writer", Produced: 5, Complete: true}}})
+		synctest.Wait()
+		reply, err = s.Admit(args("other", 53, 1, 3, 97))
+		require.NoError(t, err)
+		require.True(t, reply.Granted, "shares the first part only")
+		time.Sleep(time.Second)
+		s.Finish(control.FinishArgs{Finished: []control.Finished{{Ticket: "other", Model: "writer", Produced: 5, Complete: true}}})
+		synctest.Wait()
+		require.Len(t, fleet.events, 2, "an answer from before the crashes, and one after them")
+		for _, e := range fleet.events {
+			require.Equal(t, []uint64{1}, e.Prefixes, "the other hosts learn that the first part is sound")
+		}
+		require.Equal(t, time.Second, fleet.events[1].Since)
+	})
+}
+
 // The end of a request arrives while the inbox of its pool is full of other messages. It
 // must not be dropped: the slot would stay taken until its grant expires.
 func TestFinishIsKeptWhileTheInboxIsFull(t *testing.T) {
--- a/internal/agent/state/state_test.go
+++ b/internal/agent/state/state_test.go
@@ -308,6 +308,29 @@
 	require.Empty(t, f.agents[2].NewEvents(), "an expired crash was repaired")
 }
 
+// Guards against crashes that a restarted agent takes for one moment, since they are news.
+func TestRepairOfRecentCrashesKeepsTheirAges(t *testing.T) {
+	f := newFleet(3, 7)
+	_, ok := f.runUntil(30*time.Second, f.membershipAgrees)
+	require.True(t, ok)
+	for i := range 3 {
+		f.agents[0].AddEvents(f.now, []control.Event{{ID: fmt.Sprint("c", i), Kind: control.EventCrash, Target: fmt.Sprint("engine-", i), Fingerprint: 7}})
+		f.run(2 * time.Second)
+	}
+	f.start(1, 99)
+	var ages []time.Duration
+	_, ok = f.runUntil(8*time.Second, func() bool {
+		for len(f.agents[1].NewEvents()) > 0 {
+			for _, e := range <-f.agents[1].NewEvents() {
+				ages = append(ages, e.Age)
+			}
+		}
+		return len(ages) == 3
+	})
+	require.True(t, ok)
+	require.InDelta(t, 4*time.Second, ages[0]-ages[2], float64(time.Second))
+}
+
 // Guards against suspects of a planned end: whoever is told of the crash later can't know
 // that the target was leaving.
 func TestCrashOfLeavingTargetIsNotRepairedAsCrash(t *testing.T) {
--- /dev/null
+++ b/internal/agent/suspicion/parts_test.go
@@ -0,0 +1,118 @@
+package suspicion
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"corianderhitch/api/control"
+)
+
+// Prefixes of prompts that begin with a part that all share.
+const (
+	firstPart  = 1
+	annexPart  = 2
+	otherPart  = 3
+	ownPart    = 1000 // and more
+	fourthOnes = 4
+)
+
+// partCrash is the crash of a target under the i-th request with the annex.
+func partCrash(i int) control.Event {
+	return control.Event{
+		Kind: control.EventCrash, Target: fmt.Sprint("e", i), Fingerprint: uint64(100 + i),
+		Prefixes: []uint64{firstPart, annexPart, uint64(ownPart + i)},
+	}
+}
+
+func moment(i int) time.Time { return start.Add(time.Duration(i) * 3 * time.Second) }
+
+func TestPartOfUnlikePromptsIsHeldAfterFewCrashes(t *testing.T) {
+	tracker := &FleetTracker{Host: "h"}
+	for i := range fourthOnes {
+		require.Nil(t, tracker.Held(moment(i), []uint64{firstPart, annexPart, 5}, true), "crash %d", i)
+		require.Zero(t, tracker.Holds())
+		for range 3 { // gateways that report the crash
+			tracker.Add(moment(i), partCrash(i))
+		}
+	}
+	now := moment(fourthOnes)
+	require.EqualValues(t, 1, tracker.Holds())
+	held := tracker.Held(now, []uint64{firstPart, annexPart, 6}, true)
+	require.NotNil(t, held)
+	require.Equal(t, "2", held.Prefix)
+	require.Equal(t, fourthOnes, held.Crashes)
+	require.Positive(t, held.RetryAfter)
+	require.Nil(t, tracker.Held(now, []uint64{firstPart, otherPart, 7}, true), "shares the first part only")
+	require.Nil(t, tracker.Held(now, nil, true))
+}
+
+func TestCrashesAfterTheFirstTokenOrAtOneMomentHoldNothing(t *testing.T) {
+	late, together := &FleetTracker{}, &FleetTracker{}
+	for i := range 3 * fourthOnes {
+		e := partCrash(i)
+		together.Add(start, e)
+		e.Produced = 1
+		late.Add(moment(i), e)
+	}
+	require.Nil(t, late.Held(moment(12), []uint64{annexPart}, true))
+	require.Nil(t, together.Held(moment(12), []uint64{annexPart}, true), "a failure domain that ends at once")
+}
+
+func TestAnswersBetweenCrashesOfOtherCausesClearTheirParts(t *testing.T) {
+	owner, other := &FleetTracker{Host: "owner"}, &FleetTracker{Host: "other"}
+	for i := range 5 * fourthOnes {
+		at := moment(i)
+		for _, tracker := range []*FleetTracker{owner, other} {
+			tracker.Add(at, partCrash(i))
+			require.Nil(t, tracker.Held(at, []uint64{firstPart, annexPart}, true), "crash %d", i)
+		}
+		answered := owner.RecordAnswer(at.Add(2*time.Second), at.Add(time.Second), []uint64{firstPart, annexPart, 9})
+		require.Equal(t, []uint64{firstPart, annexPart}, answered)
+		require.Nil(t, owner.RecordAnswer(at.Add(2*time.Second), at.Add(time.Second), []uint64{firstPart, annexPart, 9}), "others know it")
+		other.Add(at.Add(2*time.Second), control.Event{Kind: control.EventCleared, Prefixes: answered, Since: time.Second})
+	}
+}
+
+func TestAnswerThatBeganBeforeTheCrashesTakesNoneBack(t *testing.T) {
+	const extra = 2 // for a part that was answered lately
+	tracker := &FleetTracker{}
+	for i := range fourthOnes + extra {
+		tracker.Add(moment(i), partCrash(i))
+		tracker.RecordAnswer(moment(i), start.Add(-time.Second), []uint64{firstPart, annexPart})
+	}
+	require.NotNil(t, tracker.Held(moment(fourthOnes+extra), []uint64{firstPart, annexPart}, true))
+}
+
+func TestRepairedCrashesHoldTheirPart(t *testing.T) {
+	for _, age := range []time.Duration{10 * time.Second, 20 * time.Minute} {
+		tracker := &FleetTracker{}
+		for i := range fourthOnes {
+			e := partCrash(i)
+			e.Age = age - time.Duration(i)*time.Second
+			tracker.Add(start, e)
+		}
+		require.EqualValues(t, 1, tracker.Holds(), age)
+		held := tracker.Held(start, []uint64{annexPart}, false)
+		require.Equal(t, age < 5*time.Minute, held != nil, "a hold lasts five minutes from the last crash")
+	}
+}
+
+func TestSuspectPrefixesAreBounded(t *testing.T) {
+	tracker := &FleetTracker{}
+	for i := range maxCrashedTargets + 10 {
+		tracker.Add(moment(i), partCrash(i))
+	}
+	require.Len(t, tracker.parts.crashes, maxCrashedTargets)
+	now := moment(maxCrashedTargets + 10)
+	for i := range uint64(maxSuspectPrefixes) {
+		tracker.parts.suspects[ownPart+i] = start
+	}
+	tracker.Add(now, control.Event{Kind: control.EventCrash, Target: "x", Fingerprint: 1, Prefixes: []uint64{1 << 40}})
+	require.LessOrEqual(t, len(tracker.parts.suspects), maxSuspectPrefixes+ownPart)
+	tracker.Add(start.Add(time.Hour), control.Event{Kind: control.EventCrash, Target: "y", Fingerprint: 1, Prefixes: []uint64{1 << 41}})
+	require.Less(t, len(tracker.parts.suspects), maxSuspectPrefixes, "expired ones go first")
+	require.Contains(t, tracker.parts.suspects, uint64(1<<41))
+}
--- a/internal/agent/suspicion/suspicion.go
+++ b/internal/agent/suspicion/suspicion.go
@@ -1,14 +1,17 @@
 // Package suspicion tracks which requests are suspected of crashing targets, from events
-// of this host's own pools and of its peers. The rules are those of
-// scheduling/suspicion.
+// of this host's own pools and of its peers. The rules are those of scheduling/suspicion for
+// requests that are sent again, and of package quarantine for beginnings of prompts that
+// several requests share.
 package suspicion
 
 import (
 	"fmt"
+	"log/slog"
 	"sync"
 	"time"
 
 	"corianderhitch/api/control"
+	"corianderhitch/internal/agent/events"
 	"corianderhitch/internal/scheduling/suspicion"
 )
 
@@ -19,8 +22,12 @@
 // FleetTracker is a suspicion.Tracker fed by events from the whole fleet. It is safe for
 // concurrent use, and its zero value is ready to use.
 type FleetTracker struct {
+	Host string
+	Log  *slog.Logger // nil for none
+
 	mu      sync.Mutex
 	tracker suspicion.Tracker // guarded by mu
+	parts   parts             // guarded by mu
 }
 
 // Add records an event about a request: a crash, a completion, or the survival of the
@@ -28,10 +35,16 @@
 func (t *FleetTracker) Add(now time.Time, e control.Event) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.parts.init(now, t.Host, t.Log)
 	switch e.Kind {
 	case control.EventCrash:
 		t.tracker.RecordCrash(RemoteCrash(now, e))
+		t.parts.recordCrash(now, e)
 	case control.EventCleared:
+		if len(e.Prefixes) > 0 {
+			t.parts.recordSurvival(now, now.Add(-e.Age-e.Since), e.Prefixes)
+			return
+		}
 		t.tracker.RecordCompletion(e.Fingerprint, ClearedAt(now, e))
 	case control.EventSurvived:
 		t.tracker.RecordSurvival(e.Fingerprint, ClearedAt(now, e))
@@ -48,7 +61,10 @@
 // RemoteCrash returns the crash that an event received now reports. Several gateways
 // report a crash; their reports count as one.
 func RemoteCrash(now time.Time, e control.Event) suspicion.Crash {
-	at := now.Add(-e.Age)
+	at := now
+	if events.IsHistory(e) {
+		at = now.Add(-e.Age)
+	}
 	return suspicion.Crash{
 		ID:         fmt.Sprintf("%s/%d", e.Target, at.UnixNano()),
 		Target:     e.Target,
@@ -62,7 +78,7 @@
 // ClearedAt returns the time until which an event received now clears a request of
 // crashes.
 func ClearedAt(now time.Time, e control.Event) time.Time {
-	if e.Age == 0 {
+	if !events.IsHistory(e) {
 		return now
 	}
 	return now.Add(historySlack - e.Age)
@@ -76,6 +92,30 @@
 	return t.tracker.Verdict(fingerprint, now), t.tracker.ExpiresIn(fingerprint, now)
 }
 
+// RecordAnswer records that the answer to a prompt with the prefixes began after the given
+// time. It returns the prefixes if other hosts should hear of it, else nil.
+func (t *FleetTracker) RecordAnswer(now, began time.Time, prefixes []uint64) []uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.parts.recordSurvival(now, began, prefixes)
+}
+
+// Held returns the prefix because of which a request must not be sent, nil if there is none.
+// admits states that the request is sent if there is none.
+func (t *FleetTracker) Held(now time.Time, prefixes []uint64, admits bool) *HeldPrefix {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.parts.held(now, prefixes, admits)
+}
+
+// Holds returns the number of times that a prefix was held back. While it is the same, a
+// request that was admitted need not be checked again.
+func (t *FleetTracker) Holds() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.parts.holds
+}
+
 // progressedRequests returns the fingerprint of the event if its request had produced
 // tokens, otherwise nil.
 func progressedRequests(e control.Event) []uint64 {
--- a/internal/gateway/runner/events.go
+++ b/internal/gateway/runner/events.go
@@ -28,6 +28,9 @@
 		event.Ticket = s.slot.Ticket()
 		event.Fingerprint = s.job.Admit.Fingerprint
 		event.Produced = len(s.machine.Tokens())
+		if event.Produced == 0 {
+			event.Prefixes = s.runner.branches.Choose(s.job.Admit.PrefixHashes, maxReportedPrefixes)
+		}
 		event.Beside = s.runner.fleet.InFlight().CoResidents(target, s.job.Admit.Fingerprint)
 	case errors.As(err, &rejected) && rejected.Problem.Kind == problem.KindDraining:
 		event.Kind = control.EventLeaving
@@ -40,6 +43,9 @@
 	s.runner.fleet.Report(event)
 }
 
+// maxReportedPrefixes bounds the prefixes of a crash report; agents keep no more.
+const maxReportedPrefixes = 16
+
 // survivalTokens is the number of tokens past the point of a crash that a request must
 // reach to count as having survived the crash: a request that causes crashes, when it is
 // continued, crashes the next engine at the same token. The second token allows for the
--- a/internal/gateway/runner/runner.go
+++ b/internal/gateway/runner/runner.go
@@ -18,6 +18,7 @@
 	"corianderhitch/internal/gateway/metrics"
 	"corianderhitch/internal/gateway/stream"
 	"corianderhitch/internal/platform"
+	"corianderhitch/internal/prefix"
 	"corianderhitch/internal/wait"
 )
 
@@ -39,6 +40,8 @@
 	log     *slog.Logger
 	tracer  trace.Tracer
 	limits  stream.Limits
+	// branches tells the parts of prompts apart, for reports of crashes.
+	branches prefix.Branches
 
 	detachedCtx      context.Context // ends at Drain, and with it the sessions whose callers have left
 	cancelDetached   context.CancelFunc
--- a/internal/gateway/runner/session.go
+++ b/internal/gateway/runner/session.go
@@ -89,6 +89,7 @@
 		s.delivered = job.Resume.DeliveredTokens
 	}
 	s.machine = stream.New(options)
+	r.branches.Observe(job.Admit.PrefixHashes)
 	return s
 }
 
