--- a/tests/prove/crashpart_test.go
+++ b/tests/prove/crashpart_test.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -63,7 +65,7 @@
 	block := strconv.FormatUint(hashes[len(hashes)-1], 16)
 	c := startCluster(t, clusterSpec{hosts: 3, engines: 8, engineArgs: []string{"--crash-on-block", block}})
 	counter := c.restartCrashedEngines(t)
-	p := &partTraffic{c: c}
+	p := &partTraffic{c: c, settled: partRequests / 2}
 	var callers sync.WaitGroup
 	for i := range partRequests {
 		callers.Go(func() { p.send(t, i, crashingPart, "guilty") })
@@ -90,9 +92,45 @@
 	summary = fmt.Sprintf("%d requests, %d engines lost, %d refused, %d sound requests whole", partRequests, crashes, p.refused, p.whole)
 }
 
+// TestEnginesKilledInSeriesHoldNoSoundPart kills engines at many moments while requests with
+// the same first parts begin. None may be refused as a crash suspect, and all that come
+// after the last engine is back must be answered.
+func TestEnginesKilledInSeriesHoldNoSoundPart(t *testing.T) {
+	t.Parallel()
+	if testing.Short() {
+		t.Skip("not in the short form")
+	}
+	defer acquireSlot()()
+	summary := ""
+	recordResult(t, "crashing request", "engines killed in series, sound requests", &summary)
+	c := startCluster(t, clusterSpec{hosts: 3, engines: 6})
+	counter := c.restartCrashedEngines(t)
+	const settling = 12 // requests while the last engine comes back
+	p := &partTraffic{c: c, settled: partRequests + settling}
+	var callers sync.WaitGroup
+	first := randomFor(t).IntN(len(c.engines))
+	for i := range 2 * partRequests {
+		for range 4 {
+			callers.Go(func() { p.send(t, i, soundPart, "sound") })
+		}
+		if i%3 == 2 && i < partRequests {
+			c.engines[(first+i/3)%len(c.engines)].process.Signal(syscall.SIGKILL)
+		}
+		<-time.After(partInterval)
+	}
+	callers.Wait()
+	crashes := counter.stop()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	require.Zero(t, p.refused, "as crash suspects")
+	summary = fmt.Sprintf("%d engines killed, %d of %d requests whole", crashes, p.whole, 8*partRequests)
+}
+
 // partTraffic counts the ends of requests.
 type partTraffic struct {
-	c *cluster
+	c       *cluster
+	settled int // from this request on each must be answered or refused at once
+	sent    atomic.Int64
 
 	mu      sync.Mutex
 	refused int           // guarded by mu; requests with the crashing part
@@ -102,19 +140,23 @@
 
 func (p *partTraffic) send(t *testing.T, i int, part, kind string) {
 	got := &received{}
-	call := streamCall{key: keyDesk, requestID: fmt.Sprintf("%s-%d", kind, i),
-		body: completion.Request{Model: "briefing", Prompt: fmt.Sprintf("%s%sQuestion %d of %s #len=20", sharedPart, part, i, kind)}}
+	n := p.sent.Add(1)
+	call := streamCall{key: keyDesk, requestID: fmt.Sprintf("%s-%d", kind, n),
+		body: completion.Request{Model: "briefing", Prompt: fmt.Sprintf("%s%sQuestion %d of %s #len=20", sharedPart, part, n, kind)}}
 	begin := time.Now()
 	err := readStream(context.Background(), p.c.hosts[i%len(p.c.hosts)].callerURL, call, got)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	later := i >= partRequests/2
+	later := i >= p.settled
 	switch {
 	case kind == "sound" && err == nil && len(got.chunks) == 20:
 		p.whole++
 	case !later && got.failure != nil && got.failure.Kind != problem.KindCrashSuspect:
 		// Few engines are left before the part is known.
 	case kind == "sound":
+		if got.failure != nil && got.failure.Kind == problem.KindCrashSuspect {
+			p.refused++
+		}
 		t.Errorf("sound request %d ended after %d tokens: %v", i, len(got.chunks), err)
 	case got.failure == nil || got.failure.Kind != problem.KindCrashSuspect:
 		t.Errorf("request %d with the crashing part has no final answer: %v", i, err)
