Streams: a run that is being copied is stopped at the engine that it left

A silent engine may have a copy of the run in progress, begun before the silence. It answers 409 to the final copy that is to stop the run, and went on with a run that another engine had taken over, if it had not noticed the closed connection. The call is now repeated until the copy ends. TestRunIsNotStoppedAtEngineThatCopiesIt failed before (one call).

--- a/internal/edge/streaming/takeover.go
+++ b/internal/edge/streaming/takeover.go
@@ -9,6 +9,7 @@
 	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/edge/inflight"
 	"corianderhitch/internal/edge/targets"
+	"corianderhitch/internal/wait"
 )
 
 const (
@@ -17,6 +18,8 @@
 	// silentStopTimeout bounds the call that stops a run at an engine that it left because
 	// the engine was silent. The engine answers once it goes on.
 	silentStopTimeout = 2500 * time.Millisecond
+	// stopRetryInterval is the time between calls that stop a run while it is copied.
+	stopRetryInterval = 50 * time.Millisecond
 )
 
 // takeover is an attempt to continue a run at another engine while its own sends nothing. A
@@ -134,6 +137,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	reply := r.server.Engines.Move(ctx, engine, r.ID(), other, true)
+	for reply.Result == edge.MoveBusy && ctx.Err() == nil { // a copy is in progress
+		wait.For(ctx, stopRetryInterval)
+		reply = r.server.Engines.Move(ctx, engine, r.ID(), other, true)
+	}
 	if reply.Handle != "" {
 		r.releaseCopy(engine, reply.Handle)
 	}
