Quarantine: concurrent writers and hosts that have just started keep the evidence

Two hosts that completed a case at the same time wrote the store's key one after the other; the loser of the compare-and-swap waited a second, and a loss of power in that second left the other's evidence only, on which a sound part was held back (TestHeldPartStaysHeldOverRestarts/all hosts, once in two runs with -race at load 35). It now tries again within 50 ms, and the stored evidence holds all that failed at the crashed targets, so that a reader decides as the writers did. A host that has just started read the store only a second after its start (the same test, all hosts but one). Small fleets send new evidence at the sync interval instead of four times a second.

--- a/internal/edge/peers/evidence.go
+++ b/internal/edge/peers/evidence.go
@@ -12,8 +12,9 @@
 	"corianderhitch/internal/wait"
 )
 
-// evidenceInterval bounds how often new evidence of crashing requests is sent at once.
-const evidenceInterval = 250 * time.Millisecond
+// maxEvidenceInterval bounds the time between two sends of new evidence of crashing requests.
+// In small fleets it is the sync interval.
+const maxEvidenceInterval = 250 * time.Millisecond
 
 // EvidenceArgs carries new evidence of requests that crash targets, and what the host has of
 // the receiver's.
@@ -64,7 +65,7 @@
 		} else if hubs := e.Members.Hubs(); !e.exchangeEvidence(ctx, hubs) {
 			e.exchangeEvidence(ctx, e.Members.All())
 		}
-		wait.For(ctx, evidenceInterval)
+		wait.For(ctx, min(e.SyncInterval(), maxEvidenceInterval))
 	}
 }
 
--- a/internal/edge/process/quarantine.go
+++ b/internal/edge/process/quarantine.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"strings"
 	"time"
 
@@ -19,9 +20,11 @@
 	heldKey = "corianderhitch/held-requests"
 	// heldWriteAttempts bounds the attempts to write it: others may write at the same time,
 	// or the store may be away.
-	heldWriteAttempts = 5
+	heldWriteAttempts = 8
 	// heldRetryDelay is the time between the attempts, and between those to read it.
 	heldRetryDelay = time.Second
+	// maxConflictDelay is the maximum of the random delay after another host's write.
+	maxConflictDelay = 50 * time.Millisecond
 	// maxLoggedCrashes bounds the crashes that a log line names.
 	maxLoggedCrashes = 8
 	// maxHeldRecords bounds the evidence in the store.
@@ -83,8 +86,12 @@
 			read = era
 		}
 		var again <-chan time.Time
-		if read != p.eras.Current() {
+		switch {
+		case read == p.eras.Current():
+		case p.feeds.live():
 			again = time.After(heldRetryDelay)
+		default:
+			again = time.After(followCheckInterval) // a host that has just started follows the store soon
 		}
 		select {
 		case <-ctx.Done():
@@ -151,10 +158,14 @@
 				_, err = p.store.Put(ctx, heldKey, value, revision, 0)
 			}
 		}
-		if err == nil {
+		switch {
+		case err == nil:
 			return
+		case errors.Is(err, platform.ErrConflict):
+			wait.For(ctx, rand.N(maxConflictDelay))
+		default:
+			wait.For(ctx, heldRetryDelay)
 		}
-		wait.For(ctx, heldRetryDelay)
 	}
 	p.log.Warn("quarantine: evidence cannot be stored; it is lost if all hosts lose power", "error", err.Error())
 }
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -99,21 +99,28 @@
 	return changed
 }
 
-// HeldEvidence returns the evidence because of which keys are held back.
+// HeldEvidence returns the evidence because of which keys are held back: all that failed at the
+// targets that crashed under them, and what survived.
 func (t *Tracker) HeldEvidence(now Instant) Evidence {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	crashed := make(map[string]bool)
+	for _, h := range t.held {
+		for _, c := range h.Crashes {
+			crashed[c.Incarnation] = true
+		}
+	}
 	var e Evidence
+	survived := make(map[Key]bool)
 	for _, f := range t.failures {
-		if len(e.Failures) < maxEvidence && slices.ContainsFunc(f.keys, func(key Key) bool {
-			h := t.held[key]
-			return h != nil && slices.ContainsFunc(h.Crashes, func(c Crash) bool { return c.Incarnation == f.Incarnation })
-		}) {
-			e.Failures = append(e.Failures, Failure{Incarnation: f.Incarnation, Host: f.Host, Keys: f.keys, Age: now - f.At})
-			for _, key := range f.keys {
-				if s := t.shared[key]; s != nil && !slices.ContainsFunc(e.Survivals, func(o Survival) bool { return o.Key == key }) {
-					e.Survivals = append(e.Survivals, Survival{Key: key, Age: now - s.at, Released: s.released})
-				}
+		if !crashed[f.Incarnation] || len(e.Failures) >= maxEvidence {
+			continue
+		}
+		e.Failures = append(e.Failures, Failure{Incarnation: f.Incarnation, Host: f.Host, Keys: f.keys, Age: now - f.At})
+		for _, key := range f.allKeys() {
+			if s := t.shared[key]; s != nil && !survived[key] && len(e.Survivals) < maxEvidence {
+				survived[key] = true
+				e.Survivals = append(e.Survivals, Survival{Key: key, Age: now - s.at, Released: s.released})
 			}
 		}
 	}
