--- a/internal/edge/plain/evidence.go
+++ b/internal/edge/plain/evidence.go
@@ -18,7 +18,7 @@
 			s.Sender.Crashes.ReportSurvival(a, key, sentAt, sentAt)
 		}
 	case o.result != broken || s.ownFault(ctx, o) || errors.Is(o.err, targetconn.ErrInvalidResponse) ||
-		o.err == errTooLong || o.err == errUnsigned || o.err == errEncoded:
+		errors.Is(o.err, errNoMemory) || o.err == errUnsigned || o.err == errEncoded:
 	case s.Targets.HasAnnounced(key) || errors.Is(ctx.Err(), context.Canceled):
 	case ctx.Err() == nil || s.Targets.View().Get(key) == nil: // broken, or silent until the end and not listed any more
 		s.Sender.Crashes.ReportFailure(a, key)
--- a/internal/edge/plain/outcome.go
+++ b/internal/edge/plain/outcome.go
@@ -1,8 +1,8 @@
 package plain
 
 import (
+	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -41,34 +41,61 @@
 	endsWithConnection bool
 }
 
-// maxBodyBytes bounds a response, which is buffered until it is complete.
-const maxBodyBytes = 8 << 20
+const (
+	// maxBodyBytes bounds a response, which is buffered until it is complete.
+	maxBodyBytes = 8 << 20
+	// smallBodyBytes is how much of a response is buffered without a share of LargeBodies.
+	smallBodyBytes = 256 << 10
+)
 
-// readResponse reads the whole body of a response and classifies it.
-func (s *Server) readResponse(response *targetconn.Response) outcome {
-	defer response.Close()
+// readResponse classifies a response by its head and reads the body of one that may be passed
+// on to the caller. The end of served is the end of the call, which needs the body until then.
+func (s *Server) readResponse(ctx, served context.Context, response *targetconn.Response) outcome {
 	o := outcome{status: response.Status, header: response.Header, endsWithConnection: response.ConnectionClosing}
-	body, err := io.ReadAll(io.LimitReader(response, maxBodyBytes+1))
 	switch {
-	case err != nil:
-		o.result, o.err = broken, err
-	case len(body) > maxBodyBytes:
-		o.result, o.err = broken, errTooLong
 	case s.Sender.Wire.NotExecuted(response.Status, response.Header):
 		o.result = rejected
 	case !s.Sender.Wire.Signed(response.Header):
 		o.result, o.err = broken, errUnsigned
 	case response.Header.Get("Content-Encoding") != "":
 		o.result, o.err = broken, errEncoded
+	default:
+		s.readBody(ctx, served, response, &o)
+		return o
+	}
+	response.Discard()
+	return o
+}
+
+// readBody reads the body of a response into the outcome of its send.
+func (s *Server) readBody(ctx, served context.Context, response *targetconn.Response, o *outcome) {
+	defer response.Close()
+	var giveBack func()
+	body, err := response.ReadAllReserved(maxBodyBytes, smallBodyBytes, func(bytes int64) error {
+		var err error
+		if giveBack, err = s.LargeBodies.Take(ctx, bytes); err != nil {
+			return errors.Join(errNoMemory, err)
+		}
+		return nil
+	})
+	switch {
+	case giveBack == nil:
+	case err != nil:
+		giveBack()
+	default:
+		context.AfterFunc(served, giveBack)
+	}
+	switch {
+	case err != nil:
+		o.result, o.err = broken, err
 	case response.Status >= http.StatusInternalServerError:
 		o.result = failed
 	}
 	o.body = body
-	return o
 }
 
 var (
-	errTooLong  = errors.New("response exceeds 8 MiB")
+	errNoMemory = errors.New("no memory was free for a large response")
 	errUnsigned = errors.New("response lacks the target's signature")
 	errEncoded  = errors.New("response has a Content-Encoding, which was not requested")
 )
--- a/internal/edge/streaming/segment.go
+++ b/internal/edge/streaming/segment.go
@@ -15,13 +15,14 @@
 
 const (
 	initialBufferBytes = 2 << 10
-	// maxEventBytes bounds one event; a larger one ends the stream with an error.
-	maxEventBytes = 1 << 20
+	// maxEventBytes bounds one event; a larger one ends the stream with an error. Each stream
+	// may hold that much.
+	maxEventBytes = 256 << 10
 )
 
 var (
 	errMissingEvents = eris.New("stream: event ids are not consecutive; the run cannot continue")
-	errEventTooLarge = eris.New("stream: event exceeds 1 MiB")
+	errEventTooLarge = eris.New("stream: event exceeds 256 KiB")
 )
 
 // segment is the part of a stream that one target sends. It returns whole events
@@ -31,30 +32,41 @@
 	load     inflight.Load // counted for target
 	response *targetconn.Response
 	cancel   context.CancelFunc // cancels the run at the target
+	body     io.Reader          // of response
 	watch    *startWatch        // of the run's start at the target
 	buffer   []byte
 	start    int // buffer[start:end] has not been returned yet
 	end      int
+	searched int   // buffer[start:searched] contains no end of an event
+	repeated int64 // events that the caller already had
 }
 
 // batch is one or more whole events.
 type batch struct {
 	bytes  []byte // valid until the next call of next
 	events int
-	lastID int64
-	hasID  bool
+	// repeated is the number of events that were dropped because the caller already has them.
+	repeated int64
+	lastID   int64
+	hasID    bool
 }
 
-// next returns the next whole events. It skips events with ids up to after and fails
-// if the ids that follow are not consecutive. io.EOF is returned only if the target
-// ended the stream after a whole event.
+// next returns the next whole events. It skips events with ids up to after, but not more than
+// there are, and fails if the ids that follow are not consecutive. io.EOF is returned only if
+// the target ended the stream after a whole event.
 func (s *segment) next(after int64) (batch, error) {
 	for {
 		if b, ok := s.completeEvents(); ok {
 			kept, err := dropDelivered(b, after)
-			if err != nil || kept.events > 0 {
+			if err != nil {
 				return kept, err
 			}
+			if s.repeated += kept.repeated; s.repeated > max(after, 0)+1 { // ids may begin with 0
+				return batch{}, eris.Wrapf(errMissingEvents, "%d events up to %d were repeated", s.repeated, after)
+			}
+			if kept.events > 0 {
+				return kept, nil
+			}
 			continue
 		}
 		if err := s.fill(); err != nil {
@@ -65,13 +77,15 @@
 
 // completeEvents removes the whole events from the buffer and returns them.
 func (s *segment) completeEvents() ([]byte, bool) {
-	data := s.buffer[s.start:s.end]
-	cut := bytes.LastIndex(data, []byte("\n\n"))
+	from := max(s.start, s.searched-1) // the last byte searched may begin an end
+	s.searched = s.end
+	cut := bytes.LastIndex(s.buffer[from:s.end], []byte("\n\n"))
 	if cut < 0 {
 		return nil, false
 	}
-	s.start += cut + 2
-	return data[:cut+2], true
+	events := s.buffer[s.start : from+cut+2]
+	s.start = from + cut + 2
+	return events, true
 }
 
 // fill reads more bytes into the buffer.
@@ -79,15 +93,18 @@
 	if s.start > 0 {
 		copy(s.buffer, s.buffer[s.start:s.end])
 		s.end -= s.start
+		s.searched -= s.start
 		s.start = 0
 	}
 	if s.end == len(s.buffer) {
 		if len(s.buffer) >= maxEventBytes {
 			return errEventTooLarge
 		}
-		s.buffer = append(s.buffer, make([]byte, max(initialBufferBytes, len(s.buffer)))...)
+		larger := make([]byte, max(initialBufferBytes, 2*len(s.buffer)))
+		copy(larger, s.buffer)
+		s.buffer = larger
 	}
-	n, err := s.response.Read(s.buffer[s.end:])
+	n, err := s.body.Read(s.buffer[s.end:])
 	s.end += n
 	if n > 0 {
 		return nil // a persistent error is returned by the next read
@@ -119,6 +136,7 @@
 		}
 		if id <= after {
 			b.bytes = rest
+			b.repeated++
 			continue
 		}
 		if id != b.lastID+1 {
--- a/internal/edge/streaming/server.go
+++ b/internal/edge/streaming/server.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math"
 	"net/http"
 	"time"
@@ -256,7 +255,7 @@
 		s.Inflight.Remove(t.Key(), load)
 		return nil, err
 	}
-	return &segment{target: t, load: load, response: response, cancel: cancel, watch: watch}, nil
+	return &segment{target: t, load: load, response: response, cancel: cancel, body: response, watch: watch}, nil
 }
 
 // send sends the call to a target and checks the head of its response. The returned
@@ -279,13 +278,13 @@
 	wire := s.Sender.Wire
 	switch {
 	case wire.NotExecuted(response.Status, response.Header):
-		_, _ = io.Copy(io.Discard, response) // makes the connection reusable
+		response.Discard()
 		err = errNotExecuted
 	case !wire.Signed(response.Header) || response.Header.Get("Content-Encoding") != "":
+		response.Close()
 		err = errUnsigned
 	}
 	if err != nil {
-		response.Close()
 		cancel()
 		return nil, nil, err
 	}
--- a/internal/edge/targetconn/errors.go
+++ b/internal/edge/targetconn/errors.go
@@ -22,8 +22,8 @@
 	// ErrCanceled means that the request's context ended before the response's head arrived.
 	// Such an error also matches ErrBroken; the target need not be at fault.
 	ErrCanceled = eris.New("target: request canceled after it was sent; repeat it only if it is idempotent")
-	// ErrInvalidResponse means that the response is not HTTP or belongs to another
-	// request.
+	// ErrInvalidResponse means that the response is not HTTP, belongs to another request or
+	// has a head that exceeds its bounds.
 	ErrInvalidResponse = eris.New("target: response is not HTTP or belongs to another request; repeat the request only if it is idempotent")
 )
 
