--- a/tests/soak/disturbances_test.go
+++ b/tests/soak/disturbances_test.go
@@ -65,6 +65,19 @@
 	return false
 }
 
+// of describes the disturbances of a subject.
+func (l *disturbanceLog) of(subject string) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []string
+	for _, d := range l.all {
+		if d.subject == subject {
+			out = append(out, d.kind+" from "+d.from.Format(timeLayout)+" to "+d.to.Format(timeLayout))
+		}
+	}
+	return out
+}
+
 // ofKind returns the disturbances of one kind, in the order in which they began.
 func (l *disturbanceLog) ofKind(kind string) []disturbance {
 	l.mu.Lock()
--- a/tests/soak/main_test.go
+++ b/tests/soak/main_test.go
@@ -4,6 +4,7 @@
 package soak
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"os"
@@ -60,6 +61,11 @@
 	var restores sync.WaitGroup
 	restores.Go(func() { c.injectRestores(seed, duration) })
 	restores.Go(func() { c.injectStatements(seed, duration) })
+	restores.Go(func() {
+		ctx, cancel := context.WithTimeout(t.Context(), duration)
+		defer cancel()
+		c.injectSilences(ctx, seed)
+	})
 	c.injectFaults(duration)
 	restores.Wait()
 	c.endFaults()
