--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -7,7 +7,6 @@
 	"context"
 	"log/slog"
 	"net"
-	"net/http"
 	"net/rpc"
 	"sync"
 	"time"
@@ -28,6 +27,7 @@
 	"corianderhitch/internal/agent/services"
 	"corianderhitch/internal/agent/state"
 	"corianderhitch/internal/agent/suspicion"
+	"corianderhitch/internal/logging"
 	"corianderhitch/internal/platform"
 	"corianderhitch/internal/rpcconn"
 )
@@ -81,7 +81,7 @@
 		settings:     s,
 		connections:  conns,
 		directory:    directory.New(),
-		crashTracker: &suspicion.FleetTracker{},
+		crashTracker: &suspicion.FleetTracker{Host: s.Host, Log: logging.WithPrefix(log, "suspicion")},
 		stopping:     make(chan struct{}),
 		cancel:       cancel,
 	}
@@ -149,7 +149,7 @@
 	a.lister = observer.StartLister(a.log, p, a.state, s.ListPeriod)
 	a.reports = reports.Start(a.log, a.state, a.ownerPool, a.scheduler)
 	a.observer = observer.Start(a.log, a.state, a.reports, observer.Config{PollInterval: s.Poll, PollTimeout: s.PollTimeout})
-	orders := modelplacement.HTTPOrderClient{Client: &http.Client{}}
+	orders := modelplacement.NewHTTPOrderClient()
 	a.placement = modelplacement.Start(a.log, p, a.state, orders, s.Environment)
 	a.done.Go(func() { presence.Run(ctx) })
 	a.done.Go(func() { a.connections.watch(ctx) })
--- a/internal/edge/streaming/attempts.go
+++ b/internal/edge/streaming/attempts.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -21,6 +20,7 @@
 	// replica don't count.
 	sends      atomic.Int32
 	mayHaveRun bool            // an engine may have begun to run the request
+	beside     bool            // an engine is asked while another one may go on with the request
 	failed     *failedResponse // the last failure that an engine answered with; nil if none
 }
 
@@ -69,6 +69,9 @@
 	if err != nil {
 		errText = err.Error()
 	}
+	r.attempts.sends.Add(1)
+	r.attempts.mayHaveRun = true
+	r.attempts.tried[source.Key()] = true
 	next := r.startElsewhere(ctx, source, "broke_off", reason, "error", errText)
 	if next == nil {
 		return nil
@@ -80,19 +83,18 @@
 	return next
 }
 
-// startElsewhere starts the run at an engine other than source, after the last event that
-// the caller has. The send to source counts as an attempt. It returns nil if the attempts or
-// the retry budget are used up or no engine takes the run. Only one goroutine at a time
-// may call it. cause holds attributes for the log.
+// startElsewhere starts the run at an engine that was not tried, after the last event that
+// the caller has. It returns nil if the attempts or the retry budget are used up or no engine
+// takes the run. Only one goroutine at a time may call it. cause holds attributes for the log.
 func (r *Run) startElsewhere(ctx context.Context, source *targets.Target, cause ...any) *segment {
-	r.attempts.sends.Add(1)
-	r.attempts.mayHaveRun = true
-	r.attempts.tried[source.Key()] = true
 	if !r.server.takeAttempt(r) {
 		return nil
 	}
-	started := time.Now()
+	started, tried := time.Now(), len(r.attempts.tried)
 	next, rejection := r.server.start(ctx, r)
+	if next == nil && len(r.attempts.tried) == tried {
+		r.server.RetryBudget(r.call.Service.Name).ReturnRetry() // no engine was chosen
+	}
 	if next != nil && next.response.Status != http.StatusOK {
 		rejection = &edge.Rejection{Status: next.response.Status, Reason: responseFailed}
 		r.abandon(next)
@@ -125,13 +127,28 @@
 	_, _ = w.Write(f.body) // ignored: the caller may have disconnected
 }
 
+const (
+	// maxFailedBytes bounds the body of a response that is not a stream.
+	maxFailedBytes = 256 << 10
+	// failedBodyTimeout bounds the wait for such a body while another engine could run the
+	// request.
+	failedBodyTimeout = 250 * time.Millisecond
+)
+
 // readFailedResponse reads a response that is not a stream, whose engine the run has not
-// entered. It returns nil if the response is incomplete.
-func (r *Run) readFailedResponse(s *segment) *failedResponse {
-	body, err := io.ReadAll(io.LimitReader(s.response, maxEventBytes))
+// entered. It returns nil if the response is incomplete, exceeds its bound or takes longer
+// than within.
+func (r *Run) readFailedResponse(s *segment, within time.Duration) *failedResponse {
+	body, err := s.response.ReadAllWithin(maxFailedBytes, within)
 	r.server.Health.RecordFailure(s.target.Key(), nonStreamSeverity)
+	if err == nil {
+		s.watch.answered()
+	} else {
+		s.watch.ended(err, s.response.ConnectionClosing)
+	}
 	r.abandon(s)
 	if err != nil {
+		r.call.Log.Warn("stream: failure of an engine is incomplete", "target", s.target.ID, "status", s.response.Status, "error", err.Error())
 		return nil
 	}
 	return &failedResponse{status: s.response.Status, header: s.response.Header, body: body}
@@ -149,7 +166,7 @@
 	if !s.takeAttempt(r) {
 		return false
 	}
-	if f := r.readFailedResponse(opened); f != nil {
+	if f := r.readFailedResponse(opened, failedBodyTimeout); f != nil {
 		r.attempts.failed = f
 	}
 	r.call.Log.Info("stream: sent again after a failure", "target", opened.target.ID, "status", opened.response.Status)
--- a/internal/edge/streaming/forward.go
+++ b/internal/edge/streaming/forward.go
@@ -64,8 +64,10 @@
 	for first := true; ; first = false {
 		b, err := s.next(r.lastEventID.Load())
 		if err != nil {
+			s.watch.ended(err, s.response.ConnectionClosing)
 			return err
 		}
+		s.watch.event()
 		if r.headSent {
 			r.recordPause(s.target, first)
 		} else {
@@ -272,7 +274,7 @@
 		r.server.recordFailure(source, bootclock.Now().Add(-r.SinceLastEvent()))
 	}
 	a.Log.Warn("stream: broken off", "reason", reason, "target", source.ID, "after_event", r.lastEventID.Load(),
-		"silent_ms", r.SinceLastEvent().Milliseconds(), "age_ms", a.Age().Milliseconds(), "error", errText)
+		"silent_ms", r.SinceLastEvent().Milliseconds(), "age_ms", a.Age().Milliseconds(), "shared_parts", a.Call.Generation.SharedPartNames(), "error", errText)
 	if !r.headSent {
 		status := http.StatusBadGateway
 		if reason == edge.ReasonTimeout {
@@ -300,7 +302,7 @@
 
 // forwardResponse forwards a response that is not a stream.
 func (r *Run) forwardResponse(s *segment) string {
-	response := r.readFailedResponse(s)
+	response := r.readFailedResponse(s, r.call.TimeLeft())
 	if response == nil {
 		(&edge.Rejection{Status: http.StatusBadGateway, Reason: edge.ReasonMayHaveRun}).Write(r.w, r.server.Sender.Wire)
 		return edge.ReasonMayHaveRun
--- a/internal/gateway/stream/machine_test.go
+++ b/internal/gateway/stream/machine_test.go
@@ -56,6 +56,11 @@
 
 // applyStep carries out a step.
 func (sim *simulation) applyStep(step Step, token engine.Token) {
+	if step.MayReturn && rapid.Bool().Draw(sim.t, "no other engine") {
+		sim.machine.Return()
+		sim.attach(sim.machine.Offset())
+		return
+	}
 	switch step.Kind {
 	case StepAccept:
 		if !sim.options.NonStreaming && token.Offset >= sim.options.DeliveredTokens {
@@ -223,7 +228,7 @@
 	require.Equal(t, Step{Kind: StepAttach}, m.HandleFailure(epoch, FailureStalled))
 	require.Equal(t, Step{Kind: StepAttach}, m.HandleFailure(m.BeginAttachment(), FailureConnectionLost))
 	require.Equal(t, Step{Kind: StepAttach}, m.HandleFailure(m.BeginAttachment(), FailureConnectionLost))
-	require.Equal(t, Step{Kind: StepContinue, CancelGeneration: true}, m.HandleFailure(m.BeginAttachment(), FailureConnectionLost))
+	require.Equal(t, Step{Kind: StepContinue, CancelGeneration: true, MayReturn: true}, m.HandleFailure(m.BeginAttachment(), FailureConnectionLost))
 	require.Equal(t, []string{"a"}, m.Tokens())
 }
 
@@ -240,3 +245,39 @@
 	require.Equal(t, StepAccept, m.HandleToken(epoch, engine.Token{Generation: "g", Text: "a"}).Kind)
 	require.Equal(t, StepAttach, m.HandleFailure(epoch, FailureUnresponsive).Kind, "no other engine can continue")
 }
+
+func TestStreamSurvivesManySilencesWithTokensBetweenThem(t *testing.T) {
+	m := New(Options{Limits: DefaultLimits(), Generation: "g", ContinueFromPrefix: true})
+	for offset := range 3 * DefaultLimits().Failovers {
+		epoch := m.BeginAttachment()
+		m.AttachmentAccepted(epoch)
+		for known := m.Offset(); known < offset; known++ {
+			require.Equal(t, StepIgnore, m.HandleToken(epoch, engine.Token{Generation: "g", Offset: known, Text: "a"}).Kind)
+		}
+		require.Equal(t, StepAccept, m.HandleToken(epoch, engine.Token{Generation: "g", Offset: offset, Text: "a"}).Kind)
+		require.Equal(t, StepAttach, m.HandleFailure(epoch, FailureStalled).Kind)
+		step := m.HandleFailure(m.BeginAttachment(), FailureUnresponsive)
+		require.Equalf(t, StepContinue, step.Kind, "silence %d", offset)
+	}
+	for moved := 1; ; moved++ {
+		step := m.HandleFailure(m.BeginAttachment(), FailureUnresponsive)
+		if step.Kind == StepFail {
+			require.Equal(t, ReasonRetriesExhausted, step.Reason)
+			return
+		}
+		require.LessOrEqual(t, moved, DefaultLimits().Failovers, "without a token")
+	}
+}
+
+func TestReturnsToSilentEngineAreBounded(t *testing.T) {
+	m := New(Options{Limits: DefaultLimits(), Generation: "g", ContinueFromPrefix: true})
+	epoch := m.BeginAttachment()
+	m.AttachmentAccepted(epoch)
+	require.Equal(t, StepAccept, m.HandleToken(epoch, engine.Token{Generation: "g", Text: "a"}).Kind)
+	for range DefaultLimits().LastEngineReattachments {
+		require.Equal(t, Step{Kind: StepContinue, CancelGeneration: true, MayReturn: true}, m.HandleFailure(epoch, FailureUnresponsive))
+		m.Return()
+		epoch = m.BeginAttachment()
+	}
+	require.Equal(t, Step{Kind: StepContinue, CancelGeneration: true}, m.HandleFailure(epoch, FailureUnresponsive))
+}
