Edge tests: sound answers beside ones without end

A target that never ends some answers serves others meanwhile, and a stream of events without ids, which only its deadline can end, holds up no call of the host and does not look complete.

--- a/tests/edge/endless_test.go
+++ b/tests/edge/endless_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -243,3 +244,68 @@
 		}
 	}
 }
+
+// A target in trouble may go on to serve other requests, on its other connections.
+func TestSoundAnswersOfTargetAreServedBesideOnesWithoutEnd(t *testing.T) {
+	const calls = 10
+	answers := map[string]standin.Endless{}
+	for name, answer := range standin.EndlessHeads {
+		answers["head: "+name] = answer
+	}
+	for name, body := range standin.EndlessBodies {
+		answers["body: "+name] = body.With(http.StatusOK, standin.SignedLine, standin.Filler())
+	}
+	for name, answer := range answers {
+		t.Run(name, func(t *testing.T) {
+			_, h, targets := startPlainFleet(t, 1)
+			targets[0].SetHandler(func(w http.ResponseWriter, r *http.Request) {
+				if strings.HasPrefix(r.Header.Get(headers.RequestID), "endless") {
+					answer.ServeHTTP(w, r)
+					return
+				}
+				standin.Succeed(w, r)
+			})
+			var endless, sound [calls]<-chan answered
+			for i := range calls {
+				endless[i] = sendAsyncTimed(h.request(t.Context(), http.MethodPost, "hold", fmt.Sprintf("endless-%d", i), nil))
+				sound[i] = sendAsyncTimed(h.request(t.Context(), http.MethodPost, "hold", fmt.Sprintf("r-%d", i), nil))
+			}
+			for i := range calls {
+				a := <-sound[i]
+				require.NoError(t, a.err)
+				require.Equal(t, http.StatusOK, a.status)
+				require.Equal(t, fmt.Sprintf("done r-%d", i), a.body)
+				require.Less(t, a.took, knownOutcomeTime)
+				a = <-endless[i]
+				require.NoError(t, a.err)
+				require.Equal(t, http.StatusBadGateway, a.status)
+				require.Less(t, a.took, knownOutcomeTime)
+			}
+		})
+	}
+}
+
+// Events without ids are passed on and not kept. Only the deadline can end them.
+func TestEventsWithoutIDsEndAtTheDeadline(t *testing.T) {
+	for name, body := range standin.EndlessBodies {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			f.configure()
+			f.startPlainTarget("d-1")
+			endless := f.startEndlessTarget("e-9", engineService, body.With(http.StatusOK, standin.SignedLine, "data: x\n\n"))
+			h := f.startHost()
+			r := generationRequest(t.Context(), h, "r-0", shortGeneration)
+			standin.SetDeadline(r, time.Second)
+			stream := sendAsyncTimed(r)
+			for i := range 20 {
+				a := sendTimed(t, h.request(t.Context(), http.MethodPost, "hold", fmt.Sprintf("h-%d", i), nil))
+				require.NoError(t, a.err)
+				require.Equal(t, http.StatusOK, a.status)
+			}
+			a := <-stream
+			require.Error(t, a.err, "the stream must not look complete")
+			require.Less(t, a.took, knownOutcomeTime)
+			require.Eventually(t, func() bool { return endless.Answering() == 0 }, waitTimeout, checkInterval)
+		})
+	}
+}
