Edge: a check that finds a key newly held does not block the one that ends waits

EndHeldWaits checked the waiting calls under its lock; a check may find that the crashes of a key have settled, which ends waits again: the host's requests would have blocked for good (TestChangeFoundWhileEndingWaitsDoesNotBlock, found by reading).

--- a/internal/edge/crashguard.go
+++ b/internal/edge/crashguard.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -142,8 +144,9 @@
 // EndHeldWaits ends the waits of the calls that are held back now.
 func (g *CrashGuard) EndHeldWaits() {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	for w := range g.waiting {
+	waiting := slices.Collect(maps.Keys(g.waiting))
+	g.mu.Unlock()
+	for _, w := range waiting { // Check may report a change, which calls this method again
 		if rejection, _ := g.Check(w.call); rejection != nil {
 			w.cancel()
 		}
