Operators see and release held beginnings of prompts

hitchctl status lists the prefix, the engines that crashed under it and for how long it is held; hitchctl release takes the crashes back on all hosts, by an event that agents repair like the crashes.

--- a/api/control/control.go
+++ b/api/control/control.go
@@ -97,11 +97,12 @@
 
 // The kinds of events.
 const (
-	EventLeaving  EventKind = "leaving" // the target rejected a request because it is leaving
-	EventDown     EventKind = "down"    // a connection was refused or broken
-	EventCrash    EventKind = "crash"   // the target crashed while it ran Fingerprint
-	EventCleared  EventKind = "cleared" // Fingerprint completed and is no longer a suspect
-	EventSurvived EventKind = "passed"  // Fingerprint ran on past the point at which its target had crashed
+	EventLeaving  EventKind = "leaving"  // the target rejected a request because it is leaving
+	EventDown     EventKind = "down"     // a connection was refused or broken
+	EventCrash    EventKind = "crash"    // the target crashed while it ran Fingerprint
+	EventCleared  EventKind = "cleared"  // Fingerprint completed and is no longer a suspect
+	EventSurvived EventKind = "passed"   // Fingerprint ran on past the point at which its target had crashed
+	EventReleased EventKind = "released" // an operator released the held Prefixes
 )
 
 // Event is an event about a target or a request. It is spread to all hosts.
@@ -276,8 +277,16 @@
 // DecisionsReply lists one agent's decisions about a request, oldest first.
 type DecisionsReply struct{ Lines []string }
 
+// HeldPrefix is a beginning of prompts that is held back since targets crashed under it.
+type HeldPrefix struct {
+	Prefix  string        // hash in hexadecimal
+	Targets []string      // that crashed
+	For     time.Duration // from now, until requests with it are tried again
+}
+
 // StatusReply is the state of the fleet as one agent sees it.
 type StatusReply struct {
+	Held             []HeldPrefix
 	Members          []Member
 	Targets          []TargetState
 	DocumentRevision int64
--- a/internal/agent/scheduler/scheduler.go
+++ b/internal/agent/scheduler/scheduler.go
@@ -380,6 +380,11 @@
 // maxClearedPrefixes bounds the prefixes of one event; agents keep no more.
 const maxClearedPrefixes = 16
 
+// HeldPrefixes returns the beginnings of prompts that are held back.
+func (s *Scheduler) HeldPrefixes(now time.Time) []control.HeldPrefix {
+	return s.suspects.HeldPrefixes(now)
+}
+
 // holds implements callbacks.
 func (s *Scheduler) holds() uint64 { return s.suspects.Holds() }
 
--- a/internal/agent/services/control.go
+++ b/internal/agent/services/control.go
@@ -78,7 +78,7 @@
 	}
 }
 
-// News records events that a gateway saw on the data path.
+// News records events that a gateway saw on the data path, or an operator's release.
 func (c *Control) News(args control.EventsArgs, _ *control.Empty) error {
 	c.state.AddEvents(time.Now(), args.News)
 	return nil
@@ -97,6 +97,7 @@
 		}
 	})
 	reply.Targets = c.state.Targets(time.Now())
+	reply.Held = c.scheduler.HeldPrefixes(time.Now())
 	reply.DocumentRevision = c.state.Document().Revision
 	reply.Environment = c.environment
 	reply.StoreReachable = c.state.StoreReachable()
--- a/internal/agent/suspicion/parts.go
+++ b/internal/agent/suspicion/parts.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"strconv"
+	"strings"
 	"time"
 
 	"corianderhitch/api/control"
@@ -80,7 +81,7 @@
 			return c.id
 		}
 	}
-	c := crashedTarget{target: target, at: at, id: target + "/" + strconv.FormatInt(at.UnixMilli(), 36)}
+	c := crashedTarget{target: target, at: at, id: target + incarnationSeparator + strconv.FormatInt(at.UnixMilli(), 36)}
 	p.crashes = append(p.crashes, c)
 	if len(p.crashes) > maxCrashedTargets {
 		p.crashes = p.crashes[1:]
@@ -135,6 +136,33 @@
 	return list
 }
 
+// release ends the holds of prefixes, and takes the crashes under them back.
+func (p *parts) release(now time.Time, e control.Event) {
+	for _, key := range keys(e.Prefixes) {
+		p.tracker.Release(p.instant(now.Add(-e.Age)), key)
+	}
+}
+
+// list returns the prefixes that are held back, in order.
+func (p *parts) list(now time.Time) []control.HeldPrefix {
+	if p.tracker == nil {
+		return nil
+	}
+	var list []control.HeldPrefix
+	for _, hold := range p.tracker.Holds() {
+		held := control.HeldPrefix{Prefix: hold.Key.ID, For: max(0, hold.Until-p.instant(now))}
+		for _, c := range hold.Crashes {
+			target, _, _ := strings.Cut(c.Incarnation, incarnationSeparator)
+			held.Targets = append(held.Targets, target)
+		}
+		list = append(list, held)
+	}
+	return list
+}
+
+// incarnationSeparator stands between a target's name and the time of its crash.
+const incarnationSeparator = "\x00"
+
 // HeldPrefix is a beginning of prompts that is held back.
 type HeldPrefix struct {
 	Prefix     string // hash in hexadecimal
--- a/internal/agent/suspicion/parts_test.go
+++ b/internal/agent/suspicion/parts_test.go
@@ -86,6 +86,27 @@
 	require.NotNil(t, tracker.Held(moment(fourthOnes+extra), []uint64{firstPart, annexPart}, true))
 }
 
+func TestReleasedPartIsHeldAgainOnlyAfterNewCrashes(t *testing.T) {
+	tracker := &FleetTracker{}
+	require.Empty(t, tracker.HeldPrefixes(start))
+	for i := range fourthOnes {
+		tracker.Add(moment(i), partCrash(i))
+	}
+	now := moment(fourthOnes)
+	list := tracker.HeldPrefixes(now)
+	require.Len(t, list, 1)
+	require.Equal(t, "2", list[0].Prefix)
+	require.Equal(t, []string{"e0", "e1", "e2", "e3"}, list[0].Targets)
+	require.Equal(t, 5*time.Minute-3*time.Second, list[0].For)
+	tracker.Add(now, control.Event{ID: "r", Kind: control.EventReleased, Prefixes: []uint64{annexPart}})
+	require.Empty(t, tracker.HeldPrefixes(now), "nor is the first part blamed instead")
+	require.Nil(t, tracker.Held(now, []uint64{firstPart, annexPart}, true))
+	for i := range 2 * fourthOnes {
+		tracker.Add(moment(fourthOnes+1+i), partCrash(fourthOnes+i))
+	}
+	require.NotEmpty(t, tracker.HeldPrefixes(moment(3*fourthOnes)))
+}
+
 func TestRepairedCrashesHoldTheirPart(t *testing.T) {
 	for _, age := range []time.Duration{10 * time.Second, 20 * time.Minute} {
 		tracker := &FleetTracker{}
--- a/internal/agent/suspicion/suspicion.go
+++ b/internal/agent/suspicion/suspicion.go
@@ -30,8 +30,8 @@
 	parts   parts             // guarded by mu
 }
 
-// Add records an event about a request: a crash, a completion, or the survival of the
-// point at which its target had crashed. Other kinds are ignored.
+// Add records an event about a request: a crash, a completion, the survival of the point at
+// which its target had crashed, or the release of prefixes. Other kinds are ignored.
 func (t *FleetTracker) Add(now time.Time, e control.Event) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -46,6 +46,8 @@
 			return
 		}
 		t.tracker.RecordCompletion(e.Fingerprint, ClearedAt(now, e))
+	case control.EventReleased:
+		t.parts.release(now, e)
 	case control.EventSurvived:
 		t.tracker.RecordSurvival(e.Fingerprint, ClearedAt(now, e))
 	}
@@ -108,6 +110,13 @@
 	return t.parts.held(now, prefixes, admits)
 }
 
+// HeldPrefixes returns the prefixes that are held back, in order.
+func (t *FleetTracker) HeldPrefixes(now time.Time) []control.HeldPrefix {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.parts.list(now)
+}
+
 // Holds returns the number of times that a prefix was held back. While it is the same, a
 // request that was admitted need not be checked again.
 func (t *FleetTracker) Holds() uint64 {
--- a/internal/cli/app.go
+++ b/internal/cli/app.go
@@ -71,6 +71,7 @@
 		a.pruneCommand(),
 		a.statusCommand(),
 		a.explainCommand(),
+		a.releaseCommand(),
 		a.storyCommand(),
 		a.keyCommand(),
 		a.schemaCommand(),
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
@@ -34,6 +35,16 @@
 	members []control.Member
 	polls   int
 	catchUp func(poll int, members []control.Member)
+	held    []control.HeldPrefix
+	events  []control.Event
+}
+
+// News implements Control.News.
+func (c *Control) News(args control.EventsArgs, _ *control.Empty) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.events = append(c.events, args.News...)
+	return nil
 }
 
 // Status implements Control.Status.
@@ -45,6 +56,7 @@
 		c.catchUp(c.polls, c.members)
 	}
 	reply.Members = append([]control.Member{}, c.members...)
+	reply.Held = c.held
 	reply.Environment = "trial"
 	reply.StoreReachable = true
 	return nil
@@ -113,6 +125,22 @@
 	return file
 }
 
+func TestHeldPrefixIsShownAndReleased(t *testing.T) {
+	f := newFixture(t)
+	f.mustRun("apply", trialFile)
+	require.NotContains(t, f.mustRun("status", "--environment", "trial"), "HELD PREFIX")
+	f.control.held = []control.HeldPrefix{{Prefix: "beef", Targets: []string{"engine-1", "engine-2"}, For: 90 * time.Second}}
+	out := f.mustRun("status", "--environment", "trial")
+	require.Regexp(t, `beef +engine-1 engine-2 +90 s`, out)
+	require.Contains(t, f.mustRun("release", "beef"), "released beef")
+	require.Len(t, f.control.events, 1)
+	require.Equal(t, control.EventReleased, f.control.events[0].Kind)
+	require.Equal(t, []uint64{0xbeef}, f.control.events[0].Prefixes)
+	code, _, errs := f.run("release", "engine-1")
+	require.Equal(t, ExitUsage, code)
+	require.Contains(t, errs, "hitchctl status")
+}
+
 func TestDocumentCommands(t *testing.T) {
 	f := newFixture(t)
 	require.Contains(t, f.mustRun("validate", trialFile), "is valid: environment trial")
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"sort"
+	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -25,6 +26,7 @@
 	AgentReachesStore bool           `json:"agent_reaches_store"`
 	Hosts             []hostStatus   `json:"hosts"`
 	Targets           []targetStatus `json:"targets"`
+	HeldPrefixes      []heldPrefix   `json:"held_prefixes"`
 	InForce           bool           `json:"in_force"` // every live host has the store's revision
 	Warning           string         `json:"warning,omitempty"`
 }
@@ -56,6 +58,13 @@
 	Observed    time.Time `json:"observed"`
 }
 
+// heldPrefix is a beginning of prompts that is held back since targets crashed under it.
+type heldPrefix struct {
+	Prefix  string   `json:"prefix"`
+	Targets []string `json:"targets"` // that crashed
+	Seconds float64  `json:"seconds"` // until requests with it are tried again
+}
+
 func (a *app) statusCommand() *cobra.Command {
 	return &cobra.Command{
 		Use:   "status",
@@ -84,6 +93,7 @@
 		AgentReachesStore: fleet.StoreReachable,
 		Hosts:             hostStatuses(fleet.Members),
 		Targets:           targetStatuses(fleet.Targets),
+		HeldPrefixes:      heldPrefixes(fleet.Held),
 	}
 	if s.Environment == "" {
 		s.Environment = fleet.Environment
@@ -160,6 +170,14 @@
 	return list
 }
 
+func heldPrefixes(held []control.HeldPrefix) []heldPrefix {
+	list := make([]heldPrefix, 0, len(held))
+	for _, h := range held {
+		list = append(list, heldPrefix{Prefix: h.Prefix, Targets: h.Targets, Seconds: h.For.Round(time.Second).Seconds()})
+	}
+	return list
+}
+
 func writeStatus(w io.Writer, s statusResult) {
 	fmt.Fprintf(w, "environment %s\n", orDash(s.Environment))
 	if s.StoreReached {
@@ -189,6 +207,19 @@
 			fmt.Sprintf("%d/%d", t.UsedBlocks, t.TotalBlocks), t.Preemptions))
 	}
 	writeTable(w, "TARGET\tKIND\tDOMAIN\tHEALTHY\tLEAVING\tOWNER\tRUNNING\tWAITING\tBLOCKS\tPREEMPTIONS", targets)
+	writeHeldPrefixes(w, s.HeldPrefixes)
+}
+
+func writeHeldPrefixes(w io.Writer, held []heldPrefix) {
+	if len(held) == 0 {
+		return
+	}
+	fmt.Fprintln(w)
+	var rows []string
+	for _, h := range held {
+		rows = append(rows, joinCells(h.Prefix, strings.Join(h.Targets, " "), fmt.Sprintf("%.0f s", h.Seconds)))
+	}
+	writeTable(w, "HELD PREFIX\tTARGETS THAT CRASHED\tFOR", rows)
 }
 
 // formatGatewayRevision returns an empty string for a host without a gateway.
--- a/internal/gateway/runner/admission.go
+++ b/internal/gateway/runner/admission.go
@@ -183,7 +183,6 @@
 		s.runner.cancelInBackground(target, s.machine.Generation())
 		return missed
 	}
-	s.runner.metrics.RecordRetry("return")
 	s.setReattachMode()
 	wait.For(s.ctx, s.nextBackoff())
 	return nil
--- a/tests/prove/crashpart_test.go
+++ b/tests/prove/crashpart_test.go
@@ -89,9 +89,23 @@
 	require.Positive(t, crashes)
 	require.GreaterOrEqual(t, p.whole, partRequests/2, "sound requests")
 	require.Lessf(t, p.slowest, maxRefusalTime, "refusals in the second half")
+	for _, h := range c.hosts {
+		reply, ok := c.agentStatus(h)
+		require.True(t, ok)
+		require.Lenf(t, reply.Held, 1, "held prefixes that %s shows to operators", h.name)
+		require.Contains(t, hashesInHex(hashes[2:]), reply.Held[0].Prefix, "of the crashing part")
+	}
 	summary = fmt.Sprintf("%d requests, %d engines lost, %d refused, %d sound requests whole", partRequests, crashes, p.refused, p.whole)
 }
 
+func hashesInHex(hashes []uint64) []string {
+	var list []string
+	for _, hash := range hashes {
+		list = append(list, strconv.FormatUint(hash, 16))
+	}
+	return list
+}
+
 // TestEnginesKilledInSeriesHoldNoSoundPart kills engines at many moments while requests with
 // the same first parts begin. None may be refused as a crash suspect, and all that come
 // after the last engine is back must be answered.
