Limits: a new or restarted owner of a pool grants no account its burst again

Own form: an account with a limit of 2 requests a second was granted 6 in one moment while the owner of its pool restarted twice; so with tokens a minute, and when a pool got a new owner.

Cause: the rates of accounts live in the memory of the pool's owner, and a limiter that is new begins full, as if the account had used nothing before.

Fix: limiters begin empty as of the time until which another process may have granted requests, and fill from there at the account's rate: since the start of the process, or since the host became the pool's owner. Hosts remember who could own pools for the last minute, so that an owner that has had a pool for long grants full bursts also to an account that it sees for the first time. A pool that a host served beside its owner begins anew when the host takes over; debts stay.

What it costs: after a start or a change of owners an account has its rate but no burst on top, of requests for a second, of tokens for a minute. Its first request waits for 1/rate, a second at most. Rates below one a second may therefore be exceeded by one request for each such process, tokens by a second's worth.

--- a/internal/agent/scheduler/key.go
+++ b/internal/agent/scheduler/key.go
@@ -32,7 +32,7 @@
 func Rank(key Key, host string, members []control.Member) (rank int, owner string) {
 	var hosts []string
 	for _, m := range members {
-		if m.State == control.MemberAlive || m.State == control.MemberSuspect {
+		if canOwn(m) {
 			hosts = append(hosts, m.Host)
 		}
 	}
@@ -47,3 +47,8 @@
 	}
 	return len(ranked), owner
 }
+
+// canOwn reports whether a member may be ranked for pools.
+func canOwn(m control.Member) bool {
+	return m.State == control.MemberAlive || m.State == control.MemberSuspect
+}
--- a/internal/agent/scheduler/maintenance.go
+++ b/internal/agent/scheduler/maintenance.go
@@ -32,16 +32,38 @@
 	}
 	self := s.fleet.Self().Host
 	rows := s.freshRows(now)
+	s.mu.Lock()
+	s.ownership.observe(now, members)
+	s.mu.Unlock()
 	for _, p := range s.allPools() {
 		if rank, owner := Rank(p.key, self, members); rank >= servingRanks {
 			s.dropPool(p, owner)
 			continue
 		}
+		s.observeOwnership(p, self)
 		s.sendTargets(p, rows)
 		p.send(func(p *pool, now time.Time) { p.releaseOrphaned(now, hosts) })
 	}
 }
 
+// observeOwnership passes on that this host has become the owner of a pool: until then,
+// another one granted its requests.
+func (s *Scheduler) observeOwnership(p *pool, self string) {
+	s.mu.Lock()
+	since, owned := s.ownership.ownedSince(p.key, self)
+	taken := owned && p.ownedSince.IsZero()
+	p.ownedSince = since
+	s.mu.Unlock()
+	if !taken {
+		return
+	}
+	p.send(func(p *pool, now time.Time) {
+		if policy, ok := p.policy.(Successor); ok {
+			policy.TakeOver(now)
+		}
+	})
+}
+
 func (s *Scheduler) dropPool(p *pool, owner string) {
 	s.mu.Lock()
 	delete(s.pools, p.key)
--- a/internal/agent/scheduler/pool.go
+++ b/internal/agent/scheduler/pool.go
@@ -34,6 +34,9 @@
 	stopped   chan struct{} // closed when the goroutine has ended and answers nothing more
 	done      sync.WaitGroup
 	callbacks callbacks
+	// ownedSince is since when this host has owned the pool, zero while it doesn't; guarded
+	// by the scheduler's mu.
+	ownedSince time.Time
 
 	rows         []control.TargetState
 	waiting      map[string]*waiter   // by ticket
--- a/internal/agent/scheduler/request.go
+++ b/internal/agent/scheduler/request.go
@@ -13,6 +13,12 @@
 	Configure(config scheduling.Config)
 }
 
+// Successor is implemented by policies that keep the rates of accounts.
+type Successor interface {
+	// TakeOver records that another process may have granted requests until now.
+	TakeOver(now time.Time)
+}
+
 func policyRequest(now time.Time, args control.AdmitArgs) scheduling.Request {
 	return scheduling.Request{
 		Ticket:       args.Ticket,
--- a/internal/agent/scheduler/scheduler.go
+++ b/internal/agent/scheduler/scheduler.go
@@ -74,6 +74,7 @@
 	freshLoads  map[string]control.TargetState // by target, reports newer than the fleet table's, guarded by mu
 	lateClasses map[string]bool                // classes that allow late delivery, guarded by mu
 	revision    int64                          // of the document that lateClasses comes from, guarded by mu
+	ownership   ownership                      // since the start of this process, guarded by mu
 	stopped     bool                           // guarded by mu
 	counts      Counts                         // guarded by mu
 }
@@ -100,6 +101,7 @@
 		freshLoads:  make(map[string]control.TargetState),
 		lateClasses: make(map[string]bool),
 	}
+	s.ownership.observe(time.Now(), fleet.Members())
 	s.done.Go(func() { s.run(ctx) })
 	return s
 }
@@ -316,8 +318,16 @@
 	if p := s.pools[key]; p != nil {
 		return p, true
 	}
-	p := startPool(key, s.log, s.newPolicy(policyConfig(s.fleet.Document().Document)), s)
-	rows := poolEngines(key, s.overlayLoads(s.fleet.Targets(time.Now())))
+	now := time.Now()
+	s.ownership.observe(now, s.fleet.Members())
+	config := policyConfig(s.fleet.Document().Document)
+	ownedSince, owned := s.ownership.ownedSince(key, s.fleet.Self().Host)
+	if config.RatesUsedUntil = ownedSince; !owned {
+		config.RatesUsedUntil = now // the owner grants as well
+	}
+	p := startPool(key, s.log, s.newPolicy(config), s)
+	p.ownedSince = ownedSince
+	rows := poolEngines(key, s.overlayLoads(s.fleet.Targets(now)))
 	s.engines[key] = rows
 	p.send(func(p *pool, now time.Time) {
 		p.setTargets(now, rows)
--- a/internal/agent/scheduler/scheduler_test.go
+++ b/internal/agent/scheduler/scheduler_test.go
@@ -227,6 +227,77 @@
 	})
 }
 
+func TestNewOwnerRefillsTheRatesOfAccounts(t *testing.T) {
+	key := Key{Model: "writer", Region: "r"}
+	owner := "" // a host that owns the pool while it lives
+	for n := 0; owner == ""; n++ {
+		host := fmt.Sprint("host-", n)
+		if rank, _ := Rank(key, host, []control.Member{alive("h1"), alive(host)}); rank == 0 {
+			owner = host
+		}
+	}
+	limited := func(c scheduling.Config) scheduling.Policy {
+		c.Limits = map[string]document.Limits{"a": {RequestsPerSecond: 2}}
+		return scheduling.NewPool(c)
+	}
+	for name, c := range map[string]struct {
+		usedBefore bool          // this host served the pool before the owner left
+		idle       time.Duration // since the owner left
+		want       int
+	}{
+		"owner has just left":                            {want: 0},
+		"owner has just left, pool was served here, too": {usedBefore: true, want: 0},
+		"owner left a while ago":                         {idle: 5 * time.Second, want: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, fleet, _ := newScheduler(limited, target("e1", "1"))
+				defer s.Stop()
+				n := 0
+				granted := func() (granted int) {
+					for range 3 {
+						n++
+						reply, err := s.Admit(admitArgs(fmt.Sprint("t-", n)))
+						require.NoError(t, err)
+						if reply.Granted {
+							granted++
+						}
+					}
+					return granted
+				}
+				fleet.setMembers(alive("h1"), alive(owner))
+				time.Sleep(2 * time.Minute)
+				if c.usedBefore {
+					granted()
+					time.Sleep(2 * time.Minute)
+				}
+				fleet.setMembers(alive("h1"))
+				time.Sleep(maintenanceInterval + c.idle)
+				synctest.Wait()
+				require.Equal(t, c.want, granted())
+				time.Sleep(time.Second)
+				require.Equal(t, 2, granted(), "the rate itself is granted")
+			})
+		})
+	}
+}
+
+func TestQuietAccountWaitsForItsFirstRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limited := func(c scheduling.Config) scheduling.Policy {
+			c.Limits = map[string]document.Limits{"a": {RequestsPerSecond: 0.1, TokensPerMinute: 60}}
+			return scheduling.NewPool(c)
+		}
+		s, fleet, _ := newScheduler(limited, target("e1", "1"))
+		defer s.Stop()
+		fleet.setMembers(alive("h1"))
+		time.Sleep(time.Minute)
+		reply, err := s.Admit(admitArgs("t1"))
+		require.NoError(t, err)
+		require.True(t, reply.Granted, "the account of an owner that has run for a while: %s", reply.Detail)
+	})
+}
+
 func TestWaitingRequestsAreRedirectedToNewOwner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s, fleet, _ := newScheduler(newOneAtATime, target("e1", "1"))
--- a/internal/scheduling/config.go
+++ b/internal/scheduling/config.go
@@ -30,6 +30,9 @@
 	Objectives document.Objectives
 	// Limits holds the limits of client accounts by account name.
 	Limits map[string]document.Limits
+	// RatesUsedUntil is until when another process may have granted requests, so that an
+	// account may have used its rates; the zero time stands for never.
+	RatesUsedUntil time.Time
 	// QueueBound is the largest number of waiting requests; 0 means the default.
 	QueueBound int
 	// AgeAfter is how long a request waits before it may overtake requests of
--- a/internal/scheduling/limits/limits.go
+++ b/internal/scheduling/limits/limits.go
@@ -30,13 +30,24 @@
 	// tokenBurst is the same for tokens. It is longer because each request uses
 	// many tokens at once.
 	tokenBurst = time.Minute
+	// maxStartWait bounds how long an account waits for its first request because another
+	// process may have used its rate. A slower rate than one request in that time allows a
+	// request more for each such process.
+	maxStartWait = time.Second
+	// startTokens is the time over which the account has accumulated tokens in that case, so
+	// that it may start a request at once.
+	startTokens = time.Second
 )
 
+// MaxBurst is the time after which an account that used nothing has all of its rates.
+const MaxBurst = max(requestBurst, tokenBurst)
+
 // Accounts holds the limits of all accounts and how far they are used. It is not
 // safe for concurrent use.
 type Accounts struct {
-	limits map[string]document.Limits
-	states map[string]*accountState
+	limits    map[string]document.Limits
+	states    map[string]*accountState
+	usedUntil time.Time // until when another process may have used the rates; zero for never
 }
 
 type accountState struct {
@@ -46,9 +57,26 @@
 }
 
 // New returns Accounts with the given limits by account name. Accounts that are
-// not listed have no limits.
-func New(limits map[string]document.Limits) *Accounts {
-	return &Accounts{limits: limits, states: make(map[string]*accountState)}
+// not listed have no limits. Another process may have used their rates in full until
+// usedUntil; the zero time stands for never.
+func New(limits map[string]document.Limits, usedUntil time.Time) *Accounts {
+	return &Accounts{limits: limits, states: make(map[string]*accountState), usedUntil: usedUntil}
+}
+
+// TakeOver records that another process may have used the rates in full until now.
+func (a *Accounts) TakeOver(now time.Time) {
+	a.usedUntil = now
+	for _, s := range a.states {
+		s.requests, s.tokens = inDebt(s.requests, now), inDebt(s.tokens, now)
+	}
+}
+
+// inDebt returns the limiter if nothing is left of its rate, and nil otherwise.
+func inDebt(l *rate.Limiter, now time.Time) *rate.Limiter {
+	if l == nil || l.TokensAt(now) > 0 {
+		return nil
+	}
+	return l
 }
 
 // Admit checks a new request of an account that has the given number of waiting
@@ -64,7 +92,7 @@
 		return Queue, 0
 	}
 	s := a.stateOf(account)
-	s.setRates(now, l)
+	s.setRates(now, l, a.usedUntil)
 	if l.TokensPerMinute > 0 && s.tokens.TokensAt(now) <= 0 {
 		return TokenRate, timeToRefill(1-s.tokens.TokensAt(now), float64(s.tokens.Limit()))
 	}
@@ -94,7 +122,7 @@
 	if !ok {
 		return
 	}
-	s.setRates(now, l)
+	s.setRates(now, l, a.usedUntil)
 	if l.TokensPerMinute > 0 {
 		s.tokens.ReserveN(now, min(tokens, s.tokens.Burst()))
 	}
@@ -109,22 +137,29 @@
 	return s
 }
 
-// setRates puts the rates of the limits in force.
-func (s *accountState) setRates(now time.Time, l document.Limits) {
-	s.requests = withRate(s.requests, now, l.RequestsPerSecond, requestBurst)
-	s.tokens = withRate(s.tokens, now, l.TokensPerMinute/time.Minute.Seconds(), tokenBurst)
+// setRates puts the rates of the limits in force. Another process may have used them in
+// full until usedUntil; the zero time stands for never.
+func (s *accountState) setRates(now time.Time, l document.Limits, usedUntil time.Time) {
+	s.requests = withRate(s.requests, now, l.RequestsPerSecond, requestBurst, func(perSecond float64) time.Time {
+		return usedUntil.Add(-max(0, timeToRefill(1, perSecond)-maxStartWait))
+	})
+	s.tokens = withRate(s.tokens, now, l.TokensPerMinute/time.Minute.Seconds(), tokenBurst, func(float64) time.Time {
+		return usedUntil.Add(-startTokens)
+	})
 }
 
-// withRate returns the limiter with another rate, or a full one for nil. What has been
-// used stays used, so that no change of the rate grants a burst. A rate of zero, which
-// stands for no limit, leaves the limiter as it is.
-func withRate(l *rate.Limiter, now time.Time, perSecond float64, burstTime time.Duration) *rate.Limiter {
+// withRate returns the limiter with another rate, or for nil one that was empty at the time
+// that emptyAt returns. What has been used stays used, so that no change of the rate grants
+// a burst. A rate of zero, which stands for no limit, leaves the limiter as it is.
+func withRate(l *rate.Limiter, now time.Time, perSecond float64, burstTime time.Duration, emptyAt func(perSecond float64) time.Time) *rate.Limiter {
 	if perSecond <= 0 || (l != nil && l.Limit() == rate.Limit(perSecond)) {
 		return l
 	}
 	burst := max(1, int(perSecond*burstTime.Seconds()))
 	if l == nil {
-		return rate.NewLimiter(rate.Limit(perSecond), burst)
+		l = rate.NewLimiter(rate.Limit(perSecond), burst)
+		l.AllowN(emptyAt(perSecond), burst)
+		return l
 	}
 	l.SetLimitAt(now, rate.Limit(perSecond))
 	l.SetBurstAt(now, burst)
--- a/internal/scheduling/limits/limits_test.go
+++ b/internal/scheduling/limits/limits_test.go
@@ -13,7 +13,7 @@
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func TestRate(t *testing.T) {
-	a := New(map[string]document.Limits{"x": {RequestsPerSecond: 2}})
+	a := New(map[string]document.Limits{"x": {RequestsPerSecond: 2}}, time.Time{})
 	for range 2 {
 		reason, _ := a.Admit(start, "x", 0)
 		assert.Equal(t, None, reason)
@@ -28,7 +28,7 @@
 }
 
 func TestQueueAndConcurrency(t *testing.T) {
-	a := New(map[string]document.Limits{"x": {Queued: 3, Concurrent: 1}})
+	a := New(map[string]document.Limits{"x": {Queued: 3, Concurrent: 1}}, time.Time{})
 	reason, _ := a.Admit(start, "x", 3)
 	assert.Equal(t, Queue, reason)
 	assert.True(t, a.MayRun("x"))
@@ -44,7 +44,7 @@
 
 func TestRequestThatEndsWhileItsLimitIsLiftedIsCountedForever(t *testing.T) {
 	limited := map[string]document.Limits{"x": {Concurrent: 1}}
-	a := New(limited)
+	a := New(limited, time.Time{})
 	a.Started("x")
 	a.Configure(nil)
 	a.Ended(start, "x", 0)
@@ -53,7 +53,7 @@
 }
 
 func TestRequestThatStartsWhileItsLimitIsLiftedIsNotCounted(t *testing.T) {
-	a := New(nil)
+	a := New(nil, time.Time{})
 	a.Started("x")
 	a.Configure(map[string]document.Limits{"x": {Concurrent: 1}})
 	assert.False(t, a.MayRun("x"), "it still runs")
@@ -62,7 +62,7 @@
 }
 
 func TestTokensPerMinute(t *testing.T) {
-	a := New(map[string]document.Limits{"x": {TokensPerMinute: 600}})
+	a := New(map[string]document.Limits{"x": {TokensPerMinute: 600}}, time.Time{})
 	reason, _ := a.Admit(start, "x", 0)
 	assert.Equal(t, None, reason)
 	a.Ended(start, "x", 600)
@@ -82,7 +82,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			limits := document.Limits{RequestsPerSecond: 5, TokensPerMinute: 600}
-			a := New(map[string]document.Limits{"a": limits})
+			a := New(map[string]document.Limits{"a": limits}, time.Time{})
 			admitAll := func() (granted int) {
 				for range 100 {
 					if reason, _ := a.Admit(start, "a", 0); reason == None {
@@ -113,7 +113,7 @@
 }
 
 func TestChangedRateIsInForceAtOnce(t *testing.T) {
-	a := New(map[string]document.Limits{"a": {RequestsPerSecond: 5}})
+	a := New(map[string]document.Limits{"a": {RequestsPerSecond: 5}}, time.Time{})
 	admitted := func(at time.Time) (n int) {
 		for reason, _ := a.Admit(at, "a", 0); reason == None; reason, _ = a.Admit(at, "a", 0) {
 			n++
@@ -137,7 +137,7 @@
 				names[i] = fmt.Sprint("account-", i)
 				all[names[i]] = document.Limits{RequestsPerSecond: 1000, Concurrent: 5, TokensPerMinute: 1e6}
 			}
-			a := New(all)
+			a := New(all, time.Time{})
 			b.ReportAllocs()
 			i := 0
 			for b.Loop() {
@@ -147,3 +147,52 @@
 		})
 	}
 }
+
+func TestRatesThatAnotherProcessMayHaveUsed(t *testing.T) {
+	for name, c := range map[string]struct {
+		perSecond float64
+		after     time.Duration // since the other process
+		granted   int           // of 100 requests
+		wait      time.Duration // until the next one
+	}{
+		"at once":                         {perSecond: 20, granted: 0, wait: 50 * time.Millisecond},
+		"what has accumulated":            {perSecond: 20, after: 300 * time.Millisecond, granted: 6, wait: 50 * time.Millisecond},
+		"the whole burst":                 {perSecond: 20, after: time.Minute, granted: 20, wait: 50 * time.Millisecond},
+		"slow rate waits a second":        {perSecond: 0.1, granted: 0, wait: time.Second},
+		"slow rate after a second":        {perSecond: 0.1, after: time.Second, granted: 1, wait: 10 * time.Second},
+		"slow rate after its first burst": {perSecond: 0.1, after: time.Minute, granted: 1, wait: 10 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, takenOver := range []bool{false, true} {
+				limits := map[string]document.Limits{"x": {RequestsPerSecond: c.perSecond}}
+				a := New(limits, start)
+				if takenOver {
+					a = New(limits, time.Time{})
+					a.Admit(start.Add(-time.Minute), "x", 0)
+					a.TakeOver(start)
+				}
+				now, granted, wait := start.Add(c.after), 0, time.Duration(0)
+				for range 100 {
+					reason, after := a.Admit(now, "x", 0)
+					if reason == None {
+						granted++
+					}
+					wait = after
+				}
+				assert.Equal(t, c.granted, granted, "taken over: %v", takenOver)
+				assert.InDelta(t, c.wait.Seconds(), wait.Seconds(), 0.001, "taken over: %v", takenOver)
+			}
+		})
+	}
+}
+
+func TestTakeOverForgivesNoTokens(t *testing.T) {
+	a := New(map[string]document.Limits{"x": {TokensPerMinute: 600}}, time.Time{})
+	a.Admit(start, "x", 0)
+	a.Ended(start, "x", 600)
+	a.Ended(start, "x", 600)
+	a.TakeOver(start)
+	reason, wait := a.Admit(start, "x", 0)
+	assert.Equal(t, TokenRate, reason)
+	assert.InDelta(t, 60.1, wait.Seconds(), 0.01)
+}
--- a/internal/scheduling/pool.go
+++ b/internal/scheduling/pool.go
@@ -65,7 +65,7 @@
 		lengths:        length.NewEstimator(0),
 		steps:          steptime.NewCurve(),
 		queue:          fairqueue.New(config.AgeAfter),
-		accounts:       limits.New(config.Limits),
+		accounts:       limits.New(config.Limits, config.RatesUsedUntil),
 		suspects:       suspicion.NewTracker(),
 		duplicates:     newDuplicates(),
 		waiting:        make(map[string]*waitingRequest),
@@ -82,6 +82,10 @@
 	p.accounts.Configure(config.Limits)
 }
 
+// TakeOver records that another process may have granted requests until now, which the
+// rates of accounts must allow for.
+func (p *Pool) TakeOver(now time.Time) { p.accounts.TakeOver(now) }
+
 // ObserveCache implements Policy. It keeps the known contents after missed
 // events: a prefix that is wrongly assumed to be cached costs one prefill, while
 // forgetting everything would place requests that share prefixes on different
