Agent: a read of the target list could undo a leaving event

By reading, beside the trace of the lost leaving event: a reader of the platform's list computed the rows to write from a copy of the table and stored them whole. What another goroutine had written in between was lost: the leaving mark of an event, the observer, its load. Rare, since rows are only written when the list has changed.

The change is now applied to the row as it is when it is written.

Evidence: TestReadOfTheListUndoesLeavingEvent failed before ("entry changed"). Not seen in a run of real processes.

--- a/internal/agent/observer/listcomparer.go
+++ b/internal/agent/observer/listcomparer.go
@@ -88,3 +88,15 @@
 	row.ListedLeaving = entry.Leaving
 	return row
 }
+
+// withListChange returns the row with what a row of Changes takes from the list. The rest
+// may have changed since the rows were compared.
+func withListChange(row, change control.TargetState) control.TargetState {
+	if change.Left {
+		row.Left, row.Healthy = true, false
+		return row
+	}
+	entry := change.Target
+	entry.Leaving = change.ListedLeaving
+	return applyEntry(row, entry)
+}
--- a/internal/agent/observer/lister.go
+++ b/internal/agent/observer/lister.go
@@ -81,7 +81,7 @@
 	now := time.Now()
 	for _, row := range comparer.Changes(list, l.fleet.Targets(now), compare) {
 		l.log.Info("Target list changed.", "target", row.Name, "leaving", row.Leaving, "left", row.Left)
-		l.fleet.UpdateTarget(now, row.Name, func(control.TargetState) (control.TargetState, bool) { return row, true })
+		l.fleet.UpdateTarget(now, row.Name, func(old control.TargetState) (control.TargetState, bool) { return withListChange(old, row), true })
 	}
 	return true
 }
--- a/internal/agent/observer/observer_test.go
+++ b/internal/agent/observer/observer_test.go
@@ -1,6 +1,7 @@
 package observer
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"corianderhitch/api/control"
 	"corianderhitch/api/engine"
+	"corianderhitch/internal/logging"
 	"corianderhitch/internal/platform"
 )
 
@@ -102,6 +104,41 @@
 	require.True(t, writes[0].Left)
 }
 
+// changingFleet is a Fleet whose row of target e becomes leaving right after it was read.
+type changingFleet struct {
+	Fleet
+	row control.TargetState
+}
+
+func (f *changingFleet) Targets(time.Time) []control.TargetState {
+	read := f.row
+	f.row.Leaving, f.row.Owner, f.row.Version = true, "observer", f.row.Version+1
+	return []control.TargetState{read}
+}
+
+func (f *changingFleet) UpdateTarget(_ time.Time, _ string, change func(control.TargetState) (control.TargetState, bool)) {
+	f.row, _ = change(f.row)
+}
+
+type fixedList []platform.Target
+
+func (l fixedList) Targets(context.Context) ([]platform.Target, error) { return l, nil }
+
+func TestReadOfTheListUndoesLeavingEvent(t *testing.T) {
+	for name, list := range map[string]fixedList{
+		"entry changed": {{Name: "e", Address: "a", Domain: "other", Kind: platform.TargetEngine}},
+		"entry removed": {},
+	} {
+		fleet := &changingFleet{row: control.TargetState{Target: platform.Target{Name: "e", Address: "a", Kind: platform.TargetEngine}, Healthy: true, Version: 1}}
+		l := &Lister{log: logging.Discard(), list: list, fleet: fleet, interval: time.Minute}
+		comparer := ListComparer{last: map[string]platform.Target{"e": fleet.row.Target}}
+		require.True(t, l.read(t.Context(), &comparer, true))
+		require.True(t, fleet.row.Leaving, name)
+		require.Equal(t, "observer", fleet.row.Owner, name)
+		require.Equal(t, len(list) == 0, fleet.row.Left, name)
+	}
+}
+
 func TestCacheDeltaMarksGaps(t *testing.T) {
 	events := func(seqs ...int64) engine.CacheEvents {
 		var c engine.CacheEvents
