--- a/internal/edge/ingress/handler.go
+++ b/internal/edge/ingress/handler.go
@@ -210,8 +210,8 @@
 	return account != nil && account.Name == a.Account
 }
 
-// readBody reads the request's body into the call. It returns the rejection if that fails;
-// rejected means that the caller has been sent one already.
+// readBody reads the request's body into the call, until the call's deadline. It returns the
+// rejection if that fails; rejected means that the caller has been sent one already.
 func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, a *edge.AuthorizedCall) (rejection *edge.Rejection, rejected bool) {
 	limit := h.Policy.Current().Limits.MaxBodyBytes
 	if limit <= 0 {
@@ -222,6 +222,7 @@
 	}
 	stopRejecting := h.rejectWhileReading(w, a)
 	defer context.AfterFunc(r.Context(), func() { endRead(w) })()
+	defer time.AfterFunc(a.TimeLeft(), func() { endRead(w) }).Stop()
 	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
 	switch {
 	case stopRejecting():
@@ -229,6 +230,8 @@
 	case int64(len(body)) > limit:
 		w.Header().Set("Connection", "close")
 		return &edge.Rejection{Status: http.StatusRequestEntityTooLarge, Reason: edge.ReasonTooLarge}, false
+	case err != nil && a.TimeLeft() <= 0:
+		return &edge.Rejection{Status: http.StatusRequestTimeout, Reason: edge.ReasonTimeout}, false
 	case err != nil && h.Drain.Begun().Err() != nil:
 		return edge.Stopping(), false
 	case err != nil:
--- a/internal/edge/streaming/forward.go
+++ b/internal/edge/streaming/forward.go
@@ -12,7 +12,9 @@
 	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/edge/draining"
 	"corianderhitch/internal/edge/inflight"
+	"corianderhitch/internal/edge/targetconn"
 	"corianderhitch/internal/edge/targets"
+	"corianderhitch/internal/wait"
 )
 
 // forward sends the events to the caller as they arrive, from each engine that
@@ -21,11 +23,19 @@
 	if current.response.Status != http.StatusOK {
 		return r.forwardResponse(current)
 	}
+	r.ctx = ctx
+	r.enterTarget(current)
 	r.head = current.response.Header
 	for {
 		err := r.forwardEvents(current)
 		source := current.target
 		current.close()
+		if next := r.endTakeover(err); next != nil {
+			r.leaveTarget()
+			r.enterTarget(next)
+			current = next
+			continue
+		}
 		if err == errCallerGone {
 			r.leaveTarget()
 			if replica, _ := r.takeReplica(); replica != nil {
@@ -36,7 +46,7 @@
 		if err != io.EOF {
 			r.awaitCopy(ctx)
 		}
-		next, reason := r.nextSegment(ctx, source, err)
+		next, reason := r.nextSegment(ctx, current, err)
 		if next == nil && reason != completed {
 			next = r.restart(ctx, source, reason, err)
 		}
@@ -52,30 +62,39 @@
 // forwardEvents forwards the events of one segment until the segment ends.
 func (r *Run) forwardEvents(s *segment) error {
 	for first := true; ; first = false {
-		b, err := s.next(r.lastEventID)
+		b, err := s.next(r.lastEventID.Load())
 		if err != nil {
+			s.watch.ended(err, s.response.ConnectionClosing)
 			return err
 		}
+		s.watch.event()
 		if r.headSent {
 			r.recordPause(s.target, first)
 		} else {
 			r.sendHead(s.target)
 		}
 		r.forwardedAt = bootclock.Now()
-		r.lastEventAt.Store(int64(r.forwardedAt))
-		if _, err := r.w.Write(b.bytes); err != nil {
-			return errCallerGone
-		}
-		if err := r.flush(); err != nil {
+		if err := r.writeEvents(b.bytes); err != nil {
 			return errCallerGone
 		}
 		if b.hasID {
-			r.lastEventID = b.lastID
+			r.lastEventID.Store(b.lastID)
 		}
 		r.recordProgress(b.events)
 	}
 }
 
+// writeEvents sends events to the caller. While a slow caller keeps it from reading further
+// events, the engine does not count as silent.
+func (r *Run) writeEvents(events []byte) error {
+	r.lastEventAt.Store(0)
+	defer func() { r.lastEventAt.Store(int64(bootclock.Now())) }()
+	if _, err := r.w.Write(events); err != nil {
+		return err
+	}
+	return r.flush()
+}
+
 // sendHead sends the status and headers of the response.
 func (r *Run) sendHead(t *targets.Target) {
 	edge.CopyHeader(r.w.Header(), r.head)
@@ -96,12 +115,19 @@
 	objective := r.call.Route.GapObjective
 	switch {
 	case afterMove:
-		r.call.Log.Info("stream: first event after a move", "target", t.ID, "after_event", r.lastEventID, "pause_ms", pause.Milliseconds())
+		r.call.Log.Info("stream: first event after a move", "target", t.ID, "after_event", r.lastEventID.Load(), "pause_ms", pause.Milliseconds())
 	case objective > 0 && pause > objective:
-		r.call.Log.Info("stream: pause exceeds the objective", "target", t.ID, "after_event", r.lastEventID, "pause_ms", pause.Milliseconds())
+		r.call.Log.Info("stream: pause exceeds the objective", "target", t.ID, "after_event", r.lastEventID.Load(), "pause_ms", pause.Milliseconds())
 	}
 }
 
+const (
+	// resumeRetryTime is how long a run tries to reach the engine from whose memory it
+	// continues. Callers wait at least 2 s for the next event.
+	resumeRetryTime     = 1500 * time.Millisecond
+	resumeRetryInterval = 100 * time.Millisecond
+)
+
 const (
 	completed  = "completed"
 	brokenOff  = edge.ReasonBrokenOff
@@ -110,7 +136,7 @@
 
 // nextSegment returns the segment that follows one that ended with err, or the
 // outcome of the stream if none follows.
-func (r *Run) nextSegment(ctx context.Context, source *targets.Target, err error) (*segment, string) {
+func (r *Run) nextSegment(ctx context.Context, ended *segment, err error) (*segment, string) {
 	r.leaveTarget()
 	replica, stopping := r.takeReplica()
 	switch {
@@ -122,16 +148,16 @@
 		r.releaseReplica(replica)
 		return nil, brokenOff
 	case stopping:
-		return r.continueAfterStop(ctx, source, replica, err)
+		return r.continueAfterStop(ctx, ended, replica, err)
 	case err == io.EOF:
 		r.releaseReplica(replica)
 		return nil, completed
 	}
 	// Either the engine crashed, or only the connection broke and the engine still
 	// executes the run. It is stopped there, so that it does not continue at both.
-	replica.finalCopy = r.stopAtSource(ctx, source, replica)
+	replica.finalCopy = r.stopAtSource(ctx, ended.target, replica)
 	close(replica.done)
-	return r.continueAfterStop(ctx, source, replica, err)
+	return r.continueAfterStop(ctx, ended, replica, err)
 }
 
 // stopAtSource stops the run at an engine that may still execute it.
@@ -145,7 +171,7 @@
 
 // continueAfterStop waits for the outcome of the final copy and continues the run
 // from the replica, or at the source if that fails.
-func (r *Run) continueAfterStop(ctx context.Context, source *targets.Target, replica *Replica, err error) (*segment, string) {
+func (r *Run) continueAfterStop(ctx context.Context, ended *segment, replica *Replica, err error) (*segment, string) {
 	timer := time.NewTimer(finalCopyTimeout)
 	defer timer.Stop()
 	reply := edge.MoveReply{Result: edge.MoveUnknown}
@@ -165,47 +191,56 @@
 	if stoppedAtSource(reply) {
 		handle = reply.Handle
 	}
-	next, reason := r.resumeAtReplica(ctx, replica, handle)
-	if next != nil || !stoppedAtSource(reply) {
-		return next, reason
+	next := r.resumeAtReplica(ctx, replica, handle)
+	if next != nil {
+		r.enterTarget(next)
+		return next, ""
+	}
+	if err == io.EOF && reply.Result == edge.MoveUnknown && ended.response.Delimited {
+		return nil, completed // the run may have completed before the final copy
+	}
+	if !stoppedAtSource(reply) {
+		return nil, lostInMove
 	}
 	// The run cannot continue at the destination. The source still holds the memory of
 	// a run that a final copy stopped, so it continues there.
+	source := ended.target
 	load := r.server.runLoad(r.call, r.events)
 	r.server.Inflight.Add(source.Key(), load)
 	if next := r.resume(ctx, source, load, &edge.ReplicaRef{Address: source.Address, Handle: handle}); next != nil {
+		r.enterTarget(next)
 		return next, ""
 	}
 	return nil, lostInMove
 }
 
 // resumeAtReplica continues the run at the engine that holds its replica.
-func (r *Run) resumeAtReplica(ctx context.Context, replica *Replica, handle string) (*segment, string) {
-	next := r.resume(ctx, replica.Dest, replica.Reserved, &edge.ReplicaRef{Address: replica.Source.Address, Handle: handle})
-	if next == nil {
-		return nil, lostInMove
-	}
-	return next, ""
+func (r *Run) resumeAtReplica(ctx context.Context, replica *Replica, handle string) *segment {
+	return r.resume(ctx, replica.Dest, replica.Reserved, &edge.ReplicaRef{Address: replica.Source.Address, Handle: handle})
 }
 
 // resume continues the run at t from the memory that from names. At the destination
 // that is the replica, or the final copy if one was made; at the source it is the
-// memory of the run that the final copy stopped. It returns nil if that fails.
+// memory of the run that the final copy stopped. It tries again for resumeRetryTime while no
+// byte can be sent to t, since no other engine has the memory. It returns nil if that fails.
 func (r *Run) resume(ctx context.Context, t *targets.Target, load inflight.Load, from *edge.ReplicaRef) *segment {
 	started := time.Now()
-	s, err := r.server.open(ctx, r, t, load, edge.Dispatch{
-		Account: r.call.Account, Urgency: r.call.Urgency, ContinueFrom: from, LastEventID: r.lastEventID,
-	})
+	dispatch := edge.Dispatch{Account: r.call.Account, Urgency: r.call.Urgency, ContinueFrom: from, LastEventID: r.lastEventID.Load()}
+	s, err := r.server.open(ctx, r, t, load, dispatch, nil)
+	for errors.Is(err, targetconn.ErrNotSent) && !errors.Is(err, targetconn.ErrRefused) && ctx.Err() == nil && time.Since(started) < resumeRetryTime {
+		wait.For(ctx, resumeRetryInterval)
+		r.server.Inflight.Add(t.Key(), load)
+		s, err = r.server.open(ctx, r, t, load, dispatch, nil)
+	}
 	if err == nil && s.response.Status != http.StatusOK {
 		err = errors.New("status " + strconv.Itoa(s.response.Status))
-		s.close()
-		r.leaveTarget()
+		r.abandon(s)
 	}
 	if err != nil {
-		r.call.Log.Warn("stream: run could not be resumed", "target", t.ID, "copy", from.Handle, "after_event", r.lastEventID, "error", err.Error())
+		r.call.Log.Warn("stream: run could not be resumed", "target", t.ID, "copy", from.Handle, "after_event", r.lastEventID.Load(), "error", err.Error())
 		return nil
 	}
-	r.call.Log.Info("stream: run resumed", "target", t.ID, "copy", from.Handle, "after_event", r.lastEventID,
+	r.call.Log.Info("stream: run resumed", "target", t.ID, "copy", from.Handle, "after_event", r.lastEventID.Load(),
 		"took_ms", time.Since(started).Milliseconds())
 	return s
 }
@@ -238,8 +273,8 @@
 	default:
 		r.server.recordFailure(source, bootclock.Now().Add(-r.SinceLastEvent()))
 	}
-	a.Log.Warn("stream: broken off", "reason", reason, "target", source.ID, "after_event", r.lastEventID,
-		"age_ms", a.Age().Milliseconds(), "error", errText)
+	a.Log.Warn("stream: broken off", "reason", reason, "target", source.ID, "after_event", r.lastEventID.Load(),
+		"silent_ms", r.SinceLastEvent().Milliseconds(), "age_ms", a.Age().Milliseconds(), "shared_parts", a.Call.Generation.SharedPartNames(), "error", errText)
 	if !r.headSent {
 		status := http.StatusBadGateway
 		if reason == edge.ReasonTimeout {
@@ -267,7 +302,7 @@
 
 // forwardResponse forwards a response that is not a stream.
 func (r *Run) forwardResponse(s *segment) string {
-	response := r.readFailedResponse(s)
+	response := r.readFailedResponse(s, r.call.TimeLeft())
 	if response == nil {
 		(&edge.Rejection{Status: http.StatusBadGateway, Reason: edge.ReasonMayHaveRun}).Write(r.w, r.server.Sender.Wire)
 		return edge.ReasonMayHaveRun
--- a/internal/edge/streaming/server.go
+++ b/internal/edge/streaming/server.go
@@ -6,7 +6,7 @@
 import (
 	"context"
 	"errors"
-	"io"
+	"math"
 	"net/http"
 	"time"
 
@@ -95,6 +95,10 @@
 	}
 	r := newRun(s, a, w, control.Flush)
 	defer close(r.done)
+	rejection := s.crashSuspect(r)
+	if rejection != nil {
+		return s.reject(ctx, r, rejection)
+	}
 	segment, rejection := s.start(ctx, r)
 	if rejection != nil {
 		return s.reject(ctx, r, rejection)
@@ -113,7 +117,7 @@
 		}
 		r.attempts.tried[t.Key()] = true
 		sentAt := bootclock.Now()
-		segment, err := s.open(ctx, r, t, load, edge.Dispatch{Account: a.Account, Urgency: a.Urgency, LastEventID: r.lastEventID})
+		segment, err := s.openOrStartElsewhere(ctx, r, t, load, edge.Dispatch{Account: a.Account, Urgency: a.Urgency, LastEventID: r.lastEventID.Load()})
 		if err == nil {
 			if s.retryFailedResponse(r, segment) {
 				continue
@@ -147,13 +151,19 @@
 // if the engine did not run the request or the request may run again.
 func (s *Server) startFailure(ctx context.Context, r *Run, t *targets.Target, sentAt bootclock.Instant, err error) (rejection *edge.Rejection, retryable bool) {
 	a := r.call
-	a.Log.Warn("stream: start failed", "target", t.ID, "address", t.Address, "age_ms", a.Age().Milliseconds(), "error", err.Error())
+	a.Log.Warn("stream: start failed", "target", t.ID, "address", t.Address, "age_ms", a.Age().Milliseconds(),
+		"shared_parts", a.Call.Generation.SharedPartNames(), "error", err.Error())
 	switch {
 	case ctx.Err() != nil:
 		if !errors.Is(err, errNotExecuted) && !errors.Is(err, targetconn.ErrNotSent) && !errors.Is(err, errKeyUnconfirmed) {
 			r.attempts.mayHaveRun = true
 		}
 		return &edge.Rejection{Status: http.StatusGatewayTimeout, Reason: edge.ReasonTimeout}, false
+	case errors.Is(err, edge.ErrHeld):
+		if rejection := s.crashSuspect(r); rejection != nil {
+			return rejection, false
+		}
+		return nil, true // released meanwhile
 	case errors.Is(err, errKeyUnconfirmed):
 		return r.attempts.unavailable(edge.ReasonUnconfirmed, startRetryAfter), false
 	case errors.Is(err, errNotExecuted):
@@ -185,6 +195,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, maxWait(a, load))
 	defer cancel()
+	ctx, endWait := s.Sender.Crashes.EndWaitWhenHeld(ctx, a)
+	defer endWait()
 	need := newRequirements(a, load, s.Domain)
 	var placed Placement
 	started := bootclock.Now()
@@ -196,7 +208,11 @@
 		})
 		defer stopWatching()
 	}
-	t := s.Queue.Acquire(ctx, a.Service.Name, a.Urgency, func() *targets.Target {
+	urgency := a.Urgency
+	if r.attempts.beside {
+		urgency = math.MaxInt // runs without an engine go first
+	}
+	t := s.Queue.Acquire(ctx, a.Service.Name, urgency, func() *targets.Target {
 		view := s.Targets.View()
 		if _, paused := view.PauseLeft(a.Service.Name); paused && view.Trials(a.Service.Name).Left == 0 {
 			cancel() // waiting is pointless: the run is rejected with the time left
@@ -230,21 +246,21 @@
 }
 
 // open sends the run to a target. Its load has been counted there already and is
-// removed if the run does not start.
-func (s *Server) open(ctx context.Context, r *Run, t *targets.Target, load inflight.Load, d edge.Dispatch) (*segment, error) {
-	response, cancel, err := s.send(ctx, r, t, d)
+// removed if the run does not start. onSilent may be nil, see watchSilence.
+func (s *Server) open(ctx context.Context, r *Run, t *targets.Target, load inflight.Load, d edge.Dispatch, onSilent func()) (*segment, error) {
+	watch := s.watchStart(ctx, r, t, d)
+	response, cancel, err := s.send(ctx, r, t, d, onSilent)
 	if err != nil {
+		watch.ended(err, false)
 		s.Inflight.Remove(t.Key(), load)
 		return nil, err
 	}
-	segment := &segment{target: t, response: response, cancel: cancel}
-	r.enterTarget(segment, load)
-	return segment, nil
+	return &segment{target: t, load: load, response: response, cancel: cancel, body: response, watch: watch}, nil
 }
 
 // send sends the call to a target and checks the head of its response. The returned
 // function cancels the run at the target.
-func (s *Server) send(ctx context.Context, r *Run, t *targets.Target, d edge.Dispatch) (*targetconn.Response, context.CancelFunc, error) {
+func (s *Server) send(ctx context.Context, r *Run, t *targets.Target, d edge.Dispatch, onSilent func()) (*targetconn.Response, context.CancelFunc, error) {
 	a := r.call
 	// A run that continues at another engine is not a new request: its key was
 	// checked when it started.
@@ -252,7 +268,7 @@
 		return nil, nil, errKeyUnconfirmed
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	stopWatching := s.watchSilence(ctx, cancel, r, t)
+	stopWatching := s.watchSilence(ctx, r, t, onSilent)
 	response, err := s.Sender.Send(ctx, a, t, d)
 	stopWatching()
 	if err != nil {
@@ -262,13 +278,13 @@
 	wire := s.Sender.Wire
 	switch {
 	case wire.NotExecuted(response.Status, response.Header):
-		_, _ = io.Copy(io.Discard, response) // makes the connection reusable
+		response.Discard()
 		err = errNotExecuted
 	case !wire.Signed(response.Header) || response.Header.Get("Content-Encoding") != "":
+		response.Close()
 		err = errUnsigned
 	}
 	if err != nil {
-		response.Close()
 		cancel()
 		return nil, nil, err
 	}
@@ -276,10 +292,11 @@
 }
 
 // watchSilence suspects the engine if it has not begun to respond after suspectDelay. If
-// other runs have failed there as well, so that it counts as failing, a run that may be sent
-// again is canceled: it has no use in waiting. A single slow response does not suffice, since
-// on crowded engines a second start would only add load. The returned function ends the watch.
-func (s *Server) watchSilence(ctx context.Context, cancel context.CancelFunc, r *Run, t *targets.Target) (stop func()) {
+// other runs have failed there as well, so that it counts as failing, it calls onSilent,
+// unless that is nil, for a run that may be sent again. A single slow response does not
+// suffice, since on crowded engines a second start would only add load. The returned function
+// ends the watch.
+func (s *Server) watchSilence(ctx context.Context, r *Run, t *targets.Target, onSilent func()) (stop func()) {
 	watch, stop := context.WithCancel(ctx)
 	go func() {
 		a := r.call
@@ -295,10 +312,10 @@
 		}
 		a.Log.Warn("stream: engine is silent", "target", t.ID, "age_ms", a.Age().Milliseconds())
 		s.Health.RecordFailure(t.Key(), 1)
-		for r.MayRestart() && watch.Err() == nil {
+		for onSilent != nil && r.MayRestart() && watch.Err() == nil {
 			if cost := s.Health.FailureCost(t.Key()); cost > placement.MaxHealthyCost {
-				a.Log.Warn("stream: engine is silent and failing; the run is sent to another", "target", t.ID, "failure_cost", cost, "age_ms", a.Age().Milliseconds())
-				cancel()
+				a.Log.Warn("stream: engine is silent and failing; the run is also sent to another", "target", t.ID, "failure_cost", cost, "age_ms", a.Age().Milliseconds())
+				onSilent()
 				return
 			}
 			wait.For(watch, silenceCheckInterval)
--- a/internal/edge/targetconn/pool.go
+++ b/internal/edge/targetconn/pool.go
@@ -7,9 +7,11 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -40,6 +42,14 @@
 	tcpUserTimeout = 2 * time.Second
 	// maxMismatched is how many responses to other requests are skipped.
 	maxMismatched = 2
+	// maxSkippedBytes bounds the body of a response that is skipped, skipTimeout the time
+	// for reading it.
+	maxSkippedBytes = 256 << 10
+	skipTimeout     = 2 * time.Second
+	// maxHeadBytes bounds the heads of all responses that are read for one request.
+	maxHeadBytes = 64 << 10
+	// maxInterim bounds the interim responses to one request.
+	maxInterim = 100
 )
 
 // Pool holds the idle connections to all targets. It is safe for concurrent use.
@@ -103,7 +113,8 @@
 	conn.idleTimeout = idleTimeout(head.Header)
 	return &Response{
 		Status: head.StatusCode, Header: head.Header, ConnectionClosing: closing,
-		body: head.Body, conn: conn, pool: p, detach: detach, written: written,
+		Delimited: head.ContentLength >= 0 || len(head.TransferEncoding) > 0,
+		length:    head.ContentLength, body: head.Body, conn: conn, pool: p, detach: detach, written: written,
 		reusable: !closing && !(leaving && isCallersRequest(req)),
 	}, nil
 }
@@ -154,36 +165,55 @@
 
 // readHead reads response heads until one belongs to the request. It passes each to observe.
 func (p *Pool) readHead(conn *Conn, req *Request, observe func(*http.Response)) (*http.Response, error) {
-	for skipped := 0; ; {
+	conn.head.left = maxHeadBytes
+	skipped, interim := 0, 0
+	for {
+		conn.head.reading = true
 		head, err := http.ReadResponse(conn.reader, &http.Request{Method: req.Method})
+		conn.head.reading = false
 		if err != nil {
 			return nil, classifyReadError(err)
 		}
 		observe(head)
 		if head.StatusCode < http.StatusOK {
-			continue // an interim response
+			if interim++; interim > maxInterim || !isInterim(head.StatusCode) {
+				return nil, eris.Wrapf(ErrInvalidResponse, "%d interim responses, the last with status %d", interim, head.StatusCode)
+			}
+			continue
 		}
 		if id := p.requestID(head.Header); req.ID == "" || id == "" || id == req.ID {
 			return head, nil
 		}
-		if skipped++; skipped > maxMismatched || !skipBody(head) {
+		if skipped++; skipped > maxMismatched || !skipBody(conn, head) {
 			return nil, eris.Wrap(ErrInvalidResponse, "responses to other requests")
 		}
 	}
 }
 
-// skipBody reads the rest of a response that belongs to another request.
-func skipBody(head *http.Response) bool {
+// isInterim reports whether a status below 200 may precede a response. No request asks for
+// another protocol.
+func isInterim(status int) bool {
+	return status >= http.StatusContinue && status != http.StatusSwitchingProtocols
+}
+
+// skipBody reads the rest of a response that belongs to another request. It returns false if
+// the next response cannot be read.
+func skipBody(conn *Conn, head *http.Response) bool {
 	if head.ContentLength < 0 && len(head.TransferEncoding) == 0 {
 		return false // the body ends with the connection
 	}
-	return head.Body.Close() == nil
+	stop := conn.endReadsAfter(skipTimeout)
+	_, err := io.CopyN(io.Discard, head.Body, maxSkippedBytes+1)
+	return stop() && err == io.EOF
 }
 
 // classifyReadError returns ErrBroken for a lost connection, ErrInvalidResponse for
 // anything else.
 func classifyReadError(err error) error {
 	var network net.Error
+	if errors.Is(err, os.ErrDeadlineExceeded) { // only the end of a request's context sets deadlines
+		return &cancellation{err}
+	}
 	if errors.As(err, &network) || errors.Is(err, net.ErrClosed) {
 		return eris.Wrap(ErrBroken, err.Error())
 	}
--- a/internal/enginemodel/engine_test.go
+++ b/internal/enginemodel/engine_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -49,6 +50,45 @@
 	require.Equal(t, Event{Kind: EventDone, ID: "g", Tokens: 5, Reason: engine.FinishStop}, events[5])
 }
 
+func TestSilentEngineKeepsItsGenerations(t *testing.T) {
+	e := New(testConfig())
+	require.NoError(t, e.Start(epoch, request("g", "hello #len=4")))
+	first, _ := e.NextStep()
+	require.Len(t, e.Step(first), 1)
+	silentUntil := first.Add(time.Second)
+	e.Silence(silentUntil)
+	require.NoError(t, e.Start(first, request("h", "hello #len=1")), "a silent engine takes new generations")
+	next, ok := e.NextStep()
+	require.True(t, ok)
+	require.Equal(t, silentUntil, next)
+	require.Empty(t, e.Step(silentUntil.Add(-time.Millisecond)))
+	tokens := map[string]int{}
+	for _, event := range run(e) {
+		if event.Kind == EventToken {
+			tokens[event.ID]++
+		}
+	}
+	require.Equal(t, map[string]int{"g": 3, "h": 1}, tokens)
+}
+
+func TestCrashingBlockCrashesTheEngineWhateverFollows(t *testing.T) {
+	shared := strings.Repeat("s", 2*BlockTokens*prefix.BytesPerToken)
+	guilty := shared + strings.Repeat("g", BlockTokens*prefix.BytesPerToken)
+	config := testConfig()
+	hashes := prefix.BlockHashes("m", "1", "", guilty)
+	config.CrashingBlock = hashes[len(hashes)-1]
+	for prompt, crashes := range map[string]bool{guilty + "one": true, guilty + "two": true, shared + "sound": false} {
+		e := New(config)
+		require.NoError(t, e.Start(epoch, request("g", prompt+" #len=2")))
+		events := run(e)
+		if crashes {
+			require.Equal(t, []Event{{Kind: EventCrashed, ID: "g"}}, events, "before its first token")
+		} else {
+			require.Equal(t, EventDone, events[len(events)-1].Kind)
+		}
+	}
+}
+
 func TestMaxTokensEndsWithReasonLength(t *testing.T) {
 	e := New(testConfig())
 	r := request("g", "#len=50")
--- a/tests/edge/fleet_test.go
+++ b/tests/edge/fleet_test.go
@@ -54,11 +54,14 @@
 	revokeWithin time.Duration
 	// maxConnections is how many connections a target accepts, 0 for the default.
 	maxConnections int
+	// idleTimeout is how long callers' connections may stay idle, 0 for the default.
+	idleTimeout time.Duration
 }
 
 // host is one running edge process.
 type host struct {
 	callerAddress, readinessAddress string
+	peerAddress                     string
 	stop                            func() // cancels the context that SIGTERM cancels
 	done                            chan error
 	logs                            *safeBuffer
@@ -148,7 +151,7 @@
 func (f *fleet) configure() {
 	f.version++
 	config := standin.Configuration{
-		Version: f.version, Timeout: callerTimeout, EngineService: engineService, PlainServices: []string{plainService}, Account: account, Keys: f.keys, MaxConnections: f.maxConnections,
+		Version: f.version, Timeout: callerTimeout, EngineService: engineService, PlainServices: []string{plainService}, Account: account, Keys: f.keys, MaxConnections: f.maxConnections, IdleTimeout: f.idleTimeout,
 		Routes: []standin.Route{
 			{Name: "draft", Kind: standin.Streaming, Service: engineService, Objective: 1800 * time.Millisecond, Attempts: 1},
 			{Name: "lookup", Kind: standin.Streaming, Service: engineService, Objective: 1500 * time.Millisecond, Attempts: 2, Resumable: true},
@@ -177,7 +180,7 @@
 	require.NoError(f.t, err)
 	port, err := strconv.Atoi(portText)
 	require.NoError(f.t, err)
-	h := &host{callerAddress: callerAddress, readinessAddress: readinessAddress, done: make(chan error, 1), logs: &safeBuffer{}, store: &partitionableStore{Store: f.store}}
+	h := &host{callerAddress: callerAddress, readinessAddress: readinessAddress, peerAddress: peer, done: make(chan error, 1), logs: &safeBuffer{}, store: &partitionableStore{Store: f.store}}
 	adapter := platform.Adapter()
 	adapter.LogOutput, adapter.Wire = h.logs, f.wire
 	adapter.NewStore = func(string) peers.Store { return h.store }
