Streaming tests: load of a continuation that is tried again, and no takeover after the end

Both passed all tests when broken: Inflight.Add left out of the retry of resume, and the segment left in place by endTakeover. TestFailedTakeoverCountsAsAttempt uses an address that surely refuses connections: on this machine port 1 once answered.

--- a/internal/edge/streaming/takeover_test.go
+++ b/internal/edge/streaming/takeover_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"corianderhitch/internal/edge"
 	"corianderhitch/internal/edge/bootclock"
@@ -40,6 +41,17 @@
 	require.True(t, r.MayRestart())
 }
 
+// unreachable returns an address that refuses connections. Its port is not free for others.
+func unreachable(t *testing.T) string {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = unix.Close(fd) })
+	require.NoError(t, unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	address, err := unix.Getsockname(fd)
+	require.NoError(t, err)
+	return fmt.Sprintf("127.0.0.1:%d", address.(*unix.SockaddrInet4).Port)
+}
+
 // The run goes on at its engine, which may still answer that it did not run the request.
 func TestFailedTakeoverCountsAsAttempt(t *testing.T) {
 	s, r := placingServer(draining.New(placingDrain), silentObserver{}, func() bool { return true })
@@ -51,6 +63,7 @@
 	s.Sender = &edge.Sender{Wire: plainWire{}, Pool: targetconn.New(nil, openGate{}, func(string) float64 { return 0 })}
 	r.call.StillAuthorized = func(context.Context) bool { return true }
 	r.call.Route.Resumable, r.call.Route.MaxAttempts = true, 2
+	s.Targets.View().Available("s")[0].Address = unreachable(t)
 	require.Nil(t, r.startBeside(t.Context(), &targets.Target{ID: "source"}), "the other engine cannot be reached")
 	require.Zero(t, r.attempts.sends.Load())
 	require.False(t, r.attempts.mayHaveRun)
@@ -96,7 +109,7 @@
 			taking := &takeover{done: make(chan struct{})}
 			taking.ctx, taking.cancel = context.WithCancel(t.Context())
 			defer taking.cancel()
-			r.takeover = taking
+			r.takeover, r.segment = taking, &segment{}
 			time.AfterFunc(20*time.Millisecond, func() {
 				taking.next = next
 				close(taking.done)
@@ -107,10 +120,22 @@
 			require.Equal(t, test.continues, taking.ctx.Err() == nil, "a run that has ended is not started elsewhere")
 			require.Equal(t, test.continues, s.Inflight.TotalLoad(dest.Key()).Runs == 1)
 			require.Nil(t, r.takeover)
+			require.Nil(t, r.segment, "no other takeover may begin")
 		})
 	}
 }
 
+func TestContinuationThatIsTriedAgainLosesItsLoad(t *testing.T) {
+	s, r := placingServer(draining.New(placingDrain), silentObserver{}, func() bool { return true })
+	s.Sender = &edge.Sender{Wire: plainWire{}, Pool: targetconn.New(nil, openGate{}, func(string) float64 { return 0 })}
+	dest, load := &targets.Target{ID: "d", Address: unreachable(t)}, inflight.Load{Runs: 1, Tokens: 10}
+	s.Inflight.Add(dest.Key(), load)
+	ctx, cancel := context.WithTimeout(t.Context(), 3*resumeRetryInterval)
+	defer cancel()
+	require.Nil(t, r.resume(ctx, dest, load, &edge.ReplicaRef{}))
+	require.Equal(t, inflight.Load{}, s.Inflight.TotalLoad(dest.Key()))
+}
+
 func TestReplicaMadeDuringTakeoverIsKept(t *testing.T) {
 	_, r := placingServer(draining.New(placingDrain), silentObserver{}, func() bool { return true })
 	source := &targets.Target{ID: "s"}
