--- a/internal/edge/streaming/takeover_test.go
+++ b/internal/edge/streaming/takeover_test.go
@@ -215,3 +215,29 @@
 	r.stopCanceled(&targets.Target{ID: "s"}, &targets.Target{ID: "d"}, time.Second)
 	require.Equal(t, 3, engine.calls)
 }
+
+func TestCompletedRunIsContinuedAtTheDestination(t *testing.T) {
+	s, r := placingServer(draining.New(placingDrain), silentObserver{}, func() bool { return true })
+	s.Engines, s.Runs = releasingClient{}, NewRuns(func(*Run, string) {})
+	r.call.Call.Method, r.call.Call.URI, r.call.Call.Host = http.MethodGet, "/", "e"
+	asked := make(chan struct{}, 1)
+	engine := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { asked <- struct{}{} }))
+	defer engine.Close()
+	s.Sender = &edge.Sender{Wire: acceptingWire{}, Pool: targetconn.New(func(http.Header) string { return "" }, openGate{}, func(string) float64 { return 0 })}
+	dest := &targets.Target{ID: "d", Address: strings.TrimPrefix(engine.URL, "http://")}
+	replica := &Replica{Source: &targets.Target{ID: "s"}, Dest: dest, done: make(chan struct{})}
+	replica.finalCopy = edge.MoveReply{Result: edge.MoveUnknown}
+	close(replica.done)
+	ended := &segment{target: replica.Source, response: &targetconn.Response{Delimited: true}}
+	next, reason := r.continueAfterStop(t.Context(), ended, replica, io.EOF)
+	require.Nil(t, next)
+	require.Equal(t, completed, reason)
+	require.Empty(t, asked)
+}
+
+// acceptingWire takes each response for one of the target's.
+type acceptingWire struct{ plainWire }
+
+func (acceptingWire) NotExecuted(int, http.Header) bool { return false }
+
+func (acceptingWire) Signed(http.Header) bool { return true }
