Streams: a completed run is not continued at the destination of its move

A stream with its end is complete when the outcome of its final copy is unknown, but the host asked the destination first to continue it from the older copy. If that accepted, the caller of a complete stream waited for it, and got whatever it generated after the last event; the end was trusted only if the destination refused. A stopped run's stream is closed without its end, so the end alone decides now. TestCompletedRunIsContinuedAtTheDestination failed before (a segment of the destination).

--- a/internal/edge/streaming/forward.go
+++ b/internal/edge/streaming/forward.go
@@ -181,7 +181,7 @@
 		r.releaseReplica(replica)
 		return nil, brokenOff
 	}
-	if err == io.EOF && reply.Result == edge.MoveNoRun {
+	if err == io.EOF && (reply.Result == edge.MoveNoRun || reply.Result == edge.MoveUnknown && ended.response.Delimited) {
 		r.releaseReplica(replica)
 		return nil, completed // the run completed before the final copy
 	}
@@ -194,9 +194,6 @@
 		r.enterTarget(next)
 		return next, ""
 	}
-	if err == io.EOF && reply.Result == edge.MoveUnknown && ended.response.Delimited {
-		return nil, completed // the run may have completed before the final copy
-	}
 	if !stoppedAtSource(reply) {
 		return nil, lostInMove
 	}
