--- a/internal/edge/streaming/attempts.go
+++ b/internal/edge/streaming/attempts.go
@@ -14,7 +14,7 @@
 )
 
 // attempts records to which engines a request was sent, and what is known of the outcome.
-// Only the reading goroutine uses it, except for sends.
+// One goroutine at a time uses it: the reading one, or that of a takeover. All may read sends.
 type attempts struct {
 	tried map[string]bool // incarnations that were chosen
 	// sends counts the sends that reached an engine and failed; continuations from a
