--- a/tests/edge/silence_random_test.go
+++ b/tests/edge/silence_random_test.go
@@ -190,13 +190,25 @@
 		time.Sleep(arrivalInterval)
 	}
 	<-ended
+	checkStreams(t, sent, engines, mayBreak)
+	requireOneEngineAtATime(t, engines)
+	// Copies that the engine made may be left to expire after its crash.
+	checkNothingIsLeft(t, h, engines, mayBreak == nil)
+	assert.True(t, logContains(h, takeoverBegun), "no run was at a silent engine")
+}
+
+// checkStreams checks what the callers of the runs get. A run in mayBreak may end early.
+func checkStreams(t *testing.T, sent []*silentRun, engines []*standin.Engine, mayBreak map[string]bool) {
 	for _, r := range sent {
 		a := <-r.answer
 		whole := standin.StreamText(r.id, r.events)
 		switch {
 		case a.err == nil && a.status == http.StatusOK:
 			assert.Equal(t, whole, a.body, r.id)
-		case a.err == nil && a.status == http.StatusServiceUnavailable: // not run
+		case a.err == nil && a.status == http.StatusServiceUnavailable:
+			for _, e := range engines {
+				assert.NotContains(t, e.Started(), r.id, "rejected as not run")
+			}
 		case a.err == nil:
 			assert.True(t, mayBreak[r.id], "%s: status %d", r.id, a.status)
 		default:
@@ -204,14 +216,18 @@
 			assert.True(t, strings.HasPrefix(whole, a.body), r.id)
 		}
 	}
-	requireOneEngineAtATime(t, engines)
+}
+
+// checkNothingIsLeft checks that the host counts no load and, if copies is set, that the engines
+// hold no copy.
+func checkNothingIsLeft(t *testing.T, h *host, engines []*standin.Engine, copies bool) {
 	for _, name := range []string{"hitch_edge_runs", "hitch_edge_expected_memory_tokens", "hitch_edge_waiting_runs"} {
 		assert.Eventually(t, func() bool { return h.gauge(t, name) == "0" }, waitTimeout, 100*time.Millisecond, name)
 	}
+	if !copies {
+		return
+	}
 	for _, e := range engines {
-		if mayBreak == nil { // otherwise copies that the engine made may be left to expire
-			assert.Eventually(t, func() bool { return e.HeldCopies() == 0 }, waitTimeout, 100*time.Millisecond, "copies at %s", e.ID)
-		}
+		assert.Eventually(t, func() bool { return e.HeldCopies() == 0 }, waitTimeout, 100*time.Millisecond, "copies at %s", e.ID)
 	}
-	assert.True(t, logContains(h, takeoverBegun), "no run was at a silent engine")
 }
