--- a/tests/edge/endless_test.go
+++ b/tests/edge/endless_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -73,21 +74,38 @@
 	return r
 }
 
+const (
+	// batchCalls is how many calls of each kind are sent at once.
+	batchCalls = 10
+	// maxBatches bounds the batches until one call has reached the target at fault.
+	maxBatches = 20
+)
+
 // requirePlainCallsEnd starts a host with a sound target and one that gives the answer, sends it
 // calls at once and checks that all end soon. Idempotent calls must be served by the sound target.
 func requirePlainCallsEnd(t *testing.T, answer standin.Endless, bytesPerAnswer int64, wantOtherwise ...int) {
-	const calls = 10
 	f := newFleet(t)
 	f.configure()
 	f.startPlainTarget("d-1")
 	endless := f.startEndlessTarget("d-9", plainService, answer)
 	h := f.startHost()
-	var checks, holds [calls]<-chan answered
-	for i := range calls {
-		checks[i] = sendAsyncTimed(h.request(t.Context(), http.MethodGet, "check", fmt.Sprintf("c-%d", i), nil))
-		holds[i] = sendAsyncTimed(h.request(t.Context(), http.MethodPost, "hold", fmt.Sprintf("h-%d", i), nil))
+	for batch := 0; batch == 0 || (endless.Requests() == 0 && batch < maxBatches); batch++ {
+		requirePlainBatchEnds(t, h, batch, wantOtherwise)
+	}
+	require.Positive(t, endless.Requests(), "no call reached the target")
+	requireBounded(t, endless, bytesPerAnswer)
+}
+
+// requirePlainBatchEnds sends calls at once. Lookups must be served by a sound target, holds
+// answered by one or with a status of wantOtherwise.
+func requirePlainBatchEnds(t *testing.T, h *host, batch int, wantOtherwise []int) {
+	t.Helper()
+	var checks, holds [batchCalls]<-chan answered
+	for i := range batchCalls {
+		checks[i] = sendAsyncTimed(h.request(t.Context(), http.MethodGet, "check", fmt.Sprintf("c-%d-%d", batch, i), nil))
+		holds[i] = sendAsyncTimed(h.request(t.Context(), http.MethodPost, "hold", fmt.Sprintf("h-%d-%d", batch, i), nil))
 	}
-	for i := range calls {
+	for i := range batchCalls {
 		check, hold := <-checks[i], <-holds[i]
 		require.NoError(t, check.err)
 		require.Equal(t, http.StatusOK, check.status)
@@ -96,8 +114,6 @@
 		require.Contains(t, append([]int{http.StatusOK}, wantOtherwise...), hold.status)
 		require.Less(t, hold.took, knownOutcomeTime)
 	}
-	require.Positive(t, endless.Requests(), "no call reached the target")
-	requireBounded(t, endless, bytesPerAnswer)
 }
 
 func TestPlainCallsEndDespiteHeadsWithoutEnd(t *testing.T) {
@@ -243,3 +259,68 @@
 		}
 	}
 }
+
+// A target in trouble may go on to serve other requests, on its other connections.
+func TestSoundAnswersOfTargetAreServedBesideOnesWithoutEnd(t *testing.T) {
+	const calls = 10
+	answers := map[string]standin.Endless{}
+	for name, answer := range standin.EndlessHeads {
+		answers["head: "+name] = answer
+	}
+	for name, body := range standin.EndlessBodies {
+		answers["body: "+name] = body.With(http.StatusOK, standin.SignedLine, standin.Filler())
+	}
+	for name, answer := range answers {
+		t.Run(name, func(t *testing.T) {
+			_, h, targets := startPlainFleet(t, 1)
+			targets[0].SetHandler(func(w http.ResponseWriter, r *http.Request) {
+				if strings.HasPrefix(r.Header.Get(headers.RequestID), "endless") {
+					answer.ServeHTTP(w, r)
+					return
+				}
+				standin.Succeed(w, r)
+			})
+			var endless, sound [calls]<-chan answered
+			for i := range calls {
+				endless[i] = sendAsyncTimed(h.request(t.Context(), http.MethodPost, "hold", fmt.Sprintf("endless-%d", i), nil))
+				sound[i] = sendAsyncTimed(h.request(t.Context(), http.MethodPost, "hold", fmt.Sprintf("r-%d", i), nil))
+			}
+			for i := range calls {
+				a := <-sound[i]
+				require.NoError(t, a.err)
+				require.Equal(t, http.StatusOK, a.status)
+				require.Equal(t, fmt.Sprintf("done r-%d", i), a.body)
+				require.Less(t, a.took, knownOutcomeTime)
+				a = <-endless[i]
+				require.NoError(t, a.err)
+				require.Equal(t, http.StatusBadGateway, a.status)
+				require.Less(t, a.took, knownOutcomeTime)
+			}
+		})
+	}
+}
+
+// Events without ids are passed on and not kept. Only the deadline can end them.
+func TestEventsWithoutIDsEndAtTheDeadline(t *testing.T) {
+	for name, body := range standin.EndlessBodies {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			f.configure()
+			f.startPlainTarget("d-1")
+			endless := f.startEndlessTarget("e-9", engineService, body.With(http.StatusOK, standin.SignedLine, "data: x\n\n"))
+			h := f.startHost()
+			r := generationRequest(t.Context(), h, "r-0", shortGeneration)
+			standin.SetDeadline(r, time.Second)
+			stream := sendAsyncTimed(r)
+			for i := range 20 {
+				a := sendTimed(t, h.request(t.Context(), http.MethodPost, "hold", fmt.Sprintf("h-%d", i), nil))
+				require.NoError(t, a.err)
+				require.Equal(t, http.StatusOK, a.status)
+			}
+			a := <-stream
+			require.Error(t, a.err, "the stream must not look complete")
+			require.Less(t, a.took, knownOutcomeTime)
+			require.Eventually(t, func() bool { return endless.Answering() == 0 }, waitTimeout, checkInterval)
+		})
+	}
+}
