Plain calls: a send that outlasts its call read the logger while it was changed

A data race, reported once by the race detector in tests/edge beside load (TestPausedTargetGetsNoRequests and three others that ran at the moment): Serve adds the target to the logger of the call for the last line, while the hedged send of the call, whose outcome nobody waits for any more, may still read it for its own line.

Each send has its own copy of the call now.

--- a/internal/edge/plain/hedge_test.go
+++ b/internal/edge/plain/hedge_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -98,3 +100,56 @@
 	}
 	return b
 }
+
+// answeringWire takes every response for the target's answer.
+type answeringWire struct{ plainWire }
+
+func (answeringWire) NotExecuted(int, http.Header) bool { return false }
+func (answeringWire) Signed(http.Header) bool           { return true }
+
+// slowHandler is a log handler that holds up the lines about failed sends.
+type slowHandler struct{ slog.Handler }
+
+func (slowHandler) Enabled(context.Context, slog.Level) bool { return true }
+func (slowHandler) Handle(_ context.Context, r slog.Record) error {
+	if r.Message == "plain: send without a good answer" {
+		time.Sleep(500 * time.Millisecond)
+	}
+	return nil
+}
+func (h slowHandler) WithAttrs([]slog.Attr) slog.Handler { return h }
+
+// The race detector sees the failure: the hedged send still logs when the first one answers.
+func TestLoggerOfCallChangesWhileASendLogs(t *testing.T) {
+	registry := targets.New(targetnotice.New(), func(targets.Target, targets.LeavingNotice) {})
+	connections := make(chan net.Conn, 2)
+	for _, id := range []string{"a", "b"} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer func() { _ = listener.Close() }()
+		go func() {
+			if c, err := listener.Accept(); err == nil {
+				connections <- c
+			}
+		}()
+		registry.Apply([]targets.Change{{Name: id, Target: &targets.Target{ID: id, Service: "s", Address: listener.Addr().String()}}}, 1)
+	}
+	s := &Server{
+		Sender: &edge.Sender{Wire: answeringWire{}, Pool: targetconn.New(func(http.Header) string { return "" }, openGate{}, func(string) float64 { return 0 })}, Targets: registry,
+		Inflight: inflight.New("host"), Health: ejection.New(), Drain: draining.New(time.Minute), Stalls: &stall.Detector{}, RetryBudget: generousBudget,
+	}
+	now := bootclock.Now()
+	call := &edge.AuthorizedCall{
+		Call: &edge.Call{ID: "r", Method: http.MethodGet, URI: "/"}, Service: &policy.Service{Name: "s"}, Log: slog.New(slowHandler{slog.DiscardHandler}),
+		Route: &policy.Route{Name: "route", Kind: policy.Idempotent, MaxAttempts: 2, Objective: 100 * time.Millisecond}, Received: now, Arrived: now,
+		Deadline: now.Add(time.Minute), StillAuthorized: func(context.Context) bool { return true },
+	}
+	go func() {
+		first := <-connections
+		hedged := <-connections
+		_ = hedged.Close()
+		time.Sleep(200 * time.Millisecond)
+		_, _ = io.WriteString(first, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	}()
+	require.Equal(t, "answered", s.Serve(t.Context(), httptest.NewRecorder(), call))
+}
--- a/internal/edge/plain/server.go
+++ b/internal/edge/plain/server.go
@@ -218,7 +218,8 @@
 	r.tried[t.Key()] = true
 	r.sends++
 	r.pending++
-	go func() { r.outcomes <- r.server.send(r.ctx, r.served, r.call, t) }()
+	call := *r.call // Serve changes the logger of the call, which a send may outlast
+	go func() { r.outcomes <- r.server.send(r.ctx, r.served, &call, t) }()
 	return true
 }
 
