Edge: a change of a target is logged once it is in force

The lines "entry changed" and "entry removed" came before the change was in force. A request right after the line was still served by the old list: TestTargetsMissingAfterRestoreAreKept waits for the line and got 503 (no_target, age 0 ms, list_revision 1) once, under -race at a load of about 30, 2.5 ms after the line.

--- a/internal/edge/process/sinks.go
+++ b/internal/edge/process/sinks.go
@@ -81,13 +81,16 @@
 	s.onListed()
 }
 
-// Apply implements feed.Sink.
+// Apply implements feed.Sink. It logs changes once they are in force.
 func (s *targetSink) Apply(events []platform.Event, revision platform.Revision) {
 	changes := make([]targets.Change, 0, len(events))
 	for i := range events {
 		changes = append(changes, s.change(&events[i]))
 	}
 	s.registry.Apply(changes, revision)
+	for i := range changes {
+		s.logChange(&changes[i], events[i].Entry.Revision)
+	}
 }
 
 // change decodes one changed entry.
@@ -95,7 +98,6 @@
 	e := &event.Entry
 	if event.Deleted {
 		delete(s.known, e.Key)
-		s.log.Info("targets: entry removed", "key", e.Key, "revision", e.Revision)
 		return targets.Change{Name: e.Key}
 	}
 	t, ok := s.decodeEntry(e)
@@ -103,10 +105,19 @@
 		return targets.Change{Name: e.Key, Unreadable: true}
 	}
 	s.known[e.Key] = t
-	s.log.Info("targets: entry changed", "target", t.ID, "service", t.Service, "address", t.Address, "leaving", t.Leaving, "revision", e.Revision)
 	return targets.Change{Name: e.Key, Target: &t}
 }
 
+func (s *targetSink) logChange(c *targets.Change, revision platform.Revision) {
+	switch {
+	case c.Unreadable: // logged by decodeEntry
+	case c.Target == nil:
+		s.log.Info("targets: entry removed", "key", c.Name, "revision", revision)
+	default:
+		s.log.Info("targets: entry changed", "target", c.Target.ID, "service", c.Target.Service, "address", c.Target.Address, "leaving", c.Target.Leaving, "revision", revision)
+	}
+}
+
 // decodeEntry decodes a target; it logs an entry that cannot be decoded and
 // removes it from known.
 func (s *targetSink) decodeEntry(e *platform.Entry) (targets.Target, bool) {
