--- a/internal/agent/suspicion/parts_test.go
+++ b/internal/agent/suspicion/parts_test.go
@@ -12,13 +12,15 @@
 
 // Prefixes of prompts that begin with a part that all share.
 const (
-	firstPart  = 1
-	annexPart  = 2
-	otherPart  = 3
-	ownPart    = 1000 // and more
-	fourthOnes = 4
+	firstPart = 1
+	annexPart = 2
+	otherPart = 3
+	ownPart   = 1000 // and more
 )
 
+// crashesToHold is how many targets must crash under a prefix.
+const crashesToHold = 4
+
 // partCrash is the crash of a target under the i-th request with the annex.
 func partCrash(i int) control.Event {
 	return control.Event{
@@ -31,19 +33,19 @@
 
 func TestPartOfUnlikePromptsIsHeldAfterFewCrashes(t *testing.T) {
 	tracker := &FleetTracker{Host: "h"}
-	for i := range fourthOnes {
+	for i := range crashesToHold {
 		require.Nil(t, tracker.Held(moment(i), []uint64{firstPart, annexPart, 5}, true), "crash %d", i)
 		require.Zero(t, tracker.Holds())
 		for range 3 { // gateways that report the crash
 			tracker.Add(moment(i), partCrash(i))
 		}
 	}
-	now := moment(fourthOnes)
+	now := moment(crashesToHold)
 	require.EqualValues(t, 1, tracker.Holds())
 	held := tracker.Held(now, []uint64{firstPart, annexPart, 6}, true)
 	require.NotNil(t, held)
 	require.Equal(t, "2", held.Prefix)
-	require.Equal(t, fourthOnes, held.Crashes)
+	require.Equal(t, crashesToHold, held.Crashes)
 	require.Positive(t, held.RetryAfter)
 	require.Nil(t, tracker.Held(now, []uint64{firstPart, otherPart, 7}, true), "shares the first part only")
 	require.Nil(t, tracker.Held(now, nil, true))
@@ -51,7 +53,7 @@
 
 func TestCrashesAfterTheFirstTokenOrAtOneMomentHoldNothing(t *testing.T) {
 	late, together := &FleetTracker{}, &FleetTracker{}
-	for i := range 3 * fourthOnes {
+	for i := range 3 * crashesToHold {
 		e := partCrash(i)
 		together.Add(start, e)
 		e.Produced = 1
@@ -63,7 +65,7 @@
 
 func TestAnswersBetweenCrashesOfOtherCausesClearTheirParts(t *testing.T) {
 	owner, other := &FleetTracker{Host: "owner"}, &FleetTracker{Host: "other"}
-	for i := range 5 * fourthOnes {
+	for i := range 5 * crashesToHold {
 		at := moment(i)
 		for _, tracker := range []*FleetTracker{owner, other} {
 			tracker.Add(at, partCrash(i))
@@ -79,20 +81,20 @@
 func TestAnswerThatBeganBeforeTheCrashesTakesNoneBack(t *testing.T) {
 	const extra = 2 // for a part that was answered lately
 	tracker := &FleetTracker{}
-	for i := range fourthOnes + extra {
+	for i := range crashesToHold + extra {
 		tracker.Add(moment(i), partCrash(i))
 		tracker.RecordAnswer(moment(i), start.Add(-time.Second), []uint64{firstPart, annexPart})
 	}
-	require.NotNil(t, tracker.Held(moment(fourthOnes+extra), []uint64{firstPart, annexPart}, true))
+	require.NotNil(t, tracker.Held(moment(crashesToHold+extra), []uint64{firstPart, annexPart}, true))
 }
 
 func TestReleasedPartIsHeldAgainOnlyAfterNewCrashes(t *testing.T) {
 	tracker := &FleetTracker{}
 	require.Empty(t, tracker.HeldPrefixes(start))
-	for i := range fourthOnes {
+	for i := range crashesToHold {
 		tracker.Add(moment(i), partCrash(i))
 	}
-	now := moment(fourthOnes)
+	now := moment(crashesToHold)
 	list := tracker.HeldPrefixes(now)
 	require.Len(t, list, 1)
 	require.Equal(t, "2", list[0].Prefix)
@@ -101,16 +103,16 @@
 	tracker.Add(now, control.Event{ID: "r", Kind: control.EventReleased, Prefixes: []uint64{annexPart}})
 	require.Empty(t, tracker.HeldPrefixes(now), "nor is the first part blamed instead")
 	require.Nil(t, tracker.Held(now, []uint64{firstPart, annexPart}, true))
-	for i := range 2 * fourthOnes {
-		tracker.Add(moment(fourthOnes+1+i), partCrash(fourthOnes+i))
+	for i := range 2 * crashesToHold {
+		tracker.Add(moment(crashesToHold+1+i), partCrash(crashesToHold+i))
 	}
-	require.NotEmpty(t, tracker.HeldPrefixes(moment(3*fourthOnes)))
+	require.NotEmpty(t, tracker.HeldPrefixes(moment(3*crashesToHold)))
 }
 
 func TestRepairedCrashesHoldTheirPart(t *testing.T) {
 	for _, age := range []time.Duration{10 * time.Second, 20 * time.Minute} {
 		tracker := &FleetTracker{}
-		for i := range fourthOnes {
+		for i := range crashesToHold {
 			e := partCrash(i)
 			e.Age = age - time.Duration(i)*time.Second
 			tracker.Add(start, e)
