Targets: the length in a response to HEAD bounds nothing

A response to HEAD states the length of a body that it does not have.

Before, TestLengthOfResponseToHeadIsNoBound failed with "body of 1000000 bytes or more exceeds 1000 bytes".

--- a/internal/edge/targetconn/pool.go
+++ b/internal/edge/targetconn/pool.go
@@ -108,11 +108,14 @@
 		return nil, err
 	}
 	answered = true
-	closing := head.Close
+	closing, length := head.Close, head.ContentLength
+	if req.Method == http.MethodHead {
+		length = 0
+	}
 	conn.idleTimeout = idleTimeout(head.Header)
 	return &Response{
 		Status: head.StatusCode, Header: head.Header, ConnectionClosing: closing,
-		length: head.ContentLength, body: head.Body, conn: conn, pool: p, detach: detach, written: written,
+		length: length, body: head.Body, conn: conn, pool: p, detach: detach, written: written,
 		reusable: !closing && !(leaving && isCallersRequest(req)),
 	}, nil
 }
