Streams: a moved run waits for the engines that hold its memory

A run that a final copy had stopped was lost at once (lost_in_move) if both the destination and the source wanted a pause, however short, although both were sound and held its memory. It also kept trying a destination that accepted no connections for 1.5 s before it turned to the source. The engines that hold the memory are now asked in turn, for 1.5 s at most, while they accept no connection or want a pause.

--- a/internal/edge/streaming/forward.go
+++ b/internal/edge/streaming/forward.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -122,8 +123,8 @@
 }
 
 const (
-	// resumeRetryTime is how long a run tries to reach the engine from whose memory it
-	// continues. Callers wait at least 2 s for the next event.
+	// resumeRetryTime is how long a run tries to reach an engine that holds its memory.
+	// Callers wait at least 2 s for the next event.
 	resumeRetryTime     = 1500 * time.Millisecond
 	resumeRetryInterval = 100 * time.Millisecond
 )
@@ -191,55 +192,93 @@
 	if stoppedAtSource(reply) {
 		handle = reply.Handle
 	}
-	next := r.resumeAtReplica(ctx, replica, handle)
-	if next != nil {
-		r.enterTarget(next)
-		return next, ""
+	holders := []*memoryHolder{replicaHolder(replica, handle)}
+	if stoppedAtSource(reply) {
+		// The source still holds the memory of a run that a final copy stopped.
+		load := r.server.runLoad(r.call, r.events)
+		holders = append(holders, &memoryHolder{target: ended.target, load: load, from: edge.ReplicaRef{Address: ended.target.Address, Handle: handle}})
 	}
-	if !stoppedAtSource(reply) {
+	next := r.resume(ctx, holders...)
+	if next == nil {
 		return nil, lostInMove
 	}
-	// The run cannot continue at the destination. The source still holds the memory of
-	// a run that a final copy stopped, so it continues there.
-	source := ended.target
-	load := r.server.runLoad(r.call, r.events)
-	r.server.Inflight.Add(source.Key(), load)
-	if next := r.resume(ctx, source, load, &edge.ReplicaRef{Address: source.Address, Handle: handle}); next != nil {
-		r.enterTarget(next)
-		return next, ""
-	}
-	return nil, lostInMove
+	r.enterTarget(next)
+	return next, ""
 }
 
-// resumeAtReplica continues the run at the engine that holds its replica.
-func (r *Run) resumeAtReplica(ctx context.Context, replica *Replica, handle string) *segment {
-	return r.resume(ctx, replica.Dest, replica.Reserved, &edge.ReplicaRef{Address: replica.Source.Address, Handle: handle})
+// memoryHolder is an engine that holds the memory from which a run can continue: a replica or
+// a final copy, or at its source the memory of the run that the final copy stopped.
+type memoryHolder struct {
+	target  *targets.Target
+	from    edge.ReplicaRef
+	load    inflight.Load
+	counted bool // load is counted for target
 }
 
-// resume continues the run at t from the memory that from names. At the destination
-// that is the replica, or the final copy if one was made; at the source it is the
-// memory of the run that the final copy stopped. It tries again for resumeRetryTime while no
-// byte can be sent to t, since no other engine has the memory. It returns nil if that fails.
-func (r *Run) resume(ctx context.Context, t *targets.Target, load inflight.Load, from *edge.ReplicaRef) *segment {
+func replicaHolder(replica *Replica, handle string) *memoryHolder {
+	return &memoryHolder{target: replica.Dest, load: replica.Reserved, counted: true, from: edge.ReplicaRef{Address: replica.Source.Address, Handle: handle}}
+}
+
+// resume continues the run at the first engine that takes it, preferring those named first. No
+// other engine has its memory, so it tries again for resumeRetryTime those that accept no
+// connection or want a pause. It returns nil if that fails.
+func (r *Run) resume(ctx context.Context, holders ...*memoryHolder) *segment {
 	started := time.Now()
-	dispatch := edge.Dispatch{Account: r.call.Account, Urgency: r.call.Urgency, ContinueFrom: from, LastEventID: r.lastEventID.Load()}
-	s, err := r.server.open(ctx, r, t, load, dispatch, nil)
-	for errors.Is(err, targetconn.ErrNotSent) && !errors.Is(err, targetconn.ErrRefused) && ctx.Err() == nil && time.Since(started) < resumeRetryTime {
+	for {
+		var remaining []*memoryHolder
+		for _, h := range holders {
+			s, err := r.resumeAt(ctx, h)
+			if s != nil {
+				r.call.Log.Info("stream: run resumed", "target", h.target.ID, "copy", h.from.Handle, "after_event", r.lastEventID.Load(),
+					"took_ms", time.Since(started).Milliseconds())
+				r.uncount(holders)
+				return s
+			}
+			if (errors.Is(err, targetconn.ErrNotSent) || r.wantsPause(h.target)) && time.Since(started) < resumeRetryTime && ctx.Err() == nil {
+				remaining = append(remaining, h)
+				continue
+			}
+			r.call.Log.Warn("stream: run could not be resumed", "target", h.target.ID, "copy", h.from.Handle, "after_event", r.lastEventID.Load(),
+				"took_ms", time.Since(started).Milliseconds(), "error", err.Error())
+		}
+		if holders = remaining; len(holders) == 0 {
+			return nil
+		}
 		wait.For(ctx, resumeRetryInterval)
-		r.server.Inflight.Add(t.Key(), load)
-		s, err = r.server.open(ctx, r, t, load, dispatch, nil)
 	}
+}
+
+// resumeAt asks one engine to continue the run.
+func (r *Run) resumeAt(ctx context.Context, h *memoryHolder) (*segment, error) {
+	if !h.counted {
+		r.server.Inflight.Add(h.target.Key(), h.load)
+	}
+	h.counted = false
+	s, err := r.server.open(ctx, r, h.target, h.load, edge.Dispatch{
+		Account: r.call.Account, Urgency: r.call.Urgency, ContinueFrom: &h.from, LastEventID: r.lastEventID.Load(),
+	}, nil)
 	if err == nil && s.response.Status != http.StatusOK {
 		err = errors.New("status " + strconv.Itoa(s.response.Status))
 		r.abandon(s)
 	}
 	if err != nil {
-		r.call.Log.Warn("stream: run could not be resumed", "target", t.ID, "copy", from.Handle, "after_event", r.lastEventID.Load(), "error", err.Error())
-		return nil
+		return nil, err
 	}
-	r.call.Log.Info("stream: run resumed", "target", t.ID, "copy", from.Handle, "after_event", r.lastEventID.Load(),
-		"took_ms", time.Since(started).Milliseconds())
-	return s
+	return s, nil
+}
+
+// uncount removes the loads of engines that the run did not turn to.
+func (r *Run) uncount(holders []*memoryHolder) {
+	for _, h := range holders {
+		if h.counted {
+			r.server.Inflight.Remove(h.target.Key(), h.load)
+		}
+	}
+}
+
+// wantsPause reports whether an engine accepts no requests now but may do so later.
+func (r *Run) wantsPause(t *targets.Target) bool {
+	return slices.Contains(r.server.Targets.View().Refusing(r.call.Service.Name), t.Key())
 }
 
 // finish records the outcome and ends the caller's response. The response to an
--- a/internal/edge/streaming/takeover.go
+++ b/internal/edge/streaming/takeover.go
@@ -75,7 +75,7 @@
 	r.Log().Warn("stream: engine is silent; the run is also sent to another", "source", source.ID, "replica", t.replica != nil, "silent_ms", silent.Milliseconds())
 	var next *segment
 	if t.replica != nil {
-		next = r.resumeAtReplica(t.ctx, t.replica, t.replica.Handle)
+		next = r.resume(t.ctx, replicaHolder(t.replica, t.replica.Handle))
 	} else {
 		next = r.startBeside(t.ctx, source)
 	}
--- a/internal/edge/streaming/takeover_test.go
+++ b/internal/edge/streaming/takeover_test.go
@@ -132,7 +132,7 @@
 	s.Inflight.Add(dest.Key(), load)
 	ctx, cancel := context.WithTimeout(t.Context(), 3*resumeRetryInterval)
 	defer cancel()
-	require.Nil(t, r.resume(ctx, dest, load, &edge.ReplicaRef{}))
+	require.Nil(t, r.resume(ctx, &memoryHolder{target: dest, load: load, counted: true}))
 	require.Equal(t, inflight.Load{}, s.Inflight.TotalLoad(dest.Key()))
 }
 
