Streaming tests: which engine a takeover leaves, blames and keeps

Parts that no test covered reliably: an engine that is left for its silence counts a failure, one that stays does not; a continuation that is answered with a failure is not taken; the next takeover waits; of two engines that are asked before the head, the slower one is ended and loses its load.

--- a/internal/edge/streaming/takeover_test.go
+++ b/internal/edge/streaming/takeover_test.go
@@ -241,3 +241,68 @@
 func (acceptingWire) NotExecuted(int, http.Header) bool { return false }
 
 func (acceptingWire) Signed(http.Header) bool { return true }
+
+// stoppingClient finds no run to stop and no copy to release.
+type stoppingClient struct{ releasingClient }
+
+func (stoppingClient) Move(context.Context, *targets.Target, string, *targets.Target, bool) edge.MoveReply {
+	return edge.MoveReply{Result: edge.MoveNoRun}
+}
+
+// takeoverTo lets a run at a silent engine be continued from its replica at an engine that
+// answers with the given status. It returns the source and what endTakeover returns.
+func takeoverTo(t *testing.T, status int) (s *Server, source *targets.Target, next *segment) {
+	s, r := placingServer(draining.New(placingDrain), silentObserver{}, func() bool { return true })
+	s.Engines, s.Runs = stoppingClient{}, NewRuns(func(*Run, string) {})
+	s.Sender = &edge.Sender{Wire: acceptingWire{}, Pool: targetconn.New(func(http.Header) string { return "" }, openGate{}, func(string) float64 { return 0 })}
+	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) }))
+	t.Cleanup(engine.Close)
+	r.call.Call.Method, r.call.Call.URI, r.call.Call.Host = http.MethodGet, "/", "e"
+	source = &targets.Target{ID: "s"}
+	r.ctx, r.segment = t.Context(), openSegment(t, s, source)
+	dest, load := &targets.Target{ID: "d", Address: strings.TrimPrefix(engine.URL, "http://")}, inflight.Load{Runs: 1}
+	r.replica = &Replica{Source: source, Dest: dest, Reserved: load}
+	s.Inflight.Add(dest.Key(), load)
+	r.lastEventAt.Store(int64(bootclock.Now().Add(-1200 * time.Millisecond)))
+	r.LeaveSilentEngine()
+	next = r.endTakeover(io.ErrUnexpectedEOF)
+	require.Equal(t, next != nil, s.Inflight.TotalLoad(dest.Key()).Runs == 1)
+	require.Equal(t, next == nil, r.nextTakeover > bootclock.Now())
+	return s, source, next
+}
+
+func TestSilentEngineIsLeftWithoutBlame(t *testing.T) {
+	s, source, next := takeoverTo(t, http.StatusOK)
+	require.NotNil(t, next)
+	require.Greater(t, s.Health.FailureCost(source.Key()), 1.0)
+}
+
+func TestSilentEngineIsLeftForOneThatFails(t *testing.T) {
+	s, source, next := takeoverTo(t, http.StatusInternalServerError)
+	require.Nil(t, next)
+	require.InDelta(t, 1, s.Health.FailureCost(source.Key()), 0)
+}
+
+func TestSlowerOfTwoEnginesKeepsTheRun(t *testing.T) {
+	for _, firstWins := range []bool{true, false} {
+		s, r := placingServer(draining.New(placingDrain), silentObserver{}, func() bool { return true })
+		faster, slower := &targets.Target{ID: "f"}, &targets.Target{ID: "s"}
+		won, lost := openSegment(t, s, faster), openSegment(t, s, slower)
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		a := beginOpening(ctx, func(context.Context) (*segment, error) { return won, nil })
+		b := beginOpening(ctx, func(ctx context.Context) (*segment, error) {
+			<-ctx.Done()
+			return lost, nil
+		})
+		if !firstWins {
+			a, b = b, a
+		}
+		got, err := r.firstToAnswer(a, b)
+		require.NoError(t, err)
+		require.Same(t, won, got)
+		require.NoError(t, ctx.Err(), "the slower one is not awaited")
+		require.Equal(t, 1, s.Inflight.TotalLoad(faster.Key()).Runs)
+		require.Zero(t, s.Inflight.TotalLoad(slower.Key()).Runs)
+	}
+}
