Quarantine: short first holds, one host ends the probation, corrections are stored

A fleet whose hosts had just started and did not know of each other's crashes yet blamed the part of an account, which nothing had survived, and stored that; after a loss of power all hosts held back the account's sound requests for 5 min (TestHeldPartStaysHeldOverRestarts/all hosts, seen once with -race at a load of 27, several test processes side by side). First holds last 15 s now and grow tenfold with each crash on probation; the host that saw the last crash tries first and alone (TestOneHostEndsProbation); who stored a blame stores the corrections of the following minute.

--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -88,7 +88,9 @@
 	stalls        stall.Detector
 	quarantine    *quarantine.Tracker
 	crashes       *edge.CrashGuard
-	heldChanged   chan struct{} // holds at most one pending request to store what is held back
+	// keepsHeldUntil is the bootclock.Instant until which this host stores all changes of what is held back.
+	keepsHeldUntil atomic.Int64
+	heldChanged    chan struct{} // holds at most one pending request to store what is held back
 
 	retryBudgetsMu sync.Mutex
 	retryBudgets   map[string]*retrybudget.Budget // guarded by retryBudgetsMu; by service
--- a/internal/edge/process/quarantine.go
+++ b/internal/edge/process/quarantine.go
@@ -23,6 +23,9 @@
 	heldWriteAttempts = 8
 	// heldRetryDelay is the time between the attempts, and between those to read it.
 	heldRetryDelay = time.Second
+	// keepsHeldFor is how long after a change that it caused a host also stores the changes that
+	// follow by what others found out.
+	keepsHeldFor = time.Minute
 	// maxConflictDelay is the maximum of the random delay after another host's write.
 	maxConflictDelay = 50 * time.Millisecond
 	// maxLoggedCrashes bounds the crashes that a log line names.
@@ -57,6 +60,10 @@
 		p.crashes.EndHeldWaits()
 	}
 	if c.Own {
+		p.keepsHeldUntil.Store(int64(bootclock.Now().Add(keepsHeldFor)))
+	}
+	// A host that has stored a wrong blame corrects it, also if others found out.
+	if p.keepsHeldUntil.Load() > int64(bootclock.Now()) {
 		select {
 		case p.heldChanged <- struct{}{}:
 		default:
--- a/internal/quarantine/decide.go
+++ b/internal/quarantine/decide.go
@@ -24,15 +24,17 @@
 	partMoments    = 3
 	requestMoments = 2
 	momentLength   = 250 * time.Millisecond
-	// holdTime is for how long after its last crash a key is held back. A key that has
-	// survived lately is held back for survivedHoldTime, and after each further crash for
-	// survivedHoldGrowth times as long, up to holdTime.
-	holdTime           = 5 * time.Minute
-	survivedHoldTime   = 15 * time.Second
-	survivedHoldGrowth = 4
-	// evidenceLifetime is how long a crash counts. It is longer than holdTime, so that one
+	// firstHoldTime is for how long after its last crash a key is held back at first. It is
+	// short, since a key may be blamed wrongly until others have survived. After each crash on
+	// probation, which comes at least probationGap after the one before, the key is held back
+	// holdGrowth times as long, up to maxHoldTime.
+	firstHoldTime = 15 * time.Second
+	probationGap  = 10 * time.Second
+	holdGrowth    = 10
+	maxHoldTime   = 30 * time.Minute
+	// evidenceLifetime is how long a crash counts. It is longer than maxHoldTime, so that one
 	// crash on probation suffices to hold a key back again.
-	evidenceLifetime = 30 * time.Minute
+	evidenceLifetime = 2 * time.Hour
 )
 
 // Instant is a time on a steady clock, since any origin before the process started.
@@ -191,14 +193,12 @@
 }
 
 func (s *suspect) hold() *Hold {
-	length := holdTime
-	if s.survived {
-		required, _ := s.required()
-		length = survivedHoldTime
-		for range len(s.crashes) - required {
-			length = min(length*survivedHoldGrowth, holdTime)
+	crashes := slices.Clone(s.crashes)
+	length := firstHoldTime
+	for i := range crashes[1:] {
+		if crashes[i+1].At-crashes[i].At >= probationGap {
+			length = min(length*holdGrowth, maxHoldTime)
 		}
 	}
-	crashes := slices.Clone(s.crashes)
 	return &Hold{Key: s.key, Until: crashes[len(crashes)-1].At + length, Crashes: crashes, Survived: s.survived, SurvivedAt: s.survivedAt}
 }
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -19,9 +19,10 @@
 	maxKeys = 16
 	// maxShared bounds the survivals that hosts tell each other.
 	maxShared = 4096
-	// probationSpread is over which time hosts begin to let a key through after its hold,
-	// one request at a time each, so that the first one's crash reaches the others before
-	// they begin.
+	// probationDelay is how long after a hold other hosts than the one that saw the last crash
+	// let a key through, and probationSpread over which time they begin. Each lets one request
+	// through at a time, so that as a rule one request ends the probation.
+	probationDelay  = 30 * time.Second
 	probationSpread = 30 * time.Second
 	// trialTimeout is how long a host waits for the outcome of a request on probation.
 	trialTimeout = 10 * time.Second
@@ -330,7 +331,7 @@
 			changes = append(changes, Change{Kind: Expired, Hold: *hold, Now: now})
 		}
 		trial, tried := t.trials[key]
-		if now < hold.Until+t.probationDelay(hold) || (tried && trial >= hold.Until && now < trial+trialTimeout) {
+		if now < t.probationBegins(hold) || (tried && trial >= hold.Until && now < trial+trialTimeout) {
 			held := *hold
 			return &held, changes
 		}
@@ -344,19 +345,18 @@
 	return nil, changes
 }
 
-// probationDelay returns how long after a hold this host lets the first request through.
-func (t *Tracker) probationDelay(h *Hold) time.Duration {
-	spread := probationSpread
-	if h.Survived {
-		spread = min(spread, survivedHoldTime)
+// probationBegins returns from when on this host lets single requests with a key through.
+func (t *Tracker) probationBegins(h *Hold) Instant {
+	if h.Crashes[len(h.Crashes)-1].Host == t.host {
+		return h.Until
 	}
 	share := float64(xxhash.Sum64String(t.host+" "+h.Key.String())>>11) / (1 << 53)
-	return time.Duration(share * float64(spread))
+	return h.Until + probationDelay + time.Duration(share*float64(probationSpread))
 }
 
 // RetryAfter returns after which time a caller of a held request may come again.
 func (t *Tracker) RetryAfter(now Instant, h *Hold) time.Duration {
-	return max(h.Until+t.probationDelay(h)-now, 0)
+	return max(t.probationBegins(h)-now, 0)
 }
 
 // Holds returns what is held back or on probation, in order of keys.
