Plain calls: a send gets the logger of its call instead of a copy of the call

The copy that made duplicated the lock of the call's crash keys (go vet, copylocks). TestLoggerOfCallChangesWhileASendLogs passes with -race, 3 of 3.

--- a/internal/edge/plain/server.go
+++ b/internal/edge/plain/server.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"net/http"
 	"strconv"
 	"time"
@@ -218,8 +219,8 @@
 	r.tried[t.Key()] = true
 	r.sends++
 	r.pending++
-	call := *r.call // Serve changes the logger of the call, which a send may outlast
-	go func() { r.outcomes <- r.server.send(r.ctx, r.served, &call, t) }()
+	log := r.call.Log // Serve changes the call's logger, and a send may outlast the call
+	go func() { r.outcomes <- r.server.send(r.ctx, r.served, r.call, t, log) }()
 	return true
 }
 
@@ -270,7 +271,7 @@
 }
 
 // send sends the call to one target and waits for the complete response.
-func (s *Server) send(ctx, served context.Context, a *edge.AuthorizedCall, t *targets.Target) outcome {
+func (s *Server) send(ctx, served context.Context, a *edge.AuthorizedCall, t *targets.Target, log *slog.Logger) outcome {
 	if !a.StillAuthorized(ctx) {
 		return outcome{result: keyUnconfirmed, target: t}
 	}
@@ -294,7 +295,7 @@
 	o.target, o.took = t, time.Since(started)
 	s.recordHealth(ctx, &o)
 	s.recordEvidence(ctx, a, sentAt, &o)
-	logOutcome(a, &o)
+	logOutcome(log, &o)
 	return o
 }
 
@@ -345,7 +346,7 @@
 }
 
 // logOutcome logs a send that got no successful response.
-func logOutcome(a *edge.AuthorizedCall, o *outcome) {
+func logOutcome(log *slog.Logger, o *outcome) {
 	if o.result == answered {
 		return // logged when the request ends
 	}
@@ -353,6 +354,6 @@
 	if o.err != nil {
 		errText = o.err.Error()
 	}
-	a.Log.Warn("plain: send without a good answer", "target", o.target.ID, "address", o.target.Address,
+	log.Warn("plain: send without a good answer", "target", o.target.ID, "address", o.target.Address,
 		"result", o.result.String(), "status", o.status, "took_ms", o.took.Milliseconds(), "error", errText)
 }
