--- a/internal/edge/plain/server.go
+++ b/internal/edge/plain/server.go
@@ -219,7 +219,7 @@
 	r.tried[t.Key()] = true
 	r.sends++
 	r.pending++
-	log := r.call.Log // Serve changes the call's logger, and a send may outlast the call
+	log := r.call.Log // Serve changes the logger of the call, which a send may outlast
 	go func() { r.outcomes <- r.server.send(r.ctx, r.served, r.call, t, log) }()
 	return true
 }
