Edge tests: the run that stayed at its silent engine is always worth a move

With its silence late in the run, the mover sometimes left it out at first because it seemed about to end, and TestRunThatStayedAtItsSilentEngineIsNotMovedWhenThatLeaves passed without the fix.

--- a/tests/edge/silence_effects_test.go
+++ b/tests/edge/silence_effects_test.go
@@ -54,7 +54,7 @@
 
 func TestRunThatStayedAtItsSilentEngineIsNotMovedWhenThatLeaves(t *testing.T) {
 	t.Parallel()
-	const events, silentBefore = 700, 400
+	const events, silentBefore = 700, 250
 	f := newFleet(t)
 	f.configure()
 	set := standin.NewEngines()
