Streams: a moved run waits for the end of its engines' pauses

Callers saw streams broken off in the middle although no engine had failed: while an engine leaves, a run's memory is at two engines, and if both reject the continuation because of a pause (503 with Retry-After), the run was given up at once.

Cause: continueAfterStop asked the destination of the final copy, then the source, once each.

Why it works: nobody else holds the memory, both engines keep it for a handle's life, and the caller waits at least two seconds, or four times the latency objective, or eight times the gap objective. The run waits for the pause that ends first, if that is before the caller gives up, and asks that engine again. A rejection without a pause ends the run as before.

--- a/internal/edge/policy/route.go
+++ b/internal/edge/policy/route.go
@@ -68,3 +68,13 @@
 	}
 	return r.Backends[len(r.Backends)-1].Service
 }
+
+// minCallerPatience is how long callers wait for the next event at least, whatever the
+// objectives of their route.
+const minCallerPatience = 2 * time.Second
+
+// MinCallerPatience returns how long callers of a streaming route wait for the next event, the
+// first one included, before they give up.
+func (r *Route) MinCallerPatience() time.Duration {
+	return max(minCallerPatience, 4*r.Objective, 8*r.GapObjective)
+}
--- a/internal/edge/streaming/forward.go
+++ b/internal/edge/streaming/forward.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -126,6 +127,9 @@
 	// continues. Callers wait at least 2 s for the next event.
 	resumeRetryTime     = 1500 * time.Millisecond
 	resumeRetryInterval = 100 * time.Millisecond
+	// callerPatienceMargin is how long before its caller gives up a run stops waiting for the
+	// engines that hold its memory.
+	callerPatienceMargin = 300 * time.Millisecond
 )
 
 const (
@@ -191,7 +195,15 @@
 	if stoppedAtSource(reply) {
 		handle = reply.Handle
 	}
-	next := r.resumeAtReplica(ctx, replica, handle)
+	// The source still holds the memory of a run that a final copy stopped.
+	holders := []memoryHolder{{target: replica.Dest, load: replica.Reserved, from: replicaRef(replica, handle)}}
+	if stoppedAtSource(reply) {
+		source := ended.target
+		load := r.server.runLoad(r.call, r.events)
+		r.server.Inflight.Add(source.Key(), load)
+		holders = append(holders, memoryHolder{target: source, load: load, from: &edge.ReplicaRef{Address: source.Address, Handle: handle}})
+	}
+	next := r.resumeAtAny(ctx, holders)
 	if next != nil {
 		r.enterTarget(next)
 		return next, ""
@@ -199,31 +211,83 @@
 	if err == io.EOF && reply.Result == edge.MoveUnknown && ended.response.Delimited {
 		return nil, completed // the run may have completed before the final copy
 	}
-	if !stoppedAtSource(reply) {
-		return nil, lostInMove
-	}
-	// The run cannot continue at the destination. The source still holds the memory of
-	// a run that a final copy stopped, so it continues there.
-	source := ended.target
-	load := r.server.runLoad(r.call, r.events)
-	r.server.Inflight.Add(source.Key(), load)
-	if next := r.resume(ctx, source, load, &edge.ReplicaRef{Address: source.Address, Handle: handle}); next != nil {
-		r.enterTarget(next)
-		return next, ""
-	}
 	return nil, lostInMove
 }
 
 // resumeAtReplica continues the run at the engine that holds its replica.
 func (r *Run) resumeAtReplica(ctx context.Context, replica *Replica, handle string) *segment {
-	return r.resume(ctx, replica.Dest, replica.Reserved, &edge.ReplicaRef{Address: replica.Source.Address, Handle: handle})
+	next, _ := r.resume(ctx, replica.Dest, replica.Reserved, replicaRef(replica, handle))
+	return next
+}
+
+func replicaRef(replica *Replica, handle string) *edge.ReplicaRef {
+	return &edge.ReplicaRef{Address: replica.Source.Address, Handle: handle}
+}
+
+// memoryHolder is an engine that holds the memory of a run.
+type memoryHolder struct {
+	target *targets.Target
+	load   inflight.Load // reserved for the run until resume
+	from   *edge.ReplicaRef
+}
+
+// resumeAtAny continues the run at the first holder of its memory that takes it. It waits for
+// the end of their pauses unless the caller gives up before. It returns nil if that fails.
+func (r *Run) resumeAtAny(ctx context.Context, holders []memoryHolder) *segment {
+	next, paused := r.resumeAtFirst(ctx, holders)
+	for next == nil && len(paused) > 0 && ctx.Err() == nil {
+		i, left := r.firstToAccept(paused)
+		h := paused[i]
+		paused = slices.Delete(paused, i, i+1)
+		if r.SinceLastEvent()+left > r.call.Route.MinCallerPatience()-callerPatienceMargin {
+			return nil
+		}
+		r.call.Log.Info("stream: waiting for a paused engine that holds the run's memory", "target", h.target.ID, "pause_ms", left.Milliseconds())
+		wait.For(ctx, left)
+		r.server.Inflight.Add(h.target.Key(), h.load)
+		var again []memoryHolder
+		next, again = r.resumeAtFirst(ctx, []memoryHolder{h})
+		paused = append(paused, again...)
+	}
+	return next
+}
+
+// resumeAtFirst continues the run at the first holder that takes it. Otherwise it returns
+// those that rejected the run because they are paused.
+func (r *Run) resumeAtFirst(ctx context.Context, holders []memoryHolder) (next *segment, paused []memoryHolder) {
+	for i, h := range holders {
+		next, err := r.resume(ctx, h.target, h.load, h.from)
+		if next != nil {
+			for _, other := range holders[i+1:] {
+				r.server.Inflight.Remove(other.target.Key(), other.load)
+			}
+			return next, nil
+		}
+		rejected := errors.Is(err, errNotExecuted) || errors.Is(err, targetconn.ErrRefused)
+		if rejected && r.server.Targets.View().TargetPauseLeft(h.target) > 0 {
+			paused = append(paused, h)
+		}
+	}
+	return nil, paused
+}
+
+// firstToAccept returns the index of the holder whose pause ends first, and how long it lasts.
+func (r *Run) firstToAccept(paused []memoryHolder) (first int, left time.Duration) {
+	view := r.server.Targets.View()
+	for i, h := range paused {
+		if l := view.TargetPauseLeft(h.target); i == 0 || l < left {
+			first, left = i, l
+		}
+	}
+	return first, left
 }
 
 // resume continues the run at t from the memory that from names. At the destination
 // that is the replica, or the final copy if one was made; at the source it is the
 // memory of the run that the final copy stopped. It tries again for resumeRetryTime while no
-// byte can be sent to t, since no other engine has the memory. It returns nil if that fails.
-func (r *Run) resume(ctx context.Context, t *targets.Target, load inflight.Load, from *edge.ReplicaRef) *segment {
+// byte can be sent to t, since no other engine has the memory. It returns an error if that
+// fails.
+func (r *Run) resume(ctx context.Context, t *targets.Target, load inflight.Load, from *edge.ReplicaRef) (*segment, error) {
 	started := time.Now()
 	dispatch := edge.Dispatch{Account: r.call.Account, Urgency: r.call.Urgency, ContinueFrom: from, LastEventID: r.lastEventID.Load()}
 	s, err := r.server.open(ctx, r, t, load, dispatch, nil)
@@ -238,11 +302,11 @@
 	}
 	if err != nil {
 		r.call.Log.Warn("stream: run could not be resumed", "target", t.ID, "copy", from.Handle, "after_event", r.lastEventID.Load(), "error", err.Error())
-		return nil
+		return nil, err
 	}
 	r.call.Log.Info("stream: run resumed", "target", t.ID, "copy", from.Handle, "after_event", r.lastEventID.Load(),
 		"took_ms", time.Since(started).Milliseconds())
-	return s
+	return s, nil
 }
 
 // finish records the outcome and ends the caller's response. The response to an
--- a/internal/edge/targets/view.go
+++ b/internal/edge/targets/view.go
@@ -72,6 +72,11 @@
 	return trials
 }
 
+// TargetPauseLeft returns how long the pause of a target lasts, 0 if it isn't paused.
+func (v *View) TargetPauseLeft(t *Target) time.Duration {
+	return v.stated.PauseLeft(t.Key(), bootclock.Now())
+}
+
 // PauseLeft returns the shortest time until a target of the service accepts requests again.
 // It returns false if a target accepts them now, or if all targets leave.
 func (v *View) PauseLeft(service string) (time.Duration, bool) {
