Peers: the time-out of hubs follows the sync interval

On the large site (295 hosts) all hosts went back and forth between their hub and the store about once in two seconds, from before the traffic on: a host syncs each 1,475 ms there, and took its hub for dead after 900 ms without an answer. Each change lists and watches the store anew at full price.

The time-out now covers two lost calls after a regular sync. So that a dead hub is not noticed later for it, a failed sync asks the other hub at once, and 900 ms still apply while no hub answers. TestHubSeemsDeadBetweenTwoSyncsOfALargeFleet failed before from 180 hosts on.

--- a/internal/edge/peers/exchange.go
+++ b/internal/edge/peers/exchange.go
@@ -33,9 +33,8 @@
 const (
 	// callTimeout bounds an RPC between hosts.
 	callTimeout = 400 * time.Millisecond
-	// hubTimeout is how long no hub may answer before this host follows the store
-	// itself. It covers two lost calls.
-	hubTimeout = 900 * time.Millisecond
+	// minHubTimeout is the hubTimeout of a small fleet. It covers two lost calls.
+	minHubTimeout = 900 * time.Millisecond
 	// serviceName is the name of the net/rpc service.
 	serviceName = "Peer"
 )
@@ -163,11 +162,34 @@
 	return e.lastHubAnswer
 }
 
-// HasLiveHub reports whether a hub that follows the store has answered within
-// hubTimeout.
+// hubTimeout returns how long no hub may answer before a host follows the store itself. It
+// covers two calls that are lost after a regular sync.
+func hubTimeout(syncInterval time.Duration) time.Duration {
+	return max(minHubTimeout, syncInterval+2*callTimeout)
+}
+
+// HasLiveHub reports whether a hub that follows the store has answered within hubTimeout. If
+// no hub answered the last call, minHubTimeout applies.
 func (e *Exchange) HasLiveHub() bool {
 	answeredAt := e.LastHubAnswer()
-	return answeredAt != 0 && bootclock.Since(answeredAt) < hubTimeout
+	if answeredAt == 0 {
+		return false
+	}
+	timeout := minHubTimeout
+	if e.hasResponsiveHub() {
+		timeout = hubTimeout(e.SyncInterval())
+	}
+	return bootclock.Since(answeredAt) < timeout
+}
+
+// hasResponsiveHub reports whether the last call to one of the hubs succeeded.
+func (e *Exchange) hasResponsiveHub() bool {
+	for _, hub := range e.Members.Hubs() {
+		if hub.Name != e.Host && e.isResponsive(hub.Name) {
+			return true
+		}
+	}
+	return false
 }
 
 // call sends an RPC to a host and logs when the host becomes unresponsive or
--- a/internal/edge/peers/sync.go
+++ b/internal/edge/peers/sync.go
@@ -49,14 +49,23 @@
 }
 
 // SyncInterval returns the time between two syncs with the first hub.
-func (e *Exchange) SyncInterval() time.Duration {
-	return max(minSyncInterval, syncIntervalPerHost*time.Duration(e.Members.Count()))
+func (e *Exchange) SyncInterval() time.Duration { return syncInterval(e.Members.Count()) }
+
+func syncInterval(hosts int) time.Duration {
+	return max(minSyncInterval, syncIntervalPerHost*time.Duration(hosts))
 }
 
 // FleetLoadAge returns the maximum age of the other hosts' loads on a host that
 // places runs itself.
 func (e *Exchange) FleetLoadAge() time.Duration { return fleetLoadEvery * e.SyncInterval() }
 
+// syncFailed asks the other hub at once when a hub has stopped answering.
+func (e *Exchange) syncFailed(wasResponsive bool) {
+	if wasResponsive {
+		e.SyncNow()
+	}
+}
+
 // sync sends this host's state to a hub and applies its answer.
 func (e *Exchange) sync(ctx context.Context, hub relay.Host, wantFleet bool) {
 	args := SyncArgs{Host: e.Host, WantFleet: wantFleet, Loads: e.Inflight.OwnLoads(), Leaving: e.Targets.AnnouncedLeaving(), Failing: e.Health.RecentlyFailed(), ListRevision: e.ChangeLog.Revision(), ListSettling: e.ChangeLog.Settling()}
@@ -66,7 +75,9 @@
 	args.PolicyRevision, args.PolicyVersion = own.Revision, own.Version
 	askedAt := bootclock.Now()
 	reply := new(SyncReply)
+	wasResponsive := e.isResponsive(hub.Name)
 	if err := e.call(ctx, hub.Name, hub.Address, "Sync", args, reply); err != nil {
+		e.syncFailed(wasResponsive)
 		return // logged by call
 	}
 	e.applyEvidence(hub.Name, args.Evidence.Have.Process, sentEvidence, &reply.Evidence)
