Peers: a notice makes only hubs sync at once

When engines leave, a hub tells all hosts at once, and each of them answered with a sync to both hubs. Hosts know the leaving targets from the notice itself; their loads come with the next regular sync. TestNoticeMakesAllHostsSyncAtOnce failed before.

--- a/internal/edge/peers/hubtimeout_test.go
+++ b/internal/edge/peers/hubtimeout_test.go
@@ -57,3 +57,12 @@
 	e.syncFailed(false)
 	require.False(t, syncIsRequested(e), "once for each time that it stops answering")
 }
+
+func TestNoticeMakesAllHostsSyncAtOnce(t *testing.T) {
+	e, _ := newAskingExchange(t, relay.Host{Name: "hub"}, relay.Host{Name: "other"})
+	require.NoError(t, (&service{e}).Notice(NoticeArgs{Host: "hub"}, new(NoticeReply)))
+	require.False(t, syncIsRequested(e))
+	e.Host = "hub"
+	require.NoError(t, (&service{e}).Notice(NoticeArgs{Host: "other"}, new(NoticeReply)))
+	require.True(t, syncIsRequested(e), "the other hub hears of it")
+}
--- a/internal/edge/peers/service.go
+++ b/internal/edge/peers/service.go
@@ -51,13 +51,15 @@
 	return nil
 }
 
-// Notice records leaving targets and triggers a sync.
+// Notice records leaving targets. A hub syncs at once, so that the other hub hears of them.
 func (s *service) Notice(args NoticeArgs, _ *NoticeReply) error {
 	if args.Parts != nil {
 		s.exchange.Inflight.SetLoadsByHost(args.Parts)
 	}
 	s.exchange.markLeaving(args.Host, args.Leaving)
-	s.exchange.SyncNow()
+	if s.exchange.IsHub() { // all hosts at once would overload the hubs
+		s.exchange.SyncNow()
+	}
 	return nil
 }
 
