--- a/internal/edge/streaming/forward.go
+++ b/internal/edge/streaming/forward.go
@@ -5,17 +5,12 @@
 	"errors"
 	"io"
 	"net/http"
-	"slices"
-	"strconv"
 	"time"
 
 	"corianderhitch/internal/edge"
 	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/edge/draining"
-	"corianderhitch/internal/edge/inflight"
-	"corianderhitch/internal/edge/targetconn"
 	"corianderhitch/internal/edge/targets"
-	"corianderhitch/internal/wait"
 )
 
 // forward sends the events to the caller as they arrive, from each engine that
@@ -122,13 +117,6 @@
 	}
 }
 
-const (
-	// resumeRetryTime is how long a run tries to reach an engine that holds its memory.
-	// Callers wait at least 2 s for the next event.
-	resumeRetryTime     = 1500 * time.Millisecond
-	resumeRetryInterval = 100 * time.Millisecond
-)
-
 const (
 	completed  = "completed"
 	brokenOff  = edge.ReasonBrokenOff
@@ -206,81 +194,6 @@
 	return next, ""
 }
 
-// memoryHolder is an engine that holds the memory from which a run can continue: a replica or
-// a final copy, or at its source the memory of the run that the final copy stopped.
-type memoryHolder struct {
-	target  *targets.Target
-	from    edge.ReplicaRef
-	load    inflight.Load
-	counted bool // load is counted for target
-}
-
-func replicaHolder(replica *Replica, handle string) *memoryHolder {
-	return &memoryHolder{target: replica.Dest, load: replica.Reserved, counted: true, from: edge.ReplicaRef{Address: replica.Source.Address, Handle: handle}}
-}
-
-// resume continues the run at the first engine that takes it, preferring those named first. No
-// other engine has its memory, so it tries again for resumeRetryTime those that accept no
-// connection or want a pause. It returns nil if that fails.
-func (r *Run) resume(ctx context.Context, holders ...*memoryHolder) *segment {
-	started := time.Now()
-	for {
-		var remaining []*memoryHolder
-		for _, h := range holders {
-			s, err := r.resumeAt(ctx, h)
-			if s != nil {
-				r.call.Log.Info("stream: run resumed", "target", h.target.ID, "copy", h.from.Handle, "after_event", r.lastEventID.Load(),
-					"took_ms", time.Since(started).Milliseconds())
-				r.uncount(holders)
-				return s
-			}
-			if (errors.Is(err, targetconn.ErrNotSent) || r.wantsPause(h.target)) && time.Since(started) < resumeRetryTime && ctx.Err() == nil {
-				remaining = append(remaining, h)
-				continue
-			}
-			r.call.Log.Warn("stream: run could not be resumed", "target", h.target.ID, "copy", h.from.Handle, "after_event", r.lastEventID.Load(),
-				"took_ms", time.Since(started).Milliseconds(), "error", err.Error())
-		}
-		if holders = remaining; len(holders) == 0 {
-			return nil
-		}
-		wait.For(ctx, resumeRetryInterval)
-	}
-}
-
-// resumeAt asks one engine to continue the run.
-func (r *Run) resumeAt(ctx context.Context, h *memoryHolder) (*segment, error) {
-	if !h.counted {
-		r.server.Inflight.Add(h.target.Key(), h.load)
-	}
-	h.counted = false
-	s, err := r.server.open(ctx, r, h.target, h.load, edge.Dispatch{
-		Account: r.call.Account, Urgency: r.call.Urgency, ContinueFrom: &h.from, LastEventID: r.lastEventID.Load(),
-	}, nil)
-	if err == nil && s.response.Status != http.StatusOK {
-		err = errors.New("status " + strconv.Itoa(s.response.Status))
-		r.abandon(s)
-	}
-	if err != nil {
-		return nil, err
-	}
-	return s, nil
-}
-
-// uncount removes the loads of engines that the run did not turn to.
-func (r *Run) uncount(holders []*memoryHolder) {
-	for _, h := range holders {
-		if h.counted {
-			r.server.Inflight.Remove(h.target.Key(), h.load)
-		}
-	}
-}
-
-// wantsPause reports whether an engine accepts no requests now but may do so later.
-func (r *Run) wantsPause(t *targets.Target) bool {
-	return slices.Contains(r.server.Targets.View().Refusing(r.call.Service.Name), t.Key())
-}
-
 // finish records the outcome and ends the caller's response. The response to an
 // incomplete stream is aborted, so that it does not look complete.
 func (r *Run) finish(ctx context.Context, source *targets.Target, reason string, err error) string {
