Streams: a run tries the engines that hold its memory until its caller gives up

A moved run whose engines both wanted a pause of over 1.5 s was lost, although its caller would have waited: callers give up after 2 s, 4 times the latency objective or 8 times the longest gap, whichever is longest (7.2 s on the users' route of drafts). The run now tries until half a second before that, as long as the engine is listed. TestMovedRunOutlastsPausesOfItsEngines/2.5s failed 3 of 3 before.

--- a/internal/edge/policy/route.go
+++ b/internal/edge/policy/route.go
@@ -50,6 +50,16 @@
 	Resumable bool
 }
 
+// minCallerPatience is how long callers of a stream wait for the next event at least, whatever
+// the objectives of their route.
+const minCallerPatience = 2 * time.Second
+
+// MinCallerPatience returns how long callers of a streaming route wait for the next event, the
+// first one included, before they give up.
+func (r *Route) MinCallerPatience() time.Duration {
+	return max(minCallerPatience, 4*r.Objective, 8*r.GapObjective)
+}
+
 // PickService returns the service for a request, selected by a random number in
 // [0, 1), or "" if the route has none.
 func (r *Route) PickService(draw float64) string {
--- a/internal/edge/streaming/resume.go
+++ b/internal/edge/streaming/resume.go
@@ -16,10 +16,10 @@
 )
 
 const (
-	// resumeRetryTime is how long a run tries to reach an engine that holds its memory.
-	// Callers wait at least 2 s for the next event.
-	resumeRetryTime     = 1500 * time.Millisecond
-	resumeRetryInterval = 100 * time.Millisecond
+	// callerPatienceMargin is how long before its caller gives up a run stops trying to reach
+	// an engine that holds its memory.
+	callerPatienceMargin = 500 * time.Millisecond
+	resumeRetryInterval  = 100 * time.Millisecond
 )
 
 // memoryHolder is an engine that holds the memory from which a run can continue: a replica or
@@ -36,10 +36,11 @@
 }
 
 // resume continues the run at the first engine that takes it, preferring those named first. No
-// other engine has its memory, so it tries again for resumeRetryTime those that accept no
-// connection or want a pause. It returns nil if that fails.
+// other engine has its memory, so it tries those that accept no connection or want a pause
+// again, until shortly before the caller gives up. It returns nil if that fails.
 func (r *Run) resume(ctx context.Context, holders ...*memoryHolder) *segment {
 	started := time.Now()
+	patience := r.call.Route.MinCallerPatience() - r.SinceLastEvent() - callerPatienceMargin
 	for {
 		var remaining []*memoryHolder
 		for _, h := range holders {
@@ -50,7 +51,7 @@
 				r.uncount(holders)
 				return s
 			}
-			if (errors.Is(err, targetconn.ErrNotSent) || r.wantsPause(h.target)) && time.Since(started) < resumeRetryTime && ctx.Err() == nil {
+			if (r.isUnreachable(h.target, err) || r.wantsPause(h.target)) && time.Since(started) < patience && ctx.Err() == nil {
 				remaining = append(remaining, h)
 				continue
 			}
@@ -92,6 +93,11 @@
 	}
 }
 
+// isUnreachable reports whether nothing could be sent to an engine that is still listed.
+func (r *Run) isUnreachable(t *targets.Target, err error) bool {
+	return errors.Is(err, targetconn.ErrNotSent) && r.server.Targets.View().Get(t.Key()) != nil
+}
+
 // wantsPause reports whether an engine accepts no requests now but may do so later.
 func (r *Run) wantsPause(t *targets.Target) bool {
 	return slices.Contains(r.server.Targets.View().Refusing(r.call.Service.Name), t.Key())
--- a/internal/edge/streaming/takeover_test.go
+++ b/internal/edge/streaming/takeover_test.go
@@ -128,7 +128,8 @@
 func TestContinuationThatIsTriedAgainLosesItsLoad(t *testing.T) {
 	s, r := placingServer(draining.New(placingDrain), silentObserver{}, func() bool { return true })
 	s.Sender = &edge.Sender{Wire: plainWire{}, Pool: targetconn.New(nil, openGate{}, func(string) float64 { return 0 })}
-	dest, load := &targets.Target{ID: "d", Address: unreachable(t)}, inflight.Load{Runs: 1, Tokens: 10}
+	dest, load := &targets.Target{ID: "d", Service: "s", Address: unreachable(t)}, inflight.Load{Runs: 1, Tokens: 10}
+	s.Targets.Apply([]targets.Change{{Name: "d", Target: dest}}, 2)
 	s.Inflight.Add(dest.Key(), load)
 	ctx, cancel := context.WithTimeout(t.Context(), 3*resumeRetryInterval)
 	defer cancel()
--- a/tests/edge/paused_move_test.go
+++ b/tests/edge/paused_move_test.go
@@ -13,7 +13,16 @@
 // would give up.
 func TestMovedRunOutlastsPausesOfItsEngines(t *testing.T) {
 	t.Parallel()
-	const pause = time.Second
+	for _, pause := range []time.Duration{time.Second, 2500 * time.Millisecond} {
+		t.Run(pause.String(), func(t *testing.T) {
+			t.Parallel()
+			requireMovedRunOutlastsPauses(t, pause)
+		})
+	}
+}
+
+func requireMovedRunOutlastsPauses(t *testing.T, pause time.Duration) {
+	t.Helper()
 	f, h, engines := startEngineFleet(t, 2)
 	pending := sendAsync(generationRequest(t.Context(), h, "r-1", longGeneration))
 	source, others := waitForBusyEngine(t, engines)
