Streams: a run that may wait for a trial is not rejected when the trial begins

TestRequestsWaitForTrialOfTheOnlyTarget failed once (-race, beside load): a stream got 503 targets_paused 0.03 ms after another one had become the trial of the only engine. Placement read first whether a trial was in progress (not yet), then which engines accept runs (none any more). It is one look at each engine now. Traced by the log and by reading; the moment is too short for a test of its own, the table tests of targets.View cover what it returns.

--- a/internal/edge/streaming/server.go
+++ b/internal/edge/streaming/server.go
@@ -190,7 +190,7 @@
 func (s *Server) place(ctx context.Context, r *Run) (*targets.Target, inflight.Load) {
 	a := r.call
 	load := s.startLoad(a, r.deliveredEvents())
-	if s.Targets.View().Trials(a.Service.Name).Left == 0 && len(s.Targets.View().Available(a.Service.Name)) == 0 {
+	if !s.Targets.View().AcceptsSoon(a.Service.Name) {
 		return nil, load // without engines waiting is pointless: the run is rejected immediately
 	}
 	ctx, cancel := context.WithTimeout(ctx, maxWait(a, load))
@@ -214,7 +214,7 @@
 	}
 	t := s.Queue.Acquire(ctx, a.Service.Name, urgency, func() *targets.Target {
 		view := s.Targets.View()
-		if _, paused := view.PauseLeft(a.Service.Name); paused && view.Trials(a.Service.Name).Left == 0 {
+		if _, paused := view.PauseLeft(a.Service.Name); paused && !view.AcceptsSoon(a.Service.Name) {
 			cancel() // waiting is pointless: the run is rejected with the time left
 			return nil
 		}
--- a/internal/edge/targets/view.go
+++ b/internal/edge/targets/view.go
@@ -1,6 +1,7 @@
 package targets
 
 import (
+	"slices"
 	"time"
 
 	"corianderhitch/internal/edge/bootclock"
@@ -23,6 +24,17 @@
 	return keep(v.Serving(service), func(t *Target) bool { return v.accepts(t.Key(), now) })
 }
 
+// AcceptsSoon reports whether a target of the service accepts new requests from this host, or
+// does so after a trial that is in progress. Unlike Available and Trials together, it is one
+// look at each target.
+func (v *View) AcceptsSoon(service string) bool {
+	now := bootclock.Now()
+	return slices.ContainsFunc(v.Serving(service), func(t *Target) bool {
+		verdict := v.stated.Check(t.Key(), targetnotice.Request, now, now)
+		return verdict == targetnotice.Allowed || verdict == targetnotice.OnTrial
+	})
+}
+
 // Refusing returns the incarnations of a service that have stated to this host that they
 // leave or want a pause, or are on trial after one; other hosts may not know.
 func (v *View) Refusing(service string) []string {
