Prove: the test of unframed answers waits until each gateway serves calls

Cause, by its log and by reading: startCluster waits until the *agents* report all targets as healthy. A gateway takes its targets from its agent afterwards, and host-2's answered by what it had before. The 503 is true and names when to come back; the test expected an answer at a moment at which none is promised. It now waits until both gateways have served a call, and checks what it did before.

--- a/tests/prove/silence_test.go
+++ b/tests/prove/silence_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"corianderhitch/tests/harness"
 )
 
 // targetSilence is the body of PUT /admin/silence of engines and services.
@@ -200,6 +202,12 @@
 	summary := ""
 	recordResult(t, "silence ends no answer", "answers without a length or chunks", &summary)
 	c := startCluster(t, clusterSpec{hosts: 2, engines: 1, services: 1})
+	for _, h := range c.hosts { // a gateway learns of healthy targets after its agent
+		harness.Await(t, readyTimeout, h.name+" serves calls", func() bool {
+			answer, err := callPlain(t, h.callerURL, keyDesk, http.MethodGet, "/services/booking/availability", "", "")
+			return err == nil && answer.status == http.StatusOK
+		})
+	}
 	callAdmin(t, http.MethodPut, "http://"+c.services[0].direct+"/admin/fault", map[string]int{"unframed_next": 2})
 	hold, err := c.hold(t, 0, "unframed")
 	checkWholeAnswer(t, "hold", hold, err)
