Streams: the line of a broken stream tells whether an engine worked on it

Lines could not tell a stream that was cut while its engine produced events from one that a move had stopped, or whose engine's stream was over. The line says since when no engine works on the run and why, and how old the process and its drain are; a stream that is aborted while its caller is written to gets the line too. Lines of moves say what was still expected of the run when it was stopped, those of runs that could not be resumed how often the engine was asked and whether it leaves.

--- a/internal/edge/draining/drain.go
+++ b/internal/edge/draining/drain.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
 	"corianderhitch/internal/edge"
@@ -19,17 +20,18 @@
 
 // Drain is the end of one process. It is safe for concurrent use.
 type Drain struct {
-	length time.Duration // from the request to stop until the remaining requests are aborted
-	took   paces
-	begun  context.Context
-	begin  context.CancelFunc
-	since  bootclock.Instant // written before begun is done
+	startedAt bootclock.Instant // of the process
+	length    time.Duration     // from the request to stop until the remaining requests are aborted
+	took      paces
+	begun     context.Context
+	begin     context.CancelFunc
+	since     bootclock.Instant // written before begun is done
 }
 
 // New returns the drain of a process that has not been asked to stop yet. Requests that
 // remain when it has lasted for length are aborted.
 func New(length time.Duration) *Drain {
-	d := &Drain{length: max(0, length), took: paces{byRoute: make(map[string]*recentPaces)}}
+	d := &Drain{startedAt: bootclock.Now(), length: max(0, length), took: paces{byRoute: make(map[string]*recentPaces)}}
 	d.begun, d.begin = context.WithCancel(context.Background())
 	return d
 }
@@ -52,6 +54,12 @@
 	return bootclock.Since(d.since), true
 }
 
+// LogAttr returns the ages of the process and of its drain, 0 if that has not begun.
+func (d *Drain) LogAttr() slog.Attr {
+	age, _ := d.Age()
+	return slog.Group("process", "age_ms", bootclock.Since(d.startedAt).Milliseconds(), "drain_age_ms", age.Milliseconds())
+}
+
 // Record adds the pace of a complete request to what is known of its route.
 func (d *Drain) Record(route string, took Pace) { d.took.record(route, took) }
 
--- a/internal/edge/migration/mover.go
+++ b/internal/edge/migration/mover.go
@@ -204,11 +204,12 @@
 	if r.OutlastsProcess() || !m.awaitIdleLink(ctx, source, dest, r) || !r.BeginFinalCopy(replica) {
 		return onlyReplicated
 	}
-	started := bootclock.Now()
+	started, remaining := bootclock.Now(), r.RemainingTokens()
 	final := m.Engines.Move(ctx, source, r.ID(), dest, true)
 	r.EndFinalCopy(replica, final, streamCloseGrace)
 	r.Log().Info("migration: final copy", "result", final.Result.String(), "source", source.ID, "dest", dest.ID,
-		"took_ms", bootclock.Since(started).Milliseconds(), "events", final.Events, "error", final.ErrorText())
+		"took_ms", bootclock.Since(started).Milliseconds(), "events", final.Events, "remaining_tokens", remaining,
+		"error", final.ErrorText())
 	return "final_" + final.Result.String()
 }
 
--- a/internal/edge/streaming/forward.go
+++ b/internal/edge/streaming/forward.go
@@ -33,12 +33,9 @@
 			continue
 		}
 		if err == errCallerGone {
-			r.leaveTarget()
-			if replica, _ := r.takeReplica(); replica != nil {
-				r.releaseReplica(replica)
-			}
-			return edge.CanceledReason(ctx)
+			return r.endForCaller(ctx, current)
 		}
+		r.beginPause(ctx, err)
 		if err != io.EOF {
 			r.awaitCopy(ctx)
 		}
@@ -222,8 +219,7 @@
 	default:
 		r.server.recordFailure(source, bootclock.Now().Add(-r.SinceLastEvent()))
 	}
-	a.Log.Warn("stream: broken off", "reason", reason, "target", source.ID, "after_event", r.lastEventID.Load(),
-		"silent_ms", r.SinceLastEvent().Milliseconds(), "age_ms", a.Age().Milliseconds(), "shared_parts", a.Call.Generation.SharedPartNames(), "error", errText)
+	r.logBrokenOff(reason, source.ID, errText)
 	if !r.headSent {
 		status := http.StatusBadGateway
 		if reason == edge.ReasonTimeout {
--- a/internal/edge/streaming/replica.go
+++ b/internal/edge/streaming/replica.go
@@ -144,6 +144,7 @@
 		return false
 	}
 	replica.stopping = true
+	r.pause.begin(pauseFinalCopy)
 	return true
 }
 
@@ -152,6 +153,9 @@
 // within closeAfter, the stream is canceled.
 func (r *Run) EndFinalCopy(replica *Replica, reply edge.MoveReply, closeAfter time.Duration) {
 	replica.finalCopy = reply
+	if reply.Result == edge.MoveBusy || reply.Result == edge.MoveNoRoom && reply.Handle == "" {
+		r.endPause() // the engine has not stopped the run
+	}
 	close(replica.done)
 	if stoppedAtSource(reply) {
 		time.AfterFunc(closeAfter, func() { r.cancelSegment(replica) })
--- a/internal/edge/streaming/resume.go
+++ b/internal/edge/streaming/resume.go
@@ -41,13 +41,15 @@
 func (r *Run) resume(ctx context.Context, holders ...*memoryHolder) *segment {
 	started := time.Now()
 	patience := r.call.Route.MinCallerPatience() - r.SinceLastEvent() - callerPatienceMargin
+	tries := 0
 	for {
+		tries++
 		var remaining []*memoryHolder
 		for _, h := range holders {
 			s, err := r.resumeAt(ctx, h)
 			if s != nil {
 				r.call.Log.Info("stream: run resumed", "target", h.target.ID, "copy", h.from.Handle, "after_event", r.lastEventID.Load(),
-					"took_ms", time.Since(started).Milliseconds())
+					"tries", tries, "took_ms", time.Since(started).Milliseconds())
 				r.uncount(holders)
 				return s
 			}
@@ -56,7 +58,7 @@
 				continue
 			}
 			r.call.Log.Warn("stream: run could not be resumed", "target", h.target.ID, "copy", h.from.Handle, "after_event", r.lastEventID.Load(),
-				"took_ms", time.Since(started).Milliseconds(), "error", err.Error())
+				"tries", tries, "leaving", r.server.Targets.HasAnnounced(h.target.Key()), "took_ms", time.Since(started).Milliseconds(), "error", err.Error())
 		}
 		if holders = remaining; len(holders) == 0 {
 			return nil
--- a/internal/edge/streaming/run.go
+++ b/internal/edge/streaming/run.go
@@ -50,6 +50,7 @@
 	segment     *segment        // guarded by mu
 	events      int             // guarded by mu; number of events of the stream that the caller has
 	countedLoad inflight.Load   // guarded by mu; load counted for target
+	pause       pause           // guarded by mu
 	replica     *Replica        // guarded by mu; copied from the current target
 	copying     chan struct{}   // guarded by mu; closed at the end of the copy in progress, nil if there is none
 	takeover    *takeover       // guarded by mu; from its begin until the reading goroutine has used it or it has failed
@@ -117,7 +118,7 @@
 // enterTarget records the target that now executes the run.
 func (r *Run) enterTarget(s *segment) {
 	r.mu.Lock()
-	r.target, r.segment, r.countedLoad = s.target, s, s.load
+	r.target, r.segment, r.countedLoad, r.pause = s.target, s, s.load, pause{}
 	r.mu.Unlock()
 	if r.lastEventAt.Load() != 0 {
 		r.lastEventAt.Store(int64(bootclock.Now())) // the previous engine's silence does not count against this one
