--- a/internal/edge/streaming/finalcopy_test.go
+++ b/internal/edge/streaming/finalcopy_test.go
@@ -54,3 +54,26 @@
 	}
 	require.Equal(t, inflight.Load{}, s.Inflight.TotalLoad(dest.Key()))
 }
+
+func TestCompletedStreamIsContinuedBecauseOfItsFinalCopy(t *testing.T) {
+	for name, reply := range map[string]edge.MoveReply{
+		"copied":            {Result: edge.MoveCopied, Handle: "h-2"},
+		"copy in progress":  {Result: edge.MoveBusy},
+		"no room":           {Result: edge.MoveNoRoom},
+		"no room, stopped":  {Result: edge.MoveNoRoom, Handle: "h-2"},
+		"outcome unknown":   {Result: edge.MoveUnknown},
+		"no run any longer": {Result: edge.MoveNoRun},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, r := placingServer(draining.New(placingDrain), silentObserver{}, func() bool { return true })
+			s.Engines = releasingClient{}
+			s.Sender = &edge.Sender{Wire: plainWire{}, Pool: targetconn.New(func(http.Header) string { return "" }, closedGate{}, func(string) float64 { return 0 })}
+			replica := &Replica{Source: &targets.Target{ID: "s"}, Dest: &targets.Target{ID: "d"}, Handle: "h", done: make(chan struct{}), finalCopy: reply}
+			close(replica.done)
+			ended := &segment{target: replica.Source, response: &targetconn.Response{Delimited: true}}
+			next, reason := r.continueAfterStop(t.Context(), ended, replica, io.EOF)
+			require.Nil(t, next)
+			require.Equal(t, completed, reason)
+		})
+	}
+}
