Migration: a draining host stops no run for a move

Callers of long streams got no whole answer around the stop of their host: it cut a stream on which no engine had worked for up to 2.4 s, which the platform does not excuse. A move stops the run at its source and then waits for the final copy, behind the copies of other runs and hosts on the engine's link. Whether the run would outlast the process was judged by its expected length, which is a mean and too low for many runs, and only before the first copies, which may take longer than until the drain begins.

Now the announcement of the final copy fails once the drain has begun, whatever the run's length. The run goes on at its leaving engine; if that exits, it continues from the copy that the move has made. At any time either an engine works on it or the engine has broken off itself. What a final copy before the drain has stopped has gone on long before the last part of the grace period.

--- a/internal/edge/migration/mover.go
+++ b/internal/edge/migration/mover.go
@@ -195,13 +195,13 @@
 }
 
 // switchTo makes the final copy, after which the run continues at its replica's
-// engine, and returns the outcome. A run that the end of this process will abort is not
-// stopped: if the final copy took long, no engine would be at work when the stream is cut.
+// engine, and returns the outcome. No final copy is made while this process drains, see
+// BeginFinalCopy: the run continues from its replica when its engine exits.
 func (m *Mover) switchTo(ctx context.Context, replica *streaming.Replica, r *streaming.Run) string {
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
 	source, dest := replica.Source, replica.Dest
-	if r.OutlastsProcess() || !m.awaitIdleLink(ctx, source, dest, r) || !r.BeginFinalCopy(replica) {
+	if r.ProcessDrains() || !m.awaitIdleLink(ctx, source, dest, r) || !r.BeginFinalCopy(replica) {
 		return onlyReplicated
 	}
 	started, remaining := bootclock.Now(), r.RemainingTokens()
--- a/internal/edge/streaming/replica.go
+++ b/internal/edge/streaming/replica.go
@@ -136,11 +136,12 @@
 
 // BeginFinalCopy announces that the final copy is about to stop the run, so that
 // the end of its stream is not mistaken for its completion. It returns false if the
-// run has ended or already continues from the replica.
+// run has ended or already continues from the replica, or if this process drains: it could
+// end before the run goes on, and then no engine would be at work when it cuts the stream.
 func (r *Run) BeginFinalCopy(replica *Replica) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.replica != replica {
+	if r.replica != replica || r.ProcessDrains() {
 		return false
 	}
 	replica.stopping = true
--- a/internal/edge/streaming/run.go
+++ b/internal/edge/streaming/run.go
@@ -107,6 +107,9 @@
 	return r.server.Drain.Outlasts(r.call, r.RemainingTokens())
 }
 
+// ProcessDrains reports whether this process has been asked to stop.
+func (r *Run) ProcessDrains() bool { return r.server.Drain.Begun().Err() != nil }
+
 // promptTokens returns the length of the prompt, 0 if unknown.
 func (r *Run) promptTokens() int {
 	if g := r.call.Call.Generation; g != nil {
