Migration: a run is not stopped for a destination that leaves

Whether the destination of a move leaves was asked before the first copy only. That and the copies that wait for an idle link take up to seconds, in which engines that are replaced in series begin to leave; the run was stopped all the same, and neither its source nor its destination was to stay. If both exit before it goes on, its memory is lost and its stream cut while no engine works.

The destination is looked at again right before the run is stopped. If it leaves, the run stays and is copied to another one, as long as there is time; else the copy is kept for the exit of the source.

--- a/internal/edge/migration/mover.go
+++ b/internal/edge/migration/mover.go
@@ -39,10 +39,11 @@
 
 // Outcomes of a move in addition to those of edge.MoveResult.
 const (
-	runEnded       = "run_ended"
-	runElsewhere   = "run_elsewhere" // the run has left the source or ended, or may do so since the source is silent
-	tooLate        = "too_late"
-	onlyReplicated = "secured" // no final copy; the run continues from its replica when the source exits
+	runEnded          = "run_ended"
+	runElsewhere      = "run_elsewhere" // the run has left the source or ended, or may do so since the source is silent
+	tooLate           = "too_late"
+	destinationLeaves = "destination_leaves"
+	onlyReplicated    = "secured" // no final copy; the run continues from its replica when the source exits
 )
 
 // Mover moves the runs of this host off leaving engines.
@@ -132,11 +133,12 @@
 	if r.LeavesSilentEngine() {
 		return runElsewhere, 0
 	}
-	if replica := r.Replica(); replica != nil && replica.Source.Key() == source.Key() {
-		if !m.IsLeaving(replica.Dest.Key()) {
-			return m.switchTo(ctx, replica, r), 1
+	if replica := r.Replica(); replica != nil && replica.Source.Key() == source.Key() && !m.IsLeaving(replica.Dest.Key()) {
+		attempts++
+		if outcome := m.switchTo(ctx, replica, r); outcome != destinationLeaves {
+			return outcome, attempts
 		}
-		r.DiscardReplica(replica)
+		tried[replica.Dest.Key()] = true
 	}
 	for {
 		select {
@@ -150,6 +152,9 @@
 		if !FinishesInTime(service.Engine, held, bootclock.Since(noticedAt)) {
 			return tooLate, attempts
 		}
+		if replica := r.Replica(); replica != nil && m.IsLeaving(replica.Dest.Key()) {
+			r.DiscardReplica(replica)
+		}
 		load := inflight.Load{Runs: 1, Tokens: max(r.ExpectedTokens(), held), Held: held}
 		need := placement.Requirements{Tokens: load.Tokens, Output: load.Tokens - held, Domain: source.Domain, Move: true, Far: domainPenalty, Affinity: source.Key()}
 		dest := m.ReserveEngine(ctx, service, need, load, tried).Target
@@ -160,7 +165,7 @@
 		}
 		tried[dest.Key()] = true
 		attempts++
-		if outcome := m.moveTo(ctx, source, dest, load, r); outcome != edge.MoveNoRoom.String() {
+		if outcome := m.moveTo(ctx, source, dest, load, r); outcome != edge.MoveNoRoom.String() && outcome != destinationLeaves {
 			return outcome, attempts
 		}
 	}
@@ -201,7 +206,13 @@
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
 	source, dest := replica.Source, replica.Dest
-	if r.ProcessDrains() || !m.awaitIdleLink(ctx, source, dest, r) || !r.BeginFinalCopy(replica) {
+	if r.ProcessDrains() || !m.awaitIdleLink(ctx, source, dest, r) {
+		return onlyReplicated
+	}
+	if m.IsLeaving(dest.Key()) {
+		return destinationLeaves
+	}
+	if !r.BeginFinalCopy(replica) {
 		return onlyReplicated
 	}
 	started, remaining := bootclock.Now(), r.RemainingTokens()
