Migration: a final copy has time of its own

A long stream ended as lost_in_move although its source held its memory. The copies that wait for an idle link and the final copy shared 2.5 s; if the former took most of it, the host gave up the call of the final copy after what was left, although that had stopped the run. Its outcome then counted as unknown, so that the source was not asked to go on when the destination could not.

Each of the two has 2.5 s now.

--- a/internal/edge/migration/mover.go
+++ b/internal/edge/migration/mover.go
@@ -186,9 +186,9 @@
 // moveTo moves a run to one destination, where load is already counted, and returns
 // the outcome.
 func (m *Mover) moveTo(ctx context.Context, source, dest *targets.Target, load inflight.Load, r *streaming.Run) string {
-	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	copying, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
-	replica, first := r.Replicate(ctx, source, dest, load)
+	replica, first := r.Replicate(copying, source, dest, load)
 	switch {
 	case replica != nil:
 		return m.switchTo(ctx, replica, r)
@@ -203,8 +203,6 @@
 // engine, and returns the outcome. No final copy is made while this process drains, see
 // BeginFinalCopy: the run continues from its replica when its engine exits.
 func (m *Mover) switchTo(ctx context.Context, replica *streaming.Replica, r *streaming.Run) string {
-	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
-	defer cancel()
 	source, dest := replica.Source, replica.Dest
 	if r.ProcessDrains() || !m.awaitIdleLink(ctx, source, dest, r) {
 		return onlyReplicated
@@ -216,7 +214,9 @@
 		return onlyReplicated
 	}
 	started, remaining := bootclock.Now(), r.RemainingTokens()
-	final := m.Engines.Move(ctx, source, r.ID(), dest, true)
+	copying, cancel := context.WithTimeout(ctx, copyTimeout) // of its own: the outcome says which engines hold the memory
+	defer cancel()
+	final := m.Engines.Move(copying, source, r.ID(), dest, true)
 	r.EndFinalCopy(replica, final, streamCloseGrace)
 	r.Log().Info("migration: final copy", "result", final.Result.String(), "source", source.ID, "dest", dest.ID,
 		"took_ms", bootclock.Since(started).Milliseconds(), "events", final.Events, "remaining_tokens", remaining,
@@ -235,6 +235,8 @@
 // false if the run cannot be copied any more. If the engine exits first, the run
 // continues from its replica, which pauses the stream for less time than such a wait.
 func (m *Mover) awaitIdleLink(ctx context.Context, source, dest *targets.Target, r *streaming.Run) bool {
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
 	for {
 		started := bootclock.Now()
 		reply := m.Engines.Move(ctx, source, r.ID(), dest, false)
