Streams: an engine that rejects a continuation for good is asked once

A run whose engine had ended was to continue from its copy at an engine that leaves. That rejected it, since it no longer had the copy, and was asked again every 0.1 s until the caller would give up: 67 requests in 6.7 s (the caller's stream hung as long), each an arrival at the engine that no retry budget sees. The host took an engine that leaves for one that wants a pause, as the list of engines that new runs avoid names both.

An engine is asked again while it wants a pause or is on trial after one, or while it is listed and nothing could be sent to it. A refusal of the host's own gate because the engine leaves is final as well.

--- a/internal/edge/streaming/resume.go
+++ b/internal/edge/streaming/resume.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
@@ -36,14 +35,12 @@
 }
 
 // resume continues the run at the first engine that takes it, preferring those named first. No
-// other engine has its memory, so it tries those that accept no connection or want a pause
-// again, until shortly before the caller gives up. It returns nil if that fails.
+// other engine has its memory, so it tries those that may still take it again, until shortly
+// before the caller gives up. It returns nil if that fails.
 func (r *Run) resume(ctx context.Context, holders ...*memoryHolder) *segment {
 	started := time.Now()
 	patience := r.call.Route.MinCallerPatience() - r.SinceLastEvent() - callerPatienceMargin
-	tries := 0
-	for {
-		tries++
+	for tries := 1; ; tries++ {
 		var remaining []*memoryHolder
 		for _, h := range holders {
 			s, err := r.resumeAt(ctx, h)
@@ -53,7 +50,7 @@
 				r.uncount(holders)
 				return s
 			}
-			if (r.isUnreachable(h.target, err) || r.wantsPause(h.target)) && time.Since(started) < patience && ctx.Err() == nil {
+			if r.mayStillResume(h.target, err) && time.Since(started) < patience && ctx.Err() == nil {
 				remaining = append(remaining, h)
 				continue
 			}
@@ -95,12 +92,12 @@
 	}
 }
 
-// isUnreachable reports whether nothing could be sent to an engine that is still listed.
-func (r *Run) isUnreachable(t *targets.Target, err error) bool {
-	return errors.Is(err, targetconn.ErrNotSent) && r.server.Targets.View().Get(t.Key()) != nil
-}
-
-// wantsPause reports whether an engine accepts no requests now but may do so later.
-func (r *Run) wantsPause(t *targets.Target) bool {
-	return slices.Contains(r.server.Targets.View().Refusing(r.call.Service.Name), t.Key())
+// mayStillResume reports whether an engine that has not continued the run may do so later: it
+// wants a pause, or it is still listed and could not be reached.
+func (r *Run) mayStillResume(t *targets.Target, err error) bool {
+	view := r.server.Targets.View()
+	if errors.Is(err, targetconn.ErrNotSent) && !errors.Is(err, targetconn.ErrRefused) {
+		return view.Get(t.Key()) != nil
+	}
+	return view.WantsPause(t.Key())
 }
--- a/internal/edge/targets/view.go
+++ b/internal/edge/targets/view.go
@@ -48,6 +48,13 @@
 	return keys
 }
 
+// WantsPause reports whether an incarnation wants a pause from this host or is on trial after
+// one, so that it may accept requests later.
+func (v *View) WantsPause(key string) bool {
+	now := bootclock.Now()
+	return v.stated.PauseLeft(key, now) > 0 || v.stated.TrialLeft(key, now) > 0
+}
+
 // accepts reports whether an incarnation has stated nothing to this host that keeps a request
 // which arrives now from it.
 func (v *View) accepts(key string, now bootclock.Instant) bool {
