Streams: a reset connection does not end a run that its engine holds

A run that was to continue at the engine of its copy ended as lost_in_move at the first connection that the engine reset. Engines reset connections beyond their limit, and that is lower while their queue is long; a continuation often needs a new connection. No other engine holds the run's memory, and a handle is used once, so that asking again cannot run it twice.

--- a/internal/edge/streaming/resume.go
+++ b/internal/edge/streaming/resume.go
@@ -18,7 +18,11 @@
 	// callerPatienceMargin is how long before its caller gives up a run stops trying to reach
 	// an engine that holds its memory.
 	callerPatienceMargin = 500 * time.Millisecond
-	resumeRetryInterval  = 100 * time.Millisecond
+	// resumeRetryInterval is the time between the tries while an engine cannot be reached or
+	// wants a pause. After a connection that broke the time doubles, up to maxResumeInterval,
+	// since the engine may have received the request.
+	resumeRetryInterval = 100 * time.Millisecond
+	maxResumeInterval   = time.Second
 )
 
 // memoryHolder is an engine that holds the memory from which a run can continue: a replica or
@@ -40,6 +44,7 @@
 func (r *Run) resume(ctx context.Context, holders ...*memoryHolder) *segment {
 	started := time.Now()
 	patience := r.call.Route.MinCallerPatience() - r.SinceLastEvent() - callerPatienceMargin
+	interval := resumeRetryInterval
 	for tries := 1; ; tries++ {
 		var remaining []*memoryHolder
 		for _, h := range holders {
@@ -51,6 +56,9 @@
 				return s
 			}
 			if r.mayStillResume(h.target, err) && time.Since(started) < patience && ctx.Err() == nil {
+				if errors.Is(err, targetconn.ErrBroken) {
+					interval = min(2*interval, maxResumeInterval)
+				}
 				remaining = append(remaining, h)
 				continue
 			}
@@ -60,7 +68,7 @@
 		if holders = remaining; len(holders) == 0 {
 			return nil
 		}
-		wait.For(ctx, resumeRetryInterval)
+		wait.For(ctx, interval)
 	}
 }
 
@@ -93,11 +101,17 @@
 }
 
 // mayStillResume reports whether an engine that has not continued the run may do so later: it
-// wants a pause, or it is still listed and could not be reached.
+// wants a pause, or it is still listed and could not be reached or has lost the connection, as
+// at the limit of its connections. An engine continues a run once for each handle, however
+// often it is asked.
 func (r *Run) mayStillResume(t *targets.Target, err error) bool {
 	view := r.server.Targets.View()
-	if errors.Is(err, targetconn.ErrNotSent) && !errors.Is(err, targetconn.ErrRefused) {
+	switch {
+	case errors.Is(err, targetconn.ErrRefused):
+		return view.WantsPause(t.Key())
+	case errors.Is(err, targetconn.ErrNotSent), errors.Is(err, targetconn.ErrBroken):
 		return view.Get(t.Key()) != nil
+	default:
+		return view.WantsPause(t.Key())
 	}
-	return view.WantsPause(t.Key())
 }
--- a/tests/edge/resume_tries_test.go
+++ b/tests/edge/resume_tries_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -28,7 +29,7 @@
 	proxy = harness.NewProxy(t, dest.Address())
 	set.SetAddress(dest, proxy.Address())
 	f.register(dest.ID, engineService, proxy.Address(), "ready")
-	require.Eventually(t, func() bool { return dest.HeldCopies() == 1 }, waitTimeout, checkInterval)
+	require.Eventually(t, func() bool { return strings.Contains(h.logs.String(), "backup: replication finished") }, waitTimeout, checkInterval)
 	return f, pending, source, dest, proxy
 }
 
