Streams: a stream with its end is complete whatever its final copy says

Only an unknown outcome and one without a run were taken for the completion.

A stopped run's stream comes without its end, so the end alone decides if the stream has length or chunks. One that ends with its connection is complete if the engine says that it has not stopped the run. The copies are freed when the final copy is answered.

--- a/internal/edge/streaming/forward.go
+++ b/internal/edge/streaming/forward.go
@@ -158,6 +158,10 @@
 // continueAfterStop waits for the outcome of the final copy and continues the run
 // from the replica, or at the source if that fails.
 func (r *Run) continueAfterStop(ctx context.Context, ended *segment, replica *Replica, err error) (*segment, string) {
+	if err == io.EOF && ended.response.Delimited {
+		r.releaseAfterFinalCopy(replica)
+		return nil, completed // the stream of a run that was stopped comes without its end
+	}
 	timer := time.NewTimer(finalCopyTimeout)
 	defer timer.Stop()
 	reply := edge.MoveReply{Result: edge.MoveUnknown}
@@ -169,9 +173,9 @@
 		r.releaseReplica(replica)
 		return nil, brokenOff
 	}
-	if err == io.EOF && (reply.Result == edge.MoveNoRun || reply.Result == edge.MoveUnknown && ended.response.Delimited) {
+	if err == io.EOF && reply.Result != edge.MoveUnknown && !stoppedAtSource(reply) {
 		r.releaseReplica(replica)
-		return nil, completed // the run completed before the final copy
+		return nil, completed // the engine has not stopped the run
 	}
 	handle := replica.Handle
 	if stoppedAtSource(reply) {
--- a/internal/edge/streaming/replica.go
+++ b/internal/edge/streaming/replica.go
@@ -184,6 +184,20 @@
 	go r.releaseCopy(replica.Source, replica.Handle)
 }
 
+// releaseAfterFinalCopy frees the copies of a run that has completed although its final copy
+// was requested.
+func (r *Run) releaseAfterFinalCopy(replica *Replica) {
+	r.server.Inflight.Remove(replica.Dest.Key(), replica.Reserved)
+	go func() {
+		<-replica.done
+		handle := replica.Handle
+		if stoppedAtSource(replica.finalCopy) {
+			handle = replica.finalCopy.Handle
+		}
+		r.releaseCopy(replica.Source, handle)
+	}()
+}
+
 // releaseCopy frees a copy that source has made and whose load is not counted any more.
 func (r *Run) releaseCopy(source *targets.Target, handle string) {
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
