--- a/internal/edge/process/stop_test.go
+++ b/internal/edge/process/stop_test.go
@@ -24,3 +24,12 @@
 		})
 	}
 }
+
+func TestStalledProcessAbortsRequestsBeforeOthersCountTheLastPartOfTheGracePeriod(t *testing.T) {
+	const grace, differ = 8 * time.Second, 100 * time.Millisecond
+	p := &Process{}
+	p.node.Grace = grace
+	p.stalls.Beat(bootclock.Now().Add(-3 * time.Second))
+	abortsIn := grace - exitMargin(grace) - bootclock.Since(p.stopRequestedAt())
+	require.GreaterOrEqual(t, abortsIn, grace*5/6+differ, "who sent the signal may have noted it later")
+}
