Stop: after a stall, requests are aborted within the last part of the grace period

The grace period counts from when the signal may have come at the earliest, since a stalled process learns of it late. If it was not late, or comes right after a stall, the abort came at 6.667 s of 8 s, where the part begins in which the platform excuses it: all streams of a host counted as lost if the SIGTERM was noted some milliseconds later than it was handled, or the clocks differed.

The process now takes the signal to be 0.53 s old at most instead of 0.73 s.

--- a/internal/edge/process/stop.go
+++ b/internal/edge/process/stop.go
@@ -19,6 +19,9 @@
 	// abortPart is the last part of the grace period, as a share of it, in which the platform
 	// lets requests be aborted.
 	abortPart = 1.0 / 6
+	// abortSlack is by how much the clocks and records of those who judge that part may differ
+	// from this process's.
+	abortSlack = 200 * time.Millisecond
 	// maxExitMargin and maxExitShare, of the grace period, bound the time that is reserved for
 	// the end of the process itself.
 	maxExitMargin = 600 * time.Millisecond
@@ -73,7 +76,7 @@
 // period, since the signal may also have come after a stall.
 func (p *Process) stopRequestedAt() bootclock.Instant {
 	now := bootclock.Now()
-	maxLate := time.Duration(abortPart*float64(p.node.Grace)) - exitMargin(p.node.Grace)
+	maxLate := max(0, time.Duration(abortPart*float64(p.node.Grace))-exitMargin(p.node.Grace)-abortSlack)
 	return max(p.stalls.Earliest(now), now.Add(-maxLate))
 }
 
