Budget: metrics and log attributes that tell its hypotheses apart

Counters of the budget's decisions by service and of sends that continue from a copy, which pass no budget; whether a process is in its first window; whether a plain call counts as evidence of a crash.

--- a/internal/edge/metrics/metrics.go
+++ b/internal/edge/metrics/metrics.go
@@ -31,6 +31,8 @@
 	targetNotices   metric.Int64Counter
 	refusedSends    metric.Int64Counter
 	quarantine      metric.Int64Counter
+	retries         metric.Int64Counter
+	continuations   metric.Int64Counter
 	// Definitions lists all instruments in the order of their creation, for the generated page.
 	Definitions []Definition
 }
@@ -75,6 +77,8 @@
 	m.targetNotices = b.counter("hitch_edge_target_notices", "kind", "answers in which a target states that it leaves or wants a pause, or with a malformed statement")
 	m.refusedSends = b.counter("hitch_edge_refused_sends", "reason", "sends that were not made because the target leaves, wants a pause or is on trial after one")
 	m.quarantine = b.counter("hitch_edge_quarantine_changes", "change", "prompt parts and requests that were held back because targets crashed under them, or no longer are")
+	m.retries = b.counter("hitch_edge_retries", "service, granted", "decisions on whether a request may be sent once more, by whether the retry budget allowed it")
+	m.continuations = b.counter("hitch_edge_continuations", "service, result", "sends of runs that continue from a copy of their memory, which take nothing from the retry budget")
 	m.storeCalls = b.counter("hitch_edge_store_calls", "call, result", "calls to the platform's store")
 	b.gauge("hitch_edge_runs", "", "generations in flight from this host", func() int64 { return int64(g.Runs()) })
 	b.gauge("hitch_edge_waiting_runs", "", "generations that wait for room", func() int64 { return int64(g.WaitingRuns()) })
@@ -143,6 +147,16 @@
 	m.quarantine.Add(context.Background(), 1, metric.WithAttributes(attribute.String("change", change)))
 }
 
+// ObserveRetry counts a decision of a service's retry budget.
+func (m *Metrics) ObserveRetry(service string, granted bool) {
+	m.retries.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.Bool("granted", granted)))
+}
+
+// ObserveContinuation implements streaming.Observer.
+func (m *Metrics) ObserveContinuation(service, result string) {
+	m.continuations.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("result", result)))
+}
+
 // ObserveStoreCall counts a call to the store by result.
 func (m *Metrics) ObserveStoreCall(call, result string) {
 	m.storeCalls.Add(context.Background(), 1, metric.WithAttributes(attribute.String("call", call), attribute.String("result", result)))
--- a/internal/edge/metrics/metrics_test.go
+++ b/internal/edge/metrics/metrics_test.go
@@ -25,6 +25,8 @@
 	m.ObservePlacementWait(time.Second, true)
 	m.ObserveFirstEvent(time.Second)
 	m.ObserveLongestPause(time.Second)
+	m.ObserveRetry("desk", true)
+	m.ObserveContinuation("engines", "resumed")
 	m.ObserveReplica("copied")
 	m.ObserveTargetNotice("pause")
 	m.ObserveRefusedSend("paused")
--- a/internal/edge/plain/evidence.go
+++ b/internal/edge/plain/evidence.go
@@ -9,8 +9,9 @@
 	"corianderhitch/internal/edge/targetconn"
 )
 
-// recordEvidence records whether the target survived the call.
-func (s *Server) recordEvidence(ctx context.Context, a *edge.AuthorizedCall, sentAt bootclock.Instant, o *outcome) {
+// recordEvidence records whether the target survived the call. It reports whether the target
+// may have crashed under it.
+func (s *Server) recordEvidence(ctx context.Context, a *edge.AuthorizedCall, sentAt bootclock.Instant, o *outcome) (crashed bool) {
 	key := o.target.Key()
 	switch {
 	case o.result == answered || o.result == failed:
@@ -22,7 +23,9 @@
 	case s.Targets.HasAnnounced(key) || errors.Is(ctx.Err(), context.Canceled):
 	case ctx.Err() == nil || s.Targets.View().Get(key) == nil: // broken, or silent until the end and not listed any more
 		s.Sender.Crashes.ReportFailure(a, key)
+		return true
 	}
+	return false
 }
 
 // crashSuspect returns the rejection of a call that is held back and has not run, nil if it
--- a/internal/edge/plain/outcome.go
+++ b/internal/edge/plain/outcome.go
@@ -39,6 +39,8 @@
 	err    error
 	// endsWithConnection reports whether the connection ended with the response.
 	endsWithConnection bool
+	// crashEvidence reports whether the target may have crashed under the call.
+	crashEvidence bool
 }
 
 const (
--- a/internal/edge/plain/server.go
+++ b/internal/edge/plain/server.go
@@ -294,7 +294,7 @@
 	}
 	o.target, o.took = t, time.Since(started)
 	s.recordHealth(ctx, &o)
-	s.recordEvidence(ctx, a, sentAt, &o)
+	o.crashEvidence = s.recordEvidence(ctx, a, sentAt, &o)
 	logOutcome(log, &o)
 	return o
 }
@@ -355,5 +355,5 @@
 		errText = o.err.Error()
 	}
 	log.Warn("plain: send without a good answer", "target", o.target.ID, "address", o.target.Address,
-		"result", o.result.String(), "status", o.status, "took_ms", o.took.Milliseconds(), "error", errText)
+		"result", o.result.String(), "status", o.status, "took_ms", o.took.Milliseconds(), "crash_evidence", o.crashEvidence, "error", errText)
 }
--- a/internal/edge/process/runs.go
+++ b/internal/edge/process/runs.go
@@ -91,6 +91,7 @@
 	b := p.retryBudgets[service]
 	if b == nil {
 		b = retrybudget.New(p.node.Retry.Ratio, p.node.Retry.Slack, p.node.Retry.Window, p.startedAt, p.members.ListedCount)
+		b.OnDecision = func(d retrybudget.Decision) { p.metrics.ObserveRetry(service, d.Granted) }
 		p.retryBudgets[service] = b
 	}
 	return b
--- a/internal/edge/process/runs_test.go
+++ b/internal/edge/process/runs_test.go
@@ -6,8 +6,10 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.opentelemetry.io/otel/metric/noop"
 
 	"corianderhitch/internal/edge/bootclock"
+	"corianderhitch/internal/edge/metrics"
 	"corianderhitch/internal/edge/node"
 	"corianderhitch/internal/edge/peers"
 	"corianderhitch/internal/edge/placement"
@@ -23,15 +25,18 @@
 }
 
 // retryingProcess returns a process that has just started and has read no host list.
-func retryingProcess(window time.Duration) *Process {
+func retryingProcess(t *testing.T, window time.Duration) *Process {
 	p := &Process{startedAt: bootclock.Now(), retryBudgets: make(map[string]*retrybudget.Budget)}
 	p.members = peers.NewMembers(slog.New(slog.DiscardHandler), nil, nil, relay.Host{Name: "host"})
+	var err error
+	p.metrics, err = metrics.New(noop.NewMeterProvider().Meter(""), metrics.Gauges{})
+	require.NoError(t, err)
 	p.node.Retry = node.RetryBudget{Ratio: 0.2, Slack: 56, Window: window}
 	return p
 }
 
 func TestNewProcessUsesTheBudgetOfAnOldOne(t *testing.T) {
-	budget := retryingProcess(10 * time.Second).retryBudget("s")
+	budget := retryingProcess(t, 10*time.Second).retryBudget("s")
 	for range 100 {
 		budget.RecordRequest()
 	}
@@ -40,7 +45,7 @@
 
 func TestHostWithoutHostListUsesTheWholeSlack(t *testing.T) {
 	const window = 50 * time.Millisecond
-	budget := retryingProcess(window).retryBudget("s")
+	budget := retryingProcess(t, window).retryBudget("s")
 	budget.ObserveHosts()
 	time.Sleep(3 * window)
 	require.Zero(t, budget.TakeRetry().Hosts)
--- a/internal/edge/retrybudget/budget.go
+++ b/internal/edge/retrybudget/budget.go
@@ -34,6 +34,10 @@
 	window time.Duration
 	hosts  func() int
 
+	// OnDecision is called with each decision, without locks held; nil for none. Set it before
+	// the first use.
+	OnDecision func(Decision)
+
 	mu          sync.Mutex
 	startedSlot int64          // guarded by mu; in which the process started
 	requests    slidingCounter // guarded by mu
@@ -81,22 +85,32 @@
 	Retries  int     // of this host in the current window, without this one
 	Requests int     // of this host in the current window
 	Hosts    int     // hosts that share the slack, 0 if this host may not use it
+	// FirstWindow reports whether the process has started within the last window.
+	FirstWindow bool
 }
 
 // LogValue implements slog.LogValuer.
 func (d Decision) LogValue() slog.Value {
-	return slog.GroupValue(slog.Float64("allowed", d.Allowed), slog.Int("retries", d.Retries), slog.Int("requests", d.Requests), slog.Int("hosts", d.Hosts))
+	return slog.GroupValue(slog.Float64("allowed", d.Allowed), slog.Int("retries", d.Retries), slog.Int("requests", d.Requests), slog.Int("hosts", d.Hosts), slog.Bool("first_window", d.FirstWindow))
 }
 
 // TakeRetry takes one retry from the budget unless none is left.
 func (b *Budget) TakeRetry() Decision {
+	d := b.takeRetry()
+	if b.OnDecision != nil {
+		b.OnDecision(d)
+	}
+	return d
+}
+
+func (b *Budget) takeRetry() Decision {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	slot := b.currentSlot()
 	d := Decision{Retries: b.retries.atLeastOneWindow(slot), Requests: b.requests.atMostOneWindow(slot)}
 	b.sharing.add(slot, b.hosts())
 	factor, hostSlack := firstWindowFactor, 0.0
-	if slot-b.startedSlot > slotsPerWindow {
+	if d.FirstWindow = slot-b.startedSlot <= slotsPerWindow; !d.FirstWindow {
 		factor = safetyFactor
 		if d.Hosts = b.sharing.largestOfWindow(slot); d.Hosts > 0 {
 			hostSlack = float64(int(b.slack / float64(d.Hosts)))
--- a/internal/edge/streaming/place_test.go
+++ b/internal/edge/streaming/place_test.go
@@ -69,6 +69,8 @@
 
 func (silentObserver) ObserveLongestPause(time.Duration) {}
 
+func (silentObserver) ObserveContinuation(string, string) {}
+
 func (silentObserver) ObserveFirstEvent(time.Duration) {}
 
 const placingDrain = 10 * time.Second
--- a/internal/edge/streaming/resume.go
+++ b/internal/edge/streaming/resume.go
@@ -39,15 +39,20 @@
 // other engine has its memory, so it tries those that accept no connection or want a pause
 // again, until shortly before the caller gives up. It returns nil if that fails.
 func (r *Run) resume(ctx context.Context, holders ...*memoryHolder) *segment {
-	started := time.Now()
+	started, sends := time.Now(), 0
 	patience := r.call.Route.MinCallerPatience() - r.SinceLastEvent() - callerPatienceMargin
 	for {
 		var remaining []*memoryHolder
 		for _, h := range holders {
 			s, err := r.resumeAt(ctx, h)
+			result := continuationResult(err)
+			if result != continuationNotSent {
+				sends++
+			}
+			r.server.Observer.ObserveContinuation(r.call.Service.Name, result)
 			if s != nil {
 				r.call.Log.Info("stream: run resumed", "target", h.target.ID, "copy", h.from.Handle, "after_event", r.lastEventID.Load(),
-					"took_ms", time.Since(started).Milliseconds())
+					"sends", sends, "took_ms", time.Since(started).Milliseconds())
 				r.uncount(holders)
 				return s
 			}
@@ -56,7 +61,7 @@
 				continue
 			}
 			r.call.Log.Warn("stream: run could not be resumed", "target", h.target.ID, "copy", h.from.Handle, "after_event", r.lastEventID.Load(),
-				"took_ms", time.Since(started).Milliseconds(), "error", err.Error())
+				"sends", sends, "took_ms", time.Since(started).Milliseconds(), "error", err.Error())
 		}
 		if holders = remaining; len(holders) == 0 {
 			return nil
@@ -65,6 +70,27 @@
 	}
 }
 
+// Results of continuations in metrics.
+const (
+	continuationResumed  = "resumed"
+	continuationNotSent  = "not_sent"
+	continuationRejected = "rejected"
+	continuationFailed   = "failed"
+)
+
+func continuationResult(err error) string {
+	switch {
+	case err == nil:
+		return continuationResumed
+	case errors.Is(err, targetconn.ErrNotSent):
+		return continuationNotSent
+	case errors.Is(err, errNotExecuted):
+		return continuationRejected
+	default:
+		return continuationFailed
+	}
+}
+
 // resumeAt asks one engine to continue the run.
 func (r *Run) resumeAt(ctx context.Context, h *memoryHolder) (*segment, error) {
 	if !h.counted {
--- a/internal/edge/streaming/server.go
+++ b/internal/edge/streaming/server.go
@@ -53,6 +53,8 @@
 	ObserveFirstEvent(took time.Duration)
 	// ObserveLongestPause records the longest time between two events of a stream.
 	ObserveLongestPause(longest time.Duration)
+	// ObserveContinuation counts a send of a run that continues from a copy of its memory.
+	ObserveContinuation(service, result string)
 }
 
 // Server serves streaming routes.
