retrybudget: callers that change hosts let a simulated fleet exceed its budget

A request earns the host that took it a share of the budget for a window. The simulated fleet also spreads the requests of hosts that are down over the others. Fails until the fix.

--- a/internal/edge/retrybudget/fleet_test.go
+++ b/internal/edge/retrybudget/fleet_test.go
@@ -1,6 +1,7 @@
 package retrybudget
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -13,7 +14,8 @@
 	fleetRatio = 0.2
 	fleetSlack = 56
 	fleetHosts = 8
-	// slotRequests of each host in a slot make up 480 requests of the fleet in a window.
+	// slotRequests of each host in a slot make up 480 requests of the fleet in a window, if all
+	// hosts take callers.
 	slotRequests = 6
 	// listSlots is the time between two reads of the host list.
 	listSlots = slotsPerWindow / 2
@@ -32,12 +34,13 @@
 // fleet counts the requests and repeats of all hosts by slot.
 type fleet struct {
 	hosts             [fleetHosts]simulatedHost
-	failing           bool // every request is to be repeated
+	failing           bool   // every request is to be repeated
+	callersAt         [2]int // the first and the last of the hosts to which callers send
 	requests, repeats []int
 }
 
 func newFleet() *fleet {
-	f := &fleet{}
+	f := &fleet{callersAt: [2]int{0, fleetHosts - 1}}
 	for i := range f.hosts {
 		f.start(i, 0)
 	}
@@ -54,14 +57,22 @@
 	h.budget = New(fleetRatio, fleetSlack, fleetWindow, bootclock.Now(), func() int { return h.known })
 }
 
-// run lets slots pass.
+// takesCallers reports whether callers send requests to a host.
+func (f *fleet) takesCallers(i int) bool {
+	return f.hosts[i].budget != nil && f.callersAt[0] <= i && i <= f.callersAt[1]
+}
+
+// run lets slots pass. The requests are spread over the hosts that take callers.
 func (f *fleet) run(slots int) {
 	for range slots {
-		up, requests, repeats := 0, 0, 0
+		up, taking, requests, repeats := 0, 0, 0, 0
 		for i := range f.hosts {
 			if f.hosts[i].budget != nil {
 				up++
 			}
+			if f.takesCallers(i) {
+				taking++
+			}
 		}
 		for i := range f.hosts {
 			h := &f.hosts[i]
@@ -72,7 +83,11 @@
 				h.known, h.listIn = up, listSlots-1
 			}
 			h.budget.nextSlot()
-			for range slotRequests {
+			share := 0
+			if f.takesCallers(i) {
+				share = slotRequests * fleetHosts / taking
+			}
+			for range share {
 				requests++
 				h.budget.RecordRequest()
 				if f.failing && h.budget.TakeRetry().Granted {
@@ -158,3 +173,18 @@
 		})
 	}
 }
+
+func TestCallersThatChangeHostsExceedTheFleetsRetryBudget(t *testing.T) {
+	for slots := range slotsPerWindow {
+		t.Run(strconv.Itoa(slots), func(t *testing.T) {
+			f := newFleet()
+			f.callersAt = [2]int{0, fleetHosts/2 - 1}
+			f.run(3 * slotsPerWindow)
+			f.failing = true
+			f.run(slots)
+			f.callersAt = [2]int{fleetHosts / 2, fleetHosts - 1}
+			f.run(3 * slotsPerWindow)
+			f.requireWithinBound(t)
+		})
+	}
+}
