Retry budget: requests beyond those of the window before allow a fifth of their share

Targets could see more repeats than the published bound when callers moved from some hosts to others while requests failed: the old hosts had just used what the callers' requests had earned there, and the new ones earned the same again.

A host now uses the full share of the ratio only for as many requests as it had in the window before too. What moves to a host earns there a window later, when what it had earned at the old host is out of the window; until then it earns the fifth that the other hosts leave. A process that has just started is the same case, so that its own factor is gone.

Two tests gave a host requests of one moment only, which now allow a fifth; they give it the same requests in the window before, and ask for the same budget.

--- a/internal/edge/retrybudget/budget.go
+++ b/internal/edge/retrybudget/budget.go
@@ -1,7 +1,7 @@
 // Package retrybudget bounds how many retries and hedged requests the fleet sends.
 // Each host uses its share of the fleet's budget without coordination. The bound holds
-// while hosts restart, in series or together: the processes of a host together use at most
-// one share in a window.
+// while hosts restart, in series or together, and while callers move between hosts: what a
+// caller's requests allow is used at one host in a window.
 package retrybudget
 
 import (
@@ -16,9 +16,11 @@
 // on the number of hosts for a while.
 const safetyFactor = 0.8
 
-// firstWindowFactor is the share of the ratio that a process uses during its first window:
-// the rest of it, and the slack, may have been used by an earlier process of its host.
-const firstWindowFactor = 1 - safetyFactor
+// newRequestsFactor is the share of the ratio that new requests allow. The rest of it, and the
+// slack, may have been used in the same window by an earlier process of the host, or by the
+// hosts that the callers come from, so that it is used only for as many requests as the host
+// had in the window before.
+const newRequestsFactor = 1 - safetyFactor
 
 // defaultWindow applies if the platform sets none.
 const defaultWindow = 10 * time.Second
@@ -46,7 +48,7 @@
 }
 
 // New returns a budget of the process that started at the given time. It allows, in each
-// window, ratio x the requests of this host, plus an equal share of slack. hosts returns
+// window, a part of ratio x the requests of this host, plus an equal share of slack. hosts returns
 // how many hosts share the slack, 0 if that is not known.
 //
 // The slack is divided by the largest number of hosts that was known within the window:
@@ -84,6 +86,7 @@
 	Allowed  float64 // retries of this host in a window
 	Retries  int     // of this host in the current window, without this one
 	Requests int     // of this host in the current window
+	Earlier  int     // of this host in the window before
 	Hosts    int     // hosts that share the slack, 0 if this host may not use it
 	// FirstWindow reports whether the process has started within the last window.
 	FirstWindow bool
@@ -91,7 +94,7 @@
 
 // LogValue implements slog.LogValuer.
 func (d Decision) LogValue() slog.Value {
-	return slog.GroupValue(slog.Float64("allowed", d.Allowed), slog.Int("retries", d.Retries), slog.Int("requests", d.Requests), slog.Int("hosts", d.Hosts), slog.Bool("first_window", d.FirstWindow))
+	return slog.GroupValue(slog.Float64("allowed", d.Allowed), slog.Int("retries", d.Retries), slog.Int("requests", d.Requests), slog.Int("earlier_requests", d.Earlier), slog.Int("hosts", d.Hosts), slog.Bool("first_window", d.FirstWindow))
 }
 
 // TakeRetry takes one retry from the budget unless none is left.
@@ -107,16 +110,15 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	slot := b.currentSlot()
-	d := Decision{Retries: b.retries.atLeastOneWindow(slot), Requests: b.requests.atMostOneWindow(slot)}
+	d := Decision{Retries: b.retries.atLeastOneWindow(slot), Requests: b.requests.atMostOneWindow(slot), Earlier: b.requests.windowBefore(slot)}
 	b.sharing.add(slot, b.hosts())
-	factor, hostSlack := firstWindowFactor, 0.0
+	hostSlack := 0.0
 	if d.FirstWindow = slot-b.startedSlot <= slotsPerWindow; !d.FirstWindow {
-		factor = safetyFactor
 		if d.Hosts = b.sharing.largestOfWindow(slot); d.Hosts > 0 {
 			hostSlack = float64(int(b.slack / float64(d.Hosts)))
 		}
 	}
-	d.Allowed = factor * (b.ratio*float64(d.Requests) + hostSlack)
+	d.Allowed = b.ratio*(newRequestsFactor*float64(d.Requests)+(safetyFactor-newRequestsFactor)*float64(min(d.Requests, d.Earlier))) + safetyFactor*hostSlack
 	if d.Granted = float64(d.Retries+1) <= d.Allowed; d.Granted {
 		b.retries.add(slot)
 	}
@@ -136,10 +138,10 @@
 	return int64(time.Duration(t) / (b.window / slotsPerWindow))
 }
 
-// slidingCounter counts events in a sliding window, by slot of time.
+// slidingCounter counts events in a sliding window and the one before, by slot of time.
 type slidingCounter struct {
-	slots  [slotsPerWindow + 1]int64 // number of the slot that each count is of
-	counts [slotsPerWindow + 1]int
+	slots  [2 * slotsPerWindow]int64 // number of the slot that each count is of
+	counts [2 * slotsPerWindow]int
 }
 
 func (c *slidingCounter) add(slot int64) {
@@ -151,10 +153,15 @@
 }
 
 // atMostOneWindow counts over the last nine to ten tenths of a window.
-func (c *slidingCounter) atMostOneWindow(slot int64) int { return c.sum(slot, slotsPerWindow-1) }
+func (c *slidingCounter) atMostOneWindow(slot int64) int { return c.sum(slot, 0, slotsPerWindow-1) }
+
+// windowBefore counts over the window before that of atMostOneWindow.
+func (c *slidingCounter) windowBefore(slot int64) int {
+	return c.sum(slot, slotsPerWindow, 2*slotsPerWindow-1)
+}
 
 // atLeastOneWindow counts over the last ten to eleven tenths of a window.
-func (c *slidingCounter) atLeastOneWindow(slot int64) int { return c.sum(slot, slotsPerWindow) }
+func (c *slidingCounter) atLeastOneWindow(slot int64) int { return c.sum(slot, 0, slotsPerWindow) }
 
 // removeOldest takes back the oldest event that is not older than maxAge. The others, counted
 // later, expire no sooner than they happened.
@@ -168,11 +175,11 @@
 	}
 }
 
-// sum counts over the current slot and the ones before it up to the given age.
-func (c *slidingCounter) sum(slot, maxAge int64) int {
+// sum counts over the slots from minAge to maxAge slots before the given one.
+func (c *slidingCounter) sum(slot, minAge, maxAge int64) int {
 	total := 0
 	for i, s := range c.slots {
-		if slot-s <= maxAge {
+		if age := slot - s; minAge <= age && age <= maxAge {
 			total += c.counts[i]
 		}
 	}
--- a/internal/edge/retrybudget/budget_test.go
+++ b/internal/edge/retrybudget/budget_test.go
@@ -18,6 +18,7 @@
 	b.sharing.add(b.currentSlot()-2*slotsPerWindow, hosts)
 	for range 100 {
 		b.RecordRequest()
+		b.requests.add(b.currentSlot() - slotsPerWindow)
 	}
 	taken := 0
 	for b.TakeRetry().Granted {
@@ -97,8 +98,11 @@
 func TestReturnedRetryCanBeTakenAgain(t *testing.T) {
 	b := New(1, 0, fleetWindow, longAgo(), func() int { return 1 })
 	b.startedSlot -= 2 * slotsPerWindow
-	for range 4 {
-		b.RecordRequest()
+	for range slotsPerWindow + 1 {
+		for range 4 {
+			b.RecordRequest()
+		}
+		b.nextSlot()
 	}
 	taken := 0
 	for b.TakeRetry().Granted {
@@ -117,8 +121,8 @@
 	c.add(slot)
 	c.add(slot + 3)
 	c.removeOldest(slot+3, slotsPerWindow)
-	require.Equal(t, 1, c.sum(slot+3+slotsPerWindow, slotsPerWindow))
+	require.Equal(t, 1, c.atLeastOneWindow(slot+3+slotsPerWindow))
 	c.removeOldest(slot+3, slotsPerWindow)
 	c.removeOldest(slot+3, slotsPerWindow)
-	require.Zero(t, c.sum(slot+3, slotsPerWindow))
+	require.Zero(t, c.atLeastOneWindow(slot+3))
 }
