Test: a plain call under which targets fall silent is never held back

BUDGET: targets that run the call fall silent with their connections open, and their entries expire after three heartbeats, as the platform describes it.

--- a/tests/edge/crashingrequest_test.go
+++ b/tests/edge/crashingrequest_test.go
@@ -17,9 +17,13 @@
 
 const poisonBody = "crashes plain targets"
 
+// entryExpiry is how long the entry of a target that has crashed stays listed.
+const entryExpiry = 3600 * time.Millisecond
+
 // plainCrashes are plain targets that crash by requests with poisonBody and come back.
 type plainCrashes struct {
 	*fleet
+	silent  bool // the connections of a crashed target stay open, and its entry expires
 	mu      sync.Mutex
 	targets int         // guarded by mu; number of incarnations
 	reached []time.Time // guarded by mu; when requests with the body reached targets
@@ -52,11 +56,18 @@
 			p.crashed = append(p.crashed, time.Now())
 			p.mu.Unlock()
 			go func() {
-				target.Close()
+				expiry := time.Now().Add(entryExpiry)
+				if p.silent {
+					target.FallSilent(time.Hour)
+				} else {
+					target.Close()
+					expiry = time.Now().Add(engineAbsence)
+				}
 				time.Sleep(engineAbsence)
 				if p.t.Context().Err() == nil {
-					_ = p.store.Delete(p.t.Context(), platform.TargetPrefix+id, ports.AnyRevision)
 					p.start()
+					time.Sleep(time.Until(expiry))
+					_ = p.store.Delete(p.t.Context(), platform.TargetPrefix+id, ports.AnyRevision)
 				}
 			}()
 		})
@@ -121,3 +132,37 @@
 	require.NoError(p.t, a.err)
 	return a
 }
+
+func TestPlainCallThatSilencesTargetsIsNeverHeldBack(t *testing.T) {
+	t.Parallel()
+	const callerPatience = 800 * time.Millisecond
+	for _, route := range []string{"hold", "check"} {
+		t.Run(route, func(t *testing.T) {
+			t.Parallel()
+			p := &plainCrashes{fleet: newFleet(t), silent: true}
+			p.configure()
+			for range 5 {
+				p.start()
+			}
+			for range 3 {
+				p.startHost()
+			}
+			var sent sync.WaitGroup
+			for n := 0; p.third().IsZero() || time.Since(p.third()) < 3*contact; n++ {
+				r := p.hosts[n%len(p.hosts)].request(t.Context(), http.MethodPost, route, fmt.Sprint(route, "-poison-", n), []byte(poisonBody))
+				standin.SetDeadline(r, callerPatience)
+				sent.Go(func() { send(r) })
+				time.Sleep(250 * time.Millisecond)
+			}
+			sent.Wait()
+			late := 0
+			for _, at := range p.reached {
+				if at.After(p.third().Add(contact)) {
+					late++
+				}
+			}
+			t.Logf("%d crashes, %d later sends", len(p.crashed), late)
+			require.LessOrEqual(t, late, 3)
+		})
+	}
+}
