--- a/internal/edge/streaming/resume.go
+++ b/internal/edge/streaming/resume.go
@@ -42,16 +42,21 @@
 // other engine has its memory, so it tries those that may still take it again, until shortly
 // before the caller gives up. It returns nil if that fails.
 func (r *Run) resume(ctx context.Context, holders ...*memoryHolder) *segment {
-	started := time.Now()
+	started, sends := time.Now(), 0
 	patience := r.call.Route.MinCallerPatience() - r.SinceLastEvent() - callerPatienceMargin
 	interval := resumeRetryInterval
 	for tries := 1; ; tries++ {
 		var remaining []*memoryHolder
 		for _, h := range holders {
 			s, err := r.resumeAt(ctx, h)
+			result := continuationResult(err)
+			if result != continuationNotSent {
+				sends++
+			}
+			r.server.Observer.ObserveContinuation(r.call.Service.Name, result)
 			if s != nil {
 				r.call.Log.Info("stream: run resumed", "target", h.target.ID, "copy", h.from.Handle, "after_event", r.lastEventID.Load(),
-					"tries", tries, "took_ms", time.Since(started).Milliseconds())
+					"tries", tries, "sends", sends, "took_ms", time.Since(started).Milliseconds())
 				r.uncount(holders)
 				return s
 			}
@@ -63,7 +68,7 @@
 				continue
 			}
 			r.call.Log.Warn("stream: run could not be resumed", "target", h.target.ID, "copy", h.from.Handle, "after_event", r.lastEventID.Load(),
-				"tries", tries, "leaving", r.server.Targets.HasAnnounced(h.target.Key()), "took_ms", time.Since(started).Milliseconds(), "error", err.Error())
+				"tries", tries, "sends", sends, "leaving", r.server.Targets.HasAnnounced(h.target.Key()), "took_ms", time.Since(started).Milliseconds(), "error", err.Error())
 		}
 		if holders = remaining; len(holders) == 0 {
 			return nil
@@ -72,6 +77,27 @@
 	}
 }
 
+// Results of continuations in metrics.
+const (
+	continuationResumed  = "resumed"
+	continuationNotSent  = "not_sent"
+	continuationRejected = "rejected"
+	continuationFailed   = "failed"
+)
+
+func continuationResult(err error) string {
+	switch {
+	case err == nil:
+		return continuationResumed
+	case errors.Is(err, targetconn.ErrNotSent):
+		return continuationNotSent
+	case errors.Is(err, errNotExecuted):
+		return continuationRejected
+	default:
+		return continuationFailed
+	}
+}
+
 // resumeAt asks one engine to continue the run.
 func (r *Run) resumeAt(ctx context.Context, h *memoryHolder) (*segment, error) {
 	if !h.counted {
