Soak: evidence of a broken guarantee names what disturbed its host

A violation printed the disturbances of the targets only. Whether the host was frozen, stopped or cut off from the store decides whether the host was in touch, and had to be guessed from its log.

--- a/tests/soak/checks_test.go
+++ b/tests/soak/checks_test.go
@@ -80,10 +80,11 @@
 	c.t.Logf("%d requests: %v; %d versions, %d keys revoked, %d targets", len(outcomes), ended, len(c.versions), len(c.revocations), len(c.targets))
 }
 
-// evidence returns the lines of the host's log that name the request, and what disturbed its
-// targets.
+// evidence returns the lines of the host's log that name the request, and what disturbed the
+// host and its targets.
 func (c *cluster) evidence(o *outcome, seen []observation) string {
 	var b strings.Builder
+	fmt.Fprintf(&b, "  %s: disturbances %v\n", o.host.name, c.disturbances.of(o.host.name))
 	for _, line := range o.host.logLines(o.id) {
 		b.WriteString("  " + line)
 	}
