--- a/internal/drill/judge/lost_planned.go
+++ b/internal/drill/judge/lost_planned.go
@@ -175,8 +175,12 @@
 	return sum
 }
 
-// lost describes a request that was lost around planned work.
+// lost describes a request that was lost around planned work. Disruption of the store is
+// named, since it excuses nothing.
 func (x *index) lost(q *record.Request, work string, at time.Time) Violation {
+	if overlaps(x.run.Outages, q.Sent.Add(-x.bounds.Contact), q.Ended) {
+		work += " beside disruption of the store"
+	}
 	return Violation{Rule: Lost, At: q.Ended, Host: q.Host, Requests: []string{q.ID},
 		Text: fmt.Sprintf("no whole answer around %s at %s (its time %.3f s): %s", work, x.clock(at), x.allowed(q).Seconds(), x.way(q))}
 }
