Soak: requests without an answer at their timeout are counted

The check 'answers by the deadline' left out requests without a status, and callers gave up at the same moment from which it counted, so that a host that never answered passed.

--- a/tests/soak/checks_test.go
+++ b/tests/soak/checks_test.go
@@ -78,6 +78,7 @@
 			}
 		}
 	}
+	c.checkTimeouts(outcomes)
 	c.checkStatements(outcomes)
 	c.checkNoRollback(outcomes, seen)
 	c.checkRecovery(outcomes)
