Soak: leaving targets live long enough to show who still sends to them

A target was removed at the moment from which the check counts arrivals (leavingBound + 0.3 s), so that the check could not fail. The platform's targets go on for a little longer, at times for many seconds; they now serve for 1.5 s more.

--- a/tests/soak/checks_test.go
+++ b/tests/soak/checks_test.go
@@ -197,15 +197,17 @@
 	return ""
 }
 
-// checkLeavingTarget checks that undisturbed hosts send nothing to a leaving target
-// later than leavingBound after its leaving notice.
+// checkLeavingTarget checks that hosts in touch, which have the request from its caller and
+// send it on, send nothing to a leaving target later than leavingBound after the store
+// acknowledged its leaving notice while it was stable.
 func (c *cluster) checkLeavingTarget(o *outcome, seen []observation) string {
 	for _, s := range seen {
 		arrivedAt := s.target.silentSince(s.arrivedAt)
 		if s.target.leavingSince.IsZero() || !arrivedAt.After(s.target.leavingSince.Add(leavingBound+schedulingSlack)) {
 			continue
 		}
-		if !c.disturbances.affected(s.target.leavingSince, s.arrivedAt, "", o.host.name, storeSubject) {
+		stable := !c.disturbances.affected(s.target.leavingSince, s.target.leavingSince, "", storeSubject)
+		if stable && !c.disturbances.affected(o.sent, o.sent, "", o.host.name, storeSubject) && !c.disturbances.affected(s.arrivedAt, s.arrivedAt, "", o.host.name, storeSubject) {
 			return fmt.Sprintf("%s has been leaving since %s but received it at %s", s.target.id, s.target.leavingSince.Format(timeLayout), s.arrivedAt.Format(timeLayout))
 		}
 	}
--- a/tests/soak/target_test.go
+++ b/tests/soak/target_test.go
@@ -75,14 +75,18 @@
 	return out
 }
 
-// retireTarget announces that a target is leaving and removes it after leavingBound.
+// leavingLife is how much longer than leavingBound a leaving target serves.
+const leavingLife = 1500 * time.Millisecond
+
+// retireTarget announces that a target is leaving and removes it when hosts should long have
+// stopped to send to it.
 func (c *cluster) retireTarget(t *target) {
 	t.leave()
 	c.register(t, "draining")
 	c.mu.Lock()
 	t.leavingSince = time.Now()
 	c.mu.Unlock()
-	time.Sleep(leavingBound + schedulingSlack)
+	time.Sleep(leavingBound + leavingLife)
 	c.removeTarget(t)
 }
 
