Soak: a host that drains obeys the pauses of targets

Only a restart, freeze or cut of the host excuses requests in a pause that a target asked for; the time from SIGTERM to the end of the process is none of them.

--- a/tests/soak/statements_test.go
+++ b/tests/soak/statements_test.go
@@ -183,7 +183,7 @@
 			reached++
 		}
 	}
-	if reached <= maxRequestsInPause || h.restarted(s.At, to) || c.disturbances.interrupted(s.At, to, h.name, "crash", "freeze", plannedStop) ||
+	if reached <= maxRequestsInPause || h.restarted(s.At, to) || c.disturbances.interrupted(s.At, to, h.name, "crash", "freeze") ||
 		c.disturbances.interrupted(s.At, to, t.id, "target path") {
 		return ""
 	}
