Soak: repeats of streams keep within the published bound

The streams' arrivals were compared with what the hosts logged of their budgets, not with the rule's window. Continuations from memory count as the same run, as before.

--- a/tests/soak/streambudget_test.go
+++ b/tests/soak/streambudget_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -24,17 +25,18 @@
 
 // TestStreamIsSentAgainWithoutBudget counts the arrivals at engines that fail, pause and
 // leave while a host is restarted: all but the first of each request are taken from the retry
-// budget, unless the run moves with its memory.
+// budget, unless the run moves with its memory, and keep within the published bound.
 func TestStreamIsSentAgainWithoutBudget(t *testing.T) {
 	t.Parallel()
 	c := newClusterAt(t, restartSite, *seed, streamHosts)
 	c.engines.SetEventInterval(func(string, int) time.Duration { return 15 * time.Millisecond })
 	ended := make(chan struct{})
 	var callers, faults sync.WaitGroup
+	var sent sentTimes
 	for i, h := range c.hosts {
 		for n := range streamCallers {
 			random := rand.New(rand.NewPCG(*seed, uint64(100*i+n)))
-			callers.Go(func() { sendStreams(h, random, fmt.Sprintf("s-%d-%d", i, n), ended) })
+			callers.Go(func() { sent.add(sendStreams(h, random, fmt.Sprintf("s-%d-%d", i, n), ended)) })
 		}
 	}
 	time.Sleep(budgetWindow + time.Second) // a process uses its whole budget only then
@@ -46,18 +48,31 @@
 	callers.Wait()
 	faults.Wait()
 	c.stopHosts()
-	c.checkStreamBudget()
+	c.checkStreamBudget(sent.all)
 }
 
-// sendStreams sends requests one after the other until ended is closed.
-func sendStreams(h *host, random *rand.Rand, id string, ended <-chan struct{}) {
+// sentTimes collects when requests were sent.
+type sentTimes struct {
+	mu  sync.Mutex
+	all []time.Time // guarded by mu
+}
+
+func (s *sentTimes) add(times []time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.all = append(s.all, times...)
+}
+
+// sendStreams sends requests one after the other until ended is closed, and returns when.
+func sendStreams(h *host, random *rand.Rand, id string, ended <-chan struct{}) (sent []time.Time) {
 	for n := 0; ; n++ {
 		select {
 		case <-ended:
-			return
+			return sent
 		case <-time.After(between(random, 20*time.Millisecond, 200*time.Millisecond)):
 		}
 		o := outcome{id: fmt.Sprintf("%s-%d", id, n), route: []string{"lookup", "draft"}[random.IntN(2)], host: h, key: "key-1", events: []int{3, 20, 150}[random.IntN(3)]}
+		sent = append(sent, time.Now())
 		o.send(&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, http.MethodPost)
 	}
 }
@@ -80,12 +95,12 @@
 	}
 }
 
-// checkStreamBudget compares the arrivals at engines with what the hosts logged of their
-// retry budgets. All hosts have ended.
-func (c *cluster) checkStreamBudget() {
+// checkStreamBudget compares the arrivals at engines with the published bound, and with what
+// the hosts logged of their retry budgets. All hosts have ended.
+func (c *cluster) checkStreamBudget(sent []time.Time) {
 	grants := c.streamGrants()
-	arrivals := make(map[string]int)
-	repeats, granted, moved := 0, 0, 0
+	arrivals := make(map[string][]time.Time)
+	moved := 0
 	for _, target := range c.targets {
 		if target.engine == nil {
 			continue
@@ -95,18 +110,29 @@
 				moved++
 				continue
 			}
-			arrivals[r.ID()]++
+			arrivals[r.ID()] = append(arrivals[r.ID()], r.ReceivedAt)
 		}
 	}
-	for id, n := range arrivals {
-		repeats += n - 1
+	var repeats []repeat
+	granted := 0
+	for id, times := range arrivals {
 		granted += grants[id]
-		if n-1 > grants[id] {
-			c.t.Errorf("%s reached engines %d times; the retry budget granted %d repeats", id, n, grants[id])
+		if len(times)-1 > grants[id] {
+			c.t.Errorf("%s reached engines %d times; the retry budget granted %d repeats", id, len(times), grants[id])
+		}
+		slices.SortFunc(times, time.Time.Compare)
+		for _, at := range times[1:] {
+			repeats = append(repeats, repeat{at: at})
 		}
 	}
-	c.t.Logf("%d requests reached engines, %d repeats, %d granted; %d arrivals of runs that moved with their memory", len(arrivals), repeats, granted, moved)
-	require.Greater(c.t, repeats, 5)
+	slices.SortFunc(repeats, func(a, b repeat) int { return a.at.Compare(b.at) })
+	slices.SortFunc(sent, time.Time.Compare)
+	c.t.Logf("%d requests reached engines, %d repeats, %d granted; %d arrivals of runs that moved with their memory", len(arrivals), len(repeats), granted, moved)
+	require.Greater(c.t, len(repeats), 5)
+	end, bound := worstWindow(repeats, sent)
+	within := len(inWindow(repeats, end))
+	c.t.Logf("the window closest to its bound ends at %s: %d repeats, bound %.1f", end.Format(timeLayout), within, bound)
+	require.LessOrEqual(c.t, float64(within), bound)
 }
 
 // streamGrants returns how often the hosts logged that a stream may be sent again, by
