Soak: a host is judged by its configuration once it is in touch

Wrong services and 401 were excused for 2 s more than the host was out of touch; the bound of the configuration is shorter than contactMs, so that a host in touch has had the time.

--- a/tests/soak/checks_test.go
+++ b/tests/soak/checks_test.go
@@ -220,7 +220,7 @@
 	if o.route != "switch" || len(seen) == 0 {
 		return ""
 	}
-	if c.versionOf(o, seen[0]) != 0 || c.disturbances.affected(o.sent.Add(-applyBound), o.ended, "", o.host.name, storeSubject) {
+	if c.versionOf(o, seen[0]) != 0 || c.disturbances.affected(o.sent, o.ended, "", o.host.name, storeSubject) {
 		return ""
 	}
 	return seen[0].target.service + " received it, to which no version in force routes it"
@@ -301,7 +301,7 @@
 			}
 		}
 		recentlyAdded := o.sent.Before(c.keyAddedAt[o.key].Add(applyBound + schedulingSlack))
-		if recentlyAdded || c.disturbances.affected(o.sent.Add(-applyBound), o.ended, "", o.host.name, storeSubject) {
+		if recentlyAdded || c.disturbances.affected(o.sent, o.ended, "", o.host.name, storeSubject) {
 			return "" // the host may not know the key yet
 		}
 		return "401 with a valid key"
