--- /dev/null
+++ b/internal/drill/deployment/domain.go
@@ -0,0 +1,7 @@
+package deployment
+
+// Domain is a failure domain.
+type Domain struct {
+	Name  string `toml:"name"`
+	Hosts int    `toml:"hosts"`
+}
--- /dev/null
+++ b/internal/drill/disturbance.go
@@ -0,0 +1,50 @@
+package drill
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+)
+
+// disturbance is a series of events that a run plays beside the others.
+type disturbance struct {
+	name        string
+	planned     bool
+	first, last time.Duration // bounds of the pauses between its events
+	play        func(ctx context.Context, f *fleet, r *rand.Rand) error
+}
+
+// disturbances returns the series of all runs. Each draws from a source of its own, so that
+// leaving one out doesn't change the others.
+func disturbances() []disturbance {
+	return []disturbance{
+		{"reclaim", true, 3300 * time.Millisecond, 3300 * time.Millisecond, reclaim},
+		{"rolling restart", true, time.Second, 8 * time.Second, rollingRestart},
+		{"reload", true, 2 * time.Second, 7 * time.Second, reload},
+		{"configuration", true, 2 * time.Second, 6 * time.Second, configure},
+		{"configuration storm", true, 8 * time.Second, 16 * time.Second, configurationStorm},
+		{"key rotation", true, 3 * time.Second, 8 * time.Second, rotateKeys},
+		{"release", true, 6 * time.Second, 14 * time.Second, release},
+		{"target crash", false, 4 * time.Second, 12 * time.Second, crashTargets},
+		{"host kill", false, 8 * time.Second, 20 * time.Second, killHost},
+		{"store", false, 10 * time.Second, 25 * time.Second, disturbStore},
+		{"callers", false, 5 * time.Second, 12 * time.Second, disturbCallers},
+	}
+}
+
+// playAll plays the series until the context ends.
+func (f *fleet) playAll(ctx context.Context) {
+	for n, d := range disturbances() {
+		if f.options.Planned && !d.planned {
+			continue
+		}
+		r := rand.New(rand.NewPCG(f.options.Seed, uint64(100+n)))
+		f.playing.Go(func() {
+			for sleep(ctx, between(r, d.first, d.last)) == nil {
+				if err := d.play(ctx, f, r); err != nil && ctx.Err() == nil {
+					f.logger.Error("drill: disturbance failed", "disturbance", d.name, "error", err)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/drill/platform.go
@@ -0,0 +1,104 @@
+// Package drill starts whole deployments as real processes on loopback, disturbs them, and
+// records what callers, targets and the operator see.
+package drill
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"corianderhitch/internal/drill/deployment"
+	"corianderhitch/internal/drill/record"
+)
+
+// Platform provides stand-ins for the platform that a deployment runs on, and speaks its
+// protocol as callers do.
+type Platform interface {
+	// ReadDeployment reads a deployment's description in the platform's own format.
+	ReadDeployment(path string) (*deployment.Deployment, error)
+	// ReadyPath is the path of the hosts' readiness endpoint.
+	ReadyPath() string
+	// CallerAddress is the address at which a host serves callers.
+	CallerAddress(ip string) string
+	// ReadyAddress is the address of a host's readiness endpoint.
+	ReadyAddress(ip string) string
+	// HostSettings encodes the settings file of a host.
+	HostSettings(d *deployment.Deployment, h HostSettings) ([]byte, error)
+	// NewStore returns an empty store.
+	NewStore(d *deployment.Deployment, seed uint64) Store
+	// NewTargets returns the factory of a run's targets.
+	NewTargets(d *deployment.Deployment, seed uint64, log *record.Log) Targets
+	// RequestHeader returns the headers of a caller's request.
+	RequestHeader(c *Call) http.Header
+	// Address returns the host and path prefix of a route.
+	Address(route string) (host, prefix string)
+	// Signed reports whether a response bears a target's signature.
+	Signed(h http.Header) bool
+}
+
+// HostSettings is the part of a host's settings that differs between hosts.
+type HostSettings struct {
+	Name, IP, Domain, Store string
+	First                   bool // the whole system starts for the first time
+}
+
+// Call is a caller's request.
+type Call struct {
+	ID          string
+	Key         string // API key
+	Deadline    time.Duration
+	Kind        *deployment.Kind
+	Prompt      int // tokens
+	Output      int // events
+	Parts       []PromptPart
+	LengthHint  int // tokens, 0 for none
+	ResumeAfter int // last event that the caller has; 0 for a new stream
+}
+
+// PromptPart is a part of a prompt.
+type PromptPart struct {
+	ID     string
+	Tokens int
+}
+
+// Store is a stand-in for the platform's store as the operator and the targets use it.
+type Store interface {
+	http.Handler
+	// PutConfiguration writes a configuration and returns when it is acknowledged.
+	PutConfiguration(c *Configuration) error
+	// PutTarget writes a target's entry and returns when it is acknowledged.
+	PutTarget(t Target, s *deployment.Service, leaving bool) error
+	// RemoveTarget removes a target's entry.
+	RemoveTarget(t Target) error
+	// Slow delays all calls of hosts.
+	Slow(d time.Duration)
+	// SetOutage makes all calls of hosts fail.
+	SetOutage(on bool)
+}
+
+// Configuration is a version of the routing configuration.
+type Configuration struct {
+	Version  int
+	Timeouts map[string]time.Duration // by route
+	Services map[string]string        // by route
+	Weights  map[string]int           // by route; weight of its service against Others, out of 100
+	Others   map[string]string        // by route; service of the remaining weight
+	Keys     [][]string               // by client account
+	Extra    int                      // routes that nobody uses
+}
+
+// Targets starts targets.
+type Targets interface {
+	Start(id string, s *deployment.Service, domain string, listener net.Listener) Target
+}
+
+// Target is a stand-in for a target.
+type Target interface {
+	ID() string
+	Domain() string
+	Address() string
+	// Leave makes the target state that it leaves; it goes on serving.
+	Leave()
+	// End ends the target and resets or closes its connections.
+	End(reset bool)
+}
--- /dev/null
+++ b/internal/drill/releases.go
@@ -0,0 +1,54 @@
+package drill
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	releasedShare = 0.45 // of a service's targets
+	minReleaseGap = 100 * time.Millisecond
+	maxReleaseGap = time.Second
+)
+
+// release replaces targets of a service one after the other: a new one starts, an old one
+// leaves.
+func release(ctx context.Context, f *fleet, r *rand.Rand) error {
+	service := &f.deployment.Services[r.IntN(len(f.deployment.Services))]
+	share := int(math.Ceil(releasedShare * float64(f.targets.count(service.Name))))
+	f.logger.Info("drill: release", "service", service.Name, "targets", share)
+	for range share {
+		for _, t := range f.targets.take(r, service.Name, 1) {
+			if err := f.targets.start(service, t.Domain()); err != nil {
+				return err
+			}
+			reset := r.Float64() < resetShare
+			f.playing.Go(func() {
+				f.targets.leave(t, service)
+				if sleep(ctx, f.deployment.Bounds.Drain+service.Linger) == nil {
+					f.targets.end(t, reset, false)
+				}
+			})
+		}
+		if err := sleep(ctx, between(r, minReleaseGap, maxReleaseGap)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+const minRestart, maxRestart = 2 * time.Second, 5 * time.Second
+
+// crashTargets ends a random target of each kind without notice and starts another one later.
+func crashTargets(ctx context.Context, f *fleet, r *rand.Rand) error {
+	service := &f.deployment.Services[r.IntN(len(f.deployment.Services))]
+	for _, t := range f.targets.take(r, service.Name, 1) {
+		f.logger.Info("drill: target crash", "target", t.ID())
+		f.targets.end(t, r.Float64() < resetShare, true)
+		delay := between(r, minRestart, maxRestart)
+		f.playing.Go(func() { f.join(ctx, service, t.Domain(), delay) })
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/drill/targetset.go
@@ -0,0 +1,111 @@
+package drill
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"corianderhitch/internal/drill/deployment"
+	"corianderhitch/internal/drill/record"
+)
+
+// targetSet starts and ends targets.
+type targetSet struct {
+	fleet   *fleet
+	factory Targets
+
+	mu     sync.Mutex
+	active map[string][]Target // guarded by mu; by service; those that don't leave
+	all    []Target            // guarded by mu
+}
+
+func newTargetSet(f *fleet) *targetSet {
+	return &targetSet{fleet: f, factory: f.platform.NewTargets(f.deployment, f.options.Seed, f.log), active: make(map[string][]Target)}
+}
+
+// startAll starts the targets that the deployment lists.
+func (s *targetSet) startAll() error {
+	for i := range s.fleet.deployment.Services {
+		service := &s.fleet.deployment.Services[i]
+		for _, domain := range s.fleet.deployment.Domains {
+			for range service.Targets[domain.Name] {
+				if err := s.start(service, domain.Name); err != nil {
+					return err
+				}
+			}
+		}
+	}
+	return nil
+}
+
+// start starts a target and registers it.
+func (s *targetSet) start(service *deployment.Service, domain string) error {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return eris.Wrapf(err, "listener of a target of %s", service.Name)
+	}
+	s.mu.Lock()
+	t := s.factory.Start(fmt.Sprintf("i-%04d", len(s.all)+1), service, domain, listener)
+	s.all = append(s.all, t)
+	s.mu.Unlock()
+	s.fleet.log.Target(record.Target{ID: t.ID(), Service: service.Name, Domain: domain, Started: time.Now()})
+	if err := s.fleet.store.PutTarget(t, service, false); err != nil {
+		return eris.Wrapf(err, "entry of %s", t.ID())
+	}
+	s.mu.Lock()
+	s.active[service.Name] = append(s.active[service.Name], t)
+	s.mu.Unlock()
+	return nil
+}
+
+// take removes up to n random targets of a service from the active ones, and leaves at least
+// one.
+func (s *targetSet) take(r *rand.Rand, service string, n int) []Target {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []Target
+	for ; n > 0 && len(s.active[service]) > 1; n-- {
+		list := s.active[service]
+		i := r.IntN(len(list))
+		out = append(out, list[i])
+		s.active[service] = append(list[:i:i], list[i+1:]...)
+	}
+	return out
+}
+
+// count returns the number of active targets of a service.
+func (s *targetSet) count(service string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.active[service])
+}
+
+// leave announces that a target leaves.
+func (s *targetSet) leave(t Target, service *deployment.Service) {
+	if err := s.fleet.store.PutTarget(t, service, true); err != nil {
+		s.fleet.logger.Error("drill: entry of a leaving target", "target", t.ID(), "error", err)
+	}
+	t.Leave()
+	s.fleet.log.UpdateTarget(t.ID(), func(r *record.Target) { r.Leaving = time.Now() })
+}
+
+// end ends a target and removes its entry.
+func (s *targetSet) end(t Target, reset, crashed bool) {
+	s.fleet.log.UpdateTarget(t.ID(), func(r *record.Target) { r.Ended, r.Crashed = time.Now(), crashed })
+	t.End(reset)
+	if err := s.fleet.store.RemoveTarget(t); err != nil {
+		s.fleet.logger.Error("drill: entry of an ended target", "target", t.ID(), "error", err)
+	}
+}
+
+func (s *targetSet) endAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range s.all {
+		t.End(false)
+	}
+}
