--- a/internal/drill/load.go
+++ b/internal/drill/load.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 )
 
@@ -36,9 +37,10 @@
 // burn keeps processors busy until the context ends.
 func burn(ctx context.Context, loops int) {
 	var wait sync.WaitGroup
-	for range loops {
+	for n := range loops {
 		wait.Go(func() {
-			for ctx.Err() == nil {
+			for x := uint64(n); ctx.Err() == nil; x++ {
+				_ = xxhash.Sum64String(strconv.FormatUint(x, 10))
 			}
 		})
 	}
