--- a/internal/drill/command.go
+++ b/internal/drill/command.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"path/filepath"
@@ -13,6 +14,7 @@
 	"github.com/spf13/cobra"
 
 	"corianderhitch/internal/drill/deployment"
+	"corianderhitch/internal/drill/record"
 )
 
 // Command returns the command "hitchload drill".
@@ -44,7 +46,7 @@
 				return err
 			}
 			printResult(cmd.OutOrStdout(), d, result)
-			return nil
+			return verdict(cmd.OutOrStdout(), result.Run, o.Out)
 		},
 	}
 	flags := cmd.Flags()
@@ -54,7 +56,7 @@
 	flags.StringVar(&o.Out, "out", "", "directory of the record and the hosts' logs; one under the temporary directory by default")
 	flags.IntVar(&o.Load, "load", 0, "busy loops beside the run")
 	flags.BoolVar(&o.Planned, "planned", false, "play planned work only")
-	cmd.AddCommand(burnCommand())
+	cmd.AddCommand(burnCommand(), judgeCommand())
 	return cmd
 }
 
@@ -85,3 +87,26 @@
 	cmd.Flags().IntVar(&loops, "loops", 1, "busy loops")
 	return cmd
 }
+
+// verdict prints the broken rules and returns an error if there are any.
+func verdict(w io.Writer, run *record.Run, dir string) error {
+	if n := printVerdict(w, run, dir); n > 0 {
+		return eris.Errorf("%s, seed %d: %d rules broken", run.Deployment.Name, run.Seed, n)
+	}
+	return nil
+}
+
+func judgeCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "judge DIRECTORY",
+		Short: "Judge a run again by its record",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			run, err := readRecord(filepath.Join(args[0], recordName))
+			if err != nil {
+				return err
+			}
+			return verdict(cmd.OutOrStdout(), run, args[0])
+		},
+	}
+}
--- a/internal/drill/report.go
+++ b/internal/drill/report.go
@@ -61,7 +61,6 @@
 	}
 	fmt.Fprintf(w, "SIGTERMs %d, reloads %d, kills %d (%d after the grace period), unexpected exits %d; versions %d; targets %d; moved runs %d\n",
 		events[record.Term], events[record.Hup], events[record.Killed], result.KilledAfterGrace, result.UnexpectedExits, len(run.Versions), len(run.Targets), continued)
-	printRepeats(w, run)
 	fmt.Fprintf(w, "timers late: p99 %v, max %v; processor time: hosts %v, drill %v\n",
 		result.P99Late.Round(time.Microsecond), result.MaxLate.Round(time.Microsecond), result.HostsProcessor.Round(time.Millisecond), result.OwnProcessor.Round(time.Millisecond))
 }
