--- a/internal/drill/disturbance.go
+++ b/internal/drill/disturbance.go
@@ -28,6 +28,9 @@
 		{"target crash", false, 4 * time.Second, 12 * time.Second, crashTargets},
 		{"host kill", false, 8 * time.Second, 20 * time.Second, killHost},
 		{"store", false, 10 * time.Second, 25 * time.Second, disturbStore},
+		{"ailing targets", false, 3 * time.Second, 9 * time.Second, ailTargets},
+		{"freeze", false, 6 * time.Second, 18 * time.Second, freezeHost},
+		{"crashing prompt", false, 12 * time.Second, 30 * time.Second, crashByPrompt},
 		{"callers", false, 5 * time.Second, 12 * time.Second, disturbCallers},
 	}
 }
--- a/internal/drill/faults.go
+++ b/internal/drill/faults.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"syscall"
 	"time"
 
 	"corianderhitch/internal/drill/record"
@@ -40,3 +42,63 @@
 	f.traffic.disturbed.Store(&unusual{rate: 1})
 	return err
 }
+
+const ailingShare = 0.45 // of a service's targets
+
+// ailTargets makes something go wrong at some targets of a service for some seconds.
+func ailTargets(ctx context.Context, f *fleet, r *rand.Rand) error {
+	service := f.deployment.Services[r.IntN(len(f.deployment.Services))].Name
+	cases := []struct {
+		kind  Ailment
+		share float64
+	}{{Hanging, 0.45}, {Resetting, 0.45}, {Failing, 0.45}, {LosingAnswers, 0.05}}
+	c := cases[r.IntN(len(cases))]
+	some := f.targets.some(r, service, 1+int(r.Float64()*ailingShare*float64(f.targets.count(service))))
+	d := between(r, minFault, maxFault)
+	f.logger.Info("drill: ailing targets", "service", service, "targets", len(some), "ailment", c.kind, "for", d)
+	for _, t := range some {
+		t.Ail(c.kind, c.share)
+	}
+	err := sleep(ctx, d)
+	for _, t := range some {
+		t.Recover()
+	}
+	return err
+}
+
+// freezeHost suspends a random host for some seconds.
+func freezeHost(ctx context.Context, f *fleet, r *rand.Rand) error {
+	h, d := f.hosts[r.IntN(len(f.hosts))], between(r, minFreeze, maxFreeze)
+	if !h.mu.TryLock() {
+		return nil
+	}
+	defer h.mu.Unlock()
+	f.logger.Info("drill: freeze", "host", h.name, "for", d)
+	h.process.signal(syscall.SIGSTOP)
+	f.log.Host(h.name, record.Frozen)
+	err := sleep(ctx, d)
+	h.process.signal(syscall.SIGCONT)
+	f.log.Host(h.name, record.Thawed)
+	return err
+}
+
+const minFreeze, maxFreeze = 200 * time.Millisecond, 4 * time.Second
+
+// crashByPrompt sends requests with a part of the prompt that crashes engines, which callers
+// repeat.
+func crashByPrompt(ctx context.Context, f *fleet, r *rand.Rand) error {
+	part := fmt.Sprintf("%s%04x", CrashingPart, r.IntN(1<<16))
+	f.logger.Info("drill: crashing prompt", "part", part)
+	for range minCrashing + r.IntN(maxCrashing-minCrashing) {
+		f.traffic.sendCrashing(ctx, r, part)
+		if err := sleep(ctx, between(r, minCrashGap, maxCrashGap)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+const (
+	minCrashing, maxCrashing = 3, 12
+	minCrashGap, maxCrashGap = 50 * time.Millisecond, 1500 * time.Millisecond
+)
--- a/internal/drill/load.go
+++ b/internal/drill/load.go
@@ -24,7 +24,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "path of the load process")
 	}
-	p, err := startProcess(filepath.Join(o.Out, "load.log"), nil, path, "drill", "burn", "--loops", strconv.Itoa(o.Load))
+	p, err := startProcess(filepath.Join(o.Out, "load.log"), []string{"GOMAXPROCS=" + strconv.Itoa(o.Load)}, path, "drill", "burn", "--loops", strconv.Itoa(o.Load))
 	return &load{p}, err
 }
 
--- a/internal/drill/platform.go
+++ b/internal/drill/platform.go
@@ -90,8 +90,24 @@
 // Targets starts targets.
 type Targets interface {
 	Start(id string, s *deployment.Service, domain string, listener net.Listener) Target
+	// OnCrash sets what is called when a prompt crashes an engine. Call it before Start.
+	OnCrash(f func(id string))
 }
 
+// CrashingPart begins the ids of parts of prompts that crash engines.
+const CrashingPart = "dead"
+
+// Ailment is what goes wrong with requests at a target whose health check is good.
+type Ailment string
+
+// The ailments of targets.
+const (
+	Hanging       Ailment = "hanging"
+	Failing       Ailment = "failing"
+	Resetting     Ailment = "resetting"
+	LosingAnswers Ailment = "losing_answers"
+)
+
 // Target is a stand-in for a target.
 type Target interface {
 	ID() string
@@ -99,6 +115,9 @@
 	Address() string
 	// Leave makes the target state that it leaves; it goes on serving.
 	Leave()
+	// Ail makes something go wrong with a share of the requests, until Recover.
+	Ail(kind Ailment, share float64)
+	Recover()
 	// End ends the target and resets or closes its connections.
 	End(reset bool)
 }
--- a/internal/drill/targetset.go
+++ b/internal/drill/targetset.go
@@ -24,7 +24,9 @@
 }
 
 func newTargetSet(f *fleet) *targetSet {
-	return &targetSet{fleet: f, factory: f.platform.NewTargets(f.deployment, f.options.Seed, f.log), active: make(map[string][]Target)}
+	s := &targetSet{fleet: f, factory: f.platform.NewTargets(f.deployment, f.options.Seed, f.log), active: make(map[string][]Target)}
+	s.factory.OnCrash(s.crash)
+	return s
 }
 
 // startAll starts the targets that the deployment lists.
@@ -109,3 +111,41 @@
 		t.End(false)
 	}
 }
+
+// crash ends an engine that a prompt crashes, and starts it again some seconds later.
+func (s *targetSet) crash(id string) {
+	t, service := s.takeByID(id)
+	if t == nil {
+		return
+	}
+	s.fleet.logger.Info("drill: engine crashed by a prompt", "target", id)
+	s.end(t, true, true)
+	go s.fleet.join(s.fleet.ctx, service, t.Domain(), minRestart)
+}
+
+// takeByID removes a target from the active ones. It returns nil if it isn't active.
+func (s *targetSet) takeByID(id string) (Target, *deployment.Service) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for service, list := range s.active {
+		for i, t := range list {
+			if t.ID() == id {
+				s.active[service] = append(list[:i:i], list[i+1:]...)
+				return t, s.fleet.deployment.Service(service)
+			}
+		}
+	}
+	return nil, nil
+}
+
+// some returns up to n random active targets of a service.
+func (s *targetSet) some(r *rand.Rand, service string, n int) []Target {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := s.active[service]
+	var out []Target
+	for _, i := range r.Perm(len(list))[:min(n, len(list))] {
+		out = append(out, list[i])
+	}
+	return out
+}
--- a/internal/drill/traffic.go
+++ b/internal/drill/traffic.go
@@ -101,3 +101,19 @@
 		t.wait.Go(func() { c.run(calls) })
 	}
 }
+
+// sendCrashing sends a request of a random client whose prompt has a part that crashes
+// engines.
+func (t *traffic) sendCrashing(ctx context.Context, r *rand.Rand, part string) {
+	g := t.fleet.deployment.Callers[r.IntN(len(t.fleet.deployment.Callers))]
+	for i := range t.fleet.deployment.Kinds {
+		k := &t.fleet.deployment.Kinds[i]
+		if k.Events.Mean == 0 {
+			continue
+		}
+		c := newCall(t.clients[g.Domain][r.IntN(len(t.clients[g.Domain]))], k)
+		c.request.Parts[0].ID, c.part = part, part
+		t.wait.Go(func() { c.run(ctx) })
+		return
+	}
+}
