--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SEED ?= 1
 SCENARIO ?= crowded
 
-.PHONY: all build test unit race lint gopls generate generate-check demo prove prove-short soak experiment bench fuzz-short clean \
+.PHONY: all build test unit race lint gopls generate generate-check demo prove prove-short soak drill experiment bench fuzz-short clean \
 	load overhead compare rest documents ledger measure figures capacity
 
 all: build
@@ -95,6 +95,13 @@
 soak:
 	$(GO) test ./tests/soak -count=1 -v -timeout 10m -run TestSoak -seed $(SEED) -for $(SOAK_FOR)
 
+# drill runs a whole deployment as real processes, disturbs it and judges what callers and
+# targets see. DEPLOYMENT is a file in the format of deploy/drill or in the platform's.
+DEPLOYMENT ?= deploy/drill/small.toml
+DRILL_FOR ?= 30s
+drill: build
+	$(BIN)/hitchload drill $(DEPLOYMENT) --seed $(SEED) --for $(DRILL_FOR)
+
 prove-short:
 	@mkdir -p out
 	@$(GO) test ./tests/prove -count=1 -short -v -seed $(SEED) > out/prove-short.log 2>&1; \
--- a/internal/drill/faults.go
+++ b/internal/drill/faults.go
@@ -43,21 +43,24 @@
 	return err
 }
 
-const ailingShare = 0.45 // of a service's targets
+const (
+	ailingShare     = 0.45 // of a service's targets
+	allAilingShare  = 0.3  // of the cases, in which all targets of a service ail
+	minAilingOfCall = 0.02 // share of a target's requests
+)
 
 // ailTargets makes something go wrong at some targets of a service for some seconds.
 func ailTargets(ctx context.Context, f *fleet, r *rand.Rand) error {
 	service := f.deployment.Services[r.IntN(len(f.deployment.Services))].Name
-	cases := []struct {
-		kind  Ailment
-		share float64
-	}{{Hanging, 0.45}, {Resetting, 0.45}, {Failing, 0.45}, {LosingAnswers, 0.05}}
-	c := cases[r.IntN(len(cases))]
-	some := f.targets.some(r, service, 1+int(r.Float64()*ailingShare*float64(f.targets.count(service))))
-	d := between(r, minFault, maxFault)
-	f.logger.Info("drill: ailing targets", "service", service, "targets", len(some), "ailment", c.kind, "for", d)
+	kind := []Ailment{Hanging, Resetting, Failing, LosingAnswers}[r.IntN(4)]
+	n := 1 + int(r.Float64()*ailingShare*float64(f.targets.count(service)))
+	if r.Float64() < allAilingShare {
+		n = f.targets.count(service)
+	}
+	some, share, d := f.targets.some(r, service, n), minAilingOfCall+(1-minAilingOfCall)*r.Float64(), between(r, minFault, maxFault)
+	f.logger.Info("drill: ailing targets", "service", service, "targets", len(some), "ailment", kind, "share", share, "for", d)
 	for _, t := range some {
-		t.Ail(c.kind, c.share)
+		t.Ail(kind, share)
 	}
 	err := sleep(ctx, d)
 	for _, t := range some {
