--- a/internal/drill/call.go
+++ b/internal/drill/call.go
@@ -54,7 +54,7 @@
 			out.slowBody = between(r, 50*time.Millisecond, 400*time.Millisecond)
 		}
 		if r.Float64() < slowReaderShare {
-			out.slowReader = between(r, 10*time.Millisecond, 80*time.Millisecond)
+			out.slowReader = between(r, 20*time.Millisecond, 500*time.Millisecond)
 		}
 		if r.Float64() < t.giveUpShare() {
 			out.leaveAfter = between(r, 5*time.Millisecond, k.Deadline/2)
--- a/internal/drill/disturbance.go
+++ b/internal/drill/disturbance.go
@@ -32,6 +32,7 @@
 		{"freeze", false, 6 * time.Second, 18 * time.Second, freezeHost},
 		{"crashing prompt", false, 12 * time.Second, 30 * time.Second, crashByPrompt},
 		{"callers", false, 5 * time.Second, 12 * time.Second, disturbCallers},
+		{"early stop", true, 5 * time.Second, 15 * time.Second, stopEarly},
 	}
 }
 
--- a/internal/drill/restarts.go
+++ b/internal/drill/restarts.go
@@ -49,6 +49,29 @@
 	return nil
 }
 
+const maxLife = 2500 * time.Millisecond // of a process that is stopped early
+
+// stopEarly stops a random host, starts it, and stops it again before it has settled.
+func stopEarly(ctx context.Context, f *fleet, r *rand.Rand) error {
+	h, pause, life := f.hosts[r.IntN(len(f.hosts))], between(r, minStartPause, maxStartPause), between(r, 0, maxLife)
+	if !h.mu.TryLock() {
+		return nil
+	}
+	defer h.mu.Unlock()
+	f.logger.Info("drill: early stop", "host", h.name, "life", life)
+	for range 2 {
+		h.terminate(f.deployment.Bounds.Grace)
+		if sleep(ctx, pause) != nil && f.ctx.Err() != nil {
+			return nil
+		}
+		if err := h.start(); err != nil {
+			return err
+		}
+		_ = sleep(ctx, life)
+	}
+	return nil
+}
+
 // reload sends SIGHUP to a random host.
 func reload(_ context.Context, f *fleet, r *rand.Rand) error {
 	h := f.hosts[r.IntN(len(f.hosts))]
