--- a/internal/drill/disturbance.go
+++ b/internal/drill/disturbance.go
@@ -33,6 +33,7 @@
 		{"crashing prompt", false, 12 * time.Second, 30 * time.Second, crashByPrompt},
 		{"callers", false, 5 * time.Second, 12 * time.Second, disturbCallers},
 		{"early stop", true, 5 * time.Second, 15 * time.Second, stopEarly},
+		{"retire", true, 4 * time.Second, 12 * time.Second, retire},
 	}
 }
 
--- a/internal/drill/releases.go
+++ b/internal/drill/releases.go
@@ -52,3 +52,33 @@
 	}
 	return nil
 }
+
+const (
+	minLinger, maxLinger = 0 * time.Second, 8 * time.Second
+	retiredShare         = 0.13 // of the engines at a time
+)
+
+// retire takes engines away that go on serving for some seconds after the bound; others join
+// later.
+func retire(ctx context.Context, f *fleet, r *rand.Rand) error {
+	for i := range f.deployment.Services {
+		service := &f.deployment.Services[i]
+		if service.Engine == nil {
+			continue
+		}
+		n := max(1, int(math.Round(retiredShare*float64(f.targets.count(service.Name)))))
+		for _, t := range f.targets.take(r, service.Name, n) {
+			linger, reset := between(r, minLinger, maxLinger), r.Float64() < resetShare
+			f.logger.Info("drill: retire", "target", t.ID(), "linger", linger)
+			f.playing.Go(func() {
+				f.targets.leave(t, service)
+				if sleep(ctx, f.deployment.Bounds.Drain+linger) != nil {
+					return
+				}
+				f.targets.end(t, reset, false)
+				f.join(ctx, service, t.Domain(), joinDelay)
+			})
+		}
+	}
+	return nil
+}
