--- a/internal/drill/disturbance.go
+++ b/internal/drill/disturbance.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -40,7 +41,7 @@
 // playAll plays the series until the context ends.
 func (f *fleet) playAll(ctx context.Context) {
 	for n, d := range disturbances() {
-		if f.options.Planned && !d.planned {
+		if f.options.Planned && !d.planned || len(f.options.Only) > 0 && !slices.Contains(f.options.Only, d.name) {
 			continue
 		}
 		r := rand.New(rand.NewPCG(f.options.Seed, uint64(100+n)))
@@ -53,3 +54,12 @@
 		})
 	}
 }
+
+// names returns the names of all disturbances.
+func names() []string {
+	var out []string
+	for _, d := range disturbances() {
+		out = append(out, d.name)
+	}
+	return out
+}
--- a/internal/drill/run.go
+++ b/internal/drill/run.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -27,9 +28,10 @@
 	Seed     uint64
 	For      time.Duration // of the disturbances
 	EdgePath string
-	Out      string // directory of the record and the logs
-	Load     int    // busy loops beside the run
-	Planned  bool   // plays planned work only
+	Out      string   // directory of the record and the logs
+	Load     int      // busy loops beside the run
+	Planned  bool     // plays planned work only
+	Only     []string // disturbances that are played; all if empty
 }
 
 // Result is what a run leaves.
@@ -44,6 +46,11 @@
 
 // Run starts a deployment under traffic, disturbs it, ends it and returns what was seen.
 func Run(ctx context.Context, p Platform, d *deployment.Deployment, o Options) (*Result, error) {
+	for _, name := range o.Only {
+		if !slices.Contains(names(), name) {
+			return nil, eris.Errorf("unknown disturbance %q; known are %q", name, names())
+		}
+	}
 	if err := os.MkdirAll(o.Out, 0o755); err != nil {
 		return nil, eris.Wrap(err, "output directory")
 	}
