Migration: no run is stopped shortly before its engine may exit

Callers of long streams got no whole answer (LOST) when the engine exited during the final copy: the run had been stopped by its own host, so the engine had not broken off, and the destination did not take the run up. The last copy before it was fast, which shows that the link was idle then, not that it stays so: other hosts copy from the same engine. Runs were stopped up to 2 s after the notice; engines exit 1.5 to 2.1 s after it.

A run is now stopped only while the final copy has 0.3 s until the shortest notice ends. Later it goes on at its engine, and continues from the copy that was just made when the engine exits: the engine has then broken off itself, and the copy is whole.

--- a/internal/edge/migration/mover.go
+++ b/internal/edge/migration/mover.go
@@ -135,7 +135,7 @@
 	}
 	if replica := r.Replica(); replica != nil && replica.Source.Key() == source.Key() && !m.IsLeaving(replica.Dest.Key()) {
 		attempts++
-		if outcome := m.switchTo(ctx, replica, r); outcome != destinationLeaves {
+		if outcome := m.switchTo(ctx, noticedAt, replica, r); outcome != destinationLeaves {
 			return outcome, attempts
 		}
 		tried[replica.Dest.Key()] = true
@@ -165,7 +165,7 @@
 		}
 		tried[dest.Key()] = true
 		attempts++
-		if outcome := m.moveTo(ctx, source, dest, load, r); outcome != edge.MoveNoRoom.String() && outcome != destinationLeaves {
+		if outcome := m.moveTo(ctx, source, noticedAt, dest, load, r); outcome != edge.MoveNoRoom.String() && outcome != destinationLeaves {
 			return outcome, attempts
 		}
 	}
@@ -185,13 +185,13 @@
 
 // moveTo moves a run to one destination, where load is already counted, and returns
 // the outcome.
-func (m *Mover) moveTo(ctx context.Context, source, dest *targets.Target, load inflight.Load, r *streaming.Run) string {
+func (m *Mover) moveTo(ctx context.Context, source *targets.Target, noticedAt bootclock.Instant, dest *targets.Target, load inflight.Load, r *streaming.Run) string {
 	copying, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
 	replica, first := r.Replicate(copying, source, dest, load)
 	switch {
 	case replica != nil:
-		return m.switchTo(ctx, replica, r)
+		return m.switchTo(ctx, noticedAt, replica, r)
 	case first.Result == edge.MoveCopied:
 		return runElsewhere
 	}
@@ -201,8 +201,9 @@
 
 // switchTo makes the final copy, after which the run continues at its replica's
 // engine, and returns the outcome. No final copy is made while this process drains, see
-// BeginFinalCopy: the run continues from its replica when its engine exits.
-func (m *Mover) switchTo(ctx context.Context, replica *streaming.Replica, r *streaming.Run) string {
+// BeginFinalCopy, nor shortly before the engine may exit: the run then continues from its
+// replica when that happens.
+func (m *Mover) switchTo(ctx context.Context, noticedAt bootclock.Instant, replica *streaming.Replica, r *streaming.Run) string {
 	source, dest := replica.Source, replica.Dest
 	if r.ProcessDrains() || !m.awaitIdleLink(ctx, source, dest, r) {
 		return onlyReplicated
@@ -210,7 +211,7 @@
 	if m.IsLeaving(dest.Key()) {
 		return destinationLeaves
 	}
-	if !r.BeginFinalCopy(replica) {
+	if !MayStop(bootclock.Since(noticedAt)) || !r.BeginFinalCopy(replica) {
 		return onlyReplicated
 	}
 	started, remaining := bootclock.Now(), r.RemainingTokens()
--- a/internal/edge/migration/plan.go
+++ b/internal/edge/migration/plan.go
@@ -23,8 +23,12 @@
 
 const (
 	// assumedNoticePeriod is how long an engine is assumed to serve after its leaving
-	// notice. Reclaimed engines get about 2 s; the shortest seen was 1.5 s.
+	// notice. Reclaimed engines get about 2 s; some less.
 	assumedNoticePeriod = 1800 * time.Millisecond
+	// shortestNoticePeriod is how long an engine serves at least after its leaving notice.
+	shortestNoticePeriod = 1500 * time.Millisecond
+	// maxFinalCopyTime is how long a final copy may wait behind the copies of other hosts.
+	maxFinalCopyTime = 300 * time.Millisecond
 	// switchTime is how long a run needs the link in addition to its first copy: the
 	// final copy of a few dozen tokens and two calls.
 	switchTime = 30 * time.Millisecond
@@ -103,3 +107,9 @@
 func FinishesInTime(engine *policy.Engine, held int, sinceNotice time.Duration) bool {
 	return sinceNotice+CopyTime(engine, held, 1) <= assumedNoticePeriod
 }
+
+// MayStop reports whether a run may still be stopped for its final copy at the given time after
+// the notice: if the engine exits during that copy, no engine may hold the whole memory.
+func MayStop(sinceNotice time.Duration) bool {
+	return sinceNotice+maxFinalCopyTime <= shortestNoticePeriod
+}
