--- a/tests/edge/fleet_test.go
+++ b/tests/edge/fleet_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -54,6 +55,8 @@
 	revokeWithin time.Duration
 	// maxConnections is how many connections a target accepts, 0 for the default.
 	maxConnections int
+	// routeTimeout is that of all routes, 0 for callerTimeout.
+	routeTimeout time.Duration
 	// idleTimeout is how long callers' connections may stay idle, 0 for the default.
 	idleTimeout time.Duration
 }
@@ -151,7 +154,7 @@
 func (f *fleet) configure() {
 	f.version++
 	config := standin.Configuration{
-		Version: f.version, Timeout: callerTimeout, EngineService: engineService, PlainServices: []string{plainService}, Account: account, Keys: f.keys, MaxConnections: f.maxConnections, IdleTimeout: f.idleTimeout,
+		Version: f.version, Timeout: cmp.Or(f.routeTimeout, callerTimeout), EngineService: engineService, PlainServices: []string{plainService}, Account: account, Keys: f.keys, MaxConnections: f.maxConnections, IdleTimeout: f.idleTimeout,
 		Routes: []standin.Route{
 			{Name: "draft", Kind: standin.Streaming, Service: engineService, Objective: 1800 * time.Millisecond, Attempts: 1},
 			{Name: "lookup", Kind: standin.Streaming, Service: engineService, Objective: 1500 * time.Millisecond, Attempts: 2, Resumable: true},
