Soak: a fault of a host is recorded from when it begins

A fault that waited for another one of the same host counted as a disturbance while it waited, and a planned stop as one that had begun: its grace period seemed to be over up to seconds before its real end, which excused what was cut there.

--- a/tests/soak/faults_test.go
+++ b/tests/soak/faults_test.go
@@ -36,17 +36,12 @@
 
 var faults = []fault{
 	{"crash", func(c *cluster, choices faultChoices) {
-		h := c.pickHost(choices)
-		c.disturbances.during(h.name, "crash", func() { c.crashAndRestart(h, choices.duration/3) })
+		c.crashAndRestart(c.pickHost(choices), choices.duration/3)
 	}},
 	{"freeze", func(c *cluster, choices faultChoices) {
-		h := c.pickHost(choices)
-		c.disturbances.during(h.name, "freeze", func() { h.freeze(choices.duration) })
-	}},
-	{plannedStop, func(c *cluster, choices faultChoices) {
-		h := c.pickHost(choices)
-		c.disturbances.during(h.name, plannedStop, func() { c.stopAndRestart(h) })
+		c.freeze(c.pickHost(choices), choices.duration)
 	}},
+	{plannedStop, func(c *cluster, choices faultChoices) { c.stopAndRestart(c.pickHost(choices)) }},
 	{settingsReload, func(c *cluster, choices faultChoices) { c.reloadSettings(c.pickHost(choices)) }},
 	{"store path", func(c *cluster, choices faultChoices) {
 		h := c.pickHost(choices)
--- a/tests/soak/host_test.go
+++ b/tests/soak/host_test.go
@@ -72,19 +72,19 @@
 
 // crashAndRestart kills the process and starts it again after the pause.
 func (c *cluster) crashAndRestart(h *host, pause time.Duration) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.process.Kill()
-	time.Sleep(pause)
-	c.start(h)
+	c.disturbProcess(h, "crash", func() {
+		h.process.Kill()
+		time.Sleep(pause)
+		c.start(h)
+	})
 }
 
 // stopAndRestart stops the process as planned and starts it again.
 func (c *cluster) stopAndRestart(h *host) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.terminate()
-	c.start(h)
+	c.disturbProcess(h, plannedStop, func() {
+		h.terminate()
+		c.start(h)
+	})
 }
 
 // terminate asks the process to exit and kills it after the grace period, as the
@@ -99,12 +99,20 @@
 }
 
 // freeze suspends the process for the length of the pause.
-func (h *host) freeze(pause time.Duration) {
+func (c *cluster) freeze(h *host, pause time.Duration) {
+	c.disturbProcess(h, "freeze", func() {
+		h.process.Freeze()
+		time.Sleep(pause)
+		h.process.Thaw()
+	})
+}
+
+// disturbProcess plays a fault of a process after those that last. It is recorded from when
+// it begins.
+func (c *cluster) disturbProcess(h *host, kind string, fault func()) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.process.Freeze()
-	time.Sleep(pause)
-	h.process.Thaw()
+	c.disturbances.during(h.name, kind, fault)
 }
 
 // isLoaded reports whether the current run of the process has written its first line. By
--- a/tests/soak/regressions_test.go
+++ b/tests/soak/regressions_test.go
@@ -39,7 +39,7 @@
 		callers.Go(func() { streams[i].send(&http.Client{Transport: &http.Transport{}}, http.MethodPost) })
 	}
 	time.Sleep(700 * time.Millisecond)
-	h.freeze(1300 * time.Millisecond)
+	c.freeze(h, 1300*time.Millisecond)
 	callers.Wait()
 	seen := c.observations()
 	for i := range streams {
--- a/tests/soak/restore_test.go
+++ b/tests/soak/restore_test.go
@@ -85,15 +85,12 @@
 	func(c *cluster, choices faultChoices) { c.replaceTarget(engineService, choices, c.retireTarget) },
 	func(c *cluster, choices faultChoices) { c.replaceTarget(plainService, choices, c.removeTarget) },
 	func(c *cluster, choices faultChoices) {
-		h := c.pickHost(choices)
-		c.disturbances.during(h.name, "crash", func() { c.crashAndRestart(h, choices.duration/4) })
+		c.crashAndRestart(c.pickHost(choices), choices.duration/4)
 	},
 	func(c *cluster, choices faultChoices) {
 		var all sync.WaitGroup
 		for _, h := range c.hosts {
-			all.Go(func() {
-				c.disturbances.during(h.name, "crash", func() { c.crashAndRestart(h, choices.duration/4) })
-			})
+			all.Go(func() { c.crashAndRestart(h, choices.duration/4) })
 		}
 		all.Wait()
 	},
