Plain calls: a target that falls silent under a call is evidence against it

Calls end after 0.8 or 1 s, entries of crashed targets stay for three heartbeats (3.6 s), so that no such call ever counted.

It counts now if the target has answered nothing to this host since the call was sent, for half a second at least. An answer that comes later, to any request, takes it back.

--- a/internal/edge/ejection/tracker.go
+++ b/internal/edge/ejection/tracker.go
@@ -44,6 +44,8 @@
 	latency     float64           // moving average in seconds, as of measuredAt
 	updatedAt   bootclock.Instant // as of when failureRate holds
 	measuredAt  bootclock.Instant // when the last answer was measured
+	answeredAt  bootclock.Instant // when the last answer began; 0 for none
+	silent      bool              // see MarkSilent
 }
 
 // decayedRate returns the failure rate as of now.
@@ -166,6 +168,32 @@
 	r.failureRate += sampleWeight * severity * 2 * (1 - r.failureRate)
 }
 
+// RecordAnswer records that an answer of a target begins, whatever its status. It reports
+// whether the target was marked as silent until now.
+func (t *Tracker) RecordAnswer(target string) (wasSilent bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.record(target)
+	wasSilent, r.silent = r.silent, false
+	r.answeredAt = r.updatedAt
+	return wasSilent
+}
+
+// AnsweredSince reports whether an answer of a target has begun since the given time.
+func (t *Tracker) AnsweredSince(target string, since bootclock.Instant) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.records[target]
+	return r != nil && r.answeredAt >= since
+}
+
+// MarkSilent marks a target as silent until its next answer.
+func (t *Tracker) MarkSilent(target string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.record(target).silent = true
+}
+
 // FailureCost returns how much worse a target is than a healthy one: 1 for a healthy
 // target, growing with its failure rate on this host and with the number of hosts
 // that report it.
--- a/internal/edge/plain/server.go
+++ b/internal/edge/plain/server.go
@@ -290,6 +290,7 @@
 	case err != nil:
 		o = outcome{result: broken, err: err}
 	default:
+		s.recordAnswer(key)
 		o = s.readResponse(ctx, served, response)
 	}
 	o.target, o.took = t, time.Since(started)
