Sends: the time left is encoded once the connection is established

Targets were given the time that the way to them took, up to 400 ms of a slow connection, and worked on after their callers had given up (TestTargetIsGivenTheTimeThatItsConnectionTook: 999 ms handed on, 700 ms left). The header was encoded before the connection was looked for. It is now encoded just before it is written.

--- a/internal/edge/sender.go
+++ b/internal/edge/sender.go
@@ -45,8 +45,8 @@
 	}
 	c := a.Call
 	return s.Pool.Do(ctx, t.Key(), t.Address, &targetconn.Request{
-		ID: c.ID, Method: c.Method, URI: c.URI, Host: c.Host, Header: s.Wire.Encode(c, d, a.TimeLeft()), Body: c.Body,
-		Use: use, Arrived: a.Arrived,
+		ID: c.ID, Method: c.Method, URI: c.URI, Host: c.Host, Body: c.Body,
+		EncodeHeader: func() http.Header { return s.Wire.Encode(c, d, a.TimeLeft()) }, Use: use, Arrived: a.Arrived,
 	})
 }
 
--- a/internal/edge/targetconn/pool.go
+++ b/internal/edge/targetconn/pool.go
@@ -90,6 +90,9 @@
 		p.put(conn)
 		return nil, &refusal{v}
 	}
+	if req.EncodeHeader != nil {
+		req.Header = req.EncodeHeader()
+	}
 	answered := false
 	defer func() { ended(answered) }()
 	detach := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
--- a/internal/edge/targetconn/request.go
+++ b/internal/edge/targetconn/request.go
@@ -16,7 +16,10 @@
 	URI    string // as the caller sent it, byte for byte
 	Host   string
 	Header http.Header
-	Body   []byte
+	// EncodeHeader returns Header when the connection is established, since it states how much
+	// time is left; nil if Header is set.
+	EncodeHeader func() http.Header
+	Body         []byte
 
 	Use     targetnotice.Use
 	Arrived bootclock.Instant // when the caller's request arrived at this host; 0 for control calls
