--- a/internal/edge/retrybudget/fleet_test.go
+++ b/internal/edge/retrybudget/fleet_test.go
@@ -62,18 +62,24 @@
 	return f.hosts[i].budget != nil && f.callersAt[0] <= i && i <= f.callersAt[1]
 }
 
+// count returns how many hosts are up, and how many of them take callers.
+func (f *fleet) count() (up, taking int) {
+	for i := range f.hosts {
+		if f.hosts[i].budget != nil {
+			up++
+		}
+		if f.takesCallers(i) {
+			taking++
+		}
+	}
+	return up, taking
+}
+
 // run lets slots pass. The requests are spread over the hosts that take callers.
 func (f *fleet) run(slots int) {
 	for range slots {
-		up, taking, requests, repeats := 0, 0, 0, 0
-		for i := range f.hosts {
-			if f.hosts[i].budget != nil {
-				up++
-			}
-			if f.takesCallers(i) {
-				taking++
-			}
-		}
+		up, taking := f.count()
+		requests, repeats := 0, 0
 		for i := range f.hosts {
 			h := &f.hosts[i]
 			if h.budget == nil {
@@ -83,22 +89,28 @@
 				h.known, h.listIn = up, listSlots-1
 			}
 			h.budget.nextSlot()
-			share := 0
-			if f.takesCallers(i) {
-				share = slotRequests * fleetHosts / taking
-			}
-			for range share {
-				requests++
-				h.budget.RecordRequest()
-				if f.failing && h.budget.TakeRetry().Granted {
-					repeats++
-				}
+			if !f.takesCallers(i) {
+				continue
 			}
+			share := slotRequests * fleetHosts / taking
+			requests += share
+			repeats += f.send(h.budget, share)
 		}
 		f.requests, f.repeats = append(f.requests, requests), append(f.repeats, repeats)
 	}
 }
 
+// send sends requests to a host and returns how many it repeats.
+func (f *fleet) send(b *Budget, requests int) (repeats int) {
+	for range requests {
+		b.RecordRequest()
+		if f.failing && b.TakeRetry().Granted {
+			repeats++
+		}
+	}
+	return repeats
+}
+
 // nextSlot makes all counts one slot older.
 func (b *Budget) nextSlot() {
 	b.startedSlot--
