--- a/tests/soak/retrybudget_test.go
+++ b/tests/soak/retrybudget_test.go
@@ -284,7 +284,7 @@
 	}
 	slices.SortFunc(sent, time.Time.Compare)
 	repeats := f.repeats()
-	end, bound := worstWindow(repeats, sent)
+	end, bound := worstWindow(repeats, sent, budgetSlack)
 	within := inWindow(repeats, end)
 	f.t.Logf("%d calls, %d repeats; the window closest to its bound ends at %s: %d repeats, bound %.1f%s",
 		len(sent), len(repeats), end.Format(timeLayout), len(within), bound, f.explain(within))
@@ -294,8 +294,8 @@
 }
 
 // worstWindow returns the end and the bound of the window whose repeats use the largest
-// share of it. Both arguments are sorted by time.
-func worstWindow(repeats []repeat, sent []time.Time) (worst time.Time, worstBound float64) {
+// share of it. Repeats and sent are sorted by time.
+func worstWindow(repeats []repeat, sent []time.Time, slack float64) (worst time.Time, worstBound float64) {
 	var ends []time.Time // all ends at which a count changes
 	for _, r := range repeats {
 		ends = append(ends, r.at, r.at.Add(budgetWindow-1))
@@ -308,7 +308,7 @@
 	requests := func(end time.Time) int { return countUntil(sent, end) - countUntil(sent, end.Add(-budgetWindow)) }
 	most := -1.0
 	for _, end := range ends {
-		bound := budgetRatio*float64(max(requests(end), requests(end.Add(-budgetWindow/2)), requests(end.Add(-budgetWindow)))) + budgetSlack
+		bound := budgetRatio*float64(max(requests(end), requests(end.Add(-budgetWindow/2)), requests(end.Add(-budgetWindow)))) + slack
 		if used := float64(len(inWindow(repeats, end))) / bound; used > most {
 			most, worst, worstBound = used, end, bound
 		}
@@ -437,7 +437,7 @@
 		for n := range repeats {
 			all = append(all, repeat{at: at.Add(first + time.Duration(n)*interval)})
 		}
-		end, bound := worstWindow(all, sent)
+		end, bound := worstWindow(all, sent, budgetSlack)
 		return float64(len(inWindow(all, end))) > bound
 	}
 	require.False(t, exceeds(budgetSlack+4, 0, time.Millisecond))
--- a/tests/soak/traffic_test.go
+++ b/tests/soak/traffic_test.go
@@ -23,11 +23,12 @@
 	id, route, key string
 	host           *host
 	sent, ended    time.Time
-	headAt         time.Time // when the head of the response arrived; zero without a response
-	leaving        bool      // the response bears its target's statement that it leaves
-	events         int       // requested length of a stream
-	after          int       // last event that the caller had before; its stream resumes from there
-	status         int       // 0 without a response
+	deadline       time.Duration // that the caller stated; 0 if the test doesn't need it
+	headAt         time.Time     // when the head of the response arrived; zero without a response
+	leaving        bool          // the response bears its target's statement that it leaves
+	events         int           // requested length of a stream
+	after          int           // last event that the caller had before; its stream resumes from there
+	status         int           // 0 without a response
 	retryAfter     string
 	signed         bool
 	body           string
