--- a/tests/soak/budgetrules_test.go
+++ b/tests/soak/budgetrules_test.go
@@ -497,61 +497,82 @@
 
 // judgeDeadlines checks the time that is handed on.
 func (f *ruledFleet) judgeDeadlines(service string, all map[string][]targetArrival, calls map[string]*outcome) {
-	wrong, lateRepeats, longest := 0, 0, time.Duration(0)
+	wrong, lateRepeats := countLongDeadlines(all, calls)
+	longest := time.Duration(0)
 	for id, arrivals := range all {
-		o := calls[id]
-		end := func(a targetArrival) time.Time {
-			ms, _ := strconv.ParseInt(a.deadline, 10, 64)
-			return a.at.Add(time.Duration(ms) * time.Millisecond)
+		for _, a := range arrivals {
+			longest = max(longest, a.end().Sub(calls[id].sent.Add(calls[id].deadline)))
 		}
-		for i, a := range arrivals {
-			ms, err := strconv.ParseInt(a.deadline, 10, 64)
-			late := i > 0 && a.at.Sub(arrivals[0].at) > deadlineTolerance
-			over := min(end(a).Sub(end(arrivals[0])), end(a).Sub(o.sent.Add(o.deadline)))
-			longest = max(longest, end(a).Sub(o.sent.Add(o.deadline)))
+	}
+	f.t.Logf("%s: %d deadlines too long, %d late repeats; a target's deadline ended %s after its caller's at most", service, wrong, lateRepeats, longest.Round(time.Millisecond))
+	if wrong > maxLateDeadlines && 5*wrong > lateRepeats {
+		f.t.Errorf("T: %s: %d deadlines that were handed on are too long", service, wrong)
+	}
+}
+
+// end returns when the target gives the request up, the zero time if it was not told.
+func (a targetArrival) end() time.Time {
+	ms, err := strconv.ParseInt(a.deadline, 10, 64)
+	if err != nil {
+		return time.Time{}
+	}
+	return a.at.Add(time.Duration(ms) * time.Millisecond)
+}
+
+// countLongDeadlines returns how many arrivals had no or too long a deadline, and how many were
+// repeats that came late.
+func countLongDeadlines(all map[string][]targetArrival, calls map[string]*outcome) (wrong, lateRepeats int) {
+	for id, arrivals := range all {
+		o, first := calls[id], arrivals[0]
+		for _, a := range arrivals {
+			late := a.at.Sub(first.at) > deadlineTolerance
+			over := min(a.end().Sub(first.end()), a.end().Sub(o.sent.Add(o.deadline)))
 			if late {
 				lateRepeats++
 			}
-			if err != nil || time.Duration(ms)*time.Millisecond > o.deadline+deadlineTolerance || late && over > deadlineTolerance {
+			if a.end().IsZero() || a.end().Sub(a.at) > o.deadline+deadlineTolerance || late && over > deadlineTolerance {
 				wrong++
 			}
 		}
 	}
-	f.t.Logf("%s: %d deadlines too long, %d late repeats; a target's deadline ended %s after its caller's at most", service, wrong, lateRepeats, longest.Round(time.Millisecond))
-	if wrong > maxLateDeadlines && 5*wrong > lateRepeats {
-		f.t.Errorf("T: %s: %d deadlines that were handed on are too long", service, wrong)
-	}
+	return wrong, lateRepeats
 }
 
 // judgeAttempts checks on how many targets one request of a caller ran.
 func (f *ruledFleet) judgeAttempts(calls map[string]*outcome) {
-	over := 0
 	f.deskMu.Lock()
-	for id, targets := range f.runs {
-		if o := calls[id]; o != nil && len(targets) > f.attempts[o.route] {
-			over++
-		}
-	}
+	over := f.countOverAttempted(f.runs, calls)
 	f.deskMu.Unlock()
-	started := make(map[string]int)
+	started := make(map[string]map[string]bool)
 	for _, t := range f.targets {
-		if t.engine != nil {
-			for _, id := range t.engine.Started() {
-				started[id]++
-			}
+		if t.engine == nil {
+			continue
 		}
-	}
-	for id, n := range started {
-		if calls[id] != nil && n > f.attempts["draft"] {
-			over++
+		for _, id := range t.engine.Started() {
+			if started[id] == nil {
+				started[id] = make(map[string]bool)
+			}
+			started[id][t.id] = true
 		}
 	}
+	over += f.countOverAttempted(started, calls)
 	f.t.Logf("%d requests ran on more targets than their attempts", over)
 	if over > maxOverAttempted {
 		f.t.Errorf("A: %d requests ran on more targets than their attempts", over)
 	}
 }
 
+// countOverAttempted returns how many requests ran on more targets than their attempts. runs are
+// the targets that ran a request, by id.
+func (f *ruledFleet) countOverAttempted(runs map[string]map[string]bool, calls map[string]*outcome) (over int) {
+	for id, targets := range runs {
+		if o := calls[id]; o != nil && len(targets) > f.attempts[o.route] {
+			over++
+		}
+	}
+	return over
+}
+
 // judgeCrashes checks how often a request that crashes targets is sent once that is known.
 func (f *ruledFleet) judgeCrashes() {
 	f.deskMu.Lock()
@@ -610,3 +631,21 @@
 func (f *ruledFleet) restartedWithin(h *host, from, to time.Time) bool {
 	return slices.ContainsFunc(h.startedAt, func(at time.Time) bool { return at.After(from) && at.Before(to) })
 }
+
+// TestBudgetRulesDetectViolations tests the checks themselves.
+func TestBudgetRulesDetectViolations(t *testing.T) {
+	at := time.Now()
+	calls := map[string]*outcome{"r": {id: "r", route: "check", sent: at, deadline: time.Second}}
+	wrong := func(first, second string, after time.Duration) int {
+		n, _ := countLongDeadlines(map[string][]targetArrival{"r": {{at: at, deadline: first}, {at: at.Add(after), deadline: second}}}, calls)
+		return n
+	}
+	require.Equal(t, 0, wrong("1000", "400", 600*time.Millisecond))
+	require.Equal(t, 1, wrong("1000", "1000", 600*time.Millisecond), "ends later than the first")
+	require.Equal(t, 0, wrong("1000", "1000", 400*time.Millisecond), "not late")
+	require.Equal(t, 1, wrong("1600", "400", 600*time.Millisecond), "longer than the caller's")
+	require.Equal(t, 1, wrong("1000", "", 100*time.Millisecond), "none")
+	f := &ruledFleet{attempts: map[string]int{"check": 2}}
+	require.Equal(t, 0, f.countOverAttempted(map[string]map[string]bool{"r": {"a": true, "b": true}}, calls))
+	require.Equal(t, 1, f.countOverAttempted(map[string]map[string]bool{"r": {"a": true, "b": true, "c": true}}, calls))
+}
