--- a/internal/edge/streaming/forward.go
+++ b/internal/edge/streaming/forward.go
@@ -35,7 +35,7 @@
 		if err == errCallerGone {
 			return r.endForCaller(ctx, current)
 		}
-		r.beginPause(ctx, err)
+		r.beginInterruption(ctx, err)
 		if err != io.EOF {
 			r.awaitCopy(ctx)
 		}
--- a/internal/edge/streaming/pause.go
+++ b/internal/edge/streaming/interruption.go
@@ -8,60 +8,60 @@
 	"corianderhitch/internal/edge/bootclock"
 )
 
-// pause is the time in which no engine works on a run, as far as its host knows. Its zero value
-// stands for a run at which one does.
-type pause struct {
+// interruption is the time in which no engine works on a run, as far as its host knows. Its zero
+// value stands for a run at which one does.
+type interruption struct {
 	since bootclock.Instant
 	cause string
 }
 
-// Causes of a pause in log lines.
+// Causes of an interruption in log lines.
 const (
-	pauseFinalCopy   = "final_copy"
-	pauseStreamEnded = "stream_ended"
-	pauseBrokenOff   = "stream_broke_off"
+	interruptedByFinalCopy = "final_copy"
+	interruptedByEnd       = "stream_ended"
+	interruptedByBreak     = "stream_broke_off"
 )
 
-// begin records a pause unless one lasts already.
-func (p *pause) begin(cause string) {
-	if p.since == 0 {
-		p.since, p.cause = bootclock.Now(), cause
+// begin records an interruption unless one lasts already.
+func (i *interruption) begin(cause string) {
+	if i.since == 0 {
+		i.since, i.cause = bootclock.Now(), cause
 	}
 }
 
-// beginPause records why the stream of the run's engine ended with err, unless the request
+// beginInterruption records why the stream of the run's engine ended with err, unless the request
 // itself has ended: then the engine worked until now.
-func (r *Run) beginPause(ctx context.Context, err error) {
+func (r *Run) beginInterruption(ctx context.Context, err error) {
 	if ctx.Err() != nil || err == errCallerGone {
 		return
 	}
-	cause := pauseBrokenOff
+	cause := interruptedByBreak
 	if err == io.EOF {
-		cause = pauseStreamEnded
+		cause = interruptedByEnd
 	}
 	r.mu.Lock()
-	r.pause.begin(cause)
+	r.interruption.begin(cause)
 	r.mu.Unlock()
 }
 
-func (r *Run) endPause() {
+func (r *Run) endInterruption() {
 	r.mu.Lock()
-	r.pause = pause{}
+	r.interruption = interruption{}
 	r.mu.Unlock()
 }
 
 // logBrokenOff logs that the run's stream ends early, and whether an engine worked on it.
 func (r *Run) logBrokenOff(reason, target, errText string) {
 	r.mu.Lock()
-	p := r.pause
+	i := r.interruption
 	r.mu.Unlock()
-	paused := int64(0)
-	if p.since != 0 {
-		paused = bootclock.Since(p.since).Milliseconds()
+	took := int64(0)
+	if i.since != 0 {
+		took = bootclock.Since(i.since).Milliseconds()
 	}
 	a := r.call
 	a.Log.Warn("stream: broken off", "reason", reason, "target", target, "after_event", r.lastEventID.Load(),
-		"silent_ms", r.SinceLastEvent().Milliseconds(), "paused_ms", paused, "paused_by", p.cause,
+		"silent_ms", r.SinceLastEvent().Milliseconds(), "interrupted_ms", took, "interrupted_by", i.cause,
 		r.server.Drain.LogAttr(), "age_ms", a.Age().Milliseconds(), "shared_parts", a.Call.Generation.SharedPartNames(), "error", errText)
 }
 
--- a/internal/edge/streaming/pause_test.go
+++ b/internal/edge/streaming/interruption_test.go
@@ -21,16 +21,16 @@
 	ended, cancel := context.WithCancel(t.Context())
 	cancel()
 	for name, c := range map[string]struct {
-		final  *edge.MoveReply
-		ctx    context.Context
-		err    error
-		paused string
+		final *edge.MoveReply
+		ctx   context.Context
+		err   error
+		cause string
 	}{
-		"stopped for a move":          {&edge.MoveReply{Result: edge.MoveCopied, Handle: "h"}, ended, io.ErrUnexpectedEOF, pauseFinalCopy},
+		"stopped for a move":          {&edge.MoveReply{Result: edge.MoveCopied, Handle: "h"}, ended, io.ErrUnexpectedEOF, interruptedByFinalCopy},
 		"final copy refused":          {&edge.MoveReply{Result: edge.MoveNoRoom}, ended, io.ErrUnexpectedEOF, ""},
 		"request ended":               {nil, ended, io.ErrUnexpectedEOF, ""},
-		"engine broke off":            {nil, t.Context(), io.ErrUnexpectedEOF, pauseBrokenOff},
-		"engine ended its stream":     {nil, t.Context(), io.EOF, pauseStreamEnded},
+		"engine broke off":            {nil, t.Context(), io.ErrUnexpectedEOF, interruptedByBreak},
+		"engine ended its stream":     {nil, t.Context(), io.EOF, interruptedByEnd},
 		"caller cannot be written to": {nil, t.Context(), errCallerGone, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -44,9 +44,9 @@
 				require.True(t, r.BeginFinalCopy(replica))
 				r.EndFinalCopy(replica, *c.final, time.Minute)
 			}
-			r.beginPause(c.ctx, c.err)
+			r.beginInterruption(c.ctx, c.err)
 			r.logBrokenOff("reason", "s", "")
-			require.Contains(t, log.String(), "paused_by="+map[bool]string{true: `""`, false: c.paused}[c.paused == ""]+" ")
+			require.Contains(t, log.String(), "interrupted_by="+map[bool]string{true: `""`, false: c.cause}[c.cause == ""]+" ")
 		})
 	}
 }
--- a/internal/edge/streaming/replica.go
+++ b/internal/edge/streaming/replica.go
@@ -145,7 +145,7 @@
 		return false
 	}
 	replica.stopping = true
-	r.pause.begin(pauseFinalCopy)
+	r.interruption.begin(interruptedByFinalCopy)
 	return true
 }
 
@@ -155,7 +155,7 @@
 func (r *Run) EndFinalCopy(replica *Replica, reply edge.MoveReply, closeAfter time.Duration) {
 	replica.finalCopy = reply
 	if reply.Result == edge.MoveBusy || reply.Result == edge.MoveNoRoom && reply.Handle == "" {
-		r.endPause() // the engine has not stopped the run
+		r.endInterruption() // the engine has not stopped the run
 	}
 	close(replica.done)
 	if stoppedAtSource(reply) {
--- a/internal/edge/streaming/run.go
+++ b/internal/edge/streaming/run.go
@@ -45,15 +45,15 @@
 	// ctx is that of the caller's request. Set before the run enters its first target.
 	ctx context.Context
 
-	mu          sync.Mutex
-	target      *targets.Target // guarded by mu; where the run executes, nil between targets
-	segment     *segment        // guarded by mu
-	events      int             // guarded by mu; number of events of the stream that the caller has
-	countedLoad inflight.Load   // guarded by mu; load counted for target
-	pause       pause           // guarded by mu
-	replica     *Replica        // guarded by mu; copied from the current target
-	copying     chan struct{}   // guarded by mu; closed at the end of the copy in progress, nil if there is none
-	takeover    *takeover       // guarded by mu; from its begin until the reading goroutine has used it or it has failed
+	mu           sync.Mutex
+	target       *targets.Target // guarded by mu; where the run executes, nil between targets
+	segment      *segment        // guarded by mu
+	events       int             // guarded by mu; number of events of the stream that the caller has
+	countedLoad  inflight.Load   // guarded by mu; load counted for target
+	interruption interruption    // guarded by mu
+	replica      *Replica        // guarded by mu; copied from the current target
+	copying      chan struct{}   // guarded by mu; closed at the end of the copy in progress, nil if there is none
+	takeover     *takeover       // guarded by mu; from its begin until the reading goroutine has used it or it has failed
 	// nextTakeover is the earliest time of the next takeover; guarded by mu.
 	nextTakeover bootclock.Instant
 }
@@ -121,7 +121,7 @@
 // enterTarget records the target that now executes the run.
 func (r *Run) enterTarget(s *segment) {
 	r.mu.Lock()
-	r.target, r.segment, r.countedLoad, r.pause = s.target, s, s.load, pause{}
+	r.target, r.segment, r.countedLoad, r.interruption = s.target, s, s.load, interruption{}
 	r.mu.Unlock()
 	if r.lastEventAt.Load() != 0 {
 		r.lastEventAt.Store(int64(bootclock.Now())) // the previous engine's silence does not count against this one
