--- a/internal/drill/command.go
+++ b/internal/drill/command.go
@@ -56,6 +56,7 @@
 	flags.StringVar(&o.Out, "out", "", "directory of the record and the hosts' logs; one under the temporary directory by default")
 	flags.IntVar(&o.Load, "load", 0, "busy loops beside the run")
 	flags.BoolVar(&o.Planned, "planned", false, "play planned work only")
+	flags.BoolVar(&o.Fragile, "fragile-copies", false, "a copy of a run can't be used while more is added to it, nor if that fails")
 	flags.StringSliceVar(&o.Only, "only", nil, "names of the disturbances that are played, comma-separated; all by default")
 	cmd.AddCommand(burnCommand(), judgeCommand())
 	return cmd
--- a/internal/drill/deployment/engine.go
+++ b/internal/drill/deployment/engine.go
@@ -15,5 +15,6 @@
 	Moves           bool          `toml:"moves"`
 	HandleLifetime  time.Duration `toml:"handle_lifetime"`
 	ReportLag       time.Duration `toml:"report_lag"`
+	FragileCopies   bool          `toml:"fragile_copies"`   // a copy can't be used while more is added to it, nor if that fails
 	TransferLatency time.Duration `toml:"transfer_latency"` // of a transfer, besides its bytes
 }
--- a/internal/drill/run.go
+++ b/internal/drill/run.go
@@ -60,6 +60,11 @@
 	}
 	defer events.Close()
 	withOtherServices(d)
+	for _, s := range d.Services {
+		if s.Engine != nil {
+			s.Engine.FragileCopies = s.Engine.FragileCopies || o.Fragile
+		}
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	log := record.NewLog(o.Seed, d.Record())
