--- a/internal/drill/run.go
+++ b/internal/drill/run.go
@@ -30,6 +30,7 @@
 	EdgePath string
 	Out      string   // directory of the record and the logs
 	Load     int      // busy loops beside the run
+	Fragile  bool     // makes the copies of engines fragile
 	Planned  bool     // plays planned work only
 	Only     []string // disturbances that are played; all if empty
 }
@@ -60,6 +61,11 @@
 	}
 	defer events.Close()
 	withOtherServices(d)
+	for _, s := range d.Services {
+		if s.Engine != nil {
+			s.Engine.FragileCopies = s.Engine.FragileCopies || o.Fragile
+		}
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	log := record.NewLog(o.Seed, d.Record())
