--- a/internal/drill/judge/budget_retries.go
+++ b/internal/drill/judge/budget_retries.go
@@ -11,7 +11,8 @@
 )
 
 // excessRetries finds windows in which a service got more repeats than its requests allow. A
-// request that goes on from the memory of the same run is no repeat.
+// request that goes on from the memory of its run is the same run, unless the target rejects
+// it: rejected arrivals count.
 func excessRetries(x *index) []Violation {
 	var all []Violation
 	for _, l := range x.retryLoads(false) {
@@ -63,7 +64,7 @@
 	}
 	for _, arrivals := range x.arrivals {
 		for _, a := range arrivals[1:] {
-			if withContinuations || !a.Continues {
+			if withContinuations || !a.Continues || !a.Ran {
 				of(a.Service).repeats = append(of(a.Service).repeats, a)
 			}
 		}
--- a/internal/drill/judge/budget_retries_test.go
+++ b/internal/drill/judge/budget_retries_test.go
@@ -30,14 +30,17 @@
 		change func(*record.Run)
 		broken bool
 	}{
-		"as many as allowed":                      {retryRun(10, 20, 7, 21, 0.1), nil, false},
-		"one more":                                {retryRun(10, 20, 8, 21, 0.1), nil, true},
-		"one more, the last in the next window":   {retryRun(10, 20, 8, 21, 10.0/7), nil, false},
-		"requests of the window before count":     {retryRun(10, 20, 7, 29.3, 0.1), nil, false},
-		"earlier requests do not":                 {retryRun(10, 20, 7, 30, 0.1), nil, true},
-		"requests that did not arrive count":      {retryRun(10, 20, 7, 21, 0.1), func(r *record.Run) { r.Arrivals = append(r.Arrivals[:1], r.Arrivals[10:]...) }, false},
-		"rejected repeats count":                  {retryRun(10, 20, 8, 21, 0.1), func(r *record.Run) { r.Arrivals[11].Ran, r.Arrivals[11].Outcome = false, record.Rejected }, true},
-		"a continuation of the run is no repeat":  {retryRun(10, 20, 8, 21, 0.1), func(r *record.Run) { r.Arrivals[11].Continues = true }, false},
+		"as many as allowed":                     {retryRun(10, 20, 7, 21, 0.1), nil, false},
+		"one more":                               {retryRun(10, 20, 8, 21, 0.1), nil, true},
+		"one more, the last in the next window":  {retryRun(10, 20, 8, 21, 10.0/7), nil, false},
+		"requests of the window before count":    {retryRun(10, 20, 7, 29.3, 0.1), nil, false},
+		"earlier requests do not":                {retryRun(10, 20, 7, 30, 0.1), nil, true},
+		"requests that did not arrive count":     {retryRun(10, 20, 7, 21, 0.1), func(r *record.Run) { r.Arrivals = append(r.Arrivals[:1], r.Arrivals[10:]...) }, false},
+		"rejected repeats count":                 {retryRun(10, 20, 8, 21, 0.1), func(r *record.Run) { r.Arrivals[11].Ran, r.Arrivals[11].Outcome = false, record.Rejected }, true},
+		"a continuation of the run is no repeat": {retryRun(10, 20, 8, 21, 0.1), func(r *record.Run) { r.Arrivals[11].Continues = true }, false},
+		"a continuation that is rejected": {retryRun(10, 20, 8, 21, 0.1), func(r *record.Run) {
+			r.Arrivals[11].Continues, r.Arrivals[11].Ran, r.Arrivals[11].Outcome = true, false, record.Rejected
+		}, true},
 		"requests of other services do not count": {retryRun(10, 20, 7, 21, 0.1), func(r *record.Run) { r.Requests[9].Route = "check" }, true},
 		"requests of a route that moved here": {retryRun(10, 20, 7, 21, 0.1), func(r *record.Run) {
 			r.Requests[9].Route = "check"
