Tests: a run that a draining host does not move goes on after the exit of its engine

Guards the other side of the mend: a run that ends in the drain is kept where it is and continues from its copy.

--- a/tests/edge/drain_move_test.go
+++ b/tests/edge/drain_move_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -113,3 +114,17 @@
 	m.requireWorkUntilTheAbort(t)
 	require.Empty(t, finals, "the run was stopped in the drain")
 }
+
+func TestRunThatADrainingHostDoesNotMoveIsLostWithItsEngine(t *testing.T) {
+	t.Parallel()
+	const events = 400 // ends in the drain
+	m := startDrainingMove(t, 0, events)
+	m.stop()
+	m.leave(t)
+	require.Eventually(t, func() bool { return strings.Contains(m.host.logs.String(), `"outcome":"secured"`) }, waitTimeout, checkInterval)
+	m.source.Crash()
+	a := <-m.pending
+	require.NoError(t, a.err)
+	require.Equal(t, standin.StreamText("r-1", events), a.body)
+	require.Contains(t, m.host.logs.String(), "stream: first event after a move")
+}
