--- a/tests/soak/main_test.go
+++ b/tests/soak/main_test.go
@@ -22,7 +22,8 @@
 	faultDuration  = flag.Duration("for", 8*time.Second, "how long faults are injected")
 	hostCount      = flag.Int("hosts", 4, "edge processes")
 	callersPerHost = flag.Int("callers", 8, "callers per host, each with one persistent connection")
-	edgePath       string // the program under test, built by TestMain
+	edgeBinary     = flag.String("edge", "", "edge program to test instead of the one that is built from this tree")
+	edgePath       string // the program under test, built by TestMain unless -edge is set
 	ctlPath        string // the operators' command line, built by TestMain
 )
 
@@ -41,6 +42,9 @@
 		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
 		os.Exit(1)
 	}
+	if *edgeBinary != "" {
+		edgePath = *edgeBinary
+	}
 	code := m.Run()
 	_ = os.RemoveAll(dir)
 	os.Exit(code)
