Soak: restarts beside engines that leave at short notice

The restarts in series had engines that never left, and moves that took no time. Now engines are reclaimed and released meanwhile, hold a bounded number of runs and copy them over links of the users' numbers; streams have lengths and hints of the users' site. A request whose engine crashed under its last run counts as broken off by the server; one that a final copy stopped does not.

--- a/tests/soak/checks_test.go
+++ b/tests/soak/checks_test.go
@@ -17,6 +17,8 @@
 	target    *target
 	fromStart bool // the engine did not continue another engine's run
 	fromCopy  bool // the engine continued another engine's run from its memory
+	complete  bool // the engine produced the last event
+	stopped   bool // a final copy stopped the run
 	account   string
 }
 
@@ -28,7 +30,7 @@
 	for _, t := range c.targets {
 		if t.engine != nil {
 			for _, s := range t.engine.Spans() {
-				out[s.ID] = append(out[s.ID], observation{arrivedAt: s.From, endedAt: s.To, target: t, fromStart: s.FromStart, fromCopy: s.FromCopy})
+				out[s.ID] = append(out[s.ID], observation{arrivedAt: s.From, endedAt: s.To, target: t, fromStart: s.FromStart, fromCopy: s.FromCopy, complete: s.Complete, stopped: s.Stopped})
 			}
 			continue
 		}
--- a/tests/soak/cluster_test.go
+++ b/tests/soak/cluster_test.go
@@ -34,6 +34,7 @@
 type site struct {
 	grace, revoke, apply, callTimeout time.Duration
 	retrySlack                        int
+	domains                           int // failure domains of the targets; 0 for one
 }
 
 // soakSite has bounds that a short run reaches. apply is unset: hosts use their default.
--- a/tests/soak/lost_test.go
+++ b/tests/soak/lost_test.go
@@ -116,6 +116,9 @@
 	if u.ended.Sub(u.sent) >= r.site.callTimeout {
 		return ""
 	}
+	if brokenOff(seen) {
+		return ""
+	}
 	stop := r.stopBefore(u.host, u.ended)
 	if stop == nil {
 		return "cut although its host was not stopped"
--- a/tests/soak/restarts_test.go
+++ b/tests/soak/restarts_test.go
@@ -14,6 +14,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"corianderhitch/platform/standin"
 )
 
 var lateStops = flag.Duration("late-stops", 0, "how late processes handle the SIGTERMs of restarts in series at most")
@@ -42,12 +44,15 @@
 // restartRun is a cluster whose hosts are restarted under traffic.
 type restartRun struct {
 	*cluster
-	traffic sync.WaitGroup
+	load        restartLoad
+	traffic     sync.WaitGroup
+	stopTraffic context.CancelFunc
 
-	mu    sync.Mutex
-	stops []hostStop      // guarded by mu
-	uses  []connectionUse // guarded by mu
-	ids   int             // guarded by mu; number of the last request
+	mu      sync.Mutex
+	stops   []hostStop      // guarded by mu
+	reloads []hostReload    // guarded by mu
+	uses    []connectionUse // guarded by mu
+	ids     int             // guarded by mu; number of the last request
 }
 
 // TestRestartsInSeriesCutNoRequest restarts hosts as planned, several at a time, while
@@ -67,31 +72,54 @@
 }
 
 func runRestarts(t *testing.T, seed uint64, silentTargets bool) *restartRun {
-	c := newClusterAt(t, restartSite, seed, restartedHosts)
-	for range moreEngines {
+	r := startRestartRun(t, restartSite, seed, restartLoad{engines: engineCount + moreEngines, callersPerKind: callersPerKind})
+	disturbed, end := context.WithCancel(t.Context())
+	if silentTargets {
+		r.traffic.Go(func() { r.injectSilences(disturbed, seed) })
+	}
+	r.restartHosts()
+	end()
+	r.end()
+	return r
+}
+
+// restartLoad is what a restartRun consists of.
+type restartLoad struct {
+	engines, callersPerKind int
+	varied                  bool // streams have the lengths of the users' site, and moves take their time
+}
+
+// startRestartRun starts a cluster and its callers, and waits until it serves.
+func startRestartRun(t *testing.T, s site, seed uint64, load restartLoad) *restartRun {
+	c := newClusterAt(t, s, seed, restartedHosts)
+	for range load.engines - engineCount {
 		c.addEngine()
 	}
 	c.engines.SetEventInterval(modelPace)
-	r := &restartRun{cluster: c}
+	if load.varied {
+		c.engines.SetEventCount(modelLength)
+		c.engines.SetLink(standin.Link{Setup: moveSetup, PerToken: movePerToken, TokensPerEvent: 4, Domain: c.domainOf})
+		c.engines.SetRoom(standin.Room{Runs: siteSlotsOfEngine, Tokens: siteMemory})
+	}
+	r := &restartRun{cluster: c, load: load}
 	ctx, cancel := context.WithCancel(t.Context())
+	r.stopTraffic = cancel
 	for i, h := range c.hosts {
-		for n := range callersPerKind * len(callers) {
+		for n := range load.callersPerKind * len(callers) {
 			random := rand.New(rand.NewPCG(seed, uint64(100*i+n)))
 			r.traffic.Go(func() { r.runCaller(ctx, h, callers[n%len(callers)], random) })
 		}
 	}
 	time.Sleep(warmUp)
-	disturbed, end := context.WithCancel(ctx)
-	if silentTargets {
-		r.traffic.Go(func() { r.injectSilences(disturbed, seed) })
-	}
-	r.restartHosts()
-	end()
-	cancel()
-	r.traffic.Wait()
 	return r
 }
 
+// end ends the traffic. The processes go on.
+func (r *restartRun) end() {
+	r.stopTraffic()
+	r.traffic.Wait()
+}
+
 // modelPace is the time that engines take for the n-th event of a request.
 func modelPace(request string, n int) time.Duration {
 	if n == 1 {
@@ -122,7 +150,7 @@
 		})
 		time.Sleep(between(r.random, 500*time.Millisecond, 2*time.Second))
 		other := r.hosts[r.random.IntN(len(r.hosts))]
-		wait.Go(func() { r.reloadSettings(other) })
+		wait.Go(func() { r.reload(other) })
 		if r.random.IntN(2) == 0 {
 			r.applyNextVersion()
 		}
@@ -131,6 +159,19 @@
 	wait.Wait()
 }
 
+// hostReload is a SIGHUP to a host.
+type hostReload struct {
+	host *host
+	at   time.Time
+}
+
+func (r *restartRun) reload(h *host) {
+	r.reloadSettings(h)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reloads = append(r.reloads, hostReload{h, time.Now()})
+}
+
 // laterSignal is a signal to a process that is draining.
 type laterSignal struct {
 	after  time.Duration // the first SIGTERM
@@ -262,6 +303,9 @@
 	switch draw := random.IntN(100); {
 	case draw < kind.longStreams:
 		u.route, u.events = []string{"draft", "lookup"}[random.IntN(2)], longStream
+		if r.load.varied {
+			u.varyLength(random)
+		}
 	case draw < 85:
 		u.route, u.events = "draft", shortStream
 	default:
--- a/tests/soak/target_test.go
+++ b/tests/soak/target_test.go
@@ -58,7 +58,14 @@
 }
 
 func (c *cluster) register(t *target, state string) {
-	c.put(platform.TargetPrefix+t.id, standin.TargetEntry(t.service, t.proxy.Address(), state, 24))
+	c.put(platform.TargetPrefix+t.id, standin.TargetEntryIn(c.domainOf(t.id), t.service, t.proxy.Address(), state, 24))
+}
+
+// domainOf returns the failure domain of a target.
+func (c *cluster) domainOf(target string) string {
+	var n int
+	_, _ = fmt.Sscanf(target, "t-%d", &n)
+	return string(rune('a' + n%max(c.site.domains, 1)))
 }
 
 // activeTargets returns the targets of a service that are neither leaving nor
--- a/tests/soak/traffic_test.go
+++ b/tests/soak/traffic_test.go
@@ -26,6 +26,8 @@
 	headAt         time.Time // when the head of the response arrived; zero without a response
 	leaving        bool      // the response bears its target's statement that it leaves
 	events         int       // requested length of a stream
+	hintedEvents   int       // length that the caller expects; 0 for no hint
+	promptTokens   int       // 0 for the default
 	after          int       // last event that the caller had before; its stream resumes from there
 	status         int       // 0 without a response
 	retryAfter     string
@@ -113,10 +115,13 @@
 
 // send sends the request once. Its body cannot be rewound, so that the transport
 // does not retry it, not even a GET.
-func (o *outcome) send(client *http.Client, method string) {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout+time.Second)
+func (o *outcome) send(client *http.Client, method string) { o.sendWithin(client, method, callTimeout) }
+
+// sendWithin sends the request once. Its caller waits for the given time.
+func (o *outcome) sendWithin(client *http.Client, method string, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout+time.Second)
 	defer cancel()
-	r := o.request(ctx, method, callTimeout)
+	r := o.request(ctx, method, timeout)
 	o.sent = time.Now()
 	defer func() { o.ended = time.Now() }()
 	response, err := client.Do(r)
@@ -138,6 +143,7 @@
 	call := standin.Call{ID: o.id, APIKey: o.key, Timeout: timeout}
 	if o.isStream() {
 		call.Events, call.ResumeAfter = o.events, o.after
+		call.HintedEvents, call.PromptTokens = o.hintedEvents, o.promptTokens
 	}
 	call.SetHeaders(r)
 	return r
