--- a/tests/soak/cluster_test.go
+++ b/tests/soak/cluster_test.go
@@ -37,6 +37,7 @@
 type site struct {
 	grace, revoke, apply, callTimeout time.Duration
 	retrySlack                        int
+	domains                           int // failure domains of the targets; 0 for one
 }
 
 // soakSite has bounds that a short run reaches. apply is unset: hosts use their default.
