--- a/tests/soak/reclaims_test.go
+++ b/tests/soak/reclaims_test.go
@@ -226,7 +226,7 @@
 func brokenOff(seen []observation) bool {
 	last := seen[len(seen)-1]
 	removed := last.target.removedAt
-	return !removed.IsZero() && !last.stopped && !last.complete && !last.endedAt.Before(removed) && last.endedAt.Before(removed.Add(crashEvidence))
+	return !removed.IsZero() && !last.stopped && !last.completed && !last.endedAt.Before(removed) && last.endedAt.Before(removed.Add(crashEvidence))
 }
 
 // summarizeCuts counts the requests that were cut, by what their run ended with, the planned work
@@ -281,7 +281,7 @@
 func (r *restartRun) runEnd(u *connectionUse, seen []observation) string {
 	last := seen[len(seen)-1]
 	switch {
-	case last.complete:
+	case last.completed:
 		return "complete"
 	case last.stopped && r.copiedElsewhere(u, last.target):
 		return "stopped, copied"
