Migration: a run that is not stopped keeps a replica until its engine exits

Callers got no whole answer when a run's engine left, the run was not moved (its host drains, or the engine may exit soon) and the engine of its replica left as well: the replicator discarded the replica, and the mover had settled the run and did not look at it again. With the engine's exit the run was gone although other engines had room.

The mover now looks at such runs until they leave the engine, and copies a run again whose replica is gone or whose replica's engine leaves.

--- a/internal/edge/migration/mover.go
+++ b/internal/edge/migration/mover.go
@@ -63,8 +63,8 @@
 // Evacuate moves runs, one after the other, off an engine that gave its leaving notice at
 // noticedAt. Runs that are expected to end before the engine exits stay, and are looked at
 // again until it does: an estimate may be too low. So are runs that another engine may take
-// over because the source is silent. It returns when all have been tried or have ended, or
-// when the engine is about to exit.
+// over because the source is silent, and runs with a replica only, whose engine may leave too.
+// It returns when no run is left to look at.
 func (m *Mover) Evacuate(ctx context.Context, source *targets.Target, noticedAt bootclock.Instant, runs []*streaming.Run) {
 	if len(runs) == 0 || !runs[0].Service().Engine.SupportsMigration {
 		return
@@ -80,20 +80,35 @@
 		domainPenalty := OtherDomainPenalty(runs[0].Service().Engine, total.Held, total.Runs)
 		settled := make(map[*streaming.Run]bool)
 		for _, i := range order {
+			if m.isSecured(source, noticedAt, runs[i]) {
+				continue
+			}
 			outcome := m.move(ctx, source, noticedAt, domainPenalty, runs[i])
-			settled[runs[i]] = outcome != runElsewhere && (outcome != onlyReplicated || runs[i].Replica() != nil)
+			settled[runs[i]] = outcome != runElsewhere && outcome != onlyReplicated
 		}
 		runs = slices.DeleteFunc(runs, func(r *streaming.Run) bool {
 			t := r.Target()
 			return settled[r] || t == nil || t.Key() != source.Key()
 		})
-		if len(runs) == 0 || bootclock.Since(noticedAt) > assumedNoticePeriod || ctx.Err() != nil {
+		if len(runs) == 0 || ctx.Err() != nil {
 			return
 		}
 		wait.For(ctx, reviewInterval)
 	}
 }
 
+// isSecured reports whether a run is not stopped any more at its leaving engine and has a
+// replica to continue from.
+func (m *Mover) isSecured(source *targets.Target, noticedAt bootclock.Instant, r *streaming.Run) bool {
+	replica := r.Replica()
+	return replica != nil && replica.Source.Key() == source.Key() && !m.IsLeaving(replica.Dest.Key()) && !m.mayStop(noticedAt, r)
+}
+
+// mayStop reports whether a run may still be stopped for its final copy.
+func (m *Mover) mayStop(noticedAt bootclock.Instant, r *streaming.Run) bool {
+	return !r.ProcessDrains() && MayStop(bootclock.Since(noticedAt))
+}
+
 func describe(runs []*streaming.Run) []PlannedRun {
 	planned := make([]PlannedRun, len(runs))
 	for i, r := range runs {
@@ -149,7 +164,7 @@
 		default:
 		}
 		held := r.HeldTokens()
-		if !FinishesInTime(service.Engine, held, bootclock.Since(noticedAt)) {
+		if since := bootclock.Since(noticedAt); since < longNoticePeriod && !FinishesInTime(service.Engine, held, since) {
 			return tooLate, attempts
 		}
 		if replica := r.Replica(); replica != nil && m.IsLeaving(replica.Dest.Key()) {
@@ -205,13 +220,13 @@
 // replica when that happens.
 func (m *Mover) switchTo(ctx context.Context, noticedAt bootclock.Instant, replica *streaming.Replica, r *streaming.Run) string {
 	source, dest := replica.Source, replica.Dest
-	if r.ProcessDrains() || !m.awaitIdleLink(ctx, source, dest, r) {
+	if !m.mayStop(noticedAt, r) || !m.awaitIdleLink(ctx, source, dest, r) {
 		return onlyReplicated
 	}
 	if m.IsLeaving(dest.Key()) {
 		return destinationLeaves
 	}
-	if !MayStop(bootclock.Since(noticedAt)) || !r.BeginFinalCopy(replica) {
+	if !m.mayStop(noticedAt, r) || !r.BeginFinalCopy(replica) {
 		return onlyReplicated
 	}
 	started, remaining := bootclock.Now(), r.RemainingTokens()
--- a/internal/edge/migration/plan.go
+++ b/internal/edge/migration/plan.go
@@ -27,6 +27,9 @@
 	assumedNoticePeriod = 1800 * time.Millisecond
 	// shortestNoticePeriod is how long an engine serves at least after its leaving notice.
 	shortestNoticePeriod = 1500 * time.Millisecond
+	// longNoticePeriod is how long after its notice an engine that still serves is one that was
+	// not reclaimed, and may go on for long.
+	longNoticePeriod = 2500 * time.Millisecond
 	// maxFinalCopyTime is how long a final copy may wait behind the copies of other hosts.
 	maxFinalCopyTime = 300 * time.Millisecond
 	// switchTime is how long a run needs the link in addition to its first copy: the
