Soak: the last sixth of the grace period counts for any engine at work, as before

The check that took only the last engine was wrong: a run that stays at its engine after a takeover was given up is judged by an engine that did nothing.

--- a/tests/soak/signals_test.go
+++ b/tests/soak/signals_test.go
@@ -456,7 +456,9 @@
 		if !w.resumed {
 			starts++
 		}
-		lastWork = w.to
+		if w.to.After(lastWork) {
+			lastWork = w.to
+		}
 		if incomplete && w.to.After(r.ended.Add(workAfterClose+schedulingSlack)) {
 			out = append(out, "GONE: "+w.target+" worked on after the connection had ended")
 		}
