--- a/internal/drill/host.go
+++ b/internal/drill/host.go
@@ -48,6 +48,7 @@
 	<-p.done
 	h.used.Add(int64(p.processorTime()))
 	h.fleet.log.Host(h.name, record.Exited)
+	close(p.recorded)
 	if h.stopping.Load() || h.fleet.ctx.Err() != nil {
 		return
 	}
@@ -78,6 +79,7 @@
 		h.fleet.killedAfterGrace.Add(1)
 		h.process.kill()
 	}
+	<-h.process.recorded
 }
 
 // kill kills the process without notice. Callers hold mu.
@@ -85,6 +87,7 @@
 	h.stopping.Store(true)
 	h.fleet.log.Host(h.name, record.Killed)
 	h.process.kill()
+	<-h.process.recorded
 }
 
 // reload sends SIGHUP. Callers hold mu.
--- a/internal/drill/process.go
+++ b/internal/drill/process.go
@@ -11,8 +11,9 @@
 
 // process is a program that the drill has started.
 type process struct {
-	cmd  *exec.Cmd
-	done chan struct{} // closed when it has exited
+	cmd      *exec.Cmd
+	done     chan struct{} // closed when it has exited
+	recorded chan struct{} // closed by its owner when its exit is in the record
 }
 
 // startProcess starts a program whose output goes to a file.
@@ -30,7 +31,7 @@
 	if err := cmd.Start(); err != nil {
 		return nil, eris.Wrapf(err, "start %s", path)
 	}
-	p := &process{cmd: cmd, done: make(chan struct{})}
+	p := &process{cmd: cmd, done: make(chan struct{}), recorded: make(chan struct{})}
 	go func() {
 		_ = cmd.Wait()
 		close(p.done)
--- a/internal/drill/restarts.go
+++ b/internal/drill/restarts.go
@@ -67,7 +67,9 @@
 		if err := h.start(); err != nil {
 			return err
 		}
-		_ = sleep(ctx, life)
+		if sleep(ctx, life) != nil {
+			return nil
+		}
 	}
 	return nil
 }
