--- a/tests/edge/resume_tries_test.go
+++ b/tests/edge/resume_tries_test.go
@@ -60,3 +60,16 @@
 	require.Equal(t, standin.StreamText("r-1", events), a.body)
 	require.Equal(t, []string{"r-1"}, dest.Resumed())
 }
+
+func TestRunContinuesAtEngineThatHasBeenLeavingForTooLong(t *testing.T) {
+	t.Parallel()
+	f, pending, source, dest, proxy := replicatedRun(t, 800)
+	proxy.SetMode(harness.CloseNew)
+	proxy.CloseConnections()
+	source.Crash()
+	f.register(dest.ID, engineService, proxy.Address(), "draining")
+	time.Sleep(2600 * time.Millisecond) // the platform's bound is 2 s
+	proxy.SetMode(harness.Pass)
+	<-pending
+	require.Empty(t, dest.Resumed())
+}
