Streaming: no run continues at an engine that has been leaving for too long

Engines saw requests 2.1 to 3.4 s after the store had acknowledged that they leave (DRAIN, bound 2 s): runs that continued from a copy, while new requests were kept away. The copy's engine had given its notice during the move, or could not be reached for a while.

A holder of a run's memory is asked only until 1.7 s after its notice arrived here; then the next one is tried.

--- a/internal/edge/streaming/resume.go
+++ b/internal/edge/streaming/resume.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"corianderhitch/internal/edge"
+	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/edge/inflight"
 	"corianderhitch/internal/edge/targetconn"
 	"corianderhitch/internal/edge/targets"
@@ -18,6 +19,9 @@
 	// callerPatienceMargin is how long before its caller gives up a run stops trying to reach
 	// an engine that holds its memory.
 	callerPatienceMargin = 500 * time.Millisecond
+	// maxContinuationDelay is how long after an engine's leaving notice a run may be continued
+	// there. The platform allows 2 s from the notice, which takes some time to arrive here.
+	maxContinuationDelay = 1700 * time.Millisecond
 	// resumeRetryInterval is the time between the tries while an engine cannot be reached or
 	// wants a pause. After a connection that broke the time doubles, up to maxResumeInterval,
 	// since the engine may have received the request.
@@ -25,6 +29,8 @@
 	maxResumeInterval   = time.Second
 )
 
+var errLeftTooLong = errors.New("the engine has been leaving for too long to get requests")
+
 // memoryHolder is an engine that holds the memory from which a run can continue: a replica or
 // a final copy, or at its source the memory of the run that the final copy stopped.
 type memoryHolder struct {
@@ -89,7 +95,7 @@
 	switch {
 	case err == nil:
 		return continuationResumed
-	case errors.Is(err, targetconn.ErrNotSent):
+	case errors.Is(err, targetconn.ErrNotSent), errors.Is(err, errLeftTooLong):
 		return continuationNotSent
 	case errors.Is(err, errNotExecuted):
 		return continuationRejected
@@ -100,6 +106,10 @@
 
 // resumeAt asks one engine to continue the run.
 func (r *Run) resumeAt(ctx context.Context, h *memoryHolder) (*segment, error) {
+	if notice, leaving := r.server.Targets.LeavingNotice(h.target.Key()); leaving && bootclock.Since(notice.ReceivedAt) > maxContinuationDelay {
+		r.uncount([]*memoryHolder{h})
+		return nil, errLeftTooLong
+	}
 	if !h.counted {
 		r.server.Inflight.Add(h.target.Key(), h.load)
 	}
@@ -123,6 +133,7 @@
 		if h.counted {
 			r.server.Inflight.Remove(h.target.Key(), h.load)
 		}
+		h.counted = false
 	}
 }
 
@@ -133,6 +144,8 @@
 func (r *Run) mayStillResume(t *targets.Target, err error) bool {
 	view := r.server.Targets.View()
 	switch {
+	case errors.Is(err, errLeftTooLong):
+		return false
 	case errors.Is(err, targetconn.ErrRefused):
 		return view.WantsPause(t.Key())
 	case errors.Is(err, targetconn.ErrNotSent), errors.Is(err, targetconn.ErrBroken):
