Migration: the copy of a run at a leaving engine is kept until another is complete

Callers' streams broke off when a leaving engine exited although an engine was free to hold their run. A run that may not be stopped any more (the host drains, or the notice is older than 1.2 s) goes on at its leaving engine and depends on one copy. Engines may serve for many seconds after their notice. Meanwhile the mover did not look at the run again, and the replicator discarded the copy if its engine left too or had more load than replicas may use, and made no other, as it copies nothing from leaving engines; with replicas switched off, the copy expired. A move whose destination left also discarded the copy before it had another destination.

The mover now looks after such runs until they leave the engine: it refreshes their copies before they expire, copies them elsewhere if the copy's engine leaves or takes no more, and the earlier copy is released once the new one is complete. The replicator leaves copies of runs at leaving engines alone.

Load, expiry and replicas switched off have no test of their own.

--- a/internal/edge/migration/mover.go
+++ b/internal/edge/migration/mover.go
@@ -63,37 +63,88 @@
 // Evacuate moves runs, one after the other, off an engine that gave its leaving notice at
 // noticedAt. Runs that are expected to end before the engine exits stay, and are looked at
 // again until it does: an estimate may be too low. So are runs that another engine may take
-// over because the source is silent. It returns when all have been tried or have ended, or
-// when the engine is about to exit.
+// over because the source is silent. Runs that only have a replica keep it until the engine
+// exits, which may be much later than assumed. It returns when all others have been tried or
+// have ended, or when the engine is about to exit, and no run has a replica.
 func (m *Mover) Evacuate(ctx context.Context, source *targets.Target, noticedAt bootclock.Instant, runs []*streaming.Run) {
 	if len(runs) == 0 || !runs[0].Service().Engine.SupportsMigration {
 		return
 	}
 	begun := false
+	engine := runs[0].Service().Engine
+	var secured []*streaming.Run
+	hasLeft := func(r *streaming.Run) bool {
+		t := r.Target()
+		return t == nil || t.Key() != source.Key()
+	}
 	for {
 		order := EvacuationOrder(describe(runs), bootclock.Since(noticedAt))
 		if len(order) > 0 && !begun {
 			begun = true
-			m.awaitTurn(ctx, source, noticedAt, runs[0].Service().Engine, len(order))
+			m.awaitTurn(ctx, source, noticedAt, engine, len(order))
 		}
 		total := m.Inflight.TotalLoad(source.Key())
-		domainPenalty := OtherDomainPenalty(runs[0].Service().Engine, total.Held, total.Runs)
+		domainPenalty := OtherDomainPenalty(engine, total.Held, total.Runs)
 		settled := make(map[*streaming.Run]bool)
 		for _, i := range order {
 			outcome := m.move(ctx, source, noticedAt, domainPenalty, runs[i])
-			settled[runs[i]] = outcome != runElsewhere && (outcome != onlyReplicated || runs[i].Replica() != nil)
+			hasReplica := runs[i].Replica() != nil
+			settled[runs[i]] = outcome != runElsewhere && (outcome != onlyReplicated || hasReplica)
+			if hasReplica && (outcome == onlyReplicated || outcome == tooLate) {
+				secured = append(secured, runs[i])
+			}
+		}
+		runs = slices.DeleteFunc(runs, func(r *streaming.Run) bool { return settled[r] || hasLeft(r) })
+		secured = slices.DeleteFunc(secured, hasLeft)
+		for _, r := range secured {
+			m.keepReplica(ctx, source, domainPenalty, r)
+		}
+		if bootclock.Since(noticedAt) > assumedNoticePeriod {
+			secured, runs = append(secured, runs...), nil
 		}
-		runs = slices.DeleteFunc(runs, func(r *streaming.Run) bool {
-			t := r.Target()
-			return settled[r] || t == nil || t.Key() != source.Key()
-		})
-		if len(runs) == 0 || bootclock.Since(noticedAt) > assumedNoticePeriod || ctx.Err() != nil {
+		if len(runs)+len(secured) == 0 || ctx.Err() != nil {
 			return
 		}
 		wait.For(ctx, reviewInterval)
 	}
 }
 
+// keepReplica refreshes the replica of a run that stays at its leaving engine, and replaces it
+// if the replica's engine leaves as well or does not take the copy.
+func (m *Mover) keepReplica(ctx context.Context, source *targets.Target, domainPenalty float64, r *streaming.Run) {
+	r.CopyLock.Lock()
+	defer r.CopyLock.Unlock()
+	replica := r.Replica()
+	if replica == nil || replica.Source.Key() != source.Key() {
+		return
+	}
+	if !m.IsLeaving(replica.Dest.Key()) {
+		if bootclock.Since(replica.CopiedAt) <= handleLifetime(r.Service().Engine)/2 {
+			return
+		}
+		if refreshReplica(ctx, m.Engines, replica, r).Result != edge.MoveNoRoom {
+			return
+		}
+	}
+	load, need := moveNeeds(source, domainPenalty, r)
+	dest := m.ReserveEngine(ctx, r.Service(), need, load, map[string]bool{source.Key(): true, replica.Dest.Key(): true}).Target
+	if dest == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
+	next, reply := r.Replicate(ctx, source, dest, load, replica)
+	r.Log().Info("migration: replica of a run at a leaving engine copied elsewhere", "result", reply.Result.String(), "replaced", next != nil,
+		"source", source.ID, "from", replica.Dest.ID, "dest", dest.ID, "error", reply.ErrorText())
+}
+
+// moveNeeds returns the load of a run at an engine that it moves to, and what it needs there.
+func moveNeeds(source *targets.Target, domainPenalty float64, r *streaming.Run) (inflight.Load, placement.Requirements) {
+	held := r.HeldTokens()
+	load := inflight.Load{Runs: 1, Tokens: max(r.ExpectedTokens(), held), Held: held}
+	return load, placement.Requirements{Tokens: load.Tokens, Output: load.Tokens - held, Domain: source.Domain, Move: true, Far: domainPenalty, Affinity: source.Key()}
+}
+
 func describe(runs []*streaming.Run) []PlannedRun {
 	planned := make([]PlannedRun, len(runs))
 	for i, r := range runs {
@@ -148,15 +199,10 @@
 			return tooLate, attempts
 		default:
 		}
-		held := r.HeldTokens()
-		if !FinishesInTime(service.Engine, held, bootclock.Since(noticedAt)) {
+		if !FinishesInTime(service.Engine, r.HeldTokens(), bootclock.Since(noticedAt)) {
 			return tooLate, attempts
 		}
-		if replica := r.Replica(); replica != nil && m.IsLeaving(replica.Dest.Key()) {
-			r.DiscardReplica(replica)
-		}
-		load := inflight.Load{Runs: 1, Tokens: max(r.ExpectedTokens(), held), Held: held}
-		need := placement.Requirements{Tokens: load.Tokens, Output: load.Tokens - held, Domain: source.Domain, Move: true, Far: domainPenalty, Affinity: source.Key()}
+		load, need := moveNeeds(source, domainPenalty, r)
 		dest := m.ReserveEngine(ctx, service, need, load, tried).Target
 		if dest == nil {
 			m.awaitRoom(ctx)
@@ -188,7 +234,7 @@
 func (m *Mover) moveTo(ctx context.Context, source *targets.Target, noticedAt bootclock.Instant, dest *targets.Target, load inflight.Load, r *streaming.Run) string {
 	copying, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
-	replica, first := r.Replicate(copying, source, dest, load)
+	replica, first := r.Replicate(copying, source, dest, load, r.Replica())
 	switch {
 	case replica != nil:
 		return m.switchTo(ctx, noticedAt, replica, r)
--- a/internal/edge/migration/replicator.go
+++ b/internal/edge/migration/replicator.go
@@ -111,6 +111,7 @@
 	case replica == nil && engine.SupportsMigration && worthReplica(run):
 		return r.create(ctx, run)
 	case replica == nil:
+	case r.IsLeaving(replica.Source.Key()): // the Mover keeps it
 	case r.isObsolete(replica, engine):
 		r.Observe("given_up")
 		run.Log().Info("backup: replica discarded", "dest", replica.Dest.ID, "load_tokens", r.Inflight.TotalLoad(replica.Dest.Key()).Tokens, "leaves", r.IsLeaving(replica.Dest.Key()))
@@ -157,7 +158,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
-	_, reply := run.Replicate(ctx, source, dest, load)
+	_, reply := run.Replicate(ctx, source, dest, load, nil)
 	r.Observe(reply.Result.String())
 	run.Log().Info("backup: replication finished", "result", reply.Result.String(), "source", source.ID, "dest", dest.ID, "held_tokens", held, "error", reply.ErrorText())
 	return true
@@ -166,17 +167,23 @@
 // refresh copies what the run has added, before the engine drops the replica for its
 // age.
 func (r *Replicator) refresh(ctx context.Context, replica *streaming.Replica, run *streaming.Run) {
-	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
-	defer cancel()
-	reply := r.Engines.Move(ctx, replica.Source, run.ID(), replica.Dest, false)
+	reply := refreshReplica(ctx, r.Engines, replica, run)
 	switch reply.Result {
-	case edge.MoveCopied:
-		replica.CopiedAt = bootclock.Now()
-		return
-	case edge.MoveUnknown, edge.MoveBusy:
-		return // the engine may be failing, and then the run needs its replica
+	case edge.MoveCopied, edge.MoveUnknown, edge.MoveBusy:
+		return // an engine that does not answer may be failing, and then the run needs its replica
 	}
 	r.Observe("renewal_" + reply.Result.String())
 	run.Log().Info("backup: replica cannot be refreshed", "result", reply.Result.String(), "dest", replica.Dest.ID, "error", reply.ErrorText())
 	run.DiscardReplica(replica)
 }
+
+// refreshReplica copies what the run has added to its replica. Callers hold run.CopyLock.
+func refreshReplica(ctx context.Context, engines edge.EngineClient, replica *streaming.Replica, run *streaming.Run) edge.MoveReply {
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
+	reply := engines.Move(ctx, replica.Source, run.ID(), replica.Dest, false)
+	if reply.Result == edge.MoveCopied {
+		replica.CopiedAt = bootclock.Now()
+	}
+	return reply
+}
--- a/internal/edge/streaming/replica.go
+++ b/internal/edge/streaming/replica.go
@@ -39,8 +39,9 @@
 // Replicate copies the run's memory to dest while the run continues, and records the
 // replica. The caller has already counted reserved as load of dest; Replicate removes
 // it if the copy fails. The replica is nil if the copy failed, or if meanwhile the
-// run ended, moved or got another replica, in which case the copy is released.
-func (r *Run) Replicate(ctx context.Context, source, dest *targets.Target, reserved inflight.Load) (*Replica, edge.MoveReply) {
+// run ended, moved or got another replica, in which case the copy is released. The run
+// keeps its earlier replica old, nil for none, until the new one is complete.
+func (r *Run) Replicate(ctx context.Context, source, dest *targets.Target, reserved inflight.Load, old *Replica) (*Replica, edge.MoveReply) {
 	defer r.beginCopy()()
 	reply := r.server.Engines.Move(ctx, source, r.ID(), dest, false)
 	if reply.Result != edge.MoveCopied {
@@ -48,10 +49,13 @@
 		return nil, reply
 	}
 	replica := &Replica{Source: source, Dest: dest, Handle: reply.Handle, Reserved: reserved, CopiedAt: bootclock.Now(), done: make(chan struct{})}
-	if !r.setReplica(replica) {
+	if !r.setReplica(replica, old) {
 		r.releaseReplica(replica)
 		return nil, reply
 	}
+	if old != nil {
+		r.releaseReplica(old)
+	}
 	return replica, reply
 }
 
@@ -88,12 +92,12 @@
 	}
 }
 
-// setReplica records a replica and reports whether it did: not if the run already
-// has one, has ended, has left the replica's source or is about to.
-func (r *Run) setReplica(replica *Replica) bool {
+// setReplica records a replica in place of old and reports whether it did: not if the run
+// has another one, has ended, has left the replica's source or is about to.
+func (r *Run) setReplica(replica, old *Replica) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.replica != nil || r.takeover != nil || r.target == nil || r.target.Key() != replica.Source.Key() {
+	if r.replica != old || old != nil && old.stopping || r.takeover != nil || r.target == nil || r.target.Key() != replica.Source.Key() {
 		return false
 	}
 	r.replica = replica
