Streams: the engine of a copy is not asked to continue a run long after its leaving notice

Engines got requests later than 2 s after their leaving notice (DRAIN). A run whose engine had ended was sent to the engine of its copy, with tries for up to 6.7 s, whether or not that one had been leaving for long: the gate of sends lets a continuation pass, as it goes by what a target has answered and not by the list. An engine that had left and refused connections was tried as long, while the caller's stream hung.

The engine of a copy is asked for 1.7 s after its notice; after that the try ends without a send. A run whose copy has no other engine breaks off then, as its engines have left; the mover replaces such copies as long as the source serves.

--- a/internal/edge/streaming/resume.go
+++ b/internal/edge/streaming/resume.go
@@ -7,7 +7,10 @@
 	"strconv"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"corianderhitch/internal/edge"
+	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/edge/inflight"
 	"corianderhitch/internal/edge/targetconn"
 	"corianderhitch/internal/edge/targets"
@@ -23,6 +26,9 @@
 	// since the engine may have received the request.
 	resumeRetryInterval = 100 * time.Millisecond
 	maxResumeInterval   = time.Second
+	// maxSinceNotice is how long after its leaving notice the engine of a copy is asked to
+	// continue a run. The platform allows 2 s from when its store has accepted the notice.
+	maxSinceNotice = 1700 * time.Millisecond
 )
 
 // memoryHolder is an engine that holds the memory from which a run can continue: a replica or
@@ -98,8 +104,16 @@
 	}
 }
 
+var errLeftLongAgo = eris.Wrap(targetconn.ErrNotSent, "the engine has been leaving for too long")
+
 // resumeAt asks one engine to continue the run.
 func (r *Run) resumeAt(ctx context.Context, h *memoryHolder) (*segment, error) {
+	atSource := h.from.Address == h.target.Address
+	if n, leaves := r.server.Targets.LeavingNotice(h.target.Key()); leaves && !atSource && bootclock.Since(n.ReceivedAt) > maxSinceNotice {
+		r.uncount([]*memoryHolder{h})
+		h.counted = false
+		return nil, errLeftLongAgo
+	}
 	if !h.counted {
 		r.server.Inflight.Add(h.target.Key(), h.load)
 	}
@@ -133,6 +147,8 @@
 func (r *Run) mayStillResume(t *targets.Target, err error) bool {
 	view := r.server.Targets.View()
 	switch {
+	case errors.Is(err, errLeftLongAgo):
+		return false
 	case errors.Is(err, targetconn.ErrRefused):
 		return view.WantsPause(t.Key())
 	case errors.Is(err, targetconn.ErrNotSent), errors.Is(err, targetconn.ErrBroken):
--- a/tests/edge/resume_tries_test.go
+++ b/tests/edge/resume_tries_test.go
@@ -60,3 +60,18 @@
 	require.Equal(t, standin.StreamText("r-1", events), a.body)
 	require.Equal(t, []string{"r-1"}, dest.Resumed())
 }
+
+func TestContinuationReachesAnEngineLongAfterItsLeavingNotice(t *testing.T) {
+	t.Parallel()
+	f, pending, source, dest, proxy := replicatedRun(t, 800)
+	proxy.SetMode(harness.CloseNew)
+	proxy.CloseConnections()
+	before := len(dest.Requests())
+	f.register(dest.ID, engineService, proxy.Address(), "draining")
+	time.Sleep(100 * time.Millisecond)
+	source.Crash()
+	time.Sleep(2200 * time.Millisecond)
+	proxy.SetMode(harness.Pass)
+	require.Error(t, (<-pending).err)
+	require.Len(t, dest.Requests(), before, "it had been leaving for longer than the platform allows")
+}
