Stop: a request that is read after the listener was closed is answered

Its process had not run for 2.1 s (no line and no event of any stream from 37.85 to 39.96 s); when it went on, its drain called http.Server.Shutdown, and the requests that had come in meanwhile were read afterwards. net/http closes the connection of a request that it reads after Shutdown was called. Why the process did not run is not known; no other host stood still.

The drain now closes the listener and disables keep-alives: idle connections are closed, which resets those with a request that nobody has read, and a request that is read gets its answer, a 503 if it cannot end in time. Shutdown comes when no connection is open.

TestRequestThatIsReadAfterTheServerBeganToCloseIsDropped fails 2 of 2 with Shutdown in Drain's place and passes 3 of 3.

--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -203,6 +203,7 @@
 	p.background(background, &wait, s)
 	idle := &ingress.IdleConnections{Configured: p.idleTimeout}
 	wait.Go(func() { idle.Run(background) })
+	connections := ingress.NewOpenConnections(listener, idle.ConnState)
 	requests, abort := context.WithCancelCause(context.Background())
 	defer abort(nil)
 	server := &http.Server{
@@ -210,13 +211,13 @@
 		ErrorLog:    slog.NewLogLogger(p.log.Handler(), slog.LevelWarn),
 		BaseContext: func(net.Listener) context.Context { return requests },
 		ConnContext: ingress.WithConnection,
-		ConnState:   idle.ConnState,
+		ConnState:   connections.ConnState,
 	}
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
 	select {
 	case <-ctx.Done():
-		p.stop(server, abort)
+		p.stop(server, connections, abort)
 	case err = <-served:
 	}
 	p.stopTasks(cancel, &wait, endpoints)
--- a/internal/edge/process/stop.go
+++ b/internal/edge/process/stop.go
@@ -8,6 +8,7 @@
 
 	"corianderhitch/internal/edge"
 	"corianderhitch/internal/edge/bootclock"
+	"corianderhitch/internal/edge/ingress"
 	"corianderhitch/internal/sighup"
 	"corianderhitch/internal/web"
 )
@@ -48,7 +49,7 @@
 // stop first waits until the platform sends callers to other hosts, then until the
 // requests in flight have ended. Those that remain shortly before the end of the grace
 // period are aborted: abort cancels their contexts.
-func (p *Process) stop(server *http.Server, abort context.CancelCauseFunc) {
+func (p *Process) stop(server *http.Server, connections *ingress.OpenConnections, abort context.CancelCauseFunc) {
 	p.drain.Begin(p.stopRequestedAt())
 	age, _ := p.drain.Age()
 	p.log.Info("edge: draining", "runs", p.streaming.Runs.Len(), "grace_ms", p.node.Grace.Milliseconds(), "late_ms", age.Milliseconds())
@@ -56,13 +57,11 @@
 	age, _ = p.drain.Age()
 	ctx, cancel := context.WithTimeout(context.Background(), max(0, p.node.Grace-exitMargin(p.node.Grace)-age))
 	defer cancel()
-	err := server.Shutdown(ctx)
-	if err == nil {
+	if connections.Drain(ctx, server) && server.Shutdown(ctx) == nil {
 		return
 	}
 	age, _ = p.drain.Age()
-	p.log.Warn("edge: grace period ended; remaining requests are aborted", "runs", p.streaming.Runs.Len(),
-		"after_ms", age.Milliseconds(), "error", err.Error())
+	p.log.Warn("edge: grace period ended; remaining requests are aborted", "runs", p.streaming.Runs.Len(), "after_ms", age.Milliseconds())
 	abort(edge.ErrStopping)
 	answered, cancel := context.WithTimeout(context.Background(), p.exitTime(abortShare))
 	defer cancel()
