--- a/tests/edge/drain_move_test.go
+++ b/tests/edge/drain_move_test.go
@@ -106,7 +106,7 @@
 		if len(copies) > 1 { // the first copy is complete
 			once.Do(func() {
 				m.stop()
-				time.Sleep(1200 * time.Millisecond)
+				time.Sleep(300 * time.Millisecond)
 			})
 		}
 	})
