--- a/internal/drill/record/record.go
+++ b/internal/drill/record/record.go
@@ -55,7 +55,7 @@
 // The kinds of routes.
 const (
 	Idempotent    Kind = "idempotent"
-	NonIdempotent Kind = "non_idempotent"
+	NonIdempotent Kind = "non-idempotent"
 	Streaming     Kind = "streaming"
 )
 
