--- a/internal/edge/migration/plan.go
+++ b/internal/edge/migration/plan.go
@@ -23,7 +23,7 @@
 
 const (
 	// assumedNoticePeriod is how long an engine is assumed to serve after its leaving
-	// notice. Reclaimed engines get about 2 s; some less.
+	// notice. Reclaimed engines get about 2 s, some less.
 	assumedNoticePeriod = 1800 * time.Millisecond
 	// shortestNoticePeriod is how long an engine serves at least after its leaving notice.
 	shortestNoticePeriod = 1500 * time.Millisecond
--- a/internal/edge/process/stop.go
+++ b/internal/edge/process/stop.go
@@ -20,8 +20,7 @@
 	// abortPart is the last part of the grace period, as a share of it, in which the platform
 	// lets requests be aborted.
 	abortPart = 1.0 / 6
-	// abortSlack is by how much the clocks and records of those who judge that part may differ
-	// from this process's.
+	// abortSlack allows for clocks elsewhere that differ from this process's.
 	abortSlack = 200 * time.Millisecond
 	// maxExitMargin and maxExitShare, of the grace period, bound the time that is reserved for
 	// the end of the process itself.
