--- /dev/null
+++ b/internal/drill/faults.go
@@ -0,0 +1,107 @@
+package drill
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	"corianderhitch/internal/drill/record"
+)
+
+const (
+	minFault, maxFault = 2 * time.Second, 6 * time.Second
+	storeSlowness      = 240 * time.Millisecond
+)
+
+// disturbStore makes the store slow or unavailable for some seconds.
+func disturbStore(ctx context.Context, f *fleet, r *rand.Rand) error {
+	d, outage := between(r, minFault, maxFault), r.IntN(2) == 0
+	f.logger.Info("drill: store", "outage", outage, "for", d)
+	from := time.Now()
+	if outage {
+		f.store.SetOutage(true)
+	} else {
+		f.store.Slow(storeSlowness)
+	}
+	err := sleep(ctx, d)
+	f.store.SetOutage(false)
+	f.store.Slow(0)
+	f.log.Outage(record.Span{From: from, To: time.Now()})
+	return err
+}
+
+// disturbCallers makes callers press, give up early, or repeat at once and often.
+func disturbCallers(ctx context.Context, f *fleet, r *rand.Rand) error {
+	d := between(r, minFault, maxFault)
+	u := []unusual{{rate: 1.7}, {rate: 1, giveUp: 0.2}, {rate: 1, impatient: 0.3}}[r.IntN(3)]
+	f.logger.Info("drill: callers", "rate", u.rate, "give_up", u.giveUp, "impatient", u.impatient, "for", d)
+	f.traffic.disturbed.Store(&u)
+	err := sleep(ctx, d)
+	f.traffic.disturbed.Store(&unusual{rate: 1})
+	return err
+}
+
+const (
+	ailingShare     = 0.45 // of a service's targets
+	allAilingShare  = 0.3  // of the cases, in which all targets of a service ail
+	minAilingOfCall = 0.02 // share of a target's requests
+)
+
+// ailTargets makes something go wrong at some targets of a service for some seconds.
+func ailTargets(ctx context.Context, f *fleet, r *rand.Rand) error {
+	service := f.deployment.Services[r.IntN(len(f.deployment.Services))].Name
+	kind := []Ailment{Hanging, Resetting, Failing, LosingAnswers}[r.IntN(4)]
+	n := 1 + int(r.Float64()*ailingShare*float64(f.targets.count(service)))
+	if r.Float64() < allAilingShare {
+		n = f.targets.count(service)
+	}
+	some, share, d := f.targets.some(r, service, n), minAilingOfCall+(1-minAilingOfCall)*r.Float64(), between(r, minFault, maxFault)
+	f.logger.Info("drill: ailing targets", "service", service, "targets", len(some), "ailment", kind, "share", share, "for", d)
+	for _, t := range some {
+		t.Ail(kind, share)
+	}
+	err := sleep(ctx, d)
+	for _, t := range some {
+		t.Recover()
+	}
+	return err
+}
+
+// freezeHost suspends a random host for some seconds.
+func freezeHost(ctx context.Context, f *fleet, r *rand.Rand) error {
+	h, d := f.hosts[r.IntN(len(f.hosts))], between(r, minFreeze, maxFreeze)
+	if !h.mu.TryLock() {
+		return nil
+	}
+	defer h.mu.Unlock()
+	f.logger.Info("drill: freeze", "host", h.name, "for", d)
+	h.process.signal(syscall.SIGSTOP)
+	f.log.Host(h.name, record.Frozen)
+	err := sleep(ctx, d)
+	h.process.signal(syscall.SIGCONT)
+	f.log.Host(h.name, record.Thawed)
+	return err
+}
+
+const minFreeze, maxFreeze = 200 * time.Millisecond, 4 * time.Second
+
+// crashByPrompt sends requests with a part of the prompt that crashes engines, which callers
+// repeat.
+func crashByPrompt(ctx context.Context, f *fleet, r *rand.Rand) error {
+	part := fmt.Sprintf("%s%04x", CrashingPart, r.IntN(1<<16))
+	f.logger.Info("drill: crashing prompt", "part", part)
+	for range minCrashing + r.IntN(maxCrashing-minCrashing) {
+		f.traffic.sendCrashing(ctx, r, part)
+		if err := sleep(ctx, between(r, minCrashGap, maxCrashGap)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+const (
+	minCrashing, maxCrashing = 3, 12
+	minCrashGap, maxCrashGap = 50 * time.Millisecond, 1500 * time.Millisecond
+)
--- a/internal/edge/migration/mover.go
+++ b/internal/edge/migration/mover.go
@@ -39,10 +39,11 @@
 
 // Outcomes of a move in addition to those of edge.MoveResult.
 const (
-	runEnded       = "run_ended"
-	runElsewhere   = "run_elsewhere" // the run has left the source or ended, or may do so since the source is silent
-	tooLate        = "too_late"
-	onlyReplicated = "secured" // no final copy; the run continues from its replica when the source exits
+	runEnded          = "run_ended"
+	runElsewhere      = "run_elsewhere" // the run has left the source or ended, or may do so since the source is silent
+	tooLate           = "too_late"
+	destinationLeaves = "destination_leaves"
+	onlyReplicated    = "secured" // no final copy; the run continues from its replica when the source exits
 )
 
 // Mover moves the runs of this host off leaving engines.
@@ -132,11 +133,12 @@
 	if r.LeavesSilentEngine() {
 		return runElsewhere, 0
 	}
-	if replica := r.Replica(); replica != nil && replica.Source.Key() == source.Key() {
-		if !m.IsLeaving(replica.Dest.Key()) {
-			return m.switchTo(ctx, replica, r), 1
+	if replica := r.Replica(); replica != nil && replica.Source.Key() == source.Key() && !m.IsLeaving(replica.Dest.Key()) {
+		attempts++
+		if outcome := m.switchTo(ctx, noticedAt, replica, r); outcome != destinationLeaves {
+			return outcome, attempts
 		}
-		r.DiscardReplica(replica)
+		tried[replica.Dest.Key()] = true
 	}
 	for {
 		select {
@@ -150,6 +152,9 @@
 		if !FinishesInTime(service.Engine, held, bootclock.Since(noticedAt)) {
 			return tooLate, attempts
 		}
+		if replica := r.Replica(); replica != nil && m.IsLeaving(replica.Dest.Key()) {
+			r.DiscardReplica(replica)
+		}
 		load := inflight.Load{Runs: 1, Tokens: max(r.ExpectedTokens(), held), Held: held}
 		need := placement.Requirements{Tokens: load.Tokens, Output: load.Tokens - held, Domain: source.Domain, Move: true, Far: domainPenalty, Affinity: source.Key()}
 		dest := m.ReserveEngine(ctx, service, need, load, tried).Target
@@ -160,7 +165,7 @@
 		}
 		tried[dest.Key()] = true
 		attempts++
-		if outcome := m.moveTo(ctx, source, dest, load, r); outcome != edge.MoveNoRoom.String() {
+		if outcome := m.moveTo(ctx, source, noticedAt, dest, load, r); outcome != edge.MoveNoRoom.String() && outcome != destinationLeaves {
 			return outcome, attempts
 		}
 	}
@@ -180,13 +185,13 @@
 
 // moveTo moves a run to one destination, where load is already counted, and returns
 // the outcome.
-func (m *Mover) moveTo(ctx context.Context, source, dest *targets.Target, load inflight.Load, r *streaming.Run) string {
-	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+func (m *Mover) moveTo(ctx context.Context, source *targets.Target, noticedAt bootclock.Instant, dest *targets.Target, load inflight.Load, r *streaming.Run) string {
+	copying, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
-	replica, first := r.Replicate(ctx, source, dest, load)
+	replica, first := r.Replicate(copying, source, dest, load)
 	switch {
 	case replica != nil:
-		return m.switchTo(ctx, replica, r)
+		return m.switchTo(ctx, noticedAt, replica, r)
 	case first.Result == edge.MoveCopied:
 		return runElsewhere
 	}
@@ -195,20 +200,28 @@
 }
 
 // switchTo makes the final copy, after which the run continues at its replica's
-// engine, and returns the outcome. A run that the end of this process will abort is not
-// stopped: if the final copy took long, no engine would be at work when the stream is cut.
-func (m *Mover) switchTo(ctx context.Context, replica *streaming.Replica, r *streaming.Run) string {
-	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
-	defer cancel()
+// engine, and returns the outcome. No final copy is made while this process drains, see
+// BeginFinalCopy, nor shortly before the engine may exit: the run then continues from its
+// replica when that happens.
+func (m *Mover) switchTo(ctx context.Context, noticedAt bootclock.Instant, replica *streaming.Replica, r *streaming.Run) string {
 	source, dest := replica.Source, replica.Dest
-	if r.OutlastsProcess() || !m.awaitIdleLink(ctx, source, dest, r) || !r.BeginFinalCopy(replica) {
+	if r.ProcessDrains() || !m.awaitIdleLink(ctx, source, dest, r) {
 		return onlyReplicated
 	}
-	started := bootclock.Now()
-	final := m.Engines.Move(ctx, source, r.ID(), dest, true)
+	if m.IsLeaving(dest.Key()) {
+		return destinationLeaves
+	}
+	if !MayStop(bootclock.Since(noticedAt)) || !r.BeginFinalCopy(replica) {
+		return onlyReplicated
+	}
+	started, remaining := bootclock.Now(), r.RemainingTokens()
+	copying, cancel := context.WithTimeout(ctx, copyTimeout) // of its own: the outcome says which engines hold the memory
+	defer cancel()
+	final := m.Engines.Move(copying, source, r.ID(), dest, true)
 	r.EndFinalCopy(replica, final, streamCloseGrace)
 	r.Log().Info("migration: final copy", "result", final.Result.String(), "source", source.ID, "dest", dest.ID,
-		"took_ms", bootclock.Since(started).Milliseconds(), "events", final.Events, "error", final.ErrorText())
+		"took_ms", bootclock.Since(started).Milliseconds(), "events", final.Events, "remaining_tokens", remaining,
+		"error", final.ErrorText())
 	return "final_" + final.Result.String()
 }
 
@@ -223,6 +236,8 @@
 // false if the run cannot be copied any more. If the engine exits first, the run
 // continues from its replica, which pauses the stream for less time than such a wait.
 func (m *Mover) awaitIdleLink(ctx context.Context, source, dest *targets.Target, r *streaming.Run) bool {
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
 	for {
 		started := bootclock.Now()
 		reply := m.Engines.Move(ctx, source, r.ID(), dest, false)
--- a/internal/edge/plain/evidence.go
+++ b/internal/edge/plain/evidence.go
@@ -3,14 +3,20 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"corianderhitch/internal/edge"
 	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/edge/targetconn"
 )
 
-// recordEvidence records whether the target survived the call.
-func (s *Server) recordEvidence(ctx context.Context, a *edge.AuthorizedCall, sentAt bootclock.Instant, o *outcome) {
+// minCrashSilence is for how long at least a target that may have crashed has answered nothing.
+// Calls end before the entry of such a target expires.
+const minCrashSilence = 500 * time.Millisecond
+
+// recordEvidence records whether the target survived the call. It reports whether the target
+// may have crashed under it.
+func (s *Server) recordEvidence(ctx context.Context, a *edge.AuthorizedCall, sentAt bootclock.Instant, o *outcome) (crashed bool) {
 	key := o.target.Key()
 	switch {
 	case o.result == answered || o.result == failed:
@@ -22,6 +28,19 @@
 	case s.Targets.HasAnnounced(key) || errors.Is(ctx.Err(), context.Canceled):
 	case ctx.Err() == nil || s.Targets.View().Get(key) == nil: // broken, or silent until the end and not listed any more
 		s.Sender.Crashes.ReportFailure(a, key)
+		return true
+	case bootclock.Since(sentAt) >= minCrashSilence && !s.Health.AnsweredSince(key, sentAt):
+		s.Health.MarkSilent(key) // its next answer takes the report back
+		s.Sender.Crashes.ReportFailure(a, key)
+		return true
+	}
+	return false
+}
+
+// recordAnswer records that an answer of the target begins.
+func (s *Server) recordAnswer(key string) {
+	if s.Health.RecordAnswer(key) {
+		s.Sender.Crashes.ReportAlive(key)
 	}
 }
 
--- a/internal/edge/streaming/replica.go
+++ b/internal/edge/streaming/replica.go
@@ -136,14 +136,16 @@
 
 // BeginFinalCopy announces that the final copy is about to stop the run, so that
 // the end of its stream is not mistaken for its completion. It returns false if the
-// run has ended or already continues from the replica.
+// run has ended or already continues from the replica, or if this process drains: it could
+// end before the run goes on, and then no engine would be at work when it cuts the stream.
 func (r *Run) BeginFinalCopy(replica *Replica) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.replica != replica {
+	if r.replica != replica || r.ProcessDrains() {
 		return false
 	}
 	replica.stopping = true
+	r.pause.begin(pauseFinalCopy)
 	return true
 }
 
@@ -152,6 +154,9 @@
 // within closeAfter, the stream is canceled.
 func (r *Run) EndFinalCopy(replica *Replica, reply edge.MoveReply, closeAfter time.Duration) {
 	replica.finalCopy = reply
+	if reply.Result == edge.MoveBusy || reply.Result == edge.MoveNoRoom && reply.Handle == "" {
+		r.endPause() // the engine has not stopped the run
+	}
 	close(replica.done)
 	if stoppedAtSource(reply) {
 		time.AfterFunc(closeAfter, func() { r.cancelSegment(replica) })
@@ -179,6 +184,20 @@
 	go r.releaseCopy(replica.Source, replica.Handle)
 }
 
+// releaseAfterFinalCopy frees the copies of a run that has completed although its final copy
+// was requested.
+func (r *Run) releaseAfterFinalCopy(replica *Replica) {
+	r.server.Inflight.Remove(replica.Dest.Key(), replica.Reserved)
+	go func() {
+		<-replica.done
+		handle := replica.Handle
+		if stoppedAtSource(replica.finalCopy) {
+			handle = replica.finalCopy.Handle
+		}
+		r.releaseCopy(replica.Source, handle)
+	}()
+}
+
 // releaseCopy frees a copy that source has made and whose load is not counted any more.
 func (r *Run) releaseCopy(source *targets.Target, handle string) {
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
--- a/internal/edge/streaming/resume.go
+++ b/internal/edge/streaming/resume.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
@@ -19,7 +18,11 @@
 	// callerPatienceMargin is how long before its caller gives up a run stops trying to reach
 	// an engine that holds its memory.
 	callerPatienceMargin = 500 * time.Millisecond
-	resumeRetryInterval  = 100 * time.Millisecond
+	// resumeRetryInterval is the time between the tries while an engine cannot be reached or
+	// wants a pause. After a connection that broke the time doubles, up to maxResumeInterval,
+	// since the engine may have received the request.
+	resumeRetryInterval = 100 * time.Millisecond
+	maxResumeInterval   = time.Second
 )
 
 // memoryHolder is an engine that holds the memory from which a run can continue: a replica or
@@ -36,32 +39,62 @@
 }
 
 // resume continues the run at the first engine that takes it, preferring those named first. No
-// other engine has its memory, so it tries those that accept no connection or want a pause
-// again, until shortly before the caller gives up. It returns nil if that fails.
+// other engine has its memory, so it tries those that may still take it again, until shortly
+// before the caller gives up. It returns nil if that fails.
 func (r *Run) resume(ctx context.Context, holders ...*memoryHolder) *segment {
-	started := time.Now()
+	started, sends := time.Now(), 0
 	patience := r.call.Route.MinCallerPatience() - r.SinceLastEvent() - callerPatienceMargin
-	for {
+	interval := resumeRetryInterval
+	for tries := 1; ; tries++ {
 		var remaining []*memoryHolder
 		for _, h := range holders {
 			s, err := r.resumeAt(ctx, h)
+			result := continuationResult(err)
+			if result != continuationNotSent {
+				sends++
+			}
+			r.server.Observer.ObserveContinuation(r.call.Service.Name, result)
 			if s != nil {
 				r.call.Log.Info("stream: run resumed", "target", h.target.ID, "copy", h.from.Handle, "after_event", r.lastEventID.Load(),
-					"took_ms", time.Since(started).Milliseconds())
+					"tries", tries, "sends", sends, "took_ms", time.Since(started).Milliseconds())
 				r.uncount(holders)
 				return s
 			}
-			if (r.isUnreachable(h.target, err) || r.wantsPause(h.target)) && time.Since(started) < patience && ctx.Err() == nil {
+			if r.mayStillResume(h.target, err) && time.Since(started) < patience && ctx.Err() == nil {
+				if errors.Is(err, targetconn.ErrBroken) {
+					interval = min(2*interval, maxResumeInterval)
+				}
 				remaining = append(remaining, h)
 				continue
 			}
 			r.call.Log.Warn("stream: run could not be resumed", "target", h.target.ID, "copy", h.from.Handle, "after_event", r.lastEventID.Load(),
-				"took_ms", time.Since(started).Milliseconds(), "error", err.Error())
+				"tries", tries, "sends", sends, "leaving", r.server.Targets.HasAnnounced(h.target.Key()), "took_ms", time.Since(started).Milliseconds(), "error", err.Error())
 		}
 		if holders = remaining; len(holders) == 0 {
 			return nil
 		}
-		wait.For(ctx, resumeRetryInterval)
+		wait.For(ctx, interval)
+	}
+}
+
+// Results of continuations in metrics.
+const (
+	continuationResumed  = "resumed"
+	continuationNotSent  = "not_sent"
+	continuationRejected = "rejected"
+	continuationFailed   = "failed"
+)
+
+func continuationResult(err error) string {
+	switch {
+	case err == nil:
+		return continuationResumed
+	case errors.Is(err, targetconn.ErrNotSent):
+		return continuationNotSent
+	case errors.Is(err, errNotExecuted):
+		return continuationRejected
+	default:
+		return continuationFailed
 	}
 }
 
@@ -93,12 +126,18 @@
 	}
 }
 
-// isUnreachable reports whether nothing could be sent to an engine that is still listed.
-func (r *Run) isUnreachable(t *targets.Target, err error) bool {
-	return errors.Is(err, targetconn.ErrNotSent) && r.server.Targets.View().Get(t.Key()) != nil
-}
-
-// wantsPause reports whether an engine accepts no requests now but may do so later.
-func (r *Run) wantsPause(t *targets.Target) bool {
-	return slices.Contains(r.server.Targets.View().Refusing(r.call.Service.Name), t.Key())
+// mayStillResume reports whether an engine that has not continued the run may do so later: it
+// wants a pause, or it is still listed and could not be reached or has lost the connection, as
+// at the limit of its connections. An engine continues a run once for each handle, however
+// often it is asked.
+func (r *Run) mayStillResume(t *targets.Target, err error) bool {
+	view := r.server.Targets.View()
+	switch {
+	case errors.Is(err, targetconn.ErrRefused):
+		return view.WantsPause(t.Key())
+	case errors.Is(err, targetconn.ErrNotSent), errors.Is(err, targetconn.ErrBroken):
+		return view.Get(t.Key()) != nil
+	default:
+		return view.WantsPause(t.Key())
+	}
 }
