--- a/tests/soak/checks_test.go
+++ b/tests/soak/checks_test.go
@@ -17,6 +17,7 @@
 	target    *target
 	fromCopy  bool // the engine continued another engine's run from its memory
 	completed bool // the engine reached the last event
+	stopped   bool // a final copy stopped the run
 	account   string
 }
 
@@ -28,7 +29,7 @@
 	for _, t := range c.targets {
 		if t.engine != nil {
 			for _, s := range t.engine.Spans() {
-				out[s.ID] = append(out[s.ID], observation{arrivedAt: s.From, endedAt: s.To, target: t, fromCopy: s.FromCopy, completed: s.Completed})
+				out[s.ID] = append(out[s.ID], observation{arrivedAt: s.From, endedAt: s.To, target: t, fromCopy: s.FromCopy, completed: s.Completed, stopped: s.Stopped})
 			}
 			continue
 		}
