--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -159,6 +159,13 @@
 	Leaving bool
 	// Pause is how long the target wants nothing from this host; 0 if it doesn't say so.
 	Pause time.Duration
+	// Limited reports whether the target names a limit; Limit is how many requests a second it
+	// takes from all hosts together.
+	Limited bool
+	Limit   float64
+	// Brittle is how many requests a second the target may reject for want of room before it
+	// fails; 0 if it doesn't say so.
+	Brittle int
 	// Malformed is a header that could not be read, for logs; "" if there is none.
 	Malformed string
 }
--- a/internal/edge/targetgate/gate.go
+++ b/internal/edge/targetgate/gate.go
@@ -34,6 +34,7 @@
 const (
 	kindLeaving   = "leaving"
 	kindPause     = "pause"
+	kindLimit     = "limit"
 	kindMalformed = "malformed"
 )
 
@@ -91,7 +92,9 @@
 // Observe implements targetconn.Gate.
 func (g *Gate) Observe(incarnation, address string, r *targetconn.Request, status int, h http.Header) (leaving bool) {
 	n := g.Wire.TargetNotice(status, h)
-	if n == (edge.TargetNotice{}) {
+	// A limit has ended with the first answer without it.
+	lifts := g.Notices.AnyLimited() && !n.Limited && status >= http.StatusOK && n.Malformed == "" && (r.ID == "" || g.Wire.Signed(h) || g.Wire.NotExecuted(status, h))
+	if n == (edge.TargetNotice{}) && !lifts {
 		return false
 	}
 	answer := slog.Group("answer", "request", r.ID, "path", r.URI, "status", status)
@@ -105,6 +108,9 @@
 		if n.Pause > 0 {
 			g.observePause(key, r.ID, n.Pause, answer)
 		}
+		if n.Limited || lifts {
+			g.observeLimit(key, r.ID, targetnotice.Limit{Stated: n.Limited, PerSecond: n.Limit}, answer)
+		}
 	}
 	return n.Leaving
 }
@@ -137,6 +143,17 @@
 	}
 }
 
+func (g *Gate) observeLimit(incarnation, request string, l targetnotice.Limit, answer slog.Attr) {
+	if l.Stated {
+		g.Observer.ObserveTargetNotice(kindLimit)
+	}
+	change := g.Notices.ObserveLimit(incarnation, bootclock.Now(), l)
+	if change.Changed {
+		g.Log.Info("targets: target changed the limit that it names", "target", incarnation, "request", request,
+			"limited", l.Stated, "per_second", l.PerSecond, "previous", change.Previous.PerSecond, "sent_recently", change.SentRecently, answer)
+	}
+}
+
 func (g *Gate) observeMalformed(incarnation, malformed string, answer slog.Attr) {
 	g.Observer.ObserveTargetNotice(kindMalformed)
 	now, last := int64(bootclock.Now()), g.malformedLoggedAt.Load()
--- a/internal/edge/targetnotice/tracker.go
+++ b/internal/edge/targetnotice/tracker.go
@@ -70,6 +70,7 @@
 	// lastEnd is when the last restriction after a pause of any target ends, a
 	// bootclock.Instant.
 	lastEnd atomic.Int64
+	limited atomic.Int64 // number of targets that name a limit
 }
 
 // Trial is the first request to a target after its pause. Others are sent only after the
@@ -84,6 +85,8 @@
 	continuations int               // sent in the current pause
 	openAt        bootclock.Instant // when requests need no trial any more
 	trial         *Trial            // without an answer yet; nil if none
+	limit         Limit
+	sends         recentSends
 	updatedAt     bootclock.Instant
 }
 
@@ -147,6 +150,9 @@
 	if v != Allowed || s == nil {
 		return v, nil
 	}
+	if s.limit.Stated && (use == Request || use == Continuation) {
+		s.sends.add(now)
+	}
 	switch {
 	case use == Continuation && s.paused(now):
 		s.continuations++
@@ -271,5 +277,8 @@
 			oldest = incarnation
 		}
 	}
+	if t.targets[oldest].limit.Stated {
+		t.limited.Add(-1)
+	}
 	delete(t.targets, oldest)
 }
