--- a/internal/drill/disturbance.go
+++ b/internal/drill/disturbance.go
@@ -35,6 +35,7 @@
 		{"callers", false, 5 * time.Second, 12 * time.Second, disturbCallers},
 		{"early stop", true, 5 * time.Second, 15 * time.Second, stopEarly},
 		{"retire", true, 4 * time.Second, 12 * time.Second, retire},
+		{"limit", false, 4 * time.Second, 9 * time.Second, limitTargets},
 	}
 }
 
--- a/internal/drill/faults.go
+++ b/internal/drill/faults.go
@@ -69,6 +69,31 @@
 	return err
 }
 
+const (
+	minLimit, maxLimit         = 1.0, 6.0 // requests a second
+	minLimitFor, maxLimitFor   = 6 * time.Second, 12 * time.Second
+	limitedShare, allLimitedOf = 0.6, 0.3 // of a service's targets; share of the cases in which all are limited
+)
+
+// limitTargets makes some targets of a service, or all, name limits for some seconds.
+func limitTargets(ctx context.Context, f *fleet, r *rand.Rand) error {
+	service := f.deployment.Kinds[r.IntN(len(f.deployment.Kinds))].Service
+	n := 1 + int(r.Float64()*limitedShare*float64(f.targets.count(service)))
+	if r.Float64() < allLimitedOf {
+		n = f.targets.count(service)
+	}
+	some, d := f.targets.some(r, service, n), between(r, minLimitFor, maxLimitFor)
+	f.logger.Info("drill: limits", "service", service, "targets", len(some), "for", d)
+	for _, t := range some {
+		f.targets.limit(t, minLimit+(maxLimit-minLimit)*r.Float64())
+	}
+	err := sleep(ctx, d)
+	for _, t := range some {
+		f.targets.limit(t, 0)
+	}
+	return err
+}
+
 // freezeHost suspends a random host for some seconds.
 func freezeHost(ctx context.Context, f *fleet, r *rand.Rand) error {
 	h, d := f.hosts[r.IntN(len(f.hosts))], between(r, minFreeze, maxFreeze)
--- a/internal/drill/judge/judge.go
+++ b/internal/drill/judge/judge.go
@@ -21,6 +21,7 @@
 	Mixed   Rule = "MIXED"
 	Drain   Rule = "DRAIN"
 	Denied  Rule = "DENIED"
+	Limit   Rule = "LIMIT"
 )
 
 // Violation is one case of a broken rule.
@@ -39,7 +40,7 @@
 	for _, judge := range []func(*index) []Violation{
 		lostAroundPlannedWork, lostKeptConnections,
 		excessRetries, excessAttempts, excessTime, crashRetries,
-		ranTwice, ranAtTwo, rejectedAndRan, outOfOrder, mixedUp, sentToLeaving, deniedProper,
+		ranTwice, ranAtTwo, rejectedAndRan, outOfOrder, mixedUp, sentToLeaving, deniedProper, overLimits,
 	} {
 		all = append(all, judge(x)...)
 	}
--- a/internal/drill/platform.go
+++ b/internal/drill/platform.go
@@ -118,6 +118,8 @@
 	// Ail makes something go wrong with a share of the requests, until Recover.
 	Ail(kind Ailment, share float64)
 	Recover()
+	// Limit makes the target name a limit of requests a second in all its answers; 0 ends it.
+	Limit(perSecond float64)
 	// End ends the target and resets or closes its connections.
 	End(reset bool)
 }
--- a/internal/drill/record/record.go
+++ b/internal/drill/record/record.go
@@ -103,6 +103,7 @@
 	Continues bool // goes on from the memory of the same run
 	After     int  // event after which a stream goes on
 	Events    int  // that the target sent
+	Limited   bool // the target names a limit in its answer
 }
 
 // Outcome is how a target ended its work on a request.
@@ -159,6 +160,13 @@
 	Ended               time.Time // zero if it was alive at the end
 	Crashed             bool      // it ended without notice
 	Silences            []Span
+	Limits              []Limit
+}
+
+// Limit is a time in which a target names a limit of requests a second in its answers.
+type Limit struct {
+	Span
+	PerSecond float64
 }
 
 // Span is a time from which to which something lasted.
--- a/internal/drill/targetset.go
+++ b/internal/drill/targetset.go
@@ -95,6 +95,20 @@
 	s.fleet.log.UpdateTarget(t.ID(), func(r *record.Target) { r.Leaving = time.Now() })
 }
 
+// limit makes a target name a limit; 0 ends it.
+func (s *targetSet) limit(t Target, perSecond float64) {
+	s.fleet.log.UpdateTarget(t.ID(), func(r *record.Target) {
+		now := time.Now()
+		if n := len(r.Limits); n > 0 && r.Limits[n-1].To.IsZero() {
+			r.Limits[n-1].To = now
+		}
+		if perSecond > 0 {
+			r.Limits = append(r.Limits, record.Limit{Span: record.Span{From: now}, PerSecond: perSecond})
+		}
+	})
+	t.Limit(perSecond)
+}
+
 // end ends a target and removes its entry.
 func (s *targetSet) end(t Target, reset, crashed bool) {
 	s.fleet.log.UpdateTarget(t.ID(), func(r *record.Target) { r.Ended, r.Crashed = time.Now(), crashed })
