Limits: the hosts divide what a target names, and what can't be sent waits its turn or is rejected

Callers and targets: a target in need named how many requests a second it takes from all hosts together, and its arrivals did not change.

The class is a bound on what all hosts do together, of which each host sees its own part only.

First sends, retries, hedges and trials take a permit in one place (Tracker.Admit). Hosts tell each other of limits named and lifted. Calls and runs wait for a permit that comes soon, in the order of their urgency; others are rejected at once as targets_limited.

--- a/internal/edge/admission/queue.go
+++ b/internal/edge/admission/queue.go
@@ -54,6 +54,16 @@
 	return n
 }
 
+// LenOf returns the number of waiting runs of a service.
+func (q *Queue) LenOf(service string) int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if s := q.services[service]; s != nil {
+		return len(s.waiting)
+	}
+	return 0
+}
+
 // Acquire calls tryReserve until it returns a target, and returns that target, or
 // nil if ctx ends first. Runs of the service that already wait with the same or a lower number
 // for urgency go first, 0 being the most urgent. Calls of tryReserve for a service never
--- a/internal/edge/observe/poller.go
+++ b/internal/edge/observe/poller.go
@@ -52,13 +52,13 @@
 	}
 }
 
-// pollOnce polls each owned engine that has runs in flight. While hosts disagree about
+// pollOnce polls each owned engine that has runs in flight and names no limit of requests. While hosts disagree about
 // the owner of an engine, it may be polled twice.
 func (p *ReportPoller) pollOnce(ctx context.Context) {
 	view, hosts := p.Targets.View(), p.Hosts()
 	var polls sync.WaitGroup
 	for _, service := range p.Services() {
-		for _, t := range view.Available(service) {
+		for _, t := range view.Unlimited(service) {
 			if p.RunsInFlight(t.Key()) > 0 && rendezvous.Owner(t.Key(), hosts) == p.Host {
 				polls.Go(func() { p.poll(ctx, t) })
 			}
--- a/internal/edge/peers/exchange.go
+++ b/internal/edge/peers/exchange.go
@@ -25,6 +25,7 @@
 	"corianderhitch/internal/edge/policy"
 	"corianderhitch/internal/edge/relay"
 	"corianderhitch/internal/edge/storeera"
+	"corianderhitch/internal/edge/targetnotice"
 	"corianderhitch/internal/edge/targets"
 	"corianderhitch/internal/quarantine"
 	"corianderhitch/internal/rpcconn"
@@ -53,6 +54,7 @@
 	Confirmer *freshness.Confirmer
 	Health    *ejection.Tracker
 	Eras      *storeera.Tracker
+	Notices   *targetnotice.Tracker // what targets state in their answers
 	// Quarantine holds the evidence of requests that crash targets.
 	Quarantine *quarantine.Tracker
 	// FollowsStore reports whether this host currently follows the store itself.
@@ -85,6 +87,9 @@
 	e.syncRequested = make(chan struct{}, 1)
 	e.evidenceRequested = make(chan struct{}, 1)
 	e.process = rand.Uint64()
+	if e.Notices == nil {
+		e.Notices = targetnotice.New()
+	}
 	if e.Quarantine == nil {
 		e.Quarantine = quarantine.New(e.Host, nil)
 	}
--- a/internal/edge/peers/messages.go
+++ b/internal/edge/peers/messages.go
@@ -6,6 +6,7 @@
 	"corianderhitch/internal/edge/inflight"
 	"corianderhitch/internal/edge/placement"
 	"corianderhitch/internal/edge/relay"
+	"corianderhitch/internal/edge/targetnotice"
 	"corianderhitch/internal/platform"
 )
 
@@ -16,6 +17,7 @@
 	Loads          map[string]inflight.Load // in flight from this host, by target incarnation
 	Leaving        []string                 // incarnations that are known to be leaving
 	Failing        []string                 // incarnations that recently failed requests of this host
+	Limits         []targetnotice.LimitNotice
 	PolicyRevision platform.Revision
 	PolicyVersion  int64
 	ListRevision   platform.Revision
@@ -36,6 +38,7 @@
 	Parts   map[string]map[string]inflight.Load // in flight by target and host, for leaving targets
 	Leaving []string
 	Failing map[string]int // number of other hosts for which each target recently failed
+	Limits  []targetnotice.LimitNotice
 	// Era is the latest era of the store that the hub knows, SettledEra the same if that
 	// era is settled.
 	Era        int64
--- a/internal/edge/peers/notices.go
+++ b/internal/edge/peers/notices.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"corianderhitch/internal/edge/bootclock"
+	"corianderhitch/internal/edge/targetnotice"
 	"corianderhitch/internal/wait"
 )
 
@@ -40,3 +42,11 @@
 		e.Targets.MarkLeaving(key, "peer "+host)
 	}
 }
+
+// mergeLimits records the limits of targets that another host has heard of.
+func (e *Exchange) mergeLimits(host string, notices []targetnotice.LimitNotice) {
+	for _, n := range e.Notices.MergeLimits(notices, bootclock.Now()) {
+		e.Log.Info("targets: another host told of a changed limit", "target", n.Incarnation, "peer", host,
+			"limited", n.Limit.Stated, "per_second", n.Limit.PerSecond, "age_ms", n.Age.Milliseconds())
+	}
+}
--- a/internal/edge/peers/service.go
+++ b/internal/edge/peers/service.go
@@ -1,6 +1,9 @@
 package peers
 
-import "corianderhitch/internal/edge/policy"
+import (
+	"corianderhitch/internal/edge/bootclock"
+	"corianderhitch/internal/edge/policy"
+)
 
 // service serves the RPCs of other hosts. Its methods have the signatures that
 // net/rpc requires.
@@ -12,9 +15,11 @@
 	e.Inflight.SetPeerLoads(args.Host, args.Loads)
 	e.Health.SetReport(args.Host, args.Failing)
 	e.markLeaving(args.Host, args.Leaving)
+	e.mergeLimits(args.Host, args.Limits)
 	*reply = SyncReply{
 		Live:    e.FollowsStore(),
 		Leaving: e.Targets.AnnouncedLeaving(),
+		Limits:  e.Notices.LimitNotices(bootclock.Now()),
 		Failing: e.Health.CountReports(args.Host),
 		List:    e.ChangeLog.Since(args.ListRevision, args.ListSettling),
 		Vouch:   e.confirmation(policy.Stamp{Version: args.PolicyVersion, Revision: args.PolicyRevision}),
--- a/internal/edge/plain/server.go
+++ b/internal/edge/plain/server.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"corianderhitch/internal/edge"
+	"corianderhitch/internal/edge/admission"
 	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/edge/draining"
 	"corianderhitch/internal/edge/ejection"
@@ -56,6 +57,7 @@
 	Targets     *targets.Registry
 	Inflight    *inflight.Table
 	Health      *ejection.Tracker
+	Queue       *admission.Queue // of calls that wait for their turn at targets with limits
 	RetryBudget func(service string) *retrybudget.Budget
 	Domain      string // failure domain of this host
 	Stalls      *stall.Detector
@@ -169,8 +171,8 @@
 	}
 	switch o.result {
 	case unsent:
-		if errors.Is(o.err, targetconn.ErrOnTrial) {
-			delete(r.tried, o.target.Key()) // it may accept the call after its trial
+		if errors.Is(o.err, targetconn.ErrNotYet) {
+			delete(r.tried, o.target.Key()) // it may accept the call soon
 		}
 		if r.unsent++; r.unsent < maxUnsent {
 			r.send()
@@ -211,7 +213,9 @@
 	t := r.chooseTarget()
 	if t == nil && r.pending == 0 {
 		r.awaitTrial()
-		t = r.chooseTarget()
+		if t = r.chooseTarget(); t == nil {
+			t = r.awaitTurn()
+		}
 	}
 	if t == nil {
 		return false
@@ -259,8 +263,8 @@
 	case best.result == keyUnconfirmed:
 		return edge.Unavailable(edge.ReasonUnconfirmed, noTargetRetryAfter)
 	}
-	if left, paused := r.server.Targets.View().PauseLeft(r.call.Service.Name); paused {
-		return edge.AllPaused(left)
+	if refusal, refused := r.server.Targets.View().Refusal(r.call.Service.Name); refused {
+		return edge.AllRefuse(refusal)
 	}
 	switch best.result {
 	case rejected:
--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -24,6 +24,7 @@
 	"corianderhitch/internal/edge/freshness"
 	"corianderhitch/internal/edge/inflight"
 	"corianderhitch/internal/edge/ingress"
+	"corianderhitch/internal/edge/limitshare"
 	"corianderhitch/internal/edge/memquota"
 	"corianderhitch/internal/edge/metrics"
 	"corianderhitch/internal/edge/migration"
@@ -86,6 +87,7 @@
 	placementRate placement.Rate
 	targetsListed atomic.Bool
 	drain         *draining.Drain
+	limitShares   *limitshare.Shares
 	stalls        stall.Detector
 	quarantine    *quarantine.Tracker
 	crashes       *edge.CrashGuard
@@ -151,6 +153,8 @@
 	p.eras = storeera.New(log)
 	p.store = &countedStore{Store: adapter.NewStore(n.StoreAddress), count: func(call, result string) { p.metrics.ObserveStoreCall(call, result) }, observeEra: p.eras.Observe}
 	notices := targetnotice.New()
+	p.limitShares = limitshare.New(n.Name, func() []string { return p.members.Names() })
+	notices.Share = p.limitShares.Of
 	p.targets = targets.New(notices, p.onTargetLeaving)
 	p.gate = &targetgate.Gate{Log: log, Wire: adapter.Wire, Notices: notices, Targets: p.targets}
 	p.pool = targetconn.New(adapter.requestID, p.gate, p.connectionShare)
@@ -161,11 +165,11 @@
 	health := ejection.New()
 	p.exchange = &peers.Exchange{Log: log, Host: n.Name, Members: p.members, Inflight: p.inflight, Targets: p.targets,
 		ChangeLog: p.targetLog, Policy: p.policy, Confirmer: p.confirmer, Health: health, Eras: p.eras, FollowsStore: p.feeds.live,
-		Quarantine: p.quarantine}
+		Notices: notices, Quarantine: p.quarantine}
 	p.crashes.OnEvidence = p.exchange.SendEvidence
 	p.exchange.Init()
 	sender := &edge.Sender{Wire: adapter.Wire, Pool: p.pool, Crashes: p.crashes}
-	p.plain = &plain.Server{Sender: sender, Targets: p.targets, Inflight: p.inflight, Health: health, RetryBudget: p.retryBudget, Domain: n.Domain, Stalls: &p.stalls, Drain: p.drain,
+	p.plain = &plain.Server{Sender: sender, Targets: p.targets, Inflight: p.inflight, Health: health, RetryBudget: p.retryBudget, Domain: n.Domain, Stalls: &p.stalls, Drain: p.drain, Queue: admission.New(p.inflight.Changed),
 		LargeBodies: memquota.New(n.MemoryBytes / largeBodiesShare)}
 	p.streaming = &streaming.Server{
 		Sender: sender, Engines: adapter.NewEngineClient(p.pool), Targets: p.targets, Inflight: p.inflight, Health: health,
--- a/internal/edge/process/runs.go
+++ b/internal/edge/process/runs.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/edge/observe"
 	"corianderhitch/internal/edge/placement"
 	"corianderhitch/internal/edge/retrybudget"
@@ -73,8 +74,10 @@
 	}
 }
 
-// observeHosts tells the retry budgets of all services how many hosts there are.
+// observeHosts tells the retry budgets of all services, and what divides the limits of targets,
+// how many hosts there are.
 func (p *Process) observeHosts() {
+	p.limitShares.ObserveSize(bootclock.Now(), p.members.ListedCount())
 	c := p.policy.Current()
 	if c == nil {
 		return
--- a/internal/edge/rejection.go
+++ b/internal/edge/rejection.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"corianderhitch/internal/edge/targets"
 )
 
 // Rejection is a final response that the system itself gives instead of a target's.
@@ -32,6 +34,7 @@
 	ReasonNoRoom          = "no_room"
 	ReasonTargetFull      = "target_full"
 	ReasonTargetsPaused   = "targets_paused"
+	ReasonTargetsLimited  = "targets_limited"
 	ReasonCrashSuspect    = "crash_suspect"
 	ReasonMayHaveRun      = "may_have_run"
 	ReasonBrokenOff       = "broken_off"
@@ -78,16 +81,20 @@
 
 const (
 	// pauseSpreadShare of the time left, at least minPauseSpread, is the range over which
-	// callers return after a pause of all targets.
+	// callers return once a target accepts requests again.
 	pauseSpreadShare = 0.5
 	minPauseSpread   = 500 * time.Millisecond
 )
 
-// AllPaused returns the rejection of a request whose service has no target that wants
-// requests within left.
-func AllPaused(left time.Duration) *Rejection {
-	spread := max(pauseSpreadShare*float64(left), float64(minPauseSpread))
-	return Unavailable(ReasonTargetsPaused, left+time.Duration(rand.Float64()*spread))
+// AllRefuse returns the rejection of a request whose service has no target that accepts
+// requests now.
+func AllRefuse(refusal targets.Refusal) *Rejection {
+	reason := ReasonTargetsPaused
+	if refusal.Limited {
+		reason = ReasonTargetsLimited
+	}
+	spread := max(pauseSpreadShare*float64(refusal.Left), float64(minPauseSpread))
+	return Unavailable(reason, refusal.Left+time.Duration(rand.Float64()*spread))
 }
 
 // Write sends the rejection to the caller.
--- a/internal/edge/streaming/attempts.go
+++ b/internal/edge/streaming/attempts.go
@@ -33,11 +33,11 @@
 	return edge.Unavailable(reason, retryAfter)
 }
 
-// pausedOr returns the rejection of a request while all engines of its service want a pause,
+// refusedOr returns the rejection of a request while no engine of its service accepts requests,
 // and otherwise that of unavailable.
-func (r *Run) pausedOr(reason string, retryAfter time.Duration) *edge.Rejection {
-	if left, paused := r.server.Targets.View().PauseLeft(r.call.Service.Name); paused && !r.attempts.mayHaveRun {
-		return edge.AllPaused(left)
+func (r *Run) refusedOr(reason string, retryAfter time.Duration) *edge.Rejection {
+	if refusal, refused := r.server.Targets.View().Refusal(r.call.Service.Name); refused && !r.attempts.mayHaveRun {
+		return edge.AllRefuse(refusal)
 	}
 	return r.attempts.unavailable(reason, retryAfter)
 }
--- a/internal/edge/streaming/rejection.go
+++ b/internal/edge/streaming/rejection.go
@@ -43,7 +43,7 @@
 		return r.attempts.unavailable(stopping.Reason, stopping.RetryAfter)
 	}
 	if len(s.Targets.View().Available(a.Service.Name)) == 0 {
-		return r.pausedOr(edge.ReasonNoTarget, startRetryAfter)
+		return r.refusedOr(edge.ReasonNoTarget, startRetryAfter)
 	}
 	// Spreads the retries of callers that were rejected at the same time.
 	retryAfter := fullRetryAfter + time.Duration(rand.Float64()*float64(fullRetryAfter))
--- a/internal/edge/streaming/server.go
+++ b/internal/edge/streaming/server.go
@@ -131,7 +131,7 @@
 			return nil, rejection
 		}
 	}
-	return nil, r.pausedOr(edge.ReasonNoTarget, startRetryAfter)
+	return nil, r.refusedOr(edge.ReasonNoTarget, startRetryAfter)
 }
 
 var (
@@ -170,9 +170,9 @@
 		return r.attempts.unavailable(edge.ReasonUnconfirmed, startRetryAfter), false
 	case errors.Is(err, errNotExecuted):
 		r.attempts.sends.Add(1)
-		return r.pausedOr(edge.ReasonTargetFull, startRetryAfter), s.takeAttempt(r)
-	case errors.Is(err, targetconn.ErrOnTrial):
-		delete(r.attempts.tried, t.Key()) // it may accept the run after its trial
+		return r.refusedOr(edge.ReasonTargetFull, startRetryAfter), s.takeAttempt(r)
+	case errors.Is(err, targetconn.ErrNotYet):
+		delete(r.attempts.tried, t.Key()) // it may accept the run soon
 		return nil, true
 	case errors.Is(err, targetconn.ErrRefused):
 		return nil, true
@@ -192,10 +192,11 @@
 func (s *Server) place(ctx context.Context, r *Run) (*targets.Target, inflight.Load) {
 	a := r.call
 	load := s.startLoad(a, r.deliveredEvents())
-	if !s.Targets.View().AcceptsSoon(a.Service.Name) {
-		return nil, load // without engines waiting is pointless: the run is rejected immediately
+	within := maxWait(a, load)
+	if !s.Targets.View().AcceptsWithin(a.Service.Name, s.Queue.LenOf(a.Service.Name), within) {
+		return nil, load // waiting is pointless: the run is rejected immediately
 	}
-	ctx, cancel := context.WithTimeout(ctx, maxWait(a, load))
+	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	ctx, endWait := s.Sender.Crashes.EndWaitWhenHeld(ctx, a)
 	defer endWait()
@@ -216,7 +217,7 @@
 	}
 	t := s.Queue.Acquire(ctx, a.Service.Name, urgency, func() *targets.Target {
 		view := s.Targets.View()
-		if _, paused := view.PauseLeft(a.Service.Name); paused && !view.AcceptsSoon(a.Service.Name) {
+		if _, refused := view.Refusal(a.Service.Name); refused && !view.AcceptsWithin(a.Service.Name, 0, within-bootclock.Since(started)) {
 			cancel() // waiting is pointless: the run is rejected with the time left
 			return nil
 		}
--- a/internal/edge/targetconn/errors.go
+++ b/internal/edge/targetconn/errors.go
@@ -10,12 +10,12 @@
 var (
 	// ErrNotSent means that no byte of the request was sent.
 	ErrNotSent = eris.New("target: not reachable and nothing was sent; try another target")
-	// ErrRefused means that the gate refused the send: the target leaves or wants a pause.
-	// Such an error also matches ErrNotSent; the target is not at fault.
-	ErrRefused = eris.New("target: leaves or wants a pause, and nothing was sent; try another target")
-	// ErrOnTrial means that the gate refused the send until the target has answered the first
-	// request after its pause. Such an error also matches ErrRefused.
-	ErrOnTrial = eris.New("target: on trial after a pause, and nothing was sent; try another target or wait for the trial")
+	// ErrRefused means that the gate refused the send: the target leaves, wants a pause or names a
+	// limit. Such an error also matches ErrNotSent; the target is not at fault.
+	ErrRefused = eris.New("target: leaves, wants a pause or names a limit, and nothing was sent; try another target")
+	// ErrNotYet means that the gate refused the send for now: the target has not answered the
+	// first request after its pause yet, or this host's share of its limit is used up. Such an error also matches ErrRefused.
+	ErrNotYet = eris.New("target: accepts no request yet, and nothing was sent; try another target or wait")
 	// ErrBroken means that the request was sent, at least in part, but no complete
 	// response arrived: the target may have run it.
 	ErrBroken = eris.New("target: connection broke after the request was sent; repeat it only if it is idempotent")
@@ -38,12 +38,20 @@
 type refusal struct{ verdict targetnotice.Verdict }
 
 func (r *refusal) Error() string {
-	if r.verdict == targetnotice.OnTrial {
-		return ErrOnTrial.Error()
+	if r.isTemporary() {
+		return ErrNotYet.Error() + ": " + r.verdict.String()
 	}
 	return ErrRefused.Error() + ": " + r.verdict.String()
 }
 
 func (r *refusal) Is(target error) bool {
-	return target == ErrRefused || target == ErrNotSent || target == ErrOnTrial && r.verdict == targetnotice.OnTrial
+	return target == ErrRefused || target == ErrNotSent || target == ErrNotYet && r.isTemporary()
+}
+
+func (r *refusal) isTemporary() bool {
+	switch r.verdict {
+	case targetnotice.OnTrial, targetnotice.Limited:
+		return true
+	}
+	return false
 }
--- a/internal/edge/targetnotice/tracker.go
+++ b/internal/edge/targetnotice/tracker.go
@@ -1,7 +1,8 @@
 // Package targetnotice decides whether a target may be sent a request after it has stated in
-// its answers to this host that it leaves, or that it wants a pause. The answers alone
-// count: a target list or a peer that calls the target ready doesn't change the decision,
-// so that a host without its store and peers decides alike. It reads no clock and does no I/O.
+// its answers to this host that it leaves, that it wants a pause, or how many requests a second it
+// takes from all hosts. Leaving and pauses are decided by the answers alone: a target list or a
+// peer that calls the target ready doesn't change the decision, so that a host without its store
+// and peers decides alike. Of limits, hosts also tell each other. It reads no clock and does no I/O.
 package targetnotice
 
 import (
@@ -56,13 +57,21 @@
 	Leaving
 	Paused
 	OnTrial // the pause has ended, and the answer to the first request is awaited
+	Limited // this host's share of the limit that the target names is used up
 )
 
 // String returns the name of the verdict in logs and metrics.
-func (v Verdict) String() string { return [...]string{"allowed", "leaving", "paused", "on_trial"}[v] }
+func (v Verdict) String() string {
+	return [...]string{"allowed", "leaving", "paused", "on_trial", "limited"}[v]
+}
 
 // Tracker remembers what targets have stated, by incarnation. It is safe for concurrent use.
 type Tracker struct {
+	// Share returns this host's share of a target's limit, which at most the given number of
+	// hosts use; nil for a host without others. It is called often and with a lock held. Set it
+	// before the first use.
+	Share func(incarnation string, holders int) float64
+
 	mu      sync.Mutex
 	targets map[string]*statements // guarded by mu
 	// trialEnded is closed and replaced when a trial ends.
@@ -70,7 +79,9 @@
 	// lastEnd is when the last restriction after a pause of any target ends, a
 	// bootclock.Instant.
 	lastEnd atomic.Int64
-	limited atomic.Int64 // number of targets that name a limit
+	// limitsUntil is until when other hosts are told of limits, a bootclock.Instant.
+	limitsUntil atomic.Int64
+	limited     atomic.Int64 // number of targets that name a limit
 }
 
 // Trial is the first request to a target after its pause. Others are sent only after the
@@ -86,6 +97,8 @@
 	openAt        bootclock.Instant // when requests need no trial any more
 	trial         *Trial            // without an answer yet; nil if none
 	limit         Limit
+	limitedAt     bootclock.Instant // when the limit was last stated or lifted
+	permits       permits           // accrue while a limit is stated
 	sends         recentSends
 	updatedAt     bootclock.Instant
 }
@@ -137,7 +150,7 @@
 func (t *Tracker) Check(incarnation string, use Use, arrived, now bootclock.Instant) Verdict {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.verdict(t.targets[incarnation], use, arrived, now)
+	return t.verdict(incarnation, t.targets[incarnation], use, arrived, now)
 }
 
 // Admit is Check for a send that follows immediately, which it counts. If the send is a trial,
@@ -146,12 +159,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.targets[incarnation]
-	v := t.verdict(s, use, arrived, now)
+	v := t.verdict(incarnation, s, use, arrived, now)
 	if v != Allowed || s == nil {
 		return v, nil
 	}
 	if s.limit.Stated && (use == Request || use == Continuation) {
 		s.sends.add(now)
+		s.permits.accrue(now, t.hostRate(incarnation, s))
+		s.permits.take()
 	}
 	switch {
 	case use == Continuation && s.paused(now):
@@ -210,7 +225,7 @@
 
 // verdict decides by what the target has stated; s is nil if it has stated nothing. Callers
 // hold t.mu.
-func (t *Tracker) verdict(s *statements, use Use, arrived, now bootclock.Instant) Verdict {
+func (t *Tracker) verdict(incarnation string, s *statements, use Use, arrived, now bootclock.Instant) Verdict {
 	if s == nil || use == Control {
 		return Allowed
 	}
@@ -226,11 +241,16 @@
 	if use == Request && s.onTrial(now) {
 		return OnTrial
 	}
+	if (use == Request || use == Probe) && !t.hasPermit(incarnation, s, now) {
+		return Limited
+	}
 	return Allowed
 }
 
-// AnyPaused reports whether a target may be paused or on trial. It is cheap.
-func (t *Tracker) AnyPaused(now bootclock.Instant) bool { return int64(now) < t.lastEnd.Load() }
+// AnyRestricted reports whether a target may be paused, on trial or limited. It is cheap.
+func (t *Tracker) AnyRestricted(now bootclock.Instant) bool {
+	return int64(now) < t.lastEnd.Load() || t.AnyLimited()
+}
 
 // PauseLeft returns how long the incarnation's pause lasts, 0 if it isn't paused.
 func (t *Tracker) PauseLeft(incarnation string, now bootclock.Instant) time.Duration {
@@ -269,7 +289,7 @@
 func (t *Tracker) forgetOne(now bootclock.Instant) {
 	oldest := ""
 	for incarnation, s := range t.targets {
-		if !s.leaving && now >= s.openAt {
+		if !s.leaving && now >= s.openAt && !s.limit.Stated {
 			delete(t.targets, incarnation)
 			return
 		}
--- a/internal/edge/targetnotice/tracker_test.go
+++ b/internal/edge/targetnotice/tracker_test.go
@@ -161,7 +161,7 @@
 	tracker := New()
 	tracker.ObservePause("a", at(0), time.Second, 0)
 	late := at(1).Add(trialWindow)
-	require.False(t, tracker.AnyPaused(late))
+	require.False(t, tracker.AnyRestricted(late))
 	_, trial := tracker.Admit("a", Request, at(0), late)
 	require.Nil(t, trial)
 }
--- a/internal/edge/targets/stated_test.go
+++ b/internal/edge/targets/stated_test.go
@@ -105,7 +105,7 @@
 	stated := targetnotice.New()
 	r := New(stated, func(Target, LeavingNotice) {})
 	r.Apply([]Change{readyEntry(1), readyEntry(2), readyEntry(3)}, 1)
-	_, paused := r.View().PauseLeft("s")
+	_, paused := r.View().Refusal("s")
 	require.False(t, paused)
 	now := bootclock.Now()
 	stated.ObservePause("1@0", now, long, 0)
@@ -113,17 +113,17 @@
 	require.Len(t, r.View().Serving("s"), 3)
 	require.Equal(t, []string{"1@0"}, r.View().Refusing("s"))
 	stated.ObservePause("2@0", now, short, 0)
-	_, paused = r.View().PauseLeft("s")
+	_, paused = r.View().Refusal("s")
 	require.False(t, paused, "one target accepts requests")
-	require.True(t, r.View().AcceptsSoon("s"))
+	require.True(t, r.View().AcceptsWithin("s", 0, 0))
 	r.MarkLeaving("3@0", "peer")
-	require.False(t, r.View().AcceptsSoon("s"))
-	left, paused := r.View().PauseLeft("s")
+	require.False(t, r.View().AcceptsWithin("s", 0, 0))
+	refusal, paused := r.View().Refusal("s")
 	require.True(t, paused, "leaving targets don't count")
-	require.InDelta(t, short.Seconds(), left.Seconds(), 1)
+	require.InDelta(t, short.Seconds(), refusal.Left.Seconds(), 1)
 	r.MarkLeaving("1@0", "peer")
 	r.MarkLeaving("2@0", "peer")
-	_, paused = r.View().PauseLeft("s")
+	_, paused = r.View().Refusal("s")
 	require.False(t, paused, "waiting for targets that leave is pointless")
 }
 
@@ -142,13 +142,39 @@
 	r.MarkLeaving("2@0", "peer")
 	trials := r.View().Trials("s")
 	require.Positive(t, trials.Left)
-	require.True(t, r.View().AcceptsSoon("s"))
+	require.True(t, r.View().AcceptsWithin("s", 0, 0))
 	require.Equal(t, 1, trials.Slots)
-	left, paused := r.View().PauseLeft("s")
+	refusal, paused := r.View().Refusal("s")
 	require.True(t, paused)
-	require.InDelta(t, trials.Left.Seconds(), left.Seconds(), 1)
+	require.InDelta(t, trials.Left.Seconds(), refusal.Left.Seconds(), 1)
 	stated.EndTrial(trial, true)
 	<-trials.Ended
 	require.Zero(t, r.View().Trials("s").Left)
 	require.Len(t, r.View().Available("s"), 1)
 }
+
+func TestTargetsWhoseLimitIsUsedUp(t *testing.T) {
+	stated := targetnotice.New()
+	r := New(stated, func(Target, LeavingNotice) {})
+	r.Apply([]Change{readyEntry(1), readyEntry(2)}, 1)
+	now := bootclock.Now()
+	for _, key := range []string{"1@0", "2@0"} {
+		stated.ObserveLimit(key, now, targetnotice.Limit{Stated: true}) // the next permits come after seconds
+		for range 2 {
+			stated.Admit(key, targetnotice.Continuation, now, now)
+		}
+	}
+	require.Empty(t, r.View().Available("s"))
+	require.Equal(t, []string{"1@0", "2@0"}, r.View().Refusing("s"))
+	refusal, refused := r.View().Refusal("s")
+	require.True(t, refused)
+	require.True(t, refusal.Limited)
+	require.Positive(t, refusal.Left)
+	require.True(t, r.View().AcceptsWithin("s", 0, refusal.Left+time.Second))
+	require.False(t, r.View().AcceptsWithin("s", 0, refusal.Left/2))
+	require.False(t, r.View().AcceptsWithin("s", 100, refusal.Left+time.Second), "others wait already")
+	stated.ObserveLimit("2@0", now, targetnotice.Limit{})
+	require.Len(t, r.View().Available("s"), 1)
+	require.Len(t, r.View().Unlimited("s"), 1)
+	require.True(t, r.View().TakesTurns("s"))
+}
--- a/internal/edge/targets/view.go
+++ b/internal/edge/targets/view.go
@@ -18,23 +18,50 @@
 // by key. The slice is shared; callers must not change it.
 func (v *View) Available(service string) []*Target {
 	now := bootclock.Now()
-	if !v.stated.AnyPaused(now) {
+	if !v.stated.AnyRestricted(now) {
 		return v.Serving(service)
 	}
 	return keep(v.Serving(service), func(t *Target) bool { return v.accepts(t.Key(), now) })
 }
 
-// AcceptsSoon reports whether a target of the service accepts new requests from this host, or
-// does so after a trial that is in progress. Unlike Available and Trials together, it is one
-// look at each target.
-func (v *View) AcceptsSoon(service string) bool {
+// AcceptsWithin reports whether a target of the service accepts new requests from this host,
+// does so after a trial that is in progress, or takes one more of them within a time, behind
+// those of this host that wait already. It is one look at each target.
+func (v *View) AcceptsWithin(service string, waiting int, within time.Duration) bool {
 	now := bootclock.Now()
-	return slices.ContainsFunc(v.Serving(service), func(t *Target) bool {
-		verdict := v.stated.Check(t.Key(), targetnotice.Request, now, now)
-		return verdict == targetnotice.Allowed || verdict == targetnotice.OnTrial
+	rates, first := 0.0, time.Duration(-1) // of the targets whose limits are used up
+	for _, t := range v.Serving(service) {
+		switch v.stated.Check(t.Key(), targetnotice.Request, now, now) {
+		case targetnotice.Allowed, targetnotice.OnTrial:
+			return true
+		case targetnotice.Limited:
+			left, rate := v.stated.PermitLeft(t.Key(), now)
+			rates += rate
+			if first < 0 || left < first {
+				first = left
+			}
+		}
+	}
+	return rates > 0 && first+time.Duration(float64(waiting)/rates*float64(time.Second)) <= within
+}
+
+// TakesTurns reports whether requests to a target of the service take turns at this host: it names
+// a limit.
+func (v *View) TakesTurns(service string) bool {
+	return v.stated.AnyLimited() && slices.ContainsFunc(v.Serving(service), func(t *Target) bool {
+		return v.stated.NamesLimit(t.Key())
 	})
 }
 
+// Unlimited returns the targets that Available returns, without those that name a limit.
+func (v *View) Unlimited(service string) []*Target {
+	available := v.Available(service)
+	if !v.stated.AnyLimited() {
+		return available
+	}
+	return keep(available, func(t *Target) bool { return !v.stated.NamesLimit(t.Key()) })
+}
+
 // Refusing returns the incarnations of a service that have stated to this host that they
 // leave or want a pause, or are on trial after one; other hosts may not know.
 func (v *View) Refusing(service string) []string {
@@ -72,7 +99,7 @@
 // requests.
 func (v *View) Trials(service string) Trials {
 	now := bootclock.Now()
-	if !v.stated.AnyPaused(now) {
+	if !v.stated.AnyRestricted(now) {
 		return Trials{}
 	}
 	trials := Trials{Ended: v.stated.TrialEnded()} // read before the targets, so that no end is missed
@@ -91,24 +118,34 @@
 	return trials
 }
 
-// PauseLeft returns the shortest time until a target of the service accepts requests again.
-// It returns false if a target accepts them now, or if all targets leave.
-func (v *View) PauseLeft(service string) (time.Duration, bool) {
+// Refusal is why no target of a service accepts requests from this host now.
+type Refusal struct {
+	Left    time.Duration // until the first of them does
+	Limited bool          // that target names a limit; otherwise it wants a pause
+}
+
+// Refusal returns why no target of a service accepts requests. It returns false if a target
+// accepts them now, or if all targets leave.
+func (v *View) Refusal(service string) (Refusal, bool) {
 	now := bootclock.Now()
-	if !v.stated.AnyPaused(now) {
-		return 0, false
+	if !v.stated.AnyRestricted(now) {
+		return Refusal{}, false
 	}
-	shortest, paused := time.Duration(0), false
+	var first Refusal
+	refused := false
 	for _, t := range v.Serving(service) {
-		left := max(v.stated.PauseLeft(t.Key(), now), v.stated.TrialLeft(t.Key(), now))
+		key := t.Key()
+		paused := max(v.stated.PauseLeft(key, now), v.stated.TrialLeft(key, now))
+		limited, _ := v.stated.PermitLeft(key, now)
+		left := max(paused, limited)
 		if left == 0 {
-			return 0, false
+			return Refusal{}, false
 		}
-		if !paused || left < shortest {
-			shortest, paused = left, true
+		if !refused || left < first.Left {
+			first, refused = Refusal{Left: left, Limited: limited >= paused}, true
 		}
 	}
-	return shortest, paused
+	return first, refused
 }
 
 // Get returns the target of an incarnation, or nil. It also finds leaving targets that
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -45,3 +45,15 @@
 	_, _ = digest.WriteString(key)
 	return digest.Sum64()
 }
+
+// Rank returns the position of a node in the order of Ranked: the number of nodes that come
+// before it, whether or not it is one of them itself.
+func Rank(key, node string, nodes []string) int {
+	rank, own := 0, weight(key, node)
+	for _, other := range nodes {
+		if w := weight(key, other); w > own || w == own && other < node {
+			rank++
+		}
+	}
+	return rank
+}
