--- a/internal/drill/faults.go
+++ b/internal/drill/faults.go
@@ -94,6 +94,34 @@
 	return err
 }
 
+const (
+	minBearable, maxBearable     = 3, 8 // rejections within a second
+	minBrittleFor, maxBrittleFor = 8 * time.Second, 14 * time.Second
+)
+
+// makeBrittle makes the targets of a plain service brittle and slow for some seconds.
+func makeBrittle(ctx context.Context, f *fleet, r *rand.Rand) error {
+	var services []string
+	for _, k := range f.deployment.Kinds {
+		if s := f.deployment.Service(k.Service); s.Engine == nil {
+			services = append(services, k.Service)
+		}
+	}
+	if len(services) == 0 {
+		return nil
+	}
+	b := record.Brittle{Service: services[r.IntN(len(services))]}
+	b.Targets, b.From = f.targets.count(b.Service), time.Now()
+	bearable, d := minBearable+r.IntN(maxBearable-minBearable+1), between(r, minBrittleFor, maxBrittleFor)
+	f.logger.Info("drill: brittle targets", "service", b.Service, "bearable", bearable, "for", d)
+	f.targets.factory.SetBrittle(b.Service, bearable)
+	err := sleep(ctx, d)
+	f.targets.factory.SetBrittle(b.Service, 0)
+	b.To = time.Now()
+	f.log.Brittle(b)
+	return err
+}
+
 // freezeHost suspends a random host for some seconds.
 func freezeHost(ctx context.Context, f *fleet, r *rand.Rand) error {
 	h, d := f.hosts[r.IntN(len(f.hosts))], between(r, minFreeze, maxFreeze)
--- a/internal/drill/judge/judge.go
+++ b/internal/drill/judge/judge.go
@@ -40,7 +40,7 @@
 	for _, judge := range []func(*index) []Violation{
 		lostAroundPlannedWork, lostKeptConnections,
 		excessRetries, excessAttempts, excessTime, crashRetries,
-		ranTwice, ranAtTwo, rejectedAndRan, outOfOrder, mixedUp, sentToLeaving, deniedProper, overLimits,
+		ranTwice, ranAtTwo, rejectedAndRan, outOfOrder, mixedUp, sentToLeaving, deniedProper, overLimits, fallenTooOften,
 	} {
 		all = append(all, judge(x)...)
 	}
--- a/internal/drill/judge/limit.go
+++ b/internal/drill/judge/limit.go
@@ -80,3 +80,28 @@
 	}
 	return out
 }
+
+const (
+	// maxFalls, and one in fallsPer of a service's targets, may fall over in one time in which
+	// they are brittle.
+	maxFalls = 2
+	fallsPer = 10
+)
+
+// fallenTooOften finds services whose brittle targets were made to fall over too often.
+func fallenTooOften(x *index) []Violation {
+	var all []Violation
+	for _, b := range x.run.Brittle {
+		falls := 0
+		for i := range x.run.Targets {
+			t := &x.run.Targets[i]
+			if t.Fell && t.Service == b.Service && !t.Ended.Before(b.From.Add(x.bounds.Contact)) && !t.Ended.After(b.To) {
+				falls++
+			}
+		}
+		if allowed := maxFalls + float64(b.Targets)/fallsPer; float64(falls) > allowed {
+			all = append(all, Violation{Rule: Limit, At: b.To, Text: fmt.Sprintf("brittle targets of %s fell over %d times since %s; %.1f are allowed", b.Service, falls, x.clock(b.From), allowed)})
+		}
+	}
+	return all
+}
--- a/internal/drill/judge/limit_test.go
+++ b/internal/drill/judge/limit_test.go
@@ -37,3 +37,23 @@
 		}, false},
 	})
 }
+
+func TestFallenTooOften(t *testing.T) {
+	fall := func(run *record.Run, seconds ...float64) {
+		for _, s := range seconds {
+			run.Targets = append(run.Targets, record.Target{Service: "plain", Ended: at(s), Crashed: true, Fell: true})
+		}
+	}
+	prepare := func() *record.Run {
+		run := newRun()
+		run.Brittle = []record.Brittle{{Span: span(10, 30), Service: "plain", Targets: 5}}
+		return run
+	}
+	requireCases(t, fallenTooOften, prepare, map[string]violationCase{
+		"as often as allowed": {func(run *record.Run) { fall(run, 14, 20) }, false},
+		"once more":           {func(run *record.Run) { fall(run, 14, 20, 25) }, true},
+		"before the bound":    {func(run *record.Run) { fall(run, 11, 12, 12.5, 20) }, false},
+		"afterwards":          {func(run *record.Run) { fall(run, 14, 20, 31) }, false},
+		"another service":     {func(run *record.Run) { fall(run, 14, 20, 25); run.Brittle[0].Service = "engines" }, false},
+	})
+}
--- a/internal/drill/platform.go
+++ b/internal/drill/platform.go
@@ -92,6 +92,11 @@
 	Start(id string, s *deployment.Service, domain string, listener net.Listener) Target
 	// OnCrash sets what is called when a prompt crashes an engine. Call it before Start.
 	OnCrash(f func(id string))
+	// SetBrittle makes all targets of a service, also later ones, state that they fall over once
+	// they reject more requests than that within a second, and do so; 0 ends it.
+	SetBrittle(service string, rejections int)
+	// OnFall sets what is called when a brittle target falls over. Call it before Start.
+	OnFall(f func(id string))
 }
 
 // CrashingPart begins the ids of parts of prompts that crash engines.
--- a/internal/drill/record/log.go
+++ b/internal/drill/record/log.go
@@ -78,6 +78,13 @@
 	l.run.Outages = append(l.run.Outages, s)
 }
 
+// Brittle adds a time in which the targets of a service were brittle.
+func (l *Log) Brittle(b Brittle) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.run.Brittle = append(l.run.Brittle, b)
+}
+
 // Finish returns the record of the run.
 func (l *Log) Finish() *Run {
 	l.mu.Lock()
--- a/internal/drill/record/record.go
+++ b/internal/drill/record/record.go
@@ -15,6 +15,7 @@
 	Versions   []Version   // in the order of Sent
 	Targets    []Target
 	Outages    []Span // of the store
+	Brittle    []Brittle
 	Began      time.Time
 	Ended      time.Time
 }
@@ -159,6 +160,7 @@
 	Leaving             time.Time // when the store acknowledged its leaving notice; zero without one
 	Ended               time.Time // zero if it was alive at the end
 	Crashed             bool      // it ended without notice
+	Fell                bool      // it was brittle and had rejected too many requests
 	Silences            []Span
 	Limits              []Limit
 }
@@ -169,5 +171,12 @@
 	PerSecond float64
 }
 
+// Brittle is a time in which the targets of a service were brittle.
+type Brittle struct {
+	Span
+	Service string
+	Targets int // when it began
+}
+
 // Span is a time from which to which something lasted.
 type Span struct{ From, To time.Time }
--- a/internal/drill/targetset.go
+++ b/internal/drill/targetset.go
@@ -26,6 +26,7 @@
 func newTargetSet(f *fleet) *targetSet {
 	s := &targetSet{fleet: f, factory: f.platform.NewTargets(f.deployment, f.options.Seed, f.log), active: make(map[string][]Target)}
 	s.factory.OnCrash(s.crash)
+	s.factory.OnFall(s.fall)
 	return s
 }
 
@@ -126,17 +127,23 @@
 	}
 }
 
-// crash ends an engine that a prompt crashes, and starts it again some seconds later.
+// crash ends a target that requests crash, and starts it again some seconds later.
 func (s *targetSet) crash(id string) {
 	t, service := s.takeByID(id)
 	if t == nil {
 		return
 	}
-	s.fleet.logger.Info("drill: engine crashed by a prompt", "target", id)
+	s.fleet.logger.Info("drill: target crashed by requests", "target", id)
 	s.end(t, true, true)
 	go s.fleet.join(s.fleet.ctx, service, t.Domain(), minRestart)
 }
 
+// fall ends a brittle target, and starts it again some seconds later.
+func (s *targetSet) fall(id string) {
+	s.fleet.log.UpdateTarget(id, func(r *record.Target) { r.Fell = true })
+	s.crash(id)
+}
+
 // takeByID removes a target from the active ones. It returns nil if it isn't active.
 func (s *targetSet) takeByID(id string) (Target, *deployment.Service) {
 	s.mu.Lock()
--- a/tests/drill/limit_test.go
+++ b/tests/drill/limit_test.go
@@ -29,3 +29,8 @@
 	}
 	assert.Positive(t, limits, "no target named a limit")
 }
+
+func TestBrittleTargetsAreNotMadeToFallOver(t *testing.T) {
+	run := play(t, press, drill.Options{Only: []string{"brittle"}, For: 4 * *duration})
+	assert.NotEmpty(t, run.Brittle)
+}
