Brittle targets: as many requests as they have slots, a pause after a rejection, the rest waits at the host

Targets of a service that state that they fail when they reject too many requests fell over one after the other: what exceeded their room was sent and rejected, and the load of one that was down went to the others.

Cause: what may wait at a target is a bound of all hosts together, and no host knew of it. All hosts together now leave no more requests unanswered at such a target than it has slots; at most two hosts a slot use it. A rejection pauses a host for 1 to 4 s, and the rest waits in turn at the host or is rejected at once. A target that is back counts as brittle before its first answer if one of its service does.

--- a/internal/edge/plain/server.go
+++ b/internal/edge/plain/server.go
@@ -57,7 +57,7 @@
 	Targets     *targets.Registry
 	Inflight    *inflight.Table
 	Health      *ejection.Tracker
-	Queue       *admission.Queue // of calls that wait for their turn at targets with limits
+	Queue       *admission.Queue // of calls that wait for their turn at targets with limits and brittle ones
 	RetryBudget func(service string) *retrybudget.Budget
 	Domain      string // failure domain of this host
 	Stalls      *stall.Detector
--- a/internal/edge/targetconn/errors.go
+++ b/internal/edge/targetconn/errors.go
@@ -14,7 +14,8 @@
 	// limit. Such an error also matches ErrNotSent; the target is not at fault.
 	ErrRefused = eris.New("target: leaves, wants a pause or names a limit, and nothing was sent; try another target")
 	// ErrNotYet means that the gate refused the send for now: the target has not answered the
-	// first request after its pause yet, or this host's share of its limit is used up. Such an error also matches ErrRefused.
+	// first request after its pause yet, this host's share of its limit is used up, or it is
+	// brittle and may have no room. Such an error also matches ErrRefused.
 	ErrNotYet = eris.New("target: accepts no request yet, and nothing was sent; try another target or wait")
 	// ErrBroken means that the request was sent, at least in part, but no complete
 	// response arrived: the target may have run it.
@@ -50,7 +51,7 @@
 
 func (r *refusal) isTemporary() bool {
 	switch r.verdict {
-	case targetnotice.OnTrial, targetnotice.Limited:
+	case targetnotice.OnTrial, targetnotice.Limited, targetnotice.NoRoom:
 		return true
 	}
 	return false
--- a/internal/edge/targetgate/gate.go
+++ b/internal/edge/targetgate/gate.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -35,6 +36,7 @@
 	kindLeaving   = "leaving"
 	kindPause     = "pause"
 	kindLimit     = "limit"
+	kindBrittle   = "brittle"
 	kindMalformed = "malformed"
 )
 
@@ -48,6 +50,7 @@
 	Observer Observer
 
 	malformedLoggedAt atomic.Int64 // a bootclock.Instant
+	brittleServices   sync.Map     // rejections a second that targets last stated, an int, by service
 }
 
 var _ targetconn.Gate = (*Gate)(nil)
@@ -69,13 +72,19 @@
 	if trial != nil {
 		g.Log.Info("targets: request tries target after its pause", "target", incarnation, "request", r.ID)
 	}
-	return v, func(answered bool) { g.Notices.EndTrial(trial, answered) }
+	return v, func(answered bool) {
+		g.Notices.EndTrial(trial, answered)
+		if v == targetnotice.Allowed {
+			g.Notices.EndWait(incarnation, r.Use)
+		}
+	}
 }
 
 // decide returns the verdict on a request, and on the destination of the copy that it asks
 // for.
 func (g *Gate) decide(incarnation string, r *targetconn.Request, verdict func(now bootclock.Instant) targetnotice.Verdict) targetnotice.Verdict {
 	now := bootclock.Now()
+	g.inheritBrittle(incarnation, now)
 	v := targetnotice.Allowed
 	if r.CopyTo != "" {
 		v = g.Notices.Check(r.CopyTo, targetnotice.CopyDestination, 0, now)
@@ -92,8 +101,13 @@
 // Observe implements targetconn.Gate.
 func (g *Gate) Observe(incarnation, address string, r *targetconn.Request, status int, h http.Header) (leaving bool) {
 	n := g.Wire.TargetNotice(status, h)
-	// A limit has ended with the first answer without it.
-	lifts := g.Notices.AnyLimited() && !n.Limited && status >= http.StatusOK && n.Malformed == "" && (r.ID == "" || g.Wire.Signed(h) || g.Wire.NotExecuted(status, h))
+	limited, brittle := g.Notices.AnyLimited(), g.Notices.AnyBrittle()
+	// What all answers of a target state has ended with the first answer without it.
+	whole := (limited || brittle) && status >= http.StatusOK && n.Malformed == "" && (r.ID == "" || g.Wire.Signed(h) || g.Wire.NotExecuted(status, h))
+	lifts := whole && limited && !n.Limited
+	if n.Brittle > 0 || whole && brittle {
+		g.observeBrittle(incarnation, r, &n, status, h)
+	}
 	if n == (edge.TargetNotice{}) && !lifts {
 		return false
 	}
@@ -154,6 +168,49 @@
 	}
 }
 
+// observeBrittle records whether a target is brittle, and whether it had room for the request. What
+// a target states holds for its service: all its targets are brittle at a time.
+func (g *Gate) observeBrittle(incarnation string, r *targetconn.Request, n *edge.TargetNotice, status int, h http.Header) {
+	if status == http.StatusMisdirectedRequest {
+		return // written by another target
+	}
+	now := bootclock.Now()
+	slots, service := 1, ""
+	if t := g.Targets.View().Get(incarnation); t != nil {
+		slots, service = t.Slots, t.Service
+	}
+	if n.Brittle > 0 {
+		g.Observer.ObserveTargetNotice(kindBrittle)
+	}
+	g.brittleServices.Store(service, n.Brittle)
+	if g.Notices.ObserveBrittle(incarnation, now, n.Brittle, slots) {
+		g.Log.Info("targets: target changed whether it is brittle", "target", incarnation, "request", r.ID, "rejections_per_second", n.Brittle, "slots", slots)
+	}
+	if !r.Use.ShowsRoom() {
+		return
+	}
+	rejected := status == http.StatusServiceUnavailable && g.Wire.NotExecuted(status, h)
+	if pause := g.Notices.ObserveRoom(incarnation, now, !rejected, rand.Float64()); pause > 0 {
+		g.Log.Info("targets: brittle target has no room; it gets no requests until then", "target", incarnation, "request", r.ID,
+			"pause_ms", pause.Milliseconds())
+	}
+}
+
+// inheritBrittle makes a target of a brittle service count as brittle before its first answer, as
+// after it has failed and started again.
+func (g *Gate) inheritBrittle(incarnation string, now bootclock.Instant) {
+	if !g.Notices.AnyBrittle() {
+		return
+	}
+	t := g.Targets.View().Get(incarnation)
+	if t == nil || g.Notices.Knows(incarnation) {
+		return
+	}
+	if rejections, ok := g.brittleServices.Load(t.Service); ok && rejections.(int) > 0 {
+		g.Notices.ObserveBrittle(incarnation, now, rejections.(int), t.Slots)
+	}
+}
+
 func (g *Gate) observeMalformed(incarnation, malformed string, answer slog.Attr) {
 	g.Observer.ObserveTargetNotice(kindMalformed)
 	now, last := int64(bootclock.Now()), g.malformedLoggedAt.Load()
--- a/internal/edge/targetgate/gate_test.go
+++ b/internal/edge/targetgate/gate_test.go
@@ -22,7 +22,8 @@
 	pause   = time.Minute
 )
 
-// fakeWire reads the headers Leaving, Pause and Malformed.
+// fakeWire reads the headers Leaving, Pause, Brittle and Malformed. Only status 503 shows that a
+// request has not been executed.
 type fakeWire struct{ edge.Wire }
 
 func (fakeWire) TargetNotice(_ int, h http.Header) edge.TargetNotice {
@@ -30,9 +31,18 @@
 	if h.Get("Pause") != "" {
 		n.Pause = pause
 	}
+	if h.Get("Brittle") != "" {
+		n.Brittle = 3
+	}
 	return n
 }
 
+func (fakeWire) Signed(http.Header) bool { return true }
+
+func (fakeWire) NotExecuted(status int, _ http.Header) bool {
+	return status == http.StatusServiceUnavailable
+}
+
 type counts map[string]int
 
 func (c counts) ObserveTargetNotice(kind string) { c["notice "+kind]++ }
@@ -102,6 +112,33 @@
 	require.Equal(t, counts{"notice pause": 3, "refused paused": 1}, counted)
 }
 
+func TestOnlyRequestsShowWhetherBrittleTargetHasRoom(t *testing.T) {
+	for name, c := range map[string]struct {
+		use  targetnotice.Use
+		next time.Duration // shortest pause after the next rejection
+	}{
+		"request":             {targetnotice.Request, time.Second},
+		"continuation":        {targetnotice.Continuation, time.Second},
+		"control":             {targetnotice.Control, 2 * time.Second},
+		"load report":         {targetnotice.Probe, 2 * time.Second},
+		"destination of copy": {targetnotice.CopyDestination, 2 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g, _, _, _ := newGate()
+			brittle := http.Header{"Brittle": {"1"}}
+			before := bootclock.Now().Add(-10 * time.Second)
+			g.Notices.ObserveBrittle("a@1", before, 3, 4)
+			g.Notices.ObserveRoom("a@1", before, false, 0)
+			answered := request()
+			answered.Use = c.use
+			g.Observe("a@1", address, answered, http.StatusOK, brittle)
+			g.Observe("a@1", address, request(), http.StatusServiceUnavailable, brittle)
+			left := g.Notices.FullLeft("a@1", bootclock.Now())
+			require.InDelta(t, 1.25*c.next.Seconds(), left.Seconds(), 0.26*c.next.Seconds())
+		})
+	}
+}
+
 func TestOtherRequestsAreRefusedDuringTrial(t *testing.T) {
 	g, counted, _, _ := newGate()
 	now := bootclock.Now()
--- a/internal/edge/targetnotice/tracker.go
+++ b/internal/edge/targetnotice/tracker.go
@@ -1,6 +1,6 @@
 // Package targetnotice decides whether a target may be sent a request after it has stated in
 // its answers to this host that it leaves, that it wants a pause, or how many requests a second it
-// takes from all hosts. Leaving and pauses are decided by the answers alone: a target list or a
+// takes from all hosts, or that too many rejections make it fail. Leaving and pauses are decided by the answers alone: a target list or a
 // peer that calls the target ready doesn't change the decision, so that a host without its store
 // and peers decides alike. Of limits, hosts also tell each other. It reads no clock and does no I/O.
 package targetnotice
@@ -48,6 +48,12 @@
 	Control                    // a call for a run that executes at the target, such as moving it
 )
 
+// occupies reports whether a use takes from this host's share of the room at a target.
+func (u Use) occupies() bool { return u == Request || u == Continuation }
+
+// ShowsRoom reports whether the target's answer to a use shows if it has room for requests.
+func (u Use) ShowsRoom() bool { return u == Request || u == Continuation }
+
 // Verdict states whether a target may be used, or why not.
 type Verdict int
 
@@ -58,11 +64,12 @@
 	Paused
 	OnTrial // the pause has ended, and the answer to the first request is awaited
 	Limited // this host's share of the limit that the target names is used up
+	NoRoom  // the target is brittle, and one more request may find no room
 )
 
 // String returns the name of the verdict in logs and metrics.
 func (v Verdict) String() string {
-	return [...]string{"allowed", "leaving", "paused", "on_trial", "limited"}[v]
+	return [...]string{"allowed", "leaving", "paused", "on_trial", "limited", "no_room"}[v]
 }
 
 // Tracker remembers what targets have stated, by incarnation. It is safe for concurrent use.
@@ -82,6 +89,7 @@
 	// limitsUntil is until when other hosts are told of limits, a bootclock.Instant.
 	limitsUntil atomic.Int64
 	limited     atomic.Int64 // number of targets that name a limit
+	brittle     atomic.Int64 // number of targets that are brittle
 }
 
 // Trial is the first request to a target after its pause. Others are sent only after the
@@ -100,6 +108,8 @@
 	limitedAt     bootclock.Instant // when the limit was last stated or lifted
 	permits       permits           // accrue while a limit is stated
 	sends         recentSends
+	brittle       brittleness
+	waiting       int // requests of this host without an answer, since the first statement
 	updatedAt     bootclock.Instant
 }
 
@@ -163,6 +173,9 @@
 	if v != Allowed || s == nil {
 		return v, nil
 	}
+	if use.occupies() {
+		s.waiting++
+	}
 	if s.limit.Stated && (use == Request || use == Continuation) {
 		s.sends.add(now)
 		s.permits.accrue(now, t.hostRate(incarnation, s))
@@ -244,12 +257,15 @@
 	if (use == Request || use == Probe) && !t.hasPermit(incarnation, s, now) {
 		return Limited
 	}
+	if use == Request && !t.hasRoom(incarnation, s, now) {
+		return NoRoom
+	}
 	return Allowed
 }
 
 // AnyRestricted reports whether a target may be paused, on trial or limited. It is cheap.
 func (t *Tracker) AnyRestricted(now bootclock.Instant) bool {
-	return int64(now) < t.lastEnd.Load() || t.AnyLimited()
+	return int64(now) < t.lastEnd.Load() || t.AnyLimited() || t.AnyBrittle()
 }
 
 // PauseLeft returns how long the incarnation's pause lasts, 0 if it isn't paused.
@@ -289,7 +305,7 @@
 func (t *Tracker) forgetOne(now bootclock.Instant) {
 	oldest := ""
 	for incarnation, s := range t.targets {
-		if !s.leaving && now >= s.openAt && !s.limit.Stated {
+		if !s.leaving && now >= s.openAt && !s.limit.Stated && s.brittle.rejections == 0 {
 			delete(t.targets, incarnation)
 			return
 		}
@@ -300,5 +316,8 @@
 	if t.targets[oldest].limit.Stated {
 		t.limited.Add(-1)
 	}
+	if t.targets[oldest].brittle.rejections > 0 {
+		t.brittle.Add(-1)
+	}
 	delete(t.targets, oldest)
 }
--- a/internal/edge/targets/view.go
+++ b/internal/edge/targets/view.go
@@ -30,6 +30,7 @@
 func (v *View) AcceptsWithin(service string, waiting int, within time.Duration) bool {
 	now := bootclock.Now()
 	rates, first := 0.0, time.Duration(-1) // of the targets whose limits are used up
+	room := 0                              // slots of brittle targets, whose requests take turns
 	for _, t := range v.Serving(service) {
 		switch v.stated.Check(t.Key(), targetnotice.Request, now, now) {
 		case targetnotice.Allowed, targetnotice.OnTrial:
@@ -40,16 +41,23 @@
 			if first < 0 || left < first {
 				first = left
 			}
+		case targetnotice.NoRoom:
+			if v.stated.FullLeft(t.Key(), now) <= within {
+				room += max(1, t.Slots)
+			}
 		}
 	}
+	if waiting < room {
+		return true
+	}
 	return rates > 0 && first+time.Duration(float64(waiting)/rates*float64(time.Second)) <= within
 }
 
 // TakesTurns reports whether requests to a target of the service take turns at this host: it names
-// a limit.
+// a limit or is brittle.
 func (v *View) TakesTurns(service string) bool {
-	return v.stated.AnyLimited() && slices.ContainsFunc(v.Serving(service), func(t *Target) bool {
-		return v.stated.NamesLimit(t.Key())
+	return (v.stated.AnyLimited() || v.stated.AnyBrittle()) && slices.ContainsFunc(v.Serving(service), func(t *Target) bool {
+		return v.stated.NamesLimit(t.Key()) || v.stated.IsBrittle(t.Key()) > 0
 	})
 }
 
@@ -118,10 +126,13 @@
 	return trials
 }
 
+// typicalTurn is roughly how long requests occupy the room of a brittle target.
+const typicalTurn = 100 * time.Millisecond
+
 // Refusal is why no target of a service accepts requests from this host now.
 type Refusal struct {
 	Left    time.Duration // until the first of them does
-	Limited bool          // that target names a limit; otherwise it wants a pause
+	Limited bool          // that target names a limit or is brittle; otherwise it wants a pause
 }
 
 // Refusal returns why no target of a service accepts requests. It returns false if a target
@@ -137,6 +148,10 @@
 		key := t.Key()
 		paused := max(v.stated.PauseLeft(key, now), v.stated.TrialLeft(key, now))
 		limited, _ := v.stated.PermitLeft(key, now)
+		limited = max(limited, v.stated.FullLeft(key, now))
+		if limited == 0 && paused == 0 && v.stated.Check(key, targetnotice.Request, now, now) == targetnotice.NoRoom {
+			limited = typicalTurn
+		}
 		left := max(paused, limited)
 		if left == 0 {
 			return Refusal{}, false
