Hosts open connections to targets from their own address

A deployment in which single hosts lose their links to the targets can't be played on loopback while all hosts connect from the same address. The node's IP address is the local address of connections to targets; elsewhere the kernel chose the same one.

--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -158,6 +158,7 @@
 	p.targets = targets.New(notices, p.onTargetLeaving)
 	p.gate = &targetgate.Gate{Log: log, Wire: adapter.Wire, Notices: notices, Targets: p.targets}
 	p.pool = targetconn.New(adapter.requestID, p.gate, p.connectionShare)
+	p.pool.LocalIP = n.IP
 	p.targetLog = relay.NewChangeLog(p.newTargetSink())
 	p.feeds = p.newFeeds()
 	p.confirmer = freshness.New(log, p.confirmPeriod, p.confirm)
--- a/internal/edge/targetconn/architecture_test.go
+++ b/internal/edge/targetconn/architecture_test.go
@@ -73,6 +73,26 @@
 	require.Len(t, dialing, len(mayDial), "the check must find the known dialers")
 }
 
+// calledName returns the name of the function or method of this package that a node calls, "" if
+// it calls none of the given.
+func calledName(n ast.Node, names ...string) string {
+	call, ok := n.(*ast.CallExpr)
+	if !ok {
+		return ""
+	}
+	name := ""
+	switch called := call.Fun.(type) {
+	case *ast.Ident:
+		name = called.Name
+	case *ast.SelectorExpr:
+		name = called.Sel.Name
+	}
+	if !slices.Contains(names, name) {
+		return ""
+	}
+	return name
+}
+
 // Within this package, a request is written in Do only, which asks the gate.
 func TestOnlyDoWritesRequests(t *testing.T) {
 	callers := make(map[string]string)
@@ -81,18 +101,14 @@
 			return
 		}
 		for _, d := range file.Decls {
-			function, ok := d.(*ast.FuncDecl)
-			if !ok {
-				continue
-			}
-			ast.Inspect(function, func(n ast.Node) bool {
-				if call, ok := n.(*ast.CallExpr); ok {
-					if name, ok := call.Fun.(*ast.Ident); ok && slices.Contains([]string{"writeRequest", "dial", "newConn"}, name.Name) {
-						callers[name.Name] += function.Name.Name + " "
+			if function, ok := d.(*ast.FuncDecl); ok {
+				ast.Inspect(function, func(n ast.Node) bool {
+					if name := calledName(n, "writeRequest", "dial", "newConn"); name != "" {
+						callers[name] += function.Name.Name + " "
 					}
-				}
-				return true
-			})
+					return true
+				})
+			}
 		}
 	})
 	require.Equal(t, map[string]string{"writeRequest": "Do ", "dial": "get ", "newConn": "dial "}, callers)
--- a/internal/edge/targetconn/pool.go
+++ b/internal/edge/targetconn/pool.go
@@ -58,6 +58,9 @@
 	gate      Gate
 	share     func(incarnation string) float64
 
+	// LocalIP is the address from which connections are opened; "" leaves it to the kernel.
+	LocalIP string
+
 	mu   sync.Mutex
 	idle map[string][]*Conn // guarded by mu; by Conn.key, most recently used last
 }
@@ -234,7 +237,7 @@
 	for {
 		conn := p.takeIdle(key)
 		if conn == nil {
-			return dial(ctx, key, address)
+			return p.dial(ctx, key, address)
 		}
 		if conn.healthy() {
 			return conn, nil
@@ -291,8 +294,11 @@
 	return min(int(share*idleShare+rand.Float64()), maxIdlePerTarget)
 }
 
-func dial(ctx context.Context, key, address string) (*Conn, error) {
+func (p *Pool) dial(ctx context.Context, key, address string) (*Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	if ip := net.ParseIP(p.LocalIP); ip != nil {
+		d.LocalAddr = &net.TCPAddr{IP: ip}
+	}
 	c, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, eris.Wrapf(ErrNotSent, "%s: %v", address, err)
