--- a/internal/drill/disturbance.go
+++ b/internal/drill/disturbance.go
@@ -36,6 +36,7 @@
 		{"early stop", true, 5 * time.Second, 15 * time.Second, stopEarly},
 		{"retire", true, 4 * time.Second, 12 * time.Second, retire},
 		{"limit", false, 4 * time.Second, 9 * time.Second, limitTargets},
+		{"cut", false, 6 * time.Second, 12 * time.Second, cutHosts},
 		{"brittle", false, 8 * time.Second, 16 * time.Second, makeBrittle},
 	}
 }
--- a/internal/drill/faults.go
+++ b/internal/drill/faults.go
@@ -122,6 +122,43 @@
 	return err
 }
 
+const (
+	minCut, maxCut = 8 * time.Second, 14 * time.Second
+	cutDomainShare = 0.4 // of the cases, in which all hosts of a failure domain are cut off
+	resetCutShare  = 0.5 // of the cases, in which open connections are reset
+)
+
+// cutHosts cuts some hosts, at least one and not all, off from all targets for some seconds.
+func cutHosts(ctx context.Context, f *fleet, r *rand.Rand) error {
+	var cut []*host
+	if domain := f.deployment.Domains[r.IntN(len(f.deployment.Domains))].Name; r.Float64() < cutDomainShare {
+		cut = f.front.ofDomain(domain)
+	} else {
+		for _, i := range r.Perm(len(f.hosts))[:1+r.IntN(max(1, len(f.hosts)/2))] {
+			cut = append(cut, f.hosts[i])
+		}
+	}
+	if len(cut) == len(f.hosts) {
+		cut = cut[1:]
+	}
+	reset, d := r.Float64() < resetCutShare, between(r, minCut, maxCut)
+	var names []string
+	for _, h := range cut {
+		names = append(names, h.name)
+	}
+	f.logger.Info("drill: cut", "hosts", names, "reset", reset, "for", d)
+	from := time.Now()
+	for _, h := range cut {
+		f.targets.factory.Cut(h.ip, reset)
+	}
+	err := sleep(ctx, d)
+	for _, h := range cut {
+		f.targets.factory.Heal(h.ip)
+	}
+	f.log.Cut(record.Cut{Span: record.Span{From: from, To: time.Now()}, Hosts: names})
+	return err
+}
+
 // freezeHost suspends a random host for some seconds.
 func freezeHost(ctx context.Context, f *fleet, r *rand.Rand) error {
 	h, d := f.hosts[r.IntN(len(f.hosts))], between(r, minFreeze, maxFreeze)
--- a/internal/drill/judge/contact.go
+++ b/internal/drill/judge/contact.go
@@ -24,7 +24,8 @@
 // history is what disturbed the processes of a host.
 type history struct {
 	planned, unplanned []record.Span
-	stops              []time.Time // first SIGTERM of each process
+	cuts               []record.Span // from all targets; the host stays in touch
+	stops              []time.Time   // first SIGTERM of each process
 	hups               []time.Time
 }
 
@@ -37,6 +38,14 @@
 	for host, events := range byHost {
 		c.hosts[host] = c.readHistory(events)
 	}
+	for _, cut := range run.Cuts {
+		for _, host := range cut.Hosts {
+			if c.hosts[host] == nil {
+				c.hosts[host] = &history{}
+			}
+			c.hosts[host].cuts = append(c.hosts[host].cuts, cut.Span)
+		}
+	}
 	return c
 }
 
@@ -118,11 +127,11 @@
 	return h == nil || !overlaps(h.planned, from, to) && !overlaps(h.unplanned, from, to)
 }
 
-// undisrupted reports whether nothing unplanned disturbed a host from contactMs before from
-// until to. Disruptions of the store don't count.
+// undisrupted reports whether nothing unplanned disturbed a host or its links to the targets from
+// contactMs before from until to. Disruptions of the store don't count.
 func (c *contact) undisrupted(host string, from, to time.Time) bool {
 	h := c.hosts[host]
-	return h == nil || !overlaps(h.unplanned, from.Add(-c.bound), to)
+	return h == nil || !overlaps(h.unplanned, from.Add(-c.bound), to) && !overlaps(h.cuts, from.Add(-c.bound), to)
 }
 
 // storeStable reports whether the store was stable at a moment.
--- a/internal/drill/judge/judge.go
+++ b/internal/drill/judge/judge.go
@@ -22,6 +22,7 @@
 	Drain   Rule = "DRAIN"
 	Denied  Rule = "DENIED"
 	Limit   Rule = "LIMIT"
+	Recover Rule = "RECOVER"
 )
 
 // Violation is one case of a broken rule.
@@ -40,7 +41,7 @@
 	for _, judge := range []func(*index) []Violation{
 		lostAroundPlannedWork, lostKeptConnections,
 		excessRetries, excessAttempts, excessTime, crashRetries,
-		ranTwice, ranAtTwo, rejectedAndRan, outOfOrder, mixedUp, sentToLeaving, deniedProper, overLimits, fallenTooOften,
+		ranTwice, ranAtTwo, rejectedAndRan, outOfOrder, mixedUp, sentToLeaving, deniedProper, overLimits, fallenTooOften, unservedWhileCut,
 	} {
 		all = append(all, judge(x)...)
 	}
--- a/internal/drill/judge/lost_planned_test.go
+++ b/internal/drill/judge/lost_planned_test.go
@@ -50,6 +50,8 @@
 		"killed at the end of the grace period":         {24, 26, func(r *record.Run) { r.HostEvents = append(r.HostEvents, event(record.Killed, 26)) }, true},
 		"frozen within contactMs before it":             {19, 24, func(r *record.Run) { r.HostEvents = append(freeze(15, 16.001), r.HostEvents...) }, false},
 		"frozen earlier":                                {19, 24, func(r *record.Run) { r.HostEvents = append(freeze(15, 16), r.HostEvents...) }, true},
+		"cut off from the targets meanwhile":            {19, 24, func(r *record.Run) { r.Cuts = []record.Cut{{Span: span(22, 30), Hosts: []string{"host-1"}}} }, false},
+		"another host cut off":                          {19, 24, func(r *record.Run) { r.Cuts = []record.Cut{{Span: span(22, 30), Hosts: []string{"host-2"}}} }, true},
 		"store down":                                    {19, 24, func(r *record.Run) { r.Outages = []record.Span{span(10, 30)} }, true},
 		"SIGTERM to another host":                       {19, 24, func(r *record.Run) { r.HostEvents[0].Host = "host-2" }, false},
 		"in time for a repeated SIGTERM only":           {23.5, 25.5, func(r *record.Run) { r.HostEvents = append(r.HostEvents, event(record.Term, 22)) }, true},
--- a/internal/drill/platform.go
+++ b/internal/drill/platform.go
@@ -92,6 +92,10 @@
 	Start(id string, s *deployment.Service, domain string, listener net.Listener) Target
 	// OnCrash sets what is called when a prompt crashes an engine. Call it before Start.
 	OnCrash(f func(id string))
+	// Cut makes all targets reset new connections from an IP address, and its open ones too if
+	// reset is set; the others live on. It lasts until Heal.
+	Cut(ip string, reset bool)
+	Heal(ip string)
 	// SetBrittle makes all targets of a service, also later ones, state that they fall over once
 	// they reject more requests than that within a second, and do so; 0 ends it.
 	SetBrittle(service string, rejections int)
--- a/internal/drill/record/log.go
+++ b/internal/drill/record/log.go
@@ -78,6 +78,13 @@
 	l.run.Outages = append(l.run.Outages, s)
 }
 
+// Cut adds a cut between hosts and all targets.
+func (l *Log) Cut(c Cut) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.run.Cuts = append(l.run.Cuts, c)
+}
+
 // Brittle adds a time in which the targets of a service were brittle.
 func (l *Log) Brittle(b Brittle) {
 	l.mu.Lock()
--- a/internal/drill/record/record.go
+++ b/internal/drill/record/record.go
@@ -15,6 +15,7 @@
 	Versions   []Version   // in the order of Sent
 	Targets    []Target
 	Outages    []Span // of the store
+	Cuts       []Cut  // of hosts from all targets
 	Brittle    []Brittle
 	Began      time.Time
 	Ended      time.Time
@@ -178,5 +179,11 @@
 	Targets int // when it began
 }
 
+// Cut is a time in which hosts reached no target.
+type Cut struct {
+	Span
+	Hosts []string
+}
+
 // Span is a time from which to which something lasted.
 type Span struct{ From, To time.Time }
