Forwarding: a host that reaches no target has other hosts send its requests

The class is a partial partition that is taken for the failure of everything behind it.

A host counts as cut off from a service once new connections to three of its targets fail in a row, or none of three that it probes can be opened and kept. It then sends through another host, one hop, which passes bytes on unchanged and answers what it did, so that a request that may have been sent is not sent again. Only hosts of the fleet are served, within bounds of their number and of memory. Failures seen while cut off say nothing about targets.

--- a/internal/edge/ejection/tracker.go
+++ b/internal/edge/ejection/tracker.go
@@ -87,6 +87,14 @@
 	return keys
 }
 
+// Forget forgets the outcomes of this host's requests to a target, when the fault turns out to be
+// its own.
+func (t *Tracker) Forget(target string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.records, target)
+}
+
 // SetReport replaces the failing targets that another host reported.
 func (t *Tracker) SetReport(host string, failing []string) {
 	t.mu.Lock()
--- /dev/null
+++ b/internal/edge/forwarding/server_test.go
@@ -0,0 +1,264 @@
+package forwarding
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"corianderhitch/internal/edge/bootclock"
+	"corianderhitch/internal/edge/memquota"
+	"corianderhitch/internal/edge/targetconn"
+	"corianderhitch/internal/edge/targetnotice"
+)
+
+// gate is that of a host; it refuses requests with a verdict and notes the responses it is shown.
+type gate struct {
+	verdict  targetnotice.Verdict
+	uses     []targetnotice.Use
+	observed []int
+}
+
+func (g *gate) Check(_ string, r *targetconn.Request) targetnotice.Verdict {
+	g.uses = append(g.uses, r.Use)
+	return g.verdict
+}
+
+func (g *gate) Admit(string, *targetconn.Request) (targetnotice.Verdict, func(bool)) {
+	return g.verdict, func(bool) {}
+}
+
+func (g *gate) Observe(_, _ string, _ *targetconn.Request, status int, _ http.Header) bool {
+	g.observed = append(g.observed, status)
+	return false
+}
+
+// helpersOf makes a pool ask the same hosts for each request.
+type helpersOf struct {
+	addresses []string
+
+	mu       sync.Mutex
+	outcomes []targetconn.ForwardOutcome // guarded by mu
+}
+
+func (h *helpersOf) Helpers(string) []string     { return h.addresses }
+func (h *helpersOf) ObserveOpening(string, bool) {}
+func (h *helpersOf) ObserveHelper(_ string, o targetconn.ForwardOutcome) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.outcomes = append(h.outcomes, o)
+}
+
+func (h *helpersOf) observed() []targetconn.ForwardOutcome {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.outcomes)
+}
+
+func newPool(g targetconn.Gate) *targetconn.Pool {
+	return targetconn.New(func(h http.Header) string { return h.Get("Request-Id") }, g, func(string) float64 { return 0 })
+}
+
+// startHelper starts a host that sends requests for others, after change.
+func startHelper(t *testing.T, change func(*Server)) (address string, g *gate) {
+	g = &gate{}
+	s := &Server{Log: slog.New(slog.DiscardHandler), Pool: newPool(g), CutOff: func(string) bool { return false }, Stopping: context.Background(),
+		IsHost: func(ip string) bool { return ip == "127.0.0.1" }, Bodies: memquota.New(1 << 20)}
+	s.Pool.Forwarder = &helpersOf{addresses: []string{"127.0.0.1:1"}} // it must not ask another host
+	if change != nil {
+		change(s)
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, listener.Close())
+	require.NoError(t, s.Start(listener.Addr().String()))
+	t.Cleanup(s.Stop)
+	return listener.Addr().String(), g
+}
+
+func callersRequest(method, body string) *targetconn.Request {
+	return &targetconn.Request{ID: "r-1", Method: method, URI: "/a%2Fb/?q=%20x", Host: "desk.example", Use: targetnotice.Request, Arrived: bootclock.Now(),
+		Header: http.Header{"Request-Id": {"r-1"}, "X-Caller": {"a", "b"}}, Body: []byte(body)}
+}
+
+func TestForwardedRequestAndResponseAreUnchanged(t *testing.T) {
+	var got *http.Request
+	var body []byte
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got = r
+		body, _ = io.ReadAll(r.Body)
+		w.Header().Set("Request-Id", "r-1")
+		w.Header().Set("Signature", "s")
+		w.WriteHeader(http.StatusTeapot)
+		_, _ = io.WriteString(w, "answer")
+	}))
+	defer target.Close()
+	helper, helperGate := startHelper(t, nil)
+	ownGate, asked := &gate{}, &helpersOf{addresses: []string{helper}}
+	pool := newPool(ownGate)
+	pool.Forwarder = asked
+	for range 2 { // the second one on the same connection
+		response, err := pool.Do(t.Context(), "t@1", target.Listener.Addr().String(), callersRequest(http.MethodPost, "question"))
+		require.NoError(t, err)
+		answer, err := response.ReadAll(100)
+		require.NoError(t, err)
+		response.Close()
+		require.Equal(t, "answer", string(answer))
+		require.Equal(t, http.StatusTeapot, response.Status)
+		require.Equal(t, "s", response.Header.Get("Signature"))
+		require.Equal(t, "question", string(body))
+		require.Equal(t, "/a%2Fb/?q=%20x", got.RequestURI)
+		require.Equal(t, "desk.example", got.Host)
+		require.Equal(t, []string{"a", "b"}, got.Header["X-Caller"])
+		for _, headers := range []http.Header{got.Header, response.Header} {
+			for name := range headers {
+				require.False(t, strings.HasPrefix(name, "Hitch-"), name)
+			}
+		}
+	}
+	require.Equal(t, []int{http.StatusTeapot, http.StatusTeapot}, ownGate.observed, "what the target states holds at both hosts")
+	require.Equal(t, ownGate.observed, helperGate.observed)
+	require.Equal(t, []targetnotice.Use{targetnotice.ForwardedRequest, targetnotice.ForwardedRequest}, helperGate.uses[:2])
+	require.Equal(t, []targetconn.ForwardOutcome{targetconn.ForwardAnswered, targetconn.ForwardAnswered}, asked.observed())
+}
+
+func TestForwardedStreamArrivesAsItIsMade(t *testing.T) {
+	next, cut := make(chan struct{}), make(chan struct{}, 1)
+	var canceled atomic.Bool
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		for range 2 {
+			_, _ = io.WriteString(w, "event\n")
+			_ = http.NewResponseController(w).Flush()
+			select {
+			case <-next:
+			case <-r.Context().Done():
+				canceled.Store(true)
+				return
+			case <-cut:
+				panic(http.ErrAbortHandler)
+			}
+		}
+	}))
+	defer target.Close()
+	helper, _ := startHelper(t, nil)
+	pool := newPool(&gate{})
+	pool.Forwarder = &helpersOf{addresses: []string{helper}}
+	open := func(ctx context.Context) (*targetconn.Response, *bufio.Reader) {
+		response, err := pool.Do(ctx, "t@1", target.Listener.Addr().String(), callersRequest(http.MethodGet, ""))
+		require.NoError(t, err)
+		reader := bufio.NewReader(response)
+		line, err := reader.ReadString('\n')
+		require.NoError(t, err)
+		require.Equal(t, "event\n", line)
+		return response, reader
+	}
+	response, reader := open(t.Context())
+	next <- struct{}{}
+	_, err := reader.ReadString('\n')
+	require.NoError(t, err)
+	cut <- struct{}{}
+	_, err = reader.ReadString('\n')
+	require.Error(t, err)
+	require.NotErrorIs(t, err, io.EOF, "a stream that broke off must not look complete")
+	response.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	response, _ = open(ctx)
+	cancel()
+	response.Close()
+	require.Eventually(t, canceled.Load, time.Second, time.Millisecond, "the end of the request cancels the run")
+}
+
+func TestOutcomesOfHelpers(t *testing.T) {
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }))
+	defer target.Close()
+	dead, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, dead.Close())
+	breaking := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	defer breaking.Close()
+	stopped, stop := context.WithCancel(context.Background())
+	stop()
+	for name, c := range map[string]struct {
+		change func(*Server)
+		target string
+		want   error // nil if the next helper sends the request
+	}{
+		"cut off too":       {change: func(s *Server) { s.CutOff = func(string) bool { return true } }},
+		"stopping":          {change: func(s *Server) { s.Stopping = stopped }},
+		"not in the fleet":  {change: func(s *Server) { s.IsHost = func(string) bool { return false } }},
+		"target leaves":     {change: func(s *Server) { s.Pool = newPool(&gate{verdict: targetnotice.Leaving}) }, want: targetconn.ErrRefused},
+		"target on trial":   {change: func(s *Server) { s.Pool = newPool(&gate{verdict: targetnotice.OnTrial}) }, want: targetconn.ErrNotYet},
+		"target is down":    {target: dead.Addr().String(), want: targetconn.ErrNotSent},
+		"target breaks off": {target: breaking.Listener.Addr().String(), want: targetconn.ErrBroken},
+	} {
+		t.Run(name, func(t *testing.T) {
+			first, _ := startHelper(t, c.change)
+			second, secondGate := startHelper(t, nil)
+			pool := newPool(&gate{})
+			pool.Forwarder = &helpersOf{addresses: []string{dead.Addr().String(), first, second}}
+			address := c.target
+			if address == "" {
+				address = target.Listener.Addr().String()
+			}
+			response, err := pool.Do(t.Context(), "t@1", address, callersRequest(http.MethodPost, "question"))
+			if c.want == nil {
+				require.NoError(t, err)
+				response.Close()
+				return
+			}
+			require.ErrorIs(t, err, c.want)
+			require.Empty(t, secondGate.uses, "the request must not be sent twice")
+		})
+	}
+}
+
+// A helper that ends with a request in hand may have sent it.
+func TestRequestOfALostHelperMayHaveRun(t *testing.T) {
+	helper := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	defer helper.Close()
+	pool := newPool(&gate{})
+	pool.Forwarder = &helpersOf{addresses: []string{helper.Listener.Addr().String(), helper.Listener.Addr().String()}}
+	_, err := pool.Do(t.Context(), "t@1", "127.0.0.1:1", callersRequest(http.MethodPost, ""))
+	require.ErrorIs(t, err, targetconn.ErrBroken)
+	require.False(t, errors.Is(err, targetconn.ErrNotSent))
+}
+
+// Its kernel goes on accepting connections. The request may be in its hands, so that no other host
+// gets it; later requests ask others.
+func TestFrozenHelperIsPassedOver(t *testing.T) {
+	frozen, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer frozen.Close()
+	pool, asked := newPool(&gate{}), &helpersOf{addresses: []string{frozen.Addr().String()}}
+	pool.Forwarder = asked
+	ctx, cancel := context.WithTimeout(t.Context(), 600*time.Millisecond)
+	defer cancel()
+	_, err = pool.Do(ctx, "t@1", "127.0.0.1:1", callersRequest(http.MethodPost, ""))
+	require.ErrorIs(t, err, targetconn.ErrBroken)
+	require.Equal(t, []targetconn.ForwardOutcome{targetconn.ForwardUnreachable}, asked.observed())
+}
+
+// All hosts took targets that were down for a cut; they are back before the next probe.
+func TestHostSendsItselfIfNoHelperCan(t *testing.T) {
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }))
+	defer target.Close()
+	helper, _ := startHelper(t, func(s *Server) { s.CutOff = func(string) bool { return true } })
+	pool, asked := newPool(&gate{}), &helpersOf{addresses: []string{helper}}
+	pool.Forwarder = asked
+	response, err := pool.Do(t.Context(), "t@1", target.Listener.Addr().String(), callersRequest(http.MethodPost, ""))
+	require.NoError(t, err)
+	response.Close()
+	require.Equal(t, []targetconn.ForwardOutcome{targetconn.ForwardCutOff}, asked.observed())
+}
--- a/internal/edge/metrics/metrics.go
+++ b/internal/edge/metrics/metrics.go
@@ -30,6 +30,7 @@
 	replicas        metric.Int64Counter
 	targetNotices   metric.Int64Counter
 	refusedSends    metric.Int64Counter
+	forwarded       metric.Int64Counter
 	quarantine      metric.Int64Counter
 	retries         metric.Int64Counter
 	continuations   metric.Int64Counter
@@ -76,6 +77,7 @@
 	m.replicas = b.counter("hitch_edge_backups", "outcome", "copies of runs that stand by at another engine")
 	m.targetNotices = b.counter("hitch_edge_target_notices", "kind", "answers in which a target states that it leaves, wants a pause or names a limit, or with a malformed statement")
 	m.refusedSends = b.counter("hitch_edge_refused_sends", "reason", "sends that were not made because the target leaves, wants a pause, is on trial after one, or names a limit whose share of this host is used up")
+	m.forwarded = b.counter("hitch_edge_forwarded", "outcome", "requests that other hosts were asked to send to targets while this one reaches none, by what they answered")
 	m.quarantine = b.counter("hitch_edge_quarantine_changes", "change", "prompt parts and requests that were held back because targets crashed under them, or no longer are")
 	m.retries = b.counter("hitch_edge_retries", "service, granted", "decisions on whether a request may be sent once more, by whether the retry budget allowed it")
 	m.continuations = b.counter("hitch_edge_continuations", "service, result", "sends of runs that continue from a copy of their memory, which take nothing from the retry budget")
@@ -142,6 +144,11 @@
 	m.refusedSends.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason)))
 }
 
+// ObserveForwarded counts a request that another host was asked to send.
+func (m *Metrics) ObserveForwarded(outcome string) {
+	m.forwarded.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
+}
+
 // ObserveQuarantine counts a change of what is held back.
 func (m *Metrics) ObserveQuarantine(change string) {
 	m.quarantine.Add(context.Background(), 1, metric.WithAttributes(attribute.String("change", change)))
--- a/internal/edge/metrics/metrics_test.go
+++ b/internal/edge/metrics/metrics_test.go
@@ -29,6 +29,7 @@
 	m.ObserveContinuation("engines", "resumed")
 	m.ObserveReplica("copied")
 	m.ObserveTargetNotice("pause")
+	m.ObserveForwarded("answered")
 	m.ObserveRefusedSend("paused")
 	m.ObserveQuarantine("held")
 	m.ObserveStoreCall("get", "ok")
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -26,6 +26,7 @@
 	CallerAddress    string // ip:port where callers connect
 	ReadinessAddress string // ip:port of readiness checks and metrics
 	FirstPort        int    // first of the ports reserved for the system's own connections
+	LastPort         int    // last of them
 	StoreAddress     string
 	CPUs             float64       // processor share, in cores
 	MemoryBytes      int64         // the process is killed if it uses more
@@ -41,6 +42,15 @@
 // PeerAddress returns the address where this host serves the calls of other hosts.
 func (n *Node) PeerAddress() string { return net.JoinHostPort(n.IP, strconv.Itoa(n.FirstPort)) }
 
+// ForwardAddress returns the address where this host takes requests that other hosts ask it to
+// send, "" if no port is reserved for that.
+func (n *Node) ForwardAddress() string {
+	if n.LastPort <= n.FirstPort {
+		return ""
+	}
+	return net.JoinHostPort(n.IP, strconv.Itoa(n.FirstPort+1))
+}
+
 // Validate checks the settings that the process cannot run without.
 func (n *Node) Validate() error {
 	for field, value := range map[string]string{
--- a/internal/edge/peers/members.go
+++ b/internal/edge/peers/members.go
@@ -6,6 +6,7 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"strings"
 	"sync"
 	"time"
@@ -39,6 +40,8 @@
 	// memberSettlePeriod is how long after a restore of the store missing hosts are kept:
 	// they have heard of it and registered again by then.
 	memberSettlePeriod = 4 * time.Second
+	// maxKnownIPs bounds the addresses of hosts that were ever known.
+	maxKnownIPs = 16384
 )
 
 // Store is the platform's store with an additional cheaper list.
@@ -66,6 +69,7 @@
 	mu    sync.Mutex
 	hosts map[string]relay.Host // guarded by mu; by name, including this host
 	hubs  []relay.Host          // guarded by mu; chosen from hosts, empty until these have been listed
+	ips   map[string]bool       // guarded by mu; of all hosts that were ever known, at most maxKnownIPs
 }
 
 // registration is this host's entry in the store.
@@ -79,7 +83,7 @@
 // store.
 func NewMembers(log *slog.Logger, store Store, eras *storeera.Tracker, self relay.Host) *Members {
 	m := &Members{log: log, store: store, eras: eras, self: self}
-	m.hosts = map[string]relay.Host{self.Name: self}
+	m.hosts, m.ips = map[string]relay.Host{self.Name: self}, make(map[string]bool)
 	return m
 }
 
@@ -126,6 +130,27 @@
 	return out
 }
 
+// HasIP reports whether an address without its port is that of a host, also of one whose entry
+// was lost while the store was away.
+func (m *Members) HasIP(ip string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.ips[ip]
+}
+
+// Forwarders returns the addresses of the other hosts that send requests to targets for this one.
+func (m *Members) Forwarders() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make([]string, 0, len(m.hosts))
+	for name, h := range m.hosts {
+		if name != m.self.Name && h.Forward != "" {
+			out = append(out, h.Forward)
+		}
+	}
+	return out
+}
+
 // Count returns the number of hosts, including this one.
 func (m *Members) Count() int {
 	m.mu.Lock()
@@ -274,6 +299,14 @@
 	hubs := relay.ChooseHubs(all)
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if len(m.ips) >= maxKnownIPs {
+		clear(m.ips)
+	}
+	for _, h := range hosts {
+		if ip, _, err := net.SplitHostPort(h.Address); err == nil {
+			m.ips[ip] = true
+		}
+	}
 	previous := m.hosts
 	m.hosts, m.hubs = hosts, hubs
 	return previous
--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -21,6 +21,7 @@
 	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/edge/draining"
 	"corianderhitch/internal/edge/ejection"
+	"corianderhitch/internal/edge/forwarding"
 	"corianderhitch/internal/edge/freshness"
 	"corianderhitch/internal/edge/inflight"
 	"corianderhitch/internal/edge/ingress"
@@ -59,6 +60,8 @@
 	// largeBodiesShare is the share of the host's memory, as a divisor, that large responses to
 	// plain calls may hold together.
 	largeBodiesShare = 4
+	// forwardedBodiesShare is the same for the bodies of requests that other hosts ask it to send.
+	forwardedBodiesShare = 16
 )
 
 // Process is the edge process of one host.
@@ -88,6 +91,8 @@
 	targetsListed atomic.Bool
 	drain         *draining.Drain
 	limitShares   *limitshare.Shares
+	forwarder     *forwarder
+	forwards      *forwarding.Server
 	stalls        stall.Detector
 	quarantine    *quarantine.Tracker
 	crashes       *edge.CrashGuard
@@ -158,11 +163,14 @@
 	p.targets = targets.New(notices, p.onTargetLeaving)
 	p.gate = &targetgate.Gate{Log: log, Wire: adapter.Wire, Notices: notices, Targets: p.targets}
 	p.pool = targetconn.New(adapter.requestID, p.gate, p.connectionShare)
-	p.pool.LocalIP = n.IP
+	p.forwarder = newForwarder(p)
+	p.pool.Forwarder, p.pool.LocalIP = p.forwarder, n.IP
+	p.forwards = &forwarding.Server{Log: log, Pool: p.pool, CutOff: p.forwarder.cutOff, Stopping: p.drain.Begun(),
+		IsHost: func(ip string) bool { return p.members.HasIP(ip) }, Bodies: memquota.New(n.MemoryBytes / forwardedBodiesShare)}
 	p.targetLog = relay.NewChangeLog(p.newTargetSink())
 	p.feeds = p.newFeeds()
 	p.confirmer = freshness.New(log, p.confirmPeriod, p.confirm)
-	p.members = peers.NewMembers(log, p.store, p.eras, relay.Host{Name: n.Name, Address: n.PeerAddress(), CPUs: n.CPUs, Mbps: n.LinkMbps})
+	p.members = peers.NewMembers(log, p.store, p.eras, relay.Host{Name: n.Name, Address: n.PeerAddress(), CPUs: n.CPUs, Mbps: n.LinkMbps, Forward: n.ForwardAddress()})
 	health := ejection.New()
 	p.exchange = &peers.Exchange{Log: log, Host: n.Name, Members: p.members, Inflight: p.inflight, Targets: p.targets,
 		ChangeLog: p.targetLog, Policy: p.policy, Confirmer: p.confirmer, Health: health, Eras: p.eras, FollowsStore: p.feeds.live,
@@ -198,6 +206,11 @@
 	if err := p.exchange.Start(p.node.PeerAddress()); err != nil {
 		return err
 	}
+	if err := p.forwards.Start(p.node.ForwardAddress()); err != nil {
+		p.exchange.Stop()
+		return err
+	}
+	defer p.forwards.Stop()
 	endpoints, err := web.Start(p.node.ReadinessAddress, p.ready, signals.Handler(), p.adapter.ReadyPath)
 	if err != nil {
 		p.exchange.Stop()
@@ -245,6 +258,7 @@
 	wait.Go(func() { p.members.Run(ctx) })
 	wait.Go(func() { p.eras.Run(ctx, p.store, p.exchange.IsHub) })
 	wait.Go(func() { p.exchange.Run(ctx) })
+	wait.Go(func() { p.watchReach(ctx) })
 	wait.Go(func() { p.replicator.Run(ctx) })
 	wait.Go(func() { p.reportPoller().Run(ctx) })
 	wait.Go(func() { p.keepHeld(ctx) })
--- a/internal/edge/relay/hubs.go
+++ b/internal/edge/relay/hubs.go
@@ -16,6 +16,7 @@
 	Address string
 	CPUs    float64 // processor share, in cores
 	Mbps    float64 // bandwidth of its link
+	Forward string  // address for requests that it is asked to send to targets; "" if it sends none
 }
 
 const (
--- a/internal/edge/targetconn/architecture_test.go
+++ b/internal/edge/targetconn/architecture_test.go
@@ -93,8 +93,8 @@
 	return name
 }
 
-// Within this package, a request is written in Do only, which asks the gate.
-func TestOnlyDoWritesRequests(t *testing.T) {
+// Within this package, a request is written after doOnce has asked the gate.
+func TestOnlyDoOnceWritesRequests(t *testing.T) {
 	callers := make(map[string]string)
 	forEachSourceFile(t, func(path string, file *ast.File) {
 		if !strings.HasPrefix(path, "internal/edge/targetconn/") {
@@ -103,7 +103,7 @@
 		for _, d := range file.Decls {
 			if function, ok := d.(*ast.FuncDecl); ok {
 				ast.Inspect(function, func(n ast.Node) bool {
-					if name := calledName(n, "writeRequest", "dial", "newConn"); name != "" {
+					if name := calledName(n, "writeRequest", "exchange", "doOnce", "dial", "newConn"); name != "" {
 						callers[name] += function.Name.Name + " "
 					}
 					return true
@@ -111,7 +111,7 @@
 			}
 		}
 	})
-	require.Equal(t, map[string]string{"writeRequest": "Do ", "dial": "get ", "newConn": "dial "}, callers)
+	require.Equal(t, map[string]string{"writeRequest": "exchange ", "exchange": "doOnce ", "doOnce": "doByHelpers doByHelpers Do ", "dial": "Probe get ", "newConn": "dial "}, callers)
 }
 
 // The platform's names for what targets state stay in its adapter.
@@ -140,6 +140,9 @@
 			if !ok {
 				return true
 			}
+			if name, ok := literal.Type.(*ast.Ident); ok && name.Name == "Request" && strings.HasPrefix(path, "internal/edge/targetconn/") {
+				sending[path] = true
+			}
 			if selector, ok := literal.Type.(*ast.SelectorExpr); ok && selector.Sel.Name == "Request" {
 				if pkg, ok := selector.X.(*ast.Ident); ok && pkg.Name == "targetconn" {
 					sending[path] = true
@@ -148,5 +151,6 @@
 			return true
 		})
 	})
-	require.Equal(t, map[string]bool{"internal/edge/sender.go": true, "platform/engineclient.go": true}, sending, "other requests are control calls")
+	require.Equal(t, map[string]bool{"internal/edge/sender.go": true, "platform/engineclient.go": true, "internal/edge/targetconn/forward.go": true}, sending,
+		"other requests are control calls, or those of another host, which has asked its crash guard")
 }
--- a/internal/edge/targetconn/conn.go
+++ b/internal/edge/targetconn/conn.go
@@ -56,6 +56,9 @@
 	return n, err
 }
 
+// fresh reports whether the connection has not been used before.
+func (c *Conn) fresh() bool { return c.usedAt == 0 }
+
 // endReadsAfter makes the reads of the connection fail after d, unless stop is called before.
 // stop reports whether it was; otherwise the connection cannot be read any more.
 func (c *Conn) endReadsAfter(d time.Duration) (stop func() bool) {
@@ -65,9 +68,11 @@
 // healthy reports whether an idle connection is still open and has received no
 // unexpected bytes.
 func (c *Conn) healthy() bool {
-	if c.reader.Buffered() > 0 || bootclock.Since(c.usedAt) > c.idleTimeout {
-		return false
-	}
+	return c.reader.Buffered() == 0 && bootclock.Since(c.usedAt) <= c.idleTimeout && c.open()
+}
+
+// open reports whether the peer has neither closed the connection nor sent anything.
+func (c *Conn) open() bool {
 	raw, err := c.Conn.(syscall.Conn).SyscallConn()
 	if err != nil {
 		return false
--- a/internal/edge/targetconn/pool.go
+++ b/internal/edge/targetconn/pool.go
@@ -22,6 +22,7 @@
 
 	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/edge/targetnotice"
+	"corianderhitch/internal/wait"
 )
 
 const (
@@ -40,6 +41,8 @@
 	dialTimeout = 400 * time.Millisecond
 	// tcpUserTimeout ends a connection whose peer acknowledges no data.
 	tcpUserTimeout = 2 * time.Second
+	// resetDelay is how long after its opening a connection that is not wanted may be reset.
+	resetDelay = 20 * time.Millisecond
 	// maxMismatched is how many responses to other requests are skipped.
 	maxMismatched = 2
 	// maxSkippedBytes bounds the body of a response that is skipped, skipTimeout the time
@@ -57,7 +60,10 @@
 	requestID func(http.Header) string
 	gate      Gate
 	share     func(incarnation string) float64
+	progress  progress
 
+	// Forwarder makes other hosts send requests that this one can't; nil for never.
+	Forwarder Forwarder
 	// LocalIP is the address from which connections are opened; "" leaves it to the kernel.
 	LocalIP string
 
@@ -74,60 +80,163 @@
 
 // Do sends a request to the target at address, unless the gate refuses it, and returns
 // once the head of the response arrives. The end of ctx closes the connection, which
-// cancels the run. The error matches ErrNotSent, ErrBroken or ErrInvalidResponse.
+// cancels the run. While this host reaches no target of the service, other hosts send the
+// request. The error
+// matches ErrNotSent, ErrBroken or ErrInvalidResponse.
 func (p *Pool) Do(ctx context.Context, incarnation, address string, req *Request) (*Response, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, eris.Wrap(ErrNotSent, err.Error())
 	}
+	if helpers := p.helpers(incarnation, req); len(helpers) > 0 {
+		return p.doByHelpers(ctx, incarnation, address, req, helpers)
+	}
+	response, _, err := p.doOnce(ctx, incarnation, address, req, "")
+	if !errors.Is(err, ErrNotSent) || errors.Is(err, ErrRefused) || ctx.Err() != nil {
+		return response, err
+	}
+	// The failure may have shown that this host reaches no target of the service.
+	if helpers := p.helpers(incarnation, req); len(helpers) > 0 {
+		return p.doByHelpers(ctx, incarnation, address, req, helpers)
+	}
+	return nil, err
+}
+
+// helpers returns the hosts that are to send the request, none if this one is.
+func (p *Pool) helpers(incarnation string, req *Request) []string {
+	if p.Forwarder == nil || req.forOtherHost {
+		return nil
+	}
+	return p.Forwarder.Helpers(incarnation)
+}
+
+// doOnce sends the request to the target, or to a helper that sends it, unless helper is "".
+// The outcome is that of the helper.
+func (p *Pool) doOnce(ctx context.Context, incarnation, address string, req *Request, helper string) (*Response, ForwardOutcome, error) {
 	// A refused request must not cost the target a connection.
 	if v := p.gate.Check(incarnation, req); v != targetnotice.Allowed {
-		return nil, &refusal{v}
+		return nil, "", &refusal{v}
 	}
-	conn, err := p.get(ctx, connKey(incarnation, req), address)
+	conn, err := p.connect(ctx, incarnation, address, req, helper)
 	if err != nil {
-		return nil, err
+		return nil, ForwardUnreachable, err
 	}
 	// The target may have answered other requests while the connection was established.
 	v, ended := p.gate.Admit(incarnation, req)
 	if v != targetnotice.Allowed {
 		p.put(conn)
-		return nil, &refusal{v}
+		return nil, "", &refusal{v}
 	}
+	response, outcome, err := p.exchange(ctx, conn, incarnation, address, req, helper)
+	ended(response != nil)
+	return response, outcome, err
+}
+
+// exchange sends the request on the connection and reads the head of the response.
+func (p *Pool) exchange(ctx context.Context, conn *Conn, incarnation, address string, req *Request, helper string) (*Response, ForwardOutcome, error) {
 	if req.EncodeHeader != nil {
 		req.Header = req.EncodeHeader()
 	}
-	answered := false
-	defer func() { ended(answered) }()
+	sent, direct, fresh := req, helper == "", conn.fresh()
+	if !direct {
+		sent = req.forwarded(incarnation, address)
+	}
 	detach := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
-	written, err := writeRequest(conn, req)
+	progress := p.progress.begin(direct)
+	written, err := writeRequest(conn, sent)
 	if err != nil {
-		detach()
-		_ = conn.Close()
-		return nil, eris.Wrap(ErrBroken, err.Error())
+		err = brokenWrite(ctx, err)
+	}
+	leaving, outcome := false, ForwardOutcome("")
+	acknowledged := p.awaitAcknowledgment(helper)
+	var head *http.Response
+	if err == nil {
+		head, err = p.readHead(conn, req, func(h *http.Response) {
+			acknowledged()
+			if direct || fromTarget(h, &outcome) {
+				leaving = p.gate.Observe(incarnation, address, req, h.StatusCode, h.Header) || leaving
+			}
+		})
+	}
+	progress.end(err == nil)
+	acknowledged()
+	// A connection that is reset before its first response was not open in effect.
+	if direct && fresh && (err == nil || errors.Is(err, ErrBroken) && !errors.Is(err, ErrCanceled)) {
+		p.observeOpening(incarnation, err == nil)
+	}
+	if err == nil && !direct && outcome != ForwardAnswered {
+		err = outcome.error(helper)
 	}
-	leaving := false
-	head, err := p.readHead(conn, req, func(h *http.Response) {
-		leaving = p.gate.Observe(incarnation, address, req, h.StatusCode, h.Header) || leaving
-	})
 	if err != nil {
 		detach()
 		_ = conn.Close()
-		return nil, err
+		return nil, outcome, err
+	}
+	r := p.newResponse(conn, req, head)
+	r.detach, r.written, r.direct = detach, written, direct
+	r.reusable = !head.Close && !(leaving && direct && isCallersRequest(req))
+	return r, outcome, nil
+}
+
+// brokenWrite returns the error of a request that was written in part at most.
+func brokenWrite(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return &cancellation{err}
 	}
-	answered = true
-	closing, length := head.Close, head.ContentLength
+	return eris.Wrap(ErrBroken, err.Error())
+}
+
+// newResponse returns the response that begins with head.
+func (p *Pool) newResponse(conn *Conn, req *Request, head *http.Response) *Response {
+	length := head.ContentLength
 	if req.Method == http.MethodHead {
 		length = 0
 	}
 	conn.idleTimeout = idleTimeout(head.Header)
 	return &Response{
-		Status: head.StatusCode, Header: head.Header, ConnectionClosing: closing,
+		Status: head.StatusCode, Header: head.Header, ConnectionClosing: head.Close,
 		Delimited: head.ContentLength >= 0 || len(head.TransferEncoding) > 0,
-		length:    length, body: head.Body, conn: conn, pool: p, detach: detach, written: written,
-		reusable: !closing && !(leaving && isCallersRequest(req)),
-	}, nil
+		length:    length, body: head.Body, conn: conn, pool: p,
+	}
 }
 
+// connect returns a connection to the target, or to the helper unless that is "".
+func (p *Pool) connect(ctx context.Context, incarnation, address string, req *Request, helper string) (*Conn, error) {
+	if helper != "" {
+		return p.get(ctx, helperPrefix+helper, helper)
+	}
+	conn, err := p.get(ctx, connKey(incarnation, req), address)
+	if err != nil && ctx.Err() == nil {
+		p.observeOpening(incarnation, false)
+	}
+	return conn, err
+}
+
+// observeOpening tells the forwarder whether a new connection to a target could be used.
+func (p *Pool) observeOpening(incarnation string, usable bool) {
+	if p.Forwarder != nil {
+		p.Forwarder.ObserveOpening(incarnation, usable)
+	}
+}
+
+// Probe opens a connection to a target and keeps it for later requests.
+func (p *Pool) Probe(ctx context.Context, incarnation, address string) error {
+	conn, err := p.dial(ctx, incarnation, address)
+	if err != nil {
+		return err
+	}
+	wait.For(ctx, resetDelay)
+	if !conn.open() {
+		_ = conn.Close()
+		return eris.Wrapf(ErrNotSent, "%s: connection was reset", address)
+	}
+	p.put(conn)
+	return nil
+}
+
+// Silence returns for how long no target has sent anything while requests of this host wait for
+// their responses, 0 if none waits.
+func (p *Pool) Silence() time.Duration { return p.progress.silence() }
+
 // CloseIdle closes the idle connections for requests to an incarnation.
 func (p *Pool) CloseIdle(incarnation string) {
 	p.mu.Lock()
@@ -139,6 +248,12 @@
 	}
 }
 
+// CloseAllIdle closes the idle connections to an incarnation, those for control calls too.
+func (p *Pool) CloseAllIdle(incarnation string) {
+	p.CloseIdle(incarnation)
+	p.CloseIdle(controlPrefix + incarnation)
+}
+
 // writeRequest writes the request. A large one is written in the background, since
 // the target may respond before it has read all of it.
 func writeRequest(conn *Conn, req *Request) (chan struct{}, error) {
@@ -169,7 +284,7 @@
 }
 
 func isCallersRequest(req *Request) bool {
-	return req.Use == targetnotice.Request || req.Use == targetnotice.Continuation
+	return req.Use == targetnotice.Request || req.Use == targetnotice.ForwardedRequest || req.Use == targetnotice.Continuation
 }
 
 // readHead reads response heads until one belongs to the request. It passes each to observe.
--- a/internal/edge/targetconn/request.go
+++ b/internal/edge/targetconn/request.go
@@ -24,6 +24,8 @@
 	Use     targetnotice.Use
 	Arrived bootclock.Instant // when the caller's request arrived at this host; 0 for control calls
 	CopyTo  string            // incarnation to which the target is asked to copy a run; "" if none
+
+	forOtherHost bool // another host asked for it: it takes no further detour
 }
 
 // encode returns the whole request, so that it is sent in one write.
--- a/internal/edge/targetconn/response.go
+++ b/internal/edge/targetconn/response.go
@@ -32,11 +32,15 @@
 	written           chan struct{} // closed when the request has been written; nil if it was written inline
 	bodyRead          bool          // the body was read to its end
 	reusable          bool
+	direct            bool // from the target, not by way of another host
 }
 
 // Read reads the body. It returns io.EOF only after the whole body.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
+	if n > 0 && r.direct {
+		r.pool.progress.received()
+	}
 	if err == io.EOF {
 		r.bodyRead = true
 	}
--- a/internal/edge/targetgate/gate_test.go
+++ b/internal/edge/targetgate/gate_test.go
@@ -119,6 +119,7 @@
 	}{
 		"request":             {targetnotice.Request, time.Second},
 		"continuation":        {targetnotice.Continuation, time.Second},
+		"forwarded request":   {targetnotice.ForwardedRequest, time.Second},
 		"control":             {targetnotice.Control, 2 * time.Second},
 		"load report":         {targetnotice.Probe, 2 * time.Second},
 		"destination of copy": {targetnotice.CopyDestination, 2 * time.Second},
--- a/internal/edge/targetnotice/brittle_test.go
+++ b/internal/edge/targetnotice/brittle_test.go
@@ -126,6 +126,7 @@
 	}
 	require.Equal(t, NoRoom, tracker.Check("a", Request, at(0), at(0)), "as many as it has slots")
 	require.Equal(t, Allowed, tracker.Check("a", Continuation, at(0), at(0)))
+	require.Equal(t, Allowed, tracker.Check("a", ForwardedRequest, at(0), at(0)), "the asking host has counted it")
 	tracker.EndWait("a", Request)
 	require.Equal(t, Allowed, tracker.Check("a", Request, at(0), at(0)))
 	require.Equal(t, minFullPause, tracker.ObserveRoom("a", at(1), false, 0))
--- a/internal/edge/targetnotice/tracker.go
+++ b/internal/edge/targetnotice/tracker.go
@@ -41,18 +41,19 @@
 
 // Uses of a target. The zero value is the one that the rules restrict most.
 const (
-	Request         Use = iota // a caller's request, also when it is sent again or hedged
-	Continuation               // a caller's request that continues from memory that the target holds
-	Probe                      // a question about the target itself
-	CopyDestination            // to receive the memory of a run
-	Control                    // a call for a run that executes at the target, such as moving it
+	Request          Use = iota // a caller's request, also when it is sent again or hedged
+	Continuation                // a caller's request that continues from memory that the target holds
+	Probe                       // a question about the target itself
+	CopyDestination             // to receive the memory of a run
+	ForwardedRequest            // a Request of another host, which takes it from its own shares of limits and room
+	Control                     // a call for a run that executes at the target, such as moving it
 )
 
 // occupies reports whether a use takes from this host's share of the room at a target.
 func (u Use) occupies() bool { return u == Request || u == Continuation }
 
 // ShowsRoom reports whether the target's answer to a use shows if it has room for requests.
-func (u Use) ShowsRoom() bool { return u == Request || u == Continuation }
+func (u Use) ShowsRoom() bool { return u == Request || u == Continuation || u == ForwardedRequest }
 
 // Verdict states whether a target may be used, or why not.
 type Verdict int
@@ -243,7 +244,7 @@
 		return Allowed
 	}
 	if s.leaving {
-		takenBefore := (use == Request || use == Continuation) && arrived <= s.leavingAt
+		takenBefore := (use == Request || use == ForwardedRequest || use == Continuation) && arrived <= s.leavingAt
 		if !takenBefore {
 			return Leaving
 		}
@@ -251,7 +252,7 @@
 	if s.paused(now) && (use != Continuation || s.continuations >= maxContinuations) {
 		return Paused
 	}
-	if use == Request && s.onTrial(now) {
+	if (use == Request || use == ForwardedRequest) && s.onTrial(now) {
 		return OnTrial
 	}
 	if (use == Request || use == Probe) && !t.hasPermit(incarnation, s, now) {
--- a/tests/edge/fleet_test.go
+++ b/tests/edge/fleet_test.go
@@ -11,7 +11,6 @@
 	"net"
 	"net/http"
 	"os"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -178,11 +177,7 @@
 func (f *fleet) startHost() *host {
 	n := len(f.hosts)
 	callerAddress, readinessAddress := freeAddress(f.t), freeAddress(f.t)
-	peer := freeAddress(f.t)
-	_, portText, err := net.SplitHostPort(peer)
-	require.NoError(f.t, err)
-	port, err := strconv.Atoi(portText)
-	require.NoError(f.t, err)
+	peer, port := freePeerAddress(f.t)
 	h := &host{callerAddress: callerAddress, readinessAddress: readinessAddress, peerAddress: peer, done: make(chan error, 1), logs: &safeBuffer{}, store: &partitionableStore{Store: f.store}}
 	adapter := platform.Adapter()
 	adapter.LogOutput, adapter.Wire = h.logs, f.wire
@@ -190,7 +185,7 @@
 	adapter.ReadNode = func(string) (node.Node, error) {
 		return node.Node{
 			Name: fmt.Sprintf("host-%d", n), IP: "127.0.0.1", Domain: "a", CallerAddress: callerAddress, ReadinessAddress: readinessAddress, StoreAddress: "test",
-			FirstPort: port, Grace: f.grace, RevokeStrict: true, RevokeWithin: f.revokeWithin,
+			FirstPort: port, LastPort: port + 1, Grace: f.grace, RevokeStrict: true, RevokeWithin: f.revokeWithin,
 			// A process that has just started repeats little of what callers send, and the
 			// tests send few requests.
 			Retry: node.RetryBudget{Ratio: 50, Slack: 50, Window: 10 * time.Second}, TargetHeartbeat: 1200 * time.Millisecond,
@@ -229,7 +224,10 @@
 
 // nextPort counts the ports that freeAddress has tried. They are below the kernel's range
 // of ephemeral ports, so that no outgoing connection takes them.
-var nextPort atomic.Int32
+var nextPort struct {
+	sync.Mutex
+	n int // guarded by Mutex
+}
 
 const (
 	firstPort = 21000
@@ -238,17 +236,42 @@
 
 // freeAddress returns an address on which a process can listen.
 func freeAddress(t *testing.T) string {
+	return fmt.Sprintf("127.0.0.1:%d", freePorts(t, 1))
+}
+
+// freePeerAddress returns an address on which a host can serve the calls of others, whose next
+// port is free as well, and its port.
+func freePeerAddress(t *testing.T) (address string, port int) {
+	port = freePorts(t, 2)
+	return fmt.Sprintf("127.0.0.1:%d", port), port
+}
+
+// freePorts returns the first of n consecutive ports on which processes can listen. No port is
+// returned twice until all have been.
+func freePorts(t *testing.T, n int) int {
+	nextPort.Lock()
+	defer nextPort.Unlock()
 	for range portCount {
-		port := firstPort + (os.Getpid()*37+int(nextPort.Add(1)))%portCount
+		offset := (os.Getpid()*37 + nextPort.n) % portCount
+		nextPort.n += n
+		if first := firstPort + offset; offset+n <= portCount && allFree(first, n) {
+			return first
+		}
+	}
+	t.Fatal("no free port")
+	return 0
+}
+
+// allFree reports whether processes can listen on n ports from first on.
+func allFree(first, n int) bool {
+	for port := first; port < first+n; port++ {
 		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
-			continue
+			return false
 		}
-		require.NoError(t, l.Close())
-		return l.Addr().String()
+		_ = l.Close()
 	}
-	t.Fatal("no free port")
-	return ""
+	return true
 }
 
 // request builds a caller's request.
--- a/tests/harness/process.go
+++ b/tests/harness/process.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"os/exec"
+	"strconv"
 	"sync"
 	"syscall"
 	"testing"
@@ -209,6 +210,31 @@
 	return listener.Addr().String()
 }
 
+// FreePorts returns the first of n consecutive free ports of the block that ClaimPorts claimed.
+func FreePorts(t testing.TB, n int) int {
+	t.Helper()
+	for range blockPorts {
+		first := 0
+		for i := range n {
+			_, text, err := net.SplitHostPort(FreeAddress(t))
+			require.NoError(t, err)
+			port, err := strconv.Atoi(text)
+			require.NoError(t, err)
+			if i == 0 {
+				first = port
+			}
+			if port != first+i {
+				break
+			}
+			if i == n-1 {
+				return first
+			}
+		}
+	}
+	t.Fatal("no consecutive free ports on loopback")
+	return 0
+}
+
 // FreeListener listens on the next free port of the block that ClaimPorts claimed.
 func FreeListener(t testing.TB) net.Listener {
 	t.Helper()
--- a/tests/soak/host_test.go
+++ b/tests/soak/host_test.go
@@ -4,10 +4,8 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
-	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -35,13 +33,10 @@
 
 func (c *cluster) startHost(dir string, n int, options ...func(*harness.Process)) *host {
 	h := &host{name: fmt.Sprintf("host-%d", n), grace: c.site.grace, callerAddress: harness.FreeAddress(c.t), readinessAddress: harness.FreeAddress(c.t), storeProxy: harness.NewProxy(c.t, c.storeAddress)}
-	_, text, err := net.SplitHostPort(harness.FreeAddress(c.t))
-	require.NoError(c.t, err)
-	port, err := strconv.Atoi(text)
-	require.NoError(c.t, err)
+	port := harness.FreePorts(c.t, 2)
 	settings, err := json.Marshal(map[string]any{
 		"nodeName": h.name, "ip": "127.0.0.1", "zone": "a", "listen": map[string]string{"front": h.callerAddress, "ready": h.readinessAddress},
-		"internalPorts": []int{port, port}, "heartbeatMs": heartbeatInterval.Milliseconds(),
+		"internalPorts": []int{port, port + 1}, "heartbeatMs": heartbeatInterval.Milliseconds(),
 		"limits": map[string]any{"cpuShare": 0.4, "cores": 1, "memoryMb": 134, "linkMbps": 1000},
 		"bounds": map[string]any{"graceS": c.site.grace.Seconds(), "revokeStrict": true, "revokeMs": c.site.revoke.Milliseconds(),
 			"configApplyMs": c.site.apply.Milliseconds(), "retryBudgetRatio": 0.2, "budgetWindowS": 10, "retrySlack": c.site.retrySlack},
