--- a/internal/edge/peers/members.go
+++ b/internal/edge/peers/members.go
@@ -34,6 +34,11 @@
 	firstListDelay = 700 * time.Millisecond
 	// aloneListInterval replaces listInterval while this host knows no other host.
 	aloneListInterval = 1500 * time.Millisecond
+	// minWantedDelay is how soon after a read the list is read again for WantList, or
+	// wantedDelayPerHost for each known host if that is longer, since all hosts may want it at
+	// once. It doubles with each such read in a row that found the same hosts, up to listInterval.
+	minWantedDelay     = time.Second
+	wantedDelayPerHost = 50 * time.Millisecond
 	// maxReregisterDelay is the maximum of the random delays after which hosts register
 	// again when the store has lost their entries.
 	maxReregisterDelay = 1200 * time.Millisecond
@@ -60,6 +65,8 @@
 	store Store
 	eras  *storeera.Tracker
 	self  relay.Host
+	// wanted holds a token if the list is to be read before its interval has passed.
+	wanted chan struct{}
 
 	// keepUntil is until when hosts missing in the list are kept, listEra the era of the
 	// last list; both only for the goroutine that polls.
@@ -82,7 +89,7 @@
 // NewMembers returns a member list that holds only this host until Run has read the
 // store.
 func NewMembers(log *slog.Logger, store Store, eras *storeera.Tracker, self relay.Host) *Members {
-	m := &Members{log: log, store: store, eras: eras, self: self}
+	m := &Members{log: log, store: store, eras: eras, self: self, wanted: make(chan struct{}, 1)}
 	m.hosts, m.ips = map[string]relay.Host{self.Name: self}, make(map[string]bool)
 	return m
 }
@@ -238,24 +245,64 @@
 // pollHosts reads the host list until ctx ends.
 func (m *Members) pollHosts(ctx context.Context) {
 	wait.For(ctx, firstListDelay)
+	early := minWantedDelay
 	for ctx.Err() == nil {
 		entries, revision, err := m.store.ListStale(ctx, memberPrefix)
 		if err != nil {
 			m.log.Warn("peers: cannot read the host list", "error", err.Error())
-		} else {
-			m.updateHosts(entries, revision)
+		} else if m.updateHosts(entries, revision) {
+			early = minWantedDelay
 		}
 		interval := listInterval
 		if m.Count() == 1 {
 			interval = aloneListInterval
 		}
-		wait.For(ctx, interval)
+		early = max(early, time.Duration(m.Count())*wantedDelayPerHost)
+		if m.awaitNextRead(ctx, early, interval) {
+			early = min(2*early, listInterval)
+		} else {
+			early = minWantedDelay
+		}
+	}
+}
+
+// WantList has the host list read soon, because this host needs others that it may not know yet.
+func (m *Members) WantList() {
+	select {
+	case m.wanted <- struct{}{}:
+	default:
+	}
+}
+
+// awaitNextRead waits for an interval, or less if the list is wanted, but at least until early. It
+// reports whether the list was wanted.
+func (m *Members) awaitNextRead(ctx context.Context, early, interval time.Duration) bool {
+	early = min(early, interval)
+	select {
+	case <-m.wanted: // before the read
+	default:
+	}
+	wait.For(ctx, early)
+	timer := time.NewTimer(interval - early)
+	defer timer.Stop()
+	select {
+	case <-m.wanted:
+		return true
+	default:
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return false
+	case <-m.wanted:
+		return true
 	}
 }
 
-// updateHosts replaces the known hosts by the listed ones and logs the differences. Right
-// after a restore of the store, hosts that are missing in the list are kept.
-func (m *Members) updateHosts(entries []platform.Entry, revision platform.Revision) {
+// updateHosts replaces the known hosts by the listed ones, logs the differences and reports whether
+// there are any. Right after a restore of the store, hosts that are missing in the list are kept.
+func (m *Members) updateHosts(entries []platform.Entry, revision platform.Revision) (changed bool) {
 	hosts := make(map[string]relay.Host, len(entries))
 	for _, e := range entries {
 		var h relay.Host
@@ -278,14 +325,17 @@
 	previous := m.replaceHosts(hosts)
 	for name, h := range hosts {
 		if _, known := previous[name]; !known {
+			changed = true
 			m.log.Info("peers: host joined", "host", name, "address", h.Address, "revision", revision)
 		}
 	}
 	for name := range previous {
 		if _, listed := hosts[name]; !listed && name != m.self.Name {
+			changed = true
 			m.log.Info("peers: host left", "host", name, "revision", revision)
 		}
 	}
+	return changed
 }
 
 // replaceHosts replaces the known hosts, chooses the hubs among them and returns the
--- a/internal/edge/process/forward.go
+++ b/internal/edge/process/forward.go
@@ -57,7 +57,10 @@
 	if !f.cutOff(incarnation) {
 		return nil
 	}
-	chosen, _ := f.helpers.Choose(f.process.members.Forwarders(), bootclock.Now())
+	chosen, proven := f.helpers.Choose(f.process.members.Forwarders(), bootclock.Now())
+	if proven == 0 {
+		f.process.members.WantList() // hosts that can help may have started since
+	}
 	return chosen
 }
 
