Drain: a connection that is accepted just before the listener closes is awaited

A process could end with a request in progress: a connection that the listener had accepted, and of which the server had not taken note yet, was not counted as open when the drain looked. The drain waits until the server has seen the listener's end, after which no connection is unknown. TestConnectionAcceptedAsTheServerBeganToCloseIsAwaited fails without it.

--- a/internal/edge/ingress/openconnections.go
+++ b/internal/edge/ingress/openconnections.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -10,9 +11,14 @@
 // OpenConnections ends a server without dropping requests: http.Server.Shutdown closes the
 // connection of a request that it reads after its call, without an answer. It is safe for
 // concurrent use.
+//
+// It is the listener of the server, so that it knows when the server has taken note of the last
+// connection: until then, an accepted one is not counted as open yet.
 type OpenConnections struct {
-	listener net.Listener
-	next     func(net.Conn, http.ConnState)
+	net.Listener
+	next      func(net.Conn, http.ConnState)
+	ended     chan struct{} // closed when no more connections are accepted
+	endedOnce sync.Once
 
 	mu     sync.Mutex
 	open   int           // guarded by mu
@@ -22,7 +28,16 @@
 // NewOpenConnections returns the connections that a server accepts from the listener. next is
 // called on each change of a connection's state.
 func NewOpenConnections(listener net.Listener, next func(net.Conn, http.ConnState)) *OpenConnections {
-	return &OpenConnections{listener: listener, next: next}
+	return &OpenConnections{Listener: listener, next: next, ended: make(chan struct{})}
+}
+
+// Accept implements net.Listener.
+func (o *OpenConnections) Accept() (net.Conn, error) {
+	conn, err := o.Listener.Accept()
+	if errors.Is(err, net.ErrClosed) {
+		o.endedOnce.Do(func() { close(o.ended) })
+	}
+	return conn, err
 }
 
 // ConnState is the ConnState hook of the server.
@@ -45,8 +60,13 @@
 // Drain accepts no further connections, closes idle ones, and the others after their next
 // response. It reports whether all were closed before ctx ended.
 func (o *OpenConnections) Drain(ctx context.Context, server *http.Server) bool {
-	_ = o.listener.Close()
+	_ = o.Listener.Close()
 	server.SetKeepAlivesEnabled(false)
+	select {
+	case <-o.ended:
+	case <-ctx.Done():
+		return false
+	}
 	o.mu.Lock()
 	if o.open == 0 {
 		o.mu.Unlock()
--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -232,7 +232,7 @@
 		ConnState:   connections.ConnState,
 	}
 	served := make(chan error, 1)
-	go func() { served <- server.Serve(listener) }()
+	go func() { served <- server.Serve(connections) }()
 	select {
 	case <-ctx.Done():
 		p.stop(server, connections, abort)
