Drain: a connection on which a request has begun is not closed as idle

Callers' connections were closed without an answer 2.5 s after SIGTERM: net/http takes a connection for idle until it has read the whole head of the next request, and a draining host closes its idle connections at that moment. A callerConn is closed as idle only if no byte of a request has been read, in one step.

--- a/internal/edge/ingress/idle.go
+++ b/internal/edge/ingress/idle.go
@@ -77,6 +77,10 @@
 	for ctx.Err() == nil {
 		wait.For(ctx, idleCheckInterval)
 		for _, c := range i.expired(bootclock.Now()) {
+			if conn, ok := c.(*callerConn); ok {
+				conn.CloseIfIdle()
+				continue
+			}
 			_ = c.Close()
 		}
 	}
--- a/internal/edge/ingress/openconnections.go
+++ b/internal/edge/ingress/openconnections.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 )
 
 // OpenConnections ends a server without dropping requests: http.Server.Shutdown closes the
@@ -16,9 +17,11 @@
 // connection: until then, an accepted one is not counted as open yet.
 type OpenConnections struct {
 	net.Listener
-	next      func(net.Conn, http.ConnState)
-	ended     chan struct{} // closed when no more connections are accepted
-	endedOnce sync.Once
+	next func(net.Conn, http.ConnState)
+	// closingIdle is set while the server closes its idle connections.
+	closingIdle atomic.Bool
+	ended       chan struct{} // closed when no more connections are accepted
+	endedOnce   sync.Once
 
 	mu     sync.Mutex
 	open   int           // guarded by mu
@@ -37,11 +40,17 @@
 	if errors.Is(err, net.ErrClosed) {
 		o.endedOnce.Do(func() { close(o.ended) })
 	}
-	return conn, err
+	if err != nil {
+		return nil, err
+	}
+	return &callerConn{Conn: conn, closingIdle: &o.closingIdle}, nil
 }
 
 // ConnState is the ConnState hook of the server.
 func (o *OpenConnections) ConnState(c net.Conn, state http.ConnState) {
+	if conn, ok := c.(*callerConn); ok {
+		conn.observe(state)
+	}
 	o.next(c, state)
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -61,7 +70,9 @@
 // response. It reports whether all were closed before ctx ended.
 func (o *OpenConnections) Drain(ctx context.Context, server *http.Server) bool {
 	_ = o.Listener.Close()
-	server.SetKeepAlivesEnabled(false)
+	o.closingIdle.Store(true)
+	server.SetKeepAlivesEnabled(false) // also closes idle connections
+	o.closingIdle.Store(false)
 	select {
 	case <-o.ended:
 	case <-ctx.Done():
