Quarantine: a held part of prompts is stored by each host that saw a crash under it

After a loss of power on all hosts a part of prompts that crashes engines was released: each of several hosts completed the case by the evidence of the others, so that none took it for its own and none stored it. A host that saw one of the crashes counts among the causes now. TestCaseCompletedByOthersEvidenceIsOwnOfAHost fails without it.

--- a/internal/quarantine/decide_test.go
+++ b/internal/quarantine/decide_test.go
@@ -150,6 +150,41 @@
 	}
 }
 
+// Each host completes the case by the crashes that the others saw; one of them must store it.
+func TestCaseCompletedByOthersEvidenceIsOwnOfAHost(t *testing.T) {
+	var own []string
+	trackers := make(map[string]*Tracker)
+	for _, host := range []string{"a", "b", "c"} {
+		trackers[host] = New(host, func(c Change) {
+			if c.Kind == Held && c.Own {
+				own = append(own, host)
+			}
+		})
+	}
+	crashes := []struct {
+		host, target string
+		at           time.Duration
+	}{{"a", "e-1", 0}, {"b", "e-2", 300 * ms}, {"c", "e-3", 600 * ms}, {"a", "e-4", 900 * ms}}
+	for _, c := range crashes {
+		trackers[c.host].ReportFailure(epoch+c.at, epoch+c.at, c.target, keysOf([]string{"g"}))
+	}
+	now := epoch + time.Second
+	told := make(map[string]Evidence)
+	for host, tracker := range trackers {
+		told[host], _ = tracker.Since(now, 0)
+	}
+	trackers["observer"] = New("observer", func(c Change) { require.False(t, c.Own) })
+	for host, tracker := range trackers {
+		for from, evidence := range told {
+			if from != host {
+				tracker.Merge(now, evidence)
+			}
+		}
+		require.Equal(t, []string{"part:g"}, heldNames(tracker), host)
+	}
+	require.ElementsMatch(t, []string{"a", "b", "c"}, own)
+}
+
 func TestTargetThatAnswersLaterHasNotCrashed(t *testing.T) {
 	t.Parallel()
 	tracker := New("host", nil)
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -74,7 +74,9 @@
 	Kind ChangeKind
 	Hold Hold
 	Now  Instant
-	// Own reports whether this host's own evidence or operator caused the change.
+	// Own reports whether this host's own evidence or operator caused the change. A host that saw
+	// one of the crashes under a held key counts among the causes, since each of several hosts
+	// may complete the case by the evidence of the others.
 	Own bool
 }
 
@@ -267,7 +269,7 @@
 	var changes []Change
 	for key, hold := range held {
 		if before := t.held[key]; before == nil || (before.Until <= now && hold.Until > now) {
-			changes = append(changes, Change{Kind: Held, Hold: *hold, Now: now, Own: own})
+			changes = append(changes, Change{Kind: Held, Hold: *hold, Now: now, Own: own || t.sawCrashOf(hold)})
 		}
 	}
 	for key, hold := range t.held {
@@ -287,6 +289,11 @@
 	return changes
 }
 
+// sawCrashOf reports whether this host saw one of the crashes under a key.
+func (t *Tracker) sawCrashOf(h *Hold) bool {
+	return slices.ContainsFunc(h.Crashes, func(c Crash) bool { return c.Host == t.host })
+}
+
 func (t *Tracker) notify(changes []Change) {
 	for _, c := range changes {
 		t.onChange(c)
