Own form: a host tells the others which prefixes it has begun to hold back

The delays of messages shift the crashes against each other differently on each host, so that one counts too few moments of crashes. A host tells that it holds a prefix back; the others then need its crashes, not its moments, until it survives. What they are told is bounded.

--- a/api/control/control.go
+++ b/api/control/control.go
@@ -103,6 +103,7 @@
 	EventCleared  EventKind = "cleared"  // Fingerprint completed and is no longer a suspect
 	EventSurvived EventKind = "passed"   // Fingerprint ran on past the point at which its target had crashed
 	EventReleased EventKind = "released" // an operator released the held Prefixes
+	EventHeld     EventKind = "held"     // a host began to hold back the Prefixes
 )
 
 // Event is an event about a target or a request. It is spread to all hosts.
--- a/internal/agent/events/table.go
+++ b/internal/agent/events/table.go
@@ -75,7 +75,7 @@
 // includes the crash of a leaving target, which hosts turn into EventDown.
 func concernsSuspect(e control.Event) bool {
 	switch e.Kind {
-	case control.EventCrash, control.EventCleared, control.EventSurvived, control.EventReleased:
+	case control.EventCrash, control.EventCleared, control.EventSurvived, control.EventReleased, control.EventHeld:
 		return true
 	default:
 		return e.Kind == control.EventDown && e.Fingerprint != 0
--- a/internal/agent/scheduler/crashes.go
+++ b/internal/agent/scheduler/crashes.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"time"
 
 	"corianderhitch/api/control"
@@ -36,6 +37,7 @@
 		e.Beside = append(e.Beside, s.fingerprintsOn(e.Target)...)
 	}
 	s.suspects.Add(now, e)
+	s.tellHolds(now)
 	switch e.Kind {
 	case control.EventCrash:
 		s.recordCrash(e, history)
@@ -47,6 +49,17 @@
 	return e
 }
 
+// tellHolds tells the fleet which prefixes this host's evidence has begun to hold back: others may
+// count the same crashes at fewer moments.
+func (s *Scheduler) tellHolds(now time.Time) {
+	held := s.suspects.TakeNewHolds()
+	if len(held) == 0 {
+		return
+	}
+	id := fmt.Sprintf("held/%s/%x/%d", s.fleet.Self().Host, held[0], now.UnixNano())
+	s.fleet.AddEvents(now, []control.Event{{ID: id, Kind: control.EventHeld, Prefixes: held, Seen: now}})
+}
+
 // clearanceRecorder is implemented by policies that track suspects themselves.
 type clearanceRecorder interface {
 	// RecordSurvival records that a request has run on past the point at which its
--- a/internal/agent/scheduler/scheduler_test.go
+++ b/internal/agent/scheduler/scheduler_test.go
@@ -398,11 +398,14 @@
 		time.Sleep(time.Second)
 		s.Finish(control.FinishArgs{Finished: []control.Finished{{Ticket: "other", Model: "writer", Produced: 5, Complete: true}}})
 		synctest.Wait()
-		require.Len(t, fleet.events, 2, "an answer from before the crashes, and one after them")
-		for _, e := range fleet.events {
+		require.Len(t, fleet.events, 3, "the hold, an answer from before the crashes, and one after them")
+		require.Equal(t, control.EventHeld, fleet.events[0].Kind)
+		require.Equal(t, []uint64{2}, fleet.events[0].Prefixes)
+		for _, e := range fleet.events[1:] {
+			require.Equal(t, control.EventCleared, e.Kind)
 			require.Equal(t, []uint64{1}, e.Prefixes, "the other hosts learn that the first part is sound")
 		}
-		require.Equal(t, time.Second, fleet.events[1].Since)
+		require.Equal(t, time.Second, fleet.events[2].Since)
 	})
 }
 
--- a/internal/agent/suspicion/parts.go
+++ b/internal/agent/suspicion/parts.go
@@ -29,6 +29,7 @@
 	crashes  []crashedTarget      // oldest first
 	suspects map[uint64]time.Time // prefixes under which targets crashed, and when last
 	holds    uint64               // number of holds until now
+	newHolds []uint64             // prefixes held back by this host's own evidence, of which others have not been told
 }
 
 // crashedTarget is one crash.
@@ -48,6 +49,9 @@
 	p.tracker = quarantine.New(host, func(c quarantine.Change) {
 		if c.Kind == quarantine.Held {
 			p.holds++
+			if hash, err := strconv.ParseUint(c.Hold.Key.ID, 16, 64); err == nil && c.Own {
+				p.newHolds = append(p.newHolds, hash)
+			}
 		}
 		if log != nil {
 			log.Warn("Quarantine of a prompt prefix changed.", "change", c.Kind.String(), "prefix", c.Hold.Key.ID,
@@ -136,6 +140,15 @@
 	return list
 }
 
+// recordHeld records that another host holds prefixes back.
+func (p *parts) recordHeld(now time.Time, e control.Event) {
+	at, untold := p.instant(now.Add(-e.Age)), len(p.newHolds)
+	for _, key := range keys(e.Prefixes) {
+		p.tracker.ReportHeld(p.instant(now), at, key)
+	}
+	p.newHolds = p.newHolds[:untold] // the fleet knows already
+}
+
 // release ends the holds of prefixes, and takes the crashes under them back.
 func (p *parts) release(now time.Time, e control.Event) {
 	for _, key := range keys(e.Prefixes) {
--- a/internal/agent/suspicion/parts_test.go
+++ b/internal/agent/suspicion/parts_test.go
@@ -126,6 +126,27 @@
 	}
 }
 
+func TestHostsThatCountMomentsDifferentlyHoldTheSamePart(t *testing.T) {
+	one, other := &FleetTracker{Host: "one"}, &FleetTracker{Host: "other"}
+	for i, at := range []time.Duration{0, 62 * time.Millisecond, 250 * time.Millisecond, 312 * time.Millisecond, 501 * time.Millisecond} {
+		one.Add(start.Add(at), partCrash(i))
+		if i > 0 {
+			at -= 2 * time.Millisecond
+		}
+		other.Add(start.Add(at), partCrash(i))
+	}
+	now := start.Add(time.Second)
+	require.Len(t, one.HeldPrefixes(now), 1)
+	require.Empty(t, other.HeldPrefixes(now))
+	require.Empty(t, other.TakeNewHolds())
+	told := one.TakeNewHolds()
+	require.Equal(t, []uint64{annexPart}, told)
+	require.Empty(t, one.TakeNewHolds())
+	other.Add(now, control.Event{ID: "h", Kind: control.EventHeld, Prefixes: told, Age: 400 * time.Millisecond})
+	require.Len(t, other.HeldPrefixes(now), 1)
+	require.Empty(t, other.TakeNewHolds(), "the fleet knows already")
+}
+
 func TestSuspectPrefixesAreBounded(t *testing.T) {
 	tracker := &FleetTracker{}
 	for i := range maxCrashedTargets + 10 {
--- a/internal/agent/suspicion/suspicion.go
+++ b/internal/agent/suspicion/suspicion.go
@@ -31,7 +31,7 @@
 }
 
 // Add records an event about a request: a crash, a completion, the survival of the point at
-// which its target had crashed, or the release of prefixes. Other kinds are ignored.
+// which its target had crashed, or the hold or release of prefixes. Other kinds are ignored.
 func (t *FleetTracker) Add(now time.Time, e control.Event) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -48,6 +48,8 @@
 		t.tracker.RecordCompletion(e.Fingerprint, ClearedAt(now, e))
 	case control.EventReleased:
 		t.parts.release(now, e)
+	case control.EventHeld:
+		t.parts.recordHeld(now, e)
 	case control.EventSurvived:
 		t.tracker.RecordSurvival(e.Fingerprint, ClearedAt(now, e))
 	}
@@ -102,6 +104,16 @@
 	return t.parts.recordSurvival(now, began, prefixes)
 }
 
+// TakeNewHolds returns the prefixes that this host's own evidence has held back since the last
+// call, of which other hosts should hear.
+func (t *FleetTracker) TakeNewHolds() []uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	taken := t.parts.newHolds
+	t.parts.newHolds = nil
+	return taken
+}
+
 // Held returns the prefix because of which a request must not be sent, nil if there is none.
 // admits states that the request is sent if there is none.
 func (t *FleetTracker) Held(now time.Time, prefixes []uint64, admits bool) *HeldPrefix {
--- a/internal/quarantine/decide.go
+++ b/internal/quarantine/decide.go
@@ -67,10 +67,10 @@
 // enough crashes first the ones that have not survived lately, then the one with most crashes,
 // then the most specific. What crashed under a blamed key does not count against the others,
 // which merely shared the prompt or the target.
-// counts is the number of failures of each key. The result holds until the returned instant
-// unless the evidence changes.
-func decide(now Instant, failures []*failure, counts map[Key]int, survivedAt func(Key) (Instant, bool)) (map[Key]*Hold, Instant) {
-	suspects, until := collectSuspects(now, failures, counts, survivedAt)
+// counts is the number of failures of each key. toldAt returns when another host told that it
+// holds a key back. The result holds until the returned instant unless the evidence changes.
+func decide(now Instant, failures []*failure, counts map[Key]int, survivedAt, toldAt func(Key) (Instant, bool)) (map[Key]*Hold, Instant) {
+	suspects, until := collectSuspects(now, failures, counts, survivedAt, toldAt)
 	held := make(map[Key]*Hold)
 	explained := make(map[string]bool) // incarnations
 	for {
@@ -98,11 +98,14 @@
 	crashes    []Crash
 	survived   bool
 	survivedAt Instant
+	// confirmed states that another host counted enough moments: the delays of messages
+	// shift the crashes against each other differently on each host.
+	confirmed bool
 }
 
 // collectSuspects returns the keys with enough crashes since their last survival, and when
 // the next crash counts or is forgotten.
-func collectSuspects(now Instant, failures []*failure, counts map[Key]int, survivedAt func(Key) (Instant, bool)) (map[Key]*suspect, Instant) {
+func collectSuspects(now Instant, failures []*failure, counts map[Key]int, survivedAt, toldAt func(Key) (Instant, bool)) (map[Key]*suspect, Instant) {
 	suspects := make(map[Key]*suspect)
 	until := now + evidenceLifetime
 	for _, f := range failures {
@@ -118,6 +121,8 @@
 			if s == nil {
 				s = &suspect{key: key}
 				s.survivedAt, s.survived = survivedAt(key)
+				told, confirmed := toldAt(key)
+				s.confirmed = confirmed && (!s.survived || told > s.survivedAt)
 				suspects[key] = s
 			}
 			s.depth = max(s.depth, depth)
@@ -153,7 +158,7 @@
 
 func (s *suspect) isEnough() bool {
 	crashes, moments := s.required()
-	return len(s.crashes) >= crashes && countMoments(s.crashes) >= moments
+	return len(s.crashes) >= crashes && (s.confirmed || countMoments(s.crashes) >= moments)
 }
 
 func (s *suspect) required() (crashes, moments int) {
--- a/internal/quarantine/decide_test.go
+++ b/internal/quarantine/decide_test.go
@@ -150,6 +150,51 @@
 	}
 }
 
+// The delays of messages shift crashes against each other, so that a host may count fewer moments.
+func TestHostHoldsBackWhatAnotherHostCountedMomentsOf(t *testing.T) {
+	fewMoments := []step{crash(0, "a", "g"), crash(60*ms, "b", "g"), crash(249*ms, "c", "g"), crash(310*ms, "d", "g")}
+	for name, c := range map[string]struct {
+		crashes  []step
+		told     time.Duration
+		survived time.Duration // 0 for never
+		held     []string
+	}{
+		"told after the crashes":   {crashes: fewMoments, told: 320 * ms, held: []string{"part:g"}},
+		"told before the last one": {crashes: fewMoments, told: 300 * ms, held: []string{"part:g"}},
+		"too few crashes":          {crashes: fewMoments[:3], told: 320 * ms, held: []string{}},
+		"survived since":           {crashes: fewMoments, told: 320 * ms, survived: 400 * ms, held: []string{}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tracker := New("h", nil)
+			for _, s := range c.crashes {
+				tracker.ReportFailure(epoch+s.at, epoch+s.at, s.target, keysOf(s.parts))
+			}
+			require.Empty(t, heldNames(tracker))
+			now := epoch + time.Second
+			tracker.ReportHeld(now, epoch+c.told, Part("g"))
+			if c.survived > 0 {
+				tracker.ReportSurvival(now, epoch+c.survived, epoch+c.survived, "e", keysOf([]string{"g"}))
+				for i := range 5 { // a failure domain that ends at once
+					tracker.ReportFailure(now, now, fmt.Sprint("later-", i), keysOf([]string{"g"}))
+				}
+				tracker.Check(now+time.Minute, keysOf([]string{"g"}))
+			}
+			require.Equal(t, c.held, heldNames(tracker))
+		})
+	}
+}
+
+func TestKeysThatOthersHoldAreBounded(t *testing.T) {
+	tracker := New("h", nil)
+	for i := range 2 * maxTold {
+		tracker.ReportHeld(epoch, epoch, Part(fmt.Sprint(i)))
+	}
+	require.Len(t, tracker.told, maxTold)
+	later := epoch + evidenceLifetime + time.Second
+	tracker.ReportHeld(later, later, Part("g"))
+	require.Len(t, tracker.told, 1)
+}
+
 // Each host completes the case by the crashes that the others saw; one of them must store it.
 func TestCaseCompletedByOthersEvidenceIsOwnOfAHost(t *testing.T) {
 	var own []string
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -19,6 +19,8 @@
 	maxKeys = 16
 	// maxShared bounds the survivals that hosts tell each other.
 	maxShared = 4096
+	// maxTold bounds the keys of which other hosts told that they hold them back.
+	maxTold = 256
 	// probationDelay is how long after a hold other hosts than the one that saw the last crash
 	// let a key through, and probationSpread over which time they begin. Each lets one request
 	// through at a time, so that as a rule one request ends the probation.
@@ -40,6 +42,7 @@
 	shared   map[Key]*sharedSurvival // guarded by mu; survivals that matter for failures
 	seen     survivals               // guarded by mu; survivals that this host saw
 	held     map[Key]*Hold           // guarded by mu; result of decide
+	told     map[Key]Instant         // guarded by mu; when another host told that it holds a key back
 	trials   map[Key]Instant         // guarded by mu; when this host last let a key on probation through
 	expired  map[Key]Instant         // guarded by mu; Until of holds whose end was reported
 	decideAt Instant                 // guarded by mu; until when held follows from the evidence
@@ -87,7 +90,7 @@
 		onChange = func(Change) {}
 	}
 	return &Tracker{host: host, onChange: onChange, known: make(map[string]bool), suspects: make(map[Key]int), shared: make(map[Key]*sharedSurvival),
-		held: make(map[Key]*Hold), trials: make(map[Key]Instant), expired: make(map[Key]Instant)}
+		held: make(map[Key]*Hold), told: make(map[Key]Instant), trials: make(map[Key]Instant), expired: make(map[Key]Instant)}
 }
 
 // ReportFailure records that a request with the given keys, from the least to the most
@@ -125,6 +128,26 @@
 	return matters
 }
 
+// ReportHeld records that another host held a key back at the given instant. The key is held back
+// here too once enough targets have crashed under it, at however many moments, unless it has
+// survived since.
+func (t *Tracker) ReportHeld(now, at Instant, key Key) {
+	t.mu.Lock()
+	for k, told := range t.told {
+		if told < now-evidenceLifetime {
+			delete(t.told, k)
+		}
+	}
+	if known, ok := t.told[key]; !ok && len(t.told) >= maxTold || known >= at {
+		t.mu.Unlock()
+		return
+	}
+	t.told[key] = at
+	changes := t.decide(now, true, false)
+	t.mu.Unlock()
+	t.notify(changes)
+}
+
 // addSurvival remembers a survival and shares it if it matters. Callers hold t.mu.
 func (t *Tracker) addSurvival(now Instant, key Key, at Instant) bool {
 	if key.Kind != KindRequest || t.suspects[key] > 0 {
@@ -265,6 +288,9 @@
 			return 0, false
 		}
 		return s.at, true
+	}, func(key Key) (Instant, bool) {
+		at, ok := t.told[key]
+		return at, ok && at >= now-evidenceLifetime
 	})
 	var changes []Change
 	for key, hold := range held {
