Own form: a gateway that its agent does not list yet accepts late requests

A ready gateway rejected late requests for five seconds while no agent listed a gateway, since the hosts that can run them were those listed. A gateway counts itself from its first document until it drains. TestGatewayThatNoAgentListsCountsItself, and TestGatewayWithoutItsAgentAcceptsLateRequests with processes, fail without it.

--- a/internal/gateway/fleet/fleet_test.go
+++ b/internal/gateway/fleet/fleet_test.go
@@ -98,6 +98,22 @@
 	require.Len(t, f.View().Members, 1)
 }
 
+func TestGatewayThatNoAgentListsCountsItself(t *testing.T) {
+	agent := newAgent(t)
+	f := startFleet(t, agent)
+	require.Empty(t, f.GatewayHosts(), "nothing is known before the first document")
+	other, plain := member("other", agent), member("plain", agent)
+	other.GatewayAddr = "127.0.0.1:1"
+	agent.set(func() { agent.revision, agent.members = 1, []control.Member{member("me", agent), plain} })
+	awaitView(t, f, hasRevision(1))
+	require.Equal(t, []string{"me"}, f.GatewayHosts())
+	agent.set(func() { agent.members = []control.Member{member("me", agent), other, plain} })
+	awaitView(t, f, func(v *View) bool { return len(v.Members) == 3 })
+	require.Equal(t, []string{"me", "other"}, f.GatewayHosts())
+	f.Drain()
+	require.Equal(t, []string{"other"}, f.GatewayHosts())
+}
+
 func TestOwnerGrantsSlotAndReceivesRelease(t *testing.T) {
 	a := newAgent(t)
 	a.members = []control.Member{member("h", a)}
--- a/internal/gateway/fleet/view.go
+++ b/internal/gateway/fleet/view.go
@@ -34,6 +34,23 @@
 // AliveHosts returns the sorted names of the hosts that are alive.
 func (v *View) AliveHosts() []string { return v.aliveHosts() }
 
+// GatewayHosts returns the hosts with a gateway that takes requests, as far as they are known.
+// This host is among them from its first document until it drains: its own agent may not have
+// told the others of this gateway yet, or not run at all.
+func (f *Fleet) GatewayHosts() []string {
+	var hosts []string
+	view := f.View()
+	if view.Index != nil && !f.draining.Load() {
+		hosts = append(hosts, f.options.Host)
+	}
+	for _, m := range view.Members {
+		if m.State == control.MemberAlive && m.GatewayAddr != "" && m.Host != f.options.Host {
+			hosts = append(hosts, m.Host)
+		}
+	}
+	return hosts
+}
+
 // rankedHosts returns the hosts ranked by rendezvous hashing of key. Suspected hosts are
 // ranked as well, though they are not asked, so that gateways and agents compute the
 // same ranks.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -125,7 +125,7 @@
 		MaxAge:          late.lateRetention,
 		AnswerRetention: late.lateRetention,
 		PendingLimit:    late.pendingLimit,
-		AliveHosts:      late.aliveGatewayHosts,
+		AliveHosts:      g.fleet.GatewayHosts,
 	}
 }
 
--- a/internal/gateway/laterunner.go
+++ b/internal/gateway/laterunner.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"corianderhitch/api/completion"
-	"corianderhitch/api/control"
 	"corianderhitch/api/engine"
 	"corianderhitch/api/problem"
 	"corianderhitch/internal/delivery"
@@ -67,18 +66,6 @@
 		"wait for another attempt", "%s", detail)
 }
 
-// aliveGatewayHosts returns the alive hosts that have a gateway and so can run late
-// requests.
-func (l *lateRunner) aliveGatewayHosts() []string {
-	var hosts []string
-	for _, m := range l.fleet.View().Members {
-		if m.State == control.MemberAlive && m.GatewayAddr != "" {
-			hosts = append(hosts, m.Host)
-		}
-	}
-	return hosts
-}
-
 // pendingLimit returns an account's limit of pending late requests, 0 for none.
 func (l *lateRunner) pendingLimit(account string) int {
 	index := l.fleet.View().Index
--- a/tests/prove/late_test.go
+++ b/tests/prove/late_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -13,7 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"corianderhitch/api/completion"
-
+	"corianderhitch/api/control"
 	"corianderhitch/internal/platform/memstore"
 	"corianderhitch/tests/harness"
 )
@@ -105,6 +106,30 @@
 	summary = fmt.Sprintf("%d drafts, %d tokens, all fetched after %s", requests, tokens, time.Since(begin).Round(10*time.Millisecond))
 }
 
+// A ready gateway rejected late requests for five seconds if no agent listed a gateway.
+func TestGatewayWithoutItsAgentAcceptsLateRequests(t *testing.T) {
+	t.Parallel()
+	defer acquireSlot()()
+	summary := ""
+	recordResult(t, "whole answer to its caller", "late: gateway is ready before its agent", &summary)
+	c := startCluster(t, clusterSpec{hosts: 2, engines: 2})
+	first, second := c.hosts[0], c.hosts[1]
+	for _, p := range []*harness.Process{first.gateway, second.gateway, second.agent} {
+		p.Kill()
+	}
+	harness.Await(t, lateTimeout, "no gateway is listed", func() bool {
+		status, ok := c.agentStatus(first)
+		return ok && !slices.ContainsFunc(status.Members, func(m control.Member) bool { return m.GatewayAddr != "" && m.State == control.MemberAlive })
+	})
+	second.gateway.Restart(t)
+	harness.Await(t, readyTimeout, "gateway ready", func() bool { return getOK(second.opsURL + "/readyz") })
+	const request = 1 // sent to the second host
+	c.sendLateRequest(t, request)
+	second.agent.Restart(t)
+	first.gateway.Restart(t)
+	summary = fmt.Sprintf("1 draft, %d tokens", c.fetchLateAnswer(t, request))
+}
+
 // lateTokens returns the length of late request i's answer.
 func lateTokens(i int) int { return 60 + 7*i }
 
