Own form: engines and plain services name limits, and get no more than these

Engines name it in their load report, plain services in Hitch-Request-Limit.

The owner of a pool grants nine tenths of what an engine names, one request at a time; a request that would not be granted by its deadline is rejected at once. Gateways divide what a service names as the hosts of the edge do.

--- a/api/engine/engine.go
+++ b/api/engine/engine.go
@@ -74,8 +74,12 @@
 	StepMS      float64   `json:"step_ms"`      // duration of the last decode step
 	Preemptions int64     `json:"preemptions"`  // number since the engine's start
 	Leaving     bool      `json:"leaving"`      // rejects new generations
-	Loaded      []Loaded  `json:"loaded"`
-	Role        Role      `json:"role"`
+	// Limited states that the engine takes only RequestLimit generations a second from all hosts
+	// together, as long as it says so.
+	Limited      bool     `json:"limited,omitempty"`
+	RequestLimit float64  `json:"request_limit,omitempty"`
+	Loaded       []Loaded `json:"loaded"`
+	Role         Role     `json:"role"`
 }
 
 // Loaded names one model version, with its adapters, that an engine can serve.
--- a/internal/agent/scheduler/serving.go
+++ b/internal/agent/scheduler/serving.go
@@ -65,6 +65,16 @@
 	return usable, incompatible
 }
 
+// modelCount returns how many models an engine has loaded. Each has a pool of its own, perhaps on
+// another host, and they divide the engine's limit evenly.
+func modelCount(load engine.LoadReport) int {
+	models := make(map[string]bool, len(load.Loaded))
+	for _, l := range load.Loaded {
+		models[l.Model] = true
+	}
+	return len(models)
+}
+
 // policyTargets converts rows to the policy's view of targets.
 func policyTargets(rows []control.TargetState) []scheduling.Target {
 	targets := make([]scheduling.Target, len(rows))
@@ -83,6 +93,7 @@
 			Leaving:     r.Leaving,
 			Healthy:     r.Healthy,
 			Standby:     r.Load.Role == engine.RoleStandby,
+			Limit:       scheduling.RequestLimit{Named: r.Load.Limited, PerSecond: r.Load.RequestLimit / float64(max(1, modelCount(r.Load)))},
 		}
 	}
 	return targets
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -99,7 +99,7 @@
 		Fleet:    g.fleet,
 		Runner:   g.runner,
 		Late:     g.late,
-		Services: services.New(s.Region, g.fleet, g.ledger, g.transport, m, logging.WithPrefix(g.log, "services")),
+		Services: services.New(s.Host, s.Region, g.fleet, g.ledger, g.transport, m, logging.WithPrefix(g.log, "services")),
 		Keys:     g.secrets.keys,
 		Metrics:  m,
 		Log:      logging.WithPrefix(g.log, "api"),
--- a/internal/gateway/services/client.go
+++ b/internal/gateway/services/client.go
@@ -16,6 +16,7 @@
 
 	"corianderhitch/api/control"
 	"corianderhitch/api/problem"
+	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/gateway/api"
 	"corianderhitch/internal/gateway/fleet"
 	"corianderhitch/internal/gateway/ids"
@@ -41,6 +42,7 @@
 // Fleet is what a Client needs of the gateway's link to the agents.
 type Fleet interface {
 	View() *fleet.View
+	GatewayHosts() []string
 	InFlight() *fleet.InFlight
 	FilterAvoided(targets []platform.Target) []platform.Target
 	Report(event control.Event)
@@ -64,17 +66,18 @@
 	tracer      trace.Tracer
 	retryBudget *budget
 	hedgeBudget *budget
+	gate        *callGate
 
 	mu        sync.Mutex
 	latencies map[string]*latencyHistory // guarded by mu; by service and route
 }
 
-// New returns a Client for a gateway in a region.
-func New(region string, f Fleet, l Ledger, t *outbound.Transport, m *metrics.Metrics, log *slog.Logger) *Client {
+// New returns a Client for the gateway of a host in a region.
+func New(host, region string, f Fleet, l Ledger, t *outbound.Transport, m *metrics.Metrics, log *slog.Logger) *Client {
 	return &Client{
 		region: region, fleet: f, ledger: l, transport: t, metrics: m, log: log,
 		tracer:      otel.Tracer("corianderhitch/gateway"),
-		retryBudget: newBudget(retryShare), hedgeBudget: newBudget(hedgeShare),
+		retryBudget: newBudget(retryShare), hedgeBudget: newBudget(hedgeShare), gate: newCallGate(host, f.GatewayHosts, log),
 		latencies: make(map[string]*latencyHistory),
 	}
 }
@@ -93,16 +96,28 @@
 	return c.callIdempotent(ctx, call)
 }
 
-// chooseTarget chooses a target that has not been tried. Targets of the gateway's
-// region come first.
+// chooseTarget chooses a target that has not been tried, and counts the call against the limit that the
+// target names. Targets of the gateway's region come first.
 func (c *Client) chooseTarget(call api.ServiceCall, tried []string) (platform.Target, error) {
 	local, remote := c.fleet.View().ServiceTargets(call.Service, c.region)
+	now := bootclock.Now()
+	c.gate.observeFleet(now)
 	for _, targets := range [][]platform.Target{local, remote} {
-		target, ok := c.fleet.InFlight().PowerOfTwoChoices(fleet.Exclude(c.fleet.FilterAvoided(targets), tried))
-		if ok {
-			return target, nil
+		untried := fleet.Exclude(c.fleet.FilterAvoided(targets), tried)
+		for {
+			target, ok := c.fleet.InFlight().PowerOfTwoChoices(c.gate.permitted(untried, now))
+			if !ok {
+				break
+			}
+			if c.gate.take(target.Name, now) {
+				return target, nil
+			}
+			untried = fleet.Exclude(untried, []string{target.Name}) // another call came first
 		}
 	}
+	if rejection := c.gate.rejection(call.Service, append(local[:len(local):len(local)], remote...), now); rejection != nil {
+		return platform.Target{}, rejection
+	}
 	return platform.Target{}, problem.New(problem.KindNoTarget, http.StatusServiceUnavailable, problem.RanNo,
 		"come back after the named time", "no target of the service %q takes work now", call.Service).WithRetryAfter(noTargetRetryAfter)
 }
@@ -127,6 +142,7 @@
 		c.reportEvent(ctx, a)
 		return a
 	}
+	c.gate.observe(target.Name, resp.Header)
 	a.read(resp)
 	c.reportEvent(ctx, a)
 	return a
--- a/internal/gateway/services/services_test.go
+++ b/internal/gateway/services/services_test.go
@@ -31,12 +31,15 @@
 // fakeFleet has the targets of one service and records reported events.
 type fakeFleet struct {
 	*fleet.Fleet
-	view   *fleet.View
-	events chan control.Event
+	view     *fleet.View
+	gateways []string
+	events   chan control.Event
 }
 
 func (f *fakeFleet) View() *fleet.View { return f.view }
 
+func (f *fakeFleet) GatewayHosts() []string { return f.gateways }
+
 func (f *fakeFleet) FilterAvoided(targets []platform.Target) []platform.Target { return targets }
 
 func (f *fakeFleet) Report(event control.Event) { f.events <- event }
@@ -50,9 +53,10 @@
 
 func newFixture(t *testing.T, targets ...*httptest.Server) *fixture {
 	f := &fakeFleet{
-		Fleet:  fleet.New(fleet.Options{Log: logging.Discard()}, nil),
-		view:   &fleet.View{Targets: make(map[string]control.TargetState)},
-		events: make(chan control.Event, 100),
+		Fleet:    fleet.New(fleet.Options{Log: logging.Discard()}, nil),
+		view:     &fleet.View{Targets: make(map[string]control.TargetState)},
+		gateways: []string{"h"},
+		events:   make(chan control.Event, 100),
 	}
 	for i, server := range targets {
 		name := fmt.Sprint("t", i)
@@ -69,7 +73,7 @@
 	require.NoError(t, err)
 	transport := outbound.New()
 	t.Cleanup(transport.Close)
-	return &fixture{client: New("r", f, l, transport, m, logging.Discard()), fleet: f, store: store}
+	return &fixture{client: New("h", "r", f, l, transport, m, logging.Discard()), fleet: f, store: store}
 }
 
 func (fx *fixture) call(t *testing.T, idempotent bool, key string) (api.ServiceAnswer, *problem.Error) {
--- a/internal/scheduling/place.go
+++ b/internal/scheduling/place.go
@@ -26,7 +26,7 @@
 		if required != nil && t != required {
 			continue
 		}
-		if !p.usable(t, c.request) || !p.allowedByVerdict(t, c.request, verdict) {
+		if !p.usable(t, c.request) || !t.hasPermit(now, c.request) || !p.allowedByVerdict(t, c.request, verdict) {
 			continue
 		}
 		cost := p.placementCost(now, t, c)
@@ -88,6 +88,7 @@
 // place grants the request on the target and updates the state of both.
 func (p *Pool) place(now time.Time, t *targetState, c *candidate, curve *length.Curve) Grant {
 	t.advance(now, p.steps)
+	t.takePermit(now)
 	prefillTime := time.Duration(c.prefillMS(t, p.config.PrefillMSPerToken) * float64(time.Millisecond))
 	prefillStart := now
 	if t.prefillUntil.After(now) {
--- a/internal/scheduling/pooltargets.go
+++ b/internal/scheduling/pooltargets.go
@@ -45,6 +45,7 @@
 	t.advance(now, p.steps)
 	newReport := target.ReportedAt.After(t.ReportedAt)
 	t.Target = target
+	t.setLimit(now, target.Limit)
 	if newReport {
 		t.applyReport()
 		p.steps.Observe(target.Running, target.StepMS)
--- a/internal/scheduling/submit.go
+++ b/internal/scheduling/submit.go
@@ -76,7 +76,11 @@
 	if p.queue.Len() >= p.config.QueueBound {
 		return p.rejectOverloaded(now, r, "the queue of the pool is full"), true
 	}
-	wait := p.expectedWait(now, r)
+	limited, ok := p.limitedWait(now, r)
+	if !ok {
+		return p.rejectOverloaded(now, r, "the targets take no requests now"), true
+	}
+	wait := max(limited, p.expectedWait(now, r))
 	if !r.Deadline.IsZero() && now.Add(wait).After(r.Deadline) {
 		return p.rejectOverloaded(now, r, "the expected wait exceeds the deadline"), true
 	}
@@ -108,7 +112,8 @@
 // its deadline, is expected to be granted in time: the expected wait less the time
 // left until the deadline, but at least atLeast and minRetryAfter.
 func (p *Pool) retryAfter(now time.Time, r *Request, atLeast time.Duration) time.Duration {
-	after := p.expectedWait(now, r)
+	limited, _ := p.limitedWait(now, r)
+	after := max(limited, p.expectedWait(now, r))
 	if !r.Deadline.IsZero() {
 		after -= max(0, r.Deadline.Sub(now))
 	}
--- a/internal/scheduling/targetstate.go
+++ b/internal/scheduling/targetstate.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"corianderhitch/internal/scheduling/memory"
 	"corianderhitch/internal/scheduling/steptime"
 )
@@ -47,7 +49,8 @@
 	externalTokens     float64 // tokens in memory that this pool did not grant; negative if sequences share blocks
 	externalSequences  float64 // sequences that this pool did not grant
 	history            []usage
-	quarantinedFor     uint64 // fingerprint that the target is reserved for; 0 means none
+	permits            *rate.Limiter // nil while the target names no limit
+	quarantinedFor     uint64        // fingerprint that the target is reserved for; 0 means none
 }
 
 // usage is this pool's own estimate of what its requests used on a target at an
--- a/internal/scheduling/types.go
+++ b/internal/scheduling/types.go
@@ -28,6 +28,7 @@
 	Leaving     bool
 	Healthy     bool
 	Standby     bool
+	Limit       RequestLimit
 }
 
 // CacheUpdate is a change of a target's prefix cache, as block hashes. Lost
--- a/internal/standin/engine/admin.go
+++ b/internal/standin/engine/admin.go
@@ -22,6 +22,12 @@
 	Leaving bool `json:"leaving"`
 }
 
+// Limit is the body of PUT /admin/limit.
+type Limit struct {
+	Limited   bool    `json:"limited"`
+	PerSecond float64 `json:"per_second"` // generations that the load reports name
+}
+
 // Memory is the body of PUT /admin/memory.
 type Memory struct {
 	Blocks int `json:"blocks"`
@@ -56,6 +62,7 @@
 //	GET  /admin/state            State
 //	POST /admin/reclaim          Reclaim: start leaving immediately, stop after the notice period
 //	PUT  /admin/leaving          Leaving: reject new generations, or accept them again
+//	PUT  /admin/limit            Limit: name a limit in the load reports, or none; it is not enforced
 //	PUT  /admin/memory           Memory: resize the KV memory
 //	PUT  /admin/cache-loss       CacheLoss: drop cache events
 //	PUT  /admin/slowdown         Slowdown: multiply the step times
@@ -70,6 +77,9 @@
 	r.HandleFunc("/admin/leaving", adminHandler(s, func(e *enginemodel.Engine, now time.Time, b Leaving) {
 		e.SetLeaving(now, b.Leaving)
 	}, func(b Leaving) { s.options.OnLeaving(b.Leaving) })).Methods(http.MethodPut)
+	r.HandleFunc("/admin/limit", adminHandler(s, func(_ *enginemodel.Engine, _ time.Time, b Limit) {
+		s.limit = b
+	})).Methods(http.MethodPut)
 	r.HandleFunc("/admin/memory", adminHandler(s, func(e *enginemodel.Engine, now time.Time, b Memory) {
 		e.SetTotalBlocks(now, b.Blocks)
 	})).Methods(http.MethodPut)
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -59,6 +59,7 @@
 	model       *enginemodel.Engine    // guarded by mu
 	generations map[string]*generation // guarded by mu
 	lastSweep   time.Time              // guarded by mu
+	limit       Limit                  // guarded by mu
 }
 
 // New returns a server. Its engine makes no progress until Run is called.
@@ -184,6 +185,7 @@
 func (s *Server) getLoad(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	report := s.model.Load(time.Now())
+	report.Limited, report.RequestLimit = s.limit.Limited, s.limit.PerSecond
 	s.mu.Unlock()
 	writeJSON(w, report)
 }
--- a/internal/standin/service/admin.go
+++ b/internal/standin/service/admin.go
@@ -16,18 +16,26 @@
 	Leaving bool `json:"leaving"`
 }
 
+// Limit is the body of PUT /admin/limit.
+type Limit struct {
+	Limited   bool    `json:"limited"`
+	PerSecond float64 `json:"per_second"` // calls that the answers name
+}
+
 // addAdmin registers the admin API for tests:
 //
 //	GET /admin/journal?after=n  []Entry
 //	GET /admin/fault            Fault
 //	PUT /admin/fault            Fault: replace the injected fault
 //	PUT /admin/leaving          Leaving: reject new calls, or accept them again
+//	PUT /admin/limit            Limit: name a limit in all answers, or none; it is not enforced
 //	PUT /admin/silence          process.Silence: send nothing for a while
 func (s *Server) addAdmin(r *mux.Router) {
 	r.HandleFunc("/admin/journal", s.getJournal).Methods(http.MethodGet)
 	r.HandleFunc("/admin/fault", s.getFault).Methods(http.MethodGet)
 	r.HandleFunc("/admin/fault", s.putFault).Methods(http.MethodPut)
 	r.HandleFunc("/admin/leaving", s.putLeaving).Methods(http.MethodPut)
+	r.HandleFunc("/admin/limit", s.putLimit).Methods(http.MethodPut)
 	r.HandleFunc("/admin/silence", s.putSilence).Methods(http.MethodPut)
 }
 
@@ -69,6 +77,18 @@
 	writeJSON(w, body)
 }
 
+func (s *Server) putLimit(w http.ResponseWriter, r *http.Request) {
+	var body Limit
+	if err := decodeBody(r, &body); err != nil {
+		problem.Write(w, badRequest(err.Error()))
+		return
+	}
+	s.mu.Lock()
+	s.limit = body
+	s.mu.Unlock()
+	writeJSON(w, body)
+}
+
 func (s *Server) putSilence(w http.ResponseWriter, r *http.Request) {
 	var body process.Silence
 	if err := decodeBody(r, &body); err != nil {
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -55,6 +55,7 @@
 	mu         sync.Mutex
 	fault      Fault          // guarded by mu
 	leaving    bool           // guarded by mu
+	limit      Limit          // guarded by mu
 	holds      map[string]int // by berth; guarded by mu
 	dispatches map[string]int // by box; guarded by mu
 }
--- a/internal/standin/service/withfaults.go
+++ b/internal/standin/service/withfaults.go
@@ -4,9 +4,11 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"corianderhitch/api/problem"
+	"corianderhitch/api/service"
 	"corianderhitch/internal/standin/process"
 )
 
@@ -14,6 +16,7 @@
 // has started runs to its end even if its caller disconnects.
 func (s *Server) withFaults(call func(*http.Request) (any, error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		s.nameLimit(w.Header())
 		injected, fault := s.takeFault(r.URL.Path)
 		switch injected {
 		case effectReject:
@@ -44,6 +47,15 @@
 	}
 }
 
+// nameLimit names the limit in the headers of an answer, if there is one.
+func (s *Server) nameLimit(h http.Header) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.limit.Limited {
+		h.Set(service.HeaderRequestLimit, strconv.FormatFloat(s.limit.PerSecond, 'g', -1, 64))
+	}
+}
+
 // writeUnframed answers with a body that has neither a length nor chunks and ends with
 // its connection. A broken one is reset after half of the body.
 func writeUnframed(w http.ResponseWriter, result any, broken bool) {
