Own form: brittle services get no more calls at a time than their room

A call waits for the end of one of this gateway's calls there for 0.5 s at most, twice as many as run; more are rejected at once.

--- a/api/service/service.go
+++ b/api/service/service.go
@@ -28,3 +28,33 @@
 	}
 	return perSecond, true, nil
 }
+
+// HeaderBrittle names, in every answer of a service that fails if it rejects too much, how many
+// rejections for want of room it bears in a second. HeaderRoom goes with it: how many calls it takes at a
+// time, from all hosts together. Both are positive integers and hold until an answer lacks them.
+const (
+	HeaderBrittle = "Hitch-Brittle"
+	HeaderRoom    = "Hitch-Room"
+)
+
+// ErrInvalidBrittleness means that HeaderBrittle or HeaderRoom is no positive integer.
+var ErrInvalidBrittleness = errors.New("service: " + HeaderBrittle + " and " + HeaderRoom + " are no positive integers")
+
+// Brittleness is what a brittle service states; zero for others.
+type Brittleness struct {
+	Rejections int // for want of room in a second, beyond which it fails
+	Room       int // calls at a time
+}
+
+// ReadBrittleness returns what an answer states of brittleness.
+func ReadBrittleness(h http.Header) (Brittleness, error) {
+	if len(h.Values(HeaderBrittle)) == 0 {
+		return Brittleness{}, nil
+	}
+	rejections, err := strconv.Atoi(h.Get(HeaderBrittle))
+	room, roomErr := strconv.Atoi(h.Get(HeaderRoom))
+	if err != nil || roomErr != nil || rejections <= 0 || room <= 0 || len(h.Values(HeaderBrittle)) > 1 || len(h.Values(HeaderRoom)) > 1 {
+		return Brittleness{}, ErrInvalidBrittleness
+	}
+	return Brittleness{rejections, room}, nil
+}
--- a/api/service/service_test.go
+++ b/api/service/service_test.go
@@ -33,3 +33,27 @@
 		})
 	}
 }
+
+func TestReadBrittleness(t *testing.T) {
+	for name, c := range map[string]struct {
+		brittle, room []string
+		want          Brittleness
+		invalid       bool
+	}{
+		"none":             {},
+		"room only":        {room: []string{"3"}},
+		"brittle":          {brittle: []string{"5"}, room: []string{"3"}, want: Brittleness{5, 3}},
+		"without room":     {brittle: []string{"5"}, invalid: true},
+		"zero":             {brittle: []string{"0"}, room: []string{"3"}, invalid: true},
+		"negative room":    {brittle: []string{"5"}, room: []string{"-3"}, invalid: true},
+		"fraction":         {brittle: []string{"1.5"}, room: []string{"3"}, invalid: true},
+		"twice":            {brittle: []string{"5", "6"}, room: []string{"3"}, invalid: true},
+		"beyond the range": {brittle: []string{"99999999999999999999"}, room: []string{"3"}, invalid: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got, err := ReadBrittleness(http.Header{HeaderBrittle: c.brittle, HeaderRoom: c.room})
+			require.Equal(t, c.invalid, err != nil)
+			require.Equal(t, c.want, got)
+		})
+	}
+}
--- a/internal/gateway/services/atmostonce.go
+++ b/internal/gateway/services/atmostonce.go
@@ -38,7 +38,7 @@
 	var tried []string
 	var last *attempt
 	for len(tried) < maxTargets && claim.MayDispatch() && ctx.Err() == nil {
-		target, err := c.chooseTarget(call, tried)
+		chosen, err := c.chooseTarget(ctx, call, tried)
 		if err != nil {
 			if last != nil {
 				break
@@ -46,8 +46,8 @@
 			claim.Release()
 			return api.ServiceAnswer{}, err
 		}
-		tried = append(tried, target.Name)
-		last = c.send(ctx, call, target, c.transport.DoOnce)
+		tried = append(tried, chosen.target.Name)
+		last = c.send(ctx, call, chosen, c.transport.DoOnce)
 		if !last.notExecuted() {
 			return c.recordOutcome(claim, last)
 		}
--- a/internal/gateway/services/attempt.go
+++ b/internal/gateway/services/attempt.go
@@ -98,6 +98,11 @@
 	return a.err == nil && a.problem != nil && a.problem.Ran == problem.RanNo
 }
 
+// foundNoRoom reports whether the target answered that it has no room for the call.
+func (a *attempt) foundNoRoom() bool {
+	return a.rejected() && a.problem.Kind == problem.KindOverloaded
+}
+
 // notExecuted reports whether it is certain that the target did not run the call, so
 // that another attempt can't run it twice.
 func (a *attempt) notExecuted() bool { return a.notSent() || a.rejected() }
--- a/internal/gateway/services/client.go
+++ b/internal/gateway/services/client.go
@@ -96,11 +96,38 @@
 	return c.callIdempotent(ctx, call)
 }
 
-// chooseTarget chooses a target that has not been tried, and counts the call against the limit that the
-// target names. Targets of the gateway's region come first.
-func (c *Client) chooseTarget(call api.ServiceCall, tried []string) (platform.Target, error) {
+// choice is a target to which a call is sent next.
+type choice struct {
+	target platform.Target
+	ended  func() // to be called once the call has been answered or lost
+}
+
+// chooseTarget chooses a target that has not been tried, and counts the call against what the target
+// states that it takes. Targets of the gateway's region come first. The first attempt of a call may wait
+// a little for room at brittle targets.
+func (c *Client) chooseTarget(ctx context.Context, call api.ServiceCall, tried []string) (choice, error) {
 	local, remote := c.fleet.View().ServiceTargets(call.Service, c.region)
-	now := bootclock.Now()
+	all := append(local[:len(local):len(local)], remote...)
+	wait := &roomWait{gate: c.gate, service: call.Service, targets: all}
+	defer wait.end()
+	for {
+		now := bootclock.Now()
+		if chosen, ok := c.tryToChoose(local, remote, tried, now); ok {
+			return chosen, nil
+		}
+		if len(tried) == 0 && wait.next(ctx) {
+			continue
+		}
+		if rejection := c.gate.rejection(call.Service, all, now); rejection != nil {
+			return choice{}, rejection
+		}
+		return choice{}, problem.New(problem.KindNoTarget, http.StatusServiceUnavailable, problem.RanNo,
+			"come back after the named time", "no target of the service %q takes work now", call.Service).WithRetryAfter(noTargetRetryAfter)
+	}
+}
+
+// tryToChoose chooses a target that may be sent a call now.
+func (c *Client) tryToChoose(local, remote []platform.Target, tried []string, now bootclock.Instant) (choice, bool) {
 	c.gate.observeFleet(now)
 	for _, targets := range [][]platform.Target{local, remote} {
 		untried := fleet.Exclude(c.fleet.FilterAvoided(targets), tried)
@@ -109,22 +136,20 @@
 			if !ok {
 				break
 			}
-			if c.gate.take(target.Name, now) {
-				return target, nil
+			if ended, taken := c.gate.take(target.Name, now); taken {
+				return choice{target, ended}, true
 			}
 			untried = fleet.Exclude(untried, []string{target.Name}) // another call came first
 		}
 	}
-	if rejection := c.gate.rejection(call.Service, append(local[:len(local):len(local)], remote...), now); rejection != nil {
-		return platform.Target{}, rejection
-	}
-	return platform.Target{}, problem.New(problem.KindNoTarget, http.StatusServiceUnavailable, problem.RanNo,
-		"come back after the named time", "no target of the service %q takes work now", call.Service).WithRetryAfter(noTargetRetryAfter)
+	return choice{}, false
 }
 
-// send sends the call to one target, returns the attempt with its result, and reports
+// send sends the call to the chosen target, returns the attempt with its result, and reports
 // what that says about the target.
-func (c *Client) send(ctx context.Context, call api.ServiceCall, target platform.Target, do func(*http.Request) (*http.Response, error)) *attempt {
+func (c *Client) send(ctx context.Context, call api.ServiceCall, chosen choice, do func(*http.Request) (*http.Response, error)) *attempt {
+	defer chosen.ended()
+	target := chosen.target
 	ctx, span := c.tracer.Start(ctx, "service call", trace.WithSpanKind(trace.SpanKindClient),
 		trace.WithAttributes(attribute.String("target", target.Name), attribute.String("service", call.Service)))
 	defer span.End()
@@ -144,6 +169,9 @@
 	}
 	c.gate.observe(target.Name, resp.Header)
 	a.read(resp)
+	if a.err == nil {
+		c.gate.observeRoom(target.Name, !a.foundNoRoom())
+	}
 	c.reportEvent(ctx, a)
 	return a
 }
--- a/internal/gateway/services/idempotent.go
+++ b/internal/gateway/services/idempotent.go
@@ -68,16 +68,16 @@
 	if len(r.tried) >= maxTargets {
 		return errNoFurtherAttempt
 	}
-	target, err := r.client.chooseTarget(r.call, r.tried)
+	chosen, err := r.client.chooseTarget(r.ctx, r.call, r.tried)
 	if err != nil {
 		return err
 	}
 	if r.started.IsZero() {
 		r.started = time.Now()
 	}
-	r.tried = append(r.tried, target.Name)
+	r.tried = append(r.tried, chosen.target.Name)
 	r.pending++
-	go func() { r.results <- r.client.send(r.ctx, r.call, target, r.client.transport.Do) }()
+	go func() { r.results <- r.client.send(r.ctx, r.call, chosen, r.client.transport.Do) }()
 	return nil
 }
 
--- a/internal/standin/service/admin.go
+++ b/internal/standin/service/admin.go
@@ -29,6 +29,8 @@
 //	PUT /admin/fault            Fault: replace the injected fault
 //	PUT /admin/leaving          Leaving: reject new calls, or accept them again
 //	PUT /admin/limit            Limit: name a limit in all answers, or none; it is not enforced
+//	GET /admin/room             Room
+//	PUT /admin/room             Room: bound the calls at a time, or be brittle
 //	PUT /admin/silence          process.Silence: send nothing for a while
 func (s *Server) addAdmin(r *mux.Router) {
 	r.HandleFunc("/admin/journal", s.getJournal).Methods(http.MethodGet)
@@ -36,6 +38,8 @@
 	r.HandleFunc("/admin/fault", s.putFault).Methods(http.MethodPut)
 	r.HandleFunc("/admin/leaving", s.putLeaving).Methods(http.MethodPut)
 	r.HandleFunc("/admin/limit", s.putLimit).Methods(http.MethodPut)
+	r.HandleFunc("/admin/room", s.getRoom).Methods(http.MethodGet)
+	r.HandleFunc("/admin/room", s.putRoom).Methods(http.MethodPut)
 	r.HandleFunc("/admin/silence", s.putSilence).Methods(http.MethodPut)
 }
 
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -56,6 +56,7 @@
 	fault      Fault          // guarded by mu
 	leaving    bool           // guarded by mu
 	limit      Limit          // guarded by mu
+	room       room           // guarded by mu
 	holds      map[string]int // by berth; guarded by mu
 	dispatches map[string]int // by box; guarded by mu
 }
@@ -98,6 +99,9 @@
 }
 
 func (s *Server) getReady(w http.ResponseWriter, _ *http.Request) {
+	if s.isDown() {
+		panic(http.ErrAbortHandler)
+	}
 	s.mu.Lock()
 	leaving := s.leaving
 	s.mu.Unlock()
--- a/internal/standin/service/withfaults.go
+++ b/internal/standin/service/withfaults.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net"
 	"net/http"
 	"strconv"
@@ -17,6 +18,15 @@
 func (s *Server) withFaults(call func(*http.Request) (any, error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		s.nameLimit(w.Header())
+		leave, err := s.enterRoom(w.Header())
+		switch {
+		case errors.Is(err, http.ErrAbortHandler):
+			panic(http.ErrAbortHandler)
+		case err != nil:
+			problem.Write(w, err)
+			return
+		}
+		defer leave()
 		injected, fault := s.takeFault(r.URL.Path)
 		switch injected {
 		case effectReject:
--- a/tests/prove/admin_test.go
+++ b/tests/prove/admin_test.go
@@ -289,3 +289,13 @@
 	}
 	return revisions
 }
+
+// getJSON reads a JSON document of an admin API.
+func getJSON(t testing.TB, url string, into any) {
+	t.Helper()
+	response, err := client.Get(url)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.NoError(t, json.NewDecoder(response.Body).Decode(into))
+}
--- a/tests/prove/notrun_test.go
+++ b/tests/prove/notrun_test.go
@@ -15,11 +15,12 @@
 // serviceFault is the fault of a stand-in service, as its admin path accepts it. Each
 // field counts the next calls that have the fault.
 type serviceFault struct {
-	RejectNext       int `json:"refuse_next,omitempty"`
-	FailNext         int `json:"fail_next,omitempty"`
-	DropResponseNext int `json:"cut_next,omitempty"`
-	DropRequestNext  int `json:"drop_next,omitempty"`
-	CrashNext        int `json:"die_next,omitempty"`
+	RequestDelay     time.Duration `json:"request_delay_ns,omitempty"`
+	RejectNext       int           `json:"refuse_next,omitempty"`
+	FailNext         int           `json:"fail_next,omitempty"`
+	DropResponseNext int           `json:"cut_next,omitempty"`
+	DropRequestNext  int           `json:"drop_next,omitempty"`
+	CrashNext        int           `json:"die_next,omitempty"`
 }
 
 // notRunCase is one way in which a call can fail between gateway and target.
