Own form: a host that reaches no target connects by way of another host's agent

Cause: a gateway and an agent took their own failure to reach a target for the target's and told all hosts. Whole connections go by way of another host's agent now, one hop (internal/forwardconn), so that requests, cancellations, deadlines and what counts as sent stay as they are.

--- a/api/control/control.go
+++ b/api/control/control.go
@@ -56,6 +56,25 @@
 	GatewayRevision  int64
 }
 
+// AgentsOfOthers returns the addresses of the agents of the hosts that are alive, without one host: of
+// those in its region if there are any.
+func AgentsOfOthers(members []Member, host, region string) []string {
+	var near, all []string
+	for _, m := range members {
+		if m.Host == host || m.State != MemberAlive || m.AgentAddr == "" {
+			continue
+		}
+		all = append(all, m.AgentAddr)
+		if m.Region == region {
+			near = append(near, m.AgentAddr)
+		}
+	}
+	if len(near) > 0 {
+		return near
+	}
+	return all
+}
+
 // TargetState is the state of one target as its observing host last reported it.
 type TargetState struct {
 	platform.Target
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -5,9 +5,11 @@
 
 import (
 	"context"
+	"iter"
 	"log/slog"
 	"net"
 	"net/rpc"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,7 +29,9 @@
 	"corianderhitch/internal/agent/services"
 	"corianderhitch/internal/agent/state"
 	"corianderhitch/internal/agent/suspicion"
+	"corianderhitch/internal/forwardconn"
 	"corianderhitch/internal/logging"
+	"corianderhitch/internal/outbound"
 	"corianderhitch/internal/platform"
 	"corianderhitch/internal/rpcconn"
 )
@@ -45,18 +49,22 @@
 
 	state        *state.State
 	connections  *connections
-	partnerPool  *rpcconn.Pool // connections to gossip partners, closed by the exchange when idle
-	ownerPool    *rpcconn.Pool // connections to owners of pools
+	partnerPool  *rpcconn.Pool       // connections to gossip partners, closed by the exchange when idle
+	ownerPool    *rpcconn.Pool       // connections to owners of pools
+	dialer       *forwardconn.Dialer // connects to targets
+	forwards     *forwardconn.Server // connects other hosts to targets
 	server       *rpcconn.Server
 	exchange     *exchange.Loop
 	watcher      *docsync.Watcher
 	lister       *observer.Lister
+	prober       *observer.Prober
 	observer     *observer.Observer
 	reports      *reports.Sender
 	scheduler    *scheduler.Scheduler
 	directory    *directory.Directory
 	registration *registration.Registration
 	crashTracker *suspicion.FleetTracker
+	orders       modelplacement.HTTPOrderClient
 	placement    *modelplacement.Controller
 
 	stopping chan struct{}
@@ -96,7 +104,8 @@
 		_ = listener.Close()
 		return nil, err
 	}
-	a.server = rpcconn.Serve(conns.listen(listener), server)
+	a.buildDialer()
+	a.server = rpcconn.ServeUpgraded(conns.listen(listener), server, &rpcconn.Upgrade{Preface: forwardconn.Preface, Serve: a.forwards.Serve})
 	a.startComponents(ctx, p, presence)
 	log.Info("Agent started.", "host", s.Host, "address", a.state.Self().AgentAddr, "domain", s.Domain, "region", s.Region)
 	return a, nil
@@ -134,6 +143,7 @@
 	a.reports.Stop()
 	a.registration.Stop(ctx)
 	a.exchange.Stop()
+	a.forwards.Drain(ctx)
 	a.cancel()
 	a.done.Wait()
 	a.server.Stop()
@@ -148,14 +158,33 @@
 	a.watcher = docsync.StartWatcher(a.log, docsync.NewStoreSource(p, s.Environment), a.state)
 	a.lister = observer.StartLister(a.log, p, a.state, s.ListPeriod)
 	a.reports = reports.Start(a.log, a.state, a.ownerPool, a.scheduler)
-	a.observer = observer.Start(a.log, a.state, a.reports, observer.Config{PollInterval: s.Poll, PollTimeout: s.PollTimeout})
-	orders := modelplacement.NewHTTPOrderClient()
-	a.placement = modelplacement.Start(a.log, p, a.state, orders, s.Environment)
+	a.observer = observer.Start(a.log, a.state, a.reports, observer.Config{PollInterval: s.Poll, PollTimeout: s.PollTimeout, Prober: a.prober})
+	a.placement = modelplacement.Start(a.log, p, a.state, a.orders, s.Environment)
 	a.done.Go(func() { presence.Run(ctx) })
 	a.done.Go(func() { a.connections.watch(ctx) })
+	a.done.Go(func() { a.dialer.Run(ctx) })
 	a.done.Go(func() { a.handleEvents(ctx) })
 }
 
+// buildDialer creates what connects this host, and others by way of it, to targets.
+func (a *Agent) buildDialer() {
+	log := logging.WithPrefix(a.log, "forward")
+	a.dialer = forwardconn.New(forwardconn.Options{
+		Direct:  outbound.Dialer(a.settings.OutboundIP),
+		Targets: forwardconn.Rows(func() iter.Seq[control.TargetState] { return slices.Values(a.state.Targets(time.Now())) }),
+		Helpers: func() []string { return control.AgentsOfOthers(a.state.Live(), a.settings.Host, a.settings.Region) },
+		Agent:   a.connections.dial,
+		CloseIdle: func() {
+			a.prober.Close()
+			a.orders.CloseIdle()
+		},
+		Log: log,
+	})
+	a.prober = observer.NewProber(a.dialer.DialContext)
+	a.orders = modelplacement.NewHTTPOrderClient(a.dialer.DialContext)
+	a.forwards = forwardconn.NewServer(a.dialer, log)
+}
+
 // handleEvents passes new events to the scheduler and the observer until ctx ends.
 func (a *Agent) handleEvents(ctx context.Context) {
 	for {
--- a/internal/agent/modelplacement/orders.go
+++ b/internal/agent/modelplacement/orders.go
@@ -12,6 +12,7 @@
 
 	"corianderhitch/api/engine"
 	"corianderhitch/api/problem"
+	"corianderhitch/internal/outbound"
 )
 
 const (
@@ -35,11 +36,14 @@
 // HTTPOrderClient is an OrderClient over HTTP.
 type HTTPOrderClient struct{ client *http.Client }
 
-// NewHTTPOrderClient returns an HTTPOrderClient with its own connections.
-func NewHTTPOrderClient() HTTPOrderClient {
-	return HTTPOrderClient{client: &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: maxHeadBytes, IdleConnTimeout: time.Minute}}}
+// NewHTTPOrderClient returns an HTTPOrderClient with its own connections, which dial opens.
+func NewHTTPOrderClient(dial outbound.DialFunc) HTTPOrderClient {
+	return HTTPOrderClient{client: &http.Client{Transport: &http.Transport{DialContext: dial, MaxResponseHeaderBytes: maxHeadBytes, IdleConnTimeout: time.Minute}}}
 }
 
+// CloseIdle closes the idle connections.
+func (h HTTPOrderClient) CloseIdle() { h.client.CloseIdleConnections() }
+
 // Send implements OrderClient.
 func (h HTTPOrderClient) Send(ctx context.Context, address string, order engine.Order) (engine.OrderResult, error) {
 	body, err := json.Marshal(order)
--- a/internal/agent/modelplacement/orders_test.go
+++ b/internal/agent/modelplacement/orders_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"corianderhitch/internal/outbound"
 )
 
 func TestOrderAnswerBeyondItsBoundsIsAnError(t *testing.T) {
@@ -24,7 +26,7 @@
 				_, _ = w.Write([]byte("{" + strings.Repeat(" ", c.body) + "}"))
 			}))
 			defer engine.Close()
-			client := NewHTTPOrderClient()
+			client := NewHTTPOrderClient(outbound.Dialer(""))
 			defer client.client.CloseIdleConnections()
 			_, err := client.State(t.Context(), engine.Listener.Addr().String())
 			require.Equal(t, c.ok, err == nil, "%v", err)
--- a/internal/agent/observer/observer.go
+++ b/internal/agent/observer/observer.go
@@ -29,6 +29,7 @@
 type Config struct {
 	PollInterval time.Duration // between two polls of a target
 	PollTimeout  time.Duration // of one poll
+	Prober       *Prober
 }
 
 // Fleet is the fleet's state as an Observer reads and changes it.
@@ -79,7 +80,7 @@
 		reporter:     reporter,
 		host:         fleet.Self().Host,
 		config:       config,
-		prober:       NewProber(),
+		prober:       config.Prober,
 		results:      make(chan targetSample, resultBacklog),
 		pollRequests: make(chan string, resultBacklog),
 		stop:         cancel,
@@ -159,7 +160,7 @@
 func (o *Observer) handleSample(now time.Time, sample targetSample) {
 	name := sample.target.Name
 	tracker := o.trackers[name]
-	if tracker == nil {
+	if tracker == nil || sample.Outcome == OutcomeUnknown {
 		return
 	}
 	var row control.TargetState
--- a/internal/agent/observer/probe.go
+++ b/internal/agent/observer/probe.go
@@ -14,6 +14,8 @@
 
 	"corianderhitch/api/control"
 	"corianderhitch/api/engine"
+	"corianderhitch/internal/forwardconn"
+	"corianderhitch/internal/outbound"
 	"corianderhitch/internal/platform"
 )
 
@@ -33,11 +35,14 @@
 // Prober polls targets over HTTP. It is safe for concurrent use.
 type Prober struct{ client *http.Client }
 
-// NewProber returns a Prober with its own connections.
-func NewProber() *Prober {
-	dialer := &net.Dialer{Timeout: connectTimeout}
+// NewProber returns a Prober with its own connections, which dial opens.
+func NewProber(dial outbound.DialFunc) *Prober {
 	return &Prober{client: &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+			defer cancel()
+			return dial(ctx, network, address)
+		},
 		MaxIdleConnsPerHost: idleConnections,
 		DisableCompression:  true, // answers are small, and the header costs more than compression saves
 		IdleConnTimeout:     time.Minute,
@@ -105,9 +110,19 @@
 // errInvalidAnswer is an answer with an error status or an invalid body.
 var errInvalidAnswer = eris.New("target answered a poll with an error; see the target's log")
 
-// get requests a path of a target and decodes the JSON response into into. If into is
-// nil, any status below 500 is a success.
+// get is getOnce with a second try if the connection broke, by another way if there is one: the
+// connection may have been cut for this host only.
 func (p *Prober) get(ctx context.Context, address, path string, into any) error {
+	err := p.getOnce(ctx, address, path, into)
+	if outcomeOf(err) == OutcomeUnreachable && !outbound.IsConnectionRefused(err) {
+		return p.getOnce(ctx, address, path, into)
+	}
+	return err
+}
+
+// getOnce requests a path of a target and decodes the JSON response into into. If into is
+// nil, any status below 500 is a success.
+func (p *Prober) getOnce(ctx context.Context, address, path string, into any) error {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
 	if err != nil {
 		return err
@@ -142,6 +157,8 @@
 		return OutcomeAnswered
 	case errors.Is(err, errInvalidAnswer):
 		return OutcomeErrorResponse
+	case errors.Is(err, forwardconn.ErrCutOff):
+		return OutcomeUnknown
 	case errors.Is(err, context.DeadlineExceeded), errors.As(err, &timeout) && timeout.Timeout():
 		return OutcomeTimeout
 	}
--- a/internal/agent/observer/probebounds_test.go
+++ b/internal/agent/observer/probebounds_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"corianderhitch/internal/outbound"
 	"corianderhitch/internal/platform"
 )
 
@@ -19,7 +20,7 @@
 		target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("Filler", strings.Repeat("x", c.bytes))
 		}))
-		prober := NewProber()
+		prober := NewProber(outbound.Dialer(""))
 		sample, _ := prober.Poll(t.Context(), platform.Target{Name: "t", Kind: platform.TargetService, Address: target.Listener.Addr().String()}, 0)
 		prober.Close()
 		target.Close()
--- a/internal/agent/observer/statetracker.go
+++ b/internal/agent/observer/statetracker.go
@@ -16,6 +16,7 @@
 	OutcomeUnreachable           // connection refused or broken
 	OutcomeTimeout               // no answer before the deadline
 	OutcomeErrorResponse         // an error status or an invalid body
+	OutcomeUnknown               // this host is cut off: the poll says nothing about the target
 )
 
 // Sample is the result of one poll of a target.
--- a/internal/agent/settings.go
+++ b/internal/agent/settings.go
@@ -26,6 +26,7 @@
 	Environment string        `flag:"environment" default:"production" usage:"environment whose document is in force here" validate:"required"`
 	Listen      string        `flag:"listen" default:"127.0.0.1:7100" usage:"ip:port of the net/rpc for gateways and agents" validate:"hostname_port"`
 	Advertise   string        `flag:"advertise" usage:"ip:port under which others reach --listen; empty means the address listened on" validate:"omitempty,hostname_port"`
+	OutboundIP  string        `flag:"outbound-ip" usage:"local IP address of connections to targets; empty lets the system choose" validate:"omitempty,ip"`
 	HTTP        string        `flag:"http" default:"127.0.0.1:7101" usage:"ip:port of /livez, /readyz and /metrics" validate:"hostname_port"`
 	Store       string        `flag:"store" usage:"base URL of the platform's store and host list" validate:"required,url"`
 	Peers       []string      `flag:"peers" usage:"ip:port of agents to ask for the fleet, separated by commas; the store's registration is used too"`
--- a/internal/engineclient/client_test.go
+++ b/internal/engineclient/client_test.go
@@ -37,7 +37,7 @@
 
 func serve(t *testing.T, answer http.HandlerFunc) (client *Client, address string) {
 	server := httptest.NewServer(answer)
-	transport := outbound.New()
+	transport := outbound.New(outbound.Dialer(""))
 	t.Cleanup(func() {
 		transport.Close()
 		server.Close()
--- a/internal/gateway/api/fakes_test.go
+++ b/internal/gateway/api/fakes_test.go
@@ -145,7 +145,7 @@
 	require.NoError(t, err)
 	keys, err := tlskeys.OpenKeyring(tlskeys.KeyringSettings{}, []string{"a:00112233445566778899aabbccddeeff"}, logging.Discard())
 	require.NoError(t, err)
-	out := outbound.New()
+	out := outbound.New(outbound.Dialer(""))
 	r := runner.New(engineclient.New(out), f, m, logging.Discard())
 	s := New(Dependencies{
 		Settings: Settings{MaxBodyBytes: 64 << 10, SlowCallerTimeout: 5 * time.Second, TokenLifetime: time.Hour},
--- a/internal/gateway/fleet/view.go
+++ b/internal/gateway/fleet/view.go
@@ -51,6 +51,12 @@
 	return hosts
 }
 
+// OtherAgents returns the addresses of the agents of the other hosts that are alive, of those in this
+// host's region if there are any.
+func (f *Fleet) OtherAgents() []string {
+	return control.AgentsOfOthers(f.View().Members, f.options.Host, f.options.Region)
+}
+
 // rankedHosts returns the hosts ranked by rendezvous hashing of key. Suspected hosts are
 // ranked as well, though they are not asked, so that gateways and agents compute the
 // same ranks.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,7 +4,9 @@
 
 import (
 	"context"
+	"iter"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"sync"
@@ -14,8 +16,10 @@
 	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel/metric"
 
+	"corianderhitch/api/control"
 	"corianderhitch/internal/delivery"
 	"corianderhitch/internal/engineclient"
+	"corianderhitch/internal/forwardconn"
 	"corianderhitch/internal/gateway/api"
 	"corianderhitch/internal/gateway/fleet"
 	"corianderhitch/internal/gateway/ids"
@@ -41,6 +45,7 @@
 	fleet     *fleet.Fleet
 	pool      *rpcconn.Pool
 	transport *outbound.Transport
+	dialer    *forwardconn.Dialer
 	runner    *runner.Runner
 	ledger    *ledger.Ledger
 	late      *delivery.Service
@@ -84,10 +89,16 @@
 func (g *Gateway) build(store platform.Store, m *metrics.Metrics) {
 	s := g.settings
 	g.pool = rpcconn.NewPool(g.secrets.dialer())
-	g.transport = outbound.New()
 	g.fleet = fleet.New(fleet.Options{
 		Host: s.Host, Region: s.Region, GatewayAddr: s.Advertise, Agents: s.Agents, Log: logging.WithPrefix(g.log, "fleet"),
 	}, g.pool)
+	g.dialer = forwardconn.New(forwardconn.Options{
+		Direct: outbound.Dialer(s.OutboundIP), Helpers: g.fleet.OtherAgents, Agent: g.secrets.dialer(),
+		Targets:   forwardconn.Rows(func() iter.Seq[control.TargetState] { return maps.Values(g.fleet.View().Targets) }),
+		CloseIdle: func() { g.transport.Close() },
+		Log:       logging.WithPrefix(g.log, "forward"),
+	})
+	g.transport = outbound.New(g.dialer.DialContext)
 	g.runner = runner.New(engineclient.New(g.transport), g.fleet, m, logging.WithPrefix(g.log, "runner"))
 	late := &lateRunner{fleet: g.fleet, runner: g.runner}
 	ledgerSettings := ledger.DefaultSettings()
@@ -144,6 +155,7 @@
 		ErrorLog:          slog.NewLogLogger(logging.WithPrefix(g.log, "http").Handler(), slog.LevelDebug),
 	}
 	g.tasks.Go(func() { g.fleet.Run(g.ctx) })
+	g.tasks.Go(func() { g.dialer.Run(g.ctx) })
 	g.tasks.Go(func() { g.secrets.watch(g.ctx) })
 	g.tasks.Go(func() { _ = g.secrets.serve(g.server, g.listener) })
 	g.late.Start()
--- a/internal/gateway/runner/events.go
+++ b/internal/gateway/runner/events.go
@@ -7,6 +7,7 @@
 	"corianderhitch/api/control"
 	"corianderhitch/api/problem"
 	"corianderhitch/internal/engineclient"
+	"corianderhitch/internal/forwardconn"
 	"corianderhitch/internal/gateway/ids"
 	"corianderhitch/internal/gateway/stream"
 )
@@ -34,7 +35,7 @@
 		event.Beside = s.runner.fleet.InFlight().CoResidents(target, s.job.Admit.Fingerprint)
 	case errors.As(err, &rejected) && rejected.Problem.Kind == problem.KindDraining:
 		event.Kind = control.EventLeaving
-	case failure == stream.FailureNotSent:
+	case failure == stream.FailureNotSent && !errors.Is(err, forwardconn.ErrCutOff):
 		event.Kind = control.EventDown
 	default:
 		return
--- a/internal/gateway/services/client.go
+++ b/internal/gateway/services/client.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net/http"
 	"sync"
@@ -17,6 +18,7 @@
 	"corianderhitch/api/control"
 	"corianderhitch/api/problem"
 	"corianderhitch/internal/edge/bootclock"
+	"corianderhitch/internal/forwardconn"
 	"corianderhitch/internal/gateway/api"
 	"corianderhitch/internal/gateway/fleet"
 	"corianderhitch/internal/gateway/ids"
@@ -183,7 +185,7 @@
 	switch {
 	case a.problem != nil && a.problem.Kind == problem.KindDraining:
 		event.Kind = control.EventLeaving
-	case a.notSent() && ctx.Err() == nil:
+	case a.notSent() && ctx.Err() == nil && !errors.Is(a.err, forwardconn.ErrCutOff):
 		event.Kind = control.EventDown
 	default:
 		return
--- a/internal/gateway/services/services_test.go
+++ b/internal/gateway/services/services_test.go
@@ -71,7 +71,7 @@
 	l := ledger.New(store, "h", retention, ids.New, nil, ledger.DefaultSettings(), logging.Discard())
 	m, err := metrics.New(noop.NewMeterProvider().Meter(""))
 	require.NoError(t, err)
-	transport := outbound.New()
+	transport := outbound.New(outbound.Dialer(""))
 	t.Cleanup(transport.Close)
 	return &fixture{client: New("h", "r", f, l, transport, m, logging.Discard()), fleet: f, store: store}
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -23,14 +23,15 @@
 
 // Settings are the settings of the gateway program.
 type Settings struct {
-	Host      string   `flag:"host" usage:"unique name of this host" validate:"required"`
-	Region    string   `flag:"region" default:"default" usage:"region of this host" validate:"required"`
-	Listen    string   `flag:"listen" default:"127.0.0.1:8080" usage:"ip:port for callers" validate:"hostname_port"`
-	Advertise string   `flag:"advertise" usage:"ip:port under which this gateway is reached; empty means the address listened on" validate:"omitempty,hostname_port"`
-	HTTP      string   `flag:"http" default:"127.0.0.1:8081" usage:"ip:port of /livez, /readyz and /metrics" validate:"hostname_port"`
-	Agents    []string `flag:"agents" default:"127.0.0.1:7100" usage:"ip:port of agents separated by commas, this host's own first" validate:"min=1,dive,hostname_port"`
-	Store     string   `flag:"store" usage:"base URL of the platform's store" validate:"required,url"`
-	TokenKeys []string `flag:"token-keys" usage:"keys of resume tokens as id:hex separated by commas, the same on all gateways; the first one signs" secret:"true"`
+	Host       string   `flag:"host" usage:"unique name of this host" validate:"required"`
+	Region     string   `flag:"region" default:"default" usage:"region of this host" validate:"required"`
+	Listen     string   `flag:"listen" default:"127.0.0.1:8080" usage:"ip:port for callers" validate:"hostname_port"`
+	Advertise  string   `flag:"advertise" usage:"ip:port under which this gateway is reached; empty means the address listened on" validate:"omitempty,hostname_port"`
+	HTTP       string   `flag:"http" default:"127.0.0.1:8081" usage:"ip:port of /livez, /readyz and /metrics" validate:"hostname_port"`
+	OutboundIP string   `flag:"outbound-ip" usage:"local IP address of connections to targets; empty lets the system choose" validate:"omitempty,ip"`
+	Agents     []string `flag:"agents" default:"127.0.0.1:7100" usage:"ip:port of agents separated by commas, this host's own first" validate:"min=1,dive,hostname_port"`
+	Store      string   `flag:"store" usage:"base URL of the platform's store" validate:"required,url"`
+	TokenKeys  []string `flag:"token-keys" usage:"keys of resume tokens as id:hex separated by commas, the same on all gateways; the first one signs" secret:"true"`
 
 	MaxBodyBytes      int           `flag:"max-body-bytes" default:"1048576" usage:"largest body of a request, in bytes" validate:"min=1024,max=67108864"`
 	MaxHeaderBytes    int           `flag:"max-header-bytes" default:"16384" usage:"largest header of a request, in bytes" validate:"min=1024,max=1048576"`
--- a/internal/outbound/endless_test.go
+++ b/internal/outbound/endless_test.go
@@ -36,7 +36,7 @@
 				}
 				written <- total
 			})
-			transport := New()
+			transport := New(Dialer(""))
 			defer transport.Close()
 			_, err := transport.DoOnce(post(t.Context(), t, address, "x"))
 			require.ErrorIs(t, err, ErrBroken)
--- a/internal/outbound/outbound_test.go
+++ b/internal/outbound/outbound_test.go
@@ -63,7 +63,7 @@
 	require.NoError(t, err)
 	address := listener.Addr().String()
 	require.NoError(t, listener.Close())
-	transport := New()
+	transport := New(Dialer(""))
 	defer transport.Close()
 	_, err = transport.DoOnce(post(t.Context(), t, address, "x"))
 	require.ErrorIs(t, err, ErrNotSent)
@@ -72,7 +72,7 @@
 
 func TestConnectionClosedAfterTheRequestIsBroken(t *testing.T) {
 	address, accepted := peer(t, func(_ int32, conn net.Conn) { readRequest(conn) })
-	transport := New()
+	transport := New(Dialer(""))
 	defer transport.Close()
 	for _, body := range []string{"x", ""} {
 		before := accepted.Load()
@@ -96,7 +96,7 @@
 			requests.Add(1) // read, then closed without an answer
 		}
 	})
-	transport := New()
+	transport := New(Dialer(""))
 	defer transport.Close()
 	for range 2 {
 		resp, err := transport.DoOnce(post(t.Context(), t, address, ""))
@@ -113,13 +113,13 @@
 		n, _ := io.Copy(io.Discard, conn)
 		got <- int(n)
 	})
-	transport := New()
+	transport := New(Dialer(""))
 	defer transport.Close()
 	ctx, cancel := context.WithCancel(t.Context())
 	req := post(ctx, t, address, "x")
 	dialed := make(chan struct{})
 	transport.fresh.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
-		conn, err := dial(ctx, network, addr)
+		conn, err := countBytes(Dialer(""))(ctx, network, addr)
 		cancel() // the caller cancels before the first byte
 		close(dialed)
 		return conn, err
@@ -136,7 +136,7 @@
 
 func TestCloseAndCountStopsWrites(t *testing.T) {
 	address, _ := peer(t, func(_ int32, conn net.Conn) { _, _ = io.Copy(io.Discard, conn) })
-	conn, err := dial(t.Context(), "tcp", address)
+	conn, err := countBytes(Dialer(""))(t.Context(), "tcp", address)
 	require.NoError(t, err)
 	counting := conn.(*countingConn)
 	_, err = counting.Write([]byte("abc"))
--- a/internal/outbound/transport.go
+++ b/internal/outbound/transport.go
@@ -48,9 +48,22 @@
 	fresh  *http.Transport // one connection per request
 }
 
-// New returns a Transport.
-func New() *Transport {
-	return &Transport{pooled: newTransport(false), fresh: newTransport(true)}
+// DialFunc opens a connection to ip:port.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Dialer returns a DialFunc whose connections have a local IP address, or one that the system
+// chooses if localIP is "".
+func Dialer(localIP string) DialFunc {
+	d := &net.Dialer{Timeout: dialTimeout}
+	if ip := net.ParseIP(localIP); ip != nil {
+		d.LocalAddr = &net.TCPAddr{IP: ip}
+	}
+	return d.DialContext
+}
+
+// New returns a Transport that connects with dial.
+func New(dial DialFunc) *Transport {
+	return &Transport{pooled: newTransport(dial, false), fresh: newTransport(dial, true)}
 }
 
 // Do sends an idempotent request over a pooled connection. The transport may resend it.
@@ -74,10 +87,10 @@
 	t.fresh.CloseIdleConnections()
 }
 
-func newTransport(fresh bool) *http.Transport {
+func newTransport(dial DialFunc, fresh bool) *http.Transport {
 	return &http.Transport{
 		Proxy:                  nil,
-		DialContext:            dial,
+		DialContext:            countBytes(dial),
 		DisableCompression:     true,
 		DisableKeepAlives:      fresh,
 		MaxIdleConnsPerHost:    maxIdlePerTarget,
@@ -88,13 +101,15 @@
 	}
 }
 
-func dial(ctx context.Context, network, address string) (net.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout}
-	conn, err := d.DialContext(ctx, network, address)
-	if err != nil {
-		return nil, err
+// countBytes returns a DialFunc whose connections are of type *countingConn.
+func countBytes(dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &countingConn{Conn: conn}, nil
 	}
-	return &countingConn{Conn: conn}, nil
 }
 
 // connTracker follows the connections of one request and whether bytes of the request
--- a/internal/rpcconn/server.go
+++ b/internal/rpcconn/server.go
@@ -1,14 +1,22 @@
 package rpcconn
 
 import (
+	"io"
 	"net"
 	"net/rpc"
 	"sync"
 )
 
+// Upgrade takes over connections that carry something else than net/rpc.
+type Upgrade struct {
+	Preface byte                // first byte of such connections; 0 is never one of net/rpc
+	Serve   func(conn net.Conn) // called after Preface was read; returns when the connection has ended
+}
+
 // Server accepts net/rpc connections until Stop.
 type Server struct {
 	rpc      *rpc.Server
+	upgrade  *Upgrade // nil for none
 	listener net.Listener
 	done     sync.WaitGroup
 
@@ -18,7 +26,13 @@
 
 // Serve starts to accept connections for the registered services.
 func Serve(listener net.Listener, services *rpc.Server) *Server {
-	s := &Server{rpc: services, listener: listener, conns: make(map[net.Conn]struct{})}
+	return ServeUpgraded(listener, services, nil)
+}
+
+// ServeUpgraded is Serve for a listener that also accepts connections of another kind, unless
+// upgrade is nil.
+func ServeUpgraded(listener net.Listener, services *rpc.Server, upgrade *Upgrade) *Server {
+	s := &Server{rpc: services, upgrade: upgrade, listener: listener, conns: make(map[net.Conn]struct{})}
 	s.done.Add(1)
 	go s.accept()
 	return s
@@ -58,12 +72,47 @@
 
 func (s *Server) serve(conn net.Conn) {
 	defer s.done.Done()
-	s.rpc.ServeConn(conn) // closes conn
+	s.serveByPreface(conn)
 	s.mu.Lock()
 	delete(s.conns, conn)
 	s.mu.Unlock()
 }
 
+// serveByPreface serves a connection until it ends, and closes it.
+func (s *Server) serveByPreface(conn net.Conn) {
+	if s.upgrade == nil {
+		s.rpc.ServeConn(conn)
+		return
+	}
+	first := make([]byte, 1)
+	if _, err := io.ReadFull(conn, first); err != nil {
+		_ = conn.Close()
+		return
+	}
+	if first[0] == s.upgrade.Preface {
+		s.upgrade.Serve(conn)
+		_ = conn.Close()
+		return
+	}
+	s.rpc.ServeConn(&unreadConn{Conn: conn, unread: first})
+}
+
+// unreadConn is a connection from which bytes were read that its reader still gets.
+type unreadConn struct {
+	net.Conn
+	unread []byte
+}
+
+// Read implements net.Conn.
+func (c *unreadConn) Read(b []byte) (int, error) {
+	if len(c.unread) == 0 {
+		return c.Conn.Read(b)
+	}
+	n := copy(b, c.unread)
+	c.unread = c.unread[n:]
+	return n, nil
+}
+
 // track registers a connection for Stop. It returns false after Stop.
 func (s *Server) track(conn net.Conn) bool {
 	s.mu.Lock()
--- a/internal/rpcconn/traffic.go
+++ b/internal/rpcconn/traffic.go
@@ -67,3 +67,11 @@
 	c.traffic.out.Add(int64(n))
 	return n, err
 }
+
+// SetLinger sets how a close of a connection over TCP treats unsent data, as net.TCPConn does.
+func (c *countedConn) SetLinger(sec int) error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.SetLinger(sec)
+	}
+	return nil
+}
--- a/tests/harness/proxy.go
+++ b/tests/harness/proxy.go
@@ -42,13 +42,14 @@
 	closeAfterUp   int                   // closes a connection after this many bytes towards the target; 0 disables
 	closeAfterDown int                   // closes a connection after this many bytes from the target; 0 disables
 	conns          map[net.Conn]struct{} // both sides of every open connection
+	cut            map[string]bool       // IP addresses of clients whose connections are reset
 	closed         bool
 }
 
 // NewProxy listens on a free port and forwards to the target until the test ends.
 func NewProxy(t testing.TB, target string) *Proxy {
 	t.Helper()
-	p := &Proxy{target: target, conns: make(map[net.Conn]struct{})}
+	p := &Proxy{target: target, conns: make(map[net.Conn]struct{}), cut: make(map[string]bool)}
 	p.changed = sync.NewCond(&p.mu)
 	p.startAccepting(FreeListener(t))
 	p.address = p.listener.Addr().String()
@@ -130,6 +131,36 @@
 // ResetConnections closes all open connections such that both sides see a reset.
 func (p *Proxy) ResetConnections() { p.endConnections(resetOnClose) }
 
+// CutFrom resets new connections of clients with an IP address, and open ones if open is set.
+func (p *Proxy) CutFrom(ip string, open bool) {
+	p.mu.Lock()
+	p.cut[ip] = true
+	var ended []net.Conn
+	for conn := range p.conns {
+		if open && ipOf(conn) == ip {
+			ended = append(ended, conn)
+		}
+	}
+	p.mu.Unlock()
+	for _, conn := range ended {
+		resetOnClose(conn)
+		_ = conn.Close()
+	}
+}
+
+// EndCuts ends what CutFrom began.
+func (p *Proxy) EndCuts() {
+	p.mu.Lock()
+	clear(p.cut)
+	p.mu.Unlock()
+}
+
+// ipOf returns the IP address of a client.
+func ipOf(client net.Conn) string {
+	ip, _, _ := net.SplitHostPort(client.RemoteAddr().String())
+	return ip
+}
+
 func (p *Proxy) endConnections(prepare func(net.Conn)) {
 	p.mu.Lock()
 	conns := p.conns
@@ -201,8 +232,12 @@
 	defer p.goroutines.Done()
 	defer client.Close()
 	p.mu.Lock()
-	mode, closed := p.mode, p.closed
+	mode, closed, cut := p.mode, p.closed, p.cut[ipOf(client)]
 	p.mu.Unlock()
+	if cut {
+		resetOnClose(client)
+		return
+	}
 	if mode == CloseNew || closed {
 		return
 	}
--- a/tests/prove/cluster_test.go
+++ b/tests/prove/cluster_test.go
@@ -49,6 +49,7 @@
 	storeLink  *harness.Proxy // from gateway and agent to the store
 	agentLink  *harness.Proxy // from other hosts to the agent
 	localAgent string         // address of the agent's net/rpc without the proxy
+	outboundIP string         // from which gateway and agent connect to targets
 }
 
 // target is one stand-in engine or plain service behind a proxy.
@@ -112,7 +113,7 @@
 var domains = []string{"sk-west-a", "sk-west-b", "sk-west-c"}
 
 func (c *cluster) newHost(name, domain string) *host {
-	h := &host{name: name, localAgent: harness.FreeAddress(c.t), agentHTTP: harness.FreeAddress(c.t)}
+	h := &host{name: name, localAgent: harness.FreeAddress(c.t), agentHTTP: harness.FreeAddress(c.t), outboundIP: fmt.Sprintf("127.0.2.%d", len(c.hosts)+1)}
 	h.storeLink = harness.NewProxy(c.t, c.storeAddress)
 	h.agentLink = harness.NewProxy(c.t, h.localAgent)
 	h.agentRPC = h.agentLink.Address()
@@ -126,13 +127,13 @@
 		"--host", name, "--domain", domain, "--region", "sk-west",
 		"--listen", h.localAgent, "--advertise", h.agentRPC, "--http", h.agentHTTP,
 		"--store", "http://" + h.storeLink.Address(), "--environment", "production",
-		"--log-level", "debug",
+		"--log-level", "debug", "--outbound-ip", h.outboundIP,
 	}, c.spec.agentArgs...)
 	h.gateway = &harness.Process{Name: name + "-gateway", Path: filepath.Join(programDir, "gateway"), LogPath: filepath.Join(c.dir, name+"-gateway.log")}
 	h.gateway.Args = append([]string{
 		"--host", name, "--region", "sk-west", "--listen", listen, "--http", ops,
 		"--store", "http://" + h.storeLink.Address(),
-		"--token-keys", tokenKeys, "--log-level", "debug",
+		"--token-keys", tokenKeys, "--log-level", "debug", "--outbound-ip", h.outboundIP,
 	}, c.spec.gatewayArgs...)
 	return h
 }
