--- a/internal/drill/judge/lost_planned_test.go
+++ b/internal/drill/judge/lost_planned_test.go
@@ -39,7 +39,15 @@
 			r.Arrivals = append(r.Arrivals, arrival("r-1", "t-2", 22, 23))
 			r.Arrivals[1].Events = 2
 		}, true},
-		"target silent":        {19, 24, func(r *record.Run) { r.Targets[0].Silences = []record.Span{span(18, 30)} }, true},
+		"target silent": {19, 24, func(r *record.Run) { r.Targets[0].Silences = []record.Span{span(18, 30)} }, true},
+		"the destination of its run crashed before it began there": {19, 24, func(r *record.Run) {
+			r.Arrivals = append(r.Arrivals, record.Arrival{Request: "r-1", Target: "t-2", Host: "host-1", At: at(22), Continues: true, Outcome: record.Crashed})
+			r.Arrivals[0].Outcome = record.Stopped
+		}, false},
+		"the host left the destination before it began there": {19, 24, func(r *record.Run) {
+			r.Arrivals = append(r.Arrivals, record.Arrival{Request: "r-1", Target: "t-2", Host: "host-1", At: at(22), Continues: true, Outcome: record.Canceled})
+			r.Arrivals[0].Outcome = record.Stopped
+		}, true},
 		"deadline reached":     {19, 24, func(r *record.Run) { r.Requests[0].Deadline = 5 * time.Second }, false},
 		"deadline not reached": {19, 23.9, func(r *record.Run) { r.Requests[0].Deadline = 5 * time.Second }, true},
 		"timeout reached":      {21, 23, func(r *record.Run) { r.Requests[0].Route = "hold" }, false},
