--- a/tests/soak/timeouts_test.go
+++ b/tests/soak/timeouts_test.go
@@ -56,6 +56,33 @@
 	}
 }
 
+func TestDeadlineCheckDetectsLateEnds(t *testing.T) {
+	at := time.Now()
+	for name, test := range map[string]struct {
+		took         time.Duration
+		status       int
+		frozen       [2]time.Duration // from and to, after the request was sent
+		violatesRule bool
+	}{
+		"in time":                 {took: callTimeout, status: 200},
+		"late":                    {took: callTimeout + time.Second + 1, status: 200, violatesRule: true},
+		"no answer at all":        {took: callTimeout + time.Second + 1},
+		"late, frozen at its end": {took: callTimeout + time.Second + 1, status: 200, frozen: [2]time.Duration{7 * time.Second, 10 * time.Second}},
+		"late, frozen until 1 s before": {
+			took: callTimeout + time.Second + 1, status: 200, frozen: [2]time.Duration{4 * time.Second, 7 * time.Second}, violatesRule: true,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := &cluster{t: t, site: soakSite, disturbances: &disturbanceLog{}}
+			if test.frozen[1] > 0 {
+				c.disturbances.all = []disturbance{{"host-0", "freeze", at.Add(test.frozen[0]), at.Add(test.frozen[1])}}
+			}
+			o := &outcome{host: &host{name: "host-0"}, sent: at, ended: at.Add(test.took), status: test.status}
+			require.Equal(t, test.violatesRule, c.checkDeadline(o) != "")
+		})
+	}
+}
+
 func TestTimeoutCheckDetectsViolations(t *testing.T) {
 	at := time.Now()
 	c := &cluster{t: t, site: soakSite, disturbances: &disturbanceLog{}}
