tests/edge: engines end only after the host knows the replica

Nobody can continue a run without the handle, so that its stream ends rightly; the log of both runs shows the replication as "unknown" in the same millisecond.

--- a/tests/edge/stream_test.go
+++ b/tests/edge/stream_test.go
@@ -49,6 +49,15 @@
 	return nil, nil
 }
 
+// waitForReplica waits until the host knows the replica of a run. An engine holds a copy
+// before the host receives its handle, and nobody can use one without.
+func waitForReplica(t *testing.T, h *host) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		return logContains(h, `"backup: replication finished","request":"r-1","route":"draft","result":"copied"`)
+	}, waitTimeout, checkInterval)
+}
+
 // sendAsync sends a request in the background.
 func sendAsync(r *http.Request) <-chan answer {
 	out := make(chan answer, 1)
@@ -247,7 +256,8 @@
 		}
 		return n
 	}
-	require.Eventually(t, func() bool { return replicas() == 1 }, waitTimeout, checkInterval)
+	waitForReplica(t, h)
+	require.Equal(t, 1, replicas())
 	source.Crash()
 	a := <-pending
 	require.NoError(t, a.err)
@@ -264,7 +274,8 @@
 	const events = 800
 	pending := sendAsync(generationRequest(t.Context(), h, "r-1", events))
 	source, others := waitForBusyEngine(t, engines)
-	require.Eventually(t, func() bool { return others[0].HeldCopies() == 1 }, waitTimeout, checkInterval)
+	waitForReplica(t, h)
+	require.Equal(t, 1, others[0].HeldCopies())
 	f.register(source.ID, engineService, source.Address(), "draining")
 	a := <-pending
 	require.NoError(t, a.err)
@@ -282,7 +293,8 @@
 	engines[1].ContinueWithoutCaller()
 	pending := sendAsync(generationRequest(t.Context(), h, "r-1", events))
 	source, others := waitForBusyEngine(t, engines)
-	require.Eventually(t, func() bool { return others[0].HeldCopies() == 1 }, waitTimeout, checkInterval)
+	waitForReplica(t, h)
+	require.Equal(t, 1, others[0].HeldCopies())
 	source.CloseStreams()
 	a := <-pending
 	require.NoError(t, a.err)
@@ -298,7 +310,8 @@
 	const events = 800
 	pending := sendAsync(generationRequest(t.Context(), h, "r-1", events))
 	source, others := waitForBusyEngine(t, engines)
-	require.Eventually(t, func() bool { return others[0].HeldCopies() == 1 }, waitTimeout, checkInterval)
+	waitForReplica(t, h)
+	require.Equal(t, 1, others[0].HeldCopies())
 	source.Freeze()
 	a := <-pending
 	require.NoError(t, a.err)
