--- a/tests/soak/checks_test.go
+++ b/tests/soak/checks_test.go
@@ -81,6 +81,7 @@
 	}
 	c.checkTimeouts(outcomes)
 	c.checkStatements(outcomes)
+	c.checkLimits(outcomes)
 	c.checkNoRollback(outcomes, seen)
 	c.checkRecovery(outcomes)
 	c.t.Logf("%d requests: %v; %d versions, %d keys revoked, %d targets", len(outcomes), ended, len(c.versions), len(c.revocations), len(c.targets))
--- a/tests/soak/cluster_test.go
+++ b/tests/soak/cluster_test.go
@@ -79,6 +79,7 @@
 	keyAddedAt     map[string]time.Time // guarded by mu; when keys became valid
 	revocations    []keyRevocation      // guarded by mu
 	targetsStarted int                  // guarded by mu; number of the last target
+	limits         []namedLimit         // guarded by mu
 }
 
 func newCluster(t testing.TB, seed uint64, hosts int, options ...func(*harness.Process)) *cluster {
--- a/tests/soak/main_test.go
+++ b/tests/soak/main_test.go
@@ -65,6 +65,7 @@
 	var restores sync.WaitGroup
 	restores.Go(func() { c.injectRestores(seed, duration) })
 	restores.Go(func() { c.injectStatements(seed, duration) })
+	restores.Go(func() { c.injectLimits(seed, duration) })
 	restores.Go(func() {
 		ctx, cancel := context.WithTimeout(t.Context(), duration)
 		defer cancel()
--- a/tests/soak/statements_test.go
+++ b/tests/soak/statements_test.go
@@ -126,7 +126,7 @@
 			case s.Pause > 0:
 				pauses++
 				c.report("pauses", c.checkPause(t, o.host, s, requests, byID))
-			case o.leaving && authors[o.id] == 1:
+			case s.Leaving && o.leaving && authors[o.id] == 1:
 				passedOn++
 				c.report("leaving answers", checkLeavingAnswer(t, o, requests, byID))
 			}
