--- a/internal/edge/observe/poller.go
+++ b/internal/edge/observe/poller.go
@@ -52,8 +52,8 @@
 	}
 }
 
-// pollOnce polls each owned engine that has runs in flight and names no limit of requests. While hosts disagree about
-// the owner of an engine, it may be polled twice.
+// pollOnce polls each owned engine that has runs in flight and names no limit of requests. While
+// hosts disagree about the owner of an engine, it may be polled twice.
 func (p *ReportPoller) pollOnce(ctx context.Context) {
 	view, hosts := p.Targets.View(), p.Hosts()
 	var polls sync.WaitGroup
--- a/internal/edge/plain/turn.go
+++ b/internal/edge/plain/turn.go
@@ -8,15 +8,16 @@
 )
 
 const (
-	// turnWaitShare of the time left, at most maxTurnWait, is how long a call waits for a
-	// target whose limit is used up or that may have no room: a caller that is rejected gives up its turn and returns later.
+	// turnWaitShare of the time left, at most maxTurnWait, is how long a call waits for a target
+	// whose limit is used up or that may have no room: a caller that is rejected gives up its
+	// turn and returns later.
 	turnWaitShare = 0.25
 	maxTurnWait   = time.Second
 )
 
-// awaitTurn waits until a target that names a limit or is brittle takes one more call of this host, and
-// returns it. More urgent calls go first. It returns nil at once if there is no such target, or
-// if too many calls wait already.
+// awaitTurn waits until a target that names a limit or is brittle takes one more call of this
+// host, and returns it. More urgent calls go first. It returns nil at once if there is no such
+// target, or if too many calls wait already.
 func (r *run) awaitTurn() *targets.Target {
 	s, service := r.server, r.call.Service.Name
 	if !s.Targets.View().TakesTurns(service) {
--- a/internal/edge/targetconn/pool.go
+++ b/internal/edge/targetconn/pool.go
@@ -81,8 +81,7 @@
 // Do sends a request to the target at address, unless the gate refuses it, and returns
 // once the head of the response arrives. The end of ctx closes the connection, which
 // cancels the run. While this host reaches no target of the service, other hosts send the
-// request. The error
-// matches ErrNotSent, ErrBroken or ErrInvalidResponse.
+// request. The error matches ErrNotSent, ErrBroken or ErrInvalidResponse.
 func (p *Pool) Do(ctx context.Context, incarnation, address string, req *Request) (*Response, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, eris.Wrap(ErrNotSent, err.Error())
--- a/internal/edge/targetnotice/brittle.go
+++ b/internal/edge/targetnotice/brittle.go
@@ -71,14 +71,12 @@
 // AnyBrittle reports whether a target is brittle. It is cheap.
 func (t *Tracker) AnyBrittle() bool { return t.brittle.Load() > 0 }
 
-// IsBrittle returns how many rejections a second an incarnation bears, 0 if it isn't brittle.
-func (t *Tracker) IsBrittle(incarnation string) int {
+// IsBrittle reports whether an incarnation is brittle.
+func (t *Tracker) IsBrittle(incarnation string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if s := t.targets[incarnation]; s != nil {
-		return s.brittle.rejections
-	}
-	return 0
+	s := t.targets[incarnation]
+	return s != nil && s.brittle.rejections > 0
 }
 
 // hasRoom reports whether a brittle target is expected to have room for one more request of this
--- a/internal/edge/targetnotice/tracker.go
+++ b/internal/edge/targetnotice/tracker.go
@@ -1,8 +1,9 @@
 // Package targetnotice decides whether a target may be sent a request after it has stated in
-// its answers to this host that it leaves, that it wants a pause, or how many requests a second it
-// takes from all hosts, or that too many rejections make it fail. Leaving and pauses are decided by the answers alone: a target list or a
-// peer that calls the target ready doesn't change the decision, so that a host without its store
-// and peers decides alike. Of limits, hosts also tell each other. It reads no clock and does no I/O.
+// its answers to this host that it leaves, that it wants a pause, how many requests a second it
+// takes from all hosts, or that too many rejections make it fail. Leaving and pauses are decided
+// by the answers alone: a target list or a peer that calls the target ready doesn't change the
+// decision, so that a host without its store and peers decides alike. Of limits, hosts also tell
+// each other. It reads no clock and does no I/O.
 package targetnotice
 
 import (
--- a/internal/edge/targets/view.go
+++ b/internal/edge/targets/view.go
@@ -57,7 +57,7 @@
 // a limit or is brittle.
 func (v *View) TakesTurns(service string) bool {
 	return (v.stated.AnyLimited() || v.stated.AnyBrittle()) && slices.ContainsFunc(v.Serving(service), func(t *Target) bool {
-		return v.stated.NamesLimit(t.Key()) || v.stated.IsBrittle(t.Key()) > 0
+		return v.stated.NamesLimit(t.Key()) || v.stated.IsBrittle(t.Key())
 	})
 }
 
--- a/internal/gateway/services/callgate.go
+++ b/internal/gateway/services/callgate.go
@@ -80,7 +80,7 @@
 	if v != targetnotice.Allowed {
 		return nil, false
 	}
-	if g.notices.IsBrittle(target) == 0 {
+	if !g.notices.IsBrittle(target) {
 		return func() { g.notices.EndWait(target, targetnotice.Request) }, true
 	}
 	g.mu.Lock()
