--- a/internal/drill/faults.go
+++ b/internal/drill/faults.go
@@ -69,6 +69,26 @@
 	return err
 }
 
+const (
+	minPause, maxPause       = 500 * time.Millisecond, 5 * time.Second
+	pausedShare, allPausedOf = 0.6, 0.2 // of a service's targets; share of the cases in which all pause
+)
+
+// pauseTargets makes some targets of a service, or all, ask for a pause.
+func pauseTargets(ctx context.Context, f *fleet, r *rand.Rand) error {
+	service := f.deployment.Kinds[r.IntN(len(f.deployment.Kinds))].Service
+	n := 1 + int(r.Float64()*pausedShare*float64(f.targets.count(service)))
+	if r.Float64() < allPausedOf {
+		n = f.targets.count(service)
+	}
+	some, d := f.targets.some(r, service, n), between(r, minPause, maxPause)
+	f.logger.Info("drill: pauses", "service", service, "targets", len(some), "for", d)
+	for _, t := range some {
+		t.Pause(d)
+	}
+	return sleep(ctx, d)
+}
+
 const (
 	minLimit, maxLimit         = 1.0, 6.0 // requests a second
 	minLimitFor, maxLimitFor   = 6 * time.Second, 12 * time.Second
--- a/internal/drill/judge/contact.go
+++ b/internal/drill/judge/contact.go
@@ -127,6 +127,12 @@
 	return h == nil || !overlaps(h.planned, from, to) && !overlaps(h.unplanned, from, to)
 }
 
+// reachesTargets reports whether a host was not cut off from the targets.
+func (c *contact) reachesTargets(host string, from, to time.Time) bool {
+	h := c.hosts[host]
+	return h == nil || !overlaps(h.cuts, from, to)
+}
+
 // undisrupted reports whether nothing unplanned disturbed a host or its links to the targets from
 // contactMs before from until to. Disruptions of the store don't count.
 func (c *contact) undisrupted(host string, from, to time.Time) bool {
--- a/internal/drill/judge/judge.go
+++ b/internal/drill/judge/judge.go
@@ -40,7 +40,7 @@
 	var all []Violation
 	for _, judge := range []func(*index) []Violation{
 		lostAroundPlannedWork, lostKeptConnections,
-		excessRetries, excessAttempts, excessTime, crashRetries,
+		excessRetries, excessAttempts, excessTime, crashRetries, sentIntoPauses,
 		ranTwice, ranAtTwo, rejectedAndRan, outOfOrder, mixedUp, sentToLeaving, deniedProper, overLimits, fallenTooOften, unservedWhileCut,
 	} {
 		all = append(all, judge(x)...)
--- a/internal/drill/platform.go
+++ b/internal/drill/platform.go
@@ -127,6 +127,8 @@
 	// Ail makes something go wrong with a share of the requests, until Recover.
 	Ail(kind Ailment, share float64)
 	Recover()
+	// Pause makes the target reject all requests until d has passed, and ask for a pause until then.
+	Pause(d time.Duration)
 	// Limit makes the target name a limit of requests a second in all its answers; 0 ends it.
 	Limit(perSecond float64)
 	// End ends the target and resets or closes its connections.
--- a/internal/drill/record/record.go
+++ b/internal/drill/record/record.go
@@ -102,10 +102,11 @@
 	Deadline  time.Duration // that the host states, negative if it states none
 	Ran       bool          // the target began to run it
 	Outcome   Outcome
-	Continues bool // goes on from the memory of the same run
-	After     int  // event after which a stream goes on
-	Events    int  // that the target sent
-	Limited   bool // the target names a limit in its answer
+	Continues bool          // goes on from the memory of the same run
+	After     int           // event after which a stream goes on
+	Events    int           // that the target sent
+	Limited   bool          // the target names a limit in its answer
+	Pause     time.Duration // that the target asked for when it rejected the request, 0 for none
 }
 
 // Outcome is how a target ended its work on a request.
--- a/tests/drill/limit_test.go
+++ b/tests/drill/statements_test.go
@@ -34,3 +34,14 @@
 	run := play(t, press, drill.Options{Only: []string{"brittle"}, For: 4 * *duration})
 	assert.NotEmpty(t, run.Brittle)
 }
+
+func TestPausesThatTargetsAskForAreHeeded(t *testing.T) {
+	run := play(t, press, drill.Options{Only: []string{"pause"}, For: 2 * *duration})
+	asked := 0
+	for i := range run.Arrivals {
+		if run.Arrivals[i].Pause > 0 {
+			asked++
+		}
+	}
+	assert.Positive(t, asked, "no target asked for a pause")
+}
