Drill: targets leave by their answers alone, and what reaches them later is judged

A host that ignores the leaving notice passed every drill: entries said at the same time that the target leaves, and the judge excused hosts that are not in touch.

--- a/internal/drill/disturbance.go
+++ b/internal/drill/disturbance.go
@@ -35,6 +35,7 @@
 		{"callers", false, 5 * time.Second, 12 * time.Second, disturbCallers},
 		{"early stop", true, 5 * time.Second, 15 * time.Second, stopEarly},
 		{"retire", true, 4 * time.Second, 12 * time.Second, retire},
+		{"notice", false, 4 * time.Second, 10 * time.Second, leaveByAnswers},
 		{"pause", false, 2 * time.Second, 6 * time.Second, pauseTargets},
 		{"limit", false, 4 * time.Second, 9 * time.Second, limitTargets},
 		{"cut", false, 6 * time.Second, 12 * time.Second, cutHosts},
--- a/internal/drill/judge/judge.go
+++ b/internal/drill/judge/judge.go
@@ -41,7 +41,7 @@
 	for _, judge := range []func(*index) []Violation{
 		lostAroundPlannedWork, lostKeptConnections,
 		excessRetries, excessAttempts, excessTime, crashRetries, sentIntoPauses,
-		ranTwice, ranAtTwo, rejectedAndRan, outOfOrder, mixedUp, sentToLeaving, deniedProper, overLimits, fallenTooOften, unservedWhileCut,
+		ranTwice, ranAtTwo, rejectedAndRan, outOfOrder, mixedUp, sentToLeaving, sentAfterNotice, deniedProper, overLimits, fallenTooOften, unservedWhileCut,
 	} {
 		all = append(all, judge(x)...)
 	}
--- a/internal/drill/record/record.go
+++ b/internal/drill/record/record.go
@@ -106,6 +106,7 @@
 	After     int           // event after which a stream goes on
 	Events    int           // that the target sent
 	Limited   bool          // the target names a limit in its answer
+	Leaving   bool          // the target states in its answer that it leaves
 	Pause     time.Duration // that the target asked for when it rejected the request, 0 for none
 }
 
--- a/internal/drill/releases.go
+++ b/internal/drill/releases.go
@@ -58,6 +58,29 @@
 	retiredShare         = 0.13 // of the engines at a time
 )
 
+// leaveByAnswers makes a target of a service state in its answers that it leaves, some seconds before
+// its entry says so; another joins later.
+func leaveByAnswers(ctx context.Context, f *fleet, r *rand.Rand) error {
+	service := f.deployment.Service(f.deployment.Kinds[r.IntN(len(f.deployment.Kinds))].Service)
+	for _, t := range f.targets.take(r, service.Name, 1) {
+		linger, reset := between(r, minLinger, maxLinger), r.Float64() < resetShare
+		f.logger.Info("drill: leaving by answers", "target", t.ID(), "linger", linger)
+		f.playing.Go(func() {
+			t.Leave()
+			if sleep(ctx, f.deployment.Bounds.Drain+linger) != nil {
+				return
+			}
+			f.targets.leave(t, service)
+			if sleep(ctx, f.deployment.Bounds.Drain+linger) != nil {
+				return
+			}
+			f.targets.end(t, reset, false)
+			f.join(ctx, service, t.Domain(), joinDelay)
+		})
+	}
+	return nil
+}
+
 // retire takes engines away that go on serving for some seconds after the bound; others join
 // later.
 func retire(ctx context.Context, f *fleet, r *rand.Rand) error {
