--- a/internal/drill/faults.go
+++ b/internal/drill/faults.go
@@ -70,18 +70,27 @@
 }
 
 const (
-	minPause, maxPause       = 500 * time.Millisecond, 5 * time.Second
-	pausedShare, allPausedOf = 0.6, 0.2 // of a service's targets; share of the cases in which all pause
+	minPause, maxPause         = 500 * time.Millisecond, 5 * time.Second
+	pausedShare, allPausedOf   = 0.6, 0.2 // of a service's targets; share of the cases in which all pause
+	minLimit, maxLimit         = 1.0, 6.0 // requests a second
+	minLimitFor, maxLimitFor   = 6 * time.Second, 12 * time.Second
+	limitedShare, allLimitedOf = 0.6, 0.3 // of a service's targets; share of the cases in which all are limited
 )
 
-// pauseTargets makes some targets of a service, or all, ask for a pause.
-func pauseTargets(ctx context.Context, f *fleet, r *rand.Rand) error {
-	service := f.deployment.Kinds[r.IntN(len(f.deployment.Kinds))].Service
-	n := 1 + int(r.Float64()*pausedShare*float64(f.targets.count(service)))
-	if r.Float64() < allPausedOf {
+// drawTargets draws a service, and a share of its targets at the most or, in allOf of the cases, all.
+func drawTargets(f *fleet, r *rand.Rand, share, allOf float64) (service string, some []Target) {
+	service = f.deployment.Kinds[r.IntN(len(f.deployment.Kinds))].Service
+	n := 1 + int(r.Float64()*share*float64(f.targets.count(service)))
+	if r.Float64() < allOf {
 		n = f.targets.count(service)
 	}
-	some, d := f.targets.some(r, service, n), between(r, minPause, maxPause)
+	return service, f.targets.some(r, service, n)
+}
+
+// pauseTargets makes some targets of a service, or all, ask for a pause.
+func pauseTargets(ctx context.Context, f *fleet, r *rand.Rand) error {
+	service, some := drawTargets(f, r, pausedShare, allPausedOf)
+	d := between(r, minPause, maxPause)
 	f.logger.Info("drill: pauses", "service", service, "targets", len(some), "for", d)
 	for _, t := range some {
 		t.Pause(d)
@@ -89,20 +98,10 @@
 	return sleep(ctx, d)
 }
 
-const (
-	minLimit, maxLimit         = 1.0, 6.0 // requests a second
-	minLimitFor, maxLimitFor   = 6 * time.Second, 12 * time.Second
-	limitedShare, allLimitedOf = 0.6, 0.3 // of a service's targets; share of the cases in which all are limited
-)
-
 // limitTargets makes some targets of a service, or all, name limits for some seconds.
 func limitTargets(ctx context.Context, f *fleet, r *rand.Rand) error {
-	service := f.deployment.Kinds[r.IntN(len(f.deployment.Kinds))].Service
-	n := 1 + int(r.Float64()*limitedShare*float64(f.targets.count(service)))
-	if r.Float64() < allLimitedOf {
-		n = f.targets.count(service)
-	}
-	some, d := f.targets.some(r, service, n), between(r, minLimitFor, maxLimitFor)
+	service, some := drawTargets(f, r, limitedShare, allLimitedOf)
+	d := between(r, minLimitFor, maxLimitFor)
 	f.logger.Info("drill: limits", "service", service, "targets", len(some), "for", d)
 	for _, t := range some {
 		f.targets.limit(t, minLimit+(maxLimit-minLimit)*r.Float64())
--- a/internal/drill/releases.go
+++ b/internal/drill/releases.go
@@ -5,6 +5,8 @@
 	"math"
 	"math/rand/v2"
 	"time"
+
+	"corianderhitch/internal/drill/deployment"
 )
 
 const (
@@ -67,20 +69,24 @@
 		f.logger.Info("drill: leaving by answers", "target", t.ID(), "linger", linger)
 		f.playing.Go(func() {
 			t.Leave()
-			if sleep(ctx, f.deployment.Bounds.Drain+linger) != nil {
-				return
-			}
-			f.targets.leave(t, service)
-			if sleep(ctx, f.deployment.Bounds.Drain+linger) != nil {
-				return
+			if sleep(ctx, f.deployment.Bounds.Drain+linger) == nil {
+				f.replace(ctx, t, service, linger, reset)
 			}
-			f.targets.end(t, reset, false)
-			f.join(ctx, service, t.Domain(), joinDelay)
 		})
 	}
 	return nil
 }
 
+// replace makes a target leave, serve for some time longer than the bound and end; another one joins then.
+func (f *fleet) replace(ctx context.Context, t Target, service *deployment.Service, linger time.Duration, reset bool) {
+	f.targets.leave(t, service)
+	if sleep(ctx, f.deployment.Bounds.Drain+linger) != nil {
+		return
+	}
+	f.targets.end(t, reset, false)
+	f.join(ctx, service, t.Domain(), joinDelay)
+}
+
 // retire takes engines away that go on serving for some seconds after the bound; others join
 // later.
 func retire(ctx context.Context, f *fleet, r *rand.Rand) error {
@@ -93,14 +99,7 @@
 		for _, t := range f.targets.take(r, service.Name, n) {
 			linger, reset := between(r, minLinger, maxLinger), r.Float64() < resetShare
 			f.logger.Info("drill: retire", "target", t.ID(), "linger", linger)
-			f.playing.Go(func() {
-				f.targets.leave(t, service)
-				if sleep(ctx, f.deployment.Bounds.Drain+linger) != nil {
-					return
-				}
-				f.targets.end(t, reset, false)
-				f.join(ctx, service, t.Domain(), joinDelay)
-			})
+			f.playing.Go(func() { f.replace(ctx, t, service, linger, reset) })
 		}
 	}
 	return nil
