--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -243,7 +243,7 @@
 	f.mustRun("promote", "--revision", "1")
 	require.Contains(t, f.mustRun("status", "--environment", "production"), `warning: the agent asked is of environment "trial"`)
 
-	code, _, errs = f.run("rollback", "--environment", "trial", "--to-revision", "1", "--wait", "--wait-for", "10ms")
+	code, _, errs = f.run("rollback", "--environment", "trial", "--to-revision", "1", "--wait", "--wait-for", "1s")
 	require.Equal(t, ExitUnreachable, code)
 	require.Contains(t, errs, "the revision is accepted, but was not seen in force")
 	require.Contains(t, errs, "host-a (gateway)")
