--- a/internal/edge/forwarding/server_test.go
+++ b/internal/edge/forwarding/server_test.go
@@ -53,8 +53,8 @@
 	outcomes []targetconn.ForwardOutcome // guarded by mu
 }
 
-func (h *helpersOf) Helpers(string) []string     { return h.addresses }
-func (h *helpersOf) ObserveOpening(string, bool) {}
+func (h *helpersOf) Helpers(string) ([]string, bool) { return h.addresses, true }
+func (h *helpersOf) ObserveOpening(string, bool)     {}
 func (h *helpersOf) ObserveHelper(_ string, o targetconn.ForwardOutcome) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -262,3 +262,27 @@
 	response.Close()
 	require.Equal(t, []targetconn.ForwardOutcome{targetconn.ForwardCutOff}, asked.observed())
 }
+
+func TestRequestWithoutAHelperIsNotSentOnAConnectionThatIsReset(t *testing.T) {
+	target, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = target.Close() }()
+	go func() {
+		for {
+			conn, err := target.Accept()
+			if err != nil {
+				return
+			}
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+		}
+	}()
+	for name, addresses := range map[string][]string{"none known": nil, "none can help": {"127.0.0.1:1"}} {
+		t.Run(name, func(t *testing.T) {
+			pool := newPool(&gate{})
+			pool.Forwarder = &helpersOf{addresses: addresses}
+			_, err := pool.Do(t.Context(), "t@1", target.Addr().String(), callersRequest(http.MethodPost, "question"))
+			require.ErrorIs(t, err, targetconn.ErrNotSent)
+		})
+	}
+}
--- a/internal/edge/process/forward.go
+++ b/internal/edge/process/forward.go
@@ -53,15 +53,15 @@
 }
 
 // Helpers implements targetconn.Forwarder.
-func (f *forwarder) Helpers(incarnation string) []string {
+func (f *forwarder) Helpers(incarnation string) (addresses []string, cutOff bool) {
 	if !f.cutOff(incarnation) {
-		return nil
+		return nil, false
 	}
 	chosen, proven := f.helpers.Choose(f.process.members.Forwarders(), bootclock.Now())
 	if proven == 0 {
 		f.process.members.WantList() // hosts that can help may have started since
 	}
-	return chosen
+	return chosen, true
 }
 
 // ObserveOpening implements targetconn.Forwarder.
--- a/internal/edge/targetconn/forward.go
+++ b/internal/edge/targetconn/forward.go
@@ -17,9 +17,9 @@
 // Forwarder decides whether this host sends to a target itself or asks other hosts to do so, its
 // helpers, because it has lost its own way to the targets of the service.
 type Forwarder interface {
-	// Helpers returns the addresses of the hosts to ask to send to an incarnation, in this order;
-	// none if this host is to send itself.
-	Helpers(incarnation string) []string
+	// Helpers reports whether this host has lost its way to the targets of an incarnation's service,
+	// and returns the addresses of the hosts to ask to send to it, in this order.
+	Helpers(incarnation string) (addresses []string, cutOff bool)
 	// ObserveOpening records whether a new connection to a target could be opened and used.
 	ObserveOpening(incarnation string, usable bool)
 	// ObserveHelper records how a helper answered.
@@ -160,11 +160,18 @@
 	}
 }
 
+// way is how a request reaches its target.
+type way struct {
+	helper string // address of the host that sends it; "" for this one
+	// uncertain means that new connections may be reset as soon as they are open.
+	uncertain bool
+}
+
 // doByHelpers asks helpers in turn to send the request, until one has done so. If none can, this host
 // tries once more itself: the targets may have been down and be back.
 func (p *Pool) doByHelpers(ctx context.Context, incarnation, address string, req *Request, helpers []string) (*Response, error) {
 	for _, helper := range helpers {
-		response, outcome, sendErr := p.doOnce(ctx, incarnation, address, req, helper)
+		response, outcome, sendErr := p.doOnce(ctx, incarnation, address, req, way{helper: helper})
 		if outcome != "" {
 			p.Forwarder.ObserveHelper(helper, outcome)
 		}
@@ -172,7 +179,7 @@
 			return response, sendErr
 		}
 	}
-	response, _, err := p.doOnce(ctx, incarnation, address, req, "")
+	response, _, err := p.doOnce(ctx, incarnation, address, req, way{uncertain: true})
 	return response, err
 }
 
--- a/internal/edge/targetconn/pool.go
+++ b/internal/edge/targetconn/pool.go
@@ -86,36 +86,36 @@
 	if err := ctx.Err(); err != nil {
 		return nil, eris.Wrap(ErrNotSent, err.Error())
 	}
-	if helpers := p.helpers(incarnation, req); len(helpers) > 0 {
+	if helpers, cutOff := p.helpers(incarnation, req); cutOff {
 		return p.doByHelpers(ctx, incarnation, address, req, helpers)
 	}
-	response, _, err := p.doOnce(ctx, incarnation, address, req, "")
+	response, _, err := p.doOnce(ctx, incarnation, address, req, way{})
 	if !errors.Is(err, ErrNotSent) || errors.Is(err, ErrRefused) || ctx.Err() != nil {
 		return response, err
 	}
 	// The failure may have shown that this host reaches no target of the service.
-	if helpers := p.helpers(incarnation, req); len(helpers) > 0 {
+	if helpers, cutOff := p.helpers(incarnation, req); cutOff {
 		return p.doByHelpers(ctx, incarnation, address, req, helpers)
 	}
 	return nil, err
 }
 
-// helpers returns the hosts that are to send the request, none if this one is.
-func (p *Pool) helpers(incarnation string, req *Request) []string {
+// helpers reports whether other hosts are to be asked to send the request, and which.
+func (p *Pool) helpers(incarnation string, req *Request) (addresses []string, cutOff bool) {
 	if p.Forwarder == nil || req.forOtherHost {
-		return nil
+		return nil, false
 	}
 	return p.Forwarder.Helpers(incarnation)
 }
 
-// doOnce sends the request to the target, or to a helper that sends it, unless helper is "".
-// The outcome is that of the helper.
-func (p *Pool) doOnce(ctx context.Context, incarnation, address string, req *Request, helper string) (*Response, ForwardOutcome, error) {
+// doOnce sends the request to the target, or to a helper that sends it. The outcome is that of the
+// helper.
+func (p *Pool) doOnce(ctx context.Context, incarnation, address string, req *Request, w way) (*Response, ForwardOutcome, error) {
 	// A refused request must not cost the target a connection.
 	if v := p.gate.Check(incarnation, req); v != targetnotice.Allowed {
 		return nil, "", &refusal{v}
 	}
-	conn, err := p.connect(ctx, incarnation, address, req, helper)
+	conn, err := p.connect(ctx, incarnation, address, req, w)
 	if err != nil {
 		return nil, ForwardUnreachable, err
 	}
@@ -125,7 +125,7 @@
 		p.put(conn)
 		return nil, "", &refusal{v}
 	}
-	response, outcome, err := p.exchange(ctx, conn, incarnation, address, req, helper)
+	response, outcome, err := p.exchange(ctx, conn, incarnation, address, req, w.helper)
 	ended(response != nil)
 	return response, outcome, err
 }
@@ -198,12 +198,15 @@
 	}
 }
 
-// connect returns a connection to the target, or to the helper unless that is "".
-func (p *Pool) connect(ctx context.Context, incarnation, address string, req *Request, helper string) (*Conn, error) {
-	if helper != "" {
-		return p.get(ctx, helperPrefix+helper, helper)
+// connect returns a connection to the target, or to the helper.
+func (p *Pool) connect(ctx context.Context, incarnation, address string, req *Request, w way) (*Conn, error) {
+	if w.helper != "" {
+		return p.get(ctx, helperPrefix+w.helper, w.helper)
 	}
 	conn, err := p.get(ctx, connKey(incarnation, req), address)
+	if err == nil && w.uncertain && conn.fresh() {
+		err = awaitReset(ctx, conn, address)
+	}
 	if err != nil && ctx.Err() == nil {
 		p.observeOpening(incarnation, false)
 	}
@@ -223,15 +226,23 @@
 	if err != nil {
 		return err
 	}
-	wait.For(ctx, resetDelay)
-	if !conn.open() {
-		_ = conn.Close()
-		return eris.Wrapf(ErrNotSent, "%s: connection was reset", address)
+	if err := awaitReset(ctx, conn, address); err != nil {
+		return err
 	}
 	p.put(conn)
 	return nil
 }
 
+// awaitReset closes a new connection and returns an error if it does not stay open.
+func awaitReset(ctx context.Context, conn *Conn, address string) error {
+	wait.For(ctx, resetDelay)
+	if conn.open() {
+		return nil
+	}
+	_ = conn.Close()
+	return eris.Wrapf(ErrNotSent, "%s: connection was reset", address)
+}
+
 // Silence returns for how long no target has sent anything while requests of this host wait for
 // their responses, 0 if none waits.
 func (p *Pool) Silence() time.Duration { return p.progress.silence() }
