--- a/internal/edge/draining/drain.go
+++ b/internal/edge/draining/drain.go
@@ -70,7 +70,19 @@
 	if !begun {
 		return true
 	}
-	return age+min(a.TimeLeft(), d.longestDuration(a)) <= d.length
+	return age+d.Longest(a) <= d.length
+}
+
+// Longest returns how long a call takes at most from now on.
+func (d *Drain) Longest(a *edge.AuthorizedCall) time.Duration {
+	return min(a.TimeLeft(), d.longestDuration(a))
+}
+
+// TimeLeft returns how long it takes until the process aborts its remaining requests, and false if
+// the drain has not begun.
+func (d *Drain) TimeLeft() (left time.Duration, begun bool) {
+	age, begun := d.Age()
+	return d.length - age, begun
 }
 
 // Outlasts reports whether a run that is expected to produce so many more tokens is still
--- a/internal/edge/forwarding/server.go
+++ b/internal/edge/forwarding/server.go
@@ -38,8 +38,9 @@
 	Pool *targetconn.Pool
 	// CutOff reports whether this host reaches no target of the service of an incarnation.
 	CutOff func(incarnation string) bool
-	// Stopping is done once this host's process ends: it sends nothing more for others.
-	Stopping context.Context //nolint:containedctx // lasts as long as the process
+	// TimeLeft returns how long it takes until this host's process aborts the requests that it still
+	// sends, and false if it was not asked to stop.
+	TimeLeft func() (left time.Duration, stopping bool)
 	// IsHost reports whether an address without its port is one of a host of the fleet.
 	IsHost func(ip string) bool
 	// Bodies is the memory for the bodies of requests.
@@ -92,16 +93,26 @@
 		s.refuse(w, r, targetconn.ForwardNotSent, err)
 		return
 	}
-	if s.CutOff(f.Incarnation) {
+	switch {
+	case s.CutOff(f.Incarnation):
 		s.refuse(w, r, targetconn.ForwardCutOff, nil)
-		return
+	case !s.fits(f.Longest):
+		s.refuse(w, r, targetconn.ForwardTooLong, nil)
+	default:
+		s.send(w, r, f)
 	}
-	s.send(w, r, f)
+}
+
+// fits reports whether a request that takes so long at most, 0 if that is not known, ends before this
+// host's process does.
+func (s *Server) fits(longest time.Duration) bool {
+	left, stopping := s.TimeLeft()
+	return !stopping || longest > 0 && longest <= left
 }
 
 // admit counts one more request, unless this host can't send it.
 func (s *Server) admit() targetconn.ForwardOutcome {
-	if s.Stopping.Err() != nil {
+	if left, stopping := s.TimeLeft(); stopping && left <= 0 {
 		return targetconn.ForwardStopping
 	}
 	select {
--- a/internal/edge/forwarding/server_test.go
+++ b/internal/edge/forwarding/server_test.go
@@ -74,7 +74,7 @@
 // startHelper starts a host that sends requests for others, after change.
 func startHelper(t *testing.T, change func(*Server)) (address string, g *gate) {
 	g = &gate{}
-	s := &Server{Log: slog.New(slog.DiscardHandler), Pool: newPool(g), CutOff: func(string) bool { return false }, Stopping: context.Background(),
+	s := &Server{Log: slog.New(slog.DiscardHandler), Pool: newPool(g), CutOff: func(string) bool { return false }, TimeLeft: timeLeft(0, false),
 		IsHost: func(ip string) bool { return ip == "127.0.0.1" }, Bodies: memquota.New(1 << 20)}
 	s.Pool.Forwarder = &helpersOf{addresses: []string{"127.0.0.1:1"}} // it must not ask another host
 	if change != nil {
@@ -88,8 +88,15 @@
 	return listener.Addr().String(), g
 }
 
+// longest is how long the requests of these tests take at most.
+const longest = 2 * time.Second
+
+func timeLeft(left time.Duration, stopping bool) func() (time.Duration, bool) {
+	return func() (time.Duration, bool) { return left, stopping }
+}
+
 func callersRequest(method, body string) *targetconn.Request {
-	return &targetconn.Request{ID: "r-1", Method: method, URI: "/a%2Fb/?q=%20x", Host: "desk.example", Use: targetnotice.Request, Arrived: bootclock.Now(),
+	return &targetconn.Request{ID: "r-1", Method: method, URI: "/a%2Fb/?q=%20x", Host: "desk.example", Use: targetnotice.Request, Arrived: bootclock.Now(), Longest: longest,
 		Header: http.Header{"Request-Id": {"r-1"}, "X-Caller": {"a", "b"}}, Body: []byte(body)}
 }
 
@@ -188,15 +195,14 @@
 	require.NoError(t, dead.Close())
 	breaking := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
 	defer breaking.Close()
-	stopped, stop := context.WithCancel(context.Background())
-	stop()
 	for name, c := range map[string]struct {
 		change func(*Server)
 		target string
 		want   error // nil if the next helper sends the request
 	}{
 		"cut off too":       {change: func(s *Server) { s.CutOff = func(string) bool { return true } }},
-		"stopping":          {change: func(s *Server) { s.Stopping = stopped }},
+		"stopped":           {change: func(s *Server) { s.TimeLeft = timeLeft(-1, true) }},
+		"stops before":      {change: func(s *Server) { s.TimeLeft = timeLeft(longest-1, true) }},
 		"not in the fleet":  {change: func(s *Server) { s.IsHost = func(string) bool { return false } }},
 		"target leaves":     {change: func(s *Server) { s.Pool = newPool(&gate{verdict: targetnotice.Leaving}) }, want: targetconn.ErrRefused},
 		"target on trial":   {change: func(s *Server) { s.Pool = newPool(&gate{verdict: targetnotice.OnTrial}) }, want: targetconn.ErrNotYet},
@@ -224,6 +230,42 @@
 	}
 }
 
+func TestHostThatStopsSendsForOthersWhatEndsBeforeIt(t *testing.T) {
+	var sent atomic.Int32
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { sent.Add(1) }))
+	defer target.Close()
+	for name, c := range map[string]struct {
+		longest time.Duration // 0 if the asking host doesn't know
+		timeout time.Duration // of the request's context; 0 for none
+		want    targetconn.ForwardOutcome
+	}{
+		"it fits":             {longest: longest, want: targetconn.ForwardAnswered},
+		"it does not":         {longest: longest + time.Millisecond, want: targetconn.ForwardTooLong},
+		"it is not known":     {want: targetconn.ForwardTooLong},
+		"its time-out fits":   {timeout: longest, want: targetconn.ForwardAnswered},
+		"its time-out is far": {timeout: 2 * longest, want: targetconn.ForwardTooLong},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sent.Store(0)
+			helper, _ := startHelper(t, func(s *Server) { s.TimeLeft = timeLeft(longest, true) })
+			pool, asked := newPool(&gate{}), &helpersOf{addresses: []string{helper}}
+			pool.Forwarder = asked
+			request, ctx := callersRequest(http.MethodPost, "question"), t.Context()
+			request.Longest = c.longest
+			if c.timeout > 0 {
+				var cancel context.CancelFunc
+				ctx, cancel = context.WithTimeout(ctx, c.timeout)
+				defer cancel()
+			}
+			response, err := pool.Do(ctx, "t@1", target.Listener.Addr().String(), request)
+			require.NoError(t, err, "the asking host may reach the target after all")
+			response.Close()
+			require.Equal(t, []targetconn.ForwardOutcome{c.want}, asked.observed())
+			require.EqualValues(t, 1, sent.Load())
+		})
+	}
+}
+
 // A helper that ends with a request in hand may have sent it.
 func TestRequestOfALostHelperMayHaveRun(t *testing.T) {
 	helper := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -165,7 +165,7 @@
 	p.pool = targetconn.New(adapter.requestID, p.gate, p.connectionShare)
 	p.forwarder = newForwarder(p)
 	p.pool.Forwarder, p.pool.LocalIP = p.forwarder, n.IP
-	p.forwards = &forwarding.Server{Log: log, Pool: p.pool, CutOff: p.forwarder.cutOff, Stopping: p.drain.Begun(),
+	p.forwards = &forwarding.Server{Log: log, Pool: p.pool, CutOff: p.forwarder.cutOff, TimeLeft: p.drain.TimeLeft,
 		IsHost: func(ip string) bool { return p.members.HasIP(ip) }, Bodies: memquota.New(n.MemoryBytes / forwardedBodiesShare)}
 	p.targetLog = relay.NewChangeLog(p.newTargetSink())
 	p.feeds = p.newFeeds()
@@ -177,7 +177,7 @@
 		Notices: notices, Quarantine: p.quarantine}
 	p.crashes.OnEvidence = p.exchange.SendEvidence
 	p.exchange.Init()
-	sender := &edge.Sender{Wire: adapter.Wire, Pool: p.pool, Crashes: p.crashes}
+	sender := &edge.Sender{Wire: adapter.Wire, Pool: p.pool, Crashes: p.crashes, Longest: p.drain.Longest}
 	p.plain = &plain.Server{Sender: sender, Targets: p.targets, Inflight: p.inflight, Health: health, RetryBudget: p.retryBudget, Domain: n.Domain, Stalls: &p.stalls, Drain: p.drain, Queue: admission.New(p.inflight.Changed),
 		LargeBodies: memquota.New(n.MemoryBytes / largeBodiesShare)}
 	p.streaming = &streaming.Server{
--- a/internal/edge/process/stop.go
+++ b/internal/edge/process/stop.go
@@ -56,13 +56,8 @@
 	age, _ = p.drain.Age()
 	ctx, cancel := context.WithTimeout(context.Background(), max(0, p.node.Grace-exitMargin(p.node.Grace)-age))
 	defer cancel()
-	forwarded := make(chan struct{})
-	go func() {
-		defer close(forwarded)
-		p.forwards.Drain(ctx)
-	}()
 	if connections.Drain(ctx, server) && server.Shutdown(ctx) == nil {
-		<-forwarded
+		p.forwards.Drain(ctx) // it helps others as long as it serves its own callers
 		return
 	}
 	age, _ = p.drain.Age()
--- a/internal/edge/sender.go
+++ b/internal/edge/sender.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net/http"
 	"slices"
+	"time"
 
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
@@ -21,6 +22,8 @@
 	Pool *targetconn.Pool
 	// Crashes holds back the calls that crash targets; nil for none.
 	Crashes *CrashGuard
+	// Longest returns how long a call takes at most; nil if that is not known.
+	Longest func(a *AuthorizedCall) time.Duration
 }
 
 // Tracer starts the spans of the edge process: one for each request, send and move.
@@ -43,10 +46,14 @@
 	if d.ContinueFrom != nil {
 		use = targetnotice.Continuation
 	}
+	var longest time.Duration
+	if s.Longest != nil {
+		longest = s.Longest(a)
+	}
 	c := a.Call
 	return s.Pool.Do(ctx, t.Key(), t.Address, &targetconn.Request{
 		ID: c.ID, Method: c.Method, URI: c.URI, Host: c.Host, Body: c.Body,
-		EncodeHeader: func() http.Header { return s.Wire.Encode(c, d, a.TimeLeft()) }, Use: use, Arrived: a.Arrived,
+		EncodeHeader: func() http.Header { return s.Wire.Encode(c, d, a.TimeLeft()) }, Use: use, Arrived: a.Arrived, Longest: longest,
 	})
 }
 
--- a/internal/edge/targetconn/forward.go
+++ b/internal/edge/targetconn/forward.go
@@ -41,6 +41,7 @@
 	ForwardNotYet      ForwardOutcome = "not_yet"     // the target accepts nothing from the helper for now
 	ForwardCutOff      ForwardOutcome = "cut_off"     // the helper reaches no target of the service either
 	ForwardBusy        ForwardOutcome = "busy"        // the helper forwards as much as it may
+	ForwardTooLong     ForwardOutcome = "too_long"    // the helper's process may end before the request does
 	ForwardStopping    ForwardOutcome = "stopping"    // the helper's process ends
 	ForwardUnreachable ForwardOutcome = "unreachable" // the helper does not answer; noted by the sender
 )
@@ -48,7 +49,7 @@
 // triesOtherHelper reports whether another helper may send the request.
 func (o ForwardOutcome) triesOtherHelper() bool {
 	switch o {
-	case ForwardCutOff, ForwardBusy, ForwardStopping, ForwardUnreachable:
+	case ForwardCutOff, ForwardBusy, ForwardTooLong, ForwardStopping, ForwardUnreachable:
 		return true
 	}
 	return false
@@ -56,17 +57,21 @@
 
 // Headers between hosts.
 const (
-	forwardTarget  = "Hitch-Forward-Target"  // incarnation and address
-	forwardRequest = "Hitch-Forward-Request" // Request.ID
-	forwardUse     = "Hitch-Forward-Use"     // a targetnotice.Use
-	forwardAge     = "Hitch-Forward-Age-Us"  // microseconds since Request.Arrived; missing if that is 0
-	forwardCopyTo  = "Hitch-Forward-Copy-To" // Request.CopyTo
-	forwardOutcome = "Hitch-Forward-Outcome" // in responses
-	helperPrefix   = "helper "               // of the keys of connections to helpers
+	forwardTarget  = "Hitch-Forward-Target"     // incarnation and address
+	forwardRequest = "Hitch-Forward-Request"    // Request.ID
+	forwardUse     = "Hitch-Forward-Use"        // a targetnotice.Use
+	forwardAge     = "Hitch-Forward-Age-Us"     // microseconds since Request.Arrived; missing if that is 0
+	forwardLongest = "Hitch-Forward-Longest-Us" // Request.Longest in microseconds
+	forwardCopyTo  = "Hitch-Forward-Copy-To"    // Request.CopyTo
+	forwardOutcome = "Hitch-Forward-Outcome"    // in responses
+	helperPrefix   = "helper "                  // of the keys of connections to helpers
 )
 
+// maxLongest bounds Request.Longest between hosts.
+const maxLongest = 24 * time.Hour
+
 // requestHeaders are those in requests.
-var requestHeaders = []string{forwardTarget, forwardRequest, forwardUse, forwardAge, forwardCopyTo}
+var requestHeaders = []string{forwardTarget, forwardRequest, forwardUse, forwardAge, forwardLongest, forwardCopyTo}
 
 // forwarded returns the request as it is sent to a helper.
 func (r *Request) forwarded(incarnation, address string) *Request {
@@ -84,6 +89,7 @@
 	if r.Arrived != 0 {
 		out.Header.Set(forwardAge, strconv.FormatInt(bootclock.Since(r.Arrived).Microseconds(), 10))
 	}
+	out.Header.Set(forwardLongest, strconv.FormatInt(r.Longest.Microseconds(), 10))
 	if r.CopyTo != "" {
 		out.Header.Set(forwardCopyTo, r.CopyTo)
 	}
@@ -111,6 +117,9 @@
 	if us, err := strconv.ParseInt(r.Header.Get(forwardAge), 10, 64); err == nil {
 		f.Arrived = max(1, bootclock.Now().Add(-time.Duration(us)*time.Microsecond))
 	}
+	if us, err := strconv.ParseInt(r.Header.Get(forwardLongest), 10, 64); err == nil && us > 0 {
+		f.Longest = time.Duration(min(us, maxLongest.Microseconds())) * time.Microsecond
+	}
 	if f.Use == targetnotice.Request {
 		f.Use = targetnotice.ForwardedRequest
 	}
@@ -170,6 +179,10 @@
 // doByHelpers asks helpers in turn to send the request, until one has done so. If none can, this host
 // tries once more itself: the targets may have been down and be back.
 func (p *Pool) doByHelpers(ctx context.Context, incarnation, address string, req *Request, helpers []string) (*Response, error) {
+	if end, ok := ctx.Deadline(); ok && req.Longest == 0 {
+		bounded := *req
+		bounded.Longest, req = time.Until(end), &bounded
+	}
 	for _, helper := range helpers {
 		response, outcome, sendErr := p.doOnce(ctx, incarnation, address, req, way{helper: helper})
 		if outcome != "" {
@@ -216,7 +229,7 @@
 	outcome := ForwardOutcome(h.Get(forwardOutcome))
 	h.Del(forwardOutcome)
 	switch outcome {
-	case ForwardAnswered, ForwardBroken, ForwardInvalid, ForwardNotSent, ForwardRefused, ForwardNotYet, ForwardCutOff, ForwardBusy, ForwardStopping:
+	case ForwardAnswered, ForwardBroken, ForwardInvalid, ForwardNotSent, ForwardRefused, ForwardNotYet, ForwardCutOff, ForwardBusy, ForwardTooLong, ForwardStopping:
 		return outcome
 	}
 	return ForwardInvalid
--- a/tests/edge/fleet_test.go
+++ b/tests/edge/fleet_test.go
@@ -56,6 +56,8 @@
 	maxConnections int
 	// routeTimeout is that of all routes, 0 for callerTimeout.
 	routeTimeout time.Duration
+	// ownIPs gives each host that starts later an IP address of its own, from which it also connects.
+	ownIPs bool
 	// idleTimeout is how long callers' connections may stay idle, 0 for the default.
 	idleTimeout time.Duration
 }
@@ -176,6 +178,10 @@
 // startHost starts another host and waits until it is ready.
 func (f *fleet) startHost() *host {
 	n := len(f.hosts)
+	ip := "127.0.0.1"
+	if f.ownIPs {
+		ip = hostIP(n)
+	}
 	callerAddress, readinessAddress := freeAddress(f.t), freeAddress(f.t)
 	peer, port := freePeerAddress(f.t)
 	h := &host{callerAddress: callerAddress, readinessAddress: readinessAddress, peerAddress: peer, done: make(chan error, 1), logs: &safeBuffer{}, store: &partitionableStore{Store: f.store}}
@@ -184,7 +190,7 @@
 	adapter.NewStore = func(string) peers.Store { return h.store }
 	adapter.ReadNode = func(string) (node.Node, error) {
 		return node.Node{
-			Name: fmt.Sprintf("host-%d", n), IP: "127.0.0.1", Domain: "a", CallerAddress: callerAddress, ReadinessAddress: readinessAddress, StoreAddress: "test",
+			Name: fmt.Sprintf("host-%d", n), IP: ip, Domain: "a", CallerAddress: callerAddress, ReadinessAddress: readinessAddress, StoreAddress: "test",
 			FirstPort: port, LastPort: port + 1, Grace: f.grace, RevokeStrict: true, RevokeWithin: f.revokeWithin,
 			// A process that has just started repeats little of what callers send, and the
 			// tests send few requests.
@@ -222,6 +228,9 @@
 	return response.StatusCode == http.StatusOK
 }
 
+// hostIP returns the IP address of a host in a fleet with ownIPs.
+func hostIP(n int) string { return fmt.Sprintf("127.0.0.%d", 2+n) }
+
 // nextPort counts the ports that freeAddress has tried. They are below the kernel's range
 // of ephemeral ports, so that no outgoing connection takes them.
 var nextPort struct {
