--- a/scripts/known_red_test.go
+++ b/scripts/known_red_test.go
@@ -21,17 +21,17 @@
 		mode string
 		pass bool
 	}{
-		"a listed test":                           {listedLog, "packages", true},
+		"a listed test": {listedLog, "packages", true},
 		"a listed test, with output of compilers": {"# math\nfmahash triggered\n# runtime\n" + listedLog, "packages", true},
-		"another test":                            {"--- FAIL: TestOther (0.00s)\nFAIL\nFAIL\texample/a\t0.1s\n", "packages", false},
-		"another case of a listed test":           {"--- FAIL: TestListed (0.00s)\n    --- FAIL: TestListed/seed-2 (0.00s)\nFAIL\texample/a\t0.1s\n", "packages", false},
-		"beside a package that does not build":    {"# example/b\nb.go:3: undefined: x\n" + listedLog + "FAIL\texample/b [build failed]\n", "packages", false},
-		"beside a package without its modules":    {listedLog + "FAIL\texample/b [setup failed]\n", "packages", false},
-		"beside a package without a failed test":  {listedLog + "FAIL\texample/b\t0.1s\n", "packages", false},
-		"beside a panic":                          {listedLog + "panic: runtime error\n", "packages", false},
-		"beside a data race":                      {listedLog + "WARNING: DATA RACE\n", "packages", false},
-		"a single package that ended":             {listedLog + "1 passed, 1 failed\n", "", true},
-		"a single package that broke off":         {listedLog, "", false},
+		"another test":                           {"--- FAIL: TestOther (0.00s)\nFAIL\nFAIL\texample/a\t0.1s\n", "packages", false},
+		"another case of a listed test":          {"--- FAIL: TestListed (0.00s)\n    --- FAIL: TestListed/seed-2 (0.00s)\nFAIL\texample/a\t0.1s\n", "packages", false},
+		"beside a package that does not build":   {"# example/b\nb.go:3: undefined: x\n" + listedLog + "FAIL\texample/b [build failed]\n", "packages", false},
+		"beside a package without its modules":   {listedLog + "FAIL\texample/b [setup failed]\n", "packages", false},
+		"beside a package without a failed test": {listedLog + "FAIL\texample/b\t0.1s\n", "packages", false},
+		"beside a panic":                         {listedLog + "panic: runtime error\n", "packages", false},
+		"beside a data race":                     {listedLog + "WARNING: DATA RACE\n", "packages", false},
+		"a single package that ended":            {listedLog + "1 passed, 1 failed\n", "", true},
+		"a single package that broke off":        {listedLog, "", false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			code := judge(t, test.log, test.mode)
