--- a/internal/drill/disturbance.go
+++ b/internal/drill/disturbance.go
@@ -40,6 +40,7 @@
 		{"limit", false, 4 * time.Second, 9 * time.Second, limitTargets},
 		{"cut", false, 6 * time.Second, 12 * time.Second, cutHosts},
 		{"brittle", false, 8 * time.Second, 16 * time.Second, makeBrittle},
+		{"crashing request", false, 2 * time.Second, 5 * time.Second, crashByRequest},
 	}
 }
 
--- a/internal/drill/faults.go
+++ b/internal/drill/faults.go
@@ -210,6 +210,28 @@
 	return nil
 }
 
+// crashByRequest repeats a request that crashes plain targets, as often and as long as a caller that
+// retries without waiting.
+func crashByRequest(ctx context.Context, f *fleet, r *rand.Rand) error {
+	crashing := f.traffic.newCrashing(r, fmt.Sprintf("%s%04x", CrashingPart, r.IntN(1<<16)))
+	if crashing == nil {
+		return nil
+	}
+	f.logger.Info("drill: crashing request", "path", crashing.path)
+	ctx, stop := context.WithTimeout(ctx, between(r, minRepeatTime, maxRepeatTime))
+	defer stop()
+	for ctx.Err() == nil {
+		f.traffic.repeat(f.ctx, r, crashing)
+		_ = sleep(ctx, time.Duration(r.ExpFloat64()*float64(repeatGap)))
+	}
+	return nil
+}
+
+const (
+	minRepeatTime, maxRepeatTime = 15 * time.Second, 60 * time.Second
+	repeatGap                    = 60 * time.Millisecond
+)
+
 const (
 	minCrashing, maxCrashing = 3, 12
 	minCrashGap, maxCrashGap = 50 * time.Millisecond, 1500 * time.Millisecond
--- a/internal/drill/platform.go
+++ b/internal/drill/platform.go
@@ -90,7 +90,7 @@
 // Targets starts targets.
 type Targets interface {
 	Start(id string, s *deployment.Service, domain string, listener net.Listener) Target
-	// OnCrash sets what is called when a prompt crashes an engine. Call it before Start.
+	// OnCrash sets what is called when a request crashes a target. Call it before Start.
 	OnCrash(f func(id string))
 	// Cut makes all targets reset new connections from an IP address, and its open ones too if
 	// reset is set; the others live on. It lasts until Heal.
@@ -103,7 +103,8 @@
 	OnFall(f func(id string))
 }
 
-// CrashingPart begins the ids of parts of prompts that crash engines.
+// CrashingPart begins the ids of parts of prompts that crash engines, and the last segments of
+// paths that crash plain targets.
 const CrashingPart = "dead"
 
 // Ailment is what goes wrong with requests at a target whose health check is good.
--- a/internal/drill/targetset.go
+++ b/internal/drill/targetset.go
@@ -25,7 +25,7 @@
 
 func newTargetSet(f *fleet) *targetSet {
 	s := &targetSet{fleet: f, factory: f.platform.NewTargets(f.deployment, f.options.Seed, f.log), active: make(map[string][]Target)}
-	s.factory.OnCrash(s.crash)
+	s.factory.OnCrash(func(id string) { s.crash(id, minCrashRestart) })
 	s.factory.OnFall(s.fall)
 	return s
 }
@@ -127,21 +127,24 @@
 	}
 }
 
+// minCrashRestart is after which time a target that a request crashed starts again.
+const minCrashRestart = 3200 * time.Millisecond
+
 // crash ends a target that requests crash, and starts it again some seconds later.
-func (s *targetSet) crash(id string) {
+func (s *targetSet) crash(id string, restart time.Duration) {
 	t, service := s.takeByID(id)
 	if t == nil {
 		return
 	}
 	s.fleet.logger.Info("drill: target crashed by requests", "target", id)
 	s.end(t, true, true)
-	go s.fleet.join(s.fleet.ctx, service, t.Domain(), minRestart)
+	go s.fleet.join(s.fleet.ctx, service, t.Domain(), restart)
 }
 
 // fall ends a brittle target, and starts it again some seconds later.
 func (s *targetSet) fall(id string) {
 	s.fleet.log.UpdateTarget(id, func(r *record.Target) { r.Fell = true })
-	s.crash(id)
+	s.crash(id, minRestart)
 }
 
 // takeByID removes a target from the active ones. It returns nil if it isn't active.
--- a/internal/drill/traffic.go
+++ b/internal/drill/traffic.go
@@ -117,3 +117,37 @@
 		return
 	}
 }
+
+// newCrashing returns a request of a random client to a random plain service, which crashes the targets
+// that run it; nil if the deployment has no plain service.
+func (t *traffic) newCrashing(r *rand.Rand, name string) *call {
+	var kinds []*deployment.Kind
+	for i := range t.fleet.deployment.Kinds {
+		if k := &t.fleet.deployment.Kinds[i]; k.Events.Mean == 0 {
+			kinds = append(kinds, k)
+		}
+	}
+	if len(kinds) == 0 {
+		return nil
+	}
+	g := t.fleet.deployment.Callers[r.IntN(len(t.fleet.deployment.Callers))]
+	c := newCall(t.clients[g.Domain][r.IntN(len(t.clients[g.Domain]))], kinds[r.IntN(len(kinds))])
+	_, prefix := t.fleet.platform.Address(c.kind.Name)
+	c.path = prefix + name
+	return c
+}
+
+// repeat sends the same request as a random client of the same account.
+func (t *traffic) repeat(ctx context.Context, r *rand.Rand, same *call) {
+	var clients []*client
+	for _, g := range t.fleet.deployment.Callers {
+		for _, c := range t.clients[g.Domain] {
+			if c.account == same.client.account {
+				clients = append(clients, c)
+			}
+		}
+	}
+	c := newCall(clients[r.IntN(len(clients))], same.kind)
+	c.path, c.body = same.path, same.body
+	t.wait.Go(func() { c.run(ctx) })
+}
--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -139,6 +139,12 @@
 
 // sync is a host's regular exchange with both hubs.
 func (f *simFleet) sync(h *simHost) {
+	f.exchange(h)
+	f.after(f.between(80*ms, 160*ms), func() { f.sync(h) })
+}
+
+// exchange exchanges evidence between a host and both hubs.
+func (f *simFleet) exchange(h *simHost) {
 	for _, hub := range f.hosts[:simHubs] {
 		if hub == h || f.lost(h, hub) {
 			continue
@@ -150,7 +156,6 @@
 		h.tracker.Merge(f.now, got)
 		h.got[hub.id] = next
 	}
-	f.after(f.between(80*ms, 160*ms), func() { f.sync(h) })
 }
 
 // send plays one request.
