Quarantine: hosts take turns on probation by rank, not by the order of crashes

Where that host was gone, 300 hosts began within 30 s, and several sent before the first crash was known. The turns follow now from the list of hosts by rendezvous hashing, 30 s each, whichever host saw which crash.

--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -154,6 +154,7 @@
 		drain: draining.New(n.Grace - exitMargin(n.Grace)),
 	}
 	p.quarantine = quarantine.New(n.Name, p.onQuarantineChange)
+	p.quarantine.Hosts = func() []string { return p.members.Names() }
 	p.crashes, p.heldChanged = &edge.CrashGuard{Tracker: p.quarantine}, make(chan struct{}, 1)
 	p.eras = storeera.New(log)
 	p.store = &countedStore{Store: adapter.NewStore(n.StoreAddress), count: func(call, result string) { p.metrics.ObserveStoreCall(call, result) }, observeEra: p.eras.Observe}
--- a/internal/quarantine/decide_test.go
+++ b/internal/quarantine/decide_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"corianderhitch/internal/rendezvous"
 )
 
 // epoch is the instant at which the scenarios begin.
@@ -378,31 +380,38 @@
 }
 
 // All hosts let a request through when a hold ended: each crashed a target.
-func TestOneHostEndsProbation(t *testing.T) {
+func TestHostsTakeTurnsOnProbation(t *testing.T) {
 	t.Parallel()
-	var hosts []*Tracker
+	var names []string
 	for i := range 50 {
-		hosts = append(hosts, New(fmt.Sprint("host-", i), nil))
+		names = append(names, fmt.Sprint("host-", i))
+	}
+	hosts := make(map[string]*Tracker)
+	for _, name := range names {
+		hosts[name] = New(name, nil)
+		hosts[name].Hosts = func() []string { return names }
 	}
-	last := holdPart(t, hosts[7])
-	e, _ := hosts[7].Since(last, 0)
+	last := holdPart(t, hosts["host-7"])
+	e, _ := hosts["host-7"].Since(last, 0)
 	for _, h := range hosts {
 		h.Merge(last, e)
 	}
-	g := keysOf([]string{"g"})
-	for at := last; at < last+firstHoldTime+probationDelay; at += time.Second {
-		for i, h := range hosts {
-			if admitted := h.Admit(at, g) == nil; admitted {
-				require.Equal(t, 7, i)
-				require.GreaterOrEqual(t, at, last+firstHoldTime)
+	key, over := Part("g"), last+firstHoldTime
+	ranked := rendezvous.Ranked(key.String(), names)
+	admitted := make(map[string]Instant)
+	for at := last; at < over+probationTurns*probationTurn; at += time.Second {
+		for name, h := range hosts {
+			if admitted[name] == 0 && h.Admit(at, []Key{key}) == nil {
+				admitted[name] = at
 			}
 		}
 	}
-	admitted := 0 // the host may be gone
-	for _, h := range hosts[8:] {
-		if h.Admit(last+firstHoldTime+probationDelay+probationSpread, g) == nil {
-			admitted++
-		}
+	require.Len(t, admitted, probationTurns, "the others are not needed")
+	for turn, name := range ranked[:probationTurns] {
+		require.GreaterOrEqual(t, admitted[name], over+time.Duration(turn)*probationTurn)
+		require.Less(t, admitted[name], over+time.Duration(turn)*probationTurn+time.Second)
+	}
+	for _, name := range ranked[probationTurns:] {
+		require.Nil(t, hosts[name].Admit(over+probationTurns*probationTurn+probationSpread, []Key{key}), "all other hosts may be gone")
 	}
-	require.Equal(t, len(hosts[8:]), admitted)
 }
--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -106,9 +106,18 @@
 	return f
 }
 
+func (f *simFleet) names() []string {
+	names := make([]string, len(f.hosts))
+	for i, h := range f.hosts {
+		names[i] = h.name
+	}
+	return names
+}
+
 // restart replaces the tracker of a host by one that knows nothing.
 func (f *simFleet) restart(h *simHost) {
 	h.tracker = New(h.name, nil)
+	h.tracker.Hosts = f.names
 	h.id = f.rng.Int()
 	h.sent, h.got = make(map[int]uint64), make(map[int]uint64)
 }
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"corianderhitch/internal/rendezvous"
 )
 
 const (
@@ -21,17 +23,23 @@
 	maxShared = 4096
 	// maxTold bounds the keys of which other hosts told that they hold them back.
 	maxTold = 256
-	// probationDelay is how long after a hold other hosts than the one that saw the last crash
-	// let a key through, and probationSpread over which time they begin. Each lets one request
-	// through at a time, so that as a rule one request ends the probation.
-	probationDelay  = 30 * time.Second
-	probationSpread = 30 * time.Second
+	// probationTurn is how long a host may be the only one that lets a key on probation through:
+	// it may be gone, or get no such request. After probationTurns hosts, each begins at an instant
+	// of its own within probationSpread. Each lets one request through at a time, so that as a rule
+	// one request ends the probation.
+	probationTurn   = 30 * time.Second
+	probationTurns  = 4
+	probationSpread = time.Minute
 	// trialTimeout is how long a host waits for the outcome of a request on probation.
 	trialTimeout = 10 * time.Second
 )
 
 // Tracker holds the evidence that a host has and has heard of. It is safe for concurrent use.
 type Tracker struct {
+	// Hosts returns the names of all hosts that share their evidence, none if they are not known yet;
+	// nil for a host that decides alone. It is set before the first use.
+	Hosts func() []string
+
 	host     string
 	onChange func(Change)
 
@@ -380,11 +388,20 @@
 
 // probationBegins returns from when on this host lets single requests with a key through.
 func (t *Tracker) probationBegins(h *Hold) Instant {
-	if h.Crashes[len(h.Crashes)-1].Host == t.host {
+	if t.Hosts == nil {
 		return h.Until
 	}
-	share := float64(xxhash.Sum64String(t.host+" "+h.Key.String())>>11) / (1 << 53)
-	return h.Until + probationDelay + time.Duration(share*float64(probationSpread))
+	// The turns don't follow from the crashes, whose order differs between hosts.
+	turn := probationTurns
+	if hosts := t.Hosts(); len(hosts) > 0 {
+		turn = min(rendezvous.Rank(h.Key.String(), t.host, hosts), probationTurns)
+	}
+	begins := h.Until + time.Duration(turn)*probationTurn
+	if turn == probationTurns {
+		share := float64(xxhash.Sum64String(t.host+" "+h.Key.String())>>11) / (1 << 53)
+		begins += time.Duration(share * float64(probationSpread))
+	}
+	return begins
 }
 
 // RetryAfter returns after which time a caller of a held request may come again.
