Quarantine: a request that has not survived is held back after three ends at one moment

Three ends within 250 ms counted as one moment and two were asked for, so that the next round came: two to six sends when the hosts heard of it, then those of the probation. Three later sends are allowed.

A request that has never survived and was at three targets when they ended is not there by chance; moments protect parts of prompts, which everyone may share, and requests that have survived. Survivals of whole requests are therefore remembered before any crash, apart from those of parts.

--- a/internal/quarantine/decide.go
+++ b/internal/quarantine/decide.go
@@ -18,9 +18,10 @@
 	settleTime    = 1500 * time.Millisecond
 	// survivalMemory is how long a survival counts as recent.
 	survivalMemory = 10 * time.Minute
-	// partMoments and requestMoments are at how many different moments the crashes must have
-	// happened, so that a failure domain that ends at once counts once. momentLength is
-	// how long a moment lasts.
+	// partMoments is at how many different moments the crashes must have happened, so that a
+	// failure domain that ends at once counts once. A request that has not survived lately was on
+	// its targets by itself, so that one moment suffices; one that has needs requestMoments.
+	// momentLength is how long a moment lasts.
 	partMoments    = 3
 	requestMoments = 2
 	momentLength   = 250 * time.Millisecond
@@ -164,7 +165,10 @@
 func (s *suspect) required() (crashes, moments int) {
 	crashes, moments = partCrashes, partMoments
 	if s.key.Kind == KindRequest {
-		crashes, moments = requestCrashes, requestMoments
+		crashes, moments = requestCrashes, 1
+		if s.survived {
+			moments = requestMoments
+		}
 	}
 	if s.survived {
 		crashes += survivedExtra
--- a/internal/quarantine/decide_test.go
+++ b/internal/quarantine/decide_test.go
@@ -415,3 +415,31 @@
 		require.Nil(t, hosts[name].Admit(over+probationTurns*probationTurn+probationSpread, []Key{key}), "all other hosts may be gone")
 	}
 }
+
+func TestRequestsThatCrashAllTargetsAtOneMoment(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		survivedBefore bool
+		targets        []string
+		held           bool
+	}{
+		"two targets":                       {targets: []string{"a", "b"}},
+		"three targets":                     {targets: []string{"a", "b", "c"}, held: true},
+		"three targets of a sound request":  {survivedBefore: true, targets: []string{"a", "b", "c"}},
+		"a whole domain of a sound request": {survivedBefore: true, targets: []string{"a", "b", "c", "d", "e"}},
+		"one target that fails three times": {targets: []string{"a", "a", "a"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			tracker, key := New("host", nil), Request("GET", "/check")
+			if c.survivedBefore {
+				tracker.ReportSurvival(epoch-time.Minute, epoch-time.Minute, epoch-time.Minute, "a", []Key{key})
+			}
+			for i, target := range c.targets {
+				at := epoch + time.Duration(i)*20*ms
+				tracker.ReportFailure(at, at, target, []Key{key})
+			}
+			require.Equal(t, c.held, tracker.Check(epoch+2*settleTime, []Key{key}) != nil)
+		})
+	}
+}
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -90,7 +90,7 @@
 	}
 	for _, s := range e.Survivals {
 		at := now - max(s.Age, 0)
-		t.seen.add(s.Key, at) // a failure that it matters for may arrive later
+		t.seenOf(s.Key).add(s.Key, at) // a failure that it matters for may arrive later
 		changed = t.share(now, s.Key, at, s.Released) || changed
 	}
 	changes := t.decide(now, changed, false)
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -48,7 +48,8 @@
 	known    map[string]bool         // guarded by mu; identities of failures
 	suspects map[Key]int             // guarded by mu; number of failures by key, targets' keys included
 	shared   map[Key]*sharedSurvival // guarded by mu; survivals that matter for failures
-	seen     survivals               // guarded by mu; survivals that this host saw
+	seen     survivals               // guarded by mu; survivals that this host saw of parts and targets
+	requests survivals               // guarded by mu; the same of whole requests
 	held     map[Key]*Hold           // guarded by mu; result of decide
 	told     map[Key]Instant         // guarded by mu; when another host told that it holds a key back
 	trials   map[Key]Instant         // guarded by mu; when this host last let a key on probation through
@@ -121,9 +122,6 @@
 	t.mu.Lock()
 	matters := t.addSurvival(now, targetKey(incarnation), sentAt)
 	for _, key := range keys {
-		if key.Kind == KindRequest && len(t.failures) == 0 {
-			continue // each request has another one
-		}
 		if hold := t.held[key]; hold != nil && began >= hold.Until {
 			t.clearWithCrashes(now, hold, false) // the cause is gone
 			matters = true
@@ -158,12 +156,19 @@
 
 // addSurvival remembers a survival and shares it if it matters. Callers hold t.mu.
 func (t *Tracker) addSurvival(now Instant, key Key, at Instant) bool {
-	if key.Kind != KindRequest || t.suspects[key] > 0 {
-		t.seen.add(key, at)
-	}
+	t.seenOf(key).add(key, at)
 	return t.share(now, key, at, false)
 }
 
+// seenOf returns the survivals in which a key is remembered. Most requests are not repeated and must
+// not displace parts of prompts. Callers hold t.mu.
+func (t *Tracker) seenOf(key Key) *survivals {
+	if key.Kind == KindRequest {
+		return &t.requests
+	}
+	return &t.seen
+}
+
 // has reports whether the failure counts against a key or its target is the key.
 func (f *failure) has(key Key) bool {
 	if key.Kind == KindTarget {
@@ -236,7 +241,7 @@
 	t.prune(now)
 	// This host may have seen the keys survive when nobody suspected them.
 	for _, key := range f.allKeys() {
-		if at, ok := t.seen.get(key); ok && at > now-survivalMemory {
+		if at, ok := t.seenOf(key).get(key); ok && at > now-survivalMemory {
 			t.share(now, key, at, false)
 		}
 	}
