--- a/Makefile
+++ b/Makefile
@@ -70,6 +70,7 @@
 	$(GO) test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZ_COUNT) -fuzzminimizetime 1x ./internal/document
 	$(GO) test -run '^$$' -fuzz FuzzResumeToken -fuzztime $(FUZZ_COUNT) -fuzzminimizetime 1x ./internal/resumetoken
 	$(GO) test -run '^$$' -fuzz FuzzRequestDecoder -fuzztime $(FUZZ_COUNT) -fuzzminimizetime 1x ./internal/gateway/api
+	$(GO) test -run '^$$' -fuzz FuzzDecodeTarget -fuzztime $(FUZZ_COUNT) -fuzzminimizetime 1x ./platform
 	$(GO) test -run '^$$' -fuzz FuzzTargetNotice -fuzztime $(FUZZ_COUNT) -fuzzminimizetime 1x ./platform
 	$(GO) test -run '^$$' -fuzz FuzzReadHead -fuzztime $(FUZZ_COUNT) -fuzzminimizetime 1x ./internal/edge/targetconn
 
