Peers: an entry that no host can have written names no host

An entry of another writer under the hosts' prefix with 1e300 processors became a hub, and one without an address counted where budgets and limits are divided by the number of hosts. relay.DecodeHost checks addresses, the name and the ranges; entries of older builds (no Forward) and newer ones (unknown fields) pass.

--- a/internal/edge/peers/members.go
+++ b/internal/edge/peers/members.go
@@ -305,9 +305,9 @@
 func (m *Members) updateHosts(entries []platform.Entry, revision platform.Revision) (changed bool) {
 	hosts := make(map[string]relay.Host, len(entries))
 	for _, e := range entries {
-		var h relay.Host
-		if err := json.Unmarshal(e.Value, &h); err != nil || h.Name != strings.TrimPrefix(e.Key, memberPrefix) {
-			m.log.Warn("peers: ignoring an invalid host entry", "key", e.Key, "revision", e.Revision)
+		h, err := relay.DecodeHost(strings.TrimPrefix(e.Key, memberPrefix), e.Value)
+		if err != nil {
+			m.log.Warn("peers: ignoring an invalid host entry", "key", e.Key, "revision", e.Revision, "error", err.Error())
 			continue
 		}
 		hosts[h.Name] = h
--- a/internal/edge/peers/members_test.go
+++ b/internal/edge/peers/members_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -29,7 +30,7 @@
 	if s.joins == 0 || now < s.joins {
 		return nil, 0, nil
 	}
-	return []platform.Entry{{Key: memberPrefix + "joined", Value: []byte(`{"Name":"joined"}`)}}, 0, nil
+	return []platform.Entry{{Key: memberPrefix + "joined", Value: []byte(`{"Name":"joined","Address":"127.0.0.1:9"}`)}}, 0, nil
 }
 
 // knowHosts makes the member list hold so many hosts, which the store does not list.
@@ -88,3 +89,29 @@
 		})
 	}
 }
+
+// LOST: an entry of another writer was chosen as a hub, and counted where budgets and limits are divided.
+func TestEntryOfAnotherWriterNamesNoHost(t *testing.T) {
+	for name, value := range map[string]string{
+		"no address":           `{"Name":"odd"}`,
+		"no port":              `{"Name":"odd","Address":"127.0.0.1:0"}`,
+		"port out of range":    `{"Name":"odd","Address":"127.0.0.1:70000"}`,
+		"another name":         `{"Name":"self","Address":"127.0.0.1:9"}`,
+		"processors":           `{"Name":"odd","Address":"127.0.0.1:9","CPUs":1e300,"Mbps":1000}`,
+		"negative bandwidth":   `{"Name":"odd","Address":"127.0.0.1:9","CPUs":1,"Mbps":-1}`,
+		"number beyond a type": `{"Name":"odd","Address":"127.0.0.1:9","CPUs":1e400}`,
+		"address of a helper":  `{"Name":"odd","Address":"127.0.0.1:9","Forward":"anywhere"}`,
+		"nested deeply":        strings.Repeat(`{"Name":`, 200_000),
+		"null":                 `null`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := NewMembers(logging.Discard(), nil, storeera.New(logging.Discard()), relay.Host{Name: "self", CPUs: 0.4, Mbps: 1000})
+			sound := platform.Entry{Key: memberPrefix + "sound", Value: []byte(`{"Name":"sound","Address":"127.0.0.1:9","CPUs":0.4,"Mbps":1000,"Forward":"127.0.0.1:10","New":1}`)}
+			m.updateHosts([]platform.Entry{{Key: memberPrefix + "odd", Value: []byte(value)}, sound}, 1)
+			require.ElementsMatch(t, []string{"self", "sound"}, m.Names())
+			for _, hub := range m.Hubs() {
+				require.NotEqual(t, "odd", hub.Name)
+			}
+		})
+	}
+}
