Quarantine: evidence that no host can have told is ignored

An entry of another writer under the key of the held evidence, or a faulty message, could clear what is held back (a survival with a negative or overflowing age was one of this moment), or blame targets' keys, which are never held back. Bounded ages, kinds, IDs and numbers of keys now. TestImpossibleEvidenceIsIgnored failed before in six of nine cases.

--- a/internal/quarantine/decide_test.go
+++ b/internal/quarantine/decide_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"math"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -443,3 +446,30 @@
 		})
 	}
 }
+
+// Evidence comes from other hosts and from the store, where others may write too.
+func TestImpossibleEvidenceIsIgnored(t *testing.T) {
+	t.Parallel()
+	g := keysOf([]string{"g"})
+	for name, e := range map[string]Evidence{
+		"a survival of the future":       {Survivals: []Survival{{Key: g[0], Age: math.MinInt64}}},
+		"a survival of any age":          {Survivals: []Survival{{Key: g[0], Age: math.MaxInt64}}},
+		"a survival of no kind":          {Survivals: []Survival{{Key: Key{Kind: 9, ID: "g"}}}},
+		"a long key":                     {Survivals: []Survival{{Key: Key{Kind: KindPart, ID: strings.Repeat("g", 1<<20)}}}},
+		"failures of the future":         {Failures: []Failure{{Incarnation: "t-9", Host: "h", Keys: g, Age: -time.Hour}}},
+		"a failure of any age":           {Failures: []Failure{{Incarnation: "t-9", Host: "h", Keys: g, Age: math.MaxInt64}}},
+		"a failure without a target":     {Failures: []Failure{{Host: "h", Keys: g}}},
+		"a failure under a target's key": {Failures: []Failure{{Incarnation: "t-9", Host: "h", Keys: []Key{targetKey("t-1")}}}},
+		"many keys":                      {Failures: []Failure{{Incarnation: "t-9", Host: "h", Keys: slices.Repeat(g, 10_000)}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			tracker := New("host", nil)
+			last := holdPart(t, tracker)
+			seq := tracker.Seq()
+			require.False(t, tracker.Merge(last+ms, e))
+			require.Equal(t, []string{"part:g"}, heldNames(tracker))
+			require.Equal(t, seq, tracker.Seq())
+		})
+	}
+}
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -77,19 +77,35 @@
 	return e, next
 }
 
-// Merge adds another host's evidence. It reports whether something was new to this host, so
-// that those which learn from it should hear of it.
+// valid reports whether a host can have told this. maxKeys is also what an older build keeps of a
+// failure's keys.
+func (f *Failure) valid() bool {
+	return f.Incarnation != "" && len(f.Keys) <= maxKeys && f.Age >= 0 && f.Age <= evidenceLifetime &&
+		!slices.ContainsFunc(f.Keys, func(key Key) bool { return !key.valid() || key.Kind == KindTarget })
+}
+
+// valid reports whether a host can have told this.
+func (s *Survival) valid() bool { return s.Key.valid() && s.Age >= 0 && s.Age <= evidenceLifetime }
+
+// Merge adds another host's evidence, without what no host can have told. It reports whether something
+// was new to this host, so that those which learn from it should hear of it.
 func (t *Tracker) Merge(now Instant, e Evidence) bool {
 	if e.Empty() {
 		return false
 	}
 	t.mu.Lock()
 	changed := false
-	for _, f := range e.Failures {
-		changed = t.addFailure(now, &failure{Crash: Crash{Incarnation: f.Incarnation, Host: f.Host, At: now - max(f.Age, 0)}, keys: f.Keys}) || changed
+	for i := range e.Failures {
+		if f := &e.Failures[i]; f.valid() {
+			changed = t.addFailure(now, &failure{Crash: Crash{Incarnation: f.Incarnation, Host: f.Host, At: now - f.Age}, keys: f.Keys}) || changed
+		}
 	}
-	for _, s := range e.Survivals {
-		at := now - max(s.Age, 0)
+	for i := range e.Survivals {
+		s := &e.Survivals[i]
+		if !s.valid() {
+			continue
+		}
+		at := now - s.Age
 		t.seenOf(s.Key).add(s.Key, at) // a failure that it matters for may arrive later
 		changed = t.share(now, s.Key, at, s.Released) || changed
 	}
--- a/internal/quarantine/key.go
+++ b/internal/quarantine/key.go
@@ -57,6 +57,12 @@
 	return Key{kind, id}
 }
 
+// valid reports whether the key is one that this package makes. An older or newer build may know others.
+func (k Key) valid() bool {
+	_, known := kindNames[k.Kind]
+	return known && k.ID != "" && len(k.ID) <= maxIDBytes
+}
+
 // String returns the key as operators read and write it, such as "part:4f1c".
 func (k Key) String() string { return kindNames[k.Kind] + ":" + k.ID }
 
