Connections to targets: an earlier answer that is written again is no answer to a later request

REFUSED: a target wrote an earlier rejection once more on a kept connection, before its true answer. Without an ID it was believed, so that callers were told 'not run' of what ran; so it was with the ID of the same request, when that was sent again to the target that had rejected it. A skipped answer paused its target again or lifted a limit.

A request is not sent again on a connection on which it failed. A skipped answer states only that its target leaves. The tests whose targets echo no ID but expect a kept connection echo it now.

--- a/internal/edge/forwarding/server_test.go
+++ b/internal/edge/forwarding/server_test.go
@@ -40,7 +40,7 @@
 	return g.verdict, func(bool) {}
 }
 
-func (g *gate) Observe(_, _ string, _ *targetconn.Request, status int, _ http.Header) bool {
+func (g *gate) Observe(_, _ string, _ *targetconn.Request, status int, _ http.Header, _ bool) bool {
 	g.observed = append(g.observed, status)
 	return false
 }
--- a/internal/edge/plain/hedge_test.go
+++ b/internal/edge/plain/hedge_test.go
@@ -31,7 +31,7 @@
 func (openGate) Admit(string, *targetconn.Request) (targetnotice.Verdict, func(bool)) {
 	return targetnotice.Allowed, func(bool) {}
 }
-func (openGate) Observe(string, string, *targetconn.Request, int, http.Header) bool {
+func (openGate) Observe(string, string, *targetconn.Request, int, http.Header, bool) bool {
 	return false
 }
 
--- a/internal/edge/sender_test.go
+++ b/internal/edge/sender_test.go
@@ -32,7 +32,9 @@
 	return targetnotice.Allowed, func(bool) {}
 }
 
-func (slowGate) Observe(string, string, *targetconn.Request, int, http.Header) bool { return false }
+func (slowGate) Observe(string, string, *targetconn.Request, int, http.Header, bool) bool {
+	return false
+}
 
 func TestTargetIsGivenTheTimeThatItsConnectionTook(t *testing.T) {
 	t.Parallel()
--- a/internal/edge/streaming/takeover_test.go
+++ b/internal/edge/streaming/takeover_test.go
@@ -78,7 +78,9 @@
 	return targetnotice.Allowed, func(bool) {}
 }
 
-func (openGate) Observe(string, string, *targetconn.Request, int, http.Header) bool { return false }
+func (openGate) Observe(string, string, *targetconn.Request, int, http.Header, bool) bool {
+	return false
+}
 
 // openSegment returns the segment of an engine that has sent its head, and counts its load.
 func openSegment(t *testing.T, s *Server, target *targets.Target) *segment {
--- a/internal/edge/targetconn/conn.go
+++ b/internal/edge/targetconn/conn.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"errors"
 	"net"
+	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
@@ -25,6 +27,8 @@
 	head        *headReader // source of reader
 	key         string      // under which the pool keeps the connection
 	usedAt      bootclock.Instant
+	served      bool          // the target has answered a request
+	failed      []string      // IDs of requests that were answered other than with success; the target may write such an answer again
 	idleTimeout time.Duration // how long the target keeps the connection open when idle
 }
 
@@ -56,6 +60,25 @@
 	return n, err
 }
 
+// maxFailedIDs bounds Conn.failed.
+const maxFailedIDs = 8
+
+// mayAnswerAgain reports whether an answer to the request may still come from an earlier send of it on
+// this connection.
+func (c *Conn) mayAnswerAgain(requestID string) bool { return slices.Contains(c.failed, requestID) }
+
+// noteAnswer records the answer to a request. It reports whether the connection may serve another one.
+func (c *Conn) noteAnswer(requestID, statedID string, status int) bool {
+	c.served = true
+	if requestID == "" {
+		return true
+	}
+	if status >= http.StatusBadRequest {
+		c.failed = append(c.failed, requestID)
+	}
+	return statedID != "" && len(c.failed) < maxFailedIDs
+}
+
 // fresh reports whether the connection has not been used before.
 func (c *Conn) fresh() bool { return c.usedAt == 0 }
 
--- a/internal/edge/targetconn/endless_test.go
+++ b/internal/edge/targetconn/endless_test.go
@@ -58,7 +58,7 @@
 		t.Run(name, func(t *testing.T) {
 			conn, written := playEndless(t, c.start, c.repeated)
 			observed := 0
-			_, err := newTestPool(&scriptedGate{}).readHead(conn, &Request{ID: "r-1", Method: http.MethodGet}, func(*http.Response) { observed++ })
+			_, err := newTestPool(&scriptedGate{}).readHead(conn, &Request{ID: "r-1", Method: http.MethodGet}, func(*http.Response, bool) { observed++ })
 			_ = conn.Close()
 			require.ErrorIs(t, err, ErrInvalidResponse)
 			require.LessOrEqual(t, <-written, maxHeadBytes+readBufferBytes)
@@ -71,7 +71,7 @@
 	interim := strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", maxInterim)
 	fill := maxHeadBytes - len(interim) - len("HTTP/1.1 200 OK\r\nA: \r\nContent-Length: 3\r\n\r\n")
 	conn, written := playEndless(t, interim+"HTTP/1.1 200 OK\r\nA: "+strings.Repeat("x", fill)+"\r\nContent-Length: 3\r\n\r\nabc", "")
-	head, err := newTestPool(&scriptedGate{}).readHead(conn, &Request{ID: "r-1", Method: http.MethodGet}, func(*http.Response) {})
+	head, err := newTestPool(&scriptedGate{}).readHead(conn, &Request{ID: "r-1", Method: http.MethodGet}, func(*http.Response, bool) {})
 	require.NoError(t, err)
 	body, err := io.ReadAll(head.Body)
 	require.NoError(t, err)
@@ -90,7 +90,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			conn, written := playEndless(t, c.start, c.repeated)
-			_, err := newTestPool(&scriptedGate{}).readHead(conn, &Request{ID: "r-1", Method: http.MethodGet}, func(*http.Response) {})
+			_, err := newTestPool(&scriptedGate{}).readHead(conn, &Request{ID: "r-1", Method: http.MethodGet}, func(*http.Response, bool) {})
 			_ = conn.Close()
 			require.ErrorIs(t, err, ErrInvalidResponse)
 			require.LessOrEqual(t, <-written, maxHeadBytes+maxSkippedBytes+2*readBufferBytes)
@@ -113,7 +113,7 @@
 	conn := newConn(ours, "t@1")
 	defer func() { _ = conn.Close() }()
 	startedAt := time.Now()
-	_, err := newTestPool(&scriptedGate{}).readHead(conn, &Request{ID: "r-1", Method: http.MethodGet}, func(*http.Response) {})
+	_, err := newTestPool(&scriptedGate{}).readHead(conn, &Request{ID: "r-1", Method: http.MethodGet}, func(*http.Response, bool) {})
 	require.ErrorIs(t, err, ErrInvalidResponse)
 	require.Less(t, time.Since(startedAt), 2*skipTimeout)
 }
@@ -132,7 +132,7 @@
 		source := &countingConn{Reader: bytes.NewReader(bytes.Repeat(played, enough/max(len(played), 1)+1))}
 		conn := newConn(source, "t@1")
 		observed := 0
-		_, err := newTestPool(&scriptedGate{}).readHead(conn, &Request{ID: "r-1", Method: http.MethodGet}, func(*http.Response) { observed++ })
+		_, err := newTestPool(&scriptedGate{}).readHead(conn, &Request{ID: "r-1", Method: http.MethodGet}, func(*http.Response, bool) { observed++ })
 		if err != nil && !errors.Is(err, ErrInvalidResponse) && !errors.Is(err, ErrBroken) {
 			t.Fatalf("error of unknown kind: %v", err)
 		}
@@ -170,7 +170,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			conn, written := playEndless(t, c.start, c.repeated)
-			head, err := newTestPool(&scriptedGate{}).readHead(conn, &Request{Method: http.MethodGet}, func(*http.Response) {})
+			head, err := newTestPool(&scriptedGate{}).readHead(conn, &Request{Method: http.MethodGet}, func(*http.Response, bool) {})
 			require.NoError(t, err)
 			response := &Response{length: head.ContentLength, body: head.Body, conn: conn}
 			reserved := int64(0)
@@ -197,7 +197,7 @@
 		}()
 		conn := newConn(ours, "t@1")
 		defer func() { _ = conn.Close() }()
-		head, err := newTestPool(&scriptedGate{}).readHead(conn, &Request{Method: http.MethodGet}, func(*http.Response) {})
+		head, err := newTestPool(&scriptedGate{}).readHead(conn, &Request{Method: http.MethodGet}, func(*http.Response, bool) {})
 		require.NoError(t, err)
 		response := &Response{length: head.ContentLength, body: head.Body, conn: conn}
 		body, err := response.ReadAllReserved(limit, small, func(int64) error { return nil })
@@ -243,7 +243,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			conn, written := playEndless(t, c.start, c.repeated)
-			head, err := newTestPool(&scriptedGate{}).readHead(conn, &Request{Method: http.MethodGet}, func(*http.Response) {})
+			head, err := newTestPool(&scriptedGate{}).readHead(conn, &Request{Method: http.MethodGet}, func(*http.Response, bool) {})
 			require.NoError(t, err)
 			_, err = (&Response{length: head.ContentLength, body: head.Body, conn: conn}).ReadAll(1 << 20)
 			_ = conn.Close()
--- a/internal/edge/targetconn/gate.go
+++ b/internal/edge/targetconn/gate.go
@@ -15,7 +15,8 @@
 	// allowed, ended must be called when its answer has been observed or the send has failed.
 	Admit(incarnation string, r *Request) (v targetnotice.Verdict, ended func(answered bool))
 	// Observe is called with the head of each response that arrives from the address on a
-	// connection to the incarnation. It reports whether the response states that the target
+	// connection to the incarnation; repeated states that it does not belong to the request, so that
+	// it may be an earlier one once more. It reports whether the response states that the target
 	// leaves.
-	Observe(incarnation, address string, r *Request, status int, h http.Header) (leaving bool)
+	Observe(incarnation, address string, r *Request, status int, h http.Header, repeated bool) (leaving bool)
 }
--- a/internal/edge/targetconn/pool.go
+++ b/internal/edge/targetconn/pool.go
@@ -149,10 +149,10 @@
 	acknowledged := p.awaitAcknowledgment(helper)
 	var head *http.Response
 	if err == nil {
-		head, err = p.readHead(conn, req, func(h *http.Response) {
+		head, err = p.readHead(conn, req, func(h *http.Response, repeated bool) {
 			acknowledged()
 			if direct || fromTarget(h, &outcome) {
-				leaving = p.gate.Observe(incarnation, address, req, h.StatusCode, h.Header) || leaving
+				leaving = p.gate.Observe(incarnation, address, req, h.StatusCode, h.Header, repeated) || leaving
 			}
 		})
 	}
@@ -172,7 +172,8 @@
 	}
 	r := p.newResponse(conn, req, head)
 	r.detach, r.written, r.direct = detach, written, direct
-	r.reusable = !head.Close && !(leaving && direct && isCallersRequest(req))
+	r.reusable = !head.Close && !(leaving && direct && isCallersRequest(req)) &&
+		(!direct || conn.noteAnswer(req.ID, p.requestID(head.Header), head.StatusCode))
 	return r, outcome, nil
 }
 
@@ -201,9 +202,9 @@
 // connect returns a connection to the target, or to the helper.
 func (p *Pool) connect(ctx context.Context, incarnation, address string, req *Request, w way) (*Conn, error) {
 	if w.helper != "" {
-		return p.get(ctx, helperPrefix+w.helper, w.helper)
+		return p.get(ctx, helperPrefix+w.helper, w.helper, "")
 	}
-	conn, err := p.get(ctx, connKey(incarnation, req), address)
+	conn, err := p.get(ctx, connKey(incarnation, req), address, req.ID)
 	if err == nil && w.uncertain && conn.fresh() {
 		err = awaitReset(ctx, conn, address)
 	}
@@ -297,30 +298,44 @@
 	return req.Use == targetnotice.Request || req.Use == targetnotice.ForwardedRequest || req.Use == targetnotice.Continuation
 }
 
-// readHead reads response heads until one belongs to the request. It passes each to observe.
-func (p *Pool) readHead(conn *Conn, req *Request, observe func(*http.Response)) (*http.Response, error) {
+// readHead reads response heads until one belongs to the request. It passes each to observe. Targets
+// state the request's ID; one that doesn't is believed unless the connection has served other requests,
+// of which the response may be one: then another must follow within skipTimeout.
+func (p *Pool) readHead(conn *Conn, req *Request, observe func(h *http.Response, repeated bool)) (*http.Response, error) {
 	conn.head.left = maxHeadBytes
-	skipped, interim := 0, 0
+	skipped, interims := 0, 0
+	always := func() bool { return true }
+	inTime := always
 	for {
 		conn.head.reading = true
 		head, err := http.ReadResponse(conn.reader, &http.Request{Method: req.Method})
 		conn.head.reading = false
+		if !inTime() {
+			return nil, eris.Wrapf(ErrInvalidResponse, "a response without a request ID, and none with one within %v", skipTimeout)
+		}
+		inTime = always
 		if err != nil {
 			return nil, classifyReadError(err)
 		}
-		observe(head)
-		if head.StatusCode < http.StatusOK {
-			if interim++; interim > maxInterim || !isInterim(head.StatusCode) {
-				return nil, eris.Wrapf(ErrInvalidResponse, "%d interim responses, the last with status %d", interim, head.StatusCode)
+		id := p.requestID(head.Header)
+		interim := head.StatusCode < http.StatusOK
+		belongs := req.ID == "" || id == req.ID || id == "" && (interim || !conn.served)
+		observe(head, !belongs)
+		if interim {
+			if interims++; interims > maxInterim || !isInterim(head.StatusCode) {
+				return nil, eris.Wrapf(ErrInvalidResponse, "%d interim responses, the last with status %d", interims, head.StatusCode)
 			}
 			continue
 		}
-		if id := p.requestID(head.Header); req.ID == "" || id == "" || id == req.ID {
+		if belongs {
 			return head, nil
 		}
 		if skipped++; skipped > maxMismatched || !skipBody(conn, head) {
 			return nil, eris.Wrap(ErrInvalidResponse, "responses to other requests")
 		}
+		if id == "" { // perhaps the only response that comes
+			inTime = conn.endReadsAfter(skipTimeout)
+		}
 	}
 }
 
@@ -357,14 +372,15 @@
 	return eris.Wrap(ErrInvalidResponse, err.Error())
 }
 
-// get returns a healthy idle connection or a new one.
-func (p *Pool) get(ctx context.Context, key, address string) (*Conn, error) {
+// get returns a healthy idle connection or a new one. A request is not sent again on a connection on
+// which it failed: the answer to it there could not be told from the earlier one.
+func (p *Pool) get(ctx context.Context, key, address, requestID string) (*Conn, error) {
 	for {
 		conn := p.takeIdle(key)
 		if conn == nil {
 			return p.dial(ctx, key, address)
 		}
-		if conn.healthy() {
+		if conn.healthy() && !(requestID != "" && conn.mayAnswerAgain(requestID)) {
 			return conn, nil
 		}
 		_ = conn.Close()
--- a/internal/edge/targetconn/pool_test.go
+++ b/internal/edge/targetconn/pool_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -39,7 +40,7 @@
 	}
 }
 
-func (g *scriptedGate) Observe(_, _ string, _ *Request, status int, h http.Header) bool {
+func (g *scriptedGate) Observe(_, _ string, _ *Request, status int, h http.Header, _ bool) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.observed = append(g.observed, status)
@@ -178,8 +179,8 @@
 		answer string
 		want   int
 	}{
-		{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 1},
-		{"HTTP/1.1 200 OK\r\n" + leavingHeader + ": 1\r\nContent-Length: 0\r\n\r\n", 2},
+		{"HTTP/1.1 200 OK\r\nId: r-1\r\nContent-Length: 0\r\n\r\n", 1},
+		{"HTTP/1.1 200 OK\r\nId: r-1\r\n" + leavingHeader + ": 1\r\nContent-Length: 0\r\n\r\n", 2},
 	} {
 		target := startRawTarget(t, c.answer)
 		pool := newTestPool(&scriptedGate{})
@@ -244,3 +245,81 @@
 		require.Greater(t, idle, maxConnections/5, "%d hosts: connections must be reused", hosts)
 	}
 }
+
+// startScriptedTarget starts a target that answers the n-th request of all connections with the n-th text, the later ones with the last.
+func startScriptedTarget(t *testing.T, answers ...string) *rawTarget {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	target := &rawTarget{listener: listener}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			target.count(&target.connections)
+			go func() {
+				defer func() { _ = conn.Close() }()
+				reader := bufio.NewReader(conn)
+				for {
+					if _, err := http.ReadRequest(reader); err != nil {
+						return
+					}
+					target.count(&target.requests)
+					_, n := target.counts()
+					_, _ = io.WriteString(conn, answers[min(n, len(answers))-1])
+				}
+			}()
+		}
+	}()
+	return target
+}
+
+func TestAnswersThatBelongToNoOrAnotherRequest(t *testing.T) {
+	answer := func(status int, id string) string {
+		head := "HTTP/1.1 " + strconv.Itoa(status) + " X\r\nContent-Length: 0\r\n"
+		if id != "" {
+			head += idHeader + ": " + id + "\r\n"
+		}
+		return head + "\r\n"
+	}
+	for name, c := range map[string]struct {
+		requests    []string // IDs, one after the other
+		answers     []string
+		statuses    []int
+		connections int
+	}{
+		"IDs are echoed": {[]string{"a", "b"}, []string{answer(200, "a"), answer(200, "b")}, []int{200, 200}, 1},
+		"stale, of the earlier request": {
+			[]string{"a", "b"}, []string{answer(503, "a"), answer(503, "a") + answer(200, "b")}, []int{503, 200}, 1,
+		},
+		"stale, of the same request that is sent again": {
+			[]string{"a", "a"}, []string{answer(503, "a"), answer(200, "a")}, []int{503, 200}, 2,
+		},
+		"stale, of the same request that is sent again later": {
+			[]string{"a", "b", "a"}, []string{answer(503, "a"), answer(200, "b"), answer(200, "a")}, []int{503, 200, 200}, 2,
+		},
+		"without an ID on a kept connection": {
+			[]string{"a", "b", "c"}, []string{answer(200, "a"), answer(503, "") + answer(200, "b"), answer(200, "c")}, []int{200, 200, 200}, 1,
+		},
+		"a target without IDs": {
+			[]string{"a", "b", "c"}, []string{answer(200, ""), answer(503, ""), answer(200, "")}, []int{200, 503, 200}, 3,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			target := startScriptedTarget(t, c.answers...)
+			p := newTestPool(&scriptedGate{})
+			var statuses []int
+			for _, id := range c.requests {
+				response, err := p.Do(t.Context(), "a@1", target.listener.Addr().String(), &Request{ID: id, Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{}})
+				require.NoError(t, err)
+				statuses = append(statuses, response.Status)
+				response.Discard()
+			}
+			connections, _ := target.counts()
+			require.Equal(t, c.statuses, statuses)
+			require.Equal(t, c.connections, connections)
+		})
+	}
+}
--- a/internal/edge/targetgate/gate.go
+++ b/internal/edge/targetgate/gate.go
@@ -98,9 +98,16 @@
 	return v
 }
 
-// Observe implements targetconn.Gate.
-func (g *Gate) Observe(incarnation, address string, r *targetconn.Request, status int, h http.Header) (leaving bool) {
+// Observe implements targetconn.Gate. What an answer states that may be an earlier one once more could
+// have ended since, but for a target's leaving.
+func (g *Gate) Observe(incarnation, address string, r *targetconn.Request, status int, h http.Header, repeated bool) (leaving bool) {
 	n := g.Wire.TargetNotice(status, h)
+	if repeated {
+		if n.Leaving && status != http.StatusMisdirectedRequest {
+			g.observeLeaving(incarnation, r.ID, slog.Group("answer", "path", r.URI, "status", status))
+		}
+		return n.Leaving
+	}
 	limited, brittle := g.Notices.AnyLimited(), g.Notices.AnyBrittle()
 	// What all answers of a target state has ended with the first answer without it.
 	whole := (limited || brittle) && status >= http.StatusOK && n.Malformed == "" && (r.ID == "" || g.Wire.Signed(h) || g.Wire.NotExecuted(status, h))
--- a/internal/edge/targetgate/gate_test.go
+++ b/internal/edge/targetgate/gate_test.go
@@ -77,7 +77,7 @@
 	g, counted, log, leaving := newGate()
 	before := request()
 	for range 3 {
-		require.True(t, g.Observe("a@1", address, before, http.StatusOK, http.Header{"Leaving": {"1"}}))
+		require.True(t, g.Observe("a@1", address, before, http.StatusOK, http.Header{"Leaving": {"1"}}, false))
 	}
 	require.Equal(t, []string{"a@1 answer"}, *leaving)
 	require.Equal(t, 1, strings.Count(log.String(), "\n"))
@@ -92,18 +92,18 @@
 // it was sent to.
 func TestMisdirectedAnswerIsFromTheOtherTarget(t *testing.T) {
 	g, _, _, leaving := newGate()
-	g.Observe("a@1", address, request(), http.StatusMisdirectedRequest, http.Header{"Leaving": {"1"}})
+	g.Observe("a@1", address, request(), http.StatusMisdirectedRequest, http.Header{"Leaving": {"1"}}, false)
 	require.Equal(t, []string{"b@1 answer"}, *leaving)
 	require.Equal(t, targetnotice.Allowed, admit(g, "a@1", request()))
 	require.Equal(t, targetnotice.Leaving, admit(g, "b@1", request()))
-	g.Observe("c@1", "127.0.0.1:9", request(), http.StatusMisdirectedRequest, http.Header{"Leaving": {"1"}})
+	g.Observe("c@1", "127.0.0.1:9", request(), http.StatusMisdirectedRequest, http.Header{"Leaving": {"1"}}, false)
 	require.Equal(t, targetnotice.Allowed, admit(g, "c@1", request()))
 }
 
 func TestPauseIsLoggedOnce(t *testing.T) {
 	g, counted, log, leaving := newGate()
 	for range 3 {
-		require.False(t, g.Observe("a@1", address, request(), http.StatusServiceUnavailable, http.Header{"Pause": {"1"}}))
+		require.False(t, g.Observe("a@1", address, request(), http.StatusServiceUnavailable, http.Header{"Pause": {"1"}}, false))
 	}
 	require.Empty(t, *leaving)
 	require.Equal(t, 1, strings.Count(log.String(), "\n"))
@@ -132,8 +132,8 @@
 			g.Notices.ObserveRoom("a@1", before, false, 0)
 			answered := request()
 			answered.Use = c.use
-			g.Observe("a@1", address, answered, http.StatusOK, brittle)
-			g.Observe("a@1", address, request(), http.StatusServiceUnavailable, brittle)
+			g.Observe("a@1", address, answered, http.StatusOK, brittle, false)
+			g.Observe("a@1", address, request(), http.StatusServiceUnavailable, brittle, false)
 			left := g.Notices.FullLeft("a@1", bootclock.Now())
 			require.InDelta(t, 1.25*c.next.Seconds(), left.Seconds(), 0.26*c.next.Seconds())
 		})
@@ -171,14 +171,14 @@
 
 func TestRunsGoOnWhileTheirTargetLeaves(t *testing.T) {
 	g, _, _, _ := newGate()
-	g.Observe("a@1", address, request(), http.StatusOK, http.Header{"Leaving": {"1"}})
+	g.Observe("a@1", address, request(), http.StatusOK, http.Header{"Leaving": {"1"}}, false)
 	move := &targetconn.Request{Use: targetnotice.Control, CopyTo: "b@1"}
 	require.Equal(t, targetnotice.Allowed, admit(g, "a@1", move), "a run moves off")
 	require.Equal(t, targetnotice.Allowed, admit(g, "a@1", &targetconn.Request{Use: targetnotice.Control}))
 	require.Equal(t, targetnotice.Leaving, admit(g, "a@1", &targetconn.Request{Use: targetnotice.Probe}))
 	move.CopyTo = "a@1"
 	require.Equal(t, targetnotice.Leaving, admit(g, "b@1", move), "no run is copied to a leaving target")
-	g.Observe("b@1", address, request(), http.StatusServiceUnavailable, http.Header{"Pause": {"1"}})
+	g.Observe("b@1", address, request(), http.StatusServiceUnavailable, http.Header{"Pause": {"1"}}, false)
 	move.CopyTo = "b@1"
 	require.Equal(t, targetnotice.Paused, admit(g, "a@1", move))
 }
@@ -186,9 +186,22 @@
 func TestMalformedHeadersAreLoggedRarely(t *testing.T) {
 	g, counted, log, _ := newGate()
 	for range 1000 {
-		g.Observe("a@1", address, request(), http.StatusOK, http.Header{"Malformed": {"x"}})
+		g.Observe("a@1", address, request(), http.StatusOK, http.Header{"Malformed": {"x"}}, false)
 	}
 	require.Equal(t, 1, strings.Count(log.String(), "\n"))
 	require.Equal(t, counts{"notice malformed": 1000}, counted)
 	require.Equal(t, targetnotice.Allowed, admit(g, "a@1", request()))
 }
+
+// A target that wrote an earlier answer once more got no requests for the time of the pause again, or more than
+// the limit that it still names.
+func TestRepeatedAnswerStatesOnlyThatItsTargetLeaves(t *testing.T) {
+	g, _, _, _ := newGate()
+	refused := http.Header{"Pause": {"1"}}
+	g.Observe("a@1", address, request(), http.StatusServiceUnavailable, refused, true)
+	require.Equal(t, targetnotice.Allowed, g.Check("a@1", request()))
+	g.Observe("a@1", address, request(), http.StatusServiceUnavailable, refused, false)
+	require.NotEqual(t, targetnotice.Allowed, g.Check("a@1", request()))
+	require.True(t, g.Observe("b@1", address, request(), http.StatusOK, http.Header{"Leaving": {"1"}}, true))
+	require.NotEqual(t, targetnotice.Allowed, g.Check("b@1", request()))
+}
