Quarantine: connections that are reset at once are doubtful evidence

A connection reset within 20 ms of its opening says as much about the way as about the target: such failures count, but need two moments, as all did before. Other hosts' certain reports of the same end make them certain. Older builds ignore the new field and ask for two moments.

--- a/internal/edge/crashguard.go
+++ b/internal/edge/crashguard.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"corianderhitch/internal/edge/bootclock"
+	"corianderhitch/internal/edge/targetconn"
 	"corianderhitch/internal/quarantine"
 )
 
@@ -91,13 +92,16 @@
 }
 
 // ReportFailure records that the answer to a call ended, or did not begin, although its
-// target had to give it: the target may have crashed under the call.
-func (g *CrashGuard) ReportFailure(a *AuthorizedCall, incarnation string) {
+// target had to give it: the target may have crashed under the call. err is why, nil for silence.
+func (g *CrashGuard) ReportFailure(a *AuthorizedCall, incarnation string, err error) {
 	if g == nil {
 		return
 	}
-	now := instant(bootclock.Now())
-	if g.Tracker.ReportFailure(now, now, incarnation, a.crashKeys()) {
+	report, now := g.Tracker.ReportFailure, instant(bootclock.Now())
+	if errors.Is(err, targetconn.ErrResetAtOnce) {
+		report = g.Tracker.ReportDoubtfulFailure
+	}
+	if report(now, now, incarnation, a.crashKeys()) {
 		g.OnEvidence()
 	}
 }
--- a/internal/edge/crashguard_test.go
+++ b/internal/edge/crashguard_test.go
@@ -98,7 +98,7 @@
 	}
 	guard := &edge.CrashGuard{Tracker: quarantine.New("host", nil), OnEvidence: func() {}}
 	for i, host := range []string{"desk.example", "Desk.Example", "desk.example:80"} {
-		guard.ReportFailure(call(host, "desk.example"), fmt.Sprint("t-", i))
+		guard.ReportFailure(call(host, "desk.example"), fmt.Sprint("t-", i), nil)
 	}
 	rejection, _ := guard.Check(call("DESK.EXAMPLE", "desk.example"))
 	require.NotNil(t, rejection)
--- a/internal/edge/plain/evidence.go
+++ b/internal/edge/plain/evidence.go
@@ -28,11 +28,11 @@
 		errors.Is(o.err, errNoMemory) || o.err == errUnsigned || o.err == errEncoded:
 	case s.Targets.HasAnnounced(key) || errors.Is(ctx.Err(), context.Canceled):
 	case ctx.Err() == nil || s.Targets.View().Get(key) == nil: // broken, or silent until the end and not listed any more
-		s.Sender.Crashes.ReportFailure(a, key)
+		s.Sender.Crashes.ReportFailure(a, key, o.err)
 		return true
 	case bootclock.Since(sentAt) >= minCrashSilence && !s.Health.AnsweredSince(key, sentAt):
 		s.Health.MarkSilent(key) // its next answer takes the report back
-		s.Sender.Crashes.ReportFailure(a, key)
+		s.Sender.Crashes.ReportFailure(a, key, nil)
 		return true
 	}
 	return false
--- a/internal/edge/streaming/evidence.go
+++ b/internal/edge/streaming/evidence.go
@@ -91,7 +91,7 @@
 			continue
 		}
 		w.silenceReported.Store(true)
-		s.Sender.Crashes.ReportFailure(w.run.call, w.target.Key())
+		s.Sender.Crashes.ReportFailure(w.run.call, w.target.Key(), nil)
 		if w.abandoned.Load() {
 			w.conclude()
 		}
@@ -155,7 +155,7 @@
 	case err == io.EOF && !endsWithConnection:
 		w.survived()
 	case isBroken(err) && !w.isLeaving() && !w.run.server.Stalls.Affected(w.sentAt, bootclock.Now()):
-		w.run.server.Sender.Crashes.ReportFailure(w.run.call, w.target.Key())
+		w.run.server.Sender.Crashes.ReportFailure(w.run.call, w.target.Key(), err)
 	}
 }
 
--- a/internal/edge/targetconn/conn.go
+++ b/internal/edge/targetconn/conn.go
@@ -26,15 +26,16 @@
 	reader      *bufio.Reader
 	head        *headReader // source of reader
 	key         string      // under which the pool keeps the connection
-	usedAt      bootclock.Instant
-	served      bool          // the target has answered a request
-	failed      []string      // IDs of requests that were answered other than with success; the target may write such an answer again
-	idleTimeout time.Duration // how long the target keeps the connection open when idle
+	openedAt    bootclock.Instant
+	usedAt      bootclock.Instant // 0 before the first use
+	served      bool              // the target has answered a request
+	failed      []string          // IDs of requests that were answered other than with success; the target may write such an answer again
+	idleTimeout time.Duration     // how long the target keeps the connection open when idle
 }
 
 func newConn(c net.Conn, key string) *Conn {
 	head := &headReader{conn: c}
-	return &Conn{Conn: c, reader: bufio.NewReaderSize(head, readBufferBytes), head: head, key: key, idleTimeout: defaultIdleTimeout}
+	return &Conn{Conn: c, reader: bufio.NewReaderSize(head, readBufferBytes), head: head, key: key, openedAt: bootclock.Now(), idleTimeout: defaultIdleTimeout}
 }
 
 var errHeadTooLarge = errors.New("response heads exceed 64 KiB")
--- a/internal/edge/targetconn/errors.go
+++ b/internal/edge/targetconn/errors.go
@@ -20,6 +20,10 @@
 	// ErrBroken means that the request was sent, at least in part, but no complete
 	// response arrived: the target may have run it.
 	ErrBroken = eris.New("target: connection broke after the request was sent; repeat it only if it is idempotent")
+	// ErrResetAtOnce means that a new connection was reset as soon as it was open, so that the
+	// target may not even have read the request: the way to it may be at fault. Such an error also
+	// matches ErrBroken.
+	ErrResetAtOnce = eris.New("target: new connection was reset at once after the request was sent; repeat it only if it is idempotent")
 	// ErrCanceled means that the request's context ended before the response's head arrived.
 	// Such an error also matches ErrBroken; the target need not be at fault.
 	ErrCanceled = eris.New("target: request canceled after it was sent; repeat it only if it is idempotent")
@@ -35,6 +39,13 @@
 
 func (c *cancellation) Is(target error) bool { return target == ErrCanceled || target == ErrBroken }
 
+// earlyReset is the error of a send on a new connection that was reset at once.
+type earlyReset struct{ cause error }
+
+func (e *earlyReset) Error() string { return e.cause.Error() + ": " + ErrResetAtOnce.Error() }
+
+func (e *earlyReset) Is(target error) bool { return target == ErrResetAtOnce || target == ErrBroken }
+
 // refusal is the error of a send that the gate refused.
 type refusal struct{ verdict targetnotice.Verdict }
 
--- a/internal/edge/targetconn/pool.go
+++ b/internal/edge/targetconn/pool.go
@@ -161,6 +161,9 @@
 	// A connection that is reset before its first response was not open in effect.
 	if direct && fresh && (err == nil || errors.Is(err, ErrBroken) && !errors.Is(err, ErrCanceled)) {
 		p.observeOpening(incarnation, err == nil)
+		if err != nil && bootclock.Since(conn.openedAt) < resetDelay {
+			err = &earlyReset{err}
+		}
 	}
 	if err == nil && !direct && outcome != ForwardAnswered {
 		err = outcome.error(helper)
--- a/internal/quarantine/decide.go
+++ b/internal/quarantine/decide.go
@@ -20,7 +20,7 @@
 	survivalMemory = 10 * time.Minute
 	// partMoments is at how many different moments the crashes must have happened, so that a
 	// failure domain that ends at once counts once. A request that has not survived lately was on
-	// its targets by itself, so that one moment suffices; one that has needs requestMoments.
+	// its targets by itself, so that one moment suffices; one that has, or of whose crashes some are doubtful, needs requestMoments.
 	// momentLength is how long a moment lasts.
 	partMoments    = 3
 	requestMoments = 2
@@ -46,6 +46,8 @@
 	Incarnation string
 	Host        string // that sent the request and saw the crash
 	At          Instant
+	// Doubtful means that the way to the target may have been at fault: many may fail so at one moment.
+	Doubtful bool
 }
 
 // Hold is a key that is held back.
@@ -159,7 +161,23 @@
 
 func (s *suspect) isEnough() bool {
 	crashes, moments := s.required()
-	return len(s.crashes) >= crashes && (s.confirmed || countMoments(s.crashes) >= moments)
+	if len(s.crashes) < crashes {
+		return false
+	}
+	if moments == 1 && countCertain(s.crashes) < crashes {
+		moments = requestMoments
+	}
+	return s.confirmed || countMoments(s.crashes) >= moments
+}
+
+func countCertain(crashes []Crash) int {
+	n := 0
+	for _, c := range crashes {
+		if !c.Doubtful {
+			n++
+		}
+	}
+	return n
 }
 
 func (s *suspect) required() (crashes, moments int) {
--- a/internal/quarantine/decide_test.go
+++ b/internal/quarantine/decide_test.go
@@ -423,14 +423,18 @@
 	t.Parallel()
 	for name, c := range map[string]struct {
 		survivedBefore bool
+		doubtful       bool
+		apart          time.Duration
 		targets        []string
 		held           bool
 	}{
-		"two targets":                       {targets: []string{"a", "b"}},
-		"three targets":                     {targets: []string{"a", "b", "c"}, held: true},
-		"three targets of a sound request":  {survivedBefore: true, targets: []string{"a", "b", "c"}},
-		"a whole domain of a sound request": {survivedBefore: true, targets: []string{"a", "b", "c", "d", "e"}},
-		"one target that fails three times": {targets: []string{"a", "a", "a"}},
+		"two targets":                                       {targets: []string{"a", "b"}},
+		"three targets":                                     {targets: []string{"a", "b", "c"}, held: true},
+		"three targets of a sound request":                  {survivedBefore: true, targets: []string{"a", "b", "c"}},
+		"a whole domain of a sound request":                 {survivedBefore: true, targets: []string{"a", "b", "c", "d", "e"}},
+		"three targets whose connections are reset at once": {doubtful: true, targets: []string{"a", "b", "c"}},
+		"the same at two moments":                           {doubtful: true, apart: momentLength, targets: []string{"a", "b", "c"}, held: true},
+		"one target that fails three times":                 {targets: []string{"a", "a", "a"}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -439,8 +443,11 @@
 				tracker.ReportSurvival(epoch-time.Minute, epoch-time.Minute, epoch-time.Minute, "a", []Key{key})
 			}
 			for i, target := range c.targets {
-				at := epoch + time.Duration(i)*20*ms
-				tracker.ReportFailure(at, at, target, []Key{key})
+				at, report := epoch+time.Duration(i)*(20*ms+c.apart), tracker.ReportFailure
+				if c.doubtful {
+					report = tracker.ReportDoubtfulFailure
+				}
+				report(at, at, target, []Key{key})
 			}
 			require.Equal(t, c.held, tracker.Check(epoch+2*settleTime, []Key{key}) != nil)
 		})
@@ -473,3 +480,21 @@
 		})
 	}
 }
+
+// Two hosts may see one end, only one of them without doubt.
+func TestFailureIsCertainOnceOneHostIsCertain(t *testing.T) {
+	t.Parallel()
+	a, b, key := New("a", nil), New("b", nil), []Key{Request("GET", "/check")}
+	for _, target := range []string{"t-1", "t-2", "t-3"} {
+		a.ReportDoubtfulFailure(epoch, epoch, target, key)
+		b.ReportFailure(epoch, epoch, target, key)
+	}
+	require.Nil(t, a.Check(epoch, key))
+	e, seen := b.Since(epoch, 0)
+	require.True(t, a.Merge(epoch, e))
+	require.NotNil(t, a.Check(epoch, key))
+	require.False(t, a.Merge(epoch, e))
+	told, _ := a.Since(epoch, 0)
+	require.False(t, b.Merge(epoch, told))
+	require.Equal(t, seen, b.Seq())
+}
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -14,6 +14,7 @@
 	Host        string
 	Keys        []Key
 	Age         time.Duration
+	Doubtful    bool // see Crash; builds that don't know it take all failures for certain, and ask for two moments
 }
 
 // Survival is a survival as hosts tell each other of it.
@@ -66,7 +67,7 @@
 	var e Evidence
 	for _, f := range t.failures {
 		if f.seq > after && f.seq <= next {
-			e.Failures = append(e.Failures, Failure{Incarnation: f.Incarnation, Host: f.Host, Keys: f.keys, Age: now - f.At})
+			e.Failures = append(e.Failures, Failure{Incarnation: f.Incarnation, Host: f.Host, Keys: f.keys, Age: now - f.At, Doubtful: f.Doubtful})
 		}
 	}
 	for key, s := range t.shared {
@@ -97,7 +98,7 @@
 	changed := false
 	for i := range e.Failures {
 		if f := &e.Failures[i]; f.valid() {
-			changed = t.addFailure(now, &failure{Crash: Crash{Incarnation: f.Incarnation, Host: f.Host, At: now - f.Age}, keys: f.Keys}) || changed
+			changed = t.addFailure(now, &failure{Crash: Crash{Incarnation: f.Incarnation, Host: f.Host, At: now - f.Age, Doubtful: f.Doubtful}, keys: f.Keys}) || changed
 		}
 	}
 	for i := range e.Survivals {
@@ -132,7 +133,7 @@
 		if !crashed[f.Incarnation] || len(e.Failures) >= maxEvidence {
 			continue
 		}
-		e.Failures = append(e.Failures, Failure{Incarnation: f.Incarnation, Host: f.Host, Keys: f.keys, Age: now - f.At})
+		e.Failures = append(e.Failures, Failure{Incarnation: f.Incarnation, Host: f.Host, Keys: f.keys, Age: now - f.At, Doubtful: f.Doubtful})
 		for _, key := range f.allKeys() {
 			if s := t.shared[key]; s != nil && !survived[key] && len(e.Survivals) < maxEvidence {
 				survived[key] = true
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -107,8 +107,19 @@
 // connection broke or nothing came. It reports whether the evidence is new to this host, so
 // that others should hear of it.
 func (t *Tracker) ReportFailure(now, at Instant, incarnation string, keys []Key) bool {
+	return t.reportFailure(now, Crash{Incarnation: incarnation, At: at}, keys)
+}
+
+// ReportDoubtfulFailure is ReportFailure for a request for whose failure the way to the target may have
+// been at fault.
+func (t *Tracker) ReportDoubtfulFailure(now, at Instant, incarnation string, keys []Key) bool {
+	return t.reportFailure(now, Crash{Incarnation: incarnation, At: at, Doubtful: true}, keys)
+}
+
+func (t *Tracker) reportFailure(now Instant, c Crash, keys []Key) bool {
+	c.Host = t.host
 	t.mu.Lock()
-	added := t.addFailure(now, &failure{Crash: Crash{Incarnation: incarnation, Host: t.host, At: at}, keys: keys})
+	added := t.addFailure(now, &failure{Crash: c, keys: keys})
 	changes := t.decide(now, added, true)
 	t.mu.Unlock()
 	t.notify(changes)
@@ -219,9 +230,12 @@
 func (t *Tracker) addFailure(now Instant, f *failure) bool {
 	f.keys = slices.Clone(f.keys[max(0, len(f.keys)-maxKeys):])
 	id := f.identity()
-	if len(f.keys) == 0 || t.known[id] || f.At < now-evidenceLifetime {
+	if len(f.keys) == 0 || f.At < now-evidenceLifetime {
 		return false
 	}
+	if t.known[id] {
+		return !f.Doubtful && t.makeCertain(id)
+	}
 	ofTarget := 0
 	for _, other := range t.failures {
 		if other.Incarnation == f.Incarnation {
@@ -248,6 +262,18 @@
 	return true
 }
 
+// makeCertain notes that a failure which may be known as doubtful is certain, and reports whether that is
+// new. Callers hold t.mu.
+func (t *Tracker) makeCertain(id string) bool {
+	i := slices.IndexFunc(t.failures, func(f *failure) bool { return f.Doubtful && f.identity() == id })
+	if i < 0 {
+		return false
+	}
+	t.seq++
+	t.failures[i].Doubtful, t.failures[i].seq = false, t.seq
+	return true
+}
+
 // identity identifies what several hosts or messages may report: a request at a target.
 func (f *failure) identity() string {
 	var b strings.Builder
