Moves: no run is stopped for a destination until notices of the same moment have come

The memory of a stopped run can't be copied any more, so a third engine is no way out. The final copy waits now until 100 ms after the notice; by then another notice, or a pause that an answer stated, keeps the run from that destination. First copies are made meanwhile.

--- a/internal/edge/migration/mover.go
+++ b/internal/edge/migration/mover.go
@@ -32,6 +32,9 @@
 	// streamCloseGrace is how long the source may keep the stream of a stopped run
 	// open after the final copy.
 	streamCloseGrace = 120 * time.Millisecond
+	// noticeSpread is within how long after a leaving notice those of engines that are taken away
+	// together arrive, such as all of a failure domain. No run is stopped for a destination before.
+	noticeSpread = 100 * time.Millisecond
 	// maxIdleCopyTime is how long the copy of a few tokens takes at most on an idle
 	// link: calls between domains and some events of other requests.
 	maxIdleCopyTime = 60 * time.Millisecond
@@ -256,6 +259,7 @@
 // replica when that happens.
 func (m *Mover) switchTo(ctx context.Context, noticedAt bootclock.Instant, replica *streaming.Replica, r *streaming.Run) string {
 	source, dest := replica.Source, replica.Dest
+	wait.For(ctx, noticedAt.Add(noticeSpread).Sub(bootclock.Now()))
 	if !m.mayStop(noticedAt, r) || !m.awaitIdleLink(ctx, source, dest, r) {
 		return onlyReplicated
 	}
