--- a/internal/drill/call.go
+++ b/internal/drill/call.go
@@ -27,6 +27,7 @@
 	body    []byte
 	request Call
 	part    string // of the prompt, that crashes engines
+	crashes bool   // the targets that run it
 
 	chunked    bool
 	slowBody   time.Duration // time that the body takes
@@ -144,7 +145,7 @@
 func (c *call) attempt(ctx context.Context) record.Request {
 	var id string
 	c.client.draw(func(r *rand.Rand) { id = fmt.Sprintf("%016x", r.Uint64()) })
-	r := record.Request{ID: id, Call: c.id, Route: c.kind.Name, Domain: c.client.domain, Expected: c.request.Output, Fingerprint: c.path, Part: c.part, Sent: time.Now()}
+	r := record.Request{ID: id, Call: c.id, Route: c.kind.Name, Domain: c.client.domain, Expected: c.request.Output, Fingerprint: c.path, Part: c.part, Crashes: c.crashes, Sent: time.Now()}
 	conn, h, err := c.client.connect(c.tried)
 	c.tried[h] = true
 	r.Host, r.Deadline = h.name, time.Until(c.deadline())
--- a/internal/drill/judge/recover_test.go
+++ b/internal/drill/judge/recover_test.go
@@ -41,9 +41,15 @@
 		"served as the others": {func(run *record.Run) { sendTries(run, "host-1", 50, 45, 14) }, false},
 		"served by two thirds": {func(run *record.Run) { sendTries(run, "host-1", 50, 30, 14) }, false},
 		"served by less":       {func(run *record.Run) { sendTries(run, "host-1", 50, 29, 14) }, true},
-		"few fail":             {func(run *record.Run) { sendTries(run, "host-1", 12, 0, 14) }, false},
-		"before the bound":     {func(run *record.Run) { sendTries(run, "host-1", 50, 0, 11) }, false},
-		"after the cut":        {func(run *record.Run) { sendTries(run, "host-1", 50, 0, 31) }, false},
+		"requests that crash their targets": {func(run *record.Run) {
+			sendTries(run, "host-1", 50, 0, 14)
+			for i := range run.Requests {
+				run.Requests[i].Crashes = run.Requests[i].Host == "host-1"
+			}
+		}, false},
+		"few fail":         {func(run *record.Run) { sendTries(run, "host-1", 12, 0, 14) }, false},
+		"before the bound": {func(run *record.Run) { sendTries(run, "host-1", 50, 0, 11) }, false},
+		"after the cut":    {func(run *record.Run) { sendTries(run, "host-1", 50, 0, 31) }, false},
 		"host restarted": {func(run *record.Run) {
 			run.HostEvents = []record.HostEvent{event(record.Term, 13)}
 			sendTries(run, "host-1", 50, 0, 14)
--- a/internal/drill/record/record.go
+++ b/internal/drill/record/record.go
@@ -73,6 +73,7 @@
 	Deadline    time.Duration // that the caller states
 	Fingerprint string        // equal for requests that a target can't tell apart
 	Part        string        // of the prompt, that crashes engines; empty for sound requests
+	Crashes     bool          // it crashes the targets that run it, by a part of its prompt or by itself
 
 	Opened    time.Time // when the connection was opened
 	Sent      time.Time // first byte
--- a/internal/drill/traffic.go
+++ b/internal/drill/traffic.go
@@ -112,7 +112,7 @@
 			continue
 		}
 		c := newCall(t.clients[g.Domain][r.IntN(len(t.clients[g.Domain]))], k)
-		c.request.Parts[0].ID, c.part = part, part
+		c.request.Parts[0].ID, c.part, c.crashes = part, part, true
 		t.wait.Go(func() { c.run(ctx) })
 		return
 	}
@@ -148,6 +148,6 @@
 		}
 	}
 	c := newCall(clients[r.IntN(len(clients))], same.kind)
-	c.path, c.body = same.path, same.body
+	c.path, c.body, c.crashes = same.path, same.body, true
 	t.wait.Go(func() { c.run(ctx) })
 }
