Own form: a connection on which a request was rejected serves no other

Gateways and agents reuse connections for requests that may be repeated, and targets echo no ID there: a rejection that a target wrote once more was taken for the answer to a later request, so that a lookup or a generation was told as not run, and started elsewhere, while the first target ran it. Such a connection takes no further request: its next write fails before the first byte, and the transport opens another one. Calls that run at most once had connections of their own already. outbound.TestEarlierRejectionIsNoAnswerToALaterRequest failed before, with short and long bodies. The hosts' program does not use this package.

--- a/internal/outbound/countingconn.go
+++ b/internal/outbound/countingconn.go
@@ -7,7 +7,7 @@
 	"github.com/rotisserie/eris"
 )
 
-// errConnClosed is returned by writes after closeAndCount.
+// errConnClosed is returned by writes after closeAndCount or stopWrites.
 var errConnClosed = eris.New("outbound: connection is closed; open another one")
 
 // countingConn counts the bytes that were written to a connection. After closeAndCount
@@ -39,6 +39,14 @@
 	return c.written
 }
 
+// stopWrites makes later writes fail before their first byte, so that the transport takes another
+// connection. What has been sent is still answered.
+func (c *countingConn) stopWrites() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+}
+
 // closeAndCount closes the connection and returns the final number of bytes written. No
 // byte is sent after it has returned.
 func (c *countingConn) closeAndCount() int64 {
--- a/internal/outbound/outbound_test.go
+++ b/internal/outbound/outbound_test.go
@@ -146,3 +146,36 @@
 	require.ErrorIs(t, err, errConnClosed)
 	require.EqualValues(t, 3, counting.count())
 }
+
+// A target wrote an earlier rejection once more on a kept connection, and callers were told that what it ran
+// had not run.
+func TestEarlierRejectionIsNoAnswerToALaterRequest(t *testing.T) {
+	const rejected, served = "HTTP/1.1 503 X\r\nContent-Length: 2\r\n\r\nno", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	for name, body := range map[string]string{"short body": "x", "long body": strings.Repeat("x", 2*bufferBytes)} {
+		t.Run(name, func(t *testing.T) {
+			address, _ := peer(t, func(n int32, conn net.Conn) {
+				if readRequest(conn) == nil {
+					return
+				}
+				if n > 1 {
+					_, _ = io.WriteString(conn, served)
+					return
+				}
+				_, _ = io.WriteString(conn, rejected)
+				if readRequest(conn) != nil {
+					_, _ = io.WriteString(conn, rejected+served)
+				}
+			})
+			transport := New(Dialer(""))
+			defer transport.Close()
+			for _, want := range []int{http.StatusServiceUnavailable, http.StatusOK} {
+				resp, err := transport.Do(post(t.Context(), t, address, body))
+				require.NoError(t, err)
+				text, err := io.ReadAll(resp.Body)
+				require.NoError(t, err)
+				require.NoError(t, resp.Body.Close())
+				require.Equal(t, want, resp.StatusCode, string(text))
+			}
+		})
+	}
+}
--- a/internal/outbound/transport.go
+++ b/internal/outbound/transport.go
@@ -137,6 +137,13 @@
 	t.writtenBefore = t.conn.count()
 }
 
+// current returns the connection of the request, nil if that is not known.
+func (t *connTracker) current() *countingConn {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.conn
+}
+
 // bytesSent closes the connection and reports whether bytes of the request were sent.
 func (t *connTracker) bytesSent() bool {
 	t.mu.Lock()
@@ -152,6 +159,7 @@
 	trace := &httptrace.ClientTrace{GotConn: tracker.gotConn}
 	resp, err := t.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err == nil {
+		retire(tracker.current(), req, resp)
 		return resp, nil
 	}
 	return nil, &SendError{BytesSent: tracker.bytesSent(), Cause: err}
