Quarantine: trials that end in errors add up (failing, known red)

Found on reading the change again: the simulation had a share of errors of the targets' own that no test set, and reported them as survivals, as the code did before.

--- a/internal/quarantine/repeated_test.go
+++ b/internal/quarantine/repeated_test.go
@@ -71,7 +71,7 @@
 		f.sends = append(f.sends, f.now)
 	}
 	if f.rng.Float64() < f.errors {
-		f.after(5*ms, func() { tracker.ReportSurvival(f.now, sentAt, sentAt, t.name, []Key{f.key}) })
+		f.after(5*ms, func() { tracker.ReportSurvival(f.now, sentAt, sentAt, t.name, nil) })
 		return
 	}
 	f.after(f.between(40*ms, 80*ms), func() { f.end(t) })
@@ -147,6 +147,18 @@
 	}
 }
 
+// BUDGET: a request on probation that its target answers with an error is tried again every 10 s.
+func TestTrialsThatEndInErrorsAddUp(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(20) {
+		f := newRepeatedFleet(seed, 6, 3)
+		f.errors = 0.14
+		f.playRepeated()
+		late := f.late()
+		assert.LessOrEqual(t, len(late), lateSendsAllowed, "seed %d: ends %v, late sends %v", seed, since(f.ends), since(late))
+	}
+}
+
 // since returns the times since the beginning of the scenario.
 func since(at []Instant) []time.Duration {
 	out := make([]time.Duration, len(at))
