--- a/internal/drill/judge/recover.go
+++ b/internal/drill/judge/recover.go
@@ -40,7 +40,8 @@
 }
 
 // firstTries counts the first tries in a cut at the hosts that are cut off and at the others,
-// from the bound on, at hosts in touch, without requests that crash their targets. While no other host in touch reaches the targets there
+// from the bound on, at hosts in touch, without requests that crash their targets. While no other
+// host in touch reaches the targets there
 // is nothing to compare them with.
 func (x *index) firstTries(c record.Cut) (cut, others tries) {
 	known := make(map[string]bool) // calls
--- a/internal/edge/targetconn/pool_test.go
+++ b/internal/edge/targetconn/pool_test.go
@@ -47,7 +47,8 @@
 	return h.Get(leavingHeader) != ""
 }
 
-// rawTarget answers each request with the same bytes and counts connections and requests.
+// rawTarget answers the n-th request of all connections with the n-th text, later ones with the last, and
+// counts connections and requests.
 type rawTarget struct {
 	listener    net.Listener
 	mu          sync.Mutex
@@ -55,7 +56,7 @@
 	requests    int // guarded by mu
 }
 
-func startRawTarget(t *testing.T, answer string) *rawTarget {
+func startRawTarget(t *testing.T, answers ...string) *rawTarget {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
@@ -67,13 +68,13 @@
 				return
 			}
 			target.count(&target.connections)
-			go target.serve(conn, answer)
+			go target.serve(conn, answers)
 		}
 	}()
 	return target
 }
 
-func (r *rawTarget) serve(conn net.Conn, answer string) {
+func (r *rawTarget) serve(conn net.Conn, answers []string) {
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
 	for {
@@ -83,7 +84,8 @@
 		}
 		r.count(&r.requests)
 		_, _ = io.Copy(io.Discard, request.Body)
-		if _, err := io.WriteString(conn, answer); err != nil {
+		_, n := r.counts()
+		if _, err := io.WriteString(conn, answers[min(n, len(answers))-1]); err != nil {
 			return
 		}
 	}
@@ -246,36 +248,6 @@
 	}
 }
 
-// startScriptedTarget starts a target that answers the n-th request of all connections with the n-th text, the later ones with the last.
-func startScriptedTarget(t *testing.T, answers ...string) *rawTarget {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	target := &rawTarget{listener: listener}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			target.count(&target.connections)
-			go func() {
-				defer func() { _ = conn.Close() }()
-				reader := bufio.NewReader(conn)
-				for {
-					if _, err := http.ReadRequest(reader); err != nil {
-						return
-					}
-					target.count(&target.requests)
-					_, n := target.counts()
-					_, _ = io.WriteString(conn, answers[min(n, len(answers))-1])
-				}
-			}()
-		}
-	}()
-	return target
-}
-
 func TestAnswersThatBelongToNoOrAnotherRequest(t *testing.T) {
 	answer := func(status int, id string) string {
 		head := "HTTP/1.1 " + strconv.Itoa(status) + " X\r\nContent-Length: 0\r\n"
@@ -308,7 +280,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			target := startScriptedTarget(t, c.answers...)
+			target := startRawTarget(t, c.answers...)
 			p := newTestPool(&scriptedGate{})
 			var statuses []int
 			for _, id := range c.requests {
