--- a/review/cases/fleet.go
+++ b/review/cases/fleet.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -38,10 +39,12 @@
 	dir     string
 	store   *memstore.Store
 	address string // of the store
-	subnet  int    // third byte of the hosts' addresses
-	servers []*http.Server
-	hosts   []*host
-	version int
+	// storeAddress is under which hosts that start later reach the store; "" for address.
+	storeAddress string
+	subnet       int // third byte of the hosts' addresses
+	servers      []*http.Server
+	hosts        []*host
+	version      int
 }
 
 func newFleet(rec *record) (*fleet, error) {
@@ -137,7 +140,7 @@
 		"bounds": map[string]any{"seedLagS": 3, "reuseAfterS": 2, "contactMs": 3000, "ackMs": 4000, "catchUpS": 4, "drainMs": 2000, "graceS": graceTime.Seconds(), "lostMs": 200,
 			"configApplyMs": 2000, "rollbackSlackMs": 250, "maxSkewMs": 5000, "revokeStrict": true, "revokeMs": revokeWithin.Milliseconds(),
 			"retryBudgetRatio": 0.2, "budgetWindowS": 10, "retrySlack": 52, "recoverS": 12, "passMs": 120, "reuseWindowS": 4.4},
-		"platform": map[string]any{"address": f.address, "form": "kv", "writesPerS": 400, "readsPerS": 2000, "historyS": 20, "valueBytes": 1 << 20, "ttlMinMs": 1000},
+		"platform": map[string]any{"address": cmp.Or(f.storeAddress, f.address), "form": "kv", "writesPerS": 400, "readsPerS": 2000, "historyS": 20, "valueBytes": 1 << 20, "ttlMinMs": 1000},
 	})
 	if err != nil {
 		return nil, err
--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -20,6 +20,7 @@
 var cases = map[string]func(f *fleet, trouble bool) (breaks []string, err error){
 	"withdrawn-keys": withdrawnKeys,
 	"large-uploads":  largeUploads,
+	"silent-store":   silentStore,
 }
 
 func main() { os.Exit(run()) }
