--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -21,6 +21,7 @@
 	"withdrawn-keys": withdrawnKeys,
 	"large-uploads":  largeUploads,
 	"silent-store":   silentStore,
+	"stopped-helper": stoppedHelper,
 }
 
 func main() { os.Exit(run()) }
--- a/review/cases/uploads.go
+++ b/review/cases/uploads.go
@@ -93,9 +93,13 @@
 }
 
 func (u *upload) sendTo(route, headers, id string, body []byte, took time.Duration) (int, error) {
-	_ = u.conn.SetDeadline(time.Now().Add(uploadWait))
+	wait := uploadWait
+	if route == draftRoute {
+		wait = draftWait
+	}
+	_ = u.conn.SetDeadline(time.Now().Add(wait))
 	head := fmt.Sprintf("POST /%s/x HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nAuthorization: Bearer %s\r\n%sContent-Length: %d\r\n\r\n",
-		route, siteHost, id, uploadWait.Milliseconds(), firstKey, headers, len(body))
+		route, siteHost, id, wait.Milliseconds(), firstKey, headers, len(body))
 	if _, err := io.WriteString(u.conn, head); err != nil {
 		return 0, err
 	}
