--- a/review/cases/fleet.go
+++ b/review/cases/fleet.go
@@ -68,10 +68,15 @@
 	if err != nil {
 		return "", err
 	}
+	f.serve(listener, handler)
+	return listener.Addr().String(), nil
+}
+
+// serve serves a handler on a listener until the deployment stops.
+func (f *fleet) serve(listener net.Listener, handler http.Handler) {
 	server := &http.Server{Handler: handler}
 	f.servers = append(f.servers, server)
 	go func() { _ = server.Serve(listener) }()
-	return listener.Addr().String(), nil
 }
 
 // stop ends all processes and servers of the deployment.
--- a/review/cases/helper.go
+++ b/review/cases/helper.go
@@ -118,11 +118,8 @@
 	if err != nil {
 		return nil, err
 	}
-	link := &cutListener{Listener: listener}
-	e := &longEngine{id: "i-5be0c3d7", f: f, ran: &c.ran}
-	server := &http.Server{Handler: e}
-	f.servers = append(f.servers, server)
-	go func() { _ = server.Serve(link) }()
+	link, e := &cutListener{Listener: listener}, &longEngine{id: "i-5be0c3d7", f: f, ran: &c.ran}
+	f.serve(link, e)
 	if err := f.register(e.id, engineService, listener.Addr().String(), 24); err != nil {
 		return nil, err
 	}
--- a/review/cases/silent.go
+++ b/review/cases/silent.go
@@ -102,65 +102,89 @@
 	p.silent.Store(false)
 }
 
-// silentStore withdraws a key while the store doesn't answer two of six hosts, those that follow it
-// for the others, and sends requests with the key to the other four.
-func silentStore(f *fleet, trouble bool) ([]string, error) {
-	var ran runs
-	if err := f.startDesk(&ran, 15*time.Millisecond); err != nil {
-		return nil, err
-	}
-	spare := "spare-key-of-the-tenant"
-	keys := func(round int, withdrawn bool) []string {
-		var out []string
-		for i := round; i < silentRounds; i++ {
-			if i > round || !withdrawn {
-				out = append(out, fmt.Sprintf("%s-%d", firstKey, i))
-			}
+// silentCase is a run of the case.
+type silentCase struct {
+	f         *fleet
+	ran       runs
+	proxies   []*storeProxy   // of the hosts
+	following map[string]bool // names of the hosts that follow the store for the others
+}
+
+// keys returns the keys of the tenant in a round. One is withdrawn in each.
+func keys(round int, withdrawn bool) []string {
+	out := []string{"spare-key-of-the-tenant"}
+	for i := round; i < silentRounds; i++ {
+		if i > round || !withdrawn {
+			out = append(out, fmt.Sprintf("%s-%d", firstKey, i))
 		}
-		return append(out, spare)
 	}
-	if err := f.putConfiguration(deskConfiguration(keys(0, false), []string{secondKey})); err != nil {
-		return nil, err
+	return out
+}
+
+// start starts the servers and the hosts, each with a way of its own to the store.
+func (c *silentCase) start() error {
+	if err := c.f.startDesk(&c.ran, 15*time.Millisecond); err != nil {
+		return err
+	}
+	if err := c.f.putConfiguration(deskConfiguration(keys(0, false), []string{secondKey})); err != nil {
+		return err
 	}
-	var proxies []*storeProxy
 	var named []relay.Host
 	for range silentHosts {
-		proxy, err := newStoreProxy(f.address)
+		proxy, err := newStoreProxy(c.f.address)
 		if err != nil {
-			return nil, err
+			return err
 		}
-		f.storeAddress = proxy.listener.Addr().String()
-		h, err := f.startHost()
+		c.f.storeAddress = proxy.listener.Addr().String()
+		h, err := c.f.startHost()
 		if err != nil {
-			return nil, err
+			return err
 		}
-		proxies = append(proxies, proxy)
+		c.proxies = append(c.proxies, proxy)
 		named = append(named, relay.Host{Name: h.name, CPUs: 0.4, Mbps: 1000})
 	}
 	time.Sleep(calmTime)
-	following := make(map[string]bool)
 	for _, hub := range relay.ChooseHubs(named) {
-		following[hub.Name] = true
+		c.following[hub.Name] = true
+	}
+	c.f.rec.line("the hosts that follow the store for the others: %v", c.following)
+	return nil
+}
+
+// setSilent makes the store fall silent for the hosts that follow it, or answer them again.
+func (c *silentCase) setSilent(silent bool) {
+	for i, h := range c.f.hosts {
+		switch {
+		case !c.following[h.name]:
+		case silent:
+			c.proxies[i].silent.Store(true)
+			c.f.rec.line("platform: the store does not answer %s any more", h.name)
+		default:
+			c.proxies[i].end()
+			c.f.rec.line("platform: the store answers %s again", h.name)
+		}
+	}
+}
+
+// silentStore withdraws a key while the store doesn't answer two of six hosts, those that follow it
+// for the others, and sends requests with the key to the other four.
+func silentStore(f *fleet, trouble bool) ([]string, error) {
+	c := &silentCase{f: f, following: make(map[string]bool)}
+	if err := c.start(); err != nil {
+		return nil, err
 	}
-	f.rec.line("the hosts that follow the store for the others: %v", following)
 	var breaks []string
 	for round := range silentRounds {
-		for i, h := range f.hosts {
-			if trouble && following[h.name] {
-				proxies[i].silent.Store(true)
-				f.rec.line("platform: the store does not answer %s any more", h.name)
-			}
+		if trouble {
+			c.setSilent(true)
 		}
 		if err := f.putConfiguration(deskConfiguration(keys(round, true), []string{secondKey})); err != nil {
 			return nil, err
 		}
-		breaks = append(breaks, f.probeWithdrawn(&ran, round, following)...)
+		breaks = append(breaks, f.probeWithdrawn(&c.ran, round, c.following)...)
 		time.Sleep(silenceTime - probeTime)
-		for i, h := range f.hosts {
-			if trouble && following[h.name] {
-				proxies[i].end()
-				f.rec.line("platform: the store answers %s again", h.name)
-			}
+		if trouble {
+			c.setSilent(false)
 		}
 		time.Sleep(calmTime + rand.N(time.Second)) // the hosts confirm the configuration about once a second
 	}
