Confirmation: hosts ask the store themselves within the bound of a configuration

Cause: when only the two hubs get no response from the store, the other hosts go on with what the hubs last confirmed, and ask for themselves at half of the bound on revoked keys (2.5 s of 5 s), which is longer than the bound on a configuration (2 s). Without strict revocation the period was 10 s. A peer's confirmation that was about as old as the host's own was accepted as well, and put the call to the store off by another 0.6 s.

The period now follows from both bounds: a host that is not a hub asks at the age from which it looks requests up, less the time after which the second source is asked, and accepts from peers only confirmations that are younger. Hubs confirm a little sooner (0.6 instead of 0.7 of that age), so that hosts in calm rarely ask at all.

--- a/internal/edge/process/confirm.go
+++ b/internal/edge/process/confirm.go
@@ -24,12 +24,10 @@
 	// force, for the lookup that precedes a rejection.
 	applyMargin = 600 * time.Millisecond
 	// recheckConfirmShare is the share of recheckAge after which a hub confirms the
-	// configuration, so that the hosts it serves rarely need a lookup.
-	recheckConfirmShare = 0.7
+	// configuration, so that the hosts it serves rarely need a lookup of their own.
+	recheckConfirmShare = 0.6
 	// defaultRecheckAge is the recheckAge if the platform sets no bound.
 	defaultRecheckAge = 3500 * time.Millisecond
-	// relaxedConfirmPeriod is the period of confirmations if API keys require none.
-	relaxedConfirmPeriod = 10 * time.Second
 	// secondSourceDelay is how long the first source may take before the second is
 	// asked as well.
 	secondSourceDelay = 300 * time.Millisecond
@@ -55,16 +53,29 @@
 	return max(p.node.ApplyWithin-applyMargin, p.node.ApplyWithin/2)
 }
 
-// confirmPeriod returns the age at which this host confirms the configuration again.
+// confirmPeriod returns the age at which this host confirms the configuration again. Two
+// bounds apply: the one on revoked API keys, and the one on the time until a configuration is
+// in force. A host whose hubs no longer reach the store meets the second one only if it asks
+// the store itself in time, with a failed attempt at its peers before that.
 func (p *Process) confirmPeriod() time.Duration {
-	switch {
-	case p.maxKeyAge() == 0:
-		return relaxedConfirmPeriod
-	case p.exchange.IsHub():
-		return min(time.Duration(hubConfirmShare*float64(p.node.RevokeWithin)), time.Duration(recheckConfirmShare*float64(p.recheckAge())))
-	default:
-		return time.Duration(hostConfirmShare * float64(p.node.RevokeWithin))
+	keyShare, period := hostConfirmShare, p.recheckAge()-secondSourceDelay
+	if p.exchange.IsHub() {
+		keyShare, period = hubConfirmShare, time.Duration(recheckConfirmShare*float64(p.recheckAge()))
 	}
+	if p.maxKeyAge() > 0 {
+		period = min(period, time.Duration(keyShare*float64(p.node.RevokeWithin)))
+	}
+	return period
+}
+
+// maxPeerConfirmationAge returns the maximum age of a confirmation that this host accepts from
+// a peer. A host that is not a hub asks for one that is younger than its own: another that is
+// about as old comes from the same hub, and would only delay the call to the store.
+func (p *Process) maxPeerConfirmationAge() time.Duration {
+	if !p.exchange.IsHub() {
+		return p.confirmPeriod()
+	}
+	return min(p.node.RevokeWithin/2, p.recheckAge())
 }
 
 // confirm confirms the current configuration at one of two sources. A hub asks the
@@ -111,7 +122,7 @@
 
 // confirmWithPeers asks other hosts for a recent confirmation.
 func (p *Process) confirmWithPeers(ctx context.Context) (bootclock.Instant, error) {
-	return p.exchange.ConfirmByPeers(ctx, min(p.node.RevokeWithin/2, p.recheckAge()))
+	return p.exchange.ConfirmByPeers(ctx, p.maxPeerConfirmationAge())
 }
 
 // errEraUnsettled means that the store was restored a moment ago: the operator may not have
