Accounts: a configuration without keys serves nobody on routes that need one

An operator who withdraws the leaked key of the only account opened the service to everybody.

Cause: whether routes need a key was read off the number of keys in force, and not off whether the configuration has client accounts.

RequiresKeys follows from the accounts: a configuration that has them needs keys, also if none is left. One that never had accounts needs none, as before.

--- a/internal/edge/ingress/handler.go
+++ b/internal/edge/ingress/handler.go
@@ -181,7 +181,7 @@
 		return nil, &edge.Rejection{Status: http.StatusBadRequest, Reason: edge.ReasonBadLastEventID}
 	}
 	a := &edge.AuthorizedCall{Call: c, Route: route, Urgency: route.Priority}
-	if !route.Public && p.HasAccounts() {
+	if !route.Public && p.RequiresKeys() {
 		account := p.AccountByKey(c.Credential)
 		if account == nil {
 			return nil, &edge.Rejection{Status: http.StatusUnauthorized, Reason: edge.ReasonUnknownKey}
--- a/internal/edge/ingress/handler_test.go
+++ b/internal/edge/ingress/handler_test.go
@@ -245,3 +245,28 @@
 		})
 	}
 }
+
+// The operator withdrew the last key of the only client account. Requests with that key, with one
+// that was never issued and without one were served, as in a deployment without accounts.
+func TestNoRequestIsServedOnceTheLastKeyIsWithdrawn(t *testing.T) {
+	h := newDrainHandler(t, draining.New(time.Second))
+	c := standin.Configuration{Version: 2, Timeout: time.Second, PlainServices: []string{"s"}, Account: "a",
+		Routes: []standin.Route{{Name: "route", Kind: standin.Idempotent, Service: "s", Attempts: 1},
+			{Name: "public", Kind: standin.Idempotent, Service: "s", Attempts: 1, Public: true}}}
+	raw, err := c.Encode()
+	require.NoError(t, err)
+	_, err = h.Policy.ApplyIfNewer(raw, 2)
+	require.NoError(t, err)
+	for _, sent := range []struct {
+		path, key string
+		want      int
+	}{{"/route/x", key, http.StatusUnauthorized}, {"/route/x", "never-issued", http.StatusUnauthorized}, {"/route/x", "", http.StatusUnauthorized},
+		{"/public/x", "", http.StatusOK}} {
+		r := httptest.NewRequest(http.MethodGet, sent.path, nil)
+		r.Host = "desk.example"
+		(&standin.Call{ID: "r-1", APIKey: sent.key, Timeout: time.Second}).SetHeaders(r)
+		answer := httptest.NewRecorder()
+		h.ServeHTTP(answer, r)
+		require.Equal(t, sent.want, answer.Code, "path %s, key %q", sent.path, sent.key)
+	}
+}
--- a/internal/edge/policy/configuration.go
+++ b/internal/edge/policy/configuration.go
@@ -30,10 +30,12 @@
 	services map[string]*Service
 	byHost   map[string]map[string]*Route // by HTTP host, then path prefix
 	byKey    map[string]*Account
+	keyed    bool // see RequiresKeys
 }
 
 // New returns a configuration with indexes. It keeps the slices, which callers must
-// not change afterwards.
+// not change afterwards. accounts is nil for a deployment without client accounts, and empty
+// for one that has no account left.
 func New(version int64, limits Limits, routes []Route, services []Service, accounts []Account) *Configuration {
 	c := &Configuration{
 		Version:  version,
@@ -41,6 +43,7 @@
 		services: make(map[string]*Service, len(services)),
 		byHost:   make(map[string]map[string]*Route),
 		byKey:    make(map[string]*Account),
+		keyed:    accounts != nil,
 	}
 	for i := range services {
 		c.services[services[i].Name] = &services[i]
@@ -90,8 +93,10 @@
 // AccountByKey returns the client account that an API key belongs to, or nil.
 func (c *Configuration) AccountByKey(key string) *Account { return c.byKey[key] }
 
-// HasAccounts reports whether there are API keys. Without any, no route needs one.
-func (c *Configuration) HasAccounts() bool { return len(c.byKey) > 0 }
+// RequiresKeys reports whether routes that are not public need an API key. That follows from the
+// client accounts and not from their keys: a configuration whose last key was withdrawn serves
+// nobody on these routes.
+func (c *Configuration) RequiresKeys() bool { return c.keyed }
 
 // ServiceNames returns the names of all services, in no order.
 func (c *Configuration) ServiceNames() []string { return slices.Collect(maps.Keys(c.services)) }
