--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -37,6 +37,23 @@
 	RevokeStrict     bool          // RevokeWithin also holds on partitioned hosts
 	Retry            RetryBudget
 	TargetHeartbeat  time.Duration // period in which targets renew their entries in the store
+
+	Region      string            // of this host
+	Regions     map[string]string // region of each failure domain
+	Descriptors int               // file descriptors that the process may have open; 0 if unknown
+	// EvacuateWithin bounds the time until an evacuated failure domain gets no more requests; 0 if
+	// the deployment evacuates none.
+	EvacuateWithin time.Duration
+	Cold           ColdBound
+	// OrderedAdmission makes runs that wait for an engine take turns in one order over all hosts.
+	OrderedAdmission bool
+}
+
+// ColdBound bounds what the whole fleet may send a cold target: in each second Factor x the rate
+// that its service states + Slack. Zero if the deployment sets no bound.
+type ColdBound struct {
+	Factor float64
+	Slack  float64 // requests in a second
 }
 
 // PeerAddress returns the address where this host serves the calls of other hosts.
--- a/internal/edge/policy/configuration.go
+++ b/internal/edge/policy/configuration.go
@@ -15,12 +15,16 @@
 	Name     string
 	Priority *int // overrides the priority of routes; nil for none
 	Keys     []string
+	// AllowedRegions are the regions in which its requests may run; empty for all.
+	AllowedRegions []string
 }
 
 // Limits bound the requests of callers.
 type Limits struct {
-	MaxBodyBytes int64
-	IdleTimeout  time.Duration // how long a caller's connection may stay idle; 0 if not stated
+	MaxBodyBytes   int64
+	MaxHeaderBytes int           // of a request; 0 if not stated
+	HeaderTimeout  time.Duration // how long a caller may take for a request's headers; 0 if not stated
+	IdleTimeout    time.Duration // how long a caller's connection may stay idle; 0 if not stated
 }
 
 // Configuration is one version of the routing configuration.
--- a/internal/edge/policy/engine.go
+++ b/internal/edge/policy/engine.go
@@ -28,4 +28,8 @@
 	Name           string
 	MaxConnections int     // to one target, from all callers together
 	Engine         *Engine // nil for a plain service
+	// ColdFor is how long a target is cold after its start; 0 if not stated.
+	ColdFor time.Duration
+	// ColdRate is how many requests a second a cold target bears from all hosts; 0 for no bound.
+	ColdRate float64
 }
--- a/internal/edge/policy/route.go
+++ b/internal/edge/policy/route.go
@@ -48,6 +48,8 @@
 	// Resumable allows streams to be resumed after an event, which may run a request
 	// more than once; for Streaming only.
 	Resumable bool
+	// AllowedRegions are the regions in which requests may run; empty for all.
+	AllowedRegions []string
 }
 
 // minCallerPatience is how long callers of a stream wait for the next event at least, whatever
--- a/internal/edge/process/stop.go
+++ b/internal/edge/process/stop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"reflect"
 	"sync"
 	"time"
 
@@ -115,6 +116,6 @@
 			p.log.Error("edge: node file could not be reloaded; the previous settings stay in force", "error", err.Error())
 			continue
 		}
-		p.log.Info("edge: reload", "changed", n != p.node)
+		p.log.Info("edge: reload", "changed", !reflect.DeepEqual(n, p.node))
 	}
 }
