--- a/internal/edge/migration/mover.go
+++ b/internal/edge/migration/mover.go
@@ -165,7 +165,7 @@
 func (m *Mover) awaitTurn(ctx context.Context, source *targets.Target, noticedAt bootclock.Instant, engine *policy.Engine, runs int) {
 	loads := m.Inflight.LoadByHost(source.Key())
 	delay := StartDelay(engine, source.Key(), m.Host, loads)
-	m.Log.Info("migration: engine is leaving", "source", source.ID, "runs", runs, "other_hosts", len(loads), "turn_ms", delay.Milliseconds())
+	m.Log.Info("migration: moving runs off an engine", "source", source.ID, "runs", runs, "other_hosts", len(loads), "turn_ms", delay.Milliseconds())
 	wait.For(ctx, noticedAt.Add(delay).Sub(bootclock.Now()))
 }
 
--- a/internal/edge/peers/exchange.go
+++ b/internal/edge/peers/exchange.go
@@ -59,6 +59,8 @@
 	Quarantine *quarantine.Tracker
 	// FollowsStore reports whether this host currently follows the store itself.
 	FollowsStore func() bool
+	// IsDraining reports whether this process has been asked to stop; nil for never.
+	IsDraining func() bool
 	// ChooseEngine chooses an engine with free capacity. A hub calls it for the runs
 	// of other hosts.
 	ChooseEngine func(service string, need placement.Requirements, tried map[string]bool) placement.Decision
--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -165,7 +165,7 @@
 	p.gate = &targetgate.Gate{Log: log, Wire: adapter.Wire, Notices: notices, Targets: p.targets}
 	p.pool = targetconn.New(adapter.requestID, p.gate, p.connectionShare)
 	p.forwarder = newForwarder(p)
-	p.pool.Forwarder, p.pool.LocalIP = p.forwarder, n.IP
+	p.pool.Forwarder, p.pool.LocalIP, p.pool.HelperLifetime = p.forwarder, n.IP, n.Grace-exitMargin(n.Grace)
 	p.forwards = &forwarding.Server{Log: log, Pool: p.pool, CutOff: p.forwarder.cutOff, TimeLeft: p.drain.TimeLeft,
 		IsHost: func(ip string) bool { return p.members.HasIP(ip) }, Bodies: memquota.New(n.MemoryBytes / forwardedBodiesShare)}
 	p.targetLog = relay.NewChangeLog(p.newTargetSink())
@@ -174,11 +174,11 @@
 	p.members = peers.NewMembers(log, p.store, p.eras, relay.Host{Name: n.Name, Address: n.PeerAddress(), CPUs: n.CPUs, Mbps: n.LinkMbps, Forward: n.ForwardAddress()})
 	health := ejection.New()
 	p.exchange = &peers.Exchange{Log: log, Host: n.Name, Members: p.members, Inflight: p.inflight, Targets: p.targets,
-		ChangeLog: p.targetLog, Policy: p.policy, Confirmer: p.confirmer, Health: health, Eras: p.eras, FollowsStore: p.feeds.live,
+		ChangeLog: p.targetLog, Policy: p.policy, Confirmer: p.confirmer, Health: health, Eras: p.eras, FollowsStore: p.feeds.live, IsDraining: func() bool { return p.drain.Begun().Err() != nil },
 		Notices: notices, Quarantine: p.quarantine}
 	p.crashes.OnEvidence = p.exchange.SendEvidence
 	p.exchange.Init()
-	sender := &edge.Sender{Wire: adapter.Wire, Pool: p.pool, Crashes: p.crashes, Longest: p.drain.Longest}
+	sender := &edge.Sender{Wire: adapter.Wire, Pool: p.pool, Crashes: p.crashes, Longest: p.drain.Longest, Movable: p.isMovable}
 	p.plain = &plain.Server{Sender: sender, Targets: p.targets, Inflight: p.inflight, Health: health, RetryBudget: p.retryBudget, Domain: n.Domain, Stalls: &p.stalls, Drain: p.drain, Queue: admission.New(p.inflight.Changed),
 		LargeBodies: memquota.New(n.MemoryBytes / largeBodiesShare)}
 	p.streaming = &streaming.Server{
@@ -186,6 +186,7 @@
 		Lengths: streaming.NewOutputLengths(), Queue: admission.New(p.inflight.Changed), Runs: streaming.NewRuns(p.onRunEntered),
 		RetryBudget: p.retryBudget, Domain: n.Domain, EstimateSpread: p.estimateSpread, PlaceViaHub: p.exchange.PlaceAtHub, Drain: p.drain, Stalls: &p.stalls,
 	}
+	p.streaming.CutOff = p.forwarder.cutOff
 	p.exchange.ChooseEngine = p.chooseForPeer
 	p.mover = &migration.Mover{
 		Log: log, Host: n.Name, Engines: p.streaming.Engines, Inflight: p.inflight, ReserveEngine: p.streaming.ReserveEngine,
@@ -260,6 +261,7 @@
 	wait.Go(func() { p.eras.Run(ctx, p.store, p.exchange.IsHub) })
 	wait.Go(func() { p.exchange.Run(ctx) })
 	wait.Go(func() { p.watchReach(ctx) })
+	wait.Go(func() { p.watchHelpers(ctx) })
 	wait.Go(func() { p.replicator.Run(ctx) })
 	wait.Go(func() { p.reportPoller().Run(ctx) })
 	wait.Go(func() { p.keepHeld(ctx) })
--- a/internal/edge/sender.go
+++ b/internal/edge/sender.go
@@ -24,6 +24,8 @@
 	Crashes *CrashGuard
 	// Longest returns how long a call takes at most; nil if that is not known.
 	Longest func(a *AuthorizedCall) time.Duration
+	// Movable reports whether a call can go on at another target while it runs; nil for never.
+	Movable func(a *AuthorizedCall) bool
 }
 
 // Tracer starts the spans of the edge process: one for each request, send and move.
@@ -54,6 +56,7 @@
 	return s.Pool.Do(ctx, t.Key(), t.Address, &targetconn.Request{
 		ID: c.ID, Method: c.Method, URI: c.URI, Host: c.Host, Body: c.Body,
 		EncodeHeader: func() http.Header { return s.Wire.Encode(c, d, a.TimeLeft()) }, Use: use, Arrived: a.Arrived, Longest: longest,
+		Movable: s.Movable != nil && s.Movable(a),
 	})
 }
 
--- a/internal/edge/streaming/run.go
+++ b/internal/edge/streaming/run.go
@@ -110,6 +110,17 @@
 // ProcessDrains reports whether this process has been asked to stop.
 func (r *Run) ProcessDrains() bool { return r.server.Drain.Begun().Err() != nil }
 
+// Helper returns the address of the host by way of which the run's stream comes; "" if it comes from
+// the engine itself.
+func (r *Run) Helper() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.segment == nil {
+		return ""
+	}
+	return r.segment.response.Helper
+}
+
 // promptTokens returns the length of the prompt, 0 if unknown.
 func (r *Run) promptTokens() int {
 	if g := r.call.Call.Generation; g != nil {
--- a/internal/edge/streaming/server.go
+++ b/internal/edge/streaming/server.go
@@ -73,6 +73,8 @@
 	PlaceViaHub func(ctx context.Context, args peers.PlaceArgs) (peers.PlaceReply, bool)
 	// Drain is the end of the process, before which a run must have ended.
 	Drain *draining.Drain
+	// CutOff reports whether this host reaches no target of the service of an incarnation; nil for never.
+	CutOff func(incarnation string) bool
 	// Stalls tells when this process was stalled, so that engines only seem silent.
 	Stalls *stall.Detector
 	// Observer records waits and pauses as metrics.
@@ -171,6 +173,12 @@
 	case errors.Is(err, errNotExecuted):
 		r.attempts.sends.Add(1)
 		return r.refusedOr(edge.ReasonTargetFull, startRetryAfter), s.takeAttempt(r)
+	case errors.Is(err, targetconn.ErrOutlastsHelper):
+		if !s.awaitReach(ctx, r, t) {
+			return r.refusedOr(edge.ReasonNoTarget, startRetryAfter), false
+		}
+		delete(r.attempts.tried, t.Key())
+		return nil, true
 	case errors.Is(err, targetconn.ErrNotYet):
 		delete(r.attempts.tried, t.Key()) // it may accept the run soon
 		return nil, true
--- a/internal/edge/targetconn/errors.go
+++ b/internal/edge/targetconn/errors.go
@@ -17,6 +17,9 @@
 	// first request after its pause yet, this host's share of its limit is used up, or it is
 	// brittle and may have no room. Such an error also matches ErrRefused.
 	ErrNotYet = eris.New("target: accepts no request yet, and nothing was sent; try another target or wait")
+	// ErrOutlastsHelper means that this host does not reach the target, and that the request may take
+	// longer than a helper that is stopped. Such an error also matches ErrNotSent.
+	ErrOutlastsHelper = eris.New("target: not reachable, and the request may take longer than another host can send it; nothing was sent; wait or try another target")
 	// ErrBroken means that the request was sent, at least in part, but no complete
 	// response arrived: the target may have run it.
 	ErrBroken = eris.New("target: connection broke after the request was sent; repeat it only if it is idempotent")
@@ -39,6 +42,13 @@
 
 func (c *cancellation) Is(target error) bool { return target == ErrCanceled || target == ErrBroken }
 
+// outlastsHelper is the error of a send that no helper was asked to make.
+type outlastsHelper struct{ cause error }
+
+func (o *outlastsHelper) Error() string { return o.cause.Error() + ": " + ErrOutlastsHelper.Error() }
+
+func (o *outlastsHelper) Is(target error) bool { return target == ErrOutlastsHelper || target == ErrNotSent }
+
 // earlyReset is the error of a send on a new connection that was reset at once.
 type earlyReset struct{ cause error }
 
--- a/internal/edge/targetconn/forward.go
+++ b/internal/edge/targetconn/forward.go
@@ -183,6 +183,10 @@
 		bounded := *req
 		bounded.Longest, req = time.Until(end), &bounded
 	}
+	unhelped := p.outlastsHelper(req)
+	if unhelped {
+		helpers = nil
+	}
 	for _, helper := range helpers {
 		response, outcome, sendErr := p.doOnce(ctx, incarnation, address, req, way{helper: helper})
 		if outcome != "" {
@@ -193,9 +197,18 @@
 		}
 	}
 	response, _, err := p.doOnce(ctx, incarnation, address, req, way{uncertain: true})
+	if unhelped && errors.Is(err, ErrNotSent) && !errors.Is(err, ErrRefused) {
+		err = &outlastsHelper{err}
+	}
 	return response, err
 }
 
+// outlastsHelper reports whether a helper that is stopped as planned could cut the request, which then
+// is better not sent: only a request that was not sent can be rejected and sent again by its caller.
+func (p *Pool) outlastsHelper(req *Request) bool {
+	return p.HelperLifetime > 0 && !req.Movable && req.Longest > p.HelperLifetime
+}
+
 // acknowledgmentTimeout is how long a helper may take to acknowledge a request before others are
 // asked instead: its process may have been frozen while its kernel goes on.
 const acknowledgmentTimeout = 400 * time.Millisecond
--- a/internal/edge/targetconn/pool.go
+++ b/internal/edge/targetconn/pool.go
@@ -64,6 +64,9 @@
 
 	// Forwarder makes other hosts send requests that this one can't; nil for never.
 	Forwarder Forwarder
+	// HelperLifetime is how long a helper goes on with the requests that it has when it is asked to
+	// stop; 0 if that is not known.
+	HelperLifetime time.Duration
 	// LocalIP is the address from which connections are opened; "" leaves it to the kernel.
 	LocalIP string
 
@@ -174,7 +177,7 @@
 		return nil, outcome, err
 	}
 	r := p.newResponse(conn, req, head)
-	r.detach, r.written, r.direct = detach, written, direct
+	r.detach, r.written, r.direct, r.Helper = detach, written, direct, helper
 	r.reusable = !head.Close && !(leaving && direct && isCallersRequest(req)) &&
 		(!direct || conn.noteAnswer(req.ID, p.requestID(head.Header), head.StatusCode))
 	return r, outcome, nil
--- a/internal/edge/targetconn/request.go
+++ b/internal/edge/targetconn/request.go
@@ -25,7 +25,10 @@
 	Use     targetnotice.Use
 	Arrived bootclock.Instant // when the caller's request arrived at this host; 0 for control calls
 	Longest time.Duration     // how long it takes at most until its response has ended; 0 if that is not known
-	CopyTo  string            // incarnation to which the target is asked to copy a run; "" if none
+	// Movable means that it can go on at another target while it runs, so that a helper that ends
+	// first does not cut it.
+	Movable bool
+	CopyTo  string // incarnation to which the target is asked to copy a run; "" if none
 
 	forOtherHost bool // another host asked for it: it takes no further detour
 }
--- a/internal/edge/targetconn/response.go
+++ b/internal/edge/targetconn/response.go
@@ -22,9 +22,10 @@
 type Response struct {
 	Status            int
 	Header            http.Header
-	ConnectionClosing bool  // the target closes the connection after this response
-	Delimited         bool  // the body has a length or chunks, so that its end does not depend on the connection
-	length            int64 // of the body, -1 if the target does not state it
+	Helper            string // address of the host that passes the response on; "" if it comes from the target
+	ConnectionClosing bool   // the target closes the connection after this response
+	Delimited         bool   // the body has a length or chunks, so that its end does not depend on the connection
+	length            int64  // of the body, -1 if the target does not state it
 	body              io.ReadCloser
 	conn              *Conn
 	pool              *Pool
--- a/tests/edge/fleet_test.go
+++ b/tests/edge/fleet_test.go
@@ -58,6 +58,9 @@
 	routeTimeout time.Duration
 	// ownIPs gives each host that starts later an IP address of its own, from which it also connects.
 	ownIPs bool
+	// replicaShare is the share of the engines' memory up to which hosts that start later keep replicas, in
+	// percent.
+	replicaShare int
 	// idleTimeout is how long callers' connections may stay idle, 0 for the default.
 	idleTimeout time.Duration
 }
@@ -148,7 +151,7 @@
 }
 
 func newFleet(t *testing.T) *fleet {
-	return &fleet{t: t, store: memstore.New(memstore.Options{}), keys: []string{apiKey}, grace: 600 * time.Millisecond, wire: platform.Wire{}, logLevel: "info", revokeWithin: revokeWithin}
+	return &fleet{t: t, store: memstore.New(memstore.Options{}), keys: []string{apiKey}, grace: 600 * time.Millisecond, wire: platform.Wire{}, logLevel: "info", revokeWithin: revokeWithin, replicaShare: 60}
 }
 
 // configure writes the next version of the configuration to the store.
@@ -200,7 +203,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h.stop = cancel
 	go func() {
-		h.done <- process.Run(adapter)(ctx, nil, process.Settings{MemoryShare: 70, ReplicaShare: 60, LogLevel: f.logLevel})
+		h.done <- process.Run(adapter)(ctx, nil, process.Settings{MemoryShare: 70, ReplicaShare: f.replicaShare, LogLevel: f.logLevel})
 	}()
 	f.t.Cleanup(func() {
 		cancel()
