Evacuation of a failure domain: state, distribution, placement and gate

With a bound in the settings, hosts now follow the operator's prefix, tell each other the evacuated domains with their revision, confirm them together with the configuration, leave their targets out of every choice and refuse sends to them at the gate. Without the bound, calls to the store and decisions are as before.

--- a/internal/edge/migration/mover.go
+++ b/internal/edge/migration/mover.go
@@ -45,8 +45,8 @@
 	runEnded          = "run_ended"
 	runElsewhere      = "run_elsewhere" // the run has left the source or ended, or may do so since the source is silent
 	tooLate           = "too_late"
-	destinationLeaves = "destination_leaves"
-	onlyReplicated    = "secured" // no final copy; the run continues from its replica when the source exits
+	destinationLeaves = "destination_leaves" // or its failure domain is evacuated
+	onlyReplicated    = "secured"            // no final copy; the run continues from its replica when the source exits
 )
 
 // Mover moves the runs of this host off leaving engines.
@@ -59,6 +59,9 @@
 	ReserveEngine func(ctx context.Context, service *policy.Service, need placement.Requirements, load inflight.Load, tried map[string]bool) streaming.Placement
 	// IsLeaving reports whether a target is leaving.
 	IsLeaving func(target string) bool
+	// IsEvacuated reports whether the failure domain of a target is evacuated, so that no run may
+	// move there.
+	IsEvacuated func(target string) bool
 	// Observe records the outcome and duration of each move in the metrics.
 	Observe func(outcome string, took time.Duration)
 }
@@ -112,6 +115,11 @@
 	}
 }
 
+// takesRuns reports whether a run may continue from its replica at an engine.
+func (m *Mover) takesRuns(dest *targets.Target) bool {
+	return !m.IsLeaving(dest.Key()) && !m.IsEvacuated(dest.Key())
+}
+
 // mayStop reports whether a run may still be stopped for its final copy.
 func (m *Mover) mayStop(noticedAt bootclock.Instant, r *streaming.Run) bool {
 	return !r.ProcessDrains() && MayStop(bootclock.Since(noticedAt))
@@ -126,7 +134,7 @@
 	if replica == nil || replica.Source.Key() != source.Key() {
 		return
 	}
-	if !m.IsLeaving(replica.Dest.Key()) {
+	if m.takesRuns(replica.Dest) {
 		if bootclock.Since(replica.CopiedAt) <= handleLifetime(r.Service().Engine)/2 {
 			return
 		}
@@ -192,7 +200,7 @@
 	if r.LeavesSilentEngine() {
 		return runElsewhere, 0
 	}
-	if replica := r.Replica(); replica != nil && replica.Source.Key() == source.Key() && !m.IsLeaving(replica.Dest.Key()) {
+	if replica := r.Replica(); replica != nil && replica.Source.Key() == source.Key() && m.takesRuns(replica.Dest) {
 		attempts++
 		if outcome := m.switchTo(ctx, noticedAt, replica, r); outcome != destinationLeaves {
 			return outcome, attempts
@@ -260,7 +268,11 @@
 func (m *Mover) switchTo(ctx context.Context, noticedAt bootclock.Instant, replica *streaming.Replica, r *streaming.Run) string {
 	source, dest := replica.Source, replica.Dest
 	wait.For(ctx, noticedAt.Add(noticeSpread).Sub(bootclock.Now()))
-	if !m.mayStop(noticedAt, r) || !m.awaitIdleLink(ctx, source, dest, r) {
+	idle := m.mayStop(noticedAt, r) && m.awaitIdleLink(ctx, source, dest, r)
+	if m.IsEvacuated(dest.Key()) {
+		return destinationLeaves
+	}
+	if !idle {
 		return onlyReplicated
 	}
 	if m.IsLeaving(dest.Key()) {
--- a/internal/edge/migration/replicator.go
+++ b/internal/edge/migration/replicator.go
@@ -47,6 +47,9 @@
 	ReserveEngine func(ctx context.Context, service *policy.Service, need placement.Requirements, load inflight.Load, tried map[string]bool) streaming.Placement
 	// IsLeaving reports whether a target is leaving.
 	IsLeaving func(target string) bool
+	// IsEvacuated reports whether the failure domain of a target is evacuated, so that no run may
+	// continue there.
+	IsEvacuated func(target string) bool
 	// Stalls tells when this process was stalled, so that engines only seem silent.
 	Stalls *stall.Detector
 	// Observe counts the outcome of each replication in the metrics.
@@ -114,7 +117,7 @@
 	case r.IsLeaving(replica.Source.Key()): // the Mover keeps it
 	case r.isObsolete(replica, engine):
 		r.Observe("given_up")
-		run.Log().Info("backup: replica discarded", "dest", replica.Dest.ID, "load_tokens", r.Inflight.TotalLoad(replica.Dest.Key()).Tokens, "leaves", r.IsLeaving(replica.Dest.Key()))
+		run.Log().Info("backup: replica discarded", "dest", replica.Dest.ID, "load_tokens", r.Inflight.TotalLoad(replica.Dest.Key()).Tokens, "leaves", r.IsLeaving(replica.Dest.Key()), "evacuated", r.IsEvacuated(replica.Dest.Key()))
 		run.DiscardReplica(replica)
 	case bootclock.Since(replica.CopiedAt) > handleLifetime(engine)/2:
 		r.refresh(ctx, replica, run)
@@ -128,11 +131,11 @@
 	return !run.Resumable() && run.RemainingTokens() >= minRemainingForReplica && run.HeldTokens() > 0 && !run.OutlastsProcess()
 }
 
-// isObsolete reports whether the replica's engine is leaving or needs its memory for
-// runs.
+// isObsolete reports whether the replica's engine is leaving, is in an evacuated failure domain or
+// needs its memory for runs.
 func (r *Replicator) isObsolete(replica *streaming.Replica, engine *policy.Engine) bool {
 	maxTokens := (r.MaxMemoryShare + discardMargin) * float64(engine.MemoryTokens)
-	return r.IsLeaving(replica.Dest.Key()) || float64(r.Inflight.TotalLoad(replica.Dest.Key()).Tokens) > maxTokens
+	return r.IsLeaving(replica.Dest.Key()) || r.IsEvacuated(replica.Dest.Key()) || float64(r.Inflight.TotalLoad(replica.Dest.Key()).Tokens) > maxTokens
 }
 
 func handleLifetime(engine *policy.Engine) time.Duration {
--- a/internal/edge/peers/confirmation.go
+++ b/internal/edge/peers/confirmation.go
@@ -73,6 +73,9 @@
 			e.Log.Info("policy: configuration in force", "version", e.Policy.Current().Version, "revision", c.Revision, "source", "peer "+address)
 		}
 	}
+	if !e.mergeEvacuation(&c.Evacuation, "peer "+address, c.Age) {
+		return 0, false // it confirms the configuration only
+	}
 	confirmed := policy.Stamp{Version: c.Version, Revision: c.Revision}
 	if own := e.Policy.Current().Stamp(); own == (policy.Stamp{}) || confirmed.NewerThan(own) {
 		return 0, false
--- a/internal/edge/peers/exchange.go
+++ b/internal/edge/peers/exchange.go
@@ -19,6 +19,7 @@
 
 	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/edge/ejection"
+	"corianderhitch/internal/edge/evacuation"
 	"corianderhitch/internal/edge/freshness"
 	"corianderhitch/internal/edge/inflight"
 	"corianderhitch/internal/edge/placement"
@@ -51,6 +52,8 @@
 	Targets   *targets.Registry
 	ChangeLog *relay.ChangeLog
 	Policy    *policy.Holder
+	// Evacuated holds the evacuated failure domains; nil if the deployment evacuates none.
+	Evacuated *evacuation.Holder
 	Confirmer *freshness.Confirmer
 	Health    *ejection.Tracker
 	Eras      *storeera.Tracker
--- a/internal/edge/peers/messages.go
+++ b/internal/edge/peers/messages.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"corianderhitch/internal/edge/evacuation"
 	"corianderhitch/internal/edge/inflight"
 	"corianderhitch/internal/edge/placement"
 	"corianderhitch/internal/edge/relay"
@@ -22,6 +23,9 @@
 	PolicyVersion  int64
 	ListRevision   platform.Revision
 	ListSettling   bool // see relay.ChangeLog.Settling
+	// Evacuation are the evacuated failure domains as this host knows them: a hub that has lost the
+	// store chooses engines for others.
+	Evacuation evacuation.Snapshot
 	// Evidence is what the hub lacks of this host's evidence of crashing requests.
 	Evidence EvidenceArgs
 	// WantFleet requests the loads of all hosts. Only a host that has to place runs
@@ -72,6 +76,8 @@
 	// measured after the request arrived.
 	Age time.Duration
 	Raw []byte // the configuration, if it is newer than the caller's
+	// Evacuation is what else was confirmed: the evacuated failure domains.
+	Evacuation evacuation.Snapshot
 }
 
 // VouchArgs asks a host for a Confirmation. Revision and Version are those of the caller's
--- a/internal/edge/peers/service.go
+++ b/internal/edge/peers/service.go
@@ -16,6 +16,7 @@
 	e.Health.SetReport(args.Host, args.Failing)
 	e.markLeaving(args.Host, args.Leaving)
 	e.mergeLimits(args.Host, args.Limits)
+	e.mergeEvacuation(&args.Evacuation, "host "+args.Host, 0)
 	*reply = SyncReply{
 		Live:    e.FollowsStore(),
 		Leaving: e.Targets.AnnouncedLeaving(),
@@ -77,9 +78,10 @@
 // confirmation returns how fresh this host's configuration is, including its text if
 // it is newer than known.
 func (e *Exchange) confirmation(known policy.Stamp) Confirmation {
-	// Read the age before the configuration: a newer configuration may be applied in
-	// between, but never an older one.
+	// Read the age before the configuration and the evacuated domains: newer ones may be applied
+	// in between, but never older ones.
 	c := Confirmation{Age: e.Confirmer.Age()}
+	c.Evacuation = e.Evacuated.Snapshot()
 	if p := e.Policy.Current(); p != nil {
 		c.Revision, c.Version = p.Revision, p.Version
 		if p.Stamp().NewerThan(known) {
--- a/internal/edge/peers/sync.go
+++ b/internal/edge/peers/sync.go
@@ -74,6 +74,7 @@
 	args.Evidence, sentEvidence = e.evidenceFor(hub.Name)
 	own := e.Policy.Current().Stamp()
 	args.PolicyRevision, args.PolicyVersion = own.Revision, own.Version
+	args.Evacuation = e.Evacuated.Snapshot()
 	askedAt := bootclock.Now()
 	reply := new(SyncReply)
 	wasResponsive := e.isResponsive(hub.Name)
--- a/internal/edge/plain/server.go
+++ b/internal/edge/plain/server.go
@@ -112,11 +112,14 @@
 	unsent     int  // sends that failed before any byte was sent
 	pending    int  // sends without an outcome yet
 	mayHaveRun bool // a target may have run the call
+	retries    int  // taken from the retry budget
+	evacuated  bool // a send was refused because the target's failure domain is evacuated
 }
 
 // serve sends the call until a target answers it or no further send is allowed, and
 // returns the most informative outcome.
 func (r *run) serve() outcome {
+	defer r.returnUnusedRetries()
 	best := outcome{result: unsent}
 	if !r.send() {
 		return best
@@ -174,6 +177,7 @@
 		if errors.Is(o.err, targetconn.ErrNotYet) {
 			delete(r.tried, o.target.Key()) // it may accept the call soon
 		}
+		r.evacuated = r.evacuated || errors.Is(o.err, targetconn.ErrEvacuated)
 		if r.unsent++; r.unsent < maxUnsent {
 			r.send()
 		}
@@ -203,6 +207,7 @@
 		r.call.Log.Warn("plain: not sent again", "reason", reason, "bound", "retry_budget", "budget", budget)
 		return
 	}
+	r.retries++
 	r.call.Log.Info("plain: sent again", "reason", reason, "sends", r.sends+1, "budget", budget)
 	r.send()
 }
--- a/internal/edge/process/confirm.go
+++ b/internal/edge/process/confirm.go
@@ -39,7 +39,11 @@
 	if !p.node.RevokeStrict || p.node.RevokeWithin <= 0 {
 		return 0
 	}
-	return max(p.node.RevokeWithin-revokeMargin, p.node.RevokeWithin/2)
+	within := p.node.RevokeWithin
+	if p.node.EvacuateWithin > 0 { // a confirmation covers the evacuated failure domains too
+		within = min(within, p.node.EvacuateWithin)
+	}
+	return max(within-revokeMargin, within/2)
 }
 
 // recheckAge returns the age of the last confirmation from which a request is looked
@@ -53,9 +57,9 @@
 	return max(p.node.ApplyWithin-applyMargin, p.node.ApplyWithin/2)
 }
 
-// confirmPeriod returns the age at which this host confirms the configuration again. Two
-// bounds apply: the one on revoked API keys, and the one on the time until a configuration is
-// in force. A host whose hubs no longer reach the store meets the second one only if it asks
+// confirmPeriod returns the age at which this host confirms the configuration again. The
+// bounds on revoked API keys, on evacuations and on the time until a configuration is in force
+// apply. A host whose hubs no longer reach the store meets the last one only if it asks
 // the store itself in time, with a failed attempt at its peers before that.
 func (p *Process) confirmPeriod() time.Duration {
 	keyShare, period := hostConfirmShare, p.recheckAge()-secondSourceDelay
@@ -65,6 +69,9 @@
 	if p.maxKeyAge() > 0 {
 		period = min(period, time.Duration(keyShare*float64(p.node.RevokeWithin)))
 	}
+	if p.node.EvacuateWithin > 0 {
+		period = min(period, time.Duration(keyShare*float64(p.node.EvacuateWithin)))
+	}
 	return period
 }
 
@@ -129,14 +136,14 @@
 // written again yet what was lost.
 var errEraUnsettled = eris.New("store: restored a moment ago; its configuration may not be the newest")
 
-// confirmWithStore reads the configuration from the store, which confirms it as of the
-// start of the read. A restored store confirms nothing until its era is settled: a key that
+// confirmWithStore reads the configuration and the evacuated failure domains from the store, which
+// confirms them as of the start of the read. A restored store confirms nothing until its era is settled: a key that
 // was withdrawn since the copy would be accepted again.
 func (p *Process) confirmWithStore(ctx context.Context) (bootclock.Instant, error) {
 	asOf := bootclock.Now()
 	era := p.eras.Current()
 	settled := p.eras.Settled(era)
-	entry, err := p.store.Get(ctx, p.adapter.ConfigurationKey)
+	entry, err := p.readOperator(ctx, settled, era)
 	if err != nil {
 		return 0, err
 	}
--- /dev/null
+++ b/internal/edge/process/evacuation.go
@@ -0,0 +1,95 @@
+package process
+
+import (
+	"context"
+
+	"corianderhitch/internal/edge/evacuation"
+	"corianderhitch/internal/edge/feed"
+	"corianderhitch/internal/platform"
+)
+
+// newEvacuated returns the holder of the evacuated failure domains, nil if the deployment evacuates
+// none.
+func (p *Process) newEvacuated() *evacuation.Holder {
+	if p.node.EvacuateWithin <= 0 {
+		return nil
+	}
+	return evacuation.NewHolder(p.log, p.eras.Settled)
+}
+
+// policyPrefix returns the prefix that the feed of the configuration follows.
+func (p *Process) policyPrefix() string {
+	if p.evacuated == nil {
+		return p.adapter.ConfigurationKey
+	}
+	return p.adapter.OperatorPrefix
+}
+
+func (p *Process) newPolicySink() feed.Sink {
+	sink := &policySink{log: p.log, holder: p.policy, key: p.adapter.ConfigurationKey}
+	if p.evacuated == nil {
+		return sink
+	}
+	return &operatorSink{policy: sink, evacuated: p.evacuated, domainOf: p.adapter.EvacuatedDomain}
+}
+
+// isEvacuated reports whether a target is in an evacuated failure domain.
+func (p *Process) isEvacuated(key string) bool { return p.targets.View().Evacuated(key) }
+
+// readOperator reads what is to be confirmed from the store in one call, and puts the evacuated
+// failure domains in force. It returns the entry of the configuration. settled states whether the
+// era was settled before.
+func (p *Process) readOperator(ctx context.Context, settled bool, era int64) (platform.Entry, error) {
+	if p.evacuated == nil {
+		return p.store.Get(ctx, p.adapter.ConfigurationKey)
+	}
+	entries, revision, err := p.store.List(ctx, p.adapter.OperatorPrefix, "", 0)
+	if err != nil {
+		return platform.Entry{}, err
+	}
+	p.evacuated.Replace(evacuatedDomains(entries, p.adapter.EvacuatedDomain), revision, settled && revision.Era() == era, "confirmation")
+	for i := range entries {
+		if entries[i].Key == p.adapter.ConfigurationKey {
+			return entries[i], nil
+		}
+	}
+	return platform.Entry{}, platform.ErrNotFound
+}
+
+// evacuatedDomains returns the failure domains that a list of entries evacuates.
+func evacuatedDomains(entries []platform.Entry, domainOf func(key string) (string, bool)) []string {
+	var domains []string
+	for i := range entries {
+		if domain, ok := domainOf(entries[i].Key); ok {
+			domains = append(domains, domain)
+		}
+	}
+	return domains
+}
+
+// operatorSink puts what the operator writes in force: configurations and evacuations.
+type operatorSink struct {
+	policy    *policySink
+	evacuated *evacuation.Holder
+	domainOf  func(key string) (string, bool)
+}
+
+var _ feed.Sink = (*operatorSink)(nil)
+
+// Replace implements feed.Sink.
+func (s *operatorSink) Replace(entries []platform.Entry, revision platform.Revision, settled bool) {
+	s.evacuated.Replace(evacuatedDomains(entries, s.domainOf), revision, settled && s.evacuated.Settled(revision), "list")
+	s.policy.Replace(entries, revision, settled)
+}
+
+// Apply implements feed.Sink.
+func (s *operatorSink) Apply(events []platform.Event, revision platform.Revision) {
+	var changes []evacuation.Change
+	for i := range events {
+		if domain, ok := s.domainOf(events[i].Entry.Key); ok {
+			changes = append(changes, evacuation.Change{Domain: domain, Evacuated: !events[i].Deleted, Revision: events[i].Entry.Revision})
+		}
+	}
+	s.evacuated.Apply(changes, revision, "watch")
+	s.policy.Apply(events, revision)
+}
--- a/internal/edge/process/follow.go
+++ b/internal/edge/process/follow.go
@@ -45,8 +45,8 @@
 
 func (p *Process) newFeeds() *feeds {
 	return &feeds{
-		policy: &feed.Feed{Log: p.log, Store: p.store, Prefix: p.adapter.ConfigurationKey, WatchInterval: p.watchInterval(policyWatchInterval), RetryDelay: p.retryDelay,
-			Sink: &policySink{log: p.log, holder: p.policy, key: p.adapter.ConfigurationKey}},
+		policy: &feed.Feed{Log: p.log, Store: p.store, Prefix: p.policyPrefix(), WatchInterval: p.watchInterval(policyWatchInterval), RetryDelay: p.retryDelay,
+			Sink: p.newPolicySink()},
 		targets: &feed.Feed{Log: p.log, Store: p.store, Prefix: p.adapter.TargetPrefix, WatchInterval: p.watchInterval(targetWatchInterval), RetryDelay: p.retryDelay,
 			Sink: p.targetLog, OutageThreshold: expiryHeartbeats * p.node.TargetHeartbeat, EraSettled: p.eras.Settled, SettlePeriod: storeera.SettlePeriod},
 	}
--- a/internal/edge/process/forward.go
+++ b/internal/edge/process/forward.go
@@ -67,7 +67,7 @@
 // ObserveOpening implements targetconn.Forwarder.
 func (f *forwarder) ObserveOpening(incarnation string, usable bool) {
 	view := f.process.targets.View()
-	if t := view.Get(incarnation); t != nil && !t.Leaving {
+	if t := view.Get(incarnation); t != nil && !t.Leaving && !view.Evacuated(incarnation) {
 		f.detector(t.Service).ObserveOpening(incarnation, usable, len(view.Serving(t.Service)), bootclock.Now())
 	}
 }
--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -21,6 +21,7 @@
 	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/edge/draining"
 	"corianderhitch/internal/edge/ejection"
+	"corianderhitch/internal/edge/evacuation"
 	"corianderhitch/internal/edge/forwarding"
 	"corianderhitch/internal/edge/freshness"
 	"corianderhitch/internal/edge/inflight"
@@ -72,6 +73,7 @@
 	adapter       Adapter
 	store         peers.Store
 	policy        *policy.Holder
+	evacuated     *evacuation.Holder // nil if the deployment evacuates no failure domain
 	confirmer     *freshness.Confirmer
 	targets       *targets.Registry
 	inflight      *inflight.Table
@@ -162,6 +164,8 @@
 	p.limitShares = limitshare.New(n.Name, func() []string { return p.members.Names() })
 	notices.Share = p.limitShares.Of
 	p.targets = targets.New(notices, p.onTargetLeaving)
+	p.evacuated = p.newEvacuated()
+	p.targets.ExcludeEvacuated(p.evacuated)
 	p.gate = &targetgate.Gate{Log: log, Wire: adapter.Wire, Notices: notices, Targets: p.targets}
 	p.pool = targetconn.New(adapter.requestID, p.gate, p.connectionShare)
 	p.forwarder = newForwarder(p)
@@ -174,7 +178,7 @@
 	p.members = peers.NewMembers(log, p.store, p.eras, relay.Host{Name: n.Name, Address: n.PeerAddress(), CPUs: n.CPUs, Mbps: n.LinkMbps, Forward: n.ForwardAddress()})
 	health := ejection.New()
 	p.exchange = &peers.Exchange{Log: log, Host: n.Name, Members: p.members, Inflight: p.inflight, Targets: p.targets,
-		ChangeLog: p.targetLog, Policy: p.policy, Confirmer: p.confirmer, Health: health, Eras: p.eras, FollowsStore: p.feeds.live,
+		ChangeLog: p.targetLog, Policy: p.policy, Evacuated: p.evacuated, Confirmer: p.confirmer, Health: health, Eras: p.eras, FollowsStore: p.feeds.live,
 		Notices: notices, Quarantine: p.quarantine}
 	p.crashes.OnEvidence = p.exchange.SendEvidence
 	p.exchange.Init()
@@ -189,11 +193,11 @@
 	p.exchange.ChooseEngine = p.chooseForPeer
 	p.mover = &migration.Mover{
 		Log: log, Host: n.Name, Engines: p.streaming.Engines, Inflight: p.inflight, ReserveEngine: p.streaming.ReserveEngine,
-		IsLeaving: p.isLeaving,
+		IsLeaving: p.isLeaving, IsEvacuated: p.isEvacuated,
 	}
 	p.replicator = &migration.Replicator{
 		Engines: p.streaming.Engines, Inflight: p.inflight, Runs: p.streaming.Runs.All, ReserveEngine: p.streaming.ReserveEngine, IsLeaving: p.isLeaving,
-		Stalls: &p.stalls,
+		IsEvacuated: p.isEvacuated, Stalls: &p.stalls,
 	}
 	return p
 }
@@ -277,7 +281,7 @@
 
 // ready reports whether the platform may send callers to this host.
 func (p *Process) ready() bool {
-	if p.drain.Begun().Err() != nil || p.policy.Current() == nil || !p.targetsListed.Load() {
+	if p.drain.Begun().Err() != nil || p.policy.Current() == nil || !p.targetsListed.Load() || !p.evacuated.Known() {
 		return false
 	}
 	return p.maxKeyAge() == 0 || p.confirmer.Age() < p.maxKeyAge()
@@ -295,8 +299,9 @@
 			}
 			return 0
 		},
-		StoreEra:        p.eras.Current,
-		HeldKeys:        p.heldKeys,
-		DroppedLogLines: logWriter.Dropped,
+		StoreEra:         p.eras.Current,
+		EvacuatedDomains: p.evacuated.Count,
+		HeldKeys:         p.heldKeys,
+		DroppedLogLines:  logWriter.Dropped,
 	}
 }
--- a/internal/edge/streaming/attempts.go
+++ b/internal/edge/streaming/attempts.go
@@ -19,6 +19,7 @@
 	// sends counts the sends that reached an engine and failed; continuations from a
 	// replica don't count.
 	sends      atomic.Int32
+	evacuation evacuationRefusals
 	mayHaveRun bool            // an engine may have begun to run the request
 	beside     bool            // an engine is asked while another one may go on with the request
 	failed     *failedResponse // the last failure that an engine answered with; nil if none
@@ -53,6 +54,7 @@
 		r.call.Log.Warn("stream: not sent again", "sends", r.attempts.sends.Load(), "bound", "retry_budget", "budget", budget)
 		return false
 	}
+	r.attempts.evacuation.retryTaken(len(r.attempts.tried))
 	r.call.Log.Info("stream: may be sent again", "sends", r.attempts.sends.Load(), "budget", budget)
 	return true
 }
--- a/internal/edge/streaming/forward.go
+++ b/internal/edge/streaming/forward.go
@@ -138,6 +138,9 @@
 	case err == io.EOF:
 		r.releaseReplica(replica)
 		return nil, completed
+	case r.server.Targets.View().Evacuated(replica.Dest.Key()):
+		r.releaseReplica(replica) // stopping the run would copy it there once more
+		return nil, brokenOff
 	}
 	// Either the engine crashed, or only the connection broke and the engine still
 	// executes the run. It is stopped there, so that it does not continue at both.
--- a/internal/edge/streaming/server.go
+++ b/internal/edge/streaming/server.go
@@ -115,6 +115,7 @@
 	for range maxPlacements {
 		t, load := s.place(ctx, r)
 		if t == nil {
+			s.returnUnusedRetry(r)
 			return nil, s.noCapacity(ctx, r)
 		}
 		r.attempts.tried[t.Key()] = true
@@ -131,6 +132,7 @@
 			return nil, rejection
 		}
 	}
+	s.returnUnusedRetry(r)
 	return nil, r.refusedOr(edge.ReasonNoTarget, startRetryAfter)
 }
 
@@ -175,6 +177,9 @@
 		delete(r.attempts.tried, t.Key()) // it may accept the run soon
 		return nil, true
 	case errors.Is(err, targetconn.ErrRefused):
+		if errors.Is(err, targetconn.ErrEvacuated) {
+			r.attempts.evacuation.refused++
+		}
 		return nil, true
 	case errors.Is(err, targetconn.ErrNotSent):
 		s.recordFailure(t, sentAt)
@@ -217,6 +222,10 @@
 	}
 	t := s.Queue.Acquire(ctx, a.Service.Name, urgency, func() *targets.Target {
 		view := s.Targets.View()
+		if view.AllEvacuated(a.Service.Name) {
+			cancel() // waiting is pointless: only the operator ends it
+			return nil
+		}
 		if _, refused := view.Refusal(a.Service.Name); refused && !view.AcceptsWithin(a.Service.Name, 0, within-bootclock.Since(started)) {
 			cancel() // waiting is pointless: the run is rejected with the time left
 			return nil
--- a/internal/edge/targetconn/errors.go
+++ b/internal/edge/targetconn/errors.go
@@ -10,13 +10,16 @@
 var (
 	// ErrNotSent means that no byte of the request was sent.
 	ErrNotSent = eris.New("target: not reachable and nothing was sent; try another target")
-	// ErrRefused means that the gate refused the send: the target leaves, wants a pause or names a
-	// limit. Such an error also matches ErrNotSent; the target is not at fault.
+	// ErrRefused means that the gate refused the send: the target leaves, wants a pause, names a limit
+	// or is in an evacuated failure domain. Such an error also matches ErrNotSent; the target is not at fault.
 	ErrRefused = eris.New("target: leaves, wants a pause or names a limit, and nothing was sent; try another target")
 	// ErrNotYet means that the gate refused the send for now: the target has not answered the
 	// first request after its pause yet, this host's share of its limit is used up, or it is
 	// brittle and may have no room. Such an error also matches ErrRefused.
 	ErrNotYet = eris.New("target: accepts no request yet, and nothing was sent; try another target or wait")
+	// ErrEvacuated means that the gate refused the send because the operator has evacuated the failure
+	// domain of the target or of a copy's destination. Such an error also matches ErrRefused.
+	ErrEvacuated = eris.New("target: in an evacuated failure domain, and nothing was sent; try another target")
 	// ErrBroken means that the request was sent, at least in part, but no complete
 	// response arrived: the target may have run it.
 	ErrBroken = eris.New("target: connection broke after the request was sent; repeat it only if it is idempotent")
@@ -57,7 +60,8 @@
 }
 
 func (r *refusal) Is(target error) bool {
-	return target == ErrRefused || target == ErrNotSent || target == ErrNotYet && r.isTemporary()
+	return target == ErrRefused || target == ErrNotSent || target == ErrNotYet && r.isTemporary() ||
+		target == ErrEvacuated && r.verdict == targetnotice.Evacuated
 }
 
 func (r *refusal) isTemporary() bool {
--- a/internal/edge/targetgate/gate.go
+++ b/internal/edge/targetgate/gate.go
@@ -86,7 +86,10 @@
 	now := bootclock.Now()
 	g.inheritBrittle(incarnation, now)
 	v := targetnotice.Allowed
-	if r.CopyTo != "" {
+	if g.evacuated(incarnation, r) {
+		v = targetnotice.Evacuated
+	}
+	if v == targetnotice.Allowed && r.CopyTo != "" {
 		v = g.Notices.Check(r.CopyTo, targetnotice.CopyDestination, 0, now)
 	}
 	if v == targetnotice.Allowed {
--- a/internal/edge/targetnotice/tracker.go
+++ b/internal/edge/targetnotice/tracker.go
@@ -53,6 +53,10 @@
 // occupies reports whether a use takes from this host's share of the room at a target.
 func (u Use) occupies() bool { return u == Request || u == Continuation }
 
+// ReachesEvacuated reports whether a use is also made of targets in evacuated failure domains: it
+// brings no request there.
+func (u Use) ReachesEvacuated() bool { return u == Control || u == Probe }
+
 // ShowsRoom reports whether the target's answer to a use shows if it has room for requests.
 func (u Use) ShowsRoom() bool { return u == Request || u == Continuation || u == ForwardedRequest }
 
@@ -67,11 +71,14 @@
 	OnTrial // the pause has ended, and the answer to the first request is awaited
 	Limited // this host's share of the limit that the target names is used up
 	NoRoom  // the target is brittle, and one more request may find no room
+	// Evacuated means that the operator has evacuated the target's failure domain, or that this host
+	// does not know yet which are. No target states it; the gate decides.
+	Evacuated
 )
 
 // String returns the name of the verdict in logs and metrics.
 func (v Verdict) String() string {
-	return [...]string{"allowed", "leaving", "paused", "on_trial", "limited", "no_room"}[v]
+	return [...]string{"allowed", "leaving", "paused", "on_trial", "limited", "no_room", "evacuated"}[v]
 }
 
 // Tracker remembers what targets have stated, by incarnation. It is safe for concurrent use.
--- a/internal/edge/targets/registry.go
+++ b/internal/edge/targets/registry.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"corianderhitch/internal/edge/bootclock"
+	"corianderhitch/internal/edge/evacuation"
 	"corianderhitch/internal/edge/targetnotice"
 	"corianderhitch/internal/platform"
 )
@@ -43,10 +44,12 @@
 	byService map[string][]*Target
 	byKey     map[string]*Target
 	stated    *targetnotice.Tracker
+	evacuated *evacuation.Holder // nil if no domain is ever evacuated
 }
 
 // Registry tracks targets and their leaving notices. It is safe for concurrent use.
 type Registry struct {
+	evacuated *evacuation.Holder // set before the first use; nil if no domain is ever evacuated
 	view      atomic.Pointer[View]
 	onLeaving func(Target, LeavingNotice)
 	stated    *targetnotice.Tracker // what targets have stated in their answers
@@ -71,6 +74,13 @@
 	return r
 }
 
+// ExcludeEvacuated makes views leave out targets of evacuated failure domains; nil for none. It
+// must be called before the registry is used.
+func (r *Registry) ExcludeEvacuated(evacuated *evacuation.Holder) {
+	r.evacuated = evacuated
+	r.view.Store(&View{stated: r.stated, evacuated: evacuated})
+}
+
 // View returns the current snapshot.
 func (r *Registry) View() *View { return r.view.Load() }
 
@@ -257,7 +267,7 @@
 			delete(r.notices, key)
 		}
 	}
-	v := &View{Revision: revision, stated: r.stated, byService: make(map[string][]*Target), byKey: make(map[string]*Target, len(r.entries))}
+	v := &View{Revision: revision, stated: r.stated, evacuated: r.evacuated, byService: make(map[string][]*Target), byKey: make(map[string]*Target, len(r.entries))}
 	for key := range r.leavingTargets {
 		t := r.leavingTargets[key]
 		v.byKey[key] = &t
--- a/internal/edge/targets/view.go
+++ b/internal/edge/targets/view.go
@@ -8,10 +8,11 @@
 	"corianderhitch/internal/edge/targetnotice"
 )
 
-// Serving returns the targets of a service that don't leave, sorted by key, whether or not
-// they want a pause from this host. The slice is shared; callers must not change it.
+// Serving returns the targets of a service that don't leave and whose failure domain is not
+// evacuated, sorted by key, whether or not they want a pause from this host. The slice is shared;
+// callers must not change it.
 func (v *View) Serving(service string) []*Target {
-	return keep(v.byService[service], func(t *Target) bool { return !t.Leaving })
+	return keep(v.byService[service], func(t *Target) bool { return !t.Leaving && !v.evacuated.Blocks(t.Domain) })
 }
 
 // Available returns the targets of a service that accept new requests from this host, sorted
@@ -71,12 +72,13 @@
 }
 
 // Refusing returns the incarnations of a service that have stated to this host that they
-// leave or want a pause, or are on trial after one; other hosts may not know.
+// leave or want a pause, or are on trial after one, and those of evacuated failure domains; other
+// hosts may not know.
 func (v *View) Refusing(service string) []string {
 	var keys []string
 	now := bootclock.Now()
 	for _, t := range v.byService[service] {
-		if key := t.Key(); !v.accepts(key, now) {
+		if key := t.Key(); !v.accepts(key, now) || v.evacuated.Blocks(t.Domain) {
 			keys = append(keys, key)
 		}
 	}
