--- a/internal/edge/evacuation/state.go
+++ b/internal/edge/evacuation/state.go
@@ -30,10 +30,9 @@
 
 // Domains returns the evacuated domains, sorted.
 func (s *State) Domains() []string {
-	if s == nil {
-		return nil
-	}
-	return slices.Sorted(maps.Keys(s.domains))
+	domains := slices.AppendSeq(make([]string, 0, len(s.domains)), maps.Keys(s.domains))
+	slices.Sort(domains)
+	return domains
 }
 
 // newState returns the state of a whole list.
--- a/internal/edge/peers/service.go
+++ b/internal/edge/peers/service.go
@@ -16,7 +16,7 @@
 	e.Health.SetReport(args.Host, args.Failing)
 	e.markLeaving(args.Host, args.Leaving)
 	e.mergeLimits(args.Host, args.Limits)
-	e.mergeEvacuation(&args.Evacuation, "host "+args.Host, 0)
+	e.mergeEvacuation(&args.Evacuation, "peer "+args.Host, 0)
 	*reply = SyncReply{
 		Live:    e.FollowsStore(),
 		Leaving: e.Targets.AnnouncedLeaving(),
--- a/tests/edge/fleet_test.go
+++ b/tests/edge/fleet_test.go
@@ -58,6 +58,9 @@
 	routeTimeout time.Duration
 	// ownIPs gives each host that starts later an IP address of its own, from which it also connects.
 	ownIPs bool
+	// evacuateWithin is within which hosts that start later stop sending to an evacuated domain, 0 if
+	// none is ever evacuated.
+	evacuateWithin time.Duration
 	// idleTimeout is how long callers' connections may stay idle, 0 for the default.
 	idleTimeout time.Duration
 }
@@ -194,7 +197,7 @@
 			FirstPort: port, LastPort: port + 1, Grace: f.grace, RevokeStrict: true, RevokeWithin: f.revokeWithin,
 			// A process that has just started repeats little of what callers send, and the
 			// tests send few requests.
-			Retry: node.RetryBudget{Ratio: 50, Slack: 50, Window: 10 * time.Second}, TargetHeartbeat: 1200 * time.Millisecond,
+			Retry: node.RetryBudget{Ratio: 50, Slack: 50, Window: 10 * time.Second}, TargetHeartbeat: 1200 * time.Millisecond, EvacuateWithin: f.evacuateWithin,
 		}, nil
 	}
 	ctx, cancel := context.WithCancel(context.Background())
