--- a/internal/edge/migration/replicator.go
+++ b/internal/edge/migration/replicator.go
@@ -118,7 +118,10 @@
 	case r.isObsolete(replica, engine):
 		r.Observe("given_up")
 		run.Log().Info("backup: replica discarded", "dest", replica.Dest.ID, "load_tokens", r.Inflight.TotalLoad(replica.Dest.Key()).Tokens, "leaves", r.IsLeaving(replica.Dest.Key()), "evacuated", r.IsEvacuated(replica.Dest.Key()))
-		run.DiscardReplica(replica)
+		discarded := run.DiscardReplica(replica)
+		if discarded && r.IsEvacuated(replica.Dest.Key()) && worthReplica(run) {
+			return r.create(ctx, run)
+		}
 	case bootclock.Since(replica.CopiedAt) > handleLifetime(engine)/2:
 		r.refresh(ctx, replica, run)
 	}
--- a/tests/edge/evacuation_test.go
+++ b/tests/edge/evacuation_test.go
@@ -48,8 +48,8 @@
 	set := standin.NewEngines()
 	for i, domain := range []string{"a", "b"} {
 		d := &domainTargets{domain: domain, engine: f.startEngine(set, "e-"+domain), plain: f.startPlainTarget("d-" + domain)}
-		f.registerIn(domain, d.engine.ID, engineService, d.engine.Address())
-		f.registerIn(domain, d.plain.ID, plainService, d.plain.Address())
+		f.registerIn(domain, d.engine.ID, engineService, d.engine.Address(), "ready")
+		f.registerIn(domain, d.plain.ID, plainService, d.plain.Address(), "ready")
 		f.domains[i] = d
 	}
 	for range hosts {
@@ -59,8 +59,8 @@
 }
 
 // registerIn writes the entry of a target in a failure domain to the store.
-func (f *fleet) registerIn(domain, id, service, address string) {
-	_, err := f.store.Put(f.t.Context(), platform.TargetPrefix+id, standin.TargetEntryIn(domain, service, address, "ready", 6), ports.AnyRevision, 0)
+func (f *fleet) registerIn(domain, id, service, address, state string) {
+	_, err := f.store.Put(f.t.Context(), platform.TargetPrefix+id, standin.TargetEntryIn(domain, service, address, state, 6), ports.AnyRevision, 0)
 	require.NoError(f.t, err)
 }
 
