--- a/tests/edge/fleet_test.go
+++ b/tests/edge/fleet_test.go
@@ -61,6 +61,9 @@
 	// replicaShare is the share of the engines' memory up to which hosts that start later keep replicas, in
 	// percent.
 	replicaShare int
+	// evacuateWithin is within which hosts that start later stop sending to an evacuated domain, 0 if
+	// none is ever evacuated.
+	evacuateWithin time.Duration
 	// idleTimeout is how long callers' connections may stay idle, 0 for the default.
 	idleTimeout time.Duration
 }
@@ -197,7 +200,7 @@
 			FirstPort: port, LastPort: port + 1, Grace: f.grace, RevokeStrict: true, RevokeWithin: f.revokeWithin,
 			// A process that has just started repeats little of what callers send, and the
 			// tests send few requests.
-			Retry: node.RetryBudget{Ratio: 50, Slack: 50, Window: 10 * time.Second}, TargetHeartbeat: 1200 * time.Millisecond,
+			Retry: node.RetryBudget{Ratio: 50, Slack: 50, Window: 10 * time.Second}, TargetHeartbeat: 1200 * time.Millisecond, EvacuateWithin: f.evacuateWithin,
 		}, nil
 	}
 	ctx, cancel := context.WithCancel(context.Background())
