--- a/internal/edge/targetconn/errors.go
+++ b/internal/edge/targetconn/errors.go
@@ -50,7 +50,9 @@
 
 func (o *outlastsHelper) Error() string { return o.cause.Error() + ": " + ErrOutlastsHelper.Error() }
 
-func (o *outlastsHelper) Is(target error) bool { return target == ErrOutlastsHelper || target == ErrNotSent }
+func (o *outlastsHelper) Is(target error) bool {
+	return target == ErrOutlastsHelper || target == ErrNotSent
+}
 
 // earlyReset is the error of a send on a new connection that was reset at once.
 type earlyReset struct{ cause error }
