Target speed: learn how fast targets are and place by it

Placement reckoned with one prefill rate for all engines, and a host chose plain targets by its own average latency, of which it sees less than one call a second. Engines that are slower, or slow for some seconds, got as many runs as the others.

internal/edge/targetspeed estimates a factor for each incarnation relative to the median of its service: from the time between events and the prompts that were prefilled meanwhile, the time to first events, and the latencies of successful plain calls, each normalized by the occupancy. Hosts send sums of their samples to the first hub with their syncs; it merges them and returns the factors that have changed, in tenths. Factors within a band around 1 count as 1, so that equal targets get the same requests as before. Used by the choice of engines (wait for the first event, time between events, moves and replicas), the wait for capacity, plain calls and their hedge delay.

--- a/internal/edge/metrics/metrics.go
+++ b/internal/edge/metrics/metrics.go
@@ -61,6 +61,7 @@
 	StoreEra        func() int64
 	HeldKeys        func() int
 	DroppedLogLines func() int64
+	Slowness        func() map[string]float64 // learned factors other than 1, by target
 }
 
 // New creates the instruments. It returns the first error of the meter.
@@ -93,6 +94,7 @@
 	b.gauge("hitch_edge_store_era", "", "era of the platform's store: it rises when the store was restored from a copy", g.StoreEra)
 	b.gauge("hitch_edge_held_keys", "", "prompt parts and requests that are held back or on probation because targets crashed under them", func() int64 { return int64(g.HeldKeys()) })
 	b.gauge("hitch_edge_log_lines_dropped", "", "log lines dropped and not reported yet", g.DroppedLogLines)
+	b.gaugeByTarget("hitch_edge_target_slowness", "learned time that a target takes for its work relative to the median of its service, for targets that differ from it", g.Slowness)
 	m.Definitions = b.defined
 	return m, b.err
 }
@@ -217,3 +219,15 @@
 		}))
 	b.keepError(err)
 }
+
+func (b *builder) gaugeByTarget(name, description string, read func() map[string]float64) {
+	b.define(name, "gauge", "", "target", description)
+	_, err := b.meter.Float64ObservableGauge(name, metric.WithDescription(description),
+		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+			for target, value := range read() {
+				o.Observe(value, metric.WithAttributes(attribute.String("target", target)))
+			}
+			return nil
+		}))
+	b.keepError(err)
+}
--- a/internal/edge/peers/exchange.go
+++ b/internal/edge/peers/exchange.go
@@ -27,6 +27,7 @@
 	"corianderhitch/internal/edge/storeera"
 	"corianderhitch/internal/edge/targetnotice"
 	"corianderhitch/internal/edge/targets"
+	"corianderhitch/internal/edge/targetspeed"
 	"corianderhitch/internal/quarantine"
 	"corianderhitch/internal/rpcconn"
 )
@@ -54,6 +55,7 @@
 	Confirmer *freshness.Confirmer
 	Health    *ejection.Tracker
 	Eras      *storeera.Tracker
+	Speeds    *targetspeed.Tracker  // nil if targets are all alike
 	Notices   *targetnotice.Tracker // what targets state in their answers
 	// Quarantine holds the evidence of requests that crash targets.
 	Quarantine *quarantine.Tracker
--- a/internal/edge/peers/messages.go
+++ b/internal/edge/peers/messages.go
@@ -7,6 +7,7 @@
 	"corianderhitch/internal/edge/placement"
 	"corianderhitch/internal/edge/relay"
 	"corianderhitch/internal/edge/targetnotice"
+	"corianderhitch/internal/edge/targetspeed"
 	"corianderhitch/internal/platform"
 )
 
@@ -24,6 +25,8 @@
 	ListSettling   bool // see relay.ChangeLog.Settling
 	// Evidence is what the hub lacks of this host's evidence of crashing requests.
 	Evidence EvidenceArgs
+	// Speed is what the host has newly observed of targets, only for the hub that merges it.
+	Speed targetspeed.Report
 	// WantFleet requests the loads of all hosts. Only a host that has to place runs
 	// itself needs them.
 	WantFleet bool
@@ -46,6 +49,7 @@
 	List       relay.Changes
 	Vouch      Confirmation
 	Evidence   EvidenceReply
+	Speed      targetspeed.Factors // that have changed
 }
 
 // PlaceArgs asks a hub to choose an engine for a run.
--- a/internal/edge/peers/sync.go
+++ b/internal/edge/peers/sync.go
@@ -66,10 +66,28 @@
 	}
 }
 
+// learnsSpeedFrom reports whether a hub merges this host's samples of the targets' speed: the first one
+// that answers does. The first hub sends its own samples to no other.
+func (e *Exchange) learnsSpeedFrom(hub string) bool {
+	for _, h := range e.Members.Hubs() {
+		if h.Name == e.Host {
+			return false
+		}
+		if h.Name == hub || e.isResponsive(h.Name) {
+			return h.Name == hub
+		}
+	}
+	return false
+}
+
 // sync sends this host's state to a hub and applies its answer.
 func (e *Exchange) sync(ctx context.Context, hub relay.Host, wantFleet bool) {
 	args := SyncArgs{Host: e.Host, WantFleet: wantFleet, Loads: e.Inflight.OwnLoads(), Leaving: e.Targets.AnnouncedLeaving(), Failing: e.Health.RecentlyFailed(), ListRevision: e.ChangeLog.Revision(), ListSettling: e.ChangeLog.Settling(),
 		Limits: e.Notices.LimitNotices(bootclock.Now())}
+	learnsSpeed := e.learnsSpeedFrom(hub.Name)
+	if learnsSpeed {
+		args.Speed = e.Speeds.Report()
+	}
 	var sentEvidence uint64
 	args.Evidence, sentEvidence = e.evidenceFor(hub.Name)
 	own := e.Policy.Current().Stamp()
@@ -89,6 +107,9 @@
 		e.Inflight.SetLoadsByHost(reply.Parts)
 		e.Health.SetFleetReports(reply.Failing)
 	}
+	if learnsSpeed {
+		e.Speeds.Apply(reply.Speed)
+	}
 	e.markLeaving(hub.Name, reply.Leaving)
 	e.mergeLimits(hub.Name, reply.Limits)
 	e.Eras.Observe(reply.Era, "peer "+hub.Name)
--- a/internal/edge/placement/engine.go
+++ b/internal/edge/placement/engine.go
@@ -40,8 +40,8 @@
 	// moveTolerance is the tolerance of a move. It spreads the moves from different
 	// sources over destinations.
 	moveTolerance = 0.12
-	// prefillTokensPerSecond is how fast an engine prefills prompts while it also
-	// decodes its batch: chunks of 112 tokens in steps of about 16 ms.
+	// prefillTokensPerSecond is how fast an engine of typical speed prefills prompts
+	// while it also decodes its batch: chunks of 112 tokens in steps of about 16 ms.
 	prefillTokensPerSecond = 7000.0
 	// maxPrefillWaitShare is the share of the latency objective that the prompts
 	// ahead of a run may take. It ignores the run's own prompt, so that large
@@ -65,10 +65,12 @@
 	Output    int           // output tokens that are still expected
 	Unread    int           // prompt tokens to prefill before the first event
 	Objective time.Duration // latency objective of the first event; 0 for none
-	Affinity  string        // runs with the same value prefer the same engine; "" for none
-	Shared    int           // prompt tokens that the preferred engine has probably cached
-	Domain    string        // failure domain of the sender, or of the source of a move
-	Move      bool          // the run moves from another engine
+	// GapObjective is the longest acceptable time between two events; 0 for none.
+	GapObjective time.Duration
+	Affinity     string // runs with the same value prefer the same engine; "" for none
+	Shared       int    // prompt tokens that the preferred engine has probably cached
+	Domain       string // failure domain of the sender, or of the source of a move
+	Move         bool   // the run moves from another engine
 	// Limit is the share of an engine's memory that may be expected in use with a
 	// replica, which must not take room from new runs; 0 for runs.
 	Limit float64
@@ -82,8 +84,8 @@
 	Draw   float64 // random number in [0, 1) that selects among them
 }
 
-// PrefillTime returns how long an engine takes to prefill prompt tokens while it
-// also decodes its batch.
+// PrefillTime returns how long an engine of typical speed takes to prefill prompt
+// tokens while it also decodes its batch.
 func PrefillTime(tokens int) time.Duration {
 	return time.Duration(float64(tokens) / prefillTokensPerSecond * float64(time.Second))
 }
@@ -210,8 +212,8 @@
 
 // prefillsInTime reports whether the prompts ahead of the run leave it enough of
 // its latency objective.
-func prefillsInTime(l inflight.Load, need Requirements) bool {
-	return need.Objective <= 0 || PrefillTime(l.Unread).Seconds() <= maxPrefillWaitShare*need.Objective.Seconds()
+func prefillsInTime(c *Candidate, need Requirements) bool {
+	return need.Objective <= 0 || c.expectedPrefill(c.Load.Unread).Seconds() <= maxPrefillWaitShare*need.Objective.Seconds()
 }
 
 // engineScore returns the share of the engine's memory that is expected to be in
@@ -219,12 +221,13 @@
 func engineScore(c Candidate, engine *policy.Engine, need Requirements) float64 {
 	capacity := float64(max(1, engine.MemoryTokens))
 	score := float64(peakTokens(c.Load, need)) / capacity
-	if !hasRoom(c.Load, engine, need) || !prefillsInTime(c.Load, need) {
+	if !hasRoom(c.Load, engine, need) || !prefillsInTime(&c, need) {
 		return math.Inf(1)
 	}
 	if need.Objective > 0 {
-		score += waitPenalty * PrefillTime(c.Load.Unread+need.Unread).Seconds() / need.Objective.Seconds()
+		score += waitPenalty * c.expectedPrefill(c.Load.Unread+need.Unread).Seconds() / need.Objective.Seconds()
 	}
+	score += slownessPenalty(&c, engine, need)
 	score += failurePenalty * (c.FailureCost - 1)
 	if c.Target.WarmupLeft > 0 {
 		score += warmupPenalty
--- a/internal/edge/placement/shortage.go
+++ b/internal/edge/placement/shortage.go
@@ -32,7 +32,7 @@
 			s.Tried++
 		case !hasRoom(c.Load, engine, need):
 			s.Memory++
-		case !prefillsInTime(c.Load, need):
+		case !prefillsInTime(&c, need):
 			s.Reading++
 		}
 	}
--- a/internal/edge/plain/server.go
+++ b/internal/edge/plain/server.go
@@ -24,6 +24,7 @@
 	"corianderhitch/internal/edge/stall"
 	"corianderhitch/internal/edge/targetconn"
 	"corianderhitch/internal/edge/targets"
+	"corianderhitch/internal/edge/targetspeed"
 )
 
 const (
@@ -57,7 +58,8 @@
 	Targets     *targets.Registry
 	Inflight    *inflight.Table
 	Health      *ejection.Tracker
-	Queue       *admission.Queue // of calls that wait for their turn at targets with limits and brittle ones
+	Speeds      *targetspeed.Tracker // nil if targets are all alike
+	Queue       *admission.Queue     // of calls that wait for their turn at targets with limits and brittle ones
 	RetryBudget func(service string) *retrybudget.Budget
 	Domain      string // failure domain of this host
 	Stalls      *stall.Detector
@@ -108,10 +110,11 @@
 	served     context.Context // ends once the caller has been answered
 	outcomes   chan outcome
 	tried      map[string]bool
-	sends      int  // sends that may have reached a target
-	unsent     int  // sends that failed before any byte was sent
-	pending    int  // sends without an outcome yet
-	mayHaveRun bool // a target may have run the call
+	last       *targets.Target // that the call was last sent to
+	sends      int             // sends that may have reached a target
+	unsent     int             // sends that failed before any byte was sent
+	pending    int             // sends without an outcome yet
+	mayHaveRun bool            // a target may have run the call
 }
 
 // serve sends the call until a target answers it or no further send is allowed, and
@@ -121,7 +124,7 @@
 	if !r.send() {
 		return best
 	}
-	hedge := time.NewTimer(max(minHedgeDelay, time.Duration(hedgeDelayFactor*float64(r.call.Route.Objective))))
+	hedge := time.NewTimer(r.server.hedgeDelay(r.call.Route, r.last))
 	defer hedge.Stop()
 	delayed := false // the hedge was put off once
 	for r.pending > 0 {
@@ -220,7 +223,7 @@
 	if t == nil {
 		return false
 	}
-	r.tried[t.Key()] = true
+	r.tried[t.Key()], r.last = true, t
 	r.sends++
 	r.pending++
 	log := r.call.Log // Serve changes the logger of the call, which a send may outlast
@@ -235,9 +238,9 @@
 	candidates := make([]placement.Candidate, len(available))
 	for i, t := range available {
 		key := t.Key()
-		candidates[i] = placement.Candidate{Target: t, Load: s.Inflight.TotalLoad(key), FailureCost: s.Health.FailureCost(key), Latency: s.Health.Latency(key).Seconds()}
+		candidates[i] = placement.Candidate{Target: t, Load: s.Inflight.TotalLoad(key), FailureCost: s.Health.FailureCost(key), Latency: s.Health.Latency(key).Seconds(), Slowness: s.Speeds.Slowness(key)}
 	}
-	i := placement.ChoosePlainTarget(candidates, s.Domain, r.tried)
+	i := s.choose(candidates, r.tried)
 	if i < 0 {
 		return nil
 	}
@@ -281,6 +284,7 @@
 	}
 	key := t.Key()
 	load := inflight.Load{Runs: 1}
+	before := s.Inflight.TotalLoad(key)
 	s.Inflight.Add(key, load)
 	defer s.Inflight.Remove(key, load)
 	started, sentAt := time.Now(), bootclock.Now()
@@ -299,6 +303,7 @@
 	}
 	o.target, o.took = t, time.Since(started)
 	s.recordHealth(ctx, &o)
+	s.recordSpeed(&o, before.Runs)
 	o.crashEvidence = s.recordEvidence(ctx, a, sentAt, &o)
 	logOutcome(log, &o)
 	return o
--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -43,6 +43,7 @@
 	"corianderhitch/internal/edge/targetgate"
 	"corianderhitch/internal/edge/targetnotice"
 	"corianderhitch/internal/edge/targets"
+	"corianderhitch/internal/edge/targetspeed"
 	"corianderhitch/internal/logging"
 	"corianderhitch/internal/quarantine"
 	"corianderhitch/internal/telemetry"
@@ -95,6 +96,7 @@
 	forwards      *forwarding.Server
 	stalls        stall.Detector
 	quarantine    *quarantine.Tracker
+	speeds        *targetspeed.Tracker
 	crashes       *edge.CrashGuard
 	// keepsHeldUntil is the bootclock.Instant until which this host stores all changes of what is held back.
 	keepsHeldUntil atomic.Int64
@@ -173,18 +175,19 @@
 	p.confirmer = freshness.New(log, p.confirmPeriod, p.confirm)
 	p.members = peers.NewMembers(log, p.store, p.eras, relay.Host{Name: n.Name, Address: n.PeerAddress(), CPUs: n.CPUs, Mbps: n.LinkMbps, Forward: n.ForwardAddress()})
 	health := ejection.New()
+	p.speeds = targetspeed.New(p.comparedTargets, p.onSpeedChange)
 	p.exchange = &peers.Exchange{Log: log, Host: n.Name, Members: p.members, Inflight: p.inflight, Targets: p.targets,
 		ChangeLog: p.targetLog, Policy: p.policy, Confirmer: p.confirmer, Health: health, Eras: p.eras, FollowsStore: p.feeds.live,
-		Notices: notices, Quarantine: p.quarantine}
+		Notices: notices, Quarantine: p.quarantine, Speeds: p.speeds}
 	p.crashes.OnEvidence = p.exchange.SendEvidence
 	p.exchange.Init()
 	sender := &edge.Sender{Wire: adapter.Wire, Pool: p.pool, Crashes: p.crashes, Longest: p.drain.Longest}
 	p.plain = &plain.Server{Sender: sender, Targets: p.targets, Inflight: p.inflight, Health: health, RetryBudget: p.retryBudget, Domain: n.Domain, Stalls: &p.stalls, Drain: p.drain, Queue: admission.New(p.inflight.Changed),
-		LargeBodies: memquota.New(n.MemoryBytes / largeBodiesShare)}
+		LargeBodies: memquota.New(n.MemoryBytes / largeBodiesShare), Speeds: p.speeds}
 	p.streaming = &streaming.Server{
 		Sender: sender, Engines: adapter.NewEngineClient(p.pool), Targets: p.targets, Inflight: p.inflight, Health: health,
 		Lengths: streaming.NewOutputLengths(), Queue: admission.New(p.inflight.Changed), Runs: streaming.NewRuns(p.onRunEntered),
-		RetryBudget: p.retryBudget, Domain: n.Domain, EstimateSpread: p.estimateSpread, PlaceViaHub: p.exchange.PlaceAtHub, Drain: p.drain, Stalls: &p.stalls,
+		RetryBudget: p.retryBudget, Domain: n.Domain, EstimateSpread: p.estimateSpread, PlaceViaHub: p.exchange.PlaceAtHub, Drain: p.drain, Stalls: &p.stalls, Speeds: p.speeds,
 	}
 	p.exchange.ChooseEngine = p.chooseForPeer
 	p.mover = &migration.Mover{
@@ -298,5 +301,6 @@
 		StoreEra:        p.eras.Current,
 		HeldKeys:        p.heldKeys,
 		DroppedLogLines: logWriter.Dropped,
+		Slowness:        p.speeds.Slow,
 	}
 }
--- a/internal/edge/streaming/forward.go
+++ b/internal/edge/streaming/forward.go
@@ -66,7 +66,9 @@
 		} else {
 			r.sendHead(s.target)
 		}
+		before := r.forwardedAt
 		r.forwardedAt = bootclock.Now()
+		r.measureSpeed(s, before, b.events, first)
 		if err := r.writeEvents(b.bytes); err != nil {
 			return errCallerGone
 		}
--- a/internal/edge/streaming/placement.go
+++ b/internal/edge/streaming/placement.go
@@ -70,9 +70,10 @@
 // ChooseEngine chooses the best engine with capacity from what this host knows.
 func (s *Server) ChooseEngine(engines []*targets.Target, service *policy.Service, need placement.Requirements, tried map[string]bool) placement.Decision {
 	candidates := make([]placement.Candidate, len(engines))
+	slowness := s.engineSlowness(service.Name, engines)
 	for i, t := range engines {
 		key := t.Key()
-		candidates[i] = placement.Candidate{Target: t, Load: s.Inflight.TotalLoad(key), FailureCost: s.Health.FailureCost(key)}
+		candidates[i] = placement.Candidate{Target: t, Load: s.Inflight.TotalLoad(key), FailureCost: s.Health.FailureCost(key), Slowness: slowness[i]}
 	}
 	i := placement.ChooseEngine(candidates, service.Engine, need, tried)
 	if i < 0 {
@@ -84,7 +85,7 @@
 // newRequirements returns what a new run requires of an engine. domain is the failure
 // domain of this host.
 func newRequirements(a *edge.AuthorizedCall, load inflight.Load, domain string) placement.Requirements {
-	need := placement.Requirements{Tokens: load.Tokens, Output: load.Tokens - load.Held, Unread: load.Unread, Objective: a.Route.Objective, Domain: domain}
+	need := placement.Requirements{Tokens: load.Tokens, Output: load.Tokens - load.Held, Unread: load.Unread, Objective: a.Route.Objective, GapObjective: a.Route.GapObjective, Domain: domain}
 	// The last part of a prompt is specific to the request; the parts before it are
 	// cached at engines that served requests with the same prefix.
 	if g := a.Call.Generation; g != nil && len(g.Prefix) > 1 {
--- a/internal/edge/streaming/rejection.go
+++ b/internal/edge/streaming/rejection.go
@@ -9,7 +9,6 @@
 
 	"corianderhitch/internal/edge"
 	"corianderhitch/internal/edge/inflight"
-	"corianderhitch/internal/edge/placement"
 )
 
 const (
@@ -53,12 +52,12 @@
 // maxWait returns how long a run waits for capacity. A run that would start too late
 // for its objective is rejected instead: on full engines it would also delay the runs
 // queued behind it.
-func maxWait(a *edge.AuthorizedCall, load inflight.Load) time.Duration {
+func (s *Server) maxWait(a *edge.AuthorizedCall, load inflight.Load) time.Duration {
 	objective := a.Route.Objective
 	if objective <= 0 {
 		return a.TimeLeft() / 4
 	}
-	prefill := time.Duration(prefillMargin * float64(placement.PrefillTime(load.Unread)))
+	prefill := time.Duration(prefillMargin * float64(s.prefillTime(a.Service, load.Unread)))
 	return min(a.TimeLeft()/2, max(objective-prefill, time.Duration(minWaitShare*float64(objective))))
 }
 
--- a/internal/edge/streaming/run.go
+++ b/internal/edge/streaming/run.go
@@ -27,6 +27,7 @@
 	done        chan struct{}
 	// forwardedAt is when the last events were sent; only for the reading goroutine.
 	forwardedAt bootclock.Instant
+	meter       speedMeter // only for the reading goroutine
 	// lastEventAt is a bootclock.Instant, see SinceLastEvent; 0 before the first event and
 	// while events are sent to the caller.
 	lastEventAt atomic.Int64
--- a/internal/edge/streaming/segment.go
+++ b/internal/edge/streaming/segment.go
@@ -34,11 +34,13 @@
 	cancel   context.CancelFunc // cancels the run at the target
 	body     io.Reader          // of response
 	watch    *startWatch        // of the run's start at the target
-	buffer   []byte
-	start    int // buffer[start:end] has not been returned yet
-	end      int
-	searched int   // buffer[start:searched] contains no end of an event
-	repeated int64 // events that the caller already had
+	// unreadAhead is the number of prompt tokens that the target had to prefill before the run's.
+	unreadAhead int
+	buffer      []byte
+	start       int // buffer[start:end] has not been returned yet
+	end         int
+	searched    int   // buffer[start:searched] contains no end of an event
+	repeated    int64 // events that the caller already had
 }
 
 // batch is one or more whole events.
--- a/internal/edge/streaming/server.go
+++ b/internal/edge/streaming/server.go
@@ -23,6 +23,7 @@
 	"corianderhitch/internal/edge/stall"
 	"corianderhitch/internal/edge/targetconn"
 	"corianderhitch/internal/edge/targets"
+	"corianderhitch/internal/edge/targetspeed"
 	"corianderhitch/internal/wait"
 )
 
@@ -67,6 +68,7 @@
 	Lengths     *OutputLengths
 	Queue       *admission.Queue
 	Runs        *Runs
+	Speeds      *targetspeed.Tracker // nil if targets are all alike
 	RetryBudget func(service string) *retrybudget.Budget
 	Domain      string // failure domain of this host
 	// PlaceViaHub asks a hub to choose an engine; false means that no hub could.
@@ -192,7 +194,7 @@
 func (s *Server) place(ctx context.Context, r *Run) (*targets.Target, inflight.Load) {
 	a := r.call
 	load := s.startLoad(a, r.deliveredEvents())
-	within := maxWait(a, load)
+	within := s.maxWait(a, load)
 	if !s.Targets.View().AcceptsWithin(a.Service.Name, s.Queue.LenOf(a.Service.Name), within) {
 		return nil, load // waiting is pointless: the run is rejected immediately
 	}
@@ -251,6 +253,7 @@
 // open sends the run to a target. Its load has been counted there already and is
 // removed if the run does not start. onSilent may be nil, see watchSilence.
 func (s *Server) open(ctx context.Context, r *Run, t *targets.Target, load inflight.Load, d edge.Dispatch, onSilent func()) (*segment, error) {
+	ahead := max(0, s.Inflight.TotalLoad(t.Key()).Unread-load.Unread)
 	watch := s.watchStart(ctx, r, t, d)
 	response, cancel, err := s.send(ctx, r, t, d, onSilent)
 	if err != nil {
@@ -258,7 +261,7 @@
 		s.Inflight.Remove(t.Key(), load)
 		return nil, err
 	}
-	return &segment{target: t, load: load, response: response, cancel: cancel, body: response, watch: watch}, nil
+	return &segment{target: t, load: load, response: response, cancel: cancel, body: response, watch: watch, unreadAhead: ahead}, nil
 }
 
 // send sends the call to a target and checks the head of its response. The returned
