Edge: page of the learned speed of targets

Operators could see only factors other than 1, as a metric. /targets/speed on the ready address shows, as JSON, the factors of all targets with the samples that they rest on, the level of each service and whether the factors come from a hub, from the samples of all hosts or from the host's own.

--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -215,7 +215,7 @@
 		return err
 	}
 	defer p.forwards.Stop()
-	endpoints, err := web.Start(p.node.ReadinessAddress, p.ready, signals.Handler(), p.adapter.ReadyPath)
+	endpoints, err := web.StartWithPages(p.node.ReadinessAddress, p.ready, signals.Handler(), p.pages(), p.adapter.ReadyPath)
 	if err != nil {
 		p.exchange.Stop()
 		return err
--- a/internal/edge/process/speed.go
+++ b/internal/edge/process/speed.go
@@ -1,6 +1,7 @@
 package process
 
 import (
+	"net/http"
 	"slices"
 
 	"corianderhitch/internal/edge/targetspeed"
@@ -25,6 +26,11 @@
 	return services
 }
 
+// pages returns the pages for operators, by path.
+func (p *Process) pages() map[string]http.Handler {
+	return map[string]http.Handler{"/targets/speed": p.speeds}
+}
+
 // onSpeedChange logs that the speed of a target has begun or ceased to differ from its service's.
 func (p *Process) onSpeedChange(c targetspeed.Change) {
 	message := "speed: target is slow"
--- a/internal/edge/targetspeed/tracker_test.go
+++ b/internal/edge/targetspeed/tracker_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"encoding/gob"
+	"encoding/json"
 	"fmt"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -97,6 +99,12 @@
 	require.Greater(t, host.Slowness("2"), 2.5)
 	require.Empty(t, host.Merge(Report{}).Changed, "a host of an older build sends nothing")
 	require.Len(t, host.Slow(), 1)
+	page := httptest.NewRecorder()
+	host.ServeHTTP(page, nil)
+	var status Status
+	require.NoError(t, json.Unmarshal(page.Body.Bytes(), &status))
+	require.Equal(t, fromSelf, status.Source)
+	require.Equal(t, host.Slowness("2"), status.Services[0].Targets[2].Factor)
 }
 
 // Answers that overtake each other must not undo what a later one said.
--- a/internal/web/web.go
+++ b/internal/web/web.go
@@ -18,7 +18,7 @@
 	maxHeaderBytes = 16 << 10
 )
 
-// Server serves /livez, /readyz and /metrics.
+// Server serves /livez, /readyz, /metrics and pages for operators.
 type Server struct {
 	server *http.Server
 	done   chan struct{}
@@ -27,6 +27,11 @@
 // Start starts a server on the address, an ip:port. Readiness is served at /readyz and at
 // readyPaths, for platforms that probe another path. The caller must call Stop.
 func Start(address string, ready func() bool, metrics http.Handler, readyPaths ...string) (*Server, error) {
+	return StartWithPages(address, ready, metrics, nil, readyPaths...)
+}
+
+// StartWithPages is Start with further pages, by path.
+func StartWithPages(address string, ready func() bool, metrics http.Handler, pages map[string]http.Handler, readyPaths ...string) (*Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, eris.Wrapf(err, "cannot listen on %s; choose another --http", address)
@@ -41,6 +46,9 @@
 		}).Methods(http.MethodGet)
 	}
 	router.Handle("/metrics", metrics).Methods(http.MethodGet)
+	for path, page := range pages {
+		router.Handle(path, page).Methods(http.MethodGet)
+	}
 	s := &Server{
 		server: &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes},
 		done:   make(chan struct{}),
