--- a/internal/edge/peers/messages.go
+++ b/internal/edge/peers/messages.go
@@ -8,6 +8,7 @@
 	"corianderhitch/internal/edge/placement"
 	"corianderhitch/internal/edge/relay"
 	"corianderhitch/internal/edge/targetnotice"
+	"corianderhitch/internal/edge/targetspeed"
 	"corianderhitch/internal/platform"
 )
 
@@ -28,6 +29,8 @@
 	Evacuation evacuation.Snapshot
 	// Evidence is what the hub lacks of this host's evidence of crashing requests.
 	Evidence EvidenceArgs
+	// Speed is what the host has newly observed of targets, only for the hub that merges it.
+	Speed targetspeed.Report
 	// WantFleet requests the loads of all hosts. Only a host that has to place runs
 	// itself needs them.
 	WantFleet bool
@@ -50,6 +53,7 @@
 	List       relay.Changes
 	Vouch      Confirmation
 	Evidence   EvidenceReply
+	Speed      targetspeed.Factors // that have changed
 }
 
 // PlaceArgs asks a hub to choose an engine for a run.
--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -44,6 +44,7 @@
 	"corianderhitch/internal/edge/targetgate"
 	"corianderhitch/internal/edge/targetnotice"
 	"corianderhitch/internal/edge/targets"
+	"corianderhitch/internal/edge/targetspeed"
 	"corianderhitch/internal/logging"
 	"corianderhitch/internal/quarantine"
 	"corianderhitch/internal/telemetry"
@@ -97,6 +98,7 @@
 	forwards      *forwarding.Server
 	stalls        stall.Detector
 	quarantine    *quarantine.Tracker
+	speeds        *targetspeed.Tracker
 	crashes       *edge.CrashGuard
 	// keepsHeldUntil is the bootclock.Instant until which this host stores all changes of what is held back.
 	keepsHeldUntil atomic.Int64
@@ -177,18 +179,19 @@
 	p.confirmer = freshness.New(log, p.confirmPeriod, p.confirm)
 	p.members = peers.NewMembers(log, p.store, p.eras, relay.Host{Name: n.Name, Address: n.PeerAddress(), CPUs: n.CPUs, Mbps: n.LinkMbps, Forward: n.ForwardAddress()})
 	health := ejection.New()
+	p.speeds = targetspeed.New(p.comparedTargets, p.onSpeedChange)
 	p.exchange = &peers.Exchange{Log: log, Host: n.Name, Members: p.members, Inflight: p.inflight, Targets: p.targets,
 		ChangeLog: p.targetLog, Policy: p.policy, Evacuated: p.evacuated, Confirmer: p.confirmer, Health: health, Eras: p.eras, FollowsStore: p.feeds.live, IsDraining: func() bool { return p.drain.Begun().Err() != nil },
-		Notices: notices, Quarantine: p.quarantine}
+		Notices: notices, Quarantine: p.quarantine, Speeds: p.speeds}
 	p.crashes.OnEvidence = p.exchange.SendEvidence
 	p.exchange.Init()
 	sender := &edge.Sender{Wire: adapter.Wire, Pool: p.pool, Crashes: p.crashes, Longest: p.drain.Longest, Movable: p.isMovable}
 	p.plain = &plain.Server{Sender: sender, Targets: p.targets, Inflight: p.inflight, Health: health, RetryBudget: p.retryBudget, Domain: n.Domain, Stalls: &p.stalls, Drain: p.drain, Queue: admission.New(p.inflight.Changed),
-		LargeBodies: memquota.New(n.MemoryBytes / largeBodiesShare)}
+		LargeBodies: memquota.New(n.MemoryBytes / largeBodiesShare), Speeds: p.speeds}
 	p.streaming = &streaming.Server{
 		Sender: sender, Engines: adapter.NewEngineClient(p.pool), Targets: p.targets, Inflight: p.inflight, Health: health,
 		Lengths: streaming.NewOutputLengths(), Queue: admission.New(p.inflight.Changed), Runs: streaming.NewRuns(p.onRunEntered),
-		RetryBudget: p.retryBudget, Domain: n.Domain, EstimateSpread: p.estimateSpread, PlaceViaHub: p.exchange.PlaceAtHub, Drain: p.drain, Stalls: &p.stalls,
+		RetryBudget: p.retryBudget, Domain: n.Domain, EstimateSpread: p.estimateSpread, PlaceViaHub: p.exchange.PlaceAtHub, Drain: p.drain, Stalls: &p.stalls, Speeds: p.speeds,
 	}
 	p.streaming.CutOff = p.forwarder.cutOff
 	p.exchange.ChooseEngine = p.chooseForPeer
@@ -217,7 +220,7 @@
 		return err
 	}
 	defer p.forwards.Stop()
-	endpoints, err := web.Start(p.node.ReadinessAddress, p.ready, signals.Handler(), p.adapter.ReadyPath)
+	endpoints, err := web.StartWithPages(p.node.ReadinessAddress, p.ready, signals.Handler(), p.pages(), p.adapter.ReadyPath)
 	if err != nil {
 		p.exchange.Stop()
 		return err
@@ -305,5 +308,6 @@
 		EvacuatedDomains: p.evacuated.Count,
 		HeldKeys:         p.heldKeys,
 		DroppedLogLines:  logWriter.Dropped,
+		Slowness:         p.speeds.Slow,
 	}
 }
