Cold targets: bound what all hosts together send them

A service may state how many requests a second a target takes while it is cold, and the deployment by how much that may be exceeded in one second; above that the target crashes.

Package warmup decides which targets are cold, by their entries, by Cold-Ms in their answers, by other hosts and by marks, and how many requests this host may send: its share of the rate, which a few hosts hold by rendezvous hashing and lend each other when they don't use it. The gate takes a permit for each request and continuation; views, queues and Retry-After use the same decision beside the limits that targets name.

--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -166,6 +166,10 @@
 	// Brittle is how many requests a second the target may reject for want of room before it
 	// fails; 0 if it doesn't say so.
 	Brittle int
+	// ColdStated reports whether the target states how long it is still cold; Cold is that time, 0 if
+	// it is warm.
+	ColdStated bool
+	Cold       time.Duration
 	// Malformed is a header that could not be read, for logs; "" if there is none.
 	Malformed string
 }
--- a/internal/edge/metrics/metrics.go
+++ b/internal/edge/metrics/metrics.go
@@ -60,6 +60,7 @@
 	PolicyVersion   func() int64
 	StoreEra        func() int64
 	HeldKeys        func() int
+	ColdTargets     func() int
 	DroppedLogLines func() int64
 }
 
@@ -76,7 +77,7 @@
 	m.moveDuration = b.seconds("hitch_edge_move_duration", "", "time that a move took")
 	m.replicas = b.counter("hitch_edge_backups", "outcome", "copies of runs that stand by at another engine")
 	m.targetNotices = b.counter("hitch_edge_target_notices", "kind", "answers in which a target states that it leaves, wants a pause or names a limit, or with a malformed statement")
-	m.refusedSends = b.counter("hitch_edge_refused_sends", "reason", "sends that were not made because the target leaves, wants a pause, is on trial after one, or names a limit whose share of this host is used up")
+	m.refusedSends = b.counter("hitch_edge_refused_sends", "reason", "sends that were not made because the target leaves, wants a pause, is on trial after one, names a limit whose share of this host is used up, or is cold and what it bears from this host is used up")
 	m.forwarded = b.counter("hitch_edge_forwarded", "outcome", "requests that other hosts were asked to send to targets while this one reaches none, by what they answered")
 	m.quarantine = b.counter("hitch_edge_quarantine_changes", "change", "prompt parts and requests that were held back because targets crashed under them, or no longer are")
 	m.retries = b.counter("hitch_edge_retries", "service, granted", "decisions on whether a request may be sent once more, by whether the retry budget allowed it")
@@ -92,6 +93,7 @@
 	b.gauge("hitch_edge_policy_version", "", "version of the configuration in force", g.PolicyVersion)
 	b.gauge("hitch_edge_store_era", "", "era of the platform's store: it rises when the store was restored from a copy", g.StoreEra)
 	b.gauge("hitch_edge_held_keys", "", "prompt parts and requests that are held back or on probation because targets crashed under them", func() int64 { return int64(g.HeldKeys()) })
+	b.gauge("hitch_edge_cold_targets", "", "targets that are cold; sends to them are bounded if their service states a rate", func() int64 { return int64(g.ColdTargets()) })
 	b.gauge("hitch_edge_log_lines_dropped", "", "log lines dropped and not reported yet", g.DroppedLogLines)
 	m.Definitions = b.defined
 	return m, b.err
--- a/internal/edge/peers/exchange.go
+++ b/internal/edge/peers/exchange.go
@@ -27,6 +27,7 @@
 	"corianderhitch/internal/edge/storeera"
 	"corianderhitch/internal/edge/targetnotice"
 	"corianderhitch/internal/edge/targets"
+	"corianderhitch/internal/edge/warmup"
 	"corianderhitch/internal/quarantine"
 	"corianderhitch/internal/rpcconn"
 )
@@ -55,6 +56,7 @@
 	Health    *ejection.Tracker
 	Eras      *storeera.Tracker
 	Notices   *targetnotice.Tracker // what targets state in their answers
+	Warmup    *warmup.Tracker       // of cold targets; nil if the deployment bounds nothing
 	// Quarantine holds the evidence of requests that crash targets.
 	Quarantine *quarantine.Tracker
 	// FollowsStore reports whether this host currently follows the store itself.
--- a/internal/edge/peers/messages.go
+++ b/internal/edge/peers/messages.go
@@ -7,6 +7,7 @@
 	"corianderhitch/internal/edge/placement"
 	"corianderhitch/internal/edge/relay"
 	"corianderhitch/internal/edge/targetnotice"
+	"corianderhitch/internal/edge/warmup"
 	"corianderhitch/internal/platform"
 )
 
@@ -18,6 +19,7 @@
 	Leaving        []string                 // incarnations that are known to be leaving
 	Failing        []string                 // incarnations that recently failed requests of this host
 	Limits         []targetnotice.LimitNotice
+	Cold           []warmup.Notice
 	PolicyRevision platform.Revision
 	PolicyVersion  int64
 	ListRevision   platform.Revision
@@ -39,6 +41,7 @@
 	Leaving []string
 	Failing map[string]int // number of other hosts for which each target recently failed
 	Limits  []targetnotice.LimitNotice
+	Cold    []warmup.Notice
 	// Era is the latest era of the store that the hub knows, SettledEra the same if that
 	// era is settled.
 	Era        int64
--- a/internal/edge/peers/service.go
+++ b/internal/edge/peers/service.go
@@ -16,10 +16,12 @@
 	e.Health.SetReport(args.Host, args.Failing)
 	e.markLeaving(args.Host, args.Leaving)
 	e.mergeLimits(args.Host, args.Limits)
+	e.Warmup.Merge(args.Cold, bootclock.Now())
 	*reply = SyncReply{
 		Live:    e.FollowsStore(),
 		Leaving: e.Targets.AnnouncedLeaving(),
 		Limits:  e.Notices.LimitNotices(bootclock.Now()),
+		Cold:    e.Warmup.Notices(bootclock.Now()),
 		Failing: e.Health.CountReports(args.Host),
 		List:    e.ChangeLog.Since(args.ListRevision, args.ListSettling),
 		Vouch:   e.confirmation(policy.Stamp{Version: args.PolicyVersion, Revision: args.PolicyRevision}),
--- a/internal/edge/peers/sync.go
+++ b/internal/edge/peers/sync.go
@@ -69,7 +69,7 @@
 // sync sends this host's state to a hub and applies its answer.
 func (e *Exchange) sync(ctx context.Context, hub relay.Host, wantFleet bool) {
 	args := SyncArgs{Host: e.Host, WantFleet: wantFleet, Loads: e.Inflight.OwnLoads(), Leaving: e.Targets.AnnouncedLeaving(), Failing: e.Health.RecentlyFailed(), ListRevision: e.ChangeLog.Revision(), ListSettling: e.ChangeLog.Settling(),
-		Limits: e.Notices.LimitNotices(bootclock.Now())}
+		Limits: e.Notices.LimitNotices(bootclock.Now()), Cold: e.Warmup.Notices(bootclock.Now())}
 	var sentEvidence uint64
 	args.Evidence, sentEvidence = e.evidenceFor(hub.Name)
 	own := e.Policy.Current().Stamp()
@@ -91,6 +91,7 @@
 	}
 	e.markLeaving(hub.Name, reply.Leaving)
 	e.mergeLimits(hub.Name, reply.Limits)
+	e.Warmup.Merge(reply.Cold, bootclock.Now())
 	e.Eras.Observe(reply.Era, "peer "+hub.Name)
 	e.Eras.MarkSettled(reply.SettledEra)
 	if confirmedAt, ok := e.applyConfirmation(hub.Address, askedAt, &reply.Vouch); ok {
--- a/internal/edge/process/follow.go
+++ b/internal/edge/process/follow.go
@@ -73,7 +73,7 @@
 
 func (p *Process) newTargetSink() *targetSink {
 	return &targetSink{log: p.log, registry: p.targets, decode: p.adapter.DecodeTarget,
-		onListed: func() { p.targetsListed.Store(true) }, known: make(map[string]targets.Target)}
+		onListed: func() { p.targetsListed.Store(true) }, onEntry: p.warmupEntries(), known: make(map[string]targets.Target)}
 }
 
 // targetListAge returns the time since the target list was known to be current.
@@ -99,6 +99,7 @@
 	for {
 		p.stalls.Beat(bootclock.Now())
 		p.observeHosts()
+		p.refreshWarmup(ctx)
 		hubIsLive := p.exchange.HasLiveHub()
 		switch {
 		case hubIsLive:
--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -43,6 +43,7 @@
 	"corianderhitch/internal/edge/targetgate"
 	"corianderhitch/internal/edge/targetnotice"
 	"corianderhitch/internal/edge/targets"
+	"corianderhitch/internal/edge/warmup"
 	"corianderhitch/internal/logging"
 	"corianderhitch/internal/quarantine"
 	"corianderhitch/internal/telemetry"
@@ -91,11 +92,14 @@
 	targetsListed atomic.Bool
 	drain         *draining.Drain
 	limitShares   *limitshare.Shares
+	warmup        *warmup.Tracker // nil if the deployment bounds nothing
 	forwarder     *forwarder
-	forwards      *forwarding.Server
-	stalls        stall.Detector
-	quarantine    *quarantine.Tracker
-	crashes       *edge.CrashGuard
+	// warmupRefreshedAt and borrowedAt are of the last refreshWarmup that did so; only for its goroutine.
+	warmupRefreshedAt, borrowedAt bootclock.Instant
+	forwards                      *forwarding.Server
+	stalls                        stall.Detector
+	quarantine                    *quarantine.Tracker
+	crashes                       *edge.CrashGuard
 	// keepsHeldUntil is the bootclock.Instant until which this host stores all changes of what is held back.
 	keepsHeldUntil atomic.Int64
 	heldChanged    chan struct{} // holds at most one pending request to store what is held back
@@ -161,8 +165,9 @@
 	notices := targetnotice.New()
 	p.limitShares = limitshare.New(n.Name, func() []string { return p.members.Names() })
 	notices.Share = p.limitShares.Of
+	p.initWarmup(notices)
 	p.targets = targets.New(notices, p.onTargetLeaving)
-	p.gate = &targetgate.Gate{Log: log, Wire: adapter.Wire, Notices: notices, Targets: p.targets}
+	p.gate = &targetgate.Gate{Log: log, Wire: adapter.Wire, Notices: notices, Targets: p.targets, Warmup: p.warmup}
 	p.pool = targetconn.New(adapter.requestID, p.gate, p.connectionShare)
 	p.forwarder = newForwarder(p)
 	p.pool.Forwarder, p.pool.LocalIP = p.forwarder, n.IP
@@ -175,7 +180,7 @@
 	health := ejection.New()
 	p.exchange = &peers.Exchange{Log: log, Host: n.Name, Members: p.members, Inflight: p.inflight, Targets: p.targets,
 		ChangeLog: p.targetLog, Policy: p.policy, Confirmer: p.confirmer, Health: health, Eras: p.eras, FollowsStore: p.feeds.live,
-		Notices: notices, Quarantine: p.quarantine}
+		Notices: notices, Warmup: p.warmup, Quarantine: p.quarantine}
 	p.crashes.OnEvidence = p.exchange.SendEvidence
 	p.exchange.Init()
 	sender := &edge.Sender{Wire: adapter.Wire, Pool: p.pool, Crashes: p.crashes, Longest: p.drain.Longest}
@@ -297,6 +302,7 @@
 		},
 		StoreEra:        p.eras.Current,
 		HeldKeys:        p.heldKeys,
+		ColdTargets:     p.warmup.Count,
 		DroppedLogLines: logWriter.Dropped,
 	}
 }
--- a/internal/edge/process/sinks.go
+++ b/internal/edge/process/sinks.go
@@ -54,8 +54,9 @@
 	log      *slog.Logger
 	registry *targets.Registry
 	decode   func(key string, value []byte) (targets.Target, error)
-	onListed func()                    // called after each complete list
-	known    map[string]targets.Target // entries of the last list; kept while a list after an outage is not settled
+	onListed func()                                              // called after each complete list
+	onEntry  func(t *targets.Target, revision platform.Revision) // called with each entry before it is in force; nil for nothing
+	known    map[string]targets.Target                           // entries of the last list; kept while a list after an outage is not settled
 }
 
 // Replace implements feed.Sink.
@@ -127,5 +128,8 @@
 		delete(s.known, e.Key)
 		return t, false
 	}
+	if s.onEntry != nil {
+		s.onEntry(&t, e.Revision)
+	}
 	return t, true
 }
--- a/internal/edge/targetconn/errors.go
+++ b/internal/edge/targetconn/errors.go
@@ -14,8 +14,8 @@
 	// limit. Such an error also matches ErrNotSent; the target is not at fault.
 	ErrRefused = eris.New("target: leaves, wants a pause or names a limit, and nothing was sent; try another target")
 	// ErrNotYet means that the gate refused the send for now: the target has not answered the
-	// first request after its pause yet, this host's share of its limit is used up, or it is
-	// brittle and may have no room. Such an error also matches ErrRefused.
+	// first request after its pause yet, this host's share of its limit or of what it bears while it
+	// is cold is used up, or it is brittle and may have no room. Such an error also matches ErrRefused.
 	ErrNotYet = eris.New("target: accepts no request yet, and nothing was sent; try another target or wait")
 	// ErrBroken means that the request was sent, at least in part, but no complete
 	// response arrived: the target may have run it.
@@ -62,7 +62,7 @@
 
 func (r *refusal) isTemporary() bool {
 	switch r.verdict {
-	case targetnotice.OnTrial, targetnotice.Limited, targetnotice.NoRoom:
+	case targetnotice.OnTrial, targetnotice.Limited, targetnotice.NoRoom, targetnotice.Cold:
 		return true
 	}
 	return false
--- a/internal/edge/targetconn/forward.go
+++ b/internal/edge/targetconn/forward.go
@@ -120,8 +120,11 @@
 	if us, err := strconv.ParseInt(r.Header.Get(forwardLongest), 10, 64); err == nil && us > 0 {
 		f.Longest = time.Duration(min(us, maxLongest.Microseconds())) * time.Microsecond
 	}
-	if f.Use == targetnotice.Request {
+	switch f.Use {
+	case targetnotice.Request:
 		f.Use = targetnotice.ForwardedRequest
+	case targetnotice.Continuation:
+		f.Use = targetnotice.ForwardedContinuation
 	}
 	for _, name := range requestHeaders {
 		f.Header.Del(name)
--- a/internal/edge/targetconn/pool.go
+++ b/internal/edge/targetconn/pool.go
@@ -298,7 +298,7 @@
 }
 
 func isCallersRequest(req *Request) bool {
-	return req.Use == targetnotice.Request || req.Use == targetnotice.ForwardedRequest || req.Use == targetnotice.Continuation
+	return req.Use == targetnotice.Request || req.Use == targetnotice.ForwardedRequest || req.Use == targetnotice.Continuation || req.Use == targetnotice.ForwardedContinuation
 }
 
 // readHead reads response heads until one belongs to the request. It passes each to observe. Targets
--- a/internal/edge/targetgate/gate.go
+++ b/internal/edge/targetgate/gate.go
@@ -16,6 +16,7 @@
 	"corianderhitch/internal/edge/targetconn"
 	"corianderhitch/internal/edge/targetnotice"
 	"corianderhitch/internal/edge/targets"
+	"corianderhitch/internal/edge/warmup"
 )
 
 // malformedLogInterval is the least time between two log lines about malformed headers: a
@@ -48,6 +49,7 @@
 	Notices  *targetnotice.Tracker
 	Targets  *targets.Registry
 	Observer Observer
+	Warmup   *warmup.Tracker // nil if the deployment bounds nothing
 
 	malformedLoggedAt atomic.Int64 // a bootclock.Instant
 	brittleServices   sync.Map     // rejections a second that targets last stated, an int, by service
@@ -108,6 +110,12 @@
 		}
 		return n.Leaving
 	}
+	if n.ColdStated {
+		for _, key := range g.authors(incarnation, address, status) {
+			g.Warmup.ObserveAnswer(key, n.Cold, bootclock.Now())
+		}
+		n.ColdStated, n.Cold = false, 0
+	}
 	limited, brittle := g.Notices.AnyLimited(), g.Notices.AnyBrittle()
 	// What all answers of a target state has ended with the first answer without it.
 	whole := (limited || brittle) && status >= http.StatusOK && n.Malformed == "" && (r.ID == "" || g.Wire.Signed(h) || g.Wire.NotExecuted(status, h))
--- a/internal/edge/targetnotice/limit.go
+++ b/internal/edge/targetnotice/limit.go
@@ -65,8 +65,22 @@
 }
 
 // PermitLeft returns how long it takes until this host may send the incarnation a request,
-// and the rate at which it may send; 0 if it names no limit.
+// and the rate at which it may send; 0 if it names no limit and its sends are not bounded because it
+// is cold.
 func (t *Tracker) PermitLeft(incarnation string, now bootclock.Instant) (left time.Duration, rate float64) {
+	left, rate = t.limitLeft(incarnation, now)
+	if !t.AnyCold(now) {
+		return left, rate
+	}
+	coldLeft, coldRate := t.Warmup.Left(incarnation, now)
+	if rate == 0 || coldLeft > 0 && coldRate == 0 || coldRate > 0 && coldRate < rate {
+		rate = coldRate
+	}
+	return max(left, coldLeft), rate
+}
+
+// limitLeft is PermitLeft by the limit that the incarnation names.
+func (t *Tracker) limitLeft(incarnation string, now bootclock.Instant) (left time.Duration, rate float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.targets[incarnation]
--- a/internal/edge/targetnotice/tracker.go
+++ b/internal/edge/targetnotice/tracker.go
@@ -42,19 +42,26 @@
 
 // Uses of a target. The zero value is the one that the rules restrict most.
 const (
-	Request          Use = iota // a caller's request, also when it is sent again or hedged
-	Continuation                // a caller's request that continues from memory that the target holds
-	Probe                       // a question about the target itself
-	CopyDestination             // to receive the memory of a run
-	ForwardedRequest            // a Request of another host, which takes it from its own shares of limits and room
-	Control                     // a call for a run that executes at the target, such as moving it
+	Request               Use = iota // a caller's request, also when it is sent again or hedged
+	Continuation                     // a caller's request that continues from memory that the target holds
+	Probe                            // a question about the target itself
+	CopyDestination                  // to receive the memory of a run
+	ForwardedRequest                 // a Request of another host, which takes it from its own shares of limits and room
+	Control                          // a call for a run that executes at the target, such as moving it
+	ForwardedContinuation            // a Continuation of another host, which takes it from its own share of what a cold target bears
 )
 
 // occupies reports whether a use takes from this host's share of the room at a target.
-func (u Use) occupies() bool { return u == Request || u == Continuation }
+func (u Use) occupies() bool { return u == Request || u.continues() }
+
+// continues reports whether a use continues from memory that the target holds.
+func (u Use) continues() bool { return u == Continuation || u == ForwardedContinuation }
+
+// warmsUp reports whether a use takes from this host's share of what a cold target bears.
+func (u Use) warmsUp() bool { return u == Request || u == Continuation }
 
 // ShowsRoom reports whether the target's answer to a use shows if it has room for requests.
-func (u Use) ShowsRoom() bool { return u == Request || u == Continuation || u == ForwardedRequest }
+func (u Use) ShowsRoom() bool { return u == Request || u.continues() || u == ForwardedRequest }
 
 // Verdict states whether a target may be used, or why not.
 type Verdict int
@@ -67,11 +74,12 @@
 	OnTrial // the pause has ended, and the answer to the first request is awaited
 	Limited // this host's share of the limit that the target names is used up
 	NoRoom  // the target is brittle, and one more request may find no room
+	Cold    // this host's share of what a cold target bears is used up
 )
 
 // String returns the name of the verdict in logs and metrics.
 func (v Verdict) String() string {
-	return [...]string{"allowed", "leaving", "paused", "on_trial", "limited", "no_room"}[v]
+	return [...]string{"allowed", "leaving", "paused", "on_trial", "limited", "no_room", "cold"}[v]
 }
 
 // Tracker remembers what targets have stated, by incarnation. It is safe for concurrent use.
@@ -80,6 +88,8 @@
 	// hosts use; nil for a host without others. It is called often and with a lock held. Set it
 	// before the first use.
 	Share func(incarnation string, holders int) float64
+	// Warmup bounds the sends to cold targets; nil for no bound. Set it before the first use.
+	Warmup Warmup
 
 	mu      sync.Mutex
 	targets map[string]*statements // guarded by mu
@@ -162,7 +172,11 @@
 func (t *Tracker) Check(incarnation string, use Use, arrived, now bootclock.Instant) Verdict {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.verdict(incarnation, t.targets[incarnation], use, arrived, now)
+	v := t.verdict(incarnation, t.targets[incarnation], use, arrived, now)
+	if v == Allowed && use.warmsUp() && t.coldLeft(incarnation, now) > 0 {
+		v = Cold
+	}
+	return v
 }
 
 // Admit is Check for a send that follows immediately, which it counts. If the send is a trial,
@@ -172,19 +186,22 @@
 	defer t.mu.Unlock()
 	s := t.targets[incarnation]
 	v := t.verdict(incarnation, s, use, arrived, now)
+	if v == Allowed && use.warmsUp() && t.Warmup != nil && !t.Warmup.Take(incarnation, now) {
+		v = Cold
+	}
 	if v != Allowed || s == nil {
 		return v, nil
 	}
 	if use.occupies() {
 		s.waiting++
 	}
-	if s.limit.Stated && (use == Request || use == Continuation) {
+	if s.limit.Stated && use.occupies() {
 		s.sends.add(now)
 		s.permits.accrue(now, t.hostRate(incarnation, s))
 		s.permits.take()
 	}
 	switch {
-	case use == Continuation && s.paused(now):
+	case use.continues() && s.paused(now):
 		s.continuations++
 	case use == Request && now < s.openAt:
 		s.openAt = min(s.openAt, now.Add(trialTimeout))
@@ -245,12 +262,12 @@
 		return Allowed
 	}
 	if s.leaving {
-		takenBefore := (use == Request || use == ForwardedRequest || use == Continuation) && arrived <= s.leavingAt
+		takenBefore := (use == Request || use == ForwardedRequest || use.continues()) && arrived <= s.leavingAt
 		if !takenBefore {
 			return Leaving
 		}
 	}
-	if s.paused(now) && (use != Continuation || s.continuations >= maxContinuations) {
+	if s.paused(now) && (!use.continues() || s.continuations >= maxContinuations) {
 		return Paused
 	}
 	if (use == Request || use == ForwardedRequest) && s.onTrial(now) {
@@ -267,7 +284,7 @@
 
 // AnyRestricted reports whether a target may be paused, on trial or limited. It is cheap.
 func (t *Tracker) AnyRestricted(now bootclock.Instant) bool {
-	return int64(now) < t.lastEnd.Load() || t.AnyLimited() || t.AnyBrittle()
+	return int64(now) < t.lastEnd.Load() || t.AnyLimited() || t.AnyBrittle() || t.AnyCold(now)
 }
 
 // PauseLeft returns how long the incarnation's pause lasts, 0 if it isn't paused.
--- a/internal/edge/targets/view.go
+++ b/internal/edge/targets/view.go
@@ -24,6 +24,10 @@
 	return keep(v.Serving(service), func(t *Target) bool { return v.accepts(t.Key(), now) })
 }
 
+// maxShareless is how many requests wait for a cold target while this host has no share of what it
+// bears.
+const maxShareless = 4
+
 // AcceptsWithin reports whether a target of the service accepts new requests from this host,
 // does so after a trial that is in progress, or takes one more of them within a time, behind
 // those of this host that wait already. It is one look at each target.
@@ -35,8 +39,14 @@
 		switch v.stated.Check(t.Key(), targetnotice.Request, now, now) {
 		case targetnotice.Allowed, targetnotice.OnTrial:
 			return true
-		case targetnotice.Limited:
+		case targetnotice.Limited, targetnotice.Cold:
 			left, rate := v.stated.PermitLeft(t.Key(), now)
+			if rate == 0 { // other hosts hold all shares; of a cold target, this one may borrow some
+				if waiting < maxShareless && left <= within && v.stated.IsCold(t.Key(), now) {
+					return true
+				}
+				continue
+			}
 			rates += rate
 			if first < 0 || left < first {
 				first = left
@@ -54,20 +64,46 @@
 }
 
 // TakesTurns reports whether requests to a target of the service take turns at this host: it names
-// a limit or is brittle.
+// a limit, is brittle or is cold.
 func (v *View) TakesTurns(service string) bool {
-	return (v.stated.AnyLimited() || v.stated.AnyBrittle()) && slices.ContainsFunc(v.Serving(service), func(t *Target) bool {
-		return v.stated.NamesLimit(t.Key()) || v.stated.IsBrittle(t.Key())
+	now := bootclock.Now()
+	return (v.stated.AnyLimited() || v.stated.AnyBrittle() || v.stated.AnyCold(now)) && slices.ContainsFunc(v.Serving(service), func(t *Target) bool {
+		return v.stated.NamesLimit(t.Key()) || v.stated.IsBrittle(t.Key()) || v.stated.IsCold(t.Key(), now)
 	})
 }
 
-// Unlimited returns the targets that Available returns, without those that name a limit.
+// Cold returns the incarnations of a service whose sends are bounded because they are cold, none if
+// that is all that accept requests.
+func (v *View) Cold(service string) []string {
+	now := bootclock.Now()
+	if !v.stated.AnyCold(now) {
+		return nil
+	}
+	var cold []string
+	warm := false
+	for _, t := range v.Available(service) {
+		if key := t.Key(); v.stated.IsCold(key, now) {
+			cold = append(cold, key)
+		} else {
+			warm = true
+		}
+	}
+	if !warm {
+		return nil
+	}
+	return cold
+}
+
+// Unlimited returns the targets that Available returns and cold ones, without those that name a limit.
 func (v *View) Unlimited(service string) []*Target {
-	available := v.Available(service)
-	if !v.stated.AnyLimited() {
-		return available
+	now := bootclock.Now()
+	if !v.stated.AnyRestricted(now) {
+		return v.Serving(service)
 	}
-	return keep(available, func(t *Target) bool { return !v.stated.NamesLimit(t.Key()) })
+	return keep(v.Serving(service), func(t *Target) bool {
+		verdict := v.stated.Check(t.Key(), targetnotice.Request, now, now)
+		return (verdict == targetnotice.Allowed || verdict == targetnotice.Cold) && !v.stated.NamesLimit(t.Key())
+	})
 }
 
 // Refusing returns the incarnations of a service that have stated to this host that they
@@ -83,11 +119,11 @@
 	return keys
 }
 
-// WantsPause reports whether an incarnation wants a pause from this host or is on trial after
-// one, so that it may accept requests later.
+// WantsPause reports whether an incarnation wants a pause from this host, is on trial after one or
+// is cold, so that it may accept requests later.
 func (v *View) WantsPause(key string) bool {
 	now := bootclock.Now()
-	return v.stated.PauseLeft(key, now) > 0 || v.stated.TrialLeft(key, now) > 0
+	return v.stated.IsCold(key, now) || v.stated.PauseLeft(key, now) > 0 || v.stated.TrialLeft(key, now) > 0
 }
 
 // accepts reports whether an incarnation has stated nothing to this host that keeps a request
--- /dev/null
+++ b/internal/edge/warmup/fleet_test.go
@@ -0,0 +1,227 @@
+package warmup
+
+import (
+	"container/heap"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"corianderhitch/internal/edge/bootclock"
+	"corianderhitch/internal/edge/node"
+)
+
+const (
+	step        = 20 * time.Millisecond
+	incarnation = "target@1"
+	start       = bootclock.Instant(100 * time.Second)
+)
+
+// simHost is a host of a simulated fleet.
+type simHost struct {
+	*Tracker
+	name     string
+	list     func(now bootclock.Instant) []string
+	learnsAt bootclock.Instant
+	// wants reports whether the host has requests for the target.
+	wants   func(now bootclock.Instant) bool
+	replies loanReplies
+}
+
+// loanReply is the answer of another host that is on its way.
+type loanReply struct {
+	lender             string
+	args               LoanArgs
+	reply              LoanReply
+	askedAt, arrivesAt bootclock.Instant
+}
+
+type loanReplies []loanReply
+
+func (l loanReplies) Len() int           { return len(l) }
+func (l loanReplies) Less(i, j int) bool { return l[i].arrivesAt < l[j].arrivesAt }
+func (l loanReplies) Swap(i, j int)      { l[i], l[j] = l[j], l[i] }
+func (l *loanReplies) Push(x any)        { *l = append(*l, x.(loanReply)) }
+func (l *loanReplies) Pop() any {
+	last := (*l)[len(*l)-1]
+	*l = (*l)[:len(*l)-1]
+	return last
+}
+
+// simFleet lets all hosts send to one cold target.
+type simFleet struct {
+	hosts  []*simHost
+	byName map[string]*simHost
+	draw   *rand.Rand
+	loses  float64 // share of the calls between hosts that are lost
+	sent   []bootclock.Instant
+}
+
+func newSimFleet(n int, rate float64, bound node.ColdBound, seed uint64) *simFleet {
+	f := &simFleet{byName: make(map[string]*simHost), draw: rand.New(rand.NewPCG(seed, 1))}
+	var names []string
+	for i := range n {
+		names = append(names, fmt.Sprintf("host-%d", i))
+	}
+	for _, name := range names {
+		h := &simHost{name: name, learnsAt: start, list: func(bootclock.Instant) []string { return names }, wants: func(bootclock.Instant) bool { return true }}
+		h.Tracker = New(slog.New(slog.DiscardHandler), name, bound, func(string) (float64, time.Duration) { return rate, time.Minute })
+		f.hosts, f.byName[name] = append(f.hosts, h), h
+	}
+	return f
+}
+
+// run plays the fleet from the time that its hosts may learn of the target.
+func (f *simFleet) run(lasts time.Duration) {
+	// The established hosts have had their lists for a while.
+	for now := start.Add(-40 * time.Second); now < start; now = now.Add(8 * time.Second) {
+		for _, h := range f.hosts {
+			h.Refresh(h.list(now), now)
+		}
+	}
+	for now := start; now < start.Add(lasts); now = now.Add(step) {
+		for _, i := range f.draw.Perm(len(f.hosts)) {
+			f.play(f.hosts[i], now)
+		}
+	}
+}
+
+func (f *simFleet) play(h *simHost, now bootclock.Instant) {
+	at := now.Add(time.Duration(f.draw.Int64N(int64(step))))
+	if time.Duration(now)%(500*time.Millisecond) == 0 {
+		h.Refresh(h.list(at), at)
+	}
+	if time.Duration(now)%(200*time.Millisecond) == 0 {
+		if lender, args, ok := h.Wanted(at); ok && f.byName[lender] != nil && f.draw.Float64() >= f.loses {
+			reply := f.byName[lender].Lend(args, at)
+			if f.draw.Float64() >= f.loses {
+				heap.Push(&h.replies, loanReply{lender, args, reply, at, at.Add(time.Duration(f.draw.Int64N(int64(300 * time.Millisecond))))})
+			}
+		}
+	}
+	for len(h.replies) > 0 && h.replies[0].arrivesAt <= at {
+		r := heap.Pop(&h.replies).(loanReply)
+		h.Borrow(r.lender, r.args, r.reply, r.askedAt, at)
+	}
+	if now < h.learnsAt {
+		return
+	}
+	h.ObserveEntry(incarnation, "s", 1, time.Minute, at)
+	for h.wants(at) && h.Available(incarnation, at) && h.Take(incarnation, at) {
+		f.sent = append(f.sent, at)
+	}
+}
+
+// mostInOneSecond returns the most sends in a window of one second.
+func (f *simFleet) mostInOneSecond() int {
+	sent := f.sent
+	most, first := 0, 0
+	slices.Sort(sent)
+	for i, at := range sent {
+		for at.Sub(sent[first]) >= time.Second {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// The failure guarded against: a target that has just started crashes because the shares of hosts
+// that know different things add up to more than it bears.
+func TestAllHostsTogetherStayWithinTheBoundOfEachSecond(t *testing.T) {
+	for _, n := range []int{6, 80, 300} {
+		t.Run(fmt.Sprint(n), rapid.MakeCheck(func(t *rapid.T) {
+			rate := float64(rapid.IntRange(1, 120).Draw(t, "rate"))
+			bound := node.ColdBound{Factor: float64(rapid.IntRange(10, 20).Draw(t, "factor tenths")) / 10, Slack: float64(rapid.IntRange(0, 10).Draw(t, "slack"))}
+			f := newSimFleet(n, rate, bound, rapid.Uint64().Draw(t, "seed"))
+			f.loses = 0.2
+			drawLists(t, f)
+			idle := rapid.IntRange(0, 9).Draw(t, "idle hosts in 10")
+			for _, h := range f.hosts {
+				h.learnsAt = start.Add(time.Duration(f.draw.Int64N(int64(3 * time.Second))))
+				if f.draw.IntN(10) < idle {
+					from, to := start.Add(time.Duration(f.draw.Int64N(int64(6*time.Second)))), start.Add(time.Duration(f.draw.Int64N(int64(6*time.Second))))
+					h.wants = func(now bootclock.Instant) bool { return from < now && now < to }
+				}
+			}
+			f.run(4 * time.Second)
+			require.LessOrEqual(t, float64(f.mostInOneSecond()), bound.Factor*rate+bound.Slack)
+		}))
+	}
+}
+
+// drawLists makes the hosts know different numbers of hosts: some are cut off and have lost their
+// entries, some have just joined, and some don't know any list.
+func drawLists(t *rapid.T, f *simFleet) {
+	n := len(f.hosts)
+	cutOff := rapid.IntRange(0, n/4).Draw(t, "cut off")
+	joined := rapid.IntRange(0, n/4).Draw(t, "joined")
+	ignorant := rapid.IntRange(0, n/4).Draw(t, "without a list")
+	var all, established []string
+	for i, h := range f.hosts {
+		all = append(all, h.name)
+		if i < n-joined {
+			established = append(established, h.name)
+		}
+	}
+	for i, h := range f.hosts {
+		switch {
+		case i < cutOff: // it keeps its last list
+			h.list = func(bootclock.Instant) []string { return established }
+		case i >= n-joined:
+			from := start.Add(time.Duration(f.draw.Int64N(int64(3 * time.Second))))
+			h.list = func(now bootclock.Instant) []string {
+				if now < from {
+					return nil
+				}
+				return all
+			}
+		default:
+			lost := start.Add(-time.Duration(f.draw.Int64N(int64(20 * time.Second)))) // the entries of those that are cut off
+			learns := start.Add(time.Duration(f.draw.Int64N(int64(7 * time.Second)))) // of those that have joined
+			h.list = func(now bootclock.Instant) []string {
+				list := established
+				if now >= learns {
+					list = all
+				}
+				if now >= lost {
+					list = list[cutOff:]
+				}
+				return list
+			}
+		}
+		if i >= cutOff && i < cutOff+ignorant {
+			h.list = func(bootclock.Instant) []string { return nil }
+		}
+	}
+}
+
+// Shares that no host uses are lost to callers who wait. The shares that the log shows are those of
+// docs/design/025-cold-targets.md.
+func TestMostOfTheRateIsUsed(t *testing.T) {
+	bound := node.ColdBound{Factor: 1.5, Slack: 5}
+	for _, n := range []int{6, 80, 300} {
+		for _, rate := range []float64{4, 31, 100} {
+			for _, busy := range []int{1, 5} { // one in busy hosts has requests
+				f := newSimFleet(n, rate, bound, 7)
+				for i, h := range f.hosts {
+					h.wants = func(bootclock.Instant) bool { return i%busy == 0 }
+				}
+				f.run(10 * time.Second)
+				used := float64(len(f.sent)) / 10 / rate
+				t.Logf("%d hosts, %g requests per second, 1 in %d hosts busy: %.2f of the rate used, at most %d in one second", n, rate, busy, used, f.mostInOneSecond())
+				require.LessOrEqual(t, float64(f.mostInOneSecond()), bound.Factor*rate+bound.Slack)
+				if busy == 1 {
+					require.Greater(t, used, 0.85)
+				} else {
+					require.Greater(t, used, 0.45)
+				}
+			}
+		}
+	}
+}
