Allowed regions: a call runs only where its route and its account allow

Routes and accounts may state allowedRegions, which were decoded and ignored, so that requests ran in any region.

Package region intersects both lists. The set is computed when a call is authorized and filters the targets of plain calls, hedges, retries, runs, moves and replicas, also at the hub (placement.Requirements.Regions), and the hosts that are asked to send for a cut-off one, which state their region in their entries. A hub of an older build that chooses a forbidden engine is overruled. Calls with other regions queue by themselves. Nothing changes for calls without regions.

--- a/internal/edge/authorizedcall.go
+++ b/internal/edge/authorizedcall.go
@@ -8,6 +8,7 @@
 
 	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/edge/policy"
+	"corianderhitch/internal/edge/region"
 	"corianderhitch/internal/quarantine"
 )
 
@@ -24,6 +25,7 @@
 	Received   bootclock.Instant // when the whole request had been read
 	Deadline   bootclock.Instant // when the caller stops waiting or the route's timeout ends, whichever is earlier
 	Log        *slog.Logger
+	Regions    region.Set // in which the call may run, computed once when it was authorized
 	// StillAuthorized reports whether the call may still be sent: its API key must
 	// have been confirmed recently. It is called just before the request is sent.
 	StillAuthorized func(ctx context.Context) bool
--- a/internal/edge/forwarding/server_test.go
+++ b/internal/edge/forwarding/server_test.go
@@ -20,6 +20,7 @@
 
 	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/edge/memquota"
+	"corianderhitch/internal/edge/region"
 	"corianderhitch/internal/edge/targetconn"
 	"corianderhitch/internal/edge/targetnotice"
 )
@@ -53,8 +54,8 @@
 	outcomes []targetconn.ForwardOutcome // guarded by mu
 }
 
-func (h *helpersOf) Helpers(string) ([]string, bool) { return h.addresses, true }
-func (h *helpersOf) ObserveOpening(string, bool)     {}
+func (h *helpersOf) Helpers(string, region.Set) ([]string, bool) { return h.addresses, true }
+func (h *helpersOf) ObserveOpening(string, bool)                 {}
 func (h *helpersOf) ObserveHelper(_ string, o targetconn.ForwardOutcome) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/edge/ingress/handler.go
+++ b/internal/edge/ingress/handler.go
@@ -18,6 +18,7 @@
 	"corianderhitch/internal/edge/draining"
 	"corianderhitch/internal/edge/freshness"
 	"corianderhitch/internal/edge/policy"
+	"corianderhitch/internal/edge/region"
 	"corianderhitch/internal/wait"
 )
 
@@ -181,16 +182,19 @@
 		return nil, &edge.Rejection{Status: http.StatusBadRequest, Reason: edge.ReasonBadLastEventID}
 	}
 	a := &edge.AuthorizedCall{Call: c, Route: route, Urgency: route.Priority}
+	var accountRegions []string
 	if !route.Public && p.RequiresKeys() {
 		account := p.AccountByKey(c.Credential)
 		if account == nil {
 			return nil, &edge.Rejection{Status: http.StatusUnauthorized, Reason: edge.ReasonUnknownKey}
 		}
 		a.Account, a.UsesAPIKey = account.Name, true
+		accountRegions = account.AllowedRegions
 		if account.Priority != nil {
 			a.Urgency = *account.Priority
 		}
 	}
+	a.Regions = region.Allowed(route.AllowedRegions, accountRegions)
 	if a.Service = p.Service(route.PickService(rand.Float64())); a.Service == nil {
 		return nil, edge.Unavailable(edge.ReasonNoTarget, unconfirmedRetryAfter)
 	}
--- a/internal/edge/migration/mover.go
+++ b/internal/edge/migration/mover.go
@@ -150,7 +150,7 @@
 func moveNeeds(source *targets.Target, domainPenalty float64, r *streaming.Run) (inflight.Load, placement.Requirements) {
 	held := r.HeldTokens()
 	load := inflight.Load{Runs: 1, Tokens: max(r.ExpectedTokens(), held), Held: held}
-	return load, placement.Requirements{Tokens: load.Tokens, Output: load.Tokens - held, Domain: source.Domain, Move: true, Far: domainPenalty, Affinity: source.Key()}
+	return load, placement.Requirements{Tokens: load.Tokens, Output: load.Tokens - held, Domain: source.Domain, Move: true, Far: domainPenalty, Affinity: source.Key(), Regions: r.Regions()}
 }
 
 func describe(runs []*streaming.Run) []PlannedRun {
--- a/internal/edge/migration/replicator.go
+++ b/internal/edge/migration/replicator.go
@@ -151,7 +151,7 @@
 	}
 	held := run.HeldTokens()
 	load := inflight.Load{Runs: 1, Tokens: held, Held: held}
-	need := placement.Requirements{Tokens: held, Domain: source.Domain, Limit: r.MaxMemoryShare, Affinity: source.Key()}
+	need := placement.Requirements{Tokens: held, Domain: source.Domain, Limit: r.MaxMemoryShare, Affinity: source.Key(), Regions: run.Regions()}
 	dest := r.ReserveEngine(ctx, run.Service(), need, load, map[string]bool{source.Key(): true}).Target
 	if dest == nil {
 		return false
--- a/internal/edge/peers/members.go
+++ b/internal/edge/peers/members.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"corianderhitch/internal/edge/bootclock"
+	"corianderhitch/internal/edge/region"
 	"corianderhitch/internal/edge/relay"
 	"corianderhitch/internal/edge/storeera"
 	"corianderhitch/internal/platform"
@@ -145,13 +146,14 @@
 	return m.ips[ip]
 }
 
-// Forwarders returns the addresses of the other hosts that send requests to targets for this one.
-func (m *Members) Forwarders() []string {
+// Forwarders returns the addresses of the other hosts that send requests to targets for this one, in
+// the regions to which their bodies may go.
+func (m *Members) Forwarders(regions region.Set) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	out := make([]string, 0, len(m.hosts))
 	for name, h := range m.hosts {
-		if name != m.self.Name && h.Forward != "" {
+		if name != m.self.Name && h.Forward != "" && regions.Contains(h.Region) {
 			out = append(out, h.Forward)
 		}
 	}
--- a/internal/edge/placement/engine.go
+++ b/internal/edge/placement/engine.go
@@ -9,6 +9,7 @@
 
 	"corianderhitch/internal/edge/inflight"
 	"corianderhitch/internal/edge/policy"
+	"corianderhitch/internal/edge/region"
 )
 
 const (
@@ -80,6 +81,8 @@
 	// hosts would choose the one engine that looks best. 0 and 1 mean the best.
 	Spread int
 	Draw   float64 // random number in [0, 1) that selects among them
+	// Regions are those in which the run may execute. Builds that don't know this field choose any.
+	Regions region.Set
 }
 
 // PrefillTime returns how long an engine takes to prefill prompt tokens while it
--- a/internal/edge/plain/server.go
+++ b/internal/edge/plain/server.go
@@ -20,6 +20,7 @@
 	"corianderhitch/internal/edge/memquota"
 	"corianderhitch/internal/edge/placement"
 	"corianderhitch/internal/edge/policy"
+	"corianderhitch/internal/edge/region"
 	"corianderhitch/internal/edge/retrybudget"
 	"corianderhitch/internal/edge/stall"
 	"corianderhitch/internal/edge/targetconn"
@@ -60,6 +61,7 @@
 	Queue       *admission.Queue // of calls that wait for their turn at targets with limits and brittle ones
 	RetryBudget func(service string) *retrybudget.Budget
 	Domain      string // failure domain of this host
+	Regions     region.Map
 	Stalls      *stall.Detector
 	Drain       *draining.Drain // the end of the process, before which a call must have ended
 	// LargeBodies is the memory for responses that exceed smallBodyBytes. Beyond it, the rest of
@@ -228,10 +230,23 @@
 	return true
 }
 
+// view returns the targets with those of the service on which the call may run.
+func (r *run) view() *targets.View {
+	view := r.server.Targets.View()
+	if !r.call.Regions.Restricted {
+		return view
+	}
+	return view.Only(r.call.Service.Name, func(domain string) bool { return r.server.Regions.Allows(r.call.Regions, domain) })
+}
+
+// queue returns the name of the queue in which the call waits for its turn. Calls with other regions
+// wait for other targets.
+func (r *run) queue() string { return r.call.Service.Name + r.call.Regions.Key() }
+
 // chooseTarget returns the best target that was not tried yet, nil if there is none.
 func (r *run) chooseTarget() *targets.Target {
 	s := r.server
-	available := s.Targets.View().Available(r.call.Service.Name)
+	available := r.view().Available(r.call.Service.Name)
 	candidates := make([]placement.Candidate, len(available))
 	for i, t := range available {
 		key := t.Key()
@@ -263,7 +278,7 @@
 	case best.result == keyUnconfirmed:
 		return edge.Unavailable(edge.ReasonUnconfirmed, noTargetRetryAfter)
 	}
-	if refusal, refused := r.server.Targets.View().Refusal(r.call.Service.Name); refused {
+	if refusal, refused := r.view().Refusal(r.call.Service.Name); refused {
 		return edge.AllRefuse(refusal)
 	}
 	switch best.result {
--- a/internal/edge/plain/trial.go
+++ b/internal/edge/plain/trial.go
@@ -36,7 +36,7 @@
 // at once, since a target that has just paused is easily overrun.
 func (r *run) awaitTrial() {
 	s, service := r.server, r.call.Service.Name
-	trials := s.Targets.View().Trials(service)
+	trials := r.view().Trials(service)
 	if trials.Left == 0 || !s.awaitingTrial.enter(service, trials.Slots) {
 		return
 	}
@@ -49,6 +49,6 @@
 		case <-r.ctx.Done():
 		}
 		timer.Stop()
-		trials = s.Targets.View().Trials(service)
+		trials = r.view().Trials(service)
 	}
 }
--- a/internal/edge/plain/turn.go
+++ b/internal/edge/plain/turn.go
@@ -15,19 +15,19 @@
 	maxTurnWait   = time.Second
 )
 
-// awaitTurn waits until a target that names a limit or is brittle takes one more call of this
+// awaitTurn waits until a target that names a limit, is brittle or is cold takes one more call of this
 // host, and returns it. More urgent calls go first. It returns nil at once if there is no such
 // target, or if too many calls wait already.
 func (r *run) awaitTurn() *targets.Target {
 	s, service := r.server, r.call.Service.Name
-	if !s.Targets.View().TakesTurns(service) {
+	if !r.view().TakesTurns(service) {
 		return nil
 	}
 	within := min(maxTurnWait, time.Duration(turnWaitShare*float64(r.call.TimeLeft())))
-	if !s.Targets.View().AcceptsWithin(service, s.Queue.LenOf(service), within) {
+	if !r.view().AcceptsWithin(service, s.Queue.LenOf(r.queue()), within) {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(r.ctx, within)
 	defer cancel()
-	return s.Queue.Acquire(ctx, service, r.call.Urgency, r.chooseTarget)
+	return s.Queue.Acquire(ctx, r.queue(), r.call.Urgency, r.chooseTarget)
 }
--- a/internal/edge/process/forward.go
+++ b/internal/edge/process/forward.go
@@ -8,6 +8,7 @@
 
 	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/edge/forwarding"
+	"corianderhitch/internal/edge/region"
 	"corianderhitch/internal/edge/targetconn"
 	"corianderhitch/internal/edge/targets"
 )
@@ -53,11 +54,11 @@
 }
 
 // Helpers implements targetconn.Forwarder.
-func (f *forwarder) Helpers(incarnation string) (addresses []string, cutOff bool) {
+func (f *forwarder) Helpers(incarnation string, regions region.Set) (addresses []string, cutOff bool) {
 	if !f.cutOff(incarnation) {
 		return nil, false
 	}
-	chosen, proven := f.helpers.Choose(f.process.members.Forwarders(), bootclock.Now())
+	chosen, proven := f.helpers.Choose(f.process.members.Forwarders(regions), bootclock.Now())
 	if proven == 0 {
 		f.process.members.WantList() // hosts that can help may have started since
 	}
@@ -85,7 +86,7 @@
 		return
 	}
 	p.log.Warn("forward: host reaches no target of a service; other hosts are asked to send its requests", "service", service,
-		"unreachable", e.Unreachable, "probe", e.Probe, "helpers", len(p.members.Forwarders()))
+		"unreachable", e.Unreachable, "probe", e.Probe, "helpers", len(p.members.Forwarders(region.Set{})))
 	for _, t := range p.targets.View().Serving(service) {
 		p.pool.CloseAllIdle(t.Key())
 		p.plain.Health.Forget(t.Key()) // the failures need not be the target's
--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -176,7 +176,7 @@
 	p.targetLog = relay.NewChangeLog(p.newTargetSink())
 	p.feeds = p.newFeeds()
 	p.confirmer = freshness.New(log, p.confirmPeriod, p.confirm)
-	p.members = peers.NewMembers(log, p.store, p.eras, relay.Host{Name: n.Name, Address: n.PeerAddress(), CPUs: n.CPUs, Mbps: n.LinkMbps, Forward: n.ForwardAddress()})
+	p.members = peers.NewMembers(log, p.store, p.eras, relay.Host{Name: n.Name, Address: n.PeerAddress(), CPUs: n.CPUs, Mbps: n.LinkMbps, Forward: n.ForwardAddress(), Region: n.Region})
 	health := ejection.New()
 	p.exchange = &peers.Exchange{Log: log, Host: n.Name, Members: p.members, Inflight: p.inflight, Targets: p.targets,
 		ChangeLog: p.targetLog, Policy: p.policy, Confirmer: p.confirmer, Health: health, Eras: p.eras, FollowsStore: p.feeds.live,
@@ -184,12 +184,12 @@
 	p.crashes.OnEvidence = p.exchange.SendEvidence
 	p.exchange.Init()
 	sender := &edge.Sender{Wire: adapter.Wire, Pool: p.pool, Crashes: p.crashes, Longest: p.drain.Longest}
-	p.plain = &plain.Server{Sender: sender, Targets: p.targets, Inflight: p.inflight, Health: health, RetryBudget: p.retryBudget, Domain: n.Domain, Stalls: &p.stalls, Drain: p.drain, Queue: admission.New(p.inflight.Changed),
+	p.plain = &plain.Server{Sender: sender, Targets: p.targets, Inflight: p.inflight, Health: health, RetryBudget: p.retryBudget, Domain: n.Domain, Regions: regionsOf(&n), Stalls: &p.stalls, Drain: p.drain, Queue: admission.New(p.inflight.Changed),
 		LargeBodies: memquota.New(n.MemoryBytes / largeBodiesShare)}
 	p.streaming = &streaming.Server{
 		Sender: sender, Engines: adapter.NewEngineClient(p.pool), Targets: p.targets, Inflight: p.inflight, Health: health,
 		Lengths: streaming.NewOutputLengths(), Queue: admission.New(p.inflight.Changed), Runs: streaming.NewRuns(p.onRunEntered),
-		RetryBudget: p.retryBudget, Domain: n.Domain, EstimateSpread: p.estimateSpread, PlaceViaHub: p.exchange.PlaceAtHub, Drain: p.drain, Stalls: &p.stalls,
+		RetryBudget: p.retryBudget, Domain: n.Domain, Regions: regionsOf(&n), EstimateSpread: p.estimateSpread, PlaceViaHub: p.exchange.PlaceAtHub, Drain: p.drain, Stalls: &p.stalls,
 	}
 	p.exchange.ChooseEngine = p.chooseForPeer
 	p.mover = &migration.Mover{
--- a/internal/edge/process/runs.go
+++ b/internal/edge/process/runs.go
@@ -31,7 +31,8 @@
 	if c == nil || c.Service(service) == nil || c.Service(service).Engine == nil {
 		return placement.Decision{}
 	}
-	return p.streaming.ChooseEngine(p.targets.View().Serving(service), c.Service(service), need, tried)
+	view := p.targets.View().Only(service, func(domain string) bool { return p.streaming.Regions.Allows(need.Regions, domain) })
+	return p.streaming.ChooseEngine(view.Serving(service), c.Service(service), need, tried)
 }
 
 // reportPoller returns the poller of the engines' reports.
--- a/internal/edge/relay/hubs.go
+++ b/internal/edge/relay/hubs.go
@@ -20,6 +20,7 @@
 	CPUs    float64 // processor share, in cores
 	Mbps    float64 // bandwidth of its link
 	Forward string  // address for requests that it is asked to send to targets; "" if it sends none
+	Region  string  // "" if it is not known, as of a host of an older build
 }
 
 const (
--- a/internal/edge/streaming/attempts.go
+++ b/internal/edge/streaming/attempts.go
@@ -36,7 +36,7 @@
 // refusedOr returns the rejection of a request while no engine of its service accepts requests,
 // and otherwise that of unavailable.
 func (r *Run) refusedOr(reason string, retryAfter time.Duration) *edge.Rejection {
-	if refusal, refused := r.server.Targets.View().Refusal(r.call.Service.Name); refused && !r.attempts.mayHaveRun {
+	if refusal, refused := r.server.view(r.call).Refusal(r.call.Service.Name); refused && !r.attempts.mayHaveRun {
 		return edge.AllRefuse(refusal)
 	}
 	return r.attempts.unavailable(reason, retryAfter)
--- a/internal/edge/streaming/placement.go
+++ b/internal/edge/streaming/placement.go
@@ -12,6 +12,7 @@
 	"corianderhitch/internal/edge/peers"
 	"corianderhitch/internal/edge/placement"
 	"corianderhitch/internal/edge/policy"
+	"corianderhitch/internal/edge/region"
 	"corianderhitch/internal/edge/targets"
 )
 
@@ -27,18 +28,26 @@
 // knows the runs of all hosts, chooses; if no hub can, this host does.
 func (s *Server) ReserveEngine(ctx context.Context, service *policy.Service, need placement.Requirements, load inflight.Load, tried map[string]bool) Placement {
 	placed := Placement{DecidedBy: "hub"}
-	excluded := append(slices.Collect(maps.Keys(tried)), s.failingEngines(service, tried)...)
-	excluded = append(excluded, s.Targets.View().Refusing(service.Name)...)
+	view := s.allowedView(service, need.Regions)
+	excluded := append(slices.Collect(maps.Keys(tried)), s.failingEngines(view, service, tried)...)
+	excluded = append(excluded, view.Refusing(service.Name)...)
+	if need.Move || need.Limit > 0 {
+		// A run that continues at a cold engine waits for a permit, which other hosts may hold.
+		cold := view.Cold(service.Name)
+		excluded = append(excluded, cold...)
+		tried = withKeys(tried, cold)
+	}
 	reply, placedByHub := s.PlaceViaHub(ctx, peers.PlaceArgs{Service: service.Name, Need: need, Load: load, Tried: excluded})
 	if placedByHub {
 		placed.Target, placed.LoadBefore, placed.Shortage = s.Targets.View().Get(reply.Target), reply.Before, reply.Shortage
-		if placed.Target == nil && reply.Target != "" {
-			placedByHub = false // the target is not in this host's list yet
+		if reply.Target != "" && (placed.Target == nil || !s.Regions.Allows(need.Regions, placed.Target.Domain)) {
+			// The target is not in this host's list yet, or the hub is of a build that knows no regions.
+			placed.Target, placedByHub = nil, false
 		}
 	}
 	if !placedByHub {
 		need.Spread, need.Draw = s.EstimateSpread(), rand.Float64()
-		decision := s.ChooseEngine(s.Targets.View().Available(service.Name), service, need, tried)
+		decision := s.ChooseEngine(s.allowedView(service, need.Regions).Available(service.Name), service, need, tried)
 		placed.Target, placed.LoadBefore, placed.Shortage, placed.DecidedBy = s.Targets.View().Get(decision.Target), decision.Before, decision.Shortage, "host"
 	}
 	if placed.Target != nil {
@@ -47,13 +56,46 @@
 	return placed
 }
 
+// allowedView returns the targets with those of the service that are in the regions.
+func (s *Server) allowedView(service *policy.Service, regions region.Set) *targets.View {
+	view := s.Targets.View()
+	if !regions.Restricted {
+		return view
+	}
+	return view.Only(service.Name, func(domain string) bool { return s.Regions.Allows(regions, domain) })
+}
+
+// view returns the targets with those of its service on which the call may run.
+func (s *Server) view(a *edge.AuthorizedCall) *targets.View {
+	return s.allowedView(a.Service, a.Regions)
+}
+
+// queueOf returns the name of the queue in which the call waits for an engine. Calls with other
+// regions wait for other engines.
+func queueOf(a *edge.AuthorizedCall) string { return a.Service.Name + a.Regions.Key() }
+
+// withKeys returns the set with more keys; the set itself if there are none.
+func withKeys(set map[string]bool, more []string) map[string]bool {
+	if len(more) == 0 {
+		return set
+	}
+	out := maps.Clone(set)
+	if out == nil {
+		out = make(map[string]bool)
+	}
+	for _, key := range more {
+		out[key] = true
+	}
+	return out
+}
+
 // failingEngines returns the keys of the engines whose recent calls from this host failed; the
 // hub does not know of them. It returns none if all engines that were not tried are failing: a
 // fault near this host, or a silence of all, must not make all of them unusable.
-func (s *Server) failingEngines(service *policy.Service, tried map[string]bool) []string {
+func (s *Server) failingEngines(view *targets.View, service *policy.Service, tried map[string]bool) []string {
 	var failing []string
 	healthy := false
-	for _, t := range s.Targets.View().Available(service.Name) {
+	for _, t := range view.Available(service.Name) {
 		switch key := t.Key(); {
 		case s.Health.FailureCost(key) > placement.MaxHealthyCost:
 			failing = append(failing, key)
@@ -84,7 +126,7 @@
 // newRequirements returns what a new run requires of an engine. domain is the failure
 // domain of this host.
 func newRequirements(a *edge.AuthorizedCall, load inflight.Load, domain string) placement.Requirements {
-	need := placement.Requirements{Tokens: load.Tokens, Output: load.Tokens - load.Held, Unread: load.Unread, Objective: a.Route.Objective, Domain: domain}
+	need := placement.Requirements{Tokens: load.Tokens, Output: load.Tokens - load.Held, Unread: load.Unread, Objective: a.Route.Objective, Domain: domain, Regions: a.Regions}
 	// The last part of a prompt is specific to the request; the parts before it are
 	// cached at engines that served requests with the same prefix.
 	if g := a.Call.Generation; g != nil && len(g.Prefix) > 1 {
--- a/internal/edge/streaming/rejection.go
+++ b/internal/edge/streaming/rejection.go
@@ -42,7 +42,7 @@
 		stopping := edge.Stopping()
 		return r.attempts.unavailable(stopping.Reason, stopping.RetryAfter)
 	}
-	if len(s.Targets.View().Available(a.Service.Name)) == 0 {
+	if len(s.view(a).Available(a.Service.Name)) == 0 {
 		return r.refusedOr(edge.ReasonNoTarget, startRetryAfter)
 	}
 	// Spreads the retries of callers that were rejected at the same time.
@@ -78,7 +78,7 @@
 		return responseFailed
 	}
 	a.Log.Warn("stream: request rejected", "status", rejection.Status, "reason", rejection.Reason, "age_ms", a.Age().Milliseconds(),
-		"waiting", s.Queue.Len(), "engines", len(s.Targets.View().Available(a.Service.Name)), "list_revision", s.Targets.View().Revision,
+		"waiting", s.Queue.Len(), "engines", len(s.view(a).Available(a.Service.Name)), "list_revision", s.Targets.View().Revision,
 		"retry_after_ms", rejection.RetryAfter.Milliseconds())
 	rejection.Write(r.w, s.Sender.Wire)
 	return rejection.Reason
--- a/internal/edge/streaming/run.go
+++ b/internal/edge/streaming/run.go
@@ -12,6 +12,7 @@
 	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/edge/inflight"
 	"corianderhitch/internal/edge/policy"
+	"corianderhitch/internal/edge/region"
 	"corianderhitch/internal/edge/targets"
 )
 
@@ -183,6 +184,9 @@
 // Service returns the service that the run belongs to.
 func (r *Run) Service() *policy.Service { return r.call.Service }
 
+// Regions returns the regions in which the run may execute.
+func (r *Run) Regions() region.Set { return r.call.Regions }
+
 // cancelSegment cancels the stream from the current target if replica is still the
 // run's replica.
 func (r *Run) cancelSegment(replica *Replica) {
--- a/internal/edge/streaming/server.go
+++ b/internal/edge/streaming/server.go
@@ -19,6 +19,7 @@
 	"corianderhitch/internal/edge/peers"
 	"corianderhitch/internal/edge/placement"
 	"corianderhitch/internal/edge/policy"
+	"corianderhitch/internal/edge/region"
 	"corianderhitch/internal/edge/retrybudget"
 	"corianderhitch/internal/edge/stall"
 	"corianderhitch/internal/edge/targetconn"
@@ -69,6 +70,7 @@
 	Runs        *Runs
 	RetryBudget func(service string) *retrybudget.Budget
 	Domain      string // failure domain of this host
+	Regions     region.Map
 	// PlaceViaHub asks a hub to choose an engine; false means that no hub could.
 	PlaceViaHub func(ctx context.Context, args peers.PlaceArgs) (peers.PlaceReply, bool)
 	// Drain is the end of the process, before which a run must have ended.
@@ -193,7 +195,7 @@
 	a := r.call
 	load := s.startLoad(a, r.deliveredEvents())
 	within := maxWait(a, load)
-	if !s.Targets.View().AcceptsWithin(a.Service.Name, s.Queue.LenOf(a.Service.Name), within) {
+	if !s.view(a).AcceptsWithin(a.Service.Name, s.Queue.LenOf(queueOf(a)), within) {
 		return nil, load // waiting is pointless: the run is rejected immediately
 	}
 	ctx, cancel := context.WithTimeout(ctx, within)
@@ -215,8 +217,8 @@
 	if r.attempts.beside {
 		urgency = math.MaxInt // runs without an engine go first
 	}
-	t := s.Queue.Acquire(ctx, a.Service.Name, urgency, func() *targets.Target {
-		view := s.Targets.View()
+	t := s.Queue.Acquire(ctx, queueOf(a), urgency, func() *targets.Target {
+		view := s.view(a)
 		if _, refused := view.Refusal(a.Service.Name); refused && !view.AcceptsWithin(a.Service.Name, 0, within-bootclock.Since(started)) {
 			cancel() // waiting is pointless: the run is rejected with the time left
 			return nil
--- a/internal/edge/targetconn/forward.go
+++ b/internal/edge/targetconn/forward.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"corianderhitch/internal/edge/bootclock"
+	"corianderhitch/internal/edge/region"
 	"corianderhitch/internal/edge/targetnotice"
 )
 
@@ -18,8 +19,8 @@
 // helpers, because it has lost its own way to the targets of the service.
 type Forwarder interface {
 	// Helpers reports whether this host has lost its way to the targets of an incarnation's service,
-	// and returns the addresses of the hosts to ask to send to it, in this order.
-	Helpers(incarnation string) (addresses []string, cutOff bool)
+	// and returns the addresses of the hosts in the regions to ask to send to it, in this order.
+	Helpers(incarnation string, regions region.Set) (addresses []string, cutOff bool)
 	// ObserveOpening records whether a new connection to a target could be opened and used.
 	ObserveOpening(incarnation string, usable bool)
 	// ObserveHelper records how a helper answered.
--- a/internal/edge/targetconn/pool.go
+++ b/internal/edge/targetconn/pool.go
@@ -105,7 +105,7 @@
 	if p.Forwarder == nil || req.forOtherHost {
 		return nil, false
 	}
-	return p.Forwarder.Helpers(incarnation)
+	return p.Forwarder.Helpers(incarnation, req.Regions)
 }
 
 // doOnce sends the request to the target, or to a helper that sends it. The outcome is that of the
--- a/internal/edge/targetconn/request.go
+++ b/internal/edge/targetconn/request.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"corianderhitch/internal/edge/bootclock"
+	"corianderhitch/internal/edge/region"
 	"corianderhitch/internal/edge/targetnotice"
 )
 
@@ -25,6 +26,7 @@
 	Use     targetnotice.Use
 	Arrived bootclock.Instant // when the caller's request arrived at this host; 0 for control calls
 	Longest time.Duration     // how long it takes at most until its response has ended; 0 if that is not known
+	Regions region.Set        // of the hosts that may get the request to send it
 	CopyTo  string            // incarnation to which the target is asked to copy a run; "" if none
 
 	forOtherHost bool // another host asked for it: it takes no further detour
--- a/internal/edge/targets/view.go
+++ b/internal/edge/targets/view.go
@@ -14,6 +14,19 @@
 	return keep(v.byService[service], func(t *Target) bool { return !t.Leaving })
 }
 
+// Only returns the view with those targets of a service whose failure domains are allowed, and without
+// other services. It is the view itself if all are.
+func (v *View) Only(service string, allowed func(domain string) bool) *View {
+	all := v.byService[service]
+	kept := keep(all, func(t *Target) bool { return allowed(t.Domain) })
+	if len(kept) == len(all) {
+		return v
+	}
+	only := *v
+	only.byService = map[string][]*Target{service: kept}
+	return &only
+}
+
 // Available returns the targets of a service that accept new requests from this host, sorted
 // by key. The slice is shared; callers must not change it.
 func (v *View) Available(service string) []*Target {
