--- a/internal/edge/forwarding/server_test.go
+++ b/internal/edge/forwarding/server_test.go
@@ -52,10 +52,16 @@
 
 	mu       sync.Mutex
 	outcomes []targetconn.ForwardOutcome // guarded by mu
+	regions  []region.Set                // guarded by mu; of the hosts that were asked for
 }
 
-func (h *helpersOf) Helpers(string, region.Set) ([]string, bool) { return h.addresses, true }
-func (h *helpersOf) ObserveOpening(string, bool)                 {}
+func (h *helpersOf) Helpers(_ string, regions region.Set) ([]string, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.regions = append(h.regions, regions)
+	return h.addresses, true
+}
+func (h *helpersOf) ObserveOpening(string, bool) {}
 func (h *helpersOf) ObserveHelper(_ string, o targetconn.ForwardOutcome) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/tests/edge/fleet_test.go
+++ b/tests/edge/fleet_test.go
@@ -60,6 +60,13 @@
 	ownIPs bool
 	// idleTimeout is how long callers' connections may stay idle, 0 for the default.
 	idleTimeout time.Duration
+	// coldFor and coldRate are those of all services, cold the bound of hosts that start later.
+	coldFor  time.Duration
+	coldRate float64
+	cold     node.ColdBound
+	// regions is the region of each failure domain, allowed are those of the route draft.
+	regions map[string]string
+	allowed []string
 }
 
 // host is one running edge process.
@@ -155,9 +162,9 @@
 func (f *fleet) configure() {
 	f.version++
 	config := standin.Configuration{
-		Version: f.version, Timeout: cmp.Or(f.routeTimeout, callerTimeout), EngineService: engineService, PlainServices: []string{plainService}, Account: account, Keys: f.keys, MaxConnections: f.maxConnections, IdleTimeout: f.idleTimeout,
+		Version: f.version, Timeout: cmp.Or(f.routeTimeout, callerTimeout), EngineService: engineService, PlainServices: []string{plainService}, Account: account, Keys: f.keys, MaxConnections: f.maxConnections, IdleTimeout: f.idleTimeout, ColdFor: f.coldFor, ColdRate: f.coldRate,
 		Routes: []standin.Route{
-			{Name: "draft", Kind: standin.Streaming, Service: engineService, Objective: 1800 * time.Millisecond, Attempts: 1},
+			{Name: "draft", Kind: standin.Streaming, Service: engineService, Objective: 1800 * time.Millisecond, Attempts: 1, AllowedRegions: f.allowed},
 			{Name: "lookup", Kind: standin.Streaming, Service: engineService, Objective: 1500 * time.Millisecond, Attempts: 2, Resumable: true},
 			{Name: "hold", Kind: standin.NonIdempotent, Service: plainService, Objective: 100 * time.Millisecond, Attempts: 1},
 			{Name: "check", Kind: standin.Idempotent, Service: plainService, Objective: 100 * time.Millisecond, Attempts: 2},
@@ -195,6 +202,7 @@
 			// A process that has just started repeats little of what callers send, and the
 			// tests send few requests.
 			Retry: node.RetryBudget{Ratio: 50, Slack: 50, Window: 10 * time.Second}, TargetHeartbeat: 1200 * time.Millisecond,
+			Cold: f.cold, Region: f.regions["a"], Regions: f.regions,
 		}, nil
 	}
 	ctx, cancel := context.WithCancel(context.Background())
