Cold targets: runs that continue go before requests

Continuations took permits of a cold target beside new requests, which may go to other targets, while a run whose memory only that target holds is lost without a permit. A continuation that finds none keeps the next for 150 ms, more than the time to its next try.

--- a/internal/edge/targetnotice/limit.go
+++ b/internal/edge/targetnotice/limit.go
@@ -72,7 +72,7 @@
 	if !t.AnyCold(now) {
 		return left, rate
 	}
-	coldLeft, coldRate := t.Warmup.Left(incarnation, now)
+	coldLeft, coldRate := t.Warmup.Left(incarnation, false, now)
 	if rate == 0 || coldLeft > 0 && coldRate == 0 || coldRate > 0 && coldRate < rate {
 		rate = coldRate
 	}
--- a/internal/edge/targetnotice/tracker.go
+++ b/internal/edge/targetnotice/tracker.go
@@ -173,7 +173,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	v := t.verdict(incarnation, t.targets[incarnation], use, arrived, now)
-	if v == Allowed && use.warmsUp() && t.coldLeft(incarnation, now) > 0 {
+	if v == Allowed && !t.mayWarmUp(incarnation, use, now) {
 		v = Cold
 	}
 	return v
@@ -186,7 +186,7 @@
 	defer t.mu.Unlock()
 	s := t.targets[incarnation]
 	v := t.verdict(incarnation, s, use, arrived, now)
-	if v == Allowed && use.warmsUp() && t.Warmup != nil && !t.Warmup.Take(incarnation, now) {
+	if v == Allowed && !t.takeWarmup(incarnation, use, now) {
 		v = Cold
 	}
 	if v != Allowed || s == nil {
--- a/internal/edge/targetnotice/warmup_test.go
+++ b/internal/edge/targetnotice/warmup_test.go
@@ -18,13 +18,13 @@
 
 func (f *fakeWarmup) AnyCold(bootclock.Instant) bool              { return true }
 func (f *fakeWarmup) IsCold(key string, _ bootclock.Instant) bool { return key == "a@1" }
-func (f *fakeWarmup) Left(key string, now bootclock.Instant) (time.Duration, float64) {
+func (f *fakeWarmup) Left(key string, _ bool, now bootclock.Instant) (time.Duration, float64) {
 	if !f.IsCold(key, now) {
 		return 0, 0
 	}
 	return f.left, f.perSecond
 }
-func (f *fakeWarmup) Take(key string, now bootclock.Instant) bool {
+func (f *fakeWarmup) Take(key string, _ bool, now bootclock.Instant) bool {
 	if f.IsCold(key, now) && f.left > 0 {
 		return false
 	}
--- a/internal/edge/targets/cold_test.go
+++ b/internal/edge/targets/cold_test.go
@@ -16,10 +16,10 @@
 	perSecond float64
 }
 
-func (f fakeWarmup) AnyCold(bootclock.Instant) bool              { return len(f) > 0 }
-func (f fakeWarmup) IsCold(key string, _ bootclock.Instant) bool { _, ok := f[key]; return ok }
-func (f fakeWarmup) Take(key string, _ bootclock.Instant) bool   { return f[key].left == 0 }
-func (f fakeWarmup) Left(key string, _ bootclock.Instant) (time.Duration, float64) {
+func (f fakeWarmup) AnyCold(bootclock.Instant) bool                    { return len(f) > 0 }
+func (f fakeWarmup) IsCold(key string, _ bootclock.Instant) bool       { _, ok := f[key]; return ok }
+func (f fakeWarmup) Take(key string, _ bool, _ bootclock.Instant) bool { return f[key].left == 0 }
+func (f fakeWarmup) Left(key string, _ bool, _ bootclock.Instant) (time.Duration, float64) {
 	return f[key].left, f[key].perSecond
 }
 
--- a/internal/edge/warmup/fleet_test.go
+++ b/internal/edge/warmup/fleet_test.go
@@ -92,7 +92,7 @@
 }
 
 func (f *simFleet) play(h *simHost, now bootclock.Instant) {
-	at := now.Add(time.Duration(f.draw.Int64N(int64(step))))
+	at := now.Add(f.within(step))
 	if time.Duration(now)%(500*time.Millisecond) == 0 {
 		h.Refresh(h.list(at), at)
 	}
@@ -100,7 +100,7 @@
 		if lender, args, ok := h.Wanted(at); ok && f.byName[lender] != nil && f.draw.Float64() >= f.loses {
 			reply := f.byName[lender].Lend(args, at)
 			if f.draw.Float64() >= f.loses {
-				heap.Push(&h.replies, loanReply{lender, args, reply, at, at.Add(time.Duration(f.draw.Int64N(int64(300 * time.Millisecond))))})
+				heap.Push(&h.replies, loanReply{lender, args, reply, at, at.Add(f.within(300 * time.Millisecond))})
 			}
 		}
 	}
@@ -112,7 +112,7 @@
 		return
 	}
 	h.ObserveEntry(incarnation, "s", 1, time.Minute, at)
-	for h.wants(at) && h.Available(incarnation, at) && h.Take(incarnation, at) {
+	for h.wants(at) && h.Available(incarnation, at) && h.Take(incarnation, false, at) {
 		f.sent = append(f.sent, at)
 	}
 }
@@ -143,10 +143,10 @@
 			drawLists(t, f)
 			idle := rapid.IntRange(0, 9).Draw(t, "idle hosts in 10")
 			for _, h := range f.hosts {
-				h.learnsAt = start.Add(time.Duration(f.draw.Int64N(int64(3 * time.Second))))
+				h.learnsAt = start.Add(f.within(3 * time.Second))
 				if f.draw.IntN(10) < idle {
-					from, to := start.Add(time.Duration(f.draw.Int64N(int64(6*time.Second)))), start.Add(time.Duration(f.draw.Int64N(int64(6*time.Second))))
-					h.wants = func(now bootclock.Instant) bool { return from < now && now < to }
+					begin, end := start.Add(f.within(6*time.Second)), start.Add(f.within(6*time.Second))
+					h.wants = func(now bootclock.Instant) bool { return begin < now && now < end }
 				}
 			}
 			f.run(4 * time.Second)
@@ -173,31 +173,35 @@
 		switch {
 		case i < cutOff: // it keeps its last list
 			h.list = func(bootclock.Instant) []string { return established }
+		case i < cutOff+ignorant:
+			h.list = func(bootclock.Instant) []string { return nil }
 		case i >= n-joined:
-			from := start.Add(time.Duration(f.draw.Int64N(int64(3 * time.Second))))
-			h.list = func(now bootclock.Instant) []string {
-				if now < from {
-					return nil
-				}
-				return all
-			}
+			h.list = from(start.Add(f.within(3*time.Second)), nil, all)
 		default:
-			lost := start.Add(-time.Duration(f.draw.Int64N(int64(20 * time.Second)))) // the entries of those that are cut off
-			learns := start.Add(time.Duration(f.draw.Int64N(int64(7 * time.Second)))) // of those that have joined
+			lost := start.Add(-f.within(20 * time.Second)) // the entries of those that are cut off
+			joins := from(start.Add(f.within(7*time.Second)), established, all)
 			h.list = func(now bootclock.Instant) []string {
-				list := established
-				if now >= learns {
-					list = all
-				}
-				if now >= lost {
-					list = list[cutOff:]
+				if now < lost {
+					return joins(now)
 				}
-				return list
+				return joins(now)[cutOff:]
 			}
 		}
-		if i >= cutOff && i < cutOff+ignorant {
-			h.list = func(bootclock.Instant) []string { return nil }
+	}
+}
+
+// within returns a random time.
+func (f *simFleet) within(d time.Duration) time.Duration {
+	return time.Duration(f.draw.Int64N(int64(d)))
+}
+
+// from returns a list of hosts that changes at an instant.
+func from(at bootclock.Instant, before, after []string) func(now bootclock.Instant) []string {
+	return func(now bootclock.Instant) []string {
+		if now < at {
+			return before
 		}
+		return after
 	}
 }
 
--- a/internal/edge/warmup/target.go
+++ b/internal/edge/warmup/target.go
@@ -22,6 +22,8 @@
 	permits   float64
 	updatedAt bootclock.Instant
 	sentAt    bootclock.Instant // when the last permit was taken
+	// keptUntil is until when permits are kept for runs that continue at the target.
+	keptUntil bootclock.Instant
 	lentUntil bootclock.Instant
 	lentTo    string            // host that this one's share was last lent to
 	loans     map[string]loan   // by the host that lends it
@@ -67,14 +69,23 @@
 // a caller that returns may have reached a host with a share.
 const shareDelay = 700 * time.Millisecond
 
-// wait returns how long it takes until a permit is available or the target is warm.
-func (s *target) wait(now bootclock.Instant, h holding) time.Duration {
-	warm := s.until().Sub(now)
+// keptForRuns is how long permits are kept for a run that could not continue at the target and tries
+// again. It would be lost, while requests may go to other targets.
+const keptForRuns = 150 * time.Millisecond
+
+// wait returns how long it takes until a permit is available for a request, or for a run that
+// continues, or until the target is warm.
+func (s *target) wait(continues bool, now bootclock.Instant, h holding) time.Duration {
+	wait := time.Duration(0)
 	switch {
 	case s.permits >= 1:
-		return 0
 	case h.perSecond <= 0:
-		return min(warm, shareDelay)
+		wait = shareDelay
+	default:
+		wait = time.Duration((1 - s.permits) / h.perSecond * float64(time.Second))
+	}
+	if !continues {
+		wait = max(wait, s.keptUntil.Sub(now))
 	}
-	return min(warm, time.Duration((1-s.permits)/h.perSecond*float64(time.Second)))
+	return min(wait, s.until().Sub(now))
 }
--- a/internal/edge/warmup/tracker.go
+++ b/internal/edge/warmup/tracker.go
@@ -191,13 +191,14 @@
 
 // Available reports whether this host may send a target one more request now.
 func (t *Tracker) Available(incarnation string, now bootclock.Instant) bool {
-	left, _ := t.Left(incarnation, now)
+	left, _ := t.Left(incarnation, false, now)
 	return left <= 0
 }
 
-// Left returns how long it takes until this host may send a target one more request, and the rate at
-// which it may send; 0 and 0 if sends are not bounded.
-func (t *Tracker) Left(incarnation string, now bootclock.Instant) (left time.Duration, perSecond float64) {
+// Left returns how long it takes until this host may send a target one more request, or a run that
+// continues from the target's memory, and the rate at which it may send; 0 and 0 if sends are not
+// bounded.
+func (t *Tracker) Left(incarnation string, continues bool, now bootclock.Instant) (left time.Duration, perSecond float64) {
 	if !t.AnyCold(now) {
 		return 0, 0
 	}
@@ -209,15 +210,19 @@
 	}
 	h := t.holdingOf(incarnation, s, rate, now)
 	s.accrue(now, h)
-	if left = s.wait(now, h); left > 0 {
+	left = s.wait(continues, now, h)
+	if left > 0 {
 		s.wantedAt = now
 	}
+	if left > 0 && continues {
+		s.keptUntil = now.Add(keptForRuns)
+	}
 	return left, h.perSecond
 }
 
 // Take takes the permit for a send that follows at once, if there is one. It returns true for a
 // target whose sends are not bounded.
-func (t *Tracker) Take(incarnation string, now bootclock.Instant) bool {
+func (t *Tracker) Take(incarnation string, continues bool, now bootclock.Instant) bool {
 	if !t.AnyCold(now) {
 		return true
 	}
@@ -227,12 +232,16 @@
 	if rate <= 0 {
 		return true
 	}
-	s.accrue(now, t.holdingOf(incarnation, s, rate, now))
-	if s.permits < 1 {
+	h := t.holdingOf(incarnation, s, rate, now)
+	s.accrue(now, h)
+	if s.wait(continues, now, h) > 0 {
 		return false
 	}
 	s.permits--
 	s.sentAt = now
+	if continues {
+		s.keptUntil = 0
+	}
 	return true
 }
 
--- a/internal/edge/warmup/tracker_test.go
+++ b/internal/edge/warmup/tracker_test.go
@@ -34,59 +34,61 @@
 
 func after(d time.Duration) bootclock.Instant { return start.Add(d) }
 
-// Each source is one that other hosts or builds may lack: a target that any of them calls cold is
-// sent no more than its rate.
+// coldSources are what hosts learn of the target a@1, and for how long it is cold then.
+var coldSources = map[string]struct {
+	observe func(t *Tracker)
+	until   time.Duration
+}{
+	"entry of a warm target":             {func(t *Tracker) { t.ObserveEntry("a@1", "s", 1, 0, start) }, 0},
+	"entry":                              {func(t *Tracker) { t.ObserveEntry("a@1", "s", 1, 4*time.Second, start) }, 4 * time.Second},
+	"entry beyond what the service says": {func(t *Tracker) { t.ObserveEntry("a@1", "s", 1, time.Hour, start) }, coldFor},
+	"entry read twice": {func(t *Tracker) {
+		t.ObserveEntry("a@1", "s", 1, 4*time.Second, start)
+		t.ObserveEntry("a@1", "s", 1, 4*time.Second, after(time.Second))
+	}, 4 * time.Second},
+	"newer entry": {func(t *Tracker) {
+		t.ObserveEntry("a@1", "s", 1, 4*time.Second, start)
+		t.ObserveEntry("a@1", "s", 2, time.Second, start)
+	}, time.Second},
+	"cold again": {func(t *Tracker) {
+		t.ObserveEntry("a@1", "s", 1, 0, after(-time.Second))
+		t.ObserveEntry("a@1", "s", 2, 4*time.Second, start)
+	}, 4 * time.Second},
+	"answer": {func(t *Tracker) {
+		t.ObserveEntry("a@1", "s", 1, 0, after(-time.Second))
+		t.ObserveAnswer("a@1", 3*time.Second, start)
+		t.ObserveEntry("a@1", "s", 2, 0, start) // written before
+	}, 3 * time.Second},
+	"answer that says less than the entry": {func(t *Tracker) {
+		t.ObserveEntry("a@1", "s", 1, 4*time.Second, start)
+		t.ObserveAnswer("a@1", 0, start)
+	}, 4 * time.Second},
+	"answer of a target that was": {func(t *Tracker) {
+		t.ObserveEntry("a@1", "s", 1, 0, after(-time.Second))
+		t.ObserveAnswer("a@1", 3*time.Second, after(-time.Second))
+		t.ObserveAnswer("a@1", 0, start)
+	}, 0},
+	"other host": {func(t *Tracker) {
+		t.ObserveEntry("a@1", "s", 1, 0, start)
+		t.Merge([]Notice{{Incarnation: "a@1", Left: 2 * time.Second}, {Incarnation: "b@1", Left: time.Second}}, start)
+	}, 2 * time.Second},
+	"end of an evacuation": {func(t *Tracker) {
+		t.ObserveEntry("a@1", "s", 1, 0, after(-time.Second))
+		t.MarkCold("a@1", after(coldFor), 5, start)
+		t.ObserveEntry("a@1", "s", 4, 0, start) // written before its end
+	}, coldFor},
+	"entry after the end of an evacuation": {func(t *Tracker) {
+		t.ObserveEntry("a@1", "s", 1, 0, after(-time.Second))
+		t.MarkCold("a@1", after(coldFor), 5, start)
+		t.ObserveEntry("a@1", "s", 6, 2*time.Second, start)
+	}, 2 * time.Second},
+	"other incarnation":      {func(t *Tracker) { t.ObserveEntry("a@2", "s", 1, 4*time.Second, start) }, 0},
+	"service without a rate": {func(t *Tracker) { t.ObserveEntry("a@1", "unbounded", 1, 4*time.Second, start) }, 0},
+}
+
+// A target that any source calls cold is sent no more than its rate.
 func TestWhatMakesATargetCold(t *testing.T) {
-	for name, c := range map[string]struct {
-		observe func(t *Tracker)
-		until   time.Duration
-	}{
-		"entry of a warm target":             {func(t *Tracker) { t.ObserveEntry("a@1", "s", 1, 0, start) }, 0},
-		"entry":                              {func(t *Tracker) { t.ObserveEntry("a@1", "s", 1, 4*time.Second, start) }, 4 * time.Second},
-		"entry beyond what the service says": {func(t *Tracker) { t.ObserveEntry("a@1", "s", 1, time.Hour, start) }, coldFor},
-		"entry read twice": {func(t *Tracker) {
-			t.ObserveEntry("a@1", "s", 1, 4*time.Second, start)
-			t.ObserveEntry("a@1", "s", 1, 4*time.Second, after(time.Second))
-		}, 4 * time.Second},
-		"newer entry": {func(t *Tracker) {
-			t.ObserveEntry("a@1", "s", 1, 4*time.Second, start)
-			t.ObserveEntry("a@1", "s", 2, time.Second, start)
-		}, time.Second},
-		"cold again": {func(t *Tracker) {
-			t.ObserveEntry("a@1", "s", 1, 0, after(-time.Second))
-			t.ObserveEntry("a@1", "s", 2, 4*time.Second, start)
-		}, 4 * time.Second},
-		"answer": {func(t *Tracker) {
-			t.ObserveEntry("a@1", "s", 1, 0, after(-time.Second))
-			t.ObserveAnswer("a@1", 3*time.Second, start)
-			t.ObserveEntry("a@1", "s", 2, 0, start) // written before
-		}, 3 * time.Second},
-		"answer that says less than the entry": {func(t *Tracker) {
-			t.ObserveEntry("a@1", "s", 1, 4*time.Second, start)
-			t.ObserveAnswer("a@1", 0, start)
-		}, 4 * time.Second},
-		"answer of a target that was": {func(t *Tracker) {
-			t.ObserveEntry("a@1", "s", 1, 0, after(-time.Second))
-			t.ObserveAnswer("a@1", 3*time.Second, after(-time.Second))
-			t.ObserveAnswer("a@1", 0, start)
-		}, 0},
-		"other host": {func(t *Tracker) {
-			t.ObserveEntry("a@1", "s", 1, 0, start)
-			t.Merge([]Notice{{Incarnation: "a@1", Left: 2 * time.Second}, {Incarnation: "b@1", Left: time.Second}}, start)
-		}, 2 * time.Second},
-		"end of an evacuation": {func(t *Tracker) {
-			t.ObserveEntry("a@1", "s", 1, 0, after(-time.Second))
-			t.MarkCold("a@1", after(coldFor), 5, start)
-			t.ObserveEntry("a@1", "s", 4, 0, start) // written before its end
-		}, coldFor},
-		"entry after the end of an evacuation": {func(t *Tracker) {
-			t.ObserveEntry("a@1", "s", 1, 0, after(-time.Second))
-			t.MarkCold("a@1", after(coldFor), 5, start)
-			t.ObserveEntry("a@1", "s", 6, 2*time.Second, start)
-		}, 2 * time.Second},
-		"other incarnation":      {func(t *Tracker) { t.ObserveEntry("a@2", "s", 1, 4*time.Second, start) }, 0},
-		"service without a rate": {func(t *Tracker) { t.ObserveEntry("a@1", "unbounded", 1, 4*time.Second, start) }, 0},
-	} {
+	for name, c := range coldSources {
 		t.Run(name, func(t *testing.T) {
 			tracker, _ := alone()
 			c.observe(tracker)
@@ -95,7 +97,7 @@
 			}
 			require.False(t, tracker.IsCold("a@1", after(c.until)))
 			require.True(t, tracker.Available("a@1", after(c.until)))
-			require.True(t, tracker.Take("a@1", after(c.until)))
+			require.True(t, tracker.Take("a@1", false, after(c.until)))
 		})
 	}
 }
@@ -106,12 +108,12 @@
 	tracker.ObserveEntry("a@1", "s", 1, coldFor, start)
 	for at := time.Duration(0); at < coldFor; at += 100 * time.Millisecond {
 		tracker.Refresh(nil, after(at))
-		require.False(t, tracker.Take("a@1", after(at)))
-		left, perSecond := tracker.Left("a@1", after(at))
+		require.False(t, tracker.Take("a@1", false, after(at)))
+		left, perSecond := tracker.Left("a@1", false, after(at))
 		require.Positive(t, left)
 		require.Zero(t, perSecond)
 	}
-	require.True(t, tracker.Take("a@1", after(coldFor)))
+	require.True(t, tracker.Take("a@1", false, after(coldFor)))
 }
 
 // A target that becomes cold again was sent requests without a bound just before.
@@ -119,11 +121,33 @@
 	tracker, _ := alone()
 	tracker.ObserveEntry("a@1", "s", 1, 0, start)
 	tracker.ObserveAnswer("a@1", 3*time.Second, after(5*time.Second))
-	require.False(t, tracker.Take("a@1", after(5*time.Second)))
-	left, perSecond := tracker.Left("a@1", after(5*time.Second))
+	require.False(t, tracker.Take("a@1", false, after(5*time.Second)))
+	left, perSecond := tracker.Left("a@1", false, after(5*time.Second))
 	require.InDelta(t, rateUse*rate, perSecond, 1e-9)
 	require.InDelta(t, 1/perSecond, left.Seconds(), 1e-6)
-	require.True(t, tracker.Take("a@1", after(5*time.Second+left+time.Microsecond)))
+	require.True(t, tracker.Take("a@1", false, after(5*time.Second+left+time.Microsecond)))
+}
+
+// A run that continues is lost if requests, which may go elsewhere, take the permits before it.
+func TestRunsThatContinueGoFirst(t *testing.T) {
+	tracker, _ := alone()
+	tracker.ObserveEntry("a@1", "s", 1, coldFor, start)
+	now := after(time.Second)
+	for tracker.Take("a@1", false, now) {
+	}
+	left, perSecond := tracker.Left("a@1", true, now)
+	require.Positive(t, left)
+	require.Positive(t, perSecond)
+	now = now.Add(time.Duration(float64(time.Second)/perSecond) + time.Microsecond)
+	require.False(t, tracker.Take("a@1", false, now))
+	require.False(t, tracker.Available("a@1", now))
+	require.True(t, tracker.Take("a@1", true, now))
+	require.False(t, tracker.Take("a@1", true, now), "continuations count")
+	now = now.Add(time.Duration(float64(time.Second)/perSecond) + time.Microsecond)
+	require.True(t, tracker.Take("a@1", false, now), "no run waits")
+	tracker.Left("a@1", true, now)
+	require.False(t, tracker.Available("a@1", now.Add(keptForRuns-time.Millisecond)))
+	require.True(t, tracker.Available("a@1", now.Add(keptForRuns)), "the run has given up")
 }
 
 // Other hosts hear of an answer for as long as several syncs take, and don't keep each other's
--- a/tests/edge/cold_test.go
+++ b/tests/edge/cold_test.go
@@ -27,11 +27,21 @@
 	return most
 }
 
-// A target comes back during a burst, as a new incarnation that is cold. Three hosts with eight callers
-// each keep all of its slots busy as long as they may: it would get hundreds of requests a second and
-// crash. Its rate is used, the warm target serves the rest, and afterwards both serve.
+// A target comes back during a burst, as a new incarnation that is cold. Three hosts with 24 callers
+// keep all of its slots busy as long as they may: it would get hundreds of requests a second and
+// crash. Its rate is used, the warm target serves the rest, and afterwards both serve. If only one of the
+// hosts has callers, it borrows the shares of the others.
 func TestTargetThatComesBackColdGetsNoMoreThanItBears(t *testing.T) {
 	t.Parallel()
+	for _, busy := range []int{3, 1} {
+		t.Run(fmt.Sprint(busy, " busy hosts"), func(t *testing.T) {
+			t.Parallel()
+			bringBackCold(t, busy)
+		})
+	}
+}
+
+func bringBackCold(t *testing.T, busy int) {
 	const (
 		rate, factor, slack = 20, 1.5, 5
 		coldFor, settled    = 4 * time.Second, 9 * time.Second
@@ -52,8 +62,8 @@
 	var callers sync.WaitGroup
 	var mu sync.Mutex
 	rejected := 0
-	for n, h := range f.hosts {
-		for c := range 8 {
+	for n, h := range f.hosts[:busy] {
+		for c := range 24 / busy {
 			callers.Go(func() {
 				for i := 0; ; i++ {
 					select {
