Merge cold: cold targets and allowed regions

The end of an evacuation marks the targets of its domain as cold for the time that their service states, before they get requests again (evacuation.Holder.OnEnd), with a test.

--- a/internal/edge/evacuation/holder.go
+++ b/internal/edge/evacuation/holder.go
@@ -14,6 +14,9 @@
 type Holder struct {
 	log     *slog.Logger
 	settled func(era int64) bool
+	// OnEnd is called with the domains whose evacuation ends, before their targets get requests
+	// again, and with the revision that ends it; nil for nothing. Set it before the first state.
+	OnEnd   func(domains []string, revision platform.Revision)
 	current atomic.Pointer[State]
 	mu      sync.Mutex // serializes changes
 }
@@ -119,6 +122,9 @@
 // put puts a state in force and logs it if it differs. Callers hold h.mu.
 func (h *Holder) put(s *State, source string, age time.Duration) {
 	before := h.current.Load()
+	if ended := s.endedSince(before); len(ended) > 0 && h.OnEnd != nil {
+		h.OnEnd(ended, s.Revision)
+	}
 	h.current.Store(s)
 	if !s.same(before) {
 		h.log.Info("evacuation: domains in force", "domains", s.Domains(), "revision", s.Revision, "source", source,
--- a/internal/edge/evacuation/state.go
+++ b/internal/edge/evacuation/state.go
@@ -85,6 +85,20 @@
 	return &next
 }
 
+// endedSince returns the domains that an earlier state evacuates and s does not, sorted.
+func (s *State) endedSince(before *State) []string {
+	if before == nil {
+		return nil
+	}
+	var ended []string
+	for _, d := range before.Domains() {
+		if _, evacuated := s.domains[d]; !evacuated {
+			ended = append(ended, d)
+		}
+	}
+	return ended
+}
+
 // same reports whether two states evacuate the same domains.
 func (s *State) same(o *State) bool {
 	return o != nil && s.complete == o.complete && maps.Equal(s.domains, o.domains)
--- a/internal/edge/peers/exchange.go
+++ b/internal/edge/peers/exchange.go
@@ -29,6 +29,7 @@
 	"corianderhitch/internal/edge/targetnotice"
 	"corianderhitch/internal/edge/targets"
 	"corianderhitch/internal/edge/targetspeed"
+	"corianderhitch/internal/edge/warmup"
 	"corianderhitch/internal/quarantine"
 	"corianderhitch/internal/rpcconn"
 )
@@ -60,6 +61,7 @@
 	Eras      *storeera.Tracker
 	Speeds    *targetspeed.Tracker  // nil if targets are all alike
 	Notices   *targetnotice.Tracker // what targets state in their answers
+	Warmup    *warmup.Tracker       // of cold targets; nil if the deployment bounds nothing
 	// Quarantine holds the evidence of requests that crash targets.
 	Quarantine *quarantine.Tracker
 	// FollowsStore reports whether this host currently follows the store itself.
--- a/internal/edge/process/evacuation.go
+++ b/internal/edge/process/evacuation.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/edge/evacuation"
 	"corianderhitch/internal/edge/feed"
 	"corianderhitch/internal/platform"
@@ -14,7 +15,27 @@
 	if p.node.EvacuateWithin <= 0 {
 		return nil
 	}
-	return evacuation.NewHolder(p.log, p.eras.Settled)
+	h := evacuation.NewHolder(p.log, p.eras.Settled)
+	h.OnEnd = p.onEvacuationEnd
+	return h
+}
+
+// onEvacuationEnd makes the targets of domains count as cold for the time that their services state:
+// they may have become cold while they got no requests. An entry that is newer than the end of the
+// evacuation says otherwise.
+func (p *Process) onEvacuationEnd(domains []string, revision platform.Revision) {
+	if p.warmup == nil {
+		return
+	}
+	c, now := p.policy.Current(), bootclock.Now()
+	if c == nil {
+		return
+	}
+	for _, t := range p.targets.View().InDomains(domains) {
+		if s := c.Service(t.Service); s != nil && s.ColdFor > 0 {
+			p.warmup.MarkCold(t.Key(), now.Add(s.ColdFor), revision, now)
+		}
+	}
 }
 
 // policyPrefix returns the prefix that the feed of the configuration follows.
--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -45,6 +45,7 @@
 	"corianderhitch/internal/edge/targetnotice"
 	"corianderhitch/internal/edge/targets"
 	"corianderhitch/internal/edge/targetspeed"
+	"corianderhitch/internal/edge/warmup"
 	"corianderhitch/internal/logging"
 	"corianderhitch/internal/quarantine"
 	"corianderhitch/internal/telemetry"
@@ -94,12 +95,15 @@
 	targetsListed atomic.Bool
 	drain         *draining.Drain
 	limitShares   *limitshare.Shares
+	warmup        *warmup.Tracker // nil if the deployment bounds nothing
 	forwarder     *forwarder
 	forwards      *forwarding.Server
 	stalls        stall.Detector
 	quarantine    *quarantine.Tracker
 	speeds        *targetspeed.Tracker
 	crashes       *edge.CrashGuard
+	// warmupRefreshedAt and borrowedAt are of the last refreshWarmup that did so; only for its goroutine.
+	warmupRefreshedAt, borrowedAt bootclock.Instant
 	// keepsHeldUntil is the bootclock.Instant until which this host stores all changes of what is held back.
 	keepsHeldUntil atomic.Int64
 	heldChanged    chan struct{} // holds at most one pending request to store what is held back
@@ -165,10 +169,11 @@
 	notices := targetnotice.New()
 	p.limitShares = limitshare.New(n.Name, func() []string { return p.members.Names() })
 	notices.Share = p.limitShares.Of
+	p.initWarmup(notices)
 	p.targets = targets.New(notices, p.onTargetLeaving)
 	p.evacuated = p.newEvacuated()
 	p.targets.ExcludeEvacuated(p.evacuated)
-	p.gate = &targetgate.Gate{Log: log, Wire: adapter.Wire, Notices: notices, Targets: p.targets}
+	p.gate = &targetgate.Gate{Log: log, Wire: adapter.Wire, Notices: notices, Targets: p.targets, Warmup: p.warmup}
 	p.pool = targetconn.New(adapter.requestID, p.gate, p.connectionShare)
 	p.forwarder = newForwarder(p)
 	p.pool.Forwarder, p.pool.LocalIP, p.pool.HelperLifetime = p.forwarder, n.IP, n.Grace-exitMargin(n.Grace)
@@ -177,21 +182,21 @@
 	p.targetLog = relay.NewChangeLog(p.newTargetSink())
 	p.feeds = p.newFeeds()
 	p.confirmer = freshness.New(log, p.confirmPeriod, p.confirm)
-	p.members = peers.NewMembers(log, p.store, p.eras, relay.Host{Name: n.Name, Address: n.PeerAddress(), CPUs: n.CPUs, Mbps: n.LinkMbps, Forward: n.ForwardAddress()})
+	p.members = peers.NewMembers(log, p.store, p.eras, relay.Host{Name: n.Name, Address: n.PeerAddress(), CPUs: n.CPUs, Mbps: n.LinkMbps, Forward: n.ForwardAddress(), Region: n.Region})
 	health := ejection.New()
 	p.speeds = targetspeed.New(p.comparedTargets, p.onSpeedChange)
 	p.exchange = &peers.Exchange{Log: log, Host: n.Name, Members: p.members, Inflight: p.inflight, Targets: p.targets,
 		ChangeLog: p.targetLog, Policy: p.policy, Evacuated: p.evacuated, Confirmer: p.confirmer, Health: health, Eras: p.eras, FollowsStore: p.feeds.live, IsDraining: func() bool { return p.drain.Begun().Err() != nil },
-		Notices: notices, Quarantine: p.quarantine, Speeds: p.speeds}
+		Notices: notices, Warmup: p.warmup, Quarantine: p.quarantine, Speeds: p.speeds}
 	p.crashes.OnEvidence = p.exchange.SendEvidence
 	p.exchange.Init()
 	sender := &edge.Sender{Wire: adapter.Wire, Pool: p.pool, Crashes: p.crashes, Longest: p.drain.Longest, Movable: p.isMovable}
-	p.plain = &plain.Server{Sender: sender, Targets: p.targets, Inflight: p.inflight, Health: health, RetryBudget: p.retryBudget, Domain: n.Domain, Stalls: &p.stalls, Drain: p.drain, Queue: admission.New(p.inflight.Changed),
+	p.plain = &plain.Server{Sender: sender, Targets: p.targets, Inflight: p.inflight, Health: health, RetryBudget: p.retryBudget, Domain: n.Domain, Regions: regionsOf(&n), Stalls: &p.stalls, Drain: p.drain, Queue: admission.New(p.inflight.Changed),
 		LargeBodies: memquota.New(n.MemoryBytes / largeBodiesShare), Speeds: p.speeds}
 	p.streaming = &streaming.Server{
 		Sender: sender, Engines: adapter.NewEngineClient(p.pool), Targets: p.targets, Inflight: p.inflight, Health: health,
 		Lengths: streaming.NewOutputLengths(), Queue: admission.New(p.inflight.Changed), Runs: streaming.NewRuns(p.onRunEntered),
-		RetryBudget: p.retryBudget, Domain: n.Domain, EstimateSpread: p.estimateSpread, PlaceViaHub: p.exchange.PlaceAtHub, Drain: p.drain, Stalls: &p.stalls, Speeds: p.speeds,
+		RetryBudget: p.retryBudget, Domain: n.Domain, Regions: regionsOf(&n), EstimateSpread: p.estimateSpread, PlaceViaHub: p.exchange.PlaceAtHub, Drain: p.drain, Stalls: &p.stalls, Speeds: p.speeds,
 	}
 	p.streaming.CutOff = p.forwarder.cutOff
 	p.exchange.ChooseEngine = p.chooseForPeer
@@ -309,5 +314,6 @@
 		HeldKeys:         p.heldKeys,
 		DroppedLogLines:  logWriter.Dropped,
 		Slowness:         p.speeds.Slow,
+		ColdTargets:      p.warmup.Count,
 	}
 }
--- a/internal/edge/targetconn/forward.go
+++ b/internal/edge/targetconn/forward.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"corianderhitch/internal/edge/bootclock"
+	"corianderhitch/internal/edge/region"
 	"corianderhitch/internal/edge/targetnotice"
 )
 
@@ -18,8 +19,8 @@
 // helpers, because it has lost its own way to the targets of the service.
 type Forwarder interface {
 	// Helpers reports whether this host has lost its way to the targets of an incarnation's service,
-	// and returns the addresses of the hosts to ask to send to it, in this order.
-	Helpers(incarnation string) (addresses []string, cutOff bool)
+	// and returns the addresses of the hosts in the regions to ask to send to it, in this order.
+	Helpers(incarnation string, regions region.Set) (addresses []string, cutOff bool)
 	// ObserveOpening records whether a new connection to a target could be opened and used.
 	ObserveOpening(incarnation string, usable bool)
 	// ObserveHelper records how a helper answered.
@@ -120,8 +121,11 @@
 	if us, err := strconv.ParseInt(r.Header.Get(forwardLongest), 10, 64); err == nil && us > 0 {
 		f.Longest = time.Duration(min(us, maxLongest.Microseconds())) * time.Microsecond
 	}
-	if f.Use == targetnotice.Request {
+	switch f.Use {
+	case targetnotice.Request:
 		f.Use = targetnotice.ForwardedRequest
+	case targetnotice.Continuation:
+		f.Use = targetnotice.ForwardedContinuation
 	}
 	for _, name := range requestHeaders {
 		f.Header.Del(name)
--- a/internal/edge/targetconn/pool.go
+++ b/internal/edge/targetconn/pool.go
@@ -108,7 +108,7 @@
 	if p.Forwarder == nil || req.forOtherHost {
 		return nil, false
 	}
-	return p.Forwarder.Helpers(incarnation)
+	return p.Forwarder.Helpers(incarnation, req.Regions)
 }
 
 // doOnce sends the request to the target, or to a helper that sends it. The outcome is that of the
@@ -301,7 +301,7 @@
 }
 
 func isCallersRequest(req *Request) bool {
-	return req.Use == targetnotice.Request || req.Use == targetnotice.ForwardedRequest || req.Use == targetnotice.Continuation
+	return req.Use == targetnotice.Request || req.Use == targetnotice.ForwardedRequest || req.Use == targetnotice.Continuation || req.Use == targetnotice.ForwardedContinuation
 }
 
 // readHead reads response heads until one belongs to the request. It passes each to observe. Targets
--- a/internal/edge/targetconn/request.go
+++ b/internal/edge/targetconn/request.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"corianderhitch/internal/edge/bootclock"
+	"corianderhitch/internal/edge/region"
 	"corianderhitch/internal/edge/targetnotice"
 )
 
@@ -28,7 +29,8 @@
 	// Movable means that it can go on at another target while it runs, so that a helper that ends
 	// first does not cut it.
 	Movable bool
-	CopyTo  string // incarnation to which the target is asked to copy a run; "" if none
+	Regions region.Set // of the hosts that may get the request to send it
+	CopyTo  string     // incarnation to which the target is asked to copy a run; "" if none
 
 	forOtherHost bool // another host asked for it: it takes no further detour
 }
