--- a/internal/edge/evacuation/holder_test.go
+++ b/internal/edge/evacuation/holder_test.go
@@ -115,57 +115,75 @@
 	require.True(t, h.Blocks("a"))
 }
 
+// play is a history of the store with hosts that hear of it.
+type play struct {
+	history []Change // of revisions from 1 on
+	hosts   []*Holder
+	watched []platform.Revision // by host; where its watch goes on
+	told    []Snapshot
+}
+
+func newPlay(hosts int) *play {
+	p := &play{watched: make([]platform.Revision, hosts)}
+	for range hosts {
+		h, _ := newHolder(nil)
+		h.list(0)
+		p.hosts = append(p.hosts, h)
+	}
+	return p
+}
+
+// held returns what the store held at a revision.
+func (p *play) held(revision platform.Revision) []string {
+	var in []string
+	for _, c := range p.history[:revision] {
+		in = slices.DeleteFunc(in, func(d string) bool { return d == c.Domain })
+		if c.Evacuated {
+			in = append(in, c.Domain)
+		}
+	}
+	slices.Sort(in)
+	return in
+}
+
+// step plays one event at a host.
+func (p *play) step(t *rapid.T, i int) {
+	h, now := p.hosts[i], len(p.history)
+	switch rapid.IntRange(0, 4).Draw(t, "step") {
+	case 0:
+		p.history = append(p.history, Change{Domain: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "domain"),
+			Evacuated: rapid.Bool().Draw(t, "evacuated"), Revision: platform.Revision(now + 1)})
+	case 1:
+		revision := platform.Revision(rapid.IntRange(0, now).Draw(t, "list"))
+		h.list(revision, p.held(revision)...)
+	case 2: // the answer to a watch from where the last one ended
+		next := platform.Revision(rapid.IntRange(int(p.watched[i]), now).Draw(t, "watch"))
+		h.Apply(p.history[p.watched[i]:next], next, "watch")
+		p.watched[i] = next
+	case 3:
+		p.told = append(p.told, h.Snapshot())
+	case 4:
+		if len(p.told) > 0 {
+			s := rapid.SampledFrom(p.told).Draw(t, "told")
+			h.Merge(&s, "peer", 0)
+		}
+	}
+}
+
 // Hosts that hear of changes by lists, watches and each other, in any order and late, must each hold
 // what the store held at their revision.
 func TestStateIsThatOfItsRevision(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		domains := []string{"a", "b", "c"}
-		history := []Change{} // of revisions from 1 on
-		truth := func(revision platform.Revision) []string {
-			var in []string
-			for _, c := range history[:revision] {
-				in = slices.DeleteFunc(in, func(d string) bool { return d == c.Domain })
-				if c.Evacuated {
-					in = append(in, c.Domain)
-				}
-			}
-			slices.Sort(in)
-			return in
-		}
-		hosts := make([]*Holder, 3)
-		watched := make([]platform.Revision, len(hosts))
-		for i := range hosts {
-			hosts[i], _ = newHolder(nil)
-			hosts[i].list(0)
-		}
-		var told []Snapshot
+		p := newPlay(3)
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			i := rapid.IntRange(0, len(hosts)-1).Draw(t, "host")
-			h, now := hosts[i], platform.Revision(len(history))
-			before := h.Snapshot().Revision
-			switch rapid.IntRange(0, 4).Draw(t, "step") {
-			case 0:
-				history = append(history, Change{Domain: rapid.SampledFrom(domains).Draw(t, "domain"), Evacuated: rapid.Bool().Draw(t, "evacuated"), Revision: now + 1})
-			case 1:
-				revision := platform.Revision(rapid.IntRange(0, int(now)).Draw(t, "list"))
-				h.list(revision, truth(revision)...)
-			case 2: // the answer to a watch from where the last one ended
-				next := platform.Revision(rapid.IntRange(int(watched[i]), int(now)).Draw(t, "watch"))
-				h.Apply(history[watched[i]:next], next, "watch")
-				watched[i] = next
-			case 3:
-				told = append(told, h.Snapshot())
-			case 4:
-				if len(told) > 0 {
-					s := rapid.SampledFrom(told).Draw(t, "told")
-					h.Merge(&s, "peer", 0)
-				}
-			}
-			s := h.Snapshot()
+			i := rapid.IntRange(0, len(p.hosts)-1).Draw(t, "host")
+			before := p.hosts[i].Snapshot().Revision
+			p.step(t, i)
+			s := p.hosts[i].Snapshot()
 			if s.Revision < before {
 				t.Fatalf("went back from revision %v to %v", before, s.Revision)
 			}
-			if want := truth(s.Revision); !slices.Equal(want, s.Domains) {
+			if want := p.held(s.Revision); !slices.Equal(want, s.Domains) {
 				t.Fatalf("at revision %v: %v, the store held %v", s.Revision, s.Domains, want)
 			}
 		}
