Drill: evacuate failure domains and judge EVAC

A drill could not show whether requests reach an evacuated domain later than the bound. It now sets and removes evacuations if the deployment states the bound (evacuate), and reports each request that arrives at a target of the domain between the bound and the end of the evacuation. An outage of the store is no excuse; a freeze of the sending process shortly before is.

--- a/internal/drill/deployment/bounds.go
+++ b/internal/drill/deployment/bounds.go
@@ -15,6 +15,7 @@
 	MaxSkew         time.Duration `toml:"max_skew"`
 	Revoke          time.Duration `toml:"revoke"`
 	RevokeStrict    bool          `toml:"revoke_strict"`
+	Evacuate        time.Duration `toml:"evacuate"` // 0 for a deployment that evacuates no domain
 	Recover         time.Duration `toml:"recover"`
 	Pass            time.Duration `toml:"pass"`
 	ReuseAfter      time.Duration `toml:"reuse_after"`
--- a/internal/drill/deployment/deployment.go
+++ b/internal/drill/deployment/deployment.go
@@ -57,7 +57,7 @@
 func (d *Deployment) Record() record.Deployment {
 	b := d.Bounds
 	out := record.Deployment{Name: d.Name, Routes: make(map[string]record.Route, len(d.Kinds)), Bounds: record.Bounds{
-		Contact: b.Contact, Grace: b.Grace, Lost: b.Lost, Apply: b.Apply, Drain: b.Drain,
+		Contact: b.Contact, Grace: b.Grace, Lost: b.Lost, Apply: b.Apply, Drain: b.Drain, Evacuate: b.Evacuate,
 		RetryRatio: b.RetryRatio, RetrySlack: b.RetrySlack, RetryWindow: b.RetryWindow, MaxCrashRetries: b.MaxCrashRetries,
 	}}
 	for _, k := range d.Kinds {
--- a/internal/drill/disturbance.go
+++ b/internal/drill/disturbance.go
@@ -41,6 +41,7 @@
 		{"cut", false, 6 * time.Second, 12 * time.Second, cutHosts},
 		{"brittle", false, 8 * time.Second, 16 * time.Second, makeBrittle},
 		{"crashing request", false, 2 * time.Second, 5 * time.Second, crashByRequest},
+		{"evacuation", false, 2 * time.Second, 6 * time.Second, evacuate},
 	}
 }
 
--- a/internal/drill/judge/judge.go
+++ b/internal/drill/judge/judge.go
@@ -23,6 +23,7 @@
 	Denied  Rule = "DENIED"
 	Limit   Rule = "LIMIT"
 	Recover Rule = "RECOVER"
+	Evac    Rule = "EVAC"
 )
 
 // Violation is one case of a broken rule.
@@ -41,7 +42,7 @@
 	for _, judge := range []func(*index) []Violation{
 		lostAroundPlannedWork, lostKeptConnections,
 		excessRetries, excessAttempts, excessTime, crashRetries, sentIntoPauses,
-		ranTwice, ranAtTwo, rejectedAndRan, outOfOrder, mixedUp, sentToLeaving, sentAfterNotice, deniedProper, overLimits, fallenTooOften, unservedWhileCut,
+		ranTwice, ranAtTwo, rejectedAndRan, outOfOrder, mixedUp, sentToLeaving, sentAfterNotice, deniedProper, overLimits, fallenTooOften, unservedWhileCut, sentToEvacuated,
 	} {
 		all = append(all, judge(x)...)
 	}
--- a/internal/drill/platform.go
+++ b/internal/drill/platform.go
@@ -66,6 +66,9 @@
 	http.Handler
 	// PutConfiguration writes a configuration and returns when it is acknowledged.
 	PutConfiguration(c *Configuration) error
+	// SetEvacuated sets or removes the evacuation of a failure domain, and returns when that is
+	// acknowledged.
+	SetEvacuated(domain string, evacuated bool) error
 	// PutTarget writes a target's entry and returns when it is acknowledged.
 	PutTarget(t Target, s *deployment.Service, leaving bool) error
 	// RemoveTarget removes a target's entry.
--- a/internal/drill/record/log.go
+++ b/internal/drill/record/log.go
@@ -92,6 +92,13 @@
 	l.run.Brittle = append(l.run.Brittle, b)
 }
 
+// Evacuation adds an evacuation of a failure domain that has ended.
+func (l *Log) Evacuation(e Evacuation) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.run.Evacuated = append(l.run.Evacuated, e)
+}
+
 // Finish returns the record of the run.
 func (l *Log) Finish() *Run {
 	l.mu.Lock()
--- a/internal/drill/record/record.go
+++ b/internal/drill/record/record.go
@@ -17,6 +17,7 @@
 	Outages    []Span // of the store
 	Cuts       []Cut  // of hosts from all targets
 	Brittle    []Brittle
+	Evacuated  []Evacuation // in the order of From
 	Began      time.Time
 	Ended      time.Time
 }
@@ -35,6 +36,7 @@
 	Lost            time.Duration // after its last byte in which a request that was read and not forwarded may be cut
 	Apply           time.Duration // from the acknowledgement of a configuration until it is in force
 	Drain           time.Duration // from a leaving notice until a target gets nothing new
+	Evacuate        time.Duration // from the acknowledgement of an evacuation until the domain gets nothing new
 	RetryRatio      float64       // of the requests for a service
 	RetrySlack      int           // retries of a window beyond that
 	RetryWindow     time.Duration
@@ -188,5 +190,12 @@
 	Hosts []string
 }
 
+// Evacuation is a time in which a failure domain was evacuated: from the store's acknowledgement
+// until the operator took it back.
+type Evacuation struct {
+	Span
+	Domain string
+}
+
 // Span is a time from which to which something lasted.
 type Span struct{ From, To time.Time }
--- a/tests/edge/evacuation_test.go
+++ b/tests/edge/evacuation_test.go
@@ -66,13 +66,13 @@
 
 // evacuate sets the evacuation of a domain, and returns when the store has acknowledged it.
 func (f *fleet) evacuate(domain string) time.Time {
-	_, err := f.store.Put(f.t.Context(), platform.OperatorPrefix+"evacuate/"+domain, []byte("{}"), ports.AnyRevision, 0)
+	_, err := f.store.Put(f.t.Context(), platform.EvacuationKey(domain), []byte("{}"), ports.AnyRevision, 0)
 	require.NoError(f.t, err)
 	return time.Now()
 }
 
 func (f *fleet) endEvacuation(domain string) {
-	require.NoError(f.t, f.store.Delete(f.t.Context(), platform.OperatorPrefix+"evacuate/"+domain, ports.AnyRevision))
+	require.NoError(f.t, f.store.Delete(f.t.Context(), platform.EvacuationKey(domain), ports.AnyRevision))
 }
 
 // sendBatch sends a call and several short streams at a time by way of a host, so that they use
