--- a/internal/edge/peers/evacuation_test.go
+++ b/internal/edge/peers/evacuation_test.go
@@ -8,9 +8,13 @@
 	"github.com/stretchr/testify/require"
 
 	"corianderhitch/internal/edge/bootclock"
+	"corianderhitch/internal/edge/ejection"
 	"corianderhitch/internal/edge/evacuation"
 	"corianderhitch/internal/edge/freshness"
+	"corianderhitch/internal/edge/inflight"
 	"corianderhitch/internal/edge/policy"
+	"corianderhitch/internal/edge/relay"
+	"corianderhitch/internal/edge/targets"
 )
 
 // newConfirmedExchange returns the exchange of a host that knows a configuration, confirmed a second ago,
@@ -49,6 +53,21 @@
 	require.False(t, e.confirms(older), "an older build")
 }
 
+// A hub that had lost the store went on placing runs of other hosts in an evacuated domain that these knew.
+func TestHubLearnsOfAnEvacuationByTheSyncOfAHost(t *testing.T) {
+	hub := newConfirmedExchange(t)
+	hub.Inflight, hub.Health, hub.ChangeLog = inflight.New("hub"), ejection.New(), relay.NewChangeLog(nil)
+	hub.Targets = targets.New(hub.Notices, nil)
+	hub.FollowsStore = func() bool { return false }
+	hub.Evacuated.Replace(nil, 5, true, "test")
+	reply := new(SyncReply)
+	require.NoError(t, (&service{hub}).Sync(SyncArgs{Host: "a", Evacuation: evacuation.Snapshot{Known: true, Domains: []string{"d"}, Revision: 6}}, reply))
+	require.True(t, hub.Evacuated.Blocks("d"))
+	require.Equal(t, []string{"d"}, reply.Vouch.Evacuation.Domains)
+	require.NoError(t, (&service{hub}).Sync(SyncArgs{Host: "old"}, reply), "an older build")
+	require.True(t, hub.Evacuated.Blocks("d"))
+}
+
 // The configuration of a peer of an older build must still be put in force.
 func TestConfigurationOfOlderBuildIsTaken(t *testing.T) {
 	e := newConfirmedExchange(t)
