--- a/tests/edge/evacuation_move_test.go
+++ b/tests/edge/evacuation_move_test.go
@@ -89,6 +89,7 @@
 	dest := evacuateDestination(t, f, h, others)
 	require.NotNil(t, dest)
 	require.Eventually(t, func() bool { return strings.Count(h.logs.String(), `"backup: replication finished"`) == 2 }, waitTimeout, checkInterval)
+	require.True(t, logContains(h, `"evacuated":true`), "it is dropped for that, not when it has to be copied again")
 	source.Crash()
 	a := <-pending
 	require.NoError(t, a.err)
