Target speed: trust few calls by how much latencies vary, one hub leads

A target of a plain service needed a fixed number of calls to count as slow, whether latencies vary by 1% or by a factor of five. The number now follows the variance within the targets of the service, which the hosts send as one more sum. Slow targets are drawn more rarely: two draws in proportion to speed still sent one call in eight of the slow target's own domain there.

A host that becomes the first hub no longer prefers for 5 s what the former one told it.

--- a/internal/edge/peers/service.go
+++ b/internal/edge/peers/service.go
@@ -25,7 +25,7 @@
 		Vouch:   e.confirmation(policy.Stamp{Version: args.PolicyVersion, Revision: args.PolicyRevision}),
 		Era:     e.Eras.Current(), SettledEra: e.Eras.SettledEra(),
 	}
-	reply.Speed = e.Speeds.Merge(args.Speed)
+	reply.Speed = e.Speeds.Merge(args.Speed, e.isFirstHub())
 	reply.Evidence = e.evidenceReply(&args.Evidence)
 	if args.WantFleet {
 		reply.Fleet = e.Inflight.LoadsExcept(args.Host)
--- a/internal/edge/peers/sync.go
+++ b/internal/edge/peers/sync.go
@@ -80,6 +80,12 @@
 	return false
 }
 
+// isFirstHub reports whether this host is the hub that merges the samples of all others.
+func (e *Exchange) isFirstHub() bool {
+	hubs := e.Members.Hubs()
+	return len(hubs) > 0 && hubs[0].Name == e.Host
+}
+
 // sync sends this host's state to a hub and applies its answer.
 func (e *Exchange) sync(ctx context.Context, hub relay.Host, wantFleet bool) {
 	args := SyncArgs{Host: e.Host, WantFleet: wantFleet, Loads: e.Inflight.OwnLoads(), Leaving: e.Targets.AnnouncedLeaving(), Failing: e.Health.RecentlyFailed(), ListRevision: e.ChangeLog.Revision(), ListSettling: e.ChangeLog.Settling(),
--- a/internal/edge/placement/plainspeed.go
+++ b/internal/edge/placement/plainspeed.go
@@ -1,8 +1,10 @@
 package placement
 
+import "math"
+
 // homeWeight is how many times more often a target in this host's failure domain is drawn than one
 // elsewhere: traffic between domains is expensive.
-const homeWeight = 4
+const homeWeight = 3
 
 // DifferInSpeed reports whether a target has a learned factor other than 1.
 func DifferInSpeed(candidates []Candidate) bool {
@@ -15,9 +17,10 @@
 }
 
 // ChoosePlainTargetBySpeed returns the index of a target for a plain call, or -1, if targets differ
-// in speed. It draws two targets in proportion to their speeds and takes the one with the shorter
-// expected wait: all hosts share one estimate, and would otherwise all choose the target that it
-// makes look best. draws are random numbers in [0, 1). Targets in tried are left out.
+// in speed. It draws two targets, faster ones in proportion to their speed and slower ones more
+// rarely than that, and takes the one with the shorter expected wait: all hosts share one estimate, and
+// would otherwise all choose the target that it makes look best. draws are random numbers in [0, 1).
+// Targets in tried are left out.
 func ChoosePlainTargetBySpeed(candidates []Candidate, domain string, tried map[string]bool, draws [2]float64) int {
 	weights, total := make([]float64, len(candidates)), 0.0
 	for i := range candidates {
@@ -25,7 +28,7 @@
 		if tried[c.Target.Key()] {
 			continue
 		}
-		weights[i] = 1 / (c.slowness() * c.FailureCost)
+		weights[i] = 1 / (c.slowness() * math.Max(1, c.slowness()) * c.FailureCost)
 		if c.Target.Domain == domain {
 			weights[i] *= homeWeight
 		}
--- a/internal/edge/placement/plainspeed_test.go
+++ b/internal/edge/placement/plainspeed_test.go
@@ -118,9 +118,9 @@
 }
 
 // simulatePlainCalls returns the share of calls that are answered too late.
-func simulatePlainCalls(learn bool, times [4]float64, perSecond float64, length time.Duration) float64 {
+func simulatePlainCalls(learn bool, times [4]float64, perSecond float64, length time.Duration, seed uint64) float64 {
 	const tick = time.Millisecond
-	f := &plainFleet{random: rand.New(rand.NewPCG(11, 12)), learn: learn, estimator: targetspeed.NewEstimator(targetspeed.SharedBand),
+	f := &plainFleet{random: rand.New(rand.NewPCG(seed, 12)), learn: learn, estimator: targetspeed.NewEstimator(targetspeed.SharedBand),
 		service: []targetspeed.Service{{Name: "p", Targets: []string{"0@0", "1@0", "2@0", "3@0"}}}}
 	for i := range f.phase {
 		f.phase[i] = slowPhases{base: times[i], factor: times[i], until: time.Duration(f.random.Float64() * float64(28*time.Second))}
@@ -150,8 +150,8 @@
 	const maxRatio = 0.7
 	for name, times := range map[string][4]float64{"times": {0.7, 0.7, 1.7, 0.7}, "speeds": {1 / 0.7, 1 / 0.7, 1 / 1.7, 1 / 0.7}, "phases only": {1, 1, 1, 1}} {
 		t.Run(name, func(t *testing.T) {
-			without := simulatePlainCalls(false, times, 124, 240*time.Second)
-			with := simulatePlainCalls(true, times, 124, 240*time.Second)
+			without := simulatePlainCalls(false, times, 124, 240*time.Second, 11)
+			with := simulatePlainCalls(true, times, 124, 240*time.Second, 11)
 			t.Logf("late without learned speed %.4f, with %.4f", without, with)
 			require.Less(t, with, maxRatio*without)
 		})
--- a/internal/edge/targetspeed/bench_test.go
+++ b/internal/edge/targetspeed/bench_test.go
@@ -17,7 +17,7 @@
 	t := New(func() []Service { return services }, nil)
 	for i, target := range services[0].Targets {
 		s := newSample(IDOf(target), Sums{Decode: 1, DecodeWork: 1 / float64(1+i%20/19)})
-		t.Merge(Report{Samples: []Sample{s}})
+		t.Merge(Report{Samples: []Sample{s}}, true)
 		time.Sleep(5 * time.Millisecond)
 	}
 	return t, services[0].Targets
@@ -39,7 +39,7 @@
 		r.Samples = append(r.Samples, newSample(IDOf(e), Sums{Decode: 1, DecodeWork: 1}))
 	}
 	for range b.N {
-		t.Merge(r)
+		t.Merge(r, true)
 	}
 }
 
--- a/internal/edge/targetspeed/estimator.go
+++ b/internal/edge/targetspeed/estimator.go
@@ -95,12 +95,13 @@
 	}
 	var estimates []estimate
 	var trusted []float64
+	half := e.halfCalls(s)
 	for _, target := range s.Targets {
 		r := e.records[IDOf(target)]
 		if r == nil {
 			continue
 		}
-		log, trust := r.sums.slowness()
+		log, trust := r.sums.slowness(half)
 		trust *= decay(now.Sub(r.at), idleHalfLife)
 		estimates = append(estimates, estimate{target, r, log, trust, r.sums.Decode + r.sums.First + r.sums.Calls})
 		if trust >= minTrust {
@@ -124,6 +125,17 @@
 	return changes
 }
 
+// halfCalls is that of a service.
+func (e *Estimator) halfCalls(s Service) float64 {
+	var sums []Sums
+	for _, target := range s.Targets {
+		if r := e.records[IDOf(target)]; r != nil && r.sums.Calls > 0 {
+			sums = append(sums, r.sums)
+		}
+	}
+	return halfCalls(sums)
+}
+
 // medianOf returns the median. It is not known of fewer than two values, which it sorts.
 func medianOf(values []float64) (float64, bool) {
 	if len(values) < 2 {
--- a/internal/edge/targetspeed/estimator_test.go
+++ b/internal/edge/targetspeed/estimator_test.go
@@ -118,7 +118,7 @@
 		latency := f.times[i] * (1 + f.queued[i]/feedbackSlots)
 		c := CallSums(int(served*f.times[i]+f.queued[i]), feedbackSlots, time.Duration(latency*float64(time.Second)))
 		calls := served * tick.Seconds()
-		f.Add(IDOf(target), Sums{Calls: calls, LogLatency: calls * c.LogLatency}, now)
+		f.Add(IDOf(target), Sums{Calls: calls, LogLatency: calls * c.LogLatency, LogSquares: calls * c.LogSquares}, now)
 	}
 	f.Update(f.services, now)
 	factors := make([]float64, len(f.times))
--- a/internal/edge/targetspeed/messages.go
+++ b/internal/edge/targetspeed/messages.go
@@ -23,19 +23,20 @@
 	Prompt             uint32 // in tokens
 	First, FirstWork   uint32
 	Calls              uint32
-	LogLatency         int32 // in hundredths
+	LogLatency         int32  // in hundredths
+	LogSquares         uint32 // in hundredths
 }
 
 func newSample(target ID, s Sums) Sample {
 	return Sample{Target: target, Decode: millis(s.Decode), DecodeWork: millis(s.DecodeWork), Prompt: uint32(s.Prompt),
-		First: millis(s.First), FirstWork: millis(s.FirstWork), Calls: uint32(s.Calls), LogLatency: int32(math.Round(100 * s.LogLatency))}
+		First: millis(s.First), FirstWork: millis(s.FirstWork), Calls: uint32(s.Calls), LogLatency: int32(math.Round(100 * s.LogLatency)), LogSquares: uint32(math.Round(100 * s.LogSquares))}
 }
 
 func millis(seconds float64) uint32 { return uint32(math.Round(1000 * seconds)) }
 
 func (s *Sample) sums() Sums {
 	return Sums{Decode: float64(s.Decode) / 1000, DecodeWork: float64(s.DecodeWork) / 1000, Prompt: float64(s.Prompt),
-		First: float64(s.First) / 1000, FirstWork: float64(s.FirstWork) / 1000, Calls: float64(s.Calls), LogLatency: float64(s.LogLatency) / 100}
+		First: float64(s.First) / 1000, FirstWork: float64(s.FirstWork) / 1000, Calls: float64(s.Calls), LogLatency: float64(s.LogLatency) / 100, LogSquares: float64(s.LogSquares) / 100}
 }
 
 // Position is up to where a host has the factors of a hub's process.
--- a/internal/edge/targetspeed/status.go
+++ b/internal/edge/targetspeed/status.go
@@ -56,9 +56,10 @@
 		status.Source, estimator = fromHosts, t.merged
 	}
 	for _, s := range services {
+		half := estimator.halfCalls(s)
 		part := ServiceStatus{Name: s.Name, Level: round(t.level(s.Name, now)), Targets: []TargetStatus{}}
 		for _, target := range s.Targets {
-			part.Targets = append(part.Targets, t.statusOf(target, estimator, now))
+			part.Targets = append(part.Targets, t.statusOf(target, estimator, half, now))
 		}
 		status.Services = append(status.Services, part)
 	}
@@ -66,11 +67,11 @@
 }
 
 // statusOf returns the status of a target with samples from an estimator. Callers hold t.mu.
-func (t *Tracker) statusOf(target string, e *Estimator, now bootclock.Instant) TargetStatus {
+func (t *Tracker) statusOf(target string, e *Estimator, halfCalls float64, now bootclock.Instant) TargetStatus {
 	id := IDOf(target)
 	s := TargetStatus{Target: target, Factor: t.slowness(id, now)}
 	if r := e.records[id]; r != nil {
-		_, trust := r.sums.slowness()
+		_, trust := r.sums.slowness(halfCalls)
 		s.Samples, s.Trust, s.AgeMS = round(r.sums.Decode+r.sums.First+r.sums.Calls), round(trust), int64(now.Sub(r.at)/time.Millisecond)
 	}
 	return s
--- a/internal/edge/targetspeed/sums.go
+++ b/internal/edge/targetspeed/sums.go
@@ -29,7 +29,8 @@
 	First, FirstWork float64
 	// Calls counts answered calls; LogLatency sums the logarithms of their latencies in seconds, each
 	// divided by its expected increase at the occupancy. Logarithms limit the weight of single long calls.
-	Calls, LogLatency float64
+	// LogSquares sums their squares.
+	Calls, LogLatency, LogSquares float64
 }
 
 // stepAt returns the time of a step at an occupancy.
@@ -57,7 +58,8 @@
 func CallSums(inFlight, slots int, took time.Duration) Sums {
 	slots = max(1, slots)
 	increase := 1 + math.Max(0, float64(inFlight+1-slots))/float64(slots)
-	return Sums{Calls: 1, LogLatency: math.Log(math.Max(minLatency, took.Seconds()/increase))}
+	log := math.Log(math.Max(minLatency, took.Seconds()/increase))
+	return Sums{Calls: 1, LogLatency: log, LogSquares: log * log}
 }
 
 // minLatency is the shortest latency of a call that is told from shorter ones, in seconds. Below
@@ -67,14 +69,14 @@
 // Plus returns the sum of both.
 func (s Sums) Plus(o Sums) Sums {
 	return Sums{Decode: s.Decode + o.Decode, DecodeWork: s.DecodeWork + o.DecodeWork, Prompt: s.Prompt + o.Prompt,
-		First: s.First + o.First, FirstWork: s.FirstWork + o.FirstWork, Calls: s.Calls + o.Calls, LogLatency: s.LogLatency + o.LogLatency}
+		First: s.First + o.First, FirstWork: s.FirstWork + o.FirstWork, Calls: s.Calls + o.Calls, LogLatency: s.LogLatency + o.LogLatency, LogSquares: s.LogSquares + o.LogSquares}
 }
 
 // decayed returns the sums after a time without samples.
 func (s Sums) decayed(age time.Duration) Sums {
 	f, c := decay(age, runHalfLife), decay(age, callHalfLife)
 	return Sums{Decode: f * s.Decode, DecodeWork: f * s.DecodeWork, Prompt: f * s.Prompt,
-		First: f * s.First, FirstWork: f * s.FirstWork, Calls: c * s.Calls, LogLatency: c * s.LogLatency}
+		First: f * s.First, FirstWork: f * s.FirstWork, Calls: c * s.Calls, LogLatency: c * s.LogLatency, LogSquares: c * s.LogSquares}
 }
 
 func decay(age, halfLife time.Duration) float64 {
@@ -93,14 +95,33 @@
 
 const (
 	// halfRunTime is the observed time of runs in seconds at which a target counts as half as slow, on a
-	// logarithmic scale, as it was observed; halfCalls is the same for answered calls.
+	// logarithmic scale, as it was observed.
 	halfRunTime = 0.2
-	halfCalls   = 6.0
+	// halfCallsPerVariance times the variance of the logarithms of latencies is the same for answered calls.
+	// A target whose mean is three standard errors off its service's then stays just within SharedBand,
+	// however many calls it had.
+	halfCallsPerVariance = 16
+	// priorVariance counts like that of priorCalls calls: single calls say nothing about the variance.
+	priorVariance, priorCalls = 0.5, 5
+	minHalfCalls              = 0.5
 )
 
+// halfCalls returns the number of calls at which a target of a service counts as half as slow, on a
+// logarithmic scale, as it was observed, from the sums of all its targets.
+func halfCalls(targets []Sums) float64 {
+	squares, calls := priorVariance*priorCalls, float64(priorCalls)
+	for _, s := range targets {
+		if s.Calls > 1 {
+			squares += math.Max(0, s.LogSquares-s.LogLatency*s.LogLatency/s.Calls)
+			calls += s.Calls - 1
+		}
+	}
+	return math.Max(minHalfCalls, halfCallsPerVariance*squares/calls)
+}
+
 // slowness returns the logarithm of the time that a unit of work takes, and how much that is to be
-// trusted, from 0 to 1.
-func (s Sums) slowness() (log, trust float64) {
+// trusted, from 0 to 1. halfCalls is that of the service.
+func (s Sums) slowness(halfCalls float64) (log, trust float64) {
 	switch observed := s.Decode + s.First; {
 	case observed > 0:
 		work := s.DecodeWork + s.Decode*s.Prompt/runSpan/promptTokensPerSecond + s.FirstWork
--- a/internal/edge/targetspeed/tracker.go
+++ b/internal/edge/targetspeed/tracker.go
@@ -136,13 +136,17 @@
 	return r
 }
 
-// Merge adds the samples of another host and returns the factors that it lacks.
-func (t *Tracker) Merge(r Report) Factors {
+// Merge adds the samples of another host and returns the factors that it lacks. leads tells that this
+// host is the first hub, to which what another hub said before no longer applies.
+func (t *Tracker) Merge(r Report, leads bool) Factors {
 	if t == nil {
 		return Factors{}
 	}
 	t.mu.Lock()
 	now := t.now()
+	if leads {
+		t.heardAt = 0
+	}
 	if len(r.Samples) > 0 {
 		t.mergedAt = now
 	}
--- a/internal/edge/targetspeed/tracker_test.go
+++ b/internal/edge/targetspeed/tracker_test.go
@@ -46,7 +46,7 @@
 					took = slow
 				}
 				h.RecordCall(fmt.Sprint(i%4), 0, 6, took)
-				f := hub.Merge(h.Report())
+				f := hub.Merge(h.Report(), true)
 				told += len(f.Changed)
 				h.Apply(f)
 			}
@@ -97,7 +97,7 @@
 		now = now.Add(tick)
 	}
 	require.Greater(t, host.Slowness("2"), 2.5)
-	require.Empty(t, host.Merge(Report{}).Changed, "a host of an older build sends nothing")
+	require.Empty(t, host.Merge(Report{}, false).Changed, "a host of an older build sends nothing")
 	require.Len(t, host.Slow(), 1)
 	page := httptest.NewRecorder()
 	host.ServeHTTP(page, nil)
