--- a/internal/edge/process/speed.go
+++ b/internal/edge/process/speed.go
@@ -40,5 +40,5 @@
 	case c.Factor < 1:
 		message = "speed: target is fast"
 	}
-	p.log.Info(message, "target", c.Target, "service", c.Service, "factor", c.Factor, "samples_s", c.Samples, "trust", c.Trust, "age_ms", c.Age.Milliseconds())
+	p.log.Info(message, "target", c.Target, "service", c.Service, "factor", c.Factor, "samples", c.Samples, "trust", c.Trust, "age_ms", c.Age.Milliseconds())
 }
--- a/internal/edge/targetspeed/messages.go
+++ b/internal/edge/targetspeed/messages.go
@@ -41,7 +41,7 @@
 
 // Position is up to where a host has the factors of a hub's process.
 type Position struct {
-	Process uint64 // drawn at the start of the process
+	Process uint32 // drawn at the start of the process
 	Seq     uint64
 }
 
--- a/internal/edge/targetspeed/tracker.go
+++ b/internal/edge/targetspeed/tracker.go
@@ -4,6 +4,7 @@
 package targetspeed
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -68,7 +69,7 @@
 // New returns a tracker without samples.
 func New(services func() []Service, onChange func(Change)) *Tracker {
 	return &Tracker{Services: services, OnChange: onChange, now: bootclock.Now, own: NewEstimator(OwnBand), merged: NewEstimator(SharedBand),
-		pending: make(map[ID]Sums), sent: make(map[ID]publishedValue), received: make(map[ID]float64), position: Position{Process: rand.Uint64()}}
+		pending: make(map[ID]Sums), sent: make(map[ID]publishedValue), received: make(map[ID]float64), position: Position{Process: 1 + rand.Uint32N(math.MaxUint32)}}
 }
 
 // RecordDecode records that a run of an engine with so many runs produced tokens.
