Cold targets: a request that did not get the last permit is told targets_limited

While all targets of a service are cold, a request that had waited in vain was rejected as no_target if a permit had accrued when its rejection was written (seen in TestRequestsWaitWhileAllTargetsAreCold). View.Refusal counts cold targets as refusing whether or not a permit is there at that moment; without cold targets nothing changes.

--- a/internal/edge/targets/cold_test.go
+++ b/internal/edge/targets/cold_test.go
@@ -68,6 +68,11 @@
 	require.True(t, r.View().AcceptsWithin("s", 3, time.Second))
 	require.False(t, r.View().AcceptsWithin("s", 10, time.Second))
 
+	set("b@0", 0, 1)
+	refusal, refused = r.View().Refusal("s")
+	require.True(t, refused, "a request that did not get the permit is told that targets are limited")
+	require.Equal(t, Refusal{Limited: true}, refusal)
+
 	set("a@0", 700*time.Millisecond, 0)
 	set("b@0", 700*time.Millisecond, 0) // other hosts hold all shares
 	require.True(t, r.View().AcceptsWithin("s", 1, time.Second), "this host may borrow one")
--- a/internal/edge/targets/view.go
+++ b/internal/edge/targets/view.go
@@ -185,7 +185,8 @@
 }
 
 // Refusal returns why no target of a service accepts requests. It returns false if a target
-// accepts them now, or if all targets leave.
+// accepts them now, or if all targets leave. One that accepts a request now because the permits of a
+// cold target allow it does not count: other requests of this host wait for them.
 func (v *View) Refusal(service string) (Refusal, bool) {
 	now := bootclock.Now()
 	if !v.stated.AnyRestricted(now) {
@@ -202,7 +203,7 @@
 			limited = typicalTurn
 		}
 		left := max(paused, limited)
-		if left == 0 {
+		if left == 0 && !v.stated.IsCold(key, now) {
 			return Refusal{}, false
 		}
 		if !refused || left < first.Left {
