Bounded memory and connections of the edge process

Cause: a host held whatever callers sent: heads with thousands of lines, any number of bodies of 4 MiB, copied while they grew and once more for the target, answers of up to 256 KiB for any number of slow readers, and any number of connections. Clients ended processes this way.

Change: memquota.Budget counts, in one number, heads at their cost in memory, bodies as they arrive, answers, and what other hosts forward. Beyond it the request whose body has stood still the longest or is the slowest is rejected (408), then the one that asks (503 or, for its account's part, 429, with Retry-After). The last quarter is for small requests. Header lines are counted while a head arrives (431 above 1,024). Callers' connections are bounded by descriptors and memory; beyond that the one that has been idle or half-sent the longest is closed. Large bodies are not copied behind their heads nor for the key of crash evidence. Answers above 32 KiB (256 KiB before) take a share of the memory for large answers before they are read.

--- a/internal/edge/crashguard.go
+++ b/internal/edge/crashguard.go
@@ -53,7 +53,11 @@
 		if a.Route != nil {
 			host = a.Route.Host // callers write it with or without port, in any case
 		}
-		fields := []string{c.Method, host, c.URI, a.Account, string(c.Body)}
+		body := c.Body
+		if body == nil {
+			body = []byte{} // the key of a request without a body has an empty field for it
+		}
+		var fields []string
 		for _, part := range c.Generation.SharedParts() {
 			a.crashKeysList = append(a.crashKeysList, quarantine.Part(part.ID))
 		}
@@ -63,7 +67,7 @@
 				fields = append(fields, part.ID, strconv.Itoa(part.Tokens))
 			}
 		}
-		a.crashKeysList = append(a.crashKeysList, quarantine.Request(fields...))
+		a.crashKeysList = append(a.crashKeysList, quarantine.RequestWithBody([]string{c.Method, host, c.URI, a.Account}, body, fields...))
 	})
 	return a.crashKeysList
 }
--- a/internal/edge/ingress/connection.go
+++ b/internal/edge/ingress/connection.go
@@ -12,13 +12,16 @@
 type connection struct {
 	openedAt bootclock.Instant
 	requests int // including the current one
+	// conn is the connection itself, nil in tests without OpenConnections.
+	conn *callerConn
 }
 
 type connectionKey struct{}
 
 // WithConnection is the ConnContext of the callers' http.Server.
-func WithConnection(ctx context.Context, _ net.Conn) context.Context {
-	return context.WithValue(ctx, connectionKey{}, &connection{openedAt: bootclock.Now()})
+func WithConnection(ctx context.Context, c net.Conn) context.Context {
+	conn, _ := c.(*callerConn)
+	return context.WithValue(ctx, connectionKey{}, &connection{openedAt: bootclock.Now(), conn: conn})
 }
 
 // recordRequest counts a request on its connection, which it returns. Without
@@ -33,3 +36,10 @@
 }
 
 func (c *connection) age() time.Duration { return bootclock.Since(c.openedAt) }
+
+// receiveBody states whether the body of the current request is incomplete.
+func (c *connection) receiveBody(incomplete bool) {
+	if c.conn != nil {
+		c.conn.receivesBody.Store(incomplete)
+	}
+}
--- a/internal/edge/ingress/handler.go
+++ b/internal/edge/ingress/handler.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -17,6 +16,7 @@
 	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/edge/draining"
 	"corianderhitch/internal/edge/freshness"
+	"corianderhitch/internal/edge/memquota"
 	"corianderhitch/internal/edge/policy"
 	"corianderhitch/internal/wait"
 )
@@ -34,8 +34,6 @@
 	// fitCheckInterval is how often a draining host checks whether a call whose body is still
 	// coming in can end in time.
 	fitCheckInterval = 100 * time.Millisecond
-	// defaultMaxBodyBytes applies if the configuration sets no limit.
-	defaultMaxBodyBytes = 4 << 20
 )
 
 // Server serves authorized calls of one kind and returns the outcome of each.
@@ -66,6 +64,10 @@
 	// Drain is the end of the process. Once it has begun, connections are closed after
 	// their response, and requests that cannot end in time are rejected.
 	Drain *draining.Drain
+	// Memory bounds what requests hold; nil for no bound.
+	Memory *memquota.Budget
+	// MaxHeaderLines bounds the header lines of a request; 0 for DefaultMaxHeaderLines.
+	MaxHeaderLines int
 }
 
 // ServeHTTP implements http.Handler.
@@ -75,6 +77,12 @@
 		w.Header().Set("Connection", "close")
 	}
 	connection := recordRequest(r.Context())
+	hold, tooMuch := h.holdHead(r, arrived)
+	defer hold.Close()
+	if tooMuch != nil {
+		h.rejectUnread(w, r, &edge.Call{Host: r.Host, Path: r.URL.Path}, tooMuch, arrived, &hold)
+		return
+	}
 	call := h.Wire.Decode(r)
 	ctx, span := edge.Tracer.Start(r.Context(), "edge request", trace.WithSpanKind(trace.SpanKindServer),
 		trace.WithAttributes(attribute.String("request.id", call.ID)))
@@ -82,7 +90,8 @@
 	a, rejection := h.authorize(ctx, &call, arrived)
 	if rejection == nil {
 		var rejected bool
-		if rejection, rejected = h.readBody(w, r, a); rejected {
+		hold.SetAccount(a.Account)
+		if rejection, rejected = h.readBody(w, r, a, connection, &hold); rejected {
 			return
 		}
 	}
@@ -210,37 +219,6 @@
 	return account != nil && account.Name == a.Account
 }
 
-// readBody reads the request's body into the call, until the call's deadline. It returns the
-// rejection if that fails; rejected means that the caller has been sent one already.
-func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, a *edge.AuthorizedCall) (rejection *edge.Rejection, rejected bool) {
-	limit := h.Policy.Current().Limits.MaxBodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	if r.ContentLength == 0 {
-		return nil, false
-	}
-	stopRejecting := h.rejectWhileReading(w, a)
-	defer context.AfterFunc(r.Context(), func() { endRead(w) })()
-	defer time.AfterFunc(a.TimeLeft(), func() { endRead(w) }).Stop()
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	switch {
-	case stopRejecting():
-		return nil, true
-	case int64(len(body)) > limit:
-		w.Header().Set("Connection", "close")
-		return &edge.Rejection{Status: http.StatusRequestEntityTooLarge, Reason: edge.ReasonTooLarge}, false
-	case err != nil && a.TimeLeft() <= 0:
-		return &edge.Rejection{Status: http.StatusRequestTimeout, Reason: edge.ReasonTimeout}, false
-	case err != nil && h.Drain.Begun().Err() != nil:
-		return edge.Stopping(), false
-	case err != nil:
-		return &edge.Rejection{Status: http.StatusBadRequest, Reason: edge.ReasonBadRequest}, false
-	}
-	a.Call.Body = body
-	return nil, false
-}
-
 // rejectWhileReading rejects the call as soon as it cannot end before the process does. Its
 // body is still read meanwhile: a connection that is closed while the caller writes may lose
 // the rejection. The returned function ends this and reports whether the call was rejected.
--- a/internal/edge/ingress/openconnections.go
+++ b/internal/edge/ingress/openconnections.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+
+	"corianderhitch/internal/edge/bootclock"
 )
 
 // OpenConnections ends a server without dropping requests: http.Server.Shutdown closes the
@@ -23,9 +25,18 @@
 	ended       chan struct{} // closed when no more connections are accepted
 	endedOnce   sync.Once
 
+	// Bound is how many connections may be open, 0 for any number. Beyond it, the one that has been idle or
+	// has had an incomplete request the longest is closed for a new one. The fields are set before Accept.
+	Bound int
+	// Guard bounds the heads of requests; nil for no bound.
+	Guard *HeadGuard
+	// Closed is called for each connection that is closed for the bound, with the reason.
+	Closed func(reason string)
+
 	mu     sync.Mutex
-	open   int           // guarded by mu
-	closed chan struct{} // guarded by mu; closed when no connection is open, nil unless awaited
+	conns  map[*callerConn]struct{} // guarded by mu; accepted and not closed yet
+	open   int                      // guarded by mu
+	closed chan struct{}            // guarded by mu; closed when no connection is open, nil unless awaited
 }
 
 // NewOpenConnections returns the connections that a server accepts from the listener. next is
@@ -36,24 +47,96 @@
 
 // Accept implements net.Listener.
 func (o *OpenConnections) Accept() (net.Conn, error) {
-	conn, err := o.Listener.Accept()
-	if errors.Is(err, net.ErrClosed) {
-		o.endedOnce.Do(func() { close(o.ended) })
+	for {
+		conn, err := o.Listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			o.endedOnce.Do(func() { close(o.ended) })
+		}
+		if err != nil {
+			return nil, err
+		}
+		c := &callerConn{Conn: conn, closingIdle: &o.closingIdle, guard: o.Guard}
+		c.since.Store(int64(bootclock.Now()))
+		if o.admit(c) {
+			return c, nil
+		}
+		_ = conn.Close()
+	}
+}
+
+// Reasons for which connections are closed.
+const (
+	reasonWaiting = "longest_waiting" // closed for a new one
+	reasonFull    = "all_serving"     // a new one is closed, since requests are served on all others
+)
+
+// admit makes room for a new connection and reports whether there is.
+func (o *OpenConnections) admit(c *callerConn) bool {
+	o.mu.Lock()
+	closed, fits := 0, true
+	for o.Bound > 0 && len(o.conns) >= o.Bound && fits {
+		if fits = o.closeLongestWaiting(); fits {
+			closed++
+		}
+	}
+	if fits {
+		if o.conns == nil {
+			o.conns = make(map[*callerConn]struct{})
+		}
+		o.conns[c] = struct{}{}
 	}
-	if err != nil {
-		return nil, err
+	o.mu.Unlock()
+	if o.Closed != nil {
+		for range closed {
+			o.Closed(reasonWaiting)
+		}
+		if !fits {
+			o.Closed(reasonFull)
+		}
 	}
-	return &callerConn{Conn: conn, closingIdle: &o.closingIdle}, nil
+	return fits
+}
+
+// closeLongestWaiting closes the connection that has been idle, or has had an incomplete request, the
+// longest. It returns false if there is none. It needs mu.
+func (o *OpenConnections) closeLongestWaiting() bool {
+	for {
+		var longest *callerConn
+		var since bootclock.Instant
+		for c := range o.conns {
+			if at, waits := c.waitsSince(); waits && (longest == nil || at < since) {
+				longest, since = c, at
+			}
+		}
+		if longest == nil {
+			return false
+		}
+		if longest.closeWaiting() {
+			delete(o.conns, longest)
+			return true
+		}
+	}
+}
+
+// Len returns how many connections are open.
+func (o *OpenConnections) Len() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.conns)
 }
 
 // ConnState is the ConnState hook of the server.
 func (o *OpenConnections) ConnState(c net.Conn, state http.ConnState) {
-	if conn, ok := c.(*callerConn); ok {
+	conn, ok := c.(*callerConn)
+	if ok {
 		conn.observe(state)
 	}
 	o.next(c, state)
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if ok && (state == http.StateClosed || state == http.StateHijacked) {
+		delete(o.conns, conn)
+	}
 	switch state {
 	case http.StateNew:
 		o.open++
--- a/internal/edge/memquota/quota.go
+++ b/internal/edge/memquota/quota.go
@@ -9,7 +9,8 @@
 // Quota is a number of bytes that its users share, in the order in which they asked. It is
 // safe for concurrent use; nil is a quota without a bound.
 type Quota struct {
-	size int64 // no bound if 0 or less
+	size   int64   // no bound if 0 or less
+	budget *Budget // that also counts the bytes; nil for none
 
 	mu      sync.Mutex
 	taken   int64     // guarded by mu
@@ -56,6 +57,7 @@
 func (q *Quota) grant() {
 	for len(q.waiting) > 0 && q.taken+q.waiting[0].bytes <= q.size {
 		q.taken += q.waiting[0].bytes
+		q.budget.Charge(q.waiting[0].bytes)
 		close(q.waiting[0].granted)
 		q.waiting[0] = nil
 		q.waiting = q.waiting[1:]
@@ -65,17 +67,23 @@
 func (q *Quota) giveBack(w *waiter) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.taken -= w.bytes
+	q.release(w)
 	q.grant()
 }
 
+// release takes back what a user was granted. It needs mu.
+func (q *Quota) release(w *waiter) {
+	q.taken -= w.bytes
+	q.budget.Charge(-w.bytes)
+}
+
 // abandon removes a user that does not wait any more.
 func (q *Quota) abandon(w *waiter) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	select {
 	case <-w.granted:
-		q.taken -= w.bytes // granted meanwhile
+		q.release(w) // granted meanwhile
 	default:
 		for i := range q.waiting {
 			if q.waiting[i] == w {
--- a/internal/edge/metrics/metrics.go
+++ b/internal/edge/metrics/metrics.go
@@ -34,6 +34,7 @@
 	quarantine      metric.Int64Counter
 	retries         metric.Int64Counter
 	continuations   metric.Int64Counter
+	closed          metric.Int64Counter
 	// Definitions lists all instruments in the order of their creation, for the generated page.
 	Definitions []Definition
 }
@@ -61,6 +62,10 @@
 	StoreEra        func() int64
 	HeldKeys        func() int
 	DroppedLogLines func() int64
+	HeldBytes       func() int64
+	HeldBound       func() int64
+	Connections     func() int
+	ConnectionBound func() int
 }
 
 // New creates the instruments. It returns the first error of the meter.
@@ -81,6 +86,7 @@
 	m.quarantine = b.counter("hitch_edge_quarantine_changes", "change", "prompt parts and requests that were held back because targets crashed under them, or no longer are")
 	m.retries = b.counter("hitch_edge_retries", "service, granted", "decisions on whether a request may be sent once more, by whether the retry budget allowed it")
 	m.continuations = b.counter("hitch_edge_continuations", "service, result", "sends of runs that continue from a copy of their memory, which take nothing from the retry budget")
+	m.closed = b.counter("hitch_edge_connections_closed", "reason", "connections of callers closed because their number reached its bound")
 	m.storeCalls = b.counter("hitch_edge_store_calls", "call, result", "calls to the platform's store")
 	b.gauge("hitch_edge_runs", "", "generations in flight from this host", func() int64 { return int64(g.Runs()) })
 	b.gauge("hitch_edge_waiting_runs", "", "generations that wait for room", func() int64 { return int64(g.WaitingRuns()) })
@@ -93,6 +99,10 @@
 	b.gauge("hitch_edge_store_era", "", "era of the platform's store: it rises when the store was restored from a copy", g.StoreEra)
 	b.gauge("hitch_edge_held_keys", "", "prompt parts and requests that are held back or on probation because targets crashed under them", func() int64 { return int64(g.HeldKeys()) })
 	b.gauge("hitch_edge_log_lines_dropped", "", "log lines dropped and not reported yet", g.DroppedLogLines)
+	b.gauge("hitch_edge_held_bytes", "", "memory counted for requests, bodies and answers of callers and for what other hosts forward", func() int64 { return g.HeldBytes() })
+	b.gauge("hitch_edge_held_bytes_bound", "", "bound of hitch_edge_held_bytes, 0 for none", func() int64 { return g.HeldBound() })
+	b.gauge("hitch_edge_caller_connections", "", "open connections of callers", func() int64 { return int64(g.Connections()) })
+	b.gauge("hitch_edge_caller_connections_bound", "", "bound of hitch_edge_caller_connections, 0 for none", func() int64 { return int64(g.ConnectionBound()) })
 	m.Definitions = b.defined
 	return m, b.err
 }
@@ -164,6 +174,11 @@
 	m.continuations.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("result", result)))
 }
 
+// ObserveClosedConnection counts a connection that was closed at the bound of their number.
+func (m *Metrics) ObserveClosedConnection(reason string) {
+	m.closed.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason)))
+}
+
 // ObserveStoreCall counts a call to the store by result.
 func (m *Metrics) ObserveStoreCall(call, result string) {
 	m.storeCalls.Add(context.Background(), 1, metric.WithAttributes(attribute.String("call", call), attribute.String("result", result)))
--- a/internal/edge/metrics/metrics_test.go
+++ b/internal/edge/metrics/metrics_test.go
@@ -18,7 +18,8 @@
 	one := func() int { return 1 }
 	age := func() time.Duration { return time.Second }
 	m, err := New(signals.Meter, Gauges{Runs: one, ExpectedTokens: one, WaitingRuns: one, Targets: one, Hosts: one, PolicyAge: age, TargetListAge: age,
-		PolicyVersion: func() int64 { return 1 }, StoreEra: func() int64 { return 1 }, HeldKeys: one, DroppedLogLines: func() int64 { return 0 }})
+		PolicyVersion: func() int64 { return 1 }, StoreEra: func() int64 { return 1 }, HeldKeys: one, DroppedLogLines: func() int64 { return 0 },
+		HeldBytes: func() int64 { return 1 }, HeldBound: func() int64 { return 1 }, Connections: one, ConnectionBound: one})
 	require.NoError(t, err)
 	m.ObserveRequest(nil, "answered", time.Second)
 	m.ObserveMove("secured", time.Second)
@@ -33,6 +34,7 @@
 	m.ObserveRefusedSend("paused")
 	m.ObserveQuarantine("held")
 	m.ObserveStoreCall("get", "ok")
+	m.ObserveClosedConnection("longest_waiting")
 	answer := httptest.NewRecorder()
 	signals.Handler().ServeHTTP(answer, httptest.NewRequest("GET", "/metrics", nil))
 	var scraped []string
--- a/internal/edge/plain/outcome.go
+++ b/internal/edge/plain/outcome.go
@@ -46,8 +46,9 @@
 const (
 	// maxBodyBytes bounds a response, which is buffered until it is complete.
 	maxBodyBytes = 8 << 20
-	// smallBodyBytes is how much of a response is buffered without a share of LargeBodies.
-	smallBodyBytes = 256 << 10
+	// smallBodyBytes is how much of a response is buffered without a share of LargeBodies. With 256 KiB,
+	// 480 callers that read slowly ended a host of 112 MB.
+	smallBodyBytes = 32 << 10
 )
 
 // readResponse classifies a response by its head and reads the body of one that may be passed
@@ -82,6 +83,10 @@
 	})
 	switch {
 	case giveBack == nil:
+		if held := int64(len(body)); err == nil && held > 0 {
+			s.Memory.Charge(held)
+			context.AfterFunc(served, func() { s.Memory.Charge(-held) })
+		}
 	case err != nil:
 		giveBack()
 	default:
--- a/internal/edge/plain/server.go
+++ b/internal/edge/plain/server.go
@@ -65,6 +65,8 @@
 	// LargeBodies is the memory for responses that exceed smallBodyBytes. Beyond it, the rest of
 	// such a response waits unread.
 	LargeBodies *memquota.Quota
+	// Memory counts the smaller responses; nil for no count.
+	Memory *memquota.Budget
 
 	awaitingTrial waiters
 }
--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -26,7 +26,6 @@
 	"corianderhitch/internal/edge/inflight"
 	"corianderhitch/internal/edge/ingress"
 	"corianderhitch/internal/edge/limitshare"
-	"corianderhitch/internal/edge/memquota"
 	"corianderhitch/internal/edge/metrics"
 	"corianderhitch/internal/edge/migration"
 	"corianderhitch/internal/edge/node"
@@ -57,11 +56,6 @@
 	headerTimeout = 3 * time.Second
 	// maxHeaderBytes bounds the size of a request's headers.
 	maxHeaderBytes = 16 << 10
-	// largeBodiesShare is the share of the host's memory, as a divisor, that large responses to
-	// plain calls may hold together.
-	largeBodiesShare = 4
-	// forwardedBodiesShare is the same for the bodies of requests that other hosts ask it to send.
-	forwardedBodiesShare = 16
 )
 
 // Process is the edge process of one host.
@@ -69,6 +63,7 @@
 	log           *slog.Logger
 	startedAt     bootclock.Instant
 	node          node.Node
+	bounds        *bounds
 	adapter       Adapter
 	store         peers.Store
 	policy        *policy.Holder
@@ -122,7 +117,7 @@
 		if n.MemoryBytes > 0 {
 			debug.SetMemoryLimit(n.MemoryBytes * int64(s.MemoryShare) / 100)
 		}
-		p := newProcess(log, n, adapter)
+		p := newProcess(log, n, adapter, newBounds(&n, &s))
 		signals, err := telemetry.Start(ctx, "edge", n.Name, s.Settings)
 		if err != nil {
 			return err
@@ -141,15 +136,16 @@
 		p.streaming.Observer, p.mover.Observe, p.replicator.Observe = p.metrics, p.metrics.ObserveMove, p.metrics.ObserveReplica
 		p.gate.Observer = p.metrics
 		p.replicator.MaxMemoryShare = float64(s.ReplicaShare) / 100
-		log.Info("edge: start", "host", n.Name, "domain", n.Domain, "front", n.CallerAddress, "store", n.StoreAddress, "memory_bytes", n.MemoryBytes)
+		log.Info("edge: start", "host", n.Name, "domain", n.Domain, "front", n.CallerAddress, "store", n.StoreAddress, "memory_bytes", n.MemoryBytes,
+			"held_bound_bytes", p.bounds.memory.Size(), "connection_bound", p.bounds.connections)
 		return p.run(ctx, signals, s)
 	}
 }
 
 // newProcess composes the process without starting it.
-func newProcess(log *slog.Logger, n node.Node, adapter Adapter) *Process {
+func newProcess(log *slog.Logger, n node.Node, adapter Adapter, b *bounds) *Process {
 	p := &Process{
-		log: log, startedAt: bootclock.Now(), node: n, adapter: adapter,
+		log: log, startedAt: bootclock.Now(), node: n, bounds: b, adapter: adapter,
 		policy: policy.NewHolder(adapter.DecodeConfiguration), inflight: inflight.New(n.Name), retryBudgets: make(map[string]*retrybudget.Budget),
 		drain: draining.New(n.Grace - exitMargin(n.Grace)),
 	}
@@ -167,7 +163,7 @@
 	p.forwarder = newForwarder(p)
 	p.pool.Forwarder, p.pool.LocalIP = p.forwarder, n.IP
 	p.forwards = &forwarding.Server{Log: log, Pool: p.pool, CutOff: p.forwarder.cutOff, TimeLeft: p.drain.TimeLeft,
-		IsHost: func(ip string) bool { return p.members.HasIP(ip) }, Bodies: memquota.New(n.MemoryBytes / forwardedBodiesShare)}
+		IsHost: func(ip string) bool { return p.members.HasIP(ip) }, Bodies: b.memory.Part(b.memory.Size() / forwardedBodiesPart)}
 	p.targetLog = relay.NewChangeLog(p.newTargetSink())
 	p.feeds = p.newFeeds()
 	p.confirmer = freshness.New(log, p.confirmPeriod, p.confirm)
@@ -180,7 +176,7 @@
 	p.exchange.Init()
 	sender := &edge.Sender{Wire: adapter.Wire, Pool: p.pool, Crashes: p.crashes, Longest: p.drain.Longest}
 	p.plain = &plain.Server{Sender: sender, Targets: p.targets, Inflight: p.inflight, Health: health, RetryBudget: p.retryBudget, Domain: n.Domain, Stalls: &p.stalls, Drain: p.drain, Queue: admission.New(p.inflight.Changed),
-		LargeBodies: memquota.New(n.MemoryBytes / largeBodiesShare)}
+		LargeBodies: b.memory.Part(b.memory.Size() / largeAnswersPart), Memory: b.memory}
 	p.streaming = &streaming.Server{
 		Sender: sender, Engines: adapter.NewEngineClient(p.pool), Targets: p.targets, Inflight: p.inflight, Health: health,
 		Lengths: streaming.NewOutputLengths(), Queue: admission.New(p.inflight.Changed), Runs: streaming.NewRuns(p.onRunEntered),
@@ -222,7 +218,7 @@
 	p.background(background, &wait, s)
 	idle := &ingress.IdleConnections{Configured: p.idleTimeout}
 	wait.Go(func() { idle.Run(background) })
-	connections := ingress.NewOpenConnections(listener, idle.ConnState)
+	connections := p.callers(listener, idle)
 	requests, abort := context.WithCancelCause(context.Background())
 	defer abort(nil)
 	server := &http.Server{
@@ -272,6 +268,7 @@
 		Log: p.log, Wire: p.adapter.Wire, Policy: p.policy, Confirmer: p.confirmer, MaxKeyAge: p.maxKeyAge(), RecheckAge: p.recheckAge(),
 		Plain: p.plain, Streaming: p.streaming, Observer: p.metrics,
 		CountRequest: func(service string) { p.retryBudget(service).RecordRequest() }, Drain: p.drain,
+		Memory: p.bounds.memory, MaxHeaderLines: p.bounds.maxLines,
 	}
 }
 
@@ -298,5 +295,7 @@
 		StoreEra:        p.eras.Current,
 		HeldKeys:        p.heldKeys,
 		DroppedLogLines: logWriter.Dropped,
+		HeldBytes:       p.bounds.memory.Held, HeldBound: p.bounds.memory.Size,
+		Connections: p.bounds.openConnections, ConnectionBound: func() int { return p.bounds.connections },
 	}
 }
--- a/internal/edge/rejection.go
+++ b/internal/edge/rejection.go
@@ -41,6 +41,10 @@
 	ReasonTimeout         = "timeout"
 	ReasonCallerGone      = "caller_gone"
 	ReasonStopping        = "host_stopping"
+	ReasonHeaderLines     = "header_lines"
+	ReasonNoMemory        = "no_memory"
+	ReasonAccountMemory   = "account_memory"
+	ReasonSlowBody        = "slow_body"
 )
 
 // ErrStopping is the cause of the end of a request's context if the host aborts the
--- a/internal/edge/targetconn/pool.go
+++ b/internal/edge/targetconn/pool.go
@@ -271,14 +271,20 @@
 // writeRequest writes the request. A large one is written in the background, since
 // the target may respond before it has read all of it.
 func writeRequest(conn *Conn, req *Request) (chan struct{}, error) {
-	bytes := req.encode()
-	if len(bytes) <= maxInlineWrite {
-		_, err := conn.Write(bytes)
+	room := len(req.Body)
+	if room > maxInlineWrite {
+		room = 0
+	}
+	head := req.encodeHead(room)
+	if len(head)+len(req.Body) <= maxInlineWrite {
+		_, err := conn.Write(append(head, req.Body...))
 		return nil, err
 	}
 	written := make(chan struct{})
 	go func() {
-		if _, err := conn.Write(bytes); err == nil {
+		// A large body is not copied behind the head, but still sent in one call.
+		parts := net.Buffers{head, req.Body}
+		if _, err := parts.WriteTo(conn.Conn); err == nil {
 			close(written)
 		}
 	}()
--- a/internal/edge/targetconn/request.go
+++ b/internal/edge/targetconn/request.go
@@ -30,10 +30,10 @@
 	forOtherHost bool // another host asked for it: it takes no further detour
 }
 
-// encode returns the whole request, so that it is sent in one write.
-func (r *Request) encode() []byte {
+// encodeHead returns the head of the request, with room for more bytes behind it.
+func (r *Request) encodeHead(room int) []byte {
 	var b bytes.Buffer
-	b.Grow(typicalHeadBytes + len(r.Body))
+	b.Grow(typicalHeadBytes + room)
 	b.WriteString(r.Method)
 	b.WriteByte(' ')
 	b.WriteString(r.URI)
@@ -47,7 +47,6 @@
 		b.WriteString("\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
 	return b.Bytes()
 }
 
--- a/internal/edge/targetconn/response.go
+++ b/internal/edge/targetconn/response.go
@@ -69,9 +69,12 @@
 	if r.length > limit {
 		return nil, bodyTooLarge(r.length, limit)
 	}
-	start, err := io.ReadAll(io.LimitReader(r, small+1))
-	if err != nil || int64(len(start)) <= small {
-		return start, err
+	var start []byte
+	if r.length <= small { // with a greater length nothing is read before
+		var err error
+		if start, err = io.ReadAll(io.LimitReader(r, small+1)); err != nil || int64(len(start)) <= small {
+			return start, err
+		}
 	}
 	size := limit
 	if r.length >= 0 {
--- a/internal/quarantine/key.go
+++ b/internal/quarantine/key.go
@@ -38,14 +38,31 @@
 func Part(id string) Key { return newKey(KindPart, id) }
 
 // Request returns the key of requests that are equal in all the given fields.
-func Request(fields ...string) Key {
+func Request(fields ...string) Key { return RequestWithBody(fields, nil) }
+
+// RequestWithBody is Request with a further field, which may be large, between the others. It is left out if
+// it is nil.
+func RequestWithBody(before []string, body []byte, after ...string) Key {
 	h := xxhash.New()
+	writeFields(h, before)
+	if body != nil {
+		writeLength(h, len(body))
+		_, _ = h.Write(body)
+	}
+	writeFields(h, after)
+	return Key{KindRequest, strconv.FormatUint(h.Sum64(), 16)}
+}
+
+func writeFields(h *xxhash.Digest, fields []string) {
 	for _, f := range fields {
-		_, _ = h.WriteString(strconv.Itoa(len(f)))
-		_, _ = h.WriteString(":")
+		writeLength(h, len(f))
 		_, _ = h.WriteString(f)
 	}
-	return Key{KindRequest, strconv.FormatUint(h.Sum64(), 16)}
+}
+
+func writeLength(h *xxhash.Digest, n int) {
+	_, _ = h.WriteString(strconv.Itoa(n))
+	_, _ = h.WriteString(":")
 }
 
 func targetKey(incarnation string) Key { return newKey(KindTarget, incarnation) }
