--- a/Makefile
+++ b/Makefile
@@ -73,6 +73,7 @@
 	$(GO) test -run '^$$' -fuzz FuzzDecodeTarget -fuzztime $(FUZZ_COUNT) -fuzzminimizetime 1x ./platform
 	$(GO) test -run '^$$' -fuzz FuzzTargetNotice -fuzztime $(FUZZ_COUNT) -fuzzminimizetime 1x ./platform
 	$(GO) test -run '^$$' -fuzz FuzzReadHead -fuzztime $(FUZZ_COUNT) -fuzzminimizetime 1x ./internal/edge/targetconn
+	$(GO) test -run '^$$' -fuzz FuzzCallerRequest -fuzztime $(FUZZ_COUNT) -fuzzminimizetime 1x ./internal/edge/ingress
 
 clean:
 	rm -rf $(BIN) out
