--- a/internal/edge/ingress/body.go
+++ b/internal/edge/ingress/body.go
@@ -17,8 +17,8 @@
 	// defaultMaxBodyBytes applies if the configuration sets no limit.
 	defaultMaxBodyBytes = 4 << 20
 	// headCost, headerLineCost and headerByteCost are what a request's head costs in memory: net/http parses
-	// it into a map, which is copied for the call and again for each send. Measured with 3,000 short lines,
-	// a line costs about 130 bytes in each of them.
+	// it into a map, which is copied for the call and again for each send. Measured with 1,000 lines of other
+	// names, a line costs 118 to 130 bytes where it is parsed and 114 in each copy, and the text of a send as well.
 	headCost       = 1 << 10
 	headerLineCost = 512
 	headerByteCost = 3
--- a/internal/edge/ingress/headguard.go
+++ b/internal/edge/ingress/headguard.go
@@ -21,7 +21,7 @@
 	// freeHeaderLines of a head are not charged while it arrives: ordinary heads cost nothing then.
 	freeHeaderLines = 64
 	// partialLineCost is what a header line costs while the head is incomplete: an entry of a map, a slice
-	// and two strings.
+	// and two strings, measured as 118 to 130 bytes, and as much for the map that is being replaced by a larger one.
 	partialLineCost = 256
 	// headRejectTime bounds the time for reading what a client still sends after its head was rejected. A
 	// connection that is closed before may lose the rejection.
--- a/internal/edge/process/bounds.go
+++ b/internal/edge/process/bounds.go
@@ -22,7 +22,8 @@
 	// another one to its target; what is left is for hedges, peers, the store and forwarded requests.
 	callersDescriptors = 0.4
 	// connectionMemoryShare is the share of the host's memory, as a divisor, that callers' connections may
-	// take at connectionBytes each: buffers and stacks of a connection on which nothing is held.
+	// take at connectionBytes each: buffers and stacks. An idle one was measured as 11 KB with that of its
+	// client; one that serves a request has another for the target.
 	connectionMemoryShare = 8
 	connectionBytes       = 24 << 10
 	// minConnections is the least bound of callers' connections.
