memquota: one account takes half of the memory for large answers

Cause: the slow readers of one account took all the memory for large answers to plain calls, until their deadlines.

Change: Quota.TakeFor lets the users behind an account that has half of the quota go first; a single answer may always be larger. Used for large answers.

--- a/internal/edge/memquota/budget_test.go
+++ b/internal/edge/memquota/budget_test.go
@@ -119,6 +119,33 @@
 	giveBack()
 }
 
+// step makes one of the holds do something at random.
+func step(t *rapid.T, h *Hold, now bootclock.Instant) {
+	switch rapid.IntRange(1, 5).Draw(t, "step") {
+	case 1:
+		h.Grow(int64(rapid.IntRange(0, testSize/2).Draw(t, "bytes")), now)
+	case 2:
+		h.Received(rapid.IntRange(0, 1<<18).Draw(t, "received"), now)
+	case 3:
+		h.EndReceiving()
+	case 4:
+		h.Admit(int64(rapid.IntRange(0, testSize).Draw(t, "length")), now)
+	default:
+		h.Close()
+	}
+}
+
+// sum returns what the holds hold.
+func sum(holds []*Hold) (bytes int64) {
+	for _, h := range holds {
+		bytes += h.bytes
+		if h.t != nil {
+			bytes += h.t.bytes
+		}
+	}
+	return bytes
+}
+
 // Whatever requests do, the count is what they hold and stays within the budget, and ends at zero.
 func TestBudgetIsKept(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -127,36 +154,16 @@
 		var holds []*Hold
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 800).Draw(t, "ms")) * time.Millisecond)
-			choice := rapid.IntRange(0, 5).Draw(t, "choice")
-			if len(holds) == 0 || choice == 0 {
+			if len(holds) == 0 || rapid.IntRange(0, 5).Draw(t, "new") == 0 {
 				h, _ := b.Open(int64(rapid.IntRange(0, testSize/8).Draw(t, "cost")), now)
 				h.SetAccount(rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "account"))
 				h.BeginReceiving(now, func() {})
 				holds = append(holds, &h)
-				continue
-			}
-			h := holds[rapid.IntRange(0, len(holds)-1).Draw(t, "hold")]
-			switch choice {
-			case 1:
-				h.Grow(int64(rapid.IntRange(0, testSize/2).Draw(t, "bytes")), now)
-			case 2:
-				h.Received(rapid.IntRange(0, 1<<18).Draw(t, "received"), now)
-			case 3:
-				h.EndReceiving()
-			case 4:
-				h.Admit(int64(rapid.IntRange(0, testSize).Draw(t, "length")), now)
-			default:
-				h.Close()
-			}
-			sum := int64(0)
-			for _, h := range holds {
-				sum += h.bytes
-				if h.t != nil {
-					sum += h.t.bytes
-				}
+			} else {
+				step(t, holds[rapid.IntRange(0, len(holds)-1).Draw(t, "hold")], now)
 			}
-			if sum != b.Held() || sum > b.size {
-				t.Fatalf("%d bytes counted, %d held, of %d", b.Held(), sum, b.size)
+			if held := sum(holds); held != b.Held() || held > b.size {
+				t.Fatalf("%d bytes counted, %d held, of %d", b.Held(), held, b.size)
 			}
 		}
 		for _, h := range holds {
--- a/internal/edge/memquota/quota.go
+++ b/internal/edge/memquota/quota.go
@@ -12,12 +12,17 @@
 	size   int64   // no bound if 0 or less
 	budget *Budget // that also counts the bytes; nil for none
 
-	mu      sync.Mutex
-	taken   int64     // guarded by mu
-	waiting []*waiter // guarded by mu; first come, first served
+	mu       sync.Mutex
+	taken    int64            // guarded by mu
+	accounts map[string]int64 // guarded by mu; bytes by account
+	waiting  []*waiter        // guarded by mu; first come, first served
 }
 
+// quotaAccountPart is the part of a quota, as a divisor, that one account may take, or a single request of it.
+const quotaAccountPart = 2
+
 type waiter struct {
+	account string // "" for none
 	bytes   int64
 	granted chan struct{} // closed once the bytes have been taken
 }
@@ -29,10 +34,15 @@
 // asks for more than the whole quota gets the whole. If the error is nil, giveBack must be
 // called once.
 func (q *Quota) Take(ctx context.Context, bytes int64) (giveBack func(), err error) {
+	return q.TakeFor(ctx, "", bytes)
+}
+
+// TakeFor is Take on behalf of an account. One that has its part lets the users behind it go first.
+func (q *Quota) TakeFor(ctx context.Context, account string, bytes int64) (giveBack func(), err error) {
 	if q == nil || q.size <= 0 {
 		return func() {}, nil
 	}
-	w := &waiter{bytes: min(bytes, q.size), granted: make(chan struct{})}
+	w := &waiter{account: account, bytes: min(bytes, q.size), granted: make(chan struct{})}
 	q.mu.Lock()
 	q.waiting = append(q.waiting, w)
 	q.grant()
@@ -55,35 +65,58 @@
 
 // grant gives bytes to the users that wait, in order. It needs mu.
 func (q *Quota) grant() {
-	for len(q.waiting) > 0 && q.taken+q.waiting[0].bytes <= q.size {
-		q.taken += q.waiting[0].bytes
-		q.budget.Charge(q.waiting[0].bytes)
-		close(q.waiting[0].granted)
-		q.waiting[0] = nil
-		q.waiting = q.waiting[1:]
+	left := q.waiting[:0]
+	for i, w := range q.waiting {
+		if q.taken+w.bytes > q.size {
+			left = append(left, q.waiting[i:]...)
+			break
+		}
+		if !q.mayTake(w) {
+			left = append(left, w)
+			continue
+		}
+		q.take(w, w.bytes)
+		close(w.granted)
+	}
+	clear(q.waiting[len(left):])
+	q.waiting = left
+}
+
+// mayTake reports whether the account of a user has not taken its part. It needs mu.
+func (q *Quota) mayTake(w *waiter) bool {
+	taken := q.accounts[w.account]
+	return w.account == "" || taken == 0 || taken+w.bytes <= q.size/quotaAccountPart
+}
+
+// take counts bytes that a user is granted, or gives back if they are negative. It needs mu.
+func (q *Quota) take(w *waiter, bytes int64) {
+	q.taken += bytes
+	q.budget.Charge(bytes)
+	if w.account == "" {
+		return
+	}
+	if q.accounts == nil {
+		q.accounts = make(map[string]int64)
+	}
+	if q.accounts[w.account] += bytes; q.accounts[w.account] == 0 {
+		delete(q.accounts, w.account)
 	}
 }
 
 func (q *Quota) giveBack(w *waiter) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.release(w)
+	q.take(w, -w.bytes)
 	q.grant()
 }
 
-// release takes back what a user was granted. It needs mu.
-func (q *Quota) release(w *waiter) {
-	q.taken -= w.bytes
-	q.budget.Charge(-w.bytes)
-}
-
 // abandon removes a user that does not wait any more.
 func (q *Quota) abandon(w *waiter) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	select {
 	case <-w.granted:
-		q.release(w) // granted meanwhile
+		q.take(w, -w.bytes) // granted meanwhile
 	default:
 		for i := range q.waiting {
 			if q.waiting[i] == w {
--- a/internal/edge/memquota/quota_test.go
+++ b/internal/edge/memquota/quota_test.go
@@ -110,3 +110,31 @@
 	require.Zero(t, q.Taken())
 	require.Empty(t, q.waiting)
 }
+
+// The slow readers of one account took all the memory for large answers.
+func TestAccountLeavesAPartOfTheQuota(t *testing.T) {
+	q := New(10)
+	takeFor := func(account string, bytes int64) (giveBack func()) {
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		giveBack, err := q.TakeFor(ctx, account, bytes)
+		require.NoError(t, err)
+		return giveBack
+	}
+	first := takeFor("a", 3)
+	waiting := make(chan func(), 1)
+	go func() { waiting <- takeFor("a", 3) }()
+	require.Eventually(t, func() bool {
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		return len(q.waiting) == 1
+	}, time.Second, time.Millisecond)
+	other := takeFor("b", 6)
+	other()
+	require.Empty(t, waiting)
+	first()
+	(<-waiting)()
+	takeFor("a", 9)() // a single request may take more than the part
+	require.Zero(t, q.Taken())
+	require.Empty(t, q.accounts)
+}
--- a/internal/edge/plain/outcome.go
+++ b/internal/edge/plain/outcome.go
@@ -53,7 +53,7 @@
 
 // readResponse classifies a response by its head and reads the body of one that may be passed
 // on to the caller. The end of served is the end of the call, which needs the body until then.
-func (s *Server) readResponse(ctx, served context.Context, response *targetconn.Response) outcome {
+func (s *Server) readResponse(ctx, served context.Context, account string, response *targetconn.Response) outcome {
 	o := outcome{status: response.Status, header: response.Header, endsWithConnection: response.ConnectionClosing}
 	switch {
 	case s.Sender.Wire.NotExecuted(response.Status, response.Header):
@@ -63,7 +63,7 @@
 	case response.Header.Get("Content-Encoding") != "":
 		o.result, o.err = broken, errEncoded
 	default:
-		s.readBody(ctx, served, response, &o)
+		s.readBody(ctx, served, account, response, &o)
 		return o
 	}
 	response.Discard()
@@ -71,12 +71,12 @@
 }
 
 // readBody reads the body of a response into the outcome of its send.
-func (s *Server) readBody(ctx, served context.Context, response *targetconn.Response, o *outcome) {
+func (s *Server) readBody(ctx, served context.Context, account string, response *targetconn.Response, o *outcome) {
 	defer response.Close()
 	var giveBack func()
 	body, err := response.ReadAllReserved(maxBodyBytes, smallBodyBytes, func(bytes int64) error {
 		var err error
-		if giveBack, err = s.LargeBodies.Take(ctx, bytes); err != nil {
+		if giveBack, err = s.LargeBodies.TakeFor(ctx, account, bytes); err != nil {
 			return errors.Join(errNoMemory, err)
 		}
 		return nil
--- a/internal/edge/plain/server.go
+++ b/internal/edge/plain/server.go
@@ -297,7 +297,7 @@
 		o = outcome{result: broken, err: err}
 	default:
 		s.recordAnswer(key)
-		o = s.readResponse(ctx, served, response)
+		o = s.readResponse(ctx, served, a.Account, response)
 	}
 	o.target, o.took = t, time.Since(started)
 	s.recordHealth(ctx, &o)
