Bound the memory of log lines and of failed request IDs

Cause: 512 log lines with paths of 16 KB could wait for a slow output, and a connection to a target kept up to eight IDs of failed requests, which callers choose: with 24 connections each to 50 targets, 15 KB an ID, 147 MB by arithmetic.

Change: lines that wait have 1 MiB together; connections keep hashes of the IDs. Lines of refused requests bear held_bytes.

--- a/internal/edge/asynclog/asynclog_test.go
+++ b/internal/edge/asynclog/asynclog_test.go
@@ -51,6 +51,22 @@
 	require.Contains(t, out.out.String(), "lines dropped because standard output is slow")
 }
 
+// Callers choose the paths that lines bear: 512 lines of 16 KB and more waited for a slow output.
+func TestLongLinesAreBoundedByTheirSize(t *testing.T) {
+	out := &stalledWriter{release: make(chan struct{})}
+	w := NewWriter(out)
+	line := bytes.Repeat([]byte("x"), 64<<10)
+	for range queueLines {
+		_, err := w.Write(line)
+		require.NoError(t, err)
+	}
+	require.LessOrEqual(t, w.queued.Load(), int64(queueBytes))
+	require.GreaterOrEqual(t, w.Dropped(), int64(queueLines-queueBytes/len(line)-2))
+	close(out.release)
+	w.Close()
+	require.Zero(t, w.queued.Load())
+}
+
 func TestSamplerLimitsAMessageAndReportsOmittedLines(t *testing.T) {
 	var out bytes.Buffer
 	s := NewSampler(slog.NewJSONHandler(&out, nil))
--- a/internal/edge/asynclog/writer.go
+++ b/internal/edge/asynclog/writer.go
@@ -13,6 +13,8 @@
 const (
 	// queueLines bounds the lines that wait for a slow standard output.
 	queueLines = 512
+	// queueBytes bounds their size: paths and other texts of callers may have 16 KB, a line of 400 bytes is usual.
+	queueBytes = 1 << 20
 	// maxBatchBytes bounds one write, which carries all queued lines that fit.
 	maxBatchBytes = 32 << 10
 	// closeTimeout bounds the wait for a slow output at the end of the process. It is
@@ -25,6 +27,7 @@
 type Writer struct {
 	out     io.Writer
 	lines   chan []byte
+	queued  atomic.Int64 // bytes
 	dropped atomic.Int64
 	done    chan struct{}
 
@@ -42,16 +45,22 @@
 // Write implements io.Writer. It queues a copy of the line or counts it as
 // dropped. Lines after Close are dropped: requests may outlive the log.
 func (w *Writer) Write(line []byte) (int, error) {
-	copied := append([]byte(nil), line...)
 	w.mu.RLock()
 	defer w.mu.RUnlock()
 	if w.closed {
 		w.dropped.Add(1)
 		return len(line), nil
 	}
+	size := int64(len(line))
+	if w.queued.Add(size) > queueBytes {
+		w.queued.Add(-size)
+		w.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
-	case w.lines <- copied:
+	case w.lines <- append([]byte(nil), line...):
 	default:
+		w.queued.Add(-size)
 		w.dropped.Add(1)
 	}
 	return len(line), nil
@@ -80,6 +89,7 @@
 	defer close(w.done)
 	batch := make([]byte, 0, maxBatchBytes)
 	for line := range w.lines {
+		w.queued.Add(-int64(len(line)))
 		batch = append(batch[:0], line...)
 		batch = w.appendQueued(batch)
 		if n := w.dropped.Swap(0); n > 0 {
@@ -97,6 +107,7 @@
 			if !ok {
 				return batch
 			}
+			w.queued.Add(-int64(len(line)))
 			batch = append(batch, line...)
 		default:
 			return batch
--- a/internal/edge/ingress/handler.go
+++ b/internal/edge/ingress/handler.go
@@ -259,6 +259,7 @@
 	took := bootclock.Since(arrived)
 	h.Observer.ObserveRequest(nil, rejection.Reason, took)
 	h.Log.Warn("ingress: request refused", "request", c.ID, "host", c.Host, "path", c.Path, "status", rejection.Status,
-		"reason", rejection.Reason, "policy", version, "policy_age_ms", h.Confirmer.Age().Milliseconds(), "took_ms", took.Milliseconds())
+		"reason", rejection.Reason, "policy", version, "policy_age_ms", h.Confirmer.Age().Milliseconds(), "took_ms", took.Milliseconds(),
+		"held_bytes", h.Memory.Held())
 	rejection.Write(w, h.Wire)
 }
--- a/internal/edge/targetconn/conn.go
+++ b/internal/edge/targetconn/conn.go
@@ -9,6 +9,8 @@
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"corianderhitch/internal/edge/bootclock"
 )
 
@@ -23,14 +25,16 @@
 // at a time.
 type Conn struct {
 	net.Conn
-	reader      *bufio.Reader
-	head        *headReader // source of reader
-	key         string      // under which the pool keeps the connection
-	openedAt    bootclock.Instant
-	usedAt      bootclock.Instant // 0 before the first use
-	served      bool              // the target has answered a request
-	failed      []string          // IDs of requests that were answered with a failure, which the target may write again
-	idleTimeout time.Duration     // how long the target keeps the connection open when idle
+	reader   *bufio.Reader
+	head     *headReader // source of reader
+	key      string      // under which the pool keeps the connection
+	openedAt bootclock.Instant
+	usedAt   bootclock.Instant // 0 before the first use
+	served   bool              // the target has answered a request
+	// failed are the hashes of the IDs of requests that were answered with a failure, which the target may write
+	// again. Callers choose the IDs, which may have 16 KB.
+	failed      []uint64
+	idleTimeout time.Duration // how long the target keeps the connection open when idle
 }
 
 func newConn(c net.Conn, key string) *Conn {
@@ -66,7 +70,9 @@
 
 // mayAnswerAgain reports whether an answer to the request may still come from an earlier send of it on
 // this connection.
-func (c *Conn) mayAnswerAgain(requestID string) bool { return slices.Contains(c.failed, requestID) }
+func (c *Conn) mayAnswerAgain(requestID string) bool {
+	return len(c.failed) > 0 && slices.Contains(c.failed, xxhash.Sum64String(requestID))
+}
 
 // noteAnswer records the answer to a request. It reports whether the connection may serve another one.
 func (c *Conn) noteAnswer(requestID, statedID string, status int) bool {
@@ -75,7 +81,7 @@
 		return true
 	}
 	if status >= http.StatusBadRequest {
-		c.failed = append(c.failed, requestID)
+		c.failed = append(c.failed, xxhash.Sum64String(requestID))
 	}
 	return statedID != "" && len(c.failed) < maxFailedIDs
 }
