Waitlist: one order for runs that wait for an engine, over all hosts

Each host ordered only its own waiting runs, and the order between hosts was random. A kind that may wait longer got more of the room, large prompts starved, and callers were rejected after a wait for nothing, mostly twice.

With node.OrderedAdmission, the host that places the runs of all hosts keeps a waitlist.List. A run asks it on arrival and, while it is the first of its host's queue, every 100 ms; it gets only room that no entry before it could use. The order is by urgency, callers that come back when they were told to, and the use of accounts. An engine is kept for large prompts, and memory for urgent kinds by their recent demand. Runs that can't be served in time are rejected at once, with a Retry-After that keeps a place or keeps the caller away. Hosts without a hub and builds without the new fields choose as before.

--- a/internal/edge/crashguard.go
+++ b/internal/edge/crashguard.go
@@ -68,6 +68,12 @@
 	return a.crashKeysList
 }
 
+// Fingerprint returns the same text for a call that its caller sends again with another id.
+func (a *AuthorizedCall) Fingerprint() string {
+	keys := a.crashKeys()
+	return keys[len(keys)-1].ID
+}
+
 // Check returns the rejection of a call that is held back, and the key because of which it is;
 // nil if it may be sent.
 func (g *CrashGuard) Check(a *AuthorizedCall) (rejection *Rejection, key string) {
--- a/internal/edge/inflight/table.go
+++ b/internal/edge/inflight/table.go
@@ -191,6 +191,33 @@
 	return t.own[target].Plus(t.peerLoad(target))
 }
 
+// LoadsAt returns the load of all hosts at each of the targets, as TotalLoad does, and the age
+// of the oldest report that still counts.
+func (t *Table) LoadsAt(targets []string) (loads []Load, oldest time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := bootclock.Now()
+	loads = make([]Load, len(targets))
+	if t.fleet.isFresh(now) {
+		for i, target := range targets {
+			loads[i] = t.own[target].Plus(t.fleet.loads[target])
+		}
+		return loads, now.Sub(t.fleet.receivedAt)
+	}
+	t.expirePeers(now)
+	for _, r := range t.peers {
+		oldest = max(oldest, now.Sub(r.receivedAt))
+	}
+	reserved := make(map[string]Load, len(t.reservations))
+	for _, r := range t.reservations {
+		reserved[r.target] = reserved[r.target].Plus(r.load)
+	}
+	for i, target := range targets {
+		loads[i] = t.own[target].Plus(t.peerTotals[target]).Plus(reserved[target])
+	}
+	return loads, oldest
+}
+
 // peerLoad sums the loads at a target that other hosts reported, and the
 // reservations that these reports do not include yet. Callers hold t.mu.
 func (t *Table) peerLoad(target string) Load {
--- a/internal/edge/metrics/metrics.go
+++ b/internal/edge/metrics/metrics.go
@@ -11,6 +11,7 @@
 	"go.opentelemetry.io/otel/metric"
 
 	"corianderhitch/internal/edge/policy"
+	"corianderhitch/internal/edge/waitlist"
 )
 
 // latencyBounds are the upper bounds of the histogram buckets, in seconds. They range
@@ -60,6 +61,7 @@
 	PolicyVersion   func() int64
 	StoreEra        func() int64
 	HeldKeys        func() int
+	Waitlist        func() waitlist.Stats
 	DroppedLogLines func() int64
 }
 
@@ -92,6 +94,10 @@
 	b.gauge("hitch_edge_policy_version", "", "version of the configuration in force", g.PolicyVersion)
 	b.gauge("hitch_edge_store_era", "", "era of the platform's store: it rises when the store was restored from a copy", g.StoreEra)
 	b.gauge("hitch_edge_held_keys", "", "prompt parts and requests that are held back or on probation because targets crashed under them", func() int64 { return int64(g.HeldKeys()) })
+	b.gauge("hitch_edge_waitlist_entries", "", "generations of all hosts that wait for room, at the host that places them", func() int64 { return int64(g.Waitlist().Entries) })
+	b.gauge("hitch_edge_waitlist_predicted_wait", "ms", "wait for room that was predicted last", func() int64 { return g.Waitlist().Predicted.Milliseconds() })
+	b.total("hitch_edge_waitlist_promises_kept", "rejected generations that came back when they were told to and were placed", func() int64 { return g.Waitlist().Kept })
+	b.total("hitch_edge_waitlist_promises_broken", "rejected generations that came back when they were told to and were not placed", func() int64 { return g.Waitlist().Broken })
 	b.gauge("hitch_edge_log_lines_dropped", "", "log lines dropped and not reported yet", g.DroppedLogLines)
 	m.Definitions = b.defined
 	return m, b.err
@@ -217,3 +223,14 @@
 		}))
 	b.keepError(err)
 }
+
+// total defines a counter that is read at each scrape.
+func (b *builder) total(name, description string, read func() int64) {
+	b.define(name, "counter", "", "", description)
+	_, err := b.meter.Int64ObservableCounter(name, metric.WithDescription(description),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(read())
+			return nil
+		}))
+	b.keepError(err)
+}
--- a/internal/edge/metrics/metrics_test.go
+++ b/internal/edge/metrics/metrics_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"corianderhitch/internal/edge/waitlist"
 	"corianderhitch/internal/telemetry"
 )
 
@@ -18,7 +19,7 @@
 	one := func() int { return 1 }
 	age := func() time.Duration { return time.Second }
 	m, err := New(signals.Meter, Gauges{Runs: one, ExpectedTokens: one, WaitingRuns: one, Targets: one, Hosts: one, PolicyAge: age, TargetListAge: age,
-		PolicyVersion: func() int64 { return 1 }, StoreEra: func() int64 { return 1 }, HeldKeys: one, DroppedLogLines: func() int64 { return 0 }})
+		PolicyVersion: func() int64 { return 1 }, StoreEra: func() int64 { return 1 }, HeldKeys: one, Waitlist: func() waitlist.Stats { return waitlist.Stats{} }, DroppedLogLines: func() int64 { return 0 }})
 	require.NoError(t, err)
 	m.ObserveRequest(nil, "answered", time.Second)
 	m.ObserveMove("secured", time.Second)
--- a/internal/edge/peers/exchange.go
+++ b/internal/edge/peers/exchange.go
@@ -27,6 +27,7 @@
 	"corianderhitch/internal/edge/storeera"
 	"corianderhitch/internal/edge/targetnotice"
 	"corianderhitch/internal/edge/targets"
+	"corianderhitch/internal/edge/waitlist"
 	"corianderhitch/internal/quarantine"
 	"corianderhitch/internal/rpcconn"
 )
@@ -62,6 +63,9 @@
 	// ChooseEngine chooses an engine with free capacity. A hub calls it for the runs
 	// of other hosts.
 	ChooseEngine func(service string, need placement.Requirements, tried map[string]bool) placement.Decision
+	// ChooseInOrder is ChooseEngine for runs with a place in the order of all hosts; nil if this
+	// host keeps no order.
+	ChooseInOrder func(args *PlaceArgs, tried map[string]bool) (placement.Decision, *waitlist.Verdict)
 
 	pool              *rpcconn.Pool
 	server            *rpcconn.Server
--- a/internal/edge/peers/messages.go
+++ b/internal/edge/peers/messages.go
@@ -7,6 +7,7 @@
 	"corianderhitch/internal/edge/placement"
 	"corianderhitch/internal/edge/relay"
 	"corianderhitch/internal/edge/targetnotice"
+	"corianderhitch/internal/edge/waitlist"
 	"corianderhitch/internal/platform"
 )
 
@@ -55,6 +56,10 @@
 	Need    placement.Requirements
 	Load    inflight.Load // added by the run
 	Tried   []string      // incarnations that must not be chosen
+	// Ask is the run's place in the order of all hosts; nil from hosts that don't order their
+	// runs and for runs that don't wait. Others are runs that wait behind it at its host.
+	Ask    *waitlist.Ask
+	Others []waitlist.Ask
 }
 
 // PlaceReply is the hub's answer to PlaceArgs.
@@ -62,6 +67,8 @@
 	// Able reports whether the hub could decide. Otherwise the host chooses itself.
 	Able bool
 	placement.Decision
+	// Order is what the order of all hosts decided; nil if Ask was, or the hub doesn't know it.
+	Order *waitlist.Verdict
 }
 
 // Confirmation states how fresh a host's configuration is.
--- a/internal/edge/peers/place.go
+++ b/internal/edge/peers/place.go
@@ -41,6 +41,37 @@
 	return PlaceReply{}, false
 }
 
+// PlaceLocally chooses an engine for a run of this host in the order of all hosts, if this host
+// places the runs of all hosts.
+func (e *Exchange) PlaceLocally(args PlaceArgs) (PlaceReply, bool) {
+	if args.Ask == nil || e.ChooseInOrder == nil || !e.PlacesRuns() {
+		return PlaceReply{}, false
+	}
+	args.Host = e.Host
+	return e.placeHere(&args), true
+}
+
+// placeHere chooses an engine and reserves its capacity for another host.
+func (e *Exchange) placeHere(args *PlaceArgs) PlaceReply {
+	tried := make(map[string]bool, len(args.Tried))
+	for _, key := range args.Tried {
+		tried[key] = true
+	}
+	reply := PlaceReply{Able: true}
+	// Concurrent placements must each see the load of the previous ones.
+	e.placeMu.Lock()
+	defer e.placeMu.Unlock()
+	if args.Ask != nil && e.ChooseInOrder != nil {
+		reply.Decision, reply.Order = e.ChooseInOrder(args, tried)
+	} else {
+		reply.Decision = e.ChooseEngine(args.Service, args.Need, tried)
+	}
+	if reply.Target != "" && args.Host != e.Host {
+		e.Inflight.Reserve(args.Host, reply.Target, args.Load)
+	}
+	return reply
+}
+
 // isAskedToPlace reports whether placement calls to the hub may succeed in time.
 func (e *Exchange) isAskedToPlace(hub string) bool {
 	if !e.isResponsive(hub) {
--- a/internal/edge/peers/service.go
+++ b/internal/edge/peers/service.go
@@ -42,17 +42,7 @@
 	if !e.FollowsStore() {
 		return nil
 	}
-	tried := make(map[string]bool, len(args.Tried))
-	for _, key := range args.Tried {
-		tried[key] = true
-	}
-	reply.Able = true
-	// Concurrent placements must each see the load of the previous ones.
-	e.placeMu.Lock()
-	defer e.placeMu.Unlock()
-	if reply.Decision = e.ChooseEngine(args.Service, args.Need, tried); reply.Target != "" {
-		e.Inflight.Reserve(args.Host, reply.Target, args.Load)
-	}
+	*reply = e.placeHere(&args)
 	return nil
 }
 
--- a/internal/edge/placement/engine.go
+++ b/internal/edge/placement/engine.go
@@ -80,6 +80,10 @@
 	// hosts would choose the one engine that looks best. 0 and 1 mean the best.
 	Spread int
 	Draw   float64 // random number in [0, 1) that selects among them
+	// Reserve is the memory, in tokens, that must stay free for more urgent runs.
+	Reserve int
+	// MaxAhead bounds the unread prompt tokens ahead of the run; 0 if only Objective does.
+	MaxAhead int
 }
 
 // PrefillTime returns how long an engine takes to prefill prompt tokens while it
@@ -202,7 +206,9 @@
 		held := need.Tokens - need.Output
 		return float64(l.Held+held+(l.Runs+1)*moveGrowthTokens) <= capacity
 	case need.Output <= shortRunTokens:
-		return float64(peakTokens(l, need)) <= shortRunMemoryShare*capacity
+		return float64(peakTokens(l, need)+need.Reserve) <= shortRunMemoryShare*capacity
+	case need.Reserve > 0: // what exceeds maxMemoryShare would use up the reserve
+		return float64(peakTokens(l, need)+need.Reserve) <= maxMemoryShare*capacity
 	default:
 		return float64(peakTokens(l, need)) <= maxMemoryShare*capacity+overcommitShare*float64(need.Tokens)
 	}
@@ -211,6 +217,9 @@
 // prefillsInTime reports whether the prompts ahead of the run leave it enough of
 // its latency objective.
 func prefillsInTime(l inflight.Load, need Requirements) bool {
+	if need.MaxAhead > 0 && l.Unread > need.MaxAhead {
+		return false
+	}
 	return need.Objective <= 0 || PrefillTime(l.Unread).Seconds() <= maxPrefillWaitShare*need.Objective.Seconds()
 }
 
--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -43,6 +43,7 @@
 	"corianderhitch/internal/edge/targetgate"
 	"corianderhitch/internal/edge/targetnotice"
 	"corianderhitch/internal/edge/targets"
+	"corianderhitch/internal/edge/waitlist"
 	"corianderhitch/internal/logging"
 	"corianderhitch/internal/quarantine"
 	"corianderhitch/internal/telemetry"
@@ -96,6 +97,7 @@
 	stalls        stall.Detector
 	quarantine    *quarantine.Tracker
 	crashes       *edge.CrashGuard
+	waitlist      *waitlist.List
 	// keepsHeldUntil is the bootclock.Instant until which this host stores all changes of what is held back.
 	keepsHeldUntil atomic.Int64
 	heldChanged    chan struct{} // holds at most one pending request to store what is held back
@@ -187,6 +189,10 @@
 		RetryBudget: p.retryBudget, Domain: n.Domain, EstimateSpread: p.estimateSpread, PlaceViaHub: p.exchange.PlaceAtHub, Drain: p.drain, Stalls: &p.stalls,
 	}
 	p.exchange.ChooseEngine = p.chooseForPeer
+	p.waitlist = waitlist.New()
+	if n.OrderedAdmission {
+		p.orderRuns()
+	}
 	p.mover = &migration.Mover{
 		Log: log, Host: n.Name, Engines: p.streaming.Engines, Inflight: p.inflight, ReserveEngine: p.streaming.ReserveEngine,
 		IsLeaving: p.isLeaving,
@@ -297,6 +303,7 @@
 		},
 		StoreEra:        p.eras.Current,
 		HeldKeys:        p.heldKeys,
+		Waitlist:        func() waitlist.Stats { return p.waitlist.Stats(bootclock.Now()) },
 		DroppedLogLines: logWriter.Dropped,
 	}
 }
--- a/internal/edge/streaming/attempts.go
+++ b/internal/edge/streaming/attempts.go
@@ -20,6 +20,7 @@
 	// replica don't count.
 	sends      atomic.Int32
 	mayHaveRun bool            // an engine may have begun to run the request
+	retryAfter time.Duration   // given by the order of all hosts, which rejected the run; 0 if it did not
 	beside     bool            // an engine is asked while another one may go on with the request
 	failed     *failedResponse // the last failure that an engine answered with; nil if none
 }
--- a/internal/edge/streaming/placement.go
+++ b/internal/edge/streaming/placement.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"time"
 
 	"corianderhitch/internal/edge"
 	"corianderhitch/internal/edge/inflight"
@@ -13,6 +14,7 @@
 	"corianderhitch/internal/edge/placement"
 	"corianderhitch/internal/edge/policy"
 	"corianderhitch/internal/edge/targets"
+	"corianderhitch/internal/edge/waitlist"
 )
 
 // Placement is an engine chosen for a run, or the reason why there is none.
@@ -21,32 +23,48 @@
 	LoadBefore inflight.Load      // load of the target before this run, as known to the host that chose it
 	Shortage   placement.Shortage // why no engine has capacity
 	DecidedBy  string             // "hub" or "host" (this one), for logs
+	Order      *waitlist.Verdict  // what the order of all hosts decided; nil if there is none
 }
 
 // ReserveEngine chooses an engine with capacity and counts load there. A hub, which
 // knows the runs of all hosts, chooses; if no hub can, this host does.
 func (s *Server) ReserveEngine(ctx context.Context, service *policy.Service, need placement.Requirements, load inflight.Load, tried map[string]bool) Placement {
-	placed := Placement{DecidedBy: "hub"}
-	excluded := append(slices.Collect(maps.Keys(tried)), s.failingEngines(service, tried)...)
-	excluded = append(excluded, s.Targets.View().Refusing(service.Name)...)
-	reply, placedByHub := s.PlaceViaHub(ctx, peers.PlaceArgs{Service: service.Name, Need: need, Load: load, Tried: excluded})
-	if placedByHub {
-		placed.Target, placed.LoadBefore, placed.Shortage = s.Targets.View().Get(reply.Target), reply.Before, reply.Shortage
-		if placed.Target == nil && reply.Target != "" {
-			placedByHub = false // the target is not in this host's list yet
-		}
-	}
+	return s.reserveInTurn(ctx, service, need, load, tried, nil)
+}
+
+// reserveInTurn is ReserveEngine for a run with a turn in the order of all hosts; nil if it has none.
+func (s *Server) reserveInTurn(ctx context.Context, service *policy.Service, need placement.Requirements, load inflight.Load, tried map[string]bool, turn *turn) Placement {
+	placed, placedByHub := s.reserveAtHub(ctx, service, need, load, tried, turn)
 	if !placedByHub {
 		need.Spread, need.Draw = s.EstimateSpread(), rand.Float64()
 		decision := s.ChooseEngine(s.Targets.View().Available(service.Name), service, need, tried)
-		placed.Target, placed.LoadBefore, placed.Shortage, placed.DecidedBy = s.Targets.View().Get(decision.Target), decision.Before, decision.Shortage, "host"
-	}
-	if placed.Target != nil {
-		s.Inflight.Add(placed.Target.Key(), load)
+		placed = Placement{Target: s.Targets.View().Get(decision.Target), LoadBefore: decision.Before, Shortage: decision.Shortage, DecidedBy: "host"}
+		if placed.Target != nil {
+			s.Inflight.Add(placed.Target.Key(), load)
+		}
 	}
 	return placed
 }
 
+// reserveAtHub lets a hub choose and counts load at the engine. It returns false if no hub
+// could choose.
+func (s *Server) reserveAtHub(ctx context.Context, service *policy.Service, need placement.Requirements, load inflight.Load, tried map[string]bool, turn *turn) (Placement, bool) {
+	excluded := append(slices.Collect(maps.Keys(tried)), s.failingEngines(service, tried)...)
+	excluded = append(excluded, s.Targets.View().Refusing(service.Name)...)
+	args := peers.PlaceArgs{Service: service.Name, Need: need, Load: load, Tried: excluded}
+	turn.addTo(&args)
+	reply, placedByHub := s.PlaceViaHub(ctx, args)
+	if !placedByHub {
+		return Placement{}, false
+	}
+	placed := Placement{Target: s.Targets.View().Get(reply.Target), LoadBefore: reply.Before, Shortage: reply.Shortage, DecidedBy: "hub", Order: reply.Order}
+	if placed.Target == nil {
+		return placed, reply.Target == "" // otherwise the target is not in this host's list yet
+	}
+	s.Inflight.Add(placed.Target.Key(), load)
+	return placed, true
+}
+
 // failingEngines returns the keys of the engines whose recent calls from this host failed; the
 // hub does not know of them. It returns none if all engines that were not tried are failing: a
 // fault near this host, or a silence of all, must not make all of them unusable.
@@ -69,11 +87,7 @@
 
 // ChooseEngine chooses the best engine with capacity from what this host knows.
 func (s *Server) ChooseEngine(engines []*targets.Target, service *policy.Service, need placement.Requirements, tried map[string]bool) placement.Decision {
-	candidates := make([]placement.Candidate, len(engines))
-	for i, t := range engines {
-		key := t.Key()
-		candidates[i] = placement.Candidate{Target: t, Load: s.Inflight.TotalLoad(key), FailureCost: s.Health.FailureCost(key)}
-	}
+	candidates, _ := s.Candidates(engines)
 	i := placement.ChooseEngine(candidates, service.Engine, need, tried)
 	if i < 0 {
 		return placement.Decision{Shortage: placement.CountShortage(candidates, service.Engine, need, tried)}
@@ -81,6 +95,21 @@
 	return placement.Decision{Target: engines[i].Key(), Before: candidates[i].Load}
 }
 
+// Candidates returns what this host knows about engines, and the age of the oldest load report
+// that counts.
+func (s *Server) Candidates(engines []*targets.Target) ([]placement.Candidate, time.Duration) {
+	keys := make([]string, len(engines))
+	for i, t := range engines {
+		keys[i] = t.Key()
+	}
+	loads, age := s.Inflight.LoadsAt(keys)
+	candidates := make([]placement.Candidate, len(engines))
+	for i, t := range engines {
+		candidates[i] = placement.Candidate{Target: t, Load: loads[i], FailureCost: s.Health.FailureCost(keys[i])}
+	}
+	return candidates, age
+}
+
 // newRequirements returns what a new run requires of an engine. domain is the failure
 // domain of this host.
 func newRequirements(a *edge.AuthorizedCall, load inflight.Load, domain string) placement.Requirements {
--- a/internal/edge/streaming/rejection.go
+++ b/internal/edge/streaming/rejection.go
@@ -45,6 +45,9 @@
 	if len(s.Targets.View().Available(a.Service.Name)) == 0 {
 		return r.refusedOr(edge.ReasonNoTarget, startRetryAfter)
 	}
+	if r.attempts.retryAfter > 0 {
+		return r.attempts.unavailable(edge.ReasonNoRoom, r.attempts.retryAfter)
+	}
 	// Spreads the retries of callers that were rejected at the same time.
 	retryAfter := fullRetryAfter + time.Duration(rand.Float64()*float64(fullRetryAfter))
 	return r.attempts.unavailable(edge.ReasonNoRoom, min(retryAfter, time.Duration(maxRetryAfterShare*float64(a.TimeLeft()))))
--- a/internal/edge/streaming/server.go
+++ b/internal/edge/streaming/server.go
@@ -80,6 +80,8 @@
 	// EstimateSpread estimates how many runs other hosts place before this host
 	// learns of them.
 	EstimateSpread func() int
+	// Turns holds the runs that wait in the order of all hosts; nil if hosts order only their own.
+	Turns *Turns
 }
 
 // Serve answers the call and returns its outcome.
@@ -215,21 +217,39 @@
 	if r.attempts.beside {
 		urgency = math.MaxInt // runs without an engine go first
 	}
-	t := s.Queue.Acquire(ctx, a.Service.Name, urgency, func() *targets.Target {
+	turn := s.Turns.begin(r, need, load, urgency, within)
+	defer turn.end()
+	if placed = turn.askFirst(ctx); placed.Target != nil || turn.isRejected() {
+		return s.placed(r, placed, need, load, started, turn)
+	}
+	s.Queue.Acquire(ctx, a.Service.Name, turn.rank(urgency), func() *targets.Target {
 		view := s.Targets.View()
 		if _, refused := view.Refusal(a.Service.Name); refused && !view.AcceptsWithin(a.Service.Name, 0, within-bootclock.Since(started)) {
 			cancel() // waiting is pointless: the run is rejected with the time left
 			return nil
 		}
-		placed = s.ReserveEngine(ctx, a.Service, need, load, r.attempts.tried)
+		if turn.hasJustAsked() {
+			return nil
+		}
+		placed = s.reserveInTurn(ctx, a.Service, need, load, r.attempts.tried, turn)
+		if turn.observe(placed); turn.isRejected() {
+			cancel()
+		}
 		return placed.Target
 	})
+	return s.placed(r, placed, need, load, started, turn)
+}
+
+// placed logs how a wait for an engine has ended and returns the engine, nil if there is none.
+func (s *Server) placed(r *Run, placed Placement, need placement.Requirements, load inflight.Load, started bootclock.Instant, turn *turn) (*targets.Target, inflight.Load) {
+	a, t := r.call, placed.Target
 	waited := bootclock.Since(started)
 	if t != nil && !s.fitsDrain(r) {
 		s.Inflight.Remove(t.Key(), load)
 		t = nil
 	}
 	s.Observer.ObservePlacementWait(waited, t != nil)
+	turn.log(t != nil, waited)
 	if t == nil {
 		a.Log.Info("stream: no engine has capacity", "by", placed.DecidedBy, "engines_full", placed.Shortage.Memory, "engines_reading", placed.Shortage.Reading,
 			"engines_tried", placed.Shortage.Tried, "memory_held_percent", placed.Shortage.HeldPercent, "needs_tokens", need.Tokens,
