--- a/internal/edge/placement/engine.go
+++ b/internal/edge/placement/engine.go
@@ -82,8 +82,8 @@
 	Draw   float64 // random number in [0, 1) that selects among them
 	// Reserve is the memory, in tokens, that must stay free for more urgent runs.
 	Reserve int
-	// MaxAhead bounds the unread prompt tokens ahead of the run; 0 if only Objective does.
-	MaxAhead int
+	// MaxAhead bounds the time that the prompts ahead of the run may take; 0 if only Objective does.
+	MaxAhead time.Duration
 }
 
 // PrefillTime returns how long an engine takes to prefill prompt tokens while it
@@ -136,7 +136,7 @@
 	best := math.Inf(1)
 	for i, c := range candidates {
 		scores[i] = engineScore(c, engine, need)
-		if tried[c.Target.Key()] || c.FailureCost > maxCost {
+		if c.FailureCost > maxCost || len(tried) > 0 && tried[c.Target.Key()] {
 			scores[i] = math.Inf(1)
 		}
 		best = math.Min(best, scores[i])
@@ -217,7 +217,7 @@
 // prefillsInTime reports whether the prompts ahead of the run leave it enough of
 // its latency objective.
 func prefillsInTime(l inflight.Load, need Requirements) bool {
-	if need.MaxAhead > 0 && l.Unread > need.MaxAhead {
+	if need.MaxAhead > 0 && PrefillTime(l.Unread) > need.MaxAhead {
 		return false
 	}
 	return need.Objective <= 0 || PrefillTime(l.Unread).Seconds() <= maxPrefillWaitShare*need.Objective.Seconds()
--- a/internal/edge/waitlist/list.go
+++ b/internal/edge/waitlist/list.go
@@ -187,6 +187,9 @@
 	}
 	e = &entry{account: s.accounts.get(a.Account)}
 	e.refresh(now, a)
+	if s.has(a.Fingerprint) {
+		l.promises.share(now, a.Fingerprint)
+	}
 	if a.Again {
 		e.class = Due
 	} else {
@@ -205,6 +208,11 @@
 	return e
 }
 
+// has reports whether a run with the fingerprint waits.
+func (s *service) has(fingerprint string) bool {
+	return fingerprint != "" && slices.ContainsFunc(s.entries, func(e *entry) bool { return e.Fingerprint == fingerprint })
+}
+
 func (s *service) remove(e *entry) {
 	if s.byID[e.ID] == e {
 		delete(s.byID, e.ID)
@@ -247,8 +255,13 @@
 			s.block(r, engines, o.reserved)
 		}
 	}
+	own := map[string]bool{e.reserved: true}
 	for _, o := range first {
-		if i := placement.ChooseEngine(engines, r.Engine, s.limit(now, r, o, o.requirements()), nil); i >= 0 {
+		var tried map[string]bool
+		if o.Urgency >= e.Urgency {
+			tried = own // the engine that is kept for e is not for o
+		}
+		if i := placement.ChooseEngine(engines, r.Engine, s.limit(now, r, o, o.requirements()), tried); i >= 0 {
 			engines[i].Load = engines[i].Load.Plus(o.load())
 		}
 	}
@@ -266,6 +279,9 @@
 
 // reserve keeps the engine that will have room for e first, if e is large.
 func (s *service) reserve(now bootclock.Instant, r *Request, e *entry, need placement.Requirements) {
+	if mean := s.kind(now, e.Urgency).meanTokens(now); mean == 0 || float64(e.Tokens) <= largeFactor*mean {
+		return
+	}
 	held := make(map[string]bool)
 	for _, o := range s.entries {
 		if o != e && o.reserved != "" {
@@ -281,14 +297,12 @@
 		if key == e.reserved {
 			return
 		}
-		m := max(placement.MissingTokens(c.Load, r.Engine, need), c.Load.Unread-need.MaxAhead)
-		if m < missing {
+		if m := placement.MissingTokens(c.Load, r.Engine, need); m < missing {
 			best, missing = key, m
 		}
 	}
 	e.reserved = ""
-	isLarge := float64(e.Tokens) > largeFactor*s.kind(now, e.Urgency).meanTokens(now)
-	if isLarge && len(held) < max(1, int(maxReservedShare*float64(len(r.Engines)))) {
+	if len(held) < max(1, int(maxReservedShare*float64(len(r.Engines)))) {
 		e.reserved = best
 	}
 }
@@ -298,7 +312,7 @@
 func (s *service) limit(now bootclock.Instant, r *Request, e *entry, need placement.Requirements) placement.Requirements {
 	left := e.latest.Sub(now)
 	if e.Objective > 0 {
-		need.MaxAhead = max(1, min(placement.Ahead(e.Objective.Seconds()), placement.TokensIn(left.Seconds()/prefillMargin)))
+		need.MaxAhead = max(1, min(placement.MaxPrefillWait(e.Objective), time.Duration(float64(left)/prefillMargin)))
 	}
 	if len(s.entries) <= 1 && left < e.Objective/2 {
 		return need // nothing else waits
@@ -343,13 +357,13 @@
 func (l *List) reject(now bootclock.Instant, s *service, e *entry, predicted time.Duration) time.Duration {
 	l.countPromise(e, false)
 	s.remove(e)
-	if made := l.promises.byPrint[e.Fingerprint]; made != nil && e.Fingerprint != "" {
+	if made := l.promises.byPrint[e.Fingerprint]; made != nil && !made.shared {
 		return max(made.at.Sub(now), minReturn) // a second place for the same request is not promised
 	}
 	k := s.kind(now, e.Urgency)
 	earliest := max(predicted, min(firstReturn, time.Duration(maxFirstReturnShare*float64(e.TimeLeft))))
 	at := max(now.Add(earliest), k.nextReturn)
-	if float64(at.Sub(now)) > acceptedShare*float64(e.TimeLeft) || l.promises.isFull() || e.Fingerprint == "" {
+	if float64(at.Sub(now)) > acceptedShare*float64(e.TimeLeft) || l.promises.isFull() {
 		at = max(at, now.Add(time.Duration(2*acceptedShare*float64(e.TimeLeft))))
 		l.promises.add(now, at, e.Fingerprint, false)
 		return at.Sub(now)
--- a/internal/edge/waitlist/promises.go
+++ b/internal/edge/waitlist/promises.go
@@ -21,6 +21,9 @@
 	fingerprint string
 	made, at    bootclock.Instant
 	place       bool // it gets a place then; false if it came back sooner or was told to stay away
+	// shared states that several requests at once had the fingerprint, so that it does not tell
+	// callers apart.
+	shared bool
 }
 
 // promises remembers promises by fingerprint.
@@ -34,7 +37,7 @@
 
 // add remembers when the request may come back, and whether a place is kept for it.
 func (p *promises) add(now, at bootclock.Instant, fingerprint string, place bool) {
-	if p.isFull() || fingerprint == "" {
+	if p.isFull() || fingerprint == "" || p.isShared(fingerprint) {
 		return
 	}
 	made := &promise{fingerprint: fingerprint, made: now, at: at, place: place}
@@ -42,6 +45,19 @@
 	p.inOrder = append(p.inOrder, made)
 }
 
+// share remembers that several requests at once have a fingerprint.
+func (p *promises) share(now bootclock.Instant, fingerprint string) {
+	p.add(now, now, fingerprint, false)
+	if made := p.byPrint[fingerprint]; made != nil {
+		made.shared = true
+	}
+}
+
+func (p *promises) isShared(fingerprint string) bool {
+	made := p.byPrint[fingerprint]
+	return made != nil && made.shared
+}
+
 // expire forgets old promises.
 func (p *promises) expire(now bootclock.Instant) {
 	for len(p.inOrder) > 0 && now.Sub(p.inOrder[0].made) > promiseLifetime {
@@ -57,7 +73,7 @@
 func (p *promises) class(now bootclock.Instant, fingerprint string) (class Class, kept bool) {
 	made := p.byPrint[fingerprint]
 	switch {
-	case made == nil || fingerprint == "":
+	case made == nil || made.shared || fingerprint == "":
 		return Newcomer, false
 	case made.at.Sub(now) > promiseTolerance:
 		made.place = false
--- a/tests/edge/fleet_test.go
+++ b/tests/edge/fleet_test.go
@@ -60,6 +60,8 @@
 	ownIPs bool
 	// idleTimeout is how long callers' connections may stay idle, 0 for the default.
 	idleTimeout time.Duration
+	// ordered is OrderedAdmission of hosts that start later.
+	ordered bool
 }
 
 // host is one running edge process.
@@ -194,7 +196,7 @@
 			FirstPort: port, LastPort: port + 1, Grace: f.grace, RevokeStrict: true, RevokeWithin: f.revokeWithin,
 			// A process that has just started repeats little of what callers send, and the
 			// tests send few requests.
-			Retry: node.RetryBudget{Ratio: 50, Slack: 50, Window: 10 * time.Second}, TargetHeartbeat: 1200 * time.Millisecond,
+			Retry: node.RetryBudget{Ratio: 50, Slack: 50, Window: 10 * time.Second}, TargetHeartbeat: 1200 * time.Millisecond, OrderedAdmission: f.ordered,
 		}, nil
 	}
 	ctx, cancel := context.WithCancel(context.Background())
