--- a/internal/edge/waitlist/list_test.go
+++ b/internal/edge/waitlist/list_test.go
@@ -164,3 +164,24 @@
 	}
 	return out
 }
+
+// Guards against callers that are rejected since others send the same request at the same time.
+func TestFingerprintOfSeveralCallersKeepsNoneOut(t *testing.T) {
+	l := New()
+	for i, id := range []string{"a", "b", "c"} {
+		a := long(id)
+		a.Fingerprint, a.UsefulFor = "same", 100*ms
+		_, v := decide(l, 0, a, room(100))
+		require.Equal(t, Newcomer, v.Class)
+		if i == 1 {
+			_, v = decide(l, 50*ms, a, room(100))
+			require.True(t, v.Rejected)
+		}
+	}
+	later := long("d")
+	later.Fingerprint = "same"
+	decide(l, time.Second, long("other"), room(100))
+	_, v := decide(l, time.Second, later, room(100))
+	require.Equal(t, Newcomer, v.Class)
+	require.False(t, v.Rejected)
+}
