Waitlist: the test of shared fingerprints finds a missing rule

The rule matters once a run with the shared fingerprint has been rejected: without it, the next request with that fingerprint counts as one that comes back too soon.

--- a/internal/edge/waitlist/list_test.go
+++ b/internal/edge/waitlist/list_test.go
@@ -168,20 +168,23 @@
 // Guards against callers that are rejected since others send the same request at the same time.
 func TestFingerprintOfSeveralCallersKeepsNoneOut(t *testing.T) {
 	l := New()
-	for i, id := range []string{"a", "b", "c"} {
+	same := func(id string) Ask {
 		a := long(id)
-		a.Fingerprint, a.UsefulFor = "same", 100*ms
-		_, v := decide(l, 0, a, room(100))
-		require.Equal(t, Newcomer, v.Class)
-		if i == 1 {
-			_, v = decide(l, 50*ms, a, room(100))
-			require.True(t, v.Rejected)
-		}
+		a.Fingerprint = "same"
+		return a
 	}
-	later := long("d")
-	later.Fingerprint = "same"
-	decide(l, time.Second, long("other"), room(100))
-	_, v := decide(l, time.Second, later, room(100))
+	late := same("a")
+	late.UsefulFor = 100 * ms
+	decide(l, 0, late, room(100))
+	_, v := decide(l, 50*ms, late, room(100))
+	require.True(t, v.Rejected)
+	_, v = decide(l, 100*ms, same("b"), room(100))
+	require.Equal(t, Early, v.Class, "it may be the first one's caller")
+	late.ID = "c"
+	_, v = decide(l, 110*ms, late, room(100))
 	require.Equal(t, Newcomer, v.Class)
-	require.False(t, v.Rejected)
+	_, v = decide(l, 160*ms, late, room(100))
+	require.True(t, v.Rejected)
+	_, v = decide(l, time.Second, same("d"), room(100))
+	require.Equal(t, Newcomer, v.Class, "it may be anybody")
 }
