--- a/internal/edge/metrics/metrics.go
+++ b/internal/edge/metrics/metrics.go
@@ -11,6 +11,7 @@
 	"go.opentelemetry.io/otel/metric"
 
 	"corianderhitch/internal/edge/policy"
+	"corianderhitch/internal/edge/waitlist"
 )
 
 // latencyBounds are the upper bounds of the histogram buckets, in seconds. They range
@@ -64,6 +65,7 @@
 	DroppedLogLines  func() int64
 	Slowness         func() map[string]float64 // learned factors other than 1, by target
 	ColdTargets      func() int
+	Waitlist         func() waitlist.Stats
 }
 
 // New creates the instruments. It returns the first error of the meter.
@@ -97,6 +99,10 @@
 	b.gauge("hitch_edge_evacuated_domains", "", "failure domains that the operator has evacuated: their targets get no requests", func() int64 { return int64(g.EvacuatedDomains()) })
 	b.gauge("hitch_edge_held_keys", "", "prompt parts and requests that are held back or on probation because targets crashed under them", func() int64 { return int64(g.HeldKeys()) })
 	b.gauge("hitch_edge_cold_targets", "", "targets that are cold; sends to them are bounded if their service states a rate", func() int64 { return int64(g.ColdTargets()) })
+	b.gauge("hitch_edge_waitlist_entries", "", "generations of all hosts that wait for room, at the host that places them", func() int64 { return int64(g.Waitlist().Entries) })
+	b.gauge("hitch_edge_waitlist_predicted_wait", "ms", "wait for room that was predicted last", func() int64 { return g.Waitlist().Predicted.Milliseconds() })
+	b.total("hitch_edge_waitlist_promises_kept", "rejected generations that came back when they were told to and were placed", func() int64 { return g.Waitlist().Kept })
+	b.total("hitch_edge_waitlist_promises_broken", "rejected generations that came back when they were told to and were not placed", func() int64 { return g.Waitlist().Broken })
 	b.gauge("hitch_edge_log_lines_dropped", "", "log lines dropped and not reported yet", g.DroppedLogLines)
 	b.gaugeByTarget("hitch_edge_target_slowness", "learned time that a target takes for its work relative to the median of its service, for targets that differ from it", g.Slowness)
 	m.Definitions = b.defined
@@ -235,3 +241,14 @@
 		}))
 	b.keepError(err)
 }
+
+// total defines a counter that is read at each scrape.
+func (b *builder) total(name, description string, read func() int64) {
+	b.define(name, "counter", "", "", description)
+	_, err := b.meter.Int64ObservableCounter(name, metric.WithDescription(description),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(read())
+			return nil
+		}))
+	b.keepError(err)
+}
--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -45,6 +45,7 @@
 	"corianderhitch/internal/edge/targetnotice"
 	"corianderhitch/internal/edge/targets"
 	"corianderhitch/internal/edge/targetspeed"
+	"corianderhitch/internal/edge/waitlist"
 	"corianderhitch/internal/edge/warmup"
 	"corianderhitch/internal/logging"
 	"corianderhitch/internal/quarantine"
@@ -104,6 +105,7 @@
 	crashes       *edge.CrashGuard
 	// warmupRefreshedAt and borrowedAt are of the last refreshWarmup that did so; only for its goroutine.
 	warmupRefreshedAt, borrowedAt bootclock.Instant
+	waitlist                      *waitlist.List
 	// keepsHeldUntil is the bootclock.Instant until which this host stores all changes of what is held back.
 	keepsHeldUntil atomic.Int64
 	heldChanged    chan struct{} // holds at most one pending request to store what is held back
@@ -200,6 +202,10 @@
 	}
 	p.streaming.CutOff = p.forwarder.cutOff
 	p.exchange.ChooseEngine = p.chooseForPeer
+	p.waitlist = waitlist.New()
+	if n.OrderedAdmission {
+		p.orderRuns()
+	}
 	p.mover = &migration.Mover{
 		Log: log, Host: n.Name, Engines: p.streaming.Engines, Inflight: p.inflight, ReserveEngine: p.streaming.ReserveEngine,
 		IsLeaving: p.isLeaving, IsEvacuated: p.isEvacuated,
@@ -315,5 +321,6 @@
 		DroppedLogLines:  logWriter.Dropped,
 		Slowness:         p.speeds.Slow,
 		ColdTargets:      p.warmup.Count,
+		Waitlist:         func() waitlist.Stats { return p.waitlist.Stats(bootclock.Now()) },
 	}
 }
--- a/tests/edge/fleet_test.go
+++ b/tests/edge/fleet_test.go
@@ -73,6 +73,8 @@
 	// regions is the region of each failure domain, allowed are those of the route draft.
 	regions map[string]string
 	allowed []string
+	// ordered is OrderedAdmission of hosts that start later.
+	ordered bool
 }
 
 // host is one running edge process.
@@ -208,7 +210,7 @@
 			// A process that has just started repeats little of what callers send, and the
 			// tests send few requests.
 			Retry: node.RetryBudget{Ratio: 50, Slack: 50, Window: 10 * time.Second}, TargetHeartbeat: 1200 * time.Millisecond, EvacuateWithin: f.evacuateWithin,
-			Cold: f.cold, Region: f.regions["a"], Regions: f.regions,
+			Cold: f.cold, Region: f.regions["a"], Regions: f.regions, OrderedAdmission: f.ordered,
 		}, nil
 	}
 	ctx, cancel := context.WithCancel(context.Background())
