--- a/internal/edge/placement/engine.go
+++ b/internal/edge/placement/engine.go
@@ -85,6 +85,10 @@
 	Draw   float64 // random number in [0, 1) that selects among them
 	// Regions are those in which the run may execute. Builds that don't know this field choose any.
 	Regions region.Set
+	// Reserve is the memory, in tokens, that must stay free for more urgent runs.
+	Reserve int
+	// MaxAhead bounds the time that the prompts ahead of the run may take; 0 if only Objective does.
+	MaxAhead time.Duration
 }
 
 // PrefillTime returns how long an engine of typical speed takes to prefill prompt
@@ -137,7 +141,7 @@
 	best := math.Inf(1)
 	for i, c := range candidates {
 		scores[i] = engineScore(c, engine, need)
-		if tried[c.Target.Key()] || c.FailureCost > maxCost {
+		if c.FailureCost > maxCost || len(tried) > 0 && tried[c.Target.Key()] {
 			scores[i] = math.Inf(1)
 		}
 		best = math.Min(best, scores[i])
@@ -207,7 +211,9 @@
 		held := need.Tokens - need.Output
 		return float64(l.Held+held+(l.Runs+1)*moveGrowthTokens) <= capacity
 	case need.Output <= shortRunTokens:
-		return float64(peakTokens(l, need)) <= shortRunMemoryShare*capacity
+		return float64(peakTokens(l, need)+need.Reserve) <= shortRunMemoryShare*capacity
+	case need.Reserve > 0: // what exceeds maxMemoryShare would use up the reserve
+		return float64(peakTokens(l, need)+need.Reserve) <= maxMemoryShare*capacity
 	default:
 		return float64(peakTokens(l, need)) <= maxMemoryShare*capacity+overcommitShare*float64(need.Tokens)
 	}
@@ -216,7 +222,11 @@
 // prefillsInTime reports whether the prompts ahead of the run leave it enough of
 // its latency objective.
 func prefillsInTime(c *Candidate, need Requirements) bool {
-	return need.Objective <= 0 || c.expectedPrefill(c.Load.Unread).Seconds() <= maxPrefillWaitShare*need.Objective.Seconds()
+	ahead := c.expectedPrefill(c.Load.Unread)
+	if need.MaxAhead > 0 && ahead > need.MaxAhead {
+		return false
+	}
+	return need.Objective <= 0 || ahead.Seconds() <= maxPrefillWaitShare*need.Objective.Seconds()
 }
 
 // engineScore returns the share of the engine's memory that is expected to be in
--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -44,6 +44,7 @@
 	"corianderhitch/internal/edge/targetnotice"
 	"corianderhitch/internal/edge/targets"
 	"corianderhitch/internal/edge/targetspeed"
+	"corianderhitch/internal/edge/waitlist"
 	"corianderhitch/internal/edge/warmup"
 	"corianderhitch/internal/logging"
 	"corianderhitch/internal/quarantine"
@@ -99,6 +100,7 @@
 	crashes       *edge.CrashGuard
 	// warmupRefreshedAt and borrowedAt are of the last refreshWarmup that did so; only for its goroutine.
 	warmupRefreshedAt, borrowedAt bootclock.Instant
+	waitlist                      *waitlist.List
 	// keepsHeldUntil is the bootclock.Instant until which this host stores all changes of what is held back.
 	keepsHeldUntil atomic.Int64
 	heldChanged    chan struct{} // holds at most one pending request to store what is held back
@@ -196,6 +198,10 @@
 	}
 	p.streaming.CutOff = p.forwarder.cutOff
 	p.exchange.ChooseEngine = p.chooseForPeer
+	p.waitlist = waitlist.New()
+	if n.OrderedAdmission {
+		p.orderRuns()
+	}
 	p.mover = &migration.Mover{
 		Log: log, Host: n.Name, Engines: p.streaming.Engines, Inflight: p.inflight, ReserveEngine: p.streaming.ReserveEngine,
 		IsLeaving: p.isLeaving, IsEvacuated: p.isEvacuated,
@@ -312,6 +318,7 @@
 		DroppedLogLines:  logWriter.Dropped,
 		Slowness:         p.speeds.Slow,
 		ColdTargets:      p.warmup.Count,
+		Waitlist:         func() waitlist.Stats { return p.waitlist.Stats(bootclock.Now()) },
 		HeldBytes:        p.bounds.memory.Held, HeldBound: p.bounds.memory.Size,
 		Connections: p.bounds.openConnections, ConnectionBound: func() int { return p.bounds.connections },
 	}
--- a/internal/edge/streaming/placement.go
+++ b/internal/edge/streaming/placement.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"time"
 
 	"corianderhitch/internal/edge"
 	"corianderhitch/internal/edge/inflight"
@@ -14,6 +15,7 @@
 	"corianderhitch/internal/edge/policy"
 	"corianderhitch/internal/edge/region"
 	"corianderhitch/internal/edge/targets"
+	"corianderhitch/internal/edge/waitlist"
 )
 
 // Placement is an engine chosen for a run, or the reason why there is none.
@@ -22,36 +24,29 @@
 	LoadBefore inflight.Load      // load of the target before this run, as known to the host that chose it
 	Shortage   placement.Shortage // why no engine has capacity
 	DecidedBy  string             // "hub" or "host" (this one), for logs
+	Order      *waitlist.Verdict  // what the order of all hosts decided; nil if there is none
 }
 
 // ReserveEngine chooses an engine with capacity and counts load there. A hub, which
 // knows the runs of all hosts, chooses; if no hub can, this host does.
 func (s *Server) ReserveEngine(ctx context.Context, service *policy.Service, need placement.Requirements, load inflight.Load, tried map[string]bool) Placement {
-	placed := Placement{DecidedBy: "hub"}
-	view := s.allowedView(service, need.Regions)
-	excluded := append(slices.Collect(maps.Keys(tried)), s.failingEngines(view, service, tried)...)
-	excluded = append(excluded, view.Refusing(service.Name)...)
+	return s.reserveInTurn(ctx, service, need, load, tried, nil)
+}
+
+// reserveInTurn is ReserveEngine for a run with a turn in the order of all hosts; nil if it has none.
+func (s *Server) reserveInTurn(ctx context.Context, service *policy.Service, need placement.Requirements, load inflight.Load, tried map[string]bool, turn *turn) Placement {
 	if need.Move || need.Limit > 0 {
 		// A run that continues at a cold engine waits for a permit, which other hosts may hold.
-		cold := view.Cold(service.Name)
-		excluded = append(excluded, cold...)
-		tried = withKeys(tried, cold)
-	}
-	reply, placedByHub := s.PlaceViaHub(ctx, peers.PlaceArgs{Service: service.Name, Need: need, Load: load, Tried: excluded})
-	if placedByHub {
-		placed.Target, placed.LoadBefore, placed.Shortage = s.Targets.View().Get(reply.Target), reply.Before, reply.Shortage
-		if reply.Target != "" && (placed.Target == nil || !s.Regions.Allows(need.Regions, placed.Target.Domain)) {
-			// The target is not in this host's list yet, or the hub is of a build that knows no regions.
-			placed.Target, placedByHub = nil, false
-		}
+		tried = withKeys(tried, s.allowedView(service, need.Regions).Cold(service.Name))
 	}
+	placed, placedByHub := s.reserveAtHub(ctx, service, need, load, tried, turn)
 	if !placedByHub {
 		need.Spread, need.Draw = s.EstimateSpread(), rand.Float64()
 		decision := s.ChooseEngine(s.allowedView(service, need.Regions).Available(service.Name), service, need, tried)
-		placed.Target, placed.LoadBefore, placed.Shortage, placed.DecidedBy = s.Targets.View().Get(decision.Target), decision.Before, decision.Shortage, "host"
-	}
-	if placed.Target != nil {
-		s.Inflight.Add(placed.Target.Key(), load)
+		placed = Placement{Target: s.Targets.View().Get(decision.Target), LoadBefore: decision.Before, Shortage: decision.Shortage, DecidedBy: "host"}
+		if placed.Target != nil {
+			s.Inflight.Add(placed.Target.Key(), load)
+		}
 	}
 	return placed
 }
@@ -89,6 +84,29 @@
 	return out
 }
 
+// reserveAtHub lets a hub choose and counts load at the engine. It returns false if no hub
+// could choose.
+func (s *Server) reserveAtHub(ctx context.Context, service *policy.Service, need placement.Requirements, load inflight.Load, tried map[string]bool, turn *turn) (Placement, bool) {
+	view := s.allowedView(service, need.Regions)
+	excluded := append(slices.Collect(maps.Keys(tried)), s.failingEngines(view, service, tried)...)
+	excluded = append(excluded, view.Refusing(service.Name)...)
+	args := peers.PlaceArgs{Service: service.Name, Need: need, Load: load, Tried: excluded}
+	turn.addTo(&args)
+	reply, placedByHub := s.PlaceViaHub(ctx, args)
+	if !placedByHub {
+		return Placement{}, false
+	}
+	placed := Placement{Target: s.Targets.View().Get(reply.Target), LoadBefore: reply.Before, Shortage: reply.Shortage, DecidedBy: "hub", Order: reply.Order}
+	if placed.Target == nil {
+		return placed, reply.Target == "" // otherwise the target is not in this host's list yet
+	}
+	if !s.Regions.Allows(need.Regions, placed.Target.Domain) {
+		return Placement{}, false // the hub is of a build that knows no regions
+	}
+	s.Inflight.Add(placed.Target.Key(), load)
+	return placed, true
+}
+
 // failingEngines returns the keys of the engines whose recent calls from this host failed; the
 // hub does not know of them. It returns none if all engines that were not tried are failing: a
 // fault near this host, or a silence of all, must not make all of them unusable.
@@ -111,12 +129,7 @@
 
 // ChooseEngine chooses the best engine with capacity from what this host knows.
 func (s *Server) ChooseEngine(engines []*targets.Target, service *policy.Service, need placement.Requirements, tried map[string]bool) placement.Decision {
-	candidates := make([]placement.Candidate, len(engines))
-	slowness := s.engineSlowness(service.Name, engines)
-	for i, t := range engines {
-		key := t.Key()
-		candidates[i] = placement.Candidate{Target: t, Load: s.Inflight.TotalLoad(key), FailureCost: s.Health.FailureCost(key), Slowness: slowness[i]}
-	}
+	candidates, _ := s.Candidates(service.Name, engines)
 	i := placement.ChooseEngine(candidates, service.Engine, need, tried)
 	if i < 0 {
 		return placement.Decision{Shortage: placement.CountShortage(candidates, service.Engine, need, tried)}
@@ -124,6 +137,22 @@
 	return placement.Decision{Target: engines[i].Key(), Before: candidates[i].Load}
 }
 
+// Candidates returns what this host knows about engines of a service, and the age of the oldest load report
+// that counts.
+func (s *Server) Candidates(service string, engines []*targets.Target) ([]placement.Candidate, time.Duration) {
+	keys := make([]string, len(engines))
+	for i, t := range engines {
+		keys[i] = t.Key()
+	}
+	loads, age := s.Inflight.LoadsAt(keys)
+	slowness := s.Speeds.EngineSlowness(service, keys)
+	candidates := make([]placement.Candidate, len(engines))
+	for i, t := range engines {
+		candidates[i] = placement.Candidate{Target: t, Load: loads[i], FailureCost: s.Health.FailureCost(keys[i]), Slowness: slowness[i]}
+	}
+	return candidates, age
+}
+
 // newRequirements returns what a new run requires of an engine. domain is the failure
 // domain of this host.
 func newRequirements(a *edge.AuthorizedCall, load inflight.Load, domain string) placement.Requirements {
