Cold targets: a hub tells again of a target that is cold for longer

A hub that knew a target as cold for more than 3 s didn't pass on that it was cold for longer: notices are told for 3 s from the first. They are told anew if the time left grows by more than a call may take.

--- a/internal/edge/warmup/tracker.go
+++ b/internal/edge/warmup/tracker.go
@@ -18,6 +18,8 @@
 	// toldFor is how long after an answer other hosts are told that a target is cold. It covers
 	// several syncs of the largest fleets.
 	toldFor = 3 * time.Second
+	// maxDelay is how long a notice may be on its way: longer than calls between hosts take.
+	maxDelay = 500 * time.Millisecond
 	// maxNotices bounds the targets in one message.
 	maxNotices = 256
 	// maxCold bounds what an answer or another host states.
@@ -169,11 +171,13 @@
 		if s == nil || n.Left <= 0 {
 			continue
 		}
-		// Notices that go back and forth between hosts must not make each other last.
-		if s.byAnswer <= now {
+		// Each way between hosts adds to what is left. Notices that go back and forth must not make
+		// each other last.
+		until := now.Add(min(n.Left, maxCold))
+		if s.byAnswer <= now || until.Sub(s.byAnswer) > maxDelay {
 			s.toldAt = now
 		}
-		s.byAnswer = max(s.byAnswer, now.Add(min(n.Left, maxCold)))
+		s.byAnswer = max(s.byAnswer, until)
 		t.note(n.Incarnation, s, "peer", now)
 	}
 }
--- a/internal/edge/warmup/tracker_test.go
+++ b/internal/edge/warmup/tracker_test.go
@@ -168,6 +168,17 @@
 	require.Empty(t, second.Notices(after(2*time.Second)))
 }
 
+// A target that becomes cold again while it is: the hub tells the others again, though it has known for
+// longer than it tells them.
+func TestHubTellsAgainOfATargetThatIsColdForLonger(t *testing.T) {
+	hub, _ := alone()
+	hub.ObserveEntry("a@1", "s", 1, 0, start)
+	hub.Merge([]Notice{{Incarnation: "a@1", Left: 5 * time.Second}}, start)
+	require.Empty(t, hub.Notices(after(toldFor+time.Millisecond)))
+	hub.Merge([]Notice{{Incarnation: "a@1", Left: 10 * time.Second}}, after(4*time.Second))
+	require.Equal(t, []Notice{{Incarnation: "a@1", Left: 10 * time.Second}}, hub.Notices(after(4*time.Second)))
+}
+
 func TestLinesAboutTurnsAreBounded(t *testing.T) {
 	tracker, log := alone()
 	for i := range 200 {
