Placement: runs go to cold engines with permits of the hub

PlaceArgs.WithoutPermit lists the excluded targets that lack nothing but this host's permit. The first hub may choose one, takes a hub permit with the choice, and says so in PlaceReply.Permitted; its own runs use the same permits. Moves and replicas ask for none. The targets stay in PlaceArgs.Tried too, so that hubs of older builds exclude them; older hosts state none and get no permit. A part is set aside for engine services only, since a hub places no plain calls.

--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/edge/targets"
 )
 
@@ -93,6 +94,8 @@
 	Urgency      int         // 0 to 9, 0 is the most urgent
 	ContinueFrom *ReplicaRef // nil for a new run
 	LastEventID  int64       // id of the last event that the caller has received; 0 if none
+	// PermitUntil is until when the call may be sent to a cold target by a permit of the hub; 0 without one.
+	PermitUntil bootclock.Instant
 }
 
 // MoveResult is the outcome of copying a run's memory to another engine.
--- a/internal/edge/peers/messages.go
+++ b/internal/edge/peers/messages.go
@@ -66,12 +66,18 @@
 	Need    placement.Requirements
 	Load    inflight.Load // added by the run
 	Tried   []string      // incarnations that must not be chosen
+	// WithoutPermit are those of Tried that the host excludes only because they are cold and it has no
+	// permit of its own for them. The hub may choose one if it grants a permit. Older builds state none.
+	WithoutPermit []string
 }
 
 // PlaceReply is the hub's answer to PlaceArgs.
 type PlaceReply struct {
 	// Able reports whether the hub could decide. Otherwise the host chooses itself.
 	Able bool
+	// Permitted reports whether the hub grants the permit to send the run to the chosen target, which is
+	// cold, within warmup.HubPermitFor. Older builds grant none.
+	Permitted bool
 	placement.Decision
 }
 
--- a/internal/edge/peers/service.go
+++ b/internal/edge/peers/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"corianderhitch/internal/edge/bootclock"
+	"corianderhitch/internal/edge/placement"
 	"corianderhitch/internal/edge/policy"
 )
 
@@ -54,7 +55,10 @@
 	// Concurrent placements must each see the load of the previous ones.
 	e.placeMu.Lock()
 	defer e.placeMu.Unlock()
-	if reply.Decision = e.ChooseEngine(args.Service, args.Need, tried); reply.Target != "" {
+	reply.Decision, reply.Permitted = placement.ChooseWithPermits(e.Warmup, args.WithoutPermit, tried, func(tried map[string]bool) placement.Decision {
+		return e.ChooseEngine(args.Service, args.Need, tried)
+	})
+	if reply.Target != "" {
 		e.Inflight.Reserve(args.Host, reply.Target, args.Load)
 	}
 	return nil
--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -200,6 +200,7 @@
 	}
 	p.streaming.CutOff = p.forwarder.cutOff
 	p.exchange.ChooseEngine = p.chooseForPeer
+	p.streaming.Permits = hubPermits{p}
 	p.mover = &migration.Mover{
 		Log: log, Host: n.Name, Engines: p.streaming.Engines, Inflight: p.inflight, ReserveEngine: p.streaming.ReserveEngine,
 		IsLeaving: p.isLeaving, IsEvacuated: p.isEvacuated,
--- a/internal/edge/process/warmup.go
+++ b/internal/edge/process/warmup.go
@@ -31,9 +31,27 @@
 		}
 		return c.Service(name).ColdRate, c.Service(name).ColdFor
 	})
+	p.warmup.PlacedByHub = func(name string) bool {
+		c := p.policy.Current()
+		return c != nil && c.Service(name) != nil && c.Service(name).Engine != nil
+	}
 	notices.Warmup = p.warmup
 }
 
+// hubPermits are the permits of the placing hub for its own runs.
+type hubPermits struct{ process *Process }
+
+// HasHubPermit implements placement.Permits. A host that has lost the store does not place for others, and
+// another one may do so.
+func (h hubPermits) HasHubPermit(incarnation string, now bootclock.Instant) bool {
+	return h.process.exchange.PlacesRuns() && h.process.warmup.HasHubPermit(incarnation, now)
+}
+
+// TakeHubPermit implements placement.Permits.
+func (h hubPermits) TakeHubPermit(incarnation string, now bootclock.Instant) bool {
+	return h.process.exchange.PlacesRuns() && h.process.warmup.TakeHubPermit(incarnation, now)
+}
+
 // warmupEntries returns the function that is called with each entry of a target, nil for none.
 func (p *Process) warmupEntries() func(t *targets.Target, revision platform.Revision) {
 	if p.warmup == nil {
@@ -58,6 +76,8 @@
 			hosts = p.members.Names()
 		}
 		p.warmup.Refresh(hosts, now)
+		hubs := p.members.Hubs()
+		p.warmup.ObserveHub(len(hubs) > 0 && hubs[0].Name == p.node.Name, now)
 	}
 	if now.Sub(p.borrowedAt) >= borrowInterval {
 		p.borrowedAt = now
--- a/internal/edge/sender.go
+++ b/internal/edge/sender.go
@@ -56,7 +56,7 @@
 	return s.Pool.Do(ctx, t.Key(), t.Address, &targetconn.Request{
 		ID: c.ID, Method: c.Method, URI: c.URI, Host: c.Host, Body: c.Body,
 		EncodeHeader: func() http.Header { return s.Wire.Encode(c, d, a.TimeLeft()) }, Use: use, Arrived: a.Arrived, Longest: longest, Regions: a.Regions,
-		Movable: s.Movable != nil && s.Movable(a),
+		Movable: s.Movable != nil && s.Movable(a), PermitUntil: d.PermitUntil,
 	})
 }
 
--- a/internal/edge/streaming/attempts.go
+++ b/internal/edge/streaming/attempts.go
@@ -20,9 +20,17 @@
 	// replica don't count.
 	sends      atomic.Int32
 	evacuation evacuationRefusals
-	mayHaveRun bool            // an engine may have begun to run the request
-	beside     bool            // an engine is asked while another one may go on with the request
-	failed     *failedResponse // the last failure that an engine answered with; nil if none
+	// permitUntil is that of the engine that was chosen last, to which the request was not sent yet.
+	permitUntil bootclock.Instant
+	mayHaveRun  bool            // an engine may have begun to run the request
+	beside      bool            // an engine is asked while another one may go on with the request
+	failed      *failedResponse // the last failure that an engine answered with; nil if none
+}
+
+// takePermit returns until when the request may be sent by a permit of the hub, once; 0 without one.
+func (a *attempts) takePermit() (until bootclock.Instant) {
+	until, a.permitUntil = a.permitUntil, 0
+	return until
 }
 
 // unavailable returns the rejection of a request for which no engine is left. Only a
--- a/internal/edge/streaming/placement.go
+++ b/internal/edge/streaming/placement.go
@@ -8,12 +8,14 @@
 	"strconv"
 
 	"corianderhitch/internal/edge"
+	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/edge/inflight"
 	"corianderhitch/internal/edge/peers"
 	"corianderhitch/internal/edge/placement"
 	"corianderhitch/internal/edge/policy"
 	"corianderhitch/internal/edge/region"
 	"corianderhitch/internal/edge/targets"
+	"corianderhitch/internal/edge/warmup"
 )
 
 // Placement is an engine chosen for a run, or the reason why there is none.
@@ -22,6 +24,9 @@
 	LoadBefore inflight.Load      // load of the target before this run, as known to the host that chose it
 	Shortage   placement.Shortage // why no engine has capacity
 	DecidedBy  string             // "hub" or "host" (this one), for logs
+	// PermitUntil is until when the run may be sent to the target, which is cold, by a permit of the hub;
+	// 0 without one.
+	PermitUntil bootclock.Instant
 }
 
 // ReserveEngine chooses an engine with capacity and counts load there. A hub, which
@@ -37,7 +42,9 @@
 		excluded = append(excluded, cold...)
 		tried = withKeys(tried, cold)
 	}
-	reply, placedByHub := s.PlaceViaHub(ctx, peers.PlaceArgs{Service: service.Name, Need: need, Load: load, Tried: excluded})
+	askedAt := bootclock.Now()
+	reply, placedByHub := s.PlaceViaHub(ctx, peers.PlaceArgs{Service: service.Name, Need: need, Load: load, Tried: excluded, WithoutPermit: s.enginesWithoutPermit(view, service, &need, tried)})
+	permitted := placedByHub && reply.Permitted
 	if placedByHub {
 		placed.Target, placed.LoadBefore, placed.Shortage = s.Targets.View().Get(reply.Target), reply.Before, reply.Shortage
 		if reply.Target != "" && (placed.Target == nil || !s.Regions.Allows(need.Regions, placed.Target.Domain)) {
@@ -47,15 +54,50 @@
 	}
 	if !placedByHub {
 		need.Spread, need.Draw = s.EstimateSpread(), rand.Float64()
-		decision := s.ChooseEngine(s.allowedView(service, need.Regions).Available(service.Name), service, need, tried)
+		askedAt = bootclock.Now()
+		var decision placement.Decision
+		decision, permitted = s.chooseHere(service, need, tried)
 		placed.Target, placed.LoadBefore, placed.Shortage, placed.DecidedBy = s.Targets.View().Get(decision.Target), decision.Before, decision.Shortage, "host"
 	}
+	if placed.Target != nil && permitted {
+		placed.PermitUntil = askedAt.Add(warmup.HubPermitFor)
+	}
 	if placed.Target != nil {
 		s.Inflight.Add(placed.Target.Key(), load)
 	}
 	return placed
 }
 
+// enginesWithoutPermit returns the keys of the cold engines that a new run could use if the hub granted a
+// permit. Moves and replicas use the shares of hosts only.
+func (s *Server) enginesWithoutPermit(view *targets.View, service *policy.Service, need *placement.Requirements, tried map[string]bool) []string {
+	if need.Move || need.Limit > 0 {
+		return nil
+	}
+	return slices.DeleteFunc(view.WithoutPermit(service.Name), func(key string) bool {
+		return tried[key] || s.Health.FailureCost(key) > placement.MaxHealthyCost
+	})
+}
+
+// chooseHere is ChooseEngine among the engines that accept a run from this host, and if this host is the
+// placing hub, among those for which it grants a permit.
+func (s *Server) chooseHere(service *policy.Service, need placement.Requirements, tried map[string]bool) (d placement.Decision, permitted bool) {
+	view := s.allowedView(service, need.Regions)
+	engines := view.Available(service.Name)
+	var lacking []string
+	if s.Permits != nil {
+		for _, key := range s.enginesWithoutPermit(view, service, &need, tried) {
+			if t := view.Get(key); t != nil && !slices.Contains(engines, t) && s.Permits.HasHubPermit(key, bootclock.Now()) {
+				lacking = append(lacking, key)
+				engines = append(slices.Clip(engines), t) // the slice is shared
+			}
+		}
+	}
+	return placement.ChooseWithPermits(s.Permits, lacking, tried, func(tried map[string]bool) placement.Decision {
+		return s.ChooseEngine(engines, service, need, tried)
+	})
+}
+
 // allowedView returns the targets with those of the service that are in the regions.
 func (s *Server) allowedView(service *policy.Service, regions region.Set) *targets.View {
 	view := s.Targets.View()
--- a/internal/edge/streaming/server.go
+++ b/internal/edge/streaming/server.go
@@ -75,6 +75,8 @@
 	Regions     region.Map
 	// PlaceViaHub asks a hub to choose an engine; false means that no hub could.
 	PlaceViaHub func(ctx context.Context, args peers.PlaceArgs) (peers.PlaceReply, bool)
+	// Permits are those that this host may grant its own runs if it is the placing hub; nil for none.
+	Permits placement.Permits
 	// Drain is the end of the process, before which a run must have ended.
 	Drain *draining.Drain
 	// CutOff reports whether this host reaches no target of the service of an incarnation; nil for never.
@@ -126,7 +128,7 @@
 		}
 		r.attempts.tried[t.Key()] = true
 		sentAt := bootclock.Now()
-		segment, err := s.openOrStartElsewhere(ctx, r, t, load, edge.Dispatch{Account: a.Account, Urgency: a.Urgency, LastEventID: r.lastEventID.Load()})
+		segment, err := s.openOrStartElsewhere(ctx, r, t, load, edge.Dispatch{Account: a.Account, Urgency: a.Urgency, LastEventID: r.lastEventID.Load(), PermitUntil: r.attempts.takePermit()})
 		if err == nil {
 			if s.retryFailedResponse(r, segment) {
 				continue
@@ -250,6 +252,7 @@
 		s.Inflight.Remove(t.Key(), load)
 		t = nil
 	}
+	r.attempts.permitUntil = placed.PermitUntil
 	s.Observer.ObservePlacementWait(waited, t != nil)
 	if t == nil {
 		a.Log.Info("stream: no engine has capacity", "by", placed.DecidedBy, "engines_full", placed.Shortage.Memory, "engines_reading", placed.Shortage.Reading,
@@ -257,7 +260,7 @@
 			"list_revision", s.Targets.View().Revision, "waited_ms", waited.Milliseconds(), "age_ms", a.Age().Milliseconds())
 	} else {
 		a.Log.Info("stream: engine chosen", "target", t.ID, "by", placed.DecidedBy, "runs", placed.LoadBefore.Runs, "expected_tokens", placed.LoadBefore.Tokens,
-			"unread_tokens", placed.LoadBefore.Unread, "needs_tokens", need.Tokens,
+			"unread_tokens", placed.LoadBefore.Unread, "needs_tokens", need.Tokens, "hub_permit", placed.PermitUntil != 0,
 			"list_revision", s.Targets.View().Revision, "age_ms", a.Age().Milliseconds())
 	}
 	return t, load
--- a/internal/edge/targetconn/pool.go
+++ b/internal/edge/targetconn/pool.go
@@ -128,6 +128,7 @@
 		p.put(conn)
 		return nil, "", &refusal{v}
 	}
+	req.PermitUntil = 0 // it is for one send
 	response, outcome, err := p.exchange(ctx, conn, incarnation, address, req, w.helper)
 	ended(response != nil)
 	return response, outcome, err
--- a/internal/edge/targetconn/request.go
+++ b/internal/edge/targetconn/request.go
@@ -32,6 +32,10 @@
 	Regions region.Set // of the hosts that may get the request to send it
 	CopyTo  string     // incarnation to which the target is asked to copy a run; "" if none
 
+	// PermitUntil is until when one send to a cold target needs no part of this host's share of what the
+	// target bears, since the hub has granted a permit; 0 if it has not. Helpers are not told.
+	PermitUntil bootclock.Instant
+
 	forOtherHost bool // another host asked for it: it takes no further detour
 }
 
--- a/internal/edge/targetgate/gate.go
+++ b/internal/edge/targetgate/gate.go
@@ -60,6 +60,9 @@
 // Check implements targetconn.Gate.
 func (g *Gate) Check(incarnation string, r *targetconn.Request) targetnotice.Verdict {
 	return g.decide(incarnation, r, func(now bootclock.Instant) targetnotice.Verdict {
+		if now < r.PermitUntil {
+			return g.Notices.CheckWithPermit(incarnation, r.Use, r.Arrived, now)
+		}
 		return g.Notices.Check(incarnation, r.Use, r.Arrived, now)
 	})
 }
@@ -68,7 +71,11 @@
 func (g *Gate) Admit(incarnation string, r *targetconn.Request) (v targetnotice.Verdict, ended func(answered bool)) {
 	var trial *targetnotice.Trial
 	v = g.decide(incarnation, r, func(now bootclock.Instant) (v targetnotice.Verdict) {
-		v, trial = g.Notices.Admit(incarnation, r.Use, r.Arrived, now)
+		if now < r.PermitUntil {
+			v, trial = g.Notices.AdmitWithPermit(incarnation, r.Use, r.Arrived, now)
+		} else {
+			v, trial = g.Notices.Admit(incarnation, r.Use, r.Arrived, now)
+		}
 		return v
 	})
 	if trial != nil {
--- a/internal/edge/targetnotice/tracker.go
+++ b/internal/edge/targetnotice/tracker.go
@@ -177,23 +177,38 @@
 // Check returns whether an incarnation may be used now. arrived is when the caller's request
 // arrived at this host; only requests and continuations have one.
 func (t *Tracker) Check(incarnation string, use Use, arrived, now bootclock.Instant) Verdict {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	v := t.verdict(incarnation, t.targets[incarnation], use, arrived, now)
+	v := t.CheckWithPermit(incarnation, use, arrived, now)
 	if v == Allowed && !t.mayWarmUp(incarnation, use, now) {
 		v = Cold
 	}
 	return v
 }
 
+// CheckWithPermit is Check for a request that needs no part of this host's share of what a cold target
+// bears: the hub has granted it a permit.
+func (t *Tracker) CheckWithPermit(incarnation string, use Use, arrived, now bootclock.Instant) Verdict {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.verdict(incarnation, t.targets[incarnation], use, arrived, now)
+}
+
 // Admit is Check for a send that follows immediately, which it counts. If the send is a trial,
 // it is returned and EndTrial must be called.
 func (t *Tracker) Admit(incarnation string, use Use, arrived, now bootclock.Instant) (Verdict, *Trial) {
+	return t.admit(incarnation, use, arrived, now, false)
+}
+
+// AdmitWithPermit is Admit for a request as that of CheckWithPermit.
+func (t *Tracker) AdmitWithPermit(incarnation string, use Use, arrived, now bootclock.Instant) (Verdict, *Trial) {
+	return t.admit(incarnation, use, arrived, now, true)
+}
+
+func (t *Tracker) admit(incarnation string, use Use, arrived, now bootclock.Instant, permitted bool) (Verdict, *Trial) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.targets[incarnation]
 	v := t.verdict(incarnation, s, use, arrived, now)
-	if v == Allowed && !t.takeWarmup(incarnation, use, now) {
+	if v == Allowed && !permitted && !t.takeWarmup(incarnation, use, now) {
 		v = Cold
 	}
 	if v != Allowed || s == nil {
--- a/internal/edge/targets/view.go
+++ b/internal/edge/targets/view.go
@@ -108,6 +108,22 @@
 	return cold
 }
 
+// WithoutPermit returns the incarnations of a service that accept no request from this host only because
+// they are cold and its share of what they bear is used up.
+func (v *View) WithoutPermit(service string) []string {
+	now := bootclock.Now()
+	if !v.stated.AnyCold(now) {
+		return nil
+	}
+	var keys []string
+	for _, t := range v.Serving(service) {
+		if key := t.Key(); v.stated.Check(key, targetnotice.Request, now, now) == targetnotice.Cold {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
 // Unlimited returns the targets that Available returns and cold ones, without those that name a limit.
 func (v *View) Unlimited(service string) []*Target {
 	now := bootclock.Now()
