--- a/internal/edge/peers/messages.go
+++ b/internal/edge/peers/messages.go
@@ -71,12 +71,18 @@
 	// runs and for runs that don't wait. Others are runs that wait behind it at its host.
 	Ask    *waitlist.Ask
 	Others []waitlist.Ask
+	// WithoutPermit are those of Tried that the host excludes only because they are cold and it has no
+	// permit of its own for them. The hub may choose one if it grants a permit. Older builds state none.
+	WithoutPermit []string
 }
 
 // PlaceReply is the hub's answer to PlaceArgs.
 type PlaceReply struct {
 	// Able reports whether the hub could decide. Otherwise the host chooses itself.
 	Able bool
+	// Permitted reports whether the hub grants the permit to send the run to the chosen target, which is
+	// cold, within warmup.HubPermitFor. Older builds grant none.
+	Permitted bool
 	placement.Decision
 	// Order is what the order of all hosts decided; nil if Ask was, or the hub doesn't know it.
 	Order *waitlist.Verdict
--- a/internal/edge/peers/place.go
+++ b/internal/edge/peers/place.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"corianderhitch/internal/edge/placement"
 )
 
 // placeTimeout bounds a placement call to a hub. A host that gets no answer in time
@@ -61,11 +63,13 @@
 	// Concurrent placements must each see the load of the previous ones.
 	e.placeMu.Lock()
 	defer e.placeMu.Unlock()
-	if args.Ask != nil && e.ChooseInOrder != nil {
-		reply.Decision, reply.Order = e.ChooseInOrder(args, tried)
-	} else {
-		reply.Decision = e.ChooseEngine(args.Service, args.Need, tried)
-	}
+	reply.Decision, reply.Permitted = placement.ChooseWithPermits(e.Warmup, args.WithoutPermit, tried, func(tried map[string]bool) (d placement.Decision) {
+		if args.Ask == nil || e.ChooseInOrder == nil {
+			return e.ChooseEngine(args.Service, args.Need, tried)
+		}
+		d, reply.Order = e.ChooseInOrder(args, tried)
+		return d
+	})
 	if reply.Target != "" && args.Host != e.Host {
 		e.Inflight.Reserve(args.Host, reply.Target, args.Load)
 	}
--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -202,6 +202,7 @@
 	if n.OrderedAdmission {
 		p.orderRuns()
 	}
+	p.streaming.Permits = hubPermits{p}
 	p.mover = &migration.Mover{
 		Log: log, Host: n.Name, Engines: p.streaming.Engines, Inflight: p.inflight, ReserveEngine: p.streaming.ReserveEngine,
 		IsLeaving: p.isLeaving, IsEvacuated: p.isEvacuated,
--- a/internal/edge/streaming/placement.go
+++ b/internal/edge/streaming/placement.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"corianderhitch/internal/edge"
+	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/edge/inflight"
 	"corianderhitch/internal/edge/peers"
 	"corianderhitch/internal/edge/placement"
@@ -16,6 +17,7 @@
 	"corianderhitch/internal/edge/region"
 	"corianderhitch/internal/edge/targets"
 	"corianderhitch/internal/edge/waitlist"
+	"corianderhitch/internal/edge/warmup"
 )
 
 // Placement is an engine chosen for a run, or the reason why there is none.
@@ -25,6 +27,16 @@
 	Shortage   placement.Shortage // why no engine has capacity
 	DecidedBy  string             // "hub" or "host" (this one), for logs
 	Order      *waitlist.Verdict  // what the order of all hosts decided; nil if there is none
+	// PermitUntil is until when the run may be sent to the target, which is cold, by a permit of the hub;
+	// 0 without one.
+	PermitUntil bootclock.Instant
+}
+
+// permit records that the run may be sent by a permit of the hub, which was asked for at an instant.
+func (p *Placement) permit(granted bool, askedAt bootclock.Instant) {
+	if granted {
+		p.PermitUntil = askedAt.Add(warmup.HubPermitFor)
+	}
 }
 
 // ReserveEngine chooses an engine with capacity and counts load there. A hub, which
@@ -42,15 +54,49 @@
 	placed, placedByHub := s.reserveAtHub(ctx, service, need, load, tried, turn)
 	if !placedByHub {
 		need.Spread, need.Draw = s.EstimateSpread(), rand.Float64()
-		decision := s.ChooseEngine(s.allowedView(service, need.Regions).Available(service.Name), service, need, tried)
+		var decision placement.Decision
+		var permitted bool
+		askedAt := bootclock.Now()
+		decision, permitted = s.chooseHere(service, need, tried)
 		placed = Placement{Target: s.Targets.View().Get(decision.Target), LoadBefore: decision.Before, Shortage: decision.Shortage, DecidedBy: "host"}
 		if placed.Target != nil {
+			placed.permit(permitted, askedAt)
 			s.Inflight.Add(placed.Target.Key(), load)
 		}
 	}
 	return placed
 }
 
+// enginesWithoutPermit returns the keys of the cold engines that a new run could use if the hub granted a
+// permit. Moves and replicas use the shares of hosts only.
+func (s *Server) enginesWithoutPermit(view *targets.View, service *policy.Service, need *placement.Requirements, tried map[string]bool) []string {
+	if need.Move || need.Limit > 0 {
+		return nil
+	}
+	return slices.DeleteFunc(view.WithoutPermit(service.Name), func(key string) bool {
+		return tried[key] || s.Health.FailureCost(key) > placement.MaxHealthyCost
+	})
+}
+
+// chooseHere is ChooseEngine among the engines that accept a run from this host, and if this host is the
+// placing hub, among those for which it grants a permit.
+func (s *Server) chooseHere(service *policy.Service, need placement.Requirements, tried map[string]bool) (d placement.Decision, permitted bool) {
+	view := s.allowedView(service, need.Regions)
+	engines := view.Available(service.Name)
+	var lacking []string
+	if s.Permits != nil {
+		for _, key := range s.enginesWithoutPermit(view, service, &need, tried) {
+			if t := view.Get(key); t != nil && !slices.Contains(engines, t) && s.Permits.HasHubPermit(key, bootclock.Now()) {
+				lacking = append(lacking, key)
+				engines = append(slices.Clip(engines), t) // the slice is shared
+			}
+		}
+	}
+	return placement.ChooseWithPermits(s.Permits, lacking, tried, func(tried map[string]bool) placement.Decision {
+		return s.ChooseEngine(engines, service, need, tried)
+	})
+}
+
 // allowedView returns the targets with those of the service that are in the regions.
 func (s *Server) allowedView(service *policy.Service, regions region.Set) *targets.View {
 	view := s.Targets.View()
@@ -90,8 +136,9 @@
 	view := s.allowedView(service, need.Regions)
 	excluded := append(slices.Collect(maps.Keys(tried)), s.failingEngines(view, service, tried)...)
 	excluded = append(excluded, view.Refusing(service.Name)...)
-	args := peers.PlaceArgs{Service: service.Name, Need: need, Load: load, Tried: excluded}
+	args := peers.PlaceArgs{Service: service.Name, Need: need, Load: load, Tried: excluded, WithoutPermit: s.enginesWithoutPermit(view, service, &need, tried)}
 	turn.addTo(&args)
+	askedAt := bootclock.Now()
 	reply, placedByHub := s.PlaceViaHub(ctx, args)
 	if !placedByHub {
 		return Placement{}, false
@@ -103,6 +150,7 @@
 	if !s.Regions.Allows(need.Regions, placed.Target.Domain) {
 		return Placement{}, false // the hub is of a build that knows no regions
 	}
+	placed.permit(reply.Permitted, askedAt)
 	s.Inflight.Add(placed.Target.Key(), load)
 	return placed, true
 }
