Target speed: no level of services, the nominal times stand for a typical engine

While the factors of a service differed, all its engines were reckoned with the median of the service relative to the nominal times. A single engine that seemed slow so changed the choice among all others, and of engines whose prefill isn't proportional to their steps it was wrong.

--- a/internal/edge/streaming/placement.go
+++ b/internal/edge/streaming/placement.go
@@ -70,7 +70,7 @@
 // ChooseEngine chooses the best engine with capacity from what this host knows.
 func (s *Server) ChooseEngine(engines []*targets.Target, service *policy.Service, need placement.Requirements, tried map[string]bool) placement.Decision {
 	candidates := make([]placement.Candidate, len(engines))
-	slowness := s.engineSlowness(service.Name, engines)
+	slowness := s.slownessOf(engines)
 	for i, t := range engines {
 		key := t.Key()
 		candidates[i] = placement.Candidate{Target: t, Load: s.Inflight.TotalLoad(key), FailureCost: s.Health.FailureCost(key), Slowness: slowness[i]}
--- a/internal/edge/streaming/speed.go
+++ b/internal/edge/streaming/speed.go
@@ -87,17 +87,17 @@
 		return typical
 	}
 	sum := 0.0
-	for _, f := range s.engineSlowness(service.Name, engines) {
+	for _, f := range s.slownessOf(engines) {
 		sum += f
 	}
 	return time.Duration(float64(typical) * sum / float64(len(engines)))
 }
 
-// engineSlowness returns the learned factors of engines of a service.
-func (s *Server) engineSlowness(service string, engines []*targets.Target) []float64 {
+// slownessOf returns the learned factors of engines.
+func (s *Server) slownessOf(engines []*targets.Target) []float64 {
 	keys := make([]string, len(engines))
 	for i, t := range engines {
 		keys[i] = t.Key()
 	}
-	return s.Speeds.EngineSlowness(service, keys)
+	return s.Speeds.SlownessOf(keys)
 }
--- a/internal/edge/targetspeed/estimator.go
+++ b/internal/edge/targetspeed/estimator.go
@@ -53,12 +53,11 @@
 type Estimator struct {
 	band    Band
 	records map[ID]*record
-	levels  map[string]float64 // median time per unit of nominal work, by service
 }
 
 // NewEstimator returns an estimator without samples.
 func NewEstimator(band Band) *Estimator {
-	return &Estimator{band: band, records: make(map[ID]*record), levels: make(map[string]float64)}
+	return &Estimator{band: band, records: make(map[ID]*record)}
 }
 
 // Add adds samples of a target.
@@ -109,9 +108,6 @@
 		}
 	}
 	median, known := medianOf(trusted)
-	if level := math.Exp(median); known && (level > minChange*e.levels[s.Name] || level < e.levels[s.Name]/minChange) {
-		e.levels[s.Name] = math.Min(maxFactor, math.Max(minFactor, level))
-	}
 	for _, x := range estimates {
 		next := 1.0
 		if known {
@@ -161,14 +157,6 @@
 	return math.Round(10*math.Min(maxFactor, math.Max(minFactor, estimate))) / 10
 }
 
-// Level returns the median time of a service per unit of nominal work, 1 if it is not known.
-func (e *Estimator) Level(service string) float64 {
-	if level, ok := e.levels[service]; ok {
-		return level
-	}
-	return 1
-}
-
 // Factor returns the factor in force of a target, 1 if it has none.
 func (e *Estimator) Factor(target ID) float64 {
 	if r := e.records[target]; r != nil {
--- a/internal/edge/targetspeed/messages.go
+++ b/internal/edge/targetspeed/messages.go
@@ -13,9 +13,6 @@
 // IDOf returns the ID of an incarnation.
 func IDOf(target string) ID { return ID(xxhash.Sum64String(target)) }
 
-// levelID names the level of a service in messages.
-func levelID(service string) ID { return IDOf("level of " + service) }
-
 // Sample is what a host has newly observed of a target, in a message. Times are in milliseconds.
 type Sample struct {
 	Target             ID
@@ -60,7 +57,7 @@
 	Changed  []TargetFactor
 }
 
-// TargetFactor is the factor of a target, or the level of a service, in tenths.
+// TargetFactor is the factor of a target in tenths.
 type TargetFactor struct {
 	Target ID
 	Tenths uint8
--- a/internal/edge/targetspeed/status.go
+++ b/internal/edge/targetspeed/status.go
@@ -24,9 +24,7 @@
 
 // ServiceStatus is the part of a Status on one service.
 type ServiceStatus struct {
-	Name string `json:"name"`
-	// Level is the median time per unit of nominal work; 1 if it is not known.
-	Level   float64        `json:"level"`
+	Name    string         `json:"name"`
 	Targets []TargetStatus `json:"targets"`
 }
 
@@ -57,7 +55,7 @@
 	}
 	for _, s := range services {
 		half := estimator.halfCalls(s)
-		part := ServiceStatus{Name: s.Name, Level: round(t.level(s.Name, now)), Targets: []TargetStatus{}}
+		part := ServiceStatus{Name: s.Name, Targets: []TargetStatus{}}
 		for _, target := range s.Targets {
 			part.Targets = append(part.Targets, t.statusOf(target, estimator, half, now))
 		}
--- a/internal/edge/targetspeed/tracker.go
+++ b/internal/edge/targetspeed/tracker.go
@@ -223,46 +223,22 @@
 	return shared
 }
 
-// EngineSlowness returns how much longer than nominal each engine of a service takes. If they don't
-// differ in speed, all have 1: the nominal time then stands for that of all.
-func (t *Tracker) EngineSlowness(service string, engines []string) []float64 {
-	out := slices.Repeat([]float64{1}, len(engines))
+// SlownessOf returns the factors of several targets.
+func (t *Tracker) SlownessOf(targets []string) []float64 {
+	out := slices.Repeat([]float64{1}, len(targets))
 	if t == nil {
 		return out
 	}
-	differ := false
 	now := t.now()
 	t.update(now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for i, target := range engines {
+	for i, target := range targets {
 		out[i] = t.slowness(IDOf(target), now)
-		differ = differ || out[i] != 1
-	}
-	if !differ {
-		return out
-	}
-	level := t.level(service, now)
-	for i := range out {
-		out[i] *= level
 	}
 	return out
 }
 
-// level returns the median time of a service per unit of nominal work. Callers hold t.mu.
-func (t *Tracker) level(service string, now bootclock.Instant) float64 {
-	switch {
-	case t.hears(now):
-		if level, ok := t.received[levelID(service)]; ok {
-			return level
-		}
-		return 1
-	case t.isMerging(now):
-		return t.merged.Level(service)
-	}
-	return t.own.Level(service)
-}
-
 // Slow returns the factors of all targets whose factor is not 1, by incarnation.
 func (t *Tracker) Slow() map[string]float64 {
 	slow := make(map[string]float64)
@@ -315,24 +291,14 @@
 func (t *Tracker) publish(services []Service) {
 	next := t.position.Seq + 1
 	listed := make(map[ID]bool)
-	set := func(id ID, value float64) {
-		listed[id] = true
-		tenths, known := uint8(10*value+0.5), t.sent[id]
-		if tenths != known.tenths && (known.seq != 0 || tenths != 10) {
-			t.sent[id], t.position.Seq = publishedValue{tenths: tenths, seq: next}, next
-		}
-	}
 	for _, s := range services {
-		differ := false
 		for _, target := range s.Targets {
-			f := t.merged.Factor(IDOf(target))
-			set(IDOf(target), f)
-			differ = differ || f != 1
-		}
-		if differ { // otherwise the level is not used
-			set(levelID(s.Name), t.merged.Level(s.Name))
-		} else {
-			listed[levelID(s.Name)] = true
+			id := IDOf(target)
+			listed[id] = true
+			tenths, known := uint8(10*t.merged.Factor(id)+0.5), t.sent[id]
+			if tenths != known.tenths && (known.seq != 0 || tenths != 10) {
+				t.sent[id], t.position.Seq = publishedValue{tenths: tenths, seq: next}, next
+			}
 		}
 	}
 	for id := range t.sent {
