Target speed: first events count less as evidence than events of runs

On fleets of equal engines that only short runs reach, or too many runs, the time to a few first events made engines seem slow: the prompts ahead of a run are known less exactly.

--- a/internal/edge/targetspeed/sums.go
+++ b/internal/edge/targetspeed/sums.go
@@ -97,6 +97,9 @@
 	// halfRunTime is the observed time of runs in seconds at which a target counts as half as slow, on a
 	// logarithmic scale, as it was observed.
 	halfRunTime = 0.2
+	// firstWeight is how much the time to a first event counts as such evidence: the prompts ahead of a run
+	// are known less exactly than the events between two others.
+	firstWeight = 0.3
 	// halfCallsPerVariance times the variance of the logarithms of latencies is the same for answered calls.
 	// A target whose mean is three standard errors off its service's then stays just within SharedBand,
 	// however many calls it had.
@@ -125,7 +128,8 @@
 	switch observed := s.Decode + s.First; {
 	case observed > 0:
 		work := s.DecodeWork + s.Decode*s.Prompt/runSpan/promptTokensPerSecond + s.FirstWork
-		return math.Log(observed / math.Max(work, observed/1000)), observed / (observed + halfRunTime)
+		evidence := s.Decode + firstWeight*s.First
+		return math.Log(observed / math.Max(work, observed/1000)), evidence / (evidence + halfRunTime)
 	case s.Calls > 0:
 		return s.LogLatency / s.Calls, s.Calls / (s.Calls + halfCalls)
 	}
