--- a/internal/edge/process/order.go
+++ b/internal/edge/process/order.go
@@ -30,7 +30,7 @@
 	}
 	engine := c.Service(args.Service).Engine
 	view := p.targets.View().Only(args.Service, func(domain string) bool { return p.streaming.Regions.Allows(args.Need.Regions, domain) })
-	candidates, age := p.streaming.Candidates(args.Service, view.Serving(args.Service))
+	candidates, age := p.streaming.Candidates(view.Serving(args.Service))
 	i, verdict := p.waitlist.Decide(bootclock.Now(), &waitlist.Request{Service: args.Service, Ask: *args.Ask, Others: args.Others,
 		Need: args.Need, Tried: tried, Engine: engine, Engines: candidates})
 	verdict.InputsAge = age
--- a/internal/edge/streaming/placement.go
+++ b/internal/edge/streaming/placement.go
@@ -177,7 +177,7 @@
 
 // ChooseEngine chooses the best engine with capacity from what this host knows.
 func (s *Server) ChooseEngine(engines []*targets.Target, service *policy.Service, need placement.Requirements, tried map[string]bool) placement.Decision {
-	candidates, _ := s.Candidates(service.Name, engines)
+	candidates, _ := s.Candidates(engines)
 	i := placement.ChooseEngine(candidates, service.Engine, need, tried)
 	if i < 0 {
 		return placement.Decision{Shortage: placement.CountShortage(candidates, service.Engine, need, tried)}
@@ -185,15 +185,15 @@
 	return placement.Decision{Target: engines[i].Key(), Before: candidates[i].Load}
 }
 
-// Candidates returns what this host knows about engines of a service, and the age of the oldest load report
+// Candidates returns what this host knows about engines, and the age of the oldest load report
 // that counts.
-func (s *Server) Candidates(service string, engines []*targets.Target) ([]placement.Candidate, time.Duration) {
+func (s *Server) Candidates(engines []*targets.Target) ([]placement.Candidate, time.Duration) {
 	keys := make([]string, len(engines))
 	for i, t := range engines {
 		keys[i] = t.Key()
 	}
 	loads, age := s.Inflight.LoadsAt(keys)
-	slowness := s.Speeds.EngineSlowness(service, keys)
+	slowness := s.Speeds.SlownessOf(keys)
 	candidates := make([]placement.Candidate, len(engines))
 	for i, t := range engines {
 		candidates[i] = placement.Candidate{Target: t, Load: loads[i], FailureCost: s.Health.FailureCost(keys[i]), Slowness: slowness[i]}
