--- a/internal/edge/warmup/division.go
+++ b/internal/edge/warmup/division.go
@@ -46,7 +46,7 @@
 	// cold for a second only.
 	hub.perSecond = min(hubUse*rateUse*rate, forHub/2, (forHub-1)/span)
 	hub.burst = forHub - hub.perSecond*span
-	hosts = newDivision(planned-forHub, min((1-hubUse)*rateUse*rate, planned-forHub-1))
+	hosts = newDivision(planned-forHub, min(rateUse*rate-hub.perSecond, planned-forHub-1))
 	if hub.perSecond <= 0 || hosts.perSecond <= 0 {
 		return divide(rate, bound), holding{}
 	}
--- a/internal/edge/warmup/fleet_test.go
+++ b/internal/edge/warmup/fleet_test.go
@@ -288,14 +288,16 @@
 	bound := node.ColdBound{Factor: 1.5, Slack: 5}
 	for _, n := range []int{6, 80, 300} {
 		for _, rate := range []float64{4, 31, 100} {
-			for _, busy := range []int{1, 5} { // one in busy hosts has requests
+			for _, busy := range []int{1, 5, -1, -5} { // one in busy hosts has requests; below 0 with a hub
 				f := newSimFleet(n, rate, bound, 7)
+				f.hub, busy = busy < 0, max(busy, -busy)
+				f.hosts[0].isHub = func(bootclock.Instant) bool { return f.hub }
 				for i, h := range f.hosts {
 					h.wants = func(bootclock.Instant) bool { return i%busy == 0 }
 				}
 				f.run(10 * time.Second)
 				used := float64(len(f.sent)) / 10 / rate
-				t.Logf("%d hosts, %g requests per second, 1 in %d hosts busy: %.2f of the rate used, at most %d in one second", n, rate, busy, used, f.mostInOneSecond())
+				t.Logf("%d hosts, %g requests per second, 1 in %d hosts busy, hub %t: %.2f of the rate used, at most %d in one second", n, rate, busy, f.hub, used, f.mostInOneSecond())
 				require.LessOrEqual(t, float64(f.mostInOneSecond()), bound.Factor*rate+bound.Slack)
 				if busy == 1 {
 					require.Greater(t, used, 0.85)
