--- a/internal/edge/process/confirm.go
+++ b/internal/edge/process/confirm.go
@@ -82,6 +82,9 @@
 	if !p.exchange.IsHub() {
 		return p.confirmPeriod()
 	}
+	if p.node.RevokeWithin <= 0 {
+		return p.recheckAge()
+	}
 	return min(p.node.RevokeWithin/2, p.recheckAge())
 }
 
--- a/internal/edge/process/helpers.go
+++ b/internal/edge/process/helpers.go
@@ -18,22 +18,34 @@
 
 // isMovable reports whether a call can go on at another target while it runs.
 func (p *Process) isMovable(a *edge.AuthorizedCall) bool {
-	return a.Service.Engine != nil && a.Service.Engine.SupportsMigration && len(p.targets.View().Serving(a.Service.Name)) > 1
+	if a.Service.Engine == nil || !a.Service.Engine.SupportsMigration {
+		return false
+	}
+	view := p.targets.View()
+	if a.Regions.Restricted {
+		view = view.Only(a.Service.Name, func(domain string) bool { return p.streaming.Regions.Allows(a.Regions, domain) })
+	}
+	return len(view.Serving(a.Service.Name)) > 1
 }
 
 // watchHelpers moves runs off their engines when the helpers by way of which their streams come are
 // stopping, until ctx ends. The runs go on by this host's own connections, or by another helper.
 func (p *Process) watchHelpers(ctx context.Context) {
+	var checks sync.WaitGroup
+	defer checks.Wait()
+	var checked sync.Map // helpers whose check or moves are in progress: those of others don't wait for them
 	for ctx.Err() == nil {
-		var checks sync.WaitGroup
 		for helper, runs := range p.runsByHelper() {
+			if _, inProgress := checked.LoadOrStore(helper, true); inProgress {
+				continue
+			}
 			checks.Go(func() {
+				defer checked.Delete(helper)
 				if p.exchange.HelperIsDraining(ctx, helper) {
 					p.leaveHelper(ctx, helper, runs)
 				}
 			})
 		}
-		checks.Wait()
 		wait.For(ctx, helperCheckInterval)
 	}
 }
--- a/internal/edge/warmup/tracker.go
+++ b/internal/edge/warmup/tracker.go
@@ -81,9 +81,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.shares.observe(hosts, now)
+	var last bootclock.Instant
 	for incarnation, s := range t.targets {
 		t.note(incarnation, s, "time", now)
+		last = max(last, s.until())
 	}
+	t.coldEnds.Store(int64(last)) // a later statement may have ended a time that was stated before
 }
 
 // ObserveEntry records that an entry of the target list has been read. An entry that was read before
@@ -99,6 +102,8 @@
 	case s.revision == revision:
 		s.seenAt = now
 		return
+	default:
+		t.note(incarnation, s, "time", now)
 	}
 	s.service, s.revision, s.seenAt = service, revision, now
 	if _, coldFor := t.service(service); coldFor > 0 {
@@ -125,6 +130,7 @@
 	if s == nil || left <= 0 && s.byAnswer == 0 {
 		return
 	}
+	t.note(incarnation, s, "time", now)
 	s.byAnswer = 0
 	if left > 0 {
 		s.byAnswer, s.toldAt = now.Add(min(left, maxCold)), now
@@ -142,6 +148,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s := t.targets[incarnation]; s != nil {
+		t.note(incarnation, s, "time", now)
 		s.byMark, s.markedAt = max(s.byMark, until), max(s.markedAt, revision)
 		t.note(incarnation, s, "mark", now)
 	}
@@ -176,6 +183,7 @@
 		if s == nil || n.Left <= 0 {
 			continue
 		}
+		t.note(n.Incarnation, s, "time", now)
 		// Each way between hosts adds to what is left. Notices that go back and forth must not make
 		// each other last.
 		until := now.Add(min(n.Left, maxCold))
@@ -297,7 +305,9 @@
 	return s
 }
 
-// note logs that a target has become cold or warm, and counts it. Callers hold t.mu.
+// note logs that a target has become cold or warm, and counts it. It is called before each change
+// of until when a target is cold, too: one that was warm for a moment has no permits left from
+// before. Callers hold t.mu.
 func (t *Tracker) note(incarnation string, s *target, source string, now bootclock.Instant) {
 	until := s.until()
 	t.coldEnds.Store(max(t.coldEnds.Load(), int64(until)))
--- a/internal/edge/warmup/tracker_test.go
+++ b/internal/edge/warmup/tracker_test.go
@@ -205,3 +205,16 @@
 	_, _, wanted := tracker.Wanted(start)
 	require.False(t, wanted)
 }
+
+// A target turned warm and cold again before the host next looked at the time. What it was sent without a
+// bound meanwhile may arrive in the same second as what had accrued.
+func TestNothingAccruesWhileTheTargetIsWarm(t *testing.T) {
+	tracker := New(slog.New(slog.DiscardHandler), "host", node.ColdBound{Factor: 1.5, Slack: 5}, func(string) (float64, time.Duration) { return 20, time.Minute })
+	tracker.Refresh([]string{"host"}, start.Add(-time.Minute))
+	tracker.ObserveEntry(incarnation, "s", 1, time.Second, start)
+	now := start.Add(1100 * time.Millisecond)
+	require.True(t, tracker.Take(incarnation, false, now), "not bounded")
+	tracker.ObserveAnswer(incarnation, 5*time.Second, now)
+	require.True(t, tracker.IsCold(incarnation, now))
+	require.False(t, tracker.Take(incarnation, false, now))
+}
