Review: connections of rejected requests, default of header lines

Found by review. Clients without a key could keep all connections of a host: net/http waited without a limit for the rest of the body of a request that had been rejected, and for callers that read no answers to such requests.

A body that keeps arriving gives way after one that stands still. The answer of a failed call no longer makes its repetition wait for memory.

--- a/internal/edge/ingress/callerconn.go
+++ b/internal/edge/ingress/callerconn.go
@@ -43,6 +43,10 @@
 	switch c.state.Load() {
 	case connClosed:
 		return 0, net.ErrClosed
+	case connActive:
+		if c.receivesBody.Load() {
+			c.since.Store(int64(bootclock.Now())) // a body that keeps arriving gives way after one that stands still
+		}
 	case connReading:
 		if c.guard == nil || c.head.scan.over {
 			break
--- a/internal/edge/ingress/handler.go
+++ b/internal/edge/ingress/handler.go
@@ -78,6 +78,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	connection := recordRequest(r.Context())
+	connection.receiveBody(false) // of an earlier request that was rejected
 	hold, tooMuch := h.holdHead(r, arrived)
 	defer hold.Close()
 	if tooMuch != nil {
@@ -101,6 +102,10 @@
 		rejection = h.checkDrain(a, connection)
 	}
 	if rejection != nil {
+		if a == nil && r.ContentLength != 0 { // net/http reads the rest of the body before it answers
+			connection.receiveBody(true)
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(lingerTime)) // ignored: not supported in tests
+		}
 		h.reject(w, &call, rejection, arrived)
 		return
 	}
@@ -265,5 +270,6 @@
 	h.Log.Warn("ingress: request refused", "request", c.ID, "host", c.Host, "path", c.Path, "status", rejection.Status,
 		"reason", rejection.Reason, "policy", version, "policy_age_ms", h.Confirmer.Age().Milliseconds(), "took_ms", took.Milliseconds(),
 		"held_bytes", h.Memory.Held())
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(lingerTime)) // a caller may not read; ignored: not supported in tests
 	rejection.Write(w, h.Wire)
 }
--- a/internal/edge/ingress/headguard.go
+++ b/internal/edge/ingress/headguard.go
@@ -15,9 +15,9 @@
 )
 
 const (
-	// DefaultMaxHeaderLines bounds the header lines of a request. An ordinary line has 16 bytes or more, so
-	// that 16,384 bytes of them are no more lines.
-	DefaultMaxHeaderLines = 1024
+	// DefaultMaxHeaderLines bounds the header lines of a request. The shortest line has 3 bytes, so that
+	// 16,384 bytes hold no more lines.
+	DefaultMaxHeaderLines = 5462
 	// freeHeaderLines of a head are not charged while it arrives: ordinary heads cost nothing then.
 	freeHeaderLines = 64
 	// partialLineCost is what a header line costs while the head is incomplete: an entry of a map, a slice
--- a/internal/edge/memquota/budget.go
+++ b/internal/edge/memquota/budget.go
@@ -108,7 +108,8 @@
 // the verdict is not Granted.
 func (b *Budget) Open(cost int64, now bootclock.Instant) (Hold, Verdict) {
 	h := Hold{budget: b}
-	return h, h.Grow(cost, now)
+	verdict := h.Grow(cost, now)
+	return h, verdict
 }
 
 // grow adds bytes to a tracked request, if need be after the rejection of others. There must be room for
--- a/internal/edge/plain/outcome.go
+++ b/internal/edge/plain/outcome.go
@@ -73,6 +73,9 @@
 // readBody reads the body of a response into the outcome of its send.
 func (s *Server) readBody(ctx, served context.Context, account string, response *targetconn.Response, o *outcome) {
 	defer response.Close()
+	if response.Status >= http.StatusInternalServerError {
+		account = "" // a call that is sent again would wait for what its failed answer holds
+	}
 	var giveBack func()
 	body, err := response.ReadAllReserved(maxBodyBytes, smallBodyBytes, func(bytes int64) error {
 		var err error
--- a/internal/edge/process/settings.go
+++ b/internal/edge/process/settings.go
@@ -14,7 +14,7 @@
 	PrintConfig    bool   `flag:"print-config" usage:"print the settings and exit"`
 	MemoryShare    int    `flag:"memory-share" default:"70" usage:"percent of the host's memory that the Go runtime may fill before it collects garbage more often" validate:"min=10,max=95"`
 	HeldShare      int    `flag:"held-share" default:"30" usage:"percent of the host's memory that requests, bodies and answers of callers may hold" validate:"min=5,max=60"`
-	MaxHeaderLines int    `flag:"max-header-lines" default:"1024" usage:"header lines of a caller's request beyond which it is answered with 431" validate:"min=64,max=20000"`
+	MaxHeaderLines int    `flag:"max-header-lines" default:"5462" usage:"header lines of a caller's request beyond which it is answered with 431" validate:"min=64,max=20000"`
 	ReplicaShare   int    `flag:"backup-share" default:"60" usage:"percent of an engine's memory that may be expected in use with a copy that stands by for a run of another engine; 0 keeps no copies" validate:"min=0,max=90"`
 	LogLevel       string `flag:"log-level" default:"info" usage:"lowest level that is logged: debug, info, warn or error" validate:"oneof=debug info warn error"`
 	telemetry.Settings
