--- a/internal/edge/ingress/regions_test.go
+++ b/internal/edge/ingress/regions_test.go
@@ -35,13 +35,15 @@
 
 // The regions of a call are those of its route and its account, as of its authorization.
 func TestCallGetsTheRegionsOfItsRouteAndItsAccount(t *testing.T) {
-	const text = `{"version":1,"routes":[
-		{"name":"both","host":"desk.example","prefix":"/both/","kind":"idempotent","service":"s","timeoutMs":1000,"maxAttempts":1,"allowedRegions":["x","z"]},
-		{"name":"open","host":"desk.example","prefix":"/open/","kind":"idempotent","service":"s","timeoutMs":1000,"maxAttempts":1},
-		{"name":"public","host":"desk.example","prefix":"/public/","kind":"idempotent","service":"s","timeoutMs":1000,"maxAttempts":1,"public":true}],
-		"services":[{"name":"s"}],"tenants":[{"name":"a","apiKeys":["key-1"],"allowedRegions":["x","y"]},{"name":"b","apiKeys":["key-2"]}]}`
-	holder := policy.NewHolder(platform.DecodeConfiguration)
-	_, err := holder.ApplyIfNewer([]byte(text), 1)
+	route := func(name string, public bool, regions ...string) policy.Route {
+		return policy.Route{Name: name, Host: "desk.example", Prefix: "/" + name + "/", Kind: policy.Idempotent, Timeout: time.Second, MaxAttempts: 1,
+			Public: public, AllowedRegions: regions, Backends: []policy.Backend{{Service: "s", Weight: 1}}}
+	}
+	holder := policy.NewHolder(func([]byte) (*policy.Configuration, error) {
+		return policy.New(1, policy.Limits{}, []policy.Route{route("both", false, "x", "z"), route("open", false), route("public", true)},
+			[]policy.Service{{Name: "s"}}, []policy.Account{{Name: "a", Keys: []string{"key-1"}, AllowedRegions: []string{"x", "y"}}, {Name: "b", Keys: []string{"key-2"}}}), nil
+	})
+	_, err := holder.ApplyIfNewer(nil, 1)
 	require.NoError(t, err)
 	log, server := slog.New(slog.DiscardHandler), &notingServer{}
 	confirmer := freshness.New(log, func() time.Duration { return time.Hour }, func(context.Context) (bootclock.Instant, error) { return bootclock.Now(), nil })
--- a/tests/clients/crowd_test.go
+++ b/tests/clients/crowd_test.go
@@ -11,6 +11,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"corianderhitch/platform/headers"
 )
 
 const (
@@ -128,5 +130,5 @@
 	fill(1<<20, func(i int) string { return name(i) + ":x\r\n" }),
 	fill(1<<20, func(i int) string { return "!#$%&'*+-." + name(i) + ": \t y\r\n" }),
 	fill(900, func(i int) string { return "x-ab-cd-" + name(i) + ": z\r\n" }),
-	"Prompt-Prefix: " + strings.Repeat("a:1,", maxHeadBytes/4-10) + "b:1\r\nToken-Usage: 800,160\r\n",
+	headers.PromptPrefix + ": " + strings.Repeat("a:1,", maxHeadBytes/4-10) + "b:1\r\n" + headers.TokenUsage + ": 800,160\r\n",
 }
