Hubs: one that the store does not answer no longer counts as following it

Callers were sent to targets that had left: while the store answered all hosts but the two hubs, the other hosts went on with the hubs' list of targets for up to 23 s.

Cause: a feed counted as live as long as its watch waited, and a watch that waits looks the same whether nothing changes or nothing arrives. The hub's own confirmations failed meanwhile, without effect on what it told others.

A confirmation that the store leaves unanswered for 0.6 s, or rejects for so long, now ends the watches: the feed counts as lost as of the last answer, and lists again, since changes may have been lost. A hub then states that it does not follow the store, and hosts ask the other hub, or follow the store themselves, at once instead of after the timeout for hubs that are dead.

--- a/internal/edge/feed/feed.go
+++ b/internal/edge/feed/feed.go
@@ -7,9 +7,12 @@
 	"context"
 	"errors"
 	"log/slog"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/platform"
 	"corianderhitch/internal/wait"
@@ -21,6 +24,9 @@
 	liveGrace = 800 * time.Millisecond
 )
 
+// errInterrupted ends a watch after Interrupt.
+var errInterrupted = eris.New("feed: other calls to the store are not answered; the watch was ended")
+
 // Sink receives what a Feed reads. One goroutine calls its methods.
 type Sink interface {
 	// Replace passes a complete list. If settled is false, the store has just come
@@ -55,8 +61,13 @@
 	settling  bool              // missing entries are kept
 	settledAt bootclock.Instant // when settling ends
 
-	state  atomic.Int32 // a followState
-	lostAt atomic.Int64 // bootclock.Instant of the failure that changed the state to lost
+	state  atomic.Int32 // a followState; changed under mu
+	lostAt atomic.Int64 // bootclock.Instant as of which the state changed to lost
+
+	mu          sync.Mutex
+	endWatch    context.CancelFunc // guarded by mu; ends the watch in progress; nil if there is none
+	interrupted bool               // guarded by mu; the next watch must not begin
+	answeredAt  bootclock.Instant  // guarded by mu; lastAnswer of the latest Interrupt
 }
 
 type followState int32
@@ -80,24 +91,84 @@
 	}
 }
 
+// Interrupt ends the watch because the store has not answered other calls since lastAnswer. A
+// watch that waits doesn't show that: it looks the same while nothing changes. The feed no longer
+// counts as live if lastAnswer is longer ago than liveGrace, and lists again, since changes may have
+// been lost.
+func (f *Feed) Interrupt(lastAnswer bootclock.Instant) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.markLostLocked(lastAnswer) {
+		return
+	}
+	f.answeredAt = lastAnswer
+	if f.endWatch != nil {
+		f.endWatch()
+	} else {
+		f.interrupted = true
+	}
+}
+
+// otherAnswer returns when the store answered a call of others before the latest Interrupt.
+func (f *Feed) otherAnswer() bootclock.Instant {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.answeredAt
+}
+
+// setLive records that the store has answered.
+func (f *Feed) setLive() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.state.Store(int32(live))
+	f.interrupted = false
+}
+
 // markLost changes the state from live to lost. It has no effect in other states.
 func (f *Feed) markLost() {
-	if followState(f.state.Load()) == live {
-		f.lostAt.Store(int64(bootclock.Now()))
-		f.state.Store(int32(lost))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.markLostLocked(bootclock.Now())
+}
+
+// markLostLocked is markLost as of an instant. It reports whether it changed the state. Callers hold f.mu.
+func (f *Feed) markLostLocked(at bootclock.Instant) bool {
+	if followState(f.state.Load()) != live {
+		return false
+	}
+	f.lostAt.Store(int64(at))
+	f.state.Store(int32(lost))
+	return true
+}
+
+// beginWatch returns the context of the next watch, which Interrupt cancels, and a function that must be
+// called at its end. ok is false if the feed was interrupted before.
+func (f *Feed) beginWatch(ctx context.Context) (watchCtx context.Context, end func(), ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.interrupted {
+		return ctx, func() {}, false
 	}
+	watchCtx, cancel := context.WithCancel(ctx)
+	f.endWatch = cancel
+	return watchCtx, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.endWatch = nil
+		cancel()
+	}, true
 }
 
 // Run follows the prefix until ctx ends.
 func (f *Feed) Run(ctx context.Context) {
 	lastReached := bootclock.Now()
 	unreachable := false
-	defer f.state.Store(int32(stopped))
+	defer f.stop()
 	for ctx.Err() == nil {
 		revision, err := f.list(ctx, lastReached)
 		for err == nil {
 			lastReached = bootclock.Now()
-			f.state.Store(int32(live))
+			f.setLive()
 			if unreachable {
 				unreachable = false
 				f.Log.Info("feed: store is reachable again", "prefix", f.Prefix, "revision", revision)
@@ -125,6 +196,12 @@
 	}
 }
 
+func (f *Feed) stop() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.state.Store(int32(stopped))
+}
+
 // list reads all entries. After an outage or a restore of the store, missing entries are
 // kept until the SettlePeriod has passed: leases expire during an outage, a restored store
 // has lost what was written since the copy, and the owners need some time to write their
@@ -134,7 +211,7 @@
 	if err != nil {
 		return 0, err
 	}
-	outage := bootclock.Since(lastReached)
+	outage := bootclock.Since(max(lastReached, f.otherAnswer()))
 	restored := f.EraSettled != nil && !f.EraSettled(revision.Era())
 	now := bootclock.Now()
 	switch {
@@ -153,19 +230,27 @@
 // While the list is settling it waits no longer than that, and does not apply deletions:
 // an entry that expires has owners who may still write it again.
 func (f *Feed) watch(ctx context.Context, after platform.Revision) (platform.Revision, error) {
-	watchCtx := ctx
+	interruptible, end, ok := f.beginWatch(ctx)
+	defer end()
+	if !ok {
+		return after, errInterrupted
+	}
+	watchCtx := interruptible
 	if f.settling {
 		var cancel context.CancelFunc
-		watchCtx, cancel = context.WithTimeout(ctx, f.settledAt.Sub(bootclock.Now()))
+		watchCtx, cancel = context.WithTimeout(interruptible, f.settledAt.Sub(bootclock.Now()))
 		defer cancel()
 	}
 	events, next, err := f.Store.Watch(watchCtx, f.Prefix, after)
 	if f.settling {
 		events = withoutDeletions(events)
-		if err != nil && watchCtx.Err() != nil && ctx.Err() == nil {
+		if err != nil && watchCtx.Err() != nil && interruptible.Err() == nil {
 			return after, nil // the wait ended, not the connection
 		}
 	}
+	if err != nil && interruptible.Err() != nil && ctx.Err() == nil {
+		return after, errInterrupted
+	}
 	if err != nil {
 		return after, err
 	}
--- a/internal/edge/peers/exchange.go
+++ b/internal/edge/peers/exchange.go
@@ -88,6 +88,7 @@
 
 	mu            sync.Mutex
 	unresponsive  map[string]bool   // guarded by mu; hosts whose last call failed
+	notFollowing  map[string]bool   // guarded by mu; hosts that stated last that they don't follow the store
 	lastHubAnswer bootclock.Instant // guarded by mu; see LastHubAnswer
 	placesLate    map[string]bool   // guarded by mu; hubs whose last placement call failed
 	placePaused   map[string]bool   // guarded by mu; those of them that have answered no other call since
@@ -106,7 +107,7 @@
 	if e.Quarantine == nil {
 		e.Quarantine = quarantine.New(e.Host, nil)
 	}
-	e.unresponsive = make(map[string]bool)
+	e.unresponsive, e.notFollowing = make(map[string]bool), make(map[string]bool)
 	e.placesLate, e.placePaused = make(map[string]bool), make(map[string]bool)
 }
 
@@ -187,27 +188,60 @@
 }
 
 // HasLiveHub reports whether a hub that follows the store has answered within hubTimeout. If
-// no hub answered the last call, minHubTimeout applies.
+// no hub answered the last call, minHubTimeout applies. It returns false as soon as no hub is left that
+// may follow the store and one has stated that it doesn't.
 func (e *Exchange) HasLiveHub() bool {
 	answeredAt := e.LastHubAnswer()
 	if answeredAt == 0 {
 		return false
 	}
 	timeout := minHubTimeout
-	if e.hasResponsiveHub() {
+	switch following, stated := e.hubStates(); {
+	case following:
 		timeout = hubTimeout(e.SyncInterval())
+	case stated:
+		return false
 	}
 	return bootclock.Since(answeredAt) < timeout
 }
 
-// hasResponsiveHub reports whether the last call to one of the hubs succeeded.
-func (e *Exchange) hasResponsiveHub() bool {
-	for _, hub := range e.Members.Hubs() {
-		if hub.Name != e.Host && e.isResponsive(hub.Name) {
-			return true
+// hubStates reports whether a hub may follow the store, by its answer to the last call, and whether
+// one that answers has stated that it doesn't.
+func (e *Exchange) hubStates() (following, statedOtherwise bool) {
+	hubs := e.Members.Hubs()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, hub := range hubs {
+		switch {
+		case hub.Name == e.Host || e.unresponsive[hub.Name]:
+		case e.notFollowing[hub.Name]:
+			statedOtherwise = true
+		default:
+			following = true
 		}
 	}
-	return false
+	return following, statedOtherwise
+}
+
+// mayFollow reports whether the last call to a hub succeeded and the hub did not state that it
+// doesn't follow the store.
+func (e *Exchange) mayFollow(hub string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.unresponsive[hub] && !e.notFollowing[hub]
+}
+
+// recordFollowing records whether a hub states that it follows the store. It asks the other hub at once
+// when one has stopped.
+func (e *Exchange) recordFollowing(hub string, following bool) {
+	e.mu.Lock()
+	before := e.notFollowing[hub]
+	e.notFollowing[hub] = !following
+	e.mu.Unlock()
+	if !following && !before {
+		e.Log.Info("peers: hub does not follow the store", "hub", hub)
+		e.SyncNow()
+	}
 }
 
 // call sends an RPC to a host and logs when the host becomes unresponsive or
--- a/internal/edge/peers/hubtimeout_test.go
+++ b/internal/edge/peers/hubtimeout_test.go
@@ -66,3 +66,18 @@
 	require.NoError(t, (&service{e}).Notice(NoticeArgs{Host: "other"}, new(NoticeReply)))
 	require.True(t, syncIsRequested(e), "the other hub hears of it")
 }
+
+// Hosts went on for the whole timeout with the lists of hubs that had said that they lost the store.
+func TestHubsThatStateThatTheyDoNotFollowTheStoreAreNotLive(t *testing.T) {
+	e, _ := newAskingExchange(t, relay.Host{Name: "hub-1"}, relay.Host{Name: "hub-2"})
+	e.lastHubAnswer = bootclock.Now()
+	e.recordFollowing("hub-1", false)
+	require.True(t, syncIsRequested(e), "the other hub is asked at once")
+	require.True(t, e.HasLiveHub(), "the other hub may follow the store")
+	e.recordFollowing("hub-2", false)
+	require.False(t, e.HasLiveHub())
+	e.recordFollowing("hub-2", true)
+	require.True(t, e.HasLiveHub())
+	e.unresponsive["hub-2"] = true
+	require.False(t, e.HasLiveHub())
+}
--- a/internal/edge/peers/sync.go
+++ b/internal/edge/peers/sync.go
@@ -40,7 +40,7 @@
 		}
 		timer.Reset(e.SyncInterval())
 		for rank, hub := range e.Members.Hubs() {
-			due := rank == 0 || requested || round%standbySyncEvery == 0 || !e.isResponsive(e.Members.Hubs()[0].Name)
+			due := rank == 0 || requested || round%standbySyncEvery == 0 || !e.mayFollow(e.Members.Hubs()[0].Name)
 			if hub.Name != e.Host && due {
 				go e.sync(ctx, hub, round%fleetLoadEvery == 0 || len(e.Members.Hubs()) < relay.HubCount)
 			}
@@ -125,6 +125,7 @@
 	if confirmedAt, ok := e.applyConfirmation(hub.Address, askedAt, &reply.Vouch); ok {
 		e.Confirmer.RecordConfirmation(confirmedAt)
 	}
+	e.recordFollowing(hub.Name, reply.Live)
 	if !reply.Live {
 		return
 	}
--- a/internal/edge/process/confirm.go
+++ b/internal/edge/process/confirm.go
@@ -8,6 +8,7 @@
 
 	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/edge/freshness"
+	"corianderhitch/internal/platform"
 )
 
 const (
@@ -31,6 +32,8 @@
 	// secondSourceDelay is how long the first source may take before the second is
 	// asked as well.
 	secondSourceDelay = 300 * time.Millisecond
+	// storeConfirmTimeout bounds a confirmation by the store.
+	storeConfirmTimeout = 1200 * time.Millisecond
 )
 
 // maxKeyAge returns the maximum age of the last confirmation for API keys to be
@@ -146,7 +149,14 @@
 	asOf := bootclock.Now()
 	era := p.eras.Current()
 	settled := p.eras.Settled(era)
-	entry, err := p.readOperator(ctx, settled, era)
+	// The call goes on if a peer confirms first: whether the store answers it matters to a hub.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), storeConfirmTimeout)
+	defer cancel()
+	var entry platform.Entry
+	err := p.contact.observe(func() (err error) {
+		entry, err = p.readOperator(ctx, settled, era)
+		return err
+	})
 	if err != nil {
 		return 0, err
 	}
--- a/internal/edge/process/follow.go
+++ b/internal/edge/process/follow.go
@@ -87,6 +87,15 @@
 // live reports whether this host currently follows the store.
 func (f *feeds) live() bool { return f.policy.Live() && f.targets.Live() }
 
+// onStoreSilence interrupts the feeds, so that other hosts don't take this one for a host that follows the store.
+func (p *Process) onStoreSilence(lastAnswer bootclock.Instant) {
+	if p.feeds.live() {
+		p.log.Warn("edge: store does not answer confirmations, ending the watches", "answered_ms_ago", bootclock.Since(lastAnswer).Milliseconds(), "hub", p.exchange.IsHub())
+	}
+	p.feeds.policy.Interrupt(lastAnswer)
+	p.feeds.targets.Interrupt(lastAnswer)
+}
+
 // follow follows the store while this host is a hub or has no live hub.
 func (p *Process) follow(ctx context.Context) {
 	var stop func()
--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -87,6 +87,7 @@
 	metrics       *metrics.Metrics
 	targetLog     *relay.ChangeLog
 	feeds         *feeds
+	contact       storeContact
 	placementRate placement.Rate
 	targetsListed atomic.Bool
 	drain         *draining.Drain
@@ -179,6 +180,7 @@
 		IsHost: func(ip string) bool { return p.members.HasIP(ip) }, Bodies: b.memory.Part(b.memory.Size() / forwardedBodiesPart)}
 	p.targetLog = relay.NewChangeLog(p.newTargetSink())
 	p.feeds = p.newFeeds()
+	p.contact.onSilence = p.onStoreSilence
 	p.confirmer = freshness.New(log, p.confirmPeriod, p.confirm)
 	p.members = peers.NewMembers(log, p.store, p.eras, relay.Host{Name: n.Name, Address: n.PeerAddress(), CPUs: n.CPUs, Mbps: n.LinkMbps, Forward: n.ForwardAddress(), Region: n.Region})
 	health := ejection.New()
--- a/tests/edge/fleet_test.go
+++ b/tests/edge/fleet_test.go
@@ -36,7 +36,10 @@
 	revokeWithin  = 2 * time.Second // default within which a withdrawn key stops being served
 	callerTimeout = 8 * time.Second // deadline of callers and routes
 	waitTimeout   = 10 * time.Second
-	checkInterval = 5 * time.Millisecond
+	// Time-outs of the client of a store that does not answer.
+	silentReadTimeout  = 1500 * time.Millisecond
+	silentWatchTimeout = 23 * time.Second
+	checkInterval      = 5 * time.Millisecond
 )
 
 // fleet is a group of edge hosts that share one store.
@@ -52,6 +55,8 @@
 	logLevel string
 	// revokeWithin is within which hosts that start later stop serving a withdrawn key.
 	revokeWithin time.Duration
+	// applyWithin is within which hosts that start later put a configuration in force, 0 for no bound.
+	applyWithin time.Duration
 	// maxConnections is how many connections a target accepts, 0 for the default.
 	maxConnections int
 	// routeTimeout is that of all routes, 0 for callerTimeout.
@@ -91,6 +96,7 @@
 type partitionableStore struct {
 	*memstore.Store
 	hangRevoke  atomic.Bool // Revoke is not answered
+	silent      atomic.Bool // no read is answered; answers that come meanwhile are lost
 	mu          sync.Mutex
 	partitioned bool
 }
@@ -107,15 +113,28 @@
 	return s.partitioned
 }
 
+// silentFor blocks while the store is silent, as long as the platform's client waits. It reports whether
+// the answer of a call is lost.
+func (s *partitionableStore) silentFor(ctx context.Context, timeout time.Duration) bool {
+	if !s.silent.Load() {
+		return false
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(timeout):
+	}
+	return true
+}
+
 func (s *partitionableStore) Get(ctx context.Context, key string) (ports.Entry, error) {
-	if s.isPartitioned() {
+	if s.isPartitioned() || s.silentFor(ctx, silentReadTimeout) {
 		return ports.Entry{}, ports.ErrUnavailable
 	}
 	return s.Store.Get(ctx, key)
 }
 
 func (s *partitionableStore) List(ctx context.Context, prefix, after string, limit int) ([]ports.Entry, ports.Revision, error) {
-	if s.isPartitioned() {
+	if s.isPartitioned() || s.silentFor(ctx, silentReadTimeout) {
 		return nil, 0, ports.ErrUnavailable
 	}
 	return s.Store.List(ctx, prefix, after, limit)
@@ -130,7 +149,7 @@
 		return nil, 0, ports.ErrUnavailable
 	}
 	events, next, err := s.Store.Watch(ctx, prefix, after)
-	if s.isPartitioned() {
+	if s.isPartitioned() || s.silentFor(ctx, silentWatchTimeout) {
 		return nil, 0, ports.ErrUnavailable
 	}
 	return events, next, err
@@ -206,7 +225,7 @@
 	adapter.ReadNode = func(string) (node.Node, error) {
 		return node.Node{
 			Name: fmt.Sprintf("host-%d", n), IP: ip, Domain: "a", CallerAddress: callerAddress, ReadinessAddress: readinessAddress, StoreAddress: "test",
-			FirstPort: port, LastPort: port + 1, Grace: f.grace, RevokeStrict: true, RevokeWithin: f.revokeWithin,
+			FirstPort: port, LastPort: port + 1, Grace: f.grace, RevokeStrict: true, RevokeWithin: f.revokeWithin, ApplyWithin: f.applyWithin,
 			// A process that has just started repeats little of what callers send, and the
 			// tests send few requests.
 			Retry: node.RetryBudget{Ratio: 50, Slack: 50, Window: 10 * time.Second}, TargetHeartbeat: 1200 * time.Millisecond, EvacuateWithin: f.evacuateWithin,
