Peers: a call that its own host cancels says nothing about the other host

A host that asks four peers for a confirmation cancels the other calls once one has answered. It then took the others for unresponsive, and closed their connections with all calls on them. If both hubs were among them, a host of a large fleet followed the store itself for no reason (the timeout for hubs that do not answer is shorter than the interval of its syncs), and syncs on the closed connections were lost. Seen in the log of the test of silent hubs: hosts that "answer again" without having failed.

A canceled call now leaves both as they are; one that times out does not.

The new test failed before: the host counted as unresponsive.

--- a/internal/edge/peers/confirmation_test.go
+++ b/internal/edge/peers/confirmation_test.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"context"
 	"log/slog"
 	"testing"
 	"time"
@@ -41,3 +42,21 @@
 	require.ErrorContains(t, err, "none of 2 peers")
 	require.Less(t, time.Since(started), callTimeout/2)
 }
+
+// ConfirmByPeers cancels its calls to the other hosts once one has answered. These counted as
+// unresponsive, and their connection was closed with all calls on it: a hub among them seemed dead.
+func TestCanceledCallSaysNothingAboutTheHost(t *testing.T) {
+	hub, host := startScriptedHub(t, "hub")
+	e, logs := newAskingExchange(t, host)
+	hub.noticeDelay.Store(int64(callTimeout / 4))
+	other := make(chan error, 1)
+	go func() {
+		other <- e.call(t.Context(), host.Name, host.Address, "Notice", NoticeArgs{}, new(NoticeReply))
+	}()
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(callTimeout/16, cancel)
+	require.Error(t, e.call(ctx, host.Name, host.Address, "Notice", NoticeArgs{}, new(NoticeReply)))
+	require.True(t, e.isResponsive(host.Name))
+	require.NoError(t, <-other, "another call on the same connection")
+	require.Zero(t, logs.countLines("does not answer"))
+}
--- a/internal/edge/peers/exchange.go
+++ b/internal/edge/peers/exchange.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -250,6 +251,9 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	err := e.pool.Call(ctx, address, serviceName+"."+method, args, reply)
+	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
+		return err // nobody waits any more, which says nothing about the host
+	}
 	if err != nil {
 		e.pool.Disconnect(address)
 	}
@@ -261,7 +265,7 @@
 	}
 	e.mu.Unlock()
 	switch {
-	case err != nil && !wasUnresponsive && ctx.Err() != context.Canceled:
+	case err != nil && !wasUnresponsive:
 		e.Log.Warn("peers: host does not answer", "host", host, "address", address, "error", err.Error())
 	case err == nil && wasUnresponsive:
 		e.Log.Info("peers: host answers again", "host", host)
