Confirmation: the period of a host keeps each bound, also one of about a second

With a bound of one second on evacuations or withdrawn keys, a host whose hubs hear nothing asked the store for itself after 0.5 s, with 0.3 s for its peers and as much for the lookup: 1.1 s. What the operator had withdrawn stayed in force for too long.

The period is now the shortest that each bound allows on its own, less the time of the lookup, and at least 0.1 s. Bounds of the deployments we know are 2 to 5 s, for which nothing changes.

--- a/internal/edge/process/confirm.go
+++ b/internal/edge/process/confirm.go
@@ -32,6 +32,11 @@
 	// secondSourceDelay is how long the first source may take before the second is
 	// asked as well.
 	secondSourceDelay = 300 * time.Millisecond
+	// lookupTime is how long a confirmation by the store takes, with the requests that were admitted
+	// before it ended.
+	lookupTime = 300 * time.Millisecond
+	// minConfirmPeriod keeps bounds that are too short for a confirmation from loading the store.
+	minConfirmPeriod = 100 * time.Millisecond
 	// storeConfirmTimeout bounds a confirmation by the store.
 	storeConfirmTimeout = 1200 * time.Millisecond
 )
@@ -69,13 +74,16 @@
 	if p.exchange.IsHub() {
 		keyShare, period = hubConfirmShare, time.Duration(recheckConfirmShare*float64(p.recheckAge()))
 	}
+	within := func(bound time.Duration) time.Duration {
+		return min(time.Duration(keyShare*float64(bound)), bound-secondSourceDelay-lookupTime)
+	}
 	if p.maxKeyAge() > 0 {
-		period = min(period, time.Duration(keyShare*float64(p.node.RevokeWithin)))
+		period = min(period, within(p.node.RevokeWithin))
 	}
 	if p.node.EvacuateWithin > 0 {
-		period = min(period, time.Duration(keyShare*float64(p.node.EvacuateWithin)))
+		period = min(period, within(p.node.EvacuateWithin))
 	}
-	return period
+	return max(period, minConfirmPeriod)
 }
 
 // maxPeerConfirmationAge returns the maximum age of a confirmation that this host accepts from
