--- a/internal/edge/policy/configuration.go
+++ b/internal/edge/policy/configuration.go
@@ -62,7 +62,9 @@
 	}
 	for i := range accounts {
 		for _, key := range accounts[i].Keys {
-			c.byKey[key] = &accounts[i]
+			if key != "" { // a request without a key has the empty one
+				c.byKey[key] = &accounts[i]
+			}
 		}
 	}
 	return c
