Routes: a service with weight 0 gets no requests, also if all have it

An operator takes a service out of a split route by weight 0. Such a route has no service now; its requests are rejected at once (no_target).

--- a/internal/edge/policy/route.go
+++ b/internal/edge/policy/route.go
@@ -63,20 +63,21 @@
 }
 
 // PickService returns the service for a request, selected by a random number in
-// [0, 1), or "" if the route has none.
+// [0, 1), or "" if the route has none. A service with weight 0 gets no requests, also if it is the last.
 func (r *Route) PickService(draw float64) string {
 	total := 0
 	for _, b := range r.Backends {
-		total += b.Weight
+		total += max(0, b.Weight)
 	}
-	remaining := draw * float64(total)
+	remaining, picked := draw*float64(total), ""
 	for _, b := range r.Backends {
+		if b.Weight <= 0 {
+			continue
+		}
+		picked = b.Service
 		if remaining -= float64(b.Weight); remaining < 0 {
-			return b.Service
+			break
 		}
 	}
-	if len(r.Backends) == 0 {
-		return ""
-	}
-	return r.Backends[len(r.Backends)-1].Service
+	return picked
 }
