Streams: events of more than 32 KiB count as held for callers

Report of another operator: a faulty server sent bytes without end, and the machine that had called it ran out of memory with the requests of its other clients. Here each stream may hold 256 KiB of an event that does not end.

If it does not fit, the stream ends like one with a larger event: it goes on at another engine if it may. Events of the deployments have some tokens.

--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -197,6 +197,7 @@
 		Sender: sender, Engines: adapter.NewEngineClient(p.pool), Targets: p.targets, Inflight: p.inflight, Health: health,
 		Lengths: streaming.NewOutputLengths(), Queue: admission.New(p.inflight.Changed), Runs: streaming.NewRuns(p.onRunEntered),
 		RetryBudget: p.retryBudget, Domain: n.Domain, Regions: regionsOf(&n), EstimateSpread: p.estimateSpread, PlaceViaHub: p.exchange.PlaceAtHub, Drain: p.drain, Stalls: &p.stalls, Speeds: p.speeds,
+		Memory: b.memory,
 	}
 	p.streaming.CutOff = p.forwarder.cutOff
 	p.exchange.ChooseEngine = p.chooseForPeer
--- a/internal/edge/streaming/evidence.go
+++ b/internal/edge/streaming/evidence.go
@@ -162,7 +162,7 @@
 // isBroken reports whether a response ended as it does if the engine crashes. Rejected and
 // malformed responses are no sign of that.
 func isBroken(err error) bool {
-	for _, other := range []error{targetconn.ErrNotSent, targetconn.ErrInvalidResponse, errNotExecuted, errKeyUnconfirmed, errUnsigned, errMissingEvents, errEventTooLarge, edge.ErrHeld} {
+	for _, other := range []error{targetconn.ErrNotSent, targetconn.ErrInvalidResponse, errNotExecuted, errKeyUnconfirmed, errUnsigned, errMissingEvents, errEventTooLarge, errNoMemory, edge.ErrHeld} {
 		if errors.Is(err, other) {
 			return false
 		}
--- a/internal/edge/streaming/segment.go
+++ b/internal/edge/streaming/segment.go
@@ -9,20 +9,24 @@
 	"github.com/rotisserie/eris"
 
 	"corianderhitch/internal/edge/inflight"
+	"corianderhitch/internal/edge/memquota"
 	"corianderhitch/internal/edge/targetconn"
 	"corianderhitch/internal/edge/targets"
 )
 
 const (
 	initialBufferBytes = 2 << 10
-	// maxEventBytes bounds one event; a larger one ends the stream with an error. Each stream
-	// may hold that much.
+	// maxEventBytes bounds one event; a larger one ends the stream with an error.
 	maxEventBytes = 256 << 10
+	// smallBufferBytes is what each stream may hold without counting as memory held for callers. Events
+	// of some tokens are far smaller.
+	smallBufferBytes = 32 << 10
 )
 
 var (
 	errMissingEvents = eris.New("stream: event ids are not consecutive; the run cannot continue")
 	errEventTooLarge = eris.New("stream: event exceeds 256 KiB")
+	errNoMemory      = eris.New("stream: no memory was free for an event of more than 32 KiB")
 )
 
 // segment is the part of a stream that one target sends. It returns whole events
@@ -36,6 +40,8 @@
 	watch    *startWatch        // of the run's start at the target
 	// unreadAhead is the number of prompt tokens that the target had to prefill before the run's.
 	unreadAhead int
+	memory      *memquota.Budget // counts what the buffer holds beyond smallBufferBytes
+	charged     int64            // bytes that memory counts
 	buffer      []byte
 	start       int // buffer[start:end] has not been returned yet
 	end         int
@@ -102,7 +108,11 @@
 		if len(s.buffer) >= maxEventBytes {
 			return errEventTooLarge
 		}
-		larger := make([]byte, max(initialBufferBytes, 2*len(s.buffer)))
+		size := max(initialBufferBytes, 2*len(s.buffer))
+		if !s.charge(size) {
+			return errNoMemory
+		}
+		larger := make([]byte, size)
 		copy(larger, s.buffer)
 		s.buffer = larger
 	}
@@ -117,8 +127,24 @@
 	return err
 }
 
-// close ends the response and cancels the run at the target if it still executes.
+// charge counts the memory of a larger buffer as held. It returns false if the host has no memory for it.
+func (s *segment) charge(size int) bool {
+	more := int64(max(0, size-smallBufferBytes)) - s.charged
+	if more <= 0 {
+		return true
+	}
+	if !s.memory.TryCharge(more) {
+		return false
+	}
+	s.charged += more
+	return true
+}
+
+// close ends the response, cancels the run at the target if it still executes and gives its memory back.
 func (s *segment) close() {
+	s.buffer, s.start, s.end, s.searched = nil, 0, 0, 0
+	s.memory.Charge(-s.charged)
+	s.charged = 0
 	s.watch.stop()
 	s.response.Close()
 	s.cancel()
--- a/internal/edge/streaming/server.go
+++ b/internal/edge/streaming/server.go
@@ -16,6 +16,7 @@
 	"corianderhitch/internal/edge/draining"
 	"corianderhitch/internal/edge/ejection"
 	"corianderhitch/internal/edge/inflight"
+	"corianderhitch/internal/edge/memquota"
 	"corianderhitch/internal/edge/peers"
 	"corianderhitch/internal/edge/placement"
 	"corianderhitch/internal/edge/policy"
@@ -90,6 +91,8 @@
 	EstimateSpread func() int
 	// Turns holds the runs that wait in the order of all hosts; nil if hosts order only their own.
 	Turns *Turns
+	// Memory counts large events as held for callers; nil for no bound.
+	Memory *memquota.Budget
 }
 
 // Serve answers the call and returns its outcome.
@@ -303,7 +306,7 @@
 		s.Inflight.Remove(t.Key(), load)
 		return nil, err
 	}
-	return &segment{target: t, load: load, response: response, cancel: cancel, body: response, watch: watch, unreadAhead: ahead}, nil
+	return &segment{target: t, load: load, response: response, cancel: cancel, body: response, watch: watch, unreadAhead: ahead, memory: s.Memory}, nil
 }
 
 // send sends the call to a target and checks the head of its response. The returned
--- a/tests/clients/host_test.go
+++ b/tests/clients/host_test.go
@@ -29,6 +29,9 @@
 	apiKey  = "key-1"
 	account = "skippers"
 	service = "desk"
+	// Services whose targets are all at fault; none is started unless a test does.
+	faultyService = "faulty-desk"
+	faultyEngines = "faulty-engines"
 	// memoryMB and descriptors are those of the smallest hosts. reservedDescriptors are not the process's
 	// to use.
 	memoryMB            = 112
@@ -46,6 +49,7 @@
 type host struct {
 	address string
 	process *harness.Process
+	store   *standin.Store
 	// descriptors is how many the settings allow.
 	descriptors int
 
@@ -88,15 +92,19 @@
 	target := standin.StartPlainTarget("d-1", harness.FreeListener(t))
 	target.SetHandler(answer)
 	t.Cleanup(target.Close)
-	config := standin.Configuration{Version: 1, Timeout: requestTimeout, PlainServices: []string{service}, Account: account, Keys: []string{apiKey}, MaxBodyBytes: maxBodyBytes,
-		Routes: []standin.Route{{Name: "hold", Kind: standin.NonIdempotent, Service: service, Objective: 100 * time.Millisecond, Attempts: 1}}}
+	config := standin.Configuration{Version: 1, Timeout: requestTimeout, PlainServices: []string{service, faultyService}, EngineService: faultyEngines, Account: account, Keys: []string{apiKey}, MaxBodyBytes: maxBodyBytes,
+		Routes: []standin.Route{
+			{Name: "hold", Kind: standin.NonIdempotent, Service: service, Objective: 100 * time.Millisecond, Attempts: 1},
+			{Name: "check", Kind: standin.Idempotent, Service: faultyService, Objective: 100 * time.Millisecond, Attempts: 3},
+			{Name: "lookup", Kind: standin.Streaming, Service: faultyEngines, Objective: 1500 * time.Millisecond, Attempts: 3, Resumable: true},
+		}}
 	raw, err := config.Encode()
 	require.NoError(t, err)
 	_, err = store.Put(t.Context(), platform.ConfigurationKey, raw, ports.AnyRevision, 0)
 	require.NoError(t, err)
 	_, err = store.Put(t.Context(), platform.TargetPrefix+target.ID, standin.TargetEntry(service, target.Address(), "ready", 1000), ports.AnyRevision, 0)
 	require.NoError(t, err)
-	h := &host{address: harness.FreeAddress(t), descriptors: maxDescriptors, stop: make(chan struct{}), stopped: make(chan struct{})}
+	h := &host{store: store, address: harness.FreeAddress(t), descriptors: maxDescriptors, stop: make(chan struct{}), stopped: make(chan struct{})}
 	ready, port, dir := harness.FreeAddress(t), harness.FreePorts(t, 2), t.TempDir()
 	settings, err := json.Marshal(map[string]any{
 		"nodeName": "host-1", "ip": "127.0.0.1", "zone": "a", "region": "r", "zones": map[string]string{"a": "r"}, "listen": map[string]string{"front": h.address, "ready": ready},
