Quarantine: a trial without a result counts like a crash for the time until the next

A trial of a whole request that has no result within 10 s is now recorded like a crash at a target of its own. Trials of parts of prompts are left as they are: many requests have a part, and the next one tells.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -45,6 +45,9 @@
 func (t *Tracker) Since(now Instant, after uint64) (Evidence, uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.endTrials(now) {
+		t.decideAt = now // at the next check
+	}
 	if after >= t.seq {
 		return Evidence{}, t.seq
 	}
--- a/internal/quarantine/repeated_test.go
+++ b/internal/quarantine/repeated_test.go
@@ -147,7 +147,7 @@
 	}
 }
 
-// BUDGET: a request on probation that its target answers with an error is tried again every 10 s.
+// BUDGET: a request on probation that its target answered with an error was tried again every 10 s.
 func TestTrialsThatEndInErrorsAddUp(t *testing.T) {
 	t.Parallel()
 	for seed := range uint64(20) {
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -388,9 +388,9 @@
 		return nil, nil
 	}
 	var changes []Change
-	if now >= t.decideAt {
+	if ended := t.endTrials(now); ended || now >= t.decideAt {
 		t.prune(now)
-		changes = t.decide(now, true, false)
+		changes = t.decide(now, true, ended)
 	}
 	var onTrial []Key
 	for _, key := range keys {
