Hubs: a stall of the host is no silence of the store

A hub that was starved of the processor for 0.6 s found its confirmation unanswered, although the answer had only to be read, and ended its watches; if both hubs did, all hosts listed. While the process was stalled, only the end of the call tells now whether the store answered. The new test failed before with one silence.

--- a/internal/edge/process/storecontact.go
+++ b/internal/edge/process/storecontact.go
@@ -21,6 +21,9 @@
 	// onSilence is called with the start of the last call that was answered; nil for nothing. It may
 	// be called more than once in a silence.
 	onSilence func(lastAnswer bootclock.Instant)
+	// stalled reports whether this process was stalled at any time after an instant, so that an answer
+	// may wait unread; nil for never.
+	stalled func(since bootclock.Instant) bool
 
 	mu           sync.Mutex
 	answeredAt   bootclock.Instant // guarded by mu; start of the latest call that was answered
@@ -30,7 +33,11 @@
 // observe makes a short call to the store and records whether the store answers it.
 func (c *storeContact) observe(call func() error) error {
 	startedAt := bootclock.Now()
-	timer := time.AfterFunc(storeSilence, func() { c.failed(startedAt) })
+	timer := time.AfterFunc(storeSilence, func() {
+		if c.stalled == nil || !c.stalled(startedAt) { // otherwise the end of the call tells
+			c.failed(startedAt)
+		}
+	})
 	err := call()
 	timer.Stop()
 	if err == nil || errors.Is(err, platform.ErrNotFound) {
--- a/internal/edge/process/storecontact_test.go
+++ b/internal/edge/process/storecontact_test.go
@@ -39,3 +39,20 @@
 		})
 	}
 }
+
+// A host that was starved of the processor ended its watches, and with them those of all hosts behind it,
+// although the answer had only to be read.
+func TestStallOfTheHostIsNoSilenceOfTheStore(t *testing.T) {
+	silences := 0
+	contact := &storeContact{onSilence: func(bootclock.Instant) { silences++ }, stalled: func(bootclock.Instant) bool { return true }}
+	require.NoError(t, contact.observe(func() error {
+		time.Sleep(storeSilence * 5 / 4)
+		return nil
+	}))
+	require.Zero(t, silences)
+	_ = contact.observe(func() error {
+		time.Sleep(storeSilence * 5 / 4)
+		return platform.ErrUnavailable
+	})
+	require.Equal(t, 1, silences, "the call has failed in the end")
+}
