--- a/internal/edge/feed/feed.go
+++ b/internal/edge/feed/feed.go
@@ -109,7 +109,7 @@
 	}
 }
 
-// otherAnswer returns when the store answered a call of others before the latest Interrupt.
+// otherAnswer returns when the store last answered a call other than the feed's, as of the latest Interrupt.
 func (f *Feed) otherAnswer() bootclock.Instant {
 	f.mu.Lock()
 	defer f.mu.Unlock()
