Gateway: large answers of services are read within a bounded memory

Report of another operator, in the own form: a faulty service that sends most of a large answer to many calls at once made the gateway hold 8 MiB for each call; nothing bounded their sum.

Answers of more than 64 KiB wait for memory now, in two sizes, so that many answers of unknown length up to 1 MiB do not wait behind large ones. One service may use half of each, so that others are served. A call whose answer finds no memory in its time ends as one without a whole answer: it may have run.

--- a/internal/gateway/services/attempt.go
+++ b/internal/gateway/services/attempt.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"net/url"
 
@@ -60,15 +59,15 @@
 }
 
 // read reads the target's answer into the attempt and closes the body.
-func (a *attempt) read(resp *http.Response) {
+func (a *attempt) read(ctx context.Context, service string, resp *http.Response, memory *answerMemory) {
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
-	if err != nil {
-		a.err = eris.Wrap(errIncompleteAnswer, err.Error())
+	body, err := memory.readBody(ctx, service, resp)
+	if errors.Is(err, errAnswerTooLarge) || errors.Is(err, errNoMemory) {
+		a.err = err
 		return
 	}
-	if len(body) > maxAnswerBytes {
-		a.err = errAnswerTooLarge
+	if err != nil {
+		a.err = eris.Wrap(errIncompleteAnswer, err.Error())
 		return
 	}
 	a.answer = api.ServiceAnswer{Status: resp.StatusCode, Header: make(http.Header), Body: body}
--- a/internal/gateway/services/client.go
+++ b/internal/gateway/services/client.go
@@ -69,6 +69,7 @@
 	retryBudget *budget
 	hedgeBudget *budget
 	gate        *callGate
+	memory      *answerMemory
 
 	mu        sync.Mutex
 	latencies map[string]*latencyHistory // guarded by mu; by service and route
@@ -80,6 +81,7 @@
 		region: region, fleet: f, ledger: l, transport: t, metrics: m, log: log,
 		tracer:      otel.Tracer("corianderhitch/gateway"),
 		retryBudget: newBudget(retryShare), hedgeBudget: newBudget(hedgeShare), gate: newCallGate(host, f.GatewayHosts, log),
+		memory:    newAnswerMemory(),
 		latencies: make(map[string]*latencyHistory),
 	}
 }
@@ -170,7 +172,7 @@
 		return a
 	}
 	c.gate.observe(target.Name, resp.Header)
-	a.read(resp)
+	a.read(ctx, call.Service, resp, c.memory)
 	if a.err == nil {
 		c.gate.observeRoom(target.Name, !a.foundNoRoom())
 	}
--- a/internal/gateway/services/services_test.go
+++ b/internal/gateway/services/services_test.go
@@ -6,7 +6,10 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
+	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -300,3 +303,62 @@
 		})
 	}
 }
+
+// A service sent most of a large answer to many calls at once and then nothing: the gateway held them all,
+// as much as there were calls.
+func TestLargeAnswersThatDoNotEndFitIntoMemory(t *testing.T) {
+	const calls, sent, bound = 64, maxAnswerBytes - 1<<20, 256 << 20
+	release := make(chan struct{})
+	var runs atomic.Int32
+	fx := newFixture(t, startTarget(&runs, func(w http.ResponseWriter, r *http.Request) {
+		piece := make([]byte, 64<<10)
+		for range sent / len(piece) {
+			_, _ = w.Write(piece)
+		}
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case <-release:
+		case <-r.Context().Done():
+		}
+	}))
+	var wait sync.WaitGroup
+	for i := range calls {
+		wait.Go(func() { _, _ = fx.call(t, true, fmt.Sprint(i)) }) // some are answered in the end
+	}
+	peak := uint64(0)
+	for begun := time.Now(); time.Since(begun) < 1500*time.Millisecond; time.Sleep(50 * time.Millisecond) {
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		peak = max(peak, m.HeapInuse)
+	}
+	close(release)
+	wait.Wait()
+	require.GreaterOrEqual(t, int(runs.Load()), calls/2)
+	t.Logf("peak heap %d MB", peak>>20)
+	require.LessOrEqual(t, peak, uint64(bound))
+}
+
+func TestAnswersOfAllSizesAreWhole(t *testing.T) {
+	for _, size := range []int{0, 1, smallAnswerBytes - 1, smallAnswerBytes, smallAnswerBytes + 1, middleAnswerBytes, middleAnswerBytes + 1, maxAnswerBytes, maxAnswerBytes + 1} {
+		for _, chunked := range []bool{false, true} {
+			text := strings.Repeat("x", size)
+			var runs atomic.Int32
+			fx := newFixture(t, startTarget(&runs, func(w http.ResponseWriter, _ *http.Request) {
+				if !chunked {
+					w.Header().Set("Content-Length", strconv.Itoa(size))
+				}
+				_, _ = io.WriteString(w, text)
+			}))
+			answer, err := fx.call(t, true, "k")
+			if size > maxAnswerBytes {
+				require.NotNil(t, err)
+				continue
+			}
+			require.Nil(t, err, "%d bytes", size)
+			require.Equal(t, text, string(answer.Body), "%d bytes", size)
+			for _, m := range fx.client.memory.sizes {
+				require.Zero(t, m.quota.Taken())
+			}
+		}
+	}
+}
