--- a/internal/edge/process/follow.go
+++ b/internal/edge/process/follow.go
@@ -87,6 +87,11 @@
 // live reports whether this host currently follows the store.
 func (f *feeds) live() bool { return f.policy.Live() && f.targets.Live() }
 
+func (p *Process) initStoreContact() {
+	p.contact.onSilence = p.onStoreSilence
+	p.contact.stalled = func(since bootclock.Instant) bool { return p.stalls.Affected(since, bootclock.Now()) }
+}
+
 // onStoreSilence interrupts the feeds, so that other hosts don't take this one for a host that follows the store.
 func (p *Process) onStoreSilence(lastAnswer bootclock.Instant) {
 	if p.feeds.live() {
--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -180,8 +180,7 @@
 		IsHost: func(ip string) bool { return p.members.HasIP(ip) }, Bodies: b.memory.Part(b.memory.Size() / forwardedBodiesPart)}
 	p.targetLog = relay.NewChangeLog(p.newTargetSink())
 	p.feeds = p.newFeeds()
-	p.contact.onSilence = p.onStoreSilence
-	p.contact.stalled = func(since bootclock.Instant) bool { return p.stalls.Affected(since, bootclock.Now()) }
+	p.initStoreContact()
 	p.confirmer = freshness.New(log, p.confirmPeriod, p.confirm)
 	p.members = peers.NewMembers(log, p.store, p.eras, relay.Host{Name: n.Name, Address: n.PeerAddress(), CPUs: n.CPUs, Mbps: n.LinkMbps, Forward: n.ForwardAddress(), Region: n.Region})
 	health := ejection.New()
