--- a/internal/edge/warmup/fleet_test.go
+++ b/internal/edge/warmup/fleet_test.go
@@ -322,29 +322,33 @@
 // Shares that no host uses are lost to callers who wait. The shares that the log shows are those of
 // docs/design/025-cold-targets.md.
 func TestMostOfTheRateIsUsed(t *testing.T) {
-	bound := node.ColdBound{Factor: 1.5, Slack: 5}
 	for _, n := range []int{6, 80, 300} {
 		for _, rate := range []float64{4, 31, 100} {
 			for _, busy := range []int{1, 5, -1, -5} { // one in busy hosts has requests; below 0 with a hub
 				t.Run(fmt.Sprintf("%d hosts, %g a second, busy %d", n, rate, busy), parallel(func(t *testing.T) {
-					f := newSimFleet(n, rate, bound, 7)
-					hub, busy := busy < 0, max(busy, -busy)
-					f.hub = hub
-					f.hosts[0].isHub = func(bootclock.Instant) bool { return hub }
-					for i, h := range f.hosts {
-						h.wants = func(bootclock.Instant) bool { return i%busy == 0 }
-					}
-					f.run(10 * time.Second)
-					used := float64(len(f.sent)) / 10 / rate
-					t.Logf("%d hosts, %g requests per second, 1 in %d hosts busy, hub %t: %.2f of the rate used, at most %d in one second", n, rate, busy, hub, used, f.mostInOneSecond())
-					require.LessOrEqual(t, float64(f.mostInOneSecond()), bound.Factor*rate+bound.Slack)
-					if busy == 1 {
-						require.Greater(t, used, 0.85)
-					} else {
-						require.Greater(t, used, 0.75)
-					}
+					requireRateIsUsed(t, n, rate, max(busy, -busy), busy < 0)
 				}))
 			}
 		}
 	}
 }
+
+// requireRateIsUsed plays n hosts of which one in busy has requests.
+func requireRateIsUsed(t *testing.T, n int, rate float64, busy int, hub bool) {
+	bound := node.ColdBound{Factor: 1.5, Slack: 5}
+	f := newSimFleet(n, rate, bound, 7)
+	f.hub = hub
+	f.hosts[0].isHub = func(bootclock.Instant) bool { return hub }
+	for i, h := range f.hosts {
+		h.wants = func(bootclock.Instant) bool { return i%busy == 0 }
+	}
+	f.run(10 * time.Second)
+	used := float64(len(f.sent)) / 10 / rate
+	t.Logf("%d hosts, %g requests per second, 1 in %d hosts busy, hub %t: %.2f of the rate used, at most %d in one second", n, rate, busy, hub, used, f.mostInOneSecond())
+	require.LessOrEqual(t, float64(f.mostInOneSecond()), bound.Factor*rate+bound.Slack)
+	if busy == 1 {
+		require.Greater(t, used, 0.85)
+	} else {
+		require.Greater(t, used, 0.75)
+	}
+}
