--- a/internal/edge/authorizedcall.go
+++ b/internal/edge/authorizedcall.go
@@ -23,6 +23,7 @@
 	UsesAPIKey bool   // authorized by an API key, which may be revoked
 	Arrived    bootclock.Instant
 	Received   bootclock.Instant // when the whole request had been read
+	PolicyAge  time.Duration     // age of the configuration's last confirmation when the call was authorized
 	Deadline   bootclock.Instant // when the caller stops waiting or the route's timeout ends, whichever is earlier
 	Log        *slog.Logger
 	Regions    region.Set // in which the call may run, computed once when it was authorized
--- a/internal/edge/ingress/handler.go
+++ b/internal/edge/ingress/handler.go
@@ -143,7 +143,7 @@
 	}
 	h.Observer.ObserveRequest(a.Route, outcome, took)
 	a.Log.Info("ingress: request ended", "outcome", outcome, "kind", a.Route.Kind.String(), "account", a.Account,
-		"took_ms", took.Milliseconds(), "policy", h.Policy.Current().Version)
+		"took_ms", took.Milliseconds(), "policy", h.Policy.Current().Version, "policy_age_ms", a.PolicyAge.Milliseconds())
 }
 
 // authorize finds the route, service and client account of a call and sets its
@@ -159,7 +159,7 @@
 	if rejection != nil {
 		return nil, rejection
 	}
-	a.Arrived = arrived
+	a.Arrived, a.PolicyAge = arrived, h.Confirmer.Age()
 	timeout := c.CallerTimeout
 	if timeout == 0 {
 		timeout = defaultCallerTimeout
