Tests of large configurations on slow links, and of hosts that can't read the configuration (failing)

On this code: version 2 (1 MiB) is not in force within 3 s at a host behind a hub with a link of 10 Mbit/s; a read of the store that takes 2.4 s is cut after 1.5 s; a request on a public route runs 3 s after the last confirmation, where 2 s are allowed and the store answers other calls.

--- /dev/null
+++ b/internal/edge/peers/configuration_test.go
@@ -0,0 +1,125 @@
+package peers
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/base64"
+	"encoding/json"
+	"net"
+	"net/rpc"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"corianderhitch/internal/edge/bootclock"
+	"corianderhitch/internal/edge/ejection"
+	"corianderhitch/internal/edge/freshness"
+	"corianderhitch/internal/edge/inflight"
+	"corianderhitch/internal/edge/policy"
+	"corianderhitch/internal/edge/relay"
+	"corianderhitch/internal/edge/targets"
+	"corianderhitch/internal/platform"
+	"corianderhitch/internal/rpcconn"
+)
+
+const (
+	slowLink   = 10_000_000 / 8 // bytes a second; that of the smallest hosts
+	applyBound = 3 * time.Second
+)
+
+// slowListener accepts connections whose writes share a link.
+type slowListener struct {
+	net.Listener
+	bytesPerS int
+	mu        sync.Mutex // held while the link is busy
+}
+
+func (l *slowListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return &slowConn{conn, l}, err
+}
+
+type slowConn struct {
+	net.Conn
+	link *slowListener
+}
+
+func (c *slowConn) Write(p []byte) (int, error) {
+	const piece = 2 << 10
+	written := 0
+	for written < len(p) {
+		part := p[written:min(len(p), written+piece)]
+		c.link.mu.Lock()
+		time.Sleep(time.Duration(len(part)) * time.Second / time.Duration(c.link.bytesPerS))
+		n, err := c.Conn.Write(part)
+		c.link.mu.Unlock()
+		if written += n; err != nil {
+			return written, err
+		}
+	}
+	return written, nil
+}
+
+// configurationOf returns a configuration of about size bytes that can't be compressed much.
+func configurationOf(version int64, size int) []byte {
+	random := make([]byte, size*3/4)
+	_, _ = rand.Read(random)
+	raw, _ := json.Marshal(map[string]any{"version": version, "routes": base64.StdEncoding.EncodeToString(random)})
+	return raw
+}
+
+func decodeVersion(raw []byte) (*policy.Configuration, error) {
+	var c policy.Configuration
+	return &c, json.Unmarshal(raw, &c)
+}
+
+// follow gives a host all that a sync needs, and a configuration that has just been confirmed.
+func (e *Exchange) follow(t *testing.T, raw []byte, revision platform.Revision) {
+	e.Inflight, e.Health, e.ChangeLog = inflight.New(e.Host), ejection.New(), relay.NewChangeLog(nil)
+	e.Targets = targets.New(e.Notices, nil)
+	e.Policy = policy.NewHolder(decodeVersion)
+	_, err := e.Policy.ApplyIfNewer(raw, revision)
+	require.NoError(t, err)
+	e.Confirmer = freshness.New(e.Log, func() time.Duration { return time.Hour }, nil)
+	e.Confirmer.RecordConfirmation(bootclock.Now())
+}
+
+func version(e *Exchange) int64 { return e.Policy.Current().Version }
+
+// startHub starts a hub that follows the store, behind a slow link.
+func startHub(t *testing.T, raw []byte, revision platform.Revision) (*Exchange, relay.Host) {
+	hub := newExchange()
+	hub.Host, hub.FollowsStore = "hub", func() bool { return true }
+	hub.follow(t, raw, revision)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	services := rpc.NewServer()
+	require.NoError(t, services.RegisterName(serviceName, &service{hub}))
+	server := rpcconn.Serve(&slowListener{Listener: listener, bytesPerS: slowLink}, services)
+	t.Cleanup(server.Stop)
+	return hub, relay.Host{Name: "hub", Address: listener.Addr().String()}
+}
+
+// Each answer to a sync carried the whole configuration. It was cut after the timeout of the call and sent
+// from its start again, so that the hub seemed dead and the host never got the configuration.
+func TestLargeConfigurationReachesHostsOverSlowLinks(t *testing.T) {
+	hub, address := startHub(t, configurationOf(1, 100), 1)
+	e, logs := newAskingExchange(t, address)
+	e.Eras = hub.Eras
+	e.follow(t, configurationOf(1, 100), 1)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go e.Run(ctx)
+	require.Eventually(t, func() bool { return e.HasLiveHub() }, applyBound, time.Millisecond)
+
+	_, err := hub.Policy.ApplyIfNewer(configurationOf(2, platform.MaxValueBytes), 2)
+	require.NoError(t, err)
+	applied := time.Now()
+	hub.Confirmer.RecordConfirmation(bootclock.Now())
+	require.Eventually(t, func() bool { return version(e) == 2 }, applyBound, time.Millisecond)
+	require.Eventually(t, func() bool { return e.Confirmer.Age() <= time.Since(applied) }, applyBound, time.Millisecond, "confirmed as well")
+	require.Zero(t, logs.countLines("does not answer"))
+	require.True(t, e.HasLiveHub())
+}
--- a/tests/edge/fleet_test.go
+++ b/tests/edge/fleet_test.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -80,6 +81,8 @@
 	allowed []string
 	// ordered is OrderedAdmission of hosts that start later.
 	ordered bool
+	// publicRoute adds the route open to the next configuration, which needs no API key.
+	publicRoute bool
 }
 
 // host is one running edge process.
@@ -95,10 +98,12 @@
 // partitionableStore is a host's connection to the store, which tests can interrupt.
 type partitionableStore struct {
 	*memstore.Store
-	hangRevoke  atomic.Bool // Revoke is not answered
-	silent      atomic.Bool // no read is answered; answers that come meanwhile are lost
-	mu          sync.Mutex
-	partitioned bool
+	hangRevoke atomic.Bool // Revoke is not answered
+	silent     atomic.Bool // no read is answered; answers that come meanwhile are lost
+	// operatorSilent is silent for what the operator writes only.
+	operatorSilent atomic.Bool
+	mu             sync.Mutex
+	partitioned    bool
 }
 
 func (s *partitionableStore) setPartitioned(partitioned bool) {
@@ -115,8 +120,8 @@
 
 // silentFor blocks while the store is silent, as long as the platform's client waits. It reports whether
 // the answer of a call is lost.
-func (s *partitionableStore) silentFor(ctx context.Context, timeout time.Duration) bool {
-	if !s.silent.Load() {
+func (s *partitionableStore) silentFor(ctx context.Context, key string, timeout time.Duration) bool {
+	if !s.silent.Load() && !(s.operatorSilent.Load() && strings.HasPrefix(key, platform.OperatorPrefix)) {
 		return false
 	}
 	select {
@@ -127,14 +132,14 @@
 }
 
 func (s *partitionableStore) Get(ctx context.Context, key string) (ports.Entry, error) {
-	if s.isPartitioned() || s.silentFor(ctx, silentReadTimeout) {
+	if s.isPartitioned() || s.silentFor(ctx, key, silentReadTimeout) {
 		return ports.Entry{}, ports.ErrUnavailable
 	}
 	return s.Store.Get(ctx, key)
 }
 
 func (s *partitionableStore) List(ctx context.Context, prefix, after string, limit int) ([]ports.Entry, ports.Revision, error) {
-	if s.isPartitioned() || s.silentFor(ctx, silentReadTimeout) {
+	if s.isPartitioned() || s.silentFor(ctx, prefix, silentReadTimeout) {
 		return nil, 0, ports.ErrUnavailable
 	}
 	return s.Store.List(ctx, prefix, after, limit)
@@ -149,7 +154,7 @@
 		return nil, 0, ports.ErrUnavailable
 	}
 	events, next, err := s.Store.Watch(ctx, prefix, after)
-	if s.isPartitioned() || s.silentFor(ctx, silentWatchTimeout) {
+	if s.isPartitioned() || s.silentFor(ctx, prefix, silentWatchTimeout) {
 		return nil, 0, ports.ErrUnavailable
 	}
 	return events, next, err
@@ -197,6 +202,9 @@
 			{Name: "check", Kind: standin.Idempotent, Service: plainService, Objective: 100 * time.Millisecond, Attempts: 2},
 		},
 	}
+	if f.publicRoute {
+		config.Routes = append(config.Routes, standin.Route{Name: "open", Kind: standin.Idempotent, Service: plainService, Objective: 100 * time.Millisecond, Attempts: 2, Public: true})
+	}
 	raw, err := config.Encode()
 	require.NoError(f.t, err)
 	_, err = f.store.Put(f.t.Context(), platform.ConfigurationKey, raw, ports.AnyRevision, 0)
