Peers: hosts fetch large configurations in parts, and keep what has arrived

Each answer to a sync or to a question for a confirmation carried the whole configuration while the asking host had an older one. With 542 KB, 58 hosts and links of 10 to 200 Mbit/s that took longer than the timeout of a call, 400 ms; the call was cut, its connection closed, the hub taken for dead, and all was sent again.

Answers now state the version only, unless the text has 16 KiB at most. A host fetches the compressed text in parts of 16 KiB from the hosts that have stated it, keeps the parts when a call fails, and doesn't ask the store for it while parts arrive. Older builds, which don't state that they fetch, get the text as before.

--- a/internal/edge/peers/confirmation.go
+++ b/internal/edge/peers/confirmation.go
@@ -21,8 +21,18 @@
 
 // ConfirmByPeers asks several hosts for a configuration that was confirmed to be the
 // newest less than maxAge ago, applies it if it is newer than this host's, and
-// returns when it was confirmed. The first such answer wins.
+// returns when it was confirmed. The first such answer wins. A large configuration is
+// awaited as long as parts of it arrive.
 func (e *Exchange) ConfirmByPeers(ctx context.Context, maxAge time.Duration) (bootclock.Instant, error) {
+	confirmedAt, err := e.askPeers(ctx, maxAge)
+	if err != nil && e.awaitFetch(ctx) && e.Confirmer.Age() <= maxAge {
+		return e.Confirmer.ConfirmedAt(), nil
+	}
+	return confirmedAt, err
+}
+
+// askPeers asks several hosts for a confirmation. The first one wins.
+func (e *Exchange) askPeers(ctx context.Context, maxAge time.Duration) (bootclock.Instant, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	asked := e.Members.Sample(confirmationPeers)
@@ -49,20 +59,22 @@
 // the confirmation is older than maxAge.
 func (e *Exchange) askPeer(ctx context.Context, host relay.Host, maxAge time.Duration) (bootclock.Instant, bool) {
 	own := e.Policy.Current().Stamp()
-	args := VouchArgs{Revision: own.Revision, Version: own.Version}
+	args := VouchArgs{Revision: own.Revision, Version: own.Version, Fetches: true}
 	askedAt := bootclock.Now()
 	reply := new(Confirmation)
 	if err := e.call(ctx, host.Name, host.Address, "Vouch", args, reply); err != nil || reply.Age > maxAge {
 		return 0, false
 	}
-	return e.applyConfirmation(host.Address, askedAt, reply)
+	return e.applyConfirmation(host, askedAt, reply)
 }
 
 // applyConfirmation applies a peer's configuration if it is newer and returns when it
 // was confirmed to be the newest. The peer measures the age after the request was
 // sent, so a delayed answer makes the returned instant earlier, never later. A
-// confirmation of an earlier era of the store holds for its instant like any other.
-func (e *Exchange) applyConfirmation(address string, askedAt bootclock.Instant, c *Confirmation) (bootclock.Instant, bool) {
+// confirmation of an earlier era of the store holds for its instant like any other. If the
+// peer's configuration is newer and not included, it is fetched; its confirmation counts then.
+func (e *Exchange) applyConfirmation(host relay.Host, askedAt bootclock.Instant, c *Confirmation) (bootclock.Instant, bool) {
+	address := host.Address
 	if c.Raw != nil {
 		accepted, err := e.Policy.ApplyIfNewer(c.Raw, c.Revision)
 		if err != nil {
@@ -77,11 +89,15 @@
 		return 0, false // it confirms the configuration only
 	}
 	confirmed := policy.Stamp{Version: c.Version, Revision: c.Revision}
-	if own := e.Policy.Current().Stamp(); own == (policy.Stamp{}) || confirmed.NewerThan(own) {
-		return 0, false
+	var confirmedAt bootclock.Instant
+	if c.Age <= maxConfirmationAge {
+		confirmedAt = askedAt.Add(-c.Age)
 	}
-	if c.Age > maxConfirmationAge {
+	if own := e.Policy.Current().Stamp(); confirmed.NewerThan(own) {
+		e.fetchConfiguration(host, confirmed, confirmedAt)
+		return 0, false
+	} else if own == (policy.Stamp{}) {
 		return 0, false
 	}
-	return askedAt.Add(-c.Age), true
+	return confirmedAt, confirmedAt != 0
 }
--- a/internal/edge/peers/exchange.go
+++ b/internal/edge/peers/exchange.go
@@ -85,6 +85,8 @@
 	process           uint64        // drawn at random; names this process to its peers
 	evidence          evidenceProgress
 
+	fetch configurationFetch
+
 	placeMu sync.Mutex // makes choosing an engine and reserving its capacity atomic
 
 	mu            sync.Mutex
--- a/internal/edge/peers/messages.go
+++ b/internal/edge/peers/messages.go
@@ -25,6 +25,7 @@
 	Cold           []warmup.Notice
 	PolicyRevision platform.Revision
 	PolicyVersion  int64
+	FetchesPolicy  bool // see VouchArgs.Fetches
 	ListRevision   platform.Revision
 	ListSettling   bool // see relay.ChangeLog.Settling
 	// Evacuation are the evacuated failure domains as this host knows them: a hub that has lost the
@@ -95,7 +96,8 @@
 	// Age is the time since the configuration was last confirmed to be the newest,
 	// measured after the request arrived.
 	Age time.Duration
-	Raw []byte // the configuration, if it is newer than the caller's
+	// Raw is the configuration if it is newer than the caller's, and small or the caller doesn't fetch it.
+	Raw []byte
 	// Evacuation is what else was confirmed: the evacuated failure domains.
 	Evacuation evacuation.Snapshot
 }
@@ -105,6 +107,23 @@
 type VouchArgs struct {
 	Revision platform.Revision
 	Version  int64
+	// Fetches states that the caller fetches large configurations in parts. Older builds don't.
+	Fetches bool
+}
+
+// ConfigurationArgs asks a host for a part of the configuration with a revision and version, packed.
+type ConfigurationArgs struct {
+	Revision platform.Revision
+	Version  int64
+	Offset   int // of the part, in bytes
+}
+
+// ConfigurationReply is a part of a packed configuration.
+type ConfigurationReply struct {
+	Has  bool   // false if another configuration is in force at the host
+	Sum  uint64 // of the whole, see policy.Packed; parts with different sums do not belong together
+	Size int    // of the whole, in bytes
+	Part []byte
 }
 
 // NoticeArgs carries updates that are too urgent for the next Sync.
--- a/internal/edge/peers/service.go
+++ b/internal/edge/peers/service.go
@@ -25,7 +25,7 @@
 		Cold:    e.Warmup.Notices(bootclock.Now()),
 		Failing: e.Health.CountReports(args.Host),
 		List:    e.ChangeLog.Since(args.ListRevision, args.ListSettling),
-		Vouch:   e.confirmation(policy.Stamp{Version: args.PolicyVersion, Revision: args.PolicyRevision}),
+		Vouch:   e.confirmation(policy.Stamp{Version: args.PolicyVersion, Revision: args.PolicyRevision}, args.FetchesPolicy),
 		Era:     e.Eras.Current(), SettledEra: e.Eras.SettledEra(),
 	}
 	reply.Speed = e.Speeds.Merge(args.Speed, e.isFirstHub())
@@ -64,20 +64,34 @@
 
 // Vouch returns how fresh this host's configuration is.
 func (s *service) Vouch(args VouchArgs, reply *Confirmation) error {
-	*reply = s.exchange.confirmation(policy.Stamp{Version: args.Version, Revision: args.Revision})
+	*reply = s.exchange.confirmation(policy.Stamp{Version: args.Version, Revision: args.Revision}, args.Fetches)
 	return nil
 }
 
-// confirmation returns how fresh this host's configuration is, including its text if
-// it is newer than known.
-func (e *Exchange) confirmation(known policy.Stamp) Confirmation {
+// Configuration returns a part of this host's configuration.
+func (s *service) Configuration(args ConfigurationArgs, reply *ConfigurationReply) error {
+	p := s.exchange.Policy.Current()
+	if p.Stamp() != (policy.Stamp{Version: args.Version, Revision: args.Revision}) || p == nil {
+		return nil
+	}
+	packed := p.Packed()
+	*reply = ConfigurationReply{Has: true, Sum: packed.Sum, Size: len(packed.Bytes)}
+	if begin := args.Offset; begin >= 0 && begin < len(packed.Bytes) {
+		reply.Part = packed.Bytes[begin:min(begin+partBytes, len(packed.Bytes))]
+	}
+	return nil
+}
+
+// confirmation returns how fresh this host's configuration is. If it is newer than known, its text is
+// included for hosts that don't fetch it, and if it is not larger than a part.
+func (e *Exchange) confirmation(known policy.Stamp, fetches bool) Confirmation {
 	// Read the age before the configuration and the evacuated domains: newer ones may be applied
 	// in between, but never older ones.
 	c := Confirmation{Age: e.Confirmer.Age()}
 	c.Evacuation = e.Evacuated.Snapshot()
 	if p := e.Policy.Current(); p != nil {
 		c.Revision, c.Version = p.Revision, p.Version
-		if p.Stamp().NewerThan(known) {
+		if p.Stamp().NewerThan(known) && (!fetches || len(p.Raw) <= partBytes) {
 			c.Raw = p.Raw
 		}
 	}
--- a/internal/edge/peers/sync.go
+++ b/internal/edge/peers/sync.go
@@ -97,7 +97,7 @@
 	var sentEvidence uint64
 	args.Evidence, sentEvidence = e.evidenceFor(hub.Name)
 	own := e.Policy.Current().Stamp()
-	args.PolicyRevision, args.PolicyVersion = own.Revision, own.Version
+	args.PolicyRevision, args.PolicyVersion, args.FetchesPolicy = own.Revision, own.Version, true
 	args.Evacuation = e.Evacuated.Snapshot()
 	askedAt := bootclock.Now()
 	reply := new(SyncReply)
@@ -122,7 +122,7 @@
 	e.Warmup.Merge(reply.Cold, bootclock.Now())
 	e.Eras.Observe(reply.Era, "peer "+hub.Name)
 	e.Eras.MarkSettled(reply.SettledEra)
-	if confirmedAt, ok := e.applyConfirmation(hub.Address, askedAt, &reply.Vouch); ok {
+	if confirmedAt, ok := e.applyConfirmation(hub, askedAt, &reply.Vouch); ok {
 		e.Confirmer.RecordConfirmation(confirmedAt)
 	}
 	e.recordFollowing(hub.Name, reply.Live)
--- a/internal/edge/policy/holder.go
+++ b/internal/edge/policy/holder.go
@@ -38,6 +38,9 @@
 	*Configuration
 	Revision platform.Revision
 	Raw      []byte // as stored, for hosts that cannot reach the store
+
+	packOnce sync.Once
+	packed   Packed // see Packed
 }
 
 // Stamp returns the version and revision, the zero Stamp for nil.
--- a/internal/edge/process/confirm.go
+++ b/internal/edge/process/confirm.go
@@ -130,6 +130,10 @@
 			}
 			lastErr, askSecond = a.err, !asked
 		case <-timer.C:
+			if !asked && !p.exchange.IsHub() && p.exchange.FetchesConfiguration() {
+				timer.Reset(secondSourceDelay) // the store would send all of it again
+				continue
+			}
 			askSecond = !asked
 		}
 		if askSecond {
