Store client: an answer that makes progress is not given up

On a link of 10 Mbit/s that is shared with other transfers half a megabyte takes longer. Such confirmations also counted as a store that does not answer, so that the host ended its watches, one of which was bringing the configuration.

An answer that has begun is an answer for storeContact too.

--- a/internal/edge/process/confirm.go
+++ b/internal/edge/process/confirm.go
@@ -37,7 +37,8 @@
 	lookupTime = 300 * time.Millisecond
 	// minConfirmPeriod keeps bounds that are too short for a confirmation from loading the store.
 	minConfirmPeriod = 100 * time.Millisecond
-	// storeConfirmTimeout bounds a confirmation by the store.
+	// storeConfirmTimeout bounds the time until the store begins to answer a confirmation. Its answer holds
+	// the whole configuration, which takes longer.
 	storeConfirmTimeout = 1200 * time.Millisecond
 )
 
@@ -162,10 +163,12 @@
 	era := p.eras.Current()
 	settled := p.eras.Settled(era)
 	// The call goes on if a peer confirms first: whether the store answers it matters to a hub.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), storeConfirmTimeout)
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
+	silence := time.AfterFunc(storeConfirmTimeout, cancel)
+	defer silence.Stop()
 	var entry platform.Entry
-	err := p.contact.observe(func() (err error) {
+	err := p.contact.observe(platform.WithAnswerNotice(ctx, func() { silence.Stop() }), func(ctx context.Context) (err error) {
 		entry, err = p.readOperator(ctx, settled, era)
 		return err
 	})
--- a/internal/edge/process/storecontact.go
+++ b/internal/edge/process/storecontact.go
@@ -1,6 +1,7 @@
 package process
 
 import (
+	"context"
 	"errors"
 	"sync"
 	"time"
@@ -30,15 +31,19 @@
 	failingSince bootclock.Instant // guarded by mu; start of the first failed call after answeredAt; 0 for none
 }
 
-// observe makes a short call to the store and records whether the store answers it.
-func (c *storeContact) observe(call func() error) error {
+// observe makes a call to the store and records whether the store answers it. An answer that has begun
+// is no silence, however long it is.
+func (c *storeContact) observe(ctx context.Context, call func(ctx context.Context) error) error {
 	startedAt := bootclock.Now()
 	timer := time.AfterFunc(storeSilence, func() {
 		if c.stalled == nil || !c.stalled(startedAt) { // otherwise the end of the call tells
 			c.failed(startedAt)
 		}
 	})
-	err := call()
+	err := call(platform.WithAnswerNotice(ctx, func() {
+		timer.Stop()
+		c.answered(startedAt)
+	}))
 	timer.Stop()
 	if err == nil || errors.Is(err, platform.ErrNotFound) {
 		c.answered(startedAt)
