Ingress: a host that knows that its configuration is old serves nothing by it

The age was looked at only for API keys and before a rejection.

Now a host whose last confirmation is older than the bound (less the time of a lookup) confirms first, and rejects with Retry-After if that fails, if there is reason to think that there is a newer configuration: another host has stated one, or the store answers other calls of this host. A host without either has lost the store; it goes on serving, as nothing says that there is a newer one, and API keys are bounded as before.

--- a/internal/edge/ingress/handler.go
+++ b/internal/edge/ingress/handler.go
@@ -57,7 +57,10 @@
 	// RecheckAge is the age of the last confirmation from which a missing route or key
 	// does not suffice for a rejection: the configuration is confirmed first, since a
 	// newer version may contain them.
-	RecheckAge   time.Duration
+	RecheckAge time.Duration
+	// Outdated reports whether a configuration whose last confirmation is older than RecheckAge
+	// may have been replaced, so that no request may be served by it; nil for never.
+	Outdated     func() bool
 	Plain        Server
 	Streaming    Server
 	Observer     Observer
@@ -152,6 +155,9 @@
 	if h.Policy.Current() == nil {
 		return nil, edge.Unavailable(edge.ReasonNoConfiguration, noConfigurationRetryAfter)
 	}
+	if h.isOutdated() && !h.Confirmer.EnsureFresh(ctx, h.RecheckAge, recheckTimeout) {
+		return nil, edge.Unavailable(edge.ReasonUnconfirmed, unconfirmedRetryAfter)
+	}
 	a, rejection := h.matchCall(c)
 	if rejection != nil && h.Confirmer.Age() >= h.RecheckAge {
 		a, rejection = h.matchConfirmed(ctx, c)
@@ -176,6 +182,12 @@
 	return a, nil
 }
 
+// isOutdated reports whether the configuration may have been replaced for longer than requests may
+// still be served by it.
+func (h *Handler) isOutdated() bool {
+	return h.Outdated != nil && h.Confirmer.Age() >= h.RecheckAge && h.Outdated()
+}
+
 // matchConfirmed confirms that the configuration is the newest and then matches the
 // call again. If it cannot be confirmed, the rejection allows the caller to retry.
 func (h *Handler) matchConfirmed(ctx context.Context, c *edge.Call) (*edge.AuthorizedCall, *edge.Rejection) {
--- a/internal/edge/ingress/handler_test.go
+++ b/internal/edge/ingress/handler_test.go
@@ -90,6 +90,41 @@
 	}
 }
 
+// A route that a newer version had removed was served for as long as the host could not get that version,
+// although it had been told of it.
+func TestRouteOfOutdatedConfigurationIsNotServed(t *testing.T) {
+	for _, c := range []struct {
+		age      time.Duration
+		outdated bool
+		store    error
+		want     int
+	}{
+		{1300 * time.Millisecond, true, errStore, http.StatusOK}, // confirmed recently enough
+		{1500 * time.Millisecond, false, errStore, http.StatusOK},
+		{1500 * time.Millisecond, true, errStore, http.StatusServiceUnavailable},
+		{1500 * time.Millisecond, true, nil, http.StatusNotFound},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			h := newDrainHandler(t, draining.New(0))
+			h.RecheckAge, h.Outdated = 1400*time.Millisecond, func() bool { return c.outdated }
+			h.Confirmer = freshness.New(h.Log, func() time.Duration { return time.Hour }, func(context.Context) (bootclock.Instant, error) {
+				if c.store != nil {
+					return 0, c.store
+				}
+				_, err := h.Policy.ApplyIfNewer(configuration(t, 2, "new", time.Second), 2)
+				return bootclock.Now(), err
+			})
+			h.Confirmer.RecordConfirmation(bootclock.Now().Add(-c.age))
+			r := httptest.NewRequest(http.MethodGet, "/route/x", nil)
+			r.Host = "desk.example"
+			(&standin.Call{ID: "r-1", APIKey: key, Timeout: time.Second}).SetHeaders(r)
+			answer := httptest.NewRecorder()
+			h.ServeHTTP(answer, r)
+			require.Equal(t, c.want, answer.Code, "age %v, outdated %v, store %v", c.age, c.outdated, c.store)
+		})
+	}
+}
+
 // newDrainHandler returns a handler with one route. Calls have a second to their deadline.
 func newDrainHandler(t *testing.T, drain *draining.Drain) *ingress.Handler {
 	holder := policy.NewHolder(platform.DecodeConfiguration)
--- a/internal/edge/process/confirm.go
+++ b/internal/edge/process/confirm.go
@@ -66,6 +66,13 @@
 	return max(p.node.ApplyWithin-applyMargin, p.node.ApplyWithin/2)
 }
 
+// mayBeOutdated reports whether there is reason to think that a configuration whose confirmation is older
+// than recheckAge is not the newest: a host has stated a newer one, or the store answers this host, so that only
+// the confirmations fail. Without either, this host has lost the store, and its configuration is the best it has.
+func (p *Process) mayBeOutdated() bool {
+	return p.exchange.KnowsNewerConfiguration() || p.contact.heardSince(p.confirmer.ConfirmedAt().Add(p.recheckAge()))
+}
+
 // confirmPeriod returns the age at which this host confirms the configuration again. The
 // bounds on revoked API keys, on evacuations and on the time until a configuration is in force
 // apply. A host whose hubs no longer reach the store meets the last one only if it asks
--- a/internal/edge/process/countedstore.go
+++ b/internal/edge/process/countedstore.go
@@ -15,10 +15,22 @@
 	peers.Store
 	count      func(call, result string)
 	observeEra func(era int64, source string)
+	heard      func() // called when the store begins to answer a call; nil for nothing
+}
+
+// noticing returns a context that notices when an answer begins.
+func (s *countedStore) noticing(ctx context.Context) context.Context {
+	if s.heard == nil {
+		return ctx
+	}
+	return platform.WithAnswerNotice(ctx, s.heard)
 }
 
 func (s *countedStore) record(call string, err error) {
 	s.count(call, resultLabel(err))
+	if err == nil && s.heard != nil {
+		s.heard()
+	}
 	if err == nil || !errors.Is(err, platform.ErrUnavailable) { // without an answer there is no era to observe
 		s.observeEra(s.Era(), "store")
 	}
@@ -43,21 +55,21 @@
 
 // Get implements peers.Store.
 func (s *countedStore) Get(ctx context.Context, key string) (platform.Entry, error) {
-	e, err := s.Store.Get(ctx, key)
+	e, err := s.Store.Get(s.noticing(ctx), key)
 	s.record("get", err)
 	return e, err
 }
 
 // List implements peers.Store.
 func (s *countedStore) List(ctx context.Context, prefix, after string, limit int) ([]platform.Entry, platform.Revision, error) {
-	entries, revision, err := s.Store.List(ctx, prefix, after, limit)
+	entries, revision, err := s.Store.List(s.noticing(ctx), prefix, after, limit)
 	s.record("list", err)
 	return entries, revision, err
 }
 
 // ListStale implements peers.Store.
 func (s *countedStore) ListStale(ctx context.Context, prefix string) ([]platform.Entry, platform.Revision, error) {
-	entries, revision, err := s.Store.ListStale(ctx, prefix)
+	entries, revision, err := s.Store.ListStale(s.noticing(ctx), prefix)
 	s.record("list_stale", err)
 	return entries, revision, err
 }
@@ -71,7 +83,7 @@
 
 // Watch implements peers.Store.
 func (s *countedStore) Watch(ctx context.Context, prefix string, after platform.Revision) ([]platform.Event, platform.Revision, error) {
-	events, next, err := s.Store.Watch(ctx, prefix, after)
+	events, next, err := s.Store.Watch(s.noticing(ctx), prefix, after)
 	s.record("watch", err)
 	return events, next, err
 }
--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -164,7 +164,7 @@
 	p.quarantine.Hosts = func() []string { return p.members.Names() }
 	p.crashes, p.heldChanged = &edge.CrashGuard{Tracker: p.quarantine}, make(chan struct{}, 1)
 	p.eras = storeera.New(log)
-	p.store = &countedStore{Store: adapter.NewStore(n.StoreAddress), count: func(call, result string) { p.metrics.ObserveStoreCall(call, result) }, observeEra: p.eras.Observe}
+	p.store = &countedStore{Store: adapter.NewStore(n.StoreAddress), count: func(call, result string) { p.metrics.ObserveStoreCall(call, result) }, observeEra: p.eras.Observe, heard: p.contact.heard}
 	notices := targetnotice.New()
 	p.limitShares = limitshare.New(n.Name, func() []string { return p.members.Names() })
 	notices.Share = p.limitShares.Of
@@ -289,7 +289,7 @@
 // handler returns the handler of callers' requests.
 func (p *Process) handler() http.Handler {
 	return &ingress.Handler{
-		Log: p.log, Wire: p.adapter.Wire, Policy: p.policy, Confirmer: p.confirmer, MaxKeyAge: p.maxKeyAge(), RecheckAge: p.recheckAge(),
+		Log: p.log, Wire: p.adapter.Wire, Policy: p.policy, Confirmer: p.confirmer, MaxKeyAge: p.maxKeyAge(), RecheckAge: p.recheckAge(), Outdated: p.mayBeOutdated,
 		Plain: p.plain, Streaming: p.streaming, Observer: p.metrics,
 		CountRequest: func(service string) { p.retryBudget(service).RecordRequest() }, Drain: p.drain,
 		Memory: p.bounds.memory, MaxHeaderLines: p.bounds.maxLines,
--- a/internal/edge/process/storecontact.go
+++ b/internal/edge/process/storecontact.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"corianderhitch/internal/edge/bootclock"
@@ -29,6 +30,16 @@
 	mu           sync.Mutex
 	answeredAt   bootclock.Instant // guarded by mu; start of the latest call that was answered
 	failingSince bootclock.Instant // guarded by mu; start of the first failed call after answeredAt; 0 for none
+
+	heardAt atomic.Int64 // bootclock.Instant at which the store last began to answer a call of any kind
+}
+
+// heard records that the store has begun to answer a call.
+func (c *storeContact) heard() { c.heardAt.Store(int64(bootclock.Now())) }
+
+// heardSince reports whether the store has begun to answer a call after an instant.
+func (c *storeContact) heardSince(at bootclock.Instant) bool {
+	return bootclock.Instant(c.heardAt.Load()) > at
 }
 
 // observe makes a call to the store and records whether the store answers it. An answer that has begun
