Answers: parts that look complete, and heads that are not HTTP, are no answers

Cause: readers trusted what the library reports. (1) The kernel reports a reset once, to the write or to the read; the other one sees an ordinary end, and the error of the write in the background went nowhere. A body that ends with the connection now counts as whole only if the request was sent without an error; for that the read waits up to 2 s for the write. Bodies with a length or in chunks are delivered as before, also before the upload is over (413, 503, 200). (2) net/http accepts blanks in field names and any three digits as a status; both are checked now, also in interim responses and trailers.

The checks stand once, in internal/httpanswer, and are used wherever responses of targets and stores are read: targetconn (calls, streams, continuations, control calls, hosts that send for others), outbound (own form), both clients of a store, probes and orders of the agent.

--- a/internal/agent/modelplacement/orders.go
+++ b/internal/agent/modelplacement/orders.go
@@ -12,6 +12,7 @@
 
 	"corianderhitch/api/engine"
 	"corianderhitch/api/problem"
+	"corianderhitch/internal/httpanswer"
 	"corianderhitch/internal/outbound"
 )
 
@@ -38,7 +39,7 @@
 
 // NewHTTPOrderClient returns an HTTPOrderClient with its own connections, which dial opens.
 func NewHTTPOrderClient(dial outbound.DialFunc) HTTPOrderClient {
-	return HTTPOrderClient{client: &http.Client{Transport: &http.Transport{DialContext: dial, MaxResponseHeaderBytes: maxHeadBytes, IdleConnTimeout: time.Minute}}}
+	return HTTPOrderClient{client: &http.Client{Transport: httpanswer.Transport{Transport: &http.Transport{DialContext: dial, MaxResponseHeaderBytes: maxHeadBytes, IdleConnTimeout: time.Minute}}}}
 }
 
 // CloseIdle closes the idle connections.
--- a/internal/agent/observer/probe.go
+++ b/internal/agent/observer/probe.go
@@ -15,6 +15,7 @@
 	"corianderhitch/api/control"
 	"corianderhitch/api/engine"
 	"corianderhitch/internal/forwardconn"
+	"corianderhitch/internal/httpanswer"
 	"corianderhitch/internal/outbound"
 	"corianderhitch/internal/platform"
 )
@@ -37,7 +38,7 @@
 
 // NewProber returns a Prober with its own connections, which dial opens.
 func NewProber(dial outbound.DialFunc) *Prober {
-	return &Prober{client: &http.Client{Transport: &http.Transport{
+	return &Prober{client: &http.Client{Transport: httpanswer.Transport{Transport: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 			defer cancel()
@@ -48,7 +49,7 @@
 		IdleConnTimeout:     time.Minute,
 
 		MaxResponseHeaderBytes: maxHeadBytes,
-	}}}
+	}}}}
 }
 
 // Close closes the idle connections.
--- a/internal/edge/policy/packed.go
+++ b/internal/edge/policy/packed.go
@@ -23,7 +23,7 @@
 	s.packOnce.Do(func() {
 		var b bytes.Buffer
 		w, _ := gzip.NewWriterLevel(&b, gzip.BestSpeed) // only an unknown level fails
-		_, _ = w.Write(s.Raw) // a bytes.Buffer never fails
+		_, _ = w.Write(s.Raw)                           // a bytes.Buffer never fails
 		_ = w.Close()
 		s.packed = Packed{Bytes: b.Bytes(), Sum: xxhash.Sum64(b.Bytes())}
 	})
--- a/internal/edge/targetconn/pool.go
+++ b/internal/edge/targetconn/pool.go
@@ -22,6 +22,7 @@
 
 	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/edge/targetnotice"
+	"corianderhitch/internal/httpanswer"
 	"corianderhitch/internal/wait"
 )
 
@@ -145,7 +146,7 @@
 	}
 	detach := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	progress := p.progress.begin(direct)
-	written, err := writeRequest(conn, sent)
+	upload, err := writeRequest(conn, sent)
 	if err != nil {
 		err = brokenWrite(ctx, err)
 	}
@@ -177,8 +178,9 @@
 		_ = conn.Close()
 		return nil, outcome, err
 	}
+	_ = httpanswer.Check(head, upload) // the head has been checked
 	r := p.newResponse(conn, req, head)
-	r.detach, r.written, r.direct, r.Helper = detach, written, direct, helper
+	r.detach, r.upload, r.direct, r.Helper = detach, upload, direct, helper
 	r.reusable = !head.Close && !(leaving && direct && isCallersRequest(req)) &&
 		(!direct || conn.noteAnswer(req.ID, p.requestID(head.Header), head.StatusCode))
 	return r, outcome, nil
@@ -274,7 +276,8 @@
 
 // writeRequest writes the request. A large one is written in the background, since
 // the target may respond before it has read all of it.
-func writeRequest(conn *Conn, req *Request) (chan struct{}, error) {
+func writeRequest(conn *Conn, req *Request) (*httpanswer.Upload, error) {
+	upload := httpanswer.NewUpload()
 	room := len(req.Body)
 	if room > maxInlineWrite {
 		room = 0
@@ -282,17 +285,16 @@
 	head := req.encodeHead(room)
 	if len(head)+len(req.Body) <= maxInlineWrite {
 		_, err := conn.Write(append(head, req.Body...))
-		return nil, err
+		upload.End(err)
+		return upload, err
 	}
-	written := make(chan struct{})
 	go func() {
 		// A large body is not copied behind the head, but still sent in one call.
 		parts := net.Buffers{head, req.Body}
-		if _, err := parts.WriteTo(conn.Conn); err == nil {
-			close(written)
-		}
+		_, err := parts.WriteTo(conn.Conn)
+		upload.End(err)
 	}()
-	return written, nil
+	return upload, nil
 }
 
 // controlPrefix separates the idle connections for control calls, which are still needed
@@ -330,6 +332,9 @@
 		if err != nil {
 			return nil, classifyReadError(err)
 		}
+		if err := httpanswer.CheckHead(head); err != nil {
+			return nil, eris.Wrap(ErrInvalidResponse, err.Error())
+		}
 		id := p.requestID(head.Header)
 		interim := head.StatusCode < http.StatusOK
 		belongs := req.ID == "" || id == req.ID || id == "" && (interim || !conn.served)
--- a/internal/edge/targetconn/response.go
+++ b/internal/edge/targetconn/response.go
@@ -1,6 +1,7 @@
 package targetconn
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -8,6 +9,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"corianderhitch/internal/httpanswer"
 )
 
 const (
@@ -29,9 +32,9 @@
 	body              io.ReadCloser
 	conn              *Conn
 	pool              *Pool
-	detach            func() bool   // detaches the request's context from the connection
-	written           chan struct{} // closed when the request has been written; nil if it was written inline
-	bodyRead          bool          // the body was read to its end
+	detach            func() bool        // detaches the request's context from the connection
+	upload            *httpanswer.Upload // of the request
+	bodyRead          bool               // the body was read to its end
 	reusable          bool
 	direct            bool // from the target, not by way of another host
 }
@@ -42,8 +45,11 @@
 	if n > 0 && r.direct {
 		r.pool.progress.received()
 	}
-	if err == io.EOF {
+	switch {
+	case err == io.EOF:
 		r.bodyRead = true
+	case errors.Is(err, httpanswer.ErrNotHTTP):
+		err = eris.Wrap(ErrInvalidResponse, err.Error())
 	}
 	return n, err
 }
@@ -124,27 +130,13 @@
 // otherwise.
 func (r *Response) Close() {
 	detached := r.detach()
-	if detached && r.bodyRead && r.reusable && r.requestSent() {
+	if detached && r.bodyRead && r.reusable && r.upload.Sent() { // what is not sent would be read as part of the next request
 		r.pool.put(r.conn)
 		return
 	}
 	_ = r.conn.Close()
 }
 
-// requestSent reports whether the whole request has been written: remaining bytes
-// would be read by the target as part of the next request.
-func (r *Response) requestSent() bool {
-	if r.written == nil {
-		return true
-	}
-	select {
-	case <-r.written:
-		return true
-	default:
-		return false
-	}
-}
-
 // idleTimeout returns how long the target keeps an idle connection open.
 func idleTimeout(h http.Header) time.Duration {
 	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
--- a/internal/outbound/outbound_test.go
+++ b/internal/outbound/outbound_test.go
@@ -179,3 +179,49 @@
 		})
 	}
 }
+
+// Such responses were passed on: net/http accepts them.
+func TestResponsesThatAreNotHTTPAreBroken(t *testing.T) {
+	for name, head := range map[string]string{
+		"status 000":             "000 X\r\nContent-Length: 4",
+		"status 999":             "999 X\r\nContent-Length: 4",
+		"blank in a name":        "200 X\r\nX Name: a\r\nContent-Length: 4",
+		"blank after the length": "200 X\r\nContent-Length : 4",
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, _ := peer(t, func(_ int32, conn net.Conn) {
+				if readRequest(conn) != nil {
+					_, _ = io.WriteString(conn, "HTTP/1.1 "+head+"\r\n\r\nbody")
+				}
+			})
+			transport := New(Dialer(""))
+			defer transport.Close()
+			_, err := transport.DoOnce(post(t.Context(), t, address, "x"))
+			require.ErrorIs(t, err, ErrBroken)
+		})
+	}
+}
+
+// A part of a body without a length was taken for all of it if the connection was reset during the upload.
+func TestBodyCutByAResetDuringTheUploadIsNotComplete(t *testing.T) {
+	upload := strings.Repeat("x", 8<<20) // more than the sockets hold
+	address, _ := peer(t, func(_ int32, conn net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
+			time.Sleep(10 * time.Millisecond)
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		}
+	})
+	transport := New(Dialer(""))
+	defer transport.Close()
+	for i := range 10 {
+		resp, err := transport.DoOnce(post(t.Context(), t, address, upload))
+		if err != nil {
+			continue
+		}
+		time.Sleep(time.Duration(i%2) * 30 * time.Millisecond)
+		text, err := io.ReadAll(resp.Body)
+		require.NoError(t, resp.Body.Close())
+		require.Error(t, err, "play %d: %q", i, text)
+	}
+}
--- a/internal/outbound/transport.go
+++ b/internal/outbound/transport.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"corianderhitch/internal/httpanswer"
 )
 
 // Sentinel errors of Do and DoOnce. Test with errors.Is.
@@ -157,10 +159,14 @@
 func send(t *http.Transport, req *http.Request) (*http.Response, error) {
 	tracker := &connTracker{}
 	trace := &httptrace.ClientTrace{GotConn: tracker.gotConn}
-	resp, err := t.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	ctx, upload := httpanswer.Trace(httptrace.WithClientTrace(req.Context(), trace))
+	resp, err := t.RoundTrip(req.WithContext(ctx))
 	if err == nil {
 		retire(tracker.current(), req, resp)
-		return resp, nil
+		if err = httpanswer.Check(resp, upload()); err == nil {
+			return resp, nil
+		}
+		_ = resp.Body.Close()
 	}
 	return nil, &SendError{BytesSent: tracker.bytesSent(), Cause: err}
 }
--- a/internal/platform/kvhttp/client.go
+++ b/internal/platform/kvhttp/client.go
@@ -18,6 +18,7 @@
 	"strings"
 	"time"
 
+	"corianderhitch/internal/httpanswer"
 	"corianderhitch/internal/platform"
 	"corianderhitch/internal/platform/kvwire"
 )
@@ -51,14 +52,14 @@
 	return &Client{
 		baseURL: strings.TrimSuffix(baseURL, "/"),
 		options: options,
-		http: &http.Client{Transport: &http.Transport{
+		http: &http.Client{Transport: httpanswer.Transport{Transport: &http.Transport{
 			DialContext:         dialer.DialContext,
 			MaxIdleConnsPerHost: maxIdleConns,
 			IdleConnTimeout:     time.Minute,
 			DisableCompression:  true,
 
 			MaxResponseHeaderBytes: maxHeadBytes,
-		}},
+		}}},
 	}
 }
 
