Confirmations by the store read only what has changed of a large configuration

A confirmation by the store read the whole configuration, and a host that began to follow the store listed it.

A host knows the revision of the store up to which all that the operator has written is in force: from its own reads, its watches, and from the hosts that confirm (AsOf, 0 from older builds).

--- a/internal/edge/feed/feed.go
+++ b/internal/edge/feed/feed.go
@@ -54,6 +54,9 @@
 	// WatchInterval returns the minimum time between two watches, so that changes in
 	// quick succession cost one call.
 	WatchInterval func() time.Duration
+	// CatchUp brings the sink up to date without a list, if it still has what an earlier feed or another source brought, and
+	// returns the revision to watch from. It returns platform.ErrCompacted if a list is needed; nil for always.
+	CatchUp func(ctx context.Context) (platform.Revision, error)
 	// RetryDelay returns the delay after a failed call. Failed calls are billed too.
 	RetryDelay func() time.Duration
 
@@ -165,7 +168,7 @@
 	unreachable := false
 	defer f.stop()
 	for ctx.Err() == nil {
-		revision, err := f.list(ctx, lastReached)
+		revision, err := f.begin(ctx, lastReached)
 		for err == nil {
 			lastReached = bootclock.Now()
 			f.setLive()
@@ -202,6 +205,16 @@
 	f.state.Store(int32(stopped))
 }
 
+// begin brings the sink up to date.
+func (f *Feed) begin(ctx context.Context, lastReached bootclock.Instant) (platform.Revision, error) {
+	if f.CatchUp != nil {
+		if revision, err := f.CatchUp(ctx); !errors.Is(err, platform.ErrCompacted) {
+			return revision, err
+		}
+	}
+	return f.list(ctx, lastReached)
+}
+
 // list reads all entries. After an outage or a restore of the store, missing entries are
 // kept until the SettlePeriod has passed: leases expire during an outage, a restored store
 // has lost what was written since the copy, and the owners need some time to write their
--- a/internal/edge/peers/configuration.go
+++ b/internal/edge/peers/configuration.go
@@ -11,6 +11,7 @@
 	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/edge/policy"
 	"corianderhitch/internal/edge/relay"
+	"corianderhitch/internal/platform"
 	"corianderhitch/internal/wait"
 )
 
@@ -35,6 +36,7 @@
 	wanted      policy.Stamp      // guarded by mu; the newest configuration that a host has stated
 	sources     []relay.Host      // guarded by mu; hosts that have it, the latest to state it first
 	confirmedAt bootclock.Instant // guarded by mu; when wanted was certainly the newest; 0 if that is not known
+	asOf        platform.Revision // guarded by mu; see Confirmation.AsOf, of wanted
 	ended       chan struct{}     // guarded by mu; closed at the end of the fetch in progress; nil if there is none
 	progressAt  bootclock.Instant // guarded by mu; when the fetch began or the latest part arrived
 
@@ -44,16 +46,16 @@
 
 // want records that a host has a configuration. It returns the channel that ends the fetch if the caller
 // must run it, nil if one is in progress.
-func (f *configurationFetch) want(host relay.Host, stamp policy.Stamp, confirmedAt bootclock.Instant) (ended chan struct{}) {
+func (f *configurationFetch) want(host relay.Host, stamp policy.Stamp, confirmedAt bootclock.Instant, asOf platform.Revision) (ended chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch {
 	case stamp.NewerThan(f.wanted):
-		f.wanted, f.sources, f.confirmedAt = stamp, nil, confirmedAt
+		f.wanted, f.sources, f.confirmedAt, f.asOf = stamp, nil, confirmedAt, asOf
 	case stamp != f.wanted:
 		return nil // older
 	}
-	f.confirmedAt = max(f.confirmedAt, confirmedAt)
+	f.confirmedAt, f.asOf = max(f.confirmedAt, confirmedAt), max(f.asOf, asOf)
 	f.sources = slices.DeleteFunc(f.sources, func(h relay.Host) bool { return h.Name == host.Name })
 	f.sources = slices.Insert(f.sources, 0, host)
 	f.sources = f.sources[:min(len(f.sources), maxSources)]
@@ -71,14 +73,15 @@
 	return f.wanted, slices.Clone(f.sources)
 }
 
-// outcome returns when a configuration that is now in force was confirmed, 0 if that is not known.
-func (f *configurationFetch) outcome(inForce policy.Stamp) bootclock.Instant {
+// outcome returns when and as of which revision a configuration that is now in force was confirmed, 0 if that
+// is not known.
+func (f *configurationFetch) outcome(inForce policy.Stamp) (bootclock.Instant, platform.Revision) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.wanted != inForce {
-		return 0
+		return 0, 0
 	}
-	return f.confirmedAt
+	return f.confirmedAt, f.asOf
 }
 
 func (f *configurationFetch) progressed() {
@@ -130,8 +133,8 @@
 }
 
 // fetchConfiguration fetches a configuration that a host has and puts it in force. It returns at once.
-func (e *Exchange) fetchConfiguration(host relay.Host, stamp policy.Stamp, confirmedAt bootclock.Instant) {
-	ended := e.fetch.want(host, stamp, confirmedAt)
+func (e *Exchange) fetchConfiguration(host relay.Host, stamp policy.Stamp, confirmedAt bootclock.Instant, asOf platform.Revision) {
+	ended := e.fetch.want(host, stamp, confirmedAt, asOf)
 	if ended == nil {
 		return
 	}
@@ -148,9 +151,9 @@
 		stamp, sources := f.next()
 		own := e.Policy.Current().Stamp()
 		if !stamp.NewerThan(own) {
-			if confirmedAt := f.outcome(own); confirmedAt != 0 {
-				e.Confirmer.RecordConfirmation(confirmedAt)
-			}
+			confirmedAt, asOf := f.outcome(own)
+			e.Confirmer.RecordConfirmation(confirmedAt)
+			e.Operator.Advance(asOf)
 			return
 		}
 		if f.have != stamp {
--- a/internal/edge/peers/confirmation.go
+++ b/internal/edge/peers/confirmation.go
@@ -9,6 +9,7 @@
 	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/edge/policy"
 	"corianderhitch/internal/edge/relay"
+	"corianderhitch/internal/platform"
 )
 
 const (
@@ -94,10 +95,23 @@
 		confirmedAt = askedAt.Add(-c.Age)
 	}
 	if own := e.Policy.Current().Stamp(); confirmed.NewerThan(own) {
-		e.fetchConfiguration(host, confirmed, confirmedAt)
+		e.fetchConfiguration(host, confirmed, confirmedAt, c.AsOf)
 		return 0, false
 	} else if own == (policy.Stamp{}) {
 		return 0, false
 	}
+	e.Operator.Advance(c.AsOf)
 	return confirmedAt, confirmedAt != 0
 }
+
+// OperatorState is the revision of the store up to which all that the operator has written is in force at
+// a host. From there on the host need not read all of it again.
+type OperatorState interface {
+	AsOf() platform.Revision // 0 if it is not known
+	Advance(asOf platform.Revision)
+}
+
+type unknownOperatorState struct{}
+
+func (unknownOperatorState) AsOf() platform.Revision   { return 0 }
+func (unknownOperatorState) Advance(platform.Revision) {}
--- a/internal/edge/peers/exchange.go
+++ b/internal/edge/peers/exchange.go
@@ -59,11 +59,13 @@
 	// Evacuated holds the evacuated failure domains; nil if the deployment evacuates none.
 	Evacuated *evacuation.Holder
 	Confirmer *freshness.Confirmer
-	Health    *ejection.Tracker
-	Eras      *storeera.Tracker
-	Speeds    *targetspeed.Tracker  // nil if targets are all alike
-	Notices   *targetnotice.Tracker // what targets state in their answers
-	Warmup    *warmup.Tracker       // of cold targets; nil if the deployment bounds nothing
+	// Operator knows up to which revision of the store all that the operator has written is in force here.
+	Operator OperatorState
+	Health   *ejection.Tracker
+	Eras     *storeera.Tracker
+	Speeds   *targetspeed.Tracker  // nil if targets are all alike
+	Notices  *targetnotice.Tracker // what targets state in their answers
+	Warmup   *warmup.Tracker       // of cold targets; nil if the deployment bounds nothing
 	// Quarantine holds the evidence of requests that crash targets.
 	Quarantine *quarantine.Tracker
 	// FollowsStore reports whether this host currently follows the store itself.
@@ -104,6 +106,9 @@
 	e.syncRequested = make(chan struct{}, 1)
 	e.evidenceRequested = make(chan struct{}, 1)
 	e.process = rand.Uint64()
+	if e.Operator == nil {
+		e.Operator = unknownOperatorState{}
+	}
 	if e.Notices == nil {
 		e.Notices = targetnotice.New()
 	}
--- a/internal/edge/peers/members.go
+++ b/internal/edge/peers/members.go
@@ -55,6 +55,9 @@
 	platform.Store
 	// ListStale is List at a lower price per call. Its result may be seconds old.
 	ListStale(ctx context.Context, prefix string) ([]platform.Entry, platform.Revision, error)
+	// Changes returns the changes under a prefix after a revision without waiting for any, and the revision
+	// as of which there are no others. Its errors are those of Watch.
+	Changes(ctx context.Context, prefix string, after platform.Revision) ([]platform.Event, platform.Revision, error)
 	// Era returns the latest era of the store's answers, 0 if the store has no eras.
 	Era() int64
 }
--- a/internal/edge/peers/messages.go
+++ b/internal/edge/peers/messages.go
@@ -100,6 +100,9 @@
 	Raw []byte
 	// Evacuation is what else was confirmed: the evacuated failure domains.
 	Evacuation evacuation.Snapshot
+	// AsOf is the revision of the store as of which the configuration and the evacuated failure domains are
+	// the newest; 0 if that is not known, as to older builds.
+	AsOf platform.Revision
 }
 
 // VouchArgs asks a host for a Confirmation. Revision and Version are those of the caller's
--- a/internal/edge/peers/service.go
+++ b/internal/edge/peers/service.go
@@ -87,7 +87,7 @@
 func (e *Exchange) confirmation(known policy.Stamp, fetches bool) Confirmation {
 	// Read the age before the configuration and the evacuated domains: newer ones may be applied
 	// in between, but never older ones.
-	c := Confirmation{Age: e.Confirmer.Age()}
+	c := Confirmation{Age: e.Confirmer.Age(), AsOf: e.Operator.AsOf()}
 	c.Evacuation = e.Evacuated.Snapshot()
 	if p := e.Policy.Current(); p != nil {
 		c.Revision, c.Version = p.Revision, p.Version
--- a/internal/edge/process/confirm.go
+++ b/internal/edge/process/confirm.go
@@ -37,8 +37,8 @@
 	lookupTime = 300 * time.Millisecond
 	// minConfirmPeriod keeps bounds that are too short for a confirmation from loading the store.
 	minConfirmPeriod = 100 * time.Millisecond
-	// storeConfirmTimeout bounds the time until the store begins to answer a confirmation. Its answer holds
-	// the whole configuration, which takes longer.
+	// storeConfirmTimeout bounds the time until the store begins to answer a confirmation. An answer that holds
+	// a whole configuration takes longer.
 	storeConfirmTimeout = 1200 * time.Millisecond
 )
 
@@ -174,19 +174,15 @@
 	defer cancel()
 	silence := time.AfterFunc(storeConfirmTimeout, cancel)
 	defer silence.Stop()
-	var entry platform.Entry
+	var read operatorRead
 	err := p.contact.observe(platform.WithAnswerNotice(ctx, func() { silence.Stop() }), func(ctx context.Context) (err error) {
-		entry, err = p.readOperator(ctx, settled, era)
+		read, err = p.readOperator(ctx, settled, era)
 		return err
 	})
-	if err != nil {
-		return 0, err
+	if err == nil {
+		err = read.invalid
 	}
-	accepted, err := p.policy.ApplyIfNewer(entry.Value, entry.Revision)
-	if accepted {
-		p.log.Info("policy: configuration in force", "version", p.policy.Current().Version, "revision", entry.Revision, "source", "confirmation")
-	}
-	if err == nil && (!settled || entry.Revision.Era() != era) {
+	if err == nil && (!settled || read.revision.Era() != era) {
 		err = errEraUnsettled
 	}
 	return asOf, err
--- a/internal/edge/process/countedstore.go
+++ b/internal/edge/process/countedstore.go
@@ -88,6 +88,13 @@
 	return events, next, err
 }
 
+// Changes implements peers.Store.
+func (s *countedStore) Changes(ctx context.Context, prefix string, after platform.Revision) ([]platform.Event, platform.Revision, error) {
+	events, asOf, err := s.Store.Changes(s.noticing(ctx), prefix, after)
+	s.record("changes", err)
+	return events, asOf, err
+}
+
 // Grant implements peers.Store.
 func (s *countedStore) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
 	id, err := s.Store.Grant(ctx, ttl)
--- a/internal/edge/process/evacuation.go
+++ b/internal/edge/process/evacuation.go
@@ -1,8 +1,6 @@
 package process
 
 import (
-	"context"
-
 	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/edge/evacuation"
 	"corianderhitch/internal/edge/feed"
@@ -47,7 +45,7 @@
 }
 
 func (p *Process) newPolicySink() feed.Sink {
-	sink := &policySink{log: p.log, holder: p.policy, key: p.adapter.ConfigurationKey}
+	sink := &policySink{log: p.log, holder: p.policy, key: p.adapter.ConfigurationKey, known: p.knowAllUntil}
 	if p.evacuated == nil {
 		return sink
 	}
@@ -57,26 +55,6 @@
 // isEvacuated reports whether a target is in an evacuated failure domain.
 func (p *Process) isEvacuated(key string) bool { return p.targets.View().Evacuated(key) }
 
-// readOperator reads what is to be confirmed from the store in one call, and puts the evacuated
-// failure domains in force. It returns the entry of the configuration. settled states whether the
-// era was settled before.
-func (p *Process) readOperator(ctx context.Context, settled bool, era int64) (platform.Entry, error) {
-	if p.evacuated == nil {
-		return p.store.Get(ctx, p.adapter.ConfigurationKey)
-	}
-	entries, revision, err := p.store.List(ctx, p.adapter.OperatorPrefix, "", 0)
-	if err != nil {
-		return platform.Entry{}, err
-	}
-	p.evacuated.Replace(evacuatedDomains(entries, p.adapter.EvacuatedDomain), revision, settled && revision.Era() == era, "confirmation")
-	for i := range entries {
-		if entries[i].Key == p.adapter.ConfigurationKey {
-			return entries[i], nil
-		}
-	}
-	return platform.Entry{}, platform.ErrNotFound
-}
-
 // evacuatedDomains returns the failure domains that a list of entries evacuates.
 func evacuatedDomains(entries []platform.Entry, domainOf func(key string) (string, bool)) []string {
 	var domains []string
--- a/internal/edge/process/follow.go
+++ b/internal/edge/process/follow.go
@@ -46,7 +46,7 @@
 func (p *Process) newFeeds() *feeds {
 	return &feeds{
 		policy: &feed.Feed{Log: p.log, Store: p.store, Prefix: p.policyPrefix(), WatchInterval: p.watchInterval(policyWatchInterval), RetryDelay: p.retryDelay,
-			Sink: p.newPolicySink()},
+			Sink: p.newPolicySink(), CatchUp: p.catchUp},
 		targets: &feed.Feed{Log: p.log, Store: p.store, Prefix: p.adapter.TargetPrefix, WatchInterval: p.watchInterval(targetWatchInterval), RetryDelay: p.retryDelay,
 			Sink: p.targetLog, OutageThreshold: expiryHeartbeats * p.node.TargetHeartbeat, EraSettled: p.eras.Settled, SettlePeriod: storeera.SettlePeriod},
 	}
--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -90,6 +90,7 @@
 	contact       storeContact
 	placementRate placement.Rate
 	targetsListed atomic.Bool
+	operator      operatorState
 	drain         *draining.Drain
 	limitShares   *limitshare.Shares
 	warmup        *warmup.Tracker // nil if the deployment bounds nothing
@@ -186,7 +187,7 @@
 	health := ejection.New()
 	p.speeds = targetspeed.New(p.comparedTargets, p.onSpeedChange)
 	p.exchange = &peers.Exchange{Log: log, Host: n.Name, Members: p.members, Inflight: p.inflight, Targets: p.targets,
-		ChangeLog: p.targetLog, Policy: p.policy, Evacuated: p.evacuated, Confirmer: p.confirmer, Health: health, Eras: p.eras, FollowsStore: p.feeds.live, IsDraining: func() bool { return p.drain.Begun().Err() != nil },
+		ChangeLog: p.targetLog, Policy: p.policy, Evacuated: p.evacuated, Confirmer: p.confirmer, Operator: &p.operator, Health: health, Eras: p.eras, FollowsStore: p.feeds.live, IsDraining: func() bool { return p.drain.Begun().Err() != nil },
 		Notices: notices, Warmup: p.warmup, Quarantine: p.quarantine, Speeds: p.speeds}
 	p.crashes.OnEvidence = p.exchange.SendEvidence
 	p.exchange.Init()
--- a/internal/edge/process/sinks.go
+++ b/internal/edge/process/sinks.go
@@ -14,30 +14,33 @@
 	log    *slog.Logger
 	holder *policy.Holder
 	key    string
+	known  func(asOf platform.Revision, read *operatorRead) // called with what is known once it is in force
 }
 
 // Replace implements feed.Sink.
-func (s *policySink) Replace(entries []platform.Entry, _ platform.Revision, _ bool) {
+func (s *policySink) Replace(entries []platform.Entry, revision platform.Revision, _ bool) {
 	for i := range entries {
-		s.apply(&entries[i], "list")
+		if entries[i].Key == s.key {
+			read := s.apply(&entries[i], "list")
+			s.known(revision, &read)
+		}
 	}
 }
 
 // Apply implements feed.Sink. Only the last change of the configuration matters.
-func (s *policySink) Apply(events []platform.Event, _ platform.Revision) {
+func (s *policySink) Apply(events []platform.Event, revision platform.Revision) {
+	var read operatorRead
 	for i := len(events) - 1; i >= 0; i-- {
 		if !events[i].Deleted && events[i].Entry.Key == s.key {
-			s.apply(&events[i].Entry, "watch")
-			return
+			read = s.apply(&events[i].Entry, "watch")
+			break
 		}
 	}
+	s.known(revision, &read)
 }
 
 // apply puts a configuration in force if it is newer than the current one.
-func (s *policySink) apply(e *platform.Entry, source string) {
-	if e.Key != s.key {
-		return
-	}
+func (s *policySink) apply(e *platform.Entry, source string) operatorRead {
 	accepted, err := s.holder.ApplyIfNewer(e.Value, e.Revision)
 	switch {
 	case errors.Is(err, policy.ErrOlderVersion):
@@ -47,6 +50,7 @@
 	case accepted:
 		s.log.Info("policy: configuration in force", "version", s.holder.Current().Version, "revision", e.Revision, "source", source, "bytes", len(e.Value))
 	}
+	return operatorRead{found: true, revision: e.Revision, invalid: err}
 }
 
 // targetSink keeps the list of targets up to date.
--- a/internal/platform/memstore/watch.go
+++ b/internal/platform/memstore/watch.go
@@ -37,6 +37,18 @@
 	}
 }
 
+// Changes returns the events after a revision without waiting for any. Its errors are those of Watch.
+func (s *Store) Changes(ctx context.Context, prefix string, after platform.Revision) (events []platform.Event, revision platform.Revision, err error) {
+	err = s.read(ctx, prefix, func() (err error) {
+		events, revision, err = s.eventsLocked(prefix, after)
+		return err
+	})
+	if err != nil {
+		return nil, after, err
+	}
+	return events, revision, nil
+}
+
 // poll returns the events so far. If there are none, the caller must wait for the
 // returned duration or until the returned channel is closed by the next change.
 func (s *Store) poll(prefix string, after Revision) ([]platform.Event, Revision, time.Duration, <-chan struct{}, error) {
--- a/tests/edge/fleet_test.go
+++ b/tests/edge/fleet_test.go
@@ -160,6 +160,13 @@
 	return events, next, err
 }
 
+func (s *partitionableStore) Changes(ctx context.Context, prefix string, after ports.Revision) ([]ports.Event, ports.Revision, error) {
+	if s.isPartitioned() || s.silentFor(ctx, prefix, silentReadTimeout) {
+		return nil, 0, ports.ErrUnavailable
+	}
+	return s.Store.Changes(ctx, prefix, after)
+}
+
 func (s *partitionableStore) Revoke(ctx context.Context, id ports.LeaseID) error {
 	if s.hangRevoke.Load() {
 		<-ctx.Done()
