Peers: hosts fetch large lists of targets in parts

Lists of more than 32 KB are fetched like configurations; both use internal/edge/packed. A hub sends the same packed list for 2 s, what changed since follows with the next sync, and its answer counts as one of a live hub once the host has the list.

--- a/internal/edge/peers/configuration.go
+++ b/internal/edge/peers/configuration.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"corianderhitch/internal/edge/bootclock"
+	"corianderhitch/internal/edge/packed"
 	"corianderhitch/internal/edge/policy"
 	"corianderhitch/internal/edge/relay"
 	"corianderhitch/internal/platform"
@@ -19,8 +20,6 @@
 	// partBytes is the size of a part of a packed configuration. Over a link of 10 Mbit/s it takes 13 ms,
 	// so that other calls on the connection are not held up.
 	partBytes = 16 << 10
-	// maxPackedBytes bounds what is fetched.
-	maxPackedBytes = 4 << 20
 	// maxSources bounds the hosts from which a configuration is fetched.
 	maxSources = 4
 	// fetchRetryDelay follows a round in which no source answered. Nothing of what has arrived is lost.
@@ -40,8 +39,8 @@
 	ended       chan struct{}     // guarded by mu; closed at the end of the fetch in progress; nil if there is none
 	progressAt  bootclock.Instant // guarded by mu; when the fetch began or the latest part arrived
 
-	packed policy.Packed // what has arrived of the configuration have; only for the goroutine of the fetch
-	have   policy.Stamp
+	text packed.Text // what has arrived of the configuration have; only for the goroutine of the fetch
+	have policy.Stamp
 }
 
 // want records that a host has a configuration. It returns the channel that ends the fetch if the caller
@@ -157,12 +156,12 @@
 			return
 		}
 		if f.have != stamp {
-			f.have, f.packed = stamp, policy.Packed{}
+			f.have, f.text = stamp, packed.Text{}
 		}
 		source, err := e.fetchPart(ctx, stamp, sources)
 		if err != nil {
 			failures++
-			e.Log.Warn("peers: no host sends the configuration", "version", stamp.Version, "revision", stamp.Revision, "bytes", len(f.packed.Bytes), "error", err.Error())
+			e.Log.Warn("peers: no host sends the configuration", "version", stamp.Version, "revision", stamp.Revision, "bytes", len(f.text.Bytes), "error", err.Error())
 			wait.For(ctx, fetchRetryDelay)
 			continue
 		}
@@ -185,34 +184,26 @@
 	f := &e.fetch
 	lastErr := eris.New("no host is known to have it")
 	for _, host := range sources {
-		reply := new(ConfigurationReply)
-		args := ConfigurationArgs{Revision: stamp.Revision, Version: stamp.Version, Offset: len(f.packed.Bytes)}
+		reply := new(packed.Part)
+		args := ConfigurationArgs{Revision: stamp.Revision, Version: stamp.Version, Offset: len(f.text.Bytes)}
 		err := e.call(ctx, host.Name, host.Address, "Configuration", args, reply)
-		switch {
-		case err != nil:
-			lastErr = err
-			continue
-		case !reply.Has || reply.Size <= 0 || reply.Size > maxPackedBytes:
-			lastErr = eris.Errorf("%s has another configuration, or one of %d bytes", host.Name, reply.Size)
-			continue
-		case reply.Sum != f.packed.Sum && len(f.packed.Bytes) > 0: // packed by another build
-			f.packed = policy.Packed{}
-			return fetched{host: host.Name}, nil
-		case len(reply.Part) == 0 || len(f.packed.Bytes)+len(reply.Part) > reply.Size:
-			lastErr = eris.Errorf("%s sent %d bytes after %d of %d", host.Name, len(reply.Part), len(f.packed.Bytes), reply.Size)
-			continue
+		complete := false
+		if err == nil {
+			complete, err = f.text.Append(reply) // begins anew with the text of another build
+		}
+		if err == nil {
+			return fetched{host: host.Name, complete: complete}, nil
 		}
-		f.packed.Sum, f.packed.Bytes = reply.Sum, append(f.packed.Bytes, reply.Part...)
-		return fetched{host: host.Name, complete: len(f.packed.Bytes) == reply.Size}, nil
+		lastErr = eris.Wrap(err, host.Name)
 	}
 	return fetched{}, lastErr
 }
 
 // applyFetched puts the fetched configuration in force and forgets its packed form.
 func (e *Exchange) applyFetched(stamp policy.Stamp, source string, began bootclock.Instant) {
-	packed := e.fetch.packed
-	e.fetch.have, e.fetch.packed = policy.Stamp{}, policy.Packed{}
-	raw, err := packed.Unpack()
+	text := e.fetch.text
+	e.fetch.have, e.fetch.text = policy.Stamp{}, packed.Text{}
+	raw, err := text.Unpack()
 	accepted := false
 	if err == nil {
 		accepted, err = e.Policy.ApplyIfNewer(raw, stamp.Revision)
@@ -223,7 +214,7 @@
 		e.forgetWanted(stamp)
 	case accepted:
 		e.Log.Info("policy: configuration in force", "version", e.Policy.Current().Version, "revision", stamp.Revision, "source", "peer "+source,
-			"bytes", len(raw), "packed_bytes", len(packed.Bytes), "took_ms", bootclock.Since(began).Milliseconds())
+			"bytes", len(raw), "packed_bytes", len(text.Bytes), "took_ms", bootclock.Since(began).Milliseconds())
 	}
 }
 
--- a/internal/edge/peers/configuration_test.go
+++ b/internal/edge/peers/configuration_test.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/base64"
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/rpc"
 	"sync"
@@ -123,3 +124,30 @@
 	require.Zero(t, logs.countLines("does not answer"))
 	require.True(t, e.HasLiveHub())
 }
+
+// A whole list of many targets was cut and sent again like a large configuration.
+func TestWholeListOfTargetsReachesHostsOverSlowLinks(t *testing.T) {
+	entries := make([]platform.Entry, 3000)
+	for i := range entries {
+		value, _ := json.Marshal(map[string]any{"service": "s", "address": "10.0.0.1:8000", "zone": "a", "random": configurationOf(1, 200)})
+		entries[i] = platform.Entry{Key: fmt.Sprintf("servers/%d", i), Value: value, Revision: 5}
+	}
+	hub, address := startHub(t, configurationOf(1, 100), 1)
+	hub.ChangeLog = relay.NewChangeLog(discardSink{})
+	hub.ChangeLog.Replace(entries, 5, true)
+	e, logs := newAskingExchange(t, address)
+	e.Eras = hub.Eras
+	e.follow(t, configurationOf(1, 100), 1)
+	e.ChangeLog = relay.NewChangeLog(discardSink{})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go e.Run(ctx)
+	require.Eventually(t, func() bool { return e.ChangeLog.Revision() == 5 && e.HasLiveHub() }, applyBound, time.Millisecond)
+	require.Len(t, e.ChangeLog.Since(0, false).Entries, len(entries))
+	require.Zero(t, logs.countLines("does not answer"))
+}
+
+type discardSink struct{}
+
+func (discardSink) Replace([]platform.Entry, platform.Revision, bool) {}
+func (discardSink) Apply([]platform.Event, platform.Revision)         {}
--- a/internal/edge/peers/exchange.go
+++ b/internal/edge/peers/exchange.go
@@ -87,7 +87,9 @@
 	process           uint64        // drawn at random; names this process to its peers
 	evidence          evidenceProgress
 
-	fetch configurationFetch
+	fetch     configurationFetch
+	listFetch listFetch
+	lists     listSnapshot
 
 	placeMu sync.Mutex // makes choosing an engine and reserving its capacity atomic
 
--- a/internal/edge/peers/messages.go
+++ b/internal/edge/peers/messages.go
@@ -25,7 +25,7 @@
 	Cold           []warmup.Notice
 	PolicyRevision platform.Revision
 	PolicyVersion  int64
-	FetchesPolicy  bool // see VouchArgs.Fetches
+	Fetches        bool // see VouchArgs.Fetches; whole lists of targets too
 	ListRevision   platform.Revision
 	ListSettling   bool // see relay.ChangeLog.Settling
 	// Evacuation are the evacuated failure domains as this host knows them: a hub that has lost the
@@ -110,7 +110,7 @@
 type VouchArgs struct {
 	Revision platform.Revision
 	Version  int64
-	// Fetches states that the caller fetches large configurations in parts. Older builds don't.
+	// Fetches states that the caller fetches large texts in parts. Older builds don't.
 	Fetches bool
 }
 
@@ -121,12 +121,10 @@
 	Offset   int // of the part, in bytes
 }
 
-// ConfigurationReply is a part of a packed configuration.
-type ConfigurationReply struct {
-	Has  bool   // false if another configuration is in force at the host
-	Sum  uint64 // of the whole, see policy.Packed; parts with different sums do not belong together
-	Size int    // of the whole, in bytes
-	Part []byte
+// TargetListArgs asks a hub for a part of its whole list of targets, packed.
+type TargetListArgs struct {
+	Sum    uint64 // of the list of which the caller has the start; 0 for none
+	Offset int    // of the part, in bytes
 }
 
 // NoticeArgs carries updates that are too urgent for the next Sync.
--- a/internal/edge/peers/service.go
+++ b/internal/edge/peers/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"corianderhitch/internal/edge/bootclock"
+	"corianderhitch/internal/edge/packed"
 	"corianderhitch/internal/edge/policy"
 )
 
@@ -24,8 +25,8 @@
 		Limits:  e.Notices.LimitNotices(bootclock.Now()),
 		Cold:    e.Warmup.Notices(bootclock.Now()),
 		Failing: e.Health.CountReports(args.Host),
-		List:    e.ChangeLog.Since(args.ListRevision, args.ListSettling),
-		Vouch:   e.confirmation(policy.Stamp{Version: args.PolicyVersion, Revision: args.PolicyRevision}, args.FetchesPolicy),
+		List:    e.changesFor(&args),
+		Vouch:   e.confirmation(policy.Stamp{Version: args.PolicyVersion, Revision: args.PolicyRevision}, args.Fetches),
 		Era:     e.Eras.Current(), SettledEra: e.Eras.SettledEra(),
 	}
 	reply.Speed = e.Speeds.Merge(args.Speed, e.isFirstHub())
@@ -69,16 +70,12 @@
 }
 
 // Configuration returns a part of this host's configuration.
-func (s *service) Configuration(args ConfigurationArgs, reply *ConfigurationReply) error {
+func (s *service) Configuration(args ConfigurationArgs, reply *packed.Part) error {
 	p := s.exchange.Policy.Current()
 	if p.Stamp() != (policy.Stamp{Version: args.Version, Revision: args.Revision}) || p == nil {
 		return nil
 	}
-	packed := p.Packed()
-	*reply = ConfigurationReply{Has: true, Sum: packed.Sum, Size: len(packed.Bytes)}
-	if begin := args.Offset; begin >= 0 && begin < len(packed.Bytes) {
-		reply.Part = packed.Bytes[begin:min(begin+partBytes, len(packed.Bytes))]
-	}
+	*reply = p.Packed().Part(args.Offset, partBytes)
 	return nil
 }
 
--- a/internal/edge/peers/sync.go
+++ b/internal/edge/peers/sync.go
@@ -97,7 +97,7 @@
 	var sentEvidence uint64
 	args.Evidence, sentEvidence = e.evidenceFor(hub.Name)
 	own := e.Policy.Current().Stamp()
-	args.PolicyRevision, args.PolicyVersion, args.FetchesPolicy = own.Revision, own.Version, true
+	args.PolicyRevision, args.PolicyVersion, args.Fetches = own.Revision, own.Version, true
 	args.Evacuation = e.Evacuated.Snapshot()
 	askedAt := bootclock.Now()
 	reply := new(SyncReply)
@@ -129,6 +129,10 @@
 	if !reply.Live {
 		return
 	}
+	if reply.List.Large { // the hub's answer counts once this host has the list
+		e.fetchTargetList(ctx, hub)
+		return
+	}
 	e.ChangeLog.ApplyChanges(reply.List)
 	e.mu.Lock()
 	e.lastHubAnswer = max(e.lastHubAnswer, askedAt)
--- a/internal/edge/policy/holder.go
+++ b/internal/edge/policy/holder.go
@@ -6,6 +6,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"corianderhitch/internal/edge/packed"
 	"corianderhitch/internal/platform"
 )
 
@@ -40,7 +41,13 @@
 	Raw      []byte // as stored, for hosts that cannot reach the store
 
 	packOnce sync.Once
-	packed   Packed // see Packed
+	packed   packed.Text // see Packed
+}
+
+// Packed returns the compressed text. The first call compresses it.
+func (s *Snapshot) Packed() packed.Text {
+	s.packOnce.Do(func() { s.packed = packed.Pack(s.Raw) })
+	return s.packed
 }
 
 // Stamp returns the version and revision, the zero Stamp for nil.
--- a/internal/edge/relay/changelog.go
+++ b/internal/edge/relay/changelog.go
@@ -19,10 +19,24 @@
 	Revision platform.Revision
 	Whole    bool // Entries replace everything
 	Settling bool // with Whole: entries that are missing must be kept, see feed.Sink
+	Large    bool // with Whole: Entries are left out, and must be asked for
 	Entries  []platform.Entry
 	Events   []platform.Event
 }
 
+// Bytes returns about how long the changes are.
+func (c *Changes) Bytes() int {
+	const perEntry = 16 // revision, lease and lengths
+	n := 0
+	for i := range c.Entries {
+		n += perEntry + len(c.Entries[i].Key) + len(c.Entries[i].Value)
+	}
+	for i := range c.Events {
+		n += perEntry + len(c.Events[i].Entry.Key) + len(c.Events[i].Entry.Value)
+	}
+	return n
+}
+
 // ChangeLog keeps a list of entries with its latest changes and passes them to a
 // sink. It never goes back to an older revision. It is safe for concurrent use.
 type ChangeLog struct {
