Confirmations: requests start none right after one has failed

A request that comes within 200 ms of a failure is rejected at once with Retry-After, as it is known that it can't be served. Also: a configuration whose sources are gone no longer holds up another that can be had.

TestRequestsDoNotConfirmAgainRightAfterAFailure (a call for each request before), TestConfigurationWhoseSourcesAreGoneHoldsUpNoOther.

--- a/internal/edge/freshness/confirmer.go
+++ b/internal/edge/freshness/confirmer.go
@@ -26,6 +26,9 @@
 	confirmTimeout = 1200 * time.Millisecond
 	// retryPause follows a failed confirmation.
 	retryPause = 600 * time.Millisecond
+	// requestRetryPause is how long after a failed confirmation requests don't start another one: a store that
+	// rejects calls at once would be called for each request.
+	requestRetryPause = 200 * time.Millisecond
 )
 
 // Confirmer keeps the configuration confirmed. It is safe for concurrent use.
@@ -36,8 +39,9 @@
 	confirmedAt atomic.Int64 // bootclock.Instant; 0 before the first confirmation
 
 	mu      sync.Mutex
-	running chan struct{} // guarded by mu; closed at the end of the attempt in progress; nil if there is none
-	failing bool          // guarded by mu; the last attempt failed
+	running chan struct{}     // guarded by mu; closed at the end of the attempt in progress; nil if there is none
+	failing bool              // guarded by mu; the last attempt failed
+	endedAt bootclock.Instant // guarded by mu; end of the last attempt
 }
 
 // New returns a Confirmer. While Run runs, it confirms the configuration again
@@ -78,12 +82,15 @@
 }
 
 // EnsureFresh reports whether there is a confirmation younger than maxAge. If not,
-// it attempts one and waits for it at most maxWait. The attempt goes on when ctx
-// ends.
+// it attempts one and waits for it at most maxWait, unless one has just failed. The
+// attempt goes on when ctx ends.
 func (c *Confirmer) EnsureFresh(ctx context.Context, maxAge, maxWait time.Duration) bool {
 	if c.Age() < maxAge {
 		return true
 	}
+	if c.hasJustFailed() {
+		return false
+	}
 	timer := time.NewTimer(maxWait)
 	defer timer.Stop()
 	select {
@@ -94,6 +101,14 @@
 	return c.Age() < maxAge
 }
 
+// hasJustFailed reports whether no attempt is in progress and the last one failed less than
+// requestRetryPause ago.
+func (c *Confirmer) hasJustFailed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.running == nil && c.failing && bootclock.Since(c.endedAt) < requestRetryPause
+}
+
 // attempt starts a confirmation, or joins the one in progress. The channel is closed
 // when the confirmation has succeeded or failed.
 func (c *Confirmer) attempt(ctx context.Context) <-chan struct{} {
@@ -133,7 +148,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.running = nil
+	c.running, c.endedAt = nil, bootclock.Now()
 	switch {
 	case err != nil && !c.failing:
 		c.log.Warn("freshness: configuration cannot be confirmed", "age_ms", c.Age().Milliseconds(), "error", err.Error())
--- a/internal/edge/freshness/confirmer_test.go
+++ b/internal/edge/freshness/confirmer_test.go
@@ -70,3 +70,22 @@
 	c.RecordConfirmation(now.Add(-time.Second))
 	require.Equal(t, now, c.ConfirmedAt())
 }
+
+// While a store rejected calls at once, each request made another one.
+func TestRequestsDoNotConfirmAgainRightAfterAFailure(t *testing.T) {
+	var calls atomic.Int32
+	c := newConfirmer(func(context.Context) (bootclock.Instant, error) {
+		calls.Add(1)
+		return 0, errors.New("rejected")
+	})
+	started := time.Now()
+	for time.Since(started) < 3*requestRetryPause {
+		require.False(t, c.EnsureFresh(t.Context(), time.Second, time.Second))
+		time.Sleep(time.Millisecond)
+	}
+	require.LessOrEqual(t, calls.Load(), int32(4))
+	time.Sleep(requestRetryPause)
+	before := calls.Load()
+	c.EnsureFresh(t.Context(), time.Second, time.Second)
+	require.Equal(t, before+1, calls.Load())
+}
--- a/internal/edge/peers/configuration.go
+++ b/internal/edge/peers/configuration.go
@@ -32,7 +32,8 @@
 // is kept when a call fails. It is safe for concurrent use.
 type configurationFetch struct {
 	mu          sync.Mutex
-	wanted      policy.Stamp      // guarded by mu; the newest configuration that a host has stated
+	newest      policy.Stamp      // guarded by mu; of all configurations that hosts have stated
+	wanted      policy.Stamp      // guarded by mu; the newest that can be fetched, zero once no source sends it
 	sources     []relay.Host      // guarded by mu; hosts that have it, the latest to state it first
 	confirmedAt bootclock.Instant // guarded by mu; when wanted was certainly the newest; 0 if that is not known
 	asOf        platform.Revision // guarded by mu; see Confirmation.AsOf, of wanted
@@ -54,6 +55,9 @@
 	case stamp != f.wanted:
 		return nil // older
 	}
+	if stamp.NewerThan(f.newest) {
+		f.newest = stamp
+	}
 	f.confirmedAt, f.asOf = max(f.confirmedAt, confirmedAt), max(f.asOf, asOf)
 	f.sources = slices.DeleteFunc(f.sources, func(h relay.Host) bool { return h.Name == host.Name })
 	f.sources = slices.Insert(f.sources, 0, host)
@@ -99,8 +103,9 @@
 // KnowsNewerConfiguration reports whether another host has stated that it has a configuration that is
 // newer than the one in force here.
 func (e *Exchange) KnowsNewerConfiguration() bool {
-	wanted, _ := e.fetch.next()
-	return wanted.NewerThan(e.Policy.Current().Stamp())
+	e.fetch.mu.Lock()
+	defer e.fetch.mu.Unlock()
+	return e.fetch.newest.NewerThan(e.Policy.Current().Stamp())
 }
 
 // FetchesConfiguration reports whether parts of a newer configuration arrive.
@@ -146,7 +151,7 @@
 // runFetch fetches until the newest known configuration is in force, or no source answers.
 func (e *Exchange) runFetch(ctx context.Context) {
 	began, f := bootclock.Now(), &e.fetch
-	for failures := 0; failures < maxFetchRounds; {
+	for failures := 0; ; {
 		stamp, sources := f.next()
 		own := e.Policy.Current().Stamp()
 		if !stamp.NewerThan(own) {
@@ -160,7 +165,10 @@
 		}
 		source, err := e.fetchPart(ctx, stamp, sources)
 		if err != nil {
-			failures++
+			if failures++; failures >= maxFetchRounds {
+				e.forgetWanted(stamp) // its sources may be gone for good
+				return
+			}
 			e.Log.Warn("peers: no host sends the configuration", "version", stamp.Version, "revision", stamp.Revision, "bytes", len(f.text.Bytes), "error", err.Error())
 			wait.For(ctx, fetchRetryDelay)
 			continue
@@ -218,8 +226,8 @@
 	}
 }
 
-// forgetWanted keeps a configuration that can't be used from being fetched in a loop; the next
-// confirmation states it again.
+// forgetWanted ends the fetch of a configuration that can't be had or used. It begins again when a host
+// states it again.
 func (e *Exchange) forgetWanted(stamp policy.Stamp) {
 	e.fetch.mu.Lock()
 	defer e.fetch.mu.Unlock()
--- a/internal/edge/peers/configuration_test.go
+++ b/internal/edge/peers/configuration_test.go
@@ -125,6 +125,22 @@
 	require.True(t, e.HasLiveHub())
 }
 
+// The only host that had a configuration is gone for good, and with it, after a restore of the store, the configuration: others
+// that are older but newer than this host's must still be fetched.
+func TestConfigurationWhoseSourcesAreGoneHoldsUpNoOther(t *testing.T) {
+	hub, address := startHub(t, configurationOf(2, partBytes+1), 2)
+	e, _ := newAskingExchange(t, address)
+	e.Eras = hub.Eras
+	e.follow(t, configurationOf(1, 100), 1)
+	gone := relay.Host{Name: "gone", Address: "127.0.0.1:1"}
+	e.applyConfirmation(gone, bootclock.Now(), &Confirmation{Version: 3, Revision: 3})
+	require.Eventually(t, func() bool {
+		e.sync(t.Context(), address, false)
+		return version(e) == 2
+	}, applyBound, 10*time.Millisecond)
+	require.True(t, e.KnowsNewerConfiguration())
+}
+
 // A whole list of many targets was cut and sent again like a large configuration.
 func TestWholeListOfTargetsReachesHostsOverSlowLinks(t *testing.T) {
 	entries := make([]platform.Entry, 3000)
