--- a/internal/edge/peers/configuration_test.go
+++ b/internal/edge/peers/configuration_test.go
@@ -125,6 +125,17 @@
 	require.True(t, e.HasLiveHub())
 }
 
+func TestOlderBuildsGetAndSendWholeConfigurations(t *testing.T) {
+	hub, _ := startHub(t, configurationOf(2, partBytes+1), 2)
+	require.Nil(t, hub.confirmation(policy.Stamp{}, true).Raw)
+	whole := hub.confirmation(policy.Stamp{}, false)
+	require.NotNil(t, whole.Raw)
+	e := newExchange()
+	e.follow(t, configurationOf(1, 100), 1)
+	require.True(t, e.confirms(whole), "an older hub")
+	require.EqualValues(t, 2, version(e))
+}
+
 // The only host that had a configuration is gone for good, and with it, after a restore of the store, the configuration: others
 // that are older but newer than this host's must still be fetched.
 func TestConfigurationWhoseSourcesAreGoneHoldsUpNoOther(t *testing.T) {
