Confirmations: the era of an answer counts, not that of the configuration in force

After a restore, a host that knew from others that all of the new era is in force read only changes at the store, found none, and took the era of its configuration, which had been written before, for that of the answer: it never confirmed by the store. Found by reading.

TestConfigurationOfAnEarlierEraIsConfirmedByChanges failed before (errEraUnsettled).

--- a/internal/edge/process/confirm.go
+++ b/internal/edge/process/confirm.go
@@ -182,7 +182,7 @@
 	if err == nil {
 		err = read.invalid
 	}
-	if err == nil && (!settled || read.revision.Era() != era) {
+	if err == nil && (!settled || read.era != era) {
 		err = errEraUnsettled
 	}
 	return asOf, err
--- a/internal/edge/process/operator.go
+++ b/internal/edge/process/operator.go
@@ -43,9 +43,9 @@
 
 // operatorRead is the outcome of a read that the store has answered.
 type operatorRead struct {
-	found    bool              // it brought a configuration
-	revision platform.Revision // of the configuration in the store
-	invalid  error             // why that is not in force; nil if it is
+	era     int64 // of the store when it answered
+	found   bool  // it brought a configuration
+	invalid error // why that is not in force; nil if it is
 }
 
 // readOperator puts in force what the operator has written and this host does not know. settled states
@@ -121,7 +121,7 @@
 	if err != nil {
 		return operatorRead{}, err
 	}
-	read := operatorRead{revision: p.policy.Current().Stamp().Revision}
+	read := operatorRead{era: asOf.Era()}
 	var changes []evacuation.Change
 	for i := range events {
 		e := &events[i].Entry
@@ -171,5 +171,5 @@
 	if accepted {
 		p.log.Info("policy: configuration in force", "version", p.policy.Current().Version, "revision", e.Revision, "source", "confirmation", "bytes", len(e.Value))
 	}
-	return operatorRead{found: true, revision: e.Revision, invalid: err}
+	return operatorRead{era: e.Revision.Era(), found: true, invalid: err}
 }
--- a/internal/edge/process/operator_test.go
+++ b/internal/edge/process/operator_test.go
@@ -57,6 +57,23 @@
 	}
 }
 
+// The configuration in force was written in an earlier era and not since; a host that knew that all of the new
+// era is in force could not confirm it.
+func TestConfigurationOfAnEarlierEraIsConfirmedByChanges(t *testing.T) {
+	p, store := newOperatorProcess(node.Node{})
+	putLarge(t, store)
+	_, err := p.confirmWithStore(t.Context())
+	require.NoError(t, err)
+	store.Restore(store.Copy())
+	p.eras.Observe(store.Era(), "test")
+	p.eras.MarkSettled(store.Era())
+	p.operator.Advance(platform.NewRevision(store.Era(), 1)) // as another host states
+	store.calls = nil
+	_, err = p.confirmWithStore(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, []string{"changes o/c"}, store.calls)
+}
+
 // The store drops its history: the changes since the last confirmation are not known.
 func TestConfirmationWithoutHistoryReadsAll(t *testing.T) {
 	p, store := newOperatorProcess(node.Node{})
--- a/internal/edge/process/sinks.go
+++ b/internal/edge/process/sinks.go
@@ -50,7 +50,7 @@
 	case accepted:
 		s.log.Info("policy: configuration in force", "version", s.holder.Current().Version, "revision", e.Revision, "source", source, "bytes", len(e.Value))
 	}
-	return operatorRead{found: true, revision: e.Revision, invalid: err}
+	return operatorRead{era: e.Revision.Era(), found: true, invalid: err}
 }
 
 // targetSink keeps the list of targets up to date.
