--- a/internal/edge/packed/packed.go
+++ b/internal/edge/packed/packed.go
@@ -53,7 +53,10 @@
 
 // Part is a part of a text, as a host sends it.
 type Part struct {
-	Has   bool   // false if the host has another text
+	Has bool // false if the host has another text
+	// Preparing means that the host is still compressing the text; the other fields are not set yet.
+	Preparing bool
+
 	Sum   uint64 // of the whole; parts with different sums do not belong together
 	Size  int    // of the whole, in bytes
 	Bytes []byte
--- a/internal/edge/peers/configuration.go
+++ b/internal/edge/peers/configuration.go
@@ -24,6 +24,8 @@
 	maxSources = 4
 	// fetchRetryDelay follows a round in which no source answered. Nothing of what has arrived is lost.
 	fetchRetryDelay = 100 * time.Millisecond
+	// preparingDelay is when a host that is still packing a text is asked again.
+	preparingDelay = 20 * time.Millisecond
 	// maxFetchRounds is how many such rounds in a row end a fetch; the next confirmation begins it again.
 	maxFetchRounds = 3
 )
@@ -196,6 +198,10 @@
 		args := ConfigurationArgs{Revision: stamp.Revision, Version: stamp.Version, Offset: len(f.text.Bytes)}
 		err := e.call(ctx, host.Name, host.Address, "Configuration", args, reply)
 		complete := false
+		if err == nil && reply.Preparing {
+			wait.For(ctx, preparingDelay)
+			return fetched{host: host.Name}, nil
+		}
 		if err == nil {
 			complete, err = f.text.Append(reply) // begins anew with the text of another build
 		}
--- a/internal/edge/peers/service.go
+++ b/internal/edge/peers/service.go
@@ -75,10 +75,18 @@
 	if p.Stamp() != (policy.Stamp{Version: args.Version, Revision: args.Revision}) || p == nil {
 		return nil
 	}
-	*reply = p.Packed().Part(args.Offset, partBytes)
+	*reply = partOf(p.Packed(), args.Offset)
 	return nil
 }
 
+// partOf returns the part of a text from offset on; the text is nil while it is being packed.
+func partOf(text *packed.Text, offset int) packed.Part {
+	if text == nil {
+		return packed.Part{Has: true, Preparing: true}
+	}
+	return text.Part(offset, partBytes)
+}
+
 // confirmation returns how fresh this host's configuration is. If it is newer than known, its text is
 // included for hosts that don't fetch it, and if it is not larger than a part.
 func (e *Exchange) confirmation(known policy.Stamp, fetches bool) Confirmation {
--- a/internal/edge/peers/targetlist.go
+++ b/internal/edge/peers/targetlist.go
@@ -19,24 +19,38 @@
 
 // listSnapshot is the packed list of targets that a hub sends. It is safe for concurrent use.
 type listSnapshot struct {
-	mu     sync.Mutex
-	text   packed.Text       // guarded by mu
-	packAt bootclock.Instant // guarded by mu
+	mu      sync.Mutex
+	text    *packed.Text      // guarded by mu; nil before the first
+	packAt  bootclock.Instant // guarded by mu; when the list was taken
+	packing bool              // guarded by mu
 }
 
-// get returns the list whose sum is given, if it is still kept, or a recent one.
-func (s *listSnapshot) get(sum uint64, list func() relay.Changes) (packed.Text, error) {
+// get returns the list whose sum is given, if it is still kept, or a recent one. It returns nil while that is
+// being packed.
+func (s *listSnapshot) get(sum uint64, list func() relay.Changes) *packed.Text {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.text.Bytes) > 0 && (s.text.Sum == sum || bootclock.Since(s.packAt) < listSnapshotAge) {
-		return s.text, nil
+	if s.text != nil && (s.text.Sum == sum || bootclock.Since(s.packAt) < listSnapshotAge) {
+		return s.text
+	}
+	if !s.packing {
+		s.packing = true
+		go s.pack(list)
 	}
+	return nil
+}
+
+func (s *listSnapshot) pack(list func() relay.Changes) {
+	takenAt := bootclock.Now()
 	var b bytes.Buffer
-	if err := gob.NewEncoder(&b).Encode(list()); err != nil {
-		return packed.Text{}, err
+	err := gob.NewEncoder(&b).Encode(list())
+	text := packed.Pack(b.Bytes())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.packing = false
+	if err == nil { // all its types can be encoded
+		s.text, s.packAt = &text, takenAt
 	}
-	s.text, s.packAt = packed.Pack(b.Bytes()), bootclock.Now()
-	return s.text, nil
 }
 
 // changesFor returns the changes of the targets that a host lacks. A large list is left out for hosts that
@@ -51,11 +65,7 @@
 
 // TargetList returns a part of this host's list of targets.
 func (s *service) TargetList(args TargetListArgs, reply *packed.Part) error {
-	text, err := s.exchange.lists.get(args.Sum, func() relay.Changes { return s.exchange.ChangeLog.Since(0, false) })
-	if err != nil {
-		return err
-	}
-	*reply = text.Part(args.Offset, partBytes)
+	*reply = partOf(s.exchange.lists.get(args.Sum, func() relay.Changes { return s.exchange.ChangeLog.Since(0, false) }), args.Offset)
 	return nil
 }
 
@@ -94,10 +104,14 @@
 
 func (e *Exchange) readTargetList(ctx context.Context, hub relay.Host) (changes relay.Changes, err error) {
 	f := &e.listFetch
-	for failures := 0; failures < maxFetchRounds; {
+	for failures := 0; failures < maxFetchRounds && ctx.Err() == nil; {
 		reply := new(packed.Part)
 		err = e.call(ctx, hub.Name, hub.Address, "TargetList", TargetListArgs{Sum: f.text.Sum, Offset: len(f.text.Bytes)}, reply)
 		complete := false
+		if err == nil && reply.Preparing {
+			wait.For(ctx, preparingDelay)
+			continue
+		}
 		if err == nil {
 			complete, err = f.text.Append(reply)
 		}
--- a/internal/edge/policy/holder.go
+++ b/internal/edge/policy/holder.go
@@ -41,13 +41,19 @@
 	Raw      []byte // as stored, for hosts that cannot reach the store
 
 	packOnce sync.Once
-	packed   packed.Text // see Packed
+	packed   atomic.Pointer[packed.Text] // see Packed
 }
 
-// Packed returns the compressed text. The first call compresses it.
-func (s *Snapshot) Packed() packed.Text {
-	s.packOnce.Do(func() { s.packed = packed.Pack(s.Raw) })
-	return s.packed
+// Packed returns the compressed text, nil while it is being made. The first call begins that: callers have
+// little time to answer.
+func (s *Snapshot) Packed() *packed.Text {
+	s.packOnce.Do(func() {
+		go func() {
+			text := packed.Pack(s.Raw)
+			s.packed.Store(&text)
+		}()
+	})
+	return s.packed.Load()
 }
 
 // Stamp returns the version and revision, the zero Stamp for nil.
