Control calls of engines are measured; stops of runs are logged with their outcome

New: hitch_edge_engine_call_duration by call and result, and took_ms, calls and result in the lines of both stops. No decision changes.

--- a/internal/edge/metrics/metrics.go
+++ b/internal/edge/metrics/metrics.go
@@ -36,6 +36,7 @@
 	retries         metric.Int64Counter
 	continuations   metric.Int64Counter
 	closed          metric.Int64Counter
+	engineCalls     metric.Float64Histogram
 	// Definitions lists all instruments in the order of their creation, for the generated page.
 	Definitions []Definition
 }
@@ -92,6 +93,7 @@
 	m.retries = b.counter("hitch_edge_retries", "service, granted", "decisions on whether a request may be sent once more, by whether the retry budget allowed it")
 	m.continuations = b.counter("hitch_edge_continuations", "service, result", "sends of runs that continue from a copy of their memory, which take nothing from the retry budget")
 	m.closed = b.counter("hitch_edge_connections_closed", "reason", "connections of callers closed because their number reached its bound")
+	m.engineCalls = b.seconds("hitch_edge_engine_call_duration", "call, result", "time that a control call to an engine took: copy of a run, stop of a run, release of a copy, load report")
 	m.storeCalls = b.counter("hitch_edge_store_calls", "call, result", "calls to the platform's store")
 	b.gauge("hitch_edge_runs", "", "generations in flight from this host", func() int64 { return int64(g.Runs()) })
 	b.gauge("hitch_edge_waiting_runs", "", "generations that wait for room", func() int64 { return int64(g.WaitingRuns()) })
@@ -191,6 +193,11 @@
 	m.closed.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason)))
 }
 
+// ObserveEngineCall records a control call to an engine.
+func (m *Metrics) ObserveEngineCall(call, result string, duration time.Duration) {
+	m.engineCalls.Record(context.Background(), duration.Seconds(), metric.WithAttributes(attribute.String("call", call), attribute.String("result", result)))
+}
+
 // ObserveStoreCall counts a call to the store by result.
 func (m *Metrics) ObserveStoreCall(call, result string) {
 	m.storeCalls.Add(context.Background(), 1, metric.WithAttributes(attribute.String("call", call), attribute.String("result", result)))
--- a/internal/edge/metrics/metrics_test.go
+++ b/internal/edge/metrics/metrics_test.go
@@ -35,6 +35,7 @@
 	m.ObserveForwarded("answered")
 	m.ObserveRefusedSend("paused")
 	m.ObserveQuarantine("held")
+	m.ObserveEngineCall("stop", "busy", time.Second)
 	m.ObserveStoreCall("get", "ok")
 	m.ObserveClosedConnection("longest_waiting")
 	answer := httptest.NewRecorder()
--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -195,7 +195,7 @@
 	p.plain = &plain.Server{Sender: sender, Targets: p.targets, Inflight: p.inflight, Health: health, RetryBudget: p.retryBudget, Domain: n.Domain, Regions: regionsOf(&n), Stalls: &p.stalls, Drain: p.drain, Queue: admission.New(p.inflight.Changed),
 		LargeBodies: b.memory.Part(b.memory.Size() / largeAnswersPart), Memory: b.memory, Speeds: p.speeds}
 	p.streaming = &streaming.Server{
-		Sender: sender, Engines: adapter.NewEngineClient(p.pool), Targets: p.targets, Inflight: p.inflight, Health: health,
+		Sender: sender, Engines: p.newEngineClient(), Targets: p.targets, Inflight: p.inflight, Health: health,
 		Lengths: streaming.NewOutputLengths(), Queue: admission.New(p.inflight.Changed), Runs: streaming.NewRuns(p.onRunEntered),
 		RetryBudget: p.retryBudget, Domain: n.Domain, Regions: regionsOf(&n), EstimateSpread: p.estimateSpread, PlaceViaHub: p.exchange.PlaceAtHub, Drain: p.drain, Stalls: &p.stalls, Speeds: p.speeds,
 		Memory: b.memory,
--- a/internal/edge/process/runs.go
+++ b/internal/edge/process/runs.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"time"
 
+	"corianderhitch/internal/edge"
 	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/edge/observe"
 	"corianderhitch/internal/edge/placement"
@@ -51,6 +53,12 @@
 	}
 }
 
+// newEngineClient returns the client for control calls of engines, which are recorded as metrics.
+func (p *Process) newEngineClient() edge.EngineClient {
+	return &observe.EngineClient{EngineClient: p.adapter.NewEngineClient(p.pool),
+		ObserveCall: func(call, result string, took time.Duration) { p.metrics.ObserveEngineCall(call, result, took) }}
+}
+
 // onTargetLeaving passes a leaving notice on to other hosts and moves this host's
 // runs off the target.
 func (p *Process) onTargetLeaving(t targets.Target, n targets.LeavingNotice) {
--- a/internal/edge/streaming/forward.go
+++ b/internal/edge/streaming/forward.go
@@ -155,8 +155,10 @@
 func (r *Run) stopAtSource(ctx context.Context, source *targets.Target, replica *Replica) edge.MoveReply {
 	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
 	defer cancel()
+	started := bootclock.Now()
 	reply := r.server.Engines.Move(ctx, source, r.ID(), replica.Dest, true)
-	r.call.Log.Info("stream: asked the engine to stop the run after its stream broke off", "target", source.ID, "result", reply.Result.String(), "error", reply.ErrorText())
+	r.call.Log.Info("stream: asked the engine to stop the run after its stream broke off", "target", source.ID, "result", reply.Result.String(),
+		"took_ms", bootclock.Since(started).Milliseconds(), "error", reply.ErrorText())
 	return reply
 }
 
--- a/internal/edge/streaming/takeover.go
+++ b/internal/edge/streaming/takeover.go
@@ -135,11 +135,15 @@
 func (r *Run) stopCanceled(engine, other *targets.Target, timeout time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
+	started, calls := bootclock.Now(), 1
 	reply := r.server.Engines.Move(ctx, engine, r.ID(), other, true)
 	for reply.Result == edge.MoveBusy && ctx.Err() == nil { // a copy is in progress
 		wait.For(ctx, stopRetryInterval)
 		reply = r.server.Engines.Move(ctx, engine, r.ID(), other, true)
+		calls++
 	}
+	r.Log().Info("stream: asked the engine that the run has left to stop it", "target", engine.ID, "result", reply.Result.String(), "calls", calls,
+		"took_ms", bootclock.Since(started).Milliseconds(), "error", reply.ErrorText())
 	if reply.Handle != "" {
 		r.releaseCopy(engine, reply.Handle)
 	}
