Streams: an engine that a run has left is asked until it has stopped it

Cause: after a stream that broke off the engine was asked once, for 400 ms, to stop the run, which then went on at its replica whatever the answer was (a copy in progress, a rejection, none). After a takeover only "a copy is in progress" was asked again, after a final copy that stopped nothing nobody asked.

Now an engine is asked until it has answered that it does not execute the run, is gone, or must have stopped at the run's deadline. One that answers is at work, so that the run waits for it, as long as its caller does; one that does not answer is not awaited for longer than before (400 ms). An engine that got a request without an answer is asked again 0.3 s after "no run", since it may begin late. An unexpected status of a move has a result of its own: the engine has answered.

Tests of the fake clients: TestRunIsNotStoppedAtEngineThatCopiesIt calls the new function and expects the same three calls; two fixtures got an engine that answers moves.

--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -103,16 +103,17 @@
 
 // Outcomes of Move.
 const (
-	MoveCopied  MoveResult = iota
-	MoveNoRun              // the source runs no such request
-	MoveBusy               // another copy of this run is in progress
-	MoveNoRoom             // the destination is full, cannot be reached, leaves or wants a pause
-	MoveUnknown            // the source did not answer
+	MoveCopied   MoveResult = iota
+	MoveNoRun               // the source runs no such request
+	MoveBusy                // another copy of this run is in progress
+	MoveNoRoom              // the destination is full, cannot be reached, leaves or wants a pause
+	MoveUnknown             // the source did not answer
+	MoveRejected            // the source answered, but neither copied nor stopped the run
 )
 
 // String returns the name of the outcome in logs and metrics.
 func (m MoveResult) String() string {
-	return [...]string{"copied", "no_run", "busy", "no_room", "unknown"}[m]
+	return [...]string{"copied", "no_run", "busy", "no_room", "unknown", "rejected"}[m]
 }
 
 // MoveReply is the source engine's answer to Move.
@@ -122,7 +123,12 @@
 	// the run; it then names the memory that the source keeps.
 	Handle string
 	Events int   // events that the run had produced when its memory was copied
-	Err    error // why the result is MoveUnknown
+	Err    error // why the result is MoveUnknown or MoveRejected, or why the call was not sent
+}
+
+// Answered reports whether the source has answered the call.
+func (m *MoveReply) Answered() bool {
+	return m.Result == MoveRejected || m.Result != MoveUnknown && m.Err == nil
 }
 
 // ErrorText returns the text of Err for log lines, "" if there is none.
--- a/internal/edge/migration/replicator.go
+++ b/internal/edge/migration/replicator.go
@@ -175,7 +175,7 @@
 func (r *Replicator) refresh(ctx context.Context, replica *streaming.Replica, run *streaming.Run) {
 	reply := refreshReplica(ctx, r.Engines, replica, run)
 	switch reply.Result {
-	case edge.MoveCopied, edge.MoveUnknown, edge.MoveBusy:
+	case edge.MoveCopied, edge.MoveUnknown, edge.MoveBusy, edge.MoveRejected:
 		return // an engine that does not answer may be failing, and then the run needs its replica
 	}
 	r.Observe("renewal_" + reply.Result.String())
--- a/internal/edge/streaming/attempts.go
+++ b/internal/edge/streaming/attempts.go
@@ -83,6 +83,7 @@
 	r.attempts.sends.Add(1)
 	r.attempts.mayHaveRun = true
 	r.attempts.tried[source.Key()] = true
+	r.noteMayExecute(source)
 	next := r.startElsewhere(ctx, source, "broke_off", reason, "error", errText)
 	if next == nil {
 		return nil
--- a/internal/edge/streaming/finalcopy_test.go
+++ b/internal/edge/streaming/finalcopy_test.go
@@ -36,7 +36,7 @@
 func TestCompletedStreamIsLostForUnknownFinalCopy(t *testing.T) {
 	s, r := placingServer(draining.New(placingDrain), silentObserver{}, func() bool { return true })
 	s.Runs = NewRuns(func(*Run, string) {})
-	s.Engines = releasingClient{}
+	s.Engines = stoppingClient{}
 	s.Sender = &edge.Sender{Wire: plainWire{}, Pool: targetconn.New(func(http.Header) string { return "" }, closedGate{}, func(string) float64 { return 0 })}
 	source, dest := &targets.Target{ID: "s"}, &targets.Target{ID: "d"}
 	for name, complete := range map[string]bool{"complete": true, "ended with its connection": false} {
--- a/internal/edge/streaming/forward.go
+++ b/internal/edge/streaming/forward.go
@@ -120,6 +120,8 @@
 	completed  = "completed"
 	brokenOff  = edge.ReasonBrokenOff
 	lostInMove = "lost_in_move"
+	// notStopped: the engine whose stream broke off answers, but does not stop the run.
+	notStopped = "not_stopped"
 )
 
 // nextSegment returns the segment that follows one that ended with err, or the
@@ -144,26 +146,32 @@
 		r.releaseReplica(replica) // stopping the run would copy it there once more
 		return nil, brokenOff
 	}
-	// Either the engine crashed, or only the connection broke and the engine still
-	// executes the run. It is stopped there, so that it does not continue at both.
-	replica.finalCopy = r.stopAtSource(ctx, ended.target, replica)
-	close(replica.done)
-	return r.continueAfterStop(ctx, ended, replica, err)
+	return r.stopAndContinue(ctx, ended, replica)
 }
 
-// stopAtSource stops the run at an engine that may still execute it.
-func (r *Run) stopAtSource(ctx context.Context, source *targets.Target, replica *Replica) edge.MoveReply {
-	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
-	defer cancel()
-	started := bootclock.Now()
-	reply := r.server.Engines.Move(ctx, source, r.ID(), replica.Dest, true)
-	r.call.Log.Info("stream: asked the engine to stop the run after its stream broke off", "target", source.ID, "result", reply.Result.String(),
-		"took_ms", bootclock.Since(started).Milliseconds(), "error", reply.ErrorText())
-	return reply
+// stopAndContinue continues a run whose engine may have crashed, or may still execute it because
+// only the connection broke. It goes on elsewhere once the engine has stopped it or does not answer.
+func (r *Run) stopAndContinue(ctx context.Context, ended *segment, replica *Replica) (*segment, string) {
+	stop := r.stopAt(ended.target, replica.Dest, false)
+	reply, stopped := stop.await(ctx, r.patienceLeft())
+	switch {
+	case stopped:
+	case ctx.Err() != nil:
+		r.releaseReplica(replica)
+		return nil, brokenOff
+	case stop.engineAnswers():
+		r.releaseReplica(replica)
+		return nil, notStopped
+	}
+	return r.continueFrom(ctx, ended, replica, reply)
 }
 
-// continueAfterStop waits for the outcome of the final copy and continues the run
-// from the replica, or at the source if that fails.
+// patienceLeft returns how long the run may try to go on before its caller gives up.
+func (r *Run) patienceLeft() time.Duration {
+	return r.call.Route.MinCallerPatience() - r.SinceLastEvent() - callerPatienceMargin
+}
+
+// continueAfterStop waits for the outcome of the final copy and continues the run.
 func (r *Run) continueAfterStop(ctx context.Context, ended *segment, replica *Replica, err error) (*segment, string) {
 	if err == io.EOF && ended.response.Delimited {
 		r.releaseAfterFinalCopy(replica)
@@ -184,6 +192,15 @@
 		r.releaseReplica(replica)
 		return nil, completed // the engine has not stopped the run
 	}
+	if !hasStopped(reply) {
+		return r.stopAndContinue(ctx, ended, replica)
+	}
+	return r.continueFrom(ctx, ended, replica, reply)
+}
+
+// continueFrom continues the run from the replica, or at the source if that fails. reply is the
+// source's last answer to a final move.
+func (r *Run) continueFrom(ctx context.Context, ended *segment, replica *Replica, reply edge.MoveReply) (*segment, string) {
 	handle := replica.Handle
 	if stoppedAtSource(reply) {
 		handle = reply.Handle
@@ -205,6 +222,7 @@
 // finish records the outcome and ends the caller's response. The response to an
 // incomplete stream is aborted, so that it does not look complete.
 func (r *Run) finish(ctx context.Context, source *targets.Target, reason string, err error) string {
+	r.stopElsewhere(source)
 	if r.headSent {
 		r.server.Observer.ObserveLongestPause(r.longestPause)
 	}
--- a/internal/edge/streaming/replica.go
+++ b/internal/edge/streaming/replica.go
@@ -13,10 +13,6 @@
 const (
 	// finalCopyTimeout bounds the wait for the outcome of a final copy.
 	finalCopyTimeout = 2500 * time.Millisecond
-	// stopTimeout bounds the calls to an engine whose stream broke off: the one that
-	// stops the run, and a copy in progress. An engine that does not answer in time has
-	// crashed or is unreachable.
-	stopTimeout = 400 * time.Millisecond
 	// releaseTimeout bounds the call that frees a replica.
 	releaseTimeout = time.Second
 )
@@ -158,7 +154,7 @@
 // within closeAfter, the stream is canceled.
 func (r *Run) EndFinalCopy(replica *Replica, reply edge.MoveReply, closeAfter time.Duration) {
 	replica.finalCopy = reply
-	if reply.Result == edge.MoveBusy || reply.Result == edge.MoveNoRoom && reply.Handle == "" {
+	if reply.Answered() && !hasStopped(reply) {
 		r.endInterruption() // the engine has not stopped the run
 	}
 	close(replica.done)
--- a/internal/edge/streaming/takeover.go
+++ b/internal/edge/streaming/takeover.go
@@ -5,20 +5,13 @@
 	"io"
 	"time"
 
-	"corianderhitch/internal/edge"
 	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/edge/targets"
-	"corianderhitch/internal/wait"
 )
 
 const (
 	// takeoverInterval is the minimum time from a failed takeover of a run to its next.
 	takeoverInterval = time.Second
-	// silentStopTimeout bounds the call that stops a run at an engine that it left because
-	// the engine was silent. The engine answers once it goes on.
-	silentStopTimeout = 2500 * time.Millisecond
-	// stopRetryInterval is the time between calls that stop a run while it is copied.
-	stopRetryInterval = 50 * time.Millisecond
 )
 
 // takeover is an attempt to continue a run at another engine while its own sends nothing. A
@@ -96,19 +89,16 @@
 		r.Log().Info("stream: the run stays at its silent engine", "target", source.ID, "engine_went_on", t.ctx.Err() != nil, "silent_ms", silent.Milliseconds())
 	}
 	close(t.done)
-	wentOn := t.ctx.Err() != nil
 	if !t.committed {
 		t.cancel()
 	}
-	switch replica := t.replica; {
-	case replica == nil:
-	case t.committed:
-		r.stopCanceled(replica.Source, replica.Dest, silentStopTimeout)
-	default:
-		if wentOn { // the other engine may have begun
-			r.stopCanceled(replica.Dest, replica.Source, stopTimeout)
-		}
-		r.releaseCopy(replica.Source, replica.Handle)
+	if t.committed {
+		r.stopAt(source, next.target, false)
+		return
+	}
+	r.stopElsewhere(source)
+	if t.replica != nil {
+		r.releaseCopy(t.replica.Source, t.replica.Handle)
 	}
 }
 
@@ -130,25 +120,6 @@
 	return next
 }
 
-// stopCanceled stops the run at an engine whose stream was canceled, in case that it has not
-// noticed the closed connection. The run goes on at other.
-func (r *Run) stopCanceled(engine, other *targets.Target, timeout time.Duration) {
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	defer cancel()
-	started, calls := bootclock.Now(), 1
-	reply := r.server.Engines.Move(ctx, engine, r.ID(), other, true)
-	for reply.Result == edge.MoveBusy && ctx.Err() == nil { // a copy is in progress
-		wait.For(ctx, stopRetryInterval)
-		reply = r.server.Engines.Move(ctx, engine, r.ID(), other, true)
-		calls++
-	}
-	r.Log().Info("stream: asked the engine that the run has left to stop it", "target", engine.ID, "result", reply.Result.String(), "calls", calls,
-		"took_ms", bootclock.Since(started).Milliseconds(), "error", reply.ErrorText())
-	if reply.Handle != "" {
-		r.releaseCopy(engine, reply.Handle)
-	}
-}
-
 // endTakeover waits for the outcome of a takeover in progress after the stream of the run's
 // engine ended with err. It returns the stream of the other engine, nil if the run does not
 // continue there.
@@ -171,6 +142,7 @@
 	r.mu.Unlock()
 	if t.next != nil && (err == io.EOF || err == errCallerGone) {
 		r.abandon(t.next)
+		r.stopElsewhere(t.source.target)
 		return nil
 	}
 	return t.next
--- a/internal/edge/streaming/takeover_test.go
+++ b/internal/edge/streaming/takeover_test.go
@@ -106,9 +106,10 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			s, r := placingServer(draining.New(placingDrain), silentObserver{}, func() bool { return true })
+			s.Engines = stoppingClient{}
 			dest := &targets.Target{ID: "d"}
 			next := openSegment(t, s, dest)
-			taking := &takeover{done: make(chan struct{})}
+			taking := &takeover{source: &segment{target: &targets.Target{ID: "s"}}, done: make(chan struct{})}
 			taking.ctx, taking.cancel = context.WithCancel(t.Context())
 			defer taking.cancel()
 			r.takeover, r.segment = taking, &segment{}
@@ -215,7 +216,8 @@
 	s, r := placingServer(draining.New(placingDrain), silentObserver{}, func() bool { return true })
 	engine := &busyEngine{}
 	s.Engines = engine
-	r.stopCanceled(&targets.Target{ID: "s"}, &targets.Target{ID: "d"}, time.Second)
+	_, stopped := r.stopAt(&targets.Target{ID: "s"}, &targets.Target{ID: "d"}, false).await(t.Context(), time.Second)
+	require.True(t, stopped)
 	require.Equal(t, 3, engine.calls)
 }
 
