Streams: an unanswered continuation is stopped before the next holder is asked

Two engines may hold the memory of a run. If the first one got the request to continue it and its answer was lost, the run went on at the second one at once, while the first one worked (TWICE), and nobody told it to stop.

--- a/internal/edge/streaming/resume.go
+++ b/internal/edge/streaming/resume.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -46,41 +47,114 @@
 
 // resume continues the run at the first engine that takes it, preferring those named first. No
 // other engine has its memory, so it tries those that may still take it again, until shortly
-// before the caller gives up. It returns nil if that fails.
+// before the caller gives up. One that may have begun must have stopped before another is asked.
+// It returns nil if that fails.
 func (r *Run) resume(ctx context.Context, holders ...*memoryHolder) *segment {
-	started, sends := time.Now(), 0
-	patience := r.call.Route.MinCallerPatience() - r.SinceLastEvent() - callerPatienceMargin
-	interval := resumeRetryInterval
-	for tries := 1; ; tries++ {
-		var remaining []*memoryHolder
-		for _, h := range holders {
-			s, err := r.resumeAt(ctx, h)
-			result := continuationResult(err)
-			if result != continuationNotSent {
-				sends++
-			}
-			r.server.Observer.ObserveContinuation(r.call.Service.Name, result)
-			if s != nil {
-				r.call.Log.Info("stream: run resumed", "target", h.target.ID, "copy", h.from.Handle, "after_event", r.lastEventID.Load(),
-					"tries", tries, "sends", sends, "took_ms", time.Since(started).Milliseconds())
-				r.uncount(holders)
-				return s
+	c := &continuation{r: r, holders: holders, started: time.Now(), patience: r.patienceLeft(), interval: resumeRetryInterval}
+	for c.tries = 1; ; c.tries++ {
+		s, again := c.tryAll(ctx)
+		if s != nil || len(c.holders) == 0 {
+			return s
+		}
+		if !again {
+			wait.For(ctx, c.interval)
+		}
+	}
+}
+
+// continuation is the search for an engine at which a run goes on.
+type continuation struct {
+	r        *Run
+	holders  []*memoryHolder // to be asked, in this order
+	started  time.Time
+	patience time.Duration // until the run is given up
+	interval time.Duration // between two tries
+	tries    int           // of all holders
+	sends    int           // that may have reached an engine
+}
+
+func (c *continuation) left() time.Duration { return c.patience - time.Since(c.started) }
+
+// tryAll asks the holders in turn and keeps those that may still take the run. It reports whether
+// they are to be asked at once.
+func (c *continuation) tryAll(ctx context.Context) (s *segment, again bool) {
+	var remaining []*memoryHolder
+	for i, h := range c.holders {
+		s, err := c.try(ctx, h)
+		if s != nil {
+			c.r.uncount(c.holders)
+			return s, false
+		}
+		others := slices.Concat(remaining, c.holders[i+1:])
+		state := holderStopped
+		if len(others) > 0 && mayHaveBegun(err) && ctx.Err() == nil {
+			var begun []*memoryHolder
+			if state, begun = c.r.stopHolder(ctx, h, others[0], c.left()); len(begun) > 0 && c.left() > 0 {
+				c.holders = append(begun, others...)
+				return nil, true
 			}
-			if r.mayStillResume(h.target, err) && time.Since(started) < patience && ctx.Err() == nil {
-				if errors.Is(err, targetconn.ErrBroken) {
-					interval = min(2*interval, maxResumeInterval)
-				}
-				remaining = append(remaining, h)
-				continue
+		}
+		if state == holderStopped && c.r.mayStillResume(h.target, err) && c.left() > 0 && ctx.Err() == nil {
+			if errors.Is(err, targetconn.ErrBroken) {
+				c.interval = min(2*c.interval, maxResumeInterval)
 			}
-			r.call.Log.Warn("stream: run could not be resumed", "target", h.target.ID, "copy", h.from.Handle, "after_event", r.lastEventID.Load(),
-				"tries", tries, "sends", sends, "leaving", r.server.Targets.HasAnnounced(h.target.Key()), "took_ms", time.Since(started).Milliseconds(), "error", err.Error())
+			remaining = append(remaining, h)
+			continue
 		}
-		if holders = remaining; len(holders) == 0 {
-			return nil
+		c.r.call.Log.Warn("stream: run could not be resumed", "target", h.target.ID, "copy", h.from.Handle, "after_event", c.r.lastEventID.Load(),
+			"tries", c.tries, "sends", c.sends, "leaving", c.r.server.Targets.HasAnnounced(h.target.Key()), "took_ms", time.Since(c.started).Milliseconds(), "error", err.Error())
+		if state == holderWorks {
+			c.r.uncount(others)
+			remaining = nil
+			break
 		}
-		wait.For(ctx, interval)
 	}
+	c.holders = remaining
+	return nil, false
+}
+
+// try asks one holder.
+func (c *continuation) try(ctx context.Context, h *memoryHolder) (*segment, error) {
+	s, err := c.r.resumeAt(ctx, h)
+	result := continuationResult(err)
+	if result != continuationNotSent {
+		c.sends++
+	}
+	c.r.server.Observer.ObserveContinuation(c.r.call.Service.Name, result)
+	if s != nil {
+		c.r.call.Log.Info("stream: run resumed", "target", h.target.ID, "copy", h.from.Handle, "after_event", c.r.lastEventID.Load(),
+			"tries", c.tries, "sends", c.sends, "took_ms", time.Since(c.started).Milliseconds())
+	}
+	return s, err
+}
+
+// holderState is what is known of an engine that may have continued a run.
+type holderState int
+
+const (
+	holderStopped    holderState = iota // it does not execute the run
+	holderUnanswered                    // it does not answer; it is asked to stop the run meanwhile
+	holderWorks                         // it answers, but does not stop the run
+)
+
+// stopHolder stops the run at an engine that may have continued it, before another one is asked.
+// If the engine had begun, it returns the engines that hold the memory of what it has done.
+func (r *Run) stopHolder(ctx context.Context, h, next *memoryHolder, patience time.Duration) (state holderState, from []*memoryHolder) {
+	stop := r.stopAt(h.target, next.target, true)
+	reply, stopped := stop.await(ctx, patience)
+	switch {
+	case !stopped && stop.engineAnswers():
+		return holderWorks, nil
+	case !stopped:
+		return holderUnanswered, nil
+	case !stoppedAtSource(reply):
+		return holderStopped, nil
+	}
+	ref := edge.ReplicaRef{Address: h.target.Address, Handle: reply.Handle}
+	if reply.Result == edge.MoveCopied {
+		from = append(from, &memoryHolder{target: next.target, load: next.load, from: ref})
+	}
+	return holderStopped, append(from, &memoryHolder{target: h.target, load: h.load, from: ref})
 }
 
 // Results of continuations in metrics.
