Target speed: factors of 0.2 and 0.3 keep their distance from rounding

Cause: a factor in force is to change by 15% or more only, but has one decimal. The estimate of the fastest target settled at 0.249 to 0.251, which is more than 15% off both 0.2 and 0.3 in turn, so that rounding alone decided and the factor went back and forth for good, and with it the load. 0.3 and 0.4 were nearly as bad. A fault of the estimator, the property is right.

Now an estimate replaces a factor if it is 15% off it, as before, and beyond the rounding limit by the square root of that, so that it must come back by 15% to take the change back. Factors from 0.7 up are unchanged.

The body of the property moved into requireSettled, with the same draws, steps and limit.

--- a/internal/edge/targetspeed/estimator.go
+++ b/internal/edge/targetspeed/estimator.go
@@ -20,6 +20,8 @@
 	minFactor, maxFactor = 0.2, 10.0
 	// minChange is by how much an estimate must differ from the factor in force, as a ratio, to replace it.
 	minChange = 1.15
+	// halfDecimal is by how much rounding changes a factor at most.
+	halfDecimal = 0.05
 )
 
 // Band is the range of estimates around 1 that count as 1: a factor is in force from Enter on, or
@@ -151,12 +153,20 @@
 	switch {
 	case estimate < limit && estimate > 1/limit:
 		return 1
-	case inForce != 1 && estimate < inForce*minChange && estimate > inForce/minChange:
+	case inForce != 1 && holds(inForce, estimate):
 		return inForce
 	}
 	return math.Round(10*math.Min(maxFactor, math.Max(minFactor, estimate))) / 10
 }
 
+// holds reports whether an estimate is too near the factor in force to replace it. Factors of 0.2 and 0.3
+// are further apart than minChange: estimates around 0.25 then count for the one in force.
+func holds(inForce, estimate float64) bool {
+	margin := math.Sqrt(minChange)
+	return estimate < math.Max(inForce*minChange, (inForce+halfDecimal)*margin) &&
+		estimate > math.Min(inForce/minChange, (inForce-halfDecimal)/margin)
+}
+
 // Factor returns the factor in force of a target, 1 if it has none.
 func (e *Estimator) Factor(target ID) float64 {
 	if r := e.records[target]; r != nil {
--- a/internal/edge/targetspeed/estimator_test.go
+++ b/internal/edge/targetspeed/estimator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -142,23 +143,65 @@
 	return n
 }
 
+// requireSettled fails if a factor goes on changing its direction after 40 s.
+func (f *feedback) requireSettled(t require.TestingT, load float64) {
+	capacity := 0.0
+	for _, seconds := range f.times {
+		capacity += feedbackSlots / seconds
+	}
+	f.rate = capacity * load
+	for step := range 900 {
+		f.step(bootclock.Instant(time.Hour).Add(time.Duration(step) * tick))
+	}
+	for i := range f.times {
+		require.LessOrEqual(t, f.reversals(i, 400), 2, "factors at the end: %v", f.history[len(f.history)-10:])
+	}
+}
+
+func newFeedback(n, delay int) *feedback {
+	f := &feedback{Estimator: NewEstimator(SharedBand), services: []Service{{Name: "p"}}, queued: make([]float64, n), delay: delay}
+	for i := range n {
+		f.services[0].Targets = append(f.services[0].Targets, fmt.Sprint(i))
+	}
+	return f
+}
+
 // Choices by the estimate change the load and with it the latencies. The factors must settle all the
 // same, whatever the speeds and the load, with factors that are known late.
 func TestFactorsSettleUnderTheLoadThatFollowsThem(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		n, capacity := rapid.IntRange(2, 8).Draw(t, "targets"), 0.0
-		f := &feedback{Estimator: NewEstimator(SharedBand), services: []Service{{Name: "p"}}, queued: make([]float64, n), delay: rapid.IntRange(1, 15).Draw(t, "delay in ticks")}
-		for i := range n {
-			f.services[0].Targets = append(f.services[0].Targets, fmt.Sprint(i))
+		n := rapid.IntRange(2, 8).Draw(t, "targets")
+		f := newFeedback(n, rapid.IntRange(1, 15).Draw(t, "delay in ticks"))
+		for range n {
 			f.times = append(f.times, 0.03*rapid.Float64Range(0.5, 4).Draw(t, "time"))
-			capacity += feedbackSlots / f.times[i]
-		}
-		f.rate = capacity * rapid.Float64Range(0.1, 0.85).Draw(t, "load")
-		for step := range 900 {
-			f.step(bootclock.Instant(time.Hour).Add(time.Duration(step) * tick))
-		}
-		for i := range n {
-			require.LessOrEqual(t, f.reversals(i, 400), 2, "factors at the end: %v", f.history[len(f.history)-10:])
 		}
+		f.requireSettled(t, rapid.Float64Range(0.1, 0.85).Draw(t, "load"))
 	})
 }
+
+// The estimate of the fastest target stayed at 0.25, and its factor went from 0.2 to 0.3 and back for good.
+func TestFactorBetweenTwoTenthsSettles(t *testing.T) {
+	f := newFeedback(6, 1)
+	for _, relative := range []float64{1, 1.71875, 2.75, 2.75, 2.75, 0.53125} {
+		f.times = append(f.times, 0.03*relative)
+	}
+	f.requireSettled(t, 0.85)
+}
+
+// Estimates that move by less than minChange changed factors of 0.2 and 0.3 to and fro.
+func TestEstimateMustMoveByMinChangeToTakeAFactorBack(t *testing.T) {
+	const step = 1.0005
+	for estimate := minFactor / 2; estimate < 2*maxFactor; estimate *= step {
+		for tenths := 1; tenths <= 10*maxFactor; tenths++ {
+			inForce := max(minFactor, float64(tenths)/10)
+			next := SharedBand.next(inForce, estimate)
+			if next == inForce {
+				continue
+			}
+			for _, back := range []float64{estimate * minChange / step, estimate / minChange * step} {
+				between := math.Sqrt(back * estimate)
+				require.NotEqual(t, inForce, SharedBand.next(next, between), "from %.1f at %.4f to %.1f, taken back at %.4f", inForce, estimate, next, between)
+			}
+		}
+	}
+}
