Outbound: a request is never sent on the connection of a rejection, and finds another

Cause: the connection of a rejected request with a long body was closed with the response's body, by when the pool had it, so that the next request got it. It was refused there, and net/http takes a failed write of a body that is longer than its buffer for a failed read of that body, which it does not repeat (transferWriter.doBodyCopy). The same happened each time when a long request followed a rejected short one. And between the end of the text and its Close, the next request did go out on the connection of the rejection, which is what the code is to prevent.

Now a connection is claimed by a request and released by a response that is no rejection, and refuses writes for others until then, whatever the lengths and whenever the body is closed. That also covers a rejection without a body, which the pool has before the response is known here. A refused request of which nothing was sent goes out on another connection. A request that gets a connection in the moment before the response of another, a success without a body, is known costs a new connection.

--- a/internal/outbound/countingconn.go
+++ b/internal/outbound/countingconn.go
@@ -7,7 +7,7 @@
 	"github.com/rotisserie/eris"
 )
 
-// errConnClosed is returned by writes after closeAndCount or stopWrites.
+// errConnClosed is returned by writes after closeAndCount or a refused claim.
 var errConnClosed = eris.New("outbound: connection is closed; open another one")
 
 // countingConn counts the bytes that were written to a connection. After closeAndCount
@@ -17,6 +17,7 @@
 
 	mu      sync.Mutex
 	written int64 // guarded by mu
+	claimed bool  // guarded by mu; by a request whose response doesn't allow another one
 	closed  bool  // guarded by mu
 }
 
@@ -39,12 +40,21 @@
 	return c.written
 }
 
-// stopWrites makes later writes fail before their first byte, so that the transport takes another
-// connection. What has been sent is still answered.
-func (c *countingConn) stopWrites() {
+// claim assigns the connection to a request and returns the number of bytes written before it. If an earlier
+// request has not released the connection, writes fail before their first byte.
+func (c *countingConn) claim() int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.closed = true
+	c.closed = c.closed || c.claimed
+	c.claimed = true
+	return c.written
+}
+
+// release lets another request have the connection.
+func (c *countingConn) release() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.claimed = false
 }
 
 // closeAndCount closes the connection and returns the final number of bytes written. No
--- a/internal/outbound/outbound_test.go
+++ b/internal/outbound/outbound_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -180,6 +181,59 @@
 	}
 }
 
+// A request used the connection of a rejection that was not closed yet, or failed if its body was long, instead
+// of being sent on another connection.
+func TestRequestBesideAReadRejectionGoesOutOnAnotherConnection(t *testing.T) {
+	short, long := "x", strings.Repeat("x", 2*bufferBytes)
+	for name, bodies := range map[string][]string{"short, short": {short, short}, "short, long": {short, long}, "long, short": {long, short}, "long, long": {long, long}} {
+		for text, rejected := range map[string]string{"text": "503 X\r\nContent-Length: 2\r\n\r\nno", "no text": "503 X\r\nContent-Length: 0\r\n\r\n"} {
+			t.Run(name+", "+text, func(t *testing.T) {
+				address, accepted := peer(t, func(n int32, conn net.Conn) {
+					for readRequest(conn) != nil {
+						answer := "200 OK\r\nContent-Length: 0\r\n\r\n"
+						if n == 1 {
+							answer = rejected
+						}
+						_, _ = io.WriteString(conn, "HTTP/1.1 "+answer)
+					}
+				})
+				transport := New(Dialer(""))
+				defer transport.Close()
+				for i, want := range []int{http.StatusServiceUnavailable, http.StatusOK, http.StatusOK} {
+					resp, err := transport.Do(post(t.Context(), t, address, bodies[min(i, 1)]))
+					require.NoError(t, err)
+					defer resp.Body.Close()
+					_, err = io.Copy(io.Discard, resp.Body)
+					require.NoError(t, err)
+					require.Equal(t, want, resp.StatusCode)
+				}
+				require.EqualValues(t, 2, accepted.Load(), "a connection of a success is used again")
+			})
+		}
+	}
+}
+
+// The pool gets a connection before it is known here that its response, one without a body, was a rejection.
+func TestConnectionIsNotUsedAgainBeforeItsResponseIsKnown(t *testing.T) {
+	address, _ := peer(t, func(_ int32, conn net.Conn) { _, _ = io.Copy(io.Discard, conn) })
+	conn, err := countBytes(Dialer(""))(t.Context(), "tcp", address)
+	require.NoError(t, err)
+	defer conn.Close()
+	first, second, third := &connTracker{}, &connTracker{}, &connTracker{}
+	first.gotConn(httptrace.GotConnInfo{Conn: conn})
+	_, err = conn.Write([]byte("abc"))
+	require.NoError(t, err)
+	first.current().release()
+	second.gotConn(httptrace.GotConnInfo{Conn: conn, Reused: true})
+	_, err = conn.Write([]byte("d"))
+	require.NoError(t, err)
+	third.gotConn(httptrace.GotConnInfo{Conn: conn, Reused: true})
+	_, err = conn.Write([]byte("e"))
+	require.ErrorIs(t, err, errConnClosed)
+	require.False(t, third.bytesSent())
+	require.True(t, second.bytesSent())
+}
+
 // Such responses were passed on: net/http accepts them.
 func TestResponsesThatAreNotHTTPAreBroken(t *testing.T) {
 	for name, head := range map[string]string{
--- a/internal/outbound/transport.go
+++ b/internal/outbound/transport.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -136,7 +137,7 @@
 		t.sent = true // not a countingConn: bytes may have been sent
 		return
 	}
-	t.writtenBefore = t.conn.count()
+	t.writtenBefore = t.conn.claim()
 }
 
 // current returns the connection of the request, nil if that is not known.
@@ -160,9 +161,13 @@
 	tracker := &connTracker{}
 	trace := &httptrace.ClientTrace{GotConn: tracker.gotConn}
 	ctx, upload := httpanswer.Trace(httptrace.WithClientTrace(req.Context(), trace))
-	resp, err := t.RoundTrip(req.WithContext(ctx))
+	resp, err := roundTrip(t, req.WithContext(ctx), tracker)
 	if err == nil {
-		retire(tracker.current(), req, resp)
+		// A faulty target may write a rejection once more, which would be taken for the answer to a later
+		// request: the connection is not used again.
+		if conn := tracker.current(); conn != nil && resp.StatusCode < http.StatusBadRequest {
+			conn.release()
+		}
 		if err = httpanswer.Check(resp, upload()); err == nil {
 			return resp, nil
 		}
@@ -170,3 +175,21 @@
 	}
 	return nil, &SendError{BytesSent: tracker.bytesSent(), Cause: err}
 }
+
+// roundTrip sends a request on another connection if the one from the pool refused it. The standard transport
+// does so itself unless the body is longer than its buffer: it takes the failed write for a failed read of the
+// body then.
+func roundTrip(t *http.Transport, req *http.Request, tracker *connTracker) (*http.Response, error) {
+	resp, err := t.RoundTrip(req)
+	for range maxIdlePerTarget {
+		if !errors.Is(err, errConnClosed) || req.GetBody == nil || tracker.bytesSent() {
+			break
+		}
+		again := req.WithContext(req.Context())
+		if again.Body, err = req.GetBody(); err != nil {
+			return nil, err
+		}
+		resp, err = t.RoundTrip(again)
+	}
+	return resp, err
+}
