Drill: time at two engines is counted and stated; TWICE is judged more strictly

How close a run came to the rule was not stated.

Change: a pure package (internal/drill/overlap) finds work beside later engines and sums up the time in which two engines work on a run. Engines of the drill record when they work on a request (waiting is none) and when they have sent its first event. The drill states sum, longest, number of runs and the request with the longest, without any excuse.

Tests: one case of TestRanAtTwo changed: a host that is in touch again while the engine still works is a violation now, the case 'host out of touch' is one that stays so. New cases fail on the judge before: the other engine silent after its first event, went on at a third one, host in touch again, store stable again.

--- a/internal/drill/judge/contact.go
+++ b/internal/drill/judge/contact.go
@@ -115,6 +115,16 @@
 // inTouch reports whether a host was in touch at a moment.
 func (c *contact) inTouch(host string, at time.Time) bool { return c.inTouchDuring(host, at, at) }
 
+// outOfTouch returns when a host was not in touch.
+func (c *contact) outOfTouch(host string) []record.Span {
+	h := c.of(host)
+	out := slices.Concat(h.planned, h.unplanned, c.unstable)
+	for i := range out {
+		out[i].To = out[i].To.Add(c.bound)
+	}
+	return out
+}
+
 // inTouchDuring reports whether a host was in touch all the time between two moments.
 func (c *contact) inTouchDuring(host string, from, to time.Time) bool {
 	since := from.Add(-c.bound)
--- a/internal/drill/judge/twice.go
+++ b/internal/drill/judge/twice.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"corianderhitch/internal/drill/overlap"
 	"corianderhitch/internal/drill/record"
 )
 
@@ -40,36 +41,34 @@
 		if x.route(q).Kind != record.Streaming {
 			continue
 		}
-		var before []record.Arrival
-		for _, a := range x.arrivals[q.ID] {
-			if !a.Ran {
-				continue
-			}
-			for _, b := range before {
-				if at, both := x.worksBeside(b, a); both {
-					all = append(all, Violation{Rule: Twice, At: at, Host: b.Host, Requests: []string{q.ID},
-						Text: fmt.Sprintf("%s still works on it at %s, %v after it went on at %s: %s", b.Target, x.clock(at), at.Sub(a.At), a.Target, x.way(q))})
-				}
+		parts := x.parts(q.ID)
+		for n, before := range parts {
+			o, both := x.worksBeside(q, before, parts[n+1:])
+			if both {
+				all = append(all, Violation{Rule: Twice, At: o.At, Host: q.Host, Requests: []string{q.ID},
+					Text: fmt.Sprintf("%s still works on it at %s, %v after it went on at %s: %s", before.Engine, x.clock(o.At), o.At.Sub(o.Since), o.Other, x.way(q))})
 			}
-			before = append(before, a)
 		}
 	}
 	return all
 }
 
-// worksBeside reports when two targets have worked on a request at the same time for too
-// long, without their silences, although the host of the first one was in touch. What that
-// one does after the other has given up its part doesn't count.
-func (x *index) worksBeside(before, after record.Arrival) (time.Time, bool) {
-	end := before.Ended
-	if gaveUp(after.Outcome) && after.Ended.Before(end) {
-		end = after.Ended
-	}
-	if before.Target == after.Target {
-		return time.Time{}, false
+// parts returns the work of all targets that ran a request, in the order of their arrivals.
+func (x *index) parts(id string) []overlap.Part {
+	var out []overlap.Part
+	for _, a := range x.arrivals[id] {
+		if a.Ran {
+			out = append(out, overlap.Part{Run: id, Engine: a.Target, Span: record.Span{From: a.At, To: a.Ended}, FirstEvent: a.FirstEvent, GaveUp: gaveUp(a.Outcome), Idle: x.silences(a.Target)})
+		}
 	}
-	at, both := timeOutside(append(x.silences(before.Target), x.silences(after.Target)...), after.At, end, maxOverlap)
-	return at, both && x.contact.inTouch(before.Host, at)
+	return out
+}
+
+// worksBeside reports when a target has worked on a request for too long that has gone on at another
+// one, although the host that sent it is in touch.
+func (x *index) worksBeside(q *record.Request, before overlap.Part, later []overlap.Part) (overlap.Overlap, bool) {
+	later = slices.DeleteFunc(slices.Clone(later), func(l overlap.Part) bool { return l.Engine == before.Engine })
+	return before.WorksBeside(later, maxOverlap, nil, x.contact.outOfTouch(q.Host))
 }
 
 // gaveUp reports whether a target ended a run before its last event.
@@ -86,22 +85,14 @@
 	return slices.Clone(t.Silences)
 }
 
-// timeOutside returns when more than d has passed since from, without the given silences, if
-// that is before to.
-func timeOutside(silences []record.Span, from, to time.Time, d time.Duration) (at time.Time, reached bool) {
-	slices.SortFunc(silences, func(a, b record.Span) int { return a.From.Compare(b.From) })
-	at = from.Add(d)
-	for _, s := range silences {
-		if s.From.Before(from) {
-			s.From = from
-		}
-		if s.From.After(at) {
-			break
-		}
-		if s.To.After(s.From) {
-			at = at.Add(s.To.Sub(s.From))
-			from = s.To // of a silence that overlaps only what follows counts
+// TimeAtTwo sums up the time in which two engines worked on a request, whatever the reason.
+func TimeAtTwo(run *record.Run) overlap.Summary {
+	x := newIndex(run)
+	var parts []overlap.Part
+	for _, a := range run.Arrivals {
+		if !a.Work.From.IsZero() {
+			parts = append(parts, overlap.Part{Run: a.Request, Engine: a.Target, Span: a.Work, Idle: x.silences(a.Target)})
 		}
 	}
-	return at, to.After(at)
+	return overlap.Summarize(parts)
 }
--- a/internal/drill/judge/twice_test.go
+++ b/internal/drill/judge/twice_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"testing"
+	"time"
 
+	"github.com/stretchr/testify/require"
+
+	"corianderhitch/internal/drill/overlap"
 	"corianderhitch/internal/drill/record"
 )
 
@@ -29,6 +33,7 @@
 }
 
 func TestRanAtTwo(t *testing.T) {
+	sentEvent := func(r *record.Run) { r.Arrivals[1].FirstEvent = at(21.1) }
 	requireCases(t, ranAtTwo, twoRuns("lookup"), map[string]violationCase{
 		"at work 1 s later":           {func(*record.Run) {}, true},
 		"at work 400 ms later":        {func(r *record.Run) { r.Arrivals[0].Ended = at(21.4) }, false},
@@ -38,6 +43,10 @@
 		"silent until 500 ms earlier": {func(r *record.Run) { r.Targets[0].Silences = []record.Span{span(20, 21.5)} }, true},
 		"silent 300 ms later":         {func(r *record.Run) { r.Targets[0].Silences = []record.Span{span(21.3, 23)} }, false},
 		"the other one silent":        {func(r *record.Run) { r.Targets[1].Silences = []record.Span{span(20, 23)} }, false},
+		"the other one silent after its first event": {func(r *record.Run) {
+			sentEvent(r)
+			r.Targets[1].Silences = []record.Span{span(21.2, 23)}
+		}, true},
 		"silent in turn": {func(r *record.Run) {
 			r.Targets[0].Silences, r.Targets[1].Silences = []record.Span{span(20, 21.2), span(21.5, 21.8)}, []record.Span{span(21.1, 21.3)}
 		}, false},
@@ -46,6 +55,30 @@
 		}, true},
 		"the other one given up":  {func(r *record.Run) { r.Arrivals[1].Ended = at(21.4) }, false},
 		"the other one completed": {func(r *record.Run) { r.Arrivals[1].Ended, r.Arrivals[1].Outcome = at(21.4), record.Answered }, true},
-		"host out of touch":       {func(r *record.Run) { r.HostEvents = []record.HostEvent{event(record.Thawed, 18.5)} }, false},
+		"went on at a third one": {func(r *record.Run) {
+			sentEvent(r)
+			third := arrival("r-1", "t-3", 21.31, 21.6)
+			third.FirstEvent = at(21.35)
+			r.Arrivals[1].Ended = at(21.3)
+			r.Arrivals = append(r.Arrivals, third)
+		}, true},
+		"host out of touch":          {func(r *record.Run) { r.HostEvents = []record.HostEvent{event(record.Thawed, 19.5)} }, false},
+		"host in touch again":        {func(r *record.Run) { r.HostEvents = []record.HostEvent{event(record.Thawed, 18.5)} }, true},
+		"store unstable":             {func(r *record.Run) { r.Outages = []record.Span{span(10, 19.5)} }, false},
+		"store stable again":         {func(r *record.Run) { r.Outages = []record.Span{span(10, 18.5)} }, true},
+		"host disturbed after that":  {func(r *record.Run) { r.HostEvents = []record.HostEvent{event(record.Frozen, 21.5)} }, true},
+		"host disturbed before that": {func(r *record.Run) { r.HostEvents = []record.HostEvent{event(record.Term, 21.3)} }, false},
 	})
 }
+
+func TestTimeAtTwoCountsWhatTheRuleExcuses(t *testing.T) {
+	run := twoRuns("lookup")()
+	for i := range run.Arrivals {
+		run.Arrivals[i].Work = record.Span{From: run.Arrivals[i].At.Add(100 * time.Millisecond), To: run.Arrivals[i].Ended}
+	}
+	run.Requests = append(run.Requests, request("r-2", "lookup", 30, 31))
+	run.Arrivals = append(run.Arrivals, arrival("r-2", "t-1", 30, 31), arrival("r-2", "t-2", 30, 31)) // waiting at both
+	run.HostEvents = []record.HostEvent{event(record.Killed, 10)}
+	require.Empty(t, ranAtTwo(newIndex(run)), "out of touch")
+	require.Equal(t, overlap.Summary{Runs: 1, Sum: 900 * time.Millisecond, Longest: 900 * time.Millisecond, Run: "r-1", Engines: []string{"t-1", "t-2"}}, TimeAtTwo(run))
+}
--- a/internal/drill/record/record.go
+++ b/internal/drill/record/record.go
@@ -111,6 +111,9 @@
 	Limited   bool          // the target names a limit in its answer
 	Leaving   bool          // the target states in its answer that it leaves
 	Pause     time.Duration // that the target asked for when it rejected the request, 0 for none
+
+	Work       Span      // of an engine, from its first step for the request until it ended; zero without one
+	FirstEvent time.Time // when an engine had sent its first event; zero if it sent none
 }
 
 // Outcome is how a target ended its work on a request.
--- a/internal/drill/verdict.go
+++ b/internal/drill/verdict.go
@@ -40,6 +40,7 @@
 		rules[v.Rule]++
 	}
 	fmt.Fprintf(w, "broken rules: %d %v\n", len(violations), rules)
+	fmt.Fprintln(w, "at work at two engines:", judge.TimeAtTwo(run))
 	for _, f := range judge.Figures(run) {
 		fmt.Fprintf(w, "%s %s: %g", f.Name, f.Subject, f.Value)
 		if f.Bound > 0 {
