Soak: time at two engines is counted and stated; one engine at once is checked more strictly

Change: checkOneEngine and requireOneEngineAtATime of tests/edge use internal/drill/overlap, as the drill's judge does. A cut counts as long as it lasts; a host that is in touch again is judged. Stand-in engines say when they have written the first event of a run; from then on a silence of the later engine is no excuse. TestSoak logs the time at two engines, with and without silences of engines.

Tests: the last lines of TestOneEngineCheckDetectsViolations tested timeOf, which is gone; TestTimeOutsideSpans tests its successor. New cases fail on the check before: path cut only at first, shortly before, shortly after; host in touch again, frozen afterwards; silent after its first event.

--- a/internal/drill/overlap/summary.go
+++ b/internal/drill/overlap/summary.go
@@ -41,12 +41,14 @@
 	return s
 }
 
+const precision = 100 * time.Microsecond // of the times that String states
+
 // String describes the summary.
 func (s Summary) String() string {
 	if s.Runs == 0 {
 		return "0 runs"
 	}
-	return fmt.Sprintf("%d runs, %v in all, longest %v: %s at %s", s.Runs, s.Sum.Round(time.Millisecond), s.Longest.Round(time.Millisecond), s.Run, strings.Join(s.Engines, ", "))
+	return fmt.Sprintf("%d runs, %v in all, longest %v: %s at %s", s.Runs, s.Sum.Round(precision), s.Longest.Round(precision), s.Run, strings.Join(s.Engines, ", "))
 }
 
 // timeAtTwo returns how long two or more engines work at the same time.
--- a/tests/edge/silence_random_test.go
+++ b/tests/edge/silence_random_test.go
@@ -16,6 +16,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"corianderhitch/internal/drill/overlap"
+	"corianderhitch/internal/drill/record"
 	"corianderhitch/platform/headers"
 	"corianderhitch/platform/standin"
 )
@@ -80,27 +82,25 @@
 }
 
 // requireOneEngineAtATime checks that no two engines execute a run for longer than it takes to
-// stop one of them, unless the second one gave up.
+// stop one of them, unless the second one gave up, and logs how long they did.
 func requireOneEngineAtATime(t *testing.T, engines []*standin.Engine) {
 	const maxOverlap = 400 * time.Millisecond
-	spans := make(map[string][]standin.Span)
+	byRun := make(map[string][]overlap.Part)
+	var all []overlap.Part
 	for _, e := range engines {
 		for _, s := range e.Spans() {
-			spans[s.ID] = append(spans[s.ID], s)
+			p := overlap.Part{Run: s.ID, Engine: s.Engine, Span: record.Span{From: s.From, To: s.To}, FirstEvent: s.FirstEvent, GaveUp: !s.Completed}
+			byRun[s.ID], all = append(byRun[s.ID], p), append(all, p)
 		}
 	}
-	for id, of := range spans {
-		slices.SortFunc(of, func(a, b standin.Span) int { return a.From.Compare(b.From) })
-		for i, after := range of {
-			for _, before := range of[:i] {
-				end := before.To
-				if !after.Completed && after.To.Before(end) { // given up
-					end = after.To
-				}
-				assert.Less(t, end.Sub(after.From), maxOverlap, "%s at %s and %s", id, before.Engine, after.Engine)
-			}
+	for id, parts := range byRun {
+		slices.SortFunc(parts, func(a, b overlap.Part) int { return a.From.Compare(b.From) })
+		for i, before := range parts {
+			beside, both := before.WorksBeside(parts[i+1:], maxOverlap, nil, nil)
+			assert.False(t, both, "%s at %s still at %v, at %s since %v", id, before.Engine, beside.At, beside.Other, beside.Since)
 		}
 	}
+	t.Logf("at work at two engines: %v", overlap.Summarize(all))
 }
 
 // gauge returns the value of a gauge of the host's metrics.
--- a/tests/soak/checks_test.go
+++ b/tests/soak/checks_test.go
@@ -19,6 +19,8 @@
 	completed bool // the engine reached the last event
 	stopped   bool // a final copy stopped the run
 	account   string
+	// firstEvent is when the engine had written its first event, zero if it wrote none.
+	firstEvent time.Time
 }
 
 // observations returns what all targets saw, by request id, in the order of arrival.
@@ -29,7 +31,7 @@
 	for _, t := range c.targets {
 		if t.engine != nil {
 			for _, s := range t.engine.Spans() {
-				out[s.ID] = append(out[s.ID], observation{arrivedAt: s.From, endedAt: s.To, target: t, fromCopy: s.FromCopy, completed: s.Completed, stopped: s.Stopped})
+				out[s.ID] = append(out[s.ID], observation{arrivedAt: s.From, endedAt: s.To, target: t, fromCopy: s.FromCopy, completed: s.Completed, stopped: s.Stopped, firstEvent: s.FirstEvent})
 			}
 			continue
 		}
@@ -84,6 +86,7 @@
 	c.checkLimits(outcomes)
 	c.checkNoRollback(outcomes, seen)
 	c.checkRecovery(outcomes)
+	c.t.Logf("at work at two engines: %v; silences included: %v", timeAtTwo(seen, false), timeAtTwo(seen, true))
 	c.t.Logf("%d requests: %v; %d versions, %d keys revoked, %d targets", len(outcomes), ended, len(c.versions), len(c.revocations), len(c.targets))
 }
 
--- a/tests/soak/disturbances_test.go
+++ b/tests/soak/disturbances_test.go
@@ -4,6 +4,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"corianderhitch/internal/drill/record"
 )
 
 // storeSubject is the subject of faults of the store, which affect all hosts.
@@ -65,6 +67,23 @@
 	return false
 }
 
+// spans returns when the subject was disturbed, by a fault of one of the kinds if any are named.
+func (l *disturbanceLog) spans(subject string, kinds ...string) []record.Span {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []record.Span
+	for _, d := range l.all {
+		if d.subject != subject || len(kinds) > 0 && !slices.Contains(kinds, d.kind) {
+			continue
+		}
+		if d.to.IsZero() {
+			d.to = time.Now().Add(callTimeout)
+		}
+		out = append(out, record.Span{From: d.from, To: d.to})
+	}
+	return out
+}
+
 // of describes the disturbances of a subject.
 func (l *disturbanceLog) of(subject string) []string {
 	l.mu.Lock()
