Drill: engines that read a prompt, or work at the end of the record, are judged too

Cause: the check of two engines left out a first engine that had sent no event yet (it may read the prompt for seconds), and work that had no recorded end.

Run: TestRanAtTwo, whose cases 'reading its prompt' and 'at work at the end of the record' failed before; go test ./internal/drill/... -count=1.

--- a/internal/drill/judge/twice.go
+++ b/internal/drill/judge/twice.go
@@ -53,13 +53,21 @@
 	return all
 }
 
-// parts returns the work of all targets that ran a request, in the order of their arrivals.
+// parts returns the work of all targets on a request, in the order of their arrivals. One that read
+// its prompt and sent no event has worked as well, unless it says that it didn't run the request.
 func (x *index) parts(id string) []overlap.Part {
 	var out []overlap.Part
 	for _, a := range x.arrivals[id] {
-		if a.Ran {
-			out = append(out, overlap.Part{Run: id, Engine: a.Target, Span: record.Span{From: a.At, To: a.Ended}, FirstEvent: a.FirstEvent, GaveUp: gaveUp(a.Outcome), Idle: x.silences(a.Target)})
+		p := overlap.Part{Run: id, Engine: a.Target, Span: a.Work, FirstEvent: a.FirstEvent, GaveUp: gaveUp(a.Outcome), Idle: x.silences(a.Target)}
+		switch {
+		case a.Ran && a.Ended.IsZero(): // at work at the end of the record
+			p.Span = record.Span{From: a.At, To: x.run.Ended}
+		case a.Ran:
+			p.Span = record.Span{From: a.At, To: a.Ended}
+		case p.From.IsZero() || a.Outcome == record.Rejected:
+			continue
 		}
+		out = append(out, p)
 	}
 	return out
 }
--- a/internal/drill/judge/twice_test.go
+++ b/internal/drill/judge/twice_test.go
@@ -62,6 +62,20 @@
 			r.Arrivals[1].Ended = at(21.3)
 			r.Arrivals = append(r.Arrivals, third)
 		}, true},
+		"reading its prompt": {func(r *record.Run) {
+			r.Arrivals[0].Ran, r.Arrivals[0].Ended = false, time.Time{}
+			r.Arrivals[0].Work = span(20.5, 22)
+		}, true},
+		"reading its prompt for 400 ms": {func(r *record.Run) {
+			r.Arrivals[0].Ran, r.Arrivals[0].Ended = false, time.Time{}
+			r.Arrivals[0].Work = span(20.5, 21.4)
+		}, false},
+		"waiting":                          {func(r *record.Run) { r.Arrivals[0].Ran, r.Arrivals[0].Ended = false, time.Time{} }, false},
+		"at work at the end of the record": {func(r *record.Run) { r.Arrivals[0].Ended = time.Time{} }, true},
+		"rejected at the deadline": {func(r *record.Run) {
+			r.Arrivals[0].Ran, r.Arrivals[0].Ended, r.Arrivals[0].Outcome = false, time.Time{}, record.Rejected
+			r.Arrivals[0].Work = span(20.5, 22)
+		}, false},
 		"host out of touch":          {func(r *record.Run) { r.HostEvents = []record.HostEvent{event(record.Thawed, 19.5)} }, false},
 		"host in touch again":        {func(r *record.Run) { r.HostEvents = []record.HostEvent{event(record.Thawed, 18.5)} }, true},
 		"store unstable":             {func(r *record.Run) { r.Outages = []record.Span{span(10, 19.5)} }, false},
