--- a/internal/edge/forwarding/server_test.go
+++ b/internal/edge/forwarding/server_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -284,6 +285,86 @@
 	require.False(t, errors.Is(err, targetconn.ErrNotSent))
 }
 
+// An earlier answer, written once more, would be taken for theirs.
+func TestHelperSendsRequestsWithoutIDsOnKeptConnections(t *testing.T) {
+	var connections sync.Map
+	target := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { connections.Store(r.RemoteAddr, true) }))
+	defer target.Close()
+	helper, _ := startHelper(t, nil)
+	pool := newPool(&gate{})
+	pool.Forwarder = &helpersOf{addresses: []string{helper}}
+	const requests = 3
+	for range requests {
+		request := callersRequest(http.MethodPost, "question")
+		request.ID = ""
+		request.Header.Del("Request-Id")
+		response, err := pool.Do(t.Context(), "t@1", target.Listener.Addr().String(), request)
+		require.NoError(t, err)
+		response.Discard()
+	}
+	used := 0
+	connections.Range(func(any, any) bool { used++; return true })
+	require.Equal(t, requests, used)
+}
+
+// The second helper would send it once more.
+func TestNextHelperIsAskedAfterALostAnswer(t *testing.T) {
+	const busy, kept = "Hitch-Forward-Outcome: busy\r\n", "HTTP/1.1 200 OK\r\nHitch-Forward-Outcome: answered\r\nContent-Length: 0\r\n\r\n"
+	for name, answer := range map[string]string{
+		"none":                             "",
+		"only that it has the request":     "HTTP/1.1 102 Processing\r\n\r\n",
+		"refusal cut short":                "HTTP/1.1 503 N\r\n" + busy,
+		"no outcome":                       "HTTP/1.1 503 N\r\nContent-Length: 0\r\n\r\n",
+		"outcome of a later build":         "HTTP/1.1 503 N\r\nHitch-Forward-Outcome: later\r\nContent-Length: 0\r\n\r\n",
+		"outcome that only the sender has": "HTTP/1.1 503 N\r\nHitch-Forward-Outcome: unreachable\r\nContent-Length: 0\r\n\r\n",
+		"not HTTP":                         "nonsense\r\n\r\n",
+	} {
+		for _, earlier := range []int{0, 1} { // requests that were answered on the same connection
+			t.Run(name+", kept "+strconv.Itoa(earlier), func(t *testing.T) {
+				first, err := net.Listen("tcp", "127.0.0.1:0")
+				require.NoError(t, err)
+				defer func() { _ = first.Close() }()
+				go func() {
+					for {
+						conn, err := first.Accept()
+						if err != nil {
+							return
+						}
+						reader := bufio.NewReader(conn)
+						for n := range earlier + 1 {
+							r, err := http.ReadRequest(reader)
+							if err != nil {
+								break
+							}
+							_, _ = io.Copy(io.Discard, r.Body)
+							text := answer
+							if n < earlier {
+								text = kept
+							}
+							_, _ = io.WriteString(conn, text)
+						}
+						_ = conn.Close()
+					}
+				}()
+				target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }))
+				defer target.Close()
+				second, secondGate := startHelper(t, nil)
+				pool := newPool(&gate{})
+				pool.Forwarder = &helpersOf{addresses: []string{first.Addr().String(), second}}
+				for range earlier {
+					response, err := pool.Do(t.Context(), "t@1", target.Listener.Addr().String(), callersRequest(http.MethodPost, "question"))
+					require.NoError(t, err)
+					response.Discard()
+				}
+				_, err = pool.Do(t.Context(), "t@1", target.Listener.Addr().String(), callersRequest(http.MethodPost, "question"))
+				require.Error(t, err)
+				require.NotErrorIs(t, err, targetconn.ErrNotSent)
+				require.Empty(t, secondGate.uses)
+			})
+		}
+	}
+}
+
 // Its kernel goes on accepting connections. The request may be in its hands, so that no other host
 // gets it; later requests ask others.
 func TestFrozenHelperIsPassedOver(t *testing.T) {
--- a/internal/edge/plain/server_test.go
+++ b/internal/edge/plain/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"net/http"
 	"testing"
 	"time"
 
@@ -78,3 +79,44 @@
 	drain.Begin(bootclock.Now())
 	require.Equal(t, 3, retry(), "a retry was asked for in the drain")
 }
+
+// TWICE: a target may have run the call.
+func TestNonIdempotentCallIsSentAgainAfterItMayHaveRun(t *testing.T) {
+	asked := 0
+	s := &Server{Drain: draining.New(time.Second), RetryBudget: func(string) *retrybudget.Budget {
+		asked++
+		return retrybudget.New(0, 0, time.Second, bootclock.Now(), func() int { return 1 })
+	}}
+	for kind, want := range map[policy.RouteKind]map[result]int{
+		policy.NonIdempotent: {failed: 0, broken: 0, keyUnconfirmed: 0, rejected: 1},
+		policy.Streaming:     {failed: 0, broken: 0, keyUnconfirmed: 0, rejected: 1},
+		policy.Idempotent:    {failed: 1, broken: 1, keyUnconfirmed: 0, rejected: 1},
+	} {
+		for outcomeResult, retries := range want {
+			asked = 0
+			r := &run{server: s, ctx: t.Context(), sends: 1, pending: 1, call: &edge.AuthorizedCall{
+				Route: &policy.Route{Kind: kind, MaxAttempts: 3}, Service: &policy.Service{}, Deadline: bootclock.Now().Add(time.Minute), Log: slog.New(slog.DiscardHandler),
+			}}
+			r.retry(outcome{result: outcomeResult})
+			require.Equal(t, retries, asked, "%v, %v", kind, outcomeResult)
+			r.hedge()
+			require.Equal(t, kind == policy.Idempotent, asked > retries, "hedge of %v", kind)
+		}
+	}
+}
+
+// REFUSED: a later rejection hid that an earlier target may have run the call.
+func TestCallThatMayHaveRunIsRefusedAsNotRun(t *testing.T) {
+	for name, results := range map[string][]result{
+		"broken, then rejected": {broken, rejected}, "broken, then not sent": {broken, unsent}, "failed without its answer, then rejected": {broken, failed, rejected},
+		"broken, then held": {broken, held}, "broken, then without a confirmed key": {broken, keyUnconfirmed},
+	} {
+		r, best := &run{ctx: t.Context()}, outcome{result: unsent}
+		for _, next := range results {
+			best = r.mergeOutcome(best, outcome{result: next})
+		}
+		require.Equal(t, http.StatusBadGateway, r.rejection(best).Status, name)
+	}
+	pending := &run{ctx: t.Context(), pending: 1}
+	require.Equal(t, http.StatusBadGateway, pending.rejection(outcome{result: rejected}).Status, "another send has no outcome yet")
+}
--- a/internal/edge/streaming/place_test.go
+++ b/internal/edge/streaming/place_test.go
@@ -19,6 +19,7 @@
 	"corianderhitch/internal/edge/inflight"
 	"corianderhitch/internal/edge/peers"
 	"corianderhitch/internal/edge/policy"
+	"corianderhitch/internal/edge/retrybudget"
 	"corianderhitch/internal/edge/stall"
 	"corianderhitch/internal/edge/targetconn"
 	"corianderhitch/internal/edge/targetnotice"
@@ -141,6 +142,28 @@
 	}
 }
 
+// TWICE: an engine may run the request, and its route is not resumable.
+func TestStreamIsStartedAgainAfterItMayHaveRun(t *testing.T) {
+	for err, again := range map[error]bool{
+		targetconn.ErrBroken: false, targetconn.ErrResetAtOnce: false, targetconn.ErrCanceled: false, targetconn.ErrInvalidResponse: false, errUnsigned: false,
+		errNotExecuted: true, targetconn.ErrNotSent: true, targetconn.ErrNotYet: true, targetconn.ErrRefused: true,
+	} {
+		s, r := placingServer(draining.New(placingDrain), silentObserver{}, func() bool { return true })
+		r.call.Route.MaxAttempts, r.call.Call.Generation = 3, &edge.GenerationRequest{}
+		budget := retrybudget.New(1, 100, time.Minute, bootclock.Now(), func() int { return 1 })
+		s.RetryBudget = func(string) *retrybudget.Budget { return budget }
+		for range 100 {
+			budget.RecordRequest()
+		}
+		rejection, retryable := s.startFailure(t.Context(), r, s.Targets.View().Available("s")[0], bootclock.Now(), err)
+		require.Equal(t, again, retryable, "%v", err)
+		require.Equal(t, !again, r.attempts.mayHaveRun, "%v", err)
+		if !again {
+			require.Equal(t, http.StatusBadGateway, rejection.Status, "%v", err)
+		}
+	}
+}
+
 func TestStartedRunWaitsForAnEngineInTheDrain(t *testing.T) {
 	var free atomic.Bool
 	drain := draining.New(placingDrain)
--- a/internal/edge/targetconn/pool_test.go
+++ b/internal/edge/targetconn/pool_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -278,6 +279,9 @@
 		"a target without IDs": {
 			[]string{"a", "b", "c"}, []string{answer(200, ""), answer(503, ""), answer(200, "")}, []int{200, 503, 200}, 3,
 		},
+		"requests without IDs, whose answers nothing tells apart": {
+			[]string{"a", "", "", "b"}, []string{answer(200, "a"), answer(200, ""), answer(200, ""), answer(200, "b")}, []int{200, 200, 200, 200}, 3,
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			target := startRawTarget(t, c.answers...)
@@ -295,3 +299,43 @@
 		})
 	}
 }
+
+func TestRequestThatMayHaveArrivedCountsAsNotSent(t *testing.T) {
+	reset := func(conn net.Conn) { _ = conn.(*net.TCPConn).SetLinger(0) }
+	for name, end := range map[string]func(net.Conn){
+		"closed at once": func(net.Conn) {},
+		"reset at once":  reset,
+		"reset when the request has arrived": func(conn net.Conn) {
+			_, _ = conn.Read(make([]byte, 1))
+			reset(conn)
+		},
+		"interim head, then closed": func(conn net.Conn) { _, _ = io.WriteString(conn, "HTTP/1.1 103 E\r\n\r\n") },
+		"head cut short":            func(conn net.Conn) { _, _ = io.WriteString(conn, "HTTP/1.1 503 N\r\nNot-Exec") },
+		"rejection of another request": func(conn net.Conn) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 503 N\r\n"+idHeader+": r-0\r\nContent-Length: 0\r\n\r\n")
+		},
+	} {
+		for _, body := range []int{0, 4 * maxInlineWrite} {
+			t.Run(fmt.Sprint(name, ", body of ", body), func(t *testing.T) {
+				listener, err := net.Listen("tcp", "127.0.0.1:0")
+				require.NoError(t, err)
+				defer func() { _ = listener.Close() }()
+				go func() {
+					for {
+						conn, err := listener.Accept()
+						if err != nil {
+							return
+						}
+						end(conn)
+						_ = conn.Close()
+					}
+				}()
+				_, err = newTestPool(&scriptedGate{}).Do(t.Context(), "a@1", listener.Addr().String(),
+					&Request{ID: "r-1", Method: http.MethodPost, URI: "/", Host: "h", Header: http.Header{}, Body: make([]byte, body)})
+				require.Error(t, err)
+				require.NotErrorIs(t, err, ErrNotSent)
+				require.Contains(t, []ForwardOutcome{ForwardBroken, ForwardInvalid}, OutcomeOf(err), "another host would have it sent again")
+			})
+		}
+	}
+}
--- a/tests/edge/callerconnection_test.go
+++ b/tests/edge/callerconnection_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -46,3 +49,36 @@
 	var timeout net.Error
 	return err != nil && !(errors.As(err, &timeout) && timeout.Timeout())
 }
+
+// TWICE: requests that wait unread in the same buffer are served one after the other, each once.
+func TestPipelinedRequestsRunMoreThanOnce(t *testing.T) {
+	const requests = 20
+	_, h, targets := startPlainFleet(t, 2)
+	c := newCallerConnection(t, h)
+	var all bytes.Buffer
+	for n := range requests {
+		r := h.request(t.Context(), http.MethodPost, "hold", fmt.Sprint("r-", n), []byte(strings.Repeat("x", n*400)))
+		if n%2 == 0 {
+			r.ContentLength = -1 // chunks
+		}
+		require.NoError(t, r.Write(&all))
+	}
+	go func() { _, _ = c.conn.Write(all.Bytes()) }()
+	for n := range requests {
+		response, err := http.ReadResponse(c.reader, nil)
+		require.NoError(t, err)
+		body, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		require.Equal(t, fmt.Sprint("done r-", n), string(body))
+	}
+	ran := make(map[string]int)
+	for _, target := range targets {
+		for _, r := range target.Requests() {
+			ran[r.ID()]++
+		}
+	}
+	require.Len(t, ran, requests)
+	for id, times := range ran {
+		require.Equal(t, 1, times, id)
+	}
+}
