Targets: answers that no ID tells apart are not awaited on kept connections

A target may write an earlier answer once more where the next one is due; only the request's ID shows it. Callers' requests without one took such a rejection for their own and were sent to a second target. Final moves have none either: the answer to a copy or to a release was taken for the end of a run, which then went on at another engine beside its own. TestLengthOfResponseToHeadIsNoBound checked the reuse after HEAD with requests without an ID; they have one now, which is as strict.

--- a/internal/edge/forwarding/server_test.go
+++ b/internal/edge/forwarding/server_test.go
@@ -287,24 +287,39 @@
 
 // An earlier answer, written once more, would be taken for theirs.
 func TestHelperSendsRequestsWithoutIDsOnKeptConnections(t *testing.T) {
-	var connections sync.Map
-	target := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { connections.Store(r.RemoteAddr, true) }))
-	defer target.Close()
-	helper, _ := startHelper(t, nil)
-	pool := newPool(&gate{})
-	pool.Forwarder = &helpersOf{addresses: []string{helper}}
 	const requests = 3
-	for range requests {
-		request := callersRequest(http.MethodPost, "question")
-		request.ID = ""
-		request.Header.Del("Request-Id")
-		response, err := pool.Do(t.Context(), "t@1", target.Listener.Addr().String(), request)
-		require.NoError(t, err)
-		response.Discard()
+	for name, c := range map[string]struct {
+		use    targetnotice.Use
+		method string
+		copyTo string
+		want   int // connections
+	}{
+		"calls":        {targetnotice.Request, http.MethodPost, "", requests},
+		"final moves":  {targetnotice.Control, http.MethodPost, "", requests},
+		"other copies": {targetnotice.Control, http.MethodPost, "b@1", 1},
+		"releases":     {targetnotice.Control, http.MethodDelete, "", 1},
+		"reports":      {targetnotice.Probe, http.MethodGet, "", 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var connections sync.Map
+			target := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { connections.Store(r.RemoteAddr, true) }))
+			defer target.Close()
+			helper, _ := startHelper(t, nil)
+			pool := newPool(&gate{})
+			pool.Forwarder = &helpersOf{addresses: []string{helper}}
+			for range requests {
+				request := callersRequest(c.method, "")
+				request.ID, request.Use, request.CopyTo = "", c.use, c.copyTo
+				request.Header.Del("Request-Id")
+				response, err := pool.Do(t.Context(), "t@1", target.Listener.Addr().String(), request)
+				require.NoError(t, err)
+				response.Discard()
+			}
+			used := 0
+			connections.Range(func(any, any) bool { used++; return true })
+			require.Equal(t, c.want, used)
+		})
 	}
-	used := 0
-	connections.Range(func(any, any) bool { used++; return true })
-	require.Equal(t, requests, used)
 }
 
 // The second helper would send it once more.
--- a/internal/edge/targetconn/endless_test.go
+++ b/internal/edge/targetconn/endless_test.go
@@ -255,10 +255,10 @@
 
 // The response to HEAD states the length of a body that it does not have.
 func TestLengthOfResponseToHeadIsNoBound(t *testing.T) {
-	target := startRawTarget(t, "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n")
+	target := startRawTarget(t, "HTTP/1.1 200 OK\r\n"+idHeader+": r-1\r\nContent-Length: 1000000\r\n\r\n")
 	pool := newTestPool(&scriptedGate{})
 	for range 2 {
-		response, err := pool.Do(t.Context(), "a@1", target.listener.Addr().String(), &Request{Method: http.MethodHead, URI: "/", Host: "h", Header: http.Header{}})
+		response, err := pool.Do(t.Context(), "a@1", target.listener.Addr().String(), &Request{ID: "r-1", Method: http.MethodHead, URI: "/", Host: "h", Header: http.Header{}})
 		require.NoError(t, err)
 		body, err := response.ReadAll(1000)
 		require.NoError(t, err)
--- a/internal/edge/targetconn/pool.go
+++ b/internal/edge/targetconn/pool.go
@@ -211,9 +211,9 @@
 // connect returns a connection to the target, or to the helper.
 func (p *Pool) connect(ctx context.Context, incarnation, address string, req *Request, w way) (*Conn, error) {
 	if w.helper != "" {
-		return p.get(ctx, helperPrefix+w.helper, w.helper, "")
+		return p.get(ctx, helperPrefix+w.helper, w.helper, "", false)
 	}
-	conn, err := p.get(ctx, connKey(incarnation, req), address, req.ID)
+	conn, err := p.get(ctx, connKey(incarnation, req), address, req.ID, req.needsUnusedConnection())
 	if err == nil && w.uncertain && conn.fresh() {
 		err = awaitReset(ctx, conn, address)
 	}
@@ -390,19 +390,20 @@
 	return eris.Wrap(ErrInvalidResponse, err.Error())
 }
 
-// get returns a healthy idle connection or a new one. A request is not sent again on a connection on
+// get returns a healthy idle connection, or a new one, which unused asks for. A request is not sent again on a connection on
 // which it failed: the answer to it there could not be told from the earlier one.
-func (p *Pool) get(ctx context.Context, key, address, requestID string) (*Conn, error) {
-	for {
+func (p *Pool) get(ctx context.Context, key, address, requestID string, unused bool) (*Conn, error) {
+	for !unused {
 		conn := p.takeIdle(key)
 		if conn == nil {
-			return p.dial(ctx, key, address)
+			break
 		}
 		if conn.healthy() && !(requestID != "" && conn.mayAnswerAgain(requestID)) {
 			return conn, nil
 		}
 		_ = conn.Close()
 	}
+	return p.dial(ctx, key, address)
 }
 
 func (p *Pool) takeIdle(key string) *Conn {
--- a/internal/edge/targetconn/request.go
+++ b/internal/edge/targetconn/request.go
@@ -39,6 +39,17 @@
 	forOtherHost bool // another host asked for it: it takes no further detour
 }
 
+// needsUnusedConnection reports whether the request must not be sent on a connection that has served another one:
+// it has no ID, so that an earlier answer that the target writes once more would be taken for its own, and that
+// could make it run, or a run go on, a second time. Of the control calls that holds for final moves, which have no
+// CopyTo; those that copy, release and ask for reports do no harm that way.
+func (r *Request) needsUnusedConnection() bool {
+	if r.ID != "" {
+		return false
+	}
+	return isCallersRequest(r) || r.Use == targetnotice.Control && r.Method == http.MethodPost && r.CopyTo == ""
+}
+
 // encodeHead returns the head of the request, with room for more bytes behind it.
 func (r *Request) encodeHead(room int) []byte {
 	var b bytes.Buffer
