Streams: a stop ends with its engine, and loses no run that could go on (review)

An answer counts for 0.8 s now, and not once the engine can't be reached. - The stop in the background freed the copy from which the run was about to continue. Memory is released when the run has an engine again. - A holder that resets connections was dropped for good; it is asked again, since a handle works once. - Engines that had left were asked on for up to their runs' deadlines, also at an address that another target had by then. A stop ends when the engine is no longer listed and can't be reached, or its address is another target's. - A stop was given up for a request that then wasn't sent; a final move in flight could reach the engine after the new request. - In a takeover, an engine whose answer was lost was asked to stop only when the takeover had failed. - A resumable run was started again beside an engine that said that it works; engines without moves were asked to move; a rejection of a final move could be taken for the end of a stream.

--- a/internal/edge/streaming/attempts.go
+++ b/internal/edge/streaming/attempts.go
@@ -72,7 +72,7 @@
 // caller has. The engine reads the prompt again; that costs less than replicas of all
 // such runs, and loses no event. It returns nil if the run cannot be restarted.
 func (r *Run) restart(ctx context.Context, source *targets.Target, reason string, err error) *segment {
-	if !r.Resumable() || ctx.Err() != nil {
+	if !r.Resumable() || ctx.Err() != nil || reason == notStopped {
 		return nil
 	}
 	r.server.recordFailure(source, bootclock.Now().Add(-r.SinceLastEvent()))
@@ -83,7 +83,7 @@
 	r.attempts.sends.Add(1)
 	r.attempts.mayHaveRun = true
 	r.attempts.tried[source.Key()] = true
-	r.noteMayExecute(source)
+	r.noteUnstopped(source)
 	next := r.startElsewhere(ctx, source, "broke_off", reason, "error", errText)
 	if next == nil {
 		return nil
--- a/internal/edge/streaming/forward.go
+++ b/internal/edge/streaming/forward.go
@@ -152,7 +152,7 @@
 // stopAndContinue continues a run whose engine may have crashed, or may still execute it because
 // only the connection broke. It goes on elsewhere once the engine has stopped it or does not answer.
 func (r *Run) stopAndContinue(ctx context.Context, ended *segment, replica *Replica) (*segment, string) {
-	stop := r.stopAt(ended.target, replica.Dest, false)
+	stop := r.stopAt(ended.target, replica.Dest, stopAfterBreak, true)
 	reply, stopped := stop.await(ctx, r.patienceLeft())
 	switch {
 	case stopped:
@@ -188,7 +188,7 @@
 		r.releaseReplica(replica)
 		return nil, brokenOff
 	}
-	if err == io.EOF && reply.Result != edge.MoveUnknown && !stoppedAtSource(reply) {
+	if err == io.EOF && reply.Result != edge.MoveUnknown && reply.Result != edge.MoveRejected && !stoppedAtSource(reply) {
 		r.releaseReplica(replica)
 		return nil, completed // the engine has not stopped the run
 	}
@@ -222,7 +222,7 @@
 // finish records the outcome and ends the caller's response. The response to an
 // incomplete stream is aborted, so that it does not look complete.
 func (r *Run) finish(ctx context.Context, source *targets.Target, reason string, err error) string {
-	r.stopElsewhere(source)
+	r.stopAtOthers(source)
 	if r.headSent {
 		r.server.Observer.ObserveLongestPause(r.longestPause)
 	}
--- a/internal/edge/streaming/resume.go
+++ b/internal/edge/streaming/resume.go
@@ -50,7 +50,22 @@
 // before the caller gives up. One that may have begun must have stopped before another is asked.
 // It returns nil if that fails.
 func (r *Run) resume(ctx context.Context, holders ...*memoryHolder) *segment {
-	c := &continuation{r: r, holders: holders, started: time.Now(), patience: r.patienceLeft(), interval: resumeRetryInterval}
+	return r.newContinuation(holders).run(ctx)
+}
+
+// resumeBeside is resume while the run still executes at source, as far as its host knows.
+func (r *Run) resumeBeside(ctx context.Context, source *targets.Target, holder *memoryHolder) *segment {
+	c := r.newContinuation([]*memoryHolder{holder})
+	c.source = source
+	return c.run(ctx)
+}
+
+func (r *Run) newContinuation(holders []*memoryHolder) *continuation {
+	return &continuation{r: r, holders: holders, started: time.Now(), patience: r.patienceLeft(), interval: resumeRetryInterval}
+}
+
+// run asks the holders until one takes the run or none is left.
+func (c *continuation) run(ctx context.Context) *segment {
 	for c.tries = 1; ; c.tries++ {
 		s, again := c.tryAll(ctx)
 		if s != nil || len(c.holders) == 0 {
@@ -66,6 +81,7 @@
 type continuation struct {
 	r        *Run
 	holders  []*memoryHolder // to be asked, in this order
+	source   *targets.Target // executes the run meanwhile; nil if no engine does
 	started  time.Time
 	patience time.Duration // until the run is given up
 	interval time.Duration // between two tries
@@ -87,14 +103,16 @@
 		}
 		others := slices.Concat(remaining, c.holders[i+1:])
 		state := holderStopped
-		if len(others) > 0 && mayHaveBegun(err) && ctx.Err() == nil {
+		if (len(others) > 0 || c.source != nil) && mayHaveBegun(err) && ctx.Err() == nil {
 			var begun []*memoryHolder
-			if state, begun = c.r.stopHolder(ctx, h, others[0], c.left()); len(begun) > 0 && c.left() > 0 {
+			if state, begun = c.stopHolder(ctx, h, others); len(begun) > 0 && c.left() > 0 {
 				c.holders = append(begun, others...)
-				return nil, true
+				first := c.interval == resumeRetryInterval
+				c.interval = min(2*c.interval, maxResumeInterval)
+				return nil, first
 			}
 		}
-		if state == holderStopped && c.r.mayStillResume(h.target, err) && c.left() > 0 && ctx.Err() == nil {
+		if state != holderWorks && c.r.mayStillResume(h.target, err) && c.left() > 0 && ctx.Err() == nil {
 			if errors.Is(err, targetconn.ErrBroken) {
 				c.interval = min(2*c.interval, maxResumeInterval)
 			}
@@ -139,9 +157,14 @@
 
 // stopHolder stops the run at an engine that may have continued it, before another one is asked.
 // If the engine had begun, it returns the engines that hold the memory of what it has done.
-func (r *Run) stopHolder(ctx context.Context, h, next *memoryHolder, patience time.Duration) (state holderState, from []*memoryHolder) {
-	stop := r.stopAt(h.target, next.target, true)
-	reply, stopped := stop.await(ctx, patience)
+func (c *continuation) stopHolder(ctx context.Context, h *memoryHolder, others []*memoryHolder) (state holderState, from []*memoryHolder) {
+	dest, load := c.source, inflight.Load{}
+	if len(others) > 0 {
+		dest, load = others[0].target, others[0].load
+	}
+	c.r.noteUnstopped(h.target)
+	stop := c.r.stopAt(h.target, dest, stopAfterSend, true)
+	reply, stopped := stop.await(ctx, c.left())
 	switch {
 	case !stopped && stop.engineAnswers():
 		return holderWorks, nil
@@ -151,8 +174,8 @@
 		return holderStopped, nil
 	}
 	ref := edge.ReplicaRef{Address: h.target.Address, Handle: reply.Handle}
-	if reply.Result == edge.MoveCopied {
-		from = append(from, &memoryHolder{target: next.target, load: next.load, from: ref})
+	if reply.Result == edge.MoveCopied && len(others) > 0 {
+		from = append(from, &memoryHolder{target: stop.other, load: load, from: ref})
 	}
 	return holderStopped, append(from, &memoryHolder{target: h.target, load: h.load, from: ref})
 }
--- a/internal/edge/streaming/run.go
+++ b/internal/edge/streaming/run.go
@@ -58,9 +58,9 @@
 	takeover     *takeover       // guarded by mu; from its begin until the reading goroutine has used it or it has failed
 	// stops are the stops of the run in progress, by the engine's incarnation; guarded by mu.
 	stops map[string]*engineStop
-	// mayExecute holds the engines that may execute the run though it does not continue there, by
+	// unstopped holds the engines that may execute the run though it does not continue there, by
 	// incarnation; guarded by mu.
-	mayExecute map[string]*targets.Target
+	unstopped map[string]*targets.Target
 	// nextTakeover is the earliest time of the next takeover; guarded by mu.
 	nextTakeover bootclock.Instant
 }
@@ -145,13 +145,13 @@
 		r.lastEventAt.Store(int64(bootclock.Now())) // the previous engine's silence does not count against this one
 	}
 	r.server.Runs.add(r, s.target.Key())
-	r.stopElsewhere(s.target)
+	r.stopAtOthers(s.target)
 }
 
 // abandon closes a segment whose target the run has not entered.
 func (r *Run) abandon(s *segment) {
 	if s.response.Status == http.StatusOK {
-		r.noteMayExecute(s.target)
+		r.noteUnstopped(s.target)
 	}
 	s.close()
 	r.server.Inflight.Remove(s.target.Key(), s.load)
--- a/internal/edge/streaming/server.go
+++ b/internal/edge/streaming/server.go
@@ -298,15 +298,15 @@
 // open sends the run to a target. Its load has been counted there already and is
 // removed if the run does not start. onSilent may be nil, see watchSilence.
 func (s *Server) open(ctx context.Context, r *Run, t *targets.Target, load inflight.Load, d edge.Dispatch, onSilent func()) (*segment, error) {
-	r.endStop(t.Key())
+	unfinished := r.endStop(t.Key())
 	ahead := max(0, s.Inflight.TotalLoad(t.Key()).Unread-load.Unread)
 	watch := s.watchStart(ctx, r, t, d)
 	response, cancel, err := s.send(ctx, r, t, d, onSilent)
 	if err != nil {
 		watch.ended(err, false)
 		s.Inflight.Remove(t.Key(), load)
-		if mayHaveBegun(err) {
-			r.noteMayExecute(t)
+		if unfinished || mayHaveBegun(err) {
+			r.noteUnstopped(t)
 		}
 		return nil, err
 	}
--- a/internal/edge/streaming/stop.go
+++ b/internal/edge/streaming/stop.go
@@ -10,149 +10,202 @@
 	"corianderhitch/internal/edge/bootclock"
 	"corianderhitch/internal/edge/targetconn"
 	"corianderhitch/internal/edge/targets"
-	"corianderhitch/internal/wait"
 )
 
 const (
-	// stopTimeout is how long a run waits for the answer of an engine that may still execute it
-	// before it goes on at another one, and bounds the first call. An engine that does not answer
-	// in time has crashed, is silent or is unreachable.
+	// stopTimeout is how long a run waits for the first answer of an engine that may still execute
+	// it before it goes on at another one, and bounds the first call. An engine that does not
+	// answer in time has crashed, is silent or is unreachable.
 	stopTimeout = 400 * time.Millisecond
+	// stopAnswerValidity is for how long an engine counts as at work after it has answered without
+	// having stopped the run. It may end after that.
+	stopAnswerValidity = 2 * stopTimeout
 	// stopCallTimeout bounds each later call. A silent engine answers once it goes on.
 	stopCallTimeout = 2500 * time.Millisecond
-	// stopRetryInterval is the time between two calls. It doubles, up to maxStopInterval, after
-	// stopBackoffAfter, and at once while the engine cannot be reached.
+	// stopRetryInterval is the time between two calls in the first stopBackoffAfter. Later, and
+	// while the engine cannot be reached, it doubles each time up to maxStopInterval.
 	stopRetryInterval = 50 * time.Millisecond
 	stopBackoffAfter  = time.Second
 	maxStopInterval   = time.Second
-	// lateStart is when an engine that does not execute the run is asked again if it may only
-	// begin it: the request may wait there or be on its way.
+	// lateStart is when an engine that answers that it does not execute the run is asked again if
+	// it got a request without an answer: that may wait there or be on its way.
 	lateStart = 300 * time.Millisecond
+	// stopCheckInterval is how often the age of an engine's last answer is looked at.
+	stopCheckInterval = 50 * time.Millisecond
+)
+
+// Reasons of stops in log lines.
+const (
+	stopAfterBreak    = "stream_broke_off"
+	stopAfterTakeover = "taken_over"
+	stopAfterSend     = "not_answered" // the engine got a request whose answer did not arrive
+	stopElsewhere     = "goes_on_elsewhere"
 )
 
 // engineStop ends a run at an engine that the run has left or that may have begun it. The engine
-// is asked until it has answered that it does not execute the run, is gone or must have stopped
-// at the deadline that it got with the run.
+// is asked until it has answered that it does not execute the run, or has ended, or until the
+// deadline has passed that it got with the run.
 type engineStop struct {
 	r      *Run
 	engine *targets.Target
 	other  *targets.Target // a final move has to name a destination
-	// mayBegin means that the engine got a request whose outcome is not known.
-	mayBegin bool
-	ctx      context.Context
-	cancel   context.CancelFunc
-	done     chan struct{} // closed after the last call
-	changed  chan struct{} // receives a value after a call; holds one at most
-
-	mu        sync.Mutex
-	stopped   bool           // guarded by mu; the engine does not execute the run
-	reply     edge.MoveReply // guarded by mu; the one that says so, MoveUnknown before
-	answers   bool           // guarded by mu; the engine has answered, but has not stopped the run
-	unreached bool           // guarded by mu; the last call did not reach the engine
-	awaited   bool           // guarded by mu; the run waits for reply, to continue from the memory that it names
-	late      string         // guarded by mu; memory of a run that the engine began only after reply
-}
-
-// stopAt begins to stop the run at an engine, or returns the stop in progress. Unless await is
-// called, the memory that the engine keeps of the run is released.
-func (r *Run) stopAt(engine, other *targets.Target, mayBegin bool) *engineStop {
+	reason string
+	// unanswered means that the engine got a request whose answer did not arrive.
+	unanswered bool
+	ctx        context.Context
+	cancel     context.CancelFunc
+	quit       chan struct{} // closed when no other call is to be made
+	quitOnce   sync.Once
+	done       chan struct{} // closed after the last call
+	changed    chan struct{} // receives a value after a call; holds one at most
+
+	mu         sync.Mutex
+	stopped    bool              // guarded by mu; the engine does not execute the run
+	reply      edge.MoveReply    // guarded by mu; the one that says so, MoveUnknown before
+	answeredAt bootclock.Instant // guarded by mu; when the engine answered last without having stopped the run, 0 if it did not
+	unreached  bool              // guarded by mu; the last call did not reach the engine
+	awaited    bool              // guarded by mu; the run waits for reply, to continue from the memory that it names
+	lateHandle string            // guarded by mu; memory of a run that the engine began only after reply
+	finished   bool              // guarded by mu; no call is missing
+}
+
+// stopAt begins to stop the run at an engine, or returns the stop in progress. Callers that set
+// awaited call await. Otherwise the memory that the engine keeps of the run is released.
+func (r *Run) stopAt(engine, other *targets.Target, reason string, awaited bool) *engineStop {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if s := r.stops[engine.Key()]; s != nil {
+		s.mu.Lock()
+		s.awaited = s.awaited || awaited
+		s.mu.Unlock()
 		return s
 	}
-	s := &engineStop{r: r, engine: engine, other: other, mayBegin: mayBegin, reply: edge.MoveReply{Result: edge.MoveUnknown}, done: make(chan struct{}), changed: make(chan struct{}, 1)}
+	s := &engineStop{r: r, engine: engine, other: other, reason: reason, unanswered: r.unstopped[engine.Key()] != nil, awaited: awaited,
+		reply: edge.MoveReply{Result: edge.MoveUnknown}, quit: make(chan struct{}), done: make(chan struct{}), changed: make(chan struct{}, 1)}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	if r.stops == nil {
 		r.stops = make(map[string]*engineStop)
 	}
 	r.stops[engine.Key()] = s
-	delete(r.mayExecute, engine.Key())
+	delete(r.unstopped, engine.Key())
 	go s.run()
 	return s
 }
 
 // await waits until the engine has stopped the run, and returns its answer. It returns false if
-// the engine cannot be reached or does not answer, or if ctx or patience ends; the engine is
-// asked on meanwhile. An engine that answers is at work, so that the run must not go on elsewhere.
+// the engine cannot be reached or does not answer any more, or if ctx or patience ends; the engine
+// is asked on meanwhile. One that answers is at work: the run must not go on elsewhere.
 func (s *engineStop) await(ctx context.Context, patience time.Duration) (edge.MoveReply, bool) {
-	s.mu.Lock()
-	s.awaited = true
-	s.mu.Unlock()
+	started := bootclock.Now()
 	ctx, cancel := context.WithTimeout(ctx, max(patience, stopTimeout))
 	defer cancel()
-	silent := time.NewTimer(stopTimeout)
-	defer silent.Stop()
-	for timeIsUp := false; ; {
+	check := time.NewTicker(stopCheckInterval)
+	defer check.Stop()
+	for {
 		s.mu.Lock()
+		silent := s.answeredAt == 0 && bootclock.Since(started) >= stopTimeout || s.answeredAt != 0 && bootclock.Since(s.answeredAt) >= stopAnswerValidity
 		reply, stopped := s.reply, s.stopped
-		s.awaited = stopped || ctx.Err() == nil && !s.unreached && (s.answers || !timeIsUp)
+		s.awaited = stopped || ctx.Err() == nil && !s.unreached && !silent
 		awaited := s.awaited
 		s.mu.Unlock()
 		if stopped || !awaited {
+			s.r.Log().Info("stream: waited for an engine to stop the run", "target", s.engine.ID, "reason", s.reason, "stopped", stopped,
+				"answers", s.engineAnswers(), "waited_ms", bootclock.Since(started).Milliseconds())
 			return reply, stopped
 		}
 		select {
 		case <-s.changed:
+		case <-check.C:
+		case <-ctx.Done():
 		case <-s.done:
 			s.mu.Lock()
-			defer s.mu.Unlock()
-			return s.reply, s.stopped
-		case <-silent.C:
-			timeIsUp = true
-		case <-ctx.Done():
+			s.unreached = true // it has ended
+			s.mu.Unlock()
 		}
 	}
 }
 
+// engineAnswers reports whether the engine has answered lately without having stopped the run.
+func (s *engineStop) engineAnswers() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.stopped && !s.unreached && s.answeredAt != 0 && bootclock.Since(s.answeredAt) < stopAnswerValidity
+}
+
 // run asks the engine until the run does not execute there any more.
 func (s *engineStop) run() {
 	defer s.end()
 	r, started := s.r, bootclock.Now()
 	deadline := started.Add(max(stopCallTimeout, r.call.TimeLeft()))
-	timeout, interval := stopTimeout, stopRetryInterval
+	timeout, interval, recheck := stopTimeout, stopRetryInterval, s.unanswered
 	for calls := 1; ; calls++ {
 		ctx, cancel := context.WithTimeout(s.ctx, timeout)
 		calledAt := bootclock.Now()
 		reply := r.server.Engines.Move(ctx, s.engine, r.ID(), s.other, true)
 		cancel()
 		s.observe(reply)
-		stopped, recheck := hasStopped(reply), false
-		if stopped {
-			recheck, s.mayBegin = s.mayBegin && reply.Result == edge.MoveNoRun, false
-		}
-		gone := !stopped && unreached(reply) && r.server.Targets.View().Get(s.engine.Key()) == nil
-		if stopped && !recheck || gone || s.ctx.Err() != nil || bootclock.Now() > deadline {
-			r.Log().Info("stream: asked an engine to stop the run", "target", s.engine.ID, "result", reply.Result.String(), "stopped", stopped, "gone", gone,
-				"calls", calls, "took_ms", bootclock.Since(started).Milliseconds(), "error", reply.ErrorText())
+		stopped, ended := hasStopped(reply), !hasStopped(reply) && s.engineEnded(reply)
+		again := stopped && reply.Result == edge.MoveNoRun && recheck
+		if stopped && !again || ended || bootclock.Now() > deadline {
+			s.finish()
+			r.Log().Info("stream: asked an engine to stop the run", "target", s.engine.ID, "reason", s.reason, "result", reply.Result.String(),
+				"stopped", stopped, "ended", ended, "calls", calls, "took_ms", bootclock.Since(started).Milliseconds(), "error", reply.ErrorText())
 			return
 		}
 		switch {
-		case recheck:
-			interval = lateStart
+		case again:
+			interval, recheck = lateStart, false
+		case unreached(reply):
+			interval = min(2*interval, maxStopInterval)
 		case bootclock.Since(calledAt) >= stopTimeout:
 			interval = stopRetryInterval // the call took the time
-		case unreached(reply) || bootclock.Since(started) > stopBackoffAfter:
+		case bootclock.Since(started) > stopBackoffAfter:
 			interval = min(2*interval, maxStopInterval)
 		default:
 			interval = stopRetryInterval
 		}
-		wait.For(s.ctx, interval)
+		if !s.pause(interval) {
+			return
+		}
 		timeout = stopCallTimeout
 	}
 }
 
+// pause waits between two calls and reports whether there is to be another one.
+func (s *engineStop) pause(interval time.Duration) bool {
+	timer := time.NewTimer(interval)
+	defer timer.Stop()
+	select {
+	case <-s.quit:
+		return false
+	case <-timer.C:
+		select {
+		case <-s.quit:
+			return false
+		default:
+			return true
+		}
+	}
+}
+
+// engineEnded reports whether the engine does not exist any more: nothing listens at its address
+// and its entry is gone, or another target has the address.
+func (s *engineStop) engineEnded(reply edge.MoveReply) bool {
+	view := s.r.server.Targets.View()
+	return unreached(reply) && !view.Listed(s.engine.Key()) || !view.Listed(s.engine.Key()) && view.TakenOver(s.engine.Address, s.engine.Key())
+}
+
 // observe records the answer to a call.
 func (s *engineStop) observe(reply edge.MoveReply) {
 	s.mu.Lock()
 	s.unreached = unreached(reply)
 	switch {
 	case s.stopped:
-		s.late = reply.Handle
+		s.lateHandle = reply.Handle
 	case hasStopped(reply):
 		s.stopped, s.reply = true, reply
-	default:
-		s.answers = s.answers || reply.Answered()
+	case reply.Answered():
+		s.answeredAt = bootclock.Now()
 	}
 	s.mu.Unlock()
 	select {
@@ -161,6 +214,12 @@
 	}
 }
 
+func (s *engineStop) finish() {
+	s.mu.Lock()
+	s.finished = true
+	s.mu.Unlock()
+}
+
 // end releases the memory that nobody continues from.
 func (s *engineStop) end() {
 	s.r.mu.Lock()
@@ -171,21 +230,28 @@
 	s.cancel()
 	close(s.done)
 	s.mu.Lock()
-	awaited, handle, late := s.awaited, s.reply.Handle, s.late
+	awaited, handle, late := s.awaited, s.reply.Handle, s.lateHandle
 	s.mu.Unlock()
 	if !awaited && handle != "" {
-		s.r.releaseCopy(s.engine, handle)
+		s.release(handle)
 	}
 	if late != "" {
-		s.r.releaseCopy(s.engine, late)
+		s.release(late)
 	}
 }
 
-// engineAnswers reports whether the engine has answered without having stopped the run.
-func (s *engineStop) engineAnswers() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.answers && !s.stopped
+// release frees memory that the engine keeps, once the run does not look for an engine to continue
+// at: a later copy may have the handle of the one from which the run is about to continue.
+func (s *engineStop) release(handle string) {
+	for s.r.Target() == nil {
+		select {
+		case <-s.r.done:
+			s.r.releaseCopy(s.engine, handle)
+			return
+		case <-time.After(stopCheckInterval):
+		}
+	}
+	s.r.releaseCopy(s.engine, handle)
 }
 
 // hasStopped reports whether an engine does not execute the run after its answer to a final move.
@@ -198,38 +264,52 @@
 	return errors.Is(reply.Err, targetconn.ErrNotSent) && !errors.Is(reply.Err, targetconn.ErrRefused)
 }
 
-// endStop ends the stop of the run at an engine that is about to get it again.
-func (r *Run) endStop(engine string) {
+// endStop ends the stop of the run at an engine that is about to get it again. A call in flight is
+// awaited for a while, since it could stop the run that begins now. It reports whether the engine
+// has to be asked again if it does not get the run.
+func (r *Run) endStop(engine string) (unfinished bool) {
 	r.mu.Lock()
 	s := r.stops[engine]
 	r.mu.Unlock()
-	if s != nil {
+	if s == nil {
+		return false
+	}
+	s.quitOnce.Do(func() { close(s.quit) })
+	select {
+	case <-s.done:
+	case <-time.After(stopTimeout):
 		s.cancel()
 		<-s.done
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.finished
 }
 
-// noteMayExecute records that an engine may execute the run although the run does not continue there.
-func (r *Run) noteMayExecute(engine *targets.Target) {
+// noteUnstopped records that an engine may execute the run although the run does not continue there.
+func (r *Run) noteUnstopped(engine *targets.Target) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.mayExecute == nil {
-		r.mayExecute = make(map[string]*targets.Target)
+	if r.unstopped == nil {
+		r.unstopped = make(map[string]*targets.Target)
 	}
-	r.mayExecute[engine.Key()] = engine
+	r.unstopped[engine.Key()] = engine
 }
 
-// stopElsewhere stops the run at all engines that may execute it but the one where it goes on.
-func (r *Run) stopElsewhere(current *targets.Target) {
+// stopAtOthers stops the run at all engines that may execute it but the one where it goes on.
+func (r *Run) stopAtOthers(current *targets.Target) {
 	r.mu.Lock()
-	delete(r.mayExecute, current.Key())
-	engines := make([]*targets.Target, 0, len(r.mayExecute))
-	for _, e := range r.mayExecute {
+	delete(r.unstopped, current.Key())
+	engines := make([]*targets.Target, 0, len(r.unstopped))
+	for _, e := range r.unstopped {
 		engines = append(engines, e)
 	}
 	r.mu.Unlock()
+	if len(engines) == 0 || !r.call.Service.Engine.SupportsMigration {
+		return // engines without moves are stopped by the end of their connections
+	}
 	for _, e := range engines {
-		r.stopAt(e, current, true)
+		r.stopAt(e, current, stopElsewhere, false)
 	}
 }
 
--- a/internal/edge/streaming/stop_test.go
+++ b/internal/edge/streaming/stop_test.go
@@ -121,6 +121,7 @@
 	s.Sender = &edge.Sender{Wire: acceptingWire{}, Pool: targetconn.New(func(http.Header) string { return "" }, openGate{}, func(string) float64 { return 0 })}
 	r.call.Call.Method, r.call.Call.URI, r.call.Call.Host = http.MethodGet, "/", "e"
 	r.call.Route.Objective = 2 * time.Second // callers wait for 8 s
+	r.call.Service.Engine.SupportsMigration = true
 	source := &targets.Target{ID: "s", Service: "s", Address: "127.0.0.1:1"}
 	s.Targets.Apply([]targets.Change{{Name: source.ID, Target: source}, {Name: dest.ID, Target: dest}}, 2)
 	ended := &segment{target: source, response: &targetconn.Response{}}
--- a/internal/edge/streaming/takeover.go
+++ b/internal/edge/streaming/takeover.go
@@ -67,7 +67,7 @@
 	r.Log().Warn("stream: engine is silent; the run is also sent to another", "source", source.ID, "replica", t.replica != nil, "silent_ms", silent.Milliseconds())
 	var next *segment
 	if t.replica != nil {
-		next = r.resume(t.ctx, replicaHolder(t.replica, t.replica.Handle))
+		next = r.resumeBeside(t.ctx, source, replicaHolder(t.replica, t.replica.Handle))
 	} else {
 		next = r.startBeside(t.ctx, source)
 	}
@@ -88,15 +88,18 @@
 	default:
 		r.Log().Info("stream: the run stays at its silent engine", "target", source.ID, "engine_went_on", t.ctx.Err() != nil, "silent_ms", silent.Milliseconds())
 	}
-	close(t.done)
+	// The reading goroutine may send the run to these engines again once done is closed.
+	if t.committed && (t.replica != nil || r.call.Service.Engine.SupportsMigration) {
+		r.stopAt(source, next.target, stopAfterTakeover, false)
+	}
 	if !t.committed {
 		t.cancel()
+		r.stopAtOthers(source)
 	}
+	close(t.done)
 	if t.committed {
-		r.stopAt(source, next.target, false)
 		return
 	}
-	r.stopElsewhere(source)
 	if t.replica != nil {
 		r.releaseCopy(t.replica.Source, t.replica.Handle)
 	}
@@ -142,7 +145,7 @@
 	r.mu.Unlock()
 	if t.next != nil && (err == io.EOF || err == errCallerGone) {
 		r.abandon(t.next)
-		r.stopElsewhere(t.source.target)
+		r.stopAtOthers(t.source.target)
 		return nil
 	}
 	return t.next
--- a/internal/edge/streaming/takeover_test.go
+++ b/internal/edge/streaming/takeover_test.go
@@ -216,7 +216,7 @@
 	s, r := placingServer(draining.New(placingDrain), silentObserver{}, func() bool { return true })
 	engine := &busyEngine{}
 	s.Engines = engine
-	_, stopped := r.stopAt(&targets.Target{ID: "s"}, &targets.Target{ID: "d"}, false).await(t.Context(), time.Second)
+	_, stopped := r.stopAt(&targets.Target{ID: "s"}, &targets.Target{ID: "d"}, stopAfterBreak, true).await(t.Context(), time.Second)
 	require.True(t, stopped)
 	require.Equal(t, 3, engine.calls)
 }
--- a/internal/edge/targets/view.go
+++ b/internal/edge/targets/view.go
@@ -246,6 +246,23 @@
 // were recently removed from the list.
 func (v *View) Get(key string) *Target { return v.byKey[key] }
 
+// Listed reports whether the platform's list has an entry of the incarnation. A target that has left
+// is known for a while without one.
+func (v *View) Listed(key string) bool {
+	t := v.byKey[key]
+	return t != nil && slices.ContainsFunc(v.byService[t.Service], func(listed *Target) bool { return listed.Key() == key })
+}
+
+// TakenOver reports whether the platform's list gives the address to another incarnation than key.
+func (v *View) TakenOver(address, key string) bool {
+	for _, ts := range v.byService {
+		if slices.ContainsFunc(ts, func(t *Target) bool { return t.Address == address && t.Key() != key }) {
+			return true
+		}
+	}
+	return false
+}
+
 // OthersAt returns the incarnations at an address except one.
 func (v *View) OthersAt(address, except string) []string {
 	var keys []string
--- /dev/null
+++ b/tests/edge/stop_replica_test.go
@@ -0,0 +1,98 @@
+package edge_test
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"corianderhitch/platform/standin"
+	"corianderhitch/tests/harness"
+)
+
+// proxiedEngine starts an engine behind a proxy.
+func proxiedEngine(t *testing.T, f *fleet, set *standin.Engines, id string) (*standin.Engine, *harness.Proxy) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	e := set.Start(id, listener)
+	t.Cleanup(e.Crash)
+	proxy := harness.NewProxy(t, e.Address())
+	set.SetAddress(e, proxy.Address())
+	f.register(e.ID, engineService, proxy.Address(), "ready")
+	return e, proxy
+}
+
+// The connections to a sound engine break and new ones are reset for 0.7 s, while the engine of the
+// replica resets connections for 1.5 s. The stop in the background frees the replica, which the
+// run still needs.
+func TestRunIsLostSinceTheStopOfItsFirstEngineFreesItsReplica(t *testing.T) {
+	t.Parallel()
+	const events = 800
+	f := newFleet(t)
+	f.configure()
+	set := standin.NewEngines()
+	source, toSource := proxiedEngine(t, f, set, "e-1")
+	source.ContinueWithoutCaller()
+	h := f.startHost()
+	pending := sendAsync(generationRequest(t.Context(), h, "r-1", events))
+	require.Eventually(t, func() bool { return len(source.Started()) == 1 }, waitTimeout, checkInterval)
+	dest, toDest := proxiedEngine(t, f, set, "e-2")
+	require.Eventually(t, func() bool { return strings.Contains(h.logs.String(), "backup: replication finished") }, waitTimeout, checkInterval)
+	require.Equal(t, 1, dest.HeldCopies())
+	toDest.SetMode(harness.CloseNew)
+	toDest.CloseConnections()
+	toSource.SetMode(harness.CloseNew)
+	toSource.CloseConnections()
+	time.Sleep(700 * time.Millisecond)
+	toSource.SetMode(harness.Pass)
+	time.Sleep(500 * time.Millisecond)
+	toDest.SetMode(harness.Pass)
+	a := <-pending
+	for _, line := range strings.Split(h.logs.String(), "\n") {
+		if strings.Contains(line, "r-1") && (strings.Contains(line, "stop") || strings.Contains(line, "resume") || strings.Contains(line, "broken") || strings.Contains(line, "released")) {
+			t.Log(line)
+		}
+	}
+	require.NoError(t, a.err)
+	require.Equal(t, standin.StreamText("r-1", events), a.body)
+}
+
+// The stream of a leaving engine breaks off while a copy of the run is in progress. The engine
+// states so when it is asked to stop the run, and ends 0.2 s later. The run has a replica.
+func TestRunIsLostWhoseEngineEndsWhileItCopies(t *testing.T) {
+	t.Parallel()
+	const events = 800
+	f := newFleet(t)
+	f.configure()
+	set := standin.NewEngines()
+	set.SetLink(standin.Link{Setup: 700 * time.Millisecond})
+	source := f.startEngine(set, "e-1")
+	source.ContinueWithoutCaller()
+	h := f.startHost()
+	pending := sendAsync(generationRequest(t.Context(), h, "r-1", events))
+	require.Eventually(t, func() bool { return len(source.Started()) == 1 }, waitTimeout, checkInterval)
+	dest := f.startEngine(set, "e-2")
+	require.Eventually(t, func() bool { return strings.Contains(h.logs.String(), "backup: replication finished") }, waitTimeout, checkInterval)
+	go func() { // another copy, as a refresh of the replica
+		body := `{"id":"r-1","to":"` + dest.Address() + `","last":false}`
+		if response, err := http.Post("http://"+source.Address()+"/corianderhitch/kv-move", "application/json", strings.NewReader(body)); err == nil {
+			_ = response.Body.Close()
+		}
+	}()
+	time.Sleep(50 * time.Millisecond)
+	source.CloseStreams()
+	time.Sleep(200 * time.Millisecond)
+	source.Crash()
+	a := <-pending
+	for _, line := range strings.Split(h.logs.String(), "\n") {
+		if strings.Contains(line, "r-1") && (strings.Contains(line, "stop") || strings.Contains(line, "resume") || strings.Contains(line, "broken")) {
+			t.Log(line)
+		}
+	}
+	require.NoError(t, a.err)
+	require.Equal(t, standin.StreamText("r-1", events), a.body)
+}
