--- a/internal/edge/forwarding/server_test.go
+++ b/internal/edge/forwarding/server_test.go
@@ -322,13 +322,48 @@
 	}
 }
 
+// startLosingHelper starts a helper that answers the first requests of a connection, and then writes last
+// as its answer and closes the connection.
+func startLosingHelper(t *testing.T, answered int, last string) (address string) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	serve := func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		reader := bufio.NewReader(conn)
+		for n := range answered + 1 {
+			r, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			text := "HTTP/1.1 200 OK\r\nHitch-Forward-Outcome: answered\r\nContent-Length: 0\r\n\r\n"
+			if n == answered {
+				text = last
+			}
+			_, _ = io.WriteString(conn, text)
+		}
+	}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	return listener.Addr().String()
+}
+
 // The second helper would send it once more.
 func TestNextHelperIsAskedAfterALostAnswer(t *testing.T) {
-	const busy, kept = "Hitch-Forward-Outcome: busy\r\n", "HTTP/1.1 200 OK\r\nHitch-Forward-Outcome: answered\r\nContent-Length: 0\r\n\r\n"
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }))
+	defer target.Close()
 	for name, answer := range map[string]string{
 		"none":                             "",
 		"only that it has the request":     "HTTP/1.1 102 Processing\r\n\r\n",
-		"refusal cut short":                "HTTP/1.1 503 N\r\n" + busy,
+		"refusal cut short":                "HTTP/1.1 503 N\r\nHitch-Forward-Outcome: busy\r\n",
 		"no outcome":                       "HTTP/1.1 503 N\r\nContent-Length: 0\r\n\r\n",
 		"outcome of a later build":         "HTTP/1.1 503 N\r\nHitch-Forward-Outcome: later\r\nContent-Length: 0\r\n\r\n",
 		"outcome that only the sender has": "HTTP/1.1 503 N\r\nHitch-Forward-Outcome: unreachable\r\nContent-Length: 0\r\n\r\n",
@@ -336,42 +371,15 @@
 	} {
 		for _, earlier := range []int{0, 1} { // requests that were answered on the same connection
 			t.Run(name+", kept "+strconv.Itoa(earlier), func(t *testing.T) {
-				first, err := net.Listen("tcp", "127.0.0.1:0")
-				require.NoError(t, err)
-				defer func() { _ = first.Close() }()
-				go func() {
-					for {
-						conn, err := first.Accept()
-						if err != nil {
-							return
-						}
-						reader := bufio.NewReader(conn)
-						for n := range earlier + 1 {
-							r, err := http.ReadRequest(reader)
-							if err != nil {
-								break
-							}
-							_, _ = io.Copy(io.Discard, r.Body)
-							text := answer
-							if n < earlier {
-								text = kept
-							}
-							_, _ = io.WriteString(conn, text)
-						}
-						_ = conn.Close()
-					}
-				}()
-				target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }))
-				defer target.Close()
 				second, secondGate := startHelper(t, nil)
 				pool := newPool(&gate{})
-				pool.Forwarder = &helpersOf{addresses: []string{first.Addr().String(), second}}
+				pool.Forwarder = &helpersOf{addresses: []string{startLosingHelper(t, earlier, answer), second}}
 				for range earlier {
 					response, err := pool.Do(t.Context(), "t@1", target.Listener.Addr().String(), callersRequest(http.MethodPost, "question"))
 					require.NoError(t, err)
 					response.Discard()
 				}
-				_, err = pool.Do(t.Context(), "t@1", target.Listener.Addr().String(), callersRequest(http.MethodPost, "question"))
+				_, err := pool.Do(t.Context(), "t@1", target.Listener.Addr().String(), callersRequest(http.MethodPost, "question"))
 				require.Error(t, err)
 				require.NotErrorIs(t, err, targetconn.ErrNotSent)
 				require.Empty(t, secondGate.uses)
--- a/tests/edge/runs_once_test.go
+++ b/tests/edge/runs_once_test.go
@@ -160,15 +160,8 @@
 		switch random.IntN(8) {
 		case 0:
 			proxy.ResetConnections()
-		case 1: // some hosts lose their way to all targets
-			open := random.IntN(2) == 0
-			for n := range f.hosts {
-				if random.IntN(2) == 0 {
-					for _, p := range f.proxies {
-						p.CutFrom(hostIP(n), open)
-					}
-				}
-			}
+		case 1:
+			f.cutSomeHosts(random)
 		case 2:
 			for _, p := range f.proxies {
 				p.EndCuts()
@@ -191,6 +184,19 @@
 	}
 }
 
+// cutSomeHosts takes from some hosts their way to all targets.
+func (f *onceFleet) cutSomeHosts(random *rand.Rand) {
+	open := random.IntN(2) == 0
+	for n := range f.hosts {
+		if random.IntN(2) == 0 {
+			continue
+		}
+		for _, p := range f.proxies {
+			p.CutFrom(hostIP(n), open)
+		}
+	}
+}
+
 func (f *onceFleet) inMode(p *harness.Proxy, mode harness.Mode, lasts time.Duration) {
 	p.SetMode(mode)
 	time.Sleep(lasts)
