--- a/internal/edge/targetconn/pool_test.go
+++ b/internal/edge/targetconn/pool_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"corianderhitch/internal/edge/targetnotice"
 )
@@ -302,10 +303,23 @@
 
 func TestRequestThatMayHaveArrivedCountsAsNotSent(t *testing.T) {
 	reset := func(conn net.Conn) { _ = conn.(*net.TCPConn).SetLinger(0) }
+	awaitRequest := func(conn net.Conn) { // a reset before the connection is established is no send
+		raw, err := conn.(*net.TCPConn).SyscallConn()
+		if err != nil {
+			return
+		}
+		_ = raw.Read(func(fd uintptr) bool {
+			_, _, err := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+			return err != unix.EAGAIN
+		})
+	}
 	for name, end := range map[string]func(net.Conn){
 		"closed at once": func(net.Conn) {},
-		"reset at once":  reset,
-		"reset when the request has arrived": func(conn net.Conn) {
+		"reset unread": func(conn net.Conn) {
+			awaitRequest(conn)
+			reset(conn)
+		},
+		"reset when the request has been read": func(conn net.Conn) {
 			_, _ = conn.Read(make([]byte, 1))
 			reset(conn)
 		},
