Streams: the stop of a run ends when another target has its engine's address

Addresses of engines that ended are used again. A stop went on there: it ended the same run at a new engine, whose stream broke off; it asked a plain target until the caller's deadline; and since that answered 421, a run that waited for the stop was given up as not_stopped. Now a stop ends when the list names a later incarnation at the address, and counts as done, since the engine has ended; and it ends before the run is sent to any engine at the address.

--- a/internal/edge/streaming/server.go
+++ b/internal/edge/streaming/server.go
@@ -298,7 +298,7 @@
 // open sends the run to a target. Its load has been counted there already and is
 // removed if the run does not start. onSilent may be nil, see watchSilence.
 func (s *Server) open(ctx context.Context, r *Run, t *targets.Target, load inflight.Load, d edge.Dispatch, onSilent func()) (*segment, error) {
-	r.endStop(t.Key())
+	r.endStops(t)
 	ahead := max(0, s.Inflight.TotalLoad(t.Key()).Unread-load.Unread)
 	watch := s.watchStart(ctx, r, t, d)
 	response, cancel, err := s.send(ctx, r, t, d, onSilent)
--- a/internal/edge/streaming/stop.go
+++ b/internal/edge/streaming/stop.go
@@ -112,6 +112,12 @@
 	deadline := started.Add(max(stopCallTimeout, r.call.TimeLeft()))
 	timeout, interval := stopTimeout, stopRetryInterval
 	for calls := 1; ; calls++ {
+		if s.replaced() {
+			reply := edge.MoveReply{Result: edge.MoveNoRun}
+			s.observe(reply)
+			s.logEnd(reply, true, calls-1, started)
+			return
+		}
 		ctx, cancel := context.WithTimeout(s.ctx, timeout)
 		calledAt := bootclock.Now()
 		reply := r.server.Engines.Move(ctx, s.engine, r.ID(), s.other, true)
@@ -123,8 +129,7 @@
 		}
 		gone := !stopped && unreached(reply) && r.server.Targets.View().Get(s.engine.Key()) == nil
 		if stopped && !recheck || gone || s.ctx.Err() != nil || bootclock.Now() > deadline {
-			r.Log().Info("stream: asked an engine to stop the run", "target", s.engine.ID, "result", reply.Result.String(), "stopped", stopped, "gone", gone,
-				"calls", calls, "took_ms", bootclock.Since(started).Milliseconds(), "error", reply.ErrorText())
+			s.logEnd(reply, gone, calls, started)
 			return
 		}
 		switch {
@@ -142,6 +147,24 @@
 	}
 }
 
+// logEnd logs the outcome of a stop after its last call.
+func (s *engineStop) logEnd(reply edge.MoveReply, gone bool, calls int, started bootclock.Instant) {
+	s.r.Log().Info("stream: asked an engine to stop the run", "target", s.engine.ID, "result", reply.Result.String(), "stopped", hasStopped(reply), "gone", gone,
+		"calls", calls, "took_ms", bootclock.Since(started).Milliseconds(), "error", reply.ErrorText())
+}
+
+// replaced reports whether a later incarnation, of this engine or of another target, has its address.
+// The engine has ended then, and calls would stop the run at the later one.
+func (s *engineStop) replaced() bool {
+	view := s.r.server.Targets.View()
+	for _, key := range view.OthersAt(s.engine.Address, s.engine.Key()) {
+		if view.Get(key).StartedAtMS > s.engine.StartedAtMS {
+			return true
+		}
+	}
+	return false
+}
+
 // observe records the answer to a call.
 func (s *engineStop) observe(reply edge.MoveReply) {
 	s.mu.Lock()
@@ -198,12 +221,17 @@
 	return errors.Is(reply.Err, targetconn.ErrNotSent) && !errors.Is(reply.Err, targetconn.ErrRefused)
 }
 
-// endStop ends the stop of the run at an engine that is about to get it again.
-func (r *Run) endStop(engine string) {
+// endStops ends the stops of the run at the address of an engine that is about to get it.
+func (r *Run) endStops(engine *targets.Target) {
+	var ended []*engineStop
 	r.mu.Lock()
-	s := r.stops[engine]
+	for _, s := range r.stops {
+		if s.engine.Address == engine.Address {
+			ended = append(ended, s)
+		}
+	}
 	r.mu.Unlock()
-	if s != nil {
+	for _, s := range ended {
 		s.cancel()
 		<-s.done
 	}
--- a/tests/edge/stopped_engine_gone_test.go
+++ b/tests/edge/stopped_engine_gone_test.go
@@ -135,10 +135,11 @@
 	w.t.Helper()
 	began := time.Now()
 	require.Eventually(w.t, func() bool { return logContains(w.h, stopEnded) }, within, checkInterval, "the engine is asked on")
-	line := w.h.logs.String()
-	line = line[strings.Index(line, stopEnded):]
-	line, _, _ = strings.Cut(line, "\n")
-	w.t.Logf("after %v: %s", time.Since(began), line)
+	for line := range strings.Lines(w.h.logs.String()) {
+		if strings.Contains(line, stopEnded) {
+			w.t.Logf("after %v: %s", time.Since(began), line)
+		}
+	}
 }
 
 const stopEnded = `"msg":"stream: asked an engine to stop the run"`
@@ -206,4 +207,15 @@
 		assert.LessOrEqual(t, len(plain.Requests()), 2, "calls of the stop at a target that has nothing to do with the run")
 		w.logCalls()
 	})
+	t.Run("a plain target while the run waits", func(t *testing.T) {
+		t.Parallel()
+		w := startReplicatedRun(t)
+		w.source.RejectFinalMoves(1000, http.StatusServiceUnavailable)
+		w.loseStream()
+		require.Eventually(t, func() bool { return len(finalMoves(w.source)) > 5 }, waitTimeout, checkInterval)
+		require.Empty(t, w.dest.Resumed(), "the engine is at work")
+		w.replaceSource("p-1", plainService, func(l net.Listener) { t.Cleanup(standin.StartPlainTarget("p-1", l).Close) })
+		w.requireWhole()
+		w.requireOneEngine()
+	})
 }
