--- a/internal/edge/streaming/stop.go
+++ b/internal/edge/streaming/stop.go
@@ -139,17 +139,22 @@
 	deadline := started.Add(max(stopCallTimeout, r.call.TimeLeft()))
 	timeout, interval, recheck := stopTimeout, stopRetryInterval, s.unanswered
 	for calls := 1; ; calls++ {
+		if s.replaced() {
+			reply := edge.MoveReply{Result: edge.MoveNoRun}
+			s.observe(reply)
+			s.finish(reply, true, calls-1, started)
+			return
+		}
 		ctx, cancel := context.WithTimeout(s.ctx, timeout)
 		calledAt := bootclock.Now()
 		reply := r.server.Engines.Move(ctx, s.engine, r.ID(), s.other, true)
 		cancel()
 		s.observe(reply)
-		stopped, ended := hasStopped(reply), !hasStopped(reply) && s.engineEnded(reply)
+		stopped := hasStopped(reply)
+		ended := !stopped && unreached(reply) && !r.server.Targets.View().Listed(s.engine.Key())
 		again := stopped && reply.Result == edge.MoveNoRun && recheck
 		if stopped && !again || ended || bootclock.Now() > deadline {
-			s.finish()
-			r.Log().Info("stream: asked an engine to stop the run", "target", s.engine.ID, "reason", s.reason, "result", reply.Result.String(),
-				"stopped", stopped, "ended", ended, "calls", calls, "took_ms", bootclock.Since(started).Milliseconds(), "error", reply.ErrorText())
+			s.finish(reply, ended, calls, started)
 			return
 		}
 		switch {
@@ -188,11 +193,16 @@
 	}
 }
 
-// engineEnded reports whether the engine does not exist any more: nothing listens at its address
-// and its entry is gone, or another target has the address.
-func (s *engineStop) engineEnded(reply edge.MoveReply) bool {
+// replaced reports whether a later incarnation, of this engine or of another target, has its address.
+// The engine has ended then, and calls would reach the later one.
+func (s *engineStop) replaced() bool {
 	view := s.r.server.Targets.View()
-	return unreached(reply) && !view.Listed(s.engine.Key()) || !view.Listed(s.engine.Key()) && view.TakenOver(s.engine.Address, s.engine.Key())
+	for _, key := range view.OthersAt(s.engine.Address, s.engine.Key()) {
+		if view.Get(key).StartedAtMS > s.engine.StartedAtMS {
+			return true
+		}
+	}
+	return !view.Listed(s.engine.Key()) && view.TakenOver(s.engine.Address, s.engine.Key())
 }
 
 // observe records the answer to a call.
@@ -214,10 +224,13 @@
 	}
 }
 
-func (s *engineStop) finish() {
+// finish records and logs that no call is missing.
+func (s *engineStop) finish(reply edge.MoveReply, ended bool, calls int, started bootclock.Instant) {
 	s.mu.Lock()
 	s.finished = true
 	s.mu.Unlock()
+	s.r.Log().Info("stream: asked an engine to stop the run", "target", s.engine.ID, "reason", s.reason, "result", reply.Result.String(),
+		"stopped", hasStopped(reply), "ended", ended, "calls", calls, "took_ms", bootclock.Since(started).Milliseconds(), "error", reply.ErrorText())
 }
 
 // end releases the memory that nobody continues from.
@@ -264,26 +277,31 @@
 	return errors.Is(reply.Err, targetconn.ErrNotSent) && !errors.Is(reply.Err, targetconn.ErrRefused)
 }
 
-// endStop ends the stop of the run at an engine that is about to get it again. A call in flight is
-// awaited for a while, since it could stop the run that begins now. It reports whether the engine
-// has to be asked again if it does not get the run.
-func (r *Run) endStop(engine string) (unfinished bool) {
+// endStops ends the stops of the run at the address of an engine that is about to get it. A call in
+// flight is awaited for a while, since it could stop the run that begins now. It reports whether an
+// engine has to be asked again if the run does not get there.
+func (r *Run) endStops(engine *targets.Target) (unfinished bool) {
+	var ending []*engineStop
 	r.mu.Lock()
-	s := r.stops[engine]
-	r.mu.Unlock()
-	if s == nil {
-		return false
+	for _, s := range r.stops {
+		if s.engine.Address == engine.Address {
+			ending = append(ending, s)
+		}
 	}
-	s.quitOnce.Do(func() { close(s.quit) })
-	select {
-	case <-s.done:
-	case <-time.After(stopTimeout):
-		s.cancel()
-		<-s.done
+	r.mu.Unlock()
+	for _, s := range ending {
+		s.quitOnce.Do(func() { close(s.quit) })
+		select {
+		case <-s.done:
+		case <-time.After(stopTimeout):
+			s.cancel()
+			<-s.done
+		}
+		s.mu.Lock()
+		unfinished = unfinished || !s.finished
+		s.mu.Unlock()
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return !s.finished
+	return unfinished
 }
 
 // noteUnstopped records that an engine may execute the run although the run does not continue there.
--- a/internal/edge/streaming/stop_end_test.go
+++ b/internal/edge/streaming/stop_end_test.go
@@ -261,7 +261,7 @@
 	r.stopAt(ended.target, replica.Dest, stopAfterBreak, false)
 	time.Sleep(6 * time.Second)
 	require.Less(t, engines.calls.Load(), int32(8))
-	r.endStop(ended.target.Key())
+	r.endStops(ended.target)
 }
 
 // cutOffEngine cannot be reached, which shows after targetconn's bound for a new connection.
