--- a/tests/soak/main_test.go
+++ b/tests/soak/main_test.go
@@ -23,6 +23,7 @@
 	hostCount      = flag.Int("hosts", 4, "edge processes")
 	callersPerHost = flag.Int("callers", 8, "callers per host, each with one persistent connection")
 	edgeBinary     = flag.String("edge", "", "edge program to test instead of the one that is built from this tree")
+	goOn           = flag.Bool("go-on", false, "engines go on with a run whose connection has closed")
 	edgePath       string // the program under test, built by TestMain unless -edge is set
 	ctlPath        string // the operators' command line, built by TestMain
 )
--- a/tests/soak/target_test.go
+++ b/tests/soak/target_test.go
@@ -26,6 +26,9 @@
 func (c *cluster) addEngine() {
 	c.add(engineService, func(id string, t *target) string {
 		t.engine = c.engines.Start(id, listen(c.t))
+		if *goOn {
+			t.engine.ContinueWithoutCaller()
+		}
 		c.t.Cleanup(t.engine.Crash)
 		return t.engine.Address()
 	})
