Tests: engines that are cut off during a takeover, taken or given up

The cases of a takeover that is given up disturbed the other engine after the source had gone on, at times after the stop; it is disturbed before now. New: the other engine, or after a takeover the source, is cut off for longer than a call to stop it takes, with its calls lost. An engine must have been stopped, not have ended its run by itself.

--- a/tests/edge/stopped_engine_gone_test.go
+++ b/tests/edge/stopped_engine_gone_test.go
@@ -52,13 +52,19 @@
 func TestEngineOfATakeoverThatWasGivenUpIsNotStopped(t *testing.T) {
 	t.Parallel()
 	const silentBefore = 400
+	const briefly, long = 1500 * time.Millisecond, 3800 * time.Millisecond // from before the source goes on
 	for name, part := range map[string]struct {
-		disturb func(dest *standin.Engine)
-		bound   time.Duration // from when the source goes on
+		away      time.Duration // until the other engine can be reached
+		cut, mend func(w *workingRun)
+		bound     time.Duration
 	}{
-		"rejects stops":                          {func(dest *standin.Engine) { dest.RejectFinalMoves(4, http.StatusServiceUnavailable) }, stopBound},
-		"is silent":                              {func(dest *standin.Engine) { dest.FallSilent(time.Second) }, time.Second + stopBound},
-		"is silent for longer than a call takes": {func(dest *standin.Engine) { dest.FallSilent(3 * time.Second) }, 3*time.Second + stopBound},
+		"rejects stops":                          {0, func(w *workingRun) { w.dest.RejectFinalMoves(4, http.StatusServiceUnavailable) }, func(*workingRun) {}, stopBound},
+		"is silent":                              {briefly, func(w *workingRun) { w.dest.FallSilent(briefly) }, func(*workingRun) {}, stopBound},
+		"is silent for longer than a call takes": {long, func(w *workingRun) { w.dest.FallSilent(long) }, func(*workingRun) {}, stopBound},
+		"is cut off for longer than a call takes": {long, func(w *workingRun) { w.destProxy.SetMode(harness.Stall) }, func(w *workingRun) {
+			w.destProxy.ResetConnections()
+			w.destProxy.SetMode(harness.Pass)
+		}, maxReturnStop},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -78,14 +84,19 @@
 				})
 			})
 			w.waitUntilResumed()
+			part.cut(w)
+			back := time.Now().Add(part.away)
 			require.Eventually(t, func() bool { return w.source.EventsProduced("r-1") >= silentBefore }, waitTimeout, checkInterval/5)
-			part.disturb(w.dest)
-			wentOn := time.Now()
+			if wentOn := time.Now(); wentOn.After(back) {
+				back = wentOn
+			}
+			time.Sleep(time.Until(back))
+			part.mend(w)
+			after := stoppedAfter(t, w.dest, back)
+			t.Logf("stopped %v after it could be reached", after)
+			assert.Less(t, after, part.bound)
 			w.requireWhole()
 			require.Empty(t, w.source.Canceled(), "the run stays at its engine")
-			after := stoppedAfter(t, w.dest, wentOn)
-			t.Logf("stopped %v after the source went on", after)
-			assert.Less(t, after, part.bound)
 			w.logCalls()
 		})
 	}
--- a/tests/edge/stopped_engine_test.go
+++ b/tests/edge/stopped_engine_test.go
@@ -25,14 +25,15 @@
 	workingDeadline = 14 * time.Second
 )
 
-// workingRun is run r-1 at an engine behind a proxy, with a copy at another one. Both engines go on
-// with runs whose connections close.
+// workingRun is run r-1 at an engine, with a copy at another one. Both are behind proxies and go on with
+// runs whose connections close.
 type workingRun struct {
 	*fleet
 	h            *host
 	set          *standin.Engines
 	source, dest *standin.Engine
 	proxy        *harness.Proxy // of source
+	destProxy    *harness.Proxy
 	pending      <-chan answer
 }
 
@@ -43,24 +44,30 @@
 	w.routeTimeout = workingDeadline
 	w.configure()
 	prepare(w.set)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	w.source = w.set.Start("e-1", listener)
-	t.Cleanup(w.source.Crash)
-	w.proxy = harness.NewProxy(t, w.source.Address())
-	w.set.SetAddress(w.source, w.proxy.Address())
-	w.register(w.source.ID, engineService, w.proxy.Address(), "ready")
-	w.source.ContinueWithoutCaller()
+	w.source, w.proxy = w.startWorkingEngine("e-1")
 	w.h = w.startHost()
 	request := generationRequest(t.Context(), w.h, "r-1", workingEvents)
 	standin.SetDeadline(request, workingDeadline)
 	w.pending = sendAsync(request)
 	require.Eventually(t, func() bool { return len(w.source.Started()) == 1 }, waitTimeout, checkInterval)
-	w.dest = w.startEngine(w.set, "e-2")
-	w.dest.ContinueWithoutCaller()
+	w.dest, w.destProxy = w.startWorkingEngine("e-2")
 	return w
 }
 
+// startWorkingEngine starts an engine behind a proxy.
+func (w *workingRun) startWorkingEngine(id string) (*standin.Engine, *harness.Proxy) {
+	w.t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(w.t, err)
+	e := w.set.Start(id, listener)
+	w.t.Cleanup(e.Crash)
+	proxy := harness.NewProxy(w.t, e.Address())
+	w.set.SetAddress(e, proxy.Address())
+	e.ContinueWithoutCaller()
+	w.register(id, engineService, proxy.Address(), "ready")
+	return e, proxy
+}
+
 // startReplicatedRun starts the run and waits for its replica.
 func startReplicatedRun(t *testing.T) *workingRun {
 	t.Helper()
@@ -123,13 +130,15 @@
 	return false
 }
 
-// stoppedAfter waits until an engine does not execute the run any more, and returns how long after
+// stoppedAfter waits until an engine that executes the run has been stopped, and returns how long after
 // since that was.
 func stoppedAfter(t *testing.T, e *standin.Engine, since time.Time) time.Duration {
 	t.Helper()
 	require.Eventually(t, func() bool { return len(e.Spans()) > 0 && !worksOn(e) }, waitTimeout, checkInterval, "%s works on the run", e.ID)
 	spans := e.Spans()
-	return spans[len(spans)-1].To.Sub(since)
+	last := spans[len(spans)-1]
+	require.True(t, last.Stopped, "%s has ended the run by itself", e.ID)
+	return last.To.Sub(since)
 }
 
 // waitUntilResumed waits until the run goes on at the other engine.
@@ -213,29 +222,37 @@
 // The run must go on elsewhere meanwhile, and the engine is stopped once it can be reached.
 func TestEngineThatAnswersNoStopGoesOnWithItsRun(t *testing.T) {
 	t.Parallel()
-	const away = 3 * time.Second
-	for name, part := range map[string]struct{ cut, mend func(w *workingRun) }{
-		"process is silent": {func(w *workingRun) {
+	for name, part := range map[string]struct {
+		away      time.Duration // more than a call takes
+		cut, mend func(w *workingRun)
+	}{
+		"process is silent": {3 * time.Second, func(w *workingRun) {
 			w.loseStream()
-			w.source.FallSilent(away)
+			w.source.FallSilent(3 * time.Second)
 			w.proxy.CloseConnections()
 		}, func(*workingRun) {}},
-		"calls arrive late": {func(w *workingRun) {
+		"calls arrive late": {3 * time.Second, func(w *workingRun) {
 			w.proxy.SetMode(harness.Stall)
 			w.proxy.CloseConnections()
 		}, func(w *workingRun) { w.proxy.SetMode(harness.Pass) }},
-		"calls are lost": {func(w *workingRun) {
+		"calls are lost": {3 * time.Second, func(w *workingRun) {
 			w.proxy.SetMode(harness.Stall)
 			w.proxy.CloseConnections()
 		}, func(w *workingRun) {
 			w.proxy.ResetConnections()
 			w.proxy.SetMode(harness.Pass)
 		}},
-		"connections are closed": {func(w *workingRun) {
+		"calls are lost after a takeover": {4500 * time.Millisecond, func(w *workingRun) {
+			w.proxy.SetMode(harness.Stall)
+		}, func(w *workingRun) {
+			w.proxy.ResetConnections()
+			w.proxy.SetMode(harness.Pass)
+		}},
+		"connections are closed": {3 * time.Second, func(w *workingRun) {
 			w.proxy.SetMode(harness.CloseNew)
 			w.proxy.CloseConnections()
 		}, func(w *workingRun) { w.proxy.SetMode(harness.Pass) }},
-		"connections are refused": {func(w *workingRun) {
+		"connections are refused": {3 * time.Second, func(w *workingRun) {
 			w.proxy.StopListening()
 			w.proxy.CloseConnections()
 		}, func(w *workingRun) { w.proxy.Listen(w.t) }},
@@ -248,7 +265,7 @@
 			w.waitUntilResumed()
 			assert.Less(t, time.Since(began), 2*time.Second, "the run waited for an engine that does not answer")
 			require.True(t, worksOn(w.source))
-			time.Sleep(time.Until(began.Add(away)))
+			time.Sleep(time.Until(began.Add(part.away)))
 			mended := time.Now()
 			part.mend(w)
 			after := stoppedAfter(t, w.source, mended)
