Targets: a stop that is repeated goes on using its connection

An engine that copies is asked to stop every 50 ms for a second, and each final move opened a connection of its own. An earlier answer that nothing was done (409) does no harm as the answer to a later one, so that final moves use connections that have answered nothing else. Callers' requests without an ID still use connections that have served nothing. Ran: make lint; targetconn, forwarding, plain, process, platform without and with -race, targetgate (all passed).

--- a/internal/edge/forwarding/server_test.go
+++ b/internal/edge/forwarding/server_test.go
@@ -292,17 +292,25 @@
 		use    targetnotice.Use
 		method string
 		copyTo string
+		status int // of the answers
 		want   int // connections
 	}{
-		"calls":        {targetnotice.Request, http.MethodPost, "", requests},
-		"final moves":  {targetnotice.Control, http.MethodPost, "", requests},
-		"other copies": {targetnotice.Control, http.MethodPost, "b@1", 1},
-		"releases":     {targetnotice.Control, http.MethodDelete, "", 1},
-		"reports":      {targetnotice.Probe, http.MethodGet, "", 1},
+		"calls":                        {targetnotice.Request, http.MethodPost, "", http.StatusOK, requests},
+		"calls that conflict":          {targetnotice.Request, http.MethodPost, "", http.StatusConflict, requests},
+		"final moves":                  {targetnotice.Control, http.MethodPost, "", http.StatusOK, requests},
+		"final moves of unknown runs":  {targetnotice.Control, http.MethodPost, "", http.StatusNotFound, requests},
+		"final moves without room":     {targetnotice.Control, http.MethodPost, "", http.StatusServiceUnavailable, requests},
+		"final moves, asked once more": {targetnotice.Control, http.MethodPost, "", http.StatusConflict, 1},
+		"other copies":                 {targetnotice.Control, http.MethodPost, "b@1", http.StatusOK, 1},
+		"releases":                     {targetnotice.Control, http.MethodDelete, "", http.StatusOK, 1},
+		"reports":                      {targetnotice.Probe, http.MethodGet, "", http.StatusOK, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var connections sync.Map
-			target := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { connections.Store(r.RemoteAddr, true) }))
+			target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				connections.Store(r.RemoteAddr, true)
+				w.WriteHeader(c.status)
+			}))
 			defer target.Close()
 			helper, _ := startHelper(t, nil)
 			pool := newPool(&gate{})
--- a/internal/edge/targetconn/conn.go
+++ b/internal/edge/targetconn/conn.go
@@ -31,6 +31,7 @@
 	openedAt bootclock.Instant
 	usedAt   bootclock.Instant // 0 before the first use
 	served   bool              // the target has answered a request
+	done     bool              // one of the answers was not that the request conflicts with what the target does
 	// failed are the hashes of the IDs of requests that were answered with a failure, which the target may write
 	// again. Callers choose the IDs, which may have 16 KB.
 	failed      []uint64
@@ -76,7 +77,7 @@
 
 // noteAnswer records the answer to a request. It reports whether the connection may serve another one.
 func (c *Conn) noteAnswer(requestID, statedID string, status int) bool {
-	c.served = true
+	c.served, c.done = true, c.done || status != http.StatusConflict
 	if requestID == "" {
 		return true
 	}
--- a/internal/edge/targetconn/pool.go
+++ b/internal/edge/targetconn/pool.go
@@ -211,9 +211,9 @@
 // connect returns a connection to the target, or to the helper.
 func (p *Pool) connect(ctx context.Context, incarnation, address string, req *Request, w way) (*Conn, error) {
 	if w.helper != "" {
-		return p.get(ctx, helperPrefix+w.helper, w.helper, "", false)
+		return p.get(ctx, helperPrefix+w.helper, w.helper, "", func(*Conn) bool { return true })
 	}
-	conn, err := p.get(ctx, connKey(incarnation, req), address, req.ID, req.needsUnusedConnection())
+	conn, err := p.get(ctx, connKey(incarnation, req), address, req.ID, req.mayUse)
 	if err == nil && w.uncertain && conn.fresh() {
 		err = awaitReset(ctx, conn, address)
 	}
@@ -390,33 +390,33 @@
 	return eris.Wrap(ErrInvalidResponse, err.Error())
 }
 
-// get returns a healthy idle connection, or a new one, which unused asks for. A request is not sent again on a connection on
+// get returns a healthy idle connection that is usable, or a new one. A request is not sent again on a connection on
 // which it failed: the answer to it there could not be told from the earlier one.
-func (p *Pool) get(ctx context.Context, key, address, requestID string, unused bool) (*Conn, error) {
-	for !unused {
-		conn := p.takeIdle(key)
+func (p *Pool) get(ctx context.Context, key, address, requestID string, usable func(*Conn) bool) (*Conn, error) {
+	for {
+		conn := p.takeIdle(key, usable)
 		if conn == nil {
-			break
+			return p.dial(ctx, key, address)
 		}
 		if conn.healthy() && !(requestID != "" && conn.mayAnswerAgain(requestID)) {
 			return conn, nil
 		}
 		_ = conn.Close()
 	}
-	return p.dial(ctx, key, address)
 }
 
-func (p *Pool) takeIdle(key string) *Conn {
+// takeIdle removes and returns the usable idle connection that was used last, nil if there is none.
+func (p *Pool) takeIdle(key string, usable func(*Conn) bool) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.idle[key]
-	if len(conns) == 0 {
-		return nil
+	for i := len(conns) - 1; i >= 0; i-- {
+		if conn := conns[i]; usable(conn) {
+			p.idle[key] = slices.Delete(conns, i, i+1)
+			return conn
+		}
 	}
-	last := conns[len(conns)-1]
-	conns[len(conns)-1] = nil
-	p.idle[key] = conns[:len(conns)-1]
-	return last
+	return nil
 }
 
 // put keeps a connection for reuse, or closes it if it cannot be reused. Of the idle
--- a/internal/edge/targetconn/request.go
+++ b/internal/edge/targetconn/request.go
@@ -39,15 +39,20 @@
 	forOtherHost bool // another host asked for it: it takes no further detour
 }
 
-// needsUnusedConnection reports whether the request must not be sent on a connection that has served another one:
-// it has no ID, so that an earlier answer that the target writes once more would be taken for its own, and that
-// could make it run, or a run go on, a second time. Of the control calls that holds for final moves, which have no
-// CopyTo; those that copy, release and ask for reports do no harm that way.
-func (r *Request) needsUnusedConnection() bool {
-	if r.ID != "" {
-		return false
+// mayUse reports whether the request may be sent on a connection that has served others. One without an ID might take
+// an earlier answer for its own that the target writes once more, and run, or let a run go on, a second time. Of the
+// control calls that holds for final moves, which have no CopyTo; those that copy, release and ask for reports do no
+// harm that way. Final moves are repeated while the answer is that nothing was done, which is no harm either.
+func (r *Request) mayUse(c *Conn) bool {
+	switch {
+	case r.ID != "":
+		return true
+	case isCallersRequest(r):
+		return !c.served
+	case r.Use == targetnotice.Control && r.Method == http.MethodPost && r.CopyTo == "":
+		return !c.done
 	}
-	return isCallersRequest(r) || r.Use == targetnotice.Control && r.Method == http.MethodPost && r.CopyTo == ""
+	return true
 }
 
 // encodeHead returns the head of the request, with room for more bytes behind it.
