Moves: hosts tell each other which engines want a pause, and runs are not stopped for them

A run was moved off a leaving engine to one that had been pausing for 2.2 s, of which only other hosts knew; it rejected the run, and so did the source.

Change: a sync and its answer carry the pauses that engines want (PauseNotice: a hash of the incarnation and the time left, 13 bytes, 64 at most, only of services whose runs move; no call is added). They bind only the host that was told; for others they are a hint. The chooser, hub or host, takes such an engine for a move only if no other has room. A run is copied there then, which secures it, but stopped only when the pause has ended: until then the move is reviewed every 200 ms (outcome destination_pauses), its replica is kept, and no further copy is made. The same holds for a pause that this host was told after the copy.

A hub passes on only what it heard first-hand, since two hubs would lengthen a pause with each exchange. Builds without the field ignore it and state none; with such a hub, the host's own look before the stop and its choice among other engines remain.

--- a/internal/edge/migration/mover.go
+++ b/internal/edge/migration/mover.go
@@ -46,6 +46,7 @@
 	runElsewhere      = "run_elsewhere" // the run has left the source or ended, or may do so since the source is silent
 	tooLate           = "too_late"
 	destinationLeaves = "destination_leaves" // or its failure domain is evacuated
+	destinationPauses = "destination_pauses" // it wants a pause; the run has a replica there
 	onlyReplicated    = "secured"            // no final copy; the run continues from its replica when the source exits
 )
 
@@ -62,6 +63,8 @@
 	// IsEvacuated reports whether the failure domain of a target is evacuated, so that no run may
 	// move there.
 	IsEvacuated func(target string) bool
+	// WantsPause reports whether a target wants a pause from any host.
+	WantsPause func(target string) bool
 	// Observe records the outcome and duration of each move in the metrics.
 	Observe func(outcome string, took time.Duration)
 }
@@ -69,9 +72,10 @@
 // Evacuate moves runs, one after the other, off an engine that gave its leaving notice at
 // noticedAt. Runs that are expected to end before the engine exits stay, and are looked at
 // again until it does: an estimate may be too low. So are runs that another engine may take
-// over because the source is silent. Runs that only have a replica keep it until the engine
-// exits, which may be much later than assumed. It returns when all others have been tried or
-// have ended, or when the engine is about to exit, and no run has a replica.
+// over because the source is silent, and those whose destinations want a pause. Runs that only
+// have a replica keep it until the engine exits, which may be much later than assumed. It returns
+// when all others have been tried or have ended, or when the engine is about to exit, and no run
+// has a replica.
 func (m *Mover) Evacuate(ctx context.Context, source *targets.Target, noticedAt bootclock.Instant, runs []*streaming.Run) {
 	if len(runs) == 0 || !runs[0].Service().Engine.SupportsMigration {
 		return
@@ -95,8 +99,8 @@
 		for _, i := range order {
 			outcome := m.move(ctx, source, noticedAt, domainPenalty, runs[i])
 			hasReplica := runs[i].Replica() != nil
-			settled[runs[i]] = outcome != runElsewhere && (outcome != onlyReplicated || hasReplica)
-			if hasReplica && (outcome == onlyReplicated || outcome == tooLate) {
+			settled[runs[i]] = outcome != runElsewhere && outcome != destinationPauses && (outcome != onlyReplicated || hasReplica)
+			if hasReplica && (outcome == onlyReplicated || outcome == tooLate || outcome == destinationPauses) && !slices.Contains(secured, runs[i]) {
 				secured = append(secured, runs[i])
 			}
 		}
@@ -202,7 +206,7 @@
 	}
 	if replica := r.Replica(); replica != nil && replica.Source.Key() == source.Key() && m.takesRuns(replica.Dest) {
 		attempts++
-		if outcome := m.switchTo(ctx, noticedAt, replica, r); outcome != destinationLeaves {
+		if outcome := m.switchTo(ctx, noticedAt, replica, r); outcome != destinationLeaves && outcome != destinationPauses {
 			return outcome, attempts
 		}
 		tried[replica.Dest.Key()] = true
@@ -220,6 +224,12 @@
 		}
 		load, need := moveNeeds(source, domainPenalty, r)
 		dest := m.ReserveEngine(ctx, service, need, load, tried).Target
+		if m.awaitsPause(source, r) && (dest == nil || m.WantsPause(dest.Key())) {
+			if dest != nil {
+				m.Inflight.Remove(dest.Key(), load)
+			}
+			return destinationPauses, attempts
+		}
 		if dest == nil {
 			m.awaitRoom(ctx)
 			tried = map[string]bool{source.Key(): true}
@@ -227,12 +237,20 @@
 		}
 		tried[dest.Key()] = true
 		attempts++
-		if outcome := m.moveTo(ctx, source, noticedAt, dest, load, r); outcome != edge.MoveNoRoom.String() && outcome != destinationLeaves {
+		switch outcome := m.moveTo(ctx, source, noticedAt, dest, load, r); outcome {
+		case edge.MoveNoRoom.String(), destinationLeaves, destinationPauses:
+		default:
 			return outcome, attempts
 		}
 	}
 }
 
+// awaitsPause reports whether a run has a replica of the source at an engine that wants a pause.
+func (m *Mover) awaitsPause(source *targets.Target, r *streaming.Run) bool {
+	replica := r.Replica()
+	return replica != nil && replica.Source.Key() == source.Key() && m.takesRuns(replica.Dest) && m.WantsPause(replica.Dest.Key())
+}
+
 // awaitRoom waits until runs have ended or the loads of other hosts may have
 // changed.
 func (m *Mover) awaitRoom(ctx context.Context) {
@@ -268,6 +286,9 @@
 func (m *Mover) switchTo(ctx context.Context, noticedAt bootclock.Instant, replica *streaming.Replica, r *streaming.Run) string {
 	source, dest := replica.Source, replica.Dest
 	wait.For(ctx, noticedAt.Add(noticeSpread).Sub(bootclock.Now()))
+	if m.WantsPause(dest.Key()) {
+		return destinationPauses
+	}
 	idle := m.mayStop(noticedAt, r) && m.awaitIdleLink(ctx, source, dest, r)
 	if m.IsEvacuated(dest.Key()) {
 		return destinationLeaves
@@ -278,6 +299,9 @@
 	if m.IsLeaving(dest.Key()) {
 		return destinationLeaves
 	}
+	if m.WantsPause(dest.Key()) {
+		return destinationPauses
+	}
 	if !m.mayStop(noticedAt, r) || !r.BeginFinalCopy(replica) {
 		return onlyReplicated
 	}
--- a/internal/edge/peers/messages.go
+++ b/internal/edge/peers/messages.go
@@ -22,6 +22,7 @@
 	Leaving        []string                 // incarnations that are known to be leaving
 	Failing        []string                 // incarnations that recently failed requests of this host
 	Limits         []targetnotice.LimitNotice
+	Pauses         []targetnotice.PauseNotice // that engines want from this host; older builds state none
 	Cold           []warmup.Notice
 	PolicyRevision platform.Revision
 	PolicyVersion  int64
@@ -50,6 +51,7 @@
 	Leaving []string
 	Failing map[string]int // number of other hosts for which each target recently failed
 	Limits  []targetnotice.LimitNotice
+	Pauses  []targetnotice.PauseNotice // that engines want from any host; older builds state none
 	Cold    []warmup.Notice
 	// Era is the latest era of the store that the hub knows, SettledEra the same if that
 	// era is settled.
--- a/internal/edge/peers/notices.go
+++ b/internal/edge/peers/notices.go
@@ -50,3 +50,13 @@
 			"limited", n.Limit.Stated, "per_second", n.Limit.PerSecond, "age_ms", n.Age.Milliseconds())
 	}
 }
+
+// takesMoves reports whether runs may move to an incarnation, so that hosts tell each other of its pauses.
+func (e *Exchange) takesMoves(incarnation string) bool {
+	t, p := e.Targets.View().Get(incarnation), e.Policy.Current()
+	if t == nil || p == nil {
+		return false
+	}
+	service := p.Service(t.Service)
+	return service != nil && service.Engine != nil && service.Engine.SupportsMigration
+}
--- a/internal/edge/peers/service.go
+++ b/internal/edge/peers/service.go
@@ -17,12 +17,14 @@
 	e.Health.SetReport(args.Host, args.Failing)
 	e.markLeaving(args.Host, args.Leaving)
 	e.mergeLimits(args.Host, args.Limits)
+	e.Notices.MergePauses(args.Pauses, bootclock.Now())
 	e.mergeEvacuation(&args.Evacuation, "peer "+args.Host, 0)
 	e.Warmup.Merge(args.Cold, bootclock.Now())
 	*reply = SyncReply{
 		Live:    e.FollowsStore(),
 		Leaving: e.Targets.AnnouncedLeaving(),
 		Limits:  e.Notices.LimitNotices(bootclock.Now()),
+		Pauses:  e.Notices.PauseNotices(true, e.takesMoves, bootclock.Now()),
 		Cold:    e.Warmup.Notices(bootclock.Now()),
 		Failing: e.Health.CountReports(args.Host),
 		List:    e.changesFor(&args),
--- a/internal/edge/peers/sync.go
+++ b/internal/edge/peers/sync.go
@@ -89,7 +89,7 @@
 // sync sends this host's state to a hub and applies its answer.
 func (e *Exchange) sync(ctx context.Context, hub relay.Host, wantFleet bool) {
 	args := SyncArgs{Host: e.Host, WantFleet: wantFleet, Loads: e.Inflight.OwnLoads(), Leaving: e.Targets.AnnouncedLeaving(), Failing: e.Health.RecentlyFailed(), ListRevision: e.ChangeLog.Revision(), ListSettling: e.ChangeLog.Settling(),
-		Limits: e.Notices.LimitNotices(bootclock.Now()), Cold: e.Warmup.Notices(bootclock.Now())}
+		Limits: e.Notices.LimitNotices(bootclock.Now()), Pauses: e.Notices.PauseNotices(false, e.takesMoves, bootclock.Now()), Cold: e.Warmup.Notices(bootclock.Now())}
 	learnsSpeed := e.learnsSpeedFrom(hub.Name)
 	if learnsSpeed {
 		args.Speed = e.Speeds.Report()
@@ -119,6 +119,7 @@
 	}
 	e.markLeaving(hub.Name, reply.Leaving)
 	e.mergeLimits(hub.Name, reply.Limits)
+	e.Notices.MergePauses(reply.Pauses, bootclock.Now())
 	e.Warmup.Merge(reply.Cold, bootclock.Now())
 	e.Eras.Observe(reply.Era, "peer "+hub.Name)
 	e.Eras.MarkSettled(reply.SettledEra)
--- a/internal/edge/process/process.go
+++ b/internal/edge/process/process.go
@@ -209,7 +209,7 @@
 	p.streaming.Permits = hubPermits{p}
 	p.mover = &migration.Mover{
 		Log: log, Host: n.Name, Engines: p.streaming.Engines, Inflight: p.inflight, ReserveEngine: p.streaming.ReserveEngine,
-		IsLeaving: p.isLeaving, IsEvacuated: p.isEvacuated,
+		IsLeaving: p.isLeaving, IsEvacuated: p.isEvacuated, WantsPause: func(key string) bool { return notices.IsPausedForAny(key, bootclock.Now()) },
 	}
 	p.replicator = &migration.Replicator{
 		Engines: p.streaming.Engines, Inflight: p.inflight, Runs: p.streaming.Runs.All, ReserveEngine: p.streaming.ReserveEngine, IsLeaving: p.isLeaving,
--- a/internal/edge/streaming/placement.go
+++ b/internal/edge/streaming/placement.go
@@ -175,10 +175,17 @@
 	return failing
 }
 
-// ChooseEngine chooses the best engine with capacity from what this host knows.
+// ChooseEngine chooses the best engine with capacity from what this host knows. A run moves to one that wants
+// a pause from any host only if there is no other: the engine would most likely reject it.
 func (s *Server) ChooseEngine(engines []*targets.Target, service *policy.Service, need placement.Requirements, tried map[string]bool) placement.Decision {
 	candidates, _ := s.Candidates(engines)
-	i := placement.ChooseEngine(candidates, service.Engine, need, tried)
+	i := -1
+	if need.Move {
+		i = placement.ChooseEngine(candidates, service.Engine, need, withKeys(tried, s.Targets.View().PausedForAny(engines)))
+	}
+	if i < 0 {
+		i = placement.ChooseEngine(candidates, service.Engine, need, tried)
+	}
 	if i < 0 {
 		return placement.Decision{Shortage: placement.CountShortage(candidates, service.Engine, need, tried)}
 	}
--- a/internal/edge/targetnotice/tracker.go
+++ b/internal/edge/targetnotice/tracker.go
@@ -3,7 +3,7 @@
 // takes from all hosts, or that too many rejections make it fail. Leaving and pauses are decided
 // by the answers alone: a target list or a peer that calls the target ready doesn't change the
 // decision, so that a host without its store and peers decides alike. Of limits, hosts also tell
-// each other. It reads no clock and does no I/O.
+// each other, and of pauses as a hint for the destinations of moves. It reads no clock and does no I/O.
 package targetnotice
 
 import (
@@ -12,6 +12,7 @@
 	"time"
 
 	"corianderhitch/internal/edge/bootclock"
+	"corianderhitch/internal/edge/targetspeed"
 )
 
 const (
@@ -100,6 +101,10 @@
 
 	mu      sync.Mutex
 	targets map[string]*statements // guarded by mu
+	// hints are the pauses that targets want from other hosts.
+	hints map[targetspeed.ID]pauseHint // guarded by mu
+	// pausesUntil is when the last pause that a target wants from this host ends.
+	pausesUntil bootclock.Instant // guarded by mu
 	// trialEnded is closed and replaced when a trial ends.
 	trialEnded chan struct{} // guarded by mu
 	// lastEnd is when the last restriction after a pause of any target ends, a
@@ -139,7 +144,7 @@
 
 // New returns an empty tracker.
 func New() *Tracker {
-	return &Tracker{targets: make(map[string]*statements), trialEnded: make(chan struct{})}
+	return &Tracker{targets: make(map[string]*statements), hints: make(map[targetspeed.ID]pauseHint), trialEnded: make(chan struct{})}
 }
 
 // ObserveLeaving records an answer, received at the given time, that states that the
@@ -168,6 +173,7 @@
 		s.continuations = 0
 	}
 	s.pausedUntil = max(s.pausedUntil, at.Add(pause+spread))
+	t.pausesUntil = max(t.pausesUntil, s.pausedUntil)
 	s.openAt = s.pausedUntil.Add(trialWindow)
 	t.lastEnd.Store(max(t.lastEnd.Load(), int64(s.openAt)))
 	t.endTrial(s)
--- a/internal/edge/targets/view.go
+++ b/internal/edge/targets/view.go
@@ -157,6 +157,18 @@
 	return v.stated.IsCold(key, now) || v.stated.PauseLeft(key, now) > 0 || v.stated.TrialLeft(key, now) > 0
 }
 
+// PausedForAny returns the incarnations among targets that want a pause from this host or, as far as this
+// host has heard, from another one.
+func (v *View) PausedForAny(among []*Target) (keys []string) {
+	now := bootclock.Now()
+	for _, t := range among {
+		if key := t.Key(); v.stated.IsPausedForAny(key, now) {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
 // accepts reports whether an incarnation has stated nothing to this host that keeps a request
 // which arrives now from it.
 func (v *View) accepts(key string, now bootclock.Instant) bool {
