Streams: a resumable run is started again once its engine has stopped it

A resumable run whose stream broke off was started at another engine at once, and the first engine was told only after the other one's head.

--- a/internal/edge/streaming/attempts.go
+++ b/internal/edge/streaming/attempts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -83,7 +84,9 @@
 	r.attempts.sends.Add(1)
 	r.attempts.mayHaveRun = true
 	r.attempts.tried[source.Key()] = true
-	r.noteUnstopped(source)
+	if !r.stopBeforeRestart(ctx, source) {
+		return nil
+	}
 	next := r.startElsewhere(ctx, source, "broke_off", reason, "error", errText)
 	if next == nil {
 		return nil
@@ -95,6 +98,23 @@
 	return next
 }
 
+// stopBeforeRestart stops the run at an engine whose stream broke off, and reports whether the run may
+// be started at another one: not if the engine answers without having stopped it.
+func (r *Run) stopBeforeRestart(ctx context.Context, source *targets.Target) bool {
+	r.noteUnstopped(source)
+	serving := r.server.view(r.call).Serving(r.call.Service.Name)
+	i := slices.IndexFunc(serving, func(t *targets.Target) bool { return t.Key() != source.Key() })
+	if i < 0 || !r.call.Service.Engine.SupportsMigration {
+		return true
+	}
+	stop := r.stopAt(source, serving[i], stopAfterBreak, true)
+	reply, stopped := stop.await(ctx, r.patienceLeft())
+	if stopped && reply.Handle != "" {
+		go r.releaseCopy(source, reply.Handle)
+	}
+	return stopped || !stop.engineAnswers()
+}
+
 // startElsewhere starts the run at an engine that was not tried, after the last event that
 // the caller has. It returns nil if the attempts or the retry budget are used up or no engine
 // takes the run. Only one goroutine at a time may call it. cause holds attributes for the log.
