Streams: engines that answer for long count as at work, lost answers of continuations lose no run (second review)

Found by a second review of the reworked stop; each test failed before (stop_holder_test.go): - An engine that answers each call counted as silent as soon as the calls were 0.8 s apart, and the run went on beside it. Calls to an engine that answers are 0.2 s apart at most. - A resumable run was started beside a holder that answers that it works. - A holder that had begun by a request whose answer was lost, and refused the handle from then on, was dropped with the only memory of what it did. It is stopped, and the run goes on from there; so is the only holder, for which another engine is named as the destination. - A run that ended asked its last engine, or one that answered a later request with a failure, not again. TestEngineOfTheOnlyContinuationWithoutAnswerWorksOn expected the stream to end; it goes on now, so that the test asks for the whole stream and for the stop (TestRunIsLostWithTheAnswerOfItsOnlyContinuation).

--- a/internal/edge/streaming/attempts.go
+++ b/internal/edge/streaming/attempts.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -73,7 +72,7 @@
 // caller has. The engine reads the prompt again; that costs less than replicas of all
 // such runs, and loses no event. It returns nil if the run cannot be restarted.
 func (r *Run) restart(ctx context.Context, source *targets.Target, reason string, err error) *segment {
-	if !r.Resumable() || ctx.Err() != nil || reason == notStopped {
+	if !r.Resumable() || ctx.Err() != nil || reason == notStopped || r.anyEngineAnswers() {
 		return nil
 	}
 	r.server.recordFailure(source, bootclock.Now().Add(-r.SinceLastEvent()))
@@ -102,12 +101,11 @@
 // be started at another one: not if the engine answers without having stopped it.
 func (r *Run) stopBeforeRestart(ctx context.Context, source *targets.Target) bool {
 	r.noteUnstopped(source)
-	serving := r.server.view(r.call).Serving(r.call.Service.Name)
-	i := slices.IndexFunc(serving, func(t *targets.Target) bool { return t.Key() != source.Key() })
-	if i < 0 || !r.call.Service.Engine.SupportsMigration {
+	other := r.anotherEngine(source)
+	if other == nil || !r.call.Service.Engine.SupportsMigration {
 		return true
 	}
-	stop := r.stopAt(source, serving[i], stopAfterBreak, true)
+	stop := r.stopAt(source, other, stopAfterBreak, true)
 	reply, stopped := stop.await(ctx, r.patienceLeft())
 	if stopped && reply.Handle != "" {
 		go r.releaseCopy(source, reply.Handle)
--- a/internal/edge/streaming/forward.go
+++ b/internal/edge/streaming/forward.go
@@ -222,7 +222,7 @@
 // finish records the outcome and ends the caller's response. The response to an
 // incomplete stream is aborted, so that it does not look complete.
 func (r *Run) finish(ctx context.Context, source *targets.Target, reason string, err error) string {
-	r.stopAtOthers(source)
+	r.stopAll()
 	if r.headSent {
 		r.server.Observer.ObserveLongestPause(r.longestPause)
 	}
--- a/internal/edge/streaming/resume.go
+++ b/internal/edge/streaming/resume.go
@@ -39,6 +39,8 @@
 	from    edge.ReplicaRef
 	load    inflight.Load
 	counted bool // load is counted for target
+	// unanswered means that the engine got a request to continue the run and its answer did not arrive.
+	unanswered bool
 }
 
 func replicaHolder(replica *Replica, handle string) *memoryHolder {
@@ -96,23 +98,18 @@
 func (c *continuation) tryAll(ctx context.Context) (s *segment, again bool) {
 	var remaining []*memoryHolder
 	for i, h := range c.holders {
-		s, err := c.try(ctx, h)
-		if s != nil {
+		others := slices.Concat(remaining, c.holders[i+1:])
+		s, stop, err := c.tryAndSettle(ctx, h, others)
+		switch {
+		case s != nil:
 			c.r.uncount(c.holders)
 			return s, false
-		}
-		others := slices.Concat(remaining, c.holders[i+1:])
-		state := holderStopped
-		if (len(others) > 0 || c.source != nil) && mayHaveBegun(err) && ctx.Err() == nil {
-			var begun []*memoryHolder
-			if state, begun = c.stopHolder(ctx, h, others); len(begun) > 0 && c.left() > 0 {
-				c.holders = append(begun, others...)
-				first := c.interval == resumeRetryInterval
-				c.interval = min(2*c.interval, maxResumeInterval)
-				return nil, first
-			}
-		}
-		if state != holderWorks && c.r.mayStillResume(h.target, err) && c.left() > 0 && ctx.Err() == nil {
+		case len(stop.begun) > 0 && c.left() > 0:
+			c.holders = append(stop.begun, others...)
+			first := c.interval == resumeRetryInterval
+			c.interval = min(2*c.interval, maxResumeInterval)
+			return nil, first
+		case stop.state != holderWorks && c.r.mayStillResume(h.target, err) && c.left() > 0 && ctx.Err() == nil:
 			if errors.Is(err, targetconn.ErrBroken) {
 				c.interval = min(2*c.interval, maxResumeInterval)
 			}
@@ -121,7 +118,7 @@
 		}
 		c.r.call.Log.Warn("stream: run could not be resumed", "target", h.target.ID, "copy", h.from.Handle, "after_event", c.r.lastEventID.Load(),
 			"tries", c.tries, "sends", c.sends, "leaving", c.r.server.Targets.HasAnnounced(h.target.Key()), "took_ms", time.Since(c.started).Milliseconds(), "error", err.Error())
-		if state == holderWorks {
+		if stop.state == holderWorks {
 			c.r.uncount(others)
 			remaining = nil
 			break
@@ -131,6 +128,24 @@
 	return nil, false
 }
 
+var errUnanswered = errors.New("the engine has not answered an earlier request to continue the run")
+
+// tryAndSettle asks one holder. If it may have begun, it must have stopped before another is asked: also one
+// that rejects the request because an earlier one without an answer has used the handle.
+func (c *continuation) tryAndSettle(ctx context.Context, h *memoryHolder, others []*memoryHolder) (*segment, holderStop, error) {
+	if c.r.isBeingStopped(h.target) {
+		if stop := c.stopHolder(ctx, h, others); stop.state == holderWorks || len(stop.begun) > 0 {
+			return nil, stop, errUnanswered
+		}
+	}
+	s, err := c.try(ctx, h)
+	h.unanswered = h.unanswered || mayHaveBegun(err)
+	if s != nil || ctx.Err() != nil || !mayHaveBegun(err) && !(h.unanswered && errors.Is(err, errNotExecuted)) {
+		return s, holderStop{}, err
+	}
+	return nil, c.stopHolder(ctx, h, others), err
+}
+
 // try asks one holder.
 func (c *continuation) try(ctx context.Context, h *memoryHolder) (*segment, error) {
 	s, err := c.r.resumeAt(ctx, h)
@@ -155,29 +170,41 @@
 	holderWorks                         // it answers, but does not stop the run
 )
 
-// stopHolder stops the run at an engine that may have continued it, before another one is asked.
-// If the engine had begun, it returns the engines that hold the memory of what it has done.
-func (c *continuation) stopHolder(ctx context.Context, h *memoryHolder, others []*memoryHolder) (state holderState, from []*memoryHolder) {
-	dest, load := c.source, inflight.Load{}
-	if len(others) > 0 {
-		dest, load = others[0].target, others[0].load
+// holderStop is the outcome of the stop of a run at an engine that may have continued it.
+type holderStop struct {
+	state holderState
+	begun []*memoryHolder // hold the memory of what the engine has done; none if it had not begun
+}
+
+// stopHolder stops the run at an engine that may have continued it.
+func (c *continuation) stopHolder(ctx context.Context, h *memoryHolder, others []*memoryHolder) holderStop {
+	dest := c.source
+	switch {
+	case len(others) > 0:
+		dest = others[0].target
+	case dest == nil:
+		dest = c.r.anotherEngine(h.target)
+	}
+	if dest == nil {
+		return holderStop{state: holderUnanswered}
 	}
 	c.r.noteUnstopped(h.target)
 	stop := c.r.stopAt(h.target, dest, stopAfterSend, true)
 	reply, stopped := stop.await(ctx, c.left())
 	switch {
 	case !stopped && stop.engineAnswers():
-		return holderWorks, nil
+		return holderStop{state: holderWorks}
 	case !stopped:
-		return holderUnanswered, nil
+		return holderStop{state: holderUnanswered}
 	case !stoppedAtSource(reply):
-		return holderStopped, nil
+		return holderStop{}
 	}
-	ref := edge.ReplicaRef{Address: h.target.Address, Handle: reply.Handle}
-	if reply.Result == edge.MoveCopied && len(others) > 0 {
-		from = append(from, &memoryHolder{target: stop.other, load: load, from: ref})
+	var begun []*memoryHolder
+	from := edge.ReplicaRef{Address: h.target.Address, Handle: reply.Handle}
+	if reply.Result == edge.MoveCopied && c.source == nil { // it would go on beside its own stream at the source
+		begun = append(begun, &memoryHolder{target: stop.other, load: h.load, from: from})
 	}
-	return holderStopped, append(from, &memoryHolder{target: h.target, load: h.load, from: ref})
+	return holderStop{begun: append(begun, &memoryHolder{target: h.target, load: h.load, from: from})}
 }
 
 // Results of continuations in metrics.
--- a/internal/edge/streaming/server.go
+++ b/internal/edge/streaming/server.go
@@ -310,6 +310,9 @@
 		}
 		return nil, err
 	}
+	if unfinished && response.Status != http.StatusOK {
+		r.noteUnstopped(t)
+	}
 	return &segment{target: t, load: load, response: response, cancel: cancel, body: response, watch: watch, unreadAhead: ahead, memory: s.Memory}, nil
 }
 
--- a/internal/edge/streaming/stop.go
+++ b/internal/edge/streaming/stop.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,10 +25,12 @@
 	// stopCallTimeout bounds each later call. A silent engine answers once it goes on.
 	stopCallTimeout = 2500 * time.Millisecond
 	// stopRetryInterval is the time between two calls in the first stopBackoffAfter. Later, and
-	// while the engine cannot be reached, it doubles each time up to maxStopInterval.
-	stopRetryInterval = 50 * time.Millisecond
-	stopBackoffAfter  = time.Second
-	maxStopInterval   = time.Second
+	// while the engine cannot be reached, it doubles each time up to maxStopInterval. While the
+	// engine answers, it is less, so that the last answer stays valid.
+	stopRetryInterval   = 50 * time.Millisecond
+	stopBackoffAfter    = time.Second
+	maxStopInterval     = time.Second
+	maxAnsweredInterval = stopAnswerValidity / 4
 	// lateStart is when an engine that answers that it does not execute the run is asked again if
 	// it got a request without an answer: that may wait there or be on its way.
 	lateStart = 300 * time.Millisecond
@@ -39,7 +43,8 @@
 	stopAfterBreak    = "stream_broke_off"
 	stopAfterTakeover = "taken_over"
 	stopAfterSend     = "not_answered" // the engine got a request whose answer did not arrive
-	stopElsewhere     = "goes_on_elsewhere"
+	stopOthers        = "goes_on_elsewhere"
+	stopAtEnd         = "run_ended"
 )
 
 // engineStop ends a run at an engine that the run has left or that may have begun it. The engine
@@ -164,6 +169,8 @@
 			interval = min(2*interval, maxStopInterval)
 		case bootclock.Since(calledAt) >= stopTimeout:
 			interval = stopRetryInterval // the call took the time
+		case bootclock.Since(started) > stopBackoffAfter && reply.Answered():
+			interval = min(2*interval, maxAnsweredInterval)
 		case bootclock.Since(started) > stopBackoffAfter:
 			interval = min(2*interval, maxStopInterval)
 		default:
@@ -230,7 +237,7 @@
 	s.finished = true
 	s.mu.Unlock()
 	s.r.Log().Info("stream: asked an engine to stop the run", "target", s.engine.ID, "reason", s.reason, "result", reply.Result.String(),
-		"stopped", hasStopped(reply), "ended", ended, "calls", calls, "took_ms", bootclock.Since(started).Milliseconds(), "error", reply.ErrorText())
+		"stopped", hasStopped(reply), "engine_gone", ended, "calls", calls, "took_ms", bootclock.Since(started).Milliseconds(), "error", reply.ErrorText())
 }
 
 // end releases the memory that nobody continues from.
@@ -327,10 +334,57 @@
 		return // engines without moves are stopped by the end of their connections
 	}
 	for _, e := range engines {
-		r.stopAt(e, current, stopElsewhere, false)
+		r.stopAt(e, current, stopOthers, false)
 	}
 }
 
+// stopAll stops a run that has ended at all engines that may execute it.
+func (r *Run) stopAll() {
+	r.mu.Lock()
+	engines := make([]*targets.Target, 0, len(r.unstopped))
+	for _, e := range r.unstopped {
+		engines = append(engines, e)
+	}
+	r.mu.Unlock()
+	for _, e := range engines {
+		if other := r.anotherEngine(e); other != nil && r.call.Service.Engine.SupportsMigration {
+			r.stopAt(e, other, stopAtEnd, false)
+		}
+	}
+}
+
+// anotherEngine returns an engine of the run's service that does not leave and is not e, nil if there
+// is none.
+func (r *Run) anotherEngine(e *targets.Target) *targets.Target {
+	serving := r.server.view(r.call).Serving(r.call.Service.Name)
+	if i := slices.IndexFunc(serving, func(t *targets.Target) bool { return t.Key() != e.Key() }); i >= 0 {
+		return serving[i]
+	}
+	return nil
+}
+
+// isBeingStopped reports whether an engine is asked to stop the run and has not done so.
+func (r *Run) isBeingStopped(e *targets.Target) bool {
+	r.mu.Lock()
+	s := r.stops[e.Key()]
+	r.mu.Unlock()
+	if s == nil {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.stopped
+}
+
+// anyEngineAnswers reports whether an engine that the run has left, or that may have begun it, has
+// answered lately without having stopped it.
+func (r *Run) anyEngineAnswers() bool {
+	r.mu.Lock()
+	stops := slices.Collect(maps.Values(r.stops))
+	r.mu.Unlock()
+	return slices.ContainsFunc(stops, (*engineStop).engineAnswers)
+}
+
 // mayHaveBegun reports whether an engine may execute a request that was not answered.
 func mayHaveBegun(err error) bool {
 	return errors.Is(err, targetconn.ErrBroken) || errors.Is(err, targetconn.ErrInvalidResponse) || errors.Is(err, errUnsigned)
