--- a/tests/edge/evacuation_test.go
+++ b/tests/edge/evacuation_test.go
@@ -162,7 +162,7 @@
 		require.NotEmpty(t, rejected.header.Get("Retry-After"))
 		require.Less(t, time.Since(began), 500*time.Millisecond)
 	}
-	require.True(t, logContains(h, `"reason":"no_target"`))
+	require.Eventually(t, func() bool { return logContains(h, `"reason":"no_target"`) }, waitTimeout, checkInterval)
 	f.endEvacuation(other.domain)
 	awaitEvacuation(t, f.hosts, `["`+evacuated.domain+`"]`)
 	f.requireAvoided(evacuated, f.hosts, 300*time.Millisecond)
