--- a/internal/edge/streaming/stop.go
+++ b/internal/edge/streaming/stop.go
@@ -71,7 +71,7 @@
 	unreached  bool              // guarded by mu; the last call did not reach the engine
 	awaited    bool              // guarded by mu; the run waits for reply, to continue from the memory that it names
 	lateHandle string            // guarded by mu; memory of a run that the engine began only after reply
-	finished   bool              // guarded by mu; no call is missing
+	finished   bool              // guarded by mu; the engine need not be asked again
 }
 
 // stopAt begins to stop the run at an engine, or returns the stop in progress. Callers that set
@@ -124,7 +124,7 @@
 		case <-ctx.Done():
 		case <-s.done:
 			s.mu.Lock()
-			s.unreached = true // it has ended
+			s.unreached = true // nobody asks the engine any more
 			s.mu.Unlock()
 		}
 	}
@@ -156,7 +156,7 @@
 		cancel()
 		s.observe(reply)
 		stopped := hasStopped(reply)
-		ended := !stopped && unreached(reply) && !r.server.Targets.View().Listed(s.engine.Key())
+		ended := !stopped && didNotReach(reply) && !r.server.Targets.View().Listed(s.engine.Key())
 		again := stopped && reply.Result == edge.MoveNoRun && recheck
 		if stopped && !again || ended || bootclock.Now() > deadline {
 			s.finish(reply, ended, calls, started)
@@ -165,7 +165,7 @@
 		switch {
 		case again:
 			interval, recheck = lateStart, false
-		case unreached(reply):
+		case didNotReach(reply):
 			interval = min(2*interval, maxStopInterval)
 		case bootclock.Since(calledAt) >= stopTimeout:
 			interval = stopRetryInterval // the call took the time
@@ -215,7 +215,7 @@
 // observe records the answer to a call.
 func (s *engineStop) observe(reply edge.MoveReply) {
 	s.mu.Lock()
-	s.unreached = unreached(reply)
+	s.unreached = didNotReach(reply)
 	switch {
 	case s.stopped:
 		s.lateHandle = reply.Handle
@@ -231,7 +231,7 @@
 	}
 }
 
-// finish records and logs that no call is missing.
+// finish records and logs that the engine need not be asked again.
 func (s *engineStop) finish(reply edge.MoveReply, ended bool, calls int, started bootclock.Instant) {
 	s.mu.Lock()
 	s.finished = true
@@ -279,8 +279,8 @@
 	return stoppedAtSource(reply) || reply.Result == edge.MoveNoRun
 }
 
-// unreached reports whether a call did not reach its engine.
-func unreached(reply edge.MoveReply) bool {
+// didNotReach reports whether a call did not reach its engine.
+func didNotReach(reply edge.MoveReply) bool {
 	return errors.Is(reply.Err, targetconn.ErrNotSent) && !errors.Is(reply.Err, targetconn.ErrRefused)
 }
 
