--- a/tests/edge/stop_replica_test.go
+++ b/tests/edge/stop_replica_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -68,12 +67,7 @@
 	require.Eventually(t, func() bool { return len(source.Started()) == 1 }, waitTimeout, checkInterval)
 	dest := f.startEngine(set, "e-2")
 	require.Eventually(t, func() bool { return strings.Contains(h.logs.String(), "backup: replication finished") }, waitTimeout, checkInterval)
-	go func() { // another copy, as a refresh of the replica
-		body := `{"id":"r-1","to":"` + dest.Address() + `","last":false}`
-		if response, err := http.Post("http://"+source.Address()+"/corianderhitch/kv-move", "application/json", strings.NewReader(body)); err == nil {
-			_ = response.Body.Close()
-		}
-	}()
+	go func() { _ = source.RequestCopy("r-1", dest) }() // as for the refresh of a replica
 	time.Sleep(50 * time.Millisecond)
 	source.CloseStreams()
 	time.Sleep(200 * time.Millisecond)
