--- a/review/cases-2/moved_twice.go
+++ b/review/cases-2/moved_twice.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	movedHosts, movedEngines, movedRounds = 3, 8, 4
+	movedHosts, movedEngines, movedRounds = 3, 8, 5
 	// longStreams and shortCallers are per host.
 	longStreams, shortCallers = 16, 14
 	// cutFor is how long the engine is partitioned from the store; its entry is removed after three
