--- a/review/cases-2/moved_twice.go
+++ b/review/cases-2/moved_twice.go
@@ -61,7 +61,11 @@
 	}
 	time.Sleep(4 * time.Second)
 	source.crash() // it has been taken away
-	return f.expire(source)
+	if err := f.expire(source); err != nil {
+		return err
+	}
+	_, err := f.startEngine(fmt.Sprintf("i-%d", movedEngines+round+1), source.zone) // the next round has as many engines
+	return err
 }
 
 // loseEntry partitions an engine from the store for a while, in which its entry expires and part of its
