--- a/review/cases-2/moved_twice.go
+++ b/review/cases-2/moved_twice.go
@@ -10,7 +10,7 @@
 const (
 	movedHosts, movedEngines, movedRounds = 3, 8, 5
 	// longStreams and shortCallers are per host.
-	longStreams, shortCallers = 16, 14
+	longStreams, shortCallers = 16, 32
 	// cutFor is how long the engine is partitioned from the store; its entry is removed after three
 	// heartbeat intervals.
 	cutFor = 5 * time.Second
@@ -34,7 +34,8 @@
 	if err := startDeployment(f, movedHosts, movedEngines); err != nil {
 		return false, err
 	}
-	short := startCrowd(f, shortCallers, 10*time.Millisecond, request{route: "summary", in: 600, out: 12, deadline: 6 * time.Second})
+	// Streams of one event: many callers wait for the head of an answer at any time.
+	short := startCrowd(f, shortCallers, 30*time.Millisecond, request{route: "summary", in: 100, out: streamStride, deadline: 6 * time.Second})
 	for round := 0; round < movedRounds && len(endedHosts(f)) == 0; round++ {
 		if err := movedRound(f, round); err != nil {
 			return false, err
