edge: record when each target last sent something, and log it with waits for stops

A run goes on elsewhere when the engine before does not answer a call to stop it. The log line of that wait did not tell an engine that sends nothing from one that leaves one call unanswered. It states now how long ago this host heard from the engine on any connection.

--- a/internal/edge/streaming/stop.go
+++ b/internal/edge/streaming/stop.go
@@ -115,7 +115,7 @@
 		s.mu.Unlock()
 		if stopped || !awaited {
 			s.r.Log().Info("stream: waited for an engine to stop the run", "target", s.engine.ID, "reason", s.reason, "stopped", stopped,
-				"answers", s.engineAnswers(), "waited_ms", bootclock.Since(started).Milliseconds())
+				"answers", s.engineAnswers(), "heard_ms_ago", s.sinceHeard().Milliseconds(), "waited_ms", bootclock.Since(started).Milliseconds())
 			return reply, stopped
 		}
 		select {
@@ -137,6 +137,11 @@
 	return !s.stopped && !s.unreached && s.answeredAt != 0 && bootclock.Since(s.answeredAt) < stopAnswerValidity
 }
 
+// sinceHeard returns the time since the engine sent anything to this host, for any request.
+func (s *engineStop) sinceHeard() time.Duration {
+	return s.r.server.Sender.Pool.Contact(s.engine.Key()).SinceHeard
+}
+
 // run asks the engine until the run does not execute there any more.
 func (s *engineStop) run() {
 	defer s.end()
--- a/internal/edge/targetconn/pool.go
+++ b/internal/edge/targetconn/pool.go
@@ -62,6 +62,7 @@
 	gate      Gate
 	share     func(incarnation string) float64
 	progress  progress
+	contacts  contacts
 
 	// Forwarder makes other hosts send requests that this one can't; nil for never.
 	Forwarder Forwarder
@@ -140,7 +141,10 @@
 	if req.EncodeHeader != nil {
 		req.Header = req.EncodeHeader()
 	}
-	sent, direct, fresh := req, helper == "", conn.fresh()
+	sent, direct, fresh, contact := req, helper == "", conn.fresh(), p.contacts.of(incarnation)
+	if direct && fresh {
+		contact.noteOpened()
+	}
 	if !direct {
 		sent = req.forwarded(incarnation, address)
 	}
@@ -179,8 +183,9 @@
 		return nil, outcome, err
 	}
 	_ = httpanswer.Check(head, upload) // the head has been checked
+	contact.noteHeard()
 	r := p.newResponse(conn, req, head)
-	r.detach, r.upload, r.direct, r.Helper = detach, upload, direct, helper
+	r.detach, r.upload, r.direct, r.Helper, r.contact = detach, upload, direct, helper, contact
 	r.reusable = !head.Close && !(leaving && direct && isCallersRequest(req)) &&
 		(!direct || conn.noteAnswer(req.ID, p.requestID(head.Header), head.StatusCode))
 	return r, outcome, nil
--- a/internal/edge/targetconn/response.go
+++ b/internal/edge/targetconn/response.go
@@ -37,11 +37,14 @@
 	bodyRead          bool               // the body was read to its end
 	reusable          bool
 	direct            bool // from the target, not by way of another host
+	contact           *contact
 }
 
 // Read reads the body. It returns io.EOF only after the whole body.
 func (r *Response) Read(p []byte) (int, error) {
+	began := time.Since(clockStart)
 	n, err := r.body.Read(p)
+	r.contact.noteRead(began, n)
 	if n > 0 && r.direct {
 		r.pool.progress.received()
 	}
