edge: an engine that leaves single calls unanswered counts as at work

Cause: a run waits for its engine to stop it, and took an engine that had not answered one call within 400 ms for gone, whatever else it sent to the same host. The next call had a time-out of 2.5 s, and no other was made meanwhile. Log on a trial with heard_ms_ago: the engine had been heard 72 to 253 ms before each of the waits that ended without an answer.

Now an engine is gone only when it has sent nothing at all for 400 ms, on any connection of the host: an answer to another call or an event of another stream is a sign of work, unless it was sent before the stream broke off. Calls are no longer given up after 400 ms, so that one which has stopped the run still names its memory. An engine that refuses connections or sends nothing is left as soon as before.

--- a/internal/edge/streaming/attempts.go
+++ b/internal/edge/streaming/attempts.go
@@ -72,7 +72,7 @@
 // caller has. The engine reads the prompt again; that costs less than replicas of all
 // such runs, and loses no event. It returns nil if the run cannot be restarted.
 func (r *Run) restart(ctx context.Context, source *targets.Target, reason string, err error) *segment {
-	if !r.Resumable() || ctx.Err() != nil || reason == notStopped || r.anyEngineAnswers() {
+	if !r.Resumable() || ctx.Err() != nil || reason == notStopped || r.anyEngineAtWork() {
 		return nil
 	}
 	r.server.recordFailure(source, bootclock.Now().Add(-r.SinceLastEvent()))
@@ -110,7 +110,7 @@
 	if stopped && reply.Handle != "" {
 		go r.releaseCopy(source, reply.Handle)
 	}
-	return stopped || !stop.engineAnswers()
+	return stopped || !stop.engineAtWork()
 }
 
 // startElsewhere starts the run at an engine that was not tried, after the last event that
--- a/internal/edge/streaming/forward.go
+++ b/internal/edge/streaming/forward.go
@@ -159,7 +159,7 @@
 	case ctx.Err() != nil:
 		r.releaseReplica(replica)
 		return nil, brokenOff
-	case stop.engineAnswers():
+	case stop.engineAtWork():
 		r.releaseReplica(replica)
 		return nil, notStopped
 	}
--- a/internal/edge/streaming/place_test.go
+++ b/internal/edge/streaming/place_test.go
@@ -43,7 +43,7 @@
 	table := inflight.New("host")
 	s := &Server{
 		Targets: registry, Inflight: table, Health: ejection.New(), Lengths: NewOutputLengths(), Queue: admission.New(table.Changed),
-		Drain: drain, Observer: observer, Sender: &edge.Sender{Wire: silentWire{}}, Stalls: &stall.Detector{},
+		Drain: drain, Observer: observer, Sender: &edge.Sender{Wire: silentWire{}, Pool: targetconn.New(nil, openGate{}, func(string) float64 { return 0 })}, Stalls: &stall.Detector{},
 	}
 	s.PlaceViaHub = func(context.Context, peers.PlaceArgs) (peers.PlaceReply, bool) {
 		reply := peers.PlaceReply{Able: true}
--- a/internal/edge/streaming/resume.go
+++ b/internal/edge/streaming/resume.go
@@ -192,7 +192,7 @@
 	stop := c.r.stopAt(h.target, dest, stopAfterSend, true)
 	reply, stopped := stop.await(ctx, c.left())
 	switch {
-	case !stopped && stop.engineAnswers():
+	case !stopped && stop.engineAtWork():
 		return holderStop{state: holderWorks}
 	case !stopped:
 		return holderStop{state: holderUnanswered}
--- a/internal/edge/streaming/stop.go
+++ b/internal/edge/streaming/stop.go
@@ -15,27 +15,17 @@
 )
 
 const (
-	// stopTimeout is how long a run waits for the first answer of an engine that may still execute
-	// it before it goes on at another one, and bounds the first call. An engine that does not
-	// answer in time has crashed, is silent or is unreachable.
+	// stopTimeout is for how long an engine that may still execute a run may send nothing at all before the
+	// run goes on at another one. Then it has crashed, is silent or is unreachable.
 	stopTimeout = 400 * time.Millisecond
 	// stopAnswerValidity is for how long an engine counts as at work after it has answered without
 	// having stopped the run. It may end after that.
 	stopAnswerValidity = 2 * stopTimeout
-	// stopCallTimeout bounds each later call. A silent engine answers once it goes on.
-	stopCallTimeout = 2500 * time.Millisecond
-	// stopRetryInterval is the time between two calls in the first stopBackoffAfter. Later, and
-	// while the engine cannot be reached, it doubles each time up to maxStopInterval. While the
-	// engine answers, it is less, so that the last answer stays valid.
-	stopRetryInterval   = 50 * time.Millisecond
-	stopBackoffAfter    = time.Second
-	maxStopInterval     = time.Second
-	maxAnsweredInterval = stopAnswerValidity / 4
-	// lateStart is when an engine that answers that it does not execute the run is asked again if
-	// it got a request without an answer: that may wait there or be on its way.
-	lateStart = 300 * time.Millisecond
-	// stopCheckInterval is how often the age of an engine's last answer is looked at.
+	// stopCheckInterval is how often the evidence that an engine is at work is looked at.
 	stopCheckInterval = 50 * time.Millisecond
+	// contactMargin is how long after the stream of a run has broken off bytes on other connections may
+	// be read that the engine sent before.
+	contactMargin = 50 * time.Millisecond
 )
 
 // Reasons of stops in log lines.
@@ -59,6 +49,7 @@
 	unanswered bool
 	ctx        context.Context
 	cancel     context.CancelFunc
+	started    bootclock.Instant
 	quit       chan struct{} // closed when no other call is to be made
 	quitOnce   sync.Once
 	done       chan struct{} // closed after the last call
@@ -70,7 +61,10 @@
 	answeredAt bootclock.Instant // guarded by mu; when the engine answered last without having stopped the run, 0 if it did not
 	unreached  bool              // guarded by mu; the last call did not reach the engine
 	awaited    bool              // guarded by mu; the run waits for reply, to continue from the memory that it names
-	lateHandle string            // guarded by mu; memory of a run that the engine began only after reply
+	settled    bool              // guarded by mu; reply has been passed on, and does not change any more
+	unused     []string          // guarded by mu; memory that the engine named after reply, to be released
+	open       int               // guarded by mu; calls without an outcome yet
+	calls      int               // guarded by mu; calls made
 	finished   bool              // guarded by mu; the engine need not be asked again
 }
 
@@ -86,7 +80,7 @@
 		return s
 	}
 	s := &engineStop{r: r, engine: engine, other: other, reason: reason, unanswered: r.unstopped[engine.Key()] != nil, awaited: awaited,
-		reply: edge.MoveReply{Result: edge.MoveUnknown}, quit: make(chan struct{}), done: make(chan struct{}), changed: make(chan struct{}, 1)}
+		reply: edge.MoveReply{Result: edge.MoveUnknown}, started: bootclock.Now(), quit: make(chan struct{}), done: make(chan struct{}), changed: make(chan struct{}, 1)}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	if r.stops == nil {
 		r.stops = make(map[string]*engineStop)
@@ -98,8 +92,8 @@
 }
 
 // await waits until the engine has stopped the run, and returns its answer. It returns false if
-// the engine cannot be reached or does not answer any more, or if ctx or patience ends; the engine
-// is asked on meanwhile. One that answers is at work: the run must not go on elsewhere.
+// the engine cannot be reached or sends nothing any more, or if ctx or patience ends; the engine
+// is asked on meanwhile. One that sends anything is at work: the run must not go on elsewhere.
 func (s *engineStop) await(ctx context.Context, patience time.Duration) (edge.MoveReply, bool) {
 	started := bootclock.Now()
 	ctx, cancel := context.WithTimeout(ctx, max(patience, stopTimeout))
@@ -107,15 +101,9 @@
 	check := time.NewTicker(stopCheckInterval)
 	defer check.Stop()
 	for {
-		s.mu.Lock()
-		silent := s.answeredAt == 0 && bootclock.Since(started) >= stopTimeout || s.answeredAt != 0 && bootclock.Since(s.answeredAt) >= stopAnswerValidity
-		reply, stopped := s.reply, s.stopped
-		s.awaited = stopped || ctx.Err() == nil && !s.unreached && !silent
-		awaited := s.awaited
-		s.mu.Unlock()
-		if stopped || !awaited {
-			s.r.Log().Info("stream: waited for an engine to stop the run", "target", s.engine.ID, "reason", s.reason, "stopped", stopped,
-				"answers", s.engineAnswers(), "heard_ms_ago", s.sinceHeard().Milliseconds(), "waited_ms", bootclock.Since(started).Milliseconds())
+		reply, stopped, waits := s.progress(ctx, started)
+		if !waits {
+			s.logWait(started, stopped)
 			return reply, stopped
 		}
 		select {
@@ -130,79 +118,52 @@
 	}
 }
 
-// engineAnswers reports whether the engine has answered lately without having stopped the run.
-func (s *engineStop) engineAnswers() bool {
+// progress returns the engine's answer and whether the run has stopped, as far as a wait since started
+// has shown, and whether the wait goes on.
+func (s *engineStop) progress(ctx context.Context, started bootclock.Instant) (reply edge.MoveReply, stopped, waits bool) {
+	heard := s.heardLately(started)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.stopped && !s.unreached && s.answeredAt != 0 && bootclock.Since(s.answeredAt) < stopAnswerValidity
+	waited := bootclock.Since(started)
+	if s.stopped {
+		// A call that waits for an answer may have stopped the run and be copying its memory.
+		if s.reply.Result == edge.MoveNoRun && s.open > 0 && waited < stopTimeout && ctx.Err() == nil {
+			return s.reply, false, true
+		}
+		s.awaited, s.settled = true, true
+		return s.reply, true, false
+	}
+	silent := s.answeredAt == 0 && waited >= stopTimeout || s.answeredAt != 0 && bootclock.Since(s.answeredAt) >= stopAnswerValidity
+	s.awaited = ctx.Err() == nil && (heard || !s.unreached && !silent)
+	return s.reply, false, s.awaited
 }
 
-// sinceHeard returns the time since the engine sent anything to this host, for any request.
-func (s *engineStop) sinceHeard() time.Duration {
-	return s.r.server.Sender.Pool.Contact(s.engine.Key()).SinceHeard
+// logWait logs the end of a wait and the evidence that it is based on.
+func (s *engineStop) logWait(started bootclock.Instant, stopped bool) {
+	s.mu.Lock()
+	calls, open := s.calls, s.open
+	s.mu.Unlock()
+	s.r.Log().Info("stream: waited for an engine to stop the run", "target", s.engine.ID, "reason", s.reason, "stopped", stopped,
+		"at_work", s.engineAtWork(), "heard_ms_ago", s.contact().SinceHeard.Milliseconds(), "calls", calls, "open_calls", open,
+		"waited_ms", bootclock.Since(started).Milliseconds())
 }
 
-// run asks the engine until the run does not execute there any more.
-func (s *engineStop) run() {
-	defer s.end()
-	r, started := s.r, bootclock.Now()
-	deadline := started.Add(max(stopCallTimeout, r.call.TimeLeft()))
-	timeout, interval, recheck := stopTimeout, stopRetryInterval, s.unanswered
-	for calls := 1; ; calls++ {
-		if s.replaced() {
-			reply := edge.MoveReply{Result: edge.MoveNoRun}
-			s.observe(reply)
-			s.finish(reply, true, calls-1, started)
-			return
-		}
-		ctx, cancel := context.WithTimeout(s.ctx, timeout)
-		calledAt := bootclock.Now()
-		reply := r.server.Engines.Move(ctx, s.engine, r.ID(), s.other, true)
-		cancel()
-		s.observe(reply)
-		stopped := hasStopped(reply)
-		ended := !stopped && didNotReach(reply) && !r.server.Targets.View().Listed(s.engine.Key())
-		again := stopped && reply.Result == edge.MoveNoRun && recheck
-		if stopped && !again || ended || bootclock.Now() > deadline {
-			s.finish(reply, ended, calls, started)
-			return
-		}
-		switch {
-		case again:
-			interval, recheck = lateStart, false
-		case didNotReach(reply):
-			interval = min(2*interval, maxStopInterval)
-		case bootclock.Since(calledAt) >= stopTimeout:
-			interval = stopRetryInterval // the call took the time
-		case bootclock.Since(started) > stopBackoffAfter && reply.Answered():
-			interval = min(2*interval, maxAnsweredInterval)
-		case bootclock.Since(started) > stopBackoffAfter:
-			interval = min(2*interval, maxStopInterval)
-		default:
-			interval = stopRetryInterval
-		}
-		if !s.pause(interval) {
-			return
-		}
-		timeout = stopCallTimeout
-	}
+// contact returns how long ago this host reached and heard the engine by any request.
+func (s *engineStop) contact() targetconn.Contact {
+	return s.r.server.Sender.Pool.Contact(s.engine.Key())
 }
 
-// pause waits between two calls and reports whether there is to be another one.
-func (s *engineStop) pause(interval time.Duration) bool {
-	timer := time.NewTimer(interval)
-	defer timer.Stop()
-	select {
-	case <-s.quit:
-		return false
-	case <-timer.C:
-		select {
-		case <-s.quit:
-			return false
-		default:
-			return true
-		}
-	}
+// heardLately reports whether the engine has sent anything within stopTimeout, and after since.
+func (s *engineStop) heardLately(since bootclock.Instant) bool {
+	return s.contact().SinceHeard < min(stopTimeout, bootclock.Since(since)-contactMargin)
+}
+
+// engineAtWork reports whether the engine has sent anything lately and has not stopped the run.
+func (s *engineStop) engineAtWork() bool {
+	heard := s.heardLately(s.started)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.stopped && (heard || !s.unreached && s.answeredAt != 0 && bootclock.Since(s.answeredAt) < stopAnswerValidity)
 }
 
 // replaced reports whether a later incarnation, of this engine or of another target, has its address.
@@ -217,13 +178,16 @@
 	return !view.Listed(s.engine.Key()) && view.TakenOver(s.engine.Address, s.engine.Key())
 }
 
-// observe records the answer to a call.
+// observe records the outcome of a call.
 func (s *engineStop) observe(reply edge.MoveReply) {
 	s.mu.Lock()
 	s.unreached = didNotReach(reply)
 	switch {
+	case s.stopped && s.reply.Result == edge.MoveNoRun && !s.settled && stoppedAtSource(reply):
+		s.reply = reply // an earlier call has stopped the run
+	case s.stopped && reply.Handle != "":
+		s.unused = append(s.unused, reply.Handle)
 	case s.stopped:
-		s.lateHandle = reply.Handle
 	case hasStopped(reply):
 		s.stopped, s.reply = true, reply
 	case reply.Answered():
@@ -237,12 +201,13 @@
 }
 
 // finish records and logs that the engine need not be asked again.
-func (s *engineStop) finish(reply edge.MoveReply, ended bool, calls int, started bootclock.Instant) {
+func (s *engineStop) finish(reply edge.MoveReply, ended bool) {
 	s.mu.Lock()
 	s.finished = true
+	calls := s.calls
 	s.mu.Unlock()
 	s.r.Log().Info("stream: asked an engine to stop the run", "target", s.engine.ID, "reason", s.reason, "result", reply.Result.String(),
-		"stopped", hasStopped(reply), "engine_gone", ended, "calls", calls, "took_ms", bootclock.Since(started).Milliseconds(), "error", reply.ErrorText())
+		"stopped", hasStopped(reply), "engine_gone", ended, "calls", calls, "took_ms", bootclock.Since(s.started).Milliseconds(), "error", reply.ErrorText())
 }
 
 // end releases the memory that nobody continues from.
@@ -255,14 +220,14 @@
 	s.cancel()
 	close(s.done)
 	s.mu.Lock()
-	awaited, handle, late := s.awaited, s.reply.Handle, s.lateHandle
+	unused := s.unused
+	if !s.awaited && s.reply.Handle != "" {
+		unused = append(unused, s.reply.Handle)
+	}
 	s.mu.Unlock()
-	if !awaited && handle != "" {
+	for _, handle := range unused {
 		s.release(handle)
 	}
-	if late != "" {
-		s.release(late)
-	}
 }
 
 // release frees memory that the engine keeps, once the run does not look for an engine to continue
@@ -381,13 +346,13 @@
 	return !s.stopped
 }
 
-// anyEngineAnswers reports whether an engine that the run has left, or that may have begun it, has
-// answered lately without having stopped it.
-func (r *Run) anyEngineAnswers() bool {
+// anyEngineAtWork reports whether an engine that the run has left, or that may have begun it, has
+// sent anything lately and has not stopped it.
+func (r *Run) anyEngineAtWork() bool {
 	r.mu.Lock()
 	stops := slices.Collect(maps.Values(r.stops))
 	r.mu.Unlock()
-	return slices.ContainsFunc(stops, (*engineStop).engineAnswers)
+	return slices.ContainsFunc(stops, (*engineStop).engineAtWork)
 }
 
 // mayHaveBegun reports whether an engine may execute a request that was not answered.
--- a/internal/edge/targetconn/contact.go
+++ b/internal/edge/targetconn/contact.go
@@ -21,8 +21,8 @@
 // concurrent use.
 type contact struct {
 	createdAt time.Duration // since clockStart
-	opened atomic.Int64 // when a connection to it was opened, since clockStart; 0 if none was
-	heard  atomic.Int64 // when it sent something, since clockStart; 0 if it has not
+	opened    atomic.Int64  // when a connection to it was opened, since clockStart; 0 if none was
+	heard     atomic.Int64  // when it sent something, since clockStart; 0 if it has not
 }
 
 // noteOpened records that a connection was opened. The kernel of a frozen process does that as well.
--- a/tests/edge/stopped_engine_test.go
+++ b/tests/edge/stopped_engine_test.go
@@ -194,6 +194,22 @@
 	}
 }
 
+// Guards against a run at two engines while the first one, which is at work, leaves single calls to stop it unanswered.
+func TestStreamBreaksOffWhileItsEngineLeavesStopsUnanswered(t *testing.T) {
+	t.Parallel()
+	for _, n := range []int{1, 2, 3} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			t.Parallel()
+			w := startReplicatedRun(t)
+			w.source.IgnoreFinalMoves(n)
+			w.loseStream()
+			w.requireWhole()
+			w.requireOneEngine()
+			assert.LessOrEqual(t, len(finalMoves(w.source)), n+2)
+		})
+	}
+}
+
 // The resumable run has no replica and starts again from its prompt.
 func TestResumableStreamBreaksOffWhileItsEngineRejectsStops(t *testing.T) {
 	t.Parallel()
