edge: one state for a run's replica, with the legal transitions in one table

Cause: a failed final copy left its marks on the replica: stopping stayed set and done was closed, with the outcome of that try. A notice that was withdrawn and came back made the Mover move the run a second time, and EndFinalCopy closed the channel again. The same marks kept such a run from taking over from a silent engine and its replica from being discarded, hid that an interruption had ended, and were read as the outcome of today when the stream broke later. The Mover also took a failed final copy for settled, and nobody kept the replica from then on.

The replica is now kept, moving, unconfirmed, moved or taken, and one table says which changes are legal. Each try has an outcome and a channel of its own, closed by the change of state. After a failed one the run is moved again while the notice lasts, and its replica is kept; an event or a copy confirms that its engine executes it.

--- a/internal/edge/migration/mover.go
+++ b/internal/edge/migration/mover.go
@@ -48,6 +48,7 @@
 	destinationLeaves = "destination_leaves" // or its failure domain is evacuated
 	destinationPauses = "destination_pauses" // it wants a pause; the run has a replica there
 	onlyReplicated    = "secured"            // no final copy; the run continues from its replica when the source exits
+	finalCopyFailed   = "final_copy_failed"  // the run stays at the source, or it is not known that it has stopped
 )
 
 // Mover moves the runs of this host off leaving engines.
@@ -71,7 +72,7 @@
 
 // Evacuate moves runs, one after the other, off an engine that gave its leaving notice at
 // noticedAt. Runs that are expected to end before the engine exits stay, and are looked at
-// again until it does: an estimate may be too low. So are runs that another engine may take
+// again until it does: an estimate may be too low. So are runs whose final copy failed, runs that another engine may take
 // over because the source is silent, and those whose destinations want a pause. Runs that only
 // have a replica keep it until the engine exits, which may be much later than assumed. It returns
 // when all others have been tried or have ended, or when the engine is about to exit, and no run
@@ -99,8 +100,8 @@
 		for _, i := range order {
 			outcome := m.move(ctx, source, noticedAt, domainPenalty, runs[i])
 			hasReplica := runs[i].Replica() != nil
-			settled[runs[i]] = outcome != runElsewhere && outcome != destinationPauses && (outcome != onlyReplicated || hasReplica)
-			if hasReplica && (outcome == onlyReplicated || outcome == tooLate || outcome == destinationPauses) && !slices.Contains(secured, runs[i]) {
+			settled[runs[i]] = isSettled(outcome, hasReplica)
+			if hasReplica && needsReplica(outcome) && !slices.Contains(secured, runs[i]) {
 				secured = append(secured, runs[i])
 			}
 		}
@@ -119,6 +120,26 @@
 	}
 }
 
+// isSettled reports whether a run need not be moved again after an outcome.
+func isSettled(outcome string, hasReplica bool) bool {
+	switch outcome {
+	case runElsewhere, destinationPauses, finalCopyFailed:
+		return false
+	case onlyReplicated:
+		return hasReplica
+	}
+	return true
+}
+
+// needsReplica reports whether a run with a replica that stays at its engine after an outcome continues from that.
+func needsReplica(outcome string) bool {
+	switch outcome {
+	case onlyReplicated, tooLate, destinationPauses, finalCopyFailed:
+		return true
+	}
+	return false
+}
+
 // takesRuns reports whether a run may continue from its replica at an engine.
 func (m *Mover) takesRuns(dest *targets.Target) bool {
 	return !m.IsLeaving(dest.Key()) && !m.IsEvacuated(dest.Key())
@@ -289,7 +310,7 @@
 	if m.WantsPause(dest.Key()) {
 		return destinationPauses
 	}
-	idle := m.mayStop(noticedAt, r) && m.awaitIdleLink(ctx, source, dest, r)
+	idle := m.mayStop(noticedAt, r) && m.awaitIdleLink(ctx, replica, r)
 	if m.IsEvacuated(dest.Key()) {
 		return destinationLeaves
 	}
@@ -313,6 +334,9 @@
 	r.Log().Info("migration: final copy", "result", final.Result.String(), "source", source.ID, "dest", dest.ID,
 		"took_ms", bootclock.Since(started).Milliseconds(), "events", final.Events, "remaining_tokens", remaining,
 		"error", final.ErrorText())
+	if !r.HasMoved() {
+		return finalCopyFailed
+	}
 	return "final_" + final.Result.String()
 }
 
@@ -326,7 +350,8 @@
 // links: a final copy that waits behind another would stall the stream. It returns
 // false if the run cannot be copied any more. If the engine exits first, the run
 // continues from its replica, which pauses the stream for less time than such a wait.
-func (m *Mover) awaitIdleLink(ctx context.Context, source, dest *targets.Target, r *streaming.Run) bool {
+func (m *Mover) awaitIdleLink(ctx context.Context, replica *streaming.Replica, r *streaming.Run) bool {
+	source, dest := replica.Source, replica.Dest
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
 	for {
@@ -336,6 +361,7 @@
 			m.logFailedCopy(r, source, dest, "next", reply)
 			return false
 		}
+		r.NoteCopied(replica)
 		if bootclock.Since(started) < maxIdleCopyTime {
 			return true
 		}
--- a/internal/edge/migration/replicator.go
+++ b/internal/edge/migration/replicator.go
@@ -189,7 +189,7 @@
 	defer cancel()
 	reply := engines.Move(ctx, replica.Source, run.ID(), replica.Dest, false)
 	if reply.Result == edge.MoveCopied {
-		replica.CopiedAt = bootclock.Now()
+		run.NoteCopied(replica)
 	}
 	return reply
 }
--- a/internal/edge/streaming/evacuation_test.go
+++ b/internal/edge/streaming/evacuation_test.go
@@ -51,7 +51,7 @@
 	s.Engines, s.Runs = releasingOnly{}, NewRuns(func(*Run, string) {})
 	source, dest := &targets.Target{ID: "source"}, s.Targets.View().Get("e@0")
 	s.Inflight.Add(dest.Key(), inflight.Load{Runs: 1})
-	r.replica = &Replica{Source: source, Dest: dest, Reserved: inflight.Load{Runs: 1}, done: make(chan struct{})}
+	r.replica = &Replica{Source: source, Dest: dest, Reserved: inflight.Load{Runs: 1}}
 	holder.Replace([]string{"d"}, 2, true, "test")
 	next, reason := r.nextSegment(t.Context(), &segment{target: source}, io.ErrUnexpectedEOF)
 	require.Nil(t, next)
--- a/internal/edge/streaming/finalcopy_test.go
+++ b/internal/edge/streaming/finalcopy_test.go
@@ -43,7 +43,7 @@
 		t.Run(name, func(t *testing.T) {
 			segment := &segment{target: source, response: &targetconn.Response{Delimited: complete}}
 			r.enterTarget(segment)
-			replica := &Replica{Source: source, Dest: dest, Handle: "h", CopiedAt: bootclock.Now(), done: make(chan struct{})}
+			replica := &Replica{Source: source, Dest: dest, Handle: "h", CopiedAt: bootclock.Now()}
 			require.True(t, r.setReplica(replica, nil))
 			require.True(t, r.BeginFinalCopy(replica))
 			r.EndFinalCopy(replica, edge.MoveReply{Result: edge.MoveUnknown}, time.Millisecond)
@@ -55,6 +55,13 @@
 	require.Equal(t, inflight.Load{}, s.Inflight.TotalLoad(dest.Key()))
 }
 
+// endedFinalCopy returns a final copy with an outcome.
+func endedFinalCopy(reply edge.MoveReply) *finalCopy {
+	done := make(chan struct{})
+	close(done)
+	return &finalCopy{reply: reply, ended: true, done: done}
+}
+
 func TestCompletedStreamIsContinuedBecauseOfItsFinalCopy(t *testing.T) {
 	for name, reply := range map[string]edge.MoveReply{
 		"copied":            {Result: edge.MoveCopied, Handle: "h-2"},
@@ -68,8 +75,7 @@
 			s, r := placingServer(draining.New(placingDrain), silentObserver{}, func() bool { return true })
 			s.Engines = releasingClient{}
 			s.Sender = &edge.Sender{Wire: plainWire{}, Pool: targetconn.New(func(http.Header) string { return "" }, closedGate{}, func(string) float64 { return 0 })}
-			replica := &Replica{Source: &targets.Target{ID: "s"}, Dest: &targets.Target{ID: "d"}, Handle: "h", done: make(chan struct{}), finalCopy: reply}
-			close(replica.done)
+			replica := &Replica{Source: &targets.Target{ID: "s"}, Dest: &targets.Target{ID: "d"}, Handle: "h", final: endedFinalCopy(reply)}
 			ended := &segment{target: replica.Source, response: &targetconn.Response{Delimited: true}}
 			next, reason := r.continueAfterStop(t.Context(), ended, replica, io.EOF)
 			require.Nil(t, next)
--- a/internal/edge/streaming/forward.go
+++ b/internal/edge/streaming/forward.go
@@ -129,8 +129,9 @@
 func (r *Run) nextSegment(ctx context.Context, ended *segment, err error) (*segment, string) {
 	r.leaveTarget()
 	replica, stopping := r.takeReplica()
+	complete := err == io.EOF && (ended.response.Delimited || !r.mayHaveBeenStopped())
 	switch {
-	case replica == nil && err == io.EOF:
+	case replica == nil && complete:
 		return nil, completed
 	case replica == nil:
 		return nil, brokenOff
@@ -139,7 +140,7 @@
 		return nil, brokenOff
 	case stopping:
 		return r.continueAfterStop(ctx, ended, replica, err)
-	case err == io.EOF:
+	case complete:
 		r.releaseReplica(replica)
 		return nil, completed
 	case r.server.Targets.View().Evacuated(replica.Dest.Key()):
@@ -181,8 +182,8 @@
 	defer timer.Stop()
 	reply := edge.MoveReply{Result: edge.MoveUnknown}
 	select {
-	case <-replica.done:
-		reply = replica.finalCopy
+	case <-replica.final.done:
+		reply = replica.final.reply
 	case <-timer.C:
 	case <-ctx.Done():
 		r.releaseReplica(replica)
--- a/internal/edge/streaming/interruption.go
+++ b/internal/edge/streaming/interruption.go
@@ -44,12 +44,6 @@
 	r.mu.Unlock()
 }
 
-func (r *Run) endInterruption() {
-	r.mu.Lock()
-	r.interruption = interruption{}
-	r.mu.Unlock()
-}
-
 // logBrokenOff logs that the run's stream ends early, and whether an engine worked on it.
 func (r *Run) logBrokenOff(reason, target, errText string) {
 	r.mu.Lock()
--- a/internal/edge/streaming/interruption_test.go
+++ b/internal/edge/streaming/interruption_test.go
@@ -39,7 +39,7 @@
 			r := &Run{server: server, call: &edge.AuthorizedCall{Call: &edge.Call{}, Route: &policy.Route{}, Log: slog.New(slog.NewTextHandler(&log, nil))}}
 			r.enterTarget(&segment{target: &targets.Target{ID: "s"}})
 			if c.final != nil {
-				replica := &Replica{Source: r.target, Dest: &targets.Target{ID: "d"}, done: make(chan struct{})}
+				replica := &Replica{Source: r.target, Dest: &targets.Target{ID: "d"}}
 				require.True(t, r.setReplica(replica, nil))
 				require.True(t, r.BeginFinalCopy(replica))
 				r.EndFinalCopy(replica, *c.final, time.Minute)
--- a/internal/edge/streaming/replica.go
+++ b/internal/edge/streaming/replica.go
@@ -27,9 +27,8 @@
 	// CopiedAt is when the memory was last copied; guarded by the run's CopyLock.
 	CopiedAt bootclock.Instant
 
-	stopping  bool           // guarded by the run's mu; a final copy has been requested
-	finalCopy edge.MoveReply // outcome of the final copy; set before done is closed
-	done      chan struct{}
+	state replicaState // guarded by the run's mu
+	final *finalCopy   // guarded by the run's mu; the last attempt, nil if there was none
 }
 
 // Replicate copies the run's memory to dest while the run continues, and records the
@@ -44,7 +43,7 @@
 		r.server.Inflight.Remove(dest.Key(), reserved)
 		return nil, reply
 	}
-	replica := &Replica{Source: source, Dest: dest, Handle: reply.Handle, Reserved: reserved, CopiedAt: bootclock.Now(), done: make(chan struct{})}
+	replica := &Replica{Source: source, Dest: dest, Handle: reply.Handle, Reserved: reserved, CopiedAt: bootclock.Now()}
 	if !r.setReplica(replica, old) {
 		r.releaseReplica(replica)
 		return nil, reply
@@ -93,9 +92,12 @@
 func (r *Run) setReplica(replica, old *Replica) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.replica != old || old != nil && old.stopping || r.takeover != nil || r.target == nil || r.target.Key() != replica.Source.Key() {
+	if r.replica != old || old != nil && !old.state.canBeReplaced() || r.takeover != nil || r.target == nil || r.target.Key() != replica.Source.Key() {
 		return false
 	}
+	if old != nil {
+		old.state.enter(replicaTaken)
+	}
 	r.replica = replica
 	return true
 }
@@ -119,11 +121,11 @@
 }
 
 // DiscardReplica releases a replica that is not needed any more. It returns false if
-// the run has ended, already continues from the replica or is being stopped for its
+// the run has ended, already continues from the replica or may have been stopped by a
 // final copy.
 func (r *Run) DiscardReplica(replica *Replica) bool {
 	r.mu.Lock()
-	current := r.replica == replica && !replica.stopping
+	current := r.replica == replica && replica.state == replicaKept && replica.state.enter(replicaTaken)
 	if current {
 		r.replica = nil
 	}
@@ -134,47 +136,95 @@
 	return current
 }
 
-// BeginFinalCopy announces that the final copy is about to stop the run, so that
+// BeginFinalCopy announces that a final copy is about to stop the run, so that
 // the end of its stream is not mistaken for its completion. It returns false if the
-// run has ended or already continues from the replica, or if this process drains: it could
+// run has ended, already continues from the replica or has been stopped, or if this process drains: it could
 // end before the run goes on, and then no engine would be at work when it cuts the stream.
 func (r *Run) BeginFinalCopy(replica *Replica) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.replica != replica || r.ProcessDrains() {
+	if r.replica != replica || r.ProcessDrains() || !replica.state.enter(replicaMoving) {
 		return false
 	}
-	replica.stopping = true
+	replica.final = &finalCopy{done: make(chan struct{})}
 	r.interruption.begin(interruptedByFinalCopy)
 	return true
 }
 
-// EndFinalCopy passes on the outcome of the final copy to the goroutine that reads
-// the stream, which continues the run. If the source has not closed the stream
-// within closeAfter, the stream is canceled.
+// EndFinalCopy passes on the outcome of the final copy that BeginFinalCopy has announced to the goroutine that
+// reads the stream. That continues the run once the stream ends. If the source has stopped the run and not closed the
+// stream within closeAfter, the stream is canceled. Otherwise the replica may be copied, replaced and moved again.
 func (r *Run) EndFinalCopy(replica *Replica, reply edge.MoveReply, closeAfter time.Duration) {
-	replica.finalCopy = reply
-	if reply.Answered() && !hasStopped(reply) {
-		r.endInterruption() // the engine has not stopped the run
+	r.mu.Lock()
+	final := replica.final
+	if final == nil || final.ended {
+		r.mu.Unlock()
+		r.Log().Error("stream: outcome of a final copy that is not in flight was dropped", "result", reply.Result.String(), "source", replica.Source.ID)
+		return
+	}
+	final.ended, final.reply = true, reply
+	replica.state.enter(stateAfter(reply)) // not if the stream has ended, and the replica was taken
+	if replica.state == replicaKept {
+		r.interruption = interruption{} // the engine has not stopped the run
 	}
-	close(replica.done)
+	r.stopUnconfirmed = r.stopUnconfirmed || reply.Result == edge.MoveUnknown || reply.Result == edge.MoveRejected
+	close(final.done)
+	r.mu.Unlock()
 	if stoppedAtSource(reply) {
 		time.AfterFunc(closeAfter, func() { r.cancelSegment(replica) })
 	}
 }
 
+// confirmAtSource notes that an engine has executed the run after the outcome of the last final copy was known.
+// Callers hold mu.
+func (r *Run) confirmAtSource() {
+	if r.replica != nil && r.replica.state == replicaUnconfirmed && r.replica.state.enter(replicaKept) {
+		r.interruption = interruption{}
+	}
+}
+
+// mayHaveBeenStopped reports whether a final copy without a certain outcome may have ended the stream from the current
+// engine.
+func (r *Run) mayHaveBeenStopped() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stopUnconfirmed
+}
+
+// NoteCopied records that the run's memory was copied to its replica again. Callers hold CopyLock.
+func (r *Run) NoteCopied(replica *Replica) {
+	replica.CopiedAt = bootclock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.replica == replica {
+		r.confirmAtSource()
+	}
+}
+
+// HasMoved reports whether a final copy has stopped the run at its engine, or the run has left it.
+func (r *Run) HasMoved() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.target == nil || r.replica == nil || r.replica.state == replicaMoved
+}
+
 // stoppedAtSource reports whether the run no longer executes at the source.
 func stoppedAtSource(reply edge.MoveReply) bool {
 	return reply.Result == edge.MoveCopied || (reply.Result == edge.MoveNoRoom && reply.Handle != "")
 }
 
-// takeReplica removes the replica from the run, so that it is used only once.
+// takeReplica removes the replica from the run, so that it is used only once. stopping reports whether a final copy
+// may have ended the stream.
 func (r *Run) takeReplica() (replica *Replica, stopping bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	replica = r.replica
-	r.replica = nil
-	return replica, replica != nil && replica.stopping
+	if replica == nil {
+		return nil, false
+	}
+	r.replica, stopping = nil, replica.state.awaitsStop()
+	replica.state.enter(replicaTaken)
+	return replica, stopping
 }
 
 // releaseReplica frees a replica from which no run will continue; until then it
@@ -189,10 +239,10 @@
 func (r *Run) releaseAfterFinalCopy(replica *Replica) {
 	r.server.Inflight.Remove(replica.Dest.Key(), replica.Reserved)
 	go func() {
-		<-replica.done
+		<-replica.final.done
 		handle := replica.Handle
-		if stoppedAtSource(replica.finalCopy) {
-			handle = replica.finalCopy.Handle
+		if stoppedAtSource(replica.final.reply) {
+			handle = replica.final.reply.Handle
 		}
 		r.releaseCopy(replica.Source, handle)
 	}()
--- a/internal/edge/streaming/run.go
+++ b/internal/edge/streaming/run.go
@@ -54,8 +54,11 @@
 	countedLoad  inflight.Load   // guarded by mu; load counted for target
 	interruption interruption    // guarded by mu
 	replica      *Replica        // guarded by mu; copied from the current target
-	copying      chan struct{}   // guarded by mu; closed at the end of the copy in progress, nil if there is none
-	takeover     *takeover       // guarded by mu; from its begin until the reading goroutine has used it or it has failed
+	// stopUnconfirmed means that a final copy may have stopped the run at the current target, or may do so yet;
+	// guarded by mu.
+	stopUnconfirmed bool
+	copying         chan struct{} // guarded by mu; closed at the end of the copy in progress, nil if there is none
+	takeover        *takeover     // guarded by mu; from its begin until the reading goroutine has used it or it has failed
 	// stops are the stops of the run in progress, by the engine's incarnation; guarded by mu.
 	stops map[string]*engineStop
 	// unstopped holds the engines that may execute the run though it does not continue there, by
@@ -139,7 +142,7 @@
 // enterTarget records the target that now executes the run.
 func (r *Run) enterTarget(s *segment) {
 	r.mu.Lock()
-	r.target, r.segment, r.countedLoad, r.interruption = s.target, s, s.load, interruption{}
+	r.target, r.segment, r.countedLoad, r.interruption, r.stopUnconfirmed = s.target, s, s.load, interruption{}, false
 	r.mu.Unlock()
 	if r.lastEventAt.Load() != 0 {
 		r.lastEventAt.Store(int64(bootclock.Now())) // the previous engine's silence does not count against this one
@@ -191,6 +194,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.takeover.cancelUncommitted()
+	r.confirmAtSource()
 	before := r.events / reestimateEvents
 	first := r.countedLoad.Unread > 0
 	r.events += events
--- a/internal/edge/streaming/stop_test.go
+++ b/internal/edge/streaming/stop_test.go
@@ -128,7 +128,7 @@
 	s.Targets.Apply([]targets.Change{{Name: source.ID, Target: source}, {Name: dest.ID, Target: dest}}, 2)
 	ended := &segment{target: source, response: &targetconn.Response{}}
 	r.enterTarget(ended)
-	replica := &Replica{Source: source, Dest: dest, Handle: "h", CopiedAt: bootclock.Now(), done: make(chan struct{})}
+	replica := &Replica{Source: source, Dest: dest, Handle: "h", CopiedAt: bootclock.Now()}
 	s.Inflight.Add(dest.Key(), inflight.Load{Runs: 1})
 	replica.Reserved = inflight.Load{Runs: 1}
 	require.True(t, r.setReplica(replica, nil))
--- a/internal/edge/streaming/takeover.go
+++ b/internal/edge/streaming/takeover.go
@@ -44,9 +44,12 @@
 	if r.segment == nil || r.takeover != nil || bootclock.Now() < r.nextTakeover {
 		return
 	}
-	if replica == nil && !r.MayRestart() || replica != nil && replica.stopping {
+	if replica == nil && !r.MayRestart() || replica != nil && !replica.state.canBeReplaced() {
 		return
 	}
+	if replica != nil {
+		replica.state.enter(replicaTaken)
+	}
 	t := &takeover{source: r.segment, replica: replica, done: make(chan struct{})}
 	t.ctx, t.cancel = context.WithCancel(r.ctx)
 	r.takeover, r.replica = t, nil
--- a/internal/edge/streaming/takeover_test.go
+++ b/internal/edge/streaming/takeover_test.go
@@ -151,7 +151,7 @@
 
 func TestTakeoverBeginsAtWrongTime(t *testing.T) {
 	for name, prepare := range map[string]func(*Run){
-		"final copy in progress": func(r *Run) { r.replica.stopping = true },
+		"final copy in progress": func(r *Run) { r.replica.state = replicaMoving },
 		"right after another":    func(r *Run) { r.nextTakeover = bootclock.Now().Add(time.Second) },
 		"stream has ended":       func(r *Run) { r.segment = nil },
 		"nothing to go on from":  func(r *Run) { r.replica = nil },
@@ -230,9 +230,7 @@
 	defer engine.Close()
 	s.Sender = &edge.Sender{Wire: acceptingWire{}, Pool: targetconn.New(func(http.Header) string { return "" }, openGate{}, func(string) float64 { return 0 })}
 	dest := &targets.Target{ID: "d", Address: strings.TrimPrefix(engine.URL, "http://")}
-	replica := &Replica{Source: &targets.Target{ID: "s"}, Dest: dest, done: make(chan struct{})}
-	replica.finalCopy = edge.MoveReply{Result: edge.MoveUnknown}
-	close(replica.done)
+	replica := &Replica{Source: &targets.Target{ID: "s"}, Dest: dest, final: endedFinalCopy(edge.MoveReply{Result: edge.MoveUnknown})}
 	ended := &segment{target: replica.Source, response: &targetconn.Response{Delimited: true}}
 	next, reason := r.continueAfterStop(t.Context(), ended, replica, io.EOF)
 	require.Nil(t, next)
