--- a/internal/edge/migration/replicator.go
+++ b/internal/edge/migration/replicator.go
@@ -166,7 +166,7 @@
 	defer cancel()
 	_, reply := run.Replicate(ctx, source, dest, load, nil)
 	r.Observe(reply.Result.String())
-	run.Log().Info("backup: replication finished", "result", reply.Result.String(), "source", source.ID, "dest", dest.ID, "held_tokens", held, "error", reply.ErrorText())
+	run.Log().Info("backup: replication finished", "result", reply.Result.String(), "source", source.ID, "dest", dest.ID, "copy", reply.Handle, "held_tokens", held, "error", reply.ErrorText())
 	return true
 }
 
