edge: a copy of a run is asked for on a connection that answered no other change

Cause: an engine may write an answer once more at the point where the next is expected, and control calls have no ID that tells it from theirs. Final copies had connections of their own for that reason; other copies had not, and took the handle of the run before for their own.

A copy now goes out on a connection that has answered nothing but questions and conflicts: the answer to a question names no copy.

--- a/internal/edge/forwarding/server_test.go
+++ b/internal/edge/forwarding/server_test.go
@@ -301,7 +301,8 @@
 		"final moves of unknown runs":  {targetnotice.Control, http.MethodPost, "", http.StatusNotFound, requests},
 		"final moves without room":     {targetnotice.Control, http.MethodPost, "", http.StatusServiceUnavailable, requests},
 		"final moves, asked once more": {targetnotice.Control, http.MethodPost, "", http.StatusConflict, 1},
-		"other copies":                 {targetnotice.Control, http.MethodPost, "b@1", http.StatusOK, 1},
+		"other copies":                 {targetnotice.Control, http.MethodPost, "b@1", http.StatusOK, requests},
+		"other copies, asked again":    {targetnotice.Control, http.MethodPost, "b@1", http.StatusConflict, 1},
 		"releases":                     {targetnotice.Control, http.MethodDelete, "", http.StatusOK, 1},
 		"reports":                      {targetnotice.Probe, http.MethodGet, "", http.StatusOK, 1},
 	} {
--- a/internal/edge/targetconn/conn.go
+++ b/internal/edge/targetconn/conn.go
@@ -32,6 +32,7 @@
 	usedAt   bootclock.Instant // 0 before the first use
 	served   bool              // the target has answered a request
 	done     bool              // one of the answers was not that the request conflicts with what the target does
+	changed  bool              // so, and not the success of a question either
 	// failed are the hashes of the IDs of requests that were answered with a failure, which the target may write
 	// again. Callers choose the IDs, which may have 16 KB.
 	failed      []uint64
@@ -76,13 +77,15 @@
 }
 
 // noteAnswer records the answer to a request. It reports whether the connection may serve another one.
-func (c *Conn) noteAnswer(requestID, statedID string, status int) bool {
+func (c *Conn) noteAnswer(req *Request, statedID string, status int) bool {
+	isQuestion := req.Method == http.MethodGet && status == http.StatusOK
 	c.served, c.done = true, c.done || status != http.StatusConflict
-	if requestID == "" {
+	c.changed = c.changed || status != http.StatusConflict && !isQuestion
+	if req.ID == "" {
 		return true
 	}
 	if status >= http.StatusBadRequest {
-		c.failed = append(c.failed, xxhash.Sum64String(requestID))
+		c.failed = append(c.failed, xxhash.Sum64String(req.ID))
 	}
 	return statedID != "" && len(c.failed) < maxFailedIDs
 }
--- a/internal/edge/targetconn/pool.go
+++ b/internal/edge/targetconn/pool.go
@@ -187,7 +187,7 @@
 	r := p.newResponse(conn, req, head)
 	r.detach, r.upload, r.direct, r.Helper, r.contact = detach, upload, direct, helper, contact
 	r.reusable = !head.Close && !(leaving && direct && isCallersRequest(req)) &&
-		(!direct || conn.noteAnswer(req.ID, p.requestID(head.Header), head.StatusCode))
+		(!direct || conn.noteAnswer(req, p.requestID(head.Header), head.StatusCode))
 	return r, outcome, nil
 }
 
--- a/internal/edge/targetconn/request.go
+++ b/internal/edge/targetconn/request.go
@@ -39,22 +39,29 @@
 	forOtherHost bool // another host asked for it: it takes no further detour
 }
 
-// mayUse reports whether the request may be sent on a connection that has served others. One without an ID might take
-// an earlier answer for its own that the target writes once more, and run, or let a run go on, a second time. Of the
-// control calls that holds for final moves, which have no CopyTo; those that copy, release and ask for reports do no
-// harm that way. Final moves are repeated while the answer is that nothing was done, which is no harm either.
+// mayUse reports whether the request may be sent on a connection that has served others. Without an ID its answer can't
+// be told from an earlier one that the target writes once more at the point where the next is expected. Callers' requests
+// without an ID might run twice that way, a final copy would seem to have stopped a run, and a copy would get the handle
+// of another run's. Connections that have only served questions are open to copies: the answer to one names no copy.
 func (r *Request) mayUse(c *Conn) bool {
 	switch {
 	case r.ID != "":
 		return true
 	case isCallersRequest(r):
 		return !c.served
-	case r.Use == targetnotice.Control && r.Method == http.MethodPost && r.CopyTo == "":
+	case r.isMove() && r.CopyTo == "":
 		return !c.done
+	case r.isMove():
+		return !c.changed
 	}
 	return true
 }
 
+// isMove reports whether the request asks a target to copy a run, or to stop it.
+func (r *Request) isMove() bool {
+	return r.Use == targetnotice.Control && r.Method == http.MethodPost
+}
+
 // encodeHead returns the head of the request, with room for more bytes behind it.
 func (r *Request) encodeHead(room int) []byte {
 	var b bytes.Buffer
--- a/internal/edge/targetconn/response.go
+++ b/internal/edge/targetconn/response.go
@@ -129,6 +129,9 @@
 	r.Close()
 }
 
+// DoNotReuse makes Close close the connection, since the response belongs to another request.
+func (r *Response) DoNotReuse() { r.reusable = false }
+
 // Close returns the connection to the pool after a complete response and closes it
 // otherwise.
 func (r *Response) Close() {
