edge: a run goes on from memory that a late answer names

A stream was lost when the only engine with its memory took over 400 ms to stop it: the call had been given up, and later ones found no run. A run that no engine takes now waits for calls in flight that may have stopped it, and goes on from what they name.

--- a/internal/edge/streaming/resume.go
+++ b/internal/edge/streaming/resume.go
@@ -70,6 +70,12 @@
 func (c *continuation) run(ctx context.Context) *segment {
 	for c.tries = 1; ; c.tries++ {
 		s, again := c.tryAll(ctx)
+		if s == nil && len(c.holders) == 0 {
+			for _, m := range c.r.awaitLeftMemory(ctx, c.left()) {
+				c.holders = append(c.holders, m.holders(c.r, c.source)...)
+			}
+			again = true
+		}
 		if s != nil || len(c.holders) == 0 {
 			return s
 		}
--- a/internal/edge/streaming/run.go
+++ b/internal/edge/streaming/run.go
@@ -64,6 +64,8 @@
 	// unstopped holds the engines that may execute the run though it does not continue there, by
 	// incarnation; guarded by mu.
 	unstopped map[string]*targets.Target
+	// leftMemory is what engines have named too late for the run to continue from it; guarded by mu.
+	leftMemory []leftMemory
 	// nextTakeover is the earliest time of the next takeover; guarded by mu.
 	nextTakeover bootclock.Instant
 }
--- a/internal/edge/streaming/stop.go
+++ b/internal/edge/streaming/stop.go
@@ -62,7 +62,7 @@
 	unreached  bool              // guarded by mu; the last call did not reach the engine
 	awaited    bool              // guarded by mu; the run waits for reply, to continue from the memory that it names
 	settled    bool              // guarded by mu; reply has been passed on, and does not change any more
-	unused     []string          // guarded by mu; memory that the engine named after reply, to be released
+	unused     []edge.MoveReply  // guarded by mu; those after reply that name memory
 	open       int               // guarded by mu; calls without an outcome yet
 	calls      int               // guarded by mu; calls made
 	finished   bool              // guarded by mu; the engine need not be asked again
@@ -186,7 +186,7 @@
 	case s.stopped && s.reply.Result == edge.MoveNoRun && !s.settled && stoppedAtSource(reply):
 		s.reply = reply // an earlier call has stopped the run
 	case s.stopped && reply.Handle != "":
-		s.unused = append(s.unused, reply.Handle)
+		s.unused = append(s.unused, reply)
 	case s.stopped:
 	case hasStopped(reply):
 		s.stopped, s.reply = true, reply
@@ -210,38 +210,31 @@
 		"stopped", hasStopped(reply), "engine_gone", ended, "calls", calls, "took_ms", bootclock.Since(s.started).Milliseconds(), "error", reply.ErrorText())
 }
 
-// end releases the memory that nobody continues from.
+// end leaves the memory that the run does not continue from to be released.
 func (s *engineStop) end() {
-	s.r.mu.Lock()
-	if s.r.stops[s.engine.Key()] == s {
-		delete(s.r.stops, s.engine.Key())
-	}
-	s.r.mu.Unlock()
-	s.cancel()
-	close(s.done)
+	r := s.r
 	s.mu.Lock()
 	unused := s.unused
 	if !s.awaited && s.reply.Handle != "" {
-		unused = append(unused, s.reply.Handle)
+		unused = append(unused, s.reply)
 	}
 	s.mu.Unlock()
-	for _, handle := range unused {
-		s.release(handle)
+	r.mu.Lock()
+	if r.stops[s.engine.Key()] == s {
+		delete(r.stops, s.engine.Key())
 	}
-}
-
-// release frees memory that the engine keeps, once the run does not look for an engine to continue
-// at: a later copy may have the handle of the one from which the run is about to continue.
-func (s *engineStop) release(handle string) {
-	for s.r.Target() == nil {
-		select {
-		case <-s.r.done:
-			s.r.releaseCopy(s.engine, handle)
-			return
-		case <-time.After(stopCheckInterval):
+	for _, reply := range unused {
+		r.leftMemory = append(r.leftMemory, leftMemory{s.engine, s.other, reply})
+	}
+	r.mu.Unlock()
+	s.cancel()
+	close(s.done)
+	if len(unused) > 0 {
+		r.awaitTarget()
+		for _, m := range r.takeLeftMemory() {
+			r.releaseCopy(m.engine, m.reply.Handle)
 		}
 	}
-	s.r.releaseCopy(s.engine, handle)
 }
 
 // hasStopped reports whether an engine does not execute the run after its answer to a final move.
