--- a/internal/drill/disturbance.go
+++ b/internal/drill/disturbance.go
@@ -42,6 +42,7 @@
 		{"brittle", false, 8 * time.Second, 16 * time.Second, makeBrittle},
 		{"crashing request", false, 2 * time.Second, 5 * time.Second, crashByRequest},
 		{"evacuation", false, 2 * time.Second, 6 * time.Second, evacuate},
+		{"ailing calls", false, 2 * time.Second, 6 * time.Second, ailCalls},
 	}
 }
 
--- a/internal/drill/faults.go
+++ b/internal/drill/faults.go
@@ -69,6 +69,25 @@
 	return err
 }
 
+// maxAilingCalls is the share of an engine's control calls that go wrong at most.
+const maxAilingCalls = 0.5
+
+// ailCalls makes something go wrong with control calls at some targets of a service for some seconds.
+func ailCalls(ctx context.Context, f *fleet, r *rand.Rand) error {
+	service, some := drawTargets(f, r, ailingShare, 0)
+	kind := []CallAilment{CallsHang, CallsReset, CallsFail, AnswersLost, AnswersRepeated}[r.IntN(5)]
+	share, d := minAilingOfCall+(maxAilingCalls-minAilingOfCall)*r.Float64(), between(r, minFault, maxFault)
+	f.logger.Info("drill: ailing control calls", "service", service, "targets", len(some), "ailment", kind, "share", share, "for", d)
+	for _, t := range some {
+		t.AilCalls(kind, share)
+	}
+	err := sleep(ctx, d)
+	for _, t := range some {
+		t.AilCalls("", 0)
+	}
+	return err
+}
+
 const (
 	minPause, maxPause         = 500 * time.Millisecond, 5 * time.Second
 	pausedShare, allPausedOf   = 0.6, 0.2 // of a service's targets; share of the cases in which all pause
--- a/internal/drill/host.go
+++ b/internal/drill/host.go
@@ -59,6 +59,7 @@
 	}
 	h.fleet.logger.Error("drill: host exited by itself", "host", h.name, "state", p.cmd.ProcessState.String())
 	h.fleet.unexpectedExits.Add(1)
+	h.fleet.log.Host(h.name, record.Unasked)
 	if sleep(h.fleet.ctx, restartPause) != nil {
 		return
 	}
--- a/internal/drill/judge/answers_test.go
+++ b/internal/drill/judge/answers_test.go
@@ -117,3 +117,31 @@
 		"acknowledged contactMs after outage": {func(r *record.Run) { r.Outages = []record.Span{span(14, 14.9)} }, true},
 	})
 }
+
+// Guards against streams that go on from the memory of another request without being noticed.
+func TestMemoryOfAnotherRequest(t *testing.T) {
+	requireCases(t, mixedUp, func() *record.Run {
+		run := completeRun()
+		first := run.Arrivals[0]
+		first.Continues, first.Memory = true, "r-2"
+		run.Arrivals = append(run.Arrivals, first)
+		return run
+	}, map[string]violationCase{
+		"another's":           {func(*record.Run) {}, true},
+		"another's, cut":      {func(r *record.Run) { r.Requests[0].Status = 0 }, true},
+		"its own":             {func(r *record.Run) { r.Arrivals[1].Memory = "r-1" }, false},
+		"none, since refused": {func(r *record.Run) { r.Arrivals[1].Memory = "" }, false},
+	})
+}
+
+// Guards against drills that pass although processes ended by themselves.
+func TestUnaskedExits(t *testing.T) {
+	requireCases(t, unaskedExits, func() *record.Run {
+		run := completeRun()
+		run.HostEvents = append(run.HostEvents, record.HostEvent{Host: "h", Event: record.Exited}, record.HostEvent{Host: "h", Event: record.Unasked})
+		return run
+	}, map[string]violationCase{
+		"by itself":      {func(*record.Run) {}, true},
+		"after a signal": {func(r *record.Run) { r.HostEvents = r.HostEvents[:len(r.HostEvents)-1] }, false},
+	})
+}
--- a/internal/drill/judge/judge.go
+++ b/internal/drill/judge/judge.go
@@ -24,6 +24,8 @@
 	Limit   Rule = "LIMIT"
 	Recover Rule = "RECOVER"
 	Evac    Rule = "EVAC"
+	// Exit is no rule of the platform by itself: a process that nobody ended has lost all its requests.
+	Exit Rule = "EXIT"
 )
 
 // Violation is one case of a broken rule.
@@ -42,7 +44,7 @@
 	for _, judge := range []func(*index) []Violation{
 		lostAroundPlannedWork, lostKeptConnections,
 		excessRetries, excessAttempts, excessTime, crashRetries, sentIntoPauses,
-		ranTwice, ranAtTwo, rejectedAndRan, outOfOrder, mixedUp, sentToLeaving, sentAfterNotice, deniedProper, overLimits, fallenTooOften, unservedWhileCut, sentToEvacuated,
+		ranTwice, ranAtTwo, rejectedAndRan, outOfOrder, mixedUp, sentToLeaving, sentAfterNotice, deniedProper, unaskedExits, overLimits, fallenTooOften, unservedWhileCut, sentToEvacuated,
 	} {
 		all = append(all, judge(x)...)
 	}
--- a/internal/drill/judge/mixed.go
+++ b/internal/drill/judge/mixed.go
@@ -6,15 +6,20 @@
 	"corianderhitch/internal/drill/record"
 )
 
-// mixedUp finds successes that no target gave.
+// mixedUp finds requests that went on from the memory of others, and successes that no target gave.
 func mixedUp(x *index) []Violation {
 	var all []Violation
 	for i := range x.run.Requests {
 		q := &x.run.Requests[i]
+		arrivals := x.arrivals[q.ID]
+		for _, a := range arrivals {
+			if a.Memory != "" && a.Memory != q.ID {
+				all = append(all, Violation{Rule: Mixed, At: a.At, Host: a.Host, Requests: []string{q.ID, a.Memory}, Text: "went on from the memory of " + a.Memory + ": " + x.way(q)})
+			}
+		}
 		if !succeeded(q.Status) {
 			continue
 		}
-		arrivals := x.arrivals[q.ID]
 		text := ""
 		switch {
 		case !q.Signed:
--- a/internal/drill/platform.go
+++ b/internal/drill/platform.go
@@ -121,6 +121,18 @@
 	LosingAnswers Ailment = "losing_answers"
 )
 
+// CallAilment is what goes wrong with control calls at an engine whose other requests are served.
+type CallAilment string
+
+// The ailments of control calls.
+const (
+	CallsHang       CallAilment = "calls_hang"
+	CallsReset      CallAilment = "calls_reset"
+	CallsFail       CallAilment = "calls_fail"
+	AnswersLost     CallAilment = "answers_lost"     // what is asked for is done
+	AnswersRepeated CallAilment = "answers_repeated" // written once more before the next answer on the connection
+)
+
 // Target is a stand-in for a target.
 type Target interface {
 	ID() string
@@ -131,6 +143,8 @@
 	// Ail makes something go wrong with a share of the requests, until Recover.
 	Ail(kind Ailment, share float64)
 	Recover()
+	// AilCalls makes something go wrong with a share of the control calls, 0 for none.
+	AilCalls(kind CallAilment, share float64)
 	// Pause makes the target reject all requests until d has passed, and ask for a pause until then.
 	Pause(d time.Duration)
 	// Limit makes the target name a limit of requests a second in all its answers; 0 ends it.
--- a/internal/drill/record/record.go
+++ b/internal/drill/record/record.go
@@ -105,7 +105,8 @@
 	Deadline  time.Duration // that the host states, negative if it states none
 	Ran       bool          // the target began to run it
 	Outcome   Outcome
-	Continues bool          // goes on from the memory of the same run
+	Continues bool          // goes on from memory
+	Memory    string        // id of the request whose memory that is; empty if it does not, or was rejected
 	After     int           // event after which a stream goes on
 	Events    int           // that the target sent
 	Limited   bool          // the target names a limit in its answer
@@ -148,6 +149,8 @@
 	Hup     Event = "sighup"  // planned
 	Killed  Event = "killed"  // unplanned, or at the end of the grace period
 	Exited  Event = "exited"  // by itself or after a signal
+	// Unasked follows Exited if nobody has ended the process.
+	Unasked Event = "unasked_exit"
 	Frozen  Event = "frozen"
 	Thawed  Event = "thawed"
 )
--- a/tests/harness/process.go
+++ b/tests/harness/process.go
@@ -33,6 +33,8 @@
 	cmd      *exec.Cmd     // guarded by mu
 	done     chan struct{} // closed when the program has exited
 	exitCode int           // valid once done is closed
+	ending   bool          // guarded by mu; the current run was sent a signal that ends it
+	unasked  []string      // guarded by mu; how the runs ended that nobody ended
 }
 
 // Start starts the program and returns without waiting for it.
@@ -52,12 +54,15 @@
 	require.NoError(t, cmd.Start())
 	done := make(chan struct{})
 	p.mu.Lock()
-	p.cmd, p.done = cmd, done
+	p.cmd, p.done, p.ending = cmd, done, false
 	p.mu.Unlock()
 	go func() {
 		_ = cmd.Wait()
 		p.mu.Lock()
 		p.exitCode = cmd.ProcessState.ExitCode()
+		if !p.ending {
+			p.unasked = append(p.unasked, cmd.ProcessState.String())
+		}
 		p.mu.Unlock()
 		close(done)
 	}()
@@ -67,9 +72,17 @@
 func (p *Process) Signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.ending = p.ending || s == syscall.SIGTERM || s == syscall.SIGINT || s == syscall.SIGKILL
 	_ = p.cmd.Process.Signal(s)
 }
 
+// UnaskedExits returns how those runs of the program ended that no signal ended.
+func (p *Process) UnaskedExits() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]string(nil), p.unasked...)
+}
+
 // Kill kills the program without warning and waits until it has exited.
 func (p *Process) Kill() {
 	p.Signal(syscall.SIGKILL)
--- a/tests/soak/host_test.go
+++ b/tests/soak/host_test.go
@@ -139,10 +139,13 @@
 	}
 }
 
-// stopHosts stops all processes as planned. The test fails if one has exited before.
+// stopHosts stops all processes as planned. The test fails if one has exited before, also if it was started again.
 func (c *cluster) stopHosts() {
 	var wait sync.WaitGroup
 	for _, h := range c.hosts {
+		for _, reason := range h.process.UnaskedExits() {
+			c.t.Errorf("%s ended by itself: %s", h.name, reason)
+		}
 		if !h.isAlive() {
 			c.t.Errorf("%s exited unexpectedly: %s; its last start was at %s, the last SIGHUP at %s", h.name, h.process.ExitReason(),
 				h.startedAt[len(h.startedAt)-1].Format(timeLayout), h.reloadedAt.Format(timeLayout))
--- a/tests/soak/main_test.go
+++ b/tests/soak/main_test.go
@@ -72,6 +72,11 @@
 		defer cancel()
 		c.injectSilences(ctx, seed)
 	})
+	restores.Go(func() {
+		ctx, cancel := context.WithTimeout(t.Context(), duration)
+		defer cancel()
+		c.injectAilingCalls(ctx, seed)
+	})
 	c.injectFaults(duration)
 	restores.Wait()
 	c.endFaults()
