--- a/internal/edge/streaming/replicastate_test.go
+++ b/internal/edge/streaming/replicastate_test.go
@@ -48,59 +48,64 @@
 	}
 }
 
+// afterFailedFinalCopy returns what must be possible with a run and its replica after a final copy has failed.
+func afterFailedFinalCopy(failed edge.MoveReply) map[string]func(*testing.T, *Run, *Replica) {
+	return map[string]func(*testing.T, *Run, *Replica){
+		"is moved again": func(t *testing.T, r *Run, replica *Replica) {
+			for range 2 {
+				require.True(t, r.BeginFinalCopy(replica))
+				r.EndFinalCopy(replica, failed, time.Millisecond)
+			}
+			require.True(t, r.BeginFinalCopy(replica))
+			r.EndFinalCopy(replica, movedWhole, time.Minute)
+			require.True(t, r.HasMoved())
+			require.False(t, r.BeginFinalCopy(replica), "the run has been stopped")
+			require.Equal(t, movedWhole, replica.final.reply)
+		},
+		"is discarded after an event": func(t *testing.T, r *Run, replica *Replica) {
+			r.recordProgress(1)
+			require.True(t, r.DiscardReplica(replica))
+			require.Nil(t, r.Replica())
+		},
+		"is discarded after a copy": func(t *testing.T, r *Run, replica *Replica) {
+			replica.CopiedAt = 0
+			r.NoteCopied(replica)
+			require.NotZero(t, replica.CopiedAt)
+			require.True(t, r.DiscardReplica(replica))
+		},
+		"is replaced": func(t *testing.T, r *Run, replica *Replica) {
+			next := &Replica{Source: replica.Source, Dest: &targets.Target{ID: "e"}}
+			require.True(t, r.setReplica(next, replica))
+			require.Same(t, next, r.Replica())
+		},
+		"is taken over": func(t *testing.T, r *Run, _ *Replica) {
+			r.ctx, r.segment = t.Context(), openSegment(t, r.server, r.Target())
+			r.LeaveSilentEngine()
+			require.True(t, r.LeavesSilentEngine())
+			require.NotNil(t, r.endTakeover(io.ErrUnexpectedEOF))
+		},
+		"is not interrupted after an event": func(t *testing.T, r *Run, _ *Replica) {
+			r.recordProgress(1)
+			require.Zero(t, r.interruption)
+		},
+		"asks its engine again when the stream breaks later": func(t *testing.T, r *Run, replica *Replica) {
+			r.recordProgress(1)
+			next, reason := r.nextSegment(t.Context(), &segment{target: replica.Source, response: &targetconn.Response{Delimited: true}}, io.ErrUnexpectedEOF)
+			require.NotNil(t, next, reason)
+			engines := r.server.Engines.(*workingEngines)
+			engines.mu.Lock()
+			defer engines.mu.Unlock()
+			require.NotZero(t, engines.made["s"], "the outcome of the earlier final copy was taken for that of today")
+		},
+	}
+}
+
 // Guards against the end of the process when an engine leaves a second time under a run whose first final copy failed,
 // and against runs that such a copy leaves worse off than before.
 func TestRunAfterAFailedFinalCopy(t *testing.T) {
 	outcomes := map[string]edge.MoveReply{"busy": movedBusy, "no room": movedNoRoom, "no answer": movedNowhere, "rejected": movedRejected, "no run": movedNoRun}
 	for name, failed := range outcomes {
-		for action, check := range map[string]func(*testing.T, *Run, *Replica){
-			"is moved again": func(t *testing.T, r *Run, replica *Replica) {
-				for range 2 {
-					require.True(t, r.BeginFinalCopy(replica))
-					r.EndFinalCopy(replica, failed, time.Millisecond)
-				}
-				require.True(t, r.BeginFinalCopy(replica))
-				r.EndFinalCopy(replica, movedWhole, time.Minute)
-				require.True(t, r.HasMoved())
-				require.False(t, r.BeginFinalCopy(replica), "the run has been stopped")
-				require.Equal(t, movedWhole, replica.final.reply)
-			},
-			"is discarded after an event": func(t *testing.T, r *Run, replica *Replica) {
-				r.recordProgress(1)
-				require.True(t, r.DiscardReplica(replica))
-				require.Nil(t, r.Replica())
-			},
-			"is discarded after a copy": func(t *testing.T, r *Run, replica *Replica) {
-				replica.CopiedAt = 0
-				r.NoteCopied(replica)
-				require.NotZero(t, replica.CopiedAt)
-				require.True(t, r.DiscardReplica(replica))
-			},
-			"is replaced": func(t *testing.T, r *Run, replica *Replica) {
-				next := &Replica{Source: replica.Source, Dest: &targets.Target{ID: "e"}}
-				require.True(t, r.setReplica(next, replica))
-				require.Same(t, next, r.Replica())
-			},
-			"is taken over": func(t *testing.T, r *Run, _ *Replica) {
-				r.ctx, r.segment = t.Context(), openSegment(t, r.server, r.Target())
-				r.LeaveSilentEngine()
-				require.True(t, r.LeavesSilentEngine())
-				require.NotNil(t, r.endTakeover(io.ErrUnexpectedEOF))
-			},
-			"is not interrupted after an event": func(t *testing.T, r *Run, _ *Replica) {
-				r.recordProgress(1)
-				require.Zero(t, r.interruption)
-			},
-			"asks its engine again when the stream breaks later": func(t *testing.T, r *Run, replica *Replica) {
-				r.recordProgress(1)
-				next, reason := r.nextSegment(t.Context(), &segment{target: replica.Source, response: &targetconn.Response{Delimited: true}}, io.ErrUnexpectedEOF)
-				require.NotNil(t, next, reason)
-				engines := r.server.Engines.(*workingEngines)
-				engines.mu.Lock()
-				defer engines.mu.Unlock()
-				require.NotZero(t, engines.made["s"], "the outcome of the earlier final copy was taken for that of today")
-			},
-		} {
+		for action, check := range afterFailedFinalCopy(failed) {
 			t.Run(name+" "+action, func(t *testing.T) {
 				dest := startHolder(t, "d", false)
 				r, replica, _ := handover(t, &workingEngines{}, dest.target)
