edge: bound the idle connections that copies leave, and certain outcomes of final copies

Each copy leaves a connection that no other copy may use. Four of them stay open for a target, for releases and reports.

A final copy that could not be sent has not stopped the run: its replica is kept, and a stream that ends with its connection afterwards is complete.

--- a/internal/edge/streaming/replica.go
+++ b/internal/edge/streaming/replica.go
@@ -167,7 +167,7 @@
 	if replica.state == replicaKept {
 		r.interruption = interruption{} // the engine has not stopped the run
 	}
-	r.stopUnconfirmed = r.stopUnconfirmed || reply.Result == edge.MoveUnknown || reply.Result == edge.MoveRejected
+	r.stopUnconfirmed = r.stopUnconfirmed || !didNotReach(reply) && (reply.Result == edge.MoveUnknown || reply.Result == edge.MoveRejected)
 	close(final.done)
 	r.mu.Unlock()
 	if stoppedAtSource(reply) {
--- a/internal/edge/streaming/replicastate.go
+++ b/internal/edge/streaming/replicastate.go
@@ -61,7 +61,7 @@
 	switch {
 	case stoppedAtSource(reply):
 		return replicaMoved
-	case reply.Result == edge.MoveBusy, reply.Result == edge.MoveNoRoom:
+	case reply.Result == edge.MoveBusy, reply.Result == edge.MoveNoRoom, didNotReach(reply):
 		return replicaKept
 	default:
 		return replicaUnconfirmed
--- a/internal/edge/streaming/replicastate_test.go
+++ b/internal/edge/streaming/replicastate_test.go
@@ -18,6 +18,7 @@
 	movedBusy     = edge.MoveReply{Result: edge.MoveBusy}
 	movedNoRoom   = edge.MoveReply{Result: edge.MoveNoRoom}
 	movedNowhere  = edge.MoveReply{Result: edge.MoveUnknown, Err: targetconn.ErrBroken}
+	movedUnsent   = edge.MoveReply{Result: edge.MoveUnknown, Err: targetconn.ErrNotSent}
 	movedRejected = edge.MoveReply{Result: edge.MoveRejected}
 	movedNoRun    = edge.MoveReply{Result: edge.MoveNoRun}
 	movedWhole    = edge.MoveReply{Result: edge.MoveCopied, Handle: "h-2"}
@@ -42,7 +43,7 @@
 	for _, c := range []struct {
 		reply edge.MoveReply
 		want  replicaState
-	}{{movedBusy, replicaKept}, {movedNoRoom, replicaKept}, {movedNowhere, replicaUnconfirmed}, {movedRejected, replicaUnconfirmed},
+	}{{movedBusy, replicaKept}, {movedNoRoom, replicaKept}, {movedUnsent, replicaKept}, {movedNowhere, replicaUnconfirmed}, {movedRejected, replicaUnconfirmed},
 		{movedNoRun, replicaUnconfirmed}, {movedWhole, replicaMoved}, {movedStopped, replicaMoved}} {
 		require.Equal(t, c.want, stateAfter(c.reply), c.reply.Result.String())
 	}
@@ -103,7 +104,7 @@
 // Guards against the end of the process when an engine leaves a second time under a run whose first final copy failed,
 // and against runs that such a copy leaves worse off than before.
 func TestRunAfterAFailedFinalCopy(t *testing.T) {
-	outcomes := map[string]edge.MoveReply{"busy": movedBusy, "no room": movedNoRoom, "no answer": movedNowhere, "rejected": movedRejected, "no run": movedNoRun}
+	outcomes := map[string]edge.MoveReply{"busy": movedBusy, "no room": movedNoRoom, "no answer": movedNowhere, "not sent": movedUnsent, "rejected": movedRejected, "no run": movedNoRun}
 	for name, failed := range outcomes {
 		for action, check := range afterFailedFinalCopy(failed) {
 			t.Run(name+" "+action, func(t *testing.T) {
@@ -144,6 +145,16 @@
 	require.NotNil(t, next, reason)
 }
 
+// Guards against streams that are whole and go on elsewhere, since a final copy could not be sent.
+func TestStreamThatNoStopReachedIsComplete(t *testing.T) {
+	r, replica, ended := handover(t, &workingEngines{}, startHolder(t, "d", false).target)
+	require.True(t, r.BeginFinalCopy(replica))
+	r.EndFinalCopy(replica, movedUnsent, time.Minute)
+	next, reason := r.nextSegment(t.Context(), ended, io.EOF)
+	require.Nil(t, next)
+	require.Equal(t, completed, reason)
+}
+
 // The outcome arrives after the stream has ended, and the goroutine that reads it waits.
 func TestOutcomeThatArrivesAfterTheStreamHasEnded(t *testing.T) {
 	dest := startHolder(t, "d", false)
--- a/internal/edge/targetconn/pool.go
+++ b/internal/edge/targetconn/pool.go
@@ -35,6 +35,9 @@
 	idleTimeoutMargin = 700 * time.Millisecond
 	// maxIdlePerTarget bounds the idle connections of a target; others are closed.
 	maxIdlePerTarget = 24
+	// maxChangedPerTarget bounds the idle connections that copies and final copies may not use any more. Each copy
+	// leaves one.
+	maxChangedPerTarget = 4
 	// idleShare is the part of this host's share of a target's connections that may be
 	// idle. The rest of all shares is left to hosts that have many requests.
 	idleShare = 0.5
@@ -435,13 +438,18 @@
 	incarnation := strings.TrimPrefix(c.key, controlPrefix)
 	limit := p.idleLimit(incarnation)
 	p.mu.Lock()
-	conns := append(p.idle[c.key], c)
+	var closing []*Conn
+	conns := p.idle[c.key]
+	if c.changed && isControlKey(c.key) {
+		conns, closing = withoutOldestChanged(conns)
+	}
+	conns = append(conns, c)
 	otherKey := incarnation
 	if c.key == incarnation {
 		otherKey = controlPrefix + incarnation
 	}
 	excess := min(max(len(conns)+len(p.idle[otherKey])-limit, 0), len(conns))
-	closing := slices.Clone(conns[:excess])
+	closing = append(closing, conns[:excess]...)
 	p.idle[c.key] = slices.Delete(conns, 0, excess)
 	p.mu.Unlock()
 	for _, surplus := range closing {
@@ -449,6 +457,25 @@
 	}
 }
 
+// withoutOldestChanged makes room for one more connection that copies may not use: it removes the least recently used
+// one if there are maxChangedPerTarget.
+func withoutOldestChanged(conns []*Conn) (kept, removed []*Conn) {
+	changed := 0
+	for _, c := range conns {
+		if c.changed {
+			changed++
+		}
+	}
+	if changed < maxChangedPerTarget {
+		return conns, nil
+	}
+	i := slices.IndexFunc(conns, func(c *Conn) bool { return c.changed })
+	removed = []*Conn{conns[i]}
+	return slices.Delete(conns, i, i+1), removed
+}
+
+func isControlKey(key string) bool { return strings.HasPrefix(key, controlPrefix) }
+
 // idleLimit returns how many connections to a target may be idle now. It rounds a part of a
 // connection at random, so that the expected sum over many hosts is within their shares.
 func (p *Pool) idleLimit(incarnation string) int {
--- a/internal/edge/targetconn/pool_test.go
+++ b/internal/edge/targetconn/pool_test.go
@@ -353,3 +353,24 @@
 		}
 	}
 }
+
+// Guards against a connection for each copy that stays open: targets accept a bounded number from all hosts.
+func TestConnectionsOfCopiesDoNotPileUp(t *testing.T) {
+	target := startRawTarget(t, "HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\n{}")
+	p := newTestPool(&scriptedGate{})
+	ask := func(method string) {
+		r, err := p.Do(t.Context(), "t@1", target.listener.Addr().String(), &Request{Method: method, URI: "/", Host: "h", Header: http.Header{}, CopyTo: "u@1", Use: targetnotice.Control})
+		require.NoError(t, err)
+		r.Discard()
+	}
+	for range 3 * maxChangedPerTarget {
+		ask(http.MethodPost)
+	}
+	ask(http.MethodDelete)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	require.Len(t, p.idle[controlPrefix+"t@1"], maxChangedPerTarget)
+	target.mu.Lock()
+	defer target.mu.Unlock()
+	require.Equal(t, 3*maxChangedPerTarget, target.connections, "each copy has a connection of its own, the release has none")
+}
