edge: copies that renew a replica share connections again

A connection of its own for each copy made moves slower: a run with a replica is copied once more, and often several times, before its final copy, and each new connection takes a turn at the engine. These copies know the handle that their answer must name, since a later copy to the same engine has that of the earlier one, so that the answer to the call of another run is told from theirs (EngineClient.Refresh). Only the first copy of a run has a connection that no earlier answer can arrive on.

--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -155,6 +155,9 @@
 	// Move copies the KV memory of a request's run from the source engine to another.
 	// A final move stops the run at the source.
 	Move(ctx context.Context, source *targets.Target, requestID string, dest *targets.Target, final bool) MoveReply
+	// Refresh copies what a run has added since the copy that handle names. An answer that names another one belongs to
+	// another call, and the result is MoveUnknown.
+	Refresh(ctx context.Context, source *targets.Target, requestID string, dest *targets.Target, handle string) MoveReply
 	// Release frees a copy that will not be used. Called at the source, it frees
 	// the memory at both engines.
 	Release(ctx context.Context, source *targets.Target, handle string) error
--- a/internal/edge/migration/mover.go
+++ b/internal/edge/migration/mover.go
@@ -356,7 +356,7 @@
 	defer cancel()
 	for {
 		started := bootclock.Now()
-		reply := m.Engines.Move(ctx, source, r.ID(), dest, false)
+		reply := m.Engines.Refresh(ctx, source, r.ID(), dest, replica.Handle)
 		if reply.Result != edge.MoveCopied {
 			m.logFailedCopy(r, source, dest, "next", reply)
 			return false
--- a/internal/edge/migration/replicator.go
+++ b/internal/edge/migration/replicator.go
@@ -187,7 +187,7 @@
 func refreshReplica(ctx context.Context, engines edge.EngineClient, replica *streaming.Replica, run *streaming.Run) edge.MoveReply {
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
-	reply := engines.Move(ctx, replica.Source, run.ID(), replica.Dest, false)
+	reply := engines.Refresh(ctx, replica.Source, run.ID(), replica.Dest, replica.Handle)
 	if reply.Result == edge.MoveCopied {
 		run.NoteCopied(replica)
 	}
--- a/internal/edge/observe/engineclient.go
+++ b/internal/edge/observe/engineclient.go
@@ -40,6 +40,14 @@
 	return reply
 }
 
+// Refresh implements edge.EngineClient.
+func (c *EngineClient) Refresh(ctx context.Context, source *targets.Target, requestID string, dest *targets.Target, handle string) edge.MoveReply {
+	started := time.Now()
+	reply := c.EngineClient.Refresh(ctx, source, requestID, dest, handle)
+	c.ObserveCall(callCopy, reply.Result.String(), time.Since(started))
+	return reply
+}
+
 // Release implements edge.EngineClient.
 func (c *EngineClient) Release(ctx context.Context, source *targets.Target, handle string) error {
 	started := time.Now()
--- a/internal/edge/targetconn/request.go
+++ b/internal/edge/targetconn/request.go
@@ -31,6 +31,9 @@
 	Movable bool
 	Regions region.Set // of the hosts that may get the request to send it
 	CopyTo  string     // incarnation to which the target is asked to copy a run; "" if none
+	// KnowsAnswer means that the sender tells the answer of a copy from those of copies of other runs. Helpers are not
+	// told, and take it for a copy whose answer they can't tell.
+	KnowsAnswer bool
 
 	// PermitUntil is until when one send to a cold target needs no part of this host's share of what the
 	// target bears, since the hub has granted a permit; 0 if it has not. Helpers are not told.
@@ -51,7 +54,7 @@
 		return !c.served
 	case r.isMove() && r.CopyTo == "":
 		return !c.done
-	case r.isMove():
+	case r.isMove() && !r.KnowsAnswer:
 		return !c.changed
 	}
 	return true
