--- a/internal/edge/migration/mover.go
+++ b/internal/edge/migration/mover.go
@@ -72,11 +72,11 @@
 
 // Evacuate moves runs, one after the other, off an engine that gave its leaving notice at
 // noticedAt. Runs that are expected to end before the engine exits stay, and are looked at
-// again until it does: an estimate may be too low. So are runs whose final copy failed, runs that another engine may take
-// over because the source is silent, and those whose destinations want a pause. Runs that only
-// have a replica keep it until the engine exits, which may be much later than assumed. It returns
-// when all others have been tried or have ended, or when the engine is about to exit, and no run
-// has a replica.
+// again until it does: an estimate may be too low. So are runs whose final copy failed, runs that
+// another engine may take over because the source is silent, and those whose destinations want a
+// pause. Runs that only have a replica keep it until the engine exits, which may be much later than
+// assumed. It returns when all others have been tried or have ended, or when the engine is about to
+// exit, and no run has a replica.
 func (m *Mover) Evacuate(ctx context.Context, source *targets.Target, noticedAt bootclock.Instant, runs []*streaming.Run) {
 	if len(runs) == 0 || !runs[0].Service().Engine.SupportsMigration {
 		return
