--- a/internal/drill/faults.go
+++ b/internal/drill/faults.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"syscall"
 	"time"
 
+	"corianderhitch/internal/drill/deployment"
 	"corianderhitch/internal/drill/record"
 )
 
@@ -69,22 +71,43 @@
 	return err
 }
 
-// maxAilingCalls is the share of an engine's control calls that go wrong at most.
-const maxAilingCalls = 0.5
+const (
+	maxAilingCalls = 0.5 // share of an engine's control calls that go wrong at most
+	lostStreams    = 0.4 // share of an engine's streams whose connections are lost while calls hang or fail
+	// streamsLostAfter is how long calls have gone wrong then.
+	streamsLostAfter = 700 * time.Millisecond
+)
 
-// ailCalls makes something go wrong with control calls at some targets of a service for some seconds.
+// ailCalls makes something go wrong with control calls at some engines for some seconds, and takes away streams for
+// which such calls matter: connections are lost, or one of the engines crashes.
 func ailCalls(ctx context.Context, f *fleet, r *rand.Rand) error {
-	service, some := drawTargets(f, r, ailingShare, 0)
+	services := slices.DeleteFunc(slices.Clone(f.deployment.Services), func(s deployment.Service) bool { return s.Engine == nil })
+	if len(services) == 0 {
+		return nil
+	}
+	service := services[r.IntN(len(services))].Name
+	some := f.targets.some(r, service, 1+int(r.Float64()*ailingShare*float64(f.targets.count(service))))
 	kind := []CallAilment{CallsHang, CallsReset, CallsFail, AnswersLost, AnswersRepeated}[r.IntN(5)]
 	share, d := minAilingOfCall+(maxAilingCalls-minAilingOfCall)*r.Float64(), between(r, minFault, maxFault)
 	f.logger.Info("drill: ailing control calls", "service", service, "targets", len(some), "ailment", kind, "share", share, "for", d)
 	for _, t := range some {
 		t.AilCalls(kind, share)
 	}
-	err := sleep(ctx, d)
+	err := sleep(ctx, streamsLostAfter)
+	if kind != AnswersRepeated {
+		for _, t := range some {
+			t.LoseStreams(lostStreams)
+		}
+	}
+	if err == nil {
+		err = sleep(ctx, d)
+	}
 	for _, t := range some {
 		t.AilCalls("", 0)
 	}
+	if kind == AnswersRepeated && err == nil && len(some) > 0 {
+		f.targets.crash(some[0].ID(), minCrashRestart)
+	}
 	return err
 }
 
--- a/internal/drill/platform.go
+++ b/internal/drill/platform.go
@@ -145,6 +145,8 @@
 	Recover()
 	// AilCalls makes something go wrong with a share of the control calls, 0 for none.
 	AilCalls(kind CallAilment, share float64)
+	// LoseStreams resets the connections of a share of the streams of an engine, which goes on with the runs.
+	LoseStreams(share float64)
 	// Pause makes the target reject all requests until d has passed, and ask for a pause until then.
 	Pause(d time.Duration)
 	// Limit makes the target name a limit of requests a second in all its answers; 0 ends it.
