--- a/internal/drill/faults.go
+++ b/internal/drill/faults.go
@@ -72,8 +72,10 @@
 }
 
 const (
-	maxAilingCalls = 0.5 // share of an engine's control calls that go wrong at most
-	lostStreams    = 0.4 // share of an engine's streams whose connections are lost while calls hang or fail
+	// Share of an engine's control calls that go wrong. The platform's pages allow it for requests of any kind.
+	minAilingCalls, maxAilingCalls = 0.2, 0.6
+	// lostStreams is the share of an engine's streams whose connections are lost while calls hang or fail.
+	lostStreams = 0.8
 	// streamsLostAfter is how long calls have gone wrong then.
 	streamsLostAfter = 700 * time.Millisecond
 )
@@ -88,7 +90,7 @@
 	service := services[r.IntN(len(services))].Name
 	some := f.targets.some(r, service, 1+int(r.Float64()*ailingShare*float64(f.targets.count(service))))
 	kind := []CallAilment{CallsHang, CallsReset, CallsFail, AnswersLost, AnswersRepeated}[r.IntN(5)]
-	share, d := minAilingOfCall+(maxAilingCalls-minAilingOfCall)*r.Float64(), between(r, minFault, maxFault)
+	share, d := minAilingCalls+(maxAilingCalls-minAilingCalls)*r.Float64(), between(r, minFault, maxFault)
 	f.logger.Info("drill: ailing control calls", "service", service, "targets", len(some), "ailment", kind, "share", share, "for", d)
 	for _, t := range some {
 		t.AilCalls(kind, share)
