--- a/internal/edge/targetconn/conn.go
+++ b/internal/edge/targetconn/conn.go
@@ -32,7 +32,7 @@
 	usedAt   bootclock.Instant // 0 before the first use
 	served   bool              // the target has answered a request
 	done     bool              // one of the answers was not that the request conflicts with what the target does
-	changed  bool              // so, and not the success of a question either
+	changed  bool              // one of the answers was neither such a conflict nor the success of a GET request
 	// failed are the hashes of the IDs of requests that were answered with a failure, which the target may write
 	// again. Callers choose the IDs, which may have 16 KB.
 	failed      []uint64
--- a/internal/edge/targetconn/request.go
+++ b/internal/edge/targetconn/request.go
@@ -45,7 +45,7 @@
 // mayUse reports whether the request may be sent on a connection that has served others. Without an ID its answer can't
 // be told from an earlier one that the target writes once more at the point where the next is expected. Callers' requests
 // without an ID might run twice that way, a final copy would seem to have stopped a run, and a copy would get the handle
-// of another run's. Connections that have only served questions are open to copies: the answer to one names no copy.
+// of another run's. The answer to a GET request names no copy, so that copies may follow those.
 func (r *Request) mayUse(c *Conn) bool {
 	switch {
 	case r.ID != "":
