edge: an engine that gives no valid answer to stops is not awaited

Cause: since an engine that sends anything counts as at work, runs waited for their callers' patience, with all that they hold, for engines that send to others and answer each call to stop with what is no answer. Three such answers in a row end the wait now, since the engine will not say that it has stopped.

--- a/internal/edge/streaming/stop.go
+++ b/internal/edge/streaming/stop.go
@@ -26,6 +26,9 @@
 	// contactMargin is how long after the stream of a run has broken off bytes on other connections may
 	// be read that the engine sent before.
 	contactMargin = 50 * time.Millisecond
+	// maxInvalidAnswers is how many answers in a row may be none before an engine that sends to others is not
+	// awaited any longer: it will not say that it has stopped the run.
+	maxInvalidAnswers = 3
 )
 
 // Reasons of stops in log lines.
@@ -63,6 +66,7 @@
 	awaited    bool              // guarded by mu; the run waits for reply, to continue from the memory that it names
 	settled    bool              // guarded by mu; reply has been passed on, and does not change any more
 	unused     []edge.MoveReply  // guarded by mu; those after reply that name memory
+	invalid    int               // guarded by mu; outcomes in a row that were no valid answers
 	open       int               // guarded by mu; calls without an outcome yet
 	calls      int               // guarded by mu; calls made
 	finished   bool              // guarded by mu; the engine need not be asked again
@@ -134,7 +138,7 @@
 		return s.reply, true, false
 	}
 	silent := s.answeredAt == 0 && waited >= stopTimeout || s.answeredAt != 0 && bootclock.Since(s.answeredAt) >= stopAnswerValidity
-	s.awaited = ctx.Err() == nil && (heard || !s.unreached && !silent)
+	s.awaited = ctx.Err() == nil && (heard && s.invalid < maxInvalidAnswers || !s.unreached && !silent)
 	return s.reply, false, s.awaited
 }
 
@@ -163,7 +167,7 @@
 	heard := s.heardLately(s.started)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.stopped && (heard || !s.unreached && s.answeredAt != 0 && bootclock.Since(s.answeredAt) < stopAnswerValidity)
+	return !s.stopped && (heard && s.invalid < maxInvalidAnswers || !s.unreached && s.answeredAt != 0 && bootclock.Since(s.answeredAt) < stopAnswerValidity)
 }
 
 // replaced reports whether a later incarnation, of this engine or of another target, has its address.
@@ -182,6 +186,11 @@
 func (s *engineStop) observe(reply edge.MoveReply) {
 	s.mu.Lock()
 	s.unreached = didNotReach(reply)
+	if errors.Is(reply.Err, targetconn.ErrInvalidResponse) {
+		s.invalid++
+	} else {
+		s.invalid = 0
+	}
 	switch {
 	case s.stopped && s.reply.Result == edge.MoveNoRun && !s.settled && stoppedAtSource(reply):
 		s.reply = reply // an earlier call has stopped the run
--- a/internal/edge/streaming/stop_contact_test.go
+++ b/internal/edge/streaming/stop_contact_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"corianderhitch/internal/edge"
 	"corianderhitch/internal/edge/targetconn"
 	"corianderhitch/internal/edge/targetnotice"
 )
@@ -76,3 +77,17 @@
 		})
 	}
 }
+
+// Guards against runs that wait for seconds, with all that they hold, for an engine that sends to others and gives no
+// valid answer to any call.
+func TestEngineWithoutValidAnswersIsNotAwaited(t *testing.T) {
+	t.Parallel()
+	dest := startHolder(t, "d", false)
+	invalid := engineCall{result: edge.MoveUnknown, err: targetconn.ErrInvalidResponse}
+	r, _, ended := handover(t, &workingEngines{calls: map[string][]engineCall{"s": {invalid}}}, dest.target)
+	keepTalking(t, r, ended.target.Key(), time.Minute)
+	started := time.Now()
+	next, reason := r.nextSegment(t.Context(), ended, io.ErrUnexpectedEOF)
+	require.NotNil(t, next, reason)
+	require.Less(t, time.Since(started), stopTimeout+200*time.Millisecond)
+}
